Add the partition map, rendezvous hashing and the record codec

Slots and map groups are msgpack arrays in fixed order (record.h said a map: the order is fixed and a version stands first, so names would only cost bytes).

Refined in record.h: intents carry whether the call is idempotent, programs carry grant_tokens (what a known branch may reserve without a journaled intent, so that a take-over knows what to charge),

slot_pack_records serve group commit.

Guard: an array's count is held against the bytes that are there before msgpack-c allocates for it. Ruled out: msgpack-c alone, which allocates by the announced count. Conclusion: every truncation is refused and every one-byte change is refused or well formed (test_record, 4 tests).

--- a/include/buckthornhead/record.h
+++ b/include/buckthornhead/record.h
@@ -1,7 +1,8 @@
 /* Journal records: what a home writes down before it acts, and how it is packed.
  *
- * A slot of the journal is one value in the platform's key-value service: a msgpack map with the
- * writer's incarnation, a batch id, the oldest slot a replay needs, and the records. */
+ * A slot of the journal is one value in the platform's key-value service: a msgpack array with a
+ * version, the writer's incarnation, a batch id, the oldest slot a replay needs, and the records.
+ */
 #pragma once
 
 #include <buckthornhead/call.h>
@@ -48,6 +49,9 @@
       int64_t created_unix_ms;
       int64_t deadline_unix_ms; /* 0: none */
       uint32_t turn_limit;      /* 0: none */
+      /* Largest reservation that an idempotent call on a known branch may take without a journaled
+       * intent; what each branch is charged when a home dies. 0: each call is journaled first. */
+      uint64_t grant_tokens;
       uint8_t create_digest[DIGEST_BYTES];
     } program;
     struct
@@ -55,7 +59,8 @@
       struct CallKey key;
       uint8_t digest[DIGEST_BYTES];
       uint64_t reserved_tokens;
-    } intent; /* and not_sent */
+      bool idempotent; /* may be sent again: journaled for the budget's sake only */
+    } intent;          /* and not_sent */
     struct
     {
       struct CallKey key;
@@ -78,7 +83,10 @@
     struct
     {
       char program[PROGRAM_ID_MAX_BYTES + 1];
-      const uint8_t *state; /* ledger_pack_program */
+      /* ledger_pack_program's bytes, cut to parts that fit into slots; the program's state is
+       * replaced when the last of its parts has come. */
+      uint32_t part, n_parts;
+      const uint8_t *state;
       size_t state_bytes;
     } snapshot;
   };
@@ -100,6 +108,31 @@
   size_t n_records;
 };
 
+/* A record as record_pack packed it. */
+struct PackedRecord
+{
+  const uint8_t *bytes;
+  size_t n_bytes;
+};
+
+enum
+{
+  SLOT_HEADER_MAX_BYTES = 256 /* all of a slot but its records */
+};
+
+/* Packs one record into a new talloc array of *bytes. */
+int32_t
+record_pack (TALLOC_CTX *ctx, const struct Record *record, uint8_t **packed, size_t *bytes);
+
+/* Packs slot, with the given packed records in place of its own. */
+int32_t
+slot_pack_records (TALLOC_CTX *ctx,
+                   const struct Slot *slot,
+                   const struct PackedRecord *records,
+                   size_t n_records,
+                   uint8_t **packed,
+                   size_t *bytes);
+
 /* Packs slot into a new talloc array of *bytes. */
 int32_t
 slot_pack (TALLOC_CTX *ctx, const struct Slot *slot, uint8_t **packed, size_t *bytes);
--- /dev/null
+++ b/tests/test_record.c
@@ -0,0 +1,171 @@
+#include "test_main.h"
+
+#include <buckthornhead/error.h>
+#include <buckthornhead/partition.h>
+#include <buckthornhead/record.h>
+
+#include <stdlib.h>
+#include <string.h>
+
+static struct CallKey
+key_of (const char *program, uint64_t sequence)
+{
+  struct CallKey key = { .sequence = sequence, .branch = MAIN_BRANCH };
+
+  snprintf (key.program, sizeof key.program, "%s", program);
+  return key;
+}
+
+/* One record of each kind. */
+static struct Slot
+slot_of_all_kinds (struct Record records[8])
+{
+  static const uint8_t body[] = "answer";
+  struct Slot slot = { .kind = SLOT_RECORDS,
+                       .writer = "malda-1.7",
+                       .batch_id = 3,
+                       .replay_from = 2,
+                       .records = records,
+                       .n_records = 8 };
+
+  memset (records, 0, 8 * sizeof records[0]);
+  for (uint32_t i = 0; i < 8; i++)
+    {
+      records[i].kind = (enum RecordKind) (i + RECORD_PROGRAM);
+      records[i].partition = 5;
+      records[i].epoch = 9;
+    }
+  snprintf (records[0].program.program, sizeof records[0].program.program, "%s", "p");
+  records[0].program.created_unix_ms = -1;
+  records[0].program.budget_tokens = UINT64_MAX;
+  records[1].intent.key = key_of ("p", 1);
+  records[1].intent.reserved_tokens = 70;
+  records[2].outcome.key = key_of ("p", 1);
+  records[2].outcome.outcome.error = ERROR_BACKEND;
+  records[2].outcome.outcome.ran = RAN_YES;
+  records[2].outcome.outcome.answer = body;
+  records[2].outcome.outcome.answer_bytes = sizeof body;
+  records[2].outcome.request = body;
+  records[2].outcome.request_bytes = 3;
+  snprintf (records[3].end.program, sizeof records[3].end.program, "%s", "p");
+  records[3].end.reason = END_LOOPING;
+  snprintf (records[4].released.backend, sizeof records[4].released.backend, "%s", "engine-1");
+  records[5].snapshot.state = body;
+  records[5].snapshot.state_bytes = sizeof body;
+  records[5].snapshot.n_parts = 1;
+  records[7].intent.key = key_of ("p", 2);
+  return slot;
+}
+
+static void
+test_every_kind_comes_back (void)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct Record records[8];
+  struct Slot slot = slot_of_all_kinds (records), *back = NULL;
+  uint8_t *packed, *again;
+  size_t bytes, again_bytes, sum = 0;
+
+  CU_ASSERT_EQUAL_FATAL (slot_pack (ctx, &slot, &packed, &bytes), ERROR_NONE);
+  CU_ASSERT_EQUAL_FATAL (slot_unpack (ctx, packed, bytes, &back), ERROR_NONE);
+  CU_ASSERT_STRING_EQUAL (back->writer, "malda-1.7");
+  CU_ASSERT_EQUAL (back->batch_id, 3);
+  CU_ASSERT_EQUAL (back->replay_from, 2);
+  CU_ASSERT_EQUAL_FATAL (back->n_records, 8);
+  CU_ASSERT_EQUAL (back->records[0].program.created_unix_ms, -1);
+  CU_ASSERT_EQUAL (back->records[2].outcome.outcome.error, ERROR_BACKEND);
+  CU_ASSERT_EQUAL (back->records[3].end.reason, END_LOOPING);
+  CU_ASSERT_EQUAL_FATAL (slot_pack (ctx, back, &again, &again_bytes), ERROR_NONE);
+  CU_ASSERT_EQUAL_FATAL (again_bytes, bytes);
+  CU_ASSERT_EQUAL (memcmp (again, packed, bytes), 0);
+  for (size_t i = 0; i < 8; i++)
+    sum += record_packed_bytes (&records[i]);
+  CU_ASSERT (bytes - sum <= SLOT_HEADER_MAX_BYTES);
+  talloc_free (ctx);
+}
+
+/* A cut or damaged value reaches a replay: taken as good, it would mix up histories. Each
+ * truncation must be refused; each changed byte must be refused or give a well-formed slot. */
+static void
+test_malformed_is_refused (void)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct Record records[8];
+  struct Slot slot = slot_of_all_kinds (records), *back = NULL;
+  static const uint8_t bomb[] = { 0xdd, 0xff, 0xff, 0xff, 0xff };
+  uint8_t *packed;
+  size_t bytes;
+
+  CU_ASSERT_EQUAL_FATAL (slot_pack (ctx, &slot, &packed, &bytes), ERROR_NONE);
+  for (size_t n = 0; n < bytes; n++)
+    CU_ASSERT_EQUAL (slot_unpack (ctx, packed, n, &back), ERROR_INVALID);
+  srand (7);
+  for (size_t n = 0; n < bytes; n++)
+    {
+      uint8_t was = packed[n];
+
+      packed[n] = (uint8_t)rand ();
+      if (slot_unpack (ctx, packed, bytes, &back) == ERROR_NONE)
+        CU_ASSERT (record_packed_bytes (&back->records[0]) > 0);
+      packed[n] = was;
+    }
+  CU_ASSERT_EQUAL (slot_unpack (ctx, bomb, sizeof bomb, &back), ERROR_INVALID);
+  talloc_free (ctx);
+}
+
+static void
+test_map_group_comes_back (void)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct PartitionEntry entries[2] = {
+    { .epoch = 3, .home = "b.2", .n_journals = 2, .journals = { "a.1", "b.2" } },
+  };
+  struct PartitionGroup group = { .n_entries = 2, .entries = entries }, *back = NULL;
+  uint8_t *packed;
+  size_t bytes;
+
+  CU_ASSERT_EQUAL_FATAL (partition_group_pack (ctx, &group, &packed, &bytes), ERROR_NONE);
+  CU_ASSERT_EQUAL_FATAL (partition_group_unpack (ctx, packed, bytes, &back), ERROR_NONE);
+  CU_ASSERT_EQUAL (back->n_entries, 2);
+  CU_ASSERT_EQUAL (back->entries[0].epoch, 3);
+  CU_ASSERT_STRING_EQUAL (back->entries[0].journals[1], "b.2");
+  CU_ASSERT_STRING_EQUAL (back->entries[1].home, "");
+  CU_ASSERT_EQUAL (partition_group_unpack (ctx, packed, bytes - 1, &back), ERROR_INVALID);
+  talloc_free (ctx);
+}
+
+/* A member leaves: only the keys that it had may move, and the order of names never matters. */
+static void
+test_rendezvous_moves_only_the_leavers_keys (void)
+{
+  static const char *const all[] = { "a", "b", "c" };
+  static const char *const swapped[] = { "c", "b", "a" };
+  static const char *const left[] = { "a", "b" };
+  int moved = 0;
+
+  for (int i = 0; i < 300; i++)
+    {
+      char key[16];
+      const char *before;
+
+      snprintf (key, sizeof key, "partition-%d", i);
+      before = all[rendezvous_pick (key, all, 3)];
+      CU_ASSERT_STRING_EQUAL (before, swapped[rendezvous_pick (key, swapped, 3)]);
+      if (strcmp (before, "c") == 0)
+        moved++;
+      else
+        CU_ASSERT_STRING_EQUAL (before, left[rendezvous_pick (key, left, 2)]);
+    }
+  CU_ASSERT (moved > 60 && moved < 140);
+  CU_ASSERT_EQUAL (rendezvous_pick ("k", all, 0), -1);
+  CU_ASSERT (partition_of ("p", 64) < 64);
+}
+
+const char test_suite_name[] = "record";
+const struct TestCase test_cases[] = {
+  { "every kind comes back", test_every_kind_comes_back },
+  { "malformed is refused", test_malformed_is_refused },
+  { "map group comes back", test_map_group_comes_back },
+  { "rendezvous moves only the leaver's keys", test_rendezvous_moves_only_the_leavers_keys },
+  { NULL, NULL },
+};
