--- a/core/record.c
+++ b/core/record.c
@@ -1,3 +1,5 @@
+#include "record_fields.h"
+
 #include <buckthornhead/error.h>
 #include <buckthornhead/pack.h>
 #include <buckthornhead/record.h>
@@ -23,7 +25,7 @@
   key->sequence = read_u64 (reader, UINT64_MAX);
 }
 
-static void
+void
 outcome_pack (struct PackWriter *writer, const struct Outcome *outcome)
 {
   pack_i64 (writer, outcome->error);
@@ -35,7 +37,7 @@
   pack_bytes (writer, outcome->answer, outcome->answer_bytes);
 }
 
-static void
+void
 outcome_read (struct PackReader *reader, TALLOC_CTX *ctx, struct Outcome *outcome)
 {
   int64_t error = read_i64 (reader);
--- a/include/buckthornhead/ledger.h
+++ b/include/buckthornhead/ledger.h
@@ -18,8 +18,8 @@
   LEDGER_RUN,           /* dispatch now */
   LEDGER_JOURNAL_FIRST, /* journal .record (an intent), apply it, then dispatch */
   LEDGER_JOIN,          /* the same call is in flight: wait for its outcome */
-  LEDGER_STORED,        /* .stored is the answer */
-  LEDGER_REFUSE         /* .fault; not run, unless .fault.error is ERROR_MAY_HAVE_RUN */
+  LEDGER_STORED,        /* .stored is the answer; its error may be ERROR_MAY_HAVE_RUN */
+  LEDGER_REFUSE         /* .fault; this request did not run */
 };
 
 struct LedgerDecision
@@ -28,18 +28,28 @@
   struct Record record;
   const struct Outcome *stored; /* valid until the program is removed */
   uint64_t expected_sequence;
+  enum EndReason end_reason; /* 0, or why the daemon should now end the program */
   struct Fault fault;
 };
 
+/* A backend server's name that stands for each that may hold memory of an adopted program: the
+ * call in flight when its home died may have been at any of them. */
+#define LEDGER_ANY_BACKEND "*"
+
 /* A new program. Gives the record to journal; the same id with the same digest again is
- * ERROR_NONE with *exists set, with another digest ERROR_CONFLICT. Fields of want are those of
- * RECORD_PROGRAM. */
+ * ERROR_NONE with *exists set, with another digest ERROR_CONFLICT. want is the whole RECORD_PROGRAM
+ * with partition and epoch, and is what to journal. Calls may be accepted before that is durable:
+ * their records stand behind it. */
 int32_t
 ledger_create_program (struct Ledger *ledger,
                        const struct Record *want,
                        bool *exists,
                        struct Fault *fault);
 
+/* The creation was given up before any attempt to journal it. */
+void
+ledger_abandon_program (struct Ledger *ledger, const char *program);
+
 /* Decides on a call. On RUN and JOURNAL_FIRST the call counts as in flight and its reservation is
  * held until ledger_apply of its outcome or ledger_abandon_call. now_unix_ms is wall time. */
 void
@@ -49,8 +59,9 @@
                     struct LedgerDecision *decision);
 
 /* The call in flight certainly did not run and will not: lifts its reservation, and its sequence
- * number may be used again. When an intent was journaled, *record (RECORD_NOT_SENT) must be made
- * durable and applied before the caller hears "not run"; *must_journal says so. */
+ * number may be used again. When its intent was applied, *record (RECORD_NOT_SENT) must be made
+ * durable and applied before the caller hears "not run"; *must_journal says so. Only to be called
+ * once the journal has answered for the intent: one that still waits there may yet be written. */
 int32_t
 ledger_abandon_call (struct Ledger *ledger,
                      const struct CallKey *key,
@@ -80,15 +91,16 @@
 int32_t
 ledger_apply (struct Ledger *ledger, const struct Record *record);
 
-/* After a replay, once for a partition taken over: a program whose intent has no outcome gets
- * "may have run" for that call; each branch that may have had an idempotent call in flight is
- * charged one full reservation of reservation_tokens. Gives one record per program to journal. */
+/* After a replay, once for a partition taken over: a non-idempotent intent without outcome gets
+ * "may have run"; each branch that may have had an idempotent call in flight is charged that
+ * call's full reservation when it was journaled, else the program's grant_tokens. Gives the
+ * snapshots to journal. After a hand-off (planned) nothing was in flight and nothing is charged. */
 int32_t
 ledger_adopt_partition (struct Ledger *ledger,
                         TALLOC_CTX *ctx,
                         uint32_t partition,
                         uint64_t epoch,
-                        uint64_t reservation_tokens,
+                        bool planned,
                         struct Record **records,
                         size_t *n_records);
 
@@ -133,7 +145,25 @@
 void
 ledger_each_held (const struct Ledger *ledger, LedgerHeldFn fn, void *data);
 
-/* Full state of one program for RECORD_SNAPSHOT; state belongs to ctx. */
+/* True while a call of partition is in flight or its outcome is not applied yet. */
+bool
+ledger_partition_is_busy (const struct Ledger *ledger, uint32_t partition);
+
+/* Forgets an ended program that holds no memory at any backend server; a resend of its calls then
+ * finds nothing. False when it is not there or may not be forgotten. */
+bool
+ledger_forget_program (struct Ledger *ledger, const char *program);
+
+/* RECORD_SNAPSHOTs of every program of partition as applied so far, to journal ahead of all that
+ * waits. The writer does not apply them. */
+int32_t
+ledger_snapshot_partition (const struct Ledger *ledger,
+                           TALLOC_CTX *ctx,
+                           uint32_t partition,
+                           struct Record **records,
+                           size_t *n_records);
+
+/* Full state of one program, as RECORD_SNAPSHOT carries it in parts; state belongs to ctx. */
 int32_t
 ledger_pack_program (const struct Ledger *ledger,
                      TALLOC_CTX *ctx,
