--- /dev/null
+++ b/core/counter.c
@@ -0,0 +1,132 @@
+#include <buckthornhead/counter.h>
+
+#include <inttypes.h>
+#include <stdalign.h>
+#include <stdatomic.h>
+
+enum
+{
+  CACHE_LINE_BYTES = 64
+};
+
+enum CounterType
+{
+  COUNTER_TYPE_COUNTER,
+  COUNTER_TYPE_GAUGE
+};
+
+struct CounterWords
+{
+  const char *name;
+  enum CounterType type;
+  const char *help;
+};
+
+#define COUNTS(name, help)                                                                         \
+  {                                                                                                \
+    "buckthornhead_" name "_total", COUNTER_TYPE_COUNTER, help                                     \
+  }
+#define GAUGES(name, help)                                                                         \
+  {                                                                                                \
+    "buckthornhead_" name, COUNTER_TYPE_GAUGE, help                                                \
+  }
+
+static const struct CounterWords words[N_COUNTERS] = {
+  [COUNTER_CALLS_ACCEPTED] = COUNTS ("calls_accepted", "Calls that a home accepted"),
+  [COUNTER_CALLS_REFUSED] = COUNTS ("calls_refused", "Calls refused, all of them not run"),
+  [COUNTER_CALLS_ENDED] = COUNTS ("calls_ended", "Calls whose outcome is in the journal"),
+  [COUNTER_CALLS_JOINED] = COUNTS ("calls_joined", "Resends that joined the call in flight"),
+  [COUNTER_CALLS_STORED] = COUNTS ("calls_stored", "Resends answered from the stored answer"),
+  [COUNTER_CALLS_FORWARDED] =
+      COUNTS ("calls_forwarded", "Calls forwarded to another instance as the home"),
+  [COUNTER_CALLS_RETRIED] = COUNTS ("calls_retried", "Calls sent to a backend server again"),
+  [COUNTER_CALLS_MAY_HAVE_RUN] =
+      COUNTS ("calls_may_have_run", "Non-idempotent calls whose outcome is unknown"),
+  [COUNTER_PROGRAMS_CREATED] = COUNTS ("programs_created", "Programs created"),
+  [COUNTER_PROGRAMS_DONE] = COUNTS ("programs_done", "Programs that their callers ended as done"),
+  [COUNTER_PROGRAMS_OVER_BUDGET] =
+      COUNTS ("programs_over_budget", "Programs ended because their budget was used up"),
+  [COUNTER_PROGRAMS_LATE] = COUNTS ("programs_late", "Programs ended by their deadline"),
+  [COUNTER_PROGRAMS_CANCELLED] =
+      COUNTS ("programs_cancelled", "Programs cancelled or left by their callers"),
+  [COUNTER_PROGRAM_MS] =
+      COUNTS ("program_milliseconds", "Sum of the latency of ended programs, in milliseconds"),
+  [COUNTER_PREFIX_TOKENS] = COUNTS ("prefix_tokens", "Prompt tokens of ended calls"),
+  [COUNTER_PREFIX_CACHED] =
+      COUNTS ("prefix_cached_tokens", "Prompt tokens that the engines found in their cache"),
+  [COUNTER_KV_READS] = COUNTS ("kv_reads", "Reads and watches sent to the key-value service"),
+  [COUNTER_KV_WRITES] = COUNTS ("kv_writes", "Writes sent to the key-value service"),
+  [COUNTER_KV_FAILURES] =
+      COUNTS ("kv_failures", "Requests to the key-value service without a usable answer"),
+  [COUNTER_JOURNAL_SLOTS] = COUNTS ("journal_slots", "Journal slots written"),
+  [COUNTER_JOURNAL_RECORDS] = COUNTS ("journal_records", "Journal records written"),
+  [COUNTER_JOURNAL_FENCED] =
+      COUNTS ("journal_fenced", "Times this process found its journal sealed"),
+  [COUNTER_TAKEOVERS] = COUNTS ("takeovers", "Partitions taken over from a silent instance"),
+  [COUNTER_HANDOFFS] = COUNTS ("handoffs", "Partitions handed off as planned"),
+  [COUNTER_RELEASES] =
+      COUNTS ("releases", "Engine memory of ended programs acknowledged as released"),
+  [COUNTER_QUARANTINED] = COUNTS ("quarantined", "Requests quarantined"),
+  [COUNTER_CONFIG_APPLIED] = COUNTS ("config_applied", "Configuration changes applied here"),
+  [COUNTER_CONFIG_CONFLICTS] =
+      COUNTS ("config_conflicts", "Configuration changes refused since another came first"),
+  [COUNTER_PEER_MESSAGES] = COUNTS ("peer_messages", "Messages sent to other instances"),
+  [COUNTER_PEER_BYTES] = COUNTS ("peer_bytes", "Bytes sent to other instances"),
+  [GAUGE_CONFIG_REVISION] = GAUGES ("config_revision", "Configuration revision in force here"),
+  [GAUGE_PARTITIONS_OWNED] = GAUGES ("partitions_owned", "Partitions whose home is here"),
+  [GAUGE_PROGRAMS] = GAUGES ("programs", "Living programs whose home is here"),
+  [GAUGE_CALLS_WAITING] = GAUGES ("calls_waiting", "Calls waiting at the owner for a server"),
+  [GAUGE_CALLS_IN_FLIGHT] = GAUGES ("calls_in_flight", "Calls at a backend server now"),
+  [GAUGE_DRAINING] = GAUGES ("draining", "1 while this instance drains"),
+  [GAUGE_PLATFORM_UP] = GAUGES ("platform_up", "1 while the key-value service answers"),
+};
+
+/* Each counter has a cache line of its own: request threads that add to different counters would
+ * else slow each other down. */
+struct CounterCell
+{
+  alignas (CACHE_LINE_BYTES) _Atomic uint64_t value;
+};
+
+static struct CounterCell cells[N_COUNTERS];
+
+void
+counter_add (enum Counter counter, uint64_t n)
+{
+  atomic_fetch_add_explicit (&cells[counter].value, n, memory_order_relaxed);
+}
+
+void
+gauge_set (enum Counter gauge, uint64_t value)
+{
+  atomic_store_explicit (&cells[gauge].value, value, memory_order_relaxed);
+}
+
+uint64_t
+counter_read (enum Counter counter)
+{
+  return atomic_load_explicit (&cells[counter].value, memory_order_relaxed);
+}
+
+const char *
+counter_name (enum Counter counter)
+{
+  return words[counter].name;
+}
+
+char *
+counter_render (TALLOC_CTX *ctx)
+{
+  char *text = talloc_strdup (ctx, "");
+
+  for (int i = 0; i < N_COUNTERS && text != NULL; i++)
+    {
+      const struct CounterWords *w = &words[i];
+      const char *type = w->type == COUNTER_TYPE_GAUGE ? "gauge" : "counter";
+
+      text = talloc_asprintf_append_buffer (text, "# HELP %s %s.\n# TYPE %s %s\n%s %" PRIu64 "\n",
+                                            w->name, w->help, w->name, type, w->name,
+                                            counter_read ((enum Counter)i));
+    }
+  return text;
+}
