--- a/tests/test_counter.c
+++ b/tests/test_counter.c
@@ -3,6 +3,7 @@
 #include <buckthornhead/counter.h>
 
 #include <pthread.h>
+#include <stdbool.h>
 #include <string.h>
 
 enum
@@ -11,6 +12,12 @@
   N_ADDS = 10000
 };
 
+static bool
+contains (const char *text, const char *part)
+{
+  return text != NULL && strstr (text, part) != NULL;
+}
+
 static void
 test_names_are_complete_and_unique (void)
 {
@@ -36,12 +43,11 @@
   gauge_set (GAUGE_PLATFORM_UP, 5);
   gauge_set (GAUGE_PLATFORM_UP, 1);
   text = counter_render (NULL);
-  CU_ASSERT_PTR_NOT_NULL_FATAL (text);
-  CU_ASSERT_PTR_NOT_NULL (strstr (text, "# TYPE buckthornhead_takeovers_total counter\n"
-                                        "buckthornhead_takeovers_total 3\n"));
-  CU_ASSERT_PTR_NOT_NULL (strstr (text, "# TYPE buckthornhead_platform_up gauge\n"
-                                        "buckthornhead_platform_up 1\n"));
-  CU_ASSERT_PTR_NOT_NULL (strstr (text, "# HELP buckthornhead_takeovers_total Partitions taken"));
+  CU_ASSERT (contains (text, "# TYPE buckthornhead_takeovers_total counter\n"
+                             "buckthornhead_takeovers_total 3\n"));
+  CU_ASSERT (contains (text, "# TYPE buckthornhead_platform_up gauge\n"
+                             "buckthornhead_platform_up 1\n"));
+  CU_ASSERT (contains (text, "# HELP buckthornhead_takeovers_total Partitions taken"));
   talloc_free (text);
 }
 
