--- /dev/null
+++ b/tests/standins/main.c
@@ -0,0 +1,45 @@
+/* buckthornhead-standin: small stand-ins for the outside systems, for tests only. */
+#include "standin.h"
+
+#include <stdio.h>
+#include <string.h>
+
+struct StandinCommand
+{
+  const char *name;
+  int32_t (*run) (int argc, char **argv);
+  const char *help;
+};
+
+/* One line a command. */
+static const struct StandinCommand commands[] = {
+  { "platform", platform_run, "key-value service and list of backend servers" },
+};
+
+enum
+{
+  N_COMMANDS = sizeof commands / sizeof commands[0]
+};
+
+static void
+standin_print_help (void)
+{
+  puts ("usage: buckthornhead-standin COMMAND [OPTION...]");
+  for (size_t i = 0; i < N_COMMANDS; i++)
+    printf ("  %-10s %s\n", commands[i].name, commands[i].help);
+}
+
+int
+main (int argc, char **argv)
+{
+  if (argc < 2 || strcmp (argv[1], "--help") == 0)
+    {
+      standin_print_help ();
+      return argc < 2 ? 2 : 0;
+    }
+  for (size_t i = 0; i < N_COMMANDS; i++)
+    if (strcmp (argv[1], commands[i].name) == 0)
+      return commands[i].run (argc - 1, argv + 1);
+  fprintf (stderr, "unknown command %s: see --help\n", argv[1]);
+  return 2;
+}
