--- a/tests/standins/main.c
+++ b/tests/standins/main.c
@@ -14,6 +14,8 @@
 /* One line a command. */
 static const struct StandinCommand commands[] = {
   { "platform", platform_run, "key-value service and list of backend servers" },
+  { "engine", standin_engine_run, "model engine" },
+  { "tool", standin_tool_run, "plain or tool service" },
 };
 
 enum
