INI reading by tables: units, profiles, settings, faults with line, key and remedy

Cause: inih names the first bad line only and cuts long lines and section names silently. Ruled out: a second parser; inih is fed trimmed lines one at a time, and a line it skipped is known because its handler has not been called when the next line is asked for.

--- a/include/buckthornhead/profile.h
+++ b/include/buckthornhead/profile.h
@@ -6,6 +6,8 @@
 #include <buckthornhead/error.h>
 #include <buckthornhead/policy.h>
 
+#include <talloc.h>
+
 /* One profile, as checked from its INI text. */
 struct Profile
 {
@@ -34,7 +36,8 @@
   size_t n_items;
 };
 
-/* Checks text as a profile; all faults in one run. ERROR_INVALID when there is any. */
+/* Checks text as a profile; all faults in one run, by line. ERROR_INVALID when there is any, and
+ * *profile is then not to be used. faults is a talloc object (zeroed), or NULL. */
 int32_t
 profile_parse (const char *file,
                const char *text,
@@ -49,3 +52,11 @@
                    const char *remedy,
                    const char *format,
                    ...) __attribute__ ((format (printf, 6, 7)));
+
+/* By line; faults of one line keep their order. */
+void
+config_faults_sort (struct ConfigFaults *faults);
+
+/* One line a fault, "FILE:LINE: KEY: MESSAGE; REMEDY"; belongs to ctx. */
+char *
+config_faults_render (TALLOC_CTX *ctx, const struct ConfigFaults *faults);
--- a/include/buckthornhead/settings.h
+++ b/include/buckthornhead/settings.h
@@ -46,13 +46,28 @@
   size_t n_backends;
 };
 
-/* Reads and checks file. On ERROR_INVALID faults holds every fault found in the one run. */
+/* Reads and checks file. On ERROR_INVALID faults (a zeroed talloc object) holds every fault found
+ * in the one run, by line. */
 int32_t
 settings_load (TALLOC_CTX *ctx,
                const char *file,
                struct Settings **settings,
                struct ConfigFaults *faults);
 
-/* Splits "IP:port"; ERROR_INVALID for anything but an IP number and a port. */
+/* The same for text that was read already; file names it in the faults. */
+int32_t
+settings_parse (TALLOC_CTX *ctx,
+                const char *file,
+                const char *text,
+                struct Settings **settings,
+                struct ConfigFaults *faults);
+
+/* The whole of an INI file, as text that belongs to ctx; NULL with a fault when it can not be read
+ * or is no text. */
+char *
+config_file_read (TALLOC_CTX *ctx, const char *file, struct ConfigFaults *faults);
+
+/* Splits "IP:port" ("[IP]:port" for IPv6), the IP in its usual form; ERROR_INVALID for
+ * anything but an IP number and a port. */
 int32_t
 address_parse (const char *address, char ip[46], uint16_t *port);
