Settings: 25 bad files with their faults, samples for both deployments

Ruled out: going on to take keys below an unreadable section name as the former section's; nobody knows whose they are, so they are passed over until the next section.

--- a/core/ini_text.c
+++ b/core/ini_text.c
@@ -16,6 +16,7 @@
   struct ConfigFaults *faults;
   uint32_t line;
   bool unanswered; /* the line was given to inih as "key = value", which has not answered yet */
+  bool lost;       /* the last section's name was unreadable, so nobody knows whose its keys are */
   char section[INI_SECTION_MAX_BYTES + 1];
 };
 
@@ -92,7 +93,8 @@
   const char *name = start + 1;
   size_t name_bytes = 0;
 
-  if (!is_section_line (start, n, &name_bytes))
+  reader->lost = !is_section_line (start, n, &name_bytes);
+  if (reader->lost)
     {
       add_fault (reader, "write [section] alone on its line", "the section's name has no end");
       return;
@@ -146,7 +148,8 @@
   if (value == NULL || *name == '\0')
     return 1;
   reader->unanswered = false;
-  reader->fn (reader->data, &line);
+  if (!reader->lost)
+    reader->fn (reader->data, &line);
   return 1;
 }
 
--- a/core/settings.c
+++ b/core/settings.c
@@ -212,28 +212,32 @@
 }
 
 /* Two listeners on one address: the second one's bind would fail only when the process starts. */
+static void
+check_listener (struct ConfigReader *reader, const char *const listens[], size_t i)
+{
+  char key[32];
+
+  for (size_t j = 0; j < i; j++)
+    {
+      if (listens[i][0] == '\0' || strcmp (listens[i], listens[j]) != 0)
+        continue;
+      snprintf (key, sizeof key, "[listen] %s", listen_keys[i].name);
+      config_faults_add (reader->faults, reader->file,
+                         config_reader_line (reader, "listen", listen_keys[i].name), key,
+                         "give each listener a port of its own", "%s is the address of '%s', too",
+                         listens[i], listen_keys[j].name);
+      return;
+    }
+}
+
 static void
 check_listeners (struct ConfigReader *reader, const struct Settings *settings)
 {
-  const char *listens[] = { settings->caller_listen, settings->operator_listen,
-                            settings->peer_listen };
+  const char *const listens[] = { settings->caller_listen, settings->operator_listen,
+                                  settings->peer_listen };
 
   for (size_t i = 1; i < sizeof listens / sizeof listens[0]; i++)
-    for (size_t j = 0; j < i; j++)
-      {
-        uint32_t first = config_reader_line (reader, "listen", listen_keys[j].name);
-        uint32_t second = config_reader_line (reader, "listen", listen_keys[i].name);
-        const char *later = second > first ? listen_keys[i].name : listen_keys[j].name;
-        char key[32];
-
-        if (listens[i][0] == '\0' || strcmp (listens[i], listens[j]) != 0)
-          continue;
-        snprintf (key, sizeof key, "[listen] %s", later);
-        config_faults_add (reader->faults, reader->file, second > first ? second : first, key,
-                           "give each listener a port of its own",
-                           "%s is the address of '%s' already", listens[i],
-                           second > first ? listen_keys[j].name : listen_keys[i].name);
-      }
+    check_listener (reader, listens, i);
 }
 
 static void
@@ -312,7 +316,7 @@
 
   if (stream == NULL)
     {
-      config_faults_add (faults, file, 0, "", "check the path and its permissions", "%s",
+      config_faults_add (faults, file, 1, "", "check the path and its permissions", "%s",
                          strerror (errno));
       return NULL;
     }
@@ -323,7 +327,7 @@
   text[n] = '\0';
   if (ferror (stream) || !feof (stream) || strlen (text) != n)
     {
-      config_faults_add (faults, file, 0, "", "give an INI file of at most 1 MB",
+      config_faults_add (faults, file, 1, "", "give an INI file of at most 1 MB",
                          "the file is no text, too large, or can not be read");
       TALLOC_FREE (text);
     }
--- /dev/null
+++ b/tests/test_settings.c
@@ -0,0 +1,246 @@
+#include "test_main.h"
+
+#include <buckthornhead/settings.h>
+
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#define INSTANCE "[instance]\nname = entry-1\nzone = malda\n"
+#define LISTEN "[listen]\ncaller = 10.1.0.1:8700\noperator = 10.1.0.1:8701\npeer = 10.1.0.1:8702\n"
+#define PLATFORM "[platform]\nkv = http://10.1.0.9:2379\n"
+#define BASE INSTANCE LISTEN PLATFORM /* nine lines */
+#define BACKEND "[backend b1]\nkind = engine\ntarget = m\naddress = 10.1.0.2:9001\nzone = malda\n"
+
+struct BadFile
+{
+  const char *text;
+  const char *faults;
+};
+
+static const struct BadFile bad_files[] = {
+  { "", "i.ini:1: [instance] name: the key is missing; add it\n"
+        "i.ini:1: [instance] zone: the key is missing; add it\n"
+        "i.ini:1: [listen] caller: the key is missing; add it\n"
+        "i.ini:1: [listen] operator: the key is missing; add it\n"
+        "i.ini:1: [listen] peer: the key is missing; add it\n"
+        "i.ini:1: [platform] kv: the key is missing; add it\n" },
+  { LISTEN PLATFORM, "i.ini:1: [instance] name: the key is missing; add it\n"
+                     "i.ini:1: [instance] zone: the key is missing; add it\n" },
+  { INSTANCE PLATFORM LISTEN "extra = 1\n",
+    "i.ini:10: [listen] extra: the key is not known; use one of: caller operator peer\n" },
+  { BASE "[treads]\ncaller = 4\n",
+    "i.ini:10: [treads]: the section is not known; use one of: [instance] [listen] "
+    "[platform] [threads] [limits] [journal] [homes] [secrets] [backend NAME]\n" },
+  { BASE "[threads]\ncallers = 4\n",
+    "i.ini:11: [threads] callers: the key is not known; use one of: caller backend\n" },
+  { BASE "[threads]\ncaller = 0\nbackend = 65\n",
+    "i.ini:11: [threads] caller: '0' is out of range; give a value from 1 to 64\n"
+    "i.ini:12: [threads] backend: '65' is out of range; give a value from 1 to 64\n" },
+  { BASE "[threads]\ncaller = 4s\n",
+    "i.ini:11: [threads] caller: '4s' has a wrong unit or is no number; write a whole "
+    "number without a unit\n" },
+  { BASE "[limits]\nbody_bytes = 4MB\nrequest_timeout = 30\n",
+    "i.ini:11: [limits] body_bytes: '4MB' has a wrong unit or is no number; write a whole "
+    "number of bytes, or one with K or M\n"
+    "i.ini:12: [limits] request_timeout: '30' has a wrong unit or is no number; write a "
+    "whole number with its unit ms, s, m or h\n" },
+  { BASE "[limits]\nbody_bytes = 1G\nheader_bytes = 2M\nconnections = many\n",
+    "i.ini:11: [limits] body_bytes: '1G' has a wrong unit or is no number; write a whole "
+    "number of bytes, or one with K or M\n"
+    "i.ini:12: [limits] header_bytes: '2M' is out of range; give a value from 1K to 1M\n"
+    "i.ini:13: [limits] connections: 'many' has a wrong unit or is no number; write a "
+    "whole number without a unit\n" },
+  { BASE "[homes]\nlease = 500ms\n",
+    "i.ini:11: [homes] lease: '500ms' is no whole number of seconds; write whole seconds\n" },
+  { BASE "[homes]\nlease = 10m\npartitions = 8\n",
+    "i.ini:10: [homes] group_size: a group is larger than all partitions; lower it, or "
+    "raise partitions\n"
+    "i.ini:11: [homes] lease: '10m' is out of range; give a value from 1s to 5m\n" },
+  { BASE "[journal]\nretry = 2s\nretry = 3s\n",
+    "i.ini:12: [journal] retry: the key stands on line 11 already; keep one of them\n" },
+  { BASE "[journal]\nretry = 2s\n[journal]\nwrites_per_s = 10\n",
+    "i.ini:12: [journal]: the section stands on line 10 already; keep one of them\n" },
+  { INSTANCE PLATFORM "[listen]\ncaller = 10.1.0.1:8700\noperator = 10.1.0.1:8700\n"
+                      "peer = 10.1.0.1:8700\n",
+    "i.ini:8: [listen] operator: 10.1.0.1:8700 is the address of 'caller', too; give each "
+    "listener a port of its own\n"
+    "i.ini:9: [listen] peer: 10.1.0.1:8700 is the address of 'caller', too; give each "
+    "listener a port of its own\n" },
+  { INSTANCE PLATFORM "[listen]\ncaller = localhost:8700\noperator = 10.1.0.1\n"
+                      "peer = 0.0.0.0:8702\n",
+    "i.ini:7: [listen] caller: 'localhost:8700' is no IP number with a port; write "
+    "IP:port, such as 10.1.0.7:8700; names are not looked up\n"
+    "i.ini:8: [listen] operator: '10.1.0.1' is no IP number with a port; write IP:port, "
+    "such as 10.1.0.7:8700; names are not looked up\n"
+    "i.ini:9: [listen] peer: '0.0.0.0:8702' is an address to which nobody can connect; "
+    "write the one IP number at which others reach it\n" },
+  { INSTANCE PLATFORM "[listen]\ncaller = 10.1.0.1:0\noperator = 10.1.0.1:65536\n"
+                      "peer = 10.1.0.300:8702\n",
+    "i.ini:7: [listen] caller: '10.1.0.1:0' is no IP number with a port; write IP:port, "
+    "such as 10.1.0.7:8700; names are not looked up\n"
+    "i.ini:8: [listen] operator: '10.1.0.1:65536' is no IP number with a port; write "
+    "IP:port, such as 10.1.0.7:8700; names are not looked up\n"
+    "i.ini:9: [listen] peer: '10.1.0.300:8702' is no IP number with a port; write IP:port, "
+    "such as 10.1.0.7:8700; names are not looked up\n" },
+  { INSTANCE LISTEN "[platform]\nkv = 10.1.0.9:2379\ninstances = http://\nprefix = /x\n",
+    "i.ini:9: [platform] kv: '10.1.0.9:2379' is no URL; write it as http://IP:port\n"
+    "i.ini:10: [platform] instances: 'http://' is no URL; write it as http://IP:port\n"
+    "i.ini:11: [platform] prefix: '/x' does not end in '/', or starts with it; write it as "
+    "buckthornhead/\n" },
+  { BASE "[secrets]\noperator_token_file = /nonexistent/token\n",
+    "i.ini:11: [secrets] operator_token_file: '/nonexistent/token': No such file or "
+    "directory; write the token there, readable by this user\n" },
+  { BASE "[secrets]\noperator_token_file = /dev/null\n",
+    "i.ini:11: [secrets] operator_token_file: '/dev/null' holds no token; write the token "
+    "on its first line\n" },
+  { BASE BACKEND BACKEND,
+    "i.ini:15: [backend]: the name 'b1' stands on line 10 already; give each backend "
+    "server a name of its own\n" },
+  { BASE "[backend]\nkind = engine\ntarget = m\naddress = 10.1.0.2:9001\nzone = malda\n",
+    "i.ini:10: [backend]: '' is no name; write [backend NAME], of 1 to 64 letters, digits, "
+    "'-', '_' and '.'\n" },
+  { BASE "[backend b2]\nkind = motor\ntarget = m m\n",
+    "i.ini:10: [backend b2] address: the key is missing; add it\n"
+    "i.ini:10: [backend b2] zone: the key is missing; add it\n"
+    "i.ini:11: [backend b2] kind: 'motor' is no known choice; write one of: engine "
+    "service\n"
+    "i.ini:12: [backend b2] target: 'm m' is no name; use 1 to 64 letters, digits, '-', "
+    "'_' and '.'\n" },
+  { "name = entry-1\n" BASE,
+    "i.ini:1: name: the key stands before any section; put it below its [section]\n" },
+  { BASE "[limits\nbody_bytes 4M\n= 4M\n",
+    "i.ini:10: the section's name has no end; write [section] alone on its line\n"
+    "i.ini:11: the line is neither a section, a key with its value, nor a comment; write "
+    "[section], key = value, or start a comment with ; or #\n"
+    "i.ini:12: the line is neither a section, a key with its value, nor a comment; write "
+    "[section], key = value, or start a comment with ; or #\n" },
+  { BASE "; a long line follows\n[limits]\nbody_bytes = "
+         "4444444444444444444444444444444444444444444444444444444444444444444444444444444444444444"
+         "4444444444444444444444444444444444444444444444444444444444444444444444444444444444444444"
+         "44444444\n",
+    "i.ini:12: the line is too long; shorten it to 190 bytes\n" },
+};
+
+static void
+test_bad_files_give_their_faults (void)
+{
+  for (size_t i = 0; i < sizeof bad_files / sizeof bad_files[0]; i++)
+    {
+      struct ConfigFaults *faults = talloc_zero (NULL, struct ConfigFaults);
+      struct Settings *settings;
+
+      CU_ASSERT_EQUAL (settings_parse (faults, "i.ini", bad_files[i].text, &settings, faults),
+                       ERROR_INVALID);
+      CU_ASSERT_PTR_NULL (settings);
+      CU_ASSERT_STRING_EQUAL (config_faults_render (faults, faults), bad_files[i].faults);
+      talloc_free (faults);
+    }
+}
+
+static void
+test_good_file_takes_values_and_fallbacks (void)
+{
+  static const char text[] = "\xEF\xBB\xBF" BASE "[limits]\n\trequest_timeout = 2m\n"
+                             "body_bytes: 2K ; small\r\n" BACKEND "[threads]\ncaller = 7";
+  struct ConfigFaults *faults = talloc_zero (NULL, struct ConfigFaults);
+  struct Settings *settings = NULL;
+
+  CU_ASSERT_EQUAL (settings_parse (faults, "i.ini", text, &settings, faults), ERROR_NONE);
+  if (settings != NULL)
+    {
+      CU_ASSERT_STRING_EQUAL (settings->instance, "entry-1");
+      CU_ASSERT_STRING_EQUAL (settings->zone, "malda");
+      CU_ASSERT_STRING_EQUAL (settings->data_folder, "");
+      CU_ASSERT_STRING_EQUAL (settings->kv_url, "http://10.1.0.9:2379");
+      CU_ASSERT_STRING_EQUAL (settings->prefix, "buckthornhead/");
+      CU_ASSERT_EQUAL (settings->request_timeout_ms, 120000);
+      CU_ASSERT_EQUAL (settings->body_max_bytes, 2048);
+      CU_ASSERT_EQUAL (settings->caller_threads, 7);
+      CU_ASSERT_EQUAL (settings->lease_ttl_s, 5);
+      CU_ASSERT_EQUAL_FATAL (settings->n_backends, 1);
+      CU_ASSERT_STRING_EQUAL (settings->backends[0].name, "b1");
+      CU_ASSERT_EQUAL (settings->backends[0].kind, CALL_TARGET_ENGINE);
+      CU_ASSERT_STRING_EQUAL (settings->backends[0].address, "10.1.0.2:9001");
+    }
+  talloc_free (faults);
+}
+
+static void
+test_token_is_read_from_its_file (void)
+{
+  char file[] = "/tmp/buckthornhead-token-XXXXXX";
+  struct ConfigFaults *faults = talloc_zero (NULL, struct ConfigFaults);
+  struct Settings *settings = NULL;
+  int fd = mkstemp (file);
+  char *text = talloc_asprintf (faults, BASE "[secrets]\noperator_token_file = %s\n", file);
+
+  CU_ASSERT_FATAL (fd >= 0);
+  CU_ASSERT_EQUAL (write (fd, "s3cret\n", 7), 7);
+  close (fd);
+  CU_ASSERT_EQUAL (settings_parse (faults, "i.ini", text, &settings, faults), ERROR_NONE);
+  CU_ASSERT (settings != NULL && strcmp (settings->operator_token, "s3cret") == 0);
+  unlink (file);
+  talloc_free (faults);
+}
+
+static void
+test_sample_settings_are_sound (void)
+{
+  static const char *const names[] = { "bengal-orchards", "alergomeni" };
+
+  for (size_t i = 0; i < sizeof names / sizeof names[0]; i++)
+    {
+      struct ConfigFaults *faults = talloc_zero (NULL, struct ConfigFaults);
+      char *file = talloc_asprintf (faults, "%s/examples/%s.ini", SOURCE_FOLDER, names[i]);
+      struct Settings *settings;
+
+      CU_ASSERT_EQUAL (settings_load (faults, file, &settings, faults), ERROR_NONE);
+      CU_ASSERT_STRING_EQUAL (config_faults_render (faults, faults), "");
+      talloc_free (faults);
+    }
+}
+
+static void
+test_unreadable_file_is_a_fault (void)
+{
+  struct ConfigFaults *faults = talloc_zero (NULL, struct ConfigFaults);
+  struct Settings *settings;
+
+  CU_ASSERT_EQUAL (settings_load (faults, "/nonexistent.ini", &settings, faults), ERROR_INVALID);
+  CU_ASSERT_STRING_EQUAL (config_faults_render (faults, faults),
+                          "/nonexistent.ini:1: No such file or directory; check the path and its "
+                          "permissions\n");
+  talloc_free (faults);
+}
+
+static void
+test_address_is_an_ip_number_and_a_port (void)
+{
+  static const char *const bad[] = { "",         ":",       "1.2.3.4",
+                                     "1.2.3.4:", ":80",     "1.2.3.4:+80",
+                                     "::1:80",   "[::1:80", "[1.2.3.4]:80",
+                                     "host:80" };
+  char ip[46];
+  uint16_t port;
+
+  CU_ASSERT_EQUAL (address_parse ("127.0.0.1:8700", ip, &port), ERROR_NONE);
+  CU_ASSERT_STRING_EQUAL (ip, "127.0.0.1");
+  CU_ASSERT_EQUAL (port, 8700);
+  CU_ASSERT_EQUAL (address_parse ("[0:0::1]:65535", ip, &port), ERROR_NONE);
+  CU_ASSERT_STRING_EQUAL (ip, "::1");
+  CU_ASSERT_EQUAL (port, 65535);
+  for (size_t i = 0; i < sizeof bad / sizeof bad[0]; i++)
+    CU_ASSERT_EQUAL (address_parse (bad[i], ip, &port), ERROR_INVALID);
+}
+
+const char test_suite_name[] = "settings";
+const struct TestCase test_cases[] = {
+  { "bad files give their faults", test_bad_files_give_their_faults },
+  { "good file takes values and fallbacks", test_good_file_takes_values_and_fallbacks },
+  { "token is read from its file", test_token_is_read_from_its_file },
+  { "sample settings are sound", test_sample_settings_are_sound },
+  { "unreadable file is a fault", test_unreadable_file_is_a_fault },
+  { "address is an IP number and a port", test_address_is_an_ip_number_and_a_port },
+  { NULL, NULL },
+};
