--- a/tests/standins/platform_store.c
+++ b/tests/fakes/store.c
@@ -1,4 +1,4 @@
-#include "platform_store.h"
+#include "store.h"
 
 #include <string.h>
 
--- a/tests/standins/platform_store.h
+++ b/tests/fakes/store.h
@@ -1,4 +1,5 @@
-/* The stand-in platform's store: ordered keys with revisions, leases and a bounded history.
+/* A key-value store in memory: ordered keys with revisions, leases and a bounded history. The fake
+ * port and the stand-in platform are two faces of it.
  *
  * Not locked: its user holds a lock around every call. */
 #pragma once
--- a/tests/standins/platform_gateway.h
+++ b/tests/standins/platform_gateway.h
@@ -1,7 +1,7 @@
 /* The published JSON gateway of the key-value service, over the stand-in's store. */
 #pragma once
 
-#include "platform_store.h"
+#include "fakes/store.h"
 
 #include <jansson.h>
 
