--- /dev/null
+++ b/core/fair_share.h
@@ -0,0 +1,60 @@
+/* Fair shares between the services that wait at one backend server, by weighted virtual time.
+ *
+ * Each service has two heaps of waiting calls: those whose program has its place in the server's
+ * cache (ready) and those whose program has none yet (outside). A service's virtual time grows with
+ * the tokens it has received, divided by its share. Services are compared by virtual time in steps
+ * of a slack, and within one step by their most urgent call: so urgency decides between services
+ * that are about even, and fairness once one runs ahead. */
+#pragma once
+
+#include <buckthornhead/policy.h>
+
+#include "policy_heap.h"
+#include "policy_table.h"
+
+struct FairService
+{
+  struct TableNode by_name;
+  char name[NAME_MAX_BYTES + 1];
+  struct PolicyWeights weights; /* as last pushed */
+  double virtual_tokens;
+  struct PolicyHeap ready, outside;
+  struct HeapNode ready_node, outside_node;
+  uint32_t n_waiting;
+  /* Learned: */
+  double generated_tokens; /* of one call */
+  double pause_ms;         /* between a program's calls */
+  double wait_share;       /* newcomers may expect to wait this share of their time */
+};
+
+struct FairShare
+{
+  struct PolicyTable services;
+  struct PolicyHeap ready, outside; /* of services */
+  double virtual_tokens;            /* of the service served last */
+};
+
+/* The service of that name, made when new; NULL when memory is short. */
+struct FairService *
+fair_share_service (TALLOC_CTX *ctx, struct FairShare *fair, const char *name);
+
+/* Adds a waiting call's node, or takes it out. */
+bool
+fair_share_add (TALLOC_CTX *ctx,
+                struct FairShare *fair,
+                struct FairService *service,
+                struct HeapNode *node,
+                bool ready);
+void
+fair_share_remove (TALLOC_CTX *ctx,
+                   struct FairShare *fair,
+                   struct FairService *service,
+                   struct HeapNode *node,
+                   bool ready);
+
+/* The service has received that much, or got less than was charged before. */
+void
+fair_share_charge (TALLOC_CTX *ctx,
+                   struct FairShare *fair,
+                   struct FairService *service,
+                   double tokens);
--- /dev/null
+++ b/core/placement.c
@@ -0,0 +1,474 @@
+#include <buckthornhead/policy.h>
+
+#include <math.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <xxhash.h>
+
+#include "policy_table.h"
+
+enum
+{
+  /* Above this many servers a sample is compared instead of all, so that a decision costs the same
+   * at 20 servers and at 2,000. */
+  PLACEMENT_SAMPLE = 12,
+  /* Digests lag: what this home sent in the last moments is added to what they say, else all
+   * homes' calls of one digest period pile up on the server that looked best in it. */
+  PLACEMENT_RECENT_MS = 250,
+  PLACEMENT_KEY_BYTES = PROGRAM_ID_MAX_BYTES + NAME_MAX_BYTES + 2,
+  PERMILLE = 1000,
+  US_PER_MS = 1000
+};
+
+/* Scores within this share of each other are a tie, which goes to the same availability zone. */
+static const double PLACEMENT_TIE = 0.02;
+static const double PLACEMENT_TIE_MS = 2.0;
+/* At the full cache weight a token to recompute counts this many times its cost in time. */
+static const double PLACEMENT_CACHE_GAIN = 4.0;
+static const double PLACEMENT_HIT_GAIN = 0.05;
+
+struct PlacedProgram;
+
+/* Where the prefix of one branch of a program is. */
+struct PlacedBranch
+{
+  struct TableNode by_key;
+  char key[PLACEMENT_KEY_BYTES]; /* program, NUL, branch */
+  char server[NAME_MAX_BYTES + 1];
+  size_t server_index; /* where it stood in the last list; checked by name */
+  uint32_t context_tokens;
+  struct PlacedBranch *next; /* of the same program */
+};
+
+struct PlacedProgram
+{
+  struct TableNode by_name;
+  char name[PROGRAM_ID_MAX_BYTES + 1];
+  struct PlacedBranch *branches;
+};
+
+/* This home's own view of the server at one index of the list. */
+struct PlacedServer
+{
+  char name[NAME_MAX_BYTES + 1];
+  double recent; /* calls sent lately, decaying */
+  int64_t recent_ms;
+  double hit; /* share of an expected prefix that was found cached */
+};
+
+struct Placement
+{
+  struct PolicyTable branches, programs;
+  struct PlacedServer *servers; /* talloc array */
+  size_t n_servers;
+  size_t next_in_turn;
+  uint64_t n_choices;
+};
+
+struct Placement *
+placement_new (TALLOC_CTX *ctx)
+{
+  return talloc_zero (ctx, struct Placement);
+}
+
+static size_t
+placement_key (char key[PLACEMENT_KEY_BYTES], const struct Call *call)
+{
+  size_t program_bytes = strnlen (call->key.program, PROGRAM_ID_MAX_BYTES);
+  size_t branch_bytes = strnlen (call->key.branch, NAME_MAX_BYTES);
+
+  memcpy (key, call->key.program, program_bytes);
+  key[program_bytes] = '\0';
+  memcpy (key + program_bytes + 1, call->key.branch, branch_bytes);
+  return program_bytes + 1 + branch_bytes;
+}
+
+static struct PlacedBranch *
+placement_find (const struct Placement *placement, const struct Call *call)
+{
+  char key[PLACEMENT_KEY_BYTES];
+  size_t bytes = placement_key (key, call);
+  struct TableNode *node = policy_table_find (&placement->branches, key, bytes);
+
+  return node != NULL ? TABLE_ENTRY (node, struct PlacedBranch, by_key) : NULL;
+}
+
+static struct PlacedProgram *
+placement_program (struct Placement *placement, const char *name)
+{
+  struct TableNode *node = policy_table_find (&placement->programs, name, strlen (name));
+  struct PlacedProgram *program;
+
+  if (node != NULL)
+    return TABLE_ENTRY (node, struct PlacedProgram, by_name);
+  program = talloc_zero (placement, struct PlacedProgram);
+  if (program == NULL)
+    return NULL;
+  snprintf (program->name, sizeof program->name, "%s", name);
+  if (policy_table_add (placement, &placement->programs, &program->by_name, program->name,
+                        strlen (program->name)))
+    return program;
+  talloc_free (program);
+  return NULL;
+}
+
+static struct PlacedBranch *
+placement_branch (struct Placement *placement, const struct Call *call)
+{
+  struct PlacedBranch *branch = placement_find (placement, call);
+  struct PlacedProgram *program;
+  size_t bytes;
+
+  if (branch != NULL)
+    return branch;
+  program = placement_program (placement, call->key.program);
+  if (program == NULL)
+    return NULL;
+  branch = talloc_zero (program, struct PlacedBranch);
+  if (branch == NULL)
+    return NULL;
+  bytes = placement_key (branch->key, call);
+  if (!policy_table_add (placement, &placement->branches, &branch->by_key, branch->key, bytes))
+    {
+      talloc_free (branch);
+      return NULL;
+    }
+  branch->next = program->branches;
+  program->branches = branch;
+  return branch;
+}
+
+/* The own view that belongs to servers[i]; starts afresh when the list has changed. */
+static struct PlacedServer *
+placement_server (struct Placement *placement, const struct PolicyServer *server, size_t i)
+{
+  struct PlacedServer *own = &placement->servers[i];
+
+  if (strcmp (own->name, server->name) == 0)
+    return own;
+  memset (own, 0, sizeof *own);
+  memcpy (own->name, server->name, sizeof own->name);
+  own->hit = 1.0;
+  return own;
+}
+
+static bool
+placement_make_room (struct Placement *placement, size_t n)
+{
+  struct PlacedServer *servers;
+
+  if (n <= placement->n_servers)
+    return true;
+  servers = talloc_realloc (placement, placement->servers, struct PlacedServer, n);
+  if (servers == NULL)
+    return false;
+  memset (servers + placement->n_servers, 0, (n - placement->n_servers) * sizeof *servers);
+  placement->servers = servers;
+  placement->n_servers = n;
+  return true;
+}
+
+/* Index of the branch's last server, or -1 when it is unknown, gone or not usable. */
+static int32_t
+placement_last (struct PlacedBranch *branch, const struct PolicyServer *servers, size_t n)
+{
+  if (branch == NULL || branch->server[0] == '\0')
+    return -1;
+  if (branch->server_index >= n || strcmp (servers[branch->server_index].name, branch->server) != 0)
+    {
+      size_t i = 0;
+
+      while (i < n && strcmp (servers[i].name, branch->server) != 0)
+        i++;
+      branch->server_index = i;
+      if (i == n)
+        return -1;
+    }
+  return servers[branch->server_index].usable ? (int32_t)branch->server_index : -1;
+}
+
+static double
+placement_recent (const struct PlacedServer *own, int64_t now_ms)
+{
+  return own->recent * exp (-(double)(now_ms - own->recent_ms) / PLACEMENT_RECENT_MS);
+}
+
+/* Expected wait: the queue ahead times the learned pace. Own counts come first; a report only
+ * matters when it shows more than they do. */
+static double
+placement_wait_ms (struct Placement *placement,
+                   const struct PolicyServer *server,
+                   size_t i,
+                   bool kept,
+                   int64_t now_ms)
+{
+  struct PlacedServer *own = placement_server (placement, server, i);
+  double running =
+      server->in_flight > server->reported_running ? server->in_flight : server->reported_running;
+  double ahead = running + server->waiting + placement_recent (own, now_ms);
+  double limit = server->limit > 0 ? server->limit : 1;
+  double wait = ahead / limit * server->service_ms_per_call;
+  uint32_t owner_wait = kept ? server->wait_kept_ms : server->wait_new_ms;
+
+  return wait > owner_wait ? wait : owner_wait;
+}
+
+/* What a decision looks at. */
+struct PlacementQuery
+{
+  const struct PolicyWeights *weights;
+  const struct PolicyServer *servers;
+  size_t n_servers;
+  const struct Call *call;
+  int64_t now_ms;
+  int32_t last;      /* index of the last server or -1 */
+  uint32_t resident; /* prompt tokens that it should still hold */
+};
+
+static double
+placement_score (struct Placement *placement, const struct PlacementQuery *q, size_t i)
+{
+  const struct PolicyServer *server = &q->servers[i];
+  bool is_last = (int32_t)i == q->last;
+  uint32_t kept = is_last ? q->resident : 0;
+  uint32_t anew = q->call->prompt_tokens > kept ? q->call->prompt_tokens - kept : 0;
+  double weight = (double)q->weights->cache_weight_permille / PERMILLE;
+  double wait = placement_wait_ms (placement, server, i, is_last, q->now_ms);
+  double recompute = (double)anew * server->prefill_us_per_token / US_PER_MS;
+
+  switch (q->weights->rule)
+    {
+    case POLICY_ROUND_ROBIN:
+    case POLICY_STICKY:
+      return wait;
+    case POLICY_LEAST_REPORTED:
+      return server->reported_running;
+    case POLICY_FIFO:
+      return wait;
+    case POLICY_ATTAINED:
+      return wait + server->service_ms_per_call + recompute;
+    case POLICY_PROGRAM:
+      break;
+    }
+  wait += server->service_ms_per_call;
+  return wait * (1.0 - weight / 2) + recompute * (1.0 + weight * PLACEMENT_CACHE_GAIN);
+}
+
+static bool
+placement_better (
+    const struct PlacementQuery *q, size_t a, double score_a, size_t b, double score_b)
+{
+  double tie = score_b * PLACEMENT_TIE;
+
+  if (tie < PLACEMENT_TIE_MS)
+    tie = PLACEMENT_TIE_MS;
+  if (q->servers[a].same_zone != q->servers[b].same_zone && fabs (score_a - score_b) <= tie)
+    return q->servers[a].same_zone;
+  return score_a < score_b;
+}
+
+struct PlacementBest
+{
+  int32_t index; /* -1: none yet */
+  double score;
+};
+
+static void
+placement_consider (struct Placement *placement,
+                    const struct PlacementQuery *q,
+                    size_t i,
+                    struct PlacementBest *best)
+{
+  double score;
+
+  if (!q->servers[i].usable)
+    return;
+  score = placement_score (placement, q, i);
+  if (best->index < 0 || placement_better (q, i, score, (size_t)best->index, best->score))
+    *best = (struct PlacementBest){ (int32_t)i, score };
+}
+
+static int32_t
+placement_least (struct Placement *placement, const struct PlacementQuery *q)
+{
+  struct PlacementBest best = { -1, 0 };
+  size_t n = q->n_servers;
+  /* Ties are broken by turns: the scan starts elsewhere each time. */
+  size_t start = (size_t)(XXH64 (&placement->n_choices, sizeof placement->n_choices, 0) % n);
+
+  placement->n_choices++;
+  if (q->last >= 0)
+    placement_consider (placement, q, (size_t)q->last, &best);
+  for (size_t k = 0; k < n && (k < PLACEMENT_SAMPLE || best.index < 0); k++)
+    {
+      /* Steps of a stride that shares no factor with n would need a search; a hash does. */
+      uint64_t draw[2] = { placement->n_choices, k };
+      size_t i = n <= PLACEMENT_SAMPLE  ? (start + k) % n
+                 : k < PLACEMENT_SAMPLE ? (size_t)(XXH64 (draw, sizeof draw, 0) % n)
+                                        : (start + k) % n;
+
+      placement_consider (placement, q, i, &best);
+    }
+  if (best.index >= 0 || n <= PLACEMENT_SAMPLE)
+    return best.index;
+  for (size_t k = 0; k < PLACEMENT_SAMPLE; k++)
+    placement_consider (placement, q, (start + k) % n, &best);
+  return best.index;
+}
+
+static int32_t
+placement_in_turn (struct Placement *placement, const struct PlacementQuery *q)
+{
+  for (size_t k = 0; k < q->n_servers; k++)
+    {
+      size_t i = placement->next_in_turn++ % q->n_servers;
+
+      if (q->servers[i].usable)
+        return (int32_t)i;
+    }
+  return -1;
+}
+
+static int32_t
+placement_by_rule (struct Placement *placement, const struct PlacementQuery *q)
+{
+  switch (q->weights->rule)
+    {
+    case POLICY_ROUND_ROBIN:
+      return placement_in_turn (placement, q);
+    case POLICY_STICKY:
+      return q->last >= 0 ? q->last : placement_in_turn (placement, q);
+    case POLICY_LEAST_REPORTED:
+    case POLICY_FIFO:
+    case POLICY_ATTAINED:
+    case POLICY_PROGRAM:
+      break;
+    }
+  return placement_least (placement, q);
+}
+
+static void
+placement_count (struct Placement *placement, const struct PlacementQuery *q, size_t i)
+{
+  struct PlacedServer *own = placement_server (placement, &q->servers[i], i);
+
+  own->recent = placement_recent (own, q->now_ms) + 1;
+  own->recent_ms = q->now_ms;
+}
+
+int32_t
+placement_choose (struct Placement *placement,
+                  const struct PolicyWeights *weights,
+                  const struct PolicyServer *servers,
+                  size_t n_servers,
+                  const struct Call *call,
+                  int64_t now_ms,
+                  struct Fault *fault)
+{
+  struct PlacedBranch *branch = placement_find (placement, call);
+  struct PlacementQuery q = { weights, servers, n_servers, call, now_ms, -1, 0 };
+  int32_t index = -1;
+
+  if (!placement_make_room (placement, n_servers))
+    {
+      fault_set (fault, ERROR_NO_MEMORY, NULL, "no memory to place a call");
+      return -1;
+    }
+  q.last = placement_last (branch, servers, n_servers);
+  if (q.last >= 0)
+    {
+      struct PlacedServer *own = placement_server (placement, &servers[q.last], (size_t)q.last);
+
+      q.resident = (uint32_t)(branch->context_tokens * own->hit);
+    }
+  if (n_servers > 0)
+    index = placement_by_rule (placement, &q);
+  if (index < 0)
+    {
+      fault_set (fault, ERROR_OVERLOADED, "send it again in a few seconds",
+                 "none of the %zu backend servers of %s is usable", n_servers, call->target);
+      return -1;
+    }
+  placement_count (placement, &q, (size_t)index);
+  return index;
+}
+
+/* How much of an expected prefix the server really held. */
+static void
+placement_learn_hit (struct Placement *placement,
+                     const struct PlacedBranch *branch,
+                     const struct Outcome *outcome)
+{
+  struct PlacedServer *own;
+  double hit;
+
+  if (branch->context_tokens == 0 || branch->server_index >= placement->n_servers)
+    return;
+  own = &placement->servers[branch->server_index];
+  if (strcmp (own->name, branch->server) != 0)
+    return;
+  hit = (double)outcome->cached_tokens / branch->context_tokens;
+  own->hit += ((hit < 1.0 ? hit : 1.0) - own->hit) * PLACEMENT_HIT_GAIN;
+}
+
+void
+placement_learn (struct Placement *placement,
+                 const struct Call *call,
+                 const char *server,
+                 const struct Outcome *outcome,
+                 int64_t now_ms)
+{
+  struct PlacedBranch *branch;
+
+  (void)now_ms;
+  if (call->target_kind != CALL_TARGET_ENGINE)
+    return;
+  branch = placement_branch (placement, call);
+  if (branch == NULL)
+    return;
+  if (outcome->error != ERROR_NONE)
+    {
+      /* Whatever the server held may be gone with it: no reason left to go there. */
+      if (strcmp (branch->server, server) == 0)
+        branch->context_tokens = 0;
+      return;
+    }
+  if (strcmp (branch->server, server) == 0)
+    placement_learn_hit (placement, branch, outcome);
+  else
+    {
+      memset (branch->server, 0, sizeof branch->server);
+      snprintf (branch->server, sizeof branch->server, "%s", server);
+      branch->server_index = SIZE_MAX;
+    }
+  branch->context_tokens = (uint32_t)outcome->charge_tokens;
+}
+
+void
+placement_forget (struct Placement *placement, const char *program)
+{
+  struct TableNode *node = policy_table_find (&placement->programs, program, strlen (program));
+  struct PlacedProgram *placed;
+
+  if (node == NULL)
+    return;
+  placed = TABLE_ENTRY (node, struct PlacedProgram, by_name);
+  for (struct PlacedBranch *b = placed->branches; b != NULL; b = b->next)
+    policy_table_remove (&placement->branches, &b->by_key);
+  policy_table_remove (&placement->programs, &placed->by_name);
+  talloc_free (placed);
+}
+
+uint32_t
+placement_cached_hint (const struct Placement *placement,
+                       const struct Call *call,
+                       const char *server)
+{
+  const struct PlacedBranch *branch = placement_find (placement, call);
+
+  if (branch == NULL || strcmp (branch->server, server) != 0)
+    return 0;
+  return branch->context_tokens < call->prompt_tokens ? branch->context_tokens
+                                                      : call->prompt_tokens;
+}
--- /dev/null
+++ b/core/policy_active.c
@@ -0,0 +1,235 @@
+#include "policy_active.h"
+
+#include <math.h>
+#include <stdio.h>
+#include <string.h>
+
+enum
+{
+  ACTIVE_EXPECTED_MIN = 256, /* smaller prefixes say nothing about the cache */
+  PERMILLE = 1000
+};
+
+static const double ACTIVE_PAUSE_GAIN = 0.1;
+/* A pause this many times the learned mean is not worth waiting for. */
+static const double ACTIVE_PAUSE_KEEP = 2.0;
+static const double ACTIVE_PAUSE_FIRST_MS = 2000;
+/* Share of the reported capacity that programs are let in for; the rest is slack for growth. */
+static const double ACTIVE_REPORT_SHARE = 0.95;
+static const double ACTIVE_SHRINK = 0.99;
+static const double ACTIVE_GROW = 1.001;
+/* How much more urgent, in units of the ageing time, a newcomer must be to take a paused program's
+ * place; more under a cache weight. */
+static const double ACTIVE_HYSTERESIS = 1.0;
+static const double ACTIVE_HYSTERESIS_CACHE = 4.0;
+
+void
+active_set_init (struct ActiveSet *set)
+{
+  *set = (struct ActiveSet){ .budget_tokens = INFINITY };
+}
+
+struct ActiveProgram *
+active_set_find (const struct ActiveSet *set, const char *name)
+{
+  struct TableNode *node = policy_table_find (&set->programs, name, strlen (name));
+
+  return node != NULL ? TABLE_ENTRY (node, struct ActiveProgram, by_name) : NULL;
+}
+
+struct ActiveProgram *
+active_set_program (TALLOC_CTX *ctx,
+                    struct ActiveSet *set,
+                    const char *name,
+                    struct FairService *service)
+{
+  struct ActiveProgram *program = active_set_find (set, name);
+
+  if (program != NULL)
+    return program;
+  program = talloc_zero (ctx, struct ActiveProgram);
+  if (program == NULL)
+    return NULL;
+  snprintf (program->name, sizeof program->name, "%s", name);
+  program->service = service;
+  if (policy_table_add (ctx, &set->programs, &program->by_name, program->name,
+                        strlen (program->name)))
+    return program;
+  talloc_free (program);
+  return NULL;
+}
+
+static void
+active_unpause (struct ActiveSet *set, struct ActiveProgram *program)
+{
+  policy_heap_remove (&set->victims, &program->victim_node);
+  policy_heap_remove (&set->keeps, &program->keep_node);
+}
+
+static void
+active_resize (struct ActiveSet *set, struct ActiveProgram *program, uint64_t tokens)
+{
+  if (program->active)
+    set->active_tokens += tokens - program->footprint_tokens;
+  program->footprint_tokens = tokens;
+}
+
+static void
+active_learn_pause (struct FairService *service, double pause_ms)
+{
+  if (service->pause_ms == 0)
+    service->pause_ms = pause_ms;
+  service->pause_ms += (pause_ms - service->pause_ms) * ACTIVE_PAUSE_GAIN;
+}
+
+void
+active_set_called (struct ActiveSet *set,
+                   struct ActiveProgram *program,
+                   uint32_t prompt_tokens,
+                   int64_t now_ms)
+{
+  uint64_t tokens = prompt_tokens + (uint64_t)program->service->generated_tokens;
+
+  if (program->n_waiting + program->n_running == 0)
+    {
+      if (program->ended_ms != 0)
+        active_learn_pause (program->service, (double)(now_ms - program->ended_ms));
+      active_unpause (set, program);
+    }
+  else
+    tokens += program->footprint_tokens; /* sub-agents run side by side */
+  if (tokens > program->footprint_tokens)
+    active_resize (set, program, tokens);
+}
+
+static void
+active_leave (struct ActiveSet *set, struct ActiveProgram *program)
+{
+  active_unpause (set, program);
+  if (!program->active)
+    return;
+  program->active = false;
+  set->active_tokens -= program->footprint_tokens;
+  set->n_active--;
+}
+
+void
+active_set_forget (struct ActiveSet *set, struct ActiveProgram *program)
+{
+  active_leave (set, program);
+  policy_table_remove (&set->programs, &program->by_name);
+  talloc_free (program);
+}
+
+/* Whether program is so much more urgent that victim's prefix may be lost for it. */
+static bool
+active_may_take (const struct ActiveProgram *program, const struct ActiveProgram *victim)
+{
+  const struct PolicyWeights *weights = &victim->service->weights;
+  double margin =
+      ACTIVE_HYSTERESIS + ACTIVE_HYSTERESIS_CACHE * weights->cache_weight_permille / PERMILLE;
+
+  return program->urgency + margin * weights->ageing_ms < victim->urgency;
+}
+
+bool
+active_set_admit (struct ActiveSet *set, struct ActiveProgram *program, bool forced)
+{
+  if (program->active)
+    return true;
+  while (!forced && set->n_active > 0
+         && (double)(set->active_tokens + program->footprint_tokens) > set->budget_tokens)
+    {
+      struct HeapNode *node = policy_heap_first (&set->victims);
+      struct ActiveProgram *victim;
+
+      if (node == NULL)
+        return false;
+      victim = HEAP_ENTRY (node, struct ActiveProgram, victim_node);
+      if (!active_may_take (program, victim))
+        return false;
+      active_set_forget (set, victim);
+    }
+  program->active = true;
+  set->active_tokens += program->footprint_tokens;
+  set->n_active++;
+  return true;
+}
+
+static double
+active_keep_ms (const struct FairService *service)
+{
+  double learned = service->pause_ms > 0 ? service->pause_ms : ACTIVE_PAUSE_FIRST_MS;
+  double ms = learned * ACTIVE_PAUSE_KEEP;
+
+  return ms < service->weights.pause_keep_ms ? ms : service->weights.pause_keep_ms;
+}
+
+void
+active_set_paused (TALLOC_CTX *ctx,
+                   struct ActiveSet *set,
+                   struct ActiveProgram *program,
+                   int64_t now_ms)
+{
+  program->ended_ms = now_ms;
+  if (program->n_waiting + program->n_running > 0)
+    return;
+  if (!program->active)
+    {
+      active_set_forget (set, program);
+      return;
+    }
+  active_resize (set, program, program->context_tokens);
+  program->victim_node.minor = -program->urgency;
+  program->victim_node.sequence = ++set->sequence;
+  program->keep_node.minor = (double)now_ms + active_keep_ms (program->service);
+  program->keep_node.sequence = set->sequence;
+  if (!policy_heap_put (ctx, &set->victims, &program->victim_node)
+      || !policy_heap_put (ctx, &set->keeps, &program->keep_node))
+    active_set_forget (set, program);
+}
+
+void
+active_set_expire (struct ActiveSet *set, int64_t now_ms)
+{
+  struct HeapNode *node;
+
+  while ((node = policy_heap_first (&set->keeps)) != NULL && node->minor <= (double)now_ms)
+    {
+      struct ActiveProgram *program = HEAP_ENTRY (node, struct ActiveProgram, keep_node);
+
+      /* The pause is at least this long: without this sample only short ones would be seen. */
+      active_learn_pause (program->service, (double)(now_ms - program->ended_ms));
+      active_set_forget (set, program);
+    }
+}
+
+void
+active_set_learn (struct ActiveSet *set, uint32_t expected_tokens, uint32_t cached_tokens)
+{
+  double active = (double)set->active_tokens;
+
+  if (expected_tokens < ACTIVE_EXPECTED_MIN)
+    return;
+  if (cached_tokens < expected_tokens / 2)
+    {
+      double least = set->budget_tokens < active ? set->budget_tokens : active;
+
+      set->budget_tokens = least * ACTIVE_SHRINK;
+      return;
+    }
+  if (active < set->budget_tokens * ACTIVE_REPORT_SHARE)
+    return;
+  set->budget_tokens *= ACTIVE_GROW;
+  active_set_report (set, set->reported_tokens);
+}
+
+void
+active_set_report (struct ActiveSet *set, uint64_t capacity_tokens)
+{
+  double share = (double)capacity_tokens * ACTIVE_REPORT_SHARE;
+
+  set->reported_tokens = capacity_tokens;
+  if (capacity_tokens > 0 && set->budget_tokens > share)
+    set->budget_tokens = share;
+}
--- /dev/null
+++ b/core/policy_active.h
@@ -0,0 +1,86 @@
+/* Which programs share one engine's prefix cache.
+ *
+ * An engine whose cache is smaller than what its programs hold recomputes prefixes all the time:
+ * each program's next turn finds its prefix evicted by the others'. So only a set of programs that
+ * fits is let in at once (the active set); the others wait outside with all their calls. A program
+ * keeps its place over a tool pause for a learned time, and loses it to a more urgent one only when
+ * the gain is worth the prefix that must be computed again. */
+#pragma once
+
+#include <buckthornhead/policy.h>
+
+#include "fair_share.h"
+#include "policy_heap.h"
+#include "policy_table.h"
+
+struct QueuedCall;
+
+struct ActiveProgram
+{
+  struct TableNode by_name;
+  char name[PROGRAM_ID_MAX_BYTES + 1];
+  struct FairService *service;
+  bool active;
+  uint64_t footprint_tokens; /* counted in the set's sum while active */
+  uint32_t context_tokens;   /* after its last call that ended here; 0: none did */
+  uint32_t n_waiting, n_running;
+  int64_t ended_ms;            /* of the last call; 0: none */
+  double urgency;              /* key of its last call */
+  struct HeapNode victim_node; /* while active and paused: least worth keeping first */
+  struct HeapNode keep_node;   /* and until when it is kept at all */
+  struct QueuedCall *calls;    /* waiting here; the queue's own */
+};
+
+struct ActiveSet
+{
+  struct PolicyTable programs;
+  struct PolicyHeap victims, keeps;
+  uint64_t active_tokens;
+  size_t n_active;
+  double budget_tokens;     /* INFINITY: not scarce as far as seen */
+  uint64_t reported_tokens; /* capacity by the server's own report; 0: none */
+  uint64_t sequence;
+};
+
+void
+active_set_init (struct ActiveSet *set);
+
+struct ActiveProgram *
+active_set_program (TALLOC_CTX *ctx,
+                    struct ActiveSet *set,
+                    const char *name,
+                    struct FairService *service);
+struct ActiveProgram *
+active_set_find (const struct ActiveSet *set, const char *name);
+
+/* A call with this prompt is about to wait; learns the pause since the last one. */
+void
+active_set_called (struct ActiveSet *set,
+                   struct ActiveProgram *program,
+                   uint32_t prompt_tokens,
+                   int64_t now_ms);
+
+/* Gives program its place if there is room, making some by taking it from paused programs that
+ * are less urgent. forced: the server would stand idle otherwise. */
+bool
+active_set_admit (struct ActiveSet *set, struct ActiveProgram *program, bool forced);
+
+/* A call of program has ended: when nothing else of it is here, it is paused from now on. */
+void
+active_set_paused (TALLOC_CTX *ctx,
+                   struct ActiveSet *set,
+                   struct ActiveProgram *program,
+                   int64_t now_ms);
+
+/* Forgets programs whose pause outlasted what is kept. */
+void
+active_set_expire (struct ActiveSet *set, int64_t now_ms);
+/* Forgets program, which has nothing waiting or running here. */
+void
+active_set_forget (struct ActiveSet *set, struct ActiveProgram *program);
+
+/* An active program expected that many tokens cached and found this many. */
+void
+active_set_learn (struct ActiveSet *set, uint32_t expected_tokens, uint32_t cached_tokens);
+void
+active_set_report (struct ActiveSet *set, uint64_t capacity_tokens);
--- /dev/null
+++ b/core/policy_limit.c
@@ -0,0 +1,99 @@
+#include "policy_limit.h"
+
+enum
+{
+  LIMIT_MAX = 4096,
+  /* Fewer tokens than this say little about a pace. */
+  LIMIT_PACE_TOKENS_MIN = 8,
+  LIMIT_PREFILL_TOKENS_MIN = 256,
+  US_PER_MS = 1000
+};
+
+static const double LIMIT_MIN = 4;
+static const double LIMIT_GAIN = 0.05;
+static const double LIMIT_PACE_TOLERANCE = 2.0;
+static const double LIMIT_PREFILL_TOLERANCE = 8.0;
+static const double LIMIT_BACKOFF = 0.9;
+static const double LIMIT_FAILURE_BACKOFF = 0.7;
+static const double LIMIT_FORGET = 1.0002;
+
+void
+policy_limit_init (struct PolicyLimit *limit, uint32_t initial)
+{
+  *limit = (struct PolicyLimit){ .limit = initial > LIMIT_MIN ? initial : LIMIT_MIN };
+}
+
+uint32_t
+policy_limit_now (const struct PolicyLimit *limit)
+{
+  return (uint32_t)limit->limit;
+}
+
+static void
+limit_average (double *average, double sample)
+{
+  *average = *average == 0 ? sample : *average + (sample - *average) * LIMIT_GAIN;
+}
+
+static void
+limit_best (double *best, double sample)
+{
+  *best *= LIMIT_FORGET;
+  if (*best == 0 || sample < *best)
+    *best = sample;
+}
+
+static void
+limit_learn_paces (struct PolicyLimit *limit, const struct LimitSample *sample)
+{
+  limit_average (&limit->service_ms, (double)(sample->end_ms - sample->sent_ms));
+  if (sample->first_ms == 0)
+    return;
+  if (sample->generated_tokens >= LIMIT_PACE_TOKENS_MIN)
+    {
+      double pace = (double)(sample->end_ms - sample->first_ms) / (sample->generated_tokens - 1);
+
+      limit_average (&limit->pace_ms, pace);
+      limit_best (&limit->best_pace_ms, pace);
+    }
+  if (sample->uncached_tokens >= LIMIT_PREFILL_TOKENS_MIN)
+    {
+      double us =
+          (double)(sample->first_ms - sample->sent_ms) * US_PER_MS / sample->uncached_tokens;
+
+      limit_average (&limit->prefill_us_per_token, us);
+      limit_best (&limit->best_prefill_us, us);
+    }
+}
+
+static bool
+limit_is_congested (const struct PolicyLimit *limit)
+{
+  return limit->pace_ms > limit->best_pace_ms * LIMIT_PACE_TOLERANCE
+         || limit->prefill_us_per_token > limit->best_prefill_us * LIMIT_PREFILL_TOLERANCE;
+}
+
+/* At most one decrease a call's time: the calls that are in flight already can not show it yet. */
+static void
+limit_decrease (struct PolicyLimit *limit, double factor, int64_t now_ms)
+{
+  if (now_ms < limit->next_decrease_ms)
+    return;
+  limit->limit = limit->limit * factor > LIMIT_MIN ? limit->limit * factor : LIMIT_MIN;
+  limit->next_decrease_ms = now_ms + (int64_t)limit->service_ms;
+}
+
+void
+policy_limit_learn (struct PolicyLimit *limit, const struct LimitSample *sample)
+{
+  if (sample->failed)
+    {
+      limit_decrease (limit, LIMIT_FAILURE_BACKOFF, sample->end_ms);
+      return;
+    }
+  limit_learn_paces (limit, sample);
+  if (limit_is_congested (limit))
+    limit_decrease (limit, LIMIT_BACKOFF, sample->end_ms);
+  else if (sample->in_flight + 1 >= policy_limit_now (limit) && limit->limit < LIMIT_MAX)
+    limit->limit += 1.0 / limit->limit;
+}
--- /dev/null
+++ b/core/policy_limit.h
@@ -0,0 +1,40 @@
+/* Learned number of calls that one backend server may have in flight, and its learned paces.
+ *
+ * Engines admit all they get, and their reports lag; so the limit is learned from the answers'
+ * own pace: additive increase while it binds, multiplicative decrease when the time between tokens
+ * or to the first token grows well beyond the best seen. */
+#pragma once
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/* One call that has ended, as its owner saw it. */
+struct LimitSample
+{
+  int64_t sent_ms, first_ms, end_ms; /* first_ms 0: not streamed */
+  uint32_t uncached_tokens;
+  uint32_t generated_tokens;
+  uint32_t in_flight; /* when it was sent, itself included */
+  bool failed;
+};
+
+struct PolicyLimit
+{
+  double limit;
+  double service_ms;           /* learned time of one call */
+  double prefill_us_per_token; /* learned */
+  double pace_ms;              /* learned time between tokens */
+  double best_pace_ms;         /* least seen, forgotten slowly */
+  double best_prefill_us;
+  int64_t next_decrease_ms;
+};
+
+void
+policy_limit_init (struct PolicyLimit *limit, uint32_t initial);
+
+void
+policy_limit_learn (struct PolicyLimit *limit, const struct LimitSample *sample);
+
+/* Whole calls allowed in flight, at least one. */
+uint32_t
+policy_limit_now (const struct PolicyLimit *limit);
--- a/include/buckthornhead/policy.h
+++ b/include/buckthornhead/policy.h
@@ -42,6 +42,8 @@
   uint32_t service_ms_per_call;       /* learned */
   uint32_t prefill_us_per_token;      /* learned */
   bool same_zone;
+  uint32_t wait_new_ms;  /* expected wait at the owner of a program that has no place there */
+  uint32_t wait_kept_ms; /* and of one whose prefix is kept there */
 };
 
 struct Placement; /* per-home state: where each program's prefix is, learned paces */
@@ -70,6 +72,12 @@
 void
 placement_forget (struct Placement *placement, const char *program);
 
+/* Prompt tokens of call that server probably has cached: DispatchItem.cached_tokens_hint. */
+uint32_t
+placement_cached_hint (const struct Placement *placement,
+                       const struct Call *call,
+                       const char *server);
+
 /* Queue of one backend server at its owner. */
 struct DispatchQueue;
 
@@ -118,6 +126,26 @@
                          const struct Outcome *outcome,
                          int64_t now_ms);
 
+/* What the server reported of its prefix cache. Optional: without it the size is learned from the
+ * answers, and a wrong report is corrected by them. */
+void
+dispatch_queue_report_cache (struct DispatchQueue *queue, uint64_t capacity_tokens);
+
+/* The program has ended, or its home moved it elsewhere: its place in the cache is free. Without
+ * this call the place is kept over one learned pause. */
+void
+dispatch_queue_program_ended (struct DispatchQueue *queue, const char *program);
+
+/* Programs let in to the server's cache, and the tokens they are expected to hold. */
+struct DispatchActive
+{
+  size_t n_programs;
+  uint64_t active_tokens;
+  uint64_t budget_tokens; /* learned; UINT64_MAX: not scarce as far as seen */
+};
+void
+dispatch_queue_active (const struct DispatchQueue *queue, struct DispatchActive *active);
+
 /* The queue's own picture, for the digest that goes to the homes. */
 void
 dispatch_queue_digest (const struct DispatchQueue *queue, struct PolicyServer *digest);
--- /dev/null
+++ b/tests/test_dispatch_queue.c
@@ -0,0 +1,365 @@
+#include "test_main.h"
+
+#include <buckthornhead/policy.h>
+
+#include <stdio.h>
+#include <string.h>
+
+static const struct PolicyWeights fifo_rule = { .rule = POLICY_FIFO, .share = 1 };
+static const struct PolicyWeights program_rule = { .rule = POLICY_PROGRAM,
+                                                   .cache_weight_permille = 300,
+                                                   .ageing_ms = 1000,
+                                                   .share = 1,
+                                                   .pause_keep_ms = 10000 };
+
+static struct DispatchItem
+item_of (uint64_t id, const char *program, const char *service, uint64_t attained)
+{
+  struct DispatchItem item = {
+    .id = id, .prompt_tokens = 1000, .max_tokens = 100, .attained_tokens = attained
+  };
+
+  snprintf (item.program, sizeof item.program, "%s", program);
+  snprintf (item.service, sizeof item.service, "%s", service);
+  return item;
+}
+
+static int32_t
+push_item (struct DispatchQueue *queue,
+           const struct PolicyWeights *weights,
+           const struct DispatchItem *item,
+           int64_t now_ms)
+{
+  uint32_t retry_after_ms;
+  struct Fault fault;
+
+  return dispatch_queue_push (queue, weights, item, (uint32_t)item->id, now_ms, &retry_after_ms,
+                              &fault);
+}
+
+static int32_t
+push (struct DispatchQueue *queue,
+      const struct PolicyWeights *weights,
+      uint64_t id,
+      const char *program,
+      uint64_t attained,
+      int64_t now_ms)
+{
+  struct DispatchItem item = item_of (id, program, "hiring-agents", attained);
+
+  return push_item (queue, weights, &item, now_ms);
+}
+
+/* The next item's id, or 0. */
+static uint64_t
+pop (struct DispatchQueue *queue, int64_t now_ms)
+{
+  uint64_t id;
+
+  return dispatch_queue_pop (queue, now_ms, &id) ? id : 0;
+}
+
+static void
+finish (struct DispatchQueue *queue, uint64_t id, uint32_t cached_tokens, int64_t now_ms)
+{
+  struct Outcome outcome = { .charge_tokens = 1050, .cached_tokens = cached_tokens };
+
+  dispatch_queue_finished (queue, id, &outcome, now_ms);
+}
+
+static void
+test_fifo_keeps_arrival_order (void)
+{
+  struct DispatchQueue *queue = dispatch_queue_new (NULL, 8);
+
+  for (uint64_t id = 1; id <= 5; id++)
+    CU_ASSERT_EQUAL (push (queue, &fifo_rule, id, "p", 1000 - id, 0), ERROR_NONE);
+  for (uint64_t id = 1; id <= 5; id++)
+    CU_ASSERT_EQUAL (pop (queue, 0), id);
+  CU_ASSERT_EQUAL (pop (queue, 0), 0);
+  talloc_free (queue);
+}
+
+static void
+test_least_attained_program_goes_first (void)
+{
+  struct DispatchQueue *queue = dispatch_queue_new (NULL, 8);
+
+  push (queue, &program_rule, 1, "long", 100000, 0);
+  push (queue, &program_rule, 2, "middle", 5000, 0);
+  push (queue, &program_rule, 3, "new", 0, 0);
+  CU_ASSERT_EQUAL (pop (queue, 0), 3);
+  CU_ASSERT_EQUAL (pop (queue, 0), 2);
+  CU_ASSERT_EQUAL (pop (queue, 0), 1);
+  talloc_free (queue);
+}
+
+/* A menu review never finishes while parents' questions keep coming: each question is a new
+ * program and goes before the review's next turn, for ever. Ageing bounds the wait. */
+static void
+test_a_long_program_is_not_starved_by_newcomers (void)
+{
+  struct DispatchQueue *queue = dispatch_queue_new (NULL, 4);
+  int64_t served_ms = -1;
+
+  push (queue, &program_rule, 1, "review", 100000, 0);
+  for (int64_t now = 0; now < 60000 && served_ms < 0; now += 100)
+    {
+      uint64_t id;
+      char name[32];
+
+      snprintf (name, sizeof name, "question-%lld", (long long)now);
+      push (queue, &program_rule, 2 + (uint64_t)now, name, 0, now);
+      id = pop (queue, now);
+      if (id == 1)
+        served_ms = now;
+      finish (queue, id, 0, now);
+      dispatch_queue_program_ended (queue, name);
+    }
+  /* ageing_ms x log2 (1 + 100000 / 500) is 7.7 s. */
+  CU_ASSERT (served_ms > 0 && served_ms <= 8000);
+  talloc_free (queue);
+}
+
+static void
+test_calls_in_flight_stay_within_the_limit (void)
+{
+  struct DispatchQueue *queue = dispatch_queue_new (NULL, 4);
+
+  for (uint64_t id = 1; id <= 6; id++)
+    push (queue, &fifo_rule, id, "p", 0, 0);
+  for (int i = 0; i < 4; i++)
+    CU_ASSERT_NOT_EQUAL (pop (queue, 0), 0);
+  CU_ASSERT_EQUAL (pop (queue, 0), 0);
+  finish (queue, 1, 0, 1000);
+  CU_ASSERT_NOT_EQUAL (pop (queue, 1000), 0);
+  CU_ASSERT_EQUAL (pop (queue, 1000), 0);
+  talloc_free (queue);
+}
+
+/* Runs calls of a server whose pace between tokens is pace_ms, and gives the limit then. */
+static uint32_t
+limit_after (struct DispatchQueue *queue, int64_t *now, int n, int64_t pace_ms)
+{
+  struct PolicyServer digest;
+  static uint64_t id = 1;
+
+  for (int i = 0; i < n; i++)
+    {
+      uint64_t popped[64];
+      int n_popped = 0;
+
+      for (int k = 0; k < 64; k++)
+        push (queue, &fifo_rule, ++id, "p", 0, *now);
+      while (n_popped < 64 && (popped[n_popped] = pop (queue, *now)) != 0)
+        n_popped++;
+      for (int k = 0; k < n_popped; k++)
+        dispatch_queue_first_token (queue, popped[k], *now + 100);
+      *now += 100 + pace_ms * 49;
+      for (int k = 0; k < n_popped; k++)
+        finish (queue, popped[k], 0, *now);
+      for (uint64_t k = id - 63; k <= id; k++)
+        dispatch_queue_remove (queue, k);
+    }
+  dispatch_queue_digest (queue, &digest);
+  return digest.limit;
+}
+
+/* A server that slows down by four goes on getting as many calls as before, and each takes ever
+ * longer: the limit did not follow the answers' pace. */
+static void
+test_limit_follows_the_pace_of_the_answers (void)
+{
+  struct DispatchQueue *queue = dispatch_queue_new (NULL, 8);
+  int64_t now = 0;
+  uint32_t grown = limit_after (queue, &now, 40, 20);
+  uint32_t shrunk = limit_after (queue, &now, 40, 80);
+
+  CU_ASSERT (grown > 12);
+  CU_ASSERT (shrunk < grown / 2);
+  CU_ASSERT (shrunk >= 1);
+  talloc_free (queue);
+}
+
+static void
+test_full_queue_refuses_and_spreads_the_callers (void)
+{
+  struct DispatchQueue *queue = dispatch_queue_new (NULL, 4);
+  struct PolicyWeights weights = fifo_rule;
+  uint32_t first = 0, differing = 0;
+
+  weights.queue_limit = 3;
+  for (uint64_t id = 1; id <= 3; id++)
+    CU_ASSERT_EQUAL (push (queue, &weights, id, "p", 0, 0), ERROR_NONE);
+  for (uint32_t seed = 0; seed < 20; seed++)
+    {
+      struct DispatchItem item = item_of (10 + seed, "q", "hiring-agents", 0);
+      struct Fault fault;
+      uint32_t retry_after_ms;
+
+      CU_ASSERT_EQUAL (
+          dispatch_queue_push (queue, &weights, &item, seed, 0, &retry_after_ms, &fault),
+          ERROR_OVERLOADED);
+      CU_ASSERT (retry_after_ms > 0);
+      if (seed == 0)
+        first = retry_after_ms;
+      differing += retry_after_ms != first;
+    }
+  CU_ASSERT (differing >= 15);
+  talloc_free (queue);
+}
+
+/* A parent waits the full deadline, and then is told that there was no time: the queue knew at
+ * once. */
+static void
+test_calls_that_can_not_finish_are_refused_at_once (void)
+{
+  struct DispatchQueue *queue = dispatch_queue_new (NULL, 4);
+  struct DispatchItem item = item_of (9000, "parent", "menu-agents", 0);
+  int64_t now = 0;
+  uint64_t id = 0;
+
+  limit_after (queue, &now, 5, 20); /* learns that 50 tokens take a second */
+  item.deadline_ms = now + 200;
+  CU_ASSERT_EQUAL (push_item (queue, &fifo_rule, &item, now), ERROR_DEADLINE);
+  item.deadline_ms = now + 5000;
+  CU_ASSERT_EQUAL (push_item (queue, &fifo_rule, &item, now), ERROR_NONE);
+  CU_ASSERT_FALSE (dispatch_queue_expire (queue, now + 1000, &id));
+  CU_ASSERT_TRUE (dispatch_queue_expire (queue, now + 4900, &id));
+  CU_ASSERT_EQUAL (id, 9000);
+  CU_ASSERT_EQUAL (pop (queue, now + 4900), 0);
+  talloc_free (queue);
+}
+
+/* The nightly label export fills the queue with a thousand calls; a parent's question comes behind
+ * them and the tray has left before its answer. */
+static void
+test_an_export_does_not_shut_out_another_service (void)
+{
+  struct DispatchQueue *queue = dispatch_queue_new (NULL, 4);
+  struct DispatchItem question = item_of (5000, "parent", "kitchen-api", 0);
+  bool answered = false;
+
+  for (uint64_t id = 1; id <= 1000; id++)
+    {
+      char name[32];
+
+      snprintf (name, sizeof name, "label-%d", (int)id);
+      push (queue, &program_rule, id, name, 0, 0);
+    }
+  for (int i = 0; i < 200; i++)
+    finish (queue, pop (queue, i), 0, i);
+  push_item (queue, &program_rule, &question, 200);
+  for (int i = 0; i < 30 && !answered; i++)
+    {
+      uint64_t id = pop (queue, 200 + i);
+
+      answered = id == 5000;
+      finish (queue, id, 0, 200 + i);
+    }
+  CU_ASSERT_TRUE (answered);
+  talloc_free (queue);
+}
+
+/* Each review finds its prefix evicted by the others and computes it again, and all are slow:
+ * more programs share the engine than its cache holds. */
+static void
+test_few_programs_share_a_scarce_cache (void)
+{
+  struct DispatchQueue *queue = dispatch_queue_new (NULL, 16);
+  struct DispatchActive active;
+  uint64_t first, second;
+
+  dispatch_queue_report_cache (queue, 2500);
+  push (queue, &program_rule, 1, "a", 0, 0);
+  push (queue, &program_rule, 2, "b", 0, 1);
+  push (queue, &program_rule, 3, "c", 0, 2);
+  first = pop (queue, 10);
+  second = pop (queue, 10);
+  CU_ASSERT (first == 1 && second == 2);
+  CU_ASSERT_EQUAL (pop (queue, 10), 0);
+  dispatch_queue_active (queue, &active);
+  CU_ASSERT_EQUAL (active.n_programs, 2);
+  finish (queue, 1, 0, 1000);
+  dispatch_queue_program_ended (queue, "a");
+  CU_ASSERT_EQUAL (pop (queue, 1000), 3);
+  talloc_free (queue);
+}
+
+/* A negotiation pauses for a tool; its place in the cache is given away at once, and its next turn
+ * computes everything again. */
+static void
+test_a_pause_keeps_the_place_for_a_while (void)
+{
+  struct DispatchQueue *queue = dispatch_queue_new (NULL, 16);
+
+  dispatch_queue_report_cache (queue, 1500);
+  push (queue, &program_rule, 1, "paused", 0, 0);
+  CU_ASSERT_EQUAL (pop (queue, 0), 1);
+  finish (queue, 1, 0, 100);
+  push (queue, &program_rule, 2, "other", 0, 110);
+  push (queue, &program_rule, 3, "paused", 900, 600);
+  CU_ASSERT_EQUAL (pop (queue, 600), 3);
+  finish (queue, 3, 1000, 700);
+  CU_ASSERT_EQUAL (pop (queue, 700 + 60000), 2);
+  talloc_free (queue);
+}
+
+/* The report claims a huge cache. Prefixes are evicted all the same, and the queue believes it. */
+static void
+test_budget_is_learned_against_a_wrong_report (void)
+{
+  struct DispatchQueue *queue = dispatch_queue_new (NULL, 16);
+  struct DispatchActive active;
+  uint64_t id = 0;
+
+  dispatch_queue_report_cache (queue, 100000000);
+  for (int turn = 0; turn < 50; turn++)
+    for (int p = 0; p < 8; p++)
+      {
+        char name[16];
+
+        snprintf (name, sizeof name, "p%d", p);
+        push (queue, &program_rule, ++id, name, (uint64_t)turn * 50, turn * 100 + p);
+        finish (queue, pop (queue, turn * 100 + p), 0, turn * 100 + p);
+      }
+  dispatch_queue_active (queue, &active);
+  CU_ASSERT (active.budget_tokens < 8 * 1050);
+  talloc_free (queue);
+}
+
+static void
+test_a_removed_item_is_never_given (void)
+{
+  struct DispatchQueue *queue = dispatch_queue_new (NULL, 8);
+
+  push (queue, &program_rule, 1, "a", 0, 0);
+  push (queue, &program_rule, 2, "b", 0, 0);
+  CU_ASSERT_TRUE (dispatch_queue_remove (queue, 1));
+  CU_ASSERT_FALSE (dispatch_queue_remove (queue, 1));
+  CU_ASSERT_EQUAL (push (queue, &program_rule, 2, "b", 0, 0), ERROR_CONFLICT);
+  CU_ASSERT_EQUAL (pop (queue, 0), 2);
+  CU_ASSERT_FALSE (dispatch_queue_remove (queue, 2));
+  CU_ASSERT_EQUAL (pop (queue, 0), 0);
+  talloc_free (queue);
+}
+
+const char test_suite_name[] = "dispatch_queue";
+const struct TestCase test_cases[] = {
+  { "FIFO keeps arrival order", test_fifo_keeps_arrival_order },
+  { "the least attained program goes first", test_least_attained_program_goes_first },
+  { "a long program is not starved by newcomers", test_a_long_program_is_not_starved_by_newcomers },
+  { "calls in flight stay within the limit", test_calls_in_flight_stay_within_the_limit },
+  { "the limit follows the pace of the answers", test_limit_follows_the_pace_of_the_answers },
+  { "a full queue refuses and spreads the callers",
+    test_full_queue_refuses_and_spreads_the_callers },
+  { "calls that can not finish are refused at once",
+    test_calls_that_can_not_finish_are_refused_at_once },
+  { "an export does not shut out another service",
+    test_an_export_does_not_shut_out_another_service },
+  { "few programs share a scarce cache", test_few_programs_share_a_scarce_cache },
+  { "a pause keeps the place for a while", test_a_pause_keeps_the_place_for_a_while },
+  { "the budget is learned against a wrong report", test_budget_is_learned_against_a_wrong_report },
+  { "a removed item is never given", test_a_removed_item_is_never_given },
+  { NULL, NULL },
+};
