--- a/include/buckthornhead/journal.h
+++ b/include/buckthornhead/journal.h
@@ -15,6 +15,11 @@
  * any attempt to write it. */
 typedef void (*JournalDone) (void *data, int32_t error);
 
+enum
+{
+  JOURNAL_FIRST_SLOT = 1
+};
+
 struct JournalOptions
 {
   const char *prefix;          /* key prefix of this deployment, ending in '/' */
@@ -31,16 +36,45 @@
              struct TimerService *timers,
              const struct JournalOptions *options);
 
-/* Queues record for the next slot. The record is packed before this returns. */
+/* Queues record for the next slot. The record is packed before this returns. On ERROR_NONE done is
+ * called once, later, in the order of the appends; else (ERROR_FENCED, ERROR_TOO_LARGE) never. It
+ * waits for as long as the platform is down. Neither done nor fenced may free the journal. */
 int32_t
 journal_append (struct Journal *journal, const struct Record *record, JournalDone done, void *data);
 
+/* As journal_append, for what is refused while the platform is down, such as an intent:
+ * ERROR_PLATFORM_DOWN at once while the journal is not writable, and through done when it becomes
+ * so before the record may have reached the platform. Once it may have, it is only settled. */
+int32_t
+journal_append_unless_down (struct Journal *journal,
+                            const struct Record *record,
+                            JournalDone done,
+                            void *data);
+
+/* Calls fn once, now or later, when every record that was ever put in a slot is settled and its
+ * done was called. Only then may journal_prepend queue records ahead of all that waits: a
+ * snapshot holds just what was applied, so what is not applied yet has to stand behind it. */
+typedef void (*JournalIdleFn) (void *data);
+void
+journal_when_idle (struct Journal *journal, JournalIdleFn fn, void *data);
+int32_t
+journal_prepend (struct Journal *journal,
+                 const struct Record *records,
+                 size_t n_records,
+                 JournalDone done, /* of the last record */
+                 void *data);
+
+/* Least time between two slots so that n_live instances together stay within the fleet's writes
+ * a second. Each slot written costs a second write later on, when it is deleted. */
+uint32_t
+journal_flush_interval_ms (uint32_t fleet_writes_per_s, uint32_t n_live);
+
 /* The write budget changed, for instance as the number of live instances did. */
 void
 journal_set_flush_interval (struct Journal *journal, uint32_t flush_interval_ms);
 
-/* Replays need nothing before the next slot: checkpoint records for all that lives have been
- * appended. Older slots are deleted, oldest first. */
+/* Replays need nothing before first_needed_slot: snapshots of all that lives are durable. Older
+ * slots are deleted, oldest first, once a slot that says so is durable. */
 void
 journal_checkpointed (struct Journal *journal, uint64_t first_needed_slot);
 
@@ -51,16 +85,26 @@
 journal_is_writable (const struct Journal *journal);
 uint64_t
 journal_next_slot (const struct Journal *journal);
+/* Oldest slot that a replay needs, as the next slot will say. */
+uint64_t
+journal_replay_from (const struct Journal *journal);
 size_t
 journal_n_waiting (const struct Journal *journal);
 
-/* Reading another incarnation's journal. Every slot below the seal, records in order. */
+/* Key of a slot; belongs to ctx. */
+char *
+journal_slot_key (TALLOC_CTX *ctx, const char *prefix, const char *incarnation, uint64_t slot);
+
+/* What was read of another incarnation's journal. Valid during the callback; slots, a talloc
+ * array that owns all the rest, may be stolen. */
 struct JournalReplay
 {
-  int32_t error;
+  int32_t error;       /* ERROR_NOT_FOUND: sealed and cleaned up, nothing counts any more;
+                          ERROR_PLATFORM_DOWN: try again later; ERROR_INVALID: damaged */
   struct Slot **slots; /* ascending; only those at or after the last slot's replay_from */
   uint64_t *slot_numbers;
   size_t n_slots;
+  uint64_t seal_slot; /* 0: not sealed */
 };
 typedef void (*JournalReplayDone) (void *data, const struct JournalReplay *replay);
 
@@ -75,3 +119,14 @@
                        const char *taker,
                        JournalReplayDone done,
                        void *data);
+
+/* Reads all of a journal without sealing it. Enough for a partition that its writer can write no
+ * more of, being sealed already or having handed it off. */
+int32_t
+journal_read (TALLOC_CTX *ctx,
+              struct KvPort *kv,
+              struct TimerService *timers,
+              const char *prefix,
+              const char *incarnation,
+              JournalReplayDone done,
+              void *data);
--- /dev/null
+++ b/tests/test_journal.c
@@ -0,0 +1,415 @@
+#include "test_main.h"
+
+#include "fakes/fake_kv.h"
+#include "fakes/fake_timer.h"
+
+#include <buckthornhead/journal.h>
+
+#include <stdio.h>
+#include <string.h>
+
+enum
+{
+  INTERVAL_MS = 20,
+  RETRY_MS = 50,
+  LONG_MS = 10000
+};
+
+struct Fixture
+{
+  TALLOC_CTX *ctx;
+  struct TimerService *timers;
+  struct FakeKv *kv;
+  struct KvPort *port;
+  struct Journal *journal;
+  int n_fenced;
+};
+
+/* What became of appended records, in order. */
+struct Answers
+{
+  int32_t errors[64];
+  size_t n;
+};
+
+static void
+on_fenced (void *data)
+{
+  ((struct Fixture *)data)->n_fenced++;
+}
+
+static void
+on_done (void *data, int32_t error)
+{
+  struct Answers *answers = data;
+
+  answers->errors[answers->n++ % 64] = error;
+}
+
+static struct Fixture *
+fixture_new (void)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct Fixture *f = talloc_zero (ctx, struct Fixture);
+  struct JournalOptions options = { .prefix = "b/",
+                                    .incarnation = "malda-1.1",
+                                    .flush_interval_ms = INTERVAL_MS,
+                                    .retry_ms = RETRY_MS,
+                                    .fenced = on_fenced,
+                                    .data = f };
+
+  f->ctx = ctx;
+  f->timers = fake_timer_new (ctx);
+  f->kv = fake_kv_new (ctx, f->timers);
+  f->port = fake_kv_port_new (ctx, f->kv);
+  f->journal = journal_new (ctx, f->port, f->timers, &options);
+  return f;
+}
+
+static struct Record
+record_of (const char *program)
+{
+  struct Record record = { .kind = RECORD_END, .partition = 1, .epoch = 1 };
+
+  snprintf (record.end.program, sizeof record.end.program, "%s", program);
+  record.end.reason = END_DONE;
+  return record;
+}
+
+static void
+append (struct Fixture *f, const char *program, struct Answers *answers)
+{
+  struct Record record = record_of (program);
+
+  CU_ASSERT_EQUAL (journal_append (f->journal, &record, on_done, answers), ERROR_NONE);
+}
+
+static struct Slot *
+slot_at (struct Fixture *f, uint64_t number)
+{
+  char *key = journal_slot_key (f->ctx, "b/", "malda-1.1", number);
+  struct KvEntry entry;
+  struct Slot *slot = NULL;
+
+  if (fake_kv_peek (f->kv, key, &entry))
+    slot_unpack (f->ctx, entry.value, entry.value_bytes, &slot);
+  return slot;
+}
+
+static size_t
+n_records_at (struct Fixture *f, uint64_t number)
+{
+  struct Slot *slot = slot_at (f, number);
+
+  return slot != NULL ? slot->n_records : 0;
+}
+
+static void
+seal_at (struct Fixture *f, uint64_t number)
+{
+  struct Slot seal = { .kind = SLOT_SEAL, .writer = "zg-1.4" };
+  uint8_t *packed;
+  size_t bytes;
+
+  slot_pack (f->ctx, &seal, &packed, &bytes);
+  fake_kv_poke (f->kv, journal_slot_key (f->ctx, "b/", "malda-1.1", number), packed, bytes);
+}
+
+static void
+test_waiting_records_share_a_slot (void)
+{
+  struct Fixture *f = fixture_new ();
+  struct Answers answers = { 0 };
+
+  append (f, "a", &answers);
+  append (f, "b", &answers);
+  CU_ASSERT_EQUAL (answers.n, 0);
+  fake_timer_advance (f->timers, 2);
+  CU_ASSERT_EQUAL (answers.n, 2);
+  CU_ASSERT_EQUAL (n_records_at (f, 1), 2);
+  append (f, "c", &answers);
+  fake_timer_advance (f->timers, INTERVAL_MS / 2);
+  CU_ASSERT_EQUAL (answers.n, 2);
+  fake_timer_advance (f->timers, INTERVAL_MS);
+  CU_ASSERT_EQUAL (answers.n, 3);
+  CU_ASSERT_EQUAL (fake_kv_n_writes (f->kv), 2);
+  talloc_free (f->ctx);
+}
+
+/* The service applies the append and its answer is lost. Taking that for a failure, the writer
+ * would write the records twice, or think itself sealed by its own slot. */
+static void
+test_lost_answer_is_settled (void)
+{
+  struct Fixture *f = fixture_new ();
+  struct Answers answers = { 0 };
+
+  fake_kv_fault_next (f->kv, KV_OP_PUT, NULL, FAKE_KV_LOSE_ANSWER, 1);
+  append (f, "a", &answers);
+  fake_timer_advance (f->timers, 5);
+  CU_ASSERT_EQUAL (answers.n, 0);
+  CU_ASSERT_FALSE (journal_is_writable (f->journal));
+  append (f, "b", &answers);
+  fake_timer_advance (f->timers, LONG_MS);
+  CU_ASSERT_EQUAL (answers.n, 2);
+  CU_ASSERT_EQUAL (answers.errors[0], ERROR_NONE);
+  CU_ASSERT_EQUAL (f->n_fenced, 0);
+  CU_ASSERT_EQUAL (n_records_at (f, 1), 1);
+  CU_ASSERT_EQUAL (n_records_at (f, 2), 1);
+  CU_ASSERT_PTR_NULL (slot_at (f, 3));
+  talloc_free (f->ctx);
+}
+
+/* The append is on its way, unanswered, while the platform is down, and arrives much later. Its
+ * records must be those of the later attempts: a caller would else hear "not run" of a call whose
+ * intent then stands in the journal. */
+static void
+test_late_write_is_the_same_batch (void)
+{
+  struct Fixture *f = fixture_new ();
+  struct Answers intent = { 0 }, outcome = { 0 };
+  struct Record record = record_of ("a");
+
+  fake_kv_fault_next (f->kv, KV_OP_PUT, NULL, FAKE_KV_LATE, 1);
+  CU_ASSERT_EQUAL (journal_append_unless_down (f->journal, &record, on_done, &intent), ERROR_NONE);
+  fake_timer_advance (f->timers, 5);
+  fake_kv_set_fault (f->kv, FAKE_KV_REFUSE);
+  append (f, "b", &outcome);
+  fake_timer_advance (f->timers, LONG_MS);
+  CU_ASSERT_EQUAL (intent.n, 0);
+  fake_kv_set_fault (f->kv, FAKE_KV_OK);
+  fake_kv_release (f->kv);
+  fake_timer_advance (f->timers, LONG_MS);
+  CU_ASSERT_EQUAL (intent.n, 1);
+  CU_ASSERT_EQUAL (intent.errors[0], ERROR_NONE);
+  CU_ASSERT_EQUAL (outcome.n, 1);
+  CU_ASSERT_EQUAL (n_records_at (f, 1), 1);
+  CU_ASSERT_EQUAL (f->n_fenced, 0);
+  talloc_free (f->ctx);
+}
+
+/* The platform refuses connections for long. Outcomes wait in memory and are written when it is
+ * back; intents are refused at once, never having been tried, and one may try again later. */
+static void
+test_outage_keeps_outcomes_and_refuses_intents (void)
+{
+  struct Fixture *f = fixture_new ();
+  struct Answers intent = { 0 }, outcome = { 0 };
+  struct Record record = record_of ("a");
+
+  fake_kv_set_fault (f->kv, FAKE_KV_REFUSE);
+  CU_ASSERT_EQUAL (journal_append_unless_down (f->journal, &record, on_done, &intent), ERROR_NONE);
+  fake_timer_advance (f->timers, 5);
+  CU_ASSERT_EQUAL (intent.errors[0], ERROR_PLATFORM_DOWN);
+  CU_ASSERT_EQUAL (journal_append_unless_down (f->journal, &record, on_done, &intent),
+                   ERROR_PLATFORM_DOWN);
+  fake_timer_advance (f->timers, LONG_MS);
+  CU_ASSERT (journal_is_writable (f->journal));
+  append (f, "b", &outcome);
+  append (f, "c", &outcome);
+  fake_timer_advance (f->timers, LONG_MS);
+  CU_ASSERT_EQUAL (journal_n_waiting (f->journal), 2);
+  CU_ASSERT_FALSE (journal_is_writable (f->journal));
+  fake_kv_set_fault (f->kv, FAKE_KV_OK);
+  fake_timer_advance (f->timers, LONG_MS);
+  CU_ASSERT_EQUAL (outcome.n, 2);
+  CU_ASSERT_EQUAL (intent.n, 1);
+  CU_ASSERT_EQUAL (n_records_at (f, 1), 2);
+  talloc_free (f->ctx);
+}
+
+/* A home is paused, its journal is sealed and its programs taken over; it wakes and writes. It
+ * finds the seal where its slot should go, and nothing that it has not acknowledged may be. */
+static void
+test_paused_writer_finds_the_seal (void)
+{
+  struct Fixture *f = fixture_new ();
+  struct Answers answers = { 0 };
+  struct Record record = record_of ("x");
+
+  append (f, "a", &answers);
+  fake_timer_advance (f->timers, 5);
+  seal_at (f, 2);
+  append (f, "b", &answers);
+  append (f, "c", &answers);
+  fake_timer_advance (f->timers, LONG_MS);
+  CU_ASSERT_EQUAL (answers.n, 3);
+  CU_ASSERT_EQUAL (answers.errors[1], ERROR_FENCED);
+  CU_ASSERT_EQUAL (answers.errors[2], ERROR_FENCED);
+  CU_ASSERT_EQUAL (f->n_fenced, 1);
+  CU_ASSERT (journal_is_fenced (f->journal));
+  CU_ASSERT_EQUAL (slot_at (f, 2)->kind, SLOT_SEAL);
+  CU_ASSERT_EQUAL (journal_append (f->journal, &record, on_done, &answers), ERROR_FENCED);
+  talloc_free (f->ctx);
+}
+
+/* The append's answer is lost, and it never took effect; a taker seals the slot meanwhile. Then
+ * the slot holds something foreign and the records are lost, not durable. */
+static void
+test_seal_settles_a_lost_request (void)
+{
+  struct Fixture *f = fixture_new ();
+  struct Answers answers = { 0 };
+
+  fake_kv_fault_next (f->kv, KV_OP_PUT, NULL, FAKE_KV_LOSE_REQUEST, 1);
+  append (f, "a", &answers);
+  fake_timer_advance (f->timers, 5);
+  seal_at (f, 1);
+  fake_timer_advance (f->timers, LONG_MS);
+  CU_ASSERT_EQUAL (answers.n, 1);
+  CU_ASSERT_EQUAL (answers.errors[0], ERROR_FENCED);
+  CU_ASSERT_EQUAL (f->n_fenced, 1);
+  talloc_free (f->ctx);
+}
+
+static void
+test_records_beyond_a_slot_go_to_the_next (void)
+{
+  struct Fixture *f = fixture_new ();
+  struct Answers answers = { 0 };
+  uint8_t *body = talloc_zero_array (f->ctx, uint8_t, KV_VALUE_MAX_BYTES);
+  struct Record record = { .kind = RECORD_SNAPSHOT, .snapshot.n_parts = 1 };
+
+  record.snapshot.state = body;
+  record.snapshot.state_bytes = KV_VALUE_MAX_BYTES;
+  CU_ASSERT_EQUAL (journal_append (f->journal, &record, on_done, &answers), ERROR_TOO_LARGE);
+  record.snapshot.state_bytes = KV_VALUE_MAX_BYTES * 2 / 3;
+  CU_ASSERT_EQUAL (journal_append (f->journal, &record, on_done, &answers), ERROR_NONE);
+  CU_ASSERT_EQUAL (journal_append (f->journal, &record, on_done, &answers), ERROR_NONE);
+  fake_timer_advance (f->timers, LONG_MS);
+  CU_ASSERT_EQUAL (answers.n, 2);
+  CU_ASSERT_EQUAL (n_records_at (f, 1), 1);
+  CU_ASSERT_EQUAL (n_records_at (f, 2), 1);
+  talloc_free (f->ctx);
+}
+
+struct Idler
+{
+  struct Fixture *f;
+  struct Answers *answers;
+  size_t n_answered; /* when it was called */
+  int32_t error;
+  struct Record record;
+};
+
+static void
+on_idle (void *data)
+{
+  struct Idler *idler = data;
+
+  idler->n_answered = idler->answers->n;
+  idler->error = journal_prepend (idler->f->journal, &idler->record, 1, on_done, idler->answers);
+}
+
+/* As on_done, and asks for a quiet moment from inside the first record's answer. */
+static void
+on_done_ask_idle (void *data, int32_t error)
+{
+  struct Idler *idler = data;
+
+  on_done (idler->answers, error);
+  journal_when_idle (idler->f->journal, on_idle, idler);
+}
+
+/* The moment comes only when all of the slot's records were answered: the snapshot would else miss
+ * those that are durable and not yet applied. */
+static void
+test_idle_is_after_all_answers (void)
+{
+  struct Fixture *f = fixture_new ();
+  struct Answers answers = { 0 };
+  struct Idler idler = { .f = f, .answers = &answers, .record = record_of ("snapshot") };
+  struct Record record = record_of ("a");
+
+  journal_append (f->journal, &record, on_done_ask_idle, &idler);
+  append (f, "b", &answers);
+  fake_timer_advance (f->timers, LONG_MS);
+  CU_ASSERT_EQUAL (idler.n_answered, 2);
+  talloc_free (f->ctx);
+}
+
+/* A checkpoint is taken while outcomes wait. Its snapshots hold what was applied, so they must
+ * stand before what was not: a replay would else put the older state over a newer outcome. */
+static void
+test_snapshot_goes_before_what_waits (void)
+{
+  struct Fixture *f = fixture_new ();
+  struct Answers answers = { 0 };
+  struct Idler idler = { .f = f, .answers = &answers, .record = record_of ("snapshot") };
+
+  append (f, "a", &answers);
+  append (f, "b", &answers);
+  fake_kv_fault_next (f->kv, KV_OP_PUT, NULL, FAKE_KV_HOLD_REQUEST, 1);
+  fake_timer_advance (f->timers, 5);
+  append (f, "c", &answers);
+  CU_ASSERT_EQUAL (journal_prepend (f->journal, &idler.record, 1, NULL, NULL), ERROR_CONFLICT);
+  journal_when_idle (f->journal, on_idle, &idler);
+  CU_ASSERT_EQUAL (idler.n_answered, 0);
+  fake_kv_release (f->kv);
+  fake_timer_advance (f->timers, LONG_MS);
+  CU_ASSERT_EQUAL (idler.n_answered, 2);
+  CU_ASSERT_EQUAL (idler.error, ERROR_NONE);
+  CU_ASSERT_EQUAL_FATAL (n_records_at (f, 2), 2);
+  CU_ASSERT_STRING_EQUAL (slot_at (f, 2)->records[0].end.program, "snapshot");
+  CU_ASSERT_STRING_EQUAL (slot_at (f, 2)->records[1].end.program, "c");
+  talloc_free (f->ctx);
+}
+
+/* Old slots are deleted only after a durable slot says that nobody needs them: a home that dies
+ * in between would else leave a journal with a hole. */
+static void
+test_old_slots_are_deleted_after_a_checkpoint (void)
+{
+  struct Fixture *f = fixture_new ();
+  struct Answers answers = { 0 };
+
+  for (int i = 0; i < 4; i++)
+    {
+      append (f, "a", &answers);
+      fake_timer_advance (f->timers, 2 * INTERVAL_MS);
+    }
+  /* The slot on its way says that the older ones are needed still. */
+  fake_kv_fault_next (f->kv, KV_OP_PUT, NULL, FAKE_KV_HOLD_REQUEST, 1);
+  append (f, "a", &answers);
+  fake_timer_advance (f->timers, 5);
+  journal_checkpointed (f->journal, 5);
+  fake_kv_release (f->kv);
+  fake_timer_advance (f->timers, LONG_MS);
+  CU_ASSERT_EQUAL (fake_kv_count (f->kv, "b/journal/"), 5);
+  fake_kv_fault_next (f->kv, KV_OP_DELETE, NULL, FAKE_KV_LOSE_ANSWER, 1);
+  for (int i = 0; i < 6; i++)
+    {
+      append (f, "a", &answers);
+      fake_timer_advance (f->timers, 2 * INTERVAL_MS);
+    }
+  CU_ASSERT_EQUAL (slot_at (f, 11)->replay_from, 5);
+  CU_ASSERT_PTR_NULL (slot_at (f, 4));
+  CU_ASSERT_PTR_NOT_NULL (slot_at (f, 5));
+  CU_ASSERT_EQUAL (fake_kv_count (f->kv, "b/journal/"), 7);
+  talloc_free (f->ctx);
+}
+
+static void
+test_write_budget_is_shared (void)
+{
+  CU_ASSERT_EQUAL (journal_flush_interval_ms (150, 9), 120);
+  CU_ASSERT_EQUAL (journal_flush_interval_ms (300, 9), 60);
+  CU_ASSERT_EQUAL (journal_flush_interval_ms (300, 1200), 8000);
+  CU_ASSERT_EQUAL (journal_flush_interval_ms (0, 1), 2000);
+}
+
+const char test_suite_name[] = "journal";
+const struct TestCase test_cases[] = {
+  { "waiting records share a slot", test_waiting_records_share_a_slot },
+  { "lost answer is settled", test_lost_answer_is_settled },
+  { "late write is the same batch", test_late_write_is_the_same_batch },
+  { "outage keeps outcomes and refuses intents", test_outage_keeps_outcomes_and_refuses_intents },
+  { "paused writer finds the seal", test_paused_writer_finds_the_seal },
+  { "seal settles a lost request", test_seal_settles_a_lost_request },
+  { "records beyond a slot go to the next", test_records_beyond_a_slot_go_to_the_next },
+  { "snapshot goes before what waits", test_snapshot_goes_before_what_waits },
+  { "idle is after all answers", test_idle_is_after_all_answers },
+  { "old slots are deleted after a checkpoint", test_old_slots_are_deleted_after_a_checkpoint },
+  { "write budget is shared", test_write_budget_is_shared },
+  { NULL, NULL },
+};
