--- a/adapters/curl_loop.c
+++ b/adapters/curl_loop.c
@@ -14,6 +14,8 @@
   struct tevent_context *events;
   struct tevent_timer *timer;
   CURLM *multi;
+  TALLOC_CTX *calls; /* parent of every call */
+  bool in_chunk;     /* inside curl: its handles may be neither added nor removed now */
 };
 
 struct CurlCall
@@ -21,7 +23,13 @@
   struct CurlLoop *loop;
   CURL *easy;
   struct curl_slist *headers;
+  struct tevent_immediate *later;
   uint8_t *body;
+  size_t body_bytes, body_at;
+  bool added;     /* to the multi handle */
+  bool stopped;   /* by curl_call_stop */
+  bool in_done;   /* freed when done returns */
+  bool cancelled; /* freed by its user from inside a callback */
   uint8_t *answer;
   size_t answer_bytes;
   HttpChunkFn chunk;
@@ -53,7 +61,10 @@
   result.body = call->answer;
   result.body_bytes = call->answer_bytes;
   result.error = code == CURLE_OK ? "" : curl_easy_strerror (code);
-  call->done (call->data, &result);
+  call->in_done = true;
+  if (!call->cancelled)
+    call->done (call->data, &result);
+  call->in_done = false;
   talloc_free (call);
 }
 
@@ -174,8 +185,10 @@
       long status = 0;
 
       curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &status);
+      call->loop->in_chunk = true;
       call->chunk (call->data, (uint32_t)status, (const uint8_t *)bytes, n_bytes);
-      return n_bytes;
+      call->loop->in_chunk = false;
+      return call->stopped || call->cancelled ? 0 : n_bytes;
     }
   call->answer = talloc_realloc (call, call->answer, uint8_t, call->answer_bytes + n_bytes + 1);
   if (call->answer == NULL)
@@ -189,6 +202,8 @@
 static int
 curl_loop_free (struct CurlLoop *loop)
 {
+  /* The calls' handles leave the multi handle before it goes. */
+  talloc_free (loop->calls);
   curl_multi_cleanup (loop->multi);
   return 0;
 }
@@ -201,6 +216,7 @@
   if (loop == NULL)
     return NULL;
   loop->events = events;
+  loop->calls = talloc_new (loop);
   loop->multi = curl_multi_init ();
   if (loop->multi == NULL)
     {
@@ -216,14 +232,43 @@
   return loop;
 }
 
+static void
+curl_call_on_later (struct tevent_context *events, struct tevent_immediate *later, void *data)
+{
+  struct CurlCall *call = data;
+
+  (void)events;
+  (void)later;
+  if (call->cancelled)
+    {
+      talloc_free (call);
+      return;
+    }
+  call->added = curl_multi_add_handle (call->loop->multi, call->easy) == CURLM_OK;
+  if (!call->added)
+    curl_call_finish (call, CURLE_FAILED_INIT);
+}
+
+static void
+curl_call_do_later (struct CurlCall *call)
+{
+  tevent_schedule_immediate (call->later, call->loop->events, curl_call_on_later, call);
+}
+
 static int
 curl_call_free (struct CurlCall *call)
 {
-  if (call->easy != NULL)
+  if (call->in_done || call->loop->in_chunk)
     {
-      curl_multi_remove_handle (call->loop->multi, call->easy);
-      curl_easy_cleanup (call->easy);
+      call->cancelled = true;
+      if (!call->in_done)
+        curl_call_do_later (call);
+      return -1;
     }
+  if (call->added)
+    curl_multi_remove_handle (call->loop->multi, call->easy);
+  if (call->easy != NULL)
+    curl_easy_cleanup (call->easy);
   curl_slist_free_all (call->headers);
   return 0;
 }
@@ -238,17 +283,48 @@
   curl_easy_setopt (call->easy, CURLOPT_HTTPHEADER, call->headers);
 }
 
+static size_t
+curl_call_on_upload (char *buffer, size_t size, size_t n, void *data)
+{
+  struct CurlCall *call = data;
+  size_t n_bytes = call->body_bytes - call->body_at;
+
+  if (n_bytes > size * n)
+    n_bytes = size * n;
+  memcpy (buffer, call->body + call->body_at, n_bytes);
+  call->body_at += n_bytes;
+  return n_bytes;
+}
+
+/* Against a request that runs twice: when a kept connection closes without an answer, curl sends
+ * the request again by itself, though the first may have taken effect; a write then answers with
+ * a conflict against itself, and a non-idempotent call runs twice. It can not do so with a body
+ * that it can not rewind (it fails instead), nor on a connection that is not a kept one. */
 static void
 curl_call_set_body (struct CurlCall *call, const struct HttpRequest *request)
 {
-  if (request->body == NULL)
-    return;
-  call->body =
-      talloc_memdup (call, request->body, request->body_bytes + (request->body_bytes == 0));
-  curl_easy_setopt (call->easy, CURLOPT_POSTFIELDS, (char *)call->body);
+  if (request->body == NULL || request->body_bytes == 0)
+    {
+      if (strcmp (request->method, "GET") != 0)
+        curl_easy_setopt (call->easy, CURLOPT_FRESH_CONNECT, 1L);
+      if (request->body != NULL)
+        curl_easy_setopt (call->easy, CURLOPT_POSTFIELDS, "");
+      return;
+    }
+  call->body = talloc_memdup (call, request->body, request->body_bytes);
+  call->body_bytes = request->body_bytes;
+  curl_easy_setopt (call->easy, CURLOPT_POST, 1L);
+  curl_easy_setopt (call->easy, CURLOPT_READFUNCTION, curl_call_on_upload);
+  curl_easy_setopt (call->easy, CURLOPT_READDATA, call);
   curl_easy_setopt (call->easy, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)request->body_bytes);
 }
 
+void
+curl_call_stop (struct CurlCall *call)
+{
+  call->stopped = true;
+}
+
 struct CurlCall *
 curl_loop_submit (struct CurlLoop *loop,
                   const struct HttpRequest *request,
@@ -256,7 +332,7 @@
                   HttpDone done,
                   void *data)
 {
-  struct CurlCall *call = talloc_zero (loop, struct CurlCall);
+  struct CurlCall *call = talloc_zero (loop->calls, struct CurlCall);
 
   if (call == NULL)
     return NULL;
@@ -264,9 +340,10 @@
   call->chunk = chunk;
   call->done = done;
   call->data = data;
+  call->later = tevent_create_immediate (call);
   call->easy = curl_easy_init ();
   talloc_set_destructor (call, curl_call_free);
-  if (call->easy == NULL)
+  if (call->easy == NULL || call->later == NULL)
     goto fail;
   curl_easy_setopt (call->easy, CURLOPT_URL, request->url);
   curl_easy_setopt (call->easy, CURLOPT_PRIVATE, call);
@@ -281,8 +358,7 @@
     curl_easy_setopt (call->easy, CURLOPT_TIMEOUT_MS, (long)request->timeout_ms);
   if (request->connect_timeout_ms > 0)
     curl_easy_setopt (call->easy, CURLOPT_CONNECTTIMEOUT_MS, (long)request->connect_timeout_ms);
-  if (curl_multi_add_handle (loop->multi, call->easy) != CURLM_OK)
-    goto fail;
+  curl_call_do_later (call);
   return call;
 
 fail:
--- a/include/buckthornhead/curl_loop.h
+++ b/include/buckthornhead/curl_loop.h
@@ -40,10 +40,15 @@
 curl_loop_new (TALLOC_CTX *ctx, struct tevent_context *events);
 
 /* Starts a request; everything in it is copied. chunk may be NULL: the body is then collected.
- * done is called once, later, unless the call is freed first (talloc_free cancels silently). */
+ * done is called once, later, unless the call is freed first (talloc_free cancels silently). Both
+ * callbacks may submit and free calls, but not free the loop. A request is sent at most once. */
 struct CurlCall *
 curl_loop_submit (struct CurlLoop *loop,
                   const struct HttpRequest *request,
                   HttpChunkFn chunk,
                   HttpDone done,
                   void *data);
+
+/* From inside its chunk callback: takes no more of the answer; done follows, not whole. */
+void
+curl_call_stop (struct CurlCall *call);
--- a/tests/fakes/fake_kv.c
+++ b/tests/fakes/fake_kv.c
@@ -72,11 +72,12 @@
 static struct Bytes
 prefix_end (TALLOC_CTX *ctx, const char *prefix)
 {
-  char *end = talloc_strdup (ctx, prefix);
-  size_t n = strlen (end);
+  size_t n = strlen (prefix);
+  char *end = NULL;
 
   if (n == 0)
     return (struct Bytes){ (const uint8_t *)"", 1 };
+  end = talloc_strdup (ctx, prefix);
   end[n - 1]++;
   return (struct Bytes){ (const uint8_t *)end, n };
 }
