Adapters: links between instances, mailbox, exchanges, callers' HTTP, backend threads

Cause: the path needs its transports: peers over TCP with framed msgpack, HTTP threads that hand whole requests to the core, and backend threads that stream answers back. Ruled out: locks between HTTP threads and the core (a wait-free queue and one parked mark do; the mark also decides who may touch the connection, so that a finished one is never resumed).

--- /dev/null
+++ b/adapters/caller_http.c
@@ -0,0 +1,483 @@
+#include <buckthornhead/caller_http.h>
+
+#include <buckthornhead/counter.h>
+#include <buckthornhead/snapshot.h>
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include <jansson.h>
+#include <urcu/uatomic.h>
+
+enum
+{
+  ACCEPT_BACKLOG = 1024,
+  MEMORY_BESIDE_HEADERS_BYTES = 16 * 1024
+};
+
+struct CallerHttp
+{
+  const struct Settings *settings;
+  struct Mailbox *core;
+  struct MHD_Daemon *callers;
+  struct MHD_Daemon *operators;
+};
+
+/* MAIL_CALLER_GONE. */
+struct GoneMail
+{
+  struct Mail mail;
+  struct Exchange *exchange;
+};
+
+const char *
+ran_name (enum RanState ran)
+{
+  switch (ran)
+    {
+    case RAN_NO:
+      return "not_run";
+    case RAN_YES:
+      return "ran";
+    case RAN_MAYBE:
+      return "may_have_run";
+    }
+  return "may_have_run";
+}
+
+uint32_t
+error_http_status (int32_t error)
+{
+  switch (error)
+    {
+    case ERROR_INVALID:
+      return 400;
+    case ERROR_UNAUTHORIZED:
+      return 401;
+    case ERROR_NOT_FOUND:
+      return 404;
+    case ERROR_TIMEOUT:
+      return 504;
+    case ERROR_CONFLICT:
+    case ERROR_OUT_OF_ORDER:
+    case ERROR_UNKNOWN_CALL:
+    case ERROR_ENDED:
+    case ERROR_MAY_HAVE_RUN:
+      return 409;
+    case ERROR_BUDGET:
+      return 402;
+    case ERROR_TOO_LARGE:
+      return 413;
+    case ERROR_QUARANTINED:
+      return 422;
+    case ERROR_RATE_LIMITED:
+    case ERROR_OVERLOADED:
+      return 429;
+    case ERROR_BACKEND:
+      return 502;
+    case ERROR_NO_MEMORY:
+    case ERROR_IO:
+      return 500;
+    default:
+      return 503;
+    }
+}
+
+char *
+error_json (TALLOC_CTX *ctx,
+            const struct Fault *fault,
+            enum RanState ran,
+            uint32_t retry_after_ms,
+            uint64_t expected_sequence)
+{
+  json_t *error = json_pack ("{s:s,s:s,s:s,s:s}", "kind", error_name (fault->error), "message",
+                             fault->message, "remedy", fault->remedy, "ran", ran_name (ran));
+  json_t *answer = json_object ();
+  char *text, *copy;
+
+  if (retry_after_ms > 0)
+    json_object_set_new (error, "retry_after_ms", json_integer (retry_after_ms));
+  if (expected_sequence > 0)
+    json_object_set_new (error, "expected_sequence", json_integer ((json_int_t) expected_sequence));
+  json_object_set_new (answer, "error", error);
+  text = json_dumps (answer, JSON_COMPACT);
+  copy = talloc_strdup (ctx, text);
+  free (text);
+  json_decref (answer);
+  return copy;
+}
+
+static int64_t
+monotonic_ms (void)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_MONOTONIC, &now);
+  return (int64_t) now.tv_sec * 1000 + now.tv_nsec / 1000000;
+}
+
+static enum MHD_Result
+answer_now (struct MHD_Connection *connection, uint32_t status, const char *json)
+{
+  struct MHD_Response *response
+      = MHD_create_response_from_buffer (strlen (json), (void *) json, MHD_RESPMEM_MUST_COPY);
+  enum MHD_Result queued;
+
+  MHD_add_response_header (response, "Content-Type", "application/json");
+  queued = MHD_queue_response (connection, status, response);
+  MHD_destroy_response (response);
+  return queued;
+}
+
+static enum MHD_Result
+answer_fault (struct MHD_Connection *connection, uint32_t status, const struct Fault *fault)
+{
+  char *json = error_json (NULL, fault, RAN_NO, 0, 0);
+  enum MHD_Result queued = answer_now (connection, status, json);
+
+  counter_add (COUNTER_CALLS_REFUSED, 1);
+  talloc_free (json);
+  return queued;
+}
+
+static const char *
+connection_header (void *data, const char *name)
+{
+  return MHD_lookup_connection_value (data, MHD_HEADER_KIND, name);
+}
+
+static const char *
+connection_query (void *data, const char *name)
+{
+  return MHD_lookup_connection_value (data, MHD_GET_ARGUMENT_KIND, name);
+}
+
+/* Adds an upload piece. False when the body is larger than allowed or comes too slowly. */
+static bool
+exchange_take_upload (struct CallerHttp *http,
+                      struct Exchange *exchange,
+                      const char *bytes,
+                      size_t n_bytes)
+{
+  /* A sender that drips bytes keeps its connection busy for ever, and with it a slot of the pool:
+   * the whole request has the time of one, however often a byte comes. */
+  if (monotonic_ms () - exchange->started_ms > http->settings->request_timeout_ms)
+    exchange->early_status = MHD_HTTP_REQUEST_TIMEOUT;
+  if (exchange->body_bytes + n_bytes > http->settings->body_max_bytes)
+    exchange->early_status = MHD_HTTP_CONTENT_TOO_LARGE;
+  if (exchange->early_status != 0)
+    return false;
+  if (exchange->body_bytes + n_bytes + 1 > exchange->body_size)
+    {
+      exchange->body_size = (exchange->body_bytes + n_bytes) * 2 + 1;
+      exchange->body = talloc_realloc (exchange, exchange->body, uint8_t, exchange->body_size);
+      if (exchange->body == NULL)
+        return false;
+    }
+  memcpy (exchange->body + exchange->body_bytes, bytes, n_bytes);
+  exchange->body_bytes += n_bytes;
+  exchange->body[exchange->body_bytes] = '\0';
+  return true;
+}
+
+static enum MHD_Result
+exchange_refuse_early (struct Exchange *exchange, struct MHD_Connection *connection)
+{
+  struct Fault fault;
+
+  if (exchange->early_status == MHD_HTTP_REQUEST_TIMEOUT)
+    fault_set (&fault, ERROR_TIMEOUT, "send the request faster", "the request took too long to come");
+  else
+    fault_set (&fault, ERROR_TOO_LARGE, NULL, "the body is larger than this instance takes");
+  return answer_fault (connection, exchange->early_status, &fault);
+}
+
+/* Hands the exchange to the core and parks the connection until there is an answer. */
+static enum MHD_Result
+exchange_post (struct CallerHttp *http, struct Exchange *exchange, struct MHD_Connection *connection)
+{
+  exchange->connection = connection;
+  exchange->posted = true;
+  exchange->parked = 1;
+  exchange->references++;
+  MHD_suspend_connection (connection);
+  mailbox_post (http->core, &exchange->mail);
+  return MHD_YES;
+}
+
+static enum MHD_Result
+caller_on_complete (struct CallerHttp *http,
+                    struct Exchange *exchange,
+                    struct MHD_Connection *connection,
+                    const char *method,
+                    const char *path)
+{
+  struct Fault fault;
+  int32_t error;
+
+  if (exchange->early_status != 0)
+    return exchange_refuse_early (exchange, connection);
+  error = caller_request_parse (exchange, http->settings, method, path, connection_header,
+                                connection_query, connection, &fault);
+  if (error != ERROR_NONE)
+    return answer_fault (connection, error_http_status (error), &fault);
+  return exchange_post (http, exchange, connection);
+}
+
+static enum MHD_Result
+caller_answer_connect (struct CallerHttp *http, struct MHD_Connection *connection)
+{
+  const char *program = connection_query (connection, "program");
+  const char *zone = connection_query (connection, "zone");
+  char *json = snapshot_rank (NULL, program != NULL ? program : "",
+                              zone != NULL ? zone : http->settings->zone);
+  enum MHD_Result queued = answer_now (connection, MHD_HTTP_OK, json);
+
+  talloc_free (json);
+  return queued;
+}
+
+/* Reads the body; true once the request is complete. */
+static bool
+request_read (struct CallerHttp *http,
+              struct Exchange *exchange,
+              const char *upload,
+              size_t *upload_bytes)
+{
+  if (*upload_bytes == 0)
+    return true;
+  exchange_take_upload (http, exchange, upload, *upload_bytes);
+  *upload_bytes = 0;
+  return false;
+}
+
+static enum MHD_Result
+caller_on_request (void *data,
+                   struct MHD_Connection *connection,
+                   const char *path,
+                   const char *method,
+                   const char *version,
+                   const char *upload,
+                   size_t *upload_bytes,
+                   void **state)
+{
+  struct CallerHttp *http = data;
+  struct Exchange *exchange = *state;
+
+  (void) version;
+  if (exchange == NULL)
+    {
+      exchange = exchange_new (EXCHANGE_CALLER);
+      if (exchange == NULL)
+        return MHD_NO;
+      exchange->started_ms = monotonic_ms ();
+      *state = exchange;
+      return MHD_YES;
+    }
+  if (exchange->posted)
+    return exchange_queue_response (exchange, connection);
+  if (!request_read (http, exchange, upload, upload_bytes))
+    return MHD_YES;
+  if (strcmp (method, "GET") == 0 && strcmp (path, "/v1/connect") == 0)
+    return caller_answer_connect (http, connection);
+  return caller_on_complete (http, exchange, connection, method, path);
+}
+
+static bool
+operator_is_allowed (const struct Settings *settings, struct MHD_Connection *connection)
+{
+  const char *given = connection_header (connection, "Authorization");
+  char wanted[160];
+  volatile uint8_t differs = 0;
+
+  if (settings->operator_token[0] == '\0')
+    return true;
+  snprintf (wanted, sizeof wanted, "Bearer %s", settings->operator_token);
+  if (given == NULL || strlen (given) != strlen (wanted))
+    return false;
+  /* In constant time: the time of an early exit would tell a guesser how far a guess is right. */
+  for (size_t i = 0; wanted[i] != '\0'; i++)
+    differs |= (uint8_t) (given[i] ^ wanted[i]);
+  return differs == 0;
+}
+
+static enum MHD_Result
+operator_answer_metrics (struct MHD_Connection *connection)
+{
+  char *text = counter_render (NULL);
+  struct MHD_Response *response
+      = MHD_create_response_from_buffer (strlen (text), text, MHD_RESPMEM_MUST_COPY);
+  enum MHD_Result queued;
+
+  MHD_add_response_header (response, "Content-Type", "text/plain; version=0.0.4");
+  queued = MHD_queue_response (connection, MHD_HTTP_OK, response);
+  MHD_destroy_response (response);
+  talloc_free (text);
+  return queued;
+}
+
+static enum MHD_Result
+operator_on_complete (struct CallerHttp *http,
+                      struct Exchange *exchange,
+                      struct MHD_Connection *connection,
+                      const char *method,
+                      const char *path)
+{
+  struct Fault fault;
+  const char *name = connection_query (connection, "service");
+
+  if (exchange->early_status != 0)
+    return exchange_refuse_early (exchange, connection);
+  if (strcmp (path, "/metrics") == 0)
+    return operator_answer_metrics (connection);
+  if (!operator_is_allowed (http->settings, connection))
+    {
+      fault_set (&fault, ERROR_UNAUTHORIZED, NULL, "the operators' token is missing or wrong");
+      return answer_fault (connection, MHD_HTTP_UNAUTHORIZED, &fault);
+    }
+  if (name == NULL)
+    name = connection_query (connection, "name");
+  snprintf (exchange->method, sizeof exchange->method, "%s", method);
+  snprintf (exchange->path, sizeof exchange->path, "%s", path);
+  snprintf (exchange->query_name, sizeof exchange->query_name, "%s", name != NULL ? name : "");
+  return exchange_post (http, exchange, connection);
+}
+
+static enum MHD_Result
+operator_on_request (void *data,
+                     struct MHD_Connection *connection,
+                     const char *path,
+                     const char *method,
+                     const char *version,
+                     const char *upload,
+                     size_t *upload_bytes,
+                     void **state)
+{
+  struct CallerHttp *http = data;
+  struct Exchange *exchange = *state;
+
+  (void) version;
+  if (exchange == NULL)
+    {
+      exchange = exchange_new (EXCHANGE_OPERATOR);
+      if (exchange == NULL)
+        return MHD_NO;
+      exchange->started_ms = monotonic_ms ();
+      *state = exchange;
+      return MHD_YES;
+    }
+  if (exchange->posted)
+    return exchange_queue_response (exchange, connection);
+  if (!request_read (http, exchange, upload, upload_bytes))
+    return MHD_YES;
+  return operator_on_complete (http, exchange, connection, method, path);
+}
+
+static void
+on_request_completed (void *data,
+                      struct MHD_Connection *connection,
+                      void **state,
+                      enum MHD_RequestTerminationCode why)
+{
+  struct CallerHttp *http = data;
+  struct Exchange *exchange = *state;
+
+  (void) connection;
+  if (exchange == NULL)
+    return;
+  *state = NULL;
+  uatomic_set (&exchange->closed, 1);
+  if (exchange->posted && why != MHD_REQUEST_TERMINATED_COMPLETED_OK)
+    {
+      struct GoneMail *gone = talloc_zero (NULL, struct GoneMail);
+
+      if (gone != NULL)
+        {
+          /* The mail carries this side's reference. */
+          gone->mail.kind = MAIL_CALLER_GONE;
+          gone->exchange = exchange;
+          mailbox_post (http->core, &gone->mail);
+          return;
+        }
+    }
+  exchange_release (exchange);
+}
+
+static struct MHD_Daemon *
+listener_open (struct CallerHttp *http,
+               const char *address,
+               MHD_AccessHandlerCallback on_request,
+               uint32_t threads,
+               struct Fault *fault)
+{
+  const struct Settings *settings = http->settings;
+  struct sockaddr_in bind_to = { .sin_family = AF_INET };
+  struct MHD_Daemon *daemon;
+  char ip[46];
+  uint16_t port;
+  uint32_t pool = threads > 1 ? threads : 0;
+
+  if (address_parse (address, ip, &port) != ERROR_NONE
+      || inet_pton (AF_INET, ip, &bind_to.sin_addr) != 1)
+    {
+      fault_set (fault, ERROR_INVALID, "give IP:port in [listen]", "bad address %s", address);
+      return NULL;
+    }
+  bind_to.sin_port = htons (port);
+  daemon = MHD_start_daemon (
+      MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, port, NULL, NULL, on_request, http,
+      MHD_OPTION_SOCK_ADDR, (struct sockaddr *) &bind_to, MHD_OPTION_NOTIFY_COMPLETED,
+      on_request_completed, http, MHD_OPTION_THREAD_POOL_SIZE, pool, MHD_OPTION_CONNECTION_LIMIT,
+      settings->connections_max, MHD_OPTION_CONNECTION_TIMEOUT,
+      (settings->request_timeout_ms + 999) / 1000, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+      (size_t) settings->header_max_bytes + MEMORY_BESIDE_HEADERS_BYTES,
+      MHD_OPTION_LISTEN_BACKLOG_SIZE, (unsigned int) ACCEPT_BACKLOG,
+      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_END);
+  if (daemon == NULL)
+    fault_set (fault, ERROR_IO, "stop what holds the address, or change [listen]",
+               "can not listen on %s: %s", address, strerror (errno));
+  return daemon;
+}
+
+int32_t
+caller_http_open (TALLOC_CTX *ctx,
+                  const struct Settings *settings,
+                  struct Mailbox *core,
+                  struct CallerHttp **opened,
+                  struct Fault *fault)
+{
+  struct CallerHttp *http = talloc_zero (ctx, struct CallerHttp);
+
+  if (http == NULL)
+    return fault_set (fault, ERROR_NO_MEMORY, NULL, "out of memory");
+  http->settings = settings;
+  http->core = core;
+  http->callers = listener_open (http, settings->caller_listen, caller_on_request,
+                                 settings->caller_threads, fault);
+  if (http->callers == NULL)
+    goto fail;
+  http->operators = listener_open (http, settings->operator_listen, operator_on_request, 1, fault);
+  if (http->operators == NULL)
+    goto fail;
+  *opened = http;
+  return ERROR_NONE;
+
+fail:
+  caller_http_close (http);
+  return fault->error;
+}
+
+void
+caller_http_close (struct CallerHttp *http)
+{
+  if (http->callers != NULL)
+    MHD_stop_daemon (http->callers);
+  if (http->operators != NULL)
+    MHD_stop_daemon (http->operators);
+  talloc_free (http);
+}
--- /dev/null
+++ b/adapters/exchange.c
@@ -0,0 +1,221 @@
+#include <buckthornhead/exchange.h>
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <urcu/uatomic.h>
+
+enum
+{
+  RESPONSE_BLOCK_BYTES = 16 * 1024
+};
+
+struct Exchange *
+exchange_new (enum ExchangeKind kind)
+{
+  struct Exchange *exchange = talloc_zero (NULL, struct Exchange);
+
+  if (exchange == NULL)
+    return NULL;
+  exchange->mail.kind = MAIL_CALLER_REQUEST;
+  exchange->kind = kind;
+  exchange->references = 1;
+  cds_wfcq_init (&exchange->head, &exchange->tail);
+  return exchange;
+}
+
+static struct ExchangeChunk *
+exchange_next_chunk (struct Exchange *exchange)
+{
+  struct cds_wfcq_node *node = __cds_wfcq_dequeue_blocking (&exchange->head, &exchange->tail);
+
+  return node != NULL ? caa_container_of (node, struct ExchangeChunk, node) : NULL;
+}
+
+void
+exchange_release (struct Exchange *exchange)
+{
+  struct ExchangeChunk *chunk;
+
+  if (uatomic_sub_return (&exchange->references, 1) != 0)
+    return;
+  /* Orders the other side's last writes before the frees below. */
+  cmm_smp_mb ();
+  free (exchange->chunk);
+  while ((chunk = exchange_next_chunk (exchange)) != NULL)
+    free (chunk);
+  talloc_free (exchange);
+}
+
+void
+exchange_header (struct Exchange *exchange, const char *format, ...)
+{
+  va_list args;
+
+  if (exchange->n_headers == EXCHANGE_HEADERS_MAX || uatomic_read (&exchange->head_ready))
+    return;
+  va_start (args, format);
+  vsnprintf (exchange->headers[exchange->n_headers], EXCHANGE_HEADER_BYTES, format, args);
+  va_end (args);
+  exchange->n_headers++;
+}
+
+/* Wakes the HTTP thread if it waits. Parking is announced before the last look at the queue, so
+ * either that look sees what was pushed, or this sees the announcement. */
+static void
+exchange_wake (struct Exchange *exchange)
+{
+  cmm_smp_mb ();
+  if (!uatomic_read (&exchange->head_ready))
+    return;
+  if (uatomic_xchg (&exchange->parked, 0) == 1)
+    MHD_resume_connection (exchange->connection);
+}
+
+void
+exchange_begin (struct Exchange *exchange, uint32_t status, bool event_stream)
+{
+  exchange->status = status;
+  exchange->event_stream = event_stream;
+  cmm_smp_wmb ();
+  uatomic_set (&exchange->head_ready, 1);
+  exchange_wake (exchange);
+}
+
+void
+exchange_chunk (struct Exchange *exchange, const void *bytes, size_t n_bytes)
+{
+  struct ExchangeChunk *chunk;
+
+  if (n_bytes == 0 || exchange_is_closed (exchange))
+    return;
+  chunk = malloc (sizeof *chunk + n_bytes);
+  if (chunk == NULL)
+    return;
+  chunk->n_bytes = n_bytes;
+  memcpy (chunk->bytes, bytes, n_bytes);
+  cds_wfcq_node_init (&chunk->node);
+  cds_wfcq_enqueue (&exchange->head, &exchange->tail, &chunk->node);
+  exchange_wake (exchange);
+}
+
+void
+exchange_end (struct Exchange *exchange)
+{
+  cmm_smp_wmb ();
+  uatomic_set (&exchange->ended, 1);
+  exchange_wake (exchange);
+  exchange_release (exchange);
+}
+
+void
+exchange_answer (struct Exchange *exchange, uint32_t status, const void *body, size_t n_bytes)
+{
+  exchange_chunk (exchange, body, n_bytes);
+  exchange_begin (exchange, status, false);
+  exchange_end (exchange);
+}
+
+bool
+exchange_is_closed (struct Exchange *exchange)
+{
+  return uatomic_read (&exchange->closed) != 0;
+}
+
+/* Copies what is queued into block, as far as it fits. */
+static size_t
+exchange_fill (struct Exchange *exchange, char *block, size_t size)
+{
+  size_t filled = 0;
+
+  while (filled < size)
+    {
+      size_t n;
+
+      if (exchange->chunk == NULL)
+        {
+          exchange->chunk = exchange_next_chunk (exchange);
+          exchange->chunk_offset = 0;
+        }
+      if (exchange->chunk == NULL)
+        break;
+      n = exchange->chunk->n_bytes - exchange->chunk_offset;
+      if (n > size - filled)
+        n = size - filled;
+      memcpy (block + filled, exchange->chunk->bytes + exchange->chunk_offset, n);
+      filled += n;
+      exchange->chunk_offset += n;
+      if (exchange->chunk_offset < exchange->chunk->n_bytes)
+        break;
+      free (exchange->chunk);
+      exchange->chunk = NULL;
+    }
+  return filled;
+}
+
+/* MHD asks for more of the body.
+ *
+ * Whoever takes the parked mark has the right to touch the connection: when the core has taken it,
+ * it is about to resume, so this side must suspend, or the connection could be finished and freed
+ * under the core's call. */
+static ssize_t
+exchange_read (void *data, uint64_t position, char *block, size_t size)
+{
+  struct Exchange *exchange = data;
+  size_t filled;
+  bool ended;
+
+  (void) position;
+  filled = exchange_fill (exchange, block, size);
+  if (filled > 0)
+    return (ssize_t) filled;
+  uatomic_set (&exchange->parked, 1);
+  cmm_smp_mb ();
+  /* The end is read before the queue: what was pushed ahead of it is then seen. */
+  ended = uatomic_read (&exchange->ended) != 0;
+  cmm_smp_rmb ();
+  if ((ended || !cds_wfcq_empty (&exchange->head, &exchange->tail))
+      && uatomic_xchg (&exchange->parked, 0) == 1)
+    {
+      filled = exchange_fill (exchange, block, size);
+      return filled > 0 ? (ssize_t) filled : (ssize_t) MHD_CONTENT_READER_END_OF_STREAM;
+    }
+  MHD_suspend_connection (exchange->connection);
+  return 0;
+}
+
+static void
+exchange_add_headers (struct Exchange *exchange, struct MHD_Response *response)
+{
+  MHD_add_response_header (response, "Content-Type",
+                           exchange->event_stream ? "text/event-stream" : "application/json");
+  for (uint32_t i = 0; i < exchange->n_headers; i++)
+    {
+      char *name = exchange->headers[i];
+      char *colon = strchr (name, ':');
+
+      if (colon == NULL)
+        continue;
+      *colon = '\0';
+      MHD_add_response_header (response, name, colon + 2);
+    }
+}
+
+enum MHD_Result
+exchange_queue_response (struct Exchange *exchange, struct MHD_Connection *connection)
+{
+  enum MHD_Result queued;
+  struct MHD_Response *response;
+
+  cmm_smp_rmb ();
+  response = MHD_create_response_from_callback (MHD_SIZE_UNKNOWN, RESPONSE_BLOCK_BYTES,
+                                                exchange_read, exchange, NULL);
+  if (response == NULL)
+    return MHD_NO;
+  exchange_add_headers (exchange, response);
+  queued = MHD_queue_response (connection, exchange->status, response);
+  MHD_destroy_response (response);
+  return queued;
+}
--- /dev/null
+++ b/adapters/peer_net.c
@@ -0,0 +1,578 @@
+#include <buckthornhead/peer_net.h>
+
+#include <buckthornhead/counter.h>
+#include <buckthornhead/log.h>
+#include <buckthornhead/settings.h>
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+enum
+{
+  FRAME_LENGTH_BYTES = 4,
+  READ_CHUNK_BYTES = 64 * 1024,
+  DIAL_RETRY_MS = 200,
+  LISTEN_BACKLOG = 256,
+  /* A peer that stops reading must not take the instance's memory with it. */
+  WRITE_QUEUE_MAX_BYTES = 64 * 1024 * 1024
+};
+
+/* A frame that waits to be written. */
+struct PeerFrame
+{
+  struct PeerFrame *next;
+  uint8_t *bytes;
+  size_t n_bytes, n_written;
+};
+
+struct PeerLink
+{
+  struct PeerLink *next;
+  struct PeerNet *net;
+  uint64_t id;
+  int fd;
+  bool dialled, connected;
+  char instance[NAME_MAX_BYTES + 1]; /* "" until an accepted link said hello */
+  struct tevent_fd *watch;
+  uint8_t *input;
+  size_t input_bytes, input_size;
+  struct PeerFrame *first, **last;
+  size_t queued_bytes;
+};
+
+/* Another instance, as membership knows it. */
+struct PeerKnown
+{
+  struct PeerKnown *next;
+  char instance[NAME_MAX_BYTES + 1];
+  char address[ADDRESS_MAX_BYTES + 1];
+  struct PeerLink *link; /* NULL while not dialled */
+};
+
+/* A message on its way to the own instance. */
+struct PeerLocal
+{
+  struct PeerNet *net;
+  struct PeerMessage *message;
+};
+
+struct PeerNet
+{
+  struct tevent_context *events;
+  struct TimerService *timers;
+  struct PeerNetOptions options;
+  char instance[NAME_MAX_BYTES + 1];
+  char incarnation[NAME_MAX_BYTES + 24];
+  int listen_fd;
+  uint64_t next_link;
+  struct PeerLink *links;
+  struct PeerKnown *known;
+};
+
+static void peer_link_close (struct PeerLink *link, const char *cause);
+
+static int
+peer_link_free (struct PeerLink *link)
+{
+  struct PeerLink **at = &link->net->links;
+
+  while (*at != NULL && *at != link)
+    at = &(*at)->next;
+  if (*at != NULL)
+    *at = link->next;
+  for (struct PeerKnown *k = link->net->known; k != NULL; k = k->next)
+    if (k->link == link)
+      k->link = NULL;
+  TALLOC_FREE (link->watch);
+  if (link->fd >= 0)
+    close (link->fd);
+  return 0;
+}
+
+static struct PeerLink *
+peer_net_find (const struct PeerNet *net, uint64_t id)
+{
+  for (struct PeerLink *l = net->links; l != NULL; l = l->next)
+    if (l->id == id)
+      return l;
+  return NULL;
+}
+
+static void
+peer_link_flush (struct PeerLink *link)
+{
+  while (link->first != NULL)
+    {
+      struct PeerFrame *frame = link->first;
+      ssize_t n = send (link->fd, frame->bytes + frame->n_written,
+                        frame->n_bytes - frame->n_written, MSG_NOSIGNAL | MSG_DONTWAIT);
+
+      if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR))
+        break;
+      if (n < 0)
+        {
+          /* The reader sees the same end and closes; closing here would free the link under
+           * whoever is sending. */
+          shutdown (link->fd, SHUT_RDWR);
+          return;
+        }
+      frame->n_written += (size_t) n;
+      link->queued_bytes -= (size_t) n;
+      if (frame->n_written < frame->n_bytes)
+        break;
+      link->first = frame->next;
+      if (link->first == NULL)
+        link->last = &link->first;
+      talloc_free (frame);
+    }
+  tevent_fd_set_flags (link->watch, TEVENT_FD_READ | (link->first != NULL ? TEVENT_FD_WRITE : 0));
+}
+
+static int32_t
+peer_link_send (struct PeerLink *link, const struct PeerMessage *message)
+{
+  struct PeerFrame *frame;
+  int32_t error;
+
+  if (link->queued_bytes > WRITE_QUEUE_MAX_BYTES)
+    return ERROR_UNREACHABLE;
+  frame = talloc_zero (link, struct PeerFrame);
+  if (frame == NULL)
+    return ERROR_NO_MEMORY;
+  error = peer_message_pack (frame, message, &frame->bytes, &frame->n_bytes);
+  if (error != ERROR_NONE)
+    {
+      talloc_free (frame);
+      return error;
+    }
+  *link->last = frame;
+  link->last = &frame->next;
+  link->queued_bytes += frame->n_bytes;
+  counter_add (COUNTER_PEER_MESSAGES, 1);
+  counter_add (COUNTER_PEER_BYTES, frame->n_bytes);
+  if (link->connected && link->first == frame)
+    peer_link_flush (link);
+  return ERROR_NONE;
+}
+
+static void
+peer_link_say_hello (struct PeerLink *link)
+{
+  struct PeerMessage hello = { .kind = PEER_HELLO };
+
+  snprintf (hello.hello.instance, sizeof hello.hello.instance, "%s", link->net->instance);
+  snprintf (hello.hello.incarnation, sizeof hello.hello.incarnation, "%s", link->net->incarnation);
+  snprintf (hello.hello.zone, sizeof hello.hello.zone, "%s", link->net->options.zone);
+  peer_link_send (link, &hello);
+}
+
+/* Delivers one frame; false when it is malformed. */
+static bool
+peer_link_deliver (struct PeerLink *link, const uint8_t *bytes, size_t n_bytes)
+{
+  struct PeerNet *net = link->net;
+  struct PeerMessage *message;
+
+  if (peer_message_unpack (NULL, bytes, n_bytes, &message) != ERROR_NONE)
+    return false;
+  if (message->kind == PEER_HELLO)
+    snprintf (link->instance, sizeof link->instance, "%s", message->hello.instance);
+  net->options.received (net->options.data, link->id, link->instance, message);
+  talloc_free (message);
+  return true;
+}
+
+/* Takes all whole frames out of the input. False when the link must be closed. */
+static bool
+peer_link_take_frames (struct PeerLink *link)
+{
+  size_t at = 0;
+
+  while (link->input_bytes - at >= FRAME_LENGTH_BYTES)
+    {
+      const uint8_t *head = link->input + at;
+      size_t n_bytes = (size_t) head[0] << 24 | (size_t) head[1] << 16 | (size_t) head[2] << 8
+                       | head[3];
+
+      if (n_bytes > PEER_FRAME_MAX_BYTES)
+        return false;
+      if (link->input_bytes - at - FRAME_LENGTH_BYTES < n_bytes)
+        break;
+      if (!peer_link_deliver (link, head + FRAME_LENGTH_BYTES, n_bytes))
+        return false;
+      at += FRAME_LENGTH_BYTES + n_bytes;
+    }
+  link->input_bytes -= at;
+  memmove (link->input, link->input + at, link->input_bytes);
+  return true;
+}
+
+/* Reads what is there. False when the link must be closed. */
+static bool
+peer_link_read (struct PeerLink *link)
+{
+  ssize_t n;
+
+  if (link->input_size - link->input_bytes < READ_CHUNK_BYTES)
+    {
+      link->input_size = link->input_bytes * 2 + READ_CHUNK_BYTES;
+      link->input = talloc_realloc (link, link->input, uint8_t, link->input_size);
+      if (link->input == NULL)
+        return false;
+    }
+  n = recv (link->fd, link->input + link->input_bytes, link->input_size - link->input_bytes,
+            MSG_DONTWAIT);
+  if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR))
+    return true;
+  if (n <= 0)
+    return false;
+  link->input_bytes += (size_t) n;
+  return peer_link_take_frames (link);
+}
+
+static bool
+peer_link_connect_done (struct PeerLink *link)
+{
+  int error = 0;
+  socklen_t size = sizeof error;
+
+  getsockopt (link->fd, SOL_SOCKET, SO_ERROR, &error, &size);
+  if (error != 0)
+    return false;
+  link->connected = true;
+  return true;
+}
+
+static void
+peer_link_on_event (struct tevent_context *events,
+                    struct tevent_fd *watch,
+                    uint16_t flags,
+                    void *data)
+{
+  struct PeerLink *link = data;
+
+  (void) events;
+  (void) watch;
+  if (!link->connected && !peer_link_connect_done (link))
+    {
+      peer_link_close (link, "connection refused");
+      return;
+    }
+  if (flags & TEVENT_FD_WRITE)
+    peer_link_flush (link);
+  if ((flags & TEVENT_FD_READ) && !peer_link_read (link))
+    peer_link_close (link, "connection closed");
+}
+
+static void
+peer_link_close (struct PeerLink *link, const char *cause)
+{
+  struct PeerNet *net = link->net;
+  uint64_t id = link->id;
+  bool was_connected = link->connected;
+  char instance[NAME_MAX_BYTES + 1];
+
+  snprintf (instance, sizeof instance, "%s", link->instance);
+  talloc_free (link);
+  if (!was_connected)
+    return;
+  log_event (LOG_LEVEL_INFO, "peer_link_closed", NULL, NULL, "%s: %s", instance, cause);
+  net->options.closed (net->options.data, id, instance);
+}
+
+static struct PeerLink *
+peer_link_new (struct PeerNet *net, int fd, bool dialled)
+{
+  struct PeerLink *link = talloc_zero (net, struct PeerLink);
+  int one = 1;
+
+  if (link == NULL)
+    return NULL;
+  link->net = net;
+  link->fd = fd;
+  link->dialled = dialled;
+  link->connected = !dialled;
+  link->id = net->next_link++;
+  link->last = &link->first;
+  link->next = net->links;
+  net->links = link;
+  talloc_set_destructor (link, peer_link_free);
+  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+  link->watch = tevent_add_fd (net->events, link, fd, TEVENT_FD_READ | TEVENT_FD_WRITE,
+                               peer_link_on_event, link);
+  return link;
+}
+
+static bool
+peer_sockaddr (const char *address, struct sockaddr_storage *storage, socklen_t *size)
+{
+  char ip[46];
+  uint16_t port;
+  struct sockaddr_in *v4 = (struct sockaddr_in *) storage;
+  struct sockaddr_in6 *v6 = (struct sockaddr_in6 *) storage;
+
+  memset (storage, 0, sizeof *storage);
+  if (address_parse (address, ip, &port) != ERROR_NONE)
+    return false;
+  if (inet_pton (AF_INET, ip, &v4->sin_addr) == 1)
+    {
+      v4->sin_family = AF_INET;
+      v4->sin_port = htons (port);
+      *size = sizeof *v4;
+      return true;
+    }
+  if (inet_pton (AF_INET6, ip, &v6->sin6_addr) != 1)
+    return false;
+  v6->sin6_family = AF_INET6;
+  v6->sin6_port = htons (port);
+  *size = sizeof *v6;
+  return true;
+}
+
+static void
+peer_net_dial (struct PeerNet *net, struct PeerKnown *known)
+{
+  struct sockaddr_storage address;
+  socklen_t size;
+  int fd;
+
+  if (!peer_sockaddr (known->address, &address, &size))
+    return;
+  fd = socket (address.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0)
+    return;
+  if (connect (fd, (struct sockaddr *) &address, size) < 0 && errno != EINPROGRESS)
+    {
+      close (fd);
+      return;
+    }
+  known->link = peer_link_new (net, fd, true);
+  if (known->link == NULL)
+    {
+      close (fd);
+      return;
+    }
+  snprintf (known->link->instance, sizeof known->link->instance, "%s", known->instance);
+  peer_link_say_hello (known->link);
+}
+
+static void
+peer_net_on_tick (void *data)
+{
+  struct PeerNet *net = data;
+
+  for (struct PeerKnown *k = net->known; k != NULL; k = k->next)
+    if (k->link == NULL)
+      peer_net_dial (net, k);
+}
+
+static void
+peer_net_on_accept (struct tevent_context *events,
+                    struct tevent_fd *watch,
+                    uint16_t flags,
+                    void *data)
+{
+  struct PeerNet *net = data;
+  int fd;
+
+  (void) events;
+  (void) watch;
+  (void) flags;
+  fd = accept4 (net->listen_fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+  if (fd >= 0 && peer_link_new (net, fd, false) == NULL)
+    close (fd);
+}
+
+static int
+peer_net_free (struct PeerNet *net)
+{
+  while (net->links != NULL)
+    talloc_free (net->links);
+  if (net->listen_fd >= 0)
+    close (net->listen_fd);
+  return 0;
+}
+
+struct PeerNet *
+peer_net_new (TALLOC_CTX *ctx,
+              struct tevent_context *events,
+              struct TimerService *timers,
+              const struct PeerNetOptions *options)
+{
+  struct PeerNet *net = talloc_zero (ctx, struct PeerNet);
+
+  if (net == NULL)
+    return NULL;
+  net->events = events;
+  net->timers = timers;
+  net->options = *options;
+  net->listen_fd = -1;
+  net->next_link = PEER_LINK_SELF + 1;
+  snprintf (net->instance, sizeof net->instance, "%s", options->instance);
+  talloc_set_destructor (net, peer_net_free);
+  timer_subscribe (net, timers, DIAL_RETRY_MS, DIAL_RETRY_MS, peer_net_on_tick, net);
+  return net;
+}
+
+int32_t
+peer_net_listen (struct PeerNet *net, struct Fault *fault)
+{
+  struct sockaddr_storage address;
+  socklen_t size;
+  int one = 1;
+
+  if (!peer_sockaddr (net->options.listen, &address, &size))
+    return fault_set (fault, ERROR_INVALID, "give [listen] peer as IP:port", "bad peer address %s",
+                      net->options.listen);
+  net->listen_fd = socket (address.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  setsockopt (net->listen_fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+  if (net->listen_fd < 0 || bind (net->listen_fd, (struct sockaddr *) &address, size) < 0
+      || listen (net->listen_fd, LISTEN_BACKLOG) < 0)
+    return fault_set (fault, ERROR_IO, "stop what holds the address, or change [listen] peer",
+                      "can not listen on %s: %s", net->options.listen, strerror (errno));
+  tevent_add_fd (net->events, net, net->listen_fd, TEVENT_FD_READ, peer_net_on_accept, net);
+  return ERROR_NONE;
+}
+
+void
+peer_net_set_incarnation (struct PeerNet *net, const char *incarnation)
+{
+  snprintf (net->incarnation, sizeof net->incarnation, "%s", incarnation);
+  for (struct PeerLink *l = net->links; l != NULL; l = l->next)
+    if (l->dialled)
+      peer_link_say_hello (l);
+}
+
+static struct PeerKnown *
+peer_net_known (const struct PeerNet *net, const char *instance)
+{
+  for (struct PeerKnown *k = net->known; k != NULL; k = k->next)
+    if (strcmp (k->instance, instance) == 0)
+      return k;
+  return NULL;
+}
+
+void
+peer_net_know (struct PeerNet *net, const char *instance, const char *address)
+{
+  struct PeerKnown *known = peer_net_known (net, instance);
+
+  if (strcmp (instance, net->instance) == 0)
+    return;
+  if (known == NULL)
+    {
+      known = talloc_zero (net, struct PeerKnown);
+      if (known == NULL)
+        return;
+      snprintf (known->instance, sizeof known->instance, "%s", instance);
+      known->next = net->known;
+      net->known = known;
+    }
+  if (strcmp (known->address, address) == 0)
+    return;
+  snprintf (known->address, sizeof known->address, "%s", address);
+  if (known->link != NULL)
+    peer_link_close (known->link, "the instance has another address");
+  peer_net_dial (net, known);
+}
+
+void
+peer_net_forget (struct PeerNet *net, const char *instance)
+{
+  struct PeerKnown **at = &net->known;
+  struct PeerKnown *gone;
+
+  while (*at != NULL && strcmp ((*at)->instance, instance) != 0)
+    at = &(*at)->next;
+  gone = *at;
+  if (gone == NULL)
+    return;
+  *at = gone->next;
+  /* The link itself stays until it closes: a leaving instance still answers over it. */
+  talloc_free (gone);
+}
+
+uint64_t
+peer_net_link_to (const struct PeerNet *net, const char *instance)
+{
+  const struct PeerKnown *known;
+
+  if (strcmp (instance, net->instance) == 0)
+    return PEER_LINK_SELF;
+  known = peer_net_known (net, instance);
+  if (known == NULL || known->link == NULL || !known->link->connected)
+    return PEER_LINK_NONE;
+  return known->link->id;
+}
+
+static void
+peer_net_on_local (struct tevent_context *events, struct tevent_immediate *event, void *data)
+{
+  struct PeerLocal *local = data;
+  struct PeerNet *net = local->net;
+
+  (void) events;
+  net->options.received (net->options.data, PEER_LINK_SELF, net->instance, local->message);
+  talloc_free (local);
+  talloc_free (event);
+}
+
+/* Later and with a copy, as over the wire: no module is entered again from inside its own call. */
+static int32_t
+peer_net_send_self (struct PeerNet *net, const struct PeerMessage *message)
+{
+  struct PeerLocal *local = talloc_zero (net, struct PeerLocal);
+  struct tevent_immediate *event = tevent_create_immediate (net);
+  uint8_t *frame = NULL;
+  size_t n_bytes;
+  int32_t error = ERROR_NO_MEMORY;
+
+  if (local == NULL || event == NULL)
+    goto fail;
+  local->net = net;
+  error = peer_message_pack (local, message, &frame, &n_bytes);
+  if (error != ERROR_NONE)
+    goto fail;
+  error = peer_message_unpack (local, frame + FRAME_LENGTH_BYTES, n_bytes - FRAME_LENGTH_BYTES,
+                               &local->message);
+  if (error != ERROR_NONE)
+    goto fail;
+  talloc_free (frame);
+  tevent_schedule_immediate (event, net->events, peer_net_on_local, local);
+  return ERROR_NONE;
+
+fail:
+  talloc_free (local);
+  talloc_free (event);
+  return error;
+}
+
+int32_t
+peer_net_send (struct PeerNet *net, uint64_t link_id, const struct PeerMessage *message)
+{
+  struct PeerLink *link;
+
+  if (link_id == PEER_LINK_SELF)
+    return peer_net_send_self (net, message);
+  link = peer_net_find (net, link_id);
+  if (link == NULL)
+    return ERROR_UNREACHABLE;
+  return peer_link_send (link, message);
+}
+
+uint32_t
+peer_net_n_connected (const struct PeerNet *net)
+{
+  uint32_t n = 0;
+
+  for (const struct PeerKnown *k = net->known; k != NULL; k = k->next)
+    if (k->link != NULL && k->link->connected)
+      n++;
+  return n;
+}
