Backend port over HTTP

Cause: the owner of a backend server needs calls, releases and load reports, with an exact answer to "did it run?".

RAN_NO comes only when libcurl wrote no byte (refused, or timed out while connecting) or when a 429 or 503 says X-Ran: not_run; every break after that is RAN_MAYBE. An answer that HTTP takes for whole but which lacks its end marker, or is half a JSON text, is a broken one. Usage is read from the last event of a stream, whatever the chunk borders, and asked for when the caller did not. A cancel is carried out from the event loop, since libcurl forbids it inside the chunk callback.

Found: libcurl sends a request again by itself, a POST too, when a reused connection closes without an answer. With connections reused, a server that ran a call and then closed ran it twice (n_runs 2, the test "close after run on a used connection runs once" failed); with a fresh connection for each call it runs once. Calls therefore use one of their own; reports and releases, which are idempotent, still reuse. Other users of curl_loop meet the same: a conditional write to the key-value service can be applied and then, sent again, conflict with itself.

Ruled out for curl_loop: freeing the loop before its calls used the multi handle after its end; the calls now go first.

curl_loop.h gains fresh_connection, curl_call_header and curl_loop_events; nothing there changes its meaning.

--- /dev/null
+++ b/adapters/backend_http.c
@@ -0,0 +1,517 @@
+#include <buckthornhead/backend_http.h>
+
+#include <buckthornhead/error.h>
+
+#include <string.h>
+
+#include <jansson.h>
+
+enum
+{
+  CONNECT_TIMEOUT_MS = 2000,
+  KEPT_MAX_BYTES = 8 * 1024 * 1024, /* of an answer, or of one line of a stream, to find usage */
+  HEADERS_MAX = 5,
+  STATUS_OK = 200,
+  STATUS_OK_END = 300,
+  STATUS_TOO_MANY_REQUESTS = 429,
+  STATUS_UNAVAILABLE = 503
+};
+
+struct BackendCall
+{
+  struct BackendCall *next;
+  struct BackendHttp *http;
+  struct CurlCall *curl;
+  struct tevent_immediate *cancelling; /* NULL: not cancelled */
+  uint64_t ticket;
+  enum BackendOp op;
+  bool engine, stream;
+  BackendEventFn fn;
+  void *data;
+
+  uint8_t *kept; /* whole answer, or the unfinished line of a stream */
+  size_t kept_bytes;
+  bool overflow; /* kept grew too large and was dropped */
+  bool stream_ended, stream_failed;
+  uint32_t prompt_tokens, generated_tokens, cached_tokens;
+};
+
+struct BackendHttp
+{
+  struct BackendPort port;
+  struct CurlLoop *loop;
+  struct BackendCall *calls;
+  uint64_t last_ticket;
+};
+
+static uint32_t
+json_get_uint32 (const json_t *object, const char *name)
+{
+  json_int_t value = json_integer_value (json_object_get (object, name));
+
+  if (value < 0)
+    return 0;
+  return value > UINT32_MAX ? UINT32_MAX : (uint32_t)value;
+}
+
+static uint64_t
+json_get_uint64 (const json_t *object, const char *name)
+{
+  json_int_t value = json_integer_value (json_object_get (object, name));
+
+  return value < 0 ? 0 : (uint64_t)value;
+}
+
+static void
+backend_call_read_usage (struct BackendCall *call, const json_t *answer)
+{
+  const json_t *usage = json_object_get (answer, "usage");
+
+  if (!json_is_object (usage))
+    return;
+  call->prompt_tokens = json_get_uint32 (usage, "prompt_tokens");
+  call->generated_tokens = json_get_uint32 (usage, "completion_tokens");
+  call->cached_tokens =
+      json_get_uint32 (json_object_get (usage, "prompt_tokens_details"), "cached_tokens");
+}
+
+static void
+backend_call_keep (struct BackendCall *call, const uint8_t *bytes, size_t n_bytes)
+{
+  if (call->overflow || n_bytes == 0)
+    return;
+  if (call->kept_bytes + n_bytes > KEPT_MAX_BYTES)
+    {
+      call->overflow = true;
+      TALLOC_FREE (call->kept);
+      call->kept_bytes = 0;
+      return;
+    }
+  call->kept = talloc_realloc (call, call->kept, uint8_t, call->kept_bytes + n_bytes);
+  if (call->kept == NULL)
+    {
+      call->overflow = true;
+      call->kept_bytes = 0;
+      return;
+    }
+  memcpy (call->kept + call->kept_bytes, bytes, n_bytes);
+  call->kept_bytes += n_bytes;
+}
+
+/* One line of an event stream, without its line feed. */
+static void
+backend_call_read_line (struct BackendCall *call, const uint8_t *line, size_t n_bytes)
+{
+  static const char field[] = "data:";
+  static const char done[] = "[DONE]";
+  json_t *event;
+
+  while (n_bytes > 0 && (line[n_bytes - 1] == '\r' || line[n_bytes - 1] == ' '))
+    n_bytes--;
+  if (n_bytes < sizeof field - 1 || memcmp (line, field, sizeof field - 1) != 0)
+    return;
+  line += sizeof field - 1;
+  n_bytes -= sizeof field - 1;
+  while (n_bytes > 0 && *line == ' ')
+    {
+      line++;
+      n_bytes--;
+    }
+  if (n_bytes == sizeof done - 1 && memcmp (line, done, n_bytes) == 0)
+    {
+      call->stream_ended = true;
+      return;
+    }
+  /* Most events carry a token only: parse the few that can matter. */
+  if (memmem (line, n_bytes, "\"usage\"", 7) == NULL
+      && memmem (line, n_bytes, "\"error\"", 7) == NULL)
+    return;
+  event = json_loadb ((const char *)line, n_bytes, 0, NULL);
+  backend_call_read_usage (call, event);
+  if (json_is_object (json_object_get (event, "error")))
+    call->stream_failed = true;
+  json_decref (event);
+}
+
+/* A line may be split anywhere between chunks: its start is kept until its line feed comes. */
+static void
+backend_call_read_stream (struct BackendCall *call, const uint8_t *bytes, size_t n_bytes)
+{
+  const uint8_t *end = bytes + n_bytes;
+
+  while (bytes < end)
+    {
+      const uint8_t *feed = memchr (bytes, '\n', (size_t)(end - bytes));
+      size_t n = (size_t)((feed != NULL ? feed : end) - bytes);
+
+      if (feed != NULL && call->kept_bytes == 0 && !call->overflow)
+        backend_call_read_line (call, bytes, n);
+      else
+        {
+          backend_call_keep (call, bytes, n);
+          if (feed == NULL)
+            return;
+          if (!call->overflow)
+            backend_call_read_line (call, call->kept, call->kept_bytes);
+          call->kept_bytes = 0;
+          call->overflow = false;
+        }
+      bytes += n + 1;
+    }
+}
+
+static void
+backend_call_on_chunk (void *data, uint32_t status, const uint8_t *bytes, size_t n_bytes)
+{
+  struct BackendCall *call = data;
+  struct BackendEvent event = { .kind = BACKEND_EVENT_CHUNK };
+
+  if (call->cancelling != NULL)
+    return;
+  if (call->engine && call->stream)
+    backend_call_read_stream (call, bytes, n_bytes);
+  else if (call->engine || call->op != BACKEND_OP_CALL)
+    backend_call_keep (call, bytes, n_bytes);
+  if (call->op != BACKEND_OP_CALL)
+    return;
+  event.chunk.bytes = bytes;
+  event.chunk.n_bytes = n_bytes;
+  event.chunk.status = status;
+  call->fn (call->data, &event);
+}
+
+static bool
+status_is_ok (uint32_t status)
+{
+  return status >= STATUS_OK && status < STATUS_OK_END;
+}
+
+/* Of a failure that the server reported before it began: nothing ran there. */
+static bool
+backend_call_refused (const struct BackendCall *call, uint32_t status)
+{
+  const char *ran;
+
+  if (status != STATUS_TOO_MANY_REQUESTS && status != STATUS_UNAVAILABLE)
+    return false;
+  ran = curl_call_header (call->curl, "X-Ran");
+  return ran != NULL && strcmp (ran, "not_run") == 0;
+}
+
+static bool
+backend_call_read_load (const struct BackendCall *call, struct BackendLoad *load)
+{
+  json_t *answer = json_loadb ((const char *)call->kept, call->kept_bytes, 0, NULL);
+  const char *incarnation = json_string_value (json_object_get (answer, "engine_incarnation"));
+  bool valid = json_is_object (answer);
+
+  load->running = json_get_uint32 (answer, "running");
+  load->waiting = json_get_uint32 (answer, "waiting");
+  load->cache_used_tokens = json_get_uint64 (answer, "cache_used_tokens");
+  load->cache_capacity_tokens = json_get_uint64 (answer, "cache_capacity_tokens");
+  load->last_event = json_get_uint64 (answer, "last_event");
+  if (incarnation != NULL)
+    strncpy (load->engine_incarnation, incarnation, NAME_MAX_BYTES);
+  json_decref (answer);
+  return valid;
+}
+
+/* False when the answer is not a whole one for its shape. A server whose answer ends with the
+ * connection (no length, no chunks) and which dies in the middle looks whole to HTTP; an event
+ * stream without its end marker, or half a JSON text, shows that it is not. */
+static bool
+backend_call_read_answer (struct BackendCall *call)
+{
+  json_t *answer;
+  bool valid;
+
+  if (!call->engine)
+    return true;
+  if (call->stream)
+    {
+      if (!call->overflow && call->kept_bytes > 0)
+        backend_call_read_line (call, call->kept, call->kept_bytes);
+      return call->stream_ended;
+    }
+  if (call->overflow)
+    return true;
+  answer = json_loadb ((const char *)call->kept, call->kept_bytes, 0, NULL);
+  valid = json_is_object (answer);
+  backend_call_read_usage (call, answer);
+  json_decref (answer);
+  return valid;
+}
+
+static void
+backend_call_settle (struct BackendCall *call,
+                     const struct HttpResult *result,
+                     struct BackendEvent *event)
+{
+  event->end.status = result->status;
+  event->end.ran = RAN_MAYBE;
+  if (!result->sent)
+    {
+      event->end.error = ERROR_UNREACHABLE;
+      event->end.ran = RAN_NO;
+    }
+  else if (!result->whole)
+    event->end.error = result->timed_out ? ERROR_TIMEOUT : ERROR_UNKNOWN_EFFECT;
+  else if (!status_is_ok (result->status))
+    {
+      event->end.error = ERROR_BACKEND;
+      event->end.ran = backend_call_refused (call, result->status) ? RAN_NO : RAN_YES;
+    }
+  else if (call->op == BACKEND_OP_REPORT)
+    {
+      event->end.has_load = backend_call_read_load (call, &event->end.load);
+      event->end.error = event->end.has_load ? ERROR_NONE : ERROR_BACKEND;
+      event->end.ran = RAN_YES;
+    }
+  else if (call->op == BACKEND_OP_CALL && !backend_call_read_answer (call))
+    event->end.error = ERROR_UNKNOWN_EFFECT;
+  else
+    {
+      event->end.error = call->stream_failed ? ERROR_BACKEND : ERROR_NONE;
+      event->end.ran = RAN_YES;
+    }
+  if (call->cancelling != NULL)
+    event->end.error = ERROR_CANCELLED;
+  event->end.prompt_tokens = call->prompt_tokens;
+  event->end.generated_tokens = call->generated_tokens;
+  event->end.cached_tokens = call->cached_tokens;
+}
+
+static void
+backend_call_on_done (void *data, const struct HttpResult *result)
+{
+  struct BackendCall *call = data;
+  BackendEventFn fn = call->fn;
+  void *fn_data = call->data;
+  struct BackendEvent event = { .kind = BACKEND_EVENT_END };
+
+  backend_call_settle (call, result, &event);
+  call->curl = NULL; /* frees itself after this callback */
+  talloc_free (call);
+  fn (fn_data, &event);
+}
+
+static void
+backend_call_on_cancel (struct tevent_context *events, struct tevent_immediate *due, void *data)
+{
+  struct BackendCall *call = data;
+  BackendEventFn fn = call->fn;
+  void *fn_data = call->data;
+  struct BackendEvent event = { .kind = BACKEND_EVENT_END };
+
+  (void)events;
+  (void)due;
+  event.end.error = ERROR_CANCELLED;
+  event.end.ran = RAN_MAYBE;
+  event.end.prompt_tokens = call->prompt_tokens;
+  event.end.generated_tokens = call->generated_tokens;
+  event.end.cached_tokens = call->cached_tokens;
+  talloc_free (call);
+  fn (fn_data, &event);
+}
+
+static int
+backend_call_free (struct BackendCall *call)
+{
+  struct BackendCall **at = &call->http->calls;
+
+  while (*at != NULL && *at != call)
+    at = &(*at)->next;
+  if (*at != NULL)
+    *at = call->next;
+  talloc_free (call->curl);
+  return 0;
+}
+
+/* The call is freed from the event loop, not here: the caller may be inside its chunk callback,
+ * where libcurl forbids it. */
+static void
+backend_http_cancel (struct BackendPort *port, uint64_t ticket)
+{
+  struct BackendHttp *http = (struct BackendHttp *)port;
+  struct BackendCall *call = http->calls;
+
+  while (call != NULL && call->ticket != ticket)
+    call = call->next;
+  if (call == NULL || call->cancelling != NULL)
+    return;
+  call->cancelling = tevent_create_immediate (call);
+  if (call->cancelling != NULL)
+    tevent_schedule_immediate (call->cancelling, curl_loop_events (http->loop),
+                               backend_call_on_cancel, call);
+}
+
+/* A line break in a value would let it add headers of its own. */
+static bool
+header_value_is_safe (const char *value)
+{
+  for (; *value != '\0'; value++)
+    if ((uint8_t)*value < ' ' || *value == '\x7f')
+      return false;
+  return true;
+}
+
+static bool
+path_is_safe (const char *path)
+{
+  if (path == NULL || path[0] != '/')
+    return false;
+  for (; *path != '\0'; path++)
+    if (*path <= ' ' || *path >= '\x7f' || *path == '#')
+      return false;
+  return true;
+}
+
+/* Engines name the usage of a stream only when asked for it, and the budget is charged by it. */
+static int32_t
+backend_call_set_body (TALLOC_CTX *ctx,
+                       const struct BackendRequest *request,
+                       struct HttpRequest *http_request)
+{
+  static const char key[] = "\"stream_options\"";
+  static const char asked[] = "{\"stream_options\":{\"include_usage\":true},";
+  const uint8_t *body = request->call.body;
+  size_t n_bytes = request->call.body_bytes;
+  uint8_t *copy;
+
+  http_request->body = body;
+  http_request->body_bytes = n_bytes;
+  if (request->call.target_kind != CALL_TARGET_ENGINE || !request->call.stream || n_bytes == 0
+      || body[0] != '{' || memmem (body, n_bytes, key, sizeof key - 1) != NULL)
+    return ERROR_NONE;
+  copy = talloc_array (ctx, uint8_t, n_bytes - 1 + sizeof asked - 1);
+  if (copy == NULL)
+    return ERROR_NO_MEMORY;
+  memcpy (copy, asked, sizeof asked - 1);
+  memcpy (copy + sizeof asked - 1, body + 1, n_bytes - 1);
+  http_request->body = copy;
+  http_request->body_bytes = n_bytes - 1 + sizeof asked - 1;
+  return ERROR_NONE;
+}
+
+static int32_t
+backend_call_prepare (TALLOC_CTX *ctx,
+                      const struct BackendRequest *request,
+                      const char *headers[HEADERS_MAX],
+                      struct HttpRequest *http_request)
+{
+  bool engine = request->call.target_kind == CALL_TARGET_ENGINE;
+  const char *path = engine ? "/v1/chat/completions" : request->call.path;
+  const char *program = request->call.program != NULL ? request->call.program : "";
+  const char *key = request->call.idempotency_key != NULL ? request->call.idempotency_key : "";
+
+  if (!path_is_safe (path) || !header_value_is_safe (program) || !header_value_is_safe (key))
+    return ERROR_INVALID;
+  http_request->method = "POST";
+  http_request->url = talloc_asprintf (ctx, "http://%s%s", request->address, path);
+  headers[1] = talloc_asprintf (ctx, "X-Program: %s", program);
+  headers[2] = talloc_asprintf (ctx, "Idempotency-Key: %s", key);
+  /* See HttpRequest: the server may run the call, then close without an answer. */
+  http_request->fresh_connection = true;
+  return backend_call_set_body (ctx, request, http_request);
+}
+
+static int32_t
+backend_release_prepare (TALLOC_CTX *ctx,
+                         const struct BackendRequest *request,
+                         struct HttpRequest *http_request)
+{
+  json_t *json = json_pack ("{s:s}", "program", request->release.program);
+  char *text = json_dumps (json, JSON_COMPACT);
+
+  json_decref (json);
+  if (text == NULL)
+    return ERROR_INVALID;
+  http_request->method = "POST";
+  http_request->url = talloc_asprintf (ctx, "http://%s/release", request->address);
+  http_request->body = talloc_memdup (ctx, text, strlen (text));
+  http_request->body_bytes = strlen (text);
+  free (text);
+  return ERROR_NONE;
+}
+
+static int32_t
+backend_http_prepare (TALLOC_CTX *ctx,
+                      const struct BackendRequest *request,
+                      const char *headers[HEADERS_MAX],
+                      struct HttpRequest *http_request)
+{
+  headers[0] = "Content-Type: application/json";
+  http_request->headers = headers;
+  http_request->timeout_ms = request->timeout_ms;
+  http_request->connect_timeout_ms = CONNECT_TIMEOUT_MS;
+  switch (request->op)
+    {
+    case BACKEND_OP_CALL:
+      return backend_call_prepare (ctx, request, headers, http_request);
+    case BACKEND_OP_RELEASE:
+      return backend_release_prepare (ctx, request, http_request);
+    case BACKEND_OP_REPORT:
+      http_request->method = "GET";
+      http_request->url = talloc_asprintf (ctx, "http://%s/load", request->address);
+      return ERROR_NONE;
+    }
+  return ERROR_INVALID;
+}
+
+static int32_t
+backend_http_submit (struct BackendPort *port,
+                     const struct BackendRequest *request,
+                     BackendEventFn fn,
+                     void *data,
+                     uint64_t *ticket)
+{
+  struct BackendHttp *http = (struct BackendHttp *)port;
+  struct BackendCall *call = talloc_zero (http, struct BackendCall);
+  const char *headers[HEADERS_MAX] = { NULL };
+  struct HttpRequest http_request = { 0 };
+  TALLOC_CTX *scratch = talloc_new (NULL);
+  int32_t error = ERROR_NO_MEMORY;
+
+  if (call == NULL || scratch == NULL)
+    goto out;
+  error = backend_http_prepare (scratch, request, headers, &http_request);
+  if (error != ERROR_NONE)
+    goto out;
+  call->http = http;
+  call->op = request->op;
+  call->engine = request->op == BACKEND_OP_CALL && request->call.target_kind == CALL_TARGET_ENGINE;
+  call->stream = request->op == BACKEND_OP_CALL && request->call.stream;
+  call->fn = fn;
+  call->data = data;
+  call->curl = curl_loop_submit (http->loop, &http_request, backend_call_on_chunk,
+                                 backend_call_on_done, call);
+  if (call->curl == NULL)
+    {
+      error = ERROR_NO_MEMORY;
+      goto out;
+    }
+  call->ticket = ++http->last_ticket;
+  call->next = http->calls;
+  http->calls = call;
+  talloc_set_destructor (call, backend_call_free);
+  *ticket = call->ticket;
+
+out:
+  talloc_free (scratch);
+  if (error != ERROR_NONE)
+    talloc_free (call);
+  return error;
+}
+
+struct BackendPort *
+backend_http_new (TALLOC_CTX *ctx, struct CurlLoop *loop)
+{
+  struct BackendHttp *http = talloc_zero (ctx, struct BackendHttp);
+
+  if (http == NULL)
+    return NULL;
+  http->port.submit = backend_http_submit;
+  http->port.cancel = backend_http_cancel;
+  http->loop = loop;
+  return &http->port;
+}
--- a/adapters/curl_loop.c
+++ b/adapters/curl_loop.c
@@ -14,6 +14,7 @@
   struct tevent_context *events;
   struct tevent_timer *timer;
   CURLM *multi;
+  TALLOC_CTX *calls; /* parent of every CurlCall */
 };
 
 struct CurlCall
@@ -189,6 +190,8 @@
 static int
 curl_loop_free (struct CurlLoop *loop)
 {
+  /* A call's destructor takes its handle out of multi, which must still exist then. */
+  TALLOC_FREE (loop->calls);
   curl_multi_cleanup (loop->multi);
   return 0;
 }
@@ -201,9 +204,11 @@
   if (loop == NULL)
     return NULL;
   loop->events = events;
+  loop->calls = talloc_new (loop);
   loop->multi = curl_multi_init ();
-  if (loop->multi == NULL)
+  if (loop->calls == NULL || loop->multi == NULL)
     {
+      curl_multi_cleanup (loop->multi);
       talloc_free (loop);
       return NULL;
     }
@@ -256,7 +261,7 @@
                   HttpDone done,
                   void *data)
 {
-  struct CurlCall *call = talloc_zero (loop, struct CurlCall);
+  struct CurlCall *call = talloc_zero (loop->calls, struct CurlCall);
 
   if (call == NULL)
     return NULL;
@@ -281,6 +286,8 @@
     curl_easy_setopt (call->easy, CURLOPT_TIMEOUT_MS, (long)request->timeout_ms);
   if (request->connect_timeout_ms > 0)
     curl_easy_setopt (call->easy, CURLOPT_CONNECTTIMEOUT_MS, (long)request->connect_timeout_ms);
+  curl_easy_setopt (call->easy, CURLOPT_FRESH_CONNECT, request->fresh_connection ? 1L : 0L);
+  curl_easy_setopt (call->easy, CURLOPT_FORBID_REUSE, request->fresh_connection ? 1L : 0L);
   if (curl_multi_add_handle (loop->multi, call->easy) != CURLM_OK)
     goto fail;
   return call;
@@ -289,3 +296,19 @@
   talloc_free (call);
   return NULL;
 }
+
+const char *
+curl_call_header (struct CurlCall *call, const char *name)
+{
+  struct curl_header *header = NULL;
+
+  if (curl_easy_header (call->easy, name, 0, CURLH_HEADER, -1, &header) != CURLHE_OK)
+    return NULL;
+  return header->value;
+}
+
+struct tevent_context *
+curl_loop_events (const struct CurlLoop *loop)
+{
+  return loop->events;
+}
--- a/include/buckthornhead/curl_loop.h
+++ b/include/buckthornhead/curl_loop.h
@@ -20,6 +20,9 @@
   size_t body_bytes;
   int64_t timeout_ms; /* whole request; 0: none */
   int64_t connect_timeout_ms;
+  /* Uses a connection of its own. On a reused connection that closes without an answer libcurl
+   * sends the request again by itself, a POST too: a request that must not run twice needs this. */
+  bool fresh_connection;
 };
 
 struct HttpResult
@@ -47,3 +50,10 @@
                   HttpChunkFn chunk,
                   HttpDone done,
                   void *data);
+
+/* Value of a header of the answer, NULL when absent; valid during chunk and done only. */
+const char *
+curl_call_header (struct CurlCall *call, const char *name);
+
+struct tevent_context *
+curl_loop_events (const struct CurlLoop *loop);
--- /dev/null
+++ b/tests/test_backend_http.c
@@ -0,0 +1,628 @@
+#include "test_main.h"
+
+#include <buckthornhead/backend_http.h>
+#include <buckthornhead/error.h>
+
+#include <arpa/inet.h>
+#include <microhttpd.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+enum
+{
+  GUARD_S = 30, /* a loop that takes longer fails the test */
+  SLICE_BYTES = 3,
+  POLL_US = 1000
+};
+
+enum FakeMode
+{
+  FAKE_ANSWER,          /* the text, at once */
+  FAKE_STREAM,          /* the text, in slices */
+  FAKE_STREAM_ENDLESS,  /* the text, then waits for the client to go */
+  FAKE_STREAM_BROKEN,   /* the text, then the connection closes in mid-stream */
+  FAKE_CLOSE_AFTER_RUN, /* no answer */
+  FAKE_HANG             /* no answer until the test ends */
+};
+
+/* A backend server inside the test; a thread of microhttpd's serves each connection. */
+struct Fake
+{
+  struct MHD_Daemon *daemon;
+  char address[64];
+  _Atomic enum FakeMode mode;
+  _Atomic uint32_t status, n_runs;
+  _Atomic bool refuse_not_run, stop;
+  const char *_Atomic text;
+  char program[64], key[64], path[64], body[512]; /* of the last request */
+  size_t body_bytes;
+};
+
+struct FakeStream
+{
+  struct Fake *fake;
+  size_t sent;
+};
+
+static ssize_t
+fake_read_stream (void *data, uint64_t position, char *buffer, size_t max_bytes)
+{
+  struct FakeStream *stream = data;
+  const char *rest = stream->fake->text + stream->sent;
+  size_t n = strnlen (rest, SLICE_BYTES);
+
+  (void)position;
+  if (n > max_bytes)
+    n = max_bytes;
+  if (n > 0)
+    {
+      memcpy (buffer, rest, n);
+      stream->sent += n;
+      return (ssize_t)n;
+    }
+  if (stream->fake->mode == FAKE_STREAM)
+    return MHD_CONTENT_READER_END_OF_STREAM;
+  while (stream->fake->mode == FAKE_STREAM_ENDLESS && !stream->fake->stop)
+    usleep (POLL_US);
+  return MHD_CONTENT_READER_END_WITH_ERROR;
+}
+
+static enum MHD_Result
+fake_answer (struct Fake *fake, struct MHD_Connection *connection)
+{
+  const char *text = fake->text;
+  struct FakeStream *stream;
+  struct MHD_Response *response;
+  enum MHD_Result result;
+
+  if (fake->mode == FAKE_ANSWER)
+    response = MHD_create_response_from_buffer (strlen (text), (void *)text, MHD_RESPMEM_MUST_COPY);
+  else
+    {
+      stream = calloc (1, sizeof *stream);
+      stream->fake = fake;
+      response =
+          MHD_create_response_from_callback (MHD_SIZE_UNKNOWN, 64, fake_read_stream, stream, free);
+    }
+  if (fake->refuse_not_run)
+    MHD_add_response_header (response, "X-Ran", "not_run");
+  result = MHD_queue_response (connection, fake->status, response);
+  MHD_destroy_response (response);
+  return result;
+}
+
+static void
+fake_copy_header (struct MHD_Connection *connection, const char *name, char copy[64])
+{
+  const char *value = MHD_lookup_connection_value (connection, MHD_HEADER_KIND, name);
+
+  snprintf (copy, 64, "%s", value != NULL ? value : "");
+}
+
+static enum MHD_Result
+fake_on_request (void *data,
+                 struct MHD_Connection *connection,
+                 const char *url,
+                 const char *method,
+                 const char *version,
+                 const char *upload,
+                 size_t *upload_bytes,
+                 void **per_request)
+{
+  struct Fake *fake = data;
+
+  (void)method;
+  (void)version;
+  if (*per_request == NULL)
+    {
+      *per_request = fake;
+      fake->body_bytes = 0;
+      return MHD_YES;
+    }
+  if (*upload_bytes > 0)
+    {
+      size_t n = *upload_bytes;
+
+      if (n > sizeof fake->body - 1 - fake->body_bytes)
+        n = sizeof fake->body - 1 - fake->body_bytes;
+      memcpy (fake->body + fake->body_bytes, upload, n);
+      fake->body_bytes += n;
+      *upload_bytes = 0;
+      return MHD_YES;
+    }
+  fake->body[fake->body_bytes] = '\0';
+  snprintf (fake->path, sizeof fake->path, "%s", url);
+  fake_copy_header (connection, "X-Program", fake->program);
+  fake_copy_header (connection, "Idempotency-Key", fake->key);
+  fake->n_runs++;
+  while (fake->mode == FAKE_HANG && !fake->stop)
+    usleep (POLL_US);
+  if (fake->mode == FAKE_CLOSE_AFTER_RUN || fake->mode == FAKE_HANG)
+    return MHD_NO;
+  return fake_answer (fake, connection);
+}
+
+/* The daemon's threads end before the test reads what they wrote, or an answer came first. */
+static void
+fake_start (struct Fake *fake, enum FakeMode mode, const char *text)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+
+  memset (fake, 0, sizeof *fake);
+  fake->mode = mode;
+  fake->status = MHD_HTTP_OK;
+  fake->text = text;
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  fake->daemon = MHD_start_daemon (
+      MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_THREAD_PER_CONNECTION | MHD_USE_POLL, 0, NULL, NULL,
+      fake_on_request, fake, MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_END);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (fake->daemon);
+  snprintf (fake->address, sizeof fake->address, "127.0.0.1:%u",
+            (unsigned)MHD_get_daemon_info (fake->daemon, MHD_DAEMON_INFO_BIND_PORT)->port);
+}
+
+static void
+fake_stop (struct Fake *fake)
+{
+  fake->stop = true;
+  MHD_stop_daemon (fake->daemon);
+}
+
+/* What a caller of the port saw. */
+struct Seen
+{
+  struct tevent_context *events;
+  struct BackendPort *port;
+  uint64_t ticket;
+  bool cancel_on_chunk;
+  char body[2048];
+  size_t body_bytes;
+  uint32_t n_ends, chunk_status;
+  struct BackendEvent end;
+};
+
+static void
+seen_on_event (void *data, const struct BackendEvent *event)
+{
+  struct Seen *seen = data;
+  size_t n;
+
+  if (event->kind == BACKEND_EVENT_END)
+    {
+      seen->end = *event;
+      seen->n_ends++;
+      return;
+    }
+  CU_ASSERT_EQUAL (seen->n_ends, 0);
+  seen->chunk_status = event->chunk.status;
+  n = event->chunk.n_bytes;
+  if (n > sizeof seen->body - 1 - seen->body_bytes)
+    n = sizeof seen->body - 1 - seen->body_bytes;
+  memcpy (seen->body + seen->body_bytes, event->chunk.bytes, n);
+  seen->body_bytes += n;
+  if (seen->cancel_on_chunk)
+    seen->port->cancel (seen->port, seen->ticket);
+}
+
+static void
+seen_on_guard (struct tevent_context *events,
+               struct tevent_timer *timer,
+               struct timeval now,
+               void *data)
+{
+  bool *expired = data;
+
+  (void)events;
+  (void)timer;
+  (void)now;
+  *expired = true;
+}
+
+static void
+seen_wait (struct Seen *seen)
+{
+  bool expired = false;
+  struct tevent_timer *guard = tevent_add_timer (
+      seen->events, seen->events, tevent_timeval_current_ofs (GUARD_S, 0), seen_on_guard, &expired);
+
+  while (seen->n_ends == 0 && !expired)
+    tevent_loop_once (seen->events);
+  CU_ASSERT_FALSE (expired);
+  talloc_free (guard);
+}
+
+/* Lets all that is due now happen. */
+static void
+seen_turn_loop (struct Seen *seen)
+{
+  bool expired = false;
+
+  tevent_add_timer (seen->events, seen->events, tevent_timeval_current_ofs (0, 10000),
+                    seen_on_guard, &expired);
+  while (!expired)
+    tevent_loop_once (seen->events);
+}
+
+static struct Seen *
+seen_new (void)
+{
+  struct Seen *seen = talloc_zero (NULL, struct Seen);
+
+  seen->events = tevent_context_init (seen);
+  seen->port = backend_http_new (seen, curl_loop_new (seen, seen->events));
+  return seen;
+}
+
+static const char chat_body[] = "{\"model\":\"m\",\"messages\":[]}";
+
+static struct BackendRequest
+chat_request (const char *address, bool stream)
+{
+  struct BackendRequest request = { .op = BACKEND_OP_CALL, .address = address };
+
+  request.call.target_kind = CALL_TARGET_ENGINE;
+  request.call.program = "p-1";
+  request.call.idempotency_key = "p-1/main/1";
+  request.call.idempotent = true;
+  request.call.stream = stream;
+  request.call.body = (const uint8_t *)chat_body;
+  request.call.body_bytes = sizeof chat_body - 1;
+  return request;
+}
+
+static struct BackendRequest
+service_request (const char *address)
+{
+  struct BackendRequest request = chat_request (address, false);
+
+  request.call.target_kind = CALL_TARGET_SERVICE;
+  request.call.path = "/wages/confirm?estate=7";
+  request.call.idempotent = false;
+  return request;
+}
+
+static void
+seen_submit (struct Seen *seen, const struct BackendRequest *request)
+{
+  seen->n_ends = 0;
+  seen->body_bytes = 0;
+  CU_ASSERT_EQUAL_FATAL (
+      seen->port->submit (seen->port, request, seen_on_event, seen, &seen->ticket), ERROR_NONE);
+}
+
+static void
+seen_run (struct Seen *seen, const struct BackendRequest *request)
+{
+  seen_submit (seen, request);
+  seen_wait (seen);
+  seen->body[seen->body_bytes] = '\0';
+}
+
+#define USAGE                                                                                      \
+  "\"usage\":{\"prompt_tokens\":31,\"completion_tokens\":9,"                                       \
+  "\"prompt_tokens_details\":{\"cached_tokens\":16}}"
+
+static void
+assert_usage (const struct Seen *seen)
+{
+  CU_ASSERT_EQUAL (seen->end.end.prompt_tokens, 31);
+  CU_ASSERT_EQUAL (seen->end.end.generated_tokens, 9);
+  CU_ASSERT_EQUAL (seen->end.end.cached_tokens, 16);
+}
+
+static void
+assert_end (const struct Seen *seen, int32_t error, enum RanState ran)
+{
+  CU_ASSERT_EQUAL (seen->n_ends, 1);
+  CU_ASSERT_EQUAL (seen->end.end.error, error);
+  CU_ASSERT_EQUAL (seen->end.end.ran, ran);
+}
+
+static void
+test_whole_answer (void)
+{
+  static const char text[] = "{\"choices\":[]," USAGE "}";
+  struct Seen *seen = seen_new ();
+  struct BackendRequest request;
+  struct Fake fake;
+
+  fake_start (&fake, FAKE_ANSWER, text);
+  request = chat_request (fake.address, false);
+  seen_run (seen, &request);
+  assert_end (seen, ERROR_NONE, RAN_YES);
+  assert_usage (seen);
+  CU_ASSERT_STRING_EQUAL (seen->body, text);
+  CU_ASSERT_EQUAL (seen->end.end.status, 200);
+  fake_stop (&fake);
+  CU_ASSERT_STRING_EQUAL (fake.path, "/v1/chat/completions");
+  CU_ASSERT_STRING_EQUAL (fake.program, "p-1");
+  CU_ASSERT_STRING_EQUAL (fake.key, "p-1/main/1");
+  CU_ASSERT_STRING_EQUAL (fake.body, chat_body);
+  talloc_free (seen);
+}
+
+/* Three bytes a chunk, so every line and every number is split somewhere. */
+static void
+test_stream_in_slices (void)
+{
+  static const char text[] = "data: {\"choices\":[{\"delta\":{\"content\":\"ja\"}}]}\r\n\r\n"
+                             ": comment\n\n"
+                             "data: {\"choices\":[]," USAGE "}\n\n"
+                             "data: [DONE]\n\n";
+  struct Seen *seen = seen_new ();
+  struct BackendRequest request;
+  struct Fake fake;
+
+  fake_start (&fake, FAKE_STREAM, text);
+  request = chat_request (fake.address, true);
+  seen_run (seen, &request);
+  assert_end (seen, ERROR_NONE, RAN_YES);
+  assert_usage (seen);
+  CU_ASSERT_STRING_EQUAL (seen->body, text);
+  fake_stop (&fake);
+  CU_ASSERT_PTR_NOT_NULL (strstr (fake.body, "{\"stream_options\":{\"include_usage\":true},"
+                                             "\"model\":\"m\""));
+  talloc_free (seen);
+}
+
+static void
+test_stream_that_reports_an_error (void)
+{
+  struct Seen *seen = seen_new ();
+  struct BackendRequest request;
+  struct Fake fake;
+
+  fake_start (&fake, FAKE_STREAM,
+              "data: {\"error\":{\"message\":\"out of memory\"}}\n\ndata: [DONE]");
+  request = chat_request (fake.address, true);
+  seen_run (seen, &request);
+  assert_end (seen, ERROR_BACKEND, RAN_YES);
+  fake_stop (&fake);
+  talloc_free (seen);
+}
+
+/* A cook would read half an answer as the whole one: the server dies in mid-stream, the
+ * connection ends in an orderly way, and HTTP sees nothing wrong. */
+static void
+test_stream_without_its_end_is_not_whole (void)
+{
+  struct Seen *seen = seen_new ();
+  struct BackendRequest request;
+  struct Fake fake;
+
+  fake_start (&fake, FAKE_STREAM, "data: {\"choices\":[]," USAGE "}\n\n");
+  request = chat_request (fake.address, true);
+  seen_run (seen, &request);
+  assert_end (seen, ERROR_UNKNOWN_EFFECT, RAN_MAYBE);
+  fake.mode = FAKE_STREAM_BROKEN;
+  seen_run (seen, &request);
+  assert_end (seen, ERROR_UNKNOWN_EFFECT, RAN_MAYBE);
+  fake.mode = FAKE_ANSWER;
+  fake.text = "{\"choices\":[{\"mess";
+  request = chat_request (fake.address, false);
+  seen_run (seen, &request);
+  assert_end (seen, ERROR_UNKNOWN_EFFECT, RAN_MAYBE);
+  fake_stop (&fake);
+  talloc_free (seen);
+}
+
+static void
+test_refused_connection_did_not_run (void)
+{
+  struct Seen *seen = seen_new ();
+  struct BackendRequest request;
+  struct Fake fake;
+
+  fake_start (&fake, FAKE_ANSWER, "");
+  fake_stop (&fake); /* nobody listens at its address now */
+  request = service_request (fake.address);
+  seen_run (seen, &request);
+  assert_end (seen, ERROR_UNREACHABLE, RAN_NO);
+  talloc_free (seen);
+}
+
+/* The server's queue of new connections is full: the time for the request is over before the
+ * connection stands, and no byte of it has left. */
+static void
+test_timeout_before_connecting_did_not_run (void)
+{
+  struct Seen *seen = seen_new ();
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  socklen_t address_bytes = sizeof address;
+  struct BackendRequest request;
+  char text[64];
+  int waiting[4];
+  int listener = socket (AF_INET, SOCK_STREAM, 0);
+
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  CU_ASSERT_EQUAL_FATAL (bind (listener, (struct sockaddr *)&address, sizeof address), 0);
+  CU_ASSERT_EQUAL_FATAL (listen (listener, 0), 0);
+  getsockname (listener, (struct sockaddr *)&address, &address_bytes);
+  for (size_t i = 0; i < 4; i++)
+    {
+      waiting[i] = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+      (void)connect (waiting[i], (struct sockaddr *)&address, sizeof address);
+    }
+  snprintf (text, sizeof text, "127.0.0.1:%u", (unsigned)ntohs (address.sin_port));
+  request = service_request (text);
+  request.timeout_ms = 200;
+  seen_run (seen, &request);
+  assert_end (seen, ERROR_UNREACHABLE, RAN_NO);
+  for (size_t i = 0; i < 4; i++)
+    close (waiting[i]);
+  close (listener);
+  talloc_free (seen);
+}
+
+/* A contractor is paid two advances: the service confirms a wage, then closes a connection that
+ * was already used, without an answer. libcurl takes that for a stale connection and sends the
+ * POST again by itself, below any rule of ours. */
+static void
+test_close_after_run_on_a_used_connection_runs_once (void)
+{
+  struct Seen *seen = seen_new ();
+  struct BackendRequest request;
+  struct Fake fake;
+
+  fake_start (&fake, FAKE_ANSWER, "{}");
+  request = service_request (fake.address);
+  seen_run (seen, &request);
+  assert_end (seen, ERROR_NONE, RAN_YES);
+  fake.mode = FAKE_CLOSE_AFTER_RUN;
+  fake.n_runs = 0;
+  seen_run (seen, &request);
+  assert_end (seen, ERROR_UNKNOWN_EFFECT, RAN_MAYBE);
+  CU_ASSERT_EQUAL (fake.n_runs, 1);
+  fake_stop (&fake);
+  CU_ASSERT_STRING_EQUAL (fake.path, "/wages/confirm");
+  talloc_free (seen);
+}
+
+static void
+test_timeout_after_sending_may_have_run (void)
+{
+  struct Seen *seen = seen_new ();
+  struct BackendRequest request;
+  struct Fake fake;
+
+  fake_start (&fake, FAKE_HANG, "");
+  request = service_request (fake.address);
+  request.timeout_ms = 200;
+  seen_run (seen, &request);
+  assert_end (seen, ERROR_TIMEOUT, RAN_MAYBE);
+  fake_stop (&fake);
+  talloc_free (seen);
+}
+
+static void
+test_failure_status (void)
+{
+  struct Seen *seen = seen_new ();
+  struct BackendRequest request;
+  struct Fake fake;
+
+  fake_start (&fake, FAKE_ANSWER, "{\"error\":{}}");
+  request = service_request (fake.address);
+  fake.status = 503;
+  seen_run (seen, &request);
+  assert_end (seen, ERROR_BACKEND, RAN_YES);
+  CU_ASSERT_EQUAL (seen->end.end.status, 503);
+  fake.refuse_not_run = true;
+  seen_run (seen, &request);
+  assert_end (seen, ERROR_BACKEND, RAN_NO);
+  fake.status = 500; /* may have failed after it began: the header is not believed */
+  seen_run (seen, &request);
+  assert_end (seen, ERROR_BACKEND, RAN_YES);
+  fake_stop (&fake);
+  talloc_free (seen);
+}
+
+/* The caller gives up from inside the chunk callback, where libcurl forbids to end a request. */
+static void
+test_cancel_in_mid_stream (void)
+{
+  struct Seen *seen = seen_new ();
+  struct BackendRequest request;
+  struct Fake fake;
+
+  fake_start (&fake, FAKE_STREAM_ENDLESS, "data: {\"choices\":[]}\n\n");
+  request = chat_request (fake.address, true);
+  seen->cancel_on_chunk = true;
+  seen_run (seen, &request);
+  assert_end (seen, ERROR_CANCELLED, RAN_MAYBE);
+  seen->port->cancel (seen->port, seen->ticket); /* over: nothing happens */
+  seen_turn_loop (seen);
+  CU_ASSERT_EQUAL (seen->n_ends, 1);
+  fake_stop (&fake);
+  talloc_free (seen);
+}
+
+static void
+test_freeing_the_port_in_mid_call_is_silent (void)
+{
+  struct Seen *seen = seen_new ();
+  struct BackendRequest request;
+  struct Fake fake;
+
+  fake_start (&fake, FAKE_STREAM_ENDLESS, "data: {}\n\n");
+  request = chat_request (fake.address, true);
+  seen_submit (seen, &request);
+  while (seen->body_bytes == 0)
+    tevent_loop_once (seen->events);
+  TALLOC_FREE (seen->port);
+  CU_ASSERT_EQUAL (seen->n_ends, 0);
+  fake_stop (&fake);
+  talloc_free (seen);
+}
+
+static void
+test_release_and_report (void)
+{
+  struct Seen *seen = seen_new ();
+  struct BackendRequest request = { .op = BACKEND_OP_RELEASE };
+  struct Fake fake;
+
+  fake_start (&fake, FAKE_ANSWER,
+              "{\"running\":3,\"waiting\":2,\"cache_used_tokens\":50,"
+              "\"cache_capacity_tokens\":900,\"last_event\":77,\"engine_incarnation\":\"i-1\"}");
+  request.address = fake.address;
+  request.release.program = "p-\"1\"";
+  seen_run (seen, &request);
+  assert_end (seen, ERROR_NONE, RAN_YES);
+  CU_ASSERT_EQUAL (seen->body_bytes, 0);
+  request.op = BACKEND_OP_REPORT;
+  request.report.after_event = 0;
+  seen_run (seen, &request);
+  assert_end (seen, ERROR_NONE, RAN_YES);
+  CU_ASSERT_TRUE (seen->end.end.has_load);
+  CU_ASSERT_EQUAL (seen->end.end.load.running, 3);
+  CU_ASSERT_EQUAL (seen->end.end.load.cache_capacity_tokens, 900);
+  CU_ASSERT_EQUAL (seen->end.end.load.last_event, 77);
+  CU_ASSERT_STRING_EQUAL (seen->end.end.load.engine_incarnation, "i-1");
+  fake_stop (&fake);
+  CU_ASSERT_STRING_EQUAL (fake.path, "/load");
+  CU_ASSERT_STRING_EQUAL (fake.body, "");
+  talloc_free (seen);
+}
+
+/* A caller could otherwise add headers, or name another host, through its program id or path. */
+static void
+test_unsafe_words_are_refused (void)
+{
+  struct Seen *seen = seen_new ();
+  struct BackendRequest request = service_request ("127.0.0.1:1");
+
+  request.call.path = "@other.example/";
+  CU_ASSERT_EQUAL (seen->port->submit (seen->port, &request, seen_on_event, seen, &seen->ticket),
+                   ERROR_INVALID);
+  request.call.path = "/a\r\nX-Ran: not_run";
+  CU_ASSERT_EQUAL (seen->port->submit (seen->port, &request, seen_on_event, seen, &seen->ticket),
+                   ERROR_INVALID);
+  request.call.path = "/a";
+  request.call.program = "p\r\nIdempotency-Key: other";
+  CU_ASSERT_EQUAL (seen->port->submit (seen->port, &request, seen_on_event, seen, &seen->ticket),
+                   ERROR_INVALID);
+  talloc_free (seen);
+}
+
+const char test_suite_name[] = "backend_http";
+const struct TestCase test_cases[] = {
+  { "whole answer", test_whole_answer },
+  { "stream in slices", test_stream_in_slices },
+  { "stream that reports an error", test_stream_that_reports_an_error },
+  { "stream without its end is not whole", test_stream_without_its_end_is_not_whole },
+  { "refused connection did not run", test_refused_connection_did_not_run },
+  { "timeout before connecting did not run", test_timeout_before_connecting_did_not_run },
+  { "close after run on a used connection runs once",
+    test_close_after_run_on_a_used_connection_runs_once },
+  { "timeout after sending may have run", test_timeout_after_sending_may_have_run },
+  { "failure status", test_failure_status },
+  { "cancel in mid-stream", test_cancel_in_mid_stream },
+  { "freeing the port in mid-call is silent", test_freeing_the_port_in_mid_call_is_silent },
+  { "release and report", test_release_and_report },
+  { "unsafe words are refused", test_unsafe_words_are_refused },
+  { NULL, NULL },
+};
