--- /dev/null
+++ b/tests/standins/engine_completion.h
@@ -0,0 +1,9 @@
+/* POST /v1/chat/completions of the engine stand-in, whole or streamed. */
+#pragma once
+
+#include "engine_model.h"
+#include "http_server.h"
+
+/* Answers request in the OpenAI chat shape under model_name, which must outlive the request. */
+enum MHD_Result
+engine_complete (struct EngineModel *model, const char *model_name, struct StandinRequest *request);
