--- a/tests/standins/standin.h
+++ b/tests/standins/standin.h
@@ -1,14 +1,9 @@
-/* Stand-ins for outside systems, gathered in one test-only binary. */
+/* The commands of buckthornhead-standin: one outside system each, in a file of its own. */
 #pragma once
 
-struct Standin
-{
-  const char *name;
-  int (*run) (int argc, char **argv); /* argv[0] is the stand-in's name */
-  const char *help;
-};
+#include <stdint.h>
 
-int
-standin_engine_run (int argc, char **argv);
-int
-standin_tool_run (int argc, char **argv);
+/* argv[0] is the command's name. Returns the process's exit status. */
+int32_t platform_run (int argc, char **argv);
+int standin_engine_run (int argc, char **argv);
+int standin_tool_run (int argc, char **argv);
