--- a/adapters/curl_loop.c
+++ b/adapters/curl_loop.c
@@ -14,7 +14,7 @@
   struct tevent_context *events;
   struct tevent_timer *timer;
   CURLM *multi;
-  TALLOC_CTX *calls; /* parent of every call */
+  TALLOC_CTX *calls; /* parent of every CurlCall */
   bool in_chunk;     /* inside curl: its handles may be neither added nor removed now */
 };
 
@@ -202,8 +202,8 @@
 static int
 curl_loop_free (struct CurlLoop *loop)
 {
-  /* The calls' handles leave the multi handle before it goes. */
-  talloc_free (loop->calls);
+  /* A call's destructor takes its handle out of multi, which must still exist then. */
+  TALLOC_FREE (loop->calls);
   curl_multi_cleanup (loop->multi);
   return 0;
 }
@@ -218,8 +218,9 @@
   loop->events = events;
   loop->calls = talloc_new (loop);
   loop->multi = curl_multi_init ();
-  if (loop->multi == NULL)
+  if (loop->calls == NULL || loop->multi == NULL)
     {
+      curl_multi_cleanup (loop->multi);
       talloc_free (loop);
       return NULL;
     }
@@ -305,8 +306,6 @@
 {
   if (request->body == NULL || request->body_bytes == 0)
     {
-      if (strcmp (request->method, "GET") != 0)
-        curl_easy_setopt (call->easy, CURLOPT_FRESH_CONNECT, 1L);
       if (request->body != NULL)
         curl_easy_setopt (call->easy, CURLOPT_POSTFIELDS, "");
       return;
@@ -358,6 +357,9 @@
     curl_easy_setopt (call->easy, CURLOPT_TIMEOUT_MS, (long)request->timeout_ms);
   if (request->connect_timeout_ms > 0)
     curl_easy_setopt (call->easy, CURLOPT_CONNECTTIMEOUT_MS, (long)request->connect_timeout_ms);
+  if (request->fresh_connection || (call->body == NULL && strcmp (request->method, "GET") != 0))
+    curl_easy_setopt (call->easy, CURLOPT_FRESH_CONNECT, 1L);
+  curl_easy_setopt (call->easy, CURLOPT_FORBID_REUSE, request->fresh_connection ? 1L : 0L);
   curl_call_do_later (call);
   return call;
 
@@ -365,3 +367,19 @@
   talloc_free (call);
   return NULL;
 }
+
+const char *
+curl_call_header (struct CurlCall *call, const char *name)
+{
+  struct curl_header *header = NULL;
+
+  if (curl_easy_header (call->easy, name, 0, CURLH_HEADER, -1, &header) != CURLHE_OK)
+    return NULL;
+  return header->value;
+}
+
+struct tevent_context *
+curl_loop_events (const struct CurlLoop *loop)
+{
+  return loop->events;
+}
