Stand-in: a caller that runs a scripted program

Cause: golden sessions and failure tests need the caller's own view: it asks where to connect, keeps the answer as long as it may, resends under the same sequence number, honours Retry-After, and runs sub-agents at the same time.

The backend port no longer asks for usage in streams: the callers' HTTP already writes stream_options into each chat body; the rule stood twice.

--- a/adapters/backend_http.c
+++ b/adapters/backend_http.c
@@ -366,33 +366,6 @@
   return true;
 }
 
-/* Engines name the usage of a stream only when asked for it, and the budget is charged by it. */
-static int32_t
-backend_call_set_body (TALLOC_CTX *ctx,
-                       const struct BackendRequest *request,
-                       struct HttpRequest *http_request)
-{
-  static const char key[] = "\"stream_options\"";
-  static const char asked[] = "{\"stream_options\":{\"include_usage\":true},";
-  const uint8_t *body = request->call.body;
-  size_t n_bytes = request->call.body_bytes;
-  uint8_t *copy;
-
-  http_request->body = body;
-  http_request->body_bytes = n_bytes;
-  if (request->call.target_kind != CALL_TARGET_ENGINE || !request->call.stream || n_bytes == 0
-      || body[0] != '{' || memmem (body, n_bytes, key, sizeof key - 1) != NULL)
-    return ERROR_NONE;
-  copy = talloc_array (ctx, uint8_t, n_bytes - 1 + sizeof asked - 1);
-  if (copy == NULL)
-    return ERROR_NO_MEMORY;
-  memcpy (copy, asked, sizeof asked - 1);
-  memcpy (copy + sizeof asked - 1, body + 1, n_bytes - 1);
-  http_request->body = copy;
-  http_request->body_bytes = n_bytes - 1 + sizeof asked - 1;
-  return ERROR_NONE;
-}
-
 static int32_t
 backend_call_prepare (TALLOC_CTX *ctx,
                       const struct BackendRequest *request,
@@ -412,7 +385,9 @@
   headers[2] = talloc_asprintf (ctx, "Idempotency-Key: %s", key);
   /* See HttpRequest: the server may run the call, then close without an answer. */
   http_request->fresh_connection = true;
-  return backend_call_set_body (ctx, request, http_request);
+  http_request->body = request->call.body;
+  http_request->body_bytes = request->call.body_bytes;
+  return ERROR_NONE;
 }
 
 static int32_t
--- /dev/null
+++ b/tests/standins/caller.c
@@ -0,0 +1,423 @@
+/* Runs a scripted program as an agent service would and prints one JSON line a step.
+ *
+ * Script: {"steps": [STEP...]}. A step has one of these keys, and may have "expect", an object
+ * whose members must equal those of the step's line:
+ *   "create": body of POST /v1/programs
+ *   "call": {"model", "system"?, "user"? | "tool_result": true, "max_tokens"?, "stream"?}
+ *           or {"service", "path", "body"?, "idempotent"?}
+ *   "lone": {"service", "path", "key", "body"?}: a call outside any program
+ *   "pause_ms": a tool runs at the caller's side
+ *   "sub_agents": [{"branch", "steps"}...], at the same time
+ *   "state", "history": true
+ *   "end": reason */
+#include "caller_client.h"
+#include "standin.h"
+
+#include <getopt.h>
+#include <inttypes.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <curl/curl.h>
+
+enum
+{
+  GIVE_UP_MS = 60000,
+  HEADERS_MAX = 4,
+  HEADER_BYTES = 256
+};
+
+/* One line of calls of a program: its main branch or a sub-agent. */
+struct Agent
+{
+  struct CallerOptions options;
+  struct CallerClient *client;
+  char program[80];
+  char branch[80];
+  uint64_t sequence; /* of the last call */
+  json_t *messages;
+  char *tool_result; /* answer of the last service call */
+  json_t *lines;     /* what the steps print, in order */
+  bool unmet;        /* an expectation was */
+  const json_t *steps;
+};
+
+static void
+agent_run (struct Agent *agent);
+
+static const char *
+text_of (const json_t *object, const char *name, const char *fallback)
+{
+  const char *text = json_string_value (json_object_get (object, name));
+
+  return text != NULL ? text : fallback;
+}
+
+static void
+agent_init (struct Agent *agent, const struct CallerOptions *options, const char *branch)
+{
+  memset (agent, 0, sizeof *agent);
+  agent->options = *options;
+  agent->client = caller_client_new (options);
+  agent->messages = json_array ();
+  agent->lines = json_array ();
+  snprintf (agent->branch, sizeof agent->branch, "%s", branch);
+}
+
+static void
+agent_clear (struct Agent *agent)
+{
+  caller_client_free (agent->client);
+  json_decref (agent->messages);
+  json_decref (agent->lines);
+  free (agent->tool_result);
+}
+
+static void
+line_add_answer (json_t *line, const struct CallerAnswer *answer)
+{
+  json_object_set_new (line, "status", json_integer (answer->status));
+  if (answer->ran[0] != '\0')
+    json_object_set_new (line, "ran", json_string (answer->ran));
+  if (answer->has_charge)
+    json_object_set_new (line, "charge_tokens", json_integer ((json_int_t)answer->charge_tokens));
+  if (answer->n_attempts > 1)
+    json_object_set_new (line, "attempts", json_integer (answer->n_attempts));
+  if (answer->error != NULL)
+    json_object_set (line, "error", answer->error);
+}
+
+static void
+agent_create (struct Agent *agent, const json_t *body, json_t *line)
+{
+  char *text = json_dumps (body, JSON_COMPACT);
+  struct CallerRequest request = {
+    .method = "POST",
+    .path = "/v1/programs",
+    .program = text_of (body, "program", ""),
+    .body = text,
+  };
+  struct CallerAnswer answer;
+
+  caller_client_send (agent->client, &request, &answer);
+  snprintf (agent->program, sizeof agent->program, "%s", text_of (answer.body, "program", ""));
+  line_add_answer (line, &answer);
+  json_object_set_new (line, "program", json_string (agent->program));
+  caller_answer_clear (&answer);
+  free (text);
+}
+
+static void
+agent_add_message (struct Agent *agent, const char *role, const char *content)
+{
+  if (content != NULL)
+    json_array_append_new (agent->messages,
+                           json_pack ("{s:s, s:s}", "role", role, "content", content));
+}
+
+static json_t *
+agent_chat_body (struct Agent *agent, const json_t *call)
+{
+  json_t *body = json_pack ("{s:s}", "model", text_of (call, "model", ""));
+  json_t *max_tokens = json_object_get (call, "max_tokens");
+
+  agent_add_message (agent, "system", text_of (call, "system", NULL));
+  agent_add_message (agent, "user", text_of (call, "user", NULL));
+  if (json_is_true (json_object_get (call, "tool_result")))
+    agent_add_message (agent, "tool", agent->tool_result);
+  json_object_set (body, "messages", agent->messages);
+  if (max_tokens != NULL)
+    json_object_set (body, "max_tokens", max_tokens);
+  if (json_is_true (json_object_get (call, "stream")))
+    json_object_set_new (body, "stream", json_true ());
+  return body;
+}
+
+static void
+agent_take_chat (struct Agent *agent, const struct CallerAnswer *answer, bool stream, json_t *line)
+{
+  const json_t *choice = json_array_get (json_object_get (answer->body, "choices"), 0);
+  const char *content =
+      stream ? answer->text : text_of (json_object_get (choice, "message"), "content", NULL);
+
+  if (content == NULL || answer->error != NULL || answer->status != 200)
+    return;
+  json_object_set_new (line, "answer", json_string (content));
+  agent_add_message (agent, "assistant", content);
+}
+
+static void
+agent_take_service (struct Agent *agent, const struct CallerAnswer *answer, json_t *line)
+{
+  if (answer->error != NULL || answer->status == 0)
+    return;
+  free (agent->tool_result);
+  agent->tool_result = strdup (answer->text);
+  if (answer->body != NULL)
+    json_object_set (line, "answer", answer->body);
+  else
+    json_object_set_new (line, "answer", json_string (answer->text));
+}
+
+static void
+agent_call (struct Agent *agent, const json_t *call, json_t *line)
+{
+  const char *service = text_of (call, "service", NULL);
+  char headers[HEADERS_MAX][HEADER_BYTES];
+  const char *header_list[HEADERS_MAX];
+  struct CallerRequest request = { .method = "POST", .program = agent->program };
+  struct CallerAnswer answer;
+  json_t *body = service != NULL ? json_incref (json_object_get (call, "body"))
+                                 : agent_chat_body (agent, call);
+  char *text = body != NULL ? json_dumps (body, JSON_COMPACT) : strdup ("");
+  char path[256];
+
+  agent->sequence++;
+  snprintf (path, sizeof path, "/v1/programs/%s/calls?branch=%s&sequence=%" PRIu64, agent->program,
+            agent->branch, agent->sequence);
+  request.path = path;
+  request.body = text;
+  request.stream = service == NULL && json_is_true (json_object_get (call, "stream"));
+  request.headers = header_list;
+  for (size_t i = 0; i < HEADERS_MAX; i++)
+    header_list[i] = headers[i];
+  if (json_object_get (call, "idempotent") != NULL)
+    snprintf (headers[request.n_headers++], HEADER_BYTES, "Idempotent: %s",
+              json_is_true (json_object_get (call, "idempotent")) ? "true" : "false");
+  if (service != NULL)
+    {
+      snprintf (headers[request.n_headers++], HEADER_BYTES, "X-Target-Service: %s", service);
+      snprintf (headers[request.n_headers++], HEADER_BYTES, "X-Target-Path: %s",
+                text_of (call, "path", "/"));
+    }
+  caller_client_send (agent->client, &request, &answer);
+  json_object_set_new (line, "branch", json_string (agent->branch));
+  json_object_set_new (line, "sequence", json_integer ((json_int_t)agent->sequence));
+  line_add_answer (line, &answer);
+  if (service != NULL)
+    agent_take_service (agent, &answer, line);
+  else
+    agent_take_chat (agent, &answer, request.stream, line);
+  caller_answer_clear (&answer);
+  json_decref (body);
+  free (text);
+}
+
+static void
+agent_lone (struct Agent *agent, const json_t *call, json_t *line)
+{
+  const json_t *body = json_object_get (call, "body");
+  char *text = body != NULL ? json_dumps (body, JSON_COMPACT) : strdup ("");
+  char key[HEADER_BYTES];
+  const char *header = key;
+  char path[256];
+  struct CallerRequest request = {
+    .method = "POST",
+    .path = path,
+    .program = "",
+    .headers = &header,
+    .n_headers = 1,
+    .body = text,
+  };
+  struct CallerAnswer answer;
+
+  snprintf (key, sizeof key, "Idempotency-Key: %s", text_of (call, "key", ""));
+  snprintf (path, sizeof path, "/v1/services/%s%s", text_of (call, "service", ""),
+            text_of (call, "path", "/"));
+  caller_client_send (agent->client, &request, &answer);
+  line_add_answer (line, &answer);
+  agent_take_service (agent, &answer, line);
+  caller_answer_clear (&answer);
+  free (text);
+}
+
+/* state, history, end. */
+static void
+agent_ask (struct Agent *agent, const char *verb, const char *reason, json_t *line)
+{
+  char path[256];
+  char *body = NULL;
+  struct CallerRequest request = { .method = "GET", .path = path, .program = agent->program };
+  struct CallerAnswer answer;
+
+  snprintf (path, sizeof path, "/v1/programs/%s%s%s", agent->program, verb[0] != '\0' ? "/" : "",
+            verb);
+  if (reason != NULL)
+    {
+      json_t *json = json_pack ("{s:s}", "reason", reason);
+
+      body = json_dumps (json, JSON_COMPACT);
+      json_decref (json);
+      request.method = "POST";
+      request.body = body;
+    }
+  caller_client_send (agent->client, &request, &answer);
+  line_add_answer (line, &answer);
+  if (answer.body != NULL && answer.error == NULL)
+    json_object_set (line, "answer", answer.body);
+  caller_answer_clear (&answer);
+  free (body);
+}
+
+static void *
+sub_agent_thread (void *data)
+{
+  agent_run (data);
+  return NULL;
+}
+
+/* Runs them at the same time; their lines come in the script's order. */
+static void
+agent_run_sub_agents (struct Agent *agent, const json_t *list, json_t *line)
+{
+  size_t n = json_array_size (list);
+  struct Agent *subs = calloc (n, sizeof *subs);
+  pthread_t *threads = calloc (n, sizeof *threads);
+  json_t *printed = json_array ();
+
+  for (size_t i = 0; i < n; i++)
+    {
+      const json_t *item = json_array_get (list, i);
+
+      agent_init (&subs[i], &agent->options, text_of (item, "branch", "sub"));
+      snprintf (subs[i].program, sizeof subs[i].program, "%s", agent->program);
+      subs[i].steps = json_object_get (item, "steps");
+      pthread_create (&threads[i], NULL, sub_agent_thread, &subs[i]);
+    }
+  for (size_t i = 0; i < n; i++)
+    {
+      pthread_join (threads[i], NULL);
+      agent->unmet |= subs[i].unmet;
+      json_array_append (printed, subs[i].lines);
+      agent_clear (&subs[i]);
+    }
+  json_object_set_new (line, "sub_agents", printed);
+  free (threads);
+  free (subs);
+}
+
+static void
+agent_check (struct Agent *agent, const json_t *expected, json_t *line)
+{
+  json_t *unmet = json_object ();
+  const char *name;
+  json_t *value;
+
+  json_object_foreach ((json_t *)expected, name, value)
+  {
+    if (!json_equal (json_object_get (line, name), value))
+      json_object_set (unmet, name, value);
+  }
+  if (json_object_size (unmet) > 0)
+    {
+      agent->unmet = true;
+      json_object_set (line, "unmet", unmet);
+    }
+  json_decref (unmet);
+}
+
+static const char *
+agent_do (struct Agent *agent, const json_t *step, json_t *line)
+{
+  const json_t *what;
+
+  if ((what = json_object_get (step, "create")) != NULL)
+    return agent_create (agent, what, line), "create";
+  if ((what = json_object_get (step, "call")) != NULL)
+    return agent_call (agent, what, line), "call";
+  if ((what = json_object_get (step, "lone")) != NULL)
+    return agent_lone (agent, what, line), "lone";
+  if ((what = json_object_get (step, "pause_ms")) != NULL)
+    return usleep ((useconds_t)json_integer_value (what) * 1000), "pause";
+  if ((what = json_object_get (step, "sub_agents")) != NULL)
+    return agent_run_sub_agents (agent, what, line), "sub_agents";
+  if (json_object_get (step, "state") != NULL)
+    return agent_ask (agent, "", NULL, line), "state";
+  if (json_object_get (step, "history") != NULL)
+    return agent_ask (agent, "history", NULL, line), "history";
+  if ((what = json_object_get (step, "end")) != NULL)
+    return agent_ask (agent, "end", json_string_value (what), line), "end";
+  return "unknown step";
+}
+
+static void
+agent_run (struct Agent *agent)
+{
+  size_t i;
+  json_t *step;
+
+  json_array_foreach (agent->steps, i, step)
+  {
+    json_t *line = json_pack ("{s:s}", "do", "");
+
+    json_object_set_new (line, "do", json_string (agent_do (agent, step, line)));
+    agent_check (agent, json_object_get (step, "expect"), line);
+    json_array_append_new (agent->lines, line);
+    if (strcmp (agent->branch, "main") == 0)
+      {
+        char *text = json_dumps (line, JSON_COMPACT | JSON_PRESERVE_ORDER);
+
+        puts (text);
+        fflush (stdout);
+        free (text);
+      }
+  }
+}
+
+int
+standin_caller_run (int argc, char **argv)
+{
+  static const struct option names[] = {
+    { "entry", required_argument, NULL, 'e' },
+    { "script", required_argument, NULL, 's' },
+    { "give-up-ms", required_argument, NULL, 'g' },
+    { NULL, 0, NULL, 0 },
+  };
+  struct CallerOptions options = { .give_up_ms = GIVE_UP_MS };
+  const char *script_file = NULL;
+  json_error_t error;
+  json_t *script;
+  struct Agent agent;
+  bool unmet;
+  int option;
+
+  while ((option = getopt_long (argc, argv, "", names, NULL)) != -1)
+    switch (option)
+      {
+      case 'e':
+        options.entries = optarg;
+        break;
+      case 's':
+        script_file = optarg;
+        break;
+      case 'g':
+        options.give_up_ms = strtoll (optarg, NULL, 10);
+        break;
+      default:
+        return 2;
+      }
+  if (options.entries == NULL || options.entries[0] == '\0' || script_file == NULL)
+    {
+      fprintf (stderr, "caller: --entry IP:PORT[,IP:PORT...] --script FILE\n");
+      return 2;
+    }
+  script = json_load_file (script_file, 0, &error);
+  if (script == NULL)
+    {
+      fprintf (stderr, "%s:%d: %s\n", script_file, error.line, error.text);
+      return 2;
+    }
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  agent_init (&agent, &options, "main");
+  agent.steps = json_object_get (script, "steps");
+  if (agent.client == NULL)
+    return 2;
+  agent_run (&agent);
+  unmet = agent.unmet;
+  agent_clear (&agent);
+  json_decref (script);
+  return unmet ? 1 : 0;
+}
--- a/tests/standins/main.c
+++ b/tests/standins/main.c
@@ -16,6 +16,7 @@
   { "platform", platform_run, "key-value service and list of backend servers" },
   { "engine", standin_engine_run, "model engine" },
   { "tool", standin_tool_run, "plain or tool service" },
+  { "caller", standin_caller_run, "a service that runs a scripted program" },
 };
 
 enum
