--- a/include/buckthornhead/peer_message.h
+++ b/include/buckthornhead/peer_message.h
@@ -27,7 +27,7 @@
   PEER_RELEASE = 8,  /* home to owner: drop a program's memory */
   PEER_CONFIG_WANT = 9,
   PEER_CONFIG_ENTRY = 10,
-  PEER_QUARANTINE = 11
+  PEER_QUARANTINE = 11 /* a backend server died while it ran a request */
 };
 
 /* What an entry asks of a home. */
@@ -138,6 +138,7 @@
     struct
     {
       uint8_t digest[DIGEST_BYTES];
+      char server[NAME_MAX_BYTES + 1]; /* that died while it ran the request */
     } quarantine;
   };
 };
--- a/tests/standins/standin.h
+++ b/tests/standins/standin.h
@@ -10,3 +10,8 @@
 standin_engine_run (int argc, char **argv);
 int
 standin_tool_run (int argc, char **argv);
+<<<<<<< HEAD
+=======
+int
+standin_caller_run (int argc, char **argv);
+>>>>>>> engine
