--- a/tests/standins/standin.h
+++ b/tests/standins/standin.h
@@ -10,8 +10,5 @@
 standin_engine_run (int argc, char **argv);
 int
 standin_tool_run (int argc, char **argv);
-<<<<<<< HEAD
-=======
 int
 standin_caller_run (int argc, char **argv);
->>>>>>> engine
