The command table, check-config, serve and ctl

A change's answer can be lost after it took effect, so ctl picks the change id itself, prints it before sending and settles a lost answer by it: asked back, and sent again under the same id where it is not known. Only an answer with a revision or a conflict is final after a first try was lost.

--- /dev/null
+++ b/ctl/ctl_change.c
@@ -0,0 +1,306 @@
+#include "change.h"
+
+#include <buckthornhead/config_key.h>
+#include <buckthornhead/settings.h>
+#include <buckthornhead/units.h>
+
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  SETTLE_DEFAULT_MS = 15000,
+  NAME_BYTES = 64
+};
+
+/* The options of every command that changes the configuration. */
+struct ChangeOptions
+{
+  struct CtlOptions ctl;
+  struct arg_str *reason;
+  struct arg_str *who;
+  struct arg_str *expect;
+  struct arg_str *change_id;
+  struct arg_str *settle;
+};
+
+/* What the command's own arguments say. */
+struct ChangeTarget
+{
+  const char *kind;
+  const char *name;
+  const char *text;
+  bool expects; /* when there is no --expect */
+  uint64_t expected_revision;
+};
+
+static bool
+change_options_new (struct ChangeOptions *options)
+{
+  options->reason = arg_str0 (NULL, "reason", "TEXT", "why, for the audit trail");
+  options->who = arg_str0 (NULL, "who", "NAME", "who, for the audit trail ($USER)");
+  options->expect = arg_str0 (NULL, "expect", "REVISION",
+                              "revision that is to be replaced: 0 for none yet, or 'any'");
+  options->change_id = arg_str0 (NULL, "change-id", "ID", "id of a change that is sent again");
+  options->settle = arg_str0 (NULL, "settle", "TIME", "how long to ask for a lost answer (15s)");
+  return ctl_options_new (&options->ctl);
+}
+
+static bool
+read_expectation (const struct ChangeOptions *options,
+                  struct ChangeRequest *change,
+                  const struct CommandIo *io)
+{
+  const char *text = options->expect->sval[0];
+
+  if (options->expect->count == 0)
+    return true;
+  change->expects = strcmp (text, "any") != 0;
+  change->expected_revision = 0;
+  if (!change->expects || units_parse (UNIT_NONE, text, &change->expected_revision) == ERROR_NONE)
+    return true;
+  fprintf (io->err, "'%s' is no revision; write its number, or 'any'\n", text);
+  return false;
+}
+
+static bool
+read_change_id (const struct ChangeOptions *options,
+                struct ChangeRequest *change,
+                const struct CommandIo *io)
+{
+  if (options->change_id->count == 0)
+    return change_id_new (change->change_id) == ERROR_NONE;
+  if (!config_name_is_valid (options->change_id->sval[0]))
+    {
+      fputs ("a change id has 1 to 64 letters, digits, '-', '_' and '.'\n", io->err);
+      return false;
+    }
+  snprintf (change->change_id, sizeof change->change_id, "%s", options->change_id->sval[0]);
+  return true;
+}
+
+static bool
+read_settle (const struct ChangeOptions *options,
+             struct ChangeRequest *change,
+             const struct CommandIo *io)
+{
+  change->settle_ms = SETTLE_DEFAULT_MS;
+  if (options->settle->count == 0
+      || units_parse (UNIT_TIME, options->settle->sval[0], &change->settle_ms) == ERROR_NONE)
+    return true;
+  fprintf (io->err, "'%s' is no time; write %s\n", options->settle->sval[0],
+           units_describe (UNIT_TIME));
+  return false;
+}
+
+static bool
+read_words (const struct ChangeOptions *options,
+            struct ChangeRequest *change,
+            const struct CommandIo *io)
+{
+  const char *user = getenv ("USER");
+
+  change->reason = options->reason->count > 0 ? options->reason->sval[0] : "";
+  change->who = options->who->count > 0 ? options->who->sval[0] : user;
+  if (change->who == NULL || change->who[0] == '\0')
+    change->who = "unknown";
+  if (strlen (change->reason) <= CHANGE_REASON_MAX_BYTES && strlen (change->who) <= NAME_MAX_BYTES)
+    return true;
+  fputs ("the reason has at most 255 bytes, the name of who changes at most 64\n", io->err);
+  return false;
+}
+
+static int
+send_target (const struct ChangeOptions *options,
+             const struct OperatorClient *client,
+             const struct ChangeTarget *target,
+             const struct CommandIo *io)
+{
+  struct ChangeRequest change = {
+    .kind = target->kind,
+    .name = target->name,
+    .text = target->text,
+    .expects = target->expects,
+    .expected_revision = target->expected_revision,
+  };
+
+  if (!config_name_is_valid (target->name))
+    {
+      fprintf (io->err, "'%s' is no name: 1 to 64 letters, digits, '-', '_' and '.'\n",
+               target->name);
+      return EXIT_CODE_USAGE;
+    }
+  if (!read_expectation (options, &change, io) || !read_change_id (options, &change, io)
+      || !read_settle (options, &change, io) || !read_words (options, &change, io))
+    return EXIT_CODE_USAGE;
+  return change_send (client, &change, options->ctl.json->count > 0, io);
+}
+
+/* Without --expect a profile is only created: whoever replaces one says which revision they saw,
+ * so that two shifts do not overwrite each other unseen. */
+static int
+apply_profile (const struct ChangeOptions *options, const char *file, const struct CommandIo *io)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct OperatorClient *client = ctl_client_new (ctx, &options->ctl, io);
+  struct ConfigFaults *faults = talloc_zero (ctx, struct ConfigFaults);
+  struct ChangeTarget target = { .kind = "profile", .expects = true };
+  struct Profile profile;
+  int exit_code = EXIT_CODE_USAGE;
+
+  if (client == NULL || faults == NULL)
+    goto out;
+  target.text = config_file_read (ctx, file, faults);
+  if (target.text == NULL || profile_parse (file, target.text, &profile, faults) != ERROR_NONE)
+    {
+      fputs (config_faults_render (ctx, faults), io->err);
+      goto out;
+    }
+  target.name = profile.name;
+  exit_code = send_target (options, client, &target, io);
+out:
+  talloc_free (ctx);
+  return exit_code;
+}
+
+static uint64_t
+service_revision (const json_t *body, const char *name)
+{
+  const json_t *services = json_object_get (body, "services");
+
+  for (size_t i = 0; i < json_array_size (services); i++)
+    {
+      const json_t *service = json_array_get (services, i);
+      const char *known = json_string_value (json_object_get (service, "name"));
+
+      if (known != NULL && strcmp (known, name) == 0)
+        return (uint64_t)json_integer_value (json_object_get (service, "revision"));
+    }
+  return 0;
+}
+
+/* Without --expect the revision is read first, so that of two operators at once one is told. */
+static int
+set_service (const struct ChangeOptions *options,
+             const char *name,
+             const char *profile,
+             const struct CommandIo *io)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct OperatorClient *client = ctl_client_new (ctx, &options->ctl, io);
+  struct ChangeTarget target = {
+    .kind = "service", .name = name, .text = profile, .expects = true
+  };
+  struct OperatorAnswer *services;
+  int exit_code = EXIT_CODE_USAGE;
+
+  if (client == NULL)
+    goto out;
+  if (options->expect->count == 0)
+    {
+      services = operator_get (ctx, client, "/operator/services");
+      if (services == NULL || services->error != ERROR_NONE)
+        {
+          exit_code = ctl_show (services, options->ctl.json->count > 0, NULL, io);
+          goto out;
+        }
+      target.expected_revision = service_revision (services->body, name);
+    }
+  exit_code = send_target (options, client, &target, io);
+out:
+  talloc_free (ctx);
+  return exit_code;
+}
+
+static int
+drain (const struct ChangeOptions *options,
+       const char *instance,
+       bool off,
+       const struct CommandIo *io)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct OperatorClient *client = ctl_client_new (ctx, &options->ctl, io);
+  struct ChangeTarget target = {
+    .kind = "drain", .name = instance, .text = off ? "off" : "on", .expects = false
+  };
+  int exit_code = EXIT_CODE_USAGE;
+
+  if (client != NULL)
+    exit_code = send_target (options, client, &target, io);
+  talloc_free (ctx);
+  return exit_code;
+}
+
+static bool
+parse_change (const struct CtlCommand *command,
+              const struct ChangeOptions *options,
+              void **argtable,
+              int argc,
+              char **argv,
+              const struct CommandIo *io,
+              int *exit_code)
+{
+  char name[NAME_BYTES];
+  struct CommandWords words = { name, command->summary };
+
+  snprintf (name, sizeof name, "buckthornhead ctl %s", command->words);
+  return command_parse (&words, &options->ctl.standard, argtable, argc, argv, io, exit_code);
+}
+
+#define CHANGE_ARGUMENTS(options)                                                                  \
+  (options).ctl.operators, (options).ctl.token_file, (options).ctl.json, (options).reason,         \
+      (options).who, (options).expect, (options).change_id, (options).settle,                      \
+      (options).ctl.standard.help, (options).ctl.standard.version
+
+int
+ctl_run_profile_apply (const struct CtlCommand *command,
+                       int argc,
+                       char **argv,
+                       const struct CommandIo *io)
+{
+  struct ChangeOptions options = { 0 };
+  bool complete = change_options_new (&options);
+  struct arg_file *file = arg_file1 (NULL, NULL, "FILE", "the profile's INI file");
+  void *argtable[] = { CHANGE_ARGUMENTS (options), file, options.ctl.standard.end };
+  int exit_code = EXIT_CODE_FAILED;
+
+  if (complete && parse_change (command, &options, argtable, argc, argv, io, &exit_code))
+    exit_code = apply_profile (&options, file->filename[0], io);
+  arg_freetable (argtable, sizeof argtable / sizeof argtable[0]);
+  return exit_code;
+}
+
+int
+ctl_run_service_set (const struct CtlCommand *command,
+                     int argc,
+                     char **argv,
+                     const struct CommandIo *io)
+{
+  struct ChangeOptions options = { 0 };
+  bool complete = change_options_new (&options);
+  struct arg_str *profile = arg_str1 (NULL, "profile", "PROFILE", "that it shall run under");
+  struct arg_str *name = arg_str1 (NULL, NULL, "SERVICE", "agent or application service");
+  void *argtable[] = { CHANGE_ARGUMENTS (options), profile, name, options.ctl.standard.end };
+  int exit_code = EXIT_CODE_FAILED;
+
+  if (complete && parse_change (command, &options, argtable, argc, argv, io, &exit_code))
+    exit_code = set_service (&options, name->sval[0], profile->sval[0], io);
+  arg_freetable (argtable, sizeof argtable / sizeof argtable[0]);
+  return exit_code;
+}
+
+int
+ctl_run_drain (const struct CtlCommand *command, int argc, char **argv, const struct CommandIo *io)
+{
+  struct ChangeOptions options = { 0 };
+  bool complete = change_options_new (&options);
+  struct arg_lit *off = arg_lit0 (NULL, "off", "take it back into service");
+  struct arg_str *instance = arg_str1 (NULL, NULL, "INSTANCE", "name of the instance");
+  void *argtable[] = { CHANGE_ARGUMENTS (options), off, instance, options.ctl.standard.end };
+  int exit_code = EXIT_CODE_FAILED;
+
+  if (complete && parse_change (command, &options, argtable, argc, argv, io, &exit_code))
+    exit_code = drain (&options, instance->sval[0], off->count > 0, io);
+  arg_freetable (argtable, sizeof argtable / sizeof argtable[0]);
+  return exit_code;
+}
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -1,8 +1,18 @@
-#include <stdio.h>
+#include <buckthornhead/daemon.h>
+
+#include <command.h>
+
+static const struct Command commands[] = {
+  { "serve", "run one instance", command_serve },
+  { "check-config", "check settings and profiles", command_check_config },
+  { "ctl", "see and change a running system", command_ctl },
+  { NULL, NULL, NULL },
+};
 
 int
-main (void)
+main (int argc, char **argv)
 {
-  puts ("buckthornhead " PRODUCT_VERSION);
-  return 0;
+  const struct CommandIo io = { stdout, stderr };
+
+  return command_dispatch (commands, argc, argv, &io);
 }
--- a/include/buckthornhead/exchange.h
+++ b/include/buckthornhead/exchange.h
@@ -64,20 +64,28 @@
   uint8_t bytes[];
 };
 
-struct Exchange *exchange_new (enum ExchangeKind kind);
-void exchange_release (struct Exchange *exchange);
+struct Exchange *
+exchange_new (enum ExchangeKind kind);
+void
+exchange_release (struct Exchange *exchange);
 
 /* Core thread. */
-void exchange_header (struct Exchange *exchange, const char *format, ...)
+void
+exchange_header (struct Exchange *exchange, const char *format, ...)
     __attribute__ ((format (printf, 2, 3)));
-void exchange_begin (struct Exchange *exchange, uint32_t status, bool event_stream);
-void exchange_chunk (struct Exchange *exchange, const void *bytes, size_t n_bytes);
-void exchange_end (struct Exchange *exchange);
+void
+exchange_begin (struct Exchange *exchange, uint32_t status, bool event_stream);
+void
+exchange_chunk (struct Exchange *exchange, const void *bytes, size_t n_bytes);
+void
+exchange_end (struct Exchange *exchange);
 /* Whole answer at once, and the end. */
-void exchange_answer (struct Exchange *exchange, uint32_t status, const void *body, size_t n_bytes);
+void
+exchange_answer (struct Exchange *exchange, uint32_t status, const void *body, size_t n_bytes);
 /* True when the connection is gone: what is still sent goes nowhere. */
-bool exchange_is_closed (struct Exchange *exchange);
+bool
+exchange_is_closed (struct Exchange *exchange);
 
 /* HTTP thread: queues MHD's response once the head is there. */
-enum MHD_Result exchange_queue_response (struct Exchange *exchange,
-                                         struct MHD_Connection *connection);
+enum MHD_Result
+exchange_queue_response (struct Exchange *exchange, struct MHD_Connection *connection);
--- a/include/buckthornhead/mailbox.h
+++ b/include/buckthornhead/mailbox.h
@@ -1,7 +1,7 @@
 /* Mailbox: how other threads hand work to the thread that runs an event loop.
  *
- * Posting is wait-free but for one wake-up write when the box was empty; the loop's thread takes all
- * that waits at once. Built on liburcu's wait-free queue. */
+ * Posting is wait-free but for one wake-up write when the box was empty; the loop's thread takes
+ * all that waits at once. Built on liburcu's wait-free queue. */
 #pragma once
 
 #include <stdint.h>
@@ -12,12 +12,12 @@
 
 enum MailKind
 {
-  MAIL_CALLER_REQUEST,  /* to the core: a caller's request is complete */
-  MAIL_CALLER_GONE,     /* to the core: its connection closed */
-  MAIL_BACKEND_CHUNK,   /* to the core: struct BackendMail */
-  MAIL_BACKEND_END,     /* to the core: struct BackendMail */
-  MAIL_BACKEND_SUBMIT,  /* to a backend thread */
-  MAIL_BACKEND_CANCEL,  /* to a backend thread */
+  MAIL_CALLER_REQUEST, /* to the core: a caller's request is complete */
+  MAIL_CALLER_GONE,    /* to the core: its connection closed */
+  MAIL_BACKEND_CHUNK,  /* to the core: struct BackendMail */
+  MAIL_BACKEND_END,    /* to the core: struct BackendMail */
+  MAIL_BACKEND_SUBMIT, /* to a backend thread */
+  MAIL_BACKEND_CANCEL, /* to a backend thread */
   MAIL_STOP
 };
 
@@ -37,4 +37,5 @@
 mailbox_new (TALLOC_CTX *ctx, struct tevent_context *events, MailFn receive, void *data);
 
 /* From any thread. */
-void mailbox_post (struct Mailbox *mailbox, struct Mail *mail);
+void
+mailbox_post (struct Mailbox *mailbox, struct Mail *mail);
--- a/include/buckthornhead/peer_net.h
+++ b/include/buckthornhead/peer_net.h
@@ -32,26 +32,34 @@
   void *data;
 };
 
-struct PeerNet *peer_net_new (TALLOC_CTX *ctx,
-                              struct tevent_context *events,
-                              struct TimerService *timers,
-                              const struct PeerNetOptions *options);
+struct PeerNet *
+peer_net_new (TALLOC_CTX *ctx,
+              struct tevent_context *events,
+              struct TimerService *timers,
+              const struct PeerNetOptions *options);
 
 /* ERROR_IO with the system's words in fault when the listener can not be opened. */
-int32_t peer_net_listen (struct PeerNet *net, struct Fault *fault);
+int32_t
+peer_net_listen (struct PeerNet *net, struct Fault *fault);
 
 /* Incarnation that later hellos carry. */
-void peer_net_set_incarnation (struct PeerNet *net, const char *incarnation);
+void
+peer_net_set_incarnation (struct PeerNet *net, const char *incarnation);
 
 /* Keeps a link to instance dialled at address from now on, until peer_net_forget. */
-void peer_net_know (struct PeerNet *net, const char *instance, const char *address);
-void peer_net_forget (struct PeerNet *net, const char *instance);
+void
+peer_net_know (struct PeerNet *net, const char *instance, const char *address);
+void
+peer_net_forget (struct PeerNet *net, const char *instance);
 
 /* Link over which requests to instance go, or PEER_LINK_NONE while it is not connected. */
-uint64_t peer_net_link_to (const struct PeerNet *net, const char *instance);
+uint64_t
+peer_net_link_to (const struct PeerNet *net, const char *instance);
 
 /* Queues message on link. ERROR_UNREACHABLE when the link is gone: it certainly never left. */
-int32_t peer_net_send (struct PeerNet *net, uint64_t link, const struct PeerMessage *message);
+int32_t
+peer_net_send (struct PeerNet *net, uint64_t link, const struct PeerMessage *message);
 
 /* Instances with a dialled link that is up. */
-uint32_t peer_net_n_connected (const struct PeerNet *net);
+uint32_t
+peer_net_n_connected (const struct PeerNet *net);
--- a/tests/standins/standin.h
+++ b/tests/standins/standin.h
@@ -4,6 +4,9 @@
 #include <stdint.h>
 
 /* argv[0] is the command's name. Returns the process's exit status. */
-int32_t platform_run (int argc, char **argv);
-int standin_engine_run (int argc, char **argv);
-int standin_tool_run (int argc, char **argv);
+int32_t
+platform_run (int argc, char **argv);
+int
+standin_engine_run (int argc, char **argv);
+int
+standin_tool_run (int argc, char **argv);
