--- /dev/null
+++ b/bench/policy_sim.h
@@ -0,0 +1,66 @@
+/* Runs the policy core against model engines in simulated time, and measures outcomes. */
+#pragma once
+
+#include <buckthornhead/policy.h>
+
+#include "workload.h"
+
+enum
+{
+  SIM_ENGINES_MAX = 16,
+  SIM_NAME_BYTES = 32
+};
+
+enum SimFault
+{
+  FAULT_NONE,
+  FAULT_SLOW,   /* one engine at a quarter of its speed, for the middle third */
+  FAULT_DEAD,   /* one engine dies after a third of the time and stays dead */
+  FAULT_FROZEN, /* reports stand still for 30 s */
+  FAULT_POISON  /* a request that crashes each engine which runs it */
+};
+
+struct SimOptions
+{
+  char scenario[SIM_NAME_BYTES];
+  struct EngineParams engine;
+  uint32_t n_engines;
+  enum ArrivalShape shape;
+  enum SimFault fault;
+  struct PolicyWeights weights;
+  uint64_t seed;
+  double load;
+  double duration_ms;
+  bool deadlines; /* enforced; else only counted */
+  bool reports;   /* engines report their cache size */
+  uint32_t digest_ms, report_ms;
+};
+
+struct Percentiles
+{
+  double mean, p50, p95, p99, most;
+};
+
+struct SimResult
+{
+  size_t n_programs, n_done, n_refused, n_late, n_failed;
+  struct Percentiles latency_ms; /* of programs that were done */
+  struct Percentiles short_ms;   /* of these, programs of one call */
+  struct Percentiles slowdown;   /* latency / ideal */
+  double wasted;                 /* prefix tokens computed again / prefix tokens seen */
+  double goodput_per_s;          /* done within their deadline, per second of arrivals */
+  double in_time;                /* share of all programs done within their deadline */
+  double refused_calls;
+  double fairness;                   /* Jain's index over the services' mean slowdown */
+  double wait_mean_ms, wait_most_ms; /* of one call in the queues */
+  double utilisation;                /* share of the engines' time with anything running */
+  double limit;                      /* mean of the engines' learned limits at the end */
+  double quarantined;
+};
+
+/* Fills in defaults and the named built-in scenario. False when there is none of that name. */
+bool
+sim_scenario (struct SimOptions *options, const char *name);
+
+void
+sim_run (const struct SimOptions *options, struct SimResult *result);
--- a/core/dispatch_queue.c
+++ b/core/dispatch_queue.c
@@ -223,7 +223,9 @@
     return false;
   active_set_called (&queue->set, program, call->item.prompt_tokens, now_ms);
   call->program = program;
-  call->expected_tokens = program->active ? program->context_tokens : 0;
+  /* The home's hint knows the branch: a sub-agent's first call has nothing cached, whatever its
+   * program holds. */
+  call->expected_tokens = program->active ? call->item.cached_tokens_hint : 0;
   call->ready = program->active;
   program->urgency = call->order.minor;
   program->n_waiting++;
