--- a/include/buckthornhead/curl_loop.h
+++ b/include/buckthornhead/curl_loop.h
@@ -20,6 +20,9 @@
   size_t body_bytes;
   int64_t timeout_ms; /* whole request; 0: none */
   int64_t connect_timeout_ms;
+  /* Uses a connection of its own. On a reused connection that closes without an answer libcurl
+   * sends the request again by itself, a POST too: a request that must not run twice needs this. */
+  bool fresh_connection;
 };
 
 struct HttpResult
@@ -40,10 +43,22 @@
 curl_loop_new (TALLOC_CTX *ctx, struct tevent_context *events);
 
 /* Starts a request; everything in it is copied. chunk may be NULL: the body is then collected.
- * done is called once, later, unless the call is freed first (talloc_free cancels silently). */
+ * done is called once, later, unless the call is freed first (talloc_free cancels silently). Both
+ * callbacks may submit and free calls, but not free the loop. A request is sent at most once. */
 struct CurlCall *
 curl_loop_submit (struct CurlLoop *loop,
                   const struct HttpRequest *request,
                   HttpChunkFn chunk,
                   HttpDone done,
                   void *data);
+
+/* From inside its chunk callback: takes no more of the answer; done follows, not whole. */
+void
+curl_call_stop (struct CurlCall *call);
+
+/* Value of a header of the answer, NULL when absent; valid during chunk and done only. */
+const char *
+curl_call_header (struct CurlCall *call, const char *name);
+
+struct tevent_context *
+curl_loop_events (const struct CurlLoop *loop);
