Test harness for sessions with real processes

Cause: failure tests must kill, pause and stop the daemon's own processes, and golden files need a whole deployment.

Ports: a bound socket locks a block of 64 below the ephemeral range, one block a session. Asking the system for a free port and closing it was ruled out, since tests that run at the same time get the same one. Children get SIGKILL when the test dies. Conditions are waited for up to 30 s; no test asserts a speed.

--- /dev/null
+++ b/tests/sessions/cluster.c
@@ -0,0 +1,303 @@
+#include "cluster.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+static const char *const zones[] = { "malda", "muzaffar-hall", "siliguri" };
+
+enum
+{
+  N_ZONES = sizeof zones / sizeof zones[0]
+};
+
+static const char *
+or_default (const char *text, const char *fallback)
+{
+  return text != NULL ? text : fallback;
+}
+
+static void
+node_init (struct Session *session, struct ClusterNode *node, const char *kind, uint32_t number)
+{
+  snprintf (node->name, sizeof node->name, "%s-%u", kind, number);
+  snprintf (node->address, sizeof node->address, "127.0.0.1:%u", (unsigned)session_port (session));
+}
+
+static bool
+cluster_start_platform (struct Cluster *cluster)
+{
+  struct ClusterNode *node = &cluster->platform;
+  const char *argv[] = { standin_path (), "platform", "--listen", node->address, NULL };
+
+  node->process = session_start (cluster->session, node->name, argv);
+  return node->process != NULL && wait_for_answer (node->address, "/instances");
+}
+
+bool
+cluster_start_engine (struct Cluster *cluster, uint32_t i)
+{
+  struct ClusterNode *node = &cluster->engines[i];
+  const char *argv[] = { standin_path (),
+                         "engine",
+                         "--listen",
+                         node->address,
+                         "--name",
+                         node->name,
+                         "--model",
+                         cluster->options.model,
+                         "--tokens-per-second",
+                         cluster->options.tokens_per_second,
+                         "--cache-tokens",
+                         cluster->options.engine_cache_tokens,
+                         NULL };
+
+  node->process = session_start (cluster->session, node->name, argv);
+  return node->process != NULL && wait_for_answer (node->address, "/load");
+}
+
+static bool
+cluster_start_tool (struct Cluster *cluster, uint32_t i)
+{
+  struct ClusterNode *node = &cluster->tools[i];
+  const char *argv[] = { standin_path (),       "tool", "--listen", node->address, "--name",
+                         cluster->options.tool, NULL };
+
+  node->process = session_start (cluster->session, node->name, argv);
+  return node->process != NULL && wait_for_answer (node->address, "/counts");
+}
+
+static char *
+settings_backends (struct Cluster *cluster, char *text)
+{
+  for (uint32_t i = 0; i < cluster->options.n_engines; i++)
+    text = talloc_asprintf_append (
+        text, "[backend %s]\nkind = engine\ntarget = %s\naddress = %s\nzone = %s\n\n",
+        cluster->engines[i].name, cluster->options.model, cluster->engines[i].address,
+        zones[i % N_ZONES]);
+  for (uint32_t i = 0; i < cluster->options.n_tools; i++)
+    text = talloc_asprintf_append (
+        text, "[backend %s]\nkind = service\ntarget = %s\naddress = %s\nzone = %s\n\n",
+        cluster->tools[i].name, cluster->options.tool, cluster->tools[i].address,
+        zones[i % N_ZONES]);
+  return text;
+}
+
+static void
+cluster_write_settings (struct Cluster *cluster, uint32_t i)
+{
+  struct ClusterNode *node = &cluster->instances[i];
+  char *text =
+      talloc_asprintf (NULL,
+                       "[instance]\nname = %s\nzone = %s\n\n"
+                       "[listen]\ncaller = %s\noperator = %s\npeer = 127.0.0.1:%u\n\n"
+                       "[platform]\nkv = http://%s\ninstances = http://%s/instances\n\n"
+                       "[homes]\npartitions = 16\ngroup_size = 4\nlease = %s\n\n",
+                       node->name, zones[i % N_ZONES], node->address, node->operator_address,
+                       (unsigned)session_port (cluster->session), cluster->platform.address,
+                       cluster->platform.address, cluster->options.lease);
+  char *file = talloc_asprintf (cluster, "%s.ini", node->name);
+
+  text = settings_backends (cluster, text);
+  node->file = session_write_file (cluster->session, file, text);
+  talloc_free (text);
+}
+
+bool
+cluster_start_instance (struct Cluster *cluster, uint32_t i)
+{
+  struct ClusterNode *node = &cluster->instances[i];
+  const char *argv[] = { daemon_path (), "serve", "--config", node->file, NULL };
+
+  node->process = session_start (cluster->session, node->name, argv);
+  return node->process != NULL && wait_for_answer (node->address, "/v1/connect");
+}
+
+static bool
+cluster_start_nodes (struct Cluster *cluster)
+{
+  if (!cluster_start_platform (cluster))
+    return false;
+  for (uint32_t i = 0; i < cluster->options.n_engines; i++)
+    if (!cluster_start_engine (cluster, i))
+      return false;
+  for (uint32_t i = 0; i < cluster->options.n_tools; i++)
+    if (!cluster_start_tool (cluster, i))
+      return false;
+  for (uint32_t i = 0; i < cluster->options.n_instances; i++)
+    cluster_write_settings (cluster, i);
+  for (uint32_t i = 0; i < cluster->options.n_instances; i++)
+    if (!cluster_start_instance (cluster, i))
+      return false;
+  return true;
+}
+
+static void
+cluster_init_nodes (struct Cluster *cluster)
+{
+  struct Session *session = cluster->session;
+
+  node_init (session, &cluster->platform, "platform", 1);
+  for (uint32_t i = 0; i < cluster->options.n_engines; i++)
+    node_init (session, &cluster->engines[i], "engine", i + 1);
+  for (uint32_t i = 0; i < cluster->options.n_tools; i++)
+    node_init (session, &cluster->tools[i], "tool", i + 1);
+  for (uint32_t i = 0; i < cluster->options.n_instances; i++)
+    {
+      struct ClusterNode *node = &cluster->instances[i];
+
+      node_init (session, node, "entry", i + 1);
+      snprintf (node->operator_address, sizeof node->operator_address, "127.0.0.1:%u",
+                (unsigned)session_port (session));
+    }
+}
+
+struct Cluster *
+cluster_start (TALLOC_CTX *ctx, const struct ClusterOptions *options)
+{
+  struct Cluster *cluster = talloc_zero (ctx, struct Cluster);
+
+  cluster->options = *options;
+  cluster->options.model = or_default (options->model, "negotiation");
+  cluster->options.tool = or_default (options->tool, "field-desk");
+  cluster->options.tokens_per_second = or_default (options->tokens_per_second, "400");
+  cluster->options.engine_cache_tokens = or_default (options->engine_cache_tokens, "200000");
+  cluster->options.lease = or_default (options->lease, "2s");
+  cluster->session = session_new (cluster);
+  if (cluster->session == NULL)
+    {
+      talloc_free (cluster);
+      return NULL;
+    }
+  cluster_init_nodes (cluster);
+  if (cluster_start_nodes (cluster))
+    return cluster;
+  cluster_end (cluster, true);
+  return NULL;
+}
+
+void
+cluster_end (struct Cluster *cluster, bool failed)
+{
+  session_end (cluster->session, failed);
+  talloc_free (cluster);
+}
+
+const char *
+cluster_entries (struct Cluster *cluster)
+{
+  char *text = talloc_strdup (cluster, "");
+
+  for (uint32_t i = 0; i < cluster->options.n_instances; i++)
+    text = talloc_asprintf_append (text, "%s%s", i > 0 ? "," : "", cluster->instances[i].address);
+  return text;
+}
+
+int32_t
+cluster_home (struct Cluster *cluster, const char *program)
+{
+  char path[256];
+  int32_t home = -1;
+
+  snprintf (path, sizeof path, "/v1/connect?program=%s", program);
+  for (uint32_t i = 0; home < 0 && i < cluster->options.n_instances; i++)
+    {
+      struct HttpReply *reply;
+      const char *first;
+
+      if (!process_is_alive (cluster->instances[i].process))
+        continue;
+      reply = http_get (NULL, cluster->instances[i].address, path);
+      first = json_string_value (json_array_get (json_object_get (reply->json, "addresses"), 0));
+      for (uint32_t j = 0; first != NULL && j < cluster->options.n_instances; j++)
+        if (strcmp (first, cluster->instances[j].address) == 0)
+          home = (int32_t)j;
+      talloc_free (reply);
+    }
+  return home;
+}
+
+uint64_t
+cluster_tool_runs (struct Cluster *cluster)
+{
+  uint64_t runs = 0;
+
+  for (uint32_t i = 0; i < cluster->options.n_tools; i++)
+    {
+      struct HttpReply *reply = http_get (NULL, cluster->tools[i].address, "/counts");
+
+      runs += (uint64_t)json_integer_value (json_object_get (reply->json, "runs"));
+      talloc_free (reply);
+    }
+  return runs;
+}
+
+uint64_t
+cluster_engine_runs (struct Cluster *cluster, const char *program)
+{
+  uint64_t runs = 0;
+
+  for (uint32_t i = 0; i < cluster->options.n_engines; i++)
+    {
+      struct HttpReply *reply = http_get (NULL, cluster->engines[i].address, "/log");
+      json_t *calls = json_object_get (reply->json, "calls");
+      json_t *call;
+      size_t j;
+
+      json_array_foreach (calls, j, call)
+      {
+        const char *name = json_string_value (json_object_get (call, "program"));
+
+        runs += name != NULL && strcmp (name, program) == 0;
+      }
+      talloc_free (reply);
+    }
+  return runs;
+}
+
+uint64_t
+cluster_held_tokens (struct Cluster *cluster, const char *program)
+{
+  char path[256];
+  uint64_t tokens = 0;
+
+  snprintf (path, sizeof path, "/held?program=%s", program);
+  for (uint32_t i = 0; i < cluster->options.n_engines; i++)
+    {
+      struct HttpReply *reply = http_get (NULL, cluster->engines[i].address, path);
+
+      tokens += (uint64_t)json_integer_value (json_object_get (reply->json, "tokens"));
+      talloc_free (reply);
+    }
+  return tokens;
+}
+
+struct Process *
+cluster_run_caller (struct Cluster *cluster, const char *name, const char *script)
+{
+  char *file = talloc_asprintf (cluster, "%s.json", name);
+  const char *path = session_write_file (cluster->session, file, script);
+  const char *argv[] = { standin_path (), "caller", "--entry", cluster_entries (cluster),
+                         "--script",      path,     NULL };
+
+  return path != NULL ? session_start (cluster->session, name, argv) : NULL;
+}
+
+json_t *
+caller_lines (const struct Process *caller)
+{
+  char *text = process_output (NULL, caller);
+  json_t *lines = json_array ();
+  char *rest = text;
+  char *line;
+
+  while ((line = strsep (&rest, "\n")) != NULL)
+    {
+      json_t *parsed = line[0] != '\0' ? json_loads (line, 0, NULL) : NULL;
+
+      if (parsed != NULL)
+        json_array_append_new (lines, parsed);
+    }
+  talloc_free (text);
+  return lines;
+}
--- /dev/null
+++ b/tests/sessions/golden.c
@@ -0,0 +1,140 @@
+#include "golden.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <talloc.h>
+
+/* Names given to the ids met so far. */
+struct GoldenNames
+{
+  json_t *names;  /* id -> "<kind n>" */
+  json_t *counts; /* kind -> n */
+};
+
+/* Members whose string value is an id; those not listed stay as they are. */
+static const char *const id_members[] = {
+  "program", "home", "backend", "parent", "instance", "id"
+};
+
+static bool
+is_id_member (const char *name)
+{
+  for (size_t i = 0; i < sizeof id_members / sizeof id_members[0]; i++)
+    if (strcmp (name, id_members[i]) == 0)
+      return true;
+  return false;
+}
+
+static bool
+is_time_member (const char *name)
+{
+  size_t n = strlen (name);
+
+  return n > 3 && strcmp (name + n - 3, "_ms") == 0;
+}
+
+static json_t *
+golden_name (struct GoldenNames *known, const char *kind, const char *id)
+{
+  json_t *name = json_object_get (known->names, id);
+  char text[64];
+  json_int_t n;
+
+  if (name != NULL || id[0] == '\0')
+    return name != NULL ? json_incref (name) : json_string ("");
+  n = json_integer_value (json_object_get (known->counts, kind)) + 1;
+  json_object_set_new (known->counts, kind, json_integer (n));
+  snprintf (text, sizeof text, "<%s %d>", kind, (int)n);
+  name = json_string (text);
+  json_object_set (known->names, id, name);
+  return name;
+}
+
+static void
+golden_walk (struct GoldenNames *known, json_t *json)
+{
+  const char *member;
+  json_t *value;
+  void *next;
+  size_t i;
+
+  json_array_foreach (json, i, value) { golden_walk (known, value); }
+  json_object_foreach_safe (json, next, member, value)
+  {
+    if (is_id_member (member) && json_is_string (value))
+      json_object_set_new (json, member, golden_name (known, member, json_string_value (value)));
+    else if (is_time_member (member) && json_is_number (value))
+      json_object_set_new (json, member, json_integer (0));
+    else
+      golden_walk (known, value);
+  }
+}
+
+void
+golden_normalise (json_t *json)
+{
+  struct GoldenNames known = { json_object (), json_object () };
+
+  golden_walk (&known, json);
+  json_decref (known.names);
+  json_decref (known.counts);
+}
+
+static char *
+golden_path (const char *name)
+{
+  const char *folder = getenv ("GOLDEN_FOLDER");
+
+  return talloc_asprintf (NULL, "%s/%s.json", folder != NULL ? folder : "tests/golden", name);
+}
+
+static void
+golden_print (const char *title, const json_t *json)
+{
+  fprintf (stderr, "%s:\n", title);
+  json_dumpf (json, stderr, JSON_INDENT (2));
+  fputc ('\n', stderr);
+}
+
+static bool
+golden_write (const char *path, const json_t *lines)
+{
+  FILE *file = fopen (path, "w");
+  bool written = file != NULL && json_dumpf (lines, file, JSON_INDENT (2)) == 0;
+
+  if (file != NULL)
+    {
+      fputc ('\n', file);
+      written = fclose (file) == 0 && written;
+    }
+  return written;
+}
+
+bool
+golden_matches (const char *name, json_t *lines)
+{
+  char *path = golden_path (name);
+  json_t *wanted;
+  bool matches;
+
+  golden_normalise (lines);
+  if (getenv ("GOLDEN_UPDATE") != NULL)
+    {
+      matches = golden_write (path, lines);
+      talloc_free (path);
+      return matches;
+    }
+  wanted = json_load_file (path, 0, NULL);
+  matches = wanted != NULL && json_equal (wanted, lines) == 1;
+  if (!matches)
+    {
+      fprintf (stderr, "%s differs from this session\n", path);
+      golden_print ("golden", wanted);
+      golden_print ("session", lines);
+    }
+  json_decref (wanted);
+  talloc_free (path);
+  return matches;
+}
