--- a/tests/sessions/cluster.c
+++ b/tests/sessions/cluster.c
@@ -4,6 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <CUnit/CUnit.h>
+
 static const char *const zones[] = { "malda", "muzaffar-hall", "siliguri" };
 
 enum
@@ -165,15 +167,14 @@
   cluster->options.lease = or_default (options->lease, "2s");
   cluster->session = session_new (cluster);
   if (cluster->session == NULL)
+    CU_FAIL_FATAL ("no temporary folder or no free ports");
+  cluster_init_nodes (cluster);
+  if (!cluster_start_nodes (cluster))
     {
-      talloc_free (cluster);
-      return NULL;
+      cluster_end (cluster, true);
+      CU_FAIL_FATAL ("a process did not start");
     }
-  cluster_init_nodes (cluster);
-  if (cluster_start_nodes (cluster))
-    return cluster;
-  cluster_end (cluster, true);
-  return NULL;
+  return cluster;
 }
 
 void
--- a/tests/sessions/cluster.h
+++ b/tests/sessions/cluster.h
@@ -37,7 +37,7 @@
   struct ClusterNode tools[CLUSTER_MAX];
 };
 
-/* Starts all and waits until each instance answers callers. NULL when one does not. */
+/* Starts all and waits until each instance answers callers. Ends the test when one does not. */
 struct Cluster *
 cluster_start (TALLOC_CTX *ctx, const struct ClusterOptions *options);
 /* Keeps the processes' output when the test has failed. */
--- a/tests/sessions/test_standins.c
+++ b/tests/sessions/test_standins.c
@@ -36,7 +36,6 @@
   struct Cluster *cluster = cluster_start (NULL, &two_engines);
   struct HttpReply *first, *second;
 
-  CU_ASSERT_PTR_NOT_NULL_FATAL (cluster);
   first = ask (cluster, 0, "p-1", "Twelve pickers from Monday.");
   second = ask (cluster, 1, "p-2", "Twelve pickers from Monday.");
   CU_ASSERT_EQUAL (first->status, 200);
@@ -51,7 +50,6 @@
   struct Cluster *cluster = cluster_start (NULL, &two_engines);
   struct HttpReply *release;
 
-  CU_ASSERT_PTR_NOT_NULL_FATAL (cluster);
   CU_ASSERT_EQUAL (cached_tokens (ask (cluster, 0, "p-1", "First.")), 0);
   CU_ASSERT_TRUE (cached_tokens (ask (cluster, 0, "p-1", "Second.")) > 0);
   CU_ASSERT_TRUE (cluster_held_tokens (cluster, "p-1") > 0);
@@ -72,10 +70,8 @@
 test_old_fencing_number_is_refused (void)
 {
   struct Cluster *cluster = cluster_start (NULL, &two_engines);
-  const char *address;
+  const char *address = cluster->engines[0].address;
 
-  CU_ASSERT_PTR_NOT_NULL_FATAL (cluster);
-  address = cluster->engines[0].address;
   CU_ASSERT_EQUAL (
       http_send (cluster, "POST", address, "/orders", NULL, "{\"fencing\":7,\"order\":\"load\"}")
           ->status,
@@ -92,7 +88,6 @@
 {
   struct Cluster *cluster = cluster_start (NULL, &two_engines);
 
-  CU_ASSERT_PTR_NOT_NULL_FATAL (cluster);
   CU_ASSERT_TRUE (http_control (cluster->engines[0].address, "{\"crash_on\":\"poison\"}"));
   CU_ASSERT_EQUAL (ask (cluster, 0, "p-1", "poison")->status, 0);
   CU_ASSERT_TRUE (process_wait (cluster->engines[0].process));
@@ -111,10 +106,8 @@
 {
   struct Cluster *cluster = cluster_start (NULL, &two_engines);
   const char *headers[] = { "Idempotency-Key: k-1", NULL };
-  const char *address;
+  const char *address = cluster->tools[0].address;
 
-  CU_ASSERT_PTR_NOT_NULL_FATAL (cluster);
-  address = cluster->tools[0].address;
   CU_ASSERT_EQUAL (http_send (cluster, "POST", address, "/alert", headers, "{}")->status, 200);
   CU_ASSERT_TRUE (http_control (address, "{\"close_after_run\":1}"));
   CU_ASSERT_EQUAL (http_send (cluster, "POST", address, "/alert", headers, "{}")->status, 0);
