--- a/adapters/backend_pool.c
+++ b/adapters/backend_pool.c
@@ -102,8 +102,8 @@
   job->job = mail->job;
   job->next = *bucket;
   *bucket = job;
-  failed.end.error
-      = thread->port->submit (thread->port, &mail->request, pool_on_event, job, &job->ticket);
+  failed.end.error =
+      thread->port->submit (thread->port, &mail->request, pool_on_event, job, &job->ticket);
   if (failed.end.error != ERROR_NONE)
     pool_on_event (job, &failed);
 }
@@ -112,7 +112,7 @@
 pool_receive (void *data, struct Mail *mail)
 {
   struct PoolThread *thread = data;
-  struct PoolMail *pool_mail = (struct PoolMail *) mail;
+  struct PoolMail *pool_mail = (struct PoolMail *)mail;
   struct PoolJob *job;
 
   switch (mail->kind)
@@ -208,8 +208,8 @@
 
   r->call.path = r->call.path != NULL ? talloc_strdup (mail, r->call.path) : NULL;
   r->call.program = r->call.program != NULL ? talloc_strdup (mail, r->call.program) : NULL;
-  r->call.idempotency_key
-      = r->call.idempotency_key != NULL ? talloc_strdup (mail, r->call.idempotency_key) : NULL;
+  r->call.idempotency_key =
+      r->call.idempotency_key != NULL ? talloc_strdup (mail, r->call.idempotency_key) : NULL;
   r->call.body = talloc_memdup (mail, r->call.body, r->call.body_bytes);
 }
 
--- a/adapters/caller_http.c
+++ b/adapters/caller_http.c
@@ -103,7 +103,7 @@
   if (retry_after_ms > 0)
     json_object_set_new (error, "retry_after_ms", json_integer (retry_after_ms));
   if (expected_sequence > 0)
-    json_object_set_new (error, "expected_sequence", json_integer ((json_int_t) expected_sequence));
+    json_object_set_new (error, "expected_sequence", json_integer ((json_int_t)expected_sequence));
   json_object_set_new (answer, "error", error);
   text = json_dumps (answer, JSON_COMPACT);
   copy = talloc_strdup (ctx, text);
@@ -118,14 +118,14 @@
   struct timespec now;
 
   clock_gettime (CLOCK_MONOTONIC, &now);
-  return (int64_t) now.tv_sec * 1000 + now.tv_nsec / 1000000;
+  return (int64_t)now.tv_sec * 1000 + now.tv_nsec / 1000000;
 }
 
 static enum MHD_Result
 answer_now (struct MHD_Connection *connection, uint32_t status, const char *json)
 {
-  struct MHD_Response *response
-      = MHD_create_response_from_buffer (strlen (json), (void *) json, MHD_RESPMEM_MUST_COPY);
+  struct MHD_Response *response =
+      MHD_create_response_from_buffer (strlen (json), (void *)json, MHD_RESPMEM_MUST_COPY);
   enum MHD_Result queued;
 
   MHD_add_response_header (response, "Content-Type", "application/json");
@@ -191,7 +191,8 @@
   struct Fault fault;
 
   if (exchange->early_status == MHD_HTTP_REQUEST_TIMEOUT)
-    fault_set (&fault, ERROR_TIMEOUT, "send the request faster", "the request took too long to come");
+    fault_set (&fault, ERROR_TIMEOUT, "send the request faster",
+               "the request took too long to come");
   else
     fault_set (&fault, ERROR_TOO_LARGE, NULL, "the body is larger than this instance takes");
   return answer_fault (connection, exchange->early_status, &fault);
@@ -199,7 +200,9 @@
 
 /* Hands the exchange to the core and parks the connection until there is an answer. */
 static enum MHD_Result
-exchange_post (struct CallerHttp *http, struct Exchange *exchange, struct MHD_Connection *connection)
+exchange_post (struct CallerHttp *http,
+               struct Exchange *exchange,
+               struct MHD_Connection *connection)
 {
   exchange->connection = connection;
   exchange->posted = true;
@@ -269,7 +272,7 @@
   struct CallerHttp *http = data;
   struct Exchange *exchange = *state;
 
-  (void) version;
+  (void)version;
   if (exchange == NULL)
     {
       exchange = exchange_new (EXCHANGE_CALLER);
@@ -302,7 +305,7 @@
     return false;
   /* In constant time: the time of an early exit would tell a guesser how far a guess is right. */
   for (size_t i = 0; wanted[i] != '\0'; i++)
-    differs |= (uint8_t) (given[i] ^ wanted[i]);
+    differs |= (uint8_t)(given[i] ^ wanted[i]);
   return differs == 0;
 }
 
@@ -310,8 +313,8 @@
 operator_answer_metrics (struct MHD_Connection *connection)
 {
   char *text = counter_render (NULL);
-  struct MHD_Response *response
-      = MHD_create_response_from_buffer (strlen (text), text, MHD_RESPMEM_MUST_COPY);
+  struct MHD_Response *response =
+      MHD_create_response_from_buffer (strlen (text), text, MHD_RESPMEM_MUST_COPY);
   enum MHD_Result queued;
 
   MHD_add_response_header (response, "Content-Type", "text/plain; version=0.0.4");
@@ -361,7 +364,7 @@
   struct CallerHttp *http = data;
   struct Exchange *exchange = *state;
 
-  (void) version;
+  (void)version;
   if (exchange == NULL)
     {
       exchange = exchange_new (EXCHANGE_OPERATOR);
@@ -387,7 +390,7 @@
   struct CallerHttp *http = data;
   struct Exchange *exchange = *state;
 
-  (void) connection;
+  (void)connection;
   if (exchange == NULL)
     return;
   *state = NULL;
@@ -431,12 +434,12 @@
   bind_to.sin_port = htons (port);
   daemon = MHD_start_daemon (
       MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, port, NULL, NULL, on_request, http,
-      MHD_OPTION_SOCK_ADDR, (struct sockaddr *) &bind_to, MHD_OPTION_NOTIFY_COMPLETED,
+      MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&bind_to, MHD_OPTION_NOTIFY_COMPLETED,
       on_request_completed, http, MHD_OPTION_THREAD_POOL_SIZE, pool, MHD_OPTION_CONNECTION_LIMIT,
       settings->connections_max, MHD_OPTION_CONNECTION_TIMEOUT,
       (settings->request_timeout_ms + 999) / 1000, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-      (size_t) settings->header_max_bytes + MEMORY_BESIDE_HEADERS_BYTES,
-      MHD_OPTION_LISTEN_BACKLOG_SIZE, (unsigned int) ACCEPT_BACKLOG,
+      (size_t)settings->header_max_bytes + MEMORY_BESIDE_HEADERS_BYTES,
+      MHD_OPTION_LISTEN_BACKLOG_SIZE, (unsigned int)ACCEPT_BACKLOG,
       MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_END);
   if (daemon == NULL)
     fault_set (fault, ERROR_IO, "stop what holds the address, or change [listen]",
--- a/adapters/caller_request.c
+++ b/adapters/caller_request.c
@@ -37,7 +37,7 @@
   size_t n = 0;
 
   for (; name[n] != '\0'; n++)
-    if (!isalnum ((unsigned char) name[n]) && strchr ("._-", name[n]) == NULL)
+    if (!isalnum ((unsigned char)name[n]) && strchr ("._-", name[n]) == NULL)
       return false;
   return n > 0 && n <= NAME_MAX_BYTES;
 }
@@ -62,8 +62,8 @@
     return ERROR_NONE;
   *value = strcmp (text, "true") == 0;
   if (!*value && strcmp (text, "false") != 0)
-    return fault_set (parse->fault, ERROR_INVALID, "send true or false", "header %s is neither true nor false",
-                      name);
+    return fault_set (parse->fault, ERROR_INVALID, "send true or false",
+                      "header %s is neither true nor false", name);
   return ERROR_NONE;
 }
 
@@ -72,12 +72,13 @@
 {
   char *end;
 
-  if (text == NULL || !isdigit ((unsigned char) text[0]) || strlen (text) > 18)
-    return fault_set (parse->fault, ERROR_INVALID, "send a whole number", "%s is missing or no whole number",
-                      what);
+  if (text == NULL || !isdigit ((unsigned char)text[0]) || strlen (text) > 18)
+    return fault_set (parse->fault, ERROR_INVALID, "send a whole number",
+                      "%s is missing or no whole number", what);
   *value = strtoull (text, &end, 10);
   if (*end != '\0')
-    return fault_set (parse->fault, ERROR_INVALID, "send a whole number", "%s is no whole number", what);
+    return fault_set (parse->fault, ERROR_INVALID, "send a whole number", "%s is no whole number",
+                      what);
   return ERROR_NONE;
 }
 
@@ -112,7 +113,7 @@
   if (json_text_depth (exchange->body, exchange->body_bytes) > parse->settings->json_depth_max)
     return fault_set (parse->fault, ERROR_INVALID, "send less nested JSON",
                       "the body nests deeper than %u", parse->settings->json_depth_max);
-  *json = json_loadb ((const char *) exchange->body, exchange->body_bytes, JSON_REJECT_DUPLICATES,
+  *json = json_loadb ((const char *)exchange->body, exchange->body_bytes, JSON_REJECT_DUPLICATES,
                       &error);
   if (*json == NULL)
     return fault_set (parse->fault, ERROR_INVALID, "send one JSON object",
@@ -132,12 +133,12 @@
 {
   struct Call *call = parse->call;
   struct sha256_ctx hash;
-  uint8_t kind = (uint8_t) call->target_kind;
+  uint8_t kind = (uint8_t)call->target_kind;
 
   sha256_init (&hash);
   sha256_update (&hash, 1, &kind);
-  sha256_update (&hash, sizeof call->target, (const uint8_t *) call->target);
-  sha256_update (&hash, strlen (call->path) + 1, (const uint8_t *) call->path);
+  sha256_update (&hash, sizeof call->target, (const uint8_t *)call->target);
+  sha256_update (&hash, strlen (call->path) + 1, (const uint8_t *)call->path);
   sha256_update (&hash, parse->exchange->body_bytes, parse->exchange->body);
   sha256_digest (&hash, DIGEST_BYTES, call->digest);
 }
@@ -151,12 +152,12 @@
   int n;
 
   sha256_init (&hash);
-  sha256_update (&hash, strlen (service) + 1, (const uint8_t *) service);
-  sha256_update (&hash, strlen (key), (const uint8_t *) key);
+  sha256_update (&hash, strlen (service) + 1, (const uint8_t *)service);
+  sha256_update (&hash, strlen (key), (const uint8_t *)key);
   sha256_digest (&hash, sizeof digest, digest);
   n = snprintf (id, PROGRAM_ID_MAX_BYTES + 1, "%s-", prefix);
   for (size_t i = 0; i < sizeof digest; i++)
-    n += snprintf (id + n, (size_t) (PROGRAM_ID_MAX_BYTES + 1 - n), "%02x", digest[i]);
+    n += snprintf (id + n, (size_t)(PROGRAM_ID_MAX_BYTES + 1 - n), "%02x", digest[i]);
 }
 
 static int32_t
@@ -203,16 +204,17 @@
                          "\"messages\" is missing or no array");
       goto out;
     }
-  if (limit != NULL && (!json_is_integer (limit) || json_integer_value (limit) < 1
-                        || json_integer_value (limit) > UINT32_MAX))
+  if (limit != NULL
+      && (!json_is_integer (limit) || json_integer_value (limit) < 1
+          || json_integer_value (limit) > UINT32_MAX))
     {
       error = fault_set (parse->fault, ERROR_INVALID, "send a whole number above 0",
                          "\"max_tokens\" is out of range");
       goto out;
     }
-  call->max_tokens = limit != NULL ? (uint32_t) json_integer_value (limit) : MAX_TOKENS_DEFAULT;
+  call->max_tokens = limit != NULL ? (uint32_t)json_integer_value (limit) : MAX_TOKENS_DEFAULT;
   call->stream = json_is_true (json_object_get (json, "stream"));
-  call->prompt_tokens = (uint32_t) (parse->exchange->body_bytes / BYTES_PER_TOKEN);
+  call->prompt_tokens = (uint32_t)(parse->exchange->body_bytes / BYTES_PER_TOKEN);
   json_object_set_new (json, "max_tokens", json_integer (call->max_tokens));
   if (call->stream)
     json_object_set_new (json, "stream_options", json_pack ("{s:b}", "include_usage", 1));
@@ -233,7 +235,7 @@
     return fault_set (parse->fault, ERROR_INVALID, "start it with '/', at most 127 characters",
                       "the service's path is missing or too long");
   for (const char *c = path; *c != '\0'; c++)
-    if ((unsigned char) *c <= ' ' || (unsigned char) *c >= 127)
+    if ((unsigned char)*c <= ' ' || (unsigned char)*c >= 127)
       return fault_set (parse->fault, ERROR_INVALID, "use printable ASCII without spaces",
                         "the service's path has a character that may not stand there");
   snprintf (parse->call->path, sizeof parse->call->path, "%s", path);
@@ -252,11 +254,11 @@
 
   if (parse->header (parse->data, "X-Deadline-Ms") != NULL)
     {
-      error = parse_uint (parse, "header X-Deadline-Ms", parse->header (parse->data, "X-Deadline-Ms"),
-                          &deadline_ms);
+      error = parse_uint (parse, "header X-Deadline-Ms",
+                          parse->header (parse->data, "X-Deadline-Ms"), &deadline_ms);
       if (error != ERROR_NONE)
         return error;
-      call->deadline_ms = (int64_t) deadline_ms;
+      call->deadline_ms = (int64_t)deadline_ms;
     }
   call->target_kind = service != NULL ? CALL_TARGET_SERVICE : CALL_TARGET_ENGINE;
   error = parse_bool (parse, "Idempotent", service == NULL, &call->idempotent);
@@ -284,7 +286,8 @@
 
   parse->request->op = REQUEST_CALL;
   if (error == ERROR_NONE)
-    error = parse_name (parse, "the branch", branch != NULL ? branch : MAIN_BRANCH, call->key.branch);
+    error =
+        parse_name (parse, "the branch", branch != NULL ? branch : MAIN_BRANCH, call->key.branch);
   if (error == ERROR_NONE)
     error = parse_uint (parse, "the sequence number", sequence, &call->key.sequence);
   if (error == ERROR_NONE && call->key.sequence == 0)
@@ -303,7 +306,8 @@
       json_t *value = json_object_get (json, names[i]);
 
       if (value != NULL && (!json_is_integer (value) || json_integer_value (value) < 1))
-        return fault_set (parse->fault, ERROR_INVALID, "send a whole number above 0, or leave it out",
+        return fault_set (parse->fault, ERROR_INVALID,
+                          "send a whole number above 0, or leave it out",
                           "\"%s\" is no whole number above 0", names[i]);
     }
   return ERROR_NONE;
@@ -384,13 +388,14 @@
 
   parse->request->op = REQUEST_LONE;
   if (slash != NULL && slash - rest <= NAME_MAX_BYTES)
-    memcpy (target, rest, (size_t) (slash - rest));
+    memcpy (target, rest, (size_t)(slash - rest));
   error = parse_name (parse, "the service", target, call->target);
   if (error == ERROR_NONE)
     error = parse_service_path (parse, slash);
   if (error == ERROR_NONE && (key == NULL || key[0] == '\0' || strlen (key) > 200))
-    error = fault_set (parse->fault, ERROR_INVALID, "send 1 to 200 characters, the same on a resend",
-                       "header Idempotency-Key is missing or too long");
+    error =
+        fault_set (parse->fault, ERROR_INVALID, "send 1 to 200 characters, the same on a resend",
+                   "header Idempotency-Key is missing or too long");
   if (error == ERROR_NONE)
     error = parse_bool (parse, "Idempotent", false, &call->idempotent);
   if (error != ERROR_NONE)
@@ -412,7 +417,7 @@
   char program[PROGRAM_ID_MAX_BYTES + 1] = "";
   const char *slash = strchr (rest, '/');
   const char *verb = slash != NULL ? slash + 1 : "";
-  size_t n = slash != NULL ? (size_t) (slash - rest) : strlen (rest);
+  size_t n = slash != NULL ? (size_t)(slash - rest) : strlen (rest);
 
   if (n <= PROGRAM_ID_MAX_BYTES)
     memcpy (program, rest, n);
@@ -443,8 +448,10 @@
 {
   static const char programs[] = "/v1/programs/";
   static const char services[] = "/v1/services/";
-  struct Parse parse = { exchange, &exchange->request, &exchange->request.call,
-                         settings, path, header, query, data, fault };
+  struct Parse parse = {
+    exchange, &exchange->request, &exchange->request.call, settings, path, header, query, data,
+    fault
+  };
   bool post = strcmp (method, "POST") == 0;
   const char *attempt = header (data, "X-Attempt");
 
--- a/adapters/exchange.c
+++ b/adapters/exchange.c
@@ -167,10 +167,10 @@
   size_t filled;
   bool ended;
 
-  (void) position;
+  (void)position;
   filled = exchange_fill (exchange, block, size);
   if (filled > 0)
-    return (ssize_t) filled;
+    return (ssize_t)filled;
   uatomic_set (&exchange->parked, 1);
   cmm_smp_mb ();
   /* The end is read before the queue: what was pushed ahead of it is then seen. */
@@ -180,7 +180,7 @@
       && uatomic_xchg (&exchange->parked, 0) == 1)
     {
       filled = exchange_fill (exchange, block, size);
-      return filled > 0 ? (ssize_t) filled : (ssize_t) MHD_CONTENT_READER_END_OF_STREAM;
+      return filled > 0 ? (ssize_t)filled : (ssize_t)MHD_CONTENT_READER_END_OF_STREAM;
     }
   MHD_suspend_connection (exchange->connection);
   return 0;
--- a/adapters/mailbox.c
+++ b/adapters/mailbox.c
@@ -22,15 +22,15 @@
   uint64_t count;
   ssize_t got;
 
-  (void) events;
-  (void) watch;
-  (void) flags;
+  (void)events;
+  (void)watch;
+  (void)flags;
   got = read (mailbox->wake_fd, &count, sizeof count);
-  (void) got;
+  (void)got;
   cds_wfcq_init (&head, &tail);
   __cds_wfcq_splice_blocking (&head, &tail, &mailbox->head, &mailbox->tail);
   __cds_wfcq_for_each_blocking_safe (&head, &tail, node, next)
-    mailbox->receive (mailbox->data, caa_container_of (node, struct Mail, node));
+      mailbox->receive (mailbox->data, caa_container_of (node, struct Mail, node));
 }
 
 static int
@@ -75,5 +75,5 @@
   if (cds_wfcq_enqueue (&mailbox->head, &mailbox->tail, &mail->node))
     return;
   put = write (mailbox->wake_fd, &one, sizeof one);
-  (void) put;
+  (void)put;
 }
--- a/adapters/peer_net.c
+++ b/adapters/peer_net.c
@@ -75,7 +75,8 @@
   struct PeerKnown *known;
 };
 
-static void peer_link_close (struct PeerLink *link, const char *cause);
+static void
+peer_link_close (struct PeerLink *link, const char *cause);
 
 static int
 peer_link_free (struct PeerLink *link)
@@ -122,8 +123,8 @@
           shutdown (link->fd, SHUT_RDWR);
           return;
         }
-      frame->n_written += (size_t) n;
-      link->queued_bytes -= (size_t) n;
+      frame->n_written += (size_t)n;
+      link->queued_bytes -= (size_t)n;
       if (frame->n_written < frame->n_bytes)
         break;
       link->first = frame->next;
@@ -197,8 +198,8 @@
   while (link->input_bytes - at >= FRAME_LENGTH_BYTES)
     {
       const uint8_t *head = link->input + at;
-      size_t n_bytes = (size_t) head[0] << 24 | (size_t) head[1] << 16 | (size_t) head[2] << 8
-                       | head[3];
+      size_t n_bytes =
+          (size_t)head[0] << 24 | (size_t)head[1] << 16 | (size_t)head[2] << 8 | head[3];
 
       if (n_bytes > PEER_FRAME_MAX_BYTES)
         return false;
@@ -232,7 +233,7 @@
     return true;
   if (n <= 0)
     return false;
-  link->input_bytes += (size_t) n;
+  link->input_bytes += (size_t)n;
   return peer_link_take_frames (link);
 }
 
@@ -257,8 +258,8 @@
 {
   struct PeerLink *link = data;
 
-  (void) events;
-  (void) watch;
+  (void)events;
+  (void)watch;
   if (!link->connected && !peer_link_connect_done (link))
     {
       peer_link_close (link, "connection refused");
@@ -314,8 +315,8 @@
 {
   char ip[46];
   uint16_t port;
-  struct sockaddr_in *v4 = (struct sockaddr_in *) storage;
-  struct sockaddr_in6 *v6 = (struct sockaddr_in6 *) storage;
+  struct sockaddr_in *v4 = (struct sockaddr_in *)storage;
+  struct sockaddr_in6 *v6 = (struct sockaddr_in6 *)storage;
 
   memset (storage, 0, sizeof *storage);
   if (address_parse (address, ip, &port) != ERROR_NONE)
@@ -347,7 +348,7 @@
   fd = socket (address.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (fd < 0)
     return;
-  if (connect (fd, (struct sockaddr *) &address, size) < 0 && errno != EINPROGRESS)
+  if (connect (fd, (struct sockaddr *)&address, size) < 0 && errno != EINPROGRESS)
     {
       close (fd);
       return;
@@ -381,9 +382,9 @@
   struct PeerNet *net = data;
   int fd;
 
-  (void) events;
-  (void) watch;
-  (void) flags;
+  (void)events;
+  (void)watch;
+  (void)flags;
   fd = accept4 (net->listen_fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
   if (fd >= 0 && peer_link_new (net, fd, false) == NULL)
     close (fd);
@@ -432,7 +433,7 @@
                       net->options.listen);
   net->listen_fd = socket (address.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   setsockopt (net->listen_fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
-  if (net->listen_fd < 0 || bind (net->listen_fd, (struct sockaddr *) &address, size) < 0
+  if (net->listen_fd < 0 || bind (net->listen_fd, (struct sockaddr *)&address, size) < 0
       || listen (net->listen_fd, LISTEN_BACKLOG) < 0)
     return fault_set (fault, ERROR_IO, "stop what holds the address, or change [listen] peer",
                       "can not listen on %s: %s", net->options.listen, strerror (errno));
@@ -517,7 +518,7 @@
   struct PeerLocal *local = data;
   struct PeerNet *net = local->net;
 
-  (void) events;
+  (void)events;
   net->options.received (net->options.data, PEER_LINK_SELF, net->instance, local->message);
   talloc_free (local);
   talloc_free (event);
--- a/adapters/snapshot.c
+++ b/adapters/snapshot.c
@@ -75,7 +75,7 @@
       if (member->draining)
         continue;
       ranked[n].member = member;
-      ranked[n].rank = member_rank (member, (int32_t) i == home, zone);
+      ranked[n].rank = member_rank (member, (int32_t)i == home, zone);
       ranked[n].score = rendezvous_score (program, member->instance);
       n++;
     }
