Fresh connections of calls: say the reason that holds now

The other stays: on a kept connection which the server closes for idleness just as the request goes out, a wage confirmation that never ran would be told as one that may have run. Calls are few a node, so the handshake stays.

--- a/adapters/backend_http.c
+++ b/adapters/backend_http.c
@@ -383,7 +383,7 @@
   http_request->url = talloc_asprintf (ctx, "http://%s%s", request->address, path);
   headers[1] = talloc_asprintf (ctx, "X-Program: %s", program);
   headers[2] = talloc_asprintf (ctx, "Idempotency-Key: %s", key);
-  /* See HttpRequest: the server may run the call, then close without an answer. */
+  /* Else an idle connection that the server closes would turn into calls that may have run. */
   http_request->fresh_connection = true;
   http_request->body = request->call.body;
   http_request->body_bytes = request->call.body_bytes;
--- a/include/buckthornhead/curl_loop.h
+++ b/include/buckthornhead/curl_loop.h
@@ -20,8 +20,8 @@
   size_t body_bytes;
   int64_t timeout_ms; /* whole request; 0: none */
   int64_t connect_timeout_ms;
-  /* Uses a connection of its own. On a reused connection that closes without an answer libcurl
-   * sends the request again by itself, a POST too: a request that must not run twice needs this. */
+  /* Uses a connection of its own. A kept one that the server closes for idleness, just as the
+   * request goes out, fails it with an unknown effect though it never ran. */
   bool fresh_connection;
 };
 
