Placement: a server's speed from its pace, not from its calls

The learned time of a call differed between equal servers by the sizes of the calls they happened to have, and pulled newcomers to one of them.

The limit's tolerances are 3 x the best pace and 20 x the best prefill: at 2 x and 8 x the prefills of others shrank it to its floor when the cache is scarce.

PolicyServer has two more fields at its end: pace_us_per_token and programs.

--- a/bench/engine_model.c
+++ b/bench/engine_model.c
@@ -220,10 +220,10 @@
       const struct EngineCall *c = engine->running[i];
       double t = INFINITY;
 
-      if (c == rates.prefilling)
-        t = c->prefill_left / rates.prefill;
-      else if (c->prefill_left <= 0)
+      if (c->prefill_left <= 0)
         t = c->decode_left / rates.decode;
+      else if (c == rates.prefilling)
+        t = c->prefill_left / rates.prefill;
       least = t < least ? t : least;
     }
   return engine->now_ms + least;
@@ -261,10 +261,10 @@
     {
       struct EngineCall *c = engine->running[i];
 
-      if (c == rates.prefilling)
-        c->prefill_left -= ms * rates.prefill;
-      else if (c->prefill_left <= 0)
+      if (c->prefill_left <= 0)
         c->decode_left -= ms * rates.decode;
+      else if (c == rates.prefilling)
+        c->prefill_left -= ms * rates.prefill;
     }
   engine->now_ms = end_ms;
 }
--- a/bench/policy_bench.c
+++ b/bench/policy_bench.c
@@ -22,6 +22,7 @@
                                               { "deadlines", required_argument, NULL, 'd' },
                                               { "reports", required_argument, NULL, 'e' },
                                               { "label", required_argument, NULL, 'b' },
+                                              { "digest-ms", required_argument, NULL, 'g' },
                                               { "json", no_argument, NULL, 'j' },
                                               { NULL, 0, NULL, 0 } };
 
@@ -30,7 +31,7 @@
 {
   fputs ("policy_bench --scenario NAME --rule RULE --load PERCENT --seed N[..M] [--json]\n"
          "  [--cache-weight PERMILLE] [--ageing MS] [--pause-keep MS] [--cache-tokens N]\n"
-         "  [--minutes N] [--deadlines 0|1] [--reports 0|1] [--label TEXT]\n"
+         "  [--minutes N] [--deadlines 0|1] [--reports 0|1] [--digest-ms N] [--label TEXT]\n"
          "scenarios: ample scarce ample-deadlines scarce-deadlines dawn night slow dead frozen "
          "poison\n"
          "rules: round_robin least_reported sticky fifo attained program\n",
@@ -145,6 +146,9 @@
       case 'e':
         options.reports = optarg[0] == '1';
         break;
+      case 'g':
+        options.digest_ms = (uint32_t)strtoul (optarg, NULL, 10);
+        break;
       case 'b':
         label = optarg;
         break;
--- a/core/dispatch_queue.c
+++ b/core/dispatch_queue.c
@@ -565,4 +565,6 @@
   digest->prefill_us_per_token = (uint32_t)queue->limit.prefill_us_per_token;
   digest->wait_new_ms = (uint32_t)queue_wait_new_ms (queue);
   digest->wait_kept_ms = 0;
+  digest->pace_us_per_token = (uint32_t)(queue->limit.pace_ms * 1000);
+  digest->programs = (uint32_t)queue->set.n_active;
 }
--- a/core/placement.c
+++ b/core/placement.c
@@ -26,6 +26,10 @@
 static const double PLACEMENT_TIE_MS = 2.0;
 /* At the full cache weight a token to recompute counts this many times its cost in time. */
 static const double PLACEMENT_CACHE_GAIN = 4.0;
+/* How much one call slows down another that runs beside it. */
+static const double PLACEMENT_BATCH_SHARE = 0.03;
+static const double PLACEMENT_PROGRAM_SHARE = 1.0;
+static const double PLACEMENT_SIZE_GAIN = 0.01;
 static const double PLACEMENT_HIT_GAIN = 0.05;
 
 struct PlacedProgram;
@@ -63,6 +67,7 @@
   struct PlacedServer *servers; /* talloc array */
   size_t n_servers;
   size_t next_in_turn;
+  double generated_tokens; /* learned mean of one call */
   uint64_t n_choices;
 };
 
@@ -188,6 +193,16 @@
   return servers[branch->server_index].usable ? (int32_t)branch->server_index : -1;
 }
 
+/* Time of a mean call at server. Made from the server's pace and the mean size over all servers:
+ * the sizes of the calls that it happens to have say nothing about its speed. */
+static double
+placement_service_ms (const struct Placement *placement, const struct PolicyServer *server)
+{
+  if (server->pace_us_per_token == 0 || placement->generated_tokens == 0)
+    return server->service_ms_per_call;
+  return placement->generated_tokens * server->pace_us_per_token / US_PER_MS;
+}
+
 static double
 placement_recent (const struct PlacedServer *own, int64_t now_ms)
 {
@@ -201,16 +216,23 @@
                    const struct PolicyServer *server,
                    size_t i,
                    bool kept,
+                   bool newcomer,
                    int64_t now_ms)
 {
   struct PlacedServer *own = placement_server (placement, server, i);
   double running =
       server->in_flight > server->reported_running ? server->in_flight : server->reported_running;
   double ahead = running + server->waiting + placement_recent (own, now_ms);
+  double service = placement_service_ms (placement, server);
   double limit = server->limit > 0 ? server->limit : 1;
-  double wait = ahead / limit * server->service_ms_per_call;
+  /* A program stays where it starts: those that pause now will be back. */
+  double company = newcomer ? server->programs * PLACEMENT_PROGRAM_SHARE : 0;
+  /* Calls in one batch slow one another a little; only those beyond the limit are waited for. */
+  double wait = (ahead + company) * PLACEMENT_BATCH_SHARE * service;
   uint32_t owner_wait = kept ? server->wait_kept_ms : server->wait_new_ms;
 
+  if (ahead > limit)
+    wait += (ahead - limit) / limit * service;
   return wait > owner_wait ? wait : owner_wait;
 }
 
@@ -234,7 +256,7 @@
   uint32_t kept = is_last ? q->resident : 0;
   uint32_t anew = q->call->prompt_tokens > kept ? q->call->prompt_tokens - kept : 0;
   double weight = (double)q->weights->cache_weight_permille / PERMILLE;
-  double wait = placement_wait_ms (placement, server, i, is_last, q->now_ms);
+  double wait = placement_wait_ms (placement, server, i, is_last, q->last < 0, q->now_ms);
   double recompute = (double)anew * server->prefill_us_per_token / US_PER_MS;
 
   switch (q->weights->rule)
@@ -247,11 +269,11 @@
     case POLICY_FIFO:
       return wait;
     case POLICY_ATTAINED:
-      return wait + server->service_ms_per_call + recompute;
+      return wait + placement_service_ms (placement, server) + recompute;
     case POLICY_PROGRAM:
       break;
     }
-  wait += server->service_ms_per_call;
+  wait += placement_service_ms (placement, server);
   return wait * (1.0 - weight / 2) + recompute * (1.0 + weight * PLACEMENT_CACHE_GAIN);
 }
 
@@ -394,6 +416,21 @@
   return index;
 }
 
+static void
+placement_learn_size (struct Placement *placement,
+                      const struct Call *call,
+                      const struct Outcome *outcome)
+{
+  double tokens;
+
+  if (outcome->charge_tokens <= call->prompt_tokens)
+    return;
+  tokens = (double)(outcome->charge_tokens - call->prompt_tokens);
+  if (placement->generated_tokens == 0)
+    placement->generated_tokens = tokens;
+  placement->generated_tokens += (tokens - placement->generated_tokens) * PLACEMENT_SIZE_GAIN;
+}
+
 /* How much of an expected prefix the server really held. */
 static void
 placement_learn_hit (struct Placement *placement,
@@ -434,6 +471,7 @@
         branch->context_tokens = 0;
       return;
     }
+  placement_learn_size (placement, call, outcome);
   if (strcmp (branch->server, server) == 0)
     placement_learn_hit (placement, branch, outcome);
   else
--- a/core/policy_limit.c
+++ b/core/policy_limit.c
@@ -11,8 +11,11 @@
 
 static const double LIMIT_MIN = 4;
 static const double LIMIT_GAIN = 0.05;
-static const double LIMIT_PACE_TOLERANCE = 2.0;
-static const double LIMIT_PREFILL_TOLERANCE = 8.0;
+/* Sizes are heavy-tailed and the same at all servers: averaged slowly, so that chance does not
+ * make one server look faster than another. */
+static const double LIMIT_SIZE_GAIN = 0.005;
+static const double LIMIT_PACE_TOLERANCE = 3.0;
+static const double LIMIT_PREFILL_TOLERANCE = 20.0;
 static const double LIMIT_BACKOFF = 0.9;
 static const double LIMIT_FAILURE_BACKOFF = 0.7;
 static const double LIMIT_FORGET = 1.0002;
@@ -30,9 +33,9 @@
 }
 
 static void
-limit_average (double *average, double sample)
+limit_average (double *average, double sample, double gain)
 {
-  *average = *average == 0 ? sample : *average + (sample - *average) * LIMIT_GAIN;
+  *average = *average == 0 ? sample : *average + (sample - *average) * gain;
 }
 
 static void
@@ -46,14 +49,18 @@
 static void
 limit_learn_paces (struct PolicyLimit *limit, const struct LimitSample *sample)
 {
-  limit_average (&limit->service_ms, (double)(sample->end_ms - sample->sent_ms));
   if (sample->first_ms == 0)
-    return;
+    {
+      limit_average (&limit->service_ms, (double)(sample->end_ms - sample->sent_ms), LIMIT_GAIN);
+      return;
+    }
+  limit_average (&limit->generated_tokens, sample->generated_tokens, LIMIT_SIZE_GAIN);
+  limit_average (&limit->uncached_tokens, sample->uncached_tokens, LIMIT_SIZE_GAIN);
   if (sample->generated_tokens >= LIMIT_PACE_TOKENS_MIN)
     {
       double pace = (double)(sample->end_ms - sample->first_ms) / (sample->generated_tokens - 1);
 
-      limit_average (&limit->pace_ms, pace);
+      limit_average (&limit->pace_ms, pace, LIMIT_GAIN);
       limit_best (&limit->best_pace_ms, pace);
     }
   if (sample->uncached_tokens >= LIMIT_PREFILL_TOKENS_MIN)
@@ -61,9 +68,11 @@
       double us =
           (double)(sample->first_ms - sample->sent_ms) * US_PER_MS / sample->uncached_tokens;
 
-      limit_average (&limit->prefill_us_per_token, us);
+      limit_average (&limit->prefill_us_per_token, us, LIMIT_GAIN);
       limit_best (&limit->best_prefill_us, us);
     }
+  limit->service_ms = limit->generated_tokens * limit->pace_ms
+                      + limit->uncached_tokens * limit->prefill_us_per_token / US_PER_MS;
 }
 
 static bool
--- a/core/policy_limit.h
+++ b/core/policy_limit.h
@@ -21,7 +21,9 @@
 struct PolicyLimit
 {
   double limit;
-  double service_ms;           /* learned time of one call */
+  double service_ms;       /* learned time of one call, from the learned sizes and paces */
+  double generated_tokens; /* learned, of one call */
+  double uncached_tokens;
   double prefill_us_per_token; /* learned */
   double pace_ms;              /* learned time between tokens */
   double best_pace_ms;         /* least seen, forgotten slowly */
--- a/include/buckthornhead/policy.h
+++ b/include/buckthornhead/policy.h
@@ -42,8 +42,10 @@
   uint32_t service_ms_per_call;       /* learned */
   uint32_t prefill_us_per_token;      /* learned */
   bool same_zone;
-  uint32_t wait_new_ms;  /* expected wait at the owner of a program that has no place there */
-  uint32_t wait_kept_ms; /* and of one whose prefix is kept there */
+  uint32_t wait_new_ms;       /* expected wait at the owner of a program that has no place there */
+  uint32_t wait_kept_ms;      /* and of one whose prefix is kept there */
+  uint32_t pace_us_per_token; /* learned time between tokens; 0: not known */
+  uint32_t programs;          /* that have a place there, paused ones included */
 };
 
 struct Placement; /* per-home state: where each program's prefix is, learned paces */
--- a/tests/test_dispatch_queue.c
+++ b/tests/test_dispatch_queue.c
@@ -318,9 +318,12 @@
     for (int p = 0; p < 8; p++)
       {
         char name[16];
+        struct DispatchItem item;
 
         snprintf (name, sizeof name, "p%d", p);
-        push (queue, &program_rule, ++id, name, (uint64_t)turn * 50, turn * 100 + p);
+        item = item_of (++id, name, "hiring-agents", (uint64_t)turn * 50);
+        item.cached_tokens_hint = turn > 0 ? 1000 : 0;
+        push_item (queue, &program_rule, &item, turn * 100 + p);
         finish (queue, pop (queue, turn * 100 + p), 0, turn * 100 + p);
       }
   dispatch_queue_active (queue, &active);
