--- a/adapters/caller_http.c
+++ b/adapters/caller_http.c
@@ -28,13 +28,6 @@
   struct MHD_Daemon *operators;
 };
 
-/* MAIL_CALLER_GONE. */
-struct GoneMail
-{
-  struct Mail mail;
-  struct Exchange *exchange;
-};
-
 const char *
 ran_name (enum RanState ran)
 {
--- a/adapters/peer_net.c
+++ b/adapters/peer_net.c
@@ -499,6 +499,15 @@
   talloc_free (gone);
 }
 
+void
+peer_net_drop (struct PeerNet *net, const char *instance)
+{
+  struct PeerKnown *known = peer_net_known (net, instance);
+
+  if (known != NULL && known->link != NULL)
+    peer_link_close (known->link, "the instance is silent");
+}
+
 uint64_t
 peer_net_link_to (const struct PeerNet *net, const char *instance)
 {
--- /dev/null
+++ b/adapters/spool.c
@@ -0,0 +1,336 @@
+#include <buckthornhead/spool.h>
+
+#include <buckthornhead/log.h>
+#include <buckthornhead/pack.h>
+
+#include <dirent.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <xxhash.h>
+
+static const char file_prefix[] = "spool-";
+
+enum
+{
+  ENTRY_ITEMS = 3,
+  WRITER_MAX_BYTES = 128
+};
+
+struct SpoolEntry
+{
+  uint64_t number;
+  uint8_t *record;
+  size_t n_bytes;
+  bool durable;
+};
+
+struct SpoolFile
+{
+  struct SpoolFile *next;
+  char writer[WRITER_MAX_BYTES];
+  char *path;
+  int fd;
+  bool dirty;
+  off_t good_bytes; /* up to here the file is durable and whole */
+  struct SpoolEntry *entries;
+  size_t n_entries, n_dropped; /* the first n_dropped are forgotten */
+};
+
+struct Spool
+{
+  char *folder;
+  int folder_fd;
+  struct SpoolFile *files;
+};
+
+static uint64_t
+entry_checksum (uint64_t number, const uint8_t *record, size_t n_bytes)
+{
+  return XXH64 (record, n_bytes, number);
+}
+
+static int
+spool_file_free (struct SpoolFile *file)
+{
+  if (file->fd >= 0)
+    close (file->fd);
+  return 0;
+}
+
+static struct SpoolFile *
+spool_file_find (const struct Spool *spool, const char *writer)
+{
+  for (struct SpoolFile *f = spool->files; f != NULL; f = f->next)
+    if (strcmp (f->writer, writer) == 0)
+      return f;
+  return NULL;
+}
+
+static int32_t
+spool_file_remember (struct SpoolFile *file, uint64_t number, const uint8_t *record, size_t n_bytes)
+{
+  struct SpoolEntry *entries =
+      talloc_realloc (file, file->entries, struct SpoolEntry, file->n_entries + 1);
+  struct SpoolEntry *entry;
+
+  if (entries == NULL)
+    return ERROR_NO_MEMORY;
+  file->entries = entries;
+  entry = &entries[file->n_entries];
+  entry->number = number;
+  entry->n_bytes = n_bytes;
+  entry->durable = false;
+  entry->record = talloc_memdup (file, record, n_bytes);
+  if (entry->record == NULL)
+    return ERROR_NO_MEMORY;
+  file->n_entries++;
+  return ERROR_NONE;
+}
+
+/* Takes one entry out of a file's content. False when it is no whole one. */
+static bool
+spool_file_take (struct SpoolFile *file, const msgpack_object *object)
+{
+  const msgpack_object *items;
+
+  if (object->type != MSGPACK_OBJECT_ARRAY || object->via.array.size != ENTRY_ITEMS)
+    return false;
+  items = object->via.array.ptr;
+  if (items[0].type != MSGPACK_OBJECT_POSITIVE_INTEGER || items[1].type != MSGPACK_OBJECT_BIN
+      || items[2].type != MSGPACK_OBJECT_POSITIVE_INTEGER)
+    return false;
+  if (entry_checksum (items[0].via.u64, (const uint8_t *)items[1].via.bin.ptr,
+                      items[1].via.bin.size)
+      != items[2].via.u64)
+    return false;
+  return spool_file_remember (file, items[0].via.u64, (const uint8_t *)items[1].via.bin.ptr,
+                              items[1].via.bin.size)
+         == ERROR_NONE;
+}
+
+/* Reads what is whole and cuts off the rest. */
+static int32_t
+spool_file_load (struct SpoolFile *file)
+{
+  struct stat status;
+  char *content;
+  size_t at = 0;
+  msgpack_unpacked unpacked;
+
+  if (fstat (file->fd, &status) != 0)
+    return ERROR_IO;
+  content = talloc_size (file, (size_t)status.st_size + 1);
+  if (content == NULL || pread (file->fd, content, (size_t)status.st_size, 0) != status.st_size)
+    return ERROR_IO;
+  msgpack_unpacked_init (&unpacked);
+  while (msgpack_unpack_next (&unpacked, content, (size_t)status.st_size, &at)
+             == MSGPACK_UNPACK_SUCCESS
+         && spool_file_take (file, &unpacked.data))
+    {
+      file->good_bytes = (off_t)at;
+      file->entries[file->n_entries - 1].durable = true;
+    }
+  msgpack_unpacked_destroy (&unpacked);
+  talloc_free (content);
+  if (file->good_bytes == status.st_size)
+    return ERROR_NONE;
+  log_event (LOG_LEVEL_WARNING, "spool_torn", NULL,
+             "nothing: what is cut off was never acknowledged", "%s: %lld of %lld bytes are whole",
+             file->path, (long long)file->good_bytes, (long long)status.st_size);
+  return ftruncate (file->fd, file->good_bytes) == 0 ? ERROR_NONE : ERROR_IO;
+}
+
+static struct SpoolFile *
+spool_file_new (struct Spool *spool, const char *writer)
+{
+  struct SpoolFile *file;
+
+  if (strlen (writer) >= WRITER_MAX_BYTES || strchr (writer, '/') != NULL)
+    return NULL;
+  file = talloc_zero (spool, struct SpoolFile);
+  if (file == NULL)
+    return NULL;
+  snprintf (file->writer, sizeof file->writer, "%s", writer);
+  file->path = talloc_asprintf (file, "%s/%s%s", spool->folder, file_prefix, writer);
+  file->fd = open (file->path, O_RDWR | O_CREAT | O_CLOEXEC, 0600);
+  talloc_set_destructor (file, spool_file_free);
+  if (file->fd < 0 || spool_file_load (file) != ERROR_NONE)
+    {
+      talloc_free (file);
+      return NULL;
+    }
+  file->next = spool->files;
+  spool->files = file;
+  return file;
+}
+
+static int
+spool_free (struct Spool *spool)
+{
+  close (spool->folder_fd);
+  return 0;
+}
+
+int32_t
+spool_open (TALLOC_CTX *ctx, const char *folder, struct Spool **opened, struct Fault *fault)
+{
+  struct Spool *spool = talloc_zero (ctx, struct Spool);
+  struct dirent *item;
+  DIR *listing = NULL;
+
+  *opened = NULL;
+  spool->folder = talloc_strdup (spool, folder);
+  if (mkdir (folder, 0700) != 0 && errno != EEXIST)
+    goto fail;
+  spool->folder_fd = open (folder, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  if (spool->folder_fd < 0)
+    goto fail;
+  talloc_set_destructor (spool, spool_free);
+  listing = opendir (folder);
+  if (listing == NULL)
+    goto fail;
+  while ((item = readdir (listing)) != NULL)
+    if (strncmp (item->d_name, file_prefix, strlen (file_prefix)) == 0
+        && spool_file_new (spool, item->d_name + strlen (file_prefix)) == NULL)
+      goto fail;
+  closedir (listing);
+  *opened = spool;
+  return ERROR_NONE;
+
+fail:
+  fault_set (fault, ERROR_IO, "check [instance] data_folder and its rights",
+             "the spool in %s can not be opened: %s", folder, strerror (errno));
+  if (listing != NULL)
+    closedir (listing);
+  talloc_free (spool);
+  return ERROR_IO;
+}
+
+static int32_t
+spool_file_write (struct SpoolFile *file, uint64_t number, const uint8_t *record, size_t n_bytes)
+{
+  struct PackWriter *writer = pack_writer_new (file, false);
+  uint8_t *packed = NULL;
+  size_t packed_bytes = 0;
+  int32_t error;
+
+  if (writer == NULL)
+    return ERROR_NO_MEMORY;
+  pack_array (writer, ENTRY_ITEMS);
+  pack_u64 (writer, number);
+  pack_bytes (writer, record, n_bytes);
+  pack_u64 (writer, entry_checksum (number, record, n_bytes));
+  error = pack_finish (writer, file, &packed, &packed_bytes);
+  if (error != ERROR_NONE)
+    return error;
+  lseek (file->fd, 0, SEEK_END);
+  if (write (file->fd, packed, packed_bytes) != (ssize_t)packed_bytes)
+    error = ERROR_IO;
+  talloc_free (packed);
+  return error;
+}
+
+int32_t
+spool_put (
+    struct Spool *spool, const char *writer, uint64_t number, const uint8_t *record, size_t n_bytes)
+{
+  struct SpoolFile *file = spool_file_find (spool, writer);
+  int32_t error;
+
+  if (file == NULL)
+    file = spool_file_new (spool, writer);
+  if (file == NULL)
+    return ERROR_IO;
+  if (file->n_entries > 0 && file->entries[file->n_entries - 1].number >= number)
+    return ERROR_NONE;
+  error = spool_file_write (file, number, record, n_bytes);
+  file->dirty = true;
+  return error == ERROR_NONE ? spool_file_remember (file, number, record, n_bytes) : error;
+}
+
+/* What was put since the last sync may be on the disk or not: it is cut off, so that a later record
+ * can not stand behind a torn one. */
+static void
+spool_file_cut (struct SpoolFile *file)
+{
+  if (ftruncate (file->fd, file->good_bytes) != 0)
+    log_event (LOG_LEVEL_ERROR, "spool_failed", NULL, "replace the instance: its disk fails", "%s",
+               file->path);
+  while (file->n_entries > 0 && !file->entries[file->n_entries - 1].durable)
+    file->n_entries--;
+}
+
+int32_t
+spool_sync (struct Spool *spool)
+{
+  int32_t error = ERROR_NONE;
+
+  for (struct SpoolFile *f = spool->files; f != NULL; f = f->next)
+    {
+      if (!f->dirty)
+        continue;
+      f->dirty = false;
+      if (fdatasync (f->fd) != 0)
+        {
+          error = ERROR_IO;
+          spool_file_cut (f);
+          continue;
+        }
+      f->good_bytes = lseek (f->fd, 0, SEEK_END);
+      for (size_t i = 0; i < f->n_entries; i++)
+        f->entries[i].durable = true;
+    }
+  /* A new file's name must last as well. */
+  if (fsync (spool->folder_fd) != 0)
+    error = ERROR_IO;
+  return error;
+}
+
+int32_t
+spool_drop (struct Spool *spool, const char *writer, uint64_t number)
+{
+  struct SpoolFile **at = &spool->files;
+  struct SpoolFile *file;
+
+  while (*at != NULL && strcmp ((*at)->writer, writer) != 0)
+    at = &(*at)->next;
+  file = *at;
+  if (file == NULL)
+    return ERROR_NONE;
+  while (file->n_dropped < file->n_entries && file->entries[file->n_dropped].number <= number)
+    {
+      TALLOC_FREE (file->entries[file->n_dropped].record);
+      file->n_dropped++;
+    }
+  if (file->n_dropped < file->n_entries)
+    return ERROR_NONE;
+  *at = file->next;
+  unlink (file->path);
+  talloc_free (file);
+  return ERROR_NONE;
+}
+
+void
+spool_each (const struct Spool *spool, const char *writer, SpoolFn fn, void *data)
+{
+  const struct SpoolFile *file = spool_file_find (spool, writer);
+
+  for (size_t i = file != NULL ? file->n_dropped : 0; file != NULL && i < file->n_entries; i++)
+    if (file->entries[i].durable)
+      fn (data, file->entries[i].number, file->entries[i].record, file->entries[i].n_bytes);
+}
+
+size_t
+spool_count (const struct Spool *spool)
+{
+  size_t n = 0;
+
+  for (const struct SpoolFile *f = spool->files; f != NULL; f = f->next)
+    n += f->n_entries - f->n_dropped;
+  return n;
+}
--- a/core/journal.c
+++ b/core/journal.c
@@ -336,7 +336,8 @@
 
       n_bytes += entry->n_bytes;
       records[n].bytes = entry->bytes;
-      records[n++].n_bytes = entry->n_bytes;
+      records[n].n_bytes = entry->n_bytes;
+      n += entry->n_bytes > 0; /* a confirmation has no record */
       journal_queue_push (&batch->entries, entry);
     }
   batch->id = ++journal->last_batch_id;
@@ -491,6 +492,26 @@
   return ERROR_NONE;
 }
 
+int32_t
+journal_confirm (struct Journal *journal, JournalDone done, void *data)
+{
+  struct JournalEntry *entry;
+
+  if (journal->fenced)
+    return ERROR_FENCED;
+  if (!journal_is_writable (journal))
+    return ERROR_PLATFORM_DOWN;
+  entry = talloc_zero (journal, struct JournalEntry);
+  if (entry == NULL)
+    return ERROR_NO_MEMORY;
+  entry->done = done;
+  entry->data = data;
+  entry->unless_down = true;
+  journal_queue_push (&journal->waiting, entry);
+  journal_schedule (journal);
+  return ERROR_NONE;
+}
+
 void
 journal_when_idle (struct Journal *journal, JournalIdleFn fn, void *data)
 {
--- /dev/null
+++ b/daemon/core.h
@@ -0,0 +1,46 @@
+/* What the modules of the core thread share. All of it is used by that thread alone. */
+#pragma once
+
+#include <buckthornhead/backend_pool.h>
+#include <buckthornhead/caller_http.h>
+#include <buckthornhead/config_log.h>
+#include <buckthornhead/homes.h>
+#include <buckthornhead/journal.h>
+#include <buckthornhead/kv.h>
+#include <buckthornhead/ledger.h>
+#include <buckthornhead/membership.h>
+#include <buckthornhead/peer_net.h>
+#include <buckthornhead/settings.h>
+#include <buckthornhead/timer.h>
+
+/* Ids of requests are told apart by their module, since answers come back over one link. */
+#define ENTRY_ID_BASE (1ULL << 63)
+#define OPERATOR_ID_BASE (1ULL << 62)
+
+struct Core
+{
+  const struct Settings *settings;
+  struct tevent_context *events;
+  struct TimerService *timers;
+  struct Mailbox *mailbox;
+  struct KvPort *kv;
+  struct PeerNet *net;
+  struct BackendPool *pool;
+  struct CallerHttp *http;
+  struct Membership *membership;
+  struct ConfigLog *config;
+  struct ConfigState *state; /* the configuration in force, NULL before the first */
+  struct Fleet *fleet;
+  struct Entry *entry;
+  struct Home *home;
+  struct Owner *owner;
+  struct Operator *operators;
+  char incarnation[INCARNATION_MAX_BYTES + 1];
+  bool platform_up;
+  bool draining; /* by the operators' order or by a signal */
+  int64_t draining_since_ms;
+  struct PeerOutcomes outcomes;
+};
+
+int64_t
+core_unix_ms (void);
--- /dev/null
+++ b/daemon/fleet.c
@@ -0,0 +1,426 @@
+#include "fleet.h"
+
+#include "home.h"
+#include "owner.h"
+
+#include <buckthornhead/counter.h>
+#include <buckthornhead/log.h>
+#include <buckthornhead/snapshot.h>
+
+#include <stdio.h>
+#include <string.h>
+
+enum
+{
+  HEARTBEAT_MS = 500,
+  /* Silence after which a member is suspected and its link dropped: calls that wait on a paused
+   * instance are then settled. It starts no take-over; only the platform's lease does. */
+  SILENCE_MS = 2500,
+  CONNECT_KEEP_MS = 2000,
+  OWNER_KEY_BYTES = 2 * NAME_MAX_BYTES + 16
+};
+
+struct Fleet
+{
+  struct Core *core;
+  struct FleetMember *members;
+  size_t n_members;
+  struct FleetBackend *backends;
+  size_t n_backends;
+};
+
+size_t
+fleet_members (const struct Fleet *fleet, const struct FleetMember **members)
+{
+  *members = fleet->members;
+  return fleet->n_members;
+}
+
+size_t
+fleet_backends (const struct Fleet *fleet, const struct FleetBackend **backends)
+{
+  *backends = fleet->backends;
+  return fleet->n_backends;
+}
+
+const struct FleetMember *
+fleet_member_of (const struct Fleet *fleet, const char *incarnation)
+{
+  for (size_t i = 0; i < fleet->n_members; i++)
+    if (strcmp (fleet->members[i].incarnation, incarnation) == 0)
+      return &fleet->members[i];
+  return NULL;
+}
+
+static struct FleetMember *
+fleet_member_named (struct Fleet *fleet, const char *instance)
+{
+  for (size_t i = 0; i < fleet->n_members; i++)
+    if (strcmp (fleet->members[i].instance, instance) == 0)
+      return &fleet->members[i];
+  return NULL;
+}
+
+/* Keeps what is only known from heartbeats when a member stays the same incarnation. */
+static void
+fleet_carry_over (struct Fleet *fleet, struct FleetMember *member)
+{
+  const struct FleetMember *former = fleet_member_of (fleet, member->incarnation);
+
+  member->heard_ms = timer_now_ms (fleet->core->timers);
+  if (former == NULL)
+    return;
+  member->suspected = former->suspected;
+  member->heard_ms = former->heard_ms;
+  member->heartbeat = former->heartbeat;
+}
+
+static void
+fleet_tell_homes (struct Fleet *fleet)
+{
+  struct HomesMember *members = talloc_zero_array (fleet, struct HomesMember, fleet->n_members);
+
+  for (size_t i = 0; members != NULL && i < fleet->n_members; i++)
+    {
+      members[i].incarnation = fleet->members[i].incarnation;
+      members[i].instance = fleet->members[i].instance;
+      members[i].draining = fleet->members[i].draining;
+    }
+  home_set_members (fleet->core->home, members, fleet->n_members);
+  talloc_free (members);
+}
+
+void
+fleet_set_members (struct Fleet *fleet, const struct FleetMember *members, size_t n_members)
+{
+  struct FleetMember *former = fleet->members;
+  size_t n_former = fleet->n_members;
+  struct FleetMember *copy = talloc_array (fleet, struct FleetMember, n_members);
+
+  if (copy == NULL)
+    return;
+  if (n_members > 0)
+    memcpy (copy, members, n_members * sizeof *members);
+  for (size_t i = 0; i < n_members; i++)
+    fleet_carry_over (fleet, &copy[i]);
+  fleet->members = copy;
+  fleet->n_members = n_members;
+  for (size_t i = 0; i < n_former; i++)
+    if (fleet_member_named (fleet, former[i].instance) == NULL)
+      peer_net_forget (fleet->core->net, former[i].instance);
+  for (size_t i = 0; i < n_members; i++)
+    peer_net_know (fleet->core->net, copy[i].instance, copy[i].peer_address);
+  talloc_free (former);
+  fleet_tell_homes (fleet);
+  fleet_publish (fleet);
+}
+
+static struct FleetBackend *
+fleet_backend_named (const struct Fleet *fleet, const char *name)
+{
+  for (size_t i = 0; i < fleet->n_backends; i++)
+    if (strcmp (fleet->backends[i].setting.name, name) == 0)
+      return &fleet->backends[i];
+  return NULL;
+}
+
+const struct FleetBackend *
+fleet_backend (const struct Fleet *fleet, const char *name)
+{
+  return fleet_backend_named (fleet, name);
+}
+
+static void
+fleet_take_digests (struct Fleet *fleet, const struct PeerHeartbeat *heartbeat)
+{
+  for (size_t i = 0; i < heartbeat->n_digests; i++)
+    {
+      struct FleetBackend *backend = fleet_backend_named (fleet, heartbeat->digests[i].name);
+
+      if (backend == NULL)
+        continue;
+      backend->digest = heartbeat->digests[i];
+      backend->digest_ms = timer_now_ms (fleet->core->timers);
+    }
+}
+
+void
+fleet_on_heartbeat (struct Fleet *fleet, const struct PeerHeartbeat *heartbeat)
+{
+  struct FleetMember *member = fleet_member_named (fleet, heartbeat->instance);
+  bool was_suspected;
+
+  if (member == NULL)
+    return;
+  was_suspected = member->suspected;
+  member->heard_ms = timer_now_ms (fleet->core->timers);
+  member->suspected = false;
+  member->heartbeat = *heartbeat;
+  member->heartbeat.digests = NULL;
+  member->heartbeat.n_digests = 0;
+  fleet_take_digests (fleet, heartbeat);
+  if (was_suspected)
+    fleet_publish (fleet);
+}
+
+void
+fleet_own_heartbeat (struct Fleet *fleet, TALLOC_CTX *ctx, struct PeerHeartbeat *heartbeat)
+{
+  struct Core *core = fleet->core;
+
+  memset (heartbeat, 0, sizeof *heartbeat);
+  snprintf (heartbeat->instance, sizeof heartbeat->instance, "%s", core->settings->instance);
+  heartbeat->config_revision = config_log_revision (core->config);
+  heartbeat->draining = core->draining;
+  heartbeat->platform_up = core->platform_up;
+  home_count (core->home, &heartbeat->partitions, &heartbeat->programs);
+  owner_count (core->owner, &heartbeat->waiting, &heartbeat->in_flight);
+  heartbeat->outcomes = core->outcomes;
+  heartbeat->digests = owner_digests (core->owner, ctx, &heartbeat->n_digests);
+}
+
+void
+fleet_broadcast (struct Fleet *fleet, const struct PeerMessage *message)
+{
+  struct PeerNet *net = fleet->core->net;
+
+  for (size_t i = 0; i < fleet->n_members; i++)
+    {
+      uint64_t link = peer_net_link_to (net, fleet->members[i].instance);
+
+      if (link != PEER_LINK_NONE && link != PEER_LINK_SELF)
+        peer_net_send (net, link, message);
+    }
+}
+
+/* A paused instance keeps its connections open, so its silence is all there is to see. */
+static void
+fleet_suspect_silent (struct Fleet *fleet)
+{
+  int64_t now_ms = timer_now_ms (fleet->core->timers);
+  bool changed = false;
+
+  for (size_t i = 0; i < fleet->n_members; i++)
+    {
+      struct FleetMember *member = &fleet->members[i];
+
+      if (member->suspected || now_ms - member->heard_ms < SILENCE_MS
+          || strcmp (member->instance, fleet->core->settings->instance) == 0)
+        continue;
+      member->suspected = true;
+      changed = true;
+      log_event (LOG_LEVEL_WARNING, "member_suspected", NULL, "see whether the instance is up",
+                 "%s was silent for %d ms", member->instance, SILENCE_MS);
+      peer_net_drop (fleet->core->net, member->instance);
+    }
+  if (changed)
+    fleet_publish (fleet);
+}
+
+static void
+fleet_on_tick (void *data)
+{
+  struct Fleet *fleet = data;
+  struct PeerMessage message = { .kind = PEER_HEARTBEAT };
+  TALLOC_CTX *ctx = talloc_new (fleet);
+
+  fleet_own_heartbeat (fleet, ctx, &message.heartbeat);
+  fleet_take_digests (fleet, &message.heartbeat);
+  fleet_broadcast (fleet, &message);
+  fleet_suspect_silent (fleet);
+  gauge_set (GAUGE_PARTITIONS_OWNED, message.heartbeat.partitions);
+  gauge_set (GAUGE_PROGRAMS, message.heartbeat.programs);
+  gauge_set (GAUGE_DRAINING, message.heartbeat.draining);
+  gauge_set (GAUGE_PLATFORM_UP, message.heartbeat.platform_up);
+  gauge_set (GAUGE_CONFIG_REVISION, message.heartbeat.config_revision);
+  talloc_free (ctx);
+}
+
+static void
+fleet_add_backend (struct Fleet *fleet, const struct BackendSetting *setting, bool live)
+{
+  struct FleetBackend *backend = fleet_backend_named (fleet, setting->name);
+
+  if (backend == NULL)
+    {
+      fleet->backends =
+          talloc_realloc (fleet, fleet->backends, struct FleetBackend, fleet->n_backends + 1);
+      backend = &fleet->backends[fleet->n_backends++];
+      memset (backend, 0, sizeof *backend);
+    }
+  backend->setting = *setting;
+  backend->live = live;
+}
+
+void
+fleet_set_backends (struct Fleet *fleet,
+                    const struct BackendSetting *listed,
+                    const bool *leaving,
+                    size_t n_listed)
+{
+  const struct Settings *settings = fleet->core->settings;
+
+  /* What is not listed any more gets nothing new, but stays known: memory may have to be released
+   * there, and answers may still come. */
+  for (size_t i = 0; i < fleet->n_backends; i++)
+    fleet->backends[i].live = false;
+  for (size_t i = 0; i < settings->n_backends; i++)
+    fleet_add_backend (fleet, &settings->backends[i], true);
+  for (size_t i = 0; i < n_listed; i++)
+    fleet_add_backend (fleet, &listed[i], !leaving[i]);
+  owner_on_backends_changed (fleet->core->owner);
+}
+
+/* Members that may own backend servers, same availability zone first. */
+const char *
+fleet_owner (const struct Fleet *fleet, const struct FleetBackend *backend)
+{
+  const struct FleetMember *best = NULL;
+  bool best_near = false;
+  uint64_t best_score = 0;
+
+  for (size_t i = 0; i < fleet->n_members; i++)
+    {
+      const struct FleetMember *member = &fleet->members[i];
+      bool near = strcmp (member->zone, backend->setting.zone) == 0;
+      uint64_t score = rendezvous_score (backend->setting.name, member->instance);
+
+      if (member->draining || member->suspected)
+        continue;
+      if (best != NULL && (best_near > near || (best_near == near && best_score >= score)))
+        continue;
+      best = member;
+      best_near = near;
+      best_score = score;
+    }
+  return best != NULL ? best->instance : NULL;
+}
+
+bool
+fleet_owns (const struct Fleet *fleet, const struct FleetBackend *backend)
+{
+  const char *owner = fleet_owner (fleet, backend);
+
+  return owner != NULL && strcmp (owner, fleet->core->settings->instance) == 0;
+}
+
+struct PolicyServer *
+fleet_servers (const struct Fleet *fleet,
+               TALLOC_CTX *ctx,
+               enum CallTarget kind,
+               const char *target,
+               size_t *n_servers)
+{
+  struct PolicyServer *servers = talloc_zero_array (ctx, struct PolicyServer, fleet->n_backends);
+
+  *n_servers = 0;
+  for (size_t i = 0; servers != NULL && i < fleet->n_backends; i++)
+    {
+      const struct FleetBackend *backend = &fleet->backends[i];
+      struct PolicyServer *server = &servers[*n_servers];
+
+      if (backend->setting.kind != kind || strcmp (backend->setting.target, target) != 0)
+        continue;
+      *server = backend->digest;
+      snprintf (server->name, sizeof server->name, "%s", backend->setting.name);
+      server->usable = backend->live && fleet_owner (fleet, backend) != NULL;
+      server->same_zone = strcmp (backend->setting.zone, fleet->core->settings->zone) == 0;
+      (*n_servers)++;
+    }
+  return servers;
+}
+
+static const struct Profile profile_built_in = {
+  .name = "built-in",
+  .weights = { .rule = POLICY_PROGRAM,
+               .cache_weight_permille = 300,
+               .ageing_ms = 10000,
+               .share = 100,
+               .queue_limit = 1000,
+               .retry_budget_permille = 100,
+               .pause_keep_ms = 30000 },
+  .program_budget_tokens = 1000000,
+  .turn_limit = 200,
+  .program_deadline_s = 0,
+  .call_timeout_ms = 120000,
+  .reserve_tokens_max = 100000,
+};
+
+void
+fleet_profile (const struct Fleet *fleet, const char *service, struct Profile *profile)
+{
+  const struct ConfigState *state = fleet->core->state;
+  const char *name = NULL;
+
+  *profile = profile_built_in;
+  for (size_t i = 0; state != NULL && i < state->n_services; i++)
+    if (strcmp (state->services[i].name, service) == 0)
+      name = state->services[i].profile;
+  for (size_t i = 0; name != NULL && i < state->n_profiles; i++)
+    if (strcmp (state->profiles[i].profile.name, name) == 0)
+      *profile = state->profiles[i].profile;
+}
+
+void
+fleet_weights (const struct Fleet *fleet, const char *service, struct PolicyWeights *weights)
+{
+  struct Profile profile;
+
+  fleet_profile (fleet, service, &profile);
+  *weights = profile.weights;
+}
+
+static int32_t
+fleet_home_index (const struct Fleet *fleet, uint32_t partition)
+{
+  const char *home = home_lookup (fleet->core->home, partition);
+
+  for (size_t i = 0; home != NULL && i < fleet->n_members; i++)
+    if (strcmp (fleet->members[i].incarnation, home) == 0)
+      return (int32_t)i;
+  return -1;
+}
+
+void
+fleet_publish (struct Fleet *fleet)
+{
+  struct Snapshot *snapshot = talloc_zero (NULL, struct Snapshot);
+
+  if (snapshot == NULL)
+    return;
+  snapshot->n_members = fleet->n_members;
+  snapshot->members = talloc_zero_array (snapshot, struct SnapshotMember, fleet->n_members);
+  snapshot->n_partitions = fleet->core->settings->n_partitions;
+  snapshot->homes = talloc_array (snapshot, int32_t, snapshot->n_partitions);
+  snapshot->keep_ms = CONNECT_KEEP_MS;
+  for (size_t i = 0; i < fleet->n_members; i++)
+    {
+      const struct FleetMember *from = &fleet->members[i];
+      struct SnapshotMember *to = &snapshot->members[i];
+
+      snprintf (to->instance, sizeof to->instance, "%s", from->instance);
+      snprintf (to->zone, sizeof to->zone, "%s", from->zone);
+      snprintf (to->caller_address, sizeof to->caller_address, "%s", from->caller_address);
+      to->draining = from->draining;
+      to->suspected = from->suspected;
+    }
+  for (uint32_t i = 0; i < snapshot->n_partitions; i++)
+    snapshot->homes[i] = fleet_home_index (fleet, i);
+  snapshot_publish (snapshot);
+}
+
+struct Fleet *
+fleet_new (struct Core *core)
+{
+  struct Fleet *fleet = talloc_zero (core, struct Fleet);
+
+  if (fleet == NULL)
+    return NULL;
+  fleet->core = core;
+  for (size_t i = 0; i < core->settings->n_backends; i++)
+    fleet_add_backend (fleet, &core->settings->backends[i], true);
+  if (timer_subscribe (fleet, core->timers, HEARTBEAT_MS, HEARTBEAT_MS, fleet_on_tick, fleet)
+      == NULL)
+    TALLOC_FREE (fleet);
+  return fleet;
+}
--- /dev/null
+++ b/daemon/home_internal.h
@@ -0,0 +1,149 @@
+/* What the files of the home share. */
+#pragma once
+
+#include "home.h"
+
+#include "fleet.h"
+
+#include <buckthornhead/retry_budget.h>
+
+#include <uthash.h>
+
+enum
+{
+  CALL_TRIED_MAX = 8 /* backend servers that one call may be sent to */
+};
+
+enum HomeCallState
+{
+  HOME_CALL_WRITING_INTENT,
+  HOME_CALL_DISPATCHED,
+  HOME_CALL_BACKING_OFF, /* waits for its next try */
+  HOME_CALL_WRITING_OUTCOME,
+  HOME_CALL_WRITING_NOT_SENT
+};
+
+/* Somebody who waits for a call's answer: a request of an entry. */
+struct HomeWaiter
+{
+  struct HomeWaiter *next;
+  uint64_t link, id;
+  bool first_attempt;
+  size_t sent_bytes; /* of the call's answer so far */
+};
+
+/* A call in flight. */
+struct HomeCall
+{
+  struct Home *home;
+  struct Call call; /* .body belongs to this object */
+  enum HomeCallState state;
+  bool intent_journaled;
+  bool given_up; /* its waiters were told "not run": never to be dispatched */
+  struct HomeWaiter *waiters;
+  struct Timer *timer;
+  uint32_t attempt;
+  char tried[CALL_TRIED_MAX][NAME_MAX_BYTES + 1];
+  uint32_t n_tried;
+  char backend[NAME_MAX_BYTES + 1];
+  uint64_t dispatch_id, owner_link;
+  uint32_t status;
+  uint8_t *answer;
+  size_t answer_bytes, answer_size;
+  size_t releasable_bytes; /* what waiters may have before the outcome is durable */
+  bool released_any;
+  struct Outcome outcome;
+  struct PeerAnswer failure; /* what waiters are told once RECORD_NOT_SENT is durable */
+  UT_hash_handle by_key, by_dispatch;
+};
+
+/* A release that an owner was asked for. */
+struct HomeRelease
+{
+  struct Home *home;
+  uint64_t id;
+  char program[PROGRAM_ID_MAX_BYTES + 1];
+  char backend[NAME_MAX_BYTES + 1];
+  char key[PROGRAM_ID_MAX_BYTES + NAME_MAX_BYTES + 2]; /* program, '/', backend */
+  uint64_t link;
+  int64_t asked_ms;
+  bool acknowledged, recorded;
+  UT_hash_handle by_key;
+};
+
+struct Home
+{
+  struct Core *core;
+  struct Journal *journal;
+  struct Ledger *ledger;
+  struct Homes *homes;
+  struct Placement *placement;
+  struct Quarantine *quarantine;
+  struct RetryBudget *retries;
+  TALLOC_CTX *era; /* all that belongs to the present incarnation */
+  uint64_t era_number;
+  uint64_t next_id;
+  struct HomeCall *calls;      /* by key */
+  struct HomeCall *dispatches; /* by dispatch id */
+  struct HomeRelease *releases;
+  struct HomesMember *members; /* the last that were told, for a new era */
+  size_t n_members;
+  uint32_t n_programs;
+};
+
+/* home.c */
+typedef void (*HomeWritten) (void *data, int32_t error);
+
+/* Journals record under the present epoch, applies it once durable, then calls done. Pointers in
+ * record must stay valid until then. */
+void
+home_write (struct Home *home,
+            const struct Record *record,
+            const char *program,
+            HomeWritten done,
+            void *data);
+void
+home_end_program (struct Home *home, const char *program, enum EndReason reason);
+
+/* home_reply.c */
+void
+home_reply (struct Home *home, uint64_t link, const struct PeerAnswer *answer);
+void
+home_reply_bytes (struct Home *home,
+                  uint64_t link,
+                  uint64_t id,
+                  uint32_t status,
+                  const void *bytes,
+                  size_t n_bytes);
+/* A whole JSON answer. */
+void
+home_reply_json (struct Home *home, uint64_t link, uint64_t id, uint32_t status, const char *json);
+/* Refuses a request that did not run here. "Not run" is said at once to a first attempt; to a
+ * resend only after the journal has confirmed that this incarnation still owns what it says. */
+void
+home_refuse (struct Home *home,
+             uint64_t link,
+             uint64_t id,
+             bool first_attempt,
+             const struct Fault *fault,
+             uint32_t retry_after_ms,
+             uint64_t expected_sequence);
+
+/* home_call.c */
+void
+home_on_call (struct Home *home, uint64_t link, const struct PeerRequest *request);
+void
+home_cancel_program (struct Home *home, const char *program);
+void
+home_fail_all (struct Home *home, int32_t error);
+
+/* home_release.c */
+void
+home_release_start (struct Home *home);
+bool
+home_release_on_answer (struct Home *home, const struct PeerAnswer *answer);
+void
+home_release_on_link_closed (struct Home *home, uint64_t link);
+/* A call was sent to backend and broke: the server may hold memory that no outcome tells of. */
+void
+home_release_touch (struct Home *home, const char *program, const char *backend);
--- /dev/null
+++ b/daemon/home_release.c
@@ -0,0 +1,247 @@
+#include "home_internal.h"
+
+#include <buckthornhead/counter.h>
+
+#include <stdio.h>
+#include <string.h>
+
+enum
+{
+  SWEEP_MS = 300,
+  ASK_AGAIN_MS = 2500 /* an owner that has not answered by then is asked anew */
+};
+
+/* A broken dispatch: the backend server may hold memory of the program though no outcome says so.
+ */
+struct HomeTouched
+{
+  char key[PROGRAM_ID_MAX_BYTES + NAME_MAX_BYTES + 2];
+  char program[PROGRAM_ID_MAX_BYTES + 1];
+  char backend[NAME_MAX_BYTES + 1];
+  UT_hash_handle by_key;
+};
+
+static struct HomeTouched *touched;
+
+static void
+release_key (char *key, size_t size, const char *program, const char *backend)
+{
+  snprintf (key, size, "%s/%s", program, backend);
+}
+
+void
+home_release_touch (struct Home *home, const char *program, const char *backend)
+{
+  struct HomeTouched *t;
+  char key[sizeof t->key];
+
+  release_key (key, sizeof key, program, backend);
+  HASH_FIND (by_key, touched, key, strlen (key), t);
+  if (t != NULL)
+    return;
+  t = talloc_zero (home->era, struct HomeTouched);
+  if (t == NULL)
+    return;
+  memcpy (t->key, key, sizeof key);
+  snprintf (t->program, sizeof t->program, "%s", program);
+  snprintf (t->backend, sizeof t->backend, "%s", backend);
+  HASH_ADD (by_key, touched, key, strlen (t->key), t);
+}
+
+static void
+release_free (struct HomeRelease *release)
+{
+  HASH_DELETE (by_key, release->home->releases, release);
+  talloc_free (release);
+}
+
+static void
+release_on_recorded (void *data, int32_t error)
+{
+  struct HomeRelease *release = data;
+
+  if (error == ERROR_NONE)
+    counter_add (COUNTER_RELEASES, 1);
+  release_free (release);
+}
+
+/* The server holds nothing any more: remembered, so that no later home asks again. */
+static void
+release_record (struct HomeRelease *release)
+{
+  struct Record record = { .kind = RECORD_RELEASED };
+
+  release->recorded = true;
+  snprintf (record.released.program, sizeof record.released.program, "%s", release->program);
+  snprintf (record.released.backend, sizeof record.released.backend, "%s", release->backend);
+  home_write (release->home, &record, release->program, release_on_recorded, release);
+}
+
+static struct HomeRelease *
+release_of (struct Home *home, const char *program, const char *backend)
+{
+  struct HomeRelease *release;
+  char key[sizeof release->key];
+
+  release_key (key, sizeof key, program, backend);
+  HASH_FIND (by_key, home->releases, key, strlen (key), release);
+  if (release != NULL)
+    return release;
+  release = talloc_zero (home->era, struct HomeRelease);
+  if (release == NULL)
+    return NULL;
+  release->home = home;
+  memcpy (release->key, key, sizeof key);
+  snprintf (release->program, sizeof release->program, "%s", program);
+  snprintf (release->backend, sizeof release->backend, "%s", backend);
+  release->asked_ms = -ASK_AGAIN_MS;
+  HASH_ADD (by_key, home->releases, key, strlen (release->key), release);
+  return release;
+}
+
+/* Asks the owner of the release's server, unless it was asked a moment ago. */
+static void
+release_ask (struct HomeRelease *release)
+{
+  struct Home *home = release->home;
+  struct Core *core = home->core;
+  struct PeerMessage message = { .kind = PEER_RELEASE };
+  const struct FleetBackend *backend = fleet_backend (core->fleet, release->backend);
+  int64_t now_ms = timer_now_ms (core->timers);
+  const char *owner;
+  uint64_t link;
+
+  if (release->acknowledged || now_ms - release->asked_ms < ASK_AGAIN_MS)
+    return;
+  if (backend == NULL)
+    {
+      /* No list names it any more: what it held went with it. */
+      release->acknowledged = true;
+      return;
+    }
+  owner = fleet_owner (core->fleet, backend);
+  link = owner != NULL ? peer_net_link_to (core->net, owner) : PEER_LINK_NONE;
+  if (link == PEER_LINK_NONE)
+    return;
+  release->asked_ms = now_ms;
+  release->link = link;
+  release->id = home->next_id++;
+  message.release.id = release->id;
+  snprintf (message.release.program, sizeof message.release.program, "%s", release->program);
+  snprintf (message.release.backend, sizeof message.release.backend, "%s", release->backend);
+  peer_net_send (core->net, link, &message);
+}
+
+/* Every engine that is known may hold memory of a program whose former home died in mid-call. True
+ * once each has acknowledged. */
+static bool
+release_ask_all (struct Home *home, const char *program)
+{
+  const struct FleetBackend *backends;
+  size_t n = fleet_backends (home->core->fleet, &backends);
+  bool all = true;
+
+  for (size_t i = 0; i < n; i++)
+    {
+      struct HomeRelease *release;
+
+      if (backends[i].setting.kind != CALL_TARGET_ENGINE || !backends[i].live)
+        continue;
+      release = release_of (home, program, backends[i].setting.name);
+      if (release == NULL || !release->acknowledged)
+        all = false;
+      if (release != NULL)
+        release_ask (release);
+    }
+  return all;
+}
+
+static void
+release_on_held (void *data, const char *program, const char *backend)
+{
+  struct Home *home = data;
+  struct HomeRelease *release = release_of (home, program, backend);
+
+  if (release == NULL || release->recorded)
+    return;
+  if (strcmp (backend, LEDGER_ANY_BACKEND) == 0)
+    release->acknowledged = release_ask_all (home, program);
+  else
+    release_ask (release);
+  if (release->acknowledged)
+    release_record (release);
+}
+
+/* A touched server of a program that has ended since. */
+static void
+release_touched (struct Home *home)
+{
+  struct HomeTouched *t, *next;
+
+  HASH_ITER (by_key, touched, t, next)
+  {
+    struct LedgerProgramView view;
+    struct HomeRelease *release;
+
+    if (!ledger_view_program (home->ledger, t->program, &view))
+      goto drop;
+    if (!view.ended)
+      continue;
+    release = release_of (home, t->program, t->backend);
+    if (release == NULL)
+      continue;
+    release_ask (release);
+    if (!release->acknowledged)
+      continue;
+    if (!release->recorded)
+      release_record (release);
+  drop:
+    HASH_DELETE (by_key, touched, t);
+    talloc_free (t);
+  }
+}
+
+static void
+home_on_release_sweep (void *data)
+{
+  struct Home *home = data;
+
+  ledger_each_held (home->ledger, release_on_held, home);
+  release_touched (home);
+}
+
+void
+home_release_start (struct Home *home)
+{
+  touched = NULL;
+  timer_subscribe (home->era, home->core->timers, SWEEP_MS, SWEEP_MS, home_on_release_sweep, home);
+}
+
+bool
+home_release_on_answer (struct Home *home, const struct PeerAnswer *answer)
+{
+  struct HomeRelease *release, *next;
+
+  HASH_ITER (by_key, home->releases, release, next)
+  {
+    if (release->id != answer->id || release->link == PEER_LINK_NONE)
+      continue;
+    release->link = PEER_LINK_NONE;
+    release->acknowledged = answer->outcome.error == ERROR_NONE;
+    return true;
+  }
+  return false;
+}
+
+void
+home_release_on_link_closed (struct Home *home, uint64_t link)
+{
+  struct HomeRelease *release, *next;
+
+  HASH_ITER (by_key, home->releases, release, next)
+  if (release->link == link)
+    {
+      release->link = PEER_LINK_NONE;
+      release->asked_ms = -ASK_AGAIN_MS;
+    }
+}
--- /dev/null
+++ b/daemon/operator.c
@@ -0,0 +1,330 @@
+#include "operator.h"
+
+#include "entry.h"
+#include "fleet.h"
+#include "home.h"
+#include "status.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+#include <uthash.h>
+
+enum
+{
+  GATHER_MS = 1000, /* an instance that has not listed its programs by then is left out */
+  TEXT_MAX_BYTES = 256 * 1024
+};
+
+/* A list of programs that is being gathered from all instances. */
+struct Gather
+{
+  struct Operator *operators;
+  struct Exchange *exchange;
+  json_t *programs;
+  uint32_t n_waiting;
+  struct Timer *timer;
+};
+
+/* One instance's share of it. */
+struct GatherPart
+{
+  struct Gather *gather;
+  uint64_t id;
+  uint8_t *body;
+  size_t body_bytes;
+  UT_hash_handle by_id;
+};
+
+struct Operator
+{
+  struct Core *core;
+  uint64_t next_id;
+  struct GatherPart *parts;
+};
+
+/* A change on its way into the configuration's log. */
+struct PendingChange
+{
+  struct Operator *operators;
+  struct Exchange *exchange;
+};
+
+static void
+operator_answer_json (struct Exchange *exchange, uint32_t status, json_t *json)
+{
+  char *text = json_dumps (json, JSON_COMPACT);
+
+  exchange_answer (exchange, status, text, strlen (text));
+  free (text);
+  json_decref (json);
+}
+
+static void
+operator_answer_fault (struct Exchange *exchange, const struct Fault *fault)
+{
+  json_t *json = json_pack ("{s:{s:s,s:s,s:s}}", "error", "kind", error_name (fault->error),
+                            "message", fault->message, "remedy", fault->remedy);
+
+  operator_answer_json (exchange, error_http_status (fault->error), json);
+}
+
+static void
+gather_finish (struct Gather *gather)
+{
+  struct GatherPart *part, *next;
+
+  HASH_ITER (by_id, gather->operators->parts, part, next)
+  if (part->gather == gather)
+    HASH_DELETE (by_id, gather->operators->parts, part);
+  operator_answer_json (gather->exchange, 200, json_pack ("{s:o}", "programs", gather->programs));
+  talloc_free (gather);
+}
+
+static void
+gather_on_time (void *data)
+{
+  gather_finish (data);
+}
+
+static void
+gather_ask (struct Gather *gather, const char *instance, const char *service)
+{
+  struct Operator *operators = gather->operators;
+  struct PeerMessage message = { .kind = PEER_REQUEST };
+  uint64_t link = peer_net_link_to (operators->core->net, instance);
+  struct GatherPart *part;
+
+  if (link == PEER_LINK_NONE)
+    return;
+  part = talloc_zero (gather, struct GatherPart);
+  part->gather = gather;
+  part->id = operators->next_id++;
+  message.request.id = part->id;
+  message.request.op = REQUEST_LIST;
+  snprintf (message.request.call.service, sizeof message.request.call.service, "%s", service);
+  if (peer_net_send (operators->core->net, link, &message) != ERROR_NONE)
+    {
+      talloc_free (part);
+      return;
+    }
+  HASH_ADD (by_id, operators->parts, id, sizeof part->id, part);
+  gather->n_waiting++;
+}
+
+static void
+operator_list_programs (struct Operator *operators, struct Exchange *exchange)
+{
+  struct Gather *gather = talloc_zero (operators, struct Gather);
+  const struct FleetMember *members;
+  size_t n = fleet_members (operators->core->fleet, &members);
+
+  gather->operators = operators;
+  gather->exchange = exchange;
+  gather->programs = json_array ();
+  for (size_t i = 0; i < n; i++)
+    gather_ask (gather, members[i].instance, exchange->query_name);
+  if (gather->n_waiting == 0)
+    gather_finish (gather);
+  else
+    gather->timer =
+        timer_subscribe (gather, operators->core->timers, GATHER_MS, 0, gather_on_time, gather);
+}
+
+bool
+operator_on_chunk (struct Operator *operators, const struct PeerChunk *chunk)
+{
+  struct GatherPart *part;
+
+  HASH_FIND (by_id, operators->parts, &chunk->id, sizeof chunk->id, part);
+  if (part == NULL)
+    return false;
+  part->body = talloc_realloc (part, part->body, uint8_t, part->body_bytes + chunk->n_bytes);
+  memcpy (part->body + part->body_bytes, chunk->bytes, chunk->n_bytes);
+  part->body_bytes += chunk->n_bytes;
+  return true;
+}
+
+bool
+operator_on_answer (struct Operator *operators, const struct PeerAnswer *answer)
+{
+  struct GatherPart *part;
+  struct Gather *gather;
+  json_t *programs;
+
+  HASH_FIND (by_id, operators->parts, &answer->id, sizeof answer->id, part);
+  if (part == NULL)
+    return false;
+  gather = part->gather;
+  HASH_DELETE (by_id, operators->parts, part);
+  programs = json_loadb ((const char *)part->body, part->body_bytes, 0, NULL);
+  if (programs != NULL)
+    json_array_extend (gather->programs, programs);
+  json_decref (programs);
+  if (--gather->n_waiting == 0)
+    gather_finish (gather);
+  return true;
+}
+
+/* One program's state with its history: asked of its home in the same way as a caller's. */
+static void
+operator_show_program (struct Operator *operators, struct Exchange *exchange, const char *program)
+{
+  exchange->request.op = REQUEST_HISTORY;
+  snprintf (exchange->request.call.key.program, sizeof exchange->request.call.key.program, "%s",
+            program);
+  entry_on_exchange (operators->core->entry, exchange);
+}
+
+static void
+operator_on_change_done (void *data, int32_t error, uint64_t revision, const struct Fault *fault)
+{
+  struct PendingChange *pending = data;
+  struct Exchange *exchange = pending->exchange;
+
+  if (error == ERROR_NONE)
+    operator_answer_json (exchange, 200, json_pack ("{s:I}", "revision", (json_int_t)revision));
+  else
+    operator_answer_fault (exchange, fault);
+  talloc_free (pending);
+}
+
+/* Copies a text field. False when it is missing (and must not be) or too long. */
+static bool
+change_text (const json_t *json, const char *name, bool needed, char *text, size_t size)
+{
+  const char *value = json_string_value (json_object_get (json, name));
+
+  text[0] = '\0';
+  if (value == NULL)
+    return !needed;
+  if (strlen (value) >= size || (needed && value[0] == '\0'))
+    return false;
+  snprintf (text, size, "%s", value);
+  return true;
+}
+
+static int32_t
+change_parse (const json_t *json, struct ConfigChange *change, struct Fault *fault)
+{
+  const char *kind = json_string_value (json_object_get (json, "kind"));
+  const json_t *expected = json_object_get (json, "expected_revision");
+
+  memset (change, 0, sizeof *change);
+  if (kind != NULL && strcmp (kind, "profile") == 0)
+    change->kind = CONFIG_CHANGE_PROFILE;
+  else if (kind != NULL && strcmp (kind, "service") == 0)
+    change->kind = CONFIG_CHANGE_SERVICE;
+  else if (kind != NULL && strcmp (kind, "drain") == 0)
+    change->kind = CONFIG_CHANGE_DRAIN;
+  else
+    return fault_set (fault, ERROR_INVALID, "send \"profile\", \"service\" or \"drain\"",
+                      "\"kind\" is none of the three");
+  if (!change_text (json, "name", true, change->name, sizeof change->name)
+      || !change_text (json, "change_id", true, change->change_id, sizeof change->change_id)
+      || !change_text (json, "who", true, change->who, sizeof change->who)
+      || !change_text (json, "reason", false, change->reason, sizeof change->reason))
+    return fault_set (fault, ERROR_INVALID,
+                      "send name, change_id and who, each up to 64 characters",
+                      "a field is missing or too long");
+  change->text = json_string_value (json_object_get (json, "text"));
+  if (change->text == NULL || strlen (change->text) > TEXT_MAX_BYTES)
+    return fault_set (fault, ERROR_INVALID, "send \"text\", up to 256 KB",
+                      "\"text\" is missing or too long");
+  change->expected_revision = UINT64_MAX;
+  if (json_is_integer (expected) && json_integer_value (expected) >= 0)
+    change->expected_revision = (uint64_t)json_integer_value (expected);
+  change->when_unix_ms = core_unix_ms ();
+  return ERROR_NONE;
+}
+
+static void
+operator_change (struct Operator *operators, struct Exchange *exchange)
+{
+  json_t *json = json_loadb ((const char *)exchange->body, exchange->body_bytes, 0, NULL);
+  struct PendingChange *pending = NULL;
+  struct ConfigChange change;
+  struct Fault fault;
+  int32_t error;
+
+  if (!json_is_object (json))
+    {
+      fault_set (&fault, ERROR_INVALID, "send one JSON object", "the body is no JSON object");
+      goto refuse;
+    }
+  if (change_parse (json, &change, &fault) != ERROR_NONE)
+    goto refuse;
+  pending = talloc_zero (operators, struct PendingChange);
+  pending->operators = operators;
+  pending->exchange = exchange;
+  error = config_log_apply (operators->core->config, &change, operator_on_change_done, pending);
+  json_decref (json);
+  if (error == ERROR_NONE)
+    return;
+  fault_set (&fault, error, NULL, "the change could not be taken");
+  operator_on_change_done (pending, error, 0, &fault);
+  return;
+
+refuse:
+  json_decref (json);
+  operator_answer_fault (exchange, &fault);
+}
+
+void
+operator_on_exchange (struct Operator *operators, struct Exchange *exchange)
+{
+  static const char programs[] = "/operator/programs/";
+  struct Core *core = operators->core;
+  bool post = strcmp (exchange->method, "POST") == 0;
+  struct Fault fault;
+  json_t *json;
+
+  if (post && strcmp (exchange->path, "/operator/changes") == 0)
+    {
+      operator_change (operators, exchange);
+      return;
+    }
+  if (!post && strcmp (exchange->path, "/operator/programs") == 0)
+    {
+      operator_list_programs (operators, exchange);
+      return;
+    }
+  if (!post && strncmp (exchange->path, programs, strlen (programs)) == 0)
+    {
+      operator_show_program (operators, exchange, exchange->path + strlen (programs));
+      return;
+    }
+  json = post ? NULL : status_json (core, exchange->path, exchange->query_name);
+  if (json != NULL)
+    {
+      operator_answer_json (exchange, 200, json);
+      return;
+    }
+  fault_set (&fault, ERROR_NOT_FOUND, NULL, "nothing is known at %s", exchange->path);
+  operator_answer_fault (exchange, &fault);
+}
+
+void
+operator_on_gone (struct Operator *operators, struct Exchange *exchange)
+{
+  /* Whatever is under way still ends the exchange; only the HTTP side's reference goes. An exchange
+   * that went to the entry is ended there. */
+  if (exchange->core != NULL)
+    entry_on_gone (operators->core->entry, exchange);
+  else
+    exchange_release (exchange);
+}
+
+struct Operator *
+operator_new (struct Core *core)
+{
+  struct Operator *operators = talloc_zero (core, struct Operator);
+
+  if (operators == NULL)
+    return NULL;
+  operators->core = core;
+  operators->next_id = OPERATOR_ID_BASE;
+  return operators;
+}
--- a/include/buckthornhead/exchange.h
+++ b/include/buckthornhead/exchange.h
@@ -56,6 +56,13 @@
   int64_t started_ms;
 };
 
+/* MAIL_CALLER_GONE: carries the HTTP side's reference. */
+struct GoneMail
+{
+  struct Mail mail;
+  struct Exchange *exchange;
+};
+
 /* A piece of the answer's body on its way to the HTTP thread. */
 struct ExchangeChunk
 {
--- a/include/buckthornhead/journal.h
+++ b/include/buckthornhead/journal.h
@@ -51,6 +51,12 @@
                             JournalDone done,
                             void *data);
 
+/* Asks whether this incarnation still owns what it says: done is told ERROR_NONE once a slot that
+ * was begun after this call is durable, which a seal would have prevented. Else as
+ * journal_append_unless_down. */
+int32_t
+journal_confirm (struct Journal *journal, JournalDone done, void *data);
+
 /* Calls fn once, now or later, when every record that was ever put in a slot is settled and its
  * done was called. Only then may journal_prepend queue records ahead of all that waits: a
  * snapshot holds just what was applied, so what is not applied yet has to stand behind it. */
--- a/include/buckthornhead/peer_net.h
+++ b/include/buckthornhead/peer_net.h
@@ -52,6 +52,10 @@
 void
 peer_net_forget (struct PeerNet *net, const char *instance);
 
+/* Closes the dialled link to instance, which does not answer; it is dialled anew. */
+void
+peer_net_drop (struct PeerNet *net, const char *instance);
+
 /* Link over which requests to instance go, or PEER_LINK_NONE while it is not connected. */
 uint64_t
 peer_net_link_to (const struct PeerNet *net, const char *instance);
