--- a/adapters/spool.c
+++ b/adapters/spool.c
@@ -6,19 +6,26 @@
 #include <dirent.h>
 #include <errno.h>
 #include <fcntl.h>
+#include <inttypes.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/random.h>
 #include <sys/stat.h>
 #include <unistd.h>
 
 #include <xxhash.h>
 
 static const char file_prefix[] = "spool-";
+static const char id_file[] = "disk-id";
+
+/* Number of the entry that seals a file: nothing of its writer is taken any more. */
+static const uint64_t seal_number = UINT64_MAX;
 
 enum
 {
   ENTRY_ITEMS = 3,
-  WRITER_MAX_BYTES = 128
+  WRITER_MAX_BYTES = 128,
+  SPOOL_ID_BYTES = 32 /* hexadecimal digits */
 };
 
 struct SpoolEntry
@@ -44,6 +51,7 @@
 struct Spool
 {
   char *folder;
+  char id[SPOOL_ID_BYTES + 1];
   int folder_fd;
   struct SpoolFile *files;
 };
@@ -169,6 +177,36 @@
   return file;
 }
 
+const char *
+spool_id (const struct Spool *spool)
+{
+  return spool->id;
+}
+
+/* Reads the id, or makes one that lasts. */
+static bool
+spool_load_id (struct Spool *spool)
+{
+  char *path = talloc_asprintf (spool, "%s/%s", spool->folder, id_file);
+  int fd = open (path, O_RDWR | O_CREAT | O_CLOEXEC, 0600);
+  uint64_t bits[2];
+  bool good = false;
+
+  talloc_free (path);
+  if (fd < 0)
+    return false;
+  if (read (fd, spool->id, SPOOL_ID_BYTES) == SPOOL_ID_BYTES)
+    good = true;
+  else if (getrandom (bits, sizeof bits, 0) == sizeof bits)
+    {
+      snprintf (spool->id, sizeof spool->id, "%016" PRIx64 "%016" PRIx64, bits[0], bits[1]);
+      good = pwrite (fd, spool->id, SPOOL_ID_BYTES, 0) == SPOOL_ID_BYTES && fsync (fd) == 0
+             && fsync (spool->folder_fd) == 0;
+    }
+  close (fd);
+  return good;
+}
+
 static int
 spool_free (struct Spool *spool)
 {
@@ -191,6 +229,8 @@
   if (spool->folder_fd < 0)
     goto fail;
   talloc_set_destructor (spool, spool_free);
+  if (!spool_load_id (spool))
+    goto fail;
   listing = opendir (folder);
   if (listing == NULL)
     goto fail;
@@ -235,6 +275,12 @@
   return error;
 }
 
+static bool
+spool_file_is_sealed (const struct SpoolFile *file)
+{
+  return file->n_entries > 0 && file->entries[file->n_entries - 1].number == seal_number;
+}
+
 int32_t
 spool_put (
     struct Spool *spool, const char *writer, uint64_t number, const uint8_t *record, size_t n_bytes)
@@ -246,6 +292,8 @@
     file = spool_file_new (spool, writer);
   if (file == NULL)
     return ERROR_IO;
+  if (spool_file_is_sealed (file))
+    return ERROR_FENCED;
   if (file->n_entries > 0 && file->entries[file->n_entries - 1].number >= number)
     return ERROR_NONE;
   error = spool_file_write (file, number, record, n_bytes);
@@ -253,6 +301,18 @@
   return error == ERROR_NONE ? spool_file_remember (file, number, record, n_bytes) : error;
 }
 
+int32_t
+spool_seal (struct Spool *spool, const char *writer)
+{
+  /* A former home that was paused may still send records after the taker has read: a seal on all
+   * but one of the disks meets each pair of them, so no such record can be acknowledged. */
+  int32_t error = spool_put (spool, writer, seal_number, NULL, 0);
+
+  if (error == ERROR_FENCED)
+    return ERROR_NONE;
+  return error == ERROR_NONE ? spool_sync (spool) : error;
+}
+
 /* What was put since the last sync may be on the disk or not: it is cut off, so that a later record
  * can not stand behind a torn one. */
 static void
@@ -321,7 +381,7 @@
   const struct SpoolFile *file = spool_file_find (spool, writer);
 
   for (size_t i = file != NULL ? file->n_dropped : 0; file != NULL && i < file->n_entries; i++)
-    if (file->entries[i].durable)
+    if (file->entries[i].durable && file->entries[i].number != seal_number)
       fn (data, file->entries[i].number, file->entries[i].record, file->entries[i].n_bytes);
 }
 
--- a/core/kv_guard.c
+++ b/core/kv_guard.c
@@ -1,4 +1,4 @@
-#include "kv_guard.h"
+#include <buckthornhead/kv_guard.h>
 
 #include <buckthornhead/error.h>
 
--- a/core/peer_message.c
+++ b/core/peer_message.c
@@ -142,6 +142,7 @@
   pack_u64 (p, heartbeat->config_revision);
   pack_u64 (p, heartbeat->draining);
   pack_u64 (p, heartbeat->platform_up);
+  pack_u64 (p, heartbeat->has_disk);
   pack_u64 (p, heartbeat->partitions);
   pack_u64 (p, heartbeat->programs);
   pack_u64 (p, heartbeat->in_flight);
@@ -165,6 +166,7 @@
   heartbeat->config_revision = read_u64 (r, UINT64_MAX);
   heartbeat->draining = read_u64 (r, 1) != 0;
   heartbeat->platform_up = read_u64 (r, 1) != 0;
+  heartbeat->has_disk = read_u64 (r, 1) != 0;
   heartbeat->partitions = (uint32_t)read_u64 (r, UINT32_MAX);
   heartbeat->programs = (uint32_t)read_u64 (r, UINT32_MAX);
   heartbeat->in_flight = (uint32_t)read_u64 (r, UINT32_MAX);
@@ -267,7 +269,7 @@
     case PEER_HELLO:
       return 4;
     case PEER_HEARTBEAT:
-      return 11;
+      return 12;
     case PEER_REQUEST:
       return 6;
     case PEER_DISPATCH:
@@ -278,6 +280,11 @@
       return 2;
     case PEER_QUARANTINE:
       return 3;
+    case PEER_SPOOL_PUT:
+    case PEER_SPOOL_DROP:
+    case PEER_SPOOL_READ:
+    case PEER_SPOOL_RECORD:
+      return 5;
     case PEER_CHUNK:
     case PEER_RELEASE:
       return 4;
@@ -332,6 +339,15 @@
       pack_bytes (p, message->quarantine.digest, DIGEST_BYTES);
       pack_string (p, message->quarantine.server);
       break;
+    case PEER_SPOOL_PUT:
+    case PEER_SPOOL_DROP:
+    case PEER_SPOOL_READ:
+    case PEER_SPOOL_RECORD:
+      pack_u64 (p, message->spool.id);
+      pack_u64 (p, message->spool.number);
+      pack_string (p, message->spool.writer);
+      pack_bytes (p, message->spool.bytes, message->spool.n_bytes);
+      break;
     }
 }
 
@@ -380,6 +396,15 @@
       read_fixed (r, message->quarantine.digest, DIGEST_BYTES);
       read_string (r, message->quarantine.server, sizeof message->quarantine.server);
       break;
+    case PEER_SPOOL_PUT:
+    case PEER_SPOOL_DROP:
+    case PEER_SPOOL_READ:
+    case PEER_SPOOL_RECORD:
+      message->spool.id = read_u64 (r, UINT64_MAX);
+      message->spool.number = read_u64 (r, UINT64_MAX);
+      read_string (r, message->spool.writer, sizeof message->spool.writer);
+      message->spool.bytes = read_bytes (r, ctx, &message->spool.n_bytes);
+      break;
     default:
       r->failed = true;
     }
@@ -429,7 +454,7 @@
   *message = NULL;
   if (opened == NULL)
     goto fail;
-  m->kind = (enum PeerKind)read_u64 (&reader, PEER_QUARANTINE);
+  m->kind = (enum PeerKind)read_u64 (&reader, PEER_SPOOL_RECORD);
   if (reader.failed || reader.n_items != message_n_items (m->kind))
     goto fail;
   message_unpack_body (&reader, m, m);
--- a/daemon/core.h
+++ b/daemon/core.h
@@ -16,6 +16,7 @@
 /* Ids of requests are told apart by their module, since answers come back over one link. */
 #define ENTRY_ID_BASE (1ULL << 63)
 #define OPERATOR_ID_BASE (1ULL << 62)
+#define SPOOLER_ID_BASE (1ULL << 61)
 
 struct Core
 {
@@ -35,6 +36,7 @@
   struct Home *home;
   struct Owner *owner;
   struct Operator *operators;
+  struct Spooler *spooler;
   char incarnation[INCARNATION_MAX_BYTES + 1];
   bool platform_up;
   bool draining; /* by the operators' order or by a signal */
--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -7,6 +7,7 @@
 #include "home.h"
 #include "operator.h"
 #include "owner.h"
+#include "spooler.h"
 
 #include <buckthornhead/counter.h>
 #include <buckthornhead/instances_http.h>
@@ -116,6 +117,8 @@
     entry_on_answer (core->entry, link, answer);
   else if (answer->id >= OPERATOR_ID_BASE)
     operator_on_answer (core->operators, answer);
+  else if (answer->id >= SPOOLER_ID_BASE)
+    spooler_on_answer (core->spooler, link, answer);
   else
     home_on_answer (core->home, answer);
 }
@@ -169,6 +172,12 @@
     case PEER_QUARANTINE:
       home_on_death (core->home, message->quarantine.digest, message->quarantine.server);
       break;
+    case PEER_SPOOL_PUT:
+    case PEER_SPOOL_DROP:
+    case PEER_SPOOL_READ:
+    case PEER_SPOOL_RECORD:
+      spooler_on_message (core->spooler, link, message);
+      break;
     }
 }
 
@@ -181,6 +190,7 @@
   entry_on_link_closed (core->entry, link);
   home_on_link_closed (core->home, link);
   owner_on_link_closed (core->owner, link);
+  spooler_on_link_closed (core->spooler, link);
 }
 
 static bool
--- a/daemon/home_internal.h
+++ b/daemon/home_internal.h
@@ -89,19 +89,31 @@
   struct HomesMember *members; /* the last that were told, for a new era */
   size_t n_members;
   uint32_t n_programs;
+  struct HomeWrite *writes; /* in the order of their appends */
+  int64_t unwritable_since_ms;
 };
 
-/* home.c */
+/* home_write.c */
+uint32_t home_partition (const struct Home *home, const char *program);
+void home_write_start (struct Home *home);
 typedef void (*HomeWritten) (void *data, int32_t error);
 
-/* Journals record under the present epoch, applies it once durable, then calls done. Pointers in
- * record must stay valid until then. */
+/* Journals record under the present epoch, applies it once durable (in an outage: on two disks),
+ * then calls done. Pointers in record must stay valid until then. */
 void
 home_write (struct Home *home,
             const struct Record *record,
             const char *program,
             HomeWritten done,
             void *data);
+
+/* home_program.c */
+void home_on_create (struct Home *home, uint64_t link, const struct PeerRequest *request);
+void home_on_lone (struct Home *home, uint64_t link, const struct PeerRequest *request);
+void home_on_view (struct Home *home, uint64_t link, const struct PeerRequest *request);
+void home_on_history (struct Home *home, uint64_t link, const struct PeerRequest *request);
+void home_on_end (struct Home *home, uint64_t link, const struct PeerRequest *request);
+void home_on_list (struct Home *home, uint64_t link, const struct PeerRequest *request);
 void
 home_end_program (struct Home *home, const char *program, enum EndReason reason);
 
--- /dev/null
+++ b/daemon/home_program.c
@@ -0,0 +1,431 @@
+#include "home_internal.h"
+
+#include <buckthornhead/counter.h>
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+enum
+{
+  GRANT_SHARE = 20, /* of a program's budget: what a take-over may charge for each branch */
+  COME_BACK_PLATFORM_MS = 1000
+};
+
+/* A request that is answered once its record is durable. */
+struct HomePending
+{
+  struct Home *home;
+  uint64_t link, id;
+  bool first_attempt;
+  enum EndReason reason;
+  bool exists;
+  char program[PROGRAM_ID_MAX_BYTES + 1];
+};
+
+static json_t *
+program_json (const struct LedgerProgramView *view)
+{
+  static const char *const reasons[] = { "",         "done",    "cancelled",  "over_budget",
+                                         "deadline", "looping", "caller_gone" };
+  char digest[2 * DIGEST_BYTES + 1];
+  json_t *json;
+
+  for (size_t i = 0; i < DIGEST_BYTES; i++)
+    snprintf (digest + 2 * i, 3, "%02x", view->history_digest[i]);
+  json = json_pack ("{s:s,s:s,s:s,s:I,s:I,s:I,s:i,s:i,s:i,s:s,s:I,s:s}", "program", view->program,
+                    "service", view->service, "parent", view->parent, "budget_tokens",
+                    (json_int_t)view->budget_tokens, "charged_tokens",
+                    (json_int_t)view->charged_tokens, "reserved_tokens",
+                    (json_int_t)view->reserved_tokens, "turns", (int)view->turns, "turn_limit",
+                    (int)view->turn_limit, "in_flight", (int)view->in_flight, "state",
+                    view->ended ? reasons[view->end_reason] : "running", "created_unix_ms",
+                    (json_int_t)view->created_unix_ms, "history_digest", digest);
+  if (view->deadline_unix_ms > 0)
+    json_object_set_new (json, "deadline_unix_ms", json_integer (view->deadline_unix_ms));
+  if (view->n_held_backends > 0)
+    json_object_set_new (json, "backends_to_release", json_integer (view->n_held_backends));
+  return json;
+}
+
+static void
+home_reply_json_value (struct Home *home, uint64_t link, uint64_t id, uint32_t status, json_t *json)
+{
+  char *text = json_dumps (json, JSON_COMPACT);
+
+  home_reply_json (home, link, id, status, text);
+  free (text);
+  json_decref (json);
+}
+
+static void
+home_refuse_unknown (struct Home *home, uint64_t link, const struct PeerRequest *request)
+{
+  struct Fault fault;
+
+  fault_set (&fault, ERROR_NOT_FOUND, "create the program first", "program %s is not known",
+             request->call.key.program);
+  home_refuse (home, link, request->id, request->first_attempt, &fault, 0, 0);
+}
+
+static struct HomePending *
+home_pending_new (struct Home *home, uint64_t link, const struct PeerRequest *request)
+{
+  struct HomePending *pending = talloc_zero (home->era, struct HomePending);
+
+  pending->home = home;
+  pending->link = link;
+  pending->id = request->id;
+  pending->first_attempt = request->first_attempt;
+  snprintf (pending->program, sizeof pending->program, "%s", request->call.key.program);
+  return pending;
+}
+
+static void
+home_pending_fail (struct HomePending *pending, int32_t error)
+{
+  struct PeerAnswer answer = { .id = pending->id };
+
+  answer.outcome.error = fault_set (&answer.fault, error, NULL, "the journal did not take it");
+  answer.outcome.ran = error == ERROR_PLATFORM_DOWN ? RAN_NO : RAN_MAYBE;
+  home_reply (pending->home, pending->link, &answer);
+  talloc_free (pending);
+}
+
+void
+home_on_created (void *data, int32_t error)
+{
+  struct HomePending *pending = data;
+  json_t *json;
+
+  if (error != ERROR_NONE)
+    {
+      home_pending_fail (pending, error);
+      return;
+    }
+  if (!pending->exists)
+    {
+      counter_add (COUNTER_PROGRAMS_CREATED, 1);
+      pending->home->core->outcomes.created++;
+    }
+  json = json_pack ("{s:s,s:s,s:b}", "program", pending->program, "home",
+                    pending->home->core->settings->caller_listen, "existed", pending->exists);
+  home_reply_json_value (pending->home, pending->link, pending->id, pending->exists ? 200 : 201,
+                         json);
+  talloc_free (pending);
+}
+
+static uint64_t
+json_number (const json_t *json, const char *name, uint64_t unset)
+{
+  const json_t *value = json_object_get (json, name);
+
+  return json_is_integer (value) ? (uint64_t)json_integer_value (value) : unset;
+}
+
+static uint64_t
+least (uint64_t a, uint64_t b)
+{
+  return a < b ? a : b;
+}
+
+/* What a new program gets: the caller's wishes within its service's profile. */
+static void
+home_fill_program (struct Home *home,
+                   const struct Call *call,
+                   const json_t *json,
+                   struct Record *want)
+{
+  struct Profile profile;
+  uint64_t deadline_ms;
+  const char *parent = json_string_value (json_object_get (json, "parent"));
+
+  fleet_profile (home->core->fleet, call->service, &profile);
+  memset (want, 0, sizeof *want);
+  want->kind = RECORD_PROGRAM;
+  want->partition = home_partition (home, call->key.program);
+  homes_owns (home->homes, want->partition, &want->epoch);
+  snprintf (want->program.program, sizeof want->program.program, "%s", call->key.program);
+  snprintf (want->program.service, sizeof want->program.service, "%s", call->service);
+  snprintf (want->program.parent, sizeof want->program.parent, "%s", parent != NULL ? parent : "");
+  want->program.budget_tokens =
+      least (json_number (json, "budget_tokens", profile.program_budget_tokens),
+             profile.program_budget_tokens);
+  want->program.turn_limit =
+      (uint32_t)least (json_number (json, "turn_limit", profile.turn_limit), profile.turn_limit);
+  want->program.created_unix_ms = core_unix_ms ();
+  deadline_ms = json_number (json, "deadline_ms", (uint64_t)profile.program_deadline_s * 1000);
+  if (profile.program_deadline_s > 0)
+    deadline_ms = least (deadline_ms, (uint64_t)profile.program_deadline_s * 1000);
+  if (deadline_ms > 0)
+    want->program.deadline_unix_ms = want->program.created_unix_ms + (int64_t)deadline_ms;
+  want->program.grant_tokens =
+      least (profile.reserve_tokens_max, want->program.budget_tokens / GRANT_SHARE);
+  memcpy (want->program.create_digest, call->digest, DIGEST_BYTES);
+}
+
+void
+home_on_create (struct Home *home, uint64_t link, const struct PeerRequest *request)
+{
+  json_t *json = json_loadb ((const char *)request->call.body, request->call.body_bytes, 0, NULL);
+  struct HomePending *pending;
+  struct Record want;
+  struct Fault fault;
+  bool exists = false;
+
+  home_fill_program (home, &request->call, json, &want);
+  json_decref (json);
+  if (!journal_is_writable (home->journal))
+    {
+      fault_set (&fault, ERROR_PLATFORM_DOWN, NULL,
+                 "the platform's key-value service does not take the journal");
+      home_refuse (home, link, request->id, request->first_attempt, &fault, COME_BACK_PLATFORM_MS, 0);
+      return;
+    }
+  if (ledger_create_program (home->ledger, &want, &exists, &fault) != ERROR_NONE)
+    {
+      home_refuse (home, link, request->id, request->first_attempt, &fault, 0, 0);
+      return;
+    }
+  pending = home_pending_new (home, link, request);
+  pending->exists = exists;
+  if (exists)
+    home_on_created (pending, ERROR_NONE);
+  else
+    home_write (home, &want, want.program.program, home_on_created, pending);
+}
+
+static void
+home_on_lone_created (void *data, int32_t error)
+{
+  struct HomePending *pending = data;
+
+  if (error == ERROR_NONE)
+    pending->home->core->outcomes.created++;
+  talloc_free (pending);
+}
+
+/* The call's records stand behind its program's in the journal, so both may be written at once. */
+void
+home_on_lone (struct Home *home, uint64_t link, const struct PeerRequest *request)
+{
+  struct Record want;
+  struct Fault fault;
+  bool exists = false;
+
+  home_fill_program (home, &request->call, NULL, &want);
+  memset (want.program.create_digest, 0, DIGEST_BYTES);
+  want.program.turn_limit = 1;
+  if (!journal_is_writable (home->journal))
+    {
+      fault_set (&fault, ERROR_PLATFORM_DOWN, NULL,
+                 "the platform's key-value service does not take the journal");
+      home_refuse (home, link, request->id, request->first_attempt, &fault, COME_BACK_PLATFORM_MS, 0);
+      return;
+    }
+  if (ledger_create_program (home->ledger, &want, &exists, &fault) != ERROR_NONE)
+    {
+      home_refuse (home, link, request->id, request->first_attempt, &fault, 0, 0);
+      return;
+    }
+  if (!exists)
+    home_write (home, &want, want.program.program, home_on_lone_created,
+                home_pending_new (home, link, request));
+  home_on_call (home, link, request);
+}
+
+void
+home_on_view (struct Home *home, uint64_t link, const struct PeerRequest *request)
+{
+  struct LedgerProgramView view;
+
+  if (ledger_view_program (home->ledger, request->call.key.program, &view))
+    home_reply_json_value (home, link, request->id, 200, program_json (&view));
+  else
+    home_refuse_unknown (home, link, request);
+}
+
+/* Text as JSON when it is some, else as a string. */
+static json_t *
+json_of_bytes (const uint8_t *bytes, size_t n_bytes)
+{
+  json_t *json = json_loadb ((const char *)bytes, n_bytes, JSON_DECODE_ANY, NULL);
+
+  if (json == NULL)
+    json = json_stringn ((const char *)bytes, n_bytes);
+  return json != NULL ? json : json_null ();
+}
+
+static void
+home_add_turn (void *data,
+               const struct CallKey *key,
+               const struct Outcome *outcome,
+               const uint8_t *request,
+               size_t request_bytes)
+{
+  json_t *turns = data;
+  json_t *turn = json_pack ("{s:s,s:I,s:s,s:i,s:s,s:I}", "branch", key->branch, "sequence",
+                            (json_int_t)key->sequence, "ran", ran_name (outcome->ran), "status",
+                            (int)outcome->status, "backend", outcome->backend, "charge_tokens",
+                            (json_int_t)outcome->charge_tokens);
+
+  json_object_set_new (turn, "request", json_of_bytes (request, request_bytes));
+  json_object_set_new (turn, "answer", json_of_bytes (outcome->answer, outcome->answer_bytes));
+  json_array_append_new (turns, turn);
+}
+
+void
+home_on_history (struct Home *home, uint64_t link, const struct PeerRequest *request)
+{
+  struct LedgerProgramView view;
+  json_t *json, *turns;
+
+  if (!ledger_view_program (home->ledger, request->call.key.program, &view))
+    {
+      home_refuse_unknown (home, link, request);
+      return;
+    }
+  turns = json_array ();
+  ledger_each_turn (home->ledger, request->call.key.program, home_add_turn, turns);
+  json = program_json (&view);
+  json_object_set_new (json, "history", turns);
+  home_reply_json_value (home, link, request->id, 200, json);
+}
+
+static void
+home_count_end (struct Home *home, const struct LedgerProgramView *view, enum EndReason reason)
+{
+  struct PeerOutcomes *outcomes = &home->core->outcomes;
+  uint64_t took_ms = (uint64_t)(core_unix_ms () - view->created_unix_ms);
+
+  switch (reason)
+    {
+    case END_DONE:
+      outcomes->done++;
+      outcomes->program_ms += took_ms;
+      counter_add (COUNTER_PROGRAMS_DONE, 1);
+      counter_add (COUNTER_PROGRAM_MS, took_ms);
+      break;
+    case END_OVER_BUDGET:
+    case END_LOOPING:
+      outcomes->over_budget++;
+      counter_add (COUNTER_PROGRAMS_OVER_BUDGET, 1);
+      break;
+    case END_DEADLINE:
+      outcomes->late++;
+      counter_add (COUNTER_PROGRAMS_LATE, 1);
+      break;
+    case END_CANCELLED:
+    case END_CALLER_GONE:
+      outcomes->cancelled++;
+      counter_add (COUNTER_PROGRAMS_CANCELLED, 1);
+      break;
+    }
+}
+
+static void
+home_on_ended (void *data, int32_t error)
+{
+  struct HomePending *pending = data;
+  struct Home *home = pending->home;
+  struct LedgerProgramView view;
+
+  if (error != ERROR_NONE)
+    {
+      if (pending->link != PEER_LINK_NONE)
+        home_pending_fail (pending, error);
+      else
+        talloc_free (pending);
+      return;
+    }
+  if (ledger_view_program (home->ledger, pending->program, &view))
+    {
+      home_count_end (home, &view, pending->reason);
+      if (pending->link != PEER_LINK_NONE)
+        home_reply_json_value (home, pending->link, pending->id, 200, program_json (&view));
+    }
+  home_cancel_program (home, pending->program);
+  placement_forget (home->placement, pending->program);
+  talloc_free (pending);
+}
+
+void
+home_end_program (struct Home *home, const char *program, enum EndReason reason)
+{
+  struct PeerRequest nobody = { 0 };
+  struct HomePending *pending;
+  struct Record record;
+
+  if (ledger_end_program (home->ledger, program, reason, &record) != ERROR_NONE)
+    return;
+  snprintf (nobody.call.key.program, sizeof nobody.call.key.program, "%s", program);
+  pending = home_pending_new (home, PEER_LINK_NONE, &nobody);
+  pending->reason = reason;
+  home_write (home, &record, program, home_on_ended, pending);
+}
+
+void
+home_on_end (struct Home *home, uint64_t link, const struct PeerRequest *request)
+{
+  struct HomePending *pending;
+  struct Record record;
+  enum EndReason reason =
+      strcmp (request->call.target, "cancelled") == 0 ? END_CANCELLED : END_DONE;
+
+  switch (ledger_end_program (home->ledger, request->call.key.program, reason, &record))
+    {
+    case ERROR_NONE:
+      pending = home_pending_new (home, link, request);
+      pending->reason = reason;
+      home_write (home, &record, request->call.key.program, home_on_ended, pending);
+      break;
+    case ERROR_ENDED: /* a resend: the state is the answer */
+      home_on_view (home, link, request);
+      break;
+    default:
+      home_refuse_unknown (home, link, request);
+      break;
+    }
+}
+
+struct ProgramList
+{
+  json_t *programs;
+  const char *service;
+};
+
+static void
+home_add_program (void *data, const struct LedgerProgramView *view)
+{
+  struct ProgramList *list = data;
+
+  if (list->service[0] == '\0' || strcmp (list->service, view->service) == 0)
+    json_array_append_new (list->programs, program_json (view));
+}
+
+char *
+home_list_json (struct Home *home, TALLOC_CTX *ctx, const char *service)
+{
+  struct ProgramList list = { json_array (), service };
+  char *text, *copy;
+
+  if (home->ledger != NULL)
+    ledger_each_program (home->ledger, home_add_program, &list);
+  text = json_dumps (list.programs, JSON_COMPACT);
+  copy = talloc_strdup (ctx, text);
+  free (text);
+  json_decref (list.programs);
+  return copy;
+}
+
+void
+home_on_list (struct Home *home, uint64_t link, const struct PeerRequest *request)
+{
+  char *json = home_list_json (home, NULL, request->call.service);
+
+  home_reply_json (home, link, request->id, 200, json);
+  talloc_free (json);
+}
+
--- /dev/null
+++ b/daemon/home_write.c
@@ -0,0 +1,155 @@
+#include "home_internal.h"
+
+#include "spooler.h"
+
+#include <buckthornhead/log.h>
+
+#include <utlist.h>
+
+enum
+{
+  SPOOL_TICK_MS = 50,
+  /* The journal is left alone for so long before its records go to disks: a lost answer or a short
+   * pause of the platform's service is not an outage. */
+  SPOOL_AFTER_MS = 300
+};
+
+/* A record on its way to the journal, and in an outage to the spool. */
+struct HomeWrite
+{
+  struct HomeWrite *prev, *next;
+  struct Home *home;
+  struct Record record;
+  HomeWritten done;
+  void *data;
+  bool spooled;    /* sent to the spool */
+  bool applied;    /* durable in one way or the other, and answered for */
+  uint64_t number; /* in the spool */
+};
+
+uint32_t
+home_partition (const struct Home *home, const char *program)
+{
+  return partition_of (program, home->core->settings->n_partitions);
+}
+
+/* The record is durable, or never will be. */
+static void
+write_answer (struct HomeWrite *write, int32_t error)
+{
+  if (write->applied)
+    return;
+  write->applied = true;
+  if (error == ERROR_NONE)
+    error = ledger_apply (write->home->ledger, &write->record);
+  write->done (write->data, error);
+}
+
+static void
+home_on_written (void *data, int32_t error)
+{
+  struct HomeWrite *write = data;
+  struct Home *home = write->home;
+
+  DL_DELETE (home->writes, write);
+  if (error == ERROR_NONE && write->spooled)
+    spooler_drop (home->core->spooler, write->number);
+  write_answer (write, error);
+  talloc_free (write);
+}
+
+static void
+home_on_spooled (void *data, int32_t error)
+{
+  write_answer (data, error);
+}
+
+static void
+write_spool (struct HomeWrite *write)
+{
+  struct Home *home = write->home;
+  uint8_t *packed;
+  size_t n_bytes;
+
+  if (record_pack (write, &write->record, &packed, &n_bytes) != ERROR_NONE)
+    return;
+  write->spooled = spooler_put (home->core->spooler, packed, n_bytes, home_on_spooled, write,
+                                &write->number)
+                   == ERROR_NONE;
+  talloc_free (packed);
+}
+
+/* In an outage, what waits for the journal goes to two disks. An intent does not: a call that may
+ * run once only is not begun without the journal. */
+static void
+home_on_spool_tick (void *data)
+{
+  struct Home *home = data;
+  int64_t now_ms = timer_now_ms (home->core->timers);
+  struct HomeWrite *write;
+
+  if (journal_is_fenced (home->journal) || journal_is_writable (home->journal))
+    {
+      home->unwritable_since_ms = 0;
+      return;
+    }
+  if (home->unwritable_since_ms == 0)
+    home->unwritable_since_ms = now_ms;
+  if (now_ms - home->unwritable_since_ms < SPOOL_AFTER_MS)
+    return;
+  DL_FOREACH (home->writes, write)
+  {
+    if (!write->spooled && !write->applied && write->record.kind != RECORD_INTENT)
+      write_spool (write);
+  }
+}
+
+void
+home_write_start (struct Home *home)
+{
+  home->writes = NULL;
+  home->unwritable_since_ms = 0;
+  timer_subscribe (home->era, home->core->timers, SPOOL_TICK_MS, SPOOL_TICK_MS, home_on_spool_tick,
+                   home);
+}
+
+static int32_t
+write_append (struct HomeWrite *write)
+{
+  struct Home *home = write->home;
+
+  if (!homes_owns (home->homes, write->record.partition, &write->record.epoch))
+    return ERROR_NOT_OWNER;
+  if (write->record.kind == RECORD_INTENT || write->record.kind == RECORD_PROGRAM)
+    return journal_append_unless_down (home->journal, &write->record, home_on_written, write);
+  return journal_append (home->journal, &write->record, home_on_written, write);
+}
+
+void
+home_write (struct Home *home,
+            const struct Record *record,
+            const char *program,
+            HomeWritten done,
+            void *data)
+{
+  struct HomeWrite *write = talloc_zero (home->era, struct HomeWrite);
+  int32_t error;
+
+  if (write == NULL)
+    {
+      done (data, ERROR_NO_MEMORY);
+      return;
+    }
+  write->home = home;
+  write->record = *record;
+  write->done = done;
+  write->data = data;
+  write->record.partition = home_partition (home, program);
+  DL_APPEND (home->writes, write);
+  error = write_append (write);
+  if (error == ERROR_NONE)
+    return;
+  DL_DELETE (home->writes, write);
+  talloc_free (write);
+  done (data, error);
+}
--- a/include/buckthornhead/peer_message.h
+++ b/include/buckthornhead/peer_message.h
@@ -27,7 +27,11 @@
   PEER_RELEASE = 8,  /* home to owner: drop a program's memory */
   PEER_CONFIG_WANT = 9,
   PEER_CONFIG_ENTRY = 10,
-  PEER_QUARANTINE = 11 /* a backend server died while it ran a request */
+  PEER_QUARANTINE = 11,   /* a backend server died while it ran a request */
+  PEER_SPOOL_PUT = 12,    /* keep a journal record on disk while the platform is down */
+  PEER_SPOOL_DROP = 13,   /* the writer's journal has all up to .number */
+  PEER_SPOOL_READ = 14,   /* a taker: seal the writer's spool, then send what it holds */
+  PEER_SPOOL_RECORD = 15  /* one record of the answer to it */
 };
 
 /* What an entry asks of a home. */
@@ -54,6 +58,7 @@
   char instance[NAME_MAX_BYTES + 1];
   uint64_t config_revision;
   bool draining, platform_up;
+  bool has_disk; /* registered as a place for spools */
   uint32_t partitions, programs, in_flight, waiting;
   struct PeerOutcomes outcomes;
   size_t n_digests;
@@ -140,6 +145,13 @@
       uint8_t digest[DIGEST_BYTES];
       char server[NAME_MAX_BYTES + 1]; /* that died while it ran the request */
     } quarantine;
+    struct
+    {
+      uint64_t id, number;
+      char writer[NAME_MAX_BYTES + 24]; /* incarnation */
+      const uint8_t *bytes;
+      size_t n_bytes;
+    } spool; /* put, drop, read and record, as far as each needs */
   };
 };
 
--- a/include/buckthornhead/spool.h
+++ b/include/buckthornhead/spool.h
@@ -20,8 +20,12 @@
 int32_t
 spool_open (TALLOC_CTX *ctx, const char *folder, struct Spool **spool, struct Fault *fault);
 
+/* Id of this disk, made at random when the folder was first opened: a folder that lost its content
+ * gets another. */
+const char *spool_id (const struct Spool *spool);
+
 /* Adds record number (ascending for its writer) to what the next spool_sync makes durable. A
- * number that is there already is ERROR_NONE: a resend. */
+ * number that is there already is ERROR_NONE: a resend. ERROR_FENCED once the writer was sealed. */
 int32_t
 spool_put (struct Spool *spool,
            const char *writer,
@@ -34,6 +38,10 @@
 int32_t
 spool_sync (struct Spool *spool);
 
+/* A taker reads the writer's spool: from now on, durably, the writer's puts are ERROR_FENCED. */
+int32_t
+spool_seal (struct Spool *spool, const char *writer);
+
 /* The writer has all up to number in its journal: forgotten, and the file with its last record. */
 int32_t
 spool_drop (struct Spool *spool, const char *writer, uint64_t number);
--- a/tests/test_spool.c
+++ b/tests/test_spool.c
@@ -51,6 +51,8 @@
 
   snprintf (path, sizeof path, "%s/spool-malda-1.7", folder);
   unlink (path);
+  snprintf (path, sizeof path, "%s/disk-id", folder);
+  unlink (path);
   rmdir (folder);
 }
 
@@ -170,11 +172,60 @@
   remove_folder ();
 }
 
+/* A home is paused in an outage; the platform comes back and another instance takes over: it seals
+ * and reads the spool. The former home wakes, still believes in the outage and sends another
+ * outcome. It must be refused, also after a restart of the holder, or its caller would be told of an
+ * outcome that the new home does not know. */
+static void
+test_sealed_writer_is_refused (void)
+{
+  struct Spool *spool;
+
+  new_folder ();
+  spool = open_spool ();
+  put (spool, 1, "one");
+  CU_ASSERT_EQUAL (spool_sync (spool), ERROR_NONE);
+  CU_ASSERT_EQUAL (spool_seal (spool, "malda-1.7"), ERROR_NONE);
+  CU_ASSERT_EQUAL (spool_put (spool, "malda-1.7", 2, (const uint8_t *) "two", 3), ERROR_FENCED);
+  talloc_free (spool);
+  spool = open_spool ();
+  expect (spool, "1=one ");
+  CU_ASSERT_EQUAL (spool_put (spool, "malda-1.7", 2, (const uint8_t *) "two", 3), ERROR_FENCED);
+  CU_ASSERT_EQUAL (spool_seal (spool, "malda-1.7"), ERROR_NONE);
+  talloc_free (spool);
+  remove_folder ();
+}
+
+/* A disk-bearing instance is replaced with an empty disk under its old name. A taker that counted it
+ * as having answered would miss what only the lost disk held: the new disk must have another id. */
+static void
+test_emptied_disk_has_another_id (void)
+{
+  char first[64];
+  struct Spool *spool;
+
+  new_folder ();
+  spool = open_spool ();
+  snprintf (first, sizeof first, "%s", spool_id (spool));
+  talloc_free (spool);
+  spool = open_spool ();
+  CU_ASSERT_STRING_EQUAL (spool_id (spool), first);
+  talloc_free (spool);
+  remove_folder ();
+  CU_ASSERT_EQUAL (mkdir (folder, 0700), 0);
+  spool = open_spool ();
+  CU_ASSERT_STRING_NOT_EQUAL (spool_id (spool), first);
+  talloc_free (spool);
+  remove_folder ();
+}
+
 const char test_suite_name[] = "spool";
 const struct TestCase test_cases[] = {
   { "records survive a restart", test_records_survive_a_restart },
   { "torn tail is cut off", test_torn_tail_is_cut_off },
   { "changed byte is noticed", test_changed_byte_is_noticed },
   { "drained records are forgotten", test_drained_records_are_forgotten },
+  { "emptied disk has another id", test_emptied_disk_has_another_id },
+  { "sealed writer is refused", test_sealed_writer_is_refused },
   { NULL, NULL },
 };
