Configuration log: changes written once, folded, never taken back

Operators on three shifts race each other's changes through any instance, answers are lost after the write, and paused instances wake with old profiles. So a change is an entry that may only be created (its number the next free one), and the configuration is the fold of the entries. - A lost answer is settled by putting the same entry under the same number again: it takes effect once at most, and whatever is found there says whose it is. "Not applied" is said after a lost answer only when another change has the number; after 10 s without either, "unknown". - The loser of a race hears both revisions, who was first and which keys differ. - Nothing goes back: entries and checkpoints at or below the revision are left alone, whether they come from the service or from a peer. - A watch that is refused is replaced by jittered polls; a read follows each quiet watch (9 s), as a connection that died without a sign looks like one. 14 s is the limit for "in force". - Every 256 changes a checkpoint; 1,024 entries are kept in memory for the audit trail and peers.

Each guard was taken out on a scratch copy (trials), one at a time, and the tests named failed: create-only put: loser of a race, paused instance; unknown taken for not applied: lost answer; change id check: lost answer, late change, checkpoint; number taken by another: lost change overtaken; old entry folds: six tests, paused instance among them; lower entry from a peer: paused instance; gap in entries: restart in an outage; lower checkpoint: old entries; conflict check: loser of a race, paused instance; read after a quiet watch, poll after a refused one: found without a watch.

--- /dev/null
+++ b/core/config_apply.c
@@ -0,0 +1,240 @@
+/* Appends the operators' changes, one at a time, and settles lost answers. */
+#include "config_log_private.h"
+#include "jitter.h"
+#include "kv_guard.h"
+
+#include <buckthornhead/counter.h>
+#include <buckthornhead/error.h>
+
+#include <stdio.h>
+#include <string.h>
+
+enum
+{
+  SETTLE_RETRY_MS = 500, /* between two tries to settle a lost answer */
+  SETTLE_MS = 10000      /* then the operator is told that the effect is unknown */
+};
+
+struct ConfigApply
+{
+  struct ConfigApply *next;
+  struct ConfigLog *log;
+  struct ConfigChange change;
+  ConfigApplyDone done;
+  void *data;
+  struct Timer *timer;
+  uint8_t *value; /* as it was last sent */
+  size_t value_bytes;
+  uint64_t n;         /* number that it was last sent under */
+  bool uncertain;     /* a put under .n was not answered and may still come in */
+  int64_t give_up_ms; /* when it is uncertain */
+};
+
+static void
+apply_read (void *data);
+
+static void
+apply_later (struct ConfigApply *apply, int64_t delay_ms)
+{
+  TALLOC_FREE (apply->timer);
+  apply->timer = timer_subscribe (apply, apply->log->timers, delay_ms, 0, apply_read, apply);
+}
+
+/* The next one starts first, since done may free the log. */
+static void
+apply_finish (struct ConfigApply *apply,
+              int32_t error,
+              uint64_t revision,
+              const struct Fault *fault)
+{
+  static const struct Fault none = { 0 };
+  struct ConfigLog *log = apply->log;
+
+  log->applies = apply->next;
+  if (log->applies != NULL)
+    apply_later (log->applies, 0);
+  if (error == ERROR_CONFLICT)
+    counter_add (COUNTER_CONFIG_CONFLICTS, 1);
+  talloc_steal (NULL, apply);
+  apply->done (apply->data, error, revision, fault != NULL ? fault : &none);
+  talloc_free (apply);
+}
+
+/* Nothing was applied by the last step. Once a put was not answered "not applied" may only be said
+ * when its number is taken by another change; until then the same put, under the same number, is
+ * tried again: it can take effect once at most, as the key may only be created. */
+static void
+apply_fail (struct ConfigApply *apply, int32_t error)
+{
+  struct Fault fault;
+
+  if (apply->uncertain && timer_now_ms (apply->log->timers) < apply->give_up_ms)
+    {
+      apply_later (apply, jitter_ms (&apply->log->jitter, SETTLE_RETRY_MS));
+      return;
+    }
+  if (apply->uncertain)
+    error = fault_set (
+        &fault, ERROR_UNKNOWN_EFFECT, "ask again with the same change id when the platform answers",
+        "the answer to change %s was lost; it may be in force", apply->change.change_id);
+  else if (error == ERROR_UNREACHABLE || error == ERROR_RATE_LIMITED)
+    error = fault_set (&fault, ERROR_PLATFORM_DOWN, "send it again when the platform answers",
+                       "the platform's key-value service %s; change %s was not applied",
+                       error == ERROR_RATE_LIMITED ? "has too much to do" : "does not answer",
+                       apply->change.change_id);
+  else
+    fault_set (&fault, error, NULL, "change %s was not applied", apply->change.change_id);
+  apply_finish (apply, error, 0, &fault);
+}
+
+static void
+apply_put_again (struct ConfigApply *apply)
+{
+  if (!apply->uncertain)
+    apply->give_up_ms = timer_now_ms (apply->log->timers) + SETTLE_MS;
+  apply->uncertain = true;
+  apply_fail (apply, ERROR_UNKNOWN_EFFECT);
+}
+
+static void
+apply_on_put (void *data, const struct KvResult *result)
+{
+  struct ConfigApply *apply = data;
+  struct ConfigLog *log = apply->log;
+
+  if (result->error == ERROR_CONFLICT)
+    {
+      apply_read (apply);
+      return;
+    }
+  if (result->error == ERROR_UNKNOWN_EFFECT)
+    {
+      apply_put_again (apply);
+      return;
+    }
+  if (result->error != ERROR_NONE)
+    {
+      apply_fail (apply, result->error);
+      return;
+    }
+  config_log_take_value (log, apply->n, apply->value, apply->value_bytes);
+  config_log_publish (log);
+  config_log_appended (log, apply->n);
+  apply_finish (apply, ERROR_NONE, apply->n, NULL);
+}
+
+static void
+apply_put (struct ConfigApply *apply)
+{
+  struct ConfigLog *log = apply->log;
+  const struct ConfigObject *present =
+      config_fold_find (log->fold, apply->change.kind, apply->change.name);
+  struct KvRequest request = { .op = KV_OP_PUT };
+  char *key = NULL;
+  int32_t error = ERROR_NONE;
+
+  apply->n = log->fold->revision + 1;
+  apply->change.revision = apply->n;
+  apply->change.before = present != NULL ? present->text : "";
+  TALLOC_FREE (apply->value);
+  error = config_change_pack (apply, &apply->change, &apply->value, &apply->value_bytes);
+  if (error == ERROR_NONE)
+    {
+      key = config_log_key (log, apply, apply->n);
+      request.put.key = key;
+      request.put.value = apply->value;
+      request.put.value_bytes = apply->value_bytes;
+      request.put.condition = KV_IF_ABSENT;
+      error = kv_submit_guarded (apply, log->kv, &request, apply_on_put, apply);
+      talloc_free (key);
+    }
+  if (error != ERROR_NONE)
+    apply_fail (apply, error);
+}
+
+/* The change id is in the log already: an earlier try, perhaps through another instance. */
+static void
+apply_finish_same (struct ConfigApply *apply, uint64_t n)
+{
+  const struct ConfigEntry *entry = config_log_find (apply->log, n);
+  const struct ConfigChange *first = entry != NULL ? entry->change : NULL;
+  struct Fault fault;
+
+  if (first == NULL
+      || (first->kind == apply->change.kind && strcmp (first->name, apply->change.name) == 0
+          && strcmp (first->text, apply->change.text) == 0))
+    {
+      if (n == apply->n)
+        config_log_appended (apply->log, n); /* by a put whose answer was lost */
+      apply_finish (apply, ERROR_NONE, n, NULL);
+      return;
+    }
+  fault_set (&fault, ERROR_CONFLICT, "give the new change an id of its own",
+             "change id %s was used at revision %llu, by %s, for another change",
+             apply->change.change_id, (unsigned long long)n, first->who);
+  apply_finish (apply, ERROR_CONFLICT, 0, &fault);
+}
+
+static void
+apply_on_read (void *data, int32_t error, int64_t kv_revision)
+{
+  struct ConfigApply *apply = data;
+  struct ConfigFold *fold = apply->log->fold;
+  uint64_t used = config_fold_used (fold, apply->change.change_id);
+  struct Fault fault;
+
+  (void)kv_revision;
+  if (used != 0)
+    {
+      apply_finish_same (apply, used);
+      return;
+    }
+  if (error != ERROR_NONE)
+    {
+      apply_fail (apply, error);
+      return;
+    }
+  if (fold->revision >= apply->n)
+    apply->uncertain = false; /* another change has its number */
+  error = config_fold_check (fold, &apply->change, &fault);
+  if (error == ERROR_NONE)
+    error = config_fold_conflict (fold, &apply->change, &fault);
+  if (error != ERROR_NONE)
+    apply_finish (apply, error, 0, &fault);
+  else
+    apply_put (apply);
+}
+
+static void
+apply_read (void *data)
+{
+  struct ConfigApply *apply = data;
+  int32_t error = config_reader_catch_up (apply, apply->log, apply_on_read, apply);
+
+  if (error != ERROR_NONE)
+    apply_fail (apply, error);
+}
+
+int32_t
+config_log_apply (struct ConfigLog *log,
+                  const struct ConfigChange *change,
+                  ConfigApplyDone done,
+                  void *data)
+{
+  struct ConfigApply *apply = talloc_zero (log, struct ConfigApply);
+  struct ConfigApply **link = &log->applies;
+
+  if (apply == NULL)
+    return ERROR_NO_MEMORY;
+  apply->log = log;
+  apply->change = *change;
+  apply->change.text = talloc_strdup (apply, change->text != NULL ? change->text : "");
+  apply->done = done;
+  apply->data = data;
+  while (*link != NULL)
+    link = &(*link)->next;
+  *link = apply;
+  if (log->applies == apply)
+    apply_later (apply, 0);
+  return ERROR_NONE;
+}
--- a/include/buckthornhead/config_log.h
+++ b/include/buckthornhead/config_log.h
@@ -71,6 +71,7 @@
 {
   const char *prefix;
   uint32_t poll_ms; /* jittered; used when the watch is down */
+  uint64_t seed;    /* of the jitter: another one at each instance */
   /* A higher revision is in force. The state is a fresh talloc object whose ownership passes to
    * the callback. */
   void (*changed) (void *data, struct ConfigState *state);
@@ -83,7 +84,9 @@
                 struct TimerService *timers,
                 const struct ConfigLogOptions *options);
 
-/* Checks, then appends a change. The same change id again gives the first one's result. */
+/* Checks, then appends a change; every verdict comes later, through done. The same change id
+ * again gives the first one's result, as long as it is among the last 1024. Changes of one
+ * instance are taken one after the other. */
 int32_t
 config_log_apply (struct ConfigLog *log,
                   const struct ConfigChange *change,
@@ -93,14 +96,17 @@
 uint64_t
 config_log_revision (const struct ConfigLog *log);
 
-/* Entry n packed for a peer (belongs to ctx), or NULL; and the same taken in from a peer. Entries
- * are taken in order only; ERROR_OUT_OF_ORDER asks for the ones between. */
+/* Entry n packed for a peer (belongs to ctx), or NULL above the revision; and the same taken in
+ * from a peer. Entries are taken in order only; ERROR_OUT_OF_ORDER asks for the ones between. For
+ * an n so old that it is no longer kept, the whole configuration at the present revision is given
+ * instead; whoever takes it is at that revision then. What is not higher than the own revision
+ * is left alone. */
 uint8_t *
 config_log_entry (const struct ConfigLog *log, TALLOC_CTX *ctx, uint64_t n, size_t *bytes);
 int32_t
 config_log_take_entry (struct ConfigLog *log, const uint8_t *packed, size_t bytes);
 
-/* Calls fn for each known change, oldest first: the audit trail. */
+/* Calls fn for each change still kept here (the last 1024), oldest first: the audit trail. */
 typedef void (*ConfigChangeFn) (void *data, const struct ConfigChange *change);
 void
 config_log_each (const struct ConfigLog *log, ConfigChangeFn fn, void *data);
