--- /dev/null
+++ b/tests/sessions/test_at_most_once.c
@@ -0,0 +1,166 @@
+/* Promise: a non-idempotent request, such as a wage confirmation, runs at most once. */
+#include "calls.h"
+#include "test_main.h"
+
+#include <signal.h>
+#include <string.h>
+
+static const struct ClusterOptions three_instances = { .n_instances = 3,
+                                                       .n_engines = 1,
+                                                       .n_tools = 1 };
+
+static struct TestCall
+wage_confirmation (struct Cluster *cluster, const char *program)
+{
+  struct TestCall call = { .address = cluster->instances[0].address,
+                           .program = program,
+                           .sequence = 1,
+                           .service = "field-desk",
+                           .path = "/wages/confirm",
+                           .body = "{\"estate\":7,\"wage\":410}" };
+
+  return call;
+}
+
+static bool
+tool_has_run (void *data)
+{
+  return cluster_tool_runs (data) > 0;
+}
+
+/* The service confirms a wage and then closes the connection without an answer. The caller is told
+ * that it may have run, now and at every resend, and it is never sent to the service again. */
+static void
+test_backend_closes_after_it_ran (void)
+{
+  struct Cluster *cluster = cluster_start (NULL, &three_instances);
+  struct TestCall call = wage_confirmation (cluster, "closes");
+  struct HttpReply *reply;
+
+  CU_ASSERT_TRUE (create_program (cluster, 0, "closes"));
+  CU_ASSERT_TRUE (http_control (cluster->tools[0].address, "{\"close_after_run\":1}"));
+  reply = call_send (cluster, &call);
+  CU_ASSERT_STRING_EQUAL (reply_ran (reply), "may_have_run");
+  for (uint32_t i = 0; i < cluster->options.n_instances; i++)
+    {
+      call.address = cluster->instances[i].address;
+      reply = call_send (cluster, &call);
+      CU_ASSERT_STRING_EQUAL (reply_ran (reply), "may_have_run");
+      CU_ASSERT_STRING_EQUAL (reply_error_kind (reply), "may_have_run");
+    }
+  CU_ASSERT_EQUAL (cluster_tool_runs (cluster), 1);
+  call.sequence = 2; /* the branch goes on */
+  reply = call_settle (cluster, &call);
+  CU_ASSERT_EQUAL (reply->status, 200);
+  CU_ASSERT_EQUAL (cluster_tool_runs (cluster), 2);
+  cluster_end (cluster, CU_get_number_of_failures () > 0);
+}
+
+/* An impatient client sends one confirmation to every instance at once, twice. */
+static void
+test_resent_to_all_instances_at_once (void)
+{
+  enum
+  {
+    N = 6
+  };
+  struct Cluster *cluster = cluster_start (NULL, &three_instances);
+  struct TestCall call = wage_confirmation (cluster, "at-once");
+  struct CallThread threads[N];
+
+  CU_ASSERT_TRUE (create_program (cluster, 0, "at-once"));
+  CU_ASSERT_TRUE (http_control (cluster->tools[0].address, "{\"delay_ms\":300}"));
+  for (uint32_t i = 0; i < N; i++)
+    {
+      call.address = cluster->instances[i % cluster->options.n_instances].address;
+      call_thread_start (&threads[i], &call);
+    }
+  for (uint32_t i = 0; i < N; i++)
+    {
+      call_thread_join (&threads[i]);
+      CU_ASSERT_EQUAL (threads[i].reply->status, 200);
+      CU_ASSERT_STRING_EQUAL (threads[i].reply->text, threads[0].reply->text);
+    }
+  CU_ASSERT_EQUAL (cluster_tool_runs (cluster), 1);
+  for (uint32_t i = 0; i < N; i++)
+    talloc_free (threads[i].reply);
+  cluster_end (cluster, CU_get_number_of_failures () > 0);
+}
+
+/* The home dies while the service is confirming. Nobody knows the outcome; the new home finds the
+ * intent without one, says "may have run" and does not send it again. When another instance owned
+ * the service's queue it may still hand in the outcome: then the answer is the service's own. */
+static void
+test_home_killed_while_the_service_runs (void)
+{
+  struct Cluster *cluster = cluster_start (NULL, &three_instances);
+  struct TestCall call = wage_confirmation (cluster, "killed");
+  struct CallThread thread;
+  struct HttpReply *reply;
+  int32_t home;
+
+  CU_ASSERT_TRUE (create_program (cluster, 0, "killed"));
+  CU_ASSERT_TRUE (http_control (cluster->tools[0].address, "{\"delay_ms\":1000}"));
+  home = cluster_home (cluster, "killed");
+  CU_ASSERT_TRUE_FATAL (home >= 0);
+  call.address = cluster->instances[home].address;
+  call_thread_start (&thread, &call);
+  sleep_ms (
+      400); /* the tool counts a run at its end; this only makes a kill in the middle likely */
+  process_kill (cluster->instances[home].process);
+  call_thread_join (&thread);
+  talloc_free (thread.reply);
+  reply = call_settle (cluster, &call);
+  CU_ASSERT_TRUE (strcmp (reply_ran (reply), "may_have_run") == 0
+                  || strcmp (reply_ran (reply), "ran") == 0);
+  CU_ASSERT_TRUE (wait_for (tool_has_run, cluster) || strcmp (reply_ran (reply), "ran") != 0);
+  CU_ASSERT_TRUE (cluster_tool_runs (cluster) <= 1);
+  call_settle (cluster, &call);
+  CU_ASSERT_TRUE (cluster_tool_runs (cluster) <= 1);
+  cluster_end (cluster, CU_get_number_of_failures () > 0);
+}
+
+/* The home is paused while another takes its programs over, then wakes with an old ledger and gets
+ * the same confirmation. It must not run it again, nor say that it did not run. */
+static void
+test_paused_home_woken_after_take_over (void)
+{
+  struct Cluster *cluster = cluster_start (NULL, &three_instances);
+  struct TestCall call = wage_confirmation (cluster, "paused");
+  struct HttpReply *reply;
+  int32_t home;
+
+  CU_ASSERT_TRUE (create_program (cluster, 0, "paused"));
+  home = cluster_home (cluster, "paused");
+  CU_ASSERT_TRUE_FATAL (home >= 0);
+  CU_ASSERT_TRUE (process_signal (cluster->instances[home].process, SIGSTOP));
+  call.address = cluster->instances[(home + 1) % 3].address;
+  for (uint32_t i = 0; i < 50; i++)
+    {
+      reply = call_send (cluster, &call);
+      if (reply->status == 200)
+        break;
+      sleep_ms (500);
+    }
+  CU_ASSERT_EQUAL (reply->status, 200);
+  CU_ASSERT_TRUE (process_signal (cluster->instances[home].process, SIGCONT));
+  call.address = cluster->instances[home].address;
+  for (uint32_t i = 0; i < 10; i++)
+    {
+      reply = call_send (cluster, &call);
+      CU_ASSERT_STRING_NOT_EQUAL (reply_ran (reply), "not_run");
+    }
+  reply = call_settle (cluster, &call);
+  CU_ASSERT_EQUAL (reply->status, 200);
+  CU_ASSERT_EQUAL (cluster_tool_runs (cluster), 1);
+  cluster_end (cluster, CU_get_number_of_failures () > 0);
+}
+
+const char test_suite_name[] = "at most once";
+const struct TestCase test_cases[] = {
+  { "backend server closes after it ran", test_backend_closes_after_it_ran },
+  { "resent to all instances at once", test_resent_to_all_instances_at_once },
+  { "home killed while the service runs", test_home_killed_while_the_service_runs },
+  { "paused home woken after take-over", test_paused_home_woken_after_take_over },
+  { NULL, NULL },
+};
--- /dev/null
+++ b/tests/sessions/test_planned_stop.c
@@ -0,0 +1,140 @@
+/* Promise: a planned stop is a graceful shutdown; it cuts no request in flight. */
+#include "calls.h"
+#include "test_main.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+enum
+{
+  N_STREAMS = 8,
+  STREAM_TOKENS = 600
+};
+
+static const struct ClusterOptions three_instances = { .n_instances = 3,
+                                                       .n_engines = 2,
+                                                       .n_tools = 1 };
+
+struct Streams
+{
+  struct Cluster *cluster;
+  char programs[N_STREAMS][32];
+  struct CallThread threads[N_STREAMS];
+};
+
+/* All through one instance, whichever the programs' homes are. */
+static void
+streams_start (struct Streams *streams, struct Cluster *cluster, uint32_t entry)
+{
+  streams->cluster = cluster;
+  for (uint32_t i = 0; i < N_STREAMS; i++)
+    {
+      struct TestCall call = { .address = cluster->instances[entry].address,
+                               .program = streams->programs[i],
+                               .sequence = 1,
+                               .first_attempt = true };
+
+      snprintf (streams->programs[i], sizeof streams->programs[i], "stream-%u", i);
+      call.body = chat_body (cluster, "negotiation", streams->programs[i], STREAM_TOKENS, true);
+      CU_ASSERT_TRUE (create_program (cluster, entry, streams->programs[i]));
+      call_thread_start (&streams->threads[i], &call);
+    }
+  for (uint32_t i = 0; i < N_STREAMS; i++)
+    CU_ASSERT_TRUE (wait_for_engine_runs (cluster, streams->programs[i], 1));
+}
+
+/* Each stream is whole, at its first attempt. */
+static void
+streams_assert_whole (struct Streams *streams)
+{
+  for (uint32_t i = 0; i < N_STREAMS; i++)
+    {
+      struct HttpReply *reply;
+
+      call_thread_join (&streams->threads[i]);
+      reply = streams->threads[i].reply;
+      CU_ASSERT_EQUAL (reply->status, 200);
+      CU_ASSERT_PTR_NOT_NULL (strstr (reply->text, "data: [DONE]"));
+      CU_ASSERT_PTR_NOT_NULL (strstr (reply->text, " w599\""));
+      CU_ASSERT_EQUAL (cluster_engine_runs (streams->cluster, streams->programs[i]), 1);
+      talloc_free (reply);
+    }
+}
+
+/* Cooks are reading their answers when the instance that serves them is replaced. */
+static void
+test_sigterm_under_load_cuts_no_stream (void)
+{
+  struct Cluster *cluster = cluster_start (NULL, &three_instances);
+  struct Streams *streams = talloc_zero (cluster, struct Streams);
+  struct Process *stopped = cluster->instances[0].process;
+
+  streams_start (streams, cluster, 0);
+  CU_ASSERT_TRUE (process_signal (stopped, SIGTERM));
+  streams_assert_whole (streams);
+  CU_ASSERT_TRUE (process_wait (stopped));
+  CU_ASSERT_EQUAL (stopped->exit_status, 0);
+  cluster_end (cluster, CU_get_number_of_failures () > 0);
+}
+
+/* Two of three instances are replaced at the same time: the one the callers are connected to, and
+ * another that is home of, or sends for, some of their programs. */
+static void
+test_two_instances_stopped_at_once (void)
+{
+  struct Cluster *cluster = cluster_start (NULL, &three_instances);
+  struct Streams *streams = talloc_zero (cluster, struct Streams);
+
+  streams_start (streams, cluster, 0);
+  CU_ASSERT_TRUE (process_signal (cluster->instances[0].process, SIGTERM));
+  CU_ASSERT_TRUE (process_signal (cluster->instances[1].process, SIGTERM));
+  streams_assert_whole (streams);
+  for (uint32_t i = 0; i < 2; i++)
+    {
+      CU_ASSERT_TRUE (process_wait (cluster->instances[i].process));
+      CU_ASSERT_EQUAL (cluster->instances[i].process->exit_status, 0);
+    }
+  cluster_end (cluster, CU_get_number_of_failures () > 0);
+}
+
+/* A caller goes on with its program through the stop, with addresses that it asked for before. */
+static void
+test_programs_go_on_after_a_stop (void)
+{
+  static const char script[] =
+      "{\"steps\":["
+      "{\"create\":{\"service\":\"hiring-agents\",\"program\":\"goes-on\"}},"
+      "{\"call\":{\"model\":\"negotiation\",\"user\":\"One.\",\"min_tokens\":300,"
+      "\"max_tokens\":300,\"stream\":true}},"
+      "{\"call\":{\"service\":\"field-desk\",\"path\":\"/wages/confirm\",\"body\":{}},"
+      "\"expect\":{\"ran\":\"ran\"}},"
+      "{\"call\":{\"model\":\"negotiation\",\"user\":\"Two.\",\"max_tokens\":30},"
+      "\"expect\":{\"status\":200}},"
+      "{\"pause_ms\":1000},"
+      "{\"call\":{\"model\":\"negotiation\",\"user\":\"Three.\",\"max_tokens\":30},"
+      "\"expect\":{\"status\":200}},"
+      "{\"end\":\"done\",\"expect\":{\"status\":200}}]}";
+  struct Cluster *cluster = cluster_start (NULL, &three_instances);
+  struct Process *caller = cluster_run_caller (cluster, "goes-on", script);
+  int32_t home;
+
+  CU_ASSERT_TRUE (wait_for_engine_runs (cluster, "goes-on", 1));
+  home = cluster_home (cluster, "goes-on");
+  CU_ASSERT_TRUE_FATAL (home >= 0);
+  CU_ASSERT_TRUE (process_signal (cluster->instances[home].process, SIGTERM));
+  CU_ASSERT_TRUE (process_wait (caller));
+  CU_ASSERT_EQUAL (caller->exit_status, 0);
+  CU_ASSERT_EQUAL (cluster_tool_runs (cluster), 1);
+  CU_ASSERT_TRUE (process_wait (cluster->instances[home].process));
+  CU_ASSERT_EQUAL (cluster->instances[home].process->exit_status, 0);
+  cluster_end (cluster, CU_get_number_of_failures () > 0);
+}
+
+const char test_suite_name[] = "planned stop";
+const struct TestCase test_cases[] = {
+  { "SIGTERM under load cuts no stream", test_sigterm_under_load_cuts_no_stream },
+  { "two instances stopped at once", test_two_instances_stopped_at_once },
+  { "programs go on after a stop", test_programs_go_on_after_a_stop },
+  { NULL, NULL },
+};
--- /dev/null
+++ b/tests/sessions/test_release.c
@@ -0,0 +1,112 @@
+/* Promise: no engine memory stays held by a program that has ended. */
+#include "calls.h"
+#include "test_main.h"
+
+#include <signal.h>
+
+static const struct ClusterOptions three_instances = { .n_instances = 3,
+                                                       .n_engines = 1,
+                                                       .n_tools = 0 };
+
+struct Held
+{
+  struct Cluster *cluster;
+  const char *program;
+};
+
+static bool
+nothing_is_held (void *data)
+{
+  const struct Held *held = data;
+
+  return cluster_held_tokens (held->cluster, held->program) == 0;
+}
+
+static void
+run_turn (struct Cluster *cluster, const char *program)
+{
+  struct TestCall call = { .program = program,
+                           .sequence = 1,
+                           .body = chat_body (cluster, "negotiation", program, 8, false) };
+
+  CU_ASSERT_TRUE (create_program (cluster, 0, program));
+  CU_ASSERT_EQUAL (call_settle (cluster, &call)->status, 200);
+  CU_ASSERT_TRUE (cluster_held_tokens (cluster, program) > 0);
+}
+
+static uint32_t
+end_program (struct Cluster *cluster, uint32_t i, const char *program)
+{
+  const char *path = talloc_asprintf (cluster, "/v1/programs/%s/end", program);
+
+  return http_send (cluster, "POST", cluster->instances[i].address, path, NULL,
+                    "{\"reason\":\"done\"}")
+      ->status;
+}
+
+/* A screening ends; the engine loses the order to release its memory three times. The order is
+ * repeated until the engine has acknowledged it. */
+static void
+test_engine_loses_the_release (void)
+{
+  struct Cluster *cluster = cluster_start (NULL, &three_instances);
+  struct Held held = { cluster, "lost" };
+
+  run_turn (cluster, "lost");
+  CU_ASSERT_TRUE (http_control (cluster->engines[0].address, "{\"lose_release\":3}"));
+  CU_ASSERT_EQUAL (end_program (cluster, 1, "lost"), 200);
+  CU_ASSERT_TRUE (wait_for (nothing_is_held, &held));
+  cluster_end (cluster, CU_get_number_of_failures () > 0);
+}
+
+/* A screening ends while the engine refuses releases; then its home dies, and with it all that the
+ * home had in memory. The pending release is in the journal, and the new home sees it through. */
+static void
+test_home_killed_between_end_and_release (void)
+{
+  struct Cluster *cluster = cluster_start (NULL, &three_instances);
+  struct Held held = { cluster, "orphan" };
+  int32_t home;
+
+  run_turn (cluster, "orphan");
+  CU_ASSERT_TRUE (http_control (cluster->engines[0].address, "{\"ignore_release\":true}"));
+  CU_ASSERT_EQUAL (end_program (cluster, 0, "orphan"), 200);
+  home = cluster_home (cluster, "orphan");
+  CU_ASSERT_TRUE_FATAL (home >= 0);
+  process_kill (cluster->instances[home].process);
+  CU_ASSERT_TRUE (cluster_held_tokens (cluster, "orphan") > 0);
+  CU_ASSERT_TRUE (http_control (cluster->engines[0].address, "{\"ignore_release\":false}"));
+  CU_ASSERT_TRUE (wait_for (nothing_is_held, &held));
+  cluster_end (cluster, CU_get_number_of_failures () > 0);
+}
+
+/* A caller cancels its program in the middle of a long answer: the engine stops generating, and
+ * what the cut call had put into its memory goes too. */
+static void
+test_program_cancelled_in_mid_call (void)
+{
+  struct Cluster *cluster = cluster_start (NULL, &three_instances);
+  struct Held held = { cluster, "cancelled" };
+  struct TestCall call = { .address = cluster->instances[0].address,
+                           .program = "cancelled",
+                           .sequence = 1,
+                           .body = chat_body (cluster, "negotiation", "long", 20000, true) };
+  struct CallThread thread;
+
+  CU_ASSERT_TRUE (create_program (cluster, 0, "cancelled"));
+  call_thread_start (&thread, &call);
+  CU_ASSERT_TRUE (wait_for_engine_runs (cluster, "cancelled", 1));
+  CU_ASSERT_EQUAL (end_program (cluster, 1, "cancelled"), 200);
+  CU_ASSERT_TRUE (wait_for (nothing_is_held, &held));
+  call_thread_join (&thread);
+  talloc_free (thread.reply);
+  cluster_end (cluster, CU_get_number_of_failures () > 0);
+}
+
+const char test_suite_name[] = "release of engine memory";
+const struct TestCase test_cases[] = {
+  { "engine loses the release", test_engine_loses_the_release },
+  { "home killed between end and release", test_home_killed_between_end_and_release },
+  { "program cancelled in mid-call", test_program_cancelled_in_mid_call },
+  { NULL, NULL },
+};
--- a/tests/standins/caller_client.h
+++ b/tests/standins/caller_client.h
@@ -26,6 +26,7 @@
   const char *const *headers;
   size_t n_headers;
   const char *body; /* NULL: none */
+  bool resent;      /* not the first time that it is sent, by anyone */
   bool stream;      /* the answer is an event stream, whole only with its end marker */
 };
 
