--- a/ctl/ctl_change.c
+++ b/ctl/ctl_change.c
@@ -136,8 +136,26 @@
   return change_send (client, &change, options->ctl.json->count > 0, io);
 }
 
-/* Without --expect a profile is only created: whoever replaces one says which revision they saw,
- * so that two shifts do not overwrite each other unseen. */
+/* The first line as `profile show` writes it: text that was shown, edited and applied carries the
+ * revision that its editor saw, and the line itself is no part of the profile. */
+static void
+take_shown_revision (struct ChangeTarget *target)
+{
+  static const char mark[] = "; revision ";
+  char number[UNITS_TEXT_BYTES];
+  size_t n;
+
+  if (strncmp (target->text, mark, strlen (mark)) != 0)
+    return;
+  n = strcspn (target->text, "\n");
+  snprintf (number, sizeof number, "%.*s", (int)(n - strlen (mark)), target->text + strlen (mark));
+  if (units_parse (UNIT_NONE, number, &target->expected_revision) != ERROR_NONE)
+    return;
+  target->text += n + (target->text[n] == '\n' ? 1 : 0);
+}
+
+/* Without --expect and without a shown revision a profile is only created: whoever replaces one
+ * says which revision they saw, so that two shifts do not overwrite each other unseen. */
 static int
 apply_profile (const struct ChangeOptions *options, const char *file, const struct CommandIo *io)
 {
@@ -157,6 +175,7 @@
       goto out;
     }
   target.name = profile.name;
+  take_shown_revision (&target);
   exit_code = send_target (options, client, &target, io);
 out:
   talloc_free (ctx);
--- a/tests/test_ctl.c
+++ b/tests/test_ctl.c
@@ -261,6 +261,33 @@
   talloc_free (r);
 }
 
+/* What `profile show` prints is edited and applied: the revision that was shown goes with it, so
+ * that a change which came in between is not overwritten unseen, and the mark is not kept. */
+static void
+test_shown_profile_carries_its_revision (void)
+{
+  static const struct FakeReply shown[] = {
+    { 200, "{\"name\":\"a\",\"revision\":41,\"text\":\"[profile]\\nname = a\\n\"}" }, { 0, NULL }
+  };
+  static const struct FakeReply applied[] = { { 200, "{\"revision\":42}" }, { 0, NULL } };
+  char file[] = "/tmp/buckthornhead-profile-XXXXXX";
+  FILE *stream = fdopen (mkstemp (file), "w");
+  struct Run *r = run_ctl (shown, "ctl profile show a --operator @");
+  char line[128];
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (stream);
+  fputs (r->out, stream);
+  fclose (stream);
+  talloc_free (r);
+  snprintf (line, sizeof line, "ctl profile apply %s --operator @", file);
+  r = run_ctl (applied, line);
+  remove (file);
+  CU_ASSERT_EQUAL (r->exit_code, EXIT_CODE_OK);
+  CU_ASSERT (contains (r->log, "\"text\":\"[profile]\\nname = a\\n\""));
+  CU_ASSERT (contains (r->log, "\"expected_revision\":41}\n"));
+  talloc_free (r);
+}
+
 /* Two shifts edit one profile. The second one's change was made from a text that is no longer in
  * force; applied, it would undo the first one's unseen. The operator is told what differs. */
 static void
@@ -596,6 +623,7 @@
   { "unreachable is 4 and the next instance is tried",
     test_unreachable_is_4_and_the_next_instance_is_tried },
   { "apply sends what was seen", test_apply_sends_what_was_seen },
+  { "shown profile carries its revision", test_shown_profile_carries_its_revision },
   { "conflict is 3 and says what differs", test_conflict_is_3_and_says_what_differs },
   { "lost answer is settled by change id", test_lost_answer_is_settled_by_change_id },
   { "lost change is sent again under its id", test_lost_change_is_sent_again_under_its_id },
