--- a/core/peer_message.c
+++ b/core/peer_message.c
@@ -275,8 +275,9 @@
     case PEER_CANCEL:
     case PEER_CONFIG_WANT:
     case PEER_CONFIG_ENTRY:
-    case PEER_QUARANTINE:
       return 2;
+    case PEER_QUARANTINE:
+      return 3;
     case PEER_CHUNK:
     case PEER_RELEASE:
       return 4;
@@ -329,6 +330,7 @@
       break;
     case PEER_QUARANTINE:
       pack_bytes (p, message->quarantine.digest, DIGEST_BYTES);
+      pack_string (p, message->quarantine.server);
       break;
     }
 }
@@ -376,6 +378,7 @@
       break;
     case PEER_QUARANTINE:
       read_fixed (r, message->quarantine.digest, DIGEST_BYTES);
+      read_string (r, message->quarantine.server, sizeof message->quarantine.server);
       break;
     default:
       r->failed = true;
