ctl reads what the daemon's operator side sends; changes are kept by kind, programs to the limit

Cause: the columns were written before the server was; backends have state and service_ms_per_call, programs charged and reserved tokens. The server filters the audit trail by name alone, so a service of the profile's name stood in `profile history`. Ruled out: waiting for the server to filter; a limit and a kind that it passes over are applied here. Conclusion: test_ctl covers both.

--- a/ctl/ctl.h
+++ b/ctl/ctl.h
@@ -44,6 +44,7 @@
   const char *path;     /* reads: what is read; the escaped argument is put after it */
   const char *argument; /* reads: what the argument is; NULL: none */
   ViewFn view;          /* reads */
+  const char *kind;     /* reads of the audit trail: changes of this kind only; NULL: of all */
 };
 
 int
--- a/ctl/ctl_read.c
+++ b/ctl/ctl_read.c
@@ -32,19 +32,51 @@
   return &words->words;
 }
 
+/* What of a list is wanted; instances of an earlier version send all of it. */
+struct ListFilter
+{
+  const char *kind; /* of changes; NULL: all */
+  size_t limit;     /* of programs; 0: none */
+};
+
+static void
+filter_lists (json_t *body, const struct ListFilter *filter)
+{
+  json_t *changes = json_object_get (body, "changes");
+  json_t *programs = json_object_get (body, "programs");
+
+  for (size_t i = json_array_size (changes); i > 0 && filter->kind != NULL; i--)
+    {
+      const char *kind =
+          json_string_value (json_object_get (json_array_get (changes, i - 1), "kind"));
+
+      if (kind == NULL || strcmp (kind, filter->kind) != 0)
+        json_array_remove (changes, i - 1);
+    }
+  while (filter->limit > 0 && json_array_size (programs) > filter->limit)
+    json_array_remove (programs, json_array_size (programs) - 1);
+}
+
 /* Reads path and shows it. */
 static int
 read_and_show (const struct CtlOptions *options,
                const char *path,
+               const struct ListFilter *filter,
                ViewFn view,
                const struct CommandIo *io)
 {
   TALLOC_CTX *ctx = talloc_new (NULL);
   struct OperatorClient *client = ctl_client_new (ctx, options, io);
+  struct OperatorAnswer *answer;
   int exit_code = EXIT_CODE_USAGE;
 
-  if (client != NULL)
-    exit_code = ctl_show (operator_get (ctx, client, path), options->json->count > 0, view, io);
+  if (client == NULL)
+    goto out;
+  answer = operator_get (ctx, client, path);
+  if (answer != NULL && answer->error == ERROR_NONE)
+    filter_lists (answer->body, filter);
+  exit_code = ctl_show (answer, options->json->count > 0, view, io);
+out:
   talloc_free (ctx);
   return exit_code;
 }
@@ -56,12 +88,13 @@
                const struct CommandIo *io)
 {
   TALLOC_CTX *ctx = talloc_new (NULL);
+  const struct ListFilter filter = { .kind = command->kind };
   const char *path = command->path;
   int exit_code;
 
   if (argument != NULL)
     path = talloc_asprintf (ctx, "%s%s", path, ctl_escape (ctx, argument->sval[0]));
-  exit_code = read_and_show (options, path, command->view, io);
+  exit_code = read_and_show (options, path, &filter, command->view, io);
   talloc_free (ctx);
   return exit_code;
 }
@@ -102,6 +135,7 @@
 {
   TALLOC_CTX *ctx = talloc_new (NULL);
   int n = limit->count > 0 ? limit->ival[0] : PROGRAMS_LIMIT;
+  const struct ListFilter filter = { .limit = n > 0 ? (size_t)n : 0 };
   const char *path;
   int exit_code;
 
@@ -112,7 +146,8 @@
                             ctl_escape (ctx, service->sval[0]));
   else
     path = talloc_asprintf (ctx, "/operator/programs?limit=%d", n);
-  exit_code = read_and_show (options, path, id->count > 0 ? view_object : view_programs, io);
+  exit_code =
+      read_and_show (options, path, &filter, id->count > 0 ? view_object : view_programs, io);
   talloc_free (ctx);
   return exit_code;
 }
@@ -155,6 +190,7 @@
             const struct CommandIo *io)
 {
   TALLOC_CTX *ctx = talloc_new (NULL);
+  const struct ListFilter filter = { .kind = kind->count > 0 ? kind->sval[0] : NULL };
   char *path = talloc_strdup (ctx, "/operator/audit");
   int exit_code;
 
@@ -163,7 +199,7 @@
   if (name->count > 0)
     path = talloc_asprintf_append (path, "%sname=%s", kind->count > 0 ? "&" : "?",
                                    ctl_escape (ctx, name->sval[0]));
-  exit_code = read_and_show (options, path, view_audit, io);
+  exit_code = read_and_show (options, path, &filter, view_audit, io);
   talloc_free (ctx);
   return exit_code;
 }
@@ -284,6 +320,7 @@
 static int
 watch (const struct CtlOptions *options, uint64_t every_ms, int count, const struct CommandIo *io)
 {
+  const struct ListFilter everything = { 0 };
   const char *clear = isatty (fileno (io->out)) == 1 ? "\033[H\033[2J" : "";
   int exit_code = EXIT_CODE_OK;
 
@@ -292,7 +329,7 @@
       if (round > 0)
         pause_ms (every_ms);
       fputs (clear, io->out);
-      exit_code = read_and_show (options, "/operator/status", view_status, io);
+      exit_code = read_and_show (options, "/operator/status", &everything, view_status, io);
       if (exit_code == EXIT_CODE_USAGE)
         break;
       fflush (io->out);
--- a/ctl/views.c
+++ b/ctl/views.c
@@ -11,23 +11,23 @@
   { "TARGET", "target", TEXT_COLUMN_TEXT },
   { "ADDRESS", "address", TEXT_COLUMN_TEXT },
   { "OWNER", "owner", TEXT_COLUMN_TEXT },
-  { "USABLE", "usable", TEXT_COLUMN_YES },
+  { "STATE", "state", TEXT_COLUMN_TEXT },
   { "IN FLIGHT", "in_flight", TEXT_COLUMN_NUMBER },
   { "LIMIT", "limit", TEXT_COLUMN_NUMBER },
   { "WAITING", "waiting", TEXT_COLUMN_NUMBER },
-  { "REPORTED", "reported_running", TEXT_COLUMN_NUMBER },
+  { "MS/CALL", "service_ms_per_call", TEXT_COLUMN_NUMBER },
   { NULL, NULL, TEXT_COLUMN_TEXT },
 };
 
 static const struct TextColumn program_columns[] = {
   { "PROGRAM", "program", TEXT_COLUMN_TEXT },
   { "SERVICE", "service", TEXT_COLUMN_TEXT },
-  { "HOME", "home", TEXT_COLUMN_TEXT },
   { "STATE", "state", TEXT_COLUMN_TEXT },
   { "TURNS", "turns", TEXT_COLUMN_NUMBER },
-  { "SPENT", "spent_tokens", TEXT_COLUMN_NUMBER },
+  { "CHARGED", "charged_tokens", TEXT_COLUMN_NUMBER },
+  { "RESERVED", "reserved_tokens", TEXT_COLUMN_NUMBER },
   { "BUDGET", "budget_tokens", TEXT_COLUMN_NUMBER },
-  { "AGE MS", "age_ms", TEXT_COLUMN_NUMBER },
+  { "CREATED", "created_unix_ms", TEXT_COLUMN_TIME },
   { NULL, NULL, TEXT_COLUMN_TEXT },
 };
 
@@ -117,8 +117,8 @@
 
   fprintf (out, "\nrevision %" JSON_INTEGER_FORMAT "\n",
            json_integer_value (json_object_get (change, "revision")));
-  print_block (out, "before", before != NULL ? before : "(nothing)");
-  print_block (out, "after", after != NULL ? after : "(nothing)");
+  print_block (out, "before", before != NULL && before[0] != '\0' ? before : "(nothing)");
+  print_block (out, "after", after != NULL && after[0] != '\0' ? after : "(nothing)");
 }
 
 void
--- a/tests/test_ctl.c
+++ b/tests/test_ctl.c
@@ -184,7 +184,8 @@
   static const struct FakeReply replies[] = {
     { 200, "{\"changes\":[{\"revision\":7,\"kind\":\"service\",\"name\":\"menu-agents\","
            "\"who\":\"asha\",\"when_unix_ms\":1796200000000,\"reason\":\"dawn\","
-           "\"change_id\":\"c-1\",\"before\":\"menu\",\"after\":\"hiring\"}]}" },
+           "\"change_id\":\"c-1\",\"before\":\"menu\",\"after\":\"hiring\"},"
+           "{\"revision\":8,\"kind\":\"profile\",\"name\":\"menu-agents\"}]}" },
     { 0, NULL }
   };
   struct Run *r = run_ctl (replies, "ctl audit --kind service --name menu-agents --operator @");
@@ -200,16 +201,21 @@
 static void
 test_programs_and_counters (void)
 {
-  static const struct FakeReply list[] = { { 200, "{\"programs\":[]}" }, { 0, NULL } };
+  static const struct FakeReply list[] = {
+    { 200, "{\"programs\":[{\"program\":\"p-1\",\"state\":\"running\"},"
+           "{\"program\":\"p-2\"}]}" },
+    { 0, NULL }
+  };
   static const struct FakeReply one[] = {
     { 200, "{\"program\":\"p-1\",\"branches\":[{\"branch\":\"main\"}]}" }, { 0, NULL }
   };
   static const struct FakeReply metrics[] = {
     { 200, "# HELP a_total A.\n# TYPE a_total counter\na_total 3\nb 0\n" }, { 0, NULL }
   };
-  struct Run *r = run_ctl (list, "ctl programs --service menu-agents --limit 5 --operator @");
+  struct Run *r = run_ctl (list, "ctl programs --service menu-agents --limit 1 --operator @");
 
-  CU_ASSERT_STRING_EQUAL (r->log, "GET /operator/programs?limit=5&service=menu-agents\n");
+  CU_ASSERT_STRING_EQUAL (r->log, "GET /operator/programs?limit=1&service=menu-agents\n");
+  CU_ASSERT (contains (r->out, "\np-1      -        running") && !contains (r->out, "p-2"));
   talloc_free (r);
   r = run_ctl (one, "ctl programs p-1 --operator @");
   CU_ASSERT_STRING_EQUAL (r->log, "GET /operator/programs/p-1\n");
