--- a/bench/policy_sim.c
+++ b/bench/policy_sim.c
@@ -18,6 +18,7 @@
   MAX_TOKENS = 400,
   RETRIES_AFTER_REFUSAL = 3,
   RESTART_MS = 5000,
+  SAMPLE_MS = 5000,
   FROZEN_MS = 30000,
   DRAIN_FACTOR = 20 /* a run ends after this many times the time of arrivals */
 };
@@ -86,7 +87,9 @@
   size_t n_arrived;
   size_t n_open;
   uint32_t poison; /* index of the program that crashes engines */
-  double now_ms, next_digest_ms, next_report_ms;
+  double now_ms, next_digest_ms, next_report_ms, next_sample_ms;
+  double live_tokens; /* of programs that have begun and not ended */
+  uint64_t n_samples;
 };
 
 static uint64_t
@@ -508,6 +511,25 @@
     }
 }
 
+static void
+sim_sample (struct Sim *sim)
+{
+  double tokens = 0;
+
+  for (uint32_t s = 0; s < sim->options->n_engines; s++)
+    {
+      struct DispatchActive active;
+
+      dispatch_queue_active (sim->servers[s].queue, &active);
+      sim->result->active += (double)active.n_programs;
+    }
+  for (size_t p = 0; p < sim->work->n_programs; p++)
+    for (uint32_t b = 0; !sim->programs[p].ended && b < sim->programs[p].work->n_branches; b++)
+      tokens += sim->programs[p].branches[b].context_tokens;
+  sim->live_tokens += tokens;
+  sim->n_samples++;
+}
+
 static void
 sim_crash (struct Sim *sim, struct SimServer *server)
 {
@@ -530,6 +552,11 @@
       sim_refresh_digests (sim);
       sim->next_digest_ms = sim->now_ms + sim->options->digest_ms;
     }
+  if (sim->now_ms >= sim->next_sample_ms && sim->now_ms < sim->options->duration_ms)
+    {
+      sim_sample (sim);
+      sim->next_sample_ms = sim->now_ms + SAMPLE_MS;
+    }
   for (uint32_t s = 0; s < sim->options->n_engines; s++)
     {
       uint32_t running, waiting;
@@ -667,11 +694,19 @@
   for (uint32_t s = 0; s < sim->options->n_engines; s++)
     {
       struct PolicyServer digest = { 0 };
+      struct DispatchActive active;
 
+      dispatch_queue_active (sim->servers[s].queue, &active);
+      r->taken += (double)active.n_taken;
+      r->lapsed += (double)active.n_lapsed;
+      if (active.budget_tokens != UINT64_MAX)
+        r->budget_tokens += (double)active.budget_tokens / sim->options->n_engines;
       busy_ms += sim->servers[s].busy_ms;
       dispatch_queue_digest (sim->servers[s].queue, &digest);
       r->limit += (double)digest.limit / sim->options->n_engines;
     }
+  r->active /= (double)(sim->n_samples * sim->options->n_engines);
+  r->live_tokens = sim->live_tokens / (double)(sim->n_samples * sim->options->n_engines);
   r->utilisation = busy_ms / (sim->now_ms * sim->options->n_engines);
   sim_stats_finish (sim->stats, r);
   r->goodput_per_s = r->in_time * (double)r->n_programs / (sim->options->duration_ms / 1000);
--- a/bench/policy_sim.h
+++ b/bench/policy_sim.h
@@ -56,6 +56,10 @@
   double utilisation;                /* share of the engines' time with anything running */
   double limit;                      /* mean of the engines' learned limits at the end */
   double quarantined;
+  double taken, lapsed; /* places in the engines' caches */
+  double live_tokens;   /* mean context of the programs under way, per engine */
+  double budget_tokens; /* mean of the learned cache budgets at the end */
+  double active;        /* mean programs with a place, per engine */
 };
 
 /* Fills in defaults and the named built-in scenario. False when there is none of that name. */
--- a/core/dispatch_queue.c
+++ b/core/dispatch_queue.c
@@ -126,10 +126,13 @@
 /* Smaller is more urgent. For the program rule the key is a time: a call that has waited ageing_ms
  * longer stands even with one whose program has received half as much. So the urgency doubles in
  * that time, yet the order never changes while calls wait and a heap can hold it; and a call waits
- * behind newcomers for ageing_ms x log2 (its program's tokens / quantum) at most. */
+ * behind newcomers for ageing_ms x log2 (its program's tokens / quantum) at most. What a program
+ * has received includes the prompt that this call brings: it is known to be work to come. */
 static double
 queue_urgency (const struct PolicyWeights *weights, const struct DispatchItem *item, int64_t now_ms)
 {
+  double tokens = (double)item->attained_tokens;
+
   switch (weights->rule)
     {
     case POLICY_ROUND_ROBIN:
@@ -138,12 +141,13 @@
     case POLICY_FIFO:
       return (double)now_ms;
     case POLICY_ATTAINED:
-      return (double)item->attained_tokens;
+      return tokens;
     case POLICY_PROGRAM:
       break;
     }
-  return (double)now_ms
-         + weights->ageing_ms * log2 (1.0 + (double)item->attained_tokens / QUEUE_QUANTUM_TOKENS);
+  if (item->prompt_tokens > item->cached_tokens_hint)
+    tokens += item->prompt_tokens - item->cached_tokens_hint;
+  return (double)now_ms + weights->ageing_ms * log2 (1.0 + tokens / QUEUE_QUANTUM_TOKENS);
 }
 
 /* ---- Refusal ---- */
@@ -222,6 +226,7 @@
   if (program == NULL)
     return false;
   active_set_called (&queue->set, program, call->item.prompt_tokens, now_ms);
+  active_set_admit_small (&queue->set, program);
   call->program = program;
   /* The home's hint knows the branch: a sub-agent's first call has nothing cached, whatever its
    * program holds. */
@@ -497,6 +502,7 @@
   double cost = uncached + (double)generated * QUEUE_GENERATED_COST;
 
   policy_limit_learn (&queue->limit, &sample);
+  queue->set.prefill_us_per_token = queue->limit.best_prefill_us;
   queue_learn_service (call->service, generated);
   fair_share_charge (queue, &queue->fair, call->service, cost - call->charged_tokens);
   if (call->program == NULL)
@@ -552,6 +558,8 @@
 
   active->n_programs = set->n_active;
   active->active_tokens = set->active_tokens;
+  active->n_taken = set->n_taken;
+  active->n_lapsed = set->n_lapsed;
   active->budget_tokens = isinf (set->budget_tokens) ? UINT64_MAX : (uint64_t)set->budget_tokens;
 }
 
--- a/core/policy_active.c
+++ b/core/policy_active.c
@@ -7,21 +7,24 @@
 enum
 {
   ACTIVE_EXPECTED_MIN = 256, /* smaller prefixes say nothing about the cache */
-  PERMILLE = 1000
+  PERMILLE = 1000,
+  US_PER_MS = 1000
 };
 
 static const double ACTIVE_PAUSE_GAIN = 0.1;
-/* A pause this many times the learned mean is not worth waiting for. */
-static const double ACTIVE_PAUSE_KEEP = 2.0;
-static const double ACTIVE_PAUSE_FIRST_MS = 2000;
+static const double ACTIVE_KEEP_EVEN = 0.7;
 /* Share of the reported capacity that programs are let in for; the rest is slack for growth. */
 static const double ACTIVE_REPORT_SHARE = 0.95;
-static const double ACTIVE_SHRINK = 0.99;
+static const double ACTIVE_SMALL_SHARE = 0.02;
+/* Small programs are let in beyond the budget: they push out the ends of a few idle prefixes, and
+ * most of them end at once. Holding them back behind a large one saves next to nothing. */
+static const double ACTIVE_SMALL_EXCESS = 0.2;
+static const double ACTIVE_SHRINK = 0.999;
 static const double ACTIVE_GROW = 1.001;
 /* How much more urgent, in units of the ageing time, a newcomer must be to take a paused program's
  * place; more under a cache weight. */
-static const double ACTIVE_HYSTERESIS = 1.0;
-static const double ACTIVE_HYSTERESIS_CACHE = 4.0;
+static const double ACTIVE_HYSTERESIS = 3.0;
+static const double ACTIVE_HYSTERESIS_CACHE = 2.0;
 
 void
 active_set_init (struct ActiveSet *set)
@@ -132,13 +135,41 @@
   return program->urgency + margin * weights->ageing_ms < victim->urgency;
 }
 
+static bool
+active_has_room (const struct ActiveSet *set, const struct ActiveProgram *program)
+{
+  return set->n_active == 0
+         || (double)(set->active_tokens + program->footprint_tokens) <= set->budget_tokens;
+}
+
+static void
+active_enter (struct ActiveSet *set, struct ActiveProgram *program)
+{
+  program->active = true;
+  set->active_tokens += program->footprint_tokens;
+  set->n_active++;
+}
+
+bool
+active_set_admit_small (struct ActiveSet *set, struct ActiveProgram *program)
+{
+  double most = set->budget_tokens * (1.0 + ACTIVE_SMALL_EXCESS);
+
+  if (program->active)
+    return true;
+  if ((double)program->footprint_tokens > set->budget_tokens * ACTIVE_SMALL_SHARE
+      || (double)(set->active_tokens + program->footprint_tokens) > most)
+    return false;
+  active_enter (set, program);
+  return true;
+}
+
 bool
 active_set_admit (struct ActiveSet *set, struct ActiveProgram *program, bool forced)
 {
   if (program->active)
     return true;
-  while (!forced && set->n_active > 0
-         && (double)(set->active_tokens + program->footprint_tokens) > set->budget_tokens)
+  while (!forced && !active_has_room (set, program))
     {
       struct HeapNode *node = policy_heap_first (&set->victims);
       struct ActiveProgram *victim;
@@ -149,20 +180,21 @@
       if (!active_may_take (program, victim))
         return false;
       active_set_forget (set, victim);
+      set->n_taken++;
     }
-  program->active = true;
-  set->active_tokens += program->footprint_tokens;
-  set->n_active++;
+  active_enter (set, program);
   return true;
 }
 
+/* How long a place is kept over a pause. Keeping it costs its share of the cache for that time;
+ * giving it away costs the prefill of as many tokens. Both grow with the context, so they are even
+ * at the time in which the whole cache could be computed again. */
 static double
-active_keep_ms (const struct FairService *service)
+active_keep_ms (const struct ActiveSet *set, const struct FairService *service)
 {
-  double learned = service->pause_ms > 0 ? service->pause_ms : ACTIVE_PAUSE_FIRST_MS;
-  double ms = learned * ACTIVE_PAUSE_KEEP;
+  double even = set->budget_tokens * set->prefill_us_per_token / US_PER_MS * ACTIVE_KEEP_EVEN;
 
-  return ms < service->weights.pause_keep_ms ? ms : service->weights.pause_keep_ms;
+  return even < service->weights.pause_keep_ms ? even : service->weights.pause_keep_ms;
 }
 
 void
@@ -182,7 +214,7 @@
   active_resize (set, program, program->context_tokens);
   program->victim_node.minor = -program->urgency;
   program->victim_node.sequence = ++set->sequence;
-  program->keep_node.minor = (double)now_ms + active_keep_ms (program->service);
+  program->keep_node.minor = (double)now_ms + active_keep_ms (set, program->service);
   program->keep_node.sequence = set->sequence;
   if (!policy_heap_put (ctx, &set->victims, &program->victim_node)
       || !policy_heap_put (ctx, &set->keeps, &program->keep_node))
@@ -201,6 +233,7 @@
       /* The pause is at least this long: without this sample only short ones would be seen. */
       active_learn_pause (program->service, (double)(now_ms - program->ended_ms));
       active_set_forget (set, program);
+      set->n_lapsed++;
     }
 }
 
--- a/core/policy_active.h
+++ b/core/policy_active.h
@@ -37,9 +37,11 @@
   struct PolicyHeap victims, keeps;
   uint64_t active_tokens;
   size_t n_active;
-  double budget_tokens;     /* INFINITY: not scarce as far as seen */
-  uint64_t reported_tokens; /* capacity by the server's own report; 0: none */
+  double budget_tokens;        /* INFINITY: not scarce as far as seen */
+  uint64_t reported_tokens;    /* capacity by the server's own report; 0: none */
+  double prefill_us_per_token; /* as the owner last learned it */
   uint64_t sequence;
+  uint64_t n_taken, n_lapsed;
 };
 
 void
@@ -65,6 +67,10 @@
 bool
 active_set_admit (struct ActiveSet *set, struct ActiveProgram *program, bool forced);
 
+/* Gives a small program its place at once, a little beyond the budget if need be. */
+bool
+active_set_admit_small (struct ActiveSet *set, struct ActiveProgram *program);
+
 /* A call of program has ended: when nothing else of it is here, it is paused from now on. */
 void
 active_set_paused (TALLOC_CTX *ctx,
--- a/include/buckthornhead/policy.h
+++ b/include/buckthornhead/policy.h
@@ -144,6 +144,8 @@
   size_t n_programs;
   uint64_t active_tokens;
   uint64_t budget_tokens; /* learned; UINT64_MAX: not scarce as far as seen */
+  uint64_t n_taken;       /* places taken from paused programs by more urgent ones, so far */
+  uint64_t n_lapsed;      /* places lost because a pause outlasted what is kept */
 };
 void
 dispatch_queue_active (const struct DispatchQueue *queue, struct DispatchActive *active);
