--- a/core/config_apply.c
+++ b/core/config_apply.c
@@ -1,7 +1,7 @@
 /* Appends the operators' changes, one at a time, and settles lost answers. */
 #include "config_log_private.h"
 #include "jitter.h"
-#include "kv_guard.h"
+#include <buckthornhead/kv_guard.h>
 
 #include <buckthornhead/counter.h>
 #include <buckthornhead/error.h>
--- a/core/config_log.c
+++ b/core/config_log.c
@@ -1,5 +1,5 @@
 #include "config_log_private.h"
-#include "kv_guard.h"
+#include <buckthornhead/kv_guard.h>
 
 #include <buckthornhead/counter.h>
 #include <buckthornhead/error.h>
--- a/core/config_reader.c
+++ b/core/config_reader.c
@@ -1,7 +1,7 @@
 /* Reads the changes and watches for more: a watch while it works, else polls with jitter. */
 #include "config_log_private.h"
 #include "jitter.h"
-#include "kv_guard.h"
+#include <buckthornhead/kv_guard.h>
 
 #include <buckthornhead/error.h>
 #include <buckthornhead/log.h>
