--- a/daemon/core.h
+++ b/daemon/core.h
@@ -4,6 +4,7 @@
 #include <buckthornhead/backend_pool.h>
 #include <buckthornhead/caller_http.h>
 #include <buckthornhead/config_log.h>
+#include <buckthornhead/curl_loop.h>
 #include <buckthornhead/homes.h>
 #include <buckthornhead/journal.h>
 #include <buckthornhead/kv.h>
@@ -24,6 +25,7 @@
   struct tevent_context *events;
   struct TimerService *timers;
   struct Mailbox *mailbox;
+  struct CurlLoop *loop;
   struct KvPort *kv;
   struct PeerNet *net;
   struct BackendPool *pool;
--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -25,6 +25,8 @@
 {
   KV_TIMEOUT_MS = 2000,
   CONFIG_POLL_MS = 1000,
+  MEMBERS_POLL_MS = 1000,
+  INSTANCES_POLL_MS = 1000,
   CONFIG_ENTRIES_AT_ONCE = 64
 };
 
@@ -216,3 +218,221 @@
   if (daemon->drain != NULL)
     drain_set (daemon->drain, config_drains (state, core->settings->instance));
 }
+
+static void
+daemon_on_members (void *data, const struct Member *members, size_t n_members)
+{
+  struct Core *core = ((struct Daemon *)data)->core;
+  struct FleetMember *list = talloc_zero_array (core, struct FleetMember, n_members);
+
+  for (size_t i = 0; list != NULL && i < n_members; i++)
+    {
+      snprintf (list[i].instance, sizeof list[i].instance, "%s", members[i].instance);
+      snprintf (list[i].incarnation, sizeof list[i].incarnation, "%s", members[i].incarnation);
+      snprintf (list[i].zone, sizeof list[i].zone, "%s", members[i].zone);
+      snprintf (list[i].caller_address, sizeof list[i].caller_address, "%s",
+                members[i].caller_address);
+      snprintf (list[i].peer_address, sizeof list[i].peer_address, "%s", members[i].peer_address);
+      list[i].draining = members[i].draining;
+    }
+  fleet_set_members (core->fleet, list, n_members);
+  talloc_free (list);
+}
+
+static void
+daemon_on_incarnation (void *data, const char *incarnation)
+{
+  struct Daemon *daemon = data;
+  struct Core *core = daemon->core;
+
+  snprintf (core->incarnation, sizeof core->incarnation, "%s", incarnation);
+  log_event (LOG_LEVEL_NOTICE, "incarnation", NULL, NULL, "%s", incarnation);
+  peer_net_set_incarnation (core->net, incarnation);
+  spooler_start_writer (core->spooler, incarnation);
+  if (home_start (core->home, incarnation) != ERROR_NONE)
+    log_event (LOG_LEVEL_ERROR, "home_failed", NULL, "give the instance more memory",
+               "the home could not be started");
+}
+
+static void
+daemon_on_platform (void *data, bool up)
+{
+  struct Core *core = ((struct Daemon *)data)->core;
+
+  core->platform_up = up;
+  log_event (up ? LOG_LEVEL_NOTICE : LOG_LEVEL_ERROR, up ? "platform_up" : "platform_down", NULL,
+             up ? NULL : "see OPERATIONS: outage of the platform",
+             "the platform's key-value service %s", up ? "answers" : "does not answer");
+}
+
+static void
+daemon_on_backends (void *data,
+                    const struct BackendSetting *listed,
+                    const bool *leaving,
+                    size_t n_listed)
+{
+  struct Core *core = ((struct Daemon *)data)->core;
+
+  fleet_set_backends (core->fleet, listed, leaving, n_listed);
+}
+
+static void
+daemon_on_left (void *data)
+{
+  ((struct Daemon *)data)->stopped = true;
+}
+
+static void
+daemon_on_drained (void *data)
+{
+  struct Daemon *daemon = data;
+
+  membership_leave (daemon->core->membership, daemon_on_left, daemon);
+}
+
+static void
+daemon_on_signal (struct tevent_context *events,
+                  struct tevent_signal *signal,
+                  int number,
+                  int count,
+                  void *info,
+                  void *data)
+{
+  struct Daemon *daemon = data;
+
+  (void)events;
+  (void)signal;
+  (void)count;
+  (void)info;
+  log_event (LOG_LEVEL_NOTICE, "stop_asked", NULL, NULL, "signal %d", number);
+  drain_stop (daemon->drain, daemon_on_drained, daemon);
+}
+
+/* The adapters, from the bottom up. */
+static int32_t
+daemon_open_adapters (struct Daemon *daemon, struct Fault *fault)
+{
+  struct Core *core = daemon->core;
+  const struct Settings *settings = core->settings;
+  struct PeerNetOptions net = { 0 };
+  struct Spool *spool = NULL;
+
+  core->events = tevent_context_init (core);
+  core->timers = timer_tevent_new (core, core->events);
+  core->mailbox = mailbox_new (core, core->events, daemon_receive_mail, daemon);
+  core->loop = curl_loop_new (core, core->events);
+  core->kv = kv_http_new (core, core->loop, settings->kv_url, KV_TIMEOUT_MS);
+  if (core->mailbox == NULL || core->kv == NULL)
+    return fault_set (fault, ERROR_NO_MEMORY, NULL, "out of memory");
+  net.listen = settings->peer_listen;
+  net.instance = settings->instance;
+  net.zone = settings->zone;
+  net.received = daemon_on_message;
+  net.closed = daemon_on_link_closed;
+  net.data = daemon;
+  core->net = peer_net_new (core, core->events, core->timers, &net);
+  core->pool = backend_pool_new (core, settings->backend_threads, core->mailbox);
+  if (core->net == NULL || core->pool == NULL)
+    return fault_set (fault, ERROR_NO_MEMORY, NULL, "out of memory");
+  if (settings->data_folder[0] != '\0'
+      && spool_open (core, settings->data_folder, &spool, fault) != ERROR_NONE)
+    return fault->error;
+  core->spooler = spooler_new (core, spool);
+  return peer_net_listen (core->net, fault);
+}
+
+static void
+daemon_make_modules (struct Daemon *daemon)
+{
+  struct Core *core = daemon->core;
+  const struct Settings *settings = core->settings;
+  struct ConfigLogOptions config = { 0 };
+
+  core->home = home_new (core);
+  core->fleet = fleet_new (core);
+  core->owner = owner_new (core);
+  core->entry = entry_new (core);
+  core->operators = operator_new (core);
+  config.prefix = settings->prefix;
+  config.poll_ms = CONFIG_POLL_MS;
+  config.seed = rendezvous_score ("config", settings->instance);
+  config.changed = daemon_on_config;
+  config.data = daemon;
+  core->config = config_log_new (core, core->kv, core->timers, &config);
+  daemon->drain = drain_new (core);
+}
+
+static void
+daemon_join (struct Daemon *daemon)
+{
+  struct Core *core = daemon->core;
+  const struct Settings *settings = core->settings;
+  struct MembershipOptions options = { 0 };
+
+  options.prefix = settings->prefix;
+  options.instance = settings->instance;
+  options.zone = settings->zone;
+  options.caller_address = settings->caller_listen;
+  options.peer_address = settings->peer_listen;
+  options.lease_ttl_s = settings->lease_ttl_s;
+  options.poll_ms = MEMBERS_POLL_MS;
+  options.seed = rendezvous_score ("members", settings->instance);
+  options.incarnation_changed = daemon_on_incarnation;
+  options.members_changed = daemon_on_members;
+  options.platform_changed = daemon_on_platform;
+  options.data = daemon;
+  core->membership = membership_new (core, core->kv, core->timers, &options);
+  if (settings->instances_url[0] != '\0')
+    instances_http_new (core, core->loop, core->timers, settings->instances_url, INSTANCES_POLL_MS,
+                        daemon_on_backends, daemon);
+}
+
+static void
+daemon_loop (struct Daemon *daemon)
+{
+  struct Core *core = daemon->core;
+
+  tevent_add_signal (core->events, core, SIGTERM, 0, daemon_on_signal, daemon);
+  tevent_add_signal (core->events, core, SIGINT, 0, daemon_on_signal, daemon);
+  signal (SIGPIPE, SIG_IGN);
+  log_event (LOG_LEVEL_NOTICE, "started", NULL, NULL, "callers %s, operators %s, peers %s",
+             core->settings->caller_listen, core->settings->operator_listen,
+             core->settings->peer_listen);
+  while (!daemon->stopped)
+    if (tevent_loop_once (core->events) != 0)
+      break;
+}
+
+int32_t
+daemon_run (const struct Settings *settings)
+{
+  struct Daemon daemon = { 0 };
+  struct Fault fault;
+  int32_t error;
+
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  log_open (settings->instance, settings->zone, LOG_LEVEL_INFO);
+  daemon.core = talloc_zero (NULL, struct Core);
+  daemon.core->settings = settings;
+  error = daemon_open_adapters (&daemon, &fault);
+  if (error != ERROR_NONE)
+    goto out;
+  daemon_make_modules (&daemon);
+  daemon_join (&daemon);
+  error =
+      caller_http_open (daemon.core, settings, daemon.core->mailbox, &daemon.core->http, &fault);
+  if (error != ERROR_NONE)
+    goto out;
+  daemon_loop (&daemon);
+  caller_http_close (daemon.core->http);
+  log_event (LOG_LEVEL_NOTICE, "stopped", NULL, NULL, "%s", settings->instance);
+
+out:
+  if (error != ERROR_NONE)
+    log_event (LOG_LEVEL_ERROR, "not_started", NULL, fault.remedy, "%s", fault.message);
+  if (daemon.core->pool != NULL)
+    backend_pool_stop (daemon.core->pool);
+  talloc_free (daemon.core);
+  curl_global_cleanup ();
+  return error;
+}
--- a/daemon/home.c
+++ b/daemon/home.c
@@ -7,7 +7,6 @@
 #include <string.h>
 #include <time.h>
 
-
 enum
 {
   MAP_POLL_MS = 1000,
@@ -38,6 +37,7 @@
 void
 home_on_request (struct Home *home, uint64_t link, const struct PeerRequest *request)
 {
+  uint32_t partition = home_partition (home, request->call.key.program);
   uint64_t epoch;
 
   if (request->op == REQUEST_LIST)
@@ -45,8 +45,10 @@
       home_on_list (home, link, request);
       return;
     }
-  if (home->homes == NULL
-      || !homes_owns (home->homes, home_partition (home, request->call.key.program), &epoch))
+  /* A partition that is being handed off finishes what it has; whatever is new waits at its entry
+   * for the next home. */
+  if (home->homes == NULL || !homes_owns (home->homes, partition, &epoch)
+      || homes_is_leaving (home->homes, partition))
     {
       home_refuse_not_owner (home, link, request);
       return;
