Following a prefix of keys: one module for reads, watches and polls

Membership needs the same read, watch, quiet-watch read and jittered polls as the configuration log. Taken out of config_reader.c into core/kv_follow.c before it stands twice.

COUNTER_CONFIG_APPLIED is left to the daemon, which counts changes as they come into force.

--- a/core/config_apply.c
+++ b/core/config_apply.c
@@ -176,14 +176,14 @@
 }
 
 static void
-apply_on_read (void *data, int32_t error, int64_t kv_revision)
+apply_on_read (void *data, int32_t error, int64_t revision)
 {
   struct ConfigApply *apply = data;
   struct ConfigFold *fold = apply->log->fold;
   uint64_t used = config_fold_used (fold, apply->change.change_id);
   struct Fault fault;
 
-  (void)kv_revision;
+  (void)revision;
   if (used != 0)
     {
       apply_finish_same (apply, used);
@@ -209,7 +209,7 @@
 apply_read (void *data)
 {
   struct ConfigApply *apply = data;
-  int32_t error = config_reader_catch_up (apply, apply->log, apply_on_read, apply);
+  int32_t error = kv_follow_read (apply, apply->log->follow, apply_on_read, apply);
 
   if (error != ERROR_NONE)
     apply_fail (apply, error);
--- a/core/config_log.c
+++ b/core/config_log.c
@@ -160,7 +160,6 @@
   uint8_t *value = NULL;
   size_t value_bytes = 0;
 
-  counter_add (COUNTER_CONFIG_APPLIED, 1);
   if (n % CHECKPOINT_EVERY != 0
       || config_fold_pack (log->fold, log, &value, &value_bytes) != ERROR_NONE)
     return;
--- a/core/config_log_private.h
+++ b/core/config_log_private.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "config_fold.h"
+#include "kv_follow.h"
 
 /* A change as it is known here. */
 struct ConfigEntry
@@ -25,7 +26,9 @@
   struct ConfigEntry **entries; /* numbered without a gap */
   size_t n_entries;
   int64_t checkpoint_mod_revision; /* 0: absent */
-  struct ConfigApply *applies;     /* in the order in which they came; the first is under way */
+  struct KvFollow *follow;         /* of the entries */
+  struct Timer *pause;
+  struct ConfigApply *applies; /* in the order in which they came; the first is under way */
 };
 
 /* Key of change n; belongs to ctx. */
@@ -56,14 +59,10 @@
 void
 config_log_publish (struct ConfigLog *log);
 
-/* Change n was appended here: counts it, and writes a checkpoint now and then. */
+/* Change n was appended here: writes a checkpoint now and then. */
 void
 config_log_appended (struct ConfigLog *log, uint64_t n);
 
-/* config_reader.c. Reads all changes that are not known here. */
-typedef void (*ConfigCaughtUp) (void *data, int32_t error, int64_t kv_revision);
-int32_t
-config_reader_catch_up (TALLOC_CTX *owner, struct ConfigLog *log, ConfigCaughtUp done, void *data);
-/* Reads and watches from now on, until the log is freed. */
+/* config_reader.c. Reads and watches from now on, until the log is freed. */
 int32_t
 config_reader_start (struct ConfigLog *log);
