--- a/core/kv_follow.c
+++ b/core/kv_follow.c
@@ -26,10 +26,11 @@
 };
 
 static void
-follow_reached (struct KvFollow *follow, bool reached)
+follow_reached (struct KvFollow *follow, int32_t error)
 {
   if (follow->options.reached != NULL)
-    follow->options.reached (follow->options.data, reached);
+    follow->options.reached (follow->options.data,
+                             error != ERROR_UNREACHABLE && error != ERROR_RATE_LIMITED);
 }
 
 static int32_t
@@ -60,7 +61,7 @@
   struct KvFollow *follow = read->follow;
   int32_t error = result->error;
 
-  follow_reached (follow, error == ERROR_NONE);
+  follow_reached (follow, error);
   for (size_t i = 0; i < result->n_entries && error == ERROR_NONE; i++)
     if (!follow->options.take (follow->options.data, &result->entries[i]))
       error = ERROR_OUT_OF_ORDER;
@@ -156,7 +157,7 @@
   struct KvFollow *follow = data;
   bool in_order = true;
 
-  follow_reached (follow, result->error == ERROR_NONE || result->error == ERROR_NOT_FOUND);
+  follow_reached (follow, result->error);
   if (result->error != ERROR_NONE)
     {
       follow_pause (follow);
--- a/core/kv_follow.h
+++ b/core/kv_follow.h
@@ -26,7 +26,7 @@
   bool (*take) (void *data, const struct KvEntry *entry);
   /* After all keys of one answer; whole: a read has ended. What happened up to revision is in. */
   void (*taken) (void *data, bool whole, int64_t revision);
-  /* The service failed to answer, or answered again; may be NULL. */
+  /* After each answer: whether the service serves; may be NULL. */
   void (*reached) (void *data, bool reached);
   void *data;
 };
