--- a/core/config_reader.c
+++ b/core/config_reader.c
@@ -1,7 +1,7 @@
 /* Reads the last checkpoint, then follows the changes. */
 #include "config_log_private.h"
 #include "jitter.h"
-#include "kv_guard.h"
+#include <buckthornhead/kv_guard.h>
 
 #include <buckthornhead/error.h>
 #include <buckthornhead/log.h>
--- a/tests/test_ctl.c
+++ b/tests/test_ctl.c
@@ -184,7 +184,8 @@
   static const struct FakeReply replies[] = {
     { 200, "{\"changes\":[{\"revision\":7,\"kind\":\"service\",\"name\":\"menu-agents\","
            "\"who\":\"asha\",\"when_unix_ms\":1796200000000,\"reason\":\"dawn\","
-           "\"change_id\":\"c-1\",\"before\":\"menu\",\"after\":\"hiring\"}]}" },
+           "\"change_id\":\"c-1\",\"before\":\"menu\",\"after\":\"hiring\"},"
+           "{\"revision\":8,\"kind\":\"profile\",\"name\":\"menu-agents\"}]}" },
     { 0, NULL }
   };
   struct Run *r = run_ctl (replies, "ctl audit --kind service --name menu-agents --operator @");
@@ -200,16 +201,21 @@
 static void
 test_programs_and_counters (void)
 {
-  static const struct FakeReply list[] = { { 200, "{\"programs\":[]}" }, { 0, NULL } };
+  static const struct FakeReply list[] = {
+    { 200, "{\"programs\":[{\"program\":\"p-1\",\"state\":\"running\"},"
+           "{\"program\":\"p-2\"}]}" },
+    { 0, NULL }
+  };
   static const struct FakeReply one[] = {
     { 200, "{\"program\":\"p-1\",\"branches\":[{\"branch\":\"main\"}]}" }, { 0, NULL }
   };
   static const struct FakeReply metrics[] = {
     { 200, "# HELP a_total A.\n# TYPE a_total counter\na_total 3\nb 0\n" }, { 0, NULL }
   };
-  struct Run *r = run_ctl (list, "ctl programs --service menu-agents --limit 5 --operator @");
+  struct Run *r = run_ctl (list, "ctl programs --service menu-agents --limit 1 --operator @");
 
-  CU_ASSERT_STRING_EQUAL (r->log, "GET /operator/programs?limit=5&service=menu-agents\n");
+  CU_ASSERT_STRING_EQUAL (r->log, "GET /operator/programs?limit=1&service=menu-agents\n");
+  CU_ASSERT (contains (r->out, "\np-1      -        running") && !contains (r->out, "p-2"));
   talloc_free (r);
   r = run_ctl (one, "ctl programs p-1 --operator @");
   CU_ASSERT_STRING_EQUAL (r->log, "GET /operator/programs/p-1\n");
@@ -261,6 +267,33 @@
   talloc_free (r);
 }
 
+/* What `profile show` prints is edited and applied: the revision that was shown goes with it, so
+ * that a change which came in between is not overwritten unseen, and the mark is not kept. */
+static void
+test_shown_profile_carries_its_revision (void)
+{
+  static const struct FakeReply shown[] = {
+    { 200, "{\"name\":\"a\",\"revision\":41,\"text\":\"[profile]\\nname = a\\n\"}" }, { 0, NULL }
+  };
+  static const struct FakeReply applied[] = { { 200, "{\"revision\":42}" }, { 0, NULL } };
+  char file[] = "/tmp/buckthornhead-profile-XXXXXX";
+  FILE *stream = fdopen (mkstemp (file), "w");
+  struct Run *r = run_ctl (shown, "ctl profile show a --operator @");
+  char line[128];
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (stream);
+  fputs (r->out, stream);
+  fclose (stream);
+  talloc_free (r);
+  snprintf (line, sizeof line, "ctl profile apply %s --operator @", file);
+  r = run_ctl (applied, line);
+  remove (file);
+  CU_ASSERT_EQUAL (r->exit_code, EXIT_CODE_OK);
+  CU_ASSERT (contains (r->log, "\"text\":\"[profile]\\nname = a\\n\""));
+  CU_ASSERT (contains (r->log, "\"expected_revision\":41}\n"));
+  talloc_free (r);
+}
+
 /* Two shifts edit one profile. The second one's change was made from a text that is no longer in
  * force; applied, it would undo the first one's unseen. The operator is told what differs. */
 static void
@@ -596,6 +629,7 @@
   { "unreachable is 4 and the next instance is tried",
     test_unreachable_is_4_and_the_next_instance_is_tried },
   { "apply sends what was seen", test_apply_sends_what_was_seen },
+  { "shown profile carries its revision", test_shown_profile_carries_its_revision },
   { "conflict is 3 and says what differs", test_conflict_is_3_and_says_what_differs },
   { "lost answer is settled by change id", test_lost_answer_is_settled_by_change_id },
   { "lost change is sent again under its id", test_lost_change_is_sent_again_under_its_id },
