--- a/bench/policy_bench.c
+++ b/bench/policy_bench.c
@@ -22,6 +22,7 @@
                                               { "deadlines", required_argument, NULL, 'd' },
                                               { "reports", required_argument, NULL, 'e' },
                                               { "label", required_argument, NULL, 'b' },
+                                              { "digest-ms", required_argument, NULL, 'g' },
                                               { "json", no_argument, NULL, 'j' },
                                               { NULL, 0, NULL, 0 } };
 
@@ -30,7 +31,7 @@
 {
   fputs ("policy_bench --scenario NAME --rule RULE --load PERCENT --seed N[..M] [--json]\n"
          "  [--cache-weight PERMILLE] [--ageing MS] [--pause-keep MS] [--cache-tokens N]\n"
-         "  [--minutes N] [--deadlines 0|1] [--reports 0|1] [--label TEXT]\n"
+         "  [--minutes N] [--deadlines 0|1] [--reports 0|1] [--digest-ms N] [--label TEXT]\n"
          "scenarios: ample scarce ample-deadlines scarce-deadlines dawn night slow dead frozen "
          "poison\n"
          "rules: round_robin least_reported sticky fifo attained program\n",
@@ -69,7 +70,10 @@
           r->wasted, r->goodput_per_s, r->in_time, r->refused_calls);
   printf (",\"fairness\":%.4f,\"wait_ms_mean\":%.1f,\"wait_ms_max\":%.1f,\"utilisation\":%.3f",
           r->fairness, r->wait_mean_ms, r->wait_most_ms, r->utilisation);
-  printf (",\"limit\":%.1f,\"quarantined\":%.0f}\n", r->limit, r->quarantined);
+  printf (",\"limit\":%.1f,\"quarantined\":%.0f", r->limit, r->quarantined);
+  printf (",\"taken\":%.0f,\"lapsed\":%.0f,\"live_tokens\":%.0f,\"budget_tokens\":%.0f", r->taken,
+          r->lapsed, r->live_tokens, r->budget_tokens);
+  printf (",\"active\":%.1f,\"useful\":%.3f}\n", r->active, r->useful);
 }
 
 static void
@@ -145,6 +149,9 @@
       case 'e':
         options.reports = optarg[0] == '1';
         break;
+      case 'g':
+        options.digest_ms = (uint32_t)strtoul (optarg, NULL, 10);
+        break;
       case 'b':
         label = optarg;
         break;
--- a/include/buckthornhead/policy.h
+++ b/include/buckthornhead/policy.h
@@ -42,8 +42,10 @@
   uint32_t service_ms_per_call;       /* learned */
   uint32_t prefill_us_per_token;      /* learned */
   bool same_zone;
-  uint32_t wait_new_ms;  /* expected wait at the owner of a program that has no place there */
-  uint32_t wait_kept_ms; /* and of one whose prefix is kept there */
+  uint32_t wait_new_ms;       /* expected wait at the owner of a program that has no place there */
+  uint32_t wait_kept_ms;      /* and of one whose prefix is kept there */
+  uint32_t pace_us_per_token; /* learned time between tokens; 0: not known */
+  uint32_t programs;          /* that have a place there, paused ones included */
 };
 
 struct Placement; /* per-home state: where each program's prefix is, learned paces */
@@ -142,6 +144,8 @@
   size_t n_programs;
   uint64_t active_tokens;
   uint64_t budget_tokens; /* learned; UINT64_MAX: not scarce as far as seen */
+  uint64_t n_taken;       /* places taken from paused programs by more urgent ones, so far */
+  uint64_t n_lapsed;      /* places lost because a pause outlasted what is kept */
 };
 void
 dispatch_queue_active (const struct DispatchQueue *queue, struct DispatchActive *active);
