--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
   libargtable2-dev libcunit1-dev liburcu-dev libinih-dev libjansson-dev nettle-dev \
   libxxhash-dev uthash-dev spin gnuplot-nox curl jq
 
-.PHONY: all packages build check lint format test demo
+.PHONY: all packages build check lint format test demo fuzz
 
 all: build
 
@@ -27,6 +27,9 @@
 test: build
 	tools/run_tests.sh $(BUILD)
 
+fuzz:
+	tools/run_fuzz.sh build-fuzz
+
 check: packages lint test
 
 demo: packages build
--- a/core/config_fault.c
+++ b/core/config_fault.c
@@ -4,6 +4,11 @@
 #include <stdio.h>
 #include <talloc.h>
 
+enum
+{
+  FAULTS_MAX = 1000 /* a profile of line feeds sent to an instance must not fill its memory */
+};
+
 void
 config_faults_add (struct ConfigFaults *faults,
                    const char *file,
@@ -17,6 +22,8 @@
   struct ConfigFault *fault;
   va_list args;
 
+  if (faults->n_items == FAULTS_MAX)
+    return;
   items = talloc_realloc (faults, faults->items, struct ConfigFault, faults->n_items + 1);
   if (items == NULL)
     return;
--- a/core/profile.c
+++ b/core/profile.c
@@ -97,6 +97,7 @@
   memset (profile, 0, sizeof *profile);
   config_read (&reader, text);
   check_reservation (&reader, profile);
+  config_faults_sort (found);
   error = found->n_items > n_before ? ERROR_INVALID : ERROR_NONE;
   if (faults == NULL)
     talloc_free (found);
--- a/include/buckthornhead/settings.h
+++ b/include/buckthornhead/settings.h
@@ -47,7 +47,7 @@
 };
 
 /* Reads and checks file. On ERROR_INVALID faults (a zeroed talloc object) holds every fault found
- * in the one run, by line. */
+ * in the one run, a thousand at most, by line. */
 int32_t
 settings_load (TALLOC_CTX *ctx,
                const char *file,
--- a/tests/test_profile.c
+++ b/tests/test_profile.c
@@ -32,6 +32,10 @@
   { "[profile]\nname = a\nprogram_budget = 4K\n",
     "p.ini:1: [profile] reserve_max: one call may reserve more than the whole program's budget; "
     "lower it, or raise program_budget\n" },
+  { "[profile]\nname = a\nprogram_budget = 4K\nshare = 0\n",
+    "p.ini:1: [profile] reserve_max: one call may reserve more than the whole program's budget; "
+    "lower it, or raise program_budget\n"
+    "p.ini:4: [profile] share: '0' is out of range; give a value from 1 to 1000\n" },
   { "[profile]\nname = a\nname = b\nturn_limit = 18446744073709551616\n",
     "p.ini:3: [profile] name: the key stands on line 2 already; keep one of them\n"
     "p.ini:4: [profile] turn_limit: '18446744073709551616' has a wrong unit or is no number; "
@@ -55,6 +59,23 @@
     }
 }
 
+/* An operator's client sends a profile of a hundred thousand bad lines: a fault kept for each would
+ * take the instance's memory. The first thousand are kept. */
+static void
+test_faults_are_bounded (void)
+{
+  struct ConfigFaults *faults = talloc_zero (NULL, struct ConfigFaults);
+  char *text = talloc_array (faults, char, 200001);
+  struct Profile profile;
+
+  for (size_t i = 0; i < 200000; i += 2)
+    memcpy (text + i, "x\n", 2);
+  text[200000] = '\0';
+  CU_ASSERT_EQUAL (profile_parse ("p.ini", text, &profile, faults), ERROR_INVALID);
+  CU_ASSERT_EQUAL (faults->n_items, 1000);
+  talloc_free (faults);
+}
+
 static void
 test_profile_takes_values_and_fallbacks (void)
 {
@@ -125,6 +146,7 @@
 const char test_suite_name[] = "profile";
 const struct TestCase test_cases[] = {
   { "bad profiles give their faults", test_bad_profiles_give_their_faults },
+  { "faults are bounded", test_faults_are_bounded },
   { "profile takes values and fallbacks", test_profile_takes_values_and_fallbacks },
   { "sample profiles are sound", test_sample_profiles_are_sound },
   { "units come back as written", test_units_come_back_as_written },
