--- /dev/null
+++ b/daemon/home.c
@@ -0,0 +1,253 @@
+#include "home_internal.h"
+
+#include <buckthornhead/counter.h>
+#include <buckthornhead/log.h>
+
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+
+
+enum
+{
+  MAP_POLL_MS = 1000,
+  SWEEP_MS = 1000
+};
+
+int64_t
+core_unix_ms (void)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_REALTIME, &now);
+  return (int64_t)now.tv_sec * 1000 + now.tv_nsec / 1000000;
+}
+
+/* Not the home: nothing ran by this attempt, and whether an earlier one did is not known here. */
+static void
+home_refuse_not_owner (struct Home *home, uint64_t link, const struct PeerRequest *request)
+{
+  struct PeerAnswer answer = { .id = request->id };
+
+  answer.outcome.error = fault_set (&answer.fault, ERROR_NOT_OWNER, NULL,
+                                    "%s is not the program's home", home->core->settings->instance);
+  answer.outcome.ran = request->first_attempt ? RAN_NO : RAN_MAYBE;
+  home_reply (home, link, &answer);
+}
+
+void
+home_on_request (struct Home *home, uint64_t link, const struct PeerRequest *request)
+{
+  uint64_t epoch;
+
+  if (request->op == REQUEST_LIST)
+    {
+      home_on_list (home, link, request);
+      return;
+    }
+  if (home->homes == NULL
+      || !homes_owns (home->homes, home_partition (home, request->call.key.program), &epoch))
+    {
+      home_refuse_not_owner (home, link, request);
+      return;
+    }
+  switch (request->op)
+    {
+    case REQUEST_CREATE:
+      home_on_create (home, link, request);
+      break;
+    case REQUEST_CALL:
+      home_on_call (home, link, request);
+      break;
+    case REQUEST_LONE:
+      home_on_lone (home, link, request);
+      break;
+    case REQUEST_VIEW:
+      home_on_view (home, link, request);
+      break;
+    case REQUEST_HISTORY:
+      home_on_history (home, link, request);
+      break;
+    case REQUEST_END:
+      home_on_end (home, link, request);
+      break;
+    case REQUEST_LIST:
+      break;
+    }
+}
+
+const char *
+home_lookup (const struct Home *home, uint32_t partition)
+{
+  return home->homes != NULL ? homes_lookup (home->homes, partition) : NULL;
+}
+
+void
+home_count (const struct Home *home, uint32_t *partitions, uint32_t *programs)
+{
+  *partitions = home->homes != NULL ? homes_n_owned (home->homes) : 0;
+  *programs = home->n_programs;
+}
+
+static void
+home_on_gained (void *data, uint32_t partition)
+{
+  struct Home *home = data;
+
+  log_event (LOG_LEVEL_INFO, "partition_gained", NULL, NULL, "partition %u", partition);
+  fleet_publish (home->core->fleet);
+}
+
+static void
+home_on_lost (void *data, uint32_t partition)
+{
+  struct Home *home = data;
+
+  log_event (LOG_LEVEL_INFO, "partition_lost", NULL, NULL, "partition %u", partition);
+  fleet_publish (home->core->fleet);
+}
+
+static void
+home_on_map_changed (void *data)
+{
+  struct Home *home = data;
+
+  fleet_publish (home->core->fleet);
+}
+
+static void
+home_on_fenced (void *data)
+{
+  struct Home *home = data;
+
+  counter_add (COUNTER_JOURNAL_FENCED, 1);
+  log_event (LOG_LEVEL_ERROR, "fenced", NULL,
+             "nothing: the instance rejoins by itself; look why it was silent if this recurs",
+             "%s was taken over while it was silent", home->core->incarnation);
+  membership_rejoin (home->core->membership);
+}
+
+void
+home_set_members (struct Home *home, const struct HomesMember *members, size_t n_members)
+{
+  talloc_free (home->members);
+  home->members = talloc_array (home, struct HomesMember, n_members);
+  for (size_t i = 0; i < n_members; i++)
+    {
+      home->members[i] = members[i];
+      home->members[i].incarnation = talloc_strdup (home->members, members[i].incarnation);
+      home->members[i].instance = talloc_strdup (home->members, members[i].instance);
+    }
+  home->n_members = n_members;
+  if (home->homes == NULL)
+    return;
+  journal_set_flush_interval (
+      home->journal,
+      journal_flush_interval_ms (home->core->settings->journal_writes_per_s, (uint32_t)n_members));
+  homes_set_members (home->homes, home->members, home->n_members);
+}
+
+struct DeadlineSweep
+{
+  struct Home *home;
+  int64_t now_unix_ms;
+  char (*late)[PROGRAM_ID_MAX_BYTES + 1];
+  size_t n_late;
+  uint32_t n_programs;
+};
+
+static void
+home_note_late (void *data, const struct LedgerProgramView *view)
+{
+  struct DeadlineSweep *sweep = data;
+
+  if (view->ended)
+    return;
+  sweep->n_programs++;
+  if (view->deadline_unix_ms == 0 || view->deadline_unix_ms > sweep->now_unix_ms)
+    return;
+  sweep->late =
+      talloc_realloc_size (sweep->home, sweep->late, (sweep->n_late + 1) * sizeof sweep->late[0]);
+  snprintf (sweep->late[sweep->n_late++], sizeof sweep->late[0], "%s", view->program);
+}
+
+static void
+home_on_sweep (void *data)
+{
+  struct Home *home = data;
+  struct DeadlineSweep sweep = { .home = home, .now_unix_ms = core_unix_ms () };
+
+  if (home->ledger == NULL)
+    return;
+  ledger_each_program (home->ledger, home_note_late, &sweep);
+  home->n_programs = sweep.n_programs;
+  for (size_t i = 0; i < sweep.n_late; i++)
+    home_end_program (home, sweep.late[i], END_DEADLINE);
+  talloc_free (sweep.late);
+}
+
+int32_t
+home_start (struct Home *home, const char *incarnation)
+{
+  struct Core *core = home->core;
+  struct JournalOptions journal = { 0 };
+  struct HomesOptions homes = { 0 };
+
+  home_fail_all (home, ERROR_FENCED);
+  TALLOC_FREE (home->era);
+  home->releases = NULL;
+  home->homes = NULL;
+  home->era = talloc_new (home);
+  home->ledger = ledger_new (home->era);
+  home->placement = placement_new (home->era);
+  journal.prefix = core->settings->prefix;
+  journal.incarnation = incarnation;
+  journal.flush_interval_ms =
+      journal_flush_interval_ms (core->settings->journal_writes_per_s, (uint32_t)home->n_members);
+  journal.retry_ms = core->settings->journal_retry_ms;
+  journal.fenced = home_on_fenced;
+  journal.data = home;
+  home->journal = journal_new (home->era, core->kv, core->timers, &journal);
+  homes.prefix = core->settings->prefix;
+  homes.incarnation = incarnation;
+  homes.n_partitions = core->settings->n_partitions;
+  homes.group_size = core->settings->partition_group_size;
+  homes.poll_ms = MAP_POLL_MS;
+  homes.gained = home_on_gained;
+  homes.lost = home_on_lost;
+  homes.map_changed = home_on_map_changed;
+  homes.data = home;
+  if (home->ledger == NULL || home->placement == NULL || home->journal == NULL)
+    return ERROR_NO_MEMORY;
+  home->homes = homes_new (home->era, core->kv, core->timers, home->journal, home->ledger, &homes);
+  if (home->homes == NULL)
+    return ERROR_NO_MEMORY;
+  home_write_start (home);
+  home_release_start (home);
+  homes_set_members (home->homes, home->members, home->n_members);
+  return ERROR_NONE;
+}
+
+void
+home_hand_off_all (struct Home *home, JournalDone done, void *data)
+{
+  if (home->homes == NULL)
+    done (data, ERROR_NONE);
+  else
+    homes_hand_off_all (home->homes, done, data);
+}
+
+struct Home *
+home_new (struct Core *core)
+{
+  struct Home *home = talloc_zero (core, struct Home);
+
+  if (home == NULL)
+    return NULL;
+  home->core = core;
+  home->next_id = 1;
+  home->quarantine = quarantine_new (home);
+  home->retries = retry_budget_new (home, (uint64_t)core_unix_ms ());
+  timer_subscribe (home, core->timers, SWEEP_MS, SWEEP_MS, home_on_sweep, home);
+  return home;
+}
