Prefill window: long prompts wait here, not in the engine

Now a further prompt is sent only while fewer than 2,048 tokens have no first token yet (program rule only; baselines are untouched).

Ruled out for the one-call p95: a smaller batch. What is left is prefills beside decodes in the engine.

--- a/bench/policy_sim.c
+++ b/bench/policy_sim.c
@@ -446,7 +446,7 @@
         case ENGINE_FIRST_TOKEN:
           server_health_progress (server->health, sim_clock (sim));
           dispatch_queue_first_token (server->queue, arrived.event.call, sim_clock (sim));
-          continue;
+          break;
         case ENGINE_DONE:
           sim_done (sim, server, &arrived.event);
           break;
--- a/core/dispatch_queue.c
+++ b/core/dispatch_queue.c
@@ -1,61 +1,14 @@
 #include <buckthornhead/policy.h>
 
 #include <math.h>
-#include <string.h>
 
-#include <xxhash.h>
-
-#include "fair_share.h"
-#include "policy_active.h"
-#include "policy_heap.h"
-#include "policy_limit.h"
-#include "policy_table.h"
+#include "dispatch_estimate.h"
+#include "dispatch_state.h"
 
 enum
 {
-  /* A program that has received this little counts as new. */
-  QUEUE_QUANTUM_TOKENS = 500,
-  /* A generated token takes about as long as this many prefilled ones. */
-  QUEUE_GENERATED_COST = 8,
-  QUEUE_RETRY_MIN_MS = 500,
-  QUEUE_RETRY_MAX_MS = 60000
-};
-
-static const double QUEUE_GENERATED_FIRST = 64; /* tokens, until learned */
-static const double QUEUE_GAIN = 0.05;
-/* A newcomer is refused when its first call alone would probably wait this share of its time. */
-static const double QUEUE_WAIT_SHARE = 0.5;
-static const double QUEUE_WAIT_FORGET_MS = 10000;
-
-/* One call, from push to its end. */
-struct QueuedCall
-{
-  struct TableNode by_id;
-  struct DispatchItem item;
-  struct FairService *service;
-  struct ActiveProgram *program;      /* NULL for rules without an active set */
-  struct HeapNode order;              /* in the service's ready or outside heap */
-  struct HeapNode expiry;             /* latest time at which it can start */
-  struct QueuedCall *next, *previous; /* waiting calls of one program */
-  bool ready;
-  bool running;
-  int64_t pushed_ms, sent_ms, first_ms;
-  uint32_t expected_tokens; /* cached prefix expected by this queue */
-  uint32_t in_flight;
-  double charged_tokens;
-};
-
-struct DispatchQueue
-{
-  struct PolicyTable calls;
-  struct FairShare fair;
-  struct ActiveSet set;
-  struct PolicyHeap expiry;
-  struct PolicyLimit limit;
-  uint32_t n_waiting, n_in_flight;
-  uint64_t sequence;
-  double admit_gap_ms; /* learned time between two programs let in */
-  int64_t admitted_ms;
+  QUEUE_PREFILL_TOKENS = 2048,
+  QUEUE_PREFILL_PATIENCE = 4
 };
 
 struct DispatchQueue *
@@ -78,143 +31,6 @@
   return node != NULL ? TABLE_ENTRY (node, struct QueuedCall, by_id) : NULL;
 }
 
-/* ---- What is expected of a call ---- */
-
-static double
-queue_generated (const struct FairService *service, const struct DispatchItem *item)
-{
-  double tokens = service->generated_tokens > 0 ? service->generated_tokens : QUEUE_GENERATED_FIRST;
-
-  return item->max_tokens > 0 && tokens > item->max_tokens ? item->max_tokens : tokens;
-}
-
-/* Least time the call takes once sent. */
-static double
-queue_service_ms (const struct DispatchQueue *queue,
-                  const struct FairService *service,
-                  const struct DispatchItem *item)
-{
-  uint32_t cached = item->cached_tokens_hint < item->prompt_tokens ? item->cached_tokens_hint
-                                                                   : item->prompt_tokens;
-  double prefill = (item->prompt_tokens - cached) * queue->limit.best_prefill_us / 1000;
-
-  return prefill + queue_generated (service, item) * queue->limit.best_pace_ms;
-}
-
-/* Time in which all that waits now would be sent. */
-static double
-queue_drain_ms (const struct DispatchQueue *queue)
-{
-  return queue->n_waiting * queue->limit.service_ms / policy_limit_now (&queue->limit);
-}
-
-/* Time in which all programs that wait for a place would get one: what a home compares servers by.
- * Made from the backlog, so that it shows a change at once. */
-static double
-queue_backlog_ms (const struct DispatchQueue *queue)
-{
-  double drain = queue_drain_ms (queue);
-  double outside = 0;
-
-  if (policy_heap_first (&queue->fair.outside) != NULL)
-    outside = queue->admit_gap_ms * queue->n_waiting;
-  return outside > drain ? outside : drain;
-}
-
-/* Expected wait of a program's first call. Forgotten when none has been sent for a while: else a
- * high value would refuse the very newcomers whose waits would lower it. */
-static double
-queue_wait_new_ms (const struct FairService *service, int64_t now_ms)
-{
-  double age_ms = (double)(now_ms - service->wait_new_at_ms);
-
-  return service->wait_new_ms * exp (-age_ms / QUEUE_WAIT_FORGET_MS);
-}
-
-static void
-queue_learn_wait (struct QueuedCall *call, int64_t now_ms)
-{
-  struct FairService *service = call->service;
-
-  if (call->item.attained_tokens > 0)
-    return;
-  service->wait_new_ms += ((double)(now_ms - call->pushed_ms) - service->wait_new_ms) * QUEUE_GAIN;
-  service->wait_new_at_ms = now_ms;
-}
-
-/* ---- Priority ---- */
-
-/* Smaller is more urgent. For the program rule the key is a time: a call that has waited ageing_ms
- * longer stands even with one whose program has received half as much. So the urgency doubles in
- * that time, yet the order never changes while calls wait and a heap can hold it; and a call waits
- * behind newcomers for ageing_ms x log2 (its program's tokens / quantum) at most. What a program
- * has received includes the prompt that this call brings: it is known to be work to come. */
-static double
-queue_urgency (const struct PolicyWeights *weights, const struct DispatchItem *item, int64_t now_ms)
-{
-  double tokens = (double)item->attained_tokens;
-
-  switch (weights->rule)
-    {
-    case POLICY_ROUND_ROBIN:
-    case POLICY_LEAST_REPORTED:
-    case POLICY_STICKY:
-    case POLICY_FIFO:
-      return (double)now_ms;
-    case POLICY_ATTAINED:
-      return tokens;
-    case POLICY_PROGRAM:
-      break;
-    }
-  if (item->prompt_tokens > item->cached_tokens_hint)
-    tokens += item->prompt_tokens - item->cached_tokens_hint;
-  return (double)now_ms + weights->ageing_ms * log2 (1.0 + tokens / QUEUE_QUANTUM_TOKENS);
-}
-
-/* ---- Refusal ---- */
-
-static uint32_t
-queue_retry_after_ms (const struct DispatchQueue *queue, uint32_t spread_seed, int64_t now_ms)
-{
-  double ms = queue_drain_ms (queue);
-  uint64_t draw[2] = { spread_seed, (uint64_t)now_ms };
-  double spread = 0.5 + (double)(XXH64 (draw, sizeof draw, 0) >> 11) / (double)(1ULL << 53);
-
-  if (ms < QUEUE_RETRY_MIN_MS)
-    ms = QUEUE_RETRY_MIN_MS;
-  if (ms > QUEUE_RETRY_MAX_MS)
-    ms = QUEUE_RETRY_MAX_MS;
-  return (uint32_t)(ms * spread);
-}
-
-static int32_t
-queue_check (const struct DispatchQueue *queue,
-             const struct FairService *service,
-             const struct PolicyWeights *weights,
-             const struct DispatchItem *item,
-             int64_t now_ms,
-             struct Fault *fault)
-{
-  bool newcomer = item->attained_tokens == 0;
-  /* Programs under way have cost something already: they may use twice the queue. */
-  uint32_t room = newcomer ? weights->queue_limit : weights->queue_limit * 2;
-  double left = (double)(item->deadline_ms - now_ms);
-
-  if (room > 0 && service->n_waiting >= room)
-    return fault_set (fault, ERROR_OVERLOADED, NULL, "%u calls of %s wait already",
-                      service->n_waiting, item->service);
-  if (item->deadline_ms == 0)
-    return ERROR_NONE;
-  if (queue_service_ms (queue, service, item) > left)
-    return fault_set (fault, ERROR_DEADLINE, NULL, "the call needs longer than the %.0f ms left",
-                      left);
-  if (weights->rule == POLICY_PROGRAM && newcomer
-      && queue_wait_new_ms (service, now_ms) > left * QUEUE_WAIT_SHARE)
-    return fault_set (fault, ERROR_OVERLOADED, NULL,
-                      "a program that starts now would probably miss its deadline");
-  return ERROR_NONE;
-}
-
 /* ---- Push ---- */
 
 static void
@@ -362,6 +178,31 @@
 
 /* ---- Pop ---- */
 
+/* Engines compute prompts one after the other, first in first out: what is sent behind long prompts
+ * waits in the engine, where no priority reaches it. So only as much is sent as keeps the engine
+ * busy. Where no first tokens are ever seen, a guess of the time taken lets the next one go. */
+static bool
+queue_prefill_has_room (const struct DispatchQueue *queue,
+                        const struct QueuedCall *call,
+                        int64_t now_ms)
+{
+  double guess_ms = (double)queue->prefill_tokens * queue->limit.best_prefill_us / 1000;
+
+  if (call->service->weights.rule != POLICY_PROGRAM || queue->prefill_tokens == 0
+      || queue->limit.best_prefill_us == 0)
+    return true;
+  if ((double)(now_ms - queue->prefill_sent_ms) > guess_ms * QUEUE_PREFILL_PATIENCE)
+    return true;
+  return queue->prefill_tokens + queue_uncached (&call->item) <= QUEUE_PREFILL_TOKENS;
+}
+
+static void
+queue_prefill_done (struct DispatchQueue *queue, struct QueuedCall *call)
+{
+  queue->prefill_tokens -= call->prefill_tokens;
+  call->prefill_tokens = 0;
+}
+
 static void
 queue_send (struct DispatchQueue *queue, struct QueuedCall *call, int64_t now_ms)
 {
@@ -372,6 +213,9 @@
   queue_learn_wait (call, now_ms);
   call->running = true;
   call->sent_ms = now_ms;
+  call->prefill_tokens = queue_uncached (&call->item);
+  queue->prefill_tokens += call->prefill_tokens;
+  queue->prefill_sent_ms = now_ms;
   call->in_flight = ++queue->n_in_flight;
   if (call->program != NULL)
     {
@@ -444,7 +288,7 @@
   if (queue->n_in_flight >= policy_limit_now (&queue->limit))
     return false;
   call = queue_next (queue, now_ms);
-  if (call == NULL)
+  if (call == NULL || !queue_prefill_has_room (queue, call, now_ms))
     return false;
   *id = call->item.id;
   queue_send (queue, call, now_ms);
@@ -485,8 +329,10 @@
 {
   struct QueuedCall *call = queue_find (queue, id);
 
-  if (call != NULL && call->running && call->first_ms == 0)
-    call->first_ms = now_ms;
+  if (call == NULL || !call->running || call->first_ms != 0)
+    return;
+  call->first_ms = now_ms;
+  queue_prefill_done (queue, call);
 }
 
 static void
@@ -537,6 +383,7 @@
   if (call == NULL || !call->running)
     return;
   queue->n_in_flight--;
+  queue_prefill_done (queue, call);
   if (outcome->error == ERROR_NONE)
     queue_learn (queue, call, outcome, now_ms);
   else if (outcome->error != ERROR_CANCELLED)
--- a/core/policy_limit.c
+++ b/core/policy_limit.c
@@ -14,7 +14,7 @@
 /* Sizes are heavy-tailed and the same at all servers: averaged slowly, so that chance does not
  * make one server look faster than another. */
 static const double LIMIT_SIZE_GAIN = 0.005;
-static const double LIMIT_PACE_TOLERANCE = 3.0;
+static const double LIMIT_PACE_TOLERANCE = 2.5;
 static const double LIMIT_PREFILL_TOLERANCE = 20.0;
 static const double LIMIT_BACKOFF = 0.9;
 static const double LIMIT_FAILURE_BACKOFF = 0.7;
--- a/include/buckthornhead/policy.h
+++ b/include/buckthornhead/policy.h
@@ -119,7 +119,8 @@
 bool
 dispatch_queue_expire (struct DispatchQueue *queue, int64_t now_ms, uint64_t *id);
 
-/* First token seen, and the end, of an item that was popped: the limit is learned from these. */
+/* First token seen, and the end, of an item that was popped: the limit is learned from these. Both
+ * may let another item go: pop again after each. */
 void
 dispatch_queue_first_token (struct DispatchQueue *queue, uint64_t id, int64_t now_ms);
 void
