Suspects run one at a time; a probe is a report; retries enough for one death

A probe is a load report now (server_health.h says so). A request with one death on record now runs with no other such request beside it (DispatchItem.suspect, quarantine_suspects), and is cleared by running to its end (quarantine_clear).

--- a/bench/engine_model.h
+++ b/bench/engine_model.h
@@ -23,7 +23,8 @@
 {
   ENGINE_FIRST_TOKEN,
   ENGINE_DONE,
-  ENGINE_FAILED /* the engine died while the call was in it */
+  ENGINE_FAILED, /* the engine died while the call was in it */
+  ENGINE_REFUSED /* the engine was dead already: the call never reached it */
 };
 
 struct EngineEvent
--- a/bench/policy_sim.c
+++ b/bench/policy_sim.c
@@ -232,6 +232,7 @@
                                .prompt_tokens = call->prompt_tokens,
                                .max_tokens = call->max_tokens,
                                .attained_tokens = program->attained_tokens };
+  uint8_t digest[DIGEST_BYTES];
   uint32_t retry_after_ms;
   struct Fault fault;
   int32_t error;
@@ -242,6 +243,8 @@
       placement_cached_hint (sim->placement, call, sim->digests[server->index].name);
   if (sim->options->deadlines)
     item.deadline_ms = (int64_t)(program->work->arrival_ms + program->work->patience_ms);
+  sim_digest_of (id, digest);
+  item.suspect = quarantine_suspects (sim->quarantine, digest);
   branch->server = server->index;
   branch->call = id;
   error = dispatch_queue_push (server->queue, &sim->options->weights, &item, (uint32_t)id,
@@ -310,7 +313,7 @@
       server_health_sent (server->health, sim_clock (sim));
       if (server->dead)
         {
-          struct EngineEvent event = { ENGINE_FAILED, id, 0 };
+          struct EngineEvent event = { ENGINE_REFUSED, id, 0 };
           size_t i = sim->n_arrived++;
 
           sim->arrived = talloc_realloc (sim, sim->arrived, struct SimEngineEvent, i + 1);
@@ -375,6 +378,7 @@
                              .status = 200,
                              .charge_tokens = call.prompt_tokens + turn->generated_tokens,
                              .cached_tokens = event->cached_tokens };
+  uint8_t digest[DIGEST_BYTES];
 
   if (sim->now_ms < sim->options->duration_ms)
     sim->result->useful += turn_work_ms (&sim->options->engine, turn)
@@ -382,6 +386,8 @@
   sim_stats_prefix (sim->stats, branch->context_tokens, event->cached_tokens);
   program->attained_tokens += call.prompt_tokens - event->cached_tokens + turn->generated_tokens;
   branch->context_tokens = call.prompt_tokens + turn->generated_tokens;
+  sim_digest_of (event->call, digest);
+  quarantine_clear (sim->quarantine, digest);
   server_health_ended (server->health, &outcome, sim_clock (sim));
   dispatch_queue_finished (server->queue, event->call, &outcome, sim_clock (sim));
   if (program->ended)
@@ -400,7 +406,9 @@
   uint32_t p = (uint32_t)(event->call / BRANCHES_MAX);
   struct SimBranch *branch = &sim->programs[p].branches[event->call % BRANCHES_MAX];
   struct Call call = sim_call (sim, event->call);
-  struct Outcome outcome = { .error = ERROR_UNREACHABLE, .ran = RAN_MAYBE };
+  bool ran = event->kind == ENGINE_FAILED;
+  struct Outcome outcome = { .error = ran ? ERROR_UNKNOWN_EFFECT : ERROR_UNREACHABLE,
+                             .ran = ran ? RAN_MAYBE : RAN_NO };
   uint8_t digest[DIGEST_BYTES];
   uint32_t delay_ms;
   struct Fault fault;
@@ -410,8 +418,9 @@
   placement_learn (sim->placement, &call, sim->digests[server->index].name, &outcome,
                    sim_clock (sim));
   sim_digest_of (event->call, digest);
-  if (quarantine_record_death (sim->quarantine, digest, sim->digests[server->index].name,
-                               sim_clock (sim)))
+  if (ran
+      && quarantine_record_death (sim->quarantine, digest, sim->digests[server->index].name,
+                                  sim_clock (sim)))
     sim->result->quarantined++;
   branch->state = CALL_IDLE;
   if (retry_budget_take (sim->retries, &call, &outcome, branch->attempt++, 0, &delay_ms, &fault)
@@ -451,6 +460,7 @@
           sim_done (sim, server, &arrived.event);
           break;
         case ENGINE_FAILED:
+        case ENGINE_REFUSED:
           sim_failed (sim, server, &arrived.event);
           break;
         }
@@ -490,8 +500,10 @@
       sim->digests[s].reported_running = server->reported_running;
       if (sim->digests[s].usable && !usable)
         sim_evacuate (sim, server);
-      /* A probe lets one moment's calls through, to find out whether it has come back. */
-      sim->digests[s].usable = usable || server_health_probe_due (server->health, sim_clock (sim));
+      sim->digests[s].usable = usable;
+      /* The probe is a report, which a living server answers. */
+      if (server_health_probe_due (server->health, sim_clock (sim)) && !server->dead)
+        server_health_ended (server->health, &(struct Outcome){ .ran = RAN_YES }, sim_clock (sim));
     }
 }
 
--- a/core/dispatch_queue.c
+++ b/core/dispatch_queue.c
@@ -92,10 +92,27 @@
   active_set_paused (queue, &queue->set, program, now_ms);
 }
 
+static bool
+queue_enqueue (struct DispatchQueue *queue, struct QueuedCall *call)
+{
+  if (call->item.suspect)
+    return policy_heap_put (queue, &queue->suspects, &call->order);
+  return fair_share_add (queue, &queue->fair, call->service, &call->order, call->ready);
+}
+
+static void
+queue_dequeue (struct DispatchQueue *queue, struct QueuedCall *call)
+{
+  if (call->item.suspect)
+    policy_heap_remove (&queue->suspects, &call->order);
+  else
+    fair_share_remove (queue, &queue->fair, call->service, &call->order, call->ready);
+}
+
 static void
 queue_stop_waiting (struct DispatchQueue *queue, struct QueuedCall *call)
 {
-  fair_share_remove (queue, &queue->fair, call->service, &call->order, call->ready);
+  queue_dequeue (queue, call);
   policy_heap_remove (&queue->expiry, &call->expiry);
   call->service->n_waiting--;
   queue->n_waiting--;
@@ -128,7 +145,7 @@
       if (!policy_heap_put (queue, &queue->expiry, &call->expiry))
         goto undo;
     }
-  if (fair_share_add (queue, &queue->fair, call->service, &call->order, call->ready))
+  if (queue_enqueue (queue, call))
     return true;
 undo:
   queue_stop_waiting (queue, call);
@@ -212,6 +229,7 @@
   queue_stop_waiting (queue, call);
   queue_learn_wait (call, now_ms);
   call->running = true;
+  queue->n_suspects_in_flight += call->item.suspect;
   call->sent_ms = now_ms;
   call->prefill_tokens = queue_uncached (&call->item);
   queue->prefill_tokens += call->prefill_tokens;
@@ -234,9 +252,9 @@
 {
   for (struct QueuedCall *c = program->calls; c != NULL; c = c->next)
     {
-      fair_share_remove (queue, &queue->fair, c->service, &c->order, false);
+      queue_dequeue (queue, c);
       c->ready = true;
-      fair_share_add (queue, &queue->fair, c->service, &c->order, true);
+      queue_enqueue (queue, c);
     }
   if (queue->admitted_ms != 0)
     queue->admit_gap_ms +=
@@ -260,6 +278,25 @@
   return HEAP_ENTRY (policy_heap_first (&service->outside), struct QueuedCall, order);
 }
 
+/* A request that was running on a server when it died may have killed it, and so may each that ran
+ * beside it. Sent together they would die together again, and all be quarantined. */
+static struct QueuedCall *
+queue_next_suspect (struct DispatchQueue *queue, int64_t now_ms)
+{
+  struct HeapNode *node = policy_heap_first (&queue->suspects);
+  struct QueuedCall *call;
+
+  if (node == NULL || queue->n_suspects_in_flight > 0)
+    return NULL;
+  call = HEAP_ENTRY (node, struct QueuedCall, order);
+  if (call->program != NULL && !call->program->active)
+    {
+      active_set_admit (&queue->set, call->program, true);
+      queue_ready_program (queue, call->program, now_ms);
+    }
+  return call;
+}
+
 static struct QueuedCall *
 queue_next (struct DispatchQueue *queue, int64_t now_ms)
 {
@@ -287,7 +324,9 @@
   active_set_expire (&queue->set, now_ms);
   if (queue->n_in_flight >= policy_limit_now (&queue->limit))
     return false;
-  call = queue_next (queue, now_ms);
+  call = queue_next_suspect (queue, now_ms);
+  if (call == NULL)
+    call = queue_next (queue, now_ms);
   if (call == NULL || !queue_prefill_has_room (queue, call, now_ms))
     return false;
   *id = call->item.id;
@@ -383,6 +422,7 @@
   if (call == NULL || !call->running)
     return;
   queue->n_in_flight--;
+  queue->n_suspects_in_flight -= call->item.suspect;
   queue_prefill_done (queue, call);
   if (outcome->error == ERROR_NONE)
     queue_learn (queue, call, outcome, now_ms);
--- a/core/dispatch_state.h
+++ b/core/dispatch_state.h
@@ -15,9 +15,9 @@
   struct TableNode by_id;
   struct DispatchItem item;
   struct FairService *service;
-  struct ActiveProgram *program;      /* NULL for rules without an active set */
-  struct HeapNode order;              /* in the service's ready or outside heap */
-  struct HeapNode expiry;             /* latest time at which it can start */
+  struct ActiveProgram *program; /* NULL for rules without an active set */
+  struct HeapNode order;         /* in the service's ready or outside heap, or among the suspects */
+  struct HeapNode expiry;        /* latest time at which it can start */
   struct QueuedCall *next, *previous; /* waiting calls of one program */
   bool ready;
   bool running;
@@ -34,6 +34,8 @@
   struct FairShare fair;
   struct ActiveSet set;
   struct PolicyHeap expiry;
+  struct PolicyHeap suspects; /* waiting; one at a time is sent */
+  uint32_t n_suspects_in_flight;
   struct PolicyLimit limit;
   uint32_t n_waiting, n_in_flight;
   uint64_t prefill_tokens; /* of sent calls without a first token */
--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -18,13 +18,14 @@
   struct TableNode by_digest;
   uint8_t digest[DIGEST_BYTES];
   char server[NAME_MAX_BYTES + 1]; /* where it ran when the first death came */
+  size_t place;                    /* in the ring */
 };
 
 struct QuarantineRing
 {
   struct PolicyTable table;
   struct QuarantineEntry **entries; /* talloc array */
-  size_t n, oldest, room;
+  size_t next, room;
 };
 
 struct Quarantine
@@ -40,24 +41,23 @@
   return node != NULL ? TABLE_ENTRY (node, struct QuarantineEntry, by_digest) : NULL;
 }
 
+static void
+ring_remove (struct QuarantineRing *ring, struct QuarantineEntry *entry)
+{
+  policy_table_remove (&ring->table, &entry->by_digest);
+  ring->entries[entry->place] = NULL;
+  talloc_free (entry);
+}
+
+/* Takes the place of the oldest. */
 static void
 ring_add (TALLOC_CTX *ctx,
           struct QuarantineRing *ring,
           const uint8_t digest[DIGEST_BYTES],
           const char *server)
 {
-  struct QuarantineEntry *entry;
+  struct QuarantineEntry *entry = talloc_zero (ctx, struct QuarantineEntry);
 
-  if (ring->n == ring->room)
-    {
-      entry = ring->entries[ring->oldest];
-      policy_table_remove (&ring->table, &entry->by_digest);
-      talloc_free (entry);
-      ring->entries[ring->oldest] = NULL;
-      ring->n--;
-      ring->oldest = (ring->oldest + 1) % ring->room;
-    }
-  entry = talloc_zero (ctx, struct QuarantineEntry);
   if (entry == NULL)
     return;
   memcpy (entry->digest, digest, DIGEST_BYTES);
@@ -67,7 +67,11 @@
       talloc_free (entry);
       return;
     }
-  ring->entries[(ring->oldest + ring->n++) % ring->room] = entry;
+  if (ring->entries[ring->next] != NULL)
+    ring_remove (ring, ring->entries[ring->next]);
+  entry->place = ring->next;
+  ring->entries[ring->next] = entry;
+  ring->next = (ring->next + 1) % ring->room;
 }
 
 static bool
@@ -123,6 +127,21 @@
   return ring_find (&quarantine->held, digest) != NULL;
 }
 
+bool
+quarantine_suspects (const struct Quarantine *quarantine, const uint8_t digest[DIGEST_BYTES])
+{
+  return ring_find (&quarantine->suspects, digest) != NULL;
+}
+
+void
+quarantine_clear (struct Quarantine *quarantine, const uint8_t digest[DIGEST_BYTES])
+{
+  struct QuarantineEntry *suspect = ring_find (&quarantine->suspects, digest);
+
+  if (suspect != NULL)
+    ring_remove (&quarantine->suspects, suspect);
+}
+
 void
 quarantine_add (struct Quarantine *quarantine, const uint8_t digest[DIGEST_BYTES])
 {
--- a/core/retry_budget.c
+++ b/core/retry_budget.c
@@ -6,10 +6,10 @@
   RETRY_BACKOFF_FIRST_MS = 50,
   RETRY_BACKOFF_MAX_MS = 5000,
   RETRY_PERMILLE = 1000, /* of one retry */
-  /* Saved up at most this many retries, so that a quiet hour does not pay for a storm; and a new
-   * instance may retry this often before it has earned any. */
-  RETRY_SAVED_MAX = 20,
-  RETRY_SAVED_FIRST = 5,
+  /* Saved up at most this many retries: enough for the calls in flight of a server that dies, and
+   * so few that a quiet hour does not pay for a storm. A new instance may retry some at once. */
+  RETRY_SAVED_MAX = 100,
+  RETRY_SAVED_FIRST = 20,
   STATUS_SERVER_FAULT = 500,
   STATUS_TOO_MANY = 429
 };
--- a/include/buckthornhead/policy.h
+++ b/include/buckthornhead/policy.h
@@ -91,6 +91,7 @@
   uint32_t prompt_tokens, cached_tokens_hint, max_tokens;
   uint64_t attained_tokens; /* what the program has received so far, by its home's count */
   int64_t deadline_ms;      /* absolute on the queue's clock; 0: none */
+  bool suspect;             /* quarantine_suspects: runs with no other suspect beside it */
 };
 
 struct DispatchQueue *
@@ -168,6 +169,13 @@
                          int64_t now_ms);
 bool
 quarantine_holds (const struct Quarantine *quarantine, const uint8_t digest[DIGEST_BYTES]);
+/* The request was running on one server when that died. So were all that ran beside it: they are
+ * sent again one at a time (DispatchItem.suspect), so that the second death names one of them. */
+bool
+quarantine_suspects (const struct Quarantine *quarantine, const uint8_t digest[DIGEST_BYTES]);
+/* It has run to its end: no suspect any more. */
+void
+quarantine_clear (struct Quarantine *quarantine, const uint8_t digest[DIGEST_BYTES]);
 /* As told by another instance. */
 void
 quarantine_add (struct Quarantine *quarantine, const uint8_t digest[DIGEST_BYTES]);
--- a/include/buckthornhead/server_health.h
+++ b/include/buckthornhead/server_health.h
@@ -23,6 +23,8 @@
 /* True while the server should get no ordinary work. */
 bool
 server_health_suspected (const struct ServerHealth *health, int64_t now_ms);
-/* True when a suspected server should get one call to find out whether it has come back. */
+/* True when a suspected server should be asked for a load report, whose answer counts as an end
+ * without error. Never a caller's call: a dead server that refuses at once looks like the one with
+ * the shortest queue, and all calls of that moment would go to it and fail. */
 bool
 server_health_probe_due (struct ServerHealth *health, int64_t now_ms);
--- a/tests/test_dispatch_queue.c
+++ b/tests/test_dispatch_queue.c
@@ -331,6 +331,56 @@
   talloc_free (queue);
 }
 
+/* A short question is sent at once and still waits for seconds: the engine computes the prompts of
+ * several long reviews first, in the order in which they came. */
+static void
+test_long_prompts_wait_here_and_not_in_the_engine (void)
+{
+  struct DispatchQueue *queue = dispatch_queue_new (NULL, 16);
+  struct DispatchItem first = item_of (2, "a", "menu-agents", 0);
+  struct DispatchItem second = item_of (3, "b", "menu-agents", 0);
+
+  first.prompt_tokens = second.prompt_tokens = 9000;
+  push (queue, &program_rule, 1, "p", 0, 0);
+  CU_ASSERT_EQUAL (pop (queue, 0), 1);
+  dispatch_queue_first_token (queue, 1, 100); /* teaches what a prompt token takes */
+  finish (queue, 1, 0, 1000);
+  push_item (queue, &program_rule, &first, 1000);
+  push_item (queue, &program_rule, &second, 1001);
+  CU_ASSERT_EQUAL (pop (queue, 1001), 2);
+  CU_ASSERT_EQUAL (pop (queue, 1001), 0);
+  push (queue, &program_rule, 4, "question", 0, 1100);
+  dispatch_queue_first_token (queue, 2, 1900);
+  CU_ASSERT_EQUAL (pop (queue, 1900), 4);
+  /* A server that never shows a first token is not held up for ever. */
+  CU_ASSERT_EQUAL (pop (queue, 60000), 3);
+  talloc_free (queue);
+}
+
+/* One request crashes an engine; the dozen that ran beside it are sent again together with it,
+ * crash the next engine together, and are all quarantined, though only one is at fault. */
+static void
+test_suspects_run_one_at_a_time (void)
+{
+  struct DispatchQueue *queue = dispatch_queue_new (NULL, 16);
+
+  for (uint64_t id = 1; id <= 3; id++)
+    {
+      struct DispatchItem item = item_of (id, "p", "hiring-agents", 0);
+
+      item.suspect = true;
+      push_item (queue, &program_rule, &item, 0);
+    }
+  push (queue, &program_rule, 9, "q", 0, 0);
+  CU_ASSERT_EQUAL (pop (queue, 0), 1);
+  CU_ASSERT_EQUAL (pop (queue, 0), 9);
+  CU_ASSERT_EQUAL (pop (queue, 0), 0);
+  CU_ASSERT_TRUE (dispatch_queue_remove (queue, 2));
+  finish (queue, 1, 0, 1000);
+  CU_ASSERT_EQUAL (pop (queue, 1000), 3);
+  talloc_free (queue);
+}
+
 static void
 test_a_removed_item_is_never_given (void)
 {
@@ -363,6 +413,9 @@
   { "few programs share a scarce cache", test_few_programs_share_a_scarce_cache },
   { "a pause keeps the place for a while", test_a_pause_keeps_the_place_for_a_while },
   { "the budget is learned against a wrong report", test_budget_is_learned_against_a_wrong_report },
+  { "long prompts wait here and not in the engine",
+    test_long_prompts_wait_here_and_not_in_the_engine },
+  { "suspects run one at a time", test_suspects_run_one_at_a_time },
   { "a removed item is never given", test_a_removed_item_is_never_given },
   { NULL, NULL },
 };
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -36,6 +36,21 @@
   talloc_free (quarantine);
 }
 
+/* What ran to its end after the first death did not cause it. */
+static void
+test_a_cleared_suspect_starts_anew (void)
+{
+  struct Quarantine *quarantine = quarantine_new (NULL);
+
+  quarantine_record_death (quarantine, poison, "engine-1", 0);
+  CU_ASSERT_TRUE (quarantine_suspects (quarantine, poison));
+  quarantine_clear (quarantine, poison);
+  quarantine_clear (quarantine, poison);
+  CU_ASSERT_FALSE (quarantine_suspects (quarantine, poison));
+  CU_ASSERT_FALSE (quarantine_record_death (quarantine, poison, "engine-2", 1));
+  talloc_free (quarantine);
+}
+
 static void
 test_told_by_another_instance (void)
 {
@@ -71,6 +86,7 @@
 const struct TestCase test_cases[] = {
   { "two servers dead quarantine the request", test_two_servers_dead_quarantine_the_request },
   { "one server dead twice is the server", test_one_server_dead_twice_is_the_server },
+  { "a cleared suspect starts anew", test_a_cleared_suspect_starts_anew },
   { "told by another instance", test_told_by_another_instance },
   { "suspects are bounded", test_suspects_are_bounded },
   { NULL, NULL },
