Limit of calls in flight for plain services and unstreamed answers

Cause: the limit was learned from tokens only. A plain service shows none, so its limit could only grow; an unstreamed answer shows none either, and is no sign of anything. A plain service's limit now follows its calls' time against what has been usual; unstreamed answers leave the limit as it is. Test added (the limit of a service that slows down to a quarter halves).

--- a/core/policy_limit.c
+++ b/core/policy_limit.c
@@ -16,6 +16,8 @@
 static const double LIMIT_SIZE_GAIN = 0.005;
 static const double LIMIT_PACE_TOLERANCE = 2.5;
 static const double LIMIT_PREFILL_TOLERANCE = 20.0;
+static const double LIMIT_SERVICE_TOLERANCE = 2.0;
+static const double LIMIT_USUAL_GAIN = 0.002;
 static const double LIMIT_BACKOFF = 0.9;
 static const double LIMIT_FAILURE_BACKOFF = 0.7;
 static const double LIMIT_FORGET = 1.0002;
@@ -51,7 +53,10 @@
 {
   if (sample->first_ms == 0)
     {
-      limit_average (&limit->service_ms, (double)(sample->end_ms - sample->sent_ms), LIMIT_GAIN);
+      double ms = (double)(sample->end_ms - sample->sent_ms);
+
+      limit_average (&limit->service_ms, ms, LIMIT_GAIN);
+      limit_average (&limit->usual_service_ms, ms, LIMIT_USUAL_GAIN);
       return;
     }
   limit_average (&limit->generated_tokens, sample->generated_tokens, LIMIT_SIZE_GAIN);
@@ -78,6 +83,8 @@
 static bool
 limit_is_congested (const struct PolicyLimit *limit)
 {
+  if (limit->pace_ms == 0)
+    return limit->service_ms > limit->usual_service_ms * LIMIT_SERVICE_TOLERANCE;
   return limit->pace_ms > limit->best_pace_ms * LIMIT_PACE_TOLERANCE
          || limit->prefill_us_per_token > limit->best_prefill_us * LIMIT_PREFILL_TOLERANCE;
 }
@@ -101,6 +108,8 @@
       return;
     }
   limit_learn_paces (limit, sample);
+  if (sample->first_ms == 0 && sample->generated_tokens > 0)
+    return;
   if (limit_is_congested (limit))
     limit_decrease (limit, LIMIT_BACKOFF, sample->end_ms);
   else if (sample->in_flight + 1 >= policy_limit_now (limit) && limit->limit < LIMIT_MAX)
--- a/core/policy_limit.h
+++ b/core/policy_limit.h
@@ -2,7 +2,9 @@
  *
  * Engines admit all they get, and their reports lag; so the limit is learned from the answers'
  * own pace: additive increase while it binds, multiplicative decrease when the time between tokens
- * or to the first token grows well beyond the best seen. */
+ * or to the first token grows well beyond the best seen. A plain service has no tokens: there the
+ * time of a call is compared with what has been usual. A model's answer that is not streamed shows
+ * neither, and leaves the limit as it is. */
 #pragma once
 
 #include <stdbool.h>
@@ -28,6 +30,7 @@
   double pace_ms;              /* learned time between tokens */
   double best_pace_ms;         /* least seen, forgotten slowly */
   double best_prefill_us;
+  double usual_service_ms; /* of a plain service, over a long time */
   int64_t next_decrease_ms;
 };
 
--- a/tests/test_dispatch_queue.c
+++ b/tests/test_dispatch_queue.c
@@ -181,6 +181,46 @@
   talloc_free (queue);
 }
 
+/* A tool service slows down under load; it shows no tokens, so its calls' time must do. */
+static void
+test_limit_follows_the_time_of_a_plain_service (void)
+{
+  struct DispatchQueue *queue = dispatch_queue_new (NULL, 8);
+  struct Outcome outcome = { .ran = RAN_YES };
+  struct PolicyServer digest;
+  uint32_t grown = 0;
+  int64_t now = 0;
+  uint64_t id = 1;
+
+  for (int i = 0; i < 600; i++)
+    {
+      uint64_t popped[64];
+      int n = 0;
+
+      for (int k = 0; k < 64; k++, id++)
+        {
+          struct DispatchItem item = { .id = id, .program = "p", .service = "field-desk" };
+
+          push_item (queue, &fifo_rule, &item, now);
+        }
+      while (n < 64 && (popped[n] = pop (queue, now)) != 0)
+        n++;
+      now += i < 300 ? 100 : 400;
+      for (int k = 0; k < n; k++)
+        dispatch_queue_finished (queue, popped[k], &outcome, now);
+      for (uint64_t k = id - 64; k < id; k++)
+        dispatch_queue_remove (queue, k);
+      dispatch_queue_digest (queue, &digest);
+      if (i == 299)
+        grown = digest.limit;
+      if (i >= 300 && digest.limit < grown / 2)
+        break;
+    }
+  CU_ASSERT (grown > 12);
+  CU_ASSERT (digest.limit < grown / 2);
+  talloc_free (queue);
+}
+
 static void
 test_full_queue_refuses_and_spreads_the_callers (void)
 {
@@ -404,6 +444,8 @@
   { "a long program is not starved by newcomers", test_a_long_program_is_not_starved_by_newcomers },
   { "calls in flight stay within the limit", test_calls_in_flight_stay_within_the_limit },
   { "the limit follows the pace of the answers", test_limit_follows_the_pace_of_the_answers },
+  { "the limit follows the time of a plain service",
+    test_limit_follows_the_time_of_a_plain_service },
   { "a full queue refuses and spreads the callers",
     test_full_queue_refuses_and_spreads_the_callers },
   { "calls that can not finish are refused at once",
