Small programs: 2.5% of the budget each, up to half beyond it

Cause: of a one-call question's 4.3 s (p95, 130% load, scarce) up to 3.6 s were a wait for a place: its prompt is just over 2% of the budget, or the fifth beyond the budget was used up.

--- a/core/policy_active.c
+++ b/core/policy_active.c
@@ -15,10 +15,10 @@
 static const double ACTIVE_KEEP_EVEN = 0.7;
 /* Share of the reported capacity that programs are let in for; the rest is slack for growth. */
 static const double ACTIVE_REPORT_SHARE = 0.95;
-static const double ACTIVE_SMALL_SHARE = 0.02;
+static const double ACTIVE_SMALL_SHARE = 0.025;
 /* Small programs are let in beyond the budget: they push out the ends of a few idle prefixes, and
  * most of them end at once. Holding them back behind a large one saves next to nothing. */
-static const double ACTIVE_SMALL_EXCESS = 0.2;
+static const double ACTIVE_SMALL_EXCESS = 0.5;
 static const double ACTIVE_SHRINK = 0.999;
 static const double ACTIVE_GROW = 1.001;
 /* How much more urgent, in units of the ageing time, a newcomer must be to take a paused program's
