--- a/core/policy_active.c
+++ b/core/policy_active.c
@@ -12,7 +12,7 @@
 };
 
 static const double ACTIVE_PAUSE_GAIN = 0.1;
-static const double ACTIVE_KEEP_EVEN = 0.7;
+static const double ACTIVE_KEEP_EVEN = 1.0;
 /* Share of the reported capacity that programs are let in for; the rest is slack for growth. */
 static const double ACTIVE_REPORT_SHARE = 0.95;
 static const double ACTIVE_SMALL_SHARE = 0.025;
