The whole path runs: caller, entry, home, owner, backend server in separate processes

Cause: first run of the wired daemon. Ruled out: none needed, it ran at once; plain services are not asked to release (they hold no cache).

--- a/adapters/peer_net.c
+++ b/adapters/peer_net.c
@@ -68,7 +68,7 @@
   struct TimerService *timers;
   struct PeerNetOptions options;
   char instance[NAME_MAX_BYTES + 1];
-  char incarnation[NAME_MAX_BYTES + 24];
+  char incarnation[INCARNATION_MAX_BYTES + 1];
   int listen_fd;
   uint64_t next_link;
   struct PeerLink *links;
--- a/core/homes_map.c
+++ b/core/homes_map.c
@@ -1,5 +1,5 @@
 #include "homes_state.h"
-#include "kv_guard.h"
+#include <buckthornhead/kv_guard.h>
 
 #include <buckthornhead/error.h>
 #include <buckthornhead/log.h>
--- a/core/homes_takeover.c
+++ b/core/homes_takeover.c
@@ -136,6 +136,9 @@
     talloc_free (seal);
 }
 
+/* Spooled records stand behind every slot of their journal. */
+#define SPOOLED_SLOT_BASE (1ULL << 62)
+
 /* Reading what counts for some partitions of one group. */
 struct HomesAdoption
 {
@@ -330,10 +333,40 @@
 static void
 adoption_read_next (struct HomesAdoption *adoption);
 
+/* Puts the spooled records behind the slots: the writer spooled in the order of its journal, and
+ * only what was not known to be in it. What is in both is applied twice, which changes nothing. */
+static void
+adoption_on_spool (void *data, const struct HomesSpooled *spooled, size_t n_spooled)
+{
+  struct HomesAdoption *adoption = data;
+  struct JournalReplay *replay = &adoption->replays[adoption->n_read];
+  size_t n = replay->n_slots + n_spooled;
+
+  replay->slots = talloc_realloc (adoption, replay->slots, struct Slot *, n);
+  replay->slot_numbers = talloc_realloc (adoption, replay->slot_numbers, uint64_t, n);
+  if (n > 0 && (replay->slots == NULL || replay->slot_numbers == NULL))
+    {
+      adoption_end (adoption, ERROR_NO_MEMORY);
+      return;
+    }
+  for (size_t i = 0; i < n_spooled; i++)
+    {
+      struct Slot *slot;
+
+      if (slot_unpack (adoption, spooled[i].slot, spooled[i].n_bytes, &slot) != ERROR_NONE)
+        continue;
+      replay->slots[replay->n_slots] = slot;
+      replay->slot_numbers[replay->n_slots++] = SPOOLED_SLOT_BASE + spooled[i].number;
+    }
+  adoption->n_read++;
+  adoption_read_next (adoption);
+}
+
 static void
 adoption_on_read (void *data, const struct JournalReplay *replay)
 {
   struct HomesAdoption *adoption = data;
+  const struct HomesOptions *options = &adoption->homes->options;
   struct JournalReplay *kept = &adoption->replays[adoption->n_read];
 
   if (replay->error != ERROR_NONE)
@@ -344,8 +377,18 @@
   *kept = *replay;
   talloc_steal (adoption, kept->slots);
   talloc_steal (adoption, kept->slot_numbers);
-  adoption->n_read++;
-  adoption_read_next (adoption);
+  /* The journal of a home that left as planned has no seal, and all that it ever acknowledged is in
+   * front of its hand-off. */
+  if (kept->seal_slot == 0 || options->collect_spool == NULL)
+    {
+      adoption->n_read++;
+      adoption_read_next (adoption);
+      return;
+    }
+  if (options->collect_spool (options->data, adoption, adoption->journals[adoption->n_read],
+                              adoption_on_spool, adoption)
+      != ERROR_NONE)
+    adoption_end (adoption, ERROR_NO_MEMORY);
 }
 
 static void
--- a/core/kv_follow.c
+++ b/core/kv_follow.c
@@ -1,7 +1,7 @@
 #include "kv_follow.h"
 
 #include "jitter.h"
-#include "kv_guard.h"
+#include <buckthornhead/kv_guard.h>
 
 #include <buckthornhead/error.h>
 
--- a/daemon/fleet.c
+++ b/daemon/fleet.c
@@ -2,6 +2,7 @@
 
 #include "home.h"
 #include "owner.h"
+#include "spooler.h"
 
 #include <buckthornhead/counter.h>
 #include <buckthornhead/log.h>
@@ -173,6 +174,7 @@
   heartbeat->config_revision = config_log_revision (core->config);
   heartbeat->draining = core->draining;
   heartbeat->platform_up = core->platform_up;
+  heartbeat->has_disk = spooler_has_disk (core->spooler);
   home_count (core->home, &heartbeat->partitions, &heartbeat->programs);
   owner_count (core->owner, &heartbeat->waiting, &heartbeat->in_flight);
   heartbeat->outcomes = core->outcomes;
--- a/daemon/home.c
+++ b/daemon/home.c
@@ -1,5 +1,7 @@
 #include "home_internal.h"
 
+#include "spooler.h"
+
 #include <buckthornhead/counter.h>
 #include <buckthornhead/log.h>
 
@@ -117,6 +119,15 @@
   fleet_publish (home->core->fleet);
 }
 
+static int32_t
+home_collect_spool (
+    void *data, TALLOC_CTX *ctx, const char *incarnation, HomesSpoolDone done, void *done_data)
+{
+  struct Home *home = data;
+
+  return spooler_collect (home->core->spooler, ctx, incarnation, done, done_data);
+}
+
 static void
 home_on_fenced (void *data)
 {
@@ -215,6 +226,7 @@
   homes.n_partitions = core->settings->n_partitions;
   homes.group_size = core->settings->partition_group_size;
   homes.poll_ms = MAP_POLL_MS;
+  homes.collect_spool = home_collect_spool;
   homes.gained = home_on_gained;
   homes.lost = home_on_lost;
   homes.map_changed = home_on_map_changed;
--- a/daemon/home_program.c
+++ b/daemon/home_program.c
@@ -94,7 +94,7 @@
   talloc_free (pending);
 }
 
-void
+static void
 home_on_created (void *data, int32_t error)
 {
   struct HomePending *pending = data;
--- a/daemon/home_release.c
+++ b/daemon/home_release.c
@@ -113,9 +113,9 @@
 
   if (release->acknowledged || now_ms - release->asked_ms < ASK_AGAIN_MS)
     return;
-  if (backend == NULL)
+  if (backend == NULL || backend->setting.kind != CALL_TARGET_ENGINE)
     {
-      /* No list names it any more: what it held went with it. */
+      /* No list names it any more, and what it held went with it; or it holds no cache. */
       release->acknowledged = true;
       return;
     }
--- a/daemon/home_write.c
+++ b/daemon/home_write.c
@@ -68,14 +68,15 @@
 write_spool (struct HomeWrite *write)
 {
   struct Home *home = write->home;
+  struct Slot slot = { .kind = SLOT_RECORDS, .records = &write->record, .n_records = 1 };
   uint8_t *packed;
   size_t n_bytes;
 
-  if (record_pack (write, &write->record, &packed, &n_bytes) != ERROR_NONE)
+  if (slot_pack (write, &slot, &packed, &n_bytes) != ERROR_NONE)
     return;
-  write->spooled = spooler_put (home->core->spooler, packed, n_bytes, home_on_spooled, write,
-                                &write->number)
-                   == ERROR_NONE;
+  write->spooled =
+      spooler_put (home->core->spooler, packed, n_bytes, home_on_spooled, write, &write->number)
+      == ERROR_NONE;
   talloc_free (packed);
 }
 
--- a/include/buckthornhead/homes.h
+++ b/include/buckthornhead/homes.h
@@ -21,6 +21,16 @@
   bool draining;
 };
 
+/* Records of a sealed writer that were acknowledged from disks while the platform was down, as
+ * slots of their own, in ascending order of number and without repeats. */
+struct HomesSpooled
+{
+  uint64_t number;
+  const uint8_t *slot; /* slot_pack's bytes */
+  size_t n_bytes;
+};
+typedef void (*HomesSpoolDone) (void *data, const struct HomesSpooled *spooled, size_t n_spooled);
+
 struct HomesOptions
 {
   const char *prefix;
@@ -29,6 +39,10 @@
   uint32_t group_size;
   uint32_t poll_ms;          /* how often the map is read again, and a bit more: spread */
   uint32_t checkpoint_slots; /* journal slots between two checkpoints; 0: 64 */
+  /* Seals incarnation's spool and gives what it holds, later, once and for sure: until enough disks
+   * have answered nothing is adopted. Freeing ctx ends it. NULL: there are no spools. */
+  int32_t (*collect_spool) (
+      void *data, TALLOC_CTX *ctx, const char *incarnation, HomesSpoolDone done, void *done_data);
   /* Whether a partition that is to be handed off may be left now, asked again and again; called
    * only once the ledger has nothing of it in flight. NULL: it may. */
   bool (*may_leave) (void *data, uint32_t partition);
--- a/include/buckthornhead/peer_message.h
+++ b/include/buckthornhead/peer_message.h
@@ -7,6 +7,7 @@
 
 #include <buckthornhead/call.h>
 #include <buckthornhead/error.h>
+#include <buckthornhead/partition.h>
 #include <buckthornhead/policy.h>
 
 enum
@@ -113,7 +114,7 @@
     struct
     {
       char instance[NAME_MAX_BYTES + 1];
-      char incarnation[NAME_MAX_BYTES + 24];
+      char incarnation[INCARNATION_MAX_BYTES + 1];
       char zone[NAME_MAX_BYTES + 1];
     } hello;
     struct PeerHeartbeat heartbeat;
@@ -148,7 +149,7 @@
     struct
     {
       uint64_t id, number;
-      char writer[NAME_MAX_BYTES + 24]; /* incarnation */
+      char writer[INCARNATION_MAX_BYTES + 1]; /* incarnation */
       const uint8_t *bytes;
       size_t n_bytes;
     } spool; /* put, drop, read and record, as far as each needs */
