Take-over: a finished collection of a spool outlives its asker's context

Cause: instances that took partitions over died with them: collecting the spool ends by adopting, which frees the context that the collection belonged to, and was then freed again (talloc aborted; the log showed nothing). Ruled out: replay and sealing (the log shows the seal done). Change: the collection is stolen before it answers; a talloc abort is logged.

--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -17,6 +17,7 @@
 
 #include <signal.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include <curl/curl.h>
@@ -37,6 +38,14 @@
   bool stopped;
 };
 
+/* A misuse of memory ends the process at once; the log says so before it does. */
+static void
+daemon_on_talloc_abort (const char *reason)
+{
+  log_event (LOG_LEVEL_ERROR, "memory_misused", NULL, "report this with the core file", "%s", reason);
+  abort ();
+}
+
 static void
 daemon_receive_mail (void *data, struct Mail *mail)
 {
@@ -410,6 +419,7 @@
   struct Fault fault;
   int32_t error;
 
+  talloc_set_abort_fn (daemon_on_talloc_abort);
   curl_global_init (CURL_GLOBAL_DEFAULT);
   log_open (settings->instance, settings->zone, LOG_LEVEL_INFO);
   daemon.core = talloc_zero (NULL, struct Core);
--- a/daemon/spooler_collect.c
+++ b/daemon/spooler_collect.c
@@ -150,6 +150,8 @@
   if (collect->n_records > 0)
     log_event (LOG_LEVEL_NOTICE, "spool_collected", NULL, NULL, "%zu records of %s",
                collect->n_records, collect->incarnation);
+  /* The asker may free the context that this belongs to. */
+  talloc_steal (NULL, collect);
   collect->done (collect->data, collect->records, collect->n_records);
   talloc_free (collect);
   return true;
