List of backend servers: polled, checked, and kept while it can not be read

A leaving backend server may get no new work after a few seconds, and the platform's list, which lags, is how its leaving is known. It is polled each second (jittered); what is not called live counts as leaving, what is no longer named is gone, an item that can not be read is left out. A list that can not be read changes nothing, so that an outage of the platform stops no work.

--- /dev/null
+++ b/core/backend_list.c
@@ -0,0 +1,192 @@
+#include <buckthornhead/backend_list.h>
+
+#include "jitter.h"
+
+#include <buckthornhead/config_key.h>
+#include <buckthornhead/error.h>
+#include <buckthornhead/log.h>
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+struct ListedBackend
+{
+  struct BackendSetting setting;
+  bool leaving;
+};
+
+struct BackendList
+{
+  struct InstancesPort *port;
+  struct TimerService *timers;
+  struct BackendListOptions options;
+  struct Timer *poll;
+  struct ListedBackend *backends; /* the last list that was read, by name */
+  size_t n_backends;
+  bool read; /* at least once */
+};
+
+static bool
+field_copy (const json_t *item, const char *name, char *text, size_t text_bytes)
+{
+  const char *value = json_string_value (json_object_get (item, name));
+
+  if (value == NULL || strlen (value) >= text_bytes)
+    return false;
+  snprintf (text, text_bytes, "%s", value);
+  return true;
+}
+
+static bool
+kind_read (const char *word, enum CallTarget *kind)
+{
+  *kind = strcmp (word, "engine") == 0 ? CALL_TARGET_ENGINE : CALL_TARGET_SERVICE;
+  return *kind == CALL_TARGET_ENGINE || strcmp (word, "service") == 0;
+}
+
+/* Whatever its state is, a server that is not live gets no new work. */
+static bool
+backend_read (const json_t *item, struct ListedBackend *backend)
+{
+  struct BackendSetting *setting = &backend->setting;
+  char kind[16];
+  char state[16];
+  char ip[46];
+  uint16_t port = 0;
+
+  memset (backend, 0, sizeof *backend);
+  if (!field_copy (item, "name", setting->name, sizeof setting->name)
+      || !field_copy (item, "address", setting->address, sizeof setting->address)
+      || !field_copy (item, "zone", setting->zone, sizeof setting->zone)
+      || !field_copy (item, "target", setting->target, sizeof setting->target)
+      || !field_copy (item, "kind", kind, sizeof kind)
+      || !field_copy (item, "state", state, sizeof state))
+    return false;
+  backend->leaving = strcmp (state, "live") != 0;
+  return config_name_is_valid (setting->name) && kind_read (kind, &setting->kind)
+         && address_parse (setting->address, ip, &port) == ERROR_NONE;
+}
+
+static int
+backend_compare (const void *a, const void *b)
+{
+  const struct ListedBackend *left = a;
+  const struct ListedBackend *right = b;
+  int order = strcmp (left->setting.name, right->setting.name);
+
+  return order != 0 ? order : (int)left->leaving - (int)right->leaving;
+}
+
+/* A lagging list may name a server twice, before and after it was replaced: the live one, sorted
+ * first, is kept. */
+static size_t
+backends_sort (struct ListedBackend *backends, size_t n)
+{
+  size_t n_kept = 0;
+
+  qsort (backends, n, sizeof *backends, backend_compare);
+  for (size_t i = 0; i < n; i++)
+    if (n_kept == 0 || strcmp (backends[n_kept - 1].setting.name, backends[i].setting.name) != 0)
+      backends[n_kept++] = backends[i];
+  return n_kept;
+}
+
+static void
+backend_list_tell (struct BackendList *list)
+{
+  struct BackendSetting *settings = talloc_array (list, struct BackendSetting, list->n_backends);
+  bool *leaving = talloc_array (list, bool, list->n_backends);
+
+  for (size_t i = 0; i < list->n_backends; i++)
+    {
+      settings[i] = list->backends[i].setting;
+      leaving[i] = list->backends[i].leaving;
+    }
+  list->options.changed (list->options.data, settings, leaving, list->n_backends);
+  talloc_free (settings);
+  talloc_free (leaving);
+}
+
+static void
+backend_list_take (struct BackendList *list, struct ListedBackend *backends, size_t n)
+{
+  bool same = list->read && n == list->n_backends
+              && (n == 0 || memcmp (backends, list->backends, n * sizeof *backends) == 0);
+
+  list->read = true;
+  talloc_free (list->backends);
+  list->backends = backends;
+  list->n_backends = n;
+  if (!same)
+    backend_list_tell (list);
+}
+
+/* An item that can not be read is left out, and so gets no work; the others stand. */
+static void
+backend_list_read (struct BackendList *list, const json_t *items)
+{
+  size_t n_items = json_array_size (items);
+  struct ListedBackend *backends = talloc_zero_array (list, struct ListedBackend, n_items);
+  size_t n = 0;
+
+  for (size_t i = 0; i < n_items; i++)
+    if (backend_read (json_array_get (items, i), &backends[n]))
+      n++;
+    else
+      log_event (LOG_LEVEL_WARNING, "listed_server_not_understood", NULL,
+                 "correct it in the platform's list", "item %zu", i);
+  backend_list_take (list, backends, backends_sort (backends, n));
+}
+
+static void
+backend_list_poll_later (struct BackendList *list);
+
+static void
+backend_list_on_fetched (void *data, int32_t error, const char *text, size_t text_bytes)
+{
+  struct BackendList *list = data;
+  json_t *items = error == ERROR_NONE ? json_loadb (text, text_bytes, 0, NULL) : NULL;
+
+  if (json_is_array (items))
+    backend_list_read (list, items);
+  json_decref (items);
+  backend_list_poll_later (list);
+}
+
+static void
+backend_list_poll (void *data)
+{
+  struct BackendList *list = data;
+
+  if (list->port->fetch (list->port, list, backend_list_on_fetched, list) != ERROR_NONE)
+    backend_list_poll_later (list);
+}
+
+static void
+backend_list_poll_later (struct BackendList *list)
+{
+  uint32_t delay_ms = jitter_ms (&list->options.seed, list->options.poll_ms);
+
+  TALLOC_FREE (list->poll);
+  list->poll = timer_subscribe (list, list->timers, delay_ms, 0, backend_list_poll, list);
+}
+
+struct BackendList *
+backend_list_new (TALLOC_CTX *ctx,
+                  struct InstancesPort *port,
+                  struct TimerService *timers,
+                  const struct BackendListOptions *options)
+{
+  struct BackendList *list = talloc_zero (ctx, struct BackendList);
+
+  if (list == NULL)
+    return NULL;
+  list->port = port;
+  list->timers = timers;
+  list->options = *options;
+  backend_list_poll (list);
+  return list;
+}
--- a/core/config_apply.c
+++ b/core/config_apply.c
@@ -1,10 +1,10 @@
 /* Appends the operators' changes, one at a time, and settles lost answers. */
 #include "config_log_private.h"
 #include "jitter.h"
-#include <buckthornhead/kv_guard.h>
 
 #include <buckthornhead/counter.h>
 #include <buckthornhead/error.h>
+#include <buckthornhead/kv_guard.h>
 
 #include <stdio.h>
 #include <string.h>
--- a/core/config_log.c
+++ b/core/config_log.c
@@ -1,8 +1,8 @@
 #include "config_log_private.h"
-#include <buckthornhead/kv_guard.h>
 
 #include <buckthornhead/counter.h>
 #include <buckthornhead/error.h>
+#include <buckthornhead/kv_guard.h>
 #include <buckthornhead/log.h>
 
 #include <stdio.h>
--- a/core/config_reader.c
+++ b/core/config_reader.c
@@ -1,9 +1,9 @@
 /* Reads the last checkpoint, then follows the changes. */
 #include "config_log_private.h"
 #include "jitter.h"
-#include <buckthornhead/kv_guard.h>
 
 #include <buckthornhead/error.h>
+#include <buckthornhead/kv_guard.h>
 #include <buckthornhead/log.h>
 
 enum
--- a/core/kv_follow.c
+++ b/core/kv_follow.c
@@ -1,9 +1,9 @@
 #include "kv_follow.h"
 
 #include "jitter.h"
-#include "kv_guard.h"
 
 #include <buckthornhead/error.h>
+#include <buckthornhead/kv_guard.h>
 
 struct KvFollow
 {
--- a/daemon/home.c
+++ b/daemon/home.c
@@ -7,7 +7,6 @@
 #include <string.h>
 #include <time.h>
 
-
 enum
 {
   MAP_POLL_MS = 1000,
--- a/daemon/home_write.c
+++ b/daemon/home_write.c
@@ -73,9 +73,9 @@
 
   if (record_pack (write, &write->record, &packed, &n_bytes) != ERROR_NONE)
     return;
-  write->spooled = spooler_put (home->core->spooler, packed, n_bytes, home_on_spooled, write,
-                                &write->number)
-                   == ERROR_NONE;
+  write->spooled =
+      spooler_put (home->core->spooler, packed, n_bytes, home_on_spooled, write, &write->number)
+      == ERROR_NONE;
   talloc_free (packed);
 }
 
--- a/daemon/spooler_collect.c
+++ b/daemon/spooler_collect.c
@@ -56,13 +56,13 @@
   const char *slash = strrchr (entry->key, '/');
   struct CollectDisk *disk;
 
-  collect->disks
-      = talloc_realloc (collect, collect->disks, struct CollectDisk, collect->n_disks + 1);
+  collect->disks =
+      talloc_realloc (collect, collect->disks, struct CollectDisk, collect->n_disks + 1);
   disk = &collect->disks[collect->n_disks++];
   memset (disk, 0, sizeof *disk);
   snprintf (disk->id, sizeof disk->id, "%s", slash != NULL ? slash + 1 : entry->key);
-  snprintf (disk->instance, sizeof disk->instance, "%.*s", (int) entry->value_bytes,
-            (const char *) entry->value);
+  snprintf (disk->instance, sizeof disk->instance, "%.*s", (int)entry->value_bytes,
+            (const char *)entry->value);
 }
 
 static void
@@ -89,8 +89,8 @@
     return;
   snprintf (prefix, sizeof prefix, "%sdisk/", core->settings->prefix);
   request.range.prefix = prefix;
-  collect->reading
-      = kv_submit_guarded (collect, core->kv, &request, collect_on_listed, collect) == ERROR_NONE;
+  collect->reading =
+      kv_submit_guarded (collect, core->kv, &request, collect_on_listed, collect) == ERROR_NONE;
 }
 
 static void
@@ -107,7 +107,7 @@
   message.spool.id = disk->request;
   snprintf (message.spool.writer, sizeof message.spool.writer, "%s", collect->incarnation);
   /* An emptied disk has another id, and must not answer for the one that was lost. */
-  message.spool.bytes = (const uint8_t *) disk->id;
+  message.spool.bytes = (const uint8_t *)disk->id;
   message.spool.n_bytes = strlen (disk->id);
   disk->asked = peer_net_send (spooler->core->net, link, &message) == ERROR_NONE;
 }
@@ -205,8 +205,8 @@
 
   if (collect_find (spooler, message->spool.id, &collect) == NULL)
     return;
-  collect->records
-      = talloc_realloc (collect, collect->records, struct SpoolRecord, collect->n_records + 1);
+  collect->records =
+      talloc_realloc (collect, collect->records, struct SpoolRecord, collect->n_records + 1);
   record = &collect->records[collect->n_records++];
   record->number = message->spool.number;
   record->n_bytes = message->spool.n_bytes;
--- /dev/null
+++ b/include/buckthornhead/instances_http.h
@@ -0,0 +1,8 @@
+/* The platform's list of backend servers by GET over HTTP. */
+#pragma once
+
+#include <buckthornhead/curl_loop.h>
+#include <buckthornhead/instances.h>
+
+struct InstancesPort *
+instances_http_new (TALLOC_CTX *ctx, struct CurlLoop *loop, const char *url, int64_t timeout_ms);
