--- a/daemon/spooler.h
+++ b/daemon/spooler.h
@@ -44,18 +44,11 @@
 
 /* Taker: seals and collects the spool of incarnation; records ascending, without repeats, valid
  * during done only. Tries until all registered disks but one have answered. */
-struct SpoolRecord
-{
-  uint64_t number;
-  const uint8_t *bytes;
-  size_t n_bytes;
-};
-typedef void (*SpoolCollected) (void *data, const struct SpoolRecord *records, size_t n_records);
 int32_t
 spooler_collect (struct Spooler *spooler,
                  TALLOC_CTX *ctx,
                  const char *incarnation,
-                 SpoolCollected done,
+                 HomesSpoolDone done,
                  void *data);
 
 /* Answers to the messages that this module sent. False when the id is not its own. */
--- a/daemon/spooler_collect.c
+++ b/daemon/spooler_collect.c
@@ -32,9 +32,9 @@
   int64_t again_ms;
   struct CollectDisk *disks;
   size_t n_disks;
-  struct SpoolRecord *records;
+  struct HomesSpooled *records;
   size_t n_records;
-  SpoolCollected done;
+  HomesSpoolDone done;
   void *data;
 };
 
@@ -115,8 +115,8 @@
 static int
 record_compare (const void *a, const void *b)
 {
-  const struct SpoolRecord *x = a;
-  const struct SpoolRecord *y = b;
+  const struct HomesSpooled *x = a;
+  const struct HomesSpooled *y = b;
 
   return (x->number > y->number) - (x->number < y->number);
 }
@@ -201,16 +201,16 @@
 spooler_collect_record (struct Spooler *spooler, const struct PeerMessage *message)
 {
   struct SpoolerCollect *collect;
-  struct SpoolRecord *record;
+  struct HomesSpooled *record;
 
   if (collect_find (spooler, message->spool.id, &collect) == NULL)
     return;
   collect->records =
-      talloc_realloc (collect, collect->records, struct SpoolRecord, collect->n_records + 1);
+      talloc_realloc (collect, collect->records, struct HomesSpooled, collect->n_records + 1);
   record = &collect->records[collect->n_records++];
   record->number = message->spool.number;
   record->n_bytes = message->spool.n_bytes;
-  record->bytes = talloc_memdup (collect, message->spool.bytes, message->spool.n_bytes);
+  record->slot = talloc_memdup (collect, message->spool.bytes, message->spool.n_bytes);
 }
 
 bool
@@ -239,7 +239,7 @@
 spooler_collect (struct Spooler *spooler,
                  TALLOC_CTX *ctx,
                  const char *incarnation,
-                 SpoolCollected done,
+                 HomesSpoolDone done,
                  void *data)
 {
   struct SpoolerCollect *collect = talloc_zero (ctx, struct SpoolerCollect);
