--- /dev/null
+++ b/tests/operations_page.sh
@@ -0,0 +1,37 @@
+#!/usr/bin/env bash
+# Every counter and every log event of the code stands in docs/OPERATIONS.md, and the page names no
+# event that the code does not have. Usage: operations_page.sh SOURCE_FOLDER
+set -u
+cd "$1" || exit 1
+page=docs/OPERATIONS.md
+failures=0
+
+fail() {
+  echo "$*"
+  failures=$((failures + 1))
+}
+
+# The table's names: COUNTS ("name", ...) gets "_total", GAUGES does not.
+counters=$(tr '\n' ' ' <core/counter.c | grep -oE '(COUNTS|GAUGES) \("[a-z_]+"' \
+  | sed -E 's/COUNTS \("(.*)"/\1_total/; s/GAUGES \("(.*)"/\1/')
+for name in $counters; do
+  grep -q "\`$name\`" "$page" || fail "counter $name is not explained"
+done
+
+# The second argument of log_event, or both ends of a choice between two.
+events=$(cat core/*.c adapters/*.c daemon/*.c | tr '\n' ' ' \
+  | grep -oE 'log_event \(LOG_LEVEL_[A-Z]+, *[^,]*,' | grep -oE '"[a-z_]+"' | tr -d '"' | sort -u)
+for name in $events; do
+  grep -q "\`$name\`" "$page" || fail "event $name is not explained"
+done
+
+# The event column of the last table.
+for name in $(sed -n '/^## Log events/,$p' "$page" | grep '^| `' | cut -d'|' -f2 | tr -d '`,'); do
+  echo "$events" | grep -qx "$name" || fail "event $name is explained, but not in the code"
+done
+
+n_counters=$(echo "$counters" | wc -w)
+n_events=$(echo "$events" | wc -w)
+[ "$n_counters" -ge 37 ] || fail "only $n_counters counters found"
+echo "$n_counters counters, $n_events events, $failures failures"
+[ "$failures" = 0 ]
