--- a/include/buckthornhead/policy.h
+++ b/include/buckthornhead/policy.h
@@ -91,6 +91,7 @@
   uint32_t prompt_tokens, cached_tokens_hint, max_tokens;
   uint64_t attained_tokens; /* what the program has received so far, by its home's count */
   int64_t deadline_ms;      /* absolute on the queue's clock; 0: none */
+  bool suspect;             /* quarantine_suspects: runs with no other suspect beside it */
 };
 
 struct DispatchQueue *
@@ -119,7 +120,8 @@
 bool
 dispatch_queue_expire (struct DispatchQueue *queue, int64_t now_ms, uint64_t *id);
 
-/* First token seen, and the end, of an item that was popped: the limit is learned from these. */
+/* First token seen, and the end, of an item that was popped: the limit is learned from these. Both
+ * may let another item go: pop again after each. */
 void
 dispatch_queue_first_token (struct DispatchQueue *queue, uint64_t id, int64_t now_ms);
 void
@@ -167,6 +169,13 @@
                          int64_t now_ms);
 bool
 quarantine_holds (const struct Quarantine *quarantine, const uint8_t digest[DIGEST_BYTES]);
+/* The request was running on one server when that died. So were all that ran beside it: they are
+ * sent again one at a time (DispatchItem.suspect), so that the second death names one of them. */
+bool
+quarantine_suspects (const struct Quarantine *quarantine, const uint8_t digest[DIGEST_BYTES]);
+/* It has run to its end: no suspect any more. */
+void
+quarantine_clear (struct Quarantine *quarantine, const uint8_t digest[DIGEST_BYTES]);
 /* As told by another instance. */
 void
 quarantine_add (struct Quarantine *quarantine, const uint8_t digest[DIGEST_BYTES]);
