--- a/ctl/serve.c
+++ b/ctl/serve.c
@@ -42,10 +42,3 @@
   arg_freetable (argtable, sizeof argtable / sizeof argtable[0]);
   return exit_code;
 }
-
-/* Stands in until daemon/daemon.c is there, which takes its place at link time. */
-int32_t __attribute__ ((weak)) daemon_run (const struct Settings *settings)
-{
-  (void)settings;
-  return ERROR_NOT_FOUND;
-}
--- a/tests/fuzz/make_seeds.c
+++ b/tests/fuzz/make_seeds.c
@@ -1,5 +1,14 @@
-/* Writes the first inputs of the targets whose format is binary: FOLDER/record and FOLDER/peer. */
+/* Writes the first inputs of the targets whose format is binary: below FOLDER, one folder a target.
+ */
+#include "state_kind.h"
+
+#include <config_entry.h>
+#include <config_fold.h>
+#include <ledger_state.h>
+#include <member_entry.h>
+
 #include <buckthornhead/error.h>
+#include <buckthornhead/partition.h>
 #include <buckthornhead/peer_message.h>
 #include <buckthornhead/record.h>
 
@@ -91,10 +100,116 @@
   return failures;
 }
 
+/* A seed of fuzz_state: the kind, then the value, when packing gave one. */
+static int
+write_state (TALLOC_CTX *ctx,
+             const char *folder,
+             enum StateKind kind,
+             int32_t error,
+             const uint8_t *packed,
+             size_t n_bytes)
+{
+  uint8_t *seed = talloc_array (ctx, uint8_t, n_bytes + 1);
+
+  if (error != ERROR_NONE || seed == NULL)
+    return 1;
+  seed[0] = (uint8_t)kind;
+  memcpy (seed + 1, packed, n_bytes);
+  return write_file (folder, "state", kind, seed, n_bytes + 1);
+}
+
+static int
+write_group_and_member (TALLOC_CTX *ctx, const char *folder)
+{
+  struct PartitionEntry entries[2] = { { .epoch = 3, .n_journals = 2 } };
+  struct PartitionGroup group = { .n_entries = 2, .entries = entries };
+  struct Member member = { .draining = true };
+  uint8_t *packed = NULL;
+  size_t n_bytes = 0;
+  int32_t error;
+  int failures;
+
+  snprintf (entries[0].home, sizeof entries[0].home, "entry-1.4");
+  snprintf (entries[0].journals[0], sizeof entries[0].journals[0], "entry-2.1");
+  snprintf (entries[0].journals[1], sizeof entries[0].journals[1], "entry-1.4");
+  error = partition_group_pack (ctx, &group, &packed, &n_bytes);
+  failures = write_state (ctx, folder, STATE_GROUP, error, packed, n_bytes);
+  snprintf (member.incarnation, sizeof member.incarnation, "entry-1.4");
+  snprintf (member.zone, sizeof member.zone, "malda");
+  snprintf (member.caller_address, sizeof member.caller_address, "10.1.0.1:8700");
+  snprintf (member.peer_address, sizeof member.peer_address, "10.1.0.1:8702");
+  error = member_pack (ctx, &member, &packed, &n_bytes);
+  return failures + write_state (ctx, folder, STATE_MEMBER, error, packed, n_bytes);
+}
+
+static int
+write_config (TALLOC_CTX *ctx, const char *folder)
+{
+  struct ConfigChange change = { .kind = CONFIG_CHANGE_DRAIN,
+                                 .change_id = "c-1",
+                                 .name = "entry-4",
+                                 .who = "asha",
+                                 .reason = "dawn",
+                                 .text = "on",
+                                 .before = "" };
+  struct ConfigFold *fold = config_fold_new (ctx);
+  struct ConfigParcel parcel = { .kind = CONFIG_PARCEL_ENTRY, .revision = 1 };
+  uint8_t *packed = NULL;
+  size_t n_bytes = 0;
+  int32_t error = config_change_pack (ctx, &change, &packed, &n_bytes);
+  int failures = write_state (ctx, folder, STATE_CHANGE, error, packed, n_bytes);
+
+  parcel.value = packed;
+  parcel.value_bytes = n_bytes;
+  error = config_parcel_pack (ctx, &parcel, &packed, &n_bytes);
+  failures += write_state (ctx, folder, STATE_PARCEL, error, packed, n_bytes);
+  change.revision = 1;
+  config_fold_take (fold, &change);
+  error = config_fold_pack (fold, ctx, &packed, &n_bytes);
+  return failures + write_state (ctx, folder, STATE_FOLD, error, packed, n_bytes);
+}
+
+static int
+write_snapshot (TALLOC_CTX *ctx, const char *folder)
+{
+  struct Ledger *ledger = ledger_new (ctx);
+  struct Record created = { .kind = RECORD_PROGRAM, .epoch = 1 };
+  struct LedgerTurn turn = { .idempotent = true };
+  struct LedgerProgram *program;
+  struct Record *records = NULL;
+  size_t n_records = 0;
+
+  snprintf (created.program.program, sizeof created.program.program, "p-1");
+  snprintf (created.program.service, sizeof created.program.service, "hiring-agents");
+  created.program.budget_tokens = 4000;
+  program = ledger_insert (ledger, &created);
+  fill_key (&turn.key);
+  turn.outcome.answer = (const uint8_t *)"answer";
+  turn.outcome.answer_bytes = strlen ("answer");
+  if (program == NULL || program_need_branch (program, MAIN_BRANCH) == NULL
+      || program_add_turn (program, &turn) != ERROR_NONE
+      || ledger_add_snapshots (ledger, ctx, program, &records, &n_records) != ERROR_NONE
+      || n_records != 1)
+    return 1;
+  return write_state (ctx, folder, STATE_SNAPSHOT, ERROR_NONE, records[0].snapshot.state,
+                      records[0].snapshot.state_bytes);
+}
+
+static int
+write_states (const char *folder)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  int failures = write_group_and_member (ctx, folder) + write_config (ctx, folder)
+                 + write_snapshot (ctx, folder);
+
+  talloc_free (ctx);
+  return failures;
+}
+
 int
 main (int argc, char **argv)
 {
   if (argc != 2)
     return 2;
-  return write_slots (argv[1]) + write_messages (argv[1]) == 0 ? 0 : 1;
+  return write_slots (argv[1]) + write_messages (argv[1]) + write_states (argv[1]) == 0 ? 0 : 1;
 }
--- a/tests/fuzz/run.sh
+++ b/tests/fuzz/run.sh
@@ -9,7 +9,7 @@
 runs=${FUZZ_RUNS:-20000}
 work=$(mktemp -d)
 trap 'rm -rf "$work"' EXIT
-mkdir "$work/record" "$work/peer" "$work/config" "$work/caller"
+mkdir "$work/record" "$work/peer" "$work/config" "$work/caller" "$work/state"
 "$make_seeds" "$work"
 cp "$source"/examples/*.ini "$work/config"
 cp "$source"/tests/fuzz/seeds/caller/* "$work/caller"
