--- a/core/dispatch_estimate.c
+++ b/core/dispatch_estimate.c
@@ -99,7 +99,9 @@
     case POLICY_FIFO:
       return (double)now_ms;
     case POLICY_ATTAINED:
-      return tokens;
+      if (weights->ageing_ms == 0)
+        return tokens;
+      break;
     case POLICY_PROGRAM:
       break;
     }
