--- a/bench/policy_bench.c
+++ b/bench/policy_bench.c
@@ -22,6 +22,7 @@
                                               { "deadlines", required_argument, NULL, 'd' },
                                               { "reports", required_argument, NULL, 'e' },
                                               { "label", required_argument, NULL, 'b' },
+                                              { "menu-cache-weight", required_argument, NULL, 'u' },
                                               { "digest-ms", required_argument, NULL, 'g' },
                                               { "json", no_argument, NULL, 'j' },
                                               { NULL, 0, NULL, 0 } };
@@ -29,8 +30,9 @@
 static void
 usage (void)
 {
-  fputs ("policy_bench --scenario NAME --rule RULE --load PERCENT --seed N[..M] [--json]\n"
-         "  [--cache-weight PERMILLE] [--ageing MS] [--pause-keep MS] [--cache-tokens N]\n"
+  fputs ("policy_bench --scenario NAME|FILE --rule RULE --load PERCENT --seed N[..M] [--json]\n"
+         "  [--cache-weight PERMILLE] [--menu-cache-weight PERMILLE]\n "
+         "  [--ageing MS] [--pause-keep MS] [--cache-tokens N]\n"
          "  [--minutes N] [--deadlines 0|1] [--reports 0|1] [--digest-ms N] [--label TEXT]\n"
          "scenarios: ample scarce ample-deadlines scarce-deadlines dawn night slow dead frozen "
          "poison\n"
@@ -106,6 +108,7 @@
   struct SimOptions options;
   uint64_t first = 1, last = 1;
   const char *label = NULL;
+  uint32_t menu_cache_weight = UINT32_MAX;
   bool json = false;
   int c;
 
@@ -116,7 +119,7 @@
     switch (c)
       {
       case 's':
-        if (!sim_scenario (&options, optarg))
+        if (!sim_scenario (&options, optarg) && sim_scenario_load (&options, optarg) != 0)
           usage ();
         break;
       case 'r':
@@ -131,6 +134,9 @@
       case 'w':
         options.weights.cache_weight_permille = (uint32_t)strtoul (optarg, NULL, 10);
         break;
+      case 'u':
+        menu_cache_weight = (uint32_t)strtoul (optarg, NULL, 10);
+        break;
       case 'a':
         options.weights.ageing_ms = (uint32_t)strtoul (optarg, NULL, 10);
         break;
@@ -161,6 +167,10 @@
       default:
         usage ();
       }
+  if (menu_cache_weight == UINT32_MAX)
+    menu_cache_weight = options.weights.cache_weight_permille;
+  options.menu_weights = options.weights;
+  options.menu_weights.cache_weight_permille = menu_cache_weight;
   if (label == NULL)
     label = rule_names[options.weights.rule];
   for (options.seed = first; options.seed <= last; options.seed++)
--- a/bench/policy_sim.c
+++ b/bench/policy_sim.c
@@ -129,6 +129,16 @@
   memcpy (digest, &call, sizeof call);
 }
 
+/* The profile under which the program's service runs. */
+static const struct PolicyWeights *
+sim_weights (const struct Sim *sim, const struct SimProgram *program)
+{
+  enum ProgramKind kind = program->work->kind;
+
+  return kind == KIND_REVIEW || kind == KIND_EXPORT ? &sim->options->menu_weights
+                                                    : &sim->options->weights;
+}
+
 /* ---- Programs ---- */
 
 static struct Call
@@ -247,7 +257,7 @@
   item.suspect = quarantine_suspects (sim->quarantine, digest);
   branch->server = server->index;
   branch->call = id;
-  error = dispatch_queue_push (server->queue, &sim->options->weights, &item, (uint32_t)id,
+  error = dispatch_queue_push (server->queue, sim_weights (sim, program), &item, (uint32_t)id,
                                sim_clock (sim), &retry_after_ms, &fault);
   if (error != ERROR_NONE)
     {
@@ -276,7 +286,7 @@
       return;
     }
   call = sim_call (sim, id);
-  index = placement_choose (sim->placement, &sim->options->weights, sim->digests,
+  index = placement_choose (sim->placement, sim_weights (sim, program), sim->digests,
                             sim->options->n_engines, &call, sim_clock (sim), &fault);
   if (index < 0)
     sim_refused (sim, id, fault.error, 1000);
--- a/bench/policy_sim.h
+++ b/bench/policy_sim.h
@@ -28,6 +28,7 @@
   enum ArrivalShape shape;
   enum SimFault fault;
   struct PolicyWeights weights;
+  struct PolicyWeights menu_weights; /* of menu-agents and label-export */
   uint64_t seed;
   double load;     /* share of the capacity */
   double capacity; /* measured: what the best baseline gets done when there is always work, as a
@@ -69,5 +70,11 @@
 bool
 sim_scenario (struct SimOptions *options, const char *name);
 
+/* Reads [scenario] of an INI file: base (a built-in one, first), arrivals, fault, engines, minutes,
+ * capacity, deadlines, reports, digest_ms, report_ms, and the engine's parameters. 0, the line of
+ * the first fault, or -1 when the file can not be read. */
+int
+sim_scenario_load (struct SimOptions *options, const char *file);
+
 void
 sim_run (const struct SimOptions *options, struct SimResult *result);
--- a/bench/run_policy.sh
+++ b/bench/run_policy.sh
@@ -21,7 +21,8 @@
 program-no-keep --rule program --pause-keep 0
 program-latency --rule program --cache-weight 0
 program --rule program
-program-cache --rule program --cache-weight 1000"
+program-cache --rule program --cache-weight 1000
+program-both --rule program --cache-weight 100 --menu-cache-weight 1000"
 
 add () { # file, scenario, load, further options, variants
   while read -r label options; do
@@ -81,27 +82,46 @@
     | {mean: ($p.latency_ms_mean / ($run | best(.latency_ms_mean))),
        p50: ($p.latency_ms_p50 / ($run | best(.latency_ms_p50))),
        p95: ($p.latency_ms_p95 / ($run | best(.latency_ms_p95))),
-       wasted: ($p.wasted / (($run | best(.wasted)) + 0.000001))})
+       wasted: (if $share then $p.wasted / ($run | best(.wasted))
+         else $p.wasted - ($run | best(.wasted)) end)})
   | [$rule] + ([.[] | .mean] | [add / length, max]) + ([.[] | .p50] | [add / length, max])
     + ([.[] | .p95] | [add / length, max]) + ([.[] | .wasted] | [add / length, max])
   | @tsv'
-goals () { # file
+goals () { # file, true: share wasted as a ratio, false: as a difference
   echo
   echo "Ratio to the best baseline of the same run, $1, 95% load: mean over the seeds (worst seed)"
   echo
-  echo "| rule | mean latency | p50 | p95 | wasted |"
+  echo "| rule | mean latency | p50 | p95 | wasted$([ "$2" = true ] || echo " (difference)") |"
   echo "|---|---|---|---|---|"
-  for rule in attained attained+ageing program-no-keep program-latency program program-cache; do
-    jq -rs --arg rule "$rule" "$ratios" "$out/$1.jsonl"
-  done | awk -F'\t' '{ printf "| %s | %.2f (%.2f) | %.2f (%.2f) | %.2f (%.2f) | %.2f (%.2f) |\n",
+  for rule in attained attained+ageing program-no-keep program-latency program program-cache \
+    program-both; do
+    jq -rs --arg rule "$rule" --argjson share "$2" "$ratios" "$out/$1.jsonl"
+  done | awk -F'\t' '{ printf "| %s | %.2f (%.2f) | %.2f (%.2f) | %.2f (%.2f) | %.3f (%.3f) |\n",
     $1, $2, $3, $4, $5, $6, $7, $8, $9 }'
 }
+overload () { # file
+  echo
+  echo "Overload, $1, deadlines enforced: mean over the seeds (worst seed)"
+  echo
+  echo "| rule | goodput at 130% / at 100% | one-call p95 at 130% / unloaded (5%) |"
+  echo "|---|---|---|"
+  for rule in sticky fifo attained program; do
+    jq -rs --arg rule "$rule" 'map(select(.rule == $rule)) | group_by(.seed)
+      | map((map(select(.load == 130))[0]) as $o | (map(select(.load == 100))[0]) as $f
+        | (map(select(.load == 5))[0]) as $u
+        | [$o.goodput_per_s / $f.goodput_per_s, $o.short_ms_p95 / $u.short_ms_p95])
+      | [$rule, (map(.[0]) | add / length), (map(.[0]) | min), (map(.[1]) | add / length),
+         (map(.[1]) | max)] | @tsv' "$out/$1.jsonl"
+  done | awk -F'\t' '{ printf "| %s | %.2f (%.2f) | %.2f (%.2f) |\n", $1, $2, $3, $4, $5 }'
+}
 {
   echo "# Policy experiments: tables"
   echo
   echo "Written by bench/run_policy.sh, seeds $seeds. See [POLICY.md](../POLICY.md)."
-  goals scarce
-  goals ample
+  goals scarce true
+  goals ample false
+  overload scarce-deadlines
+  overload ample-deadlines
   for load in 50 80 95 130; do table scarce scarce $load; done
   for load in 50 80 95 130; do table ample ample $load; done
   for load in 5 50 80 95 100 130; do table scarce-deadlines scarce-deadlines $load; done
--- a/bench/scenario.c
+++ b/bench/scenario.c
@@ -1,7 +1,10 @@
 #include "policy_sim.h"
 
+#include <stdlib.h>
 #include <string.h>
 
+#include <ini.h>
+
 /* One engine that is busy with sixteen calls serves about 680 tokens a second. */
 static const struct EngineParams engine = { .step_base_ms = 18,
                                             .step_call_ms = 0.35,
@@ -73,7 +76,107 @@
                                                  .share = 100,
                                                  .retry_budget_permille = 100,
                                                  .pause_keep_ms = 60000 };
+      options->menu_weights = options->weights;
       return true;
     }
   return false;
 }
+
+static const char *const shape_names[] = { "steady", "dawn", "night" };
+static const char *const fault_names[] = { "none", "slow", "dead", "frozen", "poison" };
+
+/* Index of value among n names, or n. */
+static size_t
+name_index (const char *const *names, size_t n, const char *value)
+{
+  size_t i = 0;
+
+  while (i < n && strcmp (names[i], value) != 0)
+    i++;
+  return i;
+}
+
+static bool
+scenario_set_name (struct SimOptions *options, const char *key, const char *value)
+{
+  size_t n_shapes = sizeof shape_names / sizeof shape_names[0];
+  size_t n_faults = sizeof fault_names / sizeof fault_names[0];
+  size_t i;
+
+  if (strcmp (key, "base") == 0)
+    return sim_scenario (options, value);
+  if (strcmp (key, "arrivals") == 0)
+    {
+      i = name_index (shape_names, n_shapes, value);
+      options->shape = (enum ArrivalShape)i;
+      return i < n_shapes;
+    }
+  if (strcmp (key, "fault") == 0)
+    {
+      i = name_index (fault_names, n_faults, value);
+      options->fault = (enum SimFault)i;
+      return i < n_faults;
+    }
+  return false;
+}
+
+static bool
+scenario_set_number (struct SimOptions *o, const char *key, double value)
+{
+  if (strcmp (key, "engines") == 0 && value >= 1 && value <= SIM_ENGINES_MAX)
+    o->n_engines = (uint32_t)value;
+  else if (strcmp (key, "minutes") == 0 && value > 0)
+    o->duration_ms = value * 60000;
+  else if (strcmp (key, "capacity") == 0 && value > 0)
+    o->capacity = value;
+  else if (strcmp (key, "deadlines") == 0)
+    o->deadlines = value != 0;
+  else if (strcmp (key, "reports") == 0)
+    o->reports = value != 0;
+  else if (strcmp (key, "digest_ms") == 0 && value > 0)
+    o->digest_ms = (uint32_t)value;
+  else if (strcmp (key, "report_ms") == 0 && value > 0)
+    o->report_ms = (uint32_t)value;
+  else if (strcmp (key, "cache_tokens") == 0 && value > 0)
+    o->engine.cache_tokens = (uint64_t)value;
+  else if (strcmp (key, "batch_max") == 0 && value >= 1)
+    o->engine.batch_max = (uint32_t)value;
+  else if (strcmp (key, "step_base_ms") == 0 && value > 0)
+    o->engine.step_base_ms = value;
+  else if (strcmp (key, "step_call_ms") == 0 && value >= 0)
+    o->engine.step_call_ms = value;
+  else if (strcmp (key, "prefill_us_per_token") == 0 && value > 0)
+    o->engine.prefill_us_per_token = value;
+  else
+    return false;
+  return true;
+}
+
+static int
+scenario_key (void *data, const char *section, const char *key, const char *value)
+{
+  struct SimOptions *options = data;
+  char *end;
+  double number = strtod (value, &end);
+
+  if (strcmp (section, "scenario") != 0)
+    return 0;
+  if (end != value && *end == '\0')
+    return scenario_set_number (options, key, number);
+  return scenario_set_name (options, key, value);
+}
+
+int
+sim_scenario_load (struct SimOptions *options, const char *file)
+{
+  const char *name = strrchr (file, '/');
+  int line;
+
+  if (!sim_scenario (options, "scarce"))
+    return -1;
+  line = ini_parse (file, scenario_key, options);
+  name = name != NULL ? name + 1 : file;
+  memset (options->scenario, 0, sizeof options->scenario);
+  strncpy (options->scenario, name, sizeof options->scenario - 1);
+  return line;
+}
