One place in four goes by age: a bound on the wait of large programs

A call that has waited for two ageing times may now take the places of any paused programs, one in every four places given.

--- a/core/dispatch_queue.c
+++ b/core/dispatch_queue.c
@@ -7,6 +7,8 @@
 
 enum
 {
+  QUEUE_OVERDUE_TURN = 4,
+  QUEUE_OVERDUE_AGEINGS = 2,
   QUEUE_PREFILL_TOKENS = 1536,
   QUEUE_PREFILL_PATIENCE = 4
 };
@@ -100,12 +102,15 @@
 {
   if (call->item.suspect)
     return policy_heap_put (queue, &queue->suspects, &call->order);
+  if (!call->ready && !policy_heap_put (queue, &queue->ages, &call->age))
+    return false;
   return fair_share_add (queue, &queue->fair, call->service, &call->order, call->ready);
 }
 
 static void
 queue_dequeue (struct DispatchQueue *queue, struct QueuedCall *call)
 {
+  policy_heap_remove (&queue->ages, &call->age);
   if (call->item.suspect)
     policy_heap_remove (&queue->suspects, &call->order);
   else
@@ -189,7 +194,8 @@
   call->service = service;
   call->pushed_ms = now_ms;
   call->order.minor = queue_urgency (weights, item, now_ms);
-  call->order.sequence = call->expiry.sequence = ++queue->sequence;
+  call->order.sequence = call->expiry.sequence = call->age.sequence = ++queue->sequence;
+  call->age.minor = (double)now_ms;
   if (queue_insert (queue, call, now_ms))
     return ERROR_NONE;
   talloc_free (call);
@@ -263,6 +269,7 @@
     queue->admit_gap_ms +=
         ((double)(now_ms - queue->admitted_ms) - queue->admit_gap_ms) * QUEUE_GAIN;
   queue->admitted_ms = now_ms;
+  queue->n_admitted++;
 }
 
 static struct QueuedCall *
@@ -294,12 +301,30 @@
   call = HEAP_ENTRY (node, struct QueuedCall, order);
   if (call->program != NULL && !call->program->active)
     {
-      active_set_admit (&queue->set, call->program, true);
+      active_set_admit (&queue->set, call->program, ACTIVE_FORCED);
       queue_ready_program (queue, call->program, now_ms);
     }
   return call;
 }
 
+/* The oldest call that waits for a place, if it has waited too long and it is its turn: one in a
+ * few places goes by age, so that none waits for ever however many newcomers there are. */
+static struct QueuedCall *
+queue_next_overdue (struct DispatchQueue *queue, int64_t now_ms)
+{
+  struct HeapNode *node = policy_heap_first (&queue->ages);
+  struct QueuedCall *call;
+
+  if (node == NULL || queue->n_admitted % QUEUE_OVERDUE_TURN != 0)
+    return NULL;
+  call = HEAP_ENTRY (node, struct QueuedCall, age);
+  if (now_ms - call->pushed_ms < (int64_t)call->service->weights.ageing_ms * QUEUE_OVERDUE_AGEINGS
+      || !active_set_admit (&queue->set, call->program, ACTIVE_OVERDUE))
+    return NULL;
+  queue_ready_program (queue, call->program, now_ms);
+  return call;
+}
+
 static struct QueuedCall *
 queue_next (struct DispatchQueue *queue, int64_t now_ms)
 {
@@ -310,7 +335,9 @@
   if (outside != NULL && (ready == NULL || heap_node_before (outside, ready)))
     {
       call = queue_first_outside (outside);
-      if (active_set_admit (&queue->set, call->program, queue->n_in_flight == 0 && ready == NULL))
+      if (active_set_admit (&queue->set, call->program,
+                            queue->n_in_flight == 0 && ready == NULL ? ACTIVE_FORCED
+                                                                     : ACTIVE_USUAL))
         {
           queue_ready_program (queue, call->program, now_ms);
           return call;
@@ -328,6 +355,8 @@
   if (queue->n_in_flight >= policy_limit_now (&queue->limit))
     return false;
   call = queue_next_suspect (queue, now_ms);
+  if (call == NULL)
+    call = queue_next_overdue (queue, now_ms);
   if (call == NULL)
     call = queue_next (queue, now_ms);
   if (call == NULL || !queue_prefill_has_room (queue, call, now_ms))
--- a/core/dispatch_state.h
+++ b/core/dispatch_state.h
@@ -17,6 +17,7 @@
   struct FairService *service;
   struct ActiveProgram *program; /* NULL for rules without an active set */
   struct HeapNode order;         /* in the service's ready or outside heap, or among the suspects */
+  struct HeapNode age;           /* among all calls outside, oldest first */
   struct HeapNode expiry;        /* latest time at which it can start */
   struct QueuedCall *next, *previous; /* waiting calls of one program */
   bool ready;
@@ -36,6 +37,8 @@
   struct FairShare fair;
   struct ActiveSet set;
   struct PolicyHeap expiry;
+  struct PolicyHeap ages; /* of calls outside */
+  uint32_t n_admitted;
   struct PolicyHeap suspects; /* waiting; one at a time is sent */
   uint32_t n_suspects_in_flight;
   struct PolicyLimit limit;
--- a/core/policy_active.c
+++ b/core/policy_active.c
@@ -69,6 +69,12 @@
   policy_heap_remove (&set->keeps, &program->keep_node);
 }
 
+static bool
+active_is_small (const struct ActiveSet *set, const struct ActiveProgram *program)
+{
+  return (double)program->footprint_tokens <= set->budget_tokens * ACTIVE_SMALL_SHARE;
+}
+
 static void
 active_resize (struct ActiveSet *set, struct ActiveProgram *program)
 {
@@ -76,7 +82,14 @@
 
   if (program->active)
     set->active_tokens += tokens - program->footprint_tokens;
+  if (program->small)
+    set->small_tokens += tokens - program->footprint_tokens;
   program->footprint_tokens = tokens;
+  if (program->small && !active_is_small (set, program))
+    {
+      program->small = false;
+      set->small_tokens -= tokens;
+    }
 }
 
 static void
@@ -124,6 +137,9 @@
   if (!program->active)
     return;
   program->active = false;
+  if (program->small)
+    set->small_tokens -= program->footprint_tokens;
+  program->small = false;
   set->active_tokens -= program->footprint_tokens;
   set->n_active--;
 }
@@ -148,10 +164,16 @@
 }
 
 static bool
-active_has_room (const struct ActiveSet *set, const struct ActiveProgram *program)
+active_has_room (const struct ActiveSet *set,
+                 const struct ActiveProgram *program,
+                 enum ActiveClaim claim)
 {
-  return set->n_active == 0
-         || (double)(set->active_tokens + program->footprint_tokens) <= set->budget_tokens;
+  uint64_t taken = set->active_tokens;
+
+  if (claim == ACTIVE_OVERDUE)
+    taken -= set->small_tokens;
+  return claim == ACTIVE_FORCED || taken == 0
+         || (double)(taken + program->footprint_tokens) <= set->budget_tokens;
 }
 
 static void
@@ -169,19 +191,21 @@
 
   if (program->active)
     return true;
-  if ((double)program->footprint_tokens > set->budget_tokens * ACTIVE_SMALL_SHARE
+  if (!active_is_small (set, program)
       || (double)(set->active_tokens + program->footprint_tokens) > most)
     return false;
   active_enter (set, program);
+  program->small = true;
+  set->small_tokens += program->footprint_tokens;
   return true;
 }
 
 bool
-active_set_admit (struct ActiveSet *set, struct ActiveProgram *program, bool forced)
+active_set_admit (struct ActiveSet *set, struct ActiveProgram *program, enum ActiveClaim claim)
 {
   if (program->active)
     return true;
-  while (!forced && !active_has_room (set, program))
+  while (!active_has_room (set, program, claim))
     {
       struct HeapNode *node = policy_heap_first (&set->victims);
       struct ActiveProgram *victim;
@@ -189,7 +213,7 @@
       if (node == NULL)
         return false;
       victim = HEAP_ENTRY (node, struct ActiveProgram, victim_node);
-      if (!active_may_take (program, victim))
+      if (claim != ACTIVE_OVERDUE && !active_may_take (program, victim))
         return false;
       active_set_forget (set, victim);
       set->n_taken++;
--- a/core/policy_active.h
+++ b/core/policy_active.h
@@ -21,6 +21,7 @@
   char name[PROGRAM_ID_MAX_BYTES + 1];
   struct FairService *service;
   bool active;
+  bool small;                /* let in as a small program, and still small */
   uint64_t footprint_tokens; /* counted in the set's sum while active */
   uint64_t held_tokens;      /* prefixes of all its branches */
   uint64_t pending_tokens;   /* more that its calls under way will bring */
@@ -37,6 +38,7 @@
   struct PolicyTable programs;
   struct PolicyHeap victims, keeps;
   uint64_t active_tokens;
+  uint64_t small_tokens; /* of these, of small programs */
   size_t n_active;
   double budget_tokens;        /* INFINITY: not scarce as far as seen */
   uint64_t reported_tokens;    /* capacity by the server's own report; 0: none */
@@ -71,10 +73,18 @@
                  uint32_t new_tokens,
                  uint32_t grown_tokens);
 
+enum ActiveClaim
+{
+  ACTIVE_USUAL,
+  ACTIVE_OVERDUE, /* has waited too long: takes the place of any paused program, and the room that
+                     small programs take up counts as free */
+  ACTIVE_FORCED   /* whatever room there is: the server would stand idle */
+};
+
 /* Gives program its place if there is room, making some by taking it from paused programs that
- * are less urgent. forced: the server would stand idle otherwise. */
+ * are less urgent. */
 bool
-active_set_admit (struct ActiveSet *set, struct ActiveProgram *program, bool forced);
+active_set_admit (struct ActiveSet *set, struct ActiveProgram *program, enum ActiveClaim claim);
 
 /* Gives a small program its place at once, a little beyond the budget if need be. */
 bool
--- a/tests/test_dispatch_queue.c
+++ b/tests/test_dispatch_queue.c
@@ -422,6 +422,36 @@
   talloc_free (queue);
 }
 
+/* A review whose history fills most of the cache waits for minutes, though nothing is wrong: there
+ * is never room for it at once, because small and new programs come in all the time. */
+static void
+test_a_large_program_gets_its_place_in_time (void)
+{
+  struct DispatchQueue *queue = dispatch_queue_new (NULL, 16);
+  struct DispatchItem review = item_of (1, "review", "hiring-agents", 100000);
+  int64_t served_ms = -1;
+
+  review.prompt_tokens = 9000;
+  dispatch_queue_report_cache (queue, 10000);
+  for (int64_t now = 0; now < 60000 && served_ms < 0; now += 100)
+    {
+      uint64_t new_id = 2 + (uint64_t)now, id;
+      char name[32];
+
+      if (now == 500)
+        push_item (queue, &program_rule, &review, now);
+      snprintf (name, sizeof name, "new-%d", (int)now);
+      push (queue, &program_rule, new_id, name, 0, now);
+      id = pop (queue, now);
+      if (id == 1)
+        served_ms = now;
+      finish (queue, id, 0, now); /* and pauses */
+    }
+  /* Overdue after two ageing times, and then the turn of one in four. */
+  CU_ASSERT (served_ms > 0 && served_ms <= 4000);
+  talloc_free (queue);
+}
+
 static void
 test_a_removed_item_is_never_given (void)
 {
@@ -459,6 +489,7 @@
   { "long prompts wait here and not in the engine",
     test_long_prompts_wait_here_and_not_in_the_engine },
   { "suspects run one at a time", test_suspects_run_one_at_a_time },
+  { "a large program gets its place in time", test_a_large_program_gets_its_place_in_time },
   { "a removed item is never given", test_a_removed_item_is_never_given },
   { NULL, NULL },
 };
