--- a/bench/policy_sim.h
+++ b/bench/policy_sim.h
@@ -28,6 +28,7 @@
   enum ArrivalShape shape;
   enum SimFault fault;
   struct PolicyWeights weights;
+  struct PolicyWeights menu_weights; /* of menu-agents and label-export */
   uint64_t seed;
   double load;     /* share of the capacity */
   double capacity; /* measured: what the best baseline gets done when there is always work, as a
@@ -46,12 +47,13 @@
 struct SimResult
 {
   size_t n_programs, n_done, n_refused, n_late, n_failed;
-  struct Percentiles latency_ms; /* of programs that were done */
-  struct Percentiles short_ms;   /* of these, programs of one call */
-  struct Percentiles slowdown;   /* latency / ideal */
-  double wasted;                 /* prefix tokens computed again / prefix tokens seen */
-  double goodput_per_s;          /* done within their deadline, per second of arrivals */
-  double in_time;                /* share of all programs done within their deadline */
+  struct Percentiles latency_ms;     /* of programs that were done */
+  struct Percentiles short_ms;       /* of these, programs of one call */
+  struct Percentiles short_ideal_ms; /* and what the same programs take alone on an engine */
+  struct Percentiles slowdown;       /* latency / ideal */
+  double wasted;                     /* prefix tokens computed again / prefix tokens seen */
+  double goodput_per_s;              /* done within their deadline, per second of arrivals */
+  double in_time;                    /* share of all programs done within their deadline */
   double refused_calls;
   double fairness;                   /* Jain's index over the services' mean slowdown */
   double wait_mean_ms, wait_most_ms; /* of one call in the queues */
@@ -69,5 +71,11 @@
 bool
 sim_scenario (struct SimOptions *options, const char *name);
 
+/* Reads [scenario] of an INI file: base (a built-in one, first), arrivals, fault, engines, minutes,
+ * capacity, deadlines, reports, digest_ms, report_ms, and the engine's parameters. 0, the line of
+ * the first fault, or -1 when the file can not be read. */
+int
+sim_scenario_load (struct SimOptions *options, const char *file);
+
 void
 sim_run (const struct SimOptions *options, struct SimResult *result);
--- a/core/policy_active.h
+++ b/core/policy_active.h
@@ -21,8 +21,10 @@
   char name[PROGRAM_ID_MAX_BYTES + 1];
   struct FairService *service;
   bool active;
+  bool small;                /* let in as a small program, and still small */
   uint64_t footprint_tokens; /* counted in the set's sum while active */
-  uint32_t context_tokens;   /* after its last call that ended here; 0: none did */
+  uint64_t held_tokens;      /* prefixes of all its branches */
+  uint64_t pending_tokens;   /* more that its calls under way will bring */
   uint32_t n_waiting, n_running;
   int64_t ended_ms;            /* of the last call; 0: none */
   double urgency;              /* key of its last call */
@@ -36,6 +38,7 @@
   struct PolicyTable programs;
   struct PolicyHeap victims, keeps;
   uint64_t active_tokens;
+  uint64_t small_tokens; /* of these, of small programs */
   size_t n_active;
   double budget_tokens;        /* INFINITY: not scarce as far as seen */
   uint64_t reported_tokens;    /* capacity by the server's own report; 0: none */
@@ -55,23 +58,39 @@
 struct ActiveProgram *
 active_set_find (const struct ActiveSet *set, const char *name);
 
-/* A call with this prompt is about to wait; learns the pause since the last one. */
+/* A call is about to wait, of whose prompt that many tokens are cached; it will bring new_tokens
+ * more. Learns the pause since the last one. */
 void
 active_set_called (struct ActiveSet *set,
                    struct ActiveProgram *program,
-                   uint32_t prompt_tokens,
+                   uint32_t cached_tokens,
+                   uint32_t new_tokens,
                    int64_t now_ms);
+/* The call is over, and has added grown_tokens to what the program holds. */
+void
+active_set_done (struct ActiveSet *set,
+                 struct ActiveProgram *program,
+                 uint32_t new_tokens,
+                 uint32_t grown_tokens);
+
+enum ActiveClaim
+{
+  ACTIVE_USUAL,
+  ACTIVE_OVERDUE, /* has waited too long: takes the place of any paused program, and the room that
+                     small programs take up counts as free */
+  ACTIVE_FORCED   /* whatever room there is: the server would stand idle */
+};
 
 /* Gives program its place if there is room, making some by taking it from paused programs that
- * are less urgent. forced: the server would stand idle otherwise. */
+ * are less urgent. */
 bool
-active_set_admit (struct ActiveSet *set, struct ActiveProgram *program, bool forced);
+active_set_admit (struct ActiveSet *set, struct ActiveProgram *program, enum ActiveClaim claim);
 
 /* Gives a small program its place at once, a little beyond the budget if need be. */
 bool
 active_set_admit_small (struct ActiveSet *set, struct ActiveProgram *program);
 
-/* A call of program has ended: when nothing else of it is here, it is paused from now on. */
+/* A call of program is gone: when nothing else of it is here, it is paused from now on. */
 void
 active_set_paused (TALLOC_CTX *ctx,
                    struct ActiveSet *set,
