A home that is leaving finishes what it has in flight

Cause: streams through a planned stop never got their end: while a partition was being handed off its records were refused as not owned, so outcomes of calls in flight could not be written, and the hand-off waited for them for ever. Ruled out: owner and entry (their chunks went on). Change: homes_may_write; and the platform's list of backend servers is followed.

--- a/core/homes.c
+++ b/core/homes.c
@@ -303,6 +303,16 @@
   return p->state == HOMES_OWNED && !journal_is_fenced (homes->journal);
 }
 
+bool
+homes_may_write (const struct Homes *homes, uint32_t partition, uint64_t *epoch)
+{
+  const struct HomesPartition *p = &homes->partitions[partition];
+
+  *epoch = p->epoch;
+  return (p->state == HOMES_OWNED || p->state == HOMES_LEAVING)
+         && !journal_is_fenced (homes->journal);
+}
+
 bool
 homes_is_leaving (const struct Homes *homes, uint32_t partition)
 {
--- a/core/homes_map.c
+++ b/core/homes_map.c
@@ -1,7 +1,7 @@
 #include "homes_state.h"
-#include <buckthornhead/kv_guard.h>
 
 #include <buckthornhead/error.h>
+#include <buckthornhead/kv_guard.h>
 #include <buckthornhead/log.h>
 
 #include <inttypes.h>
--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -9,8 +9,9 @@
 #include "owner.h"
 #include "spooler.h"
 
+#include <buckthornhead/backend_list.h>
 #include <buckthornhead/counter.h>
-//TMP#include <buckthornhead/instances_http.h>
+#include <buckthornhead/instances_http.h>
 #include <buckthornhead/kv_http.h>
 #include <buckthornhead/log.h>
 #include <buckthornhead/timer_tevent.h>
@@ -42,7 +43,8 @@
 static void
 daemon_on_talloc_abort (const char *reason)
 {
-  log_event (LOG_LEVEL_ERROR, "memory_misused", NULL, "report this with the core file", "%s", reason);
+  log_event (LOG_LEVEL_ERROR, "memory_misused", NULL, "report this with the core file", "%s",
+             reason);
   abort ();
 }
 
@@ -371,6 +373,23 @@
   daemon->drain = drain_new (core);
 }
 
+static void
+daemon_follow_backends (struct Daemon *daemon)
+{
+  struct Core *core = daemon->core;
+  struct BackendListOptions options = { 0 };
+  struct InstancesPort *port =
+      instances_http_new (core, core->loop, core->settings->instances_url, KV_TIMEOUT_MS);
+
+  options.poll_ms = INSTANCES_POLL_MS;
+  options.seed = rendezvous_score ("instances", core->settings->instance);
+  options.changed = daemon_on_backends;
+  options.data = daemon;
+  if (port == NULL || backend_list_new (core, port, core->timers, &options) == NULL)
+    log_event (LOG_LEVEL_ERROR, "backend_list_failed", NULL, "give the instance more memory",
+               "the platform's list is not followed");
+}
+
 static void
 daemon_join (struct Daemon *daemon)
 {
@@ -392,8 +411,7 @@
   options.data = daemon;
   core->membership = membership_new (core, core->kv, core->timers, &options);
   if (settings->instances_url[0] != '\0')
-    if (0) ((void (*)(void *, void *, void *, const char *, int, void *, void *)) 0) (core, core->loop, core->timers, settings->instances_url, INSTANCES_POLL_MS,
-                        daemon_on_backends, daemon);
+    daemon_follow_backends (daemon);
 }
 
 static void
--- a/daemon/home_write.c
+++ b/daemon/home_write.c
@@ -119,7 +119,7 @@
 {
   struct Home *home = write->home;
 
-  if (!homes_owns (home->homes, write->record.partition, &write->record.epoch))
+  if (!homes_may_write (home->homes, write->record.partition, &write->record.epoch))
     return ERROR_NOT_OWNER;
   if (write->record.kind == RECORD_INTENT || write->record.kind == RECORD_PROGRAM)
     return journal_append_unless_down (home->journal, &write->record, home_on_written, write);
--- a/include/buckthornhead/homes.h
+++ b/include/buckthornhead/homes.h
@@ -73,6 +73,11 @@
 bool
 homes_owns (const struct Homes *homes, uint32_t partition, uint64_t *epoch);
 
+/* True when records of partition may still be appended, under *epoch: while it is owned, and while
+ * what is in flight in it is being finished ahead of a hand-off. */
+bool
+homes_may_write (const struct Homes *homes, uint32_t partition, uint64_t *epoch);
+
 /* True while this incarnation finishes what is in flight in partition before handing it off: new
  * calls are to wait for the new home, or to be refused as not run. */
 bool
