--- a/adapters/caller_request.c
+++ b/adapters/caller_request.c
@@ -231,7 +231,7 @@
 static int32_t
 parse_service_path (struct Parse *parse, const char *path)
 {
-  if (path[0] != '/' || strlen (path) >= sizeof parse->call->path)
+  if (path == NULL || path[0] != '/' || strlen (path) >= sizeof parse->call->path)
     return fault_set (parse->fault, ERROR_INVALID, "start it with '/', at most 127 characters",
                       "the service's path is missing or too long");
   for (const char *c = path; *c != '\0'; c++)
@@ -388,7 +388,7 @@
 
   parse->request->op = REQUEST_LONE;
   if (slash != NULL && slash - rest <= NAME_MAX_BYTES)
-    memcpy (target, rest, (size_t)(slash - rest));
+    snprintf (target, sizeof target, "%.*s", (int)(slash - rest), rest);
   error = parse_name (parse, "the service", target, call->target);
   if (error == ERROR_NONE)
     error = parse_service_path (parse, slash);
@@ -420,7 +420,7 @@
   size_t n = slash != NULL ? (size_t)(slash - rest) : strlen (rest);
 
   if (n <= PROGRAM_ID_MAX_BYTES)
-    memcpy (program, rest, n);
+    snprintf (program, sizeof program, "%.*s", (int)n, rest);
   if (post && strcmp (verb, "calls") == 0)
     return parse_call (parse, program, parse->query (parse->data, "branch"),
                        parse->query (parse->data, "sequence"));
--- a/daemon/home_call.c
+++ b/daemon/home_call.c
@@ -847,6 +847,6 @@
   {
     home_call_answer_all (call, &answer);
     home_call_forget_dispatch (call);
-    HASH_DELETE (by_key, home->calls, call);
   }
+  HASH_CLEAR (by_key, home->calls);
 }
--- a/daemon/home_internal.h
+++ b/daemon/home_internal.h
@@ -94,8 +94,10 @@
 };
 
 /* home_write.c */
-uint32_t home_partition (const struct Home *home, const char *program);
-void home_write_start (struct Home *home);
+uint32_t
+home_partition (const struct Home *home, const char *program);
+void
+home_write_start (struct Home *home);
 typedef void (*HomeWritten) (void *data, int32_t error);
 
 /* Journals record under the present epoch, applies it once durable (in an outage: on two disks),
@@ -108,12 +110,18 @@
             void *data);
 
 /* home_program.c */
-void home_on_create (struct Home *home, uint64_t link, const struct PeerRequest *request);
-void home_on_lone (struct Home *home, uint64_t link, const struct PeerRequest *request);
-void home_on_view (struct Home *home, uint64_t link, const struct PeerRequest *request);
-void home_on_history (struct Home *home, uint64_t link, const struct PeerRequest *request);
-void home_on_end (struct Home *home, uint64_t link, const struct PeerRequest *request);
-void home_on_list (struct Home *home, uint64_t link, const struct PeerRequest *request);
+void
+home_on_create (struct Home *home, uint64_t link, const struct PeerRequest *request);
+void
+home_on_lone (struct Home *home, uint64_t link, const struct PeerRequest *request);
+void
+home_on_view (struct Home *home, uint64_t link, const struct PeerRequest *request);
+void
+home_on_history (struct Home *home, uint64_t link, const struct PeerRequest *request);
+void
+home_on_end (struct Home *home, uint64_t link, const struct PeerRequest *request);
+void
+home_on_list (struct Home *home, uint64_t link, const struct PeerRequest *request);
 void
 home_end_program (struct Home *home, const char *program, enum EndReason reason);
 
--- a/daemon/home_program.c
+++ b/daemon/home_program.c
@@ -181,7 +181,8 @@
     {
       fault_set (&fault, ERROR_PLATFORM_DOWN, NULL,
                  "the platform's key-value service does not take the journal");
-      home_refuse (home, link, request->id, request->first_attempt, &fault, COME_BACK_PLATFORM_MS, 0);
+      home_refuse (home, link, request->id, request->first_attempt, &fault, COME_BACK_PLATFORM_MS,
+                   0);
       return;
     }
   if (ledger_create_program (home->ledger, &want, &exists, &fault) != ERROR_NONE)
@@ -222,7 +223,8 @@
     {
       fault_set (&fault, ERROR_PLATFORM_DOWN, NULL,
                  "the platform's key-value service does not take the journal");
-      home_refuse (home, link, request->id, request->first_attempt, &fault, COME_BACK_PLATFORM_MS, 0);
+      home_refuse (home, link, request->id, request->first_attempt, &fault, COME_BACK_PLATFORM_MS,
+                   0);
       return;
     }
   if (ledger_create_program (home->ledger, &want, &exists, &fault) != ERROR_NONE)
@@ -428,4 +430,3 @@
   home_reply_json (home, link, request->id, 200, json);
   talloc_free (json);
 }
-
--- a/daemon/spooler.c
+++ b/daemon/spooler.c
@@ -146,11 +146,11 @@
   snprintf (key, sizeof key, "%sdisk/%s", spooler->core->settings->prefix,
             spool_id (spooler->spool));
   request.put.key = key;
-  request.put.value = (const uint8_t *) instance;
+  request.put.value = (const uint8_t *)instance;
   request.put.value_bytes = strlen (instance);
   request.put.condition = KV_IF_ABSENT;
-  spooler->registering
-      = kv_submit (spooler->core->kv, &request, spooler_on_registered, spooler) == ERROR_NONE;
+  spooler->registering =
+      kv_submit (spooler->core->kv, &request, spooler_on_registered, spooler) == ERROR_NONE;
 }
 
 bool
--- a/daemon/spooler_internal.h
+++ b/daemon/spooler_internal.h
@@ -1,4 +1,5 @@
-/* What the spooler's files share: spooler.c (holder), spooler_writer.c, spooler_collect.c (taker). */
+/* What the spooler's files share: spooler.c (holder), spooler_writer.c, spooler_collect.c (taker).
+ */
 #pragma once
 
 #include "spooler.h"
@@ -56,12 +57,18 @@
   struct SpoolerCollect *collects;
 };
 
-void spooler_writer_tick (struct Spooler *spooler);
+void
+spooler_writer_tick (struct Spooler *spooler);
 bool
 spooler_writer_on_answer (struct Spooler *spooler, uint64_t link, const struct PeerAnswer *answer);
-void spooler_writer_on_closed (struct Spooler *spooler, uint64_t link);
+void
+spooler_writer_on_closed (struct Spooler *spooler, uint64_t link);
 
-void spooler_collect_tick (struct Spooler *spooler);
-void spooler_collect_record (struct Spooler *spooler, const struct PeerMessage *message);
-bool spooler_collect_on_answer (struct Spooler *spooler, const struct PeerAnswer *answer);
-void spooler_collect_on_closed (struct Spooler *spooler, uint64_t link);
+void
+spooler_collect_tick (struct Spooler *spooler);
+void
+spooler_collect_record (struct Spooler *spooler, const struct PeerMessage *message);
+bool
+spooler_collect_on_answer (struct Spooler *spooler, const struct PeerAnswer *answer);
+void
+spooler_collect_on_closed (struct Spooler *spooler, uint64_t link);
--- a/daemon/spooler_writer.c
+++ b/daemon/spooler_writer.c
@@ -9,7 +9,7 @@
 
 enum
 {
-  HOLDERS_MAX = sizeof ((struct Spooler *) 0)->holders / sizeof ((struct Spooler *) 0)->holders[0]
+  HOLDERS_MAX = sizeof ((struct Spooler *)0)->holders / sizeof ((struct Spooler *)0)->holders[0]
 };
 
 void
--- a/include/buckthornhead/spool.h
+++ b/include/buckthornhead/spool.h
@@ -22,7 +22,8 @@
 
 /* Id of this disk, made at random when the folder was first opened: a folder that lost its content
  * gets another. */
-const char *spool_id (const struct Spool *spool);
+const char *
+spool_id (const struct Spool *spool);
 
 /* Adds record number (ascending for its writer) to what the next spool_sync makes durable. A
  * number that is there already is ERROR_NONE: a resend. ERROR_FENCED once the writer was sealed. */
--- a/tests/test_spool.c
+++ b/tests/test_spool.c
@@ -174,8 +174,8 @@
 
 /* A home is paused in an outage; the platform comes back and another instance takes over: it seals
  * and reads the spool. The former home wakes, still believes in the outage and sends another
- * outcome. It must be refused, also after a restart of the holder, or its caller would be told of an
- * outcome that the new home does not know. */
+ * outcome. It must be refused, also after a restart of the holder, or its caller would be told of
+ * an outcome that the new home does not know. */
 static void
 test_sealed_writer_is_refused (void)
 {
@@ -186,18 +186,19 @@
   put (spool, 1, "one");
   CU_ASSERT_EQUAL (spool_sync (spool), ERROR_NONE);
   CU_ASSERT_EQUAL (spool_seal (spool, "malda-1.7"), ERROR_NONE);
-  CU_ASSERT_EQUAL (spool_put (spool, "malda-1.7", 2, (const uint8_t *) "two", 3), ERROR_FENCED);
+  CU_ASSERT_EQUAL (spool_put (spool, "malda-1.7", 2, (const uint8_t *)"two", 3), ERROR_FENCED);
   talloc_free (spool);
   spool = open_spool ();
   expect (spool, "1=one ");
-  CU_ASSERT_EQUAL (spool_put (spool, "malda-1.7", 2, (const uint8_t *) "two", 3), ERROR_FENCED);
+  CU_ASSERT_EQUAL (spool_put (spool, "malda-1.7", 2, (const uint8_t *)"two", 3), ERROR_FENCED);
   CU_ASSERT_EQUAL (spool_seal (spool, "malda-1.7"), ERROR_NONE);
   talloc_free (spool);
   remove_folder ();
 }
 
-/* A disk-bearing instance is replaced with an empty disk under its old name. A taker that counted it
- * as having answered would miss what only the lost disk held: the new disk must have another id. */
+/* A disk-bearing instance is replaced with an empty disk under its old name. A taker that counted
+ * it as having answered would miss what only the lost disk held: the new disk must have another id.
+ */
 static void
 test_emptied_disk_has_another_id (void)
 {
