--- a/ctl/ctl_change.c
+++ b/ctl/ctl_change.c
@@ -110,30 +110,54 @@
   return false;
 }
 
-static int
-send_target (const struct ChangeOptions *options,
-             const struct OperatorClient *client,
-             const struct ChangeTarget *target,
-             const struct CommandIo *io)
+/* The whole request, or false when an option or the name is wrong; the expectation may still be
+ * filled in from what is read. */
+static bool
+prepare (const struct ChangeOptions *options,
+         const struct ChangeTarget *target,
+         struct ChangeRequest *change,
+         const struct CommandIo *io)
 {
-  struct ChangeRequest change = {
-    .kind = target->kind,
-    .name = target->name,
-    .text = target->text,
-    .expects = target->expects,
-    .expected_revision = target->expected_revision,
-  };
-
+  memset (change, 0, sizeof *change);
+  change->kind = target->kind;
+  change->name = target->name;
+  change->text = target->text;
+  change->expects = target->expects;
+  change->expected_revision = target->expected_revision;
   if (!config_name_is_valid (target->name))
     {
       fprintf (io->err, "'%s' is no name: 1 to 64 letters, digits, '-', '_' and '.'\n",
                target->name);
-      return EXIT_CODE_USAGE;
+      return false;
     }
-  if (!read_expectation (options, &change, io) || !read_change_id (options, &change, io)
-      || !read_settle (options, &change, io) || !read_words (options, &change, io))
-    return EXIT_CODE_USAGE;
-  return change_send (client, &change, options->ctl.json->count > 0, io);
+  return read_expectation (options, change, io) && read_change_id (options, change, io)
+         && read_settle (options, change, io) && read_words (options, change, io);
+}
+
+static int
+send_change (const struct ChangeOptions *options,
+             const struct OperatorClient *client,
+             const struct ChangeRequest *change,
+             const struct CommandIo *io)
+{
+  return change_send (client, change, options->ctl.json->count > 0, io);
+}
+
+/* Reads what a change is checked against; NULL with *exit_code when that fails. */
+static const json_t *
+read_first (TALLOC_CTX *ctx,
+            const struct ChangeOptions *options,
+            const struct OperatorClient *client,
+            const char *path,
+            const struct CommandIo *io,
+            int *exit_code)
+{
+  struct OperatorAnswer *answer = operator_get (ctx, client, path);
+
+  if (answer != NULL && answer->error == ERROR_NONE && answer->body != NULL)
+    return answer->body;
+  *exit_code = ctl_show (answer, options->ctl.json->count > 0, NULL, io);
+  return NULL;
 }
 
 /* The first line as `profile show` writes it: text that was shown, edited and applied carries the
@@ -163,6 +187,7 @@
   struct OperatorClient *client = ctl_client_new (ctx, &options->ctl, io);
   struct ConfigFaults *faults = talloc_zero (ctx, struct ConfigFaults);
   struct ChangeTarget target = { .kind = "profile", .expects = true };
+  struct ChangeRequest change;
   struct Profile profile;
   int exit_code = EXIT_CODE_USAGE;
 
@@ -176,7 +201,8 @@
     }
   target.name = profile.name;
   take_shown_revision (&target);
-  exit_code = send_target (options, client, &target, io);
+  if (prepare (options, &target, &change, io))
+    exit_code = send_change (options, client, &change, io);
 out:
   talloc_free (ctx);
   return exit_code;
@@ -207,30 +233,47 @@
 {
   TALLOC_CTX *ctx = talloc_new (NULL);
   struct OperatorClient *client = ctl_client_new (ctx, &options->ctl, io);
-  struct ChangeTarget target = {
+  const struct ChangeTarget target = {
     .kind = "service", .name = name, .text = profile, .expects = true
   };
-  struct OperatorAnswer *services;
+  struct ChangeRequest change;
+  const json_t *services;
   int exit_code = EXIT_CODE_USAGE;
 
-  if (client == NULL)
+  if (client == NULL || !prepare (options, &target, &change, io))
     goto out;
   if (options->expect->count == 0)
     {
-      services = operator_get (ctx, client, "/operator/services");
-      if (services == NULL || services->error != ERROR_NONE)
-        {
-          exit_code = ctl_show (services, options->ctl.json->count > 0, NULL, io);
-          goto out;
-        }
-      target.expected_revision = service_revision (services->body, name);
+      services = read_first (ctx, options, client, "/operator/services", io, &exit_code);
+      if (services == NULL)
+        goto out;
+      change.expected_revision = service_revision (services, name);
     }
-  exit_code = send_target (options, client, &target, io);
+  exit_code = send_change (options, client, &change, io);
 out:
   talloc_free (ctx);
   return exit_code;
 }
 
+/* A drain of a mistyped name would be taken, drain nobody, and let its operator stop an instance
+ * that still serves. Back into service (--off) goes any name: its instance may be gone. */
+static bool
+is_known_instance (const json_t *body, const char *name, const struct CommandIo *io)
+{
+  const json_t *instances = json_object_get (body, "instances");
+
+  for (size_t i = 0; i < json_array_size (instances); i++)
+    {
+      const json_t *instance = json_array_get (instances, i);
+      const char *known = json_string_value (json_object_get (instance, "instance"));
+
+      if (known != NULL && strcmp (known, name) == 0)
+        return true;
+    }
+  fprintf (io->err, "no instance '%s'; see 'buckthornhead ctl instances'\n", name);
+  return false;
+}
+
 static int
 drain (const struct ChangeOptions *options,
        const char *instance,
@@ -239,13 +282,23 @@
 {
   TALLOC_CTX *ctx = talloc_new (NULL);
   struct OperatorClient *client = ctl_client_new (ctx, &options->ctl, io);
-  struct ChangeTarget target = {
+  const struct ChangeTarget target = {
     .kind = "drain", .name = instance, .text = off ? "off" : "on", .expects = false
   };
+  struct ChangeRequest change;
+  const json_t *instances;
   int exit_code = EXIT_CODE_USAGE;
 
-  if (client != NULL)
-    exit_code = send_target (options, client, &target, io);
+  if (client == NULL || !prepare (options, &target, &change, io))
+    goto out;
+  if (!off)
+    {
+      instances = read_first (ctx, options, client, "/operator/instances", io, &exit_code);
+      if (instances == NULL || !is_known_instance (instances, instance, io))
+        goto out;
+    }
+  exit_code = send_change (options, client, &change, io);
+out:
   talloc_free (ctx);
   return exit_code;
 }
--- a/tests/operations_page.sh
+++ b/tests/operations_page.sh
@@ -20,7 +20,7 @@
 
 # The second argument of log_event, or both ends of a choice between two.
 events=$(cat core/*.c adapters/*.c daemon/*.c | tr '\n' ' ' \
-  | grep -oE 'log_event \(LOG_LEVEL_[A-Z]+, *[^,]*,' | grep -oE '"[a-z_]+"' | tr -d '"' | sort -u)
+  | grep -oE 'log_event \([^,]*,[^,]*,' | grep -oE '"[a-z_]+"' | tr -d '"' | sort -u)
 for name in $events; do
   grep -q "\`$name\`" "$page" || fail "event $name is not explained"
 done
--- a/tests/test_ctl.c
+++ b/tests/test_ctl.c
@@ -16,6 +16,7 @@
 #define NOT_FOUND "{\"error\":{\"kind\":\"not_found\",\"message\":\"no such\",\"remedy\":\"look\"}}"
 #define PLATFORM_DOWN                                                                              \
   "{\"error\":{\"kind\":\"platform_down\",\"message\":\"no answer\",\"remedy\":\"wait\"}}"
+#define INSTANCES "{\"instances\":[{\"instance\":\"entry-1\"},{\"instance\":\"entry-4\"}]}"
 #define NOWHERE "127.0.0.1:1" /* nobody listens there */
 
 /* One run of ctl before a fake. */
@@ -318,14 +319,15 @@
 static void
 test_lost_answer_is_settled_by_change_id (void)
 {
-  static const struct FakeReply replies[] = { { 0, "" },
-                                              { 200, "{\"revision\":43}" },
-                                              { 0, NULL } };
+  static const struct FakeReply replies[] = {
+    { 200, INSTANCES }, { 0, "" }, { 200, "{\"revision\":43}" }, { 0, NULL }
+  };
   struct Run *r = run_ctl (replies, "ctl drain entry-4 --operator @");
 
   CU_ASSERT_EQUAL (r->exit_code, EXIT_CODE_OK);
   CU_ASSERT_STRING_EQUAL (r->out, "drain entry-4: revision 43\n");
   CU_ASSERT_STRING_EQUAL (r->log,
+                          "GET /operator/instances\n"
                           "POST /operator/changes {\"kind\":\"drain\",\"name\":\"entry-4\","
                           "\"text\":\"on\",\"change_id\":\"ID\",\"who\":\"asha\",\"reason\":\"\"}\n"
                           "GET /operator/changes/ID\n");
@@ -357,10 +359,13 @@
 test_unsettled_change_is_5_whatever_later_tries_say (void)
 {
   static const struct FakeReply down[] = {
-    { 0, "" }, { 404, NOT_FOUND }, { 503, PLATFORM_DOWN }, { 0, NULL }
+    { 200, INSTANCES }, { 0, "" }, { 404, NOT_FOUND }, { 503, PLATFORM_DOWN }, { 0, NULL }
+  };
+  static const struct FakeReply silent[] = {
+    { 200, INSTANCES }, { 0, "" }, { 0, "" }, { 0, NULL }
   };
-  static const struct FakeReply silent[] = { { 0, "" }, { 0, "" }, { 0, NULL } };
   static const struct FakeReply said[] = {
+    { 200, INSTANCES },
     { 503, "{\"error\":{\"kind\":\"unknown_effect\",\"message\":\"m\",\"remedy\":\"r\"}}" },
     { 503, PLATFORM_DOWN },
     { 0, NULL }
@@ -377,12 +382,26 @@
     }
 }
 
+/* An operator means entry-4, types entry-5 and stops entry-4 as soon as the drain is "done": its
+ * programs move only then, and slower. An unknown name is refused and nothing is sent. */
+static void
+test_drain_of_an_unknown_instance_is_2 (void)
+{
+  static const struct FakeReply replies[] = { { 200, INSTANCES }, { 0, NULL } };
+  struct Run *r = run_ctl (replies, "ctl drain entry-5 --operator @");
+
+  CU_ASSERT_EQUAL (r->exit_code, EXIT_CODE_USAGE);
+  CU_ASSERT_STRING_EQUAL (r->err, "no instance 'entry-5'; see 'buckthornhead ctl instances'\n");
+  CU_ASSERT_STRING_EQUAL (r->log, "GET /operator/instances\n");
+  talloc_free (r);
+}
+
 /* A change that reached nobody is not "unknown": exit code 4, and nobody is asked about it. */
 static void
 test_change_that_never_left_is_4 (void)
 {
   static const struct FakeReply replies[] = { { 0, NULL } };
-  struct Run *r = run_ctl (replies, "ctl drain entry-4 --operator " NOWHERE);
+  struct Run *r = run_ctl (replies, "ctl drain entry-4 --off --operator " NOWHERE);
 
   CU_ASSERT_EQUAL (r->exit_code, EXIT_CODE_UNREACHABLE);
   talloc_free (r);
@@ -635,6 +654,7 @@
   { "lost change is sent again under its id", test_lost_change_is_sent_again_under_its_id },
   { "unsettled change is 5 whatever later tries say",
     test_unsettled_change_is_5_whatever_later_tries_say },
+  { "drain of an unknown instance is 2", test_drain_of_an_unknown_instance_is_2 },
   { "change that never left is 4", test_change_that_never_left_is_4 },
   { "service set names the revision it read", test_service_set_names_the_revision_it_read },
   { "refusals have their exit codes", test_refusals_have_their_exit_codes },
