--- a/core/dispatch_state.h
+++ b/core/dispatch_state.h
@@ -17,12 +17,15 @@
   struct FairService *service;
   struct ActiveProgram *program; /* NULL for rules without an active set */
   struct HeapNode order;         /* in the service's ready or outside heap, or among the suspects */
+  struct HeapNode age;           /* among all calls outside, oldest first */
   struct HeapNode expiry;        /* latest time at which it can start */
   struct QueuedCall *next, *previous; /* waiting calls of one program */
   bool ready;
   bool running;
   int64_t pushed_ms, sent_ms, first_ms;
   uint32_t expected_tokens; /* cached prefix expected by this queue */
+  uint32_t new_tokens;      /* counted to the program's footprint */
+  uint32_t grown_tokens;    /* what its end added to what the program holds */
   uint32_t in_flight;
   double charged_tokens;
   uint32_t prefill_tokens; /* sent, and no first token seen yet */
@@ -34,6 +37,8 @@
   struct FairShare fair;
   struct ActiveSet set;
   struct PolicyHeap expiry;
+  struct PolicyHeap ages; /* of calls outside */
+  uint32_t n_admitted;
   struct PolicyHeap suspects; /* waiting; one at a time is sent */
   uint32_t n_suspects_in_flight;
   struct PolicyLimit limit;
--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -9,14 +9,16 @@
 #include "owner.h"
 #include "spooler.h"
 
+#include <buckthornhead/backend_list.h>
 #include <buckthornhead/counter.h>
-//TMP#include <buckthornhead/instances_http.h>
+#include <buckthornhead/instances_http.h>
 #include <buckthornhead/kv_http.h>
 #include <buckthornhead/log.h>
 #include <buckthornhead/timer_tevent.h>
 
 #include <signal.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include <curl/curl.h>
@@ -37,6 +39,15 @@
   bool stopped;
 };
 
+/* A misuse of memory ends the process at once; the log says so before it does. */
+static void
+daemon_on_talloc_abort (const char *reason)
+{
+  log_event (LOG_LEVEL_ERROR, "memory_misused", NULL, "report this with the core file", "%s",
+             reason);
+  abort ();
+}
+
 static void
 daemon_receive_mail (void *data, struct Mail *mail)
 {
@@ -362,6 +373,23 @@
   daemon->drain = drain_new (core);
 }
 
+static void
+daemon_follow_backends (struct Daemon *daemon)
+{
+  struct Core *core = daemon->core;
+  struct BackendListOptions options = { 0 };
+  struct InstancesPort *port =
+      instances_http_new (core, core->loop, core->settings->instances_url, KV_TIMEOUT_MS);
+
+  options.poll_ms = INSTANCES_POLL_MS;
+  options.seed = rendezvous_score ("instances", core->settings->instance);
+  options.changed = daemon_on_backends;
+  options.data = daemon;
+  if (port == NULL || backend_list_new (core, port, core->timers, &options) == NULL)
+    log_event (LOG_LEVEL_ERROR, "backend_list_failed", NULL, "give the instance more memory",
+               "the platform's list is not followed");
+}
+
 static void
 daemon_join (struct Daemon *daemon)
 {
@@ -383,8 +411,7 @@
   options.data = daemon;
   core->membership = membership_new (core, core->kv, core->timers, &options);
   if (settings->instances_url[0] != '\0')
-    if (0) ((void (*)(void *, void *, void *, const char *, int, void *, void *)) 0) (core, core->loop, core->timers, settings->instances_url, INSTANCES_POLL_MS,
-                        daemon_on_backends, daemon);
+    daemon_follow_backends (daemon);
 }
 
 static void
@@ -410,6 +437,7 @@
   struct Fault fault;
   int32_t error;
 
+  talloc_set_abort_fn (daemon_on_talloc_abort);
   curl_global_init (CURL_GLOBAL_DEFAULT);
   log_open (settings->instance, settings->zone, LOG_LEVEL_INFO);
   daemon.core = talloc_zero (NULL, struct Core);
