--- a/core/journal.c
+++ b/core/journal.c
@@ -12,7 +12,8 @@
 enum
 {
   SLOT_RECORDS_MAX_BYTES = KV_VALUE_MAX_BYTES - SLOT_HEADER_MAX_BYTES,
-  WRITES_PER_SLOT = 2 /* its creation and its deletion */
+  WRITES_PER_SLOT = 2, /* its creation and its deletion */
+  BURST_SLOTS = 8      /* that may follow one another at once after a quiet time */
 };
 
 /* The slot being written. It stays the same, number, id and bytes, from the first attempt that
@@ -45,7 +46,7 @@
   struct JournalIdle *idlers;
   struct Timer *timer;
   int64_t last_put_ms;
-  bool has_put;
+  int64_t paid_until_ms; /* each slot costs one interval of the write budget */
   uint64_t next_slot, last_batch_id;
   uint64_t replay_from;         /* as the next slot will say */
   uint64_t durable_replay_from; /* as the last durable slot says */
@@ -285,6 +286,20 @@
   journal_on_failed (journal);
 }
 
+/* The write budget as a bucket: an interval saved up is an interval to spend, up to burst_slots. A
+ * program that calls one tool after the other on a quiet instance then waits for the platform's
+ * answer alone, and not for the interval that a busy fleet needs. */
+static void
+journal_pay (struct Journal *journal)
+{
+  int64_t now_ms = timer_now_ms (journal->timers);
+
+  if (journal->paid_until_ms < now_ms)
+    journal->paid_until_ms = now_ms;
+  journal->paid_until_ms += journal->options.flush_interval_ms;
+  journal->last_put_ms = now_ms;
+}
+
 static void
 journal_put (struct Journal *journal)
 {
@@ -297,8 +312,7 @@
   request.put.value = batch->packed;
   request.put.value_bytes = batch->packed_bytes;
   request.put.condition = KV_IF_ABSENT;
-  journal->last_put_ms = timer_now_ms (journal->timers);
-  journal->has_put = true;
+  journal_pay (journal);
   batch->in_flight = true;
   if (key == NULL
       || kv_submit_guarded (journal, journal->kv, &request, journal_on_put, journal) != ERROR_NONE)
@@ -415,16 +429,16 @@
 static void
 journal_schedule (struct Journal *journal)
 {
-  int64_t delay_ms = 0;
+  int64_t delay_ms, saved_ms = 0;
 
   journal_run_idlers (journal);
   if (journal->fenced || journal->timer != NULL)
     return;
   if (journal->batch != NULL ? journal->batch->in_flight : journal->waiting.first == NULL)
     return;
-  if (journal->has_put)
-    delay_ms =
-        journal->last_put_ms + journal->options.flush_interval_ms - timer_now_ms (journal->timers);
+  if (journal->options.burst_slots > 1)
+    saved_ms = (int64_t)(journal->options.burst_slots - 1) * journal->options.flush_interval_ms;
+  delay_ms = journal->paid_until_ms - saved_ms - timer_now_ms (journal->timers);
   if (journal->n_failures > 0 && delay_ms < journal_retry_delay_ms (journal))
     delay_ms = journal_retry_delay_ms (journal);
   journal->timer = timer_subscribe (journal, journal->timers, delay_ms > 0 ? delay_ms : 0, 0,
--- a/daemon/home.c
+++ b/daemon/home.c
@@ -12,6 +12,7 @@
 enum
 {
   MAP_POLL_MS = 1000,
+  JOURNAL_BURST_SLOTS = 8,
   SWEEP_MS = 1000
 };
 
@@ -217,6 +218,7 @@
   journal.incarnation = incarnation;
   journal.flush_interval_ms =
       journal_flush_interval_ms (core->settings->journal_writes_per_s, (uint32_t)home->n_members);
+  journal.burst_slots = JOURNAL_BURST_SLOTS;
   journal.retry_ms = core->settings->journal_retry_ms;
   journal.fenced = home_on_fenced;
   journal.data = home;
--- a/include/buckthornhead/journal.h
+++ b/include/buckthornhead/journal.h
@@ -24,7 +24,8 @@
 {
   const char *prefix;          /* key prefix of this deployment, ending in '/' */
   const char *incarnation;     /* "<instance>.<number>" */
-  uint32_t flush_interval_ms;  /* least time between two slots */
+  uint32_t flush_interval_ms;  /* least time between two slots, on average */
+  uint32_t burst_slots;        /* slots that quiet time may save up; 0 and 1: none */
   uint32_t retry_ms;           /* pause before a failed append is tried again */
   void (*fenced) (void *data); /* called once */
   void *data;
--- a/tests/test_journal.c
+++ b/tests/test_journal.c
@@ -47,13 +47,14 @@
 }
 
 static struct Fixture *
-fixture_new (void)
+fixture_with_burst (uint32_t burst_slots)
 {
   TALLOC_CTX *ctx = talloc_new (NULL);
   struct Fixture *f = talloc_zero (ctx, struct Fixture);
   struct JournalOptions options = { .prefix = "b/",
                                     .incarnation = "malda-1.1",
                                     .flush_interval_ms = INTERVAL_MS,
+                                    .burst_slots = burst_slots,
                                     .retry_ms = RETRY_MS,
                                     .fenced = on_fenced,
                                     .data = f };
@@ -66,6 +67,12 @@
   return f;
 }
 
+static struct Fixture *
+fixture_new (void)
+{
+  return fixture_with_burst (1);
+}
+
 static struct Record
 record_of (const char *program)
 {
@@ -136,6 +143,36 @@
   talloc_free (f->ctx);
 }
 
+/* A program calls tool after tool on a quiet instance: each of its records must reach the service at
+ * once, while what was saved up lasts, and the average of the write budget must hold all the same. */
+static void
+test_quiet_time_is_saved_up (void)
+{
+  struct Fixture *f = fixture_with_burst (3);
+  struct Answers answers = { 0 };
+
+  for (uint32_t i = 1; i <= 3; i++)
+    {
+      append (f, "a", &answers);
+      fake_timer_advance (f->timers, 2);
+      CU_ASSERT_EQUAL (answers.n, i);
+    }
+  append (f, "a", &answers);
+  fake_timer_advance (f->timers, 2);
+  CU_ASSERT_EQUAL (answers.n, 3);
+  fake_timer_advance (f->timers, INTERVAL_MS);
+  CU_ASSERT_EQUAL (answers.n, 4);
+  /* Never more than the burst and one slot an interval. */
+  for (uint32_t ms = 0; ms < 10 * INTERVAL_MS; ms++)
+    {
+      append (f, "a", &answers);
+      fake_timer_advance (f->timers, 1);
+    }
+  CU_ASSERT_TRUE (fake_kv_n_writes (f->kv) <= 4 + 10 + 1);
+  CU_ASSERT_TRUE (fake_kv_n_writes (f->kv) >= 4 + 10 - 1);
+  talloc_free (f->ctx);
+}
+
 /* The service applies the append and its answer is lost. Taking that for a failure, the writer
  * would write the records twice, or think itself sealed by its own slot. */
 static void
@@ -401,6 +438,7 @@
 const char test_suite_name[] = "journal";
 const struct TestCase test_cases[] = {
   { "waiting records share a slot", test_waiting_records_share_a_slot },
+  { "quiet time is saved up", test_quiet_time_is_saved_up },
   { "lost answer is settled", test_lost_answer_is_settled },
   { "late write is the same batch", test_late_write_is_the_same_batch },
   { "outage keeps outcomes and refuses intents", test_outage_keeps_outcomes_and_refuses_intents },
