--- a/tests/sessions/golden.c
+++ b/tests/sessions/golden.c
@@ -91,6 +91,8 @@
 
   json_array_foreach (json, i, value) { golden_walk (known, value); }
   golden_sort_history (json_object_get (json, "history"));
+  /* How far the release of engine memory has come when the caller asks is a matter of timing. */
+  json_object_del (json, "backends_to_release");
   json_object_foreach_safe (json, next, member, value)
   {
     if (strcmp (member, "history_digest") == 0)
