--- a/tests/sessions/test_planned_stop.c
+++ b/tests/sessions/test_planned_stop.c
@@ -9,7 +9,8 @@
 enum
 {
   N_STREAMS = 8,
-  STREAM_TOKENS = 600
+  STREAM_TOKENS = 600,
+  TAIL_BYTES = 500
 };
 
 static const struct ClusterOptions three_instances = { .n_instances = 3,
@@ -56,6 +57,9 @@
       reply = streams->threads[i].reply;
       CU_ASSERT_EQUAL (reply->status, 200);
       CU_ASSERT_PTR_NOT_NULL (strstr (reply->text, "data: [DONE]"));
+      if (strstr (reply->text, "data: [DONE]") == NULL)
+        fprintf (stderr, "%s ends with: %s\n", streams->programs[i],
+                 reply->text + (reply->n_bytes > TAIL_BYTES ? reply->n_bytes - TAIL_BYTES : 0));
       CU_ASSERT_PTR_NOT_NULL (strstr (reply->text, " w599\""));
       CU_ASSERT_EQUAL (cluster_engine_runs (streams->cluster, streams->programs[i]), 1);
       talloc_free (reply);
