--- a/core/policy_active.c
+++ b/core/policy_active.c
@@ -12,14 +12,14 @@
 };
 
 static const double ACTIVE_PAUSE_GAIN = 0.1;
-static const double ACTIVE_KEEP_EVEN = 0.7;
+static const double ACTIVE_KEEP_EVEN = 1.0;
 /* Share of the reported capacity that programs are let in for; the rest is slack for growth. */
 static const double ACTIVE_REPORT_SHARE = 0.95;
-static const double ACTIVE_SMALL_SHARE = 0.02;
+static const double ACTIVE_SMALL_SHARE = 0.025;
 /* Small programs are let in beyond the budget: they push out the ends of a few idle prefixes, and
  * most of them end at once. Holding them back behind a large one saves next to nothing. */
-static const double ACTIVE_SMALL_EXCESS = 0.2;
-static const double ACTIVE_SHRINK = 0.999;
+static const double ACTIVE_SMALL_EXCESS = 0.3;
+static const double ACTIVE_SHRINK = 0.95;
 static const double ACTIVE_GROW = 1.001;
 /* How much more urgent, in units of the ageing time, a newcomer must be to take a paused program's
  * place; more under a cache weight. */
@@ -69,12 +69,27 @@
   policy_heap_remove (&set->keeps, &program->keep_node);
 }
 
+static bool
+active_is_small (const struct ActiveSet *set, const struct ActiveProgram *program)
+{
+  return (double)program->footprint_tokens <= set->budget_tokens * ACTIVE_SMALL_SHARE;
+}
+
 static void
-active_resize (struct ActiveSet *set, struct ActiveProgram *program, uint64_t tokens)
+active_resize (struct ActiveSet *set, struct ActiveProgram *program)
 {
+  uint64_t tokens = program->held_tokens + program->pending_tokens;
+
   if (program->active)
     set->active_tokens += tokens - program->footprint_tokens;
+  if (program->small)
+    set->small_tokens += tokens - program->footprint_tokens;
   program->footprint_tokens = tokens;
+  if (program->small && !active_is_small (set, program))
+    {
+      program->small = false;
+      set->small_tokens -= tokens;
+    }
 }
 
 static void
@@ -88,21 +103,31 @@
 void
 active_set_called (struct ActiveSet *set,
                    struct ActiveProgram *program,
-                   uint32_t prompt_tokens,
+                   uint32_t cached_tokens,
+                   uint32_t new_tokens,
                    int64_t now_ms)
 {
-  uint64_t tokens = prompt_tokens + (uint64_t)program->service->generated_tokens;
-
   if (program->n_waiting + program->n_running == 0)
     {
       if (program->ended_ms != 0)
         active_learn_pause (program->service, (double)(now_ms - program->ended_ms));
       active_unpause (set, program);
     }
-  else
-    tokens += program->footprint_tokens; /* sub-agents run side by side */
-  if (tokens > program->footprint_tokens)
-    active_resize (set, program, tokens);
+  if (program->held_tokens < cached_tokens)
+    program->held_tokens = cached_tokens;
+  program->pending_tokens += new_tokens;
+  active_resize (set, program);
+}
+
+void
+active_set_done (struct ActiveSet *set,
+                 struct ActiveProgram *program,
+                 uint32_t new_tokens,
+                 uint32_t grown_tokens)
+{
+  program->pending_tokens -= new_tokens;
+  program->held_tokens += grown_tokens;
+  active_resize (set, program);
 }
 
 static void
@@ -112,6 +137,9 @@
   if (!program->active)
     return;
   program->active = false;
+  if (program->small)
+    set->small_tokens -= program->footprint_tokens;
+  program->small = false;
   set->active_tokens -= program->footprint_tokens;
   set->n_active--;
 }
@@ -136,10 +164,16 @@
 }
 
 static bool
-active_has_room (const struct ActiveSet *set, const struct ActiveProgram *program)
+active_has_room (const struct ActiveSet *set,
+                 const struct ActiveProgram *program,
+                 enum ActiveClaim claim)
 {
-  return set->n_active == 0
-         || (double)(set->active_tokens + program->footprint_tokens) <= set->budget_tokens;
+  uint64_t taken = set->active_tokens;
+
+  if (claim == ACTIVE_OVERDUE)
+    taken -= set->small_tokens;
+  return claim == ACTIVE_FORCED || taken == 0
+         || (double)(taken + program->footprint_tokens) <= set->budget_tokens;
 }
 
 static void
@@ -157,19 +191,21 @@
 
   if (program->active)
     return true;
-  if ((double)program->footprint_tokens > set->budget_tokens * ACTIVE_SMALL_SHARE
+  if (!active_is_small (set, program)
       || (double)(set->active_tokens + program->footprint_tokens) > most)
     return false;
   active_enter (set, program);
+  program->small = true;
+  set->small_tokens += program->footprint_tokens;
   return true;
 }
 
 bool
-active_set_admit (struct ActiveSet *set, struct ActiveProgram *program, bool forced)
+active_set_admit (struct ActiveSet *set, struct ActiveProgram *program, enum ActiveClaim claim)
 {
   if (program->active)
     return true;
-  while (!forced && !active_has_room (set, program))
+  while (!active_has_room (set, program, claim))
     {
       struct HeapNode *node = policy_heap_first (&set->victims);
       struct ActiveProgram *victim;
@@ -177,7 +213,7 @@
       if (node == NULL)
         return false;
       victim = HEAP_ENTRY (node, struct ActiveProgram, victim_node);
-      if (!active_may_take (program, victim))
+      if (claim != ACTIVE_OVERDUE && !active_may_take (program, victim))
         return false;
       active_set_forget (set, victim);
       set->n_taken++;
@@ -194,6 +230,9 @@
 {
   double even = set->budget_tokens * set->prefill_us_per_token / US_PER_MS * ACTIVE_KEEP_EVEN;
 
+  /* Nothing is known of prefills where no first token is seen, or of a cache that is not scarce. */
+  if (set->prefill_us_per_token == 0 || isinf (set->budget_tokens))
+    return service->weights.pause_keep_ms;
   return even < service->weights.pause_keep_ms ? even : service->weights.pause_keep_ms;
 }
 
@@ -211,7 +250,6 @@
       active_set_forget (set, program);
       return;
     }
-  active_resize (set, program, program->context_tokens);
   program->victim_node.minor = -program->urgency;
   program->victim_node.sequence = ++set->sequence;
   program->keep_node.minor = (double)now_ms + active_keep_ms (set, program->service);
@@ -246,9 +284,11 @@
     return;
   if (cached_tokens < expected_tokens / 2)
     {
-      double least = set->budget_tokens < active ? set->budget_tokens : active;
+      /* In small steps and no lower than what is active: a miss may have another cause. */
+      double shrunk = isinf (set->budget_tokens) ? 0 : set->budget_tokens * ACTIVE_SHRINK;
+      double least = active * ACTIVE_SHRINK;
 
-      set->budget_tokens = least * ACTIVE_SHRINK;
+      set->budget_tokens = shrunk > least ? shrunk : least;
       return;
     }
   if (active < set->budget_tokens * ACTIVE_REPORT_SHARE)
--- a/daemon/home.c
+++ b/daemon/home.c
@@ -1,5 +1,7 @@
 #include "home_internal.h"
 
+#include "spooler.h"
+
 #include <buckthornhead/counter.h>
 #include <buckthornhead/log.h>
 
@@ -7,10 +9,10 @@
 #include <string.h>
 #include <time.h>
 
-
 enum
 {
   MAP_POLL_MS = 1000,
+  JOURNAL_BURST_SLOTS = 8,
   SWEEP_MS = 1000
 };
 
@@ -38,6 +40,7 @@
 void
 home_on_request (struct Home *home, uint64_t link, const struct PeerRequest *request)
 {
+  uint32_t partition = home_partition (home, request->call.key.program);
   uint64_t epoch;
 
   if (request->op == REQUEST_LIST)
@@ -45,8 +48,10 @@
       home_on_list (home, link, request);
       return;
     }
-  if (home->homes == NULL
-      || !homes_owns (home->homes, home_partition (home, request->call.key.program), &epoch))
+  /* A partition that is being handed off finishes what it has; whatever is new waits at its entry
+   * for the next home. */
+  if (home->homes == NULL || !homes_owns (home->homes, partition, &epoch)
+      || homes_is_leaving (home->homes, partition))
     {
       home_refuse_not_owner (home, link, request);
       return;
@@ -115,6 +120,15 @@
   fleet_publish (home->core->fleet);
 }
 
+static int32_t
+home_collect_spool (
+    void *data, TALLOC_CTX *ctx, const char *incarnation, HomesSpoolDone done, void *done_data)
+{
+  struct Home *home = data;
+
+  return spooler_collect (home->core->spooler, ctx, incarnation, done, done_data);
+}
+
 static void
 home_on_fenced (void *data)
 {
@@ -204,6 +218,7 @@
   journal.incarnation = incarnation;
   journal.flush_interval_ms =
       journal_flush_interval_ms (core->settings->journal_writes_per_s, (uint32_t)home->n_members);
+  journal.burst_slots = JOURNAL_BURST_SLOTS;
   journal.retry_ms = core->settings->journal_retry_ms;
   journal.fenced = home_on_fenced;
   journal.data = home;
@@ -213,6 +228,7 @@
   homes.n_partitions = core->settings->n_partitions;
   homes.group_size = core->settings->partition_group_size;
   homes.poll_ms = MAP_POLL_MS;
+  homes.collect_spool = home_collect_spool;
   homes.gained = home_on_gained;
   homes.lost = home_on_lost;
   homes.map_changed = home_on_map_changed;
--- a/include/buckthornhead/peer_message.h
+++ b/include/buckthornhead/peer_message.h
@@ -7,6 +7,7 @@
 
 #include <buckthornhead/call.h>
 #include <buckthornhead/error.h>
+#include <buckthornhead/partition.h>
 #include <buckthornhead/policy.h>
 
 enum
@@ -27,11 +28,11 @@
   PEER_RELEASE = 8,  /* home to owner: drop a program's memory */
   PEER_CONFIG_WANT = 9,
   PEER_CONFIG_ENTRY = 10,
-  PEER_QUARANTINE = 11,   /* a backend server died while it ran a request */
-  PEER_SPOOL_PUT = 12,    /* keep a journal record on disk while the platform is down */
-  PEER_SPOOL_DROP = 13,   /* the writer's journal has all up to .number */
-  PEER_SPOOL_READ = 14,   /* a taker: seal the writer's spool, then send what it holds */
-  PEER_SPOOL_RECORD = 15  /* one record of the answer to it */
+  PEER_QUARANTINE = 11,  /* a backend server died while it ran a request */
+  PEER_SPOOL_PUT = 12,   /* keep a journal record on disk while the platform is down */
+  PEER_SPOOL_DROP = 13,  /* the writer's journal has all up to .number */
+  PEER_SPOOL_READ = 14,  /* a taker: seal the writer's spool, then send what it holds */
+  PEER_SPOOL_RECORD = 15 /* one record of the answer to it */
 };
 
 /* What an entry asks of a home. */
@@ -113,7 +114,7 @@
     struct
     {
       char instance[NAME_MAX_BYTES + 1];
-      char incarnation[NAME_MAX_BYTES + 24];
+      char incarnation[INCARNATION_MAX_BYTES + 1];
       char zone[NAME_MAX_BYTES + 1];
     } hello;
     struct PeerHeartbeat heartbeat;
@@ -148,7 +149,7 @@
     struct
     {
       uint64_t id, number;
-      char writer[NAME_MAX_BYTES + 24]; /* incarnation */
+      char writer[INCARNATION_MAX_BYTES + 1]; /* incarnation */
       const uint8_t *bytes;
       size_t n_bytes;
     } spool; /* put, drop, read and record, as far as each needs */
