--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -2,6 +2,8 @@
 
 #include <buckthornhead/settings.h>
 
+#include <command.h>
+
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
@@ -138,6 +140,56 @@
     }
 }
 
+/* What check-config prints of the file i.ini in the folder that is current. */
+static char *
+check_config (TALLOC_CTX *ctx, int *exit_code)
+{
+  char *argv[] = { (char *)"check-config", (char *)"i.ini", NULL };
+  char *out = NULL;
+  char *err = NULL;
+  size_t out_bytes;
+  size_t err_bytes;
+  struct CommandIo io = { open_memstream (&out, &out_bytes), open_memstream (&err, &err_bytes) };
+  char *text;
+
+  *exit_code = command_check_config (2, argv, &io);
+  fclose (io.out);
+  fclose (io.err);
+  text = talloc_strdup (ctx, err);
+  free (out);
+  free (err);
+  return text;
+}
+
+/* The same files through the command that operators use. */
+static void
+test_check_config_shows_the_faults_of_each_file (void)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  char folder[] = "/tmp/buckthornhead-settings-XXXXXX";
+
+  CU_ASSERT_FATAL (mkdtemp (folder) != NULL && chdir (folder) == 0);
+  for (size_t i = 0; i < sizeof bad_files / sizeof bad_files[0]; i++)
+    {
+      FILE *stream = fopen ("i.ini", "we");
+      int exit_code = EXIT_CODE_OK;
+
+      if (stream == NULL)
+        {
+          CU_FAIL ("the file can not be written");
+          break;
+        }
+      fputs (bad_files[i].text, stream);
+      fclose (stream);
+      CU_ASSERT_STRING_EQUAL (check_config (ctx, &exit_code), bad_files[i].faults);
+      CU_ASSERT_EQUAL (exit_code, EXIT_CODE_USAGE);
+    }
+  unlink ("i.ini");
+  CU_ASSERT_EQUAL (chdir ("/"), 0);
+  rmdir (folder);
+  talloc_free (ctx);
+}
+
 static void
 test_good_file_takes_values_and_fallbacks (void)
 {
@@ -237,6 +289,7 @@
 const char test_suite_name[] = "settings";
 const struct TestCase test_cases[] = {
   { "bad files give their faults", test_bad_files_give_their_faults },
+  { "check-config shows the faults of each file", test_check_config_shows_the_faults_of_each_file },
   { "good file takes values and fallbacks", test_good_file_takes_values_and_fallbacks },
   { "token is read from its file", test_token_is_read_from_its_file },
   { "sample settings are sound", test_sample_settings_are_sound },
