--- a/tests/test_journal.c
+++ b/tests/test_journal.c
@@ -143,8 +143,9 @@
   talloc_free (f->ctx);
 }
 
-/* A program calls tool after tool on a quiet instance: each of its records must reach the service at
- * once, while what was saved up lasts, and the average of the write budget must hold all the same. */
+/* A program calls tool after tool on a quiet instance: each of its records must reach the service
+ * at once, while what was saved up lasts, and the average of the write budget must hold all the
+ * same. */
 static void
 test_quiet_time_is_saved_up (void)
 {
