ThreadSanitizer: what crosses threads is seen by it, and the head is read after its flag

Cause: a TSan run of three instances under calls gave 165 reports. All but a few came from liburcu's inline assembly, which the sanitizer can not see (annotated now, tsan.h); the flags of an exchange are C11 atomics now; one was real in form: the HTTP thread read an answer's head without reading its flag, relying on the resume alone. Ruled out: suppressing adapters/ as a whole.

--- a/adapters/caller_http.c
+++ b/adapters/caller_http.c
@@ -12,7 +12,6 @@
 #include <time.h>
 
 #include <jansson.h>
-#include <urcu/uatomic.h>
 
 enum
 {
@@ -199,7 +198,7 @@
 {
   exchange->connection = connection;
   exchange->posted = true;
-  exchange->parked = 1;
+  exchange->parked = true;
   exchange->references++;
   MHD_suspend_connection (connection);
   mailbox_post (http->core, &exchange->mail);
@@ -387,7 +386,7 @@
   if (exchange == NULL)
     return;
   *state = NULL;
-  uatomic_set (&exchange->closed, 1);
+  atomic_store (&exchange->closed, true);
   if (exchange->posted && why != MHD_REQUEST_TERMINATED_COMPLETED_OK)
     {
       struct GoneMail *gone = talloc_zero (NULL, struct GoneMail);
--- a/adapters/exchange.c
+++ b/adapters/exchange.c
@@ -1,12 +1,12 @@
 #include <buckthornhead/exchange.h>
 
+#include <buckthornhead/tsan.h>
+
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include <urcu/uatomic.h>
-
 enum
 {
   RESPONSE_BLOCK_BYTES = 16 * 1024
@@ -31,7 +31,10 @@
 {
   struct cds_wfcq_node *node = __cds_wfcq_dequeue_blocking (&exchange->head, &exchange->tail);
 
-  return node != NULL ? caa_container_of (node, struct ExchangeChunk, node) : NULL;
+  if (node == NULL)
+    return NULL;
+  TSAN_ACQUIRE (node);
+  return caa_container_of (node, struct ExchangeChunk, node);
 }
 
 void
@@ -39,10 +42,8 @@
 {
   struct ExchangeChunk *chunk;
 
-  if (uatomic_sub_return (&exchange->references, 1) != 0)
+  if (atomic_fetch_sub (&exchange->references, 1) != 1)
     return;
-  /* Orders the other side's last writes before the frees below. */
-  cmm_smp_mb ();
   free (exchange->chunk);
   while ((chunk = exchange_next_chunk (exchange)) != NULL)
     free (chunk);
@@ -54,7 +55,7 @@
 {
   va_list args;
 
-  if (exchange->n_headers == EXCHANGE_HEADERS_MAX || uatomic_read (&exchange->head_ready))
+  if (exchange->n_headers == EXCHANGE_HEADERS_MAX || atomic_load (&exchange->head_ready))
     return;
   va_start (args, format);
   vsnprintf (exchange->headers[exchange->n_headers], EXCHANGE_HEADER_BYTES, format, args);
@@ -67,10 +68,9 @@
 static void
 exchange_wake (struct Exchange *exchange)
 {
-  cmm_smp_mb ();
-  if (!uatomic_read (&exchange->head_ready))
+  if (!atomic_load (&exchange->head_ready))
     return;
-  if (uatomic_xchg (&exchange->parked, 0) == 1)
+  if (atomic_exchange (&exchange->parked, false))
     MHD_resume_connection (exchange->connection);
 }
 
@@ -79,8 +79,7 @@
 {
   exchange->status = status;
   exchange->event_stream = event_stream;
-  cmm_smp_wmb ();
-  uatomic_set (&exchange->head_ready, 1);
+  atomic_store (&exchange->head_ready, true);
   exchange_wake (exchange);
 }
 
@@ -97,6 +96,7 @@
   chunk->n_bytes = n_bytes;
   memcpy (chunk->bytes, bytes, n_bytes);
   cds_wfcq_node_init (&chunk->node);
+  TSAN_RELEASE (&chunk->node);
   cds_wfcq_enqueue (&exchange->head, &exchange->tail, &chunk->node);
   exchange_wake (exchange);
 }
@@ -104,8 +104,7 @@
 void
 exchange_end (struct Exchange *exchange)
 {
-  cmm_smp_wmb ();
-  uatomic_set (&exchange->ended, 1);
+  atomic_store (&exchange->ended, true);
   exchange_wake (exchange);
   exchange_release (exchange);
 }
@@ -121,7 +120,7 @@
 bool
 exchange_is_closed (struct Exchange *exchange)
 {
-  return uatomic_read (&exchange->closed) != 0;
+  return atomic_load (&exchange->closed);
 }
 
 /* Copies what is queued into block, as far as it fits. */
@@ -171,13 +170,11 @@
   filled = exchange_fill (exchange, block, size);
   if (filled > 0)
     return (ssize_t)filled;
-  uatomic_set (&exchange->parked, 1);
-  cmm_smp_mb ();
+  atomic_store (&exchange->parked, true);
   /* The end is read before the queue: what was pushed ahead of it is then seen. */
-  ended = uatomic_read (&exchange->ended) != 0;
-  cmm_smp_rmb ();
+  ended = atomic_load (&exchange->ended);
   if ((ended || !cds_wfcq_empty (&exchange->head, &exchange->tail))
-      && uatomic_xchg (&exchange->parked, 0) == 1)
+      && atomic_exchange (&exchange->parked, false))
     {
       filled = exchange_fill (exchange, block, size);
       return filled > 0 ? (ssize_t)filled : (ssize_t)MHD_CONTENT_READER_END_OF_STREAM;
@@ -209,7 +206,12 @@
   enum MHD_Result queued;
   struct MHD_Response *response;
 
-  cmm_smp_rmb ();
+  /* Also what makes the head's fields visible here. Without a head nobody has woken this side. */
+  if (!atomic_load (&exchange->head_ready))
+    {
+      MHD_suspend_connection (connection);
+      return MHD_YES;
+    }
   response = MHD_create_response_from_callback (MHD_SIZE_UNKNOWN, RESPONSE_BLOCK_BYTES,
                                                 exchange_read, exchange, NULL);
   if (response == NULL)
--- a/adapters/mailbox.c
+++ b/adapters/mailbox.c
@@ -1,5 +1,7 @@
 #include <buckthornhead/mailbox.h>
 
+#include <buckthornhead/tsan.h>
+
 #include <sys/eventfd.h>
 #include <unistd.h>
 
@@ -30,7 +32,12 @@
   cds_wfcq_init (&head, &tail);
   __cds_wfcq_splice_blocking (&head, &tail, &mailbox->head, &mailbox->tail);
   __cds_wfcq_for_each_blocking_safe (&head, &tail, node, next)
-      mailbox->receive (mailbox->data, caa_container_of (node, struct Mail, node));
+  {
+    struct Mail *mail = caa_container_of (node, struct Mail, node);
+
+    TSAN_ACQUIRE (mail);
+    mailbox->receive (mailbox->data, mail);
+  }
 }
 
 static int
@@ -70,6 +77,7 @@
   ssize_t put;
 
   cds_wfcq_node_init (&mail->node);
+  TSAN_RELEASE (mail);
   /* A box that was not empty has its wake-up under way: the reader empties the counter before it
    * takes the queue, so whoever finds the queue empty wakes it anew. */
   if (cds_wfcq_enqueue (&mailbox->head, &mailbox->tail, &mail->node))
--- a/adapters/snapshot.c
+++ b/adapters/snapshot.c
@@ -1,6 +1,7 @@
 #include <buckthornhead/snapshot.h>
 
 #include <buckthornhead/partition.h>
+#include <buckthornhead/tsan.h>
 
 #include <stdlib.h>
 #include <string.h>
@@ -29,11 +30,15 @@
 void
 snapshot_publish (struct Snapshot *snapshot)
 {
-  struct Snapshot *former = rcu_xchg_pointer (&published, snapshot);
+  struct Snapshot *former;
+
+  TSAN_RELEASE (snapshot);
+  former = rcu_xchg_pointer (&published, snapshot);
 
   if (former == NULL)
     return;
   synchronize_rcu ();
+  TSAN_ACQUIRE (&published);
   talloc_free (former);
 }
 
@@ -98,9 +103,11 @@
   snapshot = rcu_dereference (published);
   if (snapshot != NULL)
     {
+      TSAN_ACQUIRE (snapshot);
       json_object_set_new (answer, "addresses", snapshot_addresses (snapshot, program, zone));
       json_object_set_new (answer, "keep_ms", json_integer (snapshot->keep_ms));
     }
+  TSAN_RELEASE (&published);
   rcu_read_unlock ();
   text = json_dumps (answer, JSON_COMPACT);
   copy = talloc_strdup (ctx, text);
--- a/include/buckthornhead/exchange.h
+++ b/include/buckthornhead/exchange.h
@@ -10,6 +10,7 @@
 #include <buckthornhead/peer_message.h>
 
 #include <microhttpd.h>
+#include <stdatomic.h>
 
 enum
 {
@@ -42,8 +43,8 @@
   bool event_stream;
 
   /* Between the threads. */
-  uint32_t references;
-  uint32_t head_ready, ended, closed, parked;
+  _Atomic uint32_t references;
+  _Atomic bool head_ready, ended, closed, parked;
   struct MHD_Connection *connection;
   struct cds_wfcq_head head;
   struct cds_wfcq_tail tail;
