--- a/core/config_log.c
+++ b/core/config_log.c
@@ -234,6 +234,12 @@
   return packed;
 }
 
+bool
+config_log_keeps (const struct ConfigLog *log, uint64_t n)
+{
+  return config_log_find (log, n) != NULL;
+}
+
 static int32_t
 config_log_take_peer_entry (struct ConfigLog *log, const struct ConfigParcel *parcel)
 {
--- a/include/buckthornhead/config_log.h
+++ b/include/buckthornhead/config_log.h
@@ -106,6 +106,10 @@
 int32_t
 config_log_take_entry (struct ConfigLog *log, const uint8_t *packed, size_t bytes);
 
+/* Whether entry n is kept by itself. Of those that are not, one is enough: it stands for all. */
+bool
+config_log_keeps (const struct ConfigLog *log, uint64_t n);
+
 /* Calls fn for each change still kept here (the last 1024), oldest first: the audit trail. */
 typedef void (*ConfigChangeFn) (void *data, const struct ConfigChange *change);
 void
--- a/tests/test_config_log.c
+++ b/tests/test_config_log.c
@@ -456,6 +456,9 @@
   size_t bytes = 0;
 
   bench_apply_many (t, 1030);
+  CU_ASSERT_FALSE (config_log_keeps (t->a->log, 1));
+  CU_ASSERT_TRUE (config_log_keeps (t->a->log, 1030));
+  CU_ASSERT_FALSE (config_log_keeps (t->a->log, 1031));
   old = config_log_entry (t->a->log, t, 1, &bytes);
   fake_kv_set_fault (t->kv, FAKE_KV_REFUSE);
   fresh = node_new (t);
