Session that fails: an instance replaced in an outage has no configuration

Cause: the new instance hears a peer's heartbeat over the link that the peer dialled, sees the higher revision, and asks for the changes over its own link to that peer; it has none, since it knows no members while the key-value service is down. Ruled out: the log (unit tests), the peer's dialling (the heartbeat arrives).

--- a/tests/sessions/test_configuration.c
+++ b/tests/sessions/test_configuration.c
@@ -149,9 +149,38 @@
   cluster_end (cluster, CU_get_number_of_failures () > 0);
 }
 
+/* The platform is down and an instance is replaced meanwhile. A change is refused and has no
+ * effect, then or later; the new instance has the configuration from its peers. */
+static void
+test_instance_replaced_in_an_outage (void)
+{
+  struct Cluster *cluster = cluster_start (NULL, &three_instances);
+  struct Change change = { .cluster = cluster, .change_id = "c1", .who = "asha", .text = share_1 };
+  struct Wanted wanted = { cluster, 1 };
+
+  CU_ASSERT_EQUAL (change_status (&change), 200);
+  CU_ASSERT_TRUE (wait_for (in_force_everywhere, &wanted));
+  CU_ASSERT_TRUE (http_control (cluster->platform.address, "{\"down\":{\"mode\":\"refuse\"}}"));
+  change.change_id = "c2";
+  change.text = share_2;
+  change.expected_revision = 1;
+  CU_ASSERT_EQUAL (change_status (&change), 503);
+  process_kill (cluster->instances[2].process);
+  CU_ASSERT_TRUE (cluster_start_instance (cluster, 2));
+  CU_ASSERT_TRUE (wait_for (in_force_everywhere, &wanted));
+  CU_ASSERT_TRUE (http_control (cluster->platform.address, "{\"down\":null}"));
+  CU_ASSERT_EQUAL (audit_length (cluster, 0), 1);
+  change.change_id = "c3";
+  CU_ASSERT_EQUAL (change_status (&change), 200);
+  wanted.revision = 2;
+  CU_ASSERT_TRUE (wait_for (in_force_everywhere, &wanted));
+  cluster_end (cluster, CU_get_number_of_failures () > 0);
+}
+
 const char test_suite_name[] = "configuration";
 const struct TestCase test_cases[] = {
   { "operators race", test_operators_race },
   { "platform's answer is lost", test_platforms_answer_is_lost },
+  { "instance replaced in an outage", test_instance_replaced_in_an_outage },
   { NULL, NULL },
 };
