--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -81,9 +81,11 @@
   talloc_free (mail);
 }
 
-/* A peer has a later configuration: asks it for the changes between. */
+/* A peer has a later configuration: asks it for the changes between, over the link that its
+ * heartbeat came by. An instance that starts in an outage of the platform knows no member yet to
+ * dial. */
 static void
-daemon_compare_config (struct Core *core, const struct PeerHeartbeat *heartbeat)
+daemon_compare_config (struct Core *core, uint64_t link, const struct PeerHeartbeat *heartbeat)
 {
   struct PeerMessage want = { .kind = PEER_CONFIG_WANT };
   uint64_t own = config_log_revision (core->config);
@@ -91,7 +93,7 @@
   if (heartbeat->config_revision <= own)
     return;
   want.config_want.from = own + 1;
-  peer_net_send (core->net, peer_net_link_to (core->net, heartbeat->instance), &want);
+  peer_net_send (core->net, link, &want);
 }
 
 static void
@@ -108,6 +110,9 @@
           config_log_entry (core->config, ctx, n, &entry.config_entry.n_bytes);
       if (entry.config_entry.bytes != NULL)
         peer_net_send (core->net, link, &entry);
+      /* It stood for the whole configuration, and so would each that follows. */
+      if (!config_log_keeps (core->config, n))
+        break;
     }
   talloc_free (ctx);
 }
@@ -151,7 +156,7 @@
       break;
     case PEER_HEARTBEAT:
       fleet_on_heartbeat (core->fleet, &message->heartbeat);
-      daemon_compare_config (core, &message->heartbeat);
+      daemon_compare_config (core, link, &message->heartbeat);
       break;
     case PEER_REQUEST:
       home_on_request (core->home, link, &message->request);
--- a/include/buckthornhead/tsan.h
+++ b/include/buckthornhead/tsan.h
@@ -5,8 +5,10 @@
 #pragma once
 
 #ifdef __SANITIZE_THREAD__
-void __tsan_acquire (void *address);
-void __tsan_release (void *address);
+void
+__tsan_acquire (void *address);
+void
+__tsan_release (void *address);
 #define TSAN_ACQUIRE(address) __tsan_acquire ((void *)(address))
 #define TSAN_RELEASE(address) __tsan_release ((void *)(address))
 #else
