--- a/tests/sessions/cluster.c
+++ b/tests/sessions/cluster.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/stat.h>
 
 #include <CUnit/CUnit.h>
 
@@ -85,19 +86,32 @@
   return text;
 }
 
+static char *
+settings_data_folder (struct Cluster *cluster, uint32_t i)
+{
+  char *folder;
+
+  if (i >= cluster->options.n_disks)
+    return talloc_strdup (cluster, "");
+  folder = talloc_asprintf (cluster, "%s/data-%u", session_folder (cluster->session), i + 1);
+  if (mkdir (folder, 0700) != 0)
+    CU_FAIL_FATAL ("no data folder");
+  return talloc_asprintf (cluster, "data_folder = %s\n", folder);
+}
+
 static void
 cluster_write_settings (struct Cluster *cluster, uint32_t i)
 {
   struct ClusterNode *node = &cluster->instances[i];
-  char *text =
-      talloc_asprintf (NULL,
-                       "[instance]\nname = %s\nzone = %s\n\n"
-                       "[listen]\ncaller = %s\noperator = %s\npeer = 127.0.0.1:%u\n\n"
-                       "[platform]\nkv = http://%s\ninstances = http://%s/instances\n\n"
-                       "[homes]\npartitions = 16\ngroup_size = 4\nlease = %s\n\n",
-                       node->name, zones[i % N_ZONES], node->address, node->operator_address,
-                       (unsigned)session_port (cluster->session), cluster->platform.address,
-                       cluster->platform.address, cluster->options.lease);
+  char *text = talloc_asprintf (
+      NULL,
+      "[instance]\nname = %s\nzone = %s\n%s\n"
+      "[listen]\ncaller = %s\noperator = %s\npeer = 127.0.0.1:%u\n\n"
+      "[platform]\nkv = http://%s\ninstances = http://%s/instances\n\n"
+      "[homes]\npartitions = 16\ngroup_size = 4\nlease = %s\n\n",
+      node->name, zones[i % N_ZONES], settings_data_folder (cluster, i), node->address,
+      node->operator_address, (unsigned)session_port (cluster->session), cluster->platform.address,
+      cluster->platform.address, cluster->options.lease);
   char *file = talloc_asprintf (cluster, "%s.ini", node->name);
 
   text = settings_backends (cluster, text);
@@ -302,3 +316,43 @@
   talloc_free (text);
   return lines;
 }
+
+static char *
+list_add (char *list,
+          const struct ClusterNode *node,
+          const char *kind,
+          const char *target,
+          uint32_t i,
+          bool leaving)
+{
+  return talloc_asprintf_append (list,
+                                 "%s{\"name\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
+                                 "\"target\":\"%s\",\"kind\":\"%s\",\"state\":\"%s\"}",
+                                 list[1] != '\0' ? "," : "", node->name, node->address,
+                                 zones[i % N_ZONES], target, kind, leaving ? "leaving" : "live");
+}
+
+bool
+cluster_list_leaving (struct Cluster *cluster, uint32_t engine)
+{
+  char *list = talloc_strdup (cluster, "[");
+  struct HttpReply *reply;
+
+  for (uint32_t i = 0; i < cluster->options.n_engines; i++)
+    list = list_add (list, &cluster->engines[i], "engine", cluster->options.model, i, i == engine);
+  for (uint32_t i = 0; i < cluster->options.n_tools; i++)
+    list = list_add (list, &cluster->tools[i], "service", cluster->options.tool, i, false);
+  list = talloc_strdup_append (list, "]");
+  reply = http_send (cluster, "POST", cluster->platform.address, "/control/instances", NULL, list);
+  return reply->status == 200;
+}
+
+size_t
+engine_log_size (struct Cluster *cluster, uint32_t engine)
+{
+  struct HttpReply *reply = http_get (NULL, cluster->engines[engine].address, "/log");
+  size_t n = json_array_size (json_object_get (reply->json, "calls"));
+
+  talloc_free (reply);
+  return n;
+}
--- a/tests/sessions/cluster.h
+++ b/tests/sessions/cluster.h
@@ -11,6 +11,7 @@
 struct ClusterOptions
 {
   uint32_t n_instances, n_engines, n_tools;
+  uint32_t n_disks;                /* so many instances, the first ones, have a data folder */
   const char *model;               /* NULL: "negotiation"; every engine serves it */
   const char *tool;                /* NULL: "field-desk"; every tool serves it */
   const char *tokens_per_second;   /* NULL: "400" */
@@ -65,6 +66,13 @@
 uint64_t
 cluster_held_tokens (struct Cluster *cluster, const char *program);
 
+/* Tells the platform's list that one engine is leaving and all other servers are live. */
+bool
+cluster_list_leaving (struct Cluster *cluster, uint32_t engine);
+/* Calls that ran on one engine so far. */
+size_t
+engine_log_size (struct Cluster *cluster, uint32_t engine);
+
 /* Starts the caller stand-in with a script (JSON text). */
 struct Process *
 cluster_run_caller (struct Cluster *cluster, const char *name, const char *script);
