Active set: a short ageing time no longer makes places change hands

Cause: profiles with an ageing time of 1 to 10 s (the examples have 1 s and 3 s, the built-in one 10 s) made the program rule hardly better than sticky when the cache is scarce: what a newcomer must be more urgent by was counted in ageing times, so places were lost within seconds. It is now counted over four times the break-even time (the time in which the cache could be computed once) at least.

A later overdue time (120 s) for short ageing: no gain. Conclusion: 30 to 60 s are still to be preferred.

--- a/core/policy_active.c
+++ b/core/policy_active.c
@@ -12,7 +12,8 @@
 };
 
 static const double ACTIVE_PAUSE_GAIN = 0.1;
-static const double ACTIVE_KEEP_EVEN = 1.0;
+/* Urgency is compared over at least this many times the even time. */
+static const double ACTIVE_TAKE_EVENS = 4;
 /* Share of the reported capacity that programs are let in for; the rest is slack for growth. */
 static const double ACTIVE_REPORT_SHARE = 0.95;
 static const double ACTIVE_SMALL_SHARE = 0.025;
@@ -152,15 +153,30 @@
   talloc_free (program);
 }
 
-/* Whether program is so much more urgent that victim's prefix may be lost for it. */
+/* The time in which the whole cache could be computed once; 0 when not known. Keeping a place for
+ * that long costs as much as computing its prefix again, whatever its size: both grow with it. */
+static double
+active_even_ms (const struct ActiveSet *set)
+{
+  if (isinf (set->budget_tokens))
+    return 0;
+  return set->budget_tokens * set->prefill_us_per_token / US_PER_MS;
+}
+
+/* Whether program is so much more urgent that victim's prefix may be lost for it. A profile with
+ * a short ageing time makes urgency change quickly; places must not change hands as quickly. */
 static bool
-active_may_take (const struct ActiveProgram *program, const struct ActiveProgram *victim)
+active_may_take (const struct ActiveSet *set,
+                 const struct ActiveProgram *program,
+                 const struct ActiveProgram *victim)
 {
   const struct PolicyWeights *weights = &victim->service->weights;
-  double margin =
-      ACTIVE_HYSTERESIS + ACTIVE_HYSTERESIS_CACHE * weights->cache_weight_permille / PERMILLE;
+  double cache = (double)weights->cache_weight_permille / PERMILLE;
+  double doublings = ACTIVE_HYSTERESIS + ACTIVE_HYSTERESIS_CACHE * cache;
+  double least_ms = active_even_ms (set) * ACTIVE_TAKE_EVENS;
+  double ageing_ms = weights->ageing_ms > least_ms ? weights->ageing_ms : least_ms;
 
-  return program->urgency + margin * weights->ageing_ms < victim->urgency;
+  return program->urgency + doublings * ageing_ms < victim->urgency;
 }
 
 static bool
@@ -213,7 +229,7 @@
       if (node == NULL)
         return false;
       victim = HEAP_ENTRY (node, struct ActiveProgram, victim_node);
-      if (claim != ACTIVE_OVERDUE && !active_may_take (program, victim))
+      if (claim != ACTIVE_OVERDUE && !active_may_take (set, program, victim))
         return false;
       active_set_forget (set, victim);
       set->n_taken++;
@@ -222,18 +238,13 @@
   return true;
 }
 
-/* How long a place is kept over a pause. Keeping it costs its share of the cache for that time;
- * giving it away costs the prefill of as many tokens. Both grow with the context, so they are even
- * at the time in which the whole cache could be computed again. */
+/* How long a place is kept over a pause: until that is no longer cheaper than giving it away. */
 static double
 active_keep_ms (const struct ActiveSet *set, const struct FairService *service)
 {
-  double even = set->budget_tokens * set->prefill_us_per_token / US_PER_MS * ACTIVE_KEEP_EVEN;
+  double even = active_even_ms (set);
 
-  /* Nothing is known of prefills where no first token is seen, or of a cache that is not scarce. */
-  if (set->prefill_us_per_token == 0 || isinf (set->budget_tokens))
-    return service->weights.pause_keep_ms;
-  return even < service->weights.pause_keep_ms ? even : service->weights.pause_keep_ms;
+  return even > 0 && even < service->weights.pause_keep_ms ? even : service->weights.pause_keep_ms;
 }
 
 void
