--- a/tests/test_dispatch_queue.c
+++ b/tests/test_dispatch_queue.c
@@ -422,6 +422,43 @@
   talloc_free (queue);
 }
 
+/* Under a profile with a short ageing time every newcomer is soon much more urgent than a review
+ * in its tool pause, takes its place, and the review's next turn computes 18,000 tokens again. */
+static void
+test_short_ageing_does_not_give_places_away (void)
+{
+  struct DispatchQueue *queue = dispatch_queue_new (NULL, 16);
+  struct DispatchItem review = item_of (2, "review", "hiring-agents", 1000000);
+  struct DispatchItem newcomer = item_of (4, "newcomer", "hiring-agents", 0);
+  struct DispatchItem small = item_of (3, "small", "hiring-agents", 0);
+  struct Outcome answered = { .charge_tokens = 18050 };
+
+  dispatch_queue_report_cache (queue, 20000);
+  push (queue, &program_rule, 1, "p", 0, 0);
+  CU_ASSERT_EQUAL (pop (queue, 0), 1);
+  dispatch_queue_first_token (queue, 1, 100); /* 0.1 ms a token: the cache takes 1.9 s */
+  finish (queue, 1, 0, 200);
+  dispatch_queue_program_ended (queue, "p");
+  review.prompt_tokens = 18000;
+  push_item (queue, &program_rule, &review, 1000);
+  CU_ASSERT_EQUAL (pop (queue, 1000), 2);
+  dispatch_queue_first_token (queue, 2, 2800);
+  dispatch_queue_finished (queue, 2, &answered, 3000);
+  review.id = 5;
+  review.cached_tokens_hint = 18000;
+  /* Something small keeps the server busy, and a large newcomer waits. */
+  small.prompt_tokens = 300;
+  push_item (queue, &program_rule, &small, 3000);
+  newcomer.prompt_tokens = 2000;
+  push_item (queue, &program_rule, &newcomer, 3000);
+  CU_ASSERT_EQUAL (pop (queue, 3000), 3);
+  dispatch_queue_first_token (queue, 3, 3050);
+  CU_ASSERT_EQUAL (pop (queue, 3100), 0);
+  push_item (queue, &program_rule, &review, 4000);
+  CU_ASSERT_EQUAL (pop (queue, 4000), 5);
+  talloc_free (queue);
+}
+
 /* A review whose history fills most of the cache waits for minutes, though nothing is wrong: there
  * is never room for it at once, because small and new programs come in all the time. */
 static void
@@ -489,6 +526,7 @@
   { "long prompts wait here and not in the engine",
     test_long_prompts_wait_here_and_not_in_the_engine },
   { "suspects run one at a time", test_suspects_run_one_at_a_time },
+  { "short ageing does not give places away", test_short_ageing_does_not_give_places_away },
   { "a large program gets its place in time", test_a_large_program_gets_its_place_in_time },
   { "a removed item is never given", test_a_removed_item_is_never_given },
   { NULL, NULL },
