Homes delete the slots of dead journals, all but the seal

The seal stays: the model's mutant 'seal deleted' shows why. Not covered: a home that restarts forgets its list, and those slots stay.

--- a/core/homes.c
+++ b/core/homes.c
@@ -26,7 +26,7 @@
   return strcmp (incarnation, homes->options.incarnation) == 0;
 }
 
-static bool
+bool
 homes_is_live (const struct Homes *homes, const char *incarnation)
 {
   for (size_t i = 0; i < homes->n_members; i++)
@@ -113,6 +113,7 @@
   if (!p->snapshots_durable || (entry->n_journals == 1 && entry->base_epoch == entry->epoch))
     return false;
   /* All that was adopted stands in the own journal: the former ones count no more. */
+  homes_note_dropped (homes, entry);
   entry->n_journals = 1;
   snprintf (entry->journals[0], sizeof entry->journals[0], "%s", homes->options.incarnation);
   entry->base_epoch = entry->epoch;
@@ -184,6 +185,7 @@
   for (uint32_t i = 0; i < homes->n_groups; i++)
     homes_step_group (homes, i);
   homes_checkpoint_step (homes);
+  homes_clean_step (homes);
   homes_check_stopped (homes);
 }
 
--- a/core/homes_state.h
+++ b/core/homes_state.h
@@ -64,6 +64,9 @@
   JournalDone stopped;
   void *stopped_data;
   struct HomesCheckpoint checkpoint;
+  char **dropped; /* former journals that an entry of the map no longer names */
+  size_t n_dropped;
+  struct HomesCleaning *cleaning;
 };
 
 /* Goes over every partition and does what the map, the members and its own state ask for. */
@@ -101,6 +104,18 @@
 void
 homes_adopt_group (struct Homes *homes, uint32_t index);
 
+bool
+homes_is_live (const struct Homes *homes, const char *incarnation);
+
+/* homes_clean.c */
+
+/* Remembers the journals that entry names beside the own one, and is about to name no more. */
+void
+homes_note_dropped (struct Homes *homes, const struct PartitionEntry *entry);
+/* Deletes, one by one, the slots of a dropped journal that no entry names any more. */
+void
+homes_clean_step (struct Homes *homes);
+
 /* homes_handoff.c */
 void
 homes_start_leaving (struct Homes *homes, uint32_t partition);
--- a/core/homes_takeover.c
+++ b/core/homes_takeover.c
@@ -1,4 +1,5 @@
 #include "homes_state.h"
+#include "name_list.h"
 
 #include <buckthornhead/counter.h>
 #include <buckthornhead/error.h>
@@ -56,34 +57,10 @@
   return true;
 }
 
-static bool
-list_has (char *const *list, size_t n, const char *name)
-{
-  for (size_t i = 0; i < n; i++)
-    if (strcmp (list[i], name) == 0)
-      return true;
-  return false;
-}
-
-static bool
-list_add (TALLOC_CTX *ctx, char ***list, size_t *n, const char *name)
-{
-  char **grown = talloc_realloc (ctx, *list, char *, *n + 1);
-
-  if (grown == NULL)
-    return false;
-  *list = grown;
-  grown[*n] = talloc_strdup (grown, name);
-  if (grown[*n] == NULL)
-    return false;
-  (*n)++;
-  return true;
-}
-
 bool
 homes_is_sealed (const struct Homes *homes, const char *incarnation)
 {
-  return list_has (homes->sealed, homes->n_sealed, incarnation);
+  return name_list_has (homes->sealed, homes->n_sealed, incarnation);
 }
 
 struct HomesSeal
@@ -99,14 +76,9 @@
   struct Homes *homes = seal->homes;
   int32_t error = replay->error;
 
-  for (size_t i = 0; i < homes->n_sealing; i++)
-    if (strcmp (homes->sealing[i], seal->incarnation) == 0)
-      {
-        talloc_free (homes->sealing[i]);
-        homes->sealing[i] = homes->sealing[--homes->n_sealing];
-        break;
-      }
-  if (error == ERROR_NONE && !list_add (homes, &homes->sealed, &homes->n_sealed, seal->incarnation))
+  name_list_remove (homes->sealing, &homes->n_sealing, seal->incarnation);
+  if (error == ERROR_NONE
+      && !name_list_add (homes, &homes->sealed, &homes->n_sealed, seal->incarnation))
     error = ERROR_NO_MEMORY;
   log_event (error == ERROR_NONE ? LOG_LEVEL_NOTICE : LOG_LEVEL_WARNING, "journal_sealed", NULL,
              NULL, "%s: %s", seal->incarnation, error_name (error));
@@ -121,7 +93,7 @@
 {
   struct HomesSeal *seal;
 
-  if (list_has (homes->sealing, homes->n_sealing, incarnation))
+  if (name_list_has (homes->sealing, homes->n_sealing, incarnation))
     return;
   seal = talloc_zero (homes, struct HomesSeal);
   if (seal == NULL)
@@ -129,7 +101,7 @@
   seal->homes = homes;
   seal->incarnation = talloc_strdup (seal, incarnation);
   if (seal->incarnation == NULL
-      || !list_add (homes, &homes->sealing, &homes->n_sealing, incarnation)
+      || !name_list_add (homes, &homes->sealing, &homes->n_sealing, incarnation)
       || journal_seal (homes, homes->kv, homes->timers, homes->options.prefix, incarnation,
                        homes->options.incarnation, homes_on_sealed, seal)
              != ERROR_NONE)
@@ -412,8 +384,9 @@
 
   /* The last is this incarnation's own, which has nothing of the new epoch yet. */
   for (uint32_t j = 0; j + 1 < entry->n_journals; j++)
-    if (!list_has (adoption->journals, adoption->n_journals, entry->journals[j])
-        && !list_add (adoption, &adoption->journals, &adoption->n_journals, entry->journals[j]))
+    if (!name_list_has (adoption->journals, adoption->n_journals, entry->journals[j])
+        && !name_list_add (adoption, &adoption->journals, &adoption->n_journals,
+                           entry->journals[j]))
       return false;
   adoption->partitions[adoption->n_partitions++] = partition;
   return true;
--- a/tests/model/takeover.pml
+++ b/tests/model/takeover.pml
@@ -20,7 +20,7 @@
  *   adopt                          homes_adopt_group, adopt_partition, ledger_adopt_partition
  *   snapshot durable, settle       homes_on_snapshots, plan_owned
  *   leave, hand over               try_to_leave, homes_on_handoff, plan_handed
- *   clean                          none yet: old slots of dead journals stay
+ *   clean                          homes_clean_step, clean_on_keys
  *
  * Each mutant (-D...) takes one guard out; run.sh demands that every one is caught. */
 
--- a/tests/test_homes.c
+++ b/tests/test_homes.c
@@ -750,6 +750,53 @@
   talloc_free (f->ctx);
 }
 
+static bool
+only_seal_is_left (struct Fixture *f, const char *folder)
+{
+  struct Slot *slot = NULL;
+  struct KvEntry entry;
+
+  if (fake_kv_count (f->kv, folder) != 1)
+    return false;
+  fake_kv_peek (f->kv, fake_kv_peek_key (f->kv, folder, 0), &entry);
+  return slot_unpack (f->ctx, entry.value, entry.value_bytes, &slot) == ERROR_NONE
+         && slot->kind == SLOT_SEAL;
+}
+
+/* Homes die and leave, one after the other. The slots of each are deleted once nothing needs them,
+ * but never its seal: a writer paused since before it could else write that slot, and tell a caller
+ * of an outcome that no home will ever know. */
+static void
+test_dead_journals_are_cleaned (void)
+{
+  struct Fixture *f = fixture_new ();
+  struct Node *a = first_home (f), *b = node_new (f, "b.1"), *c;
+  int32_t error = ERROR_NONE;
+
+  accept (a, 3, true);
+  fake_kv_port_set_fault (a->port, FAKE_KV_REFUSE);
+  finish (a, 3, "late", &error);
+  SET_MEMBERS (b, "b.1");
+  advance (f, LONG_MS);
+  CU_ASSERT (only_seal_is_left (f, "b/journal/a.1/"));
+  fake_kv_port_set_fault (a->port, FAKE_KV_OK);
+  advance (f, LONG_MS);
+  CU_ASSERT_EQUAL (error, ERROR_FENCED);
+  c = node_new (f, "c.1");
+  SET_MEMBERS (c, "b.1!", "c.1");
+  SET_MEMBERS (b, "b.1!", "c.1");
+  advance (f, LONG_MS);
+  CU_ASSERT (owns (c));
+  CU_ASSERT (fake_kv_count (f->kv, "b/journal/b.1/") > 1);
+  CU_ASSERT_EQUAL (b->n_fenced, 0);
+  talloc_free (b);
+  SET_MEMBERS (c, "c.1");
+  advance (f, LONG_MS);
+  CU_ASSERT (only_seal_is_left (f, "b/journal/b.1/"));
+  CU_ASSERT (is_stored (c, 2, "two"));
+  talloc_free (f->ctx);
+}
+
 /* Holds the first reading of slots, when *data is set. */
 static enum FakeKvFault
 on_journal_read (void *data, const struct KvRequest *request)
@@ -806,6 +853,7 @@
   { "handed back at once", test_handed_back_at_once },
   { "programs are not mixed", test_programs_are_not_mixed },
   { "map never goes back", test_map_never_goes_back },
+  { "dead journals are cleaned", test_dead_journals_are_cleaned },
   { "lost while reading", test_lost_while_reading },
   { NULL, NULL },
 };
