--- a/core/homes.c
+++ b/core/homes.c
@@ -185,7 +185,6 @@
   for (uint32_t i = 0; i < homes->n_groups; i++)
     homes_step_group (homes, i);
   homes_checkpoint_step (homes);
-  homes_clean_step (homes);
   homes_check_stopped (homes);
 }
 
--- a/core/homes_clean.c
+++ b/core/homes_clean.c
@@ -4,6 +4,8 @@
 #include <buckthornhead/error.h>
 #include <buckthornhead/kv_guard.h>
 
+#include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 enum
@@ -91,25 +93,52 @@
     clean_end (cleaning, false);
 }
 
+static void
+clean_on_marked (void *data, const struct KvResult *result)
+{
+  if (result->error == ERROR_NONE)
+    clean_next (data);
+  else
+    clean_end (data, false);
+}
+
+/* Puts a seal that says so in the place of the seal, before anything is deleted. The slot is never
+ * without one: a writer that was paused before it could else create the slot and take its records
+ * for durable. And a reader needs no guess about gaps, or about slots that a late write brings
+ * back, when the map still comes to name this journal: by a hand-off to an instance that was dead
+ * by then, and that has written nothing for it. */
+static int32_t
+clean_mark_seal (struct HomesCleaning *cleaning, const struct KvEntry *last)
+{
+  struct Slot seal = { .kind = SLOT_SEAL };
+  struct KvRequest request = { .op = KV_OP_PUT };
+  uint8_t *packed;
+  size_t packed_bytes;
+  int32_t error;
+
+  seal.replay_from = strtoull (last->key + strlen (cleaning->folder), NULL, 10);
+  snprintf (seal.writer, sizeof seal.writer, "%s", cleaning->homes->options.incarnation);
+  error = slot_pack (cleaning, &seal, &packed, &packed_bytes);
+  if (error != ERROR_NONE)
+    return error;
+  request.put.key = last->key;
+  request.put.value = packed;
+  request.put.value_bytes = packed_bytes;
+  request.put.condition = KV_IF_MOD_REVISION;
+  request.put.mod_revision = last->mod_revision;
+  return kv_submit_guarded (cleaning, cleaning->homes->kv, &request, clean_on_marked, cleaning);
+}
+
 static void
 clean_on_keys (void *data, const struct KvResult *result)
 {
   struct HomesCleaning *cleaning = data;
+  bool whole = result->error == ERROR_NONE && !result->more && result->n_entries > 0;
 
-  if (result->error != ERROR_NONE || result->more)
-    {
-      clean_end (cleaning, false);
-      return;
-    }
-  /* The last slot is the seal, and stays for good: a writer that was paused before it could else
-   * create that slot again and take its records for durable. */
-  for (size_t i = result->n_entries; i > 1; i--)
-    if (!name_list_add (cleaning, &cleaning->keys, &cleaning->n_keys, result->entries[i - 2].key))
-      {
-        clean_end (cleaning, false);
-        return;
-      }
-  clean_next (cleaning);
+  for (size_t i = 0; whole && i + 1 < result->n_entries; i++)
+    whole = name_list_add (cleaning, &cleaning->keys, &cleaning->n_keys, result->entries[i].key);
+  if (!whole || clean_mark_seal (cleaning, &result->entries[result->n_entries - 1]) != ERROR_NONE)
+    clean_end (cleaning, false);
 }
 
 static void
@@ -132,10 +161,11 @@
     homes->cleaning = cleaning;
 }
 
-void
-homes_clean_step (struct Homes *homes)
+/* The journal that may be cleaned next, or NULL. */
+static const char *
+clean_choose (struct Homes *homes)
 {
-  for (size_t i = 0; i < homes->n_dropped && homes->cleaning == NULL; i++)
+  for (size_t i = 0; i < homes->n_dropped; i++)
     {
       const char *incarnation = homes->dropped[i];
 
@@ -144,8 +174,34 @@
       if (homes_is_live (homes, incarnation) || map_names (homes, incarnation))
         continue;
       if (homes_is_sealed (homes, incarnation))
-        clean_start (homes, incarnation);
-      else
-        homes_seal (homes, incarnation);
+        return incarnation;
+      homes_seal (homes, incarnation);
+    }
+  return NULL;
+}
+
+/* An old reading of the map may not name a journal that was written to since, by a home that came
+ * and went while this one was paused. So a journal is chosen when it is known to be sealed, and
+ * cleaned when a reading begun after that does not name it: whatever it wrote that still counts was
+ * named before it was written. */
+void
+homes_clean_step (struct Homes *homes)
+{
+  const char *incarnation;
+
+  if (homes->cleaning != NULL || journal_is_fenced (homes->journal))
+    return;
+  incarnation = clean_choose (homes);
+  if (incarnation == NULL)
+    {
+      homes->clean_next[0] = '\0';
+      return;
+    }
+  if (strcmp (incarnation, homes->clean_next) != 0)
+    {
+      snprintf (homes->clean_next, sizeof homes->clean_next, "%s", incarnation);
+      homes->clean_after_read = homes->n_map_reads;
     }
+  else if (homes->n_map_reads > homes->clean_after_read)
+    clean_start (homes, incarnation);
 }
--- a/core/homes_map.c
+++ b/core/homes_map.c
@@ -95,6 +95,7 @@
   if (changed && homes->options.map_changed != NULL)
     homes->options.map_changed (homes->options.data);
   homes_step (homes);
+  homes_clean_step (homes);
 }
 
 void
@@ -106,7 +107,9 @@
     return;
   homes->reading_map =
       kv_submit_guarded (homes, homes->kv, &request, homes_on_map, homes) == ERROR_NONE;
-  if (!homes->reading_map)
+  if (homes->reading_map)
+    homes->n_map_reads++;
+  else
     homes_schedule_poll (homes);
 }
 
--- a/core/homes_state.h
+++ b/core/homes_state.h
@@ -59,6 +59,7 @@
   size_t n_sealing;
   struct Timer *poll_timer, *leave_timer;
   bool reading_map;
+  uint32_t n_map_reads; /* begun */
   uint32_t n_polls;
   bool stopping; /* homes_hand_off_all was called */
   JournalDone stopped;
@@ -67,6 +68,8 @@
   char **dropped; /* former journals that an entry of the map no longer names */
   size_t n_dropped;
   struct HomesCleaning *cleaning;
+  char clean_next[INCARNATION_MAX_BYTES + 1]; /* to be cleaned, once the map was read again */
+  uint32_t clean_after_read;
 };
 
 /* Goes over every partition and does what the map, the members and its own state ask for. */
@@ -112,7 +115,8 @@
 /* Remembers the journals that entry names beside the own one, and is about to name no more. */
 void
 homes_note_dropped (struct Homes *homes, const struct PartitionEntry *entry);
-/* Deletes, one by one, the slots of a dropped journal that no entry names any more. */
+/* Deletes, one by one, the slots of a dropped journal that no entry names any more. Called after
+ * each whole reading of the map. */
 void
 homes_clean_step (struct Homes *homes);
 
--- a/core/ledger.c
+++ b/core/ledger.c
@@ -181,8 +181,8 @@
   memcpy (flight->digest, call->digest, DIGEST_BYTES);
   program->reserved_tokens += reservation_tokens;
   /* An idempotent call may go out unjournaled only when a home that takes over would still charge
-   * for it: its branch is in the journal and its reservation within the grant. */
-  flight->intent_issued = !call->idempotent || !branch->known
+   * for it: its program and branch are in the journal and its reservation is within the grant. */
+  flight->intent_issued = !call->idempotent || program->pending || !branch->known
                           || reservation_tokens > program->created.program.grant_tokens;
   decision->verdict = flight->intent_issued ? LEDGER_JOURNAL_FIRST : LEDGER_RUN;
   if (flight->intent_issued)
--- a/core/replay.c
+++ b/core/replay.c
@@ -109,12 +109,17 @@
     replay_step (session, REPLAY_READ_NEWEST);
 }
 
+/* A seal that says that a replay needs nothing before it was put there by whoever cleaned up: of
+ * what may still lie there, or be written late, nothing counts. */
 static void
-replay_found_seal (struct ReplaySession *session, uint64_t slot)
+replay_found_seal (struct ReplaySession *session, uint64_t slot, uint64_t replay_from)
 {
   session->end_slot = slot;
   session->replay.seal_slot = slot;
-  replay_read_from_newest (session);
+  if (replay_from == slot)
+    replay_finish (session, ERROR_NONE);
+  else
+    replay_read_from_newest (session);
 }
 
 static void
@@ -147,6 +152,7 @@
 replay_on_look (struct ReplaySession *session, const struct KvResult *result)
 {
   struct Slot *slot;
+  uint64_t replay_from;
   bool sealed;
 
   if (result->n_entries != 1 || unpack_entry (session, &result->entries[0], &slot) != ERROR_NONE)
@@ -155,9 +161,10 @@
       return;
     }
   sealed = slot->kind == SLOT_SEAL;
+  replay_from = slot->replay_from;
   talloc_free (slot);
   if (sealed)
-    replay_found_seal (session, session->last_slot);
+    replay_found_seal (session, session->last_slot, replay_from);
   else if (session->seals)
     replay_step (session, REPLAY_PUT_SEAL);
   else
@@ -171,6 +178,7 @@
 replay_on_seal_conflict (struct ReplaySession *session, const struct KvResult *result)
 {
   struct Slot *slot;
+  uint64_t replay_from;
   bool sealed;
 
   if (result->n_entries != 1)
@@ -184,10 +192,11 @@
       return;
     }
   sealed = slot->kind == SLOT_SEAL;
+  replay_from = slot->replay_from;
   talloc_free (slot);
   if (sealed)
     {
-      replay_found_seal (session, session->end_slot);
+      replay_found_seal (session, session->end_slot, replay_from);
       return;
     }
   session->end_slot++;
@@ -281,10 +290,9 @@
       replay_on_seal_conflict (session, result);
       return;
     }
-  /* The slot before the seal is gone: all that was here is in other journals' checkpoints. */
   if (session->step == REPLAY_READ_NEWEST && result->error == ERROR_NOT_FOUND)
     {
-      replay_finish (session, ERROR_NOT_FOUND);
+      replay_finish (session, ERROR_INVALID);
       return;
     }
   if (result->error != ERROR_NONE)
@@ -302,7 +310,7 @@
       replay_on_look (session, result);
       break;
     case REPLAY_PUT_SEAL:
-      replay_found_seal (session, session->end_slot);
+      replay_found_seal (session, session->end_slot, 0);
       break;
     case REPLAY_READ_NEWEST:
       replay_on_newest (session, result);
--- a/include/buckthornhead/journal.h
+++ b/include/buckthornhead/journal.h
@@ -106,8 +106,7 @@
  * array that owns all the rest, may be stolen. */
 struct JournalReplay
 {
-  int32_t error;       /* ERROR_NOT_FOUND: sealed and cleaned up, nothing counts any more;
-                          ERROR_PLATFORM_DOWN: try again later; ERROR_INVALID: damaged */
+  int32_t error;       /* ERROR_PLATFORM_DOWN: try again later; ERROR_INVALID: damaged */
   struct Slot **slots; /* ascending; only those at or after the last slot's replay_from */
   uint64_t *slot_numbers;
   size_t n_slots;
--- a/include/buckthornhead/record.h
+++ b/include/buckthornhead/record.h
@@ -103,7 +103,8 @@
   enum SlotKind kind;
   char writer[NAME_MAX_BYTES + 24]; /* incarnation that wrote it (the taker, for a seal) */
   uint64_t batch_id;                /* unique for its writer */
-  uint64_t replay_from;             /* oldest slot that a replay needs */
+  uint64_t replay_from; /* oldest slot that a replay needs; in a seal: its own number once
+                           nothing before it counts any more, else 0 */
   struct Record *records;
   size_t n_records;
 };
--- a/tests/test_ledger.c
+++ b/tests/test_ledger.c
@@ -222,6 +222,25 @@
   talloc_free (ctx);
 }
 
+/* A home is replaced while the creation of a program waits to be written, and its caller sends
+ * both again elsewhere. What the first home ran meanwhile would be charged to nobody. */
+static void
+test_call_before_its_program_is_durable (void)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct Ledger *ledger = ledger_new (ctx);
+  struct Record want = { .kind = RECORD_PROGRAM, .partition = PARTITION, .epoch = 1 };
+  struct Fault fault;
+  bool exists;
+
+  snprintf (want.program.program, sizeof want.program.program, "p");
+  want.program.budget_tokens = BUDGET;
+  want.program.grant_tokens = GRANT;
+  ledger_create_program (ledger, &want, &exists, &fault);
+  CU_ASSERT_EQUAL (accept (ledger, call_of (MAIN_BRANCH, 1, 1, 10)).verdict, LEDGER_JOURNAL_FIRST);
+  talloc_free (ctx);
+}
+
 /* A wage confirmation was sent and its home died before the answer was written. The resend must
  * hear "may have run", at this home and at the next, and the program goes on with the next call. */
 static void
@@ -380,6 +399,7 @@
   { "two programs with equal bodies", test_two_programs_with_equal_bodies },
   { "budget is shared and capped", test_budget_is_shared_and_capped },
   { "budget under take-over", test_budget_under_take_over },
+  { "call before its program is durable", test_call_before_its_program_is_durable },
   { "intent without outcome", test_intent_without_outcome },
   { "abandoned intent may be used again", test_abandoned_intent_may_be_used_again },
   { "lower epoch is ignored", test_lower_epoch_is_ignored },
