--- a/bench/policy_sim.c
+++ b/bench/policy_sim.c
@@ -38,7 +38,6 @@
   enum CallState state;
   uint32_t server;
   uint32_t attempt, refusals;
-  uint32_t waited_ms;
   double issued_ms;
   uint64_t call; /* id of the present call */
 };
@@ -242,8 +241,7 @@
   struct DispatchItem item = { .id = id,
                                .prompt_tokens = call->prompt_tokens,
                                .max_tokens = call->max_tokens,
-                               .attained_tokens = program->attained_tokens,
-                               .waited_ms = branch->waited_ms };
+                               .attained_tokens = program->attained_tokens };
   uint8_t digest[DIGEST_BYTES];
   uint32_t retry_after_ms;
   struct Fault fault;
@@ -302,7 +300,6 @@
   struct SimBranch *branch = &sim->programs[id / BRANCHES_MAX].branches[id % BRANCHES_MAX];
 
   branch->issued_ms = sim->now_ms;
-  branch->waited_ms = 0;
   branch->attempt = 1;
   retry_budget_earn (sim->retries, sim->options->weights.retry_budget_permille);
   sim_place (sim, id);
@@ -501,27 +498,6 @@
       }
 }
 
-/* Calls that have waited long for a place go where there may be one sooner. */
-static void
-sim_displace (struct Sim *sim, struct SimServer *server)
-{
-  uint64_t id;
-  uint32_t waited_ms;
-
-  while (dispatch_queue_displace (server->queue, sim_clock (sim), &id, &waited_ms))
-    {
-      struct SimBranch *branch = &sim->programs[id / BRANCHES_MAX].branches[id % BRANCHES_MAX];
-      struct Outcome lost = { .error = ERROR_OVERLOADED, .ran = RAN_NO };
-      struct Call call = sim_call (sim, id);
-
-      placement_learn (sim->placement, &call, sim->digests[server->index].name, &lost,
-                       sim_clock (sim));
-      branch->state = CALL_IDLE;
-      branch->waited_ms = waited_ms;
-      sim_later (sim, 0, EVENT_RESEND, id);
-    }
-}
-
 static void
 sim_refresh_digests (struct Sim *sim)
 {
@@ -535,7 +511,6 @@
       if (sim->digests[s].usable && !usable)
         sim_evacuate (sim, server);
       sim->digests[s].usable = usable;
-      sim_displace (sim, server);
       /* The probe is a report, which a living server answers. */
       if (server_health_probe_due (server->health, sim_clock (sim)) && !server->dead)
         server_health_ended (server->health, &(struct Outcome){ .ran = RAN_YES }, sim_clock (sim));
--- a/core/dispatch_estimate.c
+++ b/core/dispatch_estimate.c
@@ -82,9 +82,7 @@
 
   if (call->item.attained_tokens > 0)
     return;
-  service->wait_new_ms +=
-      ((double)(now_ms - call->pushed_ms + call->item.waited_ms) - service->wait_new_ms)
-      * QUEUE_GAIN;
+  service->wait_new_ms += ((double)(now_ms - call->pushed_ms) - service->wait_new_ms) * QUEUE_GAIN;
   service->wait_new_at_ms = now_ms;
 }
 
--- a/core/dispatch_queue.c
+++ b/core/dispatch_queue.c
@@ -9,7 +9,6 @@
 {
   QUEUE_OVERDUE_TURN = 4,
   QUEUE_OVERDUE_AGEINGS = 2,
-  QUEUE_DISPLACE_MS = 15000,
   QUEUE_PREFILL_TOKENS = 1536,
   QUEUE_PREFILL_PATIENCE = 4
 };
@@ -194,7 +193,7 @@
   call->item = *item;
   call->service = service;
   call->pushed_ms = now_ms;
-  call->order.minor = queue_urgency (weights, item, now_ms - item->waited_ms);
+  call->order.minor = queue_urgency (weights, item, now_ms);
   call->order.sequence = call->expiry.sequence = call->age.sequence = ++queue->sequence;
   call->age.minor = (double)now_ms;
   if (queue_insert (queue, call, now_ms))
@@ -394,27 +393,6 @@
   return true;
 }
 
-bool
-dispatch_queue_displace (struct DispatchQueue *queue,
-                         int64_t now_ms,
-                         uint64_t *id,
-                         uint32_t *waited_ms)
-{
-  struct HeapNode *node = policy_heap_first (&queue->ages);
-  struct QueuedCall *call;
-
-  if (node == NULL)
-    return false;
-  call = HEAP_ENTRY (node, struct QueuedCall, age);
-  if (now_ms - call->pushed_ms < QUEUE_DISPLACE_MS)
-    return false;
-  *id = call->item.id;
-  *waited_ms = call->item.waited_ms + (uint32_t)(now_ms - call->pushed_ms);
-  queue_stop_waiting (queue, call);
-  queue_drop (queue, call, now_ms);
-  return true;
-}
-
 /* ---- What is learned from answers ---- */
 
 void
--- a/include/buckthornhead/policy.h
+++ b/include/buckthornhead/policy.h
@@ -91,7 +91,6 @@
   uint32_t prompt_tokens, cached_tokens_hint, max_tokens;
   uint64_t attained_tokens; /* what the program has received so far, by its home's count */
   int64_t deadline_ms;      /* absolute on the queue's clock; 0: none */
-  uint32_t waited_ms;       /* at other servers before this one: counts as waiting here */
   bool suspect;             /* quarantine_suspects: runs with no other suspect beside it */
 };
 
@@ -121,14 +120,6 @@
 bool
 dispatch_queue_expire (struct DispatchQueue *queue, int64_t now_ms, uint64_t *id);
 
-/* Gives one waiting item whose program has had no place here for long, so that its home may choose
- * another server, which may be this one again; to be pushed with waited_ms, or its turn is lost. */
-bool
-dispatch_queue_displace (struct DispatchQueue *queue,
-                         int64_t now_ms,
-                         uint64_t *id,
-                         uint32_t *waited_ms);
-
 /* First token seen, and the end, of an item that was popped: the limit is learned from these. Both
  * may let another item go: pop again after each. */
 void
