--- a/core/ledger_apply.c
+++ b/core/ledger_apply.c
@@ -83,6 +83,7 @@
   branch->known = true;
   branch->last_sequence = key->sequence;
   program->charged_tokens += turn.outcome.charge_tokens;
+  program->cached_tokens += turn.outcome.cached_tokens;
   return ERROR_NONE;
 }
 
--- a/core/ledger_state.h
+++ b/core/ledger_state.h
@@ -44,6 +44,7 @@
   bool ended;
   enum EndReason end_reason;
   uint64_t charged_tokens, reserved_tokens;
+  uint64_t cached_tokens; /* of the charge, since this home has the program: for the policy only */
   struct LedgerBranch **branches;
   size_t n_branches;
   struct LedgerTurn **turns; /* in the order of their outcomes */
--- a/core/ledger_view.c
+++ b/core/ledger_view.c
@@ -13,6 +13,8 @@
   view->parent = created->program.parent;
   view->budget_tokens = created->program.budget_tokens;
   view->charged_tokens = program->charged_tokens;
+  view->cached_tokens = program->cached_tokens < program->charged_tokens ? program->cached_tokens
+                                                                         : program->charged_tokens;
   view->reserved_tokens = program->reserved_tokens;
   view->created_unix_ms = created->program.created_unix_ms;
   view->deadline_unix_ms = created->program.deadline_unix_ms;
--- a/core/peer_message.c
+++ b/core/peer_message.c
@@ -83,7 +83,7 @@
 static void
 digest_pack (struct PackWriter *p, const struct PolicyServer *digest)
 {
-  pack_array (p, 8);
+  pack_array (p, 12);
   pack_string (p, digest->name);
   pack_u64 (p, digest->usable);
   pack_u64 (p, digest->in_flight);
@@ -92,6 +92,10 @@
   pack_u64 (p, digest->reported_running);
   pack_u64 (p, digest->service_ms_per_call);
   pack_u64 (p, digest->prefill_us_per_token);
+  pack_u64 (p, digest->wait_new_ms);
+  pack_u64 (p, digest->wait_kept_ms);
+  pack_u64 (p, digest->pace_us_per_token);
+  pack_u64 (p, digest->programs);
 }
 
 static void
@@ -108,6 +112,10 @@
   digest->reported_running = (uint32_t)read_u64 (&r, UINT32_MAX);
   digest->service_ms_per_call = (uint32_t)read_u64 (&r, UINT32_MAX);
   digest->prefill_us_per_token = (uint32_t)read_u64 (&r, UINT32_MAX);
+  digest->wait_new_ms = (uint32_t)read_u64 (&r, UINT32_MAX);
+  digest->wait_kept_ms = (uint32_t)read_u64 (&r, UINT32_MAX);
+  digest->pace_us_per_token = (uint32_t)read_u64 (&r, UINT32_MAX);
+  digest->programs = (uint32_t)read_u64 (&r, UINT32_MAX);
   outer->failed = outer->failed || r.failed;
 }
 
@@ -225,7 +233,7 @@
   pack_u64 (p, dispatch->attained_tokens);
   pack_u64 (p, dispatch->cached_tokens_hint);
   pack_u64 (p, dispatch->timeout_ms);
-  pack_u64 (p, dispatch->release_after);
+  pack_u64 (p, dispatch->suspect);
 }
 
 static void
@@ -237,7 +245,7 @@
   dispatch->attained_tokens = read_u64 (r, UINT64_MAX);
   dispatch->cached_tokens_hint = (uint32_t)read_u64 (r, UINT32_MAX);
   dispatch->timeout_ms = (uint32_t)read_u64 (r, UINT32_MAX);
-  dispatch->release_after = read_u64 (r, 1) != 0;
+  dispatch->suspect = read_u64 (r, 1) != 0;
 }
 
 static void
--- a/core/profile.c
+++ b/core/profile.c
@@ -30,7 +30,7 @@
   { "rule", CONFIG_VALUE_CHOICE, CONFIG_FIELD (struct Profile, weights.rule), "program", UNIT_NONE,
     0, 0, rules },
   NUMBER ("cache_weight", weights.cache_weight_permille, "500", UNIT_NONE, 0, 1000),
-  NUMBER ("ageing", weights.ageing_ms, "2s", UNIT_TIME, 10, HOUR_MS),
+  NUMBER ("ageing", weights.ageing_ms, "30s", UNIT_TIME, 10, HOUR_MS),
   NUMBER ("share", weights.share, "100", UNIT_NONE, 1, 1000),
   NUMBER ("queue_limit", weights.queue_limit, "256", UNIT_NONE, 1, 100000),
   NUMBER ("retry_budget", weights.retry_budget_permille, "100", UNIT_NONE, 0, 1000),
--- a/daemon/fleet.c
+++ b/daemon/fleet.c
@@ -325,7 +325,8 @@
         continue;
       *server = backend->digest;
       snprintf (server->name, sizeof server->name, "%s", backend->setting.name);
-      server->usable = backend->live && fleet_owner (fleet, backend) != NULL;
+      server->usable = backend->live && fleet_owner (fleet, backend) != NULL
+                       && (backend->digest_ms == 0 || backend->digest.usable);
       server->same_zone = strcmp (backend->setting.zone, fleet->core->settings->zone) == 0;
       (*n_servers)++;
     }
@@ -336,7 +337,7 @@
   .name = "built-in",
   .weights = { .rule = POLICY_PROGRAM,
                .cache_weight_permille = 300,
-               .ageing_ms = 10000,
+               .ageing_ms = 30000,
                .share = 100,
                .queue_limit = 1000,
                .retry_budget_permille = 100,
--- /dev/null
+++ b/daemon/home_dispatch.c
@@ -0,0 +1,267 @@
+#include "home_internal.h"
+
+#include <buckthornhead/counter.h>
+#include <buckthornhead/log.h>
+
+#include <stdio.h>
+#include <string.h>
+
+enum
+{
+  TIMEOUT_GRACE_MS = 2000, /* over the backend server's own time: the owner answers first */
+  COME_BACK_NO_SERVER_MS = 500
+};
+
+static int64_t
+home_call_time_left_ms (const struct HomeCall *call)
+{
+  struct LedgerProgramView view;
+  int64_t left_ms = call->call.deadline_ms;
+
+  if (!ledger_view_program (call->home->ledger, call->call.key.program, &view)
+      || view.deadline_unix_ms == 0)
+    return left_ms;
+  if (left_ms == 0 || view.deadline_unix_ms - core_unix_ms () < left_ms)
+    left_ms = view.deadline_unix_ms - core_unix_ms ();
+  return left_ms > 0 ? left_ms : 1;
+}
+
+static void
+home_call_on_retry (void *data)
+{
+  struct HomeCall *call = data;
+
+  TALLOC_FREE (call->timer);
+  home_call_dispatch (call);
+}
+
+/* Nothing of the answer was seen and sending again is safe: tries elsewhere, within the retry
+ * budget. */
+static void
+home_call_retry (struct HomeCall *call, const struct PeerAnswer *answer)
+{
+  struct Home *home = call->home;
+  struct Fault fault;
+  uint32_t delay_ms = 0;
+  uint32_t retry_after_ms = answer->retry_after_ms;
+
+  home_call_forget_dispatch (call);
+  TALLOC_FREE (call->timer);
+  call->answer_bytes = 0;
+  call->releasable_bytes = 0;
+  if (retry_budget_take (home->retries, &call->call, &answer->outcome, call->attempt,
+                         home_call_time_left_ms (call), &delay_ms, &fault)
+      != ERROR_NONE)
+    {
+      if (retry_after_ms == 0)
+        retry_after_ms = home_call_come_back_ms (call, COME_BACK_NO_SERVER_MS);
+      home_call_abandon (call, answer->outcome.ran,
+                         answer->fault.error != ERROR_NONE ? &answer->fault : &fault,
+                         retry_after_ms);
+      return;
+    }
+  counter_add (COUNTER_CALLS_RETRIED, 1);
+  call->state = HOME_CALL_BACKING_OFF;
+  call->timer = timer_subscribe (call, home->core->timers, delay_ms, 0, home_call_on_retry, call);
+}
+
+static void
+home_call_on_timeout (void *data)
+{
+  struct HomeCall *call = data;
+  struct PeerMessage cancel = { .kind = PEER_CANCEL };
+  struct Fault fault;
+
+  TALLOC_FREE (call->timer);
+  cancel.cancel.id = call->dispatch_id;
+  peer_net_send (call->home->core->net, call->owner_link, &cancel);
+  home_release_touch (call->home, call->call.key.program, call->backend);
+  if (!call->call.idempotent)
+    {
+      home_call_may_have_run (call);
+      return;
+    }
+  fault_set (&fault, ERROR_TIMEOUT, NULL, "backend server %s did not answer in time",
+             call->backend);
+  home_call_abandon (call, RAN_MAYBE, &fault,
+                     home_call_come_back_ms (call, COME_BACK_NO_SERVER_MS));
+}
+
+static void
+home_call_mark_tried (struct HomeCall *call, const char *server)
+{
+  if (call->n_tried == CALL_TRIED_MAX)
+    return;
+  snprintf (call->tried[call->n_tried++], NAME_MAX_BYTES + 1, "%s", server);
+}
+
+static void
+home_call_leave_out_tried (const struct HomeCall *call, struct PolicyServer *servers, size_t n)
+{
+  size_t n_left = 0;
+
+  for (size_t i = 0; i < n; i++)
+    {
+      for (uint32_t t = 0; t < call->n_tried; t++)
+        if (strcmp (servers[i].name, call->tried[t]) == 0)
+          servers[i].usable = false;
+      n_left += servers[i].usable;
+    }
+  if (n_left > 0)
+    return;
+  /* All were tried: a server that refused may have room by now. */
+  for (size_t i = 0; i < n; i++)
+    {
+      const struct FleetBackend *backend = fleet_backend (call->home->core->fleet, servers[i].name);
+
+      servers[i].usable = backend != NULL && backend->live;
+    }
+}
+
+/* Sends the call to the owner of backend. False when its owner can not be reached: nothing left. */
+static bool
+home_call_send (struct HomeCall *call,
+                const struct FleetBackend *backend,
+                const struct Profile *profile,
+                uint32_t cached_tokens_hint)
+{
+  struct Home *home = call->home;
+  struct PeerMessage message = { .kind = PEER_DISPATCH };
+  struct LedgerProgramView view;
+  const char *owner = fleet_owner (home->core->fleet, backend);
+  uint64_t link = owner != NULL ? peer_net_link_to (home->core->net, owner) : PEER_LINK_NONE;
+
+  if (link == PEER_LINK_NONE)
+    return false;
+  message.dispatch.id = home->next_id++;
+  snprintf (message.dispatch.backend, NAME_MAX_BYTES + 1, "%s", backend->setting.name);
+  message.dispatch.call = call->call;
+  message.dispatch.call.deadline_ms = home_call_time_left_ms (call);
+  message.dispatch.cached_tokens_hint = cached_tokens_hint;
+  message.dispatch.suspect = quarantine_suspects (home->quarantine, call->call.digest);
+  message.dispatch.timeout_ms = profile->call_timeout_ms;
+  if (ledger_view_program (home->ledger, call->call.key.program, &view))
+    message.dispatch.attained_tokens = view.charged_tokens - view.cached_tokens;
+  if (peer_net_send (home->core->net, link, &message) != ERROR_NONE)
+    return false;
+  snprintf (call->backend, sizeof call->backend, "%s", backend->setting.name);
+  call->dispatch_id = message.dispatch.id;
+  call->owner_link = link;
+  call->state = HOME_CALL_DISPATCHED;
+  HASH_ADD (by_dispatch, home->dispatches, dispatch_id, sizeof call->dispatch_id, call);
+  call->timer = timer_subscribe (call, home->core->timers,
+                                 (int64_t)profile->call_timeout_ms + TIMEOUT_GRACE_MS, 0,
+                                 home_call_on_timeout, call);
+  return true;
+}
+
+void
+home_call_dispatch (struct HomeCall *call)
+{
+  struct Home *home = call->home;
+  struct Fleet *fleet = home->core->fleet;
+  struct PeerAnswer failed = { 0 };
+  struct Profile profile;
+  struct PolicyServer *servers;
+  const struct FleetBackend *backend;
+  size_t n_servers;
+  int32_t chosen;
+
+  call->attempt++;
+  fleet_profile (fleet, call->call.service, &profile);
+  servers = fleet_servers (fleet, call, call->call.target_kind, call->call.target, &n_servers);
+  home_call_leave_out_tried (call, servers, n_servers);
+  chosen = placement_choose (home->placement, &profile.weights, servers, n_servers, &call->call,
+                             timer_now_ms (home->core->timers), &failed.fault);
+  if (chosen < 0)
+    {
+      talloc_free (servers);
+      home_call_abandon (call, RAN_NO, &failed.fault,
+                         home_call_come_back_ms (call, COME_BACK_NO_SERVER_MS));
+      return;
+    }
+  backend = fleet_backend (fleet, servers[chosen].name);
+  talloc_free (servers);
+  home_call_mark_tried (call, backend->setting.name);
+  if (home_call_send (call, backend, &profile,
+                      placement_cached_hint (home->placement, &call->call, backend->setting.name)))
+    return;
+  failed.outcome.error = fault_set (&failed.fault, ERROR_UNREACHABLE, NULL,
+                                    "the owner of %s can not be reached", backend->setting.name);
+  failed.outcome.ran = RAN_NO;
+  home_call_retry (call, &failed);
+}
+
+static void
+home_tell_death (struct Home *home, const struct HomeCall *call)
+{
+  struct PeerMessage message = { .kind = PEER_QUARANTINE };
+
+  memcpy (message.quarantine.digest, call->call.digest, DIGEST_BYTES);
+  snprintf (message.quarantine.server, sizeof message.quarantine.server, "%s", call->backend);
+  home_on_death (home, call->call.digest, call->backend);
+  fleet_broadcast (home->core->fleet, &message);
+}
+
+void
+home_on_death (struct Home *home, const uint8_t digest[DIGEST_BYTES], const char *server)
+{
+  if (!quarantine_record_death (home->quarantine, digest, server,
+                                timer_now_ms (home->core->timers)))
+    return;
+  counter_add (COUNTER_QUARANTINED, 1);
+  log_event (LOG_LEVEL_ERROR, "request_quarantined", NULL, error_remedy (ERROR_QUARANTINED),
+             "a request stopped a second backend server, %s", server);
+}
+
+/* A call that broke after it was sent, and may be sent again. */
+static void
+home_call_on_broken (struct HomeCall *call, const struct PeerAnswer *answer)
+{
+  struct Fault fault;
+
+  if (quarantine_holds (call->home->quarantine, call->call.digest))
+    {
+      fault_set (&fault, ERROR_QUARANTINED, NULL,
+                 "two backend servers died while they ran this request");
+      home_call_abandon (call, RAN_YES, &fault, 0);
+      return;
+    }
+  if (!call->released_any)
+    {
+      home_call_retry (call, answer);
+      return;
+    }
+  /* Part of an answer is with the caller: another try would mix two. The caller sends the same
+   * sequence number again and gets a whole one. */
+  home_call_abandon (call, RAN_MAYBE, &answer->fault, home_call_come_back_ms (call, 0));
+}
+
+bool
+home_on_answer (struct Home *home, const struct PeerAnswer *answer)
+{
+  struct HomeCall *call;
+
+  HASH_FIND (by_dispatch, home->dispatches, &answer->id, sizeof answer->id, call);
+  if (call == NULL)
+    return home_release_on_answer (home, answer);
+  if (answer->server_died)
+    home_tell_death (home, call);
+  if (answer->outcome.ran == RAN_NO)
+    {
+      home_call_retry (call, answer);
+      return true;
+    }
+  if (answer->outcome.error == ERROR_NONE
+      && (answer->outcome.status < 500 || !call->call.idempotent))
+    {
+      home_call_end (call, &answer->outcome);
+      return true;
+    }
+  home_release_touch (home, call->call.key.program, call->backend);
+  if (call->call.idempotent)
+    home_call_on_broken (call, answer);
+  else
+    home_call_may_have_run (call);
+  return true;
+}
--- a/daemon/home_internal.h
+++ b/daemon/home_internal.h
@@ -149,9 +149,52 @@
              uint32_t retry_after_ms,
              uint64_t expected_sequence);
 
-/* home_call.c */
+/* home_accept.c: a request for a call meets the ledger. */
 void
 home_on_call (struct Home *home, uint64_t link, const struct PeerRequest *request);
+
+/* home_dispatch.c: the call goes out, and comes back. */
+void
+home_call_dispatch (struct HomeCall *call);
+
+/* home_stream.c */
+/* Sends each waiter what it may have and has not had, up to up_to_bytes of the answer. */
+void
+home_call_release (struct HomeCall *call, size_t up_to_bytes);
+
+/* home_call.c: a call in flight, from its first waiter to its outcome. */
+struct HomeCall *
+home_call_find (struct Home *home, const struct CallKey *key);
+struct HomeCall *
+home_call_new (struct Home *home, uint64_t link, const struct PeerRequest *request);
+void
+home_call_add_waiter (struct HomeCall *call, uint64_t link, const struct PeerRequest *request);
+/* Copies a key with all bytes behind its texts zeroed, as a hash key must be. */
+void
+call_key_copy (struct CallKey *to, const struct CallKey *from);
+/* What an owner still sends for the present dispatch is nobody's any more. */
+void
+home_call_forget_dispatch (struct HomeCall *call);
+/* The call has ended: journals its outcome, then answers the waiters and frees it. */
+void
+home_call_end (struct HomeCall *call, const struct Outcome *outcome);
+/* The same for a call that may run once only and whose outcome is lost: it is never sent again. */
+void
+home_call_may_have_run (struct HomeCall *call);
+/* The call ends without an outcome: it did not run (RAN_NO), or may be run again. Frees it. */
+void
+home_call_abandon (struct HomeCall *call,
+                   enum RanState ran,
+                   const struct Fault *fault,
+                   uint32_t retry_after_ms);
+void
+home_call_answer_all (struct HomeCall *call, const struct PeerAnswer *answer);
+/* Tells all waiters that the call did not run. */
+void
+home_call_refuse_all (struct HomeCall *call, const struct Fault *fault, uint32_t retry_after_ms);
+/* When the call's caller is to come back: at least least_ms, spread over callers. */
+uint32_t
+home_call_come_back_ms (const struct HomeCall *call, uint32_t least_ms);
 void
 home_cancel_program (struct Home *home, const char *program);
 void
--- /dev/null
+++ b/daemon/home_stream.c
@@ -0,0 +1,71 @@
+#include "home_internal.h"
+
+#include <string.h>
+
+/* An event stream is not complete before this; it is held back until the outcome is durable. */
+static const char end_marker[] = "data: [DONE]";
+
+/* Sends each waiter what it may have and has not had. */
+void
+home_call_release (struct HomeCall *call, size_t up_to_bytes)
+{
+  for (struct HomeWaiter *w = call->waiters; w != NULL; w = w->next)
+    {
+      if (w->sent_bytes >= up_to_bytes)
+        continue;
+      home_reply_bytes (call->home, w->link, w->id, call->status, call->answer + w->sent_bytes,
+                        up_to_bytes - w->sent_bytes);
+      w->sent_bytes = up_to_bytes;
+      call->released_any = true;
+    }
+}
+
+/* Bytes at the end of text that could be the start of the end marker. */
+static size_t
+marker_overlap (const uint8_t *text, size_t n_bytes)
+{
+  size_t longest = sizeof end_marker - 2;
+
+  if (longest > n_bytes)
+    longest = n_bytes;
+  for (size_t n = longest; n > 0; n--)
+    if (memcmp (text + n_bytes - n, end_marker, n) == 0)
+      return n;
+  return 0;
+}
+
+/* How much of the stream may be seen before its outcome is durable. */
+static size_t
+home_call_releasable (const struct HomeCall *call)
+{
+  const uint8_t *from = call->answer + call->releasable_bytes;
+  size_t n_bytes = call->answer_bytes - call->releasable_bytes;
+  const uint8_t *marker = memmem (from, n_bytes, end_marker, sizeof end_marker - 1);
+
+  if (marker != NULL)
+    return (size_t)(marker - call->answer);
+  return call->answer_bytes - marker_overlap (from, n_bytes);
+}
+
+bool
+home_on_chunk (struct Home *home, const struct PeerChunk *chunk)
+{
+  struct HomeCall *call;
+
+  HASH_FIND (by_dispatch, home->dispatches, &chunk->id, sizeof chunk->id, call);
+  if (call == NULL)
+    return false;
+  if (call->answer_bytes + chunk->n_bytes > call->answer_size)
+    {
+      call->answer_size = (call->answer_bytes + chunk->n_bytes) * 2;
+      call->answer = talloc_realloc (call, call->answer, uint8_t, call->answer_size);
+    }
+  memcpy (call->answer + call->answer_bytes, chunk->bytes, chunk->n_bytes);
+  call->answer_bytes += chunk->n_bytes;
+  call->status = chunk->status;
+  if (!call->call.stream || chunk->status != 200)
+    return true;
+  call->releasable_bytes = home_call_releasable (call);
+  home_call_release (call, call->releasable_bytes);
+  return true;
+}
--- a/daemon/owner.c
+++ b/daemon/owner.c
@@ -4,6 +4,7 @@
 
 #include <buckthornhead/counter.h>
 #include <buckthornhead/log.h>
+#include <buckthornhead/server_health.h>
 
 #include <stdio.h>
 #include <string.h>
@@ -52,6 +53,7 @@
   struct OwnerServer *next;
   char name[NAME_MAX_BYTES + 1];
   struct DispatchQueue *queue;
+  struct ServerHealth *health;
   uint32_t in_flight, waiting;
   uint32_t reported_running;
   uint64_t last_event;
@@ -121,6 +123,7 @@
     return NULL;
   snprintf (server->name, sizeof server->name, "%s", name);
   server->queue = dispatch_queue_new (server, QUEUE_INITIAL_LIMIT);
+  server->health = server_health_new (server);
   server->next = owner->servers;
   owner->servers = server;
   return server;
@@ -184,6 +187,9 @@
   request.call.stream = call->stream;
   request.call.body = call->body;
   request.call.body_bytes = call->body_bytes;
+  /* A plain service may be silent for as long as its work takes: only its failures count. */
+  if (call->target_kind == CALL_TARGET_ENGINE)
+    server_health_sent (job->server->health, timer_now_ms (owner->core->timers));
   job->sent = true;
   job->server->waiting--;
   job->server->in_flight++;
@@ -258,6 +264,7 @@
   item.cached_tokens_hint = dispatch->cached_tokens_hint;
   item.max_tokens = dispatch->call.max_tokens;
   item.attained_tokens = dispatch->attained_tokens;
+  item.suspect = dispatch->suspect;
   item.deadline_ms = dispatch->call.deadline_ms > 0 ? now_ms + dispatch->call.deadline_ms : 0;
   fleet_weights (owner->core->fleet, dispatch->call.service, &weights);
   if (dispatch_queue_push (server->queue, &weights, &item, (uint32_t)job->id, now_ms,
@@ -279,6 +286,7 @@
   struct OwnerServer *server = job->server;
 
   server->in_flight--;
+  server_health_ended (server->health, &answer->outcome, timer_now_ms (owner->core->timers));
   dispatch_queue_finished (server->queue, job->id, &answer->outcome,
                            timer_now_ms (owner->core->timers));
   owner_answer (owner, job->link, answer);
@@ -367,9 +375,20 @@
 }
 
 static void
-owner_on_report_end (struct OwnerServer *server, const struct BackendEvent *event)
+owner_on_report_end (struct Owner *owner,
+                     struct OwnerServer *server,
+                     const struct BackendEvent *event)
 {
+  int64_t now_ms = timer_now_ms (owner->core->timers);
+  struct Outcome alive = { .error = ERROR_NONE };
+
   server->report_under_way = false;
+  /* Any answer shows that a suspected server is back, also of a service that knows no reports. */
+  if (event->end.status != 0 && server_health_suspected (server->health, now_ms))
+    {
+      server_health_sent (server->health, now_ms);
+      server_health_ended (server->health, &alive, now_ms);
+    }
   if (!event->end.has_load)
     return;
   server->reported_running = event->end.load.running;
@@ -399,12 +418,17 @@
 
   if (!job->first_token_seen)
     dispatch_queue_first_token (job->server->queue, job->id, timer_now_ms (owner->core->timers));
-  job->first_token_seen = true;
+  server_health_progress (job->server->health, timer_now_ms (owner->core->timers));
   message.chunk.id = job->peer_id;
   message.chunk.status = event->chunk.status;
   message.chunk.bytes = event->chunk.bytes;
   message.chunk.n_bytes = event->chunk.n_bytes;
   peer_net_send (owner->core->net, job->link, &message);
+  if (job->first_token_seen)
+    return;
+  /* Its prompt is read: the next long one may start. */
+  job->first_token_seen = true;
+  owner_pump (owner, job->server);
 }
 
 void
@@ -429,7 +453,7 @@
       owner_on_probe_end (owner, job, &mail->event);
       break;
     case OWNER_JOB_REPORT:
-      owner_on_report_end (job->server, &mail->event);
+      owner_on_report_end (owner, job->server, &mail->event);
       owner_job_free (job);
       break;
     case OWNER_JOB_RELEASE:
@@ -558,6 +582,15 @@
   owner_job_free (job);
 }
 
+static bool
+owner_probe_is_due (struct Owner *owner, const struct FleetBackend *backend)
+{
+  struct OwnerServer *server = owner_server (owner, backend->setting.name);
+
+  return server != NULL
+         && server_health_probe_due (server->health, timer_now_ms (owner->core->timers));
+}
+
 static void
 owner_ask_reports (struct Owner *owner)
 {
@@ -565,8 +598,9 @@
   size_t n = fleet_backends (owner->core->fleet, &backends);
 
   for (size_t i = 0; i < n; i++)
-    if (backends[i].live && backends[i].setting.kind == CALL_TARGET_ENGINE
-        && fleet_owns (owner->core->fleet, &backends[i]))
+    if (backends[i].live && fleet_owns (owner->core->fleet, &backends[i])
+        && (backends[i].setting.kind == CALL_TARGET_ENGINE
+            || owner_probe_is_due (owner, &backends[i])))
       owner_ask_report (owner, &backends[i]);
 }
 
@@ -601,6 +635,7 @@
 struct PolicyServer *
 owner_digests (struct Owner *owner, TALLOC_CTX *ctx, size_t *n_digests)
 {
+  int64_t now_ms = timer_now_ms (owner->core->timers);
   struct PolicyServer *digests;
   size_t n = 0;
 
@@ -619,7 +654,7 @@
         continue;
       dispatch_queue_digest (server->queue, digest);
       snprintf (digest->name, sizeof digest->name, "%s", server->name);
-      digest->usable = backend->live;
+      digest->usable = backend->live && !server_health_suspected (server->health, now_ms);
       digest->reported_running = server->reported_running;
       (*n_digests)++;
     }
--- a/include/buckthornhead/ledger.h
+++ b/include/buckthornhead/ledger.h
@@ -113,6 +113,7 @@
 {
   const char *program, *service, *parent;
   uint64_t budget_tokens, charged_tokens, reserved_tokens;
+  uint64_t cached_tokens; /* part of the charge that engines had cached, as far as known here */
   int64_t created_unix_ms, deadline_unix_ms;
   uint32_t turns, turn_limit, in_flight;
   bool ended;
--- a/include/buckthornhead/peer_message.h
+++ b/include/buckthornhead/peer_message.h
@@ -84,7 +84,7 @@
   uint64_t attained_tokens;
   uint32_t cached_tokens_hint;
   uint32_t timeout_ms;
-  bool release_after; /* the program has no later call: nothing needs to stay */
+  bool suspect; /* was running on a server that died: runs beside no other suspect */
 };
 
 struct PeerChunk
--- a/tests/test_peer_message.c
+++ b/tests/test_peer_message.c
@@ -58,12 +58,20 @@
   struct PeerMessage in = { .kind = PEER_HEARTBEAT };
   struct PeerMessage *out;
 
+  digests[0].wait_new_ms = 41;
+  digests[0].wait_kept_ms = 7;
+  digests[0].pace_us_per_token = 9000;
+  digests[0].programs = 12;
   in.heartbeat.outcomes.cached_tokens = 5;
   in.heartbeat.digests = digests;
   in.heartbeat.n_digests = 2;
   roundtrip (&in, &out);
   CU_ASSERT_EQUAL (out->heartbeat.n_digests, 2);
   CU_ASSERT_EQUAL (out->heartbeat.digests[1].limit, 9);
+  CU_ASSERT_EQUAL (out->heartbeat.digests[0].wait_new_ms, 41);
+  CU_ASSERT_EQUAL (out->heartbeat.digests[0].wait_kept_ms, 7);
+  CU_ASSERT_EQUAL (out->heartbeat.digests[0].pace_us_per_token, 9000);
+  CU_ASSERT_EQUAL (out->heartbeat.digests[0].programs, 12);
   CU_ASSERT_EQUAL (out->heartbeat.outcomes.cached_tokens, 5);
   talloc_free (out);
 }
