--- a/core/homes_state.h
+++ b/core/homes_state.h
@@ -18,7 +18,8 @@
   uint64_t epoch;         /* under which it is or was served here */
   bool snapshots_durable; /* of all that was adopted */
   bool handoff_queued;
-  uint64_t pin_slot; /* the own journal must keep what follows for the next home; 0: none */
+  int64_t leave_since_ms; /* owned, and to be handed off at a quiet moment; 0: not */
+  uint64_t pin_slot;      /* the own journal must keep what follows for the next home; 0: none */
 };
 
 struct HomesGroup
@@ -59,11 +60,17 @@
   size_t n_sealing;
   struct Timer *poll_timer, *leave_timer;
   bool reading_map;
+  uint32_t n_map_reads; /* begun */
   uint32_t n_polls;
   bool stopping; /* homes_hand_off_all was called */
   JournalDone stopped;
   void *stopped_data;
   struct HomesCheckpoint checkpoint;
+  char **dropped; /* former journals that an entry of the map no longer names */
+  size_t n_dropped;
+  struct HomesCleaning *cleaning;
+  char clean_next[INCARNATION_MAX_BYTES + 1]; /* to be cleaned, once the map was read again */
+  uint32_t clean_after_read;
 };
 
 /* Goes over every partition and does what the map, the members and its own state ask for. */
@@ -101,7 +108,23 @@
 void
 homes_adopt_group (struct Homes *homes, uint32_t index);
 
+bool
+homes_is_live (const struct Homes *homes, const char *incarnation);
+
+/* homes_clean.c */
+
+/* Remembers the journals that entry names beside the own one, and is about to name no more. */
+void
+homes_note_dropped (struct Homes *homes, const struct PartitionEntry *entry);
+/* Deletes, one by one, the slots of a dropped journal that no entry names any more. Called after
+ * each whole reading of the map. */
+void
+homes_clean_step (struct Homes *homes);
+
 /* homes_handoff.c */
+/* Whether partitions may be given to this incarnation: not while it is being drained. */
+bool
+homes_is_candidate (const struct Homes *homes);
 void
 homes_start_leaving (struct Homes *homes, uint32_t partition);
 void
