fuzz_caller releases its exchange once

Cause: the target released twice, for two sides; an exchange that was never posted has one reference. The second release was a use after free in the target itself from the beginning. ASan did not see it behind liburcu's inline assembler; since exchanges use C11 atomics it does, and fuzz_caller failed. Ruled out: a fault of adapters/exchange.c.

--- a/tests/fuzz/fuzz_caller.c
+++ b/tests/fuzz/fuzz_caller.c
@@ -110,6 +110,5 @@
   FUZZ_REQUIRE (error == ERROR_NONE || (fault.message[0] != '\0' && fault.remedy[0] != '\0'));
   FUZZ_REQUIRE (error != ERROR_NONE || exchange->request.op != 0);
   exchange_release (exchange);
-  exchange_release (exchange);
   return 0;
 }
