--- a/tests/test_homes.c
+++ b/tests/test_homes.c
@@ -649,8 +649,8 @@
 }
 
 /* The hand-off's record is on its way when a program's release is acknowledged. Written behind the
- * hand-off it would count as durable here, and the next home may already have read past it: a record
- * that was acknowledged would be missing. */
+ * hand-off it would count as durable here, and the next home may already have read past it: a
+ * record that was acknowledged would be missing. */
 static void
 test_nothing_follows_the_hand_off (void)
 {
