History: a chat's turn keeps the messages that the turn before did not have

Ruled out: parsing bodies on the core thread (a megabyte of JSON a turn); asking callers to send only what is new (existing clients could not be used). Change: the HTTP thread writes the messages first in the body that the engine gets; the home compares the last turn's messages by one hash over the same length and keeps what follows. Golden files: 'request' is an array of the new messages now, and the engine's answers, which derive from the body, differ; every other field is compared as before.

--- a/adapters/caller_request.c
+++ b/adapters/caller_request.c
@@ -179,6 +179,32 @@
   parse->call->body_bytes = parse->exchange->body_bytes;
 }
 
+/* Writes the body that the engine gets, its messages first: a turn's body then begins with all that
+ * the turn before began with, and the home keeps of it only what is new. */
+static int32_t
+parse_write_chat (struct Parse *parse, json_t *json)
+{
+  struct Call *call = parse->call;
+  char *messages = json_dumps (json_object_get (json, "messages"), JSON_COMPACT);
+  char *rest, *body;
+
+  json_object_del (json, "messages");
+  rest = json_dumps (json, JSON_COMPACT);
+  /* Both are JSON texts: the brackets that the head brings are left out. */
+  body = talloc_asprintf (parse->exchange, CHAT_BODY_HEAD "%s,%s", messages + 1, rest + 1);
+  if (body != NULL)
+    {
+      call->body = (const uint8_t *)body;
+      call->body_bytes = strlen (body);
+      call->messages_end = (uint32_t)(strlen (CHAT_BODY_HEAD) + strlen (messages) - 2);
+    }
+  free (messages);
+  free (rest);
+  if (body == NULL)
+    return fault_set (parse->fault, ERROR_NO_MEMORY, NULL, "out of memory");
+  return ERROR_NONE;
+}
+
 /* The engine must not generate more than is reserved, and must say what it did: both are written
  * into the body that it gets. */
 static int32_t
@@ -186,7 +212,6 @@
 {
   struct Call *call = parse->call;
   json_t *json, *model, *limit;
-  char *text;
   int32_t error = parse_json (parse, &json);
 
   if (error != ERROR_NONE)
@@ -218,10 +243,7 @@
   json_object_set_new (json, "max_tokens", json_integer (call->max_tokens));
   if (call->stream)
     json_object_set_new (json, "stream_options", json_pack ("{s:b}", "include_usage", 1));
-  text = json_dumps (json, JSON_COMPACT);
-  call->body = talloc_memdup (parse->exchange, text, strlen (text) + 1);
-  call->body_bytes = strlen (text);
-  free (text);
+  error = parse_write_chat (parse, json);
 
 out:
   json_decref (json);
--- a/core/peer_message.c
+++ b/core/peer_message.c
@@ -11,7 +11,7 @@
 static void
 call_pack (struct PackWriter *p, const struct Call *call)
 {
-  pack_array (p, 14);
+  pack_array (p, 15);
   pack_string (p, call->key.program);
   pack_string (p, call->key.branch);
   pack_u64 (p, call->key.sequence);
@@ -26,6 +26,7 @@
   pack_i64 (p, call->deadline_ms);
   pack_bytes (p, call->digest, DIGEST_BYTES);
   pack_bytes (p, call->body, call->body_bytes);
+  pack_u64 (p, call->messages_end);
 }
 
 static void
@@ -48,6 +49,9 @@
   call->deadline_ms = read_i64 (&r);
   read_fixed (&r, call->digest, DIGEST_BYTES);
   call->body = read_bytes (&r, ctx, &call->body_bytes);
+  call->messages_end = (uint32_t)read_u64 (&r, UINT32_MAX);
+  if (call->messages_end > call->body_bytes)
+    r.failed = true;
   outer->failed = outer->failed || r.failed;
 }
 
--- a/daemon/home.c
+++ b/daemon/home.c
@@ -233,6 +233,7 @@
   home_fail_all (home, ERROR_FENCED);
   TALLOC_FREE (home->era);
   home->releases = NULL;
+  home->prefixes = NULL;
   home->homes = NULL;
   home->era = talloc_new (home);
   home->ledger = ledger_new (home->era);
--- a/daemon/home_call.c
+++ b/daemon/home_call.c
@@ -202,6 +202,7 @@
       return;
     }
   home_call_learn (call);
+  home_history_remember (call);
   if (call->outcome.error != ERROR_NONE)
     fault_set (&answer.fault, call->outcome.error, NULL, "backend server %s was lost in mid-call",
                call->outcome.backend);
@@ -218,6 +219,8 @@
 {
   struct Home *home = call->home;
   struct Record record;
+  const uint8_t *part;
+  size_t part_bytes;
   int32_t error;
 
   home_call_forget_dispatch (call);
@@ -226,8 +229,9 @@
   call->outcome = *outcome;
   call->outcome.answer = outcome->error == ERROR_NONE ? call->answer : NULL;
   call->outcome.answer_bytes = outcome->error == ERROR_NONE ? call->answer_bytes : 0;
-  error = ledger_end_call (home->ledger, &call->call.key, &call->outcome, call->call.body,
-                           call->call.body_bytes, &record);
+  part = home_history_part (call, &part_bytes);
+  error =
+      ledger_end_call (home->ledger, &call->call.key, &call->outcome, part, part_bytes, &record);
   if (error == ERROR_NONE)
     home_write (home, &record, call->call.key.program, home_call_on_outcome_written, call);
   else
--- a/daemon/home_internal.h
+++ b/daemon/home_internal.h
@@ -86,6 +86,7 @@
   struct HomeCall *calls;      /* by key */
   struct HomeCall *dispatches; /* by dispatch id */
   struct HomeRelease *releases;
+  struct HomePrefix *prefixes; /* by program and branch */
   struct HomesMember *members; /* the last that were told, for a new era */
   size_t n_members;
   uint32_t n_programs;
@@ -200,6 +201,17 @@
 void
 home_fail_all (struct Home *home, int32_t error);
 
+/* home_history.c: what a turn adds to its program's history. A chat's body repeats all earlier
+ * turns; kept is what the turn before did not have, so that a history grows by its turns and not by
+ * their sum. */
+const uint8_t *
+home_history_part (struct HomeCall *call, size_t *n_bytes);
+/* The turn is durable: the next one is compared with it. */
+void
+home_history_remember (struct HomeCall *call);
+void
+home_history_forget (struct Home *home, const char *program);
+
 /* home_release.c */
 void
 home_release_start (struct Home *home);
--- a/include/buckthornhead/call.h
+++ b/include/buckthornhead/call.h
@@ -17,6 +17,9 @@
 /* The branch that a program's own calls are on; each sub-agent names another. */
 #define MAIN_BRANCH "main"
 
+/* How the body of a chat begins; what stands between it and .messages_end are its messages. */
+#define CHAT_BODY_HEAD "{\"messages\":["
+
 /* Names one call of one program. */
 struct CallKey
 {
@@ -55,6 +58,9 @@
   uint8_t digest[DIGEST_BYTES]; /* of the body and the target */
   const uint8_t *body;
   size_t body_bytes;
+  /* Of a chat: the body begins with CHAT_BODY_HEAD and its messages, up to here without the closing
+   * bracket. The next turn's body usually begins with the same bytes. 0: no chat. */
+  uint32_t messages_end;
 };
 
 /* The end of a call. */
