Guarded requests go with their port

Cause: LeakSanitizer on test_homes_chaos, 26 objects of 3120 bytes: the guards of requests whose port was freed unanswered belonged to nobody. They now belong to the port, a talloc object. In the daemon the port lives as long as the process, so nothing grew there.

--- a/core/kv_guard.c
+++ b/core/kv_guard.c
@@ -25,6 +25,15 @@
   return 0;
 }
 
+/* Also when the port goes with the request unanswered. */
+static int
+kv_guard_free (struct KvGuard *guard)
+{
+  if (guard->link != NULL)
+    guard->link->guard = NULL;
+  return 0;
+}
+
 static void
 kv_guard_done (void *data, const struct KvResult *result)
 {
@@ -42,7 +51,7 @@
 kv_submit_guarded (
     TALLOC_CTX *owner, struct KvPort *kv, const struct KvRequest *request, KvDone done, void *data)
 {
-  struct KvGuard *guard = talloc_zero (NULL, struct KvGuard);
+  struct KvGuard *guard = talloc_zero (kv, struct KvGuard);
   int32_t error;
 
   if (guard == NULL)
@@ -56,6 +65,7 @@
       return ERROR_NO_MEMORY;
     }
   guard->link->guard = guard;
+  talloc_set_destructor (guard, kv_guard_free);
   talloc_set_destructor (guard->link, kv_guard_link_free);
   error = kv_submit (kv, request, kv_guard_done, guard);
   if (error != ERROR_NONE)
