--- a/tests/sessions/test_order.c
+++ b/tests/sessions/test_order.c
@@ -69,6 +69,8 @@
 
   CU_ASSERT_STRING_EQUAL (seen, wanted);
   CU_ASSERT_PTR_NOT_NULL (strstr (seen, "main 1\nmain 2\nmain 3\nmain 4\n"));
+  if (strstr (seen, "main 1\nmain 2\nmain 3\nmain 4\n") == NULL)
+    fprintf (stderr, "seen:\n%s\nundisturbed:\n%s\n", seen, wanted);
 }
 
 struct LinesWanted
