--- a/core/ledger_apply.c
+++ b/core/ledger_apply.c
@@ -165,6 +165,7 @@
     case RECORD_END:
       return record->end.program;
     case RECORD_RELEASED:
+    case RECORD_HELD:
       return record->released.program;
     case RECORD_SNAPSHOT:
       return record->snapshot.program;
@@ -207,6 +208,8 @@
     case RECORD_RELEASED:
       program_release (program, record->released.backend);
       return ERROR_NONE;
+    case RECORD_HELD:
+      return program_hold (program, record->released.backend);
     default:
       return ERROR_INVALID;
     }
--- a/core/record.c
+++ b/core/record.c
@@ -67,6 +67,7 @@
       return 16;
     case RECORD_END:
     case RECORD_RELEASED:
+    case RECORD_HELD:
       return 5;
     case RECORD_SNAPSHOT:
       return 7;
@@ -115,6 +116,7 @@
       pack_u64 (writer, record->end.reason);
       break;
     case RECORD_RELEASED:
+    case RECORD_HELD:
       pack_string (writer, record->released.program);
       pack_string (writer, record->released.backend);
       break;
@@ -149,7 +151,7 @@
   struct PackReader fields;
 
   read_array (reader, &fields);
-  record->kind = (enum RecordKind)read_u64 (&fields, RECORD_NOT_SENT);
+  record->kind = (enum RecordKind)read_u64 (&fields, RECORD_HELD);
   record->partition = (uint32_t)read_u64 (&fields, UINT32_MAX);
   record->epoch = read_u64 (&fields, UINT64_MAX);
   switch (record->kind)
@@ -178,6 +180,7 @@
         fields.failed = true;
       break;
     case RECORD_RELEASED:
+    case RECORD_HELD:
       read_string (&fields, record->released.program, sizeof record->released.program);
       read_string (&fields, record->released.backend, sizeof record->released.backend);
       break;
--- a/daemon/home_history.c
+++ b/daemon/home_history.c
@@ -59,7 +59,8 @@
   if (c->messages_end == 0)
     return c->body;
   from = history_new_from (call->home, c);
-  part = talloc_asprintf (call, "[%.*s]", (int)(c->messages_end - from), (const char *)c->body + from);
+  part =
+      talloc_asprintf (call, "[%.*s]", (int)(c->messages_end - from), (const char *)c->body + from);
   if (part == NULL)
     return c->body;
   *n_bytes = strlen (part);
--- a/daemon/home_internal.h
+++ b/daemon/home_internal.h
@@ -219,6 +219,7 @@
 home_release_on_answer (struct Home *home, const struct PeerAnswer *answer);
 void
 home_release_on_link_closed (struct Home *home, uint64_t link);
-/* A call was sent to backend and broke: the server may hold memory that no outcome tells of. */
+/* A call was sent to backend and broke: the server may hold memory that no outcome tells of.
+ * Journaled, so that it is released after the program's end wherever the program is homed then. */
 void
 home_release_touch (struct Home *home, const char *program, const char *backend);
--- a/daemon/home_release.c
+++ b/daemon/home_release.c
@@ -11,41 +11,27 @@
   ASK_AGAIN_MS = 2500 /* an owner that has not answered by then is asked anew */
 };
 
-/* A broken dispatch: the backend server may hold memory of the program though no outcome says so.
- */
-struct HomeTouched
-{
-  char key[PROGRAM_ID_MAX_BYTES + NAME_MAX_BYTES + 2];
-  char program[PROGRAM_ID_MAX_BYTES + 1];
-  char backend[NAME_MAX_BYTES + 1];
-  UT_hash_handle by_key;
-};
-
-static struct HomeTouched *touched;
-
 static void
 release_key (char *key, size_t size, const char *program, const char *backend)
 {
   snprintf (key, size, "%s/%s", program, backend);
 }
 
+static void
+touch_on_recorded (void *data, int32_t error)
+{
+  (void)data;
+  (void)error; /* a home that could not write it is no home any more; its taker asks everywhere */
+}
+
 void
 home_release_touch (struct Home *home, const char *program, const char *backend)
 {
-  struct HomeTouched *t;
-  char key[sizeof t->key];
+  struct Record record = { .kind = RECORD_HELD };
 
-  release_key (key, sizeof key, program, backend);
-  HASH_FIND (by_key, touched, key, strlen (key), t);
-  if (t != NULL)
-    return;
-  t = talloc_zero (home->era, struct HomeTouched);
-  if (t == NULL)
-    return;
-  memcpy (t->key, key, sizeof key);
-  snprintf (t->program, sizeof t->program, "%s", program);
-  snprintf (t->backend, sizeof t->backend, "%s", backend);
-  HASH_ADD (by_key, touched, key, strlen (t->key), t);
+  snprintf (record.released.program, sizeof record.released.program, "%s", program);
+  snprintf (record.released.backend, sizeof record.released.backend, "%s", backend);
+  home_write (home, &record, program, touch_on_recorded, NULL);
 }
 
 static void
@@ -172,48 +158,17 @@
     release_record (release);
 }
 
-/* A touched server of a program that has ended since. */
-static void
-release_touched (struct Home *home)
-{
-  struct HomeTouched *t, *next;
-
-  HASH_ITER (by_key, touched, t, next)
-  {
-    struct LedgerProgramView view;
-    struct HomeRelease *release;
-
-    if (!ledger_view_program (home->ledger, t->program, &view))
-      goto drop;
-    if (!view.ended)
-      continue;
-    release = release_of (home, t->program, t->backend);
-    if (release == NULL)
-      continue;
-    release_ask (release);
-    if (!release->acknowledged)
-      continue;
-    if (!release->recorded)
-      release_record (release);
-  drop:
-    HASH_DELETE (by_key, touched, t);
-    talloc_free (t);
-  }
-}
-
 static void
 home_on_release_sweep (void *data)
 {
   struct Home *home = data;
 
   ledger_each_held (home->ledger, release_on_held, home);
-  release_touched (home);
 }
 
 void
 home_release_start (struct Home *home)
 {
-  touched = NULL;
   timer_subscribe (home->era, home->core->timers, SWEEP_MS, SWEEP_MS, home_on_release_sweep, home);
 }
 
--- a/include/buckthornhead/record.h
+++ b/include/buckthornhead/record.h
@@ -18,7 +18,8 @@
   RECORD_RELEASED = 5, /* a backend server no longer holds memory for an ended program */
   RECORD_SNAPSHOT = 6, /* the whole state of one program (adoption, checkpoint) */
   RECORD_HANDOFF = 7,  /* planned: the writer serves this partition no more */
-  RECORD_NOT_SENT = 8  /* an intent that was never sent and never will be */
+  RECORD_NOT_SENT = 8, /* an intent that was never sent and never will be */
+  RECORD_HELD = 9      /* a dispatch broke: the server may hold memory that no outcome tells of */
 };
 
 enum EndReason
@@ -79,7 +80,7 @@
     {
       char program[PROGRAM_ID_MAX_BYTES + 1];
       char backend[NAME_MAX_BYTES + 1];
-    } released;
+    } released; /* and held */
     struct
     {
       char program[PROGRAM_ID_MAX_BYTES + 1];
--- a/tests/test_ledger.c
+++ b/tests/test_ledger.c
@@ -344,6 +344,34 @@
   talloc_free (ctx);
 }
 
+/* A call breaks on engine-2 and runs on engine-1; the program is handed to another home and ends
+ * there. engine-2 has read the prompt too, and no outcome says so: without the record its memory
+ * would stay held for ever. */
+static void
+test_broken_dispatch_is_released_after_a_hand_off (void)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct Ledger *ledger = ledger_with (ctx, "p", 0);
+  struct Record held = { .kind = RECORD_HELD, .partition = PARTITION, .epoch = 1 };
+  struct Record end, released = { .kind = RECORD_RELEASED, .partition = PARTITION, .epoch = 2 };
+
+  snprintf (held.released.program, sizeof held.released.program, "p");
+  snprintf (held.released.backend, sizeof held.released.backend, "engine-2");
+  CU_ASSERT_EQUAL (ledger_apply (ledger, &held), ERROR_NONE);
+  run (ledger, call_of (MAIN_BRANCH, 1, 1, 10), "one", 7);
+  CU_ASSERT_EQUAL (ledger_apply (ledger, &held), ERROR_NONE); /* told twice */
+  adopt (ledger, 2, true);
+  CU_ASSERT_EQUAL (ledger_end_program (ledger, "p", END_DONE, &end), ERROR_NONE);
+  end.epoch = 2;
+  CU_ASSERT_EQUAL (ledger_apply (ledger, &end), ERROR_NONE);
+  CU_ASSERT_EQUAL (view_of (ledger).n_held_backends, 2);
+  snprintf (released.released.program, sizeof released.released.program, "p");
+  snprintf (released.released.backend, sizeof released.released.backend, "engine-2");
+  CU_ASSERT_EQUAL (ledger_apply (ledger, &released), ERROR_NONE);
+  CU_ASSERT_EQUAL (view_of (ledger).n_held_backends, 1);
+  talloc_free (ctx);
+}
+
 static void
 test_looping_and_late_programs_are_stopped (void)
 {
@@ -404,6 +432,8 @@
   { "abandoned intent may be used again", test_abandoned_intent_may_be_used_again },
   { "lower epoch is ignored", test_lower_epoch_is_ignored },
   { "end and release", test_end_and_release },
+  { "broken dispatch is released after a hand-off",
+    test_broken_dispatch_is_released_after_a_hand_off },
   { "looping and late programs are stopped", test_looping_and_late_programs_are_stopped },
   { "snapshot in parts", test_snapshot_in_parts },
   { NULL, NULL },
--- a/tests/test_record.c
+++ b/tests/test_record.c
@@ -16,9 +16,14 @@
   return key;
 }
 
+enum
+{
+  N_KINDS = RECORD_HELD /* kinds are numbered from 1 */
+};
+
 /* One record of each kind. */
 static struct Slot
-slot_of_all_kinds (struct Record records[8])
+slot_of_all_kinds (struct Record records[N_KINDS])
 {
   static const uint8_t body[] = "answer";
   struct Slot slot = { .kind = SLOT_RECORDS,
@@ -26,10 +31,10 @@
                        .batch_id = 3,
                        .replay_from = 2,
                        .records = records,
-                       .n_records = 8 };
+                       .n_records = N_KINDS };
 
-  memset (records, 0, 8 * sizeof records[0]);
-  for (uint32_t i = 0; i < 8; i++)
+  memset (records, 0, N_KINDS * sizeof records[0]);
+  for (uint32_t i = 0; i < N_KINDS; i++)
     {
       records[i].kind = (enum RecordKind) (i + RECORD_PROGRAM);
       records[i].partition = 5;
@@ -50,6 +55,7 @@
   snprintf (records[3].end.program, sizeof records[3].end.program, "%s", "p");
   records[3].end.reason = END_LOOPING;
   snprintf (records[4].released.backend, sizeof records[4].released.backend, "%s", "engine-1");
+  snprintf (records[8].released.backend, sizeof records[8].released.backend, "%s", "engine-2");
   records[5].snapshot.state = body;
   records[5].snapshot.state_bytes = sizeof body;
   records[5].snapshot.n_parts = 1;
@@ -61,7 +67,7 @@
 test_every_kind_comes_back (void)
 {
   TALLOC_CTX *ctx = talloc_new (NULL);
-  struct Record records[8];
+  struct Record records[N_KINDS];
   struct Slot slot = slot_of_all_kinds (records), *back = NULL;
   uint8_t *packed, *again;
   size_t bytes, again_bytes, sum = 0;
@@ -71,14 +77,14 @@
   CU_ASSERT_STRING_EQUAL (back->writer, "malda-1.7");
   CU_ASSERT_EQUAL (back->batch_id, 3);
   CU_ASSERT_EQUAL (back->replay_from, 2);
-  CU_ASSERT_EQUAL_FATAL (back->n_records, 8);
+  CU_ASSERT_EQUAL_FATAL (back->n_records, N_KINDS);
   CU_ASSERT_EQUAL (back->records[0].program.created_unix_ms, -1);
   CU_ASSERT_EQUAL (back->records[2].outcome.outcome.error, ERROR_BACKEND);
   CU_ASSERT_EQUAL (back->records[3].end.reason, END_LOOPING);
   CU_ASSERT_EQUAL_FATAL (slot_pack (ctx, back, &again, &again_bytes), ERROR_NONE);
   CU_ASSERT_EQUAL_FATAL (again_bytes, bytes);
   CU_ASSERT_EQUAL (memcmp (again, packed, bytes), 0);
-  for (size_t i = 0; i < 8; i++)
+  for (size_t i = 0; i < N_KINDS; i++)
     sum += record_packed_bytes (&records[i]);
   CU_ASSERT (bytes - sum <= SLOT_HEADER_MAX_BYTES);
   talloc_free (ctx);
@@ -90,7 +96,7 @@
 test_malformed_is_refused (void)
 {
   TALLOC_CTX *ctx = talloc_new (NULL);
-  struct Record records[8];
+  struct Record records[N_KINDS];
   struct Slot slot = slot_of_all_kinds (records), *back = NULL;
   static const uint8_t bomb[] = { 0xdd, 0xff, 0xff, 0xff, 0xff };
   uint8_t *packed;
