--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,7 @@
 fuzz:
 	tools/run_fuzz.sh build-fuzz
 
-check: packages lint test
+check: packages lint fuzz test
 
 demo: packages build
 	tools/demo.sh $(BUILD)
--- a/core/homes_takeover.c
+++ b/core/homes_takeover.c
@@ -267,7 +267,9 @@
       ledger_drop_partition (homes->ledger, partition);
       return error;
     }
-  counter_add (planned ? COUNTER_HANDOFFS : COUNTER_TAKEOVERS, 1);
+  /* The first claim of a partition takes nothing over from anybody. */
+  if (entry->n_journals > 1)
+    counter_add (planned ? COUNTER_HANDOFFS : COUNTER_TAKEOVERS, 1);
   p->state = HOMES_OWNED;
   homes_count_owned (homes);
   if (homes->options.gained != NULL)
--- a/daemon/fleet.c
+++ b/daemon/fleet.c
@@ -18,7 +18,7 @@
    * instance are then settled. It starts no take-over; only the platform's lease does. */
   SILENCE_MS = 2500,
   CONNECT_KEEP_MS = 2000,
-  OWNER_KEY_BYTES = 2 * NAME_MAX_BYTES + 16
+  LOST_SHOWN_MS = 60 * 60 * 1000
 };
 
 struct Fleet
@@ -28,6 +28,8 @@
   size_t n_members;
   struct FleetBackend *backends;
   size_t n_backends;
+  struct FleetLost lost[FLEET_LOST_MAX];
+  size_t n_lost;
 };
 
 size_t
@@ -91,6 +93,52 @@
   talloc_free (members);
 }
 
+static void
+fleet_drop_lost (struct Fleet *fleet, size_t i)
+{
+  fleet->n_lost--;
+  memmove (&fleet->lost[i], &fleet->lost[i + 1], (fleet->n_lost - i) * sizeof fleet->lost[0]);
+}
+
+/* Operators must see an instance that died: it is no member any more, and without this its line
+ * would just be missing. */
+static void
+fleet_forget_member (struct Fleet *fleet, const struct FleetMember *member)
+{
+  struct FleetLost *lost;
+
+  peer_net_forget (fleet->core->net, member->instance);
+  if (member->draining)
+    return;
+  if (fleet->n_lost == FLEET_LOST_MAX)
+    fleet_drop_lost (fleet, 0);
+  lost = &fleet->lost[fleet->n_lost++];
+  snprintf (lost->instance, sizeof lost->instance, "%s", member->instance);
+  lost->lost_ms = timer_now_ms (fleet->core->timers);
+  log_event (LOG_LEVEL_WARNING, "member_lost", NULL,
+             "replace the instance if it does not come back", "%s is no member any more",
+             member->instance);
+}
+
+/* What has come back, or was lost long ago, needs nobody. */
+static void
+fleet_tidy_lost (struct Fleet *fleet)
+{
+  int64_t now_ms = timer_now_ms (fleet->core->timers);
+
+  for (size_t i = fleet->n_lost; i-- > 0;)
+    if (now_ms - fleet->lost[i].lost_ms > LOST_SHOWN_MS
+        || fleet_member_named (fleet, fleet->lost[i].instance) != NULL)
+      fleet_drop_lost (fleet, i);
+}
+
+size_t
+fleet_lost (const struct Fleet *fleet, const struct FleetLost **lost)
+{
+  *lost = fleet->lost;
+  return fleet->n_lost;
+}
+
 void
 fleet_set_members (struct Fleet *fleet, const struct FleetMember *members, size_t n_members)
 {
@@ -108,10 +156,11 @@
   fleet->n_members = n_members;
   for (size_t i = 0; i < n_former; i++)
     if (fleet_member_named (fleet, former[i].instance) == NULL)
-      peer_net_forget (fleet->core->net, former[i].instance);
+      fleet_forget_member (fleet, &former[i]);
   for (size_t i = 0; i < n_members; i++)
     peer_net_know (fleet->core->net, copy[i].instance, copy[i].peer_address);
   talloc_free (former);
+  fleet_tidy_lost (fleet);
   fleet_tell_homes (fleet);
   fleet_publish (fleet);
 }
@@ -230,6 +279,7 @@
   fleet_take_digests (fleet, &message.heartbeat);
   fleet_broadcast (fleet, &message);
   fleet_suspect_silent (fleet);
+  fleet_tidy_lost (fleet);
   gauge_set (GAUGE_PARTITIONS_OWNED, message.heartbeat.partitions);
   gauge_set (GAUGE_PROGRAMS, message.heartbeat.programs);
   gauge_set (GAUGE_DRAINING, message.heartbeat.draining);
--- a/daemon/fleet.h
+++ b/daemon/fleet.h
@@ -24,6 +24,18 @@
   struct PeerHeartbeat heartbeat; /* the last one; digests are not kept */
 };
 
+/* A member that went without having been drained: dead, or cut off from the platform. */
+struct FleetLost
+{
+  char instance[NAME_MAX_BYTES + 1];
+  int64_t lost_ms;
+};
+
+enum
+{
+  FLEET_LOST_MAX = 32
+};
+
 struct Fleet *
 fleet_new (struct Core *core);
 
@@ -32,6 +44,9 @@
 fleet_set_members (struct Fleet *fleet, const struct FleetMember *members, size_t n_members);
 size_t
 fleet_members (const struct Fleet *fleet, const struct FleetMember **members);
+/* Those lost in the last hour that have not come back. */
+size_t
+fleet_lost (const struct Fleet *fleet, const struct FleetLost **lost);
 const struct FleetMember *
 fleet_member_of (const struct Fleet *fleet, const char *incarnation);
 
--- a/daemon/home.c
+++ b/daemon/home.c
@@ -13,6 +13,7 @@
 {
   MAP_POLL_MS = 1000,
   JOURNAL_BURST_SLOTS = 8,
+  RETAIN_ENDED_MS = 60 * 60 * 1000,
   SWEEP_MS = 1000
 };
 
@@ -193,13 +194,51 @@
   uint32_t n_programs;
 };
 
+/* An ended program that holds nothing is kept for resends of its calls, and then forgotten: else
+ * memory and checkpoints would grow for ever. After a take-over the time begins anew. */
+static void
+home_note_ended (struct Home *home, const struct LedgerProgramView *view)
+{
+  struct HomeEnded *ended;
+  int64_t now_ms = timer_now_ms (home->core->timers);
+
+  HASH_FIND (by_program, home->ended, view->program, strlen (view->program), ended);
+  if (ended != NULL || view->n_held_backends > 0)
+    return;
+  ended = talloc_zero (home->era, struct HomeEnded);
+  if (ended == NULL)
+    return;
+  snprintf (ended->program, sizeof ended->program, "%s", view->program);
+  ended->since_ms = now_ms;
+  HASH_ADD (by_program, home->ended, program, strlen (ended->program), ended);
+}
+
+static void
+home_forget_ended (struct Home *home)
+{
+  struct HomeEnded *ended, *next;
+  int64_t now_ms = timer_now_ms (home->core->timers);
+
+  HASH_ITER (by_program, home->ended, ended, next)
+  {
+    if (now_ms - ended->since_ms < RETAIN_ENDED_MS)
+      continue;
+    ledger_forget_program (home->ledger, ended->program);
+    HASH_DELETE (by_program, home->ended, ended);
+    talloc_free (ended);
+  }
+}
+
 static void
 home_note_late (void *data, const struct LedgerProgramView *view)
 {
   struct DeadlineSweep *sweep = data;
 
   if (view->ended)
-    return;
+    {
+      home_note_ended (sweep->home, view);
+      return;
+    }
   sweep->n_programs++;
   if (view->deadline_unix_ms == 0 || view->deadline_unix_ms > sweep->now_unix_ms)
     return;
@@ -221,6 +260,7 @@
   for (size_t i = 0; i < sweep.n_late; i++)
     home_end_program (home, sweep.late[i], END_DEADLINE);
   talloc_free (sweep.late);
+  home_forget_ended (home);
 }
 
 int32_t
@@ -234,6 +274,7 @@
   TALLOC_FREE (home->era);
   home->releases = NULL;
   home->prefixes = NULL;
+  home->ended = NULL;
   home->homes = NULL;
   home->era = talloc_new (home);
   home->ledger = ledger_new (home->era);
--- a/daemon/home_internal.h
+++ b/daemon/home_internal.h
@@ -71,6 +71,14 @@
   UT_hash_handle by_key;
 };
 
+/* An ended program, to be forgotten some time after its end. */
+struct HomeEnded
+{
+  char program[PROGRAM_ID_MAX_BYTES + 1];
+  int64_t since_ms;
+  UT_hash_handle by_program;
+};
+
 struct Home
 {
   struct Core *core;
@@ -87,6 +95,7 @@
   struct HomeCall *dispatches; /* by dispatch id */
   struct HomeRelease *releases;
   struct HomePrefix *prefixes; /* by program and branch */
+  struct HomeEnded *ended;     /* by program */
   struct HomesMember *members; /* the last that were told, for a new era */
   size_t n_members;
   uint32_t n_programs;
--- a/daemon/status.c
+++ b/daemon/status.c
@@ -96,6 +96,21 @@
                    "wait some seconds; if it stays, look at its log");
 }
 
+static void
+attention_of_fleet (struct Core *core, json_t *attention, size_t n_members)
+{
+  const struct FleetLost *lost;
+  size_t n = fleet_lost (core->fleet, &lost);
+
+  for (size_t i = 0; i < n; i++)
+    attention_add (attention, lost[i].instance, " is gone without having been drained",
+                   "replace it; its programs were taken over");
+  if (n_members == 0)
+    attention_add (attention, core->settings->instance,
+                   " has not reached the platform's service since it started",
+                   "see OPERATIONS: outage of the platform");
+}
+
 static json_t *
 status_overview (struct Core *core)
 {
@@ -120,6 +135,7 @@
       if (heartbeat.config_revision < oldest)
         oldest = heartbeat.config_revision;
     }
+  attention_of_fleet (core, attention, n);
   json_object_set_new (json, "instances", instances);
   json_object_set_new (json, "outcomes", outcomes_json (&sum));
   json_object_set_new (json, "config_revision", number (revision));
