Instances tell each other when partitions move

Cause: the next home and the entries learned of a move at their polls, up to a second later each, and a caller waited for both. Change: whoever gains or leaves partitions gives its peers one hint; they read the map then.

--- a/core/peer_message.c
+++ b/core/peer_message.c
@@ -290,6 +290,8 @@
     case PEER_CONFIG_WANT:
     case PEER_CONFIG_ENTRY:
       return 2;
+    case PEER_MAP_CHANGED:
+      return 1;
     case PEER_QUARANTINE:
       return 3;
     case PEER_SPOOL_PUT:
@@ -311,6 +313,8 @@
 {
   switch (message->kind)
     {
+    case PEER_MAP_CHANGED:
+      break;
     case PEER_HELLO:
       pack_string (p, message->hello.instance);
       pack_string (p, message->hello.incarnation);
@@ -368,6 +372,8 @@
 {
   switch (message->kind)
     {
+    case PEER_MAP_CHANGED:
+      break;
     case PEER_HELLO:
       read_string (r, message->hello.instance, sizeof message->hello.instance);
       read_string (r, message->hello.incarnation, sizeof message->hello.incarnation);
@@ -466,7 +472,7 @@
   *message = NULL;
   if (opened == NULL)
     goto fail;
-  m->kind = (enum PeerKind)read_u64 (&reader, PEER_SPOOL_RECORD);
+  m->kind = (enum PeerKind)read_u64 (&reader, PEER_MAP_CHANGED);
   if (reader.failed || reader.n_items != message_n_items (m->kind))
     goto fail;
   message_unpack_body (&reader, m, m);
--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -190,6 +190,9 @@
     case PEER_QUARANTINE:
       home_on_death (core->home, message->quarantine.digest, message->quarantine.server);
       break;
+    case PEER_MAP_CHANGED:
+      home_on_map_hint (core->home);
+      break;
     case PEER_SPOOL_PUT:
     case PEER_SPOOL_DROP:
     case PEER_SPOOL_READ:
--- a/daemon/home.c
+++ b/daemon/home.c
@@ -12,6 +12,7 @@
 enum
 {
   MAP_POLL_MS = 1000,
+  MAP_HINT_MS = 30,
   JOURNAL_BURST_SLOTS = 8,
   RETAIN_ENDED_MS = 60 * 60 * 1000,
   SWEEP_MS = 1000
@@ -118,12 +119,41 @@
   *programs = home->n_programs;
 }
 
+static void
+home_on_tell (void *data)
+{
+  struct Home *home = data;
+  struct PeerMessage hint = { .kind = PEER_MAP_CHANGED };
+
+  TALLOC_FREE (home->tell_timer);
+  fleet_broadcast (home->core->fleet, &hint);
+}
+
+/* The map's polls are a second apart, and whoever calls a program that has moved waits for them. A
+ * moment later, so that one hint does for all partitions of a move and the map itself has changed.
+ */
+static void
+home_tell_peers (struct Home *home)
+{
+  if (home->tell_timer == NULL)
+    home->tell_timer =
+        timer_subscribe (home, home->core->timers, MAP_HINT_MS, 0, home_on_tell, home);
+}
+
+void
+home_on_map_hint (struct Home *home)
+{
+  if (home->homes != NULL)
+    homes_refresh (home->homes);
+}
+
 static void
 home_on_gained (void *data, uint32_t partition)
 {
   struct Home *home = data;
 
   log_event (LOG_LEVEL_INFO, "partition_gained", NULL, NULL, "partition %u", partition);
+  home_tell_peers (home);
   fleet_publish (home->core->fleet);
 }
 
@@ -133,6 +163,7 @@
   struct Home *home = data;
 
   log_event (LOG_LEVEL_INFO, "partition_lost", NULL, NULL, "partition %u", partition);
+  home_tell_peers (home);
   fleet_publish (home->core->fleet);
 }
 
--- a/daemon/home.h
+++ b/daemon/home.h
@@ -34,6 +34,10 @@
 void
 home_on_death (struct Home *home, const uint8_t digest[DIGEST_BYTES], const char *server);
 
+/* A peer says that the partition map has changed. */
+void
+home_on_map_hint (struct Home *home);
+
 /* Incarnation of the home of partition, or NULL. */
 const char *
 home_lookup (const struct Home *home, uint32_t partition);
--- a/daemon/home_internal.h
+++ b/daemon/home_internal.h
@@ -99,6 +99,7 @@
   struct HomesMember *members; /* the last that were told, for a new era */
   size_t n_members;
   uint32_t n_programs;
+  struct Timer *tell_timer; /* a hint to the peers is due */
   struct HomeWrite *writes; /* in the order of their appends */
   int64_t unwritable_since_ms;
 };
--- a/include/buckthornhead/peer_message.h
+++ b/include/buckthornhead/peer_message.h
@@ -28,11 +28,12 @@
   PEER_RELEASE = 8,  /* home to owner: drop a program's memory */
   PEER_CONFIG_WANT = 9,
   PEER_CONFIG_ENTRY = 10,
-  PEER_QUARANTINE = 11,  /* a backend server died while it ran a request */
-  PEER_SPOOL_PUT = 12,   /* keep a journal record on disk while the platform is down */
-  PEER_SPOOL_DROP = 13,  /* the writer's journal has all up to .number */
-  PEER_SPOOL_READ = 14,  /* a taker: seal the writer's spool, then send what it holds */
-  PEER_SPOOL_RECORD = 15 /* one record of the answer to it */
+  PEER_QUARANTINE = 11,   /* a backend server died while it ran a request */
+  PEER_SPOOL_PUT = 12,    /* keep a journal record on disk while the platform is down */
+  PEER_SPOOL_DROP = 13,   /* the writer's journal has all up to .number */
+  PEER_SPOOL_READ = 14,   /* a taker: seal the writer's spool, then send what it holds */
+  PEER_SPOOL_RECORD = 15, /* one record of the answer to it */
+  PEER_MAP_CHANGED = 16   /* the sender gained or left partitions: read the map now */
 };
 
 /* What an entry asks of a home. */
