A home whose process has ended is taken over at once

Cause: kill of a home to its program's next answer took the lease's time, 5 s. Ruled out: shorter leases (renewals are platform writes, and a pause would cost more incarnations). Change: two refused connections in a row (its machine answers, its process does not) count as gone; the seal makes a wrong suspicion safe, and no ownership moves while the platform is down.

--- a/adapters/peer_net.c
+++ b/adapters/peer_net.c
@@ -53,6 +53,7 @@
   char instance[NAME_MAX_BYTES + 1];
   char address[ADDRESS_MAX_BYTES + 1];
   struct PeerLink *link; /* NULL while not dialled */
+  uint32_t n_refused;    /* attempts in a row */
 };
 
 /* A message on its way to the own instance. */
@@ -237,6 +238,21 @@
   return peer_link_take_frames (link);
 }
 
+static void
+peer_link_note_refusal (struct PeerLink *link, bool refused)
+{
+  const struct PeerNetOptions *options = &link->net->options;
+
+  for (struct PeerKnown *k = link->net->known; k != NULL; k = k->next)
+    {
+      if (k->link != link || (!refused && k->n_refused == 0))
+        continue;
+      k->n_refused = refused ? k->n_refused + 1 : 0;
+      options->refused (options->data, k->instance, k->n_refused);
+      return;
+    }
+}
+
 static bool
 peer_link_connect_done (struct PeerLink *link)
 {
@@ -244,10 +260,14 @@
   socklen_t size = sizeof error;
 
   getsockopt (link->fd, SOL_SOCKET, SO_ERROR, &error, &size);
-  if (error != 0)
-    return false;
-  link->connected = true;
-  return true;
+  if (error == 0)
+    {
+      link->connected = true;
+      peer_link_note_refusal (link, false);
+    }
+  else if (error == ECONNREFUSED)
+    peer_link_note_refusal (link, true);
+  return error == 0;
 }
 
 static void
--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -214,6 +214,12 @@
   spooler_on_link_closed (core->spooler, link);
 }
 
+static void
+daemon_on_refused (void *data, const char *instance, uint32_t n)
+{
+  fleet_on_refused (((struct Daemon *)data)->core->fleet, instance, n);
+}
+
 static bool
 config_drains (const struct ConfigState *state, const char *instance)
 {
@@ -348,6 +354,7 @@
   net.zone = settings->zone;
   net.received = daemon_on_message;
   net.closed = daemon_on_link_closed;
+  net.refused = daemon_on_refused;
   net.data = daemon;
   core->net = peer_net_new (core, core->events, core->timers, &net);
   core->pool = backend_pool_new (core, settings->backend_threads, core->mailbox);
--- a/daemon/fleet.c
+++ b/daemon/fleet.c
@@ -18,6 +18,7 @@
    * instance are then settled. It starts no take-over; only the platform's lease does. */
   SILENCE_MS = 2500,
   CONNECT_KEEP_MS = 2000,
+  REFUSALS_FOR_GONE = 2,
   LOST_SHOWN_MS = 60 * 60 * 1000
 };
 
@@ -74,6 +75,7 @@
   if (former == NULL)
     return;
   member->suspected = former->suspected;
+  member->gone = former->gone;
   member->heard_ms = former->heard_ms;
   member->heartbeat = former->heartbeat;
 }
@@ -82,14 +84,17 @@
 fleet_tell_homes (struct Fleet *fleet)
 {
   struct HomesMember *members = talloc_zero_array (fleet, struct HomesMember, fleet->n_members);
+  size_t n = 0;
 
   for (size_t i = 0; members != NULL && i < fleet->n_members; i++)
     {
-      members[i].incarnation = fleet->members[i].incarnation;
-      members[i].instance = fleet->members[i].instance;
-      members[i].draining = fleet->members[i].draining;
+      if (fleet->members[i].gone)
+        continue;
+      members[n].incarnation = fleet->members[i].incarnation;
+      members[n].instance = fleet->members[i].instance;
+      members[n++].draining = fleet->members[i].draining;
     }
-  home_set_members (fleet->core->home, members, fleet->n_members);
+  home_set_members (fleet->core->home, members, n);
   talloc_free (members);
 }
 
@@ -213,6 +218,26 @@
     fleet_publish (fleet);
 }
 
+/* A process that ended has its connections refused, at once, by its machine; one that is cut off,
+ * paused or slow has not. So its programs are taken over without waiting for the lease. Were it
+ * wrong, the seal would fence the instance like any other that was suspected too early, and it
+ * would rejoin. */
+void
+fleet_on_refused (struct Fleet *fleet, const char *instance, uint32_t n)
+{
+  struct FleetMember *member = fleet_member_named (fleet, instance);
+  bool gone = n >= REFUSALS_FOR_GONE;
+
+  if (member == NULL || member->gone == gone)
+    return;
+  member->gone = gone;
+  member->suspected = gone;
+  log_event (gone ? LOG_LEVEL_WARNING : LOG_LEVEL_NOTICE, gone ? "member_gone" : "member_back",
+             NULL, gone ? "replace the instance if it does not come back" : NULL, "%s", instance);
+  fleet_tell_homes (fleet);
+  fleet_publish (fleet);
+}
+
 void
 fleet_own_heartbeat (struct Fleet *fleet, TALLOC_CTX *ctx, struct PeerHeartbeat *heartbeat)
 {
--- a/daemon/fleet.h
+++ b/daemon/fleet.h
@@ -20,6 +20,7 @@
   char peer_address[ADDRESS_MAX_BYTES + 1];
   bool draining;
   bool suspected; /* silent over its link: a hint for routing only */
+  bool gone;      /* its machine refuses connections: its process has ended */
   int64_t heard_ms;
   struct PeerHeartbeat heartbeat; /* the last one; digests are not kept */
 };
@@ -52,6 +53,9 @@
 
 void
 fleet_on_heartbeat (struct Fleet *fleet, const struct PeerHeartbeat *heartbeat);
+/* n attempts in a row to reach instance were refused; 0: it is back. */
+void
+fleet_on_refused (struct Fleet *fleet, const char *instance, uint32_t n);
 /* This instance's own, as it goes to the others; digests belong to ctx. */
 void
 fleet_own_heartbeat (struct Fleet *fleet, TALLOC_CTX *ctx, struct PeerHeartbeat *heartbeat);
--- a/include/buckthornhead/peer_net.h
+++ b/include/buckthornhead/peer_net.h
@@ -29,6 +29,9 @@
                     const struct PeerMessage *message);
   /* link is gone: no answer to what was sent over it will come. */
   void (*closed) (void *data, uint64_t link, const char *instance);
+  /* n attempts in a row to dial instance were refused (its machine answers, its process does not),
+   * or 0: it is connected again. */
+  void (*refused) (void *data, const char *instance, uint32_t n);
   void *data;
 };
 
