--- a/tests/standins/engine_completion.c
+++ b/tests/standins/engine_completion.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 enum
 {
@@ -140,6 +141,15 @@
   free (text);
 }
 
+/* Another answer than that of any run before, on any engine. */
+static void
+completion_vary (struct Completion *completion, uint64_t n_varied)
+{
+  uint64_t salt[] = { (uint64_t)getpid (), n_varied };
+
+  completion->hash = standin_hash (completion->hash, salt, sizeof salt);
+}
+
 static struct Completion *
 completion_new (struct EngineModel *model,
                 const char *model_name,
@@ -158,8 +168,9 @@
   snprintf (completion->call.key, sizeof completion->call.key, "%s",
             standin_header (request, "Idempotency-Key"));
   completion_read_messages (completion, json_object_get (body, "messages"));
-  completion_set_length (completion, body);
   faults = engine_model_lock_faults (model);
+  if (faults->vary)
+    completion_vary (completion, ++faults->n_varied);
   if (faults->close_after_run > 0)
     {
       faults->close_after_run--;
@@ -171,6 +182,7 @@
       completion->close_mid_stream = true;
     }
   engine_model_unlock_faults (model);
+  completion_set_length (completion, body);
   engine_model_add (model, &completion->call);
   return completion;
 }
--- a/tests/standins/engine_model.h
+++ b/tests/standins/engine_model.h
@@ -27,6 +27,8 @@
   char crash_on[128]; /* "": none; a call whose body contains it ends the process */
   uint32_t close_after_run, close_mid_stream, lose_release; /* the next n */
   bool ignore_release, hang;
+  bool vary; /* no two runs give the same answer, as engines with a temperature do */
+  uint64_t n_varied;
   double slow_factor;
 };
 
