Entry: a second answer shorter than what the caller has is said not to be whole

Cause: when a home dies in mid-stream the entry compares the second answer with what it has delivered once it has seen as many bytes. A shorter answer ends before that: entry_succeed closed the stream without an end marker and without an error event. The caller saw a stream that just stops. The same for a second answer that is no event stream (its body was dropped).

Ruled out: a mix of the two. Nothing of the shorter answer was passed on.

The engine stand-in gets the control "answer_tokens" for it.

--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -344,7 +344,12 @@
     return false;
   if (answer->outcome.error == ERROR_NONE)
     {
-      entry_succeed (call, answer);
+      /* A second answer that is shorter than what the caller has, or no stream at all, ends before
+       * the two were compared: without this the stream would just stop. */
+      if (call->begun && (call->seen_bytes < call->delivered_bytes || call->body_bytes > 0))
+        entry_stream_differs (call);
+      else
+        entry_succeed (call, answer);
       return true;
     }
   if (!entry_error_is_passing (answer->outcome.error))
--- a/tests/sessions/test_whole_answer.c
+++ b/tests/sessions/test_whole_answer.c
@@ -123,6 +123,31 @@
   kill_home_in_mid_stream (true);
 }
 
+/* The same, and the engine's second answer is shorter than what the manager has read already. It
+ * never reaches the place where the two are compared: the end of the answer has to say it. */
+static void
+test_home_killed_shorter_second_answer (void)
+{
+  struct Cluster *cluster = start_settled (true);
+  int32_t home;
+  struct TestCall call = stream_call (cluster, "shorter", &home);
+  struct Stream *stream = stream_start (cluster, &call);
+  struct HttpReply *reply;
+
+  CU_ASSERT_TRUE (stream_wait_for (stream, early_word));
+  engines_control (cluster, "{\"answer_tokens\":10}");
+  process_kill (cluster->instances[home].process);
+  stream_join (stream);
+  CU_ASSERT_PTR_NULL (strstr (stream->text, "[DONE]"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (stream->text, "event: error"));
+  CU_ASSERT_TRUE (text_is_of_one_run (stream->text));
+  reply = call_settle (cluster, &call);
+  CU_ASSERT_TRUE (text_is_whole (reply->text));
+  CU_ASSERT_PTR_NULL (strstr (reply->text, early_word));
+  CU_ASSERT_STRING_EQUAL (call_settle (cluster, &call)->text, reply->text);
+  cluster_end (cluster, CU_get_number_of_failures () > 0);
+}
+
 /* The last word has come, but the platform does not take the outcome; the home dies with it. The
  * next home knows nothing of the answer and gets another from the engine. A caller that had been
  * told "[DONE]" would hold an answer that is in no history. */
@@ -288,6 +313,7 @@
 const struct TestCase test_cases[] = {
   { "home killed, same second answer", test_home_killed_same_second_answer },
   { "home killed, other second answer", test_home_killed_other_second_answer },
+  { "home killed, shorter second answer", test_home_killed_shorter_second_answer },
   { "home killed before the outcome is durable", test_home_killed_before_the_outcome_is_durable },
   { "entry killed, caller reconnects", test_entry_killed_caller_reconnects },
   { "engine killed in mid-stream", test_engine_killed_in_mid_stream },
--- a/tests/standins/engine.c
+++ b/tests/standins/engine.c
@@ -140,6 +140,8 @@
     faults->ignore_release = json_is_true (value);
   else if (strcmp (name, "hang") == 0)
     faults->hang = json_is_true (value);
+  else if (strcmp (name, "answer_tokens") == 0)
+    faults->answer_tokens = n;
   else if (strcmp (name, "vary") == 0)
     faults->vary = json_is_true (value);
   else if (strcmp (name, "slow_factor") == 0 && json_number_value (value) > 0)
--- a/tests/standins/engine_completion.c
+++ b/tests/standins/engine_completion.c
@@ -120,7 +120,7 @@
 
 /* Length of the answer: by the prompt's hash, within min_tokens and max_tokens. */
 static void
-completion_set_length (struct Completion *completion, const json_t *body)
+completion_set_length (struct Completion *completion, const json_t *body, uint32_t answer_tokens)
 {
   json_int_t max = json_integer_value (json_object_get (body, "max_completion_tokens"));
   json_int_t min = json_integer_value (json_object_get (body, "min_tokens"));
@@ -134,6 +134,8 @@
     max = MAX_TOKENS_DEFAULT;
   if (target < min)
     target = min;
+  if (answer_tokens > 0)
+    target = answer_tokens;
   completion->limited = target > max;
   call->target_tokens = (uint32_t)(completion->limited ? max : target);
   text = completion_text (completion);
@@ -158,6 +160,7 @@
 {
   struct Completion *completion = calloc (1, sizeof *completion);
   struct EngineFaults *faults;
+  uint32_t answer_tokens;
 
   completion->model = model;
   completion->model_name = model_name;
@@ -171,6 +174,7 @@
   faults = engine_model_lock_faults (model);
   if (faults->vary)
     completion_vary (completion, ++faults->n_varied);
+  answer_tokens = faults->answer_tokens;
   if (faults->close_after_run > 0)
     {
       faults->close_after_run--;
@@ -182,7 +186,7 @@
       completion->close_mid_stream = true;
     }
   engine_model_unlock_faults (model);
-  completion_set_length (completion, body);
+  completion_set_length (completion, body, answer_tokens);
   engine_model_add (model, &completion->call);
   return completion;
 }
--- a/tests/standins/engine_model.h
+++ b/tests/standins/engine_model.h
@@ -29,6 +29,7 @@
   bool ignore_release, hang;
   bool vary; /* no two runs give the same answer, as engines with a temperature do */
   uint64_t n_varied;
+  uint32_t answer_tokens; /* 0: as the request says; else the length of every answer */
   double slow_factor;
 };
 
