--- a/tests/standins/engine_completion.c
+++ b/tests/standins/engine_completion.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 enum
 {
@@ -119,7 +120,7 @@
 
 /* Length of the answer: by the prompt's hash, within min_tokens and max_tokens. */
 static void
-completion_set_length (struct Completion *completion, const json_t *body)
+completion_set_length (struct Completion *completion, const json_t *body, uint32_t answer_tokens)
 {
   json_int_t max = json_integer_value (json_object_get (body, "max_completion_tokens"));
   json_int_t min = json_integer_value (json_object_get (body, "min_tokens"));
@@ -133,6 +134,8 @@
     max = MAX_TOKENS_DEFAULT;
   if (target < min)
     target = min;
+  if (answer_tokens > 0)
+    target = answer_tokens;
   completion->limited = target > max;
   call->target_tokens = (uint32_t)(completion->limited ? max : target);
   text = completion_text (completion);
@@ -140,6 +143,15 @@
   free (text);
 }
 
+/* Another answer than that of any run before, on any engine. */
+static void
+completion_vary (struct Completion *completion, uint64_t n_varied)
+{
+  uint64_t salt[] = { (uint64_t)getpid (), n_varied };
+
+  completion->hash = standin_hash (completion->hash, salt, sizeof salt);
+}
+
 static struct Completion *
 completion_new (struct EngineModel *model,
                 const char *model_name,
@@ -148,6 +160,7 @@
 {
   struct Completion *completion = calloc (1, sizeof *completion);
   struct EngineFaults *faults;
+  uint32_t answer_tokens;
 
   completion->model = model;
   completion->model_name = model_name;
@@ -158,8 +171,10 @@
   snprintf (completion->call.key, sizeof completion->call.key, "%s",
             standin_header (request, "Idempotency-Key"));
   completion_read_messages (completion, json_object_get (body, "messages"));
-  completion_set_length (completion, body);
   faults = engine_model_lock_faults (model);
+  if (faults->vary)
+    completion_vary (completion, ++faults->n_varied);
+  answer_tokens = faults->answer_tokens;
   if (faults->close_after_run > 0)
     {
       faults->close_after_run--;
@@ -171,6 +186,7 @@
       completion->close_mid_stream = true;
     }
   engine_model_unlock_faults (model);
+  completion_set_length (completion, body, answer_tokens);
   engine_model_add (model, &completion->call);
   return completion;
 }
