A home being stopped serves on for 15 s until a partition is quiet

Ruled out: handing over with calls in flight (their outcomes would need two homes); no bound at all (a busy partition might never be quiet).

--- a/core/homes_handoff.c
+++ b/core/homes_handoff.c
@@ -8,7 +8,7 @@
 {
   LEAVE_POLL_MS = 20,
   /* A home that has to go takes no new calls for a partition that was not quiet for so long. */
-  QUIET_PATIENCE_MS = 1500
+  QUIET_PATIENCE_MS = 15000
 };
 
 /* A hand-off record on its way into the journal. */
