Read through: one request step for both listeners, one way into the ledger, owner in two files

Found on the way: a resend of a lone call in an outage was refused before its record was looked up; now it gets what is stored.

--- a/adapters/caller_http.c
+++ b/adapters/caller_http.c
@@ -205,6 +205,19 @@
   return MHD_YES;
 }
 
+static enum MHD_Result
+caller_answer_connect (struct CallerHttp *http, struct MHD_Connection *connection)
+{
+  const char *program = connection_query (connection, "program");
+  const char *zone = connection_query (connection, "zone");
+  char *json = snapshot_rank (NULL, program != NULL ? program : "",
+                              zone != NULL ? zone : http->settings->zone);
+  enum MHD_Result queued = answer_now (connection, MHD_HTTP_OK, json);
+
+  talloc_free (json);
+  return queued;
+}
+
 static enum MHD_Result
 caller_on_complete (struct CallerHttp *http,
                     struct Exchange *exchange,
@@ -217,6 +230,8 @@
 
   if (exchange->early_status != 0)
     return exchange_refuse_early (exchange, connection);
+  if (strcmp (method, "GET") == 0 && strcmp (path, "/v1/connect") == 0)
+    return caller_answer_connect (http, connection);
   error = caller_request_parse (exchange, http->settings, method, path, connection_header,
                                 connection_query, connection, &fault);
   if (error != ERROR_NONE)
@@ -224,19 +239,6 @@
   return exchange_post (http, exchange, connection);
 }
 
-static enum MHD_Result
-caller_answer_connect (struct CallerHttp *http, struct MHD_Connection *connection)
-{
-  const char *program = connection_query (connection, "program");
-  const char *zone = connection_query (connection, "zone");
-  char *json = snapshot_rank (NULL, program != NULL ? program : "",
-                              zone != NULL ? zone : http->settings->zone);
-  enum MHD_Result queued = answer_now (connection, MHD_HTTP_OK, json);
-
-  talloc_free (json);
-  return queued;
-}
-
 /* Reads the body; true once the request is complete. */
 static bool
 request_read (struct CallerHttp *http,
@@ -251,38 +253,6 @@
   return false;
 }
 
-static enum MHD_Result
-caller_on_request (void *data,
-                   struct MHD_Connection *connection,
-                   const char *path,
-                   const char *method,
-                   const char *version,
-                   const char *upload,
-                   size_t *upload_bytes,
-                   void **state)
-{
-  struct CallerHttp *http = data;
-  struct Exchange *exchange = *state;
-
-  (void)version;
-  if (exchange == NULL)
-    {
-      exchange = exchange_new (EXCHANGE_CALLER);
-      if (exchange == NULL)
-        return MHD_NO;
-      exchange->started_ms = monotonic_ms ();
-      *state = exchange;
-      return MHD_YES;
-    }
-  if (exchange->posted)
-    return exchange_queue_response (exchange, connection);
-  if (!request_read (http, exchange, upload, upload_bytes))
-    return MHD_YES;
-  if (strcmp (method, "GET") == 0 && strcmp (path, "/v1/connect") == 0)
-    return caller_answer_connect (http, connection);
-  return caller_on_complete (http, exchange, connection, method, path);
-}
-
 static bool
 operator_is_allowed (const struct Settings *settings, struct MHD_Connection *connection)
 {
@@ -343,23 +313,31 @@
   return exchange_post (http, exchange, connection);
 }
 
+/* What a listener does with a request that is complete. */
+typedef enum MHD_Result (*CompleteFn) (struct CallerHttp *http,
+                                       struct Exchange *exchange,
+                                       struct MHD_Connection *connection,
+                                       const char *method,
+                                       const char *path);
+
+/* MHD calls for a request's head, for each piece of its body, and again once the core has resumed
+ * the connection. */
 static enum MHD_Result
-operator_on_request (void *data,
-                     struct MHD_Connection *connection,
-                     const char *path,
-                     const char *method,
-                     const char *version,
-                     const char *upload,
-                     size_t *upload_bytes,
-                     void **state)
+request_step (struct CallerHttp *http,
+              enum ExchangeKind kind,
+              CompleteFn on_complete,
+              struct MHD_Connection *connection,
+              const char *path,
+              const char *method,
+              const char *upload,
+              size_t *upload_bytes,
+              void **state)
 {
-  struct CallerHttp *http = data;
   struct Exchange *exchange = *state;
 
-  (void)version;
   if (exchange == NULL)
     {
-      exchange = exchange_new (EXCHANGE_OPERATOR);
+      exchange = exchange_new (kind);
       if (exchange == NULL)
         return MHD_NO;
       exchange->started_ms = monotonic_ms ();
@@ -370,7 +348,37 @@
     return exchange_queue_response (exchange, connection);
   if (!request_read (http, exchange, upload, upload_bytes))
     return MHD_YES;
-  return operator_on_complete (http, exchange, connection, method, path);
+  return on_complete (http, exchange, connection, method, path);
+}
+
+static enum MHD_Result
+caller_on_request (void *data,
+                   struct MHD_Connection *connection,
+                   const char *path,
+                   const char *method,
+                   const char *version,
+                   const char *upload,
+                   size_t *upload_bytes,
+                   void **state)
+{
+  (void)version;
+  return request_step (data, EXCHANGE_CALLER, caller_on_complete, connection, path, method, upload,
+                       upload_bytes, state);
+}
+
+static enum MHD_Result
+operator_on_request (void *data,
+                     struct MHD_Connection *connection,
+                     const char *path,
+                     const char *method,
+                     const char *version,
+                     const char *upload,
+                     size_t *upload_bytes,
+                     void **state)
+{
+  (void)version;
+  return request_step (data, EXCHANGE_OPERATOR, operator_on_complete, connection, path, method,
+                       upload, upload_bytes, state);
 }
 
 static void
--- a/daemon/home_program.c
+++ b/daemon/home_program.c
@@ -166,30 +166,43 @@
   memcpy (want->program.create_digest, call->digest, DIGEST_BYTES);
 }
 
+/* Puts a program into the ledger, or refuses the request. One that exists is found in an outage
+ * too: a resend then gets what is stored. */
+static bool
+home_new_program (struct Home *home,
+                  uint64_t link,
+                  const struct PeerRequest *request,
+                  const struct Record *want,
+                  bool *exists)
+{
+  struct Fault fault;
+  uint32_t retry_after_ms = 0;
+
+  if (ledger_create_program (home->ledger, want, exists, &fault) == ERROR_NONE)
+    {
+      if (*exists || journal_is_writable (home->journal))
+        return true;
+      ledger_abandon_program (home->ledger, want->program.program);
+      fault_set (&fault, ERROR_PLATFORM_DOWN, NULL,
+                 "the platform's key-value service does not take the journal");
+      retry_after_ms = COME_BACK_PLATFORM_MS;
+    }
+  home_refuse (home, link, request->id, request->first_attempt, &fault, retry_after_ms, 0);
+  return false;
+}
+
 void
 home_on_create (struct Home *home, uint64_t link, const struct PeerRequest *request)
 {
   json_t *json = json_loadb ((const char *)request->call.body, request->call.body_bytes, 0, NULL);
   struct HomePending *pending;
   struct Record want;
-  struct Fault fault;
   bool exists = false;
 
   home_fill_program (home, &request->call, json, &want);
   json_decref (json);
-  if (!journal_is_writable (home->journal))
-    {
-      fault_set (&fault, ERROR_PLATFORM_DOWN, NULL,
-                 "the platform's key-value service does not take the journal");
-      home_refuse (home, link, request->id, request->first_attempt, &fault, COME_BACK_PLATFORM_MS,
-                   0);
-      return;
-    }
-  if (ledger_create_program (home->ledger, &want, &exists, &fault) != ERROR_NONE)
-    {
-      home_refuse (home, link, request->id, request->first_attempt, &fault, 0, 0);
-      return;
-    }
+  if (!home_new_program (home, link, request, &want, &exists))
+    return;
   pending = home_pending_new (home, link, request);
   pending->exists = exists;
   if (exists)
@@ -213,25 +226,13 @@
 home_on_lone (struct Home *home, uint64_t link, const struct PeerRequest *request)
 {
   struct Record want;
-  struct Fault fault;
   bool exists = false;
 
   home_fill_program (home, &request->call, NULL, &want);
   memset (want.program.create_digest, 0, DIGEST_BYTES);
   want.program.turn_limit = 1;
-  if (!journal_is_writable (home->journal))
-    {
-      fault_set (&fault, ERROR_PLATFORM_DOWN, NULL,
-                 "the platform's key-value service does not take the journal");
-      home_refuse (home, link, request->id, request->first_attempt, &fault, COME_BACK_PLATFORM_MS,
-                   0);
-      return;
-    }
-  if (ledger_create_program (home->ledger, &want, &exists, &fault) != ERROR_NONE)
-    {
-      home_refuse (home, link, request->id, request->first_attempt, &fault, 0, 0);
-      return;
-    }
+  if (!home_new_program (home, link, request, &want, &exists))
+    return;
   if (!exists)
     home_write (home, &want, want.program.program, home_on_lone_created,
                 home_pending_new (home, link, request));
--- a/daemon/owner.c
+++ b/daemon/owner.c
@@ -1,10 +1,9 @@
-#include "owner.h"
+#include "owner_internal.h"
 
 #include "fleet.h"
 
 #include <buckthornhead/counter.h>
 #include <buckthornhead/log.h>
-#include <buckthornhead/server_health.h>
 
 #include <stdio.h>
 #include <string.h>
@@ -13,67 +12,10 @@
 {
   TICK_MS = 50,
   REPORT_PERIOD_MS = 1000,
-  REPORT_TIMEOUT_MS = 2000,
-  RELEASE_TIMEOUT_MS = 2000,
-  PROBE_TIMEOUT_MS = 500,
-  QUEUE_INITIAL_LIMIT = 8,
-  CALL_BUCKETS = 4096
+  QUEUE_INITIAL_LIMIT = 8
 };
 
-enum OwnerJobKind
-{
-  OWNER_JOB_CALL,
-  OWNER_JOB_RELEASE,
-  OWNER_JOB_REPORT,
-  OWNER_JOB_PROBE /* after a broken call: is the server still there? */
-};
-
-/* A job of the backend pool, or a call that waits for its turn. */
-struct OwnerJob
-{
-  struct OwnerJob *next; /* in its bucket */
-  struct Owner *owner;
-  struct OwnerServer *server;
-  enum OwnerJobKind kind;
-  uint64_t id;      /* of the job, and in the queue */
-  uint64_t link;    /* where the home is */
-  uint64_t peer_id; /* the home's id of the dispatch or release */
-  bool sent;        /* handed to the backend pool */
-  bool first_token_seen;
-  bool cancelled;
-  uint32_t timeout_ms;
-  struct Call call;
-  /* Of a broken call, while the probe runs. */
-  struct PeerAnswer pending;
-  uint64_t broken_job;
-};
-
-struct OwnerServer
-{
-  struct OwnerServer *next;
-  char name[NAME_MAX_BYTES + 1];
-  struct DispatchQueue *queue;
-  struct ServerHealth *health;
-  uint32_t in_flight, waiting;
-  uint32_t reported_running;
-  uint64_t last_event;
-  char engine_incarnation[NAME_MAX_BYTES + 1];
-  bool report_under_way;
-};
-
-struct Owner
-{
-  struct Core *core;
-  uint64_t next_job;
-  struct OwnerServer *servers;
-  struct OwnerJob *jobs[CALL_BUCKETS];
-  int64_t last_report_ms;
-};
-
-static void
-owner_pump (struct Owner *owner, struct OwnerServer *server);
-
-static struct OwnerJob **
+struct OwnerJob **
 owner_job_at (struct Owner *owner, uint64_t id)
 {
   struct OwnerJob **at = &owner->jobs[id % CALL_BUCKETS];
@@ -83,7 +25,7 @@
   return at;
 }
 
-static struct OwnerJob *
+struct OwnerJob *
 owner_job_new (struct Owner *owner, struct OwnerServer *server, enum OwnerJobKind kind)
 {
   struct OwnerJob *job = talloc_zero (owner, struct OwnerJob);
@@ -101,7 +43,7 @@
   return job;
 }
 
-static void
+void
 owner_job_free (struct OwnerJob *job)
 {
   struct OwnerJob **at = owner_job_at (job->owner, job->id);
@@ -110,7 +52,7 @@
   talloc_free (job);
 }
 
-static struct OwnerServer *
+struct OwnerServer *
 owner_server (struct Owner *owner, const char *name)
 {
   struct OwnerServer *server;
@@ -129,7 +71,7 @@
   return server;
 }
 
-static void
+void
 owner_answer (struct Owner *owner, uint64_t link, const struct PeerAnswer *answer)
 {
   struct PeerMessage message = { .kind = PEER_ANSWER };
@@ -139,7 +81,7 @@
 }
 
 /* "Not run": the call never left this instance. */
-static void
+void
 owner_refuse (struct Owner *owner,
               uint64_t link,
               uint64_t id,
@@ -280,7 +222,7 @@
 }
 
 /* Ends a call that was sent: the queue learns, the home hears. */
-static void
+void
 owner_finish_call (struct Owner *owner, struct OwnerJob *job, const struct PeerAnswer *answer)
 {
   struct OwnerServer *server = job->server;
@@ -294,62 +236,6 @@
   owner_pump (owner, server);
 }
 
-/* A call broke after it was sent. Whether the server died with it decides if the request counts
- * towards quarantine, so the server is asked before the home is told. */
-static void
-owner_probe (struct Owner *owner, struct OwnerJob *broken, const struct PeerAnswer *answer)
-{
-  const struct FleetBackend *backend = fleet_backend (owner->core->fleet, broken->server->name);
-  struct BackendRequest request = { .op = BACKEND_OP_REPORT };
-  struct OwnerJob *probe =
-      backend != NULL ? owner_job_new (owner, broken->server, OWNER_JOB_PROBE) : NULL;
-
-  if (probe == NULL)
-    {
-      owner_finish_call (owner, broken, answer);
-      return;
-    }
-  probe->broken_job = broken->id;
-  broken->pending = *answer;
-  request.address = backend->setting.address;
-  request.timeout_ms = PROBE_TIMEOUT_MS;
-  if (backend_pool_submit (owner->core->pool, probe->id, &request) == ERROR_NONE)
-    return;
-  owner_job_free (probe);
-  owner_finish_call (owner, broken, answer);
-}
-
-static bool
-owner_server_is_new (struct OwnerServer *server, const struct BackendLoad *load)
-{
-  bool is_new = server->engine_incarnation[0] != '\0'
-                && strcmp (server->engine_incarnation, load->engine_incarnation) != 0;
-
-  snprintf (server->engine_incarnation, sizeof server->engine_incarnation, "%s",
-            load->engine_incarnation);
-  return is_new;
-}
-
-static void
-owner_on_probe_end (struct Owner *owner, struct OwnerJob *probe, const struct BackendEvent *event)
-{
-  struct OwnerJob *broken = *owner_job_at (owner, probe->broken_job);
-  struct OwnerServer *server = probe->server;
-  bool died = event->end.error == ERROR_UNREACHABLE;
-
-  if (event->end.has_load && owner_server_is_new (server, &event->end.load))
-    died = true;
-  owner_job_free (probe);
-  if (broken == NULL)
-    return;
-  broken->pending.server_died = died;
-  if (died)
-    log_event (LOG_LEVEL_WARNING, "backend_server_died", broken->call.key.program,
-               "look at the server; a request that stops two of them is quarantined",
-               "%s was lost while it ran a call", server->name);
-  owner_finish_call (owner, broken, &broken->pending);
-}
-
 static void
 owner_on_call_end (struct Owner *owner, struct OwnerJob *job, const struct BackendEvent *event)
 {
@@ -374,43 +260,6 @@
     owner_finish_call (owner, job, &answer);
 }
 
-static void
-owner_on_report_end (struct Owner *owner,
-                     struct OwnerServer *server,
-                     const struct BackendEvent *event)
-{
-  int64_t now_ms = timer_now_ms (owner->core->timers);
-  struct Outcome alive = { .error = ERROR_NONE };
-
-  server->report_under_way = false;
-  /* Any answer shows that a suspected server is back, also of a service that knows no reports. */
-  if (event->end.status != 0 && server_health_suspected (server->health, now_ms))
-    {
-      server_health_sent (server->health, now_ms);
-      server_health_ended (server->health, &alive, now_ms);
-    }
-  if (!event->end.has_load)
-    return;
-  server->reported_running = event->end.load.running;
-  server->last_event = event->end.load.last_event;
-  dispatch_queue_report_cache (server->queue, event->end.load.cache_capacity_tokens);
-  owner_server_is_new (server, &event->end.load);
-}
-
-static void
-owner_on_release_end (struct Owner *owner, struct OwnerJob *job, const struct BackendEvent *event)
-{
-  struct PeerAnswer answer = { .id = job->peer_id };
-
-  answer.outcome.error = event->end.error;
-  answer.outcome.ran = event->end.ran;
-  snprintf (answer.outcome.backend, sizeof answer.outcome.backend, "%s", job->server->name);
-  if (event->end.error != ERROR_NONE)
-    fault_set (&answer.fault, event->end.error, NULL, "%s did not acknowledge a release",
-               job->server->name);
-  owner_answer (owner, job->link, &answer);
-}
-
 static void
 owner_on_chunk (struct Owner *owner, struct OwnerJob *job, const struct BackendEvent *event)
 {
@@ -515,36 +364,6 @@
   owner_each_on_link (owner, link, owner_cancel_orphan);
 }
 
-void
-owner_on_release (
-    struct Owner *owner, uint64_t link, uint64_t id, const char *program, const char *backend_name)
-{
-  const struct FleetBackend *backend = fleet_backend (owner->core->fleet, backend_name);
-  struct BackendRequest request = { .op = BACKEND_OP_RELEASE, .timeout_ms = RELEASE_TIMEOUT_MS };
-  struct OwnerServer *server = owner_server (owner, backend_name);
-  struct OwnerJob *job = NULL;
-  struct Fault fault;
-
-  if (backend != NULL && server != NULL)
-    job = owner_job_new (owner, server, OWNER_JOB_RELEASE);
-  if (job == NULL)
-    {
-      fault_set (&fault, ERROR_NOT_FOUND, NULL, "backend server %s is unknown here", backend_name);
-      owner_refuse (owner, link, id, &fault, 0);
-      return;
-    }
-  dispatch_queue_program_ended (server->queue, program);
-  job->link = link;
-  job->peer_id = id;
-  request.address = backend->setting.address;
-  request.release.program = program;
-  if (backend_pool_submit (owner->core->pool, job->id, &request) == ERROR_NONE)
-    return;
-  fault_set (&fault, ERROR_NO_MEMORY, NULL, "out of memory");
-  owner_refuse (owner, link, id, &fault, 0);
-  owner_job_free (job);
-}
-
 void
 owner_on_backends_changed (struct Owner *owner)
 {
@@ -561,49 +380,6 @@
       }
 }
 
-static void
-owner_ask_report (struct Owner *owner, const struct FleetBackend *backend)
-{
-  struct BackendRequest request = { .op = BACKEND_OP_REPORT, .timeout_ms = REPORT_TIMEOUT_MS };
-  struct OwnerServer *server = owner_server (owner, backend->setting.name);
-  struct OwnerJob *job;
-
-  if (server == NULL || server->report_under_way)
-    return;
-  job = owner_job_new (owner, server, OWNER_JOB_REPORT);
-  if (job == NULL)
-    return;
-  request.address = backend->setting.address;
-  request.report.after_event = server->last_event;
-  server->report_under_way = true;
-  if (backend_pool_submit (owner->core->pool, job->id, &request) == ERROR_NONE)
-    return;
-  server->report_under_way = false;
-  owner_job_free (job);
-}
-
-static bool
-owner_probe_is_due (struct Owner *owner, const struct FleetBackend *backend)
-{
-  struct OwnerServer *server = owner_server (owner, backend->setting.name);
-
-  return server != NULL
-         && server_health_probe_due (server->health, timer_now_ms (owner->core->timers));
-}
-
-static void
-owner_ask_reports (struct Owner *owner)
-{
-  const struct FleetBackend *backends;
-  size_t n = fleet_backends (owner->core->fleet, &backends);
-
-  for (size_t i = 0; i < n; i++)
-    if (backends[i].live && fleet_owns (owner->core->fleet, &backends[i])
-        && (backends[i].setting.kind == CALL_TARGET_ENGINE
-            || owner_probe_is_due (owner, &backends[i])))
-      owner_ask_report (owner, &backends[i]);
-}
-
 static void
 owner_on_tick (void *data)
 {
