Home: "not found" from a home that was replaced is not the last word

Cause: a home that was paused and taken over drops its ledger's partitions as soon as it sees the new map, while calls of theirs are still with backend servers. When one ended before the instance rejoined, ledger_end_call said ERROR_NOT_FOUND, and the caller got a final 404 "the outcome could not be journaled; check the name" for a program that exists and a call that its new home answers. The entry tries again by itself only for errors that say the home has moved; now the home says ERROR_NOT_OWNER where it may no longer write.

Ruled out: a lost or doubled call. "may_have_run" was said, and a resend got the stored answer; the promise broken was the final answer to the own request.

--- a/daemon/home_call.c
+++ b/daemon/home_call.c
@@ -133,6 +133,22 @@
   call->waiters = NULL;
 }
 
+/* What an error of the journal or the ledger means to the caller. A home that was paused and
+ * replaced forgets the partition's programs as soon as it sees the new map, while their calls are
+ * still with backend servers: their ends then meet "not found", which a caller would take for the
+ * last word. The program has another home, and its entry finds it. */
+static int32_t
+home_call_error (const struct HomeCall *call, int32_t error)
+{
+  const struct Home *home = call->home;
+  uint64_t epoch;
+
+  if (error == ERROR_NONE
+      || homes_may_write (home->homes, home_partition (home, call->call.key.program), &epoch))
+    return error;
+  return ERROR_NOT_OWNER;
+}
+
 /* The call ends without an outcome: it did not run, or may be run again. */
 static void
 home_call_finish_abandoned (void *data, int32_t error)
@@ -142,8 +158,9 @@
   if (error != ERROR_NONE)
     {
       call->failure.outcome.ran = RAN_MAYBE;
-      fault_set (&call->failure.fault, error, NULL,
-                 "the journal could not take that it was not sent");
+      call->failure.outcome.error =
+          fault_set (&call->failure.fault, home_call_error (call, error), NULL,
+                     "the journal could not take that it was not sent");
     }
   if (call->failure.outcome.ran == RAN_NO)
     home_call_refuse_all (call, &call->failure.fault, call->failure.retry_after_ms);
@@ -218,8 +235,8 @@
     {
       /* Sealed while it was paused: whether the new home runs the call again is not known here. */
       answer.outcome.ran = RAN_MAYBE;
-      answer.outcome.error =
-          fault_set (&answer.fault, error, NULL, "the outcome could not be journaled");
+      answer.outcome.error = fault_set (&answer.fault, home_call_error (call, error), NULL,
+                                        "the outcome could not be journaled");
       home_call_answer_all (call, &answer);
       home_call_free (call);
       return;
