Fleet: a paused instance whose lease lapsed first is given up by its silence too

Cause: a member that is silent for 2.5 s has its link dropped, so that what waits on it is tried elsewhere. With a lease of 2 s the member's key goes first; then it was no member, nobody looked at its silence, and its link stayed open. Requests that an entry had sent there waited for the caller's own limit (60 s in the tests). Now the silence of an instance whose key is gone is watched on as well. A leaving instance still answers over its link as long as it is heard.

Ruled out: dropping the link at once when the key goes (a leaving instance, or one that is cut off from the platform alone, still has answers to give).

The default lease, 5 s, did not show it.

--- a/daemon/fleet.c
+++ b/daemon/fleet.c
@@ -21,8 +21,17 @@
   OWNER_KEY_BYTES = 2 * NAME_MAX_BYTES + 16
 };
 
+/* An instance whose key is gone and whose link is kept while it is heard. */
+struct FleetGone
+{
+  struct FleetGone *next;
+  char instance[NAME_MAX_BYTES + 1];
+  int64_t heard_ms;
+};
+
 struct Fleet
 {
+  struct FleetGone *gone;
   struct Core *core;
   struct FleetMember *members;
   size_t n_members;
@@ -91,6 +100,57 @@
   talloc_free (members);
 }
 
+static struct FleetGone **
+fleet_gone_at (struct Fleet *fleet, const char *instance)
+{
+  struct FleetGone **at = &fleet->gone;
+
+  while (*at != NULL && strcmp ((*at)->instance, instance) != 0)
+    at = &(*at)->next;
+  return at;
+}
+
+static void
+fleet_gone_remove (struct FleetGone **at)
+{
+  struct FleetGone *gone = *at;
+
+  *at = gone->next;
+  talloc_free (gone);
+}
+
+/* A leaving instance still answers over its link. A paused one, whose lease lapsed before its
+ * silence was noticed, never will: callers' requests and calls that wait on it would wait for their
+ * own limits. Its silence tells the two apart, as it does with members. */
+static void
+fleet_gone_add (struct Fleet *fleet, const struct FleetMember *former)
+{
+  struct FleetGone *gone = talloc_zero (fleet, struct FleetGone);
+
+  if (gone == NULL)
+    return;
+  snprintf (gone->instance, sizeof gone->instance, "%s", former->instance);
+  gone->heard_ms = former->heard_ms;
+  gone->next = fleet->gone;
+  fleet->gone = gone;
+}
+
+static void
+fleet_drop_silent_gone (struct Fleet *fleet, int64_t now_ms)
+{
+  struct FleetGone **at = &fleet->gone;
+
+  while (*at != NULL)
+    if (now_ms - (*at)->heard_ms >= SILENCE_MS)
+      {
+        peer_net_drop (fleet->core->net, (*at)->instance);
+        peer_net_forget (fleet->core->net, (*at)->instance);
+        fleet_gone_remove (at);
+      }
+    else
+      at = &(*at)->next;
+}
+
 void
 fleet_set_members (struct Fleet *fleet, const struct FleetMember *members, size_t n_members)
 {
@@ -108,9 +168,15 @@
   fleet->n_members = n_members;
   for (size_t i = 0; i < n_former; i++)
     if (fleet_member_named (fleet, former[i].instance) == NULL)
-      peer_net_forget (fleet->core->net, former[i].instance);
+      fleet_gone_add (fleet, &former[i]);
   for (size_t i = 0; i < n_members; i++)
-    peer_net_know (fleet->core->net, copy[i].instance, copy[i].peer_address);
+    {
+      struct FleetGone **gone = fleet_gone_at (fleet, copy[i].instance);
+
+      if (*gone != NULL)
+        fleet_gone_remove (gone);
+      peer_net_know (fleet->core->net, copy[i].instance, copy[i].peer_address);
+    }
   talloc_free (former);
   fleet_tell_homes (fleet);
   fleet_publish (fleet);
@@ -152,7 +218,13 @@
   bool was_suspected;
 
   if (member == NULL)
-    return;
+    {
+      struct FleetGone *gone = *fleet_gone_at (fleet, heartbeat->instance);
+
+      if (gone != NULL)
+        gone->heard_ms = timer_now_ms (fleet->core->timers);
+      return;
+    }
   was_suspected = member->suspected;
   member->heard_ms = timer_now_ms (fleet->core->timers);
   member->suspected = false;
@@ -215,6 +287,7 @@
                  "%s was silent for %d ms", member->instance, SILENCE_MS);
       peer_net_drop (fleet->core->net, member->instance);
     }
+  fleet_drop_silent_gone (fleet, now_ms);
   if (changed)
     fleet_publish (fleet);
 }
