--- a/adapters/caller_http.c
+++ b/adapters/caller_http.c
@@ -25,6 +25,7 @@
   struct Mailbox *core;
   struct MHD_Daemon *callers;
   struct MHD_Daemon *operators;
+  _Atomic bool closing;
 };
 
 const char *
@@ -196,6 +197,16 @@
                struct Exchange *exchange,
                struct MHD_Connection *connection)
 {
+  struct Fault fault;
+
+  /* Announced before the flag is read: whoever closes sets the flag, then waits for the count. */
+  exchange_note_posted ();
+  if (atomic_load (&http->closing))
+    {
+      exchange_note_refused ();
+      fault_set (&fault, ERROR_DRAINING, NULL, "this instance is being stopped");
+      return answer_fault (connection, error_http_status (ERROR_DRAINING), &fault);
+    }
   exchange->connection = connection;
   exchange->posted = true;
   exchange->parked = true;
@@ -475,6 +486,12 @@
   return fault->error;
 }
 
+void
+caller_http_refuse (struct CallerHttp *http)
+{
+  atomic_store (&http->closing, true);
+}
+
 void
 caller_http_close (struct CallerHttp *http)
 {
--- a/adapters/exchange.c
+++ b/adapters/exchange.c
@@ -12,6 +12,27 @@
   RESPONSE_BLOCK_BYTES = 16 * 1024
 };
 
+/* Exchanges that the core has and has not ended. */
+static _Atomic uint32_t n_open;
+
+uint32_t
+exchange_n_open (void)
+{
+  return atomic_load (&n_open);
+}
+
+void
+exchange_note_posted (void)
+{
+  atomic_fetch_add (&n_open, 1);
+}
+
+void
+exchange_note_refused (void)
+{
+  atomic_fetch_sub (&n_open, 1);
+}
+
 struct Exchange *
 exchange_new (enum ExchangeKind kind)
 {
@@ -107,6 +128,7 @@
   atomic_store (&exchange->ended, true);
   exchange_wake (exchange);
   exchange_release (exchange);
+  atomic_fetch_sub (&n_open, 1);
 }
 
 void
--- a/core/homes_handoff.c
+++ b/core/homes_handoff.c
@@ -136,6 +136,13 @@
   stopped (homes->stopped_data, ERROR_NONE);
 }
 
+void
+homes_serve_again (struct Homes *homes)
+{
+  homes->stopping = false;
+  homes->stopped = NULL;
+}
+
 void
 homes_hand_off_all (struct Homes *homes, JournalDone done, void *data)
 {
--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -20,6 +20,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include <curl/curl.h>
 
@@ -29,7 +30,8 @@
   CONFIG_POLL_MS = 1000,
   MEMBERS_POLL_MS = 1000,
   INSTANCES_POLL_MS = 1000,
-  CONFIG_ENTRIES_AT_ONCE = 64
+  CONFIG_ENTRIES_AT_ONCE = 64,
+  LINGER_US = 200 * 1000
 };
 
 struct Daemon
@@ -445,6 +447,19 @@
       break;
 }
 
+/* An operator's change, or a request that came as the last one ended, may still be with the core:
+ * each gets its answer before the listeners close. */
+static void
+daemon_end_exchanges (struct Daemon *daemon)
+{
+  caller_http_refuse (daemon->core->http);
+  while (exchange_n_open () > 0)
+    if (tevent_loop_once (daemon->core->events) != 0)
+      break;
+  /* The HTTP threads write out what was answered last. */
+  usleep (LINGER_US);
+}
+
 int32_t
 daemon_run (const struct Settings *settings)
 {
@@ -467,6 +482,7 @@
   if (error != ERROR_NONE)
     goto out;
   daemon_loop (&daemon);
+  daemon_end_exchanges (&daemon);
   caller_http_close (daemon.core->http);
   log_event (LOG_LEVEL_NOTICE, "stopped", NULL, NULL, "%s", settings->instance);
 
--- a/daemon/drain.c
+++ b/daemon/drain.c
@@ -19,6 +19,7 @@
 {
   struct Core *core;
   bool handing_off;
+  uint64_t era;           /* of the home that was asked to hand off */
   int64_t quiet_since_ms; /* 0: not quiet */
   void (*stopped) (void *data);
   void *data;
@@ -51,6 +52,14 @@
   uint32_t partitions, programs;
 
   home_count (drain->core->home, &partitions, &programs);
+  /* An instance that was fenced while it drained has a new incarnation, which knows nothing of the
+   * stop: without this it would be given partitions, and the stop would never end. */
+  if (drain->era != home_era (drain->core->home))
+    {
+      drain->era = home_era (drain->core->home);
+      drain->handing_off = false;
+      membership_set_draining (drain->core->membership, true);
+    }
   if (drain->handing_off || partitions == 0)
     return;
   drain->handing_off = true;
@@ -93,6 +102,11 @@
   drain->quiet_since_ms = 0;
   log_event (LOG_LEVEL_NOTICE, on ? "drain_started" : "drain_ended", NULL, NULL, "%s",
              core->settings->instance);
+  if (!on)
+    {
+      drain->handing_off = false;
+      home_serve_again (core->home);
+    }
   membership_set_draining (core->membership, on);
 }
 
--- a/daemon/fleet.c
+++ b/daemon/fleet.c
@@ -22,8 +22,17 @@
   LOST_SHOWN_MS = 60 * 60 * 1000
 };
 
+/* An instance whose key is gone and whose link is kept while it is heard. */
+struct FleetGone
+{
+  struct FleetGone *next;
+  char instance[NAME_MAX_BYTES + 1];
+  int64_t heard_ms;
+};
+
 struct Fleet
 {
+  struct FleetGone *gone;
   struct Core *core;
   struct FleetMember *members;
   size_t n_members;
@@ -98,6 +107,57 @@
   talloc_free (members);
 }
 
+static struct FleetGone **
+fleet_gone_at (struct Fleet *fleet, const char *instance)
+{
+  struct FleetGone **at = &fleet->gone;
+
+  while (*at != NULL && strcmp ((*at)->instance, instance) != 0)
+    at = &(*at)->next;
+  return at;
+}
+
+static void
+fleet_gone_remove (struct FleetGone **at)
+{
+  struct FleetGone *gone = *at;
+
+  *at = gone->next;
+  talloc_free (gone);
+}
+
+/* A leaving instance still answers over its link. A paused one, whose lease lapsed before its
+ * silence was noticed, never will: callers' requests and calls that wait on it would wait for their
+ * own limits. Its silence tells the two apart, as it does with members. */
+static void
+fleet_gone_add (struct Fleet *fleet, const struct FleetMember *former)
+{
+  struct FleetGone *gone = talloc_zero (fleet, struct FleetGone);
+
+  if (gone == NULL)
+    return;
+  snprintf (gone->instance, sizeof gone->instance, "%s", former->instance);
+  gone->heard_ms = former->heard_ms;
+  gone->next = fleet->gone;
+  fleet->gone = gone;
+}
+
+static void
+fleet_drop_silent_gone (struct Fleet *fleet, int64_t now_ms)
+{
+  struct FleetGone **at = &fleet->gone;
+
+  while (*at != NULL)
+    if (now_ms - (*at)->heard_ms >= SILENCE_MS)
+      {
+        peer_net_drop (fleet->core->net, (*at)->instance);
+        peer_net_forget (fleet->core->net, (*at)->instance);
+        fleet_gone_remove (at);
+      }
+    else
+      at = &(*at)->next;
+}
+
 static void
 fleet_drop_lost (struct Fleet *fleet, size_t i)
 {
@@ -112,7 +172,7 @@
 {
   struct FleetLost *lost;
 
-  peer_net_forget (fleet->core->net, member->instance);
+  fleet_gone_add (fleet, member);
   if (member->draining)
     return;
   if (fleet->n_lost == FLEET_LOST_MAX)
@@ -163,7 +223,13 @@
     if (fleet_member_named (fleet, former[i].instance) == NULL)
       fleet_forget_member (fleet, &former[i]);
   for (size_t i = 0; i < n_members; i++)
-    peer_net_know (fleet->core->net, copy[i].instance, copy[i].peer_address);
+    {
+      struct FleetGone **gone = fleet_gone_at (fleet, copy[i].instance);
+
+      if (*gone != NULL)
+        fleet_gone_remove (gone);
+      peer_net_know (fleet->core->net, copy[i].instance, copy[i].peer_address);
+    }
   talloc_free (former);
   fleet_tidy_lost (fleet);
   fleet_tell_homes (fleet);
@@ -206,7 +272,13 @@
   bool was_suspected;
 
   if (member == NULL)
-    return;
+    {
+      struct FleetGone *gone = *fleet_gone_at (fleet, heartbeat->instance);
+
+      if (gone != NULL)
+        gone->heard_ms = timer_now_ms (fleet->core->timers);
+      return;
+    }
   was_suspected = member->suspected;
   member->heard_ms = timer_now_ms (fleet->core->timers);
   member->suspected = false;
@@ -289,6 +361,7 @@
                  "%s was silent for %d ms", member->instance, SILENCE_MS);
       peer_net_drop (fleet->core->net, member->instance);
     }
+  fleet_drop_silent_gone (fleet, now_ms);
   if (changed)
     fleet_publish (fleet);
 }
--- a/daemon/home.c
+++ b/daemon/home.c
@@ -294,6 +294,15 @@
   home_forget_ended (home);
 }
 
+/* The tables' own memory is the hash library's, not talloc's; what they hold goes with the era. */
+static void
+home_clear_tables (struct Home *home)
+{
+  HASH_CLEAR (by_key, home->releases);
+  home_history_clear (home);
+  HASH_CLEAR (by_program, home->ended);
+}
+
 int32_t
 home_start (struct Home *home, const char *incarnation)
 {
@@ -302,10 +311,9 @@
   struct HomesOptions homes = { 0 };
 
   home_fail_all (home, ERROR_FENCED);
+  home_clear_tables (home);
   TALLOC_FREE (home->era);
-  home->releases = NULL;
-  home->prefixes = NULL;
-  home->ended = NULL;
+  home->era_number++;
   home->homes = NULL;
   home->era = talloc_new (home);
   home->ledger = ledger_new (home->era);
@@ -340,6 +348,13 @@
   return ERROR_NONE;
 }
 
+void
+home_serve_again (struct Home *home)
+{
+  if (home->homes != NULL)
+    homes_serve_again (home->homes);
+}
+
 void
 home_hand_off_all (struct Home *home, JournalDone done, void *data)
 {
@@ -349,6 +364,21 @@
     homes_hand_off_all (home->homes, done, data);
 }
 
+uint64_t
+home_era (const struct Home *home)
+{
+  return home->era_number;
+}
+
+static int
+home_free (struct Home *home)
+{
+  HASH_CLEAR (by_key, home->calls);
+  HASH_CLEAR (by_dispatch, home->dispatches);
+  home_clear_tables (home);
+  return 0;
+}
+
 struct Home *
 home_new (struct Core *core)
 {
@@ -358,6 +388,7 @@
     return NULL;
   home->core = core;
   home->next_id = 1;
+  talloc_set_destructor (home, home_free);
   home->quarantine = quarantine_new (home);
   home->retries = retry_budget_new (home, (uint64_t)core_unix_ms ());
   timer_subscribe (home, core->timers, SWEEP_MS, SWEEP_MS, home_on_sweep, home);
--- a/daemon/home.h
+++ b/daemon/home.h
@@ -44,7 +44,14 @@
 void
 home_count (const struct Home *home, uint32_t *partitions, uint32_t *programs);
 
+/* Grows with each home_start: what was asked of an earlier one is void. */
+uint64_t
+home_era (const struct Home *home);
+
 /* Planned stop: hands every partition over; done (data, 0) when none is left here. */
+/* The stop is called off. */
+void
+home_serve_again (struct Home *home);
 void
 home_hand_off_all (struct Home *home, JournalDone done, void *data);
 
--- a/daemon/home_history.c
+++ b/daemon/home_history.c
@@ -109,3 +109,9 @@
     talloc_free (prefix);
   }
 }
+
+void
+home_history_clear (struct Home *home)
+{
+  HASH_CLEAR (by_key, home->prefixes);
+}
--- a/daemon/home_internal.h
+++ b/daemon/home_internal.h
@@ -221,6 +221,8 @@
 home_history_remember (struct HomeCall *call);
 void
 home_history_forget (struct Home *home, const char *program);
+void
+home_history_clear (struct Home *home);
 
 /* home_release.c */
 void
--- a/daemon/home_write.c
+++ b/daemon/home_write.c
@@ -52,8 +52,13 @@
   struct Home *home = write->home;
 
   DL_DELETE (home->writes, write);
-  if (error == ERROR_NONE && write->spooled)
-    spooler_drop (home->core->spooler, write->number);
+  if (write->spooled)
+    {
+      /* The disks may answer later: by then this write is gone. */
+      spooler_forget (home->core->spooler, write->number);
+      if (error == ERROR_NONE)
+        spooler_drop (home->core->spooler, write->number);
+    }
   write_answer (write, error);
   talloc_free (write);
 }
--- a/daemon/owner_internal.h
+++ b/daemon/owner_internal.h
@@ -61,32 +61,40 @@
 };
 
 /* owner.c */
-struct OwnerJob **owner_job_at (struct Owner *owner, uint64_t id);
+struct OwnerJob **
+owner_job_at (struct Owner *owner, uint64_t id);
 struct OwnerJob *
 owner_job_new (struct Owner *owner, struct OwnerServer *server, enum OwnerJobKind kind);
-void owner_job_free (struct OwnerJob *job);
+void
+owner_job_free (struct OwnerJob *job);
 /* The state kept of a backend server, made at the first asking; NULL when memory is out. */
-struct OwnerServer *owner_server (struct Owner *owner, const char *name);
-void owner_answer (struct Owner *owner, uint64_t link, const struct PeerAnswer *answer);
+struct OwnerServer *
+owner_server (struct Owner *owner, const char *name);
+void
+owner_answer (struct Owner *owner, uint64_t link, const struct PeerAnswer *answer);
 /* "Not run": the call never left this instance. */
-void owner_refuse (struct Owner *owner,
-                   uint64_t link,
-                   uint64_t id,
-                   const struct Fault *fault,
-                   uint32_t retry_after_ms);
+void
+owner_refuse (struct Owner *owner,
+              uint64_t link,
+              uint64_t id,
+              const struct Fault *fault,
+              uint32_t retry_after_ms);
 /* Ends a call that was sent: the queue learns, the home hears. */
 void
 owner_finish_call (struct Owner *owner, struct OwnerJob *job, const struct PeerAnswer *answer);
 
 /* owner_watch.c */
 /* A call broke after it was sent: asks whether its server still lives, then finishes the call. */
-void owner_probe (struct Owner *owner, struct OwnerJob *broken, const struct PeerAnswer *answer);
+void
+owner_probe (struct Owner *owner, struct OwnerJob *broken, const struct PeerAnswer *answer);
 void
 owner_on_probe_end (struct Owner *owner, struct OwnerJob *probe, const struct BackendEvent *event);
-void owner_on_report_end (struct Owner *owner,
-                          struct OwnerServer *server,
-                          const struct BackendEvent *event);
+void
+owner_on_report_end (struct Owner *owner,
+                     struct OwnerServer *server,
+                     const struct BackendEvent *event);
 void
 owner_on_release_end (struct Owner *owner, struct OwnerJob *job, const struct BackendEvent *event);
 /* Load reports of the engines owned here, and probes of suspected servers. */
-void owner_ask_reports (struct Owner *owner);
+void
+owner_ask_reports (struct Owner *owner);
--- a/daemon/spooler.h
+++ b/daemon/spooler.h
@@ -34,6 +34,11 @@
              JournalDone done,
              void *data,
              uint64_t *number);
+/* The asker of number is gone, or has its answer from the journal: its done is not called any more.
+ */
+void
+spooler_forget (struct Spooler *spooler, uint64_t number);
+
 /* The journal has every record up to number. */
 void
 spooler_drop (struct Spooler *spooler, uint64_t number);
--- a/daemon/spooler_writer.c
+++ b/daemon/spooler_writer.c
@@ -191,6 +191,23 @@
         }
 }
 
+void
+spooler_forget (struct Spooler *spooler, uint64_t number)
+{
+  struct SpoolerWrite **at = &spooler->first;
+  struct SpoolerWrite *write;
+
+  while (*at != NULL && (*at)->number != number)
+    at = &(*at)->next;
+  write = *at;
+  if (write == NULL)
+    return;
+  *at = write->next;
+  if (spooler->last == &write->next)
+    spooler->last = at;
+  talloc_free (write);
+}
+
 void
 spooler_drop (struct Spooler *spooler, uint64_t number)
 {
--- a/include/buckthornhead/caller_http.h
+++ b/include/buckthornhead/caller_http.h
@@ -19,6 +19,9 @@
                   struct CallerHttp **http,
                   struct Fault *fault);
 
+/* Every request from now on is refused at once. Those posted before still need their answers. */
+void
+caller_http_refuse (struct CallerHttp *http);
 /* Stops accepting, waits for the threads. Every exchange must have ended before. */
 void
 caller_http_close (struct CallerHttp *http);
--- a/include/buckthornhead/exchange.h
+++ b/include/buckthornhead/exchange.h
@@ -90,6 +90,17 @@
 /* Whole answer at once, and the end. */
 void
 exchange_answer (struct Exchange *exchange, uint32_t status, const void *body, size_t n_bytes);
+/* Exchanges posted to the core and not ended yet, of all listeners; any thread. While there is one,
+ * its connection may be suspended, and libmicrohttpd ends the process that closes a listener then.
+ */
+uint32_t
+exchange_n_open (void);
+/* HTTP thread: one is about to be posted. */
+void
+exchange_note_posted (void);
+/* And was not. */
+void
+exchange_note_refused (void);
 /* True when the connection is gone: what is still sent goes nowhere. */
 bool
 exchange_is_closed (struct Exchange *exchange);
--- a/include/buckthornhead/homes.h
+++ b/include/buckthornhead/homes.h
@@ -88,6 +88,9 @@
 homes_refresh (struct Homes *homes);
 
 /* Planned stop: hands every partition to its next choice. done (0) when none is left here. */
+/* The stop is called off: the next homes_set_members may give this incarnation partitions again. */
+void
+homes_serve_again (struct Homes *homes);
 void
 homes_hand_off_all (struct Homes *homes, JournalDone done, void *data);
 
--- a/tests/sessions/test_pairs.c
+++ b/tests/sessions/test_pairs.c
@@ -21,7 +21,8 @@
   SLOW_MS = 250,
   N_LOST = 6,
   N_CLOSED = 3,
-  FIRST_RUNS = 3
+  FIRST_RUNS = 3,
+  N_RESENT = 8
 };
 
 enum Failure
@@ -309,9 +310,63 @@
     run_pair (&kept[i].pair, kept[i].seed);
 }
 
+static bool
+call_is_answered (void *data)
+{
+  struct HttpReply *reply = call_send (NULL, data);
+  bool answered = reply->status == 200;
+
+  talloc_free (reply);
+  return answered;
+}
+
+/* A home is paused; the next one runs the second and the third confirmation of a program. The third
+ * is sent again to the paused home and waits in its socket; the platform is slow, so the home wakes
+ * with a ledger that expects the second. "Out of order, not run" would be false. */
+static void
+test_woken_home_with_an_old_ledger (void)
+{
+  struct Cluster *cluster = cluster_start (NULL, &three_instances);
+  struct TestCall call = { .program = "woken",
+                           .sequence = 1,
+                           .service = "field-desk",
+                           .path = "/wages/confirm",
+                           .body = "{\"wage\":410}" };
+  struct CallThread threads[N_RESENT];
+  int32_t home;
+
+  CU_ASSERT_TRUE (cluster_wait_settled (cluster));
+  CU_ASSERT_TRUE (create_program (cluster, 0, "woken"));
+  CU_ASSERT_EQUAL (call_settle (cluster, &call)->status, 200);
+  home = cluster_home (cluster, "woken");
+  CU_ASSERT_TRUE_FATAL (home >= 0);
+  CU_ASSERT_TRUE (process_signal (cluster->instances[home].process, SIGSTOP));
+  call.address = cluster->instances[(home + 1) % 3].address;
+  for (call.sequence = 2; call.sequence <= 3; call.sequence++)
+    CU_ASSERT_TRUE (wait_for (call_is_answered, &call));
+  call.sequence = 3;
+  call.address = cluster->instances[home].address;
+  for (uint32_t i = 0; i < N_RESENT; i++)
+    call_thread_start (&threads[i], &call);
+  platform_control (cluster, "{\"slow_ms\":%d}", SLOW_MS);
+  sleep_ms (OVERLAP_MS_MAX); /* only makes it likely that they are all there when it wakes */
+  CU_ASSERT_TRUE (process_signal (cluster->instances[home].process, SIGCONT));
+  for (uint32_t i = 0; i < N_RESENT; i++)
+    {
+      call_thread_join (&threads[i]);
+      CU_ASSERT_STRING_NOT_EQUAL (reply_ran (threads[i].reply), "not_run");
+      talloc_free (threads[i].reply);
+    }
+  platform_control (cluster, "{\"slow_ms\":%d}", 0);
+  CU_ASSERT_EQUAL (call_settle (cluster, &call)->status, 200);
+  CU_ASSERT_EQUAL (cluster_tool_runs (cluster), 3);
+  cluster_end (cluster, CU_get_number_of_failures () > 0);
+}
+
 const char test_suite_name[] = "two failures at once";
 const struct TestCase test_cases[] = {
   { "pairs of the seed", test_pairs_of_the_seed },
   { "kept pairs", test_kept_pairs },
+  { "woken home with an old ledger", test_woken_home_with_an_old_ledger },
   { NULL, NULL },
 };
