--- a/adapters/caller_http.c
+++ b/adapters/caller_http.c
@@ -16,6 +16,7 @@
 enum
 {
   ACCEPT_BACKLOG = 1024,
+  COME_BACK_ELSEWHERE_MS = 50,
   MEMORY_BESIDE_HEADERS_BYTES = 16 * 1024
 };
 
@@ -191,21 +192,35 @@
   return answer_fault (connection, exchange->early_status, &fault);
 }
 
+/* The listener is about to close: the caller goes elsewhere. Of an earlier attempt nothing is
+ * known. */
+static enum MHD_Result
+answer_stopping (struct Exchange *exchange, struct MHD_Connection *connection)
+{
+  struct Fault fault;
+  enum RanState ran = exchange->request.first_attempt ? RAN_NO : RAN_MAYBE;
+  enum MHD_Result queued;
+  char *json;
+
+  fault_set (&fault, ERROR_DRAINING, NULL, "this instance is being stopped");
+  json = error_json (NULL, &fault, ran, COME_BACK_ELSEWHERE_MS, 0);
+  queued = answer_now (connection, error_http_status (ERROR_DRAINING), json);
+  talloc_free (json);
+  return queued;
+}
+
 /* Hands the exchange to the core and parks the connection until there is an answer. */
 static enum MHD_Result
 exchange_post (struct CallerHttp *http,
                struct Exchange *exchange,
                struct MHD_Connection *connection)
 {
-  struct Fault fault;
-
   /* Announced before the flag is read: whoever closes sets the flag, then waits for the count. */
   exchange_note_posted ();
   if (atomic_load (&http->closing))
     {
       exchange_note_refused ();
-      fault_set (&fault, ERROR_DRAINING, NULL, "this instance is being stopped");
-      return answer_fault (connection, error_http_status (ERROR_DRAINING), &fault);
+      return answer_stopping (exchange, connection);
     }
   exchange->connection = connection;
   exchange->posted = true;
