--- a/tests/sessions/test_pairs.c
+++ b/tests/sessions/test_pairs.c
@@ -301,6 +301,11 @@
 } kept[] = {
   /* The woken home had forgotten its programs and told callers "not_found" for good. */
   { { { FAILURE_HOME_PAUSED, FAILURE_PLANNED_STOP } }, UINT64_C (20261220) },
+  /* The stopping instance was fenced while it drained and never ended (pair 2 of seed 6). */
+  { { { FAILURE_PLANNED_STOP, FAILURE_HOME_PAUSED } }, UINT64_C (18) },
+  /* A freed record met the disks' answer; a listener closed under an operator's request; callers
+   * were refused without a time to come back (pair 4 of seed 20261202). */
+  { { { FAILURE_PLANNED_STOP, FAILURE_PLATFORM_DOWN } }, UINT64_C (20261226) },
 };
 
 static void
