'Not run' speaks for all tries of a call, not for the last one

Cause, found by reading: the only engine dies under a repeatable call (some of it ran), the retry finds nobody to connect to, and that try's 'not run' was told of the request; the same of a resend, which starts a new call here. Ruled out: the ledger (it keeps no tries of repeatable calls, on purpose). Change: a call remembers that a try was sent, and the home remembers it until the program ends.

--- a/daemon/home.c
+++ b/daemon/home.c
@@ -301,6 +301,7 @@
   HASH_CLEAR (by_key, home->releases);
   home_history_clear (home);
   HASH_CLEAR (by_program, home->ended);
+  HASH_CLEAR (by_key, home->broken);
 }
 
 int32_t
--- a/daemon/home_call.c
+++ b/daemon/home_call.c
@@ -70,6 +70,44 @@
   call->waiters = waiter;
 }
 
+static struct HomeBroken *
+home_broken_find (struct Home *home, const struct CallKey *key)
+{
+  struct HomeBroken *broken;
+
+  HASH_FIND (by_key, home->broken, key, sizeof *key, broken);
+  return broken;
+}
+
+static void
+home_broken_remember (struct HomeCall *call)
+{
+  struct Home *home = call->home;
+  struct HomeBroken *broken;
+
+  if (home_broken_find (home, &call->call.key) != NULL)
+    return;
+  broken = talloc_zero (home->era, struct HomeBroken);
+  if (broken == NULL)
+    return;
+  broken->key = call->call.key;
+  HASH_ADD (by_key, home->broken, key, sizeof broken->key, broken);
+}
+
+void
+home_broken_forget (struct Home *home, const char *program)
+{
+  struct HomeBroken *broken, *next;
+
+  HASH_ITER (by_key, home->broken, broken, next)
+  {
+    if (strcmp (broken->key.program, program) != 0)
+      continue;
+    HASH_DELETE (by_key, home->broken, broken);
+    talloc_free (broken);
+  }
+}
+
 struct HomeCall *
 home_call_new (struct Home *home, uint64_t link, const struct PeerRequest *request)
 {
@@ -81,6 +119,7 @@
   call->call = request->call;
   call_key_copy (&call->call.key, &request->call.key);
   call->call.body = talloc_memdup (call, request->call.body, request->call.body_bytes);
+  call->may_have_run = home_broken_find (home, &call->call.key) != NULL;
   home_call_add_waiter (call, link, request);
   HASH_ADD (by_key, home->calls, call.key, sizeof call->call.key, call);
   return call;
@@ -158,8 +197,11 @@
   TALLOC_FREE (call->timer);
   call->failure.fault = *fault;
   call->failure.outcome.error = fault->error;
-  call->failure.outcome.ran = ran;
+  /* A last try that found no server speaks for itself alone. */
+  call->failure.outcome.ran = ran == RAN_NO && call->may_have_run ? RAN_MAYBE : ran;
   call->failure.retry_after_ms = retry_after_ms;
+  if (call->failure.outcome.ran != RAN_NO)
+    home_broken_remember (call);
   ledger_abandon_call (home->ledger, &call->call.key, &record, &must_journal);
   if (!must_journal)
     {
--- a/daemon/home_dispatch.c
+++ b/daemon/home_dispatch.c
@@ -247,6 +247,8 @@
     return home_release_on_answer (home, answer);
   if (answer->server_died)
     home_tell_death (home, call);
+  if (answer->outcome.ran != RAN_NO)
+    call->may_have_run = true;
   if (answer->outcome.ran == RAN_NO)
     {
       home_call_retry (call, answer);
--- a/daemon/home_internal.h
+++ b/daemon/home_internal.h
@@ -39,7 +39,8 @@
   struct Call call; /* .body belongs to this object */
   enum HomeCallState state;
   bool intent_journaled;
-  bool given_up; /* its waiters were told "not run": never to be dispatched */
+  bool may_have_run; /* some try was sent and broke: no later one can say "not run" */
+  bool given_up;     /* its waiters were told "not run": never to be dispatched */
   struct HomeWaiter *waiters;
   struct Timer *timer;
   uint32_t attempt;
@@ -71,6 +72,14 @@
   UT_hash_handle by_key;
 };
 
+/* A call that was given up after some try of it had been sent: a resend can not be told "not run".
+ */
+struct HomeBroken
+{
+  struct CallKey key;
+  UT_hash_handle by_key;
+};
+
 /* An ended program, to be forgotten some time after its end. */
 struct HomeEnded
 {
@@ -96,6 +105,7 @@
   struct HomeRelease *releases;
   struct HomePrefix *prefixes; /* by program and branch */
   struct HomeEnded *ended;     /* by program */
+  struct HomeBroken *broken;   /* by key */
   struct HomesMember *members; /* the last that were told, for a new era */
   size_t n_members;
   uint32_t n_programs;
@@ -210,6 +220,9 @@
 home_cancel_program (struct Home *home, const char *program);
 void
 home_fail_all (struct Home *home, int32_t error);
+/* A program's calls have no resends that matter any more. */
+void
+home_broken_forget (struct Home *home, const char *program);
 
 /* home_history.c: what a turn adds to its program's history. A chat's body repeats all earlier
  * turns; kept is what the turn before did not have, so that a history grows by its turns and not by
--- a/daemon/home_program.c
+++ b/daemon/home_program.c
@@ -352,6 +352,7 @@
   home_cancel_program (home, pending->program);
   placement_forget (home->placement, pending->program);
   home_history_forget (home, pending->program);
+  home_broken_forget (home, pending->program);
   talloc_free (pending);
 }
 
--- a/tests/sessions/test_crashing_request.c
+++ b/tests/sessions/test_crashing_request.c
@@ -53,8 +53,39 @@
   cluster_end (cluster, CU_get_number_of_failures () > 0);
 }
 
+/* The only engine dies while it reads a menu. The call is tried again, and that try finds nobody to
+ * connect to: it certainly did not run. The first one did, in part, so the cook must not hear "not
+ * run" of the request. */
+static void
+test_last_try_does_not_speak_for_the_first (void)
+{
+  static const struct ClusterOptions one_engine = { .n_instances = 3, .n_engines = 1 };
+  struct Cluster *cluster = cluster_start (NULL, &one_engine);
+  struct TestCall call = { .address = cluster->instances[0].address,
+                           .program = "broken",
+                           .sequence = 1,
+                           .body = chat_body (cluster, "negotiation", "long", 20000, false),
+                           .first_attempt = true };
+  struct CallThread thread;
+
+  CU_ASSERT_TRUE (create_program (cluster, 0, "broken"));
+  call_thread_start (&thread, &call);
+  CU_ASSERT_TRUE (wait_for_engine_runs (cluster, "broken", 1));
+  process_kill (cluster->engines[0].process);
+  call_thread_join (&thread);
+  CU_ASSERT_NOT_EQUAL (thread.reply->status, 200);
+  CU_ASSERT_STRING_NOT_EQUAL (reply_ran (thread.reply), "not_run");
+  talloc_free (thread.reply);
+  /* Nor of the same call sent again, which finds no engine at all. */
+  call.first_attempt = false;
+  call.address = cluster->instances[1].address;
+  CU_ASSERT_STRING_NOT_EQUAL (reply_ran (call_send (cluster, &call)), "not_run");
+  cluster_end (cluster, CU_get_number_of_failures () > 0);
+}
+
 const char test_suite_name[] = "crashing request";
 const struct TestCase test_cases[] = {
   { "request that stops two engines", test_request_that_stops_two_engines },
+  { "last try does not speak for the first", test_last_try_does_not_speak_for_the_first },
   { NULL, NULL },
 };
