Read once more: one codec for outcomes, a fencing counted once, dead code out

intent_journaled and peer_net_n_connected had no reader. Looked at and left: journal_read, journal_seal and journal_seal_and_read (one line each over replay_start, only their signatures repeat), ctl's argument tables (argtable wants each written out), the two MHD entry points (signatures of the library).

--- a/adapters/peer_net.c
+++ b/adapters/peer_net.c
@@ -595,14 +595,3 @@
     return ERROR_UNREACHABLE;
   return peer_link_send (link, message);
 }
-
-uint32_t
-peer_net_n_connected (const struct PeerNet *net)
-{
-  uint32_t n = 0;
-
-  for (const struct PeerKnown *k = net->known; k != NULL; k = k->next)
-    if (k->link != NULL && k->link->connected)
-      n++;
-  return n;
-}
--- a/core/peer_message.c
+++ b/core/peer_message.c
@@ -1,3 +1,5 @@
+#include "record_fields.h"
+
 #include <buckthornhead/pack.h>
 #include <buckthornhead/peer_message.h>
 
@@ -5,7 +7,8 @@
 
 enum
 {
-  FRAME_LENGTH_BYTES = 4
+  FRAME_LENGTH_BYTES = 4,
+  OUTCOME_FIELDS = 7 /* of outcome_pack */
 };
 
 static void
@@ -55,35 +58,6 @@
   outer->failed = outer->failed || r.failed;
 }
 
-static void
-outcome_pack (struct PackWriter *p, const struct Outcome *outcome)
-{
-  pack_array (p, 7);
-  pack_i64 (p, outcome->error);
-  pack_u64 (p, outcome->ran);
-  pack_u64 (p, outcome->status);
-  pack_u64 (p, outcome->charge_tokens);
-  pack_u64 (p, outcome->cached_tokens);
-  pack_string (p, outcome->backend);
-  pack_bytes (p, outcome->answer, outcome->answer_bytes);
-}
-
-static void
-outcome_unpack (struct PackReader *outer, TALLOC_CTX *ctx, struct Outcome *outcome)
-{
-  struct PackReader r;
-
-  read_array (outer, &r);
-  outcome->error = (int32_t)read_i64 (&r);
-  outcome->ran = (enum RanState)read_u64 (&r, RAN_MAYBE);
-  outcome->status = (uint32_t)read_u64 (&r, UINT32_MAX);
-  outcome->charge_tokens = read_u64 (&r, UINT64_MAX);
-  outcome->cached_tokens = (uint32_t)read_u64 (&r, UINT32_MAX);
-  read_string (&r, outcome->backend, sizeof outcome->backend);
-  outcome->answer = read_bytes (&r, ctx, &outcome->answer_bytes);
-  outer->failed = outer->failed || r.failed;
-}
-
 static void
 digest_pack (struct PackWriter *p, const struct PolicyServer *digest)
 {
@@ -204,6 +178,7 @@
 answer_pack (struct PackWriter *p, const struct PeerAnswer *answer)
 {
   pack_u64 (p, answer->id);
+  pack_array (p, OUTCOME_FIELDS);
   outcome_pack (p, &answer->outcome);
   pack_i64 (p, answer->fault.error);
   pack_string (p, answer->fault.message);
@@ -217,8 +192,12 @@
 static void
 answer_unpack (struct PackReader *r, TALLOC_CTX *ctx, struct PeerAnswer *answer)
 {
+  struct PackReader outcome;
+
   answer->id = read_u64 (r, UINT64_MAX);
-  outcome_unpack (r, ctx, &answer->outcome);
+  read_array (r, &outcome);
+  outcome_read (&outcome, ctx, &answer->outcome);
+  r->failed = r->failed || read_end (&outcome) != ERROR_NONE;
   answer->fault.error = (int32_t)read_i64 (r);
   read_string (r, answer->fault.message, sizeof answer->fault.message);
   read_string (r, answer->fault.remedy, sizeof answer->fault.remedy);
--- a/core/record_fields.h
+++ b/core/record_fields.h
@@ -1,4 +1,4 @@
-/* Packing of the parts that records and ledger snapshots share. */
+/* Packing of the parts that records, ledger snapshots and messages between instances share. */
 #pragma once
 
 #include <buckthornhead/call.h>
--- a/daemon/home.c
+++ b/daemon/home.c
@@ -2,7 +2,6 @@
 
 #include "spooler.h"
 
-#include <buckthornhead/counter.h>
 #include <buckthornhead/log.h>
 
 #include <stdio.h>
@@ -189,7 +188,6 @@
 {
   struct Home *home = data;
 
-  counter_add (COUNTER_JOURNAL_FENCED, 1);
   log_event (LOG_LEVEL_ERROR, "fenced", NULL,
              "nothing: the instance rejoins by itself; look why it was silent if this recurs",
              "%s was taken over while it was silent", home->core->incarnation);
--- a/daemon/home_accept.c
+++ b/daemon/home_accept.c
@@ -33,7 +33,6 @@
   struct Fault fault;
 
   TALLOC_FREE (call->timer);
-  call->intent_journaled = error == ERROR_NONE;
   if (error == ERROR_NONE && !call->given_up)
     {
       home_call_dispatch (call);
--- a/daemon/home_internal.h
+++ b/daemon/home_internal.h
@@ -38,7 +38,6 @@
   struct Home *home;
   struct Call call; /* .body belongs to this object */
   enum HomeCallState state;
-  bool intent_journaled;
   bool may_have_run; /* some try was sent and broke: no later one can say "not run" */
   bool given_up;     /* its waiters were told "not run": never to be dispatched */
   struct HomeWaiter *waiters;
--- a/include/buckthornhead/peer_net.h
+++ b/include/buckthornhead/peer_net.h
@@ -66,7 +66,3 @@
 /* Queues message on link. ERROR_UNREACHABLE when the link is gone: it certainly never left. */
 int32_t
 peer_net_send (struct PeerNet *net, uint64_t link, const struct PeerMessage *message);
-
-/* Instances with a dialled link that is up. */
-uint32_t
-peer_net_n_connected (const struct PeerNet *net);
