--- /dev/null
+++ b/adapters/disk_log.c
@@ -0,0 +1,650 @@
+#include <buckthornhead/disk_log.h>
+
+#include <buckthornhead/log.h>
+#include <buckthornhead/mailbox.h>
+
+#include <dirent.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/stat.h>
+#include <unistd.h>
+#include <xxhash.h>
+
+enum
+{
+  FRAME_LENGTH_BYTES = 4,
+  FRAME_HEAD_BYTES = FRAME_LENGTH_BYTES + 8,
+  /* A file goes when its last record has expired: small files give space back soon. */
+  FILE_MAX_BYTES = 8 * 1024 * 1024,
+  RECORD_MAX_BYTES = 16 * 1024 * 1024,
+  PATH_BYTES = 320
+};
+
+/* A record on its way to the disk. */
+struct DiskWrite
+{
+  struct DiskWrite *next;
+  uint8_t *frame; /* talloc, without a parent */
+  size_t frame_bytes;
+  int64_t expires_unix_ms;
+  DiskLogDone done;
+  void *data;
+  int32_t error;
+  struct DiskPlace place;
+};
+
+/* To the loop: these are settled. */
+struct DiskMail
+{
+  struct Mail mail;
+  struct DiskWrite *first;
+};
+
+/* One file as the loop knows it. */
+struct DiskFile
+{
+  uint32_t number;
+  int64_t expires_unix_ms;
+  uint32_t durable_bytes;
+  int fd; /* for reading, -1: not open */
+};
+
+struct DiskLog
+{
+  char folder[256];
+  bool complete;
+  struct DiskFile *files; /* ascending by number */
+  size_t n_files;
+  struct Mailbox *mailbox;
+  pthread_t thread;
+  bool thread_runs;
+  /* Shared with the writer, under lock. */
+  pthread_mutex_t lock;
+  pthread_cond_t wake;
+  struct DiskWrite *first, **last;
+  bool stop;
+  /* The writer's own. */
+  uint32_t write_file, write_offset;
+  int write_fd;
+};
+
+static void
+file_path (const struct DiskLog *log, uint32_t number, char path[PATH_BYTES])
+{
+  snprintf (path, PATH_BYTES, "%s/log-%u", log->folder, number);
+}
+
+static struct DiskFile *
+file_find (const struct DiskLog *log, uint32_t number)
+{
+  for (size_t i = 0; i < log->n_files; i++)
+    if (log->files[i].number == number)
+      return &log->files[i];
+  return NULL;
+}
+
+/* The file's entry, made in its place if it is new; NULL without memory. */
+static struct DiskFile *
+file_need (struct DiskLog *log, uint32_t number)
+{
+  struct DiskFile *file = file_find (log, number);
+  struct DiskFile *grown;
+  size_t at = log->n_files;
+
+  if (file != NULL)
+    return file;
+  grown = talloc_realloc (log, log->files, struct DiskFile, log->n_files + 1);
+  if (grown == NULL)
+    return NULL;
+  log->files = grown;
+  while (at > 0 && grown[at - 1].number > number)
+    {
+      grown[at] = grown[at - 1];
+      at--;
+    }
+  memset (&grown[at], 0, sizeof grown[at]);
+  grown[at].number = number;
+  grown[at].fd = -1;
+  log->n_files++;
+  return &grown[at];
+}
+
+/* Frames. */
+
+static void
+frame_write_head (uint8_t *frame, const uint8_t *record, size_t n_bytes)
+{
+  uint64_t sum = XXH64 (record, n_bytes, n_bytes);
+
+  for (int i = 0; i < FRAME_LENGTH_BYTES; i++)
+    frame[i] = (uint8_t)(n_bytes >> (8 * i));
+  memcpy (frame + FRAME_LENGTH_BYTES, &sum, sizeof sum);
+}
+
+/* Length of the record whose frame starts at bytes; -1 when it is torn or none. */
+static int64_t
+frame_check (const uint8_t *bytes, size_t n_bytes)
+{
+  size_t length = 0;
+  uint64_t sum;
+
+  if (n_bytes < FRAME_HEAD_BYTES)
+    return -1;
+  for (int i = 0; i < FRAME_LENGTH_BYTES; i++)
+    length |= (size_t)bytes[i] << (8 * i);
+  if (length == 0 || length > RECORD_MAX_BYTES || length > n_bytes - FRAME_HEAD_BYTES)
+    return -1;
+  memcpy (&sum, bytes + FRAME_LENGTH_BYTES, sizeof sum);
+  return XXH64 (bytes + FRAME_HEAD_BYTES, length, length) == sum ? (int64_t)length : -1;
+}
+
+/* Calls fn for the whole frames at the start of bytes; returns where they end. */
+static size_t
+frames_each (const uint8_t *bytes, size_t n_bytes, uint32_t file, DiskLogFn fn, void *data)
+{
+  size_t at = 0;
+  int64_t length;
+
+  while ((length = frame_check (bytes + at, n_bytes - at)) >= 0)
+    {
+      struct DiskPlace place = { file, (uint32_t)at, (uint32_t)length };
+
+      if (fn != NULL)
+        fn (data, &place, bytes + at + FRAME_HEAD_BYTES, (size_t)length);
+      at += FRAME_HEAD_BYTES + (size_t)length;
+    }
+  return at;
+}
+
+void
+disk_log_each_frame (const uint8_t *bytes, size_t n_bytes, DiskLogFn fn, void *data)
+{
+  frames_each (bytes, n_bytes, 0, fn, data);
+}
+
+/* Opening. */
+
+static uint8_t *
+file_read_whole (TALLOC_CTX *ctx, const char *path, size_t *n_bytes)
+{
+  int fd = open (path, O_RDONLY | O_CLOEXEC);
+  struct stat status;
+  uint8_t *bytes = NULL;
+  size_t at = 0;
+
+  *n_bytes = 0;
+  if (fd < 0)
+    return NULL;
+  if (fstat (fd, &status) == 0)
+    bytes = talloc_array (ctx, uint8_t, (size_t)status.st_size + 1);
+  while (bytes != NULL && at < (size_t)status.st_size)
+    {
+      ssize_t n = read (fd, bytes + at, (size_t)status.st_size - at);
+
+      if (n <= 0)
+        break;
+      at += (size_t)n;
+    }
+  close (fd);
+  *n_bytes = at;
+  return bytes;
+}
+
+static void
+file_replay (struct DiskLog *log, uint32_t number, DiskLogFn fn, void *data)
+{
+  struct DiskFile *file = file_need (log, number);
+  char path[PATH_BYTES];
+  size_t n_bytes;
+  uint8_t *bytes;
+
+  file_path (log, number, path);
+  bytes = file_read_whole (log, path, &n_bytes);
+  if (bytes == NULL || file == NULL)
+    {
+      log_event (LOG_LEVEL_ERROR, "disk_file_unreadable", NULL, "look at the disk", "%s: %s", path,
+                 strerror (errno));
+      return;
+    }
+  file->durable_bytes = (uint32_t)frames_each (bytes, n_bytes, number, fn, data);
+  if (file->durable_bytes < n_bytes)
+    log_event (LOG_LEVEL_WARNING, "disk_file_torn", NULL, NULL, "%s: %zu bytes of %zu are whole",
+               path, (size_t)file->durable_bytes, n_bytes);
+  talloc_free (bytes);
+}
+
+static int
+number_compare (const void *a, const void *b)
+{
+  const uint32_t *x = a, *y = b;
+
+  return (*x > *y) - (*x < *y);
+}
+
+/* Numbers of the files in the folder, ascending; NULL when it can not be listed. */
+static uint32_t *
+folder_list (struct DiskLog *log, size_t *n)
+{
+  DIR *dir = opendir (log->folder);
+  uint32_t *numbers = talloc_array (log, uint32_t, 0);
+  struct dirent *entry;
+
+  *n = 0;
+  if (dir == NULL)
+    {
+      talloc_free (numbers);
+      return NULL;
+    }
+  while (numbers != NULL && (entry = readdir (dir)) != NULL)
+    {
+      char *end;
+      unsigned long number;
+
+      if (strncmp (entry->d_name, "log-", 4) != 0)
+        continue;
+      number = strtoul (entry->d_name + 4, &end, 10);
+      if (*end != '\0' || number == 0 || number >= UINT32_MAX)
+        continue;
+      numbers = talloc_realloc (log, numbers, uint32_t, *n + 1);
+      if (numbers != NULL)
+        numbers[(*n)++] = (uint32_t)number;
+    }
+  closedir (dir);
+  if (numbers != NULL)
+    qsort (numbers, *n, sizeof *numbers, number_compare);
+  return numbers;
+}
+
+static void
+mark_path (const struct DiskLog *log, char path[PATH_BYTES])
+{
+  snprintf (path, PATH_BYTES, "%s/complete", log->folder);
+}
+
+bool
+disk_log_is_complete (const struct DiskLog *log)
+{
+  return log->complete;
+}
+
+int32_t
+disk_log_mark_complete (struct DiskLog *log)
+{
+  char path[PATH_BYTES];
+  int fd;
+  bool durable;
+
+  mark_path (log, path);
+  fd = open (path, O_WRONLY | O_CREAT | O_CLOEXEC, 0600);
+  if (fd < 0)
+    return ERROR_IO;
+  durable = write (fd, "1\n", 2) == 2 && fsync (fd) == 0;
+  close (fd);
+  log->complete = durable;
+  return durable ? ERROR_NONE : ERROR_IO;
+}
+
+/* The writer's thread. */
+
+static bool
+writer_open_next (struct DiskLog *log)
+{
+  char path[PATH_BYTES];
+
+  if (log->write_fd >= 0)
+    close (log->write_fd);
+  log->write_file++;
+  log->write_offset = 0;
+  file_path (log, log->write_file, path);
+  log->write_fd = open (path, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+  return log->write_fd >= 0;
+}
+
+static bool
+writer_put (struct DiskLog *log, const uint8_t *bytes, size_t n_bytes)
+{
+  while (n_bytes > 0)
+    {
+      ssize_t n = write (log->write_fd, bytes, n_bytes);
+
+      if (n < 0 && errno == EINTR)
+        continue;
+      if (n <= 0)
+        return false;
+      bytes += n;
+      n_bytes -= (size_t)n;
+    }
+  return true;
+}
+
+/* Writes all of batch and syncs once. After a failure nobody knows what the file holds, so that
+ * the next batch starts another one. */
+static void
+writer_batch (struct DiskLog *log, struct DiskWrite *batch)
+{
+  bool sound = true;
+
+  if (log->write_fd < 0 || log->write_offset > FILE_MAX_BYTES)
+    sound = writer_open_next (log);
+  for (struct DiskWrite *w = batch; w != NULL && sound; w = w->next)
+    {
+      w->place.file = log->write_file;
+      w->place.offset = log->write_offset;
+      w->place.n_bytes = (uint32_t)(w->frame_bytes - FRAME_HEAD_BYTES);
+      sound = writer_put (log, w->frame, w->frame_bytes);
+      log->write_offset += (uint32_t)w->frame_bytes;
+    }
+  sound = sound && fdatasync (log->write_fd) == 0;
+  if (!sound && log->write_fd >= 0)
+    {
+      close (log->write_fd);
+      log->write_fd = -1;
+    }
+  for (struct DiskWrite *w = batch; w != NULL; w = w->next)
+    w->error = sound ? ERROR_NONE : ERROR_IO;
+}
+
+static void *
+writer_run (void *data)
+{
+  struct DiskLog *log = data;
+
+  for (;;)
+    {
+      struct DiskWrite *batch;
+      struct DiskMail *mail;
+
+      pthread_mutex_lock (&log->lock);
+      while (log->first == NULL && !log->stop)
+        pthread_cond_wait (&log->wake, &log->lock);
+      batch = log->first;
+      log->first = NULL;
+      log->last = &log->first;
+      pthread_mutex_unlock (&log->lock);
+      if (batch == NULL)
+        return NULL;
+      writer_batch (log, batch);
+      mail = talloc_zero (NULL, struct DiskMail);
+      if (mail == NULL)
+        abort (); /* without it nobody would ever hear of the records */
+      mail->mail.kind = MAIL_DISK_DURABLE;
+      mail->first = batch;
+      mailbox_post (log->mailbox, &mail->mail);
+    }
+}
+
+/* The loop's side. */
+
+static void
+log_on_mail (void *data, struct Mail *received)
+{
+  struct DiskLog *log = data;
+  struct DiskMail *mail = (struct DiskMail *)received;
+  struct DiskWrite *next;
+
+  for (struct DiskWrite *w = mail->first; w != NULL; w = next)
+    {
+      struct DiskFile *file = w->error == ERROR_NONE ? file_need (log, w->place.file) : NULL;
+
+      next = w->next;
+      if (file != NULL)
+        {
+          file->durable_bytes = w->place.offset + (uint32_t)w->frame_bytes;
+          if (file->expires_unix_ms < w->expires_unix_ms)
+            file->expires_unix_ms = w->expires_unix_ms;
+        }
+      w->done (w->data, w->error, &w->place);
+      talloc_free (w);
+    }
+  talloc_free (mail);
+}
+
+static int
+log_free (struct DiskLog *log)
+{
+  if (log->thread_runs)
+    {
+      pthread_mutex_lock (&log->lock);
+      log->stop = true;
+      pthread_cond_signal (&log->wake);
+      pthread_mutex_unlock (&log->lock);
+      pthread_join (log->thread, NULL);
+    }
+  if (log->write_fd >= 0)
+    close (log->write_fd);
+  for (size_t i = 0; i < log->n_files; i++)
+    if (log->files[i].fd >= 0)
+      close (log->files[i].fd);
+  return 0;
+}
+
+static int32_t
+log_start (struct DiskLog *log, struct tevent_context *events, struct Fault *fault)
+{
+  pthread_mutex_init (&log->lock, NULL);
+  pthread_cond_init (&log->wake, NULL);
+  log->mailbox = mailbox_new (log, events, log_on_mail, log);
+  if (log->mailbox == NULL || pthread_create (&log->thread, NULL, writer_run, log) != 0)
+    return fault_set (fault, ERROR_NO_MEMORY, NULL, "no memory for the disk's thread");
+  log->thread_runs = true;
+  return ERROR_NONE;
+}
+
+int32_t
+disk_log_open (TALLOC_CTX *ctx,
+               struct tevent_context *events,
+               const char *folder,
+               DiskLogFn fn,
+               void *data,
+               struct DiskLog **log,
+               struct Fault *fault)
+{
+  struct DiskLog *l = talloc_zero (ctx, struct DiskLog);
+  char path[PATH_BYTES];
+  uint32_t *numbers;
+  size_t n;
+
+  *log = NULL;
+  if (l == NULL)
+    return fault_set (fault, ERROR_NO_MEMORY, NULL, "no memory for the log");
+  l->write_fd = -1;
+  l->last = &l->first;
+  talloc_set_destructor (l, log_free);
+  snprintf (l->folder, sizeof l->folder, "%s", folder);
+  if (mkdir (folder, 0700) != 0 && errno != EEXIST)
+    goto fail;
+  numbers = folder_list (l, &n);
+  if (numbers == NULL)
+    goto fail;
+  /* fn may already look into the log: it holds the files up to the one that is replayed. */
+  *log = l;
+  for (size_t i = 0; i < n; i++)
+    {
+      file_replay (l, numbers[i], fn, data);
+      l->write_file = numbers[i];
+    }
+  mark_path (l, path);
+  l->complete = access (path, F_OK) == 0;
+  if (log_start (l, events, fault) != ERROR_NONE)
+    {
+      *log = NULL;
+      talloc_free (l);
+      return ERROR_NO_MEMORY;
+    }
+  return ERROR_NONE;
+
+fail:
+  fault_set (fault, ERROR_IO, "check [instance] data_folder and its permissions", "%s: %s", folder,
+             strerror (errno));
+  talloc_free (l);
+  return ERROR_IO;
+}
+
+int32_t
+disk_log_append (struct DiskLog *log,
+                 const uint8_t *record,
+                 size_t n_bytes,
+                 int64_t expires_unix_ms,
+                 DiskLogDone done,
+                 void *data)
+{
+  struct DiskWrite *write = talloc_zero (NULL, struct DiskWrite);
+
+  if (write == NULL)
+    return ERROR_NO_MEMORY;
+  write->frame_bytes = FRAME_HEAD_BYTES + n_bytes;
+  write->frame = talloc_array (write, uint8_t, write->frame_bytes);
+  if (write->frame == NULL)
+    {
+      talloc_free (write);
+      return ERROR_NO_MEMORY;
+    }
+  frame_write_head (write->frame, record, n_bytes);
+  memcpy (write->frame + FRAME_HEAD_BYTES, record, n_bytes);
+  write->expires_unix_ms = expires_unix_ms;
+  write->done = done;
+  write->data = data;
+  pthread_mutex_lock (&log->lock);
+  *log->last = write;
+  log->last = &write->next;
+  pthread_cond_signal (&log->wake);
+  pthread_mutex_unlock (&log->lock);
+  return ERROR_NONE;
+}
+
+static int
+file_reader (const struct DiskLog *log, struct DiskFile *file)
+{
+  char path[PATH_BYTES];
+
+  if (file->fd < 0)
+    {
+      file_path (log, file->number, path);
+      file->fd = open (path, O_RDONLY | O_CLOEXEC);
+    }
+  return file->fd;
+}
+
+/* n_bytes of the file from offset on; NULL when they are not all there. */
+static uint8_t *
+file_pread (const struct DiskLog *log,
+            TALLOC_CTX *ctx,
+            struct DiskFile *file,
+            size_t offset,
+            size_t n_bytes)
+{
+  int fd = file_reader (log, file);
+  uint8_t *bytes = fd >= 0 ? talloc_array (ctx, uint8_t, n_bytes + 1) : NULL;
+  size_t at = 0;
+
+  while (bytes != NULL && at < n_bytes)
+    {
+      ssize_t n = pread (fd, bytes + at, n_bytes - at, (off_t)(offset + at));
+
+      if (n <= 0)
+        TALLOC_FREE (bytes);
+      else
+        at += (size_t)n;
+    }
+  return bytes;
+}
+
+uint8_t *
+disk_log_read (struct DiskLog *log, TALLOC_CTX *ctx, const struct DiskPlace *place, size_t *n_bytes)
+{
+  struct DiskFile *file = file_find (log, place->file);
+  size_t frame_bytes = FRAME_HEAD_BYTES + place->n_bytes;
+  uint8_t *bytes = file != NULL ? file_pread (log, ctx, file, place->offset, frame_bytes) : NULL;
+
+  if (bytes == NULL || frame_check (bytes, frame_bytes) != (int64_t)place->n_bytes)
+    {
+      log_event (LOG_LEVEL_ERROR, "disk_record_unreadable", NULL, "look at the disk",
+                 "log-%u at %u", place->file, place->offset);
+      TALLOC_FREE (bytes);
+      return NULL;
+    }
+  memmove (bytes, bytes + FRAME_HEAD_BYTES, place->n_bytes);
+  *n_bytes = place->n_bytes;
+  return bytes;
+}
+
+void
+disk_log_extend (struct DiskLog *log, uint32_t file_number, int64_t expires_unix_ms)
+{
+  struct DiskFile *file = file_find (log, file_number);
+
+  if (file != NULL && file->expires_unix_ms < expires_unix_ms)
+    file->expires_unix_ms = expires_unix_ms;
+}
+
+void
+disk_log_drop_expired (struct DiskLog *log, int64_t unix_ms)
+{
+  size_t n_kept = 0;
+
+  for (size_t i = 0; i < log->n_files; i++)
+    {
+      struct DiskFile *file = &log->files[i];
+      char path[PATH_BYTES];
+
+      /* The last file is the one that is being written. */
+      if (i + 1 == log->n_files || file->expires_unix_ms > unix_ms)
+        {
+          log->files[n_kept++] = *file;
+          continue;
+        }
+      if (file->fd >= 0)
+        close (file->fd);
+      file_path (log, file->number, path);
+      unlink (path);
+    }
+  log->n_files = n_kept;
+}
+
+uint8_t *
+disk_log_frames (struct DiskLog *log,
+                 TALLOC_CTX *ctx,
+                 uint64_t cursor,
+                 size_t max_bytes,
+                 size_t *n_bytes,
+                 uint64_t *next,
+                 bool *last)
+{
+  uint32_t number = (uint32_t)(cursor >> 32), offset = (uint32_t)cursor;
+  struct DiskFile *file = NULL;
+  size_t length;
+  uint8_t *bytes;
+
+  *n_bytes = 0;
+  *next = cursor;
+  for (size_t i = 0; i < log->n_files && file == NULL; i++)
+    if (log->files[i].number > number
+        || (log->files[i].number == number && log->files[i].durable_bytes > offset))
+      file = &log->files[i];
+  *last = file == NULL;
+  if (file == NULL)
+    return talloc_array (ctx, uint8_t, 1);
+  if (file->number != number)
+    offset = 0;
+  length = file->durable_bytes - offset;
+  if (length > max_bytes + RECORD_MAX_BYTES)
+    length = max_bytes + RECORD_MAX_BYTES;
+  if (length > max_bytes)
+    {
+      /* Room for one record, however long it is; what is cut comes with the next part. */
+      bytes = file_pread (log, ctx, file, offset, max_bytes);
+      if (bytes != NULL && frame_check (bytes, max_bytes) >= 0)
+        length = max_bytes;
+      TALLOC_FREE (bytes);
+    }
+  bytes = file_pread (log, ctx, file, offset, length);
+  if (bytes == NULL)
+    return NULL;
+  *n_bytes = frames_each (bytes, length, file->number, NULL, NULL);
+  *next = (uint64_t)file->number << 32 | (offset + (uint32_t)*n_bytes);
+  return bytes;
+}
--- /dev/null
+++ b/adapters/http_server.c
@@ -0,0 +1,756 @@
+#include <buckthornhead/http_server.h>
+
+#include <buckthornhead/byte_queue.h>
+#include <buckthornhead/log.h>
+#include <buckthornhead/net_socket.h>
+
+#include <errno.h>
+#include <http_parser.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+enum
+{
+  READ_BYTES = 64 * 1024,
+  /* Read ahead of a request that is worked on; beyond it the caller's bytes stay in the kernel. */
+  AHEAD_MAX_BYTES = 64 * 1024,
+  /* A caller that does not read its answer must not take the process's memory. */
+  OUTPUT_MAX_BYTES = 4 * 1024 * 1024,
+  SWEEP_MS = 200,   /* how exact header, idle and linger times are */
+  LINGER_MS = 1000, /* reading on after a refusal, lest a reset overtake the answer */
+  ACCEPTS_PER_WAKE = 64
+};
+
+enum ConnectionState
+{
+  CONNECTION_IDLE,    /* between requests */
+  CONNECTION_READING, /* part of a request has come */
+  CONNECTION_WORKING, /* a request is with the handler */
+  CONNECTION_LINGERING
+};
+
+struct Connection
+{
+  struct Connection *next, **at;
+  struct HttpServer *server;
+  int fd;
+  struct tevent_fd *watch;
+  struct tevent_immediate *resume;
+  enum ConnectionState state;
+  int64_t since_ms; /* of the state */
+  http_parser parser;
+  struct HttpHeadText head;
+  char *target;
+  size_t target_bytes;
+  uint8_t *body;
+  size_t body_bytes, head_bytes;
+  uint32_t refusal; /* status for a request that can not be taken, 0: none */
+  bool headers_done, whole, close_after;
+  struct ByteQueue ahead, output;
+  struct OpenExchange *exchange;
+};
+
+/* The server's side of an exchange. */
+struct OpenExchange
+{
+  struct HttpExchange open; /* first: the handler's pointer */
+  struct Connection *connection;
+  bool begun, chunked;
+};
+
+struct HttpServer
+{
+  struct tevent_context *events;
+  struct TimerService *timers;
+  struct HttpServerOptions options;
+  int listen_fd;
+  struct tevent_fd *listen_watch;
+  struct Connection *connections;
+  uint32_t n_connections, n_in_flight;
+  bool draining;
+  uint8_t scratch[READ_BYTES];
+};
+
+static void
+connection_advance (struct Connection *c);
+
+static struct OpenExchange *
+open_exchange (struct HttpExchange *exchange)
+{
+  return (struct OpenExchange *)exchange;
+}
+
+static int
+connection_free (struct Connection *c)
+{
+  struct OpenExchange *x = c->exchange;
+
+  *c->at = c->next;
+  if (c->next != NULL)
+    c->next->at = c->at;
+  c->server->n_connections--;
+  if (x != NULL)
+    {
+      c->exchange = NULL;
+      x->connection = NULL;
+      c->server->n_in_flight--;
+      if (x->open.gone != NULL)
+        x->open.gone (&x->open);
+    }
+  TALLOC_FREE (c->watch);
+  close (c->fd);
+  return 0;
+}
+
+static void
+connection_watch (struct Connection *c)
+{
+  uint16_t flags = 0;
+
+  if (c->state != CONNECTION_WORKING || byte_queue_length (&c->ahead) < AHEAD_MAX_BYTES)
+    flags |= TEVENT_FD_READ;
+  if (byte_queue_length (&c->output) > 0)
+    flags |= TEVENT_FD_WRITE;
+  if (tevent_fd_get_flags (c->watch) != flags)
+    tevent_fd_set_flags (c->watch, flags);
+}
+
+static void
+connection_enter (struct Connection *c, enum ConnectionState state)
+{
+  c->state = state;
+  c->since_ms = timer_now_ms (c->server->timers);
+}
+
+/* What is left goes out as the socket takes it. The connection breaks later, from the loop, never
+ * under the handler that is writing. */
+static void
+connection_output (struct Connection *c, const void *bytes, size_t n_bytes)
+{
+  bool sound = byte_queue_add (c, &c->output, bytes, n_bytes) == ERROR_NONE
+               && byte_queue_length (&c->output) <= OUTPUT_MAX_BYTES
+               && byte_queue_send (&c->output, c->fd);
+
+  if (!sound)
+    {
+      shutdown (c->fd, SHUT_RDWR);
+      c->close_after = true;
+    }
+  connection_watch (c);
+}
+
+/* Ready for the next request on this connection. */
+static void
+connection_reset (struct Connection *c)
+{
+  http_parser_init (&c->parser, HTTP_REQUEST);
+  c->parser.data = c;
+  TALLOC_FREE (c->head.text);
+  TALLOC_FREE (c->head.starts);
+  TALLOC_FREE (c->target);
+  TALLOC_FREE (c->body);
+  memset (&c->head, 0, sizeof c->head);
+  c->target_bytes = 0;
+  c->body_bytes = 0;
+  c->head_bytes = 0;
+  c->refusal = 0;
+  c->headers_done = false;
+  c->whole = false;
+}
+
+/* Parser callbacks: a non-zero return stops the parser, .refusal then says with which status. */
+
+static int
+parser_refuse (struct Connection *c, uint32_t status)
+{
+  if (c->refusal == 0)
+    c->refusal = status;
+  return 1;
+}
+
+static bool
+head_fits (struct Connection *c, size_t n_bytes)
+{
+  c->head_bytes += n_bytes;
+  return c->head_bytes <= c->server->options.limits.header_max_bytes;
+}
+
+static int
+parser_on_target (http_parser *parser, const char *bytes, size_t n_bytes)
+{
+  struct Connection *c = parser->data;
+  char *grown;
+
+  if (!head_fits (c, n_bytes))
+    return parser_refuse (c, 431);
+  grown = talloc_realloc (c, c->target, char, c->target_bytes + n_bytes + 1);
+  if (grown == NULL)
+    return parser_refuse (c, 503);
+  c->target = grown;
+  memcpy (c->target + c->target_bytes, bytes, n_bytes);
+  c->target_bytes += n_bytes;
+  c->target[c->target_bytes] = '\0';
+  return 0;
+}
+
+static int
+parser_on_head (struct Connection *c, bool is_value, const char *bytes, size_t n_bytes)
+{
+  if (!head_fits (c, n_bytes))
+    return parser_refuse (c, 431);
+  switch (http_head_text_add (c, &c->head, is_value, bytes, n_bytes))
+    {
+    case ERROR_NONE:
+      return 0;
+    case ERROR_NO_MEMORY:
+      return parser_refuse (c, 503);
+    default:
+      return parser_refuse (c, 400);
+    }
+}
+
+static int
+parser_on_name (http_parser *parser, const char *bytes, size_t n_bytes)
+{
+  struct Connection *c = parser->data;
+
+  /* Trailers say nothing that is forwarded. */
+  return c->headers_done ? 0 : parser_on_head (c, false, bytes, n_bytes);
+}
+
+static int
+parser_on_value (http_parser *parser, const char *bytes, size_t n_bytes)
+{
+  struct Connection *c = parser->data;
+
+  return c->headers_done ? 0 : parser_on_head (c, true, bytes, n_bytes);
+}
+
+static int
+parser_on_headers_complete (http_parser *parser)
+{
+  struct Connection *c = parser->data;
+  uint64_t length = parser->content_length;
+
+  c->headers_done = true;
+  if ((parser->flags & F_CONTENTLENGTH) && length > c->server->options.limits.body_max_bytes)
+    return parser_refuse (c, 413);
+  return 0;
+}
+
+static int
+parser_on_body (http_parser *parser, const char *bytes, size_t n_bytes)
+{
+  struct Connection *c = parser->data;
+  size_t room = c->body != NULL ? talloc_get_size (c->body) : 0;
+  uint8_t *grown;
+
+  if (c->body_bytes + n_bytes > c->server->options.limits.body_max_bytes)
+    return parser_refuse (c, 413);
+  if (c->body == NULL || c->body_bytes + n_bytes > room)
+    {
+      room = (parser->flags & F_CONTENTLENGTH)
+                 ? c->body_bytes + n_bytes + (size_t)parser->content_length
+                 : 2 * (c->body_bytes + n_bytes);
+      grown = talloc_realloc (c, c->body, uint8_t, room);
+      if (grown == NULL)
+        return parser_refuse (c, 503);
+      c->body = grown;
+    }
+  memcpy (c->body + c->body_bytes, bytes, n_bytes);
+  c->body_bytes += n_bytes;
+  return 0;
+}
+
+static int
+parser_on_message_complete (http_parser *parser)
+{
+  struct Connection *c = parser->data;
+
+  c->whole = true;
+  http_parser_pause (parser, 1);
+  return 0;
+}
+
+static const http_parser_settings parser_settings = {
+  .on_url = parser_on_target,
+  .on_header_field = parser_on_name,
+  .on_header_value = parser_on_value,
+  .on_headers_complete = parser_on_headers_complete,
+  .on_body = parser_on_body,
+  .on_message_complete = parser_on_message_complete,
+};
+
+/* Answers. */
+
+static void
+answer_head (struct Connection *c,
+             uint32_t status,
+             const struct HttpHeaders *headers,
+             const char *framing)
+{
+  char *head = talloc_asprintf (c, "HTTP/1.1 %u %s\r\n", status, http_reason (status));
+
+  for (size_t i = 0; headers != NULL && i < headers->n_items; i++)
+    head = talloc_asprintf_append_buffer (head, "%s: %s\r\n", headers->items[i].name,
+                                          headers->items[i].value);
+  head = talloc_asprintf_append_buffer (head, "%s%s\r\n", framing,
+                                        c->close_after ? "Connection: close\r\n" : "");
+  if (head == NULL)
+    {
+      c->close_after = true;
+      shutdown (c->fd, SHUT_RDWR);
+      return;
+    }
+  connection_output (c, head, strlen (head));
+  talloc_free (head);
+}
+
+/* A request that is not taken: the rest of it is read and dropped for a moment, since closing over
+ * unread bytes resets the connection, and a reset can overtake the answer. */
+static void
+connection_refuse (struct Connection *c, uint32_t status)
+{
+  c->close_after = true;
+  answer_head (c, status, NULL,
+               status == 503 ? "Retry-After: 0.5\r\nContent-Length: 0\r\n"
+                             : "Content-Length: 0\r\n");
+  connection_enter (c, CONNECTION_LINGERING);
+  if (byte_queue_length (&c->output) == 0)
+    shutdown (c->fd, SHUT_WR);
+  connection_watch (c);
+}
+
+static bool
+request_is_proper (const struct HttpHeaders *headers)
+{
+  return http_headers_count (headers, "Host") == 1
+         && http_headers_count (headers, "Content-Length") <= 1
+         && http_headers_count (headers, "Transfer-Encoding") <= 1
+         && (http_headers_get (headers, "Content-Length") == NULL
+             || http_headers_get (headers, "Transfer-Encoding") == NULL);
+}
+
+/* Hands a whole request to the handler. */
+static void
+connection_dispatch (struct Connection *c)
+{
+  struct HttpServer *server = c->server;
+  struct OpenExchange *x = talloc_zero (c, struct OpenExchange);
+
+  if (x == NULL || http_head_text_finish (x, &c->head, &x->open.headers) != ERROR_NONE)
+    {
+      connection_refuse (c, 503);
+      return;
+    }
+  talloc_steal (x, c->head.text);
+  talloc_steal (x, c->target);
+  talloc_steal (x, c->body);
+  x->connection = c;
+  x->open.method = http_method_str ((enum http_method)c->parser.method);
+  x->open.target = c->target;
+  x->open.body = c->body;
+  x->open.body_bytes = c->body_bytes;
+  x->open.arrived_ms = timer_now_ms (server->timers);
+  c->close_after = c->close_after || server->draining || http_should_keep_alive (&c->parser) == 0;
+  x->chunked = c->parser.http_major == 1 && c->parser.http_minor >= 1;
+  c->head.text = NULL;
+  c->target = NULL;
+  c->body = NULL;
+  if (!request_is_proper (&x->open.headers))
+    {
+      talloc_free (x);
+      connection_refuse (c, 400);
+      return;
+    }
+  c->exchange = x;
+  server->n_in_flight++;
+  connection_enter (c, CONNECTION_WORKING);
+  server->options.request (server->options.data, &x->open);
+}
+
+static uint32_t
+parser_failure_status (const struct Connection *c)
+{
+  if (c->refusal != 0)
+    return c->refusal;
+  return HTTP_PARSER_ERRNO (&c->parser) == HPE_HEADER_OVERFLOW ? 431 : 400;
+}
+
+/* Gives bytes to the parser; returns how many it took. */
+static size_t
+connection_parse (struct Connection *c, const uint8_t *bytes, size_t n_bytes)
+{
+  size_t n;
+
+  if (c->state == CONNECTION_IDLE)
+    connection_enter (c, CONNECTION_READING);
+  n = http_parser_execute (&c->parser, &parser_settings, (const char *)bytes, n_bytes);
+  if (c->whole)
+    {
+      connection_dispatch (c);
+      return n;
+    }
+  if (HTTP_PARSER_ERRNO (&c->parser) != HPE_OK)
+    {
+      connection_refuse (c, parser_failure_status (c));
+      return n_bytes;
+    }
+  return n;
+}
+
+/* Parses what waits, as long as no request is being worked on. The handler may answer at once, so
+ * this loops rather than recurs. */
+static void
+connection_advance (struct Connection *c)
+{
+  while ((c->state == CONNECTION_IDLE || c->state == CONNECTION_READING)
+         && byte_queue_length (&c->ahead) > 0)
+    {
+      struct ByteQueue taken = c->ahead;
+      size_t n;
+
+      memset (&c->ahead, 0, sizeof c->ahead);
+      n = connection_parse (c, byte_queue_head (&taken), byte_queue_length (&taken));
+      if (n < byte_queue_length (&taken))
+        byte_queue_add (c, &c->ahead, byte_queue_head (&taken) + n, byte_queue_length (&taken) - n);
+      talloc_free (taken.bytes);
+    }
+  connection_watch (c);
+}
+
+static void
+connection_on_resume (struct tevent_context *events, struct tevent_immediate *resume, void *data)
+{
+  (void)events;
+  (void)resume;
+  connection_advance (data);
+}
+
+/* The exchange has its whole answer. What the caller sent ahead is taken up from the loop. */
+static void
+exchange_finish (struct OpenExchange *x)
+{
+  struct Connection *c = x->connection;
+
+  if (c == NULL)
+    return;
+  c->exchange = NULL;
+  c->server->n_in_flight--;
+  talloc_free (x);
+  if (c->close_after)
+    {
+      connection_enter (c, CONNECTION_LINGERING);
+      if (byte_queue_length (&c->output) == 0)
+        shutdown (c->fd, SHUT_WR);
+      connection_watch (c);
+      return;
+    }
+  connection_reset (c);
+  connection_enter (c, CONNECTION_IDLE);
+  connection_watch (c);
+  if (byte_queue_length (&c->ahead) > 0)
+    tevent_schedule_immediate (c->resume, c->server->events, connection_on_resume, c);
+}
+
+void
+http_exchange_answer (struct HttpExchange *exchange,
+                      uint32_t status,
+                      const struct HttpHeaders *headers,
+                      const void *body,
+                      size_t body_bytes)
+{
+  struct OpenExchange *x = open_exchange (exchange);
+  char framing[48];
+
+  if (x->connection == NULL)
+    return;
+  snprintf (framing, sizeof framing, "Content-Length: %zu\r\n", body_bytes);
+  answer_head (x->connection, status, headers, framing);
+  if (body_bytes > 0 && strcmp (exchange->method, "HEAD") != 0)
+    connection_output (x->connection, body, body_bytes);
+  exchange_finish (x);
+}
+
+void
+http_exchange_begin (struct HttpExchange *exchange,
+                     uint32_t status,
+                     const struct HttpHeaders *headers)
+{
+  struct OpenExchange *x = open_exchange (exchange);
+
+  if (x->connection == NULL)
+    return;
+  x->begun = true;
+  if (!x->chunked)
+    x->connection->close_after = true;
+  answer_head (x->connection, status, headers, x->chunked ? "Transfer-Encoding: chunked\r\n" : "");
+}
+
+void
+http_exchange_write (struct HttpExchange *exchange, const void *bytes, size_t n_bytes)
+{
+  struct OpenExchange *x = open_exchange (exchange);
+  struct Connection *c = x->connection;
+  char size[24];
+  int n;
+
+  if (c == NULL || n_bytes == 0)
+    return;
+  if (!x->chunked)
+    {
+      connection_output (c, bytes, n_bytes);
+      return;
+    }
+  n = snprintf (size, sizeof size, "%zx\r\n", n_bytes);
+  if (byte_queue_add (c, &c->output, size, (size_t)n) != ERROR_NONE
+      || byte_queue_add (c, &c->output, bytes, n_bytes) != ERROR_NONE)
+    shutdown (c->fd, SHUT_RDWR);
+  connection_output (c, "\r\n", 2);
+}
+
+void
+http_exchange_end (struct HttpExchange *exchange)
+{
+  struct OpenExchange *x = open_exchange (exchange);
+
+  if (x->connection == NULL)
+    return;
+  if (x->chunked)
+    connection_output (x->connection, "0\r\n\r\n", 5);
+  exchange_finish (x);
+}
+
+void
+http_exchange_abort (struct HttpExchange *exchange)
+{
+  struct OpenExchange *x = open_exchange (exchange);
+  struct Connection *c = x->connection;
+
+  if (c == NULL)
+    return;
+  c->close_after = true;
+  if (!x->chunked)
+    {
+      /* Here the end of the connection ends the answer: only a reset shows that it is cut. */
+      struct linger now = { .l_onoff = 1, .l_linger = 0 };
+
+      setsockopt (c->fd, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+    }
+  exchange_finish (x);
+}
+
+bool
+http_exchange_has_begun (const struct HttpExchange *exchange)
+{
+  return ((const struct OpenExchange *)exchange)->begun;
+}
+
+/* Events. */
+
+/* Reads once. False when the connection has ended. */
+static bool
+connection_read (struct Connection *c)
+{
+  struct HttpServer *server = c->server;
+  ssize_t n = recv (c->fd, server->scratch, sizeof server->scratch, MSG_DONTWAIT);
+  size_t taken = 0;
+
+  if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR))
+    return true;
+  if (n <= 0)
+    return false;
+  if (c->state == CONNECTION_LINGERING)
+    return true;
+  if (c->state != CONNECTION_WORKING && byte_queue_length (&c->ahead) == 0)
+    taken = connection_parse (c, server->scratch, (size_t)n);
+  if (byte_queue_add (c, &c->ahead, server->scratch + taken, (size_t)n - taken) != ERROR_NONE)
+    return false;
+  connection_advance (c);
+  return true;
+}
+
+static void
+connection_on_event (struct tevent_context *events,
+                     struct tevent_fd *watch,
+                     uint16_t flags,
+                     void *data)
+{
+  struct Connection *c = data;
+
+  (void)events;
+  (void)watch;
+  if ((flags & TEVENT_FD_WRITE) && !byte_queue_send (&c->output, c->fd))
+    {
+      talloc_free (c);
+      return;
+    }
+  if ((flags & TEVENT_FD_READ) && !connection_read (c))
+    {
+      talloc_free (c);
+      return;
+    }
+  if (c->state == CONNECTION_LINGERING && byte_queue_length (&c->output) == 0
+      && (flags & TEVENT_FD_WRITE))
+    shutdown (c->fd, SHUT_WR);
+  connection_advance (c);
+}
+
+static bool
+connection_is_overdue (const struct Connection *c, int64_t now_ms)
+{
+  const struct HttpLimits *limits = &c->server->options.limits;
+  int64_t age_ms = now_ms - c->since_ms;
+
+  switch (c->state)
+    {
+    case CONNECTION_IDLE:
+      return age_ms > (c->server->draining ? 0 : (int64_t)limits->idle_timeout_ms);
+    case CONNECTION_READING:
+      return !c->headers_done ? age_ms > limits->header_timeout_ms
+                              : age_ms > limits->header_timeout_ms + limits->idle_timeout_ms;
+    case CONNECTION_LINGERING:
+      return age_ms > LINGER_MS && byte_queue_length (&c->output) == 0;
+    case CONNECTION_WORKING:
+      return false;
+    }
+  return false;
+}
+
+static void
+server_on_sweep (void *data)
+{
+  struct HttpServer *server = data;
+  int64_t now_ms = timer_now_ms (server->timers);
+  struct Connection *next;
+
+  for (struct Connection *c = server->connections; c != NULL; c = next)
+    {
+      next = c->next;
+      if (!connection_is_overdue (c, now_ms))
+        continue;
+      if (c->state == CONNECTION_READING)
+        connection_refuse (c, 408);
+      else
+        talloc_free (c);
+    }
+}
+
+static void
+connection_new (struct HttpServer *server, int fd)
+{
+  struct Connection *c = talloc_zero (server, struct Connection);
+
+  if (c == NULL)
+    {
+      close (fd);
+      return;
+    }
+  c->server = server;
+  c->fd = fd;
+  c->next = server->connections;
+  c->at = &server->connections;
+  if (c->next != NULL)
+    c->next->at = &c->next;
+  server->connections = c;
+  server->n_connections++;
+  talloc_set_destructor (c, connection_free);
+  connection_reset (c);
+  connection_enter (c, CONNECTION_IDLE);
+  c->watch = tevent_add_fd (server->events, c, fd, TEVENT_FD_READ, connection_on_event, c);
+  c->resume = tevent_create_immediate (c);
+  if (c->watch == NULL || c->resume == NULL)
+    talloc_free (c);
+}
+
+static void
+server_on_accept (struct tevent_context *events,
+                  struct tevent_fd *watch,
+                  uint16_t flags,
+                  void *data)
+{
+  struct HttpServer *server = data;
+
+  (void)events;
+  (void)watch;
+  (void)flags;
+  for (int i = 0; i < ACCEPTS_PER_WAKE; i++)
+    {
+      int fd = net_accept (server->listen_fd);
+
+      if (fd < 0)
+        return;
+      if (server->n_connections < server->options.connections_max)
+        connection_new (server, fd);
+      else
+        close (fd);
+    }
+}
+
+static int
+server_free (struct HttpServer *server)
+{
+  while (server->connections != NULL)
+    talloc_free (server->connections);
+  http_server_stop_listening (server);
+  return 0;
+}
+
+int32_t
+http_server_new (TALLOC_CTX *ctx,
+                 struct tevent_context *events,
+                 struct TimerService *timers,
+                 const struct HttpServerOptions *options,
+                 struct HttpServer **server,
+                 struct Fault *fault)
+{
+  struct HttpServer *s = talloc_zero (ctx, struct HttpServer);
+  int32_t error;
+
+  *server = NULL;
+  if (s == NULL)
+    return fault_set (fault, ERROR_NO_MEMORY, NULL, "no memory for a listener");
+  s->events = events;
+  s->timers = timers;
+  s->options = *options;
+  error = net_listen (options->listen, options->setting, &s->listen_fd, fault);
+  if (error != ERROR_NONE)
+    {
+      talloc_free (s);
+      return error;
+    }
+  talloc_set_destructor (s, server_free);
+  s->listen_watch = tevent_add_fd (events, s, s->listen_fd, TEVENT_FD_READ, server_on_accept, s);
+  timer_subscribe (s, timers, SWEEP_MS, SWEEP_MS, server_on_sweep, s);
+  *server = s;
+  return ERROR_NONE;
+}
+
+void
+http_server_set_limits (struct HttpServer *server, const struct HttpLimits *limits)
+{
+  server->options.limits = *limits;
+}
+
+void
+http_server_drain (struct HttpServer *server)
+{
+  server->draining = true;
+}
+
+void
+http_server_stop_listening (struct HttpServer *server)
+{
+  TALLOC_FREE (server->listen_watch);
+  if (server->listen_fd >= 0)
+    close (server->listen_fd);
+  server->listen_fd = -1;
+}
+
+uint32_t
+http_server_in_flight (const struct HttpServer *server)
+{
+  return server->n_in_flight;
+}
--- /dev/null
+++ b/adapters/net_socket.c
@@ -0,0 +1,112 @@
+#include <buckthornhead/net_socket.h>
+
+#include <buckthornhead/settings.h>
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+enum
+{
+  /* More than the connections that arrive while the process waits for its processor share: a full
+   * queue drops the opening packet, and it is sent again seconds later. */
+  LISTEN_BACKLOG = 1024
+};
+
+static bool
+socket_address (const char *address, struct sockaddr_storage *storage, socklen_t *size)
+{
+  char ip[46];
+  uint16_t port;
+  struct sockaddr_in *v4 = (struct sockaddr_in *)storage;
+  struct sockaddr_in6 *v6 = (struct sockaddr_in6 *)storage;
+
+  memset (storage, 0, sizeof *storage);
+  if (address_parse (address, ip, &port) != ERROR_NONE)
+    return false;
+  if (inet_pton (AF_INET, ip, &v4->sin_addr) == 1)
+    {
+      v4->sin_family = AF_INET;
+      v4->sin_port = htons (port);
+      *size = sizeof *v4;
+      return true;
+    }
+  if (inet_pton (AF_INET6, ip, &v6->sin6_addr) != 1)
+    return false;
+  v6->sin6_family = AF_INET6;
+  v6->sin6_port = htons (port);
+  *size = sizeof *v6;
+  return true;
+}
+
+int32_t
+net_listen (const char *address, const char *setting, int *fd, struct Fault *fault)
+{
+  struct sockaddr_storage storage;
+  socklen_t size;
+  int one = 1;
+
+  *fd = -1;
+  if (!socket_address (address, &storage, &size))
+    return fault_set (fault, ERROR_INVALID, "give it as IP:port", "%s is no address: %s", setting,
+                      address);
+  *fd = socket (storage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (*fd >= 0)
+    setsockopt (*fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+  if (*fd >= 0 && bind (*fd, (struct sockaddr *)&storage, size) == 0
+      && listen (*fd, LISTEN_BACKLOG) == 0)
+    return ERROR_NONE;
+  fault_set (fault, ERROR_IO, "stop what holds the address, or change the setting",
+             "can not listen on %s (%s): %s", address, setting, strerror (errno));
+  if (*fd >= 0)
+    close (*fd);
+  *fd = -1;
+  return ERROR_IO;
+}
+
+int
+net_accept (int listen_fd)
+{
+  int one = 1;
+  int fd = accept4 (listen_fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+  if (fd >= 0)
+    setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+  return fd;
+}
+
+int
+net_dial (const char *address, uint32_t user_timeout_ms)
+{
+  struct sockaddr_storage storage;
+  socklen_t size;
+  int one = 1;
+  int fd;
+
+  if (!socket_address (address, &storage, &size))
+    return -1;
+  fd = socket (storage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0)
+    return -1;
+  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout_ms, sizeof user_timeout_ms);
+  if (connect (fd, (struct sockaddr *)&storage, size) == 0 || errno == EINPROGRESS)
+    return fd;
+  close (fd);
+  return -1;
+}
+
+int
+net_dial_error (int fd)
+{
+  int error = 0;
+  socklen_t size = sizeof error;
+
+  if (getsockopt (fd, SOL_SOCKET, SO_ERROR, &error, &size) != 0)
+    return errno;
+  return error;
+}
--- /dev/null
+++ b/core/gateway/gateway_message.c
@@ -0,0 +1,367 @@
+#include <buckthornhead/gateway_message.h>
+
+#include <buckthornhead/pack.h>
+
+enum
+{
+  ITEMS_MAX = 100000 /* of one list in a message: far more than any peer sends */
+};
+
+static void
+text_pack (struct PackWriter *p, const struct TurnText *text)
+{
+  pack_string (p, text->turn);
+  pack_string (p, text->previous);
+  pack_string (p, text->server);
+  pack_bytes (p, text->input, text->input_bytes);
+  pack_bytes (p, text->output, text->output_bytes);
+}
+
+static void
+text_unpack (struct PackReader *r, TALLOC_CTX *ctx, struct TurnText *text)
+{
+  read_string (r, text->turn, sizeof text->turn);
+  read_string (r, text->previous, sizeof text->previous);
+  read_string (r, text->server, sizeof text->server);
+  text->input = read_bytes (r, ctx, &text->input_bytes);
+  text->output = read_bytes (r, ctx, &text->output_bytes);
+}
+
+void
+turn_close_pack (struct PackWriter *p, const struct TurnClose *close)
+{
+  pack_u64 (p, close->id);
+  pack_string (p, close->program);
+  pack_u64 (p, close->charge_tokens);
+  pack_bool (p, close->kept);
+  pack_u64 (p, close->retention_ms);
+  text_pack (p, &close->text);
+}
+
+void
+turn_close_unpack (struct PackReader *r, TALLOC_CTX *ctx, struct TurnClose *close)
+{
+  close->id = read_u64 (r, UINT64_MAX);
+  read_string (r, close->program, sizeof close->program);
+  close->charge_tokens = (uint32_t)read_u64 (r, UINT32_MAX);
+  close->kept = read_bool (r);
+  close->retention_ms = (uint32_t)read_u64 (r, UINT32_MAX);
+  text_unpack (r, ctx, &close->text);
+}
+
+static void
+open_pack (struct PackWriter *p, const struct TurnOpen *open)
+{
+  pack_u64 (p, open->id);
+  pack_string (p, open->turn);
+  pack_string (p, open->program);
+  pack_string (p, open->previous);
+  pack_u64 (p, open->reserve_tokens);
+  pack_bool (p, open->want_history);
+}
+
+static void
+open_unpack (struct PackReader *r, struct TurnOpen *open)
+{
+  open->id = read_u64 (r, UINT64_MAX);
+  read_string (r, open->turn, sizeof open->turn);
+  read_string (r, open->program, sizeof open->program);
+  read_string (r, open->previous, sizeof open->previous);
+  open->reserve_tokens = (uint32_t)read_u64 (r, UINT32_MAX);
+  open->want_history = read_bool (r);
+}
+
+static void
+opened_pack (struct PackWriter *p, const struct TurnOpened *opened)
+{
+  pack_u64 (p, opened->id);
+  pack_i64 (p, opened->error);
+  pack_bool (p, opened->complete);
+  pack_bool (p, opened->has_turn);
+  pack_array (p, 5 * opened->n_history);
+  for (size_t i = 0; i < opened->n_history; i++)
+    text_pack (p, &opened->history[i]);
+  pack_array (p, 3 * opened->n_charges);
+  for (size_t i = 0; i < opened->n_charges; i++)
+    {
+      pack_string (p, opened->charges[i].turn);
+      pack_u64 (p, opened->charges[i].tokens);
+      pack_bool (p, opened->charges[i].settled);
+    }
+}
+
+/* Enters a list whose entries are width items each; a list of another length fails outer. */
+static size_t
+list_enter (struct PackReader *outer, struct PackReader *inner, size_t width)
+{
+  read_array (outer, inner);
+  if (!inner->failed && inner->n_items % width == 0 && inner->n_items / width <= ITEMS_MAX)
+    return inner->n_items / width;
+  outer->failed = true;
+  inner->failed = true;
+  return 0;
+}
+
+static void
+opened_unpack (struct PackReader *r, TALLOC_CTX *ctx, struct TurnOpened *opened)
+{
+  struct PackReader list;
+
+  opened->id = read_u64 (r, UINT64_MAX);
+  opened->error = (int32_t)read_i64 (r);
+  opened->complete = read_bool (r);
+  opened->has_turn = read_bool (r);
+  opened->n_history = list_enter (r, &list, 5);
+  opened->history = talloc_zero_array (ctx, struct TurnText, opened->n_history);
+  for (size_t i = 0; opened->history != NULL && i < opened->n_history; i++)
+    text_unpack (&list, ctx, &opened->history[i]);
+  r->failed = r->failed || list.failed || opened->history == NULL;
+  opened->n_charges = list_enter (r, &list, 3);
+  opened->charges = talloc_zero_array (ctx, struct TurnCharge, opened->n_charges);
+  for (size_t i = 0; opened->charges != NULL && i < opened->n_charges; i++)
+    {
+      struct TurnCharge *charge = &opened->charges[i];
+
+      read_string (&list, charge->turn, sizeof charge->turn);
+      charge->tokens = (uint32_t)read_u64 (&list, UINT32_MAX);
+      charge->settled = read_bool (&list);
+    }
+  r->failed = r->failed || list.failed || opened->charges == NULL;
+}
+
+static void
+status_pack (struct PackWriter *p, const struct NodeStatus *status)
+{
+  pack_string (p, status->node);
+  pack_string (p, status->zone);
+  pack_string (p, status->peer_address);
+  pack_string (p, status->caller_address);
+  pack_bool (p, status->ready);
+  pack_bool (p, status->complete);
+  pack_bool (p, status->is_archive);
+  pack_u64 (p, status->n_archives);
+  pack_u64 (p, status->config_version);
+  pack_array (p, 2 * status->n_loads);
+  for (size_t i = 0; i < status->n_loads; i++)
+    {
+      pack_string (p, status->loads[i].replica);
+      pack_u64 (p, status->loads[i].in_flight);
+    }
+}
+
+static void
+status_unpack (struct PackReader *r, TALLOC_CTX *ctx, struct NodeStatus *status)
+{
+  struct PackReader list;
+
+  read_string (r, status->node, sizeof status->node);
+  read_string (r, status->zone, sizeof status->zone);
+  read_string (r, status->peer_address, sizeof status->peer_address);
+  read_string (r, status->caller_address, sizeof status->caller_address);
+  status->ready = read_bool (r);
+  status->complete = read_bool (r);
+  status->is_archive = read_bool (r);
+  status->n_archives = (uint32_t)read_u64 (r, UINT32_MAX);
+  status->config_version = read_u64 (r, UINT64_MAX);
+  status->n_loads = list_enter (r, &list, 2);
+  status->loads = talloc_zero_array (ctx, struct ReplicaLoad, status->n_loads);
+  for (size_t i = 0; status->loads != NULL && i < status->n_loads; i++)
+    {
+      read_string (&list, status->loads[i].replica, sizeof status->loads[i].replica);
+      status->loads[i].in_flight = (uint32_t)read_u64 (&list, UINT32_MAX);
+    }
+  r->failed = r->failed || list.failed || status->loads == NULL;
+}
+
+static void
+snapshot_pack (struct PackWriter *p, const struct Snapshot *snapshot)
+{
+  pack_u64 (p, snapshot->kind);
+  pack_i64 (p, snapshot->revision);
+  pack_u64 (p, snapshot->age_ms);
+  pack_bool (p, snapshot->unchanged);
+  pack_array (p, 2 * snapshot->n_items);
+  for (size_t i = 0; i < snapshot->n_items; i++)
+    {
+      pack_string (p, snapshot->items[i].key);
+      pack_bytes (p, snapshot->items[i].value, snapshot->items[i].value_bytes);
+    }
+}
+
+static void
+snapshot_unpack (struct PackReader *r, TALLOC_CTX *ctx, struct Snapshot *snapshot)
+{
+  struct PackReader list;
+
+  snapshot->kind = (enum SnapshotKind)read_u64 (r, SNAPSHOT_NODES);
+  snapshot->revision = read_i64 (r);
+  snapshot->age_ms = (uint32_t)read_u64 (r, UINT32_MAX);
+  snapshot->unchanged = read_bool (r);
+  snapshot->n_items = list_enter (r, &list, 2);
+  snapshot->items = talloc_zero_array (ctx, struct SnapshotItem, snapshot->n_items);
+  for (size_t i = 0; snapshot->items != NULL && i < snapshot->n_items; i++)
+    {
+      read_string (&list, snapshot->items[i].key, sizeof snapshot->items[i].key);
+      snapshot->items[i].value = read_bytes (&list, ctx, &snapshot->items[i].value_bytes);
+    }
+  r->failed = r->failed || list.failed || snapshot->items == NULL;
+}
+
+static void
+copy_part_pack (struct PackWriter *p, const struct CopyPart *part)
+{
+  pack_u64 (p, part->id);
+  pack_u64 (p, part->next);
+  pack_bool (p, part->last);
+  pack_bool (p, part->complete);
+  pack_bytes (p, part->records, part->records_bytes);
+}
+
+static void
+copy_part_unpack (struct PackReader *r, TALLOC_CTX *ctx, struct CopyPart *part)
+{
+  part->id = read_u64 (r, UINT64_MAX);
+  part->next = read_u64 (r, UINT64_MAX);
+  part->last = read_bool (r);
+  part->complete = read_bool (r);
+  part->records = read_bytes (r, ctx, &part->records_bytes);
+}
+
+/* Number of items of each kind, the kind itself included. */
+static size_t
+message_n_items (enum GatewayKind kind)
+{
+  switch (kind)
+    {
+    case GATEWAY_TURN_OPEN:
+    case GATEWAY_TURN_OPENED:
+      return 7;
+    case GATEWAY_TURN_READ:
+    case GATEWAY_TURN_CLOSED:
+    case GATEWAY_COPY_WANT:
+      return 3;
+    case GATEWAY_TURN_CLOSE:
+    case GATEWAY_STATUS:
+      return 11;
+    case GATEWAY_SNAPSHOT:
+    case GATEWAY_COPY_PART:
+      return 6;
+    }
+  return 0;
+}
+
+int32_t
+gateway_message_pack (TALLOC_CTX *ctx,
+                      const struct GatewayMessage *message,
+                      uint8_t **bytes,
+                      size_t *n_bytes)
+{
+  struct PackWriter *p = pack_writer_new (ctx, false);
+
+  if (p == NULL)
+    return ERROR_NO_MEMORY;
+  pack_array (p, message_n_items (message->kind));
+  pack_u64 (p, message->kind);
+  switch (message->kind)
+    {
+    case GATEWAY_TURN_OPEN:
+      open_pack (p, &message->open);
+      break;
+    case GATEWAY_TURN_READ:
+      pack_u64 (p, message->read.id);
+      pack_string (p, message->read.turn);
+      break;
+    case GATEWAY_TURN_OPENED:
+      opened_pack (p, &message->opened);
+      break;
+    case GATEWAY_TURN_CLOSE:
+      turn_close_pack (p, &message->close);
+      break;
+    case GATEWAY_TURN_CLOSED:
+      pack_u64 (p, message->closed.id);
+      pack_i64 (p, message->closed.error);
+      break;
+    case GATEWAY_STATUS:
+      status_pack (p, &message->status);
+      break;
+    case GATEWAY_SNAPSHOT:
+      snapshot_pack (p, &message->snapshot);
+      break;
+    case GATEWAY_COPY_WANT:
+      pack_u64 (p, message->copy_want.id);
+      pack_u64 (p, message->copy_want.cursor);
+      break;
+    case GATEWAY_COPY_PART:
+      copy_part_pack (p, &message->copy_part);
+      break;
+    }
+  return pack_finish (p, ctx, bytes, n_bytes);
+}
+
+static void
+message_unpack_body (struct PackReader *r, TALLOC_CTX *ctx, struct GatewayMessage *m)
+{
+  switch (m->kind)
+    {
+    case GATEWAY_TURN_OPEN:
+      open_unpack (r, &m->open);
+      break;
+    case GATEWAY_TURN_READ:
+      m->read.id = read_u64 (r, UINT64_MAX);
+      read_string (r, m->read.turn, sizeof m->read.turn);
+      break;
+    case GATEWAY_TURN_OPENED:
+      opened_unpack (r, ctx, &m->opened);
+      break;
+    case GATEWAY_TURN_CLOSE:
+      turn_close_unpack (r, ctx, &m->close);
+      break;
+    case GATEWAY_TURN_CLOSED:
+      m->closed.id = read_u64 (r, UINT64_MAX);
+      m->closed.error = (int32_t)read_i64 (r);
+      break;
+    case GATEWAY_STATUS:
+      status_unpack (r, ctx, &m->status);
+      break;
+    case GATEWAY_SNAPSHOT:
+      snapshot_unpack (r, ctx, &m->snapshot);
+      break;
+    case GATEWAY_COPY_WANT:
+      m->copy_want.id = read_u64 (r, UINT64_MAX);
+      m->copy_want.cursor = read_u64 (r, UINT64_MAX);
+      break;
+    case GATEWAY_COPY_PART:
+      copy_part_unpack (r, ctx, &m->copy_part);
+      break;
+    default:
+      r->failed = true;
+    }
+}
+
+int32_t
+gateway_message_unpack (TALLOC_CTX *ctx,
+                        const uint8_t *bytes,
+                        size_t n_bytes,
+                        struct GatewayMessage **message)
+{
+  struct PackReader reader;
+  struct GatewayMessage *m = talloc_zero (ctx, struct GatewayMessage);
+  void *opened = m != NULL ? pack_open (m, bytes, n_bytes, &reader) : NULL;
+
+  *message = NULL;
+  if (opened == NULL)
+    goto fail;
+  m->kind = (enum GatewayKind)read_u64 (&reader, GATEWAY_COPY_PART);
+  if (reader.failed || reader.n_items != message_n_items (m->kind))
+    goto fail;
+  message_unpack_body (&reader, m, m);
+  if (read_end (&reader) != ERROR_NONE)
+    goto fail;
+  talloc_free (opened);
+  *message = m;
+  return ERROR_NONE;
+
+fail:
+  talloc_free (m);
+  return ERROR_INVALID;
+}
--- /dev/null
+++ b/core/gateway/gateway_settings.c
@@ -0,0 +1,152 @@
+#include <buckthornhead/gateway_settings.h>
+
+#include <buckthornhead/config_key.h>
+
+#include <string.h>
+
+#define TEXT(name, kind, field, fallback)                                                          \
+  {                                                                                                \
+    name, kind, CONFIG_FIELD (struct GatewaySettings, field), fallback, UNIT_NONE, 0, 0, NULL      \
+  }
+#define NUMBER(name, kind, field, fallback, unit, min, max)                                        \
+  {                                                                                                \
+    name, kind, CONFIG_FIELD (struct GatewaySettings, field), fallback, unit, min, max, NULL       \
+  }
+#define SECTION(name, keys)                                                                        \
+  {                                                                                                \
+    name, false, keys, sizeof (keys) / sizeof (keys)[0]                                            \
+  }
+
+enum
+{
+  MINUTE_MS = 60 * 1000
+};
+
+static const struct ConfigKey instance_keys[] = {
+  TEXT ("name", CONFIG_VALUE_NAME, instance, NULL),
+  TEXT ("zone", CONFIG_VALUE_NAME, zone, NULL),
+  TEXT ("data_folder", CONFIG_VALUE_TEXT, data_folder, ""),
+};
+
+static const struct ConfigKey listen_keys[] = {
+  TEXT ("caller", CONFIG_VALUE_ADDRESS, caller_listen, ""),
+  TEXT ("ready", CONFIG_VALUE_ADDRESS, ready_listen, ""),
+  TEXT ("directory", CONFIG_VALUE_ADDRESS, directory_listen, ""),
+  TEXT ("metrics", CONFIG_VALUE_ADDRESS, metrics_listen, ""),
+  TEXT ("peer", CONFIG_VALUE_ADDRESS, peer_listen, NULL),
+};
+
+static const struct ConfigKey platform_keys[] = {
+  TEXT ("store", CONFIG_VALUE_URL, store_url, NULL),
+  TEXT ("prefix", CONFIG_VALUE_TEXT, prefix, "buckthornhead/"),
+};
+
+static const struct ConfigChoice yes_no[] = {
+  { "true", 1 },
+  { "false", 0 },
+  { NULL, 0 },
+};
+
+static const struct ConfigKey archive_keys[] = {
+  { "first_start", CONFIG_VALUE_CHOICE, CONFIG_FIELD (struct GatewaySettings, first_start), "false",
+    UNIT_NONE, 0, 0, yes_no },
+  NUMBER ("tolerated", CONFIG_VALUE_NUMBER, tolerated, "1", UNIT_NONE, 0, 16),
+};
+
+static const struct ConfigKey stop_keys[] = {
+  NUMBER ("grace", CONFIG_VALUE_NUMBER, grace_ms, "8s", UNIT_TIME, 100, 60 * MINUTE_MS),
+};
+
+static const struct ConfigKey directory_keys[] = {
+  NUMBER ("keep", CONFIG_VALUE_SECONDS, keep_s, "2s", UNIT_TIME, 1, 3600),
+};
+
+static const struct ConfigKey limit_keys[] = {
+  NUMBER ("connections", CONFIG_VALUE_NUMBER, connections_max, "2000", UNIT_NONE, 8, 100000),
+};
+
+static const struct ConfigSection sections[] = {
+  SECTION ("instance", instance_keys), SECTION ("listen", listen_keys),
+  SECTION ("platform", platform_keys), SECTION ("archives", archive_keys),
+  SECTION ("stop", stop_keys),         SECTION ("directory", directory_keys),
+  SECTION ("limits", limit_keys),
+};
+
+static void *
+open_section (void *data,
+              struct ConfigReader *reader,
+              const struct ConfigSection *section,
+              const char *name,
+              uint32_t line)
+{
+  (void)reader;
+  (void)section;
+  (void)name;
+  (void)line;
+  return data;
+}
+
+/* A gateway serves callers, an archive has a disk: a process is one or the other. */
+static void
+check_role (struct ConfigReader *reader, const struct GatewaySettings *settings)
+{
+  bool serves = settings->caller_listen[0] != '\0';
+  bool stores = settings->data_folder[0] != '\0';
+
+  if (serves != stores)
+    return;
+  config_faults_add (reader->faults, reader->file, config_reader_line (reader, "listen", "caller"),
+                     "[listen] caller",
+                     "give [listen] caller for a gateway, [instance] data_folder for an archive",
+                     serves ? "a gateway with a data folder" : "neither a gateway nor an archive");
+}
+
+int32_t
+gateway_settings_parse (TALLOC_CTX *ctx,
+                        const char *file,
+                        const char *text,
+                        struct GatewaySettings **settings,
+                        struct ConfigFaults *faults)
+{
+  struct GatewaySettings *s = talloc_zero (ctx, struct GatewaySettings);
+  struct ConfigReader reader = {
+    .file = file,
+    .sections = sections,
+    .n_sections = sizeof sections / sizeof sections[0],
+    .open = open_section,
+    .data = s,
+    .faults = faults,
+  };
+  size_t n_before = faults->n_items;
+
+  *settings = NULL;
+  if (s == NULL)
+    return ERROR_NO_MEMORY;
+  config_read (&reader, text);
+  check_role (&reader, s);
+  config_faults_sort (faults);
+  if (faults->n_items > n_before)
+    {
+      talloc_free (s);
+      return ERROR_INVALID;
+    }
+  *settings = s;
+  return ERROR_NONE;
+}
+
+int32_t
+gateway_settings_load (TALLOC_CTX *ctx,
+                       const char *file,
+                       struct GatewaySettings **settings,
+                       struct ConfigFaults *faults)
+{
+  char *text = config_file_read (ctx, file, faults);
+  int32_t error;
+
+  *settings = NULL;
+  if (text == NULL)
+    return ERROR_INVALID;
+  error = gateway_settings_parse (ctx, file, text, settings, faults);
+  talloc_free (text);
+  return error;
+}
--- /dev/null
+++ b/core/gateway/replica_set.c
@@ -0,0 +1,245 @@
+#include <buckthornhead/replica_set.h>
+
+#include <string.h>
+
+enum
+{
+  /* Entries that lapsed while the platform's store was away are back within two seconds of its
+   * return; half a second for the list's own age. */
+  REPLICA_REAPPEAR_MS = 2500,
+  /* A full server has freed a slot by then: half the time of a short turn. */
+  AVOID_FULL_MS = 100,
+  /* First pause after a request that got no answer; doubled with each further one. */
+  AVOID_FAILED_MS = 250,
+  AVOID_FAILED_MAX_MS = 4000,
+  CACHED_PARTS_MAX = 64, /* shared parts remembered a server: the sheets have 16 */
+  /* Costs in microseconds, from the figures of the engines' sheet. */
+  PREFILL_TOKENS_PER_MS = 270,
+  COST_RUNNING_US = 2000,  /* one more request beside the others slows all by 0.75% */
+  COST_WAITING_US = 12000, /* one more request before the slots: 350 ms a turn over 32 slots */
+  COST_OTHER_ZONE_US = 1000
+};
+
+struct CachedPart
+{
+  uint64_t id;
+};
+
+struct ReplicaSet *
+replica_set_new (TALLOC_CTX *ctx)
+{
+  return talloc_zero (ctx, struct ReplicaSet);
+}
+
+struct Replica *
+replica_set_find (const struct ReplicaSet *set, const char *id)
+{
+  for (size_t i = 0; i < set->n_replicas; i++)
+    if (strcmp (set->replicas[i]->entry.id, id) == 0)
+      return set->replicas[i];
+  return NULL;
+}
+
+static struct Replica *
+replica_add (struct ReplicaSet *set, const struct ReplicaEntry *entry)
+{
+  struct Replica *replica = talloc_zero (set, struct Replica);
+  struct Replica **grown;
+
+  if (replica == NULL)
+    return NULL;
+  replica->cached = talloc_zero_array (replica, struct CachedPart, CACHED_PARTS_MAX);
+  grown = talloc_realloc (set, set->replicas, struct Replica *, set->n_replicas + 1);
+  if (grown == NULL || replica->cached == NULL)
+    {
+      talloc_free (replica);
+      return NULL;
+    }
+  replica->entry = *entry;
+  set->replicas = grown;
+  set->replicas[set->n_replicas++] = replica;
+  return replica;
+}
+
+/* A request may still be on its way to a server that is taken out: it is freed with the last. */
+static size_t
+replica_set_drop_missing (struct ReplicaSet *set, bool keep_missing)
+{
+  size_t n_kept = 0, n_changed = 0;
+
+  for (size_t i = 0; i < set->n_replicas; i++)
+    {
+      struct Replica *replica = set->replicas[i];
+
+      if (!replica->listed && !keep_missing && !replica->entry.draining)
+        {
+          replica->entry.draining = true;
+          n_changed++;
+        }
+      if (!replica->listed && !keep_missing && replica->in_flight == 0)
+        talloc_free (replica);
+      else
+        set->replicas[n_kept++] = replica;
+    }
+  set->n_replicas = n_kept;
+  return n_changed;
+}
+
+size_t
+replica_set_apply (struct ReplicaSet *set,
+                   const struct ReplicaEntry *entries,
+                   size_t n_entries,
+                   bool after_gap,
+                   int64_t now_ms)
+{
+  size_t n_changed = 0;
+
+  if (after_gap)
+    set->keep_missing_until_ms = now_ms + REPLICA_REAPPEAR_MS;
+  for (size_t i = 0; i < set->n_replicas; i++)
+    set->replicas[i]->listed = false;
+  for (size_t i = 0; i < n_entries; i++)
+    {
+      struct Replica *replica = replica_set_find (set, entries[i].id);
+
+      if (replica == NULL)
+        {
+          replica = replica_add (set, &entries[i]);
+          n_changed++;
+        }
+      if (replica == NULL)
+        continue;
+      n_changed += replica->entry.draining != entries[i].draining;
+      replica->entry = entries[i];
+      replica->listed = true;
+    }
+  return n_changed + replica_set_drop_missing (set, now_ms < set->keep_missing_until_ms);
+}
+
+static bool
+replica_has_part (const struct Replica *replica, uint64_t id)
+{
+  for (uint32_t i = 0; i < replica->n_cached; i++)
+    if (replica->cached[i].id == id)
+      return true;
+  return false;
+}
+
+void
+replica_note_sent (struct Replica *replica, const struct PrefixPart *parts, size_t n_parts)
+{
+  /* The last part is the request's own: where it lies is known from the turn before. */
+  for (size_t p = 0; p + 1 < n_parts; p++)
+    {
+      if (replica_has_part (replica, parts[p].id))
+        continue;
+      if (replica->n_cached < CACHED_PARTS_MAX)
+        replica->n_cached++;
+      memmove (replica->cached + 1, replica->cached,
+               (replica->n_cached - 1) * sizeof replica->cached[0]);
+      replica->cached[0].id = parts[p].id;
+    }
+}
+
+static bool
+query_tried (const struct ReplicaQuery *query, const char *id)
+{
+  for (size_t i = 0; i < query->n_tried; i++)
+    if (strcmp (query->tried[i], id) == 0)
+      return true;
+  return false;
+}
+
+/* Prompt tokens that the server would have to read, as far as this gateway knows. */
+static uint64_t
+missing_tokens (const struct Replica *replica, const struct ReplicaQuery *query)
+{
+  bool ran_before = strcmp (query->cached_at, replica->entry.id) == 0;
+  uint64_t n_tokens = 0;
+
+  for (size_t p = 0; p < query->n_parts; p++)
+    {
+      bool is_own = p + 1 == query->n_parts;
+      bool cached = ran_before || (!is_own && replica_has_part (replica, query->parts[p].id));
+
+      if (!cached)
+        n_tokens += query->parts[p].tokens;
+    }
+  return n_tokens;
+}
+
+/* Expected time in microseconds that this server adds to the request. Answers the load of many
+ * short turns over few servers with slots: a server with free slots is nearly as quick as an idle
+ * one, so the prompt decides; before full slots the queue does. */
+static uint64_t
+replica_cost_us (const struct Replica *replica, const struct ReplicaQuery *query)
+{
+  uint64_t running = (uint64_t)replica->in_flight + replica->peers_in_flight;
+  uint64_t slots = replica->entry.slots > 0 ? replica->entry.slots : 1;
+  uint64_t cost_us = missing_tokens (replica, query) * 1000 / PREFILL_TOKENS_PER_MS;
+
+  cost_us += running * COST_RUNNING_US * 8 / slots;
+  if (running >= slots)
+    cost_us += (running - slots + 1) * COST_WAITING_US * 32 / slots;
+  if (strcmp (replica->entry.zone, query->zone) != 0)
+    cost_us += COST_OTHER_ZONE_US;
+  return cost_us;
+}
+
+struct Replica *
+replica_set_choose (struct ReplicaSet *set, const struct ReplicaQuery *query)
+{
+  struct Replica *best = NULL;
+  uint64_t best_us = 0;
+  bool best_avoided = false;
+
+  for (size_t i = 0; i < set->n_replicas; i++)
+    {
+      struct Replica *replica = set->replicas[(i + query->draw) % set->n_replicas];
+      bool avoided = replica->avoid_until_ms > query->now_ms;
+      uint64_t cost_us;
+
+      if (replica->entry.draining || strcmp (replica->entry.service, query->service) != 0
+          || query_tried (query, replica->entry.id))
+        continue;
+      cost_us = replica_cost_us (replica, query);
+      if (best != NULL && (avoided != best_avoided ? avoided : cost_us >= best_us))
+        continue;
+      best = replica;
+      best_us = cost_us;
+      best_avoided = avoided;
+    }
+  return best;
+}
+
+void
+replica_note_answer (struct Replica *replica)
+{
+  replica->failures = 0;
+  replica->avoid_until_ms = 0;
+}
+
+void
+replica_note_full (struct Replica *replica, int64_t now_ms)
+{
+  replica->failures = 0;
+  replica->avoid_until_ms = now_ms + AVOID_FULL_MS;
+}
+
+void
+replica_note_failure (struct Replica *replica, int64_t now_ms)
+{
+  int64_t pause_ms = AVOID_FAILED_MS;
+
+  for (uint32_t i = 0; i < replica->failures && pause_ms < AVOID_FAILED_MAX_MS; i++)
+    pause_ms *= 2;
+  replica->failures++;
+  replica->avoid_until_ms = now_ms + pause_ms;
+}
+
+void
+replica_set_clear_peers (struct ReplicaSet *set)
+{
+  for (size_t i = 0; i < set->n_replicas; i++)
+    set->replicas[i]->peers_in_flight = 0;
+}
--- /dev/null
+++ b/core/gateway/turn_index.c
@@ -0,0 +1,294 @@
+#include <buckthornhead/turn_index.h>
+
+#include <string.h>
+#include <uthash.h>
+
+enum
+{
+  /* A program's charges are kept for this long after its last turn opened or closed. Longer than a
+   * turn runs and is retained, twice, on the sheets. */
+  PROGRAM_KEEP_MS = 180 * 1000,
+  /* A turn outlives its retention by this much: clocks of two machines differ, and the caller's
+   * time starts at the end of its answer. */
+  RETENTION_SLACK_MS = 15 * 1000,
+  CHAIN_MAX = 100000 /* against a loop in damaged records */
+};
+
+struct IndexedTurn
+{
+  char *id, *previous;
+  struct DiskPlace place;
+  int64_t expires_unix_ms;
+  UT_hash_handle hh;
+};
+
+struct IndexedCharge
+{
+  char *turn;
+  uint32_t tokens;
+  bool settled;
+};
+
+struct IndexedProgram
+{
+  char *id;
+  struct IndexedCharge *charges;
+  size_t n_charges;
+  int64_t expires_unix_ms;
+  UT_hash_handle hh;
+};
+
+struct TurnIndex
+{
+  struct IndexedTurn *turns;
+  struct IndexedProgram *programs;
+};
+
+static int
+index_free (struct TurnIndex *index)
+{
+  HASH_CLEAR (hh, index->turns);
+  HASH_CLEAR (hh, index->programs);
+  return 0;
+}
+
+struct TurnIndex *
+turn_index_new (TALLOC_CTX *ctx)
+{
+  struct TurnIndex *index = talloc_zero (ctx, struct TurnIndex);
+
+  if (index != NULL)
+    talloc_set_destructor (index, index_free);
+  return index;
+}
+
+static struct IndexedTurn *
+index_turn (const struct TurnIndex *index, const char *id)
+{
+  struct IndexedTurn *turn = NULL;
+
+  HASH_FIND_STR (index->turns, id, turn);
+  return turn;
+}
+
+static struct IndexedProgram *
+index_program (const struct TurnIndex *index, const char *id)
+{
+  struct IndexedProgram *program = NULL;
+
+  HASH_FIND_STR (index->programs, id, program);
+  return program;
+}
+
+static struct IndexedProgram *
+index_need_program (struct TurnIndex *index, const char *id)
+{
+  struct IndexedProgram *program = index_program (index, id);
+
+  if (program != NULL)
+    return program;
+  program = talloc_zero (index, struct IndexedProgram);
+  if (program == NULL)
+    return NULL;
+  program->id = talloc_strdup (program, id);
+  if (program->id == NULL)
+    {
+      talloc_free (program);
+      return NULL;
+    }
+  HASH_ADD_KEYPTR (hh, index->programs, program->id, strlen (program->id), program);
+  return program;
+}
+
+static struct IndexedCharge *
+program_charge (const struct IndexedProgram *program, const char *turn)
+{
+  for (size_t i = 0; i < program->n_charges; i++)
+    if (strcmp (program->charges[i].turn, turn) == 0)
+      return &program->charges[i];
+  return NULL;
+}
+
+static struct IndexedCharge *
+program_need_charge (struct IndexedProgram *program, const char *turn)
+{
+  struct IndexedCharge *charge = program_charge (program, turn);
+  struct IndexedCharge *grown;
+
+  if (charge != NULL)
+    return charge;
+  grown = talloc_realloc (program, program->charges, struct IndexedCharge, program->n_charges + 1);
+  if (grown == NULL)
+    return NULL;
+  program->charges = grown;
+  charge = &grown[program->n_charges];
+  memset (charge, 0, sizeof *charge);
+  charge->turn = talloc_strdup (program, turn);
+  if (charge->turn == NULL)
+    return NULL;
+  program->n_charges++;
+  return charge;
+}
+
+int32_t
+turn_index_reserve (struct TurnIndex *index, const struct TurnOpen *open, int64_t unix_ms)
+{
+  struct IndexedProgram *program = index_need_program (index, open->program);
+  struct IndexedCharge *charge = program != NULL ? program_need_charge (program, open->turn) : NULL;
+
+  if (charge == NULL)
+    return ERROR_NO_MEMORY;
+  if (!charge->settled)
+    charge->tokens = open->reserve_tokens;
+  program->expires_unix_ms = unix_ms + PROGRAM_KEEP_MS;
+  return ERROR_NONE;
+}
+
+/* A turn is kept together with its chain: whoever continues the last needs all. */
+static void
+index_extend_chain (struct TurnIndex *index, const char *id, int64_t expires_unix_ms)
+{
+  for (uint32_t i = 0; i < CHAIN_MAX && id[0] != '\0'; i++)
+    {
+      struct IndexedTurn *turn = index_turn (index, id);
+
+      if (turn == NULL || turn->expires_unix_ms >= expires_unix_ms)
+        return;
+      turn->expires_unix_ms = expires_unix_ms;
+      id = turn->previous;
+    }
+}
+
+static int32_t
+index_add_turn (struct TurnIndex *index,
+                const struct TurnClose *close,
+                const struct DiskPlace *place,
+                int64_t unix_ms)
+{
+  struct IndexedTurn *turn = index_turn (index, close->text.turn);
+  int64_t expires_unix_ms = unix_ms + close->retention_ms + RETENTION_SLACK_MS;
+
+  if (turn != NULL)
+    return ERROR_NONE;
+  turn = talloc_zero (index, struct IndexedTurn);
+  if (turn == NULL)
+    return ERROR_NO_MEMORY;
+  turn->id = talloc_strdup (turn, close->text.turn);
+  turn->previous = talloc_strdup (turn, close->text.previous);
+  if (turn->id == NULL || turn->previous == NULL)
+    {
+      talloc_free (turn);
+      return ERROR_NO_MEMORY;
+    }
+  turn->place = *place;
+  turn->expires_unix_ms = expires_unix_ms;
+  HASH_ADD_KEYPTR (hh, index->turns, turn->id, strlen (turn->id), turn);
+  index_extend_chain (index, turn->previous, expires_unix_ms);
+  return ERROR_NONE;
+}
+
+int32_t
+turn_index_close (struct TurnIndex *index,
+                  const struct TurnClose *close,
+                  const struct DiskPlace *place,
+                  int64_t unix_ms)
+{
+  struct IndexedProgram *program = index_need_program (index, close->program);
+  struct IndexedCharge *charge =
+      program != NULL ? program_need_charge (program, close->text.turn) : NULL;
+
+  if (charge == NULL)
+    return ERROR_NO_MEMORY;
+  charge->tokens = close->charge_tokens;
+  charge->settled = true;
+  if (program->expires_unix_ms < unix_ms + PROGRAM_KEEP_MS)
+    program->expires_unix_ms = unix_ms + PROGRAM_KEEP_MS;
+  return close->kept ? index_add_turn (index, close, place, unix_ms) : ERROR_NONE;
+}
+
+bool
+turn_index_find (const struct TurnIndex *index, const char *id, struct TurnPlace *place)
+{
+  const struct IndexedTurn *turn = index_turn (index, id);
+
+  if (turn == NULL)
+    return false;
+  place->place = turn->place;
+  place->previous = turn->previous;
+  return true;
+}
+
+bool
+turn_index_is_closed (const struct TurnIndex *index, const char *program_id, const char *turn)
+{
+  const struct IndexedProgram *program = index_program (index, program_id);
+  const struct IndexedCharge *charge = program != NULL ? program_charge (program, turn) : NULL;
+
+  return charge != NULL && charge->settled;
+}
+
+int32_t
+turn_index_charges (const struct TurnIndex *index,
+                    TALLOC_CTX *ctx,
+                    const char *program_id,
+                    const char *turn,
+                    struct TurnCharge **charges,
+                    size_t *n_charges)
+{
+  const struct IndexedProgram *program = index_program (index, program_id);
+  size_t n = program != NULL ? program->n_charges : 0;
+
+  *n_charges = 0;
+  *charges = talloc_zero_array (ctx, struct TurnCharge, n);
+  if (*charges == NULL)
+    return ERROR_NO_MEMORY;
+  for (size_t i = 0; i < n; i++)
+    {
+      const struct IndexedCharge *charge = &program->charges[i];
+      struct TurnCharge *out = &(*charges)[*n_charges];
+
+      if (strcmp (charge->turn, turn) == 0)
+        continue;
+      strncpy (out->turn, charge->turn, sizeof out->turn - 1);
+      out->tokens = charge->tokens;
+      out->settled = charge->settled;
+      (*n_charges)++;
+    }
+  return ERROR_NONE;
+}
+
+int64_t
+turn_index_expires (const struct TurnIndex *index, const char *id)
+{
+  const struct IndexedTurn *turn = index_turn (index, id);
+
+  return turn != NULL ? turn->expires_unix_ms : 0;
+}
+
+void
+turn_index_expire (struct TurnIndex *index, int64_t unix_ms)
+{
+  struct IndexedTurn *turn, *next_turn;
+  struct IndexedProgram *program, *next_program;
+
+  HASH_ITER (hh, index->turns, turn, next_turn)
+  {
+    if (turn->expires_unix_ms > unix_ms)
+      continue;
+    HASH_DEL (index->turns, turn);
+    talloc_free (turn);
+  }
+  HASH_ITER (hh, index->programs, program, next_program)
+  {
+    if (program->expires_unix_ms > unix_ms)
+      continue;
+    HASH_DEL (index->programs, program);
+    talloc_free (program);
+  }
+}
+
+size_t
+turn_index_count (const struct TurnIndex *index)
+{
+  return HASH_COUNT (index->turns);
+}
--- a/core/log.c
+++ b/core/log.c
@@ -3,9 +3,11 @@
 #include <buckthornhead/call.h>
 
 #include <errno.h>
+#include <fcntl.h>
 #include <jansson.h>
 #include <stdarg.h>
 #include <stdatomic.h>
+#include <stdbool.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -21,6 +23,11 @@
 static char log_instance[NAME_MAX_BYTES + 1];
 static char log_zone[NAME_MAX_BYTES + 1];
 static _Atomic int log_level = LOG_LEVEL_INFO;
+static _Atomic int log_fd = STDERR_FILENO;
+
+/* Lines on requests in the second that is running, and those left out since the last line. */
+static _Atomic int64_t request_second_s;
+static _Atomic uint32_t request_lines, request_lines_suppressed;
 
 static const char *
 level_name (enum LogLevel level)
@@ -83,7 +90,8 @@
     json_object_set_new (line, key, text_value (text));
 }
 
-/* One write(2), so that lines of several threads never mix. */
+/* One write(2), so that lines of several threads never mix. A reader that has stopped must not stop
+ * the process: where the descriptor was made non-blocking, the line is lost instead. */
 static void
 write_line (char *text)
 {
@@ -92,7 +100,7 @@
 
   text[n] = '\n';
   do
-    written = write (STDERR_FILENO, text, n + 1);
+    written = write (atomic_load (&log_fd), text, n + 1);
   while (written < 0 && errno == EINTR);
 }
 
@@ -105,22 +113,21 @@
 }
 
 void
-log_event (enum LogLevel level,
-           const char *event,
-           const char *program,
-           const char *remedy,
-           const char *cause_format,
-           ...)
+log_to (int fd)
+{
+  int flags = fcntl (fd, F_GETFL);
+
+  if (flags >= 0)
+    fcntl (fd, F_SETFL, flags | O_NONBLOCK);
+  atomic_store (&log_fd, fd);
+}
+
+static json_t *
+line_new (enum LogLevel level, const char *event)
 {
-  char cause[CAUSE_MAX_BYTES];
   char stamp[TIME_BYTES];
-  json_t *line;
-  char *text;
-  va_list args;
+  json_t *line = json_object ();
 
-  if ((int)level > atomic_load_explicit (&log_level, memory_order_relaxed))
-    return;
-  line = json_object ();
   format_time (stamp);
   set_text (line, "time", stamp);
   set_text (line, "level", level_name (level));
@@ -128,18 +135,92 @@
   set_text (line, "instance", log_instance);
   set_text (line, "availability_zone", log_zone);
   set_text (line, "event", event);
-  set_text (line, "program", program);
-  if (cause_format != NULL)
-    {
-      va_start (args, cause_format);
-      vsnprintf (cause, sizeof cause, cause_format, args);
-      va_end (args);
-      set_text (line, "cause", cause);
-    }
-  set_text (line, "remedy", remedy);
-  text = json_dumps (line, JSON_COMPACT);
+  return line;
+}
+
+static void
+line_write (json_t *line)
+{
+  char *text = json_dumps (line, JSON_COMPACT);
+
   if (text != NULL)
     write_line (text);
   free (text);
   json_decref (line);
 }
+
+static void
+set_words (json_t *line, const char *key, const char *format, va_list args)
+{
+  char words[CAUSE_MAX_BYTES];
+
+  if (format == NULL)
+    return;
+  vsnprintf (words, sizeof words, format, args);
+  set_text (line, key, words);
+}
+
+void
+log_event (enum LogLevel level,
+           const char *event,
+           const char *program,
+           const char *remedy,
+           const char *cause_format,
+           ...)
+{
+  json_t *line;
+  va_list args;
+
+  if ((int)level > atomic_load_explicit (&log_level, memory_order_relaxed))
+    return;
+  line = line_new (level, event);
+  set_text (line, "program", program);
+  va_start (args, cause_format);
+  set_words (line, "cause", cause_format, args);
+  va_end (args);
+  set_text (line, "remedy", remedy);
+  line_write (line);
+}
+
+/* True when this second's lines are used up. */
+static bool
+request_line_is_over (void)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_MONOTONIC, &now);
+  if (atomic_exchange (&request_second_s, now.tv_sec) != now.tv_sec)
+    atomic_store (&request_lines, 0);
+  if (atomic_fetch_add (&request_lines, 1) < LOG_REQUESTS_PER_S)
+    return false;
+  atomic_fetch_add (&request_lines_suppressed, 1);
+  return true;
+}
+
+void
+log_request (enum LogLevel level,
+             const char *event,
+             const char *request,
+             const char *program,
+             const char *inputs_format,
+             ...)
+{
+  uint32_t n_suppressed;
+  json_t *line;
+  va_list args;
+
+  if ((int)level > atomic_load_explicit (&log_level, memory_order_relaxed)
+      || request_line_is_over ())
+    return;
+  line = line_new (level, event);
+  set_text (line, "request", request);
+  if (program != NULL && program[0] != '\0')
+    set_text (line, "program", program);
+  va_start (args, inputs_format);
+  set_words (line, "inputs", inputs_format, args);
+  va_end (args);
+  n_suppressed = atomic_exchange (&request_lines_suppressed, 0);
+  if (n_suppressed > 0)
+    json_object_set_new (line, "suppressed", json_integer (n_suppressed));
+  line_write (line);
+}
--- a/core/peer_message.c
+++ b/core/peer_message.c
@@ -268,6 +268,7 @@
     case PEER_CANCEL:
     case PEER_CONFIG_WANT:
     case PEER_CONFIG_ENTRY:
+    case PEER_GATEWAY:
       return 2;
     case PEER_MAP_CHANGED:
       return 1;
@@ -330,6 +331,9 @@
     case PEER_CONFIG_ENTRY:
       pack_bytes (p, message->config_entry.bytes, message->config_entry.n_bytes);
       break;
+    case PEER_GATEWAY:
+      pack_bytes (p, message->gateway.bytes, message->gateway.n_bytes);
+      break;
     case PEER_QUARANTINE:
       pack_bytes (p, message->quarantine.digest, DIGEST_BYTES);
       pack_string (p, message->quarantine.server);
@@ -389,6 +393,9 @@
     case PEER_CONFIG_ENTRY:
       message->config_entry.bytes = read_bytes (r, ctx, &message->config_entry.n_bytes);
       break;
+    case PEER_GATEWAY:
+      message->gateway.bytes = read_bytes (r, ctx, &message->gateway.n_bytes);
+      break;
     case PEER_QUARANTINE:
       read_fixed (r, message->quarantine.digest, DIGEST_BYTES);
       read_string (r, message->quarantine.server, sizeof message->quarantine.server);
@@ -451,7 +458,7 @@
   *message = NULL;
   if (opened == NULL)
     goto fail;
-  m->kind = (enum PeerKind)read_u64 (&reader, PEER_MAP_CHANGED);
+  m->kind = (enum PeerKind)read_u64 (&reader, PEER_GATEWAY);
   if (reader.failed || reader.n_items != message_n_items (m->kind))
     goto fail;
   message_unpack_body (&reader, m, m);
--- a/ctl/command.h
+++ b/ctl/command.h
@@ -75,6 +75,8 @@
 int
 command_serve (int argc, char **argv, const struct CommandIo *io);
 int
+command_gateway (int argc, char **argv, const struct CommandIo *io);
+int
 command_check_config (int argc, char **argv, const struct CommandIo *io);
 int
 command_ctl (int argc, char **argv, const struct CommandIo *io);
--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -195,6 +195,9 @@
     case PEER_MAP_CHANGED:
       home_on_map_hint (core->home);
       break;
+    case PEER_GATEWAY:
+      /* Gateways and archives talk among themselves. */
+      break;
     case PEER_SPOOL_PUT:
     case PEER_SPOOL_DROP:
     case PEER_SPOOL_READ:
--- /dev/null
+++ b/gateway/archive.c
@@ -0,0 +1,461 @@
+#include "archive.h"
+
+#include "archive_copy.h"
+
+#include <buckthornhead/log.h>
+#include <buckthornhead/pack.h>
+#include <buckthornhead/turn_index.h>
+
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+
+enum
+{
+  EXPIRE_PERIOD_MS = 2000,
+  /* Files outlive their records by this much: expiry is by the wall clock, which may step. */
+  FILE_SLACK_MS = 30 * 1000,
+  RESERVATION_KEEP_MS = 180 * 1000,   /* as long as the index keeps a program */
+  HISTORY_MAX_BYTES = 8 * 1024 * 1024 /* of one answer; the rest is asked for again */
+};
+
+struct Archive
+{
+  struct Node *node;
+  struct DiskLog *log;
+  struct TurnIndex *index;
+  struct ArchiveCopy *copy; /* NULL once the disk is complete */
+};
+
+/* A question that is answered once its record is durable. */
+struct ArchiveWrite
+{
+  struct Archive *archive;
+  uint64_t link;
+  enum ArchiveRecordKind kind;
+  struct TurnOpen open;
+  struct TurnClose close; /* without its texts */
+};
+
+static int64_t
+archive_unix_ms (void)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_REALTIME, &now);
+  return (int64_t)now.tv_sec * 1000 + now.tv_nsec / 1000000;
+}
+
+/* Records on disk: [kind, wall clock, fields]. */
+
+static int32_t
+record_pack (TALLOC_CTX *ctx, const struct ArchiveRecord *record, uint8_t **bytes, size_t *n_bytes)
+{
+  struct PackWriter *p = pack_writer_new (ctx, false);
+
+  if (p == NULL)
+    return ERROR_NO_MEMORY;
+  pack_array (p, record->kind == ARCHIVE_RECORD_OPEN ? 5 : 12);
+  pack_u64 (p, record->kind);
+  pack_i64 (p, record->unix_ms);
+  if (record->kind == ARCHIVE_RECORD_OPEN)
+    {
+      pack_string (p, record->open.turn);
+      pack_string (p, record->open.program);
+      pack_u64 (p, record->open.reserve_tokens);
+    }
+  else
+    turn_close_pack (p, &record->close);
+  return pack_finish (p, ctx, bytes, n_bytes);
+}
+
+int32_t
+archive_record_unpack (TALLOC_CTX *ctx,
+                       const uint8_t *bytes,
+                       size_t n_bytes,
+                       struct ArchiveRecord *record)
+{
+  struct PackReader r;
+  void *opened = pack_open (ctx, bytes, n_bytes, &r);
+
+  memset (record, 0, sizeof *record);
+  if (opened == NULL)
+    return ERROR_INVALID;
+  record->kind = (enum ArchiveRecordKind)read_u64 (&r, ARCHIVE_RECORD_CLOSE);
+  record->unix_ms = read_i64 (&r);
+  if (record->kind == ARCHIVE_RECORD_OPEN)
+    {
+      read_string (&r, record->open.turn, sizeof record->open.turn);
+      read_string (&r, record->open.program, sizeof record->open.program);
+      record->open.reserve_tokens = (uint32_t)read_u64 (&r, UINT32_MAX);
+    }
+  else
+    turn_close_unpack (&r, ctx, &record->close);
+  talloc_free (opened);
+  return read_end (&r);
+}
+
+/* A close keeps its chain, and with it the files in which that lies. */
+static void
+archive_extend_files (struct Archive *archive, const char *turn)
+{
+  int64_t expires_unix_ms = turn_index_expires (archive->index, turn) + FILE_SLACK_MS;
+  struct TurnPlace place;
+
+  while (turn[0] != '\0' && turn_index_find (archive->index, turn, &place))
+    {
+      disk_log_extend (archive->log, place.place.file, expires_unix_ms);
+      turn = place.previous;
+    }
+}
+
+static void
+archive_index_close (struct Archive *archive,
+                     const struct TurnClose *close,
+                     const struct DiskPlace *place,
+                     int64_t unix_ms)
+{
+  if (turn_index_close (archive->index, close, place, unix_ms) != ERROR_NONE)
+    log_event (LOG_LEVEL_ERROR, "archive_no_memory", close->program, "give the process more memory",
+               "turn %s is on disk but not in the index", close->text.turn);
+  else if (close->kept)
+    archive_extend_files (archive, close->text.turn);
+}
+
+/* At the start: one record that was durable. */
+static void
+archive_on_replayed (void *data, const struct DiskPlace *place, const uint8_t *bytes, size_t n)
+{
+  struct Archive *archive = data;
+  TALLOC_CTX *ctx = talloc_new (archive);
+  struct ArchiveRecord record;
+
+  if (archive_record_unpack (ctx, bytes, n, &record) != ERROR_NONE)
+    log_event (LOG_LEVEL_ERROR, "archive_record_malformed", NULL,
+               "bring the processes to one version", "log-%u at %u", place->file, place->offset);
+  else if (record.kind == ARCHIVE_RECORD_OPEN)
+    turn_index_reserve (archive->index, &record.open, record.unix_ms);
+  else
+    archive_index_close (archive, &record.close, place, record.unix_ms);
+  disk_log_extend (archive->log, place->file, record.unix_ms + RESERVATION_KEEP_MS + FILE_SLACK_MS);
+  talloc_free (ctx);
+}
+
+/* History. */
+
+/* The turn and those before it, newest first, until the chain ends, has a gap or grows too long
+ * for one message. */
+static void
+history_fill (struct Archive *archive, TALLOC_CTX *ctx, const char *turn, struct TurnOpened *opened)
+{
+  struct TurnPlace place;
+  size_t total_bytes = 0;
+
+  while (turn[0] != '\0' && total_bytes < HISTORY_MAX_BYTES
+         && turn_index_find (archive->index, turn, &place))
+    {
+      struct ArchiveRecord record;
+      size_t n_bytes;
+      uint8_t *bytes = disk_log_read (archive->log, ctx, &place.place, &n_bytes);
+
+      if (bytes == NULL || archive_record_unpack (ctx, bytes, n_bytes, &record) != ERROR_NONE)
+        return;
+      talloc_free (bytes);
+      opened->history =
+          talloc_realloc (ctx, opened->history, struct TurnText, opened->n_history + 1);
+      if (opened->history == NULL)
+        {
+          opened->n_history = 0;
+          return;
+        }
+      opened->history[opened->n_history++] = record.close.text;
+      total_bytes += n_bytes;
+      turn = place.previous;
+    }
+}
+
+static void
+archive_answer_opened (struct Archive *archive,
+                       uint64_t link,
+                       const struct TurnOpen *open,
+                       int32_t error)
+{
+  TALLOC_CTX *ctx = talloc_new (archive);
+  struct GatewayMessage answer = { .kind = GATEWAY_TURN_OPENED };
+  struct TurnPlace place;
+
+  answer.opened.id = open->id;
+  answer.opened.error = error;
+  answer.opened.complete = disk_log_is_complete (archive->log);
+  answer.opened.has_turn =
+      open->previous[0] != '\0' && turn_index_find (archive->index, open->previous, &place);
+  if (error == ERROR_NONE)
+    answer.opened.error = turn_index_charges (archive->index, ctx, open->program, open->turn,
+                                              &answer.opened.charges, &answer.opened.n_charges);
+  if (open->want_history)
+    history_fill (archive, ctx, open->previous, &answer.opened);
+  node_answer (archive->node, link, &answer);
+  talloc_free (ctx);
+}
+
+static void
+archive_answer_closed (struct Archive *archive, uint64_t link, uint64_t id, int32_t error)
+{
+  struct GatewayMessage answer = { .kind = GATEWAY_TURN_CLOSED };
+
+  answer.closed.id = id;
+  answer.closed.error = error;
+  node_answer (archive->node, link, &answer);
+}
+
+/* Writing. */
+
+static void
+archive_on_durable (void *data, int32_t error, const struct DiskPlace *place)
+{
+  struct ArchiveWrite *write = data;
+  struct Archive *archive = write->archive;
+
+  if (error != ERROR_NONE)
+    log_event (LOG_LEVEL_ERROR, "archive_write_failed", write->close.program, "look at the disk",
+               "%s", error_name (error));
+  if (write->kind == ARCHIVE_RECORD_OPEN)
+    archive_answer_opened (archive, write->link, &write->open, error);
+  else
+    {
+      if (error == ERROR_NONE)
+        archive_index_close (archive, &write->close, place, archive_unix_ms ());
+      if (write->link != PEER_LINK_NONE)
+        archive_answer_closed (archive, write->link, write->close.id, error);
+    }
+  talloc_free (write);
+}
+
+static int32_t
+archive_append (struct Archive *archive,
+                const struct ArchiveRecord *record,
+                int64_t keep_ms,
+                struct ArchiveWrite *write)
+{
+  uint8_t *bytes;
+  size_t n_bytes;
+  int32_t error = record_pack (write, record, &bytes, &n_bytes);
+
+  if (error != ERROR_NONE)
+    return error;
+  error = disk_log_append (archive->log, bytes, n_bytes, record->unix_ms + keep_ms + FILE_SLACK_MS,
+                           archive_on_durable, write);
+  talloc_free (bytes);
+  return error;
+}
+
+static struct ArchiveWrite *
+archive_write_new (struct Archive *archive, uint64_t link, enum ArchiveRecordKind kind)
+{
+  struct ArchiveWrite *write = talloc_zero (archive, struct ArchiveWrite);
+
+  if (write == NULL)
+    return NULL;
+  write->archive = archive;
+  write->link = link;
+  write->kind = kind;
+  return write;
+}
+
+static void
+archive_on_open (struct Archive *archive, uint64_t link, const struct TurnOpen *open)
+{
+  struct ArchiveRecord record = { .kind = ARCHIVE_RECORD_OPEN, .open = *open };
+  struct ArchiveWrite *write = archive_write_new (archive, link, ARCHIVE_RECORD_OPEN);
+  int32_t error = ERROR_NO_MEMORY;
+
+  record.unix_ms = archive_unix_ms ();
+  if (write != NULL)
+    {
+      write->open = *open;
+      error = turn_index_reserve (archive->index, open, record.unix_ms);
+    }
+  if (error == ERROR_NONE)
+    error = archive_append (archive, &record, RESERVATION_KEEP_MS, write);
+  if (error == ERROR_NONE)
+    return;
+  archive_answer_opened (archive, link, open, error);
+  talloc_free (write);
+}
+
+static void
+archive_on_close (struct Archive *archive, uint64_t link, const struct TurnClose *close)
+{
+  struct ArchiveRecord record = { .kind = ARCHIVE_RECORD_CLOSE, .close = *close };
+  struct ArchiveWrite *write = archive_write_new (archive, link, ARCHIVE_RECORD_CLOSE);
+  int64_t keep_ms = close->kept ? close->retention_ms : RESERVATION_KEEP_MS;
+  int32_t error = ERROR_NO_MEMORY;
+
+  record.unix_ms = archive_unix_ms ();
+  if (write != NULL)
+    {
+      write->close = *close;
+      write->close.text.input = NULL;
+      write->close.text.output = NULL;
+      error = archive_append (archive, &record, keep_ms, write);
+    }
+  if (error == ERROR_NONE)
+    return;
+  if (link != PEER_LINK_NONE)
+    archive_answer_closed (archive, link, close->id, error);
+  talloc_free (write);
+}
+
+void
+archive_take_copy (struct Archive *archive, const struct ArchiveRecord *record)
+{
+  struct ArchiveWrite *write;
+
+  if (record->kind == ARCHIVE_RECORD_OPEN)
+    {
+      if (turn_index_is_closed (archive->index, record->open.program, record->open.turn))
+        return;
+      turn_index_reserve (archive->index, &record->open, record->unix_ms);
+    }
+  else if (turn_index_is_closed (archive->index, record->close.program, record->close.text.turn))
+    return;
+  write = archive_write_new (archive, PEER_LINK_NONE, ARCHIVE_RECORD_CLOSE);
+  if (write == NULL)
+    return;
+  write->kind = record->kind;
+  write->open = record->open;
+  write->close = record->close;
+  write->close.text.input = NULL;
+  write->close.text.output = NULL;
+  if (archive_append (archive, record,
+                      record->kind == ARCHIVE_RECORD_CLOSE ? record->close.retention_ms
+                                                           : RESERVATION_KEEP_MS,
+                      write)
+      != ERROR_NONE)
+    talloc_free (write);
+}
+
+static void
+archive_on_read (struct Archive *archive, uint64_t link, const struct TurnRead *read)
+{
+  struct TurnOpen open = { .id = read->id, .want_history = true };
+
+  snprintf (open.previous, sizeof open.previous, "%s", read->turn);
+  archive_answer_opened (archive, link, &open, ERROR_NONE);
+}
+
+/* The node's calls. */
+
+static void
+archive_on_message (void *data,
+                    uint64_t link,
+                    const char *sender,
+                    const struct GatewayMessage *message)
+{
+  struct Archive *archive = data;
+
+  switch (message->kind)
+    {
+    case GATEWAY_TURN_OPEN:
+      archive_on_open (archive, link, &message->open);
+      break;
+    case GATEWAY_TURN_READ:
+      archive_on_read (archive, link, &message->read);
+      break;
+    case GATEWAY_TURN_CLOSE:
+      archive_on_close (archive, link, &message->close);
+      break;
+    case GATEWAY_COPY_WANT:
+      archive_copy_answer (archive->node, archive->log, link, &message->copy_want);
+      break;
+    case GATEWAY_COPY_PART:
+      if (archive->copy != NULL)
+        archive_copy_take (archive->copy, sender, &message->copy_part);
+      break;
+    case GATEWAY_TURN_OPENED:
+    case GATEWAY_TURN_CLOSED:
+    case GATEWAY_STATUS:
+    case GATEWAY_SNAPSHOT:
+      break;
+    }
+}
+
+static void
+archive_on_link_closed (void *data, uint64_t link)
+{
+  (void)data;
+  (void)link;
+}
+
+static void
+archive_on_snapshot (void *data, const struct Snapshot *snapshot, bool after_gap)
+{
+  (void)data;
+  (void)snapshot;
+  (void)after_gap;
+}
+
+static void
+archive_describe (void *data, TALLOC_CTX *ctx, struct NodeStatus *status)
+{
+  struct Archive *archive = data;
+
+  (void)ctx;
+  status->complete = disk_log_is_complete (archive->log);
+  status->is_archive = true;
+}
+
+static void
+archive_on_expire (void *data)
+{
+  struct Archive *archive = data;
+  int64_t unix_ms = archive_unix_ms ();
+
+  turn_index_expire (archive->index, unix_ms);
+  disk_log_drop_expired (archive->log, unix_ms);
+}
+
+static void
+archive_on_copied (void *data)
+{
+  struct Archive *archive = data;
+
+  archive->copy = NULL;
+  if (disk_log_mark_complete (archive->log) != ERROR_NONE)
+    log_event (LOG_LEVEL_ERROR, "archive_mark_failed", NULL, "look at the disk",
+               "the disk is whole but could not be marked so");
+  log_event (LOG_LEVEL_NOTICE, "archive_complete", NULL, NULL, "%zu turns",
+             turn_index_count (archive->index));
+  node_announce (archive->node);
+}
+
+int32_t
+archive_new (TALLOC_CTX *ctx, struct Node *node, struct Archive **archive, struct Fault *fault)
+{
+  struct Archive *a = talloc_zero (ctx, struct Archive);
+  int32_t error;
+
+  *archive = NULL;
+  if (a == NULL)
+    return fault_set (fault, ERROR_NO_MEMORY, NULL, "no memory for the archive");
+  a->node = node;
+  a->index = turn_index_new (a);
+  error = disk_log_open (a, node->events, node->settings->data_folder, archive_on_replayed, a,
+                         &a->log, fault);
+  if (error != ERROR_NONE)
+    return error;
+  if (node->settings->first_start && !disk_log_is_complete (a->log))
+    error = disk_log_mark_complete (a->log);
+  if (error != ERROR_NONE)
+    return fault_set (fault, error, "look at the disk", "the disk can not be written");
+  if (!disk_log_is_complete (a->log))
+    a->copy = archive_copy_new (a, node, a, archive_on_copied, a);
+  timer_subscribe (a, node->timers, EXPIRE_PERIOD_MS, EXPIRE_PERIOD_MS, archive_on_expire, a);
+  node->handler.message = archive_on_message;
+  node->handler.link_closed = archive_on_link_closed;
+  node->handler.snapshot = archive_on_snapshot;
+  node->handler.describe = archive_describe;
+  node->handler.data = a;
+  *archive = a;
+  return ERROR_NONE;
+}
--- /dev/null
+++ b/gateway/archive_copy.c
@@ -0,0 +1,187 @@
+#include "archive_copy.h"
+
+#include <buckthornhead/log.h>
+#include <buckthornhead/turn_quorum.h>
+
+#include <stdio.h>
+#include <string.h>
+
+enum
+{
+  TICK_MS = 100,
+  /* Bytes of one part: some 20 ms of a 600 Mbit/s link beside the callers' traffic. */
+  PART_BYTES = 512 * 1024,
+  PART_TIMEOUT_MS = 1000,
+  SOURCES_MAX = 16
+};
+
+/* Another archive that is copied from. */
+struct CopySource
+{
+  char node[NAME_MAX_BYTES + 1];
+  uint64_t cursor;
+  uint64_t asked_id;
+  int64_t asked_ms; /* 0: no question on the way */
+  bool finished;    /* reached its end while it was complete */
+};
+
+struct ArchiveCopy
+{
+  struct Node *node;
+  struct Archive *archive;
+  void (*done) (void *data);
+  void *data;
+  struct CopySource sources[SOURCES_MAX];
+  size_t n_sources;
+  uint64_t n_records;
+};
+
+static struct CopySource *
+copy_source (struct ArchiveCopy *copy, const char *node)
+{
+  for (size_t i = 0; i < copy->n_sources; i++)
+    if (strcmp (copy->sources[i].node, node) == 0)
+      return &copy->sources[i];
+  if (copy->n_sources == SOURCES_MAX)
+    return NULL;
+  snprintf (copy->sources[copy->n_sources].node, NAME_MAX_BYTES + 1, "%s", node);
+  return &copy->sources[copy->n_sources++];
+}
+
+static void
+copy_ask (struct ArchiveCopy *copy, struct CopySource *source)
+{
+  struct GatewayMessage message = { .kind = GATEWAY_COPY_WANT };
+
+  source->asked_id = node_next_id (copy->node);
+  message.copy_want.id = source->asked_id;
+  message.copy_want.cursor = source->cursor;
+  if (node_send (copy->node, source->node, &message) == ERROR_NONE)
+    source->asked_ms = timer_now_ms (copy->node->timers);
+}
+
+/* Done once as many have given all as must answer any question: this disk, which held nothing, is
+ * not among them. True: the copy is freed. */
+static bool
+copy_check_done (struct ArchiveCopy *copy)
+{
+  uint32_t n_archives = copy->node->n_archives;
+  struct ArchiveQuorum quorum = archive_quorum (n_archives, copy->node->settings->tolerated);
+  size_t n_finished = 0;
+
+  for (size_t i = 0; i < copy->n_sources; i++)
+    n_finished += copy->sources[i].finished;
+  if (n_archives == 0 || n_finished < quorum.read)
+    return false;
+  log_event (LOG_LEVEL_NOTICE, "archive_copied", NULL, NULL, "%llu records from %zu archives",
+             (unsigned long long)copy->n_records, n_finished);
+  copy->done (copy->data);
+  talloc_free (copy);
+  return true;
+}
+
+static void
+copy_on_frame (void *data, const struct DiskPlace *place, const uint8_t *bytes, size_t n_bytes)
+{
+  struct ArchiveCopy *copy = data;
+  TALLOC_CTX *ctx = talloc_new (copy);
+  struct ArchiveRecord record;
+
+  (void)place;
+  copy->n_records++;
+  if (archive_record_unpack (ctx, bytes, n_bytes, &record) == ERROR_NONE)
+    archive_take_copy (copy->archive, &record);
+  else
+    log_event (LOG_LEVEL_ERROR, "archive_record_malformed", NULL,
+               "bring the processes to one version", "from another archive");
+  talloc_free (ctx);
+}
+
+void
+archive_copy_take (struct ArchiveCopy *copy, const char *sender, const struct CopyPart *part)
+{
+  struct CopySource *source = copy_source (copy, sender);
+
+  if (source == NULL || source->asked_ms == 0 || part->id != source->asked_id)
+    return;
+  source->asked_ms = 0;
+  disk_log_each_frame (part->records, part->records_bytes, copy_on_frame, copy);
+  source->cursor = part->next;
+  if (part->last && part->complete)
+    {
+      source->finished = true;
+      copy_check_done (copy);
+      return;
+    }
+  if (!part->last)
+    copy_ask (copy, source);
+}
+
+static void
+copy_on_tick (void *data)
+{
+  struct ArchiveCopy *copy = data;
+  struct Node *node = copy->node;
+  int64_t now_ms = timer_now_ms (node->timers);
+
+  /* The number of archives may have become known since the last part came. */
+  if (copy->n_sources > 0 && copy_check_done (copy))
+    return;
+  for (size_t i = 0; i < node->n_peers; i++)
+    {
+      struct Peer *peer = node->peers[i];
+      struct CopySource *source;
+
+      if (!peer->status.is_archive || !node_peer_is_live (node, peer))
+        continue;
+      source = copy_source (copy, peer->status.node);
+      if (source == NULL || source->finished)
+        continue;
+      if (source->asked_ms == 0 || now_ms - source->asked_ms > PART_TIMEOUT_MS)
+        copy_ask (copy, source);
+    }
+}
+
+struct ArchiveCopy *
+archive_copy_new (TALLOC_CTX *ctx,
+                  struct Node *node,
+                  struct Archive *archive,
+                  void (*done) (void *data),
+                  void *data)
+{
+  struct ArchiveCopy *copy = talloc_zero (ctx, struct ArchiveCopy);
+
+  if (copy == NULL)
+    return NULL;
+  copy->node = node;
+  copy->archive = archive;
+  copy->done = done;
+  copy->data = data;
+  timer_subscribe (copy, node->timers, TICK_MS, TICK_MS, copy_on_tick, copy);
+  return copy;
+}
+
+void
+archive_copy_answer (struct Node *node,
+                     struct DiskLog *log,
+                     uint64_t link,
+                     const struct CopyWant *want)
+{
+  struct GatewayMessage answer = { .kind = GATEWAY_COPY_PART };
+  struct CopyPart *part = &answer.copy_part;
+  uint8_t *bytes;
+
+  part->id = want->id;
+  part->complete = disk_log_is_complete (log);
+  bytes = disk_log_frames (log, node->net, want->cursor, PART_BYTES, &part->records_bytes,
+                           &part->next, &part->last);
+  if (bytes == NULL)
+    {
+      log_event (LOG_LEVEL_ERROR, "archive_copy_unreadable", NULL, "look at the disk",
+                 "a file could not be read for another archive");
+      return;
+    }
+  part->records = bytes;
+  node_answer (node, link, &answer);
+  talloc_free (bytes);
+}
--- /dev/null
+++ b/gateway/archive_copy.h
@@ -0,0 +1,55 @@
+/* An archive whose disk is new copies what the others hold, before it counts among them.
+ *
+ * Records are durable on some archives more than may lose their disks at once. A new disk is as
+ * good as the lost one once it holds what all other archives but the tolerated ones hold. */
+#pragma once
+
+#include "node.h"
+
+#include <buckthornhead/disk_log.h>
+
+struct Archive;
+struct ArchiveCopy;
+
+enum ArchiveRecordKind
+{
+  ARCHIVE_RECORD_OPEN = 1, /* a reservation */
+  ARCHIVE_RECORD_CLOSE = 2
+};
+
+struct ArchiveRecord
+{
+  enum ArchiveRecordKind kind;
+  int64_t unix_ms; /* when it was first written */
+  struct TurnOpen open;
+  struct TurnClose close;
+};
+
+/* ERROR_INVALID for anything malformed. The texts belong to ctx. */
+int32_t
+archive_record_unpack (TALLOC_CTX *ctx,
+                       const uint8_t *bytes,
+                       size_t n_bytes,
+                       struct ArchiveRecord *record);
+
+/* A record of another archive: kept here, too, unless it is already. */
+void
+archive_take_copy (struct Archive *archive, const struct ArchiveRecord *record);
+
+/* Begins to copy; done is called once, and the copy is freed after it. */
+struct ArchiveCopy *
+archive_copy_new (TALLOC_CTX *ctx,
+                  struct Node *node,
+                  struct Archive *archive,
+                  void (*done) (void *data),
+                  void *data);
+
+void
+archive_copy_take (struct ArchiveCopy *copy, const char *sender, const struct CopyPart *part);
+
+/* Answers another archive that copies from this one. */
+void
+archive_copy_answer (struct Node *node,
+                     struct DiskLog *log,
+                     uint64_t link,
+                     const struct CopyWant *want);
--- /dev/null
+++ b/gateway/front.c
@@ -0,0 +1,486 @@
+#include "front.h"
+
+#include "store_reader.h"
+
+#include <buckthornhead/counter.h>
+#include <buckthornhead/log.h>
+
+#include <stdio.h>
+#include <string.h>
+
+enum
+{
+  /* While a planned stop runs: requests are still taken for this long, since callers keep an old
+   * list of addresses for a few seconds; what comes later is sent back. */
+  STOP_TAKES_MS = 3000,
+  /* A stop without requests in flight lasts this long, for callers with an old list. */
+  STOP_LINGER_MS = 5000,
+  /* Before the machine kills the process, what is left is answered. */
+  STOP_MARGIN_MS = 400,
+  ADDRESSES_MAX = 64, /* that a caller can use */
+  /* Until the operators' configuration says otherwise. */
+  FIRST_HEADER_BYTES = 16 * 1024,
+  FIRST_BODY_BYTES = 4 * 1024 * 1024,
+  FIRST_HEADER_MS = 3000,
+  FIRST_IDLE_MS = 15000,
+  /* Own listeners: few, small and short. */
+  OWN_CONNECTIONS = 1000,
+  /* A server's idle connection that has no stated end. */
+  SERVER_IDLE_MS = 1000,
+  /* A server takes some 100 to 250 connections from all; nine gateways share them. */
+  SERVER_CONNECTIONS_MAX = 24
+};
+
+static const struct HttpLimits first_limits = {
+  .header_max_bytes = FIRST_HEADER_BYTES,
+  .body_max_bytes = FIRST_BODY_BYTES,
+  .header_timeout_ms = FIRST_HEADER_MS,
+  .idle_timeout_ms = FIRST_IDLE_MS,
+};
+
+/* Callers. */
+
+static void
+request_on_timeout (void *data)
+{
+  struct Request *request = data;
+
+  request_fail (request,
+                request->may_have_run || request->call != NULL ? FAILURE_TIMEOUT
+                                                               : FAILURE_OUT_OF_TIME,
+                "its time is over");
+}
+
+static void
+request_on_gone (struct HttpExchange *exchange)
+{
+  struct Request *request = exchange->handler_data;
+
+  log_request (LOG_LEVEL_INFO, "caller_left", request->caller.id, request->caller.program,
+               "%lld ms after its request",
+               (long long)(timer_now_ms (request->front->node->timers) - exchange->arrived_ms));
+  if (request->turn != NULL)
+    turn_abandon (request);
+  request->exchange = NULL;
+  request_end (request);
+}
+
+static struct Request *
+request_new (struct Front *front, struct HttpExchange *exchange)
+{
+  struct Request *request = talloc_zero (front, struct Request);
+
+  if (request == NULL)
+    return NULL;
+  request->front = front;
+  request->exchange = exchange;
+  request->cached_at = "";
+  request->next = front->requests;
+  request->at = &front->requests;
+  if (request->next != NULL)
+    request->next->at = &request->next;
+  front->requests = request;
+  request->body = exchange->body;
+  request->body_bytes = exchange->body_bytes;
+  exchange->handler_data = request;
+  exchange->gone = request_on_gone;
+  return request;
+}
+
+/* The route that the request takes, and how long it may. */
+static bool
+request_route (struct Request *request)
+{
+  struct Front *front = request->front;
+  const struct HttpExchange *exchange = request->exchange;
+  const struct Route *route =
+      route_table_find (front->table, request->caller.host, exchange->target);
+  const struct Service *service;
+  int64_t time_ms;
+
+  if (route == NULL)
+    return false;
+  request->route = *route;
+  snprintf (request->service, sizeof request->service, "%s",
+            route_choose_service (route, front->draws++ * 2654435761U >> 7));
+  service = route_table_service (front->table, request->service);
+  request->tokens_per_event = service != NULL ? service->tokens_per_event : 1;
+  time_ms = route->timeout_ms;
+  if (request->caller.timeout_ms > 0 && request->caller.timeout_ms < time_ms)
+    time_ms = request->caller.timeout_ms;
+  request->due_ms = exchange->arrived_ms + time_ms;
+  request->timeout = timer_subscribe (request, front->node->timers,
+                                      request->due_ms - timer_now_ms (front->node->timers), 0,
+                                      request_on_timeout, request);
+  return request->timeout != NULL;
+}
+
+static bool
+front_is_refusing (const struct Front *front)
+{
+  return front->stop_ms != 0 && timer_now_ms (front->node->timers) - front->stop_ms > STOP_TAKES_MS;
+}
+
+static void
+front_on_request (void *data, struct HttpExchange *exchange)
+{
+  struct Front *front = data;
+  struct Request *request = request_new (front, exchange);
+  struct Fault fault;
+
+  if (request == NULL)
+    {
+      http_exchange_answer (exchange, 503, NULL, NULL, 0);
+      return;
+    }
+  request->due_ms = exchange->arrived_ms;
+  if (front->node->dialect->read_request (request, exchange, &request->caller, &fault)
+      != ERROR_NONE)
+    request_fail (request, FAILURE_MALFORMED, fault.message);
+  else if (front_is_refusing (front))
+    request_fail (request, FAILURE_STOPPING, "planned stop");
+  else if (front->table == NULL)
+    request_fail (request, FAILURE_NO_CONFIG, "started lately, and nobody could say");
+  else if (!request_route (request))
+    request_fail (request, FAILURE_NO_ROUTE, exchange->target);
+  else if (request->route.keeps_turns)
+    turn_start (request);
+  else
+    request_send (request);
+}
+
+/* Own paths. */
+
+static bool
+front_is_ready (const struct Front *front)
+{
+  return front->stop_ms == 0 && front->table != NULL;
+}
+
+static size_t
+front_addresses (struct Front *front, const char *addresses[ADDRESSES_MAX])
+{
+  const struct Node *node = front->node;
+  size_t n = 0;
+
+  if (front_is_ready (front))
+    addresses[n++] = node->settings->caller_listen;
+  for (size_t i = 0; i < node->n_peers && n < ADDRESSES_MAX; i++)
+    {
+      const struct Peer *peer = node->peers[i];
+
+      if (peer->status.ready && peer->status.caller_address[0] != '\0'
+          && node_peer_is_live (node, peer))
+        addresses[n++] = peer->status.caller_address;
+    }
+  return n;
+}
+
+static void
+front_answer_addresses (struct Front *front, struct HttpExchange *exchange)
+{
+  struct HttpHeader type = { "Content-Type", "application/json" };
+  struct HttpHeaders headers = { &type, 1 };
+  const char *addresses[ADDRESSES_MAX];
+  size_t n = front_addresses (front, addresses);
+  char *body = NULL;
+
+  if (n > 0)
+    body =
+        front->node->dialect->write_addresses (front, addresses, n, front->node->settings->keep_s);
+  if (body == NULL)
+    {
+      http_exchange_answer (exchange, 503, NULL, NULL, 0);
+      return;
+    }
+  http_exchange_answer (exchange, 200, &headers, body, strlen (body));
+  talloc_free (body);
+}
+
+static void
+front_on_own (void *data, struct HttpExchange *exchange)
+{
+  struct Front *front = data;
+
+  switch (front->node->dialect->own_path (exchange->target))
+    {
+    case OWN_PATH_READY:
+      http_exchange_answer (exchange, front_is_ready (front) ? 200 : 503, NULL, NULL, 0);
+      break;
+    case OWN_PATH_ADDRESSES:
+      front_answer_addresses (front, exchange);
+      break;
+    case OWN_PATH_NONE:
+      http_exchange_answer (exchange, 404, NULL, NULL, 0);
+      break;
+    }
+}
+
+/* What the store says. */
+
+static void
+front_take_routes (struct Front *front, const struct Snapshot *snapshot)
+{
+  struct RouteTable *table;
+  struct Fault fault;
+
+  if (snapshot->n_items != 1)
+    return;
+  if (front->node->dialect->read_routes (front, snapshot->items[0].value,
+                                         snapshot->items[0].value_bytes, &table, &fault)
+      != ERROR_NONE)
+    {
+      log_event (LOG_LEVEL_ERROR, "configuration_malformed", NULL, fault.remedy, "%s",
+                 fault.message);
+      return;
+    }
+  /* An old state that arrives late must not undo a newer one. */
+  if (front->table != NULL && table->version <= front->table->version)
+    {
+      talloc_free (table);
+      return;
+    }
+  log_event (LOG_LEVEL_NOTICE, "configuration_taken", NULL, NULL,
+             "version %llu, %zu routes, %zu services", (unsigned long long)table->version,
+             table->n_routes, table->n_services);
+  talloc_free (front->table);
+  front->table = table;
+  gauge_set (GAUGE_CONFIG_REVISION, table->version);
+  http_server_set_limits (front->callers, &table->limits);
+}
+
+static void
+front_take_servers (struct Front *front, const struct Snapshot *snapshot, bool after_gap)
+{
+  struct ReplicaEntry *entries = talloc_array (front, struct ReplicaEntry, snapshot->n_items);
+  size_t n = 0, n_changed;
+
+  for (size_t i = 0; entries != NULL && i < snapshot->n_items; i++)
+    {
+      const struct SnapshotItem *item = &snapshot->items[i];
+      struct Fault fault;
+
+      if (front->node->dialect->read_server (item->key, item->value, item->value_bytes, &entries[n],
+                                             &fault)
+          == ERROR_NONE)
+        n++;
+      else
+        log_event (LOG_LEVEL_WARNING, "server_entry_malformed", NULL, fault.remedy, "%s",
+                   fault.message);
+    }
+  n_changed = replica_set_apply (front->replicas, entries, n, after_gap,
+                                 timer_now_ms (front->node->timers));
+  if (n_changed > 0)
+    log_event (LOG_LEVEL_INFO, "servers_changed", NULL, NULL,
+               "%zu changes, %zu listed at revision %lld%s", n_changed, n,
+               (long long)snapshot->revision, after_gap ? ", first list after a gap" : "");
+  talloc_free (entries);
+}
+
+static void
+front_on_snapshot (void *data, const struct Snapshot *snapshot, bool after_gap)
+{
+  switch (snapshot->kind)
+    {
+    case SNAPSHOT_ROUTES:
+      front_take_routes (data, snapshot);
+      break;
+    case SNAPSHOT_SERVERS:
+      front_take_servers (data, snapshot, after_gap);
+      break;
+    case SNAPSHOT_NODES:
+      break;
+    }
+}
+
+/* Peers. */
+
+static void
+front_on_message (void *data,
+                  uint64_t link,
+                  const char *sender,
+                  const struct GatewayMessage *message)
+{
+  struct Front *front = data;
+
+  (void)link;
+  switch (message->kind)
+    {
+    case GATEWAY_TURN_OPENED:
+      turn_on_opened (front, sender, &message->opened);
+      break;
+    case GATEWAY_TURN_CLOSED:
+      turn_on_closed (front, sender, &message->closed);
+      break;
+    case GATEWAY_TURN_OPEN:
+    case GATEWAY_TURN_READ:
+    case GATEWAY_TURN_CLOSE:
+    case GATEWAY_STATUS:
+    case GATEWAY_SNAPSHOT:
+    case GATEWAY_COPY_WANT:
+    case GATEWAY_COPY_PART:
+      break;
+    }
+}
+
+static void
+front_on_link_closed (void *data, uint64_t link)
+{
+  (void)data;
+  (void)link;
+}
+
+static void
+front_describe (void *data, TALLOC_CTX *ctx, struct NodeStatus *status)
+{
+  struct Front *front = data;
+  const struct ReplicaSet *set = front->replicas;
+
+  status->ready = front_is_ready (front);
+  status->config_version = front->table != NULL ? front->table->version : 0;
+  status->loads = talloc_zero_array (ctx, struct ReplicaLoad, set->n_replicas);
+  for (size_t i = 0; status->loads != NULL && i < set->n_replicas; i++)
+    {
+      if (set->replicas[i]->in_flight == 0)
+        continue;
+      snprintf (status->loads[status->n_loads].replica, NAME_MAX_BYTES + 1, "%s",
+                set->replicas[i]->entry.id);
+      status->loads[status->n_loads++].in_flight = set->replicas[i]->in_flight;
+    }
+}
+
+static void
+front_sum_loads (struct Front *front)
+{
+  const struct Node *node = front->node;
+
+  replica_set_clear_peers (front->replicas);
+  for (size_t i = 0; i < node->n_peers; i++)
+    {
+      const struct NodeStatus *status = &node->peers[i]->status;
+
+      if (!node_peer_is_live (node, node->peers[i]))
+        continue;
+      for (size_t j = 0; j < status->n_loads; j++)
+        {
+          struct Replica *replica = replica_set_find (front->replicas, status->loads[j].replica);
+
+          if (replica != NULL)
+            replica->peers_in_flight += status->loads[j].in_flight;
+        }
+    }
+}
+
+static void
+front_on_peer (void *data, const struct Peer *peer)
+{
+  struct Front *front = data;
+
+  front_sum_loads (front);
+  if (front->table != NULL && peer->status.caller_address[0] != '\0'
+      && peer->status.config_version < front->table->version)
+    store_reader_push (front->node->reader, peer->status.node);
+}
+
+/* Start and stop. */
+
+static void
+metrics_on_request (void *data, struct HttpExchange *exchange)
+{
+  char *text = counter_render (data);
+
+  http_exchange_answer (exchange, text != NULL ? 200 : 503, NULL, text,
+                        text != NULL ? strlen (text) : 0);
+  talloc_free (text);
+}
+
+static int32_t
+front_listen (struct Front *front,
+              const char *address,
+              const char *setting,
+              void (*request) (void *data, struct HttpExchange *exchange),
+              uint32_t connections_max,
+              struct HttpServer **server,
+              struct Fault *fault)
+{
+  struct HttpServerOptions options = {
+    .listen = address,
+    .setting = setting,
+    .limits = first_limits,
+    .connections_max = connections_max,
+    .request = request,
+    .data = front,
+  };
+
+  if (address[0] == '\0')
+    return ERROR_NONE;
+  return http_server_new (front, front->node->events, front->node->timers, &options, server, fault);
+}
+
+static int32_t
+front_listen_all (struct Front *front, struct Fault *fault)
+{
+  const struct GatewaySettings *s = front->node->settings;
+  int32_t error = front_listen (front, s->caller_listen, "[listen] caller", front_on_request,
+                                s->connections_max, &front->callers, fault);
+
+  if (error == ERROR_NONE)
+    error = front_listen (front, s->ready_listen, "[listen] ready", front_on_own, OWN_CONNECTIONS,
+                          &front->ready, fault);
+  if (error == ERROR_NONE)
+    error = front_listen (front, s->directory_listen, "[listen] directory", front_on_own,
+                          OWN_CONNECTIONS, &front->directory, fault);
+  if (error == ERROR_NONE)
+    error = front_listen (front, s->metrics_listen, "[listen] metrics", metrics_on_request,
+                          OWN_CONNECTIONS, &front->metrics, fault);
+  return error;
+}
+
+int32_t
+front_new (TALLOC_CTX *ctx, struct Node *node, struct Front **front, struct Fault *fault)
+{
+  const struct HttpClientOptions client_options = { SERVER_CONNECTIONS_MAX, SERVER_IDLE_MS };
+  struct Front *f = talloc_zero (ctx, struct Front);
+  int32_t error;
+
+  *front = NULL;
+  if (f == NULL)
+    return fault_set (fault, ERROR_NO_MEMORY, NULL, "no memory for the gateway");
+  f->node = node;
+  f->replicas = replica_set_new (f);
+  f->client = http_client_new (f, node->events, node->timers, &client_options);
+  if (f->replicas == NULL || f->client == NULL)
+    return fault_set (fault, ERROR_NO_MEMORY, NULL, "no memory for the gateway");
+  error = front_listen_all (f, fault);
+  if (error != ERROR_NONE)
+    return error;
+  node->handler.message = front_on_message;
+  node->handler.link_closed = front_on_link_closed;
+  node->handler.snapshot = front_on_snapshot;
+  node->handler.describe = front_describe;
+  node->handler.peer_changed = front_on_peer;
+  node->handler.data = f;
+  *front = f;
+  return ERROR_NONE;
+}
+
+void
+front_stop (struct Front *front)
+{
+  if (front->stop_ms != 0)
+    return;
+  front->stop_ms = timer_now_ms (front->node->timers);
+  http_server_drain (front->callers);
+  node_announce (front->node);
+}
+
+bool
+front_is_done (const struct Front *front)
+{
+  int64_t age_ms = timer_now_ms (front->node->timers) - front->stop_ms;
+
+  if (front->stop_ms == 0)
+    return false;
+  return age_ms > (int64_t)front->node->settings->grace_ms - STOP_MARGIN_MS
+         || (age_ms > STOP_LINGER_MS && http_server_in_flight (front->callers) == 0);
+}
--- /dev/null
+++ b/gateway/front.h
@@ -0,0 +1,120 @@
+/* Gateway: takes callers' requests and sends them on to backend servers.
+ *
+ * Plain requests are forwarded by the gateway that took them and leave no trace elsewhere. Turns
+ * of programs reserve their tokens and get their history from the archives first (turn.c). */
+#pragma once
+
+#include "node.h"
+
+#include <buckthornhead/event_stream.h>
+
+enum
+{
+  TRIED_MAX = 8 /* servers that one request is offered to, those that refuse it included */
+};
+
+struct Front;
+struct Turn;
+
+/* Why a request was not answered by a server; each has one status for the caller. */
+enum RequestFailure
+{
+  FAILURE_NO_CONFIG,   /* this gateway knows no configuration yet */
+  FAILURE_NO_ROUTE,    /* the configuration has no such route */
+  FAILURE_MALFORMED,   /* the request lacks what it must say */
+  FAILURE_NO_SERVER,   /* no server could take it; it did not run */
+  FAILURE_OUT_OF_TIME, /* its time was over before it was sent */
+  FAILURE_STOPPING,    /* planned stop; it did not run */
+  FAILURE_UNCERTAIN,   /* too few archives answered to be sure; it did not run */
+  FAILURE_NO_TURN,     /* the turn that it continues does not exist */
+  FAILURE_BUDGET,      /* the program's budget is spent */
+  FAILURE_BROKEN,      /* it was sent and no whole answer came: may have run */
+  FAILURE_TIMEOUT      /* it was sent and its time is over: may have run */
+};
+
+struct Request
+{
+  struct Request *next, **at;
+  struct Front *front;
+  struct HttpExchange *exchange; /* NULL once the caller has its answer or has left */
+  struct CallerRequest caller;
+  struct Route route; /* a copy: the table may change meanwhile */
+  char service[NAME_MAX_BYTES + 1];
+  uint32_t tokens_per_event;
+  int64_t due_ms; /* the end of its time, the caller's or the route's */
+  struct Timer *timeout;
+  struct Turn *turn; /* NULL for anything but a turn */
+  const uint8_t *body;
+  size_t body_bytes;
+  const char *cached_at; /* server that ran the turn before; "" for none */
+
+  /* The attempt at a server. */
+  struct HttpCall *call;
+  struct Replica *replica;
+  char *tried[TRIED_MAX];
+  size_t n_tried;
+  uint32_t n_sent; /* attempts that a server may have run */
+  bool may_have_run;
+  bool refused;   /* this attempt's answer says that it did not run */
+  bool streaming; /* the answer goes to the caller as it comes */
+  struct ReplicaAnswer answer;
+  struct HttpHeaders answer_headers;
+  struct ByteQueue answer_body;
+  struct EventStream events;
+};
+
+struct Front
+{
+  struct Node *node;
+  struct RouteTable *table; /* NULL: no configuration yet */
+  struct ReplicaSet *replicas;
+  struct HttpClient *client;
+  struct HttpServer *callers, *ready, *directory, *metrics;
+  struct Request *requests;
+  int64_t stop_ms; /* when the planned stop was asked for; 0: none */
+  uint64_t draws;
+};
+
+/* Opens the listeners and registers with node, which is started afterwards. */
+int32_t
+front_new (TALLOC_CTX *ctx, struct Node *node, struct Front **front, struct Fault *fault);
+
+/* Planned stop: not ready at once, new requests are taken for a while, none is cut. */
+void
+front_stop (struct Front *front);
+
+/* True once the planned stop may end the process. */
+bool
+front_is_done (const struct Front *front);
+
+/* The request's own answer to its caller, and its end. */
+void
+request_fail (struct Request *request, enum RequestFailure failure, const char *detail);
+
+/* Offers the request to a server: the first one, or the next after a refusal. */
+void
+request_send (struct Request *request);
+
+/* Frees the request; the caller has its answer, or has left. */
+void
+request_end (struct Request *request);
+
+/* Turns. */
+
+/* Reserves the turn's tokens and fetches its history; then sends it, or refuses it. */
+void
+turn_start (struct Request *request);
+
+/* The server's stream is whole: the turn is stored, then the caller's answer ends. */
+void
+turn_finish (struct Request *request);
+
+/* The turn ended otherwise; what it handed out is settled. */
+void
+turn_abandon (struct Request *request);
+
+/* An archive answered. */
+void
+turn_on_opened (struct Front *front, const char *archive, const struct TurnOpened *opened);
+void
+turn_on_closed (struct Front *front, const char *archive, const struct TurnClosed *closed);
--- /dev/null
+++ b/gateway/gateway.c
@@ -0,0 +1,153 @@
+#include <buckthornhead/gateway.h>
+
+#include "archive.h"
+#include "front.h"
+
+#include <buckthornhead/log.h>
+#include <buckthornhead/timer_tevent.h>
+
+#include <platform.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+enum
+{
+  STORE_TIMEOUT_MS = 900, /* of one call: the store answers in some 4 ms, slow ones in 250 */
+  STOP_CHECK_MS = 100
+};
+
+struct Gateway
+{
+  struct Node node;
+  struct Front *front;     /* NULL in an archive */
+  struct Archive *archive; /* NULL in a gateway */
+  bool stopping, done;
+};
+
+static void
+gateway_on_stop_check (void *data)
+{
+  struct Gateway *gateway = data;
+
+  gateway->done = gateway->front == NULL || front_is_done (gateway->front);
+}
+
+static void
+gateway_on_signal (struct tevent_context *events,
+                   struct tevent_signal *signal,
+                   int number,
+                   int count,
+                   void *info,
+                   void *data)
+{
+  struct Gateway *gateway = data;
+
+  (void)events;
+  (void)signal;
+  (void)count;
+  (void)info;
+  if (gateway->stopping)
+    return;
+  log_event (LOG_LEVEL_NOTICE, "stop_asked", NULL, NULL, "signal %d", number);
+  gateway->stopping = true;
+  if (gateway->front != NULL)
+    front_stop (gateway->front);
+  timer_subscribe (gateway->node.events, gateway->node.timers, 0, STOP_CHECK_MS,
+                   gateway_on_stop_check, gateway);
+}
+
+/* The platform renders the settings anew and sends SIGHUP; addresses and names of a running process
+ * do not change, and everything else comes from the store. */
+static void
+gateway_on_reload (struct tevent_context *events,
+                   struct tevent_signal *signal,
+                   int number,
+                   int count,
+                   void *info,
+                   void *data)
+{
+  (void)events;
+  (void)signal;
+  (void)number;
+  (void)count;
+  (void)info;
+  (void)data;
+  log_event (LOG_LEVEL_NOTICE, "reload_asked", NULL, NULL,
+             "settings are read at the start; the configuration is followed in the store");
+}
+
+/* Questions' ids must not meet those of the process before this one. */
+static uint64_t
+first_id (void)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_REALTIME, &now);
+  return ((uint64_t)now.tv_sec * 1000000 + (uint64_t)now.tv_nsec / 1000) << 8;
+}
+
+static int32_t
+gateway_start (struct Gateway *gateway, const struct GatewaySettings *settings, struct Fault *fault)
+{
+  struct Node *node = &gateway->node;
+  struct CurlLoop *curl;
+  int32_t error;
+
+  node->settings = settings;
+  node->dialect = &platform_dialect;
+  node->next_id = first_id ();
+  node->events = tevent_context_init (gateway);
+  node->timers = node->events != NULL ? timer_tevent_new (node->events, node->events) : NULL;
+  curl = node->events != NULL ? curl_loop_new (node->events, node->events) : NULL;
+  if (node->timers == NULL || curl == NULL)
+    return fault_set (fault, ERROR_NO_MEMORY, NULL, "no memory for the event loop");
+  node->store = platform_store_new (curl, curl, settings->store_url, STORE_TIMEOUT_MS);
+  if (node->store == NULL)
+    return fault_set (fault, ERROR_NO_MEMORY, NULL, "no memory for the store's client");
+  if (node_is_archive (node))
+    error = archive_new (node->events, node, &gateway->archive, fault);
+  else
+    error = front_new (node->events, node, &gateway->front, fault);
+  if (error != ERROR_NONE)
+    return error;
+  tevent_add_signal (node->events, node->events, SIGTERM, 0, gateway_on_signal, gateway);
+  tevent_add_signal (node->events, node->events, SIGINT, 0, gateway_on_signal, gateway);
+  tevent_add_signal (node->events, node->events, SIGHUP, 0, gateway_on_reload, gateway);
+  return node_start (node, fault);
+}
+
+int32_t
+gateway_run (const struct GatewaySettings *settings)
+{
+  struct Gateway *gateway = talloc_zero (NULL, struct Gateway);
+  struct Fault fault = { 0 };
+  int32_t error = ERROR_NO_MEMORY;
+
+  log_open (settings->instance, settings->zone, LOG_LEVEL_INFO);
+  log_to (STDOUT_FILENO);
+  signal (SIGPIPE, SIG_IGN);
+  if (gateway == NULL)
+    return error;
+  error = gateway_start (gateway, settings, &fault);
+  if (error != ERROR_NONE)
+    {
+      log_event (LOG_LEVEL_ERROR, "start_failed", NULL, fault.remedy, "%s", fault.message);
+      goto out;
+    }
+  log_event (LOG_LEVEL_NOTICE, "started", NULL, NULL, "%s",
+             node_is_archive (&gateway->node) ? "archive" : "gateway");
+  while (!gateway->done)
+    if (tevent_loop_once (gateway->node.events) != 0)
+      {
+        error = ERROR_IO;
+        break;
+      }
+  log_event (LOG_LEVEL_NOTICE, "stopped", NULL, NULL, NULL);
+
+out:
+  talloc_free (gateway);
+  return error;
+}
--- /dev/null
+++ b/gateway/node.c
@@ -0,0 +1,366 @@
+#include "node.h"
+
+#include "store_reader.h"
+
+#include <buckthornhead/log.h>
+
+#include <stdio.h>
+#include <string.h>
+
+enum
+{
+  /* Between two descriptions of this process to each peer. Half a second of age is fine for loads;
+   * twelve processes exchange some 300 small messages a second. */
+  HEARTBEAT_MS = 500,
+  /* A peer that was not heard for three heartbeats is left out until it is heard again. */
+  PEER_LIVE_MS = 1600,
+  /* Silent for this long: not dialled any more. It dials us when it is back. */
+  PEER_FORGET_MS = 30 * 1000
+};
+
+uint64_t
+node_next_id (struct Node *node)
+{
+  return ++node->next_id;
+}
+
+struct Peer *
+node_peer (const struct Node *node, const char *name)
+{
+  for (size_t i = 0; i < node->n_peers; i++)
+    if (strcmp (node->peers[i]->status.node, name) == 0)
+      return node->peers[i];
+  return NULL;
+}
+
+bool
+node_peer_is_live (const struct Node *node, const struct Peer *peer)
+{
+  return peer->heard_ms > 0 && timer_now_ms (node->timers) - peer->heard_ms < PEER_LIVE_MS;
+}
+
+int32_t
+node_answer (struct Node *node, uint64_t link, const struct GatewayMessage *message)
+{
+  struct PeerMessage envelope = { .kind = PEER_GATEWAY };
+  uint8_t *bytes;
+  int32_t error = gateway_message_pack (node->net, message, &bytes, &envelope.gateway.n_bytes);
+
+  if (error != ERROR_NONE)
+    return error;
+  envelope.gateway.bytes = bytes;
+  error = peer_net_send (node->net, link, &envelope);
+  talloc_free (bytes);
+  return error;
+}
+
+int32_t
+node_send (struct Node *node, const char *peer, const struct GatewayMessage *message)
+{
+  uint64_t link = peer_net_link_to (node->net, peer);
+
+  return link != PEER_LINK_NONE ? node_answer (node, link, message) : ERROR_UNREACHABLE;
+}
+
+void
+node_send_all (struct Node *node, const struct GatewayMessage *message)
+{
+  for (size_t i = 0; i < node->n_peers; i++)
+    node_send (node, node->peers[i]->status.node, message);
+}
+
+bool
+node_is_archive (const struct Node *node)
+{
+  return node->settings->data_folder[0] != '\0';
+}
+
+/* The number only grows: taken for smaller than it is, a question would be answered by archives
+ * that share no disk with those that were written to. */
+void
+node_note_archives (struct Node *node, uint32_t n)
+{
+  if (n > node->n_archives)
+    node->n_archives = n;
+}
+
+static bool
+name_in (char names[][NAME_MAX_BYTES + 1], size_t n, const char *name)
+{
+  for (size_t i = 0; i < n; i++)
+    if (strcmp (names[i], name) == 0)
+      return true;
+  return false;
+}
+
+void
+node_send_all_archives (struct Node *node,
+                        const struct GatewayMessage *message,
+                        char skip[][NAME_MAX_BYTES + 1],
+                        size_t n_skip)
+{
+  for (size_t i = 0; i < node->n_peers; i++)
+    {
+      const struct NodeStatus *status = &node->peers[i]->status;
+
+      if (status->is_archive && !name_in (skip, n_skip, status->node))
+        node_send (node, status->node, message);
+    }
+}
+
+/* Status. */
+
+static struct GatewayMessage *
+node_status (struct Node *node, TALLOC_CTX *ctx)
+{
+  const struct GatewaySettings *settings = node->settings;
+  struct GatewayMessage *message = talloc_zero (ctx, struct GatewayMessage);
+
+  if (message == NULL)
+    return NULL;
+  message->kind = GATEWAY_STATUS;
+  snprintf (message->status.node, NAME_MAX_BYTES + 1, "%s", settings->instance);
+  snprintf (message->status.zone, NAME_MAX_BYTES + 1, "%s", settings->zone);
+  snprintf (message->status.peer_address, ADDRESS_MAX_BYTES + 1, "%s", settings->peer_listen);
+  message->status.n_archives = node->n_archives;
+  snprintf (message->status.caller_address, ADDRESS_MAX_BYTES + 1, "%s", settings->caller_listen);
+  if (node->handler.describe != NULL)
+    node->handler.describe (node->handler.data, message, &message->status);
+  return message;
+}
+
+void
+node_announce (struct Node *node)
+{
+  struct GatewayMessage *message = node_status (node, node->net);
+
+  if (message != NULL)
+    node_send_all (node, message);
+  talloc_free (message);
+}
+
+static struct Peer *
+node_need_peer (struct Node *node, const char *name)
+{
+  struct Peer *peer = node_peer (node, name);
+  struct Peer **grown;
+
+  if (peer != NULL)
+    return peer;
+  grown = talloc_realloc (node->net, node->peers, struct Peer *, node->n_peers + 1);
+  if (grown == NULL)
+    return NULL;
+  node->peers = grown;
+  peer = talloc_zero (grown, struct Peer);
+  if (peer == NULL)
+    return NULL;
+  snprintf (peer->status.node, sizeof peer->status.node, "%s", name);
+  node->peers[node->n_peers++] = peer;
+  return peer;
+}
+
+void
+node_know_peer (struct Node *node, const char *name, const char *address, bool is_archive)
+{
+  struct Peer *peer;
+
+  if (strcmp (name, node->settings->instance) == 0 || node_peer (node, name) != NULL)
+    return;
+  peer = node_need_peer (node, name);
+  if (peer == NULL)
+    return;
+  snprintf (peer->status.peer_address, sizeof peer->status.peer_address, "%s", address);
+  peer->status.is_archive = is_archive;
+  /* Counts from here until it is first heard: a process that is gone is forgotten, too. */
+  peer->link_heard_ms = timer_now_ms (node->timers);
+  peer_net_know (node->net, name, address);
+}
+
+static void
+node_take_status (struct Node *node, const char *sender, const struct NodeStatus *status)
+{
+  struct Peer *peer = node_need_peer (node, sender);
+  bool was_live;
+
+  if (peer == NULL)
+    return;
+  was_live = node_peer_is_live (node, peer);
+  if (strcmp (peer->status.peer_address, status->peer_address) != 0 || !was_live)
+    peer_net_know (node->net, sender, status->peer_address);
+  if (!was_live)
+    log_event (LOG_LEVEL_INFO, "peer_live", NULL, NULL, "%s at %s", sender, status->peer_address);
+  talloc_free (peer->status.loads);
+  peer->status = *status;
+  peer->status.loads = talloc_memdup (peer, status->loads, status->n_loads * sizeof *status->loads);
+  if (peer->status.loads == NULL)
+    peer->status.n_loads = 0;
+  node_note_archives (node, status->n_archives);
+  peer->heard_ms = timer_now_ms (node->timers);
+  peer->refused = false;
+  if (node->handler.peer_changed != NULL)
+    node->handler.peer_changed (node->handler.data, peer);
+}
+
+/* Messages. */
+
+static void
+node_deliver (struct Node *node,
+              uint64_t link,
+              const char *sender,
+              const struct GatewayMessage *message)
+{
+  bool is_ours = peer_net_link_to (node->net, sender) == link;
+  struct Peer *peer;
+
+  switch (message->kind)
+    {
+    case GATEWAY_STATUS:
+      node_take_status (node, message->status.node, &message->status);
+      /* Repeated over the same link, so that its dialler sees it alive in both directions. */
+      if (!is_ours)
+        {
+          struct GatewayMessage *answer = node_status (node, node->net);
+
+          if (answer != NULL)
+            node_answer (node, link, answer);
+          talloc_free (answer);
+        }
+      break;
+    case GATEWAY_SNAPSHOT:
+      store_reader_take_from_peer (node->reader, &message->snapshot);
+      break;
+    case GATEWAY_TURN_OPEN:
+    case GATEWAY_TURN_READ:
+    case GATEWAY_TURN_OPENED:
+    case GATEWAY_TURN_CLOSE:
+    case GATEWAY_TURN_CLOSED:
+    case GATEWAY_COPY_WANT:
+    case GATEWAY_COPY_PART:
+      node->handler.message (node->handler.data, link, sender, message);
+      break;
+    }
+  peer = is_ours ? node_peer (node, sender) : NULL;
+  if (peer != NULL)
+    peer->link_heard_ms = timer_now_ms (node->timers);
+}
+
+static void
+node_on_received (void *data, uint64_t link, const char *sender, const struct PeerMessage *envelope)
+{
+  struct Node *node = data;
+  struct GatewayMessage *message;
+
+  if (envelope->kind != PEER_GATEWAY)
+    return;
+  if (gateway_message_unpack (node->net, envelope->gateway.bytes, envelope->gateway.n_bytes,
+                              &message)
+      != ERROR_NONE)
+    {
+      log_event (LOG_LEVEL_ERROR, "peer_message_malformed", NULL,
+                 "bring the processes to one version", "from %s", sender);
+      return;
+    }
+  node_deliver (node, link, sender, message);
+  talloc_free (message);
+}
+
+static void
+node_on_closed (void *data, uint64_t link, const char *peer)
+{
+  struct Node *node = data;
+
+  (void)peer;
+  node->handler.link_closed (node->handler.data, link);
+}
+
+static void
+node_on_refused (void *data, const char *name, uint32_t n)
+{
+  struct Node *node = data;
+  struct Peer *peer = node_peer (node, name);
+
+  if (peer != NULL)
+    peer->refused = n > 0;
+  if (peer != NULL && n == 0)
+    peer->link_heard_ms = timer_now_ms (node->timers);
+}
+
+/* A link can fall silent for good without a reset: it is closed and dialled anew. */
+static void
+node_check_link (struct Node *node, struct Peer *peer, int64_t now_ms)
+{
+  const char *name = peer->status.node;
+
+  if (now_ms - peer->link_heard_ms < PEER_LIVE_MS)
+    return;
+  if (peer_net_link_to (node->net, name) != PEER_LINK_NONE)
+    {
+      log_event (LOG_LEVEL_WARNING, "peer_link_silent", NULL, NULL, "%s: nothing for %lld ms", name,
+                 (long long)(now_ms - peer->link_heard_ms));
+      peer->link_heard_ms = now_ms;
+      peer_net_drop (node->net, name);
+    }
+}
+
+static void
+node_forget_silent (struct Node *node, int64_t now_ms)
+{
+  size_t n_kept = 0;
+
+  for (size_t i = 0; i < node->n_peers; i++)
+    {
+      struct Peer *peer = node->peers[i];
+      int64_t heard_ms =
+          peer->heard_ms > peer->link_heard_ms ? peer->heard_ms : peer->link_heard_ms;
+
+      if (now_ms - heard_ms < PEER_FORGET_MS || peer->status.is_archive)
+        {
+          node->peers[n_kept++] = peer;
+          continue;
+        }
+      log_event (LOG_LEVEL_INFO, "peer_forgotten", NULL, NULL, "%s: silent for %lld ms",
+                 peer->status.node, (long long)(now_ms - heard_ms));
+      peer_net_forget (node->net, peer->status.node);
+      talloc_free (peer);
+    }
+  node->n_peers = n_kept;
+}
+
+static void
+node_on_heartbeat (void *data)
+{
+  struct Node *node = data;
+  int64_t now_ms = timer_now_ms (node->timers);
+
+  node_announce (node);
+  for (size_t i = 0; i < node->n_peers; i++)
+    node_check_link (node, node->peers[i], now_ms);
+  node_forget_silent (node, now_ms);
+}
+
+int32_t
+node_start (struct Node *node, struct Fault *fault)
+{
+  struct PeerNetOptions options = {
+    .listen = node->settings->peer_listen,
+    .instance = node->settings->instance,
+    .zone = node->settings->zone,
+    .received = node_on_received,
+    .closed = node_on_closed,
+    .refused = node_on_refused,
+    .data = node,
+  };
+  int32_t error;
+
+  node->net = peer_net_new (node->events, node->events, node->timers, &options);
+  if (node->net == NULL)
+    return fault_set (fault, ERROR_NO_MEMORY, NULL, "no memory for the peer links");
+  error = peer_net_listen (node->net, fault);
+  if (error != ERROR_NONE)
+    return error;
+  timer_subscribe (node->net, node->timers, HEARTBEAT_MS, HEARTBEAT_MS, node_on_heartbeat, node);
+  node->reader = store_reader_new (node);
+  if (node->reader == NULL)
+    return fault_set (fault, ERROR_NO_MEMORY, NULL, "no memory for the store's reader");
+  return ERROR_NONE;
+}
--- /dev/null
+++ b/gateway/node.h
@@ -0,0 +1,109 @@
+/* What gateways and archives share: the event loop, links to each other, who is there, and what
+ * the platform's store says.
+ *
+ * Calls to the store are dear, so one process reads for all: each tells its peers what it read, and
+ * reads itself only what nobody has read lately (store_reader.c). */
+#pragma once
+
+#include <buckthornhead/dialect.h>
+#include <buckthornhead/gateway_message.h>
+#include <buckthornhead/gateway_settings.h>
+#include <buckthornhead/kv.h>
+#include <buckthornhead/peer_net.h>
+#include <buckthornhead/timer.h>
+
+struct Node;
+struct StoreReader;
+
+/* Another process, as it last described itself. */
+struct Peer
+{
+  struct NodeStatus status;
+  int64_t heard_ms;      /* last message of any kind */
+  int64_t link_heard_ms; /* last message over the link that we dialled */
+  bool refused;          /* its machine answers and its process does not */
+};
+
+/* What the role does with what the node hears. */
+struct NodeHandler
+{
+  void (*message) (void *data,
+                   uint64_t link,
+                   const char *sender,
+                   const struct GatewayMessage *message);
+  /* No answer to what was sent over link will come. */
+  void (*link_closed) (void *data, uint64_t link);
+  /* A newer state of the store. after_gap: nobody had read it for a while before. */
+  void (*snapshot) (void *data, const struct Snapshot *snapshot, bool after_gap);
+  /* Fills in the role's own fields of the status that peers get; may be NULL. */
+  void (*describe) (void *data, TALLOC_CTX *ctx, struct NodeStatus *status);
+  /* A peer described itself; may be NULL. */
+  void (*peer_changed) (void *data, const struct Peer *peer);
+  void *data;
+};
+
+struct Node
+{
+  const struct GatewaySettings *settings;
+  const struct Dialect *dialect;
+  struct tevent_context *events;
+  struct TimerService *timers;
+  struct PeerNet *net;
+  struct KvPort *store;
+  struct StoreReader *reader;
+  struct NodeHandler handler;
+  struct Peer **peers; /* talloc children */
+  size_t n_peers;
+  uint64_t next_id;
+  /* Archives there are, live or not, this process included if it is one; 0: not known yet. */
+  uint32_t n_archives;
+};
+
+/* Starts links, heartbeats and reading; events and timers exist already. */
+int32_t
+node_start (struct Node *node, struct Fault *fault);
+
+/* A question's id, unique in this process. */
+uint64_t
+node_next_id (struct Node *node);
+
+/* Sends over the link that was dialled to peer. ERROR_UNREACHABLE: it certainly never left. */
+int32_t
+node_send (struct Node *node, const char *peer, const struct GatewayMessage *message);
+
+/* Answers over the link on which a question came. */
+int32_t
+node_answer (struct Node *node, uint64_t link, const struct GatewayMessage *message);
+
+/* To all peers that are connected. */
+void
+node_send_all (struct Node *node, const struct GatewayMessage *message);
+
+/* To all archives that are connected, except the n in skip. */
+void
+node_send_all_archives (struct Node *node,
+                        const struct GatewayMessage *message,
+                        char skip[][NAME_MAX_BYTES + 1],
+                        size_t n_skip);
+
+struct Peer *
+node_peer (const struct Node *node, const char *name);
+
+/* Heard lately. */
+bool
+node_peer_is_live (const struct Node *node, const struct Peer *peer);
+
+/* Dials a process that the store lists. */
+void
+node_know_peer (struct Node *node, const char *name, const char *address, bool is_archive);
+
+/* At least n archives are known to be there. */
+void
+node_note_archives (struct Node *node, uint32_t n);
+
+bool
+node_is_archive (const struct Node *node);
+
+/* Tells all peers about this process now, not at the next heartbeat. */
+void
+node_announce (struct Node *node);
--- /dev/null
+++ b/gateway/request.c
@@ -0,0 +1,335 @@
+#include "front.h"
+
+#include <buckthornhead/log.h>
+
+#include <stdio.h>
+#include <string.h>
+
+enum
+{
+  /* New connection to a server in another zone: some milliseconds; a lost opening packet is sent
+   * again after a second, another server is quicker. */
+  CONNECT_TIMEOUT_MS = 400,
+  ANSWER_MAX_BYTES = 8 * 1024 * 1024, /* of one that is kept until it is whole */
+  /* A server is not asked for an answer in less time than this. */
+  SHORTEST_ATTEMPT_MS = 20
+};
+
+/* When to come back, in seconds. Refusals for want of certainty pass within a heartbeat or two;
+ * full servers free a slot within a fraction of a turn. */
+#define RETRY_AFTER_SHORT "0.1"
+#define RETRY_AFTER_UNCERTAIN "0.3"
+
+struct FailureWords
+{
+  uint32_t status;
+  const char *retry_after; /* NULL: none */
+  const char *name;
+  enum LogLevel level;
+};
+
+static const struct FailureWords failure_words[] = {
+  [FAILURE_NO_CONFIG] = { 503, RETRY_AFTER_UNCERTAIN, "no_configuration", LOG_LEVEL_WARNING },
+  [FAILURE_NO_ROUTE] = { 404, NULL, "no_route", LOG_LEVEL_INFO },
+  [FAILURE_MALFORMED] = { 400, NULL, "malformed", LOG_LEVEL_INFO },
+  [FAILURE_NO_SERVER] = { 503, RETRY_AFTER_SHORT, "no_server", LOG_LEVEL_WARNING },
+  [FAILURE_OUT_OF_TIME] = { 503, RETRY_AFTER_SHORT, "out_of_time", LOG_LEVEL_WARNING },
+  [FAILURE_STOPPING] = { 503, "0", "stopping", LOG_LEVEL_INFO },
+  [FAILURE_UNCERTAIN] = { 503, RETRY_AFTER_UNCERTAIN, "uncertain", LOG_LEVEL_WARNING },
+  [FAILURE_NO_TURN] = { 404, NULL, "no_turn", LOG_LEVEL_WARNING },
+  [FAILURE_BUDGET] = { 402, NULL, "budget_spent", LOG_LEVEL_INFO },
+  [FAILURE_BROKEN] = { 502, NULL, "broken", LOG_LEVEL_WARNING },
+  [FAILURE_TIMEOUT] = { 504, NULL, "timeout", LOG_LEVEL_WARNING },
+};
+
+static int64_t
+request_left_ms (const struct Request *request)
+{
+  return request->due_ms - timer_now_ms (request->front->node->timers);
+}
+
+/* The attempt at a server is over, one way or the other. */
+static void
+attempt_release (struct Request *request)
+{
+  if (request->replica != NULL)
+    request->replica->in_flight--;
+  request->replica = NULL;
+}
+
+void
+request_end (struct Request *request)
+{
+  if (request->call != NULL)
+    talloc_free (request->call);
+  request->call = NULL;
+  attempt_release (request);
+  if (request->exchange != NULL)
+    request->exchange->gone = NULL;
+  *request->at = request->next;
+  if (request->next != NULL)
+    request->next->at = request->at;
+  talloc_free (request);
+}
+
+void
+request_fail (struct Request *request, enum RequestFailure failure, const char *detail)
+{
+  const struct FailureWords *words = &failure_words[failure];
+  struct HttpExchange *exchange = request->exchange;
+  struct HttpHeader retry = { "Retry-After", words->retry_after };
+  struct HttpHeaders headers = { &retry, words->retry_after != NULL ? 1 : 0 };
+
+  log_request (
+      words->level, words->name, request->caller.id, request->caller.program,
+      "route %s, service %s, configuration %llu, %lld ms left, %zu servers tried%s: %s",
+      request->route.name, request->service,
+      (unsigned long long)(request->front->table != NULL ? request->front->table->version : 0),
+      (long long)request_left_ms (request), request->n_tried,
+      request->may_have_run ? ", may have run" : "", detail);
+  if (request->turn != NULL)
+    turn_abandon (request);
+  request->exchange = NULL;
+  if (exchange != NULL)
+    {
+      exchange->gone = NULL;
+      if (http_exchange_has_begun (exchange))
+        http_exchange_abort (exchange);
+      else
+        http_exchange_answer (exchange, words->status, &headers, NULL, 0);
+    }
+  request_end (request);
+}
+
+/* The next server after an attempt that certainly did not run. */
+static void
+request_retry (struct Request *request, const char *detail)
+{
+  TALLOC_FREE (request->answer_headers.items);
+  request->answer_headers.n_items = 0;
+  byte_queue_drop (&request->answer_body, byte_queue_length (&request->answer_body));
+  request->refused = false;
+  if (request_left_ms (request) < SHORTEST_ATTEMPT_MS)
+    request_fail (request, request->may_have_run ? FAILURE_TIMEOUT : FAILURE_OUT_OF_TIME, detail);
+  else if (request->n_tried == TRIED_MAX || request->n_sent >= request->route.max_attempts)
+    request_fail (request, request->may_have_run ? FAILURE_BROKEN : FAILURE_NO_SERVER, detail);
+  else
+    request_send (request);
+}
+
+/* Whether an attempt that may have run may be made again. */
+static bool
+request_may_repeat (const struct Request *request)
+{
+  return request->route.kind == ROUTE_REPEATABLE && request->n_sent < request->route.max_attempts
+         && request->n_tried < TRIED_MAX && request_left_ms (request) >= SHORTEST_ATTEMPT_MS;
+}
+
+/* Answers. */
+
+static void
+call_on_head (void *data, const struct HttpAnswerHead *head)
+{
+  struct Request *request = data;
+  const struct Dialect *dialect = request->front->node->dialect;
+  bool is_success;
+
+  dialect->read_answer (head, &request->answer);
+  replica_note_answer (request->replica);
+  request->refused = request->answer.not_run;
+  if (request->refused)
+    return;
+  request->may_have_run = true;
+  if (dialect->forward_headers (request, head, &request->answer_headers) != ERROR_NONE)
+    {
+      request_fail (request, FAILURE_BROKEN, "no memory for the answer");
+      return;
+    }
+  is_success = request->answer.status >= 200 && request->answer.status < 300;
+  request->streaming = request->route.kind == ROUTE_STREAM && is_success && request->answer.genuine;
+  if (request->streaming)
+    http_exchange_begin (request->exchange, request->answer.status, &request->answer_headers);
+}
+
+static void
+call_on_body (void *data, const uint8_t *bytes, size_t n_bytes)
+{
+  struct Request *request = data;
+
+  if (request->refused)
+    return;
+  if (!request->streaming)
+    {
+      if (byte_queue_length (&request->answer_body) + n_bytes > ANSWER_MAX_BYTES
+          || byte_queue_add (request, &request->answer_body, bytes, n_bytes) != ERROR_NONE)
+        request_fail (request, FAILURE_BROKEN, "the answer is too large to be kept");
+      return;
+    }
+  if (request->turn != NULL
+      && event_stream_take (request, &request->events, bytes, n_bytes) != ERROR_NONE)
+    {
+      request_fail (request, FAILURE_BROKEN, "no memory for the stream");
+      return;
+    }
+  http_exchange_write (request->exchange, bytes, n_bytes);
+}
+
+static void
+request_answer_whole (struct Request *request)
+{
+  struct HttpExchange *exchange = request->exchange;
+
+  log_request (LOG_LEVEL_INFO, "answered", request->caller.id, request->caller.program,
+               "status %u from %s", request->answer.status, request->tried[request->n_tried - 1]);
+  if (request->turn != NULL)
+    turn_abandon (request);
+  request->exchange = NULL;
+  exchange->gone = NULL;
+  http_exchange_answer (exchange, request->answer.status, &request->answer_headers,
+                        byte_queue_head (&request->answer_body),
+                        byte_queue_length (&request->answer_body));
+  request_end (request);
+}
+
+static void
+request_on_whole (struct Request *request)
+{
+  bool is_success = request->answer.status >= 200 && request->answer.status < 300;
+
+  if (request->streaming && request->turn != NULL)
+    turn_finish (request);
+  else if (request->streaming)
+    {
+      struct HttpExchange *exchange = request->exchange;
+
+      request->exchange = NULL;
+      exchange->gone = NULL;
+      http_exchange_end (exchange);
+      request_end (request);
+    }
+  else if (is_success && !request->answer.genuine)
+    {
+      /* A success without the server's proof is not its answer: a spoiled one is never passed on.
+       */
+      if (request_may_repeat (request))
+        request_retry (request, "an answer without proof");
+      else
+        request_fail (request, FAILURE_BROKEN, "an answer without proof");
+    }
+  else if (request->answer.status >= 500 && request_may_repeat (request))
+    request_retry (request, "the server failed");
+  else
+    request_answer_whole (request);
+}
+
+static void
+call_on_end (void *data, enum HttpEnd end)
+{
+  struct Request *request = data;
+  int64_t now_ms = timer_now_ms (request->front->node->timers);
+  struct Replica *replica = request->replica;
+
+  request->call = NULL;
+  if (end == HTTP_END_NOT_SENT)
+    {
+      replica_note_failure (replica, now_ms);
+      attempt_release (request);
+      request_retry (request, "the server could not be reached");
+      return;
+    }
+  if (request->refused)
+    {
+      if (request->answer.status == 503 || request->answer.status == 429)
+        replica_note_full (replica, now_ms);
+      attempt_release (request);
+      request_retry (request, "the server refused it");
+      return;
+    }
+  if (end != HTTP_END_WHOLE)
+    replica_note_failure (replica, now_ms);
+  attempt_release (request);
+  if (end == HTTP_END_WHOLE)
+    {
+      request_on_whole (request);
+      return;
+    }
+  request->may_have_run = true;
+  request->n_sent++;
+  if (!request->streaming && request_may_repeat (request))
+    request_retry (request, "the connection broke");
+  else
+    request_fail (request, FAILURE_BROKEN,
+                  end == HTTP_END_BROKEN ? "the connection broke" : "the answer is malformed");
+}
+
+/* Sending. */
+
+static struct Replica *
+request_choose (struct Request *request)
+{
+  struct Front *front = request->front;
+  struct ReplicaQuery query = {
+    .service = request->service,
+    .zone = front->node->settings->zone,
+    .cached_at = request->cached_at,
+    .parts = request->caller.parts,
+    .n_parts = request->caller.n_parts,
+    .tried = (const char *const *)request->tried,
+    .n_tried = request->n_tried,
+    .draw = front->draws++,
+    .now_ms = timer_now_ms (front->node->timers),
+  };
+
+  return replica_set_choose (front->replicas, &query);
+}
+
+/* False when there was no connection to be had. */
+static bool
+request_submit (struct Request *request, struct Replica *replica)
+{
+  struct Front *front = request->front;
+  const struct HttpCallHandler handler = { call_on_head, call_on_body, call_on_end, request };
+  struct UpstreamTarget target = {
+    .replica = replica->entry.id,
+    .address = replica->entry.address,
+    .left_ms = request_left_ms (request),
+    .body_bytes = request->body_bytes,
+  };
+  struct HttpCallRequest call = {
+    .address = replica->entry.address,
+    .body = request->body,
+    .body_bytes = request->body_bytes,
+    .id_header = front->node->dialect->id_header,
+    .id = request->caller.id,
+    .connect_timeout_ms = CONNECT_TIMEOUT_MS,
+  };
+  char *head = front->node->dialect->write_request (request, request->exchange, &target);
+
+  if (head == NULL)
+    return false;
+  call.head = head;
+  request->call = http_client_submit (front->client, &call, &handler);
+  talloc_free (head);
+  return request->call != NULL;
+}
+
+void
+request_send (struct Request *request)
+{
+  while (request->n_tried < TRIED_MAX)
+    {
+      struct Replica *replica = request_choose (request);
+
+      if (replica == NULL)
+        break;
+      request->tried[request->n_tried++] = talloc_strdup (request, replica->entry.id);
+      if (!request_submit (request, replica))
+        continue;
+      request->replica = replica;
+      replica->in_flight++;
+      replica_note_sent (replica, request->caller.parts, request->caller.n_parts);
+      return;
+    }
+  request_fail (request, request->may_have_run ? FAILURE_BROKEN : FAILURE_NO_SERVER,
+                request->n_tried > 0 ? "all servers refused it" : "no server is listed");
+}
--- /dev/null
+++ b/gateway/store_reader.c
@@ -0,0 +1,502 @@
+#include "store_reader.h"
+
+#include <buckthornhead/counter.h>
+#include <buckthornhead/kv_guard.h>
+#include <buckthornhead/log.h>
+
+#include <stdio.h>
+#include <string.h>
+#include <xxhash.h>
+
+enum
+{
+  TICK_MS = 100,
+  /* A server that leaves must get nothing new two seconds after its entry says so; a list is read
+   * every 600 ms, and reaches peers within milliseconds. */
+  SERVERS_PERIOD_MS = 600,
+  /* A change of the configuration must be in force two seconds after it: one waiting call a
+   * second hears of it at once, and a call that hears nothing ends after this long. */
+  ROUTES_WAIT_MS = 1000,
+  ROUTES_PERIOD_MS = 1000,
+  /* Processes announce themselves to each other; this heals what they missed. */
+  NODES_PERIOD_MS = 5000,
+  /* How much later each next process reads by itself what nobody has read. */
+  RANK_DELAY_MS = 250,
+  RANK_MAX = 6, /* the others need not wait longer still */
+  /* After a failed call; doubled up to the maximum. */
+  BACKOFF_FIRST_MS = 300,
+  BACKOFF_MAX_MS = 1500,
+  /* A state that nobody could read for this long may have changed in ways that only time heals. */
+  GAP_MS = 2000,
+  N_KINDS = SNAPSHOT_NODES + 1
+};
+
+/* In a process's entry, after its peer address. */
+#define ROLE_ARCHIVE "archive"
+#define ROLE_GATEWAY "gateway"
+
+/* One kind of state in the store. */
+struct Topic
+{
+  int64_t revision;  /* of the store, of what is held; 0: nothing yet */
+  int64_t read_ms;   /* when what is held was current */
+  int64_t next_ms;   /* no call of ours before */
+  uint32_t failures; /* in a row */
+  int64_t asked_ms;  /* of the call on the way */
+  bool asking;
+  int64_t watched;           /* ROUTES: revision of the store up to which changes were looked for */
+  struct Snapshot *snapshot; /* what is held */
+  struct SnapshotItem *pages; /* of the range that is being read */
+  size_t n_pages;
+};
+
+struct StoreReader
+{
+  struct Node *node;
+  struct Topic topics[N_KINDS];
+  bool reachable, registered, registering;
+};
+
+static void
+topic_ask (struct StoreReader *reader, enum SnapshotKind kind);
+
+static int64_t
+topic_period_ms (enum SnapshotKind kind)
+{
+  switch (kind)
+    {
+    case SNAPSHOT_ROUTES:
+      return ROUTES_PERIOD_MS;
+    case SNAPSHOT_SERVERS:
+      return SERVERS_PERIOD_MS;
+    case SNAPSHOT_NODES:
+      return NODES_PERIOD_MS;
+    }
+  return NODES_PERIOD_MS;
+}
+
+/* The place of this process among the live ones in an order that all share: the first reads, the
+ * others only when it does not. */
+static uint32_t
+reader_rank (const struct StoreReader *reader)
+{
+  const struct Node *node = reader->node;
+  const char *own = node->settings->instance;
+  uint64_t own_score = XXH64 (own, strlen (own), 0);
+  uint32_t rank = 0;
+
+  for (size_t i = 0; i < node->n_peers; i++)
+    {
+      const char *name = node->peers[i]->status.node;
+
+      if (node_peer_is_live (node, node->peers[i]) && XXH64 (name, strlen (name), 0) < own_score)
+        rank++;
+    }
+  return rank < RANK_MAX ? rank : RANK_MAX;
+}
+
+/* Snapshots. */
+
+static struct Snapshot *
+snapshot_copy (TALLOC_CTX *ctx, const struct Snapshot *from)
+{
+  struct Snapshot *copy = talloc_memdup (ctx, from, sizeof *from);
+
+  if (copy == NULL)
+    return NULL;
+  copy->items = talloc_zero_array (copy, struct SnapshotItem, from->n_items);
+  for (size_t i = 0; copy->items != NULL && i < from->n_items; i++)
+    {
+      copy->items[i] = from->items[i];
+      copy->items[i].value =
+          talloc_memdup (copy->items, from->items[i].value, from->items[i].value_bytes);
+    }
+  return copy;
+}
+
+static void
+reader_take_nodes (struct StoreReader *reader, const struct Snapshot *snapshot)
+{
+  uint32_t n_archives = 0;
+
+  for (size_t i = 0; i < snapshot->n_items; i++)
+    {
+      const struct SnapshotItem *item = &snapshot->items[i];
+      const char *name = strrchr (item->key, '/');
+      char value[ADDRESS_MAX_BYTES + 16];
+      char *space;
+
+      if (name == NULL || item->value_bytes >= sizeof value)
+        continue;
+      memcpy (value, item->value, item->value_bytes);
+      value[item->value_bytes] = '\0';
+      space = strchr (value, ' ');
+      if (space == NULL)
+        continue;
+      *space = '\0';
+      n_archives += strcmp (space + 1, ROLE_ARCHIVE) == 0;
+      node_know_peer (reader->node, name + 1, value, strcmp (space + 1, ROLE_ARCHIVE) == 0);
+    }
+  node_note_archives (reader->node, n_archives);
+}
+
+/* Takes a state that is current as of read_ms. An older one than what is held is dropped: state
+ * must not go back, whichever way it came. */
+static void
+topic_take (struct StoreReader *reader, const struct Snapshot *snapshot, int64_t read_ms)
+{
+  struct Topic *topic = &reader->topics[snapshot->kind];
+  bool after_gap = topic->read_ms > 0 && read_ms - topic->read_ms > GAP_MS;
+
+  if (snapshot->revision < topic->revision
+      || (snapshot->unchanged && snapshot->revision != topic->revision))
+    return;
+  if (read_ms > topic->read_ms)
+    topic->read_ms = read_ms;
+  if (snapshot->unchanged)
+    return;
+  topic->revision = snapshot->revision;
+  talloc_free (topic->snapshot);
+  topic->snapshot = snapshot_copy (reader, snapshot);
+  if (snapshot->kind == SNAPSHOT_NODES)
+    reader_take_nodes (reader, snapshot);
+  else
+    reader->node->handler.snapshot (reader->node->handler.data, snapshot, after_gap);
+}
+
+/* What this process has read itself: taken, and told to all. */
+static void
+topic_publish (struct StoreReader *reader, struct Snapshot *snapshot)
+{
+  struct Topic *topic = &reader->topics[snapshot->kind];
+  struct GatewayMessage message = { .kind = GATEWAY_SNAPSHOT };
+
+  topic_take (reader, snapshot, topic->asked_ms);
+  snapshot->age_ms = (uint32_t)(timer_now_ms (reader->node->timers) - topic->asked_ms);
+  message.snapshot = *snapshot;
+  node_send_all (reader->node, &message);
+}
+
+void
+store_reader_take_from_peer (struct StoreReader *reader, const struct Snapshot *snapshot)
+{
+  topic_take (reader, snapshot, timer_now_ms (reader->node->timers) - snapshot->age_ms);
+}
+
+void
+store_reader_push (struct StoreReader *reader, const char *peer)
+{
+  int64_t now_ms = timer_now_ms (reader->node->timers);
+
+  for (enum SnapshotKind kind = SNAPSHOT_ROUTES; kind <= SNAPSHOT_SERVERS; kind++)
+    {
+      struct Topic *topic = &reader->topics[kind];
+      struct GatewayMessage message = { .kind = GATEWAY_SNAPSHOT };
+
+      if (topic->snapshot == NULL)
+        continue;
+      message.snapshot = *topic->snapshot;
+      message.snapshot.age_ms = (uint32_t)(now_ms - topic->read_ms);
+      node_send (reader->node, peer, &message);
+    }
+}
+
+/* Calls. */
+
+static void
+reader_note (struct StoreReader *reader, bool reachable, int32_t error)
+{
+  if (reader->reachable == reachable)
+    return;
+  reader->reachable = reachable;
+  gauge_set (GAUGE_PLATFORM_UP, reachable);
+  if (reachable)
+    log_event (LOG_LEVEL_NOTICE, "store_reached", NULL, NULL, NULL);
+  else
+    log_event (LOG_LEVEL_WARNING, "store_lost", NULL,
+               "nothing: what is known is used, and peers may reach it", "%s", error_name (error));
+}
+
+static void
+topic_failed (struct StoreReader *reader, enum SnapshotKind kind, int32_t error)
+{
+  struct Topic *topic = &reader->topics[kind];
+  int64_t pause_ms = BACKOFF_FIRST_MS;
+
+  for (uint32_t i = 0; i < topic->failures && pause_ms < BACKOFF_MAX_MS; i++)
+    pause_ms *= 2;
+  topic->failures++;
+  topic->next_ms =
+      timer_now_ms (reader->node->timers) + (pause_ms < BACKOFF_MAX_MS ? pause_ms : BACKOFF_MAX_MS);
+  topic->asking = false;
+  TALLOC_FREE (topic->pages);
+  topic->n_pages = 0;
+  reader_note (reader, false, error);
+}
+
+static void
+topic_succeeded (struct StoreReader *reader, enum SnapshotKind kind)
+{
+  struct Topic *topic = &reader->topics[kind];
+
+  topic->failures = 0;
+  topic->asking = false;
+  topic->next_ms = 0;
+  reader_note (reader, true, ERROR_NONE);
+}
+
+static bool
+item_fill (TALLOC_CTX *ctx, struct SnapshotItem *item, const struct KvEntry *entry)
+{
+  memset (item, 0, sizeof *item);
+  snprintf (item->key, sizeof item->key, "%s", entry->key);
+  item->value = talloc_memdup (ctx, entry->value, entry->value_bytes);
+  item->value_bytes = entry->value_bytes;
+  return item->value != NULL || entry->value_bytes == 0;
+}
+
+static void
+range_on_done (struct StoreReader *reader, enum SnapshotKind kind, const struct KvResult *result)
+{
+  struct Topic *topic = &reader->topics[kind];
+  struct Snapshot snapshot = { .kind = kind, .revision = result->revision };
+  struct SnapshotItem *grown;
+
+  if (result->error != ERROR_NONE)
+    {
+      topic_failed (reader, kind, result->error);
+      return;
+    }
+  grown = talloc_realloc (reader, topic->pages, struct SnapshotItem,
+                          topic->n_pages + result->n_entries);
+  if (grown == NULL && result->n_entries > 0)
+    {
+      topic_failed (reader, kind, ERROR_NO_MEMORY);
+      return;
+    }
+  topic->pages = grown;
+  for (size_t i = 0; i < result->n_entries; i++)
+    if (item_fill (grown, &grown[topic->n_pages], &result->entries[i]))
+      topic->n_pages++;
+  if (result->more)
+    {
+      topic_ask (reader, kind);
+      return;
+    }
+  snapshot.items = topic->pages;
+  snapshot.n_items = topic->n_pages;
+  topic_succeeded (reader, kind);
+  topic_publish (reader, &snapshot);
+  TALLOC_FREE (topic->pages);
+  topic->n_pages = 0;
+}
+
+static void
+servers_on_done (void *data, const struct KvResult *result)
+{
+  range_on_done (data, SNAPSHOT_SERVERS, result);
+}
+
+static void
+nodes_on_done (void *data, const struct KvResult *result)
+{
+  range_on_done (data, SNAPSHOT_NODES, result);
+}
+
+static void
+routes_on_read (void *data, const struct KvResult *result)
+{
+  struct StoreReader *reader = data;
+  struct Topic *topic = &reader->topics[SNAPSHOT_ROUTES];
+  struct Snapshot snapshot = { .kind = SNAPSHOT_ROUTES };
+  struct SnapshotItem item;
+
+  if (result->error == ERROR_NOT_FOUND)
+    {
+      /* The operators have written none yet. */
+      topic_succeeded (reader, SNAPSHOT_ROUTES);
+      topic->next_ms = timer_now_ms (reader->node->timers) + BACKOFF_FIRST_MS;
+      return;
+    }
+  if (result->error != ERROR_NONE || result->n_entries != 1
+      || !item_fill (reader, &item, &result->entries[0]))
+    {
+      topic_failed (reader, SNAPSHOT_ROUTES, result->error);
+      return;
+    }
+  topic->watched = result->revision;
+  snapshot.revision = result->entries[0].mod_revision;
+  snapshot.items = &item;
+  snapshot.n_items = 1;
+  topic_succeeded (reader, SNAPSHOT_ROUTES);
+  topic_publish (reader, &snapshot);
+  talloc_free ((void *)item.value);
+}
+
+static void
+routes_read (struct StoreReader *reader)
+{
+  struct KvRequest request = { .op = KV_OP_GET };
+
+  request.get.key = reader->node->dialect->routes_key;
+  if (kv_submit_guarded (reader, reader->node->store, &request, routes_on_read, reader)
+      != ERROR_NONE)
+    topic_failed (reader, SNAPSHOT_ROUTES, ERROR_NO_MEMORY);
+}
+
+/* A waiting call ended: quiet, with a change, or with the history gone. */
+static void
+routes_on_watched (void *data, const struct KvResult *result)
+{
+  struct StoreReader *reader = data;
+  struct Topic *topic = &reader->topics[SNAPSHOT_ROUTES];
+  struct Snapshot snapshot = { .kind = SNAPSHOT_ROUTES, .unchanged = true };
+
+  if (result->error != ERROR_NONE && result->error != ERROR_NOT_FOUND)
+    {
+      topic_failed (reader, SNAPSHOT_ROUTES, result->error);
+      return;
+    }
+  if (result->error == ERROR_NOT_FOUND || result->n_entries > 0)
+    {
+      topic->asked_ms = timer_now_ms (reader->node->timers);
+      routes_read (reader);
+      return;
+    }
+  /* The call looked at the state until it ended. History is kept for some seconds only, so the
+   * next one goes on from here. */
+  if (result->revision > topic->watched)
+    topic->watched = result->revision;
+  topic->asked_ms = timer_now_ms (reader->node->timers);
+  snapshot.revision = topic->revision;
+  topic_succeeded (reader, SNAPSHOT_ROUTES);
+  topic_publish (reader, &snapshot);
+}
+
+static void
+routes_ask (struct StoreReader *reader)
+{
+  struct Topic *topic = &reader->topics[SNAPSHOT_ROUTES];
+  struct KvRequest request = { .op = KV_OP_WATCH };
+
+  if (topic->watched == 0)
+    {
+      routes_read (reader);
+      return;
+    }
+  request.watch.prefix = reader->node->dialect->routes_prefix;
+  request.watch.start_revision = topic->watched + 1;
+  request.watch.wait_ms = ROUTES_WAIT_MS;
+  if (kv_submit_guarded (reader, reader->node->store, &request, routes_on_watched, reader)
+      != ERROR_NONE)
+    topic_failed (reader, SNAPSHOT_ROUTES, ERROR_NO_MEMORY);
+}
+
+static void
+range_ask (struct StoreReader *reader, enum SnapshotKind kind, const char *prefix, KvDone done)
+{
+  struct Topic *topic = &reader->topics[kind];
+  struct KvRequest request = { .op = KV_OP_RANGE };
+
+  request.range.prefix = prefix;
+  if (topic->n_pages > 0)
+    request.range.start = topic->pages[topic->n_pages - 1].key;
+  if (kv_submit_guarded (reader, reader->node->store, &request, done, reader) != ERROR_NONE)
+    topic_failed (reader, kind, ERROR_NO_MEMORY);
+}
+
+static void
+topic_ask (struct StoreReader *reader, enum SnapshotKind kind)
+{
+  char prefix[96];
+
+  switch (kind)
+    {
+    case SNAPSHOT_ROUTES:
+      routes_ask (reader);
+      break;
+    case SNAPSHOT_SERVERS:
+      range_ask (reader, kind, reader->node->dialect->servers_prefix, servers_on_done);
+      break;
+    case SNAPSHOT_NODES:
+      snprintf (prefix, sizeof prefix, "%snodes/", reader->node->settings->prefix);
+      range_ask (reader, kind, prefix, nodes_on_done);
+      break;
+    }
+}
+
+/* This process's own entry: whoever starts later finds it there. */
+
+static void
+reader_on_registered (void *data, const struct KvResult *result)
+{
+  struct StoreReader *reader = data;
+
+  reader->registering = false;
+  reader->registered = result->error == ERROR_NONE;
+  if (!reader->registered)
+    topic_failed (reader, SNAPSHOT_NODES, result->error);
+}
+
+static void
+reader_register (struct StoreReader *reader)
+{
+  const struct GatewaySettings *settings = reader->node->settings;
+  struct KvRequest request = { .op = KV_OP_PUT };
+  char key[NAME_MAX_BYTES + 96], value[ADDRESS_MAX_BYTES + 16];
+
+  snprintf (value, sizeof value, "%s %s", settings->peer_listen,
+            node_is_archive (reader->node) ? ROLE_ARCHIVE : ROLE_GATEWAY);
+  snprintf (key, sizeof key, "%snodes/%s", settings->prefix, settings->instance);
+  request.put.key = key;
+  request.put.value = (const uint8_t *)value;
+  request.put.value_bytes = strlen (value);
+  request.put.condition = KV_IF_ALWAYS;
+  reader->registering = true;
+  if (kv_submit_guarded (reader, reader->node->store, &request, reader_on_registered, reader)
+      != ERROR_NONE)
+    reader->registering = false;
+}
+
+static void
+reader_on_tick (void *data)
+{
+  struct StoreReader *reader = data;
+  int64_t now_ms = timer_now_ms (reader->node->timers);
+  int64_t delay_ms = (int64_t)reader_rank (reader) * RANK_DELAY_MS;
+
+  for (enum SnapshotKind kind = SNAPSHOT_ROUTES; kind <= SNAPSHOT_NODES; kind++)
+    {
+      struct Topic *topic = &reader->topics[kind];
+      bool due =
+          topic->read_ms == 0 || now_ms - topic->read_ms >= topic_period_ms (kind) + delay_ms;
+
+      /* The first in the order keeps a call waiting for the configuration all the time. */
+      if (kind == SNAPSHOT_ROUTES && delay_ms == 0)
+        due = true;
+      if (topic->asking || !due || now_ms < topic->next_ms)
+        continue;
+      if (kind == SNAPSHOT_NODES && !reader->registered)
+        {
+          if (!reader->registering)
+            reader_register (reader);
+          continue;
+        }
+      topic->asking = true;
+      topic->asked_ms = now_ms;
+      topic_ask (reader, kind);
+    }
+}
+
+struct StoreReader *
+store_reader_new (struct Node *node)
+{
+  struct StoreReader *reader = talloc_zero (node->net, struct StoreReader);
+
+  if (reader == NULL)
+    return NULL;
+  reader->node = node;
+  if (timer_subscribe (reader, node->timers, 0, TICK_MS, reader_on_tick, reader) == NULL)
+    TALLOC_FREE (reader);
+  return reader;
+}
--- /dev/null
+++ b/include/buckthornhead/gateway_message.h
@@ -0,0 +1,121 @@
+/* Messages among gateways and archives; they travel in peer messages of kind PEER_GATEWAY. */
+#pragma once
+
+#include <buckthornhead/settings.h>
+#include <buckthornhead/turn.h>
+
+enum GatewayKind
+{
+  GATEWAY_TURN_OPEN = 1,
+  GATEWAY_TURN_READ = 2,
+  GATEWAY_TURN_OPENED = 3, /* the answer to both */
+  GATEWAY_TURN_CLOSE = 4,
+  GATEWAY_TURN_CLOSED = 5,
+  GATEWAY_STATUS = 6,
+  GATEWAY_SNAPSHOT = 7,  /* what the sender read in the platform's store */
+  GATEWAY_COPY_WANT = 8, /* an archive whose disk is new asks another for its records */
+  GATEWAY_COPY_PART = 9
+};
+
+/* Requests on their way to one backend server, as one gateway counts them. */
+struct ReplicaLoad
+{
+  char replica[NAME_MAX_BYTES + 1];
+  uint32_t in_flight;
+};
+
+/* One process about itself, every few hundred milliseconds. */
+struct NodeStatus
+{
+  char node[NAME_MAX_BYTES + 1];
+  char zone[NAME_MAX_BYTES + 1];
+  char peer_address[ADDRESS_MAX_BYTES + 1];
+  char caller_address[ADDRESS_MAX_BYTES + 1]; /* "" for an archive */
+  bool ready;                                 /* takes callers */
+  bool complete;                              /* archives only: see TurnOpened */
+  bool is_archive;
+  uint32_t n_archives; /* that the sender knows of, live or not; 0: it has not read the store */
+  uint64_t config_version;
+  struct ReplicaLoad *loads;
+  size_t n_loads;
+};
+
+/* What one read of the platform's store gave, for peers that then need not read it. */
+enum SnapshotKind
+{
+  SNAPSHOT_ROUTES = 1,  /* the operators' configuration */
+  SNAPSHOT_SERVERS = 2, /* the list of backend servers */
+  SNAPSHOT_NODES = 3    /* the system's own processes */
+};
+
+struct SnapshotItem
+{
+  char key[256];
+  const uint8_t *value;
+  size_t value_bytes;
+};
+
+struct Snapshot
+{
+  enum SnapshotKind kind;
+  int64_t revision; /* of the store when it was read; a lower one is never taken */
+  uint32_t age_ms;  /* since the read was sent, when this was sent on */
+  bool unchanged;   /* the items are those of this revision's last snapshot, and left out */
+  struct SnapshotItem *items;
+  size_t n_items;
+};
+
+struct CopyWant
+{
+  uint64_t id;
+  uint64_t cursor; /* 0: from the start */
+};
+
+struct CopyPart
+{
+  uint64_t id;
+  uint64_t next; /* cursor of the next part */
+  bool last;
+  bool complete;          /* the sender's own state */
+  const uint8_t *records; /* as they stand in its log */
+  size_t records_bytes;
+};
+
+struct GatewayMessage
+{
+  enum GatewayKind kind;
+  union
+  {
+    struct TurnOpen open;
+    struct TurnRead read;
+    struct TurnOpened opened;
+    struct TurnClose close;
+    struct TurnClosed closed;
+    struct NodeStatus status;
+    struct Snapshot snapshot;
+    struct CopyWant copy_want;
+    struct CopyPart copy_part;
+  };
+};
+
+/* Packs message; the bytes belong to ctx. ERROR_NO_MEMORY. */
+int32_t
+gateway_message_pack (TALLOC_CTX *ctx,
+                      const struct GatewayMessage *message,
+                      uint8_t **bytes,
+                      size_t *n_bytes);
+
+/* ERROR_INVALID for anything malformed. */
+int32_t
+gateway_message_unpack (TALLOC_CTX *ctx,
+                        const uint8_t *bytes,
+                        size_t n_bytes,
+                        struct GatewayMessage **message);
+
+/* The fields of a close, which are also an archive's record on disk. */
+struct PackWriter;
+struct PackReader;
+void
+turn_close_pack (struct PackWriter *p, const struct TurnClose *close);
+void
+turn_close_unpack (struct PackReader *r, TALLOC_CTX *ctx, struct TurnClose *close);
--- a/include/buckthornhead/log.h
+++ b/include/buckthornhead/log.h
@@ -1,4 +1,4 @@
-/* JSON log lines on standard error, with syslog's levels and fields. */
+/* JSON log lines with syslog's levels and fields: on standard error, or where log_to says. */
 #pragma once
 
 #include <stdint.h>
@@ -12,6 +12,17 @@
   LOG_LEVEL_DEBUG = 7
 };
 
+enum
+{
+  /* Lines on single requests that one process writes a second; twice the requests that the smallest
+   * machines of the sheets take at their peak. */
+  LOG_REQUESTS_PER_S = 300
+};
+
+/* All further lines go to fd, which becomes non-blocking: a line that it does not take is lost. */
+void
+log_to (int fd);
+
 /* Who writes; called once at start. Lines above level are dropped. */
 void
 log_open (const char *instance, const char *zone, enum LogLevel level);
@@ -24,3 +35,14 @@
            const char *remedy,
            const char *cause_format,
            ...) __attribute__ ((format (printf, 5, 6)));
+
+/* One line on a decision that touches a caller's request: its id, its program if it has one, and
+ * what decided. Written to standard output. Beyond LOG_REQUESTS_PER_S lines a second they are
+ * counted instead, and the count goes into the next line that is written. */
+void
+log_request (enum LogLevel level,
+             const char *event,
+             const char *request,
+             const char *program,
+             const char *inputs_format,
+             ...) __attribute__ ((format (printf, 5, 6)));
--- a/include/buckthornhead/mailbox.h
+++ b/include/buckthornhead/mailbox.h
@@ -18,6 +18,7 @@
   MAIL_BACKEND_END,    /* to the core: struct BackendMail */
   MAIL_BACKEND_SUBMIT, /* to a backend thread */
   MAIL_BACKEND_CANCEL, /* to a backend thread */
+  MAIL_DISK_DURABLE,   /* to the loop of a disk log: struct DiskMail */
   MAIL_STOP
 };
 
--- a/include/buckthornhead/peer_message.h
+++ b/include/buckthornhead/peer_message.h
@@ -33,7 +33,8 @@
   PEER_SPOOL_DROP = 13,   /* the writer's journal has all up to .number */
   PEER_SPOOL_READ = 14,   /* a taker: seal the writer's spool, then send what it holds */
   PEER_SPOOL_RECORD = 15, /* one record of the answer to it */
-  PEER_MAP_CHANGED = 16   /* the sender gained or left partitions: read the map now */
+  PEER_MAP_CHANGED = 16,  /* the sender gained or left partitions: read the map now */
+  PEER_GATEWAY = 17       /* among gateways and archives: gateway_message.h */
 };
 
 /* What an entry asks of a home. */
@@ -141,7 +142,7 @@
     {
       const uint8_t *bytes;
       size_t n_bytes;
-    } config_entry;
+    } config_entry, gateway;
     struct
     {
       uint8_t digest[DIGEST_BYTES];
--- /dev/null
+++ b/include/buckthornhead/replica_set.h
@@ -0,0 +1,103 @@
+/* Backend servers before a gateway: what is known of each, and which one takes the next request.
+ *
+ * Pure: no I/O, the time is given. */
+#pragma once
+
+#include <buckthornhead/call.h>
+#include <buckthornhead/settings.h>
+
+#include <talloc.h>
+
+enum
+{
+  PREFIX_PARTS_MAX = 8 /* of one prompt that are looked at */
+};
+
+/* One backend server as the platform lists it. */
+struct ReplicaEntry
+{
+  char id[NAME_MAX_BYTES + 1]; /* of this incarnation */
+  char service[NAME_MAX_BYTES + 1];
+  char address[ADDRESS_MAX_BYTES + 1];
+  char zone[NAME_MAX_BYTES + 1];
+  uint32_t slots; /* requests that it runs at once */
+  bool draining;
+};
+
+struct Replica
+{
+  struct ReplicaEntry entry;
+  uint32_t in_flight;        /* ours */
+  uint32_t peers_in_flight;  /* of the other gateways, as they last said */
+  uint32_t failures;         /* in a row, without an answer of any kind */
+  int64_t avoid_until_ms;    /* suspected: takes requests only when nothing else is there */
+  bool listed;               /* stood in the last list */
+  struct CachedPart *cached; /* prompt parts that it was sent, newest first */
+  uint32_t n_cached;
+};
+
+struct ReplicaSet
+{
+  struct Replica **replicas; /* by id; talloc children of the set */
+  size_t n_replicas;
+  int64_t keep_missing_until_ms; /* servers absent from the list are still believed */
+};
+
+/* One part of a prompt; requests share parts. */
+struct PrefixPart
+{
+  uint64_t id;
+  uint32_t tokens;
+};
+
+/* What a request asks of the server that takes it. */
+struct ReplicaQuery
+{
+  const char *service;
+  const char *zone;               /* of the gateway */
+  const char *cached_at;          /* id of the server that ran the turn before; "" for none */
+  const struct PrefixPart *parts; /* of the prompt, in order */
+  size_t n_parts;
+  const char *const *tried; /* ids that are not asked again */
+  size_t n_tried;
+  uint64_t draw; /* any number: which one of several equal servers is taken */
+  int64_t now_ms;
+};
+
+struct ReplicaSet *
+replica_set_new (TALLOC_CTX *ctx);
+
+/* Takes a whole list. after_gap: the platform's store could not be read for a while before, so a
+ * server that is missing may only have lost its entry, and is kept for REPLICA_REAPPEAR_MS. Returns
+ * how many servers came, left or changed state. */
+size_t
+replica_set_apply (struct ReplicaSet *set,
+                   const struct ReplicaEntry *entries,
+                   size_t n_entries,
+                   bool after_gap,
+                   int64_t now_ms);
+
+/* The server that should take the request; NULL when none may. */
+struct Replica *
+replica_set_choose (struct ReplicaSet *set, const struct ReplicaQuery *query);
+
+struct Replica *
+replica_set_find (const struct ReplicaSet *set, const char *id);
+
+/* The request went to replica: its prompt parts will lie in its cache. */
+void
+replica_note_sent (struct Replica *replica, const struct PrefixPart *parts, size_t n_parts);
+
+/* An answer came, of whatever status: the server lives. */
+void
+replica_note_answer (struct Replica *replica);
+
+/* It refused because it is full, or nothing came back at all. */
+void
+replica_note_full (struct Replica *replica, int64_t now_ms);
+void
+replica_note_failure (struct Replica *replica, int64_t now_ms);
+
+/* The peers' counts start anew; then one call a peer and server. */
+void
+replica_set_clear_peers (struct ReplicaSet *set);
--- a/tests/operations_page.sh
+++ b/tests/operations_page.sh
@@ -19,8 +19,11 @@
 done
 
 # The second argument of log_event, or both ends of a choice between two.
-events=$(cat core/*.c adapters/*.c daemon/*.c | tr '\n' ' ' \
-  | grep -oE 'log_event \([^,]*,[^,]*,' | grep -oE '"[a-z_]+"' | tr -d '"' | sort -u)
+sources=$(cat core/*.c core/gateway/*.c adapters/*.c daemon/*.c gateway/*.c | tr '\n' ' ')
+events=$({ echo "$sources" | grep -oE 'log_(event|request) \([^,]*,[^,]*,' | grep -oE '"[a-z_]+"'
+  # Names of the failures of requests stand in one table.
+  echo "$sources" | grep -oE 'failure_words\[\] = [^;]*' | grep -oE '"[a-z_]+"'
+} | tr -d '"' | sort -u)
 for name in $events; do
   grep -q "\`$name\`" "$page" || fail "event $name is not explained"
 done
