Archives: the set of them in the store, with a generation, changed in two steps

Cause: the number of archives was counted from the entries in the store.

Ruled out: counting live archives only (two sides of a partition would count different ones); an election among archives (the store already decides).

A retiring archive is replaced, or the others copy from each other before it steps down.

--- a/core/gateway/gateway_message.c
+++ b/core/gateway/gateway_message.c
@@ -31,6 +31,7 @@
 turn_close_pack (struct PackWriter *p, const struct TurnClose *close)
 {
   pack_u64 (p, close->id);
+  pack_u64 (p, close->generation);
   pack_string (p, close->program);
   pack_u64 (p, close->charge_tokens);
   pack_bool (p, close->kept);
@@ -42,6 +43,7 @@
 turn_close_unpack (struct PackReader *r, TALLOC_CTX *ctx, struct TurnClose *close)
 {
   close->id = read_u64 (r, UINT64_MAX);
+  close->generation = read_u64 (r, UINT64_MAX);
   read_string (r, close->program, sizeof close->program);
   close->charge_tokens = (uint32_t)read_u64 (r, UINT32_MAX);
   close->kept = read_bool (r);
@@ -53,6 +55,7 @@
 open_pack (struct PackWriter *p, const struct TurnOpen *open)
 {
   pack_u64 (p, open->id);
+  pack_u64 (p, open->generation);
   pack_string (p, open->turn);
   pack_string (p, open->program);
   pack_string (p, open->previous);
@@ -64,6 +67,7 @@
 open_unpack (struct PackReader *r, struct TurnOpen *open)
 {
   open->id = read_u64 (r, UINT64_MAX);
+  open->generation = read_u64 (r, UINT64_MAX);
   read_string (r, open->turn, sizeof open->turn);
   read_string (r, open->program, sizeof open->program);
   read_string (r, open->previous, sizeof open->previous);
@@ -139,7 +143,8 @@
   pack_bool (p, status->ready);
   pack_bool (p, status->complete);
   pack_bool (p, status->is_archive);
-  pack_u64 (p, status->n_archives);
+  pack_u64 (p, status->synced);
+  archive_set_pack (p, &status->set);
   pack_u64 (p, status->config_version);
   pack_array (p, 2 * status->n_loads);
   for (size_t i = 0; i < status->n_loads; i++)
@@ -161,7 +166,8 @@
   status->ready = read_bool (r);
   status->complete = read_bool (r);
   status->is_archive = read_bool (r);
-  status->n_archives = (uint32_t)read_u64 (r, UINT32_MAX);
+  status->synced = read_u64 (r, UINT64_MAX);
+  archive_set_unpack (r, &status->set);
   status->config_version = read_u64 (r, UINT64_MAX);
   status->n_loads = list_enter (r, &list, 2);
   status->loads = talloc_zero_array (ctx, struct ReplicaLoad, status->n_loads);
@@ -193,7 +199,7 @@
 {
   struct PackReader list;
 
-  snapshot->kind = (enum SnapshotKind)read_u64 (r, SNAPSHOT_NODES);
+  snapshot->kind = (enum SnapshotKind)read_u64 (r, SNAPSHOT_RETIRE);
   snapshot->revision = read_i64 (r);
   snapshot->age_ms = (uint32_t)read_u64 (r, UINT32_MAX);
   snapshot->unchanged = read_bool (r);
@@ -234,6 +240,7 @@
   switch (kind)
     {
     case GATEWAY_TURN_OPEN:
+      return 8;
     case GATEWAY_TURN_OPENED:
       return 7;
     case GATEWAY_TURN_READ:
@@ -242,7 +249,7 @@
       return 3;
     case GATEWAY_TURN_CLOSE:
     case GATEWAY_STATUS:
-      return 11;
+      return 12;
     case GATEWAY_SNAPSHOT:
     case GATEWAY_COPY_PART:
       return 6;
--- a/gateway/archive.c
+++ b/gateway/archive.c
@@ -1,6 +1,6 @@
 #include "archive.h"
 
-#include "archive_copy.h"
+#include "archive_member.h"
 
 #include <buckthornhead/log.h>
 #include <buckthornhead/pack.h>
@@ -24,7 +24,7 @@
   struct Node *node;
   struct DiskLog *log;
   struct TurnIndex *index;
-  struct ArchiveCopy *copy; /* NULL once the disk is complete */
+  struct ArchiveMember *member;
 };
 
 /* A question that is answered once its record is durable. */
@@ -55,7 +55,7 @@
 
   if (p == NULL)
     return ERROR_NO_MEMORY;
-  pack_array (p, record->kind == ARCHIVE_RECORD_OPEN ? 5 : 12);
+  pack_array (p, record->kind == ARCHIVE_RECORD_OPEN ? 5 : 13);
   pack_u64 (p, record->kind);
   pack_i64 (p, record->unix_ms);
   if (record->kind == ARCHIVE_RECORD_OPEN)
@@ -262,6 +262,13 @@
   return write;
 }
 
+/* A question of a set that this archive knows to be past might pass by the disks that count. */
+static bool
+archive_is_fenced (const struct Archive *archive, uint64_t generation)
+{
+  return generation < archive_set_oldest (&archive->node->set);
+}
+
 static void
 archive_on_open (struct Archive *archive, uint64_t link, const struct TurnOpen *open)
 {
@@ -270,7 +277,9 @@
   int32_t error = ERROR_NO_MEMORY;
 
   record.unix_ms = archive_unix_ms ();
-  if (write != NULL)
+  if (archive_is_fenced (archive, open->generation))
+    error = ERROR_FENCED;
+  else if (write != NULL)
     {
       write->open = *open;
       error = turn_index_reserve (archive->index, open, record.unix_ms);
@@ -292,7 +301,9 @@
   int32_t error = ERROR_NO_MEMORY;
 
   record.unix_ms = archive_unix_ms ();
-  if (write != NULL)
+  if (archive_is_fenced (archive, close->generation))
+    error = ERROR_FENCED;
+  else if (write != NULL)
     {
       write->close = *close;
       write->close.text.input = NULL;
@@ -369,8 +380,7 @@
       archive_copy_answer (archive->node, archive->log, link, &message->copy_want);
       break;
     case GATEWAY_COPY_PART:
-      if (archive->copy != NULL)
-        archive_copy_take (archive->copy, sender, &message->copy_part);
+      archive_member_take_part (archive->member, sender, &message->copy_part);
       break;
     case GATEWAY_TURN_OPENED:
     case GATEWAY_TURN_CLOSED:
@@ -390,9 +400,11 @@
 static void
 archive_on_snapshot (void *data, const struct Snapshot *snapshot, bool after_gap)
 {
-  (void)data;
-  (void)snapshot;
+  struct Archive *archive = data;
+
   (void)after_gap;
+  if (snapshot->kind == SNAPSHOT_RETIRE)
+    archive_member_take_retire (archive->member, snapshot);
 }
 
 static void
@@ -402,7 +414,7 @@
 
   (void)ctx;
   status->complete = disk_log_is_complete (archive->log);
-  status->is_archive = true;
+  status->synced = archive_member_synced (archive->member);
 }
 
 static void
@@ -415,20 +427,6 @@
   disk_log_drop_expired (archive->log, unix_ms);
 }
 
-static void
-archive_on_copied (void *data)
-{
-  struct Archive *archive = data;
-
-  archive->copy = NULL;
-  if (disk_log_mark_complete (archive->log) != ERROR_NONE)
-    log_event (LOG_LEVEL_ERROR, "archive_mark_failed", NULL, "look at the disk",
-               "the disk is whole but could not be marked so");
-  log_event (LOG_LEVEL_NOTICE, "archive_complete", NULL, NULL, "%zu turns",
-             turn_index_count (archive->index));
-  node_announce (archive->node);
-}
-
 int32_t
 archive_new (TALLOC_CTX *ctx, struct Node *node, struct Archive **archive, struct Fault *fault)
 {
@@ -448,8 +446,9 @@
     error = disk_log_mark_complete (a->log);
   if (error != ERROR_NONE)
     return fault_set (fault, error, "look at the disk", "the disk can not be written");
-  if (!disk_log_is_complete (a->log))
-    a->copy = archive_copy_new (a, node, a, archive_on_copied, a);
+  a->member = archive_member_new (a, node, a, a->log);
+  if (a->member == NULL)
+    return fault_set (fault, ERROR_NO_MEMORY, NULL, "no memory for the archive");
   timer_subscribe (a, node->timers, EXPIRE_PERIOD_MS, EXPIRE_PERIOD_MS, archive_on_expire, a);
   node->handler.message = archive_on_message;
   node->handler.link_closed = archive_on_link_closed;
--- a/gateway/archive_copy.c
+++ b/gateway/archive_copy.c
@@ -1,7 +1,6 @@
 #include "archive_copy.h"
 
 #include <buckthornhead/log.h>
-#include <buckthornhead/turn_quorum.h>
 
 #include <stdio.h>
 #include <string.h>
@@ -22,15 +21,16 @@
   uint64_t cursor;
   uint64_t asked_id;
   int64_t asked_ms; /* 0: no question on the way */
-  bool finished;    /* reached its end while it was complete */
+  int64_t last_asked_ms;
+  bool finished; /* reached its end while it was complete */
 };
 
 struct ArchiveCopy
 {
   struct Node *node;
   struct Archive *archive;
-  void (*done) (void *data);
-  void *data;
+  struct ArchiveCopyOptions options;
+  int64_t started_ms;
   struct CopySource sources[SOURCES_MAX];
   size_t n_sources;
   uint64_t n_records;
@@ -57,25 +57,28 @@
   message.copy_want.id = source->asked_id;
   message.copy_want.cursor = source->cursor;
   if (node_send (copy->node, source->node, &message) == ERROR_NONE)
-    source->asked_ms = timer_now_ms (copy->node->timers);
+    {
+      source->asked_ms = timer_now_ms (copy->node->timers);
+      source->last_asked_ms = source->asked_ms;
+    }
 }
 
-/* Done once as many have given all as must answer any question: this disk, which held nothing, is
- * not among them. True: the copy is freed. */
+/* True when enough is copied: the copy is freed then. */
 static bool
 copy_check_done (struct ArchiveCopy *copy)
 {
-  uint32_t n_archives = copy->node->n_archives;
-  struct ArchiveQuorum quorum = archive_quorum (n_archives, copy->node->settings->tolerated);
-  size_t n_finished = 0;
+  char finished[SOURCES_MAX][NAME_MAX_BYTES + 1];
+  size_t n = 0;
 
   for (size_t i = 0; i < copy->n_sources; i++)
-    n_finished += copy->sources[i].finished;
-  if (n_archives == 0 || n_finished < quorum.read)
+    if (copy->sources[i].finished)
+      memcpy (finished[n++], copy->sources[i].node, sizeof finished[0]);
+  if (!copy->options.is_enough (copy->options.data, (const char (*)[NAME_MAX_BYTES + 1]) finished,
+                                n))
     return false;
   log_event (LOG_LEVEL_NOTICE, "archive_copied", NULL, NULL, "%llu records from %zu archives",
-             (unsigned long long)copy->n_records, n_finished);
-  copy->done (copy->data);
+             (unsigned long long)copy->n_records, n);
+  copy->options.done (copy->options.data);
   talloc_free (copy);
   return true;
 }
@@ -107,7 +110,8 @@
   source->asked_ms = 0;
   disk_log_each_frame (part->records, part->records_bytes, copy_on_frame, copy);
   source->cursor = part->next;
-  if (part->last && part->complete)
+  if (part->last && part->complete
+      && source->last_asked_ms >= copy->started_ms + copy->options.settle_ms)
     {
       source->finished = true;
       copy_check_done (copy);
@@ -124,15 +128,16 @@
   struct Node *node = copy->node;
   int64_t now_ms = timer_now_ms (node->timers);
 
-  /* The number of archives may have become known since the last part came. */
-  if (copy->n_sources > 0 && copy_check_done (copy))
+  /* The set may have changed since the last part came. */
+  if (copy_check_done (copy))
     return;
   for (size_t i = 0; i < node->n_peers; i++)
     {
       struct Peer *peer = node->peers[i];
       struct CopySource *source;
 
-      if (!peer->status.is_archive || !node_peer_is_live (node, peer))
+      if (!copy->options.is_source (copy->options.data, peer->status.node)
+          || !node_peer_is_live (node, peer))
         continue;
       source = copy_source (copy, peer->status.node);
       if (source == NULL || source->finished)
@@ -146,8 +151,7 @@
 archive_copy_new (TALLOC_CTX *ctx,
                   struct Node *node,
                   struct Archive *archive,
-                  void (*done) (void *data),
-                  void *data)
+                  const struct ArchiveCopyOptions *options)
 {
   struct ArchiveCopy *copy = talloc_zero (ctx, struct ArchiveCopy);
 
@@ -155,8 +159,8 @@
     return NULL;
   copy->node = node;
   copy->archive = archive;
-  copy->done = done;
-  copy->data = data;
+  copy->options = *options;
+  copy->started_ms = timer_now_ms (node->timers);
   timer_subscribe (copy, node->timers, TICK_MS, TICK_MS, copy_on_tick, copy);
   return copy;
 }
--- a/gateway/archive_copy.h
+++ b/gateway/archive_copy.h
@@ -1,7 +1,5 @@
-/* An archive whose disk is new copies what the others hold, before it counts among them.
- *
- * Records are durable on some archives more than may lose their disks at once. A new disk is as
- * good as the lost one once it holds what all other archives but the tolerated ones hold. */
+/* An archive copies what others hold: to stand for a disk that was lost, or before the set changes.
+ */
 #pragma once
 
 #include "node.h"
@@ -36,13 +34,24 @@
 void
 archive_take_copy (struct Archive *archive, const struct ArchiveRecord *record);
 
+struct ArchiveCopyOptions
+{
+  /* May this archive be copied from? */
+  bool (*is_source) (void *data, const char *archive);
+  /* Have enough given all that they hold? */
+  bool (*is_enough) (void *data, const char (*archives)[NAME_MAX_BYTES + 1], size_t n);
+  /* A source's end counts if it was asked for this long after the start. */
+  int64_t settle_ms;
+  void (*done) (void *data);
+  void *data;
+};
+
 /* Begins to copy; done is called once, and the copy is freed after it. */
 struct ArchiveCopy *
 archive_copy_new (TALLOC_CTX *ctx,
                   struct Node *node,
                   struct Archive *archive,
-                  void (*done) (void *data),
-                  void *data);
+                  const struct ArchiveCopyOptions *options);
 
 void
 archive_copy_take (struct ArchiveCopy *copy, const char *sender, const struct CopyPart *part);
--- /dev/null
+++ b/gateway/archive_member.c
@@ -0,0 +1,518 @@
+#include "archive_member.h"
+
+#include <buckthornhead/kv_guard.h>
+#include <buckthornhead/log.h>
+
+#include <stdio.h>
+#include <string.h>
+
+enum
+{
+  TICK_MS = 200,
+  /* A member that was not heard for this long is replaced, if there is another disk: longer than a
+   * process takes to start again, shorter than the time in which a disk must be made up for. */
+  DEAD_MS = 3000,
+  /* Records that an archive took under the old set may still be on their way to its disk when it
+   * learns of the new one; a sync takes milliseconds. */
+  COPY_SETTLE_MS = 500,
+  RETIRE_MAX = 16,
+  /* After a change that another archive's came before, or that the store did not take. */
+  RETRY_MS = 400
+};
+
+/* What a write to the store is to bring about. */
+enum MemberWrite
+{
+  WRITE_FIRST,  /* this archive is among the first */
+  WRITE_CHANGE, /* .joining comes, .leaving goes */
+  WRITE_SETTLE  /* the change is done */
+};
+
+struct ArchiveMember
+{
+  struct Node *node;
+  struct Archive *archive;
+  struct DiskLog *log;
+  bool first; /* the whole system starts, and this disk with it */
+  struct ArchiveCopy *copy;
+  uint64_t copying; /* generation that the copy is for; 0: to make up for a lost disk */
+  uint64_t synced;
+  char retiring[RETIRE_MAX][NAME_MAX_BYTES + 1];
+  size_t n_retiring;
+  enum MemberWrite write;
+  char joining[NAME_MAX_BYTES + 1], leaving[NAME_MAX_BYTES + 1];
+  bool writing;
+  int64_t next_ms;
+  int64_t not_heard_ms[ARCHIVE_SET_MAX]; /* since when, by place in the set */
+  uint64_t not_heard_generation;
+  bool told_running, told_completed, telling;
+};
+
+static const char *
+member_name (const struct ArchiveMember *member)
+{
+  return member->node->settings->instance;
+}
+
+static int64_t
+member_now_ms (const struct ArchiveMember *member)
+{
+  return timer_now_ms (member->node->timers);
+}
+
+static bool
+member_peer_is_live (const struct ArchiveMember *member, const char *name)
+{
+  const struct Peer *peer = node_peer (member->node, name);
+
+  return strcmp (name, member_name (member)) == 0
+         || (peer != NULL && node_peer_is_live (member->node, peer));
+}
+
+static bool
+member_is_retiring (const struct ArchiveMember *member, const char *name)
+{
+  for (size_t i = 0; i < member->n_retiring; i++)
+    if (strcmp (member->retiring[i], name) == 0)
+      return true;
+  return false;
+}
+
+/* Writing the set: read, change, compare and swap. */
+
+static void
+member_write_done (struct ArchiveMember *member, int32_t error)
+{
+  member->writing = false;
+  member->next_ms = member_now_ms (member) + (error == ERROR_NONE ? 0 : RETRY_MS);
+  if (error != ERROR_NONE)
+    log_event (LOG_LEVEL_WARNING, "archive_set_not_written", NULL, "nothing: it is tried again",
+               "%s", error_name (error));
+}
+
+static void
+member_on_written (void *data, const struct KvResult *result)
+{
+  struct ArchiveMember *member = data;
+  struct ArchiveSet set;
+
+  if (result->error == ERROR_CONFLICT && result->n_entries == 1
+      && archive_set_decode (result->entries[0].value, result->entries[0].value_bytes, &set)
+             == ERROR_NONE)
+    node_take_set (member->node, &set);
+  member_write_done (member, result->error);
+}
+
+/* The next set after the one that the store holds; false when that is no longer what the change
+ * was meant for. */
+static bool
+member_next_set (const struct ArchiveMember *member,
+                 const struct ArchiveSet *held,
+                 struct ArchiveSet *next)
+{
+  switch (member->write)
+    {
+    case WRITE_FIRST:
+      *next = archive_set_first (held, member_name (member));
+      return !held->changing && !archive_set_has (held, member_name (member));
+    case WRITE_CHANGE:
+      *next = archive_set_change (held, member->joining, member->leaving);
+      return held->generation == member->node->set.generation && !held->changing;
+    case WRITE_SETTLE:
+      *next = archive_set_settle (held);
+      return held->generation == member->node->set.generation && held->changing;
+    }
+  return false;
+}
+
+static void
+member_on_held (void *data, const struct KvResult *result)
+{
+  struct ArchiveMember *member = data;
+  struct ArchiveSet held = { 0 }, next;
+  struct KvRequest request = { .op = KV_OP_PUT };
+  char key[96];
+  uint8_t *bytes = NULL;
+  size_t n_bytes = 0;
+  int32_t error = result->error;
+
+  if (error == ERROR_NOT_FOUND && member->write == WRITE_FIRST)
+    error = ERROR_NONE;
+  else if (error == ERROR_NONE)
+    error = archive_set_decode (result->entries[0].value, result->entries[0].value_bytes, &held);
+  if (error != ERROR_NONE)
+    {
+      member_write_done (member, error);
+      return;
+    }
+  node_take_set (member->node, &held);
+  if (!member_next_set (member, &held, &next)
+      || archive_set_encode (member, &next, &bytes, &n_bytes) != ERROR_NONE)
+    {
+      member_write_done (member, ERROR_CONFLICT);
+      return;
+    }
+  snprintf (key, sizeof key, "%s%s", member->node->settings->prefix, ARCHIVE_SET_KEY);
+  request.put.key = key;
+  request.put.value = bytes;
+  request.put.value_bytes = n_bytes;
+  request.put.condition = held.generation == 0 ? KV_IF_ABSENT : KV_IF_MOD_REVISION;
+  request.put.mod_revision = held.generation == 0 ? 0 : result->entries[0].mod_revision;
+  if (kv_submit_guarded (member, member->node->store, &request, member_on_written, member)
+      != ERROR_NONE)
+    member_write_done (member, ERROR_NO_MEMORY);
+  talloc_free (bytes);
+  /* A lost answer may have been a success: the next read of the key tells. */
+  member->next_ms = 0;
+}
+
+static void
+member_write (struct ArchiveMember *member,
+              enum MemberWrite write,
+              const char *joining,
+              const char *leaving)
+{
+  struct KvRequest request = { .op = KV_OP_GET };
+  char key[96];
+
+  if (member->writing || member_now_ms (member) < member->next_ms)
+    return;
+  member->write = write;
+  snprintf (member->joining, sizeof member->joining, "%s", joining);
+  snprintf (member->leaving, sizeof member->leaving, "%s", leaving);
+  snprintf (key, sizeof key, "%s%s", member->node->settings->prefix, ARCHIVE_SET_KEY);
+  request.get.key = key;
+  member->writing = true;
+  if (kv_submit_guarded (member, member->node->store, &request, member_on_held, member)
+      != ERROR_NONE)
+    member_write_done (member, ERROR_NO_MEMORY);
+}
+
+/* Copying. */
+
+static bool
+member_is_source (void *data, const char *archive)
+{
+  const struct ArchiveMember *member = data;
+  const struct ArchiveSet *set = &member->node->set;
+
+  return strcmp (archive, member_name (member)) != 0
+         && (archive_set_has (set, archive) || strcmp (archive, set->leaving) == 0);
+}
+
+static bool
+names_have (const char (*names)[NAME_MAX_BYTES + 1], size_t n, const char *name)
+{
+  for (size_t i = 0; i < n; i++)
+    if (strcmp (names[i], name) == 0)
+      return true;
+  return false;
+}
+
+/* In a change: all others who stay, and the one that leaves if it is still there. Else as many as
+ * any question needs; this disk, which held nothing, is not among them. */
+static bool
+member_is_enough (void *data, const char (*archives)[NAME_MAX_BYTES + 1], size_t n)
+{
+  const struct ArchiveMember *member = data;
+  const struct ArchiveSet *set = &member->node->set;
+
+  if (!set->changing)
+    return archive_set_is_read (set, member->node->settings->tolerated, archives, n);
+  for (uint32_t i = 0; i < set->n_members; i++)
+    if (strcmp (set->members[i], set->joining) != 0
+        && strcmp (set->members[i], member_name (member)) != 0
+        && !names_have (archives, n, set->members[i]))
+      return false;
+  return set->leaving[0] == '\0' || !member_peer_is_live (member, set->leaving)
+         || names_have (archives, n, set->leaving);
+}
+
+static void
+member_on_copied (void *data)
+{
+  struct ArchiveMember *member = data;
+
+  member->copy = NULL;
+  if (member->copying != 0 && member->copying == member->node->set.generation)
+    member->synced = member->copying;
+  if (!disk_log_is_complete (member->log) && disk_log_mark_complete (member->log) != ERROR_NONE)
+    log_event (LOG_LEVEL_ERROR, "archive_mark_failed", NULL, "look at the disk",
+               "the disk is whole but could not be marked so");
+  log_event (LOG_LEVEL_NOTICE, "archive_complete", NULL, NULL, "generation %llu",
+             (unsigned long long)member->node->set.generation);
+  node_announce (member->node);
+}
+
+static void
+member_start_copy (struct ArchiveMember *member, uint64_t generation)
+{
+  struct ArchiveCopyOptions options = {
+    .is_source = member_is_source,
+    .is_enough = member_is_enough,
+    .settle_ms = generation != 0 ? COPY_SETTLE_MS : 0,
+    .done = member_on_copied,
+    .data = member,
+  };
+
+  if (member->copy != NULL && member->copying == generation)
+    return;
+  TALLOC_FREE (member->copy);
+  member->copying = generation;
+  member->copy = archive_copy_new (member, member->node, member->archive, &options);
+}
+
+/* All others who stay refuse questions of the set before. */
+static bool
+member_others_know (const struct ArchiveMember *member)
+{
+  const struct ArchiveSet *set = &member->node->set;
+
+  for (uint32_t i = 0; i < set->n_members; i++)
+    {
+      const struct Peer *peer = node_peer (member->node, set->members[i]);
+
+      if (strcmp (set->members[i], member_name (member)) == 0
+          || strcmp (set->members[i], set->joining) == 0)
+        continue;
+      if (peer == NULL || peer->status.set.generation < set->generation)
+        return false;
+    }
+  return true;
+}
+
+/* All who stay have copied everything; only asked when nobody joins. */
+static bool
+member_all_synced (const struct ArchiveMember *member)
+{
+  const struct ArchiveSet *set = &member->node->set;
+
+  for (uint32_t i = 0; i < set->n_members; i++)
+    {
+      const struct Peer *peer = node_peer (member->node, set->members[i]);
+
+      if (peer == NULL || peer->status.synced < set->generation)
+        return false;
+    }
+  return true;
+}
+
+static void
+member_during_change (struct ArchiveMember *member)
+{
+  const struct ArchiveSet *set = &member->node->set;
+  const char *name = member_name (member);
+  bool joins = strcmp (set->joining, name) == 0;
+
+  if (joins || (set->joining[0] == '\0' && archive_set_has (set, name)))
+    {
+      if (member->synced < set->generation && member_others_know (member))
+        member_start_copy (member, set->generation);
+      if (joins && member->synced == set->generation)
+        member_write (member, WRITE_SETTLE, "", "");
+    }
+  else if (strcmp (set->leaving, name) == 0 && set->joining[0] == '\0'
+           && member_all_synced (member))
+    member_write (member, WRITE_SETTLE, "", "");
+}
+
+/* Joining. */
+
+/* A member that has been silent for long, or that is to be emptied; NULL when there is none. */
+static const char *
+member_find_leaving (struct ArchiveMember *member)
+{
+  const struct ArchiveSet *set = &member->node->set;
+  int64_t now_ms = member_now_ms (member);
+
+  if (member->not_heard_generation != set->generation)
+    memset (member->not_heard_ms, 0, sizeof member->not_heard_ms);
+  member->not_heard_generation = set->generation;
+  for (uint32_t i = 0; i < set->n_members; i++)
+    {
+      if (member_is_retiring (member, set->members[i]))
+        return set->members[i];
+      if (member_peer_is_live (member, set->members[i]))
+        member->not_heard_ms[i] = 0;
+      else if (member->not_heard_ms[i] == 0)
+        member->not_heard_ms[i] = now_ms;
+      else if (now_ms - member->not_heard_ms[i] > DEAD_MS)
+        return set->members[i];
+    }
+  return NULL;
+}
+
+/* All members but one live and lack nothing: they can be copied from. */
+static bool
+member_others_are_whole (const struct ArchiveMember *member, const char *except)
+{
+  const struct ArchiveSet *set = &member->node->set;
+
+  for (uint32_t i = 0; i < set->n_members; i++)
+    {
+      const struct Peer *peer = node_peer (member->node, set->members[i]);
+
+      if (strcmp (set->members[i], except) == 0
+          || strcmp (set->members[i], member_name (member)) == 0)
+        continue;
+      if (peer == NULL || !node_peer_is_live (member->node, peer) || !peer->status.complete)
+        return false;
+    }
+  return true;
+}
+
+/* A live archive outside the set, this one left out. */
+static bool
+member_has_spare (const struct ArchiveMember *member)
+{
+  const struct Node *node = member->node;
+
+  for (size_t i = 0; i < node->n_peers; i++)
+    {
+      const struct Peer *peer = node->peers[i];
+
+      if (peer->status.is_archive && node_peer_is_live (node, peer)
+          && !archive_set_has (&node->set, peer->status.node)
+          && !member_is_retiring (member, peer->status.node))
+        return true;
+    }
+  return false;
+}
+
+static void
+member_outside (struct ArchiveMember *member)
+{
+  const struct ArchiveSet *set = &member->node->set;
+  uint32_t wanted = 2 * member->node->settings->tolerated + 1;
+  const char *leaving = member_find_leaving (member);
+
+  if (member_is_retiring (member, member_name (member)))
+    return;
+  if (leaving == NULL && set->n_members >= wanted)
+    return;
+  if (member_others_are_whole (member, leaving != NULL ? leaving : ""))
+    member_write (member, WRITE_CHANGE, member_name (member), leaving != NULL ? leaving : "");
+}
+
+static void
+member_inside (struct ArchiveMember *member)
+{
+  const char *name = member_name (member);
+
+  if (!disk_log_is_complete (member->log))
+    member_start_copy (member, 0);
+  /* With another disk to be had, that one takes this one's place. */
+  if (member_is_retiring (member, name) && !member_has_spare (member)
+      && member->node->set.n_members > 1 && member_others_are_whole (member, name))
+    member_write (member, WRITE_CHANGE, "", name);
+}
+
+/* Telling the operators. */
+
+static void
+member_on_told (void *data, const struct KvResult *result)
+{
+  struct ArchiveMember *member = data;
+
+  member->telling = false;
+  if (result->error != ERROR_NONE)
+    {
+      member->told_running = false;
+      member->told_completed = false;
+    }
+}
+
+static void
+member_tell (struct ArchiveMember *member)
+{
+  const struct ArchiveSet *set = &member->node->set;
+  bool completed = !set->changing && !archive_set_has (set, member_name (member));
+  struct KvRequest request = { .op = KV_OP_PUT };
+  struct RetireNote note;
+
+  if (!member_is_retiring (member, member_name (member)) || member->telling || set->generation == 0
+      || (completed ? member->told_completed : member->told_running))
+    return;
+  member->node->dialect->write_retired (member_name (member), completed, &note);
+  request.put.key = note.key;
+  request.put.value = (const uint8_t *)note.value;
+  request.put.value_bytes = strlen (note.value);
+  request.put.condition = KV_IF_ALWAYS;
+  member->telling = true;
+  member->told_running = true;
+  member->told_completed = completed;
+  if (completed)
+    log_event (LOG_LEVEL_NOTICE, "archive_emptied", NULL, "the machine may be taken away",
+               "generation %llu", (unsigned long long)set->generation);
+  if (kv_submit_guarded (member, member->node->store, &request, member_on_told, member)
+      != ERROR_NONE)
+    member->telling = false;
+}
+
+static void
+member_on_tick (void *data)
+{
+  struct ArchiveMember *member = data;
+  const struct ArchiveSet *set = &member->node->set;
+  bool inside = archive_set_has (set, member_name (member));
+
+  if (member->first && !inside)
+    member_write (member, WRITE_FIRST, "", "");
+  else if (set->generation == 0)
+    return;
+  else if (set->changing)
+    member_during_change (member);
+  else if (inside)
+    member_inside (member);
+  else
+    member_outside (member);
+  if (inside)
+    member->first = false;
+  member_tell (member);
+}
+
+struct ArchiveMember *
+archive_member_new (TALLOC_CTX *ctx,
+                    struct Node *node,
+                    struct Archive *archive,
+                    struct DiskLog *log)
+{
+  struct ArchiveMember *member = talloc_zero (ctx, struct ArchiveMember);
+
+  if (member == NULL)
+    return NULL;
+  member->node = node;
+  member->archive = archive;
+  member->log = log;
+  member->first = node->settings->first_start != 0;
+  timer_subscribe (member, node->timers, TICK_MS, TICK_MS, member_on_tick, member);
+  return member;
+}
+
+void
+archive_member_take_retire (struct ArchiveMember *member, const struct Snapshot *snapshot)
+{
+  member->n_retiring = 0;
+  for (size_t i = 0; i < snapshot->n_items && member->n_retiring < RETIRE_MAX; i++)
+    {
+      const char *name = strrchr (snapshot->items[i].key, '/');
+
+      if (name != NULL && strlen (name + 1) <= NAME_MAX_BYTES)
+        snprintf (member->retiring[member->n_retiring++], NAME_MAX_BYTES + 1, "%s", name + 1);
+    }
+}
+
+uint64_t
+archive_member_synced (const struct ArchiveMember *member)
+{
+  return member->synced;
+}
+
+void
+archive_member_take_part (struct ArchiveMember *member,
+                          const char *sender,
+                          const struct CopyPart *part)
+{
+  if (member->copy != NULL)
+    archive_copy_take (member->copy, sender, part);
+}
--- a/gateway/front.c
+++ b/gateway/front.c
@@ -289,6 +289,7 @@
       front_take_servers (data, snapshot, after_gap);
       break;
     case SNAPSHOT_NODES:
+    case SNAPSHOT_RETIRE:
       break;
     }
 }
@@ -330,6 +331,16 @@
   (void)link;
 }
 
+static void
+front_on_set (void *data)
+{
+  struct Front *front = data;
+
+  for (struct Request *r = front->requests; r != NULL; r = r->next)
+    if (r->turn != NULL)
+      turn_on_set (r);
+}
+
 static void
 front_describe (void *data, TALLOC_CTX *ctx, struct NodeStatus *status)
 {
@@ -457,6 +468,7 @@
   node->handler.message = front_on_message;
   node->handler.link_closed = front_on_link_closed;
   node->handler.snapshot = front_on_snapshot;
+  node->handler.set_changed = front_on_set;
   node->handler.describe = front_describe;
   node->handler.peer_changed = front_on_peer;
   node->handler.data = f;
--- a/gateway/front.h
+++ b/gateway/front.h
@@ -113,6 +113,10 @@
 void
 turn_abandon (struct Request *request);
 
+/* The set of archives has changed under the turn's open question. */
+void
+turn_on_set (struct Request *request);
+
 /* An archive answered. */
 void
 turn_on_opened (struct Front *front, const char *archive, const struct TurnOpened *opened);
--- a/gateway/node.c
+++ b/gateway/node.c
@@ -75,13 +75,19 @@
   return node->settings->data_folder[0] != '\0';
 }
 
-/* The number only grows: taken for smaller than it is, a question would be answered by archives
- * that share no disk with those that were written to. */
 void
-node_note_archives (struct Node *node, uint32_t n)
+node_take_set (struct Node *node, const struct ArchiveSet *set)
 {
-  if (n > node->n_archives)
-    node->n_archives = n;
+  if (set->generation <= node->set.generation)
+    return;
+  node->set = *set;
+  log_event (LOG_LEVEL_NOTICE, "archive_set", NULL, NULL, "generation %llu, %u members%s%s%s%s%s",
+             (unsigned long long)set->generation, set->n_members, set->changing ? ", changing" : "",
+             set->joining[0] ? ", joining " : "", set->joining, set->leaving[0] ? ", leaving " : "",
+             set->leaving);
+  if (node->handler.set_changed != NULL)
+    node->handler.set_changed (node->handler.data);
+  node_announce (node);
 }
 
 static bool
@@ -93,19 +99,18 @@
   return false;
 }
 
-void
-node_send_all_archives (struct Node *node,
-                        const struct GatewayMessage *message,
-                        char skip[][NAME_MAX_BYTES + 1],
-                        size_t n_skip)
+uint32_t
+node_send_set (struct Node *node,
+               const struct GatewayMessage *message,
+               char skip[][NAME_MAX_BYTES + 1],
+               size_t n_skip)
 {
-  for (size_t i = 0; i < node->n_peers; i++)
-    {
-      const struct NodeStatus *status = &node->peers[i]->status;
+  uint32_t n_sent = 0;
 
-      if (status->is_archive && !name_in (skip, n_skip, status->node))
-        node_send (node, status->node, message);
-    }
+  for (uint32_t i = 0; i < node->set.n_members; i++)
+    if (!name_in (skip, n_skip, node->set.members[i]))
+      n_sent += node_send (node, node->set.members[i], message) == ERROR_NONE;
+  return n_sent;
 }
 
 /* Status. */
@@ -122,7 +127,8 @@
   snprintf (message->status.node, NAME_MAX_BYTES + 1, "%s", settings->instance);
   snprintf (message->status.zone, NAME_MAX_BYTES + 1, "%s", settings->zone);
   snprintf (message->status.peer_address, ADDRESS_MAX_BYTES + 1, "%s", settings->peer_listen);
-  message->status.n_archives = node->n_archives;
+  message->status.set = node->set;
+  message->status.is_archive = node_is_archive (node);
   snprintf (message->status.caller_address, ADDRESS_MAX_BYTES + 1, "%s", settings->caller_listen);
   if (node->handler.describe != NULL)
     node->handler.describe (node->handler.data, message, &message->status);
@@ -139,6 +145,16 @@
   talloc_free (message);
 }
 
+static void
+node_send_status (struct Node *node, const char *peer)
+{
+  struct GatewayMessage *message = node_status (node, node->net);
+
+  if (message != NULL)
+    node_send (node, peer, message);
+  talloc_free (message);
+}
+
 static struct Peer *
 node_need_peer (struct Node *node, const char *name)
 {
@@ -194,7 +210,7 @@
   peer->status.loads = talloc_memdup (peer, status->loads, status->n_loads * sizeof *status->loads);
   if (peer->status.loads == NULL)
     peer->status.n_loads = 0;
-  node_note_archives (node, status->n_archives);
+  node_take_set (node, &status->set);
   peer->heard_ms = timer_now_ms (node->timers);
   peer->refused = false;
   if (node->handler.peer_changed != NULL)
@@ -281,8 +297,12 @@
 
   if (peer != NULL)
     peer->refused = n > 0;
-  if (peer != NULL && n == 0)
-    peer->link_heard_ms = timer_now_ms (node->timers);
+  if (peer == NULL || n > 0)
+    return;
+  /* It has started again and knows nothing yet: waiting for the next heartbeat would cost its
+   * callers half a second. */
+  peer->link_heard_ms = timer_now_ms (node->timers);
+  node_send_status (node, name);
 }
 
 /* A link can fall silent for good without a reset: it is closed and dialled anew. */
@@ -313,7 +333,7 @@
       int64_t heard_ms =
           peer->heard_ms > peer->link_heard_ms ? peer->heard_ms : peer->link_heard_ms;
 
-      if (now_ms - heard_ms < PEER_FORGET_MS || peer->status.is_archive)
+      if (now_ms - heard_ms < PEER_FORGET_MS)
         {
           node->peers[n_kept++] = peer;
           continue;
--- a/gateway/node.h
+++ b/gateway/node.h
@@ -12,6 +12,9 @@
 #include <buckthornhead/peer_net.h>
 #include <buckthornhead/timer.h>
 
+/* Key of the set of archives, after the settings' prefix. */
+#define ARCHIVE_SET_KEY "archives"
+
 struct Node;
 struct StoreReader;
 
@@ -33,6 +36,8 @@
                    const struct GatewayMessage *message);
   /* No answer to what was sent over link will come. */
   void (*link_closed) (void *data, uint64_t link);
+  /* The set of archives has changed; may be NULL. */
+  void (*set_changed) (void *data);
   /* A newer state of the store. after_gap: nobody had read it for a while before. */
   void (*snapshot) (void *data, const struct Snapshot *snapshot, bool after_gap);
   /* Fills in the role's own fields of the status that peers get; may be NULL. */
@@ -55,8 +60,7 @@
   struct Peer **peers; /* talloc children */
   size_t n_peers;
   uint64_t next_id;
-  /* Archives there are, live or not, this process included if it is one; 0: not known yet. */
-  uint32_t n_archives;
+  struct ArchiveSet set; /* the newest that is known */
 };
 
 /* Starts links, heartbeats and reading; events and timers exist already. */
@@ -79,12 +83,12 @@
 void
 node_send_all (struct Node *node, const struct GatewayMessage *message);
 
-/* To all archives that are connected, except the n in skip. */
-void
-node_send_all_archives (struct Node *node,
-                        const struct GatewayMessage *message,
-                        char skip[][NAME_MAX_BYTES + 1],
-                        size_t n_skip);
+/* To all members of the set that are connected, except the n in skip. Returns how many. */
+uint32_t
+node_send_set (struct Node *node,
+               const struct GatewayMessage *message,
+               char skip[][NAME_MAX_BYTES + 1],
+               size_t n_skip);
 
 struct Peer *
 node_peer (const struct Node *node, const char *name);
@@ -97,9 +101,9 @@
 void
 node_know_peer (struct Node *node, const char *name, const char *address, bool is_archive);
 
-/* At least n archives are known to be there. */
+/* A set of archives, from the store or a peer: taken if it is newer, and told to all peers. */
 void
-node_note_archives (struct Node *node, uint32_t n);
+node_take_set (struct Node *node, const struct ArchiveSet *set);
 
 bool
 node_is_archive (const struct Node *node);
--- a/gateway/store_reader.c
+++ b/gateway/store_reader.c
@@ -28,7 +28,7 @@
   BACKOFF_MAX_MS = 1500,
   /* A state that nobody could read for this long may have changed in ways that only time heals. */
   GAP_MS = 2000,
-  N_KINDS = SNAPSHOT_NODES + 1
+  N_KINDS = SNAPSHOT_RETIRE + 1
 };
 
 /* In a process's entry, after its peer address. */
@@ -70,6 +70,7 @@
     case SNAPSHOT_SERVERS:
       return SERVERS_PERIOD_MS;
     case SNAPSHOT_NODES:
+    case SNAPSHOT_RETIRE:
       return NODES_PERIOD_MS;
     }
   return NODES_PERIOD_MS;
@@ -115,10 +116,20 @@
 }
 
 static void
-reader_take_nodes (struct StoreReader *reader, const struct Snapshot *snapshot)
+reader_take_set (struct StoreReader *reader, const struct SnapshotItem *item)
 {
-  uint32_t n_archives = 0;
+  struct ArchiveSet set;
+
+  if (archive_set_decode (item->value, item->value_bytes, &set) == ERROR_NONE)
+    node_take_set (reader->node, &set);
+  else
+    log_event (LOG_LEVEL_ERROR, "archive_set_malformed", NULL, "bring the processes to one version",
+               "%s", item->key);
+}
 
+static void
+reader_take_nodes (struct StoreReader *reader, const struct Snapshot *snapshot)
+{
   for (size_t i = 0; i < snapshot->n_items; i++)
     {
       const struct SnapshotItem *item = &snapshot->items[i];
@@ -128,16 +139,19 @@
 
       if (name == NULL || item->value_bytes >= sizeof value)
         continue;
+      if (strcmp (name, "/" ARCHIVE_SET_KEY) == 0)
+        {
+          reader_take_set (reader, item);
+          continue;
+        }
       memcpy (value, item->value, item->value_bytes);
       value[item->value_bytes] = '\0';
       space = strchr (value, ' ');
       if (space == NULL)
         continue;
       *space = '\0';
-      n_archives += strcmp (space + 1, ROLE_ARCHIVE) == 0;
       node_know_peer (reader->node, name + 1, value, strcmp (space + 1, ROLE_ARCHIVE) == 0);
     }
-  node_note_archives (reader->node, n_archives);
 }
 
 /* Takes a state that is current as of read_ms. An older one than what is held is dropped: state
@@ -303,6 +317,12 @@
   range_on_done (data, SNAPSHOT_NODES, result);
 }
 
+static void
+retire_on_done (void *data, const struct KvResult *result)
+{
+  range_on_done (data, SNAPSHOT_RETIRE, result);
+}
+
 static void
 routes_on_read (void *data, const struct KvResult *result)
 {
@@ -360,6 +380,7 @@
   if (result->error == ERROR_NOT_FOUND || result->n_entries > 0)
     {
       topic->asked_ms = timer_now_ms (reader->node->timers);
+      reader->topics[SNAPSHOT_RETIRE].read_ms = 0;
       routes_read (reader);
       return;
     }
@@ -384,7 +405,7 @@
       routes_read (reader);
       return;
     }
-  request.watch.prefix = reader->node->dialect->routes_prefix;
+  request.watch.prefix = reader->node->dialect->operator_prefix;
   request.watch.start_revision = topic->watched + 1;
   request.watch.wait_ms = ROUTES_WAIT_MS;
   if (kv_submit_guarded (reader, reader->node->store, &request, routes_on_watched, reader)
@@ -419,9 +440,12 @@
       range_ask (reader, kind, reader->node->dialect->servers_prefix, servers_on_done);
       break;
     case SNAPSHOT_NODES:
-      snprintf (prefix, sizeof prefix, "%snodes/", reader->node->settings->prefix);
+      snprintf (prefix, sizeof prefix, "%s", reader->node->settings->prefix);
       range_ask (reader, kind, prefix, nodes_on_done);
       break;
+    case SNAPSHOT_RETIRE:
+      range_ask (reader, kind, reader->node->dialect->retire_prefix, retire_on_done);
+      break;
     }
 }
 
@@ -465,7 +489,7 @@
   int64_t now_ms = timer_now_ms (reader->node->timers);
   int64_t delay_ms = (int64_t)reader_rank (reader) * RANK_DELAY_MS;
 
-  for (enum SnapshotKind kind = SNAPSHOT_ROUTES; kind <= SNAPSHOT_NODES; kind++)
+  for (enum SnapshotKind kind = SNAPSHOT_ROUTES; kind <= SNAPSHOT_RETIRE; kind++)
     {
       struct Topic *topic = &reader->topics[kind];
       bool due =
--- a/gateway/turn.c
+++ b/gateway/turn.c
@@ -20,6 +20,8 @@
   ARCHIVES_MAX = 16
 };
 
+#define TURN_NAMES(names) ((const char (*)[NAME_MAX_BYTES + 1]) (names))
+
 enum TurnPhase
 {
   TURN_OPENING, /* reserving */
@@ -35,7 +37,8 @@
   struct Timer *timer;
   char answered[ARCHIVES_MAX][NAME_MAX_BYTES + 1]; /* archives, to this question */
   size_t n_answered;
-  uint32_t n_complete;  /* of them lack nothing */
+  char complete[ARCHIVES_MAX][NAME_MAX_BYTES + 1]; /* of them, those that lack nothing */
+  size_t n_complete;
   bool previous_exists; /* one of them has it */
   struct TurnCharge *charges;
   size_t n_charges;
@@ -46,21 +49,6 @@
   bool settled;                     /* the archives were told how the turn ended */
 };
 
-static struct ArchiveQuorum
-turn_quorum (const struct Front *front)
-{
-  return archive_quorum (front->node->n_archives, front->node->settings->tolerated);
-}
-
-/* Both groups in one round: what is reserved is durable, and what is known is known. */
-static uint32_t
-turn_n_needed (const struct Front *front)
-{
-  struct ArchiveQuorum quorum = turn_quorum (front);
-
-  return quorum.read > quorum.write ? quorum.read : quorum.write;
-}
-
 static uint64_t
 turn_link (const struct Front *front, const struct Peer *peer)
 {
@@ -94,6 +82,7 @@
   turn->phase = phase;
   turn->question = node_next_id (request->front->node);
   turn->n_answered = 0;
+  turn->n_complete = 0;
   TALLOC_FREE (turn->timer);
 }
 
@@ -118,35 +107,49 @@
   struct Request *request = data;
   char detail[96];
 
-  snprintf (detail, sizeof detail, "%u of %u archives answered, %u must", request->turn->n_complete,
-            request->front->node->n_archives, turn_n_needed (request->front));
+  snprintf (detail, sizeof detail, "%zu of %u archives answered, %zu of them lack nothing",
+            request->turn->n_answered, request->front->node->set.n_members,
+            request->turn->n_complete);
   request_fail (request, FAILURE_UNCERTAIN, detail);
 }
 
-static uint32_t
+static void
 turn_send_open (struct Request *request)
 {
   struct Front *front = request->front;
+  const struct Node *node = front->node;
   const struct Peer *nearest = turn_nearest_archive (front);
   struct GatewayMessage message = { .kind = GATEWAY_TURN_OPEN };
   struct TurnOpen *open = &message.open;
-  uint32_t n_sent = 0;
 
   open->id = request->turn->question;
+  open->generation = node->set.generation;
   snprintf (open->turn, sizeof open->turn, "%s", request->caller.id);
   snprintf (open->program, sizeof open->program, "%s", request->caller.program);
   snprintf (open->previous, sizeof open->previous, "%s", request->caller.previous);
   open->reserve_tokens = request->caller.max_tokens;
-  for (size_t i = 0; i < front->node->n_peers; i++)
+  for (uint32_t i = 0; i < node->set.n_members; i++)
     {
-      const struct Peer *peer = front->node->peers[i];
+      const char *archive = node->set.members[i];
 
-      if (!peer->status.is_archive)
-        continue;
-      open->want_history = peer == nearest;
-      n_sent += node_send (front->node, peer->status.node, &message) == ERROR_NONE;
+      open->want_history = nearest != NULL && strcmp (archive, nearest->status.node) == 0;
+      node_send (front->node, archive, &message);
     }
-  return n_sent;
+}
+
+/* Whether enough archives are connected for an answer to be had at all. */
+static bool
+turn_may_be_answered (const struct Front *front)
+{
+  const struct Node *node = front->node;
+  char connected[ARCHIVE_SET_MAX][NAME_MAX_BYTES + 1];
+  size_t n = 0;
+
+  for (uint32_t i = 0; i < node->set.n_members; i++)
+    if (peer_net_link_to (node->net, node->set.members[i]) != PEER_LINK_NONE)
+      snprintf (connected[n++], sizeof connected[0], "%s", node->set.members[i]);
+  return archive_set_is_written (&node->set, node->settings->tolerated, TURN_NAMES (connected), n)
+         && archive_set_is_read (&node->set, node->settings->tolerated, TURN_NAMES (connected), n);
 }
 
 void
@@ -154,7 +157,6 @@
 {
   struct Front *front = request->front;
   struct Turn *turn = talloc_zero (request, struct Turn);
-  uint32_t n_sent;
 
   if (turn == NULL)
     {
@@ -165,12 +167,12 @@
   if (request->caller.program[0] == '\0')
     request->caller.program = request->caller.id;
   turn_ask (request, turn, TURN_OPENING);
-  n_sent = turn_send_open (request);
-  if (front->node->n_archives == 0 || n_sent < turn_n_needed (front))
+  if (!turn_may_be_answered (front))
     {
       request_fail (request, FAILURE_UNCERTAIN, "too few archives are connected");
       return;
     }
+  turn_send_open (request);
   turn->timer = timer_subscribe (turn, front->node->timers, OPEN_TIMEOUT_MS, 0,
                                  turn_on_open_timeout, request);
 }
@@ -339,7 +341,7 @@
 
   if (caller->previous[0] != '\0' && !turn->previous_exists)
     {
-      snprintf (detail, sizeof detail, "%u archives that lack nothing do not have it",
+      snprintf (detail, sizeof detail, "%zu archives that lack nothing do not have it",
                 turn->n_complete);
       request_fail (request, FAILURE_NO_TURN, detail);
     }
@@ -358,6 +360,7 @@
 static void
 turn_take_opened (struct Request *request, const char *archive, const struct TurnOpened *opened)
 {
+  const struct Node *node = request->front->node;
   struct Turn *turn = request->turn;
 
   if (opened->error != ERROR_NONE || !turn_note_answer (turn, archive))
@@ -371,8 +374,12 @@
       return;
     }
   turn->previous_exists = turn->previous_exists || opened->has_turn;
-  turn->n_complete += opened->complete;
-  if (turn->n_complete >= turn_n_needed (request->front))
+  if (opened->complete)
+    snprintf (turn->complete[turn->n_complete++], NAME_MAX_BYTES + 1, "%s", archive);
+  if (archive_set_is_read (&node->set, node->settings->tolerated, TURN_NAMES (turn->complete),
+                           turn->n_complete)
+      && archive_set_is_written (&node->set, node->settings->tolerated, TURN_NAMES (turn->answered),
+                                 turn->n_answered))
     turn_decide (request);
 }
 
@@ -441,7 +448,8 @@
       close->text.output_bytes = byte_queue_length (&request->events.data);
     }
   turn->settled = true;
-  node_send_all_archives (front->node, &message, turn->answered, turn->n_answered);
+  close->generation = front->node->set.generation;
+  node_send_set (front->node, &message, turn->answered, turn->n_answered);
 }
 
 static void
@@ -484,7 +492,8 @@
 
   if (request == NULL || request->turn->phase != TURN_CLOSING || closed->error != ERROR_NONE
       || !turn_note_answer (request->turn, archive)
-      || request->turn->n_answered < turn_quorum (front).write)
+      || !archive_set_is_written (&front->node->set, front->node->settings->tolerated,
+                                  TURN_NAMES (request->turn->answered), request->turn->n_answered))
     return;
   exchange = request->exchange;
   request->exchange = NULL;
@@ -496,6 +505,30 @@
   request_end (request);
 }
 
+void
+turn_on_set (struct Request *request)
+{
+  struct Turn *turn = request->turn;
+
+  switch (turn->phase)
+    {
+    case TURN_OPENING:
+      /* Answers to the old set's question say nothing about the new one. */
+      turn->n_answered = 0;
+      turn->n_complete = 0;
+      turn->question = node_next_id (request->front->node);
+      turn_send_open (request);
+      break;
+    case TURN_CLOSING:
+      /* What an archive has stored it keeps; those that refused the old question are asked anew. */
+      turn_send_close (request, true);
+      break;
+    case TURN_READING:
+    case TURN_RUNNING:
+      break;
+    }
+}
+
 void
 turn_abandon (struct Request *request)
 {
--- a/include/buckthornhead/dialect.h
+++ b/include/buckthornhead/dialect.h
@@ -50,10 +50,18 @@
   uint32_t running, waiting, slots;
 };
 
+struct RetireNote
+{
+  char key[200];
+  char value[64];
+};
+
 struct Dialect
 {
-  const char *id_header;                  /* that servers repeat in their answers */
-  const char *routes_prefix, *routes_key; /* of the operators' configuration in the store */
+  const char *id_header;       /* that servers repeat in their answers */
+  const char *operator_prefix; /* of all that the operators write in the store */
+  const char *routes_key;
+  const char *retire_prefix; /* a machine's name follows: it is to be emptied */
   const char *servers_prefix;
 
   enum OwnPath (*own_path) (const char *target);
@@ -81,6 +89,8 @@
                           size_t n_bytes,
                           struct ReplicaEntry *entry,
                           struct Fault *fault);
+  /* Key and value that tell the operators how far a machine's emptying is. */
+  void (*write_retired) (const char *machine, bool completed, struct RetireNote *note);
   /* The body that answers OWN_PATH_ADDRESSES; callers keep it for keep_s. */
   char *(*write_addresses) (TALLOC_CTX *ctx,
                             const char *const *addresses,
--- a/include/buckthornhead/gateway_message.h
+++ b/include/buckthornhead/gateway_message.h
@@ -1,6 +1,7 @@
 /* Messages among gateways and archives; they travel in peer messages of kind PEER_GATEWAY. */
 #pragma once
 
+#include <buckthornhead/archive_set.h>
 #include <buckthornhead/settings.h>
 #include <buckthornhead/turn.h>
 
@@ -34,7 +35,8 @@
   bool ready;                                 /* takes callers */
   bool complete;                              /* archives only: see TurnOpened */
   bool is_archive;
-  uint32_t n_archives; /* that the sender knows of, live or not; 0: it has not read the store */
+  uint64_t synced;       /* archives only: generation of a change for which it has copied all */
+  struct ArchiveSet set; /* the newest that the sender knows */
   uint64_t config_version;
   struct ReplicaLoad *loads;
   size_t n_loads;
@@ -45,7 +47,8 @@
 {
   SNAPSHOT_ROUTES = 1,  /* the operators' configuration */
   SNAPSHOT_SERVERS = 2, /* the list of backend servers */
-  SNAPSHOT_NODES = 3    /* the system's own processes */
+  SNAPSHOT_NODES = 3,   /* the system's own processes, and the set of archives */
+  SNAPSHOT_RETIRE = 4   /* machines that the operators want emptied */
 };
 
 struct SnapshotItem
--- a/include/buckthornhead/turn.h
+++ b/include/buckthornhead/turn.h
@@ -32,7 +32,8 @@
 /* Asks an archive to reserve tokens for a turn and to say what it knows. */
 struct TurnOpen
 {
-  uint64_t id; /* of the question, repeated in the answer */
+  uint64_t id;         /* of the question, repeated in the answer */
+  uint64_t generation; /* of the set of archives that the asker knows */
   char turn[NAME_MAX_BYTES + 1];
   char program[NAME_MAX_BYTES + 1];
   char previous[NAME_MAX_BYTES + 1];
@@ -50,9 +51,10 @@
 struct TurnOpened
 {
   uint64_t id;
-  int32_t error;            /* ERROR_NONE; ERROR_IO: not reserved, the disk failed */
-  bool complete;            /* the archive has everything that it ever acknowledged */
-  bool has_turn;            /* the turn that was asked for, or the previous one, is kept here */
+  int32_t error; /* ERROR_NONE; ERROR_IO: not reserved, the disk failed; ERROR_FENCED: not
+            reserved, the set of archives is older than the archive's */
+  bool complete; /* the archive has everything that it ever acknowledged */
+  bool has_turn; /* the turn that was asked for, or the previous one, is kept here */
   struct TurnText *history; /* newest first, ending at the first of the chain or at a gap */
   size_t n_history;
   struct TurnCharge *charges; /* of the program, the new turn's left out */
@@ -63,6 +65,7 @@
 struct TurnClose
 {
   uint64_t id;
+  uint64_t generation;
   char program[NAME_MAX_BYTES + 1];
   uint32_t charge_tokens;
   bool kept;
