--- a/adapters/peer_net.c
+++ b/adapters/peer_net.c
@@ -18,6 +18,10 @@
   FRAME_LENGTH_BYTES = 4,
   READ_CHUNK_BYTES = 64 * 1024,
   DIAL_RETRY_MS = 200,
+  /* A dialled link that is not connected by then is dialled anew. The kernel sends a lost opening
+   * packet again after 1, 2, 4 s: after a partition of some seconds a link that was dialled inside
+   * it would come up that much later. Well over a round trip between regions. */
+  DIAL_TIMEOUT_MS = 500,
   LISTEN_BACKLOG = 256,
   /* A peer that stops reading must not take the instance's memory with it. */
   WRITE_QUEUE_MAX_BYTES = 64 * 1024 * 1024
@@ -38,6 +42,7 @@
   uint64_t id;
   int fd;
   bool dialled, connected;
+  int64_t dialled_ms;
   char instance[NAME_MAX_BYTES + 1]; /* "" until an accepted link said hello */
   struct tevent_fd *watch;
   uint8_t *input;
@@ -379,6 +384,7 @@
       close (fd);
       return;
     }
+  known->link->dialled_ms = timer_now_ms (net->timers);
   snprintf (known->link->instance, sizeof known->link->instance, "%s", known->instance);
   peer_link_say_hello (known->link);
 }
@@ -388,9 +394,15 @@
 {
   struct PeerNet *net = data;
 
+  int64_t now_ms = timer_now_ms (net->timers);
+
   for (struct PeerKnown *k = net->known; k != NULL; k = k->next)
-    if (k->link == NULL)
-      peer_net_dial (net, k);
+    {
+      if (k->link != NULL && !k->link->connected && now_ms - k->link->dialled_ms >= DIAL_TIMEOUT_MS)
+        peer_link_close (k->link, "no answer to the dial");
+      if (k->link == NULL)
+        peer_net_dial (net, k);
+    }
 }
 
 static void
--- a/core/gateway/archive_set.c
+++ b/core/gateway/archive_set.c
@@ -7,85 +7,125 @@
 #include <stdio.h>
 #include <string.h>
 
-static bool
-name_in (const char (*names)[NAME_MAX_BYTES + 1], size_t n, const char *name)
+bool
+archive_names_have (const struct ArchiveNames *names, const char *name)
 {
-  for (size_t i = 0; i < n; i++)
-    if (strcmp (names[i], name) == 0)
+  for (uint32_t i = 0; i < names->n; i++)
+    if (strcmp (names->names[i], name) == 0)
       return true;
   return false;
 }
 
+void
+archive_names_add (struct ArchiveNames *names, const char *name)
+{
+  if (name[0] == '\0' || archive_names_have (names, name) || names->n == ARCHIVE_SET_MAX)
+    return;
+  snprintf (names->names[names->n++], NAME_MAX_BYTES + 1, "%s", name);
+}
+
+static void
+names_remove (struct ArchiveNames *names, const char *name)
+{
+  for (uint32_t i = 0; i < names->n; i++)
+    if (strcmp (names->names[i], name) == 0)
+      {
+        names->n--;
+        memmove (names->names[i], names->names[names->n], sizeof names->names[i]);
+        return;
+      }
+}
+
+static uint32_t
+names_shared (const struct ArchiveNames *a, const struct ArchiveNames *b)
+{
+  uint32_t n = 0;
+
+  for (uint32_t i = 0; i < a->n; i++)
+    n += archive_names_have (b, a->names[i]);
+  return n;
+}
+
 bool
 archive_set_has (const struct ArchiveSet *set, const char *name)
 {
-  return name_in ((const char (*)[NAME_MAX_BYTES + 1]) set->members, set->n_members, name);
+  return archive_names_have (&set->members, name);
 }
 
-/* Members that stay through the change; all of them when there is none. */
-static bool
-set_all_staying (const struct ArchiveSet *set, const char (*names)[NAME_MAX_BYTES + 1], size_t n)
+struct ArchiveNames
+archive_set_asked (const struct ArchiveSet *set)
 {
-  for (uint32_t i = 0; i < set->n_members; i++)
-    if (strcmp (set->members[i], set->joining) != 0 && !name_in (names, n, set->members[i]))
-      return false;
-  return true;
+  struct ArchiveNames asked = set->members;
+
+  if (set->stage != ARCHIVE_STAGE_STABLE)
+    for (uint32_t i = 0; i < set->former.n; i++)
+      archive_names_add (&asked, set->former.names[i]);
+  return asked;
 }
 
-static uint32_t
-set_count (const struct ArchiveSet *set, const char (*names)[NAME_MAX_BYTES + 1], size_t n)
+static bool
+names_write (const struct ArchiveNames *set, uint32_t tolerated, const struct ArchiveNames *names)
 {
-  uint32_t count = 0;
+  return names_shared (set, names) >= archive_quorum (set->n, tolerated).write;
+}
 
-  for (uint32_t i = 0; i < set->n_members; i++)
-    count += name_in (names, n, set->members[i]);
-  return count;
+static bool
+names_read (const struct ArchiveNames *set, uint32_t tolerated, const struct ArchiveNames *names)
+{
+  return names_shared (set, names) >= archive_quorum (set->n, tolerated).read;
 }
 
 bool
 archive_set_is_written (const struct ArchiveSet *set,
                         uint32_t tolerated,
-                        const char (*names)[NAME_MAX_BYTES + 1],
-                        size_t n)
-{
-  if (set->generation == 0)
-    return false;
-  if (set->changing)
-    return set_all_staying (set, names, n);
-  return set_count (set, names, n) >= archive_quorum (set->n_members, tolerated).write;
+                        const struct ArchiveNames *names)
+{
+  switch (set->stage)
+    {
+    case ARCHIVE_STAGE_STABLE:
+      return set->generation > 0 && names_write (&set->members, tolerated, names);
+    case ARCHIVE_STAGE_STARTING:
+    case ARCHIVE_STAGE_ENDING:
+      return names_write (&set->members, tolerated, names)
+             && names_write (&set->former, tolerated, names);
+    }
+  return false;
 }
 
 bool
 archive_set_is_read (const struct ArchiveSet *set,
                      uint32_t tolerated,
-                     const char (*names)[NAME_MAX_BYTES + 1],
-                     size_t n)
-{
-  if (set->generation == 0)
-    return false;
-  if (set->changing)
-    return set_all_staying (set, names, n);
-  return set_count (set, names, n) >= archive_quorum (set->n_members, tolerated).read;
+                     const struct ArchiveNames *names)
+{
+  switch (set->stage)
+    {
+    case ARCHIVE_STAGE_STABLE:
+      return set->generation > 0 && names_read (&set->members, tolerated, names);
+    case ARCHIVE_STAGE_STARTING:
+      return names_read (&set->former, tolerated, names);
+    case ARCHIVE_STAGE_ENDING:
+      return names_read (&set->members, tolerated, names)
+             && names_read (&set->former, tolerated, names);
+    }
+  return false;
 }
 
-static void
-set_add (struct ArchiveSet *set, const char *name)
+bool
+archive_set_is_copied (const struct ArchiveSet *set,
+                       uint32_t tolerated,
+                       const struct ArchiveNames *names)
 {
-  if (name[0] == '\0' || archive_set_has (set, name) || set->n_members == ARCHIVE_SET_MAX)
-    return;
-  snprintf (set->members[set->n_members++], NAME_MAX_BYTES + 1, "%s", name);
+  const struct ArchiveNames *from =
+      set->stage == ARCHIVE_STAGE_STABLE ? &set->members : &set->former;
+
+  return set->generation > 0 && names_read (from, tolerated, names);
 }
 
-static void
-set_remove (struct ArchiveSet *set, const char *name)
+uint64_t
+archive_set_oldest (const struct ArchiveSet *set)
 {
-  for (uint32_t i = 0; i < set->n_members; i++)
-    if (strcmp (set->members[i], name) == 0)
-      {
-        set->n_members--;
-        memmove (set->members[i], set->members[set->n_members], sizeof set->members[i]);
-        return;
-      }
+  return set->stage == ARCHIVE_STAGE_STABLE && set->generation > 0 ? set->generation - 1
+                                                                   : set->generation;
 }
 
 struct ArchiveSet
@@ -94,7 +134,7 @@
   struct ArchiveSet next = *set;
 
   next.generation++;
-  set_add (&next, name);
+  archive_names_add (&next.members, name);
   return next;
 }
 
@@ -104,62 +144,72 @@
   struct ArchiveSet next = *set;
 
   next.generation++;
-  next.changing = true;
-  snprintf (next.joining, sizeof next.joining, "%s", joining);
-  snprintf (next.leaving, sizeof next.leaving, "%s", leaving);
-  set_remove (&next, leaving);
-  set_add (&next, joining);
+  next.stage = ARCHIVE_STAGE_STARTING;
+  next.former = set->members;
+  names_remove (&next.members, leaving);
+  archive_names_add (&next.members, joining);
   return next;
 }
 
 struct ArchiveSet
-archive_set_settle (const struct ArchiveSet *set)
+archive_set_advance (const struct ArchiveSet *set)
 {
   struct ArchiveSet next = *set;
 
   next.generation++;
-  next.changing = false;
-  next.joining[0] = '\0';
-  next.leaving[0] = '\0';
+  if (set->stage == ARCHIVE_STAGE_STARTING)
+    {
+      next.stage = ARCHIVE_STAGE_ENDING;
+      return next;
+    }
+  next.stage = ARCHIVE_STAGE_STABLE;
+  next.former.n = 0;
   return next;
 }
 
+static void
+names_pack (struct PackWriter *p, const struct ArchiveNames *names)
+{
+  pack_array (p, names->n);
+  for (uint32_t i = 0; i < names->n; i++)
+    pack_string (p, names->names[i]);
+}
+
+static void
+names_unpack (struct PackReader *outer, struct ArchiveNames *names)
+{
+  struct PackReader r;
+
+  read_array (outer, &r);
+  if (r.n_items > ARCHIVE_SET_MAX)
+    r.failed = true;
+  for (size_t i = 0; i < r.n_items && !r.failed; i++)
+    read_string (&r, names->names[names->n++], NAME_MAX_BYTES + 1);
+  outer->failed = outer->failed || r.failed;
+}
+
 void
 archive_set_pack (struct PackWriter *p, const struct ArchiveSet *set)
 {
-  pack_array (p, 5);
+  pack_array (p, 4);
   pack_u64 (p, set->generation);
-  pack_bool (p, set->changing);
-  pack_string (p, set->joining);
-  pack_string (p, set->leaving);
-  pack_array (p, set->n_members);
-  for (uint32_t i = 0; i < set->n_members; i++)
-    pack_string (p, set->members[i]);
+  pack_u64 (p, set->stage);
+  names_pack (p, &set->members);
+  names_pack (p, &set->former);
 }
 
 void
 archive_set_unpack (struct PackReader *outer, struct ArchiveSet *set)
 {
-  struct PackReader r, members;
+  struct PackReader r;
 
   memset (set, 0, sizeof *set);
   read_array (outer, &r);
   set->generation = read_u64 (&r, UINT64_MAX);
-  set->changing = read_bool (&r);
-  read_string (&r, set->joining, sizeof set->joining);
-  read_string (&r, set->leaving, sizeof set->leaving);
-  read_array (&r, &members);
-  if (members.n_items > ARCHIVE_SET_MAX)
-    members.failed = true;
-  for (size_t i = 0; i < members.n_items && !members.failed; i++)
-    read_string (&members, set->members[set->n_members++], NAME_MAX_BYTES + 1);
-  outer->failed = outer->failed || members.failed || read_end (&r) != ERROR_NONE;
-}
-
-uint64_t
-archive_set_oldest (const struct ArchiveSet *set)
-{
-  return set->changing || set->generation == 0 ? set->generation : set->generation - 1;
+  set->stage = (enum ArchiveStage)read_u64 (&r, ARCHIVE_STAGE_ENDING);
+  names_unpack (&r, &set->members);
+  names_unpack (&r, &set->former);
+  outer->failed = outer->failed || read_end (&r) != ERROR_NONE;
 }
 
 int32_t
--- a/core/gateway/gateway_message.c
+++ b/core/gateway/gateway_message.c
@@ -141,6 +141,7 @@
   pack_string (p, status->peer_address);
   pack_string (p, status->caller_address);
   pack_bool (p, status->ready);
+  pack_bool (p, status->reaches_archives);
   pack_bool (p, status->complete);
   pack_bool (p, status->is_archive);
   pack_u64 (p, status->synced);
@@ -164,6 +165,7 @@
   read_string (r, status->peer_address, sizeof status->peer_address);
   read_string (r, status->caller_address, sizeof status->caller_address);
   status->ready = read_bool (r);
+  status->reaches_archives = read_bool (r);
   status->complete = read_bool (r);
   status->is_archive = read_bool (r);
   status->synced = read_u64 (r, UINT64_MAX);
@@ -248,8 +250,11 @@
     case GATEWAY_COPY_WANT:
       return 3;
     case GATEWAY_TURN_CLOSE:
-    case GATEWAY_STATUS:
       return 12;
+    case GATEWAY_STATUS:
+      return 13;
+    case GATEWAY_RELAY:
+      return 4;
     case GATEWAY_SNAPSHOT:
     case GATEWAY_COPY_PART:
       return 6;
@@ -301,6 +306,11 @@
     case GATEWAY_COPY_PART:
       copy_part_pack (p, &message->copy_part);
       break;
+    case GATEWAY_RELAY:
+      pack_string (p, message->relay.to);
+      pack_string (p, message->relay.from);
+      pack_bytes (p, message->relay.message, message->relay.message_bytes);
+      break;
     }
   return pack_finish (p, ctx, bytes, n_bytes);
 }
@@ -340,6 +350,11 @@
     case GATEWAY_COPY_PART:
       copy_part_unpack (r, ctx, &m->copy_part);
       break;
+    case GATEWAY_RELAY:
+      read_string (r, m->relay.to, sizeof m->relay.to);
+      read_string (r, m->relay.from, sizeof m->relay.from);
+      m->relay.message = read_bytes (r, ctx, &m->relay.message_bytes);
+      break;
     default:
       r->failed = true;
     }
@@ -358,7 +373,7 @@
   *message = NULL;
   if (opened == NULL)
     goto fail;
-  m->kind = (enum GatewayKind)read_u64 (&reader, GATEWAY_COPY_PART);
+  m->kind = (enum GatewayKind)read_u64 (&reader, GATEWAY_RELAY);
   if (reader.failed || reader.n_items != message_n_items (m->kind))
     goto fail;
   message_unpack_body (&reader, m, m);
--- a/gateway/archive.c
+++ b/gateway/archive.c
@@ -386,6 +386,7 @@
     case GATEWAY_TURN_CLOSED:
     case GATEWAY_STATUS:
     case GATEWAY_SNAPSHOT:
+    case GATEWAY_RELAY:
       break;
     }
 }
--- a/gateway/archive_copy.c
+++ b/gateway/archive_copy.c
@@ -67,17 +67,15 @@
 static bool
 copy_check_done (struct ArchiveCopy *copy)
 {
-  char finished[SOURCES_MAX][NAME_MAX_BYTES + 1];
-  size_t n = 0;
+  struct ArchiveNames finished = { .n = 0 };
 
   for (size_t i = 0; i < copy->n_sources; i++)
     if (copy->sources[i].finished)
-      memcpy (finished[n++], copy->sources[i].node, sizeof finished[0]);
-  if (!copy->options.is_enough (copy->options.data, (const char (*)[NAME_MAX_BYTES + 1]) finished,
-                                n))
+      archive_names_add (&finished, copy->sources[i].node);
+  if (!copy->options.is_enough (copy->options.data, &finished))
     return false;
-  log_event (LOG_LEVEL_NOTICE, "archive_copied", NULL, NULL, "%llu records from %zu archives",
-             (unsigned long long)copy->n_records, n);
+  log_event (LOG_LEVEL_NOTICE, "archive_copied", NULL, NULL, "%llu records from %u archives",
+             (unsigned long long)copy->n_records, finished.n);
   copy->options.done (copy->options.data);
   talloc_free (copy);
   return true;
--- a/gateway/archive_copy.h
+++ b/gateway/archive_copy.h
@@ -39,7 +39,7 @@
   /* May this archive be copied from? */
   bool (*is_source) (void *data, const char *archive);
   /* Have enough given all that they hold? */
-  bool (*is_enough) (void *data, const char (*archives)[NAME_MAX_BYTES + 1], size_t n);
+  bool (*is_enough) (void *data, const struct ArchiveNames *archives);
   /* A source's end counts if it was asked for this long after the start. */
   int64_t settle_ms;
   void (*done) (void *data);
--- a/gateway/archive_member.c
+++ b/gateway/archive_member.c
@@ -16,6 +16,7 @@
    * learns of the new one; a sync takes milliseconds. */
   COPY_SETTLE_MS = 500,
   RETIRE_MAX = 16,
+  ENDING_OTHERS_MS = 2000,
   /* After a change that another archive's came before, or that the store did not take. */
   RETRY_MS = 400
 };
@@ -25,7 +26,7 @@
 {
   WRITE_FIRST,  /* this archive is among the first */
   WRITE_CHANGE, /* .joining comes, .leaving goes */
-  WRITE_SETTLE  /* the change is done */
+  WRITE_ADVANCE /* the change's next stage */
 };
 
 struct ArchiveMember
@@ -45,6 +46,8 @@
   int64_t next_ms;
   int64_t not_heard_ms[ARCHIVE_SET_MAX]; /* since when, by place in the set */
   uint64_t not_heard_generation;
+  uint64_t ending_generation;
+  int64_t ending_ms; /* since when that change is ending */
   bool told_running, told_completed, telling;
 };
 
@@ -114,13 +117,15 @@
     {
     case WRITE_FIRST:
       *next = archive_set_first (held, member_name (member));
-      return !held->changing && !archive_set_has (held, member_name (member));
+      return held->stage == ARCHIVE_STAGE_STABLE && !archive_set_has (held, member_name (member));
     case WRITE_CHANGE:
       *next = archive_set_change (held, member->joining, member->leaving);
-      return held->generation == member->node->set.generation && !held->changing;
-    case WRITE_SETTLE:
-      *next = archive_set_settle (held);
-      return held->generation == member->node->set.generation && held->changing;
+      return held->generation == member->node->set.generation
+             && held->stage == ARCHIVE_STAGE_STABLE;
+    case WRITE_ADVANCE:
+      *next = archive_set_advance (held);
+      return held->generation == member->node->set.generation
+             && held->stage != ARCHIVE_STAGE_STABLE;
     }
   return false;
 }
@@ -190,42 +195,30 @@
 
 /* Copying. */
 
+/* An archive that is asked, and that refuses questions from before the change: nothing that it has
+ * not got yet can be acknowledged to them any more. */
 static bool
 member_is_source (void *data, const char *archive)
 {
   const struct ArchiveMember *member = data;
   const struct ArchiveSet *set = &member->node->set;
+  struct ArchiveNames asked = archive_set_asked (set);
+  const struct Peer *peer = node_peer (member->node, archive);
 
-  return strcmp (archive, member_name (member)) != 0
-         && (archive_set_has (set, archive) || strcmp (archive, set->leaving) == 0);
+  return strcmp (archive, member_name (member)) != 0 && archive_names_have (&asked, archive)
+         && peer != NULL && peer->status.set.generation >= set->generation;
 }
 
 static bool
-names_have (const char (*names)[NAME_MAX_BYTES + 1], size_t n, const char *name)
-{
-  for (size_t i = 0; i < n; i++)
-    if (strcmp (names[i], name) == 0)
-      return true;
-  return false;
-}
-
-/* In a change: all others who stay, and the one that leaves if it is still there. Else as many as
- * any question needs; this disk, which held nothing, is not among them. */
-static bool
-member_is_enough (void *data, const char (*archives)[NAME_MAX_BYTES + 1], size_t n)
+member_is_enough (void *data, const struct ArchiveNames *archives)
 {
   const struct ArchiveMember *member = data;
-  const struct ArchiveSet *set = &member->node->set;
+  struct ArchiveNames held = *archives;
 
-  if (!set->changing)
-    return archive_set_is_read (set, member->node->settings->tolerated, archives, n);
-  for (uint32_t i = 0; i < set->n_members; i++)
-    if (strcmp (set->members[i], set->joining) != 0
-        && strcmp (set->members[i], member_name (member)) != 0
-        && !names_have (archives, n, set->members[i]))
-      return false;
-  return set->leaving[0] == '\0' || !member_peer_is_live (member, set->leaving)
-         || names_have (archives, n, set->leaving);
+  /* What this disk holds itself, if it was never lost. */
+  if (disk_log_is_complete (member->log))
+    archive_names_add (&held, member_name (member));
+  return archive_set_is_copied (&member->node->set, member->node->settings->tolerated, &held);
 }
 
 static void
@@ -262,34 +255,34 @@
   member->copy = archive_copy_new (member, member->node, member->archive, &options);
 }
 
-/* All others who stay refuse questions of the set before. */
-static bool
-member_others_know (const struct ArchiveMember *member)
+/* Archives that know the set's present generation, this one included. */
+static struct ArchiveNames
+member_who_knows (const struct ArchiveMember *member)
 {
   const struct ArchiveSet *set = &member->node->set;
+  struct ArchiveNames asked = archive_set_asked (set);
+  struct ArchiveNames know = { .n = 0 };
 
-  for (uint32_t i = 0; i < set->n_members; i++)
+  for (uint32_t i = 0; i < asked.n; i++)
     {
-      const struct Peer *peer = node_peer (member->node, set->members[i]);
+      const struct Peer *peer = node_peer (member->node, asked.names[i]);
 
-      if (strcmp (set->members[i], member_name (member)) == 0
-          || strcmp (set->members[i], set->joining) == 0)
-        continue;
-      if (peer == NULL || peer->status.set.generation < set->generation)
-        return false;
+      if (strcmp (asked.names[i], member_name (member)) == 0
+          || (peer != NULL && peer->status.set.generation >= set->generation))
+        archive_names_add (&know, asked.names[i]);
     }
-  return true;
+  return know;
 }
 
-/* All who stay have copied everything; only asked when nobody joins. */
+/* All members have copied everything from before the change; only asked when nobody joins. */
 static bool
 member_all_synced (const struct ArchiveMember *member)
 {
   const struct ArchiveSet *set = &member->node->set;
 
-  for (uint32_t i = 0; i < set->n_members; i++)
+  for (uint32_t i = 0; i < set->members.n; i++)
     {
-      const struct Peer *peer = node_peer (member->node, set->members[i]);
+      const struct Peer *peer = node_peer (member->node, set->members.names[i]);
 
       if (peer == NULL || peer->status.synced < set->generation)
         return false;
@@ -297,23 +290,55 @@
   return true;
 }
 
+/* Who comes with the change; "" when it only takes one away. */
+static const char *
+set_joining (const struct ArchiveSet *set)
+{
+  for (uint32_t i = 0; i < set->members.n; i++)
+    if (!archive_names_have (&set->former, set->members.names[i]))
+      return set->members.names[i];
+  return "";
+}
+
+/* The one that joins copies, or all who stay do; then the change may end. */
 static void
-member_during_change (struct ArchiveMember *member)
+member_while_starting (struct ArchiveMember *member)
 {
   const struct ArchiveSet *set = &member->node->set;
-  const char *name = member_name (member);
-  bool joins = strcmp (set->joining, name) == 0;
+  const char *name = member_name (member), *joining = set_joining (set);
+  bool joins = strcmp (joining, name) == 0;
 
-  if (joins || (set->joining[0] == '\0' && archive_set_has (set, name)))
+  if (joins || (joining[0] == '\0' && archive_set_has (set, name)))
     {
-      if (member->synced < set->generation && member_others_know (member))
+      if (member->synced < set->generation)
         member_start_copy (member, set->generation);
       if (joins && member->synced == set->generation)
-        member_write (member, WRITE_SETTLE, "", "");
+        member_write (member, WRITE_ADVANCE, "", "");
     }
-  else if (strcmp (set->leaving, name) == 0 && set->joining[0] == '\0'
-           && member_all_synced (member))
-    member_write (member, WRITE_SETTLE, "", "");
+  else if (joining[0] == '\0' && member_all_synced (member))
+    member_write (member, WRITE_ADVANCE, "", "");
+}
+
+/* Once enough of the former archives refuse questions of the stage before, no such question can be
+ * answered any more, and the new set may stand alone. Every archive knows when: the one that
+ * changes goes first, the others see to it if that one is gone. */
+static void
+member_while_ending (struct ArchiveMember *member)
+{
+  const struct ArchiveSet *set = &member->node->set;
+  const char *name = member_name (member);
+  struct ArchiveNames know = member_who_knows (member);
+  bool changes = strcmp (set_joining (set), name) == 0 || !archive_set_has (set, name);
+
+  if (member->ending_generation != set->generation)
+    {
+      member->ending_generation = set->generation;
+      member->ending_ms = member_now_ms (member);
+    }
+  if (!archive_set_is_written (set, member->node->settings->tolerated, &know))
+    return;
+  if (changes || member_now_ms (member) - member->ending_ms > ENDING_OTHERS_MS)
+    member_write (member, WRITE_ADVANCE, "", "");
 }
 
 /* Joining. */
@@ -328,16 +353,16 @@
   if (member->not_heard_generation != set->generation)
     memset (member->not_heard_ms, 0, sizeof member->not_heard_ms);
   member->not_heard_generation = set->generation;
-  for (uint32_t i = 0; i < set->n_members; i++)
+  for (uint32_t i = 0; i < set->members.n; i++)
     {
-      if (member_is_retiring (member, set->members[i]))
-        return set->members[i];
-      if (member_peer_is_live (member, set->members[i]))
+      if (member_is_retiring (member, set->members.names[i]))
+        return set->members.names[i];
+      if (member_peer_is_live (member, set->members.names[i]))
         member->not_heard_ms[i] = 0;
       else if (member->not_heard_ms[i] == 0)
         member->not_heard_ms[i] = now_ms;
       else if (now_ms - member->not_heard_ms[i] > DEAD_MS)
-        return set->members[i];
+        return set->members.names[i];
     }
   return NULL;
 }
@@ -348,12 +373,12 @@
 {
   const struct ArchiveSet *set = &member->node->set;
 
-  for (uint32_t i = 0; i < set->n_members; i++)
+  for (uint32_t i = 0; i < set->members.n; i++)
     {
-      const struct Peer *peer = node_peer (member->node, set->members[i]);
+      const struct Peer *peer = node_peer (member->node, set->members.names[i]);
 
-      if (strcmp (set->members[i], except) == 0
-          || strcmp (set->members[i], member_name (member)) == 0)
+      if (strcmp (set->members.names[i], except) == 0
+          || strcmp (set->members.names[i], member_name (member)) == 0)
         continue;
       if (peer == NULL || !node_peer_is_live (member->node, peer) || !peer->status.complete)
         return false;
@@ -388,7 +413,7 @@
 
   if (member_is_retiring (member, member_name (member)))
     return;
-  if (leaving == NULL && set->n_members >= wanted)
+  if (leaving == NULL && set->members.n >= wanted)
     return;
   if (member_others_are_whole (member, leaving != NULL ? leaving : ""))
     member_write (member, WRITE_CHANGE, member_name (member), leaving != NULL ? leaving : "");
@@ -399,11 +424,9 @@
 {
   const char *name = member_name (member);
 
-  if (!disk_log_is_complete (member->log))
-    member_start_copy (member, 0);
   /* With another disk to be had, that one takes this one's place. */
   if (member_is_retiring (member, name) && !member_has_spare (member)
-      && member->node->set.n_members > 1 && member_others_are_whole (member, name))
+      && member->node->set.members.n > 1 && member_others_are_whole (member, name))
     member_write (member, WRITE_CHANGE, "", name);
 }
 
@@ -426,7 +449,8 @@
 member_tell (struct ArchiveMember *member)
 {
   const struct ArchiveSet *set = &member->node->set;
-  bool completed = !set->changing && !archive_set_has (set, member_name (member));
+  bool completed =
+      set->stage == ARCHIVE_STAGE_STABLE && !archive_set_has (set, member_name (member));
   struct KvRequest request = { .op = KV_OP_PUT };
   struct RetireNote note;
 
@@ -449,6 +473,20 @@
     member->telling = false;
 }
 
+/* A disk that counts and lacks something, but for one that copies for a change anyway. */
+static bool
+member_lost_disk (const struct ArchiveMember *member)
+{
+  const struct ArchiveSet *set = &member->node->set;
+  struct ArchiveNames asked = archive_set_asked (set);
+  const char *joining = set_joining (set);
+  bool changes = set->stage == ARCHIVE_STAGE_STARTING
+                 && (joining[0] == '\0' || strcmp (joining, member_name (member)) == 0);
+
+  return set->generation > 0 && !member->first && !disk_log_is_complete (member->log) && !changes
+         && archive_names_have (&asked, member_name (member));
+}
+
 static void
 member_on_tick (void *data)
 {
@@ -456,16 +494,26 @@
   const struct ArchiveSet *set = &member->node->set;
   bool inside = archive_set_has (set, member_name (member));
 
+  if (member_lost_disk (member))
+    member_start_copy (member, 0);
   if (member->first && !inside)
     member_write (member, WRITE_FIRST, "", "");
-  else if (set->generation == 0)
-    return;
-  else if (set->changing)
-    member_during_change (member);
-  else if (inside)
-    member_inside (member);
-  else
-    member_outside (member);
+  else if (set->generation > 0)
+    switch (set->stage)
+      {
+      case ARCHIVE_STAGE_STABLE:
+        if (inside)
+          member_inside (member);
+        else
+          member_outside (member);
+        break;
+      case ARCHIVE_STAGE_STARTING:
+        member_while_starting (member);
+        break;
+      case ARCHIVE_STAGE_ENDING:
+        member_while_ending (member);
+        break;
+      }
   if (inside)
     member->first = false;
   member_tell (member);
--- a/gateway/front.c
+++ b/gateway/front.c
@@ -18,6 +18,8 @@
   /* Before the machine kills the process, what is left is answered. */
   STOP_MARGIN_MS = 400,
   ADDRESSES_MAX = 64, /* that a caller can use */
+  /* One gateway more than may be lost at once. */
+  ZONE_ADDRESSES_MIN = 2,
   /* Until the operators' configuration says otherwise. */
   FIRST_HEADER_BYTES = 16 * 1024,
   FIRST_BODY_BYTES = 4 * 1024 * 1024,
@@ -154,37 +156,53 @@
 static bool
 front_is_ready (const struct Front *front)
 {
-  return front->stop_ms == 0 && front->table != NULL;
+  return front->stop_ms == 0 && front->table != NULL
+         && (node_reaches_archives (front->node) || node_has_relay (front->node));
 }
 
+/* Adds the ready gateways of zone, or of all zones for NULL, to the n that are there. */
 static size_t
-front_addresses (struct Front *front, const char *addresses[ADDRESSES_MAX])
+front_add_addresses (struct Front *front, const char *zone, const char *addresses[ADDRESSES_MAX])
 {
   const struct Node *node = front->node;
   size_t n = 0;
 
-  if (front_is_ready (front))
+  if (front_is_ready (front) && (zone == NULL || strcmp (zone, node->settings->zone) == 0))
     addresses[n++] = node->settings->caller_listen;
   for (size_t i = 0; i < node->n_peers && n < ADDRESSES_MAX; i++)
     {
-      const struct Peer *peer = node->peers[i];
+      const struct NodeStatus *status = &node->peers[i]->status;
 
-      if (peer->status.ready && peer->status.caller_address[0] != '\0'
-          && node_peer_is_live (node, peer))
-        addresses[n++] = peer->status.caller_address;
+      if (status->ready && status->caller_address[0] != '\0'
+          && (zone == NULL || strcmp (zone, status->zone) == 0)
+          && node_peer_is_live (node, node->peers[i]))
+        addresses[n++] = status->caller_address;
     }
   return n;
 }
 
+/* Callers get the gateways of their own availability zone while there are enough of them: a
+ * session's turns then stay in one zone, and so does the history that each of them needs. */
+static size_t
+front_addresses (struct Front *front, const char *zone, const char *addresses[ADDRESSES_MAX])
+{
+  size_t n = zone[0] != '\0' ? front_add_addresses (front, zone, addresses) : 0;
+
+  return n >= ZONE_ADDRESSES_MIN ? n : front_add_addresses (front, NULL, addresses);
+}
+
 static void
 front_answer_addresses (struct Front *front, struct HttpExchange *exchange)
 {
   struct HttpHeader type = { "Content-Type", "application/json" };
   struct HttpHeaders headers = { &type, 1 };
   const char *addresses[ADDRESSES_MAX];
-  size_t n = front_addresses (front, addresses);
+  char zone[NAME_MAX_BYTES + 1];
   char *body = NULL;
+  size_t n;
 
+  front->node->dialect->asker_zone (exchange->target, zone);
+  n = front_addresses (front, zone, addresses);
   if (n > 0)
     body =
         front->node->dialect->write_addresses (front, addresses, n, front->node->settings->keep_s);
@@ -320,6 +338,7 @@
     case GATEWAY_SNAPSHOT:
     case GATEWAY_COPY_WANT:
     case GATEWAY_COPY_PART:
+    case GATEWAY_RELAY:
       break;
     }
 }
@@ -348,6 +367,7 @@
   const struct ReplicaSet *set = front->replicas;
 
   status->ready = front_is_ready (front);
+  status->reaches_archives = front->stop_ms == 0 && node_reaches_archives (front->node);
   status->config_version = front->table != NULL ? front->table->version : 0;
   status->loads = talloc_zero_array (ctx, struct ReplicaLoad, set->n_replicas);
   for (size_t i = 0; status->loads != NULL && i < set->n_replicas; i++)
--- a/gateway/node.c
+++ b/gateway/node.c
@@ -1,5 +1,6 @@
 #include "node.h"
 
+#include "relay.h"
 #include "store_reader.h"
 
 #include <buckthornhead/log.h>
@@ -14,6 +15,8 @@
   HEARTBEAT_MS = 500,
   /* A peer that was not heard for three heartbeats is left out until it is heard again. */
   PEER_LIVE_MS = 1600,
+  /* Its link answered nothing for two heartbeats and some: messages to it take another way. */
+  PEER_ANSWERS_MS = 1150,
   /* Silent for this long: not dialled any more. It dials us when it is back. */
   PEER_FORGET_MS = 30 * 1000
 };
@@ -44,8 +47,11 @@
 {
   struct PeerMessage envelope = { .kind = PEER_GATEWAY };
   uint8_t *bytes;
-  int32_t error = gateway_message_pack (node->net, message, &bytes, &envelope.gateway.n_bytes);
+  int32_t error;
 
+  if (relay_is_link (link))
+    return relay_answer (node, link, message);
+  error = gateway_message_pack (node->net, message, &bytes, &envelope.gateway.n_bytes);
   if (error != ERROR_NONE)
     return error;
   envelope.gateway.bytes = bytes;
@@ -75,41 +81,90 @@
   return node->settings->data_folder[0] != '\0';
 }
 
+static const char *
+stage_words (enum ArchiveStage stage)
+{
+  switch (stage)
+    {
+    case ARCHIVE_STAGE_STABLE:
+      return "";
+    case ARCHIVE_STAGE_STARTING:
+      return ", a change starts";
+    case ARCHIVE_STAGE_ENDING:
+      return ", a change ends";
+    }
+  return "";
+}
+
 void
 node_take_set (struct Node *node, const struct ArchiveSet *set)
 {
   if (set->generation <= node->set.generation)
     return;
   node->set = *set;
-  log_event (LOG_LEVEL_NOTICE, "archive_set", NULL, NULL, "generation %llu, %u members%s%s%s%s%s",
-             (unsigned long long)set->generation, set->n_members, set->changing ? ", changing" : "",
-             set->joining[0] ? ", joining " : "", set->joining, set->leaving[0] ? ", leaving " : "",
-             set->leaving);
+  log_event (LOG_LEVEL_NOTICE, "archive_set", NULL, NULL, "generation %llu, %u members%s",
+             (unsigned long long)set->generation, set->members.n, stage_words (set->stage));
   if (node->handler.set_changed != NULL)
     node->handler.set_changed (node->handler.data);
   node_announce (node);
 }
 
-static bool
-name_in (char names[][NAME_MAX_BYTES + 1], size_t n, const char *name)
+bool
+node_peer_answers (const struct Node *node, const struct Peer *peer)
+{
+  return peer_net_link_to (node->net, peer->status.node) != PEER_LINK_NONE
+         && timer_now_ms (node->timers) - peer->link_heard_ms < PEER_ANSWERS_MS;
+}
+
+bool
+node_reaches_archives (const struct Node *node)
+{
+  struct ArchiveNames asked = archive_set_asked (&node->set);
+  struct ArchiveNames reached = { .n = 0 };
+
+  for (uint32_t i = 0; i < asked.n; i++)
+    {
+      const struct Peer *peer = node_peer (node, asked.names[i]);
+
+      if (peer != NULL && node_peer_answers (node, peer))
+        archive_names_add (&reached, asked.names[i]);
+    }
+  return archive_set_is_written (&node->set, node->settings->tolerated, &reached)
+         && archive_set_is_read (&node->set, node->settings->tolerated, &reached);
+}
+
+bool
+node_has_relay (const struct Node *node)
 {
-  for (size_t i = 0; i < n; i++)
-    if (strcmp (names[i], name) == 0)
+  for (size_t i = 0; i < node->n_peers; i++)
+    if (node->peers[i]->status.reaches_archives && node_peer_answers (node, node->peers[i]))
       return true;
   return false;
 }
 
+int32_t
+node_send_archive (struct Node *node, const char *archive, const struct GatewayMessage *message)
+{
+  const struct Peer *peer = node_peer (node, archive);
+
+  if (peer != NULL && node_peer_answers (node, peer))
+    return node_send (node, archive, message);
+  if (relay_send (node, archive, message) == ERROR_NONE)
+    return ERROR_NONE;
+  return node_send (node, archive, message);
+}
+
 uint32_t
 node_send_set (struct Node *node,
                const struct GatewayMessage *message,
-               char skip[][NAME_MAX_BYTES + 1],
-               size_t n_skip)
+               const struct ArchiveNames *skip)
 {
+  struct ArchiveNames asked = archive_set_asked (&node->set);
   uint32_t n_sent = 0;
 
-  for (uint32_t i = 0; i < node->set.n_members; i++)
-    if (!name_in (skip, n_skip, node->set.members[i]))
-      n_sent += node_send (node, node->set.members[i], message) == ERROR_NONE;
+  for (uint32_t i = 0; i < asked.n; i++)
+    if (!archive_names_have (skip, asked.names[i]))
+      n_sent += node_send_archive (node, asked.names[i], message) == ERROR_NONE;
   return n_sent;
 }
 
@@ -254,6 +309,9 @@
     case GATEWAY_COPY_PART:
       node->handler.message (node->handler.data, link, sender, message);
       break;
+    case GATEWAY_RELAY:
+      relay_take (node, link, &message->relay);
+      break;
     }
   peer = is_ours ? node_peer (node, sender) : NULL;
   if (peer != NULL)
--- a/gateway/node.h
+++ b/gateway/node.h
@@ -83,12 +83,11 @@
 void
 node_send_all (struct Node *node, const struct GatewayMessage *message);
 
-/* To all members of the set that are connected, except the n in skip. Returns how many. */
+/* To all archives that the set asks, except those in skip. Returns to how many it left. */
 uint32_t
 node_send_set (struct Node *node,
                const struct GatewayMessage *message,
-               char skip[][NAME_MAX_BYTES + 1],
-               size_t n_skip);
+               const struct ArchiveNames *skip);
 
 struct Peer *
 node_peer (const struct Node *node, const char *name);
@@ -108,6 +107,22 @@
 bool
 node_is_archive (const struct Node *node);
 
+/* The link to peer is connected and has answered lately. */
+bool
+node_peer_answers (const struct Node *node, const struct Peer *peer);
+
+/* Enough archives for a turn answer directly. */
+bool
+node_reaches_archives (const struct Node *node);
+
+/* Another gateway could relay to the archives. */
+bool
+node_has_relay (const struct Node *node);
+
+/* Directly if the link answers, else through another gateway. ERROR_UNREACHABLE: never left. */
+int32_t
+node_send_archive (struct Node *node, const char *archive, const struct GatewayMessage *message);
+
 /* Tells all peers about this process now, not at the next heartbeat. */
 void
 node_announce (struct Node *node);
--- a/gateway/turn.c
+++ b/gateway/turn.c
@@ -1,5 +1,7 @@
 #include "front.h"
 
+#include "relay.h"
+
 #include <buckthornhead/log.h>
 #include <buckthornhead/turn_quorum.h>
 
@@ -11,17 +13,16 @@
   /* Reserving takes one sync of a disk, some 5 ms, and a way of a millisecond or two. Over this
    * long, too few archives live; the caller does better to come back. */
   OPEN_TIMEOUT_MS = 800,
+  /* Forty times what it takes on a calm day. */
+  OPEN_AGAIN_MS = 200,
   /* One archive's share of the history, before the next one is asked. */
   READ_TIMEOUT_MS = 250,
   READS_MAX = 12,
   /* Storing the turn: asked again once, and given up when a program would rather start anew. */
-  CLOSE_AGAIN_MS = 700,
-  CLOSE_TIMEOUT_MS = 2500,
-  ARCHIVES_MAX = 16
+  CLOSE_AGAIN_MS = 250,
+  CLOSE_TIMEOUT_MS = 2500
 };
 
-#define TURN_NAMES(names) ((const char (*)[NAME_MAX_BYTES + 1]) (names))
-
 enum TurnPhase
 {
   TURN_OPENING, /* reserving */
@@ -35,26 +36,19 @@
   enum TurnPhase phase;
   uint64_t question; /* id of the question that is open */
   struct Timer *timer;
-  char answered[ARCHIVES_MAX][NAME_MAX_BYTES + 1]; /* archives, to this question */
-  size_t n_answered;
-  char complete[ARCHIVES_MAX][NAME_MAX_BYTES + 1]; /* of them, those that lack nothing */
-  size_t n_complete;
-  bool previous_exists; /* one of them has it */
+  struct ArchiveNames answered; /* archives, to this question */
+  struct ArchiveNames complete; /* of them, those that lack nothing */
+  bool previous_exists;         /* one of them has it */
   struct TurnCharge *charges;
   size_t n_charges;
   struct TurnText *pieces; /* of the history, in any order */
   size_t n_pieces;
   size_t n_reads, next_reader;
   char missing[NAME_MAX_BYTES + 1]; /* piece that is asked for */
+  bool asked_again;                 /* through another gateway */
   bool settled;                     /* the archives were told how the turn ended */
 };
 
-static uint64_t
-turn_link (const struct Front *front, const struct Peer *peer)
-{
-  return peer_net_link_to (front->node->net, peer->status.node);
-}
-
 /* The archive that should send the history: the texts are large, and bytes between availability
  * zones are paid for. */
 static const struct Peer *
@@ -67,8 +61,8 @@
     {
       const struct Peer *peer = node->peers[i];
 
-      if (!peer->status.is_archive || !peer->status.complete || !node_peer_is_live (node, peer)
-          || turn_link (front, peer) == PEER_LINK_NONE)
+      if (!archive_set_has (&node->set, peer->status.node) || !peer->status.complete
+          || !node_peer_answers (node, peer))
         continue;
       if (best == NULL || strcmp (peer->status.zone, node->settings->zone) == 0)
         best = peer;
@@ -81,8 +75,8 @@
 {
   turn->phase = phase;
   turn->question = node_next_id (request->front->node);
-  turn->n_answered = 0;
-  turn->n_complete = 0;
+  turn->answered.n = 0;
+  turn->complete.n = 0;
   TALLOC_FREE (turn->timer);
 }
 
@@ -90,26 +84,66 @@
 static bool
 turn_note_answer (struct Turn *turn, const char *archive)
 {
-  for (size_t i = 0; i < turn->n_answered; i++)
-    if (strcmp (turn->answered[i], archive) == 0)
-      return false;
-  if (turn->n_answered == ARCHIVES_MAX)
+  if (archive_names_have (&turn->answered, archive))
     return false;
-  snprintf (turn->answered[turn->n_answered++], NAME_MAX_BYTES + 1, "%s", archive);
+  archive_names_add (&turn->answered, archive);
   return true;
 }
 
 /* Reserving. */
 
+/* What the question says, but for the history. */
+static void
+turn_fill_open (const struct Request *request, struct GatewayMessage *message)
+{
+  struct TurnOpen *open = &message->open;
+
+  message->kind = GATEWAY_TURN_OPEN;
+  open->id = request->turn->question;
+  open->generation = request->front->node->set.generation;
+  snprintf (open->turn, sizeof open->turn, "%s", request->caller.id);
+  snprintf (open->program, sizeof open->program, "%s", request->caller.program);
+  snprintf (open->previous, sizeof open->previous, "%s", request->caller.previous);
+  open->reserve_tokens = request->caller.max_tokens;
+}
+
+/* A partition shows first as an answer that does not come: the archives that owe one are asked
+ * another way, long before their silence is certain. The same reservation twice is one. */
+static void
+turn_relay_open (struct Request *request)
+{
+  struct Node *node = request->front->node;
+  struct Turn *turn = request->turn;
+  struct ArchiveNames asked = archive_set_asked (&node->set);
+  struct GatewayMessage message = { 0 };
+
+  turn_fill_open (request, &message);
+  message.open.want_history = request->caller.previous[0] != '\0';
+  for (uint32_t i = 0; i < asked.n; i++)
+    if (!archive_names_have (&turn->answered, asked.names[i]))
+      relay_send (node, asked.names[i], &message);
+}
+
 static void
 turn_on_open_timeout (void *data)
 {
   struct Request *request = data;
+  struct Turn *turn = request->turn;
   char detail[96];
 
-  snprintf (detail, sizeof detail, "%zu of %u archives answered, %zu of them lack nothing",
-            request->turn->n_answered, request->front->node->set.n_members,
-            request->turn->n_complete);
+  if (!turn->asked_again)
+    {
+      turn->asked_again = true;
+      turn->timer =
+          timer_subscribe (turn, request->front->node->timers, OPEN_TIMEOUT_MS - OPEN_AGAIN_MS, 0,
+                           turn_on_open_timeout, request);
+      turn_relay_open (request);
+      return;
+    }
+
+  snprintf (detail, sizeof detail, "%u archives answered, %u of them lack nothing, generation %llu",
+            turn->answered.n, turn->complete.n,
+            (unsigned long long)request->front->node->set.generation);
   request_fail (request, FAILURE_UNCERTAIN, detail);
 }
 
@@ -119,39 +153,19 @@
   struct Front *front = request->front;
   const struct Node *node = front->node;
   const struct Peer *nearest = turn_nearest_archive (front);
-  struct GatewayMessage message = { .kind = GATEWAY_TURN_OPEN };
-  struct TurnOpen *open = &message.open;
+  struct ArchiveNames asked = archive_set_asked (&node->set);
+  struct GatewayMessage message = { 0 };
 
-  open->id = request->turn->question;
-  open->generation = node->set.generation;
-  snprintf (open->turn, sizeof open->turn, "%s", request->caller.id);
-  snprintf (open->program, sizeof open->program, "%s", request->caller.program);
-  snprintf (open->previous, sizeof open->previous, "%s", request->caller.previous);
-  open->reserve_tokens = request->caller.max_tokens;
-  for (uint32_t i = 0; i < node->set.n_members; i++)
+  turn_fill_open (request, &message);
+  for (uint32_t i = 0; i < asked.n; i++)
     {
-      const char *archive = node->set.members[i];
+      const char *archive = asked.names[i];
 
-      open->want_history = nearest != NULL && strcmp (archive, nearest->status.node) == 0;
-      node_send (front->node, archive, &message);
+      message.open.want_history = nearest != NULL && strcmp (archive, nearest->status.node) == 0;
+      node_send_archive (front->node, archive, &message);
     }
 }
 
-/* Whether enough archives are connected for an answer to be had at all. */
-static bool
-turn_may_be_answered (const struct Front *front)
-{
-  const struct Node *node = front->node;
-  char connected[ARCHIVE_SET_MAX][NAME_MAX_BYTES + 1];
-  size_t n = 0;
-
-  for (uint32_t i = 0; i < node->set.n_members; i++)
-    if (peer_net_link_to (node->net, node->set.members[i]) != PEER_LINK_NONE)
-      snprintf (connected[n++], sizeof connected[0], "%s", node->set.members[i]);
-  return archive_set_is_written (&node->set, node->settings->tolerated, TURN_NAMES (connected), n)
-         && archive_set_is_read (&node->set, node->settings->tolerated, TURN_NAMES (connected), n);
-}
-
 void
 turn_start (struct Request *request)
 {
@@ -167,14 +181,15 @@
   if (request->caller.program[0] == '\0')
     request->caller.program = request->caller.id;
   turn_ask (request, turn, TURN_OPENING);
-  if (!turn_may_be_answered (front))
+  if (!node_reaches_archives (front->node) && !node_has_relay (front->node))
     {
-      request_fail (request, FAILURE_UNCERTAIN, "too few archives are connected");
+      request_fail (request, FAILURE_UNCERTAIN,
+                    "too few archives answer, and no gateway can relay");
       return;
     }
   turn_send_open (request);
-  turn->timer = timer_subscribe (turn, front->node->timers, OPEN_TIMEOUT_MS, 0,
-                                 turn_on_open_timeout, request);
+  turn->timer =
+      timer_subscribe (turn, front->node->timers, OPEN_AGAIN_MS, 0, turn_on_open_timeout, request);
 }
 
 /* History. */
@@ -287,7 +302,7 @@
       const struct Peer *peer = node->peers[turn->next_reader++ % node->n_peers];
 
       if (!peer->status.is_archive
-          || node_send (request->front->node, peer->status.node, &message) != ERROR_NONE)
+          || node_send_archive (request->front->node, peer->status.node, &message) != ERROR_NONE)
         continue;
       turn->n_reads++;
       turn->timer =
@@ -341,8 +356,8 @@
 
   if (caller->previous[0] != '\0' && !turn->previous_exists)
     {
-      snprintf (detail, sizeof detail, "%zu archives that lack nothing do not have it",
-                turn->n_complete);
+      snprintf (detail, sizeof detail, "%u archives that lack nothing do not have it",
+                turn->complete.n);
       request_fail (request, FAILURE_NO_TURN, detail);
     }
   else if (caller->budget_tokens > 0
@@ -375,11 +390,9 @@
     }
   turn->previous_exists = turn->previous_exists || opened->has_turn;
   if (opened->complete)
-    snprintf (turn->complete[turn->n_complete++], NAME_MAX_BYTES + 1, "%s", archive);
-  if (archive_set_is_read (&node->set, node->settings->tolerated, TURN_NAMES (turn->complete),
-                           turn->n_complete)
-      && archive_set_is_written (&node->set, node->settings->tolerated, TURN_NAMES (turn->answered),
-                                 turn->n_answered))
+    archive_names_add (&turn->complete, archive);
+  if (archive_set_is_read (&node->set, node->settings->tolerated, &turn->complete)
+      && archive_set_is_written (&node->set, node->settings->tolerated, &turn->answered))
     turn_decide (request);
 }
 
@@ -425,31 +438,51 @@
 /* Closing. */
 
 static void
-turn_send_close (struct Request *request, bool kept)
+turn_fill_close (struct Request *request, bool kept, struct GatewayMessage *message)
 {
-  struct Front *front = request->front;
-  struct Turn *turn = request->turn;
-  struct GatewayMessage message = { .kind = GATEWAY_TURN_CLOSE };
-  struct TurnClose *close = &message.close;
+  struct TurnClose *close = &message->close;
 
-  close->id = turn->question;
+  message->kind = GATEWAY_TURN_CLOSE;
+  close->id = request->turn->question;
+  close->generation = request->front->node->set.generation;
   snprintf (close->program, sizeof close->program, "%s", request->caller.program);
   close->charge_tokens = request->events.n_events * request->tokens_per_event;
   close->kept = kept;
   close->retention_ms = request->route.retention_ms;
   snprintf (close->text.turn, sizeof close->text.turn, "%s", request->caller.id);
-  if (kept)
-    {
-      snprintf (close->text.previous, NAME_MAX_BYTES + 1, "%s", request->caller.previous);
-      snprintf (close->text.server, NAME_MAX_BYTES + 1, "%s", request->tried[request->n_tried - 1]);
-      close->text.input = request->exchange->body;
-      close->text.input_bytes = request->exchange->body_bytes;
-      close->text.output = byte_queue_head (&request->events.data);
-      close->text.output_bytes = byte_queue_length (&request->events.data);
-    }
+  if (!kept)
+    return;
+  snprintf (close->text.previous, NAME_MAX_BYTES + 1, "%s", request->caller.previous);
+  snprintf (close->text.server, NAME_MAX_BYTES + 1, "%s", request->tried[request->n_tried - 1]);
+  close->text.input = request->exchange->body;
+  close->text.input_bytes = request->exchange->body_bytes;
+  close->text.output = byte_queue_head (&request->events.data);
+  close->text.output_bytes = byte_queue_length (&request->events.data);
+}
+
+static void
+turn_send_close (struct Request *request, bool kept)
+{
+  struct GatewayMessage message = { 0 };
+  struct Turn *turn = request->turn;
+
+  turn_fill_close (request, kept, &message);
   turn->settled = true;
-  close->generation = front->node->set.generation;
-  node_send_set (front->node, &message, turn->answered, turn->n_answered);
+  node_send_set (request->front->node, &message, &turn->answered);
+}
+
+static void
+turn_relay_close (struct Request *request)
+{
+  struct Node *node = request->front->node;
+  struct ArchiveNames asked = archive_set_asked (&node->set);
+  struct GatewayMessage message = { 0 };
+
+  turn_fill_close (request, true, &message);
+  for (uint32_t i = 0; i < asked.n; i++)
+    if (!archive_names_have (&request->turn->answered, asked.names[i])
+        && relay_send (node, asked.names[i], &message) != ERROR_NONE)
+      node_send (node, asked.names[i], &message);
 }
 
 static void
@@ -461,15 +494,15 @@
 
   if (turn->timer->period_ms == 0)
     {
-      /* Once more to those that have not answered: the links may be new. */
-      turn_send_close (request, true);
+      /* Once more to those that have not answered, by another way if there is one. */
+      turn_relay_close (request);
       TALLOC_FREE (turn->timer);
       turn->timer =
           timer_subscribe (turn, request->front->node->timers, CLOSE_TIMEOUT_MS - CLOSE_AGAIN_MS,
                            CLOSE_TIMEOUT_MS, turn_on_close_timeout, request);
       return;
     }
-  snprintf (detail, sizeof detail, "the turn is stored on %zu archives only", turn->n_answered);
+  snprintf (detail, sizeof detail, "the turn is stored on %u archives only", turn->answered.n);
   request_fail (request, FAILURE_BROKEN, detail);
 }
 
@@ -493,14 +526,14 @@
   if (request == NULL || request->turn->phase != TURN_CLOSING || closed->error != ERROR_NONE
       || !turn_note_answer (request->turn, archive)
       || !archive_set_is_written (&front->node->set, front->node->settings->tolerated,
-                                  TURN_NAMES (request->turn->answered), request->turn->n_answered))
+                                  &request->turn->answered))
     return;
   exchange = request->exchange;
   request->exchange = NULL;
   exchange->gone = NULL;
   log_request (LOG_LEVEL_INFO, "turn_stored", request->caller.id, request->caller.program,
-               "%u events from %s, on %zu archives", request->events.n_events,
-               request->tried[request->n_tried - 1], request->turn->n_answered);
+               "%u events from %s, on %u archives", request->events.n_events,
+               request->tried[request->n_tried - 1], request->turn->answered.n);
   http_exchange_end (exchange);
   request_end (request);
 }
@@ -514,8 +547,8 @@
     {
     case TURN_OPENING:
       /* Answers to the old set's question say nothing about the new one. */
-      turn->n_answered = 0;
-      turn->n_complete = 0;
+      turn->answered.n = 0;
+      turn->complete.n = 0;
       turn->question = node_next_id (request->front->node);
       turn_send_open (request);
       break;
--- a/include/buckthornhead/archive_set.h
+++ b/include/buckthornhead/archive_set.h
@@ -1,11 +1,12 @@
 /* Which archives hold the turns, and how a set of them gives way to the next.
  *
  * The platform's store holds the set, changed by compare-and-swap, with a generation that grows
- * with each change. Archives refuse questions of an older generation than they know. A change goes
- * in two steps. First the set is "changing": who stays is needed by every question, so that
- * whatever the old set acknowledged is seen and whatever is written now stays; meanwhile the new
- * archive copies all that those who stay hold. Then the set settles. Nothing here rests on a clock.
- * Pure. */
+ * with each change. A change passes two stages. While it is STARTING, what is written goes to
+ * enough archives of both the former and the new set, and what is read comes from the former one;
+ * the new archives copy from as many of the former as any question needs, each of which already
+ * refuses questions from before the change. While it is ENDING, both sets are asked for everything.
+ * Then the new set stands alone. Two neighbouring stages may be in use side by side: what one
+ * writes, the other reads. Archives refuse older ones. Nothing here rests on a clock. Pure. */
 #pragma once
 
 #include <buckthornhead/call.h>
@@ -17,51 +18,77 @@
   ARCHIVE_SET_MAX = 16
 };
 
+enum ArchiveStage
+{
+  ARCHIVE_STAGE_STABLE,
+  ARCHIVE_STAGE_STARTING,
+  ARCHIVE_STAGE_ENDING
+};
+
+struct ArchiveNames
+{
+  char names[ARCHIVE_SET_MAX][NAME_MAX_BYTES + 1];
+  uint32_t n;
+};
+
 struct ArchiveSet
 {
-  uint64_t generation;                               /* 0: there is none yet */
-  char members[ARCHIVE_SET_MAX][NAME_MAX_BYTES + 1]; /* the new one included, the leaving one not */
-  uint32_t n_members;
-  bool changing;
-  char joining[NAME_MAX_BYTES + 1]; /* while changing: "" when none joins */
-  char leaving[NAME_MAX_BYTES + 1]; /* while changing: "" when none leaves */
+  uint64_t generation; /* 0: there is none yet */
+  enum ArchiveStage stage;
+  struct ArchiveNames members;
+  struct ArchiveNames former; /* as long as it is not stable */
 };
 
+bool
+archive_names_have (const struct ArchiveNames *names, const char *name);
+
+/* Leaves out what is there already, and what does not fit. */
+void
+archive_names_add (struct ArchiveNames *names, const char *name);
+
+/* Among the members. */
 bool
 archive_set_has (const struct ArchiveSet *set, const char *name);
 
-/* Whether what n archives acknowledged is kept though any tolerated disks are lost. */
+/* Among those that are asked: members, and the former ones during a change. */
+struct ArchiveNames
+archive_set_asked (const struct ArchiveSet *set);
+
+/* Whether what these archives acknowledged is kept though any tolerated disks are lost. */
 bool
 archive_set_is_written (const struct ArchiveSet *set,
                         uint32_t tolerated,
-                        const char (*names)[NAME_MAX_BYTES + 1],
-                        size_t n);
+                        const struct ArchiveNames *names);
 
-/* Whether n archives that lack nothing of what they acknowledged, asked together, know everything
- * that was ever acknowledged. */
+/* Whether these archives, that lack nothing of what they acknowledged, asked together know
+ * everything that was ever acknowledged. */
 bool
 archive_set_is_read (const struct ArchiveSet *set,
                      uint32_t tolerated,
-                     const char (*names)[NAME_MAX_BYTES + 1],
-                     size_t n);
+                     const struct ArchiveNames *names);
+
+/* Whether these archives together hold all that there was before the change started; when there is
+ * none, all that there is. */
+bool
+archive_set_is_copied (const struct ArchiveSet *set,
+                       uint32_t tolerated,
+                       const struct ArchiveNames *names);
+
+/* The oldest generation whose questions an archive that knows set may answer. */
+uint64_t
+archive_set_oldest (const struct ArchiveSet *set);
 
 /* The next generation, with name added while the whole system starts for the first time. */
 struct ArchiveSet
 archive_set_first (const struct ArchiveSet *set, const char *name);
 
-/* The next generation, in which joining comes and leaving goes; either may be "". */
+/* The next generation, in which a change starts: joining comes, leaving goes; either may be "". */
 struct ArchiveSet
 archive_set_change (const struct ArchiveSet *set, const char *joining, const char *leaving);
 
-/* The next generation, with the change done. */
+/* The next generation: a change that was starting is ending, one that was ending is done. */
 struct ArchiveSet
-archive_set_settle (const struct ArchiveSet *set);
-
-/* The oldest generation whose questions an archive that knows set may answer. Before a change is
- * done, questions of the set before would pass by those who stay; after it, those asked while it
- * was changing are asked of all who stayed, and so are seen. */
-uint64_t
-archive_set_oldest (const struct ArchiveSet *set);
+archive_set_advance (const struct ArchiveSet *set);
 
 /* As the store holds it. ERROR_NO_MEMORY; ERROR_INVALID for anything malformed. */
 int32_t
--- a/include/buckthornhead/dialect.h
+++ b/include/buckthornhead/dialect.h
@@ -65,6 +65,9 @@
   const char *servers_prefix;
 
   enum OwnPath (*own_path) (const char *target);
+  /* The availability zone in which the asker of OWN_PATH_ADDRESSES says it is; "" when it does not.
+   */
+  void (*asker_zone) (const char *target, char zone[NAME_MAX_BYTES + 1]);
   /* ERROR_INVALID with fault when the request lacks what it must say. */
   int32_t (*read_request) (TALLOC_CTX *ctx,
                            const struct HttpExchange *exchange,
--- a/include/buckthornhead/gateway_message.h
+++ b/include/buckthornhead/gateway_message.h
@@ -15,7 +15,8 @@
   GATEWAY_STATUS = 6,
   GATEWAY_SNAPSHOT = 7,  /* what the sender read in the platform's store */
   GATEWAY_COPY_WANT = 8, /* an archive whose disk is new asks another for its records */
-  GATEWAY_COPY_PART = 9
+  GATEWAY_COPY_PART = 9,
+  GATEWAY_RELAY = 10 /* for another process, which the sender can not reach itself */
 };
 
 /* Requests on their way to one backend server, as one gateway counts them. */
@@ -33,6 +34,7 @@
   char peer_address[ADDRESS_MAX_BYTES + 1];
   char caller_address[ADDRESS_MAX_BYTES + 1]; /* "" for an archive */
   bool ready;                                 /* takes callers */
+  bool reaches_archives;                      /* enough of them for turns, by its own links */
   bool complete;                              /* archives only: see TurnOpened */
   bool is_archive;
   uint64_t synced;       /* archives only: generation of a change for which it has copied all */
@@ -84,6 +86,13 @@
   size_t records_bytes;
 };
 
+struct Relay
+{
+  char to[NAME_MAX_BYTES + 1], from[NAME_MAX_BYTES + 1];
+  const uint8_t *message; /* packed */
+  size_t message_bytes;
+};
+
 struct GatewayMessage
 {
   enum GatewayKind kind;
@@ -98,6 +107,7 @@
     struct Snapshot snapshot;
     struct CopyWant copy_want;
     struct CopyPart copy_part;
+    struct Relay relay;
   };
 };
 
