--- /dev/null
+++ b/tests/sessions/gateways.c
@@ -0,0 +1,229 @@
+#include "gateways.h"
+
+#include <CUnit/CUnit.h>
+#include <ftw.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+enum
+{
+  N_ENGINES = 2,
+  MAX_TOKENS = 200 /* of one turn */
+};
+
+static void
+write_gateway (struct Fleet *fleet, uint32_t i)
+{
+  struct GatewayNode *g = &fleet->gateways[i];
+  char name[40], text[1024];
+
+  snprintf (g->name, sizeof g->name, "front-%u", i + 1);
+  snprintf (g->caller, sizeof g->caller, "127.0.0.1:%u", session_port (fleet->session));
+  snprintf (g->ready, sizeof g->ready, "127.0.0.1:%u", session_port (fleet->session));
+  snprintf (g->directory, sizeof g->directory, "127.0.0.1:%u", session_port (fleet->session));
+  snprintf (g->peer, sizeof g->peer, "127.0.0.1:%u", session_port (fleet->session));
+  snprintf (text, sizeof text,
+            "[instance]\nname = %s\nzone = a\n[listen]\ncaller = %s\nready = %s\n"
+            "directory = %s\npeer = %s\n[platform]\nstore = http://%s\n[stop]\ngrace = 6s\n",
+            g->name, g->caller, g->ready, g->directory, g->peer, fleet->store);
+  snprintf (name, sizeof name, "%s.ini", g->name);
+  g->file = session_write_file (fleet->session, name, text);
+}
+
+static void
+write_archive (struct Fleet *fleet, uint32_t i, bool first)
+{
+  struct ArchiveNode *a = &fleet->archives[i];
+  char name[40], text[1024];
+
+  snprintf (a->name, sizeof a->name, "storage-%u", i + 1);
+  snprintf (a->folder, sizeof a->folder, "%s/data-%u", session_folder (fleet->session), i + 1);
+  if (a->peer_port == 0)
+    a->peer_port = session_port (fleet->session);
+  snprintf (text, sizeof text,
+            "[instance]\nname = %s\nzone = a\ndata_folder = %s\n[listen]\n"
+            "peer = 127.0.0.1:%u\n[platform]\nstore = http://%s\n[archives]\nfirst_start = %s\n",
+            a->name, a->folder, a->peer_port, fleet->store, first ? "true" : "false");
+  snprintf (name, sizeof name, "%s.ini", a->name);
+  a->file = session_write_file (fleet->session, name, text);
+}
+
+void
+gateway_start (struct Fleet *fleet, uint32_t i)
+{
+  struct GatewayNode *g = &fleet->gateways[i];
+  const char *const argv[] = { daemon_path (), "gateway", "--config", g->file, NULL };
+
+  g->process = session_start (fleet->session, g->name, argv);
+}
+
+void
+archive_start (struct Fleet *fleet, uint32_t i, bool first)
+{
+  struct ArchiveNode *a = &fleet->archives[i];
+  const char *argv[] = { daemon_path (), "gateway", "--config", NULL, NULL };
+
+  write_archive (fleet, i, first);
+  argv[3] = a->file;
+  a->process = session_start (fleet->session, a->name, argv);
+}
+
+static int
+remove_one (const char *path, const struct stat *status, int kind, struct FTW *walk)
+{
+  (void)status;
+  (void)kind;
+  (void)walk;
+  return remove (path);
+}
+
+void
+archive_wipe (struct Fleet *fleet, uint32_t i)
+{
+  nftw (fleet->archives[i].folder, remove_one, 8, FTW_DEPTH | FTW_PHYS);
+}
+
+static bool
+gateway_is_ready (void *data)
+{
+  const struct GatewayNode *g = data;
+  struct HttpReply *reply = http_get (NULL, g->ready, "/-/ready");
+  bool ready = reply->status == 200;
+
+  talloc_free (reply);
+  return ready;
+}
+
+bool
+gateway_wait_ready (struct Fleet *fleet, uint32_t i)
+{
+  return wait_for (gateway_is_ready, &fleet->gateways[i]);
+}
+
+struct Fleet *
+fleet_start (TALLOC_CTX *ctx, uint32_t n_gateways, uint32_t n_archives)
+{
+  struct Fleet *fleet = talloc_zero (ctx, struct Fleet);
+  uint16_t store_port;
+
+  fleet->session = session_new (fleet);
+  store_port = session_port (fleet->session);
+  snprintf (fleet->store, sizeof fleet->store, "127.0.0.1:%u", store_port);
+  fleet->installation = installation_new (fleet, store_port);
+  for (uint32_t i = 0; i < N_ENGINES; i++)
+    installation_add (fleet->installation, "engines", true, "a", session_port (fleet->session));
+  installation_add (fleet->installation, "desk", false, "a", session_port (fleet->session));
+  installation_configure (fleet->installation, 1, "");
+  for (fleet->n_archives = 0; fleet->n_archives < n_archives; fleet->n_archives++)
+    archive_start (fleet, fleet->n_archives, true);
+  for (fleet->n_gateways = 0; fleet->n_gateways < n_gateways; fleet->n_gateways++)
+    {
+      write_gateway (fleet, fleet->n_gateways);
+      gateway_start (fleet, fleet->n_gateways);
+    }
+  for (uint32_t i = 0; i < n_archives; i++)
+    CU_ASSERT_TRUE_FATAL (
+        process_wait_output (fleet->archives[i].process, "generation 3, 3 members"));
+  for (uint32_t i = 0; i < n_gateways; i++)
+    CU_ASSERT_TRUE_FATAL (gateway_wait_ready (fleet, i));
+  return fleet;
+}
+
+void
+fleet_end (struct Fleet *fleet, bool failed)
+{
+  session_end (fleet->session, failed);
+  installation_end (fleet->installation);
+  talloc_free (fleet);
+}
+
+struct HttpReply *
+turn_send (struct Fleet *fleet,
+           TALLOC_CTX *ctx,
+           uint32_t gateway,
+           const char *program,
+           const char *turn,
+           const char *previous,
+           uint32_t budget,
+           const char *input)
+{
+  char id[96], of[96], after[96], tokens[64], limit[64];
+  const char *headers[8] = { "Host: x.example", id, of, tokens, "X-Deadline-Ms: 6000" };
+  size_t n = 5;
+
+  snprintf (id, sizeof id, "X-Request-Id: %s", turn);
+  snprintf (of, sizeof of, "X-Program-Id: %s", program);
+  snprintf (tokens, sizeof tokens, "X-Token-Count: 100,%d", MAX_TOKENS);
+  snprintf (after, sizeof after, "X-Previous-Turn: %s", previous);
+  snprintf (limit, sizeof limit, "X-Token-Budget: %u", budget);
+  if (previous[0] != '\0')
+    headers[n++] = after;
+  if (budget > 0)
+    headers[n++] = limit;
+  return http_send (ctx, "POST", fleet->gateways[gateway].caller, "/turns/1", headers, input);
+}
+
+struct HttpReply *
+turn_send_until_taken (struct Fleet *fleet,
+                       TALLOC_CTX *ctx,
+                       uint32_t gateway,
+                       const char *program,
+                       const char *turn,
+                       const char *previous,
+                       const char *input)
+{
+  int64_t limit_ms = monotonic_ms () + WAIT_LIMIT_MS;
+  struct HttpReply *reply;
+  char after[64], id[64];
+
+  snprintf (after, sizeof after, "%s", previous); /* may be .last */
+  for (uint32_t n = 0;; n++)
+    {
+      snprintf (id, sizeof id, n == 0 ? "%s" : "%s.%u", turn, n);
+      reply = turn_send (fleet, ctx, gateway, program, id, after, 0, input);
+      if ((reply->status != 503 && reply->status != 0) || monotonic_ms () > limit_ms)
+        {
+          snprintf (fleet->last, sizeof fleet->last, "%s", id);
+          return reply;
+        }
+      sleep_ms (100);
+    }
+}
+
+struct HttpReply *
+desk_send (
+    struct Fleet *fleet, TALLOC_CTX *ctx, uint32_t gateway, const char *path, const char *request)
+{
+  char id[96];
+  const char *headers[] = { "Host: x.example", id, "X-Deadline-Ms: 3000", NULL };
+
+  snprintf (id, sizeof id, "X-Request-Id: %s", request);
+  return http_send (ctx, "POST", fleet->gateways[gateway].caller, path, headers, "body");
+}
+
+struct OutputWanted
+{
+  struct Process *process;
+  const char *text;
+};
+
+static bool
+output_has (void *data)
+{
+  const struct OutputWanted *wanted = data;
+  char *output = process_output (NULL, wanted->process);
+  bool has = output != NULL && strstr (output, wanted->text) != NULL;
+
+  talloc_free (output);
+  return has;
+}
+
+bool
+process_wait_output (struct Process *process, const char *text)
+{
+  struct OutputWanted wanted = { process, text };
+
+  return wait_for (output_has, &wanted);
+}
--- /dev/null
+++ b/tests/sessions/test_gateway_archives.c
@@ -0,0 +1,229 @@
+#include "test_main.h"
+
+#include "gateways.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+/* The program's next turn, after the one before if there was one. */
+static uint32_t
+turn_status (struct Fleet *fleet, TALLOC_CTX *ctx, uint32_t gateway, const char *turn)
+{
+  return turn_send_until_taken (fleet, ctx, gateway, "p", turn, fleet->last, "x")->status;
+}
+
+/* True when the engine got text in the body of the last turn. */
+static bool
+history_has (struct Fleet *fleet, TALLOC_CTX *ctx, const char *text)
+{
+  const char *body = installation_body_of (fleet->installation, ctx, fleet->last);
+
+  return body != NULL && strstr (body, text) != NULL;
+}
+
+/* Every process is killed at the same moment, right after a turn's answer ended. When they are
+ * back, the program goes on from that turn, and what it spent is still spent. */
+static void
+test_a_turn_outlives_the_kill_of_everything (void)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct Fleet *fleet = fleet_start (ctx, 2, 3);
+  uint32_t n_failed = CU_get_number_of_failures ();
+  struct HttpReply *reply;
+
+  CU_ASSERT_EQUAL (turn_status (fleet, ctx, 0, "t1"), 200);
+  for (uint32_t i = 0; i < 3; i++)
+    process_kill (fleet->archives[i].process);
+  for (uint32_t i = 0; i < 2; i++)
+    process_kill (fleet->gateways[i].process);
+  for (uint32_t i = 0; i < 3; i++)
+    archive_start (fleet, i, false);
+  for (uint32_t i = 0; i < 2; i++)
+    gateway_start (fleet, i);
+  CU_ASSERT_TRUE (gateway_wait_ready (fleet, 1));
+  CU_ASSERT_EQUAL (turn_status (fleet, ctx, 1, "t2"), 200);
+  CU_ASSERT_TRUE (history_has (fleet, ctx, "t1-4"));
+  /* 76 tokens of t1 and t2 each; another 200 at most do not fit into 300. */
+  reply = turn_send (fleet, ctx, 1, "p", "t3", fleet->last, 300, "x");
+  CU_ASSERT_EQUAL (reply->status, 402);
+  fleet_end (fleet, CU_get_number_of_failures () > n_failed);
+  talloc_free (ctx);
+}
+
+/* An archive loses its disk right after it acknowledged a turn, and comes back empty. It copies
+ * what the others hold before it counts; then the next one loses its disk. No turn is ever missing.
+ */
+static void
+test_disks_are_lost_one_after_the_other (void)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct Fleet *fleet = fleet_start (ctx, 1, 3);
+  uint32_t n_failed = CU_get_number_of_failures ();
+  char turn[16];
+
+  for (uint32_t i = 0; i < 4; i++)
+    {
+      struct ArchiveNode *a = &fleet->archives[i % 3];
+
+      snprintf (turn, sizeof turn, "t%u", i);
+      CU_ASSERT_EQUAL (turn_status (fleet, ctx, 0, turn), 200);
+      process_kill (a->process);
+      archive_wipe (fleet, i % 3);
+      archive_start (fleet, i % 3, false);
+      CU_ASSERT_TRUE (process_wait_output (a->process, "archive_complete"));
+    }
+  CU_ASSERT_EQUAL (turn_status (fleet, ctx, 0, "last"), 200);
+  CU_ASSERT_TRUE (history_has (fleet, ctx, "t0-1"));
+  CU_ASSERT_TRUE (history_has (fleet, ctx, "t3-4"));
+  fleet_end (fleet, CU_get_number_of_failures () > n_failed);
+  talloc_free (ctx);
+}
+
+/* Two of three archives are down. The one that is left can not know what the others acknowledged: a
+ * turn that it does not have may exist. The caller is sent back, "not run", and never told that its
+ * turn does not exist. */
+static void
+test_too_few_archives_say_not_now (void)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct Fleet *fleet = fleet_start (ctx, 1, 3);
+  uint32_t n_failed = CU_get_number_of_failures ();
+
+  CU_ASSERT_EQUAL (turn_status (fleet, ctx, 0, "t1"), 200);
+  process_kill (fleet->archives[0].process);
+  process_kill (fleet->archives[1].process);
+  for (int i = 0; i < 5; i++)
+    {
+      char turn[16];
+
+      snprintf (turn, sizeof turn, "x%d", i);
+      CU_ASSERT_EQUAL (turn_send (fleet, ctx, 0, "p", turn, "never", 0, "x")->status, 503);
+      CU_ASSERT_EQUAL (installation_runs_of (fleet->installation, turn), 0);
+    }
+  /* Plain requests need no archive. */
+  CU_ASSERT_EQUAL (desk_send (fleet, ctx, 0, "/safe/1", "r1")->status, 200);
+  archive_start (fleet, 0, false);
+  CU_ASSERT_EQUAL (turn_status (fleet, ctx, 0, "t2"), 200);
+  fleet_end (fleet, CU_get_number_of_failures () > n_failed);
+  talloc_free (ctx);
+}
+
+/* An archive is gone for good, and an empty one comes under another name and address. It takes the
+ * place of the dead one; after that any other may be lost, too. */
+static void
+test_a_new_archive_takes_a_dead_ones_place (void)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct Fleet *fleet = fleet_start (ctx, 1, 3);
+  uint32_t n_failed = CU_get_number_of_failures ();
+
+  CU_ASSERT_EQUAL (turn_status (fleet, ctx, 0, "t1"), 200);
+  process_kill (fleet->archives[0].process);
+  archive_start (fleet, 3, false);
+  CU_ASSERT_TRUE (process_wait_output (fleet->gateways[0].process, "generation 6, 3 members"));
+  CU_ASSERT_EQUAL (turn_status (fleet, ctx, 0, "t2"), 200);
+  process_kill (fleet->archives[1].process);
+  archive_wipe (fleet, 1);
+  CU_ASSERT_EQUAL (turn_status (fleet, ctx, 0, "t3"), 200);
+  CU_ASSERT_TRUE (history_has (fleet, ctx, "t1-1"));
+  fleet_end (fleet, CU_get_number_of_failures () > n_failed);
+  talloc_free (ctx);
+}
+
+struct KeyWatch
+{
+  struct Installation *installation;
+  const char *key, *text;
+};
+
+static bool
+key_has (void *data)
+{
+  const struct KeyWatch *watch = data;
+  char *value = installation_get (watch->installation, NULL, watch->key);
+  bool has = value != NULL && strstr (value, watch->text) != NULL;
+
+  talloc_free (value);
+  return has;
+}
+
+/* A machine is to be emptied, and no other stands by. Those that stay copy from each other before
+ * it is called empty; right after, its disk is taken and one of the others loses its own. */
+static void
+test_a_retired_archive_leaves_everything_behind (void)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct Fleet *fleet = fleet_start (ctx, 1, 3);
+  struct KeyWatch watch = { fleet->installation, "status/retire/storage-3", "completed" };
+  uint32_t n_failed = CU_get_number_of_failures ();
+
+  CU_ASSERT_EQUAL (turn_status (fleet, ctx, 0, "t1"), 200);
+  installation_put (fleet->installation, "op/retire/storage-3", "{\"duration_s\":10}");
+  CU_ASSERT_TRUE (wait_for (key_has, &watch));
+  process_kill (fleet->archives[2].process);
+  archive_wipe (fleet, 2);
+  CU_ASSERT_EQUAL (turn_status (fleet, ctx, 0, "t2"), 200);
+  process_kill (fleet->archives[0].process);
+  archive_wipe (fleet, 0);
+  archive_start (fleet, 0, false);
+  CU_ASSERT_TRUE (process_wait_output (fleet->archives[0].process, "archive_complete"));
+  CU_ASSERT_EQUAL (turn_status (fleet, ctx, 0, "t3"), 200);
+  CU_ASSERT_TRUE (history_has (fleet, ctx, "t1-1"));
+  fleet_end (fleet, CU_get_number_of_failures () > n_failed);
+  talloc_free (ctx);
+}
+
+/* The platform's store is down, and a gateway is restarted meanwhile. It learns the configuration,
+ * the servers and the archives from its peers, and serves. */
+static void
+test_a_gateway_starts_while_the_store_is_down (void)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct Fleet *fleet = fleet_start (ctx, 2, 3);
+  uint32_t n_failed = CU_get_number_of_failures ();
+
+  CU_ASSERT_EQUAL (turn_status (fleet, ctx, 0, "t1"), 200);
+  installation_set_store (fleet->installation, STORE_REFUSES);
+  process_kill (fleet->gateways[0].process);
+  gateway_start (fleet, 0);
+  CU_ASSERT_TRUE (gateway_wait_ready (fleet, 0));
+  CU_ASSERT_EQUAL (turn_status (fleet, ctx, 0, "t2"), 200);
+  CU_ASSERT_EQUAL (desk_send (fleet, ctx, 0, "/safe/1", "r1")->status, 200);
+  installation_set_store (fleet->installation, STORE_SERVES);
+  installation_configure (fleet->installation, 3, "");
+  CU_ASSERT_TRUE (process_wait_output (fleet->gateways[0].process, "version 3,"));
+  fleet_end (fleet, CU_get_number_of_failures () > n_failed);
+  talloc_free (ctx);
+}
+
+/* Calls to the platform's store are dear: with nothing going on, all processes together make no
+ * more than a few a second, however many they are. */
+static void
+test_one_process_reads_the_store_for_all (void)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct Fleet *fleet = fleet_start (ctx, 3, 3);
+  uint32_t n_failed = CU_get_number_of_failures ();
+  uint64_t before;
+
+  sleep_ms (2000);
+  before = installation_store_calls (fleet->installation);
+  sleep_ms (4000);
+  /* Six processes that each read for themselves would make some 70. */
+  CU_ASSERT (installation_store_calls (fleet->installation) - before < 35);
+  fleet_end (fleet, CU_get_number_of_failures () > n_failed);
+  talloc_free (ctx);
+}
+
+const char test_suite_name[] = "sessions: gateway and archives";
+const struct TestCase test_cases[] = {
+  { "a turn outlives the kill of everything", test_a_turn_outlives_the_kill_of_everything },
+  { "disks are lost one after the other", test_disks_are_lost_one_after_the_other },
+  { "too few archives say not now", test_too_few_archives_say_not_now },
+  { "a new archive takes a dead one's place", test_a_new_archive_takes_a_dead_ones_place },
+  { "a retired archive leaves everything behind", test_a_retired_archive_leaves_everything_behind },
+  { "a gateway starts while the store is down", test_a_gateway_starts_while_the_store_is_down },
+  { "one process reads the store for all", test_one_process_reads_the_store_for_all },
+  { NULL, NULL },
+};
--- /dev/null
+++ b/tests/sessions/test_gateway_path.c
@@ -0,0 +1,207 @@
+#include "test_main.h"
+
+#include "gateways.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+/* The stream of a turn, as a caller gets it, and its data as the next turn's prompt holds it. */
+static void
+stream_of (const char *turn, char *text, char *data)
+{
+  text[0] = '\0';
+  data[0] = '\0';
+  for (int i = 1; i <= 4; i++)
+    {
+      sprintf (text + strlen (text), "id: %d\ndata: %s-%d\n\n", i, turn, i);
+      sprintf (data + strlen (data), "%s-%d\n", turn, i);
+    }
+}
+
+/* A program's turns come through different gateways; each turn carries only what is new. The engine
+ * gets the whole conversation, in order. */
+static void
+test_a_program_goes_on_through_any_gateway (void)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct Fleet *fleet = fleet_start (ctx, 2, 3);
+  char text[512], data[512], body[4096] = "";
+  char turn[16], previous[16] = "";
+  uint32_t n_failed = CU_get_number_of_failures ();
+
+  for (uint32_t i = 0; i < 5; i++)
+    {
+      struct HttpReply *reply;
+      char input[16];
+
+      snprintf (turn, sizeof turn, "t%u", i);
+      snprintf (input, sizeof input, "<in%u>", i);
+      reply = turn_send (fleet, ctx, i % 2, "p", turn, previous, 5000, input);
+      stream_of (turn, text, data);
+      CU_ASSERT_EQUAL (reply->status, 200);
+      CU_ASSERT_STRING_EQUAL (reply->text, text);
+      strcat (body, input);
+      CU_ASSERT_STRING_EQUAL (installation_body_of (fleet->installation, ctx, turn), body);
+      strcat (body, data);
+      snprintf (previous, sizeof previous, "%s", turn);
+    }
+  fleet_end (fleet, CU_get_number_of_failures () > n_failed);
+  talloc_free (ctx);
+}
+
+static void
+test_the_directory_lists_the_ready_gateways (void)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct Fleet *fleet = fleet_start (ctx, 2, 3);
+  uint32_t n_failed = CU_get_number_of_failures ();
+  struct HttpReply *reply;
+  json_t *addresses;
+
+  do
+    {
+      reply = http_get (ctx, fleet->gateways[1].directory, "/-/resolve?name=x&region=r&zone=a");
+      addresses = json_object_get (reply->json, "addresses");
+    }
+  while (json_array_size (addresses) < 2);
+  CU_ASSERT_EQUAL (json_array_size (addresses), 2);
+  CU_ASSERT_EQUAL (json_integer_value (json_object_get (reply->json, "ttl_s")), 2);
+  fleet_end (fleet, CU_get_number_of_failures () > n_failed);
+  talloc_free (ctx);
+}
+
+/* A looping program starts turn after turn through every gateway. All together hand out no more
+ * tokens than its budget; then it is told so, and nothing runs. */
+static void
+test_a_budget_holds_over_all_gateways (void)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct Fleet *fleet = fleet_start (ctx, 2, 3);
+  uint32_t n_failed = CU_get_number_of_failures (), n_whole = 0, n_refused = 0;
+  const uint32_t budget = 500, tokens_a_turn = 4 * TOKENS_PER_EVENT;
+
+  for (uint32_t i = 0; i < 8; i++)
+    {
+      struct HttpReply *reply;
+      char turn[16];
+
+      snprintf (turn, sizeof turn, "t%u", i);
+      reply = turn_send (fleet, ctx, i % 2, "loop", turn, "", budget, "x");
+      n_whole += reply->status == 200;
+      n_refused += reply->status == 402;
+      if (reply->status == 402)
+        CU_ASSERT_EQUAL (installation_runs_of (fleet->installation, turn), 0);
+    }
+  CU_ASSERT (n_whole * tokens_a_turn <= budget);
+  CU_ASSERT_EQUAL (n_whole + n_refused, 8);
+  /* The reservation of one turn, 200 tokens, must fit: four turns of 76 leave room for none. */
+  CU_ASSERT_EQUAL (n_whole, 4);
+  fleet_end (fleet, CU_get_number_of_failures () > n_failed);
+  talloc_free (ctx);
+}
+
+static void
+test_unknown_turns_and_routes_are_told_so (void)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct Fleet *fleet = fleet_start (ctx, 1, 3);
+  uint32_t n_failed = CU_get_number_of_failures ();
+  struct HttpReply *reply = turn_send (fleet, ctx, 0, "p", "t1", "never", 0, "x");
+
+  CU_ASSERT_EQUAL (reply->status, 404);
+  CU_ASSERT_EQUAL (installation_runs_of (fleet->installation, "t1"), 0);
+  reply = desk_send (fleet, ctx, 0, "/nowhere/1", "r1");
+  CU_ASSERT_EQUAL (reply->status, 404);
+  fleet_end (fleet, CU_get_number_of_failures () > n_failed);
+  talloc_free (ctx);
+}
+
+/* The operators change a route twice in quick succession, while one gateway starts anew. All of
+ * them end with the newest version, and none goes back. */
+static void
+test_a_change_reaches_all_gateways (void)
+{
+  static const char extra[] = "{\"name\":\"new\",\"host\":\"x.example\",\"prefix\":\"/new/\","
+                              "\"kind\":\"safe\",\"timeout_ms\":4000,\"service\":\"desk\"}";
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct Fleet *fleet = fleet_start (ctx, 3, 3);
+  uint32_t n_failed = CU_get_number_of_failures ();
+
+  installation_configure (fleet->installation, 4, "");
+  process_kill (fleet->gateways[2].process);
+  gateway_start (fleet, 2);
+  installation_configure (fleet->installation, 9, extra);
+  for (uint32_t i = 0; i < 3; i++)
+    {
+      CU_ASSERT_TRUE (process_wait_output (fleet->gateways[i].process, "version 9, 4 routes"));
+      CU_ASSERT_EQUAL (desk_send (fleet, ctx, i, "/new/1", "r1")->status, 200);
+    }
+  fleet_end (fleet, CU_get_number_of_failures () > n_failed);
+  talloc_free (ctx);
+}
+
+struct StopWatch
+{
+  struct Fleet *fleet;
+  uint32_t gateway;
+};
+
+static bool
+gateway_not_ready (void *data)
+{
+  const struct StopWatch *watch = data;
+  struct HttpReply *reply =
+      http_get (NULL, watch->fleet->gateways[watch->gateway].ready, "/-/ready");
+  bool not_ready = reply->status != 200;
+
+  talloc_free (reply);
+  return not_ready;
+}
+
+/* A gateway is stopped as planned while an engine is in the middle of a long turn. The caller gets
+ * the whole of it; the platform is told at once that the gateway is not ready; the other gateway
+ * goes on with the program. */
+static void
+test_a_planned_stop_cuts_nothing (void)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct Fleet *fleet = fleet_start (ctx, 2, 3);
+  struct StopWatch watch = { fleet, 0 };
+  uint32_t n_failed = CU_get_number_of_failures ();
+  struct HttpReply *reply;
+  char text[512], data[512];
+  pid_t pid = fleet->gateways[0].process->pid;
+
+  server_set_pace (fleet->installation, ENGINE, 300);
+  server_set_pace (fleet->installation, ENGINE + 1, 300);
+  /* The signal arrives while the stream is on its way. */
+  if (fork () == 0)
+    {
+      sleep_ms (400);
+      kill (pid, SIGTERM);
+      _exit (0);
+    }
+  reply = turn_send (fleet, ctx, 0, "p", "t1", "", 0, "x");
+  stream_of ("t1", text, data);
+  CU_ASSERT_EQUAL (reply->status, 200);
+  CU_ASSERT_STRING_EQUAL (reply->text, text);
+  CU_ASSERT_TRUE (wait_for (gateway_not_ready, &watch));
+  CU_ASSERT_EQUAL (turn_send_until_taken (fleet, ctx, 1, "p", "t2", "t1", "y")->status, 200);
+  CU_ASSERT_TRUE (process_wait (fleet->gateways[0].process));
+  CU_ASSERT_EQUAL (fleet->gateways[0].process->exit_status, 0);
+  fleet_end (fleet, CU_get_number_of_failures () > n_failed);
+  talloc_free (ctx);
+}
+
+const char test_suite_name[] = "sessions: gateway path";
+const struct TestCase test_cases[] = {
+  { "a program goes on through any gateway", test_a_program_goes_on_through_any_gateway },
+  { "the directory lists the ready gateways", test_the_directory_lists_the_ready_gateways },
+  { "a budget holds over all gateways", test_a_budget_holds_over_all_gateways },
+  { "unknown turns and routes are told so", test_unknown_turns_and_routes_are_told_so },
+  { "a change reaches all gateways", test_a_change_reaches_all_gateways },
+  { "a planned stop cuts nothing", test_a_planned_stop_cuts_nothing },
+  { NULL, NULL },
+};
--- /dev/null
+++ b/tests/sessions/test_gateway_servers.c
@@ -0,0 +1,186 @@
+#include "test_main.h"
+
+#include "gateways.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* A substitution alert runs at the kitchen's desk and its answer is lost. The caller is told that
+ * it may have run; it is not sent a second time, to that server or another. */
+static void
+test_a_lost_answer_runs_once (void)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct Fleet *fleet = fleet_start (ctx, 1, 3);
+  uint32_t n_failed = CU_get_number_of_failures ();
+
+  server_set_mode (fleet->installation, DESK, SERVER_LOSES);
+  CU_ASSERT_EQUAL (desk_send (fleet, ctx, 0, "/once/1", "r1")->status, 502);
+  CU_ASSERT_EQUAL (installation_runs_of (fleet->installation, "r1"), 1);
+  fleet_end (fleet, CU_get_number_of_failures () > n_failed);
+  talloc_free (ctx);
+}
+
+/* A full desk refuses, and says that it did not run the alert. So may the gateway, with a time to
+ * come back. */
+static void
+test_a_full_server_is_refused_as_not_run (void)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct Fleet *fleet = fleet_start (ctx, 1, 3);
+  uint32_t n_failed = CU_get_number_of_failures ();
+
+  server_set_mode (fleet->installation, DESK, SERVER_FULL);
+  CU_ASSERT_EQUAL (desk_send (fleet, ctx, 0, "/once/1", "r1")->status, 503);
+  CU_ASSERT_EQUAL (installation_runs_of (fleet->installation, "r1"), 0);
+  server_set_mode (fleet->installation, DESK, SERVER_ANSWERS);
+  CU_ASSERT_EQUAL (desk_send (fleet, ctx, 0, "/once/1", "r2")->status, 200);
+  fleet_end (fleet, CU_get_number_of_failures () > n_failed);
+  talloc_free (ctx);
+}
+
+/* A success without the server's proof is not its answer: never passed on. */
+static void
+test_a_spoiled_answer_is_not_passed_on (void)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct Fleet *fleet = fleet_start (ctx, 1, 3);
+  uint32_t n_failed = CU_get_number_of_failures ();
+
+  server_set_mode (fleet->installation, DESK, SERVER_SPOILS);
+  CU_ASSERT_EQUAL (desk_send (fleet, ctx, 0, "/once/1", "r1")->status, 502);
+  CU_ASSERT_EQUAL (installation_runs_of (fleet->installation, "r1"), 1);
+  fleet_end (fleet, CU_get_number_of_failures () > n_failed);
+  talloc_free (ctx);
+}
+
+/* An engine dies in the middle of a turn. The caller's stream must not look complete, and nobody
+ * may continue from half a turn. */
+static void
+test_a_broken_stream_does_not_look_complete (void)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct Fleet *fleet = fleet_start (ctx, 1, 3);
+  uint32_t n_failed = CU_get_number_of_failures ();
+
+  server_set_mode (fleet->installation, ENGINE, SERVER_BREAKS_OFF);
+  server_set_mode (fleet->installation, ENGINE + 1, SERVER_BREAKS_OFF);
+  CU_ASSERT_EQUAL (turn_send (fleet, ctx, 0, "p", "t1", "", 0, "x")->status, 0);
+  server_set_mode (fleet->installation, ENGINE, SERVER_ANSWERS);
+  server_set_mode (fleet->installation, ENGINE + 1, SERVER_ANSWERS);
+  CU_ASSERT_EQUAL (turn_send (fleet, ctx, 0, "p", "t2", "t1", 0, "y")->status, 404);
+  CU_ASSERT_EQUAL (turn_send (fleet, ctx, 0, "p", "t3", "", 0, "x")->status, 200);
+  fleet_end (fleet, CU_get_number_of_failures () > n_failed);
+  talloc_free (ctx);
+}
+
+/* A desk hangs. The caller hears at the route's time, not later, that it may have run. */
+static void
+test_a_hanging_server_ends_at_the_routes_time (void)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct Fleet *fleet = fleet_start (ctx, 1, 3);
+  uint32_t n_failed = CU_get_number_of_failures ();
+
+  server_set_mode (fleet->installation, DESK, SERVER_HANGS);
+  CU_ASSERT_EQUAL (desk_send (fleet, ctx, 0, "/once/1", "r1")->status, 504);
+  CU_ASSERT (atoi (installation_header_of (fleet->installation, ctx, "r1", "X-Deadline-Ms"))
+             <= 1500);
+  server_set_mode (fleet->installation, DESK, SERVER_ANSWERS);
+  fleet_end (fleet, CU_get_number_of_failures () > n_failed);
+  talloc_free (ctx);
+}
+
+struct DrainWatch
+{
+  struct Fleet *fleet;
+  TALLOC_CTX *ctx;
+  uint32_t n, runs;
+};
+
+/* True once three requests in a row have passed the draining engine by. */
+static bool
+engine_is_passed_by (void *data)
+{
+  struct DrainWatch *watch = data;
+  uint32_t before = server_runs (watch->fleet->installation, ENGINE);
+
+  for (int i = 0; i < 3; i++)
+    {
+      char turn[32];
+
+      snprintf (turn, sizeof turn, "d%u", watch->n++);
+      talloc_free (turn_send (watch->fleet, watch->ctx, 0, turn, turn, "", 0, "x"));
+    }
+  return server_runs (watch->fleet->installation, ENGINE) == before;
+}
+
+/* An engine leaves. Soon nothing new goes to it; when it is gone from the list, neither. */
+static void
+test_a_leaving_server_gets_nothing_new (void)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct Fleet *fleet = fleet_start (ctx, 1, 3);
+  struct DrainWatch watch = { fleet, ctx, 0, 0 };
+  uint32_t n_failed = CU_get_number_of_failures (), before;
+
+  server_set_state (fleet->installation, ENGINE, "draining");
+  CU_ASSERT_TRUE (process_wait_output (fleet->gateways[0].process, "1 changes, 3 listed"));
+  CU_ASSERT_TRUE (wait_for (engine_is_passed_by, &watch));
+  before = server_runs (fleet->installation, ENGINE);
+  for (int i = 0; i < 20; i++)
+    engine_is_passed_by (&watch);
+  CU_ASSERT_EQUAL (server_runs (fleet->installation, ENGINE), before);
+  fleet_end (fleet, CU_get_number_of_failures () > n_failed);
+  talloc_free (ctx);
+}
+
+static bool
+close_was_seen (void *data)
+{
+  return installation_closes_seen (data) > 0;
+}
+
+/* A caller closes in the middle of a stream. The engine sees it, and stops working for nobody. */
+static void
+test_a_callers_close_reaches_the_engine (void)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct Fleet *fleet = fleet_start (ctx, 1, 3);
+  uint32_t n_failed = CU_get_number_of_failures ();
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  static const char request[] = "POST /turns/1 HTTP/1.1\r\nHost: x.example\r\nX-Request-Id: t1\r\n"
+                                "X-Program-Id: p\r\nX-Deadline-Ms: 6000\r\nX-Token-Count: 1,200\r\n"
+                                "Content-Length: 1\r\n\r\nx";
+  char some[64];
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+  server_set_pace (fleet->installation, ENGINE, 200);
+  server_set_pace (fleet->installation, ENGINE + 1, 200);
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  address.sin_port = htons ((uint16_t)atoi (strchr (fleet->gateways[0].caller, ':') + 1));
+  CU_ASSERT_EQUAL (connect (fd, (struct sockaddr *)&address, sizeof address), 0);
+  CU_ASSERT_EQUAL (send (fd, request, sizeof request - 1, 0), (ssize_t)sizeof request - 1);
+  CU_ASSERT (recv (fd, some, sizeof some, 0) > 0);
+  close (fd);
+  CU_ASSERT_TRUE (wait_for (close_was_seen, fleet->installation));
+  fleet_end (fleet, CU_get_number_of_failures () > n_failed);
+  talloc_free (ctx);
+}
+
+const char test_suite_name[] = "sessions: gateway and servers";
+const struct TestCase test_cases[] = {
+  { "a lost answer runs once", test_a_lost_answer_runs_once },
+  { "a full server is refused as not run", test_a_full_server_is_refused_as_not_run },
+  { "a spoiled answer is not passed on", test_a_spoiled_answer_is_not_passed_on },
+  { "a broken stream does not look complete", test_a_broken_stream_does_not_look_complete },
+  { "a hanging server ends at the route's time", test_a_hanging_server_ends_at_the_routes_time },
+  { "a leaving server gets nothing new", test_a_leaving_server_gets_nothing_new },
+  { "a caller's close reaches the engine", test_a_callers_close_reaches_the_engine },
+  { NULL, NULL },
+};
--- /dev/null
+++ b/tests/standins/installation.c
@@ -0,0 +1,274 @@
+#include "installation_internal.h"
+
+#include <buckthornhead/base64.h>
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+static void
+put_text (struct Installation *in, const char *key, const char *text)
+{
+  char *base64 = base64_text (NULL, text, strlen (text));
+
+  store_put (in, key, base64);
+  talloc_free (base64);
+}
+
+struct Installation *
+installation_new (TALLOC_CTX *ctx, uint16_t store_port)
+{
+  struct Installation *in = talloc_zero (ctx, struct Installation);
+
+  signal (SIGPIPE, SIG_IGN);
+  pthread_mutex_init (&in->lock, NULL);
+  pthread_cond_init (&in->changed, NULL);
+  in->revision = 100;
+  if (store_start (in, store_port) != 0)
+    abort ();
+  return in;
+}
+
+void
+installation_end (struct Installation *in)
+{
+  pthread_mutex_lock (&in->lock);
+  in->ended = true;
+  pthread_cond_broadcast (&in->changed);
+  pthread_mutex_unlock (&in->lock);
+  for (uint32_t i = 0; i < in->n_servers; i++)
+    MHD_stop_daemon (in->servers[i].daemon);
+  MHD_stop_daemon (in->store);
+  for (size_t i = 0; i < in->n_items; i++)
+    free (in->items[i].value);
+  for (size_t i = 0; i < in->n_runs; i++)
+    {
+      free (in->runs[i].body);
+      free (in->runs[i].headers);
+    }
+}
+
+static void
+server_list (struct Server *server)
+{
+  char key[64], text[512];
+
+  snprintf (key, sizeof key, "servers/%s", server->id);
+  snprintf (text, sizeof text,
+            "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"version\":\"v1\",\"slots\":8,"
+            "\"state\":\"%s\",\"cold_remaining_ms\":0,\"sequence\":%u}",
+            server->service, server->address, server->zone, server->state, ++server->sequence);
+  put_text (server->installation, key, text);
+}
+
+uint32_t
+installation_add (
+    struct Installation *in, const char *service, bool engine, const char *zone, uint16_t port)
+{
+  struct Server *server = &in->servers[in->n_servers];
+
+  server->installation = in;
+  server->number = in->n_servers;
+  server->engine = engine;
+  server->port = port;
+  server->event_ms = 5;
+  snprintf (server->id, sizeof server->id, "i-%u", port);
+  snprintf (server->service, sizeof server->service, "%s", service);
+  snprintf (server->zone, sizeof server->zone, "%s", zone);
+  snprintf (server->address, sizeof server->address, "127.0.0.1:%u", port);
+  snprintf (server->state, sizeof server->state, "ready");
+  if (server_start (server) != 0)
+    abort ();
+  pthread_mutex_lock (&in->lock);
+  in->n_servers++;
+  server_list (server);
+  pthread_mutex_unlock (&in->lock);
+  return server->number;
+}
+
+void
+installation_configure (struct Installation *in, uint64_t version, const char *extra)
+{
+  static const char format[] =
+      "{\"version\":%llu,\"routes\":["
+      "{\"name\":\"turns\",\"host\":\"x.example\",\"prefix\":\"/turns/\",\"kind\":\"stream\","
+      "\"timeout_ms\":8000,\"service\":\"engines\",\"max_attempts\":2,\"retain\":true,"
+      "\"retention_s\":60.0,\"sticky\":true},"
+      "{\"name\":\"safe\",\"host\":\"x.example\",\"prefix\":\"/safe/\",\"kind\":\"safe\","
+      "\"timeout_ms\":4000,\"service\":\"desk\",\"max_attempts\":2},"
+      "{\"name\":\"once\",\"host\":\"x.example\",\"prefix\":\"/once/\",\"kind\":\"unsafe\","
+      "\"timeout_ms\":1500,\"service\":\"desk\",\"max_attempts\":2}%s%s],"
+      "\"services\":[{\"name\":\"engines\",\"max_conns\":100,"
+      "\"engine\":{\"slots\":8,\"tokens_per_event\":%d}},{\"name\":\"desk\",\"max_conns\":100}],"
+      "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":100000,"
+      "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}";
+  char *text = talloc_asprintf (in, format, (unsigned long long)version,
+                                extra[0] != '\0' ? "," : "", extra, TOKENS_PER_EVENT);
+
+  installation_put (in, "op/config", text);
+  talloc_free (text);
+}
+
+void
+installation_put (struct Installation *in, const char *key, const char *json)
+{
+  pthread_mutex_lock (&in->lock);
+  put_text (in, key, json);
+  pthread_mutex_unlock (&in->lock);
+}
+
+char *
+installation_get (struct Installation *in, TALLOC_CTX *ctx, const char *key)
+{
+  const struct StoreItem *item;
+  char *value = NULL;
+  size_t n_bytes;
+
+  pthread_mutex_lock (&in->lock);
+  item = store_find (in, key);
+  if (item != NULL && !item->deleted)
+    value = (char *)base64_bytes (ctx, item->value, &n_bytes);
+  pthread_mutex_unlock (&in->lock);
+  return value;
+}
+
+void
+installation_remove (struct Installation *in, const char *key)
+{
+  pthread_mutex_lock (&in->lock);
+  store_put (in, key, NULL);
+  pthread_mutex_unlock (&in->lock);
+}
+
+void
+installation_set_store (struct Installation *in, enum StoreMode mode)
+{
+  pthread_mutex_lock (&in->lock);
+  in->store_mode = mode;
+  pthread_cond_broadcast (&in->changed);
+  pthread_mutex_unlock (&in->lock);
+}
+
+uint64_t
+installation_store_calls (struct Installation *in)
+{
+  uint64_t n;
+
+  pthread_mutex_lock (&in->lock);
+  n = in->n_store_calls;
+  pthread_mutex_unlock (&in->lock);
+  return n;
+}
+
+void
+server_set_mode (struct Installation *in, uint32_t server, enum ServerMode mode)
+{
+  pthread_mutex_lock (&in->lock);
+  in->servers[server].mode = mode;
+  pthread_mutex_unlock (&in->lock);
+}
+
+void
+server_set_state (struct Installation *in, uint32_t server, const char *state)
+{
+  pthread_mutex_lock (&in->lock);
+  snprintf (in->servers[server].state, sizeof in->servers[server].state, "%s", state);
+  server_list (&in->servers[server]);
+  pthread_mutex_unlock (&in->lock);
+}
+
+void
+server_set_pace (struct Installation *in, uint32_t server, uint32_t event_ms)
+{
+  pthread_mutex_lock (&in->lock);
+  in->servers[server].event_ms = event_ms;
+  pthread_mutex_unlock (&in->lock);
+}
+
+/* The last run of request; under lock. */
+static const struct Run *
+run_find (struct Installation *in, const char *request, uint32_t *n)
+{
+  const struct Run *found = NULL;
+
+  *n = 0;
+  for (size_t i = 0; i < in->n_runs; i++)
+    if (strcmp (in->runs[i].request, request) == 0)
+      {
+        found = &in->runs[i];
+        (*n)++;
+      }
+  return found;
+}
+
+uint32_t
+installation_runs_of (struct Installation *in, const char *request)
+{
+  uint32_t n;
+
+  pthread_mutex_lock (&in->lock);
+  run_find (in, request, &n);
+  pthread_mutex_unlock (&in->lock);
+  return n;
+}
+
+uint32_t
+server_runs (struct Installation *in, uint32_t server)
+{
+  uint32_t n = 0;
+
+  pthread_mutex_lock (&in->lock);
+  for (size_t i = 0; i < in->n_runs; i++)
+    n += in->runs[i].server == server;
+  pthread_mutex_unlock (&in->lock);
+  return n;
+}
+
+uint32_t
+installation_closes_seen (struct Installation *in)
+{
+  uint32_t n;
+
+  pthread_mutex_lock (&in->lock);
+  n = in->n_closes_seen;
+  pthread_mutex_unlock (&in->lock);
+  return n;
+}
+
+char *
+installation_body_of (struct Installation *in, TALLOC_CTX *ctx, const char *request)
+{
+  const struct Run *run;
+  char *body = NULL;
+  uint32_t n;
+
+  pthread_mutex_lock (&in->lock);
+  run = run_find (in, request, &n);
+  if (run != NULL)
+    body = talloc_strdup (ctx, run->body);
+  pthread_mutex_unlock (&in->lock);
+  return body;
+}
+
+char *
+installation_header_of (struct Installation *in,
+                        TALLOC_CTX *ctx,
+                        const char *request,
+                        const char *header)
+{
+  char *wanted = talloc_asprintf (ctx, "%s: ", header);
+  const struct Run *run;
+  const char *at;
+  char *value;
+  uint32_t n;
+
+  pthread_mutex_lock (&in->lock);
+  run = run_find (in, request, &n);
+  at = run != NULL ? strstr (run->headers, wanted) : NULL;
+  value = at != NULL
+              ? talloc_strndup (ctx, at + strlen (wanted), strcspn (at + strlen (wanted), "\n"))
+              : talloc_strdup (ctx, "");
+  pthread_mutex_unlock (&in->lock);
+  return value;
+}
--- /dev/null
+++ b/tests/standins/installation_server.c
@@ -0,0 +1,244 @@
+#include "installation_internal.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+enum
+{
+  EVENTS = 4,
+  HANG_STEP_MS = 10
+};
+
+/* A stream on its way. */
+struct Stream
+{
+  struct Server *server;
+  char request[65];
+  uint32_t n_sent;
+  bool breaks_off;
+};
+
+bool
+request_collect (void **state, const char *bytes, size_t *n_bytes, enum MHD_Result *result)
+{
+  struct RequestBody *body = *state;
+
+  *result = MHD_YES;
+  if (body == NULL)
+    {
+      body = calloc (1, sizeof *body);
+      body->bytes = calloc (1, 1);
+      *state = body;
+      return false;
+    }
+  if (*n_bytes == 0)
+    return true;
+  body->bytes = realloc (body->bytes, body->n_bytes + *n_bytes + 1);
+  memcpy (body->bytes + body->n_bytes, bytes, *n_bytes);
+  body->n_bytes += *n_bytes;
+  body->bytes[body->n_bytes] = '\0';
+  *n_bytes = 0;
+  return false;
+}
+
+void
+request_completed (void *data,
+                   struct MHD_Connection *connection,
+                   void **state,
+                   enum MHD_RequestTerminationCode code)
+{
+  struct RequestBody *body = *state;
+
+  (void)data;
+  (void)connection;
+  (void)code;
+  if (body == NULL)
+    return;
+  free (body->bytes);
+  free (body);
+  *state = NULL;
+}
+
+static const char *
+header (struct MHD_Connection *connection, const char *name)
+{
+  const char *value = MHD_lookup_connection_value (connection, MHD_HEADER_KIND, name);
+
+  return value != NULL ? value : "";
+}
+
+static enum MHD_Result
+header_add (void *data, enum MHD_ValueKind kind, const char *name, const char *value)
+{
+  char **headers = data;
+  char *grown = NULL;
+
+  (void)kind;
+  if (asprintf (&grown, "%s%s: %s\n", *headers, name, value != NULL ? value : "") < 0)
+    abort ();
+  free (*headers);
+  *headers = grown;
+  return MHD_YES;
+}
+
+static void
+run_note (struct Server *server,
+          struct MHD_Connection *connection,
+          const char *request,
+          const char *body)
+{
+  struct Installation *in = server->installation;
+  struct Run *run = &in->runs[in->n_runs];
+
+  if (in->n_runs == RUNS_MAX)
+    abort ();
+  in->n_runs++;
+  snprintf (run->request, sizeof run->request, "%s", request);
+  run->server = server->number;
+  run->body = strdup (body);
+  run->headers = strdup ("");
+  MHD_get_connection_values (connection, MHD_HEADER_KIND, header_add, &run->headers);
+}
+
+static ssize_t
+stream_next (void *data, uint64_t at, char *buffer, size_t buffer_bytes)
+{
+  struct Stream *stream = data;
+  uint32_t event_ms;
+  int n;
+
+  (void)at;
+  if (stream->n_sent == EVENTS)
+    return MHD_CONTENT_READER_END_OF_STREAM;
+  if (stream->breaks_off && stream->n_sent == EVENTS / 2)
+    return MHD_CONTENT_READER_END_WITH_ERROR;
+  pthread_mutex_lock (&stream->server->installation->lock);
+  event_ms = stream->server->event_ms;
+  pthread_mutex_unlock (&stream->server->installation->lock);
+  usleep (event_ms * 1000);
+  stream->n_sent++;
+  n = snprintf (buffer, buffer_bytes, "id: %u\ndata: %s-%u\n\n", stream->n_sent, stream->request,
+                stream->n_sent);
+  return n;
+}
+
+static void
+stream_end (void *data)
+{
+  struct Stream *stream = data;
+  struct Installation *in = stream->server->installation;
+
+  pthread_mutex_lock (&in->lock);
+  if (stream->n_sent < EVENTS && !stream->breaks_off)
+    in->n_closes_seen++;
+  pthread_mutex_unlock (&in->lock);
+  free (stream);
+}
+
+static struct MHD_Response *
+stream_response (struct Server *server, const char *request, bool breaks_off)
+{
+  struct Stream *stream = calloc (1, sizeof *stream);
+  struct MHD_Response *response;
+
+  stream->server = server;
+  stream->breaks_off = breaks_off;
+  snprintf (stream->request, sizeof stream->request, "%s", request);
+  response =
+      MHD_create_response_from_callback (MHD_SIZE_UNKNOWN, 4096, stream_next, stream, stream_end);
+  MHD_add_response_header (response, "Content-Type", "text/event-stream");
+  return response;
+}
+
+static struct MHD_Response *
+plain_response (const char *request)
+{
+  char text[128];
+
+  snprintf (text, sizeof text, "done %s", request);
+  return MHD_create_response_from_buffer (strlen (text), text, MHD_RESPMEM_MUST_COPY);
+}
+
+static enum MHD_Result
+refuse (struct MHD_Connection *connection, unsigned status)
+{
+  struct MHD_Response *response = MHD_create_response_from_buffer (0, "", MHD_RESPMEM_PERSISTENT);
+  enum MHD_Result result;
+
+  MHD_add_response_header (response, "X-Not-Executed", "1");
+  result = MHD_queue_response (connection, status, response);
+  MHD_destroy_response (response);
+  return result;
+}
+
+static void
+wait_while_hanging (struct Server *server)
+{
+  struct Installation *in = server->installation;
+
+  pthread_mutex_lock (&in->lock);
+  while (server->mode == SERVER_HANGS && !in->ended)
+    {
+      pthread_mutex_unlock (&in->lock);
+      usleep (HANG_STEP_MS * 1000);
+      pthread_mutex_lock (&in->lock);
+    }
+  pthread_mutex_unlock (&in->lock);
+}
+
+static enum MHD_Result
+server_on_request (void *data,
+                   struct MHD_Connection *connection,
+                   const char *url,
+                   const char *method,
+                   const char *version,
+                   const char *upload,
+                   size_t *upload_bytes,
+                   void **state)
+{
+  struct Server *server = data;
+  struct Installation *in = server->installation;
+  const char *request = header (connection, "X-Request-Id");
+  struct MHD_Response *response;
+  enum MHD_Result result;
+  enum ServerMode mode;
+
+  (void)url;
+  (void)method;
+  (void)version;
+  if (!request_collect (state, upload, upload_bytes, &result))
+    return result;
+  if (header (connection, "X-Expect-Instance")[0] != '\0'
+      && strcmp (header (connection, "X-Expect-Instance"), server->id) != 0)
+    return refuse (connection, 421);
+  pthread_mutex_lock (&in->lock);
+  mode = server->mode;
+  if (mode != SERVER_FULL)
+    run_note (server, connection, request, ((struct RequestBody *)*state)->bytes);
+  pthread_mutex_unlock (&in->lock);
+  if (mode == SERVER_FULL)
+    return refuse (connection, 503);
+  if (mode == SERVER_LOSES || (mode == SERVER_BREAKS_OFF && !server->engine))
+    return MHD_NO;
+  wait_while_hanging (server);
+  response = server->engine ? stream_response (server, request, mode == SERVER_BREAKS_OFF)
+                            : plain_response (request);
+  MHD_add_response_header (response, "X-Request-Id", request);
+  if (mode != SERVER_SPOILS)
+    MHD_add_response_header (response, "X-Response-Seal", "3e1b.07");
+  result = MHD_queue_response (connection, 200, response);
+  MHD_destroy_response (response);
+  return result;
+}
+
+int
+server_start (struct Server *server)
+{
+  server->daemon =
+      MHD_start_daemon (MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD,
+                        server->port, NULL, NULL, server_on_request, server,
+                        MHD_OPTION_NOTIFY_COMPLETED, request_completed, server, MHD_OPTION_END);
+  return server->daemon != NULL ? 0 : -1;
+}
--- /dev/null
+++ b/tests/standins/installation_store.c
@@ -0,0 +1,245 @@
+#include "installation_internal.h"
+
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+struct StoreItem *
+store_find (struct Installation *in, const char *key)
+{
+  for (size_t i = 0; i < in->n_items; i++)
+    if (strcmp (in->items[i].key, key) == 0)
+      return &in->items[i];
+  return NULL;
+}
+
+void
+store_put (struct Installation *in, const char *key, const char *base64)
+{
+  struct StoreItem *item = store_find (in, key);
+
+  if (item == NULL && in->n_items < KEYS_MAX)
+    {
+      item = &in->items[in->n_items++];
+      snprintf (item->key, sizeof item->key, "%s", key);
+    }
+  if (item == NULL)
+    abort ();
+  free (item->value);
+  item->value = base64 != NULL ? strdup (base64) : NULL;
+  item->deleted = base64 == NULL;
+  item->revision = ++in->revision;
+  pthread_cond_broadcast (&in->changed);
+}
+
+static json_t *
+item_json (const struct StoreItem *item)
+{
+  if (item->deleted)
+    return json_pack ("{s:s, s:I, s:b}", "key", item->key, "revision", (json_int_t)item->revision,
+                      "deleted", 1);
+  return json_pack ("{s:s, s:s, s:I, s:I, s:i}", "key", item->key, "value", item->value, "revision",
+                    (json_int_t)item->revision, "created", (json_int_t)item->revision, "lease", 0);
+}
+
+static bool
+item_is_under (const struct StoreItem *item, const char *prefix)
+{
+  return strncmp (item->key, prefix, strlen (prefix)) == 0;
+}
+
+static const char *
+argument (struct MHD_Connection *connection, const char *name)
+{
+  const char *value = MHD_lookup_connection_value (connection, MHD_GET_ARGUMENT_KIND, name);
+
+  return value != NULL ? value : "";
+}
+
+static int
+item_compare (const void *a, const void *b)
+{
+  const struct StoreItem *const *x = a, *const *y = b;
+
+  return strcmp ((*x)->key, (*y)->key);
+}
+
+static json_t *
+store_range (struct Installation *in, struct MHD_Connection *connection)
+{
+  const char *prefix = argument (connection, "prefix");
+  struct StoreItem *found[KEYS_MAX];
+  json_t *items = json_array ();
+  size_t n = 0;
+
+  for (size_t i = 0; i < in->n_items; i++)
+    if (!in->items[i].deleted && item_is_under (&in->items[i], prefix)
+        && strcmp (in->items[i].key, argument (connection, "after")) > 0)
+      found[n++] = &in->items[i];
+  qsort (found, n, sizeof found[0], item_compare);
+  for (size_t i = 0; i < n; i++)
+    json_array_append_new (items, item_json (found[i]));
+  return json_pack ("{s:o, s:b, s:I}", "items", items, "has_more", 0, "at",
+                    (json_int_t)in->revision);
+}
+
+/* Waits for a change after the caller's revision. */
+static json_t *
+store_watch (struct Installation *in, struct MHD_Connection *connection)
+{
+  const char *prefix = argument (connection, "prefix");
+  int64_t after = atoll (argument (connection, "after"));
+  long wait_ms = atol (argument (connection, "wait_ms"));
+  json_t *events = json_array ();
+  struct timespec end;
+
+  clock_gettime (CLOCK_REALTIME, &end);
+  end.tv_sec += wait_ms / 1000;
+  end.tv_nsec += wait_ms % 1000 * 1000000;
+  if (end.tv_nsec >= 1000000000)
+    {
+      end.tv_sec++;
+      end.tv_nsec -= 1000000000;
+    }
+  for (;;)
+    {
+      for (size_t i = 0; i < in->n_items; i++)
+        if (in->items[i].revision > after && item_is_under (&in->items[i], prefix))
+          json_array_append_new (events, item_json (&in->items[i]));
+      if (json_array_size (events) > 0 || in->ended
+          || pthread_cond_timedwait (&in->changed, &in->lock, &end) != 0)
+        break;
+    }
+  return json_pack ("{s:o, s:I}", "events", events, "at", (json_int_t)in->revision);
+}
+
+/* False, with the present state in items, when a condition does not hold. */
+static bool
+conditions_hold (struct Installation *in, const json_t *conditions, json_t *items)
+{
+  bool hold = true;
+
+  for (size_t i = 0; i < json_array_size (conditions); i++)
+    {
+      const json_t *row = json_array_get (conditions, i);
+      const char *key = json_string_value (json_object_get (row, "key"));
+      const struct StoreItem *item = store_find (in, key);
+      int64_t revision = item != NULL && !item->deleted ? item->revision : 0;
+
+      hold = hold && revision == json_integer_value (json_object_get (row, "revision"));
+      json_array_append_new (items, revision > 0
+                                        ? item_json (item)
+                                        : json_pack ("{s:s, s:i}", "key", key, "revision", 0));
+    }
+  return hold;
+}
+
+static json_t *
+store_txn (struct Installation *in, const char *text, unsigned *status)
+{
+  json_t *body = json_loads (text, 0, NULL), *items = json_array (), *answer;
+  const json_t *puts = json_object_get (body, "puts"), *gone = json_object_get (body, "remove");
+
+  if (!conditions_hold (in, json_object_get (body, "expected_revision"), items))
+    {
+      json_decref (body);
+      *status = 412;
+      return json_pack ("{s:o}", "items", items);
+    }
+  for (size_t i = 0; i < json_array_size (puts); i++)
+    store_put (in, json_string_value (json_object_get (json_array_get (puts, i), "key")),
+               json_string_value (json_object_get (json_array_get (puts, i), "value")));
+  for (size_t i = 0; i < json_array_size (gone); i++)
+    store_put (in, json_string_value (json_array_get (gone, i)), NULL);
+  answer = json_pack ("{s:I}", "revision", (json_int_t)in->revision);
+  json_decref (items);
+  json_decref (body);
+  return answer;
+}
+
+static json_t *
+store_key (struct Installation *in, struct MHD_Connection *connection, unsigned *status)
+{
+  const struct StoreItem *item = store_find (in, argument (connection, "key"));
+  json_t *answer;
+
+  if (item == NULL || item->deleted)
+    {
+      *status = 404;
+      return json_object ();
+    }
+  answer = item_json (item);
+  json_object_set_new (answer, "at", json_integer (in->revision));
+  return answer;
+}
+
+static json_t *
+store_answer (struct Installation *in,
+              struct MHD_Connection *connection,
+              const char *path,
+              const char *body,
+              unsigned *status)
+{
+  if (strcmp (path, "/-/kv-key") == 0)
+    return store_key (in, connection, status);
+  if (strcmp (path, "/-/kv-range") == 0)
+    return store_range (in, connection);
+  if (strcmp (path, "/-/kv-watch") == 0)
+    return store_watch (in, connection);
+  if (strcmp (path, "/-/kv-txn") == 0)
+    return store_txn (in, body, status);
+  *status = 404;
+  return json_object ();
+}
+
+static enum MHD_Result
+store_on_request (void *data,
+                  struct MHD_Connection *connection,
+                  const char *url,
+                  const char *method,
+                  const char *version,
+                  const char *upload,
+                  size_t *upload_bytes,
+                  void **state)
+{
+  struct Installation *in = data;
+  enum MHD_Result result;
+  struct MHD_Response *response;
+  unsigned status = 200;
+  json_t *answer;
+  char *text;
+
+  (void)method;
+  (void)version;
+  if (!request_collect (state, upload, upload_bytes, &result))
+    return result;
+  pthread_mutex_lock (&in->lock);
+  in->n_store_calls++;
+  while (in->store_mode == STORE_SILENT && !in->ended)
+    pthread_cond_wait (&in->changed, &in->lock);
+  if (in->store_mode == STORE_REFUSES)
+    {
+      status = 503;
+      answer = json_object ();
+    }
+  else
+    answer = store_answer (in, connection, url, ((struct RequestBody *)*state)->bytes, &status);
+  pthread_mutex_unlock (&in->lock);
+  text = json_dumps (answer, JSON_COMPACT);
+  json_decref (answer);
+  response = MHD_create_response_from_buffer (strlen (text), text, MHD_RESPMEM_MUST_FREE);
+  result = MHD_queue_response (connection, status, response);
+  MHD_destroy_response (response);
+  return result;
+}
+
+int
+store_start (struct Installation *in, uint16_t port)
+{
+  in->store = MHD_start_daemon (MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD,
+                                port, NULL, NULL, store_on_request, in, MHD_OPTION_NOTIFY_COMPLETED,
+                                request_completed, in, MHD_OPTION_END);
+  return in->store != NULL ? 0 : -1;
+}
