--- a/tests/sessions/test_gateway_path.c
+++ b/tests/sessions/test_gateway_path.c
@@ -7,17 +7,22 @@
 #include <string.h>
 #include <unistd.h>
 
-/* The stream of a turn, as a caller gets it, and its data as the next turn's prompt holds it. */
-static void
-stream_of (const char *turn, char *text, char *data)
+/* The stream of a turn, as a caller gets it. */
+static char *
+stream_of (TALLOC_CTX *ctx, const char *turn)
 {
-  text[0] = '\0';
-  data[0] = '\0';
+  char *text = talloc_strdup (ctx, "");
+
   for (int i = 1; i <= 4; i++)
-    {
-      sprintf (text + strlen (text), "id: %d\ndata: %s-%d\n\n", i, turn, i);
-      sprintf (data + strlen (data), "%s-%d\n", turn, i);
-    }
+    text = talloc_asprintf_append (text, "id: %d\ndata: %s-%d\n\n", i, turn, i);
+  return text;
+}
+
+/* Its data, as the next turn's prompt holds it. */
+static char *
+data_of (TALLOC_CTX *ctx, const char *turn)
+{
+  return talloc_asprintf (ctx, "%s-1\n%s-2\n%s-3\n%s-4\n", turn, turn, turn, turn);
 }
 
 /* A program's turns come through different gateways; each turn carries only what is new. The engine
@@ -27,7 +32,7 @@
 {
   TALLOC_CTX *ctx = talloc_new (NULL);
   struct Fleet *fleet = fleet_start (ctx, 2, 3);
-  char text[512], data[512], body[4096] = "";
+  char *body = talloc_strdup (ctx, "");
   char turn[16], previous[16] = "";
   uint32_t n_failed = CU_get_number_of_failures ();
 
@@ -39,12 +44,11 @@
       snprintf (turn, sizeof turn, "t%u", i);
       snprintf (input, sizeof input, "<in%u>", i);
       reply = turn_send (fleet, ctx, i % 2, "p", turn, previous, 5000, input);
-      stream_of (turn, text, data);
       CU_ASSERT_EQUAL (reply->status, 200);
-      CU_ASSERT_STRING_EQUAL (reply->text, text);
-      strcat (body, input);
+      CU_ASSERT_STRING_EQUAL (reply->text, stream_of (ctx, turn));
+      body = talloc_asprintf_append (body, "%s", input);
       CU_ASSERT_STRING_EQUAL (installation_body_of (fleet->installation, ctx, turn), body);
-      strcat (body, data);
+      body = talloc_asprintf_append (body, "%s", data_of (ctx, turn));
       snprintf (previous, sizeof previous, "%s", turn);
     }
   fleet_end (fleet, CU_get_number_of_failures () > n_failed);
@@ -171,7 +175,6 @@
   struct StopWatch watch = { fleet, 0 };
   uint32_t n_failed = CU_get_number_of_failures ();
   struct HttpReply *reply;
-  char text[512], data[512];
   pid_t pid = fleet->gateways[0].process->pid;
 
   server_set_pace (fleet->installation, ENGINE, 300);
@@ -184,9 +187,8 @@
       _exit (0);
     }
   reply = turn_send (fleet, ctx, 0, "p", "t1", "", 0, "x");
-  stream_of ("t1", text, data);
   CU_ASSERT_EQUAL (reply->status, 200);
-  CU_ASSERT_STRING_EQUAL (reply->text, text);
+  CU_ASSERT_STRING_EQUAL (reply->text, stream_of (ctx, "t1"));
   CU_ASSERT_TRUE (wait_for (gateway_not_ready, &watch));
   CU_ASSERT_EQUAL (turn_send_until_taken (fleet, ctx, 1, "p", "t2", "t1", "y")->status, 200);
   CU_ASSERT_TRUE (process_wait (fleet->gateways[0].process));
--- a/tests/standins/installation_store.c
+++ b/tests/standins/installation_store.c
@@ -58,29 +58,32 @@
   return value != NULL ? value : "";
 }
 
-static int
-item_compare (const void *a, const void *b)
+/* The least key after one, under prefix; NULL when there is none. */
+static const struct StoreItem *
+item_next (const struct Installation *in, const char *prefix, const char *after)
 {
-  const struct StoreItem *const *x = a, *const *y = b;
+  const struct StoreItem *next = NULL;
 
-  return strcmp ((*x)->key, (*y)->key);
+  for (size_t i = 0; i < in->n_items; i++)
+    {
+      const struct StoreItem *item = &in->items[i];
+
+      if (!item->deleted && item_is_under (item, prefix) && strcmp (item->key, after) > 0
+          && (next == NULL || strcmp (item->key, next->key) < 0))
+        next = item;
+    }
+  return next;
 }
 
 static json_t *
 store_range (struct Installation *in, struct MHD_Connection *connection)
 {
   const char *prefix = argument (connection, "prefix");
-  struct StoreItem *found[KEYS_MAX];
+  const struct StoreItem *item = item_next (in, prefix, argument (connection, "after"));
   json_t *items = json_array ();
-  size_t n = 0;
 
-  for (size_t i = 0; i < in->n_items; i++)
-    if (!in->items[i].deleted && item_is_under (&in->items[i], prefix)
-        && strcmp (in->items[i].key, argument (connection, "after")) > 0)
-      found[n++] = &in->items[i];
-  qsort (found, n, sizeof found[0], item_compare);
-  for (size_t i = 0; i < n; i++)
-    json_array_append_new (items, item_json (found[i]));
+  for (; item != NULL; item = item_next (in, prefix, item->key))
+    json_array_append_new (items, item_json (item));
   return json_pack ("{s:o, s:b, s:I}", "items", items, "has_more", 0, "at",
                     (json_int_t)in->revision);
 }
--- a/tests/test_disk_log.c
+++ b/tests/test_disk_log.c
@@ -15,7 +15,7 @@
   struct tevent_context *events;
   struct DiskLog *log;
   char folder[64];
-  char replayed[4096]; /* records, a space after each */
+  char *replayed; /* records, a space after each */
   uint32_t n_durable;
   bool durable;
   int32_t error;
@@ -28,8 +28,8 @@
   struct Bench *b = data;
 
   (void)place;
-  strncat (b->replayed, (const char *)record, n_bytes < 20 ? n_bytes : 20);
-  strcat (b->replayed, " ");
+  b->replayed = talloc_asprintf_append (b->replayed, "%.*s ", (int)(n_bytes < 20 ? n_bytes : 20),
+                                        (const char *)record);
 }
 
 static void
@@ -37,7 +37,7 @@
 {
   struct Fault fault;
 
-  b->replayed[0] = '\0';
+  b->replayed = talloc_strdup (b, "");
   CU_ASSERT_EQUAL_FATAL (
       disk_log_open (b, b->events, b->folder, bench_on_record, b, &b->log, &fault), ERROR_NONE);
 }
@@ -173,14 +173,13 @@
 test_many_records_share_a_sync_and_keep_their_order (void)
 {
   struct Bench *b = bench_new ();
-  char record[8], expected[1024] = "";
+  char record[8], *expected = talloc_strdup (b, "");
   bool all = false;
 
   for (int i = 0; i < 100; i++)
     {
       snprintf (record, sizeof record, "r%d", i);
-      strcat (expected, record);
-      strcat (expected, " ");
+      expected = talloc_asprintf_append (expected, "%s ", record);
       disk_log_append (b->log, (const uint8_t *)record, strlen (record), 100, bench_on_durable, b);
     }
   while (b->n_durable < 100)
@@ -211,7 +210,7 @@
   TALLOC_FREE (b->log);
   bench_open (b);
   bench_append (b, "three", 100);
-  b->replayed[0] = '\0';
+  b->replayed = talloc_strdup (b, "");
   while (!last && n_parts < 20)
     {
       size_t n_bytes;
@@ -224,7 +223,7 @@
   CU_ASSERT_TRUE (last);
   CU_ASSERT_STRING_EQUAL (b->replayed, "one xxxxxxxxxxxxxxxxxxxx two three ");
   bench_append (b, "four", 100);
-  b->replayed[0] = '\0';
+  b->replayed = talloc_strdup (b, "");
   {
     size_t n_bytes;
     uint8_t *bytes = disk_log_frames (b->log, b, cursor, 64, &n_bytes, &cursor, &last);
--- a/tests/test_gateway_settings.c
+++ b/tests/test_gateway_settings.c
@@ -67,7 +67,7 @@
 {
   TALLOC_CTX *ctx = talloc_new (NULL);
   struct GatewaySettings *s;
-  char *words, *both = talloc_asprintf (ctx, "%s", gateway_text);
+  char *words, *both = talloc_asprintf (ctx, "%s[instance]\ndata_folder = /data/x\n", gateway_text);
 
   CU_ASSERT_EQUAL (parse (ctx,
                           "[instance]\nname = a\nzone = b\n[listen]\npeer = 127.0.0.1:1\n"
@@ -75,7 +75,6 @@
                           &s, &words),
                    ERROR_INVALID);
   CU_ASSERT_PTR_NOT_NULL (strstr (words, "neither a gateway nor an archive"));
-  memcpy (strstr (both, "zone = malda"), "data_folder=", 12);
   CU_ASSERT_EQUAL (parse (ctx, both, &s, &words), ERROR_INVALID);
   talloc_free (ctx);
 }
--- /dev/null
+++ b/tests/test_platform.c
@@ -0,0 +1,240 @@
+#include "test_main.h"
+
+#include <buckthornhead/error.h>
+
+#include <platform.h>
+#include <stdlib.h>
+#include <string.h>
+
+static struct HttpExchange
+exchange_of (const char *method, const char *target, struct HttpHeader *items, size_t n_items)
+{
+  struct HttpExchange exchange = { .method = method, .target = target };
+
+  exchange.headers.items = items;
+  exchange.headers.n_items = n_items;
+  return exchange;
+}
+
+static void
+test_a_turns_headers_are_read (void)
+{
+  struct HttpHeader items[] = {
+    { "Host", "ficu95.example" },
+    { "x-request-id", "e5b2907c14da6f38" },
+    { "X-Program-Id", "3fa81c" },
+    { "X-Token-Budget", "4712" },
+    { "X-Token-Count", "1840,589" },
+    { "X-Previous-Turn", "40c8f1a7b3e9265d" },
+    { "X-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250" },
+    { "X-Deadline-Ms", "4000" },
+  };
+  struct HttpExchange exchange = exchange_of ("POST", "/a/b", items, 8);
+  struct CallerRequest request;
+  struct Fault fault;
+
+  CU_ASSERT_EQUAL (platform_dialect.read_request (NULL, &exchange, &request, &fault), ERROR_NONE);
+  CU_ASSERT_STRING_EQUAL (request.id, "e5b2907c14da6f38");
+  CU_ASSERT_STRING_EQUAL (request.previous, "40c8f1a7b3e9265d");
+  CU_ASSERT_EQUAL (request.budget_tokens, 4712);
+  CU_ASSERT_EQUAL (request.max_tokens, 589);
+  CU_ASSERT_EQUAL (request.timeout_ms, 4000);
+  CU_ASSERT_EQUAL (request.n_parts, 3);
+  CU_ASSERT_EQUAL (request.parts[1].id, 0x91bd3f06);
+  CU_ASSERT_EQUAL (request.parts[2].tokens, 250);
+}
+
+static void
+test_a_request_needs_one_id (void)
+{
+  struct HttpHeader items[] = { { "Host", "x" }, { "X-Request-Id", "1" }, { "X-Request-Id", "2" } };
+  struct HttpExchange none = exchange_of ("GET", "/", items, 1);
+  struct HttpExchange two = exchange_of ("GET", "/", items, 3);
+  struct CallerRequest request;
+  struct Fault fault;
+
+  CU_ASSERT_EQUAL (platform_dialect.read_request (NULL, &none, &request, &fault), ERROR_INVALID);
+  CU_ASSERT_EQUAL (platform_dialect.read_request (NULL, &two, &request, &fault), ERROR_INVALID);
+}
+
+/* A caller asks for another program's memory, or for a place that only the system gives. What a
+ * server gets is the system's word alone; all else passes on as it came. */
+static void
+test_only_the_system_sets_its_headers (void)
+{
+  struct HttpHeader items[] = {
+    { "Host", "x" },
+    { "X-Request-Id", "1" },
+    { "X-Deadline-Ms", "99999" },
+    { "X-Hold", "h" },
+    { "X-Pin-Ms", "5000" },
+    { "Kv-From", "10.0.0.1:1/x" },
+    { "X-Kv-Backup", "10.0.0.1:1" },
+    { "X-Expect-Instance", "i-forged" },
+    { "Last-Event-Id", "3" },
+    { "Connection", "keep-alive, X-Private" },
+    { "X-Private", "1" },
+    { "Content-Length", "4" },
+    { "X-Session-Id", "77d20b" },
+  };
+  struct HttpExchange exchange = exchange_of ("POST", "/a?b=c", items, 13);
+  const struct UpstreamTarget target = {
+    .replica = "i-7f3a91c2", .address = "10.0.0.2:80", .left_ms = 1200, .body_bytes = 9
+  };
+  char *head = platform_dialect.write_request (NULL, &exchange, &target);
+
+  CU_ASSERT_STRING_EQUAL (head, "POST /a?b=c HTTP/1.1\r\nHost: x\r\nX-Request-Id: 1\r\n"
+                                "X-Session-Id: 77d20b\r\nX-Deadline-Ms: 1200\r\n"
+                                "X-Expect-Instance: i-7f3a91c2\r\nContent-Length: 9\r\n\r\n");
+  talloc_free (head);
+}
+
+static void
+test_answers_say_whether_they_ran (void)
+{
+  struct HttpHeader sealed[] = { { "X-Response-Seal", "3e1b.07" }, { "X-Server-Load", "3,1,8" } };
+  struct HttpHeader refused[] = { { "X-Not-Executed", "1" } };
+  struct HttpAnswerHead head = { .status = 200, .headers = { sealed, 2 } };
+  struct ReplicaAnswer answer;
+
+  platform_dialect.read_answer (&head, &answer);
+  CU_ASSERT_TRUE (answer.genuine);
+  CU_ASSERT_FALSE (answer.not_run);
+  CU_ASSERT_EQUAL (answer.running, 3);
+  CU_ASSERT_EQUAL (answer.slots, 8);
+  head = (struct HttpAnswerHead){ .status = 503, .headers = { refused, 1 } };
+  platform_dialect.read_answer (&head, &answer);
+  CU_ASSERT_TRUE (answer.not_run);
+  /* A 500 or 503 without the mark may have run; a 421 never did. */
+  head = (struct HttpAnswerHead){ .status = 503 };
+  platform_dialect.read_answer (&head, &answer);
+  CU_ASSERT_FALSE (answer.not_run);
+  head.status = 421;
+  platform_dialect.read_answer (&head, &answer);
+  CU_ASSERT_TRUE (answer.not_run);
+}
+
+static const char config[] =
+    "{\"version\":7,\"routes\":[{\"name\":\"r1\",\"host\":\"h\",\"prefix\":\"/p/\",\"kind\":"
+    "\"stream\",\"timeout_ms\":4000,\"target_latency_ms\":250,\"priority\":1,\"backends\":[{"
+    "\"service\":\"s1\",\"weight\":90},{\"service\":\"s2\",\"weight\":10}],\"max_attempts\":2,"
+    "\"retain\":true,\"retention_s\":60.5,\"sticky\":true,\"gap_aim_ms\":250},"
+    "{\"name\":\"r2\",\"host\":\"h\",\"prefix\":\"/q/\",\"kind\":\"safe\",\"service\":\"s2\"},"
+    "{\"name\":\"r3\",\"host\":\"h\",\"prefix\":\"/s/\",\"kind\":\"new-kind\",\"service\":\"s2\"}],"
+    "\"services\":[{\"name\":\"s1\",\"max_conns\":250,\"engine\":{\"slots\":32,"
+    "\"tokens_per_event\":19}},{\"name\":\"s2\",\"max_conns\":110}],"
+    "\"limits\":{\"max_header_bytes\":100,\"max_body_bytes\":200,\"header_timeout_ms\":300,"
+    "\"idle_timeout_ms\":400}}";
+
+static void
+test_a_configuration_is_read (void)
+{
+  struct RouteTable *table;
+  struct Fault fault;
+
+  CU_ASSERT_EQUAL_FATAL (platform_dialect.read_routes (NULL, (const uint8_t *)config,
+                                                       sizeof config - 1, &table, &fault),
+                         ERROR_NONE);
+  CU_ASSERT_EQUAL (table->version, 7);
+  CU_ASSERT_EQUAL (table->n_routes, 3);
+  CU_ASSERT_EQUAL (table->routes[0].kind, ROUTE_STREAM);
+  CU_ASSERT_EQUAL (table->routes[0].n_targets, 2);
+  CU_ASSERT_EQUAL (table->routes[0].targets[1].weight, 10);
+  CU_ASSERT_EQUAL (table->routes[0].retention_ms, 60500);
+  CU_ASSERT_TRUE (table->routes[0].keeps_turns);
+  CU_ASSERT_EQUAL (table->routes[1].kind, ROUTE_REPEATABLE);
+  /* What is not known to be repeatable runs once. */
+  CU_ASSERT_EQUAL (table->routes[2].kind, ROUTE_ONCE);
+  CU_ASSERT_EQUAL (route_table_service (table, "s1")->tokens_per_event, 19);
+  CU_ASSERT_EQUAL (table->limits.idle_timeout_ms, 400);
+  talloc_free (table);
+}
+
+static void
+test_a_malformed_configuration_says_so (void)
+{
+  static const char *const texts[] = {
+    "",
+    "[]",
+    "{\"routes\":[]}",
+    "{\"version\":1,\"routes\":[{\"name\":\"r\"}]}",
+    "{\"version\":1,\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"prefix\":\"/\"}]}",
+    "{\"version\":1,\"services\":[{}]}"
+  };
+  struct RouteTable *table;
+  struct Fault fault;
+
+  for (size_t i = 0; i < sizeof texts / sizeof texts[0]; i++)
+    {
+      CU_ASSERT_EQUAL (platform_dialect.read_routes (NULL, (const uint8_t *)texts[i],
+                                                     strlen (texts[i]), &table, &fault),
+                       ERROR_INVALID);
+      CU_ASSERT_PTR_NULL (table);
+      CU_ASSERT (strlen (fault.message) > 0 && strlen (fault.remedy) > 0);
+    }
+}
+
+static void
+test_a_servers_entry_is_read (void)
+{
+  static const char text[] =
+      "{\"service\":\"huvo11a\",\"address\":\"10.128.0.9:8080\",\"zone\":\"malda\",\"slots\":32,"
+      "\"state\":\"draining\",\"sequence\":4}";
+  struct ReplicaEntry entry;
+  struct Fault fault;
+
+  CU_ASSERT_EQUAL (platform_dialect.read_server ("servers/i-7f", (const uint8_t *)text,
+                                                 sizeof text - 1, &entry, &fault),
+                   ERROR_NONE);
+  CU_ASSERT_STRING_EQUAL (entry.id, "i-7f");
+  CU_ASSERT_STRING_EQUAL (entry.address, "10.128.0.9:8080");
+  CU_ASSERT_EQUAL (entry.slots, 32);
+  CU_ASSERT_TRUE (entry.draining);
+  CU_ASSERT_EQUAL (
+      platform_dialect.read_server ("servers/i-8", (const uint8_t *)"{}", 2, &entry, &fault),
+      ERROR_INVALID);
+}
+
+static void
+test_own_paths_and_the_directory (void)
+{
+  const char *const addresses[] = { "10.1.0.38:8149", "10.1.0.39:8149" };
+  char zone[NAME_MAX_BYTES + 1];
+  char *body = platform_dialect.write_addresses (NULL, addresses, 2, 2);
+
+  CU_ASSERT_EQUAL (platform_dialect.own_path ("/-/ready"), OWN_PATH_READY);
+  CU_ASSERT_EQUAL (platform_dialect.own_path ("/-/resolve?name=x"), OWN_PATH_ADDRESSES);
+  CU_ASSERT_EQUAL (platform_dialect.own_path ("/-/readyx"), OWN_PATH_NONE);
+  CU_ASSERT_EQUAL (platform_dialect.own_path ("/"), OWN_PATH_NONE);
+  CU_ASSERT_STRING_EQUAL (body,
+                          "{\"addresses\":[\"10.1.0.38:8149\",\"10.1.0.39:8149\"],\"ttl_s\":2}");
+  platform_dialect.asker_zone ("/-/resolve?name=a-zone=b&region=r&zone=malda", zone);
+  CU_ASSERT_STRING_EQUAL (zone, "malda");
+  platform_dialect.asker_zone ("/-/resolve?timezone=x", zone);
+  CU_ASSERT_STRING_EQUAL (zone, "");
+  talloc_free (body);
+}
+
+static void
+test_the_operators_hear_of_an_emptied_machine (void)
+{
+  struct RetireNote note;
+
+  platform_dialect.write_retired ("storage-malda-1", true, &note);
+  CU_ASSERT_STRING_EQUAL (note.key, "status/retire/storage-malda-1");
+  CU_ASSERT_STRING_EQUAL (note.value, "{\"state\":\"completed\"}");
+}
+
+const char test_suite_name[] = "platform";
+const struct TestCase test_cases[] = {
+  { "a turn's headers are read", test_a_turns_headers_are_read },
+  { "a request needs one id", test_a_request_needs_one_id },
+  { "only the system sets its headers", test_only_the_system_sets_its_headers },
+  { "answers say whether they ran", test_answers_say_whether_they_ran },
+  { "a configuration is read", test_a_configuration_is_read },
+  { "a malformed configuration says so", test_a_malformed_configuration_says_so },
+  { "a server's entry is read", test_a_servers_entry_is_read },
+  { "own paths and the directory", test_own_paths_and_the_directory },
+  { "the operators hear of an emptied machine", test_the_operators_hear_of_an_emptied_machine },
+  { NULL, NULL },
+};
