A new link between processes is not judged by the silence of the one before

The time of the last message began at 0, and was not set when a dialled link was connected.

Ruled out: a longer limit (the silence of a link that is really dead would be noticed later, too).

--- a/adapters/peer_net.c
+++ b/adapters/peer_net.c
@@ -269,6 +269,8 @@
     {
       link->connected = true;
       peer_link_note_refusal (link, false);
+      if (link->net->options.connected != NULL)
+        link->net->options.connected (link->net->options.data, link->instance);
     }
   else if (error == ECONNREFUSED)
     peer_link_note_refusal (link, true);
--- a/gateway/node.c
+++ b/gateway/node.c
@@ -226,6 +226,8 @@
   if (peer == NULL)
     return NULL;
   snprintf (peer->status.node, sizeof peer->status.node, "%s", name);
+  /* Counts from here until it is first heard: a process that is gone is forgotten, too. */
+  peer->link_heard_ms = timer_now_ms (node->timers);
   node->peers[node->n_peers++] = peer;
   return peer;
 }
@@ -242,8 +244,6 @@
     return;
   snprintf (peer->status.peer_address, sizeof peer->status.peer_address, "%s", address);
   peer->status.is_archive = is_archive;
-  /* Counts from here until it is first heard: a process that is gone is forgotten, too. */
-  peer->link_heard_ms = timer_now_ms (node->timers);
   peer_net_know (node->net, name, address);
 }
 
@@ -355,11 +355,18 @@
 
   if (peer != NULL)
     peer->refused = n > 0;
-  if (peer == NULL || n > 0)
-    return;
-  /* It has started again and knows nothing yet: waiting for the next heartbeat would cost its
-   * callers half a second. */
-  peer->link_heard_ms = timer_now_ms (node->timers);
+}
+
+/* A new link has not been silent yet, whatever the one before was. If the peer has started again it
+ * knows nothing: waiting for the next heartbeat would cost its callers half a second. */
+static void
+node_on_connected (void *data, const char *name)
+{
+  struct Node *node = data;
+  struct Peer *peer = node_peer (node, name);
+
+  if (peer != NULL)
+    peer->link_heard_ms = timer_now_ms (node->timers);
   node_send_status (node, name);
 }
 
@@ -426,6 +433,7 @@
     .received = node_on_received,
     .closed = node_on_closed,
     .refused = node_on_refused,
+    .connected = node_on_connected,
     .data = node,
   };
   int32_t error;
--- a/include/buckthornhead/peer_net.h
+++ b/include/buckthornhead/peer_net.h
@@ -32,6 +32,8 @@
   /* n attempts in a row to dial instance were refused (its machine answers, its process does not),
    * or 0: it is connected again. */
   void (*refused) (void *data, const char *instance, uint32_t n);
+  /* A dialled link to instance is connected; may be NULL. */
+  void (*connected) (void *data, const char *instance);
   void *data;
 };
 
--- a/tests/sessions/test_gateway_archives.c
+++ b/tests/sessions/test_gateway_archives.c
@@ -197,6 +197,66 @@
   talloc_free (ctx);
 }
 
+static uint32_t
+count_lines (struct Process *process, const char *text)
+{
+  char *output = process_output (NULL, process);
+  uint32_t n = 0;
+
+  for (const char *at = strstr (output, text); at != NULL; at = strstr (at + 1, text))
+    n++;
+  talloc_free (output);
+  return n;
+}
+
+/* An archive's machine is suspended for some seconds. Its gateway gives the silent link up and
+ * dials anew. When the machine is back the new link stays: one that is judged by the silence of the
+ * one before it is closed at every heartbeat, for ever, and the archive is as good as lost. */
+static void
+test_a_suspended_archive_is_reached_again (void)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct Fleet *fleet = fleet_start (ctx, 1, 3);
+  struct Process *gateway = fleet->gateways[0].process;
+  uint32_t n_failed = CU_get_number_of_failures (), n_silent;
+
+  CU_ASSERT_EQUAL (turn_status (fleet, ctx, 0, "t1"), 200);
+  process_signal (fleet->archives[0].process, SIGSTOP);
+  CU_ASSERT_TRUE (process_wait_output (gateway, "peer_link_silent"));
+  sleep_ms (2500);
+  process_signal (fleet->archives[0].process, SIGCONT);
+  sleep_ms (2500);
+  n_silent = count_lines (gateway, "peer_link_silent");
+  sleep_ms (3000);
+  CU_ASSERT_EQUAL (count_lines (gateway, "peer_link_silent"), n_silent);
+  process_kill (fleet->archives[1].process);
+  CU_ASSERT_EQUAL (turn_status (fleet, ctx, 0, "t2"), 200);
+  fleet_end (fleet, CU_get_number_of_failures () > n_failed);
+  talloc_free (ctx);
+}
+
+/* A gateway starts again; its peers find it before it has read the store. Links that it has just
+ * dialled have not been silent: taken for that, all are closed at the first heartbeat, and callers
+ * of the first second are sent back. */
+static void
+test_a_restarted_gateway_keeps_its_links (void)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct Fleet *fleet = fleet_start (ctx, 2, 3);
+  uint32_t n_failed = CU_get_number_of_failures (), before;
+
+  before = count_lines (fleet->gateways[0].process, "peer_link_silent");
+  process_kill (fleet->gateways[0].process);
+  installation_set_store (fleet->installation, STORE_REFUSES);
+  sleep_ms (1000);
+  gateway_start (fleet, 0);
+  CU_ASSERT_TRUE (gateway_wait_ready (fleet, 0));
+  sleep_ms (1500);
+  CU_ASSERT_EQUAL (count_lines (fleet->gateways[0].process, "peer_link_silent"), before);
+  fleet_end (fleet, CU_get_number_of_failures () > n_failed);
+  talloc_free (ctx);
+}
+
 /* Calls to the platform's store are dear: with nothing going on, all processes together make no
  * more than a few a second, however many they are. */
 static void
@@ -224,6 +284,8 @@
   { "a new archive takes a dead one's place", test_a_new_archive_takes_a_dead_ones_place },
   { "a retired archive leaves everything behind", test_a_retired_archive_leaves_everything_behind },
   { "a gateway starts while the store is down", test_a_gateway_starts_while_the_store_is_down },
+  { "a suspended archive is reached again", test_a_suspended_archive_is_reached_again },
+  { "a restarted gateway keeps its links", test_a_restarted_gateway_keeps_its_links },
   { "one process reads the store for all", test_one_process_reads_the_store_for_all },
   { NULL, NULL },
 };
