--- a/ctl/check_config.c
+++ b/ctl/check_config.c
@@ -1,5 +1,6 @@
 #include "command.h"
 
+#include <buckthornhead/gateway_settings.h>
 #include <buckthornhead/ini_text.h>
 #include <buckthornhead/settings.h>
 
@@ -10,39 +11,58 @@
   FILES_MAX = 256
 };
 
+/* What a file is, by a section that only files of its kind have. */
+enum FileKind
+{
+  FILE_SETTINGS,
+  FILE_PROFILE, /* [profile] */
+  FILE_GATEWAY  /* [archives] */
+};
+
 static void
-note_profile_section (void *data, const struct IniLine *line)
+note_section (void *data, const struct IniLine *line)
 {
-  bool *is_profile = data;
+  enum FileKind *kind = data;
 
-  if (line->key == NULL && strcmp (line->section, "profile") == 0)
-    *is_profile = true;
+  if (line->key != NULL)
+    return;
+  if (strcmp (line->section, "profile") == 0)
+    *kind = FILE_PROFILE;
+  else if (strcmp (line->section, "archives") == 0)
+    *kind = FILE_GATEWAY;
 }
 
-/* A file with a [profile] section is a profile, any other one settings. */
-static bool
-is_profile (const char *file, const char *text)
+static enum FileKind
+file_kind (const char *file, const char *text)
 {
   struct ConfigFaults *ignored = talloc_zero (NULL, struct ConfigFaults);
-  bool found = false;
+  enum FileKind kind = FILE_SETTINGS;
 
   if (ignored != NULL)
-    ini_text_each (file, text, note_profile_section, &found, ignored);
+    ini_text_each (file, text, note_section, &kind, ignored);
   talloc_free (ignored);
-  return found;
+  return kind;
 }
 
 static int32_t
 check_file (TALLOC_CTX *ctx, const char *file, struct ConfigFaults *faults)
 {
   char *text = config_file_read (ctx, file, faults);
+  struct GatewaySettings *gateway;
   struct Settings *settings;
   struct Profile profile;
 
   if (text == NULL)
     return ERROR_INVALID;
-  if (is_profile (file, text))
-    return profile_parse (file, text, &profile, faults);
+  switch (file_kind (file, text))
+    {
+    case FILE_PROFILE:
+      return profile_parse (file, text, &profile, faults);
+    case FILE_GATEWAY:
+      return gateway_settings_parse (ctx, file, text, &gateway, faults);
+    case FILE_SETTINGS:
+      break;
+    }
   return settings_parse (ctx, file, text, &settings, faults);
 }
 
--- a/include/buckthornhead/retry_allowance.h
+++ b/include/buckthornhead/retry_allowance.h
@@ -20,7 +20,7 @@
 bool
 retry_allowance_take (struct RetryAllowance *allowance);
 
-/* How long the first server of a repeatable request may stay silent before another one is asked, out
- * of left_ms: a lost answer shows as silence alone. 0: it is not worth asking. */
+/* How long the first server of a repeatable request may stay silent before another one is asked,
+ * out of left_ms: a lost answer shows as silence alone. 0: it is not worth asking. */
 int64_t
 retry_patience_ms (uint32_t objective_ms, int64_t left_ms);
--- a/tests/man_pages.sh
+++ b/tests/man_pages.sh
@@ -48,6 +48,17 @@
   documented buckthornhead-profile.5 "$key"
   n_keys=$((n_keys + 1))
 done
-[ "$n_keys" -ge 39 ] || fail "only $n_keys keys found"
+# A gateway's settings are told by their section [archives].
+for section in instance listen platform stop directory limits archives; do
+  header="[archives]"
+  [ "$section" = archives ] && header=""
+  keys=$(printf '%s\n[%s]\nno_such_key = 1\n' "$header" "$section" >"$scratch"
+    "$binary" check-config "$scratch" 2>&1 | sed -nE 's/.*no_such_key: .*use one of: (.*)/\1/p')
+  for key in $keys; do
+    documented buckthornhead-gateway.ini.5 "${key%,}"
+    n_keys=$((n_keys + 1))
+  done
+done
+[ "$n_keys" -ge 54 ] || fail "only $n_keys keys found"
 echo "$n_keys keys, $failures failures"
 [ "$failures" = 0 ]
--- a/tests/test_command.c
+++ b/tests/test_command.c
@@ -6,12 +6,16 @@
 test_check_config_tells_settings_from_profiles (void)
 {
   static const struct FakeReply replies[] = { { 0, NULL } };
-  struct CtlRun *r = run_command (replies, command_check_config,
-                                  "check-config " SOURCE_FOLDER
-                                  "/examples/hiring.ini " SOURCE_FOLDER "/examples/alergomeni.ini");
+  struct CtlRun *r =
+      run_command (replies, command_check_config,
+                   "check-config " SOURCE_FOLDER "/examples/hiring.ini " SOURCE_FOLDER
+                   "/examples/gateway.ini " SOURCE_FOLDER "/examples/archive.ini " SOURCE_FOLDER
+                   "/examples/alergomeni.ini");
 
   CU_ASSERT_EQUAL (r->exit_code, EXIT_CODE_OK);
   CU_ASSERT (contains (r->out, "alergomeni.ini: sound\n"));
+  CU_ASSERT (contains (r->out, "gateway.ini: sound\n"));
+  CU_ASSERT (contains (r->out, "archive.ini: sound\n"));
   talloc_free (r);
   r = run_command (replies, command_check_config, "check-config /dev/null /nonexistent.ini");
   CU_ASSERT_EQUAL (r->exit_code, EXIT_CODE_USAGE);
