Archives keep what the store said, for a start while it is away

Change: an archive writes configuration, servers, the processes it knows and the set of archives beside its log, and after a start it dials the gateways from there and tells those that know nothing.

Ruled out: the same on gateways (no disk); syncing it (after a loss of power the state before, or none, does as well).

--- a/adapters/disk_log.c
+++ b/adapters/disk_log.c
@@ -305,11 +305,11 @@
 }
 
 static bool
-writer_put (struct DiskLog *log, const uint8_t *bytes, size_t n_bytes)
+put_whole (int fd, const uint8_t *bytes, size_t n_bytes)
 {
   while (n_bytes > 0)
     {
-      ssize_t n = write (log->write_fd, bytes, n_bytes);
+      ssize_t n = write (fd, bytes, n_bytes);
 
       if (n < 0 && errno == EINTR)
         continue;
@@ -335,7 +335,7 @@
       w->place.file = log->write_file;
       w->place.offset = log->write_offset;
       w->place.n_bytes = (uint32_t)(w->frame_bytes - FRAME_HEAD_BYTES);
-      sound = writer_put (log, w->frame, w->frame_bytes);
+      sound = put_whole (log->write_fd, w->frame, w->frame_bytes);
       log->write_offset += (uint32_t)w->frame_bytes;
     }
   sound = sound && fdatasync (log->write_fd) == 0;
@@ -648,3 +648,43 @@
   *next = (uint64_t)file->number << 32 | (offset + (uint32_t)*n_bytes);
   return bytes;
 }
+
+int32_t
+disk_log_keep (struct DiskLog *log, const char *name, const uint8_t *record, size_t n_bytes)
+{
+  char path[PATH_BYTES], fresh[PATH_BYTES];
+  uint8_t head[FRAME_HEAD_BYTES];
+  bool written;
+  int fd;
+
+  snprintf (path, sizeof path, "%s/kept-%s", log->folder, name);
+  snprintf (fresh, sizeof fresh, "%s/fresh-%s", log->folder, name);
+  fd = open (fresh, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+  if (fd < 0)
+    return ERROR_IO;
+  frame_write_head (head, record, n_bytes);
+  written = put_whole (fd, head, sizeof head) && put_whole (fd, record, n_bytes);
+  close (fd);
+  return written && rename (fresh, path) == 0 ? ERROR_NONE : ERROR_IO;
+}
+
+uint8_t *
+disk_log_kept (struct DiskLog *log, TALLOC_CTX *ctx, const char *name, size_t *n_bytes)
+{
+  char path[PATH_BYTES];
+  uint8_t *bytes;
+  size_t n;
+
+  snprintf (path, sizeof path, "%s/kept-%s", log->folder, name);
+  bytes = file_read_whole (ctx, path, &n);
+  if (bytes == NULL)
+    return NULL;
+  if (frame_check (bytes, n) < 0)
+    {
+      talloc_free (bytes);
+      return NULL;
+    }
+  *n_bytes = (size_t)frame_check (bytes, n);
+  memmove (bytes, bytes + FRAME_HEAD_BYTES, *n_bytes);
+  return bytes;
+}
--- a/gateway/archive.c
+++ b/gateway/archive.c
@@ -1,6 +1,7 @@
 #include "archive.h"
 
 #include "archive_member.h"
+#include "archive_state.h"
 
 #include <buckthornhead/log.h>
 #include <buckthornhead/pack.h>
@@ -448,7 +449,7 @@
   if (error != ERROR_NONE)
     return fault_set (fault, error, "look at the disk", "the disk can not be written");
   a->member = archive_member_new (a, node, a, a->log);
-  if (a->member == NULL)
+  if (a->member == NULL || archive_state_new (a, node, a->log) == NULL)
     return fault_set (fault, ERROR_NO_MEMORY, NULL, "no memory for the archive");
   timer_subscribe (a, node->timers, EXPIRE_PERIOD_MS, EXPIRE_PERIOD_MS, archive_on_expire, a);
   node->handler.message = archive_on_message;
--- /dev/null
+++ b/gateway/archive_state.c
@@ -0,0 +1,163 @@
+#include "archive_state.h"
+
+#include "store_reader.h"
+
+#include <buckthornhead/log.h>
+#include <buckthornhead/pack.h>
+
+#include <stdio.h>
+#include <time.h>
+#include <xxhash.h>
+
+enum
+{
+  /* The servers' list changes with every heartbeat of a server; seconds of age do no harm here, and
+   * each writing costs the disk some kilobytes. */
+  KEEP_PERIOD_MS = 2000,
+  N_KINDS = SNAPSHOT_RETIRE + 1
+};
+
+struct ArchiveState
+{
+  struct Node *node;
+  struct DiskLog *log;
+  int64_t kept_revision[N_KINDS];
+  uint64_t nodes_hash; /* of what is kept */
+};
+
+static const char *const kind_names[N_KINDS] = {
+  [SNAPSHOT_ROUTES] = "routes",
+  [SNAPSHOT_SERVERS] = "servers",
+  [SNAPSHOT_NODES] = "nodes",
+};
+
+static int64_t
+state_unix_ms (void)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_REALTIME, &now);
+  return (int64_t)now.tv_sec * 1000 + now.tv_nsec / 1000000;
+}
+
+/* [wall clock, the snapshot as a message]: its age goes on while no process runs. */
+static void
+state_write (struct ArchiveState *state,
+             enum SnapshotKind kind,
+             const uint8_t *snapshot,
+             size_t snapshot_bytes)
+{
+  struct PackWriter *p = pack_writer_new (state, false);
+  uint8_t *record = NULL;
+  size_t n_bytes;
+
+  if (p == NULL)
+    return;
+  pack_array (p, 2);
+  pack_i64 (p, state_unix_ms ());
+  pack_bytes (p, snapshot, snapshot_bytes);
+  if (pack_finish (p, state, &record, &n_bytes) != ERROR_NONE
+      || disk_log_keep (state->log, kind_names[kind], record, n_bytes) != ERROR_NONE)
+    log_event (LOG_LEVEL_WARNING, "store_state_not_kept", NULL, "look at the disk", "%s",
+               kind_names[kind]);
+  talloc_free (record);
+}
+
+static void
+state_keep (struct ArchiveState *state, enum SnapshotKind kind)
+{
+  size_t n_bytes;
+  uint8_t *snapshot =
+      store_reader_pack (state->node->reader, state, kind, &state->kept_revision[kind], &n_bytes);
+
+  if (snapshot != NULL)
+    state_write (state, kind, snapshot, n_bytes);
+  talloc_free (snapshot);
+}
+
+static void
+state_keep_nodes (struct ArchiveState *state)
+{
+  struct GatewayMessage message = { .kind = GATEWAY_SNAPSHOT };
+  struct Snapshot *snapshot = store_reader_known_nodes (state->node->reader, state);
+  uint8_t *bytes;
+  size_t n_bytes;
+  uint64_t hash;
+
+  if (snapshot == NULL)
+    return;
+  message.snapshot = *snapshot;
+  if (gateway_message_pack (snapshot, &message, &bytes, &n_bytes) == ERROR_NONE)
+    {
+      hash = XXH64 (bytes, n_bytes, 0);
+      if (hash != state->nodes_hash)
+        state_write (state, SNAPSHOT_NODES, bytes, n_bytes);
+      state->nodes_hash = hash;
+    }
+  talloc_free (snapshot);
+}
+
+static void
+state_take (struct ArchiveState *state, enum SnapshotKind kind)
+{
+  TALLOC_CTX *ctx = talloc_new (state);
+  struct GatewayMessage *message = NULL;
+  struct PackReader r;
+  size_t n_bytes, snapshot_bytes;
+  uint8_t *record = disk_log_kept (state->log, ctx, kind_names[kind], &n_bytes);
+  void *opened = record != NULL ? pack_open (ctx, record, n_bytes, &r) : NULL;
+  const uint8_t *snapshot;
+  int64_t age_ms;
+
+  if (opened == NULL)
+    goto out;
+  age_ms = state_unix_ms () - read_i64 (&r);
+  snapshot = read_bytes (&r, ctx, &snapshot_bytes);
+  if (read_end (&r) != ERROR_NONE
+      || gateway_message_unpack (ctx, snapshot, snapshot_bytes, &message) != ERROR_NONE
+      || message->kind != GATEWAY_SNAPSHOT)
+    goto out;
+  /* A clock that was set back makes no state newer than it was. */
+  if (age_ms > 0 && age_ms < INT32_MAX)
+    message->snapshot.age_ms += (uint32_t)age_ms;
+  log_event (LOG_LEVEL_NOTICE, "store_state_taken", NULL, NULL, "%s of revision %lld, %u ms old",
+             kind_names[kind], (long long)message->snapshot.revision, message->snapshot.age_ms);
+  store_reader_take_from_peer (state->node->reader, &message->snapshot);
+
+out:
+  talloc_free (ctx);
+}
+
+static void
+state_on_period (void *data)
+{
+  struct ArchiveState *state = data;
+
+  state_keep (state, SNAPSHOT_ROUTES);
+  state_keep (state, SNAPSHOT_SERVERS);
+  state_keep_nodes (state);
+}
+
+static void
+state_on_start (void *data)
+{
+  struct ArchiveState *state = data;
+
+  for (enum SnapshotKind kind = SNAPSHOT_ROUTES; kind <= SNAPSHOT_NODES; kind++)
+    state_take (state, kind);
+}
+
+struct ArchiveState *
+archive_state_new (TALLOC_CTX *ctx, struct Node *node, struct DiskLog *log)
+{
+  struct ArchiveState *state = talloc_zero (ctx, struct ArchiveState);
+
+  if (state == NULL)
+    return NULL;
+  state->node = node;
+  state->log = log;
+  /* The reader is there once the loop runs. */
+  timer_subscribe (state, node->timers, 0, 0, state_on_start, state);
+  timer_subscribe (state, node->timers, KEEP_PERIOD_MS, KEEP_PERIOD_MS, state_on_period, state);
+  return state;
+}
--- a/gateway/front.c
+++ b/gateway/front.c
@@ -410,7 +410,7 @@
 
   front_sum_loads (front);
   if (front->table != NULL && peer->status.caller_address[0] != '\0'
-      && peer->status.config_version < front->table->version)
+      && peer->status.config_version > 0 && peer->status.config_version < front->table->version)
     store_reader_push (front->node->reader, peer->status.node);
 }
 
--- a/gateway/node.c
+++ b/gateway/node.c
@@ -268,6 +268,9 @@
   node_take_set (node, &status->set);
   peer->heard_ms = timer_now_ms (node->timers);
   peer->refused = false;
+  /* It has just started, and perhaps the store is away. */
+  if (status->caller_address[0] != '\0' && status->config_version == 0)
+    store_reader_push (node->reader, sender);
   if (node->handler.peer_changed != NULL)
     node->handler.peer_changed (node->handler.data, peer);
 }
--- a/gateway/store_reader.c
+++ b/gateway/store_reader.c
@@ -215,6 +215,77 @@
     }
 }
 
+static void
+node_item (struct Snapshot *snapshot, const struct Node *node, const struct NodeStatus *status)
+{
+  struct SnapshotItem *item = &snapshot->items[snapshot->n_items];
+  char *value = talloc_asprintf (snapshot, "%s %s", status->peer_address,
+                                 status->is_archive ? ROLE_ARCHIVE : ROLE_GATEWAY);
+
+  if (value == NULL)
+    return;
+  snprintf (item->key, sizeof item->key, "%snodes/%s", node->settings->prefix, status->node);
+  item->value = (const uint8_t *)value;
+  item->value_bytes = strlen (value);
+  snapshot->n_items++;
+}
+
+static void
+set_item (struct Snapshot *snapshot, const struct Node *node)
+{
+  struct SnapshotItem *item = &snapshot->items[snapshot->n_items];
+  uint8_t *bytes;
+
+  if (node->set.generation == 0
+      || archive_set_encode (snapshot, &node->set, &bytes, &item->value_bytes) != ERROR_NONE)
+    return;
+  snprintf (item->key, sizeof item->key, "%s%s", node->settings->prefix, ARCHIVE_SET_KEY);
+  item->value = bytes;
+  snapshot->n_items++;
+}
+
+struct Snapshot *
+store_reader_known_nodes (struct StoreReader *reader, TALLOC_CTX *ctx)
+{
+  const struct Node *node = reader->node;
+  struct Snapshot *snapshot = talloc_zero (ctx, struct Snapshot);
+
+  if (snapshot == NULL)
+    return NULL;
+  snapshot->kind = SNAPSHOT_NODES;
+  snapshot->items = talloc_zero_array (snapshot, struct SnapshotItem, node->n_peers + 1);
+  if (snapshot->items == NULL)
+    {
+      talloc_free (snapshot);
+      return NULL;
+    }
+  for (size_t i = 0; i < node->n_peers; i++)
+    node_item (snapshot, node, &node->peers[i]->status);
+  set_item (snapshot, node);
+  return snapshot;
+}
+
+uint8_t *
+store_reader_pack (struct StoreReader *reader,
+                   TALLOC_CTX *ctx,
+                   enum SnapshotKind kind,
+                   int64_t *revision,
+                   size_t *n_bytes)
+{
+  struct Topic *topic = &reader->topics[kind];
+  struct GatewayMessage message = { .kind = GATEWAY_SNAPSHOT };
+  uint8_t *bytes;
+
+  if (topic->snapshot == NULL || topic->revision <= *revision)
+    return NULL;
+  message.snapshot = *topic->snapshot;
+  message.snapshot.age_ms = (uint32_t)(timer_now_ms (reader->node->timers) - topic->read_ms);
+  if (gateway_message_pack (ctx, &message, &bytes, n_bytes) != ERROR_NONE)
+    return NULL;
+  *revision = topic->revision;
+  return bytes;
+}
+
 /* Calls. */
 
 static void
--- a/gateway/store_reader.h
+++ b/gateway/store_reader.h
@@ -14,3 +14,18 @@
 /* A peer read the store. */
 void
 store_reader_take_from_peer (struct StoreReader *reader, const struct Snapshot *snapshot);
+
+/* A snapshot of the processes that this one knows and of the set of archives, as the store would
+ * give it; peers tell more of each other than the last read did. Belongs to ctx; NULL without
+ * memory. */
+struct Snapshot *
+store_reader_known_nodes (struct StoreReader *reader, TALLOC_CTX *ctx);
+
+/* What is held of kind, packed as a message whose age is filled in; NULL when there is nothing, or
+ * nothing newer than *revision, which is moved on. Belongs to ctx. */
+uint8_t *
+store_reader_pack (struct StoreReader *reader,
+                   TALLOC_CTX *ctx,
+                   enum SnapshotKind kind,
+                   int64_t *revision,
+                   size_t *n_bytes);
--- a/include/buckthornhead/disk_log.h
+++ b/include/buckthornhead/disk_log.h
@@ -91,3 +91,13 @@
 /* Calls fn for each whole frame in bytes; place is that within bytes. */
 void
 disk_log_each_frame (const uint8_t *bytes, size_t n_bytes, DiskLogFn fn, void *data);
+
+/* One record in a file of its own beside the log, replaced as a whole. It is not synced: after a
+ * loss of power it may be the one before, or missing, and a torn one is not given back. ERROR_IO.
+ */
+int32_t
+disk_log_keep (struct DiskLog *log, const char *name, const uint8_t *record, size_t n_bytes);
+
+/* What was kept under name, belonging to ctx; NULL when there is none that is whole. */
+uint8_t *
+disk_log_kept (struct DiskLog *log, TALLOC_CTX *ctx, const char *name, size_t *n_bytes);
--- a/tests/sessions/test_gateway_archives.c
+++ b/tests/sessions/test_gateway_archives.c
@@ -235,6 +235,35 @@
   talloc_free (ctx);
 }
 
+/* The platform's store is down, and every process is killed at once. Nobody has it in memory any
+ * more what the configuration is, and where the servers are; the archives have it on their disks,
+ * and find the gateways from there. */
+static void
+test_everything_starts_while_the_store_is_down (void)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct Fleet *fleet = fleet_start (ctx, 2, 3);
+  uint32_t n_failed = CU_get_number_of_failures ();
+
+  CU_ASSERT_EQUAL (turn_status (fleet, ctx, 0, "t1"), 200);
+  sleep_ms (5000); /* twice the time between two keepings */
+  installation_set_store (fleet->installation, STORE_REFUSES);
+  for (uint32_t i = 0; i < 3; i++)
+    process_kill (fleet->archives[i].process);
+  for (uint32_t i = 0; i < 2; i++)
+    process_kill (fleet->gateways[i].process);
+  for (uint32_t i = 0; i < 3; i++)
+    archive_start (fleet, i, false);
+  for (uint32_t i = 0; i < 2; i++)
+    gateway_start (fleet, i);
+  CU_ASSERT_TRUE (gateway_wait_ready (fleet, 0));
+  CU_ASSERT_EQUAL (turn_status (fleet, ctx, 0, "t2"), 200);
+  CU_ASSERT_TRUE (history_has (fleet, ctx, "t1-4"));
+  CU_ASSERT_EQUAL (desk_send (fleet, ctx, 0, "/safe/1", "r1")->status, 200);
+  fleet_end (fleet, CU_get_number_of_failures () > n_failed);
+  talloc_free (ctx);
+}
+
 /* A gateway starts again; its peers find it before it has read the store. Links that it has just
  * dialled have not been silent: taken for that, all are closed at the first heartbeat, and callers
  * of the first second are sent back. */
@@ -285,6 +314,7 @@
   { "a retired archive leaves everything behind", test_a_retired_archive_leaves_everything_behind },
   { "a gateway starts while the store is down", test_a_gateway_starts_while_the_store_is_down },
   { "a suspended archive is reached again", test_a_suspended_archive_is_reached_again },
+  { "everything starts while the store is down", test_everything_starts_while_the_store_is_down },
   { "a restarted gateway keeps its links", test_a_restarted_gateway_keeps_its_links },
   { "one process reads the store for all", test_one_process_reads_the_store_for_all },
   { NULL, NULL },
