--- a/core/gateway/replica_set.c
+++ b/core/gateway/replica_set.c
@@ -12,10 +12,6 @@
   /* First pause after a request that got no answer; doubled with each further one. */
   AVOID_FAILED_MS = 250,
   AVOID_FAILED_MAX_MS = 4000,
-  /* A server with requests that sends nothing at all for this long is left out while others can be
-   * had. A machine that has gone dark resets nothing: each request sent there is lost, and its
-   * caller waits two seconds to find out. Engines at work send something every 30 ms. */
-  SILENT_MS = 1000,
   CACHED_PARTS_MAX = 64, /* shared parts remembered a server: the sheets have 16 */
   /* Costs in microseconds, from the figures of the engines' sheet. */
   PREFILL_TOKENS_PER_MS = 270,
@@ -130,14 +126,8 @@
 }
 
 void
-replica_note_sent (struct Replica *replica,
-                   const struct PrefixPart *parts,
-                   size_t n_parts,
-                   int64_t now_ms)
+replica_note_sent (struct Replica *replica, const struct PrefixPart *parts, size_t n_parts)
 {
-  if (replica->in_flight == 0)
-    replica->heard_ms = now_ms;
-  replica->in_flight++;
   /* The last part is the request's own: where it lies is known from the turn before. */
   for (size_t p = 0; p + 1 < n_parts; p++)
     {
@@ -151,19 +141,6 @@
     }
 }
 
-void
-replica_note_heard (struct Replica *replica, int64_t now_ms)
-{
-  replica->heard_ms = now_ms;
-}
-
-static bool
-replica_is_suspected (const struct Replica *replica, int64_t now_ms)
-{
-  return replica->avoid_until_ms > now_ms
-         || (replica->in_flight > 0 && now_ms - replica->heard_ms > SILENT_MS);
-}
-
 static bool
 query_tried (const struct ReplicaQuery *query, const char *id)
 {
@@ -219,7 +196,7 @@
   for (size_t i = 0; i < set->n_replicas; i++)
     {
       struct Replica *replica = set->replicas[(i + query->draw) % set->n_replicas];
-      bool avoided = replica_is_suspected (replica, query->now_ms);
+      bool avoided = replica->avoid_until_ms > query->now_ms;
       uint64_t cost_us;
 
       if (replica->entry.draining || strcmp (replica->entry.service, query->service) != 0
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -139,7 +139,6 @@
   TALLOC_FREE (request->patience);
   dialect->read_answer (head, &request->answer);
   replica_note_answer (request->replica);
-  replica_note_heard (request->replica, timer_now_ms (request->front->node->timers));
   request->refused = request->answer.not_run;
   if (request->refused)
     return;
@@ -162,7 +161,6 @@
 
   if (request->refused)
     return;
-  replica_note_heard (request->replica, timer_now_ms (request->front->node->timers));
   if (!request->streaming)
     {
       if (byte_queue_length (&request->answer_body) + n_bytes > ANSWER_MAX_BYTES
@@ -368,8 +366,8 @@
       if (!request_submit (request, replica))
         continue;
       request->replica = replica;
-      replica_note_sent (replica, request->caller.parts, request->caller.n_parts,
-                         timer_now_ms (request->front->node->timers));
+      replica->in_flight++;
+      replica_note_sent (replica, request->caller.parts, request->caller.n_parts);
       request_be_patient (request);
       return;
     }
--- a/include/buckthornhead/replica_set.h
+++ b/include/buckthornhead/replica_set.h
@@ -31,7 +31,6 @@
   uint32_t peers_in_flight;  /* of the other gateways, as they last said */
   uint32_t failures;         /* in a row, without an answer of any kind */
   int64_t avoid_until_ms;    /* suspected: takes requests only when nothing else is there */
-  int64_t heard_ms;          /* last byte of any answer, or when the first request since was sent */
   bool listed;               /* stood in the last list */
   struct CachedPart *cached; /* prompt parts that it was sent, newest first */
   uint32_t n_cached;
@@ -85,17 +84,9 @@
 struct Replica *
 replica_set_find (const struct ReplicaSet *set, const char *id);
 
-/* The request went to replica: it counts as in flight, and its prompt parts will lie in the cache.
- */
+/* The request went to replica: its prompt parts will lie in its cache. */
 void
-replica_note_sent (struct Replica *replica,
-                   const struct PrefixPart *parts,
-                   size_t n_parts,
-                   int64_t now_ms);
-
-/* Something of an answer came. */
-void
-replica_note_heard (struct Replica *replica, int64_t now_ms);
+replica_note_sent (struct Replica *replica, const struct PrefixPart *parts, size_t n_parts);
 
 /* An answer came, of whatever status: the server lives. */
 void
