Processes tell each other the servers' list when it changes, not each time it is read

The list of a thousand servers went to 99 peers every 0.6 s, since each heartbeat of a server changes its entry; each peer's description summed all peers' loads with a search through all servers.

Change: entries travel in the product's own form, without what changes with each heartbeat, and unchanged lists are told by a hash; messages to all are packed once; loads are summed four times a second; servers are found by a hash; three processes, not all, bring one that has started up to date.

Ruled out: relays a zone (the next step beyond some hundred machines).

--- a/core/gateway/gateway_message.c
+++ b/core/gateway/gateway_message.c
@@ -187,6 +187,7 @@
   pack_u64 (p, snapshot->kind);
   pack_i64 (p, snapshot->revision);
   pack_u64 (p, snapshot->age_ms);
+  pack_u64 (p, snapshot->content);
   pack_bool (p, snapshot->unchanged);
   pack_array (p, 2 * snapshot->n_items);
   for (size_t i = 0; i < snapshot->n_items; i++)
@@ -204,6 +205,7 @@
   snapshot->kind = (enum SnapshotKind)read_u64 (r, SNAPSHOT_RETIRE);
   snapshot->revision = read_i64 (r);
   snapshot->age_ms = (uint32_t)read_u64 (r, UINT32_MAX);
+  snapshot->content = read_u64 (r, UINT64_MAX);
   snapshot->unchanged = read_bool (r);
   snapshot->n_items = list_enter (r, &list, 2);
   snapshot->items = talloc_zero_array (ctx, struct SnapshotItem, snapshot->n_items);
@@ -256,6 +258,7 @@
     case GATEWAY_RELAY:
       return 4;
     case GATEWAY_SNAPSHOT:
+      return 7;
     case GATEWAY_COPY_PART:
       return 6;
     }
--- a/core/gateway/replica_set.c
+++ b/core/gateway/replica_set.c
@@ -1,5 +1,8 @@
 #include <buckthornhead/replica_set.h>
 
+#include <buckthornhead/error.h>
+#include <buckthornhead/pack.h>
+
 #include <string.h>
 
 enum
@@ -25,19 +28,30 @@
   uint64_t id;
 };
 
+static int
+replica_set_free (struct ReplicaSet *set)
+{
+  HASH_CLEAR (hh, set->by_id);
+  return 0;
+}
+
 struct ReplicaSet *
 replica_set_new (TALLOC_CTX *ctx)
 {
-  return talloc_zero (ctx, struct ReplicaSet);
+  struct ReplicaSet *set = talloc_zero (ctx, struct ReplicaSet);
+
+  if (set != NULL)
+    talloc_set_destructor (set, replica_set_free);
+  return set;
 }
 
 struct Replica *
 replica_set_find (const struct ReplicaSet *set, const char *id)
 {
-  for (size_t i = 0; i < set->n_replicas; i++)
-    if (strcmp (set->replicas[i]->entry.id, id) == 0)
-      return set->replicas[i];
-  return NULL;
+  struct Replica *replica = NULL;
+
+  HASH_FIND_STR (set->by_id, id, replica);
+  return replica;
 }
 
 static struct Replica *
@@ -56,6 +70,7 @@
       return NULL;
     }
   replica->entry = *entry;
+  HASH_ADD_STR (set->by_id, entry.id, replica);
   set->replicas = grown;
   set->replicas[set->n_replicas++] = replica;
   return replica;
@@ -77,7 +92,10 @@
           n_changed++;
         }
       if (!replica->listed && !keep_missing && replica->in_flight == 0)
-        talloc_free (replica);
+        {
+          HASH_DEL (set->by_id, replica);
+          talloc_free (replica);
+        }
       else
         set->replicas[n_kept++] = replica;
     }
@@ -116,6 +134,13 @@
   return n_changed + replica_set_drop_missing (set, now_ms < set->keep_missing_until_ms);
 }
 
+void
+replica_set_expire (struct ReplicaSet *set, int64_t now_ms)
+{
+  if (now_ms >= set->keep_missing_until_ms)
+    replica_set_drop_missing (set, false);
+}
+
 static bool
 replica_has_part (const struct Replica *replica, uint64_t id)
 {
@@ -243,3 +268,42 @@
   for (size_t i = 0; i < set->n_replicas; i++)
     set->replicas[i]->peers_in_flight = 0;
 }
+
+uint8_t *
+replica_entry_pack (TALLOC_CTX *ctx, const struct ReplicaEntry *entry, size_t *n_bytes)
+{
+  struct PackWriter *p = pack_writer_new (ctx, false);
+  uint8_t *bytes;
+
+  if (p == NULL)
+    return NULL;
+  pack_array (p, 6);
+  pack_string (p, entry->id);
+  pack_string (p, entry->service);
+  pack_string (p, entry->address);
+  pack_string (p, entry->zone);
+  pack_u64 (p, entry->slots);
+  pack_bool (p, entry->draining);
+  return pack_finish (p, ctx, &bytes, n_bytes) == ERROR_NONE ? bytes : NULL;
+}
+
+int32_t
+replica_entry_unpack (const uint8_t *bytes, size_t n_bytes, struct ReplicaEntry *entry)
+{
+  struct PackReader r;
+  void *opened = pack_open (NULL, bytes, n_bytes, &r);
+  int32_t error;
+
+  memset (entry, 0, sizeof *entry);
+  if (opened == NULL)
+    return ERROR_INVALID;
+  read_string (&r, entry->id, sizeof entry->id);
+  read_string (&r, entry->service, sizeof entry->service);
+  read_string (&r, entry->address, sizeof entry->address);
+  read_string (&r, entry->zone, sizeof entry->zone);
+  entry->slots = (uint32_t)read_u64 (&r, UINT32_MAX);
+  entry->draining = read_bool (&r);
+  error = read_end (&r);
+  talloc_free (opened);
+  return error;
+}
--- a/gateway/archive_state.c
+++ b/gateway/archive_state.c
@@ -21,7 +21,7 @@
 {
   struct Node *node;
   struct DiskLog *log;
-  int64_t kept_revision[N_KINDS];
+  uint64_t kept_content[N_KINDS];
   uint64_t nodes_hash; /* of what is kept */
 };
 
@@ -68,7 +68,7 @@
 {
   size_t n_bytes;
   uint8_t *snapshot =
-      store_reader_pack (state->node->reader, state, kind, &state->kept_revision[kind], &n_bytes);
+      store_reader_pack (state->node->reader, state, kind, &state->kept_content[kind], &n_bytes);
 
   if (snapshot != NULL)
     state_write (state, kind, snapshot, n_bytes);
--- a/gateway/front.c
+++ b/gateway/front.c
@@ -25,6 +25,7 @@
   FIRST_BODY_BYTES = 4 * 1024 * 1024,
   FIRST_HEADER_MS = 3000,
   FIRST_IDLE_MS = 15000,
+  TICK_MS = 250, /* half a heartbeat */
   /* Own listeners: few, small and short. */
   OWN_CONNECTIONS = 1000,
   /* A server's idle connection that has no stated end. */
@@ -277,15 +278,12 @@
   for (size_t i = 0; entries != NULL && i < snapshot->n_items; i++)
     {
       const struct SnapshotItem *item = &snapshot->items[i];
-      struct Fault fault;
 
-      if (front->node->dialect->read_server (item->key, item->value, item->value_bytes, &entries[n],
-                                             &fault)
-          == ERROR_NONE)
+      if (replica_entry_unpack (item->value, item->value_bytes, &entries[n]) == ERROR_NONE)
         n++;
       else
-        log_event (LOG_LEVEL_WARNING, "server_entry_malformed", NULL, fault.remedy, "%s",
-                   fault.message);
+        log_event (LOG_LEVEL_ERROR, "server_entry_unreadable", NULL,
+                   "bring the processes to one version", "%s", item->key);
     }
   n_changed = replica_set_apply (front->replicas, entries, n, after_gap,
                                  timer_now_ms (front->node->timers));
@@ -408,12 +406,23 @@
 {
   struct Front *front = data;
 
-  front_sum_loads (front);
-  if (front->table != NULL && peer->status.caller_address[0] != '\0'
-      && peer->status.config_version > 0 && peer->status.config_version < front->table->version)
+  if (front->table != NULL && store_reader_is_near (front->node->reader, peer->status.node)
+      && peer->status.caller_address[0] != '\0' && peer->status.config_version > 0
+      && peer->status.config_version < front->table->version)
     store_reader_push (front->node->reader, peer->status.node);
 }
 
+/* Peers describe themselves many times a second where there are many; their sum is needed less
+ * often. */
+static void
+front_on_tick (void *data)
+{
+  struct Front *front = data;
+
+  front_sum_loads (front);
+  replica_set_expire (front->replicas, timer_now_ms (front->node->timers));
+}
+
 /* Start and stop. */
 
 static void
@@ -486,6 +495,7 @@
   error = front_listen_all (f, fault);
   if (error != ERROR_NONE)
     return error;
+  timer_subscribe (f, node->timers, TICK_MS, TICK_MS, front_on_tick, f);
   node->handler.message = front_on_message;
   node->handler.link_closed = front_on_link_closed;
   node->handler.snapshot = front_on_snapshot;
--- a/gateway/node.c
+++ b/gateway/node.c
@@ -71,8 +71,21 @@
 void
 node_send_all (struct Node *node, const struct GatewayMessage *message)
 {
+  struct PeerMessage envelope = { .kind = PEER_GATEWAY };
+  uint8_t *bytes;
+
+  /* Packed once: a list of a thousand servers goes to hundreds of peers. */
+  if (gateway_message_pack (node->net, message, &bytes, &envelope.gateway.n_bytes) != ERROR_NONE)
+    return;
+  envelope.gateway.bytes = bytes;
   for (size_t i = 0; i < node->n_peers; i++)
-    node_send (node, node->peers[i]->status.node, message);
+    {
+      uint64_t link = peer_net_link_to (node->net, node->peers[i]->status.node);
+
+      if (link != PEER_LINK_NONE)
+        peer_net_send (node->net, link, &envelope);
+    }
+  talloc_free (bytes);
 }
 
 bool
@@ -269,7 +282,8 @@
   peer->heard_ms = timer_now_ms (node->timers);
   peer->refused = false;
   /* It has just started, and perhaps the store is away. */
-  if (status->caller_address[0] != '\0' && status->config_version == 0)
+  if (status->caller_address[0] != '\0' && status->config_version == 0
+      && store_reader_is_near (node->reader, sender))
     store_reader_push (node->reader, sender);
   if (node->handler.peer_changed != NULL)
     node->handler.peer_changed (node->handler.data, peer);
--- a/gateway/store_reader.c
+++ b/gateway/store_reader.c
@@ -28,6 +28,7 @@
   BACKOFF_MAX_MS = 1500,
   /* A state that nobody could read for this long may have changed in ways that only time heals. */
   GAP_MS = 2000,
+  NEAR_MAX = 3, /* one could be wrong about the peer, two could be cut off from it */
   N_KINDS = SNAPSHOT_RETIRE + 1
 };
 
@@ -39,6 +40,7 @@
 struct Topic
 {
   int64_t revision;  /* of the store, of what is held; 0: nothing yet */
+  uint64_t content;  /* of what is held */
   int64_t read_ms;   /* when what is held was current */
   int64_t next_ms;   /* no call of ours before */
   uint32_t failures; /* in a row */
@@ -96,6 +98,27 @@
   return rank < RANK_MAX ? rank : RANK_MAX;
 }
 
+bool
+store_reader_is_near (const struct StoreReader *reader, const char *peer)
+{
+  const struct Node *node = reader->node;
+  uint64_t seed = XXH64 (peer, strlen (peer), 0);
+  const char *own = node->settings->instance;
+  uint64_t own_score = XXH64 (own, strlen (own), seed);
+  uint32_t n_before = 0;
+
+  for (size_t i = 0; i < node->n_peers; i++)
+    {
+      const struct NodeStatus *status = &node->peers[i]->status;
+
+      if (strcmp (status->node, peer) != 0 && status->config_version > 0
+          && node_peer_is_live (node, node->peers[i])
+          && XXH64 (status->node, strlen (status->node), seed) < own_score)
+        n_before++;
+    }
+  return n_before < NEAR_MAX;
+}
+
 /* Snapshots. */
 
 static struct Snapshot *
@@ -163,13 +186,14 @@
   bool after_gap = topic->read_ms > 0 && read_ms - topic->read_ms > GAP_MS;
 
   if (snapshot->revision < topic->revision
-      || (snapshot->unchanged && snapshot->revision != topic->revision))
+      || (snapshot->unchanged && (topic->snapshot == NULL || snapshot->content != topic->content)))
     return;
   if (read_ms > topic->read_ms)
     topic->read_ms = read_ms;
+  topic->revision = snapshot->revision;
   if (snapshot->unchanged)
     return;
-  topic->revision = snapshot->revision;
+  topic->content = snapshot->content;
   talloc_free (topic->snapshot);
   topic->snapshot = snapshot_copy (reader, snapshot);
   if (snapshot->kind == SNAPSHOT_NODES)
@@ -185,6 +209,11 @@
   struct Topic *topic = &reader->topics[snapshot->kind];
   struct GatewayMessage message = { .kind = GATEWAY_SNAPSHOT };
 
+  if (topic->snapshot != NULL && snapshot->content == topic->content)
+    {
+      snapshot->unchanged = true;
+      snapshot->n_items = 0;
+    }
   topic_take (reader, snapshot, topic->asked_ms);
   snapshot->age_ms = (uint32_t)(timer_now_ms (reader->node->timers) - topic->asked_ms);
   message.snapshot = *snapshot;
@@ -210,6 +239,7 @@
       if (topic->snapshot == NULL)
         continue;
       message.snapshot = *topic->snapshot;
+      message.snapshot.revision = topic->revision;
       message.snapshot.age_ms = (uint32_t)(now_ms - topic->read_ms);
       node_send (reader->node, peer, &message);
     }
@@ -269,20 +299,21 @@
 store_reader_pack (struct StoreReader *reader,
                    TALLOC_CTX *ctx,
                    enum SnapshotKind kind,
-                   int64_t *revision,
+                   uint64_t *content,
                    size_t *n_bytes)
 {
   struct Topic *topic = &reader->topics[kind];
   struct GatewayMessage message = { .kind = GATEWAY_SNAPSHOT };
   uint8_t *bytes;
 
-  if (topic->snapshot == NULL || topic->revision <= *revision)
+  if (topic->snapshot == NULL || topic->content == *content)
     return NULL;
   message.snapshot = *topic->snapshot;
+  message.snapshot.revision = topic->revision;
   message.snapshot.age_ms = (uint32_t)(timer_now_ms (reader->node->timers) - topic->read_ms);
   if (gateway_message_pack (ctx, &message, &bytes, n_bytes) != ERROR_NONE)
     return NULL;
-  *revision = topic->revision;
+  *content = topic->content;
   return bytes;
 }
 
@@ -340,6 +371,39 @@
   return item->value != NULL || entry->value_bytes == 0;
 }
 
+/* A server's entry in the product's own form, without what changes with each of its heartbeats: a
+ * list of a thousand servers would else be sent to every peer each time it is read. */
+static bool
+item_shorten (struct StoreReader *reader, TALLOC_CTX *ctx, struct SnapshotItem *item)
+{
+  struct ReplicaEntry entry;
+  struct Fault fault;
+
+  if (reader->node->dialect->read_server (item->key, item->value, item->value_bytes, &entry, &fault)
+      != ERROR_NONE)
+    {
+      log_event (LOG_LEVEL_WARNING, "server_entry_malformed", NULL, fault.remedy, "%s",
+                 fault.message);
+      return false;
+    }
+  talloc_free ((void *)item->value);
+  item->value = replica_entry_pack (ctx, &entry, &item->value_bytes);
+  return item->value != NULL;
+}
+
+static uint64_t
+items_content (const struct SnapshotItem *items, size_t n_items)
+{
+  uint64_t content = n_items;
+
+  for (size_t i = 0; i < n_items; i++)
+    {
+      content = XXH64 (items[i].key, strlen (items[i].key), content);
+      content = XXH64 (items[i].value, items[i].value_bytes, content);
+    }
+  return content;
+}
+
 static void
 range_on_done (struct StoreReader *reader, enum SnapshotKind kind, const struct KvResult *result)
 {
@@ -361,7 +425,8 @@
     }
   topic->pages = grown;
   for (size_t i = 0; i < result->n_entries; i++)
-    if (item_fill (grown, &grown[topic->n_pages], &result->entries[i]))
+    if (item_fill (grown, &grown[topic->n_pages], &result->entries[i])
+        && (kind != SNAPSHOT_SERVERS || item_shorten (reader, grown, &grown[topic->n_pages])))
       topic->n_pages++;
   if (result->more)
     {
@@ -370,6 +435,7 @@
     }
   snapshot.items = topic->pages;
   snapshot.n_items = topic->n_pages;
+  snapshot.content = items_content (topic->pages, topic->n_pages);
   topic_succeeded (reader, kind);
   topic_publish (reader, &snapshot);
   TALLOC_FREE (topic->pages);
@@ -417,6 +483,7 @@
     }
   topic->watched = result->revision;
   snapshot.revision = result->entries[0].mod_revision;
+  snapshot.content = (uint64_t)snapshot.revision;
   snapshot.items = &item;
   snapshot.n_items = 1;
   topic_succeeded (reader, SNAPSHOT_ROUTES);
@@ -461,6 +528,7 @@
     topic->watched = result->revision;
   topic->asked_ms = timer_now_ms (reader->node->timers);
   snapshot.revision = topic->revision;
+  snapshot.content = topic->content;
   topic_succeeded (reader, SNAPSHOT_ROUTES);
   topic_publish (reader, &snapshot);
 }
--- a/gateway/store_reader.h
+++ b/gateway/store_reader.h
@@ -11,6 +11,11 @@
 void
 store_reader_push (struct StoreReader *reader, const char *peer);
 
+/* This process is among the few that see to what peer knows: where there are hundreds, not all of
+ * them send it the same. */
+bool
+store_reader_is_near (const struct StoreReader *reader, const char *peer);
+
 /* A peer read the store. */
 void
 store_reader_take_from_peer (struct StoreReader *reader, const struct Snapshot *snapshot);
@@ -22,10 +27,10 @@
 store_reader_known_nodes (struct StoreReader *reader, TALLOC_CTX *ctx);
 
 /* What is held of kind, packed as a message whose age is filled in; NULL when there is nothing, or
- * nothing newer than *revision, which is moved on. Belongs to ctx. */
+ * nothing other than *content, which is moved on. Belongs to ctx. */
 uint8_t *
 store_reader_pack (struct StoreReader *reader,
                    TALLOC_CTX *ctx,
                    enum SnapshotKind kind,
-                   int64_t *revision,
+                   uint64_t *content,
                    size_t *n_bytes);
--- a/include/buckthornhead/gateway_message.h
+++ b/include/buckthornhead/gateway_message.h
@@ -65,7 +65,8 @@
   enum SnapshotKind kind;
   int64_t revision; /* of the store when it was read; a lower one is never taken */
   uint32_t age_ms;  /* since the read was sent, when this was sent on */
-  bool unchanged;   /* the items are those of this revision's last snapshot, and left out */
+  uint64_t content; /* equal for equal items */
+  bool unchanged;   /* the items are those of the last snapshot with this content, and left out */
   struct SnapshotItem *items;
   size_t n_items;
 };
--- a/include/buckthornhead/replica_set.h
+++ b/include/buckthornhead/replica_set.h
@@ -7,6 +7,7 @@
 #include <buckthornhead/settings.h>
 
 #include <talloc.h>
+#include <uthash.h>
 
 enum
 {
@@ -34,12 +35,14 @@
   bool listed;               /* stood in the last list */
   struct CachedPart *cached; /* prompt parts that it was sent, newest first */
   uint32_t n_cached;
+  UT_hash_handle hh;
 };
 
 struct ReplicaSet
 {
-  struct Replica **replicas; /* by id; talloc children of the set */
+  struct Replica **replicas; /* talloc children of the set */
   size_t n_replicas;
+  struct Replica *by_id;         /* hash */
   int64_t keep_missing_until_ms; /* servers absent from the list are still believed */
 };
 
@@ -77,6 +80,10 @@
                    bool after_gap,
                    int64_t now_ms);
 
+/* Lets servers go that were kept though they are missing, once their time is over. */
+void
+replica_set_expire (struct ReplicaSet *set, int64_t now_ms);
+
 /* The server that should take the request; NULL when none may. */
 struct Replica *
 replica_set_choose (struct ReplicaSet *set, const struct ReplicaQuery *query);
@@ -101,3 +108,12 @@
 /* The peers' counts start anew; then one call a peer and server. */
 void
 replica_set_clear_peers (struct ReplicaSet *set);
+
+/* An entry as processes pass it on, without what changes with each of the server's heartbeats: a
+ * msgpack array that belongs to ctx. NULL without memory. */
+uint8_t *
+replica_entry_pack (TALLOC_CTX *ctx, const struct ReplicaEntry *entry, size_t *n_bytes);
+
+/* ERROR_INVALID for anything malformed. */
+int32_t
+replica_entry_unpack (const uint8_t *bytes, size_t n_bytes, struct ReplicaEntry *entry);
--- a/tests/test_replica_set.c
+++ b/tests/test_replica_set.c
@@ -1,5 +1,6 @@
 #include "test_main.h"
 
+#include <buckthornhead/error.h>
 #include <buckthornhead/replica_set.h>
 
 #include <stdio.h>
@@ -8,7 +9,11 @@
 static struct ReplicaEntry
 entry (const char *id, const char *zone, uint32_t slots, bool draining)
 {
-  struct ReplicaEntry e = { .slots = slots, .draining = draining };
+  struct ReplicaEntry e;
+
+  memset (&e, 0, sizeof e);
+  e.slots = slots;
+  e.draining = draining;
 
   snprintf (e.id, sizeof e.id, "%s", id);
   snprintf (e.service, sizeof e.service, "engine");
@@ -115,7 +120,7 @@
   CU_ASSERT_STRING_EQUAL (chosen (set, &query), "r2");
   replica_set_apply (set, one, 1, false, 12000);
   CU_ASSERT_STRING_EQUAL (chosen (set, &query), "r2");
-  replica_set_apply (set, one, 1, false, 12600);
+  replica_set_expire (set, 12600);
   CU_ASSERT_STRING_EQUAL (chosen (set, &query), "r1");
   CU_ASSERT_EQUAL (set->n_replicas, 1);
   talloc_free (set);
@@ -156,6 +161,20 @@
   talloc_free (set);
 }
 
+static void
+test_entries_travel (void)
+{
+  struct ReplicaEntry sent = entry ("r1", "a", 8, true), got;
+  size_t n_bytes;
+  uint8_t *bytes = replica_entry_pack (NULL, &sent, &n_bytes);
+
+  CU_ASSERT_EQUAL (replica_entry_unpack (bytes, n_bytes, &got), ERROR_NONE);
+  CU_ASSERT_EQUAL (memcmp (&sent, &got, sizeof got), 0);
+  for (size_t cut = 0; cut < n_bytes; cut++)
+    CU_ASSERT_EQUAL (replica_entry_unpack (bytes, cut, &got), ERROR_INVALID);
+  talloc_free (bytes);
+}
+
 static void
 test_equal_servers_take_turns (void)
 {
@@ -183,6 +202,7 @@
     test_entries_that_lapsed_with_the_store_are_kept_for_a_while },
   { "a missing entry is believed at once", test_a_missing_entry_is_believed_at_once },
   { "a failing server is the last resort", test_a_failing_server_is_the_last_resort },
+  { "entries travel", test_entries_travel },
   { "equal servers take turns", test_equal_servers_take_turns },
   { NULL, NULL },
 };
