--- a/adapters/disk_log.c
+++ b/adapters/disk_log.c
@@ -1,3 +1,5 @@
+#include "disk_frame.h"
+
 #include <buckthornhead/disk_log.h>
 
 #include <buckthornhead/log.h>
@@ -12,15 +14,11 @@
 #include <string.h>
 #include <sys/stat.h>
 #include <unistd.h>
-#include <xxhash.h>
 
 enum
 {
-  FRAME_LENGTH_BYTES = 4,
-  FRAME_HEAD_BYTES = FRAME_LENGTH_BYTES + 8,
   /* A file goes when its last record has expired: small files give space back soon. */
   FILE_MAX_BYTES = 8 * 1024 * 1024,
-  RECORD_MAX_BYTES = 16 * 1024 * 1024,
   PATH_BYTES = 320
 };
 
@@ -113,87 +111,14 @@
   return &grown[at];
 }
 
-/* Frames. */
-
-static void
-frame_write_head (uint8_t *frame, const uint8_t *record, size_t n_bytes)
-{
-  uint64_t sum = XXH64 (record, n_bytes, n_bytes);
-
-  for (int i = 0; i < FRAME_LENGTH_BYTES; i++)
-    frame[i] = (uint8_t)(n_bytes >> (8 * i));
-  memcpy (frame + FRAME_LENGTH_BYTES, &sum, sizeof sum);
-}
-
-/* Length of the record whose frame starts at bytes; -1 when it is torn or none. */
-static int64_t
-frame_check (const uint8_t *bytes, size_t n_bytes)
-{
-  size_t length = 0;
-  uint64_t sum;
-
-  if (n_bytes < FRAME_HEAD_BYTES)
-    return -1;
-  for (int i = 0; i < FRAME_LENGTH_BYTES; i++)
-    length |= (size_t)bytes[i] << (8 * i);
-  if (length == 0 || length > RECORD_MAX_BYTES || length > n_bytes - FRAME_HEAD_BYTES)
-    return -1;
-  memcpy (&sum, bytes + FRAME_LENGTH_BYTES, sizeof sum);
-  return XXH64 (bytes + FRAME_HEAD_BYTES, length, length) == sum ? (int64_t)length : -1;
-}
-
-/* Calls fn for the whole frames at the start of bytes; returns where they end. */
-static size_t
-frames_each (const uint8_t *bytes, size_t n_bytes, uint32_t file, DiskLogFn fn, void *data)
-{
-  size_t at = 0;
-  int64_t length;
-
-  while ((length = frame_check (bytes + at, n_bytes - at)) >= 0)
-    {
-      struct DiskPlace place = { file, (uint32_t)at, (uint32_t)length };
-
-      if (fn != NULL)
-        fn (data, &place, bytes + at + FRAME_HEAD_BYTES, (size_t)length);
-      at += FRAME_HEAD_BYTES + (size_t)length;
-    }
-  return at;
-}
-
 void
 disk_log_each_frame (const uint8_t *bytes, size_t n_bytes, DiskLogFn fn, void *data)
 {
-  frames_each (bytes, n_bytes, 0, fn, data);
+  disk_frames_each (bytes, n_bytes, 0, fn, data);
 }
 
 /* Opening. */
 
-static uint8_t *
-file_read_whole (TALLOC_CTX *ctx, const char *path, size_t *n_bytes)
-{
-  int fd = open (path, O_RDONLY | O_CLOEXEC);
-  struct stat status;
-  uint8_t *bytes = NULL;
-  size_t at = 0;
-
-  *n_bytes = 0;
-  if (fd < 0)
-    return NULL;
-  if (fstat (fd, &status) == 0)
-    bytes = talloc_array (ctx, uint8_t, (size_t)status.st_size + 1);
-  while (bytes != NULL && at < (size_t)status.st_size)
-    {
-      ssize_t n = read (fd, bytes + at, (size_t)status.st_size - at);
-
-      if (n <= 0)
-        break;
-      at += (size_t)n;
-    }
-  close (fd);
-  *n_bytes = at;
-  return bytes;
-}
-
 static void
 file_replay (struct DiskLog *log, uint32_t number, DiskLogFn fn, void *data)
 {
@@ -203,14 +128,14 @@
   uint8_t *bytes;
 
   file_path (log, number, path);
-  bytes = file_read_whole (log, path, &n_bytes);
+  bytes = disk_file_read (log, path, &n_bytes);
   if (bytes == NULL || file == NULL)
     {
       log_event (LOG_LEVEL_ERROR, "disk_file_unreadable", NULL, "look at the disk", "%s: %s", path,
                  strerror (errno));
       return;
     }
-  file->durable_bytes = (uint32_t)frames_each (bytes, n_bytes, number, fn, data);
+  file->durable_bytes = (uint32_t)disk_frames_each (bytes, n_bytes, number, fn, data);
   if (file->durable_bytes < n_bytes)
     log_event (LOG_LEVEL_WARNING, "disk_file_torn", NULL, NULL, "%s: %zu bytes of %zu are whole",
                path, (size_t)file->durable_bytes, n_bytes);
@@ -304,23 +229,6 @@
   return log->write_fd >= 0;
 }
 
-static bool
-put_whole (int fd, const uint8_t *bytes, size_t n_bytes)
-{
-  while (n_bytes > 0)
-    {
-      ssize_t n = write (fd, bytes, n_bytes);
-
-      if (n < 0 && errno == EINTR)
-        continue;
-      if (n <= 0)
-        return false;
-      bytes += n;
-      n_bytes -= (size_t)n;
-    }
-  return true;
-}
-
 /* Writes all of batch and syncs once. After a failure nobody knows what the file holds, so that
  * the next batch starts another one. */
 static void
@@ -335,7 +243,7 @@
       w->place.file = log->write_file;
       w->place.offset = log->write_offset;
       w->place.n_bytes = (uint32_t)(w->frame_bytes - FRAME_HEAD_BYTES);
-      sound = put_whole (log->write_fd, w->frame, w->frame_bytes);
+      sound = disk_file_put (log->write_fd, w->frame, w->frame_bytes);
       log->write_offset += (uint32_t)w->frame_bytes;
     }
   sound = sound && fdatasync (log->write_fd) == 0;
@@ -503,7 +411,7 @@
       talloc_free (write);
       return ERROR_NO_MEMORY;
     }
-  frame_write_head (write->frame, record, n_bytes);
+  disk_frame_head (write->frame, record, n_bytes);
   memcpy (write->frame + FRAME_HEAD_BYTES, record, n_bytes);
   write->expires_unix_ms = expires_unix_ms;
   write->done = done;
@@ -560,7 +468,7 @@
   size_t frame_bytes = FRAME_HEAD_BYTES + place->n_bytes;
   uint8_t *bytes = file != NULL ? file_pread (log, ctx, file, place->offset, frame_bytes) : NULL;
 
-  if (bytes == NULL || frame_check (bytes, frame_bytes) != (int64_t)place->n_bytes)
+  if (bytes == NULL || disk_frame_check (bytes, frame_bytes) != (int64_t)place->n_bytes)
     {
       log_event (LOG_LEVEL_ERROR, "disk_record_unreadable", NULL, "look at the disk",
                  "log-%u at %u", place->file, place->offset);
@@ -637,14 +545,14 @@
     {
       /* Room for one record, however long it is; what is cut comes with the next part. */
       bytes = file_pread (log, ctx, file, offset, max_bytes);
-      if (bytes != NULL && frame_check (bytes, max_bytes) >= 0)
+      if (bytes != NULL && disk_frame_check (bytes, max_bytes) >= 0)
         length = max_bytes;
       TALLOC_FREE (bytes);
     }
   bytes = file_pread (log, ctx, file, offset, length);
   if (bytes == NULL)
     return NULL;
-  *n_bytes = frames_each (bytes, length, file->number, NULL, NULL);
+  *n_bytes = disk_frames_each (bytes, length, file->number, NULL, NULL);
   *next = (uint64_t)file->number << 32 | (offset + (uint32_t)*n_bytes);
   return bytes;
 }
@@ -674,9 +582,9 @@
   fd = open (fresh, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
   if (fd < 0)
     return ERROR_IO;
-  frame_write_head (head, record, n_bytes);
-  written =
-      put_whole (fd, head, sizeof head) && put_whole (fd, record, n_bytes) && fdatasync (fd) == 0;
+  disk_frame_head (head, record, n_bytes);
+  written = disk_file_put (fd, head, sizeof head) && disk_file_put (fd, record, n_bytes)
+            && fdatasync (fd) == 0;
   close (fd);
   return written && rename (fresh, path) == 0 && folder_sync (log) ? ERROR_NONE : ERROR_IO;
 }
@@ -689,15 +597,15 @@
   size_t n;
 
   snprintf (path, sizeof path, "%s/kept-%s", log->folder, name);
-  bytes = file_read_whole (ctx, path, &n);
+  bytes = disk_file_read (ctx, path, &n);
   if (bytes == NULL)
     return NULL;
-  if (frame_check (bytes, n) < 0)
+  if (disk_frame_check (bytes, n) < 0)
     {
       talloc_free (bytes);
       return NULL;
     }
-  *n_bytes = (size_t)frame_check (bytes, n);
+  *n_bytes = (size_t)disk_frame_check (bytes, n);
   memmove (bytes, bytes + FRAME_HEAD_BYTES, *n_bytes);
   return bytes;
 }
--- a/adapters/peer_net.c
+++ b/adapters/peer_net.c
@@ -2,12 +2,10 @@
 
 #include <buckthornhead/counter.h>
 #include <buckthornhead/log.h>
+#include <buckthornhead/net_socket.h>
 #include <buckthornhead/settings.h>
 
-#include <arpa/inet.h>
 #include <errno.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -22,7 +20,9 @@
    * packet again after 1, 2, 4 s: after a partition of some seconds a link that was dialled inside
    * it would come up that much later. Well over a round trip between regions. */
   DIAL_TIMEOUT_MS = 500,
-  LISTEN_BACKLOG = 256,
+  /* Bytes sent and not acknowledged for this long: the link is dead. Longer than a pause of the
+   * other process; silence alone is noticed by heartbeats. */
+  USER_TIMEOUT_MS = 10 * 1000,
   /* A peer that stops reading must not take the instance's memory with it. */
   WRITE_QUEUE_MAX_BYTES = 64 * 1024 * 1024
 };
@@ -261,10 +261,8 @@
 static bool
 peer_link_connect_done (struct PeerLink *link)
 {
-  int error = 0;
-  socklen_t size = sizeof error;
+  int error = net_dial_error (link->fd);
 
-  getsockopt (link->fd, SOL_SOCKET, SO_ERROR, &error, &size);
   if (error == 0)
     {
       link->connected = true;
@@ -318,7 +316,6 @@
 peer_link_new (struct PeerNet *net, int fd, bool dialled)
 {
   struct PeerLink *link = talloc_zero (net, struct PeerLink);
-  int one = 1;
 
   if (link == NULL)
     return NULL;
@@ -331,55 +328,18 @@
   link->next = net->links;
   net->links = link;
   talloc_set_destructor (link, peer_link_free);
-  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
   link->watch = tevent_add_fd (net->events, link, fd, TEVENT_FD_READ | TEVENT_FD_WRITE,
                                peer_link_on_event, link);
   return link;
 }
 
-static bool
-peer_sockaddr (const char *address, struct sockaddr_storage *storage, socklen_t *size)
-{
-  char ip[46];
-  uint16_t port;
-  struct sockaddr_in *v4 = (struct sockaddr_in *)storage;
-  struct sockaddr_in6 *v6 = (struct sockaddr_in6 *)storage;
-
-  memset (storage, 0, sizeof *storage);
-  if (address_parse (address, ip, &port) != ERROR_NONE)
-    return false;
-  if (inet_pton (AF_INET, ip, &v4->sin_addr) == 1)
-    {
-      v4->sin_family = AF_INET;
-      v4->sin_port = htons (port);
-      *size = sizeof *v4;
-      return true;
-    }
-  if (inet_pton (AF_INET6, ip, &v6->sin6_addr) != 1)
-    return false;
-  v6->sin6_family = AF_INET6;
-  v6->sin6_port = htons (port);
-  *size = sizeof *v6;
-  return true;
-}
-
 static void
 peer_net_dial (struct PeerNet *net, struct PeerKnown *known)
 {
-  struct sockaddr_storage address;
-  socklen_t size;
-  int fd;
+  int fd = net_dial (known->address, USER_TIMEOUT_MS);
 
-  if (!peer_sockaddr (known->address, &address, &size))
-    return;
-  fd = socket (address.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (fd < 0)
     return;
-  if (connect (fd, (struct sockaddr *)&address, size) < 0 && errno != EINPROGRESS)
-    {
-      close (fd);
-      return;
-    }
   known->link = peer_link_new (net, fd, true);
   if (known->link == NULL)
     {
@@ -419,7 +379,7 @@
   (void)events;
   (void)watch;
   (void)flags;
-  fd = accept4 (net->listen_fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+  fd = net_accept (net->listen_fd);
   if (fd >= 0 && peer_link_new (net, fd, false) == NULL)
     close (fd);
 }
@@ -458,19 +418,10 @@
 int32_t
 peer_net_listen (struct PeerNet *net, struct Fault *fault)
 {
-  struct sockaddr_storage address;
-  socklen_t size;
-  int one = 1;
-
-  if (!peer_sockaddr (net->options.listen, &address, &size))
-    return fault_set (fault, ERROR_INVALID, "give [listen] peer as IP:port", "bad peer address %s",
-                      net->options.listen);
-  net->listen_fd = socket (address.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  setsockopt (net->listen_fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
-  if (net->listen_fd < 0 || bind (net->listen_fd, (struct sockaddr *)&address, size) < 0
-      || listen (net->listen_fd, LISTEN_BACKLOG) < 0)
-    return fault_set (fault, ERROR_IO, "stop what holds the address, or change [listen] peer",
-                      "can not listen on %s: %s", net->options.listen, strerror (errno));
+  int32_t error = net_listen (net->options.listen, "[listen] peer", &net->listen_fd, fault);
+
+  if (error != ERROR_NONE)
+    return error;
   tevent_add_fd (net->events, net, net->listen_fd, TEVENT_FD_READ, peer_net_on_accept, net);
   return ERROR_NONE;
 }
