--- a/include/buckthornhead/byte_queue.h
+++ b/include/buckthornhead/byte_queue.h
@@ -20,10 +20,11 @@
   return queue->end - queue->start;
 }
 
+/* NULL when the queue is empty. */
 static inline const uint8_t *
 byte_queue_head (const struct ByteQueue *queue)
 {
-  return queue->bytes + queue->start;
+  return queue->bytes != NULL ? queue->bytes + queue->start : NULL;
 }
 
 /* ERROR_NO_MEMORY. */
