--- /dev/null
+++ b/adapters/http_request_reader.c
@@ -0,0 +1,168 @@
+#include "http_request_reader.h"
+
+#include <buckthornhead/error.h>
+
+#include <string.h>
+
+/* From this callback 1 and 2 mean "no body follows": the body that does would be taken for the next
+ * request. */
+enum
+{
+  HEADERS_STOP = -1
+};
+
+/* Parser callbacks: a non-zero return stops the parser, .refusal then says with which status. */
+
+static int
+parser_refuse (struct HttpRequestReader *r, uint32_t status)
+{
+  if (r->refusal == 0)
+    r->refusal = status;
+  return 1;
+}
+
+static bool
+head_fits (struct HttpRequestReader *r, size_t n_bytes)
+{
+  r->head_bytes += n_bytes;
+  return r->head_bytes <= r->limits.header_max_bytes;
+}
+
+static int
+parser_on_target (http_parser *parser, const char *bytes, size_t n_bytes)
+{
+  struct HttpRequestReader *r = parser->data;
+  char *grown;
+
+  if (!head_fits (r, n_bytes))
+    return parser_refuse (r, 431);
+  grown = talloc_realloc (r->ctx, r->target, char, r->target_bytes + n_bytes + 1);
+  if (grown == NULL)
+    return parser_refuse (r, 503);
+  r->target = grown;
+  memcpy (r->target + r->target_bytes, bytes, n_bytes);
+  r->target_bytes += n_bytes;
+  r->target[r->target_bytes] = '\0';
+  return 0;
+}
+
+static int
+parser_on_head (struct HttpRequestReader *r, bool is_value, const char *bytes, size_t n_bytes)
+{
+  if (!head_fits (r, n_bytes))
+    return parser_refuse (r, 431);
+  switch (http_head_text_add (r->ctx, &r->head, is_value, bytes, n_bytes))
+    {
+    case ERROR_NONE:
+      return 0;
+    case ERROR_NO_MEMORY:
+      return parser_refuse (r, 503);
+    default:
+      return parser_refuse (r, 400);
+    }
+}
+
+static int
+parser_on_name (http_parser *parser, const char *bytes, size_t n_bytes)
+{
+  struct HttpRequestReader *r = parser->data;
+
+  /* Trailers say nothing that is forwarded. */
+  return r->headers_done ? 0 : parser_on_head (r, false, bytes, n_bytes);
+}
+
+static int
+parser_on_value (http_parser *parser, const char *bytes, size_t n_bytes)
+{
+  struct HttpRequestReader *r = parser->data;
+
+  return r->headers_done ? 0 : parser_on_head (r, true, bytes, n_bytes);
+}
+
+static int
+parser_on_headers_complete (http_parser *parser)
+{
+  struct HttpRequestReader *r = parser->data;
+  uint64_t length = parser->content_length;
+
+  r->headers_done = true;
+  if ((parser->flags & F_CONTENTLENGTH) && length > r->limits.body_max_bytes)
+    {
+      parser_refuse (r, 413);
+      return HEADERS_STOP;
+    }
+  return 0;
+}
+
+static int
+parser_on_body (http_parser *parser, const char *bytes, size_t n_bytes)
+{
+  struct HttpRequestReader *r = parser->data;
+  size_t room = r->body != NULL ? talloc_get_size (r->body) : 0;
+  uint8_t *grown;
+
+  if (r->body_bytes + n_bytes > r->limits.body_max_bytes)
+    return parser_refuse (r, 413);
+  if (r->body == NULL || r->body_bytes + n_bytes > room)
+    {
+      room = (parser->flags & F_CONTENTLENGTH)
+                 ? r->body_bytes + n_bytes + (size_t)parser->content_length
+                 : 2 * (r->body_bytes + n_bytes);
+      grown = talloc_realloc (r->ctx, r->body, uint8_t, room);
+      if (grown == NULL)
+        return parser_refuse (r, 503);
+      r->body = grown;
+    }
+  memcpy (r->body + r->body_bytes, bytes, n_bytes);
+  r->body_bytes += n_bytes;
+  return 0;
+}
+
+static int
+parser_on_message_complete (http_parser *parser)
+{
+  struct HttpRequestReader *r = parser->data;
+
+  r->whole = true;
+  http_parser_pause (parser, 1);
+  return 0;
+}
+
+static const http_parser_settings parser_settings = {
+  .on_url = parser_on_target,
+  .on_header_field = parser_on_name,
+  .on_header_value = parser_on_value,
+  .on_headers_complete = parser_on_headers_complete,
+  .on_body = parser_on_body,
+  .on_message_complete = parser_on_message_complete,
+};
+
+void
+http_request_reader_reset (TALLOC_CTX *ctx,
+                           struct HttpRequestReader *reader,
+                           const struct HttpLimits *limits)
+{
+  TALLOC_FREE (reader->head.text);
+  TALLOC_FREE (reader->head.starts);
+  TALLOC_FREE (reader->target);
+  TALLOC_FREE (reader->body);
+  memset (reader, 0, sizeof *reader);
+  http_parser_init (&reader->parser, HTTP_REQUEST);
+  reader->parser.data = reader;
+  reader->ctx = ctx;
+  reader->limits = *limits;
+}
+
+size_t
+http_request_reader_take (struct HttpRequestReader *reader, const uint8_t *bytes, size_t n_bytes)
+{
+  return http_parser_execute (&reader->parser, &parser_settings, (const char *)bytes, n_bytes);
+}
+
+uint32_t
+http_request_reader_refusal (const struct HttpRequestReader *reader)
+{
+  if (reader->refusal != 0)
+    return reader->refusal;
+  return HTTP_PARSER_ERRNO (&reader->parser) == HPE_HEADER_OVERFLOW ? 431 : 400;
+}
--- a/adapters/http_server.c
+++ b/adapters/http_server.c
@@ -1,3 +1,5 @@
+#include "http_request_reader.h"
+
 #include <buckthornhead/http_server.h>
 
 #include <buckthornhead/byte_queue.h>
@@ -5,7 +7,6 @@
 #include <buckthornhead/net_socket.h>
 
 #include <errno.h>
-#include <http_parser.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -23,13 +24,6 @@
   ACCEPTS_PER_WAKE = 64
 };
 
-/* From this callback 1 and 2 mean "no body follows": the body that does would be taken for the next
- * request. */
-enum
-{
-  HEADERS_STOP = -1
-};
-
 enum ConnectionState
 {
   CONNECTION_IDLE,    /* between requests */
@@ -47,14 +41,8 @@
   struct tevent_immediate *resume;
   enum ConnectionState state;
   int64_t since_ms; /* of the state */
-  http_parser parser;
-  struct HttpHeadText head;
-  char *target;
-  size_t target_bytes;
-  uint8_t *body;
-  size_t body_bytes, head_bytes;
-  uint32_t refusal; /* status for a request that can not be taken, 0: none */
-  bool headers_done, whole, close_after;
+  struct HttpRequestReader reader;
+  bool close_after;
   struct ByteQueue ahead, output;
   struct OpenExchange *exchange;
 };
@@ -148,151 +136,6 @@
   connection_watch (c);
 }
 
-/* Ready for the next request on this connection. */
-static void
-connection_reset (struct Connection *c)
-{
-  http_parser_init (&c->parser, HTTP_REQUEST);
-  c->parser.data = c;
-  TALLOC_FREE (c->head.text);
-  TALLOC_FREE (c->head.starts);
-  TALLOC_FREE (c->target);
-  TALLOC_FREE (c->body);
-  memset (&c->head, 0, sizeof c->head);
-  c->target_bytes = 0;
-  c->body_bytes = 0;
-  c->head_bytes = 0;
-  c->refusal = 0;
-  c->headers_done = false;
-  c->whole = false;
-}
-
-/* Parser callbacks: a non-zero return stops the parser, .refusal then says with which status. */
-
-static int
-parser_refuse (struct Connection *c, uint32_t status)
-{
-  if (c->refusal == 0)
-    c->refusal = status;
-  return 1;
-}
-
-static bool
-head_fits (struct Connection *c, size_t n_bytes)
-{
-  c->head_bytes += n_bytes;
-  return c->head_bytes <= c->server->options.limits.header_max_bytes;
-}
-
-static int
-parser_on_target (http_parser *parser, const char *bytes, size_t n_bytes)
-{
-  struct Connection *c = parser->data;
-  char *grown;
-
-  if (!head_fits (c, n_bytes))
-    return parser_refuse (c, 431);
-  grown = talloc_realloc (c, c->target, char, c->target_bytes + n_bytes + 1);
-  if (grown == NULL)
-    return parser_refuse (c, 503);
-  c->target = grown;
-  memcpy (c->target + c->target_bytes, bytes, n_bytes);
-  c->target_bytes += n_bytes;
-  c->target[c->target_bytes] = '\0';
-  return 0;
-}
-
-static int
-parser_on_head (struct Connection *c, bool is_value, const char *bytes, size_t n_bytes)
-{
-  if (!head_fits (c, n_bytes))
-    return parser_refuse (c, 431);
-  switch (http_head_text_add (c, &c->head, is_value, bytes, n_bytes))
-    {
-    case ERROR_NONE:
-      return 0;
-    case ERROR_NO_MEMORY:
-      return parser_refuse (c, 503);
-    default:
-      return parser_refuse (c, 400);
-    }
-}
-
-static int
-parser_on_name (http_parser *parser, const char *bytes, size_t n_bytes)
-{
-  struct Connection *c = parser->data;
-
-  /* Trailers say nothing that is forwarded. */
-  return c->headers_done ? 0 : parser_on_head (c, false, bytes, n_bytes);
-}
-
-static int
-parser_on_value (http_parser *parser, const char *bytes, size_t n_bytes)
-{
-  struct Connection *c = parser->data;
-
-  return c->headers_done ? 0 : parser_on_head (c, true, bytes, n_bytes);
-}
-
-static int
-parser_on_headers_complete (http_parser *parser)
-{
-  struct Connection *c = parser->data;
-  uint64_t length = parser->content_length;
-
-  c->headers_done = true;
-  if ((parser->flags & F_CONTENTLENGTH) && length > c->server->options.limits.body_max_bytes)
-    {
-      parser_refuse (c, 413);
-      return HEADERS_STOP;
-    }
-  return 0;
-}
-
-static int
-parser_on_body (http_parser *parser, const char *bytes, size_t n_bytes)
-{
-  struct Connection *c = parser->data;
-  size_t room = c->body != NULL ? talloc_get_size (c->body) : 0;
-  uint8_t *grown;
-
-  if (c->body_bytes + n_bytes > c->server->options.limits.body_max_bytes)
-    return parser_refuse (c, 413);
-  if (c->body == NULL || c->body_bytes + n_bytes > room)
-    {
-      room = (parser->flags & F_CONTENTLENGTH)
-                 ? c->body_bytes + n_bytes + (size_t)parser->content_length
-                 : 2 * (c->body_bytes + n_bytes);
-      grown = talloc_realloc (c, c->body, uint8_t, room);
-      if (grown == NULL)
-        return parser_refuse (c, 503);
-      c->body = grown;
-    }
-  memcpy (c->body + c->body_bytes, bytes, n_bytes);
-  c->body_bytes += n_bytes;
-  return 0;
-}
-
-static int
-parser_on_message_complete (http_parser *parser)
-{
-  struct Connection *c = parser->data;
-
-  c->whole = true;
-  http_parser_pause (parser, 1);
-  return 0;
-}
-
-static const http_parser_settings parser_settings = {
-  .on_url = parser_on_target,
-  .on_header_field = parser_on_name,
-  .on_header_value = parser_on_value,
-  .on_headers_complete = parser_on_headers_complete,
-  .on_body = parser_on_body,
-  .on_message_complete = parser_on_message_complete,
-};
-
 /* Answers. */
 
 static void
@@ -350,25 +193,26 @@
   struct HttpServer *server = c->server;
   struct OpenExchange *x = talloc_zero (c, struct OpenExchange);
 
-  if (x == NULL || http_head_text_finish (x, &c->head, &x->open.headers) != ERROR_NONE)
+  if (x == NULL || http_head_text_finish (x, &c->reader.head, &x->open.headers) != ERROR_NONE)
     {
       connection_refuse (c, 503);
       return;
     }
-  talloc_steal (x, c->head.text);
-  talloc_steal (x, c->target);
-  talloc_steal (x, c->body);
+  talloc_steal (x, c->reader.head.text);
+  talloc_steal (x, c->reader.target);
+  talloc_steal (x, c->reader.body);
   x->connection = c;
-  x->open.method = http_method_str ((enum http_method)c->parser.method);
-  x->open.target = c->target;
-  x->open.body = c->body;
-  x->open.body_bytes = c->body_bytes;
+  x->open.method = http_method_str ((enum http_method)c->reader.parser.method);
+  x->open.target = c->reader.target;
+  x->open.body = c->reader.body;
+  x->open.body_bytes = c->reader.body_bytes;
   x->open.arrived_ms = timer_now_ms (server->timers);
-  c->close_after = c->close_after || server->draining || http_should_keep_alive (&c->parser) == 0;
-  x->chunked = c->parser.http_major == 1 && c->parser.http_minor >= 1;
-  c->head.text = NULL;
-  c->target = NULL;
-  c->body = NULL;
+  c->close_after =
+      c->close_after || server->draining || http_should_keep_alive (&c->reader.parser) == 0;
+  x->chunked = c->reader.parser.http_major == 1 && c->reader.parser.http_minor >= 1;
+  c->reader.head.text = NULL;
+  c->reader.target = NULL;
+  c->reader.body = NULL;
   if (!request_is_proper (&x->open.headers))
     {
       talloc_free (x);
@@ -381,14 +225,6 @@
   server->options.request (server->options.data, &x->open);
 }
 
-static uint32_t
-parser_failure_status (const struct Connection *c)
-{
-  if (c->refusal != 0)
-    return c->refusal;
-  return HTTP_PARSER_ERRNO (&c->parser) == HPE_HEADER_OVERFLOW ? 431 : 400;
-}
-
 /* Gives bytes to the parser; returns how many it took. */
 static size_t
 connection_parse (struct Connection *c, const uint8_t *bytes, size_t n_bytes)
@@ -396,16 +232,19 @@
   size_t n;
 
   if (c->state == CONNECTION_IDLE)
-    connection_enter (c, CONNECTION_READING);
-  n = http_parser_execute (&c->parser, &parser_settings, (const char *)bytes, n_bytes);
-  if (c->whole)
+    {
+      c->reader.limits = c->server->options.limits;
+      connection_enter (c, CONNECTION_READING);
+    }
+  n = http_request_reader_take (&c->reader, bytes, n_bytes);
+  if (c->reader.whole)
     {
       connection_dispatch (c);
       return n;
     }
-  if (HTTP_PARSER_ERRNO (&c->parser) != HPE_OK)
+  if (HTTP_PARSER_ERRNO (&c->reader.parser) != HPE_OK)
     {
-      connection_refuse (c, parser_failure_status (c));
+      connection_refuse (c, http_request_reader_refusal (&c->reader));
       return n_bytes;
     }
   return n;
@@ -458,7 +297,7 @@
       connection_watch (c);
       return;
     }
-  connection_reset (c);
+  http_request_reader_reset (c, &c->reader, &c->server->options.limits);
   connection_enter (c, CONNECTION_IDLE);
   connection_watch (c);
   if (byte_queue_length (&c->ahead) > 0)
@@ -619,8 +458,8 @@
     case CONNECTION_IDLE:
       return age_ms > (c->server->draining ? 0 : (int64_t)limits->idle_timeout_ms);
     case CONNECTION_READING:
-      return !c->headers_done ? age_ms > limits->header_timeout_ms
-                              : age_ms > limits->header_timeout_ms + limits->idle_timeout_ms;
+      return !c->reader.headers_done ? age_ms > limits->header_timeout_ms
+                                     : age_ms > limits->header_timeout_ms + limits->idle_timeout_ms;
     case CONNECTION_LINGERING:
       return age_ms > LINGER_MS && byte_queue_length (&c->output) == 0;
     case CONNECTION_WORKING:
@@ -667,7 +506,7 @@
   server->connections = c;
   server->n_connections++;
   talloc_set_destructor (c, connection_free);
-  connection_reset (c);
+  http_request_reader_reset (c, &c->reader, &c->server->options.limits);
   connection_enter (c, CONNECTION_IDLE);
   c->watch = tevent_add_fd (server->events, c, fd, TEVENT_FD_READ, connection_on_event, c);
   c->resume = tevent_create_immediate (c);
