Archives write what they keep on the disk's own thread; slow syncs are logged

A disk that is slow would have cut archives off from their peers every two seconds.

Change: kept files go through the writer's thread, after the records for which callers wait. A batch that takes over 300 ms is logged.

Ruled out: a longer time for a turn to be stored (it hides the pause); not syncing (a loss of power takes the state along).

--- a/adapters/disk_log.c
+++ b/adapters/disk_log.c
@@ -13,12 +13,16 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/stat.h>
+#include <time.h>
 #include <unistd.h>
 
 enum
 {
   /* A file goes when its last record has expired: small files give space back soon. */
   FILE_MAX_BYTES = 8 * 1024 * 1024,
+  /* A sync on the slowest disks of the sheets takes 5 ms; one this slow keeps callers waiting, and
+   * past their gateway's patience a turn counts as not stored. */
+  SLOW_SYNC_MS = 300,
   PATH_BYTES = 320
 };
 
@@ -33,12 +37,14 @@
   void *data;
   int32_t error;
   struct DiskPlace place;
+  char *kept_name; /* a file of its own; NULL: a record of the log */
 };
 
 /* To the loop: these are settled. */
 struct DiskMail
 {
   struct Mail mail;
+  int64_t took_ms;
   struct DiskWrite *first;
 };
 
@@ -229,6 +235,59 @@
   return log->write_fd >= 0;
 }
 
+/* A renamed name may be the old one after a loss of power until its folder is synced. */
+static bool
+folder_sync (const struct DiskLog *log)
+{
+  int fd = open (log->folder, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  bool synced = fd >= 0 && fsync (fd) == 0;
+
+  if (fd >= 0)
+    close (fd);
+  return synced;
+}
+
+static int32_t
+writer_keep (const struct DiskLog *log, const struct DiskWrite *w)
+{
+  char path[PATH_BYTES], fresh[PATH_BYTES];
+  bool written;
+  int fd;
+
+  snprintf (path, sizeof path, "%s/kept-%s", log->folder, w->kept_name);
+  snprintf (fresh, sizeof fresh, "%s/fresh-%s", log->folder, w->kept_name);
+  fd = open (fresh, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+  if (fd < 0)
+    return ERROR_IO;
+  written = disk_file_put (fd, w->frame, w->frame_bytes) && fdatasync (fd) == 0;
+  close (fd);
+  return written && rename (fresh, path) == 0 && folder_sync (log) ? ERROR_NONE : ERROR_IO;
+}
+
+/* Takes the files of their own out of batch, and the rest of it stays: records of the log, for
+ * which callers wait, go first. */
+static struct DiskWrite *
+batch_take_kept (struct DiskWrite **batch)
+{
+  struct DiskWrite *kept = NULL, **last = &kept, **at = batch;
+
+  while (*at != NULL)
+    {
+      struct DiskWrite *w = *at;
+
+      if (w->kept_name == NULL)
+        {
+          at = &w->next;
+          continue;
+        }
+      *at = w->next;
+      w->next = NULL;
+      *last = w;
+      last = &w->next;
+    }
+  return kept;
+}
+
 /* Writes all of batch and syncs once. After a failure nobody knows what the file holds, so that
  * the next batch starts another one. */
 static void
@@ -256,6 +315,47 @@
     w->error = sound ? ERROR_NONE : ERROR_IO;
 }
 
+static int64_t
+writer_now_ms (void)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_MONOTONIC, &now);
+  return (int64_t)now.tv_sec * 1000 + now.tv_nsec / 1000000;
+}
+
+static void
+writer_tell (struct DiskLog *log, struct DiskWrite *settled, int64_t started_ms)
+{
+  struct DiskMail *mail = talloc_zero (NULL, struct DiskMail);
+
+  if (mail == NULL)
+    abort (); /* without it nobody would ever hear of the records */
+  mail->mail.kind = MAIL_DISK_DURABLE;
+  mail->first = settled;
+  mail->took_ms = writer_now_ms () - started_ms;
+  mailbox_post (log->mailbox, &mail->mail);
+}
+
+static void
+writer_settle (struct DiskLog *log, struct DiskWrite *batch)
+{
+  struct DiskWrite *kept = batch_take_kept (&batch);
+  int64_t started_ms = writer_now_ms ();
+
+  if (batch != NULL)
+    {
+      writer_batch (log, batch);
+      writer_tell (log, batch, started_ms);
+    }
+  if (kept == NULL)
+    return;
+  started_ms = writer_now_ms ();
+  for (struct DiskWrite *w = kept; w != NULL; w = w->next)
+    w->error = writer_keep (log, w);
+  writer_tell (log, kept, started_ms);
+}
+
 static void *
 writer_run (void *data)
 {
@@ -264,7 +364,6 @@
   for (;;)
     {
       struct DiskWrite *batch;
-      struct DiskMail *mail;
 
       pthread_mutex_lock (&log->lock);
       while (log->first == NULL && !log->stop)
@@ -275,13 +374,7 @@
       pthread_mutex_unlock (&log->lock);
       if (batch == NULL)
         return NULL;
-      writer_batch (log, batch);
-      mail = talloc_zero (NULL, struct DiskMail);
-      if (mail == NULL)
-        abort (); /* without it nobody would ever hear of the records */
-      mail->mail.kind = MAIL_DISK_DURABLE;
-      mail->first = batch;
-      mailbox_post (log->mailbox, &mail->mail);
+      writer_settle (log, batch);
     }
 }
 
@@ -294,9 +387,13 @@
   struct DiskMail *mail = (struct DiskMail *)received;
   struct DiskWrite *next;
 
+  if (mail->took_ms > SLOW_SYNC_MS)
+    log_event (LOG_LEVEL_WARNING, "disk_slow", NULL, "look at the archive's disk",
+               "writing and syncing took %lld ms", (long long)mail->took_ms);
   for (struct DiskWrite *w = mail->first; w != NULL; w = next)
     {
-      struct DiskFile *file = w->error == ERROR_NONE ? file_need (log, w->place.file) : NULL;
+      bool in_log = w->error == ERROR_NONE && w->kept_name == NULL;
+      struct DiskFile *file = in_log ? file_need (log, w->place.file) : NULL;
 
       next = w->next;
       if (file != NULL)
@@ -392,35 +489,52 @@
   return ERROR_IO;
 }
 
-int32_t
-disk_log_append (struct DiskLog *log,
-                 const uint8_t *record,
-                 size_t n_bytes,
-                 int64_t expires_unix_ms,
-                 DiskLogDone done,
-                 void *data)
+/* To the writer's thread. NULL without memory. */
+static struct DiskWrite *
+write_new (const uint8_t *record, size_t n_bytes, DiskLogDone done, void *data)
 {
   struct DiskWrite *write = talloc_zero (NULL, struct DiskWrite);
 
   if (write == NULL)
-    return ERROR_NO_MEMORY;
+    return NULL;
   write->frame_bytes = FRAME_HEAD_BYTES + n_bytes;
   write->frame = talloc_array (write, uint8_t, write->frame_bytes);
   if (write->frame == NULL)
     {
       talloc_free (write);
-      return ERROR_NO_MEMORY;
+      return NULL;
     }
   disk_frame_head (write->frame, record, n_bytes);
   memcpy (write->frame + FRAME_HEAD_BYTES, record, n_bytes);
-  write->expires_unix_ms = expires_unix_ms;
   write->done = done;
   write->data = data;
+  return write;
+}
+
+static void
+write_submit (struct DiskLog *log, struct DiskWrite *write)
+{
   pthread_mutex_lock (&log->lock);
   *log->last = write;
   log->last = &write->next;
   pthread_cond_signal (&log->wake);
   pthread_mutex_unlock (&log->lock);
+}
+
+int32_t
+disk_log_append (struct DiskLog *log,
+                 const uint8_t *record,
+                 size_t n_bytes,
+                 int64_t expires_unix_ms,
+                 DiskLogDone done,
+                 void *data)
+{
+  struct DiskWrite *write = write_new (record, n_bytes, done, data);
+
+  if (write == NULL)
+    return ERROR_NO_MEMORY;
+  write->expires_unix_ms = expires_unix_ms;
+  write_submit (log, write);
   return ERROR_NONE;
 }
 
@@ -557,36 +671,26 @@
   return bytes;
 }
 
-/* A renamed name may be the old one after a loss of power until its folder is synced. */
-static bool
-folder_sync (const struct DiskLog *log)
-{
-  int fd = open (log->folder, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-  bool synced = fd >= 0 && fsync (fd) == 0;
-
-  if (fd >= 0)
-    close (fd);
-  return synced;
-}
-
 int32_t
-disk_log_keep (struct DiskLog *log, const char *name, const uint8_t *record, size_t n_bytes)
+disk_log_keep (struct DiskLog *log,
+               const char *name,
+               const uint8_t *record,
+               size_t n_bytes,
+               DiskLogDone done,
+               void *data)
 {
-  char path[PATH_BYTES], fresh[PATH_BYTES];
-  uint8_t head[FRAME_HEAD_BYTES];
-  bool written;
-  int fd;
+  struct DiskWrite *write = write_new (record, n_bytes, done, data);
 
-  snprintf (path, sizeof path, "%s/kept-%s", log->folder, name);
-  snprintf (fresh, sizeof fresh, "%s/fresh-%s", log->folder, name);
-  fd = open (fresh, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
-  if (fd < 0)
-    return ERROR_IO;
-  disk_frame_head (head, record, n_bytes);
-  written = disk_file_put (fd, head, sizeof head) && disk_file_put (fd, record, n_bytes)
-            && fdatasync (fd) == 0;
-  close (fd);
-  return written && rename (fresh, path) == 0 && folder_sync (log) ? ERROR_NONE : ERROR_IO;
+  if (write == NULL)
+    return ERROR_NO_MEMORY;
+  write->kept_name = talloc_strdup (write, name);
+  if (write->kept_name == NULL)
+    {
+      talloc_free (write);
+      return ERROR_NO_MEMORY;
+    }
+  write_submit (log, write);
+  return ERROR_NONE;
 }
 
 uint8_t *
--- a/gateway/archive_state.c
+++ b/gateway/archive_state.c
@@ -11,8 +11,8 @@
 
 enum
 {
-  /* Seconds of age do no harm here, and each writing of what has changed waits for two syncs, some
-   * 10 ms on the slowest disks of the sheets. */
+  /* Seconds of age do no harm here, and each writing of what has changed takes the disk two syncs,
+   * some 10 ms on the slowest ones of the sheets. */
   KEEP_PERIOD_MS = 2000,
   N_KINDS = SNAPSHOT_RETIRE + 1
 };
@@ -40,6 +40,16 @@
   return (int64_t)now.tv_sec * 1000 + now.tv_nsec / 1000000;
 }
 
+static void
+state_on_kept (void *data, int32_t error, const struct DiskPlace *place)
+{
+  (void)data;
+  (void)place;
+  if (error != ERROR_NONE)
+    log_event (LOG_LEVEL_WARNING, "store_state_not_kept", NULL, "look at the disk", "%s",
+               error_name (error));
+}
+
 /* [wall clock, the snapshot as a message]: its age goes on while no process runs. */
 static void
 state_write (struct ArchiveState *state,
@@ -57,9 +67,9 @@
   pack_i64 (p, state_unix_ms ());
   pack_bytes (p, snapshot, snapshot_bytes);
   if (pack_finish (p, state, &record, &n_bytes) != ERROR_NONE
-      || disk_log_keep (state->log, kind_names[kind], record, n_bytes) != ERROR_NONE)
-    log_event (LOG_LEVEL_WARNING, "store_state_not_kept", NULL, "look at the disk", "%s",
-               kind_names[kind]);
+      || disk_log_keep (state->log, kind_names[kind], record, n_bytes, state_on_kept, state)
+             != ERROR_NONE)
+    state_on_kept (state, ERROR_NO_MEMORY, NULL);
   talloc_free (record);
 }
 
--- a/include/buckthornhead/disk_log.h
+++ b/include/buckthornhead/disk_log.h
@@ -92,10 +92,15 @@
 void
 disk_log_each_frame (const uint8_t *bytes, size_t n_bytes, DiskLogFn fn, void *data);
 
-/* One record in a file of its own beside the log, replaced as a whole, durable on return: the
- * caller waits for two syncs, so it is for what changes rarely. ERROR_IO. */
+/* One record in a file of its own beside the log, replaced as a whole. done is called later, from
+ * the loop, with a place that says nothing; the loop never waits for the disk. ERROR_NO_MEMORY. */
 int32_t
-disk_log_keep (struct DiskLog *log, const char *name, const uint8_t *record, size_t n_bytes);
+disk_log_keep (struct DiskLog *log,
+               const char *name,
+               const uint8_t *record,
+               size_t n_bytes,
+               DiskLogDone done,
+               void *data);
 
 /* What was kept under name, belonging to ctx; NULL when there is none that is whole. */
 uint8_t *
--- a/tests/test_disk_log.c
+++ b/tests/test_disk_log.c
@@ -234,6 +234,19 @@
   bench_free (b);
 }
 
+static void
+bench_keep (struct Bench *b, const char *record)
+{
+  b->durable = false;
+  CU_ASSERT_EQUAL (
+      disk_log_keep (b->log, "x", (const uint8_t *)record, strlen (record), bench_on_durable, b),
+      ERROR_NONE);
+  /* The loop goes on meanwhile: a slow disk must not keep it from its peers. */
+  CU_ASSERT_FALSE (b->durable);
+  CU_ASSERT_TRUE (events_until (b->events, &b->durable));
+  CU_ASSERT_EQUAL (b->error, ERROR_NONE);
+}
+
 static void
 test_kept_records_are_replaced_as_a_whole (void)
 {
@@ -243,8 +256,8 @@
   uint8_t *kept;
 
   CU_ASSERT_PTR_NULL (disk_log_kept (b->log, b, "x", &n_bytes));
-  CU_ASSERT_EQUAL (disk_log_keep (b->log, "x", (const uint8_t *)"a long one", 10), ERROR_NONE);
-  CU_ASSERT_EQUAL (disk_log_keep (b->log, "x", (const uint8_t *)"short", 5), ERROR_NONE);
+  bench_keep (b, "a long one");
+  bench_keep (b, "short");
   TALLOC_FREE (b->log);
   bench_open (b);
   CU_ASSERT_STRING_EQUAL (b->replayed, "");
