Read through: one pair of clocks, no handler that does nothing, a flag by its name

Cause: reading the whole change once more found the wall clock read by three copies of one function and the monotonic one by two; a handler for closed links that both roles left empty; and a timer's period, never used as one, that told the second try of storing a turn.

--- a/adapters/disk_log.c
+++ b/adapters/disk_log.c
@@ -2,6 +2,7 @@
 
 #include <buckthornhead/disk_log.h>
 
+#include <buckthornhead/clock.h>
 #include <buckthornhead/log.h>
 #include <buckthornhead/mailbox.h>
 
@@ -13,7 +14,6 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/stat.h>
-#include <time.h>
 #include <unistd.h>
 
 enum
@@ -315,15 +315,6 @@
     w->error = sound ? ERROR_NONE : ERROR_IO;
 }
 
-static int64_t
-writer_now_ms (void)
-{
-  struct timespec now;
-
-  clock_gettime (CLOCK_MONOTONIC, &now);
-  return (int64_t)now.tv_sec * 1000 + now.tv_nsec / 1000000;
-}
-
 static void
 writer_tell (struct DiskLog *log, struct DiskWrite *settled, int64_t started_ms)
 {
@@ -333,7 +324,7 @@
     abort (); /* without it nobody would ever hear of the records */
   mail->mail.kind = MAIL_DISK_DURABLE;
   mail->first = settled;
-  mail->took_ms = writer_now_ms () - started_ms;
+  mail->took_ms = clock_monotonic_ms () - started_ms;
   mailbox_post (log->mailbox, &mail->mail);
 }
 
@@ -341,7 +332,7 @@
 writer_settle (struct DiskLog *log, struct DiskWrite *batch)
 {
   struct DiskWrite *kept = batch_take_kept (&batch);
-  int64_t started_ms = writer_now_ms ();
+  int64_t started_ms = clock_monotonic_ms ();
 
   if (batch != NULL)
     {
@@ -350,7 +341,7 @@
     }
   if (kept == NULL)
     return;
-  started_ms = writer_now_ms ();
+  started_ms = clock_monotonic_ms ();
   for (struct DiskWrite *w = kept; w != NULL; w = w->next)
     w->error = writer_keep (log, w);
   writer_tell (log, kept, started_ms);
--- a/gateway/archive.c
+++ b/gateway/archive.c
@@ -3,13 +3,13 @@
 #include "archive_member.h"
 #include "archive_state.h"
 
+#include <buckthornhead/clock.h>
 #include <buckthornhead/log.h>
 #include <buckthornhead/pack.h>
 #include <buckthornhead/turn_index.h>
 
 #include <stdio.h>
 #include <string.h>
-#include <time.h>
 
 enum
 {
@@ -38,15 +38,6 @@
   struct TurnClose close; /* without its texts */
 };
 
-static int64_t
-archive_unix_ms (void)
-{
-  struct timespec now;
-
-  clock_gettime (CLOCK_REALTIME, &now);
-  return (int64_t)now.tv_sec * 1000 + now.tv_nsec / 1000000;
-}
-
 /* Records on disk: [kind, wall clock, fields]. */
 
 static int32_t
@@ -225,7 +216,7 @@
   else
     {
       if (error == ERROR_NONE)
-        archive_index_close (archive, &write->close, place, archive_unix_ms ());
+        archive_index_close (archive, &write->close, place, clock_unix_ms ());
       if (write->link != PEER_LINK_NONE)
         archive_answer_closed (archive, write->link, write->close.id, error);
     }
@@ -277,7 +268,7 @@
   struct ArchiveWrite *write = archive_write_new (archive, link, ARCHIVE_RECORD_OPEN);
   int32_t error = ERROR_NO_MEMORY;
 
-  record.unix_ms = archive_unix_ms ();
+  record.unix_ms = clock_unix_ms ();
   if (archive_is_fenced (archive, open->generation))
     error = ERROR_FENCED;
   else if (write != NULL)
@@ -301,7 +292,7 @@
   int64_t keep_ms = close->kept ? close->retention_ms : RESERVATION_KEEP_MS;
   int32_t error = ERROR_NO_MEMORY;
 
-  record.unix_ms = archive_unix_ms ();
+  record.unix_ms = clock_unix_ms ();
   if (archive_is_fenced (archive, close->generation))
     error = ERROR_FENCED;
   else if (write != NULL)
@@ -392,13 +383,6 @@
     }
 }
 
-static void
-archive_on_link_closed (void *data, uint64_t link)
-{
-  (void)data;
-  (void)link;
-}
-
 static void
 archive_on_snapshot (void *data, const struct Snapshot *snapshot, bool after_gap)
 {
@@ -423,7 +407,7 @@
 archive_on_expire (void *data)
 {
   struct Archive *archive = data;
-  int64_t unix_ms = archive_unix_ms ();
+  int64_t unix_ms = clock_unix_ms ();
 
   turn_index_expire (archive->index, unix_ms);
   disk_log_drop_expired (archive->log, unix_ms);
@@ -453,7 +437,6 @@
     return fault_set (fault, ERROR_NO_MEMORY, NULL, "no memory for the archive");
   timer_subscribe (a, node->timers, EXPIRE_PERIOD_MS, EXPIRE_PERIOD_MS, archive_on_expire, a);
   node->handler.message = archive_on_message;
-  node->handler.link_closed = archive_on_link_closed;
   node->handler.snapshot = archive_on_snapshot;
   node->handler.describe = archive_describe;
   node->handler.data = a;
--- a/gateway/archive_state.c
+++ b/gateway/archive_state.c
@@ -2,11 +2,11 @@
 
 #include "store_reader.h"
 
+#include <buckthornhead/clock.h>
 #include <buckthornhead/log.h>
 #include <buckthornhead/pack.h>
 
 #include <stdio.h>
-#include <time.h>
 #include <xxhash.h>
 
 enum
@@ -31,15 +31,6 @@
   [SNAPSHOT_NODES] = "nodes",
 };
 
-static int64_t
-state_unix_ms (void)
-{
-  struct timespec now;
-
-  clock_gettime (CLOCK_REALTIME, &now);
-  return (int64_t)now.tv_sec * 1000 + now.tv_nsec / 1000000;
-}
-
 static void
 state_on_kept (void *data, int32_t error, const struct DiskPlace *place)
 {
@@ -64,7 +55,7 @@
   if (p == NULL)
     return;
   pack_array (p, 2);
-  pack_i64 (p, state_unix_ms ());
+  pack_i64 (p, clock_unix_ms ());
   pack_bytes (p, snapshot, snapshot_bytes);
   if (pack_finish (p, state, &record, &n_bytes) != ERROR_NONE
       || disk_log_keep (state->log, kind_names[kind], record, n_bytes, state_on_kept, state)
@@ -121,7 +112,7 @@
 
   if (opened == NULL)
     goto out;
-  age_ms = state_unix_ms () - read_i64 (&r);
+  age_ms = clock_unix_ms () - read_i64 (&r);
   snapshot = read_bytes (&r, ctx, &snapshot_bytes);
   if (read_end (&r) != ERROR_NONE
       || gateway_message_unpack (ctx, snapshot, snapshot_bytes, &message) != ERROR_NONE
--- a/gateway/front.c
+++ b/gateway/front.c
@@ -358,13 +358,6 @@
     }
 }
 
-static void
-front_on_link_closed (void *data, uint64_t link)
-{
-  (void)data;
-  (void)link;
-}
-
 static void
 front_on_set (void *data)
 {
@@ -526,7 +519,6 @@
     return error;
   timer_subscribe (f, node->timers, TICK_MS, TICK_MS, front_on_tick, f);
   node->handler.message = front_on_message;
-  node->handler.link_closed = front_on_link_closed;
   node->handler.snapshot = front_on_snapshot;
   node->handler.set_changed = front_on_set;
   node->handler.describe = front_describe;
--- a/gateway/node.c
+++ b/gateway/node.c
@@ -355,13 +355,13 @@
   talloc_free (message);
 }
 
+/* Questions that were open on the link are asked again by their own timers. */
 static void
 node_on_closed (void *data, uint64_t link, const char *peer)
 {
-  struct Node *node = data;
-
+  (void)data;
+  (void)link;
   (void)peer;
-  node->handler.link_closed (node->handler.data, link);
 }
 
 static void
--- a/gateway/node.h
+++ b/gateway/node.h
@@ -34,8 +34,6 @@
                    uint64_t link,
                    const char *sender,
                    const struct GatewayMessage *message);
-  /* No answer to what was sent over link will come. */
-  void (*link_closed) (void *data, uint64_t link);
   /* The set of archives has changed; may be NULL. */
   void (*set_changed) (void *data);
   /* A newer state of the store. after_gap: nobody had read it for a while before. */
--- a/gateway/turn.c
+++ b/gateway/turn.c
@@ -492,14 +492,15 @@
   struct Turn *turn = request->turn;
   char detail[64];
 
-  if (turn->timer->period_ms == 0)
+  if (!turn->asked_again)
     {
+      turn->asked_again = true;
       /* Once more to those that have not answered, by another way if there is one. */
       turn_relay_close (request);
       TALLOC_FREE (turn->timer);
       turn->timer =
-          timer_subscribe (turn, request->front->node->timers, CLOSE_TIMEOUT_MS - CLOSE_AGAIN_MS,
-                           CLOSE_TIMEOUT_MS, turn_on_close_timeout, request);
+          timer_subscribe (turn, request->front->node->timers, CLOSE_TIMEOUT_MS - CLOSE_AGAIN_MS, 0,
+                           turn_on_close_timeout, request);
       return;
     }
   snprintf (detail, sizeof detail, "the turn is stored on %u archives only", turn->answered.n);
@@ -512,6 +513,7 @@
   struct Turn *turn = request->turn;
 
   turn_ask (request, turn, TURN_CLOSING);
+  turn->asked_again = false;
   turn_send_close (request, true);
   turn->timer = timer_subscribe (turn, request->front->node->timers, CLOSE_AGAIN_MS, 0,
                                  turn_on_close_timeout, request);
