Latency histograms; gateways and archives serve metrics on the address of their settings

Ruled out: a library: no C library for histograms is packaged for the machines (only Java, Go and C++ ones), so that fixed buckets in the Prometheus format stand in one small module. A listener that can not be opened is logged and does not stop the process.

--- a/adapters/disk_log.c
+++ b/adapters/disk_log.c
@@ -3,6 +3,8 @@
 #include <buckthornhead/disk_log.h>
 
 #include <buckthornhead/clock.h>
+#include <buckthornhead/counter.h>
+#include <buckthornhead/histogram.h>
 #include <buckthornhead/log.h>
 #include <buckthornhead/mailbox.h>
 
@@ -378,6 +380,8 @@
   struct DiskMail *mail = (struct DiskMail *)received;
   struct DiskWrite *next;
 
+  histogram_add (HISTOGRAM_DISK_SYNC, mail->took_ms);
+  counter_add (COUNTER_ARCHIVE_SYNCS, 1);
   if (mail->took_ms > SLOW_SYNC_MS)
     log_event (LOG_LEVEL_WARNING, "disk_slow", NULL, "look at the archive's disk",
                "writing and syncing took %lld ms", (long long)mail->took_ms);
--- a/core/counter.c
+++ b/core/counter.c
@@ -72,6 +72,21 @@
       COUNTS ("config_conflicts", "Configuration changes refused since another came first"),
   [COUNTER_PEER_MESSAGES] = COUNTS ("peer_messages", "Messages sent to other instances"),
   [COUNTER_PEER_BYTES] = COUNTS ("peer_bytes", "Bytes sent to other instances"),
+  [COUNTER_REQUESTS_ANSWERED] =
+      COUNTS ("requests_answered", "Requests whose caller got a backend server's whole answer"),
+  [COUNTER_REQUESTS_REFUSED] =
+      COUNTS ("requests_refused", "Requests sent back as not run, to come again"),
+  [COUNTER_REQUESTS_REJECTED] =
+      COUNTS ("requests_rejected", "Requests that the configuration, a budget or a form forbids"),
+  [COUNTER_REQUESTS_BROKEN] =
+      COUNTS ("requests_broken", "Requests that may have run and got no whole answer"),
+  [COUNTER_REQUESTS_LEFT] = COUNTS ("requests_left", "Requests whose caller left first"),
+  [COUNTER_REQUESTS_SENT_AGAIN] =
+      COUNTS ("requests_sent_again", "Further servers that a request was offered to"),
+  [COUNTER_TURNS_STORED] = COUNTS ("turns_stored", "Turns that enough archives have stored"),
+  [COUNTER_ARCHIVE_RECORDS] =
+      COUNTS ("archive_records", "Records that this archive wrote to its disk"),
+  [COUNTER_ARCHIVE_SYNCS] = COUNTS ("archive_syncs", "Batches of records that this archive synced"),
   [GAUGE_CONFIG_REVISION] = GAUGES ("config_revision", "Configuration revision in force here"),
   [GAUGE_PARTITIONS_OWNED] = GAUGES ("partitions_owned", "Partitions whose home is here"),
   [GAUGE_PROGRAMS] = GAUGES ("programs", "Living programs whose home is here"),
--- a/gateway/archive.c
+++ b/gateway/archive.c
@@ -4,6 +4,7 @@
 #include "archive_state.h"
 
 #include <buckthornhead/clock.h>
+#include <buckthornhead/counter.h>
 #include <buckthornhead/log.h>
 #include <buckthornhead/pack.h>
 #include <buckthornhead/turn_index.h>
@@ -211,6 +212,8 @@
   if (error != ERROR_NONE)
     log_event (LOG_LEVEL_ERROR, "archive_write_failed", write->close.program, "look at the disk",
                "%s", error_name (error));
+  else
+    counter_add (COUNTER_ARCHIVE_RECORDS, 1);
   if (write->kind == ARCHIVE_RECORD_OPEN)
     archive_answer_opened (archive, write->link, &write->open, error);
   else
--- a/gateway/front.c
+++ b/gateway/front.c
@@ -63,7 +63,8 @@
 
   log_request (LOG_LEVEL_INFO, "caller_left", request->caller.id, request->caller.program,
                "%lld ms after its request",
-               (long long)(timer_now_ms (request->front->node->timers) - exchange->arrived_ms));
+               (long long)(timer_now_ms (request->front->node->timers) - request->arrived_ms));
+  counter_add (COUNTER_REQUESTS_LEFT, 1);
   if (request->turn != NULL)
     turn_abandon (request);
   request->exchange = NULL;
@@ -79,6 +80,8 @@
     return NULL;
   request->front = front;
   request->exchange = exchange;
+  request->arrived_ms = exchange->arrived_ms;
+  request->due_ms = exchange->arrived_ms;
   request->cached_at = "";
   request->next = front->requests;
   request->at = &front->requests;
@@ -127,7 +130,7 @@
   time_ms = route->timeout_ms;
   if (request->caller.timeout_ms > 0 && request->caller.timeout_ms < time_ms)
     time_ms = request->caller.timeout_ms;
-  request->due_ms = exchange->arrived_ms + time_ms;
+  request->due_ms = request->arrived_ms + time_ms;
   request->timeout = timer_subscribe (request, front->node->timers,
                                       request->due_ms - timer_now_ms (front->node->timers), 0,
                                       request_on_timeout, request);
@@ -152,7 +155,6 @@
       http_exchange_answer (exchange, 503, NULL, NULL, 0);
       return;
     }
-  request->due_ms = exchange->arrived_ms;
   retry_allowance_earn (&front->retries);
   if (front->node->dialect->read_request (request, exchange, &request->caller, &fault)
       != ERROR_NONE)
@@ -447,16 +449,6 @@
 
 /* Start and stop. */
 
-static void
-metrics_on_request (void *data, struct HttpExchange *exchange)
-{
-  char *text = counter_render (data);
-
-  http_exchange_answer (exchange, text != NULL ? 200 : 503, NULL, text,
-                        text != NULL ? strlen (text) : 0);
-  talloc_free (text);
-}
-
 static int32_t
 front_listen (struct Front *front,
               const char *address,
@@ -493,9 +485,6 @@
   if (error == ERROR_NONE)
     error = front_listen (front, s->directory_listen, "[listen] directory", front_on_own,
                           OWN_CONNECTIONS, &front->directory, fault);
-  if (error == ERROR_NONE)
-    error = front_listen (front, s->metrics_listen, "[listen] metrics", metrics_on_request,
-                          OWN_CONNECTIONS, &front->metrics, fault);
   return error;
 }
 
--- a/gateway/front.h
+++ b/gateway/front.h
@@ -43,6 +43,7 @@
   char service[NAME_MAX_BYTES + 1];
   uint32_t tokens_per_event;
   uint32_t connections_max; /* of this gateway to one server of the service */
+  int64_t arrived_ms;       /* when it was whole */
   int64_t due_ms;           /* the end of its time, the caller's or the route's */
   struct Timer *timeout;
   struct Turn *turn; /* NULL for anything but a turn */
@@ -60,6 +61,8 @@
   struct Timer *patience; /* until another server is asked; NULL when none will be */
   bool refused;           /* this attempt's answer says that it did not run */
   bool streaming;         /* the answer goes to the caller as it comes */
+  bool wrote_any;         /* of a streaming answer */
+  int64_t sent_ms;        /* when this attempt was */
   struct ReplicaAnswer answer;
   struct HttpHeaders answer_headers;
   struct ByteQueue answer_body;
@@ -72,7 +75,7 @@
   struct RouteTable *table; /* NULL: no configuration yet */
   struct ReplicaSet *replicas;
   struct HttpClient *client;
-  struct HttpServer *callers, *ready, *directory, *metrics;
+  struct HttpServer *callers, *ready, *directory;
   struct Request *requests;
   int64_t stop_ms; /* when the planned stop was asked for; 0: none */
   uint64_t draws;
@@ -100,6 +103,10 @@
 void
 request_send (struct Request *request);
 
+/* The stream was whole: the caller's answer ends, and the request with it. */
+void
+request_end_stream (struct Request *request);
+
 /* Frees the request; the caller has its answer, or has left. */
 void
 request_end (struct Request *request);
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -2,6 +2,7 @@
 
 #include "archive.h"
 #include "front.h"
+#include "metrics.h"
 
 #include <buckthornhead/log.h>
 #include <buckthornhead/timer_tevent.h>
@@ -116,6 +117,7 @@
   tevent_add_signal (node->events, node->events, SIGTERM, 0, gateway_on_signal, gateway);
   tevent_add_signal (node->events, node->events, SIGINT, 0, gateway_on_signal, gateway);
   tevent_add_signal (node->events, node->events, SIGHUP, 0, gateway_on_reload, gateway);
+  metrics_listen (node);
   return node_start (node, fault);
 }
 
--- /dev/null
+++ b/gateway/metrics.h
@@ -0,0 +1,9 @@
+/* Counters and latency histograms on the address of the settings, in the Prometheus text format. */
+#pragma once
+
+#include "node.h"
+
+/* Without the address: nothing. A listener that can not be opened is logged, and the process goes
+ * on without it: nobody's request waits for the monitoring. */
+void
+metrics_listen (struct Node *node);
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -1,5 +1,7 @@
 #include "front.h"
 
+#include <buckthornhead/counter.h>
+#include <buckthornhead/histogram.h>
 #include <buckthornhead/log.h>
 
 #include <stdio.h>
@@ -48,6 +50,33 @@
   return request->due_ms - timer_now_ms (request->front->node->timers);
 }
 
+/* Time since the caller's request was whole. */
+static int64_t
+request_took_ms (const struct Request *request)
+{
+  return timer_now_ms (request->front->node->timers) - request->arrived_ms;
+}
+
+static void
+request_note_answered (const struct Request *request, enum Histogram histogram)
+{
+  counter_add (COUNTER_REQUESTS_ANSWERED, 1);
+  histogram_add (histogram, request_took_ms (request));
+}
+
+static void
+request_note_failed (const struct Request *request, uint32_t status)
+{
+  enum Counter counter = COUNTER_REQUESTS_REJECTED;
+
+  if (status == 503)
+    counter = COUNTER_REQUESTS_REFUSED;
+  else if (status >= 500)
+    counter = COUNTER_REQUESTS_BROKEN;
+  counter_add (counter, 1);
+  histogram_add (HISTOGRAM_REFUSAL, request_took_ms (request));
+}
+
 /* The attempt at a server is over, one way or the other. */
 static void
 attempt_release (struct Request *request)
@@ -88,6 +117,7 @@
       (unsigned long long)(request->front->table != NULL ? request->front->table->version : 0),
       (long long)request_left_ms (request), request->n_tried,
       request->may_have_run ? ", may have run" : "", detail);
+  request_note_failed (request, words->status);
   if (request->turn != NULL)
     turn_abandon (request);
   request->exchange = NULL;
@@ -137,6 +167,8 @@
   bool is_success;
 
   TALLOC_FREE (request->patience);
+  histogram_add (HISTOGRAM_SERVER_HEAD,
+                 timer_now_ms (request->front->node->timers) - request->sent_ms);
   dialect->read_answer (head, &request->answer);
   replica_note_answer (request->replica);
   request->refused = request->answer.not_run;
@@ -174,6 +206,9 @@
       request_fail (request, FAILURE_BROKEN, "no memory for the stream");
       return;
     }
+  if (!request->wrote_any)
+    histogram_add (HISTOGRAM_FIRST_EVENT, request_took_ms (request));
+  request->wrote_any = true;
   http_exchange_write (request->exchange, bytes, n_bytes);
 }
 
@@ -184,6 +219,9 @@
 
   log_request (LOG_LEVEL_INFO, "answered", request->caller.id, request->caller.program,
                "status %u from %s", request->answer.status, request->tried[request->n_tried - 1]);
+  request_note_answered (request, request->route.kind == ROUTE_REPEATABLE
+                                      ? HISTOGRAM_ANSWER_REPEATABLE
+                                      : HISTOGRAM_ANSWER_ONCE);
   if (request->turn != NULL)
     turn_abandon (request);
   request->exchange = NULL;
@@ -194,6 +232,18 @@
   request_end (request);
 }
 
+void
+request_end_stream (struct Request *request)
+{
+  struct HttpExchange *exchange = request->exchange;
+
+  request_note_answered (request, HISTOGRAM_ANSWER_STREAM);
+  request->exchange = NULL;
+  exchange->gone = NULL;
+  http_exchange_end (exchange);
+  request_end (request);
+}
+
 static void
 request_on_whole (struct Request *request)
 {
@@ -202,14 +252,7 @@
   if (request->streaming && request->turn != NULL)
     turn_finish (request);
   else if (request->streaming)
-    {
-      struct HttpExchange *exchange = request->exchange;
-
-      request->exchange = NULL;
-      exchange->gone = NULL;
-      http_exchange_end (exchange);
-      request_end (request);
-    }
+    request_end_stream (request);
   else if (is_success && !request->answer.genuine)
     {
       /* A success without the server's proof is not its answer: a spoiled one is never passed on.
@@ -367,6 +410,9 @@
       if (!request_submit (request, replica))
         continue;
       request->replica = replica;
+      request->sent_ms = timer_now_ms (request->front->node->timers);
+      if (request->n_tried > 1)
+        counter_add (COUNTER_REQUESTS_SENT_AGAIN, 1);
       replica->in_flight++;
       replica_note_sent (replica, request->caller.parts, request->caller.n_parts);
       request_be_patient (request);
--- a/gateway/store_reader.c
+++ b/gateway/store_reader.c
@@ -1,6 +1,7 @@
 #include "store_reader.h"
 
 #include <buckthornhead/counter.h>
+#include <buckthornhead/histogram.h>
 #include <buckthornhead/kv_guard.h>
 #include <buckthornhead/log.h>
 
@@ -46,6 +47,8 @@
   uint32_t failures; /* in a row */
   int64_t asked_ms;  /* of the call on the way */
   bool asking;
+  int64_t called_ms;         /* when the call on the way left */
+  bool waiting;              /* it is one that waits for changes */
   int64_t watched;           /* ROUTES: revision of the store up to which changes were looked for */
   struct Snapshot *snapshot; /* what is held */
   struct SnapshotItem *pages; /* of the range that is being read */
@@ -357,6 +360,8 @@
 
   topic->failures = 0;
   topic->asking = false;
+  if (!topic->waiting)
+    histogram_add (HISTOGRAM_STORE_CALL, timer_now_ms (reader->node->timers) - topic->called_ms);
   topic->next_ms = 0;
   reader_note (reader, true, ERROR_NONE);
 }
@@ -519,6 +524,8 @@
     {
       topic->asked_ms = timer_now_ms (reader->node->timers);
       reader->topics[SNAPSHOT_RETIRE].read_ms = 0;
+      topic->called_ms = topic->asked_ms;
+      topic->waiting = false;
       routes_read (reader);
       return;
     }
@@ -547,6 +554,7 @@
   request.watch.prefix = reader->node->dialect->operator_prefix;
   request.watch.start_revision = topic->watched + 1;
   request.watch.wait_ms = ROUTES_WAIT_MS;
+  topic->waiting = true;
   if (kv_submit_guarded (reader, reader->node->store, &request, routes_on_watched, reader)
       != ERROR_NONE)
     topic_failed (reader, SNAPSHOT_ROUTES, ERROR_NO_MEMORY);
@@ -568,8 +576,11 @@
 static void
 topic_ask (struct StoreReader *reader, enum SnapshotKind kind)
 {
+  struct Topic *topic = &reader->topics[kind];
   char prefix[96];
 
+  topic->called_ms = timer_now_ms (reader->node->timers);
+  topic->waiting = false;
   switch (kind)
     {
     case SNAPSHOT_ROUTES:
--- a/gateway/turn.c
+++ b/gateway/turn.c
@@ -2,6 +2,8 @@
 
 #include "relay.h"
 
+#include <buckthornhead/counter.h>
+#include <buckthornhead/histogram.h>
 #include <buckthornhead/log.h>
 #include <buckthornhead/turn_quorum.h>
 
@@ -34,7 +36,8 @@
 struct Turn
 {
   enum TurnPhase phase;
-  uint64_t question; /* id of the question that is open */
+  int64_t started_ms, phase_ms; /* when the turn and its present phase began */
+  uint64_t question;            /* id of the question that is open */
   struct Timer *timer;
   struct ArchiveNames answered; /* archives, to this question */
   struct ArchiveNames complete; /* of them, those that lack nothing */
@@ -74,6 +77,7 @@
 turn_ask (struct Request *request, struct Turn *turn, enum TurnPhase phase)
 {
   turn->phase = phase;
+  turn->phase_ms = timer_now_ms (request->front->node->timers);
   turn->question = node_next_id (request->front->node);
   turn->answered.n = 0;
   turn->complete.n = 0;
@@ -178,6 +182,7 @@
       return;
     }
   request->turn = turn;
+  turn->started_ms = timer_now_ms (front->node->timers);
   if (request->caller.program[0] == '\0')
     request->caller.program = request->caller.id;
   turn_ask (request, turn, TURN_OPENING);
@@ -343,6 +348,8 @@
   TALLOC_FREE (turn->pieces);
   turn->n_pieces = 0;
   turn->phase = TURN_RUNNING;
+  histogram_add (HISTOGRAM_TURN_OPEN,
+                 timer_now_ms (request->front->node->timers) - turn->started_ms);
   request_send (request);
 }
 
@@ -523,21 +530,19 @@
 turn_on_closed (struct Front *front, const char *archive, const struct TurnClosed *closed)
 {
   struct Request *request = turn_find (front, closed->id);
-  struct HttpExchange *exchange;
 
   if (request == NULL || request->turn->phase != TURN_CLOSING || closed->error != ERROR_NONE
       || !turn_note_answer (request->turn, archive)
       || !archive_set_is_written (&front->node->set, front->node->settings->tolerated,
                                   &request->turn->answered))
     return;
-  exchange = request->exchange;
-  request->exchange = NULL;
-  exchange->gone = NULL;
+  counter_add (COUNTER_TURNS_STORED, 1);
+  histogram_add (HISTOGRAM_TURN_STORE,
+                 timer_now_ms (front->node->timers) - request->turn->phase_ms);
   log_request (LOG_LEVEL_INFO, "turn_stored", request->caller.id, request->caller.program,
                "%u events from %s, on %u archives", request->events.n_events,
                request->tried[request->n_tried - 1], request->turn->answered.n);
-  http_exchange_end (exchange);
-  request_end (request);
+  request_end_stream (request);
 }
 
 void
--- a/tests/operations_page.sh
+++ b/tests/operations_page.sh
@@ -18,6 +18,12 @@
   grep -q "\`$name\`" "$page" || fail "counter $name is not explained"
 done
 
+histograms=$(tr '\n' ' ' <core/histogram.c | grep -oE 'MILLISECONDS \("[a-z_]+"' \
+  | sed -E 's/MILLISECONDS \("(.*)"/\1/')
+for name in $histograms; do
+  grep -q "\`$name\`" "$page" || fail "histogram $name is not explained"
+done
+
 # The second argument of log_event, or both ends of a choice between two.
 sources=$(cat core/*.c core/gateway/*.c adapters/*.c daemon/*.c gateway/*.c | tr '\n' ' ')
 events=$({ echo "$sources" | grep -oE 'log_(event|request) \([^,]*,[^,]*,' | grep -oE '"[a-z_]+"'
@@ -35,6 +41,8 @@
 
 n_counters=$(echo "$counters" | wc -w)
 n_events=$(echo "$events" | wc -w)
-[ "$n_counters" -ge 37 ] || fail "only $n_counters counters found"
-echo "$n_counters counters, $n_events events, $failures failures"
+[ "$n_counters" -ge 46 ] || fail "only $n_counters counters found"
+n_histograms=$(echo "$histograms" | wc -w)
+[ "$n_histograms" -ge 10 ] || fail "only $n_histograms histograms found"
+echo "$n_counters counters, $n_histograms histograms, $n_events events, $failures failures"
 [ "$failures" = 0 ]
--- a/tests/sessions/gateways.c
+++ b/tests/sessions/gateways.c
@@ -24,10 +24,12 @@
   snprintf (g->ready, sizeof g->ready, "127.0.0.1:%u", session_port (fleet->session));
   snprintf (g->directory, sizeof g->directory, "127.0.0.1:%u", session_port (fleet->session));
   snprintf (g->peer, sizeof g->peer, "127.0.0.1:%u", session_port (fleet->session));
+  snprintf (g->metrics, sizeof g->metrics, "127.0.0.1:%u", session_port (fleet->session));
   snprintf (text, sizeof text,
             "[instance]\nname = %s\nzone = a\n[listen]\ncaller = %s\nready = %s\n"
-            "directory = %s\npeer = %s\n[platform]\nstore = http://%s\n[stop]\ngrace = 6s\n",
-            g->name, g->caller, g->ready, g->directory, g->peer, fleet->store);
+            "directory = %s\npeer = %s\nmetrics = %s\n[platform]\nstore = http://%s\n[stop]\ngrace "
+            "= 6s\n",
+            g->name, g->caller, g->ready, g->directory, g->peer, g->metrics, fleet->store);
   snprintf (name, sizeof name, "%s.ini", g->name);
   g->file = session_write_file (fleet->session, name, text);
 }
@@ -43,11 +45,15 @@
   snprintf (a->name, sizeof a->name, "storage-of-a-large-zone-%u", i + 1);
   snprintf (a->folder, sizeof a->folder, "%s/data-%u", session_folder (fleet->session), i + 1);
   if (a->peer_port == 0)
-    a->peer_port = session_port (fleet->session);
+    {
+      a->peer_port = session_port (fleet->session);
+      snprintf (a->metrics, sizeof a->metrics, "127.0.0.1:%u", session_port (fleet->session));
+    }
   snprintf (text, sizeof text,
             "[instance]\nname = %s\nzone = a\ndata_folder = %s\n[listen]\n"
-            "peer = 127.0.0.1:%u\n[platform]\nstore = http://%s\n[archives]\nfirst_start = %s\n",
-            a->name, a->folder, a->peer_port, fleet->store, first ? "true" : "false");
+            "peer = 127.0.0.1:%u\nmetrics = %s\n[platform]\nstore = "
+            "http://%s\n[archives]\nfirst_start = %s\n",
+            a->name, a->folder, a->peer_port, a->metrics, fleet->store, first ? "true" : "false");
   snprintf (name, sizeof name, "%s.ini", a->name);
   a->file = session_write_file (fleet->session, name, text);
 }
--- a/tests/sessions/gateways.h
+++ b/tests/sessions/gateways.h
@@ -17,7 +17,7 @@
 {
   struct Process *process;
   char name[32];
-  char caller[32], ready[32], directory[32], peer[32];
+  char caller[32], ready[32], directory[32], peer[32], metrics[32];
   const char *file;
 };
 
@@ -26,6 +26,7 @@
   struct Process *process;
   char name[32];
   char folder[300];
+  char metrics[32];
   const char *file;
   uint16_t peer_port;
 };
--- a/tests/sessions/test_gateway_path.c
+++ b/tests/sessions/test_gateway_path.c
@@ -4,6 +4,7 @@
 
 #include <signal.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
@@ -128,6 +129,47 @@
   talloc_free (ctx);
 }
 
+/* The value of the metric name at address; 0 when it is not there. */
+static uint64_t
+metric (const char *address, const char *name)
+{
+  struct HttpReply *reply = http_get (NULL, address, "/metrics");
+  char *line = talloc_asprintf (reply, "\n%s ", name);
+  const char *at = strstr (reply->text, line);
+  uint64_t value = at != NULL ? strtoull (at + strlen (line), NULL, 10) : 0;
+
+  CU_ASSERT_EQUAL (reply->status, 200);
+  talloc_free (reply);
+  return value;
+}
+
+/* The monitoring sees a turn where it passed: answered at its gateway, synced on an archive's
+ * disk, each with its time. A collector that asks on is not refused. */
+static void
+test_metrics_show_a_turn_where_it_passed (void)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct Fleet *fleet = fleet_start (ctx, 1, 3);
+  uint32_t n_failed = CU_get_number_of_failures ();
+  const char *gateway = fleet->gateways[0].metrics;
+
+  CU_ASSERT_EQUAL (turn_send_until_taken (fleet, ctx, 0, "p", "t1", "", "x")->status, 200);
+  desk_send (fleet, ctx, 0, "/nowhere/1", "r1");
+  CU_ASSERT_EQUAL (metric (gateway, "buckthornhead_turns_stored_total"), 1);
+  CU_ASSERT_EQUAL (metric (gateway, "buckthornhead_answer_stream_milliseconds_count"), 1);
+  CU_ASSERT_EQUAL (metric (gateway, "buckthornhead_first_event_milliseconds_count"), 1);
+  CU_ASSERT_EQUAL (metric (gateway, "buckthornhead_turn_store_milliseconds_count"), 1);
+  CU_ASSERT_EQUAL (metric (gateway, "buckthornhead_requests_rejected_total"), 1);
+  for (uint32_t i = 0; i < 40; i++)
+    CU_ASSERT (metric (gateway, "buckthornhead_store_call_milliseconds_count") > 0);
+  CU_ASSERT (metric (fleet->archives[0].metrics, "buckthornhead_archive_records_total")
+                 + metric (fleet->archives[1].metrics, "buckthornhead_archive_records_total")
+             > 1);
+  CU_ASSERT (metric (fleet->archives[2].metrics, "buckthornhead_disk_sync_milliseconds_count") > 0);
+  fleet_end (fleet, CU_get_number_of_failures () > n_failed);
+  talloc_free (ctx);
+}
+
 /* The operators change a route twice in quick succession, while one gateway starts anew. All of
  * them end with the newest version, and none goes back. */
 static void
@@ -210,6 +252,7 @@
   { "a budget holds over all gateways", test_a_budget_holds_over_all_gateways },
   { "unknown turns and routes are told so", test_unknown_turns_and_routes_are_told_so },
   { "a change reaches all gateways", test_a_change_reaches_all_gateways },
+  { "metrics show a turn where it passed", test_metrics_show_a_turn_where_it_passed },
   { "a planned stop cuts nothing", test_a_planned_stop_cuts_nothing },
   { NULL, NULL },
 };
