An archive's copy is whole once its last record is on its own disk

Cause (found by reading): archive_copy called the copy done, marked the disk complete and let the change of the set go on as soon as the sources had given all; the last records still waited for the writer's sync. A loss of power in those milliseconds leaves a disk that says it lacks nothing and does. A record whose write failed was not noticed at all. Ruled out: marking through the writer's queue: it orders, but does not see failed writes. Change: copy_progress counts records on their way and failed ones; a copy ends when none is left, and is made again after a failure. Test: test_copy_progress (the decision did not exist before); sessions_gateway_archives passes.

--- a/gateway/archive.c
+++ b/gateway/archive.c
@@ -27,13 +27,14 @@
   struct DiskLog *log;
   struct TurnIndex *index;
   struct ArchiveMember *member;
+  struct CopyProgress copying; /* of records that come from other archives */
 };
 
 /* A question that is answered once its record is durable. */
 struct ArchiveWrite
 {
   struct Archive *archive;
-  uint64_t link;
+  uint64_t link; /* where the question came; PEER_LINK_NONE: copied from another archive */
   enum ArchiveRecordKind kind;
   struct TurnOpen open;
   struct TurnClose close; /* without its texts */
@@ -214,15 +215,14 @@
                "%s", error_name (error));
   else
     counter_add (COUNTER_ARCHIVE_RECORDS, 1);
-  if (write->kind == ARCHIVE_RECORD_OPEN)
+  if (error == ERROR_NONE && write->kind == ARCHIVE_RECORD_CLOSE)
+    archive_index_close (archive, &write->close, place, clock_unix_ms ());
+  if (write->link == PEER_LINK_NONE)
+    copy_progress_end (&archive->copying, error);
+  else if (write->kind == ARCHIVE_RECORD_OPEN)
     archive_answer_opened (archive, write->link, &write->open, error);
   else
-    {
-      if (error == ERROR_NONE)
-        archive_index_close (archive, &write->close, place, clock_unix_ms ());
-      if (write->link != PEER_LINK_NONE)
-        archive_answer_closed (archive, write->link, write->close.id, error);
-    }
+    archive_answer_closed (archive, write->link, write->close.id, error);
   talloc_free (write);
 }
 
@@ -307,15 +307,41 @@
     }
   if (error == ERROR_NONE)
     return;
-  if (link != PEER_LINK_NONE)
-    archive_answer_closed (archive, link, close->id, error);
+  archive_answer_closed (archive, link, close->id, error);
   talloc_free (write);
 }
 
+struct CopyProgress *
+archive_copy_progress (struct Archive *archive)
+{
+  return &archive->copying;
+}
+
+/* ERROR_NO_MEMORY: the record is not on its way. */
+static int32_t
+archive_append_copy (struct Archive *archive, const struct ArchiveRecord *record)
+{
+  struct ArchiveWrite *write = archive_write_new (archive, PEER_LINK_NONE, record->kind);
+  int64_t keep_ms =
+      record->kind == ARCHIVE_RECORD_CLOSE ? record->close.retention_ms : RESERVATION_KEEP_MS;
+  int32_t error;
+
+  if (write == NULL)
+    return ERROR_NO_MEMORY;
+  write->open = record->open;
+  write->close = record->close;
+  write->close.text.input = NULL;
+  write->close.text.output = NULL;
+  error = archive_append (archive, record, keep_ms, write);
+  if (error != ERROR_NONE)
+    talloc_free (write);
+  return error;
+}
+
 void
 archive_take_copy (struct Archive *archive, const struct ArchiveRecord *record)
 {
-  struct ArchiveWrite *write;
+  int32_t error;
 
   if (record->kind == ARCHIVE_RECORD_OPEN)
     {
@@ -325,20 +351,10 @@
     }
   else if (turn_index_is_closed (archive->index, record->close.program, record->close.text.turn))
     return;
-  write = archive_write_new (archive, PEER_LINK_NONE, ARCHIVE_RECORD_CLOSE);
-  if (write == NULL)
-    return;
-  write->kind = record->kind;
-  write->open = record->open;
-  write->close = record->close;
-  write->close.text.input = NULL;
-  write->close.text.output = NULL;
-  if (archive_append (archive, record,
-                      record->kind == ARCHIVE_RECORD_CLOSE ? record->close.retention_ms
-                                                           : RESERVATION_KEEP_MS,
-                      write)
-      != ERROR_NONE)
-    talloc_free (write);
+  copy_progress_begin (&archive->copying);
+  error = archive_append_copy (archive, record);
+  if (error != ERROR_NONE)
+    copy_progress_end (&archive->copying, error);
 }
 
 static void
--- a/gateway/archive_copy.c
+++ b/gateway/archive_copy.c
@@ -63,7 +63,20 @@
     }
 }
 
-/* True when enough is copied: the copy is freed then. */
+/* From the start of all sources again: what is here already is passed over. */
+static void
+copy_restart (struct ArchiveCopy *copy)
+{
+  log_event (LOG_LEVEL_WARNING, "archive_copy_failed", NULL, "look at the disk",
+             "%llu of %llu records were not written: it is made again",
+             (unsigned long long)archive_copy_progress (copy->archive)->n_failed,
+             (unsigned long long)copy->n_records);
+  copy_progress_reset (archive_copy_progress (copy->archive));
+  copy->n_sources = 0;
+  copy->n_records = 0;
+}
+
+/* True when enough is copied, and on the disk: the copy is freed then. */
 static bool
 copy_check_done (struct ArchiveCopy *copy)
 {
@@ -74,6 +87,16 @@
       archive_names_add (&finished, copy->sources[i].node);
   if (!copy->options.is_enough (copy->options.data, &finished))
     return false;
+  switch (copy_progress_state (archive_copy_progress (copy->archive)))
+    {
+    case COPY_WRITING:
+      return false;
+    case COPY_FAILED:
+      copy_restart (copy);
+      return false;
+    case COPY_DURABLE:
+      break;
+    }
   log_event (LOG_LEVEL_NOTICE, "archive_copied", NULL, NULL, "%llu records from %u archives",
              (unsigned long long)copy->n_records, finished.n);
   copy->options.done (copy->options.data);
@@ -126,7 +149,7 @@
   struct Node *node = copy->node;
   int64_t now_ms = timer_now_ms (node->timers);
 
-  /* The set may have changed since the last part came. */
+  /* The set may have changed since the last part came, or the disk has caught up. */
   if (copy_check_done (copy))
     return;
   for (size_t i = 0; i < node->n_peers; i++)
--- a/gateway/archive_copy.h
+++ b/gateway/archive_copy.h
@@ -4,6 +4,7 @@
 
 #include "node.h"
 
+#include <buckthornhead/copy_progress.h>
 #include <buckthornhead/disk_log.h>
 
 struct Archive;
@@ -34,11 +35,15 @@
 void
 archive_take_copy (struct Archive *archive, const struct ArchiveRecord *record);
 
+/* Of all that archive_take_copy took. */
+struct CopyProgress *
+archive_copy_progress (struct Archive *archive);
+
 struct ArchiveCopyOptions
 {
   /* May this archive be copied from? */
   bool (*is_source) (void *data, const char *archive);
-  /* Have enough given all that they hold? */
+  /* Have enough given all that they hold? Done is called once that is durable here. */
   bool (*is_enough) (void *data, const struct ArchiveNames *archives);
   /* A source's end counts if it was asked for this long after the start. */
   int64_t settle_ms;
