Engines have owners: they order who is sent, and tell what each engine holds

Change: each engine has one owner, a live gateway of its zone found by hash; it grants slots, first to programs that can still be in time and are under way, and tells in its heartbeat what the engine was sent last, as far as half its memory holds it. What would be read anew weighs with half of what runs there, since it delays all of that. What can't start in its caller's time is sent back at once with a time to come again. An owner that is silent for 60 ms holds nobody up.

--- a/core/gateway/gateway_message.c
+++ b/core/gateway/gateway_message.c
@@ -133,6 +133,31 @@
   r->failed = r->failed || list.failed || opened->charges == NULL;
 }
 
+static void
+digest_pack (struct PackWriter *p, const struct SlotDigest *digest)
+{
+  pack_string (p, digest->server);
+  pack_u64 (p, digest->total);
+  pack_array (p, digest->n_parts);
+  for (uint32_t i = 0; i < digest->n_parts; i++)
+    pack_u64 (p, digest->parts[i]);
+}
+
+static void
+digest_unpack (struct PackReader *r, struct SlotDigest *digest)
+{
+  struct PackReader list;
+
+  read_string (r, digest->server, sizeof digest->server);
+  digest->total = (uint32_t)read_u64 (r, UINT32_MAX);
+  read_array (r, &list);
+  if (list.n_items > SLOT_PARTS_MAX)
+    list.failed = true;
+  for (size_t i = 0; i < list.n_items && !list.failed; i++)
+    digest->parts[digest->n_parts++] = read_u64 (&list, UINT64_MAX);
+  r->failed = r->failed || list.failed;
+}
+
 static void
 status_pack (struct PackWriter *p, const struct NodeStatus *status)
 {
@@ -153,6 +178,9 @@
       pack_string (p, status->loads[i].replica);
       pack_u64 (p, status->loads[i].in_flight);
     }
+  pack_array (p, 3 * status->n_owned);
+  for (size_t i = 0; i < status->n_owned; i++)
+    digest_pack (p, &status->owned[i]);
 }
 
 static void
@@ -179,6 +207,11 @@
       status->loads[i].in_flight = (uint32_t)read_u64 (&list, UINT32_MAX);
     }
   r->failed = r->failed || list.failed || status->loads == NULL;
+  status->n_owned = list_enter (r, &list, 3);
+  status->owned = talloc_zero_array (ctx, struct SlotDigest, status->n_owned);
+  for (size_t i = 0; status->owned != NULL && i < status->n_owned; i++)
+    digest_unpack (&list, &status->owned[i]);
+  r->failed = r->failed || list.failed || status->owned == NULL;
 }
 
 static void
@@ -237,6 +270,58 @@
   part->records = read_bytes (r, ctx, &part->records_bytes);
 }
 
+static void
+slot_ask_pack (struct PackWriter *p, const struct SlotAskMessage *ask)
+{
+  pack_u64 (p, ask->id);
+  pack_string (p, ask->server);
+  pack_u64 (p, ask->slots);
+  pack_u64 (p, ask->priority);
+  pack_bool (p, ask->continues);
+  pack_bool (p, ask->has_program_due);
+  pack_i64 (p, ask->program_left_ms);
+  pack_i64 (p, ask->left_ms);
+  pack_u64 (p, ask->capacity_tokens);
+  pack_u64 (p, ask->part);
+  pack_u64 (p, ask->part_tokens);
+}
+
+static void
+slot_ask_unpack (struct PackReader *r, struct SlotAskMessage *ask)
+{
+  ask->id = read_u64 (r, UINT64_MAX);
+  read_string (r, ask->server, sizeof ask->server);
+  ask->slots = (uint32_t)read_u64 (r, UINT32_MAX);
+  ask->priority = (uint32_t)read_u64 (r, UINT32_MAX);
+  ask->continues = read_bool (r);
+  ask->has_program_due = read_bool (r);
+  ask->program_left_ms = read_i64 (r);
+  ask->left_ms = read_i64 (r);
+  ask->capacity_tokens = read_u64 (r, UINT64_MAX);
+  ask->part = read_u64 (r, UINT64_MAX);
+  ask->part_tokens = (uint32_t)read_u64 (r, UINT32_MAX);
+}
+
+static void
+slot_state_pack (struct PackWriter *p, const struct SlotStateMessage *message)
+{
+  pack_u64 (p, message->id);
+  pack_bool (p, message->state.granted);
+  pack_u64 (p, message->state.total);
+  pack_u64 (p, message->state.ahead);
+  pack_u64 (p, message->state.wait_ms);
+}
+
+static void
+slot_state_unpack (struct PackReader *r, struct SlotStateMessage *message)
+{
+  message->id = read_u64 (r, UINT64_MAX);
+  message->state.granted = read_bool (r);
+  message->state.total = (uint32_t)read_u64 (r, UINT32_MAX);
+  message->state.ahead = (uint32_t)read_u64 (r, UINT32_MAX);
+  message->state.wait_ms = (uint32_t)read_u64 (r, UINT32_MAX);
+}
+
 /* Number of items of each kind, the kind itself included. */
 static size_t
 message_n_items (enum GatewayKind kind)
@@ -254,13 +339,18 @@
     case GATEWAY_TURN_CLOSE:
       return 12;
     case GATEWAY_STATUS:
-      return 13;
+      return 14;
     case GATEWAY_RELAY:
       return 4;
     case GATEWAY_SNAPSHOT:
       return 7;
     case GATEWAY_COPY_PART:
+    case GATEWAY_SLOT_STATE:
       return 6;
+    case GATEWAY_SLOT_ASK:
+      return 12;
+    case GATEWAY_SLOT_DONE:
+      return 3;
     }
   return 0;
 }
@@ -314,6 +404,16 @@
       pack_string (p, message->relay.from);
       pack_bytes (p, message->relay.message, message->relay.message_bytes);
       break;
+    case GATEWAY_SLOT_ASK:
+      slot_ask_pack (p, &message->slot_ask);
+      break;
+    case GATEWAY_SLOT_STATE:
+      slot_state_pack (p, &message->slot_state);
+      break;
+    case GATEWAY_SLOT_DONE:
+      pack_u64 (p, message->slot_done.id);
+      pack_string (p, message->slot_done.server);
+      break;
     }
   return pack_finish (p, ctx, bytes, n_bytes);
 }
@@ -358,6 +458,16 @@
       read_string (r, m->relay.from, sizeof m->relay.from);
       m->relay.message = read_bytes (r, ctx, &m->relay.message_bytes);
       break;
+    case GATEWAY_SLOT_ASK:
+      slot_ask_unpack (r, &m->slot_ask);
+      break;
+    case GATEWAY_SLOT_STATE:
+      slot_state_unpack (r, &m->slot_state);
+      break;
+    case GATEWAY_SLOT_DONE:
+      m->slot_done.id = read_u64 (r, UINT64_MAX);
+      read_string (r, m->slot_done.server, sizeof m->slot_done.server);
+      break;
     default:
       r->failed = true;
     }
@@ -376,7 +486,7 @@
   *message = NULL;
   if (opened == NULL)
     goto fail;
-  m->kind = (enum GatewayKind)read_u64 (&reader, GATEWAY_RELAY);
+  m->kind = (enum GatewayKind)read_u64 (&reader, GATEWAY_SLOT_DONE);
   if (reader.failed || reader.n_items != message_n_items (m->kind))
     goto fail;
   message_unpack_body (&reader, m, m);
--- a/core/gateway/replica_set.c
+++ b/core/gateway/replica_set.c
@@ -166,6 +166,28 @@
     }
 }
 
+const struct PrefixPart *
+prefix_shared_part (const struct PrefixPart *parts, size_t n_parts)
+{
+  const struct PrefixPart *largest = NULL;
+
+  for (size_t p = 0; p + 1 < n_parts; p++)
+    if (largest == NULL || parts[p].tokens > largest->tokens)
+      largest = &parts[p];
+  return largest;
+}
+
+void
+replica_take_digest (struct Replica *replica, const struct SlotDigest *digest)
+{
+  replica->owned = true;
+  replica->peers_in_flight =
+      digest->total > replica->in_flight ? digest->total - replica->in_flight : 0;
+  replica->n_cached = digest->n_parts;
+  for (uint32_t i = 0; i < digest->n_parts; i++)
+    replica->cached[i].id = digest->parts[i];
+}
+
 static bool
 query_tried (const struct ReplicaQuery *query, const char *id)
 {
@@ -203,6 +225,9 @@
   uint64_t slots = replica->entry.slots > 0 ? replica->entry.slots : 1;
   uint64_t cost_us = missing_tokens (replica, query) * 1000 / PREFILL_TOKENS_PER_MS;
 
+  /* What is read anew delays all that run there by as long; half of that is counted. Measured on
+   * the largest day of load of the sheets. */
+  cost_us += cost_us * (running < slots ? running : slots) / 2;
   cost_us += running * COST_RUNNING_US * 8 / slots;
   if (running >= slots)
     cost_us += (running - slots + 1) * COST_WAITING_US * 32 / slots;
@@ -266,7 +291,8 @@
 replica_set_clear_peers (struct ReplicaSet *set)
 {
   for (size_t i = 0; i < set->n_replicas; i++)
-    set->replicas[i]->peers_in_flight = 0;
+    if (!set->replicas[i]->owned)
+      set->replicas[i]->peers_in_flight = 0;
 }
 
 uint8_t *
--- a/gateway/archive.c
+++ b/gateway/archive.c
@@ -398,6 +398,9 @@
     case GATEWAY_STATUS:
     case GATEWAY_SNAPSHOT:
     case GATEWAY_RELAY:
+    case GATEWAY_SLOT_ASK:
+    case GATEWAY_SLOT_STATE:
+    case GATEWAY_SLOT_DONE:
       break;
     }
 }
--- a/gateway/front.c
+++ b/gateway/front.c
@@ -1,5 +1,6 @@
 #include "front.h"
 
+#include "slots.h"
 #include "store_reader.h"
 
 #include <buckthornhead/counter.h>
@@ -126,6 +127,11 @@
             route_choose_service (route, front->draws++ * 2654435761U >> 7));
   service = route_table_service (front->table, request->service);
   request->tokens_per_event = service != NULL ? service->tokens_per_event : 1;
+  request->capacity_tokens = service != NULL ? service->capacity_tokens : 0;
+  request->takes_slot = service != NULL && service->is_engine && route->kind == ROUTE_STREAM;
+  request->program_due_ms = request->caller.has_program_left
+                                ? request->arrived_ms + request->caller.program_left_ms
+                                : INT64_MAX;
   request->connections_max = connections_share (service, front->n_gateways);
   time_ms = route->timeout_ms;
   if (request->caller.timeout_ms > 0 && request->caller.timeout_ms < time_ms)
@@ -339,7 +345,6 @@
 {
   struct Front *front = data;
 
-  (void)link;
   switch (message->kind)
     {
     case GATEWAY_TURN_OPENED:
@@ -348,6 +353,15 @@
     case GATEWAY_TURN_CLOSED:
       turn_on_closed (front, sender, &message->closed);
       break;
+    case GATEWAY_SLOT_ASK:
+      slots_on_ask (front->slots, link, sender, &message->slot_ask);
+      break;
+    case GATEWAY_SLOT_STATE:
+      slots_on_state (front, &message->slot_state);
+      break;
+    case GATEWAY_SLOT_DONE:
+      slots_on_done (front->slots, sender, &message->slot_done);
+      break;
     case GATEWAY_TURN_OPEN:
     case GATEWAY_TURN_READ:
     case GATEWAY_TURN_CLOSE:
@@ -379,10 +393,11 @@
   status->ready = front_is_ready (front);
   status->reaches_archives = front->stop_ms == 0 && node_reaches_archives (front->node);
   status->config_version = front->table != NULL ? front->table->version : 0;
+  status->owned = slots_digest (front->slots, ctx, &status->n_owned);
   status->loads = talloc_zero_array (ctx, struct ReplicaLoad, set->n_replicas);
   for (size_t i = 0; status->loads != NULL && i < set->n_replicas; i++)
     {
-      if (set->replicas[i]->in_flight == 0)
+      if (set->replicas[i]->in_flight == 0 || set->replicas[i]->owned)
         continue;
       snprintf (status->loads[status->n_loads].replica, NAME_MAX_BYTES + 1, "%s",
                 set->replicas[i]->entry.id);
@@ -390,6 +405,28 @@
     }
 }
 
+static void
+front_take_digests (struct Front *front, const struct SlotDigest *digests, size_t n_digests)
+{
+  for (size_t i = 0; i < n_digests; i++)
+    {
+      struct Replica *replica = replica_set_find (front->replicas, digests[i].server);
+
+      if (replica != NULL)
+        replica_take_digest (replica, &digests[i]);
+    }
+}
+
+static void
+front_take_own_digests (struct Front *front)
+{
+  size_t n_digests;
+  struct SlotDigest *digests = slots_digest (front->slots, front, &n_digests);
+
+  front_take_digests (front, digests, n_digests);
+  talloc_free (digests);
+}
+
 static void
 front_sum_loads (struct Front *front)
 {
@@ -406,7 +443,7 @@
         {
           struct Replica *replica = replica_set_find (front->replicas, status->loads[j].replica);
 
-          if (replica != NULL)
+          if (replica != NULL && !replica->owned)
             replica->peers_in_flight += status->loads[j].in_flight;
         }
     }
@@ -417,6 +454,7 @@
 {
   struct Front *front = data;
 
+  front_take_digests (front, peer->status.owned, peer->status.n_owned);
   if (front->table != NULL && store_reader_is_near (front->node->reader, peer->status.node)
       && peer->status.caller_address[0] != '\0' && peer->status.config_version > 0
       && peer->status.config_version < front->table->version)
@@ -444,6 +482,8 @@
 
   front_sum_loads (front);
   front_count_gateways (front);
+  front_take_own_digests (front);
+  slots_expire (front->slots);
   replica_set_expire (front->replicas, timer_now_ms (front->node->timers));
 }
 
@@ -501,7 +541,8 @@
   f->node = node;
   f->replicas = replica_set_new (f);
   f->client = http_client_new (f, node->events, node->timers, &client_options);
-  if (f->replicas == NULL || f->client == NULL)
+  f->slots = slots_new (f);
+  if (f->replicas == NULL || f->client == NULL || f->slots == NULL)
     return fault_set (fault, ERROR_NO_MEMORY, NULL, "no memory for the gateway");
   error = front_listen_all (f, fault);
   if (error != ERROR_NONE)
--- a/gateway/front.h
+++ b/gateway/front.h
@@ -15,6 +15,8 @@
 };
 
 struct Front;
+struct SlotWait;
+struct Slots;
 struct Turn;
 
 /* Why a request was not answered by a server; each has one status for the caller. */
@@ -25,6 +27,7 @@
   FAILURE_MALFORMED,   /* the request lacks what it must say */
   FAILURE_NO_SERVER,   /* no server could take it; it did not run */
   FAILURE_OUT_OF_TIME, /* its time was over before it was sent */
+  FAILURE_BUSY,        /* more requests than the servers can run in its time; it did not run */
   FAILURE_STOPPING,    /* planned stop; it did not run */
   FAILURE_UNCERTAIN,   /* too few archives answered to be sure; it did not run */
   FAILURE_NO_TURN,     /* the turn that it continues does not exist */
@@ -42,6 +45,9 @@
   struct Route route; /* a copy: the table may change meanwhile */
   char service[NAME_MAX_BYTES + 1];
   uint32_t tokens_per_event;
+  uint64_t capacity_tokens; /* of one server's memory for prompts; 0: not known */
+  bool takes_slot;          /* its server's owner says when it may be sent */
+  int64_t program_due_ms;   /* when its program should be finished; INT64_MAX: not known */
   uint32_t connections_max; /* of this gateway to one server of the service */
   int64_t arrived_ms;       /* when it was whole */
   int64_t due_ms;           /* the end of its time, the caller's or the route's */
@@ -52,6 +58,7 @@
   const char *cached_at; /* server that ran the turn before; "" for none */
 
   /* The attempt at a server. */
+  struct SlotWait *slot; /* with the server's owner; NULL: none was asked */
   struct HttpCall *call;
   struct Replica *replica;
   char *tried[TRIED_MAX];
@@ -75,6 +82,7 @@
   struct RouteTable *table; /* NULL: no configuration yet */
   struct ReplicaSet *replicas;
   struct HttpClient *client;
+  struct Slots *slots;
   struct HttpServer *callers, *ready, *directory;
   struct Request *requests;
   int64_t stop_ms; /* when the planned stop was asked for; 0: none */
@@ -103,6 +111,19 @@
 void
 request_send (struct Request *request);
 
+/* The server that the request should go to now; NULL when none may take it. */
+struct Replica *
+request_choose (struct Request *request);
+
+/* The owner of .replica lets it be sent, or there is none to ask. */
+void
+request_granted (struct Request *request);
+
+/* All servers that could take it are busy for longer than its caller waits: it may come back in
+ * wait_ms. */
+void
+request_busy (struct Request *request, uint32_t wait_ms);
+
 /* The stream was whole: the caller's answer ends, and the request with it. */
 void
 request_end_stream (struct Request *request);
--- a/gateway/node.c
+++ b/gateway/node.c
@@ -274,10 +274,14 @@
   if (!was_live)
     log_event (LOG_LEVEL_INFO, "peer_live", NULL, NULL, "%s at %s", sender, status->peer_address);
   talloc_free (peer->status.loads);
+  talloc_free (peer->status.owned);
   peer->status = *status;
   peer->status.loads = talloc_memdup (peer, status->loads, status->n_loads * sizeof *status->loads);
   if (peer->status.loads == NULL)
     peer->status.n_loads = 0;
+  peer->status.owned = talloc_memdup (peer, status->owned, status->n_owned * sizeof *status->owned);
+  if (peer->status.owned == NULL)
+    peer->status.n_owned = 0;
   node_take_set (node, &status->set);
   peer->heard_ms = timer_now_ms (node->timers);
   peer->refused = false;
@@ -324,6 +328,9 @@
     case GATEWAY_TURN_CLOSED:
     case GATEWAY_COPY_WANT:
     case GATEWAY_COPY_PART:
+    case GATEWAY_SLOT_ASK:
+    case GATEWAY_SLOT_STATE:
+    case GATEWAY_SLOT_DONE:
       node->handler.message (node->handler.data, link, sender, message);
       break;
     case GATEWAY_RELAY:
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -1,4 +1,4 @@
-#include "front.h"
+#include "slots.h"
 
 #include <buckthornhead/counter.h>
 #include <buckthornhead/histogram.h>
@@ -36,6 +36,7 @@
   [FAILURE_MALFORMED] = { 400, NULL, "malformed", LOG_LEVEL_INFO },
   [FAILURE_NO_SERVER] = { 503, RETRY_AFTER_SHORT, "no_server", LOG_LEVEL_WARNING },
   [FAILURE_OUT_OF_TIME] = { 503, RETRY_AFTER_SHORT, "out_of_time", LOG_LEVEL_WARNING },
+  [FAILURE_BUSY] = { 503, NULL, "servers_busy", LOG_LEVEL_WARNING },
   [FAILURE_STOPPING] = { 503, "0", "stopping", LOG_LEVEL_INFO },
   [FAILURE_UNCERTAIN] = { 503, RETRY_AFTER_UNCERTAIN, "uncertain", LOG_LEVEL_WARNING },
   [FAILURE_NO_TURN] = { 404, NULL, "no_turn", LOG_LEVEL_WARNING },
@@ -82,6 +83,7 @@
 attempt_release (struct Request *request)
 {
   TALLOC_FREE (request->patience);
+  slots_release (request);
   if (request->replica != NULL)
     request->replica->in_flight--;
   request->replica = NULL;
@@ -102,13 +104,17 @@
   talloc_free (request);
 }
 
-void
-request_fail (struct Request *request, enum RequestFailure failure, const char *detail)
+/* Sends the caller the failure's answer; retry_after in seconds, NULL for none. */
+static void
+request_fail_until (struct Request *request,
+                    enum RequestFailure failure,
+                    const char *retry_after,
+                    const char *detail)
 {
   const struct FailureWords *words = &failure_words[failure];
   struct HttpExchange *exchange = request->exchange;
-  struct HttpHeader retry = { "Retry-After", words->retry_after };
-  struct HttpHeaders headers = { &retry, words->retry_after != NULL ? 1 : 0 };
+  struct HttpHeader retry = { "Retry-After", retry_after };
+  struct HttpHeaders headers = { &retry, retry_after != NULL ? 1 : 0 };
 
   log_request (
       words->level, words->name, request->caller.id, request->caller.program,
@@ -132,6 +138,23 @@
   request_end (request);
 }
 
+void
+request_fail (struct Request *request, enum RequestFailure failure, const char *detail)
+{
+  request_fail_until (request, failure, failure_words[failure].retry_after, detail);
+}
+
+void
+request_busy (struct Request *request, uint32_t wait_ms)
+{
+  char seconds[24], detail[96];
+
+  snprintf (seconds, sizeof seconds, "%u.%03u", wait_ms / 1000, wait_ms % 1000);
+  snprintf (detail, sizeof detail, "%s would take it in %u ms", request->replica->entry.id,
+            wait_ms);
+  request_fail_until (request, FAILURE_BUSY, seconds, detail);
+}
+
 /* The next server after an attempt that certainly did not run. */
 static void
 request_retry (struct Request *request, const char *detail)
@@ -310,7 +333,7 @@
 
 /* Sending. */
 
-static struct Replica *
+struct Replica *
 request_choose (struct Request *request)
 {
   struct Front *front = request->front;
@@ -397,6 +420,33 @@
                                          request_on_silence, request);
 }
 
+/* Sends the request to .replica; false when there was no connection to be had. */
+static bool
+request_send_to_replica (struct Request *request)
+{
+  struct Replica *replica = request->replica;
+
+  request->tried[request->n_tried++] = talloc_strdup (request, replica->entry.id);
+  if (!request_submit (request, replica))
+    return false;
+  request->sent_ms = timer_now_ms (request->front->node->timers);
+  if (request->n_tried > 1)
+    counter_add (COUNTER_REQUESTS_SENT_AGAIN, 1);
+  replica_note_sent (replica, request->caller.parts, request->caller.n_parts);
+  request_be_patient (request);
+  return true;
+}
+
+void
+request_granted (struct Request *request)
+{
+  /* While it waited, the server may have begun to leave, or used up its connections. */
+  if (!request->replica->entry.draining && request_send_to_replica (request))
+    return;
+  attempt_release (request);
+  request_send (request);
+}
+
 void
 request_send (struct Request *request)
 {
@@ -406,17 +456,16 @@
 
       if (replica == NULL)
         break;
-      request->tried[request->n_tried++] = talloc_strdup (request, replica->entry.id);
-      if (!request_submit (request, replica))
-        continue;
       request->replica = replica;
-      request->sent_ms = timer_now_ms (request->front->node->timers);
-      if (request->n_tried > 1)
-        counter_add (COUNTER_REQUESTS_SENT_AGAIN, 1);
       replica->in_flight++;
-      replica_note_sent (replica, request->caller.parts, request->caller.n_parts);
-      request_be_patient (request);
-      return;
+      if (request->takes_slot)
+        {
+          slots_ask (request);
+          return;
+        }
+      if (request_send_to_replica (request))
+        return;
+      attempt_release (request);
     }
   request_fail (request, request->may_have_run ? FAILURE_BROKEN : FAILURE_NO_SERVER,
                 request->n_tried > 0 ? "all servers refused it" : "no server is listed");
--- /dev/null
+++ b/gateway/slots.c
@@ -0,0 +1,383 @@
+#include "slots.h"
+
+#include <buckthornhead/log.h>
+
+#include <stdio.h>
+#include <string.h>
+#include <xxhash.h>
+
+enum
+{
+  /* An owner answers within a millisecond or two; one that does not for this long is gone, or so
+   * short of processor that waiting for it would cost more than the engine's own queue. */
+  OWNER_ANSWERS_MS = 60,
+  /* Between two questions of a request that waits: a lost answer or a new owner costs this much. */
+  ASK_AGAIN_MS = 200,
+  /* Callers give up a stream whose first event does not come for two seconds; what would wait
+   * longer is sent back while there is time to come again. */
+  CALLER_PATIENCE_MS = 2000,
+  /* Servers that a request goes over to while it waits, since another is less busy. */
+  MOVES_MAX = 2
+};
+
+/* A request's place with an owner. */
+struct SlotWait
+{
+  char owner[NAME_MAX_BYTES + 1];
+  char server[NAME_MAX_BYTES + 1];
+  uint64_t id;
+  bool granted;
+  bool answered; /* since it was asked last */
+  uint32_t n_moves;
+  struct Timer *timer;
+};
+
+struct Slots
+{
+  struct Front *front;
+  struct SlotQueues *queues; /* of the servers that this gateway owns */
+};
+
+struct Slots *
+slots_new (struct Front *front)
+{
+  struct Slots *slots = talloc_zero (front, struct Slots);
+
+  if (slots == NULL)
+    return NULL;
+  slots->front = front;
+  slots->queues = slot_queues_new (slots);
+  if (slots->queues == NULL)
+    TALLOC_FREE (slots);
+  return slots;
+}
+
+/* Owners. */
+
+struct OwnerChoice
+{
+  const char *name;
+  uint64_t score;
+};
+
+static void
+owner_offer (struct OwnerChoice *choice, const char *name, uint64_t server_hash)
+{
+  uint64_t score = XXH64 (name, strlen (name), server_hash);
+
+  if (choice->name != NULL && score <= choice->score)
+    return;
+  choice->name = name;
+  choice->score = score;
+}
+
+/* The live gateway that owns the server; zone NULL: of any zone. NULL when there is none. */
+static const char *
+owner_in_zone (const struct Front *front, const char *server, const char *zone)
+{
+  const struct Node *node = front->node;
+  uint64_t server_hash = XXH64 (server, strlen (server), 0);
+  struct OwnerChoice choice = { NULL, 0 };
+
+  if (front->stop_ms == 0 && (zone == NULL || strcmp (node->settings->zone, zone) == 0))
+    owner_offer (&choice, node->settings->instance, server_hash);
+  for (size_t i = 0; i < node->n_peers; i++)
+    {
+      const struct NodeStatus *status = &node->peers[i]->status;
+
+      if (status->ready && status->caller_address[0] != '\0'
+          && (zone == NULL || strcmp (status->zone, zone) == 0)
+          && node_peer_answers (node, node->peers[i]))
+        owner_offer (&choice, status->node, server_hash);
+    }
+  return choice.name;
+}
+
+static const char *
+slots_owner (const struct Front *front, const struct Replica *replica)
+{
+  const char *owner = owner_in_zone (front, replica->entry.id, replica->entry.zone);
+
+  return owner != NULL ? owner : owner_in_zone (front, replica->entry.id, NULL);
+}
+
+/* Asking. */
+
+static int32_t
+slots_send_ask (struct Request *request)
+{
+  struct Node *node = request->front->node;
+  struct SlotWait *wait = request->slot;
+  struct GatewayMessage message = { .kind = GATEWAY_SLOT_ASK };
+  struct SlotAskMessage *ask = &message.slot_ask;
+  const struct PrefixPart *shared =
+      prefix_shared_part (request->caller.parts, request->caller.n_parts);
+  int64_t now_ms = timer_now_ms (node->timers);
+
+  ask->id = wait->id;
+  snprintf (ask->server, sizeof ask->server, "%s", wait->server);
+  ask->slots = request->replica->entry.slots;
+  ask->priority = request->route.priority;
+  ask->continues = request->caller.previous[0] != '\0';
+  ask->has_program_due = request->program_due_ms != INT64_MAX;
+  ask->program_left_ms = ask->has_program_due ? request->program_due_ms - now_ms : 0;
+  ask->left_ms = request->due_ms - now_ms;
+  ask->capacity_tokens = request->capacity_tokens;
+  if (shared != NULL)
+    {
+      ask->part = shared->id;
+      ask->part_tokens = shared->tokens;
+    }
+  wait->answered = false;
+  return node_send (node, wait->owner, &message);
+}
+
+static void
+slots_tell_done (struct Request *request)
+{
+  struct SlotWait *wait = request->slot;
+  struct GatewayMessage message = { .kind = GATEWAY_SLOT_DONE };
+
+  message.slot_done.id = wait->id;
+  snprintf (message.slot_done.server, sizeof message.slot_done.server, "%s", wait->server);
+  node_send (request->front->node, wait->owner, &message);
+}
+
+static void
+slots_go (struct Request *request)
+{
+  TALLOC_FREE (request->slot->timer);
+  request->slot->granted = true;
+  request_granted (request);
+}
+
+static void
+slots_on_timer (void *data);
+
+static void
+slots_wait (struct Request *request, int64_t wait_ms)
+{
+  struct SlotWait *wait = request->slot;
+
+  TALLOC_FREE (wait->timer);
+  wait->timer =
+      timer_subscribe (wait, request->front->node->timers, wait_ms, 0, slots_on_timer, request);
+}
+
+/* Asks whoever owns the server now. */
+static void
+slots_ask_owner (struct Request *request)
+{
+  struct SlotWait *wait = request->slot;
+  const char *owner = slots_owner (request->front, request->replica);
+
+  if (owner != NULL && strcmp (owner, wait->owner) != 0)
+    {
+      if (wait->owner[0] != '\0')
+        slots_tell_done (request);
+      snprintf (wait->owner, sizeof wait->owner, "%s", owner);
+    }
+  if (owner == NULL || slots_send_ask (request) != ERROR_NONE)
+    slots_go (request);
+  else
+    slots_wait (request, OWNER_ANSWERS_MS);
+}
+
+/* The owner did not answer, or it is time to ask again. */
+static void
+slots_on_timer (void *data)
+{
+  struct Request *request = data;
+  struct SlotWait *wait = request->slot;
+
+  wait->timer = NULL;
+  if (wait->answered)
+    {
+      slots_ask_owner (request);
+      return;
+    }
+  log_request (LOG_LEVEL_INFO, "owner_silent", request->caller.id, request->caller.program,
+               "%s owns %s: sent without it", wait->owner, wait->server);
+  slots_go (request);
+}
+
+/* The request may have ended when this returns. */
+static void
+slots_begin (struct Request *request, uint32_t n_moves)
+{
+  struct SlotWait *wait = talloc_zero (request, struct SlotWait);
+
+  request->slot = wait;
+  if (wait == NULL)
+    {
+      request_granted (request);
+      return;
+    }
+  wait->n_moves = n_moves;
+  wait->id = node_next_id (request->front->node);
+  snprintf (wait->server, sizeof wait->server, "%s", request->replica->entry.id);
+  slots_ask_owner (request);
+}
+
+void
+slots_ask (struct Request *request)
+{
+  slots_begin (request, 0);
+}
+
+void
+slots_release (struct Request *request)
+{
+  if (request->slot == NULL)
+    return;
+  if (request->slot->owner[0] != '\0')
+    slots_tell_done (request);
+  TALLOC_FREE (request->slot);
+}
+
+/* What the owner has told is newer than what heartbeats said. */
+static void
+slots_note_total (struct Request *request, const struct SlotState *state)
+{
+  struct Replica *replica = request->replica;
+
+  replica->peers_in_flight =
+      state->total > replica->in_flight ? state->total - replica->in_flight : 0;
+}
+
+/* A less busy server, now that the queue of this one is known; false when there is none. */
+static bool
+slots_move (struct Request *request)
+{
+  struct Replica *from = request->replica;
+  uint32_t n_moves = request->slot->n_moves;
+  struct Replica *best;
+
+  if (n_moves >= MOVES_MAX)
+    return false;
+  /* Its own place there does not count against the server. */
+  from->in_flight--;
+  best = request_choose (request);
+  from->in_flight++;
+  if (best == NULL || best == from)
+    return false;
+  slots_release (request);
+  from->in_flight--;
+  request->replica = best;
+  best->in_flight++;
+  slots_begin (request, n_moves + 1);
+  return true;
+}
+
+static void
+slots_take_state (struct Request *request, const struct SlotState *state)
+{
+  const struct Front *front = request->front;
+  int64_t now_ms = timer_now_ms (front->node->timers);
+  int64_t left_ms = request->due_ms - now_ms;
+  int64_t patience_ms = request->arrived_ms + CALLER_PATIENCE_MS - now_ms;
+
+  request->slot->answered = true;
+  slots_note_total (request, state);
+  if (state->granted)
+    {
+      slots_go (request);
+      return;
+    }
+  if (slots_move (request))
+    return;
+  if (state->wait_ms > (left_ms < patience_ms ? left_ms : patience_ms))
+    request_busy (request, state->wait_ms);
+  else
+    slots_wait (request, ASK_AGAIN_MS);
+}
+
+void
+slots_on_state (struct Front *front, const struct SlotStateMessage *message)
+{
+  for (struct Request *r = front->requests; r != NULL; r = r->next)
+    if (r->slot != NULL && r->slot->id == message->id)
+      {
+        if (!r->slot->granted)
+          slots_take_state (r, &message->state);
+        return;
+      }
+}
+
+/* Owning. */
+
+/* Grants whatever there is room for now. */
+static void
+slots_grant (void *data, const char *server)
+{
+  struct Slots *slots = data;
+  struct Node *node = slots->front->node;
+  struct GatewayMessage message = { .kind = GATEWAY_SLOT_STATE };
+  struct SlotAsk ask;
+
+  while (slot_queue_next (slots->queues, server, timer_now_ms (node->timers), &ask,
+                          &message.slot_state.state))
+    {
+      message.slot_state.id = ask.id;
+      /* One that it does not reach asks again, and is told then. */
+      node_send (node, ask.asker, &message);
+    }
+}
+
+void
+slots_on_ask (struct Slots *slots,
+              uint64_t link,
+              const char *sender,
+              const struct SlotAskMessage *message)
+{
+  struct Node *node = slots->front->node;
+  int64_t now_ms = timer_now_ms (node->timers);
+  struct GatewayMessage answer = { .kind = GATEWAY_SLOT_STATE };
+  struct SlotAsk ask = {
+    .id = message->id,
+    .priority = message->priority,
+    .continues = message->continues,
+    .program_due_ms = message->has_program_due ? now_ms + message->program_left_ms : INT64_MAX,
+    .due_ms = now_ms + message->left_ms,
+    .part = message->part,
+    .part_tokens = message->part_tokens,
+  };
+  struct SlotServer server = { message->server, message->slots, message->capacity_tokens };
+
+  snprintf (ask.asker, sizeof ask.asker, "%s", sender);
+  answer.slot_state.id = message->id;
+  if (slot_queue_ask (slots->queues, &server, &ask, now_ms, &answer.slot_state.state) == ERROR_NONE)
+    node_answer (node, link, &answer);
+}
+
+void
+slots_on_done (struct Slots *slots, const char *sender, const struct SlotDoneMessage *done)
+{
+  slot_queue_done (slots->queues, done->server, sender, done->id,
+                   timer_now_ms (slots->front->node->timers));
+  slots_grant (slots, done->server);
+}
+
+struct SlotDigest *
+slots_digest (struct Slots *slots, TALLOC_CTX *ctx, size_t *n_digests)
+{
+  return slot_queues_digest (slots->queues, ctx, n_digests);
+}
+
+static bool
+slots_asker_is_live (void *data, const char *asker)
+{
+  const struct Slots *slots = data;
+  const struct Node *node = slots->front->node;
+  const struct Peer *peer = node_peer (node, asker);
+
+  return strcmp (asker, node->settings->instance) == 0
+         || (peer != NULL && node_peer_is_live (node, peer));
+}
+
+void
+slots_expire (struct Slots *slots)
+{
+  slot_queues_expire (slots->queues, timer_now_ms (slots->front->node->timers), slots_asker_is_live,
+                      slots_grant, slots);
+}
--- a/include/buckthornhead/dialect.h
+++ b/include/buckthornhead/dialect.h
@@ -27,6 +27,8 @@
   const char *previous;   /* turn that it continues; "" for none */
   uint64_t budget_tokens; /* of the program; 0: did not say */
   uint32_t max_tokens;    /* that the answer may have */
+  bool has_program_left;
+  int64_t program_left_ms; /* until its program should be finished */
   struct PrefixPart parts[PREFIX_PARTS_MAX];
   size_t n_parts;
 };
--- a/include/buckthornhead/gateway_message.h
+++ b/include/buckthornhead/gateway_message.h
@@ -3,6 +3,7 @@
 
 #include <buckthornhead/archive_set.h>
 #include <buckthornhead/settings.h>
+#include <buckthornhead/slot_queue.h>
 #include <buckthornhead/turn.h>
 
 enum GatewayKind
@@ -16,7 +17,10 @@
   GATEWAY_SNAPSHOT = 7,  /* what the sender read in the platform's store */
   GATEWAY_COPY_WANT = 8, /* an archive whose disk is new asks another for its records */
   GATEWAY_COPY_PART = 9,
-  GATEWAY_RELAY = 10 /* for another process, which the sender can not reach itself */
+  GATEWAY_RELAY = 10,      /* for another process, which the sender can not reach itself */
+  GATEWAY_SLOT_ASK = 11,   /* may this request be sent to a server that the receiver owns? */
+  GATEWAY_SLOT_STATE = 12, /* the answer, and again when it has changed */
+  GATEWAY_SLOT_DONE = 13   /* the request has ended, or will not be sent */
 };
 
 /* Requests on their way to one backend server, as one gateway counts them. */
@@ -40,8 +44,10 @@
   uint64_t synced;       /* archives only: generation of a change for which it has copied all */
   struct ArchiveSet set; /* the newest that the sender knows */
   uint64_t config_version;
-  struct ReplicaLoad *loads;
+  struct ReplicaLoad *loads; /* of servers that have no owner */
   size_t n_loads;
+  struct SlotDigest *owned; /* servers whose owner the sender is */
+  size_t n_owned;
 };
 
 /* What one read of the platform's store gave, for peers that then need not read it. */
@@ -94,6 +100,34 @@
   size_t message_bytes;
 };
 
+/* Times are what is left when the message is sent: clocks of two machines differ. */
+struct SlotAskMessage
+{
+  uint64_t id; /* of the request, unique at the sender */
+  char server[NAME_MAX_BYTES + 1];
+  uint32_t slots; /* of the server */
+  uint64_t capacity_tokens;
+  uint32_t priority;
+  bool continues;
+  bool has_program_due;
+  int64_t program_left_ms; /* negative: its program is late already */
+  int64_t left_ms;
+  uint64_t part; /* largest shared part of the prompt; 0: none */
+  uint32_t part_tokens;
+};
+
+struct SlotStateMessage
+{
+  uint64_t id;
+  struct SlotState state;
+};
+
+struct SlotDoneMessage
+{
+  uint64_t id;
+  char server[NAME_MAX_BYTES + 1];
+};
+
 struct GatewayMessage
 {
   enum GatewayKind kind;
@@ -109,6 +143,9 @@
     struct CopyWant copy_want;
     struct CopyPart copy_part;
     struct Relay relay;
+    struct SlotAskMessage slot_ask;
+    struct SlotStateMessage slot_state;
+    struct SlotDoneMessage slot_done;
   };
 };
 
--- a/include/buckthornhead/replica_set.h
+++ b/include/buckthornhead/replica_set.h
@@ -5,6 +5,7 @@
 
 #include <buckthornhead/call.h>
 #include <buckthornhead/settings.h>
+#include <buckthornhead/slot_queue.h>
 
 #include <talloc.h>
 #include <uthash.h>
@@ -33,6 +34,7 @@
   uint32_t failures;         /* in a row, without an answer of any kind */
   int64_t avoid_until_ms;    /* suspected: takes requests only when nothing else is there */
   bool listed;               /* stood in the last list */
+  bool owned;                /* its owner tells what it holds and how many it has */
   struct CachedPart *cached; /* prompt parts that it was sent, newest first */
   uint32_t n_cached;
   UT_hash_handle hh;
@@ -95,6 +97,14 @@
 void
 replica_note_sent (struct Replica *replica, const struct PrefixPart *parts, size_t n_parts);
 
+/* The largest part that others share: the last one is the request's own. NULL: there is none. */
+const struct PrefixPart *
+prefix_shared_part (const struct PrefixPart *parts, size_t n_parts);
+
+/* What the server's owner knows of it. */
+void
+replica_take_digest (struct Replica *replica, const struct SlotDigest *digest);
+
 /* An answer came, of whatever status: the server lives. */
 void
 replica_note_answer (struct Replica *replica);
--- a/include/buckthornhead/route.h
+++ b/include/buckthornhead/route.h
@@ -44,6 +44,7 @@
   uint32_t connections_max; /* of each backend server, for all callers together */
   bool is_engine;
   uint32_t tokens_per_event; /* of a stream's answer; engines only */
+  uint64_t capacity_tokens;  /* of one engine's memory for prompts; 0: not known */
 };
 
 struct RouteTable
--- a/tests/test_gateway_message.c
+++ b/tests/test_gateway_message.c
@@ -54,6 +54,47 @@
   talloc_free (ctx);
 }
 
+static void
+test_asking_for_a_slot_travels (void)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct GatewayMessage message = { .kind = GATEWAY_SLOT_ASK };
+  struct GatewayMessage *back;
+
+  message.slot_ask = (struct SlotAskMessage){ .id = 5,
+                                              .server = "i-1",
+                                              .slots = 12,
+                                              .priority = 1,
+                                              .continues = true,
+                                              .has_program_due = true,
+                                              .program_left_ms = -40,
+                                              .left_ms = 2900 };
+  back = travel (ctx, &message);
+  CU_ASSERT_EQUAL (back->slot_ask.id, 5);
+  CU_ASSERT_STRING_EQUAL (back->slot_ask.server, "i-1");
+  CU_ASSERT_EQUAL (back->slot_ask.slots, 12);
+  CU_ASSERT_EQUAL (back->slot_ask.priority, 1);
+  CU_ASSERT_TRUE (back->slot_ask.continues);
+  CU_ASSERT_TRUE (back->slot_ask.has_program_due);
+  CU_ASSERT_EQUAL (back->slot_ask.program_left_ms, -40);
+  CU_ASSERT_EQUAL (back->slot_ask.left_ms, 2900);
+  message.kind = GATEWAY_SLOT_STATE;
+  message.slot_state = (struct SlotStateMessage){
+    .id = 6, .state = { .granted = true, .total = 14, .ahead = 2, .wait_ms = 90 }
+  };
+  back = travel (ctx, &message);
+  CU_ASSERT_TRUE (back->slot_state.state.granted);
+  CU_ASSERT_EQUAL (back->slot_state.state.total, 14);
+  CU_ASSERT_EQUAL (back->slot_state.state.ahead, 2);
+  CU_ASSERT_EQUAL (back->slot_state.state.wait_ms, 90);
+  message.kind = GATEWAY_SLOT_DONE;
+  message.slot_done = (struct SlotDoneMessage){ .id = 7, .server = "i-2" };
+  back = travel (ctx, &message);
+  CU_ASSERT_EQUAL (back->slot_done.id, 7);
+  CU_ASSERT_STRING_EQUAL (back->slot_done.server, "i-2");
+  talloc_free (ctx);
+}
+
 static void
 test_answers_on_turns_travel (void)
 {
@@ -179,6 +220,7 @@
 const char test_suite_name[] = "gateway_message";
 const struct TestCase test_cases[] = {
   { "questions on turns travel", test_questions_on_turns_travel },
+  { "asking for a slot travels", test_asking_for_a_slot_travels },
   { "answers on turns travel", test_answers_on_turns_travel },
   { "closes travel", test_closes_travel },
   { "descriptions travel", test_descriptions_travel },
