Prompts cost by their tokens in other zones

Cause: sessions settled in whichever zone first read their shared part: since owners tell what engines hold, a first turn prefers a holder in another zone (1 ms) over reading 12,600 tokens in its own, and the session's growing prompts cross with every turn. Ruled out: a fixed cost (4 and 12 ms did nothing before, when all engines seemed to hold all).

--- a/core/gateway/replica_set.c
+++ b/core/gateway/replica_set.c
@@ -20,7 +20,10 @@
   PREFILL_TOKENS_PER_MS = 270,
   COST_RUNNING_US = 2000,  /* one more request beside the others slows all by 0.75% */
   COST_WAITING_US = 12000, /* one more request before the slots: 350 ms a turn over 32 slots */
-  COST_OTHER_ZONE_US = 1000
+  COST_OTHER_ZONE_US = 1000,
+  /* Each token of a prompt is a byte or more that crosses to the other zone, and crosses again with
+   * every turn that follows there. */
+  COST_OTHER_ZONE_TOKEN_NS = 3000
 };
 
 struct CachedPart
@@ -215,6 +218,16 @@
   return n_tokens;
 }
 
+static uint64_t
+prompt_tokens (const struct ReplicaQuery *query)
+{
+  uint64_t n_tokens = 0;
+
+  for (size_t p = 0; p < query->n_parts; p++)
+    n_tokens += query->parts[p].tokens;
+  return n_tokens;
+}
+
 /* Expected time in microseconds that this server adds to the request. Answers the load of many
  * short turns over few servers with slots: a server with free slots is nearly as quick as an idle
  * one, so the prompt decides; before full slots the queue does. */
@@ -232,7 +245,7 @@
   if (running >= slots)
     cost_us += (running - slots + 1) * COST_WAITING_US * 32 / slots;
   if (strcmp (replica->entry.zone, query->zone) != 0)
-    cost_us += COST_OTHER_ZONE_US;
+    cost_us += COST_OTHER_ZONE_US + prompt_tokens (query) * COST_OTHER_ZONE_TOKEN_NS / 1000;
   return cost_us;
 }
 
