Servers that fail what they are sent weigh by how often

Ruled out: pauses after failures as for broken connections: each of 75 gateways would have to fail there by itself, and one failure in a hundred of a sound service would pause it. It fades, so that the server is tried again after some ten seconds.

--- a/core/gateway/gateway_message.c
+++ b/core/gateway/gateway_message.c
@@ -138,6 +138,7 @@
 {
   pack_string (p, digest->server);
   pack_u64 (p, digest->total);
+  pack_u64 (p, digest->failed_permille);
   pack_array (p, digest->n_parts);
   for (uint32_t i = 0; i < digest->n_parts; i++)
     pack_u64 (p, digest->parts[i]);
@@ -150,6 +151,7 @@
 
   read_string (r, digest->server, sizeof digest->server);
   digest->total = (uint32_t)read_u64 (r, UINT32_MAX);
+  digest->failed_permille = (uint32_t)read_u64 (r, 1000);
   read_array (r, &list);
   if (list.n_items > SLOT_PARTS_MAX)
     list.failed = true;
@@ -178,7 +180,7 @@
       pack_string (p, status->loads[i].replica);
       pack_u64 (p, status->loads[i].in_flight);
     }
-  pack_array (p, 3 * status->n_owned);
+  pack_array (p, 4 * status->n_owned);
   for (size_t i = 0; i < status->n_owned; i++)
     digest_pack (p, &status->owned[i]);
 }
@@ -207,7 +209,7 @@
       status->loads[i].in_flight = (uint32_t)read_u64 (&list, UINT32_MAX);
     }
   r->failed = r->failed || list.failed || status->loads == NULL;
-  status->n_owned = list_enter (r, &list, 3);
+  status->n_owned = list_enter (r, &list, 4);
   status->owned = talloc_zero_array (ctx, struct SlotDigest, status->n_owned);
   for (size_t i = 0; status->owned != NULL && i < status->n_owned; i++)
     digest_unpack (&list, &status->owned[i]);
@@ -350,7 +352,7 @@
     case GATEWAY_SLOT_ASK:
       return 12;
     case GATEWAY_SLOT_DONE:
-      return 3;
+      return 4;
     }
   return 0;
 }
@@ -413,6 +415,7 @@
     case GATEWAY_SLOT_DONE:
       pack_u64 (p, message->slot_done.id);
       pack_string (p, message->slot_done.server);
+      pack_u64 (p, message->slot_done.outcome);
       break;
     }
   return pack_finish (p, ctx, bytes, n_bytes);
@@ -467,6 +470,7 @@
     case GATEWAY_SLOT_DONE:
       m->slot_done.id = read_u64 (r, UINT64_MAX);
       read_string (r, m->slot_done.server, sizeof m->slot_done.server);
+      m->slot_done.outcome = (enum SlotOutcome)read_u64 (r, SLOT_FAILED);
       break;
     default:
       r->failed = true;
--- a/core/gateway/replica_set.c
+++ b/core/gateway/replica_set.c
@@ -21,6 +21,9 @@
   COST_RUNNING_US = 2000,  /* one more request beside the others slows all by 0.75% */
   COST_WAITING_US = 12000, /* one more request before the slots: 350 ms a turn over 32 slots */
   COST_OTHER_ZONE_US = 1000,
+  /* A failed request costs its program a new attempt after 100 to 400 ms and the time until the
+   * failure; after three the program: two seconds. */
+  COST_FAILED_PERMILLE_US = 2000,
   /* Each token of a prompt is a byte or more that crosses to the other zone, and crosses again with
    * every turn that follows there. */
   COST_OTHER_ZONE_TOKEN_NS = 3000
@@ -181,11 +184,13 @@
 }
 
 void
-replica_take_digest (struct Replica *replica, const struct SlotDigest *digest)
+replica_take_digest (struct Replica *replica, const struct SlotDigest *digest, int64_t now_ms)
 {
   replica->owned = true;
   replica->peers_in_flight =
       digest->total > replica->in_flight ? digest->total - replica->in_flight : 0;
+  replica->told.permille = digest->failed_permille;
+  replica->told.noted_ms = now_ms;
   replica->n_cached = digest->n_parts;
   for (uint32_t i = 0; i < digest->n_parts; i++)
     replica->cached[i].id = digest->parts[i];
@@ -218,6 +223,15 @@
   return n_tokens;
 }
 
+static uint32_t
+replica_failed_permille (const struct Replica *replica, int64_t now_ms)
+{
+  uint32_t own = failure_rate_permille (&replica->rate, now_ms);
+  uint32_t told = failure_rate_permille (&replica->told, now_ms);
+
+  return own > told ? own : told;
+}
+
 static uint64_t
 prompt_tokens (const struct ReplicaQuery *query)
 {
@@ -244,6 +258,7 @@
   cost_us += running * COST_RUNNING_US * 8 / slots;
   if (running >= slots)
     cost_us += (running - slots + 1) * COST_WAITING_US * 32 / slots;
+  cost_us += (uint64_t)replica_failed_permille (replica, query->now_ms) * COST_FAILED_PERMILLE_US;
   if (strcmp (replica->entry.zone, query->zone) != 0)
     cost_us += COST_OTHER_ZONE_US + prompt_tokens (query) * COST_OTHER_ZONE_TOKEN_NS / 1000;
   return cost_us;
@@ -275,6 +290,12 @@
   return best;
 }
 
+void
+replica_note_result (struct Replica *replica, bool failed, int64_t now_ms)
+{
+  failure_rate_note (&replica->rate, failed, now_ms);
+}
+
 void
 replica_note_answer (struct Replica *replica)
 {
--- a/core/gateway/slot_queue.c
+++ b/core/gateway/slot_queue.c
@@ -49,6 +49,7 @@
   struct SlotPart parts[SLOT_PARTS_MAX]; /* the one used last first */
   uint32_t n_parts;
   int64_t asked_ms; /* last */
+  struct FailureRate failures;
   UT_hash_handle hh;
 };
 
@@ -257,21 +258,39 @@
   return ERROR_NONE;
 }
 
+/* What a request took says something of the server only if it was served. */
+static void
+queue_note_served (struct SlotQueue *queue, int64_t took_ms)
+{
+  queue->service_ms =
+      (uint32_t)((queue->service_ms * (SERVICE_WEIGHT - 1) + took_ms) / SERVICE_WEIGHT);
+}
+
 void
-slot_queue_done (
-    struct SlotQueues *queues, const char *server, const char *asker, uint64_t id, int64_t now_ms)
+slot_queue_done (struct SlotQueues *queues,
+                 const char *server,
+                 const char *asker,
+                 uint64_t id,
+                 enum SlotOutcome outcome,
+                 int64_t now_ms)
 {
   struct SlotQueue *queue = queue_find (queues, server);
   struct SlotEntry *entry = queue != NULL ? entry_find (queue, asker, id) : NULL;
 
   if (entry == NULL)
     return;
-  if (entry->granted)
+  switch (outcome)
     {
-      int64_t took_ms = now_ms - entry->granted_ms;
-
-      queue->service_ms =
-          (uint32_t)((queue->service_ms * (SERVICE_WEIGHT - 1) + took_ms) / SERVICE_WEIGHT);
+    case SLOT_SERVED:
+      if (entry->granted)
+        queue_note_served (queue, now_ms - entry->granted_ms);
+      failure_rate_note (&queue->failures, false, now_ms);
+      break;
+    case SLOT_FAILED:
+      failure_rate_note (&queue->failures, true, now_ms);
+      break;
+    case SLOT_NOT_USED:
+      break;
     }
   entry_remove (queue, entry);
 }
@@ -333,7 +352,7 @@
 }
 
 struct SlotDigest *
-slot_queues_digest (struct SlotQueues *queues, TALLOC_CTX *ctx, size_t *n_digests)
+slot_queues_digest (struct SlotQueues *queues, TALLOC_CTX *ctx, int64_t now_ms, size_t *n_digests)
 {
   struct SlotDigest *digests =
       talloc_zero_array (ctx, struct SlotDigest, HASH_COUNT (queues->by_server));
@@ -348,6 +367,7 @@
 
     snprintf (digest->server, sizeof digest->server, "%s", queue->server);
     digest->total = (uint32_t)queue->n_entries;
+    digest->failed_permille = failure_rate_permille (&queue->failures, now_ms);
     digest->n_parts = queue->n_parts;
     for (uint32_t i = 0; i < queue->n_parts; i++)
       digest->parts[i] = queue->parts[i].id;
--- a/gateway/front.c
+++ b/gateway/front.c
@@ -413,7 +413,7 @@
       struct Replica *replica = replica_set_find (front->replicas, digests[i].server);
 
       if (replica != NULL)
-        replica_take_digest (replica, &digests[i]);
+        replica_take_digest (replica, &digests[i], timer_now_ms (front->node->timers));
     }
 }
 
--- a/gateway/front.h
+++ b/gateway/front.h
@@ -8,6 +8,7 @@
 
 #include <buckthornhead/event_stream.h>
 #include <buckthornhead/retry_allowance.h>
+#include <buckthornhead/slot_queue.h>
 
 enum
 {
@@ -65,11 +66,12 @@
   size_t n_tried;
   uint32_t n_sent; /* attempts that a server may have run */
   bool may_have_run;
-  struct Timer *patience; /* until another server is asked; NULL when none will be */
-  bool refused;           /* this attempt's answer says that it did not run */
-  bool streaming;         /* the answer goes to the caller as it comes */
-  bool wrote_any;         /* of a streaming answer */
-  int64_t sent_ms;        /* when this attempt was */
+  struct Timer *patience;   /* until another server is asked; NULL when none will be */
+  enum SlotOutcome outcome; /* of this attempt */
+  bool refused;             /* this attempt's answer says that it did not run */
+  bool streaming;           /* the answer goes to the caller as it comes */
+  bool wrote_any;           /* of a streaming answer */
+  int64_t sent_ms;          /* when this attempt was */
   struct ReplicaAnswer answer;
   struct HttpHeaders answer_headers;
   struct ByteQueue answer_body;
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -84,6 +84,7 @@
 {
   TALLOC_FREE (request->patience);
   slots_release (request);
+  request->outcome = SLOT_NOT_USED;
   if (request->replica != NULL)
     request->replica->in_flight--;
   request->replica = NULL;
@@ -291,6 +292,13 @@
     request_answer_whole (request);
 }
 
+/* The server's own failure; not the end of the request's time, which is the caller's. */
+static bool
+answer_is_failure (const struct ReplicaAnswer *answer)
+{
+  return answer->status >= 500 && answer->status != 504;
+}
+
 static void
 call_on_end (void *data, enum HttpEnd end)
 {
@@ -316,6 +324,9 @@
     }
   if (end != HTTP_END_WHOLE)
     replica_note_failure (replica, now_ms);
+  request->outcome =
+      end == HTTP_END_WHOLE && !answer_is_failure (&request->answer) ? SLOT_SERVED : SLOT_FAILED;
+  replica_note_result (replica, request->outcome == SLOT_FAILED, now_ms);
   attempt_release (request);
   if (end == HTTP_END_WHOLE)
     {
--- a/gateway/slots.c
+++ b/gateway/slots.c
@@ -139,6 +139,7 @@
   struct GatewayMessage message = { .kind = GATEWAY_SLOT_DONE };
 
   message.slot_done.id = wait->id;
+  message.slot_done.outcome = request->outcome;
   snprintf (message.slot_done.server, sizeof message.slot_done.server, "%s", wait->server);
   node_send (request->front->node, wait->owner, &message);
 }
@@ -353,7 +354,7 @@
 void
 slots_on_done (struct Slots *slots, const char *sender, const struct SlotDoneMessage *done)
 {
-  slot_queue_done (slots->queues, done->server, sender, done->id,
+  slot_queue_done (slots->queues, done->server, sender, done->id, done->outcome,
                    timer_now_ms (slots->front->node->timers));
   slots_grant (slots, done->server);
 }
@@ -361,7 +362,8 @@
 struct SlotDigest *
 slots_digest (struct Slots *slots, TALLOC_CTX *ctx, size_t *n_digests)
 {
-  return slot_queues_digest (slots->queues, ctx, n_digests);
+  return slot_queues_digest (slots->queues, ctx, timer_now_ms (slots->front->node->timers),
+                             n_digests);
 }
 
 static bool
--- a/include/buckthornhead/gateway_message.h
+++ b/include/buckthornhead/gateway_message.h
@@ -125,6 +125,7 @@
 struct SlotDoneMessage
 {
   uint64_t id;
+  enum SlotOutcome outcome;
   char server[NAME_MAX_BYTES + 1];
 };
 
--- a/include/buckthornhead/replica_set.h
+++ b/include/buckthornhead/replica_set.h
@@ -32,6 +32,8 @@
   uint32_t in_flight;        /* ours */
   uint32_t peers_in_flight;  /* of the other gateways, as they last said */
   uint32_t failures;         /* in a row, without an answer of any kind */
+  struct FailureRate rate;   /* of all requests of this gateway there */
+  struct FailureRate told;   /* of all gateways' requests there, by its owner */
   int64_t avoid_until_ms;    /* suspected: takes requests only when nothing else is there */
   bool listed;               /* stood in the last list */
   bool owned;                /* its owner tells what it holds and how many it has */
@@ -103,12 +105,16 @@
 
 /* What the server's owner knows of it. */
 void
-replica_take_digest (struct Replica *replica, const struct SlotDigest *digest);
+replica_take_digest (struct Replica *replica, const struct SlotDigest *digest, int64_t now_ms);
 
 /* An answer came, of whatever status: the server lives. */
 void
 replica_note_answer (struct Replica *replica);
 
+/* A request that it ran has ended: whole, or with a failure of the server's. */
+void
+replica_note_result (struct Replica *replica, bool failed, int64_t now_ms);
+
 /* It refused because it is full, or nothing came back at all. */
 void
 replica_note_full (struct Replica *replica, int64_t now_ms);
--- a/include/buckthornhead/slot_queue.h
+++ b/include/buckthornhead/slot_queue.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include <buckthornhead/call.h>
+#include <buckthornhead/failure_rate.h>
 
 #include <talloc.h>
 
@@ -37,6 +38,7 @@
 {
   char server[NAME_MAX_BYTES + 1];
   uint32_t total;                 /* requests that run or wait there */
+  uint32_t failed_permille;       /* of what it was sent lately */
   uint64_t parts[SLOT_PARTS_MAX]; /* shared parts that its cache holds, as far as the owner knows */
   uint32_t n_parts;
 };
@@ -76,10 +78,21 @@
                 int64_t now_ms,
                 struct SlotState *state);
 
+enum SlotOutcome
+{
+  SLOT_NOT_USED, /* it was not sent, or its caller left */
+  SLOT_SERVED,
+  SLOT_FAILED /* the server answered with a failure, or not at all */
+};
+
 /* The request has ended, or does not want to be sent any more. */
 void
-slot_queue_done (
-    struct SlotQueues *queues, const char *server, const char *asker, uint64_t id, int64_t now_ms);
+slot_queue_done (struct SlotQueues *queues,
+                 const char *server,
+                 const char *asker,
+                 uint64_t id,
+                 enum SlotOutcome outcome,
+                 int64_t now_ms);
 
 /* Grants the next request that there is room for; false when there is none. *state is what its
  * asker is told. */
@@ -102,7 +115,7 @@
 
 /* All servers that were asked for lately; the array belongs to ctx, NULL without memory. */
 struct SlotDigest *
-slot_queues_digest (struct SlotQueues *queues, TALLOC_CTX *ctx, size_t *n_digests);
+slot_queues_digest (struct SlotQueues *queues, TALLOC_CTX *ctx, int64_t now_ms, size_t *n_digests);
 
 /* Whether a goes before b. */
 bool
--- a/tests/test_gateway_message.c
+++ b/tests/test_gateway_message.c
@@ -88,10 +88,11 @@
   CU_ASSERT_EQUAL (back->slot_state.state.ahead, 2);
   CU_ASSERT_EQUAL (back->slot_state.state.wait_ms, 90);
   message.kind = GATEWAY_SLOT_DONE;
-  message.slot_done = (struct SlotDoneMessage){ .id = 7, .server = "i-2" };
+  message.slot_done = (struct SlotDoneMessage){ .id = 7, .server = "i-2", .outcome = SLOT_FAILED };
   back = travel (ctx, &message);
   CU_ASSERT_EQUAL (back->slot_done.id, 7);
   CU_ASSERT_STRING_EQUAL (back->slot_done.server, "i-2");
+  CU_ASSERT_EQUAL (back->slot_done.outcome, SLOT_FAILED);
   talloc_free (ctx);
 }
 
--- a/tests/test_replica_set.c
+++ b/tests/test_replica_set.c
@@ -89,6 +89,31 @@
   talloc_free (set);
 }
 
+/* An engine answers at once with failures while its health check is good. It has nothing to do and
+ * holds the prompt, and would draw every request of the zone; the owner of the engine has told all
+ * gateways how often it fails. */
+static void
+test_a_server_that_fails_quickly_does_not_draw_requests (void)
+{
+  struct ReplicaSet *set = set_of_two ();
+  const struct PrefixPart parts[] = { { 1, 12600 }, { 2, 500 } };
+  const struct SlotDigest failing = {
+    .total = 0, .failed_permille = 900, .parts = { 1 }, .n_parts = 1
+  };
+  struct ReplicaQuery query = {
+    .service = "engine", .zone = "b", .cached_at = "r2", .parts = parts, .n_parts = 2
+  };
+
+  replica_set_find (set, "r1")->in_flight = 8;
+  CU_ASSERT_STRING_EQUAL (chosen (set, &query), "r2");
+  replica_take_digest (replica_set_find (set, "r2"), &failing, 0);
+  CU_ASSERT_STRING_EQUAL (chosen (set, &query), "r1");
+  /* Nobody has used it since: it is tried again. */
+  query.now_ms = 20000;
+  CU_ASSERT_STRING_EQUAL (chosen (set, &query), "r2");
+  talloc_free (set);
+}
+
 static void
 test_what_was_tried_or_drains_is_left_out (void)
 {
@@ -202,6 +227,8 @@
   { "the own zone goes first and load moves it", test_the_own_zone_goes_first_and_load_moves_it },
   { "a turn goes where its history is cached", test_a_turn_goes_where_its_history_is_cached },
   { "shared parts draw requests", test_shared_parts_draw_requests_to_who_read_them },
+  { "a server that fails quickly does not draw requests",
+    test_a_server_that_fails_quickly_does_not_draw_requests },
   { "what was tried or drains is left out", test_what_was_tried_or_drains_is_left_out },
   { "lapsed entries are kept for a while",
     test_entries_that_lapsed_with_the_store_are_kept_for_a_while },
--- a/tests/test_slot_queue.c
+++ b/tests/test_slot_queue.c
@@ -76,12 +76,12 @@
   CU_ASSERT_EQUAL (ask (queues, &late).ahead, 3);
   CU_ASSERT_EQUAL (next_id (queues, 0), 0);
   for (uint64_t id = 1; id <= GRANTED; id++)
-    slot_queue_done (queues, "e", "g", id, 350);
+    slot_queue_done (queues, "e", "g", id, SLOT_SERVED, 350);
   CU_ASSERT_EQUAL (next_id (queues, 350), 13);
   CU_ASSERT_EQUAL (next_id (queues, 350), 12);
   CU_ASSERT_EQUAL (next_id (queues, 350), 11);
   CU_ASSERT_EQUAL (next_id (queues, 350), 0);
-  slot_queue_done (queues, "e", "h", 13, 700);
+  slot_queue_done (queues, "e", "h", 13, SLOT_SERVED, 700);
   CU_ASSERT_EQUAL (next_id (queues, 700), 10);
   talloc_free (queues);
 }
@@ -96,13 +96,13 @@
   const struct SlotAsk first = ask_of ("g", 1, true, 2000);
 
   CU_ASSERT_FALSE (ask (queues, &waiting).granted);
-  slot_queue_done (queues, "e", "g", 2, 300);
+  slot_queue_done (queues, "e", "g", 2, SLOT_SERVED, 300);
   CU_ASSERT_EQUAL (next_id (queues, 300), 10);
   CU_ASSERT_TRUE (ask (queues, &waiting).granted);
   CU_ASSERT_TRUE (ask (queues, &first).granted);
   CU_ASSERT_EQUAL (ask (queues, &first).total, GRANTED);
   /* The same id of another gateway is another request. */
-  slot_queue_done (queues, "e", "h", 1, 300);
+  slot_queue_done (queues, "e", "h", 1, SLOT_SERVED, 300);
   CU_ASSERT_EQUAL (ask (queues, &first).total, GRANTED);
   talloc_free (queues);
 }
@@ -163,7 +163,7 @@
     {
       struct SlotAsk other = ask_of ("g", id, true, 1000);
 
-      slot_queue_done (queues, "e", "g", id < 23 ? id - 19 : id - 3, 1000);
+      slot_queue_done (queues, "e", "g", id < 23 ? id - 19 : id - 3, SLOT_SERVED, 1000);
       ask (queues, &other);
     }
   CU_ASSERT (ask (queues, &waiting).wait_ms > SLOT_FIRST_SERVICE_MS / SLOTS);
@@ -186,9 +186,9 @@
       a.part = id <= 4 ? id : 3;
       a.part_tokens = 500;
       ask (queues, &a);
-      slot_queue_done (queues, "e", "g", id, 0);
+      slot_queue_done (queues, "e", "g", id, SLOT_SERVED, 0);
     }
-  digests = slot_queues_digest (queues, NULL, &n);
+  digests = slot_queues_digest (queues, NULL, 0, &n);
   CU_ASSERT_EQUAL_FATAL (n, 1);
   CU_ASSERT_STRING_EQUAL (digests[0].server, "e");
   CU_ASSERT_EQUAL (digests[0].total, 0);
@@ -201,12 +201,33 @@
   talloc_free (queues);
 }
 
+/* An engine answers everything at once with failures. Its owner hears of it from whoever sent
+ * there, and tells all; a request that was never sent says nothing of the engine. */
+static void
+test_the_digest_tells_how_often_the_server_fails (void)
+{
+  struct SlotQueues *queues = full_server ();
+  struct SlotDigest *digests;
+  size_t n;
+
+  slot_queue_done (queues, "e", "g", 1, SLOT_FAILED, 0);
+  slot_queue_done (queues, "e", "g", 2, SLOT_FAILED, 0);
+  slot_queue_done (queues, "e", "g", 3, SLOT_NOT_USED, 0);
+  digests = slot_queues_digest (queues, NULL, 0, &n);
+  CU_ASSERT_EQUAL_FATAL (n, 1);
+  CU_ASSERT (digests[0].failed_permille > 200);
+  talloc_free (digests);
+  talloc_free (queues);
+}
+
 const char test_suite_name[] = "slot_queue";
 const struct TestCase test_cases[] = {
   { "what can be in time goes first", test_what_can_be_in_time_goes_first },
   { "asking again takes no second slot", test_asking_again_takes_no_second_slot },
   { "a dead gateway's slots are free again", test_a_dead_gateways_slots_are_free_again },
   { "the digest tells what the cache holds", test_the_digest_tells_what_the_cache_holds },
+  { "the digest tells how often the server fails",
+    test_the_digest_tells_how_often_the_server_fails },
   { "the wait follows what requests take", test_the_wait_follows_what_requests_take },
   { NULL, NULL },
 };
