An archive that dies while it joins is replaced by the next one

Cause (listed as open): the archive that takes a dead one's place drives the change; if it is gone for good before it has copied everything, the change stays open: service goes on, but no other change starts, and the next lost disk is one too many. Ruled out: going back to the former set: its dead member would count again. Tests: test_archive_set plays all groups of archives against each other over the new stages; sessions_gateway_archives kills an archive while it joins (the code before does not get past it).

--- a/core/gateway/archive_set.c
+++ b/core/gateway/archive_set.c
@@ -158,6 +158,28 @@
   return next;
 }
 
+const char *
+archive_set_joining (const struct ArchiveSet *set)
+{
+  if (set->stage == ARCHIVE_STAGE_STABLE)
+    return "";
+  for (uint32_t i = 0; i < set->members.n; i++)
+    if (!archive_names_have (&set->former, set->members.names[i]))
+      return set->members.names[i];
+  return "";
+}
+
+struct ArchiveSet
+archive_set_rejoin (const struct ArchiveSet *set, const char *joining)
+{
+  struct ArchiveSet next = *set;
+
+  next.generation++;
+  names_remove (&next.members, archive_set_joining (set));
+  archive_names_add (&next.members, joining);
+  return next;
+}
+
 struct ArchiveSet
 archive_set_advance (const struct ArchiveSet *set)
 {
--- a/gateway/archive_member.c
+++ b/gateway/archive_member.c
@@ -26,6 +26,7 @@
 {
   WRITE_FIRST,  /* this archive is among the first */
   WRITE_CHANGE, /* .joining comes, .leaving goes */
+  WRITE_REJOIN, /* .joining comes in place of one that should have come */
   WRITE_ADVANCE /* the change's next stage */
 };
 
@@ -46,6 +47,8 @@
   int64_t next_ms;
   int64_t not_heard_ms[ARCHIVE_SET_MAX]; /* since when, by place in the set */
   uint64_t not_heard_generation;
+  uint64_t joining_generation;
+  int64_t joining_heard_ms; /* last, the archive that comes with that change */
   uint64_t ending_generation;
   int64_t ending_ms; /* since when that change is ending */
   bool told_running, told_completed, telling;
@@ -123,6 +126,10 @@
       *next = archive_set_change (held, member->joining, member->leaving);
       return held->generation == member->node->set.generation
              && held->stage == ARCHIVE_STAGE_STABLE;
+    case WRITE_REJOIN:
+      *next = archive_set_rejoin (held, member->joining);
+      return held->generation == member->node->set.generation
+             && held->stage == ARCHIVE_STAGE_STARTING;
     case WRITE_ADVANCE:
       *next = archive_set_advance (held);
       return held->generation == member->node->set.generation
@@ -291,14 +298,24 @@
   return true;
 }
 
-/* Who comes with the change; "" when it only takes one away. */
-static const char *
-set_joining (const struct ArchiveSet *set)
+/* Guards against a change that stays open for ever: the archive that should have come died for good
+ * before it had copied everything. No other change could start, and the next disk that is lost
+ * would be one too many. An archive outside takes its place. */
+static void
+member_replace_joining (struct ArchiveMember *member, const char *joining)
 {
-  for (uint32_t i = 0; i < set->members.n; i++)
-    if (!archive_names_have (&set->former, set->members.names[i]))
-      return set->members.names[i];
-  return "";
+  const struct ArchiveSet *set = &member->node->set;
+  const char *name = member_name (member);
+  int64_t now_ms = member_now_ms (member);
+
+  if (member->joining_generation != set->generation || member_peer_is_live (member, joining))
+    {
+      member->joining_generation = set->generation;
+      member->joining_heard_ms = now_ms;
+    }
+  if (now_ms - member->joining_heard_ms > DEAD_MS && !archive_set_has (set, name)
+      && !archive_names_have (&set->former, name) && !member_is_retiring (member, name))
+    member_write (member, WRITE_REJOIN, name, "");
 }
 
 /* The one that joins copies, or all who stay do; then the change may end. */
@@ -306,7 +323,7 @@
 member_while_starting (struct ArchiveMember *member)
 {
   const struct ArchiveSet *set = &member->node->set;
-  const char *name = member_name (member), *joining = set_joining (set);
+  const char *name = member_name (member), *joining = archive_set_joining (set);
   bool joins = strcmp (joining, name) == 0;
 
   if (joins || (joining[0] == '\0' && archive_set_has (set, name)))
@@ -318,6 +335,8 @@
     }
   else if (joining[0] == '\0' && member_all_synced (member))
     member_write (member, WRITE_ADVANCE, "", "");
+  else if (joining[0] != '\0')
+    member_replace_joining (member, joining);
 }
 
 /* Once enough of the former archives refuse questions of the stage before, no such question can be
@@ -329,7 +348,7 @@
   const struct ArchiveSet *set = &member->node->set;
   const char *name = member_name (member);
   struct ArchiveNames know = member_who_knows (member);
-  bool changes = strcmp (set_joining (set), name) == 0 || !archive_set_has (set, name);
+  bool changes = strcmp (archive_set_joining (set), name) == 0 || !archive_set_has (set, name);
 
   if (member->ending_generation != set->generation)
     {
@@ -480,7 +499,7 @@
 {
   const struct ArchiveSet *set = &member->node->set;
   struct ArchiveNames asked = archive_set_asked (set);
-  const char *joining = set_joining (set);
+  const char *joining = archive_set_joining (set);
   bool changes = set->stage == ARCHIVE_STAGE_STARTING
                  && (joining[0] == '\0' || strcmp (joining, member_name (member)) == 0);
 
--- a/include/buckthornhead/archive_set.h
+++ b/include/buckthornhead/archive_set.h
@@ -90,6 +90,16 @@
 struct ArchiveSet
 archive_set_change (const struct ArchiveSet *set, const char *joining, const char *leaving);
 
+/* Who comes with the change that is under way; "" when it only takes one away, or there is none. */
+const char *
+archive_set_joining (const struct ArchiveSet *set);
+
+/* The next generation of a change that is starting, in which joining comes in place of the archive
+ * that should have come and died. Nothing was read from that one yet, so that the former set
+ * still knows everything. */
+struct ArchiveSet
+archive_set_rejoin (const struct ArchiveSet *set, const char *joining);
+
 /* The next generation: a change that was starting is ending, one that was ending is done. */
 struct ArchiveSet
 archive_set_advance (const struct ArchiveSet *set);
--- a/tests/sessions/test_gateway_archives.c
+++ b/tests/sessions/test_gateway_archives.c
@@ -145,6 +145,33 @@
   talloc_free (ctx);
 }
 
+/* The archive that takes a dead one's place is gone for good itself while it copies. The change
+ * that it began would stay open, and no other could start; the next archive takes over. */
+static void
+test_an_archive_dies_while_it_joins (void)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct Fleet *fleet = fleet_start (ctx, 1, 3);
+  uint32_t n_failed = CU_get_number_of_failures ();
+  const char *event;
+
+  CU_ASSERT_EQUAL (turn_status (fleet, ctx, 0, "t1"), 200);
+  event = event_of_last (fleet, ctx, 1);
+  process_kill (fleet->archives[0].process);
+  archive_start (fleet, 3, false);
+  CU_ASSERT_TRUE (
+      process_wait_output (fleet->archives[3].process, "generation 4, 3 members, a change starts"));
+  process_kill (fleet->archives[3].process);
+  archive_start (fleet, 4, false);
+  CU_ASSERT_TRUE (process_wait_output (fleet->gateways[0].process, "generation 7, 3 members"));
+  process_kill (fleet->archives[1].process);
+  archive_wipe (fleet, 1);
+  CU_ASSERT_EQUAL (turn_status (fleet, ctx, 0, "t2"), 200);
+  CU_ASSERT_TRUE (history_has (fleet, ctx, event));
+  fleet_end (fleet, CU_get_number_of_failures () > n_failed);
+  talloc_free (ctx);
+}
+
 struct KeyWatch
 {
   struct Installation *installation;
@@ -390,6 +417,7 @@
   { "disks are lost one after the other", test_disks_are_lost_one_after_the_other },
   { "too few archives say not now", test_too_few_archives_say_not_now },
   { "a new archive takes a dead one's place", test_a_new_archive_takes_a_dead_ones_place },
+  { "an archive dies while it joins", test_an_archive_dies_while_it_joins },
   { "a retired archive leaves everything behind", test_a_retired_archive_leaves_everything_behind },
   { "a gateway starts while the store is down", test_a_gateway_starts_while_the_store_is_down },
   { "a suspended archive is reached again", test_a_suspended_archive_is_reached_again },
--- a/tests/test_archive_set.c
+++ b/tests/test_archive_set.c
@@ -119,6 +119,42 @@
   check_change (&four, "e", "b");
 }
 
+/* An archive takes a dead one's place, and dies for good before it has copied everything. Another
+ * one takes its place in turn: what was acknowledged while the first was to come is seen by whoever
+ * asks under the new stages, and by the copy of the second. */
+static void
+test_another_may_come_in_place_of_one_that_died (void)
+{
+  struct ArchiveSet before = set_of (3);
+  struct ArchiveSet starting = archive_set_change (&before, "d", "a");
+  struct ArchiveSet again = archive_set_rejoin (&starting, "e");
+  struct ArchiveSet ending = archive_set_advance (&again);
+
+  CU_ASSERT_STRING_EQUAL (archive_set_joining (&before), "");
+  CU_ASSERT_STRING_EQUAL (archive_set_joining (&starting), "d");
+  CU_ASSERT_STRING_EQUAL (archive_set_joining (&again), "e");
+  CU_ASSERT_EQUAL (again.generation, starting.generation + 1);
+  CU_ASSERT_EQUAL (again.stage, ARCHIVE_STAGE_STARTING);
+  CU_ASSERT_EQUAL (again.members.n, 3);
+  CU_ASSERT_FALSE (archive_set_has (&again, "d"));
+  /* Archives that know of it refuse the stage before. */
+  CU_ASSERT (archive_set_oldest (&again) > starting.generation);
+  check_stages_meet (&starting, &again);
+  check_stages_meet (&again, &starting);
+  check_stages_meet (&again, &again);
+  check_stages_meet (&again, &ending);
+  check_stages_meet (&ending, &again);
+  for (uint32_t w = 0; w < 1u << N_ARCHIVES; w++)
+    for (uint32_t r = 0; r < 1u << N_ARCHIVES; r++)
+      {
+        struct ArchiveNames wrote = names_of (w), copied = names_of (r);
+
+        if (archive_set_is_written (&starting, TOLERATED, &wrote)
+            && archive_set_is_copied (&again, TOLERATED, &copied))
+          CU_ASSERT ((w & r) != 0);
+      }
+}
+
 /* A gateway that missed the start of a change still asks the former set. Were it answered, a turn
  * could be stored where the new set never looks; so archives that know of the change refuse it. */
 static void
@@ -193,6 +229,7 @@
   { "a set is no larger than it need be", test_a_set_is_no_larger_than_it_need_be },
   { "no set is never enough", test_no_set_is_never_enough },
   { "neighbouring stages see each other", test_neighbouring_stages_see_each_other },
+  { "another may come in place of one that died", test_another_may_come_in_place_of_one_that_died },
   { "questions from before a change are refused", test_questions_from_before_a_change_are_refused },
   { "a copy meets all that was written before", test_a_copy_meets_all_that_was_written_before },
   { "during a change both sets are asked", test_during_a_change_both_sets_are_asked },
