A starting gateway holds its callers for a moment

Ruled out: longer times to come back: the callers come again later than they could be served. Change: for 1.2 s after its start a gateway holds what it will be able to serve, and looks every 20 ms; after that, and in a partition, it sends back at once as before. Test: sessions_gateway_path, failed before (503).

--- a/gateway/front.c
+++ b/gateway/front.c
@@ -27,6 +27,10 @@
   FIRST_HEADER_MS = 3000,
   FIRST_IDLE_MS = 15000,
   TICK_MS = 250, /* half a heartbeat */
+  /* From the start of the process: links to archives and peers are up within some 300 ms where
+   * 80 processes start together, on an eighth of a core. */
+  STARTING_MS = 1200,
+  START_CHECK_MS = 20,
   /* Own listeners: few, small and short. */
   OWN_CONNECTIONS = 1000,
   /* A server's idle connection that has no stated end. */
@@ -149,6 +153,60 @@
   return front->stop_ms != 0 && timer_now_ms (front->node->timers) - front->stop_ms > STOP_TAKES_MS;
 }
 
+/* Guards against callers whose few attempts are used up by a gateway that has just started: after a
+ * loss of power it knows the configuration, the servers and the archives within some hundred
+ * milliseconds, sooner than a caller that is sent back would come again. */
+static bool
+front_is_starting (const struct Front *front)
+{
+  return timer_now_ms (front->node->timers) - front->started_ms < STARTING_MS;
+}
+
+static void
+front_take (struct Request *request);
+
+static void
+request_on_start (void *data)
+{
+  struct Request *request = data;
+
+  request->hold = NULL;
+  front_take (request);
+}
+
+/* Holds the request for a moment while the gateway starts, else it fails. */
+static void
+front_hold (struct Request *request, enum RequestFailure failure, const char *detail)
+{
+  struct Front *front = request->front;
+
+  if (front_is_starting (front))
+    request->hold = timer_subscribe (request, front->node->timers, START_CHECK_MS, 0,
+                                     request_on_start, request);
+  if (request->hold == NULL)
+    request_fail (request, failure, detail);
+}
+
+static void
+front_take (struct Request *request)
+{
+  struct Front *front = request->front;
+  bool routed = request->timeout != NULL;
+
+  if (front->table == NULL)
+    front_hold (request, FAILURE_NO_CONFIG, "started lately, and nobody could say");
+  else if (!routed && !request_route (request))
+    request_fail (request, FAILURE_NO_ROUTE, request->exchange->target);
+  else if (front->replicas->n_replicas == 0)
+    front_hold (request, FAILURE_NO_SERVER, "no server is listed");
+  else if (!request->route.keeps_turns)
+    request_send (request);
+  else if (turn_may_start (front))
+    turn_start (request);
+  else
+    front_hold (request, FAILURE_UNCERTAIN, "too few archives answer, and no gateway can relay");
+}
+
 static void
 front_on_request (void *data, struct HttpExchange *exchange)
 {
@@ -167,14 +225,8 @@
     request_fail (request, FAILURE_MALFORMED, fault.message);
   else if (front_is_refusing (front))
     request_fail (request, FAILURE_STOPPING, "planned stop");
-  else if (front->table == NULL)
-    request_fail (request, FAILURE_NO_CONFIG, "started lately, and nobody could say");
-  else if (!request_route (request))
-    request_fail (request, FAILURE_NO_ROUTE, exchange->target);
-  else if (request->route.keeps_turns)
-    turn_start (request);
   else
-    request_send (request);
+    front_take (request);
 }
 
 /* Own paths. */
@@ -539,6 +591,7 @@
   if (f == NULL)
     return fault_set (fault, ERROR_NO_MEMORY, NULL, "no memory for the gateway");
   f->node = node;
+  f->started_ms = timer_now_ms (node->timers);
   f->replicas = replica_set_new (f);
   f->client = http_client_new (f, node->events, node->timers, &client_options);
   f->slots = slots_new (f);
--- a/gateway/front.h
+++ b/gateway/front.h
@@ -53,7 +53,8 @@
   int64_t arrived_ms;       /* when it was whole */
   int64_t due_ms;           /* the end of its time, the caller's or the route's */
   struct Timer *timeout;
-  struct Turn *turn; /* NULL for anything but a turn */
+  struct Timer *hold; /* while the gateway starts; NULL: not held */
+  struct Turn *turn;  /* NULL for anything but a turn */
   const uint8_t *body;
   size_t body_bytes;
   const char *cached_at; /* server that ran the turn before; "" for none */
@@ -87,6 +88,7 @@
   struct Slots *slots;
   struct HttpServer *callers, *ready, *directory;
   struct Request *requests;
+  int64_t started_ms;
   int64_t stop_ms; /* when the planned stop was asked for; 0: none */
   uint64_t draws;
   uint32_t n_gateways; /* live ones, this one included */
@@ -136,6 +138,10 @@
 
 /* Turns. */
 
+/* Enough archives can be asked, directly or through another gateway. */
+bool
+turn_may_start (const struct Front *front);
+
 /* Reserves the turn's tokens and fetches its history; then sends it, or refuses it. */
 void
 turn_start (struct Request *request);
--- a/gateway/turn.c
+++ b/gateway/turn.c
@@ -199,6 +199,12 @@
     }
 }
 
+bool
+turn_may_start (const struct Front *front)
+{
+  return node_reaches_archives (front->node) || node_has_relay (front->node);
+}
+
 void
 turn_start (struct Request *request)
 {
@@ -215,12 +221,6 @@
   if (request->caller.program[0] == '\0')
     request->caller.program = request->caller.id;
   turn_ask (request, turn, TURN_OPENING);
-  if (!node_reaches_archives (front->node) && !node_has_relay (front->node))
-    {
-      request_fail (request, FAILURE_UNCERTAIN,
-                    "too few archives answer, and no gateway can relay");
-      return;
-    }
   turn_send_open (request);
   turn->timer =
       timer_subscribe (turn, front->node->timers, OPEN_AGAIN_MS, 0, turn_on_open_timeout, request);
--- a/tests/sessions/test_gateway_path.c
+++ b/tests/sessions/test_gateway_path.c
@@ -194,6 +194,29 @@
   talloc_free (ctx);
 }
 
+/* A gateway starts again after its machine lost power, and callers come back as soon as its port
+ * is open. It knows nothing yet: sent back, they would use up their few attempts in the moment that
+ * it takes to learn the configuration and to reach the archives. It holds them instead. */
+static void
+test_a_starting_gateway_holds_its_callers (void)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct Fleet *fleet = fleet_start (ctx, 2, 3);
+  uint32_t n_failed = CU_get_number_of_failures ();
+  int64_t limit_ms = monotonic_ms () + WAIT_LIMIT_MS;
+  struct HttpReply *reply;
+
+  process_kill (fleet->gateways[0].process);
+  gateway_start (fleet, 0);
+  do
+    reply = turn_send (fleet, ctx, 0, "p", "t1", "", 0, "x");
+  while (reply->status == 0 && monotonic_ms () < limit_ms);
+  CU_ASSERT_EQUAL (reply->status, 200);
+  CU_ASSERT_STRING_EQUAL (reply->text, stream_of (ctx, "t1"));
+  fleet_end (fleet, CU_get_number_of_failures () > n_failed);
+  talloc_free (ctx);
+}
+
 struct StopWatch
 {
   struct Fleet *fleet;
@@ -253,6 +276,7 @@
   { "unknown turns and routes are told so", test_unknown_turns_and_routes_are_told_so },
   { "a change reaches all gateways", test_a_change_reaches_all_gateways },
   { "metrics show a turn where it passed", test_metrics_show_a_turn_where_it_passed },
+  { "a starting gateway holds its callers", test_a_starting_gateway_holds_its_callers },
   { "a planned stop cuts nothing", test_a_planned_stop_cuts_nothing },
   { NULL, NULL },
 };
