A randomized soak of real processes behind forwarders that misbehave

What it does: three gateways, three archives, the stand-ins; forwarders on loopback between the processes and before the store that delay, reset, silence, or cut one way; kills, pauses, planned stops, wiped disks (one at a time with time to copy), the store, servers, configurations, all at once; callers of its own, on kept connections, that know what they were told. Checked: streams and histories whole, budgets, at most once, 503/429/402 never run, kept turns found, all goes on after. For it: [listen] announce, an address for forwarders; the fleet of the tests starts in two steps.

--- a/core/gateway/gateway_settings.c
+++ b/core/gateway/gateway_settings.c
@@ -34,6 +34,7 @@
   TEXT ("directory", CONFIG_VALUE_ADDRESS, directory_listen, ""),
   TEXT ("metrics", CONFIG_VALUE_ADDRESS, metrics_listen, ""),
   TEXT ("peer", CONFIG_VALUE_ADDRESS, peer_listen, NULL),
+  TEXT ("announce", CONFIG_VALUE_ADDRESS, announce, ""),
 };
 
 static const struct ConfigKey platform_keys[] = {
--- a/gateway/node.c
+++ b/gateway/node.c
@@ -181,6 +181,14 @@
   return n_sent;
 }
 
+const char *
+node_address (const struct Node *node)
+{
+  const struct GatewaySettings *settings = node->settings;
+
+  return settings->announce[0] != '\0' ? settings->announce : settings->peer_listen;
+}
+
 /* Status. */
 
 static struct GatewayMessage *
@@ -194,7 +202,7 @@
   message->kind = GATEWAY_STATUS;
   snprintf (message->status.node, NAME_MAX_BYTES + 1, "%s", settings->instance);
   snprintf (message->status.zone, NAME_MAX_BYTES + 1, "%s", settings->zone);
-  snprintf (message->status.peer_address, ADDRESS_MAX_BYTES + 1, "%s", settings->peer_listen);
+  snprintf (message->status.peer_address, ADDRESS_MAX_BYTES + 1, "%s", node_address (node));
   message->status.set = node->set;
   message->status.is_archive = node_is_archive (node);
   snprintf (message->status.caller_address, ADDRESS_MAX_BYTES + 1, "%s", settings->caller_listen);
--- a/gateway/node.h
+++ b/gateway/node.h
@@ -106,6 +106,10 @@
 bool
 node_is_archive (const struct Node *node);
 
+/* Where other processes reach this one. */
+const char *
+node_address (const struct Node *node);
+
 /* The link to peer is connected and has answered lately. */
 bool
 node_peer_answers (const struct Node *node, const struct Peer *peer);
--- a/gateway/store_reader.c
+++ b/gateway/store_reader.c
@@ -638,7 +638,7 @@
   struct KvRequest request = { .op = KV_OP_PUT };
   char key[NAME_MAX_BYTES + 96], value[ADDRESS_MAX_BYTES + 16];
 
-  snprintf (value, sizeof value, "%s %s", settings->peer_listen,
+  snprintf (value, sizeof value, "%s %s", node_address (reader->node),
             node_is_archive (reader->node) ? ROLE_ARCHIVE : ROLE_GATEWAY);
   snprintf (key, sizeof key, "%snodes/%s", settings->prefix, settings->instance);
   request.put.key = key;
--- a/include/buckthornhead/gateway_settings.h
+++ b/include/buckthornhead/gateway_settings.h
@@ -4,7 +4,7 @@
 #include <buckthornhead/settings.h>
 
 /* Sections: [instance] name, zone, data_folder; [listen] caller, ready, directory, metrics, peer
- * (IP:port each; those of callers are for gateways); [platform] store (URL), prefix; [archives]
+ * (IP:port each, and announce; those of callers are for gateways); [platform] store (URL), prefix; [archives]
  * first_start, tolerated; [stop] grace; [directory] keep; [limits] connections. */
 struct GatewaySettings
 {
@@ -16,6 +16,7 @@
   char directory_listen[ADDRESS_MAX_BYTES + 1];
   char metrics_listen[ADDRESS_MAX_BYTES + 1];
   char peer_listen[ADDRESS_MAX_BYTES + 1];
+  char announce[ADDRESS_MAX_BYTES + 1]; /* at which others reach peer_listen; "": there */
   char store_url[256];
   char prefix[64];     /* of the system's own keys in the store */
   int32_t first_start; /* the whole system starts for the first time: an empty disk is whole */
--- a/tests/sessions/gateways.c
+++ b/tests/sessions/gateways.c
@@ -1,9 +1,9 @@
 #include "gateways.h"
 
-#include <CUnit/CUnit.h>
 #include <ftw.h>
 #include <signal.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
@@ -13,23 +13,34 @@
   MAX_TOKENS = 200 /* of one turn */
 };
 
+static uint16_t
+forwarded (struct Fleet *fleet, uint16_t port)
+{
+  return fleet->forward != NULL ? fleet->forward (fleet->forward_data, port) : port;
+}
+
 static void
 write_gateway (struct Fleet *fleet, uint32_t i)
 {
   struct GatewayNode *g = &fleet->gateways[i];
   char name[40], text[1024];
+  uint16_t peer_port;
 
   snprintf (g->name, sizeof g->name, "front-%u", i + 1);
   snprintf (g->caller, sizeof g->caller, "127.0.0.1:%u", session_port (fleet->session));
   snprintf (g->ready, sizeof g->ready, "127.0.0.1:%u", session_port (fleet->session));
   snprintf (g->directory, sizeof g->directory, "127.0.0.1:%u", session_port (fleet->session));
-  snprintf (g->peer, sizeof g->peer, "127.0.0.1:%u", session_port (fleet->session));
+  peer_port = session_port (fleet->session);
+  snprintf (g->peer, sizeof g->peer, "127.0.0.1:%u", peer_port);
+  g->announced_port = forwarded (fleet, peer_port);
   snprintf (g->metrics, sizeof g->metrics, "127.0.0.1:%u", session_port (fleet->session));
   snprintf (text, sizeof text,
             "[instance]\nname = %s\nzone = a\n[listen]\ncaller = %s\nready = %s\n"
-            "directory = %s\npeer = %s\nmetrics = %s\n[platform]\nstore = http://%s\n[stop]\ngrace "
+            "directory = %s\npeer = %s\nannounce = 127.0.0.1:%u\nmetrics = %s\n[platform]\nstore = "
+            "http://%s\n[stop]\ngrace "
             "= 6s\n",
-            g->name, g->caller, g->ready, g->directory, g->peer, g->metrics, fleet->store);
+            g->name, g->caller, g->ready, g->directory, g->peer, g->announced_port, g->metrics,
+            fleet->store);
   snprintf (name, sizeof name, "%s.ini", g->name);
   g->file = session_write_file (fleet->session, name, text);
 }
@@ -47,13 +58,15 @@
   if (a->peer_port == 0)
     {
       a->peer_port = session_port (fleet->session);
+      a->announced_port = forwarded (fleet, a->peer_port);
       snprintf (a->metrics, sizeof a->metrics, "127.0.0.1:%u", session_port (fleet->session));
     }
   snprintf (text, sizeof text,
             "[instance]\nname = %s\nzone = a\ndata_folder = %s\n[listen]\n"
-            "peer = 127.0.0.1:%u\nmetrics = %s\n[platform]\nstore = "
+            "peer = 127.0.0.1:%u\nannounce = 127.0.0.1:%u\nmetrics = %s\n[platform]\nstore = "
             "http://%s\n[archives]\nfirst_start = %s\n",
-            a->name, a->folder, a->peer_port, a->metrics, fleet->store, first ? "true" : "false");
+            a->name, a->folder, a->peer_port, a->announced_port, a->metrics, fleet->store,
+            first ? "true" : "false");
   snprintf (name, sizeof name, "%s.ini", a->name);
   a->file = session_write_file (fleet->session, name, text);
 }
@@ -110,15 +123,34 @@
   return wait_for (gateway_is_ready, &fleet->gateways[i]);
 }
 
+/* Ends the program: a soak has no suite whose assertions could fail. */
+static void
+fleet_require (bool holds, const char *what)
+{
+  if (holds)
+    return;
+  fprintf (stderr, "the fleet does not start: no %s\n", what);
+  abort ();
+}
+
 struct Fleet *
-fleet_start (TALLOC_CTX *ctx, uint32_t n_gateways, uint32_t n_archives)
+fleet_new (TALLOC_CTX *ctx)
 {
   struct Fleet *fleet = talloc_zero (ctx, struct Fleet);
-  uint16_t store_port;
 
   fleet->session = session_new (fleet);
-  store_port = session_port (fleet->session);
-  snprintf (fleet->store, sizeof fleet->store, "127.0.0.1:%u", store_port);
+  return fleet;
+}
+
+void
+fleet_start_all (
+    struct Fleet *fleet, uint32_t n_gateways, uint32_t n_archives, ForwardFn forward, void *data)
+{
+  uint16_t store_port = session_port (fleet->session);
+
+  fleet->forward = forward;
+  fleet->forward_data = data;
+  snprintf (fleet->store, sizeof fleet->store, "127.0.0.1:%u", forwarded (fleet, store_port));
   fleet->installation = installation_new (fleet, store_port);
   for (uint32_t i = 0; i < N_ENGINES; i++)
     installation_add (fleet->installation, "engines", true, "a", session_port (fleet->session));
@@ -132,10 +164,18 @@
       gateway_start (fleet, fleet->n_gateways);
     }
   for (uint32_t i = 0; i < n_archives; i++)
-    CU_ASSERT_TRUE_FATAL (
-        process_wait_output (fleet->archives[i].process, "generation 3, 3 members"));
+    fleet_require (process_wait_output (fleet->archives[i].process, "generation 3, 3 members"),
+                   "the archives' first set");
   for (uint32_t i = 0; i < n_gateways; i++)
-    CU_ASSERT_TRUE_FATAL (gateway_wait_ready (fleet, i));
+    fleet_require (gateway_wait_ready (fleet, i), "a ready gateway");
+}
+
+struct Fleet *
+fleet_start (TALLOC_CTX *ctx, uint32_t n_gateways, uint32_t n_archives)
+{
+  struct Fleet *fleet = fleet_new (ctx);
+
+  fleet_start_all (fleet, n_gateways, n_archives, NULL, NULL);
   return fleet;
 }
 
--- a/tests/sessions/gateways.h
+++ b/tests/sessions/gateways.h
@@ -18,6 +18,7 @@
   struct Process *process;
   char name[32];
   char caller[32], ready[32], directory[32], peer[32], metrics[32];
+  uint16_t announced_port;
   const char *file;
 };
 
@@ -28,9 +29,12 @@
   char folder[300];
   char metrics[32];
   const char *file;
-  uint16_t peer_port;
+  uint16_t peer_port, announced_port;
 };
 
+/* The port of something that forwards to target. */
+typedef uint16_t (*ForwardFn) (void *data, uint16_t target);
+
 struct Fleet
 {
   struct Session *session;
@@ -39,12 +43,20 @@
   struct ArchiveNode archives[ARCHIVES_MAX];
   uint32_t n_gateways, n_archives;
   char store[48];
-  char last[64]; /* id of the last turn that was taken */
+  char last[64];     /* id of the last turn that was taken */
+  ForwardFn forward; /* between the processes, and to the store; NULL: nothing */
+  void *forward_data;
 };
 
 /* Two engines, one desk, the configuration's version 1; waits until every gateway is ready. */
 struct Fleet *
 fleet_start (TALLOC_CTX *ctx, uint32_t n_gateways, uint32_t n_archives);
+/* The same in two steps, for those that forward: the store first, then archives and gateways. */
+struct Fleet *
+fleet_new (TALLOC_CTX *ctx);
+void
+fleet_start_all (
+    struct Fleet *fleet, uint32_t n_gateways, uint32_t n_archives, ForwardFn forward, void *data);
 void
 fleet_end (struct Fleet *fleet, bool failed);
 
--- /dev/null
+++ b/tests/soak/soak.c
@@ -0,0 +1,344 @@
+/* Randomized soak: the real programs as processes of this machine, faults from outside them, and
+ * the promises of the pages checked from what callers and servers see.
+ *
+ *   soak --seed N --seeds COUNT --seconds S
+ *
+ * Prints each fault as it begins; a violation keeps the processes' logs and fails the run. */
+#include "soak_load.h"
+#include "soak_plan.h"
+#include "soak_proxy.h"
+
+#include <argtable2.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  N_GATEWAYS = 3,
+  N_ARCHIVES = 3,
+  N_CALLERS = 6,
+  N_PROXIES = N_GATEWAYS + N_ARCHIVES + 1,
+  STORE_PROXY = N_PROXIES - 1,
+  STEP_MS = 20,
+  DELAY_MAX_MS = 250
+};
+
+/* What an event holds until it is over. */
+struct Running
+{
+  struct SoakEvent event;
+  bool active;
+};
+
+struct Soak
+{
+  struct Fleet *fleet;
+  struct SoakLoad load;
+  struct Proxy *proxies[N_PROXIES]; /* of gateways, then archives, then the store */
+  size_t n_proxies;
+  bool busy[N_GATEWAYS + N_ARCHIVES]; /* an event has this process */
+  bool links_busy[N_PROXIES], store_busy, servers_busy;
+  uint64_t version;
+};
+
+static uint16_t
+soak_forward (void *data, uint16_t target)
+{
+  struct Soak *soak = data;
+  uint16_t port = session_port (soak->fleet->session);
+  struct Proxy *proxy = proxy_new (soak->fleet, port, target);
+
+  if (proxy == NULL)
+    abort ();
+  soak->proxies[soak->n_proxies++] = proxy;
+  return port;
+}
+
+/* The place of a forwarder: the store's is made first, then the archives', then the gateways'. */
+static struct Proxy *
+soak_proxy (const struct Soak *soak, uint32_t of)
+{
+  if (of == STORE_PROXY)
+    return soak->proxies[0];
+  if (of < N_GATEWAYS)
+    return soak->proxies[1 + N_ARCHIVES + of];
+  return soak->proxies[1 + of - N_GATEWAYS];
+}
+
+static struct Process *
+soak_process (const struct Soak *soak, uint32_t of)
+{
+  return of < N_GATEWAYS ? soak->fleet->gateways[of].process
+                         : soak->fleet->archives[of - N_GATEWAYS].process;
+}
+
+static void
+soak_restart (struct Soak *soak, uint32_t of)
+{
+  process_kill (soak_process (soak, of));
+  if (of < N_GATEWAYS)
+    gateway_start (soak->fleet, of);
+  else
+    archive_start (soak->fleet, of - N_GATEWAYS, false);
+}
+
+static bool
+take (bool *busy)
+{
+  if (*busy)
+    return false;
+  *busy = true;
+  return true;
+}
+
+static uint32_t
+event_process (const struct SoakEvent *event)
+{
+  switch (event->fault)
+    {
+    case SOAK_GATEWAY_KILL:
+    case SOAK_GATEWAY_TERM:
+    case SOAK_GATEWAY_PAUSE:
+    case SOAK_GATEWAY_LINK:
+      return event->target % N_GATEWAYS;
+    default:
+      return N_GATEWAYS + event->target % N_ARCHIVES;
+    }
+}
+
+static bool
+begin_link (struct Soak *soak, uint32_t of, const struct SoakEvent *event)
+{
+  if (!take (&soak->links_busy[of]))
+    return false;
+  proxy_set (soak_proxy (soak, of), 1 + event->how % (N_PROXY_MODES - 1),
+             1 + event->how % DELAY_MAX_MS);
+  return true;
+}
+
+static bool
+begin_process (struct Soak *soak, const struct SoakEvent *event)
+{
+  uint32_t of = event_process (event);
+
+  if (!take (&soak->busy[of]))
+    return false;
+  switch (event->fault)
+    {
+    case SOAK_GATEWAY_TERM:
+      process_signal (soak_process (soak, of), SIGTERM);
+      break;
+    case SOAK_GATEWAY_PAUSE:
+    case SOAK_ARCHIVE_PAUSE:
+      process_signal (soak_process (soak, of), SIGSTOP);
+      break;
+    case SOAK_ARCHIVE_WIPE:
+      process_kill (soak_process (soak, of));
+      archive_wipe (soak->fleet, of - N_GATEWAYS);
+      break;
+    default:
+      process_kill (soak_process (soak, of));
+    }
+  return true;
+}
+
+static bool
+begin_server (struct Soak *soak, const struct SoakEvent *event)
+{
+  static const enum ServerMode modes[] = { SERVER_FULL, SERVER_LOSES, SERVER_BREAKS_OFF,
+                                           SERVER_SPOILS, SERVER_HANGS };
+
+  if (!take (&soak->servers_busy))
+    return false;
+  server_set_mode (soak->fleet->installation, event->target % (DESK + 1),
+                   modes[event->how % (sizeof modes / sizeof modes[0])]);
+  return true;
+}
+
+static bool
+begin_kill_all (struct Soak *soak)
+{
+  for (uint32_t of = 0; of < N_GATEWAYS + N_ARCHIVES; of++)
+    if (soak->busy[of])
+      return false;
+  for (uint32_t of = 0; of < N_GATEWAYS + N_ARCHIVES; of++)
+    {
+      soak->busy[of] = true;
+      process_signal (soak_process (soak, of), SIGKILL);
+    }
+  return true;
+}
+
+/* False when something else holds what the event wants. */
+static bool
+event_begin (struct Soak *soak, const struct SoakEvent *event)
+{
+  switch (event->fault)
+    {
+    case SOAK_GATEWAY_LINK:
+    case SOAK_ARCHIVE_LINK:
+      return begin_link (soak, event_process (event), event);
+    case SOAK_STORE_LINK:
+      return begin_link (soak, STORE_PROXY, event);
+    case SOAK_STORE:
+      if (!take (&soak->store_busy))
+        return false;
+      installation_set_store (soak->fleet->installation,
+                              event->how % 2 == 0 ? STORE_REFUSES : STORE_SILENT);
+      return true;
+    case SOAK_SERVER:
+      return begin_server (soak, event);
+    case SOAK_CONFIG:
+      installation_configure (soak->fleet->installation, ++soak->version, "");
+      return true;
+    case SOAK_KILL_ALL:
+      return begin_kill_all (soak);
+    default:
+      return begin_process (soak, event);
+    }
+}
+
+static void
+end_process (struct Soak *soak, const struct SoakEvent *event)
+{
+  uint32_t of = event_process (event);
+
+  if (event->fault == SOAK_GATEWAY_PAUSE || event->fault == SOAK_ARCHIVE_PAUSE)
+    process_signal (soak_process (soak, of), SIGCONT);
+  else
+    soak_restart (soak, of);
+  soak->busy[of] = false;
+}
+
+static void
+end_link (struct Soak *soak, uint32_t of)
+{
+  proxy_set (soak_proxy (soak, of), PROXY_PASSES, 0);
+  soak->links_busy[of] = false;
+}
+
+static void
+event_end (struct Soak *soak, const struct SoakEvent *event)
+{
+  switch (event->fault)
+    {
+    case SOAK_GATEWAY_LINK:
+    case SOAK_ARCHIVE_LINK:
+      end_link (soak, event_process (event));
+      break;
+    case SOAK_STORE_LINK:
+      end_link (soak, STORE_PROXY);
+      break;
+    case SOAK_STORE:
+      installation_set_store (soak->fleet->installation, STORE_SERVES);
+      soak->store_busy = false;
+      break;
+    case SOAK_SERVER:
+      server_set_mode (soak->fleet->installation, event->target % (DESK + 1), SERVER_ANSWERS);
+      soak->servers_busy = false;
+      break;
+    case SOAK_CONFIG:
+      break;
+    case SOAK_KILL_ALL:
+      for (uint32_t of = 0; of < N_GATEWAYS + N_ARCHIVES; of++)
+        {
+          soak_restart (soak, of);
+          soak->busy[of] = false;
+        }
+      break;
+    default:
+      end_process (soak, event);
+    }
+}
+
+static void
+soak_play (struct Soak *soak, const struct SoakEvent *events, size_t n_events, int64_t length_ms)
+{
+  static struct Running running[SOAK_EVENTS_MAX];
+  int64_t start_ms = monotonic_ms (), now_ms = 0;
+  size_t next = 0, n_active = 0;
+
+  while (now_ms < length_ms || n_active > 0)
+    {
+      now_ms = monotonic_ms () - start_ms;
+      for (; next < n_events && events[next].at_ms <= now_ms; next++)
+        {
+          running[next] = (struct Running){ events[next], event_begin (soak, &events[next]) };
+          n_active += running[next].active;
+          if (running[next].active)
+            printf ("%6lld ms: %s for %lld ms\n", (long long)now_ms,
+                    soak_fault_name (events[next].fault), (long long)events[next].for_ms);
+        }
+      for (size_t i = 0; i < next; i++)
+        if (running[i].active && events[i].at_ms + events[i].for_ms <= now_ms)
+          {
+            event_end (soak, &events[i]);
+            running[i].active = false;
+            n_active--;
+          }
+      sleep_ms (STEP_MS);
+    }
+}
+
+static uint32_t
+soak_run (uint64_t seed, int64_t length_ms)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct Soak *soak = talloc_zero (ctx, struct Soak);
+  struct SoakEvent events[SOAK_EVENTS_MAX];
+  size_t n_events = soak_plan (seed, length_ms, events);
+  struct SoakCounts *counts = &soak->load.counts;
+
+  printf ("seed %llu, %zu faults\n", (unsigned long long)seed, n_events);
+  soak->version = 1;
+  soak->fleet = fleet_new (ctx);
+  fleet_start_all (soak->fleet, N_GATEWAYS, N_ARCHIVES, soak_forward, soak);
+  soak->load.fleet = soak->fleet;
+  soak->load.seed = seed;
+  soak_load_start (&soak->load, N_CALLERS);
+  soak_play (soak, events, n_events, length_ms);
+  soak_load_end (&soak->load);
+  soak_check_end (&soak->load);
+  printf ("seed %llu: %u programs, %u turns, %u calls, %u sent back, %u unknown, %u violations\n",
+          (unsigned long long)seed, counts->n_programs, counts->n_turns, counts->n_calls,
+          counts->n_refused, counts->n_unknown, counts->n_violations);
+  fflush (stdout);
+  seed = counts->n_violations;
+  for (size_t i = 0; i < soak->n_proxies; i++)
+    proxy_end (soak->proxies[i]);
+  fleet_end (soak->fleet, seed > 0);
+  talloc_free (ctx);
+  return (uint32_t)seed;
+}
+
+int
+main (int argc, char *argv[])
+{
+  struct arg_int *seed = arg_int0 (NULL, "seed", "N", "first seed; 1 unless given");
+  struct arg_int *seeds = arg_int0 (NULL, "seeds", "COUNT", "how many seeds; 1 unless given");
+  struct arg_int *seconds = arg_int0 (NULL, "seconds", "S", "of faults a seed; 20 unless given");
+  struct arg_end *end = arg_end (4);
+  void *table[] = { seed, seeds, seconds, end };
+  uint32_t n_failed = 0;
+
+  seed->ival[0] = 1;
+  seeds->ival[0] = 1;
+  seconds->ival[0] = 20;
+  if (arg_parse (argc, argv, table) > 0 || seconds->ival[0] < 1 || seeds->ival[0] < 1)
+    {
+      arg_print_errors (stderr, end, "soak");
+      fprintf (stderr, "usage: soak [--seed N] [--seeds COUNT] [--seconds S]\n");
+      return 2;
+    }
+  for (int i = 0; i < seeds->ival[0]; i++)
+    if (soak_run ((uint64_t)(seed->ival[0] + i), seconds->ival[0] * 1000) > 0)
+      {
+        n_failed++;
+        printf ("FAILED seed %d\n", seed->ival[0] + i);
+      }
+  printf ("%u of %d seeds failed\n", n_failed, seeds->ival[0]);
+  arg_freetable (table, sizeof table / sizeof table[0]);
+  return n_failed > 0;
+}
--- /dev/null
+++ b/tests/soak/soak_plan.c
@@ -0,0 +1,81 @@
+#include "soak_plan.h"
+
+enum
+{
+  FIRST_MS = 500,
+  GAP_MAX_MS = 1200,
+  SHORT_MS = 200,
+  LONG_MS = 3500,
+  WIPE_GAP_MS = 9000 /* copying takes a second, and waits for paused gateways do not matter to it */
+};
+
+static const char *const names[N_SOAK_FAULTS] = {
+  "gateway killed",
+  "gateway stopped as planned",
+  "gateway paused",
+  "gateway's links",
+  "archive killed",
+  "archive paused",
+  "archive's links",
+  "archive's disk lost",
+  "store",
+  "store's links",
+  "server",
+  "configuration",
+  "everything killed",
+};
+
+const char *
+soak_fault_name (enum SoakFault fault)
+{
+  return names[fault];
+}
+
+static uint32_t
+draw (uint64_t *state, uint32_t below)
+{
+  *state = *state * 6364136223846793005ULL + 1442695040888963407ULL;
+  return (uint32_t)(*state >> 33) % below;
+}
+
+static bool
+is_of_archives (enum SoakFault fault)
+{
+  switch (fault)
+    {
+    case SOAK_ARCHIVE_KILL:
+    case SOAK_ARCHIVE_PAUSE:
+    case SOAK_ARCHIVE_LINK:
+    case SOAK_KILL_ALL:
+      return true;
+    default:
+      return false;
+    }
+}
+
+size_t
+soak_plan (uint64_t seed, int64_t length_ms, struct SoakEvent events[SOAK_EVENTS_MAX])
+{
+  uint64_t state = seed * 7919 + 17;
+  bool wipes = draw (&state, 2) == 0;
+  int64_t at_ms = FIRST_MS, next_wipe_ms = FIRST_MS;
+  size_t n = 0;
+
+  while (at_ms < length_ms && n < SOAK_EVENTS_MAX)
+    {
+      struct SoakEvent event = { .at_ms = at_ms, .fault = draw (&state, N_SOAK_FAULTS) };
+
+      event.for_ms = SHORT_MS + draw (&state, LONG_MS - SHORT_MS);
+      event.target = draw (&state, 1u << 16);
+      event.how = draw (&state, 1u << 16);
+      at_ms += draw (&state, GAP_MAX_MS);
+      if (wipes ? is_of_archives (event.fault) : event.fault == SOAK_ARCHIVE_WIPE)
+        continue;
+      if (event.fault == SOAK_ARCHIVE_WIPE && event.at_ms < next_wipe_ms)
+        continue;
+      if (event.fault == SOAK_ARCHIVE_WIPE)
+        next_wipe_ms = event.at_ms + event.for_ms + WIPE_GAP_MS;
+      events[n++] = event;
+    }
+  return n;
+}
--- a/tests/standins/installation_internal.h
+++ b/tests/standins/installation_internal.h
@@ -9,7 +9,7 @@
 enum
 {
   KEYS_MAX = 512,
-  RUNS_MAX = 4096
+  RUNS_MAX = 32768
 };
 
 struct StoreItem
