--- a/adapters/disk_log.c
+++ b/adapters/disk_log.c
@@ -1,4 +1,5 @@
 #include "disk_frame.h"
+#include "disk_writer.h"
 
 #include <buckthornhead/disk_log.h>
 
@@ -11,7 +12,6 @@
 #include <dirent.h>
 #include <errno.h>
 #include <fcntl.h>
-#include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -20,34 +20,9 @@
 
 enum
 {
-  /* A file goes when its last record has expired: small files give space back soon. */
-  FILE_MAX_BYTES = 8 * 1024 * 1024,
   /* A sync on the slowest disks of the sheets takes 5 ms; one this slow keeps callers waiting, and
    * past their gateway's patience a turn counts as not stored. */
-  SLOW_SYNC_MS = 300,
-  PATH_BYTES = 320
-};
-
-/* A record on its way to the disk. */
-struct DiskWrite
-{
-  struct DiskWrite *next;
-  uint8_t *frame; /* talloc, without a parent */
-  size_t frame_bytes;
-  int64_t expires_unix_ms;
-  DiskLogDone done;
-  void *data;
-  int32_t error;
-  struct DiskPlace place;
-  char *kept_name; /* a file of its own; NULL: a record of the log */
-};
-
-/* To the loop: these are settled. */
-struct DiskMail
-{
-  struct Mail mail;
-  int64_t took_ms;
-  struct DiskWrite *first;
+  SLOW_SYNC_MS = 300
 };
 
 /* One file as the loop knows it. */
@@ -66,24 +41,9 @@
   struct DiskFile *files; /* ascending by number */
   size_t n_files;
   struct Mailbox *mailbox;
-  pthread_t thread;
-  bool thread_runs;
-  /* Shared with the writer, under lock. */
-  pthread_mutex_t lock;
-  pthread_cond_t wake;
-  struct DiskWrite *first, **last;
-  bool stop;
-  /* The writer's own. */
-  uint32_t write_file, write_offset;
-  int write_fd;
+  struct DiskWriter *writer;
 };
 
-static void
-file_path (const struct DiskLog *log, uint32_t number, char path[PATH_BYTES])
-{
-  snprintf (path, PATH_BYTES, "%s/log-%u", log->folder, number);
-}
-
 static struct DiskFile *
 file_find (const struct DiskLog *log, uint32_t number)
 {
@@ -131,11 +91,11 @@
 file_replay (struct DiskLog *log, uint32_t number, DiskLogFn fn, void *data)
 {
   struct DiskFile *file = file_need (log, number);
-  char path[PATH_BYTES];
+  char path[DISK_PATH_BYTES];
   size_t n_bytes;
   uint8_t *bytes;
 
-  file_path (log, number, path);
+  disk_file_path (log->folder, number, path);
   bytes = disk_file_read (log, path, &n_bytes);
   if (bytes == NULL || file == NULL)
     {
@@ -193,9 +153,9 @@
 }
 
 static void
-mark_path (const struct DiskLog *log, char path[PATH_BYTES])
+mark_path (const struct DiskLog *log, char path[DISK_PATH_BYTES])
 {
-  snprintf (path, PATH_BYTES, "%s/complete", log->folder);
+  snprintf (path, DISK_PATH_BYTES, "%s/complete", log->folder);
 }
 
 bool
@@ -207,7 +167,7 @@
 int32_t
 disk_log_mark_complete (struct DiskLog *log)
 {
-  char path[PATH_BYTES];
+  char path[DISK_PATH_BYTES];
   int fd;
   bool durable;
 
@@ -221,156 +181,6 @@
   return durable ? ERROR_NONE : ERROR_IO;
 }
 
-/* The writer's thread. */
-
-static bool
-writer_open_next (struct DiskLog *log)
-{
-  char path[PATH_BYTES];
-
-  if (log->write_fd >= 0)
-    close (log->write_fd);
-  log->write_file++;
-  log->write_offset = 0;
-  file_path (log, log->write_file, path);
-  log->write_fd = open (path, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
-  return log->write_fd >= 0;
-}
-
-/* A renamed name may be the old one after a loss of power until its folder is synced. */
-static bool
-folder_sync (const struct DiskLog *log)
-{
-  int fd = open (log->folder, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-  bool synced = fd >= 0 && fsync (fd) == 0;
-
-  if (fd >= 0)
-    close (fd);
-  return synced;
-}
-
-static int32_t
-writer_keep (const struct DiskLog *log, const struct DiskWrite *w)
-{
-  char path[PATH_BYTES], fresh[PATH_BYTES];
-  bool written;
-  int fd;
-
-  snprintf (path, sizeof path, "%s/kept-%s", log->folder, w->kept_name);
-  snprintf (fresh, sizeof fresh, "%s/fresh-%s", log->folder, w->kept_name);
-  fd = open (fresh, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
-  if (fd < 0)
-    return ERROR_IO;
-  written = disk_file_put (fd, w->frame, w->frame_bytes) && fdatasync (fd) == 0;
-  close (fd);
-  return written && rename (fresh, path) == 0 && folder_sync (log) ? ERROR_NONE : ERROR_IO;
-}
-
-/* Takes the files of their own out of batch, and the rest of it stays: records of the log, for
- * which callers wait, go first. */
-static struct DiskWrite *
-batch_take_kept (struct DiskWrite **batch)
-{
-  struct DiskWrite *kept = NULL, **last = &kept, **at = batch;
-
-  while (*at != NULL)
-    {
-      struct DiskWrite *w = *at;
-
-      if (w->kept_name == NULL)
-        {
-          at = &w->next;
-          continue;
-        }
-      *at = w->next;
-      w->next = NULL;
-      *last = w;
-      last = &w->next;
-    }
-  return kept;
-}
-
-/* Writes all of batch and syncs once. After a failure nobody knows what the file holds, so that
- * the next batch starts another one. */
-static void
-writer_batch (struct DiskLog *log, struct DiskWrite *batch)
-{
-  bool sound = true;
-
-  if (log->write_fd < 0 || log->write_offset > FILE_MAX_BYTES)
-    sound = writer_open_next (log);
-  for (struct DiskWrite *w = batch; w != NULL && sound; w = w->next)
-    {
-      w->place.file = log->write_file;
-      w->place.offset = log->write_offset;
-      w->place.n_bytes = (uint32_t)(w->frame_bytes - FRAME_HEAD_BYTES);
-      sound = disk_file_put (log->write_fd, w->frame, w->frame_bytes);
-      log->write_offset += (uint32_t)w->frame_bytes;
-    }
-  sound = sound && fdatasync (log->write_fd) == 0;
-  if (!sound && log->write_fd >= 0)
-    {
-      close (log->write_fd);
-      log->write_fd = -1;
-    }
-  for (struct DiskWrite *w = batch; w != NULL; w = w->next)
-    w->error = sound ? ERROR_NONE : ERROR_IO;
-}
-
-static void
-writer_tell (struct DiskLog *log, struct DiskWrite *settled, int64_t started_ms)
-{
-  struct DiskMail *mail = talloc_zero (NULL, struct DiskMail);
-
-  if (mail == NULL)
-    abort (); /* without it nobody would ever hear of the records */
-  mail->mail.kind = MAIL_DISK_DURABLE;
-  mail->first = settled;
-  mail->took_ms = clock_monotonic_ms () - started_ms;
-  mailbox_post (log->mailbox, &mail->mail);
-}
-
-static void
-writer_settle (struct DiskLog *log, struct DiskWrite *batch)
-{
-  struct DiskWrite *kept = batch_take_kept (&batch);
-  int64_t started_ms = clock_monotonic_ms ();
-
-  if (batch != NULL)
-    {
-      writer_batch (log, batch);
-      writer_tell (log, batch, started_ms);
-    }
-  if (kept == NULL)
-    return;
-  started_ms = clock_monotonic_ms ();
-  for (struct DiskWrite *w = kept; w != NULL; w = w->next)
-    w->error = writer_keep (log, w);
-  writer_tell (log, kept, started_ms);
-}
-
-static void *
-writer_run (void *data)
-{
-  struct DiskLog *log = data;
-
-  for (;;)
-    {
-      struct DiskWrite *batch;
-
-      pthread_mutex_lock (&log->lock);
-      while (log->first == NULL && !log->stop)
-        pthread_cond_wait (&log->wake, &log->lock);
-      batch = log->first;
-      log->first = NULL;
-      log->last = &log->first;
-      pthread_mutex_unlock (&log->lock);
-      if (batch == NULL)
-        return NULL;
-      writer_settle (log, batch);
-    }
-}
-
 /* The loop's side. */
 
 static void
@@ -406,16 +216,8 @@
 static int
 log_free (struct DiskLog *log)
 {
-  if (log->thread_runs)
-    {
-      pthread_mutex_lock (&log->lock);
-      log->stop = true;
-      pthread_cond_signal (&log->wake);
-      pthread_mutex_unlock (&log->lock);
-      pthread_join (log->thread, NULL);
-    }
-  if (log->write_fd >= 0)
-    close (log->write_fd);
+  /* It posts to the mailbox until it has ended. */
+  TALLOC_FREE (log->writer);
   for (size_t i = 0; i < log->n_files; i++)
     if (log->files[i].fd >= 0)
       close (log->files[i].fd);
@@ -423,14 +225,16 @@
 }
 
 static int32_t
-log_start (struct DiskLog *log, struct tevent_context *events, struct Fault *fault)
+log_start (struct DiskLog *log,
+           struct tevent_context *events,
+           uint32_t last_file,
+           struct Fault *fault)
 {
-  pthread_mutex_init (&log->lock, NULL);
-  pthread_cond_init (&log->wake, NULL);
   log->mailbox = mailbox_new (log, events, log_on_mail, log);
-  if (log->mailbox == NULL || pthread_create (&log->thread, NULL, writer_run, log) != 0)
+  if (log->mailbox != NULL)
+    log->writer = disk_writer_new (log, log->folder, last_file, log->mailbox);
+  if (log->writer == NULL)
     return fault_set (fault, ERROR_NO_MEMORY, NULL, "no memory for the disk's thread");
-  log->thread_runs = true;
   return ERROR_NONE;
 }
 
@@ -444,15 +248,13 @@
                struct Fault *fault)
 {
   struct DiskLog *l = talloc_zero (ctx, struct DiskLog);
-  char path[PATH_BYTES];
-  uint32_t *numbers;
+  char path[DISK_PATH_BYTES];
+  uint32_t *numbers, last_file = 0;
   size_t n;
 
   *log = NULL;
   if (l == NULL)
     return fault_set (fault, ERROR_NO_MEMORY, NULL, "no memory for the log");
-  l->write_fd = -1;
-  l->last = &l->first;
   talloc_set_destructor (l, log_free);
   snprintf (l->folder, sizeof l->folder, "%s", folder);
   if (mkdir (folder, 0700) != 0 && errno != EEXIST)
@@ -465,11 +267,11 @@
   for (size_t i = 0; i < n; i++)
     {
       file_replay (l, numbers[i], fn, data);
-      l->write_file = numbers[i];
+      last_file = numbers[i];
     }
   mark_path (l, path);
   l->complete = access (path, F_OK) == 0;
-  if (log_start (l, events, fault) != ERROR_NONE)
+  if (log_start (l, events, last_file, fault) != ERROR_NONE)
     {
       *log = NULL;
       talloc_free (l);
@@ -484,38 +286,6 @@
   return ERROR_IO;
 }
 
-/* To the writer's thread. NULL without memory. */
-static struct DiskWrite *
-write_new (const uint8_t *record, size_t n_bytes, DiskLogDone done, void *data)
-{
-  struct DiskWrite *write = talloc_zero (NULL, struct DiskWrite);
-
-  if (write == NULL)
-    return NULL;
-  write->frame_bytes = FRAME_HEAD_BYTES + n_bytes;
-  write->frame = talloc_array (write, uint8_t, write->frame_bytes);
-  if (write->frame == NULL)
-    {
-      talloc_free (write);
-      return NULL;
-    }
-  disk_frame_head (write->frame, record, n_bytes);
-  memcpy (write->frame + FRAME_HEAD_BYTES, record, n_bytes);
-  write->done = done;
-  write->data = data;
-  return write;
-}
-
-static void
-write_submit (struct DiskLog *log, struct DiskWrite *write)
-{
-  pthread_mutex_lock (&log->lock);
-  *log->last = write;
-  log->last = &write->next;
-  pthread_cond_signal (&log->wake);
-  pthread_mutex_unlock (&log->lock);
-}
-
 int32_t
 disk_log_append (struct DiskLog *log,
                  const uint8_t *record,
@@ -524,23 +294,23 @@
                  DiskLogDone done,
                  void *data)
 {
-  struct DiskWrite *write = write_new (record, n_bytes, done, data);
+  struct DiskWrite *write = disk_write_new (record, n_bytes, done, data);
 
   if (write == NULL)
     return ERROR_NO_MEMORY;
   write->expires_unix_ms = expires_unix_ms;
-  write_submit (log, write);
+  disk_writer_submit (log->writer, write);
   return ERROR_NONE;
 }
 
 static int
 file_reader (const struct DiskLog *log, struct DiskFile *file)
 {
-  char path[PATH_BYTES];
+  char path[DISK_PATH_BYTES];
 
   if (file->fd < 0)
     {
-      file_path (log, file->number, path);
+      disk_file_path (log->folder, file->number, path);
       file->fd = open (path, O_RDONLY | O_CLOEXEC);
     }
   return file->fd;
@@ -606,7 +376,7 @@
   for (size_t i = 0; i < log->n_files; i++)
     {
       struct DiskFile *file = &log->files[i];
-      char path[PATH_BYTES];
+      char path[DISK_PATH_BYTES];
 
       /* The last file is the one that is being written. */
       if (i + 1 == log->n_files || file->expires_unix_ms > unix_ms)
@@ -616,7 +386,7 @@
         }
       if (file->fd >= 0)
         close (file->fd);
-      file_path (log, file->number, path);
+      disk_file_path (log->folder, file->number, path);
       unlink (path);
     }
   log->n_files = n_kept;
@@ -674,7 +444,7 @@
                DiskLogDone done,
                void *data)
 {
-  struct DiskWrite *write = write_new (record, n_bytes, done, data);
+  struct DiskWrite *write = disk_write_new (record, n_bytes, done, data);
 
   if (write == NULL)
     return ERROR_NO_MEMORY;
@@ -684,14 +454,14 @@
       talloc_free (write);
       return ERROR_NO_MEMORY;
     }
-  write_submit (log, write);
+  disk_writer_submit (log->writer, write);
   return ERROR_NONE;
 }
 
 uint8_t *
 disk_log_kept (struct DiskLog *log, TALLOC_CTX *ctx, const char *name, size_t *n_bytes)
 {
-  char path[PATH_BYTES];
+  char path[DISK_PATH_BYTES];
   uint8_t *bytes;
   size_t n;
 
