Waiting for an engine's owner is logged and measured

A decision that touches a request had no line: whose owner let it wait, for how many, and how long it should take. One line a request that waits; a histogram of the waits. Test: operations_page, test_histogram (names and explanations).

--- a/core/histogram.c
+++ b/core/histogram.c
@@ -38,6 +38,8 @@
   [HISTOGRAM_REFUSAL] = MILLISECONDS ("refusal", "Requests until they are sent back or given up"),
   [HISTOGRAM_TURN_OPEN] =
       MILLISECONDS ("turn_open", "Reserving a turn and fetching its history from the archives"),
+  [HISTOGRAM_SLOT_WAIT] =
+      MILLISECONDS ("slot_wait", "Waiting for the owner of an engine to let a turn be sent"),
   [HISTOGRAM_TURN_STORE] = MILLISECONDS ("turn_store", "Storing a turn on the archives"),
   [HISTOGRAM_SERVER_HEAD] =
       MILLISECONDS ("server_head", "Answers of backend servers, up to their headers"),
--- a/gateway/slots.c
+++ b/gateway/slots.c
@@ -1,5 +1,6 @@
 #include "slots.h"
 
+#include <buckthornhead/histogram.h>
 #include <buckthornhead/log.h>
 
 #include <stdio.h>
@@ -26,8 +27,10 @@
   char owner[NAME_MAX_BYTES + 1];
   char server[NAME_MAX_BYTES + 1];
   uint64_t id;
+  int64_t asked_ms; /* at first */
   bool granted;
-  bool answered; /* since it was asked last */
+  bool told_queued; /* a line in the log says that it waits */
+  bool answered;    /* since it was asked last */
   uint32_t n_moves;
   struct Timer *timer;
 };
@@ -147,8 +150,11 @@
 static void
 slots_go (struct Request *request)
 {
-  TALLOC_FREE (request->slot->timer);
-  request->slot->granted = true;
+  struct SlotWait *wait = request->slot;
+
+  TALLOC_FREE (wait->timer);
+  wait->granted = true;
+  histogram_add (HISTOGRAM_SLOT_WAIT, timer_now_ms (request->front->node->timers) - wait->asked_ms);
   request_granted (request);
 }
 
@@ -215,6 +221,7 @@
       return;
     }
   wait->n_moves = n_moves;
+  wait->asked_ms = timer_now_ms (request->front->node->timers);
   wait->id = node_next_id (request->front->node);
   snprintf (wait->server, sizeof wait->server, "%s", request->replica->entry.id);
   slots_ask_owner (request);
@@ -270,6 +277,21 @@
   return true;
 }
 
+static void
+slots_log_queued (struct Request *request, const struct SlotState *state)
+{
+  if (request->slot->told_queued)
+    return;
+  request->slot->told_queued = true;
+  log_request (
+      LOG_LEVEL_INFO, "queued", request->caller.id, request->caller.program,
+      "%s, by %s: %u there, %u go before, some %u ms; %lld ms left to its program",
+      request->slot->server, request->slot->owner, state->total, state->ahead, state->wait_ms,
+      request->program_due_ms != INT64_MAX
+          ? (long long)(request->program_due_ms - timer_now_ms (request->front->node->timers))
+          : -1LL);
+}
+
 static void
 slots_take_state (struct Request *request, const struct SlotState *state)
 {
@@ -287,6 +309,7 @@
     }
   if (slots_move (request))
     return;
+  slots_log_queued (request, state);
   if (state->wait_ms > (left_ms < patience_ms ? left_ms : patience_ms))
     request_busy (request, state->wait_ms);
   else
--- a/include/buckthornhead/histogram.h
+++ b/include/buckthornhead/histogram.h
@@ -18,6 +18,7 @@
   HISTOGRAM_ANSWER_STREAM, /* until a stream's end is */
   HISTOGRAM_REFUSAL,       /* until a request is sent back or given up */
   HISTOGRAM_TURN_OPEN,     /* reserving a turn and fetching its history */
+  HISTOGRAM_SLOT_WAIT,     /* for the owner of an engine to let a turn be sent */
   HISTOGRAM_TURN_STORE,    /* storing a turn */
   HISTOGRAM_SERVER_HEAD,   /* a backend server's answer, up to its headers */
   HISTOGRAM_DISK_SYNC,     /* one batch of an archive's records */
--- a/tests/operations_page.sh
+++ b/tests/operations_page.sh
@@ -43,6 +43,6 @@
 n_events=$(echo "$events" | wc -w)
 [ "$n_counters" -ge 46 ] || fail "only $n_counters counters found"
 n_histograms=$(echo "$histograms" | wc -w)
-[ "$n_histograms" -ge 10 ] || fail "only $n_histograms histograms found"
+[ "$n_histograms" -ge 11 ] || fail "only $n_histograms histograms found"
 echo "$n_counters counters, $n_histograms histograms, $n_events events, $failures failures"
 [ "$failures" = 0 ]
