Test: turns that wait for an engine outlive its owner

24 turns at once on two engines of eight slots, through one gateway; the other two, which own an engine with some likelihood, are killed while turns wait. Each is answered, and runs once.

--- a/tests/sessions/gateways.c
+++ b/tests/sessions/gateways.c
@@ -275,3 +275,15 @@
 
   return wait_for (output_has, &wanted);
 }
+
+uint32_t
+process_count (struct Process *process, const char *text)
+{
+  char *output = process_output (NULL, process);
+  uint32_t n = 0;
+
+  for (const char *at = strstr (output, text); at != NULL; at = strstr (at + 1, text))
+    n++;
+  talloc_free (output);
+  return n;
+}
--- a/tests/sessions/gateways.h
+++ b/tests/sessions/gateways.h
@@ -99,3 +99,6 @@
 /* Waits for a line with text in a process's output. */
 bool
 process_wait_output (struct Process *process, const char *text);
+/* How often its output has text so far. */
+uint32_t
+process_count (struct Process *process, const char *text);
--- a/tests/sessions/test_gateway_archives.c
+++ b/tests/sessions/test_gateway_archives.c
@@ -242,18 +242,6 @@
   talloc_free (ctx);
 }
 
-static uint32_t
-count_lines (struct Process *process, const char *text)
-{
-  char *output = process_output (NULL, process);
-  uint32_t n = 0;
-
-  for (const char *at = strstr (output, text); at != NULL; at = strstr (at + 1, text))
-    n++;
-  talloc_free (output);
-  return n;
-}
-
 /* An archive's machine is suspended for some seconds. Its gateway gives the silent link up and
  * dials anew. When the machine is back the new link stays: one that is judged by the silence of the
  * one before it is closed at every heartbeat, for ever, and the archive is as good as lost. */
@@ -271,9 +259,9 @@
   sleep_ms (2500);
   process_signal (fleet->archives[0].process, SIGCONT);
   sleep_ms (2500);
-  n_silent = count_lines (gateway, "peer_link_silent");
+  n_silent = process_count (gateway, "peer_link_silent");
   sleep_ms (3000);
-  CU_ASSERT_EQUAL (count_lines (gateway, "peer_link_silent"), n_silent);
+  CU_ASSERT_EQUAL (process_count (gateway, "peer_link_silent"), n_silent);
   process_kill (fleet->archives[1].process);
   CU_ASSERT_EQUAL (turn_status (fleet, ctx, 0, "t2"), 200);
   fleet_end (fleet, CU_get_number_of_failures () > n_failed);
@@ -380,14 +368,14 @@
   struct Fleet *fleet = fleet_start (ctx, 2, 3);
   uint32_t n_failed = CU_get_number_of_failures (), before;
 
-  before = count_lines (fleet->gateways[0].process, "peer_link_silent");
+  before = process_count (fleet->gateways[0].process, "peer_link_silent");
   process_kill (fleet->gateways[0].process);
   installation_set_store (fleet->installation, STORE_REFUSES);
   sleep_ms (1000);
   gateway_start (fleet, 0);
   CU_ASSERT_TRUE (gateway_wait_ready (fleet, 0));
   sleep_ms (1500);
-  CU_ASSERT_EQUAL (count_lines (fleet->gateways[0].process, "peer_link_silent"), before);
+  CU_ASSERT_EQUAL (process_count (fleet->gateways[0].process, "peer_link_silent"), before);
   fleet_end (fleet, CU_get_number_of_failures () > n_failed);
   talloc_free (ctx);
 }
--- a/tests/sessions/test_gateway_servers.c
+++ b/tests/sessions/test_gateway_servers.c
@@ -4,6 +4,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -205,6 +206,69 @@
   talloc_free (ctx);
 }
 
+enum
+{
+  N_CROWD = 24 /* turns at once: two engines run eight each, and one more is on its way to each */
+};
+
+struct CrowdTurn
+{
+  struct Fleet *fleet;
+  uint32_t number;
+  uint32_t status;
+  pthread_t thread;
+};
+
+static void *
+crowd_turn (void *data)
+{
+  struct CrowdTurn *turn = data;
+  struct HttpReply *reply;
+  char id[16], program[16];
+
+  snprintf (id, sizeof id, "c%u", turn->number);
+  snprintf (program, sizeof program, "p%u", turn->number);
+  reply = turn_send (turn->fleet, NULL, 0, program, id, "", 0, "x");
+  turn->status = reply->status;
+  talloc_free (reply);
+  return NULL;
+}
+
+/* More turns than the engines run at once wait for the engines' owners. One owner dies meanwhile,
+ * with all that it knew of who waits. Each turn is still sent, once, and answered. */
+static void
+test_turns_that_wait_outlive_an_owner (void)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct Fleet *fleet = fleet_start (ctx, 3, 3);
+  uint32_t n_failed = CU_get_number_of_failures (), n_queued;
+  struct CrowdTurn crowd[N_CROWD];
+
+  server_set_pace (fleet->installation, ENGINE, 250);
+  server_set_pace (fleet->installation, ENGINE + 1, 250);
+  for (uint32_t i = 0; i < N_CROWD; i++)
+    {
+      crowd[i] = (struct CrowdTurn){ .fleet = fleet, .number = i };
+      pthread_create (&crowd[i].thread, NULL, crowd_turn, &crowd[i]);
+    }
+  CU_ASSERT_TRUE (process_wait_output (fleet->gateways[0].process, "\"event\":\"queued\""));
+  process_kill (fleet->gateways[1].process);
+  process_kill (fleet->gateways[2].process);
+  for (uint32_t i = 0; i < N_CROWD; i++)
+    {
+      char id[16];
+
+      pthread_join (crowd[i].thread, NULL);
+      snprintf (id, sizeof id, "c%u", i);
+      CU_ASSERT_EQUAL (crowd[i].status, 200);
+      CU_ASSERT_EQUAL (installation_runs_of (fleet->installation, id), 1);
+    }
+  n_queued = process_count (fleet->gateways[0].process, "\"event\":\"queued\"");
+  CU_ASSERT (n_queued >= N_CROWD - 2 * (8 + 1) - 2);
+  fleet_end (fleet, CU_get_number_of_failures () > n_failed);
+  talloc_free (ctx);
+}
+
 const char test_suite_name[] = "sessions: gateway and servers";
 const struct TestCase test_cases[] = {
   { "a lost answer runs once", test_a_lost_answer_runs_once },
@@ -216,5 +280,6 @@
   { "a hanging server ends at the route's time", test_a_hanging_server_ends_at_the_routes_time },
   { "a leaving server gets nothing new", test_a_leaving_server_gets_nothing_new },
   { "a caller's close reaches the engine", test_a_callers_close_reaches_the_engine },
+  { "turns that wait outlive an owner", test_turns_that_wait_outlive_an_owner },
   { NULL, NULL },
 };
