The servers' list goes to peers in changes; digests only where they are used

Digests of 9 engines a gateway to all others are 1.4 MB a second at each. Ruled out: a longer period of the list (a leaving server must be known in 2 s). Change: peers get what differs from the list before, known by its content, and ask for the whole when they hold another one; archives get no digests, other zones' gateways none where there are more than 120 peers.

--- a/core/gateway/gateway_message.c
+++ b/core/gateway/gateway_message.c
@@ -223,12 +223,14 @@
   pack_i64 (p, snapshot->revision);
   pack_u64 (p, snapshot->age_ms);
   pack_u64 (p, snapshot->content);
+  pack_u64 (p, snapshot->base);
   pack_bool (p, snapshot->unchanged);
-  pack_array (p, 2 * snapshot->n_items);
+  pack_array (p, 3 * snapshot->n_items);
   for (size_t i = 0; i < snapshot->n_items; i++)
     {
       pack_string (p, snapshot->items[i].key);
       pack_bytes (p, snapshot->items[i].value, snapshot->items[i].value_bytes);
+      pack_bool (p, snapshot->items[i].gone);
     }
 }
 
@@ -241,13 +243,15 @@
   snapshot->revision = read_i64 (r);
   snapshot->age_ms = (uint32_t)read_u64 (r, UINT32_MAX);
   snapshot->content = read_u64 (r, UINT64_MAX);
+  snapshot->base = read_u64 (r, UINT64_MAX);
   snapshot->unchanged = read_bool (r);
-  snapshot->n_items = list_enter (r, &list, 2);
+  snapshot->n_items = list_enter (r, &list, 3);
   snapshot->items = talloc_zero_array (ctx, struct SnapshotItem, snapshot->n_items);
   for (size_t i = 0; snapshot->items != NULL && i < snapshot->n_items; i++)
     {
       read_string (&list, snapshot->items[i].key, sizeof snapshot->items[i].key);
       snapshot->items[i].value = read_bytes (&list, ctx, &snapshot->items[i].value_bytes);
+      snapshot->items[i].gone = read_bool (&list);
     }
   r->failed = r->failed || list.failed || snapshot->items == NULL;
 }
@@ -347,7 +351,9 @@
     case GATEWAY_RELAY:
       return 4;
     case GATEWAY_SNAPSHOT:
-      return 7;
+      return 8;
+    case GATEWAY_SNAPSHOT_WANT:
+      return 2;
     case GATEWAY_COPY_PART:
     case GATEWAY_SLOT_STATE:
       return 6;
@@ -421,6 +427,9 @@
       break;
     case GATEWAY_ALIVE:
       break;
+    case GATEWAY_SNAPSHOT_WANT:
+      pack_u64 (p, message->snapshot_want);
+      break;
     }
   return pack_finish (p, ctx, bytes, n_bytes);
 }
@@ -478,6 +487,9 @@
       break;
     case GATEWAY_ALIVE:
       break;
+    case GATEWAY_SNAPSHOT_WANT:
+      m->snapshot_want = (enum SnapshotKind)read_u64 (r, SNAPSHOT_RETIRE);
+      break;
     default:
       r->failed = true;
     }
@@ -496,7 +508,7 @@
   *message = NULL;
   if (opened == NULL)
     goto fail;
-  m->kind = (enum GatewayKind)read_u64 (&reader, GATEWAY_ALIVE);
+  m->kind = (enum GatewayKind)read_u64 (&reader, GATEWAY_SNAPSHOT_WANT);
   if (reader.failed || reader.n_items != message_n_items (m->kind))
     goto fail;
   message_unpack_body (&reader, m, m);
--- a/gateway/archive.c
+++ b/gateway/archive.c
@@ -402,6 +402,7 @@
     case GATEWAY_SLOT_STATE:
     case GATEWAY_SLOT_DONE:
     case GATEWAY_ALIVE:
+    case GATEWAY_SNAPSHOT_WANT:
       break;
     }
 }
--- a/gateway/archive_state.c
+++ b/gateway/archive_state.c
@@ -123,7 +123,7 @@
     message->snapshot.age_ms += (uint32_t)age_ms;
   log_event (LOG_LEVEL_NOTICE, "store_state_taken", NULL, NULL, "%s of revision %lld, %u ms old",
              kind_names[kind], (long long)message->snapshot.revision, message->snapshot.age_ms);
-  store_reader_take_from_peer (state->node->reader, &message->snapshot);
+  store_reader_take_from_peer (state->node->reader, PEER_LINK_NONE, &message->snapshot);
 
 out:
   talloc_free (ctx);
--- a/gateway/front.c
+++ b/gateway/front.c
@@ -423,6 +423,7 @@
     case GATEWAY_COPY_PART:
     case GATEWAY_RELAY:
     case GATEWAY_ALIVE:
+    case GATEWAY_SNAPSHOT_WANT:
       break;
     }
 }
--- a/gateway/node.c
+++ b/gateway/node.c
@@ -17,6 +17,7 @@
   PEER_LIVE_MS = 1600,
   /* Its link answered nothing for two heartbeats and some: messages to it take another way. */
   PEER_ANSWERS_MS = 1150,
+  DIGESTS_TO_ALL_MAX = 120, /* peers */
   /* Silent for this long: not dialled any more. It dials us when it is back. */
   PEER_FORGET_MS = 30 * 1000
 };
@@ -181,6 +182,17 @@
   return n_sent;
 }
 
+/* Whether the peer is told what engines hold. Archives send nothing to engines; and where there are
+ * hundreds of gateways only those of the engines' zone are told, who send there before others: at
+ * 300 gateways with 9 engines each, all to all would be 1.4 MB a second at each of them. */
+static bool
+node_wants_digests (const struct Node *node, const struct NodeStatus *status)
+{
+  return !status->is_archive
+         && (node->n_peers <= DIGESTS_TO_ALL_MAX
+             || strcmp (status->zone, node->settings->zone) == 0);
+}
+
 const char *
 node_address (const struct Node *node)
 {
@@ -211,13 +223,37 @@
   return message;
 }
 
+/* Packed once for all peers of one kind. */
+static void
+node_send_some (struct Node *node, const struct GatewayMessage *message, bool digests)
+{
+  struct PeerMessage envelope = { .kind = PEER_GATEWAY };
+  uint8_t *bytes;
+
+  if (gateway_message_pack (node->net, message, &bytes, &envelope.gateway.n_bytes) != ERROR_NONE)
+    return;
+  envelope.gateway.bytes = bytes;
+  for (size_t i = 0; i < node->n_peers; i++)
+    {
+      const struct NodeStatus *status = &node->peers[i]->status;
+      uint64_t link = peer_net_link_to (node->net, status->node);
+
+      if (link != PEER_LINK_NONE && node_wants_digests (node, status) == digests)
+        peer_net_send (node->net, link, &envelope);
+    }
+  talloc_free (bytes);
+}
+
 void
 node_announce (struct Node *node)
 {
   struct GatewayMessage *message = node_status (node, node->net);
 
-  if (message != NULL)
-    node_send_all (node, message);
+  if (message == NULL)
+    return;
+  node_send_some (node, message, true);
+  message->status.n_owned = 0;
+  node_send_some (node, message, false);
   talloc_free (message);
 }
 
@@ -338,7 +374,10 @@
     case GATEWAY_ALIVE:
       break;
     case GATEWAY_SNAPSHOT:
-      store_reader_take_from_peer (node->reader, &message->snapshot);
+      store_reader_take_from_peer (node->reader, link, &message->snapshot);
+      break;
+    case GATEWAY_SNAPSHOT_WANT:
+      store_reader_answer_whole (node->reader, link, message->snapshot_want);
       break;
     case GATEWAY_TURN_OPEN:
     case GATEWAY_TURN_READ:
--- a/gateway/store_reader.c
+++ b/gateway/store_reader.c
@@ -4,8 +4,10 @@
 #include <buckthornhead/histogram.h>
 #include <buckthornhead/kv_guard.h>
 #include <buckthornhead/log.h>
+#include <buckthornhead/snapshot_changes.h>
 
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <xxhash.h>
 
@@ -29,6 +31,9 @@
   BACKOFF_MAX_MS = 1500,
   /* A state that nobody could read for this long may have changed in ways that only time heals. */
   GAP_MS = 2000,
+  /* A peer that sends changes is asked for the whole once, not at each of them: 3,000 servers are
+   * 300 KB. */
+  WANT_AGAIN_MS = 400,
   NEAR_MAX = 3, /* one could be wrong about the peer, two could be cut off from it */
   N_KINDS = SNAPSHOT_RETIRE + 1
 };
@@ -47,6 +52,7 @@
   uint32_t failures; /* in a row */
   int64_t asked_ms;  /* of the call on the way */
   bool asking;
+  int64_t wanted_ms;         /* when a peer was asked for all of it, last */
   int64_t called_ms;         /* when the call on the way left */
   bool waiting;              /* it is one that waits for changes */
   int64_t watched;           /* ROUTES: revision of the store up to which changes were looked for */
@@ -124,23 +130,6 @@
 
 /* Snapshots. */
 
-static struct Snapshot *
-snapshot_copy (TALLOC_CTX *ctx, const struct Snapshot *from)
-{
-  struct Snapshot *copy = talloc_memdup (ctx, from, sizeof *from);
-
-  if (copy == NULL)
-    return NULL;
-  copy->items = talloc_zero_array (copy, struct SnapshotItem, from->n_items);
-  for (size_t i = 0; copy->items != NULL && i < from->n_items; i++)
-    {
-      copy->items[i] = from->items[i];
-      copy->items[i].value =
-          talloc_memdup (copy->items, from->items[i].value, from->items[i].value_bytes);
-    }
-  return copy;
-}
-
 static void
 reader_take_set (struct StoreReader *reader, const struct SnapshotItem *item)
 {
@@ -187,6 +176,7 @@
 {
   struct Topic *topic = &reader->topics[snapshot->kind];
   bool after_gap = topic->read_ms > 0 && read_ms - topic->read_ms > GAP_MS;
+  struct Snapshot *before;
 
   if (snapshot->revision < topic->revision
       || (snapshot->unchanged && (topic->snapshot == NULL || snapshot->content != topic->content)))
@@ -196,13 +186,15 @@
   topic->revision = snapshot->revision;
   if (snapshot->unchanged)
     return;
+  before = topic->snapshot;
   topic->content = snapshot->content;
-  talloc_free (topic->snapshot);
   topic->snapshot = snapshot_copy (reader, snapshot);
   if (snapshot->kind == SNAPSHOT_NODES)
     reader_take_nodes (reader, snapshot);
   else
     reader->node->handler.snapshot (reader->node->handler.data, snapshot, after_gap);
+  /* Only now: one that came as changes still points to the values of the one before. */
+  talloc_free (before);
 }
 
 /* What this process has read itself: taken, and told to all. */
@@ -211,7 +203,11 @@
 {
   struct Topic *topic = &reader->topics[snapshot->kind];
   struct GatewayMessage message = { .kind = GATEWAY_SNAPSHOT };
+  struct Snapshot *changes = NULL;
 
+  if (snapshot->kind == SNAPSHOT_SERVERS && topic->snapshot != NULL
+      && snapshot->content != topic->content)
+    changes = snapshot_changes (reader, topic->snapshot, snapshot);
   if (topic->snapshot != NULL && snapshot->content == topic->content)
     {
       snapshot->unchanged = true;
@@ -219,14 +215,77 @@
     }
   topic_take (reader, snapshot, topic->asked_ms);
   snapshot->age_ms = (uint32_t)(timer_now_ms (reader->node->timers) - topic->asked_ms);
-  message.snapshot = *snapshot;
+  if (changes != NULL)
+    changes->age_ms = snapshot->age_ms;
+  message.snapshot = changes != NULL ? *changes : *snapshot;
   node_send_all (reader->node, &message);
+  talloc_free (changes);
+}
+
+/* Changes of another state than the one that is held: the sender is asked for all of it. */
+static void
+topic_want_whole (struct StoreReader *reader, uint64_t link, enum SnapshotKind kind)
+{
+  struct Topic *topic = &reader->topics[kind];
+  const struct GatewayMessage want = { .kind = GATEWAY_SNAPSHOT_WANT, .snapshot_want = kind };
+  int64_t now_ms = timer_now_ms (reader->node->timers);
+
+  if (link == PEER_LINK_NONE || now_ms - topic->wanted_ms < WANT_AGAIN_MS)
+    return;
+  topic->wanted_ms = now_ms;
+  node_answer (reader->node, link, &want);
+}
+
+void
+store_reader_take_from_peer (struct StoreReader *reader,
+                             uint64_t link,
+                             const struct Snapshot *snapshot)
+{
+  struct Topic *topic = &reader->topics[snapshot->kind];
+  int64_t read_ms = timer_now_ms (reader->node->timers) - snapshot->age_ms;
+  struct Snapshot *whole;
+
+  if (snapshot->base == 0)
+    {
+      topic_take (reader, snapshot, read_ms);
+      return;
+    }
+  if (snapshot->revision < topic->revision || snapshot->content == topic->content)
+    return;
+  whole = topic->snapshot != NULL && topic->content == snapshot->base
+              ? snapshot_with_changes (reader, topic->snapshot, snapshot)
+              : NULL;
+  if (whole != NULL)
+    topic_take (reader, whole, read_ms);
+  else
+    topic_want_whole (reader, link, snapshot->kind);
+  talloc_free (whole);
+}
+
+/* What is held of kind, as a message; false when nothing is. */
+static bool
+topic_message (const struct StoreReader *reader,
+               enum SnapshotKind kind,
+               struct GatewayMessage *message)
+{
+  const struct Topic *topic = &reader->topics[kind];
+
+  if (topic->snapshot == NULL)
+    return false;
+  message->kind = GATEWAY_SNAPSHOT;
+  message->snapshot = *topic->snapshot;
+  message->snapshot.revision = topic->revision;
+  message->snapshot.age_ms = (uint32_t)(timer_now_ms (reader->node->timers) - topic->read_ms);
+  return true;
 }
 
 void
-store_reader_take_from_peer (struct StoreReader *reader, const struct Snapshot *snapshot)
+store_reader_answer_whole (struct StoreReader *reader, uint64_t link, enum SnapshotKind kind)
 {
-  topic_take (reader, snapshot, timer_now_ms (reader->node->timers) - snapshot->age_ms);
+  struct GatewayMessage message;
+
+  if (topic_message (reader, kind, &message))
+    node_answer (reader->node, link, &message);
 }
 
 static void
@@ -300,19 +359,12 @@
 void
 store_reader_push (struct StoreReader *reader, const char *peer)
 {
-  int64_t now_ms = timer_now_ms (reader->node->timers);
-
   for (enum SnapshotKind kind = SNAPSHOT_ROUTES; kind <= SNAPSHOT_SERVERS; kind++)
     {
-      struct Topic *topic = &reader->topics[kind];
-      struct GatewayMessage message = { .kind = GATEWAY_SNAPSHOT };
+      struct GatewayMessage message;
 
-      if (topic->snapshot == NULL)
-        continue;
-      message.snapshot = *topic->snapshot;
-      message.snapshot.revision = topic->revision;
-      message.snapshot.age_ms = (uint32_t)(now_ms - topic->read_ms);
-      node_send (reader->node, peer, &message);
+      if (topic_message (reader, kind, &message))
+        node_send (reader->node, peer, &message);
     }
   push_nodes (reader, peer);
 }
@@ -325,14 +377,11 @@
                    size_t *n_bytes)
 {
   struct Topic *topic = &reader->topics[kind];
-  struct GatewayMessage message = { .kind = GATEWAY_SNAPSHOT };
+  struct GatewayMessage message;
   uint8_t *bytes;
 
-  if (topic->snapshot == NULL || topic->content == *content)
+  if (topic->content == *content || !topic_message (reader, kind, &message))
     return NULL;
-  message.snapshot = *topic->snapshot;
-  message.snapshot.revision = topic->revision;
-  message.snapshot.age_ms = (uint32_t)(timer_now_ms (reader->node->timers) - topic->read_ms);
   if (gateway_message_pack (ctx, &message, &bytes, n_bytes) != ERROR_NONE)
     return NULL;
   *content = topic->content;
@@ -415,17 +464,12 @@
   return item->value != NULL;
 }
 
-static uint64_t
-items_content (const struct SnapshotItem *items, size_t n_items)
+static int
+item_compare (const void *a, const void *b)
 {
-  uint64_t content = n_items;
+  const struct SnapshotItem *x = a, *y = b;
 
-  for (size_t i = 0; items != NULL && i < n_items; i++)
-    {
-      content = XXH64 (items[i].key, strlen (items[i].key), content);
-      content = XXH64 (items[i].value, items[i].value_bytes, content);
-    }
-  return content;
+  return strcmp (x->key, y->key);
 }
 
 static void
@@ -457,9 +501,12 @@
       topic_ask (reader, kind);
       return;
     }
+  /* Changes between two lists are told by the order of their keys. */
+  if (topic->n_pages > 0)
+    qsort (topic->pages, topic->n_pages, sizeof topic->pages[0], item_compare);
   snapshot.items = topic->pages;
   snapshot.n_items = topic->n_pages;
-  snapshot.content = items_content (topic->pages, topic->n_pages);
+  snapshot.content = snapshot_content (topic->pages, topic->n_pages);
   topic_succeeded (reader, kind);
   topic_publish (reader, &snapshot);
   TALLOC_FREE (topic->pages);
--- a/gateway/store_reader.h
+++ b/gateway/store_reader.h
@@ -18,7 +18,13 @@
 
 /* A peer read the store. */
 void
-store_reader_take_from_peer (struct StoreReader *reader, const struct Snapshot *snapshot);
+store_reader_take_from_peer (struct StoreReader *reader,
+                             uint64_t link,
+                             const struct Snapshot *snapshot);
+
+/* A peer could not use the changes that it got over link: it gets all that is held of kind. */
+void
+store_reader_answer_whole (struct StoreReader *reader, uint64_t link, enum SnapshotKind kind);
 
 /* A snapshot of the processes that this one knows and of the set of archives, as the store would
  * give it; peers tell more of each other than the last read did. Belongs to ctx; NULL without
--- a/include/buckthornhead/gateway_message.h
+++ b/include/buckthornhead/gateway_message.h
@@ -17,11 +17,12 @@
   GATEWAY_SNAPSHOT = 7,  /* what the sender read in the platform's store */
   GATEWAY_COPY_WANT = 8, /* an archive whose disk is new asks another for its records */
   GATEWAY_COPY_PART = 9,
-  GATEWAY_RELAY = 10,      /* for another process, which the sender can not reach itself */
-  GATEWAY_SLOT_ASK = 11,   /* may this request be sent to a server that the receiver owns? */
-  GATEWAY_SLOT_STATE = 12, /* the answer, and again when it has changed */
-  GATEWAY_SLOT_DONE = 13,  /* the request has ended, or will not be sent */
-  GATEWAY_ALIVE = 14       /* the answer to a status from a peer that is known; no fields */
+  GATEWAY_RELAY = 10,        /* for another process, which the sender can not reach itself */
+  GATEWAY_SLOT_ASK = 11,     /* may this request be sent to a server that the receiver owns? */
+  GATEWAY_SLOT_STATE = 12,   /* the answer, and again when it has changed */
+  GATEWAY_SLOT_DONE = 13,    /* the request has ended, or will not be sent */
+  GATEWAY_ALIVE = 14,        /* the answer to a status from a peer that is known; no fields */
+  GATEWAY_SNAPSHOT_WANT = 15 /* the whole of a snapshot, of which the changes do not fit */
 };
 
 /* Requests on their way to one backend server, as one gateway counts them. */
@@ -65,6 +66,7 @@
   char key[256];
   const uint8_t *value;
   size_t value_bytes;
+  bool gone; /* among changes only: it is not there any more */
 };
 
 struct Snapshot
@@ -73,6 +75,7 @@
   int64_t revision; /* of the store when it was read; a lower one is never taken */
   uint32_t age_ms;  /* since the read was sent, when this was sent on */
   uint64_t content; /* equal for equal items */
+  uint64_t base;    /* not 0: items are what differs from the snapshot with this content */
   bool unchanged;   /* the items are those of the last snapshot with this content, and left out */
   struct SnapshotItem *items;
   size_t n_items;
@@ -142,6 +145,7 @@
     struct TurnClosed closed;
     struct NodeStatus status;
     struct Snapshot snapshot;
+    enum SnapshotKind snapshot_want;
     struct CopyWant copy_want;
     struct CopyPart copy_part;
     struct Relay relay;
--- /dev/null
+++ b/include/buckthornhead/snapshot_changes.h
@@ -0,0 +1,29 @@
+/* What differs between two snapshots of the platform's store.
+ *
+ * A list of thousands of servers changes by a few each time it is read. Sent as a whole to hundreds
+ * of peers it took more memory than a gateway of 110 MB has: 3,000 servers are 300 KB, times 300
+ * peers. Snapshots that are told in changes have their items in ascending order of their keys.
+ * Pure. */
+#pragma once
+
+#include <buckthornhead/gateway_message.h>
+
+/* A copy of snapshot and its items; belongs to ctx. NULL without memory. */
+struct Snapshot *
+snapshot_copy (TALLOC_CTX *ctx, const struct Snapshot *snapshot);
+
+/* Equal for equal items. */
+uint64_t
+snapshot_content (const struct SnapshotItem *items, size_t n_items);
+
+/* What after has and before has not, and what is gone, with .base; belongs to ctx. Values are
+ * after's. NULL without memory, or when all of after is no longer. */
+struct Snapshot *
+snapshot_changes (TALLOC_CTX *ctx, const struct Snapshot *before, const struct Snapshot *after);
+
+/* The snapshot that changes lead to from before; belongs to ctx, values are those of both. NULL
+ * without memory, or when changes are not from before. */
+struct Snapshot *
+snapshot_with_changes (TALLOC_CTX *ctx,
+                       const struct Snapshot *before,
+                       const struct Snapshot *changes);
