Gateways of a zone are told of busy engines every 120 ms

Change: a message of its own, every 120 ms, with the engines of whose slots half are taken. Tests: test_slot_queue (busy only), test_gateway_message.

--- a/core/gateway/gateway_message.c
+++ b/core/gateway/gateway_message.c
@@ -160,6 +160,28 @@
   r->failed = r->failed || list.failed;
 }
 
+static void
+digests_pack (struct PackWriter *p, const struct SlotDigest *digests, size_t n_digests)
+{
+  pack_array (p, 4 * n_digests);
+  for (size_t i = 0; i < n_digests; i++)
+    digest_pack (p, &digests[i]);
+}
+
+static struct SlotDigest *
+digests_unpack (struct PackReader *r, TALLOC_CTX *ctx, size_t *n_digests)
+{
+  struct PackReader list;
+  struct SlotDigest *digests;
+
+  *n_digests = list_enter (r, &list, 4);
+  digests = talloc_zero_array (ctx, struct SlotDigest, *n_digests);
+  for (size_t i = 0; digests != NULL && i < *n_digests; i++)
+    digest_unpack (&list, &digests[i]);
+  r->failed = r->failed || list.failed || digests == NULL;
+  return digests;
+}
+
 static void
 status_pack (struct PackWriter *p, const struct NodeStatus *status)
 {
@@ -180,9 +202,7 @@
       pack_string (p, status->loads[i].replica);
       pack_u64 (p, status->loads[i].in_flight);
     }
-  pack_array (p, 4 * status->n_owned);
-  for (size_t i = 0; i < status->n_owned; i++)
-    digest_pack (p, &status->owned[i]);
+  digests_pack (p, status->owned, status->n_owned);
 }
 
 static void
@@ -209,11 +229,7 @@
       status->loads[i].in_flight = (uint32_t)read_u64 (&list, UINT32_MAX);
     }
   r->failed = r->failed || list.failed || status->loads == NULL;
-  status->n_owned = list_enter (r, &list, 4);
-  status->owned = talloc_zero_array (ctx, struct SlotDigest, status->n_owned);
-  for (size_t i = 0; status->owned != NULL && i < status->n_owned; i++)
-    digest_unpack (&list, &status->owned[i]);
-  r->failed = r->failed || list.failed || status->owned == NULL;
+  status->owned = digests_unpack (r, ctx, &status->n_owned);
 }
 
 static void
@@ -353,6 +369,7 @@
     case GATEWAY_SNAPSHOT:
       return 8;
     case GATEWAY_SNAPSHOT_WANT:
+    case GATEWAY_DIGESTS:
       return 2;
     case GATEWAY_COPY_PART:
     case GATEWAY_SLOT_STATE:
@@ -430,6 +447,9 @@
     case GATEWAY_SNAPSHOT_WANT:
       pack_u64 (p, message->snapshot_want);
       break;
+    case GATEWAY_DIGESTS:
+      digests_pack (p, message->digests.items, message->digests.n_items);
+      break;
     }
   return pack_finish (p, ctx, bytes, n_bytes);
 }
@@ -490,6 +510,9 @@
     case GATEWAY_SNAPSHOT_WANT:
       m->snapshot_want = (enum SnapshotKind)read_u64 (r, SNAPSHOT_RETIRE);
       break;
+    case GATEWAY_DIGESTS:
+      m->digests.items = digests_unpack (r, ctx, &m->digests.n_items);
+      break;
     default:
       r->failed = true;
     }
@@ -508,7 +531,7 @@
   *message = NULL;
   if (opened == NULL)
     goto fail;
-  m->kind = (enum GatewayKind)read_u64 (&reader, GATEWAY_SNAPSHOT_WANT);
+  m->kind = (enum GatewayKind)read_u64 (&reader, GATEWAY_DIGESTS);
   if (reader.failed || reader.n_items != message_n_items (m->kind))
     goto fail;
   message_unpack_body (&reader, m, m);
--- a/core/gateway/slot_queue.c
+++ b/core/gateway/slot_queue.c
@@ -351,8 +351,20 @@
   }
 }
 
+static void
+queue_digest (const struct SlotQueue *queue, int64_t now_ms, struct SlotDigest *digest)
+{
+  snprintf (digest->server, sizeof digest->server, "%s", queue->server);
+  digest->total = (uint32_t)queue->n_entries;
+  digest->failed_permille = failure_rate_permille (&queue->failures, now_ms);
+  digest->n_parts = queue->n_parts;
+  for (uint32_t i = 0; i < queue->n_parts; i++)
+    digest->parts[i] = queue->parts[i].id;
+}
+
 struct SlotDigest *
-slot_queues_digest (struct SlotQueues *queues, TALLOC_CTX *ctx, int64_t now_ms, size_t *n_digests)
+slot_queues_digest (
+    struct SlotQueues *queues, TALLOC_CTX *ctx, bool busy_only, int64_t now_ms, size_t *n_digests)
 {
   struct SlotDigest *digests =
       talloc_zero_array (ctx, struct SlotDigest, HASH_COUNT (queues->by_server));
@@ -362,15 +374,7 @@
   if (digests == NULL)
     return NULL;
   HASH_ITER (hh, queues->by_server, queue, next)
-  {
-    struct SlotDigest *digest = &digests[(*n_digests)++];
-
-    snprintf (digest->server, sizeof digest->server, "%s", queue->server);
-    digest->total = (uint32_t)queue->n_entries;
-    digest->failed_permille = failure_rate_permille (&queue->failures, now_ms);
-    digest->n_parts = queue->n_parts;
-    for (uint32_t i = 0; i < queue->n_parts; i++)
-      digest->parts[i] = queue->parts[i].id;
-  }
+  if (!busy_only || 2 * queue->n_entries >= queue->slots)
+    queue_digest (queue, now_ms, &digests[(*n_digests)++]);
   return digests;
 }
--- a/gateway/archive.c
+++ b/gateway/archive.c
@@ -403,6 +403,7 @@
     case GATEWAY_SLOT_DONE:
     case GATEWAY_ALIVE:
     case GATEWAY_SNAPSHOT_WANT:
+    case GATEWAY_DIGESTS:
       break;
     }
 }
--- a/gateway/front.c
+++ b/gateway/front.c
@@ -27,6 +27,7 @@
   FIRST_HEADER_MS = 3000,
   FIRST_IDLE_MS = 15000,
   TICK_MS = 250, /* half a heartbeat */
+  DIGEST_MS = 120,
   /* From the start of the process: links to archives and peers are up within some 300 ms where
    * 80 processes start together, on an eighth of a core. */
   STARTING_MS = 1200,
@@ -389,6 +390,18 @@
 
 /* Peers. */
 
+static void
+front_take_digests (struct Front *front, const struct SlotDigest *digests, size_t n_digests)
+{
+  for (size_t i = 0; i < n_digests; i++)
+    {
+      struct Replica *replica = replica_set_find (front->replicas, digests[i].server);
+
+      if (replica != NULL)
+        replica_take_digest (replica, &digests[i], timer_now_ms (front->node->timers));
+    }
+}
+
 static void
 front_on_message (void *data,
                   uint64_t link,
@@ -414,6 +427,9 @@
     case GATEWAY_SLOT_DONE:
       slots_on_done (front->slots, sender, &message->slot_done);
       break;
+    case GATEWAY_DIGESTS:
+      front_take_digests (front, message->digests.items, message->digests.n_items);
+      break;
     case GATEWAY_TURN_OPEN:
     case GATEWAY_TURN_READ:
     case GATEWAY_TURN_CLOSE:
@@ -447,7 +463,7 @@
   status->ready = front_is_ready (front);
   status->reaches_archives = front->stop_ms == 0 && node_reaches_archives (front->node);
   status->config_version = front->table != NULL ? front->table->version : 0;
-  status->owned = slots_digest (front->slots, ctx, &status->n_owned);
+  status->owned = slots_digest (front->slots, ctx, false, &status->n_owned);
   status->loads = talloc_zero_array (ctx, struct ReplicaLoad, set->n_replicas);
   for (size_t i = 0; status->loads != NULL && i < set->n_replicas; i++)
     {
@@ -459,26 +475,23 @@
     }
 }
 
+/* The gateways of the zone, who send to these engines before others, are told of busy ones four
+ * times as often as by heartbeats: at 14 to 25 turns a second and engine, half a second is half of
+ * its queue. Not of the others: told at once that one engine is idle, all would send there. Days of
+ * load of the two largest sheets, worth: 0.672 and 0.800 by heartbeats alone; 0.711 and 0.851 with
+ * all engines every 120 ms; 0.859 to 0.885 and 0.874 with the busy ones (one or two runs each). */
 static void
-front_take_digests (struct Front *front, const struct SlotDigest *digests, size_t n_digests)
+front_on_digest_tick (void *data)
 {
-  for (size_t i = 0; i < n_digests; i++)
-    {
-      struct Replica *replica = replica_set_find (front->replicas, digests[i].server);
-
-      if (replica != NULL)
-        replica_take_digest (replica, &digests[i], timer_now_ms (front->node->timers));
-    }
-}
-
-static void
-front_take_own_digests (struct Front *front)
-{
-  size_t n_digests;
-  struct SlotDigest *digests = slots_digest (front->slots, front, &n_digests);
+  struct Front *front = data;
+  struct GatewayMessage message = { .kind = GATEWAY_DIGESTS };
+  struct Digests *digests = &message.digests;
 
-  front_take_digests (front, digests, n_digests);
-  talloc_free (digests);
+  digests->items = slots_digest (front->slots, front, true, &digests->n_items);
+  front_take_digests (front, digests->items, digests->n_items);
+  if (digests->n_items > 0)
+    node_send_zone (front->node, &message);
+  talloc_free (digests->items);
 }
 
 static void
@@ -536,7 +549,6 @@
 
   front_sum_loads (front);
   front_count_gateways (front);
-  front_take_own_digests (front);
   slots_expire (front->slots);
   replica_set_expire (front->replicas, timer_now_ms (front->node->timers));
 }
@@ -603,6 +615,7 @@
   if (error != ERROR_NONE)
     return error;
   timer_subscribe (f, node->timers, TICK_MS, TICK_MS, front_on_tick, f);
+  timer_subscribe (f, node->timers, DIGEST_MS, DIGEST_MS, front_on_digest_tick, f);
   node->handler.message = front_on_message;
   node->handler.snapshot = front_on_snapshot;
   node->handler.set_changed = front_on_set;
--- a/gateway/node.c
+++ b/gateway/node.c
@@ -223,9 +223,32 @@
   return message;
 }
 
-/* Packed once for all peers of one kind. */
+/* Which peers a message is for. */
+enum PeerChoice
+{
+  PEERS_WITH_DIGESTS,
+  PEERS_WITHOUT_DIGESTS,
+  PEERS_GATEWAYS_OF_ZONE
+};
+
+static bool
+peer_is_chosen (const struct Node *node, const struct NodeStatus *status, enum PeerChoice choice)
+{
+  switch (choice)
+    {
+    case PEERS_WITH_DIGESTS:
+      return node_wants_digests (node, status);
+    case PEERS_WITHOUT_DIGESTS:
+      return !node_wants_digests (node, status);
+    case PEERS_GATEWAYS_OF_ZONE:
+      return !status->is_archive && strcmp (status->zone, node->settings->zone) == 0;
+    }
+  return false;
+}
+
+/* Packed once for all that are chosen. */
 static void
-node_send_some (struct Node *node, const struct GatewayMessage *message, bool digests)
+node_send_some (struct Node *node, const struct GatewayMessage *message, enum PeerChoice choice)
 {
   struct PeerMessage envelope = { .kind = PEER_GATEWAY };
   uint8_t *bytes;
@@ -238,12 +261,18 @@
       const struct NodeStatus *status = &node->peers[i]->status;
       uint64_t link = peer_net_link_to (node->net, status->node);
 
-      if (link != PEER_LINK_NONE && node_wants_digests (node, status) == digests)
+      if (link != PEER_LINK_NONE && peer_is_chosen (node, status, choice))
         peer_net_send (node->net, link, &envelope);
     }
   talloc_free (bytes);
 }
 
+void
+node_send_zone (struct Node *node, const struct GatewayMessage *message)
+{
+  node_send_some (node, message, PEERS_GATEWAYS_OF_ZONE);
+}
+
 void
 node_announce (struct Node *node)
 {
@@ -251,9 +280,9 @@
 
   if (message == NULL)
     return;
-  node_send_some (node, message, true);
+  node_send_some (node, message, PEERS_WITH_DIGESTS);
   message->status.n_owned = 0;
-  node_send_some (node, message, false);
+  node_send_some (node, message, PEERS_WITHOUT_DIGESTS);
   talloc_free (message);
 }
 
@@ -389,6 +418,7 @@
     case GATEWAY_SLOT_ASK:
     case GATEWAY_SLOT_STATE:
     case GATEWAY_SLOT_DONE:
+    case GATEWAY_DIGESTS:
       node->handler.message (node->handler.data, link, sender, message);
       break;
     case GATEWAY_RELAY:
--- a/gateway/node.h
+++ b/gateway/node.h
@@ -82,6 +82,10 @@
 void
 node_send_all (struct Node *node, const struct GatewayMessage *message);
 
+/* To the connected gateways of this availability zone. */
+void
+node_send_zone (struct Node *node, const struct GatewayMessage *message);
+
 /* To all archives that the set asks, except those in skip. Returns to how many it left. */
 uint32_t
 node_send_set (struct Node *node,
--- a/gateway/slots.c
+++ b/gateway/slots.c
@@ -383,10 +383,10 @@
 }
 
 struct SlotDigest *
-slots_digest (struct Slots *slots, TALLOC_CTX *ctx, size_t *n_digests)
+slots_digest (struct Slots *slots, TALLOC_CTX *ctx, bool busy_only, size_t *n_digests)
 {
-  return slot_queues_digest (slots->queues, ctx, timer_now_ms (slots->front->node->timers),
-                             n_digests);
+  return slot_queues_digest (slots->queues, ctx, busy_only,
+                             timer_now_ms (slots->front->node->timers), n_digests);
 }
 
 static bool
--- a/gateway/slots.h
+++ b/gateway/slots.h
@@ -31,9 +31,9 @@
 void
 slots_on_done (struct Slots *slots, const char *sender, const struct SlotDoneMessage *done);
 
-/* What this gateway knows of the servers that it owns; belongs to ctx. */
+/* What this gateway knows of the servers that it owns, or of the busy ones; belongs to ctx. */
 struct SlotDigest *
-slots_digest (struct Slots *slots, TALLOC_CTX *ctx, size_t *n_digests);
+slots_digest (struct Slots *slots, TALLOC_CTX *ctx, bool busy_only, size_t *n_digests);
 
 /* Drops requests of gateways that are gone; called every some hundred milliseconds. */
 void
--- a/include/buckthornhead/gateway_message.h
+++ b/include/buckthornhead/gateway_message.h
@@ -17,12 +17,13 @@
   GATEWAY_SNAPSHOT = 7,  /* what the sender read in the platform's store */
   GATEWAY_COPY_WANT = 8, /* an archive whose disk is new asks another for its records */
   GATEWAY_COPY_PART = 9,
-  GATEWAY_RELAY = 10,        /* for another process, which the sender can not reach itself */
-  GATEWAY_SLOT_ASK = 11,     /* may this request be sent to a server that the receiver owns? */
-  GATEWAY_SLOT_STATE = 12,   /* the answer, and again when it has changed */
-  GATEWAY_SLOT_DONE = 13,    /* the request has ended, or will not be sent */
-  GATEWAY_ALIVE = 14,        /* the answer to a status from a peer that is known; no fields */
-  GATEWAY_SNAPSHOT_WANT = 15 /* the whole of a snapshot, of which the changes do not fit */
+  GATEWAY_RELAY = 10,         /* for another process, which the sender can not reach itself */
+  GATEWAY_SLOT_ASK = 11,      /* may this request be sent to a server that the receiver owns? */
+  GATEWAY_SLOT_STATE = 12,    /* the answer, and again when it has changed */
+  GATEWAY_SLOT_DONE = 13,     /* the request has ended, or will not be sent */
+  GATEWAY_ALIVE = 14,         /* the answer to a status from a peer that is known; no fields */
+  GATEWAY_SNAPSHOT_WANT = 15, /* the whole of a snapshot, of which the changes do not fit */
+  GATEWAY_DIGESTS = 16        /* of the servers that the sender owns, between two statuses */
 };
 
 /* Requests on their way to one backend server, as one gateway counts them. */
@@ -126,6 +127,12 @@
   struct SlotState state;
 };
 
+struct Digests
+{
+  struct SlotDigest *items;
+  size_t n_items;
+};
+
 struct SlotDoneMessage
 {
   uint64_t id;
@@ -152,6 +159,7 @@
     struct SlotAskMessage slot_ask;
     struct SlotStateMessage slot_state;
     struct SlotDoneMessage slot_done;
+    struct Digests digests;
   };
 };
 
--- a/include/buckthornhead/slot_queue.h
+++ b/include/buckthornhead/slot_queue.h
@@ -113,9 +113,11 @@
                     void (*each) (void *data, const char *server),
                     void *data);
 
-/* All servers that were asked for lately; the array belongs to ctx, NULL without memory. */
+/* All servers that were asked for lately, or those of them of whose slots half or more are taken;
+ * the array belongs to ctx, NULL without memory. */
 struct SlotDigest *
-slot_queues_digest (struct SlotQueues *queues, TALLOC_CTX *ctx, int64_t now_ms, size_t *n_digests);
+slot_queues_digest (
+    struct SlotQueues *queues, TALLOC_CTX *ctx, bool busy_only, int64_t now_ms, size_t *n_digests);
 
 /* Whether a goes before b. */
 bool
--- a/tests/test_gateway_message.c
+++ b/tests/test_gateway_message.c
@@ -58,6 +58,9 @@
 test_asking_for_a_slot_travels (void)
 {
   TALLOC_CTX *ctx = talloc_new (NULL);
+  struct SlotDigest digest = {
+    .server = "i-3", .total = 4, .failed_permille = 20, .parts = { 7, 8 }, .n_parts = 2
+  };
   struct GatewayMessage message = { .kind = GATEWAY_SLOT_ASK };
   struct GatewayMessage *back;
 
@@ -95,6 +98,18 @@
   CU_ASSERT_EQUAL (back->slot_done.outcome, SLOT_FAILED);
   message.kind = GATEWAY_ALIVE;
   travel (ctx, &message);
+  message.kind = GATEWAY_DIGESTS;
+  message.digests = (struct Digests){ &digest, 1 };
+  back = travel (ctx, &message);
+  CU_ASSERT_EQUAL_FATAL (back->digests.n_items, 1);
+  CU_ASSERT_STRING_EQUAL (back->digests.items[0].server, "i-3");
+  CU_ASSERT_EQUAL (back->digests.items[0].failed_permille, 20);
+  CU_ASSERT_EQUAL (back->digests.items[0].n_parts, 2);
+  CU_ASSERT_EQUAL (back->digests.items[0].parts[1], 8);
+  message.kind = GATEWAY_SNAPSHOT_WANT;
+  message.snapshot_want = SNAPSHOT_SERVERS;
+  back = travel (ctx, &message);
+  CU_ASSERT_EQUAL (back->snapshot_want, SNAPSHOT_SERVERS);
   talloc_free (ctx);
 }
 
--- a/tests/test_slot_queue.c
+++ b/tests/test_slot_queue.c
@@ -188,7 +188,10 @@
       ask (queues, &a);
       slot_queue_done (queues, "e", "g", id, SLOT_SERVED, 0);
     }
-  digests = slot_queues_digest (queues, NULL, 0, &n);
+  digests = slot_queues_digest (queues, NULL, true, 0, &n);
+  CU_ASSERT_EQUAL (n, 0);
+  talloc_free (digests);
+  digests = slot_queues_digest (queues, NULL, false, 0, &n);
   CU_ASSERT_EQUAL_FATAL (n, 1);
   CU_ASSERT_STRING_EQUAL (digests[0].server, "e");
   CU_ASSERT_EQUAL (digests[0].total, 0);
@@ -210,10 +213,13 @@
   struct SlotDigest *digests;
   size_t n;
 
+  digests = slot_queues_digest (queues, NULL, true, 0, &n);
+  CU_ASSERT_EQUAL (n, 1);
+  talloc_free (digests);
   slot_queue_done (queues, "e", "g", 1, SLOT_FAILED, 0);
   slot_queue_done (queues, "e", "g", 2, SLOT_FAILED, 0);
   slot_queue_done (queues, "e", "g", 3, SLOT_NOT_USED, 0);
-  digests = slot_queues_digest (queues, NULL, 0, &n);
+  digests = slot_queues_digest (queues, NULL, false, 0, &n);
   CU_ASSERT_EQUAL_FATAL (n, 1);
   CU_ASSERT (digests[0].failed_permille > 200);
   talloc_free (digests);
