A turn's settlement is sent again until the archives have answered

Ruled out: leaving reservations out of the sum after a time: a turn that still runs hands tokens out. Change: the gateway keeps the settlement, 1.5 KB, and sends it after 0.3, 0.6 .. 9.6 s to those that have not answered.

--- a/gateway/front.h
+++ b/gateway/front.h
@@ -16,6 +16,7 @@
 };
 
 struct Front;
+struct Settlement;
 struct SlotWait;
 struct Slots;
 struct Turn;
@@ -93,6 +94,8 @@
   uint64_t draws;
   uint32_t n_gateways; /* live ones, this one included */
   struct RetryAllowance retries;
+  struct Settlement *settlements; /* of turns that are not stored */
+  uint32_t n_settlements;
 };
 
 /* Opens the listeners and registers with node, which is started afterwards. */
--- /dev/null
+++ b/gateway/settle.c
@@ -0,0 +1,107 @@
+#include "settle.h"
+
+enum
+{
+  /* Until it is sent again; doubled each time. A sync and its way take 10 ms, a dropped link is
+   * dialled anew within 200 ms. */
+  AGAIN_FIRST_MS = 300,
+  /* 300 ms to 9.6 s: as long as an archive takes to start again, or a partition of the sheets
+   * lasts. */
+  TRIES_MAX = 6,
+  /* Beyond, a turn's end is told once: 1.5 KB each. */
+  SETTLEMENTS_MAX = 4096
+};
+
+struct Settlement
+{
+  struct Settlement *next, **at;
+  struct Front *front;
+  struct TurnClose close;
+  struct ArchiveNames answered;
+  uint32_t n_tries;
+  struct Timer *timer;
+};
+
+static int
+settlement_free (struct Settlement *settlement)
+{
+  *settlement->at = settlement->next;
+  if (settlement->next != NULL)
+    settlement->next->at = settlement->at;
+  settlement->front->n_settlements--;
+  return 0;
+}
+
+static void
+settlement_send (struct Settlement *settlement);
+
+static void
+settlement_on_timer (void *data)
+{
+  struct Settlement *settlement = data;
+
+  settlement->timer = NULL;
+  if (settlement->n_tries == TRIES_MAX)
+    talloc_free (settlement);
+  else
+    settlement_send (settlement);
+}
+
+static void
+settlement_send (struct Settlement *settlement)
+{
+  struct Node *node = settlement->front->node;
+  struct GatewayMessage message = { .kind = GATEWAY_TURN_CLOSE };
+
+  /* The set may have changed since: archives refuse an old one. */
+  settlement->close.generation = node->set.generation;
+  message.close = settlement->close;
+  node_send_set (node, &message, &settlement->answered);
+  settlement->timer =
+      timer_subscribe (settlement, node->timers, (int64_t)AGAIN_FIRST_MS << settlement->n_tries, 0,
+                       settlement_on_timer, settlement);
+  settlement->n_tries++;
+}
+
+void
+settle_turn (struct Front *front, const struct TurnClose *close)
+{
+  const struct ArchiveNames nobody = { .n = 0 };
+  struct GatewayMessage message = { .kind = GATEWAY_TURN_CLOSE, .close = *close };
+  struct Settlement *settlement = NULL;
+
+  if (front->n_settlements < SETTLEMENTS_MAX)
+    settlement = talloc_zero (front, struct Settlement);
+  if (settlement == NULL)
+    {
+      node_send_set (front->node, &message, &nobody);
+      return;
+    }
+  settlement->front = front;
+  settlement->close = *close;
+  settlement->next = front->settlements;
+  settlement->at = &front->settlements;
+  if (settlement->next != NULL)
+    settlement->next->at = &settlement->next;
+  front->settlements = settlement;
+  front->n_settlements++;
+  talloc_set_destructor (settlement, settlement_free);
+  settlement_send (settlement);
+}
+
+void
+settle_on_closed (struct Front *front, const char *archive, const struct TurnClosed *closed)
+{
+  struct Settlement *settlement = front->settlements;
+  struct ArchiveNames asked = archive_set_asked (&front->node->set);
+
+  while (settlement != NULL && settlement->close.id != closed->id)
+    settlement = settlement->next;
+  if (settlement == NULL || closed->error != ERROR_NONE)
+    return;
+  archive_names_add (&settlement->answered, archive);
+  for (uint32_t i = 0; i < asked.n; i++)
+    if (!archive_names_have (&settlement->answered, asked.names[i]))
+      return;
+  talloc_free (settlement);
+}
--- a/gateway/turn.c
+++ b/gateway/turn.c
@@ -1,6 +1,7 @@
 #include "front.h"
 
 #include "relay.h"
+#include "settle.h"
 
 #include <buckthornhead/archive_order.h>
 #include <buckthornhead/counter.h>
@@ -567,12 +568,12 @@
 }
 
 static void
-turn_send_close (struct Request *request, bool kept)
+turn_send_close (struct Request *request)
 {
   struct GatewayMessage message = { 0 };
   struct Turn *turn = request->turn;
 
-  turn_fill_close (request, kept, &message);
+  turn_fill_close (request, true, &message);
   turn->settled = true;
   node_send_set (request->front->node, &message, &turn->answered);
 }
@@ -640,7 +641,12 @@
 {
   struct Request *request = turn_find (front, closed->id);
 
-  if (request == NULL || request->turn->phase != TURN_CLOSING || closed->error != ERROR_NONE
+  if (request == NULL)
+    {
+      settle_on_closed (front, archive, closed);
+      return;
+    }
+  if (request->turn->phase != TURN_CLOSING || closed->error != ERROR_NONE
       || !turn_note_answer (request->turn, archive)
       || !archive_set_is_written (&front->node->set, front->node->settings->tolerated,
                                   &request->turn->answered))
@@ -670,7 +676,7 @@
       break;
     case TURN_CLOSING:
       /* What an archive has stored it keeps; those that refused the old question are asked anew. */
-      turn_send_close (request, true);
+      turn_send_close (request);
       break;
     case TURN_READING:
     case TURN_RUNNING:
@@ -682,9 +688,12 @@
 turn_abandon (struct Request *request)
 {
   struct Turn *turn = request->turn;
+  struct GatewayMessage message = { 0 };
 
   if (turn->settled)
     return;
   turn_ask (request, turn, TURN_CLOSING);
-  turn_send_close (request, false);
+  turn_fill_close (request, false, &message);
+  turn->settled = true;
+  settle_turn (request->front, &message.close);
 }
--- a/tests/sessions/test_gateway_archives.c
+++ b/tests/sessions/test_gateway_archives.c
@@ -2,6 +2,7 @@
 
 #include "gateways.h"
 
+#include <pthread.h>
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
@@ -380,6 +381,75 @@
   talloc_free (ctx);
 }
 
+struct BudgetTurn
+{
+  struct Fleet *fleet;
+  const char *turn;
+  uint32_t status;
+};
+
+static void *
+budget_turn (void *data)
+{
+  struct BudgetTurn *turn = data;
+  struct HttpReply *reply = turn_send (turn->fleet, NULL, 0, "p", turn->turn, "", 300, "x");
+
+  turn->status = reply->status;
+  talloc_free (reply);
+  return NULL;
+}
+
+static bool
+first_turn_runs (void *data)
+{
+  return installation_runs_of (data, "t1") > 0;
+}
+
+static bool
+budget_holds_a_turn (void *data)
+{
+  struct BudgetTurn *turn = data;
+  static char ids[16][8];
+  static uint32_t n;
+
+  snprintf (ids[n % 16], sizeof ids[0], "b%u", n);
+  turn->turn = ids[n++ % 16];
+  budget_turn (turn);
+  sleep_ms (100);
+  return turn->status == 200;
+}
+
+/* A turn reserves 200 tokens of a budget of 300 and hands out none: its engine hangs until the
+ * turn's time is over. At that moment all archives are dead, and nobody hears that it took nothing.
+ * Were they not told again once they are back, its program would be told that its budget is spent.
+ */
+static void
+test_a_lost_settlement_is_sent_again (void)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct Fleet *fleet = fleet_start (ctx, 1, 3);
+  uint32_t n_failed = CU_get_number_of_failures ();
+  struct BudgetTurn first = { .fleet = fleet, .turn = "t1" };
+  struct BudgetTurn later = { .fleet = fleet };
+  pthread_t thread;
+
+  server_set_mode (fleet->installation, ENGINE, SERVER_HANGS);
+  server_set_mode (fleet->installation, ENGINE + 1, SERVER_HANGS);
+  pthread_create (&thread, NULL, budget_turn, &first);
+  CU_ASSERT_TRUE (wait_for (first_turn_runs, fleet->installation));
+  for (uint32_t i = 0; i < 3; i++)
+    process_kill (fleet->archives[i].process);
+  pthread_join (thread, NULL);
+  CU_ASSERT_EQUAL (first.status, 504);
+  server_set_mode (fleet->installation, ENGINE, SERVER_ANSWERS);
+  server_set_mode (fleet->installation, ENGINE + 1, SERVER_ANSWERS);
+  for (uint32_t i = 0; i < 3; i++)
+    archive_start (fleet, i, false);
+  CU_ASSERT_TRUE (wait_for (budget_holds_a_turn, &later));
+  fleet_end (fleet, CU_get_number_of_failures () > n_failed);
+  talloc_free (ctx);
+}
+
 /* Calls to the platform's store are dear: with nothing going on, all processes together make no
  * more than a few a second, however many they are. */
 static void
@@ -413,6 +483,7 @@
   { "gateways find each other while the store is down",
     test_gateways_find_each_other_while_the_store_is_down },
   { "a restarted gateway keeps its links", test_a_restarted_gateway_keeps_its_links },
+  { "a lost settlement is sent again", test_a_lost_settlement_is_sent_again },
   { "one process reads the store for all", test_one_process_reads_the_store_for_all },
   { NULL, NULL },
 };
