Read through: one loop sends a message to several peers

Cause: node_send_some, new with the digests, had written node_send_all's loop a second time; disk_log.c still included the clock that its writer took along. Change: sending to all is one of its choices. Meant to change no behaviour.

--- a/adapters/disk_log.c
+++ b/adapters/disk_log.c
@@ -3,7 +3,6 @@
 
 #include <buckthornhead/disk_log.h>
 
-#include <buckthornhead/clock.h>
 #include <buckthornhead/counter.h>
 #include <buckthornhead/histogram.h>
 #include <buckthornhead/log.h>
--- a/gateway/node.c
+++ b/gateway/node.c
@@ -69,26 +69,6 @@
   return link != PEER_LINK_NONE ? node_answer (node, link, message) : ERROR_UNREACHABLE;
 }
 
-void
-node_send_all (struct Node *node, const struct GatewayMessage *message)
-{
-  struct PeerMessage envelope = { .kind = PEER_GATEWAY };
-  uint8_t *bytes;
-
-  /* Packed once: a list of a thousand servers goes to hundreds of peers. */
-  if (gateway_message_pack (node->net, message, &bytes, &envelope.gateway.n_bytes) != ERROR_NONE)
-    return;
-  envelope.gateway.bytes = bytes;
-  for (size_t i = 0; i < node->n_peers; i++)
-    {
-      uint64_t link = peer_net_link_to (node->net, node->peers[i]->status.node);
-
-      if (link != PEER_LINK_NONE)
-        peer_net_send (node->net, link, &envelope);
-    }
-  talloc_free (bytes);
-}
-
 bool
 node_is_archive (const struct Node *node)
 {
@@ -226,6 +206,7 @@
 /* Which peers a message is for. */
 enum PeerChoice
 {
+  PEERS_ALL,
   PEERS_WITH_DIGESTS,
   PEERS_WITHOUT_DIGESTS,
   PEERS_GATEWAYS_OF_ZONE
@@ -236,6 +217,8 @@
 {
   switch (choice)
     {
+    case PEERS_ALL:
+      return true;
     case PEERS_WITH_DIGESTS:
       return node_wants_digests (node, status);
     case PEERS_WITHOUT_DIGESTS:
@@ -246,7 +229,7 @@
   return false;
 }
 
-/* Packed once for all that are chosen. */
+/* Packed once for all that are chosen: a list of a thousand servers goes to hundreds of peers. */
 static void
 node_send_some (struct Node *node, const struct GatewayMessage *message, enum PeerChoice choice)
 {
@@ -267,6 +250,12 @@
   talloc_free (bytes);
 }
 
+void
+node_send_all (struct Node *node, const struct GatewayMessage *message)
+{
+  node_send_some (node, message, PEERS_ALL);
+}
+
 void
 node_send_zone (struct Node *node, const struct GatewayMessage *message)
 {
