After a stop of everything: full lists for callers, small configurations, steps of a set once

Causes, each from a log. (2) A process told that it was ready at its next heartbeat and looked for archives only then: 2 of 34 ready after 0.7 s. A process that starts probes archives at once and tells changes of its own status every 50 ms. Configurations travel deflated. A gap is the store's readers' alone and travels with the list. archive_set_step is pure and bound to the generation it was decided on. A gateway is ready once it has a list of servers. Ruled out: overload by load (no gateway was strained before), slow starts (all processes up within 0.4 s).

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PACKAGES = meson ninja-build pkg-config gcc clang clang-format clang-tidy libclang-rt-14-dev \
   libtalloc-dev libtevent-dev libmsgpack-dev libmicrohttpd-dev libhttp-parser-dev libcurl4-openssl-dev \
   libargtable2-dev libcunit1-dev liburcu-dev libinih-dev libjansson-dev nettle-dev \
-  libxxhash-dev uthash-dev spin gnuplot-nox curl jq man-db
+  libxxhash-dev uthash-dev zlib1g-dev spin gnuplot-nox curl jq man-db
 
 .PHONY: all packages build check lint format test demo fuzz
 
--- a/core/counter.c
+++ b/core/counter.c
@@ -97,6 +97,7 @@
   [GAUGE_CALLS_WAITING] = GAUGES ("calls_waiting", "Calls waiting at the owner for a server"),
   [GAUGE_CALLS_IN_FLIGHT] = GAUGES ("calls_in_flight", "Calls at a backend server now"),
   [GAUGE_DRAINING] = GAUGES ("draining", "1 while this instance drains"),
+  [GAUGE_LOOP_LAG_MS] = GAUGES ("loop_lag_ms", "How long events wait for the processor, smoothed"),
   [GAUGE_PLATFORM_UP] = GAUGES ("platform_up", "1 while the key-value service answers"),
 };
 
--- a/core/gateway/archive_set.c
+++ b/core/gateway/archive_set.c
@@ -196,6 +196,33 @@
   return next;
 }
 
+bool
+archive_set_step (const struct ArchiveSet *held,
+                  const struct ArchiveStep *step,
+                  uint32_t tolerated,
+                  struct ArchiveSet *next)
+{
+  bool is_decided_on = held->generation == step->generation;
+
+  switch (step->kind)
+    {
+    case ARCHIVE_STEP_FIRST:
+      *next = archive_set_first (held, step->joining);
+      return held->stage == ARCHIVE_STAGE_STABLE && !archive_set_has (held, step->joining)
+             && held->members.n < archive_set_wanted (tolerated);
+    case ARCHIVE_STEP_CHANGE:
+      *next = archive_set_change (held, step->joining, step->leaving);
+      return is_decided_on && held->stage == ARCHIVE_STAGE_STABLE;
+    case ARCHIVE_STEP_REJOIN:
+      *next = archive_set_rejoin (held, step->joining);
+      return is_decided_on && held->stage == ARCHIVE_STAGE_STARTING;
+    case ARCHIVE_STEP_ADVANCE:
+      *next = archive_set_advance (held);
+      return is_decided_on && held->stage != ARCHIVE_STAGE_STABLE;
+    }
+  return false;
+}
+
 static void
 names_pack (struct PackWriter *p, const struct ArchiveNames *names)
 {
--- a/core/gateway/gateway_message.c
+++ b/core/gateway/gateway_message.c
@@ -286,7 +286,7 @@
     case GATEWAY_RELAY:
       return 4;
     case GATEWAY_SNAPSHOT:
-      return 8;
+      return 9;
     case GATEWAY_SNAPSHOT_WANT:
     case GATEWAY_DIGESTS:
       return 2;
--- a/core/gateway/state_message.c
+++ b/core/gateway/state_message.c
@@ -78,6 +78,7 @@
   pack_u64 (p, snapshot->age_ms);
   pack_u64 (p, snapshot->content);
   pack_u64 (p, snapshot->base);
+  pack_bool (p, snapshot->after_gap);
   pack_bool (p, snapshot->unchanged);
   pack_array (p, 3 * snapshot->n_items);
   for (size_t i = 0; i < snapshot->n_items; i++)
@@ -98,6 +99,7 @@
   snapshot->age_ms = (uint32_t)read_u64 (r, UINT32_MAX);
   snapshot->content = read_u64 (r, UINT64_MAX);
   snapshot->base = read_u64 (r, UINT64_MAX);
+  snapshot->after_gap = read_bool (r);
   snapshot->unchanged = read_bool (r);
   snapshot->n_items = message_list_enter (r, &list, 3);
   snapshot->items = talloc_zero_array (ctx, struct SnapshotItem, snapshot->n_items);
--- a/gateway/archive_member.c
+++ b/gateway/archive_member.c
@@ -21,15 +21,6 @@
   RETRY_MS = 400
 };
 
-/* What a write to the store is to bring about. */
-enum MemberWrite
-{
-  WRITE_FIRST,  /* this archive is among the first */
-  WRITE_CHANGE, /* .joining comes, .leaving goes */
-  WRITE_REJOIN, /* .joining comes in place of one that should have come */
-  WRITE_ADVANCE /* the change's next stage */
-};
-
 struct ArchiveMember
 {
   struct Node *node;
@@ -41,7 +32,8 @@
   uint64_t synced;
   char retiring[RETIRE_MAX][NAME_MAX_BYTES + 1];
   size_t n_retiring;
-  enum MemberWrite write;
+  struct ArchiveStep step;   /* on its way to the store; its names are the next two fields */
+  struct ArchiveSet written; /* what the store is asked to hold */
   char joining[NAME_MAX_BYTES + 1], leaving[NAME_MAX_BYTES + 1];
   bool writing;
   int64_t next_ms;
@@ -106,38 +98,11 @@
       && archive_set_decode (result->entries[0].value, result->entries[0].value_bytes, &set)
              == ERROR_NONE)
     node_take_set (member->node, &set);
+  else if (result->error == ERROR_NONE)
+    node_take_set (member->node, &member->written);
   member_write_done (member, result->error);
 }
 
-/* The next set after the one that the store holds; false when that is no longer what the change
- * was meant for. */
-static bool
-member_next_set (const struct ArchiveMember *member,
-                 const struct ArchiveSet *held,
-                 struct ArchiveSet *next)
-{
-  switch (member->write)
-    {
-    case WRITE_FIRST:
-      *next = archive_set_first (held, member_name (member));
-      return held->stage == ARCHIVE_STAGE_STABLE && !archive_set_has (held, member_name (member))
-             && held->members.n < archive_set_wanted (member->node->settings->tolerated);
-    case WRITE_CHANGE:
-      *next = archive_set_change (held, member->joining, member->leaving);
-      return held->generation == member->node->set.generation
-             && held->stage == ARCHIVE_STAGE_STABLE;
-    case WRITE_REJOIN:
-      *next = archive_set_rejoin (held, member->joining);
-      return held->generation == member->node->set.generation
-             && held->stage == ARCHIVE_STAGE_STARTING;
-    case WRITE_ADVANCE:
-      *next = archive_set_advance (held);
-      return held->generation == member->node->set.generation
-             && held->stage != ARCHIVE_STAGE_STABLE;
-    }
-  return false;
-}
-
 static void
 member_on_held (void *data, const struct KvResult *result)
 {
@@ -149,7 +114,7 @@
   size_t n_bytes = 0;
   int32_t error = result->error;
 
-  if (error == ERROR_NOT_FOUND && member->write == WRITE_FIRST)
+  if (error == ERROR_NOT_FOUND && member->step.kind == ARCHIVE_STEP_FIRST)
     error = ERROR_NONE;
   else if (error == ERROR_NONE)
     error = archive_set_decode (result->entries[0].value, result->entries[0].value_bytes, &held);
@@ -159,12 +124,13 @@
       return;
     }
   node_take_set (member->node, &held);
-  if (!member_next_set (member, &held, &next)
+  if (!archive_set_step (&held, &member->step, member->node->settings->tolerated, &next)
       || archive_set_encode (member, &next, &bytes, &n_bytes) != ERROR_NONE)
     {
       member_write_done (member, ERROR_CONFLICT);
       return;
     }
+  member->written = next;
   snprintf (key, sizeof key, "%s%s", member->node->settings->prefix, ARCHIVE_SET_KEY);
   request.put.key = key;
   request.put.value = bytes;
@@ -181,7 +147,7 @@
 
 static void
 member_write (struct ArchiveMember *member,
-              enum MemberWrite write,
+              enum ArchiveStepKind kind,
               const char *joining,
               const char *leaving)
 {
@@ -190,9 +156,10 @@
 
   if (member->writing || member_now_ms (member) < member->next_ms)
     return;
-  member->write = write;
   snprintf (member->joining, sizeof member->joining, "%s", joining);
   snprintf (member->leaving, sizeof member->leaving, "%s", leaving);
+  member->step =
+      (struct ArchiveStep){ kind, member->node->set.generation, member->joining, member->leaving };
   snprintf (key, sizeof key, "%s%s", member->node->settings->prefix, ARCHIVE_SET_KEY);
   request.get.key = key;
   member->writing = true;
@@ -315,7 +282,7 @@
     }
   if (now_ms - member->joining_heard_ms > DEAD_MS && !archive_set_has (set, name)
       && !archive_names_have (&set->former, name) && !member_is_retiring (member, name))
-    member_write (member, WRITE_REJOIN, name, "");
+    member_write (member, ARCHIVE_STEP_REJOIN, name, "");
 }
 
 /* The one that joins copies, or all who stay do; then the change may end. */
@@ -331,10 +298,10 @@
       if (member->synced < set->generation)
         member_start_copy (member, set->generation);
       if (joins && member->synced == set->generation)
-        member_write (member, WRITE_ADVANCE, "", "");
+        member_write (member, ARCHIVE_STEP_ADVANCE, "", "");
     }
   else if (joining[0] == '\0' && member_all_synced (member))
-    member_write (member, WRITE_ADVANCE, "", "");
+    member_write (member, ARCHIVE_STEP_ADVANCE, "", "");
   else if (joining[0] != '\0')
     member_replace_joining (member, joining);
 }
@@ -358,7 +325,7 @@
   if (!archive_set_is_written (set, member->node->settings->tolerated, &know))
     return;
   if (changes || member_now_ms (member) - member->ending_ms > ENDING_OTHERS_MS)
-    member_write (member, WRITE_ADVANCE, "", "");
+    member_write (member, ARCHIVE_STEP_ADVANCE, "", "");
 }
 
 /* Joining. */
@@ -436,7 +403,8 @@
   if (leaving == NULL && set->members.n >= wanted)
     return;
   if (member_others_are_whole (member, leaving != NULL ? leaving : ""))
-    member_write (member, WRITE_CHANGE, member_name (member), leaving != NULL ? leaving : "");
+    member_write (member, ARCHIVE_STEP_CHANGE, member_name (member),
+                  leaving != NULL ? leaving : "");
 }
 
 static void
@@ -447,7 +415,7 @@
   /* With another disk to be had, that one takes this one's place. */
   if (member_is_retiring (member, name) && !member_has_spare (member)
       && member->node->set.members.n > 1 && member_others_are_whole (member, name))
-    member_write (member, WRITE_CHANGE, "", name);
+    member_write (member, ARCHIVE_STEP_CHANGE, "", name);
 }
 
 /* Telling the operators. */
@@ -518,7 +486,7 @@
     member_start_copy (member, 0);
   if (member->first && !inside
       && set->members.n < archive_set_wanted (member->node->settings->tolerated))
-    member_write (member, WRITE_FIRST, "", "");
+    member_write (member, ARCHIVE_STEP_FIRST, member_name (member), "");
   else if (set->generation > 0)
     switch (set->stage)
       {
--- a/gateway/front.c
+++ b/gateway/front.c
@@ -1,9 +1,12 @@
 #include "front.h"
 
+#include "directory.h"
+#include "loop_echo.h"
 #include "slots.h"
 #include "store_reader.h"
 
 #include <buckthornhead/counter.h>
+#include <buckthornhead/deflate.h>
 #include <buckthornhead/log.h>
 
 #include <stdio.h>
@@ -18,9 +21,6 @@
   STOP_LINGER_MS = 5000,
   /* Before the machine kills the process, what is left is answered. */
   STOP_MARGIN_MS = 400,
-  ADDRESSES_MAX = 64, /* that a caller can use */
-  /* One gateway more than may be lost at once. */
-  ZONE_ADDRESSES_MIN = 2,
   /* Until the operators' configuration says otherwise. */
   FIRST_HEADER_BYTES = 16 * 1024,
   FIRST_BODY_BYTES = 4 * 1024 * 1024,
@@ -173,10 +173,7 @@
   return front->stop_ms != 0 && timer_now_ms (front->node->timers) - front->stop_ms > STOP_TAKES_MS;
 }
 
-/* Guards against callers whose few attempts are used up by a gateway that has just started: after a
- * loss of power it knows the configuration, the servers and the archives within some hundred
- * milliseconds, sooner than a caller that is sent back would come again. */
-static bool
+bool
 front_is_starting (const struct Front *front)
 {
   return timer_now_ms (front->node->timers) - front->started_ms < STARTING_MS;
@@ -251,68 +248,13 @@
 
 /* Own paths. */
 
-static bool
+bool
 front_is_ready (const struct Front *front)
 {
-  return front->stop_ms == 0 && front->table != NULL
+  return front->stop_ms == 0 && front->table != NULL && front->knows_servers
          && (node_reaches_archives (front->node) || node_has_relay (front->node));
 }
 
-/* Adds the ready gateways of zone, or of all zones for NULL, to the n that are there. */
-static size_t
-front_add_addresses (struct Front *front, const char *zone, const char *addresses[ADDRESSES_MAX])
-{
-  const struct Node *node = front->node;
-  size_t n = 0;
-
-  if (front_is_ready (front) && (zone == NULL || strcmp (zone, node->settings->zone) == 0))
-    addresses[n++] = node->settings->caller_listen;
-  for (size_t i = 0; i < node->roster->n_peers && n < ADDRESSES_MAX; i++)
-    {
-      const struct NodeStatus *status = &node->roster->peers[i]->status;
-
-      if (status->ready && status->caller_address[0] != '\0'
-          && (zone == NULL || strcmp (zone, status->zone) == 0)
-          && node_peer_is_live (node, node->roster->peers[i]))
-        addresses[n++] = status->caller_address;
-    }
-  return n;
-}
-
-/* Callers get the gateways of their own availability zone while there are enough of them: a
- * session's turns then stay in one zone, and so does the history that each of them needs. */
-static size_t
-front_addresses (struct Front *front, const char *zone, const char *addresses[ADDRESSES_MAX])
-{
-  size_t n = zone[0] != '\0' ? front_add_addresses (front, zone, addresses) : 0;
-
-  return n >= ZONE_ADDRESSES_MIN ? n : front_add_addresses (front, NULL, addresses);
-}
-
-static void
-front_answer_addresses (struct Front *front, struct HttpExchange *exchange)
-{
-  struct HttpHeader type = { "Content-Type", "application/json" };
-  struct HttpHeaders headers = { &type, 1 };
-  const char *addresses[ADDRESSES_MAX];
-  char zone[NAME_MAX_BYTES + 1];
-  char *body = NULL;
-  size_t n;
-
-  front->node->dialect->asker_zone (exchange->target, zone);
-  n = front_addresses (front, zone, addresses);
-  if (n > 0)
-    body =
-        front->node->dialect->write_addresses (front, addresses, n, front->node->settings->keep_s);
-  if (body == NULL)
-    {
-      http_exchange_answer (exchange, 503, NULL, NULL, 0);
-      return;
-    }
-  http_exchange_answer (exchange, 200, &headers, body, strlen (body));
-  talloc_free (body);
-}
-
 static void
 front_on_own (void *data, struct HttpExchange *exchange)
 {
@@ -324,7 +266,7 @@
       http_exchange_answer (exchange, front_is_ready (front) ? 200 : 503, NULL, NULL, 0);
       break;
     case OWN_PATH_ADDRESSES:
-      front_answer_addresses (front, exchange);
+      directory_answer (front, exchange);
       break;
     case OWN_PATH_NONE:
       http_exchange_answer (exchange, 404, NULL, NULL, 0);
@@ -339,12 +281,24 @@
 {
   struct RouteTable *table;
   struct Fault fault;
+  uint8_t *text;
+  size_t text_bytes;
+  int32_t error;
 
   if (snapshot->n_items != 1)
     return;
-  if (front->node->dialect->read_routes (front, snapshot->items[0].value,
-                                         snapshot->items[0].value_bytes, &table, &fault)
+  if (value_inflate (front, snapshot->items[0].value, snapshot->items[0].value_bytes, &text,
+                     &text_bytes)
       != ERROR_NONE)
+    {
+      log_event (LOG_LEVEL_ERROR, "configuration_unreadable", NULL,
+                 "bring the processes to one version", "%zu bytes do not inflate",
+                 snapshot->items[0].value_bytes);
+      return;
+    }
+  error = front->node->dialect->read_routes (front, text, text_bytes, &table, &fault);
+  talloc_free (text);
+  if (error != ERROR_NONE)
     {
       log_event (LOG_LEVEL_ERROR, "configuration_malformed", NULL, fault.remedy, "%s",
                  fault.message);
@@ -397,6 +351,7 @@
     }
   n_changed = replica_set_apply (front->replicas, entries, n, after_gap,
                                  timer_now_ms (front->node->timers));
+  front->knows_servers = true;
   front_note_restarts (front);
   if (n_changed > 0)
     log_event (LOG_LEVEL_INFO, "servers_changed", NULL, NULL,
@@ -500,6 +455,7 @@
 
   status->ready = front_is_ready (front);
   status->leaving = front->stop_ms != 0;
+  status->strained = loop_echo_is_strained (front->echo);
   status->reaches_archives = front->stop_ms == 0 && node_reaches_archives (front->node);
   status->config_version = front->table != NULL ? front->table->version : 0;
   heartbeat->loads = talloc_zero_array (ctx, struct ReplicaLoad, set->n_replicas);
@@ -586,6 +542,7 @@
 {
   struct Front *front = data;
 
+  node_announce_changes (front->node);
   front_sum_loads (front);
   front_count_gateways (front);
   slots_expire (front->slots);
@@ -648,7 +605,8 @@
   f->replicas = replica_set_new (f);
   f->client = http_client_new (f, node->events, node->timers, &client_options);
   f->slots = slots_new (f);
-  if (f->replicas == NULL || f->client == NULL || f->slots == NULL)
+  f->echo = loop_echo_new (f, node);
+  if (f->replicas == NULL || f->client == NULL || f->slots == NULL || f->echo == NULL)
     return fault_set (fault, ERROR_NO_MEMORY, NULL, "no memory for the gateway");
   error = front_listen_all (f, fault);
   if (error != ERROR_NONE)
--- a/gateway/front.h
+++ b/gateway/front.h
@@ -16,6 +16,7 @@
 };
 
 struct Front;
+struct LoopEcho;
 struct Settlement;
 struct SlotWait;
 struct Slots;
@@ -95,6 +96,8 @@
   int64_t started_ms;
   int64_t stop_ms; /* when the planned stop was asked for; 0: none */
   uint64_t draws;
+  bool knows_servers; /* a list of them came, be it empty */
+  struct LoopEcho *echo;
   uint32_t n_digest_ticks;
   uint32_t n_gateways; /* live ones, this one included */
   struct RetryAllowance retries;
@@ -170,3 +173,14 @@
 turn_on_opened (struct Front *front, const char *archive, const struct TurnOpened *opened);
 void
 turn_on_closed (struct Front *front, const char *archive, const struct TurnClosed *closed);
+
+/* Takes callers: it has a configuration and a list of servers, reaches the archives and is not
+ * about to stop. */
+bool
+front_is_ready (const struct Front *front);
+
+/* Guards against callers whose few attempts are used up by a gateway that has just started: after a
+ * loss of power it knows the configuration, the servers and the archives within some hundred
+ * milliseconds, sooner than a caller that is sent back would come again. */
+bool
+front_is_starting (const struct Front *front);
--- a/gateway/node.c
+++ b/gateway/node.c
@@ -23,6 +23,11 @@
   PROBE_AFTER_MS = 400,
   /* A gateway that has heard nobody for two heartbeats and some is cut off itself. */
   CUT_OFF_MS = 1150,
+  /* While a process starts it looks for archives and tells what it is ready for this often: with
+   * the heartbeat alone, a zone that had lost all power had 2 of its 34 gateways ready for callers
+   * after 0.7 s. */
+  STARTING_MS = 3000,
+  STARTING_PERIOD_MS = 50,
   WANT_AGAIN_MS = 300 /* between two requests for a list to one aggregator */
 };
 
@@ -520,6 +525,16 @@
   talloc_free (own);
 }
 
+void
+node_announce_changes (struct Node *node)
+{
+  uint64_t version = node->roster->own.version;
+
+  talloc_free (node_describe (node, node->net));
+  if (node->roster->own.version != version)
+    node_announce (node);
+}
+
 void
 node_learn_peer (struct Node *node, const struct NodeStatus *status)
 {
@@ -808,6 +823,8 @@
 {
   struct ArchiveNames asked = archive_set_asked (&node->set);
 
+  if (now_ms - peer->probed_ms < PROBE_AFTER_MS)
+    return false;
   if (peer->asked_ms > 0)
     return node_peer_is_live (node, peer) || archive_names_have (&asked, peer->status.node);
   return !node_is_archive (node) && peer->status.is_archive
@@ -826,8 +843,10 @@
       struct Peer *peer = roster->peers[i];
 
       node_check_link (node, peer, now_ms);
-      if (node_must_probe (node, peer, now_ms))
-        node_send (node, peer->status.node, &probe);
+      if (!node_must_probe (node, peer, now_ms))
+        continue;
+      peer->probed_ms = now_ms;
+      node_send (node, peer->status.node, &probe);
     }
 }
 
@@ -852,6 +871,18 @@
   roster_forget_silent (node->roster, now_ms, node_on_forgotten, node);
 }
 
+static void
+node_on_starting (void *data)
+{
+  struct Node *node = data;
+  int64_t now_ms = timer_now_ms (node->timers);
+
+  node_check_links (node, now_ms);
+  node_announce_changes (node);
+  if (now_ms - node->started_ms >= STARTING_MS)
+    TALLOC_FREE (node->starting);
+}
+
 int32_t
 node_start (struct Node *node, struct Fault *fault)
 {
@@ -871,6 +902,7 @@
   node->net = peer_net_new (node->events, node->events, node->timers, &options);
   node->roster = roster_new (node->events, node->settings->instance, node->settings->zone);
   node->start = node->next_id;
+  node->started_ms = timer_now_ms (node->timers);
   if (node->net == NULL || node->roster == NULL)
     return fault_set (fault, ERROR_NO_MEMORY, NULL, "no memory for the peer links");
   error = peer_net_listen (node->net, fault);
@@ -880,6 +912,8 @@
   if (node->reader == NULL)
     return fault_set (fault, ERROR_NO_MEMORY, NULL, "no memory for the store's reader");
   timer_subscribe (node->net, node->timers, HEARTBEAT_MS, HEARTBEAT_MS, node_on_heartbeat, node);
+  node->starting = timer_subscribe (node->net, node->timers, STARTING_PERIOD_MS, STARTING_PERIOD_MS,
+                                    node_on_starting, node);
   node_announce (node);
   return ERROR_NONE;
 }
--- a/gateway/node.h
+++ b/gateway/node.h
@@ -47,6 +47,8 @@
   struct StoreReader *reader;
   struct NodeHandler handler;
   struct Roster *roster;
+  int64_t started_ms;
+  struct Timer *starting;   /* NULL once it has started */
   uint64_t start;           /* of this process, unique among its starts */
   struct Timer *publishing; /* lists are drawn up when it fires; NULL: nothing has changed */
   uint64_t next_id;
@@ -131,3 +133,7 @@
 /* Tells about this process now, not at the next heartbeat. */
 void
 node_announce (struct Node *node);
+
+/* The same if what it says of itself has changed. */
+void
+node_announce_changes (struct Node *node);
--- a/gateway/store_reader.c
+++ b/gateway/store_reader.c
@@ -3,6 +3,7 @@
 #include "known_nodes.h"
 
 #include <buckthornhead/counter.h>
+#include <buckthornhead/deflate.h>
 #include <buckthornhead/histogram.h>
 #include <buckthornhead/kv_guard.h>
 #include <buckthornhead/log.h>
@@ -49,6 +50,7 @@
 {
   int64_t revision;  /* of the store, of what is held; 0: nothing yet */
   uint64_t content;  /* of what is held */
+  int64_t gap_ms;    /* when a read came that was the first after a gap; 0: never */
   int64_t read_ms;   /* when what is held was current */
   int64_t next_ms;   /* no call of ours before */
   uint32_t failures; /* in a row */
@@ -165,7 +167,6 @@
 topic_take (struct StoreReader *reader, const struct Snapshot *snapshot, int64_t read_ms)
 {
   struct Topic *topic = &reader->topics[snapshot->kind];
-  bool after_gap = topic->read_ms > 0 && read_ms - topic->read_ms > GAP_MS;
   struct Snapshot *before;
 
   if (snapshot->revision < topic->revision
@@ -179,6 +180,8 @@
     return;
   before = topic->snapshot;
   topic->content = snapshot->content;
+  if (snapshot->after_gap)
+    topic->gap_ms = timer_now_ms (reader->node->timers);
   topic->snapshot = snapshot_copy (reader, snapshot);
   if (snapshot->kind == SNAPSHOT_NODES)
     {
@@ -187,7 +190,7 @@
         reader->knows_nodes_ms = timer_now_ms (reader->node->timers);
     }
   else
-    reader->node->handler.snapshot (reader->node->handler.data, snapshot, after_gap);
+    reader->node->handler.snapshot (reader->node->handler.data, snapshot, snapshot->after_gap);
   /* Only now: one that came as changes still points to the values of the one before. */
   talloc_free (before);
 }
@@ -201,6 +204,10 @@
   struct GatewayMessage message = { .kind = GATEWAY_SNAPSHOT };
   struct Snapshot *changes = NULL;
 
+  /* The gap is that of the store's readers. Whoever only heard of the list late must not take
+   * servers that left for ones that may come back: callers were sent to them 4.1 s after they had
+   * said that they leave. */
+  snapshot->after_gap = topic->read_ms > 0 && topic->asked_ms - topic->read_ms > GAP_MS;
   if (snapshot->kind == SNAPSHOT_SERVERS && topic->snapshot != NULL
       && snapshot->content != topic->content)
     changes = snapshot_changes (reader, topic->snapshot, snapshot);
@@ -263,6 +270,12 @@
   return topic->snapshot != before;
 }
 
+bool
+store_reader_knows_nodes (const struct StoreReader *reader)
+{
+  return reader->knows_nodes_ms > 0;
+}
+
 size_t
 store_reader_marks (const struct StoreReader *reader, struct StateMark marks[STATE_MARKS_MAX])
 {
@@ -309,6 +322,8 @@
   message->kind = GATEWAY_SNAPSHOT;
   message->snapshot = *topic->snapshot;
   message->snapshot.revision = topic->revision;
+  message->snapshot.after_gap =
+      topic->gap_ms > 0 && timer_now_ms (reader->node->timers) - topic->gap_ms < GAP_MS;
   message->snapshot.age_ms = (uint32_t)(timer_now_ms (reader->node->timers) - topic->read_ms);
   return true;
 }
@@ -397,6 +412,21 @@
   return item->value != NULL || entry->value_bytes == 0;
 }
 
+/* The configuration: see deflate.h. */
+static bool
+item_fill_deflated (TALLOC_CTX *ctx, struct SnapshotItem *item, const struct KvEntry *entry)
+{
+  uint8_t *deflated;
+
+  memset (item, 0, sizeof *item);
+  snprintf (item->key, sizeof item->key, "%s", entry->key);
+  if (value_deflate (ctx, entry->value, entry->value_bytes, &deflated, &item->value_bytes)
+      != ERROR_NONE)
+    return false;
+  item->value = deflated;
+  return true;
+}
+
 /* A server's entry in the product's own form, without what changes with each of its heartbeats: a
  * list of a thousand servers would else be sent to every peer each time it is read. */
 static bool
@@ -506,7 +536,7 @@
       return;
     }
   if (result->error != ERROR_NONE || result->n_entries != 1
-      || !item_fill (reader, &item, &result->entries[0]))
+      || !item_fill_deflated (reader, &item, &result->entries[0]))
     {
       topic_failed (reader, SNAPSHOT_ROUTES, result->error);
       return;
--- a/gateway/store_reader.h
+++ b/gateway/store_reader.h
@@ -13,6 +13,10 @@
                              uint64_t link,
                              const struct Snapshot *snapshot);
 
+/* The list of processes was read, here or by a peer: how many there should be is known. */
+bool
+store_reader_knows_nodes (const struct StoreReader *reader);
+
 /* What is held, for heartbeats. Returns how many marks there are. */
 size_t
 store_reader_marks (const struct StoreReader *reader, struct StateMark marks[STATE_MARKS_MAX]);
--- a/include/buckthornhead/archive_set.h
+++ b/include/buckthornhead/archive_set.h
@@ -104,6 +104,32 @@
 struct ArchiveSet
 archive_set_advance (const struct ArchiveSet *set);
 
+/* A step that an archive has decided on. */
+enum ArchiveStepKind
+{
+  ARCHIVE_STEP_FIRST,  /* joining is among the first */
+  ARCHIVE_STEP_CHANGE, /* joining comes, leaving goes */
+  ARCHIVE_STEP_REJOIN, /* joining comes in place of one that should have come */
+  ARCHIVE_STEP_ADVANCE /* the change's next stage */
+};
+
+struct ArchiveStep
+{
+  enum ArchiveStepKind kind;
+  uint64_t generation; /* of the set on which it was decided */
+  const char *joining, *leaving;
+};
+
+/* The set after step, given the one that the store holds; false when the step was decided on
+ * another one. Guards against a step that is taken twice: decided again before the archive has
+ * heard that its first one was taken, a change would end without anyone having looked whether
+ * enough archives know of it. First ones are decided on no set in particular. */
+bool
+archive_set_step (const struct ArchiveSet *held,
+                  const struct ArchiveStep *step,
+                  uint32_t tolerated,
+                  struct ArchiveSet *next);
+
 /* As the store holds it. ERROR_NO_MEMORY; ERROR_INVALID for anything malformed. */
 int32_t
 archive_set_encode (TALLOC_CTX *ctx,
--- a/include/buckthornhead/gateway_message.h
+++ b/include/buckthornhead/gateway_message.h
@@ -68,6 +68,7 @@
   uint32_t age_ms;  /* since the read was sent, when this was sent on */
   uint64_t content; /* equal for equal items */
   uint64_t base;    /* not 0: items are what differs from the snapshot with this content */
+  bool after_gap;   /* nobody had read the store for a while before: what is gone may come back */
   bool unchanged;   /* the items are those of the last snapshot with this content, and left out */
   struct SnapshotItem *items;
   size_t n_items;
--- a/include/buckthornhead/node_status.h
+++ b/include/buckthornhead/node_status.h
@@ -19,6 +19,7 @@
   uint64_t version;                           /* grows with each change in one start */
   bool ready;                                 /* takes callers */
   bool leaving;                               /* a planned stop has begun */
+  bool strained;                              /* its callers wait for its processor */
   bool reaches_archives;                      /* enough of them for turns, by its own links */
   bool complete;                              /* archives only: see TurnOpened */
   bool is_archive;
--- a/include/buckthornhead/roster.h
+++ b/include/buckthornhead/roster.h
@@ -57,6 +57,7 @@
   int64_t listed_ms;        /* last time an aggregator's list told of it */
   int64_t link_heard_ms;    /* last message over the link that we dialled */
   int64_t asked_ms;         /* the oldest question over it that nothing has followed; 0: none */
+  int64_t probed_ms;        /* when it was last asked for a sign of life alone */
   int64_t wanted_ms;        /* when it was last asked for a list */
   uint64_t listed;          /* a bit for each of the roster's sources that lists it */
   uint64_t rank;            /* hash of its name */
--- a/tests/test_archive_set.c
+++ b/tests/test_archive_set.c
@@ -223,6 +223,32 @@
   talloc_free (bytes);
 }
 
+/* An archive takes a dead one's place: it has copied everything, and asks the store to let the
+ * change end. The answer is late; it decides the same once more, on the set that it knows. The
+ * store now holds a change that is ending, of which nobody has looked yet whether enough archives
+ * know: a second step would leave turns on disks that are asked no more. */
+static void
+test_a_step_is_not_taken_twice (void)
+{
+  struct ArchiveSet set = { .generation = 3 }, held, joined, ending, next;
+  struct ArchiveStep advance = { .kind = ARCHIVE_STEP_ADVANCE };
+  struct ArchiveStep rejoin = { .kind = ARCHIVE_STEP_REJOIN, .joining = "e" };
+
+  archive_names_add (&set.members, "a");
+  archive_names_add (&set.members, "b");
+  archive_names_add (&set.members, "c");
+  held = archive_set_change (&set, "d", "a");
+  advance.generation = rejoin.generation = held.generation;
+  CU_ASSERT_TRUE (archive_set_step (&held, &rejoin, 1, &joined));
+  CU_ASSERT_FALSE (archive_set_step (&joined, &rejoin, 1, &next));
+  CU_ASSERT_TRUE (archive_set_step (&held, &advance, 1, &ending));
+  CU_ASSERT_EQUAL (ending.stage, ARCHIVE_STAGE_ENDING);
+  CU_ASSERT_FALSE (archive_set_step (&ending, &advance, 1, &next));
+  advance.generation = ending.generation;
+  CU_ASSERT_TRUE (archive_set_step (&ending, &advance, 1, &next));
+  CU_ASSERT_EQUAL (next.stage, ARCHIVE_STAGE_STABLE);
+}
+
 const char test_suite_name[] = "archive_set";
 const struct TestCase test_cases[] = {
   { "the first archives make the set", test_the_first_archives_make_the_set },
@@ -234,5 +260,6 @@
   { "a copy meets all that was written before", test_a_copy_meets_all_that_was_written_before },
   { "during a change both sets are asked", test_during_a_change_both_sets_are_asked },
   { "the store gives back what it got", test_the_store_gives_back_what_it_got },
+  { "a step is not taken twice", test_a_step_is_not_taken_twice },
   { NULL, NULL },
 };
