--- a/core/gateway/roster.c
+++ b/core/gateway/roster.c
@@ -1,4 +1,4 @@
-#include <buckthornhead/roster.h>
+#include "roster_internal.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -181,14 +181,13 @@
   return source->node[0] != '\0' && now_ms - source->heard_ms < ROSTER_SOURCE_LIVE_MS;
 }
 
-static bool
+bool
 peer_is_refused (const struct Peer *peer, int64_t now_ms)
 {
   return peer->refused_ms > 0 && now_ms - peer->refused_ms < ROSTER_REFUSED_MS;
 }
 
-/* A live source of that kind lists it. */
-static bool
+bool
 peer_is_listed (const struct Roster *roster,
                 const struct Peer *peer,
                 enum SnapshotKind kind,
--- a/core/gateway/roster_publish.c
+++ b/core/gateway/roster_publish.c
@@ -1,5 +1,6 @@
 /* What an aggregator passes on: lists and loads. */
-#include <buckthornhead/roster.h>
+#include "roster_internal.h"
+
 #include <buckthornhead/snapshot_changes.h>
 
 #include <stdio.h>
@@ -44,21 +45,15 @@
 peer_is_member (const struct Roster *roster, const struct Peer *peer, int64_t now_ms)
 {
   return strcmp (peer->status.zone, roster->own.zone) == 0 && peer->status_ms > 0
-         && now_ms - peer->status_ms < ROSTER_LIVE_MS
-         && (peer->refused_ms == 0 || now_ms - peer->refused_ms >= ROSTER_REFUSED_MS);
+         && now_ms - peer->status_ms < ROSTER_LIVE_MS && !peer_is_refused (peer, now_ms);
 }
 
 /* A live aggregator of its zone lists it. */
 static bool
 peer_is_foreign (const struct Roster *roster, const struct Peer *peer, int64_t now_ms)
 {
-  if (strcmp (peer->status.zone, roster->own.zone) == 0)
-    return false;
-  for (uint32_t i = 0; i < ROSTER_SOURCES_MAX; i++)
-    if ((peer->listed >> i & 1) != 0 && roster->sources[i].kind == SNAPSHOT_ZONE
-        && now_ms - roster->sources[i].heard_ms < ROSTER_SOURCE_LIVE_MS)
-      return true;
-  return false;
+  return strcmp (peer->status.zone, roster->own.zone) != 0
+         && peer_is_listed (roster, peer, SNAPSHOT_ZONE, now_ms);
 }
 
 static int
