Read through: sums for members are drawn up where there are members; one packing of an envelope

Each process drew up and packed a heartbeat for members twice a second and sent it to nobody unless it aggregates; node_answer packed an envelope as node_pack does; list_add returned what nobody read. Same messages to the same receivers as before.

--- a/core/gateway/roster_publish.c
+++ b/core/gateway/roster_publish.c
@@ -7,18 +7,15 @@
 #include <stdlib.h>
 #include <string.h>
 
-static bool
+static void
 list_add (struct Snapshot *list, const char *name, uint8_t *packed, size_t packed_bytes)
 {
   struct SnapshotItem *item = &list->items[list->n_items];
 
-  if (packed == NULL)
-    return false;
   snprintf (item->key, sizeof item->key, "%s", name);
   item->value = packed;
   item->value_bytes = packed_bytes;
   list->n_items++;
-  return true;
 }
 
 static void
--- a/gateway/node_send.c
+++ b/gateway/node_send.c
@@ -8,16 +8,15 @@
 int32_t
 node_answer (struct Node *node, uint64_t link, const struct GatewayMessage *message)
 {
-  struct PeerMessage envelope = { .kind = PEER_GATEWAY };
+  struct PeerMessage envelope;
   uint8_t *bytes;
   int32_t error;
 
   if (relay_is_link (link))
     return relay_answer (node, link, message);
-  error = gateway_message_pack (node->net, message, &bytes, &envelope.gateway.n_bytes);
-  if (error != ERROR_NONE)
-    return error;
-  envelope.gateway.bytes = bytes;
+  bytes = node_pack (node, message, &envelope);
+  if (bytes == NULL)
+    return ERROR_NO_MEMORY;
   error = peer_net_send (node->net, link, &envelope);
   talloc_free (bytes);
   return error;
--- a/gateway/node_tell.c
+++ b/gateway/node_tell.c
@@ -96,9 +96,9 @@
 }
 
 /* Its own aggregators hear of this process; those of other zones and the members of this one hear
- * of the zone if it aggregates. */
+ * of the zone if it aggregates. Without members to serve no sums for them are drawn up. */
 static void
-node_send_heartbeats (struct Node *node, const struct GatewayMessage *own)
+node_send_heartbeats (struct Node *node, const struct GatewayMessage *own, bool serves)
 {
   static const enum LoadScope scopes[] = { LOADS_OF_PROCESS, LOADS_OF_ZONE, LOADS_OF_FLEET };
   int64_t now_ms = timer_now_ms (node->timers);
@@ -111,7 +111,7 @@
       struct PeerMessage envelope;
       uint8_t *bytes;
 
-      if (scopes[i] == LOADS_OF_ZONE && !aggregates)
+      if ((scopes[i] == LOADS_OF_ZONE && !aggregates) || (scopes[i] == LOADS_OF_FLEET && !serves))
         continue;
       message = node_heartbeat (node, own, scopes[i]);
       bytes = message != NULL ? node_pack (node, message, &envelope) : NULL;
@@ -211,11 +211,14 @@
 {
   struct GatewayMessage *own = node->net != NULL ? node_describe (node, node->net) : NULL;
 
+  bool serves;
+
   if (own == NULL)
     return;
-  if (node_aggregates (node))
+  serves = node_aggregates (node);
+  if (serves)
     node_publish (node);
-  node_send_heartbeats (node, own);
+  node_send_heartbeats (node, own, serves);
   talloc_free (own);
 }
 
