Customers and their keys; turns and budgets belong to a customer

Cause: the product knew no customers. A caller's key went on to the server, unknown keys ran, a key that was taken away went on working, and any caller could continue any turn. Change: the configuration's customers are read, checked and replaced whole with the route table; a request needs a key unless its route is public (401 at once, before anything tells whether the route exists); the server is told the customer's name and never the key; a key is looked up again before a request that waited is sent. Archives keep turns and programs under their customer's name; records without one are still read. Ruled out: asking the store per request (dear, and away at times); digests in place of keys in memory (the configuration itself holds them in clear text a pointer away, and a digest costs time at each request).

--- a/core/gateway/gateway_message.c
+++ b/core/gateway/gateway_message.c
@@ -32,6 +32,7 @@
   text_pack (p, &close->text);
   pack_u64 (p, close->session);
   pack_u64 (p, close->session_tokens);
+  pack_string (p, close->customer);
 }
 
 void
@@ -49,6 +50,9 @@
     return;
   close->session = read_u64 (r, UINT64_MAX);
   close->session_tokens = (uint32_t)read_u64 (r, UINT32_MAX);
+  /* Those of software that knew no customers end here. */
+  if (r->at < r->n_items)
+    read_string (r, close->customer, sizeof close->customer);
 }
 
 static void
@@ -63,6 +67,7 @@
   pack_bool (p, open->want_history);
   for (size_t i = 0; i < TURN_SESSIONS_MAX; i++)
     pack_u64 (p, open->sessions[i]);
+  pack_string (p, open->customer);
 }
 
 static void
@@ -77,6 +82,7 @@
   open->want_history = read_bool (r);
   for (size_t i = 0; i < TURN_SESSIONS_MAX; i++)
     open->sessions[i] = read_u64 (r, UINT64_MAX);
+  read_string (r, open->customer, sizeof open->customer);
 }
 
 static void
@@ -273,14 +279,16 @@
     case GATEWAY_PROBE:
       return 1;
     case GATEWAY_TURN_OPEN:
+      return 11;
     case GATEWAY_TURN_OPENED:
       return 10;
     case GATEWAY_TURN_READ:
+      return 4;
     case GATEWAY_TURN_CLOSED:
     case GATEWAY_COPY_WANT:
       return 3;
     case GATEWAY_TURN_CLOSE:
-      return 14;
+      return 15;
     case GATEWAY_HEARTBEAT:
       return 6;
     case GATEWAY_RELAY:
@@ -321,6 +329,7 @@
     case GATEWAY_TURN_READ:
       pack_u64 (p, message->read.id);
       pack_string (p, message->read.turn);
+      pack_string (p, message->read.customer);
       break;
     case GATEWAY_TURN_OPENED:
       opened_pack (p, &message->opened);
@@ -385,6 +394,7 @@
     case GATEWAY_TURN_READ:
       m->read.id = read_u64 (r, UINT64_MAX);
       read_string (r, m->read.turn, sizeof m->read.turn);
+      read_string (r, m->read.customer, sizeof m->read.customer);
       break;
     case GATEWAY_TURN_OPENED:
       opened_unpack (r, ctx, &m->opened);
--- a/core/gateway/turn_index.c
+++ b/core/gateway/turn_index.c
@@ -1,5 +1,6 @@
 #include <buckthornhead/turn_index.h>
 
+#include <stdio.h>
 #include <string.h>
 #include <uthash.h>
 
@@ -14,9 +15,26 @@
   CHAIN_MAX = 100000 /* against a loop in damaged records */
 };
 
+/* A customer's name, a line feed, an id; without a customer the id alone. Neither holds a line
+ * feed: one can not be spelled like another's. */
+struct ScopedId
+{
+  char text[2 * NAME_MAX_BYTES + 2];
+};
+
+static struct ScopedId
+scoped_id (const char *customer, const char *id)
+{
+  struct ScopedId scoped;
+
+  snprintf (scoped.text, sizeof scoped.text, "%s%s%s", customer, customer[0] != '\0' ? "\n" : "",
+            id);
+  return scoped;
+}
+
 struct IndexedTurn
 {
-  char *id, *previous;
+  char *id, *previous; /* id is scoped */
   struct DiskPlace place;
   int64_t expires_unix_ms;
   UT_hash_handle hh;
@@ -31,7 +49,7 @@
 
 struct IndexedProgram
 {
-  char *id;
+  char *id; /* scoped */
   struct IndexedCharge *charges;
   size_t n_charges;
   struct SessionPlaces places;
@@ -64,34 +82,36 @@
 }
 
 static struct IndexedTurn *
-index_turn (const struct TurnIndex *index, const char *id)
+index_turn (const struct TurnIndex *index, const char *customer, const char *id)
 {
+  struct ScopedId scoped = scoped_id (customer, id);
   struct IndexedTurn *turn = NULL;
 
-  HASH_FIND_STR (index->turns, id, turn);
+  HASH_FIND_STR (index->turns, scoped.text, turn);
   return turn;
 }
 
 static struct IndexedProgram *
-index_program (const struct TurnIndex *index, const char *id)
+index_program (const struct TurnIndex *index, const char *customer, const char *id)
 {
+  struct ScopedId scoped = scoped_id (customer, id);
   struct IndexedProgram *program = NULL;
 
-  HASH_FIND_STR (index->programs, id, program);
+  HASH_FIND_STR (index->programs, scoped.text, program);
   return program;
 }
 
 static struct IndexedProgram *
-index_need_program (struct TurnIndex *index, const char *id)
+index_need_program (struct TurnIndex *index, const char *customer, const char *id)
 {
-  struct IndexedProgram *program = index_program (index, id);
+  struct IndexedProgram *program = index_program (index, customer, id);
 
   if (program != NULL)
     return program;
   program = talloc_zero (index, struct IndexedProgram);
   if (program == NULL)
     return NULL;
-  program->id = talloc_strdup (program, id);
+  program->id = talloc_strdup (program, scoped_id (customer, id).text);
   if (program->id == NULL)
     {
       talloc_free (program);
@@ -134,7 +154,7 @@
 int32_t
 turn_index_reserve (struct TurnIndex *index, const struct TurnOpen *open, int64_t unix_ms)
 {
-  struct IndexedProgram *program = index_need_program (index, open->program);
+  struct IndexedProgram *program = index_need_program (index, open->customer, open->program);
   struct IndexedCharge *charge = program != NULL ? program_need_charge (program, open->turn) : NULL;
 
   if (charge == NULL)
@@ -147,11 +167,14 @@
 
 /* A turn is kept together with its chain: whoever continues the last needs all. */
 static void
-index_extend_chain (struct TurnIndex *index, const char *id, int64_t expires_unix_ms)
+index_extend_chain (struct TurnIndex *index,
+                    const char *customer,
+                    const char *id,
+                    int64_t expires_unix_ms)
 {
   for (uint32_t i = 0; i < CHAIN_MAX && id[0] != '\0'; i++)
     {
-      struct IndexedTurn *turn = index_turn (index, id);
+      struct IndexedTurn *turn = index_turn (index, customer, id);
 
       if (turn == NULL || turn->expires_unix_ms >= expires_unix_ms)
         return;
@@ -166,7 +189,7 @@
                 const struct DiskPlace *place,
                 int64_t unix_ms)
 {
-  struct IndexedTurn *turn = index_turn (index, close->text.turn);
+  struct IndexedTurn *turn = index_turn (index, close->customer, close->text.turn);
   int64_t expires_unix_ms = unix_ms + close->retention_ms + RETENTION_SLACK_MS;
 
   if (turn != NULL)
@@ -174,7 +197,7 @@
   turn = talloc_zero (index, struct IndexedTurn);
   if (turn == NULL)
     return ERROR_NO_MEMORY;
-  turn->id = talloc_strdup (turn, close->text.turn);
+  turn->id = talloc_strdup (turn, scoped_id (close->customer, close->text.turn).text);
   turn->previous = talloc_strdup (turn, close->text.previous);
   if (turn->id == NULL || turn->previous == NULL)
     {
@@ -184,7 +207,7 @@
   turn->place = *place;
   turn->expires_unix_ms = expires_unix_ms;
   HASH_ADD_KEYPTR (hh, index->turns, turn->id, strlen (turn->id), turn);
-  index_extend_chain (index, turn->previous, expires_unix_ms);
+  index_extend_chain (index, close->customer, turn->previous, expires_unix_ms);
   return ERROR_NONE;
 }
 
@@ -194,7 +217,7 @@
                   const struct DiskPlace *place,
                   int64_t unix_ms)
 {
-  struct IndexedProgram *program = index_need_program (index, close->program);
+  struct IndexedProgram *program = index_need_program (index, close->customer, close->program);
   struct IndexedCharge *charge =
       program != NULL ? program_need_charge (program, close->text.turn) : NULL;
 
@@ -212,9 +235,12 @@
 }
 
 bool
-turn_index_find (const struct TurnIndex *index, const char *id, struct TurnPlace *place)
+turn_index_find (const struct TurnIndex *index,
+                 const char *customer,
+                 const char *id,
+                 struct TurnPlace *place)
 {
-  const struct IndexedTurn *turn = index_turn (index, id);
+  const struct IndexedTurn *turn = index_turn (index, customer, id);
 
   if (turn == NULL)
     return false;
@@ -224,9 +250,12 @@
 }
 
 bool
-turn_index_is_closed (const struct TurnIndex *index, const char *program_id, const char *turn)
+turn_index_is_closed (const struct TurnIndex *index,
+                      const char *customer,
+                      const char *program_id,
+                      const char *turn)
 {
-  const struct IndexedProgram *program = index_program (index, program_id);
+  const struct IndexedProgram *program = index_program (index, customer, program_id);
   const struct IndexedCharge *charge = program != NULL ? program_charge (program, turn) : NULL;
 
   return charge != NULL && charge->settled;
@@ -235,12 +264,11 @@
 int32_t
 turn_index_charges (const struct TurnIndex *index,
                     TALLOC_CTX *ctx,
-                    const char *program_id,
-                    const char *turn,
+                    const struct TurnOpen *open,
                     struct TurnCharge **charges,
                     size_t *n_charges)
 {
-  const struct IndexedProgram *program = index_program (index, program_id);
+  const struct IndexedProgram *program = index_program (index, open->customer, open->program);
   size_t n = program != NULL ? program->n_charges : 0;
 
   *n_charges = 0;
@@ -252,7 +280,7 @@
       const struct IndexedCharge *charge = &program->charges[i];
       struct TurnCharge *out = &(*charges)[*n_charges];
 
-      if (strcmp (charge->turn, turn) == 0)
+      if (strcmp (charge->turn, open->turn) == 0)
         continue;
       strncpy (out->turn, charge->turn, sizeof out->turn - 1);
       out->tokens = charge->tokens;
@@ -263,21 +291,19 @@
 }
 
 struct SessionPlace
-turn_index_place (const struct TurnIndex *index,
-                  const char *program_id,
-                  const uint64_t sessions[TURN_SESSIONS_MAX])
+turn_index_place (const struct TurnIndex *index, const struct TurnOpen *open)
 {
-  const struct IndexedProgram *program = index_program (index, program_id);
+  const struct IndexedProgram *program = index_program (index, open->customer, open->program);
 
   if (program == NULL)
     return (struct SessionPlace){ .session = 0 };
-  return session_places_find (&program->places, sessions);
+  return session_places_find (&program->places, open->sessions);
 }
 
 int64_t
-turn_index_expires (const struct TurnIndex *index, const char *id)
+turn_index_expires (const struct TurnIndex *index, const char *customer, const char *id)
 {
-  const struct IndexedTurn *turn = index_turn (index, id);
+  const struct IndexedTurn *turn = index_turn (index, customer, id);
 
   return turn != NULL ? turn->expires_unix_ms : 0;
 }
--- a/gateway/archive.c
+++ b/gateway/archive.c
@@ -49,7 +49,7 @@
 
   if (p == NULL)
     return ERROR_NO_MEMORY;
-  pack_array (p, record->kind == ARCHIVE_RECORD_OPEN ? 5 : 15);
+  pack_array (p, record->kind == ARCHIVE_RECORD_OPEN ? 6 : 16);
   pack_u64 (p, record->kind);
   pack_i64 (p, record->unix_ms);
   if (record->kind == ARCHIVE_RECORD_OPEN)
@@ -57,6 +57,7 @@
       pack_string (p, record->open.turn);
       pack_string (p, record->open.program);
       pack_u64 (p, record->open.reserve_tokens);
+      pack_string (p, record->open.customer);
     }
   else
     turn_close_pack (p, &record->close);
@@ -82,6 +83,9 @@
       read_string (&r, record->open.turn, sizeof record->open.turn);
       read_string (&r, record->open.program, sizeof record->open.program);
       record->open.reserve_tokens = (uint32_t)read_u64 (&r, UINT32_MAX);
+      /* Records of software that knew no customers end here. */
+      if (r.at < r.n_items)
+        read_string (&r, record->open.customer, sizeof record->open.customer);
     }
   else
     turn_close_unpack (&r, ctx, &record->close);
@@ -91,12 +95,12 @@
 
 /* A close keeps its chain, and with it the files in which that lies. */
 static void
-archive_extend_files (struct Archive *archive, const char *turn)
+archive_extend_files (struct Archive *archive, const char *customer, const char *turn)
 {
-  int64_t expires_unix_ms = turn_index_expires (archive->index, turn) + FILE_SLACK_MS;
+  int64_t expires_unix_ms = turn_index_expires (archive->index, customer, turn) + FILE_SLACK_MS;
   struct TurnPlace place;
 
-  while (turn[0] != '\0' && turn_index_find (archive->index, turn, &place))
+  while (turn[0] != '\0' && turn_index_find (archive->index, customer, turn, &place))
     {
       disk_log_extend (archive->log, place.place.file, expires_unix_ms);
       turn = place.previous;
@@ -113,7 +117,7 @@
     log_event (LOG_LEVEL_ERROR, "archive_no_memory", close->program, "give the process more memory",
                "turn %s is on disk but not in the index", close->text.turn);
   else if (close->kept)
-    archive_extend_files (archive, close->text.turn);
+    archive_extend_files (archive, close->customer, close->text.turn);
 }
 
 /* At the start: one record that was durable. */
@@ -140,13 +144,17 @@
 /* The turn and those before it, newest first, until the chain ends, has a gap or grows too long
  * for one message. */
 static void
-history_fill (struct Archive *archive, TALLOC_CTX *ctx, const char *turn, struct TurnOpened *opened)
+history_fill (struct Archive *archive,
+              TALLOC_CTX *ctx,
+              const char *customer,
+              const char *turn,
+              struct TurnOpened *opened)
 {
   struct TurnPlace place;
   size_t total_bytes = 0;
 
   while (turn[0] != '\0' && total_bytes < HISTORY_MAX_BYTES
-         && turn_index_find (archive->index, turn, &place))
+         && turn_index_find (archive->index, customer, turn, &place))
     {
       struct ArchiveRecord record;
       size_t n_bytes;
@@ -182,13 +190,14 @@
   answer.opened.error = error;
   answer.opened.complete = disk_log_is_complete (archive->log);
   answer.opened.has_turn =
-      open->previous[0] != '\0' && turn_index_find (archive->index, open->previous, &place);
+      open->previous[0] != '\0'
+      && turn_index_find (archive->index, open->customer, open->previous, &place);
   if (error == ERROR_NONE)
-    answer.opened.error = turn_index_charges (archive->index, ctx, open->program, open->turn,
-                                              &answer.opened.charges, &answer.opened.n_charges);
-  answer.opened.place = turn_index_place (archive->index, open->program, open->sessions);
+    answer.opened.error = turn_index_charges (archive->index, ctx, open, &answer.opened.charges,
+                                              &answer.opened.n_charges);
+  answer.opened.place = turn_index_place (archive->index, open);
   if (open->want_history)
-    history_fill (archive, ctx, open->previous, &answer.opened);
+    history_fill (archive, ctx, open->customer, open->previous, &answer.opened);
   node_answer (archive->node, link, &answer);
   talloc_free (ctx);
 }
@@ -346,11 +355,13 @@
 
   if (record->kind == ARCHIVE_RECORD_OPEN)
     {
-      if (turn_index_is_closed (archive->index, record->open.program, record->open.turn))
+      if (turn_index_is_closed (archive->index, record->open.customer, record->open.program,
+                                record->open.turn))
         return;
       turn_index_reserve (archive->index, &record->open, record->unix_ms);
     }
-  else if (turn_index_is_closed (archive->index, record->close.program, record->close.text.turn))
+  else if (turn_index_is_closed (archive->index, record->close.customer, record->close.program,
+                                 record->close.text.turn))
     return;
   copy_progress_begin (&archive->copying);
   error = archive_append_copy (archive, record);
@@ -363,6 +374,7 @@
 {
   struct TurnOpen open = { .id = read->id, .want_history = true };
 
+  snprintf (open.customer, sizeof open.customer, "%s", read->customer);
   snprintf (open.previous, sizeof open.previous, "%s", read->turn);
   archive_answer_opened (archive, link, &open, ERROR_NONE);
 }
--- a/gateway/front.c
+++ b/gateway/front.c
@@ -1,5 +1,6 @@
 #include "front.h"
 
+#include "credential.h"
 #include "directory.h"
 #include "loop_echo.h"
 #include "slots.h"
@@ -204,6 +205,16 @@
     request_fail (request, failure, detail);
 }
 
+/* Without a key nobody learns which routes there are. */
+static void
+front_refuse_unrouted (struct Request *request)
+{
+  if (credential_check (request))
+    request_fail (request, FAILURE_NO_ROUTE, request->exchange->target);
+  else
+    request_fail (request, FAILURE_NO_KEY, credential_words (&request->caller));
+}
+
 static void
 front_take (struct Request *request)
 {
@@ -213,7 +224,9 @@
   if (front->table == NULL)
     front_hold (request, FAILURE_NO_CONFIG, "started lately, and nobody could say");
   else if (!routed && !request_route (request))
-    request_fail (request, FAILURE_NO_ROUTE, request->exchange->target);
+    front_refuse_unrouted (request);
+  else if (!credential_holds (request))
+    request_fail (request, FAILURE_NO_KEY, credential_words (&request->caller));
   else if (front->replicas->n_replicas == 0)
     front_hold (request, FAILURE_NO_SERVER, "no server is listed");
   else if (!request_is_turn (request))
--- a/gateway/front.h
+++ b/gateway/front.h
@@ -26,6 +26,7 @@
 enum RequestFailure
 {
   FAILURE_NO_CONFIG,   /* this gateway knows no configuration yet */
+  FAILURE_NO_KEY,      /* no customer's key, or none any more */
   FAILURE_NO_ROUTE,    /* the configuration has no such route */
   FAILURE_MALFORMED,   /* the request lacks what it must say */
   FAILURE_NO_SERVER,   /* no server could take it; it did not run */
@@ -45,7 +46,10 @@
   struct Front *front;
   struct HttpExchange *exchange; /* NULL once the caller has its answer or has left */
   struct CallerRequest caller;
-  struct Route route; /* a copy: the table may change meanwhile */
+  struct Route route;       /* a copy: the table may change meanwhile */
+  struct Customer customer; /* a copy, too; no name: nobody's */
+  bool key_checked;
+  uint64_t key_version; /* of the configuration in which its key was looked up */
   char service[NAME_MAX_BYTES + 1];
   uint32_t tokens_per_event;
   uint64_t capacity_tokens; /* of one server's memory for prompts; 0: not known */
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -1,4 +1,5 @@
 #include "request.h"
+#include "credential.h"
 #include "slots.h"
 
 #include <buckthornhead/counter.h>
@@ -32,6 +33,7 @@
 
 static const struct FailureWords failure_words[] = {
   [FAILURE_NO_CONFIG] = { 503, RETRY_AFTER_UNCERTAIN, "no_configuration", LOG_LEVEL_WARNING },
+  [FAILURE_NO_KEY] = { 401, NULL, "no_key", LOG_LEVEL_INFO },
   [FAILURE_NO_ROUTE] = { 404, NULL, "no_route", LOG_LEVEL_INFO },
   [FAILURE_MALFORMED] = { 400, NULL, "malformed", LOG_LEVEL_INFO },
   [FAILURE_NO_SERVER] = { 503, RETRY_AFTER_SHORT, "no_server", LOG_LEVEL_WARNING },
@@ -112,8 +114,8 @@
 {
   const struct FailureWords *words = &failure_words[failure];
   struct HttpExchange *exchange = request->exchange;
-  struct HttpHeader retry = { "Retry-After", retry_after };
-  struct HttpHeaders headers = { &retry, retry_after != NULL ? 1 : 0 };
+  struct HttpHeader items[2];
+  struct HttpHeaders headers = { items, 0 };
 
   log_request (
       words->level, words->name, request->caller.id, request->caller.program,
@@ -122,6 +124,10 @@
       (unsigned long long)(request->front->table != NULL ? request->front->table->version : 0),
       (long long)request_left_ms (request), request->n_tried,
       request->may_have_run ? ", may have run" : "", detail);
+  if (retry_after != NULL)
+    items[headers.n_items++] = (struct HttpHeader){ "Retry-After", retry_after };
+  if (words->status == 401)
+    items[headers.n_items++] = (struct HttpHeader){ "WWW-Authenticate", "Bearer" };
   request_note_failed (request, words->status);
   if (request->turn != NULL)
     turn_abandon (request);
@@ -228,6 +234,7 @@
     .address = replica->entry.address,
     .left_ms = request_left_ms (request),
     .body_bytes = request->body_bytes,
+    .customer = front->table->customers != NULL ? request->customer.name : NULL,
   };
   struct HttpCallRequest call = {
     .address = replica->entry.address,
@@ -317,8 +324,10 @@
 void
 request_granted (struct Request *request)
 {
-  /* While it waited, the server may have begun to leave, or used up its connections. */
-  if (!request->replica->entry.draining && request_send_to_replica (request))
+  /* While it waited, the server may have begun to leave, or used up its connections, or its key was
+   * taken away. */
+  if (!request->replica->entry.draining && credential_holds (request)
+      && request_send_to_replica (request))
     return;
   attempt_release (request);
   request_send (request);
@@ -327,6 +336,11 @@
 void
 request_send (struct Request *request)
 {
+  if (!credential_holds (request))
+    {
+      request_fail (request, FAILURE_NO_KEY, "its key was taken away while it waited");
+      return;
+    }
   while (request->n_tried < TRIED_MAX)
     {
       struct Replica *replica = request_choose (request);
--- a/gateway/turn.c
+++ b/gateway/turn.c
@@ -105,6 +105,7 @@
   message->kind = GATEWAY_TURN_OPEN;
   open->id = request->turn->question;
   open->generation = request->front->node->set.generation;
+  snprintf (open->customer, sizeof open->customer, "%s", request->customer.name);
   snprintf (open->turn, sizeof open->turn, "%s", request->caller.id);
   snprintf (open->program, sizeof open->program, "%s", request->caller.program);
   snprintf (open->previous, sizeof open->previous, "%s", request->caller.previous);
@@ -306,6 +307,7 @@
   turn_ask (request, turn, TURN_READING);
   snprintf (turn->missing, sizeof turn->missing, "%s", missing);
   message.read.id = turn->question;
+  snprintf (message.read.customer, sizeof message.read.customer, "%s", request->customer.name);
   snprintf (message.read.turn, sizeof message.read.turn, "%s", missing);
   n = turn_archives (request, candidates);
   for (size_t i = 0; i < n && turn->n_reads < READS_MAX; i++)
--- a/gateway/turn_close.c
+++ b/gateway/turn_close.c
@@ -43,6 +43,7 @@
   message->kind = GATEWAY_TURN_CLOSE;
   close->id = request->turn->question;
   close->generation = request->front->node->set.generation;
+  snprintf (close->customer, sizeof close->customer, "%s", request->customer.name);
   snprintf (close->program, sizeof close->program, "%s", request->caller.program);
   close->charge_tokens = request->events.n_events * request->tokens_per_event;
   close->kept = kept;
--- a/include/buckthornhead/dialect.h
+++ b/include/buckthornhead/dialect.h
@@ -17,6 +17,14 @@
   OWN_PATH_ADDRESSES /* which gateways do? */
 };
 
+/* Which key a caller shows. */
+enum CredentialKind
+{
+  CREDENTIAL_NONE,      /* it shows none */
+  CREDENTIAL_KEY,       /* one key */
+  CREDENTIAL_UNREADABLE /* several, or something that is no key */
+};
+
 /* What a caller's request says, beside its body. Texts belong to the exchange or to ctx. */
 struct CallerRequest
 {
@@ -33,6 +41,9 @@
   size_t n_parts;
   const char *object;       /* that the request concerns, as its caller names it; "": none */
   const char *resume_after; /* id of the last event that the caller has of this stream; "": none */
+  enum CredentialKind credential;
+  const char *key; /* CREDENTIAL_KEY only: not to be logged */
+  size_t key_bytes;
 };
 
 /* Where and how a request goes on. */
@@ -42,6 +53,9 @@
   const char *address;
   int64_t left_ms; /* that the server may take */
   size_t body_bytes;
+  /* Whose request it is, "" for nobody's; the caller's credential stays here. NULL: the
+   * installation has no customers, and a credential is a header like others. */
+  const char *customer;
   const char *resume_after; /* event after which the stream goes on; NULL or "": from its start */
 };
 
--- a/include/buckthornhead/route.h
+++ b/include/buckthornhead/route.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <buckthornhead/call.h>
+#include <buckthornhead/customers/customer_table.h>
 #include <buckthornhead/http_server.h>
 
 #include <talloc.h>
@@ -34,6 +35,7 @@
   uint32_t max_attempts; /* backend servers that one request may be sent to */
   bool warms_up;         /* a server that had a request's object lately is faster */
   bool resumable;        /* a stream that broke off may go on at another server */
+  bool is_public;        /* no key is needed, and no customer is told to the server */
   bool keeps_turns;      /* requests are turns that carry only what is new */
   uint32_t retention_ms; /* how long a turn and its chain are kept */
   struct RouteTarget *targets;
@@ -56,6 +58,7 @@
   size_t n_routes;
   struct Service *services;
   size_t n_services;
+  struct CustomerTable *customers; /* NULL: requests need no key */
   struct HttpLimits limits;
 };
 
--- a/include/buckthornhead/turn.h
+++ b/include/buckthornhead/turn.h
@@ -2,7 +2,9 @@
  *
  * A turn is written once, under an id that nobody else has, to the disks of several archives; it
  * never changes, so that any copy is as good as another and no archive has to lead. What is agreed
- * on is only the budget, and that by a sum over sets that meet: see turn_quorum.h. */
+ * on is only the budget, and that by a sum over sets that meet: see turn_quorum.h.
+ *
+ * Turns and programs belong to a customer: under another one's name their ids are unknown. */
 #pragma once
 
 #include <buckthornhead/call.h>
@@ -49,6 +51,7 @@
 {
   uint64_t id;         /* of the question, repeated in the answer */
   uint64_t generation; /* of the set of archives that the asker knows */
+  char customer[NAME_MAX_BYTES + 1]; /* "" where there are none */
   char turn[NAME_MAX_BYTES + 1];
   char program[NAME_MAX_BYTES + 1];
   char previous[NAME_MAX_BYTES + 1];
@@ -61,6 +64,7 @@
 struct TurnRead
 {
   uint64_t id;
+  char customer[NAME_MAX_BYTES + 1];
   char turn[NAME_MAX_BYTES + 1];
 };
 
@@ -83,6 +87,7 @@
 {
   uint64_t id;
   uint64_t generation;
+  char customer[NAME_MAX_BYTES + 1];
   char program[NAME_MAX_BYTES + 1];
   uint32_t charge_tokens;
   bool kept;
--- a/include/buckthornhead/turn_index.h
+++ b/include/buckthornhead/turn_index.h
@@ -32,32 +32,36 @@
                   const struct DiskPlace *place,
                   int64_t unix_ms);
 
-/* False when the turn is not kept here. */
+/* False when the turn is not kept here, or is another customer's. */
 bool
-turn_index_find (const struct TurnIndex *index, const char *turn, struct TurnPlace *place);
+turn_index_find (const struct TurnIndex *index,
+                 const char *customer,
+                 const char *turn,
+                 struct TurnPlace *place);
 
 /* True when the turn's close was taken, whether the turn is kept or not. */
 bool
-turn_index_is_closed (const struct TurnIndex *index, const char *program, const char *turn);
+turn_index_is_closed (const struct TurnIndex *index,
+                      const char *customer,
+                      const char *program,
+                      const char *turn);
 
-/* What the program's turns took, except turn itself; the array belongs to ctx. ERROR_NO_MEMORY. */
+/* What the turns of open's program took, except the opened one; the array belongs to ctx.
+ * ERROR_NO_MEMORY. */
 int32_t
 turn_index_charges (const struct TurnIndex *index,
                     TALLOC_CTX *ctx,
-                    const char *program,
-                    const char *turn,
+                    const struct TurnOpen *open,
                     struct TurnCharge **charges,
                     size_t *n_charges);
 
-/* The server that holds the first of sessions that the program's turns have told of. */
+/* The server that holds the first of open's sessions that its program's turns have told of. */
 struct SessionPlace
-turn_index_place (const struct TurnIndex *index,
-                  const char *program,
-                  const uint64_t sessions[TURN_SESSIONS_MAX]);
+turn_index_place (const struct TurnIndex *index, const struct TurnOpen *open);
 
 /* When the turn's text may go; 0 when it is not kept. */
 int64_t
-turn_index_expires (const struct TurnIndex *index, const char *turn);
+turn_index_expires (const struct TurnIndex *index, const char *customer, const char *turn);
 
 /* Forgets turns and programs that have expired. */
 void
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -89,6 +89,134 @@
   talloc_free (head);
 }
 
+struct CredentialCase
+{
+  const char *first, *second; /* values of the header; NULL: it is not there */
+  enum CredentialKind kind;
+  const char *key;
+};
+
+static void
+test_one_credential_has_one_answer (void)
+{
+  static const struct CredentialCase cases[] = {
+    { NULL, NULL, CREDENTIAL_NONE, NULL },
+    { "Bearer k3y", NULL, CREDENTIAL_KEY, "k3y" },
+    { "bEARER k3y", NULL, CREDENTIAL_KEY, "k3y" },
+    { "Bearer   k3y \t", NULL, CREDENTIAL_KEY, "k3y" },
+    { "Bearer", NULL, CREDENTIAL_UNREADABLE, NULL },
+    { "Bearer ", NULL, CREDENTIAL_UNREADABLE, NULL },
+    { "Bearer\tk3y", NULL, CREDENTIAL_UNREADABLE, NULL },
+    { "Bearerk3y", NULL, CREDENTIAL_UNREADABLE, NULL },
+    { "Bearer k3y other", NULL, CREDENTIAL_UNREADABLE, NULL },
+    { "Bearer k3y, Bearer other", NULL, CREDENTIAL_UNREADABLE, NULL },
+    { "Basic azN5", NULL, CREDENTIAL_UNREADABLE, NULL },
+    { "k3y", NULL, CREDENTIAL_UNREADABLE, NULL },
+    { "", NULL, CREDENTIAL_UNREADABLE, NULL },
+    { "Bearer k3y", "Bearer k3y", CREDENTIAL_UNREADABLE, NULL },
+    { "Bearer k3y", "", CREDENTIAL_UNREADABLE, NULL },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      struct HttpHeader items[] = { { "Host", "x" },
+                                    { "X-Request-Id", "1" },
+                                    { "authorization", cases[i].first },
+                                    { "Authorization", cases[i].second } };
+      size_t n = 2 + (cases[i].first != NULL) + (cases[i].second != NULL);
+      struct HttpExchange exchange = exchange_of ("GET", "/", items, n);
+      struct CallerRequest request;
+      struct Fault fault;
+
+      CU_ASSERT_EQUAL (platform_dialect.read_request (NULL, &exchange, &request, &fault),
+                       ERROR_NONE);
+      CU_ASSERT_EQUAL (request.credential, cases[i].kind);
+      if (cases[i].key == NULL)
+        continue;
+      CU_ASSERT_EQUAL (request.key_bytes, strlen (cases[i].key));
+      CU_ASSERT_NSTRING_EQUAL (request.key, cases[i].key, request.key_bytes);
+    }
+}
+
+/* A caller says that it is another customer, in every spelling that a server might take for the
+ * header. The server hears one name, that of the key's owner, and never the key; on a public route
+ * it hears neither. */
+static void
+test_only_the_key_says_whose_a_request_is (void)
+{
+  struct HttpHeader items[] = {
+    { "Host", "x" },
+    { "X-Request-Id", "1" },
+    { "X-Tenant", "forged" },
+    { "x-tenant", "forged" },
+    { "X_Tenant", "forged" },
+    { "AUTHORIZATION", "Bearer k3y" },
+    { "Connection", "X-Tenant" },
+  };
+  struct HttpExchange exchange = exchange_of ("GET", "/a", items, 7);
+  struct UpstreamTarget target = {
+    .replica = "i-7", .address = "10.0.0.2:80", .left_ms = 1200, .customer = "alma"
+  };
+  char *head = platform_dialect.write_request (NULL, &exchange, &target);
+
+  CU_ASSERT_STRING_EQUAL (head, "GET /a HTTP/1.1\r\nHost: x\r\nX-Request-Id: 1\r\n"
+                                "X-Deadline-Ms: 1200\r\nX-Expect-Instance: i-7\r\n"
+                                "X-Tenant: alma\r\n\r\n");
+  talloc_free (head);
+  target.customer = "";
+  head = platform_dialect.write_request (NULL, &exchange, &target);
+  CU_ASSERT_PTR_NULL (strstr (head, "enant"));
+  CU_ASSERT_PTR_NULL (strstr (head, "k3y"));
+  talloc_free (head);
+  /* Without customers a credential is the caller's and the server's own matter. */
+  target.customer = NULL;
+  head = platform_dialect.write_request (NULL, &exchange, &target);
+  CU_ASSERT_PTR_NULL (strstr (head, "enant"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (head, "Bearer k3y"));
+  talloc_free (head);
+}
+
+static void
+test_customers_are_read (void)
+{
+  static const char text[] =
+      "{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"x\",\"prefix\":\"/a/\",\"service\":"
+      "\"s\",\"public\":true}],\"services\":[],\"tenants\":[{\"name\":\"alma\",\"api_keys\":"
+      "[\"k1\",\"k2\"],\"priority\":1,\"rate_per_s\":252,\"burst\":25.5},{\"name\":\"bela\"}]}";
+  static const char shared[] =
+      "{\"version\":7,\"tenants\":[{\"name\":\"alma\",\"api_keys\":[\"k1\"]},"
+      "{\"name\":\"bela\",\"api_keys\":[\"k1\"]}]}";
+  static const char none[] = "{\"version\":7}", empty[] = "{\"version\":7,\"tenants\":[]}";
+  struct RouteTable *table;
+  const struct Customer *customer;
+  struct Fault fault;
+
+  CU_ASSERT_EQUAL (
+      platform_dialect.read_routes (NULL, (const uint8_t *)text, strlen (text), &table, &fault),
+      ERROR_NONE);
+  CU_ASSERT_TRUE (table->routes[0].is_public);
+  customer = customer_table_find_key (table->customers, "k2", 2);
+  CU_ASSERT_STRING_EQUAL (customer->name, "alma");
+  CU_ASSERT_TRUE (customer->has_priority);
+  CU_ASSERT_EQUAL (customer->priority, 1);
+  CU_ASSERT_EQUAL (customer->rate_per_s, 252);
+  CU_ASSERT_EQUAL (customer->burst, 25.5);
+  customer = customer_table_find (table->customers, "bela");
+  CU_ASSERT_EQUAL (customer->rate_per_s, 0);
+  CU_ASSERT_FALSE (customer->has_priority);
+  talloc_free (table);
+  CU_ASSERT_EQUAL (
+      platform_dialect.read_routes (NULL, (const uint8_t *)shared, strlen (shared), &table, &fault),
+      ERROR_INVALID);
+  platform_dialect.read_routes (NULL, (const uint8_t *)none, strlen (none), &table, &fault);
+  CU_ASSERT_PTR_NULL (table->customers);
+  talloc_free (table);
+  /* All customers were taken away, which does not open the doors. */
+  platform_dialect.read_routes (NULL, (const uint8_t *)empty, strlen (empty), &table, &fault);
+  CU_ASSERT_PTR_NOT_NULL (table->customers);
+  talloc_free (table);
+}
+
 /* A caller's connection broke after the third event, and it asks for the rest. On a route that may
  * be resumed the server hears of it; on any other it would hand out half a stream as a whole one.
  */
@@ -331,5 +459,8 @@
     test_an_entry_that_can_not_be_read_names_no_server },
   { "own paths and the directory", test_own_paths_and_the_directory },
   { "the operators hear of an emptied machine", test_the_operators_hear_of_an_emptied_machine },
+  { "one credential has one answer", test_one_credential_has_one_answer },
+  { "only the key says whose a request is", test_only_the_key_says_whose_a_request_is },
+  { "customers are read", test_customers_are_read },
   { NULL, NULL },
 };
--- a/tests/test_turn_index.c
+++ b/tests/test_turn_index.c
@@ -45,10 +45,11 @@
 {
   struct TurnCharge *charges;
   uint32_t tokens = 0;
+  const struct TurnOpen open = opening (except, 0);
   size_t n;
 
   *settled = true;
-  turn_index_charges (index, index, "p", except, &charges, &n);
+  turn_index_charges (index, index, &open, &charges, &n);
   for (size_t i = 0; i < n; i++)
     {
       tokens += charges[i].tokens;
@@ -90,7 +91,7 @@
   turn_index_reserve (index, &open, 20);
   CU_ASSERT_EQUAL (tokens_of (index, "", &settled), 19);
   CU_ASSERT_TRUE (settled);
-  CU_ASSERT_TRUE (turn_index_is_closed (index, "p", "t1"));
+  CU_ASSERT_TRUE (turn_index_is_closed (index, "", "p", "t1"));
   talloc_free (index);
 }
 
@@ -106,9 +107,9 @@
   close_turn (index, "t2", "t1", 50000);
   close_turn (index, "t3", "t2", 100000);
   turn_index_expire (index, 140000);
-  CU_ASSERT_TRUE (turn_index_find (index, "t1", &place));
+  CU_ASSERT_TRUE (turn_index_find (index, "", "t1", &place));
   CU_ASSERT_STRING_EQUAL (place.previous, "");
-  CU_ASSERT_TRUE (turn_index_find (index, "t3", &place));
+  CU_ASSERT_TRUE (turn_index_find (index, "", "t3", &place));
   CU_ASSERT_STRING_EQUAL (place.previous, "t2");
   turn_index_expire (index, 100000 + RETENTION_MS + 60000);
   CU_ASSERT_EQUAL (turn_index_count (index), 0);
@@ -124,7 +125,7 @@
 
   close_turn (index, "t1", "", 0);
   turn_index_expire (index, RETENTION_MS + 5000);
-  CU_ASSERT_TRUE (turn_index_find (index, "t1", &place));
+  CU_ASSERT_TRUE (turn_index_find (index, "", "t1", &place));
   talloc_free (index);
 }
 
@@ -137,7 +138,7 @@
   bool settled;
 
   turn_index_close (index, &close, NULL, 0);
-  CU_ASSERT_FALSE (turn_index_find (index, "t1", &place));
+  CU_ASSERT_FALSE (turn_index_find (index, "", "t1", &place));
   CU_ASSERT_EQUAL (tokens_of (index, "", &settled), 57);
   talloc_free (index);
 }
@@ -148,28 +149,70 @@
 static void
 test_a_programs_sessions_are_found (void)
 {
-  const uint64_t own[TURN_SESSIONS_MAX] = { 5, 0 }, child[TURN_SESSIONS_MAX] = { 6, 5 };
-  const uint64_t other[TURN_SESSIONS_MAX] = { 9, 8 };
+  const struct TurnOpen own = { .program = "p", .sessions = { 5, 0 } };
+  const struct TurnOpen child = { .program = "p", .sessions = { 6, 5 } };
+  const struct TurnOpen other = { .program = "p", .sessions = { 9, 8 } };
+  const struct TurnOpen elsewhere = { .program = "q", .sessions = { 5, 0 } };
   struct TurnIndex *index = turn_index_new (NULL);
   struct TurnClose close = closing ("t1", "", 19, false);
   const struct DiskPlace place = { 1, 100, 10 };
 
-  CU_ASSERT_EQUAL (turn_index_place (index, "p", own).session, 0);
+  CU_ASSERT_EQUAL (turn_index_place (index, &own).session, 0);
   close.session = 5;
   close.session_tokens = 1000;
   snprintf (close.text.server, sizeof close.text.server, "e1");
   turn_index_close (index, &close, &place, 0);
-  CU_ASSERT_STRING_EQUAL (turn_index_place (index, "p", own).server, "e1");
-  CU_ASSERT_STRING_EQUAL (turn_index_place (index, "p", child).server, "e1");
-  CU_ASSERT_EQUAL (turn_index_place (index, "p", other).session, 0);
-  CU_ASSERT_EQUAL (turn_index_place (index, "q", own).session, 0);
+  CU_ASSERT_STRING_EQUAL (turn_index_place (index, &own).server, "e1");
+  CU_ASSERT_STRING_EQUAL (turn_index_place (index, &child).server, "e1");
+  CU_ASSERT_EQUAL (turn_index_place (index, &other).session, 0);
+  CU_ASSERT_EQUAL (turn_index_place (index, &elsewhere).session, 0);
   close = closing ("t2", "", 19, false);
   close.session = 6;
   close.session_tokens = 200;
   snprintf (close.text.server, sizeof close.text.server, "e2");
   turn_index_close (index, &close, &place, 0);
-  CU_ASSERT_STRING_EQUAL (turn_index_place (index, "p", child).server, "e2");
-  CU_ASSERT_EQUAL (turn_index_place (index, "p", child).tokens, 200);
+  CU_ASSERT_STRING_EQUAL (turn_index_place (index, &child).server, "e2");
+  CU_ASSERT_EQUAL (turn_index_place (index, &child).tokens, 200);
+  talloc_free (index);
+}
+
+/* A customer names a turn of another one's program as the turn that it continues, or uses that
+ * program's id for its own. It reads nothing of the other's, finds no trace that it exists, and
+ * spends no token of its budget. */
+static void
+test_what_is_anothers_does_not_exist (void)
+{
+  struct TurnIndex *index = turn_index_new (NULL);
+  struct TurnClose close = closing ("t1", "", 19, true);
+  struct TurnOpen open = opening ("t2", 500);
+  const struct DiskPlace first = { 1, 100, 10 }, second = { 2, 200, 10 };
+  struct TurnPlace place;
+  struct TurnCharge *charges;
+  size_t n;
+
+  snprintf (close.customer, sizeof close.customer, "alma");
+  turn_index_close (index, &close, &first, 0);
+  CU_ASSERT_TRUE (turn_index_find (index, "alma", "t1", &place));
+  CU_ASSERT_FALSE (turn_index_find (index, "bela", "t1", &place));
+  CU_ASSERT_FALSE (turn_index_find (index, "", "t1", &place));
+  CU_ASSERT_FALSE (turn_index_find (index, "", "alma/t1", &place));
+  CU_ASSERT_FALSE (turn_index_is_closed (index, "bela", "p", "t1"));
+  CU_ASSERT_EQUAL (turn_index_expires (index, "bela", "t1"), 0);
+  snprintf (open.customer, sizeof open.customer, "bela");
+  turn_index_charges (index, index, &open, &charges, &n);
+  CU_ASSERT_EQUAL (n, 0);
+  turn_index_reserve (index, &open, 0);
+  snprintf (open.customer, sizeof open.customer, "alma");
+  snprintf (open.turn, sizeof open.turn, "t9");
+  turn_index_charges (index, index, &open, &charges, &n);
+  CU_ASSERT_EQUAL (n, 1);
+  /* The same id under another name is another turn. */
+  snprintf (close.customer, sizeof close.customer, "bela");
+  turn_index_close (index, &close, &second, 0);
+  CU_ASSERT_TRUE (turn_index_find (index, "alma", "t1", &place));
+  CU_ASSERT_EQUAL (place.place.file, 1);
+  CU_ASSERT_TRUE (turn_index_find (index, "bela", "t1", &place));
+  CU_ASSERT_EQUAL (place.place.file, 2);
   talloc_free (index);
 }
 
@@ -181,5 +224,6 @@
   { "a turn outlives its retention", test_a_turn_outlives_its_retention },
   { "a broken turn is charged and not kept", test_a_turn_that_broke_off_is_charged_and_not_kept },
   { "a program's sessions are found", test_a_programs_sessions_are_found },
+  { "what is another customer's does not exist", test_what_is_anothers_does_not_exist },
   { NULL, NULL },
 };
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -9,7 +9,7 @@
 mapfile -t sources < <(git ls-files -- '*.c' | while read -r f; do
   grep -q "\"file\": \".*/$f\"" "$build/compile_commands.json" && echo "$f"; done)
 # The platform's headers, keys and paths stand in platform/ alone; its stand-in and deploy/ speak them, too.
-names='X-(Response-Seal|Request-Id|Expect-Instance|Expect-Version|Not-Executed|Server-Load|Prompt-Prefix|Pin-Ms|Hold|Token-Budget|Token-Count|Previous-Turn|Program-Id|Session-Id|Kv-Backup)|Kv-(From|Fetch)|/-/(kv-|resolve|ready|report|hold)|op/(config|retire)|status/retire'
+names='X-(Tenant|Response-Seal|Request-Id|Expect-Instance|Expect-Version|Not-Executed|Server-Load|Prompt-Prefix|Pin-Ms|Hold|Token-Budget|Token-Count|Previous-Turn|Program-Id|Session-Id|Kv-Backup)|Kv-(From|Fetch)|/-/(kv-|resolve|ready|report|hold)|op/(config|retire)|status/retire'
 if git grep -nIE "$names" -- '*.c' '*.h' ':!platform' ':!tests' ':!bench'; then
   echo "lint: names of the platform outside platform/" >&2
   exit 1
