--- a/core/counter.c
+++ b/core/counter.c
@@ -74,6 +74,8 @@
   [COUNTER_PEER_BYTES] = COUNTS ("peer_bytes", "Bytes sent to other instances"),
   [COUNTER_REQUESTS_ANSWERED] =
       COUNTS ("requests_answered", "Requests whose caller got a backend server's whole answer"),
+  [COUNTER_REQUESTS_OVER_LIMIT] =
+      COUNTS ("requests_over_limit", "Requests sent back as over their customer's limit"),
   [COUNTER_REQUESTS_REFUSED] =
       COUNTS ("requests_refused", "Requests sent back as not run, to come again"),
   [COUNTER_REQUESTS_REJECTED] =
--- /dev/null
+++ b/core/customers/quota.c
@@ -0,0 +1,555 @@
+#include <buckthornhead/customers/quota.h>
+
+#include <buckthornhead/customers/use_window.h>
+
+#include <math.h>
+#include <stdio.h>
+#include <string.h>
+#include <uthash.h>
+#include <xxhash.h>
+
+enum
+{
+  /* What others told is of no use after two heartbeats are missing. */
+  TOLD_LIVE_MS = 2500,
+  /* Programs that began under a higher limit may end: about as long as one takes. */
+  LOWER_LIMIT_GRACE_MS = 1500,
+  NEED_PROGRAMS_MIN = 8, /* fewer say nothing of what a program needs */
+  NEED_MAX = 200,
+  NEED_FIRST = 8, /* until programs were observed */
+  RETRY_UNDER_WAY_MS = 300,
+  RETRY_BEGIN_MS = 1000
+};
+
+/* The span in which demand is measured: a part of the window, so that a surge shows long before it
+ * has filled the window. */
+static const double WANTED_SPAN = 0.4;
+/* From this part of the limit on, use is told to all; below it nobody has to hold back. */
+static const double NEAR_LIMIT = 0.7;
+/* What is under way is held back by degrees from the first part of the limit to the second. */
+static const double UNDER_WAY_FROM = 0.92, UNDER_WAY_TO = 1.0;
+/* Of the slack, what they may count on. */
+static const double UNDER_WAY_SPARE = 0.85;
+/* What begins is held back by degrees as what has begun takes up the last part of the limit. */
+static const double BEGUN_FROM = 0.9;
+/* Of the burst and the slack, what programs that begin may count on; the rest is for delays. */
+static const double BEGIN_SPARE = 0.5;
+/* Of each new observation, in what a program is believed to need. */
+static const double NEED_NEW = 0.05;
+/* Of an equal part, what a gateway that is cut off spends. Others leave half of one for each that
+ * they do not hear, and no more than this of all. */
+static const double CUT_OFF_PART = 0.4, CUT_OFF_PARTS_MAX = 0.25;
+/* Of what may have passed before a start, what is held against programs that begin: a customer with
+ * its usual load is not to notice that everything has started anew. */
+static const double BEGUN_BEFORE_START = 0.8;
+
+struct QuotaEntry
+{
+  char customer[NAME_MAX_BYTES + 1];
+  double rate_per_s, burst;
+  double old_limit; /* a higher one, until old_until_ms */
+  int64_t old_until_ms;
+  bool configured;
+  struct UseWindow taken, begun, wanted;
+  double credit;             /* of a request that only a part of passes */
+  struct CustomerUse told;   /* what this gateway told last */
+  struct CustomerUse others; /* as others told */
+  UT_hash_handle hh;
+};
+
+struct QuotaLedger
+{
+  struct QuotaRules rules;
+  uint32_t wanted_ms;
+  uint64_t seed;
+  struct QuotaEntry *entries;
+  /* Of all customers: requests of programs, and programs that began. */
+  struct UseWindow requests, programs;
+  double need; /* requests of a program */
+  struct QuotaFleet fleet;
+  int64_t started_ms;
+  int64_t told_ms; /* when sums came last; 0: never */
+};
+
+static int
+ledger_free (struct QuotaLedger *ledger)
+{
+  HASH_CLEAR (hh, ledger->entries);
+  return 0;
+}
+
+struct QuotaLedger *
+quota_ledger_new (TALLOC_CTX *ctx,
+                  const struct QuotaRules *rules,
+                  const char *instance,
+                  int64_t now_ms)
+{
+  struct QuotaLedger *ledger = talloc_zero (ctx, struct QuotaLedger);
+
+  if (ledger == NULL)
+    return NULL;
+  ledger->rules = *rules;
+  ledger->wanted_ms = (uint32_t)(rules->window_ms * WANTED_SPAN);
+  ledger->seed = XXH3_64bits (instance, strlen (instance));
+  ledger->fleet = (struct QuotaFleet){ .n_known = 1, .n_heard = 1 };
+  ledger->started_ms = now_ms;
+  ledger->need = NEED_FIRST;
+  talloc_set_destructor (ledger, ledger_free);
+  return ledger;
+}
+
+static struct QuotaEntry *
+ledger_find (const struct QuotaLedger *ledger, const char *customer)
+{
+  struct QuotaEntry *entry = NULL;
+
+  HASH_FIND_STR (ledger->entries, customer, entry);
+  return entry;
+}
+
+/* Where a gateway's first request of a customer stands between none and one: differs between
+ * gateways, so that of a hundred that may each pass a tenth of a request ten pass one. */
+static double
+ledger_phase (const struct QuotaLedger *ledger, const char *customer)
+{
+  return (double)(XXH3_64bits_withSeed (customer, strlen (customer), ledger->seed) >> 11)
+         / (double)(1ULL << 53);
+}
+
+static struct QuotaEntry *
+ledger_need_entry (struct QuotaLedger *ledger, const char *customer)
+{
+  struct QuotaEntry *entry = ledger_find (ledger, customer);
+
+  if (entry != NULL)
+    return entry;
+  entry = talloc_zero (ledger, struct QuotaEntry);
+  if (entry == NULL)
+    return NULL;
+  snprintf (entry->customer, sizeof entry->customer, "%s", customer);
+  entry->credit = ledger_phase (ledger, customer);
+  HASH_ADD_STR (ledger->entries, customer, entry);
+  return entry;
+}
+
+static double
+window_s (const struct QuotaLedger *ledger)
+{
+  return ledger->rules.window_ms / 1000.0;
+}
+
+static double
+entry_limit (const struct QuotaLedger *ledger, const struct QuotaEntry *entry)
+{
+  return entry->rate_per_s * window_s (ledger) + entry->burst;
+}
+
+/* Configuration. */
+
+static void
+entry_configure (struct QuotaLedger *ledger,
+                 struct QuotaEntry *entry,
+                 const struct Customer *customer,
+                 int64_t now_ms)
+{
+  double before = entry_limit (ledger, entry), now;
+  bool was_limited = entry->rate_per_s > 0;
+
+  entry->configured = true;
+  entry->rate_per_s = customer->rate_per_s;
+  entry->burst = customer->burst;
+  now = entry_limit (ledger, entry);
+  if (!was_limited || now >= before)
+    return;
+  entry->old_limit = before;
+  entry->old_until_ms = now_ms + LOWER_LIMIT_GRACE_MS;
+  memset (&entry->taken, 0, sizeof entry->taken);
+  memset (&entry->begun, 0, sizeof entry->begun);
+}
+
+void
+quota_ledger_configure (struct QuotaLedger *ledger,
+                        const struct CustomerTable *customers,
+                        int64_t now_ms)
+{
+  size_t n = customers != NULL ? customer_table_count (customers) : 0;
+  struct QuotaEntry *entry, *next;
+
+  for (entry = ledger->entries; entry != NULL; entry = entry->hh.next)
+    entry->configured = false;
+  for (size_t i = 0; i < n; i++)
+    {
+      const struct Customer *customer = customer_table_at (customers, i);
+
+      entry = ledger_find (ledger, customer->name);
+      if (entry == NULL && customer->rate_per_s > 0)
+        entry = ledger_need_entry (ledger, customer->name);
+      if (entry != NULL)
+        entry_configure (ledger, entry, customer, now_ms);
+    }
+  HASH_ITER (hh, ledger->entries, entry, next)
+  {
+    if (entry->configured)
+      continue;
+    HASH_DEL (ledger->entries, entry);
+    talloc_free (entry);
+  }
+}
+
+/* What the fleet tells. */
+
+void
+quota_ledger_note_fleet (struct QuotaLedger *ledger, const struct QuotaFleet *fleet)
+{
+  ledger->fleet = *fleet;
+}
+
+static uint32_t
+without (uint32_t sum, uint32_t own)
+{
+  return sum > own ? sum - own : 0;
+}
+
+/* Not while somebody is near a limit: in a surge many programs have begun and not yet asked for
+ * more, and those that are refused never will. */
+static void
+ledger_learn_need (struct QuotaLedger *ledger, const struct CustomerUse *uses, size_t n_uses)
+{
+  const struct CustomerUse *all = NULL;
+  double need;
+
+  for (size_t i = 0; i < n_uses; i++)
+    if (uses[i].customer[0] == '\0')
+      all = &uses[i];
+  if (all == NULL || all->begun < NEED_PROGRAMS_MIN || n_uses > 1)
+    return;
+  need = fmin (fmax ((double)all->taken / all->begun, 1), NEED_MAX);
+  ledger->need += NEED_NEW * (need - ledger->need);
+}
+
+void
+quota_ledger_hear (struct QuotaLedger *ledger,
+                   const struct CustomerUse *uses,
+                   size_t n_uses,
+                   int64_t now_ms)
+{
+  static const struct CustomerUse none;
+
+  ledger->told_ms = now_ms;
+  ledger_learn_need (ledger, uses, n_uses);
+  for (struct QuotaEntry *entry = ledger->entries; entry != NULL; entry = entry->hh.next)
+    entry->others = none;
+  for (size_t i = 0; i < n_uses; i++)
+    {
+      struct QuotaEntry *entry = ledger_find (ledger, uses[i].customer);
+
+      if (entry == NULL)
+        continue;
+      entry->others.taken = without (uses[i].taken, entry->told.taken);
+      entry->others.begun = without (uses[i].begun, entry->told.begun);
+      entry->others.wanted = without (uses[i].wanted, entry->told.wanted);
+    }
+}
+
+/* Requests of the window that lie before this process started, at the full rate. Before it has
+ * heard of the fleet it can not tell how small its part of them is. */
+static double
+entry_before_start (const struct QuotaLedger *ledger,
+                    const struct QuotaEntry *entry,
+                    int64_t now_ms)
+{
+  double before_ms = (double)(ledger->started_ms + ledger->rules.window_ms - now_ms);
+
+  return before_ms > 0 && ledger->told_ms > 0
+             ? entry->rate_per_s * before_ms / 1000 / ledger->fleet.n_known
+             : 0;
+}
+
+static struct CustomerUse
+entry_own (const struct QuotaLedger *ledger, struct QuotaEntry *entry, int64_t now_ms)
+{
+  uint32_t window_ms = ledger->rules.window_ms;
+  double before = entry_before_start (ledger, entry, now_ms);
+  double phase = ledger_phase (ledger, entry->customer);
+  struct CustomerUse use = {
+    .taken = use_window_total (&entry->taken, window_ms, now_ms) + (uint32_t)(before + phase),
+    .begun = use_window_total (&entry->begun, window_ms, now_ms)
+             + (uint32_t)(BEGUN_BEFORE_START * before + phase),
+    .wanted = use_window_total (&entry->wanted, ledger->wanted_ms, now_ms),
+  };
+
+  memcpy (use.customer, entry->customer, sizeof use.customer);
+  return use;
+}
+
+struct CustomerUse *
+quota_ledger_uses (struct QuotaLedger *ledger, TALLOC_CTX *ctx, int64_t now_ms, size_t *n_uses)
+{
+  struct CustomerUse *uses;
+
+  *n_uses = 0;
+  if (ledger->rules.sharing != QUOTA_BY_COUNTS || ledger->entries == NULL)
+    return NULL;
+  uses = talloc_zero_array (ctx, struct CustomerUse, HASH_COUNT (ledger->entries) + 1);
+  if (uses == NULL)
+    return NULL;
+  uses[0].taken = use_window_total (&ledger->requests, ledger->rules.window_ms, now_ms);
+  uses[0].begun = use_window_total (&ledger->programs, ledger->rules.window_ms, now_ms);
+  *n_uses = 1;
+  for (struct QuotaEntry *entry = ledger->entries; entry != NULL; entry = entry->hh.next)
+    {
+      entry->told = entry_own (ledger, entry, now_ms);
+      if (entry->rate_per_s > 0 && (entry->told.taken > 0 || entry->told.wanted > 0))
+        uses[(*n_uses)++] = entry->told;
+    }
+  return uses;
+}
+
+/* What may begin in the span in which demand is measured. */
+static double
+entry_may_want (const struct QuotaLedger *ledger, const struct QuotaEntry *entry)
+{
+  return entry->rate_per_s * ledger->wanted_ms / 1000.0
+         + BEGIN_SPARE * (entry->burst + ledger->rules.slack);
+}
+
+static bool
+is_near_limit (const struct QuotaLedger *ledger,
+               const struct QuotaEntry *entry,
+               const struct CustomerUse *fleet)
+{
+  double limit = NEAR_LIMIT * entry_limit (ledger, entry);
+
+  return entry->rate_per_s > 0
+         && (fleet->taken > limit || fleet->begun > limit
+             || fleet->wanted > NEAR_LIMIT * entry_may_want (ledger, entry));
+}
+
+size_t
+quota_ledger_near_limit (const struct QuotaLedger *ledger, struct CustomerUse *uses, size_t n_uses)
+{
+  size_t n = 0;
+
+  for (size_t i = 0; i < n_uses; i++)
+    {
+      const struct QuotaEntry *entry = ledger_find (ledger, uses[i].customer);
+
+      if (uses[i].customer[0] == '\0' || (entry != NULL && is_near_limit (ledger, entry, &uses[i])))
+        uses[n++] = uses[i];
+    }
+  return n;
+}
+
+/* What a program needs. */
+
+double
+quota_ledger_need (const struct QuotaLedger *ledger)
+{
+  return ledger->need;
+}
+
+/* Deciding. */
+
+/* 1 up to full, 0 from none on, by degrees between. */
+static double
+falling (double value, double full, double none)
+{
+  if (value <= full)
+    return 1;
+  return value >= none ? 0 : (none - value) / (none - full);
+}
+
+static bool
+ledger_knows_fleet (const struct QuotaLedger *ledger, int64_t now_ms)
+{
+  return ledger->told_ms > 0 && now_ms - ledger->told_ms < TOLD_LIVE_MS;
+}
+
+/* The part of limits that gateways which hear each other may spend. */
+static double
+heard_part (const struct QuotaLedger *ledger)
+{
+  const struct QuotaFleet *fleet = &ledger->fleet;
+  double unheard = 1 - (double)fleet->n_heard / fleet->n_known;
+
+  return 1 - fmin (fmax (unheard, 0) / 2, CUT_OFF_PARTS_MAX);
+}
+
+/* In windows, at most one: before, a burst may have been spent that this process knows nothing of.
+ */
+static double
+ledger_age (const struct QuotaLedger *ledger, int64_t now_ms)
+{
+  return fmin ((double)(now_ms - ledger->started_ms) / ledger->rules.window_ms, 1);
+}
+
+/* The part of what is under way that passes. */
+static double
+under_way_part (const struct QuotaLedger *ledger,
+                const struct QuotaEntry *entry,
+                const struct CustomerUse *fleet,
+                int64_t now_ms)
+{
+  double limit = entry_limit (ledger, entry);
+
+  if (fleet->wanted > entry_may_want (ledger, entry))
+    limit -= entry->burst * (1 - ledger_age (ledger, now_ms));
+  if (now_ms < entry->old_until_ms && entry->old_limit > limit)
+    limit = entry->old_limit;
+  limit *= heard_part (ledger);
+  return falling (fleet->taken, UNDER_WAY_FROM * limit + UNDER_WAY_SPARE * ledger->rules.slack,
+                  UNDER_WAY_TO * limit + UNDER_WAY_SPARE * ledger->rules.slack);
+}
+
+/* The part of what begins that passes: by demand, which tells of a surge first; and by what has
+ * begun, which pays back what passed before the surge was known. */
+static double
+begin_part (const struct QuotaLedger *ledger,
+            const struct QuotaEntry *entry,
+            const struct CustomerUse *fleet,
+            int64_t now_ms)
+{
+  double burst = entry->burst * ledger_age (ledger, now_ms);
+  double spare = BEGIN_SPARE * (burst + ledger->rules.slack);
+  double limit = (entry->rate_per_s * window_s (ledger) + spare) * heard_part (ledger);
+  /* Half of the next one as well: of a small limit one program is a large part. */
+  double begun = fleet->begun + quota_ledger_need (ledger) / 2;
+  double part = falling (begun, BEGUN_FROM * limit, limit);
+  double may_want = entry_may_want (ledger, entry) * heard_part (ledger);
+
+  if (fleet->wanted > may_want)
+    part = fmin (part, may_want / fleet->wanted);
+  return part;
+}
+
+static struct CustomerUse
+entry_fleet (const struct QuotaEntry *entry, const struct CustomerUse *own)
+{
+  return (struct CustomerUse){
+    .taken = own->taken + entry->others.taken,
+    .begun = own->begun + entry->others.begun,
+    .wanted = own->wanted + entry->others.wanted,
+  };
+}
+
+/* Part of an equal share that this gateway has left, as a part of the next request. */
+static bool
+equal_part_allows (const struct QuotaLedger *ledger,
+                   const struct QuotaEntry *entry,
+                   const struct CustomerUse *own,
+                   double part)
+{
+  double share = part * entry_limit (ledger, entry) / ledger->fleet.n_known;
+
+  return own->taken < floor (share + ledger_phase (ledger, entry->customer));
+}
+
+/* True for part of the requests that it is asked for, evenly. */
+static bool
+entry_draw (struct QuotaEntry *entry, double part)
+{
+  if (part >= 1)
+    return true;
+  entry->credit += part;
+  if (entry->credit < 1)
+    return false;
+  entry->credit -= 1;
+  return true;
+}
+
+static void
+entry_decide (const struct QuotaLedger *ledger,
+              struct QuotaEntry *entry,
+              enum QuotaAsk ask,
+              int64_t now_ms,
+              struct QuotaVerdict *verdict)
+{
+  struct CustomerUse own = entry_own (ledger, entry, now_ms);
+  struct CustomerUse fleet = entry_fleet (entry, &own);
+  double part;
+
+  verdict->limit = (uint32_t)entry_limit (ledger, entry);
+  verdict->fleet_taken = fleet.taken;
+  if (ledger->rules.sharing == QUOTA_BY_EQUAL_PARTS || ledger->fleet.is_cut_off)
+    {
+      part = ledger->fleet.is_cut_off ? CUT_OFF_PART : 1;
+      verdict->taken = equal_part_allows (ledger, entry, &own, part);
+      verdict->permille = verdict->taken ? 1000 : 0;
+      return;
+    }
+  part = under_way_part (ledger, entry, &fleet, now_ms);
+  if (ask != QUOTA_ASK_UNDER_WAY)
+    part = fmin (part, begin_part (ledger, entry, &fleet, now_ms));
+  verdict->permille = (uint32_t)(1000 * part);
+  verdict->taken = entry_draw (entry, part);
+}
+
+static uint32_t
+ask_need (const struct QuotaLedger *ledger, enum QuotaAsk ask)
+{
+  switch (ask)
+    {
+    case QUOTA_ASK_SINGLE:
+      return 1;
+    case QUOTA_ASK_BEGIN:
+      return (uint32_t)lround (quota_ledger_need (ledger));
+    case QUOTA_ASK_UNDER_WAY:
+      break;
+    }
+  return 0;
+}
+
+static void
+entry_take (struct QuotaLedger *ledger, struct QuotaEntry *entry, enum QuotaAsk ask, int64_t now_ms)
+{
+  use_window_add (&entry->taken, ledger->rules.window_ms, now_ms, 1);
+  use_window_add (&entry->begun, ledger->rules.window_ms, now_ms, ask_need (ledger, ask));
+  if (ask == QUOTA_ASK_SINGLE)
+    return;
+  use_window_add (&ledger->requests, ledger->rules.window_ms, now_ms, 1);
+  if (ask == QUOTA_ASK_BEGIN)
+    use_window_add (&ledger->programs, ledger->rules.window_ms, now_ms, 1);
+}
+
+struct QuotaVerdict
+quota_ask (struct QuotaLedger *ledger, const char *customer, enum QuotaAsk ask, int64_t now_ms)
+{
+  struct QuotaEntry *entry = ledger_find (ledger, customer);
+  struct QuotaVerdict verdict = { .taken = true, .permille = 1000, .told_age_ms = -1 };
+
+  if (entry == NULL || entry->rate_per_s <= 0)
+    return verdict;
+  if (!ledger->rules.programs_first)
+    ask = QUOTA_ASK_SINGLE;
+  use_window_add (&entry->wanted, ledger->wanted_ms, now_ms, ask_need (ledger, ask));
+  if (ledger->told_ms > 0)
+    verdict.told_age_ms = now_ms - ledger->told_ms;
+  if (ledger->rules.sharing == QUOTA_BY_COUNTS && !ledger_knows_fleet (ledger, now_ms)
+      && !ledger->fleet.is_cut_off)
+    memset (&entry->others, 0, sizeof entry->others);
+  entry_decide (ledger, entry, ask, now_ms, &verdict);
+  if (verdict.taken)
+    entry_take (ledger, entry, ask, now_ms);
+  else
+    verdict.retry_after_ms = ask == QUOTA_ASK_UNDER_WAY ? RETRY_UNDER_WAY_MS : RETRY_BEGIN_MS;
+  return verdict;
+}
+
+void
+quota_give_back (struct QuotaLedger *ledger,
+                 const char *customer,
+                 enum QuotaAsk ask,
+                 int64_t taken_ms,
+                 int64_t now_ms)
+{
+  struct QuotaEntry *entry = ledger_find (ledger, customer);
+  uint32_t need;
+
+  if (entry == NULL)
+    return;
+  if (!ledger->rules.programs_first)
+    ask = QUOTA_ASK_SINGLE;
+  need = ask_need (ledger, ask);
+  use_window_take_back (&entry->taken, ledger->rules.window_ms, taken_ms, now_ms, 1);
+  use_window_take_back (&entry->begun, ledger->rules.window_ms, taken_ms, now_ms, need);
+}
--- a/core/gateway/gateway_message.c
+++ b/core/gateway/gateway_message.c
@@ -269,6 +269,42 @@
   message->state.wait_ms = (uint32_t)read_u64 (r, UINT32_MAX);
 }
 
+static void
+uses_pack (struct PackWriter *p, const struct UseReport *report)
+{
+  pack_u64 (p, report->scope);
+  pack_string (p, report->zone);
+  pack_array (p, 4 * report->n_uses);
+  for (size_t i = 0; i < report->n_uses; i++)
+    {
+      pack_string (p, report->uses[i].customer);
+      pack_u64 (p, report->uses[i].taken);
+      pack_u64 (p, report->uses[i].begun);
+      pack_u64 (p, report->uses[i].wanted);
+    }
+}
+
+static void
+uses_unpack (struct PackReader *r, TALLOC_CTX *ctx, struct UseReport *report)
+{
+  struct PackReader list;
+
+  report->scope = (enum UseScope)read_u64 (r, USE_OF_FLEET);
+  read_string (r, report->zone, sizeof report->zone);
+  report->n_uses = message_list_enter (r, &list, 4);
+  report->uses = talloc_zero_array (ctx, struct CustomerUse, report->n_uses);
+  for (size_t i = 0; report->uses != NULL && i < report->n_uses; i++)
+    {
+      struct CustomerUse *use = &report->uses[i];
+
+      read_string (&list, use->customer, sizeof use->customer);
+      use->taken = (uint32_t)read_u64 (&list, UINT32_MAX);
+      use->begun = (uint32_t)read_u64 (&list, UINT32_MAX);
+      use->wanted = (uint32_t)read_u64 (&list, UINT32_MAX);
+    }
+  r->failed = r->failed || list.failed || report->uses == NULL;
+}
+
 /* Number of items of each kind, the kind itself included. */
 static size_t
 message_n_items (enum GatewayKind kind)
@@ -292,6 +328,7 @@
     case GATEWAY_HEARTBEAT:
       return 6;
     case GATEWAY_RELAY:
+    case GATEWAY_USES:
       return 4;
     case GATEWAY_SNAPSHOT:
       return 9;
@@ -379,6 +416,9 @@
     case GATEWAY_DIGESTS:
       digests_pack (p, message->digests.items, message->digests.n_items);
       break;
+    case GATEWAY_USES:
+      uses_pack (p, &message->uses);
+      break;
     }
   return pack_finish (p, ctx, bytes, n_bytes);
 }
@@ -444,6 +484,9 @@
     case GATEWAY_DIGESTS:
       m->digests.items = digests_unpack (r, ctx, &m->digests.n_items);
       break;
+    case GATEWAY_USES:
+      uses_unpack (r, ctx, &m->uses);
+      break;
     default:
       r->failed = true;
     }
@@ -462,7 +505,7 @@
   *message = NULL;
   if (opened == NULL)
     goto fail;
-  m->kind = (enum GatewayKind)read_u64 (&reader, GATEWAY_PROBE);
+  m->kind = (enum GatewayKind)read_u64 (&reader, GATEWAY_USES);
   if (reader.failed || reader.n_items != message_n_items (m->kind))
     goto fail;
   message_unpack_body (&reader, m, m);
--- a/core/gateway/gateway_settings.c
+++ b/core/gateway/gateway_settings.c
@@ -66,6 +66,19 @@
   NUMBER ("connections", CONFIG_VALUE_NUMBER, connections_max, "2000", UNIT_NONE, 8, 100000),
 };
 
+static const struct ConfigChoice sharings[] = {
+  { "counts", QUOTA_BY_COUNTS },
+  { "equal_parts", QUOTA_BY_EQUAL_PARTS },
+  { NULL, 0 },
+};
+
+static const struct ConfigKey quota_keys[] = {
+  NUMBER ("window", CONFIG_VALUE_NUMBER, quota_window_ms, "5s", UNIT_TIME, 1000, 60 * MINUTE_MS),
+  NUMBER ("slack", CONFIG_VALUE_NUMBER, quota_slack, "20", UNIT_NONE, 0, 1000000),
+  { "sharing", CONFIG_VALUE_CHOICE, CONFIG_FIELD (struct GatewaySettings, quota_sharing), "counts",
+    UNIT_NONE, 0, 0, sharings },
+};
+
 #define SWITCH(name)                                                                               \
   {                                                                                                \
 #name, CONFIG_VALUE_CHOICE, CONFIG_FIELD(struct GatewaySettings, decisions.name), "on",        \
@@ -80,14 +93,15 @@
 
 static const struct ConfigKey decision_keys[] = {
   SWITCH (sessions), SWITCH (parts), SWITCH (objects),  SWITCH (zones),  SWITCH (failures),
-  SWITCH (owners),   SWITCH (order), SWITCH (patience), SWITCH (resume),
+  SWITCH (owners),   SWITCH (order), SWITCH (patience), SWITCH (resume), SWITCH (under_way),
 };
 
 static const struct ConfigSection sections[] = {
-  SECTION ("instance", instance_keys), SECTION ("listen", listen_keys),
-  SECTION ("platform", platform_keys), SECTION ("archives", archive_keys),
-  SECTION ("stop", stop_keys),         SECTION ("directory", directory_keys),
-  SECTION ("limits", limit_keys),      SECTION ("decisions", decision_keys),
+  SECTION ("instance", instance_keys),  SECTION ("listen", listen_keys),
+  SECTION ("platform", platform_keys),  SECTION ("archives", archive_keys),
+  SECTION ("stop", stop_keys),          SECTION ("directory", directory_keys),
+  SECTION ("limits", limit_keys),       SECTION ("quota", quota_keys),
+  SECTION ("decisions", decision_keys),
 };
 
 static void *
--- a/gateway/archive.c
+++ b/gateway/archive.c
@@ -418,6 +418,7 @@
     case GATEWAY_SNAPSHOT_WANT:
     case GATEWAY_DIGESTS:
     case GATEWAY_PROBE:
+    case GATEWAY_USES:
       break;
     }
 }
--- a/gateway/front.c
+++ b/gateway/front.c
@@ -3,6 +3,7 @@
 #include "credential.h"
 #include "directory.h"
 #include "loop_echo.h"
+#include "quotas.h"
 #include "slots.h"
 #include "store_reader.h"
 
@@ -77,6 +78,8 @@
                "%lld ms after its request",
                (long long)(timer_now_ms (request->front->node->timers) - request->arrived_ms));
   counter_add (COUNTER_REQUESTS_LEFT, 1);
+  if (request->n_tried == 0)
+    quotas_give_back (request);
   if (request->turn != NULL)
     turn_abandon (request);
   request->exchange = NULL;
@@ -215,6 +218,15 @@
     request_fail (request, FAILURE_NO_KEY, credential_words (&request->caller));
 }
 
+static void
+front_start (struct Request *request)
+{
+  if (request_is_turn (request))
+    turn_start (request);
+  else
+    request_send (request);
+}
+
 static void
 front_take (struct Request *request)
 {
@@ -229,12 +241,10 @@
     request_fail (request, FAILURE_NO_KEY, credential_words (&request->caller));
   else if (front->replicas->n_replicas == 0)
     front_hold (request, FAILURE_NO_SERVER, "no server is listed");
-  else if (!request_is_turn (request))
-    request_send (request);
-  else if (turn_may_start (front))
-    turn_start (request);
-  else
+  else if (request_is_turn (request) && !turn_may_start (front))
     front_hold (request, FAILURE_UNCERTAIN, "too few archives answer, and no gateway can relay");
+  else if (quotas_take (request))
+    front_start (request);
 }
 
 static void
@@ -328,6 +338,7 @@
              table->n_routes, table->n_services);
   talloc_free (front->table);
   front->table = table;
+  quotas_configure (front->quotas);
   gauge_set (GAUGE_CONFIG_REVISION, table->version);
   http_server_set_limits (front->callers, &table->limits);
 }
@@ -434,6 +445,9 @@
     case GATEWAY_DIGESTS:
       front_take_digests (front, message->digests.items, message->digests.n_items);
       break;
+    case GATEWAY_USES:
+      quotas_on_report (front->quotas, sender, &message->uses);
+      break;
     case GATEWAY_TURN_OPEN:
     case GATEWAY_TURN_READ:
     case GATEWAY_TURN_CLOSE:
@@ -618,8 +632,10 @@
   f->replicas = replica_set_new (f);
   f->client = http_client_new (f, node->events, node->timers, &client_options);
   f->slots = slots_new (f);
+  f->quotas = quotas_new (f);
   f->echo = loop_echo_new (f, node);
-  if (f->replicas == NULL || f->client == NULL || f->slots == NULL || f->echo == NULL)
+  if (f->replicas == NULL || f->client == NULL || f->slots == NULL || f->quotas == NULL
+      || f->echo == NULL)
     return fault_set (fault, ERROR_NO_MEMORY, NULL, "no memory for the gateway");
   error = front_listen_all (f, fault);
   if (error != ERROR_NONE)
--- a/gateway/front.h
+++ b/gateway/front.h
@@ -17,6 +17,7 @@
 
 struct Front;
 struct LoopEcho;
+struct Quotas;
 struct Settlement;
 struct SlotWait;
 struct Slots;
@@ -27,6 +28,7 @@
 {
   FAILURE_NO_CONFIG,   /* this gateway knows no configuration yet */
   FAILURE_NO_KEY,      /* no customer's key, or none any more */
+  FAILURE_OVER_LIMIT,  /* more than its customer's limit holds; it did not run */
   FAILURE_NO_ROUTE,    /* the configuration has no such route */
   FAILURE_MALFORMED,   /* the request lacks what it must say */
   FAILURE_NO_SERVER,   /* no server could take it; it did not run */
@@ -48,6 +50,7 @@
   struct CallerRequest caller;
   struct Route route;       /* a copy: the table may change meanwhile */
   struct Customer customer; /* a copy, too; no name: nobody's */
+  int64_t quota_ms; /* when its customer's limit let it through; 0: not yet, or taken back */
   bool key_checked;
   uint64_t key_version; /* of the configuration in which its key was looked up */
   char service[NAME_MAX_BYTES + 1];
@@ -95,6 +98,7 @@
   struct ReplicaSet *replicas;
   struct HttpClient *client;
   struct Slots *slots;
+  struct Quotas *quotas;
   struct HttpServer *callers, *ready, *directory;
   struct Request *requests;
   int64_t started_ms;
@@ -142,6 +146,10 @@
 void
 request_busy (struct Request *request, uint32_t wait_ms);
 
+/* Its customer's limit holds no more now; it may come back in wait_ms. */
+void
+request_over_limit (struct Request *request, uint32_t wait_ms, const char *detail);
+
 /* The stream was whole: the caller's answer ends, and the request with it. */
 void
 request_end_stream (struct Request *request);
--- a/gateway/node.h
+++ b/gateway/node.h
@@ -78,6 +78,8 @@
 {
   PEERS_SERVED,          /* members of the zone whose aggregator this process is */
   PEERS_AGGREGATORS,     /* of all zones */
+  PEERS_OWN_AGGREGATORS, /* of the own zone */
+  PEERS_OTHER_ZONES,     /* aggregators of the other zones */
   PEERS_GATEWAYS,        /* all */
   PEERS_GATEWAYS_OF_ZONE /* of the own zone */
 };
--- a/gateway/node_hear.c
+++ b/gateway/node_hear.c
@@ -190,6 +190,7 @@
     case GATEWAY_SLOT_STATE:
     case GATEWAY_SLOT_DONE:
     case GATEWAY_DIGESTS:
+    case GATEWAY_USES:
       node->handler.message (node->handler.data, link, sender, message);
       break;
     case GATEWAY_RELAY:
--- a/gateway/node_send.c
+++ b/gateway/node_send.c
@@ -46,6 +46,7 @@
     case GATEWAY_SLOT_DONE:
     case GATEWAY_ALIVE:
     case GATEWAY_DIGESTS:
+    case GATEWAY_USES:
       return false;
     }
   return false;
@@ -89,6 +90,8 @@
       return !status->is_archive && strcmp (status->zone, node->settings->zone) == 0
              && node_peer_is_live (node, peer);
     case PEERS_AGGREGATORS:
+    case PEERS_OWN_AGGREGATORS:
+    case PEERS_OTHER_ZONES:
       return false;
     }
   return false;
@@ -166,12 +169,23 @@
 
   if (bytes == NULL)
     return;
-  if (choice == PEERS_AGGREGATORS)
+  switch (choice)
     {
+    case PEERS_AGGREGATORS:
+      node_send_aggregators (node, node->settings->zone, message->kind, &envelope);
+      node_send_other_zones (node, message->kind, &envelope);
+      break;
+    case PEERS_OWN_AGGREGATORS:
       node_send_aggregators (node, node->settings->zone, message->kind, &envelope);
+      break;
+    case PEERS_OTHER_ZONES:
       node_send_other_zones (node, message->kind, &envelope);
+      break;
+    case PEERS_SERVED:
+    case PEERS_GATEWAYS:
+    case PEERS_GATEWAYS_OF_ZONE:
+      node_send_chosen (node, message->kind, &envelope, choice);
+      break;
     }
-  else
-    node_send_chosen (node, message->kind, &envelope, choice);
   talloc_free (bytes);
 }
--- /dev/null
+++ b/gateway/quotas.c
@@ -0,0 +1,258 @@
+#include "quotas.h"
+
+#include <buckthornhead/counter.h>
+#include <buckthornhead/log.h>
+
+#include <stdio.h>
+#include <string.h>
+
+enum
+{
+  LOOK_MS = 100,      /* between two looks at what was told */
+  TELL_MS = 500,      /* as heartbeats */
+  TELL_NEAR_MS = 200, /* while a customer is near its limit */
+  /* After a start a gateway tells each time it looks: when all have stopped, nobody knows what was
+   * spent until they have told each other, and callers all come again. */
+  STARTING_MS = 3000,
+  /* Other gateways are known and none was heard for this long: they are cut off, or this one is. */
+  CUT_OFF_MS = 2500
+};
+
+struct Quotas
+{
+  struct Front *front;
+  struct QuotaLedger *ledger;
+  struct UseBoard *board;
+  int64_t told_ms;       /* own use */
+  int64_t fleet_told_ms; /* sums, as an aggregator */
+  bool has_near;         /* a customer is near its limit */
+};
+
+static int64_t
+quotas_now_ms (const struct Quotas *quotas)
+{
+  return timer_now_ms (quotas->front->node->timers);
+}
+
+static const struct CustomerTable *
+quotas_customers (const struct Quotas *quotas)
+{
+  return quotas->front->table != NULL ? quotas->front->table->customers : NULL;
+}
+
+/* Asking. */
+
+static enum QuotaAsk
+quota_ask_of (const struct Request *request)
+{
+  if (request->route.keeps_turns)
+    return request->caller.previous[0] == '\0' ? QUOTA_ASK_BEGIN : QUOTA_ASK_UNDER_WAY;
+  /* Where turns are not kept, nothing tells a program's first turn from its others. */
+  if (request->caller.program[0] == '\0' || request->route.kind == ROUTE_STREAM)
+    return QUOTA_ASK_SINGLE;
+  return QUOTA_ASK_UNDER_WAY;
+}
+
+bool
+quotas_take (struct Request *request)
+{
+  struct Quotas *quotas = request->front->quotas;
+  int64_t now_ms = quotas_now_ms (quotas);
+  struct QuotaVerdict verdict;
+  char detail[160];
+
+  if (request->quota_ms != 0 || request->customer.name[0] == '\0')
+    return true;
+  verdict = quota_ask (quotas->ledger, request->customer.name, quota_ask_of (request), now_ms);
+  if (verdict.taken)
+    {
+      request->quota_ms = now_ms;
+      return true;
+    }
+  counter_add (COUNTER_REQUESTS_OVER_LIMIT, 1);
+  snprintf (detail, sizeof detail,
+            "customer %s: limit %u a window, %u taken as told %lld ms ago, %u of 1000 pass",
+            request->customer.name, verdict.limit, verdict.fleet_taken,
+            (long long)verdict.told_age_ms, verdict.permille);
+  request_over_limit (request, verdict.retry_after_ms, detail);
+  return false;
+}
+
+void
+quotas_give_back (struct Request *request)
+{
+  struct Quotas *quotas = request->front->quotas;
+
+  if (request->quota_ms == 0)
+    return;
+  quota_give_back (quotas->ledger, request->customer.name, quota_ask_of (request),
+                   request->quota_ms, quotas_now_ms (quotas));
+  request->quota_ms = 0;
+}
+
+/* Telling. */
+
+static int64_t
+quotas_tell_again_ms (const struct Quotas *quotas, int64_t now_ms)
+{
+  if (now_ms - quotas->front->started_ms < STARTING_MS)
+    return LOOK_MS;
+  return quotas->has_near ? TELL_NEAR_MS : TELL_MS;
+}
+
+static void
+quotas_send (struct Quotas *quotas,
+             enum UseScope scope,
+             struct CustomerUse *uses,
+             size_t n_uses,
+             enum PeerChoice to)
+{
+  struct Node *node = quotas->front->node;
+  struct GatewayMessage message = { .kind = GATEWAY_USES };
+
+  message.uses.scope = scope;
+  message.uses.uses = uses;
+  message.uses.n_uses = n_uses;
+  snprintf (message.uses.zone, sizeof message.uses.zone, "%s", node->settings->zone);
+  node_send_some (node, &message, to);
+}
+
+/* As an aggregator: the zone's sum to other zones, the fleet's to the members. At each look while a
+ * customer is near its limit: until all know it, they let everything through. */
+static void
+quotas_tell_sums (struct Quotas *quotas,
+                  struct CustomerUse *own,
+                  size_t n_own,
+                  struct CustomerUse *fleet,
+                  size_t n_fleet,
+                  int64_t now_ms)
+{
+  bool near = n_fleet > 1;
+  int64_t since_ms = now_ms - quotas->fleet_told_ms;
+  struct CustomerUse *zone;
+  size_t n_zone;
+
+  if (!near && since_ms < quotas_tell_again_ms (quotas, now_ms))
+    return;
+  zone = use_board_sum (quotas->board, fleet, USE_OF_ZONE, own, n_own, now_ms, &n_zone);
+  quotas_send (quotas, USE_OF_ZONE, zone, n_zone, PEERS_OTHER_ZONES);
+  quotas->fleet_told_ms = now_ms;
+  quotas_send (quotas, USE_OF_FLEET, fleet, n_fleet, PEERS_SERVED);
+}
+
+/* What the fleet used, from what reports here. */
+static bool
+quotas_sum_up (struct Quotas *quotas, struct CustomerUse *own, size_t n_own, int64_t now_ms)
+{
+  size_t n_fleet;
+  struct CustomerUse *fleet =
+      use_board_sum (quotas->board, own, USE_OF_FLEET, own, n_own, now_ms, &n_fleet);
+
+  if (fleet == NULL)
+    return false;
+  n_fleet = quota_ledger_near_limit (quotas->ledger, fleet, n_fleet);
+  quota_ledger_hear (quotas->ledger, fleet, n_fleet, now_ms);
+  quotas_tell_sums (quotas, own, n_own, fleet, n_fleet, now_ms);
+  return n_fleet > 1;
+}
+
+/* The same, as an aggregator said. */
+static bool
+quotas_hear (struct Quotas *quotas, int64_t now_ms)
+{
+  const struct UseReport *told = use_board_fleet (quotas->board, now_ms);
+
+  if (told == NULL)
+    return false;
+  quota_ledger_hear (quotas->ledger, told->uses, told->n_uses, now_ms);
+  return told->n_uses > 1;
+}
+
+/* Those that are leaving take no callers any more. */
+static void
+quotas_note_fleet (struct Quotas *quotas, int64_t now_ms)
+{
+  const struct Node *node = quotas->front->node;
+  const struct Roster *roster = node->roster;
+  struct QuotaFleet fleet = { .n_known = 1, .n_heard = 1 };
+  int64_t heard_ms = use_board_heard_ms (quotas->board);
+
+  for (size_t i = 0; i < roster->n_peers; i++)
+    {
+      const struct NodeStatus *status = &roster->peers[i]->status;
+
+      if (status->caller_address[0] == '\0' || status->leaving)
+        continue;
+      fleet.n_known++;
+      fleet.n_heard += node_peer_is_live (node, roster->peers[i]);
+    }
+  if (heard_ms < quotas->front->started_ms)
+    heard_ms = quotas->front->started_ms;
+  fleet.is_cut_off = fleet.n_known > 1 && now_ms - heard_ms > CUT_OFF_MS;
+  quota_ledger_note_fleet (quotas->ledger, &fleet);
+}
+
+static void
+quotas_on_look (void *data)
+{
+  struct Quotas *quotas = data;
+  int64_t now_ms = quotas_now_ms (quotas);
+  bool aggregates = roster_is_aggregator (quotas->front->node->roster, now_ms);
+  bool tells = now_ms - quotas->told_ms >= quotas_tell_again_ms (quotas, now_ms);
+  struct CustomerUse *own = NULL;
+  size_t n_own;
+
+  if (quotas_customers (quotas) == NULL)
+    return;
+  quotas_note_fleet (quotas, now_ms);
+  if (aggregates || tells)
+    own = quota_ledger_uses (quotas->ledger, quotas, now_ms, &n_own);
+  if (own != NULL && tells)
+    {
+      quotas->told_ms = now_ms;
+      quotas_send (quotas, USE_OF_GATEWAY, own, n_own, PEERS_OWN_AGGREGATORS);
+    }
+  if (!aggregates)
+    quotas->has_near = quotas_hear (quotas, now_ms);
+  else if (own != NULL)
+    quotas->has_near = quotas_sum_up (quotas, own, n_own, now_ms);
+  talloc_free (own);
+}
+
+void
+quotas_on_report (struct Quotas *quotas, const char *sender, const struct UseReport *report)
+{
+  use_board_take (quotas->board, sender, report, quotas_now_ms (quotas));
+}
+
+void
+quotas_configure (struct Quotas *quotas)
+{
+  quota_ledger_configure (quotas->ledger, quotas_customers (quotas), quotas_now_ms (quotas));
+}
+
+struct Quotas *
+quotas_new (struct Front *front)
+{
+  const struct GatewaySettings *settings = front->node->settings;
+  const struct QuotaRules rules = {
+    .sharing = (enum QuotaSharing)settings->quota_sharing,
+    .window_ms = settings->quota_window_ms,
+    .slack = settings->quota_slack,
+    .programs_first = settings->decisions.under_way,
+  };
+  struct Quotas *quotas = talloc_zero (front, struct Quotas);
+
+  if (quotas == NULL)
+    return NULL;
+  quotas->front = front;
+  quotas->ledger = quota_ledger_new (quotas, &rules, settings->instance, front->started_ms);
+  quotas->board = use_board_new (quotas);
+  if (quotas->ledger == NULL || quotas->board == NULL)
+    {
+      talloc_free (quotas);
+      return NULL;
+    }
+  timer_subscribe (quotas, front->node->timers, LOOK_MS, LOOK_MS, quotas_on_look, quotas);
+  return quotas;
+}
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -1,5 +1,6 @@
 #include "request.h"
 #include "credential.h"
+#include "quotas.h"
 #include "slots.h"
 
 #include <buckthornhead/counter.h>
@@ -34,6 +35,7 @@
 static const struct FailureWords failure_words[] = {
   [FAILURE_NO_CONFIG] = { 503, RETRY_AFTER_UNCERTAIN, "no_configuration", LOG_LEVEL_WARNING },
   [FAILURE_NO_KEY] = { 401, NULL, "no_key", LOG_LEVEL_INFO },
+  [FAILURE_OVER_LIMIT] = { 429, NULL, "over_limit", LOG_LEVEL_INFO },
   [FAILURE_NO_ROUTE] = { 404, NULL, "no_route", LOG_LEVEL_INFO },
   [FAILURE_MALFORMED] = { 400, NULL, "malformed", LOG_LEVEL_INFO },
   [FAILURE_NO_SERVER] = { 503, RETRY_AFTER_SHORT, "no_server", LOG_LEVEL_WARNING },
@@ -128,6 +130,8 @@
     items[headers.n_items++] = (struct HttpHeader){ "Retry-After", retry_after };
   if (words->status == 401)
     items[headers.n_items++] = (struct HttpHeader){ "WWW-Authenticate", "Bearer" };
+  if (!request->may_have_run && request->call == NULL)
+    quotas_give_back (request);
   request_note_failed (request, words->status);
   if (request->turn != NULL)
     turn_abandon (request);
@@ -149,15 +153,32 @@
   request_fail_until (request, failure, failure_words[failure].retry_after, detail);
 }
 
+static void
+request_fail_for (struct Request *request,
+                  enum RequestFailure failure,
+                  uint32_t wait_ms,
+                  const char *detail)
+{
+  char seconds[24];
+
+  snprintf (seconds, sizeof seconds, "%u.%03u", wait_ms / 1000, wait_ms % 1000);
+  request_fail_until (request, failure, seconds, detail);
+}
+
+void
+request_over_limit (struct Request *request, uint32_t wait_ms, const char *detail)
+{
+  request_fail_for (request, FAILURE_OVER_LIMIT, wait_ms, detail);
+}
+
 void
 request_busy (struct Request *request, uint32_t wait_ms)
 {
-  char seconds[24], detail[96];
+  char detail[96];
 
-  snprintf (seconds, sizeof seconds, "%u.%03u", wait_ms / 1000, wait_ms % 1000);
   snprintf (detail, sizeof detail, "%s would take it in %u ms", request->replica->entry.id,
             wait_ms);
-  request_fail_until (request, FAILURE_BUSY, seconds, detail);
+  request_fail_for (request, FAILURE_BUSY, wait_ms, detail);
 }
 
 void
--- /dev/null
+++ b/include/buckthornhead/customers/quota.h
@@ -0,0 +1,122 @@
+/* On whom a customer's limit is spent, at one gateway of many.
+ *
+ * A customer's limit holds over all gateways together, in each sliding window: rate times the
+ * window, and its burst once. No gateway sees more than its own part of the requests. Each tells
+ * with its heartbeats what it let through and what is wanted of it; the sums come back for
+ * customers near their limit. From them each gateway works out alike which part of what comes may
+ * pass, so that nobody has to be asked and a gateway that dies takes nothing along.
+ *
+ * A program fails with a turn that is refused, whatever it had before. So programs that begin are
+ * counted with all the requests that they will need, as observed, and are let in only so far that
+ * the limit holds these; what is under way passes until the limit itself is reached. Answers the
+ * load of a customer that sends several times its limit: as many of its programs as the limit holds
+ * run whole, where refusing evenly would fail nearly all of them.
+ *
+ * A gateway that hears nobody spends less than half of an equal part, and the others leave as much
+ * for each that they do not hear, so that the two sides of a partition keep the limit together. One
+ * that has just started counts its part as spent at the full rate before: else a stop of everything
+ * would give a second burst. Pure: times in milliseconds of any steady clock. */
+#pragma once
+
+#include <buckthornhead/customers/customer_table.h>
+
+/* How a limit is shared among gateways. */
+enum QuotaSharing
+{
+  QUOTA_BY_COUNTS,     /* by what all gateways tell of their use */
+  QUOTA_BY_EQUAL_PARTS /* one part each, without a word */
+};
+
+struct QuotaRules
+{
+  enum QuotaSharing sharing;
+  uint32_t window_ms;
+  uint32_t slack;      /* requests over a limit that operators do not mind, in each window */
+  bool programs_first; /* what is under way goes before what begins; off: as they come */
+};
+
+/* What a request is to its customer's limit. */
+enum QuotaAsk
+{
+  QUOTA_ASK_SINGLE,   /* it belongs to no program */
+  QUOTA_ASK_BEGIN,    /* the first of a program, which will need more */
+  QUOTA_ASK_UNDER_WAY /* of a program that has begun */
+};
+
+/* One customer's use, of one gateway or summed over several. Without a name: of all customers, the
+ * requests of programs that were let through as taken, and the number of programs as begun. */
+struct CustomerUse
+{
+  char customer[NAME_MAX_BYTES + 1];
+  uint32_t taken;  /* requests let through in the last window */
+  uint32_t begun;  /* requests that the programs let in during the last window need in all */
+  uint32_t wanted; /* the same of all that asked to begin in a shorter span, refused ones too */
+};
+
+struct QuotaVerdict
+{
+  bool taken;
+  uint32_t retry_after_ms; /* when it was not taken */
+  uint32_t permille;       /* of what comes that passes now */
+  uint32_t limit;          /* requests a window */
+  uint32_t fleet_taken;    /* in the last window, as far as is known */
+  int64_t told_age_ms;     /* of what others used; -1: nobody has told */
+};
+
+struct QuotaLedger;
+
+/* instance: the gateway's name; now_ms: it starts. NULL without memory. */
+struct QuotaLedger *
+quota_ledger_new (TALLOC_CTX *ctx,
+                  const struct QuotaRules *rules,
+                  const char *instance,
+                  int64_t now_ms);
+
+/* The customers of a new configuration; NULL: there are none. What was spent under a higher limit
+ * is not held against a lower one. */
+void
+quota_ledger_configure (struct QuotaLedger *ledger,
+                        const struct CustomerTable *customers,
+                        int64_t now_ms);
+
+/* The gateways that are known, of which this one hears some. */
+struct QuotaFleet
+{
+  uint32_t n_known, n_heard; /* this one included */
+  bool is_cut_off;           /* none of the others is heard, and it should be */
+};
+
+void
+quota_ledger_note_fleet (struct QuotaLedger *ledger, const struct QuotaFleet *fleet);
+
+/* Sums over the fleet of the customers near their limit, in which this gateway's part is as it told
+ * it last; all others are not near theirs. */
+void
+quota_ledger_hear (struct QuotaLedger *ledger,
+                   const struct CustomerUse *uses,
+                   size_t n_uses,
+                   int64_t now_ms);
+
+/* May a request of the customer pass now? If so it is counted. */
+struct QuotaVerdict
+quota_ask (struct QuotaLedger *ledger, const char *customer, enum QuotaAsk ask, int64_t now_ms);
+
+/* A request that was taken at taken_ms ran on no server after all. */
+void
+quota_give_back (struct QuotaLedger *ledger,
+                 const char *customer,
+                 enum QuotaAsk ask,
+                 int64_t taken_ms,
+                 int64_t now_ms);
+
+/* What this gateway tells of itself; belongs to ctx. NULL without memory, or without limits. */
+struct CustomerUse *
+quota_ledger_uses (struct QuotaLedger *ledger, TALLOC_CTX *ctx, int64_t now_ms, size_t *n_uses);
+
+/* Keeps of sums over the fleet those near their limit, at the front. Returns how many. */
+size_t
+quota_ledger_near_limit (const struct QuotaLedger *ledger, struct CustomerUse *uses, size_t n_uses);
+
+/* Requests that a program needs, as observed over the fleet; at least 1. */
+double
+quota_ledger_need (const struct QuotaLedger *ledger);
--- a/include/buckthornhead/gateway_message.h
+++ b/include/buckthornhead/gateway_message.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <buckthornhead/archive_set.h>
+#include <buckthornhead/customers/use_board.h>
 #include <buckthornhead/node_status.h>
 #include <buckthornhead/settings.h>
 #include <buckthornhead/slot_queue.h>
@@ -25,7 +26,8 @@
   GATEWAY_ALIVE = 14,         /* the answer to a probe; no fields */
   GATEWAY_SNAPSHOT_WANT = 15, /* the whole of a snapshot, of which the changes do not fit */
   GATEWAY_DIGESTS = 16,       /* of the servers that the sender owns */
-  GATEWAY_PROBE = 17          /* asks for GATEWAY_ALIVE; no fields */
+  GATEWAY_PROBE = 17,         /* asks for GATEWAY_ALIVE; no fields */
+  GATEWAY_USES = 18           /* what customers used of their limits */
 };
 
 /* Requests on their way to one backend server, as one gateway counts them. */
@@ -188,6 +190,7 @@
     struct SlotStateMessage slot_state;
     struct SlotDoneMessage slot_done;
     struct Digests digests;
+    struct UseReport uses;
   };
 };
 
--- a/include/buckthornhead/gateway_settings.h
+++ b/include/buckthornhead/gateway_settings.h
@@ -1,12 +1,14 @@
 /* Settings of a gateway or an archive, read from an INI file and checked as a whole. */
 #pragma once
 
+#include <buckthornhead/customers/quota.h>
 #include <buckthornhead/decisions.h>
 #include <buckthornhead/settings.h>
 
 /* Sections: [instance] name, zone, data_folder; [listen] caller, ready, directory, metrics, peer
  * (IP:port each, and announce; those of callers are for gateways); [platform] store (URL), prefix;
  * [archives] first_start, tolerated; [stop] grace; [directory] keep; [limits] connections;
+ * [quota] window, slack, sharing;
  * [decisions], a switch each: see decisions.h. */
 struct GatewaySettings
 {
@@ -26,6 +28,9 @@
   uint32_t grace_ms;   /* from SIGTERM to the end */
   uint32_t keep_s;     /* how long callers may keep a list of addresses */
   uint32_t connections_max;
+  uint32_t quota_window_ms; /* any span of this length counts */
+  uint32_t quota_slack;     /* requests over a limit that operators do not mind in each */
+  int32_t quota_sharing;    /* enum QuotaSharing */
   struct Decisions decisions;
 };
 
--- a/include/buckthornhead/turn.h
+++ b/include/buckthornhead/turn.h
@@ -49,8 +49,8 @@
 /* Asks an archive to reserve tokens for a turn and to say what it knows. */
 struct TurnOpen
 {
-  uint64_t id;         /* of the question, repeated in the answer */
-  uint64_t generation; /* of the set of archives that the asker knows */
+  uint64_t id;                       /* of the question, repeated in the answer */
+  uint64_t generation;               /* of the set of archives that the asker knows */
   char customer[NAME_MAX_BYTES + 1]; /* "" where there are none */
   char turn[NAME_MAX_BYTES + 1];
   char program[NAME_MAX_BYTES + 1];
--- /dev/null
+++ b/tests/test_quota_fleet.c
@@ -0,0 +1,636 @@
+/* Limits on virtual time: gateways of several zones that tell each other of use as heartbeats do,
+ * and customers whose programs come through any of them. Checks each sliding window from what ran.
+ * Prints a table of what was used of each limit, by either way of sharing it. */
+#include "test_main.h"
+
+#include <buckthornhead/customers/quota.h>
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  STEP_MS = 10,
+  HEARTBEAT_MS = 500,
+  HEAR_MS = 100,      /* between two looks at what was told */
+  NEAR_MS = 200,      /* between two tellings of customers near their limit */
+  STARTING_MS = 3000, /* a gateway tells each time it looks */
+  WINDOW_MS = 5000,
+  SLACK = 20,
+  BEGIN_MS = 1000000,
+  GATEWAYS_MAX = 300,
+  ZONES = 3,
+  CUSTOMERS = 4,
+  ROWS = CUSTOMERS + 1, /* what is told: the last of all customers */
+  RUNS_MAX = 400000,
+  PROGRAMS_MAX = 60000,
+  TURN_MS = 180, /* between two requests of a program */
+  /* A failed turn comes again twice, each time with one more attempt. */
+  TRIES = 6
+};
+
+/* The operators' bound: a tenth over the limit, and the slack. */
+static const double OVER = 1.1;
+
+/* The usual load of a customer, as a part of its limit's rate. */
+static const double USUAL = 0.625;
+
+struct SimGateway
+{
+  struct QuotaLedger *ledger;
+  bool is_up, is_cut;
+  struct CustomerUse told[ROWS]; /* to its zone's aggregator */
+  int64_t started_ms, beat_ms, hear_ms, down_until_ms;
+};
+
+struct SimProgram
+{
+  uint32_t customer;
+  uint32_t n_left; /* requests, the next one included */
+  uint32_t n_tries;
+  bool has_begun, is_over;
+  int64_t next_ms, began_ms;
+};
+
+struct SimRun
+{
+  int64_t ms;
+  uint32_t customer;
+};
+
+struct SimResult
+{
+  uint32_t n_runs, n_refused, n_asked, n_whole, n_failed, n_refused_begins;
+  double worst; /* of the bound, in the worst window */
+};
+
+struct Sim
+{
+  struct SimGateway gateways[GATEWAYS_MAX];
+  uint32_t n_gateways;
+  struct CustomerTable *customers;
+  double rates[CUSTOMERS];       /* limits, a second */
+  double bound_rates[CUSTOMERS]; /* that the check holds them to */
+  int64_t bound_from_ms[CUSTOMERS];
+  struct CustomerUse zone_told[ZONES][ROWS]; /* to other zones */
+  int64_t zone_beat_ms[ZONES];
+  struct CustomerUse fleet_told[ZONES][ROWS]; /* to members */
+  size_t n_fleet_told[ZONES];
+  bool zone_has_told[ZONES];
+  bool zone_has_near[ZONES];
+  int64_t zone_look_ms[ZONES];
+  struct SimProgram *programs;
+  uint32_t n_programs;
+  struct SimRun *runs;
+  uint32_t n_runs;
+  struct SimResult results[CUSTOMERS];
+  double load[CUSTOMERS]; /* times the usual, now */
+  double owed[CUSTOMERS]; /* programs that should have begun and have not */
+  uint32_t n_requests;    /* of each program */
+  int64_t now_ms;
+  uint64_t random;
+  struct QuotaRules rules;
+};
+
+static uint32_t
+draw (struct Sim *sim, uint32_t n)
+{
+  sim->random = sim->random * 6364136223846793005ULL + 1442695040888963407ULL;
+  return (uint32_t)((sim->random >> 33) % n);
+}
+
+static void
+customer_name (uint32_t i, char name[NAME_MAX_BYTES + 1])
+{
+  snprintf (name, NAME_MAX_BYTES + 1, "customer-%u", i);
+}
+
+static void
+sim_configure (struct Sim *sim)
+{
+  struct Fault fault;
+
+  talloc_free (sim->customers);
+  sim->customers = customer_table_new (sim, CUSTOMERS);
+  for (uint32_t i = 0; i < CUSTOMERS; i++)
+    {
+      struct Customer customer = { .rate_per_s = sim->rates[i], .burst = sim->rates[i] };
+
+      customer_name (i, customer.name);
+      customer_table_add (sim->customers, &customer, &fault);
+    }
+  for (uint32_t g = 0; g < sim->n_gateways; g++)
+    if (sim->gateways[g].is_up)
+      quota_ledger_configure (sim->gateways[g].ledger, sim->customers, sim->now_ms);
+}
+
+static void
+gateway_begin (struct Sim *sim, uint32_t g)
+{
+  struct SimGateway *gateway = &sim->gateways[g];
+  char name[32];
+
+  snprintf (name, sizeof name, "front-%u", g);
+  talloc_free (gateway->ledger);
+  gateway->ledger = quota_ledger_new (sim, &sim->rules, name, sim->now_ms);
+  gateway->is_up = true;
+  gateway->started_ms = sim->now_ms;
+  gateway->beat_ms = sim->now_ms + draw (sim, HEAR_MS);
+  gateway->hear_ms = sim->now_ms + draw (sim, HEAR_MS);
+  memset (gateway->told, 0, sizeof gateway->told);
+  quota_ledger_configure (gateway->ledger, sim->customers, sim->now_ms);
+}
+
+static struct Sim *
+sim_new (uint32_t n_gateways, enum QuotaSharing sharing, bool programs_first, uint64_t seed)
+{
+  static const double rates[CUSTOMERS] = { 250, 60, 12, 3 };
+  struct Sim *sim = talloc_zero (NULL, struct Sim);
+
+  sim->n_gateways = n_gateways;
+  sim->random = seed * 2654435761U + 1;
+  sim->now_ms = BEGIN_MS;
+  sim->n_requests = 12;
+  sim->rules = (struct QuotaRules){
+    .sharing = sharing, .window_ms = WINDOW_MS, .slack = SLACK, .programs_first = programs_first
+  };
+  sim->runs = talloc_zero_array (sim, struct SimRun, RUNS_MAX);
+  sim->programs = talloc_zero_array (sim, struct SimProgram, PROGRAMS_MAX);
+  for (uint32_t i = 0; i < CUSTOMERS; i++)
+    {
+      sim->rates[i] = sim->bound_rates[i] = rates[i];
+      sim->load[i] = 1;
+    }
+  sim_configure (sim);
+  for (uint32_t g = 0; g < n_gateways; g++)
+    gateway_begin (sim, g);
+  sim->now_ms += WINDOW_MS; /* traffic starts later than gateways */
+  for (uint32_t z = 0; z < ZONES; z++)
+    sim->zone_beat_ms[z] = sim->now_ms + draw (sim, HEARTBEAT_MS);
+  return sim;
+}
+
+/* Control. */
+
+static void
+use_add (struct CustomerUse *sum, const struct CustomerUse *use)
+{
+  memcpy (sum->customer, use->customer, sizeof sum->customer);
+  sum->taken += use->taken;
+  sum->begun += use->begun;
+  sum->wanted += use->wanted;
+}
+
+static void
+sim_gateway_tells (struct Sim *sim, struct SimGateway *gateway)
+{
+  size_t n;
+  struct CustomerUse *uses = quota_ledger_uses (gateway->ledger, sim, sim->now_ms, &n);
+
+  memset (gateway->told, 0, sizeof gateway->told);
+  for (size_t i = 0; i < n; i++)
+    if (uses[i].customer[0] == '\0')
+      gateway->told[CUSTOMERS] = uses[i];
+    else
+      gateway->told[atoi (uses[i].customer + strlen ("customer-"))] = uses[i];
+  talloc_free (uses);
+}
+
+/* The aggregator of zone z sums its members and what the other zones told last. */
+static void
+sim_zone_looks (struct Sim *sim, uint32_t z, bool heartbeat)
+{
+  struct CustomerUse sum[ROWS] = { 0 }, own[ROWS], near[ROWS];
+  size_t n = 0;
+
+  for (uint32_t g = z; g < sim->n_gateways; g += ZONES)
+    if (sim->gateways[g].is_up && !sim->gateways[g].is_cut)
+      for (uint32_t c = 0; c < ROWS; c++)
+        use_add (&sum[c], &sim->gateways[g].told[c]);
+  for (uint32_t c = 0; c < ROWS; c++)
+    own[c] = sum[c];
+  for (uint32_t other = 0; other < ZONES; other++)
+    for (uint32_t c = 0; other != z && c < ROWS; c++)
+      use_add (&sum[c], &sim->zone_told[other][c]);
+  for (uint32_t c = 0; c < ROWS; c++)
+    {
+      if (c < CUSTOMERS)
+        customer_name (c, sum[c].customer);
+      near[n++] = sum[c];
+    }
+  n = quota_ledger_near_limit (sim->gateways[z].ledger, near, n);
+  if (!heartbeat && n == 1 && !sim->zone_has_near[z])
+    return;
+  sim->zone_has_near[z] = n > 1;
+  memcpy (sim->zone_told[z], own, sizeof own);
+  memset (sim->fleet_told[z], 0, sizeof sim->fleet_told[z]);
+  memcpy (sim->fleet_told[z], near, n * sizeof near[0]);
+  sim->n_fleet_told[z] = n;
+  sim->zone_has_told[z] = true;
+}
+
+static uint32_t
+sim_heard (const struct Sim *sim, uint32_t by)
+{
+  uint32_t n = 0;
+
+  for (uint32_t g = 0; g < sim->n_gateways; g++)
+    n += g == by
+         || (sim->gateways[g].is_up && !sim->gateways[g].is_cut && !sim->gateways[by].is_cut);
+  return n;
+}
+
+static void
+sim_gateway_hears (struct Sim *sim, uint32_t g)
+{
+  struct SimGateway *gateway = &sim->gateways[g];
+  const struct QuotaFleet fleet = { .n_known = sim->n_gateways,
+                                    .n_heard = sim_heard (sim, g),
+                                    .is_cut_off = gateway->is_cut };
+
+  quota_ledger_note_fleet (gateway->ledger, &fleet);
+  if (!gateway->is_cut && sim->zone_has_told[g % ZONES])
+    quota_ledger_hear (gateway->ledger, sim->fleet_told[g % ZONES], sim->n_fleet_told[g % ZONES],
+                       sim->now_ms);
+}
+
+static bool
+sim_is_starting (const struct Sim *sim, uint32_t g)
+{
+  return sim->now_ms - sim->gateways[g].started_ms < STARTING_MS;
+}
+
+static int64_t
+sim_tells_again_ms (const struct Sim *sim, uint32_t g)
+{
+  if (sim_is_starting (sim, g))
+    return HEAR_MS;
+  return sim->zone_has_near[g % ZONES] ? NEAR_MS : HEARTBEAT_MS;
+}
+
+static void
+sim_control (struct Sim *sim)
+{
+  for (uint32_t g = 0; g < sim->n_gateways; g++)
+    {
+      struct SimGateway *gateway = &sim->gateways[g];
+
+      if (!gateway->is_up && sim->now_ms >= gateway->down_until_ms)
+        gateway_begin (sim, g);
+      if (gateway->is_up && sim->now_ms >= gateway->beat_ms)
+        {
+          gateway->beat_ms += sim_tells_again_ms (sim, g);
+          sim_gateway_tells (sim, gateway);
+        }
+      if (gateway->is_up && sim->now_ms >= gateway->hear_ms)
+        {
+          gateway->hear_ms += HEAR_MS;
+          sim_gateway_hears (sim, g);
+        }
+    }
+  for (uint32_t z = 0; z < ZONES; z++)
+    {
+      bool heartbeat = sim->now_ms >= sim->zone_beat_ms[z] || sim_is_starting (sim, z);
+
+      if (!sim->gateways[z].is_up)
+        continue;
+      if (sim->now_ms < sim->zone_look_ms[z])
+        continue;
+      if (sim->now_ms >= sim->zone_beat_ms[z])
+        sim->zone_beat_ms[z] += HEARTBEAT_MS;
+      sim->zone_look_ms[z] = sim->now_ms + HEAR_MS;
+      sim_zone_looks (sim, z, heartbeat);
+    }
+}
+
+/* Load. */
+
+static void
+program_asks (struct Sim *sim, struct SimProgram *program)
+{
+  struct SimGateway *gateway = &sim->gateways[draw (sim, sim->n_gateways)];
+  char name[NAME_MAX_BYTES + 1];
+  struct QuotaVerdict verdict;
+
+  if (!gateway->is_up)
+    {
+      program->next_ms = sim->now_ms + 50 + draw (sim, 100);
+      return;
+    }
+  customer_name (program->customer, name);
+  verdict = quota_ask (gateway->ledger, name,
+                       program->has_begun ? QUOTA_ASK_UNDER_WAY : QUOTA_ASK_BEGIN, sim->now_ms);
+  if (verdict.taken)
+    {
+      if (sim->n_runs < RUNS_MAX)
+        sim->runs[sim->n_runs++] = (struct SimRun){ sim->now_ms, program->customer };
+      program->has_begun = true;
+      program->n_tries = 0;
+      program->n_left--;
+      program->next_ms = sim->now_ms + TURN_MS / 2 + draw (sim, TURN_MS);
+    }
+  else
+    {
+      sim->results[program->customer].n_refused++;
+      program->n_tries++;
+      program->next_ms = sim->now_ms + verdict.retry_after_ms + draw (sim, 100);
+    }
+  program->is_over = program->n_left == 0 || program->n_tries == TRIES;
+  sim->results[program->customer].n_whole += program->n_left == 0;
+  sim->results[program->customer].n_failed += program->n_tries == TRIES && program->has_begun;
+  sim->results[program->customer].n_refused_begins +=
+      program->n_tries == TRIES && !program->has_begun;
+}
+
+static void
+sim_load (struct Sim *sim)
+{
+  for (uint32_t c = 0; c < CUSTOMERS; c++)
+    {
+      sim->owed[c] += sim->load[c] * USUAL * sim->rates[c] / sim->n_requests * STEP_MS / 1000.0
+                      * (draw (sim, 2000) / 1000.0);
+      for (; sim->owed[c] >= 1 && sim->n_programs < PROGRAMS_MAX; sim->owed[c]--)
+        {
+          sim->programs[sim->n_programs++] = (struct SimProgram){ .customer = c,
+                                                                  .n_left = sim->n_requests,
+                                                                  .next_ms = sim->now_ms };
+          sim->results[c].n_asked++;
+        }
+    }
+  for (uint32_t i = 0; i < sim->n_programs; i++)
+    if (!sim->programs[i].is_over && sim->now_ms >= sim->programs[i].next_ms)
+      program_asks (sim, &sim->programs[i]);
+}
+
+static void
+sim_run (struct Sim *sim, int64_t for_ms)
+{
+  for (int64_t end_ms = sim->now_ms + for_ms; sim->now_ms < end_ms; sim->now_ms += STEP_MS)
+    {
+      sim_control (sim);
+      sim_load (sim);
+    }
+}
+
+/* The fullest sliding window of each customer, as a part of its bound. */
+static void
+sim_check (struct Sim *sim)
+{
+  for (uint32_t c = 0; c < CUSTOMERS; c++)
+    {
+      double limit = sim->bound_rates[c] * WINDOW_MS / 1000 + sim->bound_rates[c];
+      uint32_t first = 0, n = 0, most = 0;
+
+      for (uint32_t i = 0; i < sim->n_runs; i++)
+        {
+          if (sim->runs[i].customer != c || sim->runs[i].ms < sim->bound_from_ms[c])
+            continue;
+          n++;
+          for (; sim->runs[first].ms <= sim->runs[i].ms - WINDOW_MS; first++)
+            n -= sim->runs[first].customer == c && sim->runs[first].ms >= sim->bound_from_ms[c];
+          most = n > most ? n : most;
+          sim->results[c].n_runs++;
+        }
+      sim->results[c].worst = most / (limit * OVER + SLACK);
+    }
+}
+
+static void
+sim_print (const struct Sim *sim, const char *what)
+{
+  for (uint32_t c = 0; c < CUSTOMERS; c++)
+    {
+      const struct SimResult *r = &sim->results[c];
+
+      printf ("%-34s rate %4.0f: fullest window %.2f of the bound; %u programs, %u whole, %u "
+              "failed under way, %u not begun, %u requests refused\n",
+              what, sim->rates[c], r->worst, r->n_asked, r->n_whole, r->n_failed,
+              r->n_refused_begins, r->n_refused);
+    }
+}
+
+static void
+sim_expect_bound (struct Sim *sim, const char *what)
+{
+  sim_check (sim);
+  sim_print (sim, what);
+  for (uint32_t c = 0; c < CUSTOMERS; c++)
+    CU_ASSERT (sim->results[c].worst <= 1);
+}
+
+static void
+test_usual_load_is_not_refused (void)
+{
+  for (uint64_t seed = 1; seed <= 3; seed++)
+    {
+      struct Sim *sim = sim_new (66, QUOTA_BY_COUNTS, true, seed);
+
+      sim_run (sim, 30000);
+      sim_expect_bound (sim, "usual load");
+      for (uint32_t c = 0; c < CUSTOMERS; c++)
+        {
+          CU_ASSERT_EQUAL (sim->results[c].n_failed, 0);
+          CU_ASSERT_EQUAL (sim->results[c].n_refused_begins, 0);
+        }
+      talloc_free (sim);
+    }
+}
+
+/* A customer sends seven and a half times its usual at once. Its limit holds in each window, the
+ * programs that are let in run whole, and the others notice nothing. */
+static void
+test_a_hot_customer_gets_its_limit_in_whole_programs (void)
+{
+  for (uint64_t seed = 1; seed <= 8; seed++)
+    for (uint32_t hot = 0; hot < CUSTOMERS; hot++)
+      {
+        struct Sim *sim = sim_new (66, QUOTA_BY_COUNTS, true, seed);
+        struct SimResult *r = &sim->results[hot];
+        double held;
+
+        sim_run (sim, 8000);
+        sim->load[hot] = 7.5;
+        sim_run (sim, 12000);
+        sim->load[hot] = 1;
+        sim_run (sim, 8000);
+        sim_expect_bound (sim, "one customer 7.5 times its usual");
+        held = sim->rates[hot] * 28 / sim->n_requests;
+        CU_ASSERT (r->n_whole >= 0.75 * (held < r->n_asked ? held : r->n_asked));
+        /* One in twenty, or two where a window holds no more. */
+        CU_ASSERT (r->n_failed * 20 <= r->n_whole + 40);
+        for (uint32_t c = 0; c < CUSTOMERS; c++)
+          if (c != hot)
+            CU_ASSERT_EQUAL (sim->results[c].n_failed + sim->results[c].n_refused_begins, 0);
+        talloc_free (sim);
+      }
+}
+
+static void
+sim_stop_all (struct Sim *sim)
+{
+  for (uint32_t g = 0; g < sim->n_gateways; g++)
+    {
+      sim->gateways[g].is_up = false;
+      sim->gateways[g].down_until_ms = sim->now_ms + 600 + draw (sim, 300);
+    }
+  for (uint32_t z = 0; z < ZONES; z++)
+    sim->zone_has_told[z] = sim->zone_has_near[z] = false;
+}
+
+/* All gateways stop at once and are back within a second, knowing nothing, while two customers send
+ * several times their limits. They get no second burst. */
+static void
+test_a_stop_of_everything_gives_no_second_burst (void)
+{
+  for (uint64_t seed = 1; seed <= 8; seed++)
+    {
+      struct Sim *sim = sim_new (66, QUOTA_BY_COUNTS, true, seed);
+
+      sim_run (sim, 6000);
+      sim->load[0] = sim->load[1] = 5;
+      sim_run (sim, 5000);
+      sim_stop_all (sim);
+      sim_run (sim, 8000);
+      sim_expect_bound (sim, "all stop while two customers are hot");
+      talloc_free (sim);
+    }
+}
+
+/* The same with nobody over a limit: after the stop all programs come again at once, and none of
+ * them is held to what its customer may have used before. */
+static void
+test_a_stop_of_everything_refuses_nobody (void)
+{
+  for (uint64_t seed = 1; seed <= 8; seed++)
+    {
+      struct Sim *sim = sim_new (66, QUOTA_BY_COUNTS, true, seed);
+
+      sim_run (sim, 8000);
+      sim_stop_all (sim);
+      sim_run (sim, 8000);
+      for (uint32_t c = 0; c < CUSTOMERS; c++)
+        CU_ASSERT_EQUAL (sim->results[c].n_failed + sim->results[c].n_refused_begins, 0);
+      sim_print (sim, "all stop, usual load");
+      talloc_free (sim);
+    }
+}
+
+/* A quarter of the gateways is cut off from the others and still reached by callers and servers.
+ * What they let through does not break the limit together with the others. */
+static void
+test_gateways_that_are_cut_off_keep_to_a_part (void)
+{
+  for (uint64_t seed = 1; seed <= 8; seed++)
+    {
+      struct Sim *sim = sim_new (66, QUOTA_BY_COUNTS, true, seed);
+
+      sim_run (sim, 6000);
+      for (uint32_t g = 10; g < 26; g++)
+        sim->gateways[g].is_cut = true;
+      sim_run (sim, 3000);
+      for (uint32_t c = 0; c < CUSTOMERS; c++)
+        sim->load[c] = 6;
+      sim_run (sim, 10000);
+      for (uint32_t g = 10; g < 26; g++)
+        sim->gateways[g].is_cut = false;
+      sim_run (sim, 5000);
+      sim_expect_bound (sim, "a quarter of the gateways cut off");
+      talloc_free (sim);
+    }
+}
+
+/* A limit is lowered far below what its customer sends, then raised again. The lower one holds from
+ * the moment at which it is in force; with the higher one all pass again at once. */
+static void
+test_a_lower_limit_holds_and_a_higher_one_at_once (void)
+{
+  for (uint64_t seed = 1; seed <= 3; seed++)
+    {
+      struct Sim *sim = sim_new (66, QUOTA_BY_COUNTS, true, seed);
+      uint32_t first_after, n_refused = 0;
+
+      sim_run (sim, 8000);
+      sim->rates[0] = sim->rates[1] = 20;
+      sim_configure (sim);
+      for (uint32_t c = 0; c < 2; c++)
+        {
+          sim->bound_rates[c] = 20;
+          sim->bound_from_ms[c] = sim->now_ms + 3000;
+        }
+      sim->load[0] = 250.0 / 20;
+      sim->load[1] = 60.0 / 20;
+      sim_run (sim, 12000);
+      sim_expect_bound (sim, "two limits lowered");
+      sim->rates[0] = 250;
+      sim->rates[1] = 60;
+      sim->load[0] = sim->load[1] = 1;
+      sim_configure (sim);
+      first_after = sim->n_programs;
+      sim_run (sim, 9000);
+      for (uint32_t i = first_after; i < sim->n_programs; i++)
+        n_refused += sim->programs[i].is_over && sim->programs[i].n_left > 0;
+      CU_ASSERT_EQUAL (n_refused, 0);
+      talloc_free (sim);
+    }
+}
+
+/* Three customers are hot together, in a fleet of three hundred gateways: each sees next to nothing
+ * of any of them. */
+static void
+test_three_hot_customers_in_a_large_fleet (void)
+{
+  struct Sim *sim = sim_new (300, QUOTA_BY_COUNTS, true, 1);
+
+  sim_run (sim, 8000);
+  sim->load[0] = sim->load[1] = sim->load[2] = 4.3;
+  sim_run (sim, 10000);
+  sim_expect_bound (sim, "three hot, 300 gateways");
+  CU_ASSERT_EQUAL (sim->results[3].n_failed + sim->results[3].n_refused_begins, 0);
+  talloc_free (sim);
+}
+
+/* Not checks but a table: what the other ways make of the same load. */
+static void
+test_table_of_ways (void)
+{
+  static const struct
+  {
+    const char *name;
+    enum QuotaSharing sharing;
+    bool programs_first;
+  } ways[] = {
+    { "counts, under way first", QUOTA_BY_COUNTS, true },
+    { "counts, as they come", QUOTA_BY_COUNTS, false },
+    { "equal parts", QUOTA_BY_EQUAL_PARTS, true },
+  };
+
+  for (size_t i = 0; i < sizeof ways / sizeof ways[0]; i++)
+    {
+      struct Sim *sim = sim_new (66, ways[i].sharing, ways[i].programs_first, 1);
+
+      sim_run (sim, 8000);
+      for (uint32_t c = 0; c < CUSTOMERS; c++)
+        sim->load[c] = 4.3;
+      sim_run (sim, 12000);
+      sim_check (sim);
+      sim_print (sim, ways[i].name);
+      talloc_free (sim);
+    }
+  CU_PASS ("printed");
+}
+
+const char test_suite_name[] = "quota_fleet";
+const struct TestCase test_cases[] = {
+  { "usual load is not refused", test_usual_load_is_not_refused },
+  { "a hot customer gets its limit in whole programs",
+    test_a_hot_customer_gets_its_limit_in_whole_programs },
+  { "a stop of everything gives no second burst", test_a_stop_of_everything_gives_no_second_burst },
+  { "a stop of everything refuses nobody", test_a_stop_of_everything_refuses_nobody },
+  { "gateways that are cut off keep to a part", test_gateways_that_are_cut_off_keep_to_a_part },
+  { "a lower limit holds, a higher one at once",
+    test_a_lower_limit_holds_and_a_higher_one_at_once },
+  { "three hot customers in a large fleet", test_three_hot_customers_in_a_large_fleet },
+  { "table of ways", test_table_of_ways },
+  { NULL, NULL },
+};
