A key that was found gone stays gone

The check at the owner's grant failed, the turn was offered to the next server, and the second check of the same version took the first one's version for its result: the turn ran without a customer's name.

--- a/gateway/credential.c
+++ b/gateway/credential.c
@@ -2,22 +2,30 @@
 
 #include <string.h>
 
-bool
-credential_check (struct Request *request)
+/* The customer whose key it is; NULL: nobody's. *needs_key: a request without one may not pass. */
+static const struct Customer *
+credential_owner (const struct Request *request, bool *needs_key)
 {
   const struct RouteTable *table = request->front->table;
   const struct CallerRequest *caller = &request->caller;
-  const struct Customer *customer = NULL;
 
-  memset (&request->customer, 0, sizeof request->customer);
+  *needs_key = table->customers != NULL && !request->route.is_public;
+  if (!*needs_key || caller->credential != CREDENTIAL_KEY)
+    return NULL;
+  return customer_table_find_key (table->customers, caller->key, caller->key_bytes);
+}
+
+bool
+credential_check (struct Request *request)
+{
+  bool needs_key;
+  const struct Customer *customer = credential_owner (request, &needs_key);
+
   request->key_checked = true;
-  request->key_version = table->version;
-  if (table->customers == NULL || request->route.is_public)
-    return true;
-  if (caller->credential == CREDENTIAL_KEY)
-    customer = customer_table_find_key (table->customers, caller->key, caller->key_bytes);
+  request->key_version = request->front->table->version;
+  request->key_holds = customer != NULL || !needs_key;
   if (customer == NULL)
-    return false;
+    return request->key_holds;
   request->customer = *customer;
   if (customer->has_priority)
     request->route.priority = customer->priority;
@@ -42,10 +50,16 @@
 bool
 credential_holds (struct Request *request)
 {
-  struct Customer before = request->customer;
-  bool first = !request->key_checked;
+  bool needs_key;
+  const struct Customer *customer;
 
-  if (!first && request->key_version == request->front->table->version)
-    return true;
-  return credential_check (request) && (first || strcmp (before.name, request->customer.name) == 0);
+  if (!request->key_checked)
+    return credential_check (request);
+  if (request->key_version == request->front->table->version || !request->key_holds)
+    return request->key_holds;
+  customer = credential_owner (request, &needs_key);
+  request->key_version = request->front->table->version;
+  request->key_holds = strcmp (customer != NULL ? customer->name : "", request->customer.name) == 0
+                       && (customer != NULL || !needs_key);
+  return request->key_holds;
 }
--- a/gateway/front.h
+++ b/gateway/front.h
@@ -51,7 +51,7 @@
   struct Route route;       /* a copy: the table may change meanwhile */
   struct Customer customer; /* a copy, too; no name: nobody's */
   int64_t quota_ms; /* when its customer's limit let it through; 0: not yet, or taken back */
-  bool key_checked;
+  bool key_checked, key_holds;
   uint64_t key_version; /* of the configuration in which its key was looked up */
   char service[NAME_MAX_BYTES + 1];
   uint32_t tokens_per_event;
