--- a/tests/standins/installation.c
+++ b/tests/standins/installation.c
@@ -112,14 +112,22 @@
       "\"services\":[{\"name\":\"engines\",\"max_conns\":100,"
       "\"engine\":{\"slots\":8,\"tokens_per_event\":%d}},{\"name\":\"desk\",\"max_conns\":100}],"
       "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":100000,"
-      "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}";
-  char *text = talloc_asprintf (in, format, (unsigned long long)version,
-                                extra[0] != '\0' ? "," : "", extra, TOKENS_PER_EVENT);
+      "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}%s%s}";
+  char *text = talloc_asprintf (
+      in, format, (unsigned long long)version, extra[0] != '\0' ? "," : "", extra, TOKENS_PER_EVENT,
+      in->customers != NULL ? ",\"tenants\":" : "", in->customers != NULL ? in->customers : "");
 
   installation_put (in, "op/config", text);
   talloc_free (text);
 }
 
+void
+installation_set_customers (struct Installation *in, const char *json)
+{
+  talloc_free (in->customers);
+  in->customers = json != NULL ? talloc_strdup (in, json) : NULL;
+}
+
 void
 installation_put (struct Installation *in, const char *key, const char *json)
 {
--- a/tests/standins/installation.h
+++ b/tests/standins/installation.h
@@ -54,6 +54,9 @@
  */
 void
 installation_configure (struct Installation *installation, uint64_t version, const char *extra);
+/* The customers of later configurations, a JSON list; NULL: none, and requests need no key. */
+void
+installation_set_customers (struct Installation *installation, const char *json);
 /* Any key that operators write. */
 void
 installation_put (struct Installation *installation, const char *key, const char *json);
--- a/tests/standins/installation_internal.h
+++ b/tests/standins/installation_internal.h
@@ -58,6 +58,7 @@
   struct Run runs[RUNS_MAX];
   size_t n_runs;
   uint32_t n_closes_seen;
+  char *customers; /* JSON list in each configuration; NULL: none */
 };
 
 /* Under lock. */
