--- a/core/customers/quota.c
+++ b/core/customers/quota.c
@@ -26,14 +26,22 @@
 static const double WANTED_SPAN = 0.4;
 /* From this part of the limit on, use is told to all; below it nobody has to hold back. */
 static const double NEAR_LIMIT = 0.7;
-/* What is under way is held back by degrees from the first part of the limit to the second. */
-static const double UNDER_WAY_FROM = 0.92, UNDER_WAY_TO = 1.0;
-/* Of the slack, what they may count on. */
-static const double UNDER_WAY_SPARE = 0.85;
-/* What begins is held back by degrees as what has begun takes up the last part of the limit. */
-static const double BEGUN_FROM = 0.9;
-/* Of the burst and the slack, what programs that begin may count on; the rest is for delays. */
-static const double BEGIN_SPARE = 0.5;
+/* Of the burst and the slack, what demand may come to before it counts as a surge. */
+static const double SURGE_SPARE = 0.5;
+
+/* How near to a limit requests may come. What others let through meanwhile is known only later: in
+ * a surge that is much. */
+struct QuotaMargins
+{
+  double begin_spare;                  /* of burst and slack, for programs that begin */
+  double begun_from;                   /* part of that where they are held back by degrees */
+  double under_way_spare;              /* of the slack, for what is under way */
+  double under_way_from, under_way_to; /* parts of the limit between which that is held back */
+};
+
+static const struct QuotaMargins calm_margins = { 0.8, 0.9, 0.9, 1.02, 1.08 };
+static const struct QuotaMargins surge_margins = { 0.5, 0.9, 0.85, 0.92, 1.0 };
+
 /* Of each new observation, in what a program is believed to need. */
 static const double NEED_NEW = 0.05;
 /* Of an equal part, what a gateway that is cut off spends. Others leave half of one for each that
@@ -310,7 +318,7 @@
 entry_may_want (const struct QuotaLedger *ledger, const struct QuotaEntry *entry)
 {
   return entry->rate_per_s * ledger->wanted_ms / 1000.0
-         + BEGIN_SPARE * (entry->burst + ledger->rules.slack);
+         + SURGE_SPARE * (entry->burst + ledger->rules.slack);
 }
 
 static bool
@@ -383,6 +391,14 @@
   return fmin ((double)(now_ms - ledger->started_ms) / ledger->rules.window_ms, 1);
 }
 
+static const struct QuotaMargins *
+entry_margins (const struct QuotaLedger *ledger,
+               const struct QuotaEntry *entry,
+               const struct CustomerUse *fleet)
+{
+  return fleet->wanted > entry_may_want (ledger, entry) ? &surge_margins : &calm_margins;
+}
+
 /* The part of what is under way that passes. */
 static double
 under_way_part (const struct QuotaLedger *ledger,
@@ -390,15 +406,17 @@
                 const struct CustomerUse *fleet,
                 int64_t now_ms)
 {
+  const struct QuotaMargins *margins = entry_margins (ledger, entry, fleet);
+  double spare = margins->under_way_spare * ledger->rules.slack;
   double limit = entry_limit (ledger, entry);
 
-  if (fleet->wanted > entry_may_want (ledger, entry))
+  if (margins == &surge_margins)
     limit -= entry->burst * (1 - ledger_age (ledger, now_ms));
   if (now_ms < entry->old_until_ms && entry->old_limit > limit)
     limit = entry->old_limit;
   limit *= heard_part (ledger);
-  return falling (fleet->taken, UNDER_WAY_FROM * limit + UNDER_WAY_SPARE * ledger->rules.slack,
-                  UNDER_WAY_TO * limit + UNDER_WAY_SPARE * ledger->rules.slack);
+  return falling (fleet->taken, margins->under_way_from * limit + spare,
+                  margins->under_way_to * limit + spare);
 }
 
 /* The part of what begins that passes: by demand, which tells of a surge first; and by what has
@@ -410,11 +428,12 @@
             int64_t now_ms)
 {
   double burst = entry->burst * ledger_age (ledger, now_ms);
-  double spare = BEGIN_SPARE * (burst + ledger->rules.slack);
+  const struct QuotaMargins *margins = entry_margins (ledger, entry, fleet);
+  double spare = margins->begin_spare * (burst + ledger->rules.slack);
   double limit = (entry->rate_per_s * window_s (ledger) + spare) * heard_part (ledger);
   /* Half of the next one as well: of a small limit one program is a large part. */
   double begun = fleet->begun + quota_ledger_need (ledger) / 2;
-  double part = falling (begun, BEGUN_FROM * limit, limit);
+  double part = falling (begun, margins->begun_from * limit, limit);
   double may_want = entry_may_want (ledger, entry) * heard_part (ledger);
 
   if (fleet->wanted > may_want)
--- a/tests/test_quota_fleet.c
+++ b/tests/test_quota_fleet.c
@@ -575,6 +575,26 @@
     }
 }
 
+/* All customers come to a little more than their limits, by degrees, and stay there. */
+static void
+test_a_little_over_the_limit (void)
+{
+  static const double loads[] = { 1.3, 1.6, 2, 3 };
+
+  for (uint64_t seed = 1; seed <= 4; seed++)
+    for (size_t i = 0; i < sizeof loads / sizeof loads[0]; i++)
+      {
+        struct Sim *sim = sim_new (66, QUOTA_BY_COUNTS, true, seed);
+
+        sim_run (sim, 6000);
+        for (uint32_t c = 0; c < CUSTOMERS; c++)
+          sim->load[c] = loads[i];
+        sim_run (sim, 20000);
+        sim_expect_bound (sim, "a little over the limit");
+        talloc_free (sim);
+      }
+}
+
 /* Three customers are hot together, in a fleet of three hundred gateways: each sees next to nothing
  * of any of them. */
 static void
@@ -630,6 +650,7 @@
   { "gateways that are cut off keep to a part", test_gateways_that_are_cut_off_keep_to_a_part },
   { "a lower limit holds, a higher one at once",
     test_a_lower_limit_holds_and_a_higher_one_at_once },
+  { "a little over the limit", test_a_little_over_the_limit },
   { "three hot customers in a large fleet", test_three_hot_customers_in_a_large_fleet },
   { "table of ways", test_table_of_ways },
   { NULL, NULL },
