Customers' rank in the queue of an engine; how customers stand, for operators

A customer's priority goes before its program's time and its route's priority, behind what is under way. GET /customers at the metrics address lists each customer's limit, use here and by the fleet, refusals, and the part of what comes that passes; one log line when a customer is sent back for the first time in a window. What a program needs is learned unless customers in a surge want over a tenth of all: with 79 customers, one is near its limit nearly always, and the value stayed at its first guess.

--- a/core/customers/quota.c
+++ b/core/customers/quota.c
@@ -44,6 +44,8 @@
 
 /* Of each new observation, in what a program is believed to need. */
 static const double NEED_NEW = 0.05;
+/* Of all requests, what customers in a surge may want while that is observed. */
+static const double NEED_SURGE_PART = 0.1;
 /* Of an equal part, what a gateway that is cut off spends. Others leave half of one for each that
  * they do not hear, and no more than this of all. */
 static const double CUT_OFF_PART = 0.4, CUT_OFF_PARTS_MAX = 0.25;
@@ -59,6 +61,8 @@
   int64_t old_until_ms;
   bool configured;
   struct UseWindow taken, begun, wanted;
+  uint64_t n_refused;
+  int64_t refused_ms;        /* the last one; 0: none */
   double credit;             /* of a request that only a part of passes */
   struct CustomerUse told;   /* what this gateway told last */
   struct CustomerUse others; /* as others told */
@@ -218,8 +222,32 @@
   return sum > own ? sum - own : 0;
 }
 
-/* Not while somebody is near a limit: in a surge many programs have begun and not yet asked for
- * more, and those that are refused never will. */
+/* What may begin in the span in which demand is measured. */
+static double
+entry_may_want (const struct QuotaLedger *ledger, const struct QuotaEntry *entry)
+{
+  return entry->rate_per_s * ledger->wanted_ms / 1000.0
+         + SURGE_SPARE * (entry->burst + ledger->rules.slack);
+}
+
+/* What customers in a surge want, of those that others tell of. */
+static uint32_t
+ledger_surge (const struct QuotaLedger *ledger, const struct CustomerUse *uses, size_t n_uses)
+{
+  uint32_t wanted = 0;
+
+  for (size_t i = 0; i < n_uses; i++)
+    {
+      const struct QuotaEntry *entry = ledger_find (ledger, uses[i].customer);
+
+      if (entry != NULL && uses[i].wanted > entry_may_want (ledger, entry))
+        wanted += uses[i].wanted;
+    }
+  return wanted;
+}
+
+/* Not during a surge: many programs have begun and not yet asked for more, and those that are
+ * refused never will. */
 static void
 ledger_learn_need (struct QuotaLedger *ledger, const struct CustomerUse *uses, size_t n_uses)
 {
@@ -229,7 +257,8 @@
   for (size_t i = 0; i < n_uses; i++)
     if (uses[i].customer[0] == '\0')
       all = &uses[i];
-  if (all == NULL || all->begun < NEED_PROGRAMS_MIN || n_uses > 1)
+  if (all == NULL || all->begun < NEED_PROGRAMS_MIN
+      || ledger_surge (ledger, uses, n_uses) > NEED_SURGE_PART * all->taken)
     return;
   need = fmin (fmax ((double)all->taken / all->begun, 1), NEED_MAX);
   ledger->need += NEED_NEW * (need - ledger->need);
@@ -313,14 +342,6 @@
   return uses;
 }
 
-/* What may begin in the span in which demand is measured. */
-static double
-entry_may_want (const struct QuotaLedger *ledger, const struct QuotaEntry *entry)
-{
-  return entry->rate_per_s * ledger->wanted_ms / 1000.0
-         + SURGE_SPARE * (entry->burst + ledger->rules.slack);
-}
-
 static bool
 is_near_limit (const struct QuotaLedger *ledger,
                const struct QuotaEntry *entry,
@@ -476,6 +497,19 @@
   return true;
 }
 
+/* The part of what asks that passes, among gateways that hear each other. */
+static double
+entry_part (const struct QuotaLedger *ledger,
+            const struct QuotaEntry *entry,
+            const struct CustomerUse *fleet,
+            enum QuotaAsk ask,
+            int64_t now_ms)
+{
+  double part = under_way_part (ledger, entry, fleet, now_ms);
+
+  return ask == QUOTA_ASK_UNDER_WAY ? part : fmin (part, begin_part (ledger, entry, fleet, now_ms));
+}
+
 static void
 entry_decide (const struct QuotaLedger *ledger,
               struct QuotaEntry *entry,
@@ -496,13 +530,45 @@
       verdict->permille = verdict->taken ? 1000 : 0;
       return;
     }
-  part = under_way_part (ledger, entry, &fleet, now_ms);
-  if (ask != QUOTA_ASK_UNDER_WAY)
-    part = fmin (part, begin_part (ledger, entry, &fleet, now_ms));
+  part = entry_part (ledger, entry, &fleet, ask, now_ms);
   verdict->permille = (uint32_t)(1000 * part);
   verdict->taken = entry_draw (entry, part);
 }
 
+struct QuotaStanding *
+quota_ledger_standings (struct QuotaLedger *ledger,
+                        TALLOC_CTX *ctx,
+                        int64_t now_ms,
+                        size_t *n_standings)
+{
+  struct QuotaStanding *standings =
+      talloc_zero_array (ctx, struct QuotaStanding, HASH_COUNT (ledger->entries));
+
+  *n_standings = 0;
+  for (struct QuotaEntry *entry = ledger->entries; standings != NULL && entry != NULL;
+       entry = entry->hh.next)
+    {
+      struct CustomerUse own = entry_own (ledger, entry, now_ms);
+      struct CustomerUse fleet = entry_fleet (entry, &own);
+      struct QuotaStanding *standing = &standings[*n_standings];
+
+      if (entry->rate_per_s <= 0)
+        continue;
+      (*n_standings)++;
+      memcpy (standing->customer, entry->customer, sizeof standing->customer);
+      standing->rate_per_s = entry->rate_per_s;
+      standing->burst = entry->burst;
+      standing->taken_here = own.taken;
+      standing->taken_by_fleet = fleet.taken;
+      standing->refused_here = entry->n_refused;
+      standing->begin_permille =
+          (uint32_t)(1000 * entry_part (ledger, entry, &fleet, QUOTA_ASK_BEGIN, now_ms));
+      standing->under_way_permille =
+          (uint32_t)(1000 * entry_part (ledger, entry, &fleet, QUOTA_ASK_UNDER_WAY, now_ms));
+    }
+  return standings;
+}
+
 static uint32_t
 ask_need (const struct QuotaLedger *ledger, enum QuotaAsk ask)
 {
@@ -530,6 +596,19 @@
     use_window_add (&ledger->programs, ledger->rules.window_ms, now_ms, 1);
 }
 
+static void
+entry_refuse (const struct QuotaLedger *ledger,
+              struct QuotaEntry *entry,
+              enum QuotaAsk ask,
+              int64_t now_ms,
+              struct QuotaVerdict *verdict)
+{
+  verdict->retry_after_ms = ask == QUOTA_ASK_UNDER_WAY ? RETRY_UNDER_WAY_MS : RETRY_BEGIN_MS;
+  verdict->first = entry->refused_ms == 0 || now_ms - entry->refused_ms > ledger->rules.window_ms;
+  entry->refused_ms = now_ms;
+  entry->n_refused++;
+}
+
 struct QuotaVerdict
 quota_ask (struct QuotaLedger *ledger, const char *customer, enum QuotaAsk ask, int64_t now_ms)
 {
@@ -550,7 +629,7 @@
   if (verdict.taken)
     entry_take (ledger, entry, ask, now_ms);
   else
-    verdict.retry_after_ms = ask == QUOTA_ASK_UNDER_WAY ? RETRY_UNDER_WAY_MS : RETRY_BEGIN_MS;
+    entry_refuse (ledger, entry, ask, now_ms, &verdict);
   return verdict;
 }
 
--- a/core/gateway/gateway_message.c
+++ b/core/gateway/gateway_message.c
@@ -223,6 +223,7 @@
   pack_u64 (p, ask->id);
   pack_string (p, ask->server);
   pack_u64 (p, ask->slots);
+  pack_u64 (p, ask->customer_priority);
   pack_u64 (p, ask->priority);
   pack_bool (p, ask->continues);
   pack_bool (p, ask->has_program_due);
@@ -239,6 +240,7 @@
   ask->id = read_u64 (r, UINT64_MAX);
   read_string (r, ask->server, sizeof ask->server);
   ask->slots = (uint32_t)read_u64 (r, UINT32_MAX);
+  ask->customer_priority = (uint32_t)read_u64 (r, UINT32_MAX);
   ask->priority = (uint32_t)read_u64 (r, UINT32_MAX);
   ask->continues = read_bool (r);
   ask->has_program_due = read_bool (r);
@@ -339,7 +341,7 @@
     case GATEWAY_SLOT_STATE:
       return 6;
     case GATEWAY_SLOT_ASK:
-      return 12;
+      return 13;
     case GATEWAY_SLOT_DONE:
       return 4;
     }
--- a/core/gateway/slot_queue.c
+++ b/core/gateway/slot_queue.c
@@ -147,6 +147,9 @@
   /* A program under way before one that has not begun: what it had would be lost. */
   if (a->continues != b->continues)
     return a->continues;
+  /* Whose it is, before what it is. */
+  if (a->customer_priority != b->customer_priority)
+    return a->customer_priority < b->customer_priority;
   if (a->program_due_ms != b->program_due_ms)
     return a->program_due_ms < b->program_due_ms;
   if (a->priority != b->priority)
--- a/gateway/credential.c
+++ b/gateway/credential.c
@@ -24,12 +24,9 @@
   request->key_checked = true;
   request->key_version = request->front->table->version;
   request->key_holds = customer != NULL || !needs_key;
-  if (customer == NULL)
-    return request->key_holds;
-  request->customer = *customer;
-  if (customer->has_priority)
-    request->route.priority = customer->priority;
-  return true;
+  if (customer != NULL)
+    request->customer = *customer;
+  return request->key_holds;
 }
 
 const char *
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -117,7 +117,7 @@
   tevent_add_signal (node->events, node->events, SIGTERM, 0, gateway_on_signal, gateway);
   tevent_add_signal (node->events, node->events, SIGINT, 0, gateway_on_signal, gateway);
   tevent_add_signal (node->events, node->events, SIGHUP, 0, gateway_on_reload, gateway);
-  metrics_listen (node);
+  metrics_listen (node, gateway->front);
   return node_start (node, fault);
 }
 
@@ -129,10 +129,10 @@
 
   log_event (LOG_LEVEL_NOTICE, "decisions", NULL, NULL,
              "sessions %s, parts %s, objects %s, zones %s, failures %s, owners %s, order %s, "
-             "patience %s, resume %s",
+             "patience %s, resume %s, under_way %s",
              words[d->sessions], words[d->parts], words[d->objects], words[d->zones],
              words[d->failures], words[d->owners], words[d->order], words[d->patience],
-             words[d->resume]);
+             words[d->resume], words[d->under_way]);
 }
 
 int32_t
--- a/gateway/metrics.c
+++ b/gateway/metrics.c
@@ -1,5 +1,7 @@
 #include "metrics.h"
 
+#include "quotas.h"
+
 #include <buckthornhead/counter.h>
 #include <buckthornhead/histogram.h>
 #include <buckthornhead/http_server.h>
@@ -18,17 +20,32 @@
   IDLE_TIMEOUT_MS = 10 * 1000
 };
 
+struct Metrics
+{
+  struct Front *front; /* NULL in an archive */
+};
+
+static char *
+metrics_render (TALLOC_CTX *ctx)
+{
+  char *counters = counter_render (ctx);
+  char *histograms = histogram_render (ctx);
+
+  return counters != NULL && histograms != NULL
+             ? talloc_asprintf (ctx, "%s%s", counters, histograms)
+             : NULL;
+}
+
 static void
 metrics_on_request (void *data, struct HttpExchange *exchange)
 {
-  TALLOC_CTX *ctx = talloc_new (data);
-  struct HttpHeader type = { "Content-Type", "text/plain; version=0.0.4" };
+  struct Metrics *metrics = data;
+  TALLOC_CTX *ctx = talloc_new (metrics);
+  bool customers = metrics->front != NULL && strcmp (exchange->target, "/customers") == 0;
+  struct HttpHeader type = { "Content-Type",
+                             customers ? "application/json" : "text/plain; version=0.0.4" };
   struct HttpHeaders headers = { &type, 1 };
-  char *counters = counter_render (ctx);
-  char *histograms = histogram_render (ctx);
-  char *text = counters != NULL && histograms != NULL
-                   ? talloc_asprintf (ctx, "%s%s", counters, histograms)
-                   : NULL;
+  char *text = customers ? quotas_render (metrics->front->quotas, ctx) : metrics_render (ctx);
 
   if (text != NULL)
     http_exchange_answer (exchange, 200, &headers, text, strlen (text));
@@ -38,21 +55,23 @@
 }
 
 void
-metrics_listen (struct Node *node)
+metrics_listen (struct Node *node, struct Front *front)
 {
+  struct Metrics *metrics = talloc_zero (node->events, struct Metrics);
   struct HttpServerOptions options = {
     .listen = node->settings->metrics_listen,
     .setting = "[listen] metrics",
     .limits = { HEADER_MAX_BYTES, BODY_MAX_BYTES, HEADER_TIMEOUT_MS, IDLE_TIMEOUT_MS },
     .connections_max = CONNECTIONS_MAX,
     .request = metrics_on_request,
-    .data = node->events,
+    .data = metrics,
   };
   struct HttpServer *server;
   struct Fault fault = { 0 };
 
-  if (options.listen[0] == '\0')
+  if (options.listen[0] == '\0' || metrics == NULL)
     return;
+  metrics->front = front;
   if (http_server_new (node->events, node->events, node->timers, &options, &server, &fault)
       != ERROR_NONE)
     log_event (LOG_LEVEL_WARNING, "metrics_not_served", NULL, fault.remedy, "%s", fault.message);
--- a/gateway/quotas.c
+++ b/gateway/quotas.c
@@ -3,7 +3,9 @@
 #include <buckthornhead/counter.h>
 #include <buckthornhead/log.h>
 
+#include <jansson.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 enum
@@ -70,6 +72,12 @@
       return true;
     }
   counter_add (COUNTER_REQUESTS_OVER_LIMIT, 1);
+  if (verdict.first)
+    log_event (LOG_LEVEL_NOTICE, "customer_over_limit", NULL,
+               "raise its limit, or tell the customer",
+               "%s: limit %u a window, %u taken as told %lld ms ago, programs need %.1f requests",
+               request->customer.name, verdict.limit, verdict.fleet_taken,
+               (long long)verdict.told_age_ms, quota_ledger_need (quotas->ledger));
   snprintf (detail, sizeof detail,
             "customer %s: limit %u a window, %u taken as told %lld ms ago, %u of 1000 pass",
             request->customer.name, verdict.limit, verdict.fleet_taken,
@@ -256,3 +264,35 @@
   timer_subscribe (quotas, front->node->timers, LOOK_MS, LOOK_MS, quotas_on_look, quotas);
   return quotas;
 }
+
+static json_t *
+standing_json (const struct QuotaStanding *standing)
+{
+  return json_pack ("{s:s, s:f, s:f, s:i, s:i, s:I, s:i, s:i}", "customer", standing->customer,
+                    "rate_per_s", standing->rate_per_s, "burst", standing->burst, "taken_here",
+                    (int)standing->taken_here, "taken_by_fleet", (int)standing->taken_by_fleet,
+                    "refused_here", (json_int_t)standing->refused_here, "begin_permille",
+                    (int)standing->begin_permille, "under_way_permille",
+                    (int)standing->under_way_permille);
+}
+
+char *
+quotas_render (struct Quotas *quotas, TALLOC_CTX *ctx)
+{
+  size_t n = 0;
+  struct QuotaStanding *standings =
+      quota_ledger_standings (quotas->ledger, ctx, quotas_now_ms (quotas), &n);
+  json_t *list = json_array ();
+  json_t *body = json_pack ("{s:f, s:o}", "program_needs_requests",
+                            quota_ledger_need (quotas->ledger), "customers", list);
+  char *text, *copy;
+
+  for (size_t i = 0; i < n; i++)
+    json_array_append_new (list, standing_json (&standings[i]));
+  text = json_dumps (body, JSON_COMPACT | JSON_REAL_PRECISION (6));
+  copy = text != NULL ? talloc_strdup (ctx, text) : NULL;
+  free (text);
+  json_decref (body);
+  talloc_free (standings);
+  return copy;
+}
--- a/gateway/quotas.h
+++ b/gateway/quotas.h
@@ -19,6 +19,10 @@
 void
 quotas_give_back (struct Request *request);
 
+/* How customers stand with their limits, as JSON; belongs to ctx. NULL without memory. */
+char *
+quotas_render (struct Quotas *quotas, TALLOC_CTX *ctx);
+
 /* Another gateway told of its use, or of the sum of several. */
 void
 quotas_on_report (struct Quotas *quotas, const char *sender, const struct UseReport *report);
--- a/gateway/slots.c
+++ b/gateway/slots.c
@@ -120,6 +120,7 @@
   ask->id = wait->id;
   snprintf (ask->server, sizeof ask->server, "%s", wait->server);
   ask->slots = request->replica->entry.slots;
+  ask->customer_priority = request->customer.priority;
   ask->priority = request->route.priority;
   ask->continues = request->under_way;
   ask->has_program_due = request->program_due_ms != INT64_MAX;
@@ -128,6 +129,7 @@
   ask->capacity_tokens = request->capacity_tokens;
   if (!request->front->node->settings->decisions.order)
     {
+      ask->customer_priority = 0;
       ask->priority = 0;
       ask->continues = false;
       ask->has_program_due = false;
@@ -365,6 +367,7 @@
   struct GatewayMessage answer = { .kind = GATEWAY_SLOT_STATE };
   struct SlotAsk ask = {
     .id = message->id,
+    .customer_priority = message->customer_priority,
     .priority = message->priority,
     .continues = message->continues,
     .program_due_ms = message->has_program_due ? now_ms + message->program_left_ms : INT64_MAX,
--- a/include/buckthornhead/customers/customer_table.h
+++ b/include/buckthornhead/customers/customer_table.h
@@ -20,8 +20,7 @@
 struct Customer
 {
   char name[NAME_MAX_BYTES + 1];
-  bool has_priority;
-  uint32_t priority; /* 0: the most urgent; goes before its routes' priorities */
+  uint32_t priority; /* 0: the most urgent, and where none is configured */
   double rate_per_s; /* requests over all gateways; 0: no limit */
   double burst;      /* requests beyond the rate, once */
 };
--- a/include/buckthornhead/customers/quota.h
+++ b/include/buckthornhead/customers/quota.h
@@ -60,6 +60,7 @@
   uint32_t permille;       /* of what comes that passes now */
   uint32_t limit;          /* requests a window */
   uint32_t fleet_taken;    /* in the last window, as far as is known */
+  bool first;              /* of those that were sent back, for a window at least */
   int64_t told_age_ms;     /* of what others used; -1: nobody has told */
 };
 
@@ -117,6 +118,24 @@
 size_t
 quota_ledger_near_limit (const struct QuotaLedger *ledger, struct CustomerUse *uses, size_t n_uses);
 
+/* How a customer stands with its limit, as seen here. */
+struct QuotaStanding
+{
+  char customer[NAME_MAX_BYTES + 1];
+  double rate_per_s, burst;
+  uint32_t taken_here, taken_by_fleet; /* in the last window */
+  uint64_t refused_here;               /* since this gateway knows the customer */
+  uint32_t begin_permille;             /* of programs that begin now, that may */
+  uint32_t under_way_permille;         /* of what is under way, that passes */
+};
+
+/* Customers with a limit, in no order; belongs to ctx. NULL without memory. */
+struct QuotaStanding *
+quota_ledger_standings (struct QuotaLedger *ledger,
+                        TALLOC_CTX *ctx,
+                        int64_t now_ms,
+                        size_t *n_standings);
+
 /* Requests that a program needs, as observed over the fleet; at least 1. */
 double
 quota_ledger_need (const struct QuotaLedger *ledger);
--- a/include/buckthornhead/gateway_message.h
+++ b/include/buckthornhead/gateway_message.h
@@ -142,6 +142,7 @@
   char server[NAME_MAX_BYTES + 1];
   uint32_t slots; /* of the server */
   uint64_t capacity_tokens;
+  uint32_t customer_priority;
   uint32_t priority;
   bool continues;
   bool has_program_due;
--- a/include/buckthornhead/slot_queue.h
+++ b/include/buckthornhead/slot_queue.h
@@ -20,6 +20,7 @@
 {
   char asker[NAME_MAX_BYTES + 1]; /* gateway that will send it */
   uint64_t id;                    /* of the request, unique at its gateway */
+  uint32_t customer_priority;     /* 0: the most urgent, and where customers have none */
   uint32_t priority;              /* of its route, 0: the most urgent */
   bool continues;                 /* its program has had something already */
   int64_t program_due_ms;         /* when its program should be finished; INT64_MAX: not known */
--- a/tests/sessions/test_gateway_customers.c
+++ b/tests/sessions/test_gateway_customers.c
@@ -257,6 +257,9 @@
   CU_ASSERT (n_taken >= LIMIT_PER_S * LIMIT_WINDOW_S);
   CU_ASSERT (n_refused > 0);
   CU_ASSERT_EQUAL (n_others, 0);
+  CU_ASSERT_PTR_NOT_NULL (
+      strstr (http_get (ctx, fleet->gateways[0].metrics, "/customers")->text, "\"bela\""));
+  CU_ASSERT (process_count (fleet->gateways[0].process, "customer_over_limit") > 0);
   fleet_end (fleet, CU_get_number_of_failures () > n_failed);
   talloc_free (ctx);
 }
--- a/tests/test_gateway_message.c
+++ b/tests/test_gateway_message.c
@@ -67,6 +67,7 @@
   message.slot_ask = (struct SlotAskMessage){ .id = 5,
                                               .server = "i-1",
                                               .slots = 12,
+                                              .customer_priority = 2,
                                               .priority = 1,
                                               .continues = true,
                                               .has_program_due = true,
@@ -76,6 +77,7 @@
   CU_ASSERT_EQUAL (back->slot_ask.id, 5);
   CU_ASSERT_STRING_EQUAL (back->slot_ask.server, "i-1");
   CU_ASSERT_EQUAL (back->slot_ask.slots, 12);
+  CU_ASSERT_EQUAL (back->slot_ask.customer_priority, 2);
   CU_ASSERT_EQUAL (back->slot_ask.priority, 1);
   CU_ASSERT_TRUE (back->slot_ask.continues);
   CU_ASSERT_TRUE (back->slot_ask.has_program_due);
--- a/tests/test_slot_queue.c
+++ b/tests/test_slot_queue.c
@@ -88,6 +88,31 @@
 
 /* A grant is lost with its link. The asker asks again, and is told that it may send; it does not
  * take a second slot. */
+/* Two customers wait for the same engine, and the operators have ranked them. The one ranked first
+ * goes first, also when the other's program is due sooner; but not before a program under way,
+ * whose turns would be lost, nor when it is late whatever happens. */
+static void
+test_a_customers_rank_goes_before_its_programs_time (void)
+{
+  struct SlotQueues *queues = full_server ();
+  struct SlotAsk low = ask_of ("h", 20, false, 1500), high = ask_of ("h", 21, false, 2500);
+  struct SlotAsk under_way = ask_of ("h", 22, true, 2800), late = ask_of ("h", 23, false, 10);
+
+  low.customer_priority = 2;
+  under_way.customer_priority = 2;
+  high.priority = 9;
+  ask (queues, &low);
+  ask (queues, &high);
+  ask (queues, &under_way);
+  ask (queues, &late);
+  for (uint64_t id = 1; id <= GRANTED; id++)
+    slot_queue_done (queues, "e", "g", id, SLOT_SERVED, 0);
+  CU_ASSERT_EQUAL (next_id (queues, 0), 22);
+  CU_ASSERT_EQUAL (next_id (queues, 0), 21);
+  CU_ASSERT_EQUAL (next_id (queues, 0), 20);
+  talloc_free (queues);
+}
+
 static void
 test_asking_again_takes_no_second_slot (void)
 {
@@ -262,5 +287,7 @@
     test_the_digest_tells_how_often_the_server_fails },
   { "the wait follows what requests take", test_the_wait_follows_what_requests_take },
   { "a restarted server holds nothing", test_a_restarted_server_holds_nothing },
+  { "a customer's rank goes before its program's time",
+    test_a_customers_rank_goes_before_its_programs_time },
   { NULL, NULL },
 };
