After a start, programs that begin wait until the gateway has heard what customers use

On virtual time, with 400 ms until an aggregator hears its members, the fullest window after such a stop held 1.26 of the bound: all that was refused before comes again at once. Ruled out: narrower margins after a start (1.22: what passes before the first word binds); one program a gateway (no help for small customers). Change: demand counts when a request comes; one that begins is held, for 0.8 s at most, until the fleet's first word.

--- a/core/customers/quota.c
+++ b/core/customers/quota.c
@@ -17,6 +17,8 @@
   NEED_PROGRAMS_MIN = 8, /* fewer say nothing of what a program needs */
   NEED_MAX = 200,
   NEED_FIRST = 8, /* until programs were observed */
+  /* After its start a gateway hears of the fleet within some hundred milliseconds, or is alone. */
+  LEARNING_MS = 800,
   RETRY_UNDER_WAY_MS = 300,
   RETRY_BEGIN_MS = 1000
 };
@@ -415,9 +417,12 @@
 static const struct QuotaMargins *
 entry_margins (const struct QuotaLedger *ledger,
                const struct QuotaEntry *entry,
-               const struct CustomerUse *fleet)
+               const struct CustomerUse *fleet,
+               int64_t now_ms)
 {
-  return fleet->wanted > entry_may_want (ledger, entry) ? &surge_margins : &calm_margins;
+  return fleet->wanted > entry_may_want (ledger, entry) || ledger_age (ledger, now_ms) < 1
+             ? &surge_margins
+             : &calm_margins;
 }
 
 /* The part of what is under way that passes. */
@@ -427,11 +432,11 @@
                 const struct CustomerUse *fleet,
                 int64_t now_ms)
 {
-  const struct QuotaMargins *margins = entry_margins (ledger, entry, fleet);
+  const struct QuotaMargins *margins = entry_margins (ledger, entry, fleet, now_ms);
   double spare = margins->under_way_spare * ledger->rules.slack;
   double limit = entry_limit (ledger, entry);
 
-  if (margins == &surge_margins)
+  if (fleet->wanted > entry_may_want (ledger, entry))
     limit -= entry->burst * (1 - ledger_age (ledger, now_ms));
   if (now_ms < entry->old_until_ms && entry->old_limit > limit)
     limit = entry->old_limit;
@@ -449,7 +454,7 @@
             int64_t now_ms)
 {
   double burst = entry->burst * ledger_age (ledger, now_ms);
-  const struct QuotaMargins *margins = entry_margins (ledger, entry, fleet);
+  const struct QuotaMargins *margins = entry_margins (ledger, entry, fleet, now_ms);
   double spare = margins->begin_spare * (burst + ledger->rules.slack);
   double limit = (entry->rate_per_s * window_s (ledger) + spare) * heard_part (ledger);
   /* Half of the next one as well: of a small limit one program is a large part. */
@@ -609,6 +614,36 @@
   entry->n_refused++;
 }
 
+/* Everything is one kind where programs do not go first. */
+static enum QuotaAsk
+ledger_ask (const struct QuotaLedger *ledger, enum QuotaAsk ask)
+{
+  return ledger->rules.programs_first ? ask : QUOTA_ASK_SINGLE;
+}
+
+void
+quota_want (struct QuotaLedger *ledger, const char *customer, enum QuotaAsk ask, int64_t now_ms)
+{
+  struct QuotaEntry *entry = ledger_find (ledger, customer);
+
+  if (entry != NULL)
+    use_window_add (&entry->wanted, ledger->wanted_ms, now_ms,
+                    ask_need (ledger, ledger_ask (ledger, ask)));
+}
+
+bool
+quota_must_wait (const struct QuotaLedger *ledger,
+                 const char *customer,
+                 enum QuotaAsk ask,
+                 int64_t now_ms)
+{
+  const struct QuotaEntry *entry = ledger_find (ledger, customer);
+
+  return ledger->rules.sharing == QUOTA_BY_COUNTS && ask != QUOTA_ASK_UNDER_WAY && entry != NULL
+         && entry->rate_per_s > 0 && ledger->told_ms == 0
+         && now_ms - ledger->started_ms < LEARNING_MS;
+}
+
 struct QuotaVerdict
 quota_ask (struct QuotaLedger *ledger, const char *customer, enum QuotaAsk ask, int64_t now_ms)
 {
@@ -617,9 +652,7 @@
 
   if (entry == NULL || entry->rate_per_s <= 0)
     return verdict;
-  if (!ledger->rules.programs_first)
-    ask = QUOTA_ASK_SINGLE;
-  use_window_add (&entry->wanted, ledger->wanted_ms, now_ms, ask_need (ledger, ask));
+  ask = ledger_ask (ledger, ask);
   if (ledger->told_ms > 0)
     verdict.told_age_ms = now_ms - ledger->told_ms;
   if (ledger->rules.sharing == QUOTA_BY_COUNTS && !ledger_knows_fleet (ledger, now_ms)
@@ -645,8 +678,7 @@
 
   if (entry == NULL)
     return;
-  if (!ledger->rules.programs_first)
-    ask = QUOTA_ASK_SINGLE;
+  ask = ledger_ask (ledger, ask);
   need = ask_need (ledger, ask);
   use_window_take_back (&entry->taken, ledger->rules.window_ms, taken_ms, now_ms, 1);
   use_window_take_back (&entry->begun, ledger->rules.window_ms, taken_ms, now_ms, need);
--- a/gateway/front.c
+++ b/gateway/front.c
@@ -243,6 +243,8 @@
     front_hold (request, FAILURE_NO_SERVER, "no server is listed");
   else if (request_is_turn (request) && !turn_may_start (front))
     front_hold (request, FAILURE_UNCERTAIN, "too few archives answer, and no gateway can relay");
+  else if (quotas_must_wait (request))
+    front_hold (request, FAILURE_UNCERTAIN, "started lately, and nobody told what customers use");
   else if (quotas_take (request))
     front_start (request);
 }
--- a/gateway/front.h
+++ b/gateway/front.h
@@ -50,6 +50,7 @@
   struct CallerRequest caller;
   struct Route route;       /* a copy: the table may change meanwhile */
   struct Customer customer; /* a copy, too; no name: nobody's */
+  bool quota_wanted;        /* it counts as its customer's demand */
   int64_t quota_ms; /* when its customer's limit let it through; 0: not yet, or taken back */
   bool key_checked, key_holds;
   uint64_t key_version; /* of the configuration in which its key was looked up */
--- a/gateway/quotas.c
+++ b/gateway/quotas.c
@@ -55,6 +55,21 @@
   return QUOTA_ASK_UNDER_WAY;
 }
 
+bool
+quotas_must_wait (struct Request *request)
+{
+  struct Quotas *quotas = request->front->quotas;
+  enum QuotaAsk ask = quota_ask_of (request);
+  int64_t now_ms = quotas_now_ms (quotas);
+
+  if (request->customer.name[0] == '\0')
+    return false;
+  if (!request->quota_wanted)
+    quota_want (quotas->ledger, request->customer.name, ask, now_ms);
+  request->quota_wanted = true;
+  return quota_must_wait (quotas->ledger, request->customer.name, ask, now_ms);
+}
+
 bool
 quotas_take (struct Request *request)
 {
--- a/gateway/quotas.h
+++ b/gateway/quotas.h
@@ -10,6 +10,11 @@
 void
 quotas_configure (struct Quotas *quotas);
 
+/* A program that begins waits until this gateway, which has just started, has heard of the fleet.
+ */
+bool
+quotas_must_wait (struct Request *request);
+
 /* Counts the request against its customer's limit, once. False: it is over the limit and was sent
  * back; it exists no more. */
 bool
--- a/include/buckthornhead/customers/quota.h
+++ b/include/buckthornhead/customers/quota.h
@@ -98,6 +98,19 @@
                    size_t n_uses,
                    int64_t now_ms);
 
+/* A request of the customer has come: counts as demand, once. */
+void
+quota_want (struct QuotaLedger *ledger, const char *customer, enum QuotaAsk ask, int64_t now_ms);
+
+/* The gateway has just started and heard nothing of what others know: a program that begins waits
+ * for a moment. Guards against a stop of everything while a customer sends several times its limit:
+ * all that it was refused before comes again at once, and each gateway would let its part in. */
+bool
+quota_must_wait (const struct QuotaLedger *ledger,
+                 const char *customer,
+                 enum QuotaAsk ask,
+                 int64_t now_ms);
+
 /* May a request of the customer pass now? If so it is counted. */
 struct QuotaVerdict
 quota_ask (struct QuotaLedger *ledger, const char *customer, enum QuotaAsk ask, int64_t now_ms);
--- a/tests/test_quota_fleet.c
+++ b/tests/test_quota_fleet.c
@@ -15,6 +15,7 @@
   HEARTBEAT_MS = 500,
   HEAR_MS = 100,      /* between two looks at what was told */
   NEAR_MS = 200,      /* between two tellings of customers near their limit */
+  LINKED_MS = 400,    /* from an aggregator's start until its members report to it */
   STARTING_MS = 3000, /* a gateway tells each time it looks */
   WINDOW_MS = 5000,
   SLACK = 20,
@@ -50,6 +51,8 @@
   uint32_t n_left; /* requests, the next one included */
   uint32_t n_tries;
   bool has_begun, is_over;
+  bool is_held; /* by .gateway, which has just started */
+  uint32_t gateway;
   int64_t next_ms, began_ms;
 };
 
@@ -295,7 +298,8 @@
 
       if (!sim->gateways[z].is_up)
         continue;
-      if (sim->now_ms < sim->zone_look_ms[z])
+      if (sim->now_ms < sim->zone_look_ms[z]
+          || sim->now_ms - sim->gateways[z].started_ms < LINKED_MS)
         continue;
       if (sim->now_ms >= sim->zone_beat_ms[z])
         sim->zone_beat_ms[z] += HEARTBEAT_MS;
@@ -309,7 +313,9 @@
 static void
 program_asks (struct Sim *sim, struct SimProgram *program)
 {
-  struct SimGateway *gateway = &sim->gateways[draw (sim, sim->n_gateways)];
+  uint32_t number = program->is_held ? program->gateway : draw (sim, sim->n_gateways);
+  struct SimGateway *gateway = &sim->gateways[number];
+  enum QuotaAsk ask = program->has_begun ? QUOTA_ASK_UNDER_WAY : QUOTA_ASK_BEGIN;
   char name[NAME_MAX_BYTES + 1];
   struct QuotaVerdict verdict;
 
@@ -319,8 +325,16 @@
       return;
     }
   customer_name (program->customer, name);
-  verdict = quota_ask (gateway->ledger, name,
-                       program->has_begun ? QUOTA_ASK_UNDER_WAY : QUOTA_ASK_BEGIN, sim->now_ms);
+  if (!program->is_held)
+    quota_want (gateway->ledger, name, ask, sim->now_ms);
+  program->is_held = quota_must_wait (gateway->ledger, name, ask, sim->now_ms);
+  if (program->is_held)
+    {
+      program->gateway = number;
+      program->next_ms = sim->now_ms + 2 * STEP_MS;
+      return;
+    }
+  verdict = quota_ask (gateway->ledger, name, ask, sim->now_ms);
   if (verdict.taken)
     {
       if (sim->n_runs < RUNS_MAX)
