Small fleets: between two words the other gateways are taken to go on as this one does

Ruled out: the same in large fleets (refuses usual load: a gateway there sees one request in a word's time).

--- a/core/customers/quota.c
+++ b/core/customers/quota.c
@@ -19,6 +19,7 @@
   NEED_FIRST = 8, /* until programs were observed */
   /* After its start a gateway hears of the fleet within some hundred milliseconds, or is alone. */
   LEARNING_MS = 800,
+  GROWING_OTHERS_MAX = 3, /* in larger fleets each gateway sees too little of a customer */
   RETRY_UNDER_WAY_MS = 300,
   RETRY_BEGIN_MS = 1000
 };
@@ -224,6 +225,37 @@
   return sum > own ? sum - own : 0;
 }
 
+/* Requests of the window that lie before this process started, at the full rate. Before it has
+ * heard of the fleet it can not tell how small its part of them is. */
+static double
+entry_before_start (const struct QuotaLedger *ledger,
+                    const struct QuotaEntry *entry,
+                    int64_t now_ms)
+{
+  double before_ms = (double)(ledger->started_ms + ledger->rules.window_ms - now_ms);
+
+  return before_ms > 0 && ledger->told_ms > 0
+             ? entry->rate_per_s * before_ms / 1000 / ledger->fleet.n_known
+             : 0;
+}
+
+static struct CustomerUse
+entry_own (const struct QuotaLedger *ledger, struct QuotaEntry *entry, int64_t now_ms)
+{
+  uint32_t window_ms = ledger->rules.window_ms;
+  double before = entry_before_start (ledger, entry, now_ms);
+  double phase = ledger_phase (ledger, entry->customer);
+  struct CustomerUse use = {
+    .taken = use_window_total (&entry->taken, window_ms, now_ms) + (uint32_t)(before + phase),
+    .begun = use_window_total (&entry->begun, window_ms, now_ms)
+             + (uint32_t)(BEGUN_BEFORE_START * before + phase),
+    .wanted = use_window_total (&entry->wanted, ledger->wanted_ms, now_ms),
+  };
+
+  memcpy (use.customer, entry->customer, sizeof use.customer);
+  return use;
+}
+
 /* What may begin in the span in which demand is measured. */
 static double
 entry_may_want (const struct QuotaLedger *ledger, const struct QuotaEntry *entry)
@@ -290,37 +322,6 @@
     }
 }
 
-/* Requests of the window that lie before this process started, at the full rate. Before it has
- * heard of the fleet it can not tell how small its part of them is. */
-static double
-entry_before_start (const struct QuotaLedger *ledger,
-                    const struct QuotaEntry *entry,
-                    int64_t now_ms)
-{
-  double before_ms = (double)(ledger->started_ms + ledger->rules.window_ms - now_ms);
-
-  return before_ms > 0 && ledger->told_ms > 0
-             ? entry->rate_per_s * before_ms / 1000 / ledger->fleet.n_known
-             : 0;
-}
-
-static struct CustomerUse
-entry_own (const struct QuotaLedger *ledger, struct QuotaEntry *entry, int64_t now_ms)
-{
-  uint32_t window_ms = ledger->rules.window_ms;
-  double before = entry_before_start (ledger, entry, now_ms);
-  double phase = ledger_phase (ledger, entry->customer);
-  struct CustomerUse use = {
-    .taken = use_window_total (&entry->taken, window_ms, now_ms) + (uint32_t)(before + phase),
-    .begun = use_window_total (&entry->begun, window_ms, now_ms)
-             + (uint32_t)(BEGUN_BEFORE_START * before + phase),
-    .wanted = use_window_total (&entry->wanted, ledger->wanted_ms, now_ms),
-  };
-
-  memcpy (use.customer, entry->customer, sizeof use.customer);
-  return use;
-}
-
 struct CustomerUse *
 quota_ledger_uses (struct QuotaLedger *ledger, TALLOC_CTX *ctx, int64_t now_ms, size_t *n_uses)
 {
@@ -467,13 +468,29 @@
   return part;
 }
 
+/* As many more for each of the others as this gateway counted since it told its own. */
+static uint32_t
+grown (uint32_t others, uint32_t own, uint32_t own_then, uint32_t n_others)
+{
+  return others + (own > own_then ? (own - own_then) * n_others : 0);
+}
+
+/* Guards against the age of the word in small fleets, where each gateway sees a large part of a
+ * surge: the others are taken to go on as this one does. */
 static struct CustomerUse
-entry_fleet (const struct QuotaEntry *entry, const struct CustomerUse *own)
+entry_fleet (const struct QuotaLedger *ledger,
+             const struct QuotaEntry *entry,
+             const struct CustomerUse *own)
 {
+  const struct CustomerUse *others = &entry->others, *then = &entry->told;
+  uint32_t n_others = ledger->fleet.n_heard - 1;
+
+  if (n_others > GROWING_OTHERS_MAX)
+    n_others = 0;
   return (struct CustomerUse){
-    .taken = own->taken + entry->others.taken,
-    .begun = own->begun + entry->others.begun,
-    .wanted = own->wanted + entry->others.wanted,
+    .taken = own->taken + grown (others->taken, own->taken, then->taken, n_others),
+    .begun = own->begun + grown (others->begun, own->begun, then->begun, n_others),
+    .wanted = own->wanted + grown (others->wanted, own->wanted, then->wanted, n_others),
   };
 }
 
@@ -523,7 +540,7 @@
               struct QuotaVerdict *verdict)
 {
   struct CustomerUse own = entry_own (ledger, entry, now_ms);
-  struct CustomerUse fleet = entry_fleet (entry, &own);
+  struct CustomerUse fleet = entry_fleet (ledger, entry, &own);
   double part;
 
   verdict->limit = (uint32_t)entry_limit (ledger, entry);
@@ -554,7 +571,7 @@
        entry = entry->hh.next)
     {
       struct CustomerUse own = entry_own (ledger, entry, now_ms);
-      struct CustomerUse fleet = entry_fleet (entry, &own);
+      struct CustomerUse fleet = entry_fleet (ledger, entry, &own);
       struct QuotaStanding *standing = &standings[*n_standings];
 
       if (entry->rate_per_s <= 0)
--- a/tests/test_quota_fleet.c
+++ b/tests/test_quota_fleet.c
@@ -624,6 +624,24 @@
   talloc_free (sim);
 }
 
+/* Three gateways, and customers that send twelve times their usual. Between two words each gateway
+ * lets a third of the surge in and knows nothing of the rest. */
+static void
+test_a_surge_before_three_gateways (void)
+{
+  for (uint64_t seed = 1; seed <= 8; seed++)
+    {
+      struct Sim *sim = sim_new (3, QUOTA_BY_COUNTS, true, seed);
+
+      sim_run (sim, 6000);
+      for (uint32_t c = 0; c < CUSTOMERS; c++)
+        sim->load[c] = 12;
+      sim_run (sim, 10000);
+      sim_expect_bound (sim, "three gateways, 12 times the usual");
+      talloc_free (sim);
+    }
+}
+
 /* Not checks but a table: what the other ways make of the same load. */
 static void
 test_table_of_ways (void)
@@ -666,6 +684,7 @@
     test_a_lower_limit_holds_and_a_higher_one_at_once },
   { "a little over the limit", test_a_little_over_the_limit },
   { "three hot customers in a large fleet", test_three_hot_customers_in_a_large_fleet },
+  { "a surge before three gateways", test_a_surge_before_three_gateways },
   { "table of ways", test_table_of_ways },
   { NULL, NULL },
 };
