Limits: told as often as the urgency asks

Change: each 0.5 s while nobody is near a limit, 0.3 s while somebody is, 0.1 s in a surge (demand over a limit) and after a start; sums and words are looked at each 0.2 s but in a surge. Learning goes by time, not by words.

--- a/core/customers/quota.c
+++ b/core/customers/quota.c
@@ -45,10 +45,10 @@
 static const struct QuotaMargins calm_margins = { 0.8, 0.9, 0.9, 1.02, 1.08 };
 static const struct QuotaMargins surge_margins = { 0.5, 0.9, 0.85, 0.92, 1.0 };
 
-/* Of each new observation, in what a program is believed to need. */
-static const double NEED_NEW = 0.05;
+/* Of new observations, in what a program is believed to need, each second. */
+static const double NEED_NEW_PER_S = 0.5;
 /* The same for one customer's programs against all, and how far they may differ. */
-static const double NEED_SCALE_NEW = 0.02, NEED_SCALE_MIN = 0.6, NEED_SCALE_MAX = 1.4;
+static const double NEED_SCALE_NEW_PER_S = 0.2, NEED_SCALE_MIN = 0.6, NEED_SCALE_MAX = 1.4;
 /* Of all requests, what customers in a surge may want while that is observed. */
 static const double NEED_SURGE_PART = 0.1;
 /* Of an equal part, what a gateway that is cut off spends. Others leave half of one for each that
@@ -287,7 +287,10 @@
 /* Not during a surge: many programs have begun and not yet asked for more, and those that are
  * refused never will. */
 static void
-ledger_learn_need (struct QuotaLedger *ledger, const struct CustomerUse *uses, size_t n_uses)
+ledger_learn_need (struct QuotaLedger *ledger,
+                   const struct CustomerUse *uses,
+                   size_t n_uses,
+                   double passed_s)
 {
   const struct CustomerUse *all = NULL;
   double need;
@@ -299,20 +302,20 @@
       || ledger_surge (ledger, uses, n_uses) > NEED_SURGE_PART * all->taken)
     return;
   need = fmin (fmax ((double)all->taken / all->begun, 1), NEED_MAX);
-  ledger->need += NEED_NEW * (need - ledger->need);
+  ledger->need += fmin (NEED_NEW_PER_S * passed_s, 1) * (need - ledger->need);
 }
 
 /* What a customer near its limit took, against what the programs let in were expected to take.
  * Slowly: when a surge begins it has taken little of what it will. */
 static void
-entry_learn_need (struct QuotaEntry *entry, const struct CustomerUse *fleet)
+entry_learn_need (struct QuotaEntry *entry, const struct CustomerUse *fleet, double passed_s)
 {
   double scale;
 
   if (fleet->begun == 0 || fleet->taken == 0)
     return;
   scale = fmin (fmax ((double)fleet->taken / fleet->begun, NEED_SCALE_MIN), NEED_SCALE_MAX);
-  entry->need_scale += NEED_SCALE_NEW * (scale - entry->need_scale);
+  entry->need_scale += fmin (NEED_SCALE_NEW_PER_S * passed_s, 1) * (scale - entry->need_scale);
 }
 
 void
@@ -322,9 +325,10 @@
                    int64_t now_ms)
 {
   static const struct CustomerUse none;
+  double passed_s = ledger->told_ms > 0 ? (double)(now_ms - ledger->told_ms) / 1000 : 0;
 
   ledger->told_ms = now_ms;
-  ledger_learn_need (ledger, uses, n_uses);
+  ledger_learn_need (ledger, uses, n_uses, passed_s);
   for (struct QuotaEntry *entry = ledger->entries; entry != NULL; entry = entry->hh.next)
     entry->others = none;
   for (size_t i = 0; i < n_uses; i++)
@@ -336,7 +340,7 @@
       entry->others.taken = without (uses[i].taken, entry->told.taken);
       entry->others.begun = without (uses[i].begun, entry->told.begun);
       entry->others.wanted = without (uses[i].wanted, entry->told.wanted);
-      entry_learn_need (entry, &uses[i]);
+      entry_learn_need (entry, &uses[i], passed_s);
     }
 }
 
@@ -375,6 +379,26 @@
              || fleet->wanted > NEAR_LIMIT * entry_may_want (ledger, entry));
 }
 
+enum QuotaUrgency
+quota_ledger_urgency (const struct QuotaLedger *ledger,
+                      const struct CustomerUse *uses,
+                      size_t n_uses)
+{
+  enum QuotaUrgency urgency = QUOTA_CALM;
+
+  for (size_t i = 0; i < n_uses; i++)
+    {
+      const struct QuotaEntry *entry = ledger_find (ledger, uses[i].customer);
+
+      if (entry == NULL)
+        continue;
+      urgency = QUOTA_NEAR;
+      if (uses[i].wanted > entry_may_want (ledger, entry))
+        return QUOTA_SURGE;
+    }
+  return urgency;
+}
+
 size_t
 quota_ledger_near_limit (const struct QuotaLedger *ledger, struct CustomerUse *uses, size_t n_uses)
 {
--- a/gateway/quotas.c
+++ b/gateway/quotas.c
@@ -10,9 +10,13 @@
 
 enum
 {
-  LOOK_MS = 100,      /* between two looks at what was told */
-  TELL_MS = 500,      /* as heartbeats */
-  TELL_NEAR_MS = 200, /* while a customer is near its limit */
+  LOOK_MS = 100, /* between two looks at what was told */
+  /* Between two tellings, by urgency: as heartbeats; when what passes meanwhile counts; and while
+   * all let a surge through that do not know of it. */
+  TELL_MS = 500,
+  TELL_NEAR_MS = 300,
+  TELL_SURGE_MS = 100,
+  FLEET_LOOKS = 6, /* who there is changes less often */
   /* After a start a gateway tells each time it looks: when all have stopped, nobody knows what was
    * spent until they have told each other, and callers all come again. */
   STARTING_MS = 3000,
@@ -27,7 +31,8 @@
   struct UseBoard *board;
   int64_t told_ms;       /* own use */
   int64_t fleet_told_ms; /* sums, as an aggregator */
-  bool has_near;         /* a customer is near its limit */
+  enum QuotaUrgency urgency;
+  uint32_t n_looks;
 };
 
 static int64_t
@@ -116,11 +121,20 @@
 /* Telling. */
 
 static int64_t
-quotas_tell_again_ms (const struct Quotas *quotas, int64_t now_ms)
+quotas_tell_again_ms (const struct Quotas *quotas, enum QuotaUrgency urgency, int64_t now_ms)
 {
   if (now_ms - quotas->front->started_ms < STARTING_MS)
     return LOOK_MS;
-  return quotas->has_near ? TELL_NEAR_MS : TELL_MS;
+  switch (urgency)
+    {
+    case QUOTA_CALM:
+      return TELL_MS;
+    case QUOTA_NEAR:
+      return TELL_NEAR_MS;
+    case QUOTA_SURGE:
+      return TELL_SURGE_MS;
+    }
+  return TELL_MS;
 }
 
 static void
@@ -140,22 +154,22 @@
   node_send_some (node, &message, to);
 }
 
-/* As an aggregator: the zone's sum to other zones, the fleet's to the members. At each look while a
- * customer is near its limit: until all know it, they let everything through. */
+/* As an aggregator: the zone's sum to other zones, the fleet's to the members. At once when a surge
+ * begins. */
 static void
 quotas_tell_sums (struct Quotas *quotas,
                   struct CustomerUse *own,
                   size_t n_own,
                   struct CustomerUse *fleet,
                   size_t n_fleet,
+                  enum QuotaUrgency urgency,
                   int64_t now_ms)
 {
-  bool near = n_fleet > 1;
   int64_t since_ms = now_ms - quotas->fleet_told_ms;
   struct CustomerUse *zone;
   size_t n_zone;
 
-  if (!near && since_ms < quotas_tell_again_ms (quotas, now_ms))
+  if (since_ms < quotas_tell_again_ms (quotas, urgency, now_ms))
     return;
   zone = use_board_sum (quotas->board, fleet, USE_OF_ZONE, own, n_own, now_ms, &n_zone);
   quotas_send (quotas, USE_OF_ZONE, zone, n_zone, PEERS_OTHER_ZONES);
@@ -164,7 +178,7 @@
 }
 
 /* What the fleet used, from what reports here. */
-static bool
+static void
 quotas_sum_up (struct Quotas *quotas, struct CustomerUse *own, size_t n_own, int64_t now_ms)
 {
   size_t n_fleet;
@@ -172,23 +186,26 @@
       use_board_sum (quotas->board, own, USE_OF_FLEET, own, n_own, now_ms, &n_fleet);
 
   if (fleet == NULL)
-    return false;
+    return;
   n_fleet = quota_ledger_near_limit (quotas->ledger, fleet, n_fleet);
+  quotas->urgency = quota_ledger_urgency (quotas->ledger, fleet, n_fleet);
   quota_ledger_hear (quotas->ledger, fleet, n_fleet, now_ms);
-  quotas_tell_sums (quotas, own, n_own, fleet, n_fleet, now_ms);
-  return n_fleet > 1;
+  quotas_tell_sums (quotas, own, n_own, fleet, n_fleet, quotas->urgency, now_ms);
 }
 
 /* The same, as an aggregator said. */
-static bool
+static void
 quotas_hear (struct Quotas *quotas, int64_t now_ms)
 {
   const struct UseReport *told = use_board_fleet (quotas->board, now_ms);
 
   if (told == NULL)
-    return false;
+    {
+      quotas->urgency = QUOTA_CALM;
+      return;
+    }
   quota_ledger_hear (quotas->ledger, told->uses, told->n_uses, now_ms);
-  return told->n_uses > 1;
+  quotas->urgency = quota_ledger_urgency (quotas->ledger, told->uses, told->n_uses);
 }
 
 /* Those that are leaving take no callers any more. */
@@ -216,32 +233,47 @@
 }
 
 static void
-quotas_on_look (void *data)
+quotas_tell_own (struct Quotas *quotas, struct CustomerUse *own, size_t n_own, int64_t now_ms)
+{
+  quotas->told_ms = now_ms;
+  quotas_send (quotas, USE_OF_GATEWAY, own, n_own, PEERS_OWN_AGGREGATORS);
+}
+
+static void
+quotas_look (struct Quotas *quotas, int64_t now_ms)
 {
-  struct Quotas *quotas = data;
-  int64_t now_ms = quotas_now_ms (quotas);
   bool aggregates = roster_is_aggregator (quotas->front->node->roster, now_ms);
-  bool tells = now_ms - quotas->told_ms >= quotas_tell_again_ms (quotas, now_ms);
+  bool tells = now_ms - quotas->told_ms >= quotas_tell_again_ms (quotas, quotas->urgency, now_ms);
   struct CustomerUse *own = NULL;
   size_t n_own;
 
-  if (quotas_customers (quotas) == NULL)
-    return;
-  quotas_note_fleet (quotas, now_ms);
   if (aggregates || tells)
     own = quota_ledger_uses (quotas->ledger, quotas, now_ms, &n_own);
   if (own != NULL && tells)
-    {
-      quotas->told_ms = now_ms;
-      quotas_send (quotas, USE_OF_GATEWAY, own, n_own, PEERS_OWN_AGGREGATORS);
-    }
+    quotas_tell_own (quotas, own, n_own, now_ms);
   if (!aggregates)
-    quotas->has_near = quotas_hear (quotas, now_ms);
+    quotas_hear (quotas, now_ms);
   else if (own != NULL)
-    quotas->has_near = quotas_sum_up (quotas, own, n_own, now_ms);
+    quotas_sum_up (quotas, own, n_own, now_ms);
   talloc_free (own);
 }
 
+/* In a surge and after a start at each look, else at every second one. */
+static void
+quotas_on_look (void *data)
+{
+  struct Quotas *quotas = data;
+  int64_t now_ms = quotas_now_ms (quotas);
+  bool hurries = quotas->urgency == QUOTA_SURGE || now_ms - quotas->front->started_ms < STARTING_MS;
+  uint32_t look = quotas->n_looks++;
+
+  if (quotas_customers (quotas) == NULL || (!hurries && look % 2 != 0))
+    return;
+  if (hurries || look % FLEET_LOOKS == 0)
+    quotas_note_fleet (quotas, now_ms);
+  quotas_look (quotas, now_ms);
+}
+
 void
 quotas_on_report (struct Quotas *quotas, const char *sender, const struct UseReport *report)
 {
--- a/include/buckthornhead/customers/quota.h
+++ b/include/buckthornhead/customers/quota.h
@@ -127,6 +127,20 @@
 struct CustomerUse *
 quota_ledger_uses (struct QuotaLedger *ledger, TALLOC_CTX *ctx, int64_t now_ms, size_t *n_uses);
 
+/* How soon others should hear of it. */
+enum QuotaUrgency
+{
+  QUOTA_CALM, /* nobody is near a limit */
+  QUOTA_NEAR, /* somebody is */
+  QUOTA_SURGE /* somebody's demand exceeds a limit */
+};
+
+/* By the sums of the customers near their limit. */
+enum QuotaUrgency
+quota_ledger_urgency (const struct QuotaLedger *ledger,
+                      const struct CustomerUse *uses,
+                      size_t n_uses);
+
 /* Keeps of sums over the fleet those near their limit, at the front. Returns how many. */
 size_t
 quota_ledger_near_limit (const struct QuotaLedger *ledger, struct CustomerUse *uses, size_t n_uses);
--- a/tests/test_quota_fleet.c
+++ b/tests/test_quota_fleet.c
@@ -14,7 +14,7 @@
   STEP_MS = 10,
   HEARTBEAT_MS = 500,
   HEAR_MS = 100,      /* between two looks at what was told */
-  NEAR_MS = 200,      /* between two tellings of customers near their limit */
+  NEAR_MS = 300,      /* between two tellings of customers near their limit */
   LINKED_MS = 400,    /* from an aggregator's start until its members report to it */
   STARTING_MS = 3000, /* a gateway tells each time it looks */
   WINDOW_MS = 5000,
@@ -81,8 +81,8 @@
   struct CustomerUse fleet_told[ZONES][ROWS]; /* to members */
   size_t n_fleet_told[ZONES];
   bool zone_has_told[ZONES];
-  bool zone_has_near[ZONES];
-  int64_t zone_look_ms[ZONES];
+  enum QuotaUrgency zone_urgency[ZONES];
+  int64_t zone_look_ms[ZONES], zone_told_ms[ZONES];
   struct SimProgram *programs;
   uint32_t n_programs;
   struct SimRun *runs;
@@ -200,6 +200,29 @@
   talloc_free (uses);
 }
 
+static bool
+sim_is_starting (const struct Sim *sim, uint32_t g)
+{
+  return sim->now_ms - sim->gateways[g].started_ms < STARTING_MS;
+}
+
+static int64_t
+sim_tells_again_ms (const struct Sim *sim, uint32_t g)
+{
+  if (sim_is_starting (sim, g))
+    return HEAR_MS;
+  switch (sim->zone_urgency[g % ZONES])
+    {
+    case QUOTA_CALM:
+      return HEARTBEAT_MS;
+    case QUOTA_NEAR:
+      return NEAR_MS;
+    case QUOTA_SURGE:
+      return HEAR_MS;
+    }
+  return HEARTBEAT_MS;
+}
+
 /* The aggregator of zone z sums its members and what the other zones told last. */
 static void
 sim_zone_looks (struct Sim *sim, uint32_t z, bool heartbeat)
@@ -223,9 +246,10 @@
       near[n++] = sum[c];
     }
   n = quota_ledger_near_limit (sim->gateways[z].ledger, near, n);
-  if (!heartbeat && n == 1 && !sim->zone_has_near[z])
+  sim->zone_urgency[z] = quota_ledger_urgency (sim->gateways[z].ledger, near, n);
+  if (!heartbeat && sim->now_ms < sim->zone_told_ms[z] + sim_tells_again_ms (sim, z))
     return;
-  sim->zone_has_near[z] = n > 1;
+  sim->zone_told_ms[z] = sim->now_ms;
   memcpy (sim->zone_told[z], own, sizeof own);
   memset (sim->fleet_told[z], 0, sizeof sim->fleet_told[z]);
   memcpy (sim->fleet_told[z], near, n * sizeof near[0]);
@@ -258,20 +282,6 @@
                        sim->now_ms);
 }
 
-static bool
-sim_is_starting (const struct Sim *sim, uint32_t g)
-{
-  return sim->now_ms - sim->gateways[g].started_ms < STARTING_MS;
-}
-
-static int64_t
-sim_tells_again_ms (const struct Sim *sim, uint32_t g)
-{
-  if (sim_is_starting (sim, g))
-    return HEAR_MS;
-  return sim->zone_has_near[g % ZONES] ? NEAR_MS : HEARTBEAT_MS;
-}
-
 static void
 sim_control (struct Sim *sim)
 {
@@ -288,7 +298,9 @@
         }
       if (gateway->is_up && sim->now_ms >= gateway->hear_ms)
         {
-          gateway->hear_ms += HEAR_MS;
+          gateway->hear_ms +=
+              sim_is_starting (sim, g) || sim->zone_urgency[g % ZONES] == QUOTA_SURGE ? HEAR_MS
+                                                                                      : 2 * HEAR_MS;
           sim_gateway_hears (sim, g);
         }
     }
@@ -303,7 +315,8 @@
         continue;
       if (sim->now_ms >= sim->zone_beat_ms[z])
         sim->zone_beat_ms[z] += HEARTBEAT_MS;
-      sim->zone_look_ms[z] = sim->now_ms + HEAR_MS;
+      sim->zone_look_ms[z] =
+          sim->now_ms + (sim->zone_urgency[z] == QUOTA_SURGE ? HEAR_MS : 2 * HEAR_MS);
       sim_zone_looks (sim, z, heartbeat);
     }
 }
@@ -489,7 +502,10 @@
       sim->gateways[g].down_until_ms = sim->now_ms + 600 + draw (sim, 300);
     }
   for (uint32_t z = 0; z < ZONES; z++)
-    sim->zone_has_told[z] = sim->zone_has_near[z] = false;
+    {
+      sim->zone_has_told[z] = false;
+      sim->zone_urgency[z] = QUOTA_CALM;
+    }
 }
 
 /* Customers' programs need more or fewer requests than those of all together, and one customer
