--- a/include/buckthornhead/route.h
+++ b/include/buckthornhead/route.h
@@ -56,6 +56,7 @@
   uint64_t version;
   struct Route *routes; /* talloc children of the table */
   size_t n_routes;
+  struct RouteIndex *index; /* of .routes, by host and prefix */
   struct Service *services;
   size_t n_services;
   struct CustomerTable *customers; /* NULL: requests need no key */
@@ -66,8 +67,12 @@
 bool
 route_is_idempotent (const struct Route *route);
 
+/* Draws up the index, which belongs to ctx, once .routes is complete. ERROR_NO_MEMORY. */
+int32_t
+route_table_index (TALLOC_CTX *ctx, struct RouteTable *table);
+
 /* The route of host whose prefix is the longest that begins path; NULL when there is none. host may
- * have a port, which is ignored; path may have a query. */
+ * have a port, which is ignored; path may have a query. The table is indexed. */
 const struct Route *
 route_table_find (const struct RouteTable *table, const char *host, const char *path);
 
--- a/tests/test_route.c
+++ b/tests/test_route.c
@@ -1,5 +1,6 @@
 #include "test_main.h"
 
+#include <buckthornhead/error.h>
 #include <buckthornhead/route.h>
 
 #include <string.h>
@@ -24,12 +25,16 @@
     .targets = api_targets,
     .n_targets = 1 },
 };
-static const struct RouteTable table = { .version = 7, .routes = routes, .n_routes = 4 };
+static struct RouteTable table = { .version = 7, .routes = routes, .n_routes = 4 };
 
 static const char *
 found (const char *host, const char *path)
 {
-  const struct Route *route = route_table_find (&table, host, path);
+  const struct Route *route;
+
+  if (table.index == NULL)
+    CU_ASSERT_EQUAL (route_table_index (NULL, &table), ERROR_NONE);
+  route = route_table_find (&table, host, path);
 
   return route != NULL ? route->name : "none";
 }
@@ -63,6 +68,42 @@
   CU_ASSERT_STRING_EQUAL (route_choose_service (&routes[0], 12345), "api");
 }
 
+/* Thousands of routes of many hosts, some of them each other's beginnings: each path takes the
+ * longest, and an absurd path none. */
+static void
+test_thousands_of_routes (void)
+{
+  enum
+  {
+    N = 2000
+  };
+  struct RouteTable *many = talloc_zero (NULL, struct RouteTable);
+  char path[4096];
+
+  many->n_routes = N;
+  many->routes = talloc_zero_array (many, struct Route, N);
+  for (uint32_t i = 0; i < N; i++)
+    {
+      many->routes[i].host = i % 2 == 0 ? "a.example" : "b.example";
+      many->routes[i].prefix = i % 4 < 2 ? talloc_asprintf (many, "/r%u/", i)
+                                         : talloc_asprintf (many, "/r%u/deep/", i - 2);
+    }
+  CU_ASSERT_EQUAL (route_table_index (many, many), ERROR_NONE);
+  CU_ASSERT_PTR_EQUAL (route_table_find (many, "a.example", "/r1200/x/y?z=/r4/"),
+                       &many->routes[1200]);
+  CU_ASSERT_PTR_EQUAL (route_table_find (many, "a.example", "/r1200/deep/y"), &many->routes[1202]);
+  CU_ASSERT_PTR_EQUAL (route_table_find (many, "B.example:80", "/r1201/deep"), &many->routes[1201]);
+  CU_ASSERT_PTR_NULL (route_table_find (many, "b.example", "/r1200/x"));
+  CU_ASSERT_PTR_NULL (route_table_find (many, "a.example", ""));
+  memset (path, 'x', sizeof path);
+  memcpy (path, "/r1200/", 7);
+  path[sizeof path - 1] = '\0';
+  CU_ASSERT_PTR_EQUAL (route_table_find (many, "a.example", path), &many->routes[1200]);
+  path[0] = 'x';
+  CU_ASSERT_PTR_NULL (route_table_find (many, path, path));
+  talloc_free (many);
+}
+
 /* All weights at nothing: an operator drains a split by mistake. Callers are still served. */
 static void
 test_no_weight_at_all_takes_the_first (void)
@@ -79,5 +120,6 @@
   { "a host may have a port and any case", test_a_host_may_have_a_port_and_any_case },
   { "weights share the draws", test_weights_share_the_draws },
   { "no weight at all takes the first", test_no_weight_at_all_takes_the_first },
+  { "thousands of routes", test_thousands_of_routes },
   { NULL, NULL },
 };
