After a stop of everything customers with their usual load are not sent back

Each gateway told its part of what may have passed before its start, divided by the few gateways that it knew by then: the sums came to 1.9 times the full rate. And all programs that began were held for 0.35 s. Change: a gateway tells which part of its window lies before its start; the parts' mean over the gateways heard times the rate is counted once, by whoever decides. Held is only a customer's second program at a gateway.

--- a/core/customers/quota.c
+++ b/core/customers/quota.c
@@ -16,7 +16,7 @@
   LOWER_LIMIT_GRACE_MS = 1500,
   NEED_PROGRAMS_MIN = 8, /* fewer say nothing of what a program needs */
   NEED_MAX = 200,
-  NEED_FIRST = 10, /* until programs were observed */
+  NEED_FIRST = 11, /* until programs were observed */
   /* After its start a gateway hears of the fleet within some hundred milliseconds, or is alone. */
   LEARNING_MS = 800,
   GROWING_OTHERS_MAX = 3, /* in larger fleets each gateway sees too little of a customer */
@@ -83,7 +83,8 @@
   struct QuotaEntry *entries;
   /* Of all customers: requests of programs, and programs that began. */
   struct UseWindow requests, programs;
-  double need; /* requests of a program */
+  double need;       /* requests of a program */
+  double young_part; /* of the fleet's window, what lies before gateways started */
   struct QuotaFleet fleet;
   int64_t started_ms;
   int64_t told_ms; /* when sums came last; 0: never */
@@ -229,30 +230,28 @@
   return sum > own ? sum - own : 0;
 }
 
-/* Requests of the window that lie before this process started, at the full rate. Before it has
- * heard of the fleet it can not tell how small its part of them is. */
+/* In windows, at most one: before, a burst may have been spent that this process knows nothing of.
+ */
 static double
-entry_before_start (const struct QuotaLedger *ledger,
-                    const struct QuotaEntry *entry,
-                    int64_t now_ms)
+ledger_age (const struct QuotaLedger *ledger, int64_t now_ms)
 {
-  double before_ms = (double)(ledger->started_ms + ledger->rules.window_ms - now_ms);
+  return fmin ((double)(now_ms - ledger->started_ms) / ledger->rules.window_ms, 1);
+}
 
-  return before_ms > 0 && ledger->told_ms > 0
-             ? entry->rate_per_s * before_ms / 1000 / ledger->fleet.n_known
-             : 0;
+/* Requests of the window that lie before starts of gateways, at the full rate. */
+static double
+entry_before_starts (const struct QuotaLedger *ledger, const struct QuotaEntry *entry)
+{
+  return entry->rate_per_s * window_s (ledger) * ledger->young_part;
 }
 
 static struct CustomerUse
 entry_own (const struct QuotaLedger *ledger, struct QuotaEntry *entry, int64_t now_ms)
 {
   uint32_t window_ms = ledger->rules.window_ms;
-  double before = entry_before_start (ledger, entry, now_ms);
-  double phase = ledger_phase (ledger, entry->customer);
   struct CustomerUse use = {
-    .taken = use_window_total (&entry->taken, window_ms, now_ms) + (uint32_t)(before + phase),
-    .begun = use_window_total (&entry->begun, window_ms, now_ms)
-             + (uint32_t)(BEGUN_BEFORE_START * before + phase),
+    .taken = use_window_total (&entry->taken, window_ms, now_ms),
+    .begun = use_window_total (&entry->begun, window_ms, now_ms),
     .wanted = use_window_total (&entry->wanted, ledger->wanted_ms, now_ms),
   };
 
@@ -284,13 +283,13 @@
   return wanted;
 }
 
-/* Not during a surge: many programs have begun and not yet asked for more, and those that are
- * refused never will. */
+/* What is told of all customers together. What a program needs is not learned in a surge: many have
+ * begun and not yet asked for more, and those that are refused never will. */
 static void
-ledger_learn_need (struct QuotaLedger *ledger,
-                   const struct CustomerUse *uses,
-                   size_t n_uses,
-                   double passed_s)
+ledger_take_all (struct QuotaLedger *ledger,
+                 const struct CustomerUse *uses,
+                 size_t n_uses,
+                 double passed_s)
 {
   const struct CustomerUse *all = NULL;
   double need;
@@ -298,6 +297,7 @@
   for (size_t i = 0; i < n_uses; i++)
     if (uses[i].customer[0] == '\0')
       all = &uses[i];
+  ledger->young_part = all != NULL ? fmin (all->wanted / (1000.0 * ledger->fleet.n_heard), 1) : 0;
   if (all == NULL || all->begun < NEED_PROGRAMS_MIN
       || ledger_surge (ledger, uses, n_uses) > NEED_SURGE_PART * all->taken)
     return;
@@ -328,7 +328,7 @@
   double passed_s = ledger->told_ms > 0 ? (double)(now_ms - ledger->told_ms) / 1000 : 0;
 
   ledger->told_ms = now_ms;
-  ledger_learn_need (ledger, uses, n_uses, passed_s);
+  ledger_take_all (ledger, uses, n_uses, passed_s);
   for (struct QuotaEntry *entry = ledger->entries; entry != NULL; entry = entry->hh.next)
     entry->others = none;
   for (size_t i = 0; i < n_uses; i++)
@@ -357,6 +357,7 @@
     return NULL;
   uses[0].taken = use_window_total (&ledger->requests, ledger->rules.window_ms, now_ms);
   uses[0].begun = use_window_total (&ledger->programs, ledger->rules.window_ms, now_ms);
+  uses[0].wanted = (uint32_t)(1000 * (1 - ledger_age (ledger, now_ms)));
   *n_uses = 1;
   for (struct QuotaEntry *entry = ledger->entries; entry != NULL; entry = entry->hh.next)
     {
@@ -372,7 +373,7 @@
                const struct QuotaEntry *entry,
                const struct CustomerUse *fleet)
 {
-  double limit = NEAR_LIMIT * entry_limit (ledger, entry);
+  double limit = NEAR_LIMIT * entry_limit (ledger, entry) - entry_before_starts (ledger, entry);
 
   return entry->rate_per_s > 0
          && (fleet->taken > limit || fleet->begun > limit
@@ -449,14 +450,6 @@
   return 1 - fmin (fmax (unheard, 0) / 2, CUT_OFF_PARTS_MAX);
 }
 
-/* In windows, at most one: before, a burst may have been spent that this process knows nothing of.
- */
-static double
-ledger_age (const struct QuotaLedger *ledger, int64_t now_ms)
-{
-  return fmin ((double)(now_ms - ledger->started_ms) / ledger->rules.window_ms, 1);
-}
-
 static const struct QuotaMargins *
 entry_margins (const struct QuotaLedger *ledger,
                const struct QuotaEntry *entry,
@@ -527,12 +520,15 @@
 {
   const struct CustomerUse *others = &entry->others, *then = &entry->told;
   uint32_t n_others = ledger->fleet.n_heard - 1;
+  double before = entry_before_starts (ledger, entry);
 
   if (n_others > GROWING_OTHERS_MAX)
     n_others = 0;
   return (struct CustomerUse){
-    .taken = own->taken + grown (others->taken, own->taken, then->taken, n_others),
-    .begun = own->begun + grown (others->begun, own->begun, then->begun, n_others),
+    .taken =
+        own->taken + grown (others->taken, own->taken, then->taken, n_others) + (uint32_t)before,
+    .begun = own->begun + grown (others->begun, own->begun, then->begun, n_others)
+             + (uint32_t)(BEGUN_BEFORE_START * before),
     .wanted = own->wanted + grown (others->wanted, own->wanted, then->wanted, n_others),
   };
 }
@@ -700,7 +696,7 @@
   const struct QuotaEntry *entry = ledger_find (ledger, customer);
 
   return ledger->rules.sharing == QUOTA_BY_COUNTS && ask != QUOTA_ASK_UNDER_WAY && entry != NULL
-         && entry->rate_per_s > 0 && ledger->told_ms == 0
+         && entry->rate_per_s > 0 && entry->begun.total > 0 && ledger->told_ms == 0
          && now_ms - ledger->started_ms < LEARNING_MS;
 }
 
--- a/include/buckthornhead/customers/quota.h
+++ b/include/buckthornhead/customers/quota.h
@@ -103,8 +103,9 @@
 quota_want (struct QuotaLedger *ledger, const char *customer, enum QuotaAsk ask, int64_t now_ms);
 
 /* The gateway has just started and heard nothing of what others know: a program that begins waits
- * for a moment. Guards against a stop of everything while a customer sends several times its limit:
- * all that it was refused before comes again at once, and each gateway would let its part in. */
+ * for a moment, unless it is the first of its customer here. Guards against a stop of everything
+ * while a customer sends several times its limit: all that it was refused before comes again at
+ * once, and each gateway would let its part in. */
 bool
 quota_must_wait (const struct QuotaLedger *ledger,
                  const char *customer,
