Archives ask each other for a sign of life

Ruled out: customers and limits (none there), the retire order read late (it would only have moved the thrash). Change: archives probe the set's members as gateways do. Test: an archive asks the others itself; the decision moved to the roster, where it is pure.

--- a/core/gateway/roster.c
+++ b/core/gateway/roster.c
@@ -210,6 +210,20 @@
          || peer_is_listed (roster, peer, SNAPSHOT_ZONE, now_ms);
 }
 
+bool
+roster_must_probe (const struct Roster *roster,
+                   const struct Peer *peer,
+                   bool is_asked,
+                   int64_t now_ms)
+{
+  if (now_ms - peer->probed_ms < ROSTER_PROBE_AFTER_MS)
+    return false;
+  if (peer->asked_ms > 0)
+    return is_asked || roster_is_live (roster, peer, now_ms);
+  return is_asked && peer->status.is_archive
+         && now_ms - peer->link_heard_ms >= ROSTER_PROBE_AFTER_MS;
+}
+
 bool
 roster_hears_others (const struct Roster *roster, int64_t within_ms, int64_t now_ms)
 {
--- a/gateway/node.c
+++ b/gateway/node.c
@@ -16,8 +16,6 @@
   PEER_ANSWERS_MS = 650,
   /* Then the link is taken for dead and dialled anew. */
   LINK_SILENT_MS = 1600,
-  /* Archives are asked for a sign of life unless they gave one this lately. */
-  PROBE_AFTER_MS = 400,
   /* A gateway that has heard nobody for two heartbeats and some is cut off itself. */
   CUT_OFF_MS = 1150,
   /* While a process starts it looks for archives and tells what it is ready for this often: with
@@ -200,26 +198,11 @@
   peer_net_drop (node->net, name);
 }
 
-/* Archives, so that callers are sent elsewhere before a turn finds out that they do not answer; and
- * whoever has left a question open, so that it is used again once it answers. */
-static bool
-node_must_probe (const struct Node *node, const struct Peer *peer, int64_t now_ms)
-{
-  struct ArchiveNames asked = archive_set_asked (&node->set);
-
-  if (now_ms - peer->probed_ms < PROBE_AFTER_MS)
-    return false;
-  if (peer->asked_ms > 0)
-    return node_peer_is_live (node, peer) || archive_names_have (&asked, peer->status.node);
-  return !node_is_archive (node) && peer->status.is_archive
-         && now_ms - peer->link_heard_ms >= PROBE_AFTER_MS
-         && archive_names_have (&asked, peer->status.node);
-}
-
 static void
 node_check_links (struct Node *node, int64_t now_ms)
 {
   const struct GatewayMessage probe = { .kind = GATEWAY_PROBE };
+  struct ArchiveNames asked = archive_set_asked (&node->set);
   struct Roster *roster = node->roster;
 
   for (size_t i = 0; i < roster->n_peers; i++)
@@ -227,7 +210,7 @@
       struct Peer *peer = roster->peers[i];
 
       node_check_link (node, peer, now_ms);
-      if (!node_must_probe (node, peer, now_ms))
+      if (!roster_must_probe (roster, peer, archive_names_have (&asked, peer->status.node), now_ms))
         continue;
       peer->probed_ms = now_ms;
       node_send (node, peer->status.node, &probe);
--- a/include/buckthornhead/roster.h
+++ b/include/buckthornhead/roster.h
@@ -40,6 +40,8 @@
   ROSTER_FORGET_MS = 2 * 60 * 60 * 1000,
   /* Processes that were last heard within this time of each other fell silent together. */
   ROSTER_TOGETHER_MS = 5000,
+  /* An archive is asked for a sign of life unless it gave one over its link this lately. */
+  ROSTER_PROBE_AFTER_MS = 400,
   ROSTER_AGGREGATORS = 2, /* a zone: one may die without a pause */
   ROSTER_ZONES_MAX = 64,
   ROSTER_SOURCES_MAX = 64 /* bits of Peer.listed */
@@ -143,6 +145,18 @@
 bool
 roster_is_live (const struct Roster *roster, const struct Peer *peer, int64_t now_ms);
 
+/* Whether to ask peer for a sign of life. is_asked: it is an archive that the set asks.
+ *
+ * Archives, by everyone: so that callers are sent elsewhere before a turn finds out that they do
+ * not answer; and so that no archive takes the place of a sound one. The gateways of a zone tell
+ * who lives in it: while they are cut off from the archives, all archives there look dead to the
+ * others. Besides, whoever has left a question open, so that it is used again once it answers. */
+bool
+roster_must_probe (const struct Roster *roster,
+                   const struct Peer *peer,
+                   bool is_asked,
+                   int64_t now_ms);
+
 /* Another process was heard lately over the network: this one is not cut off. */
 bool
 roster_hears_others (const struct Roster *roster, int64_t within_ms, int64_t now_ms);
--- a/tests/test_roster.c
+++ b/tests/test_roster.c
@@ -330,6 +330,36 @@
   talloc_free (ctx);
 }
 
+/* The gateways of a zone, who tell who lives in it, are cut off from all archives, and nobody else
+ * speaks for the archive there. An archive outside the set took it for dead and its place, though
+ * it answered every question; when the next disk was lost, too few were left for a second and a
+ * half. It asks the others itself, and hears them. */
+static void
+test_an_archive_asks_the_others_itself (void)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct Roster *spare = roster_of (ctx, "spare", "a");
+  int64_t now = START_MS;
+  struct Peer *member = hear (spare, "member", "b", LOADS_OF_PROCESS, now);
+
+  spare->own.is_archive = true;
+  member->status.is_archive = true;
+  for (uint32_t i = 0; i < 20; i++)
+    {
+      now += HALF_SECOND_MS;
+      CU_ASSERT_TRUE (roster_must_probe (spare, member, true, now));
+      member->probed_ms = now;
+      CU_ASSERT_FALSE (roster_must_probe (spare, member, true, now));
+      /* The answer. */
+      roster_note_heard (member, now);
+      member->link_heard_ms = now;
+      CU_ASSERT_TRUE (roster_is_live (spare, member, now + HALF_SECOND_MS));
+    }
+  /* One that counts for nothing is left alone. */
+  CU_ASSERT_FALSE (roster_must_probe (spare, member, false, now + 2 * HALF_SECOND_MS));
+  talloc_free (ctx);
+}
+
 const char test_suite_name[] = "roster";
 const struct TestCase test_cases[] = {
   { "two aggregators do not keep a dead process alive",
@@ -343,5 +373,6 @@
   { "who aggregates", test_who_aggregates },
   { "loads are counted once", test_loads_are_counted_once },
   { "the silent are forgotten", test_the_silent_are_forgotten },
+  { "an archive asks the others itself", test_an_archive_asks_the_others_itself },
   { NULL, NULL },
 };
