Limits: words come sooner from 0.95 of a limit on; failures name their customer

Change: from 0.95 of a limit on words are told as in a surge; calm margins to 1.04 of the limit and 0.7 of the slack.

--- a/core/customers/quota.c
+++ b/core/customers/quota.c
@@ -29,6 +29,8 @@
 static const double WANTED_SPAN = 0.4;
 /* From this part of the limit on, use is told to all; below it nobody has to hold back. */
 static const double NEAR_LIMIT = 0.7;
+/* From this part on each word counts: what others let through until it comes is over the limit. */
+static const double AT_LIMIT = 0.95;
 /* Of the burst and the slack, what demand may come to before it counts as a surge. */
 static const double SURGE_SPARE = 0.5;
 
@@ -42,7 +44,7 @@
   double under_way_from, under_way_to; /* parts of the limit between which that is held back */
 };
 
-static const struct QuotaMargins calm_margins = { 0.8, 0.9, 0.75, 1.0, 1.06 };
+static const struct QuotaMargins calm_margins = { 0.8, 0.9, 0.7, 0.98, 1.04 };
 static const struct QuotaMargins surge_margins = { 0.5, 0.9, 0.85, 0.92, 1.0 };
 
 /* Of new observations, in what a program is believed to need, each second. */
@@ -394,7 +396,8 @@
       if (entry == NULL)
         continue;
       urgency = QUOTA_NEAR;
-      if (uses[i].wanted > entry_may_want (ledger, entry))
+      if (uses[i].wanted > entry_may_want (ledger, entry)
+          || uses[i].taken > AT_LIMIT * entry_limit (ledger, entry))
         return QUOTA_SURGE;
     }
   return urgency;
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -121,8 +121,10 @@
 
   log_request (
       words->level, words->name, request->caller.id, request->caller.program,
-      "route %s, service %s, configuration %llu, %lld ms left, %zu servers tried%s: %s",
+      "route %s, service %s, customer %s, configuration %llu, %lld ms left, %zu servers tried%s: "
+      "%s",
       request->route.name, request->service,
+      request->customer.name[0] != '\0' ? request->customer.name : "-",
       (unsigned long long)(request->front->table != NULL ? request->front->table->version : 0),
       (long long)request_left_ms (request), request->n_tried,
       request->may_have_run ? ", may have run" : "", detail);
--- a/include/buckthornhead/customers/quota.h
+++ b/include/buckthornhead/customers/quota.h
@@ -133,7 +133,7 @@
 {
   QUOTA_CALM, /* nobody is near a limit */
   QUOTA_NEAR, /* somebody is */
-  QUOTA_SURGE /* somebody's demand exceeds a limit */
+  QUOTA_SURGE /* somebody's demand or use comes up to a limit */
 };
 
 /* By the sums of the customers near their limit. */
--- a/tests/test_quota_fleet.c
+++ b/tests/test_quota_fleet.c
@@ -635,9 +635,9 @@
 static void
 test_a_little_over_the_limit (void)
 {
-  static const double loads[] = { 1.3, 1.6, 2, 3 };
+  static const double loads[] = { 1.3, 1.6, 2, 2.3, 3 };
 
-  for (uint64_t seed = 1; seed <= 4; seed++)
+  for (uint64_t seed = 1; seed <= 8; seed++)
     for (size_t i = 0; i < sizeof loads / sizeof loads[0]; i++)
       {
         struct Sim *sim = sim_new (66, QUOTA_BY_COUNTS, true, seed);
