Soak: customers, whose names, turns and limits its servers' side checks

Every caller has a key and forges another's name; strangers try to go on from its turns; one customer's limit is checked in each five seconds of what ran.

--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -295,6 +295,11 @@
   soak->version = 1;
   soak->fleet = fleet_new (ctx);
   fleet_start_all (soak->fleet, N_GATEWAYS, N_ARCHIVES, soak_forward, soak);
+  installation_set_customers (soak->fleet->installation, soak_customers);
+  installation_configure (soak->fleet->installation, ++soak->version, "");
+  for (uint32_t i = 0; i < N_GATEWAYS; i++)
+    if (!process_wait_output (soak->fleet->gateways[i].process, "version 2, 3 routes"))
+      abort ();
   soak->load.fleet = soak->fleet;
   soak->load.seed = seed;
   soak_load_start (&soak->load, N_CALLERS);
--- a/tests/soak/soak_load.c
+++ b/tests/soak/soak_load.c
@@ -20,10 +20,16 @@
   RECOVERY_LIMIT_MS = 60000
 };
 
+const char soak_customers[] =
+    "[{\"name\":\"c0\",\"api_keys\":[\"soak-key-0\"]},{\"name\":\"c1\",\"api_keys\":[\"soak-key-"
+    "1\"]},"
+    "{\"name\":\"c2\",\"api_keys\":[\"soak-key-2\"],\"rate_per_s\":12,\"burst\":12}]";
+
 struct Caller
 {
   struct SoakLoad *load;
   uint32_t number;
+  uint32_t customer;
   uint64_t random;
   uint64_t n_ids;
   struct ClientLink links[GATEWAYS_MAX];
@@ -102,8 +108,10 @@
   struct ClientReply *reply = &caller->reply;
   char all[1024];
 
-  snprintf (all, sizeof all, "X-Request-Id: %s\r\nX-Deadline-Ms: %d\r\n%s", id, TIMEOUT_MS,
-            headers);
+  snprintf (all, sizeof all,
+            "X-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nAuthorization: Bearer soak-key-%u\r\n"
+            "X-Tenant: forged\r\n%s",
+            id, TIMEOUT_MS, caller->customer, headers);
   client_send (link, path, all, body, TIMEOUT_MS, reply);
   if (reply->status == 503 || reply->status == 429 || reply->status == 402)
     {
@@ -116,6 +124,43 @@
   return false;
 }
 
+/* What ran, ran in its customer's name, and its server saw no key. */
+static void
+check_customer (struct Caller *caller, const char *id)
+{
+  struct SoakLoad *load = caller->load;
+  struct Installation *installation = load->fleet->installation;
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  char name[8];
+
+  snprintf (name, sizeof name, "c%u", caller->customer);
+  if (installation_runs_of (installation, id) > 0
+      && (strcmp (installation_header_of (installation, ctx, id, "X-Tenant"), name) != 0
+          || strcmp (installation_header_of (installation, ctx, id, "Authorization"), "") != 0))
+    soak_violation (load, "%s: the server was not told that it is %s's, or saw a key", id, name);
+  talloc_free (ctx);
+}
+
+/* Another customer names the program's last turn as its own: for it there is none. */
+static void
+check_stranger (struct Caller *caller, const struct SoakProgram *program)
+{
+  uint32_t customer = caller->customer;
+  char id[48], headers[256];
+
+  if (program->last[0] == '\0')
+    return;
+  caller_next_id (caller, id);
+  snprintf (headers, sizeof headers, "X-Token-Count: 100,200\r\nX-Previous-Turn: %s\r\n",
+            program->last);
+  caller->customer = (customer + 1) % SOAK_CUSTOMERS;
+  caller_send (caller, "/turns/1", id, headers, "stranger");
+  caller->customer = customer;
+  if (caller->reply.status == 200
+      || installation_runs_of (caller->load->fleet->installation, id) > 0)
+    soak_violation (caller->load, "%s: another customer went on from %s", id, program->last);
+}
+
 /* A whole turn: the engine got the conversation in order, and the caller the engine's words. */
 static void
 check_turn (struct Caller *caller, struct SoakProgram *program, const char *id, const char *input)
@@ -133,6 +178,7 @@
       || strcmp (ran + strlen (program->history), input) != 0)
     soak_violation (load, "turn %s of %s: the engine did not get its history", id, program->id);
   talloc_free (ran);
+  check_customer (caller, id);
   n = strlen (program->history);
   n += (size_t)snprintf (program->history + n, HISTORY_MAX - n, "%s", input);
   for (int i = 1; i <= EVENTS; i++)
@@ -220,6 +266,7 @@
   caller_next_id (caller, id);
   caller_send (caller, "/once/1", id, "", "call");
   n_runs = installation_runs_of (load->fleet->installation, id);
+  check_customer (caller, id);
   if (n_runs > 1)
     soak_violation (load, "call %s ran %u times", id, n_runs);
   snprintf (wanted, sizeof wanted, "done %s", id);
@@ -240,6 +287,8 @@
             (unsigned long long)caller->n_ids);
   for (uint32_t turn = 0; turn < n_turns && caller_turn (caller, &program, turn); turn++)
     caller_call (caller);
+  if (caller_random (caller, 4) == 0)
+    check_stranger (caller, &program);
   if (program.last[0] != '\0')
     load_remember (load, &load->kept, &load->n_kept, program.last);
   atomic_fetch_add (&load->counts.n_programs, 1);
@@ -261,6 +310,7 @@
   memset (caller, 0, sizeof *caller);
   caller->load = load;
   caller->number = number;
+  caller->customer = number % SOAK_CUSTOMERS;
   caller->random = load->seed * 1000 + number;
   for (uint32_t i = 0; i < load->fleet->n_gateways; i++)
     {
@@ -303,6 +353,9 @@
   struct ClientReply *reply = &caller->reply;
   char id[48], headers[256] = "X-Token-Count: 100,200\r\n";
 
+  /* The number of the caller stands in its ids. */
+  caller->customer = (uint32_t)strtoul (strchr (last[0] != '\0' ? last : "-0", '-') + 1, NULL, 10)
+                     % SOAK_CUSTOMERS;
   if (last[0] != '\0')
     snprintf (headers, sizeof headers, "X-Token-Count: 100,200\r\nX-Previous-Turn: %s\r\n", last);
   do
@@ -334,6 +387,9 @@
   for (size_t i = 0; i < load->n_not_run; i++)
     if (installation_runs_of (load->fleet->installation, load->not_run[i]) > 0)
       soak_violation (load, "%s was said not to run, and ran", load->not_run[i]);
+  if (installation_fullest (load->fleet->installation, "c2", 5000) > SOAK_LIMIT_BOUND)
+    soak_violation (load, "%u requests of c2 ran in five seconds, %d may",
+                    installation_fullest (load->fleet->installation, "c2", 5000), SOAK_LIMIT_BOUND);
   for (uint32_t g = 0; g < load->fleet->n_gateways; g++)
     client_close (&caller->links[g]);
   for (size_t i = 0; i < load->n_kept; i++)
--- a/tests/soak/soak_load.h
+++ b/tests/soak/soak_load.h
@@ -11,6 +11,17 @@
   _Atomic uint32_t n_turns, n_calls, n_refused, n_unknown, n_programs, n_violations;
 };
 
+enum
+{
+  SOAK_CUSTOMERS = 3,
+  /* The last one's limit, and what operators bear over it in any five seconds. */
+  SOAK_LIMIT_PER_S = 12,
+  SOAK_LIMIT_BOUND = (SOAK_LIMIT_PER_S * 5 + SOAK_LIMIT_PER_S) * 11 / 10 + 20
+};
+
+/* Customers "c0", "c1"..., each with one key, for the operators' configuration. */
+extern const char soak_customers[];
+
 struct SoakLoad
 {
   struct Fleet *fleet;
--- a/tests/standins/installation.c
+++ b/tests/standins/installation.c
@@ -269,6 +269,28 @@
   return body;
 }
 
+uint32_t
+installation_fullest (struct Installation *in, const char *customer, int64_t span_ms)
+{
+  char line[96];
+  uint32_t n = 0, most = 0;
+  size_t first = 0;
+
+  snprintf (line, sizeof line, "X-Tenant: %s\n", customer);
+  pthread_mutex_lock (&in->lock);
+  for (size_t i = 0; i < in->n_runs; i++)
+    {
+      if (strstr (in->runs[i].headers, line) == NULL)
+        continue;
+      n++;
+      for (; in->runs[first].ran_ms <= in->runs[i].ran_ms - span_ms; first++)
+        n -= strstr (in->runs[first].headers, line) != NULL;
+      most = n > most ? n : most;
+    }
+  pthread_mutex_unlock (&in->lock);
+  return most;
+}
+
 char *
 installation_header_of (struct Installation *in,
                         TALLOC_CTX *ctx,
--- a/tests/standins/installation.h
+++ b/tests/standins/installation.h
@@ -92,6 +92,9 @@
 /* Streams whose caller closed before their end, as a server saw it. */
 uint32_t
 installation_closes_seen (struct Installation *installation);
+/* The most requests of a customer that ran at all servers within any span of that length. */
+uint32_t
+installation_fullest (struct Installation *installation, const char *customer, int64_t span_ms);
 /* The body with which request ran last; NULL when it did not. Belongs to ctx. */
 char *
 installation_body_of (struct Installation *installation, TALLOC_CTX *ctx, const char *request);
--- a/tests/standins/installation_internal.h
+++ b/tests/standins/installation_internal.h
@@ -26,6 +26,7 @@
   char request[65];
   uint32_t server;
   char *body;
+  int64_t ran_ms;
   char *headers; /* "Name: value\n"... */
 };
 
--- a/tests/standins/installation_server.c
+++ b/tests/standins/installation_server.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 #include <unistd.h>
 
 enum
@@ -91,12 +92,15 @@
 {
   struct Installation *in = server->installation;
   struct Run *run = &in->runs[in->n_runs];
+  struct timespec now;
 
   if (in->n_runs == RUNS_MAX)
     abort ();
   in->n_runs++;
   snprintf (run->request, sizeof run->request, "%s", request);
   run->server = server->number;
+  clock_gettime (CLOCK_MONOTONIC, &now);
+  run->ran_ms = (int64_t)now.tv_sec * 1000 + now.tv_nsec / 1000000;
   run->body = strdup (body);
   run->headers = strdup ("");
   MHD_get_connection_values (connection, MHD_HEADER_KIND, header_add, &run->headers);
