--- a/tests/fuzz/run.sh
+++ b/tests/fuzz/run.sh
@@ -9,11 +9,12 @@
 runs=${FUZZ_RUNS:-20000}
 work=$(mktemp -d)
 trap 'rm -rf "$work"' EXIT
-mkdir "$work/record" "$work/peer" "$work/config" "$work/caller" "$work/state" "$work/gateway"
+mkdir "$work/record" "$work/peer" "$work/config" "$work/caller" "$work/state" "$work/gateway" "$work/credential"
 "$make_seeds" "$work"
 cp "$source"/examples/*.ini "$work/config"
 cp "$source"/tests/fuzz/seeds/caller/* "$work/caller"
 cp "$source"/tests/fuzz/seeds/gateway/* "$work/gateway"
+cp "$source"/tests/fuzz/seeds/credential/* "$work/credential"
 # Artifacts go to the build folder, so that a failing input outlives the run.
 "$target" -runs="$runs" -seed=1 -max_len=8192 -timeout=20 -rss_limit_mb=1024 -print_final_stats=1 -verbosity=0 -error_exitcode=1 \
   -artifact_prefix="$name-" "$work/$name"
