--- a/tests/test_gateway_message.c
+++ b/tests/test_gateway_message.c
@@ -36,6 +36,7 @@
 
   message.open = (struct TurnOpen){ .id = 7,
                                     .generation = 3,
+                                    .customer = "alma",
                                     .turn = "t2",
                                     .program = "p",
                                     .previous = "t1",
@@ -44,12 +45,14 @@
   back = travel (ctx, &message);
   CU_ASSERT_EQUAL (back->open.id, 7);
   CU_ASSERT_EQUAL (back->open.generation, 3);
+  CU_ASSERT_STRING_EQUAL (back->open.customer, "alma");
   CU_ASSERT_STRING_EQUAL (back->open.previous, "t1");
   CU_ASSERT_EQUAL (back->open.reserve_tokens, 589);
   CU_ASSERT_TRUE (back->open.want_history);
   message.kind = GATEWAY_TURN_READ;
-  message.read = (struct TurnRead){ .id = 8, .turn = "t1" };
+  message.read = (struct TurnRead){ .id = 8, .customer = "alma", .turn = "t1" };
   back = travel (ctx, &message);
+  CU_ASSERT_STRING_EQUAL (back->read.customer, "alma");
   CU_ASSERT_STRING_EQUAL (back->read.turn, "t1");
   talloc_free (ctx);
 }
@@ -307,6 +310,78 @@
   CU_ASSERT_PTR_NULL (message);
 }
 
+/* What a gateway tells of customers' use, with as many as one sees in five seconds; prints its
+ * size.
+ */
+static void
+test_use_of_customers_travels (void)
+{
+  enum
+  {
+    N = 45
+  };
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct CustomerUse uses[N] = { 0 };
+  struct GatewayMessage message = { .kind = GATEWAY_USES };
+  struct GatewayMessage *back;
+  uint8_t *bytes;
+  size_t n_bytes;
+
+  for (uint32_t i = 0; i < N; i++)
+    {
+      snprintf (uses[i].customer, sizeof uses[i].customer, "name%u", 1000 + i);
+      uses[i].taken = i % 4;
+      uses[i].begun = 11 * (i % 2);
+      uses[i].wanted = 200 * i;
+    }
+  message.uses = (struct UseReport){ .scope = USE_OF_ZONE, .zone = "z", .uses = uses, .n_uses = N };
+  back = travel (ctx, &message);
+  CU_ASSERT_EQUAL (back->uses.scope, USE_OF_ZONE);
+  CU_ASSERT_STRING_EQUAL (back->uses.zone, "z");
+  CU_ASSERT_EQUAL_FATAL (back->uses.n_uses, N);
+  CU_ASSERT_EQUAL (memcmp (back->uses.uses, uses, sizeof uses), 0);
+  CU_ASSERT_EQUAL (gateway_message_pack (ctx, &message, &bytes, &n_bytes), ERROR_NONE);
+  printf ("%d customers in %zu bytes ", N, n_bytes);
+  talloc_free (ctx);
+}
+
+/* The software before knew no customers: what it left on a disk ends earlier, and belongs to
+ * nobody.
+ */
+static void
+test_a_close_without_a_customer_is_read (void)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct PackWriter *p = pack_writer_new (ctx, false);
+  struct TurnClose close = { 0 };
+  struct PackReader r;
+  uint8_t *bytes;
+  size_t n_bytes;
+
+  pack_array (p, 13);
+  pack_u64 (p, 4);
+  pack_u64 (p, 3);
+  pack_string (p, "p");
+  pack_u64 (p, 76);
+  pack_bool (p, true);
+  pack_u64 (p, 60000);
+  pack_string (p, "t1");
+  pack_string (p, "");
+  pack_string (p, "i-1");
+  pack_bytes (p, (const uint8_t *)"in", 2);
+  pack_bytes (p, (const uint8_t *)"out", 3);
+  pack_u64 (p, 9);
+  pack_u64 (p, 1000);
+  CU_ASSERT_EQUAL (pack_finish (p, ctx, &bytes, &n_bytes), ERROR_NONE);
+  CU_ASSERT_PTR_NOT_NULL (pack_open (ctx, bytes, n_bytes, &r));
+  turn_close_unpack (&r, ctx, &close);
+  CU_ASSERT_EQUAL (read_end (&r), ERROR_NONE);
+  CU_ASSERT_STRING_EQUAL (close.customer, "");
+  CU_ASSERT_STRING_EQUAL (close.text.turn, "t1");
+  CU_ASSERT_EQUAL (close.session_tokens, 1000);
+  talloc_free (ctx);
+}
+
 const char test_suite_name[] = "gateway_message";
 const struct TestCase test_cases[] = {
   { "questions on turns travel", test_questions_on_turns_travel },
@@ -317,5 +392,7 @@
   { "heartbeats travel", test_heartbeats_travel },
   { "the other kinds travel", test_the_other_kinds_travel },
   { "an unknown kind is refused", test_an_unknown_kind_is_refused },
+  { "use of customers travels", test_use_of_customers_travels },
+  { "a close without a customer is read", test_a_close_without_a_customer_is_read },
   { NULL, NULL },
 };
