--- a/tests/test_quota_fleet.c
+++ b/tests/test_quota_fleet.c
@@ -20,7 +20,7 @@
   WINDOW_MS = 5000,
   SLACK = 20,
   BEGIN_MS = 1000000,
-  GATEWAYS_MAX = 300,
+  GATEWAYS_MAX = 1220,
   ZONES = 3,
   CUSTOMERS = 4,
   ROWS = CUSTOMERS + 1, /* what is told: the last of all customers */
@@ -651,19 +651,25 @@
       }
 }
 
-/* Three customers are hot together, in a fleet of three hundred gateways: each sees next to nothing
- * of any of them. */
+/* Three customers are hot together, before hundreds of gateways: each sees next to nothing of any
+ * of them. */
 static void
-test_three_hot_customers_in_a_large_fleet (void)
+test_three_hot_customers_in_large_fleets (void)
 {
-  struct Sim *sim = sim_new (300, QUOTA_BY_COUNTS, true, 1);
+  static const uint32_t sizes[] = { 300, 1220 };
 
-  sim_run (sim, 8000);
-  sim->load[0] = sim->load[1] = sim->load[2] = 4.3;
-  sim_run (sim, 10000);
-  sim_expect_bound (sim, "three hot, 300 gateways");
-  CU_ASSERT_EQUAL (sim->results[3].n_failed + sim->results[3].n_refused_begins, 0);
-  talloc_free (sim);
+  for (size_t i = 0; i < sizeof sizes / sizeof sizes[0]; i++)
+    {
+      struct Sim *sim = sim_new (sizes[i], QUOTA_BY_COUNTS, true, 1);
+
+      sim_run (sim, 8000);
+      sim->load[0] = sim->load[1] = sim->load[2] = 4.3;
+      sim_run (sim, 10000);
+      sim_expect_bound (sim,
+                        sizes[i] == 300 ? "three hot, 300 gateways" : "three hot, 1,220 gateways");
+      CU_ASSERT_EQUAL (sim->results[3].n_failed + sim->results[3].n_refused_begins, 0);
+      talloc_free (sim);
+    }
 }
 
 /* Three gateways, and customers that send twelve times their usual. Between two words each gateway
@@ -727,7 +733,7 @@
   { "a lower limit holds, a higher one at once",
     test_a_lower_limit_holds_and_a_higher_one_at_once },
   { "a little over the limit", test_a_little_over_the_limit },
-  { "three hot customers in a large fleet", test_three_hot_customers_in_a_large_fleet },
+  { "three hot customers in large fleets", test_three_hot_customers_in_large_fleets },
   { "a surge before three gateways", test_a_surge_before_three_gateways },
   { "table of ways", test_table_of_ways },
   { NULL, NULL },
