A list of programs misses nothing while partitions move

Ruled out: the program's creation (it was answered before). Change: each instance says of how many partitions its part is; while some are missing all are asked again after 50 ms, for a second at most, and what is missing then is told as partitions_missing.

--- a/daemon/home_program.c
+++ b/daemon/home_program.c
@@ -414,14 +414,18 @@
 home_list_json (struct Home *home, TALLOC_CTX *ctx, const char *service)
 {
   struct ProgramList list = { json_array (), service };
+  uint32_t n_partitions, n_programs;
+  json_t *body;
   char *text, *copy;
 
   if (home->ledger != NULL)
     ledger_each_program (home->ledger, home_add_program, &list);
-  text = json_dumps (list.programs, JSON_COMPACT);
+  home_count (home, &n_partitions, &n_programs);
+  body = json_pack ("{s:i, s:o}", "partitions", (int)n_partitions, "programs", list.programs);
+  text = json_dumps (body, JSON_COMPACT);
   copy = talloc_strdup (ctx, text);
   free (text);
-  json_decref (list.programs);
+  json_decref (body);
   return copy;
 }
 
--- a/daemon/operator.c
+++ b/daemon/operator.c
@@ -15,6 +15,8 @@
 enum
 {
   GATHER_MS = 1000, /* an instance that has not listed its programs by then is left out */
+  /* Until the instances are asked again while a partition is on its way from one to another. */
+  GATHER_AGAIN_MS = 50,
   TEXT_MAX_BYTES = 256 * 1024
 };
 
@@ -24,7 +26,9 @@
   struct Operator *operators;
   struct Exchange *exchange;
   json_t *programs;
+  uint32_t n_partitions; /* whose programs are listed */
   uint32_t n_waiting;
+  int64_t until_ms;
   struct Timer *timer;
 };
 
@@ -74,12 +78,17 @@
 static void
 gather_finish (struct Gather *gather)
 {
+  uint32_t n_partitions = gather->operators->core->settings->n_partitions;
   struct GatherPart *part, *next;
 
   HASH_ITER (by_id, gather->operators->parts, part, next)
   if (part->gather == gather)
     HASH_DELETE (by_id, gather->operators->parts, part);
-  operator_answer_json (gather->exchange, 200, json_pack ("{s:o}", "programs", gather->programs));
+  operator_answer_json (gather->exchange, 200,
+                        json_pack ("{s:o, s:i}", "programs", gather->programs, "partitions_missing",
+                                   gather->n_partitions < n_partitions
+                                       ? (int)(n_partitions - gather->n_partitions)
+                                       : 0));
   talloc_free (gather);
 }
 
@@ -115,22 +124,59 @@
 }
 
 static void
-operator_list_programs (struct Operator *operators, struct Exchange *exchange)
+gather_ask_all (struct Gather *gather)
 {
-  struct Gather *gather = talloc_zero (operators, struct Gather);
+  struct Operator *operators = gather->operators;
+  struct TimerService *timers = operators->core->timers;
   const struct FleetMember *members;
   size_t n = fleet_members (operators->core->fleet, &members);
 
-  gather->operators = operators;
-  gather->exchange = exchange;
-  gather->programs = json_array ();
   for (size_t i = 0; i < n; i++)
-    gather_ask (gather, members[i].instance, exchange->query_name);
+    gather_ask (gather, members[i].instance, gather->exchange->query_name);
   if (gather->n_waiting == 0)
     gather_finish (gather);
   else
-    gather->timer =
-        timer_subscribe (gather, operators->core->timers, GATHER_MS, 0, gather_on_time, gather);
+    gather->timer = timer_subscribe (gather, timers, gather->until_ms - timer_now_ms (timers), 0,
+                                     gather_on_time, gather);
+}
+
+static void
+gather_on_again (void *data)
+{
+  gather_ask_all (data);
+}
+
+/* Guards against a list with gaps: while a partition is handed over, neither the instance that had
+ * it nor the one that gets it lists its programs, and one just created seems not to exist. */
+static void
+gather_on_all (struct Gather *gather)
+{
+  struct Core *core = gather->operators->core;
+  int64_t now_ms = timer_now_ms (core->timers);
+
+  if (gather->n_partitions >= core->settings->n_partitions
+      || now_ms + GATHER_AGAIN_MS >= gather->until_ms)
+    {
+      gather_finish (gather);
+      return;
+    }
+  TALLOC_FREE (gather->timer);
+  json_array_clear (gather->programs);
+  gather->n_partitions = 0;
+  gather->timer =
+      timer_subscribe (gather, core->timers, GATHER_AGAIN_MS, 0, gather_on_again, gather);
+}
+
+static void
+operator_list_programs (struct Operator *operators, struct Exchange *exchange)
+{
+  struct Gather *gather = talloc_zero (operators, struct Gather);
+
+  gather->operators = operators;
+  gather->exchange = exchange;
+  gather->programs = json_array ();
+  gather->until_ms = timer_now_ms (operators->core->timers) + GATHER_MS;
+  gather_ask_all (gather);
 }
 
 bool
@@ -152,19 +198,19 @@
 {
   struct GatherPart *part;
   struct Gather *gather;
-  json_t *programs;
+  json_t *body;
 
   HASH_FIND (by_id, operators->parts, &answer->id, sizeof answer->id, part);
   if (part == NULL)
     return false;
   gather = part->gather;
   HASH_DELETE (by_id, operators->parts, part);
-  programs = json_loadb ((const char *)part->body, part->body_bytes, 0, NULL);
-  if (programs != NULL)
-    json_array_extend (gather->programs, programs);
-  json_decref (programs);
+  body = json_loadb ((const char *)part->body, part->body_bytes, 0, NULL);
+  json_array_extend (gather->programs, json_object_get (body, "programs"));
+  gather->n_partitions += (uint32_t)json_integer_value (json_object_get (body, "partitions"));
+  json_decref (body);
   if (--gather->n_waiting == 0)
-    gather_finish (gather);
+    gather_on_all (gather);
   return true;
 }
 
--- a/tests/sessions/test_operators.c
+++ b/tests/sessions/test_operators.c
@@ -5,6 +5,7 @@
 
 #include <command.h>
 
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -188,6 +189,61 @@
   cluster_end (cluster, CU_get_number_of_failures () > 0);
 }
 
+/* A shift lists programs while an instance leaves as planned and joins again, and its partitions
+ * are handed over and back. Between the moment in which one instance loses a partition and the
+ * other gains it, neither listed its programs: some were missing, as if they did not exist. */
+static void
+test_a_listing_misses_nothing_while_partitions_move (void)
+{
+  enum
+  {
+    N_PROGRAMS = 24,
+    N_MOVES = 3
+  };
+  struct Cluster *cluster = cluster_start (NULL, &three_instances);
+  const struct ClusterNode *moved = &cluster->instances[2];
+  uint32_t n_listed = 0, n_with_gaps = 0;
+
+  CU_ASSERT_EQUAL (ctl_exit (cluster, 0, "profile apply " SOURCE_FOLDER "/examples/menu.ini"),
+                   EXIT_CODE_OK);
+  CU_ASSERT_EQUAL (ctl_exit (cluster, 0, "service set menu-agents --profile menu --reason list"),
+                   EXIT_CODE_OK);
+  CU_ASSERT_TRUE (cluster_wait_settled (cluster));
+  for (uint32_t i = 0; i < N_PROGRAMS; i++)
+    {
+      char name[16];
+
+      snprintf (name, sizeof name, "listed-%u", i);
+      CU_ASSERT_TRUE (create_program (cluster, 0, name));
+    }
+  for (uint32_t i = 0; i < 2 * N_MOVES; i++)
+    {
+      int64_t until_ms = monotonic_ms () + 2500;
+
+      if (i % 2 == 0)
+        process_signal (moved->process, SIGTERM);
+      else
+        CU_ASSERT_TRUE (cluster_start_instance (cluster, 2));
+      while (monotonic_ms () < until_ms || (i % 2 == 0 && process_is_alive (moved->process)))
+        {
+          struct HttpReply *reply =
+              http_get (NULL, cluster->instances[0].operator_address, "/operator/programs");
+          const json_t *body = reply->json;
+
+          if (reply->status == 200
+              && json_integer_value (json_object_get (body, "partitions_missing")) == 0)
+            {
+              n_listed++;
+              n_with_gaps += json_array_size (json_object_get (body, "programs")) != N_PROGRAMS;
+            }
+          talloc_free (reply);
+        }
+    }
+  CU_ASSERT (n_listed > 0);
+  CU_ASSERT_EQUAL (n_with_gaps, 0);
+  cluster_end (cluster, CU_get_number_of_failures () > 0);
+}
+
 static bool
 all_have_joined (void *data)
 {
@@ -253,6 +309,8 @@
 const struct TestCase test_cases[] = {
   { "a shift", test_a_shift },
   { "tables have no gaps", test_tables_have_no_gaps },
+  { "a listing misses nothing while partitions move",
+    test_a_listing_misses_nothing_while_partitions_move },
   { "changes meet an outage", test_changes_meet_an_outage },
   { NULL, NULL },
 };
