--- a/daemon/home.h
+++ b/daemon/home.h
@@ -55,7 +55,7 @@
 void
 home_hand_off_all (struct Home *home, JournalDone done, void *data);
 
-/* Programs homed here, of one service unless it is "", and how many partitions they are of, as a JSON
- * object; belongs to ctx. */
+/* Programs homed here, of one service unless it is "", and how many partitions they are of, as a
+ * JSON object; belongs to ctx. */
 char *
 home_list_json (struct Home *home, TALLOC_CTX *ctx, const char *service);
