--- a/tests/test_gateway_message.c
+++ b/tests/test_gateway_message.c
@@ -339,7 +339,13 @@
   CU_ASSERT_EQUAL (back->uses.scope, USE_OF_ZONE);
   CU_ASSERT_STRING_EQUAL (back->uses.zone, "z");
   CU_ASSERT_EQUAL_FATAL (back->uses.n_uses, N);
-  CU_ASSERT_EQUAL (memcmp (back->uses.uses, uses, sizeof uses), 0);
+  for (uint32_t i = 0; i < N; i++)
+    {
+      CU_ASSERT_STRING_EQUAL (back->uses.uses[i].customer, uses[i].customer);
+      CU_ASSERT_EQUAL (back->uses.uses[i].taken, uses[i].taken);
+      CU_ASSERT_EQUAL (back->uses.uses[i].begun, uses[i].begun);
+      CU_ASSERT_EQUAL (back->uses.uses[i].wanted, uses[i].wanted);
+    }
   CU_ASSERT_EQUAL (gateway_message_pack (ctx, &message, &bytes, &n_bytes), ERROR_NONE);
   printf ("%d customers in %zu bytes ", N, n_bytes);
   talloc_free (ctx);
