Limits: a gateway's own use is worked out once a decision, a surge has one test

Cause: read as a newcomer. quota_decide and the list of standings worked out a gateway's own use two and three times; five places spelled out when demand is a surge; adding an entry looked again for one its only caller had just not found; quotas_tell_sums was given what it can read; a margin stood alike in both sets. The comment on CustomerUse did not say what the row without a name carries as wanted, and the file's head still had a starting gateway count for itself what all count for it. Change: quota_part is given the own use, quota_is_surge, ledger_add_entry, BEGUN_FROM. No behaviour. Measured: test_quota_fleet prints the same windows line for line before and after; make check passed, 87 of 87. Left: what is told of a customer near its limit is looked up twice a heartbeat (ledger_surge, then quota_ledger_hear); it is a handful of customers.

--- a/core/customers/quota.c
+++ b/core/customers/quota.c
@@ -80,13 +80,10 @@
 }
 
 static struct QuotaEntry *
-ledger_need_entry (struct QuotaLedger *ledger, const char *customer)
+ledger_add_entry (struct QuotaLedger *ledger, const char *customer)
 {
-  struct QuotaEntry *entry = quota_ledger_find (ledger, customer);
+  struct QuotaEntry *entry = talloc_zero (ledger, struct QuotaEntry);
 
-  if (entry != NULL)
-    return entry;
-  entry = talloc_zero (ledger, struct QuotaEntry);
   if (entry == NULL)
     return NULL;
   snprintf (entry->customer, sizeof entry->customer, "%s", customer);
@@ -129,6 +126,14 @@
          + SURGE_SPARE * (entry->burst + ledger->rules.slack);
 }
 
+bool
+quota_is_surge (const struct QuotaLedger *ledger,
+                const struct QuotaEntry *entry,
+                const struct CustomerUse *use)
+{
+  return use->wanted > quota_may_want (ledger, entry);
+}
+
 /* Configuration. */
 
 static void
@@ -168,7 +173,7 @@
 
       entry = quota_ledger_find (ledger, customer->name);
       if (entry == NULL && customer->rate_per_s > 0)
-        entry = ledger_need_entry (ledger, customer->name);
+        entry = ledger_add_entry (ledger, customer->name);
       if (entry != NULL)
         entry_configure (ledger, entry, customer, now_ms);
     }
@@ -200,21 +205,22 @@
   for (struct QuotaEntry *entry = ledger->entries; standings != NULL && entry != NULL;
        entry = entry->hh.next)
     {
-      struct CustomerUse fleet;
+      struct CustomerUse own, fleet;
       struct QuotaStanding *standing = &standings[*n_standings];
 
       if (entry->rate_per_s <= 0)
         continue;
       (*n_standings)++;
+      own = quota_own_use (ledger, entry, now_ms);
       memcpy (standing->customer, entry->customer, sizeof standing->customer);
       standing->rate_per_s = entry->rate_per_s;
       standing->burst = entry->burst;
-      standing->taken_here = quota_own_use (ledger, entry, now_ms).taken;
+      standing->taken_here = own.taken;
       standing->refused_here = entry->n_refused;
       standing->begin_permille =
-          (uint32_t)(1000 * quota_part (ledger, entry, QUOTA_ASK_BEGIN, now_ms, &fleet));
+          (uint32_t)(1000 * quota_part (ledger, entry, &own, QUOTA_ASK_BEGIN, now_ms, &fleet));
       standing->under_way_permille =
-          (uint32_t)(1000 * quota_part (ledger, entry, QUOTA_ASK_UNDER_WAY, now_ms, &fleet));
+          (uint32_t)(1000 * quota_part (ledger, entry, &own, QUOTA_ASK_UNDER_WAY, now_ms, &fleet));
       standing->taken_by_fleet = fleet.taken;
     }
   return standings;
--- a/core/customers/quota_internal.h
+++ b/core/customers/quota_internal.h
@@ -71,11 +71,18 @@
 double
 quota_may_want (const struct QuotaLedger *ledger, const struct QuotaEntry *entry);
 
-/* The part of a customer's requests of that kind that passes; the fleet's use as known here is
- * written to *fleet. */
+/* use: the fleet's, of the entry's customer. */
+bool
+quota_is_surge (const struct QuotaLedger *ledger,
+                const struct QuotaEntry *entry,
+                const struct CustomerUse *use);
+
+/* The part of a customer's requests of that kind that passes. own: this gateway's use now; the
+ * fleet's as known here is written to *fleet. */
 double
 quota_part (const struct QuotaLedger *ledger,
-            struct QuotaEntry *entry,
+            const struct QuotaEntry *entry,
+            const struct CustomerUse *own,
             enum QuotaAsk ask,
             int64_t now_ms,
             struct CustomerUse *fleet);
--- a/core/customers/quota_part.c
+++ b/core/customers/quota_part.c
@@ -12,14 +12,12 @@
 struct QuotaMargins
 {
   double begin_spare;                  /* of burst and slack, for programs that begin */
-  double begun_from;                   /* part of that where they are held back by degrees */
   double under_way_spare;              /* of the slack, for what is under way */
   double under_way_from, under_way_to; /* parts of the limit between which that is held back */
 };
 
 static const struct QuotaMargins calm_margins = {
   .begin_spare = 0.8,
-  .begun_from = 0.9,
   .under_way_spare = 0.7,
   .under_way_from = 0.98,
   .under_way_to = 1.04,
@@ -27,12 +25,13 @@
 
 static const struct QuotaMargins surge_margins = {
   .begin_spare = 0.5,
-  .begun_from = 0.9,
   .under_way_spare = 0.85,
   .under_way_from = 0.92,
   .under_way_to = 1.0,
 };
 
+/* Of what may begin, where programs that begin are held back by degrees. */
+static const double BEGUN_FROM = 0.9;
 /* Of an equal part, what a gateway that is cut off spends. Others leave half of one for each that
  * they do not hear, and no more than this of all. */
 static const double CUT_OFF_PART = 0.4, CUT_OFF_PARTS_MAX = 0.25;
@@ -65,9 +64,8 @@
                const struct CustomerUse *fleet,
                int64_t now_ms)
 {
-  return fleet->wanted > quota_may_want (ledger, entry) || quota_age (ledger, now_ms) < 1
-             ? &surge_margins
-             : &calm_margins;
+  return quota_is_surge (ledger, entry, fleet) || quota_age (ledger, now_ms) < 1 ? &surge_margins
+                                                                                 : &calm_margins;
 }
 
 /* The part of what is under way that passes. */
@@ -79,14 +77,14 @@
 {
   const struct QuotaMargins *margins = entry_margins (ledger, entry, fleet, now_ms);
   double spare = margins->under_way_spare * ledger->rules.slack;
-  double limit = quota_limit (ledger, entry);
+  double limit = quota_limit (ledger, entry), heard = heard_part (ledger);
 
-  if (fleet->wanted > quota_may_want (ledger, entry))
+  if (quota_is_surge (ledger, entry, fleet))
     limit -= entry->burst * (1 - quota_age (ledger, now_ms));
   if (now_ms < entry->old_until_ms && entry->old_limit > limit)
     limit = entry->old_limit;
-  limit *= heard_part (ledger);
-  spare *= heard_part (ledger);
+  limit *= heard;
+  spare *= heard;
   return falling (fleet->taken, margins->under_way_from * limit + spare,
                   margins->under_way_to * limit + spare);
 }
@@ -99,14 +97,14 @@
             const struct CustomerUse *fleet,
             int64_t now_ms)
 {
-  double burst = entry->burst * quota_age (ledger, now_ms);
+  double burst = entry->burst * quota_age (ledger, now_ms), heard = heard_part (ledger);
   const struct QuotaMargins *margins = entry_margins (ledger, entry, fleet, now_ms);
   double spare = margins->begin_spare * (burst + ledger->rules.slack);
-  double limit = (entry->rate_per_s * quota_window_s (ledger) + spare) * heard_part (ledger);
+  double limit = (entry->rate_per_s * quota_window_s (ledger) + spare) * heard;
   /* Half of the next one as well: of a small limit one program is a large part. */
   double begun = (fleet->begun + quota_ledger_need (ledger) / 2) * entry->need_scale;
-  double part = falling (begun, margins->begun_from * limit, limit);
-  double may_want = quota_may_want (ledger, entry) * heard_part (ledger);
+  double part = falling (begun, BEGUN_FROM * limit, limit);
+  double may_want = quota_may_want (ledger, entry) * heard;
 
   if (fleet->wanted > may_want)
     part = fmin (part, may_want / fleet->wanted);
@@ -169,15 +167,15 @@
 
 double
 quota_part (const struct QuotaLedger *ledger,
-            struct QuotaEntry *entry,
+            const struct QuotaEntry *entry,
+            const struct CustomerUse *own,
             enum QuotaAsk ask,
             int64_t now_ms,
             struct CustomerUse *fleet)
 {
-  struct CustomerUse own = quota_own_use (ledger, entry, now_ms);
   double part;
 
-  *fleet = entry_fleet (ledger, entry, &own);
+  *fleet = entry_fleet (ledger, entry, own);
   part = under_way_part (ledger, entry, fleet, now_ms);
   return ask == QUOTA_ASK_UNDER_WAY ? part : fmin (part, begin_part (ledger, entry, fleet, now_ms));
 }
@@ -190,7 +188,7 @@
               struct QuotaVerdict *verdict)
 {
   struct CustomerUse own = quota_own_use (ledger, entry, now_ms), fleet;
-  double part = quota_part (ledger, entry, ask, now_ms, &fleet);
+  double part = quota_part (ledger, entry, &own, ask, now_ms, &fleet);
 
   verdict->limit = (uint32_t)quota_limit (ledger, entry);
   verdict->fleet_taken = fleet.taken;
--- a/core/customers/quota_told.c
+++ b/core/customers/quota_told.c
@@ -35,7 +35,7 @@
     {
       const struct QuotaEntry *entry = quota_ledger_find (ledger, uses[i].customer);
 
-      if (entry != NULL && uses[i].wanted > quota_may_want (ledger, entry))
+      if (entry != NULL && quota_is_surge (ledger, entry, &uses[i]))
         wanted += uses[i].wanted;
     }
   return wanted;
@@ -153,7 +153,7 @@
       if (entry == NULL)
         continue;
       urgency = QUOTA_NEAR;
-      if (uses[i].wanted > quota_may_want (ledger, entry)
+      if (quota_is_surge (ledger, entry, &uses[i])
           || uses[i].taken > AT_LIMIT * quota_limit (ledger, entry))
         return QUOTA_SURGE;
     }
--- a/gateway/quotas.c
+++ b/gateway/quotas.c
@@ -131,11 +131,11 @@
 }
 
 static int64_t
-quotas_tell_again_ms (const struct Quotas *quotas, enum QuotaUrgency urgency, int64_t now_ms)
+quotas_tell_again_ms (const struct Quotas *quotas, int64_t now_ms)
 {
   if (quotas_hurries (quotas, now_ms))
     return LOOK_MS;
-  switch (urgency)
+  switch (quotas->urgency)
     {
     case QUOTA_CALM:
       return TELL_MS;
@@ -172,14 +172,13 @@
                   size_t n_own,
                   struct CustomerUse *fleet,
                   size_t n_fleet,
-                  enum QuotaUrgency urgency,
                   int64_t now_ms)
 {
   int64_t since_ms = now_ms - quotas->fleet_told_ms;
   struct CustomerUse *zone;
   size_t n_zone;
 
-  if (since_ms < quotas_tell_again_ms (quotas, urgency, now_ms))
+  if (since_ms < quotas_tell_again_ms (quotas, now_ms))
     return;
   zone = use_board_sum (quotas->board, fleet, USE_OF_ZONE, own, n_own, now_ms, &n_zone);
   quotas_send (quotas, USE_OF_ZONE, zone, n_zone, PEERS_OTHER_ZONES);
@@ -200,7 +199,7 @@
   n_fleet = quota_ledger_near_limit (quotas->ledger, fleet, n_fleet);
   quotas->urgency = quota_ledger_urgency (quotas->ledger, fleet, n_fleet);
   quota_ledger_hear (quotas->ledger, fleet, n_fleet, now_ms);
-  quotas_tell_sums (quotas, own, n_own, fleet, n_fleet, quotas->urgency, now_ms);
+  quotas_tell_sums (quotas, own, n_own, fleet, n_fleet, now_ms);
 }
 
 /* The same, as an aggregator said. */
@@ -253,7 +252,7 @@
 quotas_look (struct Quotas *quotas, int64_t now_ms)
 {
   bool aggregates = roster_is_aggregator (quotas->front->node->roster, now_ms);
-  bool tells = now_ms - quotas->told_ms >= quotas_tell_again_ms (quotas, quotas->urgency, now_ms);
+  bool tells = now_ms - quotas->told_ms >= quotas_tell_again_ms (quotas, now_ms);
   struct CustomerUse *own = NULL;
   size_t n_own;
 
--- a/include/buckthornhead/customers/quota.h
+++ b/include/buckthornhead/customers/quota.h
@@ -14,8 +14,8 @@
  *
  * A gateway that hears nobody spends less than half of an equal part, and the others leave as much
  * for each that they do not hear, so that the two sides of a partition keep the limit together. One
- * that has just started counts its part as spent at the full rate before: else a stop of everything
- * would give a second burst. Pure: times in milliseconds of any steady clock. */
+ * that has just started tells so, and all count its part as spent at the full rate before: else a
+ * stop of everything would give a second burst. Pure: times in milliseconds of any steady clock. */
 #pragma once
 
 #include <buckthornhead/customers/customer_table.h>
@@ -44,7 +44,8 @@
 };
 
 /* One customer's use, of one gateway or summed over several. Without a name: of all customers, the
- * requests of programs that were let through as taken, and the number of programs as begun. */
+ * requests of programs that were let through as taken, the number of programs as begun, and as
+ * wanted the part of the window, in thousandths, that lies before the gateway's start. */
 struct CustomerUse
 {
   char customer[NAME_MAX_BYTES + 1];
