A process that starts asks a seed whom to report to

A process that starts introduces itself to its zone's seed and gets four processes of each zone; the aggregators among them list the rest. Archives wait for the lists before they join the first set: five raced for each generation. Ruled out: lists of all known processes from seeds (60 KB each to 984). A test that counts calls in each process's histogram failed: registrations were never counted there, and are now.

--- a/core/gateway/gateway_settings.c
+++ b/core/gateway/gateway_settings.c
@@ -44,6 +44,11 @@
       "change_in_force", CONFIG_VALUE_NUMBER, change_in_force_ms, "2s", UNIT_TIME, 500, MINUTE_MS),
 };
 
+static const struct ConfigKey membership_keys[] = {
+  TEXT ("seeds", CONFIG_VALUE_TEXT, seeds, ""),
+  NUMBER ("seed_port", CONFIG_VALUE_NUMBER, seed_port, "0", UNIT_NONE, 0, UINT16_MAX),
+};
+
 static const struct ConfigChoice yes_no[] = {
   { "true", 1 },
   { "false", 0 },
@@ -99,11 +104,11 @@
 };
 
 static const struct ConfigSection sections[] = {
-  SECTION ("instance", instance_keys),  SECTION ("listen", listen_keys),
-  SECTION ("platform", platform_keys),  SECTION ("archives", archive_keys),
-  SECTION ("stop", stop_keys),          SECTION ("directory", directory_keys),
-  SECTION ("limits", limit_keys),       SECTION ("quota", quota_keys),
-  SECTION ("decisions", decision_keys),
+  SECTION ("instance", instance_keys),   SECTION ("listen", listen_keys),
+  SECTION ("platform", platform_keys),   SECTION ("membership", membership_keys),
+  SECTION ("archives", archive_keys),    SECTION ("stop", stop_keys),
+  SECTION ("directory", directory_keys), SECTION ("limits", limit_keys),
+  SECTION ("quota", quota_keys),         SECTION ("decisions", decision_keys),
 };
 
 static void *
--- a/core/gateway/roster.c
+++ b/core/gateway/roster.c
@@ -347,6 +347,69 @@
   return choice.n;
 }
 
+/* The contacts of one zone, lowest rank first. */
+struct ZoneContacts
+{
+  const char *zone;
+  const struct Peer *peers[ROSTER_CONTACTS];
+  size_t n;
+};
+
+static void
+contacts_offer (struct ZoneContacts *contacts, const struct Peer *peer)
+{
+  size_t at = contacts->n;
+
+  while (at > 0 && peer->rank < contacts->peers[at - 1]->rank)
+    at--;
+  if (at == ROSTER_CONTACTS)
+    return;
+  if (contacts->n < ROSTER_CONTACTS)
+    contacts->n++;
+  for (size_t i = contacts->n - 1; i > at; i--)
+    contacts->peers[i] = contacts->peers[i - 1];
+  contacts->peers[at] = peer;
+}
+
+size_t
+roster_contacts (const struct Roster *roster,
+                 int64_t now_ms,
+                 const struct Peer *contacts[ROSTER_CONTACTS_MAX])
+{
+  struct ZoneContacts zones[ROSTER_ZONES_MAX] = { 0 };
+  size_t n_zones = 0, n = 0;
+
+  for (size_t i = 0; i < roster->n_peers; i++)
+    {
+      const struct Peer *peer = roster->peers[i];
+      size_t at = 0;
+
+      if (peer->status.is_archive || !peer_may_aggregate (roster, peer, now_ms))
+        continue;
+      while (at < n_zones && strcmp (zones[at].zone, peer->status.zone) != 0)
+        at++;
+      if (at == ROSTER_ZONES_MAX)
+        continue;
+      if (at == n_zones)
+        zones[n_zones++].zone = peer->status.zone;
+      contacts_offer (&zones[at], peer);
+    }
+  for (size_t i = 0; i < n_zones; i++)
+    for (size_t j = 0; j < zones[i].n; j++)
+      contacts[n++] = zones[i].peers[j];
+  return n;
+}
+
+bool
+roster_is_served (const struct Roster *roster, int64_t now_ms)
+{
+  for (uint32_t i = 0; i < ROSTER_SOURCES_MAX; i++)
+    if (roster->sources[i].kind == SNAPSHOT_FLEET && roster->sources[i].has_list
+        && source_is_live (&roster->sources[i], now_ms))
+      return true;
+  return false;
+}
+
 bool
 roster_is_aggregator (const struct Roster *roster, int64_t now_ms)
 {
@@ -359,6 +422,15 @@
   return false;
 }
 
+bool
+roster_is_first_aggregator (const struct Roster *roster, int64_t now_ms)
+{
+  const char *names[ROSTER_AGGREGATORS];
+
+  return roster_aggregators (roster, roster->own.zone, now_ms, names) > 0
+         && roster_is_own (roster, names[0]);
+}
+
 bool
 roster_serves (const struct Roster *roster,
                const struct Peer *peer,
--- a/gateway/archive_member.c
+++ b/gateway/archive_member.c
@@ -22,7 +22,9 @@
   RETRY_MS = 400,
   /* For each archive that may join the first set before this one. A write takes two calls to the
    * store, and a member of the set is known to all within some 300 ms. */
-  FIRST_TURN_MS = 600
+  FIRST_TURN_MS = 600,
+  /* For the lists of processes: until it has them each archive would take itself for the first. */
+  FIRST_LOOK_MS = 1500
 };
 
 struct ArchiveMember
@@ -498,6 +500,16 @@
   return n;
 }
 
+/* It knows the other archives, or has waited for them for long enough. */
+static bool
+member_has_looked (const struct ArchiveMember *member)
+{
+  int64_t now_ms = member_now_ms (member);
+
+  return roster_is_served (member->node->roster, now_ms)
+         || now_ms - member->node->started_ms >= FIRST_LOOK_MS;
+}
+
 /* It is this archive's turn to join the first set, or those before it have let theirs pass. */
 static bool
 member_is_next_first (struct ArchiveMember *member)
@@ -534,7 +546,7 @@
 
   if (member_lost_disk (member))
     member_start_copy (member, 0);
-  if (member->first && !inside
+  if (member->first && !inside && member_has_looked (member)
       && set->members.n < archive_set_wanted (member->node->settings->tolerated))
     {
       if (member_is_next_first (member))
--- a/gateway/front.c
+++ b/gateway/front.c
@@ -401,6 +401,7 @@
     case SNAPSHOT_RETIRE:
     case SNAPSHOT_ZONE:
     case SNAPSHOT_FLEET:
+    case SNAPSHOT_CONTACTS:
       break;
     }
 }
--- a/gateway/node.c
+++ b/gateway/node.c
@@ -1,6 +1,7 @@
 #include "node_internal.h"
 
 #include "relay.h"
+#include "seeds.h"
 #include "store_reader.h"
 
 #include <buckthornhead/log.h>
@@ -281,6 +282,8 @@
   timer_subscribe (node->net, node->timers, HEARTBEAT_MS, HEARTBEAT_MS, node_on_heartbeat, node);
   node->starting = timer_subscribe (node->net, node->timers, STARTING_PERIOD_MS, STARTING_PERIOD_MS,
                                     node_on_starting, node);
+  if (node->settings->seeds[0] != '\0')
+    node->seeds = seeds_new (node);
   node_announce (node);
   return ERROR_NONE;
 }
--- a/gateway/node.h
+++ b/gateway/node.h
@@ -19,6 +19,7 @@
 
 struct Node;
 struct StoreReader;
+struct Seeds;
 
 /* What the role does with what the node hears. */
 struct NodeHandler
@@ -45,6 +46,7 @@
   struct PeerNet *net;
   struct KvPort *store;
   struct StoreReader *reader;
+  struct Seeds *seeds; /* NULL: none are named */
   struct NodeHandler handler;
   struct Roster *roster;
   int64_t started_ms;
@@ -132,6 +134,10 @@
 int32_t
 node_send_archive (struct Node *node, const char *archive, const struct GatewayMessage *message);
 
+/* Sends this process's heartbeat to peer, whoever that is. */
+void
+node_introduce (struct Node *node, const char *peer);
+
 /* Tells about this process now, not at the next heartbeat. */
 void
 node_announce (struct Node *node);
--- a/gateway/node_hear.c
+++ b/gateway/node_hear.c
@@ -2,6 +2,7 @@
 #include "node_internal.h"
 
 #include "relay.h"
+#include "seeds.h"
 #include "store_reader.h"
 
 #include <buckthornhead/log.h>
@@ -73,6 +74,8 @@
         case SNAPSHOT_RETIRE:
           store_reader_take_mark (node->reader, link, mark);
           break;
+        case SNAPSHOT_CONTACTS:
+          break;
         }
     }
 }
@@ -102,7 +105,8 @@
   node_take_marks (node, link, sender, heartbeat);
   if (changed)
     node_publish_soon (node);
-  if (heartbeat->scope == LOADS_OF_PROCESS && (!reported || !was_live))
+  if (heartbeat->scope == LOADS_OF_PROCESS && (!reported || !was_live)
+      && strcmp (heartbeat->status.zone, node->settings->zone) == 0)
     node_greet (node, name);
 }
 
@@ -119,6 +123,19 @@
     node_publish_soon (node);
 }
 
+static void
+node_answer_contacts (struct Node *node, uint64_t link)
+{
+  struct GatewayMessage message = { .kind = GATEWAY_SNAPSHOT };
+  struct Snapshot *contacts = seeds_contacts (node, node->net);
+
+  if (contacts == NULL)
+    return;
+  message.snapshot = *contacts;
+  node_answer (node, link, &message);
+  talloc_free (contacts);
+}
+
 static void
 node_answer_want (struct Node *node, uint64_t link, enum SnapshotKind kind)
 {
@@ -130,6 +147,11 @@
    * takes them: of 300 machines that had started together, some had a configuration 6 s late. */
   if (peer_net_queued_bytes (node->net, link) > 0)
     return;
+  if (kind == SNAPSHOT_CONTACTS)
+    {
+      node_answer_contacts (node, link);
+      return;
+    }
   if (kind != SNAPSHOT_ZONE && kind != SNAPSHOT_FLEET)
     {
       store_reader_answer_whole (node->reader, link, kind);
@@ -151,7 +173,10 @@
 
   if (snapshot->kind == SNAPSHOT_ZONE || snapshot->kind == SNAPSHOT_FLEET)
     node_take_list (node, link, sender, snapshot);
-  else if (store_reader_take_from_peer (node->reader, link, snapshot))
+  else if (snapshot->kind == SNAPSHOT_CONTACTS && node->seeds != NULL)
+    seeds_take_contacts (node->seeds, snapshot);
+  else if (snapshot->kind != SNAPSHOT_CONTACTS
+           && store_reader_take_from_peer (node->reader, link, snapshot))
     node_send_some (node, &message, PEERS_SERVED);
 }
 
--- a/gateway/node_tell.c
+++ b/gateway/node_tell.c
@@ -195,17 +195,29 @@
         timer_subscribe (node->net, node->timers, PUBLISH_MS, 0, node_on_publish, node);
 }
 
-void
-node_greet (struct Node *node, const char *name)
+static void
+node_send_heartbeat (struct Node *node, const char *name, enum LoadScope scope)
 {
   struct GatewayMessage *own = node_describe (node, node->net);
-  struct GatewayMessage *message = own != NULL ? node_heartbeat (node, own, LOADS_OF_FLEET) : NULL;
+  struct GatewayMessage *message = own != NULL ? node_heartbeat (node, own, scope) : NULL;
 
   if (message != NULL)
     node_send (node, name, message);
   talloc_free (own);
 }
 
+void
+node_greet (struct Node *node, const char *name)
+{
+  node_send_heartbeat (node, name, LOADS_OF_FLEET);
+}
+
+void
+node_introduce (struct Node *node, const char *peer)
+{
+  node_send_heartbeat (node, peer, LOADS_OF_PROCESS);
+}
+
 void
 node_announce (struct Node *node)
 {
--- a/gateway/store_follow.c
+++ b/gateway/store_follow.c
@@ -102,7 +102,12 @@
     return NULL;
   changes->kind = kind;
   changes->items = talloc_zero_array (changes, struct SnapshotItem, result->n_entries);
-  for (size_t i = 0; changes->items != NULL && i < result->n_entries; i++)
+  if (changes->items == NULL)
+    {
+      talloc_free (changes);
+      return NULL;
+    }
+  for (size_t i = 0; i < result->n_entries; i++)
     if (strncmp (result->entries[i].key, prefix, strlen (prefix)) == 0
         && result->entries[i].mod_revision > reader->topics[kind].followed)
       changes_add (reader, changes, &result->entries[i]);
--- a/gateway/store_internal.h
+++ b/gateway/store_internal.h
@@ -50,6 +50,8 @@
   struct Follow follow;
   int64_t wait_ms; /* of a call that waits for changes */
   bool reachable, registered, registering;
+  int64_t registering_ms; /* when that call left */
+  int64_t aggregates_ms;  /* since when this process aggregates its zone; 0: it does not */
   int64_t knows_nodes_ms; /* since when the list of processes is known; 0: not yet */
 };
 
--- a/gateway/store_reader.c
+++ b/gateway/store_reader.c
@@ -1,6 +1,7 @@
 #include "store_internal.h"
 
 #include "known_nodes.h"
+#include "seeds.h"
 
 #include <buckthornhead/counter.h>
 #include <buckthornhead/deflate.h>
@@ -26,7 +27,12 @@
   WAIT_MIN_MS = 400,
   WAIT_MAX_MS = 4000,
   /* For the aggregators' answer to a process that starts. */
-  BEGIN_MS = 150
+  BEGIN_MS = 150,
+  /* While a fleet starts its seeds learn of one process after the other: those that ask first know
+   * only later who reads before them. */
+  CONTACTS_GROW_MS = 350,
+  /* An aggregator that stays one is found in the store by processes that can not reach a seed. */
+  REGISTER_AFTER_MS = 3000
 };
 
 static void
@@ -299,6 +305,7 @@
     case SNAPSHOT_ROUTES:
     case SNAPSHOT_ZONE:
     case SNAPSHOT_FLEET:
+    case SNAPSHOT_CONTACTS:
       break; /* one key, or not in the store */
     }
   return NULL;
@@ -324,6 +331,7 @@
       break;
     case SNAPSHOT_ZONE:
     case SNAPSHOT_FLEET:
+    case SNAPSHOT_CONTACTS:
       break; /* not in the store */
     }
 }
@@ -337,6 +345,8 @@
 
   reader->registering = false;
   reader->registered = result->error == ERROR_NONE;
+  histogram_add (HISTOGRAM_STORE_CALL,
+                 timer_now_ms (reader->node->timers) - reader->registering_ms);
   if (!reader->registered)
     topic_failed (reader, SNAPSHOT_NODES, result->error);
 }
@@ -355,22 +365,50 @@
   request.put.value_bytes = strlen (value);
   request.put.condition = KV_IF_ALWAYS;
   reader->registering = true;
+  reader->registering_ms = timer_now_ms (reader->node->timers);
   if (kv_submit_guarded (reader, reader->node->store, &request, reader_on_registered, reader)
       != ERROR_NONE)
     reader->registering = false;
 }
 
+void
+store_reader_note_contacts (struct StoreReader *reader)
+{
+  if (reader->knows_nodes_ms == 0)
+    reader->knows_nodes_ms = timer_now_ms (reader->node->timers) + CONTACTS_GROW_MS;
+}
+
+/* Whether this process is to be found in the store. Where there are seeds, they and one
+ * aggregator a zone are enough: an entry of each of a thousand processes is a call each, and pages
+ * for all that read them. */
+static bool
+reader_must_register (struct StoreReader *reader, int64_t now_ms)
+{
+  const struct Node *node = reader->node;
+
+  if (reader->registered || reader->registering)
+    return false;
+  if (node->seeds == NULL || seeds_have_own (node->seeds))
+    return true;
+  if (!roster_is_first_aggregator (node->roster, now_ms))
+    reader->aggregates_ms = 0;
+  else if (reader->aggregates_ms == 0)
+    reader->aggregates_ms = now_ms;
+  return reader->aggregates_ms > 0 && now_ms - reader->aggregates_ms >= REGISTER_AFTER_MS;
+}
+
 /* Whether to read what nobody has told of yet. A process that starts looks for the others first;
- * where a whole fleet starts, one then reads and the rest hear of it. Each of 195 that read and
- * registered for itself made 1,340 of a day's 1,448 calls. */
+ * where a whole fleet starts, one then reads and the rest get it from there. */
 static bool
 reader_must_begin (const struct StoreReader *reader,
                    enum SnapshotKind kind,
                    int64_t now_ms,
                    int64_t delay_ms)
 {
-  if (kind == SNAPSHOT_NODES)
-    return true;
+  const struct Node *node = reader->node;
+
+  if (kind == SNAPSHOT_NODES && reader->knows_nodes_ms == 0)
+    return !seeds_are_awaited (node->seeds);
   return reader->knows_nodes_ms > 0 && now_ms - reader->knows_nodes_ms >= BEGIN_MS + delay_ms;
 }
 
@@ -381,6 +419,8 @@
   int64_t now_ms = timer_now_ms (reader->node->timers);
   int64_t delay_ms = reader_delay_ms (reader);
 
+  if (reader_must_register (reader, now_ms) && now_ms >= reader->topics[SNAPSHOT_NODES].next_ms)
+    reader_register (reader);
   for (enum SnapshotKind kind = SNAPSHOT_ROUTES; kind <= SNAPSHOT_RETIRE; kind++)
     {
       struct Topic *topic = &reader->topics[kind];
@@ -388,7 +428,8 @@
       if (topic->asking || topic->followed > 0 || now_ms < topic->next_ms
           || !reader_must_begin (reader, kind, now_ms, delay_ms))
         continue;
-      if (kind == SNAPSHOT_NODES && !reader->registered)
+      /* Two that start and find nobody else must find each other. */
+      if (kind == SNAPSHOT_NODES && reader->knows_nodes_ms == 0 && !reader->registered)
         {
           if (!reader->registering)
             reader_register (reader);
--- a/gateway/store_reader.h
+++ b/gateway/store_reader.h
@@ -13,6 +13,10 @@
                              uint64_t link,
                              const struct Snapshot *snapshot);
 
+/* A seed has told of processes: they are looked to for the rest. */
+void
+store_reader_note_contacts (struct StoreReader *reader);
+
 /* The list of processes was read, here or by a peer: how many there should be is known. */
 bool
 store_reader_knows_nodes (const struct StoreReader *reader);
--- a/include/buckthornhead/gateway_message.h
+++ b/include/buckthornhead/gateway_message.h
@@ -47,12 +47,13 @@
   SNAPSHOT_NODES = 3,   /* the system's own processes, and the set of archives */
   SNAPSHOT_RETIRE = 4,  /* machines that the operators want emptied */
   SNAPSHOT_ZONE = 5,    /* live processes of the sender's zone, which it aggregates */
-  SNAPSHOT_FLEET = 6    /* live processes of all zones, for the members of the sender's zone */
+  SNAPSHOT_FLEET = 6,   /* live processes of all zones, for the members of the sender's zone */
+  SNAPSHOT_CONTACTS = 7 /* a few live processes of each zone, for one that starts */
 };
 
 enum
 {
-  SNAPSHOT_KIND_MAX = SNAPSHOT_FLEET
+  SNAPSHOT_KIND_MAX = SNAPSHOT_CONTACTS
 };
 
 struct SnapshotItem
--- a/include/buckthornhead/gateway_settings.h
+++ b/include/buckthornhead/gateway_settings.h
@@ -7,8 +7,9 @@
 
 /* Sections: [instance] name, zone, data_folder; [listen] caller, ready, directory, metrics, peer
  * (IP:port each, and announce; those of callers are for gateways); [platform] store (URL), prefix,
- * change_in_force; [archives] first_start, tolerated; [stop] grace; [directory] keep; [limits]
- * connections; [quota] window, slack, sharing; [decisions], a switch each: see decisions.h. */
+ * change_in_force; [membership] seeds, seed_port; [archives] first_start, tolerated; [stop] grace;
+ * [directory] keep; [limits] connections; [quota] window, slack, sharing; [decisions], a switch
+ * each: see decisions.h. */
 struct GatewaySettings
 {
   char instance[NAME_MAX_BYTES + 1];
@@ -20,6 +21,8 @@
   char metrics_listen[ADDRESS_MAX_BYTES + 1];
   char peer_listen[ADDRESS_MAX_BYTES + 1];
   char announce[ADDRESS_MAX_BYTES + 1]; /* at which others reach peer_listen; "": there */
+  char seeds[256];                      /* of peers, IP:port, with commas between them; "": none */
+  uint32_t seed_port;                   /* in place of the ports in seeds; 0: those hold */
   char store_url[256];
   char prefix[64];             /* of the system's own keys in the store */
   uint32_t change_in_force_ms; /* within which all processes act on a change in the store */
--- a/include/buckthornhead/roster.h
+++ b/include/buckthornhead/roster.h
@@ -44,6 +44,10 @@
   ROSTER_PROBE_AFTER_MS = 400,
   ROSTER_AGGREGATORS = 2, /* a zone: one may die without a pause */
   ROSTER_ZONES_MAX = 64,
+  /* Of a zone, those that a process which starts gets to know: its aggregators, and as many that
+   * would follow them. */
+  ROSTER_CONTACTS = 2 * ROSTER_AGGREGATORS,
+  ROSTER_CONTACTS_MAX = ROSTER_CONTACTS * ROSTER_ZONES_MAX,
   ROSTER_SOURCES_MAX = 64 /* bits of Peer.listed */
 };
 
@@ -170,10 +174,24 @@
                     int64_t now_ms,
                     const char *names[ROSTER_AGGREGATORS]);
 
+/* The peers of each zone that come first in the order in which they aggregate. Returns how many. */
+size_t
+roster_contacts (const struct Roster *roster,
+                 int64_t now_ms,
+                 const struct Peer *contacts[ROSTER_CONTACTS_MAX]);
+
+/* An aggregator of this process's zone reports on the fleet. */
+bool
+roster_is_served (const struct Roster *roster, int64_t now_ms);
+
 /* Whether this process is one of them for its own zone. */
 bool
 roster_is_aggregator (const struct Roster *roster, int64_t now_ms);
 
+/* Whether it comes first of them. */
+bool
+roster_is_first_aggregator (const struct Roster *roster, int64_t now_ms);
+
 /* Whether peer, a member of this process's zone, is to get heartbeats and lists of the fleet.
  * aggregates: what roster_is_aggregator says. */
 bool
--- a/tests/sessions/gateways.c
+++ b/tests/sessions/gateways.c
@@ -19,6 +19,18 @@
   return fleet->forward != NULL ? fleet->forward (fleet->forward_data, port) : port;
 }
 
+/* The section that names the seed; "" when there is none. */
+static const char *
+membership_text (const struct Fleet *fleet)
+{
+  static char text[64];
+
+  text[0] = '\0';
+  if (fleet->seed_port != 0)
+    snprintf (text, sizeof text, "[membership]\nseeds = 127.0.0.1:%u\n", fleet->seed_port);
+  return text;
+}
+
 static void
 write_gateway (struct Fleet *fleet, uint32_t i)
 {
@@ -30,17 +42,17 @@
   snprintf (g->caller, sizeof g->caller, "127.0.0.1:%u", session_port (fleet->session));
   snprintf (g->ready, sizeof g->ready, "127.0.0.1:%u", session_port (fleet->session));
   snprintf (g->directory, sizeof g->directory, "127.0.0.1:%u", session_port (fleet->session));
-  peer_port = session_port (fleet->session);
+  peer_port = i == 0 && fleet->seed_port != 0 ? fleet->seed_port : session_port (fleet->session);
   snprintf (g->peer, sizeof g->peer, "127.0.0.1:%u", peer_port);
   g->announced_port = forwarded (fleet, peer_port);
   snprintf (g->metrics, sizeof g->metrics, "127.0.0.1:%u", session_port (fleet->session));
   snprintf (text, sizeof text,
             "[instance]\nname = %s\nzone = a\n[listen]\ncaller = %s\nready = %s\n"
             "directory = %s\npeer = %s\nannounce = 127.0.0.1:%u\nmetrics = %s\n[platform]\nstore = "
-            "http://%s\n[stop]\ngrace "
+            "http://%s\n%s[stop]\ngrace "
             "= 6s\n",
             g->name, g->caller, g->ready, g->directory, g->peer, g->announced_port, g->metrics,
-            fleet->store);
+            fleet->store, membership_text (fleet));
   snprintf (name, sizeof name, "%s.ini", g->name);
   g->file = session_write_file (fleet->session, name, text);
 }
@@ -64,9 +76,9 @@
   snprintf (text, sizeof text,
             "[instance]\nname = %s\nzone = a\ndata_folder = %s\n[listen]\n"
             "peer = 127.0.0.1:%u\nannounce = 127.0.0.1:%u\nmetrics = %s\n[platform]\nstore = "
-            "http://%s\n[archives]\nfirst_start = %s\n",
+            "http://%s\n%s[archives]\nfirst_start = %s\n",
             a->name, a->folder, a->peer_port, a->announced_port, a->metrics, fleet->store,
-            first ? "true" : "false");
+            membership_text (fleet), first ? "true" : "false");
   snprintf (name, sizeof name, "%s.ini", a->name);
   a->file = session_write_file (fleet->session, name, text);
 }
--- a/tests/sessions/gateways.h
+++ b/tests/sessions/gateways.h
@@ -43,8 +43,10 @@
   struct ArchiveNode archives[ARCHIVES_MAX];
   uint32_t n_gateways, n_archives;
   char store[48];
-  char last[64];     /* id of the last turn that was taken */
-  ForwardFn forward; /* between the processes, and to the store; NULL: nothing */
+  uint16_t seed_port; /* of the first gateway's peers, which all others ask at their start; 0: none
+                         is asked */
+  char last[64];      /* id of the last turn that was taken */
+  ForwardFn forward;  /* between the processes, and to the store; NULL: nothing */
   void *forward_data;
 };
 
--- a/tests/sessions/test_gateway_path.c
+++ b/tests/sessions/test_gateway_path.c
@@ -268,6 +268,64 @@
   talloc_free (ctx);
 }
 
+static uint32_t
+n_registered (struct Fleet *fleet, TALLOC_CTX *ctx)
+{
+  uint32_t n = 0;
+
+  for (uint32_t i = 0; i < fleet->n_gateways + fleet->n_archives; i++)
+    {
+      const char *name = i < fleet->n_gateways ? fleet->gateways[i].name
+                                               : fleet->archives[i - fleet->n_gateways].name;
+
+      n += installation_get (fleet->installation, ctx,
+                             talloc_asprintf (ctx, "buckthornhead/nodes/%s", name))
+           != NULL;
+    }
+  return n;
+}
+
+/* Each process that starts registers in the store and reads who else there is: a thousand starts
+ * cost thousands of calls. With a seed the others find each other without. */
+static void
+test_a_seed_takes_the_stores_place_at_the_start (void)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct Fleet *fleet = fleet_new (ctx);
+  uint32_t n_failed = CU_get_number_of_failures ();
+
+  fleet->seed_port = session_port (fleet->session);
+  fleet_start_all (fleet, 3, 3, NULL, NULL);
+  CU_ASSERT (n_registered (fleet, ctx) <= 2); /* the seed, and whoever aggregates the zone */
+  CU_ASSERT_EQUAL (turn_send_until_taken (fleet, ctx, 2, "p", "t1", "", "x")->status, 200);
+  process_kill (fleet->gateways[1].process);
+  gateway_start (fleet, 1);
+  CU_ASSERT_TRUE (gateway_wait_ready (fleet, 1));
+  CU_ASSERT (n_registered (fleet, ctx) <= 2);
+  fleet_end (fleet, CU_get_number_of_failures () > n_failed);
+  talloc_free (ctx);
+}
+
+/* The seed's machine is gone for good when a gateway starts: without the store it would wait for
+ * ever. */
+static void
+test_a_gateway_starts_without_its_seed (void)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct Fleet *fleet = fleet_new (ctx);
+  uint32_t n_failed = CU_get_number_of_failures ();
+
+  fleet->seed_port = session_port (fleet->session);
+  fleet_start_all (fleet, 3, 3, NULL, NULL);
+  process_kill (fleet->gateways[0].process);
+  process_kill (fleet->gateways[2].process);
+  gateway_start (fleet, 2);
+  CU_ASSERT_TRUE (gateway_wait_ready (fleet, 2));
+  CU_ASSERT_EQUAL (turn_send_until_taken (fleet, ctx, 2, "p", "t1", "", "x")->status, 200);
+  fleet_end (fleet, CU_get_number_of_failures () > n_failed);
+  talloc_free (ctx);
+}
+
 const char test_suite_name[] = "sessions: gateway path";
 const struct TestCase test_cases[] = {
   { "a program goes on through any gateway", test_a_program_goes_on_through_any_gateway },
@@ -278,5 +336,8 @@
   { "metrics show a turn where it passed", test_metrics_show_a_turn_where_it_passed },
   { "a starting gateway holds its callers", test_a_starting_gateway_holds_its_callers },
   { "a planned stop cuts nothing", test_a_planned_stop_cuts_nothing },
+  { "a seed takes the store's place at the start",
+    test_a_seed_takes_the_stores_place_at_the_start },
+  { "a gateway starts without its seed", test_a_gateway_starts_without_its_seed },
   { NULL, NULL },
 };
--- a/tests/test_roster.c
+++ b/tests/test_roster.c
@@ -361,6 +361,45 @@
 }
 
 const char test_suite_name[] = "roster";
+/* A seed that named all processes to each that starts would send 60 MB when a thousand do. Whoever
+ * starts needs those that aggregate, and the same ones whatever the fleet's size. */
+static void
+test_contacts_stay_few_in_a_large_fleet (void)
+{
+  static const uint32_t sizes[] = { 1000, 2000 };
+  enum
+  {
+    N_ZONES = 5
+  };
+
+  for (size_t s = 0; s < sizeof sizes / sizeof sizes[0]; s++)
+    {
+      TALLOC_CTX *ctx = talloc_new (NULL);
+      struct Roster *roster = roster_of (ctx, "seed", "zone-0");
+      const struct Peer *contacts[ROSTER_CONTACTS_MAX];
+      const char *names[ROSTER_AGGREGATORS];
+      uint32_t n_found = 0;
+      size_t n;
+
+      for (uint32_t i = 0; i < sizes[s]; i++)
+        {
+          char name[32], zone[16];
+
+          snprintf (name, sizeof name, "front-%u", i);
+          snprintf (zone, sizeof zone, "zone-%u", i % N_ZONES);
+          hear (roster, name, zone, LOADS_OF_PROCESS, START_MS);
+        }
+      n = roster_contacts (roster, START_MS, contacts);
+      CU_ASSERT_EQUAL (n, N_ZONES * ROSTER_CONTACTS);
+      CU_ASSERT_EQUAL (roster_aggregators (roster, "zone-3", START_MS, names), 2);
+      for (size_t i = 0; i < n; i++)
+        n_found += strcmp (contacts[i]->status.node, names[0]) == 0
+                   || strcmp (contacts[i]->status.node, names[1]) == 0;
+      CU_ASSERT_EQUAL (n_found, 2);
+      talloc_free (ctx);
+    }
+}
+
 const struct TestCase test_cases[] = {
   { "two aggregators do not keep a dead process alive",
     test_two_aggregators_do_not_keep_a_dead_process_alive },
@@ -374,5 +413,6 @@
   { "loads are counted once", test_loads_are_counted_once },
   { "the silent are forgotten", test_the_silent_are_forgotten },
   { "an archive asks the others itself", test_an_archive_asks_the_others_itself },
+  { "contacts stay few in a large fleet", test_contacts_stay_few_in_a_large_fleet },
   { NULL, NULL },
 };
