Gateways know the servers that their zone uses, not all

Cause: each of 984 processes held and applied the list of 10,001 servers: 9 MB and 23 ms of a machine of 0.12 cores for each change, 2.5 ms and more a choice, and 200 members got 300 KB each from an aggregator behind 30 Mbit/s at a start. Change: only those who read the store, the next six and aggregators hold the whole list. Aggregators draw the subset of their zone: of each service the first 64 by a hash of their ids, 128 of all other zones together; twice as many for each level that members ask for while a quarter of the slots is in use. Members get changes of the subset. Archives keep the subset on their disks. Weighed: each gateway a subset of its own (each would read shared parts of prompts anew), owners that alone know their engines (a question more a request).

--- a/core/gateway/gateway_message.c
+++ b/core/gateway/gateway_message.c
@@ -328,12 +328,12 @@
     case GATEWAY_TURN_CLOSE:
       return 15;
     case GATEWAY_HEARTBEAT:
-      return 6;
+      return 7;
     case GATEWAY_RELAY:
     case GATEWAY_USES:
       return 4;
     case GATEWAY_SNAPSHOT:
-      return 9;
+      return 10;
     case GATEWAY_SNAPSHOT_WANT:
     case GATEWAY_DIGESTS:
       return 2;
--- a/core/gateway/replica_set.c
+++ b/core/gateway/replica_set.c
@@ -377,6 +377,56 @@
   return best;
 }
 
+/* What is known of one service in a zone. */
+struct ServiceUse
+{
+  const char *service;
+  uint64_t running, slots;
+};
+
+enum
+{
+  SERVICES_MAX = 64 /* that are told apart; further ones count for nothing */
+};
+
+static struct ServiceUse *
+use_of (struct ServiceUse uses[SERVICES_MAX], size_t *n, const char *service)
+{
+  for (size_t i = 0; i < *n; i++)
+    if (strcmp (uses[i].service, service) == 0)
+      return &uses[i];
+  if (*n == SERVICES_MAX)
+    return NULL;
+  uses[*n] = (struct ServiceUse){ .service = service };
+  return &uses[(*n)++];
+}
+
+uint32_t
+replica_set_used_permille (const struct ReplicaSet *set, const char *zone)
+{
+  struct ServiceUse uses[SERVICES_MAX];
+  size_t n = 0;
+  uint32_t most = 0;
+
+  for (size_t i = 0; i < set->n_replicas; i++)
+    {
+      const struct Replica *replica = set->replicas[i];
+      struct ServiceUse *use;
+
+      if (replica->entry.draining || strcmp (replica->entry.zone, zone) != 0)
+        continue;
+      use = use_of (uses, &n, replica->entry.service);
+      if (use == NULL)
+        continue;
+      use->running += replica->in_flight + replica->peers_in_flight;
+      use->slots += replica->entry.slots > 0 ? replica->entry.slots : 1;
+    }
+  for (size_t i = 0; i < n; i++)
+    if (uses[i].running * 1000 / uses[i].slots > most)
+      most = (uint32_t)(uses[i].running * 1000 / uses[i].slots);
+  return most;
+}
+
 void
 replica_note_result (struct Replica *replica, bool failed, int64_t now_ms)
 {
--- a/core/gateway/roster.c
+++ b/core/gateway/roster.c
@@ -169,6 +169,7 @@
   peer->status_ms = now_ms;
   if (heartbeat->scope == LOADS_OF_PROCESS)
     peer->reported_ms = now_ms;
+  peer->server_level = heartbeat->server_level;
   roster_take_loads (roster, peer, heartbeat);
   return peer;
 }
@@ -410,6 +411,22 @@
   return false;
 }
 
+uint32_t
+roster_server_level (const struct Roster *roster, int64_t now_ms)
+{
+  uint32_t level = roster->own_server_level;
+
+  for (size_t i = 0; i < roster->n_peers; i++)
+    {
+      const struct Peer *peer = roster->peers[i];
+
+      if (peer->server_level > level && strcmp (peer->status.zone, roster->own.zone) == 0
+          && peer->status_ms > 0 && now_ms - peer->status_ms < ROSTER_LIVE_MS)
+        level = peer->server_level;
+    }
+  return level;
+}
+
 bool
 roster_is_aggregator (const struct Roster *roster, int64_t now_ms)
 {
--- a/core/gateway/snapshot_changes.c
+++ b/core/gateway/snapshot_changes.c
@@ -37,12 +37,18 @@
 }
 
 static bool
-item_is_equal (const struct SnapshotItem *a, const struct SnapshotItem *b)
+value_is_equal (const struct SnapshotItem *a, const struct SnapshotItem *b)
 {
   return a->value_bytes == b->value_bytes
          && (a->value_bytes == 0 || memcmp (a->value, b->value, a->value_bytes) == 0);
 }
 
+bool
+snapshot_item_is_equal (const struct SnapshotItem *a, const struct SnapshotItem *b)
+{
+  return strcmp (a->key, b->key) == 0 && value_is_equal (a, b);
+}
+
 /* How the next items of two ascending lists stand: below 0, a's key comes first; a list that has
  * ended comes last. */
 static int
@@ -102,7 +108,7 @@
           changes->n_items++;
           continue;
         }
-      if (order > 0 || !item_is_equal (&before->items[at_before], &after->items[at_after]))
+      if (order > 0 || !value_is_equal (&before->items[at_before], &after->items[at_after]))
         {
           *change = after->items[at_after];
           changes->n_items++;
--- a/core/gateway/state_message.c
+++ b/core/gateway/state_message.c
@@ -45,6 +45,7 @@
   archive_set_pack (p, &heartbeat->set);
   marks_pack (p, heartbeat->marks, heartbeat->n_marks);
   pack_u64 (p, heartbeat->scope);
+  pack_u64 (p, heartbeat->server_level);
   pack_array (p, 2 * heartbeat->n_loads);
   for (size_t i = 0; i < heartbeat->n_loads; i++)
     {
@@ -62,6 +63,7 @@
   archive_set_unpack (r, &heartbeat->set);
   marks_unpack (r, heartbeat);
   heartbeat->scope = (enum LoadScope)read_u64 (r, LOADS_OF_FLEET);
+  heartbeat->server_level = (uint32_t)read_u64 (r, UINT32_MAX);
   heartbeat->n_loads = message_list_enter (r, &list, 2);
   heartbeat->loads = talloc_zero_array (ctx, struct ReplicaLoad, heartbeat->n_loads);
   for (size_t i = 0; heartbeat->loads != NULL && i < heartbeat->n_loads; i++)
@@ -144,6 +146,7 @@
   pack_u64 (p, snapshot->content);
   pack_u64 (p, snapshot->base);
   pack_bool (p, snapshot->after_gap);
+  pack_u64 (p, snapshot->level);
   pack_bool (p, snapshot->unchanged);
   if (snapshot->packed_items != NULL)
     {
@@ -207,6 +210,7 @@
   snapshot->content = read_u64 (r, UINT64_MAX);
   snapshot->base = read_u64 (r, UINT64_MAX);
   snapshot->after_gap = read_bool (r);
+  snapshot->level = (uint32_t)read_u64 (r, UINT32_MAX);
   snapshot->unchanged = read_bool (r);
   wrapped = read_bytes (r, ctx, &n_wrapped);
   r->failed = r->failed || !items_unwrap (ctx, wrapped, n_wrapped, snapshot);
--- a/gateway/archive_state.c
+++ b/gateway/archive_state.c
@@ -15,7 +15,7 @@
   /* Seconds of age do no harm here, and each writing of what has changed takes the disk two syncs,
    * some 10 ms on the slowest ones of the sheets. */
   KEEP_PERIOD_MS = 2000,
-  N_KINDS = SNAPSHOT_RETIRE + 1
+  N_KINDS = SNAPSHOT_KIND_MAX + 1
 };
 
 struct ArchiveState
@@ -28,7 +28,7 @@
 
 static const char *const kind_names[N_KINDS] = {
   [SNAPSHOT_ROUTES] = "routes",
-  [SNAPSHOT_SERVERS] = "servers",
+  [SNAPSHOT_SUBSET] = "servers",
   [SNAPSHOT_NODES] = "nodes",
 };
 
@@ -136,7 +136,7 @@
   struct ArchiveState *state = data;
 
   state_keep (state, SNAPSHOT_ROUTES);
-  state_keep (state, SNAPSHOT_SERVERS);
+  state_keep (state, SNAPSHOT_SUBSET);
   state_keep_nodes (state);
 }
 
@@ -145,8 +145,9 @@
 {
   struct ArchiveState *state = data;
 
-  for (enum SnapshotKind kind = SNAPSHOT_ROUTES; kind <= SNAPSHOT_NODES; kind++)
-    state_take (state, kind);
+  for (enum SnapshotKind kind = SNAPSHOT_ROUTES; kind <= SNAPSHOT_SUBSET; kind++)
+    if (kind_names[kind] != NULL)
+      state_take (state, kind);
 }
 
 struct ArchiveState *
--- a/gateway/front.c
+++ b/gateway/front.c
@@ -378,6 +378,7 @@
   n_changed = replica_set_apply (front->replicas, entries, n, after_gap,
                                  timer_now_ms (front->node->timers));
   front->knows_servers = true;
+  front->server_level = snapshot->level;
   front_note_restarts (front);
   if (n_changed > 0)
     log_event (LOG_LEVEL_INFO, "servers_changed", NULL, NULL,
@@ -394,9 +395,10 @@
     case SNAPSHOT_ROUTES:
       front_take_routes (data, snapshot);
       break;
-    case SNAPSHOT_SERVERS:
+    case SNAPSHOT_SUBSET:
       front_take_servers (data, snapshot, after_gap);
       break;
+    case SNAPSHOT_SERVERS:
     case SNAPSHOT_NODES:
     case SNAPSHOT_RETIRE:
     case SNAPSHOT_ZONE:
@@ -488,6 +490,10 @@
   status->strained = loop_echo_is_strained (front->echo);
   status->reaches_archives = front->stop_ms == 0 && node_reaches_archives (front->node);
   status->config_version = front->table != NULL ? front->table->version : 0;
+  heartbeat->server_level =
+      subset_wanted_level (&front->demand, front->server_level,
+                           replica_set_used_permille (set, front->node->settings->zone),
+                           timer_now_ms (front->node->timers));
   heartbeat->loads = talloc_zero_array (ctx, struct ReplicaLoad, set->n_replicas);
   for (size_t i = 0; heartbeat->loads != NULL && i < set->n_replicas; i++)
     {
--- a/gateway/front.h
+++ b/gateway/front.h
@@ -8,6 +8,7 @@
 
 #include <buckthornhead/event_stream.h>
 #include <buckthornhead/retry_allowance.h>
+#include <buckthornhead/scheduling/server_subset.h>
 #include <buckthornhead/slot_queue.h>
 
 enum
@@ -105,7 +106,9 @@
   int64_t started_ms;
   int64_t stop_ms; /* when the planned stop was asked for; 0: none */
   uint64_t draws;
-  bool knows_servers; /* a list of them came, be it empty */
+  struct SubsetDemand demand;
+  uint32_t server_level; /* of the servers that are known */
+  bool knows_servers;    /* a list of them came, be it empty */
   struct LoopEcho *echo;
   uint32_t n_digest_ticks;
   uint32_t n_gateways; /* live ones, this one included */
--- a/gateway/node_hear.c
+++ b/gateway/node_hear.c
@@ -4,6 +4,7 @@
 #include "relay.h"
 #include "seeds.h"
 #include "store_reader.h"
+#include "zone_servers.h"
 
 #include <buckthornhead/log.h>
 
@@ -74,6 +75,10 @@
         case SNAPSHOT_RETIRE:
           store_reader_take_mark (node->reader, link, mark);
           break;
+        case SNAPSHOT_SUBSET:
+          if (zone_servers_are_from (node, sender))
+            store_reader_take_mark (node->reader, link, mark);
+          break;
         case SNAPSHOT_CONTACTS:
           break;
         }
@@ -171,12 +176,15 @@
 {
   struct GatewayMessage message = { .kind = GATEWAY_SNAPSHOT, .snapshot = *snapshot };
 
+  if (snapshot->kind == SNAPSHOT_SUBSET && !zone_servers_are_from (node, sender))
+    return;
   if (snapshot->kind == SNAPSHOT_ZONE || snapshot->kind == SNAPSHOT_FLEET)
     node_take_list (node, link, sender, snapshot);
   else if (snapshot->kind == SNAPSHOT_CONTACTS && node->seeds != NULL)
     seeds_take_contacts (node->seeds, snapshot);
   else if (snapshot->kind != SNAPSHOT_CONTACTS
-           && store_reader_take_from_peer (node->reader, link, snapshot))
+           && store_reader_take_from_peer (node->reader, link, snapshot)
+           && snapshot->kind != SNAPSHOT_SERVERS)
     node_send_some (node, &message, PEERS_SERVED);
 }
 
--- a/gateway/node_tell.c
+++ b/gateway/node_tell.c
@@ -1,7 +1,7 @@
 /* What a process tells of itself and, as an aggregator, of others. */
 #include "node_internal.h"
 
-#include "store_reader.h"
+#include "zone_servers.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -34,6 +34,7 @@
   status->is_archive = node_is_archive (node);
   if (node->handler.describe != NULL)
     node->handler.describe (node->handler.data, message, &message->heartbeat);
+  node->roster->own_server_level = message->heartbeat.server_level;
   roster_describe (node->roster, status);
   *status = node->roster->own;
   return message;
@@ -230,6 +231,7 @@
   serves = node_aggregates (node);
   if (serves)
     node_publish (node);
+  zone_servers_refresh (node->reader);
   node_send_heartbeats (node, own, serves);
   talloc_free (own);
 }
--- a/gateway/store_follow.c
+++ b/gateway/store_follow.c
@@ -33,16 +33,22 @@
   return followed;
 }
 
-/* Since when the oldest of what is held is not known to be current. */
-static int64_t
-reader_read_ms (const struct StoreReader *reader)
+bool
+reader_is_overdue (const struct StoreReader *reader,
+                   enum SnapshotKind kind,
+                   int64_t now_ms,
+                   int64_t delay_ms)
 {
-  int64_t read_ms = INT64_MAX;
+  return now_ms - reader->topics[kind].read_ms >= reader->wait_ms + TAKE_OVER_MS + delay_ms;
+}
 
+static bool
+reader_takes_over (const struct StoreReader *reader, int64_t now_ms, int64_t delay_ms)
+{
   for (enum SnapshotKind kind = SNAPSHOT_ROUTES; kind <= SNAPSHOT_RETIRE; kind++)
-    if (reader->topics[kind].read_ms < read_ms)
-      read_ms = reader->topics[kind].read_ms;
-  return read_ms;
+    if (reader_is_overdue (reader, kind, now_ms, delay_ms))
+      return true;
+  return false;
 }
 
 /* The store does not know any more what changed since: everything is read anew. */
@@ -52,7 +58,10 @@
   log_event (LOG_LEVEL_NOTICE, "store_history_gone", NULL, NULL, "after revision %lld",
              (long long)reader_followed (reader));
   for (enum SnapshotKind kind = SNAPSHOT_ROUTES; kind <= SNAPSHOT_RETIRE; kind++)
-    reader->topics[kind].followed = 0;
+    {
+      reader->topics[kind].followed = 0;
+      reader->topics[kind].anew = true;
+    }
 }
 
 static void
@@ -211,7 +220,7 @@
 
   if (follow->waiting || now_ms < follow->next_ms || followed == 0)
     return;
-  if (delay_ms > 0 && now_ms - reader_read_ms (reader) < reader->wait_ms + TAKE_OVER_MS + delay_ms)
+  if (delay_ms > 0 && !reader_takes_over (reader, now_ms, delay_ms))
     return;
   request.watch.prefix = ALL_KEYS;
   request.watch.start_revision = followed + 1;
--- a/gateway/store_internal.h
+++ b/gateway/store_internal.h
@@ -5,10 +5,11 @@
 #include "store_reader.h"
 
 #include <buckthornhead/recent_hashes.h>
+#include <buckthornhead/scheduling/server_subset.h>
 
 enum
 {
-  N_KINDS = SNAPSHOT_RETIRE + 1 /* kinds of state in the store */
+  N_KINDS = SNAPSHOT_KIND_MAX + 1
 };
 
 /* One kind of state in the store. */
@@ -20,6 +21,7 @@
   int64_t read_ms;    /* when what is held was current */
   int64_t next_ms;    /* no call of ours before */
   uint32_t failures;  /* in a row */
+  bool anew;          /* to be read whatever peers hold */
   int64_t asked_ms;   /* of the call on the way */
   int64_t current_ms; /* when what it gave was current */
   bool asking;
@@ -48,6 +50,11 @@
   struct Node *node;
   struct Topic topics[N_KINDS];
   struct Follow follow;
+  uint32_t rank;             /* place among those that may read */
+  int64_t kept_servers_ms;   /* when this process last had to hold the list of all servers */
+  struct ServerIndex *index; /* of that list */
+  uint64_t subset_of;        /* content of the list that the subset was drawn from */
+  uint32_t subset_level;
   int64_t wait_ms; /* of a call that waits for changes */
   bool reachable, registered, registering;
   int64_t registering_ms; /* when that call left */
@@ -79,13 +86,38 @@
 bool
 reader_publish_routes (struct StoreReader *reader, const struct KvEntry *entry, int64_t revision);
 
+/* Nobody has read kind for so long that this process does. */
+bool
+reader_is_overdue (const struct StoreReader *reader,
+                   enum SnapshotKind kind,
+                   int64_t now_ms,
+                   int64_t delay_ms);
+
 /* Sends a call that waits for changes if it is this process's turn. */
 void
 reader_follow (struct StoreReader *reader, int64_t now_ms, int64_t delay_ms);
 
+/* Takes a state that is current as of read_ms. An older one than what is held is dropped: state
+ * must not go back, whichever way it came. */
+void
+topic_take (struct StoreReader *reader, const struct Snapshot *snapshot, int64_t read_ms);
+
+/* Nobody had read it for a while before what is held. */
+bool
+topic_is_after_gap (const struct StoreReader *reader, enum SnapshotKind kind);
+
+/* Whether this process holds the list of all servers: it reads it, would be among the next to read
+ * it, or draws up its zone's subset. */
+bool
+reader_keeps_servers (const struct StoreReader *reader);
+
+/* Lets the list of all servers go some time after it was last needed. */
+void
+reader_drop_servers (struct StoreReader *reader);
+
 /* How much later than the first this process reads what nobody has read. */
 int64_t
-reader_delay_ms (const struct StoreReader *reader);
+reader_delay_ms (struct StoreReader *reader);
 
 /* What this process has read itself: taken, and told to the aggregators of all zones, who tell
  * their members, and to those who would read next. */
--- a/gateway/store_reader.c
+++ b/gateway/store_reader.c
@@ -306,6 +306,7 @@
     case SNAPSHOT_ZONE:
     case SNAPSHOT_FLEET:
     case SNAPSHOT_CONTACTS:
+    case SNAPSHOT_SUBSET:
       break; /* one key, or not in the store */
     }
   return NULL;
@@ -332,6 +333,7 @@
     case SNAPSHOT_ZONE:
     case SNAPSHOT_FLEET:
     case SNAPSHOT_CONTACTS:
+    case SNAPSHOT_SUBSET:
       break; /* not in the store */
     }
 }
@@ -406,7 +408,12 @@
                    int64_t delay_ms)
 {
   const struct Node *node = reader->node;
+  const struct Topic *topic = &reader->topics[kind];
 
+  if (topic->anew)
+    return delay_ms == 0 || reader_is_overdue (reader, kind, now_ms, delay_ms);
+  if (topic->read_ms > 0)
+    return reader_is_overdue (reader, kind, now_ms, delay_ms);
   if (kind == SNAPSHOT_NODES && reader->knows_nodes_ms == 0)
     return !seeds_are_awaited (node->seeds);
   return reader->knows_nodes_ms > 0 && now_ms - reader->knows_nodes_ms >= BEGIN_MS + delay_ms;
@@ -441,6 +448,7 @@
       topic_ask (reader, kind);
     }
   reader_follow (reader, now_ms, delay_ms);
+  reader_drop_servers (reader);
 }
 
 static int64_t
--- a/gateway/store_topics.c
+++ b/gateway/store_topics.c
@@ -2,6 +2,7 @@
 #include "store_internal.h"
 
 #include "known_nodes.h"
+#include "zone_servers.h"
 
 #include <buckthornhead/snapshot_changes.h>
 
@@ -19,7 +20,8 @@
   GAP_MS = 1000,
   /* A peer that sends changes is asked for the whole once, not at each of them: 3,000 servers are
    * 300 KB. */
-  WANT_AGAIN_MS = 800
+  WANT_AGAIN_MS = 800,
+  KEEP_SERVERS_MS = 10 * 1000
 };
 
 /* Whether peer may read: it lives, or has just become known and is about to start as this one. */
@@ -46,10 +48,34 @@
   return rank;
 }
 
+bool
+reader_keeps_servers (const struct StoreReader *reader)
+{
+  return reader->rank <= RANK_NEXT
+         || roster_is_aggregator (reader->node->roster, timer_now_ms (reader->node->timers));
+}
+
+void
+reader_drop_servers (struct StoreReader *reader)
+{
+  struct Topic *topic = &reader->topics[SNAPSHOT_SERVERS];
+  int64_t now_ms = timer_now_ms (reader->node->timers);
+
+  if (topic->snapshot == NULL || topic->asking || reader->follow.waiting
+      || reader_keeps_servers (reader))
+    reader->kept_servers_ms = now_ms;
+  if (now_ms - reader->kept_servers_ms < KEEP_SERVERS_MS)
+    return;
+  TALLOC_FREE (topic->snapshot);
+  TALLOC_FREE (reader->index);
+  topic->content = 0;
+  topic->followed = 0;
+}
+
 int64_t
-reader_delay_ms (const struct StoreReader *reader)
+reader_delay_ms (struct StoreReader *reader)
 {
-  uint32_t rank = reader_rank (reader);
+  uint32_t rank = reader->rank = reader_rank (reader);
 
   if (rank <= RANK_NEXT)
     return (int64_t)rank * RANK_DELAY_MS;
@@ -85,9 +111,53 @@
     node_send (reader->node, next[i]->status.node, message);
 }
 
-/* Takes a state that is current as of read_ms. An older one than what is held is dropped: state
- * must not go back, whichever way it came. */
+bool
+topic_is_after_gap (const struct StoreReader *reader, enum SnapshotKind kind)
+{
+  int64_t gap_ms = reader->topics[kind].gap_ms;
+
+  return gap_ms > 0 && timer_now_ms (reader->node->timers) - gap_ms < GAP_MS;
+}
+
+/* What follows from a new state. */
+static void
+topic_handle (struct StoreReader *reader, const struct Snapshot *snapshot)
+{
+  switch (snapshot->kind)
+    {
+    case SNAPSHOT_NODES:
+      known_nodes_take (reader->node, snapshot);
+      if (reader->knows_nodes_ms == 0)
+        reader->knows_nodes_ms = timer_now_ms (reader->node->timers);
+      break;
+    case SNAPSHOT_SERVERS:
+      break;
+    case SNAPSHOT_ROUTES:
+    case SNAPSHOT_RETIRE:
+    case SNAPSHOT_SUBSET:
+      reader->node->handler.snapshot (reader->node->handler.data, snapshot, snapshot->after_gap);
+      break;
+    case SNAPSHOT_ZONE:
+    case SNAPSHOT_FLEET:
+    case SNAPSHOT_CONTACTS:
+      break; /* lists of processes */
+    }
+}
+
+/* The index goes with the list of all servers. */
 static void
+topic_index (struct StoreReader *reader, const struct Snapshot *before)
+{
+  const struct Snapshot *servers = reader->topics[SNAPSHOT_SERVERS].snapshot;
+
+  if (reader->index == NULL)
+    reader->index = server_index_new (reader);
+  if (reader->index == NULL || servers == NULL
+      || server_index_update (reader->index, before, servers) != ERROR_NONE)
+    TALLOC_FREE (reader->index);
+}
+
+void
 topic_take (struct StoreReader *reader, const struct Snapshot *snapshot, int64_t read_ms)
 {
   struct Topic *topic = &reader->topics[snapshot->kind];
@@ -100,22 +170,25 @@
     topic->read_ms = read_ms;
   topic->revision = snapshot->revision;
   topic->followed = snapshot->revision;
+  topic->anew = false;
   /* Two aggregators who pass a list on to each other must not take it for news each time. */
   if (snapshot->unchanged || (topic->snapshot != NULL && snapshot->content == topic->content))
-    return;
+    {
+      if (snapshot->kind == SNAPSHOT_SERVERS)
+        zone_servers_refresh (reader);
+      return;
+    }
   before = topic->snapshot;
   topic->content = snapshot->content;
   if (snapshot->after_gap)
     topic->gap_ms = timer_now_ms (reader->node->timers);
   topic->snapshot = snapshot_copy (reader, snapshot);
-  if (snapshot->kind == SNAPSHOT_NODES)
+  topic_handle (reader, snapshot);
+  if (snapshot->kind == SNAPSHOT_SERVERS)
     {
-      known_nodes_take (reader->node, snapshot);
-      if (reader->knows_nodes_ms == 0)
-        reader->knows_nodes_ms = timer_now_ms (reader->node->timers);
+      topic_index (reader, before);
+      zone_servers_refresh (reader);
     }
-  else
-    reader->node->handler.snapshot (reader->node->handler.data, snapshot, snapshot->after_gap);
   /* Only now: one that came as changes still points to the values of the one before. */
   talloc_free (before);
 }
@@ -155,7 +228,7 @@
       message.snapshot.packed_items_bytes = topic->snapshot->packed_items_bytes;
     }
   node_send_some (reader->node, &message, PEERS_AGGREGATORS);
-  if (!snapshot->unchanged)
+  if (!snapshot->unchanged && snapshot->kind != SNAPSHOT_SERVERS)
     node_send_some (reader->node, &message, PEERS_SERVED);
   reader_send_next (reader, &message);
   talloc_free (changes);
@@ -215,7 +288,7 @@
   int64_t now_ms = timer_now_ms (reader->node->timers);
   size_t n = 0;
 
-  for (enum SnapshotKind kind = SNAPSHOT_ROUTES; kind <= SNAPSHOT_RETIRE; kind++)
+  for (enum SnapshotKind kind = SNAPSHOT_ROUTES; kind <= SNAPSHOT_SUBSET; kind++)
     {
       const struct Topic *topic = &reader->topics[kind];
 
@@ -236,9 +309,19 @@
     .kind = mark->kind, .revision = mark->revision, .content = mark->content, .unchanged = true
   };
 
+  /* Others follow the list of all servers: that it is current is all that matters here. */
+  if (mark->kind == SNAPSHOT_SERVERS && !reader_keeps_servers (reader))
+    {
+      int64_t read_ms = timer_now_ms (reader->node->timers) - mark->age_ms;
+
+      if (read_ms > topic->read_ms)
+        topic->read_ms = read_ms;
+      return;
+    }
   if (topic->snapshot != NULL && topic->content == mark->content)
     topic_take (reader, &unchanged, timer_now_ms (reader->node->timers) - mark->age_ms);
-  else if (topic->snapshot == NULL || mark->revision > topic->revision)
+  else if (topic->snapshot == NULL || mark->revision > topic->revision
+           || (mark->kind == SNAPSHOT_SUBSET && mark->revision == topic->revision))
     topic_want_whole (reader, link, mark->kind);
 }
 
@@ -255,8 +338,7 @@
   message->kind = GATEWAY_SNAPSHOT;
   message->snapshot = *topic->snapshot;
   message->snapshot.revision = topic->revision;
-  message->snapshot.after_gap =
-      topic->gap_ms > 0 && timer_now_ms (reader->node->timers) - topic->gap_ms < GAP_MS;
+  message->snapshot.after_gap = topic_is_after_gap (reader, kind);
   message->snapshot.age_ms = (uint32_t)(timer_now_ms (reader->node->timers) - topic->read_ms);
   return true;
 }
--- a/include/buckthornhead/gateway_message.h
+++ b/include/buckthornhead/gateway_message.h
@@ -37,23 +37,24 @@
   uint32_t in_flight;
 };
 
-/* A list or document of which all processes hold a copy. The first four are what one read of the
- * platform's store gave, for peers that then need not read it; the last two are lists of processes
- * (roster.h). */
+/* A list or document that processes hold copies of. The first four are what one read of the
+ * platform's store gave, for peers that then need not read it; of the backend servers only those
+ * who would read next and aggregators hold all. Lists of processes: roster.h. */
 enum SnapshotKind
 {
-  SNAPSHOT_ROUTES = 1,  /* the operators' configuration */
-  SNAPSHOT_SERVERS = 2, /* the list of backend servers */
-  SNAPSHOT_NODES = 3,   /* the system's own processes, and the set of archives */
-  SNAPSHOT_RETIRE = 4,  /* machines that the operators want emptied */
-  SNAPSHOT_ZONE = 5,    /* live processes of the sender's zone, which it aggregates */
-  SNAPSHOT_FLEET = 6,   /* live processes of all zones, for the members of the sender's zone */
-  SNAPSHOT_CONTACTS = 7 /* a few live processes of each zone, for one that starts */
+  SNAPSHOT_ROUTES = 1,   /* the operators' configuration */
+  SNAPSHOT_SERVERS = 2,  /* the list of backend servers */
+  SNAPSHOT_NODES = 3,    /* the system's own processes, and the set of archives */
+  SNAPSHOT_RETIRE = 4,   /* machines that the operators want emptied */
+  SNAPSHOT_ZONE = 5,     /* live processes of the sender's zone, which it aggregates */
+  SNAPSHOT_FLEET = 6,    /* live processes of all zones, for the members of the sender's zone */
+  SNAPSHOT_CONTACTS = 7, /* a few live processes of each zone, for one that starts */
+  SNAPSHOT_SUBSET = 8    /* backend servers that gateways of the sender's zone use */
 };
 
 enum
 {
-  SNAPSHOT_KIND_MAX = SNAPSHOT_CONTACTS
+  SNAPSHOT_KIND_MAX = SNAPSHOT_SUBSET
 };
 
 struct SnapshotItem
@@ -72,6 +73,7 @@
   uint64_t content; /* equal for equal items */
   uint64_t base;    /* not 0: items are what differs from the snapshot with this content */
   bool after_gap;   /* nobody had read the store for a while before: what is gone may come back */
+  uint32_t level;   /* SUBSET only: see server_subset.h */
   bool unchanged;   /* the items are those of the last snapshot with this content, and left out */
   struct SnapshotItem *items;
   size_t n_items;
@@ -109,6 +111,7 @@
   struct StateMark marks[STATE_MARKS_MAX];
   size_t n_marks;
   enum LoadScope scope;
+  uint32_t server_level;     /* of the subset of servers that the process would have */
   struct ReplicaLoad *loads; /* of servers that have no owner */
   size_t n_loads;
 };
--- a/include/buckthornhead/replica_set.h
+++ b/include/buckthornhead/replica_set.h
@@ -96,6 +96,11 @@
 void
 replica_set_expire (struct ReplicaSet *set, int64_t now_ms);
 
+/* Of the slots of a service's servers in zone, how many in a thousand are in use: of the service
+ * that uses most. */
+uint32_t
+replica_set_used_permille (const struct ReplicaSet *set, const char *zone);
+
 /* The server that should take the request; NULL when none may. */
 struct Replica *
 replica_set_choose (struct ReplicaSet *set, const struct ReplicaQuery *query);
--- a/include/buckthornhead/roster.h
+++ b/include/buckthornhead/roster.h
@@ -67,6 +67,7 @@
   int64_t wanted_ms;        /* when it was last asked for a list */
   uint64_t listed;          /* a bit for each of the roster's sources that lists it */
   uint64_t rank;            /* hash of its name */
+  uint32_t server_level;    /* that it reported last */
   struct ReplicaLoad *loads;
   size_t n_loads;
   uint8_t *packed; /* its status, packed; NULL once that has changed */
@@ -89,6 +90,7 @@
 struct Roster
 {
   struct NodeStatus own;
+  uint32_t own_server_level; /* that this process wants */
   uint64_t own_rank;
   struct Peer **peers; /* talloc children */
   size_t n_peers;
@@ -184,6 +186,11 @@
 bool
 roster_is_served (const struct Roster *roster, int64_t now_ms);
 
+/* The highest level of the subset of servers that this process or a member that reports here wants.
+ */
+uint32_t
+roster_server_level (const struct Roster *roster, int64_t now_ms);
+
 /* Whether this process is one of them for its own zone. */
 bool
 roster_is_aggregator (const struct Roster *roster, int64_t now_ms);
--- a/include/buckthornhead/snapshot_changes.h
+++ b/include/buckthornhead/snapshot_changes.h
@@ -16,6 +16,10 @@
 uint64_t
 snapshot_content (const struct SnapshotItem *items, size_t n_items);
 
+/* The same key and value. */
+bool
+snapshot_item_is_equal (const struct SnapshotItem *a, const struct SnapshotItem *b);
+
 /* What after has and before has not, and what is gone, with .base; belongs to ctx. Values are
  * after's. NULL without memory, or when all of after is no longer. */
 struct Snapshot *
