Callers get different gateways of a large zone

Cause: a list of addresses holds 64; all gateways named the first 64 near ones in the order of peers, which most of them learned from one sorted list: 109 of 173 gateways of a zone got next to nothing. Change: the 64 with the highest rendezvous scores for the caller's IP address. A caller gets the same ones each time, whichever gateway it asks. Weighed: a random choice an answer (callers close connections to gateways that a new list lacks), and one by the answering gateway's name (the same, for callers that ask another one each time).

--- a/adapters/http_server.c
+++ b/adapters/http_server.c
@@ -6,7 +6,9 @@
 #include <buckthornhead/log.h>
 #include <buckthornhead/net_socket.h>
 
+#include <arpa/inet.h>
 #include <errno.h>
+#include <netinet/in.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -391,6 +393,19 @@
   exchange_finish (x);
 }
 
+void
+http_exchange_caller (const struct HttpExchange *exchange, char address[HTTP_CALLER_BYTES])
+{
+  const struct OpenExchange *x = (const struct OpenExchange *)exchange;
+  struct sockaddr_in peer;
+  socklen_t n_bytes = sizeof peer;
+
+  address[0] = '\0';
+  if (getpeername (x->connection->fd, (struct sockaddr *)&peer, &n_bytes) == 0
+      && peer.sin_family == AF_INET)
+    inet_ntop (AF_INET, &peer.sin_addr, address, HTTP_CALLER_BYTES);
+}
+
 bool
 http_exchange_has_begun (const struct HttpExchange *exchange)
 {
--- a/gateway/directory.c
+++ b/gateway/directory.c
@@ -95,9 +95,11 @@
   struct HttpHeader type = { "Content-Type", "application/json" };
   struct HttpHeaders headers = { &type, 1 };
   const char *addresses[ADDRESSES_MAX];
+  char caller[HTTP_CALLER_BYTES];
   char *body = NULL;
 
-  n = address_choose (candidates, n, addresses);
+  http_exchange_caller (exchange, caller);
+  n = address_choose (candidates, n, caller, addresses);
   if (n > 0)
     body =
         front->node->dialect->write_addresses (front, addresses, n, front->node->settings->keep_s);
--- a/include/buckthornhead/address_choice.h
+++ b/include/buckthornhead/address_choice.h
@@ -31,10 +31,13 @@
 };
 
 /* The addresses for a caller: of its zone if there are enough, and without the strained ones unless
- * these are more than half. Returns how many. */
+ * these are more than half. Of more than a caller can use, each caller gets others, so that all
+ * gateways have their share; it gets the same ones each time, since it closes its connections to
+ * those that a new list lacks. Returns how many. */
 size_t
 address_choose (const struct AddressCandidate *candidates,
                 size_t n,
+                const char *caller,
                 const char *addresses[ADDRESSES_MAX]);
 
 /* Whether so few of the zone's gateways are ready that a list of them would overload them. */
--- a/include/buckthornhead/http_server.h
+++ b/include/buckthornhead/http_server.h
@@ -23,6 +23,11 @@
   uint32_t idle_timeout_ms;   /* of a kept connection between two requests */
 };
 
+enum
+{
+  HTTP_CALLER_BYTES = 16 /* of an IP address as text */
+};
+
 /* One request and its answer. It is freed with its connection, or when its answer has ended. */
 struct HttpExchange
 {
@@ -96,5 +101,9 @@
 void
 http_exchange_abort (struct HttpExchange *exchange);
 
+/* The caller's IP address; "" when the system does not say. */
+void
+http_exchange_caller (const struct HttpExchange *exchange, char address[HTTP_CALLER_BYTES]);
+
 bool
 http_exchange_has_begun (const struct HttpExchange *exchange);
