Probes of an archive do not grow with the fleet

Cause: every process probed each archive of the set each 0.4 s: 9,800 messages a second at five machines of 0.3 cores with 984 processes, more than half of all messages of an idle fleet. Change: members probe after 3 ms for each process of the fleet, while an aggregator lists the archive; aggregators, archives and whoever misses it in the lists each 0.4 s as before. Up to 133 processes nothing changes. Weighed: probes by aggregators alone (a gateway that is cut off from archives alone would find out by a caller's turn). At twice the size: at most 500 probes a second at an archive with 1,000 and with 2,000 processes (test_roster).

--- a/core/gateway/roster.c
+++ b/core/gateway/roster.c
@@ -211,10 +211,26 @@
          || peer_is_listed (roster, peer, SNAPSHOT_ZONE, now_ms);
 }
 
+/* How long an archive may be silent over its link before it is probed. */
+static int64_t
+roster_probe_after_ms (const struct Roster *roster,
+                       const struct Peer *peer,
+                       bool aggregates,
+                       int64_t now_ms)
+{
+  int64_t share_ms = (int64_t)roster->n_peers * ROSTER_PROBE_SHARE_MS;
+
+  if (aggregates || roster->own.is_archive || share_ms < ROSTER_PROBE_AFTER_MS
+      || !peer_is_listed (roster, peer, SNAPSHOT_FLEET, now_ms))
+    return ROSTER_PROBE_AFTER_MS;
+  return share_ms;
+}
+
 bool
 roster_must_probe (const struct Roster *roster,
                    const struct Peer *peer,
                    bool is_asked,
+                   bool aggregates,
                    int64_t now_ms)
 {
   if (now_ms - peer->probed_ms < ROSTER_PROBE_AFTER_MS)
@@ -222,7 +238,8 @@
   if (peer->asked_ms > 0)
     return is_asked || roster_is_live (roster, peer, now_ms);
   return is_asked && peer->status.is_archive
-         && now_ms - peer->link_heard_ms >= ROSTER_PROBE_AFTER_MS;
+         && now_ms - peer->link_heard_ms
+                >= roster_probe_after_ms (roster, peer, aggregates, now_ms);
 }
 
 bool
--- a/gateway/node.c
+++ b/gateway/node.c
@@ -205,13 +205,15 @@
   const struct GatewayMessage probe = { .kind = GATEWAY_PROBE };
   struct ArchiveNames asked = archive_set_asked (&node->set);
   struct Roster *roster = node->roster;
+  bool aggregates = roster_is_aggregator (roster, now_ms);
 
   for (size_t i = 0; i < roster->n_peers; i++)
     {
       struct Peer *peer = roster->peers[i];
 
       node_check_link (node, peer, now_ms);
-      if (!roster_must_probe (roster, peer, archive_names_have (&asked, peer->status.node), now_ms))
+      if (!roster_must_probe (roster, peer, archive_names_have (&asked, peer->status.node),
+                              aggregates, now_ms))
         continue;
       peer->probed_ms = now_ms;
       node_send (node, peer->status.node, &probe);
--- a/include/buckthornhead/roster.h
+++ b/include/buckthornhead/roster.h
@@ -40,8 +40,11 @@
   ROSTER_FORGET_MS = 2 * 60 * 60 * 1000,
   /* Processes that were last heard within this time of each other fell silent together. */
   ROSTER_TOGETHER_MS = 5000,
-  /* An archive is asked for a sign of life unless it gave one over its link this lately. */
+  /* An archive is probed unless something came over its link this lately. */
   ROSTER_PROBE_AFTER_MS = 400,
+  /* And by members that an aggregator tells of it, for each process of the fleet: an archive
+   * answers some 300 probes a second, however many ask. */
+  ROSTER_PROBE_SHARE_MS = 3,
   ROSTER_AGGREGATORS = 2, /* a zone: one may die without a pause */
   ROSTER_ZONES_MAX = 64,
   /* Of a zone, those that a process which starts gets to know: its aggregators, and as many that
@@ -156,11 +159,14 @@
  * Archives, by everyone: so that callers are sent elsewhere before a turn finds out that they do
  * not answer; and so that no archive takes the place of a sound one. The gateways of a zone tell
  * who lives in it: while they are cut off from the archives, all archives there look dead to the
- * others. Besides, whoever has left a question open, so that it is used again once it answers. */
+ * others. Where there are hundreds of processes, members do so less often while their aggregators
+ * list the archive. Besides, whoever has left a question open, so that it is used again once it
+ * answers. aggregates: what roster_is_aggregator says. */
 bool
 roster_must_probe (const struct Roster *roster,
                    const struct Peer *peer,
                    bool is_asked,
+                   bool aggregates,
                    int64_t now_ms);
 
 /* Another process was heard lately over the network: this one is not cut off. */
--- a/tests/test_roster.c
+++ b/tests/test_roster.c
@@ -347,20 +347,19 @@
   for (uint32_t i = 0; i < 20; i++)
     {
       now += HALF_SECOND_MS;
-      CU_ASSERT_TRUE (roster_must_probe (spare, member, true, now));
+      CU_ASSERT_TRUE (roster_must_probe (spare, member, true, false, now));
       member->probed_ms = now;
-      CU_ASSERT_FALSE (roster_must_probe (spare, member, true, now));
+      CU_ASSERT_FALSE (roster_must_probe (spare, member, true, false, now));
       /* The answer. */
       roster_note_heard (member, now);
       member->link_heard_ms = now;
       CU_ASSERT_TRUE (roster_is_live (spare, member, now + HALF_SECOND_MS));
     }
   /* One that counts for nothing is left alone. */
-  CU_ASSERT_FALSE (roster_must_probe (spare, member, false, now + 2 * HALF_SECOND_MS));
+  CU_ASSERT_FALSE (roster_must_probe (spare, member, false, false, now + 2 * HALF_SECOND_MS));
   talloc_free (ctx);
 }
 
-const char test_suite_name[] = "roster";
 /* A seed that named all processes to each that starts would send 60 MB when a thousand do. Whoever
  * starts needs those that aggregate, and the same ones whatever the fleet's size. */
 static void
@@ -400,6 +399,67 @@
     }
 }
 
+/* What a fleet of n processes asks of one archive in ten seconds, while it answers all of it. */
+static uint32_t
+probes_in_ten_seconds (TALLOC_CTX *ctx, uint32_t n, bool is_listed)
+{
+  struct Roster *member = roster_of (ctx, "member", "a"), *aggregator = roster_of (ctx, "b", "a");
+  int64_t now = START_MS;
+  struct Peer *archive;
+  uint32_t n_probes = 0;
+
+  for (uint32_t i = 0; i < n; i++)
+    {
+      char name[32];
+
+      snprintf (name, sizeof name, "front-%u", i);
+      hear (member, name, "a", LOADS_OF_PROCESS, now);
+    }
+  hear (aggregator, "archive", "a", LOADS_OF_PROCESS, now)->status.is_archive = true;
+  CU_ASSERT_TRUE (pass_list (aggregator, member, SNAPSHOT_FLEET, now));
+  archive = roster_find (member, "archive");
+  archive->status.is_archive = true;
+  archive->link_heard_ms = now;
+  for (; now < START_MS + 10000; now += 50)
+    {
+      if (is_listed)
+        {
+          hear (aggregator, "archive", "a", LOADS_OF_PROCESS, now)->status.is_archive = true;
+          pass_list (aggregator, member, SNAPSHOT_FLEET, now);
+        }
+      if (!roster_must_probe (member, archive, true, false, now))
+        continue;
+      n_probes++;
+      archive->probed_ms = now;
+      roster_note_heard (archive, now);
+      archive->link_heard_ms = now;
+    }
+  return n_probes;
+}
+
+/* Each of a thousand processes probed each archive twice a second, and the archive's machine was
+ * busy with that alone. Together they probe no more often the more they are; one that nobody lists
+ * any more is looked for as often as in a small fleet. */
+static void
+test_probes_of_an_archive_do_not_grow_with_the_fleet (void)
+{
+  static const uint32_t sizes[] = { 1000, 2000 };
+  enum
+  {
+    ALL_IN_TEN_SECONDS_MAX = 5000
+  };
+
+  for (size_t i = 0; i < sizeof sizes / sizeof sizes[0]; i++)
+    {
+      TALLOC_CTX *ctx = talloc_new (NULL);
+
+      CU_ASSERT (sizes[i] * probes_in_ten_seconds (ctx, sizes[i], true) <= ALL_IN_TEN_SECONDS_MAX);
+      CU_ASSERT (probes_in_ten_seconds (ctx, sizes[i], false) >= 12);
+      talloc_free (ctx);
+    }
+}
+
+const char test_suite_name[] = "roster";
 const struct TestCase test_cases[] = {
   { "two aggregators do not keep a dead process alive",
     test_two_aggregators_do_not_keep_a_dead_process_alive },
@@ -414,5 +474,7 @@
   { "the silent are forgotten", test_the_silent_are_forgotten },
   { "an archive asks the others itself", test_an_archive_asks_the_others_itself },
   { "contacts stay few in a large fleet", test_contacts_stay_few_in_a_large_fleet },
+  { "probes of an archive do not grow with the fleet",
+    test_probes_of_an_archive_do_not_grow_with_the_fleet },
   { NULL, NULL },
 };
