--- a/gateway/zone_servers.c
+++ b/gateway/zone_servers.c
@@ -8,9 +8,13 @@
 static bool
 subset_is_current (const struct StoreReader *reader, uint32_t level)
 {
-  return reader->topics[SNAPSHOT_SUBSET].snapshot != NULL
-         && reader->subset_of == reader->topics[SNAPSHOT_SERVERS].content
-         && reader->subset_level == level;
+  const struct Snapshot *servers = reader->topics[SNAPSHOT_SERVERS].snapshot;
+  const struct Snapshot *subset = reader->topics[SNAPSHOT_SUBSET].snapshot;
+
+  if (subset == NULL || reader->subset_of != reader->topics[SNAPSHOT_SERVERS].content)
+    return false;
+  return reader->subset_level == level
+         || (level > reader->subset_level && subset->n_items == servers->n_items);
 }
 
 /* Nothing of it has changed, and it is as fresh as the list of all. */
--- a/tests/days/run.sh
+++ b/tools/play_days.sh
@@ -1,18 +1,18 @@
 #!/usr/bin/env bash
-# Plays the days of this folder on one site and reports them as a table. Not in CI: it needs the
-# platform's bench. Usage: run.sh BENCH SITE [JOBS] [DAY...]
+# Plays the days of deploy/days on one site and reports them as a table. Not in CI: it needs the
+# platform's bench. Usage: play_days.sh BENCH SITE [JOBS] [DAY...]
 set -u
 bench=$1
 site=$2
 jobs=${3:-4}
 shift $(($# < 3 ? $# : 3))
 here=$(cd "$(dirname "$0")" && pwd)
-cd "$here/../.."
+cd "$here/.."
 out=$(mktemp -d)
 trap 'rm -rf "$out"' EXIT
 "$bench" build >/dev/null || exit 1
 if [ $# -eq 0 ]; then
-  set -- "$here"/*.toml
+  set -- deploy/days/*.toml
 fi
 printf '%s\n' "$@" | xargs -P "$jobs" -I DAY sh -c \
   "\"$bench\" run \"$site\" DAY --why 'own day' >\"$out/\$(basename DAY .toml)\" 2>&1"
