Links and known peers are found by hash

Cause: each message looked for its link among all links and for its receiver among all known processes by comparing names one by one; a whole list of 984 processes compared a million names in each process that got it, and each of them gets several while a fleet starts. Change: uthash tables in adapters/peer_net.c; a link points to the process it was dialled to. Behaviour is as before: sessions order, outage, handoff, gateway_path, gateway_servers and roster_fleet pass.

--- a/adapters/peer_net.c
+++ b/adapters/peer_net.c
@@ -10,6 +10,7 @@
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <uthash.h>
 
 enum
 {
@@ -35,10 +36,12 @@
   size_t n_bytes, n_written;
 };
 
+struct PeerKnown;
+
 struct PeerLink
 {
-  struct PeerLink *next;
   struct PeerNet *net;
+  struct PeerKnown *known; /* that it was dialled to; NULL: accepted, or forgotten since */
   uint64_t id;
   int fd;
   bool dialled, connected;
@@ -49,18 +52,19 @@
   size_t input_bytes, input_size;
   struct PeerFrame *first, **last;
   size_t queued_bytes;
+  UT_hash_handle hh; /* in PeerNet.links */
 };
 
 /* Another instance, as membership knows it. */
 struct PeerKnown
 {
-  struct PeerKnown *next;
   char instance[NAME_MAX_BYTES + 1];
   char address[ADDRESS_MAX_BYTES + 1];
   struct PeerLink *link; /* NULL while not dialled */
   uint32_t n_refused;    /* attempts in a row */
   int64_t dialled_ms;    /* last time */
   int64_t used_ms;       /* last time that something was sent to it */
+  UT_hash_handle hh;     /* in PeerNet.known */
 };
 
 /* A message on its way to the own instance. */
@@ -79,9 +83,9 @@
   char incarnation[INCARNATION_MAX_BYTES + 1];
   int listen_fd;
   uint64_t next_link;
-  struct PeerLink *links;
-  struct PeerKnown *known;
-  uint8_t *scratch; /* READ_CHUNK_BYTES: what is read lies here unless a frame is in parts */
+  struct PeerLink *links;  /* by id */
+  struct PeerKnown *known; /* by instance */
+  uint8_t *scratch;        /* READ_CHUNK_BYTES: what is read lies here unless a frame is in parts */
 };
 
 static void
@@ -90,15 +94,9 @@
 static int
 peer_link_free (struct PeerLink *link)
 {
-  struct PeerLink **at = &link->net->links;
-
-  while (*at != NULL && *at != link)
-    at = &(*at)->next;
-  if (*at != NULL)
-    *at = link->next;
-  for (struct PeerKnown *k = link->net->known; k != NULL; k = k->next)
-    if (k->link == link)
-      k->link = NULL;
+  HASH_DEL (link->net->links, link);
+  if (link->known != NULL)
+    link->known->link = NULL;
   TALLOC_FREE (link->watch);
   if (link->fd >= 0)
     close (link->fd);
@@ -108,10 +106,10 @@
 static struct PeerLink *
 peer_net_find (const struct PeerNet *net, uint64_t id)
 {
-  for (struct PeerLink *l = net->links; l != NULL; l = l->next)
-    if (l->id == id)
-      return l;
-  return NULL;
+  struct PeerLink *link;
+
+  HASH_FIND (hh, net->links, &id, sizeof id, link);
+  return link;
 }
 
 static void
@@ -285,15 +283,12 @@
 peer_link_note_refusal (struct PeerLink *link, bool refused)
 {
   const struct PeerNetOptions *options = &link->net->options;
+  struct PeerKnown *known = link->known;
 
-  for (struct PeerKnown *k = link->net->known; k != NULL; k = k->next)
-    {
-      if (k->link != link || (!refused && k->n_refused == 0))
-        continue;
-      k->n_refused = refused ? k->n_refused + 1 : 0;
-      options->refused (options->data, k->instance, k->n_refused);
-      return;
-    }
+  if (known == NULL || (!refused && known->n_refused == 0))
+    return;
+  known->n_refused = refused ? known->n_refused + 1 : 0;
+  options->refused (options->data, known->instance, known->n_refused);
 }
 
 static bool
@@ -363,8 +358,7 @@
   link->connected = !dialled;
   link->id = net->next_link++;
   link->last = &link->first;
-  link->next = net->links;
-  net->links = link;
+  HASH_ADD (hh, net->links, id, sizeof link->id, link);
   talloc_set_destructor (link, peer_link_free);
   link->watch = tevent_add_fd (net->events, link, fd, TEVENT_FD_READ | TEVENT_FD_WRITE,
                                peer_link_on_event, link);
@@ -385,6 +379,7 @@
       close (fd);
       return;
     }
+  known->link->known = known;
   known->link->dialled_ms = timer_now_ms (net->timers);
   snprintf (known->link->instance, sizeof known->link->instance, "%s", known->instance);
   peer_link_say_hello (known->link);
@@ -398,7 +393,7 @@
   int64_t now_ms = timer_now_ms (net->timers);
   bool on_need = net->options.dial_on_need;
 
-  for (struct PeerKnown *k = net->known; k != NULL; k = k->next)
+  for (struct PeerKnown *k = net->known; k != NULL; k = k->hh.next)
     {
       if (k->link != NULL && !k->link->connected && now_ms - k->link->dialled_ms >= DIAL_TIMEOUT_MS)
         peer_link_close (k->link, "no answer to the dial");
@@ -431,6 +426,7 @@
 {
   while (net->links != NULL)
     talloc_free (net->links);
+  HASH_CLEAR (hh, net->known);
   if (net->listen_fd >= 0)
     close (net->listen_fd);
   return 0;
@@ -477,7 +473,7 @@
 peer_net_set_incarnation (struct PeerNet *net, const char *incarnation)
 {
   snprintf (net->incarnation, sizeof net->incarnation, "%s", incarnation);
-  for (struct PeerLink *l = net->links; l != NULL; l = l->next)
+  for (struct PeerLink *l = net->links; l != NULL; l = l->hh.next)
     if (l->dialled)
       peer_link_say_hello (l);
 }
@@ -485,10 +481,10 @@
 static struct PeerKnown *
 peer_net_known (const struct PeerNet *net, const char *instance)
 {
-  for (struct PeerKnown *k = net->known; k != NULL; k = k->next)
-    if (strcmp (k->instance, instance) == 0)
-      return k;
-  return NULL;
+  struct PeerKnown *known;
+
+  HASH_FIND_STR (net->known, instance, known);
+  return known;
 }
 
 void
@@ -504,8 +500,7 @@
       if (known == NULL)
         return;
       snprintf (known->instance, sizeof known->instance, "%s", instance);
-      known->next = net->known;
-      net->known = known;
+      HASH_ADD_STR (net->known, instance, known);
     }
   if (strcmp (known->address, address) == 0)
     return;
@@ -519,16 +514,14 @@
 void
 peer_net_forget (struct PeerNet *net, const char *instance)
 {
-  struct PeerKnown **at = &net->known;
-  struct PeerKnown *gone;
+  struct PeerKnown *gone = peer_net_known (net, instance);
 
-  while (*at != NULL && strcmp ((*at)->instance, instance) != 0)
-    at = &(*at)->next;
-  gone = *at;
   if (gone == NULL)
     return;
-  *at = gone->next;
+  HASH_DEL (net->known, gone);
   /* The link itself stays until it closes: a leaving instance still answers over it. */
+  if (gone->link != NULL)
+    gone->link->known = NULL;
   talloc_free (gone);
 }
 
--- a/gateway/store_internal.h
+++ b/gateway/store_internal.h
@@ -51,6 +51,7 @@
   struct Topic topics[N_KINDS];
   struct Follow follow;
   uint32_t rank;             /* place among those that may read */
+  int64_t ranked_ms;         /* when that was worked out */
   int64_t kept_servers_ms;   /* when this process last had to hold the list of all servers */
   struct ServerIndex *index; /* of that list */
   uint64_t subset_of;        /* content of the list that the subset was drawn from */
--- a/gateway/store_topics.c
+++ b/gateway/store_topics.c
@@ -15,6 +15,7 @@
   RANK_DELAY_MS = 250,
   RANK_NEXT = 6, /* these hear of each reading at once */
   RANK_LATER_MS = 40,
+  RANK_PERIOD_MS = 250, /* half a heartbeat */
   /* A state that nobody could read for this long, beside the time of a call that waits, may have
    * changed in ways that only time heals. */
   GAP_MS = 1000,
@@ -75,8 +76,15 @@
 int64_t
 reader_delay_ms (struct StoreReader *reader)
 {
-  uint32_t rank = reader->rank = reader_rank (reader);
+  int64_t now_ms = timer_now_ms (reader->node->timers);
+  uint32_t rank;
 
+  if (reader->ranked_ms == 0 || now_ms - reader->ranked_ms >= RANK_PERIOD_MS)
+    {
+      reader->rank = reader_rank (reader);
+      reader->ranked_ms = now_ms;
+    }
+  rank = reader->rank;
   if (rank <= RANK_NEXT)
     return (int64_t)rank * RANK_DELAY_MS;
   return RANK_NEXT * RANK_DELAY_MS + (int64_t)(rank - RANK_NEXT) * RANK_LATER_MS;
