What decides about backend servers lies in core/scheduling

A move by file name alone, with headers under include/buckthornhead/scheduling: replica_set, slot_queue, session_places, retry_allowance, failure_rate and address_choice join server_subset. No line of them is changed but includes.

--- a/core/gateway/address_choice.c
+++ b/core/scheduling/address_choice.c
@@ -1,4 +1,4 @@
-#include <buckthornhead/address_choice.h>
+#include <buckthornhead/scheduling/address_choice.h>
 
 #include <buckthornhead/partition.h>
 
--- a/core/gateway/failure_rate.c
+++ b/core/scheduling/failure_rate.c
@@ -1,4 +1,4 @@
-#include <buckthornhead/failure_rate.h>
+#include <buckthornhead/scheduling/failure_rate.h>
 
 enum
 {
--- a/core/gateway/replica_set.c
+++ b/core/scheduling/replica_set.c
@@ -1,4 +1,4 @@
-#include <buckthornhead/replica_set.h>
+#include <buckthornhead/scheduling/replica_set.h>
 
 #include <buckthornhead/error.h>
 #include <buckthornhead/pack.h>
--- a/core/gateway/retry_allowance.c
+++ b/core/scheduling/retry_allowance.c
@@ -1,4 +1,4 @@
-#include <buckthornhead/retry_allowance.h>
+#include <buckthornhead/scheduling/retry_allowance.h>
 
 enum
 {
--- a/core/scheduling/server_subset.c
+++ b/core/scheduling/server_subset.c
@@ -1,7 +1,7 @@
 #include <buckthornhead/scheduling/server_subset.h>
 
 #include <buckthornhead/error.h>
-#include <buckthornhead/replica_set.h>
+#include <buckthornhead/scheduling/replica_set.h>
 #include <buckthornhead/snapshot_changes.h>
 
 #include <stdio.h>
--- a/core/gateway/session_places.c
+++ b/core/scheduling/session_places.c
@@ -1,4 +1,4 @@
-#include <buckthornhead/session_places.h>
+#include <buckthornhead/scheduling/session_places.h>
 
 #include <buckthornhead/error.h>
 
--- a/core/gateway/slot_queue.c
+++ b/core/scheduling/slot_queue.c
@@ -1,4 +1,4 @@
-#include <buckthornhead/slot_queue.h>
+#include <buckthornhead/scheduling/slot_queue.h>
 
 #include <buckthornhead/error.h>
 
--- a/gateway/front.h
+++ b/gateway/front.h
@@ -7,9 +7,9 @@
 #include "node.h"
 
 #include <buckthornhead/event_stream.h>
-#include <buckthornhead/retry_allowance.h>
+#include <buckthornhead/scheduling/retry_allowance.h>
 #include <buckthornhead/scheduling/server_subset.h>
-#include <buckthornhead/slot_queue.h>
+#include <buckthornhead/scheduling/slot_queue.h>
 
 enum
 {
--- a/gateway/loop_echo.h
+++ b/gateway/loop_echo.h
@@ -5,7 +5,7 @@
 
 #include "node.h"
 
-#include <buckthornhead/address_choice.h>
+#include <buckthornhead/scheduling/address_choice.h>
 
 struct LoopEcho;
 
--- a/gateway/slots.h
+++ b/gateway/slots.h
@@ -1,13 +1,13 @@
 /* Who may be sent to an engine, and when: asking its owner, and answering as one.
  *
  * Each engine has one owner at a time, a live gateway of its availability zone that all find by
- * the same hash. It decides by core/gateway/slot_queue.c. An owner that does not answer holds
+ * the same hash. It decides by core/scheduling/slot_queue.c. An owner that does not answer holds
  * nobody up: the request is sent without it, and the engine queues it in order of arrival. */
 #pragma once
 
 #include "front.h"
 
-#include <buckthornhead/slot_queue.h>
+#include <buckthornhead/scheduling/slot_queue.h>
 
 struct Slots *
 slots_new (struct Front *front);
--- a/gateway/turn_internal.h
+++ b/gateway/turn_internal.h
@@ -4,7 +4,7 @@
 #include "front.h"
 
 #include <buckthornhead/archive_order.h>
-#include <buckthornhead/session_places.h>
+#include <buckthornhead/scheduling/session_places.h>
 
 enum TurnPhase
 {
--- a/include/buckthornhead/dialect.h
+++ b/include/buckthornhead/dialect.h
@@ -6,8 +6,8 @@
 
 #include <buckthornhead/http_client.h>
 #include <buckthornhead/http_server.h>
-#include <buckthornhead/replica_set.h>
 #include <buckthornhead/route.h>
+#include <buckthornhead/scheduling/replica_set.h>
 
 /* Requests to the gateway itself. */
 enum OwnPath
--- a/include/buckthornhead/gateway_message.h
+++ b/include/buckthornhead/gateway_message.h
@@ -4,8 +4,8 @@
 #include <buckthornhead/archive_set.h>
 #include <buckthornhead/customers/use_board.h>
 #include <buckthornhead/node_status.h>
+#include <buckthornhead/scheduling/slot_queue.h>
 #include <buckthornhead/settings.h>
-#include <buckthornhead/slot_queue.h>
 #include <buckthornhead/turn.h>
 
 enum GatewayKind
--- a/include/buckthornhead/replica_set.h
+++ b/include/buckthornhead/scheduling/replica_set.h
@@ -5,8 +5,8 @@
 
 #include <buckthornhead/call.h>
 #include <buckthornhead/decisions.h>
+#include <buckthornhead/scheduling/slot_queue.h>
 #include <buckthornhead/settings.h>
-#include <buckthornhead/slot_queue.h>
 
 #include <talloc.h>
 #include <uthash.h>
--- a/include/buckthornhead/slot_queue.h
+++ b/include/buckthornhead/scheduling/slot_queue.h
@@ -9,7 +9,7 @@
 #pragma once
 
 #include <buckthornhead/call.h>
-#include <buckthornhead/failure_rate.h>
+#include <buckthornhead/scheduling/failure_rate.h>
 
 #include <talloc.h>
 
--- a/include/buckthornhead/turn_index.h
+++ b/include/buckthornhead/turn_index.h
@@ -5,7 +5,7 @@
 #pragma once
 
 #include <buckthornhead/disk_log.h>
-#include <buckthornhead/session_places.h>
+#include <buckthornhead/scheduling/session_places.h>
 
 struct TurnIndex;
 
--- a/tests/fuzz/fuzz_gateway.c
+++ b/tests/fuzz/fuzz_gateway.c
@@ -6,7 +6,7 @@
 #include <buckthornhead/error.h>
 #include <buckthornhead/event_stream.h>
 #include <buckthornhead/gateway_message.h>
-#include <buckthornhead/replica_set.h>
+#include <buckthornhead/scheduling/replica_set.h>
 
 #include <platform.h>
 #include <string.h>
--- a/tests/test_address_choice.c
+++ b/tests/test_address_choice.c
@@ -1,6 +1,6 @@
 #include "test_main.h"
 
-#include <buckthornhead/address_choice.h>
+#include <buckthornhead/scheduling/address_choice.h>
 
 #include <stdio.h>
 #include <string.h>
--- a/tests/test_failure_rate.c
+++ b/tests/test_failure_rate.c
@@ -1,6 +1,6 @@
 #include "test_main.h"
 
-#include <buckthornhead/failure_rate.h>
+#include <buckthornhead/scheduling/failure_rate.h>
 
 static void
 test_it_follows_what_the_server_does (void)
--- a/tests/test_replica_set.c
+++ b/tests/test_replica_set.c
@@ -1,7 +1,7 @@
 #include "test_main.h"
 
 #include <buckthornhead/error.h>
-#include <buckthornhead/replica_set.h>
+#include <buckthornhead/scheduling/replica_set.h>
 
 #include <stdio.h>
 #include <string.h>
--- a/tests/test_retry_allowance.c
+++ b/tests/test_retry_allowance.c
@@ -1,6 +1,6 @@
 #include "test_main.h"
 
-#include <buckthornhead/retry_allowance.h>
+#include <buckthornhead/scheduling/retry_allowance.h>
 
 /* A service is down and every request to it is lost: second attempts stay a tenth of the load. */
 static void
--- a/tests/test_server_subset.c
+++ b/tests/test_server_subset.c
@@ -1,6 +1,6 @@
 #include "test_main.h"
 
-#include <buckthornhead/replica_set.h>
+#include <buckthornhead/scheduling/replica_set.h>
 #include <buckthornhead/scheduling/server_subset.h>
 #include <buckthornhead/snapshot_changes.h>
 
--- a/tests/test_session_places.c
+++ b/tests/test_session_places.c
@@ -1,7 +1,7 @@
 #include "test_main.h"
 
 #include <buckthornhead/error.h>
-#include <buckthornhead/session_places.h>
+#include <buckthornhead/scheduling/session_places.h>
 
 #include <string.h>
 
--- a/tests/test_slot_queue.c
+++ b/tests/test_slot_queue.c
@@ -1,7 +1,7 @@
 #include "test_main.h"
 
 #include <buckthornhead/error.h>
-#include <buckthornhead/slot_queue.h>
+#include <buckthornhead/scheduling/slot_queue.h>
 
 #include <stdio.h>
 #include <string.h>
--- a/tests/test_slot_queue_load.c
+++ b/tests/test_slot_queue_load.c
@@ -3,7 +3,7 @@
 #include "test_main.h"
 
 #include <buckthornhead/error.h>
-#include <buckthornhead/slot_queue.h>
+#include <buckthornhead/scheduling/slot_queue.h>
 
 #include <math.h>
 #include <stdio.h>
