--- a/core/customers/use_board.c
+++ b/core/customers/use_board.c
@@ -20,7 +20,7 @@
 struct UseBoard
 {
   struct BoardRow *rows;
-  int64_t heard_ms;
+  int64_t received_ms;
 };
 
 static int
@@ -73,7 +73,7 @@
       memcpy (row->key, key, sizeof key);
       HASH_ADD_STR (board->rows, key, row);
     }
-  board->heard_ms = now_ms;
+  board->received_ms = now_ms;
   row->told_ms = now_ms;
   talloc_free (row->report.uses);
   row->report = *report;
@@ -188,5 +188,5 @@
 int64_t
 use_board_heard_ms (const struct UseBoard *board)
 {
-  return board->heard_ms;
+  return board->received_ms;
 }
--- /dev/null
+++ b/core/membership/peer_table.c
@@ -0,0 +1,667 @@
+#include "peer_table_internal.h"
+
+#include <stdio.h>
+#include <string.h>
+#include <xxhash.h>
+
+static uint64_t
+name_rank (const char *name)
+{
+  return XXH64 (name, strlen (name), 0);
+}
+
+struct PeerTable *
+peer_table_new (TALLOC_CTX *ctx, const char *node, const char *zone)
+{
+  struct PeerTable *table = talloc_zero (ctx, struct PeerTable);
+
+  if (table == NULL)
+    return NULL;
+  snprintf (table->own.node, sizeof table->own.node, "%s", node);
+  snprintf (table->own.zone, sizeof table->own.zone, "%s", zone);
+  table->own_rank = name_rank (node);
+  return table;
+}
+
+struct Peer *
+peer_table_find (const struct PeerTable *table, const char *name)
+{
+  struct Peer *peer;
+
+  HASH_FIND_STR (table->by_name, name, peer);
+  return peer;
+}
+
+bool
+peer_table_describe (struct PeerTable *table, const struct NodeStatus *own)
+{
+  uint64_t version = table->own.version;
+
+  if (version > 0 && node_status_says_the_same (&table->own, own))
+    return false;
+  table->own = *own;
+  table->own.version = version + 1;
+  return true;
+}
+
+/* Peers. */
+
+static void
+peer_set_status (struct Peer *peer, const struct NodeStatus *status)
+{
+  /* The name is the key of the table; it does not change. */
+  peer->status = *status;
+  TALLOC_FREE (peer->packed);
+}
+
+static struct Peer *
+peer_table_add (struct PeerTable *table, const struct NodeStatus *status, int64_t now_ms)
+{
+  struct Peer **grown = talloc_realloc (table, table->peers, struct Peer *, table->n_peers + 1);
+  struct Peer *peer;
+
+  if (grown == NULL)
+    return NULL;
+  table->peers = grown;
+  peer = talloc_zero (grown, struct Peer);
+  if (peer == NULL)
+    return NULL;
+  peer_set_status (peer, status);
+  peer->known_ms = now_ms;
+  peer->rank = name_rank (status->node);
+  table->peers[table->n_peers++] = peer;
+  HASH_ADD_KEYPTR (hh, table->by_name, peer->status.node, strlen (peer->status.node), peer);
+  return peer;
+}
+
+static bool
+peer_table_is_own (const struct PeerTable *table, const char *name)
+{
+  return strcmp (name, table->own.node) == 0;
+}
+
+struct Peer *
+peer_table_learn (struct PeerTable *table, const struct NodeStatus *status, int64_t now_ms)
+{
+  if (peer_table_is_own (table, status->node) || peer_table_find (table, status->node) != NULL)
+    return NULL;
+  return peer_table_add (table, status, now_ms);
+}
+
+static void
+loads_take (TALLOC_CTX *ctx,
+            struct ReplicaLoad **loads,
+            size_t *n_loads,
+            const struct Heartbeat *heartbeat)
+{
+  talloc_free (*loads);
+  *loads = talloc_memdup (ctx, heartbeat->loads, heartbeat->n_loads * sizeof *heartbeat->loads);
+  *n_loads = *loads != NULL ? heartbeat->n_loads : 0;
+}
+
+static struct PeerListSource *
+source_find (struct PeerTable *table, const char *node, enum SnapshotKind kind)
+{
+  for (uint32_t i = 0; i < PEER_TABLE_SOURCES_MAX; i++)
+    if (table->sources[i].kind == kind && strcmp (table->sources[i].node, node) == 0)
+      return &table->sources[i];
+  return NULL;
+}
+
+static void
+peer_table_take_loads (struct PeerTable *table,
+                       struct Peer *peer,
+                       const struct Heartbeat *heartbeat)
+{
+  struct PeerListSource *source;
+
+  switch (heartbeat->scope)
+    {
+    case LOADS_OF_PROCESS:
+      loads_take (peer, &peer->loads, &peer->n_loads, heartbeat);
+      return;
+    case LOADS_OF_ZONE:
+      source = source_find (table, peer->status.node, SNAPSHOT_ZONE);
+      break;
+    case LOADS_OF_FLEET:
+      source = source_find (table, peer->status.node, SNAPSHOT_FLEET);
+      break;
+    default:
+      return;
+    }
+  if (source != NULL)
+    loads_take (table, &source->loads, &source->n_loads, heartbeat);
+}
+
+void
+peer_note_received (struct Peer *peer, int64_t now_ms)
+{
+  peer->received_ms = now_ms;
+  peer->refused_ms = 0;
+}
+
+void
+peer_note_asked (struct Peer *peer, int64_t now_ms)
+{
+  if (peer->asked_ms == 0)
+    peer->asked_ms = now_ms;
+}
+
+struct Peer *
+peer_table_take_heartbeat (struct PeerTable *table,
+                           const struct Heartbeat *heartbeat,
+                           int64_t now_ms,
+                           bool *changed)
+{
+  const struct NodeStatus *status = &heartbeat->status;
+  struct Peer *peer;
+
+  *changed = false;
+  if (peer_table_is_own (table, status->node))
+    return NULL;
+  peer = peer_table_find (table, status->node);
+  if (peer == NULL)
+    peer = peer_table_add (table, status, now_ms);
+  if (peer == NULL)
+    return NULL;
+  *changed = now_ms - peer->status_ms >= PEER_TABLE_LIVE_MS || peer->status.start != status->start
+             || !node_status_says_the_same (&peer->status, status);
+  peer_set_status (peer, status);
+  peer_note_received (peer, now_ms);
+  peer->status_ms = now_ms;
+  if (heartbeat->scope == LOADS_OF_PROCESS)
+    peer->reported_ms = now_ms;
+  peer->server_level = heartbeat->server_level;
+  peer_table_take_loads (table, peer, heartbeat);
+  return peer;
+}
+
+/* Liveness. */
+
+static bool
+source_is_live (const struct PeerListSource *source, int64_t now_ms)
+{
+  return source->node[0] != '\0' && now_ms - source->received_ms < PEER_TABLE_SOURCE_LIVE_MS;
+}
+
+bool
+peer_is_refused (const struct Peer *peer, int64_t now_ms)
+{
+  return peer->refused_ms > 0 && now_ms - peer->refused_ms < PEER_TABLE_REFUSED_MS;
+}
+
+bool
+peer_is_listed (const struct PeerTable *table,
+                const struct Peer *peer,
+                enum SnapshotKind kind,
+                int64_t now_ms)
+{
+  for (uint32_t i = 0; peer->listed >> i != 0 && i < PEER_TABLE_SOURCES_MAX; i++)
+    if ((peer->listed >> i & 1) != 0 && table->sources[i].kind == kind
+        && source_is_live (&table->sources[i], now_ms))
+      return true;
+  return false;
+}
+
+bool
+peer_table_is_live (const struct PeerTable *table, const struct Peer *peer, int64_t now_ms)
+{
+  if (peer_is_refused (peer, now_ms))
+    return false;
+  return (peer->received_ms > 0 && now_ms - peer->received_ms < PEER_TABLE_LIVE_MS)
+         || peer_is_listed (table, peer, SNAPSHOT_FLEET, now_ms)
+         || peer_is_listed (table, peer, SNAPSHOT_ZONE, now_ms);
+}
+
+/* How long an archive may be silent over its link before it is probed. */
+static int64_t
+peer_table_probe_after_ms (const struct PeerTable *table,
+                           const struct Peer *peer,
+                           bool aggregates,
+                           int64_t now_ms)
+{
+  int64_t share_ms = (int64_t)table->n_peers * PEER_TABLE_PROBE_SHARE_MS;
+
+  if (aggregates || table->own.is_archive || share_ms < PEER_TABLE_PROBE_AFTER_MS
+      || !peer_is_listed (table, peer, SNAPSHOT_FLEET, now_ms))
+    return PEER_TABLE_PROBE_AFTER_MS;
+  return share_ms;
+}
+
+bool
+peer_table_must_probe (const struct PeerTable *table,
+                       const struct Peer *peer,
+                       bool is_asked,
+                       bool aggregates,
+                       int64_t now_ms)
+{
+  if (now_ms - peer->probed_ms < PEER_TABLE_PROBE_AFTER_MS)
+    return false;
+  if (peer->asked_ms > 0)
+    return is_asked || peer_table_is_live (table, peer, now_ms);
+  return is_asked && peer->status.is_archive
+         && now_ms - peer->link_received_ms
+                >= peer_table_probe_after_ms (table, peer, aggregates, now_ms);
+}
+
+bool
+peer_table_receives (const struct PeerTable *table, int64_t within_ms, int64_t now_ms)
+{
+  for (size_t i = 0; i < table->n_peers; i++)
+    if (table->peers[i]->received_ms > 0 && now_ms - table->peers[i]->received_ms < within_ms)
+      return true;
+  return false;
+}
+
+/* Aggregators. */
+
+struct AggregatorChoice
+{
+  const char *names[PEER_TABLE_AGGREGATORS];
+  uint64_t ranks[PEER_TABLE_AGGREGATORS];
+  size_t n;
+};
+
+/* Keeps the lowest ranks. */
+static void
+choice_offer (struct AggregatorChoice *choice, const char *name, uint64_t rank)
+{
+  size_t at = choice->n;
+
+  while (at > 0 && rank < choice->ranks[at - 1])
+    at--;
+  if (at == PEER_TABLE_AGGREGATORS)
+    return;
+  if (choice->n < PEER_TABLE_AGGREGATORS)
+    choice->n++;
+  for (size_t i = choice->n - 1; i > at; i--)
+    {
+      choice->names[i] = choice->names[i - 1];
+      choice->ranks[i] = choice->ranks[i - 1];
+    }
+  choice->names[at] = name;
+  choice->ranks[at] = rank;
+}
+
+static bool
+peer_may_aggregate (const struct PeerTable *table, const struct Peer *peer, int64_t now_ms)
+{
+  if (peer->status.leaving
+      || (peer->asked_ms > 0 && now_ms - peer->asked_ms >= PEER_TABLE_SILENT_MS))
+    return false;
+  return peer_table_is_live (table, peer, now_ms)
+         || (now_ms - peer->known_ms < PEER_TABLE_NEW_MS && !peer_is_refused (peer, now_ms));
+}
+
+static struct AggregatorChoice
+choose_aggregators (const struct PeerTable *table, const char *zone, bool archives, int64_t now_ms)
+{
+  struct AggregatorChoice choice = { .n = 0 };
+
+  if (strcmp (zone, table->own.zone) == 0 && table->own.is_archive == archives
+      && !table->own.leaving)
+    choice_offer (&choice, table->own.node, table->own_rank);
+  for (size_t i = 0; i < table->n_peers; i++)
+    {
+      const struct Peer *peer = table->peers[i];
+
+      if (peer->status.is_archive == archives && strcmp (peer->status.zone, zone) == 0
+          && peer_may_aggregate (table, peer, now_ms))
+        choice_offer (&choice, peer->status.node, peer->rank);
+    }
+  return choice;
+}
+
+static int64_t
+peer_seen_ms (const struct PeerTable *table, const struct Peer *peer)
+{
+  int64_t seen_ms = peer->received_ms > peer->known_ms ? peer->received_ms : peer->known_ms;
+
+  if (peer->listed_ms > seen_ms)
+    seen_ms = peer->listed_ms;
+  for (uint32_t i = 0; i < PEER_TABLE_SOURCES_MAX; i++)
+    if ((peer->listed >> i & 1) != 0 && table->sources[i].received_ms > seen_ms)
+      seen_ms = table->sources[i].received_ms;
+  return seen_ms;
+}
+
+/* Those of a silent zone who probably aggregate it, by the order in which they did when they were
+ * last heard; in every other second two others, in turn, in case they are gone for good. */
+static struct AggregatorChoice
+choose_lost (const struct PeerTable *table, const char *zone, int64_t now_ms)
+{
+  struct AggregatorChoice choice = { .n = 0 };
+  uint64_t turn = (uint64_t)now_ms / 1000;
+  uint64_t mixed = turn % 2 != 0 ? turn * 0x9e3779b97f4a7c15ULL : 0;
+  int64_t last_ms = 0;
+
+  for (size_t i = 0; i < table->n_peers; i++)
+    if (strcmp (table->peers[i]->status.zone, zone) == 0
+        && peer_seen_ms (table, table->peers[i]) > last_ms)
+      last_ms = peer_seen_ms (table, table->peers[i]);
+  for (size_t i = 0; i < table->n_peers; i++)
+    {
+      const struct Peer *peer = table->peers[i];
+
+      if (!peer->status.is_archive && strcmp (peer->status.zone, zone) == 0
+          && last_ms - peer_seen_ms (table, peer) < PEER_TABLE_TOGETHER_MS)
+        choice_offer (&choice, peer->status.node, peer->rank ^ mixed);
+    }
+  return choice;
+}
+
+size_t
+peer_table_aggregators (const struct PeerTable *table,
+                        const char *zone,
+                        int64_t now_ms,
+                        const char *names[PEER_TABLE_AGGREGATORS])
+{
+  struct AggregatorChoice choice = choose_aggregators (table, zone, false, now_ms);
+
+  /* Disks are few and busy: archives aggregate where there is nobody else. */
+  if (choice.n == 0)
+    choice = choose_aggregators (table, zone, true, now_ms);
+  if (choice.n == 0)
+    choice = choose_lost (table, zone, now_ms);
+  for (size_t i = 0; i < choice.n; i++)
+    names[i] = choice.names[i];
+  return choice.n;
+}
+
+/* The contacts of one zone, lowest rank first. */
+struct ZoneContacts
+{
+  const char *zone;
+  const struct Peer *peers[PEER_TABLE_CONTACTS];
+  size_t n;
+};
+
+static void
+contacts_offer (struct ZoneContacts *contacts, const struct Peer *peer)
+{
+  size_t at = contacts->n;
+
+  while (at > 0 && peer->rank < contacts->peers[at - 1]->rank)
+    at--;
+  if (at == PEER_TABLE_CONTACTS)
+    return;
+  if (contacts->n < PEER_TABLE_CONTACTS)
+    contacts->n++;
+  for (size_t i = contacts->n - 1; i > at; i--)
+    contacts->peers[i] = contacts->peers[i - 1];
+  contacts->peers[at] = peer;
+}
+
+size_t
+peer_table_contacts (const struct PeerTable *table,
+                     int64_t now_ms,
+                     const struct Peer *contacts[PEER_TABLE_CONTACTS_MAX])
+{
+  struct ZoneContacts zones[PEER_TABLE_ZONES_MAX] = { 0 };
+  size_t n_zones = 0, n = 0;
+
+  for (size_t i = 0; i < table->n_peers; i++)
+    {
+      const struct Peer *peer = table->peers[i];
+      size_t at = 0;
+
+      if (peer->status.is_archive || !peer_may_aggregate (table, peer, now_ms))
+        continue;
+      while (at < n_zones && strcmp (zones[at].zone, peer->status.zone) != 0)
+        at++;
+      if (at == PEER_TABLE_ZONES_MAX)
+        continue;
+      if (at == n_zones)
+        zones[n_zones++].zone = peer->status.zone;
+      contacts_offer (&zones[at], peer);
+    }
+  for (size_t i = 0; i < n_zones; i++)
+    for (size_t j = 0; j < zones[i].n; j++)
+      contacts[n++] = zones[i].peers[j];
+  return n;
+}
+
+bool
+peer_table_is_served (const struct PeerTable *table, int64_t now_ms)
+{
+  for (uint32_t i = 0; i < PEER_TABLE_SOURCES_MAX; i++)
+    if (table->sources[i].kind == SNAPSHOT_FLEET && table->sources[i].has_list
+        && source_is_live (&table->sources[i], now_ms))
+      return true;
+  return false;
+}
+
+uint32_t
+peer_table_server_level (const struct PeerTable *table, int64_t now_ms)
+{
+  uint32_t level = table->own_server_level;
+
+  for (size_t i = 0; i < table->n_peers; i++)
+    {
+      const struct Peer *peer = table->peers[i];
+
+      if (peer->server_level > level && strcmp (peer->status.zone, table->own.zone) == 0
+          && peer->status_ms > 0 && now_ms - peer->status_ms < PEER_TABLE_LIVE_MS)
+        level = peer->server_level;
+    }
+  return level;
+}
+
+bool
+peer_table_is_aggregator (const struct PeerTable *table, int64_t now_ms)
+{
+  const char *names[PEER_TABLE_AGGREGATORS];
+  size_t n = peer_table_aggregators (table, table->own.zone, now_ms, names);
+
+  for (size_t i = 0; i < n; i++)
+    if (peer_table_is_own (table, names[i]))
+      return true;
+  return false;
+}
+
+bool
+peer_table_is_first_aggregator (const struct PeerTable *table, int64_t now_ms)
+{
+  const char *names[PEER_TABLE_AGGREGATORS];
+
+  return peer_table_aggregators (table, table->own.zone, now_ms, names) > 0
+         && peer_table_is_own (table, names[0]);
+}
+
+bool
+peer_table_serves (const struct PeerTable *table,
+                   const struct Peer *peer,
+                   bool aggregates,
+                   int64_t now_ms)
+{
+  if (strcmp (peer->status.zone, table->own.zone) != 0)
+    return false;
+  /* Also to those that fell silent: a process that has started again while the store is away learns
+   * from this who is there. */
+  return (aggregates && now_ms - peer_seen_ms (table, peer) < PEER_TABLE_CALL_MS)
+         || (peer->reported_ms > 0 && now_ms - peer->reported_ms < PEER_TABLE_LIVE_MS);
+}
+
+struct Peer *
+peer_table_next_silent (struct PeerTable *table, int64_t now_ms)
+{
+  for (size_t i = 0; i < table->n_peers; i++)
+    {
+      struct Peer *peer = table->peers[table->next_silent++ % table->n_peers];
+
+      if (strcmp (peer->status.zone, table->own.zone) == 0
+          && now_ms - peer_seen_ms (table, peer) >= PEER_TABLE_CALL_MS)
+        return peer;
+    }
+  return NULL;
+}
+
+size_t
+peer_table_other_zones (const struct PeerTable *table, const char *zones[PEER_TABLE_ZONES_MAX])
+{
+  size_t n = 0;
+
+  for (size_t i = 0; i < table->n_peers && n < PEER_TABLE_ZONES_MAX; i++)
+    {
+      const char *zone = table->peers[i]->status.zone;
+      size_t at = 0;
+
+      if (zone[0] == '\0' || strcmp (zone, table->own.zone) == 0)
+        continue;
+      while (at < n && strcmp (zones[at], zone) != 0)
+        at++;
+      if (at == n)
+        zones[n++] = zone;
+    }
+  return n;
+}
+
+static void
+peer_table_remove (struct PeerTable *table, struct Peer *peer)
+{
+  size_t n_kept = 0;
+
+  for (size_t i = 0; i < table->n_peers; i++)
+    if (table->peers[i] != peer)
+      table->peers[n_kept++] = table->peers[i];
+  table->n_peers = n_kept;
+  talloc_free (peer);
+}
+
+void
+peer_table_forget_silent (struct PeerTable *table,
+                          int64_t now_ms,
+                          void (*forgotten) (void *data, const struct Peer *peer),
+                          void *data)
+{
+  struct Peer *peer, *next;
+
+  HASH_ITER (hh, table->by_name, peer, next)
+  {
+    if (now_ms - peer_seen_ms (table, peer) < PEER_TABLE_FORGET_MS)
+      continue;
+    HASH_DEL (table->by_name, peer);
+    forgotten (data, peer);
+    peer_table_remove (table, peer);
+  }
+}
+
+/* Lists of aggregators. */
+
+static void
+source_clear_bits (struct PeerTable *table, const struct PeerListSource *source, int64_t now_ms)
+{
+  uint64_t bit = 1ULL << (source - table->sources);
+
+  for (size_t i = 0; i < table->n_peers; i++)
+    if ((table->peers[i]->listed & bit) != 0)
+      {
+        table->peers[i]->listed &= ~bit;
+        table->peers[i]->listed_ms = now_ms;
+      }
+}
+
+/* A new source takes the place of the one that was silent for longest. */
+static struct PeerListSource *
+source_need (struct PeerTable *table, const char *node, enum SnapshotKind kind, int64_t now_ms)
+{
+  struct PeerListSource *source = source_find (table, node, kind);
+
+  if (source != NULL)
+    return source;
+  source = &table->sources[0];
+  for (uint32_t i = 1; i < PEER_TABLE_SOURCES_MAX; i++)
+    if (table->sources[i].received_ms < source->received_ms)
+      source = &table->sources[i];
+  source_clear_bits (table, source, now_ms);
+  TALLOC_FREE (source->loads);
+  source->n_loads = 0;
+  source->has_list = false;
+  source->kind = kind;
+  snprintf (source->node, sizeof source->node, "%s", node);
+  return source;
+}
+
+/* Whether what a list says of the peer replaces what is known. Starts have no order, since clocks
+ * step: a list that tells of another start is believed, unless the process itself was heard. */
+static bool
+status_is_news (const struct Peer *peer, const struct NodeStatus *status, int64_t now_ms)
+{
+  if (peer->status.start == status->start)
+    return status->version > peer->status.version;
+  return peer->status_ms == 0 || now_ms - peer->status_ms >= PEER_TABLE_LIVE_MS;
+}
+
+/* False for an item that can not be read. */
+static bool
+source_take_item (struct PeerTable *table,
+                  const struct PeerListSource *source,
+                  const struct SnapshotItem *item,
+                  int64_t now_ms)
+{
+  uint64_t bit = 1ULL << (source - table->sources);
+  struct Peer *peer = peer_table_find (table, item->key);
+  struct NodeStatus status;
+
+  if (item->gone)
+    {
+      if (peer != NULL)
+        {
+          peer->listed &= ~bit;
+          peer->listed_ms = now_ms;
+        }
+      return true;
+    }
+  if (peer_table_is_own (table, item->key))
+    return true;
+  if (node_status_decode (item->value, item->value_bytes, &status) != ERROR_NONE
+      || strcmp (status.node, item->key) != 0)
+    return false;
+  if (peer == NULL)
+    peer = peer_table_add (table, &status, now_ms);
+  else if (status_is_news (peer, &status, now_ms))
+    peer_set_status (peer, &status);
+  if (peer == NULL)
+    return false;
+  /* It is there again for somebody: it gets another chance from this process. */
+  if ((peer->listed & bit) == 0)
+    peer->asked_ms = 0;
+  peer->listed |= bit;
+  return true;
+}
+
+bool
+peer_table_take_list (struct PeerTable *table,
+                      const char *aggregator,
+                      const struct Snapshot *snapshot,
+                      int64_t now_ms)
+{
+  struct PeerListSource *source = source_need (table, aggregator, snapshot->kind, now_ms);
+
+  if (snapshot->base != 0 && (!source->has_list || source->content != snapshot->base))
+    return source->has_list && source->content == snapshot->content;
+  if (snapshot->base == 0)
+    source_clear_bits (table, source, now_ms);
+  source->has_list = true;
+  source->content = snapshot->content;
+  source->received_ms = now_ms;
+  /* A list of which a part is missing is not the one that its aggregator speaks of. */
+  for (size_t i = 0; i < snapshot->n_items; i++)
+    if (!source_take_item (table, source, &snapshot->items[i], now_ms))
+      source->has_list = false;
+  return source->has_list;
+}
+
+bool
+peer_table_confirm_list (struct PeerTable *table,
+                         const char *aggregator,
+                         const struct StateMark *mark,
+                         int64_t now_ms)
+{
+  struct PeerListSource *source = source_find (table, aggregator, mark->kind);
+
+  if (source == NULL || !source->has_list || source->content != mark->content)
+    return false;
+  source->received_ms = now_ms;
+  return true;
+}
--- a/core/gateway/roster_internal.h
+++ b/core/membership/peer_table_internal.h
@@ -1,8 +1,8 @@
-/* What the two files of the roster share: roster.c knows who lives and who aggregates,
- * roster_publish.c draws up what an aggregator passes on. */
+/* What the two files of the table of peers share: peer_table.c knows who lives and who aggregates,
+ * peer_lists.c draws up what an aggregator passes on. */
 #pragma once
 
-#include <buckthornhead/roster.h>
+#include <buckthornhead/peer_table.h>
 
 /* Its machine refused a connection just now. */
 bool
@@ -10,7 +10,7 @@
 
 /* A live source of that kind lists it. */
 bool
-peer_is_listed (const struct Roster *roster,
+peer_is_listed (const struct PeerTable *table,
                 const struct Peer *peer,
                 enum SnapshotKind kind,
                 int64_t now_ms);
--- a/core/registration.c
+++ b/core/registration.c
@@ -40,7 +40,7 @@
   TALLOC_CTX *keeping; /* owns the keepalive under way */
   struct Timer *keepalive;
   int64_t kept_ms;      /* when the lease was last granted or kept alive */
-  int64_t heard_ms;     /* when a keepalive was last answered, refused or found lost */
+  int64_t received_ms;  /* when a keepalive was last answered, refused or found lost */
   int64_t lease_id;     /* 0: none */
   int64_t mod_revision; /* of the key as it was last written or read here; 0: absent */
   bool silent; /* while the lease could not be kept, nothing was heard for longer than it lasts */
@@ -112,7 +112,7 @@
   int64_t now_ms = timer_now_ms (r->timers);
   int64_t ttl_ms = (int64_t)r->options.lease_ttl_s * 1000;
 
-  return now_ms - r->kept_ms >= ttl_ms && now_ms - r->heard_ms < ttl_ms && !r->silent;
+  return now_ms - r->kept_ms >= ttl_ms && now_ms - r->received_ms < ttl_ms && !r->silent;
 }
 
 /* A pause that began with a keepalive on its way ends with its failure, and looks like the end of
@@ -123,8 +123,8 @@
   int64_t now_ms = timer_now_ms (r->timers);
   int64_t ttl_ms = (int64_t)r->options.lease_ttl_s * 1000;
 
-  r->silent = !kept && (r->silent || now_ms - r->heard_ms >= ttl_ms + ATTEMPT_MS);
-  r->heard_ms = now_ms;
+  r->silent = !kept && (r->silent || now_ms - r->received_ms >= ttl_ms + ATTEMPT_MS);
+  r->received_ms = now_ms;
   if (kept)
     r->kept_ms = now_ms;
 }
--- a/daemon/fleet.c
+++ b/daemon/fleet.c
@@ -27,7 +27,7 @@
 {
   struct FleetGone *next;
   char instance[NAME_MAX_BYTES + 1];
-  int64_t heard_ms;
+  int64_t received_ms;
 };
 
 struct Fleet
@@ -80,12 +80,12 @@
 {
   const struct FleetMember *former = fleet_member_of (fleet, member->incarnation);
 
-  member->heard_ms = timer_now_ms (fleet->core->timers);
+  member->received_ms = timer_now_ms (fleet->core->timers);
   if (former == NULL)
     return;
   member->suspected = former->suspected;
   member->gone = former->gone;
-  member->heard_ms = former->heard_ms;
+  member->received_ms = former->received_ms;
   member->heartbeat = former->heartbeat;
 }
 
@@ -137,7 +137,7 @@
   if (gone == NULL)
     return;
   snprintf (gone->instance, sizeof gone->instance, "%s", former->instance);
-  gone->heard_ms = former->heard_ms;
+  gone->received_ms = former->received_ms;
   gone->next = fleet->gone;
   fleet->gone = gone;
 }
@@ -148,7 +148,7 @@
   struct FleetGone **at = &fleet->gone;
 
   while (*at != NULL)
-    if (now_ms - (*at)->heard_ms >= SILENCE_MS)
+    if (now_ms - (*at)->received_ms >= SILENCE_MS)
       {
         peer_net_drop (fleet->core->net, (*at)->instance);
         peer_net_forget (fleet->core->net, (*at)->instance);
@@ -276,11 +276,11 @@
       struct FleetGone *gone = *fleet_gone_at (fleet, heartbeat->instance);
 
       if (gone != NULL)
-        gone->heard_ms = timer_now_ms (fleet->core->timers);
+        gone->received_ms = timer_now_ms (fleet->core->timers);
       return;
     }
   was_suspected = member->suspected;
-  member->heard_ms = timer_now_ms (fleet->core->timers);
+  member->received_ms = timer_now_ms (fleet->core->timers);
   member->suspected = false;
   member->heartbeat = *heartbeat;
   member->heartbeat.digests = NULL;
@@ -352,7 +352,7 @@
     {
       struct FleetMember *member = &fleet->members[i];
 
-      if (member->suspected || now_ms - member->heard_ms < SILENCE_MS
+      if (member->suspected || now_ms - member->received_ms < SILENCE_MS
           || strcmp (member->instance, fleet->core->settings->instance) == 0)
         continue;
       member->suspected = true;
--- a/daemon/fleet.h
+++ b/daemon/fleet.h
@@ -21,7 +21,7 @@
   bool draining;
   bool suspected; /* silent over its link: a hint for routing only */
   bool gone;      /* its machine refuses connections: its process has ended */
-  int64_t heard_ms;
+  int64_t received_ms;
   struct PeerHeartbeat heartbeat; /* the last one; digests are not kept */
 };
 
--- a/gateway/archive_copy.c
+++ b/gateway/archive_copy.c
@@ -152,9 +152,9 @@
   /* The set may have changed since the last part came, or the disk has caught up. */
   if (copy_check_done (copy))
     return;
-  for (size_t i = 0; i < node->roster->n_peers; i++)
+  for (size_t i = 0; i < node->peers->n_peers; i++)
     {
-      struct Peer *peer = node->roster->peers[i];
+      struct Peer *peer = node->peers->peers[i];
       struct CopySource *source;
 
       if (!copy->options.is_source (copy->options.data, peer->status.node)
--- a/gateway/archive_member.c
+++ b/gateway/archive_member.c
@@ -387,9 +387,9 @@
 {
   const struct Node *node = member->node;
 
-  for (size_t i = 0; i < node->roster->n_peers; i++)
+  for (size_t i = 0; i < node->peers->n_peers; i++)
     {
-      const struct Peer *peer = node->roster->peers[i];
+      const struct Peer *peer = node->peers->peers[i];
 
       if (peer->status.is_archive && node_peer_is_live (node, peer)
           && !archive_set_has (&node->set, peer->status.node)
@@ -506,7 +506,7 @@
 {
   int64_t now_ms = member_now_ms (member);
 
-  return roster_is_served (member->node->roster, now_ms)
+  return peer_table_is_served (member->node->peers, now_ms)
          || now_ms - member->node->started_ms >= FIRST_LOOK_MS;
 }
 
@@ -514,8 +514,8 @@
 static bool
 member_is_next_first (struct ArchiveMember *member)
 {
-  const struct Roster *roster = member->node->roster;
-  struct ArchiveFirst own = { .rank = roster->own_rank }, other;
+  const struct PeerTable *table = member->node->peers;
+  struct ArchiveFirst own = { .rank = table->own_rank }, other;
   const char *zones[ARCHIVE_SET_MAX];
   size_t n_zones = member_zones (member, zones), n_before = 0;
   int64_t now_ms = member_now_ms (member);
@@ -523,10 +523,10 @@
   if (member->first_since_ms == 0 || member->first_generation != member->node->set.generation)
     member->first_since_ms = now_ms;
   member->first_generation = member->node->set.generation;
-  snprintf (own.zone, sizeof own.zone, "%s", roster->own.zone);
-  for (size_t i = 0; i < roster->n_peers; i++)
+  snprintf (own.zone, sizeof own.zone, "%s", table->own.zone);
+  for (size_t i = 0; i < table->n_peers; i++)
     {
-      const struct Peer *peer = roster->peers[i];
+      const struct Peer *peer = table->peers[i];
 
       if (!peer->status.is_archive || archive_set_has (&member->node->set, peer->status.node))
         continue;
--- a/gateway/archive_state.c
+++ b/gateway/archive_state.c
@@ -1,6 +1,6 @@
 #include "archive_state.h"
 
-#include "known_nodes.h"
+#include "node_directory.h"
 #include "store_reader.h"
 
 #include <buckthornhead/clock.h>
@@ -81,7 +81,7 @@
 state_keep_nodes (struct ArchiveState *state)
 {
   struct GatewayMessage message = { .kind = GATEWAY_SNAPSHOT };
-  struct Snapshot *snapshot = known_nodes_snapshot (state->node, state);
+  struct Snapshot *snapshot = node_directory_snapshot (state->node, state);
   uint8_t *bytes;
   size_t n_bytes;
   uint64_t hash;
--- a/gateway/directory.c
+++ b/gateway/directory.c
@@ -33,9 +33,9 @@
     struct Front *front, TALLOC_CTX *ctx, const char *zone, bool also_starting, size_t *n)
 {
   const struct Node *node = front->node;
-  const struct Roster *roster = node->roster;
+  const struct PeerTable *table = node->peers;
   struct AddressCandidate *candidates =
-      talloc_array (ctx, struct AddressCandidate, roster->n_peers + 1);
+      talloc_array (ctx, struct AddressCandidate, table->n_peers + 1);
 
   *n = 0;
   if (candidates == NULL)
@@ -44,12 +44,12 @@
     candidates[(*n)++] = (struct AddressCandidate){ node->settings->caller_listen,
                                                     strcmp (zone, node->settings->zone) == 0,
                                                     loop_echo_is_strained (front->echo) };
-  for (size_t i = 0; i < roster->n_peers; i++)
+  for (size_t i = 0; i < table->n_peers; i++)
     {
-      const struct NodeStatus *status = &roster->peers[i]->status;
+      const struct NodeStatus *status = &table->peers[i]->status;
 
       if ((status->ready || also_starting) && !status->leaving && status->caller_address[0] != '\0'
-          && node_peer_is_live (node, roster->peers[i]))
+          && node_peer_is_live (node, table->peers[i]))
         candidates[(*n)++] =
             (struct AddressCandidate){ status->caller_address, strcmp (zone, status->zone) == 0,
                                        status->strained };
@@ -65,9 +65,9 @@
   int64_t now_ms = timer_now_ms (node->timers);
   size_t n = strcmp (zone, node->settings->zone) == 0;
 
-  for (size_t i = 0; i < node->roster->n_peers; i++)
+  for (size_t i = 0; i < node->peers->n_peers; i++)
     {
-      const struct Peer *peer = node->roster->peers[i];
+      const struct Peer *peer = node->peers->peers[i];
 
       n += !peer->status.is_archive && !peer->status.leaving
            && strcmp (peer->status.zone, zone) == 0
--- a/gateway/front.c
+++ b/gateway/front.c
@@ -532,7 +532,7 @@
 {
   struct Front *front = data;
   bool all = front->n_digest_ticks++ % DIGESTS_OF_ALL_EVERY == 0;
-  bool few = front->node->roster->n_peers <= DIGESTS_TO_ALL_MAX;
+  bool few = front->node->peers->n_peers <= DIGESTS_TO_ALL_MAX;
 
   front_send_digests (front, !all, all && few ? PEERS_GATEWAYS : PEERS_GATEWAYS_OF_ZONE);
 }
@@ -545,9 +545,9 @@
   const struct Node *node = front->node;
   const struct Heartbeat none = { .n_loads = 0 };
   size_t n_loads;
-  struct ReplicaLoad *loads = roster_loads (node->roster, front, &none, LOADS_OF_FLEET,
-                                            timer_now_ms (node->timers), &n_loads);
-  bool has_own = !roster_is_aggregator (node->roster, timer_now_ms (node->timers));
+  struct ReplicaLoad *loads = peer_table_loads (node->peers, front, &none, LOADS_OF_FLEET,
+                                                timer_now_ms (node->timers), &n_loads);
+  bool has_own = !peer_table_is_aggregator (node->peers, timer_now_ms (node->timers));
 
   replica_set_clear_peers (front->replicas);
   for (size_t i = 0; loads != NULL && i < n_loads; i++)
@@ -567,9 +567,9 @@
   const struct Node *node = front->node;
 
   front->n_gateways = 1;
-  for (size_t i = 0; i < node->roster->n_peers; i++)
-    if (node->roster->peers[i]->status.caller_address[0] != '\0'
-        && node_peer_is_live (node, node->roster->peers[i]))
+  for (size_t i = 0; i < node->peers->n_peers; i++)
+    if (node->peers->peers[i]->status.caller_address[0] != '\0'
+        && node_peer_is_live (node, node->peers->peers[i]))
       front->n_gateways++;
 }
 
--- a/gateway/node.c
+++ b/gateway/node.c
@@ -35,13 +35,13 @@
 struct Peer *
 node_peer (const struct Node *node, const char *name)
 {
-  return roster_find (node->roster, name);
+  return peer_table_find (node->peers, name);
 }
 
 bool
 node_peer_is_live (const struct Node *node, const struct Peer *peer)
 {
-  return roster_is_live (node->roster, peer, timer_now_ms (node->timers));
+  return peer_table_is_live (node->peers, peer, timer_now_ms (node->timers));
 }
 
 bool
@@ -105,12 +105,12 @@
 bool
 node_has_relay (const struct Node *node)
 {
-  const struct Roster *roster = node->roster;
+  const struct PeerTable *table = node->peers;
 
-  if (!roster_hears_others (roster, CUT_OFF_MS, timer_now_ms (node->timers)))
+  if (!peer_table_receives (table, CUT_OFF_MS, timer_now_ms (node->timers)))
     return false;
-  for (size_t i = 0; i < roster->n_peers; i++)
-    if (roster->peers[i]->status.reaches_archives && node_peer_answers (node, roster->peers[i]))
+  for (size_t i = 0; i < table->n_peers; i++)
+    if (table->peers[i]->status.reaches_archives && node_peer_answers (node, table->peers[i]))
       return true;
   return false;
 }
@@ -179,7 +179,7 @@
   struct Peer *peer = node_peer (node, name);
 
   if (peer != NULL)
-    peer->link_heard_ms = timer_now_ms (node->timers);
+    peer->link_received_ms = timer_now_ms (node->timers);
 }
 
 /* Care of links. */
@@ -191,11 +191,11 @@
   const char *name = peer->status.node;
 
   if (peer->asked_ms == 0 || now_ms - peer->asked_ms < LINK_SILENT_MS
-      || now_ms - peer->link_heard_ms < LINK_SILENT_MS || !peer_net_has_link (node->net, name))
+      || now_ms - peer->link_received_ms < LINK_SILENT_MS || !peer_net_has_link (node->net, name))
     return;
   log_event (LOG_LEVEL_WARNING, "peer_link_silent", NULL, NULL, "%s: nothing for %lld ms", name,
              (long long)(now_ms - peer->asked_ms));
-  peer->link_heard_ms = now_ms;
+  peer->link_received_ms = now_ms;
   peer_net_drop (node->net, name);
 }
 
@@ -204,16 +204,16 @@
 {
   const struct GatewayMessage probe = { .kind = GATEWAY_PROBE };
   struct ArchiveNames asked = archive_set_asked (&node->set);
-  struct Roster *roster = node->roster;
-  bool aggregates = roster_is_aggregator (roster, now_ms);
+  struct PeerTable *table = node->peers;
+  bool aggregates = peer_table_is_aggregator (table, now_ms);
 
-  for (size_t i = 0; i < roster->n_peers; i++)
+  for (size_t i = 0; i < table->n_peers; i++)
     {
-      struct Peer *peer = roster->peers[i];
+      struct Peer *peer = table->peers[i];
 
       node_check_link (node, peer, now_ms);
-      if (!roster_must_probe (roster, peer, archive_names_have (&asked, peer->status.node),
-                              aggregates, now_ms))
+      if (!peer_table_must_probe (table, peer, archive_names_have (&asked, peer->status.node),
+                                  aggregates, now_ms))
         continue;
       peer->probed_ms = now_ms;
       node_send (node, peer->status.node, &probe);
@@ -238,7 +238,7 @@
 
   node_announce (node);
   node_check_links (node, now_ms);
-  roster_forget_silent (node->roster, now_ms, node_on_forgotten, node);
+  peer_table_forget_silent (node->peers, now_ms, node_on_forgotten, node);
 }
 
 static void
@@ -270,10 +270,10 @@
   int32_t error;
 
   node->net = peer_net_new (node->events, node->events, node->timers, &options);
-  node->roster = roster_new (node->events, node->settings->instance, node->settings->zone);
+  node->peers = peer_table_new (node->events, node->settings->instance, node->settings->zone);
   node->start = node->next_id;
   node->started_ms = timer_now_ms (node->timers);
-  if (node->net == NULL || node->roster == NULL)
+  if (node->net == NULL || node->peers == NULL)
     return fault_set (fault, ERROR_NO_MEMORY, NULL, "no memory for the peer links");
   error = peer_net_listen (node->net, fault);
   if (error != ERROR_NONE)
--- a/gateway/node.h
+++ b/gateway/node.h
@@ -1,9 +1,10 @@
 /* What gateways and archives share: the event loop, links to each other, who is there, and what
  * the platform's store says.
  *
- * Who tells whom follows from the roster (roster.h): heartbeats and lists go member - aggregator -
- * aggregator - member, and links are dialled when they are needed. Calls to the store are dear, so
- * one process reads for all and its copy takes the same way (store_reader.c). */
+ * Who tells whom follows from the table of peers (peer_table.h): heartbeats and lists go member -
+ * aggregator
+ * - aggregator - member, and links are dialled when they are needed. Calls to the store are dear,
+ * so one process reads for all and its copy takes the same way (store_reader.c). */
 #pragma once
 
 #include <buckthornhead/dialect.h>
@@ -11,7 +12,7 @@
 #include <buckthornhead/gateway_settings.h>
 #include <buckthornhead/kv.h>
 #include <buckthornhead/peer_net.h>
-#include <buckthornhead/roster.h>
+#include <buckthornhead/peer_table.h>
 #include <buckthornhead/timer.h>
 
 /* Key of the set of archives, after the settings' prefix. */
@@ -48,7 +49,7 @@
   struct StoreReader *reader;
   struct Seeds *seeds; /* NULL: none are named */
   struct NodeHandler handler;
-  struct Roster *roster;
+  struct PeerTable *peers;
   int64_t started_ms;
   struct Timer *starting;   /* NULL once it has started */
   uint64_t start;           /* of this process, unique among its starts */
--- a/gateway/known_nodes.c
+++ b/gateway/node_directory.c
@@ -1,4 +1,4 @@
-#include "known_nodes.h"
+#include "node_directory.h"
 
 #include <buckthornhead/log.h>
 
@@ -10,7 +10,7 @@
 #define ROLE_GATEWAY "gateway"
 
 void
-known_nodes_entry (const struct NodeStatus *status, char value[NODE_ENTRY_BYTES])
+node_directory_entry (const struct NodeStatus *status, char value[NODE_ENTRY_BYTES])
 {
   snprintf (value, NODE_ENTRY_BYTES, "%s %s %s", status->peer_address,
             status->is_archive ? ROLE_ARCHIVE : ROLE_GATEWAY, status->zone);
@@ -54,7 +54,7 @@
 }
 
 void
-known_nodes_take (struct Node *node, const struct Snapshot *snapshot)
+node_directory_take (struct Node *node, const struct Snapshot *snapshot)
 {
   for (size_t i = 0; i < snapshot->n_items; i++)
     {
@@ -78,7 +78,7 @@
 
   if (value == NULL)
     return;
-  known_nodes_entry (status, value);
+  node_directory_entry (status, value);
   snprintf (item->key, sizeof item->key, "%snodes/%s", node->settings->prefix, status->node);
   item->value = (const uint8_t *)value;
   item->value_bytes = strlen (value);
@@ -100,21 +100,21 @@
 }
 
 struct Snapshot *
-known_nodes_snapshot (const struct Node *node, TALLOC_CTX *ctx)
+node_directory_snapshot (const struct Node *node, TALLOC_CTX *ctx)
 {
   struct Snapshot *snapshot = talloc_zero (ctx, struct Snapshot);
 
   if (snapshot == NULL)
     return NULL;
   snapshot->kind = SNAPSHOT_NODES;
-  snapshot->items = talloc_zero_array (snapshot, struct SnapshotItem, node->roster->n_peers + 1);
+  snapshot->items = talloc_zero_array (snapshot, struct SnapshotItem, node->peers->n_peers + 1);
   if (snapshot->items == NULL)
     {
       talloc_free (snapshot);
       return NULL;
     }
-  for (size_t i = 0; i < node->roster->n_peers; i++)
-    node_item (snapshot, node, &node->roster->peers[i]->status);
+  for (size_t i = 0; i < node->peers->n_peers; i++)
+    node_item (snapshot, node, &node->peers->peers[i]->status);
   set_item (snapshot, node);
   return snapshot;
 }
--- a/gateway/known_nodes.h
+++ b/gateway/node_directory.h
@@ -12,14 +12,14 @@
 
 /* The entry of a process that says this of itself. */
 void
-known_nodes_entry (const struct NodeStatus *status, char value[NODE_ENTRY_BYTES]);
+node_directory_entry (const struct NodeStatus *status, char value[NODE_ENTRY_BYTES]);
 
 /* Learns of the processes of snapshot that are new here, and takes its set of archives if it is
  * newer. Entries that can not be read are logged and passed over. */
 void
-known_nodes_take (struct Node *node, const struct Snapshot *snapshot);
+node_directory_take (struct Node *node, const struct Snapshot *snapshot);
 
 /* All peers and the set, as a snapshot of kind SNAPSHOT_NODES that belongs to ctx; NULL without
  * memory. */
 struct Snapshot *
-known_nodes_snapshot (const struct Node *node, TALLOC_CTX *ctx);
+node_directory_snapshot (const struct Node *node, TALLOC_CTX *ctx);
--- a/gateway/node_hear.c
+++ b/gateway/node_receive.c
@@ -18,7 +18,7 @@
 void
 node_learn_peer (struct Node *node, const struct NodeStatus *status)
 {
-  struct Peer *peer = roster_learn (node->roster, status, timer_now_ms (node->timers));
+  struct Peer *peer = peer_table_learn (node->peers, status, timer_now_ms (node->timers));
 
   if (peer != NULL)
     peer_net_know (node->net, status->node, status->peer_address);
@@ -66,7 +66,7 @@
         {
         case SNAPSHOT_ZONE:
         case SNAPSHOT_FLEET:
-          if (!roster_confirm_list (node->roster, sender, mark, now_ms))
+          if (!peer_table_confirm_list (node->peers, sender, mark, now_ms))
             node_want (node, link, sender, mark->kind);
           break;
         case SNAPSHOT_ROUTES:
@@ -99,7 +99,7 @@
   bool changed;
 
   node_answer (node, link, &alive);
-  peer = roster_hear (node->roster, heartbeat, timer_now_ms (node->timers), &changed);
+  peer = peer_table_take_heartbeat (node->peers, heartbeat, timer_now_ms (node->timers), &changed);
   if (peer == NULL || strcmp (sender, name) != 0)
     return;
   if (!was_live)
@@ -118,7 +118,7 @@
 static void
 node_take_list (struct Node *node, uint64_t link, const char *sender, const struct Snapshot *list)
 {
-  if (!roster_take_list (node->roster, sender, list, timer_now_ms (node->timers)))
+  if (!peer_table_take_list (node->peers, sender, list, timer_now_ms (node->timers)))
     {
       node_want (node, link, sender, list->kind);
       return;
@@ -145,7 +145,7 @@
 node_answer_want (struct Node *node, uint64_t link, enum SnapshotKind kind)
 {
   struct GatewayMessage message = { .kind = GATEWAY_SNAPSHOT };
-  struct Snapshot *list = roster_published (node->roster, kind);
+  struct Snapshot *list = peer_table_published (node->peers, kind);
 
   /* The one before has not left yet: another whole list behind it would only make all later.
    * Whoever still needs it asks again. Guards against lists queued faster than a link of 30 Mbit/s
@@ -233,17 +233,17 @@
 }
 
 static void
-node_note_heard (struct Node *node, uint64_t link, const char *sender)
+node_note_received (struct Node *node, uint64_t link, const char *sender)
 {
   struct Peer *peer = node_peer (node, sender);
   int64_t now_ms = timer_now_ms (node->timers);
 
   if (peer == NULL)
     return;
-  roster_note_heard (peer, now_ms);
+  peer_note_received (peer, now_ms);
   if (!peer_net_is_dialled (node->net, link))
     return;
-  peer->link_heard_ms = now_ms;
+  peer->link_received_ms = now_ms;
   peer->asked_ms = 0;
 }
 
@@ -264,6 +264,6 @@
       return;
     }
   node_deliver (node, link, sender, message);
-  node_note_heard (node, link, sender);
+  node_note_received (node, link, sender);
   talloc_free (message);
 }
--- a/gateway/node_tell.c
+++ b/gateway/node_report.c
@@ -34,9 +34,9 @@
   status->is_archive = node_is_archive (node);
   if (node->handler.describe != NULL)
     node->handler.describe (node->handler.data, message, &message->heartbeat);
-  node->roster->own_server_level = message->heartbeat.server_level;
-  roster_describe (node->roster, status);
-  *status = node->roster->own;
+  node->peers->own_server_level = message->heartbeat.server_level;
+  peer_table_describe (node->peers, status);
+  *status = node->peers->own;
   return message;
 }
 
@@ -44,10 +44,10 @@
 static bool
 node_must_tell_set (const struct Node *node)
 {
-  const struct Roster *roster = node->roster;
+  const struct PeerTable *table = node->peers;
 
-  for (size_t i = 0; i < roster->n_peers; i++)
-    if (roster->peers[i]->status.set_generation < node->set.generation)
+  for (size_t i = 0; i < table->n_peers; i++)
+    if (table->peers[i]->status.set_generation < node->set.generation)
       return true;
   return false;
 }
@@ -55,7 +55,7 @@
 static void
 heartbeat_add_list (struct Node *node, struct Heartbeat *heartbeat, enum SnapshotKind kind)
 {
-  const struct Snapshot *list = roster_published (node->roster, kind);
+  const struct Snapshot *list = peer_table_published (node->peers, kind);
   struct StateMark *mark = &heartbeat->marks[heartbeat->n_marks];
 
   if (list == NULL)
@@ -91,8 +91,8 @@
       heartbeat_add_list (node, heartbeat, SNAPSHOT_FLEET);
       break;
     }
-  heartbeat->loads = roster_loads (node->roster, message, &own->heartbeat, scope,
-                                   timer_now_ms (node->timers), &heartbeat->n_loads);
+  heartbeat->loads = peer_table_loads (node->peers, message, &own->heartbeat, scope,
+                                       timer_now_ms (node->timers), &heartbeat->n_loads);
   return message;
 }
 
@@ -103,7 +103,7 @@
 {
   static const enum LoadScope scopes[] = { LOADS_OF_PROCESS, LOADS_OF_ZONE, LOADS_OF_FLEET };
   int64_t now_ms = timer_now_ms (node->timers);
-  bool aggregates = roster_is_aggregator (node->roster, now_ms);
+  bool aggregates = peer_table_is_aggregator (node->peers, now_ms);
 
   for (size_t i = 0; i < sizeof scopes / sizeof scopes[0]; i++)
     {
@@ -128,7 +128,7 @@
           break;
         case LOADS_OF_FLEET:
           node_send_chosen (node, GATEWAY_HEARTBEAT, &envelope, PEERS_SERVED);
-          silent = aggregates ? roster_next_silent (node->roster, now_ms) : NULL;
+          silent = aggregates ? peer_table_next_silent (node->peers, now_ms) : NULL;
           if (silent != NULL)
             node_send_packed (node, silent->status.node, GATEWAY_HEARTBEAT, &envelope);
           break;
@@ -147,7 +147,7 @@
   for (size_t i = 0; i < sizeof kinds / sizeof kinds[0]; i++)
     {
       struct GatewayMessage message = { .kind = GATEWAY_SNAPSHOT };
-      struct Snapshot *changes = roster_publish (node->roster, node->net, kinds[i], now_ms);
+      struct Snapshot *changes = peer_table_publish (node->peers, node->net, kinds[i], now_ms);
       struct PeerMessage envelope;
       uint8_t *bytes;
 
@@ -157,7 +157,7 @@
       bytes = node_pack (node, &message, &envelope);
       if (bytes != NULL && kinds[i] == SNAPSHOT_FLEET)
         node_send_chosen (node, GATEWAY_SNAPSHOT, &envelope, PEERS_SERVED);
-      else if (bytes != NULL && roster_is_aggregator (node->roster, now_ms))
+      else if (bytes != NULL && peer_table_is_aggregator (node->peers, now_ms))
         node_send_other_zones (node, GATEWAY_SNAPSHOT, &envelope);
       talloc_free (bytes);
       talloc_free (changes);
@@ -167,13 +167,13 @@
 static bool
 node_aggregates (const struct Node *node)
 {
-  const struct Roster *roster = node->roster;
+  const struct PeerTable *table = node->peers;
   int64_t now_ms = timer_now_ms (node->timers);
 
-  if (roster_is_aggregator (roster, now_ms))
+  if (peer_table_is_aggregator (table, now_ms))
     return true;
-  for (size_t i = 0; i < roster->n_peers; i++)
-    if (roster_serves (roster, roster->peers[i], false, now_ms))
+  for (size_t i = 0; i < table->n_peers; i++)
+    if (peer_table_serves (table, table->peers[i], false, now_ms))
       return true;
   return false;
 }
@@ -239,9 +239,9 @@
 void
 node_announce_changes (struct Node *node)
 {
-  uint64_t version = node->roster->own.version;
+  uint64_t version = node->peers->own.version;
 
   talloc_free (node_describe (node, node->net));
-  if (node->roster->own.version != version)
+  if (node->peers->own.version != version)
     node_announce (node);
 }
--- a/gateway/node_send.c
+++ b/gateway/node_send.c
@@ -58,7 +58,7 @@
   struct Peer *peer = node_peer (node, name);
 
   if (peer != NULL && message_is_question (kind))
-    roster_note_asked (peer, timer_now_ms (node->timers));
+    peer_note_asked (peer, timer_now_ms (node->timers));
 }
 
 int32_t
@@ -83,7 +83,7 @@
   switch (choice)
     {
     case PEERS_SERVED:
-      return roster_serves (node->roster, peer, aggregates, timer_now_ms (node->timers));
+      return peer_table_serves (node->peers, peer, aggregates, timer_now_ms (node->timers));
     case PEERS_GATEWAYS:
       return !status->is_archive && node_peer_is_live (node, peer);
     case PEERS_GATEWAYS_OF_ZONE:
@@ -116,8 +116,8 @@
                        enum GatewayKind kind,
                        const struct PeerMessage *envelope)
 {
-  const char *names[ROSTER_AGGREGATORS];
-  size_t n = roster_aggregators (node->roster, zone, timer_now_ms (node->timers), names);
+  const char *names[PEER_TABLE_AGGREGATORS];
+  size_t n = peer_table_aggregators (node->peers, zone, timer_now_ms (node->timers), names);
 
   for (size_t i = 0; i < n; i++)
     if (strcmp (names[i], node->settings->instance) != 0)
@@ -127,8 +127,8 @@
 void
 node_send_other_zones (struct Node *node, enum GatewayKind kind, const struct PeerMessage *envelope)
 {
-  const char *zones[ROSTER_ZONES_MAX];
-  size_t n_zones = roster_other_zones (node->roster, zones);
+  const char *zones[PEER_TABLE_ZONES_MAX];
+  size_t n_zones = peer_table_other_zones (node->peers, zones);
 
   for (size_t i = 0; i < n_zones; i++)
     node_send_aggregators (node, zones[i], kind, envelope);
@@ -140,12 +140,12 @@
                   const struct PeerMessage *envelope,
                   enum PeerChoice choice)
 {
-  struct Roster *roster = node->roster;
-  bool aggregates = roster_is_aggregator (roster, timer_now_ms (node->timers));
+  struct PeerTable *table = node->peers;
+  bool aggregates = peer_table_is_aggregator (table, timer_now_ms (node->timers));
 
-  for (size_t i = 0; i < roster->n_peers; i++)
-    if (peer_is_chosen (node, roster->peers[i], choice, aggregates))
-      node_send_packed (node, roster->peers[i]->status.node, kind, envelope);
+  for (size_t i = 0; i < table->n_peers; i++)
+    if (peer_is_chosen (node, table->peers[i], choice, aggregates))
+      node_send_packed (node, table->peers[i]->status.node, kind, envelope);
 }
 
 uint8_t *
--- a/gateway/quotas.c
+++ b/gateway/quotas.c
@@ -222,22 +222,22 @@
 quotas_note_fleet (struct Quotas *quotas, int64_t now_ms)
 {
   const struct Node *node = quotas->front->node;
-  const struct Roster *roster = node->roster;
+  const struct PeerTable *table = node->peers;
   struct QuotaFleet fleet = { .n_known = 1, .n_heard = 1 };
-  int64_t heard_ms = use_board_heard_ms (quotas->board);
+  int64_t received_ms = use_board_heard_ms (quotas->board);
 
-  for (size_t i = 0; i < roster->n_peers; i++)
+  for (size_t i = 0; i < table->n_peers; i++)
     {
-      const struct NodeStatus *status = &roster->peers[i]->status;
+      const struct NodeStatus *status = &table->peers[i]->status;
 
       if (status->caller_address[0] == '\0' || status->leaving)
         continue;
       fleet.n_known++;
-      fleet.n_heard += node_peer_is_live (node, roster->peers[i]);
+      fleet.n_heard += node_peer_is_live (node, table->peers[i]);
     }
-  if (heard_ms < quotas->front->started_ms)
-    heard_ms = quotas->front->started_ms;
-  fleet.is_cut_off = fleet.n_known > 1 && now_ms - heard_ms > CUT_OFF_MS;
+  if (received_ms < quotas->front->started_ms)
+    received_ms = quotas->front->started_ms;
+  fleet.is_cut_off = fleet.n_known > 1 && now_ms - received_ms > CUT_OFF_MS;
   quota_ledger_note_fleet (quotas->ledger, &fleet);
 }
 
@@ -251,7 +251,7 @@
 static void
 quotas_look (struct Quotas *quotas, int64_t now_ms)
 {
-  bool aggregates = roster_is_aggregator (quotas->front->node->roster, now_ms);
+  bool aggregates = peer_table_is_aggregator (quotas->front->node->peers, now_ms);
   bool tells = now_ms - quotas->told_ms >= quotas_tell_again_ms (quotas, now_ms);
   struct CustomerUse *own = NULL;
   size_t n_own;
--- a/gateway/relay.c
+++ b/gateway/relay.c
@@ -68,9 +68,9 @@
 static const struct Peer *
 relay_next (const struct Node *node, size_t *at)
 {
-  for (size_t i = 0; i < node->roster->n_peers; i++)
+  for (size_t i = 0; i < node->peers->n_peers; i++)
     {
-      const struct Peer *peer = node->roster->peers[(*at)++ % node->roster->n_peers];
+      const struct Peer *peer = node->peers->peers[(*at)++ % node->peers->n_peers];
 
       if (peer->status.reaches_archives && node_peer_answers (node, peer))
         return peer;
--- a/gateway/seeds.c
+++ b/gateway/seeds.c
@@ -86,10 +86,10 @@
   int64_t now_ms = timer_now_ms (node->timers);
   bool again = seeds->n_asked++ > 0;
 
-  if (!again || !roster_is_served (node->roster, now_ms))
+  if (!again || !peer_table_is_served (node->peers, now_ms))
     {
       /* Those that speak for their zones join what different seeds know. */
-      if (seeds->has_own || (again && roster_is_aggregator (node->roster, now_ms)))
+      if (seeds->has_own || (again && peer_table_is_aggregator (node->peers, now_ms)))
         for (size_t i = 0; i < seeds->n; i++)
           seed_ask (seeds, i);
       else
@@ -134,7 +134,7 @@
     return false;
   node = seeds->node;
   return timer_now_ms (node->timers) - node->started_ms
-         < AWAIT_MS + (int64_t)(node->roster->own_rank % AWAIT_SPREAD_MS);
+         < AWAIT_MS + (int64_t)(node->peers->own_rank % AWAIT_SPREAD_MS);
 }
 
 static void
@@ -153,8 +153,8 @@
 struct Snapshot *
 seeds_contacts (const struct Node *node, TALLOC_CTX *ctx)
 {
-  const struct Peer *peers[ROSTER_CONTACTS_MAX];
-  size_t n = roster_contacts (node->roster, timer_now_ms (node->timers), peers);
+  const struct Peer *peers[PEER_TABLE_CONTACTS_MAX];
+  size_t n = peer_table_contacts (node->peers, timer_now_ms (node->timers), peers);
   struct Snapshot *contacts = talloc_zero (ctx, struct Snapshot);
 
   if (contacts == NULL)
@@ -166,7 +166,7 @@
       talloc_free (contacts);
       return NULL;
     }
-  contacts_add (contacts, &node->roster->own);
+  contacts_add (contacts, &node->peers->own);
   for (size_t i = 0; i < n; i++)
     contacts_add (contacts, &peers[i]->status);
   return contacts;
--- a/gateway/slots.c
+++ b/gateway/slots.c
@@ -84,13 +84,13 @@
 
   if (front->stop_ms == 0 && (zone == NULL || strcmp (node->settings->zone, zone) == 0))
     owner_offer (&choice, node->settings->instance, server_hash);
-  for (size_t i = 0; i < node->roster->n_peers; i++)
+  for (size_t i = 0; i < node->peers->n_peers; i++)
     {
-      const struct NodeStatus *status = &node->roster->peers[i]->status;
+      const struct NodeStatus *status = &node->peers->peers[i]->status;
 
       if (status->ready && status->caller_address[0] != '\0'
           && (zone == NULL || strcmp (status->zone, zone) == 0)
-          && node_peer_answers (node, node->roster->peers[i]))
+          && node_peer_answers (node, node->peers->peers[i]))
         owner_offer (&choice, status->node, server_hash);
     }
   return choice.name;
--- a/gateway/store_reader.c
+++ b/gateway/store_reader.c
@@ -1,6 +1,6 @@
 #include "store_internal.h"
 
-#include "known_nodes.h"
+#include "node_directory.h"
 #include "seeds.h"
 
 #include <buckthornhead/counter.h>
@@ -360,7 +360,7 @@
   struct KvRequest request = { .op = KV_OP_PUT };
   char key[NAME_MAX_BYTES + 96], value[NODE_ENTRY_BYTES];
 
-  known_nodes_entry (&reader->node->roster->own, value);
+  node_directory_entry (&reader->node->peers->own, value);
   snprintf (key, sizeof key, "%snodes/%s", settings->prefix, settings->instance);
   request.put.key = key;
   request.put.value = (const uint8_t *)value;
@@ -392,7 +392,7 @@
     return false;
   if (node->seeds == NULL || seeds_have_own (node->seeds))
     return true;
-  if (!roster_is_first_aggregator (node->roster, now_ms))
+  if (!peer_table_is_first_aggregator (node->peers, now_ms))
     reader->aggregates_ms = 0;
   else if (reader->aggregates_ms == 0)
     reader->aggregates_ms = now_ms;
--- a/gateway/store_topics.c
+++ b/gateway/store_topics.c
@@ -1,7 +1,7 @@
 /* What is held of the store's state, who is told of it, and who reads next. */
 #include "store_internal.h"
 
-#include "known_nodes.h"
+#include "node_directory.h"
 #include "zone_servers.h"
 
 #include <buckthornhead/snapshot_changes.h>
@@ -32,7 +32,7 @@
   return !peer->status.leaving
          && (node_peer_is_live (node, peer)
              || (peer->refused_ms == 0
-                 && timer_now_ms (node->timers) - peer->known_ms < ROSTER_NEW_MS));
+                 && timer_now_ms (node->timers) - peer->known_ms < PEER_TABLE_NEW_MS));
 }
 
 /* The place of this process among those that may read, in an order that all share: the first reads,
@@ -40,11 +40,11 @@
 static uint32_t
 reader_rank (const struct StoreReader *reader)
 {
-  const struct Roster *roster = reader->node->roster;
+  const struct PeerTable *table = reader->node->peers;
   uint32_t rank = 0;
 
-  for (size_t i = 0; i < roster->n_peers; i++)
-    if (roster->peers[i]->rank < roster->own_rank && peer_may_read (reader->node, roster->peers[i]))
+  for (size_t i = 0; i < table->n_peers; i++)
+    if (table->peers[i]->rank < table->own_rank && peer_may_read (reader->node, table->peers[i]))
       rank++;
   return rank;
 }
@@ -53,7 +53,7 @@
 reader_keeps_servers (const struct StoreReader *reader)
 {
   return reader->rank <= RANK_NEXT
-         || roster_is_aggregator (reader->node->roster, timer_now_ms (reader->node->timers));
+         || peer_table_is_aggregator (reader->node->peers, timer_now_ms (reader->node->timers));
 }
 
 void
@@ -94,13 +94,13 @@
 static void
 reader_send_next (struct StoreReader *reader, const struct GatewayMessage *message)
 {
-  const struct Roster *roster = reader->node->roster;
+  const struct PeerTable *table = reader->node->peers;
   const struct Peer *next[RANK_NEXT];
   size_t n = 0;
 
-  for (size_t i = 0; i < roster->n_peers; i++)
+  for (size_t i = 0; i < table->n_peers; i++)
     {
-      const struct Peer *peer = roster->peers[i];
+      const struct Peer *peer = table->peers[i];
       size_t at = n;
 
       if (!peer_may_read (reader->node, peer))
@@ -134,7 +134,7 @@
   switch (snapshot->kind)
     {
     case SNAPSHOT_NODES:
-      known_nodes_take (reader->node, snapshot);
+      node_directory_take (reader->node, snapshot);
       if (reader->knows_nodes_ms == 0)
         reader->knows_nodes_ms = timer_now_ms (reader->node->timers);
       break;
--- a/gateway/zone_servers.c
+++ b/gateway/zone_servers.c
@@ -54,10 +54,10 @@
   struct Node *node = reader->node;
   const struct Topic *servers = &reader->topics[SNAPSHOT_SERVERS];
   int64_t now_ms = timer_now_ms (node->timers);
-  uint32_t level = roster_server_level (node->roster, now_ms);
+  uint32_t level = peer_table_server_level (node->peers, now_ms);
   struct Snapshot *subset;
 
-  if (servers->snapshot == NULL || !roster_is_aggregator (node->roster, now_ms))
+  if (servers->snapshot == NULL || !peer_table_is_aggregator (node->peers, now_ms))
     return;
   if (subset_is_current (reader, level))
     {
@@ -89,7 +89,7 @@
 {
   const struct Peer *peer = node_peer (node, sender);
   bool draws = node->reader->topics[SNAPSHOT_SERVERS].snapshot != NULL
-               && roster_is_aggregator (node->roster, timer_now_ms (node->timers));
+               && peer_table_is_aggregator (node->peers, timer_now_ms (node->timers));
 
   return !draws && peer != NULL && strcmp (peer->status.zone, node->settings->zone) == 0;
 }
--- a/include/buckthornhead/gateway_message.h
+++ b/include/buckthornhead/gateway_message.h
@@ -39,7 +39,7 @@
 
 /* A list or document that processes hold copies of. The first four are what one read of the
  * platform's store gave, for peers that then need not read it; of the backend servers only those
- * who would read next and aggregators hold all. Lists of processes: roster.h. */
+ * who would read next and aggregators hold all. Lists of processes: peer_table.h. */
 enum SnapshotKind
 {
   SNAPSHOT_ROUTES = 1,   /* the operators' configuration */
--- a/tests/test_roster.c
+++ b/tests/test_peer_table.c
@@ -1,6 +1,6 @@
 #include "test_main.h"
 
-#include <buckthornhead/roster.h>
+#include <buckthornhead/peer_table.h>
 
 #include <stdio.h>
 #include <string.h>
@@ -23,50 +23,51 @@
   return status;
 }
 
-static struct Roster *
-roster_of (TALLOC_CTX *ctx, const char *node, const char *zone)
+static struct PeerTable *
+table_of (TALLOC_CTX *ctx, const char *node, const char *zone)
 {
-  struct Roster *roster = roster_new (ctx, node, zone);
+  struct PeerTable *table = peer_table_new (ctx, node, zone);
   struct NodeStatus own = status_of (node, zone);
 
-  roster_describe (roster, &own);
-  return roster;
+  peer_table_describe (table, &own);
+  return table;
 }
 
 /* A member's report as its aggregator gets it. */
 static struct Peer *
-hear (struct Roster *roster, const char *node, const char *zone, enum LoadScope scope, int64_t now)
+hear (
+    struct PeerTable *table, const char *node, const char *zone, enum LoadScope scope, int64_t now)
 {
   struct Heartbeat heartbeat = { .status = status_of (node, zone), .scope = scope };
   bool changed;
 
-  return roster_hear (roster, &heartbeat, now, &changed);
+  return peer_table_take_heartbeat (table, &heartbeat, now, &changed);
 }
 
 /* What from publishes reaches to; false when the changes did not fit. */
 static bool
-pass_list (struct Roster *from, struct Roster *to, enum SnapshotKind kind, int64_t now)
+pass_list (struct PeerTable *from, struct PeerTable *to, enum SnapshotKind kind, int64_t now)
 {
-  struct Snapshot *list = roster_publish (from, from, kind, now);
+  struct Snapshot *list = peer_table_publish (from, from, kind, now);
   struct StateMark mark = { .kind = kind };
   bool fits;
 
   if (list != NULL)
     {
-      fits = roster_take_list (to, from->own.node, list, now);
+      fits = peer_table_take_list (to, from->own.node, list, now);
       talloc_free (list);
       return fits;
     }
-  mark.content = roster_published (from, kind)->content;
-  return roster_confirm_list (to, from->own.node, &mark, now);
+  mark.content = peer_table_published (from, kind)->content;
+  return peer_table_confirm_list (to, from->own.node, &mark, now);
 }
 
 static bool
-is_live (struct Roster *roster, const char *name, int64_t now)
+is_live (struct PeerTable *table, const char *name, int64_t now)
 {
-  const struct Peer *peer = roster_find (roster, name);
+  const struct Peer *peer = peer_table_find (table, name);
 
-  return peer != NULL && roster_is_live (roster, peer, now);
+  return peer != NULL && peer_table_is_live (table, peer, now);
 }
 
 /* Callers are sent to a gateway that died: each of the two aggregators of its zone lists it because
@@ -76,7 +77,7 @@
 test_two_aggregators_do_not_keep_a_dead_process_alive (void)
 {
   TALLOC_CTX *ctx = talloc_new (NULL);
-  struct Roster *a = roster_of (ctx, "a", "z"), *b = roster_of (ctx, "b", "z");
+  struct PeerTable *a = table_of (ctx, "a", "z"), *b = table_of (ctx, "b", "z");
   int64_t now = START_MS, died_ms = START_MS + 2000;
 
   for (; now < died_ms + 10000; now += HALF_SECOND_MS)
@@ -105,9 +106,9 @@
 test_nobody_seems_dead_while_the_next_aggregators_take_over (void)
 {
   TALLOC_CTX *ctx = talloc_new (NULL);
-  struct Roster *first = roster_of (ctx, "first", "z"), *second = roster_of (ctx, "second", "z");
-  struct Roster *member = roster_of (ctx, "member", "z");
-  const char *names[ROSTER_AGGREGATORS];
+  struct PeerTable *first = table_of (ctx, "first", "z"), *second = table_of (ctx, "second", "z");
+  struct PeerTable *member = table_of (ctx, "member", "z");
+  const char *names[PEER_TABLE_AGGREGATORS];
   int64_t now = START_MS, lost_ms;
   size_t n;
 
@@ -118,12 +119,12 @@
   /* Two seconds: silence is noticed after 1.6 s, the next heartbeat reports to the successor. */
   for (; now < lost_ms + 2200; now += 100)
     CU_ASSERT_TRUE (is_live (member, "other", now));
-  n = roster_aggregators (member, "z", now, names);
+  n = peer_table_aggregators (member, "z", now, names);
   for (size_t i = 0; i < n; i++)
     CU_ASSERT_STRING_NOT_EQUAL (names[i], "first");
   hear (second, "other", "z", LOADS_OF_PROCESS, now);
   CU_ASSERT_TRUE (pass_list (second, member, SNAPSHOT_FLEET, now));
-  now = lost_ms + ROSTER_SOURCE_LIVE_MS + 100;
+  now = lost_ms + PEER_TABLE_SOURCE_LIVE_MS + 100;
   CU_ASSERT_TRUE (is_live (member, "other", now));
   CU_ASSERT_FALSE (is_live (member, "first", now));
   talloc_free (ctx);
@@ -135,21 +136,21 @@
 test_a_refused_process_is_out_at_once (void)
 {
   TALLOC_CTX *ctx = talloc_new (NULL);
-  struct Roster *roster = roster_of (ctx, "a", "z");
-  struct Peer *peer = hear (roster, "m", "z", LOADS_OF_PROCESS, START_MS);
+  struct PeerTable *table = table_of (ctx, "a", "z");
+  struct Peer *peer = hear (table, "m", "z", LOADS_OF_PROCESS, START_MS);
 
-  CU_ASSERT_TRUE (is_live (roster, "m", START_MS + 100));
+  CU_ASSERT_TRUE (is_live (table, "m", START_MS + 100));
   peer->refused_ms = START_MS + 150;
-  CU_ASSERT_FALSE (is_live (roster, "m", START_MS + 200));
-  hear (roster, "m", "z", LOADS_OF_PROCESS, START_MS + 400);
-  CU_ASSERT_TRUE (is_live (roster, "m", START_MS + 400));
+  CU_ASSERT_FALSE (is_live (table, "m", START_MS + 200));
+  hear (table, "m", "z", LOADS_OF_PROCESS, START_MS + 400);
+  CU_ASSERT_TRUE (is_live (table, "m", START_MS + 400));
   talloc_free (ctx);
 }
 
 static uint64_t
-config_seen (struct Roster *roster, const char *name)
+config_seen (struct PeerTable *table, const char *name)
 {
-  return roster_find (roster, name)->status.config_version;
+  return peer_table_find (table, name)->status.config_version;
 }
 
 /* A member is told of a gateway's new configuration by one aggregator, and then gets the list of
@@ -158,15 +159,15 @@
 test_a_list_that_is_behind_undoes_nothing (void)
 {
   TALLOC_CTX *ctx = talloc_new (NULL);
-  struct Roster *quick = roster_of (ctx, "quick", "z"), *late = roster_of (ctx, "late", "z");
-  struct Roster *member = roster_of (ctx, "member", "z");
+  struct PeerTable *quick = table_of (ctx, "quick", "z"), *late = table_of (ctx, "late", "z");
+  struct PeerTable *member = table_of (ctx, "member", "z");
   struct Heartbeat heartbeat = { .status = status_of ("m", "z") };
   bool changed;
 
-  roster_hear (late, &heartbeat, START_MS, &changed);
+  peer_table_take_heartbeat (late, &heartbeat, START_MS, &changed);
   heartbeat.status.version = 2;
   heartbeat.status.config_version = 7;
-  roster_hear (quick, &heartbeat, START_MS, &changed);
+  peer_table_take_heartbeat (quick, &heartbeat, START_MS, &changed);
   CU_ASSERT_TRUE (pass_list (quick, member, SNAPSHOT_FLEET, START_MS));
   CU_ASSERT_EQUAL (config_seen (member, "m"), 7);
   CU_ASSERT_TRUE (pass_list (late, member, SNAPSHOT_FLEET, START_MS));
@@ -180,23 +181,23 @@
 test_a_start_with_a_lower_number_is_believed (void)
 {
   TALLOC_CTX *ctx = talloc_new (NULL);
-  struct Roster *aggregator = roster_of (ctx, "a", "z"), *member = roster_of (ctx, "member", "z");
+  struct PeerTable *aggregator = table_of (ctx, "a", "z"), *member = table_of (ctx, "member", "z");
   struct Heartbeat heartbeat = { .status = status_of ("m", "z") };
   int64_t now = START_MS;
   bool changed;
 
   heartbeat.status.start = 500;
   heartbeat.status.version = 40;
-  roster_hear (aggregator, &heartbeat, now, &changed);
+  peer_table_take_heartbeat (aggregator, &heartbeat, now, &changed);
   CU_ASSERT_TRUE (pass_list (aggregator, member, SNAPSHOT_FLEET, now));
   heartbeat.status.start = 3;
   heartbeat.status.version = 1;
   heartbeat.status.ready = false;
   now += 300;
-  roster_hear (aggregator, &heartbeat, now, &changed);
+  peer_table_take_heartbeat (aggregator, &heartbeat, now, &changed);
   CU_ASSERT_TRUE (changed);
   CU_ASSERT_TRUE (pass_list (aggregator, member, SNAPSHOT_FLEET, now));
-  CU_ASSERT_FALSE (roster_find (member, "m")->status.ready);
+  CU_ASSERT_FALSE (peer_table_find (member, "m")->status.ready);
   talloc_free (ctx);
 }
 
@@ -205,7 +206,7 @@
 test_changes_of_another_list_are_not_taken (void)
 {
   TALLOC_CTX *ctx = talloc_new (NULL);
-  struct Roster *a = roster_of (ctx, "a", "z"), *member = roster_of (ctx, "member", "z");
+  struct PeerTable *a = table_of (ctx, "a", "z"), *member = table_of (ctx, "member", "z");
   char name[16];
 
   for (int i = 0; i < 6; i++)
@@ -215,10 +216,11 @@
     }
   CU_ASSERT_TRUE (pass_list (a, member, SNAPSHOT_FLEET, START_MS));
   hear (a, "lost", "z", LOADS_OF_PROCESS, START_MS);
-  talloc_free (roster_publish (a, ctx, SNAPSHOT_FLEET, START_MS));
+  talloc_free (peer_table_publish (a, ctx, SNAPSHOT_FLEET, START_MS));
   hear (a, "next", "z", LOADS_OF_PROCESS, START_MS);
   CU_ASSERT_FALSE (pass_list (a, member, SNAPSHOT_FLEET, START_MS));
-  CU_ASSERT_TRUE (roster_take_list (member, "a", roster_published (a, SNAPSHOT_FLEET), START_MS));
+  CU_ASSERT_TRUE (
+      peer_table_take_list (member, "a", peer_table_published (a, SNAPSHOT_FLEET), START_MS));
   CU_ASSERT_TRUE (is_live (member, "lost", START_MS));
   CU_ASSERT_TRUE (is_live (member, "next", START_MS));
   talloc_free (ctx);
@@ -230,25 +232,25 @@
 test_who_aggregates (void)
 {
   TALLOC_CTX *ctx = talloc_new (NULL);
-  struct Roster *roster = roster_of (ctx, "a", "z");
+  struct PeerTable *table = table_of (ctx, "a", "z");
   struct Heartbeat leaving = { .status = status_of ("b", "z") };
   struct Heartbeat archive = { .status = status_of ("storage", "z") };
-  const char *names[ROSTER_AGGREGATORS];
+  const char *names[PEER_TABLE_AGGREGATORS];
   bool changed;
 
   archive.status.is_archive = true;
-  roster_hear (roster, &archive, START_MS, &changed);
-  CU_ASSERT_EQUAL (roster_aggregators (roster, "z", START_MS, names), 1);
+  peer_table_take_heartbeat (table, &archive, START_MS, &changed);
+  CU_ASSERT_EQUAL (peer_table_aggregators (table, "z", START_MS, names), 1);
   CU_ASSERT_STRING_EQUAL (names[0], "a");
-  roster_hear (roster, &leaving, START_MS, &changed);
-  CU_ASSERT_EQUAL (roster_aggregators (roster, "z", START_MS, names), 2);
+  peer_table_take_heartbeat (table, &leaving, START_MS, &changed);
+  CU_ASSERT_EQUAL (peer_table_aggregators (table, "z", START_MS, names), 2);
   leaving.status.leaving = true;
-  roster_hear (roster, &leaving, START_MS, &changed);
-  CU_ASSERT_EQUAL (roster_aggregators (roster, "z", START_MS, names), 1);
+  peer_table_take_heartbeat (table, &leaving, START_MS, &changed);
+  CU_ASSERT_EQUAL (peer_table_aggregators (table, "z", START_MS, names), 1);
   archive.status = status_of ("storage-2", "y");
   archive.status.is_archive = true;
-  roster_hear (roster, &archive, START_MS, &changed);
-  CU_ASSERT_EQUAL_FATAL (roster_aggregators (roster, "y", START_MS, names), 1);
+  peer_table_take_heartbeat (table, &archive, START_MS, &changed);
+  CU_ASSERT_EQUAL_FATAL (peer_table_aggregators (table, "y", START_MS, names), 1);
   CU_ASSERT_STRING_EQUAL (names[0], "storage-2");
   talloc_free (ctx);
 }
@@ -263,7 +265,7 @@
 }
 
 static void
-hear_loads (struct Roster *roster,
+hear_loads (struct PeerTable *table,
             const char *node,
             const char *zone,
             enum LoadScope scope,
@@ -275,7 +277,7 @@
   };
   bool changed;
 
-  roster_hear (roster, &heartbeat, START_MS, &changed);
+  peer_table_take_heartbeat (table, &heartbeat, START_MS, &changed);
 }
 
 /* Requests on their way to one server through all gateways: each is counted once, though two
@@ -284,8 +286,8 @@
 test_loads_are_counted_once (void)
 {
   TALLOC_CTX *ctx = talloc_new (NULL);
-  struct Roster *a = roster_of (ctx, "a", "z");
-  struct Roster *y1 = roster_of (ctx, "y1", "y"), *y2 = roster_of (ctx, "y2", "y");
+  struct PeerTable *a = table_of (ctx, "a", "z");
+  struct PeerTable *y1 = table_of (ctx, "y1", "y"), *y2 = table_of (ctx, "y2", "y");
   struct ReplicaLoad own_loads[1] = { { .replica = "desk", .in_flight = 2 } };
   struct Heartbeat own = { .loads = own_loads, .n_loads = 1 };
   struct ReplicaLoad *loads;
@@ -299,9 +301,9 @@
   pass_list (y2, a, SNAPSHOT_ZONE, START_MS);
   hear_loads (a, "y1", "y", LOADS_OF_ZONE, 50);
   hear_loads (a, "y2", "y", LOADS_OF_ZONE, 50);
-  loads = roster_loads (a, ctx, &own, LOADS_OF_ZONE, START_MS, &n);
+  loads = peer_table_loads (a, ctx, &own, LOADS_OF_ZONE, START_MS, &n);
   CU_ASSERT_EQUAL (load_of (loads, n, "desk"), 9);
-  loads = roster_loads (a, ctx, &own, LOADS_OF_FLEET, START_MS, &n);
+  loads = peer_table_loads (a, ctx, &own, LOADS_OF_FLEET, START_MS, &n);
   CU_ASSERT_EQUAL (load_of (loads, n, "desk"), 59);
   talloc_free (ctx);
 }
@@ -318,15 +320,15 @@
 test_the_silent_are_forgotten (void)
 {
   TALLOC_CTX *ctx = talloc_new (NULL);
-  struct Roster *roster = roster_of (ctx, "a", "z");
+  struct PeerTable *table = table_of (ctx, "a", "z");
   int n_forgotten = 0;
 
-  hear (roster, "gone", "z", LOADS_OF_PROCESS, START_MS);
-  hear (roster, "stays", "z", LOADS_OF_PROCESS, START_MS + ROSTER_FORGET_MS);
-  roster_forget_silent (roster, START_MS + ROSTER_FORGET_MS, count_forgotten, &n_forgotten);
+  hear (table, "gone", "z", LOADS_OF_PROCESS, START_MS);
+  hear (table, "stays", "z", LOADS_OF_PROCESS, START_MS + PEER_TABLE_FORGET_MS);
+  peer_table_forget_silent (table, START_MS + PEER_TABLE_FORGET_MS, count_forgotten, &n_forgotten);
   CU_ASSERT_EQUAL (n_forgotten, 1);
-  CU_ASSERT_PTR_NULL (roster_find (roster, "gone"));
-  CU_ASSERT_PTR_NOT_NULL (roster_find (roster, "stays"));
+  CU_ASSERT_PTR_NULL (peer_table_find (table, "gone"));
+  CU_ASSERT_PTR_NOT_NULL (peer_table_find (table, "stays"));
   talloc_free (ctx);
 }
 
@@ -338,7 +340,7 @@
 test_an_archive_asks_the_others_itself (void)
 {
   TALLOC_CTX *ctx = talloc_new (NULL);
-  struct Roster *spare = roster_of (ctx, "spare", "a");
+  struct PeerTable *spare = table_of (ctx, "spare", "a");
   int64_t now = START_MS;
   struct Peer *member = hear (spare, "member", "b", LOADS_OF_PROCESS, now);
 
@@ -347,16 +349,16 @@
   for (uint32_t i = 0; i < 20; i++)
     {
       now += HALF_SECOND_MS;
-      CU_ASSERT_TRUE (roster_must_probe (spare, member, true, false, now));
+      CU_ASSERT_TRUE (peer_table_must_probe (spare, member, true, false, now));
       member->probed_ms = now;
-      CU_ASSERT_FALSE (roster_must_probe (spare, member, true, false, now));
+      CU_ASSERT_FALSE (peer_table_must_probe (spare, member, true, false, now));
       /* The answer. */
-      roster_note_heard (member, now);
-      member->link_heard_ms = now;
-      CU_ASSERT_TRUE (roster_is_live (spare, member, now + HALF_SECOND_MS));
+      peer_note_received (member, now);
+      member->link_received_ms = now;
+      CU_ASSERT_TRUE (peer_table_is_live (spare, member, now + HALF_SECOND_MS));
     }
   /* One that counts for nothing is left alone. */
-  CU_ASSERT_FALSE (roster_must_probe (spare, member, false, false, now + 2 * HALF_SECOND_MS));
+  CU_ASSERT_FALSE (peer_table_must_probe (spare, member, false, false, now + 2 * HALF_SECOND_MS));
   talloc_free (ctx);
 }
 
@@ -374,9 +376,9 @@
   for (size_t s = 0; s < sizeof sizes / sizeof sizes[0]; s++)
     {
       TALLOC_CTX *ctx = talloc_new (NULL);
-      struct Roster *roster = roster_of (ctx, "seed", "zone-0");
-      const struct Peer *contacts[ROSTER_CONTACTS_MAX];
-      const char *names[ROSTER_AGGREGATORS];
+      struct PeerTable *table = table_of (ctx, "seed", "zone-0");
+      const struct Peer *contacts[PEER_TABLE_CONTACTS_MAX];
+      const char *names[PEER_TABLE_AGGREGATORS];
       uint32_t n_found = 0;
       size_t n;
 
@@ -386,11 +388,11 @@
 
           snprintf (name, sizeof name, "front-%u", i);
           snprintf (zone, sizeof zone, "zone-%u", i % N_ZONES);
-          hear (roster, name, zone, LOADS_OF_PROCESS, START_MS);
+          hear (table, name, zone, LOADS_OF_PROCESS, START_MS);
         }
-      n = roster_contacts (roster, START_MS, contacts);
-      CU_ASSERT_EQUAL (n, N_ZONES * ROSTER_CONTACTS);
-      CU_ASSERT_EQUAL (roster_aggregators (roster, "zone-3", START_MS, names), 2);
+      n = peer_table_contacts (table, START_MS, contacts);
+      CU_ASSERT_EQUAL (n, N_ZONES * PEER_TABLE_CONTACTS);
+      CU_ASSERT_EQUAL (peer_table_aggregators (table, "zone-3", START_MS, names), 2);
       for (size_t i = 0; i < n; i++)
         n_found += strcmp (contacts[i]->status.node, names[0]) == 0
                    || strcmp (contacts[i]->status.node, names[1]) == 0;
@@ -403,7 +405,7 @@
 static uint32_t
 probes_in_ten_seconds (TALLOC_CTX *ctx, uint32_t n, bool is_listed)
 {
-  struct Roster *member = roster_of (ctx, "member", "a"), *aggregator = roster_of (ctx, "b", "a");
+  struct PeerTable *member = table_of (ctx, "member", "a"), *aggregator = table_of (ctx, "b", "a");
   int64_t now = START_MS;
   struct Peer *archive;
   uint32_t n_probes = 0;
@@ -417,9 +419,9 @@
     }
   hear (aggregator, "archive", "a", LOADS_OF_PROCESS, now)->status.is_archive = true;
   CU_ASSERT_TRUE (pass_list (aggregator, member, SNAPSHOT_FLEET, now));
-  archive = roster_find (member, "archive");
+  archive = peer_table_find (member, "archive");
   archive->status.is_archive = true;
-  archive->link_heard_ms = now;
+  archive->link_received_ms = now;
   for (; now < START_MS + 10000; now += 50)
     {
       if (is_listed)
@@ -427,12 +429,12 @@
           hear (aggregator, "archive", "a", LOADS_OF_PROCESS, now)->status.is_archive = true;
           pass_list (aggregator, member, SNAPSHOT_FLEET, now);
         }
-      if (!roster_must_probe (member, archive, true, false, now))
+      if (!peer_table_must_probe (member, archive, true, false, now))
         continue;
       n_probes++;
       archive->probed_ms = now;
-      roster_note_heard (archive, now);
-      archive->link_heard_ms = now;
+      peer_note_received (archive, now);
+      archive->link_received_ms = now;
     }
   return n_probes;
 }
@@ -459,7 +461,7 @@
     }
 }
 
-const char test_suite_name[] = "roster";
+const char test_suite_name[] = "table";
 const struct TestCase test_cases[] = {
   { "two aggregators do not keep a dead process alive",
     test_two_aggregators_do_not_keep_a_dead_process_alive },
--- a/tests/test_roster_fleet.c
+++ b/tests/test_peer_table_fleet.c
@@ -1,8 +1,8 @@
-/* The roster on virtual time: a whole fleet of members in one process, with links that are cut and
- * members that stop, freeze or flap. Prints a table of sizes, times and bytes. */
+/* The table of peers on virtual time: a whole fleet of members in one process, with links that are
+ * cut and members that stop, freeze or flap. Prints a table of sizes, times and bytes. */
 #include "test_main.h"
 
-#include <buckthornhead/roster.h>
+#include <buckthornhead/peer_table.h>
 #include <buckthornhead/snapshot_changes.h>
 
 #include <stdio.h>
@@ -33,7 +33,7 @@
 {
   char name[NAME_MAX_BYTES + 1], zone[NAME_MAX_BYTES + 1];
   uint32_t zone_number;
-  struct Roster *roster;
+  struct PeerTable *table;
   bool is_up, is_frozen;
   bool has_nodes; /* it knows the list of processes that the store holds */
   uint32_t side;  /* members of different sides do not reach each other */
@@ -77,10 +77,10 @@
             size_t n_bytes)
 {
   struct Letter *letter = talloc_zero (fleet, struct Letter);
-  struct Peer *peer = roster_find (from->roster, fleet->members[to].name);
+  struct Peer *peer = peer_table_find (from->table, fleet->members[to].name);
 
   if (peer != NULL && message->kind == GATEWAY_HEARTBEAT)
-    roster_note_asked (peer, fleet->now_ms);
+    peer_note_asked (peer, fleet->now_ms);
   letter->from = (uint32_t)(from - fleet->members);
   letter->to = to;
   letter->message = talloc_reference (letter, message);
@@ -96,8 +96,8 @@
                      const char *zone,
                      struct GatewayMessage *message)
 {
-  const char *names[ROSTER_AGGREGATORS];
-  size_t n = roster_aggregators (m->roster, zone, fleet->now_ms, names);
+  const char *names[PEER_TABLE_AGGREGATORS];
+  size_t n = peer_table_aggregators (m->table, zone, fleet->now_ms, names);
   size_t n_bytes = message_bytes (message);
 
   for (size_t i = 0; i < n; i++)
@@ -108,8 +108,8 @@
 static void
 send_to_other_zones (struct Fleet *fleet, struct Member *m, struct GatewayMessage *message)
 {
-  const char *zones[ROSTER_ZONES_MAX];
-  size_t n = roster_other_zones (m->roster, zones);
+  const char *zones[PEER_TABLE_ZONES_MAX];
+  size_t n = peer_table_other_zones (m->table, zones);
 
   for (size_t i = 0; i < n; i++)
     send_to_aggregators (fleet, m, zones[i], message);
@@ -118,12 +118,12 @@
 static void
 send_to_served (struct Fleet *fleet, struct Member *m, struct GatewayMessage *message)
 {
-  bool aggregates = roster_is_aggregator (m->roster, fleet->now_ms);
+  bool aggregates = peer_table_is_aggregator (m->table, fleet->now_ms);
   size_t n_bytes = message_bytes (message);
 
-  for (size_t i = 0; i < m->roster->n_peers; i++)
-    if (roster_serves (m->roster, m->roster->peers[i], aggregates, fleet->now_ms))
-      fleet_send (fleet, m, fleet_find (fleet, m->roster->peers[i]->status.node), message, n_bytes);
+  for (size_t i = 0; i < m->table->n_peers; i++)
+    if (peer_table_serves (m->table, m->table->peers[i], aggregates, fleet->now_ms))
+      fleet_send (fleet, m, fleet_find (fleet, m->table->peers[i]->status.node), message, n_bytes);
 }
 
 static struct GatewayMessage *
@@ -131,11 +131,11 @@
 {
   struct GatewayMessage *message = talloc_zero (NULL, struct GatewayMessage);
   enum SnapshotKind kind = scope == LOADS_OF_ZONE ? SNAPSHOT_ZONE : SNAPSHOT_FLEET;
-  const struct Snapshot *list = roster_published (m->roster, kind);
+  const struct Snapshot *list = peer_table_published (m->table, kind);
   struct Heartbeat *heartbeat = &message->heartbeat;
 
   message->kind = GATEWAY_HEARTBEAT;
-  heartbeat->status = m->roster->own;
+  heartbeat->status = m->table->own;
   heartbeat->scope = scope;
   /* As a real one has of what the store said: configuration, servers, processes, retiring. */
   for (uint32_t i = 0; i < 4; i++)
@@ -153,7 +153,7 @@
   for (enum SnapshotKind kind = SNAPSHOT_ZONE; kind <= SNAPSHOT_FLEET; kind++)
     {
       struct GatewayMessage *message = talloc_zero (NULL, struct GatewayMessage);
-      struct Snapshot *list = roster_publish (m->roster, message, kind, fleet->now_ms);
+      struct Snapshot *list = peer_table_publish (m->table, message, kind, fleet->now_ms);
 
       if (list != NULL)
         {
@@ -162,7 +162,7 @@
           message->snapshot = *snapshot_copy (message, list);
           if (kind == SNAPSHOT_FLEET)
             send_to_served (fleet, m, message);
-          else if (roster_is_aggregator (m->roster, fleet->now_ms))
+          else if (peer_table_is_aggregator (m->table, fleet->now_ms))
             send_to_other_zones (fleet, m, message);
         }
       talloc_unlink (NULL, message);
@@ -172,10 +172,10 @@
 static bool
 member_aggregates (const struct Fleet *fleet, const struct Member *m)
 {
-  if (roster_is_aggregator (m->roster, fleet->now_ms))
+  if (peer_table_is_aggregator (m->table, fleet->now_ms))
     return true;
-  for (size_t i = 0; i < m->roster->n_peers; i++)
-    if (roster_serves (m->roster, m->roster->peers[i], false, fleet->now_ms))
+  for (size_t i = 0; i < m->table->n_peers; i++)
+    if (peer_table_serves (m->table, m->table->peers[i], false, fleet->now_ms))
       return true;
   return false;
 }
@@ -190,7 +190,7 @@
     member_publish (fleet, m);
   send_to_aggregators (fleet, m, m->zone, message);
   talloc_unlink (NULL, message);
-  if (roster_is_aggregator (m->roster, fleet->now_ms))
+  if (peer_table_is_aggregator (m->table, fleet->now_ms))
     {
       message = heartbeat_of (m, LOADS_OF_ZONE);
       send_to_other_zones (fleet, m, message);
@@ -198,8 +198,8 @@
     }
   message = heartbeat_of (m, LOADS_OF_FLEET);
   send_to_served (fleet, m, message);
-  silent = roster_is_aggregator (m->roster, fleet->now_ms)
-               ? roster_next_silent (m->roster, fleet->now_ms)
+  silent = peer_table_is_aggregator (m->table, fleet->now_ms)
+               ? peer_table_next_silent (m->table, fleet->now_ms)
                : NULL;
   if (silent != NULL)
     fleet_send (fleet, m, fleet_find (fleet, silent->status.node), message,
@@ -221,7 +221,7 @@
 static void
 member_answer_want (struct Fleet *fleet, struct Member *m, uint32_t to, enum SnapshotKind kind)
 {
-  const struct Snapshot *list = roster_published (m->roster, kind);
+  const struct Snapshot *list = peer_table_published (m->table, kind);
   struct GatewayMessage *message;
 
   if (list == NULL)
@@ -246,7 +246,7 @@
 {
   m->has_nodes = true;
   for (uint32_t i = 0; i < fleet->n; i++)
-    roster_learn (m->roster, &fleet->members[i].roster->own, fleet->now_ms);
+    peer_table_learn (m->table, &fleet->members[i].table->own, fleet->now_ms);
 }
 
 static void
@@ -256,16 +256,16 @@
                        const struct Heartbeat *heartbeat)
 {
   const char *name = fleet->members[from].name;
-  const struct Peer *before = roster_find (m->roster, name);
+  const struct Peer *before = peer_table_find (m->table, name);
   bool reported = before != NULL && before->reported_ms > 0;
   bool changed;
 
-  roster_hear (m->roster, heartbeat, fleet->now_ms, &changed);
+  peer_table_take_heartbeat (m->table, heartbeat, fleet->now_ms, &changed);
   if (!m->has_nodes && fleet->members[from].has_nodes)
     member_learn_all (fleet, m);
   for (size_t i = 0; i < heartbeat->n_marks; i++)
     if (heartbeat->marks[i].kind >= SNAPSHOT_ZONE
-        && !roster_confirm_list (m->roster, name, &heartbeat->marks[i], fleet->now_ms))
+        && !peer_table_confirm_list (m->table, name, &heartbeat->marks[i], fleet->now_ms))
       member_want (fleet, m, from, heartbeat->marks[i].kind);
   if (changed)
     member_publish_soon (fleet, m);
@@ -294,8 +294,8 @@
       talloc_unlink (NULL, alive);
       break;
     case GATEWAY_SNAPSHOT:
-      if (!roster_take_list (m->roster, fleet->members[from].name, &message->snapshot,
-                             fleet->now_ms))
+      if (!peer_table_take_list (m->table, fleet->members[from].name, &message->snapshot,
+                                 fleet->now_ms))
         member_want (fleet, m, from, message->snapshot.kind);
       else if (message->snapshot.kind == SNAPSHOT_ZONE)
         member_publish_soon (fleet, m);
@@ -306,10 +306,10 @@
     default:
       break;
     }
-  peer = roster_find (m->roster, fleet->members[from].name);
+  peer = peer_table_find (m->table, fleet->members[from].name);
   if (peer == NULL)
     return;
-  roster_note_heard (peer, fleet->now_ms);
+  peer_note_received (peer, fleet->now_ms);
   peer->asked_ms = 0;
 }
 
@@ -337,7 +337,7 @@
   if (m->beat_ms <= fleet->now_ms) /* it was frozen */
     m->beat_ms = fleet->now_ms + HEARTBEAT_MS;
   member_beat (fleet, m);
-  roster_forget_silent (m->roster, fleet->now_ms, ignore_forgotten, NULL);
+  peer_table_forget_silent (m->table, fleet->now_ms, ignore_forgotten, NULL);
 }
 
 static void
@@ -386,13 +386,13 @@
   struct Member *m = &fleet->members[i];
   struct NodeStatus own = { .start = (uint64_t)fleet->now_ms + i, .ready = true };
 
-  talloc_free (m->roster);
-  m->roster = roster_new (fleet, m->name, m->zone);
+  talloc_free (m->table);
+  m->table = peer_table_new (fleet, m->name, m->zone);
   snprintf (own.node, sizeof own.node, "%s", m->name);
   snprintf (own.zone, sizeof own.zone, "%s", m->zone);
   snprintf (own.peer_address, sizeof own.peer_address, "10.1.0.%u:7000", i);
   snprintf (own.caller_address, sizeof own.caller_address, "10.1.0.%u:8000", i);
-  roster_describe (m->roster, &own);
+  peer_table_describe (m->table, &own);
   m->is_up = true;
   m->beat_ms = fleet->now_ms + i * 7 % 300;
   m->publish_ms = 0;
@@ -418,7 +418,7 @@
       member_start (fleet, i);
       m->has_nodes = true;
       for (uint32_t j = 0; j < i; j++)
-        roster_learn (m->roster, &fleet->members[j].roster->own, fleet->now_ms);
+        peer_table_learn (m->table, &fleet->members[j].table->own, fleet->now_ms);
     }
   return fleet;
 }
@@ -426,9 +426,9 @@
 static bool
 member_sees (const struct Fleet *fleet, const struct Member *m, uint32_t other)
 {
-  const struct Peer *peer = roster_find (m->roster, fleet->members[other].name);
+  const struct Peer *peer = peer_table_find (m->table, fleet->members[other].name);
 
-  return peer != NULL && roster_is_live (m->roster, peer, fleet->now_ms);
+  return peer != NULL && peer_table_is_live (m->table, peer, fleet->now_ms);
 }
 
 /* What all of a large fleet believe is looked at through some of its members, of all zones. */
@@ -477,17 +477,17 @@
 }
 
 static void
-fleet_aggregators (const struct Fleet *fleet, uint32_t zone, uint32_t found[ROSTER_AGGREGATORS])
+fleet_aggregators (const struct Fleet *fleet, uint32_t zone, uint32_t found[PEER_TABLE_AGGREGATORS])
 {
-  const char *names[ROSTER_AGGREGATORS];
+  const char *names[PEER_TABLE_AGGREGATORS];
   uint32_t i = 0;
 
   while (!fleet->members[i].is_up || fleet->members[i].zone_number != zone)
     i++;
-  CU_ASSERT_EQUAL (
-      roster_aggregators (fleet->members[i].roster, fleet->members[i].zone, fleet->now_ms, names),
-      ROSTER_AGGREGATORS);
-  for (uint32_t at = 0; at < ROSTER_AGGREGATORS; at++)
+  CU_ASSERT_EQUAL (peer_table_aggregators (fleet->members[i].table, fleet->members[i].zone,
+                                           fleet->now_ms, names),
+                   PEER_TABLE_AGGREGATORS);
+  for (uint32_t at = 0; at < PEER_TABLE_AGGREGATORS; at++)
     found[at] = fleet_find (fleet, names[at]);
 }
 
@@ -509,7 +509,7 @@
     {
       if (fleet->members[i].sent_bytes > top)
         top = fleet->members[i].sent_bytes;
-      if (!roster_is_aggregator (fleet->members[i].roster, fleet->now_ms))
+      if (!peer_table_is_aggregator (fleet->members[i].table, fleet->now_ms))
         {
           sum += fleet->members[i].sent_bytes;
           n_members++;
@@ -527,7 +527,7 @@
 {
   struct Fleet *fleet = fleet_new (n, n_zones);
   int64_t start_ms, death_ms, takeover_ms;
-  uint32_t lost[ROSTER_AGGREGATORS], worst = 0;
+  uint32_t lost[PEER_TABLE_AGGREGATORS], worst = 0;
   double most, member;
 
   start_ms = fleet_run_until_agreed (fleet, 20000);
@@ -599,7 +599,7 @@
 test_a_frozen_aggregator_misleads_nobody (void)
 {
   struct Fleet *fleet = fleet_new (100, 5);
-  uint32_t frozen[ROSTER_AGGREGATORS], worst = 0;
+  uint32_t frozen[PEER_TABLE_AGGREGATORS], worst = 0;
 
   fleet_run (fleet, 5000);
   fleet_aggregators (fleet, 2, frozen);
@@ -634,7 +634,7 @@
       fleet_run (fleet, 400);
       member_start (fleet, flapping);
       fleet_run (fleet, 600);
-      CU_ASSERT_EQUAL (fleet->members[flapping].roster->n_peers > 0, true);
+      CU_ASSERT_EQUAL (fleet->members[flapping].table->n_peers > 0, true);
     }
   CU_ASSERT (fleet_run_until_agreed (fleet, 20000) <= 3000);
   talloc_free (fleet);
@@ -662,7 +662,7 @@
   talloc_free (fleet);
 }
 
-const char test_suite_name[] = "roster_fleet";
+const char test_suite_name[] = "peer_table_fleet";
 const struct TestCase test_cases[] = {
   { "sizes", test_sizes },
   { "regions apart come together", test_regions_apart_come_together },
