--- a/core/counter.c
+++ b/core/counter.c
@@ -55,6 +55,8 @@
   [COUNTER_PREFIX_CACHED] =
       COUNTS ("prefix_cached_tokens", "Prompt tokens that the engines found in their cache"),
   [COUNTER_KV_READS] = COUNTS ("kv_reads", "Reads and watches sent to the key-value service"),
+  [COUNTER_KV_LISTS] = COUNTS ("kv_lists", "Of the reads, pages of lists"),
+  [COUNTER_KV_WATCHES] = COUNTS ("kv_watches", "Of the reads, calls that wait for changes"),
   [COUNTER_KV_WRITES] = COUNTS ("kv_writes", "Writes sent to the key-value service"),
   [COUNTER_KV_FAILURES] =
       COUNTS ("kv_failures", "Requests to the key-value service without a usable answer"),
--- /dev/null
+++ b/core/gateway/message_count.c
@@ -0,0 +1,103 @@
+#include <buckthornhead/message_count.h>
+
+#include <inttypes.h>
+#include <stdatomic.h>
+
+enum
+{
+  N_KINDS = GATEWAY_USES + 1
+};
+
+struct KindCell
+{
+  _Atomic uint64_t messages, bytes;
+};
+
+static struct KindCell cells[N_MESSAGE_WAYS][N_KINDS];
+
+static const char *const way_names[N_MESSAGE_WAYS] = {
+  [MESSAGE_SENT] = "sent",
+  [MESSAGE_RECEIVED] = "received",
+};
+
+static const char *
+kind_name (enum GatewayKind kind)
+{
+  switch (kind)
+    {
+    case GATEWAY_TURN_OPEN:
+      return "turn_open";
+    case GATEWAY_TURN_READ:
+      return "turn_read";
+    case GATEWAY_TURN_OPENED:
+      return "turn_opened";
+    case GATEWAY_TURN_CLOSE:
+      return "turn_close";
+    case GATEWAY_TURN_CLOSED:
+      return "turn_closed";
+    case GATEWAY_HEARTBEAT:
+      return "heartbeat";
+    case GATEWAY_SNAPSHOT:
+      return "snapshot";
+    case GATEWAY_COPY_WANT:
+      return "copy_want";
+    case GATEWAY_COPY_PART:
+      return "copy_part";
+    case GATEWAY_RELAY:
+      return "relay";
+    case GATEWAY_SLOT_ASK:
+      return "slot_ask";
+    case GATEWAY_SLOT_STATE:
+      return "slot_state";
+    case GATEWAY_SLOT_DONE:
+      return "slot_done";
+    case GATEWAY_ALIVE:
+      return "alive";
+    case GATEWAY_SNAPSHOT_WANT:
+      return "snapshot_want";
+    case GATEWAY_DIGESTS:
+      return "digests";
+    case GATEWAY_PROBE:
+      return "probe";
+    case GATEWAY_USES:
+      return "uses";
+    }
+  return "unknown";
+}
+
+void
+message_count_add (enum MessageWay way, enum GatewayKind kind, size_t n_bytes)
+{
+  struct KindCell *cell = &cells[way][kind];
+
+  atomic_fetch_add_explicit (&cell->messages, 1, memory_order_relaxed);
+  atomic_fetch_add_explicit (&cell->bytes, n_bytes, memory_order_relaxed);
+}
+
+uint64_t
+message_count_read (enum MessageWay way, enum GatewayKind kind)
+{
+  return atomic_load_explicit (&cells[way][kind].messages, memory_order_relaxed);
+}
+
+char *
+message_count_render (TALLOC_CTX *ctx)
+{
+  char *text = talloc_strdup (ctx, "");
+
+  for (uint32_t way = 0; way < N_MESSAGE_WAYS; way++)
+    for (uint32_t kind = GATEWAY_TURN_OPEN; kind < N_KINDS; kind++)
+      {
+        uint64_t n = message_count_read (way, kind);
+
+        if (n == 0)
+          continue;
+        text = talloc_asprintf_append_buffer (
+            text,
+            "buckthornhead_messages_%s_total{kind=\"%s\"} %" PRIu64 "\n"
+            "buckthornhead_message_bytes_%s_total{kind=\"%s\"} %" PRIu64 "\n",
+            way_names[way], kind_name (kind), n, way_names[way], kind_name (kind),
+            atomic_load_explicit (&cells[way][kind].bytes, memory_order_relaxed));
+      }
+  return text;
+}
--- a/gateway/metrics.c
+++ b/gateway/metrics.c
@@ -6,6 +6,7 @@
 #include <buckthornhead/histogram.h>
 #include <buckthornhead/http_server.h>
 #include <buckthornhead/log.h>
+#include <buckthornhead/message_count.h>
 
 #include <string.h>
 
@@ -30,9 +31,10 @@
 {
   char *counters = counter_render (ctx);
   char *histograms = histogram_render (ctx);
+  char *messages = message_count_render (ctx);
 
-  return counters != NULL && histograms != NULL
-             ? talloc_asprintf (ctx, "%s%s", counters, histograms)
+  return counters != NULL && histograms != NULL && messages != NULL
+             ? talloc_asprintf (ctx, "%s%s%s", counters, histograms, messages)
              : NULL;
 }
 
--- a/gateway/node_receive.c
+++ b/gateway/node_receive.c
@@ -7,6 +7,7 @@
 #include "zone_servers.h"
 
 #include <buckthornhead/log.h>
+#include <buckthornhead/message_count.h>
 
 #include <string.h>
 
@@ -263,6 +264,7 @@
                  "bring the processes to one version", "from %s", sender);
       return;
     }
+  message_count_add (MESSAGE_RECEIVED, message->kind, envelope->gateway.n_bytes);
   node_deliver (node, link, sender, message);
   node_note_received (node, link, sender);
   talloc_free (message);
--- a/gateway/node_send.c
+++ b/gateway/node_send.c
@@ -3,6 +3,8 @@
 
 #include "relay.h"
 
+#include <buckthornhead/message_count.h>
+
 #include <string.h>
 
 int32_t
@@ -18,6 +20,8 @@
   if (bytes == NULL)
     return ERROR_NO_MEMORY;
   error = peer_net_send (node->net, link, &envelope);
+  if (error == ERROR_NONE)
+    message_count_add (MESSAGE_SENT, message->kind, envelope.gateway.n_bytes);
   talloc_free (bytes);
   return error;
 }
@@ -106,8 +110,8 @@
   uint64_t link = peer_net_link_to (node->net, name);
 
   node_note_asked (node, name, kind);
-  if (link != PEER_LINK_NONE)
-    peer_net_send (node->net, link, envelope);
+  if (link != PEER_LINK_NONE && peer_net_send (node->net, link, envelope) == ERROR_NONE)
+    message_count_add (MESSAGE_SENT, kind, envelope->gateway.n_bytes);
 }
 
 void
--- a/include/buckthornhead/counter.h
+++ b/include/buckthornhead/counter.h
@@ -26,6 +26,8 @@
   COUNTER_PREFIX_TOKENS, /* prompt tokens seen */
   COUNTER_PREFIX_CACHED, /* of which cached */
   COUNTER_KV_READS,
+  COUNTER_KV_LISTS,   /* of them */
+  COUNTER_KV_WATCHES, /* of them */
   COUNTER_KV_WRITES,
   COUNTER_KV_FAILURES,
   COUNTER_JOURNAL_SLOTS,
