--- a/core/customers/quota.c
+++ b/core/customers/quota.c
@@ -44,7 +44,7 @@
   ledger->rules = *rules;
   ledger->wanted_ms = (uint32_t)(rules->window_ms * WANTED_SPAN);
   ledger->seed = XXH3_64bits (instance, strlen (instance));
-  ledger->fleet = (struct QuotaFleet){ .n_known = 1, .n_heard = 1 };
+  ledger->fleet = (struct QuotaFleet){ .n_known = 1, .n_received = 1 };
   ledger->started_ms = now_ms;
   ledger->need = NEED_FIRST;
   talloc_set_destructor (ledger, ledger_free);
@@ -244,7 +244,7 @@
 static bool
 ledger_knows_fleet (const struct QuotaLedger *ledger, int64_t now_ms)
 {
-  return ledger->told_ms > 0 && now_ms - ledger->told_ms < TOLD_LIVE_MS;
+  return ledger->reported_ms > 0 && now_ms - ledger->reported_ms < TOLD_LIVE_MS;
 }
 
 static void
@@ -298,7 +298,7 @@
   const struct QuotaEntry *entry = quota_ledger_find (ledger, customer);
 
   return ledger->rules.sharing == QUOTA_BY_COUNTS && ask != QUOTA_ASK_UNDER_WAY && entry != NULL
-         && entry->rate_per_s > 0 && entry->begun.total > 0 && ledger->told_ms == 0
+         && entry->rate_per_s > 0 && entry->begun.total > 0 && ledger->reported_ms == 0
          && now_ms - ledger->started_ms < LEARNING_MS;
 }
 
@@ -306,13 +306,13 @@
 quota_ask (struct QuotaLedger *ledger, const char *customer, enum QuotaAsk ask, int64_t now_ms)
 {
   struct QuotaEntry *entry = quota_ledger_find (ledger, customer);
-  struct QuotaVerdict verdict = { .taken = true, .permille = 1000, .told_age_ms = -1 };
+  struct QuotaVerdict verdict = { .taken = true, .permille = 1000, .report_age_ms = -1 };
 
   if (entry == NULL || entry->rate_per_s <= 0)
     return verdict;
   ask = ledger_ask (ledger, ask);
-  if (ledger->told_ms > 0)
-    verdict.told_age_ms = now_ms - ledger->told_ms;
+  if (ledger->reported_ms > 0)
+    verdict.report_age_ms = now_ms - ledger->reported_ms;
   if (ledger->rules.sharing == QUOTA_BY_COUNTS && !ledger_knows_fleet (ledger, now_ms)
       && !ledger->fleet.is_cut_off)
     memset (&entry->others, 0, sizeof entry->others);
--- a/core/customers/quota_internal.h
+++ b/core/customers/quota_internal.h
@@ -1,5 +1,5 @@
-/* What the files of limits share: quota.c counts what is asked, quota_told.c takes and gives what
- * gateways tell, quota_part.c says which part of what asks may pass. */
+/* What the files of limits share: quota.c counts what is asked, quota_reports.c takes and gives
+ * what gateways tell, quota_part.c says which part of what asks may pass. */
 #pragma once
 
 #include <buckthornhead/customers/quota.h>
@@ -17,10 +17,10 @@
   struct UseWindow taken, begun, wanted;
   double need_scale; /* of this customer's programs against all customers' */
   uint64_t n_refused;
-  int64_t refused_ms;        /* the last one; 0: none */
-  double credit;             /* of a request that only a part of passes */
-  struct CustomerUse told;   /* what this gateway told last */
-  struct CustomerUse others; /* as others told */
+  int64_t refused_ms;          /* the last one; 0: none */
+  double credit;               /* of a request that only a part of passes */
+  struct CustomerUse reported; /* what this gateway told last */
+  struct CustomerUse others;   /* as others told */
   UT_hash_handle hh;
 };
 
@@ -36,7 +36,7 @@
   double before_starts_part; /* of the fleet's window, what lies before gateways started */
   struct QuotaFleet fleet;
   int64_t started_ms;
-  int64_t told_ms; /* when sums came last; 0: never */
+  int64_t reported_ms; /* when sums came last; 0: never */
 };
 
 struct QuotaEntry *
--- a/core/customers/quota_part.c
+++ b/core/customers/quota_part.c
@@ -50,10 +50,10 @@
 
 /* The part of limits that gateways which hear each other may spend. */
 static double
-heard_part (const struct QuotaLedger *ledger)
+received_part (const struct QuotaLedger *ledger)
 {
   const struct QuotaFleet *fleet = &ledger->fleet;
-  double unheard = 1 - (double)fleet->n_heard / fleet->n_known;
+  double unheard = 1 - (double)fleet->n_received / fleet->n_known;
 
   return 1 - fmin (fmax (unheard, 0) / 2, CUT_OFF_PARTS_MAX);
 }
@@ -77,7 +77,7 @@
 {
   const struct QuotaMargins *margins = entry_margins (ledger, entry, fleet, now_ms);
   double spare = margins->under_way_spare * ledger->rules.slack;
-  double limit = quota_limit (ledger, entry), heard = heard_part (ledger);
+  double limit = quota_limit (ledger, entry), heard = received_part (ledger);
 
   if (quota_is_surge (ledger, entry, fleet))
     limit -= entry->burst * (1 - quota_age (ledger, now_ms));
@@ -97,7 +97,7 @@
             const struct CustomerUse *fleet,
             int64_t now_ms)
 {
-  double burst = entry->burst * quota_age (ledger, now_ms), heard = heard_part (ledger);
+  double burst = entry->burst * quota_age (ledger, now_ms), heard = received_part (ledger);
   const struct QuotaMargins *margins = entry_margins (ledger, entry, fleet, now_ms);
   double spare = margins->begin_spare * (burst + ledger->rules.slack);
   double limit = (entry->rate_per_s * quota_window_s (ledger) + spare) * heard;
@@ -125,8 +125,8 @@
              const struct QuotaEntry *entry,
              const struct CustomerUse *own)
 {
-  const struct CustomerUse *others = &entry->others, *then = &entry->told;
-  uint32_t n_others = ledger->fleet.n_heard - 1;
+  const struct CustomerUse *others = &entry->others, *then = &entry->reported;
+  uint32_t n_others = ledger->fleet.n_received - 1;
   double before = quota_before_starts (ledger, entry);
 
   if (n_others > GROWING_OTHERS_MAX)
--- a/core/customers/quota_told.c
+++ b/core/customers/quota_reports.c
@@ -56,7 +56,7 @@
     if (uses[i].customer[0] == '\0')
       all = &uses[i];
   ledger->before_starts_part =
-      all != NULL ? fmin (all->wanted / (1000.0 * ledger->fleet.n_heard), 1) : 0;
+      all != NULL ? fmin (all->wanted / (1000.0 * ledger->fleet.n_received), 1) : 0;
   if (all == NULL || all->begun < NEED_PROGRAMS_MIN
       || ledger_surge (ledger, uses, n_uses) > NEED_SURGE_PART * all->taken)
     return;
@@ -78,15 +78,15 @@
 }
 
 void
-quota_ledger_hear (struct QuotaLedger *ledger,
-                   const struct CustomerUse *uses,
-                   size_t n_uses,
-                   int64_t now_ms)
+quota_ledger_take_report (struct QuotaLedger *ledger,
+                          const struct CustomerUse *uses,
+                          size_t n_uses,
+                          int64_t now_ms)
 {
   static const struct CustomerUse none;
-  double passed_s = ledger->told_ms > 0 ? (double)(now_ms - ledger->told_ms) / 1000 : 0;
+  double passed_s = ledger->reported_ms > 0 ? (double)(now_ms - ledger->reported_ms) / 1000 : 0;
 
-  ledger->told_ms = now_ms;
+  ledger->reported_ms = now_ms;
   ledger_take_all (ledger, uses, n_uses, passed_s);
   for (struct QuotaEntry *entry = ledger->entries; entry != NULL; entry = entry->hh.next)
     entry->others = none;
@@ -96,9 +96,9 @@
 
       if (entry == NULL)
         continue;
-      entry->others.taken = without (uses[i].taken, entry->told.taken);
-      entry->others.begun = without (uses[i].begun, entry->told.begun);
-      entry->others.wanted = without (uses[i].wanted, entry->told.wanted);
+      entry->others.taken = without (uses[i].taken, entry->reported.taken);
+      entry->others.begun = without (uses[i].begun, entry->reported.begun);
+      entry->others.wanted = without (uses[i].wanted, entry->reported.wanted);
       entry_learn_need (entry, &uses[i], passed_s);
     }
 }
@@ -120,9 +120,9 @@
   *n_uses = 1;
   for (struct QuotaEntry *entry = ledger->entries; entry != NULL; entry = entry->hh.next)
     {
-      entry->told = quota_own_use (ledger, entry, now_ms);
-      if (entry->rate_per_s > 0 && (entry->told.taken > 0 || entry->told.wanted > 0))
-        uses[(*n_uses)++] = entry->told;
+      entry->reported = quota_own_use (ledger, entry, now_ms);
+      if (entry->rate_per_s > 0 && (entry->reported.taken > 0 || entry->reported.wanted > 0))
+        uses[(*n_uses)++] = entry->reported;
     }
   return uses;
 }
--- a/core/customers/use_board.c
+++ b/core/customers/use_board.c
@@ -12,7 +12,7 @@
 struct BoardRow
 {
   char key[NAME_MAX_BYTES + 3]; /* scope and sender */
-  int64_t told_ms;
+  int64_t reported_ms;
   struct UseReport report;
   UT_hash_handle hh;
 };
@@ -47,7 +47,7 @@
 
   HASH_ITER (hh, board->rows, row, next)
   {
-    if (now_ms - row->told_ms < REPORT_LIVE_MS)
+    if (now_ms - row->reported_ms < REPORT_LIVE_MS)
       continue;
     HASH_DEL (board->rows, row);
     talloc_free (row);
@@ -74,7 +74,7 @@
       HASH_ADD_STR (board->rows, key, row);
     }
   board->received_ms = now_ms;
-  row->told_ms = now_ms;
+  row->reported_ms = now_ms;
   talloc_free (row->report.uses);
   row->report = *report;
   row->report.uses = talloc_memdup (row, report->uses, report->n_uses * sizeof *report->uses);
@@ -133,13 +133,13 @@
 
 /* Another aggregator of the same zone has told later. */
 static bool
-zone_was_told_later (const struct UseBoard *board, const struct BoardRow *row)
+zone_reported_later (const struct UseBoard *board, const struct BoardRow *row)
 {
   for (const struct BoardRow *other = board->rows; other != NULL; other = other->hh.next)
     if (other != row && other->report.scope == USE_OF_ZONE
         && strcmp (other->report.zone, row->report.zone) == 0
-        && (other->told_ms > row->told_ms
-            || (other->told_ms == row->told_ms && strcmp (other->key, row->key) < 0)))
+        && (other->reported_ms > row->reported_ms
+            || (other->reported_ms == row->reported_ms && strcmp (other->key, row->key) < 0)))
       return true;
   return false;
 }
@@ -164,7 +164,7 @@
         sum_add (&sum, row->report.uses, row->report.n_uses);
         break;
       case USE_OF_ZONE:
-        if (scope == USE_OF_FLEET && !zone_was_told_later (board, row))
+        if (scope == USE_OF_FLEET && !zone_reported_later (board, row))
           sum_add (&sum, row->report.uses, row->report.n_uses);
         break;
       case USE_OF_FLEET:
@@ -180,13 +180,13 @@
 
   board_expire (board, now_ms);
   for (const struct BoardRow *row = board->rows; row != NULL; row = row->hh.next)
-    if (row->report.scope == USE_OF_FLEET && (best == NULL || row->told_ms > best->told_ms))
+    if (row->report.scope == USE_OF_FLEET && (best == NULL || row->reported_ms > best->reported_ms))
       best = row;
   return best != NULL ? &best->report : NULL;
 }
 
 int64_t
-use_board_heard_ms (const struct UseBoard *board)
+use_board_received_ms (const struct UseBoard *board)
 {
   return board->received_ms;
 }
--- a/core/scheduling/replica_set.c
+++ b/core/scheduling/replica_set.c
@@ -125,7 +125,7 @@
   replica->failures = 0;
   replica->avoid_until_ms = 0;
   memset (&replica->rate, 0, sizeof replica->rate);
-  memset (&replica->told, 0, sizeof replica->told);
+  memset (&replica->reported, 0, sizeof replica->reported);
   replica->owned = false;
   replica->n_cached = 0;
   replica->restarted = true;
@@ -226,8 +226,8 @@
   replica->owned = true;
   replica->peers_in_flight =
       digest->total > replica->in_flight ? digest->total - replica->in_flight : 0;
-  replica->told.permille = digest->failed_permille;
-  replica->told.noted_ms = now_ms;
+  replica->reported.permille = digest->failed_permille;
+  replica->reported.noted_ms = now_ms;
   replica->n_cached = digest->n_parts;
   for (uint32_t i = 0; i < digest->n_parts; i++)
     replica->cached[i].id = digest->parts[i];
@@ -273,7 +273,7 @@
 replica_failed_permille (const struct Replica *replica, int64_t now_ms)
 {
   uint32_t own = failure_rate_permille (&replica->rate, now_ms);
-  uint32_t told = failure_rate_permille (&replica->told, now_ms);
+  uint32_t told = failure_rate_permille (&replica->reported, now_ms);
 
   return own > told ? own : told;
 }
--- a/gateway/archive_member.c
+++ b/gateway/archive_member.c
@@ -45,13 +45,13 @@
   char joining[NAME_MAX_BYTES + 1], leaving[NAME_MAX_BYTES + 1];
   bool writing;
   int64_t next_ms;
-  int64_t not_heard_ms[ARCHIVE_SET_MAX]; /* since when, by place in the set */
-  uint64_t not_heard_generation;
+  int64_t silent_ms[ARCHIVE_SET_MAX]; /* since when, by place in the set */
+  uint64_t silent_generation;
   uint64_t joining_generation;
-  int64_t joining_heard_ms; /* last, the archive that comes with that change */
+  int64_t joining_received_ms; /* last, the archive that comes with that change */
   uint64_t ending_generation;
   int64_t ending_ms; /* since when that change is ending */
-  bool told_running, told_completed, telling;
+  bool reported_running, reported_completed, reporting;
 };
 
 static const char *
@@ -286,9 +286,9 @@
   if (member->joining_generation != set->generation || member_peer_is_live (member, joining))
     {
       member->joining_generation = set->generation;
-      member->joining_heard_ms = now_ms;
+      member->joining_received_ms = now_ms;
     }
-  if (now_ms - member->joining_heard_ms > DEAD_MS && !archive_set_has (set, name)
+  if (now_ms - member->joining_received_ms > DEAD_MS && !archive_set_has (set, name)
       && !archive_names_have (&set->former, name) && !member_is_retiring (member, name))
     member_write (member, ARCHIVE_STEP_REJOIN, name, "");
 }
@@ -345,18 +345,18 @@
   const struct ArchiveSet *set = &member->node->set;
   int64_t now_ms = member_now_ms (member);
 
-  if (member->not_heard_generation != set->generation)
-    memset (member->not_heard_ms, 0, sizeof member->not_heard_ms);
-  member->not_heard_generation = set->generation;
+  if (member->silent_generation != set->generation)
+    memset (member->silent_ms, 0, sizeof member->silent_ms);
+  member->silent_generation = set->generation;
   for (uint32_t i = 0; i < set->members.n; i++)
     {
       if (member_is_retiring (member, set->members.names[i]))
         return set->members.names[i];
       if (member_peer_is_live (member, set->members.names[i]))
-        member->not_heard_ms[i] = 0;
-      else if (member->not_heard_ms[i] == 0)
-        member->not_heard_ms[i] = now_ms;
-      else if (now_ms - member->not_heard_ms[i] > DEAD_MS)
+        member->silent_ms[i] = 0;
+      else if (member->silent_ms[i] == 0)
+        member->silent_ms[i] = now_ms;
+      else if (now_ms - member->silent_ms[i] > DEAD_MS)
         return set->members.names[i];
     }
   return NULL;
@@ -429,20 +429,20 @@
 /* Telling the operators. */
 
 static void
-member_on_told (void *data, const struct KvResult *result)
+member_on_reported (void *data, const struct KvResult *result)
 {
   struct ArchiveMember *member = data;
 
-  member->telling = false;
+  member->reporting = false;
   if (result->error != ERROR_NONE)
     {
-      member->told_running = false;
-      member->told_completed = false;
+      member->reported_running = false;
+      member->reported_completed = false;
     }
 }
 
 static void
-member_tell (struct ArchiveMember *member)
+member_report (struct ArchiveMember *member)
 {
   const struct ArchiveSet *set = &member->node->set;
   bool completed =
@@ -450,23 +450,24 @@
   struct KvRequest request = { .op = KV_OP_PUT };
   struct RetireNote note;
 
-  if (!member_is_retiring (member, member_name (member)) || member->telling || set->generation == 0
-      || (completed ? member->told_completed : member->told_running))
+  if (!member_is_retiring (member, member_name (member)) || member->reporting
+      || set->generation == 0
+      || (completed ? member->reported_completed : member->reported_running))
     return;
   member->node->dialect->write_retired (member_name (member), completed, &note);
   request.put.key = note.key;
   request.put.value = (const uint8_t *)note.value;
   request.put.value_bytes = strlen (note.value);
   request.put.condition = KV_IF_ALWAYS;
-  member->telling = true;
-  member->told_running = true;
-  member->told_completed = completed;
+  member->reporting = true;
+  member->reported_running = true;
+  member->reported_completed = completed;
   if (completed)
     log_event (LOG_LEVEL_NOTICE, "archive_emptied", NULL, "the machine may be taken away",
                "generation %llu", (unsigned long long)set->generation);
-  if (kv_submit_guarded (member, member->node->store, &request, member_on_told, member)
+  if (kv_submit_guarded (member, member->node->store, &request, member_on_reported, member)
       != ERROR_NONE)
-    member->telling = false;
+    member->reporting = false;
 }
 
 /* A disk that counts and lacks something, but for one that copies for a change anyway. */
@@ -570,7 +571,7 @@
       }
   if (inside)
     member->first = false;
-  member_tell (member);
+  member_report (member);
 }
 
 struct ArchiveMember *
--- a/gateway/front.c
+++ b/gateway/front.c
@@ -499,12 +499,12 @@
     {
       struct ReplicaLoad *load = &heartbeat->loads[heartbeat->n_loads];
 
-      set->replicas[i]->told_in_flight = 0;
+      set->replicas[i]->reported_in_flight = 0;
       if (set->replicas[i]->in_flight == 0 || set->replicas[i]->owned)
         continue;
       snprintf (load->replica, NAME_MAX_BYTES + 1, "%s", set->replicas[i]->entry.id);
       load->in_flight = set->replicas[i]->in_flight;
-      set->replicas[i]->told_in_flight = load->in_flight;
+      set->replicas[i]->reported_in_flight = load->in_flight;
       heartbeat->n_loads++;
     }
 }
@@ -553,7 +553,7 @@
   for (size_t i = 0; loads != NULL && i < n_loads; i++)
     {
       struct Replica *replica = replica_set_find (front->replicas, loads[i].replica);
-      uint32_t own = replica != NULL && has_own ? replica->told_in_flight : 0;
+      uint32_t own = replica != NULL && has_own ? replica->reported_in_flight : 0;
 
       if (replica != NULL && !replica->owned && loads[i].in_flight > own)
         replica->peers_in_flight = loads[i].in_flight - own;
--- a/gateway/node_report.c
+++ b/gateway/node_report.c
@@ -42,7 +42,7 @@
 
 /* The set of archives is long: it is told while somebody who gets it may not know it. */
 static bool
-node_must_tell_set (const struct Node *node)
+node_must_send_set (const struct Node *node)
 {
   const struct PeerTable *table = node->peers;
 
@@ -77,7 +77,7 @@
     return NULL;
   heartbeat = &message->heartbeat;
   heartbeat->scope = scope;
-  if (node_must_tell_set (node))
+  if (node_must_send_set (node))
     heartbeat->set = node->set;
   heartbeat->n_marks = store_reader_marks (node->reader, heartbeat->marks);
   switch (scope)
--- a/gateway/quotas.c
+++ b/gateway/quotas.c
@@ -30,8 +30,8 @@
   struct Front *front;
   struct QuotaLedger *ledger;
   struct UseBoard *board;
-  int64_t told_ms;       /* own use */
-  int64_t fleet_told_ms; /* sums, as an aggregator */
+  int64_t reported_ms;       /* own use */
+  int64_t fleet_reported_ms; /* sums, as an aggregator */
   enum QuotaUrgency urgency;
   uint32_t n_looks;
 };
@@ -98,11 +98,11 @@
                "raise its limit, or tell the customer",
                "%s: limit %u a window, %u taken as told %lld ms ago, programs need %.1f requests",
                request->customer.name, verdict.limit, verdict.fleet_taken,
-               (long long)verdict.told_age_ms, quota_ledger_need (quotas->ledger));
+               (long long)verdict.report_age_ms, quota_ledger_need (quotas->ledger));
   snprintf (detail, sizeof detail,
             "customer %s: limit %u a window, %u taken as told %lld ms ago, %u of 1000 pass",
             request->customer.name, verdict.limit, verdict.fleet_taken,
-            (long long)verdict.told_age_ms, verdict.permille);
+            (long long)verdict.report_age_ms, verdict.permille);
   request_over_limit (request, verdict.retry_after_ms, detail);
   return false;
 }
@@ -131,7 +131,7 @@
 }
 
 static int64_t
-quotas_tell_again_ms (const struct Quotas *quotas, int64_t now_ms)
+quotas_report_again_ms (const struct Quotas *quotas, int64_t now_ms)
 {
   if (quotas_hurries (quotas, now_ms))
     return LOOK_MS;
@@ -167,22 +167,22 @@
 /* As an aggregator: the zone's sum to other zones, the fleet's to the members. At once when a surge
  * begins. */
 static void
-quotas_tell_sums (struct Quotas *quotas,
+quotas_send_sums (struct Quotas *quotas,
                   struct CustomerUse *own,
                   size_t n_own,
                   struct CustomerUse *fleet,
                   size_t n_fleet,
                   int64_t now_ms)
 {
-  int64_t since_ms = now_ms - quotas->fleet_told_ms;
+  int64_t since_ms = now_ms - quotas->fleet_reported_ms;
   struct CustomerUse *zone;
   size_t n_zone;
 
-  if (since_ms < quotas_tell_again_ms (quotas, now_ms))
+  if (since_ms < quotas_report_again_ms (quotas, now_ms))
     return;
   zone = use_board_sum (quotas->board, fleet, USE_OF_ZONE, own, n_own, now_ms, &n_zone);
   quotas_send (quotas, USE_OF_ZONE, zone, n_zone, PEERS_OTHER_ZONES);
-  quotas->fleet_told_ms = now_ms;
+  quotas->fleet_reported_ms = now_ms;
   quotas_send (quotas, USE_OF_FLEET, fleet, n_fleet, PEERS_SERVED);
 }
 
@@ -198,13 +198,13 @@
     return;
   n_fleet = quota_ledger_near_limit (quotas->ledger, fleet, n_fleet);
   quotas->urgency = quota_ledger_urgency (quotas->ledger, fleet, n_fleet);
-  quota_ledger_hear (quotas->ledger, fleet, n_fleet, now_ms);
-  quotas_tell_sums (quotas, own, n_own, fleet, n_fleet, now_ms);
+  quota_ledger_take_report (quotas->ledger, fleet, n_fleet, now_ms);
+  quotas_send_sums (quotas, own, n_own, fleet, n_fleet, now_ms);
 }
 
 /* The same, as an aggregator said. */
 static void
-quotas_hear (struct Quotas *quotas, int64_t now_ms)
+quotas_take_report (struct Quotas *quotas, int64_t now_ms)
 {
   const struct UseReport *told = use_board_fleet (quotas->board, now_ms);
 
@@ -213,7 +213,7 @@
       quotas->urgency = QUOTA_CALM;
       return;
     }
-  quota_ledger_hear (quotas->ledger, told->uses, told->n_uses, now_ms);
+  quota_ledger_take_report (quotas->ledger, told->uses, told->n_uses, now_ms);
   quotas->urgency = quota_ledger_urgency (quotas->ledger, told->uses, told->n_uses);
 }
 
@@ -223,8 +223,8 @@
 {
   const struct Node *node = quotas->front->node;
   const struct PeerTable *table = node->peers;
-  struct QuotaFleet fleet = { .n_known = 1, .n_heard = 1 };
-  int64_t received_ms = use_board_heard_ms (quotas->board);
+  struct QuotaFleet fleet = { .n_known = 1, .n_received = 1 };
+  int64_t received_ms = use_board_received_ms (quotas->board);
 
   for (size_t i = 0; i < table->n_peers; i++)
     {
@@ -233,7 +233,7 @@
       if (status->caller_address[0] == '\0' || status->leaving)
         continue;
       fleet.n_known++;
-      fleet.n_heard += node_peer_is_live (node, table->peers[i]);
+      fleet.n_received += node_peer_is_live (node, table->peers[i]);
     }
   if (received_ms < quotas->front->started_ms)
     received_ms = quotas->front->started_ms;
@@ -242,9 +242,9 @@
 }
 
 static void
-quotas_tell_own (struct Quotas *quotas, struct CustomerUse *own, size_t n_own, int64_t now_ms)
+quotas_send_own (struct Quotas *quotas, struct CustomerUse *own, size_t n_own, int64_t now_ms)
 {
-  quotas->told_ms = now_ms;
+  quotas->reported_ms = now_ms;
   quotas_send (quotas, USE_OF_GATEWAY, own, n_own, PEERS_OWN_AGGREGATORS);
 }
 
@@ -252,16 +252,16 @@
 quotas_look (struct Quotas *quotas, int64_t now_ms)
 {
   bool aggregates = peer_table_is_aggregator (quotas->front->node->peers, now_ms);
-  bool tells = now_ms - quotas->told_ms >= quotas_tell_again_ms (quotas, now_ms);
+  bool tells = now_ms - quotas->reported_ms >= quotas_report_again_ms (quotas, now_ms);
   struct CustomerUse *own = NULL;
   size_t n_own;
 
   if (aggregates || tells)
     own = quota_ledger_uses (quotas->ledger, quotas, now_ms, &n_own);
   if (own != NULL && tells)
-    quotas_tell_own (quotas, own, n_own, now_ms);
+    quotas_send_own (quotas, own, n_own, now_ms);
   if (!aggregates)
-    quotas_hear (quotas, now_ms);
+    quotas_take_report (quotas, now_ms);
   else if (own != NULL)
     quotas_sum_up (quotas, own, n_own, now_ms);
   talloc_free (own);
--- a/gateway/slots.c
+++ b/gateway/slots.c
@@ -29,8 +29,8 @@
   uint64_t id;
   int64_t asked_ms; /* at first */
   bool granted;
-  bool told_queued; /* a line in the log says that it waits */
-  bool answered;    /* since it was asked last */
+  bool logged_queued; /* a line in the log says that it waits */
+  bool answered;      /* since it was asked last */
   uint32_t n_moves;
   struct Timer *timer;
 };
@@ -144,7 +144,7 @@
 }
 
 static void
-slots_tell_done (struct Request *request)
+slots_send_done (struct Request *request)
 {
   struct SlotWait *wait = request->slot;
   struct GatewayMessage message = { .kind = GATEWAY_SLOT_DONE };
@@ -189,7 +189,7 @@
   if (owner != NULL && strcmp (owner, wait->owner) != 0)
     {
       if (wait->owner[0] != '\0')
-        slots_tell_done (request);
+        slots_send_done (request);
       snprintf (wait->owner, sizeof wait->owner, "%s", owner);
     }
   if (owner == NULL || slots_send_ask (request) != ERROR_NONE)
@@ -247,7 +247,7 @@
   if (request->slot == NULL)
     return;
   if (request->slot->owner[0] != '\0')
-    slots_tell_done (request);
+    slots_send_done (request);
   TALLOC_FREE (request->slot);
 }
 
@@ -288,9 +288,9 @@
 static void
 slots_log_queued (struct Request *request, const struct SlotState *state)
 {
-  if (request->slot->told_queued)
+  if (request->slot->logged_queued)
     return;
-  request->slot->told_queued = true;
+  request->slot->logged_queued = true;
   log_request (
       LOG_LEVEL_INFO, "queued", request->caller.id, request->caller.program,
       "%s, by %s: %u there, %u go before, some %u ms; %lld ms left to its program",
--- a/include/buckthornhead/customers/quota.h
+++ b/include/buckthornhead/customers/quota.h
@@ -62,7 +62,7 @@
   uint32_t limit;          /* requests a window */
   uint32_t fleet_taken;    /* in the last window, as far as is known */
   bool first;              /* of those that were sent back, for a window at least */
-  int64_t told_age_ms;     /* of what others used; -1: nobody has told */
+  int64_t report_age_ms;   /* of what others used; -1: nobody has told */
 };
 
 struct QuotaLedger;
@@ -84,8 +84,8 @@
 /* The gateways that are known, of which this one hears some. */
 struct QuotaFleet
 {
-  uint32_t n_known, n_heard; /* this one included */
-  bool is_cut_off;           /* none of the others is heard, and it should be */
+  uint32_t n_known, n_received; /* this one included */
+  bool is_cut_off;              /* none of the others is heard, and it should be */
 };
 
 void
@@ -94,10 +94,10 @@
 /* Sums over the fleet of the customers near their limit, in which this gateway's part is as it told
  * it last; all others are not near theirs. */
 void
-quota_ledger_hear (struct QuotaLedger *ledger,
-                   const struct CustomerUse *uses,
-                   size_t n_uses,
-                   int64_t now_ms);
+quota_ledger_take_report (struct QuotaLedger *ledger,
+                          const struct CustomerUse *uses,
+                          size_t n_uses,
+                          int64_t now_ms);
 
 /* A request of the customer has come: counts as demand, once. */
 void
--- a/include/buckthornhead/customers/use_board.h
+++ b/include/buckthornhead/customers/use_board.h
@@ -53,4 +53,4 @@
 
 /* When any gateway was heard last; 0: never. */
 int64_t
-use_board_heard_ms (const struct UseBoard *board);
+use_board_received_ms (const struct UseBoard *board);
--- a/tests/test_quota_fleet.c
+++ b/tests/test_quota_fleet.c
@@ -141,7 +141,7 @@
   gateway->started_ms = sim->now_ms;
   gateway->beat_ms = sim->now_ms + draw (sim, HEAR_MS);
   gateway->hear_ms = sim->now_ms + draw (sim, HEAR_MS);
-  memset (gateway->told, 0, sizeof gateway->told);
+  memset (gateway->reported, 0, sizeof gateway->reported);
   quota_ledger_configure (gateway->ledger, sim->customers, sim->now_ms);
 }
 
@@ -191,12 +191,12 @@
   size_t n;
   struct CustomerUse *uses = quota_ledger_uses (gateway->ledger, sim, sim->now_ms, &n);
 
-  memset (gateway->told, 0, sizeof gateway->told);
+  memset (gateway->reported, 0, sizeof gateway->reported);
   for (size_t i = 0; i < n; i++)
     if (uses[i].customer[0] == '\0')
-      gateway->told[CUSTOMERS] = uses[i];
+      gateway->reported[CUSTOMERS] = uses[i];
     else
-      gateway->told[atoi (uses[i].customer + strlen ("customer-"))] = uses[i];
+      gateway->reported[atoi (uses[i].customer + strlen ("customer-"))] = uses[i];
   talloc_free (uses);
 }
 
@@ -233,7 +233,7 @@
   for (uint32_t g = z; g < sim->n_gateways; g += ZONES)
     if (sim->gateways[g].is_up && !sim->gateways[g].is_cut)
       for (uint32_t c = 0; c < ROWS; c++)
-        use_add (&sum[c], &sim->gateways[g].told[c]);
+        use_add (&sum[c], &sim->gateways[g].reported[c]);
   for (uint32_t c = 0; c < ROWS; c++)
     own[c] = sum[c];
   for (uint32_t other = 0; other < ZONES; other++)
@@ -273,13 +273,13 @@
 {
   struct SimGateway *gateway = &sim->gateways[g];
   const struct QuotaFleet fleet = { .n_known = sim->n_gateways,
-                                    .n_heard = sim_heard (sim, g),
+                                    .n_received = sim_heard (sim, g),
                                     .is_cut_off = gateway->is_cut };
 
   quota_ledger_note_fleet (gateway->ledger, &fleet);
   if (!gateway->is_cut && sim->zone_has_told[g % ZONES])
-    quota_ledger_hear (gateway->ledger, sim->fleet_told[g % ZONES], sim->n_fleet_told[g % ZONES],
-                       sim->now_ms);
+    quota_ledger_take_report (gateway->ledger, sim->fleet_told[g % ZONES],
+                              sim->n_fleet_told[g % ZONES], sim->now_ms);
 }
 
 static void
--- a/tests/test_slot_queue.c
+++ b/tests/test_slot_queue.c
@@ -251,8 +251,8 @@
   talloc_free (queues);
 }
 
-/* An engine crashes and is back under its id, its cache empty. Its owner must not go on telling all
- * gateways that it holds what the process before it held. */
+/* An engine crashes and is back under its id, its cache empty. Its owner must not go on reporting
+ * all gateways that it holds what the process before it held. */
 static void
 test_a_restarted_server_holds_nothing (void)
 {
--- a/tests/test_use_board.c
+++ b/tests/test_use_board.c
@@ -54,7 +54,7 @@
   /* A newer word takes the place of the older one. */
   take (board, "b", "z1", USE_OF_GATEWAY, 5, START_MS + 1);
   CU_ASSERT_EQUAL (sum (board, USE_OF_ZONE, 1, START_MS + 1), 10);
-  CU_ASSERT_EQUAL (use_board_heard_ms (board), START_MS + 1);
+  CU_ASSERT_EQUAL (use_board_received_ms (board), START_MS + 1);
   talloc_free (board);
 }
 
