--- a/tests/test_quota_fleet.c
+++ b/tests/test_quota_fleet.c
@@ -41,7 +41,7 @@
 {
   struct QuotaLedger *ledger;
   bool is_up, is_cut;
-  struct CustomerUse told[ROWS]; /* to its zone's aggregator */
+  struct CustomerUse reported[ROWS]; /* to its zone's aggregator */
   int64_t started_ms, beat_ms, hear_ms, down_until_ms;
 };
 
