--- a/core/membership/peer_table.c
+++ b/core/membership/peer_table.c
@@ -196,10 +196,13 @@
                 enum SnapshotKind kind,
                 int64_t now_ms)
 {
-  for (uint32_t i = 0; peer->listed >> i != 0 && i < PEER_TABLE_SOURCES_MAX; i++)
-    if ((peer->listed >> i & 1) != 0 && table->sources[i].kind == kind
-        && source_is_live (&table->sources[i], now_ms))
-      return true;
+  for (uint64_t listed = peer->listed; listed != 0; listed &= listed - 1)
+    {
+      const struct PeerListSource *source = &table->sources[__builtin_ctzll (listed)];
+
+      if (source->kind == kind && source_is_live (source, now_ms))
+        return true;
+    }
   return false;
 }
 
@@ -319,9 +322,13 @@
 
   if (peer->listed_ms > seen_ms)
     seen_ms = peer->listed_ms;
-  for (uint32_t i = 0; i < PEER_TABLE_SOURCES_MAX; i++)
-    if ((peer->listed >> i & 1) != 0 && table->sources[i].received_ms > seen_ms)
-      seen_ms = table->sources[i].received_ms;
+  for (uint64_t listed = peer->listed; listed != 0; listed &= listed - 1)
+    {
+      int64_t received_ms = table->sources[__builtin_ctzll (listed)].received_ms;
+
+      if (received_ms > seen_ms)
+        seen_ms = received_ms;
+    }
   return seen_ms;
 }
 
