One process reads the list of servers while a fleet starts

A list of 10,001 servers takes 51 calls one after the other, longer than the quarter of a second after which the next process in the order begins to read, too; and processes that nobody reports to yet take themselves for the first. Change: who reads a list notes so to those that would read next, each 0.2 s; a process that a seed answered waits up to 1.5 s for its aggregator's list before it reads, unless it aggregates.

--- a/gateway/store_internal.h
+++ b/gateway/store_internal.h
@@ -26,6 +26,7 @@
   int64_t current_ms; /* when what it gave was current */
   bool asking;
   int64_t wanted_ms;          /* when a peer was asked for all of it, last */
+  int64_t noted_ms;           /* when others last got a note that it is being read */
   int64_t called_ms;          /* when the call on the way left */
   int64_t floor;              /* revision of the store below which the call on the way looks */
   int64_t followed;           /* revision of the store up to which changes are known; 0: none */
@@ -103,6 +104,11 @@
 void
 topic_take (struct StoreReader *reader, const struct Snapshot *snapshot, int64_t read_ms);
 
+/* Notes to those who would read next that kind is being read: a list of thousands takes longer than
+ * they wait. */
+void
+topic_note_reading (struct StoreReader *reader, enum SnapshotKind kind);
+
 /* Nobody had read it for a while before what is held. */
 bool
 topic_is_after_gap (const struct StoreReader *reader, enum SnapshotKind kind);
--- a/gateway/store_reader.c
+++ b/gateway/store_reader.c
@@ -30,7 +30,11 @@
   BEGIN_MS = 150,
   /* While a fleet starts its seeds learn of one process after the other: those that ask first know
    * only later who reads before them. */
-  CONTACTS_GROW_MS = 350,
+  CONTACTS_GROW_MS = 150,
+  /* A process that no aggregator reports to yet does not know who reads before it. */
+  SERVED_MS = 1500,
+  /* Between two notes that a list is being read. */
+  NOTE_READING_MS = 200,
   /* An aggregator that stays one is found in the store by processes that can not reach a seed. */
   REGISTER_AFTER_MS = 3000
 };
@@ -281,6 +285,11 @@
   struct KvRequest request = { .op = KV_OP_RANGE };
   char buffer[96];
 
+  if (topic->called_ms - topic->noted_ms >= NOTE_READING_MS)
+    {
+      topic->noted_ms = topic->called_ms;
+      topic_note_reading (reader, kind);
+    }
   request.range.prefix = reader_prefix (reader, kind, buffer);
   if (topic->last_key[0] != '\0')
     request.range.start = topic->last_key;
@@ -416,6 +425,10 @@
     return reader_is_overdue (reader, kind, now_ms, delay_ms);
   if (kind == SNAPSHOT_NODES && reader->knows_nodes_ms == 0)
     return !seeds_are_awaited (node->seeds);
+  if (node->seeds != NULL && now_ms - node->started_ms < SERVED_MS
+      && !peer_table_is_served (node->peers, now_ms)
+      && !peer_table_is_aggregator (node->peers, now_ms))
+    return false;
   return reader->knows_nodes_ms > 0 && now_ms - reader->knows_nodes_ms >= BEGIN_MS + delay_ms;
 }
 
--- a/gateway/store_topics.c
+++ b/gateway/store_topics.c
@@ -242,6 +242,17 @@
   talloc_free (changes);
 }
 
+void
+topic_note_reading (struct StoreReader *reader, enum SnapshotKind kind)
+{
+  struct GatewayMessage message = { .kind = GATEWAY_SNAPSHOT };
+
+  message.snapshot.kind = kind;
+  message.snapshot.unchanged = true;
+  message.snapshot.content = reader->topics[kind].content;
+  reader_send_next (reader, &message);
+}
+
 /* Changes of another state than the one that is held: the sender is asked for all of it. */
 static void
 topic_want_whole (struct StoreReader *reader, uint64_t link, enum SnapshotKind kind)
@@ -266,6 +277,13 @@
   const struct Snapshot *before = topic->snapshot;
   struct Snapshot *whole;
 
+  /* It is being read. */
+  if (snapshot->unchanged && topic->snapshot == NULL && snapshot->revision == 0)
+    {
+      if (read_ms > topic->read_ms)
+        topic->read_ms = read_ms;
+      return false;
+    }
   if (snapshot->base == 0)
     {
       topic_take (reader, snapshot, read_ms);
