--- a/core/membership/peer_lists.c
+++ b/core/membership/peer_lists.c
@@ -37,7 +37,7 @@
     list_add (list, table->own.node, packed, n_bytes);
 }
 
-/* A member of the own zone that this process hears itself. */
+/* A member of the own zone that reports to this process. */
 static bool
 peer_is_member (const struct PeerTable *table, const struct Peer *peer, int64_t now_ms)
 {
@@ -151,7 +151,8 @@
     }
 }
 
-/* The aggregators of one zone say nearly the same of it: one of them counts, the last one heard. */
+/* The aggregators of one zone report nearly the same of it: one of them counts, the last one
+ * received. */
 static const struct PeerListSource *
 zone_source (const struct PeerTable *table, const char *zone, int64_t now_ms)
 {
--- a/core/membership/peer_table.c
+++ b/core/membership/peer_table.c
@@ -333,7 +333,7 @@
 }
 
 /* Those of a silent zone who probably aggregate it, by the order in which they did when they were
- * last heard; in every other second two others, in turn, in case they are gone for good. */
+ * last received from; in every other second two others, in turn, in case they are gone for good. */
 static struct AggregatorChoice
 choose_lost (const struct PeerTable *table, const char *zone, int64_t now_ms)
 {
@@ -590,7 +590,7 @@
 }
 
 /* Whether what a list says of the peer replaces what is known. Starts have no order, since clocks
- * step: a list that tells of another start is believed, unless the process itself was heard. */
+ * step: a list with another start is taken, unless the process itself has reported. */
 static bool
 status_is_news (const struct Peer *peer, const struct NodeStatus *status, int64_t now_ms)
 {
--- a/core/scheduling/replica_set.c
+++ b/core/scheduling/replica_set.c
@@ -276,9 +276,9 @@
 replica_failed_permille (const struct Replica *replica, int64_t now_ms)
 {
   uint32_t own = failure_rate_permille (&replica->rate, now_ms);
-  uint32_t told = failure_rate_permille (&replica->reported, now_ms);
+  uint32_t reported = failure_rate_permille (&replica->reported, now_ms);
 
-  return own > told ? own : told;
+  return own > reported ? own : reported;
 }
 
 static uint64_t
@@ -391,7 +391,7 @@
 
 enum
 {
-  SERVICES_MAX = 64 /* that are told apart; further ones count for nothing */
+  SERVICES_MAX = 64 /* that are counted apart; further ones count for nothing */
 };
 
 static struct ServiceUse *
--- a/core/scheduling/slot_queue.c
+++ b/core/scheduling/slot_queue.c
@@ -13,7 +13,7 @@
   ON_THE_WAY = 1,
   /* Weight of the last request in the mean time at the server: 1 of 16. */
   SERVICE_WEIGHT = 16,
-  /* A grant whose end was never told is forgotten this long after its caller has left. */
+  /* A grant whose end was never reported is forgotten this long after its caller has left. */
   FORGET_MS = 1000,
   /* An engine without requests keeps its cache; it is remembered for longer than a lull of traffic
    * or a program's pause. */
--- a/gateway/archive_member.c
+++ b/gateway/archive_member.c
@@ -10,8 +10,8 @@
 enum
 {
   TICK_MS = 200,
-  /* A member that was not heard for this long is replaced, if there is another disk: longer than a
-   * process takes to start again, shorter than the time in which a disk must be made up for. */
+  /* A member that has sent nothing for this long is replaced, if there is another disk: longer than
+   * a process takes to start again, shorter than the time in which a disk must be made up for. */
   DEAD_MS = 3000,
   /* Records that an archive took under the old set may still be on their way to its disk when it
    * learns of the new one; a sync takes milliseconds. */
@@ -149,7 +149,7 @@
       != ERROR_NONE)
     member_write_done (member, ERROR_NO_MEMORY);
   talloc_free (bytes);
-  /* A lost answer may have been a success: the next read of the key tells. */
+  /* A lost answer may have been a success: the next read of the key shows it. */
   member->next_ms = 0;
 }
 
--- a/gateway/directory.c
+++ b/gateway/directory.c
@@ -14,7 +14,7 @@
   /* A caller waits a second for a list and then asks another gateway. */
   DIRECTORY_HOLD_MS = 850,
   DIRECTORY_CHECK_MS = 25,
-  /* Gateways that were not heard for longer are not waited for. */
+  /* Gateways that sent nothing for longer are not waited for. */
   DIRECTORY_KNOWN_MS = 30 * 1000
 };
 
--- a/gateway/front.c
+++ b/gateway/front.c
@@ -32,7 +32,7 @@
   DIGEST_MS = 120,
   DIGESTS_OF_ALL_EVERY = 4, /* times DIGEST_MS: as often as heartbeats */
   /* Where there are more processes than these, only the gateways of an engine's zone, who send
-   * there before others, are told of it: at 300 gateways with 9 engines each, all to all would
+   * there before others, get its digests: at 300 gateways with 9 engines each, all to all would
    * be 1.4 MB a second at each of them. */
   DIGESTS_TO_ALL_MAX = 120,
   /* From the start of the process: links to archives and peers are up within some 300 ms where
@@ -244,7 +244,8 @@
   else if (request_is_turn (request) && !turn_may_start (front))
     front_hold (request, FAILURE_UNCERTAIN, "too few archives answer, and no gateway can relay");
   else if (quotas_must_wait (request))
-    front_hold (request, FAILURE_UNCERTAIN, "started lately, and nobody told what customers use");
+    front_hold (request, FAILURE_UNCERTAIN,
+                "started lately, and nobody has reported what customers use");
   else if (quotas_take (request))
     front_start (request);
 }
@@ -522,11 +523,12 @@
   talloc_free (digests->items);
 }
 
-/* The gateways of the zone, who send to these engines before others, are told of busy ones four
- * times as often as of all. Not the others: told at once that one engine is idle, all would send
- * there; at 14 to 25 turns a second and engine, half a second is half of its queue. Days of load of
- * the two largest sheets then, worth: 0.672 and 0.800 every half second; 0.711 and 0.851 with all
- * engines every 120 ms; 0.859 to 0.885 and 0.874 with the busy ones (one or two runs each). */
+/* The gateways of the zone, who send to these engines before others, get digests of busy ones four
+ * times as often as of all. Not the others: if all knew at once that one engine is idle, all would
+ * send there; at 14 to 25 turns a second and engine, half a second is half of its queue. Days of
+ * load of the two largest sheets then, worth: 0.672 and 0.800 every half second; 0.711 and 0.851
+ * with all engines every 120 ms; 0.859 to 0.885 and 0.874 with the busy ones (one or two runs
+ * each). */
 static void
 front_on_digest_tick (void *data)
 {
@@ -537,8 +539,8 @@
   front_send_digests (front, !all, all && few ? PEERS_GATEWAYS : PEERS_GATEWAYS_OF_ZONE);
 }
 
-/* What others have on their way to servers that have no owner: the sum that the aggregator tells
- * has this process's own in it, as it told them last. */
+/* What others have on their way to servers that have no owner: the sum that the aggregator sends
+ * has this process's own in it, as it reported them last. */
 static void
 front_sum_loads (struct Front *front)
 {
--- a/gateway/node.c
+++ b/gateway/node.c
@@ -17,9 +17,9 @@
   PEER_ANSWERS_MS = 650,
   /* Then the link is taken for dead and dialled anew. */
   LINK_SILENT_MS = 1600,
-  /* A gateway that has heard nobody for two heartbeats and some is cut off itself. */
+  /* A gateway that has received nothing for two heartbeats and some is cut off itself. */
   CUT_OFF_MS = 1150,
-  /* While a process starts it looks for archives and tells what it is ready for this often: with
+  /* While a process starts it looks for archives and reports what it is ready for this often: with
    * the heartbeat alone, a zone that had lost all power had 2 of its 34 gateways ready for callers
    * after 0.7 s. */
   STARTING_MS = 3000,
--- a/gateway/node.h
+++ b/gateway/node.h
@@ -1,8 +1,8 @@
 /* What gateways and archives share: the event loop, links to each other, who is there, and what
  * the platform's store says.
  *
- * Who tells whom follows from the table of peers (peer_table.h): heartbeats and lists go member -
- * aggregator
+ * Who reports to whom follows from the table of peers (peer_table.h): heartbeats and lists go
+ * member - aggregator
  * - aggregator - member, and links are dialled when they are needed. Calls to the store are dear,
  * so one process reads for all and its copy takes the same way (store_reader.c). */
 #pragma once
@@ -22,7 +22,7 @@
 struct StoreReader;
 struct Seeds;
 
-/* What the role does with what the node hears. */
+/* What the role does with what the node receives. */
 struct NodeHandler
 {
   void (*message) (void *data,
@@ -108,7 +108,7 @@
 void
 node_learn_peer (struct Node *node, const struct NodeStatus *status);
 
-/* A set of archives, from the store or a peer: taken if it is newer, and told to all peers. */
+/* A set of archives, from the store or a peer: taken if it is newer, and announced to all peers. */
 void
 node_take_set (struct Node *node, const struct ArchiveSet *set);
 
--- a/gateway/node_internal.h
+++ b/gateway/node_internal.h
@@ -1,5 +1,5 @@
 /* What the files of a node share: node.c starts it and looks after its links, node_send.c finds the
- * receivers, node_report.c says what they are told, node_receive.c takes what they say. */
+ * receivers, node_report.c says what they are sent, node_receive.c takes what they send. */
 #pragma once
 
 #include "node.h"
--- a/gateway/node_receive.c
+++ b/gateway/node_receive.c
@@ -1,4 +1,4 @@
-/* What a process hears from others. */
+/* What a process receives from others. */
 #include "node_internal.h"
 
 #include "relay.h"
@@ -25,7 +25,7 @@
     peer_net_know (node->net, status->node, status->peer_address);
 }
 
-/* Addresses of processes that lists told of. */
+/* Addresses of processes that lists name. */
 static void
 node_know_addresses (struct Node *node, const struct Snapshot *list)
 {
--- a/gateway/node_report.c
+++ b/gateway/node_report.c
@@ -1,4 +1,4 @@
-/* What a process tells of itself and, as an aggregator, of others. */
+/* What a process reports of itself and, as an aggregator, of others. */
 #include "node_internal.h"
 
 #include "zone_servers.h"
@@ -40,7 +40,7 @@
   return message;
 }
 
-/* The set of archives is long: it is told while somebody who gets it may not know it. */
+/* The set of archives is long: it is sent while somebody who gets it may not know it. */
 static bool
 node_must_send_set (const struct Node *node)
 {
@@ -96,8 +96,9 @@
   return message;
 }
 
-/* Its own aggregators hear of this process; those of other zones and the members of this one hear
- * of the zone if it aggregates. Without members to serve no sums for them are drawn up. */
+/* Its own aggregators get a report of this process; those of other zones and the members of this
+ * one get one of the zone if it aggregates. Without members to serve no sums for them are drawn up.
+ */
 static void
 node_send_heartbeats (struct Node *node, const struct GatewayMessage *own, bool serves)
 {
--- a/gateway/slots.c
+++ b/gateway/slots.c
@@ -251,7 +251,7 @@
   TALLOC_FREE (request->slot);
 }
 
-/* What the owner has told is newer than what heartbeats said. */
+/* What the owner has sent is newer than what heartbeats said. */
 static void
 slots_note_total (struct Request *request, const struct SlotState *state)
 {
@@ -351,7 +351,7 @@
                           &message.slot_state.state))
     {
       message.slot_state.id = ask.id;
-      /* One that it does not reach asks again, and is told then. */
+      /* One that it does not reach asks again, and gets it then. */
       node_send (node, ask.asker, &message);
     }
 }
--- a/gateway/store_internal.h
+++ b/gateway/store_internal.h
@@ -47,7 +47,7 @@
 
 struct StoreReader
 {
-  struct RecentHashes unreadable; /* entries that were told as such */
+  struct RecentHashes unreadable; /* entries that were logged as such */
   struct Node *node;
   struct Topic topics[N_KINDS];
   struct Follow follow;
@@ -126,7 +126,7 @@
 int64_t
 reader_delay_ms (struct StoreReader *reader);
 
-/* What this process has read itself: taken, and told to the aggregators of all zones, who tell
- * their members, and to those who would read next. */
+/* What this process has read itself: taken, and sent to the aggregators of all zones, who send it
+ * to their members, and to those who would read next. */
 void
 topic_publish (struct StoreReader *reader, struct Snapshot *snapshot);
--- a/gateway/store_reader.c
+++ b/gateway/store_reader.c
@@ -129,7 +129,7 @@
   if (reader->node->dialect->read_server (item->key, item->value, item->value_bytes, &entry, &fault)
       != ERROR_NONE)
     {
-      /* Read again with each list, it is told once. */
+      /* Read again with each list, it is logged once. */
       if (!recent_hashes_add (
               &reader->unreadable,
               XXH64 (item->value, item->value_bytes, XXH64 (item->key, strlen (item->key), 0))))
@@ -195,7 +195,7 @@
       topic_ask (reader, kind);
       return;
     }
-  /* Changes between two lists are told by the order of their keys. */
+  /* Changes between two lists are found by the order of their keys. */
   if (topic->n_pages > 0)
     qsort (topic->pages, topic->n_pages, sizeof topic->pages[0], item_compare);
   /* Pages are no snapshot: what changed while they were read is followed from the first on. */
@@ -408,7 +408,7 @@
   return reader->aggregates_ms > 0 && now_ms - reader->aggregates_ms >= REGISTER_AFTER_MS;
 }
 
-/* Whether to read what nobody has told of yet. A process that starts looks for the others first;
+/* Whether to read what nobody has sent yet. A process that starts looks for the others first;
  * where a whole fleet starts, one then reads and the rest get it from there. */
 static bool
 reader_must_begin (const struct StoreReader *reader,
--- a/gateway/store_reader.h
+++ b/gateway/store_reader.h
@@ -13,7 +13,7 @@
                              uint64_t link,
                              const struct Snapshot *snapshot);
 
-/* A seed has told of processes: they are looked to for the rest. */
+/* A seed has named processes: the rest is expected from them. */
 void
 store_reader_note_contacts (struct StoreReader *reader);
 
--- a/gateway/store_topics.c
+++ b/gateway/store_topics.c
@@ -1,4 +1,4 @@
-/* What is held of the store's state, who is told of it, and who reads next. */
+/* What is held of the store's state, who gets it, and who reads next. */
 #include "store_internal.h"
 
 #include "node_directory.h"
@@ -13,7 +13,7 @@
   /* How much later each next process reads by itself what nobody has read: the first few soon, the
    * others one after the other, so that hundreds do not ask a store that is away. */
   RANK_DELAY_MS = 250,
-  RANK_NEXT = 6, /* these hear of each reading at once */
+  RANK_NEXT = 6, /* these get each reading at once */
   RANK_LATER_MS = 40,
   RANK_PERIOD_MS = 250, /* half a heartbeat */
   /* A state that nobody could read for this long, beside the time of a call that waits, may have
@@ -208,7 +208,7 @@
   struct GatewayMessage message = { .kind = GATEWAY_SNAPSHOT };
   struct Snapshot *changes = NULL;
 
-  /* The gap is that of the store's readers. Whoever only heard of the list late must not take
+  /* The gap is that of the store's readers. Whoever only got the list late must not take
    * servers that left for ones that may come back: callers were sent to them 4.1 s after they had
    * said that they leave. */
   snapshot->after_gap =
--- a/include/buckthornhead/gateway_message.h
+++ b/include/buckthornhead/gateway_message.h
@@ -99,8 +99,8 @@
 enum LoadScope
 {
   LOADS_OF_PROCESS = 0, /* the sender's own: it reports to an aggregator of its zone */
-  LOADS_OF_ZONE = 1,    /* an aggregator tells aggregators of other zones */
-  LOADS_OF_FLEET = 2    /* an aggregator tells the members of its zone */
+  LOADS_OF_ZONE = 1,    /* from an aggregator to those of other zones */
+  LOADS_OF_FLEET = 2    /* from an aggregator to the members of its zone */
 };
 
 /* One process about itself and what it holds, every few hundred milliseconds. */
--- a/include/buckthornhead/peer_table.h
+++ b/include/buckthornhead/peer_table.h
@@ -1,14 +1,14 @@
-/* Which processes there are, which of them live, and who tells whom.
+/* Which processes there are, which of them live, and who reports to whom.
  *
  * Two processes of each availability zone, its gateways where it has any, aggregate it: the members
  * send them their heartbeats, and get back a list of all live processes in changes. Aggregators of
  * different zones exchange lists of their own zones. Who aggregates follows from rendezvous hashing
  * over the members that live, so that nobody is elected and nothing is written down; two views of
- * it for a moment only tell some things twice. Answers the load of heartbeats of all to all, which
+ * it for a moment only send some things twice. Answers the load of heartbeats of all to all, which
  * grows with the square of the fleet: 195 processes sent 75,700 messages a second and spent a
  * quarter of a small machine's processor on them.
  *
- * A list of a zone holds what the aggregator heard from its members itself; a list of the fleet
+ * A list of a zone holds what members reported to the aggregator itself; a list of the fleet
  * adds what aggregators of other zones said of theirs, and nothing from hearsay about the own zone:
  * two aggregators can not keep a dead process alive for each other. Pure. */
 #pragma once
@@ -19,30 +19,31 @@
 
 enum
 {
-  /* A process that was not heard for three heartbeats of half a second is taken for dead. */
+  /* A process that has sent nothing for three heartbeats of half a second is suspected. */
   PEER_TABLE_LIVE_MS = 1600,
   /* What an aggregator said counts for longer than it takes to notice that it died and to have
    * reported to its successor: else everyone would seem dead for a moment. */
   PEER_TABLE_SOURCE_LIVE_MS = 3500,
-  /* A process that is known from elsewhere and was not heard yet may aggregate for this long. */
+  /* A process that is known from elsewhere and has sent nothing yet may aggregate for this long. */
   PEER_TABLE_NEW_MS = 1200,
   /* A refused connection says that the process was not there just now. */
   PEER_TABLE_REFUSED_MS = 1000,
-  /* It was told or asked something and nothing came back for this long: it aggregates no longer in
-   * this process's eyes. Well below PEER_TABLE_SOURCE_LIVE_MS, so that its successor has told who
-   * lives before what it said itself is too old. */
+  /* It was sent or asked something and nothing came back for this long: it aggregates no longer in
+   * this process's eyes. Well below PEER_TABLE_SOURCE_LIVE_MS, so that its successor has reported
+   * who lives before what it said itself is too old. */
   PEER_TABLE_SILENT_MS = 1100,
-  /* Silent members are still told who there is for this long, at each heartbeat; after it in turn.
+  /* Silent members still get heartbeats and lists for this long, at each heartbeat; after it in
+   * turn.
    */
   PEER_TABLE_CALL_MS = 30 * 1000,
   /* Silent for this long: forgotten. Regions lose each other for an hour now and then, and find
    * each other by what they remember. */
   PEER_TABLE_FORGET_MS = 2 * 60 * 60 * 1000,
-  /* Processes that were last heard within this time of each other fell silent together. */
+  /* Processes that last sent something within this time of each other fell silent together. */
   PEER_TABLE_TOGETHER_MS = 5000,
   /* An archive is probed unless something came over its link this lately. */
   PEER_TABLE_PROBE_AFTER_MS = 400,
-  /* And by members that an aggregator tells of it, for each process of the fleet: an archive
+  /* And by members whose aggregator lists it, for each process of the fleet: an archive
    * answers some 300 probes a second, however many ask. */
   PEER_TABLE_PROBE_SHARE_MS = 3,
   PEER_TABLE_AGGREGATORS = 2, /* a zone: one may die without a pause */
@@ -62,8 +63,9 @@
   int64_t received_ms;      /* last message from itself; 0: never */
   int64_t status_ms;        /* last heartbeat from itself; 0: never */
   int64_t reported_ms;      /* last one that it sent to this process as to an aggregator */
-  int64_t refused_ms;       /* last time its machine refused a connection; 0: never since heard */
-  int64_t listed_ms;        /* last time an aggregator's list told of it */
+  int64_t
+      refused_ms; /* last time its machine refused a connection; 0: never since it sent something */
+  int64_t listed_ms;        /* last time an aggregator's list had it */
   int64_t link_received_ms; /* last message over the link that we dialled */
   int64_t asked_ms;         /* the oldest question over it that nothing has followed; 0: none */
   int64_t probed_ms;        /* when it was last asked for a sign of life alone */
@@ -101,7 +103,7 @@
   struct PeerListSource sources[PEER_TABLE_SOURCES_MAX];
   struct Snapshot *published[SNAPSHOT_KIND_MAX + 1]; /* of kinds ZONE and FLEET */
   int64_t next_revision;
-  size_t next_silent; /* place in peers of the silent member that is told next */
+  size_t next_silent; /* place in peers of the silent member that gets a heartbeat next */
 };
 
 struct PeerTable *
@@ -114,7 +116,7 @@
 bool
 peer_table_describe (struct PeerTable *table, const struct NodeStatus *own);
 
-/* A process that the store or an older list tells of; status has at least a name and an address.
+/* A process that the store or an older list names; status has at least a name and an address.
  * Returns it if it is new here, else NULL. */
 struct Peer *
 peer_table_learn (struct PeerTable *table, const struct NodeStatus *status, int64_t now_ms);
@@ -157,7 +159,7 @@
 /* Whether to ask peer for a sign of life. is_asked: it is an archive that the set asks.
  *
  * Archives, by everyone: so that callers are sent elsewhere before a turn finds out that they do
- * not answer; and so that no archive takes the place of a sound one. The gateways of a zone tell
+ * not answer; and so that no archive takes the place of a sound one. The gateways of a zone report
  * who lives in it: while they are cut off from the archives, all archives there look dead to the
  * others. Where there are hundreds of processes, members do so less often while their aggregators
  * list the archive. Besides, whoever has left a question open, so that it is used again once it
@@ -169,7 +171,7 @@
                        bool aggregates,
                        int64_t now_ms);
 
-/* Another process was heard lately over the network: this one is not cut off. */
+/* Something came from another process lately over the network: this one is not cut off. */
 bool
 peer_table_receives (const struct PeerTable *table, int64_t within_ms, int64_t now_ms);
 
@@ -213,7 +215,7 @@
                    bool aggregates,
                    int64_t now_ms);
 
-/* A member of the zone that has been silent for long, each in its turn, to be told who there is:
+/* A member of the zone that has been silent for long, each in its turn, to get the membership:
  * the zone may have been in two parts. NULL when there is none. */
 struct Peer *
 peer_table_next_silent (struct PeerTable *table, int64_t now_ms);
--- a/include/buckthornhead/scheduling/replica_set.h
+++ b/include/buckthornhead/scheduling/replica_set.h
@@ -34,7 +34,7 @@
 {
   struct ReplicaEntry entry;
   uint32_t in_flight;          /* ours */
-  uint32_t reported_in_flight; /* of them, what the last heartbeat told of a server without owner */
+  uint32_t reported_in_flight; /* of them, what the last heartbeat said of a server without owner */
   uint32_t peers_in_flight;    /* of the other gateways, as they last said */
   uint32_t failures;           /* in a row, without an answer of any kind */
   struct FailureRate rate;     /* of all requests of this gateway there */
@@ -43,7 +43,7 @@
   int64_t avoid_until_ms;     /* suspected: takes requests only when nothing else is there */
   bool restarted;             /* since replica_take_restarted looked */
   bool listed;                /* stood in the last list */
-  bool owned;                 /* its owner tells what it holds and how many it has */
+  bool owned;                 /* its owner reports what it holds and how many it has */
   struct CachedPart *cached;  /* prompt parts that it was sent, newest first */
   uint32_t n_cached;
   UT_hash_handle hh;
--- a/include/buckthornhead/scheduling/slot_queue.h
+++ b/include/buckthornhead/scheduling/slot_queue.h
@@ -34,7 +34,7 @@
   SLOT_PARTS_MAX = 24 /* shared parts that are remembered of one server */
 };
 
-/* What the owner tells all gateways of a server. */
+/* What the owner reports of a server to all gateways. */
 struct SlotDigest
 {
   char server[NAME_MAX_BYTES + 1];
@@ -44,7 +44,7 @@
   uint32_t n_parts;
 };
 
-/* What the asker is told. */
+/* What the asker gets. */
 struct SlotState
 {
   bool granted;
