--- a/adapters/http_server.c
+++ b/adapters/http_server.c
@@ -397,7 +397,7 @@
 http_exchange_caller (const struct HttpExchange *exchange, char address[HTTP_CALLER_BYTES])
 {
   const struct OpenExchange *x = (const struct OpenExchange *)exchange;
-  struct sockaddr_in peer;
+  struct sockaddr_in peer = { 0 };
   socklen_t n_bytes = sizeof peer;
 
   address[0] = '\0';
