A process that takes over from others does not take their silence for a gap

Cause: a process far back in the order of readers reads later by its delay, and counted that as time in which nobody could read the store. Change: a gap is what lies beyond the length of a waiting call and the reader's own delay. Whoever gets a state within 2 s of a gap learns of it, as before the store was followed. By reasoning, not seen: the case takes four processes that are turned away and a server that leaves in the same seconds.

--- a/gateway/store_topics.c
+++ b/gateway/store_topics.c
@@ -16,9 +16,11 @@
   RANK_NEXT = 6, /* these get each reading at once */
   RANK_LATER_MS = 40,
   RANK_PERIOD_MS = 250, /* half a heartbeat */
-  /* A state that nobody could read for this long, beside the time of a call that waits, may have
-   * changed in ways that only time heals. */
+  /* A state that nobody could read for this long, beside the time of a call that waits and that in
+   * which this process leaves it to others, may have changed in ways that only time heals. */
   GAP_MS = 1000,
+  /* For this long after it whoever gets the state learns of the gap, too. */
+  AFTER_GAP_MS = 2000,
   /* A peer that sends changes is asked for the whole once, not at each of them: 3,000 servers are
    * 300 KB. */
   WANT_AGAIN_MS = 800,
@@ -73,21 +75,25 @@
   topic->followed = 0;
 }
 
+static int64_t
+rank_delay_ms (uint32_t rank)
+{
+  if (rank <= RANK_NEXT)
+    return (int64_t)rank * RANK_DELAY_MS;
+  return RANK_NEXT * RANK_DELAY_MS + (int64_t)(rank - RANK_NEXT) * RANK_LATER_MS;
+}
+
 int64_t
 reader_delay_ms (struct StoreReader *reader)
 {
   int64_t now_ms = timer_now_ms (reader->node->timers);
-  uint32_t rank;
 
   if (reader->ranked_ms == 0 || now_ms - reader->ranked_ms >= RANK_PERIOD_MS)
     {
       reader->rank = reader_rank (reader);
       reader->ranked_ms = now_ms;
     }
-  rank = reader->rank;
-  if (rank <= RANK_NEXT)
-    return (int64_t)rank * RANK_DELAY_MS;
-  return RANK_NEXT * RANK_DELAY_MS + (int64_t)(rank - RANK_NEXT) * RANK_LATER_MS;
+  return rank_delay_ms (reader->rank);
 }
 
 /* Those who would read next: they see at once that this one does. */
@@ -124,7 +130,7 @@
 {
   int64_t gap_ms = reader->topics[kind].gap_ms;
 
-  return gap_ms > 0 && timer_now_ms (reader->node->timers) - gap_ms < GAP_MS;
+  return gap_ms > 0 && timer_now_ms (reader->node->timers) - gap_ms < AFTER_GAP_MS;
 }
 
 /* What follows from a new state. */
@@ -212,7 +218,8 @@
    * servers that left for ones that may come back: callers were sent to them 4.1 s after they had
    * said that they leave. */
   snapshot->after_gap =
-      topic->read_ms > 0 && topic->asked_ms - topic->read_ms > reader->wait_ms + GAP_MS;
+      topic->read_ms > 0
+      && topic->asked_ms - topic->read_ms > reader->wait_ms + rank_delay_ms (reader->rank) + GAP_MS;
   if (snapshot->kind == SNAPSHOT_SERVERS && topic->snapshot != NULL
       && snapshot->content != topic->content)
     changes = snapshot_changes (reader, topic->snapshot, snapshot);
