Whoever reaches the store first after an outage sees a gap

Kept: whoever gets a state within 2 s of a gap learns of it. Left: with the first four readers turned away by the store, what the fifth reads counts as a gap, and a server that leaves without saying so is believed for 2.5 s more.

--- a/gateway/store_topics.c
+++ b/gateway/store_topics.c
@@ -16,8 +16,9 @@
   RANK_NEXT = 6, /* these get each reading at once */
   RANK_LATER_MS = 40,
   RANK_PERIOD_MS = 250, /* half a heartbeat */
-  /* A state that nobody could read for this long, beside the time of a call that waits and that in
-   * which this process leaves it to others, may have changed in ways that only time heals. */
+  /* A state that nobody could read for this long, beside the time of a call that waits, may have
+   * changed in ways that only time heals. Guards against servers that are taken for gone since
+   * their entries lapsed while the store was away, whoever is the first to reach it again. */
   GAP_MS = 1000,
   /* For this long after it whoever gets the state learns of the gap, too. */
   AFTER_GAP_MS = 2000,
@@ -218,8 +219,7 @@
    * servers that left for ones that may come back: callers were sent to them 4.1 s after they had
    * said that they leave. */
   snapshot->after_gap =
-      topic->read_ms > 0
-      && topic->asked_ms - topic->read_ms > reader->wait_ms + rank_delay_ms (reader->rank) + GAP_MS;
+      topic->read_ms > 0 && topic->asked_ms - topic->read_ms > reader->wait_ms + GAP_MS;
   if (snapshot->kind == SNAPSHOT_SERVERS && topic->snapshot != NULL
       && snapshot->content != topic->content)
     changes = snapshot_changes (reader, topic->snapshot, snapshot);
