Seeds are asked each 0.15 s until one answers

Cause: the pause between two questions doubled from the first on. After a stop of everything the seeds start with the others; a process whose first three questions met nobody asked again after 1, 2 and 4 s. Change: the pause doubles once a seed has answered. A scenario for limits: programs that call tools together under lower limits.

--- a/gateway/seeds.c
+++ b/gateway/seeds.c
@@ -11,8 +11,11 @@
 enum
 {
   SEEDS_MAX = 3,
-  /* Between two questions, doubled each time. While a fleet starts a seed knows more processes with
-   * each that asks. */
+  /* Between two questions, until one is answered: after a stop of everything the seeds start with
+   * the others. */
+  ASK_FIRST_MS = 150,
+  /* Then, doubled each time: while a fleet starts a seed knows more processes with each that asks.
+   */
   ASK_AGAIN_MS = 250,
   ASK_AGAIN_MAX_MS = 4000,
   /* Then the store is read. Not by all at once: where no seed is left, the first to read and
@@ -95,9 +98,10 @@
       else
         seed_ask (seeds, seeds->next++ % seeds->n);
     }
-  if (seeds->pause_ms < ASK_AGAIN_MAX_MS)
+  if (seeds->answered && seeds->pause_ms < ASK_AGAIN_MAX_MS)
     seeds->pause_ms *= 2;
-  timer_subscribe (seeds, node->timers, seeds->pause_ms, 0, seeds_on_ask, seeds);
+  timer_subscribe (seeds, node->timers, seeds->answered ? seeds->pause_ms : ASK_FIRST_MS, 0,
+                   seeds_on_ask, seeds);
 }
 
 struct Seeds *
--- a/tests/test_quota_fleet.c
+++ b/tests/test_quota_fleet.c
@@ -91,6 +91,7 @@
   double load[CUSTOMERS];         /* times the usual, now */
   double owed[CUSTOMERS];         /* programs that should have begun and have not */
   uint32_t n_requests[CUSTOMERS]; /* of each program */
+  uint32_t n_at_once;             /* requests that a program sends together */
   int64_t now_ms;
   uint64_t random;
   struct QuotaRules rules;
@@ -165,6 +166,7 @@
       sim->load[i] = 1;
       sim->n_requests[i] = 12;
     }
+  sim->n_at_once = 1;
   sim_configure (sim);
   for (uint32_t g = 0; g < n_gateways; g++)
     gateway_begin (sim, g);
@@ -387,7 +389,8 @@
     }
   for (uint32_t i = 0; i < sim->n_programs; i++)
     if (!sim->programs[i].is_over && sim->now_ms >= sim->programs[i].next_ms)
-      program_asks (sim, &sim->programs[i]);
+      for (uint32_t n = 0; n < sim->n_at_once && !sim->programs[i].is_over; n++)
+        program_asks (sim, &sim->programs[i]);
 }
 
 static void
@@ -493,6 +496,31 @@
       }
 }
 
+/* Programs call several tools together, and operators lower limits to what customers use or less.
+ * Some twenty requests of a small customer come between two reports of its use. */
+static void
+test_programs_that_call_tools_together_stay_within_a_lower_limit (void)
+{
+  for (uint64_t seed = 1; seed <= 8; seed++)
+    {
+      struct Sim *sim = sim_new (74, QUOTA_BY_COUNTS, true, seed);
+
+      sim->n_at_once = 4;
+      sim_run (sim, 4000);
+      for (uint32_t c = 0; c < CUSTOMERS; c++)
+        {
+          sim->rates[c] *= 0.6;
+          sim->bound_rates[c] = sim->rates[c];
+          sim->bound_from_ms[c] = sim->now_ms + WINDOW_MS;
+          sim->load[c] = 2.5;
+        }
+      sim_configure (sim);
+      sim_run (sim, 26000);
+      sim_expect_bound (sim, "tools together, lower limits");
+      talloc_free (sim);
+    }
+}
+
 static void
 sim_stop_all (struct Sim *sim)
 {
@@ -736,5 +764,7 @@
   { "three hot customers in large fleets", test_three_hot_customers_in_large_fleets },
   { "a surge before three gateways", test_a_surge_before_three_gateways },
   { "table of ways", test_table_of_ways },
+  { "programs that call tools together stay within a lower limit",
+    test_programs_that_call_tools_together_stay_within_a_lower_limit },
   { NULL, NULL },
 };
