Many changes at once are sorted, not looked up one by one

Cause: each event of a waiting call was looked up among those before it. After an outage in which the entries of 10,001 servers lapse one answer holds as many events, and 50 million names were compared. Change: events are sorted by key and revision, the newest of each key counts.

--- a/core/gateway/snapshot_changes.c
+++ b/core/gateway/snapshot_changes.c
@@ -1,5 +1,6 @@
 #include <buckthornhead/snapshot_changes.h>
 
+#include <stdlib.h>
 #include <string.h>
 #include <xxhash.h>
 
@@ -43,6 +44,21 @@
          && (a->value_bytes == 0 || memcmp (a->value, b->value, a->value_bytes) == 0);
 }
 
+static int
+item_compare (const void *a, const void *b)
+{
+  const struct SnapshotItem *x = a, *y = b;
+
+  return strcmp (x->key, y->key);
+}
+
+void
+snapshot_sort_items (struct SnapshotItem *items, size_t n_items)
+{
+  if (n_items > 1)
+    qsort (items, n_items, sizeof items[0], item_compare);
+}
+
 bool
 snapshot_item_is_equal (const struct SnapshotItem *a, const struct SnapshotItem *b)
 {
--- a/core/membership/peer_lists.c
+++ b/core/membership/peer_lists.c
@@ -53,14 +53,6 @@
          && peer_is_listed (table, peer, SNAPSHOT_ZONE, now_ms);
 }
 
-static int
-item_compare (const void *a, const void *b)
-{
-  const struct SnapshotItem *x = a, *y = b;
-
-  return strcmp (x->key, y->key);
-}
-
 /* The list of kind as of now; its values are the peers'. */
 static struct Snapshot *
 list_draw_up (const struct PeerTable *table,
@@ -84,7 +76,7 @@
     if (peer_is_member (table, table->peers[i], now_ms)
         || (kind == SNAPSHOT_FLEET && peer_is_foreign (table, table->peers[i], now_ms)))
       list_add_peer (list, table->peers[i]);
-  qsort (list->items, list->n_items, sizeof list->items[0], item_compare);
+  snapshot_sort_items (list->items, list->n_items);
   list->content = snapshot_content (list->items, list->n_items);
   return list;
 }
--- a/gateway/store_follow.c
+++ b/gateway/store_follow.c
@@ -74,24 +74,48 @@
   reader_note (reader, false, error);
 }
 
+/* By key, the newest change of each last. */
 static int
-item_compare (const void *a, const void *b)
+entry_compare (const void *a, const void *b)
 {
-  const struct SnapshotItem *x = a, *y = b;
+  const struct KvEntry *const *x = a, *const *y = b;
+  int order = strcmp ((*x)->key, (*y)->key);
 
-  return strcmp (x->key, y->key);
+  if (order != 0)
+    return order;
+  return (*x)->mod_revision < (*y)->mod_revision ? -1 : (*x)->mod_revision > (*y)->mod_revision;
+}
+
+/* The events of kind that are not known yet, sorted; belongs to ctx. NULL without memory. */
+static const struct KvEntry **
+events_of (const struct StoreReader *reader,
+           TALLOC_CTX *ctx,
+           enum SnapshotKind kind,
+           const struct KvResult *result,
+           size_t *n)
+{
+  const struct KvEntry **events = talloc_array (ctx, const struct KvEntry *, result->n_entries);
+  char buffer[96];
+  const char *prefix = reader_prefix (reader, kind, buffer);
+
+  *n = 0;
+  if (events == NULL)
+    return NULL;
+  for (size_t i = 0; i < result->n_entries; i++)
+    if (strncmp (result->entries[i].key, prefix, strlen (prefix)) == 0
+        && result->entries[i].mod_revision > reader->topics[kind].followed)
+      events[(*n)++] = &result->entries[i];
+  if (*n > 1)
+    qsort (events, *n, sizeof events[0], entry_compare);
+  return events;
 }
 
 /* An entry that can not be read names nothing to use: it counts as gone. */
 static void
 changes_add (struct StoreReader *reader, struct Snapshot *changes, const struct KvEntry *entry)
 {
-  struct SnapshotItem *item = changes->items;
+  struct SnapshotItem *item = &changes->items[changes->n_items++];
 
-  while (item < changes->items + changes->n_items && strcmp (item->key, entry->key) != 0)
-    item++;
-  if (item == changes->items + changes->n_items)
-    changes->n_items++;
   if (!entry->deleted && reader_fill_item (reader, changes, changes->kind, item, entry))
     return;
   memset (item, 0, sizeof *item);
@@ -104,24 +128,22 @@
 changes_of (struct StoreReader *reader, enum SnapshotKind kind, const struct KvResult *result)
 {
   struct Snapshot *changes = talloc_zero (reader, struct Snapshot);
-  char buffer[96];
-  const char *prefix = reader_prefix (reader, kind, buffer);
+  const struct KvEntry **events;
+  size_t n;
 
   if (changes == NULL)
     return NULL;
   changes->kind = kind;
-  changes->items = talloc_zero_array (changes, struct SnapshotItem, result->n_entries);
-  if (changes->items == NULL)
+  events = events_of (reader, changes, kind, result, &n);
+  changes->items = talloc_zero_array (changes, struct SnapshotItem, n);
+  if (events == NULL || changes->items == NULL)
     {
       talloc_free (changes);
       return NULL;
     }
-  for (size_t i = 0; i < result->n_entries; i++)
-    if (strncmp (result->entries[i].key, prefix, strlen (prefix)) == 0
-        && result->entries[i].mod_revision > reader->topics[kind].followed)
-      changes_add (reader, changes, &result->entries[i]);
-  if (changes->n_items > 1)
-    qsort (changes->items, changes->n_items, sizeof changes->items[0], item_compare);
+  for (size_t i = 0; i < n; i++)
+    if (i + 1 == n || strcmp (events[i]->key, events[i + 1]->key) != 0)
+      changes_add (reader, changes, events[i]);
   return changes;
 }
 
--- a/gateway/store_reader.c
+++ b/gateway/store_reader.c
@@ -155,14 +155,6 @@
          && (kind != SNAPSHOT_SERVERS || item_shorten (reader, ctx, item));
 }
 
-static int
-item_compare (const void *a, const void *b)
-{
-  const struct SnapshotItem *x = a, *y = b;
-
-  return strcmp (x->key, y->key);
-}
-
 static void
 range_on_done (struct StoreReader *reader, enum SnapshotKind kind, const struct KvResult *result)
 {
@@ -196,8 +188,7 @@
       return;
     }
   /* Changes between two lists are found by the order of their keys. */
-  if (topic->n_pages > 0)
-    qsort (topic->pages, topic->n_pages, sizeof topic->pages[0], item_compare);
+  snapshot_sort_items (topic->pages, topic->n_pages);
   /* Pages are no snapshot: what changed while they were read is followed from the first on. */
   snapshot.revision = topic->floor;
   snapshot.items = topic->pages;
--- a/include/buckthornhead/snapshot_changes.h
+++ b/include/buckthornhead/snapshot_changes.h
@@ -16,6 +16,10 @@
 uint64_t
 snapshot_content (const struct SnapshotItem *items, size_t n_items);
 
+/* Ascending by key. */
+void
+snapshot_sort_items (struct SnapshotItem *items, size_t n_items);
+
 /* The same key and value. */
 bool
 snapshot_item_is_equal (const struct SnapshotItem *a, const struct SnapshotItem *b);
