--- a/gateway/store_follow.c
+++ b/gateway/store_follow.c
@@ -74,27 +74,34 @@
   reader_note (reader, false, error);
 }
 
+/* One event of a call's answer. */
+struct StoreEvent
+{
+  const struct KvEntry *entry;
+};
+
 /* By key, the newest change of each last. */
 static int
-entry_compare (const void *a, const void *b)
+event_compare (const void *a, const void *b)
 {
-  const struct KvEntry *const *x = a, *const *y = b;
-  int order = strcmp ((*x)->key, (*y)->key);
+  const struct KvEntry *x = ((const struct StoreEvent *)a)->entry;
+  const struct KvEntry *y = ((const struct StoreEvent *)b)->entry;
+  int order = strcmp (x->key, y->key);
 
   if (order != 0)
     return order;
-  return (*x)->mod_revision < (*y)->mod_revision ? -1 : (*x)->mod_revision > (*y)->mod_revision;
+  return x->mod_revision < y->mod_revision ? -1 : x->mod_revision > y->mod_revision;
 }
 
 /* The events of kind that are not known yet, sorted; belongs to ctx. NULL without memory. */
-static const struct KvEntry **
+static struct StoreEvent *
 events_of (const struct StoreReader *reader,
            TALLOC_CTX *ctx,
            enum SnapshotKind kind,
            const struct KvResult *result,
            size_t *n)
 {
-  const struct KvEntry **events = talloc_array (ctx, const struct KvEntry *, result->n_entries);
+  struct StoreEvent *events = talloc_array (ctx, struct StoreEvent, result->n_entries);
   char buffer[96];
   const char *prefix = reader_prefix (reader, kind, buffer);
 
@@ -104,9 +111,9 @@
   for (size_t i = 0; i < result->n_entries; i++)
     if (strncmp (result->entries[i].key, prefix, strlen (prefix)) == 0
         && result->entries[i].mod_revision > reader->topics[kind].followed)
-      events[(*n)++] = &result->entries[i];
+      events[(*n)++].entry = &result->entries[i];
   if (*n > 1)
-    qsort (events, *n, sizeof events[0], entry_compare);
+    qsort (events, *n, sizeof events[0], event_compare);
   return events;
 }
 
@@ -128,7 +135,7 @@
 changes_of (struct StoreReader *reader, enum SnapshotKind kind, const struct KvResult *result)
 {
   struct Snapshot *changes = talloc_zero (reader, struct Snapshot);
-  const struct KvEntry **events;
+  struct StoreEvent *events;
   size_t n;
 
   if (changes == NULL)
@@ -142,8 +149,8 @@
       return NULL;
     }
   for (size_t i = 0; i < n; i++)
-    if (i + 1 == n || strcmp (events[i]->key, events[i + 1]->key) != 0)
-      changes_add (reader, changes, events[i]);
+    if (i + 1 == n || strcmp (events[i].entry->key, events[i + 1].entry->key) != 0)
+      changes_add (reader, changes, events[i].entry);
   return changes;
 }
 
