--- a/core/customers/quota_internal.h
+++ b/core/customers/quota_internal.h
@@ -1,5 +1,5 @@
 /* What the files of limits share: quota.c counts what is asked, quota_reports.c takes and gives
- * what gateways tell, quota_part.c says which part of what asks may pass. */
+ * what gateways report, quota_part.c says which part of what asks may pass. */
 #pragma once
 
 #include <buckthornhead/customers/quota.h>
@@ -19,8 +19,8 @@
   uint64_t n_refused;
   int64_t refused_ms;          /* the last one; 0: none */
   double credit;               /* of a request that only a part of passes */
-  struct CustomerUse reported; /* what this gateway told last */
-  struct CustomerUse others;   /* as others told */
+  struct CustomerUse reported; /* what this gateway reported last */
+  struct CustomerUse others;   /* as others reported */
   UT_hash_handle hh;
 };
 
--- a/core/customers/quota_part.c
+++ b/core/customers/quota_part.c
@@ -77,14 +77,14 @@
 {
   const struct QuotaMargins *margins = entry_margins (ledger, entry, fleet, now_ms);
   double spare = margins->under_way_spare * ledger->rules.slack;
-  double limit = quota_limit (ledger, entry), heard = received_part (ledger);
+  double limit = quota_limit (ledger, entry), received = received_part (ledger);
 
   if (quota_is_surge (ledger, entry, fleet))
     limit -= entry->burst * (1 - quota_age (ledger, now_ms));
   if (now_ms < entry->old_until_ms && entry->old_limit > limit)
     limit = entry->old_limit;
-  limit *= heard;
-  spare *= heard;
+  limit *= received;
+  spare *= received;
   return falling (fleet->taken, margins->under_way_from * limit + spare,
                   margins->under_way_to * limit + spare);
 }
@@ -97,14 +97,14 @@
             const struct CustomerUse *fleet,
             int64_t now_ms)
 {
-  double burst = entry->burst * quota_age (ledger, now_ms), heard = received_part (ledger);
+  double burst = entry->burst * quota_age (ledger, now_ms), received = received_part (ledger);
   const struct QuotaMargins *margins = entry_margins (ledger, entry, fleet, now_ms);
   double spare = margins->begin_spare * (burst + ledger->rules.slack);
-  double limit = (entry->rate_per_s * quota_window_s (ledger) + spare) * heard;
+  double limit = (entry->rate_per_s * quota_window_s (ledger) + spare) * received;
   /* Half of the next one as well: of a small limit one program is a large part. */
   double begun = (fleet->begun + quota_ledger_need (ledger) / 2) * entry->need_scale;
   double part = falling (begun, BEGUN_FROM * limit, limit);
-  double may_want = quota_may_want (ledger, entry) * heard;
+  double may_want = quota_may_want (ledger, entry) * received;
 
   if (fleet->wanted > may_want)
     part = fmin (part, may_want / fleet->wanted);
--- a/gateway/quotas.c
+++ b/gateway/quotas.c
@@ -206,15 +206,15 @@
 static void
 quotas_take_report (struct Quotas *quotas, int64_t now_ms)
 {
-  const struct UseReport *told = use_board_fleet (quotas->board, now_ms);
+  const struct UseReport *report = use_board_fleet (quotas->board, now_ms);
 
-  if (told == NULL)
+  if (report == NULL)
     {
       quotas->urgency = QUOTA_CALM;
       return;
     }
-  quota_ledger_take_report (quotas->ledger, told->uses, told->n_uses, now_ms);
-  quotas->urgency = quota_ledger_urgency (quotas->ledger, told->uses, told->n_uses);
+  quota_ledger_take_report (quotas->ledger, report->uses, report->n_uses, now_ms);
+  quotas->urgency = quota_ledger_urgency (quotas->ledger, report->uses, report->n_uses);
 }
 
 /* Those that are leaving take no callers any more. */
@@ -252,13 +252,13 @@
 quotas_look (struct Quotas *quotas, int64_t now_ms)
 {
   bool aggregates = peer_table_is_aggregator (quotas->front->node->peers, now_ms);
-  bool tells = now_ms - quotas->reported_ms >= quotas_report_again_ms (quotas, now_ms);
+  bool reports = now_ms - quotas->reported_ms >= quotas_report_again_ms (quotas, now_ms);
   struct CustomerUse *own = NULL;
   size_t n_own;
 
-  if (aggregates || tells)
+  if (aggregates || reports)
     own = quota_ledger_uses (quotas->ledger, quotas, now_ms, &n_own);
-  if (own != NULL && tells)
+  if (own != NULL && reports)
     quotas_send_own (quotas, own, n_own, now_ms);
   if (!aggregates)
     quotas_take_report (quotas, now_ms);
--- a/gateway/seeds.h
+++ b/gateway/seeds.h
@@ -1,7 +1,7 @@
-/* Processes that the settings name, which tell one that starts whom to report to.
+/* Processes that the settings name, which name to one that starts those to report to.
  *
  * A process that starts asks its zone's seed for a few processes of each zone. It reports to those
- * that aggregate its zone, whose lists then tell of all others: no call to the platform's store is
+ * that aggregate its zone, whose lists then name all others: no call to the platform's store is
  * needed. All processes of a zone ask the same seed first, so that they meet there when the whole
  * fleet starts. */
 #pragma once
--- a/gateway/store_topics.c
+++ b/gateway/store_topics.c
@@ -17,7 +17,7 @@
   RANK_LATER_MS = 40,
   RANK_PERIOD_MS = 250, /* half a heartbeat */
   /* A state that nobody could read for this long, beside the time of a call that waits, may have
-   * changed in ways that only time heals. Guards against servers that are taken for gone since
+   * changed in ways that only time heals. Guards against servers that are dropped since
    * their entries lapsed while the store was away, whoever is the first to reach it again. */
   GAP_MS = 1000,
   /* For this long after it whoever gets the state learns of the gap, too. */
--- a/include/buckthornhead/customers/quota.h
+++ b/include/buckthornhead/customers/quota.h
@@ -62,7 +62,7 @@
   uint32_t limit;          /* requests a window */
   uint32_t fleet_taken;    /* in the last window, as far as is known */
   bool first;              /* of those that were sent back, for a window at least */
-  int64_t report_age_ms;   /* of what others used; -1: nobody has told */
+  int64_t report_age_ms;   /* of what others used; -1: nobody has reported */
 };
 
 struct QuotaLedger;
@@ -85,7 +85,7 @@
 struct QuotaFleet
 {
   uint32_t n_known, n_received; /* this one included */
-  bool is_cut_off;              /* none of the others is heard, and it should be */
+  bool is_cut_off;              /* nothing comes from the others, and it should */
 };
 
 void
--- a/include/buckthornhead/peer_table.h
+++ b/include/buckthornhead/peer_table.h
@@ -68,7 +68,7 @@
   int64_t listed_ms;        /* last time an aggregator's list had it */
   int64_t link_received_ms; /* last message over the link that we dialled */
   int64_t asked_ms;         /* the oldest question over it that nothing has followed; 0: none */
-  int64_t probed_ms;        /* when it was last asked for a sign of life alone */
+  int64_t probed_ms;        /* when it was last probed */
   int64_t wanted_ms;        /* when it was last asked for a list */
   uint64_t listed;          /* a bit for each of the table's sources that lists it */
   uint64_t rank;            /* hash of its name */
@@ -156,7 +156,7 @@
 bool
 peer_table_is_live (const struct PeerTable *table, const struct Peer *peer, int64_t now_ms);
 
-/* Whether to ask peer for a sign of life. is_asked: it is an archive that the set asks.
+/* Whether to probe peer. is_asked: it is an archive that the set asks.
  *
  * Archives, by everyone: so that callers are sent elsewhere before a turn finds out that they do
  * not answer; and so that no archive takes the place of a sound one. The gateways of a zone report
