--- a/gateway/node_receive.c
+++ b/gateway/node_receive.c
@@ -177,16 +177,31 @@
 {
   struct GatewayMessage message = { .kind = GATEWAY_SNAPSHOT, .snapshot = *snapshot };
 
-  if (snapshot->kind == SNAPSHOT_SUBSET && !zone_servers_are_from (node, sender))
-    return;
-  if (snapshot->kind == SNAPSHOT_ZONE || snapshot->kind == SNAPSHOT_FLEET)
-    node_take_list (node, link, sender, snapshot);
-  else if (snapshot->kind == SNAPSHOT_CONTACTS && node->seeds != NULL)
-    seeds_take_contacts (node->seeds, snapshot);
-  else if (snapshot->kind != SNAPSHOT_CONTACTS
-           && store_reader_take_from_peer (node->reader, link, snapshot)
-           && snapshot->kind != SNAPSHOT_SERVERS)
-    node_send_some (node, &message, PEERS_SERVED);
+  switch (snapshot->kind)
+    {
+    case SNAPSHOT_ZONE:
+    case SNAPSHOT_FLEET:
+      node_take_list (node, link, sender, snapshot);
+      break;
+    case SNAPSHOT_CONTACTS:
+      if (node->seeds != NULL)
+        seeds_take_contacts (node->seeds, snapshot);
+      break;
+    case SNAPSHOT_SERVERS:
+      store_reader_take_from_peer (node->reader, link, snapshot);
+      break;
+    case SNAPSHOT_SUBSET:
+      if (zone_servers_are_from (node, sender)
+          && store_reader_take_from_peer (node->reader, link, snapshot))
+        node_send_some (node, &message, PEERS_SERVED);
+      break;
+    case SNAPSHOT_ROUTES:
+    case SNAPSHOT_NODES:
+    case SNAPSHOT_RETIRE:
+      if (store_reader_take_from_peer (node->reader, link, snapshot))
+        node_send_some (node, &message, PEERS_SERVED);
+      break;
+    }
 }
 
 static void
--- a/gateway/zone_servers.c
+++ b/gateway/zone_servers.c
@@ -54,11 +54,12 @@
   struct Node *node = reader->node;
   const struct Topic *servers = &reader->topics[SNAPSHOT_SERVERS];
   int64_t now_ms = timer_now_ms (node->timers);
-  uint32_t level = peer_table_server_level (node->peers, now_ms);
   struct Snapshot *subset;
+  uint32_t level;
 
   if (servers->snapshot == NULL || !peer_table_is_aggregator (node->peers, now_ms))
     return;
+  level = peer_table_server_level (node->peers, now_ms);
   if (subset_is_current (reader, level))
     {
       subset_confirm (reader);
