Log reads of the server list after a gap, and requests to servers missing from it

The logs held neither how long the list had gone unread nor whether the reader had failed to reach the store in that time, and a request to a server that the list no longer had looked like any other. read_after_gap and sent_to_unlisted tell the hypotheses of the incident apart. No decision changes.

--- a/core/scheduling/replica_set.c
+++ b/core/scheduling/replica_set.c
@@ -161,7 +161,11 @@
   if (after_gap)
     set->keep_missing_until_ms = now_ms + REPLICA_REAPPEAR_MS;
   for (size_t i = 0; i < set->n_replicas; i++)
-    set->replicas[i]->listed = false;
+    {
+      if (set->replicas[i]->listed)
+        set->replicas[i]->missing_since_ms = now_ms;
+      set->replicas[i]->listed = false;
+    }
   for (size_t i = 0; i < n_entries; i++)
     {
       struct Replica *replica = replica_set_find (set, entries[i].id);
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -343,6 +343,10 @@
   if (!request_submit (request, replica))
     return false;
   request->sent_ms = timer_now_ms (request->front->node->timers);
+  if (!replica->listed)
+    log_request (LOG_LEVEL_INFO, "sent_to_unlisted", request->caller.id, request->caller.program,
+                 "%s has been missing from the list for %lld ms", replica->entry.id,
+                 (long long)(request->sent_ms - replica->missing_since_ms));
   if (request->n_tried > 1)
     counter_add (COUNTER_REQUESTS_SENT_AGAIN, 1);
   replica_note_sent (replica, request->caller.parts, request->caller.n_parts);
--- a/gateway/store_reader.c
+++ b/gateway/store_reader.c
@@ -52,6 +52,8 @@
   if (reader->reachable == reachable)
     return;
   reader->reachable = reachable;
+  if (!reachable)
+    reader->lost_ms = timer_now_ms (reader->node->timers);
   gauge_set (GAUGE_PLATFORM_UP, reachable);
   if (reachable)
     log_event (LOG_LEVEL_NOTICE, "store_reached", NULL, NULL, NULL);
--- a/gateway/store_topics.c
+++ b/gateway/store_topics.c
@@ -5,6 +5,7 @@
 #include "node_directory.h"
 #include "zone_servers.h"
 
+#include <buckthornhead/log.h>
 #include <buckthornhead/snapshot_changes.h>
 
 #include <string.h>
@@ -223,6 +224,15 @@
    * servers 4.1 s after these had announced that they were leaving. */
   snapshot->after_gap =
       topic->read_ms > 0 && topic->read_started_ms - topic->read_ms > reader->wait_ms + GAP_MS;
+  if (snapshot->after_gap && snapshot->kind == SNAPSHOT_SERVERS)
+    log_event (LOG_LEVEL_NOTICE, "read_after_gap", NULL, NULL,
+               "servers at revision %lld: no process read them for %lld ms, this one could not "
+               "reach the store for %lld ms",
+               (long long)snapshot->revision,
+               (long long)(topic->read_started_ms - topic->read_ms),
+               (long long)(reader->lost_ms > topic->read_ms
+                               ? topic->read_started_ms - reader->lost_ms
+                               : 0));
   if (snapshot->kind == SNAPSHOT_SERVERS && topic->snapshot != NULL
       && snapshot->content != topic->content)
     changes = snapshot_changes (reader, topic->snapshot, snapshot);
--- a/include/buckthornhead/scheduling/replica_set.h
+++ b/include/buckthornhead/scheduling/replica_set.h
@@ -44,6 +44,7 @@
   int64_t avoid_until_ms;     /* until then it is chosen only if no other server is eligible */
   bool restarted;             /* since the last replica_set_next_restarted */
   bool listed;                /* is in the last list */
+  int64_t missing_since_ms;   /* when it was first missing from a list, unless listed */
   bool owned;                 /* its owner reports its load and cache contents */
   struct CachedPart *cached;  /* parts assumed to be in its cache, newest first */
   uint32_t n_cached;
