Keep a missing server only from the first list after an outage on

A server is now kept only if the list marked so is the first that lacks it, and for REPLICA_REAPPEAR_MS from then, whatever follows.

--- a/core/scheduling/replica_set.c
+++ b/core/scheduling/replica_set.c
@@ -90,34 +90,74 @@
   return replica;
 }
 
-/* Removes servers missing from the list. One with requests in flight only drains, and is freed
- * after the last of them has ended. */
+/* Removes servers missing from the list, unless they are kept. One with requests in flight only
+ * drains, and is freed after the last of them has ended. */
 static size_t
-replica_set_remove_missing (struct ReplicaSet *set, bool keep_missing)
+replica_set_remove_missing (struct ReplicaSet *set)
 {
-  size_t n_kept = 0, n_changed = 0;
+  size_t n_left = 0, n_changed = 0;
 
   for (size_t i = 0; i < set->n_replicas; i++)
     {
       struct Replica *replica = set->replicas[i];
+      bool removed = !replica->listed && !replica->kept;
 
-      if (!replica->listed && !keep_missing && !replica->entry.draining)
+      if (removed && !replica->entry.draining)
         {
           replica->entry.draining = true;
           n_changed++;
         }
-      if (!replica->listed && !keep_missing && replica->in_flight == 0 && set->by_id != NULL)
+      if (removed && replica->in_flight == 0 && set->by_id != NULL)
         {
           HASH_DEL (set->by_id, replica);
           talloc_free (replica);
         }
       else
-        set->replicas[n_kept++] = replica;
+        set->replicas[n_left++] = replica;
     }
-  set->n_replicas = n_kept;
+  set->n_replicas = n_left;
   return n_changed;
 }
 
+/* Marks all servers as missing until their entries have been applied. */
+static void
+replica_set_begin_list (struct ReplicaSet *set, int64_t now_ms)
+{
+  for (size_t i = 0; i < set->n_replicas; i++)
+    {
+      struct Replica *replica = set->replicas[i];
+
+      replica->was_listed = replica->listed;
+      if (replica->listed)
+        replica->missing_since_ms = now_ms;
+      replica->listed = false;
+    }
+}
+
+/* Keeps servers that are missing from a list read after an outage for a limited time. One that is
+ * missing from a later list had its entry after the outage, so it was removed since. */
+static void
+replica_set_keep_expired (struct ReplicaSet *set, bool after_gap)
+{
+  for (size_t i = 0; i < set->n_replicas; i++)
+    {
+      struct Replica *replica = set->replicas[i];
+
+      if (replica->listed)
+        replica->kept = false;
+      else if (replica->was_listed)
+        replica->kept = after_gap;
+    }
+}
+
+static void
+replica_set_end_kept (struct ReplicaSet *set, int64_t now_ms)
+{
+  for (size_t i = 0; i < set->n_replicas; i++)
+    if (now_ms - set->replicas[i]->missing_since_ms >= REPLICA_REAPPEAR_MS)
+      set->replicas[i]->kept = false;
+}
+
 /* Resets a server's tracked state if its start time has changed. Otherwise a server that crashed
  * and restarted under its id would be sent the sessions that its cache lost, and be avoided for the
  * failures of the previous process. */
@@ -158,14 +198,7 @@
 {
   size_t n_changed = 0;
 
-  if (after_gap)
-    set->keep_missing_until_ms = now_ms + REPLICA_REAPPEAR_MS;
-  for (size_t i = 0; i < set->n_replicas; i++)
-    {
-      if (set->replicas[i]->listed)
-        set->replicas[i]->missing_since_ms = now_ms;
-      set->replicas[i]->listed = false;
-    }
+  replica_set_begin_list (set, now_ms);
   for (size_t i = 0; i < n_entries; i++)
     {
       struct Replica *replica = replica_set_find (set, entries[i].id);
@@ -183,14 +216,16 @@
       replica->entry = entries[i];
       replica->listed = true;
     }
-  return n_changed + replica_set_remove_missing (set, now_ms < set->keep_missing_until_ms);
+  replica_set_keep_expired (set, after_gap);
+  replica_set_end_kept (set, now_ms);
+  return n_changed + replica_set_remove_missing (set);
 }
 
 void
 replica_set_expire (struct ReplicaSet *set, int64_t now_ms)
 {
-  if (now_ms >= set->keep_missing_until_ms)
-    replica_set_remove_missing (set, false);
+  replica_set_end_kept (set, now_ms);
+  replica_set_remove_missing (set);
 }
 
 static bool
--- a/include/buckthornhead/scheduling/replica_set.h
+++ b/include/buckthornhead/scheduling/replica_set.h
@@ -44,6 +44,8 @@
   int64_t avoid_until_ms;     /* until then it is chosen only if no other server is eligible */
   bool restarted;             /* since the last replica_set_next_restarted */
   bool listed;                /* is in the last list */
+  bool was_listed;            /* was in the list before the last one */
+  bool kept;                  /* is missing, but may only have lost its entry in an outage */
   int64_t missing_since_ms;   /* when it was first missing from a list, unless listed */
   bool owned;                 /* its owner reports its load and cache contents */
   struct CachedPart *cached;  /* parts assumed to be in its cache, newest first */
@@ -55,8 +57,7 @@
 {
   struct Replica **replicas; /* talloc children of the set */
   size_t n_replicas;
-  struct Replica *by_id;         /* uthash head */
-  int64_t keep_missing_until_ms; /* until when servers missing from the list are kept */
+  struct Replica *by_id; /* uthash head */
 };
 
 /* A part of a prompt; several requests may share it. */
@@ -85,9 +86,10 @@
 struct ReplicaSet *
 replica_set_new (TALLOC_CTX *ctx);
 
-/* Applies a complete list. after_gap: the platform's store could not be read before this list, so a
- * missing server may only have lost its entry and is kept for REPLICA_REAPPEAR_MS. Returns the
- * number of servers that were added, removed or restarted, or that started or stopped draining. */
+/* Applies a complete list. after_gap: this is the first list after a time in which the platform's
+ * store could not be read, so a server missing from it may only have lost its entry and is kept for
+ * REPLICA_REAPPEAR_MS. Returns the number of servers that were added, removed or restarted, or that
+ * started or stopped draining. */
 size_t
 replica_set_apply (struct ReplicaSet *set,
                    const struct ReplicaEntry *entries,
--- a/tests/test_replica_set.c
+++ b/tests/test_replica_set.c
@@ -307,6 +307,37 @@
   talloc_free (set);
 }
 
+/* Guards against requests to a server that is in the first list after an outage and is removed from
+ * a later one. */
+static void
+test_a_server_removed_after_an_outage_gets_no_requests (void)
+{
+  struct ReplicaSet *set = make_set_of_two ();
+  const struct ReplicaEntry both[] = { entry ("r1", "a", 8, false), entry ("r2", "b", 8, false) };
+  struct ReplicaQuery query = { .service = "engine", .zone = "b", .previous_server = "" };
+
+  replica_set_apply (set, both, 2, true, 10000);
+  CU_ASSERT_STRING_EQUAL (chosen (set, &query), "r2");
+  replica_set_apply (set, both, 1, false, 11900);
+  CU_ASSERT_STRING_EQUAL (chosen (set, &query), "r1");
+  talloc_free (set);
+}
+
+/* Guards against an expired entry that is kept longer with each further outage. */
+static void
+test_further_outages_do_not_extend_how_long_a_server_is_kept (void)
+{
+  struct ReplicaSet *set = make_set_of_two ();
+  struct ReplicaQuery query = { .service = "engine", .zone = "b", .previous_server = "" };
+
+  for (int64_t now_ms = 10000; now_ms <= 12000; now_ms += 500)
+    replica_set_apply (set, NULL, 0, true, now_ms);
+  CU_ASSERT_STRING_EQUAL (chosen (set, &query), "r2");
+  replica_set_expire (set, 12600);
+  CU_ASSERT_STRING_EQUAL (chosen (set, &query), "none");
+  talloc_free (set);
+}
+
 /* Without an outage a server missing from the list gets no new requests at once. It is freed after
  * its requests in flight have ended. */
 static void
@@ -391,6 +422,10 @@
     test_a_server_that_fails_quickly_does_not_attract_requests },
   { "tried and draining servers are excluded", test_tried_and_draining_servers_are_excluded },
   { "expired entries are kept after an outage", test_expired_entries_are_kept_after_an_outage },
+  { "a server removed after an outage gets no requests",
+    test_a_server_removed_after_an_outage_gets_no_requests },
+  { "further outages do not extend how long a server is kept",
+    test_further_outages_do_not_extend_how_long_a_server_is_kept },
   { "a missing server gets no new requests", test_a_missing_server_gets_no_new_requests },
   { "a failing server is the last resort", test_a_failing_server_is_the_last_resort },
   { "entries are packed and unpacked", test_entries_are_packed_and_unpacked },
