Take a list for the first one after an outage only where the receiver had a gap

Cause: whether the store was away is a belief of each process, and it was copied from one process to all.

--- a/gateway/store_topics.c
+++ b/gateway/store_topics.c
@@ -138,9 +138,17 @@
   return gap_read_ms > 0 && timer_now_ms (reader->node->timers) - gap_read_ms < AFTER_GAP_MS;
 }
 
+/* Returns whether at now_ms the state has not been confirmed for so long that no process may have
+ * reached the store. */
+static bool
+topic_has_gap (const struct StoreReader *reader, const struct Topic *topic, int64_t now_ms)
+{
+  return topic->read_ms > 0 && now_ms - topic->read_ms > reader->wait_ms + GAP_MS;
+}
+
 /* Passes a new state on to the part of this process that uses it. */
 static void
-topic_apply (struct StoreReader *reader, const struct Snapshot *snapshot)
+topic_apply (struct StoreReader *reader, const struct Snapshot *snapshot, bool after_gap)
 {
   switch (snapshot->kind)
     {
@@ -154,7 +162,7 @@
     case SNAPSHOT_ROUTES:
     case SNAPSHOT_RETIRE:
     case SNAPSHOT_SUBSET:
-      reader->node->handler.snapshot (reader->node->handler.data, snapshot, snapshot->after_gap);
+      reader->node->handler.snapshot (reader->node->handler.data, snapshot, after_gap);
       break;
     case SNAPSHOT_ZONE:
     case SNAPSHOT_FLEET:
@@ -180,11 +188,16 @@
 topic_apply_snapshot (struct StoreReader *reader, const struct Snapshot *snapshot, int64_t read_ms)
 {
   struct Topic *topic = &reader->topics[snapshot->kind];
+  int64_t now_ms = timer_now_ms (reader->node->timers);
   struct Snapshot *previous;
+  bool after_gap;
 
   if (snapshot->revision < topic->revision
       || (snapshot->unchanged && (topic->snapshot == NULL || snapshot->content != topic->content)))
     return;
+  /* The sender may have been cut off while this process received lists from others, and it marks
+   * all lists for a while. */
+  after_gap = snapshot->after_gap && topic_has_gap (reader, topic, now_ms);
   if (read_ms > topic->read_ms)
     topic->read_ms = read_ms;
   topic->revision = snapshot->revision;
@@ -199,10 +212,10 @@
     }
   previous = topic->snapshot;
   topic->content = snapshot->content;
-  if (snapshot->after_gap)
-    topic->gap_read_ms = timer_now_ms (reader->node->timers);
+  if (after_gap)
+    topic->gap_read_ms = now_ms;
   topic->snapshot = snapshot_copy (reader, snapshot);
-  topic_apply (reader, snapshot);
+  topic_apply (reader, snapshot, after_gap);
   if (snapshot->kind == SNAPSHOT_SERVERS)
     {
       topic_update_index (reader, previous);
@@ -222,8 +235,7 @@
   /* The gap is between reads of the store by any process. A process that merely received the list
    * late must not treat servers that have left as ones that may return: callers were sent to such
    * servers 4.1 s after these had announced that they were leaving. */
-  snapshot->after_gap =
-      topic->read_ms > 0 && topic->read_started_ms - topic->read_ms > reader->wait_ms + GAP_MS;
+  snapshot->after_gap = topic_has_gap (reader, topic, topic->read_started_ms);
   if (snapshot->after_gap && snapshot->kind == SNAPSHOT_SERVERS)
     log_event (LOG_LEVEL_NOTICE, "read_after_gap", NULL, NULL,
                "servers at revision %lld: no process read them for %lld ms, this one could not "
