Keep missing servers after a gap only if most of their service are missing

Callers' requests reached servers that had left while the store answered all the time: the process that reads it had been cut off, the next one read it 1.8 s later, and every server missing from that list was taken for one whose entry had expired in an outage, and used for another 2.5 s. Whether the store or its reader was away cannot be seen at the first read behind the gap, which succeeds at once in both cases. What is missing can be: an outage that lets entries expire takes most servers of a service together, planned work a few. With few missing the listed servers carry the load until the others reappear.

Ruled out: evidence of failed calls, which the process that takes over never has, and which a long outage does not leave with the process that reads first either; a message more between all processes.

--- a/core/scheduling/replica_set.c
+++ b/core/scheduling/replica_set.c
@@ -134,8 +134,32 @@
     }
 }
 
+/* Returns whether more of the service's servers are missing for the first time than are listed. An
+ * outage of the store that lets entries expire takes most of them at once, since all servers renew
+ * theirs in the same interval; planned work takes a few. */
+static bool
+service_lost_most_entries (const struct ReplicaSet *set, const char *service)
+{
+  size_t n_listed = 0, n_missing = 0;
+
+  for (size_t i = 0; i < set->n_replicas; i++)
+    {
+      const struct Replica *replica = set->replicas[i];
+
+      if (replica->entry.draining || strcmp (replica->entry.service, service) != 0)
+        continue;
+      if (replica->listed)
+        n_listed++;
+      else if (replica->was_listed)
+        n_missing++;
+    }
+  return n_missing > n_listed;
+}
+
 /* Keeps servers that are missing from a list read after an outage for a limited time. One that is
- * missing from a later list had its entry after the outage, so it was removed since. */
+ * missing from a later list had its entry after the outage, so it was removed since. With few
+ * missing, the store may have been available and only its reader cut off: these servers are more
+ * likely to have left, and the listed ones can do without them until they reappear. */
 static void
 replica_set_keep_expired (struct ReplicaSet *set, bool after_gap)
 {
@@ -146,7 +170,7 @@
       if (replica->listed)
         replica->kept = false;
       else if (replica->was_listed)
-        replica->kept = after_gap;
+        replica->kept = after_gap && service_lost_most_entries (set, replica->entry.service);
     }
 }
 
--- a/tests/test_replica_set.c
+++ b/tests/test_replica_set.c
@@ -307,6 +307,26 @@
   talloc_free (set);
 }
 
+/* Guards against requests to a server that left while the process that reads the store was cut off:
+ * the store was available, and the other servers are still listed. */
+static void
+test_a_server_that_left_while_the_reader_was_lost_gets_no_requests (void)
+{
+  const struct ReplicaEntry entries[] = { entry ("r1", "a", 8, false), entry ("r2", "a", 8, false),
+                                          entry ("r3", "b", 8, false) };
+  struct ReplicaSet *set = replica_set_new (NULL);
+  struct ReplicaQuery query = { .service = "engine", .zone = "b", .previous_server = "" };
+
+  replica_set_apply (set, entries, 3, false, 0);
+  CU_ASSERT_STRING_EQUAL (chosen (set, &query), "r3");
+  replica_set_apply (set, entries, 2, true, 10000);
+  CU_ASSERT_STRING_NOT_EQUAL (chosen (set, &query), "r3");
+  CU_ASSERT_STRING_NOT_EQUAL (chosen (set, &query), "none");
+  replica_set_apply (set, entries, 3, false, 10500);
+  CU_ASSERT_STRING_EQUAL (chosen (set, &query), "r3");
+  talloc_free (set);
+}
+
 /* Guards against requests to a server that is in the first list after an outage and is removed from
  * a later one. */
 static void
@@ -422,6 +442,8 @@
     test_a_server_that_fails_quickly_does_not_attract_requests },
   { "tried and draining servers are excluded", test_tried_and_draining_servers_are_excluded },
   { "expired entries are kept after an outage", test_expired_entries_are_kept_after_an_outage },
+  { "a server that left while the reader was lost gets no requests",
+    test_a_server_that_left_while_the_reader_was_lost_gets_no_requests },
   { "a server removed after an outage gets no requests",
     test_a_server_removed_after_an_outage_gets_no_requests },
   { "further outages do not extend how long a server is kept",
