Take over reading the store within the time a change must be in force

With the first processes in the order of readers cut off, the next ones waited 250 ms each after the watch call: with five of them cut off at a bound of 2 s (six at 3 s) a list was older than the bound before anyone read it, and callers' requests reached servers that had left. Each step is now a twentieth of the bound and doubles the number of processes that read; those that know of reads from heartbeats alone still follow one by one.

With 7 or more of the first in order cut off a bound of 2 s is still missed by some 100 ms.

--- a/gateway/store_follow.c
+++ b/gateway/store_follow.c
@@ -3,6 +3,7 @@
 
 #include <buckthornhead/kv_guard.h>
 #include <buckthornhead/log.h>
+#include <buckthornhead/read_schedule.h>
 #include <buckthornhead/snapshot_changes.h>
 
 #include <stdlib.h>
@@ -12,9 +13,7 @@
 {
   /* Delay before the next watch call after changes, so that it returns several of them: a release
    * of hundreds of servers would otherwise cost a call per server. */
-  BATCH_MS = 300,
-  /* Margin after the maximum duration of a watch call before another process takes over. */
-  TAKE_OVER_MS = 200
+  BATCH_MS = 300
 };
 
 /* Prefix that matches every key of the store. */
@@ -38,7 +37,7 @@
                    int64_t now_ms,
                    int64_t delay_ms)
 {
-  return now_ms - reader->topics[kind].read_ms >= reader->wait_ms + TAKE_OVER_MS + delay_ms;
+  return now_ms - reader->topics[kind].read_ms >= reader->wait_ms + READ_TAKE_OVER_MS + delay_ms;
 }
 
 static bool
--- a/gateway/store_reader.c
+++ b/gateway/store_reader.c
@@ -8,6 +8,7 @@
 #include <buckthornhead/histogram.h>
 #include <buckthornhead/kv_guard.h>
 #include <buckthornhead/log.h>
+#include <buckthornhead/read_schedule.h>
 #include <buckthornhead/snapshot_changes.h>
 
 #include <stdio.h>
@@ -21,11 +22,6 @@
   /* Delay after a failed call; doubled with each further failure up to the maximum. */
   BACKOFF_FIRST_MS = 300,
   BACKOFF_MAX_MS = 1500,
-  /* Share of the time within which a change must be in force that a watch call may take. The rest
-   * is left for another process to take over from one that was cut off, and for forwarding. */
-  WAIT_SHARE_PERCENT = 40,
-  WAIT_MIN_MS = 400,
-  WAIT_MAX_MS = 4000,
   /* Wait for the aggregators' response to a process that starts. */
   FIRST_READ_WAIT_MS = 150,
   /* Wait after a seed's response: while a fleet starts its seeds receive one process after the
@@ -467,16 +463,6 @@
   reader_drop_servers (reader);
 }
 
-static int64_t
-watch_wait_ms (uint32_t change_in_force_ms)
-{
-  int64_t wait_ms = (int64_t)change_in_force_ms * WAIT_SHARE_PERCENT / 100;
-
-  if (wait_ms < WAIT_MIN_MS)
-    return WAIT_MIN_MS;
-  return wait_ms < WAIT_MAX_MS ? wait_ms : WAIT_MAX_MS;
-}
-
 struct StoreReader *
 store_reader_new (struct Node *node)
 {
@@ -485,7 +471,7 @@
   if (reader == NULL)
     return NULL;
   reader->node = node;
-  reader->wait_ms = watch_wait_ms (node->settings->change_in_force_ms);
+  reader->wait_ms = read_watch_ms (node->settings->change_in_force_ms);
   if (timer_subscribe (reader, node->timers, 0, TICK_MS, reader_on_tick, reader) == NULL)
     TALLOC_FREE (reader);
   return reader;
--- a/gateway/store_topics.c
+++ b/gateway/store_topics.c
@@ -6,17 +6,13 @@
 #include "zone_servers.h"
 
 #include <buckthornhead/log.h>
+#include <buckthornhead/read_schedule.h>
 #include <buckthornhead/snapshot_changes.h>
 
 #include <string.h>
 
 enum
 {
-  /* Additional delay per rank before a process reads what no other has read: the first few follow
-   * quickly, the others one by one, so that hundreds do not query a store that is unavailable. */
-  RANK_DELAY_MS = 250,
-  RANK_SUCCESSORS = 6, /* number of processes that receive each read at once */
-  RANK_LATER_MS = 40,
   RANK_PERIOD_MS = 250, /* half a heartbeat */
   /* If no process could read the store for this long, in addition to the duration of a watch call,
    * the next read follows a gap: server entries may have expired only because the store was
@@ -59,7 +55,7 @@
 bool
 reader_holds_servers (const struct StoreReader *reader)
 {
-  return reader->rank <= RANK_SUCCESSORS
+  return reader->rank <= READ_SUCCESSORS
          || peer_table_is_aggregator (reader->node->peers, timer_now_ms (reader->node->timers));
 }
 
@@ -80,14 +76,6 @@
   topic->followed_revision = 0;
 }
 
-static int64_t
-rank_delay_ms (uint32_t rank)
-{
-  if (rank <= RANK_SUCCESSORS)
-    return (int64_t)rank * RANK_DELAY_MS;
-  return RANK_SUCCESSORS * RANK_DELAY_MS + (int64_t)(rank - RANK_SUCCESSORS) * RANK_LATER_MS;
-}
-
 int64_t
 reader_delay_ms (struct StoreReader *reader)
 {
@@ -98,7 +86,7 @@
       reader->rank = reader_rank (reader);
       reader->ranked_ms = now_ms;
     }
-  return rank_delay_ms (reader->rank);
+  return read_rank_delay_ms (reader->rank, reader->node->settings->change_in_force_ms);
 }
 
 /* Sends message to the processes that would read next, so that they wait for this one. */
@@ -106,7 +94,7 @@
 reader_send_successors (struct StoreReader *reader, const struct GatewayMessage *message)
 {
   const struct PeerTable *table = reader->node->peers;
-  const struct Peer *next[RANK_SUCCESSORS];
+  const struct Peer *next[READ_SUCCESSORS];
   size_t n = 0;
 
   for (size_t i = 0; i < table->n_peers; i++)
@@ -118,9 +106,9 @@
         continue;
       while (at > 0 && peer->rank < next[at - 1]->rank)
         at--;
-      if (at == RANK_SUCCESSORS)
+      if (at == READ_SUCCESSORS)
         continue;
-      if (n < RANK_SUCCESSORS)
+      if (n < READ_SUCCESSORS)
         n++;
       for (size_t j = n - 1; j > at; j--)
         next[j] = next[j - 1];
@@ -240,8 +228,7 @@
     log_event (LOG_LEVEL_NOTICE, "read_after_gap", NULL, NULL,
                "servers at revision %lld: no process read them for %lld ms, this one could not "
                "reach the store for %lld ms",
-               (long long)snapshot->revision,
-               (long long)(topic->read_started_ms - topic->read_ms),
+               (long long)snapshot->revision, (long long)(topic->read_started_ms - topic->read_ms),
                (long long)(reader->lost_ms > topic->read_ms
                                ? topic->read_started_ms - reader->lost_ms
                                : 0));
