--- a/tests/sessions/test_gateway_servers.c
+++ b/tests/sessions/test_gateway_servers.c
@@ -243,7 +243,9 @@
 enum
 {
   /* Concurrent turns: two engines run eight each, and one more is in transit to each. */
-  N_TURNS = 24
+  N_TURNS = 24,
+  /* Longer than a watch call and the time after which the list counts as unread. */
+  OUTAGE_MS = 3000
 };
 
 /* Guards against missed changes: the store discards its history while it is unreachable, a server
@@ -269,6 +271,40 @@
   talloc_free (ctx);
 }
 
+/* Guards against requests to a server that left while no process could read the store, although
+ * others are listed afterwards. */
+static void
+test_server_that_left_in_an_outage_gets_no_request (void)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct Fleet *fleet = fleet_start (ctx, 1, 3);
+  uint32_t n_failed = CU_get_number_of_failures (), before;
+
+  installation_add (fleet->installation, "desk", false, "a",
+                    session_allocate_port (fleet->session));
+  CU_ASSERT_TRUE (process_wait_for_output (fleet->gateways[0].process, ", 4 listed"));
+  installation_set_store (fleet->installation, STORE_UNAVAILABLE);
+  CU_ASSERT_TRUE (fleet_wait_for_output (fleet, "\"event\":\"store_lost\""));
+  sleep_ms (OUTAGE_MS);
+  server_remove_entry (fleet->installation, TOOL_SERVER);
+  for (int i = 0; i < 2; i++)
+    installation_add (fleet->installation, "desk", false, "a",
+                      session_allocate_port (fleet->session));
+  installation_set_store (fleet->installation, STORE_RESPONDS);
+  CU_ASSERT_TRUE (process_wait_for_output (fleet->gateways[0].process, ", 5 listed"));
+  before = server_runs (fleet->installation, TOOL_SERVER);
+  for (int i = 0; i < 30; i++)
+    {
+      char request[16];
+
+      snprintf (request, sizeof request, "o%d", i);
+      CU_ASSERT_EQUAL (tool_send (fleet, ctx, 0, "/once/1", request)->status, 200);
+    }
+  CU_ASSERT_EQUAL (server_runs (fleet->installation, TOOL_SERVER), before);
+  fleet_end (fleet, CU_get_number_of_failures () > n_failed);
+  talloc_free (ctx);
+}
+
 struct ConcurrentTurn
 {
   struct Fleet *fleet;
@@ -352,6 +388,8 @@
   { "malformed entries do not affect others", test_malformed_entries_do_not_affect_others },
   { "changes arrive after the history is discarded",
     test_changes_arrive_after_history_is_discarded },
+  { "a server that left in an outage gets no request",
+    test_server_that_left_in_an_outage_gets_no_request },
   { "queued turns survive an owner's failure", test_queued_turns_survive_owner_failure },
   { NULL, NULL },
 };
--- a/tests/standins/installation.c
+++ b/tests/standins/installation.c
@@ -204,6 +204,16 @@
   pthread_mutex_unlock (&in->lock);
 }
 
+void
+server_remove_entry (struct Installation *in, uint32_t server)
+{
+  char key[64];
+
+  /* The id does not change after the server was added. */
+  snprintf (key, sizeof key, "servers/%s", in->servers[server].id);
+  installation_remove (in, key);
+}
+
 void
 server_set_event_interval (struct Installation *in, uint32_t server, uint32_t event_ms)
 {
--- a/tests/standins/installation.h
+++ b/tests/standins/installation.h
@@ -83,6 +83,10 @@
 /* Sets the state in the server's entry, "ready" or "draining". */
 void
 server_set_state (struct Installation *installation, uint32_t server, const char *state);
+/* Removes the server's entry, as of a server that leaves without reporting "draining"; it goes on
+ * serving requests. */
+void
+server_remove_entry (struct Installation *installation, uint32_t server);
 /* Simulates a restart under the same id: the entry gets a later start time and sequence 1. */
 void
 server_restart (struct Installation *installation, uint32_t server);
