Fire timers by the monotonic clock

When the time of day was set back, all timers of a process stood still for as long: it sent no heartbeats and no reports of use, its requests had no timeout, and customers got more than their limit, since the sums that all gateways admit requests on lacked what it let through. When it was set forward, every pending timer fired at once, and requests that had seconds left were answered 504.

Cause: tevent computes the expiry of its timers with gettimeofday; the timer service and libcurl's loop used them. The service now keeps a heap and one timerfd on CLOCK_MONOTONIC, libcurl's loop uses the service.

Ruled out: re-arming all timers when the offset between the clocks changes, which needs a hook in the loop that sees a step only after its wait.

--- a/adapters/curl_loop.c
+++ b/adapters/curl_loop.c
@@ -1,5 +1,7 @@
 #include <buckthornhead/curl_loop.h>
 
+#include <buckthornhead/timer_tevent.h>
+
 #include <string.h>
 
 #include <curl/curl.h>
@@ -12,7 +14,8 @@
 struct CurlLoop
 {
   struct tevent_context *events;
-  struct tevent_timer *timer;
+  struct TimerService *timers;
+  struct Timer *timer;
   CURLM *multi;
   TALLOC_CTX *calls; /* parent of every CurlCall */
   bool in_chunk;     /* inside a write callback, where libcurl does not allow handles to be added or
@@ -88,18 +91,12 @@
 }
 
 static void
-curl_loop_on_timer (struct tevent_context *events,
-                    struct tevent_timer *timer,
-                    struct timeval now,
-                    void *data)
+curl_loop_on_timer (void *data)
 {
   struct CurlLoop *loop = data;
   int running;
 
-  (void)events;
-  (void)timer;
-  (void)now;
-  loop->timer = NULL;
+  TALLOC_FREE (loop->timer);
   curl_multi_socket_action (loop->multi, CURL_SOCKET_TIMEOUT, 0, &running);
   curl_loop_finish_calls (loop);
 }
@@ -113,10 +110,7 @@
   TALLOC_FREE (loop->timer);
   if (timeout_ms < 0)
     return 0;
-  loop->timer = tevent_add_timer (loop->events, loop,
-                                  tevent_timeval_current_ofs ((uint32_t)(timeout_ms / 1000),
-                                                              (uint32_t)(timeout_ms % 1000) * 1000),
-                                  curl_loop_on_timer, loop);
+  loop->timer = timer_subscribe (loop, loop->timers, timeout_ms, 0, curl_loop_on_timer, loop);
   return loop->timer != NULL ? 0 : -1;
 }
 
@@ -206,6 +200,7 @@
 {
   /* Frees the calls first: their destructor removes their handles from multi. */
   TALLOC_FREE (loop->calls);
+  TALLOC_FREE (loop->timer);
   curl_multi_cleanup (loop->multi);
   return 0;
 }
@@ -218,9 +213,10 @@
   if (loop == NULL)
     return NULL;
   loop->events = events;
+  loop->timers = timer_tevent_new (loop, events);
   loop->calls = talloc_new (loop);
   loop->multi = curl_multi_init ();
-  if (loop->calls == NULL || loop->multi == NULL)
+  if (loop->timers == NULL || loop->calls == NULL || loop->multi == NULL)
     {
       curl_multi_cleanup (loop->multi);
       talloc_free (loop);
--- a/include/buckthornhead/timer.h
+++ b/include/buckthornhead/timer.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
 #include <talloc.h>
@@ -36,7 +37,10 @@
   int64_t due_ms;
   int64_t period_ms; /* 0: fires once */
   bool armed;
-  void *adapter; /* handle of the adapter */
+  /* Used by the adapter only. */
+  bool queued;
+  size_t position;
+  uint64_t order; /* of timers that are due at the same time */
 };
 
 /* Returns milliseconds on a monotonic clock. */
