Log on what a request of a customer near its limit was admitted

A window over a limit could not be traced: only refusals were logged, and neither which gateway let through what nor the sum and its age were in any log. One line per request, within LOG_REQUESTS_PER_S. No decision changes.

--- a/core/customers/quota_part.c
+++ b/core/customers/quota_part.c
@@ -203,6 +203,7 @@
 
   verdict->limit = (uint32_t)quota_limit (ledger, entry);
   verdict->fleet_taken = fleet.taken;
+  verdict->own_taken = own.taken;
   if (ledger->rules.sharing == QUOTA_BY_EQUAL_SHARES || ledger->fleet.is_cut_off)
     {
       fraction = ledger->fleet.is_cut_off ? CUT_OFF_SHARE : 1;
--- a/gateway/quotas.c
+++ b/gateway/quotas.c
@@ -23,7 +23,8 @@
   START_REPORT_MS = 3000,
   SMALL_FLEET_MAX = 4, /* gateways, including this one */
   /* With others known, this gateway counts as cut off after this long without a usage report. */
-  CUT_OFF_MS = 2500
+  CUT_OFF_MS = 2500,
+  LOGGED_FROM_PERMILLE = 700 /* fraction of a limit from which on admissions are logged */
 };
 
 struct Quotas
@@ -77,6 +78,20 @@
   return quota_must_defer (quotas->ledger, request->customer.name, kind, now_ms);
 }
 
+/* Logs what a request of a customer near its limit was admitted on: a window over the limit can be
+ * traced only through the sums of all gateways. */
+static void
+quotas_log_admitted (const struct Request *request, const struct QuotaVerdict *verdict)
+{
+  if (verdict->fleet_taken * 1000 < verdict->limit * LOGGED_FROM_PERMILLE)
+    return;
+  log_request (LOG_LEVEL_INFO, "admitted_near_limit", request->caller.id, request->caller.program,
+               "customer %s: limit %u per window, %u used as reported %lld ms ago, %u of them here, "
+               "%u of 1000 pass",
+               request->customer.name, verdict->limit, verdict->fleet_taken,
+               (long long)verdict->report_age_ms, verdict->own_taken, verdict->permille);
+}
+
 bool
 quotas_admit (struct Request *request)
 {
@@ -91,6 +106,7 @@
   if (verdict.admitted)
     {
       request->admitted_ms = now_ms;
+      quotas_log_admitted (request, &verdict);
       return true;
     }
   counter_add (COUNTER_REQUESTS_OVER_LIMIT, 1);
--- a/include/buckthornhead/customers/quota.h
+++ b/include/buckthornhead/customers/quota.h
@@ -66,6 +66,7 @@
   uint32_t permille;       /* fraction of requests that passes now */
   uint32_t limit;          /* requests per window */
   uint32_t fleet_taken;    /* in the last window, as far as reported */
+  uint32_t own_taken;      /* the part of it that this gateway let through */
   bool is_first_rejection; /* first refusal of this customer for at least one window */
   int64_t report_age_ms;   /* age of the last report of others' usage; -1: none received */
 };
