Count what a silent gateway let through until it has left the window

Customers got more than their limit while gateways were cut off, suspended or away: a report of use that was not renewed for 1.6 s was dropped from the sums, so that the other gateways let through again what the silent one had already, although it was still in the window. A silent sender does not take back what it let through; the last report of a gateway, and of a zone, now counts until a window has passed since. Its demand, which tells a surge, is over as before.

The usual load is not refused. test_use_board's "silent senders expire" asserted the drop; two tests as strict take its place, one for what stays and how long, one for sums, which still expire.

--- a/core/customers/use_board.c
+++ b/core/customers/use_board.c
@@ -19,6 +19,7 @@
 
 struct UsageTable
 {
+  uint32_t window_ms;
   struct ReportRow *rows;
   int64_t received_ms;
 };
@@ -31,15 +32,24 @@
 }
 
 struct UsageTable *
-usage_table_new (TALLOC_CTX *ctx)
+usage_table_new (TALLOC_CTX *ctx, uint32_t window_ms)
 {
   struct UsageTable *table = talloc_zero (ctx, struct UsageTable);
 
-  if (table != NULL)
-    talloc_set_destructor (table, table_free);
+  if (table == NULL)
+    return NULL;
+  table->window_ms = window_ms;
+  talloc_set_destructor (table, table_free);
   return table;
 }
 
+static bool
+row_is_current (const struct ReportRow *row, int64_t now_ms)
+{
+  return now_ms - row->reported_ms < REPORT_VALID_MS;
+}
+
+/* Removes reports whose requests have all left the window. */
 static void
 table_expire (struct UsageTable *table, int64_t now_ms)
 {
@@ -47,7 +57,7 @@
 
   HASH_ITER (hh, table->rows, row, next)
   {
-    if (now_ms - row->reported_ms < REPORT_VALID_MS)
+    if (row_is_current (row, now_ms) || now_ms - row->reported_ms < table->window_ms)
       continue;
     HASH_DEL (table->rows, row);
     talloc_free (row);
@@ -97,8 +107,9 @@
   struct UsageSumRow *rows;
 };
 
+/* demands: false if the report is too old for its demand to count. */
 static void
-sum_add (struct UsageSum *sum, const struct CustomerUsage *usages, size_t n_usages)
+sum_add (struct UsageSum *sum, const struct CustomerUsage *usages, size_t n_usages, bool demands)
 {
   for (size_t i = 0; i < n_usages; i++)
     {
@@ -115,10 +126,16 @@
         }
       row->usage.taken += usages[i].taken;
       row->usage.begun += usages[i].begun;
-      row->usage.wanted += usages[i].wanted;
+      row->usage.wanted += demands ? usages[i].wanted : 0;
     }
 }
 
+static void
+sum_add_row (struct UsageSum *sum, const struct ReportRow *row, int64_t now_ms)
+{
+  sum_add (sum, row->report.usages, row->report.n_usages, row_is_current (row, now_ms));
+}
+
 static struct CustomerUsage *
 sum_finish (struct UsageSum *sum, TALLOC_CTX *ctx, size_t *n_usages)
 {
@@ -157,16 +174,16 @@
   struct UsageSum sum = { .ctx = talloc_new (ctx) };
 
   table_expire (table, now_ms);
-  sum_add (&sum, own, n_own);
+  sum_add (&sum, own, n_own, true);
   for (const struct ReportRow *row = table->rows; row != NULL; row = row->hh.next)
     switch (row->report.scope)
       {
       case USAGE_OF_GATEWAY:
-        sum_add (&sum, row->report.usages, row->report.n_usages);
+        sum_add_row (&sum, row, now_ms);
         break;
       case USAGE_OF_ZONE:
         if (scope == USAGE_OF_FLEET && !zone_reported_later (table, row))
-          sum_add (&sum, row->report.usages, row->report.n_usages);
+          sum_add_row (&sum, row, now_ms);
         break;
       case USAGE_OF_FLEET:
         break;
@@ -181,7 +198,7 @@
 
   table_expire (table, now_ms);
   for (const struct ReportRow *row = table->rows; row != NULL; row = row->hh.next)
-    if (row->report.scope == USAGE_OF_FLEET
+    if (row->report.scope == USAGE_OF_FLEET && row_is_current (row, now_ms)
         && (best == NULL || row->reported_ms > best->reported_ms))
       best = row;
   return best != NULL ? &best->report : NULL;
--- a/gateway/quotas.c
+++ b/gateway/quotas.c
@@ -85,11 +85,12 @@
 {
   if (verdict->fleet_taken * 1000 < verdict->limit * LOGGED_FROM_PERMILLE)
     return;
-  log_request (LOG_LEVEL_INFO, "admitted_near_limit", request->caller.id, request->caller.program,
-               "customer %s: limit %u per window, %u used as reported %lld ms ago, %u of them here, "
-               "%u of 1000 pass",
-               request->customer.name, verdict->limit, verdict->fleet_taken,
-               (long long)verdict->report_age_ms, verdict->own_taken, verdict->permille);
+  log_request (
+      LOG_LEVEL_INFO, "admitted_near_limit", request->caller.id, request->caller.program,
+      "customer %s: limit %u per window, %u used as reported %lld ms ago, %u of them here, "
+      "%u of 1000 pass",
+      request->customer.name, verdict->limit, verdict->fleet_taken,
+      (long long)verdict->report_age_ms, verdict->own_taken, verdict->permille);
 }
 
 bool
@@ -333,7 +334,7 @@
     return NULL;
   quotas->front = front;
   quotas->ledger = quota_ledger_new (quotas, &rules, settings->instance, front->started_ms);
-  quotas->usage_table = usage_table_new (quotas);
+  quotas->usage_table = usage_table_new (quotas, rules.window_ms);
   if (quotas->ledger == NULL || quotas->usage_table == NULL)
     {
       talloc_free (quotas);
--- a/include/buckthornhead/customers/use_board.h
+++ b/include/buckthornhead/customers/use_board.h
@@ -2,8 +2,9 @@
  *
  * A gateway reports its own usage to the aggregators of its zone; these report the zone's sum to
  * the aggregators of other zones, and the fleet's sum to their members. Two aggregators of a zone
- * report nearly the same sum, so only the later report counts. Reports of senders that are silent
- * for too long expire. Does no I/O. */
+ * report nearly the same sum, so only the later report counts. The usage that a silent sender
+ * reported last counts until it has left the window, since a sender that is suspended, killed or
+ * unreachable does not take back what it let through. Does no I/O. */
 #pragma once
 
 #include <buckthornhead/customers/quota.h>
@@ -26,9 +27,11 @@
 
 struct UsageTable;
 
-/* Returns NULL when out of memory. */
+/* window_ms: the length of the sliding window in which limits hold. Returns NULL when out of
+ * memory.
+ */
 struct UsageTable *
-usage_table_new (TALLOC_CTX *ctx);
+usage_table_new (TALLOC_CTX *ctx, uint32_t window_ms);
 
 /* Stores a report; it replaces the previous one of the same sender and scope. */
 void
--- /dev/null
+++ b/tests/quota_sim.h
@@ -0,0 +1,62 @@
+/* Simulates customers' limits under faults in virtual time, with the real quota code of each
+ * gateway: its ledger, reports, sums and choice of aggregators. Callers send programs that call
+ * tools together; gateways are suspended, killed and cut off, and their messages lost. Checks each
+ * sliding window of the requests that were let through. */
+#pragma once
+
+#include <stdbool.h>
+#include <stdint.h>
+
+enum
+{
+  QUOTA_SIM_CUSTOMERS = 4
+};
+
+/* Limits per second; each customer's burst is one second of its rate. */
+extern const double quota_sim_rates[QUOTA_SIM_CUSTOMERS];
+
+/* Starts gateways in three zones, with all customers at their usual load. One simulation runs at a
+ * time. */
+void
+quota_sim_start (uint32_t n_gateways, uint64_t seed);
+void
+quota_sim_end (void);
+
+void
+quota_sim_run (int64_t for_ms);
+
+/* Sets the customer's load, as a multiple of the usual one. */
+void
+quota_sim_set_load (uint32_t customer, double load);
+
+/* What happens to the gateways from first to first + n - 1. */
+
+/* They neither handle requests nor send or receive messages. */
+void
+quota_sim_suspend (uint32_t first, uint32_t n);
+/* They read the requests of callers that still wait before anything else. */
+void
+quota_sim_resume (uint32_t first, uint32_t n);
+void
+quota_sim_kill (uint32_t first, uint32_t n);
+void
+quota_sim_restart (uint32_t first, uint32_t n);
+/* Cut them off from all other gateways, but not from callers; with split, they reach each other. */
+void
+quota_sim_isolate (uint32_t first, uint32_t n);
+void
+quota_sim_split (uint32_t first, uint32_t n);
+/* Four of five of the messages that they send or receive are lost. */
+void
+quota_sim_set_lossy (uint32_t first, uint32_t n, bool lossy);
+
+/* Ends all cuts. */
+void
+quota_sim_reconnect (void);
+
+/* Prints the customer's results. Returns its fullest window as a fraction of the bound. */
+double
+quota_sim_check (uint32_t customer, const char *title);
+/* Returns the number of the customer's programs that began and failed on a refused request. */
+uint32_t
+quota_sim_failed (uint32_t customer);
--- /dev/null
+++ b/tests/test_quota_faults.c
@@ -0,0 +1,107 @@
+/* Customers' limits while gateways fail; see quota_sim.h. */
+#include "test_main.h"
+
+#include "quota_sim.h"
+
+enum
+{
+  N_SEEDS = 6,
+  N_GATEWAYS = 66,
+  N_LARGE = 2, /* customers whose limit is large compared with the requests between two reports */
+  WARM_UP_MS = 6000,
+  HOT_MS = 3000,
+  AFTER_MS = 6000
+};
+
+/* Rises in steps: the start of a surge is another test's matter. */
+static const double hot_loads[] = { 2, 5 };
+
+static void
+start_with_hot_customers (uint64_t seed)
+{
+  quota_sim_start (N_GATEWAYS, seed);
+  quota_sim_run (WARM_UP_MS);
+  for (size_t i = 0; i < sizeof hot_loads / sizeof hot_loads[0]; i++)
+    {
+      for (uint32_t c = 0; c < N_LARGE; c++)
+        quota_sim_set_load (c, hot_loads[i]);
+      quota_sim_run (HOT_MS);
+    }
+}
+
+static void
+expect_bound (const char *title)
+{
+  for (uint32_t c = 0; c < QUOTA_SIM_CUSTOMERS; c++)
+    CU_ASSERT (quota_sim_check (c, title) <= 1);
+  quota_sim_end ();
+}
+
+static void
+test_usual_load_is_not_refused (void)
+{
+  for (uint64_t seed = 1; seed <= N_SEEDS; seed++)
+    {
+      quota_sim_start (N_GATEWAYS, seed);
+      quota_sim_run (20000);
+      for (uint32_t c = 0; c < QUOTA_SIM_CUSTOMERS; c++)
+        CU_ASSERT_EQUAL (quota_sim_failed (c), 0);
+      expect_bound ("usual load");
+    }
+}
+
+/* Guards against usage of gateways that are cut off, which the others spend again while it is
+ * still in the window. */
+static void
+test_usage_of_cut_off_gateways_is_not_spent_again (void)
+{
+  for (uint64_t seed = 1; seed <= N_SEEDS; seed++)
+    {
+      start_with_hot_customers (seed);
+      quota_sim_isolate (0, 20);
+      quota_sim_run (5000);
+      quota_sim_reconnect ();
+      quota_sim_run (AFTER_MS);
+      expect_bound ("three tenths cut off");
+    }
+}
+
+static void
+test_usage_of_killed_gateways_is_not_spent_again (void)
+{
+  for (uint64_t seed = 1; seed <= N_SEEDS; seed++)
+    {
+      start_with_hot_customers (seed);
+      quota_sim_kill (0, 33);
+      quota_sim_run (1500);
+      quota_sim_restart (0, 33);
+      quota_sim_run (AFTER_MS);
+      expect_bound ("half killed and started again");
+    }
+}
+
+static void
+test_lost_messages (void)
+{
+  for (uint64_t seed = 1; seed <= N_SEEDS; seed++)
+    {
+      start_with_hot_customers (seed);
+      quota_sim_set_lossy (0, 40, true);
+      quota_sim_run (5000);
+      quota_sim_set_lossy (0, 40, false);
+      quota_sim_run (AFTER_MS);
+      expect_bound ("messages of three fifths lost");
+    }
+}
+
+const char test_suite_name[] = "quota_faults";
+
+const struct TestCase test_cases[] = {
+  { "usual load is not refused", test_usual_load_is_not_refused },
+  { "usage of cut-off gateways is not spent again",
+    test_usage_of_cut_off_gateways_is_not_spent_again },
+  { "usage of killed gateways is not spent again",
+    test_usage_of_killed_gateways_is_not_spent_again },
+  { "lost messages", test_lost_messages },
+  { NULL, NULL },
+};
--- a/tests/test_use_board.c
+++ b/tests/test_use_board.c
@@ -44,7 +44,7 @@
 static void
 test_members_and_zones_are_summed (void)
 {
-  struct UsageTable *table = usage_table_new (NULL);
+  struct UsageTable *table = usage_table_new (NULL, SPAN_MS);
 
   take (table, "b", "z1", USAGE_OF_GATEWAY, 3, START_MS);
   take (table, "c", "z1", USAGE_OF_GATEWAY, 4, START_MS);
@@ -63,7 +63,7 @@
 static void
 test_a_zone_counts_once (void)
 {
-  struct UsageTable *table = usage_table_new (NULL);
+  struct UsageTable *table = usage_table_new (NULL, SPAN_MS);
 
   take (table, "x", "z2", USAGE_OF_ZONE, 10, START_MS);
   take (table, "y", "z2", USAGE_OF_ZONE, 12, START_MS + 5);
@@ -76,17 +76,35 @@
   talloc_free (table);
 }
 
+/* Guards against usage that others spend again while it is in the window: a sender that is silent
+ * does not take back what it let through. Its demand is over. */
 static void
-test_silent_senders_expire (void)
+test_usage_of_silent_senders_counts_until_it_leaves_the_window (void)
 {
-  struct UsageTable *table = usage_table_new (NULL);
+  struct UsageTable *table = usage_table_new (NULL, SPAN_MS);
+  struct CustomerUsage *usages;
+  size_t n;
 
   take (table, "b", "z1", USAGE_OF_GATEWAY, 3, START_MS);
+  take (table, "c", "z2", USAGE_OF_ZONE, 4, START_MS);
+  CU_ASSERT_EQUAL (sum (table, USAGE_OF_ZONE, 0, START_MS + SPAN_MS - 1), 3);
+  CU_ASSERT_EQUAL (sum (table, USAGE_OF_FLEET, 0, START_MS + SPAN_MS - 1), 7);
+  usages = usage_table_sum (table, table, USAGE_OF_FLEET, NULL, 0, START_MS + SILENT_MS, &n);
+  CU_ASSERT_EQUAL (n, 1);
+  CU_ASSERT_EQUAL (usages[0].wanted, 0);
+  CU_ASSERT_EQUAL (sum (table, USAGE_OF_FLEET, 0, START_MS + SPAN_MS), 0);
+  talloc_free (table);
+}
+
+static void
+test_sums_of_silent_senders_expire (void)
+{
+  struct UsageTable *table = usage_table_new (NULL, SPAN_MS);
+
   take (table, "a", "z1", USAGE_OF_FLEET, 30, START_MS);
   CU_ASSERT_PTR_NOT_NULL (usage_table_fleet (table, START_MS));
   take (table, "d", "z1", USAGE_OF_FLEET, 31, START_MS + 10);
   CU_ASSERT_EQUAL (usage_table_fleet (table, START_MS + 10)->usages[0].taken, 31);
-  CU_ASSERT_EQUAL (sum (table, USAGE_OF_ZONE, 0, START_MS + SILENT_MS), 0);
   CU_ASSERT_PTR_NULL (usage_table_fleet (table, START_MS + SILENT_MS));
   talloc_free (table);
 }
@@ -116,7 +134,9 @@
 const struct TestCase test_cases[] = {
   { "members and zones are summed", test_members_and_zones_are_summed },
   { "a zone counts once", test_a_zone_counts_once },
-  { "silent senders expire", test_silent_senders_expire },
+  { "usage of silent senders counts until it leaves the window",
+    test_usage_of_silent_senders_counts_until_it_leaves_the_window },
+  { "sums of silent senders expire", test_sums_of_silent_senders_expire },
   { "a window slides", test_window_slides },
   { NULL, NULL },
 };
