Decide nothing on reports of use that are too old

Customers got more than their limit when gateways were suspended for seconds and resumed: requests had waited in their sockets and were read before any report; the last one was too old to be valid, and the use of all other gateways then counted as none. Each resumed gateway let through what came until the next report.

What is not known is not zero. A gateway whose last report is too old takes no request of a limited customer until a report arrives, some 100 ms (503, to come back after 0.3 s, not run), and is limited to a cut-off gateway's share beyond that.

--- a/core/customers/quota.c
+++ b/core/customers/quota.c
@@ -135,6 +135,13 @@
   return usage->wanted > quota_demand_limit (ledger, entry);
 }
 
+bool
+quota_is_uninformed (const struct QuotaLedger *ledger, int64_t now_ms)
+{
+  return ledger->rules.sharing == QUOTA_BY_REPORTS && ledger->fleet.n_known > 1
+         && ledger->last_report_ms > 0 && now_ms - ledger->last_report_ms >= REPORT_VALID_MS;
+}
+
 /* Configuration */
 
 static void
@@ -246,12 +253,6 @@
   return 0;
 }
 
-static bool
-ledger_has_fresh_report (const struct QuotaLedger *ledger, int64_t now_ms)
-{
-  return ledger->last_report_ms > 0 && now_ms - ledger->last_report_ms < REPORT_VALID_MS;
-}
-
 static void
 entry_count_taken (struct QuotaLedger *ledger,
                    struct QuotaEntry *entry,
@@ -310,9 +311,12 @@
 {
   const struct QuotaEntry *entry = quota_ledger_find (ledger, customer);
 
-  return ledger->rules.sharing == QUOTA_BY_REPORTS && kind != QUOTA_REQUEST_UNDER_WAY
-         && entry != NULL && entry->rate_per_s > 0 && entry->begun.total > 0
-         && ledger->last_report_ms == 0 && now_ms - ledger->started_ms < STARTUP_DEFER_MS;
+  if (ledger->rules.sharing != QUOTA_BY_REPORTS || entry == NULL || entry->rate_per_s <= 0)
+    return false;
+  if (quota_is_uninformed (ledger, now_ms) && !ledger->fleet.is_cut_off)
+    return true;
+  return kind != QUOTA_REQUEST_UNDER_WAY && entry->begun.total > 0 && ledger->last_report_ms == 0
+         && now_ms - ledger->started_ms < STARTUP_DEFER_MS;
 }
 
 struct QuotaVerdict
@@ -329,9 +333,6 @@
   kind = ledger_request_kind (ledger, kind);
   if (ledger->last_report_ms > 0)
     verdict.report_age_ms = now_ms - ledger->last_report_ms;
-  if (ledger->rules.sharing == QUOTA_BY_REPORTS && !ledger_has_fresh_report (ledger, now_ms)
-      && !ledger->fleet.is_cut_off)
-    memset (&entry->others, 0, sizeof entry->others);
   quota_decide (ledger, entry, kind, now_ms, &verdict);
   if (verdict.admitted)
     entry_count_taken (ledger, entry, kind, now_ms);
--- a/core/customers/quota_internal.h
+++ b/core/customers/quota_internal.h
@@ -58,6 +58,11 @@
 struct CustomerUsage
 quota_own_usage (const struct QuotaLedger *ledger, struct QuotaEntry *entry, int64_t now_ms);
 
+/* Returns whether reports were received, but the last one is too old to decide on: this gateway is
+ * cut off, or was suspended. */
+bool
+quota_is_uninformed (const struct QuotaLedger *ledger, int64_t now_ms);
+
 /* Returns the time since this gateway's start in windows, at most 1. Below 1, a burst may have been
  * spent before the start, of which this process has no record. */
 double
--- a/core/customers/quota_part.c
+++ b/core/customers/quota_part.c
@@ -200,13 +200,14 @@
 {
   struct CustomerUsage own = quota_own_usage (ledger, entry, now_ms), fleet;
   double fraction = quota_pass_fraction (ledger, entry, &own, kind, now_ms, &fleet);
+  bool is_alone = ledger->fleet.is_cut_off || quota_is_uninformed (ledger, now_ms);
 
   verdict->limit = (uint32_t)quota_limit (ledger, entry);
   verdict->fleet_taken = fleet.taken;
   verdict->own_taken = own.taken;
-  if (ledger->rules.sharing == QUOTA_BY_EQUAL_SHARES || ledger->fleet.is_cut_off)
+  if (ledger->rules.sharing == QUOTA_BY_EQUAL_SHARES || is_alone)
     {
-      fraction = ledger->fleet.is_cut_off ? CUT_OFF_SHARE : 1;
+      fraction = is_alone ? CUT_OFF_SHARE : 1;
       verdict->admitted = equal_share_allows (ledger, entry, &own, fraction);
       verdict->permille = verdict->admitted ? 1000 : 0;
       return;
--- a/include/buckthornhead/customers/quota.h
+++ b/include/buckthornhead/customers/quota.h
@@ -112,8 +112,9 @@
                     enum QuotaRequestKind kind,
                     int64_t now_ms);
 
-/* Returns whether the request has to be deferred for a moment: this gateway has just started and
- * received no report yet, and the request begins a program that is not the customer's first here.
+/* Returns whether the request has to be deferred for a moment, because this gateway was suspended
+ * and has not received a report since, or because it has just started and received no report yet,
+ * and the request begins a program that is not the customer's first here.
  * Guards against a restart of all gateways while a customer sends several times its limit: all
  * requests that were refused before are sent again at once, and each gateway would admit its
  * share. */
--- a/tests/quota_sim.c
+++ b/tests/quota_sim.c
@@ -4,6 +4,7 @@
 #include "../gateway/quotas.h"
 
 #include <buckthornhead/error.h>
+#include <buckthornhead/log.h>
 #include <buckthornhead/peer_table.h>
 
 #include <stdio.h>
@@ -288,6 +289,7 @@
 void
 quota_sim_start (uint32_t n_gateways, uint64_t seed)
 {
+  log_init ("", "", LOG_LEVEL_ERROR);
   sim = talloc_zero (NULL, struct Sim);
   sim->now_ms = 1000000;
   sim->random = seed * 2654435761U + 1;
--- a/tests/test_quota_faults.c
+++ b/tests/test_quota_faults.c
@@ -94,6 +94,22 @@
     }
 }
 
+/* Guards against a gateway that is resumed and admits the requests that waited for it as if no
+ * other gateway had let any through: its last report is too old to decide on. */
+static void
+test_resumed_gateways_wait_for_a_report (void)
+{
+  for (uint64_t seed = 1; seed <= N_SEEDS; seed++)
+    {
+      start_with_hot_customers (seed);
+      quota_sim_suspend (0, 26);
+      quota_sim_run (3000);
+      quota_sim_resume (0, 26);
+      quota_sim_run (AFTER_MS);
+      expect_bound ("two fifths suspended");
+    }
+}
+
 const char test_suite_name[] = "quota_faults";
 
 const struct TestCase test_cases[] = {
@@ -103,5 +119,6 @@
   { "usage of killed gateways is not spent again",
     test_usage_of_killed_gateways_is_not_spent_again },
   { "lost messages", test_lost_messages },
+  { "resumed gateways wait for a report", test_resumed_gateways_wait_for_a_report },
   { NULL, NULL },
 };
