Cut off a refused write of the spool before the next record is written

An acknowledged record could be lost at the next start of an instance: the disk took a part of one record and refused the rest, the caller was told so, the next record was appended behind the torn bytes and synced with success, and the next start cut both off (log: spool_torn).

Cause: records were appended at the end of the file, whatever stood there. A record is now written at the end of the whole part; after a failed or short write the rest is cut off, and while the disk refuses that, records are refused too. The same cause elsewhere: the archives' disk log starts a new file after a failed batch (disk_writer.c), its kept files are written beside and renamed; neither has it.

--- a/adapters/spool.c
+++ b/adapters/spool.c
@@ -44,6 +44,8 @@
   int fd;
   bool dirty;
   off_t durable_bytes; /* length of the durable, whole part of the file */
+  off_t whole_bytes;   /* length of the whole part, durable or not: the next record goes there */
+  bool torn;           /* the file may have more bytes than its whole part */
   struct SpoolEntry *entries;
   size_t n_entries, n_dropped; /* the first n_dropped entries are dropped */
 };
@@ -149,6 +151,7 @@
     }
   msgpack_unpacked_destroy (&unpacked);
   talloc_free (content);
+  file->whole_bytes = file->durable_bytes;
   if (file->durable_bytes == status.st_size)
     return ERROR_NONE;
   log_event (LOG_LEVEL_WARNING, "spool_torn", NULL,
@@ -256,6 +259,17 @@
   return ERROR_IO;
 }
 
+/* Cuts off what a failed write left behind the whole part. Returns false if the disk refuses. */
+static bool
+spool_file_cut_torn (struct SpoolFile *file)
+{
+  if (file->torn && ftruncate (file->fd, file->whole_bytes) != 0)
+    return false;
+  file->torn = false;
+  return true;
+}
+
+/* A record must never follow a torn one: at the next start it would be cut off with it. */
 static int32_t
 spool_file_write (struct SpoolFile *file, uint64_t number, const uint8_t *record, size_t n_bytes)
 {
@@ -264,6 +278,8 @@
   size_t packed_bytes = 0;
   int32_t error;
 
+  if (!spool_file_cut_torn (file))
+    return ERROR_IO;
   if (writer == NULL)
     return ERROR_NO_MEMORY;
   pack_array (writer, ENTRY_ITEMS);
@@ -273,9 +289,14 @@
   error = pack_finish (writer, file, &packed, &packed_bytes);
   if (error != ERROR_NONE)
     return error;
-  lseek (file->fd, 0, SEEK_END);
-  if (write (file->fd, packed, packed_bytes) != (ssize_t)packed_bytes)
-    error = ERROR_IO;
+  if (pwrite (file->fd, packed, packed_bytes, file->whole_bytes) == (ssize_t)packed_bytes)
+    file->whole_bytes += (off_t)packed_bytes;
+  else
+    {
+      error = ERROR_IO;
+      file->torn = true;
+      spool_file_cut_torn (file);
+    }
   talloc_free (packed);
   return error;
 }
@@ -324,7 +345,9 @@
 static void
 spool_file_truncate_unsynced (struct SpoolFile *file)
 {
-  if (ftruncate (file->fd, file->durable_bytes) != 0)
+  file->whole_bytes = file->durable_bytes;
+  file->torn = true;
+  if (!spool_file_cut_torn (file))
     log_event (LOG_LEVEL_ERROR, "spool_failed", NULL, "replace the instance: its disk is failing",
                "%s", file->path);
   while (file->n_entries > 0 && !file->entries[file->n_entries - 1].durable)
@@ -347,7 +370,7 @@
           spool_file_truncate_unsynced (f);
           continue;
         }
-      f->durable_bytes = lseek (f->fd, 0, SEEK_END);
+      f->durable_bytes = f->whole_bytes;
       for (size_t i = 0; i < f->n_entries; i++)
         f->entries[i].durable = true;
     }
--- a/tests/test_spool.c
+++ b/tests/test_spool.c
@@ -3,9 +3,11 @@
 #include <buckthornhead/spool.h>
 
 #include <fcntl.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/stat.h>
 #include <unistd.h>
 
@@ -126,6 +128,36 @@
   remove_folder ();
 }
 
+/* Guards against an acknowledged record that is lost at the next start, since it was written behind
+ * the bytes of one that the disk had refused. */
+static void
+test_record_after_a_refused_write_survives (void)
+{
+  const struct rlimit full = { .rlim_cur = 20, .rlim_max = RLIM_INFINITY };
+  static const uint8_t large[4096];
+  struct rlimit before;
+  struct Spool *spool;
+
+  new_folder ();
+  spool = open_spool ();
+  put_record (spool, 1, "one");
+  CU_ASSERT_EQUAL (spool_sync (spool), ERROR_NONE);
+  getrlimit (RLIMIT_FSIZE, &before);
+  signal (SIGXFSZ, SIG_IGN);
+  /* The disk takes a part of the record. */
+  setrlimit (RLIMIT_FSIZE, &full);
+  CU_ASSERT_EQUAL (spool_put (spool, "malda-1.7", 2, large, sizeof large), ERROR_IO);
+  setrlimit (RLIMIT_FSIZE, &before);
+  put_record (spool, 3, "three");
+  CU_ASSERT_EQUAL (spool_sync (spool), ERROR_NONE);
+  expect_records (spool, "1=one 3=three ");
+  talloc_free (spool);
+  spool = open_spool ();
+  expect_records (spool, "1=one 3=three ");
+  talloc_free (spool);
+  remove_folder ();
+}
+
 /* The disk returns other bytes than were written: the changed record and all after it must be
  * rejected. */
 static void
@@ -222,6 +254,7 @@
 const char test_suite_name[] = "spool";
 const struct TestCase test_cases[] = {
   { "records survive a restart", test_records_survive_a_restart },
+  { "a record after a refused write survives", test_record_after_a_refused_write_survives },
   { "torn tail is cut off", test_torn_tail_is_cut_off },
   { "changed byte is detected", test_changed_byte_is_detected },
   { "dropped records are removed", test_dropped_records_are_removed },
