--- a/gateway/quotas.c
+++ b/gateway/quotas.c
@@ -309,7 +309,13 @@
 void
 quotas_on_report (struct Quotas *quotas, const char *sender, const struct UsageReport *report)
 {
-  usage_table_take (quotas->usage_table, sender, report, quotas_now_ms (quotas));
+  int64_t now_ms = quotas_now_ms (quotas);
+
+  usage_table_take (quotas->usage_table, sender, report, now_ms);
+  /* What passes until the next check would be decided on the previous sums. */
+  if (report->scope == USAGE_OF_FLEET
+      && !peer_table_is_aggregator (quotas->front->node->peers, now_ms))
+    quotas_apply_report (quotas, now_ms);
 }
 
 void
