Count the missing servers of all services in one pass

Behind an outage that lets the entries of a fleet expire, each missing server counted all others of its service again: with ten thousand servers a hundred million comparisons in one event. One pass and a table by service, shared with the count of slots in use.

--- a/core/scheduling/replica_set.c
+++ b/core/scheduling/replica_set.c
@@ -134,43 +134,77 @@
     }
 }
 
-/* Returns whether more of the service's servers are missing for the first time than are listed. An
- * outage of the store that lets entries expire takes most of them at once, since all servers renew
- * theirs in the same interval; planned work takes a few. */
-static bool
-service_lost_most_entries (const struct ReplicaSet *set, const char *service)
+/* Counts of one service's servers, as far as the caller fills them in. */
+struct ServiceCounts
+{
+  const char *service;
+  uint64_t running, slots;      /* requests in flight, and how many run concurrently */
+  uint64_t n_listed, n_missing; /* in the last list; in the list before it only */
+};
+
+enum
 {
-  size_t n_listed = 0, n_missing = 0;
+  SERVICES_MAX = 64 /* services considered; further ones are ignored */
+};
+
+/* Returns NULL if there are too many services. */
+static struct ServiceCounts *
+counts_get_or_add (struct ServiceCounts counts[SERVICES_MAX], size_t *n, const char *service)
+{
+  for (size_t i = 0; i < *n; i++)
+    if (strcmp (counts[i].service, service) == 0)
+      return &counts[i];
+  if (*n == SERVICES_MAX)
+    return NULL;
+  counts[*n] = (struct ServiceCounts){ .service = service };
+  return &counts[(*n)++];
+}
+
+/* Counts the listed servers of each service, and those that are missing for the first time. */
+static size_t
+replica_set_count_missing (const struct ReplicaSet *set, struct ServiceCounts counts[SERVICES_MAX])
+{
+  size_t n = 0;
 
   for (size_t i = 0; i < set->n_replicas; i++)
     {
       const struct Replica *replica = set->replicas[i];
+      struct ServiceCounts *count;
 
-      if (replica->entry.draining || strcmp (replica->entry.service, service) != 0)
+      if (replica->entry.draining || (!replica->listed && !replica->was_listed))
         continue;
-      if (replica->listed)
-        n_listed++;
-      else if (replica->was_listed)
-        n_missing++;
+      count = counts_get_or_add (counts, &n, replica->entry.service);
+      if (count == NULL)
+        continue;
+      count->n_listed += replica->listed;
+      count->n_missing += !replica->listed;
     }
-  return n_missing > n_listed;
+  return n;
 }
 
-/* Keeps servers that are missing from a list read after an outage for a limited time. One that is
- * missing from a later list had its entry after the outage, so it was removed since. With few
- * missing, the store may have been available and only its reader cut off: these servers are more
- * likely to have left, and the listed ones can do without them until they reappear. */
+/* Keeps servers that are missing from a list read after an outage for a limited time, if more of
+ * their service are missing than listed: an outage of the store that lets entries expire takes most
+ * of them at once, since all servers renew theirs in the same interval. With few missing, the store
+ * may have been available and only its reader cut off: these servers have probably left, and the
+ * others can do without them until they reappear. One that is missing from a later list had its
+ * entry after the outage, so it was removed since. */
 static void
 replica_set_keep_expired (struct ReplicaSet *set, bool after_gap)
 {
+  struct ServiceCounts counts[SERVICES_MAX];
+  size_t n = after_gap ? replica_set_count_missing (set, counts) : 0;
+
   for (size_t i = 0; i < set->n_replicas; i++)
     {
       struct Replica *replica = set->replicas[i];
+      const struct ServiceCounts *count;
 
       if (replica->listed)
         replica->kept = false;
-      else if (replica->was_listed)
-        replica->kept = after_gap && service_lost_most_entries (set, replica->entry.service);
+      if (replica->listed || !replica->was_listed)
+        continue;
+      count = after_gap ? counts_get_or_add (counts, &n, replica->entry.service) : NULL;
+      replica->kept = count != NULL && count->n_missing > count->n_listed;
     }
 }
 
@@ -446,53 +480,29 @@
   return best;
 }
 
-/* Usage of one service's slots in a zone. */
-struct ServiceUsage
-{
-  const char *service;
-  uint64_t running, slots;
-};
-
-enum
-{
-  SERVICES_MAX = 64 /* services considered; further ones are ignored */
-};
-
-static struct ServiceUsage *
-usage_get_or_add (struct ServiceUsage usages[SERVICES_MAX], size_t *n, const char *service)
-{
-  for (size_t i = 0; i < *n; i++)
-    if (strcmp (usages[i].service, service) == 0)
-      return &usages[i];
-  if (*n == SERVICES_MAX)
-    return NULL;
-  usages[*n] = (struct ServiceUsage){ .service = service };
-  return &usages[(*n)++];
-}
-
 uint32_t
 replica_set_used_permille (const struct ReplicaSet *set, const char *zone)
 {
-  struct ServiceUsage usages[SERVICES_MAX];
+  struct ServiceCounts counts[SERVICES_MAX];
   size_t n = 0;
   uint32_t max_permille = 0;
 
   for (size_t i = 0; i < set->n_replicas; i++)
     {
       const struct Replica *replica = set->replicas[i];
-      struct ServiceUsage *usage;
+      struct ServiceCounts *count;
 
       if (replica->entry.draining || strcmp (replica->entry.zone, zone) != 0)
         continue;
-      usage = usage_get_or_add (usages, &n, replica->entry.service);
-      if (usage == NULL)
+      count = counts_get_or_add (counts, &n, replica->entry.service);
+      if (count == NULL)
         continue;
-      usage->running += replica->in_flight + replica->peers_in_flight;
-      usage->slots += replica->entry.slots > 0 ? replica->entry.slots : 1;
+      count->running += replica->in_flight + replica->peers_in_flight;
+      count->slots += replica->entry.slots > 0 ? replica->entry.slots : 1;
     }
   for (size_t i = 0; i < n; i++)
-    if (usages[i].running * 1000 / usages[i].slots > max_permille)
-      max_permille = (uint32_t)(usages[i].running * 1000 / usages[i].slots);
+    if (counts[i].running * 1000 / counts[i].slots > max_permille)
+      max_permille = (uint32_t)(counts[i].running * 1000 / counts[i].slots);
   return max_permille;
 }
 
--- a/include/buckthornhead/scheduling/replica_set.h
+++ b/include/buckthornhead/scheduling/replica_set.h
@@ -88,8 +88,8 @@
 
 /* Applies a complete list. after_gap: this is the first list after a time in which no process read
  * the platform's store. If most servers of a service are missing from it, their entries expired
- * while the store was unavailable, and they are kept for REPLICA_REAPPEAR_MS. Returns the number of servers that were added, removed or restarted, or that
- * started or stopped draining. */
+ * while the store was unavailable, and they are kept for REPLICA_REAPPEAR_MS. Returns the number of
+ * servers that were added, removed or restarted, or that started or stopped draining. */
 size_t
 replica_set_apply (struct ReplicaSet *set,
                    const struct ReplicaEntry *entries,
