--- a/gateway/node.h
+++ b/gateway/node.h
@@ -32,8 +32,8 @@
                    const struct GatewayMessage *message);
   /* Called when the set of archives has changed; may be NULL. */
   void (*set_changed) (void *data);
-  /* Called with a newer snapshot of the store. after_gap: it is the first one after a time in which,
-   * as far as this process knows, no process could read the store. */
+  /* Called with a newer snapshot of the store. after_gap: it is the first one after a time in
+   * which, as far as this process knows, no process could read the store. */
   void (*snapshot) (void *data, const struct Snapshot *snapshot, bool after_gap);
   /* Fills in the role's fields of the status and its loads; may be NULL. */
   void (*describe) (void *data, TALLOC_CTX *ctx, struct Heartbeat *heartbeat);
--- a/gateway/store_internal.h
+++ b/gateway/store_internal.h
@@ -60,7 +60,7 @@
   uint32_t subset_level;
   int64_t wait_ms; /* maximum duration of a watch call */
   bool reachable, registered, registering;
-  int64_t lost_ms; /* when a call failed after the last one that succeeded; 0: never */
+  int64_t lost_ms;             /* when a call failed after the last one that succeeded; 0: never */
   int64_t register_started_ms; /* of the pending or last call */
   int64_t aggregator_since_ms; /* when it became its zone's first aggregator; 0: it is not */
   int64_t nodes_known_ms;      /* when processes became known; may lie ahead; 0: not yet */
--- a/tests/quota_sim.c
+++ b/tests/quota_sim.c
@@ -182,6 +182,8 @@
   for (uint32_t g = 0; g < sim->n_gateways; g++)
     if (node == &sim->gateways[g].node)
       from = &sim->gateways[g];
+  if (from == NULL)
+    return;
   switch (choice)
     {
     case PEERS_OWN_AGGREGATORS:
