Leave half of the slack for what passes between two reports

Programs under way were let through up to 0.7 and, in a surge, 0.85 of the slack over the limit; what all gateways let through until the next report came on top, and with a small limit that is many times its rate.

--- a/core/customers/quota_part.c
+++ b/core/customers/quota_part.c
@@ -12,26 +12,26 @@
  * many pass in a surge. */
 struct QuotaMargins
 {
-  double begin_headroom;     /* fraction of burst and slack granted to new programs */
-  double under_way_headroom; /* fraction of the slack granted to programs under way */
+  double begin_headroom; /* fraction of burst and slack granted to new programs */
   /* Fractions of the limit between which programs under way are throttled. */
   double under_way_from, under_way_to;
 };
 
 static const struct QuotaMargins calm_margins = {
   .begin_headroom = 0.8,
-  .under_way_headroom = 0.7,
   .under_way_from = 0.98,
   .under_way_to = 1.04,
 };
 
 static const struct QuotaMargins surge_margins = {
   .begin_headroom = 0.5,
-  .under_way_headroom = 0.85,
   .under_way_from = 0.92,
   .under_way_to = 1.0,
 };
 
+/* The fraction of the slack granted to programs under way. The rest is for what all gateways let
+ * through between two reports, many times a small limit's rate. */
+static const double UNDER_WAY_HEADROOM = 0.5;
 /* The fraction of the allowed begun requests from which on new programs are throttled gradually. */
 static const double BEGUN_THROTTLE_FROM = 0.9;
 /* CUT_OFF_SHARE: the fraction of its equal share that a gateway spends while cut off. The others
@@ -80,7 +80,7 @@
                     int64_t now_ms)
 {
   const struct QuotaMargins *margins = entry_margins (ledger, entry, fleet, now_ms);
-  double headroom = margins->under_way_headroom * ledger->rules.slack;
+  double headroom = UNDER_WAY_HEADROOM * ledger->rules.slack;
   double limit = quota_limit (ledger, entry), connected = connected_fraction (ledger);
 
   if (quota_is_surge (ledger, entry, fleet))
