--- a/gateway/front.c
+++ b/gateway/front.c
@@ -248,7 +248,8 @@
   else if (request_is_turn (request) && !turn_archives_reachable (front))
     front_defer (request, FAILURE_UNCERTAIN, "too few archives respond, and no gateway can relay");
   else if (quotas_must_wait (request))
-    front_defer (request, FAILURE_UNCERTAIN, "no usage report received since the start");
+    front_defer (request, FAILURE_UNCERTAIN,
+                 "no usage report received since the start or for too long");
   else if (quotas_admit (request))
     front_start (request);
 }
--- a/gateway/quotas.h
+++ b/gateway/quotas.h
@@ -11,8 +11,9 @@
 void
 quotas_configure (struct Quotas *quotas);
 
-/* Counts the request as demand, and returns true while it must wait: a program's first request
- * waits at a gateway that has just started until the usage of the fleet has been reported. */
+/* Counts the request as demand, and returns true while it must wait until the usage of the fleet
+ * has been reported: a program's first request at a gateway that has just started, any request at
+ * one that was suspended. */
 bool
 quotas_must_wait (struct Request *request);
 
--- a/include/buckthornhead/customers/quota.h
+++ b/include/buckthornhead/customers/quota.h
@@ -14,8 +14,9 @@
  * them.
  *
  * A gateway that receives no reports spends less than half of an equal share, and the others
- * reserve as much for each gateway that they do not receive from, so that the two sides of a
- * network partition keep the limit together. A gateway that has just started reports this, and all
+ * reserve as much for each gateway that they do not receive from, so that gateways which are cut
+ * off one by one and the others keep the limit together; two sides of a partition that both have
+ * several gateways may exceed it. A gateway that has just started reports this, and all
  * gateways count its share as spent at the full rate before its start: otherwise a restart of all
  * gateways would grant a second burst. Does no I/O; times are in milliseconds of any monotonic
  * clock. */
