Check for a torn file before the spool allocates a record's writer

Found on reading the change again; no test, since a disk that refuses ftruncate cannot be had with a file size limit. test_spool, make test and make lint as before (94 passed, quota_partition known red).

--- a/adapters/spool.c
+++ b/adapters/spool.c
@@ -273,13 +273,14 @@
 static int32_t
 spool_file_write (struct SpoolFile *file, uint64_t number, const uint8_t *record, size_t n_bytes)
 {
-  struct PackWriter *writer = pack_writer_new (file, false);
+  struct PackWriter *writer;
   uint8_t *packed = NULL;
   size_t packed_bytes = 0;
   int32_t error;
 
   if (!spool_file_cut_torn (file))
     return ERROR_IO;
+  writer = pack_writer_new (file, false);
   if (writer == NULL)
     return ERROR_NO_MEMORY;
   pack_array (writer, ENTRY_ITEMS);
