--- a/adapters/timer_tevent.c
+++ b/adapters/timer_tevent.c
@@ -1,8 +1,8 @@
 #include <buckthornhead/timer_tevent.h>
 
-#include <string.h>
+#include <buckthornhead/clock.h>
+
 #include <sys/timerfd.h>
-#include <time.h>
 #include <unistd.h>
 
 /* The timers are kept in a binary heap and one file descriptor wakes the loop for the first of
@@ -22,11 +22,8 @@
 static int64_t
 tevent_timers_now_ms (struct TimerService *service)
 {
-  struct timespec now;
-
   (void)service;
-  clock_gettime (CLOCK_MONOTONIC, &now);
-  return (int64_t)now.tv_sec * 1000 + now.tv_nsec / 1000000;
+  return clock_monotonic_ms ();
 }
 
 /* Heap. */
