Add modes for decisions under shortage, and read the work time that servers report

Decisions that answer shortage or uneven servers must act only where a deployment calls for them. They get the modes off, on and auto; auto applies where the platform's feature list declares contention, or where a server of the service reports how long work takes on its machine. Nothing acts on the modes yet.

--- a/core/gateway/gateway_settings.c
+++ b/core/gateway/gateway_settings.c
@@ -40,6 +40,7 @@
 static const struct ConfigKey platform_keys[] = {
   TEXT ("store", CONFIG_VALUE_URL, store_url, NULL),
   TEXT ("prefix", CONFIG_VALUE_TEXT, prefix, "buckthornhead/"),
+  TEXT ("features", CONFIG_VALUE_TEXT, platform_features, ""),
   NUMBER (
       "change_in_force", CONFIG_VALUE_NUMBER, change_in_force_ms, "2s", UNIT_TIME, 500, MINUTE_MS),
 };
@@ -98,9 +99,23 @@
   { NULL, 0 },
 };
 
+#define MODE(name)                                                                                 \
+  {                                                                                                \
+#name, CONFIG_VALUE_CHOICE, CONFIG_FIELD(struct GatewaySettings, decisions.name), "off",       \
+        UNIT_NONE, 0, 0, decision_modes                                                            \
+  }
+
+static const struct ConfigChoice decision_modes[] = {
+  { "off", DECISION_OFF },
+  { "on", DECISION_ON },
+  { "auto", DECISION_AUTO },
+  { NULL, 0 },
+};
+
 static const struct ConfigKey decision_keys[] = {
-  SWITCH (sessions), SWITCH (parts), SWITCH (objects),  SWITCH (zones),  SWITCH (failures),
-  SWITCH (owners),   SWITCH (order), SWITCH (patience), SWITCH (resume), SWITCH (under_way),
+  SWITCH (sessions), SWITCH (parts), SWITCH (objects),    SWITCH (zones),  SWITCH (failures),
+  SWITCH (owners),   SWITCH (order), SWITCH (patience),   SWITCH (resume), SWITCH (under_way),
+  MODE (admission),  MODE (pace),    MODE (plain_queues),
 };
 
 static const struct ConfigSection sections[] = {
--- a/gateway/answer.c
+++ b/gateway/answer.c
@@ -1,3 +1,4 @@
+#include "contention.h"
 #include "request.h"
 
 #include <buckthornhead/counter.h>
@@ -27,6 +28,8 @@
   histogram_add (HISTOGRAM_SERVER_HEAD,
                  timer_now_ms (request->front->node->timers) - request->sent_ms);
   dialect->read_response (head, &request->response);
+  if (request->response.work_time_percent > 0)
+    contention_record_report (request->front->contention, request->service);
   replica_record_response (request->replica);
   request->refused = request->response.not_run;
   if (request->refused)
--- a/gateway/front.c
+++ b/gateway/front.c
@@ -1,5 +1,6 @@
 #include "front.h"
 
+#include "contention.h"
 #include "credential.h"
 #include "directory.h"
 #include "loop_echo.h"
@@ -644,13 +645,14 @@
     return fault_set (fault, ERROR_NO_MEMORY, NULL, "out of memory for the gateway");
   f->node = node;
   f->started_ms = timer_now_ms (node->timers);
+  f->contention = contention_new (f);
   f->replicas = replica_set_new (f);
   f->client = http_client_new (f, node->events, node->timers, &client_options);
   f->slots = slots_new (f);
   f->quotas = quotas_new (f);
   f->echo = loop_echo_new (f, node);
-  if (f->replicas == NULL || f->client == NULL || f->slots == NULL || f->quotas == NULL
-      || f->echo == NULL)
+  if (f->contention == NULL || f->replicas == NULL || f->client == NULL || f->slots == NULL
+      || f->quotas == NULL || f->echo == NULL)
     return fault_set (fault, ERROR_NO_MEMORY, NULL, "out of memory for the gateway");
   error = front_listen_all (f, fault);
   if (error != ERROR_NONE)
--- a/gateway/front.h
+++ b/gateway/front.h
@@ -16,6 +16,7 @@
   TRIED_MAX = 8 /* servers tried per request, including those that refuse it */
 };
 
+struct Contention;
 struct Front;
 struct LoopEcho;
 struct Quotas;
@@ -96,6 +97,7 @@
 struct Front
 {
   struct Node *node;
+  struct Contention *contention;
   struct RouteTable *table; /* NULL: no configuration yet */
   struct ReplicaSet *replicas;
   struct HttpClient *client;
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -127,14 +127,15 @@
 static void
 gateway_log_decisions (const struct Decisions *d)
 {
-  static const char *const states[] = { "off", "on" };
+  static const char *const states[] = { "off", "on", "auto" };
 
   log_event (LOG_LEVEL_NOTICE, "decisions", NULL, NULL,
              "sessions %s, parts %s, objects %s, zones %s, failures %s, owners %s, order %s, "
-             "patience %s, resume %s, under_way %s",
+             "patience %s, resume %s, under_way %s, admission %s, pace %s, plain_queues %s",
              states[d->sessions], states[d->parts], states[d->objects], states[d->zones],
              states[d->failures], states[d->owners], states[d->order], states[d->patience],
-             states[d->resume], states[d->under_way]);
+             states[d->resume], states[d->under_way], states[d->admission], states[d->pace],
+             states[d->plain_queues]);
 }
 
 int32_t
--- a/include/buckthornhead/decisions.h
+++ b/include/buckthornhead/decisions.h
@@ -1,11 +1,21 @@
 /* Switches for the mechanisms that decide where, when and how often requests are sent.
  *
- * All are on by default. Operators switch one off to measure its effect in their deployment, or
- * when they suspect it of a fault. No guarantee of the system depends on any of them. */
+ * All are on by default but those with a mode. Operators switch one off to measure its effect in
+ * their deployment, or when they suspect it of a fault. No guarantee of the system depends on any
+ * of them. */
 #pragma once
 
 #include <stdint.h>
 
+/* Whether a decision that answers shortage or uneven servers is made. */
+enum DecisionMode
+{
+  DECISION_OFF,
+  DECISION_ON,
+  DECISION_AUTO /* only for services whose capacity is contended, as the deployment's settings or
+                   the servers themselves report */
+};
+
 /* 1: on. */
 struct Decisions
 {
@@ -19,4 +29,9 @@
   int32_t patience;  /* a repeatable request is sent to another server when the first is silent */
   int32_t resume;    /* an interrupted stream is resumed on another server */
   int32_t under_way; /* a customer's limit serves running programs before new ones */
+
+  /* An enum DecisionMode each; off by default. */
+  int32_t admission;    /* programs that cannot end in time are rejected when they begin */
+  int32_t pace;         /* servers are chosen by their measured and reported speed */
+  int32_t plain_queues; /* requests to plain servers wait in the queue of the server's owner */
 };
--- a/include/buckthornhead/dialect.h
+++ b/include/buckthornhead/dialect.h
@@ -67,6 +67,9 @@
   bool not_run;  /* the server reports that it did not run the request */
   bool has_load;
   uint32_t running, waiting, slots;
+  /* How long work takes on the server's machine at this moment, in percent of the usual; 0: not
+   * reported. */
+  uint32_t work_time_percent;
 };
 
 /* Entry of the platform's store that reports how far an instance is emptied. */
@@ -78,6 +81,9 @@
 
 struct Dialect
 {
+  /* Returns whether the deployment's features, as the platform lists them, say that callers compete
+   * for the servers' capacity. */
+  bool (*declares_contention) (const char *features);
   const char *id_header;       /* servers echo it in their responses */
   const char *operator_prefix; /* of all keys that the operators write to the store */
   const char *routes_key;
--- a/include/buckthornhead/gateway_settings.h
+++ b/include/buckthornhead/gateway_settings.h
@@ -7,9 +7,9 @@
 
 /* Sections: [instance] name, zone, data_folder; [listen] caller, ready, directory, metrics, peer
  * (IP:port each) and announce; caller, ready and directory are for gateways; [platform] store
- * (URL), prefix, change_in_force; [membership] seeds, seed_port; [archives] first_start, tolerated;
- * [stop] grace; [directory] keep; [limits] connections; [quota] window, slack, sharing; [decisions]
- * the switches of decisions.h. */
+ * (URL), prefix, features, change_in_force; [membership] seeds, seed_port; [archives] first_start,
+ * tolerated; [stop] grace; [directory] keep; [limits] connections; [quota] window, slack, sharing;
+ * [decisions] the switches of decisions.h. */
 struct GatewaySettings
 {
   char instance[NAME_MAX_BYTES + 1];
@@ -25,6 +25,7 @@
   uint32_t seed_port;                   /* replaces the ports in seeds; 0: keep them */
   char store_url[256];
   char prefix[64];             /* of the system's own keys in the store */
+  char platform_features[512]; /* comma-separated, in the platform's words; see dialect.h */
   uint32_t change_in_force_ms; /* time for all processes to apply a change in the store */
   int32_t first_start; /* 1: first start of the whole system, so that an empty disk is complete */
   uint32_t tolerated;  /* number of archives that may lose their disks at once */
--- a/tests/test_gateway_settings.c
+++ b/tests/test_gateway_settings.c
@@ -107,11 +107,35 @@
   talloc_free (ctx);
 }
 
+/* Guards against new decisions that take effect where no setting asks for them. */
+static void
+test_modes_are_off_unless_set (void)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct GatewaySettings *s;
+  char *messages;
+
+  CU_ASSERT_EQUAL (parse (ctx, gateway_text, &s, &messages), ERROR_NONE);
+  CU_ASSERT_EQUAL (s->decisions.admission, DECISION_OFF);
+  CU_ASSERT_EQUAL (s->decisions.pace, DECISION_OFF);
+  CU_ASSERT_EQUAL (s->decisions.plain_queues, DECISION_OFF);
+  CU_ASSERT_EQUAL (
+      parse (ctx,
+             talloc_asprintf (ctx, "%s[decisions]\nadmission = auto\npace = on\n", gateway_text),
+             &s, &messages),
+      ERROR_NONE);
+  CU_ASSERT_EQUAL (s->decisions.admission, DECISION_AUTO);
+  CU_ASSERT_EQUAL (s->decisions.pace, DECISION_ON);
+  CU_ASSERT_EQUAL (s->decisions.plain_queues, DECISION_OFF);
+  talloc_free (ctx);
+}
+
 const char test_suite_name[] = "gateway_settings";
 const struct TestCase test_cases[] = {
   { "gateway and archive settings parse", test_gateway_and_archive_settings_parse },
   { "all faults are reported", test_all_faults_are_reported },
   { "a process is a gateway or an archive", test_process_is_gateway_or_archive },
   { "each decision has a switch", test_each_decision_has_a_switch },
+  { "modes are off unless set", test_modes_are_off_unless_set },
   { NULL, NULL },
 };
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -444,6 +444,49 @@
   CU_ASSERT_STRING_EQUAL (note.value, "{\"state\":\"completed\"}");
 }
 
+static uint32_t
+work_time_of (const char *load, bool *has_load)
+{
+  struct HttpHeader header = { "X-Server-Load", (char *)load };
+  struct HttpResponseHead head = { .status = 200, .headers = { &header, 1 } };
+  struct ServerResponse response;
+
+  platform_dialect.read_response (&head, &response);
+  *has_load = response.has_load;
+  return response.work_time_percent;
+}
+
+/* Guards against figures of a faulty server that would steer all requests. */
+static void
+test_work_times_are_checked (void)
+{
+  static const char *const malformed[] = {
+    "", "3,0", "3,0,8,", "3,0,8,x", "3,0,8,55,1", "a,b,c,d"
+  };
+  bool has_load;
+
+  CU_ASSERT_EQUAL (work_time_of ("3,0,8,55", &has_load), 55);
+  CU_ASSERT_TRUE (has_load);
+  CU_ASSERT_EQUAL (work_time_of ("3,0,8", &has_load), 0);
+  CU_ASSERT_TRUE (has_load);
+  CU_ASSERT_EQUAL (work_time_of ("3,0,8,0", &has_load), 0);
+  CU_ASSERT_EQUAL (work_time_of ("3,0,8,4000000", &has_load), 0);
+  for (size_t i = 0; i < sizeof malformed / sizeof malformed[0]; i++)
+    {
+      CU_ASSERT_EQUAL (work_time_of (malformed[i], &has_load), 0);
+      CU_ASSERT_FALSE (has_load);
+    }
+}
+
+static void
+test_contention_is_declared_by_name (void)
+{
+  CU_ASSERT_TRUE (platform_dialect.declares_contention ("base,pressure,platform"));
+  CU_ASSERT_TRUE (platform_dialect.declares_contention ("pressure"));
+  CU_ASSERT_FALSE (platform_dialect.declares_contention ("base,low-pressure,pressures"));
+  CU_ASSERT_FALSE (platform_dialect.declares_contention (""));
+}
+
 const char test_suite_name[] = "platform";
 const struct TestCase test_cases[] = {
   { "a turn's headers are read", test_a_turns_headers_are_read },
@@ -461,5 +504,7 @@
   { "credentials are classified", test_credentials_are_classified },
   { "only the key determines the customer", test_only_the_key_determines_the_customer },
   { "customers are read", test_customers_are_read },
+  { "work times of servers are checked", test_work_times_are_checked },
+  { "contention is declared by name", test_contention_is_declared_by_name },
   { NULL, NULL },
 };
