Give slot messages optional items for the program, the service time and a sample

Decisions under shortage need them: a program keeps its place over its retries, a plain server's queue begins with a service time of its own, and owners learn paces.

--- a/core/gateway/gateway_message.c
+++ b/core/gateway/gateway_message.c
@@ -217,6 +217,12 @@
   part->records = read_bytes (r, ctx, &part->records_bytes);
 }
 
+static bool
+slot_request_has_optional (const struct SlotRequestMessage *slot_request)
+{
+  return slot_request->program != 0 || slot_request->first_service_ms != 0;
+}
+
 static void
 slot_request_pack (struct PackWriter *p, const struct SlotRequestMessage *slot_request)
 {
@@ -232,6 +238,10 @@
   pack_u64 (p, slot_request->capacity_tokens);
   pack_u64 (p, slot_request->part);
   pack_u64 (p, slot_request->part_tokens);
+  if (!slot_request_has_optional (slot_request))
+    return;
+  pack_u64 (p, slot_request->program);
+  pack_u64 (p, slot_request->first_service_ms);
 }
 
 static void
@@ -249,6 +259,36 @@
   slot_request->capacity_tokens = read_u64 (r, UINT64_MAX);
   slot_request->part = read_u64 (r, UINT64_MAX);
   slot_request->part_tokens = (uint32_t)read_u64 (r, UINT32_MAX);
+  if (r->at == r->n_items)
+    return;
+  slot_request->program = read_u64 (r, UINT64_MAX);
+  slot_request->first_service_ms = (uint32_t)read_u64 (r, UINT32_MAX);
+}
+
+static void
+slot_done_pack (struct PackWriter *p, const struct SlotDoneMessage *done)
+{
+  pack_u64 (p, done->id);
+  pack_string (p, done->server);
+  pack_u64 (p, done->outcome);
+  if (done->sample_us == 0)
+    return;
+  pack_u64 (p, done->sample_us);
+  pack_u64 (p, done->work_kind);
+  pack_u64 (p, done->work_time_percent);
+}
+
+static void
+slot_done_unpack (struct PackReader *r, struct SlotDoneMessage *done)
+{
+  done->id = read_u64 (r, UINT64_MAX);
+  read_string (r, done->server, sizeof done->server);
+  done->outcome = (enum SlotOutcome)read_u64 (r, SLOT_FAILED);
+  if (r->at == r->n_items)
+    return;
+  done->sample_us = (uint32_t)read_u64 (r, UINT32_MAX);
+  done->work_kind = (uint32_t)read_u64 (r, UINT32_MAX);
+  done->work_time_percent = (uint32_t)read_u64 (r, UINT32_MAX);
 }
 
 static void
@@ -307,7 +347,7 @@
   r->failed = r->failed || list.failed || report->usages == NULL;
 }
 
-/* Returns the number of packed items of a message, its kind included. */
+/* Returns the number of packed items of a message, its kind included, without optional ones. */
 static size_t
 message_n_items (enum GatewayKind kind)
 {
@@ -348,6 +388,35 @@
   return 0;
 }
 
+/* Returns the number of optional items at the end of a message. */
+static size_t
+message_n_optional_items (enum GatewayKind kind)
+{
+  switch (kind)
+    {
+    case GATEWAY_SLOT_REQUEST:
+      return 2;
+    case GATEWAY_SLOT_DONE:
+      return 3;
+    default:
+      return 0;
+    }
+}
+
+static bool
+message_has_optional_items (const struct GatewayMessage *message)
+{
+  switch (message->kind)
+    {
+    case GATEWAY_SLOT_REQUEST:
+      return slot_request_has_optional (&message->slot_request);
+    case GATEWAY_SLOT_DONE:
+      return message->slot_done.sample_us != 0;
+    default:
+      return false;
+    }
+}
+
 int32_t
 gateway_message_pack (TALLOC_CTX *ctx,
                       const struct GatewayMessage *message,
@@ -355,10 +424,13 @@
                       size_t *n_bytes)
 {
   struct PackWriter *p = pack_writer_new (ctx, false);
+  size_t n_items = message_n_items (message->kind);
 
   if (p == NULL)
     return ERROR_NO_MEMORY;
-  pack_array (p, message_n_items (message->kind));
+  if (message_has_optional_items (message))
+    n_items += message_n_optional_items (message->kind);
+  pack_array (p, n_items);
   pack_u64 (p, message->kind);
   switch (message->kind)
     {
@@ -405,9 +477,7 @@
       slot_state_pack (p, &message->slot_state);
       break;
     case GATEWAY_SLOT_DONE:
-      pack_u64 (p, message->slot_done.id);
-      pack_string (p, message->slot_done.server);
-      pack_u64 (p, message->slot_done.outcome);
+      slot_done_pack (p, &message->slot_done);
       break;
     case GATEWAY_ALIVE:
     case GATEWAY_PROBE:
@@ -473,9 +543,7 @@
       slot_state_unpack (r, &m->slot_state);
       break;
     case GATEWAY_SLOT_DONE:
-      m->slot_done.id = read_u64 (r, UINT64_MAX);
-      read_string (r, m->slot_done.server, sizeof m->slot_done.server);
-      m->slot_done.outcome = (enum SlotOutcome)read_u64 (r, SLOT_FAILED);
+      slot_done_unpack (r, &m->slot_done);
       break;
     case GATEWAY_ALIVE:
     case GATEWAY_PROBE:
@@ -503,12 +571,16 @@
   struct PackReader reader;
   struct GatewayMessage *m = talloc_zero (ctx, struct GatewayMessage);
   void *opened = m != NULL ? pack_open (m, bytes, n_bytes, &reader) : NULL;
+  size_t n_items;
 
   *message = NULL;
   if (opened == NULL)
     goto fail;
   m->kind = (enum GatewayKind)read_u64 (&reader, GATEWAY_USAGES);
-  if (reader.failed || reader.n_items != message_n_items (m->kind))
+  n_items = message_n_items (m->kind);
+  if (reader.failed
+      || (reader.n_items != n_items
+          && reader.n_items != n_items + message_n_optional_items (m->kind)))
     goto fail;
   message_unpack_body (&reader, m, m);
   if (read_end (&reader) != ERROR_NONE)
--- a/include/buckthornhead/gateway_message.h
+++ b/include/buckthornhead/gateway_message.h
@@ -155,6 +155,10 @@
   int64_t left_ms;
   uint64_t part; /* id of the largest part of the prompt shared with other requests; 0: none */
   uint32_t part_tokens;
+  /* Optional items, packed if one of them is set. */
+  uint64_t program; /* hash of the program's id; 0: not reported */
+  uint32_t
+      first_service_ms; /* service time of the server's queue until it is measured; 0: default */
 };
 
 struct SlotStateMessage
@@ -174,6 +178,10 @@
   uint64_t id;
   enum SlotOutcome outcome;
   char server[NAME_MAX_BYTES + 1];
+  /* Optional items, packed if sample_us is set. */
+  uint32_t sample_us;         /* measured duration, see server_pace.h; 0: none */
+  uint32_t work_kind;         /* hash of the route's name: samples of one kind are comparable */
+  uint32_t work_time_percent; /* reported by the server with this response; 0: none */
 };
 
 struct GatewayMessage
--- a/tests/test_gateway_message.c
+++ b/tests/test_gateway_message.c
@@ -86,6 +86,23 @@
   CU_ASSERT_TRUE (unpacked->slot_request.has_program_deadline);
   CU_ASSERT_EQUAL (unpacked->slot_request.program_left_ms, -40);
   CU_ASSERT_EQUAL (unpacked->slot_request.left_ms, 2900);
+  message.slot_request.program = 77;
+  message.slot_request.first_service_ms = 30;
+  unpacked = round_trip (ctx, &message);
+  CU_ASSERT_EQUAL (unpacked->slot_request.program, 77);
+  CU_ASSERT_EQUAL (unpacked->slot_request.first_service_ms, 30);
+  message.kind = GATEWAY_SLOT_DONE;
+  message.slot_done = (struct SlotDoneMessage){ .id = 6,
+                                                .server = "i-1",
+                                                .outcome = SLOT_SERVED,
+                                                .sample_us = 41000,
+                                                .work_kind = 9,
+                                                .work_time_percent = 120 };
+  unpacked = round_trip (ctx, &message);
+  CU_ASSERT_EQUAL (unpacked->slot_done.outcome, SLOT_SERVED);
+  CU_ASSERT_EQUAL (unpacked->slot_done.sample_us, 41000);
+  CU_ASSERT_EQUAL (unpacked->slot_done.work_kind, 9);
+  CU_ASSERT_EQUAL (unpacked->slot_done.work_time_percent, 120);
   message.kind = GATEWAY_SLOT_STATE;
   message.slot_state = (struct SlotStateMessage){
     .id = 6, .state = { .granted = true, .total = 14, .ahead = 2, .wait_ms = 90 }
