--- a/core/gateway/gateway_message.c
+++ b/core/gateway/gateway_message.c
@@ -220,7 +220,8 @@
 static bool
 slot_request_has_optional (const struct SlotRequestMessage *slot_request)
 {
-  return slot_request->program != 0 || slot_request->first_service_ms != 0;
+  return slot_request->program != 0 || slot_request->customer != 0
+         || slot_request->first_service_ms != 0;
 }
 
 static void
@@ -241,6 +242,7 @@
   if (!slot_request_has_optional (slot_request))
     return;
   pack_u64 (p, slot_request->program);
+  pack_u64 (p, slot_request->customer);
   pack_u64 (p, slot_request->first_service_ms);
 }
 
@@ -262,6 +264,7 @@
   if (r->at == r->n_items)
     return;
   slot_request->program = read_u64 (r, UINT64_MAX);
+  slot_request->customer = read_u64 (r, UINT64_MAX);
   slot_request->first_service_ms = (uint32_t)read_u64 (r, UINT32_MAX);
 }
 
@@ -395,7 +398,7 @@
   switch (kind)
     {
     case GATEWAY_SLOT_REQUEST:
-      return 2;
+      return 3;
     case GATEWAY_SLOT_DONE:
       return 3;
     default:
--- a/include/buckthornhead/gateway_message.h
+++ b/include/buckthornhead/gateway_message.h
@@ -156,9 +156,9 @@
   uint64_t part; /* id of the largest part of the prompt shared with other requests; 0: none */
   uint32_t part_tokens;
   /* Optional items, packed if one of them is set. */
-  uint64_t program; /* hash of the program's id; 0: not reported */
-  uint32_t
-      first_service_ms; /* service time of the server's queue until it is measured; 0: default */
+  uint64_t program;          /* hash of the program's id; 0: not reported */
+  uint64_t customer;         /* hash of the customer's name; 0: none */
+  uint32_t first_service_ms; /* service time until the queue has measured it; 0: default */
 };
 
 struct SlotStateMessage
--- a/tests/test_gateway_message.c
+++ b/tests/test_gateway_message.c
@@ -87,9 +87,11 @@
   CU_ASSERT_EQUAL (unpacked->slot_request.program_left_ms, -40);
   CU_ASSERT_EQUAL (unpacked->slot_request.left_ms, 2900);
   message.slot_request.program = 77;
+  message.slot_request.customer = 78;
   message.slot_request.first_service_ms = 30;
   unpacked = round_trip (ctx, &message);
   CU_ASSERT_EQUAL (unpacked->slot_request.program, 77);
+  CU_ASSERT_EQUAL (unpacked->slot_request.customer, 78);
   CU_ASSERT_EQUAL (unpacked->slot_request.first_service_ms, 30);
   message.kind = GATEWAY_SLOT_DONE;
   message.slot_done = (struct SlotDoneMessage){ .id = 6,
