Give queues of plain servers their own service time and count of free slots

A queue of a plain server begins with the service time of turns (350 ms) and keeps its average in whole milliseconds: at requests of 20 to 30 ms the average stays up to 15 ms off. The choice of server costs a wait as an engine's (12 ms x 32 slots). A server that rejects a granted request stays granted to the next one.

- SlotServer.first_service_ms marks a plain server's queue and is its service time until the first request has ended; the average is kept in microseconds.
- SLOT_FULL takes one slot per rejected request for 100 ms; one slot always remains.
- SlotState.service_ms reports the average to the requester, as an optional item of GATEWAY_SLOT_STATE that only plain servers' queues set.
- ReplicaQuery.service_ms, or the average that the owner reported within 3 s, gives the cost of a wait at a plain server.

An older process does not accept SLOT_FULL or the optional items: it treats the message as malformed. Nothing sends them yet.

--- a/core/gateway/gateway_message.c
+++ b/core/gateway/gateway_message.c
@@ -283,7 +283,7 @@
 {
   done->id = read_u64 (r, UINT64_MAX);
   read_string (r, done->server, sizeof done->server);
-  done->outcome = (enum SlotOutcome)read_u64 (r, SLOT_FAILED);
+  done->outcome = (enum SlotOutcome)read_u64 (r, SLOT_FULL);
   if (r->at == r->n_items)
     return;
   done->sample_us = (uint32_t)read_u64 (r, UINT32_MAX);
@@ -299,6 +299,8 @@
   pack_u64 (p, message->state.total);
   pack_u64 (p, message->state.ahead);
   pack_u64 (p, message->state.wait_ms);
+  if (message->state.service_ms != 0)
+    pack_u64 (p, message->state.service_ms);
 }
 
 static void
@@ -309,6 +311,8 @@
   message->state.total = (uint32_t)read_u64 (r, UINT32_MAX);
   message->state.ahead = (uint32_t)read_u64 (r, UINT32_MAX);
   message->state.wait_ms = (uint32_t)read_u64 (r, UINT32_MAX);
+  if (r->at < r->n_items)
+    message->state.service_ms = (uint32_t)read_u64 (r, UINT32_MAX);
 }
 
 static void
@@ -396,6 +400,8 @@
     {
     case GATEWAY_SLOT_REQUEST:
       return 2;
+    case GATEWAY_SLOT_STATE:
+      return 1;
     case GATEWAY_SLOT_DONE:
       return 3;
     default:
@@ -410,6 +416,8 @@
     {
     case GATEWAY_SLOT_REQUEST:
       return slot_request_has_optional (&message->slot_request);
+    case GATEWAY_SLOT_STATE:
+      return message->slot_state.state.service_ms != 0;
     case GATEWAY_SLOT_DONE:
       return message->slot_done.sample_us != 0;
     default:
--- a/core/scheduling/replica_set.c
+++ b/core/scheduling/replica_set.c
@@ -21,6 +21,9 @@
   PREFILL_TOKENS_PER_MS = 270,
   COST_RUNNING_US = 2000,  /* each further running request slows all by 0.75% */
   COST_WAITING_US = 12000, /* each waiting request, at 32 slots and 350 ms per turn */
+  /* How long the service time that an owner reported is used. A server that recovers from a slow
+   * phase without being sent requests would otherwise keep its high cost. */
+  SERVICE_REPORT_MS = 3000,
   COST_OTHER_ZONE_US = 1000,
   /* A round trip, and the time to accept a connection. Less than COST_RUNNING_US, so that load
    * still spreads over servers without an open connection. */
@@ -230,6 +233,7 @@
   memset (&replica->failure_rate, 0, sizeof replica->failure_rate);
   memset (&replica->reported_failure_rate, 0, sizeof replica->reported_failure_rate);
   replica->owned = false;
+  replica->service_ms = 0;
   replica->n_cached = 0;
   replica->restarted = true;
   return true;
@@ -422,6 +426,32 @@
   return best;
 }
 
+void
+replica_apply_slot_state (struct Replica *replica, const struct SlotState *state, int64_t now_ms)
+{
+  replica->peers_in_flight =
+      state->total > replica->in_flight ? state->total - replica->in_flight : 0;
+  if (state->service_ms == 0)
+    return;
+  replica->service_ms = state->service_ms;
+  replica->service_heard_ms = now_ms;
+}
+
+/* Returns the expected wait for a slot when n_waiting requests, this one included, wait for one. */
+static uint64_t
+waiting_cost_us (const struct Replica *replica,
+                 const struct ReplicaQuery *query,
+                 uint64_t n_waiting,
+                 uint64_t slots)
+{
+  bool reported =
+      replica->service_ms != 0 && query->now_ms - replica->service_heard_ms < SERVICE_REPORT_MS;
+
+  if (query->service_ms == 0)
+    return n_waiting * COST_WAITING_US * 32 / slots;
+  return n_waiting * (reported ? replica->service_ms : query->service_ms) * 1000 / slots;
+}
+
 /* Returns the estimated time in microseconds that this server adds to the request. A server with
  * free slots is nearly as fast as an idle one, so that the uncached part of the prompt dominates;
  * with all slots in use the queue does. Designed for many short turns on few servers. */
@@ -436,7 +466,7 @@
   cost_us += cost_us * (running < slots ? running : slots) / 2;
   cost_us += running * COST_RUNNING_US * 8 / slots;
   if (running >= slots)
-    cost_us += (running - slots + 1) * COST_WAITING_US * 32 / slots;
+    cost_us += waiting_cost_us (replica, query, running - slots + 1, slots);
   if (replica->connected_until_ms <= query->now_ms || replica->in_flight > 0)
     cost_us += COST_CONNECT_US;
   if (query_decisions (query)->failures)
--- a/core/scheduling/slot_queue.c
+++ b/core/scheduling/slot_queue.c
@@ -13,6 +13,9 @@
   GRANTS_IN_TRANSIT = 1,
   /* The moving average of the service time gives the latest request a weight of 1/16. */
   SERVICE_AVERAGE_DIVISOR = 16,
+  /* How long a slot counts as taken after a plain server rejected a granted request: it is full
+   * with work that this owner does not know of. */
+  FULL_MS = 100,
   /* A request whose end was never reported is dropped this long after its caller's deadline. */
   EXPIRE_GRACE_MS = 1000,
   /* An engine keeps its cache while it has no requests, so its queue is retained for longer than a
@@ -43,7 +46,12 @@
 {
   char *server;
   uint32_t slots;
-  uint32_t service_ms; /* mean time from grant to end */
+  uint32_t service_ms;       /* mean time from grant to end */
+  uint32_t first_service_ms; /* of a plain server; 0: an engine */
+  uint32_t service_us;       /* service_ms of a plain server, in finer units */
+  uint32_t n_samples;        /* in service_us, at most SERVICE_AVERAGE_DIVISOR */
+  uint32_t n_taken;          /* slots that count as taken until taken_until_ms */
+  int64_t taken_until_ms;
   struct SlotEntry *entries;
   size_t n_entries, n_granted;
   uint64_t capacity_tokens;
@@ -195,12 +203,69 @@
   queue->n_parts = n;
 }
 
+/* Plain servers. */
+
+static void
+queue_init_service_time (struct SlotQueue *queue)
+{
+  queue->service_ms =
+      queue->first_service_ms != 0 ? queue->first_service_ms : SLOT_FIRST_SERVICE_MS;
+  queue->service_us = queue->service_ms * 1000;
+  queue->n_samples = 0;
+}
+
+static void
+queue_set_first_service (struct SlotQueue *queue, uint32_t first_service_ms)
+{
+  if (queue->first_service_ms != 0 || first_service_ms == 0)
+    return;
+  queue->first_service_ms =
+      first_service_ms < SLOT_SERVICE_MAX_MS ? first_service_ms : SLOT_SERVICE_MAX_MS;
+  queue_init_service_time (queue);
+}
+
+/* Like queue_note_service_time, for plain servers: in microseconds, since they run requests of some
+ * 10 ms, for which an average in whole milliseconds stays up to 15 ms too low. The first samples
+ * are averaged without the initial value, which only follows from the route's target. */
+static void
+queue_note_plain_service_time (struct SlotQueue *queue, int64_t took_ms)
+{
+  int64_t took_us = (took_ms < SLOT_SERVICE_MAX_MS ? took_ms : SLOT_SERVICE_MAX_MS) * 1000;
+
+  if (queue->n_samples < SERVICE_AVERAGE_DIVISOR)
+    queue->n_samples++;
+  queue->service_us = (uint32_t)(((int64_t)queue->service_us * (queue->n_samples - 1) + took_us)
+                                 / queue->n_samples);
+  queue->service_ms = (queue->service_us + 999) / 1000;
+}
+
+/* Records that the server rejected a granted request. Further rejections take further slots; one
+ * slot always remains, so that the queue never stops. */
+static void
+queue_note_full (struct SlotQueue *queue, int64_t now_ms)
+{
+  if (queue->taken_until_ms <= now_ms)
+    queue->n_taken = 0;
+  if (queue->n_taken + 1 < queue->slots)
+    queue->n_taken++;
+  queue->taken_until_ms = now_ms + FULL_MS;
+}
+
+/* Returns the slots of the server that this owner may grant. */
+static uint32_t
+queue_usable_slots (const struct SlotQueue *queue, int64_t now_ms)
+{
+  uint32_t n_taken = queue->taken_until_ms > now_ms ? queue->n_taken : 0;
+
+  return n_taken < queue->slots ? queue->slots - n_taken : queue->slots;
+}
+
 /* Granting. */
 
 static bool
-queue_has_room (const struct SlotQueue *queue)
+queue_has_room (const struct SlotQueue *queue, int64_t now_ms)
 {
-  return queue->n_granted < queue->slots + GRANTS_IN_TRANSIT;
+  return queue->n_granted < queue_usable_slots (queue, now_ms) + GRANTS_IN_TRANSIT;
 }
 
 static void
@@ -212,6 +277,7 @@
   memset (state, 0, sizeof *state);
   state->granted = entry->granted;
   state->total = (uint32_t)queue->n_entries;
+  state->service_ms = queue->first_service_ms != 0 ? queue->service_ms : 0;
   if (state->granted)
     return;
   for (size_t i = 0; i < queue->n_entries; i++)
@@ -247,6 +313,7 @@
   queue->slots = server->slots;
   queue->capacity_tokens = server->capacity_tokens;
   queue->last_ask_ms = now_ms;
+  queue_set_first_service (queue, server->first_service_ms);
   entry = entry_find (queue, request->requester, request->id);
   if (entry == NULL)
     {
@@ -258,7 +325,7 @@
       entry->request = *request;
       entry->granted = false;
       /* While there is room no other request waits: freed slots are granted at once. */
-      if (queue_has_room (queue))
+      if (queue_has_room (queue, now_ms))
         entry_grant (queue, entry, now_ms);
     }
   queue_get_state (queue, entry, now_ms, state);
@@ -290,13 +357,18 @@
   switch (outcome)
     {
     case SLOT_SERVED:
-      if (entry->granted)
+      if (entry->granted && queue->first_service_ms != 0)
+        queue_note_plain_service_time (queue, now_ms - entry->granted_ms);
+      else if (entry->granted)
         queue_note_service_time (queue, now_ms - entry->granted_ms);
       failure_rate_note (&queue->failures, false, now_ms);
       break;
     case SLOT_FAILED:
       failure_rate_note (&queue->failures, true, now_ms);
       break;
+    case SLOT_FULL:
+      queue_note_full (queue, now_ms);
+      break;
     case SLOT_NOT_USED:
       break;
     }
@@ -311,7 +383,7 @@
   if (queue == NULL)
     return;
   queue->n_parts = 0;
-  queue->service_ms = SLOT_FIRST_SERVICE_MS;
+  queue_init_service_time (queue);
   memset (&queue->failures, 0, sizeof queue->failures);
 }
 
@@ -325,7 +397,7 @@
   struct SlotQueue *queue = queue_find (queues, server);
   struct SlotEntry *best = NULL;
 
-  if (queue == NULL || !queue_has_room (queue))
+  if (queue == NULL || !queue_has_room (queue, now_ms))
     return false;
   for (size_t i = 0; i < queue->n_entries; i++)
     {
--- a/include/buckthornhead/scheduling/replica_set.h
+++ b/include/buckthornhead/scheduling/replica_set.h
@@ -50,6 +50,8 @@
   bool owned;                 /* its owner reports its load and cache contents */
   struct CachedPart *cached;  /* parts assumed to be in its cache, newest first */
   uint32_t n_cached;
+  uint32_t service_ms; /* of a plain server's requests, as last reported by the owner */
+  int64_t service_heard_ms;
   UT_hash_handle hh;
 };
 
@@ -79,7 +81,9 @@
   const char *object;       /* object that the request concerns; NULL: no affinity to a server */
   const char *const *tried; /* ids of servers to exclude */
   size_t n_tried;
-  uint64_t draw; /* any number; selects one of several equal servers */
+  uint32_t service_ms; /* expected time of the request at a plain server of the service; 0: the
+                          service's servers are engines, or plain servers without queues */
+  uint64_t draw;       /* any number; selects one of several equal servers */
   int64_t now_ms;
 };
 
@@ -129,6 +133,11 @@
 void
 replica_apply_digest (struct Replica *replica, const struct SlotDigest *digest, int64_t now_ms);
 
+/* Records what the owner of a plain server reports with a slot: requests running or waiting, and
+ * their mean service time. */
+void
+replica_apply_slot_state (struct Replica *replica, const struct SlotState *state, int64_t now_ms);
+
 /* Records a response of any status, which shows that the server is running. */
 void
 replica_record_response (struct Replica *replica);
--- a/include/buckthornhead/scheduling/slot_queue.h
+++ b/include/buckthornhead/scheduling/slot_queue.h
@@ -49,16 +49,19 @@
 struct SlotState
 {
   bool granted;
-  uint32_t total;   /* requests running or waiting at the server, including this one */
-  uint32_t ahead;   /* waiting requests that precede this one */
-  uint32_t wait_ms; /* estimated wait */
+  uint32_t total;      /* requests running or waiting at the server, including this one */
+  uint32_t ahead;      /* waiting requests that precede this one */
+  uint32_t wait_ms;    /* estimated wait */
+  uint32_t service_ms; /* mean time from grant to end at a plain server; 0: not reported */
 };
 
 enum
 {
   /* Initial service time of a turn, until measured ones replace it: 250 tokens of 1.2 ms each, and
    * reading the new part of the prompt. */
-  SLOT_FIRST_SERVICE_MS = 350
+  SLOT_FIRST_SERVICE_MS = 350,
+  /* Bound of a plain server's initial service time, against absurd values in messages. */
+  SLOT_SERVICE_MAX_MS = 10 * 60 * 1000
 };
 
 struct SlotQueues *
@@ -70,10 +73,14 @@
   const char *id;
   uint32_t slots;
   uint64_t capacity_tokens; /* size of its prompt cache; 0: unknown */
+  /* Initial service time of a plain server's queue, at most SLOT_SERVICE_MAX_MS; 0: the server is
+   * an engine. */
+  uint32_t first_service_ms;
 };
 
 /* Grants a new request if there is room, or else queues it. A repeated SlotRequest returns the
- * current state of its request and takes no second slot. Returns ERROR_NO_MEMORY on failure. */
+ * current state of its request and takes no second slot. Slots of a plain server that counted as
+ * taken become free with time: call slot_queue_next before. Returns ERROR_NO_MEMORY on failure. */
 int32_t
 slot_queue_request (struct SlotQueues *queues,
                     const struct SlotServer *server,
@@ -85,7 +92,8 @@
 {
   SLOT_NOT_USED, /* it was not sent, or its caller disconnected */
   SLOT_SERVED,
-  SLOT_FAILED /* the server responded with a failure or not at all */
+  SLOT_FAILED, /* the server responded with a failure or not at all */
+  SLOT_FULL    /* the server rejected it because it is full; only for plain servers */
 };
 
 /* Removes a request that has ended or was cancelled. */
