Queue requests to plain servers at the server's owner

With [decisions] plain_queues active for a service, its requests ask the server's owner for a slot, as turns do; [decisions] owners = off switches it off too.

- A request of a program counts as under way and carries the program's deadline; without one it carries its own, so that a retry never goes before a first try with less time left.
- If the expected wait and the expected service leave no time before its deadline, it is rejected at once with 503 and Retry-After.
The limit of two seconds for first events concerns streams only.
Nothing is sent after the deadline.
- A server's rejection of a request is reported to its owner as SLOT_FULL.
- The histogram plain_slot_wait shows the waits, apart from slot_wait for engines.

--- a/gateway/answer.c
+++ b/gateway/answer.c
@@ -1,5 +1,6 @@
 #include "contention.h"
 #include "request.h"
+#include "slots.h"
 
 #include <buckthornhead/counter.h>
 #include <buckthornhead/histogram.h>
@@ -216,7 +217,10 @@
   if (request->refused)
     {
       if (request->response.status == 503 || request->response.status == 429)
-        replica_record_full (replica, now_ms);
+        {
+          replica_record_full (replica, now_ms);
+          slots_note_full (request);
+        }
       attempt_release (request);
       request_retry (request, "the server refused the request");
       return;
--- a/gateway/front.c
+++ b/gateway/front.c
@@ -11,6 +11,7 @@
 #include <buckthornhead/counter.h>
 #include <buckthornhead/deflate.h>
 #include <buckthornhead/log.h>
+#include <buckthornhead/scheduling/plain_queue.h>
 
 #include <stdio.h>
 #include <string.h>
@@ -126,6 +127,20 @@
   return share > SERVER_CONNECTIONS_MIN ? share : SERVER_CONNECTIONS_MIN;
 }
 
+/* Decides whether the request waits for a slot in the queue of its plain server's owner. */
+static void
+request_route_plain (struct Request *request, const struct Service *service)
+{
+  const struct Front *front = request->front;
+  const struct Decisions *decisions = &front->node->settings->decisions;
+
+  if (!decisions->owners || service == NULL || service->is_engine
+      || !front_decision_is_active (front, decisions->plain_queues, request->service))
+    return;
+  request->needs_slot = true;
+  request->plain_service_ms = plain_first_service_ms (request->route.objective_ms);
+}
+
 /* Finds the request's route and service, and sets its deadline. Returns false without a route. */
 static bool
 request_route (struct Request *request)
@@ -152,6 +167,7 @@
     request->object = request->caller.object;
   request->needs_slot = front->node->settings->decisions.owners && service != NULL
                         && service->is_engine && route->kind == ROUTE_STREAM;
+  request_route_plain (request, service);
   request->program_deadline_ms = request->caller.has_program_timeout
                                      ? request->arrived_ms + request->caller.program_timeout_ms
                                      : INT64_MAX;
--- a/gateway/front.h
+++ b/gateway/front.h
@@ -61,6 +61,7 @@
   uint64_t capacity_tokens;    /* prompt cache of one server of the service; 0: unknown */
   bool continues_program;      /* its program has had turns before */
   bool needs_slot;             /* the server's owner must grant it a slot before it is sent */
+  uint32_t plain_service_ms;   /* initial service time of its plain server's queue; 0: no queue */
   int64_t program_deadline_ms; /* of its program; INT64_MAX: unknown */
   uint32_t connections_max;    /* from this gateway to one server of the service */
   int64_t arrived_ms;          /* when it was received completely */
@@ -144,6 +145,10 @@
 struct Replica *
 request_choose_server (struct Request *request);
 
+/* Returns the expected wait in ms of the request at a plain server, as far as its load is known. */
+uint32_t
+request_plain_wait_ms (struct Request *request, const struct Replica *replica);
+
 /* Called when the owner of .replica has granted a slot, or no owner could be queried. */
 void
 request_on_slot_granted (struct Request *request);
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -230,11 +230,12 @@
 
 /* Sending. */
 
-struct Replica *
-request_choose_server (struct Request *request)
+static struct ReplicaQuery
+request_query (struct Request *request)
 {
   struct Front *front = request->front;
-  struct ReplicaQuery query = {
+
+  return (struct ReplicaQuery){
     .decisions = &front->node->settings->decisions,
     .service = request->service,
     .zone = front->node->settings->zone,
@@ -244,11 +245,27 @@
     .object = request->object,
     .tried = (const char *const *)request->tried,
     .n_tried = request->n_tried,
-    .draw = front->n_draws++,
+    .service_ms = request->plain_service_ms,
+    .draw = front->n_draws,
     .now_ms = timer_now_ms (front->node->timers),
   };
+}
+
+struct Replica *
+request_choose_server (struct Request *request)
+{
+  const struct ReplicaQuery query = request_query (request);
+
+  request->front->n_draws++;
+  return replica_set_choose (request->front->replicas, &query);
+}
+
+uint32_t
+request_plain_wait_ms (struct Request *request, const struct Replica *replica)
+{
+  const struct ReplicaQuery query = request_query (request);
 
-  return replica_set_choose (front->replicas, &query);
+  return replica_plain_wait_ms (replica, &query);
 }
 
 /* Returns false when no connection is available. */
--- a/gateway/slots.c
+++ b/gateway/slots.c
@@ -2,6 +2,7 @@
 
 #include <buckthornhead/histogram.h>
 #include <buckthornhead/log.h>
+#include <buckthornhead/scheduling/plain_queue.h>
 
 #include <stdio.h>
 #include <string.h>
@@ -106,6 +107,56 @@
   return owner != NULL ? owner : owner_in_zone (front, replica->entry.id, NULL);
 }
 
+/* Plain servers. */
+
+static bool
+request_is_plain (const struct Request *request)
+{
+  return request->plain_service_ms > 0;
+}
+
+static struct PlainRequest
+request_plain (const struct Request *request)
+{
+  return (struct PlainRequest){
+    .program_deadline_ms = request->program_deadline_ms,
+    .deadline_ms = request->deadline_ms,
+  };
+}
+
+/* Fills in what the owner of a plain server orders requests by. */
+static void
+slot_request_fill_plain (struct SlotRequestMessage *slot_request,
+                         const struct Request *request,
+                         int64_t now_ms)
+{
+  const struct PlainRequest plain = request_plain (request);
+
+  slot_request->under_way = request->caller.program[0] != '\0';
+  slot_request->has_program_deadline = true;
+  slot_request->program_left_ms = plain_order_deadline_ms (&plain) - now_ms;
+  slot_request->first_service_ms = request->plain_service_ms;
+}
+
+/* Returns the longest wait in ms after which a request to a plain server is still served in time.
+ */
+static int64_t
+slots_plain_longest_wait_ms (const struct Request *request, const struct SlotState *state)
+{
+  const struct PlainRequest plain = request_plain (request);
+
+  return plain_longest_wait_ms (
+      &plain, state->service_ms > 0 ? state->service_ms : request->plain_service_ms,
+      timer_now_ms (request->front->node->timers));
+}
+
+void
+slots_note_full (struct Request *request)
+{
+  if (request_is_plain (request))
+    request->outcome = SLOT_FULL;
+}
+
 /* Requesting slots. */
 
 static int32_t
@@ -130,6 +181,8 @@
       slot_request->has_program_deadline ? request->program_deadline_ms - now_ms : 0;
   slot_request->left_ms = request->deadline_ms - now_ms;
   slot_request->capacity_tokens = request->capacity_tokens;
+  if (request_is_plain (request))
+    slot_request_fill_plain (slot_request, request, now_ms);
   if (!request->front->node->settings->decisions.order)
     {
       slot_request->customer_priority = 0;
@@ -162,11 +215,19 @@
 slots_send_request (struct Request *request)
 {
   struct SlotWait *wait = request->slot_wait;
+  int64_t now_ms = timer_now_ms (request->front->node->timers);
 
   TALLOC_FREE (wait->timer);
   wait->granted = true;
-  histogram_add (HISTOGRAM_SLOT_WAIT,
-                 timer_now_ms (request->front->node->timers) - wait->first_asked_ms);
+  histogram_add (request_is_plain (request) ? HISTOGRAM_PLAIN_SLOT_WAIT : HISTOGRAM_SLOT_WAIT,
+                 now_ms - wait->first_asked_ms);
+  /* A delayed event loop handles the grant before the timer of the deadline. */
+  if (request_is_plain (request) && now_ms >= request->deadline_ms)
+    {
+      request_fail (request, request->may_have_run ? FAILURE_TIMEOUT : FAILURE_OUT_OF_TIME,
+                    "the deadline passed while the request waited for a slot");
+      return;
+    }
   request_on_slot_granted (request);
 }
 
@@ -259,16 +320,13 @@
 static void
 slots_update_total (struct Request *request, const struct SlotState *state)
 {
-  struct Replica *replica = request->replica;
-
-  replica->peers_in_flight =
-      state->total > replica->in_flight ? state->total - replica->in_flight : 0;
+  replica_apply_slot_state (request->replica, state, timer_now_ms (request->front->node->timers));
 }
 
-/* Moves the request to a less busy server, now that this one's queue is known. Returns false when
- * there is none. */
+/* Moves the request to a less busy server, now that this one's queue, where it is expected to wait
+ * wait_ms, is known. Returns false when there is none. */
 static bool
-slots_move (struct Request *request)
+slots_move (struct Request *request, uint32_t wait_ms)
 {
   struct Replica *from = request->replica;
   uint32_t n_moves = request->slot_wait->n_moves;
@@ -282,6 +340,9 @@
   from->in_flight++;
   if (best == NULL || best == from)
     return false;
+  if (request_is_plain (request)
+      && !plain_is_worth_moving (wait_ms, request_plain_wait_ms (request, best)))
+    return false;
   slots_release (request);
   from->in_flight--;
   request->replica = best;
@@ -315,6 +376,10 @@
   int64_t left_ms = request->deadline_ms - now_ms;
   int64_t first_event_ms = request->arrived_ms + CALLER_FIRST_EVENT_MS - now_ms;
 
+  if (request_is_plain (request))
+    left_ms = slots_plain_longest_wait_ms (request, state);
+  if (request_is_plain (request) && request->route.kind != ROUTE_STREAM)
+    first_event_ms = left_ms;
   request->slot_wait->answered = true;
   slots_update_total (request, state);
   if (state->granted)
@@ -322,13 +387,14 @@
       slots_send_request (request);
       return;
     }
-  if (slots_move (request))
+  if (slots_move (request, state->wait_ms))
     return;
   slots_log_queued (request, state);
   if (state->wait_ms > (left_ms < first_event_ms ? left_ms : first_event_ms))
     request_reject_busy (request, state->wait_ms);
   else
-    slots_wait (request, ASK_INTERVAL_MS);
+    slots_wait (request, request_is_plain (request) ? plain_ask_interval_ms (state->wait_ms)
+                                                    : ASK_INTERVAL_MS);
 }
 
 void
@@ -383,10 +449,13 @@
     .part = message->part,
     .part_tokens = message->part_tokens,
   };
-  struct SlotServer server = { message->server, message->slots, message->capacity_tokens };
+  struct SlotServer server = { message->server, message->slots, message->capacity_tokens,
+                               message->first_service_ms };
 
   snprintf (slot_request.requester, sizeof slot_request.requester, "%s", sender);
   response.slot_state.id = message->id;
+  if (message->first_service_ms != 0)
+    slots_grant (slots, message->server);
   if (slot_queue_request (slots->queues, &server, &slot_request, now_ms, &response.slot_state.state)
       == ERROR_NONE)
     node_answer (node, link, &response);
--- a/gateway/slots.h
+++ b/gateway/slots.h
@@ -1,8 +1,9 @@
-/* Slots of engines: requests them from an engine's owner, and grants them as an owner.
+/* Slots of backend servers: requests them from a server's owner, and grants them as an owner. Plain
+ * servers have owners only while the decision plain_queues is active for their service.
  *
- * Each engine has one owner at a time, a live gateway of its availability zone that all gateways
+ * Each server has one owner at a time, a live gateway of its availability zone that all gateways
  * select by the same hash. The owner orders requests with core/scheduling/slot_queue.c. When it
- * does not respond, the request is sent without a grant and the engine queues it in order of
+ * does not respond, the request is sent without a grant and the server queues it in order of
  * arrival. */
 #pragma once
 
@@ -22,6 +23,11 @@
 void
 slots_release (struct Request *request);
 
+/* Notes that the server rejected the request because it is full: if it is a plain server, its owner
+ * learns of it with slots_release. */
+void
+slots_note_full (struct Request *request);
+
 /* Messages. */
 void
 slots_on_request (struct Slots *slots,
--- a/include/buckthornhead/histogram.h
+++ b/include/buckthornhead/histogram.h
@@ -19,6 +19,7 @@
   HISTOGRAM_REFUSAL,           /* from a request to its rejection or abandonment */
   HISTOGRAM_TURN_OPEN,         /* reserving a turn and fetching its history */
   HISTOGRAM_SLOT_WAIT,         /* until the owner of an engine admits a turn */
+  HISTOGRAM_PLAIN_SLOT_WAIT,   /* until the owner of a plain server admits a request */
   HISTOGRAM_TURN_STORE,        /* storing a turn */
   HISTOGRAM_SERVER_HEAD,       /* a backend server's response, up to its headers */
   HISTOGRAM_DISK_SYNC,         /* writing and syncing one batch of an archive's records */
