Use reported loads of plain servers only as long as they hold

A plain server runs a request in a fraction of the 120 to 480 ms between two load reports. All gateways chose the server that the last report showed as least loaded, and went on avoiding those that it showed as full.

- At servers with queues, running requests cost nothing, and an expected wait becomes shorter by the age of its report.
- After its owner did not respond, a plain server is avoided for 500 ms.

--- a/core/scheduling/replica_set.c
+++ b/core/scheduling/replica_set.c
@@ -24,6 +24,9 @@
   /* How long the service time that an owner reported is used. A server that recovers from a slow
    * phase without being sent requests would otherwise keep its high cost. */
   SERVICE_REPORT_MS = 3000,
+  /* How long a plain server is avoided after its owner did not respond: a killed owner is replaced
+   * after 1 to 2 s, and each request costs 60 ms until it is sent without its owner. */
+  OWNER_SILENT_MS = 500,
   COST_OTHER_ZONE_US = 1000,
   /* A round trip, and the time to accept a connection. Less than COST_RUNNING_US, so that load
    * still spreads over servers without an open connection. */
@@ -332,6 +335,7 @@
   replica->owned = true;
   replica->peers_in_flight =
       digest->total > replica->in_flight ? digest->total - replica->in_flight : 0;
+  replica->load_heard_ms = now_ms;
   replica->reported_failure_rate.permille = digest->failed_permille;
   replica->reported_failure_rate.updated_ms = now_ms;
   replica->n_cached = digest->n_parts;
@@ -431,13 +435,31 @@
 {
   replica->peers_in_flight =
       state->total > replica->in_flight ? state->total - replica->in_flight : 0;
+  replica->load_heard_ms = now_ms;
+  replica->owner_silent_until_ms = 0;
   if (state->service_ms == 0)
     return;
   replica->service_ms = state->service_ms;
   replica->service_heard_ms = now_ms;
 }
 
-/* Returns the expected wait for a slot when n_waiting requests, this one included, wait for one. */
+void
+replica_record_owner_silent (struct Replica *replica, int64_t now_ms)
+{
+  replica->owner_silent_until_ms = now_ms + OWNER_SILENT_MS;
+}
+
+static bool
+replica_is_avoided (const struct Replica *replica, const struct ReplicaQuery *query)
+{
+  return replica->avoid_until_ms > query->now_ms
+         || (query->service_ms != 0 && replica->owner_silent_until_ms > query->now_ms);
+}
+
+/* Returns the expected wait for a slot when n_waiting requests, this one included, wait for one. At
+ * a plain server the wait has become shorter by the age of the load report: it runs a request in a
+ * fraction of the 120 to 480 ms between two reports, so that without this gateways would go on
+ * avoiding servers that were full and send all requests to the others. */
 static uint64_t
 waiting_cost_us (const struct Replica *replica,
                  const struct ReplicaQuery *query,
@@ -446,10 +468,13 @@
 {
   bool reported =
       replica->service_ms != 0 && query->now_ms - replica->service_heard_ms < SERVICE_REPORT_MS;
+  uint64_t age_us = (uint64_t)(query->now_ms - replica->load_heard_ms) * 1000;
+  uint64_t wait_us;
 
   if (query->service_ms == 0)
     return n_waiting * COST_WAITING_US * 32 / slots;
-  return n_waiting * (reported ? replica->service_ms : query->service_ms) * 1000 / slots;
+  wait_us = n_waiting * (reported ? replica->service_ms : query->service_ms) * 1000 / slots;
+  return wait_us > age_us ? wait_us - age_us : 0;
 }
 
 uint32_t
@@ -477,7 +502,10 @@
 
   /* Reading uncached tokens delays each running request by the same time; half of it is counted. */
   cost_us += cost_us * (running < slots ? running : slots) / 2;
-  cost_us += running * COST_RUNNING_US * 8 / slots;
+  /* Running requests slow each other on engines. The loads of plain servers are older than the
+   * requests they count: a cost for them would send the requests of all gateways to one server. */
+  if (query->service_ms == 0)
+    cost_us += running * COST_RUNNING_US * 8 / slots;
   if (running >= slots)
     cost_us += waiting_cost_us (replica, query, running - slots + 1, slots);
   if (replica->connected_until_ms <= query->now_ms || replica->in_flight > 0)
@@ -506,7 +534,7 @@
   for (size_t i = 0; i < set->n_replicas; i++)
     {
       struct Replica *replica = set->replicas[(i + query->draw) % set->n_replicas];
-      bool avoided = replica->avoid_until_ms > query->now_ms;
+      bool avoided = replica_is_avoided (replica, query);
       uint64_t cost_us;
 
       if (!replica_is_eligible (replica, query) || query_excludes (query, replica->entry.id))
--- a/include/buckthornhead/scheduling/replica_set.h
+++ b/include/buckthornhead/scheduling/replica_set.h
@@ -52,6 +52,9 @@
   uint32_t n_cached;
   uint32_t service_ms; /* of a plain server's requests, as last reported by the owner */
   int64_t service_heard_ms;
+  int64_t
+      owner_silent_until_ms; /* until then a plain server without a responding owner is avoided */
+  int64_t load_heard_ms;     /* when its owner last reported its load */
   UT_hash_handle hh;
 };
 
@@ -138,6 +141,10 @@
 void
 replica_apply_slot_state (struct Replica *replica, const struct SlotState *state, int64_t now_ms);
 
+/* Records that the owner of a plain server did not respond. */
+void
+replica_record_owner_silent (struct Replica *replica, int64_t now_ms);
+
 /* Returns the expected wait in ms of a further request at a plain server; 0 while a slot is free.
  */
 uint32_t
