Move a program's request that cannot be served in time at its plain server

Such a request now moves to the best other server, within the two moves of a request.

The gateway also reports an owner that did not respond to the choice of server.

--- a/gateway/slots.c
+++ b/gateway/slots.c
@@ -278,6 +278,8 @@
     }
   log_request (LOG_LEVEL_INFO, "owner_silent", request->caller.id, request->caller.program,
                "%s owns %s: sent without it", wait->owner, wait->server);
+  if (request_is_plain (request))
+    replica_record_owner_silent (request->replica, timer_now_ms (request->front->node->timers));
   slots_send_request (request);
 }
 
@@ -323,31 +325,68 @@
   replica_apply_slot_state (request->replica, state, timer_now_ms (request->front->node->timers));
 }
 
+/* Returns the server with the least expected completion time, which may be the present one; NULL if
+ * none is eligible. */
+static struct Replica *
+slots_choose_again (struct Request *request)
+{
+  struct Replica *from = request->replica, *best;
+
+  /* The request itself must not count against its present server. */
+  from->in_flight--;
+  best = request_choose_server (request);
+  from->in_flight++;
+  return best;
+}
+
+static void
+slots_move_to (struct Request *request, struct Replica *replica)
+{
+  uint32_t n_moves = request->slot_wait->n_moves;
+
+  slots_release (request);
+  request->replica->in_flight--;
+  request->replica = replica;
+  replica->in_flight++;
+  slots_begin (request, n_moves + 1);
+}
+
 /* Moves the request to a less busy server, now that this one's queue, where it is expected to wait
  * wait_ms, is known. Returns false when there is none. */
 static bool
 slots_move (struct Request *request, uint32_t wait_ms)
 {
-  struct Replica *from = request->replica;
-  uint32_t n_moves = request->slot_wait->n_moves;
   struct Replica *best;
 
-  if (n_moves >= MOVES_MAX)
+  if (request->slot_wait->n_moves >= MOVES_MAX)
     return false;
-  /* The request itself must not count against its present server. */
-  from->in_flight--;
-  best = request_choose_server (request);
-  from->in_flight++;
-  if (best == NULL || best == from)
+  best = slots_choose_again (request);
+  if (best == NULL || best == request->replica)
     return false;
   if (request_is_plain (request)
       && !plain_is_worth_moving (wait_ms, request_plain_wait_ms (request, best)))
     return false;
-  slots_release (request);
-  from->in_flight--;
-  request->replica = best;
-  best->in_flight++;
-  slots_begin (request, n_moves + 1);
+  slots_move_to (request, best);
+  return true;
+}
+
+/* Moves a request of a program, which cannot be served in time at its present plain server, to the
+ * best of the others. The load that is known of them includes requests that it would precede, so it
+ * may be served in time there. Returns false when there is none. */
+static bool
+slots_move_late (struct Request *request)
+{
+  struct Replica *best;
+
+  if (!request_is_plain (request) || request->caller.program[0] == '\0'
+      || request->slot_wait->n_moves >= MOVES_MAX || request->n_tried == TRIED_MAX)
+    return false;
+  request->tried[request->n_tried++] = request->replica->entry.id;
+  best = slots_choose_again (request);
+  request->n_tried--;
+  if (best == NULL)
+    return false;
+  slots_move_to (request, best);
   return true;
 }
 
@@ -391,7 +430,10 @@
     return;
   slots_log_queued (request, state);
   if (state->wait_ms > (left_ms < first_event_ms ? left_ms : first_event_ms))
-    request_reject_busy (request, state->wait_ms);
+    {
+      if (!slots_move_late (request))
+        request_reject_busy (request, state->wait_ms);
+    }
   else
     slots_wait (request, request_is_plain (request) ? plain_ask_interval_ms (state->wait_ms)
                                                     : ASK_INTERVAL_MS);
