Test queues of plain servers under faults, and count their work

test_plain_queue now covers three times the load, a killed, a silent and a second owner, a server that becomes six times slower, a killed requester, callers that leave, the messages a request costs, and the entries that a decision reads (slot_queues_n_examined).

--- a/core/scheduling/slot_queue.c
+++ b/core/scheduling/slot_queue.c
@@ -65,6 +65,7 @@
 struct SlotQueues
 {
   struct SlotQueue *by_server;
+  uint64_t n_examined; /* entries that were read to find, order or grant requests */
 };
 
 static int
@@ -329,9 +330,16 @@
         entry_grant (queue, entry, now_ms);
     }
   queue_get_state (queue, entry, now_ms, state);
+  queues->n_examined += state->granted ? queue->n_entries : 2 * queue->n_entries;
   return ERROR_NONE;
 }
 
+uint64_t
+slot_queues_n_examined (const struct SlotQueues *queues)
+{
+  return queues->n_examined;
+}
+
 /* Updates the mean service time. Only for served requests, as the duration of a failed or cancelled
  * one doesn't show the server's speed. */
 static void
@@ -354,6 +362,7 @@
 
   if (entry == NULL)
     return;
+  queues->n_examined += queue->n_entries;
   switch (outcome)
     {
     case SLOT_SERVED:
@@ -399,6 +408,7 @@
 
   if (queue == NULL || !queue_has_room (queue, now_ms))
     return false;
+  queues->n_examined += queue->n_entries;
   for (size_t i = 0; i < queue->n_entries; i++)
     {
       struct SlotEntry *entry = &queue->entries[i];
--- a/include/buckthornhead/scheduling/slot_queue.h
+++ b/include/buckthornhead/scheduling/slot_queue.h
@@ -119,6 +119,11 @@
                  struct SlotRequest *request,
                  struct SlotState *state);
 
+/* Returns how many entries all queues have read to find, order or grant requests: the work that
+ * does not depend on the machine. */
+uint64_t
+slot_queues_n_examined (const struct SlotQueues *queues);
+
 /* Drops requests whose deadline has passed, and all requests of gateways for which is_live returns
  * false: their ends are never reported. Removes servers without recent requests. Calls each for
  * every server with remaining requests, as it may have room again. */
--- a/tests/test_plain_queue.c
+++ b/tests/test_plain_queue.c
@@ -25,7 +25,7 @@
   REQUESTS_PER_S = 1800,
   LOAD_MS = 5000,
   END_MS = 12 * 1000,
-  REQUESTS_MAX = 12 * 1000,
+  REQUESTS_MAX = 24 * 1000,
   TIMEOUT_MS = 2000, /* of the route */
   DELAY_MS = 1,      /* of each message, to a gateway or a server */
   HEARTBEAT_MS = 500,
@@ -39,6 +39,11 @@
   DETECT_MS = 1500, /* until a killed gateway is no longer live */
   OWNERS_APART = 9, /* server s is owned by gateway 9 s */
   WAITS_MAX = 64,   /* slot requests of one request */
+  LEAVE_MS = 100,
+  FAULT_MS = 1000, /* when a fault begins */
+  SEEDS = 3,
+  UNUSED_MAX = 10, /* ends in transit, at some 2 requests a millisecond */
+  N_SECONDS = END_MS / 1000 + 1,
   NEVER_MS = 1 << 30
 };
 
@@ -52,6 +57,7 @@
   int64_t two_owners_from_ms, two_owners_until_ms; /* every second gateway has other owners */
   uint32_t slow_server;                            /* runs requests six times slower */
   int64_t slow_from_ms;
+  uint32_t leave_permille; /* callers that disconnect after LEAVE_MS */
 };
 
 static const struct Faults no_faults = {
@@ -83,6 +89,7 @@
   EVENT_STATE,     /* the owner's response or grant at the requester */
   EVENT_DONE,      /* the end of a slot at the owner */
   EVENT_TIMER,     /* the owner is silent, or the next query is due */
+  EVENT_LEFT,      /* the caller disconnects */
   EVENT_DEADLINE
 };
 
@@ -156,6 +163,8 @@
   uint32_t n_sent_late;            /* after the deadline */
   uint32_t n_messages;             /* slot requests, states and ends */
   uint32_t n_moves, n_without_owner;
+  uint32_t n_rejected_in[N_SECONDS]; /* by servers, in each second */
+  uint32_t n_unused_max;             /* places in queues whose requests have ended */
 };
 
 static uint32_t
@@ -218,6 +227,7 @@
   else
     {
       sim->n_rejected++;
+      sim->n_rejected_in[sim->now_ms / 1000]++;
       sim_add (sim, DELAY_MS, EVENT_REJECTED, request);
     }
 }
@@ -425,6 +435,29 @@
   return true;
 }
 
+/* As slots_move_late in gateway/slots.c. */
+static bool
+request_move_late (struct Simulation *sim, uint32_t i)
+{
+  struct SimRequest *request = &sim->requests[i];
+  struct Replica *from = request->replica, *best;
+  uint32_t n_moves = request->n_moves;
+
+  if (!request->of_program || n_moves >= MOVES_MAX || request->n_tried == N_SERVERS)
+    return false;
+  request->tried[request->n_tried++] = from->entry.id;
+  best = request_choose (sim, request);
+  request->n_tried--;
+  if (best == NULL)
+    return false;
+  request_release (sim, i);
+  request->replica = best;
+  best->in_flight++;
+  sim->n_moves++;
+  request_begin_slot (sim, i, n_moves + 1);
+  return true;
+}
+
 static void
 request_on_state (struct Simulation *sim, const struct Event *event)
 {
@@ -440,10 +473,10 @@
     request_submit (sim, event->request);
   else if (request_move (sim, event->request, state->wait_ms))
     return;
-  else if (state->wait_ms > plain_longest_wait_ms (&plain, state->service_ms, sim->now_ms))
-    request_end (sim, event->request, OUTCOME_BUSY);
-  else
+  else if (state->wait_ms <= plain_longest_wait_ms (&plain, state->service_ms, sim->now_ms))
     request_set_timer (sim, event->request, plain_ask_interval_ms (state->wait_ms));
+  else if (!request_move_late (sim, event->request))
+    request_end (sim, event->request, OUTCOME_BUSY);
 }
 
 static void
@@ -459,6 +492,7 @@
       return;
     }
   sim->n_without_owner++;
+  replica_record_owner_silent (request->replica, sim->now_ms);
   request_submit (sim, event->request);
 }
 
@@ -672,6 +706,9 @@
     case EVENT_TIMER:
       request_on_timer (sim, event);
       break;
+    case EVENT_LEFT:
+      request_end (sim, event->request, OUTCOME_LEFT);
+      break;
     case EVENT_DEADLINE:
       request_end (sim, event->request, OUTCOME_TIMEOUT);
       break;
@@ -703,6 +740,7 @@
     case EVENT_REJECTED:
     case EVENT_STATE:
     case EVENT_TIMER:
+    case EVENT_LEFT:
     case EVENT_DEADLINE:
       sim_handle_at_gateway (sim, event);
       break;
@@ -727,6 +765,8 @@
           request->of_program ? request->arrived_ms + draw_ms (1000, 5000) : INT64_MAX;
       sim_add (sim, request->arrived_ms, EVENT_ARRIVAL, i);
       sim_add (sim, request->deadline_ms, EVENT_DEADLINE, i);
+      if (i % 1000 < sim->faults.leave_permille)
+        sim_add (sim, request->arrived_ms + LEAVE_MS, EVENT_LEFT, i);
       at_ms += -log (1 - drand48 ()) * 1000 / per_s;
     }
 }
@@ -759,6 +799,36 @@
   return sim;
 }
 
+/* Compares the places in all queues with the requests that have one, other than those of a gateway
+ * that is known to be killed. */
+static void
+sim_count_unused_places (struct Simulation *sim)
+{
+  bool detected = sim->now_ms >= sim->faults.killed_ms + DETECT_MS + TICK_MS;
+  uint32_t n_places = 0, n_requests = 0;
+
+  for (uint32_t g = 0; g < N_GATEWAYS; g++)
+    {
+      size_t n;
+      struct SlotDigest *digests =
+          slot_queues_digest (sim->gateways[g].queues, sim, false, sim->now_ms, &n);
+
+      for (size_t i = 0; i < n; i++)
+        n_places += digests[i].total;
+      talloc_free (digests);
+    }
+  for (uint32_t i = 0; i < sim->n_requests; i++)
+    {
+      const struct SimRequest *request = &sim->requests[i];
+      bool killed = gateway_is_dead (sim, request->gateway);
+
+      if (killed ? !detected : request->outcome == OUTCOME_NONE)
+        n_requests += request->has_slot;
+    }
+  if (n_places > n_requests + sim->n_unused_max)
+    sim->n_unused_max = n_places - n_requests;
+}
+
 static void
 sim_run (struct Simulation *sim)
 {
@@ -768,6 +838,9 @@
         sim_handle (sim, e);
       if (sim->with_queues && sim->now_ms % TICK_MS == 0)
         owners_expire (sim);
+      /* Between two calls of owners_expire, which would hide a place that was not given back. */
+      if (sim->with_queues && sim->now_ms % TICK_MS == TICK_MS / 2)
+        sim_count_unused_places (sim);
       if (sim->with_queues && sim->now_ms % DIGEST_MS == 0)
         owners_send_digests (sim);
       if (!sim->with_queues && sim->now_ms % HEARTBEAT_MS == 0)
@@ -826,23 +899,255 @@
     }
 }
 
-/* Under 1% of the requests that arrive at servers are rejected by them. */
+static struct Simulation *
+sim_run_new (long seed, double per_s, const struct Faults *faults, const char *name)
+{
+  struct Simulation *sim = sim_new (seed, per_s, faults);
+
+  sim_run (sim);
+  sim_print (sim, name);
+  CU_ASSERT_EQUAL (sim->n_sent_late, 0);
+  return sim;
+}
+
+/* Returns the requests of programs that were not served, except those of a killed gateway. */
+static uint32_t
+sim_programs_failed (const struct Simulation *sim)
+{
+  struct Sums sums = sim_sum (sim, true);
+
+  return sums.n - sums.n_of[OUTCOME_SERVED] - sums.n_of[OUTCOME_KILLED];
+}
+
+static uint32_t
+sim_rejected_since (const struct Simulation *sim, uint32_t second)
+{
+  uint32_t n = 0;
+
+  for (; second < N_SECONDS; second++)
+    n += sim->n_rejected_in[second];
+  return n;
+}
+
+/* Guards against plain servers that reject most of what they are sent under more demand than they
+ * carry: without queues 86% at 1.5 times the load. Requests of programs go before others. */
 static void
 test_full_servers_reject_few (void)
 {
-  for (long seed = 1; seed <= 3; seed++)
+  for (long seed = 1; seed <= SEEDS; seed++)
+    {
+      struct Simulation *sim = sim_run_new (seed, REQUESTS_PER_S, &no_faults, "1.5 times the load");
+      struct Sums programs = sim_sum (sim, true), others = sim_sum (sim, false);
+
+      CU_ASSERT (sim_rejected_permille (sim) < 10);
+      CU_ASSERT (sim_programs_failed (sim) * 100 < programs.n);
+      CU_ASSERT (programs.wait_ms * 10 < others.wait_ms);
+      talloc_free (sim);
+    }
+}
+
+static void
+test_three_times_the_load_is_not_rejected_by_servers (void)
+{
+  struct Simulation *sim = sim_run_new (1, 2 * REQUESTS_PER_S, &no_faults, "3 times the load");
+
+  CU_ASSERT (sim_rejected_permille (sim) < 10);
+  talloc_free (sim);
+}
+
+/* A request that finds a free slot costs three messages: its slot request, the grant, its end. */
+static void
+test_a_request_costs_three_messages (void)
+{
+  struct Simulation *sim = sim_run_new (1, 300, &no_faults, "a quarter of the load");
+
+  CU_ASSERT_EQUAL (sim->n_messages, 3 * sim->n_requests);
+  talloc_free (sim);
+  sim = sim_run_new (1, 600, &no_faults, "half of the load");
+  CU_ASSERT (sim->n_messages * 10 < 33 * sim->n_requests);
+  talloc_free (sim);
+}
+
+/* Guards against a decision whose work grows faster than the queue: with some hundred waiting
+ * requests each query, grant and end reads each of a queue's entries at most twice. */
+static void
+test_the_work_grows_with_the_queue_only_linearly (void)
+{
+  struct SlotQueues *queues = slot_queues_new (NULL);
+  const struct SlotServer server = { "p0", SLOTS, 0, 50 };
+  struct SlotRequest request = { .requester = "g0", .under_way = true, .deadline_ms = 2000 };
+  struct SlotState state;
+  uint64_t before;
+  enum
+  {
+    N_QUEUED = 400
+  };
+
+  for (request.id = 1; request.id < N_QUEUED; request.id++)
+    {
+      request.program_deadline_ms = 2000 + (int64_t)(request.id * 7919 % N_QUEUED);
+      slot_queue_request (queues, &server, &request, 0, &state);
+    }
+  before = slot_queues_n_examined (queues);
+  slot_queue_request (queues, &server, &request, 0, &state);
+  CU_ASSERT_EQUAL (state.total, N_QUEUED);
+  CU_ASSERT_EQUAL (slot_queues_n_examined (queues) - before, 2 * N_QUEUED);
+  before = slot_queues_n_examined (queues);
+  slot_queue_done (queues, "p0", "g0", 1, SLOT_SERVED, 40);
+  CU_ASSERT_TRUE (slot_queue_next (queues, "p0", 40, &request, &state));
+  CU_ASSERT (slot_queues_n_examined (queues) - before <= 2 * N_QUEUED);
+  talloc_free (queues);
+}
+
+/* A killed owner is replaced after some 1.5 s. Until then its servers get requests without grants,
+ * and reject some of them; other servers run these. No request of a program may fail for it. */
+static void
+test_a_killed_owner_loses_no_requests (void)
+{
+  for (long seed = 1; seed <= SEEDS; seed++)
+    {
+      struct Faults faults = no_faults;
+      struct Simulation *sim;
+
+      faults.killed_gateway = 3 * OWNERS_APART;
+      faults.killed_ms = FAULT_MS;
+      sim = sim_run_new (seed, REQUESTS_PER_S, &faults, "killed owner");
+      CU_ASSERT_EQUAL (sim_programs_failed (sim), 0);
+      CU_ASSERT (sim->n_without_owner > 0);
+      CU_ASSERT (sim_rejected_permille (sim) < 100);
+      CU_ASSERT (sim_rejected_since (sim, 3) * 100 < sim->n_arrivals);
+      talloc_free (sim);
+    }
+}
+
+/* The same for an owner that handles no messages for a second and then all of them. */
+static void
+test_a_silent_owner_loses_no_requests (void)
+{
+  for (long seed = 1; seed <= SEEDS; seed++)
+    {
+      struct Faults faults = no_faults;
+      struct Simulation *sim;
+
+      faults.silent_gateway = 3 * OWNERS_APART;
+      faults.silent_from_ms = FAULT_MS;
+      faults.silent_until_ms = FAULT_MS + 1000;
+      sim = sim_run_new (seed, REQUESTS_PER_S, &faults, "silent owner");
+      CU_ASSERT_EQUAL (sim_programs_failed (sim), 0);
+      CU_ASSERT (sim->n_without_owner > 0);
+      CU_ASSERT (sim_rejected_permille (sim) < 100);
+      CU_ASSERT (sim_rejected_since (sim, 3) * 100 < sim->n_arrivals);
+      talloc_free (sim);
+    }
+}
+
+/* Two owners grant each server's slots twice for a second. The servers' own queues take part of the
+ * excess, and the owners count fewer slots after each rejection. */
+static void
+test_two_owners_lose_no_requests (void)
+{
+  for (long seed = 1; seed <= SEEDS; seed++)
     {
-      struct Simulation *sim = sim_new (seed, REQUESTS_PER_S, &no_faults);
+      struct Faults faults = no_faults;
+      struct Simulation *sim;
+
+      faults.two_owners_from_ms = FAULT_MS;
+      faults.two_owners_until_ms = FAULT_MS + 1000;
+      sim = sim_run_new (seed, REQUESTS_PER_S, &faults, "two owners");
+      CU_ASSERT_EQUAL (sim_programs_failed (sim), 0);
+      CU_ASSERT (sim_rejected_permille (sim) < 100);
+      CU_ASSERT (sim_rejected_since (sim, 3) * 100 < sim->n_arrivals);
+      talloc_free (sim);
+    }
+}
 
-      sim_run (sim);
-      sim_print (sim, "1.5 times the load");
+/* Guards against requests that wait at a server that has become slow, although others would run
+ * them in time. */
+static void
+test_a_slow_server_is_left_to_others (void)
+{
+  for (long seed = 1; seed <= SEEDS; seed++)
+    {
+      struct Faults faults = no_faults;
+      struct Simulation *sim;
+
+      faults.slow_server = 3;
+      faults.slow_from_ms = FAULT_MS;
+      sim = sim_run_new (seed, REQUESTS_PER_S, &faults, "slow server");
       CU_ASSERT (sim_rejected_permille (sim) < 10);
+      CU_ASSERT (sim_programs_failed (sim) * 100 < sim_sum (sim, true).n);
       talloc_free (sim);
     }
 }
 
+/* Guards against slots that stay granted to a killed gateway until the deadlines of its requests.
+ */
+static void
+test_the_slots_of_a_killed_gateway_are_freed (void)
+{
+  struct Faults faults = no_faults;
+  struct Simulation *sim;
+
+  faults.killed_gateway = 5; /* owns no server */
+  faults.killed_ms = FAULT_MS;
+  sim = sim_run_new (1, REQUESTS_PER_S, &faults, "killed requester");
+  CU_ASSERT (sim_rejected_permille (sim) < 10);
+  CU_ASSERT_EQUAL (sim_programs_failed (sim), 0);
+  CU_ASSERT (sim->n_unused_max <= UNUSED_MAX);
+  talloc_free (sim);
+}
+
+/* Guards against places that callers keep after they have disconnected or their deadlines have
+ * passed: apart from messages in transit, each place belongs to a request. */
+static void
+test_ended_requests_give_their_places_back (void)
+{
+  struct Faults faults = no_faults;
+  struct Simulation *sim;
+
+  faults.leave_permille = 300;
+  sim = sim_run_new (1, REQUESTS_PER_S, &faults, "callers leave");
+  CU_ASSERT (sim_sum (sim, false).n_of[OUTCOME_LEFT] > 100);
+  CU_ASSERT (sim_sum (sim, false).n_of[OUTCOME_TIMEOUT] > 0);
+  CU_ASSERT (sim->n_unused_max <= UNUSED_MAX);
+  printf ("at most %u places in queues without a request\n", sim->n_unused_max);
+  talloc_free (sim);
+}
+
+/* The rules for a waiting request, at their bounds. */
+static void
+test_the_rules_of_a_waiting_request (void)
+{
+  const struct PlainRequest of_program = { 5000, 2000 }, alone = { INT64_MAX, 2000 };
+
+  CU_ASSERT_EQUAL (plain_first_service_ms (200), 50);
+  CU_ASSERT_EQUAL (plain_first_service_ms (0), 1);
+  CU_ASSERT_EQUAL (plain_order_deadline_ms (&of_program), 5000);
+  CU_ASSERT_EQUAL (plain_order_deadline_ms (&alone), 2000);
+  CU_ASSERT_EQUAL (plain_longest_wait_ms (&of_program, 50, 1000), 950);
+  CU_ASSERT (plain_longest_wait_ms (&alone, 50, 1960) < 0);
+  CU_ASSERT_TRUE (plain_is_worth_moving (8, 0));
+  CU_ASSERT_FALSE (plain_is_worth_moving (0, 0));
+  CU_ASSERT_FALSE (plain_is_worth_moving (8, 4));
+  CU_ASSERT_EQUAL (plain_ask_interval_ms (0), 200);
+  CU_ASSERT_EQUAL (plain_ask_interval_ms (1000), 500);
+  CU_ASSERT_EQUAL (plain_ask_interval_ms (UINT32_MAX), 800);
+}
+
 const char test_suite_name[] = "plain_queue";
 const struct TestCase test_cases[] = {
   { "full servers reject few requests", test_full_servers_reject_few },
+  { "three times the load is not rejected by servers",
+    test_three_times_the_load_is_not_rejected_by_servers },
+  { "a request costs three messages", test_a_request_costs_three_messages },
+  { "the work grows with the queue only linearly",
+    test_the_work_grows_with_the_queue_only_linearly },
+  { "a killed owner loses no requests", test_a_killed_owner_loses_no_requests },
+  { "a silent owner loses no requests", test_a_silent_owner_loses_no_requests },
+  { "two owners lose no requests", test_two_owners_lose_no_requests },
+  { "a slow server is left to others", test_a_slow_server_is_left_to_others },
+  { "the slots of a killed gateway are freed", test_the_slots_of_a_killed_gateway_are_freed },
+  { "ended requests give their places back", test_ended_requests_give_their_places_back },
+  { "the rules of a waiting request", test_the_rules_of_a_waiting_request },
   { NULL, NULL },
 };
