--- a/tests/test_replica_set.c
+++ b/tests/test_replica_set.c
@@ -432,6 +432,73 @@
   talloc_free (set);
 }
 
+/* A request to full plain servers waits where the expected wait is least, by the servers' own
+ * service times and not by the number of requests ahead. Guards against slow servers that collect
+ * requests, and against servers that are avoided long after they were full. */
+static void
+test_a_request_waits_at_the_plain_server_with_the_least_wait (void)
+{
+  const struct ReplicaEntry entries[] = { entry ("r1", "a", 8, false),
+                                          entry ("r2", "a", 8, false) };
+  struct ReplicaSet *set = replica_set_new (NULL);
+  struct ReplicaQuery query = {
+    .service = "engine", .zone = "a", .previous_server = "", .service_ms = 50, .now_ms = 1000
+  };
+  const struct SlotState slow = { .total = 16, .service_ms = 240 },
+                         busy = { .total = 31, .service_ms = 40 };
+  struct Replica *r1, *r2;
+
+  replica_set_apply (set, entries, 2, false, 0);
+  r1 = replica_set_find (set, "r1");
+  r2 = replica_set_find (set, "r2");
+  replica_apply_slot_state (r1, &slow, 1000);
+  replica_apply_slot_state (r2, &busy, 1000);
+  CU_ASSERT_EQUAL (replica_plain_wait_ms (r1, &query), 9 * 240 / 8);
+  CU_ASSERT_EQUAL (replica_plain_wait_ms (r2, &query), 24 * 40 / 8);
+  CU_ASSERT_STRING_EQUAL (chosen (set, &query), "r2");
+  /* Part of the wait is over, then all of it. */
+  query.now_ms = 1020;
+  CU_ASSERT_EQUAL (replica_plain_wait_ms (r2, &query), 100);
+  query.now_ms = 2000;
+  CU_ASSERT_EQUAL (replica_plain_wait_ms (r2, &query), 0);
+  /* After 3 s the service time of the query is used instead of the reported one. */
+  r1->load_heard_ms = query.now_ms = 4000;
+  CU_ASSERT_EQUAL (replica_plain_wait_ms (r1, &query), 9 * 50 / 8);
+  talloc_free (set);
+}
+
+/* Guards against requests that each wait 60 ms for the owner of one plain server, which was killed,
+ * while other servers have owners. Engines are not affected. */
+static void
+test_a_plain_server_without_a_responding_owner_is_avoided (void)
+{
+  const struct ReplicaEntry entries[] = { entry ("r1", "a", 8, false),
+                                          entry ("r2", "a", 8, false) };
+  struct ReplicaSet *set = replica_set_new (NULL);
+  struct ReplicaQuery query = {
+    .service = "engine", .zone = "a", .previous_server = "", .service_ms = 50, .now_ms = 1000
+  };
+  const struct SlotState state = { .total = 1, .service_ms = 50 };
+  struct Replica *r1;
+
+  replica_set_apply (set, entries, 2, false, 0);
+  r1 = replica_set_find (set, "r1");
+  replica_record_owner_silent (r1, 1000);
+  CU_ASSERT_STRING_EQUAL (chosen (set, &query), "r2");
+  query.draw = 1;
+  CU_ASSERT_STRING_EQUAL (chosen (set, &query), "r2");
+  query.draw = 0;
+  query.service_ms = 0;
+  CU_ASSERT_STRING_EQUAL (chosen (set, &query), "r1");
+  query.service_ms = 50;
+  query.now_ms = 1500;
+  CU_ASSERT_STRING_EQUAL (chosen (set, &query), "r1");
+  replica_record_owner_silent (r1, 1500);
+  replica_apply_slot_state (r1, &state, 1510);
+  CU_ASSERT_STRING_EQUAL (chosen (set, &query), "r1");
+  talloc_free (set);
+}
+
 const char test_suite_name[] = "replica_set";
 const struct TestCase test_cases[] = {
   { "the own zone is preferred unless it is loaded",
@@ -459,5 +526,9 @@
     test_disabled_mechanisms_do_not_affect_the_choice },
   { "an idle connection decides among equal servers",
     test_an_idle_connection_decides_among_equals },
+  { "a request waits at the plain server with the least wait",
+    test_a_request_waits_at_the_plain_server_with_the_least_wait },
+  { "a plain server without a responding owner is avoided",
+    test_a_plain_server_without_a_responding_owner_is_avoided },
   { NULL, NULL },
 };
--- a/tests/test_slot_queue.c
+++ b/tests/test_slot_queue.c
@@ -281,6 +281,68 @@
   talloc_free (queues);
 }
 
+static struct SlotState
+request_plain (struct SlotQueues *queues, uint64_t id, int64_t now_ms)
+{
+  const struct SlotServer server = { "p", SLOTS, 0, 50 };
+  struct SlotRequest a = make_request ("g", id, true, 2000);
+  struct SlotState state;
+
+  CU_ASSERT_EQUAL (slot_queue_request (queues, &server, &a, now_ms, &state), ERROR_NONE);
+  return state;
+}
+
+/* A plain server that rejects a granted request is full with work that its owner does not know of.
+ * Granting it as many requests as it has slots would make it reject further ones. */
+static void
+test_a_full_plain_server_gets_fewer_requests (void)
+{
+  struct SlotQueues *queues = slot_queues_new (NULL);
+  struct SlotRequest granted;
+  struct SlotState state;
+
+  for (uint64_t id = 1; id <= GRANTED; id++)
+    CU_ASSERT_TRUE (request_plain (queues, id, 0).granted);
+  CU_ASSERT_FALSE (request_plain (queues, 10, 0).granted);
+  slot_queue_done (queues, "p", "g", 1, SLOT_FULL, 10);
+  CU_ASSERT_FALSE (slot_queue_next (queues, "p", 10, &granted, &state));
+  /* One slot remains, however often the server rejects. */
+  slot_queue_done (queues, "p", "g", 2, SLOT_FULL, 10);
+  slot_queue_done (queues, "p", "g", 3, SLOT_FULL, 10);
+  CU_ASSERT_TRUE (slot_queue_next (queues, "p", 10, &granted, &state));
+  CU_ASSERT_TRUE (request_plain (queues, 11, 20).granted);
+  CU_ASSERT_FALSE (request_plain (queues, 12, 20).granted);
+  CU_ASSERT_FALSE (slot_queue_next (queues, "p", 109, &granted, &state));
+  CU_ASSERT_TRUE (slot_queue_next (queues, "p", 110, &granted, &state));
+  CU_ASSERT_EQUAL (granted.id, 12);
+  talloc_free (queues);
+}
+
+/* Guards against an average in whole milliseconds, which stays up to 15 ms below the true one: a
+ * request would be accepted that cannot be served in time. A queue of an engine reports none. */
+static void
+test_a_plain_servers_service_time_is_measured (void)
+{
+  struct SlotQueues *queues = slot_queues_new (NULL);
+  const struct SlotRequest engine = make_request ("g", 1, true, 2000);
+
+  CU_ASSERT_EQUAL (request (queues, &engine).service_ms, 0);
+  for (uint64_t id = 1; id <= 100; id++)
+    {
+      int64_t now_ms = (int64_t)id * 100, took_ms = id <= 20 ? 10 : 20;
+      struct SlotState state = request_plain (queues, id, now_ms);
+
+      CU_ASSERT_EQUAL (state.service_ms, id == 1 ? 50 : state.service_ms);
+      if (id == 2)
+        CU_ASSERT_EQUAL (state.service_ms, 10);
+      slot_queue_done (queues, "p", "g", id, SLOT_SERVED, now_ms + took_ms);
+    }
+  CU_ASSERT_EQUAL (request_plain (queues, 101, 20000).service_ms, 20);
+  slot_queue_restarted (queues, "p");
+  CU_ASSERT_EQUAL (request_plain (queues, 102, 20000).service_ms, 50);
+  talloc_free (queues);
+}
+
 const char test_suite_name[] = "slot_queue";
 const struct TestCase test_cases[] = {
   { "programs that can end in time go first", test_programs_that_can_end_in_time_go_first },
@@ -290,6 +352,8 @@
   { "the digest reports the failure rate", test_the_digest_reports_the_failure_rate },
   { "the wait follows the service time", test_the_wait_follows_the_service_time },
   { "a restarted server is reset", test_a_restarted_server_is_reset },
+  { "a full plain server gets fewer requests", test_a_full_plain_server_gets_fewer_requests },
+  { "a plain server's service time is measured", test_a_plain_servers_service_time_is_measured },
   { "a customer's priority goes before a program's deadline",
     test_a_customers_priority_goes_before_a_programs_deadline },
   { NULL, NULL },
