--- a/tests/standins/installation.c
+++ b/tests/standins/installation.c
@@ -249,6 +249,26 @@
   return n;
 }
 
+void
+server_set_capacity (struct Installation *in, uint32_t server, uint32_t work_ms, uint32_t places)
+{
+  pthread_mutex_lock (&in->lock);
+  in->servers[server].work_ms = work_ms;
+  in->servers[server].places = places;
+  pthread_mutex_unlock (&in->lock);
+}
+
+uint32_t
+server_rejections (struct Installation *in, uint32_t server)
+{
+  uint32_t n;
+
+  pthread_mutex_lock (&in->lock);
+  n = in->servers[server].n_rejected;
+  pthread_mutex_unlock (&in->lock);
+  return n;
+}
+
 uint32_t
 server_runs (struct Installation *in, uint32_t server)
 {
--- a/tests/standins/installation.h
+++ b/tests/standins/installation.h
@@ -94,6 +94,17 @@
 void
 server_set_event_interval (struct Installation *installation, uint32_t server, uint32_t event_ms);
 
+/* Makes a plain server take work_ms for each request, and reject requests with 503 and
+ * X-Not-Executed while it has `places` of them. */
+void
+server_set_capacity (struct Installation *installation,
+                     uint32_t server,
+                     uint32_t work_ms,
+                     uint32_t places);
+/* Returns the number of requests that the server rejected because all places were taken. */
+uint32_t
+server_rejections (struct Installation *installation, uint32_t server);
+
 /* Return how often a request id ran on any server, and how many requests ran on one server. */
 uint32_t
 installation_runs_of (struct Installation *installation, const char *request);
--- a/tests/standins/installation_internal.h
+++ b/tests/standins/installation_internal.h
@@ -39,7 +39,9 @@
   uint16_t port;
   enum ServerMode mode;
   uint32_t event_ms, sequence;
-  uint64_t started_unix_ms; /* "born" in the entry */
+  uint32_t work_ms;                           /* per request of a plain server */
+  uint32_t places, n_in_progress, n_rejected; /* places 0: unlimited */
+  uint64_t started_unix_ms;                   /* "born" in the entry */
   struct MHD_Daemon *daemon;
 };
 
--- a/tests/standins/installation_server.c
+++ b/tests/standins/installation_server.c
@@ -207,6 +207,34 @@
   pthread_mutex_unlock (&in->lock);
 }
 
+/* Takes a place; false if the server is full. Called with the lock held. */
+static bool
+server_take_place (struct Server *server)
+{
+  if (server->places > 0 && server->n_in_progress >= server->places)
+    {
+      server->n_rejected++;
+      return false;
+    }
+  server->n_in_progress++;
+  return true;
+}
+
+static void
+server_work (struct Server *server)
+{
+  struct Installation *in = server->installation;
+  uint32_t work_ms;
+
+  pthread_mutex_lock (&in->lock);
+  work_ms = server->work_ms;
+  pthread_mutex_unlock (&in->lock);
+  usleep (work_ms * 1000);
+  pthread_mutex_lock (&in->lock);
+  server->n_in_progress--;
+  pthread_mutex_unlock (&in->lock);
+}
+
 static enum MHD_Result
 server_on_request (void *data,
                    struct MHD_Connection *connection,
@@ -224,6 +252,7 @@
   enum MHD_Result result;
   enum ServerMode mode;
   uint32_t after;
+  bool has_place;
 
   (void)url;
   (void)method;
@@ -235,11 +264,15 @@
     return reply_not_executed (connection, 421);
   pthread_mutex_lock (&in->lock);
   mode = server->mode;
-  if (mode != SERVER_REJECTS)
+  has_place = server_take_place (server);
+  if (mode != SERVER_REJECTS && has_place)
     run_record (server, connection, request, ((struct RequestBody *)*state)->bytes);
   if (mode == SERVER_HANGS_ONCE)
     server->mode = SERVER_RESPONDS;
   pthread_mutex_unlock (&in->lock);
+  if (!has_place)
+    return reply_not_executed (connection, 503);
+  server_work (server);
   if (mode == SERVER_HANGS_ONCE)
     installation_wait_end (in);
   if (mode == SERVER_REJECTS)
