Test that a retry at a plain server does not overtake, and shorten a help text

A request without a program is ordered by its own deadline, so a retry with more time left waits behind a later first try with less.

--- a/core/histogram.c
+++ b/core/histogram.c
@@ -41,8 +41,8 @@
       MILLISECONDS ("turn_open", "Time to reserve a turn and fetch its history from the archives"),
   [HISTOGRAM_SLOT_WAIT] =
       MILLISECONDS ("slot_wait", "Time until the owner of an engine grants a turn a slot"),
-  [HISTOGRAM_PLAIN_SLOT_WAIT] = MILLISECONDS (
-      "plain_slot_wait", "Time until the owner of a plain server grants a request a slot"),
+  [HISTOGRAM_PLAIN_SLOT_WAIT] =
+      MILLISECONDS ("plain_slot_wait", "Time until the owner of a plain server grants a slot"),
   [HISTOGRAM_TURN_STORE] = MILLISECONDS ("turn_store", "Time to store a turn on the archives"),
   [HISTOGRAM_SERVER_HEAD] =
       MILLISECONDS ("server_head", "Time to the headers of a backend server's response"),
--- a/tests/test_plain_queue.c
+++ b/tests/test_plain_queue.c
@@ -1114,6 +1114,31 @@
   talloc_free (sim);
 }
 
+/* Guards against a retry, which has more time left, that is served before a first try that arrived
+ * later: neither belongs to a program. */
+static void
+test_a_retry_never_overtakes_a_first_try_with_less_time (void)
+{
+  struct SlotQueues *queues = slot_queues_new (NULL);
+  const struct SlotServer server = { "p0", 1, 0, 50 };
+  const struct PlainRequest retry = { INT64_MAX, 3000 }, first_try = { INT64_MAX, 2500 };
+  struct SlotRequest request = { .requester = "g0", .deadline_ms = 3000 };
+  struct SlotState state;
+
+  for (request.id = 1; request.id <= 2; request.id++)
+    slot_queue_request (queues, &server, &request, 0, &state);
+  request.program_deadline_ms = plain_order_deadline_ms (&retry);
+  slot_queue_request (queues, &server, &request, 0, &state);
+  request.id++;
+  request.program_deadline_ms = plain_order_deadline_ms (&first_try);
+  slot_queue_request (queues, &server, &request, 10, &state);
+  CU_ASSERT_EQUAL (state.ahead, 0);
+  slot_queue_done (queues, "p0", "g0", 1, SLOT_SERVED, 50);
+  CU_ASSERT_TRUE (slot_queue_next (queues, "p0", 50, &request, &state));
+  CU_ASSERT_EQUAL (request.id, 4);
+  talloc_free (queues);
+}
+
 /* The rules for a waiting request, at their bounds. */
 static void
 test_the_rules_of_a_waiting_request (void)
@@ -1148,6 +1173,8 @@
   { "a slow server is left to others", test_a_slow_server_is_left_to_others },
   { "the slots of a killed gateway are freed", test_the_slots_of_a_killed_gateway_are_freed },
   { "ended requests give their places back", test_ended_requests_give_their_places_back },
+  { "a retry never overtakes a first try with less time",
+    test_a_retry_never_overtakes_a_first_try_with_less_time },
   { "the rules of a waiting request", test_the_rules_of_a_waiting_request },
   { NULL, NULL },
 };
