--- a/gateway/slots.c
+++ b/gateway/slots.c
@@ -2,6 +2,7 @@
 
 #include <buckthornhead/histogram.h>
 #include <buckthornhead/log.h>
+#include <buckthornhead/scheduling/plain_queue.h>
 
 #include <stdio.h>
 #include <string.h>
@@ -106,6 +107,56 @@
   return owner != NULL ? owner : owner_in_zone (front, replica->entry.id, NULL);
 }
 
+/* Plain servers. */
+
+static bool
+request_is_plain (const struct Request *request)
+{
+  return request->plain_service_ms > 0;
+}
+
+static struct PlainRequest
+request_plain (const struct Request *request)
+{
+  return (struct PlainRequest){
+    .program_deadline_ms = request->program_deadline_ms,
+    .deadline_ms = request->deadline_ms,
+  };
+}
+
+/* Fills in what the owner of a plain server orders requests by. */
+static void
+slot_request_fill_plain (struct SlotRequestMessage *slot_request,
+                         const struct Request *request,
+                         int64_t now_ms)
+{
+  const struct PlainRequest plain = request_plain (request);
+
+  slot_request->under_way = request->caller.program[0] != '\0';
+  slot_request->has_program_deadline = true;
+  slot_request->program_left_ms = plain_order_deadline_ms (&plain) - now_ms;
+  slot_request->first_service_ms = request->plain_service_ms;
+}
+
+/* Returns the longest wait in ms after which a request to a plain server is still served in time.
+ */
+static int64_t
+slots_plain_longest_wait_ms (const struct Request *request, const struct SlotState *state)
+{
+  const struct PlainRequest plain = request_plain (request);
+
+  return plain_longest_wait_ms (
+      &plain, state->service_ms > 0 ? state->service_ms : request->plain_service_ms,
+      timer_now_ms (request->front->node->timers));
+}
+
+void
+slots_note_full (struct Request *request)
+{
+  if (request_is_plain (request))
+    request->outcome = SLOT_FULL;
+}
+
 /* Requesting slots. */
 
 static int32_t
@@ -130,6 +181,8 @@
       slot_request->has_program_deadline ? request->program_deadline_ms - now_ms : 0;
   slot_request->left_ms = request->deadline_ms - now_ms;
   slot_request->capacity_tokens = request->capacity_tokens;
+  if (request_is_plain (request))
+    slot_request_fill_plain (slot_request, request, now_ms);
   if (!request->front->node->settings->decisions.order)
     {
       slot_request->customer_priority = 0;
@@ -162,11 +215,19 @@
 slots_send_request (struct Request *request)
 {
   struct SlotWait *wait = request->slot_wait;
+  int64_t now_ms = timer_now_ms (request->front->node->timers);
 
   TALLOC_FREE (wait->timer);
   wait->granted = true;
-  histogram_add (HISTOGRAM_SLOT_WAIT,
-                 timer_now_ms (request->front->node->timers) - wait->first_asked_ms);
+  histogram_add (request_is_plain (request) ? HISTOGRAM_PLAIN_SLOT_WAIT : HISTOGRAM_SLOT_WAIT,
+                 now_ms - wait->first_asked_ms);
+  /* A delayed event loop handles the grant before the timer of the deadline. */
+  if (request_is_plain (request) && now_ms >= request->deadline_ms)
+    {
+      request_fail (request, request->may_have_run ? FAILURE_TIMEOUT : FAILURE_OUT_OF_TIME,
+                    "the deadline passed while the request waited for a slot");
+      return;
+    }
   request_on_slot_granted (request);
 }
 
@@ -217,6 +278,8 @@
     }
   log_request (LOG_LEVEL_INFO, "owner_silent", request->caller.id, request->caller.program,
                "%s owns %s: sent without it", wait->owner, wait->server);
+  if (request_is_plain (request))
+    replica_record_owner_silent (request->replica, timer_now_ms (request->front->node->timers));
   slots_send_request (request);
 }
 
@@ -259,34 +322,71 @@
 static void
 slots_update_total (struct Request *request, const struct SlotState *state)
 {
-  struct Replica *replica = request->replica;
-
-  replica->peers_in_flight =
-      state->total > replica->in_flight ? state->total - replica->in_flight : 0;
+  replica_apply_slot_state (request->replica, state, timer_now_ms (request->front->node->timers));
 }
 
-/* Moves the request to a less busy server, now that this one's queue is known. Returns false when
- * there is none. */
-static bool
-slots_move (struct Request *request)
+/* Returns the server with the least expected completion time, which may be the present one; NULL if
+ * none is eligible. */
+static struct Replica *
+slots_choose_again (struct Request *request)
 {
-  struct Replica *from = request->replica;
-  uint32_t n_moves = request->slot_wait->n_moves;
-  struct Replica *best;
+  struct Replica *from = request->replica, *best;
 
-  if (n_moves >= MOVES_MAX)
-    return false;
   /* The request itself must not count against its present server. */
   from->in_flight--;
   best = request_choose_server (request);
   from->in_flight++;
-  if (best == NULL || best == from)
-    return false;
+  return best;
+}
+
+static void
+slots_move_to (struct Request *request, struct Replica *replica)
+{
+  uint32_t n_moves = request->slot_wait->n_moves;
+
   slots_release (request);
-  from->in_flight--;
-  request->replica = best;
-  best->in_flight++;
+  request->replica->in_flight--;
+  request->replica = replica;
+  replica->in_flight++;
   slots_begin (request, n_moves + 1);
+}
+
+/* Moves the request to a less busy server, now that this one's queue, where it is expected to wait
+ * wait_ms, is known. Returns false when there is none. */
+static bool
+slots_move (struct Request *request, uint32_t wait_ms)
+{
+  struct Replica *best;
+
+  if (request->slot_wait->n_moves >= MOVES_MAX)
+    return false;
+  best = slots_choose_again (request);
+  if (best == NULL || best == request->replica)
+    return false;
+  if (request_is_plain (request)
+      && !plain_is_worth_moving (wait_ms, request_plain_wait_ms (request, best)))
+    return false;
+  slots_move_to (request, best);
+  return true;
+}
+
+/* Moves a request of a program, which cannot be served in time at its present plain server, to the
+ * best of the others. The load that is known of them includes requests that it would precede, so it
+ * may be served in time there. Returns false when there is none. */
+static bool
+slots_move_late (struct Request *request)
+{
+  struct Replica *best;
+
+  if (!request_is_plain (request) || request->caller.program[0] == '\0'
+      || request->slot_wait->n_moves >= MOVES_MAX || request->n_tried == TRIED_MAX)
+    return false;
+  request->tried[request->n_tried++] = request->replica->entry.id;
+  best = slots_choose_again (request);
+  request->n_tried--;
+  if (best == NULL)
+    return false;
+  slots_move_to (request, best);
   return true;
 }
 
@@ -315,6 +415,10 @@
   int64_t left_ms = request->deadline_ms - now_ms;
   int64_t first_event_ms = request->arrived_ms + CALLER_FIRST_EVENT_MS - now_ms;
 
+  if (request_is_plain (request))
+    left_ms = slots_plain_longest_wait_ms (request, state);
+  if (request_is_plain (request) && request->route.kind != ROUTE_STREAM)
+    first_event_ms = left_ms;
   request->slot_wait->answered = true;
   slots_update_total (request, state);
   if (state->granted)
@@ -322,13 +426,17 @@
       slots_send_request (request);
       return;
     }
-  if (slots_move (request))
+  if (slots_move (request, state->wait_ms))
     return;
   slots_log_queued (request, state);
   if (state->wait_ms > (left_ms < first_event_ms ? left_ms : first_event_ms))
-    request_reject_busy (request, state->wait_ms);
+    {
+      if (!slots_move_late (request))
+        request_reject_busy (request, state->wait_ms);
+    }
   else
-    slots_wait (request, ASK_INTERVAL_MS);
+    slots_wait (request, request_is_plain (request) ? plain_ask_interval_ms (state->wait_ms)
+                                                    : ASK_INTERVAL_MS);
 }
 
 void
@@ -383,10 +491,13 @@
     .part = message->part,
     .part_tokens = message->part_tokens,
   };
-  struct SlotServer server = { message->server, message->slots, message->capacity_tokens };
+  struct SlotServer server = { message->server, message->slots, message->capacity_tokens,
+                               message->first_service_ms };
 
   snprintf (slot_request.requester, sizeof slot_request.requester, "%s", sender);
   response.slot_state.id = message->id;
+  if (message->first_service_ms != 0)
+    slots_grant (slots, message->server);
   if (slot_queue_request (slots->queues, &server, &slot_request, now_ms, &response.slot_state.state)
       == ERROR_NONE)
     node_answer (node, link, &response);
