Choose servers by their speed, apart from their load

Cause: servers that report or show four times the usual duration get as many requests as the others until their slots are full.

Change: core/scheduling/server_pace.c keeps moving averages of samples for each kind of work, computes the ratio of each server to the median of its service a few times a second, and combines it with the server's own report. replica_cost_us multiplies its times of the server by the ratio and adds a quarter of the longer duration, if the query says that pace is used. A faster server counts as faster in a part of the decisions only, so that its share of the requests is in proportion to its speed.

--- a/core/scheduling/replica_set.c
+++ b/core/scheduling/replica_set.c
@@ -32,6 +32,12 @@
    * saves 26 to 39 ms in the deployments. It is preferred while it has a free slot; with all slots
    * in use the wait would exceed the gain. */
   COST_NOT_PREFERRED_US = 20 * 1000,
+  /* Part of the longer duration at a slow server that counts. A request that waits at a fast server
+   * delays those behind it, too, and leaves a slot of the slow one idle. In test_server_pace, four
+   * of eight servers four times slower, at 88% of the capacity that is left: 1045 ms in the mean if
+   * all of it counts, 733 ms with a half, 681 ms with a quarter, 720 ms with an eighth, 788 ms
+   * without pace. */
+  COST_SERVICE_DIVISOR = 4,
   /* Each token of the prompt is a byte or more of traffic between zones, again with every following
    * turn there. */
   COST_OTHER_ZONE_TOKEN_NS = 3000
@@ -230,6 +236,7 @@
   memset (&replica->failure_rate, 0, sizeof replica->failure_rate);
   memset (&replica->reported_failure_rate, 0, sizeof replica->reported_failure_rate);
   replica->owned = false;
+  memset (&replica->pace, 0, sizeof replica->pace);
   replica->n_cached = 0;
   replica->restarted = true;
   return true;
@@ -422,11 +429,12 @@
   return best;
 }
 
-/* Returns the estimated time in microseconds that this server adds to the request. A server with
- * free slots is nearly as fast as an idle one, so that the uncached part of the prompt dominates;
- * with all slots in use the queue does. Designed for many short turns on few servers. */
+/* Returns the time in microseconds that the server adds by its present load and cache contents, at
+ * the usual speed. A server with free slots is nearly as fast as an idle one, so that the uncached
+ * part of the prompt dominates; with all slots in use the queue does. Designed for many short turns
+ * on few servers. */
 static uint64_t
-replica_cost_us (const struct Replica *replica, const struct ReplicaQuery *query)
+replica_server_us (const struct Replica *replica, const struct ReplicaQuery *query)
 {
   uint64_t running = (uint64_t)replica->in_flight + replica->peers_in_flight;
   uint64_t slots = replica->entry.slots > 0 ? replica->entry.slots : 1;
@@ -437,12 +445,38 @@
   cost_us += running * COST_RUNNING_US * 8 / slots;
   if (running >= slots)
     cost_us += (running - slots + 1) * COST_WAITING_US * 32 / slots;
+  return cost_us;
+}
+
+/* Scales the server's times by its speed, and adds a part of the difference of the request's own
+ * duration to that at a server of the usual speed, which is negative for a faster one. */
+static int64_t
+replica_paced_us (const struct Replica *replica, const struct ReplicaQuery *query)
+{
+  int64_t server_us = (int64_t)replica_server_us (replica, query);
+  int64_t permille;
+
+  if (!query->uses_pace)
+    return server_us;
+  permille = server_pace_cost_permille (&replica->pace, replica->entry.id, query->pace_draw);
+  return server_us * permille / PACE_USUAL_PERMILLE
+         + (int64_t)replica->pace.usual_service_ms * (permille - PACE_USUAL_PERMILLE)
+               / COST_SERVICE_DIVISOR;
+}
+
+/* Returns the estimated time in microseconds that this server adds to the request. */
+static int64_t
+replica_cost_us (const struct Replica *replica, const struct ReplicaQuery *query)
+{
+  int64_t cost_us = replica_paced_us (replica, query);
+
   if (replica->connected_until_ms <= query->now_ms || replica->in_flight > 0)
     cost_us += COST_CONNECT_US;
   if (query_decisions (query)->failures)
-    cost_us += (uint64_t)replica_failed_permille (replica, query->now_ms) * COST_FAILED_PERMILLE_US;
+    cost_us += (int64_t)replica_failed_permille (replica, query->now_ms) * COST_FAILED_PERMILLE_US;
   if (query_decisions (query)->zones && strcmp (replica->entry.zone, query->zone) != 0)
-    cost_us += COST_OTHER_ZONE_US + prompt_tokens (query) * COST_OTHER_ZONE_TOKEN_NS / 1000;
+    cost_us +=
+        COST_OTHER_ZONE_US + (int64_t)(prompt_tokens (query) * COST_OTHER_ZONE_TOKEN_NS / 1000);
   return cost_us;
 }
 
@@ -457,14 +491,14 @@
 {
   const struct Replica *preferred = replica_for_object (set, query);
   struct Replica *best = NULL;
-  uint64_t best_us = 0;
+  int64_t best_us = 0;
   bool best_avoided = false;
 
   for (size_t i = 0; i < set->n_replicas; i++)
     {
       struct Replica *replica = set->replicas[(i + query->draw) % set->n_replicas];
       bool avoided = replica->avoid_until_ms > query->now_ms;
-      uint64_t cost_us;
+      int64_t cost_us;
 
       if (!replica_is_eligible (replica, query) || query_excludes (query, replica->entry.id))
         continue;
@@ -506,6 +540,23 @@
   return max_permille;
 }
 
+size_t
+replica_set_update_paces (struct ReplicaSet *set, int64_t now_ms)
+{
+  struct PaceSubject *subjects = talloc_array (set, struct PaceSubject, set->n_replicas);
+  size_t n = 0, n_sorted;
+
+  if (subjects == NULL)
+    return 0;
+  for (size_t i = 0; i < set->n_replicas; i++)
+    if (!set->replicas[i]->entry.draining)
+      subjects[n++] =
+          (struct PaceSubject){ set->replicas[i]->entry.service, &set->replicas[i]->pace };
+  n_sorted = server_paces_update (set, subjects, n, now_ms);
+  talloc_free (subjects);
+  return n_sorted;
+}
+
 void
 replica_note_result (struct Replica *replica, bool failed, int64_t now_ms)
 {
--- a/include/buckthornhead/scheduling/replica_set.h
+++ b/include/buckthornhead/scheduling/replica_set.h
@@ -6,6 +6,7 @@
 
 #include <buckthornhead/call.h>
 #include <buckthornhead/decisions.h>
+#include <buckthornhead/scheduling/server_pace.h>
 #include <buckthornhead/scheduling/slot_queue.h>
 #include <buckthornhead/settings.h>
 
@@ -48,6 +49,7 @@
   bool kept;                  /* is missing, but may only have lost its entry in an outage */
   int64_t missing_since_ms;   /* when it was first missing from a list, unless listed */
   bool owned;                 /* its owner reports its load and cache contents */
+  struct ServerPace pace;     /* its speed, which is separate from its load */
   struct CachedPart *cached;  /* parts assumed to be in its cache, newest first */
   uint32_t n_cached;
   UT_hash_handle hh;
@@ -81,6 +83,8 @@
   size_t n_tried;
   uint64_t draw; /* any number; selects one of several equal servers */
   int64_t now_ms;
+  bool uses_pace;     /* the servers' speed affects the choice */
+  uint64_t pace_draw; /* any number, different at each gateway and for each decision */
 };
 
 struct ReplicaSet *
@@ -105,6 +109,11 @@
 uint32_t
 replica_set_used_permille (const struct ReplicaSet *set, const char *zone);
 
+/* Computes the ratio of each server's pace to the median of its service; see server_pace.h. Returns
+ * the number of values that were sorted. */
+size_t
+replica_set_update_paces (struct ReplicaSet *set, int64_t now_ms);
+
 /* Returns the server for the request; NULL if none is eligible. */
 struct Replica *
 replica_set_choose (struct ReplicaSet *set, const struct ReplicaQuery *query);
--- a/tests/test_replica_set.c
+++ b/tests/test_replica_set.c
@@ -432,6 +432,167 @@
   talloc_free (set);
 }
 
+/* Choices with random loads, without and with figures of the servers' speed. */
+
+enum PaceUse
+{
+  PACE_OFF_UNKNOWN, /* the decision is off, and no figures are known */
+  PACE_OFF_KNOWN,   /* figures are known, but the decision is off */
+  PACE_ON_UNKNOWN   /* the decision is on, but no figures are known */
+};
+
+static uint32_t
+draw_number (uint64_t *state, uint32_t n)
+{
+  *state = *state * 6364136223846793005ULL + 1442695040888963407ULL;
+  return (uint32_t)((*state >> 33) % n);
+}
+
+static void
+make_random_replica (struct Replica *replica, uint64_t *state)
+{
+  static const struct PrefixPart parts[] = { { 1, 12600 }, { 2, 500 } };
+
+  replica->in_flight = draw_number (state, 3);
+  replica->peers_in_flight = draw_number (state, 20);
+  replica->connected_until_ms = draw_number (state, 2000);
+  if (draw_number (state, 4) == 0)
+    replica_note_sent (replica, parts, 2);
+  if (draw_number (state, 4) == 0)
+    replica_note_result (replica, true, 900);
+  if (draw_number (state, 8) == 0)
+    replica_record_failure (replica, 900);
+}
+
+static void
+make_pace_known (struct ReplicaSet *set)
+{
+  for (size_t i = 0; i < set->n_replicas; i++)
+    {
+      const struct PaceRow row = { .kind = 1,
+                                   .mean_us = 20000 + 10000 * (uint32_t)i,
+                                   .service_ms = 350,
+                                   .report_percent = 50 + 10 * (uint32_t)i };
+
+      server_pace_receive (&set->replicas[i]->pace, &row, 1000);
+    }
+  replica_set_update_paces (set, 1000);
+}
+
+static const char *
+choose_at_random (uint64_t *state, struct ReplicaSet *set, enum PaceUse use)
+{
+  const struct PrefixPart parts[] = { { 1, 12600 }, { 3, 100 + draw_number (state, 3000) } };
+  char previous[16];
+  struct ReplicaQuery query = { .service = "engine",
+                                .zone = draw_number (state, 2) == 0 ? "a" : "b",
+                                .previous_server = previous,
+                                .parts = parts,
+                                .n_parts = draw_number (state, 3),
+                                .object = draw_number (state, 4) == 0 ? "o" : NULL,
+                                .draw = draw_number (state, 1000),
+                                .now_ms = 1000 };
+
+  snprintf (previous, sizeof previous, "r%u", draw_number (state, 40));
+  query.uses_pace = use == PACE_ON_UNKNOWN;
+  query.pace_draw = query.draw;
+  return chosen (set, &query);
+}
+
+/* Returns a hash of the servers chosen for 20,000 requests. */
+static uint64_t
+choices_hash (enum PaceUse use)
+{
+  uint64_t state = 1, hash = 14695981039346656037ULL;
+
+  for (int round = 0; round < 1000; round++)
+    {
+      struct ReplicaSet *set = replica_set_new (NULL);
+      struct ReplicaEntry entries[12];
+      size_t n = 2 + draw_number (&state, 11);
+
+      for (size_t i = 0; i < n; i++)
+        {
+          char id[16];
+
+          snprintf (id, sizeof id, "r%zu", i);
+          entries[i] = entry (id, draw_number (&state, 2) == 0 ? "a" : "b",
+                              1 + draw_number (&state, 12), draw_number (&state, 10) == 0);
+        }
+      replica_set_apply (set, entries, n, false, 0);
+      for (size_t i = 0; i < n; i++)
+        make_random_replica (set->replicas[i], &state);
+      if (use == PACE_OFF_KNOWN)
+        make_pace_known (set);
+      for (int i = 0; i < 20; i++)
+        for (const char *c = choose_at_random (&state, set, use); *c != '\0'; c++)
+          hash = (hash ^ (uint8_t)*c) * 1099511628211ULL;
+      talloc_free (set);
+    }
+  return hash;
+}
+
+/* Result of choices_hash with the choice as it was before the servers' speed affected it (commit
+ * c4a3e33). */
+static const uint64_t choices_before_pace = 0x77977a6f85576d4bULL;
+
+/* Guards against a choice that changes without figures or with the decision off. */
+static void
+test_without_pace_the_choice_is_as_before (void)
+{
+  CU_ASSERT_EQUAL (choices_hash (PACE_OFF_UNKNOWN), choices_before_pace);
+  CU_ASSERT_EQUAL (choices_hash (PACE_OFF_KNOWN), choices_before_pace);
+  CU_ASSERT_EQUAL (choices_hash (PACE_ON_UNKNOWN), choices_before_pace);
+}
+
+/* The server's time is scaled, and the cost of another zone is not: a usual server of another zone
+ * is preferred to a slow one of the own zone only if it is slow enough. */
+static void
+test_pace_decides_between_zones (void)
+{
+  static const uint32_t mean_us[] = { 24000, 26000, 96000 };
+  static const char *const expected[] = { "r2", "r2", "r1" };
+  struct ReplicaQuery query = {
+    .service = "engine", .zone = "b", .previous_server = "", .now_ms = 1000, .uses_pace = true
+  };
+
+  for (size_t i = 0; i < 3; i++)
+    {
+      const struct PaceRow slow = { .kind = 1, .mean_us = mean_us[i], .service_ms = 350 };
+      const struct PaceRow usual = { .kind = 1, .mean_us = 24000, .service_ms = 350 };
+      struct ReplicaSet *set = make_set_of_two ();
+
+      server_pace_receive (&replica_set_find (set, "r2")->pace, &slow, 1000);
+      server_pace_receive (&replica_set_find (set, "r1")->pace, &usual, 1000);
+      replica_set_update_paces (set, 1000);
+      CU_ASSERT_STRING_EQUAL (chosen (set, &query), expected[i]);
+      talloc_free (set);
+    }
+}
+
+/* A restarted process may run on another machine; it starts as a usual one. */
+static void
+test_a_server_that_restarts_has_the_usual_pace (void)
+{
+  struct ReplicaSet *set = replica_set_new (NULL);
+  struct ReplicaEntry entries[] = { entry ("r1", "a", 8, false), entry ("r2", "a", 8, false) };
+  const struct PaceRow slow = { .kind = 1, .mean_us = 96000, .report_percent = 400 };
+  const struct PaceRow usual = { .kind = 1, .mean_us = 24000 };
+
+  entries[0].started_unix_ms = 1000;
+  replica_set_apply (set, entries, 2, false, 0);
+  server_pace_receive (&replica_set_find (set, "r1")->pace, &slow, 0);
+  server_pace_receive (&replica_set_find (set, "r2")->pace, &usual, 0);
+  replica_set_update_paces (set, 0);
+  CU_ASSERT (replica_set_find (set, "r1")->pace.ratio_permille >= 4000);
+  entries[0].started_unix_ms = 2000;
+  replica_set_apply (set, entries, 2, false, 10);
+  replica_set_update_paces (set, 10);
+  CU_ASSERT_EQUAL (replica_set_find (set, "r1")->pace.ratio_permille, 0);
+  CU_ASSERT_EQUAL (server_pace_cost_permille (&replica_set_find (set, "r1")->pace, "r1", 0), 1000);
+  talloc_free (set);
+}
+
 const char test_suite_name[] = "replica_set";
 const struct TestCase test_cases[] = {
   { "the own zone is preferred unless it is loaded",
@@ -459,5 +620,8 @@
     test_disabled_mechanisms_do_not_affect_the_choice },
   { "an idle connection decides among equal servers",
     test_an_idle_connection_decides_among_equals },
+  { "without pace the choice is as before", test_without_pace_the_choice_is_as_before },
+  { "pace decides between zones", test_pace_decides_between_zones },
+  { "a server that restarts has the usual pace", test_a_server_that_restarts_has_the_usual_pace },
   { NULL, NULL },
 };
