Measure the pace of servers and send it to other gateways

Cause: a gateway that sees few responses of a server does not know its speed; the owner of the server, which hears of all of them, does.

Change: with [decisions] pace active for a service, a gateway measures the mean time between events of a stream, or the time to the response of a plain request, and sends it with GATEWAY_SLOT_DONE. The owner keeps the means and sends them as GATEWAY_PACES (22) with the full digests. Without an owner's slot a sample counts for this gateway alone. With the switch off, no sample is taken and no message sent or used.

--- a/core/gateway/gateway_message.c
+++ b/core/gateway/gateway_message.c
@@ -347,6 +347,42 @@
   r->failed = r->failed || list.failed || report->usages == NULL;
 }
 
+static void
+paces_pack (struct PackWriter *p, const struct Paces *paces)
+{
+  pack_array (p, 6 * paces->n_items);
+  for (size_t i = 0; i < paces->n_items; i++)
+    {
+      pack_string (p, paces->items[i].server);
+      pack_u64 (p, paces->items[i].kind);
+      pack_u64 (p, paces->items[i].mean_us);
+      pack_u64 (p, paces->items[i].service_ms);
+      pack_u64 (p, paces->items[i].report_percent);
+      pack_u64 (p, paces->items[i].report_age_ms);
+    }
+}
+
+static void
+paces_unpack (struct PackReader *r, TALLOC_CTX *ctx, struct Paces *paces)
+{
+  struct PackReader list;
+
+  paces->n_items = message_list_enter (r, &list, 6);
+  paces->items = talloc_zero_array (ctx, struct PaceRow, paces->n_items);
+  for (size_t i = 0; paces->items != NULL && i < paces->n_items; i++)
+    {
+      struct PaceRow *row = &paces->items[i];
+
+      read_string (&list, row->server, sizeof row->server);
+      row->kind = (uint32_t)read_u64 (&list, UINT32_MAX);
+      row->mean_us = (uint32_t)read_u64 (&list, UINT32_MAX);
+      row->service_ms = (uint32_t)read_u64 (&list, UINT32_MAX);
+      row->report_percent = (uint32_t)read_u64 (&list, UINT32_MAX);
+      row->report_age_ms = (uint32_t)read_u64 (&list, UINT32_MAX);
+    }
+  r->failed = r->failed || list.failed || paces->items == NULL;
+}
+
 /* Returns the number of packed items of a message, its kind included, without optional ones. */
 static size_t
 message_n_items (enum GatewayKind kind)
@@ -376,6 +412,7 @@
       return 10;
     case GATEWAY_SNAPSHOT_WANT:
     case GATEWAY_DIGESTS:
+    case GATEWAY_PACES:
       return 2;
     case GATEWAY_COPY_PART:
     case GATEWAY_SLOT_STATE:
@@ -491,6 +528,9 @@
     case GATEWAY_USAGES:
       uses_pack (p, &message->usages);
       break;
+    case GATEWAY_PACES:
+      paces_pack (p, &message->paces);
+      break;
     }
   return pack_finish (p, ctx, bytes, n_bytes);
 }
@@ -557,6 +597,9 @@
     case GATEWAY_USAGES:
       uses_unpack (r, ctx, &m->usages);
       break;
+    case GATEWAY_PACES:
+      paces_unpack (r, ctx, &m->paces);
+      break;
     default:
       r->failed = true;
     }
@@ -576,7 +619,7 @@
   *message = NULL;
   if (opened == NULL)
     goto fail;
-  m->kind = (enum GatewayKind)read_u64 (&reader, GATEWAY_USAGES);
+  m->kind = (enum GatewayKind)read_u64 (&reader, GATEWAY_PACES);
   n_items = message_n_items (m->kind);
   if (reader.failed
       || (reader.n_items != n_items
--- a/core/gateway/message_count.c
+++ b/core/gateway/message_count.c
@@ -5,7 +5,7 @@
 
 enum
 {
-  N_KINDS = GATEWAY_USAGES + 1
+  N_KINDS = GATEWAY_PACES + 1
 };
 
 struct MessageCounter
@@ -61,6 +61,8 @@
       return "probe";
     case GATEWAY_USAGES:
       return "uses";
+    case GATEWAY_PACES:
+      return "paces";
     }
   return "unknown";
 }
--- a/core/scheduling/slot_queue.c
+++ b/core/scheduling/slot_queue.c
@@ -399,3 +399,11 @@
     queue_digest (queue, now_ms, &digests[(*n_digests)++]);
   return digests;
 }
+
+uint32_t
+slot_queue_service_ms (const struct SlotQueues *queues, const char *server)
+{
+  const struct SlotQueue *queue = queue_find (queues, server);
+
+  return queue != NULL ? queue->service_ms : 0;
+}
--- a/gateway/answer.c
+++ b/gateway/answer.c
@@ -1,4 +1,5 @@
 #include "contention.h"
+#include "paces.h"
 #include "request.h"
 
 #include <buckthornhead/counter.h>
@@ -30,6 +31,7 @@
   dialect->read_response (head, &request->response);
   if (request->response.work_time_percent > 0)
     contention_record_report (request->front->contention, request->service);
+  paces_record_report (request);
   replica_record_response (request->replica);
   request->refused = request->response.not_run;
   if (request->refused)
@@ -98,8 +100,13 @@
       return;
     }
   if (event_stream_parse (request, &request->events, bytes, n_bytes) != ERROR_NONE)
-    request_fail (request, FAILURE_BROKEN, "out of memory for the stream");
-  else if (request->route.resumable)
+    {
+      request_fail (request, FAILURE_BROKEN, "out of memory for the stream");
+      return;
+    }
+  stream_pace_record (&request->stream_pace, request->events.n_events,
+                      timer_now_ms (request->front->node->timers));
+  if (request->route.resumable)
     stream_forward_whole_events (request, bytes, n_bytes);
   else
     stream_forward (request, bytes, n_bytes);
@@ -227,6 +234,7 @@
                          ? SLOT_SERVED
                          : SLOT_FAILED;
   replica_note_result (replica, request->outcome == SLOT_FAILED, now_ms);
+  paces_end_attempt (request);
   attempt_release (request);
   request->n_sent++;
   if (end == HTTP_END_COMPLETE)
--- a/gateway/archive.c
+++ b/gateway/archive.c
@@ -427,6 +427,7 @@
     case GATEWAY_DIGESTS:
     case GATEWAY_PROBE:
     case GATEWAY_USAGES:
+    case GATEWAY_PACES:
       break;
     }
 }
--- a/gateway/front.c
+++ b/gateway/front.c
@@ -4,6 +4,7 @@
 #include "credential.h"
 #include "directory.h"
 #include "loop_echo.h"
+#include "paces.h"
 #include "quotas.h"
 #include "slots.h"
 #include "store_reader.h"
@@ -363,6 +364,7 @@
                  replica->entry.id, (unsigned long long)replica->entry.started_unix_ms);
       http_client_close_idle (front->client, replica->entry.address);
       slots_server_restarted (front->slots, replica->entry.id);
+      paces_server_restarted (front->paces, replica->entry.id);
     }
 }
 
@@ -461,6 +463,9 @@
     case GATEWAY_USAGES:
       quotas_on_report (front->quotas, sender, &message->usages);
       break;
+    case GATEWAY_PACES:
+      paces_on_rows (front->paces, message->paces.items, message->paces.n_items);
+      break;
     case GATEWAY_TURN_OPEN:
     case GATEWAY_TURN_READ:
     case GATEWAY_TURN_CLOSE:
@@ -542,6 +547,8 @@
   bool to_all = front->node->peers->n_peers <= DIGESTS_TO_ALL_PEERS_MAX;
 
   front_send_digests (front, !full, full && to_all ? PEERS_GATEWAYS : PEERS_GATEWAYS_OF_ZONE);
+  if (full)
+    paces_send (front->paces, to_all ? PEERS_GATEWAYS : PEERS_GATEWAYS_OF_ZONE);
 }
 
 /* Updates the numbers of requests that other gateways have in flight to servers without an owner.
@@ -590,6 +597,7 @@
   front_count_gateways (front);
   slots_expire (front->slots);
   replica_set_expire (front->replicas, timer_now_ms (front->node->timers));
+  paces_update (front->paces);
 }
 
 /* Start and stop. */
@@ -649,10 +657,11 @@
   f->replicas = replica_set_new (f);
   f->client = http_client_new (f, node->events, node->timers, &client_options);
   f->slots = slots_new (f);
+  f->paces = paces_new (f);
   f->quotas = quotas_new (f);
   f->echo = loop_echo_new (f, node);
   if (f->contention == NULL || f->replicas == NULL || f->client == NULL || f->slots == NULL
-      || f->quotas == NULL || f->echo == NULL)
+      || f->paces == NULL || f->quotas == NULL || f->echo == NULL)
     return fault_set (fault, ERROR_NO_MEMORY, NULL, "out of memory for the gateway");
   error = front_listen_all (f, fault);
   if (error != ERROR_NONE)
--- a/gateway/front.h
+++ b/gateway/front.h
@@ -8,6 +8,7 @@
 
 #include <buckthornhead/event_stream.h>
 #include <buckthornhead/scheduling/retry_allowance.h>
+#include <buckthornhead/scheduling/server_pace.h>
 #include <buckthornhead/scheduling/server_subset.h>
 #include <buckthornhead/scheduling/slot_queue.h>
 
@@ -19,6 +20,7 @@
 struct Contention;
 struct Front;
 struct LoopEcho;
+struct PaceBoard;
 struct Quotas;
 struct Settlement;
 struct SlotWait;
@@ -87,6 +89,10 @@
   bool streaming;              /* the response is forwarded as it arrives */
   bool wrote_any;              /* part of a streaming response was forwarded */
   int64_t sent_ms;             /* when this attempt was sent */
+  bool has_pace_draw;
+  uint64_t pace_draw; /* see struct ReplicaQuery; valid with has_pace_draw */
+  struct StreamPace stream_pace;
+  uint32_t sample_us; /* duration measured of this attempt, see server_pace.h; 0: none */
   struct ServerResponse response;
   struct HttpHeaders response_headers;
   struct ByteQueue response_body;
@@ -102,6 +108,7 @@
   struct ReplicaSet *replicas;
   struct HttpClient *client;
   struct Slots *slots;
+  struct PaceBoard *paces;
   struct Quotas *quotas;
   struct HttpServer *callers, *ready, *directory;
   struct Request *requests;
--- a/gateway/node_receive.c
+++ b/gateway/node_receive.c
@@ -242,6 +242,7 @@
     case GATEWAY_SLOT_DONE:
     case GATEWAY_DIGESTS:
     case GATEWAY_USAGES:
+    case GATEWAY_PACES:
       node->handler.message (node->handler.data, link, sender, message);
       break;
     case GATEWAY_RELAY:
--- a/gateway/node_send.c
+++ b/gateway/node_send.c
@@ -51,6 +51,7 @@
     case GATEWAY_ALIVE:
     case GATEWAY_DIGESTS:
     case GATEWAY_USAGES:
+    case GATEWAY_PACES:
       return false;
     }
   return false;
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -1,5 +1,6 @@
 #include "request.h"
 #include "credential.h"
+#include "paces.h"
 #include "quotas.h"
 #include "slots.h"
 
@@ -248,6 +249,7 @@
     .now_ms = timer_now_ms (front->node->timers),
   };
 
+  paces_fill_query (request, &query);
   return replica_set_choose (front->replicas, &query);
 }
 
@@ -343,6 +345,7 @@
   if (!request_submit (request, replica))
     return false;
   request->sent_ms = timer_now_ms (request->front->node->timers);
+  paces_begin_attempt (request);
   if (!replica->listed)
     log_request (LOG_LEVEL_INFO, "sent_to_unlisted", request->caller.id, request->caller.program,
                  "%s has been missing from the list for %lld ms", replica->entry.id,
--- a/gateway/slots.c
+++ b/gateway/slots.c
@@ -1,4 +1,5 @@
 #include "slots.h"
+#include "paces.h"
 
 #include <buckthornhead/histogram.h>
 #include <buckthornhead/log.h>
@@ -154,6 +155,7 @@
 
   message.slot_done.id = wait->id;
   message.slot_done.outcome = request->outcome;
+  paces_fill_done (request, &message.slot_done);
   snprintf (message.slot_done.server, sizeof message.slot_done.server, "%s", wait->server);
   node_send (request->front->node, wait->owner, &message);
 }
@@ -397,6 +399,7 @@
 {
   slot_queue_done (slots->queues, done->server, sender, done->id, done->outcome,
                    timer_now_ms (slots->front->node->timers));
+  paces_on_done (slots->front->paces, done);
   slots_grant (slots, done->server);
 }
 
@@ -406,6 +409,12 @@
   slot_queue_restarted (slots->queues, server);
 }
 
+uint32_t
+slots_service_ms (const struct Slots *slots, const char *server)
+{
+  return slot_queue_service_ms (slots->queues, server);
+}
+
 struct SlotDigest *
 slots_digest (struct Slots *slots, TALLOC_CTX *ctx, bool busy_only, size_t *n_digests)
 {
--- a/gateway/slots.h
+++ b/gateway/slots.h
@@ -37,6 +37,11 @@
 void
 slots_server_restarted (struct Slots *slots, const char *server);
 
+/* Returns the mean duration of a request at a server that this gateway owns, in milliseconds; 0 if
+ * it has no queue for it. */
+uint32_t
+slots_service_ms (const struct Slots *slots, const char *server);
+
 /* Returns digests of the servers that this gateway owns, or only of the busy ones; allocated on
  * ctx. */
 struct SlotDigest *
--- a/include/buckthornhead/gateway_message.h
+++ b/include/buckthornhead/gateway_message.h
@@ -4,6 +4,7 @@
 #include <buckthornhead/archive_set.h>
 #include <buckthornhead/customers/use_board.h>
 #include <buckthornhead/node_status.h>
+#include <buckthornhead/scheduling/server_pace.h>
 #include <buckthornhead/scheduling/slot_queue.h>
 #include <buckthornhead/settings.h>
 #include <buckthornhead/turn.h>
@@ -27,7 +28,8 @@
   GATEWAY_SNAPSHOT_WANT = 15, /* requests a full snapshot, as when changes do not apply */
   GATEWAY_DIGESTS = 16,       /* load and cache contents of the servers that the sender owns */
   GATEWAY_PROBE = 17,         /* requests GATEWAY_ALIVE; no fields */
-  GATEWAY_USAGES = 18         /* customers' usage of their limits */
+  GATEWAY_USAGES = 18,        /* customers' usage of their limits */
+  GATEWAY_PACES = 22          /* speed of the servers that the sender owns */
 };
 
 /* Number of requests in flight to one backend server, as counted by the sender. */
@@ -173,6 +175,12 @@
   size_t n_items;
 };
 
+struct Paces
+{
+  struct PaceRow *items;
+  size_t n_items;
+};
+
 struct SlotDoneMessage
 {
   uint64_t id;
@@ -205,6 +213,7 @@
     struct SlotDoneMessage slot_done;
     struct Digests digests;
     struct UsageReport usages;
+    struct Paces paces;
   };
 };
 
--- a/include/buckthornhead/scheduling/slot_queue.h
+++ b/include/buckthornhead/scheduling/slot_queue.h
@@ -127,6 +127,10 @@
 slot_queues_digest (
     struct SlotQueues *queues, TALLOC_CTX *ctx, bool busy_only, int64_t now_ms, size_t *n_digests);
 
+/* Returns the server's mean time from grant to end in milliseconds; 0 without a queue for it. */
+uint32_t
+slot_queue_service_ms (const struct SlotQueues *queues, const char *server);
+
 /* Returns whether a is granted before b. */
 bool
 slot_request_before (const struct SlotRequest *a,
--- a/tests/test_gateway_message.c
+++ b/tests/test_gateway_message.c
@@ -64,6 +64,7 @@
   struct SlotDigest digest = {
     .server = "i-3", .total = 4, .failed_permille = 20, .parts = { 7, 8 }, .n_parts = 2
   };
+  struct PaceRow pace = { "i-4", 0xffffffffU, 24000, 350, 55, 120 };
   struct GatewayMessage message = { .kind = GATEWAY_SLOT_REQUEST };
   struct GatewayMessage *unpacked;
 
@@ -128,6 +129,16 @@
   CU_ASSERT_EQUAL (unpacked->digests.items[0].failed_permille, 20);
   CU_ASSERT_EQUAL (unpacked->digests.items[0].n_parts, 2);
   CU_ASSERT_EQUAL (unpacked->digests.items[0].parts[1], 8);
+  message.kind = GATEWAY_PACES;
+  message.paces = (struct Paces){ &pace, 1 };
+  unpacked = round_trip (ctx, &message);
+  CU_ASSERT_EQUAL_FATAL (unpacked->paces.n_items, 1);
+  CU_ASSERT_STRING_EQUAL (unpacked->paces.items[0].server, "i-4");
+  CU_ASSERT_EQUAL (unpacked->paces.items[0].kind, 0xffffffffU);
+  CU_ASSERT_EQUAL (unpacked->paces.items[0].mean_us, 24000);
+  CU_ASSERT_EQUAL (unpacked->paces.items[0].service_ms, 350);
+  CU_ASSERT_EQUAL (unpacked->paces.items[0].report_percent, 55);
+  CU_ASSERT_EQUAL (unpacked->paces.items[0].report_age_ms, 120);
   message.kind = GATEWAY_SNAPSHOT_WANT;
   message.snapshot_want = SNAPSHOT_SERVERS;
   unpacked = round_trip (ctx, &message);
--- a/tests/test_stored_format.c
+++ b/tests/test_stored_format.c
@@ -386,6 +386,16 @@
   };
 }
 
+static void
+fill_paces (struct GatewayMessage *m, uint32_t variant)
+{
+  static struct PaceRow rows[] = { { "server-7", 191, 192000, 193, 194, 195 },
+                                   { .server = "server-8", .report_percent = 196 } };
+
+  (void)variant;
+  m->paces = (struct Paces){ rows, 2 };
+}
+
 static const struct
 {
   const char *name;
@@ -411,6 +421,7 @@
   { "digests", GATEWAY_DIGESTS, 1, fill_digests },
   { "probe", GATEWAY_PROBE, 1, fill_nothing },
   { "uses", GATEWAY_USAGES, 3, fill_uses },
+  { "paces", GATEWAY_PACES, 1, fill_paces },
 };
 
 static int32_t
