Show the pace of each server at /servers and in the log

Cause: operators could not see why a server gets fewer requests than others.

Change: GET /servers of a gateway's metrics listener lists the servers with their requests in flight, pace and age of the pace. A stream of four events is now long enough for a sample.

--- a/core/scheduling/server_pace.c
+++ b/core/scheduling/server_pace.c
@@ -16,8 +16,8 @@
   NEAR_FAST_PERMILLE = 200,
   NEAR_SLOW_PERMILLE = 250,
   CHANCE_ONE = 65536,
-  SPEED_ONE = 1000 * 1000, /* speed of a server with ratio 1; inverse of the ratio in permille */
-  STREAM_EVENTS_MIN = 4,   /* with fewer intervals a stream's mean is mostly noise */
+  SPEED_ONE = 1000 * 1000,  /* speed of a server with ratio 1; inverse of the ratio in permille */
+  STREAM_INTERVALS_MIN = 3, /* with fewer, events that arrive together distort the mean */
   /* A mean, a report and the server itself. */
   ROWS_PER_SERVER_MAX = PACE_KINDS_MAX + 2
 };
@@ -494,7 +494,7 @@
   uint32_t n = pace->last_n - pace->first_n;
   int64_t sample_us;
 
-  if (n < STREAM_EVENTS_MIN)
+  if (n < STREAM_INTERVALS_MIN)
     return 0;
   sample_us = (pace->last_ms - pace->first_ms) * 1000 / n;
   if (sample_us <= 0)
--- a/gateway/metrics.c
+++ b/gateway/metrics.c
@@ -1,5 +1,6 @@
 #include "metrics.h"
 
+#include "paces.h"
 #include "quotas.h"
 
 #include <buckthornhead/counter.h>
@@ -38,16 +39,59 @@
              : NULL;
 }
 
+/* A path of the listener. */
+struct MetricsPage
+{
+  const char *target;
+  const char *type;
+  char *(*render) (const struct Metrics *metrics, TALLOC_CTX *ctx);
+};
+
+static char *
+metrics_render_counters (const struct Metrics *metrics, TALLOC_CTX *ctx)
+{
+  (void)metrics;
+  return metrics_render (ctx);
+}
+
+static char *
+metrics_render_customers (const struct Metrics *metrics, TALLOC_CTX *ctx)
+{
+  return quotas_render (metrics->front->quotas, ctx);
+}
+
+static char *
+metrics_render_servers (const struct Metrics *metrics, TALLOC_CTX *ctx)
+{
+  return paces_render (metrics->front->paces, ctx);
+}
+
+static const struct MetricsPage *
+metrics_page (const struct Metrics *metrics, const char *target)
+{
+  static const struct MetricsPage gateway_pages[] = {
+    { "/customers", "application/json", metrics_render_customers },
+    { "/servers", "application/json", metrics_render_servers },
+  };
+  static const struct MetricsPage counters = { "/metrics", "text/plain; version=0.0.4",
+                                               metrics_render_counters };
+
+  for (size_t i = 0; metrics->front != NULL && i < sizeof gateway_pages / sizeof gateway_pages[0];
+       i++)
+    if (strcmp (target, gateway_pages[i].target) == 0)
+      return &gateway_pages[i];
+  return &counters;
+}
+
 static void
 metrics_on_request (void *data, struct HttpExchange *exchange)
 {
   struct Metrics *metrics = data;
   TALLOC_CTX *ctx = talloc_new (metrics);
-  bool customers = metrics->front != NULL && strcmp (exchange->target, "/customers") == 0;
-  struct HttpHeader type = { "Content-Type",
-                             customers ? "application/json" : "text/plain; version=0.0.4" };
+  const struct MetricsPage *page = metrics_page (metrics, exchange->target);
+  struct HttpHeader type = { "Content-Type", page->type };
   struct HttpHeaders headers = { &type, 1 };
-  char *text = customers ? quotas_render (metrics->front->quotas, ctx) : metrics_render (ctx);
+  char *text = page->render (metrics, ctx);
 
   if (text != NULL)
     http_exchange_respond (exchange, 200, &headers, text, strlen (text));
--- a/tests/sessions/test_gateway_servers.c
+++ b/tests/sessions/test_gateway_servers.c
@@ -3,6 +3,7 @@
 #include "gateways.h"
 
 #include <arpa/inet.h>
+#include <jansson.h>
 #include <netinet/in.h>
 #include <pthread.h>
 #include <stdio.h>
@@ -373,6 +374,88 @@
   talloc_free (ctx);
 }
 
+/* Returns the pace in permille of the slowest server that a gateway shows; 0: none is known. */
+static uint32_t
+slowest_pace (struct Fleet *fleet, TALLOC_CTX *ctx, uint32_t gateway)
+{
+  const char *address = fleet->gateways[gateway].metrics;
+  json_t *body = json_loads (http_get (ctx, address, "/servers")->body, 0, NULL);
+  json_t *servers = json_object_get (body, "servers"), *item;
+  uint32_t slowest = 0;
+  size_t i;
+
+  CU_ASSERT_EQUAL (json_array_size (servers), 3);
+  json_array_foreach (servers, i, item)
+  {
+    uint32_t pace;
+
+    CU_ASSERT_STRING_EQUAL (json_string_value (json_object_get (item, "zone")), "a");
+    CU_ASSERT (json_integer_value (json_object_get (item, "slots")) > 0);
+    CU_ASSERT_EQUAL (json_integer_value (json_object_get (item, "in_flight")), 0);
+    pace = (uint32_t)json_integer_value (json_object_get (item, "pace_permille"));
+    slowest = pace > slowest ? pace : slowest;
+  }
+  json_decref (body);
+  return slowest;
+}
+
+/* Sends turns of different programs through both gateways, one after the other. */
+static void
+send_turns (struct Fleet *fleet, TALLOC_CTX *ctx, uint32_t n)
+{
+  for (uint32_t i = 0; i < n; i++)
+    {
+      char program[16], turn[16];
+
+      snprintf (program, sizeof program, "p%u", i);
+      snprintf (turn, sizeof turn, "t%u", i);
+      CU_ASSERT_EQUAL (turn_send_until_accepted (fleet, ctx, i % 2, program, turn, "", "x")->status,
+                       200);
+    }
+}
+
+static void
+check_paces (const char *settings, bool expect_pace)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct Fleet *fleet = fleet_new (ctx);
+  uint32_t n_failed = CU_get_number_of_failures ();
+
+  fleet->gateway_settings = settings;
+  fleet_start_all (fleet, 2, 3, NULL, NULL);
+  server_set_event_interval (fleet->installation, FIRST_ENGINE, 40);
+  send_turns (fleet, ctx, 16);
+  sleep_ms (1200);
+  for (uint32_t g = 0; g < 2; g++)
+    {
+      struct HttpReply *metrics = http_get (ctx, fleet->gateways[g].metrics, "/metrics");
+      uint32_t n_logged =
+          process_count_output (fleet->gateways[g].process, "\"event\":\"server_pace\"");
+      uint32_t pace = slowest_pace (fleet, ctx, g);
+
+      printf ("gateway %u shows a pace of %u permille, %u logged\n", g, pace, n_logged);
+      CU_ASSERT_EQUAL (pace > 2000, expect_pace);
+      CU_ASSERT_EQUAL (n_logged, expect_pace ? 1 : 0);
+      CU_ASSERT_EQUAL (strstr (metrics->body, "kind=\"paces\"") != NULL, expect_pace);
+    }
+  fleet_end (fleet, CU_get_number_of_failures () > n_failed);
+  talloc_free (ctx);
+}
+
+/* All gateways receive what the engine's owner measures, and log the slow engine once. */
+static void
+test_a_slow_engine_is_known_to_all_gateways (void)
+{
+  check_paces ("[decisions]\npace = on\n", true);
+}
+
+/* With the default settings no pace is measured or sent. */
+static void
+test_without_the_setting_no_pace_is_sent (void)
+{
+  check_paces (NULL, false);
+}
+
 const char test_suite_name[] = "sessions: gateway and servers";
 const struct TestCase test_cases[] = {
   { "a request with a lost response runs once", test_lost_response_is_not_repeated },
@@ -391,5 +474,7 @@
   { "a server that left in an outage gets no request",
     test_server_that_left_in_an_outage_gets_no_request },
   { "queued turns survive an owner's failure", test_queued_turns_survive_owner_failure },
+  { "a slow engine is known to all gateways", test_a_slow_engine_is_known_to_all_gateways },
+  { "without the setting no pace is sent", test_without_the_setting_no_pace_is_sent },
   { NULL, NULL },
 };
