--- a/gateway/request.c
+++ b/gateway/request.c
@@ -1,5 +1,6 @@
 #include "request.h"
 #include "credential.h"
+#include "paces.h"
 #include "quotas.h"
 #include "slots.h"
 
@@ -254,9 +255,10 @@
 struct Replica *
 request_choose_server (struct Request *request)
 {
-  const struct ReplicaQuery query = request_query (request);
+  struct ReplicaQuery query = request_query (request);
 
   request->front->n_draws++;
+  paces_fill_query (request, &query);
   return replica_set_choose (request->front->replicas, &query);
 }
 
@@ -360,6 +362,7 @@
   if (!request_submit (request, replica))
     return false;
   request->sent_ms = timer_now_ms (request->front->node->timers);
+  paces_begin_attempt (request);
   if (!replica->listed)
     log_request (LOG_LEVEL_INFO, "sent_to_unlisted", request->caller.id, request->caller.program,
                  "%s has been missing from the list for %lld ms", replica->entry.id,
