Count a plain server's initial service time as four samples

The first measured request replaced the initial service time. A first response that a busy machine delays would make the owner's estimates so long that waiting requests are rejected. The initial value now counts as four samples.

--- a/core/scheduling/slot_queue.c
+++ b/core/scheduling/slot_queue.c
@@ -13,6 +13,9 @@
   GRANTS_IN_TRANSIT = 1,
   /* The moving average of the service time gives the latest request a weight of 1/16. */
   SERVICE_AVERAGE_DIVISOR = 16,
+  /* Weight of a plain server's initial service time, in samples. With a lower one, a first response
+   * that is delayed by a busy machine would make the owner's estimates reject what waits. */
+  FIRST_SERVICE_SAMPLES = 4,
   /* How long a slot counts as taken after a plain server rejected a granted request: it is full
    * with work that this owner does not know of. */
   FULL_MS = 100,
@@ -212,7 +215,7 @@
   queue->service_ms =
       queue->first_service_ms != 0 ? queue->first_service_ms : SLOT_FIRST_SERVICE_MS;
   queue->service_us = queue->service_ms * 1000;
-  queue->n_samples = 0;
+  queue->n_samples = FIRST_SERVICE_SAMPLES;
 }
 
 static void
@@ -227,7 +230,7 @@
 
 /* Like queue_note_service_time, for plain servers: in microseconds, since they run requests of some
  * 10 ms, for which an average in whole milliseconds stays up to 15 ms too low. The first samples
- * are averaged without the initial value, which only follows from the route's target. */
+ * have a higher weight, since the initial value only follows from the route's target. */
 static void
 queue_note_plain_service_time (struct SlotQueue *queue, int64_t took_ms)
 {
