Sort the paces of servers by the number of their service

Cause: an update at 10,000 servers of 20 services compared names of services in each step of its sort.

Change: services are numbered once for each update.

--- a/core/scheduling/server_pace.c
+++ b/core/scheduling/server_pace.c
@@ -2,6 +2,7 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <uthash.h>
 #include <xxhash.h>
 
 enum
@@ -182,11 +183,17 @@
 /* A value of a server, for the medians. */
 struct PaceValue
 {
-  const char *service;
-  enum PaceRowClass row_class;
-  uint32_t kind;
+  uint64_t group; /* number of the service, enum PaceRowClass and kind of work */
   uint32_t value;
-  size_t subject;
+  uint32_t subject;
+};
+
+/* Numbers the services, so that sorting does not compare their names. */
+struct PaceService
+{
+  const char *name;
+  uint32_t number;
+  UT_hash_handle hh;
 };
 
 /* Sums of a server over its kinds of work, until its ratio is known. */
@@ -203,9 +210,34 @@
   struct PaceValue *values;
   size_t n_values;
   struct PaceSums *sums; /* by subject */
+  struct PaceService *services;
+  struct PaceService *service_by_name; /* uthash head, of services */
   int64_t now_ms;
 };
 
+/* Returns the number of the subject's service. */
+static uint32_t
+update_service_number (struct PaceUpdate *update, size_t subject)
+{
+  const char *name = update->subjects[subject].service;
+  struct PaceService *service = NULL;
+
+  HASH_FIND_STR (update->service_by_name, name, service);
+  if (service != NULL)
+    return service->number;
+  service = &update->services[HASH_COUNT (update->service_by_name)];
+  service->name = name;
+  service->number = HASH_COUNT (update->service_by_name);
+  HASH_ADD_KEYPTR (hh, update->service_by_name, name, strlen (name), service);
+  return service->number;
+}
+
+static enum PaceRowClass
+value_row_class (const struct PaceValue *value)
+{
+  return (enum PaceRowClass) (value->group >> 32 & 3);
+}
+
 static void
 update_add_value (struct PaceUpdate *update,
                   size_t subject,
@@ -213,9 +245,11 @@
                   uint32_t kind,
                   uint32_t value)
 {
-  update->values[update->n_values++] = (struct PaceValue){
-    update->subjects[subject].service, row_class, kind, value, subject,
-  };
+  uint64_t service = update_service_number (update, subject);
+
+  update->values[update->n_values++] =
+      (struct PaceValue){ service << 34 | (uint64_t)row_class << 32 | kind, value,
+                          (uint32_t)subject };
 }
 
 /* Adds the recent means of one source. Returns their number. */
@@ -257,26 +291,13 @@
   update_add_value (update, subject, ROW_SERVER, 0, pace->service_ms);
 }
 
-static int
-value_compare_group (const struct PaceValue *a, const struct PaceValue *b)
-{
-  int order = strcmp (a->service, b->service);
-
-  if (order != 0)
-    return order;
-  if (a->row_class != b->row_class)
-    return a->row_class < b->row_class ? -1 : 1;
-  return a->kind < b->kind ? -1 : a->kind > b->kind;
-}
-
 static int
 value_compare (const void *x, const void *y)
 {
   const struct PaceValue *a = x, *b = y;
-  int order = value_compare_group (a, b);
 
-  if (order != 0)
-    return order;
+  if (a->group != b->group)
+    return a->group < b->group ? -1 : 1;
   return a->value < b->value ? -1 : a->value > b->value;
 }
 
@@ -367,9 +388,9 @@
 {
   uint64_t median = values_median (values, n);
 
-  if (median == 0 && values[0].row_class != ROW_SERVER)
+  if (median == 0 && value_row_class (values) != ROW_SERVER)
     return;
-  switch (values[0].row_class)
+  switch (value_row_class (values))
     {
     case ROW_MEASURED:
       /* The only server with this kind of work has nothing to be compared with. */
@@ -404,7 +425,8 @@
 
   update.values = talloc_array (ctx, struct PaceValue, n_subjects * ROWS_PER_SERVER_MAX);
   update.sums = talloc_zero_array (ctx, struct PaceSums, n_subjects);
-  if (update.values == NULL || update.sums == NULL)
+  update.services = talloc_array (ctx, struct PaceService, n_subjects);
+  if (update.values == NULL || update.sums == NULL || update.services == NULL)
     goto out;
   for (size_t i = 0; i < n_subjects; i++)
     update_add_subject (&update, i);
@@ -412,12 +434,14 @@
   for (size_t i = 0; i < update.n_values; i = end)
     {
       for (end = i + 1; end < update.n_values; end++)
-        if (value_compare_group (&update.values[i], &update.values[end]) != 0)
+        if (update.values[i].group != update.values[end].group)
           break;
       update_apply_group (&update, &update.values[i], end - i);
     }
 
 out:
+  HASH_CLEAR (hh, update.service_by_name);
+  talloc_free (update.services);
   talloc_free (update.values);
   talloc_free (update.sums);
   return update.n_values;
