--- a/tests/standins/installation.h
+++ b/tests/standins/installation.h
@@ -93,6 +93,9 @@
 /* Sets the interval between two events of a stream. */
 void
 server_set_event_interval (struct Installation *installation, uint32_t server, uint32_t event_ms);
+/* Sets the work time that the server reports with each response, in percent; 0: none. */
+void
+server_set_work_time (struct Installation *installation, uint32_t server, uint32_t work_percent);
 
 /* Makes a plain server take work_ms for each request, and reject requests with 503 and
  * X-Not-Executed while it has `places` of them. */
--- a/tests/standins/installation_server.c
+++ b/tests/standins/installation_server.c
@@ -235,6 +235,17 @@
   pthread_mutex_unlock (&in->lock);
 }
 
+static void
+add_load (struct MHD_Response *response, uint32_t work_percent)
+{
+  char load[32];
+
+  if (work_percent == 0)
+    return;
+  snprintf (load, sizeof load, "1,0,8,%u", work_percent);
+  MHD_add_response_header (response, "X-Server-Load", load);
+}
+
 static enum MHD_Result
 server_on_request (void *data,
                    struct MHD_Connection *connection,
@@ -251,7 +262,7 @@
   struct MHD_Response *response;
   enum MHD_Result result;
   enum ServerMode mode;
-  uint32_t after;
+  uint32_t after, work_percent;
   bool has_place;
 
   (void)url;
@@ -264,6 +275,7 @@
     return reply_not_executed (connection, 421);
   pthread_mutex_lock (&in->lock);
   mode = server->mode;
+  work_percent = server->work_percent;
   has_place = server_take_place (server);
   if (mode != SERVER_REJECTS && has_place)
     run_record (server, connection, request, ((struct RequestBody *)*state)->bytes);
@@ -284,6 +296,7 @@
   response = server->engine ? stream_response (server, request, after, mode == SERVER_TRUNCATES)
                             : plain_response (request);
   MHD_add_response_header (response, "X-Request-Id", request);
+  add_load (response, work_percent);
   if (mode != SERVER_OMITS_SEAL)
     MHD_add_response_header (response, "X-Response-Seal", "3e1b.07");
   result = MHD_queue_response (connection, 200, response);
