--- a/core/byte_queue.c
+++ b/core/byte_queue.c
@@ -1,6 +1,7 @@
 #include <buckthornhead/byte_queue.h>
 
 #include <buckthornhead/error.h>
+#include <buckthornhead/held_memory.h>
 
 #include <errno.h>
 #include <string.h>
@@ -30,7 +31,7 @@
     capacity *= 2;
   if (capacity != queue->capacity)
     {
-      grown = talloc_realloc (ctx, queue->bytes, uint8_t, capacity);
+      grown = held_memory_resize (ctx, queue->bytes, capacity);
       if (grown == NULL)
         return ERROR_NO_MEMORY;
       queue->bytes = grown;
--- a/core/counter.c
+++ b/core/counter.c
@@ -112,6 +112,8 @@
   [GAUGE_LOOP_LAG_MS] =
       GAUGES ("loop_lag_ms",
               "Moving average of the time that events wait for the processor, in milliseconds"),
+  [GAUGE_HELD_BYTES] =
+      GAUGES ("held_bytes", "Memory of buffers for data of requests and responses, in bytes"),
   [GAUGE_PLATFORM_UP] = GAUGES ("platform_up", "1 while the key-value service responds"),
 };
 
@@ -136,6 +138,12 @@
   atomic_store_explicit (&cells[gauge].value, value, memory_order_relaxed);
 }
 
+void
+gauge_add (enum Counter gauge, int64_t change)
+{
+  atomic_fetch_add_explicit (&cells[gauge].value, (uint64_t)change, memory_order_relaxed);
+}
+
 uint64_t
 counter_read (enum Counter counter)
 {
--- a/include/buckthornhead/byte_queue.h
+++ b/include/buckthornhead/byte_queue.h
@@ -1,4 +1,5 @@
-/* Buffer of bytes that are to be written to a socket, or that were read but not yet consumed. */
+/* Buffer of bytes that are to be written to a socket, or that were read but not yet consumed. Its
+ * memory is counted (held_memory.h). */
 #pragma once
 
 #include <stdbool.h>
--- a/include/buckthornhead/counter.h
+++ b/include/buckthornhead/counter.h
@@ -60,15 +60,18 @@
   GAUGE_CALLS_IN_FLIGHT,
   GAUGE_DRAINING,
   GAUGE_LOOP_LAG_MS,
+  GAUGE_HELD_BYTES,
   GAUGE_PLATFORM_UP,
   N_COUNTERS
 };
 
-/* These three functions are atomic and wait-free. */
+/* These four functions are atomic and wait-free. */
 void
 counter_add (enum Counter counter, uint64_t n);
 void
 gauge_set (enum Counter gauge, uint64_t value);
+void
+gauge_add (enum Counter gauge, int64_t change);
 uint64_t
 counter_read (enum Counter counter);
 
