Let a call stop reading its response and resume

A server was read at its own speed, whatever its caller read, so the response piled up in the gateway. A paused call leaves the rest in the kernel's buffers, and TCP slows the server down. Also tests two bounds that had no test: bodies that servers do not read are held once for each call and end after 2 s, and freeing a paused call closes its connection.

--- a/adapters/http_client.c
+++ b/adapters/http_client.c
@@ -49,6 +49,7 @@
   http_parser parser;
   struct HttpHeadText head;
   size_t head_bytes;
+  bool paused; /* the response is not read at present */
   bool sent_any, headers_done, discard, complete, has_length, keep_alive;
   int64_t idle_ms; /* the server's keep-alive timeout, 0: not advertised */
 };
@@ -94,6 +95,7 @@
   call->connection = NULL;
   c->call = NULL;
   c->keep_alive = false;
+  c->paused = false;
   shutdown (c->fd, SHUT_RDWR);
   c->deadline_ms = 0;
   return 0;
@@ -102,7 +104,7 @@
 static void
 connection_update_watch (struct ServerConnection *c)
 {
-  uint16_t flags = TEVENT_FD_READ;
+  uint16_t flags = c->paused ? 0 : TEVENT_FD_READ;
 
   if (c->state == CONNECTION_CONNECTING || byte_queue_length (&c->output) > 0)
     flags |= TEVENT_FD_WRITE;
@@ -253,8 +255,10 @@
     }
   c->call = NULL;
   c->state = CONNECTION_IDLE;
+  c->paused = false;
   c->deadline_ms = timer_now_ms (c->client->timers) + idle_ms;
   connection_reset_parser (c);
+  connection_update_watch (c);
   if (call == NULL)
     return;
   call->connection = NULL;
@@ -541,6 +545,17 @@
   return call;
 }
 
+void
+http_call_set_paused (struct HttpCall *call, bool paused)
+{
+  struct ServerConnection *c = call->connection;
+
+  if (c == NULL || c->paused == paused)
+    return;
+  c->paused = paused;
+  connection_update_watch (c);
+}
+
 int64_t
 http_client_idle_until_ms (const struct HttpClient *client, const char *address)
 {
--- a/include/buckthornhead/http_client.h
+++ b/include/buckthornhead/http_client.h
@@ -77,6 +77,12 @@
                     const struct HttpCallRequest *request,
                     const struct HttpCallHandler *handler);
 
+/* Stops or resumes reading the response, so that a caller which reads slowly slows down the server.
+ * Up to 64 KB that were already read are still passed on. While paused, the end of the connection
+ * is not noticed. */
+void
+http_call_set_paused (struct HttpCall *call, bool paused);
+
 /* Closes the idle connections to an address, which another server may have taken over. */
 void
 http_client_close_idle (struct HttpClient *client, const char *address);
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -2,13 +2,23 @@
 
 #include "fakes/raw_socket.h"
 
+#include <buckthornhead/held_memory.h>
 #include <buckthornhead/http_client.h>
 #include <buckthornhead/timer_tevent.h>
 
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
+enum
+{
+  READ_BYTES = 64 * 1024,              /* read from a server at a time */
+  UNREAD_BODY_BYTES = 8 * 1024 * 1024, /* more than the kernel's buffers of a connection hold */
+  RESPONSE_BYTES = 32 * 1024 * 1024,
+  N_CALLS = 6
+};
+
 struct Bench
 {
   struct tevent_context *events;
@@ -21,6 +31,8 @@
   enum HttpEnd end;
   uint32_t status, n_ends;
   char body[256];
+  size_t n_body_bytes;
+  bool pauses;        /* the call is paused by its first bytes */
   char request[4096]; /* data that the server has read */
 };
 
@@ -39,6 +51,12 @@
   struct Bench *b = data;
   size_t length = strlen (b->body);
 
+  b->n_body_bytes += n_bytes;
+  if (b->pauses)
+    {
+      http_call_set_paused (b->call, true);
+      return;
+    }
   memcpy (b->body + length, bytes, n_bytes);
   b->body[length + n_bytes] = '\0';
 }
@@ -291,6 +309,127 @@
   bench_free (b);
 }
 
+/* Sends as many bytes as the kernel takes, up to n_bytes; returns their number. */
+static size_t
+send_available (int fd, size_t n_bytes)
+{
+  static char text[READ_BYTES];
+  size_t n_sent = 0;
+
+  memset (text, 'x', sizeof text);
+  while (n_sent < n_bytes)
+    {
+      size_t n = n_bytes - n_sent < sizeof text ? n_bytes - n_sent : sizeof text;
+      ssize_t n_taken = send (fd, text, n, MSG_DONTWAIT | MSG_NOSIGNAL);
+
+      if (n_taken <= 0)
+        break;
+      n_sent += (size_t)n_taken;
+    }
+  return n_sent;
+}
+
+/* A caller does not read while its server sends on. Unless the server is not read either, the
+ * response piles up in this process. After the caller has read, the rest arrives, whole. */
+static void
+test_a_paused_call_reads_nothing_and_loses_nothing (void)
+{
+  struct Bench *b = bench_new ();
+  size_t n_sent = 0, n_read;
+
+  b->pauses = true;
+  bench_request (b, "1");
+  raw_send (b->fd, "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 33554432\r\n\r\n");
+  for (int i = 0; i < 30; i++)
+    {
+      n_sent += send_available (b->fd, RESPONSE_BYTES - n_sent);
+      events_for (b->events, 10);
+    }
+  n_read = b->n_body_bytes;
+  CU_ASSERT (n_read > 0);
+  CU_ASSERT (n_read <= READ_BYTES);
+  CU_ASSERT (n_sent < RESPONSE_BYTES);
+  CU_ASSERT (held_memory_bytes () < READ_BYTES);
+  CU_ASSERT_FALSE (b->ended);
+  for (int i = 0; i < 4000 && !b->ended; i++)
+    {
+      http_call_set_paused (b->call, false);
+      n_sent += send_available (b->fd, RESPONSE_BYTES - n_sent);
+      events_for (b->events, 1);
+    }
+  CU_ASSERT_TRUE (b->ended);
+  CU_ASSERT_EQUAL (b->end, HTTP_END_COMPLETE);
+  CU_ASSERT_EQUAL (b->n_body_bytes, RESPONSE_BYTES);
+  /* The connection is reused, and is not paused then. */
+  b->pauses = false;
+  bench_request (b, "2");
+  bench_respond (b, "HTTP/1.1 200 OK\r\nX-Id: 2\r\nContent-Length: 2\r\n\r\nok");
+  CU_ASSERT_EQUAL (b->end, HTTP_END_COMPLETE);
+  CU_ASSERT_EQUAL (http_client_opened (b->client), 1);
+  bench_free (b);
+}
+
+/* A caller disconnects while its response is paused: the server must still notice. */
+static void
+test_freeing_a_paused_call_closes_its_connection (void)
+{
+  struct Bench *b = bench_new ();
+
+  b->pauses = true;
+  bench_request (b, "1");
+  raw_send (b->fd, "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 100\r\n\r\nxxx");
+  CU_ASSERT_TRUE (events_until (b->events, &b->head_received));
+  TALLOC_FREE (b->call);
+  CU_ASSERT_TRUE (raw_wait_closed (b->fd, b->events));
+  CU_ASSERT_EQUAL (b->n_ends, 0);
+  bench_free (b);
+}
+
+static struct HttpCall *
+bench_submit_body (struct Bench *b, const uint8_t *body)
+{
+  const struct HttpCallHandler handler = { bench_on_head, bench_on_body, bench_on_end, b };
+  const struct HttpCallRequest request = {
+    .address = b->address,
+    .head = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 8388608\r\n\r\n",
+    .body = body,
+    .body_bytes = UNREAD_BODY_BYTES,
+    .connect_timeout_ms = 500,
+    .connections_max = N_CALLS,
+  };
+
+  return http_client_submit (b->client, &request, &handler);
+}
+
+/* Servers do not read the bodies of requests. Each call holds one copy of its body and ends after
+ * the timeout of unacknowledged data (2 s), so that the copies do not pile up. */
+static void
+test_bodies_that_servers_do_not_read_are_bounded (void)
+{
+  struct Bench *b = bench_new ();
+  uint8_t *body = talloc_zero_array (b, uint8_t, UNREAD_BODY_BYTES);
+  uint64_t n_before = held_memory_bytes ();
+  int fds[N_CALLS];
+
+  for (int i = 0; i < N_CALLS; i++)
+    {
+      CU_ASSERT_PTR_NOT_NULL (bench_submit_body (b, body));
+      fds[i] = raw_accept (b->listen_fd, b->events);
+    }
+  events_for (b->events, 300);
+  CU_ASSERT (held_memory_bytes () > n_before);
+  /* The capacity of a queue is up to twice its length. */
+  CU_ASSERT (held_memory_bytes () <= n_before + (uint64_t)N_CALLS * 2 * UNREAD_BODY_BYTES + 4096);
+  for (int i = 0; i < 100 && b->n_ends < N_CALLS; i++)
+    events_for (b->events, 100);
+  CU_ASSERT_EQUAL (b->n_ends, N_CALLS);
+  CU_ASSERT_EQUAL (b->end, HTTP_END_BROKEN);
+  CU_ASSERT_EQUAL (held_memory_bytes (), n_before);
+  for (int i = 0; i < N_CALLS; i++)
+    close (fds[i]);
+  bench_free (b);
+}
+
 const char test_suite_name[] = "http_client";
 const struct TestCase test_cases[] = {
   { "an idle connection is reused", test_an_idle_connection_is_reused },
@@ -307,5 +446,11 @@
     test_a_truncated_response_is_broken_and_garbage_malformed },
   { "freeing a call closes its connection", test_freeing_a_call_closes_its_connection },
   { "connections to one server are limited", test_connections_to_one_server_are_limited },
+  { "a paused call reads nothing and loses nothing",
+    test_a_paused_call_reads_nothing_and_loses_nothing },
+  { "freeing a paused call closes its connection",
+    test_freeing_a_paused_call_closes_its_connection },
+  { "bodies that servers do not read are bounded",
+    test_bodies_that_servers_do_not_read_are_bounded },
   { NULL, NULL },
 };
