Bound what the HTTP server holds for callers that read slowly

A caller that does not read was bounded by 4 MB and by no time, and the bodies of many requests by nothing. With .held_max_bytes: - an exchange is congested while its caller has not read 1 MB, its handler learns when that ends, and further pipelined requests wait; - a caller that reads nothing for the stall timeout is disconnected. Bytes that leave the kernel's send buffer count as read: write events come only when a third of it, up to megabytes, is free, and a slow reader was taken for one that reads nothing; - a complete response is delivered whatever its size and however late; before, one over 4 MB closed the connection at once, and the idle timeout and a planned stop cut off slow readers between requests; - above the bound, requests with a body of over 64 KB get 503 and Retry-After 0.1 before the body is read. An announced body counts from its headers on. Without it, nothing of this is active.

Independent of it: a truncated response whose end is that of the connection is now reset. An abort closed the connection in order first, so that the response looked complete to an HTTP/1.0 caller.

--- a/adapters/http_request_reader.c
+++ b/adapters/http_request_reader.c
@@ -1,9 +1,17 @@
 #include "http_request_reader.h"
 
 #include <buckthornhead/error.h>
+#include <buckthornhead/held_memory.h>
 
 #include <string.h>
 
+enum
+{
+  /* Bodies up to this size are accepted also above the bound on held memory: rejecting these, which
+   * are most requests, would free little. */
+  SMALL_BODY_BYTES = 64 * 1024
+};
+
 /* Return value of the headers callback that stops the parser. 1 and 2 mean "no body follows" there,
  * and the body would be parsed as the next request. */
 enum
@@ -80,6 +88,33 @@
   return r->headers_done ? 0 : parser_on_head (r, true, bytes, n_bytes);
 }
 
+/* Returns false, and sets the status, if a body of n_bytes is too large for the memory in use. */
+static bool
+body_fits_memory (struct HttpRequestReader *r, uint64_t n_bytes)
+{
+  if (n_bytes <= SMALL_BODY_BYTES || r->held_max_bytes == 0
+      || held_memory_bytes () <= r->held_max_bytes)
+    return true;
+  r->memory_exceeded = true;
+  parser_reject (r, 503);
+  return false;
+}
+
+/* Allocates the buffer of a large body before the body arrives, so that it is counted when the next
+ * request is checked. */
+static bool
+reader_reserve_body (struct HttpRequestReader *r, uint64_t n_bytes)
+{
+  if (!body_fits_memory (r, n_bytes))
+    return false;
+  if (n_bytes <= SMALL_BODY_BYTES || r->held_max_bytes == 0)
+    return true;
+  r->body = held_memory_resize (r->ctx, NULL, (size_t)n_bytes);
+  if (r->body == NULL)
+    parser_reject (r, 503);
+  return r->body != NULL;
+}
+
 static int
 parser_on_headers_complete (http_parser *parser)
 {
@@ -92,6 +127,8 @@
       parser_reject (r, 413);
       return HEADERS_ERROR;
     }
+  if ((parser->flags & F_CONTENTLENGTH) && !reader_reserve_body (r, length))
+    return HEADERS_ERROR;
   return 0;
 }
 
@@ -104,12 +141,15 @@
 
   if (r->body_bytes + n_bytes > r->limits.body_max_bytes)
     return parser_reject (r, 413);
+  if (r->body_bytes <= SMALL_BODY_BYTES && !(parser->flags & F_CONTENTLENGTH)
+      && !body_fits_memory (r, r->body_bytes + n_bytes))
+    return 1;
   if (r->body == NULL || r->body_bytes + n_bytes > capacity)
     {
       capacity = (parser->flags & F_CONTENTLENGTH)
                      ? r->body_bytes + n_bytes + (size_t)parser->content_length
                      : 2 * (r->body_bytes + n_bytes);
-      grown = talloc_realloc (r->ctx, r->body, uint8_t, capacity);
+      grown = held_memory_resize (r->ctx, r->body, capacity);
       if (grown == NULL)
         return parser_reject (r, 503);
       r->body = grown;
--- a/adapters/http_server.c
+++ b/adapters/http_server.c
@@ -3,14 +3,18 @@
 #include <buckthornhead/http_server.h>
 
 #include <buckthornhead/byte_queue.h>
+#include <buckthornhead/counter.h>
+#include <buckthornhead/held_memory.h>
 #include <buckthornhead/log.h>
 #include <buckthornhead/net_socket.h>
 
 #include <arpa/inet.h>
 #include <errno.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -21,6 +25,11 @@
   INPUT_MAX_BYTES = 64 * 1024,
   /* Bounds the memory that a caller which does not read its response can use. */
   OUTPUT_MAX_BYTES = 4 * 1024 * 1024,
+  /* Unread data at which a caller becomes congested, and at which it no longer is. The distance
+   * keeps a caller that reads small pieces from switching its server on and off for each of them.
+   */
+  CONGESTED_BYTES = 1024 * 1024,
+  UNCONGESTED_BYTES = 512 * 1024,
   SWEEP_MS = 200, /* resolution of the header, idle and linger timeouts */
   /* Time to keep reading after the last response: closing with unread data resets the connection,
    * and the reset can overtake the response. */
@@ -47,7 +56,13 @@
   int64_t state_since_ms; /* when the state was entered */
   struct HttpRequestReader reader;
   bool close_after;
+  bool closes_response; /* the end of the connection is the end of its response */
+  bool broken;          /* part of a response is lost; to be closed */
+  bool congested;
   struct ByteQueue input, output;
+  int64_t progress_ms; /* when the caller last read, or when data for it was first held */
+  int unacked_bytes;   /* in the kernel's send buffer at the last sweep */
+  uint32_t stall_timeout_ms;
   struct ServerExchange *exchange;
 };
 
@@ -99,18 +114,37 @@
         x->public.on_disconnect (&x->public);
     }
   TALLOC_FREE (c->watch);
+  /* Without a length, only a reset reveals that a response is truncated. */
+  if (c->closes_response && (x != NULL || c->broken || byte_queue_length (&c->output) > 0))
+    setsockopt (c->fd, SOL_SOCKET, SO_LINGER, &(struct linger){ .l_onoff = 1, .l_linger = 0 },
+                sizeof (struct linger));
   close (c->fd);
   return 0;
 }
 
+/* Returns whether the bounds on the data held for each caller are active. */
+static bool
+connection_is_bounded (const struct Connection *c)
+{
+  return c->server->options.held_max_bytes > 0;
+}
+
+static bool
+connection_accepts_request (const struct Connection *c)
+{
+  return (c->state == CONNECTION_IDLE || c->state == CONNECTION_READING) && !c->congested;
+}
+
 static void
 connection_update_watch (struct Connection *c)
 {
   uint16_t flags = 0;
 
-  if (c->state != CONNECTION_BUSY || byte_queue_length (&c->input) < INPUT_MAX_BYTES)
+  if (connection_accepts_request (c) || c->state == CONNECTION_LINGERING || c->broken
+      || byte_queue_length (&c->input) < INPUT_MAX_BYTES)
     flags |= TEVENT_FD_READ;
-  if (byte_queue_length (&c->output) > 0)
+  /* The end of congestion is noticed on a write event, also if the handler has written the rest. */
+  if (byte_queue_length (&c->output) > 0 || c->congested)
     flags |= TEVENT_FD_WRITE;
   if (tevent_fd_get_flags (c->watch) != flags)
     tevent_fd_set_flags (c->watch, flags);
@@ -123,23 +157,70 @@
   c->state_since_ms = timer_now_ms (c->server->timers);
 }
 
-/* Sends bytes, queueing what the socket does not accept yet. After an error the connection is shut
- * down here and freed later from the event loop, never while the handler is writing. */
+/* Closes a connection that has lost part of a response: shuts it down here, and frees it later from
+ * the event loop, never while the handler is writing. If the end of the connection ends the
+ * response, nothing is sent that looks like it. */
 static void
-connection_send (struct Connection *c, const void *bytes, size_t n_bytes)
+connection_break (struct Connection *c)
 {
-  bool ok = byte_queue_add (c, &c->output, bytes, n_bytes) == ERROR_NONE
-            && byte_queue_length (&c->output) <= OUTPUT_MAX_BYTES
-            && byte_queue_send (&c->output, c->fd);
+  shutdown (c->fd, c->closes_response ? SHUT_RD : SHUT_RDWR);
+  c->broken = true;
+  c->close_after = true;
+}
 
-  if (!ok)
-    {
-      shutdown (c->fd, SHUT_RDWR);
-      c->close_after = true;
-    }
+/* Ends the sending side once everything is sent. */
+static void
+connection_end_output (struct Connection *c)
+{
+  if (byte_queue_length (&c->output) == 0 && !c->broken)
+    shutdown (c->fd, SHUT_WR);
+}
+
+static int32_t
+connection_queue (struct Connection *c, const void *bytes, size_t n_bytes)
+{
+  if (c->broken)
+    return ERROR_NONE;
+  if (byte_queue_length (&c->output) == 0)
+    c->progress_ms = timer_now_ms (c->server->timers);
+  return byte_queue_add (c, &c->output, bytes, n_bytes);
+}
+
+/* Sends as much as the socket accepts. Returns false if the connection failed. */
+static bool
+connection_flush (struct Connection *c)
+{
+  size_t n_before = byte_queue_length (&c->output);
+
+  if (!byte_queue_send (&c->output, c->fd))
+    return false;
+  if (byte_queue_length (&c->output) == n_before)
+    return true;
+  c->progress_ms = timer_now_ms (c->server->timers);
+  /* The idle timeout counts from when the caller has read the last response. */
+  if (connection_is_bounded (c) && c->state == CONNECTION_IDLE)
+    c->state_since_ms = c->progress_ms;
+  return true;
+}
+
+/* Sends bytes, queueing what the socket does not accept yet, up to max_bytes. */
+static void
+connection_send_bounded (struct Connection *c, const void *bytes, size_t n_bytes, size_t max_bytes)
+{
+  if (connection_queue (c, bytes, n_bytes) != ERROR_NONE
+      || byte_queue_length (&c->output) > max_bytes || !connection_flush (c))
+    connection_break (c);
+  if (connection_is_bounded (c) && byte_queue_length (&c->output) >= CONGESTED_BYTES)
+    c->congested = true;
   connection_update_watch (c);
 }
 
+static void
+connection_send (struct Connection *c, const void *bytes, size_t n_bytes)
+{
+  connection_send_bounded (c, bytes, n_bytes, OUTPUT_MAX_BYTES);
+}
+
 /* Responses. */
 
 static void
@@ -157,29 +238,49 @@
                                         c->close_after ? "Connection: close\r\n" : "");
   if (head == NULL)
     {
-      c->close_after = true;
-      shutdown (c->fd, SHUT_RDWR);
+      connection_break (c);
       return;
     }
   connection_send (c, head, strlen (head));
   talloc_free (head);
 }
 
-/* Rejects a request. The rest of it is read and discarded for LINGER_MS: closing with unread data
- * resets the connection, and the reset can overtake the response. */
+/* Rejects a request; retry_after is in seconds and sent with status 503. The rest of it is read and
+ * discarded for LINGER_MS: closing with unread data resets the connection, and the reset can
+ * overtake the response. */
 static void
-connection_reject (struct Connection *c, uint32_t status)
+connection_reject_with (struct Connection *c, uint32_t status, const char *retry_after)
 {
+  char framing[64] = "Content-Length: 0\r\n";
+
+  if (status == 503)
+    snprintf (framing, sizeof framing, "Retry-After: %s\r\nContent-Length: 0\r\n", retry_after);
   c->close_after = true;
-  connection_send_head (c, status, NULL,
-                        status == 503 ? "Retry-After: 0.5\r\nContent-Length: 0\r\n"
-                                      : "Content-Length: 0\r\n");
+  connection_send_head (c, status, NULL, framing);
   connection_set_state (c, CONNECTION_LINGERING);
-  if (byte_queue_length (&c->output) == 0)
-    shutdown (c->fd, SHUT_WR);
+  TALLOC_FREE (c->reader.body);
+  connection_end_output (c);
   connection_update_watch (c);
 }
 
+static void
+connection_reject (struct Connection *c, uint32_t status)
+{
+  connection_reject_with (c, status, "0.5");
+}
+
+/* Rejects a request with a large body; see .held_max_bytes. */
+static void
+connection_reject_body (struct Connection *c)
+{
+  counter_add (COUNTER_REQUESTS_REFUSED, 1);
+  log_event (LOG_LEVEL_WARNING, "held_memory_exceeded", NULL,
+             "look for callers and servers that read slowly, or raise [limits] held_memory",
+             "%llu bytes are held, the limit is %llu", (unsigned long long)held_memory_bytes (),
+             (unsigned long long)c->server->options.held_max_bytes);
+  connection_reject_with (c, 503, "0.1");
+}
+
 static bool
 request_headers_are_valid (const struct HttpHeaders *headers)
 {
@@ -238,6 +339,7 @@
   if (c->state == CONNECTION_IDLE)
     {
       c->reader.limits = c->server->options.limits;
+      c->reader.held_max_bytes = c->server->options.held_max_bytes;
       connection_set_state (c, CONNECTION_READING);
     }
   n = http_request_reader_parse (&c->reader, bytes, n_bytes);
@@ -246,6 +348,11 @@
       connection_dispatch (c);
       return n;
     }
+  if (c->reader.memory_exceeded)
+    {
+      connection_reject_body (c);
+      return n_bytes;
+    }
   if (HTTP_PARSER_ERRNO (&c->reader.parser) != HPE_OK)
     {
       connection_reject (c, http_request_reader_error_status (&c->reader));
@@ -259,8 +366,7 @@
 static void
 connection_advance (struct Connection *c)
 {
-  while ((c->state == CONNECTION_IDLE || c->state == CONNECTION_READING)
-         && byte_queue_length (&c->input) > 0)
+  while (connection_accepts_request (c) && byte_queue_length (&c->input) > 0)
     {
       struct ByteQueue taken = c->input;
       size_t n;
@@ -297,8 +403,7 @@
   if (c->close_after)
     {
       connection_set_state (c, CONNECTION_LINGERING);
-      if (byte_queue_length (&c->output) == 0)
-        shutdown (c->fd, SHUT_WR);
+      connection_end_output (c);
       connection_update_watch (c);
       return;
     }
@@ -324,7 +429,8 @@
   snprintf (framing, sizeof framing, "Content-Length: %zu\r\n", body_bytes);
   connection_send_head (x->connection, status, headers, framing);
   if (body_bytes > 0 && strcmp (exchange->method, "HEAD") != 0)
-    connection_send (x->connection, body, body_bytes);
+    connection_send_bounded (x->connection, body, body_bytes,
+                             connection_is_bounded (x->connection) ? SIZE_MAX : OUTPUT_MAX_BYTES);
   exchange_finish (x);
 }
 
@@ -339,7 +445,10 @@
     return;
   x->begun = true;
   if (!x->chunked)
-    x->connection->close_after = true;
+    {
+      x->connection->close_after = true;
+      x->connection->closes_response = true;
+    }
   connection_send_head (x->connection, status, headers,
                         x->chunked ? "Transfer-Encoding: chunked\r\n" : "");
 }
@@ -360,9 +469,9 @@
       return;
     }
   n = snprintf (size, sizeof size, "%zx\r\n", n_bytes);
-  if (byte_queue_add (c, &c->output, size, (size_t)n) != ERROR_NONE
-      || byte_queue_add (c, &c->output, bytes, n_bytes) != ERROR_NONE)
-    shutdown (c->fd, SHUT_RDWR);
+  if (connection_queue (c, size, (size_t)n) != ERROR_NONE
+      || connection_queue (c, bytes, n_bytes) != ERROR_NONE)
+    connection_break (c);
   connection_send (c, "\r\n", 2);
 }
 
@@ -387,13 +496,8 @@
   if (c == NULL)
     return;
   c->close_after = true;
-  if (!x->chunked)
-    {
-      /* The end of the connection delimits the response: only a reset reveals the truncation. */
-      struct linger now = { .l_onoff = 1, .l_linger = 0 };
-
-      setsockopt (c->fd, SOL_SOCKET, SO_LINGER, &now, sizeof now);
-    }
+  if (c->closes_response)
+    connection_break (c);
   exchange_finish (x);
 }
 
@@ -410,6 +514,23 @@
     inet_ntop (AF_INET, &peer.sin_addr, address, HTTP_CALLER_BYTES);
 }
 
+bool
+http_exchange_is_congested (const struct HttpExchange *exchange)
+{
+  const struct Connection *c = ((const struct ServerExchange *)exchange)->connection;
+
+  return c != NULL && c->congested;
+}
+
+void
+http_exchange_set_stall_timeout (struct HttpExchange *exchange, uint32_t timeout_ms)
+{
+  struct Connection *c = server_exchange (exchange)->connection;
+
+  if (c != NULL)
+    c->stall_timeout_ms = timeout_ms;
+}
+
 bool
 http_exchange_has_begun (const struct HttpExchange *exchange)
 {
@@ -432,7 +553,7 @@
     return false;
   if (c->state == CONNECTION_LINGERING)
     return true;
-  if (c->state != CONNECTION_BUSY && byte_queue_length (&c->input) == 0)
+  if (connection_accepts_request (c) && byte_queue_length (&c->input) == 0)
     taken = connection_parse (c, server->scratch, (size_t)n);
   if (byte_queue_add (c, &c->input, server->scratch + taken, (size_t)n - taken) != ERROR_NONE)
     return false;
@@ -440,6 +561,21 @@
   return true;
 }
 
+static void
+connection_update_congestion (struct Connection *c)
+{
+  struct ServerExchange *x = c->exchange;
+
+  if (!c->congested || byte_queue_length (&c->output) > UNCONGESTED_BYTES)
+    return;
+  c->congested = false;
+  /* Part of the next request may have waited meanwhile; its timeouts begin now. */
+  if (c->state == CONNECTION_READING)
+    connection_set_state (c, CONNECTION_READING);
+  if (x != NULL && x->public.on_uncongested != NULL)
+    x->public.on_uncongested (&x->public);
+}
+
 static void
 connection_on_event (struct tevent_context *events,
                      struct tevent_fd *watch,
@@ -450,28 +586,49 @@
 
   (void)events;
   (void)watch;
-  if ((flags & TEVENT_FD_WRITE) && !byte_queue_send (&c->output, c->fd))
+  if ((flags & TEVENT_FD_WRITE) && !connection_flush (c))
     {
       talloc_free (c);
       return;
     }
+  connection_update_congestion (c);
   if ((flags & TEVENT_FD_READ) && !connection_read (c))
     {
       talloc_free (c);
       return;
     }
-  if (c->state == CONNECTION_LINGERING && byte_queue_length (&c->output) == 0
-      && (flags & TEVENT_FD_WRITE))
-    shutdown (c->fd, SHUT_WR);
+  if (c->state == CONNECTION_LINGERING && (flags & TEVENT_FD_WRITE))
+    connection_end_output (c);
   connection_advance (c);
 }
 
+/* Returns whether the caller has read nothing for the stall timeout. Write events alone do not show
+ * this: the kernel reports a socket as writable only when a third of its send buffer, which can
+ * grow to megabytes, is free. */
+static bool
+connection_is_stalled (struct Connection *c, int64_t now_ms)
+{
+  int unacked_bytes = 0;
+
+  if (!connection_is_bounded (c) || byte_queue_length (&c->output) == 0)
+    return false;
+  if (ioctl (c->fd, SIOCOUTQ, &unacked_bytes) == 0 && unacked_bytes < c->unacked_bytes)
+    c->progress_ms = now_ms;
+  c->unacked_bytes = unacked_bytes;
+  return now_ms - c->progress_ms > c->stall_timeout_ms;
+}
+
 static bool
 connection_has_timed_out (const struct Connection *c, int64_t now_ms)
 {
   const struct HttpLimits *limits = &c->server->options.limits;
   int64_t age_ms = now_ms - c->state_since_ms;
 
+  /* While the caller reads a response, only the stall timeout applies. */
+  if (c->congested
+      || (connection_is_bounded (c) && c->state == CONNECTION_IDLE
+          && byte_queue_length (&c->output) > 0))
+    return false;
   switch (c->state)
     {
     case CONNECTION_IDLE:
@@ -487,6 +644,14 @@
   return false;
 }
 
+static void
+connection_end_stalled (struct Connection *c)
+{
+  log_event (LOG_LEVEL_INFO, "caller_stalled", NULL, NULL, "nothing read for %u ms, %zu bytes held",
+             c->stall_timeout_ms, byte_queue_length (&c->output));
+  talloc_free (c);
+}
+
 static void
 server_on_sweep (void *data)
 {
@@ -497,6 +662,11 @@
   for (struct Connection *c = server->connections; c != NULL; c = next)
     {
       next = c->next;
+      if (connection_is_stalled (c, now_ms))
+        {
+          connection_end_stalled (c);
+          continue;
+        }
       if (!connection_has_timed_out (c, now_ms))
         continue;
       if (c->state == CONNECTION_READING)
@@ -526,6 +696,7 @@
   server->n_connections++;
   talloc_set_destructor (c, connection_free);
   http_request_reader_reset (c, &c->reader, &c->server->options.limits);
+  c->stall_timeout_ms = server->options.limits.idle_timeout_ms;
   connection_set_state (c, CONNECTION_IDLE);
   c->watch = tevent_add_fd (server->events, c, fd, TEVENT_FD_READ, connection_on_event, c);
   c->resume = tevent_create_immediate (c);
@@ -620,5 +791,10 @@
 uint32_t
 http_server_in_flight (const struct HttpServer *server)
 {
-  return server->n_in_flight;
+  uint32_t n = server->n_in_flight;
+
+  for (const struct Connection *c = server->connections; c != NULL; c = c->next)
+    if (connection_is_bounded (c) && c->exchange == NULL && byte_queue_length (&c->output) > 0)
+      n++;
+  return n;
 }
--- a/include/buckthornhead/http_server.h
+++ b/include/buckthornhead/http_server.h
@@ -42,6 +42,8 @@
    * has ended; the exchange is freed after it. */
   void *handler_data;
   void (*on_disconnect) (struct HttpExchange *exchange);
+  /* Called when the exchange is no longer congested; NULL: not called. May end the exchange. */
+  void (*on_uncongested) (struct HttpExchange *exchange);
 };
 
 struct HttpServerOptions
@@ -50,6 +52,13 @@
   const char *setting; /* name of the setting of the address, for error messages */
   struct HttpLimits limits;
   uint32_t connections_max;
+  /* Bound on held_memory_bytes () above which requests with a body of over 64 KB are rejected with
+   * 503; 0: none. If it is set, the data held for each caller is bounded, too:
+   * - An exchange is congested while the caller has not read 1 MB of data; its handler should then
+   *   write no more, and no further request of the connection is handled.
+   * - A caller that reads nothing for the stall timeout is disconnected.
+   * - A complete response is delivered whatever its size, also by a server that drains. */
+  uint64_t held_max_bytes;
   void (*request) (void *data, struct HttpExchange *exchange);
   void *data;
 };
@@ -75,7 +84,8 @@
 void
 http_server_stop_listening (struct HttpServer *server);
 
-/* Returns the number of exchanges whose response has not ended. */
+/* Returns the number of exchanges whose response has not ended. With .held_max_bytes, connections
+ * whose last response has not been sent completely are included. */
 uint32_t
 http_server_in_flight (const struct HttpServer *server);
 
@@ -97,6 +107,16 @@
 void
 http_exchange_end (struct HttpExchange *exchange);
 
+/* Returns true while the caller has not read so much that no more should be written. */
+bool
+http_exchange_is_congested (const struct HttpExchange *exchange);
+
+/* Sets the time after which the caller is disconnected if it reads nothing, in milliseconds. It
+ * applies to the connection until set again; the default is the idle timeout. Has no effect without
+ * .held_max_bytes. */
+void
+http_exchange_set_stall_timeout (struct HttpExchange *exchange, uint32_t timeout_ms);
+
 /* Ends a response that has begun so that it is recognized as truncated: closes the connection
  * without the last chunk. Frees exchange. */
 void
--- a/tests/test_http_server.c
+++ b/tests/test_http_server.c
@@ -2,11 +2,14 @@
 
 #include "fakes/raw_socket.h"
 
+#include <buckthornhead/held_memory.h>
 #include <buckthornhead/http_server.h>
 #include <buckthornhead/timer_tevent.h>
 
+#include <errno.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 enum
@@ -14,7 +17,16 @@
   HEADER_MAX_BYTES = 400,
   BODY_MAX_BYTES = 2000,
   HEADER_TIMEOUT_MS = 600,
-  IDLE_TIMEOUT_MS = 60000
+  IDLE_TIMEOUT_MS = 60000,
+  /* For callers that read slowly. */
+  CALLER_MAX_BYTES = 1024 * 1024, /* unread data at which an exchange is congested */
+  PIECE_BYTES = 16 * 1024,
+  STREAM_MAX_BYTES = 64 * 1024 * 1024, /* more than the kernel's buffers of many connections hold */
+  ANSWER_BYTES = 7 * 1024 * 1024,
+  HELD_MAX_BYTES = 4 * 1024 * 1024,
+  LARGE_BODY_BYTES = 64 * 1024 + 1,
+  STALL_MS = 400,
+  N_CALLERS = 12
 };
 
 struct Bench
@@ -27,6 +39,8 @@
   uint32_t n_requests;
   bool requested, disconnected;
   bool respond_at_once;
+  size_t answer_bytes; /* of zeros, if responding at once; 0: the target */
+  uint32_t n_uncongested;
   char target[64], body[BODY_MAX_BYTES + 1];
   char text[16384]; /* data that the caller has read */
 };
@@ -40,10 +54,29 @@
   b->exchange = NULL;
 }
 
+static void
+bench_on_uncongested (struct HttpExchange *exchange)
+{
+  struct Bench *b = exchange->handler_data;
+
+  b->n_uncongested++;
+}
+
+static void
+bench_respond_zeros (struct Bench *b)
+{
+  uint8_t *answer = talloc_zero_array (b, uint8_t, b->answer_bytes);
+
+  http_exchange_respond (b->exchange, 200, NULL, answer, b->answer_bytes);
+  b->exchange = NULL;
+  talloc_free (answer);
+}
+
 static void
 bench_on_request (void *data, struct HttpExchange *exchange)
 {
   struct Bench *b = data;
+  size_t n_body = exchange->body_bytes < BODY_MAX_BYTES ? exchange->body_bytes : BODY_MAX_BYTES;
 
   b->n_requests++;
   b->requested = true;
@@ -51,21 +84,25 @@
   exchange->handler_data = b;
   exchange->on_disconnect = bench_on_disconnect;
   snprintf (b->target, sizeof b->target, "%s", exchange->target);
-  memcpy (b->body, exchange->body != NULL ? (const char *)exchange->body : "",
-          exchange->body_bytes);
-  b->body[exchange->body_bytes] = '\0';
-  if (b->respond_at_once)
+  exchange->on_uncongested = bench_on_uncongested;
+  memcpy (b->body, exchange->body != NULL ? (const char *)exchange->body : "", n_body);
+  b->body[n_body] = '\0';
+  if (b->answer_bytes > 0)
+    bench_respond_zeros (b);
+  else if (b->respond_at_once)
     http_exchange_respond (exchange, 200, NULL, b->target, strlen (b->target));
 }
 
+/* held_max_bytes 0: without the bounds on the data held for callers. */
 static struct Bench *
-bench_new (void)
+bench_new_bounded (uint64_t held_max_bytes, uint32_t idle_timeout_ms)
 {
   struct Bench *b = talloc_zero (NULL, struct Bench);
   struct HttpServerOptions options = {
     .setting = "[listen] caller",
-    .limits = { HEADER_MAX_BYTES, BODY_MAX_BYTES, HEADER_TIMEOUT_MS, IDLE_TIMEOUT_MS },
+    .limits = { HEADER_MAX_BYTES, BODY_MAX_BYTES, HEADER_TIMEOUT_MS, idle_timeout_ms },
     .connections_max = 16,
+    .held_max_bytes = held_max_bytes,
     .request = bench_on_request,
     .data = b,
   };
@@ -84,6 +121,12 @@
   return b;
 }
 
+static struct Bench *
+bench_new (void)
+{
+  return bench_new_bounded (0, IDLE_TIMEOUT_MS);
+}
+
 static void
 bench_free (struct Bench *b)
 {
@@ -279,6 +322,306 @@
   bench_free (b);
 }
 
+/* Callers that read slowly or not at all. */
+
+static const char get[] = "GET /1 HTTP/1.1\r\nHost: x\r\n\r\n";
+
+/* Starts an exchange whose caller has not read anything. */
+static struct HttpExchange *
+bench_begin_unread (struct Bench *b, int fd, const char *request)
+{
+  b->requested = false;
+  raw_send (fd, request);
+  CU_ASSERT_TRUE_FATAL (events_until (b->events, &b->requested));
+  http_exchange_begin (b->exchange, 200, NULL);
+  return b->exchange;
+}
+
+/* Writes until the exchange is congested or the caller disconnected; returns the bytes written. */
+static size_t
+bench_write_until_congested (struct Bench *b)
+{
+  static const char piece[PIECE_BYTES];
+  size_t n_written = 0;
+
+  while (b->exchange != NULL && n_written < STREAM_MAX_BYTES
+         && !http_exchange_is_congested (b->exchange))
+    {
+      http_exchange_write (b->exchange, piece, sizeof piece);
+      n_written += sizeof piece;
+      if (n_written % CALLER_MAX_BYTES == 0)
+        events_for (b->events, 1);
+    }
+  return n_written;
+}
+
+/* Reads until the connection is closed or n_polls polls in a row found nothing. Returns the number
+ * of bytes; *error is 0 after an orderly end, EAGAIN when the connection is still open, else why it
+ * failed. */
+static size_t
+read_all (struct Bench *b, uint32_t n_polls, int *error)
+{
+  static char text[256 * 1024];
+  size_t n_read = 0;
+  uint32_t n_quiet = 0;
+
+  *error = EAGAIN;
+  while (n_quiet < n_polls)
+    {
+      ssize_t n = recv (b->fd, text, sizeof text, MSG_DONTWAIT);
+
+      if (n == 0 || (n < 0 && errno != EAGAIN))
+        {
+          *error = n == 0 ? 0 : errno;
+          break;
+        }
+      n_quiet = n > 0 ? 0 : n_quiet + 1;
+      n_read += n > 0 ? (size_t)n : 0;
+      if (n > 0)
+        memcpy (b->text, n >= 16 ? text + n - 16 : text, 16); /* its end */
+      events_for (b->events, n > 0 ? 0 : 1);
+    }
+  return n_read;
+}
+
+/* A caller does not read while its server sends on. Unless the handler learns of it, it reads the
+ * server at full speed and the data piles up. After the caller has read, the handler learns that,
+ * too, and the whole response arrives. */
+static void
+test_a_caller_that_does_not_read_congests_its_exchange (void)
+{
+  struct Bench *b = bench_new_bounded (HELD_MAX_BYTES, IDLE_TIMEOUT_MS);
+  size_t n_written, n_read;
+  int error;
+
+  bench_begin_unread (b, b->fd, get);
+  n_written = bench_write_until_congested (b);
+  CU_ASSERT (n_written < STREAM_MAX_BYTES);
+  CU_ASSERT_FALSE (b->disconnected);
+  CU_ASSERT (held_memory_bytes () >= CALLER_MAX_BYTES);
+  /* The capacity of a queue is up to twice its length. */
+  CU_ASSERT (held_memory_bytes () <= 2 * (CALLER_MAX_BYTES + PIECE_BYTES));
+  CU_ASSERT_EQUAL (b->n_uncongested, 0);
+  n_read = read_all (b, 100, &error);
+  CU_ASSERT_EQUAL (error, EAGAIN);
+  CU_ASSERT_EQUAL (b->n_uncongested, 1);
+  CU_ASSERT_EQUAL (held_memory_bytes (), 0);
+  n_written += bench_write_until_congested (b);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (b->exchange);
+  http_exchange_end (b->exchange);
+  n_read += read_all (b, 100, &error);
+  CU_ASSERT (n_read > n_written);
+  CU_ASSERT_EQUAL (memcmp (b->text + 9, "\r\n0\r\n\r\n", 7), 0);
+  CU_ASSERT_EQUAL (http_server_in_flight (b->server), 0);
+  bench_free (b);
+}
+
+/* Without a setting, nothing is congested: the exchange goes on until 4 MB are held, as before. */
+static void
+test_no_exchange_is_congested_without_the_setting (void)
+{
+  struct Bench *b = bench_new ();
+
+  bench_begin_unread (b, b->fd, get);
+  bench_write_until_congested (b);
+  CU_ASSERT_TRUE (b->disconnected);
+  bench_free (b);
+}
+
+/* Many callers that do not read hold a bounded amount each, and all of it is released. */
+static void
+test_many_callers_that_do_not_read_are_bounded (void)
+{
+  struct Bench *b = bench_new_bounded (HELD_MAX_BYTES, IDLE_TIMEOUT_MS);
+  int fds[N_CALLERS];
+
+  for (int i = 0; i < N_CALLERS; i++)
+    {
+      fds[i] = raw_connect (b->port);
+      bench_begin_unread (b, fds[i], get);
+      bench_write_until_congested (b);
+    }
+  CU_ASSERT (held_memory_bytes () <= N_CALLERS * 2 * (CALLER_MAX_BYTES + PIECE_BYTES));
+  CU_ASSERT_EQUAL (http_server_in_flight (b->server), N_CALLERS);
+  for (int i = 0; i < N_CALLERS; i++)
+    close (fds[i]);
+  events_for (b->events, 50);
+  CU_ASSERT_EQUAL (http_server_in_flight (b->server), 0);
+  CU_ASSERT_EQUAL (held_memory_bytes (), 0);
+  bench_free (b);
+}
+
+/* A caller reads nothing for the stall timeout: unless it is disconnected, it occupies memory and
+ * its server's slot until its request's deadline, and then memory for good. */
+static void
+test_a_caller_that_reads_nothing_is_disconnected (void)
+{
+  struct Bench *b = bench_new_bounded (HELD_MAX_BYTES, IDLE_TIMEOUT_MS);
+  int error;
+
+  http_exchange_set_stall_timeout (bench_begin_unread (b, b->fd, get), STALL_MS);
+  bench_write_until_congested (b);
+  events_for (b->events, STALL_MS / 2);
+  CU_ASSERT_FALSE (b->disconnected);
+  CU_ASSERT_TRUE (events_until (b->events, &b->disconnected));
+  CU_ASSERT_EQUAL (held_memory_bytes (), 0);
+  read_all (b, 300, &error);
+  CU_ASSERT_NOT_EQUAL (error, EAGAIN);
+  CU_ASSERT_NOT_EQUAL (memcmp (b->text + 9, "\r\n0\r\n\r\n", 7), 0);
+  bench_free (b);
+}
+
+/* A caller that reads slowly, but reads, is not disconnected: its response arrives late, but whole,
+ * also after the stall timeout and the idle timeout and while the server drains. */
+static void
+test_a_complete_response_is_delivered_late (void)
+{
+  struct Bench *b = bench_new_bounded (HELD_MAX_BYTES, STALL_MS);
+  size_t n_read = 0;
+  int error, receive_bytes = 64 * 1024;
+
+  setsockopt (b->fd, SOL_SOCKET, SO_RCVBUF, &receive_bytes, sizeof receive_bytes);
+  b->answer_bytes = ANSWER_BYTES;
+  raw_send (b->fd, get);
+  CU_ASSERT_TRUE (events_until (b->events, &b->requested));
+  http_server_drain (b->server);
+  CU_ASSERT_EQUAL (http_server_in_flight (b->server), 1);
+  for (int i = 0; i < 6; i++)
+    {
+      char piece[PIECE_BYTES * 8];
+
+      events_for (b->events, STALL_MS / 2);
+      n_read += (size_t)recv (b->fd, piece, sizeof piece, MSG_WAITALL);
+    }
+  n_read += read_all (b, 300, &error);
+  CU_ASSERT (n_read > ANSWER_BYTES);
+  CU_ASSERT (n_read < ANSWER_BYTES + 200);
+  CU_ASSERT_EQUAL (error, 0);
+  CU_ASSERT_EQUAL (http_server_in_flight (b->server), 0);
+  bench_free (b);
+}
+
+/* A caller pipelines requests and reads no response: further requests wait until it reads. */
+static void
+test_pipelined_requests_wait_while_the_caller_does_not_read (void)
+{
+  struct Bench *b = bench_new_bounded (HELD_MAX_BYTES, IDLE_TIMEOUT_MS);
+  size_t n_read;
+  int error;
+
+  b->answer_bytes = CALLER_MAX_BYTES;
+  for (int i = 0; i < 32; i++)
+    raw_send (b->fd, get);
+  events_for (b->events, 200);
+  CU_ASSERT (b->n_requests < 32);
+  CU_ASSERT (held_memory_bytes () <= 4 * CALLER_MAX_BYTES);
+  n_read = read_all (b, 200, &error);
+  CU_ASSERT_EQUAL (b->n_requests, 32);
+  CU_ASSERT (n_read > 32 * CALLER_MAX_BYTES);
+  bench_free (b);
+}
+
+/* The end of the connection ends a response to an HTTP/1.0 caller. If the response is truncated,
+ * the caller must see a reset: an orderly end would make it look complete. */
+static void
+test_a_truncated_response_without_a_length_is_reset (void)
+{
+  static const char old[] = "GET /1 HTTP/1.0\r\nHost: x\r\n\r\n";
+  struct Bench *b = bench_new_bounded (HELD_MAX_BYTES, IDLE_TIMEOUT_MS);
+  int error;
+
+  bench_begin_unread (b, b->fd, old);
+  http_exchange_write (b->exchange, "data: a\n\n", 9);
+  b->exchange->on_disconnect = NULL;
+  http_exchange_abort (b->exchange);
+  read_all (b, 300, &error);
+  CU_ASSERT_EQUAL (error, ECONNRESET);
+  bench_free (b);
+
+  b = bench_new_bounded (HELD_MAX_BYTES, IDLE_TIMEOUT_MS);
+  http_exchange_set_stall_timeout (bench_begin_unread (b, b->fd, old), STALL_MS);
+  bench_write_until_congested (b);
+  CU_ASSERT_TRUE (events_until (b->events, &b->disconnected));
+  read_all (b, 300, &error);
+  CU_ASSERT_EQUAL (error, ECONNRESET);
+  bench_free (b);
+
+  b = bench_new ();
+  bench_begin_unread (b, b->fd, old);
+  bench_write_until_congested (b);
+  CU_ASSERT_TRUE (b->disconnected);
+  read_all (b, 300, &error);
+  CU_ASSERT_EQUAL (error, ECONNRESET);
+  bench_free (b);
+}
+
+static const char small_post[] = "POST /1 HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc";
+static const char large_post[] = "POST /1 HTTP/1.1\r\nHost: x\r\nContent-Length: 65537\r\n\r\n";
+static const char chunked_post[] =
+    "POST /1 HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n10001\r\n";
+
+static void
+bench_raise_body_limit (struct Bench *b)
+{
+  const struct HttpLimits limits = { HEADER_MAX_BYTES, 2 * LARGE_BODY_BYTES, HEADER_TIMEOUT_MS,
+                                     IDLE_TIMEOUT_MS };
+
+  http_server_set_limits (b->server, &limits);
+}
+
+/* Above the bound for the process, requests with large bodies are sent back before their bodies are
+ * read, whether or not they announce a length; others are handled. */
+static void
+test_large_bodies_are_rejected_above_the_bound (void)
+{
+  static const char *const larges[] = { large_post, chunked_post };
+  char text[LARGE_BODY_BYTES + 1];
+
+  memset (text, 'x', sizeof text - 1);
+  text[sizeof text - 1] = '\0';
+  for (int i = 0; i < 2; i++)
+    {
+      struct Bench *b = bench_new_bounded (HELD_MAX_BYTES, IDLE_TIMEOUT_MS);
+      uint8_t *ballast = held_memory_resize (b, NULL, HELD_MAX_BYTES + 1);
+
+      bench_raise_body_limit (b);
+      b->respond_at_once = true;
+      raw_send (b->fd, small_post);
+      CU_ASSERT_TRUE (bench_read_until (b, " 200 "));
+      raw_send (b->fd, larges[i]);
+      raw_send (b->fd, text);
+      CU_ASSERT_TRUE (bench_read_until (b, " 503 "));
+      CU_ASSERT_PTR_NOT_NULL (strstr (b->text, "Retry-After: 0.1\r\n"));
+      CU_ASSERT_EQUAL (b->n_requests, 1);
+      CU_ASSERT (held_memory_bytes () < HELD_MAX_BYTES + 1024);
+      talloc_free (ballast);
+      bench_free (b);
+    }
+}
+
+/* Many callers announce large bodies and send nothing: what they announce counts, so that the bound
+ * holds when the bodies arrive. */
+static void
+test_announced_bodies_count_for_the_bound (void)
+{
+  struct Bench *b = bench_new_bounded ((uint64_t)2 * LARGE_BODY_BYTES, IDLE_TIMEOUT_MS);
+  int fds[N_CALLERS];
+
+  bench_raise_body_limit (b);
+  for (int i = 0; i < N_CALLERS; i++)
+    {
+      fds[i] = raw_connect (b->port);
+      raw_send (fds[i], large_post);
+    }
+  events_for (b->events, 50);
+  CU_ASSERT_EQUAL (held_memory_bytes (), 3 * LARGE_BODY_BYTES);
+  for (int i = 0; i < N_CALLERS; i++)
+    close (fds[i]);
+  events_for (b->events, 50);
+  CU_ASSERT_EQUAL (held_memory_bytes (), 0);
+  bench_free (b);
+}
+
 const char test_suite_name[] = "http_server";
 const struct TestCase test_cases[] = {
   { "requests follow each other", test_requests_follow_each_other_on_one_connection },
@@ -293,5 +636,19 @@
   { "a slow caller is rejected", test_a_slow_caller_is_rejected },
   { "a draining server closes after the response",
     test_a_draining_server_closes_after_the_response },
+  { "a caller that does not read congests its exchange",
+    test_a_caller_that_does_not_read_congests_its_exchange },
+  { "no exchange is congested without the setting",
+    test_no_exchange_is_congested_without_the_setting },
+  { "many callers that do not read are bounded", test_many_callers_that_do_not_read_are_bounded },
+  { "a caller that reads nothing is disconnected",
+    test_a_caller_that_reads_nothing_is_disconnected },
+  { "a complete response is delivered late", test_a_complete_response_is_delivered_late },
+  { "pipelined requests wait while the caller does not read",
+    test_pipelined_requests_wait_while_the_caller_does_not_read },
+  { "a truncated response without a length is reset",
+    test_a_truncated_response_without_a_length_is_reset },
+  { "large bodies are rejected above the bound", test_large_bodies_are_rejected_above_the_bound },
+  { "announced bodies count for the bound", test_announced_bodies_count_for_the_bound },
   { NULL, NULL },
 };
