Slow down servers whose callers do not read, with [limits] held_memory

A stream was read from its server at the server's speed; a caller that read more slowly was disconnected at 4 MB. With [limits] held_memory (default 0: not active) reading from the server pauses while 1 MB is unread and resumes below 512 KB, a caller that reads nothing for its route's timeout is disconnected, and an event without an end or the text of a retained turn fails the request over 8 MB, as other responses do. The request's deadline is unchanged.

Sessions, one gateway, 24 MB from an engine to a caller that begins to read after 1 s: between 1 and 2.25 MB are held and the whole stream arrives.

--- a/core/gateway/gateway_settings.c
+++ b/core/gateway/gateway_settings.c
@@ -19,7 +19,8 @@
 
 enum
 {
-  MINUTE_MS = 60 * 1000
+  MINUTE_MS = 60 * 1000,
+  GIB = 1024 * 1024 * 1024
 };
 
 static const struct ConfigKey instance_keys[] = {
@@ -72,6 +73,7 @@
 
 static const struct ConfigKey limit_keys[] = {
   NUMBER ("connections", CONFIG_VALUE_NUMBER, connections_max, "2000", UNIT_NONE, 8, 100000),
+  NUMBER ("held_memory", CONFIG_VALUE_NUMBER, held_memory_bytes, "0", UNIT_BYTES, 0, GIB),
 };
 
 static const struct ConfigChoice quota_sharings[] = {
--- a/gateway/answer.c
+++ b/gateway/answer.c
@@ -49,6 +49,13 @@
     http_exchange_begin (request->exchange, request->response.status, &request->response_headers);
 }
 
+void
+request_update_flow (struct Request *request)
+{
+  if (request->call != NULL)
+    http_call_set_paused (request->call, http_exchange_is_congested (request->exchange));
+}
+
 static void
 stream_forward (struct Request *request, const uint8_t *bytes, size_t n_bytes)
 {
@@ -58,6 +65,7 @@
     histogram_add (HISTOGRAM_FIRST_EVENT, request_elapsed_ms (request));
   request->wrote_any = true;
   http_exchange_write (request->exchange, bytes, n_bytes);
+  request_update_flow (request);
 }
 
 /* Forwards only complete events of a stream that may be resumed at another server: a partial event
@@ -83,6 +91,19 @@
   byte_queue_drop (&request->partial_event, n_complete);
 }
 
+/* Returns whether the bytes of the stream that are not forwarded yet exceed the bound for a
+ * response: an event without an end, or a turn whose text is retained. */
+static bool
+stream_is_too_large (const struct Request *request)
+{
+  const struct EventStream *events = &request->events;
+
+  return request->front->node->settings->held_memory_bytes > 0
+         && byte_queue_length (&request->partial_event) + byte_queue_length (&events->line)
+                    + byte_queue_length (&events->event) + byte_queue_length (&events->data)
+                > ANSWER_MAX_BYTES;
+}
+
 static void
 call_on_body (void *data, const uint8_t *bytes, size_t n_bytes)
 {
@@ -99,6 +120,8 @@
     }
   if (event_stream_parse (request, &request->events, bytes, n_bytes) != ERROR_NONE)
     request_fail (request, FAILURE_BROKEN, "out of memory for the stream");
+  else if (stream_is_too_large (request))
+    request_fail (request, FAILURE_BROKEN, "the stream is too large to hold");
   else if (request->route.resumable)
     stream_forward_whole_events (request, bytes, n_bytes);
   else
--- a/gateway/front.c
+++ b/gateway/front.c
@@ -5,6 +5,7 @@
 #include "directory.h"
 #include "loop_echo.h"
 #include "quotas.h"
+#include "request.h"
 #include "slots.h"
 #include "store_reader.h"
 
@@ -89,6 +90,12 @@
   request_end (request);
 }
 
+static void
+request_on_caller_reads (struct HttpExchange *exchange)
+{
+  request_update_flow (exchange->handler_data);
+}
+
 static struct Request *
 request_new (struct Front *front, struct HttpExchange *exchange)
 {
@@ -110,6 +117,7 @@
   request->body_bytes = exchange->body_bytes;
   exchange->handler_data = request;
   exchange->on_disconnect = request_on_caller_left;
+  exchange->on_uncongested = request_on_caller_reads;
   return request;
 }
 
@@ -160,6 +168,7 @@
   if (request->caller.timeout_ms > 0 && request->caller.timeout_ms < timeout_ms)
     timeout_ms = request->caller.timeout_ms;
   request->deadline_ms = request->arrived_ms + timeout_ms;
+  http_exchange_set_stall_timeout (request->exchange, route->timeout_ms);
   request->timeout = timer_subscribe (request, front->node->timers,
                                       request->deadline_ms - timer_now_ms (front->node->timers), 0,
                                       request_on_timeout, request);
@@ -608,6 +617,7 @@
     .setting = setting,
     .limits = initial_limits,
     .connections_max = connections_max,
+    .held_max_bytes = front->node->settings->held_memory_bytes,
     .request = request,
     .data = front,
   };
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -104,7 +104,10 @@
   request->call = NULL;
   attempt_release (request);
   if (request->exchange != NULL)
-    request->exchange->on_disconnect = NULL;
+    {
+      request->exchange->on_disconnect = NULL;
+      request->exchange->on_uncongested = NULL;
+    }
   *request->pprev = request->next;
   if (request->next != NULL)
     request->next->pprev = request->pprev;
@@ -291,6 +294,8 @@
   call.head = head;
   request->call = http_client_submit (front->client, &call, &handler);
   talloc_free (head);
+  /* A resumed stream may find its caller still congested. */
+  request_update_flow (request);
   return request->call != NULL;
 }
 
--- a/gateway/request.h
+++ b/gateway/request.h
@@ -32,6 +32,10 @@
 bool
 request_claim_resume (struct Request *request);
 
+/* Stops reading the server's response while the caller is congested, and resumes afterwards. */
+void
+request_update_flow (struct Request *request);
+
 /* Returns the time since the request was received completely. */
 int64_t
 request_elapsed_ms (const struct Request *request);
--- a/include/buckthornhead/gateway_settings.h
+++ b/include/buckthornhead/gateway_settings.h
@@ -8,8 +8,8 @@
 /* Sections: [instance] name, zone, data_folder; [listen] caller, ready, directory, metrics, peer
  * (IP:port each) and announce; caller, ready and directory are for gateways; [platform] store
  * (URL), prefix, features, change_in_force; [membership] seeds, seed_port; [archives] first_start,
- * tolerated; [stop] grace; [directory] keep; [limits] connections; [quota] window, slack, sharing;
- * [decisions] the switches of decisions.h. */
+ * tolerated; [stop] grace; [directory] keep; [limits] connections, held_memory; [quota] window,
+ * slack, sharing; [decisions] the switches of decisions.h. */
 struct GatewaySettings
 {
   char instance[NAME_MAX_BYTES + 1];
@@ -32,9 +32,10 @@
   uint32_t grace_ms;   /* from SIGTERM to the exit */
   uint32_t keep_s;     /* time for which callers may cache a list of addresses */
   uint32_t connections_max;
-  uint32_t quota_window_ms; /* length of the sliding window in which a limit holds */
-  uint32_t quota_slack;     /* requests over a limit that operators tolerate in each window */
-  int32_t quota_sharing;    /* enum QuotaSharing */
+  uint32_t held_memory_bytes; /* bound on the data held for callers and servers; 0: none */
+  uint32_t quota_window_ms;   /* length of the sliding window in which a limit holds */
+  uint32_t quota_slack;       /* requests over a limit that operators tolerate in each window */
+  int32_t quota_sharing;      /* enum QuotaSharing */
   struct Decisions decisions;
 };
 
--- a/tests/sessions/gateways.h
+++ b/tests/sessions/gateways.h
@@ -44,7 +44,8 @@
   uint32_t n_gateways, n_archives;
   char store[48];
   uint16_t seed_port; /* first gateway's peer port, the seed of all processes; 0: no seed is set */
-  char last_turn_id[64];  /* id of the last attempt of turn_send_until_accepted */
+  char last_turn_id[64];        /* id of the last attempt of turn_send_until_accepted */
+  const char *gateway_sections; /* further sections of the gateways' settings; NULL: none */
   ProxyPortFn proxy_port; /* proxy for each peer port and the store; NULL: direct connections */
   void *proxy_data;
 };
--- a/tests/sessions/test_gateway_streams.c
+++ b/tests/sessions/test_gateway_streams.c
@@ -2,9 +2,13 @@
 
 #include "gateways.h"
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 /* Stream routes that keep no turns: /asks/ and /single/ are resumable, but /single/ allows one
  * attempt only; /plain/ is not resumable. */
@@ -297,6 +301,133 @@
   talloc_free (ctx);
 }
 
+/* Streams to callers that do not read: larger than the kernel's buffers between the processes. */
+enum
+{
+  LONG_EVENTS = 6000,
+  LONG_EVENT_BYTES = 4000,
+  LATE_MS = 1000,
+  /* 1 MB for the caller, in a buffer of up to twice its length, and the read that exceeded it. */
+  HELD_EXPECTED_MAX_BYTES = 2 * (1024 + 128) * 1024
+};
+
+static const char slow_routes[] =
+    "{\"name\":\"late\",\"host\":\"x.example\",\"prefix\":\"/late/\",\"kind\":\"stream\","
+    "\"timeout_ms\":9000,\"service\":\"engines\",\"max_attempts\":2,\"retain\":false,"
+    "\"resumable\":true},"
+    "{\"name\":\"never\",\"host\":\"x.example\",\"prefix\":\"/never/\",\"kind\":\"stream\","
+    "\"timeout_ms\":1200,\"service\":\"engines\",\"max_attempts\":2,\"retain\":false}";
+
+static struct Fleet *
+slow_start (TALLOC_CTX *ctx)
+{
+  struct Fleet *fleet = fleet_new (ctx);
+
+  fleet->gateway_sections = "[limits]\nheld_memory = 32M\n";
+  fleet_start_all (fleet, 1, 3, NULL, NULL);
+  installation_configure (fleet->installation, 2, slow_routes);
+  CU_ASSERT_TRUE (process_wait_for_output (fleet->gateways[0].process, "version 2, 5 routes"));
+  for (uint32_t i = FIRST_ENGINE; i < FIRST_ENGINE + 2; i++)
+    {
+      server_set_event_interval (fleet->installation, i, 0);
+      server_set_stream (fleet->installation, i, LONG_EVENTS, LONG_EVENT_BYTES);
+    }
+  return fleet;
+}
+
+/* Sends a request and reads nothing of the response. */
+static int
+send_unread (const struct Fleet *fleet, const char *path)
+{
+  const char *address = fleet->gateways[0].caller;
+  struct sockaddr_in to = { .sin_family = AF_INET,
+                            .sin_port = htons ((uint16_t)atoi (strchr (address, ':') + 1)) };
+  char request[256];
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  int n = snprintf (request, sizeof request,
+                    "POST %s HTTP/1.1\r\nHost: x.example\r\nX-Request-Id: s\r\nX-Program-Id: p\r\n"
+                    "X-Token-Count: 100,200\r\nX-Deadline-Ms: 9000\r\nContent-Length: 3\r\n\r\nall",
+                    path);
+
+  to.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  CU_ASSERT_EQUAL_FATAL (connect (fd, (struct sockaddr *)&to, sizeof to), 0);
+  CU_ASSERT_EQUAL (send (fd, request, (size_t)n, 0), n);
+  return fd;
+}
+
+static uint64_t
+held_bytes (const struct Fleet *fleet)
+{
+  static const char name[] = "\nbuckthornhead_held_bytes ";
+  struct HttpReply *reply = http_get (NULL, fleet->gateways[0].metrics, "/metrics");
+  const char *at = reply->body != NULL ? strstr (reply->body, name) : NULL;
+  uint64_t n = at != NULL ? strtoull (at + strlen (name), NULL, 10) : UINT64_MAX;
+
+  talloc_free (reply);
+  return n;
+}
+
+/* Reads to the last chunk or the end of the connection; returns whether the last chunk came. */
+static bool
+read_stream (int fd, uint64_t *n_bytes)
+{
+  static char text[64 * 1024 + 1];
+  ssize_t n;
+
+  *n_bytes = 0;
+  while ((n = recv (fd, text, sizeof text - 1, 0)) > 0)
+    {
+      text[n] = '\0';
+      *n_bytes += (uint64_t)n;
+      if (n >= 5 && strcmp (text + n - 5, "0\r\n\r\n") == 0)
+        return true;
+    }
+  return false;
+}
+
+/* A caller begins to read a second after its engine has begun to send 24 MB. Guards against a
+ * gateway that holds all of it, and against one that closes the connection at a bound: the engine
+ * must wait, and the caller get everything. */
+static void
+test_slow_caller_slows_down_its_engine (void)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct Fleet *fleet = slow_start (ctx);
+  uint32_t n_failed = CU_get_number_of_failures ();
+  int fd = send_unread (fleet, "/late/1");
+  uint64_t n_held, n_bytes;
+
+  sleep_ms (LATE_MS);
+  n_held = held_bytes (fleet);
+  CU_ASSERT (n_held >= 1024 * 1024);
+  CU_ASSERT (n_held <= HELD_EXPECTED_MAX_BYTES);
+  CU_ASSERT_TRUE (read_stream (fd, &n_bytes));
+  CU_ASSERT (n_bytes > LONG_EVENTS * LONG_EVENT_BYTES);
+  CU_ASSERT (held_bytes (fleet) < 64 * 1024);
+  close (fd);
+  fleet_end (fleet, CU_get_number_of_failures () > n_failed);
+  talloc_free (ctx);
+}
+
+/* A caller reads nothing for its route's timeout. Guards against memory that stays occupied, and
+ * against a truncated stream that looks complete. */
+static void
+test_caller_that_never_reads_is_disconnected (void)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct Fleet *fleet = slow_start (ctx);
+  uint32_t n_failed = CU_get_number_of_failures ();
+  int fd = send_unread (fleet, "/never/1");
+  uint64_t n_bytes;
+
+  CU_ASSERT_TRUE (process_wait_for_output (fleet->gateways[0].process, "caller_stalled"));
+  CU_ASSERT (held_bytes (fleet) < 64 * 1024);
+  CU_ASSERT_FALSE (read_stream (fd, &n_bytes));
+  close (fd);
+  fleet_end (fleet, CU_get_number_of_failures () > n_failed);
+  talloc_free (ctx);
+}
+
 const char test_suite_name[] = "sessions: gateway and streams";
 const struct TestCase test_cases[] = {
   { "a stream resumes at another server", test_stream_resumes_at_another_server },
@@ -304,5 +435,7 @@
   { "a caller gets the rest of its stream", test_caller_gets_the_rest_of_its_stream },
   { "a budget holds without kept turns", test_budget_holds_without_kept_turns },
   { "a session stays on its engine", test_session_stays_on_its_engine },
+  { "a slow caller slows down its engine", test_slow_caller_slows_down_its_engine },
+  { "a caller that never reads is disconnected", test_caller_that_never_reads_is_disconnected },
   { NULL, NULL },
 };
--- a/tests/standins/installation.c
+++ b/tests/standins/installation.c
@@ -9,6 +9,7 @@
 
 enum
 {
+  EVENTS_PER_STREAM = 4,
   RESTART_MS = 1000 /* difference of the advertised start times of two starts of a server */
 };
 
@@ -82,6 +83,7 @@
   server->engine = engine;
   server->port = port;
   server->event_ms = 5;
+  server->n_events = EVENTS_PER_STREAM;
   server->started_unix_ms = FIRST_START_UNIX_MS;
   snprintf (server->id, sizeof server->id, "i-%u", port);
   snprintf (server->service, sizeof server->service, "%s", service);
@@ -222,6 +224,15 @@
   pthread_mutex_unlock (&in->lock);
 }
 
+void
+server_set_stream (struct Installation *in, uint32_t server, uint32_t n_events, uint32_t data_bytes)
+{
+  pthread_mutex_lock (&in->lock);
+  in->servers[server].n_events = n_events;
+  in->servers[server].data_bytes = data_bytes;
+  pthread_mutex_unlock (&in->lock);
+}
+
 /* Returns the last run of request and counts all its runs in *n. The caller holds the lock. */
 static const struct Run *
 run_find_last (struct Installation *in, const char *request, uint32_t *n)
--- a/tests/standins/installation.h
+++ b/tests/standins/installation.h
@@ -94,6 +94,14 @@
 void
 server_set_event_interval (struct Installation *installation, uint32_t server, uint32_t event_ms);
 
+/* Sets the number of events of a stream, and the size of each one's data, at most 4000 bytes; 0:
+ * the request's id and the event's number only. */
+void
+server_set_stream (struct Installation *installation,
+                   uint32_t server,
+                   uint32_t n_events,
+                   uint32_t data_bytes);
+
 /* Return how often a request id ran on any server, and how many requests ran on one server. */
 uint32_t
 installation_runs_of (struct Installation *installation, const char *request);
--- a/tests/standins/installation_internal.h
+++ b/tests/standins/installation_internal.h
@@ -39,7 +39,8 @@
   uint16_t port;
   enum ServerMode mode;
   uint32_t event_ms, sequence;
-  uint64_t started_unix_ms; /* "born" in the entry */
+  uint32_t n_events, data_bytes; /* of a stream */
+  uint64_t started_unix_ms;      /* "born" in the entry */
   struct MHD_Daemon *daemon;
 };
 
--- a/tests/standins/installation_server.c
+++ b/tests/standins/installation_server.c
@@ -8,7 +8,6 @@
 
 enum
 {
-  EVENTS_PER_STREAM = 4,
   HANG_POLL_MS = 10
 };
 
@@ -17,7 +16,7 @@
 {
   struct Server *server;
   char request[65];
-  uint32_t n_sent;
+  uint32_t n_sent, n_events, data_bytes;
   bool cut_short, partial_event_sent; /* cut_short: closes in the middle of the stream */
 };
 
@@ -114,11 +113,11 @@
   int n;
 
   (void)at;
-  if (stream->n_sent == EVENTS_PER_STREAM)
+  if (stream->n_sent >= stream->n_events)
     return MHD_CONTENT_READER_END_OF_STREAM;
   if (stream->cut_short && stream->partial_event_sent)
     return MHD_CONTENT_READER_END_WITH_ERROR;
-  if (stream->cut_short && stream->n_sent >= EVENTS_PER_STREAM / 2)
+  if (stream->cut_short && stream->n_sent >= stream->n_events / 2)
     {
       stream->partial_event_sent = true;
       return snprintf (buffer, buffer_bytes, "id: %u\nda", stream->n_sent + 1);
@@ -128,8 +127,8 @@
   pthread_mutex_unlock (&stream->server->installation->lock);
   usleep (event_ms * 1000);
   stream->n_sent++;
-  n = snprintf (buffer, buffer_bytes, "id: %u\ndata: %s-%u\n\n", stream->n_sent, stream->request,
-                stream->n_sent);
+  n = snprintf (buffer, buffer_bytes, "id: %u\ndata: %s-%u%.*d\n\n", stream->n_sent,
+                stream->request, stream->n_sent, (int)stream->data_bytes, 0);
   return n;
 }
 
@@ -140,7 +139,7 @@
   struct Installation *in = stream->server->installation;
 
   pthread_mutex_lock (&in->lock);
-  if (stream->n_sent < EVENTS_PER_STREAM && !stream->cut_short)
+  if (stream->n_sent < stream->n_events && !stream->cut_short)
     in->n_client_closes++;
   pthread_mutex_unlock (&in->lock);
   free (stream);
@@ -154,6 +153,8 @@
 
   stream->server = server;
   stream->n_sent = after;
+  stream->n_events = server->n_events;
+  stream->data_bytes = server->data_bytes;
   stream->cut_short = cut_short;
   snprintf (stream->request, sizeof stream->request, "%s", request);
   response = MHD_create_response_from_callback (MHD_SIZE_UNKNOWN, 4096, stream_next, stream,
--- a/tests/test_gateway_settings.c
+++ b/tests/test_gateway_settings.c
@@ -130,6 +130,29 @@
   talloc_free (ctx);
 }
 
+/* Guards against bounds on memory that take effect where no setting asks for them. */
+static void
+test_held_memory_is_unbounded_unless_set (void)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct GatewaySettings *s;
+  char *messages;
+
+  CU_ASSERT_EQUAL (parse (ctx, gateway_text, &s, &messages), ERROR_NONE);
+  CU_ASSERT_EQUAL (s->held_memory_bytes, 0);
+  CU_ASSERT_EQUAL (parse (ctx,
+                          talloc_asprintf (ctx, "%s[limits]\nheld_memory = 32M\n", gateway_text),
+                          &s, &messages),
+                   ERROR_NONE);
+  CU_ASSERT_EQUAL (s->held_memory_bytes, 32 * 1024 * 1024);
+  CU_ASSERT_EQUAL (parse (ctx,
+                          talloc_asprintf (ctx, "%s[limits]\nheld_memory = much\n", gateway_text),
+                          &s, &messages),
+                   ERROR_INVALID);
+  CU_ASSERT_PTR_NOT_NULL (strstr (messages, "held_memory"));
+  talloc_free (ctx);
+}
+
 const char test_suite_name[] = "gateway_settings";
 const struct TestCase test_cases[] = {
   { "gateway and archive settings parse", test_gateway_and_archive_settings_parse },
@@ -137,5 +160,6 @@
   { "a process is a gateway or an archive", test_process_is_gateway_or_archive },
   { "each decision has a switch", test_each_decision_has_a_switch },
   { "modes are off unless set", test_modes_are_off_unless_set },
+  { "held memory is unbounded unless set", test_held_memory_is_unbounded_unless_set },
   { NULL, NULL },
 };
