--- a/tests/sessions/test_gateway_streams.c
+++ b/tests/sessions/test_gateway_streams.c
@@ -428,6 +428,26 @@
   talloc_free (ctx);
 }
 
+/* An engine sends 24 MB in a turn whose text is retained. Guards against a gateway that holds all
+ * of it: the turn fails over 8 MB, and its stream does not look complete. */
+static void
+test_retained_turn_is_bounded (void)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct Fleet *fleet = slow_start (ctx);
+  uint32_t n_failed = CU_get_number_of_failures ();
+  int fd = send_unread (fleet, "/turns/1");
+  uint64_t n_bytes;
+
+  CU_ASSERT_FALSE (read_stream (fd, &n_bytes));
+  CU_ASSERT (n_bytes > 4 * 1024 * 1024);
+  CU_ASSERT_TRUE (process_wait_for_output (fleet->gateways[0].process, "too large to hold"));
+  CU_ASSERT (held_bytes (fleet) < 64 * 1024);
+  close (fd);
+  fleet_end (fleet, CU_get_number_of_failures () > n_failed);
+  talloc_free (ctx);
+}
+
 const char test_suite_name[] = "sessions: gateway and streams";
 const struct TestCase test_cases[] = {
   { "a stream resumes at another server", test_stream_resumes_at_another_server },
@@ -436,6 +456,7 @@
   { "a budget holds without kept turns", test_budget_holds_without_kept_turns },
   { "a session stays on its engine", test_session_stays_on_its_engine },
   { "a slow caller slows down its engine", test_slow_caller_slows_down_its_engine },
+  { "a retained turn is bounded", test_retained_turn_is_bounded },
   { "a caller that never reads is disconnected", test_caller_that_never_reads_is_disconnected },
   { NULL, NULL },
 };
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -1,7 +1,7 @@
 /* Randomized soak test: runs gateways and archives as processes, injects faults from outside them,
  * and checks the documented guarantees by what callers and servers observe.
  *
- *   soak --seed N --seeds COUNT --seconds S
+ *   soak --seed N --seeds COUNT --seconds S --sharing WORD --hard-load
  *
  * Prints each fault when it begins. A violation fails the run and keeps the processes' logs. */
 #include "soak_load.h"
@@ -22,7 +22,9 @@
   N_PROXIES = N_GATEWAYS + N_ARCHIVES + 1,
   STORE_PROXY = N_PROXIES - 1,
   STEP_MS = 20,
-  DELAY_MAX_MS = 250
+  DELAY_MAX_MS = 250,
+  EVENT_MS = 5, /* between two events of an engine */
+  SLOW_FACTOR = 4
 };
 
 /* An event, and whether it has begun and not ended. */
@@ -40,6 +42,7 @@
   size_t n_proxies;
   bool busy[N_GATEWAYS + N_ARCHIVES]; /* by process: an event is active on it */
   bool links_busy[N_PROXIES], store_busy, servers_busy;
+  bool loads_busy[N_SOAK_LOADS]; /* by kind */
   uint64_t version;
 };
 
@@ -158,6 +161,42 @@
   return true;
 }
 
+/* Begins a load, or ends it. */
+static void
+set_load (struct Soak *soak, const struct SoakEvent *event, bool begins)
+{
+  static const char *const false_loads[] = { "0,0,12,10", "0,0,12,9999", "4000000000,4000000000,1",
+                                             "0,0,0",     "1,2,3,-5",    "much" };
+  struct Installation *in = soak->fleet->installation;
+
+  switch (event->fault)
+    {
+    case SOAK_SERVER_SLOW:
+      server_set_event_interval (in, FIRST_ENGINE + event->target % 2,
+                                 begins ? SLOW_FACTOR * EVENT_MS : EVENT_MS);
+      break;
+    case SOAK_SERVER_LOAD:
+      server_set_load (
+          in, event->target % (TOOL_SERVER + 1),
+          begins ? false_loads[event->variant % (sizeof false_loads / sizeof false_loads[0])] : "");
+      break;
+    case SOAK_WAVE:
+      soak->load.n_active = begins ? SOAK_WAVE_FACTOR * N_CALLERS : N_CALLERS;
+      break;
+    default:
+      soak->load.surging = begins ? SOAK_CUSTOMERS + event->target % SOAK_SURGE_CUSTOMERS : 0;
+    }
+}
+
+static bool
+begin_load (struct Soak *soak, const struct SoakEvent *event)
+{
+  if (!claim (&soak->loads_busy[event->fault - SOAK_SERVER_SLOW]))
+    return false;
+  set_load (soak, event, true);
+  return true;
+}
+
 static bool
 begin_kill_all (struct Soak *soak)
 {
@@ -196,6 +235,11 @@
       return true;
     case SOAK_KILL_ALL:
       return begin_kill_all (soak);
+    case SOAK_SERVER_SLOW:
+    case SOAK_SERVER_LOAD:
+    case SOAK_WAVE:
+    case SOAK_SURGE:
+      return begin_load (soak, event);
     default:
       return begin_process (soak, event);
     }
@@ -243,6 +287,13 @@
       break;
     case SOAK_CONFIG:
       break;
+    case SOAK_SERVER_SLOW:
+    case SOAK_SERVER_LOAD:
+    case SOAK_WAVE:
+    case SOAK_SURGE:
+      set_load (soak, event, false);
+      soak->loads_busy[event->fault - SOAK_SERVER_SLOW] = false;
+      break;
     case SOAK_KILL_ALL:
       for (uint32_t node = 0; node < N_GATEWAYS + N_ARCHIVES; node++)
         {
@@ -284,8 +335,12 @@
     }
 }
 
+/* Activates what the settings leave off. */
+static const char hard_load_sections[] =
+    "[limits]\nheld_memory = 32M\n[decisions]\nadmission = on\npace = on\nplain_queues = on\n";
+
 static uint32_t
-soak_run (uint64_t seed, int64_t length_ms)
+soak_run (uint64_t seed, int64_t length_ms, const char *sharing, bool hard_load)
 {
   TALLOC_CTX *ctx = talloc_new (NULL);
   struct Soak *soak = talloc_zero (ctx, struct Soak);
@@ -296,6 +351,9 @@
   printf ("seed %llu, %zu faults\n", (unsigned long long)seed, n_events);
   soak->version = 1;
   soak->fleet = fleet_new (ctx);
+  soak->fleet->gateway_sections = talloc_asprintf (ctx, "[quota]\nsharing = %s\n%s", sharing,
+                                                   hard_load ? hard_load_sections : "");
+  soak->load.limits_surges = strcmp (sharing, "leases") == 0;
   fleet_start_all (soak->fleet, N_GATEWAYS, N_ARCHIVES, soak_add_proxy, soak);
   installation_set_customers (soak->fleet->installation, soak_customers);
   installation_configure (soak->fleet->installation, ++soak->version, "");
@@ -326,21 +384,29 @@
   struct arg_int *seed = arg_int0 (NULL, "seed", "N", "first seed (1)");
   struct arg_int *seeds = arg_int0 (NULL, "seeds", "COUNT", "number of seeds (1)");
   struct arg_int *seconds = arg_int0 (NULL, "seconds", "S", "duration of the faults per seed (20)");
+  struct arg_str *sharing = arg_str0 (NULL, "sharing", "WORD",
+                                      "[quota] sharing; surges are checked with leases (counts)");
+  struct arg_lit *hard_load = arg_lit0 (NULL, "hard-load", "activate what is off by default");
   struct arg_end *end = arg_end (4);
-  void *table[] = { seed, seeds, seconds, end };
+  void *table[] = { seed, seeds, seconds, sharing, hard_load, end };
   uint32_t n_failed = 0;
 
   seed->ival[0] = 1;
   seeds->ival[0] = 1;
   seconds->ival[0] = 20;
+  sharing->sval[0] = "counts";
   if (arg_parse (argc, argv, table) > 0 || seconds->ival[0] < 1 || seeds->ival[0] < 1)
     {
       arg_print_errors (stderr, end, "soak");
-      fprintf (stderr, "usage: soak [--seed N] [--seeds COUNT] [--seconds S]\n");
+      fprintf (
+          stderr,
+          "usage: soak [--seed N] [--seeds COUNT] [--seconds S] [--sharing WORD] [--hard-load]\n");
       return 2;
     }
   for (int i = 0; i < seeds->ival[0]; i++)
-    if (soak_run ((uint64_t)seed->ival[0] + (uint64_t)i, (int64_t)seconds->ival[0] * 1000) > 0)
+    if (soak_run ((uint64_t)seed->ival[0] + (uint64_t)i, (int64_t)seconds->ival[0] * 1000,
+                  sharing->sval[0], hard_load->count > 0)
+        > 0)
       {
         n_failed++;
         printf ("FAILED seed %d\n", seed->ival[0] + i);
--- a/tests/soak/soak_load.c
+++ b/tests/soak/soak_load.c
@@ -9,13 +9,16 @@
 
 enum
 {
-  CALLERS_MAX = 16,
+  CALLERS_MAX = 32,
+  SURGE_CALLERS = 3,
+  SURGE_PAUSE_MS = 15, /* of each surge caller: together over ten times the limit */
   EVENTS_PER_TURN = 4, /* as the stand-ins stream them */
   MAX_TOKENS = 200,    /* of one turn, as its caller declares */
   TURNS_MAX = 5,
   ATTEMPTS_MAX = 12,
   TIMEOUT_MS = 3000,
   PAUSE_MS = 30,
+  WINDOW_MS = 5000, /* in which a limit holds */
   HISTORY_MAX = 32 * 1024,
   RECOVERY_TIMEOUT_MS = 60000
 };
@@ -23,13 +26,16 @@
 const char soak_customers[] =
     "[{\"name\":\"c0\",\"api_keys\":[\"soak-key-0\"]},{\"name\":\"c1\",\"api_keys\":[\"soak-key-"
     "1\"]},"
-    "{\"name\":\"c2\",\"api_keys\":[\"soak-key-2\"],\"rate_per_s\":12,\"burst\":12}]";
+    "{\"name\":\"c2\",\"api_keys\":[\"soak-key-2\"],\"rate_per_s\":12,\"burst\":12},"
+    "{\"name\":\"c3\",\"api_keys\":[\"soak-key-3\"],\"rate_per_s\":12,\"burst\":12},"
+    "{\"name\":\"c4\",\"api_keys\":[\"soak-key-4\"],\"rate_per_s\":12,\"burst\":12}]";
 
 struct Caller
 {
   struct SoakLoad *load;
   uint32_t number;
   uint32_t customer;
+  bool sends_surges;
   uint64_t random;
   uint64_t n_ids;
   struct ClientLink links[GATEWAYS_MAX];
@@ -303,9 +309,19 @@
 caller_run (void *data)
 {
   struct Caller *caller = data;
+  struct SoakLoad *load = caller->load;
 
-  while (!caller->load->stopping)
-    caller_program (caller);
+  while (!load->stopping)
+    if (caller->sends_surges && load->surging > 0)
+      {
+        caller->customer = load->surging;
+        caller_call (caller);
+        sleep_ms (SURGE_PAUSE_MS);
+      }
+    else if (!caller->sends_surges && caller->number < load->n_active)
+      caller_program (caller);
+    else
+      sleep_ms (PAUSE_MS);
   return NULL;
 }
 
@@ -328,10 +344,14 @@
 void
 soak_load_start (struct SoakLoad *load, uint32_t n_callers)
 {
+  uint32_t n_programs = SOAK_WAVE_FACTOR * n_callers;
+
   pthread_mutex_init (&load->lock, NULL);
-  for (n_callers_started = 0; n_callers_started < n_callers; n_callers_started++)
+  load->n_active = n_callers;
+  for (n_callers_started = 0; n_callers_started < n_programs + SURGE_CALLERS; n_callers_started++)
     {
       caller_init (&callers[n_callers_started], load, n_callers_started);
+      callers[n_callers_started].sends_surges = n_callers_started >= n_programs;
       pthread_create (&callers[n_callers_started].thread, NULL, caller_run,
                       &callers[n_callers_started]);
     }
@@ -378,6 +398,20 @@
                   last[0] != '\0' ? last : "none");
 }
 
+static void
+check_limit (struct SoakLoad *load, uint32_t customer)
+{
+  char name[8];
+  uint32_t n;
+
+  snprintf (name, sizeof name, "c%u", customer);
+  n = installation_max_runs_in_window (load->fleet->installation, name, WINDOW_MS);
+  printf ("%s: at most %u requests in 5 s, tolerated are %d\n", name, n, SOAK_LIMIT_TOLERATED);
+  if (n > SOAK_LIMIT_TOLERATED && (customer < SOAK_CUSTOMERS || load->limits_surges))
+    soak_violation (load, "%u requests of %s ran in 5 s, tolerated are %d", n, name,
+                    SOAK_LIMIT_TOLERATED);
+}
+
 void
 soak_check_recovery (struct SoakLoad *load)
 {
@@ -392,11 +426,8 @@
   for (size_t i = 0; i < load->n_not_run; i++)
     if (installation_runs_of (load->fleet->installation, load->not_run[i]) > 0)
       soak_violation (load, "%s was rejected, but ran", load->not_run[i]);
-  if (installation_max_runs_in_window (load->fleet->installation, "c2", 5000)
-      > SOAK_LIMIT_TOLERATED)
-    soak_violation (load, "%u requests of c2 ran in 5 s, tolerated are %d",
-                    installation_max_runs_in_window (load->fleet->installation, "c2", 5000),
-                    SOAK_LIMIT_TOLERATED);
+  for (uint32_t i = SOAK_CUSTOMERS - 1; i < SOAK_CUSTOMERS + SOAK_SURGE_CUSTOMERS; i++)
+    check_limit (load, i);
   for (uint32_t g = 0; g < load->fleet->n_gateways; g++)
     client_close (&caller->links[g]);
   for (size_t i = 0; i < load->n_kept; i++)
--- a/tests/soak/soak_load.h
+++ b/tests/soak/soak_load.h
@@ -13,7 +13,10 @@
 
 enum
 {
-  SOAK_CUSTOMERS = 3,
+  SOAK_CUSTOMERS = 3, /* of programs */
+  /* Customers with the same limit as the last one, which send nothing but surges. */
+  SOAK_SURGE_CUSTOMERS = 2,
+  SOAK_WAVE_FACTOR = 3,
   SOAK_LIMIT_PER_S = 12, /* requests per second of the last customer, with the same burst */
   /* Most requests of the last customer in any 5 s that the operators tolerate: rate and burst, a
    * tenth more, and 20. */
@@ -28,6 +31,9 @@
   struct Fleet *fleet;
   uint64_t seed;
   _Atomic bool stopping;
+  _Atomic uint32_t n_active; /* callers that send programs */
+  _Atomic uint32_t surging;  /* customer over its limit, from SOAK_CUSTOMERS; 0: none */
+  bool limits_surges;        /* surges must keep to the limit, too */
   struct SoakCounts counts;
   pthread_mutex_t lock;
   char **not_run; /* ids of rejected requests, which must never run */
@@ -36,7 +42,8 @@
   size_t n_kept;
 };
 
-/* Starts n_callers threads. soak_load_end stops them. */
+/* Starts threads for n_callers callers, for three times as many in waves of demand, and for the
+ * surges. soak_load_end stops them. */
 void
 soak_load_start (struct SoakLoad *load, uint32_t n_callers);
 void
--- a/tests/soak/soak_plan.c
+++ b/tests/soak/soak_plan.c
@@ -1,11 +1,15 @@
 #include "soak_plan.h"
 
+#include <stdlib.h>
+
 enum
 {
   FIRST_MS = 500,
   GAP_MAX_MS = 1200,
   DURATION_MIN_MS = 200,
   DURATION_MAX_MS = 3500,
+  LOADS_MAX = SOAK_EVENTS_MAX / 4,
+  LOAD_GAP_MAX_MS = 2500,
   WIPE_GAP_MS = 9000 /* for copying to the wiped archive: 1 s, also with paused gateways */
 };
 
@@ -23,6 +27,10 @@
   "server",
   "configuration",
   "everything killed",
+  "engine four times slower",
+  "false load",
+  "three times the demand",
+  "customer over its limit",
 };
 
 const char *
@@ -53,6 +61,35 @@
     }
 }
 
+static int
+event_compare (const void *a, const void *b)
+{
+  const struct SoakEvent *first = a, *second = b;
+
+  return (first->at_ms > second->at_ms) - (first->at_ms < second->at_ms);
+}
+
+/* Appends loads to n events and returns the number of all. */
+static size_t
+plan_loads (uint64_t seed, int64_t length_ms, struct SoakEvent events[SOAK_EVENTS_MAX], size_t n)
+{
+  uint64_t state = seed * 104729 + 5;
+  uint32_t n_surges = 0;
+
+  for (int64_t at_ms = FIRST_MS; at_ms < length_ms && n < SOAK_EVENTS_MAX;
+       at_ms += draw (&state, LOAD_GAP_MAX_MS))
+    {
+      struct SoakEvent *event = &events[n++];
+
+      event->at_ms = at_ms;
+      event->fault = SOAK_SERVER_SLOW + draw (&state, N_SOAK_LOADS);
+      event->duration_ms = DURATION_MIN_MS + draw (&state, DURATION_MAX_MS - DURATION_MIN_MS);
+      event->target = event->fault == SOAK_SURGE ? n_surges++ : draw (&state, 1u << 16);
+      event->variant = draw (&state, 1u << 16);
+    }
+  return n;
+}
+
 size_t
 soak_plan (uint64_t seed, int64_t length_ms, struct SoakEvent events[SOAK_EVENTS_MAX])
 {
@@ -61,9 +98,9 @@
   int64_t at_ms = FIRST_MS, next_wipe_ms = FIRST_MS;
   size_t n = 0;
 
-  while (at_ms < length_ms && n < SOAK_EVENTS_MAX)
+  while (at_ms < length_ms && n < SOAK_EVENTS_MAX - LOADS_MAX)
     {
-      struct SoakEvent event = { .at_ms = at_ms, .fault = draw (&state, N_SOAK_FAULTS) };
+      struct SoakEvent event = { .at_ms = at_ms, .fault = draw (&state, SOAK_SERVER_SLOW) };
 
       event.duration_ms = DURATION_MIN_MS + draw (&state, DURATION_MAX_MS - DURATION_MIN_MS);
       event.target = draw (&state, 1u << 16);
@@ -77,5 +114,7 @@
         next_wipe_ms = event.at_ms + event.duration_ms + WIPE_GAP_MS;
       events[n++] = event;
     }
+  n = plan_loads (seed, length_ms, events, n);
+  qsort (events, n, sizeof events[0], event_compare);
   return n;
 }
--- a/tests/soak/soak_plan.h
+++ b/tests/soak/soak_plan.h
@@ -20,7 +20,12 @@
   SOAK_SERVER, /* an engine or the desk fails requests */
   SOAK_CONFIG, /* the operators write a new configuration version */
   SOAK_KILL_ALL,
-  N_SOAK_FAULTS
+  SOAK_SERVER_SLOW, /* an engine takes four times as long */
+  SOAK_SERVER_LOAD, /* a server reports a false load */
+  SOAK_WAVE,        /* three times the demand */
+  SOAK_SURGE,       /* a customer exceeds its limit; the next one each time */
+  N_SOAK_FAULTS,
+  N_SOAK_LOADS = N_SOAK_FAULTS - SOAK_SERVER_SLOW /* the last ones, which are loads */
 };
 
 struct SoakEvent
@@ -38,7 +43,8 @@
 
 /* Fills events in the order of their start and returns their number. With one seed, archives either
  * lose their disks, one at a time with a gap for copying, or have the other faults: only the loss
- * of one disk at a time is guaranteed to be tolerated. */
+ * of one disk at a time is guaranteed to be tolerated. Loads are drawn apart, so that a seed keeps
+ * its faults. */
 size_t
 soak_plan (uint64_t seed, int64_t length_ms, struct SoakEvent events[SOAK_EVENTS_MAX]);
 
--- a/tests/standins/installation.c
+++ b/tests/standins/installation.c
@@ -233,6 +233,14 @@
   pthread_mutex_unlock (&in->lock);
 }
 
+void
+server_set_load (struct Installation *in, uint32_t server, const char *load)
+{
+  pthread_mutex_lock (&in->lock);
+  snprintf (in->servers[server].load, sizeof in->servers[server].load, "%s", load);
+  pthread_mutex_unlock (&in->lock);
+}
+
 /* Returns the last run of request and counts all its runs in *n. The caller holds the lock. */
 static const struct Run *
 run_find_last (struct Installation *in, const char *request, uint32_t *n)
--- a/tests/standins/installation.h
+++ b/tests/standins/installation.h
@@ -102,6 +102,10 @@
                    uint32_t n_events,
                    uint32_t data_bytes);
 
+/* Sets the value of X-Server-Load in the server's responses; "": the header is not sent. */
+void
+server_set_load (struct Installation *installation, uint32_t server, const char *load);
+
 /* Return how often a request id ran on any server, and how many requests ran on one server. */
 uint32_t
 installation_runs_of (struct Installation *installation, const char *request);
--- a/tests/standins/installation_internal.h
+++ b/tests/standins/installation_internal.h
@@ -40,6 +40,7 @@
   enum ServerMode mode;
   uint32_t event_ms, sequence;
   uint32_t n_events, data_bytes; /* of a stream */
+  char load[48];                 /* X-Server-Load; "": not sent */
   uint64_t started_unix_ms;      /* "born" in the entry */
   struct MHD_Daemon *daemon;
 };
--- a/tests/standins/installation_server.c
+++ b/tests/standins/installation_server.c
@@ -224,6 +224,7 @@
   struct MHD_Response *response;
   enum MHD_Result result;
   enum ServerMode mode;
+  char load[sizeof server->load];
   uint32_t after;
 
   (void)url;
@@ -236,6 +237,7 @@
     return reply_not_executed (connection, 421);
   pthread_mutex_lock (&in->lock);
   mode = server->mode;
+  memcpy (load, server->load, sizeof load);
   if (mode != SERVER_REJECTS)
     run_record (server, connection, request, ((struct RequestBody *)*state)->bytes);
   if (mode == SERVER_HANGS_ONCE)
@@ -252,6 +254,8 @@
   response = server->engine ? stream_response (server, request, after, mode == SERVER_TRUNCATES)
                             : plain_response (request);
   MHD_add_response_header (response, "X-Request-Id", request);
+  if (load[0] != '\0')
+    MHD_add_response_header (response, "X-Server-Load", load);
   if (mode != SERVER_OMITS_SEAL)
     MHD_add_response_header (response, "X-Response-Seal", "3e1b.07");
   result = MHD_queue_response (connection, 200, response);
