--- a/tests/soak/soak_load.c
+++ b/tests/soak/soak_load.c
@@ -398,6 +398,8 @@
                   last[0] != '\0' ? last : "none");
 }
 
+/* Checks that a customer kept to its limit. A surge is checked only where limits are kept by
+ * leases: gateways that count together learn of it too late, so it may exceed the limit. */
 static void
 check_limit (struct SoakLoad *load, uint32_t customer)
 {
