--- a/tests/sessions/test_gateway_servers.c
+++ b/tests/sessions/test_gateway_servers.c
@@ -474,7 +474,7 @@
   sleep_ms (1200);
   for (uint32_t g = 0; g < 2; g++)
     CU_ASSERT_EQUAL (slowest_pace (fleet, ctx, g), 0);
-  server_set_work_time (fleet->installation, FIRST_ENGINE, 300);
+  server_set_load (fleet->installation, FIRST_ENGINE, "1,0,8,300");
   send_turns_together (fleet, N_PACED_TURNS);
   for (uint32_t g = 0; g < 2; g++)
     {
--- a/tests/standins/installation.h
+++ b/tests/standins/installation.h
@@ -34,6 +34,7 @@
   SERVER_TRUNCATES,      /* runs the request; an engine closes within an event in the middle of the
                              stream, another server without a response */
   SERVER_OMITS_SEAL,     /* responds without X-Response-Seal */
+  SERVER_ENDLESS_EVENT,  /* runs the request; an engine sends one event without an end */
   SERVER_HANGS           /* runs the request and responds only after the mode has changed */
 };
 
@@ -93,9 +94,6 @@
 /* Sets the interval between two events of a stream. */
 void
 server_set_event_interval (struct Installation *installation, uint32_t server, uint32_t event_ms);
-/* Sets the work time that the server reports with each response, in percent; 0: none. */
-void
-server_set_work_time (struct Installation *installation, uint32_t server, uint32_t work_percent);
 
 /* Makes a plain server take work_ms for each request, and reject requests with 503 and
  * X-Not-Executed while it has `places` of them. */
@@ -108,6 +106,18 @@
 uint32_t
 server_rejections (struct Installation *installation, uint32_t server);
 
+/* Sets the number of events of a stream, and the size of each one's data, at most 4000 bytes; 0:
+ * the request's id and the event's number only. */
+void
+server_set_stream (struct Installation *installation,
+                   uint32_t server,
+                   uint32_t n_events,
+                   uint32_t data_bytes);
+
+/* Sets the value of X-Server-Load in the server's responses; "": the header is not sent. */
+void
+server_set_load (struct Installation *installation, uint32_t server, const char *load);
+
 /* Return how often a request id ran on any server, and how many requests ran on one server. */
 uint32_t
 installation_runs_of (struct Installation *installation, const char *request);
--- a/tests/standins/installation_internal.h
+++ b/tests/standins/installation_internal.h
@@ -41,8 +41,9 @@
   uint32_t event_ms, sequence;
   uint32_t work_ms;                           /* per request of a plain server */
   uint32_t places, n_in_progress, n_rejected; /* places 0: unlimited */
-  uint32_t work_percent;    /* reported with each response; 0: no load is reported */
-  uint64_t started_unix_ms; /* "born" in the entry */
+  uint32_t n_events, data_bytes;              /* of a stream */
+  char load[48];                              /* X-Server-Load; "": not sent */
+  uint64_t started_unix_ms;                   /* "born" in the entry */
   struct MHD_Daemon *daemon;
 };
 
--- a/tests/standins/installation_server.c
+++ b/tests/standins/installation_server.c
@@ -8,7 +8,6 @@
 
 enum
 {
-  EVENTS_PER_STREAM = 4,
   HANG_POLL_MS = 10
 };
 
@@ -17,8 +16,9 @@
 {
   struct Server *server;
   char request[65];
-  uint32_t n_sent;
+  uint32_t n_sent, n_events, data_bytes;
   bool cut_short, partial_event_sent; /* cut_short: closes in the middle of the stream */
+  bool endless;                       /* one event without an end */
 };
 
 bool
@@ -113,12 +113,17 @@
   uint32_t event_ms;
   int n;
 
-  (void)at;
-  if (stream->n_sent == EVENTS_PER_STREAM)
+  if (stream->endless)
+    {
+      memset (buffer, 'x', buffer_bytes);
+      memcpy (buffer, "data: ", at == 0 ? strlen ("data: ") : 0);
+      return (ssize_t)buffer_bytes;
+    }
+  if (stream->n_sent >= stream->n_events)
     return MHD_CONTENT_READER_END_OF_STREAM;
   if (stream->cut_short && stream->partial_event_sent)
     return MHD_CONTENT_READER_END_WITH_ERROR;
-  if (stream->cut_short && stream->n_sent >= EVENTS_PER_STREAM / 2)
+  if (stream->cut_short && stream->n_sent >= stream->n_events / 2)
     {
       stream->partial_event_sent = true;
       return snprintf (buffer, buffer_bytes, "id: %u\nda", stream->n_sent + 1);
@@ -128,8 +133,8 @@
   pthread_mutex_unlock (&stream->server->installation->lock);
   usleep (event_ms * 1000);
   stream->n_sent++;
-  n = snprintf (buffer, buffer_bytes, "id: %u\ndata: %s-%u\n\n", stream->n_sent, stream->request,
-                stream->n_sent);
+  n = snprintf (buffer, buffer_bytes, "id: %u\ndata: %s-%u%.*d\n\n", stream->n_sent,
+                stream->request, stream->n_sent, (int)stream->data_bytes, 0);
   return n;
 }
 
@@ -140,21 +145,24 @@
   struct Installation *in = stream->server->installation;
 
   pthread_mutex_lock (&in->lock);
-  if (stream->n_sent < EVENTS_PER_STREAM && !stream->cut_short)
+  if (stream->n_sent < stream->n_events && !stream->cut_short)
     in->n_client_closes++;
   pthread_mutex_unlock (&in->lock);
   free (stream);
 }
 
 static struct MHD_Response *
-stream_response (struct Server *server, const char *request, uint32_t after, bool cut_short)
+stream_response (struct Server *server, const char *request, uint32_t after, enum ServerMode mode)
 {
   struct Stream *stream = calloc (1, sizeof *stream);
   struct MHD_Response *response;
 
   stream->server = server;
   stream->n_sent = after;
-  stream->cut_short = cut_short;
+  stream->n_events = server->n_events;
+  stream->data_bytes = server->data_bytes;
+  stream->cut_short = mode == SERVER_TRUNCATES;
+  stream->endless = mode == SERVER_ENDLESS_EVENT;
   snprintf (stream->request, sizeof stream->request, "%s", request);
   response = MHD_create_response_from_callback (MHD_SIZE_UNKNOWN, 4096, stream_next, stream,
                                                 stream_on_free);
@@ -235,17 +243,6 @@
   pthread_mutex_unlock (&in->lock);
 }
 
-static void
-add_load (struct MHD_Response *response, uint32_t work_percent)
-{
-  char load[32];
-
-  if (work_percent == 0)
-    return;
-  snprintf (load, sizeof load, "1,0,8,%u", work_percent);
-  MHD_add_response_header (response, "X-Server-Load", load);
-}
-
 static enum MHD_Result
 server_on_request (void *data,
                    struct MHD_Connection *connection,
@@ -262,7 +259,8 @@
   struct MHD_Response *response;
   enum MHD_Result result;
   enum ServerMode mode;
-  uint32_t after, work_percent;
+  char load[sizeof server->load];
+  uint32_t after;
   bool has_place;
 
   (void)url;
@@ -275,7 +273,7 @@
     return reply_not_executed (connection, 421);
   pthread_mutex_lock (&in->lock);
   mode = server->mode;
-  work_percent = server->work_percent;
+  memcpy (load, server->load, sizeof load);
   has_place = server_take_place (server);
   if (mode != SERVER_REJECTS && has_place)
     run_record (server, connection, request, ((struct RequestBody *)*state)->bytes);
@@ -293,10 +291,11 @@
     return MHD_NO;
   server_wait_while_hanging (server);
   after = (uint32_t)strtoul (request_header (connection, "Last-Event-Id"), NULL, 10);
-  response = server->engine ? stream_response (server, request, after, mode == SERVER_TRUNCATES)
-                            : plain_response (request);
+  response =
+      server->engine ? stream_response (server, request, after, mode) : plain_response (request);
   MHD_add_response_header (response, "X-Request-Id", request);
-  add_load (response, work_percent);
+  if (load[0] != '\0')
+    MHD_add_response_header (response, "X-Server-Load", load);
   if (mode != SERVER_OMITS_SEAL)
     MHD_add_response_header (response, "X-Response-Seal", "3e1b.07");
   result = MHD_queue_response (connection, 200, response);
