--- a/tests/standins/installation_server.c
+++ b/tests/standins/installation_server.c
@@ -109,6 +109,7 @@
 static ssize_t
 stream_next (void *data, uint64_t at, char *buffer, size_t buffer_bytes)
 {
+  static const char start[] = { 'd', 'a', 't', 'a', ':', ' ' };
   struct Stream *stream = data;
   uint32_t event_ms;
   int n;
@@ -116,7 +117,8 @@
   if (stream->endless)
     {
       memset (buffer, 'x', buffer_bytes);
-      memcpy (buffer, "data: ", at == 0 ? strlen ("data: ") : 0);
+      if (at == 0)
+        memcpy (buffer, start, sizeof start);
       return (ssize_t)buffer_bytes;
     }
   if (stream->n_sent >= stream->n_events)
