--- a/tests/quota_sim.c
+++ b/tests/quota_sim.c
@@ -97,6 +97,13 @@
 };
 
 static struct Sim *sim;
+static enum QuotaSharing sim_sharing = QUOTA_BY_REPORTS;
+
+void
+quota_sim_set_sharing (enum QuotaSharing sharing)
+{
+  sim_sharing = sharing;
+}
 
 static uint32_t
 draw (uint32_t n)
@@ -244,7 +251,7 @@
   snprintf (settings->zone, sizeof settings->zone, "%s", zones[number % ZONES]);
   settings->quota_window_ms = WINDOW_MS;
   settings->quota_slack = SLACK;
-  settings->quota_sharing = QUOTA_BY_REPORTS;
+  settings->quota_sharing = (int32_t)sim_sharing;
   settings->decisions.under_way = true;
   gateway->node.settings = settings;
   gateway->node.timers = &gateway->clock;
--- a/tests/quota_sim.h
+++ b/tests/quota_sim.h
@@ -4,6 +4,8 @@
  * sliding window of the requests that were let through. */
 #pragma once
 
+#include <buckthornhead/customers/quota.h>
+
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -15,6 +17,11 @@
 /* Limits per second; each customer's burst is one second of its rate. */
 extern const double quota_sim_rates[QUOTA_SIM_CUSTOMERS];
 
+/* Sets how limits are divided in the simulations that start afterwards; QUOTA_BY_REPORTS before the
+ * first call. */
+void
+quota_sim_set_sharing (enum QuotaSharing sharing);
+
 /* Starts gateways in three zones, with all customers at their usual load. One simulation runs at a
  * time. */
 void
