--- a/core/counter.c
+++ b/core/counter.c
@@ -97,6 +97,16 @@
   [COUNTER_STREAMS_RESUMED] =
       COUNTS ("streams_resumed", "Interrupted streams that were resumed at another server"),
   [COUNTER_TURNS_STORED] = COUNTS ("turns_stored", "Turns stored by enough archives"),
+  [COUNTER_QUOTA_REQUESTED] =
+      COUNTS ("quota_leases_requested", "Requests for tokens of customers' limits"),
+  [COUNTER_QUOTA_GRANTED] =
+      COUNTS ("quota_tokens_granted", "Tokens of customers' limits that were granted"),
+  [COUNTER_QUOTA_REJECTED] =
+      COUNTS ("quota_leases_rejected", "Requests for tokens that the customer's owner rejected"),
+  [COUNTER_QUOTA_RETURNED] =
+      COUNTS ("quota_tokens_returned", "Tokens returned to other gateways without being used"),
+  [COUNTER_QUOTA_TIMEOUTS] =
+      COUNTS ("quota_timeouts", "Requests rejected because no owner of a limit responded"),
   [COUNTER_ARCHIVE_RECORDS] =
       COUNTS ("archive_records", "Records that this archive wrote to its disk"),
   [COUNTER_ARCHIVE_SYNCS] = COUNTS ("archive_syncs", "Batches of records that this archive synced"),
--- a/core/gateway/gateway_message.c
+++ b/core/gateway/gateway_message.c
@@ -347,6 +347,62 @@
   r->failed = r->failed || list.failed || report->usages == NULL;
 }
 
+static void
+quota_ask_pack (struct PackWriter *p, const struct QuotaAsk *ask)
+{
+  pack_u64 (p, ask->id);
+  pack_string (p, ask->customer);
+  pack_u64 (p, ask->kind);
+  pack_u64 (p, ask->n_wanted);
+}
+
+static void
+quota_ask_unpack (struct PackReader *r, struct QuotaAsk *ask)
+{
+  ask->id = read_u64 (r, UINT64_MAX);
+  read_string (r, ask->customer, sizeof ask->customer);
+  ask->kind = (enum QuotaRequestKind)read_u64 (r, QUOTA_REQUEST_UNDER_WAY);
+  ask->n_wanted = (uint32_t)read_u64 (r, QUOTA_LEASE_TOKENS_MAX);
+}
+
+static void
+quota_grant_pack (struct PackWriter *p, const struct QuotaGrant *grant)
+{
+  pack_u64 (p, grant->id);
+  pack_string (p, grant->customer);
+  pack_u64 (p, grant->n_granted);
+  pack_u64 (p, grant->valid_ms);
+  pack_u64 (p, grant->wait_ms);
+  pack_u64 (p, grant->program_size);
+  pack_u64 (p, grant->used_permille);
+}
+
+static void
+quota_grant_unpack (struct PackReader *r, struct QuotaGrant *grant)
+{
+  grant->id = read_u64 (r, UINT64_MAX);
+  read_string (r, grant->customer, sizeof grant->customer);
+  grant->n_granted = (uint32_t)read_u64 (r, QUOTA_LEASE_TOKENS_MAX);
+  grant->valid_ms = (uint32_t)read_u64 (r, QUOTA_LEASE_VALID_MS);
+  grant->wait_ms = (uint32_t)read_u64 (r, QUOTA_RETRY_MAX_MS);
+  grant->program_size = (uint32_t)read_u64 (r, UINT32_MAX);
+  grant->used_permille = (uint32_t)read_u64 (r, 1000);
+}
+
+static void
+quota_return_pack (struct PackWriter *p, const struct QuotaReturn *returned)
+{
+  pack_string (p, returned->customer);
+  pack_u64 (p, returned->n_tokens);
+}
+
+static void
+quota_return_unpack (struct PackReader *r, struct QuotaReturn *returned)
+{
+  read_string (r, returned->customer, sizeof returned->customer);
+  returned->n_tokens = (uint32_t)read_u64 (r, QUOTA_LEASE_TOKENS_MAX);
+}
+
 /* Returns the number of packed items of a message, its kind included, without optional ones. */
 static size_t
 message_n_items (enum GatewayKind kind)
@@ -374,6 +430,12 @@
       return 4;
     case GATEWAY_SNAPSHOT:
       return 10;
+    case GATEWAY_QUOTA_REQUEST:
+      return 5;
+    case GATEWAY_QUOTA_GRANT:
+      return 8;
+    case GATEWAY_QUOTA_RETURN:
+      return 3;
     case GATEWAY_SNAPSHOT_WANT:
     case GATEWAY_DIGESTS:
       return 2;
@@ -491,6 +553,15 @@
     case GATEWAY_USAGES:
       uses_pack (p, &message->usages);
       break;
+    case GATEWAY_QUOTA_REQUEST:
+      quota_ask_pack (p, &message->quota_ask);
+      break;
+    case GATEWAY_QUOTA_GRANT:
+      quota_grant_pack (p, &message->quota_grant);
+      break;
+    case GATEWAY_QUOTA_RETURN:
+      quota_return_pack (p, &message->quota_return);
+      break;
     }
   return pack_finish (p, ctx, bytes, n_bytes);
 }
@@ -557,6 +628,15 @@
     case GATEWAY_USAGES:
       uses_unpack (r, ctx, &m->usages);
       break;
+    case GATEWAY_QUOTA_REQUEST:
+      quota_ask_unpack (r, &m->quota_ask);
+      break;
+    case GATEWAY_QUOTA_GRANT:
+      quota_grant_unpack (r, &m->quota_grant);
+      break;
+    case GATEWAY_QUOTA_RETURN:
+      quota_return_unpack (r, &m->quota_return);
+      break;
     default:
       r->failed = true;
     }
@@ -576,7 +656,7 @@
   *message = NULL;
   if (opened == NULL)
     goto fail;
-  m->kind = (enum GatewayKind)read_u64 (&reader, GATEWAY_USAGES);
+  m->kind = (enum GatewayKind)read_u64 (&reader, GATEWAY_QUOTA_RETURN);
   n_items = message_n_items (m->kind);
   if (reader.failed
       || (reader.n_items != n_items
--- a/core/gateway/gateway_settings.c
+++ b/core/gateway/gateway_settings.c
@@ -77,6 +77,7 @@
 static const struct ConfigChoice quota_sharings[] = {
   { "counts", QUOTA_BY_REPORTS },
   { "equal_parts", QUOTA_BY_EQUAL_SHARES },
+  { "leases", QUOTA_BY_LEASES },
   { NULL, 0 },
 };
 
--- a/core/gateway/message_count.c
+++ b/core/gateway/message_count.c
@@ -5,7 +5,7 @@
 
 enum
 {
-  N_KINDS = GATEWAY_USAGES + 1
+  N_KINDS = GATEWAY_QUOTA_RETURN + 1
 };
 
 struct MessageCounter
@@ -61,6 +61,12 @@
       return "probe";
     case GATEWAY_USAGES:
       return "uses";
+    case GATEWAY_QUOTA_REQUEST:
+      return "quota_request";
+    case GATEWAY_QUOTA_GRANT:
+      return "quota_grant";
+    case GATEWAY_QUOTA_RETURN:
+      return "quota_return";
     }
   return "unknown";
 }
--- a/gateway/archive.c
+++ b/gateway/archive.c
@@ -427,6 +427,9 @@
     case GATEWAY_DIGESTS:
     case GATEWAY_PROBE:
     case GATEWAY_USAGES:
+    case GATEWAY_QUOTA_REQUEST:
+    case GATEWAY_QUOTA_GRANT:
+    case GATEWAY_QUOTA_RETURN:
       break;
     }
 }
--- a/gateway/node_receive.c
+++ b/gateway/node_receive.c
@@ -242,6 +242,9 @@
     case GATEWAY_SLOT_DONE:
     case GATEWAY_DIGESTS:
     case GATEWAY_USAGES:
+    case GATEWAY_QUOTA_REQUEST:
+    case GATEWAY_QUOTA_GRANT:
+    case GATEWAY_QUOTA_RETURN:
       node->handler.message (node->handler.data, link, sender, message);
       break;
     case GATEWAY_RELAY:
--- a/gateway/node_send.c
+++ b/gateway/node_send.c
@@ -51,6 +51,10 @@
     case GATEWAY_ALIVE:
     case GATEWAY_DIGESTS:
     case GATEWAY_USAGES:
+    /* A gateway that does not own the customer forwards the request instead of replying. */
+    case GATEWAY_QUOTA_REQUEST:
+    case GATEWAY_QUOTA_GRANT:
+    case GATEWAY_QUOTA_RETURN:
       return false;
     }
   return false;
--- a/include/buckthornhead/customers/quota.h
+++ b/include/buckthornhead/customers/quota.h
@@ -27,8 +27,9 @@
 /* How a limit is divided among gateways. */
 enum QuotaSharing
 {
-  QUOTA_BY_REPORTS,     /* by the usage that all gateways report */
-  QUOTA_BY_EQUAL_SHARES /* one equal share each, without communication */
+  QUOTA_BY_REPORTS,      /* by the usage that all gateways report */
+  QUOTA_BY_EQUAL_SHARES, /* one equal share each, without communication */
+  QUOTA_BY_LEASES        /* by tokens of the customer's owner, see quota_owner.h */
 };
 
 struct QuotaRules
--- a/include/buckthornhead/gateway_message.h
+++ b/include/buckthornhead/gateway_message.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <buckthornhead/archive_set.h>
+#include <buckthornhead/customers/quota_owner.h>
 #include <buckthornhead/customers/use_board.h>
 #include <buckthornhead/node_status.h>
 #include <buckthornhead/scheduling/slot_queue.h>
@@ -27,7 +28,10 @@
   GATEWAY_SNAPSHOT_WANT = 15, /* requests a full snapshot, as when changes do not apply */
   GATEWAY_DIGESTS = 16,       /* load and cache contents of the servers that the sender owns */
   GATEWAY_PROBE = 17,         /* requests GATEWAY_ALIVE; no fields */
-  GATEWAY_USAGES = 18         /* customers' usage of their limits */
+  GATEWAY_USAGES = 18,        /* customers' usage of their limits */
+  GATEWAY_QUOTA_REQUEST = 19, /* requests tokens of a customer that the receiver owns */
+  GATEWAY_QUOTA_GRANT = 20,   /* response to GATEWAY_QUOTA_REQUEST */
+  GATEWAY_QUOTA_RETURN = 21   /* tokens of a request that ran on no server */
 };
 
 /* Number of requests in flight to one backend server, as counted by the sender. */
@@ -205,6 +209,9 @@
     struct SlotDoneMessage slot_done;
     struct Digests digests;
     struct UsageReport usages;
+    struct QuotaAsk quota_ask;
+    struct QuotaGrant quota_grant;
+    struct QuotaReturn quota_return;
   };
 };
 
--- a/tests/test_gateway_message.c
+++ b/tests/test_gateway_message.c
@@ -57,6 +57,45 @@
   talloc_free (ctx);
 }
 
+static void
+test_quota_messages_round_trip (void)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct GatewayMessage message = { .kind = GATEWAY_QUOTA_REQUEST };
+  struct GatewayMessage *unpacked;
+
+  message.quota_ask = (struct QuotaAsk){
+    .id = 9, .customer = "alma", .kind = QUOTA_REQUEST_UNDER_WAY, .n_wanted = 8
+  };
+  unpacked = round_trip (ctx, &message);
+  CU_ASSERT_EQUAL (unpacked->quota_ask.id, 9);
+  CU_ASSERT_STRING_EQUAL (unpacked->quota_ask.customer, "alma");
+  CU_ASSERT_EQUAL (unpacked->quota_ask.kind, QUOTA_REQUEST_UNDER_WAY);
+  CU_ASSERT_EQUAL (unpacked->quota_ask.n_wanted, 8);
+  message.kind = GATEWAY_QUOTA_GRANT;
+  message.quota_grant = (struct QuotaGrant){ .id = 9,
+                                             .customer = "alma",
+                                             .n_granted = 4,
+                                             .valid_ms = 250,
+                                             .wait_ms = 120,
+                                             .program_size = 11,
+                                             .used_permille = 710 };
+  unpacked = round_trip (ctx, &message);
+  CU_ASSERT_EQUAL (unpacked->quota_grant.id, 9);
+  CU_ASSERT_STRING_EQUAL (unpacked->quota_grant.customer, "alma");
+  CU_ASSERT_EQUAL (unpacked->quota_grant.n_granted, 4);
+  CU_ASSERT_EQUAL (unpacked->quota_grant.valid_ms, 250);
+  CU_ASSERT_EQUAL (unpacked->quota_grant.wait_ms, 120);
+  CU_ASSERT_EQUAL (unpacked->quota_grant.program_size, 11);
+  CU_ASSERT_EQUAL (unpacked->quota_grant.used_permille, 710);
+  message.kind = GATEWAY_QUOTA_RETURN;
+  message.quota_return = (struct QuotaReturn){ .customer = "bela", .n_tokens = 3 };
+  unpacked = round_trip (ctx, &message);
+  CU_ASSERT_STRING_EQUAL (unpacked->quota_return.customer, "bela");
+  CU_ASSERT_EQUAL (unpacked->quota_return.n_tokens, 3);
+  talloc_free (ctx);
+}
+
 static void
 test_slot_messages_round_trip (void)
 {
@@ -407,6 +446,7 @@
 const char test_suite_name[] = "gateway_message";
 const struct TestCase test_cases[] = {
   { "turn requests round trip", test_turn_requests_round_trip },
+  { "quota messages", test_quota_messages_round_trip },
   { "slot messages round trip", test_slot_messages_round_trip },
   { "turn responses round trip", test_turn_responses_round_trip },
   { "turn closes round trip", test_turn_closes_round_trip },
--- a/tests/test_stored_format.c
+++ b/tests/test_stored_format.c
@@ -386,6 +386,36 @@
   };
 }
 
+static void
+fill_quota_request (struct GatewayMessage *m, uint32_t variant)
+{
+  static const enum QuotaRequestKind kinds[] = { QUOTA_REQUEST_SINGLE, QUOTA_REQUEST_BEGIN,
+                                                 QUOTA_REQUEST_UNDER_WAY };
+
+  m->quota_ask =
+      (struct QuotaAsk){ .id = 601, .customer = "alma", .kind = kinds[variant], .n_wanted = 6 };
+}
+
+static void
+fill_quota_grant (struct GatewayMessage *m, uint32_t variant)
+{
+  (void)variant;
+  m->quota_grant = (struct QuotaGrant){ .id = 602,
+                                        .customer = "alma",
+                                        .n_granted = 5,
+                                        .valid_ms = 250,
+                                        .wait_ms = 603,
+                                        .program_size = 11,
+                                        .used_permille = 604 };
+}
+
+static void
+fill_quota_return (struct GatewayMessage *m, uint32_t variant)
+{
+  (void)variant;
+  m->quota_return = (struct QuotaReturn){ .customer = "alma", .n_tokens = 2 };
+}
+
 static const struct
 {
   const char *name;
@@ -411,6 +441,9 @@
   { "digests", GATEWAY_DIGESTS, 1, fill_digests },
   { "probe", GATEWAY_PROBE, 1, fill_nothing },
   { "uses", GATEWAY_USAGES, 3, fill_uses },
+  { "quota_request", GATEWAY_QUOTA_REQUEST, 3, fill_quota_request },
+  { "quota_grant", GATEWAY_QUOTA_GRANT, 1, fill_quota_grant },
+  { "quota_return", GATEWAY_QUOTA_RETURN, 1, fill_quota_return },
 };
 
 static int32_t
