Grant customers' limits by leases of one owner

Cause: requests of customers with a limit are admitted on sums of usage that are hundreds of milliseconds old.

Change: with sharing = leases, quota_exchange.c asks the customer's owner, which quota_members.c selects among the live gateways by rendezvous hashing and caches until the set of gateways changes. The request waits without blocking others; its deadline, its caller's disconnection and a change of owner end or repeat the wait. Other values of sharing take the same path as before.

--- a/gateway/front.c
+++ b/gateway/front.c
@@ -188,9 +188,6 @@
   return timer_now_ms (front->node->timers) - front->started_ms < START_DEFER_MS;
 }
 
-static void
-front_dispatch (struct Request *request);
-
 static void
 request_on_defer_timer (void *data)
 {
@@ -232,7 +229,7 @@
     request_send (request);
 }
 
-static void
+void
 front_dispatch (struct Request *request)
 {
   struct Front *front = request->front;
@@ -461,6 +458,11 @@
     case GATEWAY_USAGES:
       quotas_on_report (front->quotas, sender, &message->usages);
       break;
+    case GATEWAY_QUOTA_REQUEST:
+    case GATEWAY_QUOTA_GRANT:
+    case GATEWAY_QUOTA_RETURN:
+      quotas_on_message (front->quotas, link, sender, message);
+      break;
     case GATEWAY_TURN_OPEN:
     case GATEWAY_TURN_READ:
     case GATEWAY_TURN_CLOSE:
--- a/gateway/front.h
+++ b/gateway/front.h
@@ -20,6 +20,7 @@
 struct Front;
 struct LoopEcho;
 struct Quotas;
+struct QuotaWait;
 struct Settlement;
 struct SlotWait;
 struct Slots;
@@ -54,6 +55,7 @@
   struct Customer customer; /* a copy, too; an empty name: no customer */
   bool demand_counted;      /* already counted in its customer's demand */
   int64_t admitted_ms; /* when its customer's limit admitted it; 0: not admitted, or refunded */
+  struct QuotaWait *quota_wait; /* for a token of its customer; NULL: none */
   bool key_checked, key_valid;
   uint64_t key_version; /* configuration version in which the key was last checked */
   char service[NAME_MAX_BYTES + 1];
@@ -132,6 +134,11 @@
 bool
 front_is_done (const struct Front *front);
 
+/* Checks the request against the configuration and its customer's limit, and starts it. Called
+ * again when a request that waited for its customer's limit was admitted. */
+void
+front_dispatch (struct Request *request);
+
 /* Sends the caller the response for failure and ends the request. detail is for the log only. */
 void
 request_fail (struct Request *request, enum RequestFailure failure, const char *detail);
--- a/gateway/quotas.c
+++ b/gateway/quotas.c
@@ -1,5 +1,7 @@
 #include "quotas.h"
 
+#include "quota_exchange.h"
+
 #include <buckthornhead/counter.h>
 #include <buckthornhead/log.h>
 
@@ -30,6 +32,7 @@
 struct Quotas
 {
   struct Front *front;
+  struct QuotaExchange *exchange; /* NULL: limits are not shared by leases */
   struct QuotaLedger *ledger;
   struct UsageTable *usage_table; /* reports of the other gateways */
   int64_t reported_ms;            /* last report of own usage */
@@ -72,6 +75,8 @@
 
   if (request->customer.name[0] == '\0')
     return false;
+  if (quotas->exchange != NULL)
+    return quota_exchange_must_wait (quotas->exchange);
   if (!request->demand_counted)
     quota_count_demand (quotas->ledger, request->customer.name, kind, now_ms);
   request->demand_counted = true;
@@ -103,6 +108,8 @@
 
   if (request->admitted_ms != 0 || request->customer.name[0] == '\0')
     return true;
+  if (quotas->exchange != NULL)
+    return quota_exchange_admit (quotas->exchange, request, quota_ask_kind (request));
   verdict = quota_admit (quotas->ledger, request->customer.name, quota_ask_kind (request), now_ms);
   if (verdict.admitted)
     {
@@ -133,8 +140,11 @@
 
   if (request->admitted_ms == 0)
     return;
-  quota_release (quotas->ledger, request->customer.name, quota_ask_kind (request),
-                 request->admitted_ms, quotas_now_ms (quotas));
+  if (quotas->exchange != NULL)
+    quota_exchange_refund (quotas->exchange, request->customer.name);
+  else
+    quota_release (quotas->ledger, request->customer.name, quota_ask_kind (request),
+                   request->admitted_ms, quotas_now_ms (quotas));
   request->admitted_ms = 0;
 }
 
@@ -311,6 +321,8 @@
 {
   int64_t now_ms = quotas_now_ms (quotas);
 
+  if (quotas->exchange != NULL)
+    return;
   usage_table_take (quotas->usage_table, sender, report, now_ms);
   /* What passes until the next check would be decided on the previous sums. */
   if (report->scope == USAGE_OF_FLEET
@@ -321,7 +333,20 @@
 void
 quotas_configure (struct Quotas *quotas)
 {
-  quota_ledger_configure (quotas->ledger, quotas_customers (quotas), quotas_now_ms (quotas));
+  if (quotas->exchange != NULL)
+    quota_exchange_configure (quotas->exchange);
+  else
+    quota_ledger_configure (quotas->ledger, quotas_customers (quotas), quotas_now_ms (quotas));
+}
+
+void
+quotas_on_message (struct Quotas *quotas,
+                   uint64_t link,
+                   const char *sender,
+                   const struct GatewayMessage *message)
+{
+  if (quotas->exchange != NULL)
+    quota_exchange_on_message (quotas->exchange, link, sender, message);
 }
 
 struct Quotas *
@@ -339,6 +364,13 @@
   if (quotas == NULL)
     return NULL;
   quotas->front = front;
+  if (rules.sharing == QUOTA_BY_LEASES)
+    {
+      quotas->exchange = quota_exchange_new (quotas, front, &rules);
+      if (quotas->exchange == NULL)
+        TALLOC_FREE (quotas);
+      return quotas;
+    }
   quotas->ledger = quota_ledger_new (quotas, &rules, settings->instance, front->started_ms);
   quotas->usage_table = usage_table_new (quotas, rules.window_ms);
   if (quotas->ledger == NULL || quotas->usage_table == NULL)
@@ -362,8 +394,8 @@
                     (int)standing->under_way_permille);
 }
 
-char *
-quotas_render (struct Quotas *quotas, TALLOC_CTX *ctx)
+static char *
+quotas_render_ledger (struct Quotas *quotas, TALLOC_CTX *ctx)
 {
   size_t n = 0;
   struct QuotaStanding *standings =
@@ -382,3 +414,10 @@
   talloc_free (standings);
   return copy;
 }
+
+char *
+quotas_render (struct Quotas *quotas, TALLOC_CTX *ctx)
+{
+  return quotas->exchange != NULL ? quota_exchange_render (quotas->exchange, ctx)
+                                  : quotas_render_ledger (quotas, ctx);
+}
--- a/gateway/quotas.h
+++ b/gateway/quotas.h
@@ -18,7 +18,8 @@
 quotas_must_wait (struct Request *request);
 
 /* Counts the request against its customer's limit, once. Returns false when it exceeds the limit:
- * it was then rejected and freed. */
+ * it was then rejected and freed. With limits shared by leases, it returns false also while the
+ * request waits for the customer's owner: front_dispatch is called again once it is admitted. */
 bool
 quotas_admit (struct Request *request);
 
@@ -31,6 +32,13 @@
 char *
 quotas_render (struct Quotas *quotas, TALLOC_CTX *ctx);
 
+/* Handles a message on tokens of limits that are shared by leases. */
+void
+quotas_on_message (struct Quotas *quotas,
+                   uint64_t link,
+                   const char *sender,
+                   const struct GatewayMessage *message);
+
 /* Handles a usage report from sender: its own usage, or the sum of several gateways. */
 void
 quotas_on_report (struct Quotas *quotas, const char *sender, const struct UsageReport *report);
--- a/gateway/relay.c
+++ b/gateway/relay.c
@@ -49,6 +49,7 @@
 relay_wrap_message (struct Node *node,
                     uint64_t link,
                     const char *to,
+                    const char *from,
                     const struct GatewayMessage *message)
 {
   uint8_t *bytes;
@@ -57,7 +58,7 @@
 
   if (error != ERROR_NONE)
     return error;
-  error = relay_wrap (node, link, to, node->settings->instance, bytes, n_bytes);
+  error = relay_wrap (node, link, to, from, bytes, n_bytes);
   talloc_free (bytes);
   return error;
 }
@@ -87,13 +88,27 @@
   if (first == NULL)
     return ERROR_UNREACHABLE;
   second = relay_next (node, &node->next_relay);
-  error =
-      relay_wrap_message (node, peer_net_link_to (node->net, first->status.node), peer, message);
+  error = relay_wrap_message (node, peer_net_link_to (node->net, first->status.node), peer,
+                              node->settings->instance, message);
   if (second != first && second != NULL)
-    relay_wrap_message (node, peer_net_link_to (node->net, second->status.node), peer, message);
+    relay_wrap_message (node, peer_net_link_to (node->net, second->status.node), peer,
+                        node->settings->instance, message);
   return error;
 }
 
+int32_t
+relay_forward (struct Node *node,
+               const char *to,
+               const char *from,
+               const struct GatewayMessage *message)
+{
+  uint64_t link = peer_net_link_to (node->net, to);
+
+  if (link == PEER_LINK_NONE)
+    return ERROR_UNREACHABLE;
+  return relay_wrap_message (node, link, to, from, message);
+}
+
 static uint64_t
 relay_store_origin (uint64_t link, const char *from)
 {
@@ -113,7 +128,7 @@
   /* Newer requests have reused this entry; the requester retries. */
   if (n_origins - slot > ORIGINS_MAX)
     return ERROR_UNREACHABLE;
-  return relay_wrap_message (node, origin->link, origin->from, message);
+  return relay_wrap_message (node, origin->link, origin->from, node->settings->instance, message);
 }
 
 void
--- a/gateway/relay.h
+++ b/gateway/relay.h
@@ -12,6 +12,14 @@
 int32_t
 relay_send (struct Node *node, const char *peer, const struct GatewayMessage *message);
 
+/* Forwards message, which from sent to this gateway, to the process to, whose response goes back
+ * through this gateway. Returns ERROR_UNREACHABLE when there is no link. */
+int32_t
+relay_forward (struct Node *node,
+               const char *to,
+               const char *from,
+               const struct GatewayMessage *message);
+
 /* Handles a relayed message that arrived on link: forwards it, or unpacks and delivers it. */
 void
 relay_on_message (struct Node *node, uint64_t link, const struct Relay *relay);
