Simulate limits by leases, and test the surges with them

Cause: the simulation runs only what usage reports need: one timer for each gateway, one kind of message, requests that are decided at once.

Change: it carries all quota messages, relayed ones included, keeps any number of timers and lets requests wait. test_quota_lease runs with leases.

--- a/tests/quota_sim.c
+++ b/tests/quota_sim.c
@@ -2,6 +2,7 @@
 
 #include "../gateway/front.h"
 #include "../gateway/quotas.h"
+#include "../gateway/relay.h"
 
 #include <buckthornhead/error.h>
 #include <buckthornhead/log.h>
@@ -26,6 +27,8 @@
   TOGETHER_MAX = 4, /* requests that a program sends at once */
   TURN_MS = 180,
   TRIES = 4,
+  START_DEFER_MS = 1200,
+  RETRY_UNCERTAIN_MS = 300,
   PATIENCE_MS = 1000, /* after which a caller tries another gateway */
   WAITING_MAX = 4096
 };
@@ -39,12 +42,14 @@
 struct SimGateway
 {
   struct TimerService clock; /* first: the timer service's functions get a pointer to it */
-  struct Timer *timer;       /* of the quotas */
+  struct Timer **timers;     /* armed ones */
+  size_t n_timers;
   struct GatewaySettings settings;
   struct Node node;
   struct Front *front;
   char name[32];
   bool is_up, is_suspended, loses_messages;
+  bool is_mute;  /* what it sends is lost */
   uint32_t side; /* gateways reach those of the same side */
 };
 
@@ -67,7 +72,15 @@
   uint32_t to;
   int64_t due_ms;
   char sender[32];
-  struct UsageReport report;
+  uint64_t link;
+  struct GatewayMessage *content;
+};
+
+/* A caller's request. */
+struct SimRequest
+{
+  struct Request request; /* first: the quotas get a pointer to it */
+  uint32_t program, gateway;
 };
 
 struct SimRun
@@ -93,7 +106,8 @@
   struct SimRun *runs;
   uint32_t n_runs;
   uint32_t n_refused[CUSTOMERS], n_failed[CUSTOMERS], n_completed[CUSTOMERS];
-  uint32_t retry_after_ms; /* of the last rejection */
+  uint32_t n_uncertain, n_admitted;
+  uint64_t next_id;
 };
 
 static struct Sim *sim;
@@ -126,15 +140,45 @@
 static void
 clock_arm (struct TimerService *service, struct Timer *timer, int64_t due_ms)
 {
+  struct SimGateway *gateway = (struct SimGateway *)service;
+
   timer->due_ms = due_ms;
-  ((struct SimGateway *)service)->timer = timer;
+  gateway->timers = talloc_realloc (sim, gateway->timers, struct Timer *, gateway->n_timers + 1);
+  gateway->timers[gateway->n_timers++] = timer;
 }
 
 static void
 clock_disarm (struct TimerService *service, struct Timer *timer)
 {
-  (void)timer;
-  ((struct SimGateway *)service)->timer = NULL;
+  struct SimGateway *gateway = (struct SimGateway *)service;
+  size_t n_left = 0;
+
+  for (size_t i = 0; i < gateway->n_timers; i++)
+    if (gateway->timers[i] != timer)
+      gateway->timers[n_left++] = gateway->timers[i];
+  gateway->n_timers = n_left;
+}
+
+/* Returns a timer that is due; NULL when there is none. */
+static struct Timer *
+clock_next_due (const struct SimGateway *gateway)
+{
+  for (size_t i = 0; i < gateway->n_timers; i++)
+    if (gateway->timers[i]->due_ms <= sim->now_ms)
+      return gateway->timers[i];
+  return NULL;
+}
+
+static void
+clock_fire_due (struct SimGateway *gateway)
+{
+  struct Timer *timer;
+
+  while ((timer = clock_next_due (gateway)) != NULL)
+    {
+      clock_disarm (&gateway->clock, timer);
+      timer_fire (timer);
+    }
 }
 
 static const struct TimerOps clock_ops = { clock_now_ms, clock_arm, clock_disarm };
@@ -144,29 +188,146 @@
 static bool
 gateway_reaches (const struct SimGateway *from, const struct SimGateway *to)
 {
-  return to->is_up && from->side == to->side;
+  return to->is_up && !from->is_mute && from->side == to->side;
+}
+
+/* Links between gateways are numbers: of the sender, and for relayed messages also of the gateway
+ * that relays. */
+#define LINK_RELAYED (1ULL << 32)
+#define LINK_OF(from) ((uint64_t)(from) + 1)
+#define LINK_OF_RELAYED(from, by) (LINK_RELAYED | (uint64_t)(by) << 16 | (uint64_t)(from))
+
+static uint32_t
+gateway_number (const struct SimGateway *gateway)
+{
+  return (uint32_t)(gateway - sim->gateways);
+}
+
+static struct SimGateway *
+gateway_of (const struct Node *node)
+{
+  for (uint32_t g = 0; g < sim->n_gateways; g++)
+    if (node == &sim->gateways[g].node)
+      return &sim->gateways[g];
+  return NULL;
+}
+
+static struct SimGateway *
+gateway_named (const char *name)
+{
+  for (uint32_t g = 0; g < sim->n_gateways; g++)
+    if (strcmp (sim->gateways[g].name, name) == 0)
+      return &sim->gateways[g];
+  return NULL;
+}
+
+static bool
+message_is_lost (const struct SimGateway *from, const struct SimGateway *to)
+{
+  return !gateway_reaches (from, to)
+         || ((from->loses_messages || to->loses_messages) && draw (10) < 8);
+}
+
+static struct SimMessage *
+sim_queue (const char *sender, const struct SimGateway *to, const struct GatewayMessage *content)
+{
+  struct SimMessage *message;
+
+  sim->messages = talloc_realloc (sim, sim->messages, struct SimMessage, sim->n_messages + 1);
+  message = &sim->messages[sim->n_messages++];
+  message->to = gateway_number (to);
+  message->due_ms = sim->now_ms + LATENCY_MS;
+  snprintf (message->sender, sizeof message->sender, "%s", sender);
+  message->content = talloc_memdup (sim, content, sizeof *content);
+  return message;
 }
 
 static void
 sim_send (const struct SimGateway *from, const char *name, const struct UsageReport *report)
 {
-  for (uint32_t g = 0; g < sim->n_gateways; g++)
-    {
-      const struct SimGateway *to = &sim->gateways[g];
-      struct SimMessage *message;
+  const struct SimGateway *to = gateway_named (name);
+  struct GatewayMessage content = { .kind = GATEWAY_USAGES };
 
-      if (to == from || strcmp (to->name, name) != 0 || !gateway_reaches (from, to)
-          || ((from->loses_messages || to->loses_messages) && draw (10) < 8))
-        continue;
-      sim->messages = talloc_realloc (sim, sim->messages, struct SimMessage, sim->n_messages + 1);
-      message = &sim->messages[sim->n_messages++];
-      message->to = g;
-      message->due_ms = sim->now_ms + LATENCY_MS;
-      snprintf (message->sender, sizeof message->sender, "%s", from->name);
-      message->report = *report;
-      message->report.usages =
-          talloc_memdup (sim, report->usages, report->n_usages * sizeof report->usages[0]);
-    }
+  if (to == NULL || to == from || message_is_lost (from, to))
+    return;
+  content.usages = *report;
+  content.usages.usages =
+      talloc_memdup (sim, report->usages, report->n_usages * sizeof report->usages[0]);
+  sim_queue (from->name, to, &content);
+}
+
+uint64_t
+node_next_id (struct Node *node)
+{
+  (void)node;
+  return ++sim->next_id;
+}
+
+int32_t
+node_send (struct Node *node, const char *peer, const struct GatewayMessage *message)
+{
+  const struct SimGateway *from = gateway_of (node), *to = gateway_named (peer);
+
+  if (!message_is_lost (from, to))
+    sim_queue (from->name, to, message)->link = LINK_OF (gateway_number (from));
+  return ERROR_NONE;
+}
+
+/* Sends through another gateway, with the latency of both ways. */
+static void
+sim_relay (const struct SimGateway *from,
+           const struct SimGateway *by,
+           const struct SimGateway *to,
+           const struct GatewayMessage *message)
+{
+  struct SimMessage *queued;
+
+  if (message_is_lost (from, by) || message_is_lost (by, to) || by->is_suspended)
+    return;
+  queued = sim_queue (from->name, to, message);
+  queued->due_ms += LATENCY_MS;
+  queued->link = LINK_OF_RELAYED (gateway_number (from), gateway_number (by));
+}
+
+int32_t
+node_answer (struct Node *node, uint64_t link, const struct GatewayMessage *message)
+{
+  const struct SimGateway *from = gateway_of (node);
+
+  if (relay_is_link (link))
+    sim_relay (from, &sim->gateways[(link & ~LINK_RELAYED) >> 16],
+               &sim->gateways[link & UINT16_MAX], message);
+  else
+    node_send (node, sim->gateways[link - 1].name, message);
+  return ERROR_NONE;
+}
+
+bool
+relay_is_link (uint64_t link)
+{
+  return (link & LINK_RELAYED) != 0;
+}
+
+int32_t
+relay_send (struct Node *node, const char *peer, const struct GatewayMessage *message)
+{
+  sim_relay (gateway_of (node), &sim->gateways[draw (sim->n_gateways)], gateway_named (peer),
+             message);
+  return ERROR_NONE;
+}
+
+int32_t
+relay_forward (struct Node *node,
+               const char *to,
+               const char *from,
+               const struct GatewayMessage *message)
+{
+  const struct SimGateway *by = gateway_of (node), *target = gateway_named (to);
+
+  if (!message_is_lost (by, target))
+    sim_queue (from, target, message)->link =
+        LINK_OF_RELAYED (gateway_number (gateway_named (from)), gateway_number (by));
+  return ERROR_NONE;
 }
 
 static void
@@ -184,13 +345,8 @@
 void
 node_send_some (struct Node *node, const struct GatewayMessage *message, enum PeerChoice choice)
 {
-  const struct SimGateway *from = NULL;
+  const struct SimGateway *from = gateway_of (node);
 
-  for (uint32_t g = 0; g < sim->n_gateways; g++)
-    if (node == &sim->gateways[g].node)
-      from = &sim->gateways[g];
-  if (from == NULL)
-    return;
   switch (choice)
     {
     case PEERS_OWN_AGGREGATORS:
@@ -219,15 +375,75 @@
   return peer_table_is_live (node->peers, peer, sim->now_ms);
 }
 
+bool
+front_is_starting (const struct Front *front)
+{
+  return sim->now_ms - front->started_ms < START_DEFER_MS;
+}
+
+static void
+program_end (struct SimProgram *program, bool completed)
+{
+  program->is_over = true;
+  sim->n_completed[program->customer] += completed;
+  sim->n_failed[program->customer] += !completed && program->has_begun;
+}
+
+/* The request was admitted. */
+void
+front_dispatch (struct Request *request)
+{
+  const struct SimRequest *sent = (struct SimRequest *)request;
+  struct SimProgram *program = &sim->programs[sent->program];
+
+  sim->runs[sim->n_runs++] = (struct SimRun){ sim->now_ms, program->customer, sent->gateway };
+  talloc_free (request);
+  if (program->is_over)
+    return;
+  program->has_begun = true;
+  program->n_tries = 0;
+  program->next_ms = sim->now_ms + TURN_MS / 2 + draw (TURN_MS);
+  if (--program->n_left == 0)
+    program_end (program, true);
+}
+
 void
 request_reject_over_limit (struct Request *request, uint32_t wait_ms, const char *detail)
 {
-  (void)request, (void)detail;
-  sim->retry_after_ms = wait_ms;
+  struct SimProgram *program = &sim->programs[((struct SimRequest *)request)->program];
+
+  (void)detail;
+  talloc_free (request);
+  sim->n_refused[program->customer]++;
+  if (program->is_over)
+    return;
+  program->next_ms = sim->now_ms + wait_ms + draw (100);
+  if (++program->n_tries == TRIES)
+    program_end (program, false);
+}
+
+void
+request_fail (struct Request *request, enum RequestFailure failure, const char *detail)
+{
+  (void)failure;
+  sim->n_uncertain++;
+  request_reject_over_limit (request, RETRY_UNCERTAIN_MS, detail);
 }
 
 /* Gateways */
 
+/* A new process has received nothing from its peers. */
+static void
+gateway_forget_peers (struct SimGateway *gateway)
+{
+  for (size_t i = 0; i < gateway->node.peers->n_peers; i++)
+    {
+      struct Peer *peer = gateway->node.peers->peers[i];
+
+      peer->received_ms = peer->link_received_ms = peer->unanswered_since_ms = 0;
+    }
+}
+
 static void
 gateway_start (struct SimGateway *gateway)
 {
@@ -235,6 +451,8 @@
   gateway->is_suspended = false;
   TALLOC_FREE (gateway->front->quotas);
   gateway->front->started_ms = sim->now_ms;
+  if (sim_sharing == QUOTA_BY_LEASES)
+    gateway_forget_peers (gateway);
   gateway->front->quotas = quotas_new (gateway->front);
   quotas_configure (gateway->front->quotas);
 }
@@ -267,7 +485,7 @@
 {
   for (uint32_t g = 0; g < sim->n_gateways; g++)
     {
-      struct NodeStatus status = { .ready = true };
+      struct NodeStatus status = { .ready = true, .config_version = 1 };
 
       if (&sim->gateways[g] == gateway)
         continue;
@@ -325,6 +543,25 @@
   TALLOC_FREE (sim);
 }
 
+static void
+gateway_note_peer (struct SimGateway *to, const struct SimGateway *from)
+{
+  struct Peer *peer = peer_table_find (to->node.peers, from->name);
+  bool is_received = from->is_up && !from->is_suspended && gateway_reaches (from, to);
+
+  if (is_received)
+    peer_note_received (peer, sim->now_ms);
+  if (sim_sharing != QUOTA_BY_LEASES)
+    return;
+  if (!is_received || !gateway_reaches (to, from))
+    {
+      peer_record_request (peer, sim->now_ms);
+      return;
+    }
+  peer->link_received_ms = sim->now_ms;
+  peer->unanswered_since_ms = 0;
+}
+
 /* Each gateway receives from all others that run and that it reaches. */
 static void
 sim_note_received (void)
@@ -335,53 +572,39 @@
         const struct SimGateway *from = &sim->gateways[other];
         struct SimGateway *to = &sim->gateways[g];
 
-        if (g != other && from->is_up && !from->is_suspended && to->is_up && !to->is_suspended
-            && gateway_reaches (from, to))
-          peer_note_received (peer_table_find (to->node.peers, from->name), sim->now_ms);
+        if (g != other && to->is_up && !to->is_suspended)
+          gateway_note_peer (to, from);
       }
 }
 
 /* Load */
 
-static void
-program_end (struct SimProgram *program, bool completed)
-{
-  program->is_over = true;
-  sim->n_completed[program->customer] += completed;
-  sim->n_failed[program->customer] += !completed && program->has_begun;
-}
-
 static void
 program_request (uint32_t number, uint32_t g)
 {
   struct SimProgram *program = &sim->programs[number];
   struct SimGateway *gateway = &sim->gateways[g];
-  struct Request request = { .front = gateway->front };
-
-  snprintf (request.customer.name, sizeof request.customer.name, "customer-%u", program->customer);
-  request.caller.program = "p";
-  request.caller.id = "r";
-  request.caller.previous = program->has_begun ? "t" : "";
-  request.route.retains_turns = true;
-  if (quotas_must_wait (&request))
+  struct SimRequest *sent = talloc_zero (gateway->front, struct SimRequest);
+  struct Request *request = &sent->request;
+
+  sent->program = number;
+  sent->gateway = g;
+  request->front = gateway->front;
+  request->arrived_ms = sim->now_ms;
+  request->customer = *customer_table_at (sim->table->customers, program->customer);
+  request->caller.program = "p";
+  request->caller.id = "r";
+  request->caller.previous = program->has_begun ? "t" : "";
+  request->route.retains_turns = true;
+  /* Until the response. */
+  program->next_ms = sim->now_ms + PATIENCE_MS;
+  if (quotas_must_wait (request))
     {
+      talloc_free (request);
       program->next_ms = sim->now_ms + 2 * STEP_MS;
-      return;
-    }
-  if (quotas_admit (&request))
-    {
-      sim->runs[sim->n_runs++] = (struct SimRun){ sim->now_ms, program->customer, g };
-      program->has_begun = true;
-      program->n_tries = 0;
-      program->next_ms = sim->now_ms + TURN_MS / 2 + draw (TURN_MS);
-      if (--program->n_left == 0)
-        program_end (program, true);
-      return;
     }
-  sim->n_refused[program->customer]++;
-  program->next_ms = sim->now_ms + sim->retry_after_ms + draw (100);
-  if (++program->n_tries == TRIES)
-    program_end (program, false);
+  else if (quotas_admit (request))
+    front_dispatch (request);
 }
 
 static void
@@ -428,6 +651,19 @@
 
 /* Time */
 
+static void
+gateway_deliver (const struct SimGateway *to, const struct SimMessage *message)
+{
+  const struct GatewayMessage *content = message->content;
+
+  if (!to->is_up)
+    return;
+  if (content->kind == GATEWAY_USAGES)
+    quotas_on_report (to->front->quotas, message->sender, &content->usages);
+  else
+    quotas_on_message (to->front->quotas, message->link, message->sender, content);
+}
+
 static void
 sim_deliver (void)
 {
@@ -435,17 +671,19 @@
 
   for (size_t i = 0; i < sim->n_messages; i++)
     {
-      struct SimMessage *message = &sim->messages[i];
-      struct SimGateway *to = &sim->gateways[message->to];
+      /* A copy: the array grows when the receiver sends. */
+      struct SimMessage message = sim->messages[i];
+      const struct SimGateway *to = &sim->gateways[message.to];
 
-      if (message->due_ms > sim->now_ms || (to->is_up && to->is_suspended))
+      if (message.due_ms > sim->now_ms || (to->is_up && to->is_suspended))
         {
-          sim->messages[n_left++] = *message;
+          sim->messages[n_left++] = message;
           continue;
         }
-      if (to->is_up)
-        quotas_on_report (to->front->quotas, message->sender, &message->report);
-      talloc_free (message->report.usages);
+      gateway_deliver (to, &message);
+      if (message.content->kind == GATEWAY_USAGES)
+        talloc_free (message.content->usages.usages);
+      talloc_free (message.content);
     }
   sim->n_messages = n_left;
 }
@@ -460,8 +698,8 @@
         {
           struct SimGateway *gateway = &sim->gateways[g];
 
-          if (gateway->is_up && !gateway->is_suspended && gateway->timer->due_ms <= sim->now_ms)
-            timer_fire (gateway->timer);
+          if (gateway->is_up && !gateway->is_suspended)
+            clock_fire_due (gateway);
         }
       sim_load ();
       if (sim->now_ms % SEEN_MS == 0)
@@ -509,7 +747,11 @@
 quota_sim_kill (uint32_t first, uint32_t n)
 {
   for (uint32_t g = first; g < first + n; g++)
-    sim->gateways[g].is_up = false;
+    {
+      sim->gateways[g].is_up = false;
+      TALLOC_FREE (sim->gateways[g].front->quotas);
+      talloc_free_children (sim->gateways[g].front);
+    }
 }
 
 void
--- a/tests/test_quota_lease.c
+++ b/tests/test_quota_lease.c
@@ -43,6 +43,7 @@
   uint32_t n_gateways, customer;
 
   random_state = seed;
+  quota_sim_set_sharing (QUOTA_BY_LEASES);
   n_gateways = sizes[draw_between (0, 3)];
   customer = draw_between (0, QUOTA_SIM_CUSTOMERS - 1);
   quota_sim_start (n_gateways, seed);
