Let requests of programs under way pass while the program bucket is below zero

Cause: a program that begins takes the program bucket below zero, and the check of a request under way, which needs no token of it, compared the level with zero.

--- a/core/customers/quota_owner.c
+++ b/core/customers/quota_owner.c
@@ -318,6 +318,13 @@
   return (struct ProgramCost){ 0, 0 };
 }
 
+/* The bucket may be below zero, which does not concern requests of programs under way. */
+static bool
+lacks_program_tokens (const struct OwnedCustomer *customer, const struct ProgramCost *cost)
+{
+  return cost->needed > 0 && customer->programs.tokens < cost->needed;
+}
+
 /* Returns how long it takes until the bucket holds n tokens. */
 static double
 bucket_wait_ms (const struct TokenBucket *bucket, double n, double per_s)
@@ -348,7 +355,7 @@
 
   if (customer->requests.tokens < 1)
     requests_ms = bucket_retry_ms (&customer->requests, 1, 1, per_s);
-  if (customer->programs.tokens < cost->needed)
+  if (lacks_program_tokens (customer, cost))
     programs_ms = bucket_retry_ms (&customer->programs, cost->needed, cost->taken, per_s);
   return requests_ms > programs_ms ? requests_ms : programs_ms;
 }
@@ -380,7 +387,7 @@
   double per_s = refill_per_s (owner, customer);
   double wait_ms = bucket_wait_ms (&customer->requests, 1, per_s);
 
-  if (customer->programs.tokens < cost.needed
+  if (lacks_program_tokens (customer, &cost)
       || wait_ms > (ask->kind == QUOTA_REQUEST_UNDER_WAY ? QUOTA_HOLD_MAX_MS : 0))
     {
       customer->n_rejected++;
--- a/tests/test_quota_faults.c
+++ b/tests/test_quota_faults.c
@@ -1,4 +1,4 @@
-/* Customers' limits while gateways fail; see quota_sim.h. */
+/* Customers' limits while gateways fail, shared by usage reports and by leases; see quota_sim.h. */
 #include "test_main.h"
 
 #include "quota_sim.h"
@@ -16,6 +16,20 @@
 /* Rises in steps: the start of a surge is another test's matter. */
 static const double hot_loads[] = { 2, 5 };
 
+static const enum QuotaSharing sharings[] = { QUOTA_BY_REPORTS, QUOTA_BY_LEASES };
+
+/* Runs the scenario with each way of sharing and seed. */
+static void
+run_scenario (void (*scenario) (uint64_t seed))
+{
+  for (size_t i = 0; i < sizeof sharings / sizeof sharings[0]; i++)
+    for (uint64_t seed = 1; seed <= N_SEEDS; seed++)
+      {
+        quota_sim_set_sharing (sharings[i]);
+        scenario (seed);
+      }
+}
+
 static void
 start_with_hot_customers (uint64_t seed)
 {
@@ -37,17 +51,31 @@
   quota_sim_end ();
 }
 
+static void
+play_usual_load_is_not_refused (uint64_t seed)
+{
+  quota_sim_start (N_GATEWAYS, seed);
+  quota_sim_run (20000);
+  for (uint32_t c = 0; c < QUOTA_SIM_CUSTOMERS; c++)
+    CU_ASSERT_EQUAL (quota_sim_failed (c), 0);
+  expect_bound ("usual load");
+}
+
 static void
 test_usual_load_is_not_refused (void)
 {
-  for (uint64_t seed = 1; seed <= N_SEEDS; seed++)
-    {
-      quota_sim_start (N_GATEWAYS, seed);
-      quota_sim_run (20000);
-      for (uint32_t c = 0; c < QUOTA_SIM_CUSTOMERS; c++)
-        CU_ASSERT_EQUAL (quota_sim_failed (c), 0);
-      expect_bound ("usual load");
-    }
+  run_scenario (play_usual_load_is_not_refused);
+}
+
+static void
+play_usage_of_cut_off_gateways_is_not_spent_again (uint64_t seed)
+{
+  start_with_hot_customers (seed);
+  quota_sim_isolate (0, 20);
+  quota_sim_run (5000);
+  quota_sim_reconnect ();
+  quota_sim_run (AFTER_MS);
+  expect_bound ("three tenths cut off");
 }
 
 /* Guards against usage of gateways that are cut off, which the others spend again while it is
@@ -55,43 +83,52 @@
 static void
 test_usage_of_cut_off_gateways_is_not_spent_again (void)
 {
-  for (uint64_t seed = 1; seed <= N_SEEDS; seed++)
-    {
-      start_with_hot_customers (seed);
-      quota_sim_isolate (0, 20);
-      quota_sim_run (5000);
-      quota_sim_reconnect ();
-      quota_sim_run (AFTER_MS);
-      expect_bound ("three tenths cut off");
-    }
+  run_scenario (play_usage_of_cut_off_gateways_is_not_spent_again);
+}
+
+static void
+play_usage_of_killed_gateways_is_not_spent_again (uint64_t seed)
+{
+  start_with_hot_customers (seed);
+  quota_sim_kill (0, 33);
+  quota_sim_run (1500);
+  quota_sim_restart (0, 33);
+  quota_sim_run (AFTER_MS);
+  expect_bound ("half killed and started again");
 }
 
 static void
 test_usage_of_killed_gateways_is_not_spent_again (void)
 {
-  for (uint64_t seed = 1; seed <= N_SEEDS; seed++)
-    {
-      start_with_hot_customers (seed);
-      quota_sim_kill (0, 33);
-      quota_sim_run (1500);
-      quota_sim_restart (0, 33);
-      quota_sim_run (AFTER_MS);
-      expect_bound ("half killed and started again");
-    }
+  run_scenario (play_usage_of_killed_gateways_is_not_spent_again);
+}
+
+static void
+play_lost_messages (uint64_t seed)
+{
+  start_with_hot_customers (seed);
+  quota_sim_set_lossy (0, 40, true);
+  quota_sim_run (5000);
+  quota_sim_set_lossy (0, 40, false);
+  quota_sim_run (AFTER_MS);
+  expect_bound ("messages of three fifths lost");
 }
 
 static void
 test_lost_messages (void)
 {
-  for (uint64_t seed = 1; seed <= N_SEEDS; seed++)
-    {
-      start_with_hot_customers (seed);
-      quota_sim_set_lossy (0, 40, true);
-      quota_sim_run (5000);
-      quota_sim_set_lossy (0, 40, false);
-      quota_sim_run (AFTER_MS);
-      expect_bound ("messages of three fifths lost");
-    }
+  run_scenario (play_lost_messages);
+}
+
+static void
+play_resumed_gateways_wait_for_a_report (uint64_t seed)
+{
+  start_with_hot_customers (seed);
+  quota_sim_suspend (0, 26);
+  quota_sim_run (3000);
+  quota_sim_resume (0, 26);
+  quota_sim_run (AFTER_MS);
+  expect_bound ("two fifths suspended");
 }
 
 /* Guards against a gateway that is resumed and admits the requests that waited for it as if no
@@ -99,15 +136,7 @@
 static void
 test_resumed_gateways_wait_for_a_report (void)
 {
-  for (uint64_t seed = 1; seed <= N_SEEDS; seed++)
-    {
-      start_with_hot_customers (seed);
-      quota_sim_suspend (0, 26);
-      quota_sim_run (3000);
-      quota_sim_resume (0, 26);
-      quota_sim_run (AFTER_MS);
-      expect_bound ("two fifths suspended");
-    }
+  run_scenario (play_resumed_gateways_wait_for_a_report);
 }
 
 const char test_suite_name[] = "quota_faults";
