Test a limit by leases with real processes while its owner is killed

Change: test_gateway_customers starts three gateways with sharing = leases, sends to two of them as fast as they respond, and kills and restarts the third one, which owns the customer.

--- a/tests/sessions/gateways.c
+++ b/tests/sessions/gateways.c
@@ -55,9 +55,10 @@
             "[instance]\nname = %s\nzone = a\n[listen]\ncaller = %s\nready = %s\n"
             "directory = %s\npeer = %s\nannounce = 127.0.0.1:%u\nmetrics = %s\n[platform]\nstore = "
             "http://%s\n%s[stop]\ngrace "
-            "= 6s\n",
+            "= 6s\n[quota]\nsharing = %s\n",
             gateway->name, gateway->caller, gateway->ready, gateway->directory, gateway->peer,
-            gateway->announced_port, gateway->metrics, fleet->store, membership_section (fleet));
+            gateway->announced_port, gateway->metrics, fleet->store, membership_section (fleet),
+            fleet->quota_sharing != NULL ? fleet->quota_sharing : "counts");
   snprintf (name, sizeof name, "%s.ini", gateway->name);
   gateway->file = session_write_file (fleet->session, name, text);
 }
--- a/tests/sessions/test_gateway_customers.c
+++ b/tests/sessions/test_gateway_customers.c
@@ -268,11 +268,77 @@
   talloc_free (ctx);
 }
 
+/* Returns the number of the gateway that owns the only customer with a limit. */
+static uint32_t
+owner_of_limit (struct Fleet *fleet, TALLOC_CTX *ctx)
+{
+  const char *body = http_get (ctx, fleet->gateways[0].metrics, "/customers")->body;
+  const char *owner = strstr (body, "\"owner\":\"front-");
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (owner);
+  return (uint32_t)strtoul (owner + strlen ("\"owner\":\"front-"), NULL, 10) - 1;
+}
+
+/* The same with limits by leases, while the owner of the customer is killed and started again:
+ * guards against a second burst from a new owner, and against requests without a response when
+ * the owner is gone. A request of a program under way waits up to 300 ms for its token, so that a
+ * caller that sends one after another is slowed down rather than rejected. */
+static void
+test_limit_holds_by_leases (void)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  uint32_t n_failed = CU_get_number_of_failures ();
+  struct Fleet *fleet = fleet_new (ctx);
+  const uint32_t bound = (LIMIT_PER_S * LIMIT_WINDOW_S + LIMIT_PER_S) * 11 / 10 + LIMIT_SLACK;
+  uint32_t n_admitted = 0, n_uncertain = 0, n_other = 0, n_sent = 0, owner;
+  int64_t end_ms, kill_ms;
+  bool killed = false;
+
+  fleet->quota_sharing = "leases";
+  fleet_start_all (fleet, 3, 3, NULL, NULL);
+  configure (fleet, 2, customers);
+  sleep_ms (1000);
+  owner = owner_of_limit (fleet, ctx);
+  kill_ms = monotonic_ms () + LIMIT_WINDOW_S * 400;
+  end_ms = monotonic_ms () + LIMIT_WINDOW_S * 1000;
+  while (monotonic_ms () < end_ms)
+    {
+      char id[32];
+      struct TestRequest request = { .gateway = (owner + 1 + n_sent % 2) % 3,
+                                     .path = "/once/1",
+                                     .id = id };
+      uint32_t status;
+
+      snprintf (id, sizeof id, "r%u", n_sent++);
+      request.credentials[0] = "Authorization: Bearer bela-key-1";
+      status = send_request (fleet, ctx, &request)->status;
+      n_admitted += status == 200;
+      n_uncertain += status == 503;
+      n_other += status != 200 && status != 429 && status != 503;
+      if (status != 200)
+        CU_ASSERT_EQUAL (installation_runs_of (fleet->installation, id), 0);
+      if (!killed && monotonic_ms () > kill_ms)
+        {
+          process_kill (fleet->gateways[owner].process);
+          gateway_start (fleet, owner);
+          killed = true;
+        }
+      sleep_ms (10);
+    }
+  printf ("%u sent, %u admitted, %u uncertain ", n_sent, n_admitted, n_uncertain);
+  CU_ASSERT (n_admitted <= bound);
+  CU_ASSERT (n_admitted >= LIMIT_PER_S * LIMIT_WINDOW_S / 2);
+  CU_ASSERT_EQUAL (n_other, 0);
+  fleet_end (fleet, CU_get_number_of_failures () > n_failed);
+  talloc_free (ctx);
+}
+
 const char test_suite_name[] = "gateway_customers";
 const struct TestCase test_cases[] = {
   { "a key is checked and not forwarded", test_key_is_checked_and_not_forwarded },
   { "a turn belongs to its customer", test_turn_belongs_to_its_customer },
   { "a revoked key is rejected", test_revoked_key_is_rejected },
   { "a limit holds across two gateways", test_limit_holds_across_two_gateways },
+  { "a limit holds by leases", test_limit_holds_by_leases },
   { NULL, NULL },
 };
