--- a/core/customers/quota_owner.c
+++ b/core/customers/quota_owner.c
@@ -23,6 +23,11 @@
  * that no bucket contains cover tokens that are used after they were granted. */
 static const double REQUEST_SLACK = 0.75, PROGRAM_SLACK = 0.25;
 
+/* Fractions of the limit and of the slack that are added again of returned tokens, once and after
+ * each window. While a token was away its bucket may have been refilled in its place, so that
+ * returns without a bound exceed the limit: the model tests/model/quota_lease.pml shows it. */
+static const double RETURNED_LIMIT = 0.01, RETURNED_SLACK = 0.125;
+
 struct TokenBucket
 {
   double tokens;
@@ -36,6 +41,7 @@
   double rate_per_s, burst;
   bool configured;
   struct TokenBucket requests, programs;
+  double returns;     /* returned tokens that may still be added */
   int64_t filled_ms;  /* when both buckets were last refilled */
   uint64_t n_shares;  /* of the owner, when they were last refilled */
   int64_t emptied_ms; /* when they were last emptied */
@@ -117,6 +123,14 @@
   return customer->burst + PROGRAM_SLACK * owner->rules.slack;
 }
 
+static double
+returns_capacity (const struct QuotaOwner *owner, const struct OwnedCustomer *customer)
+{
+  double limit = customer->rate_per_s * owner->rules.window_ms / 1000 + customer->burst;
+
+  return RETURNED_LIMIT * limit + RETURNED_SLACK * owner->rules.slack;
+}
+
 static double
 refill_per_s (const struct QuotaOwner *owner, const struct OwnedCustomer *customer)
 {
@@ -146,6 +160,7 @@
 
   customer->requests = (struct TokenBucket){ .tokens = emptied_level (&customer->requests, n) };
   customer->programs = (struct TokenBucket){ .tokens = emptied_level (&customer->programs, n) };
+  customer->returns = 0;
   customer->filled_ms = at_ms;
   customer->emptied_ms = at_ms;
 }
@@ -157,13 +172,13 @@
                       double fraction,
                       int64_t until_ms)
 {
-  double n = 0;
+  double capacity = fraction * returns_capacity (owner, customer);
+  int64_t since_ms = until_ms > customer->filled_ms ? until_ms - customer->filled_ms : 0;
+  double n = fraction * customer->rate_per_s * (double)since_ms / 1000;
 
-  if (until_ms > customer->filled_ms)
-    {
-      n = fraction * customer->rate_per_s * (double)(until_ms - customer->filled_ms) / 1000;
-      customer->filled_ms = until_ms;
-    }
+  customer->filled_ms += since_ms;
+  customer->returns =
+      fmin (customer->returns + capacity * (double)since_ms / owner->rules.window_ms, capacity);
   bucket_refill (&customer->requests, n, fraction * request_capacity (owner, customer));
   bucket_refill (&customer->programs, n, fraction * program_capacity (owner, customer));
 }
@@ -457,11 +472,14 @@
 quota_owner_return (struct QuotaOwner *owner, const struct QuotaReturn *returned, int64_t now_ms)
 {
   struct OwnedCustomer *customer = owner_find (owner, returned->customer);
+  double n;
 
   if (customer == NULL)
     return;
   customer_refill (owner, customer, now_ms);
-  bucket_refill (&customer->requests, returned->n_tokens,
+  n = fmin (returned->n_tokens, customer->returns);
+  customer->returns -= n;
+  bucket_refill (&customer->requests, n,
                  current_fraction (owner) * request_capacity (owner, customer));
 }
 
--- a/include/buckthornhead/customers/quota_owner.h
+++ b/include/buckthornhead/customers/quota_owner.h
@@ -78,6 +78,7 @@
 struct QuotaGrant
 quota_owner_decide (struct QuotaOwner *owner, const struct QuotaAsk *ask, int64_t now_ms);
 
+/* Adds returned tokens, a few in each window at most; the others are lost. */
 void
 quota_owner_return (struct QuotaOwner *owner, const struct QuotaReturn *returned, int64_t now_ms);
 
--- a/tests/model/run.sh
+++ b/tests/model/run.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Checks the model of the takeover protocol with Spin, exhaustively within each set of bounds, and
-# requires a violation in every mutant, each of which lacks one guard. Usage: run.sh MODEL
+# Checks a model with Spin, exhaustively within each set of bounds, and requires a violation in every
+# mutant, each of which lacks one guard. Usage: run.sh MODEL
 set -u
 model=$(realpath "$1")
 folder=$(mktemp -d)
@@ -18,12 +18,29 @@
   ./pan -E -m10000 > out 2>&1
 }
 
-# Two calls on two branches; one call, resent across two takeovers; two calls and two takeovers.
-sound=(
-  "two-calls:-DMAX_CLAIMS=1"
-  "two-takeovers:-DN_CALLS=1"
-  "both:-DMAX_LATE=0 -DMAX_HANDOFFS=0"
-)
+case $(basename "$model") in
+takeover.pml)
+  # Two calls on two branches; one call, resent across two takeovers; two calls and two takeovers.
+  sound=(
+    "two-calls:-DMAX_CLAIMS=1"
+    "two-takeovers:-DN_CALLS=1"
+    "both:-DMAX_LATE=0 -DMAX_HANDOFFS=0"
+  )
+  mutants="READ_BEFORE_SEAL INTENT_AFTER_DISPATCH ACKNOWLEDGE_BEFORE_APPEND LOWER_EPOCH_ACCEPTED
+    SEAL_DELETED MAP_BEFORE_SNAPSHOT HANDOFF_WHILE_IN_FLIGHT HANDOFF_BEFORE_DURABLE"
+  mutant_flags=-DMAX_CLAIMS=1
+  ;;
+quota_lease.pml)
+  # One owner at a time; two owners for a moment.
+  sound=("one-owner:-DMAX_OVERLAPS=0" "two-owners:-DMAX_OVERLAPS=1")
+  mutants="FULL_AT_START ANY_RETURN"
+  mutant_flags=-DMAX_OVERLAPS=1
+  ;;
+*)
+  echo "unknown model $model"
+  exit 1
+  ;;
+esac
 for entry in "${sound[@]}"; do
   name=${entry%%:*}
   # shellcheck disable=SC2086
@@ -36,10 +53,8 @@
   fi
 done
 
-mutants="READ_BEFORE_SEAL INTENT_AFTER_DISPATCH ACKNOWLEDGE_BEFORE_APPEND LOWER_EPOCH_ACCEPTED
-  SEAL_DELETED MAP_BEFORE_SNAPSHOT HANDOFF_WHILE_IN_FLIGHT HANDOFF_BEFORE_DURABLE"
 for mutant in $mutants; do
-  if check "$mutant" "-D$mutant" -DMAX_CLAIMS=1 && grep -q 'assertion violated' out; then
+  if check "$mutant" "-D$mutant" "$mutant_flags" && grep -q 'assertion violated' out; then
     echo "ok: mutant $mutant is caught: $(sed -n 's/^pan:1: \(.*\) (at depth.*/\1/p' out)"
   else
     echo "FAILED: mutant $mutant is not caught"
--- a/tests/test_quota_owner.c
+++ b/tests/test_quota_owner.c
@@ -279,7 +279,8 @@
   talloc_free (owner);
 }
 
-/* Guards against returned tokens that fill a bucket over its capacity. */
+/* Guards against returned tokens that fill a bucket over its capacity, and against many returns, by
+ * which tokens that were refilled meanwhile would exceed the limit. */
 static void
 test_returned_tokens (void)
 {
@@ -294,6 +295,9 @@
   returned.n_tokens = 4;
   quota_owner_return (owner, &returned, now_ms);
   CU_ASSERT_EQUAL (take_all (owner, now_ms), 3); /* one waits already */
+  for (uint32_t i = 0; i < 100; i++)
+    quota_owner_return (owner, &returned, now_ms);
+  CU_ASSERT (take_all (owner, now_ms) <= 1);
   snprintf (returned.customer, sizeof returned.customer, "bela");
   quota_owner_return (owner, &returned, now_ms);
   talloc_free (owner);
