Test requests that end while they wait for their limit

Cause: callers that disconnect, deadlines and servers that refuse requests end waits and return tokens at any time; the simulation ended none.

Change: quota_sim ends one of ten waiting requests in each step and lets all servers refuse one of ten admitted ones up to 3 s later, while the owner is killed in a surge.

--- a/tests/quota_sim.c
+++ b/tests/quota_sim.c
@@ -31,6 +31,7 @@
   LEAVE_KNOWN_MS = 200, /* after a planned stop, by the lists of the aggregators */
   REFUSED_ONCE_IN = 5,
   START_DEFER_MS = 1200,
+  REFUSED_AFTER_MAX_MS = 3000,
   RETRY_UNCERTAIN_MS = 300,
   PATIENCE_MS = 1000, /* after which a caller tries another gateway */
   WAITING_MAX = 4096
@@ -88,6 +89,7 @@
 {
   struct Request request; /* first: the quotas get a pointer to it */
   uint32_t program, gateway;
+  int64_t refused_ms; /* admitted, and refused by all servers at that time; 0: neither */
 };
 
 struct SimRun
@@ -114,6 +116,7 @@
   uint32_t n_runs;
   uint32_t n_refused[CUSTOMERS], n_failed[CUSTOMERS], n_completed[CUSTOMERS];
   struct QuotaSimCounts counts;
+  bool ends_requests;
   double rates[CUSTOMERS]; /* current limits */
   int64_t bound_from_ms[CUSTOMERS];
   uint64_t next_id;
@@ -404,23 +407,62 @@
   sim->n_failed[program->customer] += !completed && program->has_begun;
 }
 
+static int
+sim_request_free (struct SimRequest *sent)
+{
+  struct Request *request = &sent->request;
+
+  *request->pprev = request->next;
+  if (request->next != NULL)
+    request->next->pprev = request->pprev;
+  return 0;
+}
+
+static void
+program_admitted (struct SimProgram *program)
+{
+  program->has_begun = true;
+  program->n_tries = 0;
+  program->next_ms = sim->now_ms + TURN_MS / 2 + draw (TURN_MS);
+  if (--program->n_left == 0)
+    program_end (program, true);
+}
+
 /* The request was admitted. */
 void
 front_dispatch (struct Request *request)
 {
-  const struct SimRequest *sent = (struct SimRequest *)request;
+  struct SimRequest *sent = (struct SimRequest *)request;
   struct SimProgram *program = &sim->programs[sent->program];
 
-  sim->runs[sim->n_runs++] = (struct SimRun){ sim->now_ms, program->customer, sent->gateway };
   sim->counts.n_admitted++;
+  if (sim->ends_requests && draw (10) == 0)
+    {
+      sent->refused_ms = sim->now_ms + 1 + draw (REFUSED_AFTER_MAX_MS);
+      return;
+    }
+  sim->runs[sim->n_runs++] = (struct SimRun){ sim->now_ms, program->customer, sent->gateway };
   talloc_free (request);
-  if (program->is_over)
-    return;
-  program->has_begun = true;
-  program->n_tries = 0;
-  program->next_ms = sim->now_ms + TURN_MS / 2 + draw (TURN_MS);
-  if (--program->n_left == 0)
-    program_end (program, true);
+  if (!program->is_over)
+    program_admitted (program);
+}
+
+/* Ends some of the gateway's requests, as request_end does. */
+static void
+gateway_end_requests (struct SimGateway *gateway)
+{
+  struct Request *request, *next;
+
+  for (request = gateway->front->requests; request != NULL; request = next)
+    {
+      int64_t refused_ms = ((struct SimRequest *)request)->refused_ms;
+
+      next = request->next;
+      if (refused_ms > 0 ? sim->now_ms < refused_ms : draw (10) != 0)
+        continue;
+      quotas_refund (request);
+      talloc_free (request);
+    }
 }
 
 void
@@ -620,6 +662,12 @@
   sent->gateway = g;
   request->front = gateway->front;
   request->arrived_ms = sim->now_ms;
+  request->next = gateway->front->requests;
+  request->pprev = &gateway->front->requests;
+  if (request->next != NULL)
+    request->next->pprev = &request->next;
+  gateway->front->requests = request;
+  talloc_set_destructor (sent, sim_request_free);
   request->customer = *customer_table_at (sim->table->customers, program->customer);
   request->caller.program = "p";
   request->caller.id = "r";
@@ -727,8 +775,11 @@
         {
           struct SimGateway *gateway = &sim->gateways[g];
 
-          if (gateway->is_up && !gateway->is_suspended)
-            clock_fire_due (gateway);
+          if (!gateway->is_up || gateway->is_suspended)
+            continue;
+          clock_fire_due (gateway);
+          if (sim->ends_requests)
+            gateway_end_requests (gateway);
         }
       sim_load ();
       if (sim->now_ms % SEEN_MS == 0)
@@ -815,6 +866,12 @@
     sim->gateways[g].is_silent = silent;
 }
 
+void
+quota_sim_set_ending (bool ending)
+{
+  sim->ends_requests = ending;
+}
+
 void
 quota_sim_hide (uint32_t first, uint32_t n)
 {
--- a/tests/quota_sim.h
+++ b/tests/quota_sim.h
@@ -74,6 +74,11 @@
 void
 quota_sim_hide (uint32_t first, uint32_t n);
 
+/* One of ten requests that wait for their customer's limit is ended, by its caller or its deadline,
+ * and one of ten that were admitted is refused by all servers some time later. */
+void
+quota_sim_set_ending (bool ending);
+
 /* Ends all cuts. */
 void
 quota_sim_reconnect (void);
--- a/tests/test_quota_lease.c
+++ b/tests/test_quota_lease.c
@@ -339,6 +339,28 @@
         }
 }
 
+/* Guards against tokens that are returned twice or too late, and against messages and timers of
+ * requests that have ended: callers disconnect while their requests wait, and servers refuse
+ * requests up to three seconds after they were admitted. */
+static void
+test_requests_that_end (void)
+{
+  for (uint32_t customer = 0; customer < QUOTA_SIM_CUSTOMERS; customer++)
+    for (uint64_t seed = 1; seed <= N_SEEDS; seed++)
+      {
+        quota_sim_set_sharing (QUOTA_BY_LEASES);
+        quota_sim_start (N_FAULT_GATEWAYS, seed);
+        quota_sim_set_ending (true);
+        quota_sim_run (6000);
+        quota_sim_set_load (customer, 5);
+        quota_sim_run (4000);
+        quota_sim_kill (quota_sim_owner (customer), 1);
+        quota_sim_run (8000);
+        CU_ASSERT (quota_sim_check (customer, "requests that end") <= 1);
+        quota_sim_end ();
+      }
+}
+
 /* Plays the usual load while each of some gateways is replaced. Prints and returns the fraction of
  * rejected requests. */
 static double
@@ -425,6 +447,7 @@
   { "two owners for a moment", test_two_owners_for_a_moment },
   { "two sides keep the limit", test_two_sides_keep_the_limit },
   { "changed limits", test_changed_limits },
+  { "requests that end", test_requests_that_end },
   { "the usual load is not rejected", test_usual_load_is_not_rejected },
   { "requests are sent to the next owner", test_requests_are_sent_to_the_next_owner },
   { NULL, NULL },
