--- a/tests/test_gateway_settings.c
+++ b/tests/test_gateway_settings.c
@@ -130,6 +130,37 @@
   talloc_free (ctx);
 }
 
+/* Guards against a way of sharing limits that is read as another one. */
+static void
+test_ways_of_sharing_limits (void)
+{
+  static const struct
+  {
+    const char *text;
+    enum QuotaSharing sharing;
+  } cases[] = {
+    { "", QUOTA_BY_REPORTS },
+    { "[quota]\nsharing = counts\n", QUOTA_BY_REPORTS },
+    { "[quota]\nsharing = equal_parts\n", QUOTA_BY_EQUAL_SHARES },
+    { "[quota]\nsharing = leases\n", QUOTA_BY_LEASES },
+  };
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct GatewaySettings *s;
+  char *messages;
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      const char *text = talloc_asprintf (ctx, "%s%s", gateway_text, cases[i].text);
+
+      CU_ASSERT_EQUAL_FATAL (parse (ctx, text, &s, &messages), ERROR_NONE);
+      CU_ASSERT_EQUAL (s->quota_sharing, (int32_t)cases[i].sharing);
+    }
+  CU_ASSERT_EQUAL (parse (ctx, talloc_asprintf (ctx, "%s[quota]\nsharing = lease\n", gateway_text),
+                          &s, &messages),
+                   ERROR_INVALID);
+  talloc_free (ctx);
+}
+
 const char test_suite_name[] = "gateway_settings";
 const struct TestCase test_cases[] = {
   { "gateway and archive settings parse", test_gateway_and_archive_settings_parse },
@@ -137,5 +168,6 @@
   { "a process is a gateway or an archive", test_process_is_gateway_or_archive },
   { "each decision has a switch", test_each_decision_has_a_switch },
   { "modes are off unless set", test_modes_are_off_unless_set },
+  { "ways of sharing limits", test_ways_of_sharing_limits },
   { NULL, NULL },
 };
