--- a/core/gateway/message_count.c
+++ b/core/gateway/message_count.c
@@ -61,6 +61,12 @@
       return "probe";
     case GATEWAY_USAGES:
       return "uses";
+    case GATEWAY_QUOTA_REQUEST:
+      return "quota_request";
+    case GATEWAY_QUOTA_GRANT:
+      return "quota_grant";
+    case GATEWAY_QUOTA_RETURN:
+      return "quota_return";
     case GATEWAY_PACES:
       return "paces";
     }
--- a/gateway/front.c
+++ b/gateway/front.c
@@ -214,9 +214,6 @@
   return timer_now_ms (front->node->timers) - front->started_ms < START_DEFER_MS;
 }
 
-static void
-front_dispatch (struct Request *request);
-
 static void
 request_on_defer_timer (void *data)
 {
@@ -258,7 +255,7 @@
     request_send (request);
 }
 
-static void
+void
 front_dispatch (struct Request *request)
 {
   struct Front *front = request->front;
@@ -491,6 +488,11 @@
     case GATEWAY_PACES:
       paces_on_rows (front->paces, message->paces.items, message->paces.n_items);
       break;
+    case GATEWAY_QUOTA_REQUEST:
+    case GATEWAY_QUOTA_GRANT:
+    case GATEWAY_QUOTA_RETURN:
+      quotas_on_message (front->quotas, link, sender, message);
+      break;
     case GATEWAY_TURN_OPEN:
     case GATEWAY_TURN_READ:
     case GATEWAY_TURN_CLOSE:
--- a/tests/quota_sim.c
+++ b/tests/quota_sim.c
@@ -2,9 +2,11 @@
 
 #include "../gateway/front.h"
 #include "../gateway/quotas.h"
+#include "../gateway/relay.h"
 
 #include <buckthornhead/error.h>
 #include <buckthornhead/log.h>
+#include <buckthornhead/partition.h>
 #include <buckthornhead/peer_table.h>
 
 #include <stdio.h>
@@ -26,6 +28,11 @@
   TOGETHER_MAX = 4, /* requests that a program sends at once */
   TURN_MS = 180,
   TRIES = 4,
+  LEAVE_KNOWN_MS = 200, /* after a planned stop, by the lists of the aggregators */
+  REFUSED_ONCE_IN = 5,
+  START_DEFER_MS = 1200,
+  REFUSED_AFTER_MAX_MS = 3000,
+  RETRY_UNCERTAIN_MS = 300,
   PATIENCE_MS = 1000, /* after which a caller tries another gateway */
   WAITING_MAX = 4096
 };
@@ -39,13 +46,19 @@
 struct SimGateway
 {
   struct TimerService clock; /* first: the timer service's functions get a pointer to it */
-  struct Timer *timer;       /* of the quotas */
+  struct Timer **timers;     /* armed ones */
+  size_t n_timers;
   struct GatewaySettings settings;
   struct Node node;
   struct Front *front;
   char name[32];
   bool is_up, is_suspended, loses_messages;
-  uint32_t side; /* gateways reach those of the same side */
+  bool is_mute;      /* what it sends is lost */
+  bool is_silent;    /* the tokens that it grants are lost */
+  bool is_hidden;    /* every second gateway receives nothing from it */
+  bool is_lost;      /* with its machine, which refuses no connections */
+  int64_t leaves_ms; /* when the others learn of its planned stop; 0: none */
+  uint32_t side;     /* gateways reach those of the same side */
 };
 
 struct SimProgram
@@ -67,7 +80,16 @@
   uint32_t to;
   int64_t due_ms;
   char sender[32];
-  struct UsageReport report;
+  uint64_t link;
+  struct GatewayMessage *content;
+};
+
+/* A caller's request. */
+struct SimRequest
+{
+  struct Request request; /* first: the quotas get a pointer to it */
+  uint32_t program, gateway;
+  int64_t refused_ms; /* admitted, and refused by all servers at that time; 0: neither */
 };
 
 struct SimRun
@@ -93,10 +115,21 @@
   struct SimRun *runs;
   uint32_t n_runs;
   uint32_t n_refused[CUSTOMERS], n_failed[CUSTOMERS], n_completed[CUSTOMERS];
-  uint32_t retry_after_ms; /* of the last rejection */
+  struct QuotaSimCounts counts;
+  bool ends_requests;
+  double rates[CUSTOMERS]; /* current limits */
+  int64_t bound_from_ms[CUSTOMERS];
+  uint64_t next_id;
 };
 
 static struct Sim *sim;
+static enum QuotaSharing sim_sharing = QUOTA_BY_REPORTS;
+
+void
+quota_sim_set_sharing (enum QuotaSharing sharing)
+{
+  sim_sharing = sharing;
+}
 
 static uint32_t
 draw (uint32_t n)
@@ -119,47 +152,200 @@
 static void
 clock_arm (struct TimerService *service, struct Timer *timer, int64_t due_ms)
 {
+  struct SimGateway *gateway = (struct SimGateway *)service;
+
   timer->due_ms = due_ms;
-  ((struct SimGateway *)service)->timer = timer;
+  gateway->timers = talloc_realloc (sim, gateway->timers, struct Timer *, gateway->n_timers + 1);
+  gateway->timers[gateway->n_timers++] = timer;
 }
 
 static void
 clock_disarm (struct TimerService *service, struct Timer *timer)
 {
-  (void)timer;
-  ((struct SimGateway *)service)->timer = NULL;
+  struct SimGateway *gateway = (struct SimGateway *)service;
+  size_t n_left = 0;
+
+  for (size_t i = 0; i < gateway->n_timers; i++)
+    if (gateway->timers[i] != timer)
+      gateway->timers[n_left++] = gateway->timers[i];
+  gateway->n_timers = n_left;
+}
+
+/* Returns a timer that is due; NULL when there is none. */
+static struct Timer *
+clock_next_due (const struct SimGateway *gateway)
+{
+  for (size_t i = 0; i < gateway->n_timers; i++)
+    if (gateway->timers[i]->due_ms <= sim->now_ms)
+      return gateway->timers[i];
+  return NULL;
+}
+
+static void
+clock_fire_due (struct SimGateway *gateway)
+{
+  struct Timer *timer;
+
+  while ((timer = clock_next_due (gateway)) != NULL)
+    {
+      clock_disarm (&gateway->clock, timer);
+      timer_fire (timer);
+    }
 }
 
 static const struct TimerOps clock_ops = { clock_now_ms, clock_arm, clock_disarm };
 
 /* What the quotas use of the rest of a gateway. */
 
+static uint32_t
+gateway_number (const struct SimGateway *gateway)
+{
+  return (uint32_t)(gateway - sim->gateways);
+}
+
 static bool
 gateway_reaches (const struct SimGateway *from, const struct SimGateway *to)
 {
-  return to->is_up && from->side == to->side;
+  if (from->is_hidden && gateway_number (to) % 2 != 0)
+    return false;
+  return to->is_up && !from->is_mute && from->side == to->side;
+}
+
+/* Links between gateways are numbers: of the sender, and for relayed messages also of the gateway
+ * that relays. */
+#define LINK_RELAYED (1ULL << 32)
+#define LINK_OF(from) ((uint64_t)(from) + 1)
+#define LINK_OF_RELAYED(from, by) (LINK_RELAYED | (uint64_t)(by) << 16 | (uint64_t)(from))
+
+static struct SimGateway *
+gateway_of (const struct Node *node)
+{
+  for (uint32_t g = 0; g < sim->n_gateways; g++)
+    if (node == &sim->gateways[g].node)
+      return &sim->gateways[g];
+  return NULL;
+}
+
+static struct SimGateway *
+gateway_named (const char *name)
+{
+  for (uint32_t g = 0; g < sim->n_gateways; g++)
+    if (strcmp (sim->gateways[g].name, name) == 0)
+      return &sim->gateways[g];
+  return NULL;
+}
+
+static bool
+message_is_lost (const struct SimGateway *from, const struct SimGateway *to)
+{
+  return !gateway_reaches (from, to)
+         || ((from->loses_messages || to->loses_messages) && draw (10) < 8);
+}
+
+static struct SimMessage *
+sim_queue (const char *sender, const struct SimGateway *to, const struct GatewayMessage *content)
+{
+  struct SimMessage *message;
+
+  sim->messages = talloc_realloc (sim, sim->messages, struct SimMessage, sim->n_messages + 1);
+  message = &sim->messages[sim->n_messages++];
+  message->to = gateway_number (to);
+  message->due_ms = sim->now_ms + LATENCY_MS;
+  snprintf (message->sender, sizeof message->sender, "%s", sender);
+  message->content = talloc_memdup (sim, content, sizeof *content);
+  return message;
 }
 
 static void
 sim_send (const struct SimGateway *from, const char *name, const struct UsageReport *report)
 {
-  for (uint32_t g = 0; g < sim->n_gateways; g++)
-    {
-      const struct SimGateway *to = &sim->gateways[g];
-      struct SimMessage *message;
+  const struct SimGateway *to = gateway_named (name);
+  struct GatewayMessage content = { .kind = GATEWAY_USAGES };
 
-      if (to == from || strcmp (to->name, name) != 0 || !gateway_reaches (from, to)
-          || ((from->loses_messages || to->loses_messages) && draw (10) < 8))
-        continue;
-      sim->messages = talloc_realloc (sim, sim->messages, struct SimMessage, sim->n_messages + 1);
-      message = &sim->messages[sim->n_messages++];
-      message->to = g;
-      message->due_ms = sim->now_ms + LATENCY_MS;
-      snprintf (message->sender, sizeof message->sender, "%s", from->name);
-      message->report = *report;
-      message->report.usages =
-          talloc_memdup (sim, report->usages, report->n_usages * sizeof report->usages[0]);
-    }
+  if (to == NULL || to == from || message_is_lost (from, to))
+    return;
+  content.usages = *report;
+  content.usages.usages =
+      talloc_memdup (sim, report->usages, report->n_usages * sizeof report->usages[0]);
+  sim_queue (from->name, to, &content);
+}
+
+uint64_t
+node_next_id (struct Node *node)
+{
+  (void)node;
+  return ++sim->next_id;
+}
+
+int32_t
+node_send (struct Node *node, const char *peer, const struct GatewayMessage *message)
+{
+  const struct SimGateway *from = gateway_of (node), *to = gateway_named (peer);
+
+  if (from->is_silent && message->kind == GATEWAY_QUOTA_GRANT)
+    return ERROR_NONE;
+  if (!message_is_lost (from, to))
+    sim_queue (from->name, to, message)->link = LINK_OF (gateway_number (from));
+  return ERROR_NONE;
+}
+
+/* Sends through another gateway, with the latency of both ways. */
+static void
+sim_relay (const struct SimGateway *from,
+           const struct SimGateway *by,
+           const struct SimGateway *to,
+           const struct GatewayMessage *message)
+{
+  struct SimMessage *queued;
+
+  if (from->is_silent && message->kind == GATEWAY_QUOTA_GRANT)
+    return;
+  if (message_is_lost (from, by) || message_is_lost (by, to) || by->is_suspended)
+    return;
+  queued = sim_queue (from->name, to, message);
+  queued->due_ms += LATENCY_MS;
+  queued->link = LINK_OF_RELAYED (gateway_number (from), gateway_number (by));
+}
+
+int32_t
+node_answer (struct Node *node, uint64_t link, const struct GatewayMessage *message)
+{
+  const struct SimGateway *from = gateway_of (node);
+
+  if (relay_is_link (link))
+    sim_relay (from, &sim->gateways[(link & ~LINK_RELAYED) >> 16],
+               &sim->gateways[link & UINT16_MAX], message);
+  else
+    node_send (node, sim->gateways[link - 1].name, message);
+  return ERROR_NONE;
+}
+
+bool
+relay_is_link (uint64_t link)
+{
+  return (link & LINK_RELAYED) != 0;
+}
+
+int32_t
+relay_send (struct Node *node, const char *peer, const struct GatewayMessage *message)
+{
+  sim_relay (gateway_of (node), &sim->gateways[draw (sim->n_gateways)], gateway_named (peer),
+             message);
+  return ERROR_NONE;
+}
+
+int32_t
+relay_forward (struct Node *node,
+               const char *to,
+               const char *from,
+               const struct GatewayMessage *message)
+{
+  const struct SimGateway *by = gateway_of (node), *target = gateway_named (to);
+
+  if (!message_is_lost (by, target))
+    sim_queue (from, target, message)->link =
+        LINK_OF_RELAYED (gateway_number (gateway_named (from)), gateway_number (by));
+  return ERROR_NONE;
 }
 
 static void
@@ -177,13 +363,8 @@
 void
 node_send_some (struct Node *node, const struct GatewayMessage *message, enum PeerChoice choice)
 {
-  const struct SimGateway *from = NULL;
+  const struct SimGateway *from = gateway_of (node);
 
-  for (uint32_t g = 0; g < sim->n_gateways; g++)
-    if (node == &sim->gateways[g].node)
-      from = &sim->gateways[g];
-  if (from == NULL)
-    return;
   switch (choice)
     {
     case PEERS_OWN_AGGREGATORS:
@@ -212,15 +393,116 @@
   return peer_table_is_live (node->peers, peer, sim->now_ms);
 }
 
+bool
+front_is_starting (const struct Front *front)
+{
+  return sim->now_ms - front->started_ms < START_DEFER_MS;
+}
+
+static void
+program_end (struct SimProgram *program, bool completed)
+{
+  program->is_over = true;
+  sim->n_completed[program->customer] += completed;
+  sim->n_failed[program->customer] += !completed && program->has_begun;
+}
+
+static int
+sim_request_free (struct SimRequest *sent)
+{
+  struct Request *request = &sent->request;
+
+  *request->pprev = request->next;
+  if (request->next != NULL)
+    request->next->pprev = request->pprev;
+  return 0;
+}
+
+static void
+program_admitted (struct SimProgram *program)
+{
+  program->has_begun = true;
+  program->n_tries = 0;
+  program->next_ms = sim->now_ms + TURN_MS / 2 + draw (TURN_MS);
+  if (--program->n_left == 0)
+    program_end (program, true);
+}
+
+/* The request was admitted. */
+void
+front_dispatch (struct Request *request)
+{
+  struct SimRequest *sent = (struct SimRequest *)request;
+  struct SimProgram *program = &sim->programs[sent->program];
+
+  sim->counts.n_admitted++;
+  if (sim->ends_requests && draw (10) == 0)
+    {
+      sent->refused_ms = sim->now_ms + 1 + draw (REFUSED_AFTER_MAX_MS);
+      return;
+    }
+  sim->runs[sim->n_runs++] = (struct SimRun){ sim->now_ms, program->customer, sent->gateway };
+  talloc_free (request);
+  if (!program->is_over)
+    program_admitted (program);
+}
+
+/* Ends some of the gateway's requests, as request_end does. */
+static void
+gateway_end_requests (struct SimGateway *gateway)
+{
+  struct Request *request, *next;
+
+  for (request = gateway->front->requests; request != NULL; request = next)
+    {
+      int64_t refused_ms = ((struct SimRequest *)request)->refused_ms;
+
+      next = request->next;
+      if (refused_ms > 0 ? sim->now_ms < refused_ms : draw (10) != 0)
+        continue;
+      quotas_refund (request);
+      talloc_free (request);
+    }
+}
+
 void
 request_reject_over_limit (struct Request *request, uint32_t wait_ms, const char *detail)
 {
-  (void)request, (void)detail;
-  sim->retry_after_ms = wait_ms;
+  struct SimProgram *program = &sim->programs[((struct SimRequest *)request)->program];
+
+  (void)detail;
+  talloc_free (request);
+  sim->n_refused[program->customer]++;
+  sim->counts.n_rejected++;
+  if (program->is_over)
+    return;
+  program->next_ms = sim->now_ms + wait_ms + draw (100);
+  if (++program->n_tries == TRIES)
+    program_end (program, false);
+}
+
+void
+request_fail (struct Request *request, enum RequestFailure failure, const char *detail)
+{
+  (void)failure;
+  sim->counts.n_uncertain++;
+  request_reject_over_limit (request, RETRY_UNCERTAIN_MS, detail);
 }
 
 /* Gateways */
 
+/* A new process has received nothing from its peers. */
+static void
+gateway_forget_peers (struct SimGateway *gateway)
+{
+  for (size_t i = 0; i < gateway->node.peers->n_peers; i++)
+    {
+      struct Peer *peer = gateway->node.peers->peers[i];
+
+      peer->received_ms = peer->link_received_ms = peer->unanswered_since_ms = 0;
+    }
+}
+
 static void
 gateway_start (struct SimGateway *gateway)
 {
@@ -228,6 +510,11 @@
   gateway->is_suspended = false;
   TALLOC_FREE (gateway->front->quotas);
   gateway->front->started_ms = sim->now_ms;
+  gateway->front->stop_ms = 0;
+  gateway->is_lost = false;
+  gateway->leaves_ms = 0;
+  if (sim_sharing == QUOTA_BY_LEASES)
+    gateway_forget_peers (gateway);
   gateway->front->quotas = quotas_new (gateway->front);
   quotas_configure (gateway->front->quotas);
 }
@@ -244,7 +531,7 @@
   snprintf (settings->zone, sizeof settings->zone, "%s", zones[number % ZONES]);
   settings->quota_window_ms = WINDOW_MS;
   settings->quota_slack = SLACK;
-  settings->quota_sharing = QUOTA_BY_REPORTS;
+  settings->quota_sharing = (int32_t)sim_sharing;
   settings->decisions.under_way = true;
   gateway->node.settings = settings;
   gateway->node.timers = &gateway->clock;
@@ -260,7 +547,7 @@
 {
   for (uint32_t g = 0; g < sim->n_gateways; g++)
     {
-      struct NodeStatus status = { .ready = true };
+      struct NodeStatus status = { .ready = true, .config_version = 1 };
 
       if (&sim->gateways[g] == gateway)
         continue;
@@ -281,7 +568,7 @@
   sim->table->customers = customer_table_new (sim->table, CUSTOMERS);
   for (uint32_t c = 0; c < CUSTOMERS; c++)
     {
-      struct Customer customer = { .rate_per_s = quota_sim_rates[c], .burst = quota_sim_rates[c] };
+      struct Customer customer = { .rate_per_s = sim->rates[c], .burst = sim->rates[c] };
 
       snprintf (customer.name, sizeof customer.name, "customer-%u", c);
       customer_table_add (sim->table->customers, &customer, &fault);
@@ -299,7 +586,10 @@
   sim->programs = talloc_zero_array (sim, struct SimProgram, PROGRAMS_MAX);
   sim->runs = talloc_zero_array (sim, struct SimRun, RUNS_MAX);
   for (uint32_t c = 0; c < CUSTOMERS; c++)
-    sim->load[c] = 1;
+    {
+      sim->load[c] = 1;
+      sim->rates[c] = quota_sim_rates[c];
+    }
   sim_configure ();
   for (uint32_t g = 0; g < n_gateways; g++)
     gateway_init (g);
@@ -318,6 +608,31 @@
   TALLOC_FREE (sim);
 }
 
+static void
+gateway_note_peer (struct SimGateway *to, const struct SimGateway *from)
+{
+  struct Peer *peer = peer_table_find (to->node.peers, from->name);
+  bool is_received = from->is_up && !from->is_suspended && gateway_reaches (from, to);
+
+  if (is_received)
+    {
+      peer_note_received (peer, sim->now_ms);
+      peer->status.leaving = from->leaves_ms > 0 && sim->now_ms >= from->leaves_ms;
+    }
+  if (sim_sharing != QUOTA_BY_LEASES)
+    return;
+  /* Connections are attempted now and then. */
+  if (!from->is_up && !from->is_lost && draw (REFUSED_ONCE_IN) == 0)
+    peer->refused_ms = sim->now_ms;
+  if (!is_received || !gateway_reaches (to, from))
+    {
+      peer_record_request (peer, sim->now_ms);
+      return;
+    }
+  peer->link_received_ms = sim->now_ms;
+  peer->unanswered_since_ms = 0;
+}
+
 /* Each gateway receives from all others that run and that it reaches. */
 static void
 sim_note_received (void)
@@ -328,53 +643,45 @@
         const struct SimGateway *from = &sim->gateways[other];
         struct SimGateway *to = &sim->gateways[g];
 
-        if (g != other && from->is_up && !from->is_suspended && to->is_up && !to->is_suspended
-            && gateway_reaches (from, to))
-          peer_note_received (peer_table_find (to->node.peers, from->name), sim->now_ms);
+        if (g != other && to->is_up && !to->is_suspended)
+          gateway_note_peer (to, from);
       }
 }
 
 /* Load */
 
-static void
-program_end (struct SimProgram *program, bool completed)
-{
-  program->is_over = true;
-  sim->n_completed[program->customer] += completed;
-  sim->n_failed[program->customer] += !completed && program->has_begun;
-}
-
 static void
 program_request (uint32_t number, uint32_t g)
 {
   struct SimProgram *program = &sim->programs[number];
   struct SimGateway *gateway = &sim->gateways[g];
-  struct Request request = { .front = gateway->front };
-
-  snprintf (request.customer.name, sizeof request.customer.name, "customer-%u", program->customer);
-  request.caller.program = "p";
-  request.caller.id = "r";
-  request.caller.previous = program->has_begun ? "t" : "";
-  request.route.retains_turns = true;
-  if (quotas_must_wait (&request))
+  struct SimRequest *sent = talloc_zero (gateway->front, struct SimRequest);
+  struct Request *request = &sent->request;
+
+  sent->program = number;
+  sent->gateway = g;
+  request->front = gateway->front;
+  request->arrived_ms = sim->now_ms;
+  request->next = gateway->front->requests;
+  request->pprev = &gateway->front->requests;
+  if (request->next != NULL)
+    request->next->pprev = &request->next;
+  gateway->front->requests = request;
+  talloc_set_destructor (sent, sim_request_free);
+  request->customer = *customer_table_at (sim->table->customers, program->customer);
+  request->caller.program = "p";
+  request->caller.id = "r";
+  request->caller.previous = program->has_begun ? "t" : "";
+  request->route.retains_turns = true;
+  /* Until the response. */
+  program->next_ms = sim->now_ms + PATIENCE_MS;
+  if (quotas_must_wait (request))
     {
+      talloc_free (request);
       program->next_ms = sim->now_ms + 2 * STEP_MS;
-      return;
     }
-  if (quotas_admit (&request))
-    {
-      sim->runs[sim->n_runs++] = (struct SimRun){ sim->now_ms, program->customer, g };
-      program->has_begun = true;
-      program->n_tries = 0;
-      program->next_ms = sim->now_ms + TURN_MS / 2 + draw (TURN_MS);
-      if (--program->n_left == 0)
-        program_end (program, true);
-      return;
-    }
-  sim->n_refused[program->customer]++;
-  program->next_ms = sim->now_ms + sim->retry_after_ms + draw (100);
-  if (++program->n_tries == TRIES)
-    program_end (program, false);
+  else if (quotas_admit (request))
+    front_dispatch (request);
 }
 
 static void
@@ -421,6 +728,19 @@
 
 /* Time */
 
+static void
+gateway_deliver (const struct SimGateway *to, const struct SimMessage *message)
+{
+  const struct GatewayMessage *content = message->content;
+
+  if (!to->is_up)
+    return;
+  if (content->kind == GATEWAY_USAGES)
+    quotas_on_report (to->front->quotas, message->sender, &content->usages);
+  else
+    quotas_on_message (to->front->quotas, message->link, message->sender, content);
+}
+
 static void
 sim_deliver (void)
 {
@@ -428,17 +748,19 @@
 
   for (size_t i = 0; i < sim->n_messages; i++)
     {
-      struct SimMessage *message = &sim->messages[i];
-      struct SimGateway *to = &sim->gateways[message->to];
+      /* A copy: the array grows when the receiver sends. */
+      struct SimMessage message = sim->messages[i];
+      const struct SimGateway *to = &sim->gateways[message.to];
 
-      if (message->due_ms > sim->now_ms || (to->is_up && to->is_suspended))
+      if (message.due_ms > sim->now_ms || (to->is_up && to->is_suspended))
         {
-          sim->messages[n_left++] = *message;
+          sim->messages[n_left++] = message;
           continue;
         }
-      if (to->is_up)
-        quotas_on_report (to->front->quotas, message->sender, &message->report);
-      talloc_free (message->report.usages);
+      gateway_deliver (to, &message);
+      if (message.content->kind == GATEWAY_USAGES)
+        talloc_free (message.content->usages.usages);
+      talloc_free (message.content);
     }
   sim->n_messages = n_left;
 }
@@ -453,8 +775,11 @@
         {
           struct SimGateway *gateway = &sim->gateways[g];
 
-          if (gateway->is_up && !gateway->is_suspended && gateway->timer->due_ms <= sim->now_ms)
-            timer_fire (gateway->timer);
+          if (!gateway->is_up || gateway->is_suspended)
+            continue;
+          clock_fire_due (gateway);
+          if (sim->ends_requests)
+            gateway_end_requests (gateway);
         }
       sim_load ();
       if (sim->now_ms % SEEN_MS == 0)
@@ -502,12 +827,62 @@
 quota_sim_kill (uint32_t first, uint32_t n)
 {
   for (uint32_t g = first; g < first + n; g++)
-    sim->gateways[g].is_up = false;
+    {
+      sim->gateways[g].is_up = false;
+      TALLOC_FREE (sim->gateways[g].front->quotas);
+      talloc_free_children (sim->gateways[g].front);
+    }
+}
+
+void
+quota_sim_lose (uint32_t first, uint32_t n)
+{
+  for (uint32_t g = first; g < first + n; g++)
+    sim->gateways[g].is_lost = true;
+  quota_sim_kill (first, n);
+}
+
+void
+quota_sim_stop (uint32_t first, uint32_t n)
+{
+  for (uint32_t g = first; g < first + n; g++)
+    {
+      sim->gateways[g].front->stop_ms = sim->now_ms;
+      sim->gateways[g].leaves_ms = sim->now_ms + LEAVE_KNOWN_MS;
+    }
+}
+
+void
+quota_sim_mute (uint32_t first, uint32_t n)
+{
+  for (uint32_t g = first; g < first + n; g++)
+    sim->gateways[g].is_mute = true;
+}
+
+void
+quota_sim_set_silent (uint32_t first, uint32_t n, bool silent)
+{
+  for (uint32_t g = first; g < first + n; g++)
+    sim->gateways[g].is_silent = silent;
+}
+
+void
+quota_sim_set_ending (bool ending)
+{
+  sim->ends_requests = ending;
+}
+
+void
+quota_sim_hide (uint32_t first, uint32_t n)
+{
+  for (uint32_t g = first; g < first + n; g++)
+    sim->gateways[g].is_hidden = true;
 }
 
 void
 quota_sim_restart (uint32_t first, uint32_t n)
 {
+  quota_sim_kill (first, n);
   for (uint32_t g = first; g < first + n; g++)
     gateway_start (&sim->gateways[g]);
 }
@@ -530,7 +905,60 @@
 quota_sim_reconnect (void)
 {
   for (uint32_t g = 0; g < sim->n_gateways; g++)
-    sim->gateways[g].side = 0;
+    {
+      sim->gateways[g].side = 0;
+      sim->gateways[g].is_mute = false;
+      sim->gateways[g].is_hidden = false;
+    }
+}
+
+void
+quota_sim_set_limit (uint32_t customer, double rate_per_s)
+{
+  struct RouteTable *old = sim->table;
+
+  sim->rates[customer] = rate_per_s;
+  sim->bound_from_ms[customer] = sim->now_ms;
+  sim_configure ();
+  for (uint32_t g = 0; g < sim->n_gateways; g++)
+    {
+      sim->gateways[g].front->table = sim->table;
+      if (sim->gateways[g].is_up)
+        quotas_configure (sim->gateways[g].front->quotas);
+    }
+  talloc_free (old);
+}
+
+uint32_t
+quota_sim_owner (uint32_t customer)
+{
+  uint32_t owner = 0;
+  uint64_t best = 0;
+  char name[32];
+
+  snprintf (name, sizeof name, "customer-%u", customer);
+  for (uint32_t g = 0; g < sim->n_gateways; g++)
+    {
+      uint64_t score = rendezvous_score (name, sim->gateways[g].name);
+
+      if (!sim->gateways[g].is_up || score <= best)
+        continue;
+      best = score;
+      owner = g;
+    }
+  return owner;
+}
+
+void
+quota_sim_reset_counts (void)
+{
+  sim->counts = (struct QuotaSimCounts){ 0 };
+}
+
+struct QuotaSimCounts
+quota_sim_counts (void)
+{
+  return sim->counts;
 }
 
 void
@@ -542,21 +970,26 @@
 
 /* Checks */
 
+static bool
+run_counts (const struct SimRun *run, uint32_t customer)
+{
+  return run->customer == customer && run->ms >= sim->bound_from_ms[customer];
+}
+
 static double
 fullest_window (uint32_t customer)
 {
-  double bound =
-      (quota_sim_rates[customer] * WINDOW_MS / 1000 + quota_sim_rates[customer]) * BOUND_FACTOR
-      + SLACK;
+  double rate_per_s = sim->rates[customer];
+  double bound = (rate_per_s * WINDOW_MS / 1000 + rate_per_s) * BOUND_FACTOR + SLACK;
   uint32_t first = 0, n = 0, most = 0;
 
   for (uint32_t i = 0; i < sim->n_runs; i++)
     {
-      if (sim->runs[i].customer != customer)
+      if (!run_counts (&sim->runs[i], customer))
         continue;
       n++;
       for (; sim->runs[first].ms <= sim->runs[i].ms - WINDOW_MS; first++)
-        n -= sim->runs[first].customer == customer;
+        n -= run_counts (&sim->runs[first], customer);
       most = n > most ? n : most;
     }
   return most / bound;
