--- a/tests/sessions/test_gateway_customers.c
+++ b/tests/sessions/test_gateway_customers.c
@@ -275,7 +275,9 @@
   const char *body = http_get (ctx, fleet->gateways[0].metrics, "/customers")->body;
   const char *owner = strstr (body, "\"owner\":\"front-");
 
-  CU_ASSERT_PTR_NOT_NULL_FATAL (owner);
+  CU_ASSERT_PTR_NOT_NULL (owner);
+  if (owner == NULL)
+    return 0;
   return (uint32_t)strtoul (owner + strlen ("\"owner\":\"front-"), NULL, 10) - 1;
 }
 
