Order waiting turns by the ranks of customers and routes, for lasting shortage

Cause: under three times the demand, turns of late programs are rejected after up to 1.6 s and come back behind later ones until their programs fail; turns of programs under way, of any rank, precede all that begin.

Change: a second order for engines' queues, not used yet. Programs that can still meet their deadline come first, then customers by priority, then, among customers, routes by priority; late ones by the time since which their program waits, over its retries. The expected wait is at least the wait of those ahead.

--- a/core/scheduling/slot_queue.c
+++ b/core/scheduling/slot_queue.c
@@ -1,6 +1,7 @@
 #include <buckthornhead/scheduling/slot_queue.h>
 
 #include <buckthornhead/error.h>
+#include <buckthornhead/scheduling/waiting_programs.h>
 
 #include <stdio.h>
 #include <string.h>
@@ -42,7 +43,7 @@
 {
   struct SlotRequest request;
   bool granted; /* false: waiting */
-  int64_t granted_ms;
+  int64_t asked_ms, granted_ms;
 };
 
 struct SlotQueue
@@ -62,11 +63,13 @@
   uint32_t n_parts;
   int64_t last_ask_ms;
   struct FailureRate failures;
+  enum SlotOrder order;
   UT_hash_handle hh;
 };
 
 struct SlotQueues
 {
+  struct WaitingPrograms *programs;
   struct SlotQueue *by_server;
   uint64_t n_examined; /* entries that were read to find, order or grant requests */
 };
@@ -83,8 +86,12 @@
 {
   struct SlotQueues *queues = talloc_zero (ctx, struct SlotQueues);
 
-  if (queues != NULL)
-    talloc_set_destructor (queues, queues_free);
+  if (queues == NULL)
+    return NULL;
+  talloc_set_destructor (queues, queues_free);
+  queues->programs = waiting_programs_new (queues);
+  if (queues->programs == NULL)
+    TALLOC_FREE (queues);
   return queues;
 }
 
@@ -146,18 +153,10 @@
   return request->program_deadline_ms - now_ms < (int64_t)service_ms;
 }
 
-bool
-slot_request_before (const struct SlotRequest *a,
-                     const struct SlotRequest *b,
-                     int64_t now_ms,
-                     uint32_t service_ms)
+/* Programs that can still meet their deadline come first in either order. */
+static bool
+request_before_by_program (const struct SlotRequest *a, const struct SlotRequest *b)
 {
-  bool a_late = ask_misses_deadline (a, now_ms, service_ms);
-  bool b_late = ask_misses_deadline (b, now_ms, service_ms);
-
-  /* Programs that can still meet their deadlines go first. */
-  if (a_late != b_late)
-    return b_late;
   /* Programs under way precede those that have not begun: if late, their finished turns would be
    * lost. */
   if (a->under_way != b->under_way)
@@ -172,6 +171,50 @@
   return a->id < b->id;
 }
 
+/* The route's priority decides among customers, which operators rank. Without customers it only
+ * breaks ties: a few long programs of a high priority would make many short ones late. Programs
+ * under way have no precedence, since admission holds back those that begin. */
+static bool
+request_before_by_rank (const struct SlotRequest *a, const struct SlotRequest *b, bool both_late)
+{
+  bool have_customers = a->customer != 0 && b->customer != 0;
+
+  if (a->customer_priority != b->customer_priority)
+    return a->customer_priority < b->customer_priority;
+  if (have_customers && a->priority != b->priority)
+    return a->priority < b->priority;
+  /* Late programs have no deadline left to order them by. */
+  if (both_late && a->since_ms != b->since_ms)
+    return a->since_ms < b->since_ms;
+  if (a->program_deadline_ms != b->program_deadline_ms)
+    return a->program_deadline_ms < b->program_deadline_ms;
+  if (a->priority != b->priority)
+    return a->priority < b->priority;
+  return a->id < b->id;
+}
+
+bool
+slot_request_before (const struct SlotRequest *a,
+                     const struct SlotRequest *b,
+                     enum SlotOrder order,
+                     int64_t now_ms,
+                     uint32_t service_ms)
+{
+  bool a_late = ask_misses_deadline (a, now_ms, service_ms);
+  bool b_late = ask_misses_deadline (b, now_ms, service_ms);
+
+  if (a_late != b_late)
+    return b_late;
+  switch (order)
+    {
+    case SLOT_ORDER_BY_PROGRAM:
+      return request_before_by_program (a, b);
+    case SLOT_ORDER_BY_RANK:
+      return request_before_by_rank (a, b, a_late);
+    }
+  return false;
+}
+
 /* Cache contents of the server. */
 
 static void
@@ -272,12 +315,27 @@
   return queue->n_granted < queue_usable_slots (queue, now_ms) + GRANTS_IN_TRANSIT;
 }
 
+/* Returns whether a program that begins is held back by a turn that waits, even of a lower rank:
+ * one that is not of the highest rank would add to the wait of programs under way with each of its
+ * turns. */
+static bool
+entry_defers_to (const struct SlotEntry *entry,
+                 const struct SlotEntry *other,
+                 int64_t now_ms,
+                 uint32_t service_ms)
+{
+  return !entry->request.under_way && entry->request.customer != 0 && entry->request.priority > 0
+         && !other->granted && !ask_misses_deadline (&other->request, now_ms, service_ms);
+}
+
 static void
 queue_get_state (const struct SlotQueue *queue,
                  const struct SlotEntry *entry,
                  int64_t now_ms,
                  struct SlotState *state)
 {
+  int64_t longest_ms = 0;
+
   memset (state, 0, sizeof *state);
   state->granted = entry->granted;
   state->total = (uint32_t)queue->n_entries;
@@ -285,11 +343,22 @@
   if (state->granted)
     return;
   for (size_t i = 0; i < queue->n_entries; i++)
-    if (!queue->entries[i].granted
-        && slot_request_before (&queue->entries[i].request, &entry->request, now_ms,
-                                queue->service_ms))
-      state->ahead++;
+    {
+      const struct SlotEntry *other = &queue->entries[i];
+      bool is_ahead = !other->granted
+                      && slot_request_before (&other->request, &entry->request, queue->order,
+                                              now_ms, queue->service_ms);
+
+      state->ahead += is_ahead;
+      if ((is_ahead || entry_defers_to (entry, other, now_ms, queue->service_ms))
+          && now_ms - other->asked_ms > longest_ms)
+        longest_ms = now_ms - other->asked_ms;
+    }
   state->wait_ms = (state->ahead + 1) * queue->service_ms / (queue->slots > 0 ? queue->slots : 1);
+  /* Requests of a higher rank that arrive later go ahead, too. How long those ahead have waited
+   * shows it. */
+  if (queue->order == SLOT_ORDER_BY_RANK && state->wait_ms < longest_ms)
+    state->wait_ms = (uint32_t)longest_ms;
 }
 
 static void
@@ -316,6 +385,7 @@
     return ERROR_NO_MEMORY;
   queue->slots = server->slots;
   queue->capacity_tokens = server->capacity_tokens;
+  queue->order = server->order;
   queue->last_ask_ms = now_ms;
   queue_set_first_service (queue, server->first_service_ms);
   entry = entry_find (queue, request->requester, request->id);
@@ -327,7 +397,9 @@
       queue->entries = grown;
       entry = &grown[queue->n_entries++];
       entry->request = *request;
+      entry->request.since_ms = waiting_programs_since (queues->programs, request->program, now_ms);
       entry->granted = false;
+      entry->asked_ms = now_ms;
       /* While there is room no other request waits: freed slots are granted at once. */
       if (queue_has_room (queue, now_ms))
         entry_grant (queue, entry, now_ms);
@@ -418,7 +490,8 @@
 
       if (!entry->granted
           && (best == NULL
-              || slot_request_before (&entry->request, &best->request, now_ms, queue->service_ms)))
+              || slot_request_before (&entry->request, &best->request, queue->order, now_ms,
+                                      queue->service_ms)))
         best = entry;
     }
   if (best == NULL)
@@ -438,6 +511,7 @@
 {
   struct SlotQueue *queue, *next;
 
+  waiting_programs_expire (queues->programs, now_ms);
   HASH_ITER (hh, queues->by_server, queue, next)
   {
     size_t i = 0;
--- a/include/buckthornhead/scheduling/slot_queue.h
+++ b/include/buckthornhead/scheduling/slot_queue.h
@@ -28,6 +28,16 @@
   int64_t deadline_ms;                /* deadline of the request's caller */
   uint64_t part;                      /* id of the prompt's largest shared part; 0: none */
   uint32_t part_tokens;
+  uint64_t program;  /* hash of its program's id; 0: none */
+  uint64_t customer; /* hash of its customer's name; 0: none */
+  int64_t since_ms;  /* since when its program waits, over its retries; set by the queue */
+};
+
+/* In which order requests wait. */
+enum SlotOrder
+{
+  SLOT_ORDER_BY_PROGRAM, /* programs under way, then by program deadline */
+  SLOT_ORDER_BY_RANK     /* by the ranks of customer and route; for lasting shortage */
 };
 
 enum
@@ -76,6 +86,7 @@
   /* Initial service time of a plain server's queue, at most SLOT_SERVICE_MAX_MS; 0: the server is
    * an engine. */
   uint32_t first_service_ms;
+  enum SlotOrder order;
 };
 
 /* Grants a new request if there is room, or else queues it. A repeated SlotRequest returns the
@@ -145,8 +156,10 @@
 slot_queue_service_ms (const struct SlotQueues *queues, const char *server);
 
 /* Returns whether a is granted before b. */
+/* Returns whether a is granted before b. service_ms: mean service time of the server. */
 bool
 slot_request_before (const struct SlotRequest *a,
                      const struct SlotRequest *b,
+                     enum SlotOrder order,
                      int64_t now_ms,
                      uint32_t service_ms);
--- a/tests/test_slot_queue.c
+++ b/tests/test_slot_queue.c
@@ -345,6 +345,110 @@
   talloc_free (queues);
 }
 
+/* Order by rank. */
+
+static struct SlotState
+request_by_rank (struct SlotQueues *queues, const struct SlotRequest *a, int64_t now_ms)
+{
+  const struct SlotServer server = {
+    .id = "e", .slots = SLOTS, .capacity_tokens = 3000, .order = SLOT_ORDER_BY_RANK
+  };
+  struct SlotState state;
+
+  CU_ASSERT_EQUAL (slot_queue_request (queues, &server, a, now_ms, &state), ERROR_NONE);
+  return state;
+}
+
+static struct SlotRequest
+make_ranked (uint64_t id, uint64_t customer, uint32_t priority, int64_t program_deadline_ms)
+{
+  struct SlotRequest a = make_request ("g", id, true, program_deadline_ms);
+
+  a.customer = customer;
+  a.program = id;
+  a.priority = priority;
+  a.deadline_ms = 60000;
+  return a;
+}
+
+/* Guards against a shortage in which turns of a low rank, which are due sooner, fail those of the
+ * highest rank. A customer's priority comes before the route's. */
+static void
+test_ranks_decide_among_customers (void)
+{
+  struct SlotQueues *queues = full_server ();
+  const struct SlotRequest low = make_ranked (10, 1, 2, 1000), high = make_ranked (11, 2, 0, 2000);
+  struct SlotRequest other = make_ranked (12, 3, 0, 900);
+
+  other.customer_priority = 1;
+  request_by_rank (queues, &low, 0);
+  CU_ASSERT_EQUAL (request_by_rank (queues, &high, 0).ahead, 0);
+  CU_ASSERT_EQUAL (request_by_rank (queues, &other, 0).ahead, 2);
+  slot_queue_done (queues, "e", "g", 1, SLOT_SERVED, 0);
+  CU_ASSERT_EQUAL (next_id (queues, 0), 11);
+  talloc_free (queues);
+}
+
+/* Guards against long programs of a high priority that make many short ones late where nobody
+ * ranks customers. */
+static void
+test_deadlines_decide_without_customers (void)
+{
+  struct SlotQueues *queues = full_server ();
+  const struct SlotRequest high = make_ranked (10, 0, 0, 2000), low = make_ranked (11, 0, 1, 1000);
+
+  request_by_rank (queues, &high, 0);
+  CU_ASSERT_EQUAL (request_by_rank (queues, &low, 0).ahead, 0);
+  talloc_free (queues);
+}
+
+/* Guards against a late program whose turn is rejected and returns behind later ones each time. */
+static void
+test_a_late_program_keeps_its_place (void)
+{
+  struct SlotQueues *queues = full_server ();
+  struct SlotRequest early = make_ranked (10, 0, 0, 0);
+  const struct SlotRequest late = make_ranked (11, 0, 0, 0);
+
+  request_by_rank (queues, &early, 100);
+  slot_queue_done (queues, "e", "g", 10, SLOT_NOT_USED, 200);
+  request_by_rank (queues, &late, 300);
+  early.id = 12;
+  CU_ASSERT_EQUAL (request_by_rank (queues, &early, 400).ahead, 0);
+  talloc_free (queues);
+}
+
+/* Guards against an estimate from the number of requests ahead, which stays short while requests of
+ * a higher rank arrive and go ahead. */
+static void
+test_the_expected_wait_follows_those_that_wait (void)
+{
+  struct SlotQueues *queues = full_server ();
+  const struct SlotRequest first = make_ranked (10, 0, 0, 5000);
+  const struct SlotRequest next = make_ranked (11, 0, 0, 6000);
+
+  request_by_rank (queues, &first, 0);
+  CU_ASSERT_EQUAL (request_by_rank (queues, &next, 1500).wait_ms, 1500);
+  talloc_free (queues);
+}
+
+/* Guards against a program of a low rank that begins and delays programs under way with each of its
+ * turns. */
+static void
+test_a_program_of_low_rank_begins_after_those_that_wait (void)
+{
+  struct SlotQueues *queues = full_server ();
+  const struct SlotRequest waiting = make_ranked (10, 1, 2, 90000);
+  struct SlotRequest low = make_ranked (11, 2, 2, 80000), high = make_ranked (12, 2, 0, 80000);
+
+  low.under_way = false;
+  high.under_way = false;
+  request_by_rank (queues, &waiting, 0);
+  CU_ASSERT_EQUAL (request_by_rank (queues, &low, 1000).wait_ms, 1000);
+  CU_ASSERT (request_by_rank (queues, &high, 1000).wait_ms < 1000);
+  talloc_free (queues);
+}
+
 const char test_suite_name[] = "slot_queue";
 const struct TestCase test_cases[] = {
   { "programs that can end in time go first", test_programs_that_can_end_in_time_go_first },
@@ -358,5 +462,11 @@
   { "a plain server's service time is measured", test_a_plain_servers_service_time_is_measured },
   { "a customer's priority goes before a program's deadline",
     test_a_customers_priority_goes_before_a_programs_deadline },
+  { "ranks decide among customers", test_ranks_decide_among_customers },
+  { "deadlines decide without customers", test_deadlines_decide_without_customers },
+  { "a late program keeps its place", test_a_late_program_keeps_its_place },
+  { "the expected wait follows those that wait", test_the_expected_wait_follows_those_that_wait },
+  { "a program of low rank begins after those that wait",
+    test_a_program_of_low_rank_begins_after_those_that_wait },
   { NULL, NULL },
 };
