Grant plain servers a third of their slots beyond those in use

Cause: the way from a grant to the server and back takes a fifth of the time of a short request, in which the slot is idle.

--- a/core/scheduling/slot_queue.c
+++ b/core/scheduling/slot_queue.c
@@ -12,6 +12,10 @@
   /* Grants beyond the slots: the next request is already in transit while the previous one ends.
    * Otherwise the server would be idle for the transit time of about 2 ms. */
   GRANTS_IN_TRANSIT = 1,
+  /* The same for plain servers, as a part of their slots: they run a request in a few times the
+   * transit time, and would be idle for a fifth of it. They have some places for waiting requests.
+   */
+  PLAIN_SLOTS_PER_TRANSIT = 3,
   /* The moving average of the service time gives the latest request a weight of 1/16. */
   SERVICE_AVERAGE_DIVISOR = 16,
   /* Weight of a plain server's initial service time, in samples. With a lower one, a first response
@@ -312,7 +316,11 @@
 static bool
 queue_has_room (const struct SlotQueue *queue, int64_t now_ms)
 {
-  return queue->n_granted < queue_usable_slots (queue, now_ms) + GRANTS_IN_TRANSIT;
+  uint32_t n_in_transit = GRANTS_IN_TRANSIT;
+
+  if (queue->first_service_ms > 0 && queue->slots / PLAIN_SLOTS_PER_TRANSIT > n_in_transit)
+    n_in_transit = queue->slots / PLAIN_SLOTS_PER_TRANSIT;
+  return queue->n_granted < queue_usable_slots (queue, now_ms) + n_in_transit;
 }
 
 /* Returns whether a program that begins is held back by a turn that waits, even of a lower rank:
