Admit programs that begin only with a short wait, under lasting shortage

Change, with [decisions] admission: owners order turns by rank, and a request whose expected wait is known to be too long is rejected at once with that wait as Retry-After. A program begins only if its first turn waits for a part of its route's objective, since its later turns wait as well; one of a low rank also gives way to turns of other ranks that wait. Turns of programs under way are rejected only if their callers would leave before the first event. Nothing of a rejected request runs.

--- a/core/counter.c
+++ b/core/counter.c
@@ -79,6 +79,8 @@
   [COUNTER_REQUESTS_ANSWERED] =
       COUNTS ("requests_answered",
               "Requests whose caller received a complete response of a backend server"),
+  [COUNTER_PROGRAMS_REJECTED] =
+      COUNTS ("programs_rejected", "Programs rejected when they began, since servers are busy"),
   [COUNTER_REQUESTS_OVER_LIMIT] =
       COUNTS ("requests_over_limit",
               "Requests rejected with Retry-After because their customer's limit was reached"),
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -185,10 +185,13 @@
 void
 request_reject_busy (struct Request *request, uint32_t wait_ms)
 {
-  char detail[96];
+  bool begins = request->turn != NULL && !request->continues_program;
+  char detail[128];
 
-  snprintf (detail, sizeof detail, "%s is busy for another %u ms", request->replica->entry.id,
-            wait_ms);
+  if (begins)
+    counter_add (COUNTER_PROGRAMS_REJECTED, 1);
+  snprintf (detail, sizeof detail, "%s%s is busy for another %u ms",
+            begins ? "program begins: " : "", request->replica->entry.id, wait_ms);
   request_fail_with_wait_ms (request, FAILURE_BUSY, wait_ms, detail);
 }
 
--- a/gateway/slots.c
+++ b/gateway/slots.c
@@ -1,8 +1,11 @@
 #include "slots.h"
+
+#include "contention.h"
 #include "paces.h"
 
 #include <buckthornhead/histogram.h>
 #include <buckthornhead/log.h>
+#include <buckthornhead/scheduling/admission.h>
 #include <buckthornhead/scheduling/plain_queue.h>
 
 #include <stdio.h>
@@ -160,6 +163,21 @@
 
 /* Requesting slots. */
 
+static bool
+request_is_ranked (const struct Request *request)
+{
+  const struct Front *front = request->front;
+
+  return front_decision_is_active (front, front->node->settings->decisions.admission,
+                                   request->service);
+}
+
+static uint64_t
+name_hash (const char *name)
+{
+  return name[0] != '\0' ? XXH64 (name, strlen (name), 0) : 0;
+}
+
 static int32_t
 slots_send_slot_request (struct Request *request)
 {
@@ -191,6 +209,11 @@
       slot_request->under_way = false;
       slot_request->has_program_deadline = false;
     }
+  if (request_is_ranked (request))
+    {
+      slot_request->program = name_hash (request->caller.program);
+      slot_request->customer = name_hash (request->customer.name);
+    }
   if (shared != NULL)
     {
       slot_request->part = shared->id;
@@ -409,6 +432,30 @@
           : -1LL);
 }
 
+static enum AdmissionRank
+request_rank (const struct Request *request)
+{
+  if (request->customer.name[0] == '\0')
+    return ADMISSION_UNRANKED;
+  return request->route.priority == 0 ? ADMISSION_TOP_RANK : ADMISSION_LOW_RANK;
+}
+
+/* Returns whether the request is rejected, since it would wait for too long. */
+static bool
+slots_rejects (const struct Request *request, uint32_t wait_ms, int64_t left_ms)
+{
+  const struct AdmissionQuery query = {
+    .begins_program = request->turn != NULL && !request->continues_program,
+    .rank = request_rank (request),
+    .wait_ms = wait_ms,
+    .objective_ms = request->route.objective_ms,
+    .left_ms = left_ms,
+  };
+
+  return request_is_ranked (request) && !request_is_plain (request) ? admission_rejects (&query)
+                                                                    : wait_ms > left_ms;
+}
+
 static void
 slots_handle_state (struct Request *request, const struct SlotState *state)
 {
@@ -431,7 +478,7 @@
   if (slots_move (request, state->wait_ms))
     return;
   slots_log_queued (request, state);
-  if (state->wait_ms > (left_ms < first_event_ms ? left_ms : first_event_ms))
+  if (slots_rejects (request, state->wait_ms, left_ms < first_event_ms ? left_ms : first_event_ms))
     {
       if (!slots_move_late (request))
         request_reject_busy (request, state->wait_ms);
@@ -473,6 +520,20 @@
     }
 }
 
+/* Returns the order in which requests to the server wait. */
+static enum SlotOrder
+slots_order (const struct Slots *slots, const char *server)
+{
+  const struct Front *front = slots->front;
+  const struct Replica *replica = replica_set_find (front->replicas, server);
+
+  return replica != NULL
+                 && front_decision_is_active (front, front->node->settings->decisions.admission,
+                                              replica->entry.service)
+             ? SLOT_ORDER_BY_RANK
+             : SLOT_ORDER_BY_PROGRAM;
+}
+
 void
 slots_on_request (struct Slots *slots,
                   uint64_t link,
@@ -490,11 +551,19 @@
     .program_deadline_ms =
         message->has_program_deadline ? now_ms + message->program_left_ms : INT64_MAX,
     .deadline_ms = now_ms + message->left_ms,
+    .program = message->program,
+    .customer = message->customer,
     .part = message->part,
     .part_tokens = message->part_tokens,
   };
-  struct SlotServer server = { message->server, message->slots, message->capacity_tokens,
-                               message->first_service_ms };
+  struct SlotServer server = {
+    .id = message->server,
+    .slots = message->slots,
+    .capacity_tokens = message->capacity_tokens,
+    .first_service_ms = message->first_service_ms,
+    .order = message->first_service_ms > 0 ? SLOT_ORDER_BY_PROGRAM
+                                           : slots_order (slots, message->server),
+  };
 
   snprintf (slot_request.requester, sizeof slot_request.requester, "%s", sender);
   response.slot_state.id = message->id;
--- /dev/null
+++ b/include/buckthornhead/scheduling/admission.h
@@ -0,0 +1,31 @@
+/* Whether a request that would have to wait for a slot is admitted.
+ *
+ * Answers more programs than the servers can end in time: everybody waits, all are late, and work
+ * is spent on programs that fail. A program is admitted or rejected at its first turn, before any
+ * work was spent on it; those under way wait as long as their callers do. A rejected request has
+ * not run. Does no I/O. */
+#pragma once
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/* How operators rank a program that begins. */
+enum AdmissionRank
+{
+  ADMISSION_UNRANKED, /* it belongs to no customer */
+  ADMISSION_TOP_RANK, /* a customer's, on a route of the highest priority */
+  ADMISSION_LOW_RANK  /* a customer's, on another route */
+};
+
+struct AdmissionQuery
+{
+  bool begins_program; /* the first turn of a program */
+  enum AdmissionRank rank;
+  uint32_t wait_ms;      /* expected wait at the server */
+  uint32_t objective_ms; /* target latency of the request's route; 0: none */
+  int64_t left_ms;       /* until its caller stops waiting for the response to begin */
+};
+
+/* Returns whether the request is rejected. */
+bool
+admission_rejects (const struct AdmissionQuery *query);
