--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -351,8 +351,8 @@
   printf ("seed %llu, %zu faults\n", (unsigned long long)seed, n_events);
   soak->version = 1;
   soak->fleet = fleet_new (ctx);
-  soak->fleet->gateway_settings = talloc_asprintf (ctx, "[quota]\nsharing = %s\n%s", sharing,
-                                                   hard_load ? hard_load_sections : "");
+  soak->fleet->quota_sharing = sharing;
+  soak->fleet->gateway_settings = hard_load ? hard_load_sections : NULL;
   soak->load.limits_surges = strcmp (sharing, "leases") == 0;
   fleet_start_all (soak->fleet, N_GATEWAYS, N_ARCHIVES, soak_add_proxy, soak);
   installation_set_customers (soak->fleet->installation, soak_customers);
