Let programs of the highest route priority begin with the whole objective

Cause: without customers, a quarter of the objective for all kept long programs of the highest priority from beginning (113 of 1,700 refused); with customers, half of it for the others still let too many begin.

Change: the highest route priority begins with the whole objective, others with a quarter of it, with or without customers.

--- a/core/scheduling/admission.c
+++ b/core/scheduling/admission.c
@@ -4,26 +4,16 @@
 {
   /* Time from the grant to the first event: the way, and reading the prompt. */
   FIRST_EVENT_MS = 100,
-  LOW_RANK_DIVISOR = 2,
-  UNRANKED_DIVISOR = 4
+  LOW_RANK_DIVISOR = 4
 };
 
 /* Returns the longest wait in ms with which a program begins. The objective is what operators allow
- * it beside the time of its work, and its later turns wait as well: as long as the first one
- * without ranks, and hardly with the highest rank. */
+ * it beside the time of its work. Its later turns wait as well, unless it goes first by its rank.
+ */
 static uint32_t
 begin_wait_ms (const struct AdmissionQuery *query)
 {
-  switch (query->rank)
-    {
-    case ADMISSION_UNRANKED:
-      return query->objective_ms / UNRANKED_DIVISOR;
-    case ADMISSION_TOP_RANK:
-      break;
-    case ADMISSION_LOW_RANK:
-      return query->objective_ms / LOW_RANK_DIVISOR;
-    }
-  return query->objective_ms;
+  return query->has_top_rank ? query->objective_ms : query->objective_ms / LOW_RANK_DIVISOR;
 }
 
 bool
--- a/gateway/slots.c
+++ b/gateway/slots.c
@@ -432,21 +432,13 @@
           : -1LL);
 }
 
-static enum AdmissionRank
-request_rank (const struct Request *request)
-{
-  if (request->customer.name[0] == '\0')
-    return ADMISSION_UNRANKED;
-  return request->route.priority == 0 ? ADMISSION_TOP_RANK : ADMISSION_LOW_RANK;
-}
-
 /* Returns whether the request is rejected, since it would wait for too long. */
 static bool
 slots_rejects (const struct Request *request, uint32_t wait_ms, int64_t left_ms)
 {
   const struct AdmissionQuery query = {
     .begins_program = request->turn != NULL && !request->continues_program,
-    .rank = request_rank (request),
+    .has_top_rank = request->route.priority == 0,
     .wait_ms = wait_ms,
     .objective_ms = request->route.objective_ms,
     .left_ms = left_ms,
--- a/include/buckthornhead/scheduling/admission.h
+++ b/include/buckthornhead/scheduling/admission.h
@@ -9,18 +9,10 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/* How operators rank a program that begins. */
-enum AdmissionRank
-{
-  ADMISSION_UNRANKED, /* it belongs to no customer */
-  ADMISSION_TOP_RANK, /* a customer's, on a route of the highest priority */
-  ADMISSION_LOW_RANK  /* a customer's, on another route */
-};
-
 struct AdmissionQuery
 {
-  bool begins_program; /* the first turn of a program */
-  enum AdmissionRank rank;
+  bool begins_program;   /* the first turn of a program */
+  bool has_top_rank;     /* its route has the highest priority */
   uint32_t wait_ms;      /* expected wait at the server */
   uint32_t objective_ms; /* target latency of the request's route; 0: none */
   int64_t left_ms;       /* until its caller stops waiting for the response to begin */
