Use the field's terms in the names and comments of the scheduling and quota code

Times at which a report arrives are named received_ms, like those of peers. Owners that don't respond are unresponsive, a gateway that receives from no other is isolated, and the table of the servers' speed is a PaceTable. Names in messages, settings, metrics and log events are unchanged.

Comments at tuned constants keep the reason for their value and lose the figures of single runs. Comments that only restated a name are removed.

--- a/core/customers/quota_owner.c
+++ b/core/customers/quota_owner.c
@@ -15,7 +15,7 @@
   RETRY_MIN_MS = 20,
   /* The owner may receive a new configuration somewhat later than the gateway that asks. */
   RETRY_UNKNOWN_MS = 300,
-  /* Changes of the share that are remembered, so that no change has to visit all customers. */
+  /* Changes of the share that are recorded, so that no change has to visit all customers. */
   SHARES_MAX = 32
 };
 
--- a/core/scheduling/plain_queue.c
+++ b/core/scheduling/plain_queue.c
@@ -5,14 +5,14 @@
   /* Plain servers are run with room for their load, so most requests take far less time than the
    * route's target, which the slowest must meet as well. */
   FIRST_SERVICE_DIVISOR = 4,
-  /* A move costs three messages, and the other server's load is up to 120 ms old: with any gain
-   * sufficient, requests moved 1.6 times each at 1.5 times the load that servers carry. */
+  /* A move costs three messages, and the known load of the other server is up to 120 ms old: if
+   * any gain sufficed, requests would move repeatedly under overload. */
   MOVE_GAIN = 2,
-  /* A request queries its owner again after half of its expected wait, within these bounds. They
-   * limit the delay after a lost response or a change of owner; with an interval of 200 ms for all,
-   * most messages at such a load were repeated queries. */
-  ASK_INTERVAL_MIN_MS = 200,
-  ASK_INTERVAL_MAX_MS = 800
+  /* A request queries its owner again after half of its expected wait, within these bounds. The
+   * upper bound limits the delay after a lost response or a change of owner. The lower one for all
+   * requests would make repeated queries most of the messages under overload. */
+  QUERY_INTERVAL_MIN_MS = 200,
+  QUERY_INTERVAL_MAX_MS = 800
 };
 
 uint32_t
@@ -43,11 +43,11 @@
 }
 
 uint32_t
-plain_ask_interval_ms (uint32_t wait_ms)
+plain_query_interval_ms (uint32_t wait_ms)
 {
   uint32_t half_ms = wait_ms / 2;
 
-  if (half_ms < ASK_INTERVAL_MIN_MS)
-    return ASK_INTERVAL_MIN_MS;
-  return half_ms < ASK_INTERVAL_MAX_MS ? half_ms : ASK_INTERVAL_MAX_MS;
+  if (half_ms < QUERY_INTERVAL_MIN_MS)
+    return QUERY_INTERVAL_MIN_MS;
+  return half_ms < QUERY_INTERVAL_MAX_MS ? half_ms : QUERY_INTERVAL_MAX_MS;
 }
--- a/core/scheduling/replica_set.c
+++ b/core/scheduling/replica_set.c
@@ -26,7 +26,7 @@
   SERVICE_REPORT_MS = 3000,
   /* How long a plain server is avoided after its owner did not respond: a killed owner is replaced
    * after 1 to 2 s, and each request costs 60 ms until it is sent without its owner. */
-  OWNER_SILENT_MS = 500,
+  OWNER_UNRESPONSIVE_MS = 500,
   COST_OTHER_ZONE_US = 1000,
   /* A round trip, and the time to accept a connection. Less than COST_RUNNING_US, so that load
    * still spreads over servers without an open connection. */
@@ -39,10 +39,9 @@
    * in use the wait would exceed the gain. */
   COST_NOT_PREFERRED_US = 20 * 1000,
   /* Part of the longer duration at a slow server that counts. A request that waits at a fast server
-   * delays those behind it, too, and leaves a slot of the slow one idle. In test_server_pace, four
-   * of eight servers four times slower, at 88% of the capacity that is left: 1016 ms in the mean if
-   * all of it counts, 711 ms with a half, 676 ms with a quarter, 712 ms with an eighth, 780 ms
-   * without pace. */
+   * delays those behind it, too, and leaves a slot of the slow one idle. With a larger part
+   * too few requests go to slow servers, with a smaller one too many; both raise the mean response
+   * time. */
   COST_SERVICE_DIVISOR = 4,
   /* Each token of the prompt is a byte or more of traffic between zones, again with every following
    * turn there. */
@@ -342,7 +341,7 @@
   replica->owned = true;
   replica->peers_in_flight =
       digest->total > replica->in_flight ? digest->total - replica->in_flight : 0;
-  replica->load_heard_ms = now_ms;
+  replica->load_received_ms = now_ms;
   replica->reported_failure_rate.permille = digest->failed_permille;
   replica->reported_failure_rate.updated_ms = now_ms;
   replica->n_cached = digest->n_parts;
@@ -442,31 +441,31 @@
 {
   replica->peers_in_flight =
       state->total > replica->in_flight ? state->total - replica->in_flight : 0;
-  replica->load_heard_ms = now_ms;
-  replica->owner_silent_until_ms = 0;
+  replica->load_received_ms = now_ms;
+  replica->owner_unresponsive_until_ms = 0;
   if (state->service_ms == 0)
     return;
   replica->service_ms = state->service_ms;
-  replica->service_heard_ms = now_ms;
+  replica->service_received_ms = now_ms;
 }
 
 void
-replica_record_owner_silent (struct Replica *replica, int64_t now_ms)
+replica_record_owner_unresponsive (struct Replica *replica, int64_t now_ms)
 {
-  replica->owner_silent_until_ms = now_ms + OWNER_SILENT_MS;
+  replica->owner_unresponsive_until_ms = now_ms + OWNER_UNRESPONSIVE_MS;
 }
 
 static bool
 replica_is_avoided (const struct Replica *replica, const struct ReplicaQuery *query)
 {
   return replica->avoid_until_ms > query->now_ms
-         || (query->service_ms != 0 && replica->owner_silent_until_ms > query->now_ms);
+         || (query->service_ms != 0 && replica->owner_unresponsive_until_ms > query->now_ms);
 }
 
 /* Returns the expected wait for a slot when n_waiting requests, this one included, wait for one. At
  * a plain server the wait has become shorter by the age of the load report: it runs a request in a
- * fraction of the 120 to 480 ms between two reports, so that without this gateways would go on
- * avoiding servers that were full and send all requests to the others. */
+ * fraction of the 120 to 480 ms between two reports, so without this correction gateways would
+ * keep avoiding servers that were full and send all requests to the others. */
 static uint64_t
 waiting_cost_us (const struct Replica *replica,
                  const struct ReplicaQuery *query,
@@ -474,8 +473,8 @@
                  uint64_t slots)
 {
   bool reported =
-      replica->service_ms != 0 && query->now_ms - replica->service_heard_ms < SERVICE_REPORT_MS;
-  uint64_t age_us = (uint64_t)(query->now_ms - replica->load_heard_ms) * 1000;
+      replica->service_ms != 0 && query->now_ms - replica->service_received_ms < SERVICE_REPORT_MS;
+  uint64_t age_us = (uint64_t)(query->now_ms - replica->load_received_ms) * 1000;
   uint64_t wait_us;
 
   if (query->service_ms == 0)
@@ -499,8 +498,8 @@
 
 /* Returns the time in microseconds that the server adds by its present load and cache contents, at
  * the usual speed. A server with free slots is nearly as fast as an idle one, so that the uncached
- * part of the prompt dominates; with all slots in use the queue does. Designed for many short turns
- * on few servers. */
+ * part of the prompt dominates; with all slots in use the queue dominates. Designed for many short
+ * turns on few servers. */
 static uint64_t
 replica_server_us (const struct Replica *replica, const struct ReplicaQuery *query)
 {
--- a/core/scheduling/server_pace.c
+++ b/core/scheduling/server_pace.c
@@ -215,7 +215,6 @@
   int64_t now_ms;
 };
 
-/* Returns the number of the subject's service. */
 static uint32_t
 update_service_number (struct PaceUpdate *update, size_t subject)
 {
--- a/core/scheduling/slot_queue.c
+++ b/core/scheduling/slot_queue.c
@@ -13,13 +13,14 @@
    * Otherwise the server would be idle for the transit time of about 2 ms. */
   GRANTS_IN_TRANSIT = 1,
   /* The same for plain servers, as a part of their slots: they run a request in a few times the
-   * transit time, and would be idle for a fifth of it. They have some places for waiting requests.
-   */
+   * transit time, and would be idle for a fifth of it. They have a few places for waiting
+   * requests. */
   PLAIN_SLOTS_PER_TRANSIT = 3,
   /* The moving average of the service time gives the latest request a weight of 1/16. */
   SERVICE_AVERAGE_DIVISOR = 16,
   /* Weight of a plain server's initial service time, in samples. With a lower one, a first response
-   * that is delayed by a busy machine would make the owner's estimates reject what waits. */
+   * that is delayed by a busy machine would make the owner overestimate waits and reject waiting
+   * requests. */
   FIRST_SERVICE_SAMPLES = 4,
   /* How long a slot counts as taken after a plain server rejected a granted request: it is full
    * with work that this owner does not know of. */
@@ -47,7 +48,7 @@
 {
   struct SlotRequest request;
   bool granted; /* false: waiting */
-  int64_t asked_ms, granted_ms;
+  int64_t arrived_ms, granted_ms;
 };
 
 struct SlotQueue
@@ -323,7 +324,7 @@
   return queue->n_granted < queue_usable_slots (queue, now_ms) + n_in_transit;
 }
 
-/* Returns whether a program that begins is held back by a turn that waits, even of a lower rank:
+/* Returns whether a program that begins is delayed by a turn that waits, even of a lower rank:
  * one that is not of the highest rank would add to the wait of programs under way with each of its
  * turns. */
 static bool
@@ -359,8 +360,8 @@
 
       state->ahead += is_ahead;
       if ((is_ahead || entry_defers_to (entry, other, now_ms, queue->service_ms))
-          && now_ms - other->asked_ms > longest_ms)
-        longest_ms = now_ms - other->asked_ms;
+          && now_ms - other->arrived_ms > longest_ms)
+        longest_ms = now_ms - other->arrived_ms;
     }
   state->wait_ms = (state->ahead + 1) * queue->service_ms / (queue->slots > 0 ? queue->slots : 1);
   /* Requests of a higher rank that arrive later go ahead, too. How long those ahead have waited
@@ -407,7 +408,7 @@
       entry->request = *request;
       entry->request.since_ms = waiting_programs_since (queues->programs, request->program, now_ms);
       entry->granted = false;
-      entry->asked_ms = now_ms;
+      entry->arrived_ms = now_ms;
       /* While there is room no other request waits: freed slots are granted at once. */
       if (queue_has_room (queue, now_ms))
         entry_grant (queue, entry, now_ms);
--- a/gateway/front.h
+++ b/gateway/front.h
@@ -20,7 +20,7 @@
 struct Contention;
 struct Front;
 struct LoopEcho;
-struct PaceBoard;
+struct PaceTable;
 struct Quotas;
 struct QuotaWait;
 struct Settlement;
@@ -111,7 +111,7 @@
   struct ReplicaSet *replicas;
   struct HttpClient *client;
   struct Slots *slots;
-  struct PaceBoard *paces;
+  struct PaceTable *paces;
   struct Quotas *quotas;
   struct HttpServer *callers, *ready, *directory;
   struct Request *requests;
--- a/gateway/paces.c
+++ b/gateway/paces.c
@@ -27,7 +27,7 @@
   UT_hash_handle hh;
 };
 
-struct PaceBoard
+struct PaceTable
 {
   struct Front *front;
   struct OwnedPace *by_server; /* uthash head */
@@ -36,42 +36,42 @@
 };
 
 static int
-paces_free (struct PaceBoard *board)
+paces_free (struct PaceTable *table)
 {
-  HASH_CLEAR (hh, board->by_server);
+  HASH_CLEAR (hh, table->by_server);
   return 0;
 }
 
-struct PaceBoard *
+struct PaceTable *
 paces_new (struct Front *front)
 {
-  struct PaceBoard *board = talloc_zero (front, struct PaceBoard);
+  struct PaceTable *table = talloc_zero (front, struct PaceTable);
   const char *instance = front->node->settings->instance;
 
-  if (board == NULL)
+  if (table == NULL)
     return NULL;
-  board->front = front;
-  board->seed = XXH64 (instance, strlen (instance), 0);
-  talloc_set_destructor (board, paces_free);
-  return board;
+  table->front = front;
+  table->seed = XXH64 (instance, strlen (instance), 0);
+  talloc_set_destructor (table, paces_free);
+  return table;
 }
 
 static int32_t
-paces_mode (const struct PaceBoard *board)
+paces_mode (const struct PaceTable *table)
 {
-  return board->front->node->settings->decisions.pace;
+  return table->front->node->settings->decisions.pace;
 }
 
 static bool
-paces_are_active (const struct PaceBoard *board, const char *service)
+paces_are_active (const struct PaceTable *table, const char *service)
 {
-  return front_decision_is_active (board->front, paces_mode (board), service);
+  return front_decision_is_active (table->front, paces_mode (table), service);
 }
 
 static int64_t
-paces_now_ms (const struct PaceBoard *board)
+paces_now_ms (const struct PaceTable *table)
 {
-  return timer_now_ms (board->front->node->timers);
+  return timer_now_ms (table->front->node->timers);
 }
 
 /* This gateway's requests. */
@@ -79,15 +79,15 @@
 void
 paces_fill_query (struct Request *request, struct ReplicaQuery *query)
 {
-  struct PaceBoard *board = request->front->paces;
+  struct PaceTable *table = request->front->paces;
 
-  query->uses_pace = paces_are_active (board, request->service);
+  query->uses_pace = paces_are_active (table, request->service);
   if (!query->uses_pace)
     return;
   /* The same draw for all choices of a request: otherwise it would leave the queue of a fast server
    * because the next draw counts the server as usual. */
   if (!request->has_pace_draw)
-    request->pace_draw = board->seed + board->n_draws++;
+    request->pace_draw = table->seed + table->n_draws++;
   request->has_pace_draw = true;
   query->pace_draw = request->pace_draw;
 }
@@ -102,12 +102,12 @@
 void
 paces_record_report (struct Request *request)
 {
-  const struct PaceBoard *board = request->front->paces;
+  const struct PaceTable *table = request->front->paces;
 
-  if (request->response.work_time_percent == 0 || !paces_are_active (board, request->service))
+  if (request->response.work_time_percent == 0 || !paces_are_active (table, request->service))
     return;
   pace_report_record (&request->replica->pace.report, request->response.work_time_percent,
-                      paces_now_ms (board));
+                      paces_now_ms (table));
 }
 
 static uint32_t
@@ -132,10 +132,10 @@
 void
 paces_end_attempt (struct Request *request)
 {
-  const struct PaceBoard *board = request->front->paces;
-  int64_t now_ms = paces_now_ms (board);
+  const struct PaceTable *table = request->front->paces;
+  int64_t now_ms = paces_now_ms (table);
 
-  if (request->outcome != SLOT_SERVED || !paces_are_active (board, request->service))
+  if (request->outcome != SLOT_SERVED || !paces_are_active (table, request->service))
     return;
   request->sample_us = request_sample_us (request, now_ms);
   if (request->slot_wait == NULL)
@@ -156,117 +156,117 @@
 /* As an owner. */
 
 static struct OwnedPace *
-owned_find (const struct PaceBoard *board, const char *server)
+owned_find (const struct PaceTable *table, const char *server)
 {
   struct OwnedPace *owned = NULL;
 
-  HASH_FIND_STR (board->by_server, server, owned);
+  HASH_FIND_STR (table->by_server, server, owned);
   return owned;
 }
 
 static void
-owned_remove (struct PaceBoard *board, struct OwnedPace *owned)
+owned_remove (struct PaceTable *table, struct OwnedPace *owned)
 {
-  HASH_DEL (board->by_server, owned);
+  HASH_DEL (table->by_server, owned);
   talloc_free (owned);
 }
 
 void
-paces_on_done (struct PaceBoard *board, const struct SlotDoneMessage *done)
+paces_on_done (struct PaceTable *table, const struct SlotDoneMessage *done)
 {
-  int64_t now_ms = paces_now_ms (board);
+  int64_t now_ms = paces_now_ms (table);
   struct OwnedPace *owned;
 
-  if (done->sample_us == 0 || paces_mode (board) == DECISION_OFF)
+  if (done->sample_us == 0 || paces_mode (table) == DECISION_OFF)
     return;
-  owned = owned_find (board, done->server);
+  owned = owned_find (table, done->server);
   if (owned == NULL)
     {
-      owned = talloc_zero (board, struct OwnedPace);
+      owned = talloc_zero (table, struct OwnedPace);
       if (owned == NULL)
         return;
       snprintf (owned->server, sizeof owned->server, "%s", done->server);
-      HASH_ADD_STR (board->by_server, server, owned);
+      HASH_ADD_STR (table->by_server, server, owned);
     }
   pace_means_add_sample (&owned->means, done->work_kind, done->sample_us, now_ms);
   pace_report_record (&owned->means.report, done->work_time_percent, now_ms);
 }
 
 void
-paces_server_restarted (struct PaceBoard *board, const char *server)
+paces_server_restarted (struct PaceTable *table, const char *server)
 {
-  struct OwnedPace *owned = owned_find (board, server);
+  struct OwnedPace *owned = owned_find (table, server);
 
   if (owned != NULL)
-    owned_remove (board, owned);
+    owned_remove (table, owned);
 }
 
 static size_t
-owned_rows (const struct PaceBoard *board, const struct OwnedPace *owned, struct PaceRow *rows)
+owned_rows (const struct PaceTable *table, const struct OwnedPace *owned, struct PaceRow *rows)
 {
-  size_t n = pace_means_rows (&owned->means, paces_now_ms (board), rows);
+  size_t n = pace_means_rows (&owned->means, paces_now_ms (table), rows);
 
   for (size_t i = 0; i < n; i++)
     {
       snprintf (rows[i].server, sizeof rows[i].server, "%s", owned->server);
-      rows[i].service_ms = slots_service_ms (board->front->slots, owned->server);
+      rows[i].service_ms = slots_service_ms (table->front->slots, owned->server);
     }
   return n;
 }
 
 void
-paces_send (struct PaceBoard *board, enum PeerChoice to)
+paces_send (struct PaceTable *table, enum PeerChoice to)
 {
   struct GatewayMessage message = { .kind = GATEWAY_PACES };
-  size_t n_max = (size_t)HASH_COUNT (board->by_server) * PACE_KINDS_MAX;
-  struct PaceRow *rows = n_max > 0 ? talloc_zero_array (board, struct PaceRow, n_max) : NULL;
+  size_t n_max = (size_t)HASH_COUNT (table->by_server) * PACE_KINDS_MAX;
+  struct PaceRow *rows = n_max > 0 ? talloc_zero_array (table, struct PaceRow, n_max) : NULL;
   struct OwnedPace *owned, *next;
   size_t n = 0;
 
   if (rows == NULL)
     return;
-  HASH_ITER (hh, board->by_server, owned, next)
+  HASH_ITER (hh, table->by_server, owned, next)
   {
-    if (pace_means_are_known (&owned->means, paces_now_ms (board)))
-      n += owned_rows (board, owned, &rows[n]);
+    if (pace_means_are_known (&owned->means, paces_now_ms (table)))
+      n += owned_rows (table, owned, &rows[n]);
     else
-      owned_remove (board, owned);
+      owned_remove (table, owned);
   }
   message.paces = (struct Paces){ rows, n };
-  paces_on_rows (board, rows, n);
+  paces_on_rows (table, rows, n);
   if (n > 0)
-    node_send_some (board->front->node, &message, to);
+    node_send_some (table->front->node, &message, to);
   talloc_free (rows);
 }
 
 /* As a receiver. */
 
 void
-paces_on_rows (struct PaceBoard *board, const struct PaceRow *rows, size_t n_rows)
+paces_on_rows (struct PaceTable *table, const struct PaceRow *rows, size_t n_rows)
 {
-  if (paces_mode (board) == DECISION_OFF)
+  if (paces_mode (table) == DECISION_OFF)
     return;
   for (size_t i = 0; i < n_rows; i++)
     {
-      struct Replica *replica = replica_set_find (board->front->replicas, rows[i].server);
+      struct Replica *replica = replica_set_find (table->front->replicas, rows[i].server);
 
       if (replica == NULL)
         continue;
-      server_pace_receive (&replica->pace, &rows[i], paces_now_ms (board));
+      server_pace_receive (&replica->pace, &rows[i], paces_now_ms (table));
       if (replica->pace.report.percent != 0)
-        contention_record_report (board->front->contention, replica->entry.service);
+        contention_record_report (table->front->contention, replica->entry.service);
     }
 }
 
 void
-paces_update (struct PaceBoard *board)
+paces_update (struct PaceTable *table)
 {
-  struct ReplicaSet *set = board->front->replicas;
+  struct ReplicaSet *set = table->front->replicas;
   uint32_t n_logged = 0;
 
-  if (paces_mode (board) == DECISION_OFF)
+  if (paces_mode (table) == DECISION_OFF)
     return;
-  replica_set_update_paces (set, paces_now_ms (board));
+  replica_set_update_paces (set, paces_now_ms (table));
   for (size_t i = 0; i < set->n_replicas && n_logged < LOGGED_PER_UPDATE_MAX; i++)
     {
       struct Replica *replica = set->replicas[i];
@@ -296,15 +296,15 @@
 }
 
 char *
-paces_render (const struct PaceBoard *board, TALLOC_CTX *ctx)
+paces_render (const struct PaceTable *table, TALLOC_CTX *ctx)
 {
-  const struct ReplicaSet *set = board->front->replicas;
+  const struct ReplicaSet *set = table->front->replicas;
   json_t *list = json_array ();
   json_t *body = json_pack ("{s:o}", "servers", list);
   char *text, *copy;
 
   for (size_t i = 0; i < set->n_replicas; i++)
-    json_array_append_new (list, replica_json (set->replicas[i], paces_now_ms (board)));
+    json_array_append_new (list, replica_json (set->replicas[i], paces_now_ms (table)));
   text = json_dumps (body, JSON_COMPACT);
   copy = text != NULL ? talloc_strdup (ctx, text) : NULL;
   free (text);
--- a/gateway/paces.h
+++ b/gateway/paces.h
@@ -9,7 +9,7 @@
 #include "front.h"
 
 /* Returns NULL when out of memory. */
-struct PaceBoard *
+struct PaceTable *
 paces_new (struct Front *front);
 
 /* This gateway's requests. */
@@ -37,27 +37,27 @@
 /* As an owner. */
 
 void
-paces_on_done (struct PaceBoard *board, const struct SlotDoneMessage *done);
+paces_on_done (struct PaceTable *table, const struct SlotDoneMessage *done);
 
 /* Discards the means of a server that has restarted. */
 void
-paces_server_restarted (struct PaceBoard *board, const char *server);
+paces_server_restarted (struct PaceTable *table, const char *server);
 
 /* Sends the means of the servers that this gateway owns, and applies them here. */
 void
-paces_send (struct PaceBoard *board, enum PeerChoice to);
+paces_send (struct PaceTable *table, enum PeerChoice to);
 
 /* As a receiver. */
 
 void
-paces_on_rows (struct PaceBoard *board, const struct PaceRow *rows, size_t n_rows);
+paces_on_rows (struct PaceTable *table, const struct PaceRow *rows, size_t n_rows);
 
 /* Updates the ratios and logs servers that became slow, fast or usual; called every few hundred
  * milliseconds. */
 void
-paces_update (struct PaceBoard *board);
+paces_update (struct PaceTable *table);
 
 /* Returns the servers with their load and speed as JSON, allocated on ctx; NULL when out of memory.
  */
 char *
-paces_render (const struct PaceBoard *board, TALLOC_CTX *ctx);
+paces_render (const struct PaceTable *table, TALLOC_CTX *ctx);
--- a/gateway/quota_exchange.c
+++ b/gateway/quota_exchange.c
@@ -45,7 +45,7 @@
   enum QuotaRequestKind kind;
   enum WaitStage stage;
   char owner[NAME_MAX_BYTES + 1]; /* the gateway that was asked first */
-  int64_t asked_ms;
+  int64_t requested_ms;
   int64_t turn_ms; /* WAIT_TURN only: when the token may be used */
   uint32_t used_permille;
   struct Timer *timer;
@@ -220,7 +220,7 @@
   counter_add (COUNTER_QUOTA_GRANTED, grant->n_granted);
   if (grant->n_granted > 1)
     quota_leases_add (exchange->leases, request->customer.name, wait->kind, grant->n_granted - 1,
-                      wait->asked_ms + grant->valid_ms);
+                      wait->requested_ms + grant->valid_ms);
   wait->used_permille = grant->used_permille;
   if (grant->wait_ms > 0)
     {
@@ -255,7 +255,7 @@
   struct QuotaOwners owners;
   struct QuotaGrant grant;
 
-  wait->asked_ms = exchange_now_ms (exchange);
+  wait->requested_ms = exchange_now_ms (exchange);
   wait->stage = WAIT_FIRST;
   owners = quota_members_owners (exchange->members, wait->request->customer.name);
   if (owners.first == NULL)
@@ -269,7 +269,8 @@
   if (owners.is_own)
     {
       message.quota_ask.n_wanted = 1;
-      grant = exchange_decide (exchange, &message.quota_ask, owners.owned_since_ms, wait->asked_ms);
+      grant =
+          exchange_decide (exchange, &message.quota_ask, owners.owned_since_ms, wait->requested_ms);
       return exchange_apply (exchange, wait, &grant, wait->owner);
     }
   /* Without a link the next gateway is asked at once. */
@@ -279,7 +280,7 @@
   return false;
 }
 
-/* Asks the next gateway by hash after a silence of the owner. If there is none, or it is this
+/* Asks the next gateway by hash when the owner has not responded. If there is none, or it is this
  * gateway, which considers the owner live, the request is sent to the owner through another
  * gateway. */
 static void
@@ -299,10 +300,9 @@
     relay_send (node, wait->owner, &message);
   else
     node_send (node, owners.second, &message);
-  wait_arm (wait, wait->asked_ms + ANSWER_TIMEOUT_MS - exchange_now_ms (wait->exchange));
+  wait_arm (wait, wait->requested_ms + ANSWER_TIMEOUT_MS - exchange_now_ms (wait->exchange));
 }
 
-/* Returns whether another gateway owns the customer now. */
 static bool
 wait_owner_changed (const struct QuotaWait *wait)
 {
@@ -321,7 +321,7 @@
     front_dispatch (request);
 }
 
-/* The time to use a granted token has come. */
+/* Called when a granted token may be used. */
 static void
 wait_take_turn (struct QuotaWait *wait)
 {
@@ -380,7 +380,7 @@
   if (quota_members_known (exchange->members) == 1)
     return front_is_starting (exchange->front);
   return exchange->resumed_ms > 0 && now_ms - exchange->resumed_ms < RESUMED_WAIT_MS
-         && quota_members_are_silent (exchange->members);
+         && quota_members_is_isolated (exchange->members);
 }
 
 bool
@@ -452,7 +452,7 @@
       return;
     }
   /* After a suspension of this gateway the response is old: its timer asks again. */
-  if (exchange_now_ms (exchange) - wait->asked_ms > ANSWER_TIMEOUT_MS + GRANT_LATE_MS)
+  if (exchange_now_ms (exchange) - wait->requested_ms > ANSWER_TIMEOUT_MS + GRANT_LATE_MS)
     return;
   request = wait->request;
   if (exchange_apply (exchange, wait, grant, sender))
@@ -523,7 +523,7 @@
   const struct RouteTable *table = exchange->front->table;
 
   quota_leases_clear (exchange->leases);
-  quota_members_forget (exchange->members);
+  quota_members_clear_owners (exchange->members);
   exchange_check (exchange, now_ms);
   quota_owner_configure (exchange->owner, table != NULL ? table->customers : NULL, now_ms);
 }
--- a/gateway/quota_members.c
+++ b/gateway/quota_members.c
@@ -9,8 +9,8 @@
 enum
 {
   /* A gateway whose requests to others have been without a reply for this long, from any of them,
-   * is not heard: three heartbeat intervals, as for a peer that is not received. */
-  UNHEARD_MS = PEER_TABLE_LIVE_MS,
+   * counts as cut off: three heartbeat intervals, as for a peer that is not received. */
+  NO_REPLY_MS = PEER_TABLE_LIVE_MS,
   /* A gateway with a planned stop grants for a moment longer: others learn of the stop from their
    * aggregators' lists, and ask it until then. */
   LEAVING_GRANTS_MS = 300
@@ -41,7 +41,7 @@
   uint64_t version; /* number of changes of the set of candidates */
   bool owns;        /* this gateway is a candidate */
   uint32_t n_known, n_received;
-  bool is_unheard;
+  bool has_no_replies;
 };
 
 static int
@@ -144,7 +144,7 @@
 /* Peers that receive nothing from this gateway reply to none of its requests, although it may
  * receive from them: they have chosen other owners. */
 static bool
-members_are_unheard (const struct QuotaMembers *members, int64_t now_ms)
+members_have_no_replies (const struct QuotaMembers *members, int64_t now_ms)
 {
   const struct PeerTable *table = members->front->node->peers;
   bool is_unanswered = false;
@@ -153,9 +153,9 @@
     {
       const struct Peer *peer = table->peers[i];
 
-      if (peer->link_received_ms > 0 && now_ms - peer->link_received_ms < UNHEARD_MS)
+      if (peer->link_received_ms > 0 && now_ms - peer->link_received_ms < NO_REPLY_MS)
         return false;
-      if (peer->unanswered_since_ms > 0 && now_ms - peer->unanswered_since_ms >= UNHEARD_MS)
+      if (peer->unanswered_since_ms > 0 && now_ms - peer->unanswered_since_ms >= NO_REPLY_MS)
         is_unanswered = true;
     }
   return is_unanswered;
@@ -175,7 +175,7 @@
     if (table->peers[i]->status.caller_address[0] != '\0')
       changed = members_read_peer (members, table->peers[i], now_ms) || changed;
   changed = members_remove_absent (members) || changed;
-  members->is_unheard = members_are_unheard (members, now_ms);
+  members->has_no_replies = members_have_no_replies (members, now_ms);
   members->version += changed;
   return changed;
 }
@@ -249,11 +249,11 @@
 double
 quota_members_share (const struct QuotaMembers *members)
 {
-  return (double)(members->is_unheard ? 1 : members->n_received) / members->n_known;
+  return (double)(members->has_no_replies ? 1 : members->n_received) / members->n_known;
 }
 
 bool
-quota_members_are_silent (const struct QuotaMembers *members)
+quota_members_is_isolated (const struct QuotaMembers *members)
 {
   return members->n_known > 1 && members->n_received == 1;
 }
@@ -265,7 +265,7 @@
 }
 
 void
-quota_members_forget (struct QuotaMembers *members)
+quota_members_clear_owners (struct QuotaMembers *members)
 {
   struct OwnerEntry *entry, *next;
 
--- a/gateway/quota_members.h
+++ b/gateway/quota_members.h
@@ -34,7 +34,7 @@
 
 /* Returns whether this gateway knows others, but receives from none. */
 bool
-quota_members_are_silent (const struct QuotaMembers *members);
+quota_members_is_isolated (const struct QuotaMembers *members);
 
 /* Returns the number of gateways that are known, including this one. */
 uint32_t
@@ -42,4 +42,4 @@
 
 /* Drops the cached owners, as after a change of the configuration. */
 void
-quota_members_forget (struct QuotaMembers *members);
+quota_members_clear_owners (struct QuotaMembers *members);
--- a/gateway/relay.c
+++ b/gateway/relay.c
@@ -5,7 +5,7 @@
 
 enum
 {
-  /* Relayed requests whose senders are remembered; a response takes milliseconds. */
+  /* Relayed requests whose senders are recorded; a response takes milliseconds. */
   ORIGINS_MAX = 4096
 };
 
--- a/gateway/slots.c
+++ b/gateway/slots.c
@@ -304,7 +304,8 @@
   log_request (LOG_LEVEL_INFO, "owner_silent", request->caller.id, request->caller.program,
                "%s owns %s: sent without it", wait->owner, wait->server);
   if (request_is_plain (request))
-    replica_record_owner_silent (request->replica, timer_now_ms (request->front->node->timers));
+    replica_record_owner_unresponsive (request->replica,
+                                       timer_now_ms (request->front->node->timers));
   slots_send_request (request);
 }
 
@@ -476,7 +477,7 @@
         request_reject_busy (request, state->wait_ms);
     }
   else
-    slots_wait (request, request_is_plain (request) ? plain_ask_interval_ms (state->wait_ms)
+    slots_wait (request, request_is_plain (request) ? plain_query_interval_ms (state->wait_ms)
                                                     : ASK_INTERVAL_MS);
 }
 
@@ -512,7 +513,6 @@
     }
 }
 
-/* Returns the order in which requests to the server wait. */
 static enum SlotOrder
 slots_order (const struct Slots *slots, const char *server)
 {
--- a/include/buckthornhead/customers/quota_owner.h
+++ b/include/buckthornhead/customers/quota_owner.h
@@ -31,7 +31,7 @@
 /* The owner's response. */
 struct QuotaGrant
 {
-  uint64_t id; /* of the ask */
+  uint64_t id; /* of the request */
   char customer[NAME_MAX_BYTES + 1];
   uint32_t n_granted;     /* tokens; 0: rejected */
   uint32_t valid_ms;      /* time for which the tokens may be used */
--- a/include/buckthornhead/held_memory.h
+++ b/include/buckthornhead/held_memory.h
@@ -1,5 +1,5 @@
 /* Buffers for the data of requests and responses. Their sizes are summed in GAUGE_HELD_BYTES, so
- * that the memory which slow readers occupy can be seen and bounded for the whole process. */
+ * that the memory that slow readers occupy can be monitored and bounded for the whole process. */
 #pragma once
 
 #include <stddef.h>
--- a/include/buckthornhead/scheduling/admission.h
+++ b/include/buckthornhead/scheduling/admission.h
@@ -1,9 +1,9 @@
 /* Whether a request that would have to wait for a slot is admitted.
  *
- * Answers more programs than the servers can end in time: everybody waits, all are late, and work
- * is spent on programs that fail. A program is admitted or rejected at its first turn, before any
- * work was spent on it; those under way wait as long as their callers do. A rejected request has
- * not run. Does no I/O. */
+ * If all programs were admitted under overload, all would be late, and work would be spent on
+ * programs that fail. A program is admitted or rejected at its first turn, before any work was
+ * spent on it; those under way wait as long as their callers do. A rejected request has not run.
+ * Does no I/O. */
 #pragma once
 
 #include <stdbool.h>
@@ -18,6 +18,5 @@
   int64_t left_ms;       /* until its caller stops waiting for the response to begin */
 };
 
-/* Returns whether the request is rejected. */
 bool
 admission_rejects (const struct AdmissionQuery *query);
--- a/include/buckthornhead/scheduling/plain_queue.h
+++ b/include/buckthornhead/scheduling/plain_queue.h
@@ -33,4 +33,4 @@
 
 /* Returns after how many ms a request that is expected to wait wait_ms queries its owner again. */
 uint32_t
-plain_ask_interval_ms (uint32_t wait_ms);
+plain_query_interval_ms (uint32_t wait_ms);
--- a/include/buckthornhead/scheduling/replica_set.h
+++ b/include/buckthornhead/scheduling/replica_set.h
@@ -52,11 +52,10 @@
   struct ServerPace pace;     /* its speed, which is separate from its load */
   struct CachedPart *cached;  /* parts assumed to be in its cache, newest first */
   uint32_t n_cached;
-  uint32_t service_ms; /* of a plain server's requests, as last reported by the owner */
-  int64_t service_heard_ms;
-  int64_t
-      owner_silent_until_ms; /* until then a plain server without a responding owner is avoided */
-  int64_t load_heard_ms;     /* when its owner last reported its load */
+  uint32_t service_ms;         /* of a plain server's requests, as last reported by the owner */
+  int64_t service_received_ms; /* when .service_ms was received */
+  int64_t owner_unresponsive_until_ms; /* until then the plain server is avoided */
+  int64_t load_received_ms;            /* when its owner last reported its load */
   UT_hash_handle hh;
 };
 
@@ -152,7 +151,7 @@
 
 /* Records that the owner of a plain server did not respond. */
 void
-replica_record_owner_silent (struct Replica *replica, int64_t now_ms);
+replica_record_owner_unresponsive (struct Replica *replica, int64_t now_ms);
 
 /* Returns the expected wait in ms of a further request at a plain server; 0 while a slot is free.
  */
--- a/include/buckthornhead/scheduling/slot_queue.h
+++ b/include/buckthornhead/scheduling/slot_queue.h
@@ -70,7 +70,7 @@
   /* Initial service time of a turn, until measured ones replace it: 250 tokens of 1.2 ms each, and
    * reading the new part of the prompt. */
   SLOT_FIRST_SERVICE_MS = 350,
-  /* Bound of a plain server's initial service time, against absurd values in messages. */
+  /* Bound of a plain server's initial service time, against invalid values in messages. */
   SLOT_SERVICE_MAX_MS = 10 * 60 * 1000
 };
 
@@ -130,8 +130,8 @@
                  struct SlotRequest *request,
                  struct SlotState *state);
 
-/* Returns how many entries all queues have read to find, order or grant requests: the work that
- * does not depend on the machine. */
+/* Returns how many entries all queues have read to find, order or grant requests, a measure of
+ * work that does not depend on the machine. */
 uint64_t
 slot_queues_n_examined (const struct SlotQueues *queues);
 
@@ -155,7 +155,6 @@
 uint32_t
 slot_queue_service_ms (const struct SlotQueues *queues, const char *server);
 
-/* Returns whether a is granted before b. */
 /* Returns whether a is granted before b. service_ms: mean service time of the server. */
 bool
 slot_request_before (const struct SlotRequest *a,
--- a/include/buckthornhead/scheduling/waiting_programs.h
+++ b/include/buckthornhead/scheduling/waiting_programs.h
@@ -1,6 +1,6 @@
 /* Since when programs have been waiting at a server's owner.
  *
- * A rejected request comes back as a new one. Without this memory it would wait behind all that
+ * A rejected request comes back as a new one. Without this record it would wait behind all that
  * arrived meanwhile, and under lasting shortage be rejected again until its program fails. Does no
  * I/O; times are in milliseconds of any monotonic clock. */
 #pragma once
@@ -20,6 +20,6 @@
 int64_t
 waiting_programs_since (struct WaitingPrograms *programs, uint64_t program, int64_t now_ms);
 
-/* Forgets programs that have not waited for some seconds. */
+/* Removes programs that have not waited for some seconds. */
 void
 waiting_programs_expire (struct WaitingPrograms *programs, int64_t now_ms);
--- a/tests/test_plain_queue.c
+++ b/tests/test_plain_queue.c
@@ -474,7 +474,7 @@
   else if (request_move (sim, event->request, state->wait_ms))
     return;
   else if (state->wait_ms <= plain_longest_wait_ms (&plain, state->service_ms, sim->now_ms))
-    request_set_timer (sim, event->request, plain_ask_interval_ms (state->wait_ms));
+    request_set_timer (sim, event->request, plain_query_interval_ms (state->wait_ms));
   else if (!request_move_late (sim, event->request))
     request_end (sim, event->request, OUTCOME_BUSY);
 }
@@ -492,7 +492,7 @@
       return;
     }
   sim->n_without_owner++;
-  replica_record_owner_silent (request->replica, sim->now_ms);
+  replica_record_owner_unresponsive (request->replica, sim->now_ms);
   request_submit (sim, event->request);
 }
 
@@ -1154,9 +1154,9 @@
   CU_ASSERT_TRUE (plain_is_worth_moving (8, 0));
   CU_ASSERT_FALSE (plain_is_worth_moving (0, 0));
   CU_ASSERT_FALSE (plain_is_worth_moving (8, 4));
-  CU_ASSERT_EQUAL (plain_ask_interval_ms (0), 200);
-  CU_ASSERT_EQUAL (plain_ask_interval_ms (1000), 500);
-  CU_ASSERT_EQUAL (plain_ask_interval_ms (UINT32_MAX), 800);
+  CU_ASSERT_EQUAL (plain_query_interval_ms (0), 200);
+  CU_ASSERT_EQUAL (plain_query_interval_ms (1000), 500);
+  CU_ASSERT_EQUAL (plain_query_interval_ms (UINT32_MAX), 800);
 }
 
 const char test_suite_name[] = "plain_queue";
--- a/tests/test_replica_set.c
+++ b/tests/test_replica_set.c
@@ -462,7 +462,7 @@
   query.now_ms = 2000;
   CU_ASSERT_EQUAL (replica_plain_wait_ms (r2, &query), 0);
   /* After 3 s the service time of the query is used instead of the reported one. */
-  r1->load_heard_ms = query.now_ms = 4000;
+  r1->load_received_ms = query.now_ms = 4000;
   CU_ASSERT_EQUAL (replica_plain_wait_ms (r1, &query), 9 * 50 / 8);
   talloc_free (set);
 }
@@ -483,7 +483,7 @@
 
   replica_set_apply (set, entries, 2, false, 0);
   r1 = replica_set_find (set, "r1");
-  replica_record_owner_silent (r1, 1000);
+  replica_record_owner_unresponsive (r1, 1000);
   CU_ASSERT_STRING_EQUAL (chosen (set, &query), "r2");
   query.draw = 1;
   CU_ASSERT_STRING_EQUAL (chosen (set, &query), "r2");
@@ -493,7 +493,7 @@
   query.service_ms = 50;
   query.now_ms = 1500;
   CU_ASSERT_STRING_EQUAL (chosen (set, &query), "r1");
-  replica_record_owner_silent (r1, 1500);
+  replica_record_owner_unresponsive (r1, 1500);
   replica_apply_slot_state (r1, &state, 1510);
   CU_ASSERT_STRING_EQUAL (chosen (set, &query), "r1");
   talloc_free (set);
