--- a/core/customers/quota_owner.c
+++ b/core/customers/quota_owner.c
@@ -31,7 +31,7 @@
 struct TokenBucket
 {
   double tokens;
-  /* Tokens that rejected requests have been told to retry for. */
+  /* Tokens for which rejected requests retry, by their Retry-After. */
   double owed;
 };
 
--- a/gateway/quota_exchange.c
+++ b/gateway/quota_exchange.c
@@ -255,7 +255,7 @@
   struct QuotaOwners owners;
   struct QuotaGrant grant;
 
-  /* A late response to an earlier request must not be taken for one to this request. */
+  /* A late response to an earlier request must not be applied to this request. */
   HASH_DEL (exchange->waits, wait);
   wait->id = node_next_id (exchange->front->node);
   HASH_ADD (hh, exchange->waits, id, sizeof wait->id, wait);
--- a/gateway/quota_exchange.h
+++ b/gateway/quota_exchange.h
@@ -1,7 +1,7 @@
 /* Limits by leases: requests tokens from the owners of customers, and grants them as an owner.
  *
  * A request waits for the owner's response without blocking others. The owner takes the token of a
- * request that has to wait at once and tells the gateway when it may be used, so that no owner
+ * request that has to wait at once and reports when it may be used, so that no owner
  * remembers who waits and no wait is lost with an owner. Each request for tokens that is not
  * answered goes to the next gateway by hash, which grants if it considers the first one dead. */
 #pragma once
