Log attempts that break with a digest of the request's content

A broken line names neither the request's content nor the servers it was on, so that attempts of one request by several callers and gateways can't be recognized, nor whether two breaks are of two servers. An attempt that ends without a complete response now logs its server and a digest of customer, method, host, target and body. No decision changes.

--- a/gateway/answer.c
+++ b/gateway/answer.c
@@ -6,6 +6,7 @@
 #include <buckthornhead/counter.h>
 #include <buckthornhead/histogram.h>
 #include <buckthornhead/log.h>
+#include <buckthornhead/request_digest.h>
 
 #include <string.h>
 
@@ -232,6 +233,21 @@
   return response->status >= 500 && response->status != 504;
 }
 
+/* Logs an attempt that ended without a complete response, with the digest that identifies the
+ * request in the lines of other attempts and gateways. */
+static void
+request_log_broken_attempt (struct Request *request, enum HttpEnd end, int64_t now_ms)
+{
+  char digest[REQUEST_DIGEST_NAME_BYTES];
+
+  request_digest_name (request_digest (request), digest);
+  log_request (LOG_LEVEL_INFO, "attempt_broken", request->caller.id, request->caller.program,
+               "digest %s, %s: %s %lld ms after the request was sent", digest,
+               request->replica->entry.id,
+               end == HTTP_END_BROKEN ? "connection closed" : "malformed response",
+               (long long)(now_ms - request->sent_ms));
+}
+
 static void
 call_on_end (void *data, enum HttpEnd end)
 {
@@ -259,7 +275,10 @@
       return;
     }
   if (end != HTTP_END_COMPLETE)
-    replica_record_failure (replica, now_ms);
+    {
+      request_log_broken_attempt (request, end, now_ms);
+      replica_record_failure (replica, now_ms);
+    }
   request->outcome = end == HTTP_END_COMPLETE && !response_is_failure (&request->response)
                          ? SLOT_SERVED
                          : SLOT_FAILED;
--- a/gateway/front.h
+++ b/gateway/front.h
@@ -75,8 +75,10 @@
   struct Turn *turn;         /* the turn has a budget, is stored, or both; NULL: not a turn */
   const uint8_t *body;
   size_t body_bytes;
-  const char *object;          /* affinity key, on routes whose servers warm up; NULL: none */
-  const char *previous_server; /* server that ran the previous turn; "" for none */
+  bool has_digest;
+  uint8_t digest[DIGEST_BYTES]; /* see request_digest; valid with has_digest */
+  const char *object;           /* affinity key, on routes whose servers warm up; NULL: none */
+  const char *previous_server;  /* server that ran the previous turn; "" for none */
 
   /* The current attempt at a server. */
   struct SlotWait *slot_wait; /* slot request at the server's owner; NULL: none */
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -7,6 +7,7 @@
 #include <buckthornhead/counter.h>
 #include <buckthornhead/histogram.h>
 #include <buckthornhead/log.h>
+#include <buckthornhead/request_digest.h>
 
 #include <stdio.h>
 #include <string.h>
@@ -62,6 +63,25 @@
   return timer_now_ms (request->front->node->timers) - request->arrived_ms;
 }
 
+const uint8_t *
+request_digest (struct Request *request)
+{
+  const struct RequestContent content = {
+    .customer = request->customer.name,
+    .method = request->exchange->method,
+    .host = request->caller.host,
+    .target = request->exchange->target,
+    /* As the caller sent it, without the history of a turn. */
+    .body = request->exchange->body,
+    .body_bytes = request->exchange->body_bytes,
+  };
+
+  if (!request->has_digest)
+    request_digest_compute (&content, request->digest);
+  request->has_digest = true;
+  return request->digest;
+}
+
 void
 request_record_answered (const struct Request *request, enum Histogram histogram)
 {
@@ -327,6 +347,7 @@
 request_on_silence (void *data)
 {
   struct Request *request = data;
+  char digest[REQUEST_DIGEST_NAME_BYTES];
 
   TALLOC_FREE (request->silence_timer);
   request->n_sent++;
@@ -336,9 +357,10 @@
       return;
     }
   request->may_have_run = true;
+  request_digest_name (request_digest (request), digest);
   log_request (LOG_LEVEL_INFO, "server_silent", request->caller.id, request->caller.program,
-               "%s sent no response, %lld ms left: trying another server",
-               request->replica->entry.id, (long long)request_remaining_ms (request));
+               "%s sent no response, %lld ms left: trying another server; digest %s",
+               request->replica->entry.id, (long long)request_remaining_ms (request), digest);
   replica_record_failure (request->replica, timer_now_ms (request->front->node->timers));
   TALLOC_FREE (request->call);
   attempt_release (request);
--- a/gateway/request.h
+++ b/gateway/request.h
@@ -36,6 +36,10 @@
 void
 request_update_flow (struct Request *request);
 
+/* Returns the digest of the request's content (request_digest.h), which is computed once. */
+const uint8_t *
+request_digest (struct Request *request);
+
 /* Returns the time since the request was received completely. */
 int64_t
 request_elapsed_ms (const struct Request *request);
