Test that a request which crashes servers is not sent on (fails)

Callers' requests on all routes of a service fail while one request takes down each server that begins to run it. The stand-in servers learn to crash: all their connections close, new ones are refused, and they start again under a new id.

--- a/tests/standins/installation.c
+++ b/tests/standins/installation.c
@@ -45,6 +45,7 @@
   in->ended = true;
   pthread_cond_broadcast (&in->changed);
   pthread_mutex_unlock (&in->lock);
+  installation_join_crashes (in);
   for (uint32_t i = 0; i < in->n_servers; i++)
     MHD_stop_daemon (in->servers[i].daemon);
   MHD_stop_daemon (in->store);
@@ -57,7 +58,7 @@
     }
 }
 
-static void
+void
 server_write_entry (struct Server *server)
 {
   char key[64], text[512];
@@ -211,7 +212,7 @@
 {
   char key[64];
 
-  /* The id does not change after the server was added. */
+  /* The id changes only when the server crashes. */
   snprintf (key, sizeof key, "servers/%s", in->servers[server].id);
   installation_remove (in, key);
 }
--- a/tests/standins/installation.h
+++ b/tests/standins/installation.h
@@ -91,6 +91,16 @@
 /* Simulates a restart under the same id: the entry gets a later start time and sequence 1. */
 void
 server_restart (struct Installation *installation, uint32_t server);
+/* Makes requests to path crash the server that begins to run them, together with all that runs
+ * there. The server refuses connections for down_ms, then starts under a new id, and the old entry
+ * is removed. */
+void
+installation_set_crashing_path (struct Installation *installation,
+                                const char *path,
+                                uint32_t down_ms);
+/* Returns the number of servers that crashed. */
+uint32_t
+installation_crashes (struct Installation *installation);
 /* Sets the interval between two events of a stream. */
 void
 server_set_event_interval (struct Installation *installation, uint32_t server, uint32_t event_ms);
--- a/tests/standins/installation_internal.h
+++ b/tests/standins/installation_internal.h
@@ -44,7 +44,9 @@
   uint32_t n_events, data_bytes;              /* of a stream */
   char load[48];                              /* X-Server-Load; "": not sent */
   uint64_t started_unix_ms;                   /* "born" in the entry */
-  struct MHD_Daemon *daemon;
+  struct MHD_Daemon *daemon;                  /* NULL while the server is down */
+  bool crashing;                              /* crash_thread runs or has to be joined */
+  pthread_t crash_thread;
 };
 
 struct Installation
@@ -64,6 +66,9 @@
   struct Run runs[RUNS_MAX];
   size_t n_runs;
   uint32_t n_client_closes;
+  char crashing_path[64]; /* "": none */
+  uint32_t down_ms;       /* until a crashed server starts again */
+  uint32_t n_crashes;
   char *customers; /* JSON list in each configuration; NULL: none */
 };
 
@@ -78,6 +83,20 @@
 int
 installation_server_start (struct Server *server);
 
+/* Writes the server's entry with the next sequence number. The caller holds the lock. */
+void
+server_write_entry (struct Server *server);
+
+/* Returns whether a request to path crashes the server that runs it. The caller holds the lock. */
+bool
+installation_path_crashes (const struct Installation *installation, const char *path);
+/* Crashes the server; a thread starts it again. The caller holds the lock. */
+void
+server_crash (struct Server *server);
+/* Waits until all crashed servers have started again. */
+void
+installation_join_crashes (struct Installation *installation);
+
 /* Collects the body of a request over several calls of the libmicrohttpd handler. Returns true once
  * it is complete. The body is NUL-terminated and freed by request_completed. */
 struct RequestBody
--- a/tests/standins/installation_server.c
+++ b/tests/standins/installation_server.c
@@ -263,9 +263,8 @@
   enum ServerMode mode;
   char load[sizeof server->load];
   uint32_t after;
-  bool has_place;
+  bool has_place, crashes;
 
-  (void)url;
   (void)method;
   (void)version;
   if (!request_collect (state, upload, upload_bytes, &result))
@@ -281,7 +280,12 @@
     run_record (server, connection, request, ((struct RequestBody *)*state)->bytes);
   if (mode == SERVER_HANGS_ONCE)
     server->mode = SERVER_RESPONDS;
+  crashes = has_place && installation_path_crashes (in, url);
+  if (crashes)
+    server_crash (server);
   pthread_mutex_unlock (&in->lock);
+  if (crashes)
+    return MHD_NO;
   if (!has_place)
     return reply_not_executed (connection, 503);
   server_work (server);
