Count crashes of servers one after the other in the quarantine

The quarantine of requests that crash servers is about to serve gateways too, which learn of crashes from broken connections and from each other. It now records each crash with the time of its run: servers that ended at the same time count once, as a rack may have failed; a server that turns out to be running does not count; what several processes know is merged in any order, and old reports change nothing; a request may be tried again after a pause that grows, at most three times after the third crash. Processes of serve keep their rule of two servers without trials, except that a complete response now also ends the quarantine.

--- a/bench/policy_sim.c
+++ b/bench/policy_sim.c
@@ -399,7 +399,7 @@
   program->attained_tokens += call.prompt_tokens - event->cached_tokens + turn->generated_tokens;
   branch->context_tokens = call.prompt_tokens + turn->generated_tokens;
   sim_digest_of (event->call, digest);
-  quarantine_clear (sim->quarantine, digest);
+  quarantine_clear (sim->quarantine, digest, sim_clock (sim));
   server_health_ended (server->health, &outcome, sim_clock (sim));
   dispatch_queue_finished (server->queue, event->call, &outcome, sim_clock (sim));
   if (program->ended)
@@ -422,6 +422,7 @@
   struct Outcome outcome = { .error = ran ? ERROR_UNKNOWN_EFFECT : ERROR_UNREACHABLE,
                              .ran = ran ? RAN_MAYBE : RAN_NO };
   uint8_t digest[DIGEST_BYTES];
+  struct CrashRecord crash = { .started_unix_ms = 0 };
   uint32_t delay_ms;
   struct Fault fault;
 
@@ -430,9 +431,9 @@
   placement_record_outcome (sim->placement, &call, sim->digests[server->index].name, &outcome,
                             sim_clock (sim));
   sim_digest_of (event->call, digest);
-  if (ran
-      && quarantine_record_crash (sim->quarantine, digest, sim->digests[server->index].name,
-                                  sim_clock (sim)))
+  snprintf (crash.server, sizeof crash.server, "%s", sim->digests[server->index].name);
+  crash.sent_ms = crash.ended_ms = sim_clock (sim);
+  if (ran && quarantine_record_crash (sim->quarantine, digest, &crash, crash.ended_ms))
     sim->result->quarantined++;
   branch->state = CALL_IDLE;
   if (retry_budget_withdraw (sim->retries, &call, &outcome, branch->attempt++, 0, &delay_ms, &fault)
@@ -665,6 +666,7 @@
 static struct Sim *
 sim_new (const struct SimOptions *options, struct SimResult *result)
 {
+  static const struct QuarantineOptions quarantine_options = { .has_trials = false };
   struct Sim *sim = talloc_zero (NULL, struct Sim);
   struct WorkOptions work = { .engine = &options->engine,
                               .n_engines = options->n_engines,
@@ -684,7 +686,7 @@
     sim->programs[p].work = &sim->work->programs[p];
   sim->placement = placement_new (sim);
   sim->retries = retry_budget_new (sim, options->seed);
-  sim->quarantine = quarantine_new (sim);
+  sim->quarantine = quarantine_new (sim, &quarantine_options);
   for (uint32_t s = 0; s < options->n_engines; s++)
     {
       struct SimServer *server = &sim->servers[s];
--- a/bench/policy_sim.h
+++ b/bench/policy_sim.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <buckthornhead/policy.h>
+#include <buckthornhead/scheduling/quarantine.h>
 
 #include "workload.h"
 
--- /dev/null
+++ b/core/scheduling/quarantine.c
@@ -0,0 +1,465 @@
+#include <buckthornhead/scheduling/quarantine.h>
+
+#include <stdio.h>
+#include <string.h>
+#include <utlist.h>
+
+enum
+{
+  /* Times of crashes at other processes are known to within the delay of a message. */
+  SEQUENCE_SLACK_MS = 20,
+  /* Reports of one event by several processes differ by this at most. */
+  REPORT_SLACK_MS = 500,
+  /* A request that crashes servers comes again within seconds or minutes; one that was on a server
+   * by chance has had its response by then. */
+  SUSPECT_KEEP_MS = 10 * 60 * 1000,
+  QUARANTINED_KEEP_MS = 24 * 3600 * 1000
+};
+
+/* Pause before each trial. The first one covers the restart of the servers; the others grow so that
+ * a request that does crash servers hardly gets to any. */
+static const int64_t trial_pause_ms[QUARANTINE_TRIALS_MAX] = { 5000, 60 * 1000, 10 * 60 * 1000,
+                                                               60 * 60 * 1000 };
+
+struct SuspectList
+{
+  struct Suspect *first; /* the oldest */
+  uint32_t n;
+};
+
+struct Quarantine
+{
+  struct QuarantineOptions options;
+  struct Suspect *by_digest; /* uthash head */
+  struct SuspectList suspects, quarantined;
+  uint32_t n_changed;
+};
+
+static int
+quarantine_free (struct Quarantine *quarantine)
+{
+  HASH_CLEAR (hh, quarantine->by_digest);
+  return 0;
+}
+
+struct Quarantine *
+quarantine_new (TALLOC_CTX *ctx, const struct QuarantineOptions *options)
+{
+  struct Quarantine *quarantine = talloc_zero (ctx, struct Quarantine);
+
+  if (quarantine == NULL)
+    return NULL;
+  quarantine->options = *options;
+  talloc_set_destructor (quarantine, quarantine_free);
+  return quarantine;
+}
+
+/* Lists. */
+
+static struct Suspect *
+suspect_find (const struct Quarantine *quarantine, const uint8_t digest[DIGEST_BYTES])
+{
+  struct Suspect *suspect = NULL;
+
+  HASH_FIND (hh, quarantine->by_digest, digest, DIGEST_BYTES, suspect);
+  return suspect;
+}
+
+static struct SuspectList *
+suspect_list (struct Quarantine *quarantine, const struct Suspect *suspect)
+{
+  return suspect->quarantined ? &quarantine->quarantined : &quarantine->suspects;
+}
+
+static void
+list_remove (struct SuspectList *list, struct Suspect *suspect)
+{
+  DL_DELETE2 (list->first, suspect, previous, next);
+  list->n--;
+}
+
+static void
+suspect_remove (struct Quarantine *quarantine, struct Suspect *suspect)
+{
+  quarantine->n_changed -= suspect->changed;
+  list_remove (suspect_list (quarantine, suspect), suspect);
+  HASH_DEL (quarantine->by_digest, suspect);
+  talloc_free (suspect);
+}
+
+/* Appends a suspect to the list that it belongs to, in place of the oldest one if that is full. */
+static void
+suspect_append (struct Quarantine *quarantine, struct Suspect *suspect)
+{
+  struct SuspectList *list = suspect_list (quarantine, suspect);
+
+  if (list->n == QUARANTINE_LIST_MAX)
+    suspect_remove (quarantine, list->first);
+  DL_APPEND2 (list->first, suspect, previous, next);
+  list->n++;
+}
+
+static struct Suspect *
+suspect_get_or_add (struct Quarantine *quarantine, const uint8_t digest[DIGEST_BYTES])
+{
+  struct Suspect *suspect = suspect_find (quarantine, digest);
+
+  if (suspect != NULL)
+    return suspect;
+  suspect = talloc_zero (quarantine, struct Suspect);
+  if (suspect == NULL)
+    return NULL;
+  memcpy (suspect->record.digest, digest, DIGEST_BYTES);
+  suspect_append (quarantine, suspect);
+  HASH_ADD (hh, quarantine->by_digest, record.digest, DIGEST_BYTES, suspect);
+  return suspect;
+}
+
+/* Returns the number of crashes that count, each of a server that the request was sent to after the
+ * previous one had ended. */
+static uint32_t
+record_n_sequential (const struct SuspectRecord *record)
+{
+  int64_t last_ms = 0;
+  uint32_t n = 0;
+
+  for (uint32_t i = 0; i < record->n_crashes; i++)
+    {
+      const struct CrashRecord *crash = &record->crashes[i];
+
+      if (crash->discounted || crash->ended_ms < record->cleared_ms
+          || (n > 0 && crash->sent_ms + SEQUENCE_SLACK_MS < last_ms))
+        continue;
+      last_ms = crash->ended_ms;
+      n++;
+    }
+  return n;
+}
+
+/* Moves the suspect to the end of the list that its crashes put it in. */
+static void
+suspect_changed (struct Quarantine *quarantine, struct Suspect *suspect, int64_t now_ms)
+{
+  list_remove (suspect_list (quarantine, suspect), suspect);
+  suspect->quarantined = record_n_sequential (&suspect->record) >= QUARANTINE_THRESHOLD;
+  suspect->changed_ms = now_ms;
+  quarantine->n_changed += !suspect->changed;
+  suspect->changed = true;
+  suspect_append (quarantine, suspect);
+}
+
+/* Verdicts. */
+
+bool
+quarantine_is_empty (const struct Quarantine *quarantine)
+{
+  return quarantine->by_digest == NULL;
+}
+
+/* Returns the number of the next trial: later ones follow after longer pauses. */
+static uint32_t
+record_trial_level (const struct SuspectRecord *record, uint32_t n_crashes)
+{
+  uint32_t crash_level = n_crashes - QUARANTINE_THRESHOLD;
+
+  return crash_level > record->trial_level ? crash_level : record->trial_level;
+}
+
+/* Returns when the next trial is due; INT64_MAX: never. */
+static int64_t
+record_trial_due_ms (const struct SuspectRecord *record, uint32_t n_crashes)
+{
+  uint32_t level = record_trial_level (record, n_crashes);
+  int64_t from_ms = record->trial_ms;
+
+  if (level >= QUARANTINE_TRIALS_MAX)
+    return INT64_MAX;
+  for (uint32_t i = 0; i < record->n_crashes; i++)
+    if (!record->crashes[i].discounted && record->crashes[i].ended_ms > from_ms)
+      from_ms = record->crashes[i].ended_ms;
+  return from_ms + trial_pause_ms[level];
+}
+
+struct QuarantineState
+quarantine_state_of (const struct Quarantine *quarantine,
+                     const struct SuspectRecord *record,
+                     int64_t now_ms)
+{
+  struct QuarantineState state = { .n_crashes = record_n_sequential (record) };
+  int64_t due_ms;
+
+  if (state.n_crashes < QUARANTINE_THRESHOLD)
+    {
+      state.verdict = state.n_crashes > 0 ? VERDICT_SUSPECT : VERDICT_FREE;
+      return state;
+    }
+  due_ms =
+      quarantine->options.has_trials ? record_trial_due_ms (record, state.n_crashes) : INT64_MAX;
+  state.verdict = now_ms >= due_ms ? VERDICT_TRIAL : VERDICT_HELD;
+  if (state.verdict == VERDICT_HELD)
+    state.wait_ms = due_ms == INT64_MAX ? INT64_MAX : due_ms - now_ms;
+  return state;
+}
+
+struct QuarantineState
+quarantine_check (const struct Quarantine *quarantine,
+                  const uint8_t digest[DIGEST_BYTES],
+                  int64_t now_ms)
+{
+  const struct Suspect *suspect = suspect_find (quarantine, digest);
+
+  return suspect != NULL ? quarantine_state_of (quarantine, &suspect->record, now_ms)
+                         : (struct QuarantineState){ .verdict = VERDICT_FREE };
+}
+
+bool
+quarantine_contains (const struct Quarantine *quarantine, const uint8_t digest[DIGEST_BYTES])
+{
+  const struct Suspect *suspect = suspect_find (quarantine, digest);
+
+  return suspect != NULL && suspect->quarantined;
+}
+
+bool
+quarantine_is_suspect (const struct Quarantine *quarantine, const uint8_t digest[DIGEST_BYTES])
+{
+  const struct Suspect *suspect = suspect_find (quarantine, digest);
+
+  return suspect != NULL && record_n_sequential (&suspect->record) > 0;
+}
+
+/* Changes. */
+
+static struct CrashRecord *
+record_find_crash (struct SuspectRecord *record, const struct CrashRecord *crash)
+{
+  for (uint32_t i = 0; i < record->n_crashes; i++)
+    if (strcmp (record->crashes[i].server, crash->server) == 0
+        && record->crashes[i].started_unix_ms == crash->started_unix_ms)
+      return &record->crashes[i];
+  return NULL;
+}
+
+/* Inserts the crash by time, in place of the earliest one if there are too many. */
+static void
+record_add_crash (struct SuspectRecord *record, const struct CrashRecord *crash)
+{
+  uint32_t at;
+
+  if (record->n_crashes == QUARANTINE_CRASHES_MAX)
+    memmove (record->crashes, record->crashes + 1, --record->n_crashes * sizeof record->crashes[0]);
+  for (at = record->n_crashes; at > 0 && record->crashes[at - 1].ended_ms > crash->ended_ms; at--)
+    record->crashes[at] = record->crashes[at - 1];
+  record->crashes[at] = *crash;
+  record->n_crashes++;
+}
+
+static void
+record_remove_crash (struct SuspectRecord *record, const struct CrashRecord *crash)
+{
+  size_t at = (size_t)(crash - record->crashes);
+
+  record->n_crashes--;
+  memmove (record->crashes + at, record->crashes + at + 1,
+           (record->n_crashes - at) * sizeof record->crashes[0]);
+}
+
+bool
+quarantine_record_crash (struct Quarantine *quarantine,
+                         const uint8_t digest[DIGEST_BYTES],
+                         const struct CrashRecord *crash,
+                         int64_t now_ms)
+{
+  struct Suspect *suspect = suspect_get_or_add (quarantine, digest);
+  struct CrashRecord *known;
+  bool was_quarantined;
+
+  if (suspect == NULL)
+    return false;
+  known = record_find_crash (&suspect->record, crash);
+  if (known != NULL && !known->discounted)
+    return false;
+  if (known != NULL)
+    record_remove_crash (&suspect->record, known);
+  was_quarantined = suspect->quarantined;
+  record_add_crash (&suspect->record, crash);
+  suspect_changed (quarantine, suspect, now_ms);
+  return suspect->quarantined && !was_quarantined;
+}
+
+static void
+record_clear (struct SuspectRecord *record, int64_t cleared_ms)
+{
+  record->cleared_ms = cleared_ms;
+  record->trial_level = 0;
+  for (uint32_t i = 0; i < record->n_crashes; i++)
+    if (record->crashes[i].ended_ms <= cleared_ms)
+      record->crashes[i].discounted = true;
+}
+
+bool
+quarantine_clear (struct Quarantine *quarantine, const uint8_t digest[DIGEST_BYTES], int64_t now_ms)
+{
+  struct Suspect *suspect = suspect_find (quarantine, digest);
+
+  if (suspect == NULL || record_n_sequential (&suspect->record) == 0)
+    return false;
+  record_clear (&suspect->record, now_ms);
+  suspect_changed (quarantine, suspect, now_ms);
+  return true;
+}
+
+static bool
+record_refute (struct SuspectRecord *record,
+               const char *server,
+               uint64_t started_unix_ms,
+               int64_t since_ms)
+{
+  bool changed = false;
+
+  for (uint32_t i = 0; i < record->n_crashes; i++)
+    {
+      struct CrashRecord *crash = &record->crashes[i];
+
+      if (crash->discounted || crash->ended_ms <= since_ms
+          || crash->started_unix_ms != started_unix_ms || strcmp (crash->server, server) != 0)
+        continue;
+      crash->discounted = true;
+      changed = true;
+    }
+  return changed;
+}
+
+void
+quarantine_refute (struct Quarantine *quarantine,
+                   const char *server,
+                   uint64_t started_unix_ms,
+                   int64_t since_ms,
+                   int64_t now_ms)
+{
+  struct Suspect *suspect, *next;
+
+  HASH_ITER (hh, quarantine->by_digest, suspect, next)
+  if (record_refute (&suspect->record, server, started_unix_ms, since_ms))
+    suspect_changed (quarantine, suspect, now_ms);
+}
+
+void
+quarantine_begin_trial (struct Quarantine *quarantine,
+                        const uint8_t digest[DIGEST_BYTES],
+                        int64_t now_ms)
+{
+  struct Suspect *suspect = suspect_find (quarantine, digest);
+
+  if (suspect == NULL || !suspect->quarantined)
+    return;
+  suspect->record.trial_level =
+      record_trial_level (&suspect->record, record_n_sequential (&suspect->record)) + 1;
+  suspect->record.trial_ms = now_ms;
+  suspect_changed (quarantine, suspect, now_ms);
+}
+
+/* Adds a crash that another process reports. The times of one report fit together, so those of the
+ * newest one are kept. A crash that was discounted counts again only if the report is of a later
+ * one. */
+static bool
+record_merge_crash (struct SuspectRecord *record, const struct CrashRecord *reported)
+{
+  struct CrashRecord merged = *reported;
+  struct CrashRecord *known = record_find_crash (record, reported);
+  bool changed = known == NULL;
+
+  if (known != NULL)
+    {
+      if (reported->ended_ms <= known->ended_ms + REPORT_SLACK_MS)
+        merged.discounted = merged.discounted || known->discounted;
+      changed = merged.discounted != known->discounted;
+      record_remove_crash (record, known);
+    }
+  record_add_crash (record, &merged);
+  return changed;
+}
+
+bool
+quarantine_merge (struct Quarantine *quarantine,
+                  const struct SuspectRecord *reported,
+                  int64_t now_ms)
+{
+  struct Suspect *suspect = suspect_get_or_add (quarantine, reported->digest);
+  struct SuspectRecord *record;
+  bool changed = false;
+
+  if (suspect == NULL)
+    return false;
+  record = &suspect->record;
+  for (uint32_t i = 0; i < reported->n_crashes; i++)
+    changed = record_merge_crash (record, &reported->crashes[i]) || changed;
+  if (reported->cleared_ms > record->cleared_ms + REPORT_SLACK_MS)
+    {
+      record_clear (record, reported->cleared_ms);
+      changed = true;
+    }
+  if (reported->cleared_ms + REPORT_SLACK_MS >= record->cleared_ms
+      && reported->trial_level > record->trial_level)
+    {
+      record->trial_level = reported->trial_level;
+      record->trial_ms = reported->trial_ms;
+      changed = true;
+    }
+  if (changed)
+    suspect_changed (quarantine, suspect, now_ms);
+  return changed;
+}
+
+static void
+list_expire (struct Quarantine *quarantine,
+             struct SuspectList *list,
+             int64_t keep_ms,
+             int64_t now_ms)
+{
+  while (list->first != NULL && now_ms - list->first->changed_ms > keep_ms)
+    suspect_remove (quarantine, list->first);
+}
+
+void
+quarantine_expire (struct Quarantine *quarantine, int64_t now_ms)
+{
+  list_expire (quarantine, &quarantine->suspects, SUSPECT_KEEP_MS, now_ms);
+  list_expire (quarantine, &quarantine->quarantined, QUARANTINED_KEEP_MS, now_ms);
+}
+
+/* Queries. */
+
+const struct SuspectRecord *
+quarantine_next_changed (struct Quarantine *quarantine)
+{
+  struct SuspectList *const lists[] = { &quarantine->quarantined, &quarantine->suspects };
+  struct Suspect *suspect;
+
+  for (size_t i = 0; i < 2 && quarantine->n_changed > 0; i++)
+    for (suspect = lists[i]->first; suspect != NULL; suspect = suspect->next)
+      if (suspect->changed)
+        {
+          suspect->changed = false;
+          quarantine->n_changed--;
+          return &suspect->record;
+        }
+  return NULL;
+}
+
+void
+quarantine_mark_changed (struct Quarantine *quarantine, const uint8_t digest[DIGEST_BYTES])
+{
+  struct Suspect *suspect = suspect_find (quarantine, digest);
+
+  if (suspect == NULL || suspect->changed)
+    return;
+  suspect->changed = true;
+  quarantine->n_changed++;
+}
+
+const struct Suspect *
+quarantine_next (const struct Quarantine *quarantine, const struct Suspect *previous)
+{
+  return previous != NULL ? previous->next : quarantine->quarantined.first;
+}
--- a/daemon/home.c
+++ b/daemon/home.c
@@ -387,6 +387,7 @@
 struct Home *
 home_new (struct Core *core)
 {
+  static const struct QuarantineOptions quarantine_options = { .has_trials = false };
   struct Home *home = talloc_zero (core, struct Home);
 
   if (home == NULL)
@@ -394,7 +395,7 @@
   home->core = core;
   home->next_id = 1;
   talloc_set_destructor (home, home_free);
-  home->quarantine = quarantine_new (home);
+  home->quarantine = quarantine_new (home, &quarantine_options);
   home->retries = retry_budget_new (home, (uint64_t)core_unix_ms ());
   timer_subscribe (home, core->timers, SWEEP_MS, SWEEP_MS, home_on_sweep, home);
   return home;
--- a/daemon/home_call.c
+++ b/daemon/home_call.c
@@ -220,7 +220,7 @@
   home->core->outcomes.cached_tokens += call->outcome.cached_tokens;
   counter_add (COUNTER_CALLS_ENDED, 1);
   if (call->outcome.error == ERROR_NONE)
-    quarantine_clear (home->quarantine, call->call.digest);
+    quarantine_clear (home->quarantine, call->call.digest, timer_now_ms (home->core->timers));
   if (call->outcome.ran == RAN_MAYBE)
     {
       home->core->outcomes.may_have_run++;
--- a/daemon/home_dispatch.c
+++ b/daemon/home_dispatch.c
@@ -206,8 +206,11 @@
 void
 home_on_server_crash (struct Home *home, const uint8_t digest[DIGEST_BYTES], const char *server)
 {
-  if (!quarantine_record_crash (home->quarantine, digest, server,
-                                timer_now_ms (home->core->timers)))
+  int64_t now_ms = timer_now_ms (home->core->timers);
+  struct CrashRecord crash = { .sent_ms = now_ms, .ended_ms = now_ms };
+
+  snprintf (crash.server, sizeof crash.server, "%s", server);
+  if (!quarantine_record_crash (home->quarantine, digest, &crash, now_ms))
     return;
   counter_add (COUNTER_QUARANTINED, 1);
   log_event (LOG_LEVEL_ERROR, "request_quarantined", NULL, error_remedy (ERROR_QUARANTINED),
--- a/daemon/home_internal.h
+++ b/daemon/home_internal.h
@@ -6,6 +6,7 @@
 #include "fleet.h"
 
 #include <buckthornhead/retry_budget.h>
+#include <buckthornhead/scheduling/quarantine.h>
 
 #include <uthash.h>
 
--- a/include/buckthornhead/policy.h
+++ b/include/buckthornhead/policy.h
@@ -159,30 +159,3 @@
 /* Fills in the queue's state for the digest that is sent to the homes. */
 void
 dispatch_queue_digest (const struct DispatchQueue *queue, struct PolicyServer *digest);
-
-/* Quarantine of requests by digest: a request is quarantined if it was running on two backend
- * servers when they crashed. */
-struct Quarantine;
-
-struct Quarantine *
-quarantine_new (TALLOC_CTX *ctx);
-/* Records that server crashed while running digest. Returns true if this puts the request in
- * quarantine (second server). */
-bool
-quarantine_record_crash (struct Quarantine *quarantine,
-                         const uint8_t digest[DIGEST_BYTES],
-                         const char *server,
-                         int64_t now_ms);
-bool
-quarantine_contains (const struct Quarantine *quarantine, const uint8_t digest[DIGEST_BYTES]);
-/* Returns whether the request was running on one server when that crashed. So were all requests
- * that ran at the same time: they are retried one at a time (DispatchItem.suspect), so that a
- * second crash identifies one of them. */
-bool
-quarantine_is_suspect (const struct Quarantine *quarantine, const uint8_t digest[DIGEST_BYTES]);
-/* The request ran to its end and is no longer a suspect. */
-void
-quarantine_clear (struct Quarantine *quarantine, const uint8_t digest[DIGEST_BYTES]);
-/* Adds a digest that another instance reported. */
-void
-quarantine_add (struct Quarantine *quarantine, const uint8_t digest[DIGEST_BYTES]);
