Raise the number of sections that the settings reader keeps lines of

The reader keeps the lines of ten sections; an eleventh wrote beyond the array. Gateway settings had exactly ten. Seen as a crash of test_gateway_settings with one section more.

--- a/include/buckthornhead/config_key.h
+++ b/include/buckthornhead/config_key.h
@@ -8,7 +8,7 @@
 enum
 {
   CONFIG_KEYS_MAX = 16, /* per section */
-  CONFIG_SECTIONS_MAX = 10
+  CONFIG_SECTIONS_MAX = 16
 };
 
 enum ConfigValueKind
