Keep requests that crash servers from being sent on

Callers of a whole service were rejected for seconds, again and again, while one request took down each server that ran it.

--- a/adapters/http_client.c
+++ b/adapters/http_client.c
@@ -43,7 +43,8 @@
   int fd;
   struct tevent_fd *watch;
   enum ConnectionState state;
-  int64_t deadline_ms; /* connecting: connect timeout; idle: end of reuse */
+  int64_t deadline_ms;  /* connecting: connect timeout; idle: end of reuse */
+  int64_t connected_ms; /* when it was established; 0: connecting */
   struct ByteQueue output;
   struct HttpCall *call;
   http_parser parser;
@@ -358,6 +359,7 @@
           return;
         }
       c->state = CONNECTION_BUSY;
+      c->connected_ms = timer_now_ms (c->client->timers);
     }
   /* Reads before writing: the server may have sent a complete response before it closed. */
   if (flags & TEVENT_FD_READ)
@@ -556,6 +558,12 @@
   connection_update_watch (c);
 }
 
+int64_t
+http_call_connected_ms (const struct HttpCall *call)
+{
+  return call->connection != NULL ? call->connection->connected_ms : 0;
+}
+
 int64_t
 http_client_idle_until_ms (const struct HttpClient *client, const char *address)
 {
--- a/core/counter.c
+++ b/core/counter.c
@@ -92,6 +92,8 @@
       COUNTS ("requests_broken", "Requests that may have run and received no complete response"),
   [COUNTER_REQUESTS_LEFT] =
       COUNTS ("requests_left", "Requests whose caller disconnected before the response"),
+  [COUNTER_REQUESTS_QUARANTINED] =
+      COUNTS ("requests_quarantined", "Requests rejected for the servers that crashed under them"),
   [COUNTER_REQUESTS_SENT_AGAIN] =
       COUNTS ("requests_sent_again", "Attempts of requests at another server after the first"),
   [COUNTER_ENTRIES_UNREADABLE] =
--- a/core/gateway/gateway_message.c
+++ b/core/gateway/gateway_message.c
@@ -471,6 +471,8 @@
     case GATEWAY_RELAY:
     case GATEWAY_USAGES:
       return 4;
+    case GATEWAY_SUSPECTS:
+      return 3;
     case GATEWAY_SNAPSHOT:
       return 10;
     case GATEWAY_QUOTA_REQUEST:
@@ -604,6 +606,9 @@
     case GATEWAY_PACES:
       paces_pack (p, &message->paces);
       break;
+    case GATEWAY_SUSPECTS:
+      suspects_pack (p, &message->suspects);
+      break;
     case GATEWAY_QUOTA_REQUEST:
       quota_ask_pack (p, &message->quota_ask);
       break;
@@ -682,6 +687,9 @@
     case GATEWAY_PACES:
       paces_unpack (r, ctx, &m->paces);
       break;
+    case GATEWAY_SUSPECTS:
+      suspects_unpack (r, ctx, &m->suspects);
+      break;
     case GATEWAY_QUOTA_REQUEST:
       quota_ask_unpack (r, &m->quota_ask);
       break;
@@ -710,7 +718,7 @@
   *message = NULL;
   if (opened == NULL)
     goto fail;
-  m->kind = (enum GatewayKind)read_u64 (&reader, GATEWAY_PACES);
+  m->kind = (enum GatewayKind)read_u64 (&reader, GATEWAY_KIND_MAX);
   n_items = message_n_items (m->kind);
   if (reader.failed
       || (reader.n_items != n_items
--- a/core/gateway/gateway_settings.c
+++ b/core/gateway/gateway_settings.c
@@ -90,18 +90,23 @@
     UNIT_NONE, 0, 0, quota_sharings },
 };
 
-#define SWITCH(name)                                                                               \
-  {                                                                                                \
-#name, CONFIG_VALUE_CHOICE, CONFIG_FIELD(struct GatewaySettings, decisions.name), "on",        \
-        UNIT_NONE, 0, 0, on_off                                                                    \
-  }
-
 static const struct ConfigChoice on_off[] = {
   { "on", 1 },
   { "off", 0 },
   { NULL, 0 },
 };
 
+static const struct ConfigKey quarantine_keys[] = {
+  { "crashing_requests", CONFIG_VALUE_CHOICE, CONFIG_FIELD (struct GatewaySettings, quarantine),
+    "on", UNIT_NONE, 0, 0, on_off },
+};
+
+#define SWITCH(name)                                                                               \
+  {                                                                                                \
+#name, CONFIG_VALUE_CHOICE, CONFIG_FIELD(struct GatewaySettings, decisions.name), "on",        \
+        UNIT_NONE, 0, 0, on_off                                                                    \
+  }
+
 #define MODE(name)                                                                                 \
   {                                                                                                \
 #name, CONFIG_VALUE_CHOICE, CONFIG_FIELD(struct GatewaySettings, decisions.name), "off",       \
@@ -126,9 +131,13 @@
   SECTION ("platform", platform_keys),   SECTION ("membership", membership_keys),
   SECTION ("archives", archive_keys),    SECTION ("stop", stop_keys),
   SECTION ("directory", directory_keys), SECTION ("limits", limit_keys),
-  SECTION ("quota", quota_keys),         SECTION ("decisions", decision_keys),
+  SECTION ("quota", quota_keys),         SECTION ("quarantine", quarantine_keys),
+  SECTION ("decisions", decision_keys),
 };
 
+_Static_assert (sizeof sections / sizeof sections[0] <= CONFIG_SECTIONS_MAX,
+                "the reader keeps the lines of CONFIG_SECTIONS_MAX sections");
+
 static void *
 open_section (void *data,
               struct ConfigReader *reader,
--- a/core/gateway/message_count.c
+++ b/core/gateway/message_count.c
@@ -5,7 +5,7 @@
 
 enum
 {
-  N_KINDS = GATEWAY_PACES + 1
+  N_KINDS = GATEWAY_KIND_MAX + 1
 };
 
 struct MessageCounter
@@ -69,6 +69,8 @@
       return "quota_return";
     case GATEWAY_PACES:
       return "paces";
+    case GATEWAY_SUSPECTS:
+      return "suspects";
     }
   return "unknown";
 }
--- a/core/gateway/message_internal.h
+++ b/core/gateway/message_internal.h
@@ -25,3 +25,7 @@
 snapshot_pack (struct PackWriter *p, const struct Snapshot *snapshot);
 void
 snapshot_unpack (struct PackReader *r, TALLOC_CTX *ctx, struct Snapshot *snapshot);
+void
+suspects_pack (struct PackWriter *p, const struct SuspectReport *report);
+void
+suspects_unpack (struct PackReader *r, TALLOC_CTX *ctx, struct SuspectReport *report);
--- a/core/scheduling/quarantine.c
+++ b/core/scheduling/quarantine.c
@@ -138,14 +138,27 @@
 
 /* Moves the suspect to the end of the list that its crashes put it in. */
 static void
-suspect_changed (struct Quarantine *quarantine, struct Suspect *suspect, int64_t now_ms)
+suspect_update (struct Quarantine *quarantine, struct Suspect *suspect, int64_t now_ms)
 {
   list_remove (suspect_list (quarantine, suspect), suspect);
   suspect->quarantined = record_n_sequential (&suspect->record) >= QUARANTINE_THRESHOLD;
   suspect->changed_ms = now_ms;
+  suspect_append (quarantine, suspect);
+}
+
+static void
+suspect_mark_changed (struct Quarantine *quarantine, struct Suspect *suspect)
+{
   quarantine->n_changed += !suspect->changed;
   suspect->changed = true;
-  suspect_append (quarantine, suspect);
+}
+
+/* Updates a suspect of which this process has learned something that others do not know. */
+static void
+suspect_changed (struct Quarantine *quarantine, struct Suspect *suspect, int64_t now_ms)
+{
+  suspect_mark_changed (quarantine, suspect);
+  suspect_update (quarantine, suspect, now_ms);
 }
 
 /* Verdicts. */
@@ -212,6 +225,14 @@
                          : (struct QuarantineState){ .verdict = VERDICT_FREE };
 }
 
+const struct SuspectRecord *
+quarantine_record (const struct Quarantine *quarantine, const uint8_t digest[DIGEST_BYTES])
+{
+  const struct Suspect *suspect = suspect_find (quarantine, digest);
+
+  return suspect != NULL ? &suspect->record : NULL;
+}
+
 bool
 quarantine_contains (const struct Quarantine *quarantine, const uint8_t digest[DIGEST_BYTES])
 {
@@ -313,7 +334,8 @@
 record_refute (struct SuspectRecord *record,
                const char *server,
                uint64_t started_unix_ms,
-               int64_t since_ms)
+               int64_t since_ms,
+               int64_t until_ms)
 {
   bool changed = false;
 
@@ -321,7 +343,7 @@
     {
       struct CrashRecord *crash = &record->crashes[i];
 
-      if (crash->discounted || crash->ended_ms <= since_ms
+      if (crash->discounted || crash->ended_ms <= since_ms || crash->ended_ms >= until_ms
           || crash->started_unix_ms != started_unix_ms || strcmp (crash->server, server) != 0)
         continue;
       crash->discounted = true;
@@ -335,12 +357,13 @@
                    const char *server,
                    uint64_t started_unix_ms,
                    int64_t since_ms,
+                   int64_t until_ms,
                    int64_t now_ms)
 {
   struct Suspect *suspect, *next;
 
   HASH_ITER (hh, quarantine->by_digest, suspect, next)
-  if (record_refute (&suspect->record, server, started_unix_ms, since_ms))
+  if (record_refute (&suspect->record, server, started_unix_ms, since_ms, until_ms))
     suspect_changed (quarantine, suspect, now_ms);
 }
 
@@ -406,8 +429,9 @@
       record->trial_ms = reported->trial_ms;
       changed = true;
     }
+  suspect->is_shared = true;
   if (changed)
-    suspect_changed (quarantine, suspect, now_ms);
+    suspect_update (quarantine, suspect, now_ms);
   return changed;
 }
 
@@ -430,20 +454,32 @@
 
 /* Queries. */
 
+static struct Suspect *
+list_find_changed (struct SuspectList *list)
+{
+  struct Suspect *suspect = list->first;
+
+  while (suspect != NULL && !suspect->changed)
+    suspect = suspect->next;
+  return suspect;
+}
+
 const struct SuspectRecord *
 quarantine_next_changed (struct Quarantine *quarantine)
 {
-  struct SuspectList *const lists[] = { &quarantine->quarantined, &quarantine->suspects };
-  struct Suspect *suspect;
-
-  for (size_t i = 0; i < 2 && quarantine->n_changed > 0; i++)
-    for (suspect = lists[i]->first; suspect != NULL; suspect = suspect->next)
-      if (suspect->changed)
-        {
-          suspect->changed = false;
-          quarantine->n_changed--;
-          return &suspect->record;
-        }
+  while (quarantine->n_changed > 0)
+    {
+      struct Suspect *suspect = list_find_changed (&quarantine->quarantined);
+
+      if (suspect == NULL)
+        suspect = list_find_changed (&quarantine->suspects);
+      suspect->changed = false;
+      quarantine->n_changed--;
+      if (!suspect->is_shared && record_n_sequential (&suspect->record) == 0)
+        continue;
+      suspect->is_shared = true;
+      return &suspect->record;
+    }
   return NULL;
 }
 
@@ -452,10 +488,14 @@
 {
   struct Suspect *suspect = suspect_find (quarantine, digest);
 
-  if (suspect == NULL || suspect->changed)
-    return;
-  suspect->changed = true;
-  quarantine->n_changed++;
+  if (suspect != NULL)
+    suspect_mark_changed (quarantine, suspect);
+}
+
+uint32_t
+quarantine_n_quarantined (const struct Quarantine *quarantine)
+{
+  return quarantine->quarantined.n;
 }
 
 const struct Suspect *
--- a/gateway/answer.c
+++ b/gateway/answer.c
@@ -1,4 +1,5 @@
 #include "contention.h"
+#include "crash_guard.h"
 #include "paces.h"
 #include "request.h"
 #include "slots.h"
@@ -35,6 +36,7 @@
     contention_record_report (request->front->contention, request->service);
   paces_record_report (request);
   replica_record_response (request->replica);
+  crash_guard_record_response (request);
   request->refused = request->response.not_run;
   if (request->refused)
     return;
@@ -274,6 +276,7 @@
       request_retry (request, "the server refused the request");
       return;
     }
+  crash_guard_record_end (request, end);
   if (end != HTTP_END_COMPLETE)
     {
       request_log_broken_attempt (request, end, now_ms);
--- a/gateway/archive.c
+++ b/gateway/archive.c
@@ -2,6 +2,7 @@
 
 #include "archive_member.h"
 #include "archive_state.h"
+#include "suspects.h"
 
 #include <buckthornhead/clock.h>
 #include <buckthornhead/counter.h>
@@ -28,6 +29,7 @@
   struct DiskLog *log;
   struct TurnIndex *index;
   struct ArchiveMember *member;
+  struct Suspects *suspects;
   struct CopyProgress copy_progress; /* of records copied from other archives */
 };
 
@@ -414,6 +416,9 @@
     case GATEWAY_COPY_PART:
       archive_member_receive_part (archive->member, sender, &message->copy_part);
       break;
+    case GATEWAY_SUSPECTS:
+      suspects_on_report (archive->suspects, link, &message->suspects);
+      break;
     case GATEWAY_TURN_OPENED:
     case GATEWAY_TURN_CLOSED:
     case GATEWAY_HEARTBEAT:
@@ -484,8 +489,9 @@
     error = disk_log_mark_complete (a->log);
   if (error != ERROR_NONE)
     return fault_set (fault, error, "check the disk", "cannot write to the data folder");
+  a->suspects = suspects_new (a, node);
   a->member = archive_member_new (a, node, a, a->log);
-  if (a->member == NULL || archive_state_new (a, node, a->log) == NULL)
+  if (a->suspects == NULL || a->member == NULL || archive_state_new (a, node, a->log) == NULL)
     return fault_set (fault, ERROR_NO_MEMORY, NULL, "no memory for the archive");
   timer_subscribe (a, node->timers, EXPIRE_PERIOD_MS, EXPIRE_PERIOD_MS, archive_on_expire, a);
   node->handler.message = archive_on_message;
--- /dev/null
+++ b/gateway/crash_guard.c
@@ -0,0 +1,186 @@
+#include "crash_guard.h"
+
+#include "slots.h"
+#include "suspects.h"
+
+#include <buckthornhead/counter.h>
+#include <buckthornhead/log.h>
+#include <buckthornhead/request_digest.h>
+
+#include <stdio.h>
+#include <string.h>
+
+enum
+{
+  /* A server that crashed and started again under its id is listed with its new start time within
+   * this: a few of its heartbeats. */
+  RESTART_LISTED_MS = 5000
+};
+
+static struct Quarantine *
+guard_quarantine (const struct Request *request)
+{
+  return suspects_quarantine (request->front->suspects);
+}
+
+static int64_t
+guard_now_ms (const struct Request *request)
+{
+  return timer_now_ms (request->front->node->timers);
+}
+
+static bool
+guard_is_enabled (const struct Request *request)
+{
+  return request->front->node->settings->quarantine;
+}
+
+static struct QuarantineState
+guard_check (struct Request *request)
+{
+  static const struct QuarantineState is_free = { .verdict = VERDICT_FREE };
+  const struct Quarantine *quarantine = guard_quarantine (request);
+
+  if (!guard_is_enabled (request) || quarantine_is_empty (quarantine))
+    return is_free;
+  return quarantine_check (quarantine, request_digest (request), guard_now_ms (request));
+}
+
+/* Trials. */
+
+/* While it is unknown which of a server's requests crashed it, any gateway may try one again: its
+ * caller makes only a few attempts. Later trials are left to one gateway, so that they happen once
+ * in the fleet. */
+static bool
+guard_may_try (struct Request *request, const struct QuarantineState *state)
+{
+  const struct Front *front = request->front;
+  char name[REQUEST_DIGEST_NAME_BYTES];
+  const char *owner;
+
+  if (state->n_crashes <= QUARANTINE_THRESHOLD)
+    return true;
+  request_digest_name (request_digest (request), name);
+  owner = gateway_owner (front, name, NULL);
+  return owner != NULL && strcmp (owner, front->node->settings->instance) == 0;
+}
+
+static void
+guard_begin_trial (struct Request *request, const struct QuarantineState *state)
+{
+  char name[REQUEST_DIGEST_NAME_BYTES];
+
+  request->is_trial = true;
+  quarantine_begin_trial (guard_quarantine (request), request_digest (request),
+                          guard_now_ms (request));
+  suspects_spread (request->front->suspects, request_digest (request));
+  request_digest_name (request_digest (request), name);
+  log_request (LOG_LEVEL_NOTICE, "quarantine_trial", request->caller.id, request->caller.program,
+               "digest %s, %u crashes: sent to one server", name, state->n_crashes);
+}
+
+/* Requests. */
+
+static void
+guard_reject (struct Request *request, const struct QuarantineState *state)
+{
+  bool may_be_sound = state->n_crashes <= QUARANTINE_THRESHOLD && state->verdict == VERDICT_HELD
+                      && state->wait_ms != INT64_MAX;
+  char name[REQUEST_DIGEST_NAME_BYTES], detail[96];
+
+  request_digest_name (request_digest (request), name);
+  snprintf (detail, sizeof detail, "digest %s was running on %u servers that crashed", name,
+            state->n_crashes);
+  counter_add (COUNTER_REQUESTS_QUARANTINED, 1);
+  request_reject_quarantined (request, may_be_sound ? (uint32_t)state->wait_ms : 0, detail);
+}
+
+bool
+crash_guard_admit (struct Request *request)
+{
+  const struct QuarantineState state = guard_check (request);
+
+  switch (state.verdict)
+    {
+    case VERDICT_FREE:
+    case VERDICT_SUSPECT:
+      return true;
+    case VERDICT_HELD:
+      if (request->is_trial)
+        return true;
+      break;
+    case VERDICT_TRIAL:
+      if (!guard_may_try (request, &state))
+        break;
+      guard_begin_trial (request, &state);
+      return true;
+    }
+  guard_reject (request, &state);
+  return false;
+}
+
+bool
+crash_guard_holds (struct Request *request)
+{
+  return guard_check (request).n_crashes >= QUARANTINE_THRESHOLD;
+}
+
+/* Attempts. */
+
+static void
+guard_record_crash (struct Request *request)
+{
+  const struct ReplicaEntry *server = &request->replica->entry;
+  struct CrashRecord crash = { .started_unix_ms = server->started_unix_ms,
+                               .sent_ms = request->sent_ms,
+                               .ended_ms = guard_now_ms (request) };
+
+  snprintf (crash.server, sizeof crash.server, "%s", server->id);
+  if (quarantine_record_crash (guard_quarantine (request), request_digest (request), &crash,
+                               crash.ended_ms))
+    {
+      counter_add (COUNTER_QUARANTINED, 1);
+      suspects_log_quarantined (request->front->suspects, request_digest (request));
+    }
+  suspects_spread (request->front->suspects, request_digest (request));
+}
+
+void
+crash_guard_record_end (struct Request *request, enum HttpEnd end)
+{
+  if (!guard_is_enabled (request))
+    return;
+  switch (end)
+    {
+    case HTTP_END_BROKEN:
+      /* A server that leaves as planned may end with requests that are not done. */
+      if (!request->replica->entry.draining)
+        guard_record_crash (request);
+      break;
+    case HTTP_END_COMPLETE:
+      if (!quarantine_is_empty (guard_quarantine (request))
+          && quarantine_clear (guard_quarantine (request), request_digest (request),
+                               guard_now_ms (request)))
+        suspects_spread (request->front->suspects, NULL);
+      break;
+    case HTTP_END_NOT_SENT:
+    case HTTP_END_MALFORMED:
+      break;
+    }
+}
+
+void
+crash_guard_record_response (const struct Request *request)
+{
+  const struct ReplicaEntry *server = &request->replica->entry;
+  struct Quarantine *quarantine = guard_quarantine (request);
+  int64_t now_ms = guard_now_ms (request);
+
+  if (!guard_is_enabled (request) || quarantine_is_empty (quarantine))
+    return;
+  quarantine_refute (quarantine, server->id, server->started_unix_ms,
+                     http_call_connected_ms (request->call), request->sent_ms, now_ms);
+  quarantine_refute (quarantine, server->id, server->started_unix_ms, 0,
+                     request->sent_ms - RESTART_LISTED_MS, now_ms);
+  suspects_spread (request->front->suspects, NULL);
+}
--- /dev/null
+++ b/gateway/crash_guard.h
@@ -0,0 +1,23 @@
+/* Keeps requests that crash servers from being sent on (suspects.h). */
+#pragma once
+
+#include "request.h"
+
+#include <buckthornhead/http_client.h>
+
+/* Returns whether the request may be sent to a server. Otherwise it has been rejected and freed. */
+bool
+crash_guard_admit (struct Request *request);
+
+/* Returns whether the request is quarantined and must not be sent to a further server. */
+bool
+crash_guard_holds (struct Request *request);
+
+/* Records the end of the current attempt: a connection that broke may be the server's crash, and a
+ * complete response clears the request. */
+void
+crash_guard_record_end (struct Request *request, enum HttpEnd end);
+
+/* Records that the server responds, which may show that it has not crashed. */
+void
+crash_guard_record_response (const struct Request *request);
--- a/gateway/front.c
+++ b/gateway/front.c
@@ -1,6 +1,7 @@
 #include "front.h"
 
 #include "contention.h"
+#include "crash_guard.h"
 #include "credential.h"
 #include "directory.h"
 #include "loop_echo.h"
@@ -9,6 +10,7 @@
 #include "request.h"
 #include "slots.h"
 #include "store_reader.h"
+#include "suspects.h"
 
 #include <buckthornhead/counter.h>
 #include <buckthornhead/deflate.h>
@@ -249,10 +251,11 @@
 static void
 front_start (struct Request *request)
 {
-  if (request_is_turn (request))
-    turn_start (request);
-  else
+  if (!request_is_turn (request))
     request_send (request);
+  /* Before the archives reserve its tokens. */
+  else if (crash_guard_admit (request))
+    turn_start (request);
 }
 
 void
@@ -488,6 +491,9 @@
     case GATEWAY_PACES:
       paces_on_rows (front->paces, message->paces.items, message->paces.n_items);
       break;
+    case GATEWAY_SUSPECTS:
+      suspects_on_report (front->suspects, link, &message->suspects);
+      break;
     case GATEWAY_QUOTA_REQUEST:
     case GATEWAY_QUOTA_GRANT:
     case GATEWAY_QUOTA_RETURN:
@@ -688,9 +694,10 @@
   f->slots = slots_new (f);
   f->paces = paces_new (f);
   f->quotas = quotas_new (f);
+  f->suspects = suspects_new (f, node);
   f->echo = loop_echo_new (f, node);
   if (f->contention == NULL || f->replicas == NULL || f->client == NULL || f->slots == NULL
-      || f->paces == NULL || f->quotas == NULL || f->echo == NULL)
+      || f->paces == NULL || f->quotas == NULL || f->suspects == NULL || f->echo == NULL)
     return fault_set (fault, ERROR_NO_MEMORY, NULL, "out of memory for the gateway");
   error = front_listen_all (f, fault);
   if (error != ERROR_NONE)
--- a/gateway/front.h
+++ b/gateway/front.h
@@ -26,6 +26,7 @@
 struct Settlement;
 struct SlotWait;
 struct Slots;
+struct Suspects;
 struct Turn;
 
 /* Why a request ended without a server's response; each reason maps to one HTTP status. */
@@ -39,6 +40,7 @@
   FAILURE_NO_SERVER,   /* no server could accept it; it did not run */
   FAILURE_OUT_OF_TIME, /* its deadline passed before it was sent */
   FAILURE_BUSY,        /* the servers cannot run it before its deadline; it did not run */
+  FAILURE_QUARANTINED, /* it was running on servers that crashed; this attempt did not run */
   FAILURE_STOPPING,    /* planned stop; it did not run */
   FAILURE_UNCERTAIN,   /* too few archives responded to decide; it did not run */
   FAILURE_NO_TURN,     /* the turn that it continues does not exist */
@@ -88,6 +90,7 @@
   size_t n_tried;
   uint32_t n_sent; /* attempts that a server may have run */
   bool may_have_run;
+  bool is_trial;               /* it is quarantined and sent to find out whether it is sound */
   struct Timer *silence_timer; /* until another server is tried; NULL: none will be */
   enum SlotOutcome outcome;    /* of this attempt */
   bool refused;                /* the server replied that it did not run this attempt */
@@ -115,6 +118,7 @@
   struct Slots *slots;
   struct PaceTable *paces;
   struct Quotas *quotas;
+  struct Suspects *suspects;
   struct HttpServer *callers, *ready, *directory;
   struct Request *requests;
   int64_t started_ms;
@@ -174,6 +178,10 @@
 void
 request_reject_busy (struct Request *request, uint32_t wait_ms);
 
+/* Rejects the request because it is quarantined. Retry-After is wait_ms; 0: none. */
+void
+request_reject_quarantined (struct Request *request, uint32_t wait_ms, const char *detail);
+
 /* Rejects the request because its customer's limit is reached; Retry-After is wait_ms. */
 void
 request_reject_over_limit (struct Request *request, uint32_t wait_ms, const char *detail);
--- a/gateway/metrics.c
+++ b/gateway/metrics.c
@@ -2,6 +2,7 @@
 
 #include "paces.h"
 #include "quotas.h"
+#include "suspects.h"
 
 #include <buckthornhead/counter.h>
 #include <buckthornhead/histogram.h>
@@ -66,11 +67,18 @@
   return paces_render (metrics->front->paces, ctx);
 }
 
+static char *
+metrics_render_quarantine (const struct Metrics *metrics, TALLOC_CTX *ctx)
+{
+  return suspects_render (metrics->front->suspects, ctx);
+}
+
 static const struct MetricsPage *
 metrics_page (const struct Metrics *metrics, const char *target)
 {
   static const struct MetricsPage gateway_pages[] = {
     { "/customers", "application/json", metrics_render_customers },
+    { "/quarantine", "application/json", metrics_render_quarantine },
     { "/servers", "application/json", metrics_render_servers },
   };
   static const struct MetricsPage counters = { "/metrics", "text/plain; version=0.0.4",
@@ -83,10 +91,26 @@
   return &counters;
 }
 
+/* Handles POST /quarantine/release/NAME. Returns false for any other request. */
+static bool
+metrics_release (const struct Metrics *metrics, struct HttpExchange *exchange)
+{
+  static const char unknown[] = "no request with this digest is quarantined; see GET /quarantine\n";
+  static const char path[] = "/quarantine/release/";
+
+  if (metrics->front == NULL || strcmp (exchange->method, "POST") != 0
+      || strncmp (exchange->target, path, strlen (path)) != 0)
+    return false;
+  if (suspects_release (metrics->front->suspects, exchange->target + strlen (path)) == ERROR_NONE)
+    http_exchange_respond (exchange, 200, NULL, NULL, 0);
+  else
+    http_exchange_respond (exchange, 404, NULL, unknown, strlen (unknown));
+  return true;
+}
+
 static void
-metrics_on_request (void *data, struct HttpExchange *exchange)
+metrics_respond (struct Metrics *metrics, struct HttpExchange *exchange)
 {
-  struct Metrics *metrics = data;
   TALLOC_CTX *ctx = talloc_new (metrics);
   const struct MetricsPage *page = metrics_page (metrics, exchange->target);
   struct HttpHeader type = { "Content-Type", page->type };
@@ -100,6 +124,15 @@
   talloc_free (ctx);
 }
 
+static void
+metrics_on_request (void *data, struct HttpExchange *exchange)
+{
+  struct Metrics *metrics = data;
+
+  if (!metrics_release (metrics, exchange))
+    metrics_respond (metrics, exchange);
+}
+
 void
 metrics_listen (struct Node *node, struct Front *front)
 {
--- a/gateway/node_receive.c
+++ b/gateway/node_receive.c
@@ -243,6 +243,7 @@
     case GATEWAY_DIGESTS:
     case GATEWAY_USAGES:
     case GATEWAY_PACES:
+    case GATEWAY_SUSPECTS:
     case GATEWAY_QUOTA_REQUEST:
     case GATEWAY_QUOTA_GRANT:
     case GATEWAY_QUOTA_RETURN:
--- a/gateway/node_send.c
+++ b/gateway/node_send.c
@@ -52,6 +52,7 @@
     case GATEWAY_DIGESTS:
     case GATEWAY_USAGES:
     case GATEWAY_PACES:
+    case GATEWAY_SUSPECTS:
     /* A gateway that does not own the customer forwards the request instead of replying. */
     case GATEWAY_QUOTA_REQUEST:
     case GATEWAY_QUOTA_GRANT:
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -1,4 +1,5 @@
 #include "request.h"
+#include "crash_guard.h"
 #include "credential.h"
 #include "paces.h"
 #include "quotas.h"
@@ -43,6 +44,7 @@
   [FAILURE_NO_SERVER] = { 503, RETRY_AFTER_SHORT, "no_server", LOG_LEVEL_WARNING },
   [FAILURE_OUT_OF_TIME] = { 503, RETRY_AFTER_SHORT, "out_of_time", LOG_LEVEL_WARNING },
   [FAILURE_BUSY] = { 503, NULL, "servers_busy", LOG_LEVEL_WARNING },
+  [FAILURE_QUARANTINED] = { 503, NULL, "quarantined", LOG_LEVEL_WARNING },
   [FAILURE_STOPPING] = { 503, "0", "stopping", LOG_LEVEL_INFO },
   [FAILURE_UNCERTAIN] = { 503, RETRY_AFTER_UNCERTAIN, "uncertain", LOG_LEVEL_WARNING },
   [FAILURE_NO_TURN] = { 404, NULL, "no_turn", LOG_LEVEL_WARNING },
@@ -202,6 +204,17 @@
   request_fail_with_wait_ms (request, FAILURE_OVER_LIMIT, wait_ms, detail);
 }
 
+void
+request_reject_quarantined (struct Request *request, uint32_t wait_ms, const char *detail)
+{
+  if (request->may_have_run)
+    request_fail (request, FAILURE_BROKEN, detail);
+  else if (wait_ms > 0)
+    request_fail_with_wait_ms (request, FAILURE_QUARANTINED, wait_ms, detail);
+  else
+    request_fail (request, FAILURE_QUARANTINED, detail);
+}
+
 void
 request_reject_busy (struct Request *request, uint32_t wait_ms)
 {
@@ -234,7 +247,7 @@
 request_claim_attempt (struct Request *request)
 {
   return request->n_sent < request->route.max_attempts && request->n_tried < TRIED_MAX
-         && request_remaining_ms (request) >= ATTEMPT_MIN_MS
+         && request_remaining_ms (request) >= ATTEMPT_MIN_MS && !crash_guard_holds (request)
          && retry_allowance_take (&request->front->retries);
 }
 
@@ -407,6 +420,8 @@
 void
 request_on_slot_granted (struct Request *request)
 {
+  if (!crash_guard_admit (request))
+    return;
   /* While the request waited, the server may have started to drain or used up its connections, or
    * the key may have been revoked. */
   if (!request->replica->entry.draining && credential_is_valid (request)
@@ -424,6 +439,8 @@
       request_fail (request, FAILURE_NO_KEY, "the key was revoked while the request waited");
       return;
     }
+  if (!crash_guard_admit (request))
+    return;
   while (request->n_tried < TRIED_MAX)
     {
       struct Replica *replica = request_choose_server (request);
--- a/gateway/slots.c
+++ b/gateway/slots.c
@@ -70,9 +70,9 @@
 };
 
 static void
-owner_choice_consider (struct OwnerChoice *choice, const char *name, uint64_t server_hash)
+owner_choice_consider (struct OwnerChoice *choice, const char *name, uint64_t key_hash)
 {
-  uint64_t score = XXH64 (name, strlen (name), server_hash);
+  uint64_t score = XXH64 (name, strlen (name), key_hash);
 
   if (choice->name != NULL && score <= choice->score)
     return;
@@ -80,17 +80,15 @@
   choice->score = score;
 }
 
-/* Returns the live gateway of zone that owns the server; NULL when there is none. With zone NULL,
- * gateways of all zones are candidates. */
-static const char *
-owner_in_zone (const struct Front *front, const char *server, const char *zone)
+const char *
+gateway_owner (const struct Front *front, const char *key, const char *zone)
 {
   const struct Node *node = front->node;
-  uint64_t server_hash = XXH64 (server, strlen (server), 0);
+  uint64_t key_hash = XXH64 (key, strlen (key), 0);
   struct OwnerChoice choice = { NULL, 0 };
 
   if (front->stop_ms == 0 && (zone == NULL || strcmp (node->settings->zone, zone) == 0))
-    owner_choice_consider (&choice, node->settings->instance, server_hash);
+    owner_choice_consider (&choice, node->settings->instance, key_hash);
   for (size_t i = 0; i < node->peers->n_peers; i++)
     {
       const struct NodeStatus *status = &node->peers->peers[i]->status;
@@ -98,7 +96,7 @@
       if (status->ready && status->caller_address[0] != '\0'
           && (zone == NULL || strcmp (status->zone, zone) == 0)
           && node_peer_is_responsive (node, node->peers->peers[i]))
-        owner_choice_consider (&choice, status->node, server_hash);
+        owner_choice_consider (&choice, status->node, key_hash);
     }
   return choice.name;
 }
@@ -106,9 +104,9 @@
 static const char *
 slots_owner (const struct Front *front, const struct Replica *replica)
 {
-  const char *owner = owner_in_zone (front, replica->entry.id, replica->entry.zone);
+  const char *owner = gateway_owner (front, replica->entry.id, replica->entry.zone);
 
-  return owner != NULL ? owner : owner_in_zone (front, replica->entry.id, NULL);
+  return owner != NULL ? owner : gateway_owner (front, replica->entry.id, NULL);
 }
 
 /* Plain servers. */
--- a/gateway/slots.h
+++ b/gateway/slots.h
@@ -11,6 +11,11 @@
 
 #include <buckthornhead/scheduling/slot_queue.h>
 
+/* Returns the live gateway of zone that owns key, the id of a server or any other one; NULL when
+ * there is none. With zone NULL, gateways of all zones are candidates. */
+const char *
+gateway_owner (const struct Front *front, const char *key, const char *zone);
+
 struct Slots *
 slots_new (struct Front *front);
 
--- a/include/buckthornhead/gateway_message.h
+++ b/include/buckthornhead/gateway_message.h
@@ -5,6 +5,7 @@
 #include <buckthornhead/customers/quota_owner.h>
 #include <buckthornhead/customers/use_board.h>
 #include <buckthornhead/node_status.h>
+#include <buckthornhead/scheduling/quarantine.h>
 #include <buckthornhead/scheduling/server_pace.h>
 #include <buckthornhead/scheduling/slot_queue.h>
 #include <buckthornhead/settings.h>
@@ -33,7 +34,13 @@
   GATEWAY_QUOTA_REQUEST = 19, /* requests tokens of a customer that the receiver owns */
   GATEWAY_QUOTA_GRANT = 20,   /* response to GATEWAY_QUOTA_REQUEST */
   GATEWAY_QUOTA_RETURN = 21,  /* tokens of a request that ran on no server */
-  GATEWAY_PACES = 22          /* speed of the servers that the sender owns */
+  GATEWAY_PACES = 22,         /* speed of the servers that the sender owns */
+  GATEWAY_SUSPECTS = 23       /* requests that were running on servers that crashed */
+};
+
+enum
+{
+  GATEWAY_KIND_MAX = GATEWAY_SUSPECTS
 };
 
 /* Number of requests in flight to one backend server, as counted by the sender. */
@@ -185,6 +192,21 @@
   size_t n_items;
 };
 
+enum
+{
+  SUSPECT_AGE_NONE = -1,
+  SUSPECT_AGE_MAX_MS = 7 * 24 * 3600 * 1000
+};
+
+/* What the sender knows of requests that were running on servers that crashed. The times of the
+ * records are ages in ms at the sending of the message; SUSPECT_AGE_NONE: it did not happen. */
+struct SuspectReport
+{
+  bool wants_reply; /* the sender has just started and asks for all quarantined requests */
+  struct SuspectRecord *items;
+  size_t n_items;
+};
+
 struct SlotDoneMessage
 {
   uint64_t id;
@@ -218,6 +240,7 @@
     struct Digests digests;
     struct UsageReport usages;
     struct Paces paces;
+    struct SuspectReport suspects;
     struct QuotaAsk quota_ask;
     struct QuotaGrant quota_grant;
     struct QuotaReturn quota_return;
--- a/include/buckthornhead/gateway_settings.h
+++ b/include/buckthornhead/gateway_settings.h
@@ -9,7 +9,7 @@
  * (IP:port each) and announce; caller, ready and directory are for gateways; [platform] store
  * (URL), prefix, features, change_in_force; [membership] seeds, seed_port; [archives] first_start,
  * tolerated; [stop] grace; [directory] keep; [limits] connections, held_memory; [quota] window,
- * slack, sharing; [decisions] the switches of decisions.h. */
+ * slack, sharing; [quarantine] crashing_requests; [decisions] the switches of decisions.h. */
 struct GatewaySettings
 {
   char instance[NAME_MAX_BYTES + 1];
@@ -36,6 +36,7 @@
   uint32_t quota_window_ms;   /* length of the sliding window in which a limit holds */
   uint32_t quota_slack;       /* requests over a limit that operators tolerate in each window */
   int32_t quota_sharing;      /* enum QuotaSharing */
+  int32_t quarantine;         /* 1: requests that crash servers are not sent on */
   struct Decisions decisions;
 };
 
--- a/include/buckthornhead/http_client.h
+++ b/include/buckthornhead/http_client.h
@@ -83,6 +83,11 @@
 void
 http_call_set_paused (struct HttpCall *call, bool paused);
 
+/* Returns when the call's connection was established, on the timer service's clock: the server's
+ * process has been running since. 0 while it is connecting. */
+int64_t
+http_call_connected_ms (const struct HttpCall *call);
+
 /* Closes the idle connections to an address, which another server may have taken over. */
 void
 http_client_close_idle (struct HttpClient *client, const char *address);
--- a/include/buckthornhead/scheduling/quarantine.h
+++ b/include/buckthornhead/scheduling/quarantine.h
@@ -54,7 +54,8 @@
   struct Suspect *previous, *next; /* in its list, oldest first */
   struct SuspectRecord record;
   bool quarantined; /* the list that it is in */
-  bool changed;     /* since it was last returned by quarantine_next_changed */
+  bool changed;     /* here, since it was last returned by quarantine_next_changed */
+  bool is_shared;   /* it was returned by quarantine_next_changed, or merged */
   int64_t changed_ms;
   UT_hash_handle hh;
 };
@@ -116,13 +117,14 @@
                   const uint8_t digest[DIGEST_BYTES],
                   int64_t now_ms);
 
-/* Records that the server's process has been running since since_ms without a pause: what was taken
- * for its crash later than that were connections that broke. */
+/* Records that the server's process was running from since_ms to until_ms: what was taken for its
+ * crash in between were connections that broke. */
 void
 quarantine_refute (struct Quarantine *quarantine,
                    const char *server,
                    uint64_t started_unix_ms,
                    int64_t since_ms,
+                   int64_t until_ms,
                    int64_t now_ms);
 
 /* Records that a trial of the request begins. */
@@ -141,7 +143,8 @@
 void
 quarantine_expire (struct Quarantine *quarantine, int64_t now_ms);
 
-/* Returns the oldest suspect that has changed and resets its mark; NULL if there is none. */
+/* Returns the oldest suspect that has changed here, and resets its mark; NULL if there is none.
+ * Leaves out those that no other process knows and against which no crash counts. */
 const struct SuspectRecord *
 quarantine_next_changed (struct Quarantine *quarantine);
 
@@ -149,10 +152,17 @@
 void
 quarantine_mark_changed (struct Quarantine *quarantine, const uint8_t digest[DIGEST_BYTES]);
 
+uint32_t
+quarantine_n_quarantined (const struct Quarantine *quarantine);
+
 /* Returns the next quarantined request; the first one after NULL. */
 const struct Suspect *
 quarantine_next (const struct Quarantine *quarantine, const struct Suspect *previous);
 
+/* Returns what is known of a request; NULL if nothing is. Valid until the next change. */
+const struct SuspectRecord *
+quarantine_record (const struct Quarantine *quarantine, const uint8_t digest[DIGEST_BYTES]);
+
 /* Returns the state of a record that was not looked up. */
 struct QuarantineState
 quarantine_state_of (const struct Quarantine *quarantine,
--- a/tests/test_gateway_message.c
+++ b/tests/test_gateway_message.c
@@ -195,6 +195,67 @@
   talloc_free (ctx);
 }
 
+static void
+test_suspects_round_trip (void)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct SuspectRecord record = {
+    .digest = { 1, 2 },
+    .crashes = { { "i-1", 77, 300, 250, false }, { "i-2", 0, 100, 100, true } },
+    .n_crashes = 2,
+    .cleared_ms = SUSPECT_AGE_NONE,
+    .trial_ms = 40,
+    .trial_level = 1,
+  };
+  struct GatewayMessage message = { .kind = GATEWAY_SUSPECTS };
+  const struct SuspectRecord *item;
+  struct GatewayMessage *unpacked;
+
+  message.suspects = (struct SuspectReport){ .wants_reply = true, &record, 1 };
+  unpacked = round_trip (ctx, &message);
+  CU_ASSERT_TRUE (unpacked->suspects.wants_reply);
+  CU_ASSERT_EQUAL_FATAL (unpacked->suspects.n_items, 1);
+  item = &unpacked->suspects.items[0];
+  CU_ASSERT_EQUAL (memcmp (item->digest, record.digest, DIGEST_BYTES), 0);
+  CU_ASSERT_EQUAL (item->cleared_ms, SUSPECT_AGE_NONE);
+  CU_ASSERT_EQUAL (item->trial_ms, 40);
+  CU_ASSERT_EQUAL (item->trial_level, 1);
+  CU_ASSERT_EQUAL_FATAL (item->n_crashes, 2);
+  CU_ASSERT_STRING_EQUAL (item->crashes[0].server, "i-1");
+  CU_ASSERT_EQUAL (item->crashes[0].started_unix_ms, 77);
+  CU_ASSERT_EQUAL (item->crashes[0].sent_ms, 300);
+  CU_ASSERT_EQUAL (item->crashes[0].ended_ms, 250);
+  CU_ASSERT_FALSE (item->crashes[0].discounted);
+  CU_ASSERT_TRUE (item->crashes[1].discounted);
+  talloc_free (ctx);
+}
+
+/* Guards against crashes in the future, which would count for ever, and against too many. */
+static void
+test_absurd_suspects_are_malformed (void)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct SuspectRecord good = { .crashes = { { "i-1", 0, 20, 10, false } }, .n_crashes = 1 };
+  struct SuspectRecord bad[4] = { good, good, good, good };
+
+  bad[0].crashes[0].ended_ms = -5;
+  bad[1].crashes[0].sent_ms = 9;
+  bad[2].cleared_ms = (int64_t)SUSPECT_AGE_MAX_MS + 1;
+  bad[3].trial_level = QUARANTINE_TRIALS_MAX + 1;
+  for (size_t i = 0; i < sizeof bad / sizeof bad[0]; i++)
+    {
+      struct GatewayMessage message = { .kind = GATEWAY_SUSPECTS };
+      struct GatewayMessage *unpacked;
+      uint8_t *bytes;
+      size_t n_bytes;
+
+      message.suspects = (struct SuspectReport){ false, &bad[i], 1 };
+      CU_ASSERT_EQUAL (gateway_message_pack (ctx, &message, &bytes, &n_bytes), ERROR_NONE);
+      CU_ASSERT_EQUAL (gateway_message_unpack (ctx, bytes, n_bytes, &unpacked), ERROR_INVALID);
+    }
+  talloc_free (ctx);
+}
+
 static void
 test_turn_responses_round_trip (void)
 {
@@ -469,6 +530,8 @@
   { "turn requests round trip", test_turn_requests_round_trip },
   { "quota messages", test_quota_messages_round_trip },
   { "slot messages round trip", test_slot_messages_round_trip },
+  { "suspects round trip", test_suspects_round_trip },
+  { "absurd suspects are malformed", test_absurd_suspects_are_malformed },
   { "turn responses round trip", test_turn_responses_round_trip },
   { "turn closes round trip", test_turn_closes_round_trip },
   { "long lists are compressed", test_long_lists_are_compressed },
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -142,11 +142,13 @@
   record_run (quarantine, crashing, "engine-1", 100, 10);
   record_run (quarantine, crashing, "engine-2", 200, 10);
   CU_ASSERT_EQUAL (verdict (quarantine, 210), VERDICT_HELD);
-  /* A process that started after the crash, or another one under the same id, shows nothing. */
-  quarantine_refute (quarantine, "engine-2", 0, 200, 210);
-  quarantine_refute (quarantine, "engine-2", 7, 50, 210);
+  /* Not shown by a process that started after the crash, by another one under the same id, or by a
+   * response to what was sent before. */
+  quarantine_refute (quarantine, "engine-2", 0, 200, 210, 210);
+  quarantine_refute (quarantine, "engine-2", 7, 50, 210, 210);
+  quarantine_refute (quarantine, "engine-2", 0, 50, 200, 210);
   CU_ASSERT_EQUAL (verdict (quarantine, 210), VERDICT_HELD);
-  quarantine_refute (quarantine, "engine-2", 0, 199, 210);
+  quarantine_refute (quarantine, "engine-2", 0, 199, 201, 210);
   CU_ASSERT_EQUAL (verdict (quarantine, 210), VERDICT_SUSPECT);
   /* The same process may crash after all. */
   CU_ASSERT_TRUE (record_run (quarantine, crashing, "engine-2", 400, 10));
@@ -251,9 +253,12 @@
       /* Each process sends its state to all others twice, as it does periodically. */
       for (int n = 0; n < 2 * N_PROCESSES * N_PROCESSES; n++)
         {
+          const struct SuspectRecord *changed;
+
           quarantine_mark_changed (at[n % N_PROCESSES], crashing);
-          quarantine_merge (at[n / N_PROCESSES % N_PROCESSES],
-                            quarantine_next_changed (at[n % N_PROCESSES]), 3000);
+          changed = quarantine_next_changed (at[n % N_PROCESSES]);
+          if (changed != NULL)
+            quarantine_merge (at[n / N_PROCESSES % N_PROCESSES], changed, 3000);
         }
       for (int i = 1; i < N_PROCESSES; i++)
         CU_ASSERT_EQUAL (quarantine_check (at[i], crashing, 3100).n_crashes,
