--- a/core/scheduling/quarantine.c
+++ b/core/scheduling/quarantine.c
@@ -352,7 +352,7 @@
   return changed;
 }
 
-void
+bool
 quarantine_refute (struct Quarantine *quarantine,
                    const char *server,
                    uint64_t started_unix_ms,
@@ -361,10 +361,15 @@
                    int64_t now_ms)
 {
   struct Suspect *suspect, *next;
+  bool changed = false;
 
   HASH_ITER (hh, quarantine->by_digest, suspect, next)
   if (record_refute (&suspect->record, server, started_unix_ms, since_ms, until_ms))
-    suspect_changed (quarantine, suspect, now_ms);
+    {
+      suspect_changed (quarantine, suspect, now_ms);
+      changed = true;
+    }
+  return changed;
 }
 
 void
--- a/gateway/answer.c
+++ b/gateway/answer.c
@@ -117,6 +117,7 @@
 
   if (request->refused)
     return;
+  crash_guard_record_data (request);
   if (!request->streaming)
     {
       if (byte_queue_length (&request->response_body) + n_bytes > ANSWER_MAX_BYTES
--- a/gateway/crash_guard.c
+++ b/gateway/crash_guard.c
@@ -14,7 +14,11 @@
 {
   /* A server that crashed and started again under its id is listed with its new start time within
    * this: a few of its heartbeats. */
-  RESTART_LISTED_MS = 5000
+  RESTART_LISTED_MS = 5000,
+  /* Data that is read this long after a connection to its server broke was not waiting in a buffer
+   * at that time. */
+  DATA_DELAY_MS = 250,
+  DATA_INTERVAL_MS = 50 /* between two checks of one server's data */
 };
 
 static struct Quarantine *
@@ -169,18 +173,34 @@
     }
 }
 
+/* Records that the process of the request's server was running from since_ms to until_ms. */
+static void
+guard_refute (const struct Request *request, int64_t since_ms, int64_t until_ms)
+{
+  const struct ReplicaEntry *server = &request->replica->entry;
+
+  if (quarantine_refute (guard_quarantine (request), server->id, server->started_unix_ms, since_ms,
+                         until_ms, guard_now_ms (request)))
+    suspects_spread (request->front->suspects, NULL);
+}
+
 void
 crash_guard_record_response (const struct Request *request)
 {
-  const struct ReplicaEntry *server = &request->replica->entry;
-  struct Quarantine *quarantine = guard_quarantine (request);
+  if (!guard_is_enabled (request) || quarantine_is_empty (guard_quarantine (request)))
+    return;
+  guard_refute (request, http_call_connected_ms (request->call), request->sent_ms);
+  guard_refute (request, 0, request->sent_ms - RESTART_LISTED_MS);
+}
+
+void
+crash_guard_record_data (const struct Request *request)
+{
   int64_t now_ms = guard_now_ms (request);
 
-  if (!guard_is_enabled (request) || quarantine_is_empty (quarantine))
+  if (!guard_is_enabled (request) || quarantine_is_empty (guard_quarantine (request))
+      || now_ms - request->replica->running_checked_ms < DATA_INTERVAL_MS)
     return;
-  quarantine_refute (quarantine, server->id, server->started_unix_ms,
-                     http_call_connected_ms (request->call), request->sent_ms, now_ms);
-  quarantine_refute (quarantine, server->id, server->started_unix_ms, 0,
-                     request->sent_ms - RESTART_LISTED_MS, now_ms);
-  suspects_spread (request->front->suspects, NULL);
+  request->replica->running_checked_ms = now_ms;
+  guard_refute (request, http_call_connected_ms (request->call), now_ms - DATA_DELAY_MS);
 }
--- a/gateway/crash_guard.h
+++ b/gateway/crash_guard.h
@@ -18,6 +18,9 @@
 void
 crash_guard_record_end (struct Request *request, enum HttpEnd end);
 
-/* Records that the server responds, which may show that it has not crashed. */
+/* Record that the server responds, and that it sends a further part of its response: either may show
+ * that it has not crashed. */
 void
 crash_guard_record_response (const struct Request *request);
+void
+crash_guard_record_data (const struct Request *request);
--- a/include/buckthornhead/scheduling/quarantine.h
+++ b/include/buckthornhead/scheduling/quarantine.h
@@ -118,8 +118,8 @@
                   int64_t now_ms);
 
 /* Records that the server's process was running from since_ms to until_ms: what was taken for its
- * crash in between were connections that broke. */
-void
+ * crash in between were connections that broke. Returns whether there were any. */
+bool
 quarantine_refute (struct Quarantine *quarantine,
                    const char *server,
                    uint64_t started_unix_ms,
--- a/include/buckthornhead/scheduling/replica_set.h
+++ b/include/buckthornhead/scheduling/replica_set.h
@@ -56,6 +56,7 @@
   int64_t service_received_ms; /* when .service_ms was received */
   int64_t owner_unresponsive_until_ms; /* until then the plain server is avoided */
   int64_t load_received_ms;            /* when its owner last reported its load */
+  int64_t running_checked_ms;          /* when data from it was last compared with its crashes */
   UT_hash_handle hh;
 };
 
