Try requests again at once whose crashes may have another cause

A turn that was on two servers of racks that failed one after the other was held for 5 s, longer than its caller waits. If another server, which did not run the request, ended at the same time as each of its servers, one trial is due at once; later ones keep their pause, since several requests that crash servers at the same time would hide each other.

--- a/core/scheduling/quarantine.c
+++ b/core/scheduling/quarantine.c
@@ -1,6 +1,6 @@
 #include <buckthornhead/scheduling/quarantine.h>
 
-#include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <utlist.h>
 
@@ -8,6 +8,8 @@
 {
   /* Times of crashes at other processes are known to within the delay of a message. */
   SEQUENCE_SLACK_MS = 20,
+  /* Servers that end within this of each other may have one cause. */
+  COMMON_CAUSE_MS = 100,
   /* Reports of one event by several processes differ by this at most. */
   REPORT_SLACK_MS = 500,
   /* A request that crashes servers comes again within seconds or minutes; one that was on a server
@@ -115,6 +117,17 @@
   return suspect;
 }
 
+/* Returns the index of the crash of the same process of a server; -1 if there is none. */
+static int32_t
+record_find_crash (const struct SuspectRecord *record, const struct CrashRecord *crash)
+{
+  for (uint32_t i = 0; i < record->n_crashes; i++)
+    if (record->crashes[i].started_unix_ms == crash->started_unix_ms
+        && strcmp (record->crashes[i].server, crash->server) == 0)
+      return (int32_t)i;
+  return -1;
+}
+
 /* Returns the number of crashes that count, each of a server that the request was sent to after the
  * previous one had ended. */
 static uint32_t
@@ -178,15 +191,50 @@
   return crash_level > record->trial_level ? crash_level : record->trial_level;
 }
 
+/* Returns whether another server, which did not run the request, ended at the same time. */
+static bool
+crash_has_company (const struct Quarantine *quarantine,
+                   const struct SuspectRecord *record,
+                   const struct CrashRecord *crash)
+{
+  for (const struct Suspect *other = quarantine->by_digest; other != NULL; other = other->hh.next)
+    for (uint32_t i = 0; i < other->record.n_crashes; i++)
+      {
+        const struct CrashRecord *near = &other->record.crashes[i];
+
+        if (!near->discounted && llabs (near->ended_ms - crash->ended_ms) <= COMMON_CAUSE_MS
+            && record_find_crash (record, near) < 0)
+          return true;
+      }
+  return false;
+}
+
+/* Returns whether each crash of the request may have had another cause, as of a rack. */
+static bool
+record_is_ambiguous (const struct Quarantine *quarantine, const struct SuspectRecord *record)
+{
+  for (uint32_t i = 0; i < record->n_crashes; i++)
+    if (!record->crashes[i].discounted
+        && !crash_has_company (quarantine, record, &record->crashes[i]))
+      return false;
+  return true;
+}
+
 /* Returns when the next trial is due; INT64_MAX: never. */
 static int64_t
-record_trial_due_ms (const struct SuspectRecord *record, uint32_t n_crashes)
+record_trial_due_ms (const struct Quarantine *quarantine,
+                     const struct SuspectRecord *record,
+                     uint32_t n_crashes)
 {
   uint32_t level = record_trial_level (record, n_crashes);
   int64_t from_ms = record->trial_ms;
 
   if (level >= QUARANTINE_TRIALS_MAX)
     return INT64_MAX;
+  /* Not without a pause after the first trial: several requests that crash servers at the same time
+   * would hide each other. */
+  if (level == 0 && record_is_ambiguous (quarantine, record))
+    return from_ms;
   for (uint32_t i = 0; i < record->n_crashes; i++)
     if (!record->crashes[i].discounted && record->crashes[i].ended_ms > from_ms)
       from_ms = record->crashes[i].ended_ms;
@@ -206,8 +254,9 @@
       state.verdict = state.n_crashes > 0 ? VERDICT_SUSPECT : VERDICT_FREE;
       return state;
     }
-  due_ms =
-      quarantine->options.has_trials ? record_trial_due_ms (record, state.n_crashes) : INT64_MAX;
+  due_ms = quarantine->options.has_trials
+               ? record_trial_due_ms (quarantine, record, state.n_crashes)
+               : INT64_MAX;
   state.verdict = now_ms >= due_ms ? VERDICT_TRIAL : VERDICT_HELD;
   if (state.verdict == VERDICT_HELD)
     state.wait_ms = due_ms == INT64_MAX ? INT64_MAX : due_ms - now_ms;
@@ -251,16 +300,6 @@
 
 /* Changes. */
 
-static struct CrashRecord *
-record_find_crash (struct SuspectRecord *record, const struct CrashRecord *crash)
-{
-  for (uint32_t i = 0; i < record->n_crashes; i++)
-    if (strcmp (record->crashes[i].server, crash->server) == 0
-        && record->crashes[i].started_unix_ms == crash->started_unix_ms)
-      return &record->crashes[i];
-  return NULL;
-}
-
 /* Inserts the crash by time, in place of the earliest one if there are too many. */
 static void
 record_add_crash (struct SuspectRecord *record, const struct CrashRecord *crash)
@@ -276,13 +315,11 @@
 }
 
 static void
-record_remove_crash (struct SuspectRecord *record, const struct CrashRecord *crash)
+record_remove_crash (struct SuspectRecord *record, int32_t at)
 {
-  size_t at = (size_t)(crash - record->crashes);
-
   record->n_crashes--;
   memmove (record->crashes + at, record->crashes + at + 1,
-           (record->n_crashes - at) * sizeof record->crashes[0]);
+           (record->n_crashes - (size_t)at) * sizeof record->crashes[0]);
 }
 
 bool
@@ -292,15 +329,15 @@
                          int64_t now_ms)
 {
   struct Suspect *suspect = suspect_get_or_add (quarantine, digest);
-  struct CrashRecord *known;
   bool was_quarantined;
+  int32_t known;
 
   if (suspect == NULL)
     return false;
   known = record_find_crash (&suspect->record, crash);
-  if (known != NULL && !known->discounted)
+  if (known >= 0 && !suspect->record.crashes[known].discounted)
     return false;
-  if (known != NULL)
+  if (known >= 0)
     record_remove_crash (&suspect->record, known);
   was_quarantined = suspect->quarantined;
   record_add_crash (&suspect->record, crash);
@@ -394,18 +431,20 @@
 record_merge_crash (struct SuspectRecord *record, const struct CrashRecord *reported)
 {
   struct CrashRecord merged = *reported;
-  struct CrashRecord *known = record_find_crash (record, reported);
-  bool changed = known == NULL;
+  int32_t at = record_find_crash (record, reported);
+  struct CrashRecord known;
 
-  if (known != NULL)
+  if (at < 0)
     {
-      if (reported->ended_ms <= known->ended_ms + REPORT_SLACK_MS)
-        merged.discounted = merged.discounted || known->discounted;
-      changed = merged.discounted != known->discounted;
-      record_remove_crash (record, known);
+      record_add_crash (record, reported);
+      return true;
     }
+  known = record->crashes[at];
+  if (reported->ended_ms <= known.ended_ms + REPORT_SLACK_MS)
+    merged.discounted = merged.discounted || known.discounted;
+  record_remove_crash (record, at);
   record_add_crash (record, &merged);
-  return changed;
+  return merged.discounted != known.discounted;
 }
 
 bool
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -218,6 +218,28 @@
   talloc_free (quarantine);
 }
 
+/* Guards against requests that are held because two racks failed one after the other. One trial is
+ * due at once, and no more. */
+static void
+test_ambiguous_crashes_are_tried_at_once (void)
+{
+  struct Quarantine *quarantine = quarantine_new (NULL, &with_trials);
+
+  record_run (quarantine, crashing, "a-1", 1000, 50);
+  record_run (quarantine, healthy, "a-2", 1010, 50);
+  record_run (quarantine, crashing, "b-1", 2000, 50);
+  CU_ASSERT_EQUAL (verdict (quarantine, 2010), VERDICT_HELD);
+  record_run (quarantine, healthy, "b-2", 2010, 50);
+  CU_ASSERT_EQUAL (verdict (quarantine, 2010), VERDICT_TRIAL);
+  quarantine_begin_trial (quarantine, crashing, 2020);
+  CU_ASSERT_EQUAL (verdict (quarantine, 2030), VERDICT_HELD);
+  record_run (quarantine, crashing, "c-1", 2040, 10);
+  record_run (quarantine, healthy, "c-2", 2040, 10);
+  CU_ASSERT_EQUAL (verdict (quarantine, 2050), VERDICT_HELD);
+  CU_ASSERT_EQUAL (verdict (quarantine, 60000), VERDICT_HELD);
+  talloc_free (quarantine);
+}
+
 /* Guards against gateways that decide differently after messages were lost, doubled or reordered.
  */
 static void
@@ -301,6 +323,7 @@
   { "old reports change nothing", test_old_reports_change_nothing },
   { "three trials after the third crash", test_three_trials_after_the_third_crash },
   { "trial that succeeds ends the quarantine", test_trial_that_succeeds_ends_the_quarantine },
+  { "ambiguous crashes are tried at once", test_ambiguous_crashes_are_tried_at_once },
   { "reports in any order give one state", test_reports_in_any_order_give_one_state },
   { "suspects are bounded", test_suspects_are_bounded },
   { NULL, NULL },
