Keep quarantined requests over restarts and a loss of power

Gateways forget which requests crash servers when all of them are killed, and the next attempt takes two servers down again. Archives receive what is quarantined, keep it on their disks with the other state, and report it to processes that start, as do gateways that know. A gateway that has just started waits for such a report, or 1.2 s, before it sends requests.

--- a/core/gateway/gateway_message.c
+++ b/core/gateway/gateway_message.c
@@ -470,9 +470,8 @@
       return 7;
     case GATEWAY_RELAY:
     case GATEWAY_USAGES:
-      return 4;
     case GATEWAY_SUSPECTS:
-      return 3;
+      return 4;
     case GATEWAY_SNAPSHOT:
       return 10;
     case GATEWAY_QUOTA_REQUEST:
--- a/core/gateway/gateway_settings.c
+++ b/core/gateway/gateway_settings.c
@@ -135,8 +135,8 @@
   SECTION ("decisions", decision_keys),
 };
 
-_Static_assert (sizeof sections / sizeof sections[0] <= CONFIG_SECTIONS_MAX,
-                "the reader keeps the lines of CONFIG_SECTIONS_MAX sections");
+_Static_assert(sizeof sections / sizeof sections[0] <= CONFIG_SECTIONS_MAX,
+               "the reader keeps the lines of CONFIG_SECTIONS_MAX sections");
 
 static void *
 open_section (void *data,
--- a/core/gateway/suspect_message.c
+++ b/core/gateway/suspect_message.c
@@ -72,6 +72,7 @@
 suspects_pack (struct PackWriter *p, const struct SuspectReport *report)
 {
   pack_bool (p, report->wants_reply);
+  pack_bool (p, report->is_reply);
   pack_array (p, RECORD_ITEMS * report->n_items);
   for (size_t i = 0; i < report->n_items; i++)
     record_pack (p, &report->items[i]);
@@ -83,6 +84,7 @@
   struct PackReader list;
 
   report->wants_reply = read_bool (r);
+  report->is_reply = read_bool (r);
   report->n_items = message_list_enter (r, &list, RECORD_ITEMS);
   report->items = talloc_zero_array (ctx, struct SuspectRecord, report->n_items);
   for (size_t i = 0; report->items != NULL && i < report->n_items && !list.failed; i++)
--- a/core/scheduling/quarantine.c
+++ b/core/scheduling/quarantine.c
@@ -35,6 +35,7 @@
   struct Suspect *by_digest; /* uthash head */
   struct SuspectList suspects, quarantined;
   uint32_t n_changed;
+  uint64_t version;
 };
 
 static int
@@ -156,6 +157,7 @@
   list_remove (suspect_list (quarantine, suspect), suspect);
   suspect->quarantined = record_n_sequential (&suspect->record) >= QUARANTINE_THRESHOLD;
   suspect->changed_ms = now_ms;
+  quarantine->version++;
   suspect_append (quarantine, suspect);
 }
 
@@ -536,6 +538,12 @@
     suspect_mark_changed (quarantine, suspect);
 }
 
+uint64_t
+quarantine_version (const struct Quarantine *quarantine)
+{
+  return quarantine->version;
+}
+
 uint32_t
 quarantine_n_quarantined (const struct Quarantine *quarantine)
 {
--- a/gateway/archive.c
+++ b/gateway/archive.c
@@ -491,7 +491,8 @@
     return fault_set (fault, error, "check the disk", "cannot write to the data folder");
   a->suspects = suspects_new (a, node);
   a->member = archive_member_new (a, node, a, a->log);
-  if (a->suspects == NULL || a->member == NULL || archive_state_new (a, node, a->log) == NULL)
+  if (a->suspects == NULL || a->member == NULL
+      || archive_state_new (a, node, a->log, a->suspects) == NULL)
     return fault_set (fault, ERROR_NO_MEMORY, NULL, "no memory for the archive");
   timer_subscribe (a, node->timers, EXPIRE_PERIOD_MS, EXPIRE_PERIOD_MS, archive_on_expire, a);
   node->handler.message = archive_on_message;
--- a/gateway/archive_state.c
+++ b/gateway/archive_state.c
@@ -2,6 +2,7 @@
 
 #include "node_directory.h"
 #include "store_reader.h"
+#include "suspects.h"
 
 #include <buckthornhead/clock.h>
 #include <buckthornhead/log.h>
@@ -24,8 +25,12 @@
   struct DiskLog *log;
   uint64_t saved_content[N_KINDS];
   uint64_t nodes_hash; /* of the saved list */
+  struct Suspects *suspects;
+  uint64_t saved_quarantine; /* version of the saved one */
 };
 
+static const char quarantine_name[] = "quarantine";
+
 static const char *const kind_names[N_KINDS] = {
   [SNAPSHOT_ROUTES] = "routes",
   [SNAPSHOT_SUBSET] = "servers",
@@ -42,13 +47,13 @@
                error_name (error));
 }
 
-/* Saves [wall clock in ms, packed snapshot message]. The wall clock gives the age of the state
- * after a restart. */
+/* Saves [wall clock in ms, packed message]. The wall clock gives the age of the state after a
+ * restart. */
 static void
 state_write (struct ArchiveState *state,
-             enum SnapshotKind kind,
-             const uint8_t *snapshot,
-             size_t snapshot_bytes)
+             const char *name,
+             const uint8_t *message,
+             size_t message_bytes)
 {
   struct PackWriter *p = pack_writer_new (state, false);
   uint8_t *record = NULL;
@@ -58,9 +63,9 @@
     return;
   pack_array (p, 2);
   pack_i64 (p, clock_unix_ms ());
-  pack_bytes (p, snapshot, snapshot_bytes);
+  pack_bytes (p, message, message_bytes);
   if (pack_finish (p, state, &record, &n_bytes) != ERROR_NONE
-      || disk_log_store_named (state->log, kind_names[kind], record, n_bytes, state_on_saved, state)
+      || disk_log_store_named (state->log, name, record, n_bytes, state_on_saved, state)
              != ERROR_NONE)
     state_on_saved (state, ERROR_NO_MEMORY, NULL);
   talloc_free (record);
@@ -74,7 +79,7 @@
       store_reader_pack (state->node->reader, state, kind, &state->saved_content[kind], &n_bytes);
 
   if (snapshot != NULL)
-    state_write (state, kind, snapshot, n_bytes);
+    state_write (state, kind_names[kind], snapshot, n_bytes);
   talloc_free (snapshot);
 }
 
@@ -94,41 +99,86 @@
     {
       hash = XXH64 (bytes, n_bytes, 0);
       if (hash != state->nodes_hash)
-        state_write (state, SNAPSHOT_NODES, bytes, n_bytes);
+        state_write (state, kind_names[SNAPSHOT_NODES], bytes, n_bytes);
       state->nodes_hash = hash;
     }
   talloc_free (snapshot);
 }
 
 static void
-state_load (struct ArchiveState *state, enum SnapshotKind kind)
+state_save_quarantine (struct ArchiveState *state)
+{
+  size_t n_bytes;
+  uint8_t *message =
+      suspects_pack_quarantined (state->suspects, state, &state->saved_quarantine, &n_bytes);
+
+  if (message != NULL)
+    state_write (state, quarantine_name, message, n_bytes);
+  talloc_free (message);
+}
+
+/* Returns the saved message, allocated on ctx, with its age in *age_ms; NULL if there is none of
+ * that kind. */
+static struct GatewayMessage *
+state_read (struct ArchiveState *state,
+            TALLOC_CTX *ctx,
+            const char *name,
+            enum GatewayKind kind,
+            uint32_t *age_ms)
 {
-  TALLOC_CTX *ctx = talloc_new (state);
   struct GatewayMessage *message = NULL;
   struct PackReader r;
-  size_t n_bytes, snapshot_bytes;
-  uint8_t *record = disk_log_load_named (state->log, ctx, kind_names[kind], &n_bytes);
+  size_t n_bytes, message_bytes;
+  uint8_t *record = disk_log_load_named (state->log, ctx, name, &n_bytes);
   void *opened = record != NULL ? pack_open (ctx, record, n_bytes, &r) : NULL;
-  const uint8_t *snapshot;
-  int64_t age_ms;
+  const uint8_t *bytes;
+  int64_t saved_age_ms;
 
   if (opened == NULL)
-    goto out;
-  age_ms = clock_unix_ms () - read_i64 (&r);
-  snapshot = read_bytes (&r, ctx, &snapshot_bytes);
+    return NULL;
+  saved_age_ms = clock_unix_ms () - read_i64 (&r);
+  bytes = read_bytes (&r, ctx, &message_bytes);
   if (read_end (&r) != ERROR_NONE
-      || gateway_message_unpack (ctx, snapshot, snapshot_bytes, &message) != ERROR_NONE
-      || message->kind != GATEWAY_SNAPSHOT)
-    goto out;
+      || gateway_message_unpack (ctx, bytes, message_bytes, &message) != ERROR_NONE
+      || message->kind != kind)
+    return NULL;
   /* Ignored if the clock was set back, which would make the state look newer than it is. */
-  if (age_ms > 0 && age_ms < INT32_MAX)
-    message->snapshot.age_ms += (uint32_t)age_ms;
-  log_event (LOG_LEVEL_NOTICE, "store_state_taken", NULL, NULL,
-             "loaded %s of revision %lld, %u ms old", kind_names[kind],
-             (long long)message->snapshot.revision, message->snapshot.age_ms);
-  store_reader_receive_snapshot (state->node->reader, PEER_LINK_NONE, &message->snapshot);
-
-out:
+  *age_ms = saved_age_ms > 0 && saved_age_ms < INT32_MAX ? (uint32_t)saved_age_ms : 0;
+  return message;
+}
+
+static void
+state_load (struct ArchiveState *state, enum SnapshotKind kind)
+{
+  TALLOC_CTX *ctx = talloc_new (state);
+  uint32_t age_ms;
+  struct GatewayMessage *message =
+      state_read (state, ctx, kind_names[kind], GATEWAY_SNAPSHOT, &age_ms);
+
+  if (message != NULL)
+    {
+      message->snapshot.age_ms += age_ms;
+      log_event (LOG_LEVEL_NOTICE, "store_state_taken", NULL, NULL,
+                 "loaded %s of revision %lld, %u ms old", kind_names[kind],
+                 (long long)message->snapshot.revision, message->snapshot.age_ms);
+      store_reader_receive_snapshot (state->node->reader, PEER_LINK_NONE, &message->snapshot);
+    }
+  talloc_free (ctx);
+}
+
+/* A complete disk without a saved quarantine belongs to an archive that has never received one. */
+static void
+state_load_quarantine (struct ArchiveState *state)
+{
+  TALLOC_CTX *ctx = talloc_new (state);
+  uint32_t age_ms;
+  struct GatewayMessage *message =
+      state_read (state, ctx, quarantine_name, GATEWAY_SUSPECTS, &age_ms);
+
+  if (message != NULL)
+    suspects_on_saved (state->suspects, &message->suspects, age_ms);
+  if (message != NULL || disk_log_is_complete (state->log))
+    suspects_set_informed (state->suspects);
   talloc_free (ctx);
 }
 
@@ -140,6 +190,7 @@
   state_save (state, SNAPSHOT_ROUTES);
   state_save (state, SNAPSHOT_SUBSET);
   state_save_nodes (state);
+  state_save_quarantine (state);
 }
 
 static void
@@ -150,10 +201,14 @@
   for (enum SnapshotKind kind = SNAPSHOT_ROUTES; kind <= SNAPSHOT_SUBSET; kind++)
     if (kind_names[kind] != NULL)
       state_load (state, kind);
+  state_load_quarantine (state);
 }
 
 struct ArchiveState *
-archive_state_new (TALLOC_CTX *ctx, struct Node *node, struct DiskLog *log)
+archive_state_new (TALLOC_CTX *ctx,
+                   struct Node *node,
+                   struct DiskLog *log,
+                   struct Suspects *suspects)
 {
   struct ArchiveState *state = talloc_zero (ctx, struct ArchiveState);
 
@@ -161,6 +216,7 @@
     return NULL;
   state->node = node;
   state->log = log;
+  state->suspects = suspects;
   /* The node creates its reader later, before the event loop runs. */
   timer_subscribe (state, node->timers, 0, 0, state_on_start, state);
   timer_subscribe (state, node->timers, SAVE_PERIOD_MS, SAVE_PERIOD_MS, state_on_period, state);
--- a/gateway/archive_state.h
+++ b/gateway/archive_state.h
@@ -1,4 +1,4 @@
-/* A copy of the platform's store's state on an archive's disk.
+/* A copy of the platform's store's state, and of what is quarantined, on an archive's disk.
  *
  * Processes that start normally receive this state from peers. When all of them start at once while
  * the store is unavailable, the archives' disks have the only copy of the configuration and of the
@@ -10,8 +10,12 @@
 #include <buckthornhead/disk_log.h>
 
 struct ArchiveState;
+struct Suspects;
 
-/* Loads the saved state into the node's reader once the event loop runs, and saves changes of it
- * from then on. NULL without memory. */
+/* Loads the saved state into the node's reader and suspects once the event loop runs, and saves
+ * changes of it from then on. NULL without memory. */
 struct ArchiveState *
-archive_state_new (TALLOC_CTX *ctx, struct Node *node, struct DiskLog *log);
+archive_state_new (TALLOC_CTX *ctx,
+                   struct Node *node,
+                   struct DiskLog *log,
+                   struct Suspects *suspects);
--- a/gateway/crash_guard.c
+++ b/gateway/crash_guard.c
@@ -99,6 +99,13 @@
   request_reject_quarantined (request, may_be_sound ? (uint32_t)state->wait_ms : 0, detail);
 }
 
+bool
+crash_guard_must_wait (const struct Request *request)
+{
+  return guard_is_enabled (request) && front_is_starting (request->front)
+         && !suspects_are_informed (request->front->suspects);
+}
+
 bool
 crash_guard_admit (struct Request *request)
 {
--- a/gateway/crash_guard.h
+++ b/gateway/crash_guard.h
@@ -5,6 +5,10 @@
 
 #include <buckthornhead/http_client.h>
 
+/* Returns whether the gateway has just started and does not know yet what is quarantined. */
+bool
+crash_guard_must_wait (const struct Request *request);
+
 /* Returns whether the request may be sent to a server. Otherwise it has been rejected and freed. */
 bool
 crash_guard_admit (struct Request *request);
@@ -18,8 +22,8 @@
 void
 crash_guard_record_end (struct Request *request, enum HttpEnd end);
 
-/* Record that the server responds, and that it sends a further part of its response: either may show
- * that it has not crashed. */
+/* Record that the server responds, and that it sends a further part of its response: either may
+ * show that it has not crashed. */
 void
 crash_guard_record_response (const struct Request *request);
 void
--- a/gateway/front.c
+++ b/gateway/front.c
@@ -274,6 +274,8 @@
     front_defer (request, FAILURE_NO_SERVER, "the server list is empty");
   else if (request_is_turn (request) && !turn_archives_reachable (front))
     front_defer (request, FAILURE_UNCERTAIN, "too few archives respond, and no gateway can relay");
+  else if (crash_guard_must_wait (request))
+    front_defer (request, FAILURE_UNCERTAIN, "no report of quarantined requests since the start");
   else if (quotas_must_wait (request))
     front_defer (request, FAILURE_UNCERTAIN,
                  "no usage report received since the start or for too long");
--- a/gateway/suspects.c
+++ b/gateway/suspects.c
@@ -21,8 +21,10 @@
   PERIODIC_TICKS = 4,
   /* Up to this many peers, a gateway sends to all gateways itself. */
   DIRECT_PEERS_MAX = 120,
-  /* Ticks after the start in which the other processes are asked for what they know. */
-  START_TICKS = 40
+  ASK_INTERVAL_MS = 50,
+  ASKS_MAX = SUSPECTS_START_MS / ASK_INTERVAL_MS,
+  /* Most quarantined requests that a message to a process that starts, or a disk, holds. */
+  PACKED_RECORDS_MAX = 1024
 };
 
 struct Suspects
@@ -31,7 +33,8 @@
   struct Quarantine *quarantine;
   struct Timer *spread_timer; /* NULL: nothing waits to be sent */
   uint64_t n_ticks;
-  bool has_reply; /* another process has sent what it knows, after the start */
+  struct Timer *ask_timer; /* NULL: informed */
+  uint32_t n_asks;
 };
 
 static int64_t
@@ -184,27 +187,61 @@
   return n;
 }
 
+/* Fills message with all quarantined requests, allocated on ctx. */
+static bool
+suspects_fill_all (const struct Suspects *suspects, TALLOC_CTX *ctx, struct GatewayMessage *message)
+{
+  struct SuspectRecord *records = talloc_array (ctx, struct SuspectRecord, PACKED_RECORDS_MAX);
+
+  if (records == NULL)
+    return false;
+  *message = report_message (records, suspects_collect (suspects, records, PACKED_RECORDS_MAX, 0));
+  return true;
+}
+
+/* Also replies if nothing is quarantined, so that the process that started is informed. */
 static void
 suspects_reply (struct Suspects *suspects, uint64_t link)
 {
-  struct SuspectRecord *records = talloc_array (suspects, struct SuspectRecord, REPORT_RECORDS_MAX);
-  uint64_t n_sent = 0;
-  size_t n;
+  TALLOC_CTX *ctx = talloc_new (suspects);
+  struct GatewayMessage message;
 
-  if (records == NULL)
-    return;
-  /* Also sent if empty, so that the process that started stops asking. */
-  do
+  if (suspects_are_informed (suspects) && suspects_fill_all (suspects, ctx, &message))
     {
-      struct GatewayMessage message;
-
-      n = suspects_collect (suspects, records, REPORT_RECORDS_MAX, n_sent);
-      message = report_message (records, n);
+      message.suspects.is_reply = true;
       node_answer (suspects->node, link, &message);
-      n_sent += n;
     }
-  while (n == REPORT_RECORDS_MAX);
-  talloc_free (records);
+  talloc_free (ctx);
+}
+
+uint8_t *
+suspects_pack_quarantined (struct Suspects *suspects,
+                           TALLOC_CTX *ctx,
+                           uint64_t *version,
+                           size_t *n_bytes)
+{
+  TALLOC_CTX *filled = talloc_new (suspects);
+  struct GatewayMessage message;
+  uint8_t *bytes = NULL;
+
+  if (*version != quarantine_version (suspects->quarantine)
+      && suspects_fill_all (suspects, filled, &message)
+      && gateway_message_pack (ctx, &message, &bytes, n_bytes) == ERROR_NONE)
+    *version = quarantine_version (suspects->quarantine);
+  talloc_free (filled);
+  return bytes;
+}
+
+bool
+suspects_are_informed (const struct Suspects *suspects)
+{
+  return suspects->ask_timer == NULL;
+}
+
+void
+suspects_set_informed (struct Suspects *suspects)
+{
+  TALLOC_FREE (suspects->ask_timer);
 }
 
 void
@@ -239,8 +276,8 @@
 
   if (report->wants_reply)
     suspects_reply (suspects, link);
-  else
-    suspects->has_reply = true;
+  else if (report->is_reply)
+    suspects_set_informed (suspects);
   for (size_t i = 0; news != NULL && i < report->n_items; i++)
     {
       struct SuspectRecord record = record_convert (&report->items[i], time_of_age, now_ms);
@@ -259,40 +296,75 @@
   talloc_free (news);
 }
 
+static void
+record_add_age (struct SuspectRecord *record, uint32_t age_ms)
+{
+  if (record->cleared_ms != SUSPECT_AGE_NONE)
+    record->cleared_ms += age_ms;
+  if (record->trial_ms != SUSPECT_AGE_NONE)
+    record->trial_ms += age_ms;
+  for (uint32_t i = 0; i < record->n_crashes; i++)
+    {
+      record->crashes[i].sent_ms += age_ms;
+      record->crashes[i].ended_ms += age_ms;
+    }
+}
+
+void
+suspects_on_saved (struct Suspects *suspects, struct SuspectReport *report, uint32_t age_ms)
+{
+  for (size_t i = 0; i < report->n_items; i++)
+    record_add_age (&report->items[i], age_ms);
+  suspects_on_report (suspects, PEER_LINK_NONE, report);
+}
+
 /* Periodic reports. */
 
-/* Returns the next live peer after as many as there were ticks; NULL if there is none. */
+/* Returns the first live archive or gateway after the n-th peer; NULL if there is none. */
 static const struct Peer *
-suspects_next_peer (const struct Suspects *suspects, bool gateways_only)
+suspects_next_peer (const struct Suspects *suspects, bool is_archive, uint64_t n)
 {
   const struct PeerTable *peers = suspects->node->peers;
 
   for (size_t i = 0; i < peers->n_peers; i++)
     {
-      const struct Peer *peer = peers->peers[(suspects->n_ticks + i) % peers->n_peers];
+      const struct Peer *peer = peers->peers[(n + i) % peers->n_peers];
 
-      if ((!gateways_only || !peer->status.is_archive) && node_peer_is_live (suspects->node, peer))
+      if (peer->status.is_archive == is_archive && node_peer_is_live (suspects->node, peer))
         return peer;
     }
   return NULL;
 }
 
+/* Asks an archive and a gateway for all quarantined requests. */
 static void
-suspects_ask (struct Suspects *suspects)
+suspects_on_ask (void *data)
 {
+  struct Suspects *suspects = data;
   struct GatewayMessage message = report_message (NULL, 0);
-  const struct Peer *peer = suspects_next_peer (suspects, false);
+  const bool roles[] = { true, false };
 
+  if (suspects->n_asks++ == ASKS_MAX)
+    {
+      suspects_set_informed (suspects);
+      return;
+    }
   message.suspects.wants_reply = true;
-  if (peer != NULL)
-    node_send (suspects->node, peer->status.node, &message);
+  for (size_t i = 0; i < 2; i++)
+    {
+      const struct Peer *peer = suspects_next_peer (suspects, roles[i], suspects->n_asks);
+
+      if (peer != NULL)
+        node_send (suspects->node, peer->status.node, &message);
+    }
 }
 
 static void
 suspects_send_periodic (struct Suspects *suspects)
 {
   struct SuspectRecord records[PERIODIC_RECORDS_MAX];
-  const struct Peer *peer = suspects_next_peer (suspects, true);
+  const struct Peer *peer =
+      suspects_next_peer (suspects, false, suspects->n_ticks / PERIODIC_TICKS);
   uint32_t n_quarantined = quarantine_n_quarantined (suspects->quarantine);
   struct GatewayMessage message;
   size_t n;
@@ -312,8 +384,6 @@
 
   suspects->n_ticks++;
   quarantine_expire (suspects->quarantine, suspects_now_ms (suspects));
-  if (!suspects->has_reply && suspects->n_ticks <= START_TICKS)
-    suspects_ask (suspects);
   if (suspects->n_ticks % PERIODIC_TICKS == 0)
     suspects_send_periodic (suspects);
 }
@@ -331,6 +401,8 @@
   if (suspects->quarantine == NULL)
     return NULL;
   timer_subscribe (suspects, node->timers, TICK_MS, TICK_MS, suspects_on_tick, suspects);
+  suspects->ask_timer = timer_subscribe (suspects, node->timers, ASK_INTERVAL_MS, ASK_INTERVAL_MS,
+                                         suspects_on_ask, suspects);
   return suspects;
 }
 
--- a/gateway/suspects.h
+++ b/gateway/suspects.h
@@ -10,6 +10,11 @@
 
 #include <buckthornhead/scheduling/quarantine.h>
 
+enum
+{
+  SUSPECTS_START_MS = 1200 /* after the start, in which other processes are asked */
+};
+
 struct Suspects;
 
 /* NULL without memory. */
@@ -29,6 +34,26 @@
 void
 suspects_spread (struct Suspects *suspects, const uint8_t digest[DIGEST_BYTES]);
 
+/* Returns whether the process knows what was quarantined before it started: it has loaded it from
+ * its disk, another process that knows has replied, or none has for
+ * SUSPECTS_START_MS. */
+bool
+suspects_are_informed (const struct Suspects *suspects);
+void
+suspects_set_informed (struct Suspects *suspects);
+
+/* Returns all quarantined requests, packed as a message with their ages, if they have changed since
+ * *version, and updates it. NULL if they have not, or without memory. Belongs to ctx. */
+uint8_t *
+suspects_pack_quarantined (struct Suspects *suspects,
+                           TALLOC_CTX *ctx,
+                           uint64_t *version,
+                           size_t *n_bytes);
+
+/* Adds what suspects_pack_quarantined packed age_ms ago. */
+void
+suspects_on_saved (struct Suspects *suspects, struct SuspectReport *report, uint32_t age_ms);
+
 /* Handles a report of another process. */
 void
 suspects_on_report (struct Suspects *suspects, uint64_t link, const struct SuspectReport *report);
--- a/include/buckthornhead/gateway_message.h
+++ b/include/buckthornhead/gateway_message.h
@@ -203,6 +203,7 @@
 struct SuspectReport
 {
   bool wants_reply; /* the sender has just started and asks for all quarantined requests */
+  bool is_reply;    /* all that are quarantined, in reply to that */
   struct SuspectRecord *items;
   size_t n_items;
 };
--- a/include/buckthornhead/scheduling/quarantine.h
+++ b/include/buckthornhead/scheduling/quarantine.h
@@ -155,6 +155,10 @@
 uint32_t
 quarantine_n_quarantined (const struct Quarantine *quarantine);
 
+/* Returns a number that grows with each change. */
+uint64_t
+quarantine_version (const struct Quarantine *quarantine);
+
 /* Returns the next quarantined request; the first one after NULL. */
 const struct Suspect *
 quarantine_next (const struct Quarantine *quarantine, const struct Suspect *previous);
--- a/tests/test_gateway_message.c
+++ b/tests/test_gateway_message.c
@@ -211,9 +211,10 @@
   const struct SuspectRecord *item;
   struct GatewayMessage *unpacked;
 
-  message.suspects = (struct SuspectReport){ .wants_reply = true, &record, 1 };
+  message.suspects = (struct SuspectReport){ .wants_reply = true, .items = &record, .n_items = 1 };
   unpacked = round_trip (ctx, &message);
   CU_ASSERT_TRUE (unpacked->suspects.wants_reply);
+  CU_ASSERT_FALSE (unpacked->suspects.is_reply);
   CU_ASSERT_EQUAL_FATAL (unpacked->suspects.n_items, 1);
   item = &unpacked->suspects.items[0];
   CU_ASSERT_EQUAL (memcmp (item->digest, record.digest, DIGEST_BYTES), 0);
@@ -249,7 +250,7 @@
       uint8_t *bytes;
       size_t n_bytes;
 
-      message.suspects = (struct SuspectReport){ false, &bad[i], 1 };
+      message.suspects = (struct SuspectReport){ .items = &bad[i], .n_items = 1 };
       CU_ASSERT_EQUAL (gateway_message_pack (ctx, &message, &bytes, &n_bytes), ERROR_NONE);
       CU_ASSERT_EQUAL (gateway_message_unpack (ctx, bytes, n_bytes, &unpacked), ERROR_INVALID);
     }
