Count servers that fall silent under a request and vanish as crashed

A server that loses power under a request breaks no connection: callers see 504, the request goes on to the next server, and nothing counts against it. An attempt that is given up in silence is now kept for 15 s; when the list of servers has no entry of the server any more, or one with a later start time, it counts as a crash at the time it was given up. A response to the request elsewhere removes it.

'a silencing request is not sent on' (servers that keep their connections open for 1.5 s and start again) fails without the check of the list (trial on a scratch copy), and passes with it.

--- a/gateway/crash_guard.c
+++ b/gateway/crash_guard.c
@@ -6,6 +6,7 @@
 #include <buckthornhead/counter.h>
 #include <buckthornhead/log.h>
 #include <buckthornhead/request_digest.h>
+#include <buckthornhead/scheduling/silent_attempts.h>
 
 #include <stdio.h>
 #include <string.h>
@@ -138,41 +139,60 @@
 
 /* Attempts. */
 
-static void
-guard_record_crash (struct Request *request)
+static struct SilentAttempt
+guard_attempt (struct Request *request)
 {
   const struct ReplicaEntry *server = &request->replica->entry;
-  struct CrashRecord crash = { .started_unix_ms = server->started_unix_ms,
-                               .sent_ms = request->sent_ms,
-                               .ended_ms = guard_now_ms (request) };
+  struct SilentAttempt attempt = { .crash = { .started_unix_ms = server->started_unix_ms,
+                                              .sent_ms = request->sent_ms,
+                                              .ended_ms = guard_now_ms (request) } };
+
+  memcpy (attempt.digest, request_digest (request), DIGEST_BYTES);
+  snprintf (attempt.crash.server, sizeof attempt.crash.server, "%s", server->id);
+  return attempt;
+}
 
-  snprintf (crash.server, sizeof crash.server, "%s", server->id);
-  if (quarantine_record_crash (guard_quarantine (request), request_digest (request), &crash,
-                               crash.ended_ms))
+static void
+guard_record_crash (struct Front *front, const struct SilentAttempt *attempt)
+{
+  if (quarantine_record_crash (suspects_quarantine (front->suspects), attempt->digest,
+                               &attempt->crash, timer_now_ms (front->node->timers)))
     {
       counter_add (COUNTER_QUARANTINED, 1);
-      suspects_log_quarantined (request->front->suspects, request_digest (request));
+      suspects_log_quarantined (front->suspects, attempt->digest);
     }
-  suspects_spread (request->front->suspects, request_digest (request));
+  suspects_spread (front->suspects, attempt->digest);
+}
+
+static void
+guard_record_complete (struct Request *request)
+{
+  struct Quarantine *quarantine = guard_quarantine (request);
+
+  if (request->front->silent->n_items > 0)
+    silent_attempts_forget (request->front->silent, request_digest (request));
+  if (!quarantine_is_empty (quarantine)
+      && quarantine_clear (quarantine, request_digest (request), guard_now_ms (request)))
+    suspects_spread (request->front->suspects, NULL);
 }
 
 void
 crash_guard_record_end (struct Request *request, enum HttpEnd end)
 {
+  struct SilentAttempt attempt;
+
   if (!guard_is_enabled (request))
     return;
   switch (end)
     {
     case HTTP_END_BROKEN:
+      attempt = guard_attempt (request);
       /* A server that leaves as planned may end with requests that are not done. */
       if (!request->replica->entry.draining)
-        guard_record_crash (request);
+        guard_record_crash (request->front, &attempt);
       break;
     case HTTP_END_COMPLETE:
-      if (!quarantine_is_empty (guard_quarantine (request))
-          && quarantine_clear (guard_quarantine (request), request_digest (request),
-                               guard_now_ms (request)))
-        suspects_spread (request->front->suspects, NULL);
+      guard_record_complete (request);
       break;
     case HTTP_END_NOT_SENT:
     case HTTP_END_MALFORMED:
@@ -180,6 +200,28 @@
     }
 }
 
+void
+crash_guard_record_silence (struct Request *request)
+{
+  struct SilentAttempt attempt;
+
+  if (!guard_is_enabled (request) || request->call == NULL || request->replica == NULL
+      || request->replica->entry.draining)
+    return;
+  attempt = guard_attempt (request);
+  silent_attempts_add (request->front->silent, &attempt);
+}
+
+void
+crash_guard_on_servers (struct Front *front)
+{
+  int64_t now_ms = timer_now_ms (front->node->timers);
+  struct SilentAttempt ended;
+
+  while (silent_attempts_take_ended (front->silent, front->replicas, now_ms, &ended))
+    guard_record_crash (front, &ended);
+}
+
 /* Records that the process of the request's server was running from since_ms to until_ms. */
 static void
 guard_refute (const struct Request *request, int64_t since_ms, int64_t until_ms)
--- a/gateway/crash_guard.h
+++ b/gateway/crash_guard.h
@@ -22,6 +22,14 @@
 void
 crash_guard_record_end (struct Request *request, enum HttpEnd end);
 
+/* Records that the current attempt, if it has been sent, is given up while its server is silent. */
+void
+crash_guard_record_silence (struct Request *request);
+
+/* Checks after a change of the list of servers whether silent ones have ended. */
+void
+crash_guard_on_servers (struct Front *front);
+
 /* Record that the server responds, and that it sends a further part of its response: either may
  * show that it has not crashed. */
 void
--- a/gateway/front.c
+++ b/gateway/front.c
@@ -16,6 +16,7 @@
 #include <buckthornhead/deflate.h>
 #include <buckthornhead/log.h>
 #include <buckthornhead/scheduling/plain_queue.h>
+#include <buckthornhead/scheduling/silent_attempts.h>
 
 #include <stdio.h>
 #include <string.h>
@@ -71,6 +72,7 @@
 {
   struct Request *request = data;
 
+  crash_guard_record_silence (request);
   request_fail (request,
                 request->may_have_run || request->call != NULL ? FAILURE_TIMEOUT
                                                                : FAILURE_OUT_OF_TIME,
@@ -86,6 +88,7 @@
                "caller disconnected %lld ms after its request",
                (long long)(timer_now_ms (request->front->node->timers) - request->arrived_ms));
   counter_add (COUNTER_REQUESTS_LEFT, 1);
+  crash_guard_record_silence (request);
   if (request->n_tried == 0)
     quotas_refund (request);
   if (request->turn != NULL)
@@ -416,6 +419,7 @@
   front->has_server_list = true;
   front->server_level = snapshot->level;
   front_handle_restarts (front);
+  crash_guard_on_servers (front);
   if (n_changed > 0)
     log_event (LOG_LEVEL_INFO, "servers_changed", NULL, NULL,
                "%zu changes, %zu listed at revision %lld%s", n_changed, n,
@@ -697,9 +701,11 @@
   f->paces = paces_new (f);
   f->quotas = quotas_new (f);
   f->suspects = suspects_new (f, node);
+  f->silent = talloc_zero (f, struct SilentAttempts);
   f->echo = loop_echo_new (f, node);
   if (f->contention == NULL || f->replicas == NULL || f->client == NULL || f->slots == NULL
-      || f->paces == NULL || f->quotas == NULL || f->suspects == NULL || f->echo == NULL)
+      || f->paces == NULL || f->quotas == NULL || f->suspects == NULL || f->silent == NULL
+      || f->echo == NULL)
     return fault_set (fault, ERROR_NO_MEMORY, NULL, "out of memory for the gateway");
   error = front_listen_all (f, fault);
   if (error != ERROR_NONE)
--- a/gateway/front.h
+++ b/gateway/front.h
@@ -24,6 +24,7 @@
 struct Quotas;
 struct QuotaWait;
 struct Settlement;
+struct SilentAttempts;
 struct SlotWait;
 struct Slots;
 struct Suspects;
@@ -119,6 +120,7 @@
   struct PaceTable *paces;
   struct Quotas *quotas;
   struct Suspects *suspects;
+  struct SilentAttempts *silent;
   struct HttpServer *callers, *ready, *directory;
   struct Request *requests;
   int64_t started_ms;
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -375,6 +375,7 @@
                "%s sent no response, %lld ms left: trying another server; digest %s",
                request->replica->entry.id, (long long)request_remaining_ms (request), digest);
   replica_record_failure (request->replica, timer_now_ms (request->front->node->timers));
+  crash_guard_record_silence (request);
   TALLOC_FREE (request->call);
   attempt_release (request);
   request_retry (request, "the server sent no response in time");
--- a/tests/sessions/test_gateway_crashing_request.c
+++ b/tests/sessions/test_gateway_crashing_request.c
@@ -10,6 +10,7 @@
   N_GATEWAYS = 3,
   N_ARCHIVES = 3,
   DOWN_MS = 300,
+  SILENT_MS = 1500, /* how long a server that crashes silently is down */
   ATTEMPT_INTERVAL_MS = 100,
   ATTEMPTS_MS = 15000,
   TRIAL_MS = 10000, /* by when a quarantined request has been tried again once */
@@ -92,7 +93,7 @@
   struct Fleet *fleet = fleet_start_with_desks (ctx, 3);
   uint32_t n_failed = CU_get_number_of_failures ();
 
-  installation_set_crashing_path (fleet->installation, "/safe/crashing", DOWN_MS);
+  installation_set_crashing_path (fleet->installation, "/safe/crashing", DOWN_MS, false);
   CU_ASSERT (send_crashing_requests (fleet, ctx, send_crashing_tool) <= LATE_RETRIES_MAX);
   for (uint32_t i = 0; i < N_GATEWAYS; i++)
     CU_ASSERT_EQUAL (tool_send (fleet, ctx, i, "/safe/harmless", "harmless")->status, 200);
@@ -100,6 +101,24 @@
   talloc_free (ctx);
 }
 
+/* Guards against a request under which servers fall silent: no connection breaks, and their entries
+ * are removed only later. */
+static void
+test_silencing_request_is_not_sent_on (void)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct Fleet *fleet = fleet_start_with_desks (ctx, 3);
+  uint32_t n_failed = CU_get_number_of_failures ();
+
+  installation_set_crashing_path (fleet->installation, "/safe/crashing", SILENT_MS, true);
+  CU_ASSERT (send_crashing_requests (fleet, ctx, send_crashing_tool) <= LATE_RETRIES_MAX);
+  CU_ASSERT (installation_crashes (fleet->installation) >= 2);
+  for (uint32_t i = 0; i < N_GATEWAYS; i++)
+    CU_ASSERT_EQUAL (tool_send (fleet, ctx, i, "/safe/harmless", "harmless")->status, 200);
+  fleet_end (fleet, CU_get_number_of_failures () > n_failed);
+  talloc_free (ctx);
+}
+
 /* Guards against a turn that crashes each engine and is sent on, attempt by attempt: it may run
  * once for each attempt of its caller. */
 static void
@@ -109,7 +128,7 @@
   struct Fleet *fleet = fleet_start_with_desks (ctx, 3);
   uint32_t n_failed = CU_get_number_of_failures ();
 
-  installation_set_crashing_path (fleet->installation, "/turns/crashing", DOWN_MS);
+  installation_set_crashing_path (fleet->installation, "/turns/crashing", DOWN_MS, false);
   CU_ASSERT (send_crashing_requests (fleet, ctx, send_crashing_turn) <= LATE_RETRIES_MAX);
   for (uint32_t i = 0; i < N_GATEWAYS; i++)
     {
@@ -128,7 +147,7 @@
 {
   int64_t end_ms = monotonic_ms () + TRIAL_MS;
 
-  installation_set_crashing_path (fleet->installation, "/safe/crashing", DOWN_MS);
+  installation_set_crashing_path (fleet->installation, "/safe/crashing", DOWN_MS, false);
   for (uint32_t n = 0; monotonic_ms () < end_ms; n++)
     {
       char request[24];
@@ -213,6 +232,7 @@
 const char test_suite_name[] = "gateways and a request that crashes servers";
 const struct TestCase test_cases[] = {
   { "a crashing request is not sent on", test_crashing_request_is_not_sent_on },
+  { "a silencing request is not sent on", test_silencing_request_is_not_sent_on },
   { "a crashing turn is not sent on", test_crashing_turn_is_not_sent_on },
   { "killed gateways learn of the crashes", test_killed_gateways_learn_of_the_crashes },
   { "crashes outlast a loss of power", test_crashes_outlast_a_loss_of_power },
--- a/tests/standins/installation.h
+++ b/tests/standins/installation.h
@@ -92,12 +92,13 @@
 void
 server_restart (struct Installation *installation, uint32_t server);
 /* Makes requests to path crash the server that begins to run them, together with all that runs
- * there. The server refuses connections for down_ms, then starts under a new id, and the old entry
- * is removed. */
+ * there. The server refuses connections for down_ms, or if silent keeps them open without a
+ * response, then starts under a new id, and the old entry is removed. */
 void
 installation_set_crashing_path (struct Installation *installation,
                                 const char *path,
-                                uint32_t down_ms);
+                                uint32_t down_ms,
+                                bool silent);
 /* Returns the number of servers that crashed. */
 uint32_t
 installation_crashes (struct Installation *installation);
--- a/tests/standins/installation_crash.c
+++ b/tests/standins/installation_crash.c
@@ -11,11 +11,15 @@
 };
 
 void
-installation_set_crashing_path (struct Installation *in, const char *path, uint32_t down_ms)
+installation_set_crashing_path (struct Installation *in,
+                                const char *path,
+                                uint32_t down_ms,
+                                bool silent)
 {
   pthread_mutex_lock (&in->lock);
   snprintf (in->crashing_path, sizeof in->crashing_path, "%s", path);
   in->down_ms = down_ms;
+  in->crashes_silently = silent;
   pthread_mutex_unlock (&in->lock);
 }
 
@@ -78,14 +82,39 @@
 crash_run (void *data)
 {
   struct Server *server = data;
+  bool silent = server->installation->crashes_silently;
 
+  if (silent)
+    server_stay_down (server);
+  pthread_mutex_lock (&server->installation->lock);
+  server->is_silent = false;
+  pthread_mutex_unlock (&server->installation->lock);
   MHD_stop_daemon (server->daemon);
   server->daemon = NULL;
-  server_stay_down (server);
+  if (!silent)
+    server_stay_down (server);
   server_start_again (server);
   return NULL;
 }
 
+bool
+server_wait_while_silent (struct Server *server)
+{
+  struct Installation *in = server->installation;
+  bool was_silent;
+
+  pthread_mutex_lock (&in->lock);
+  was_silent = server->is_silent;
+  while (server->is_silent && !in->ended)
+    {
+      pthread_mutex_unlock (&in->lock);
+      usleep (DOWN_POLL_MS * 1000);
+      pthread_mutex_lock (&in->lock);
+    }
+  pthread_mutex_unlock (&in->lock);
+  return was_silent;
+}
+
 void
 server_crash (struct Server *server)
 {
@@ -94,6 +123,7 @@
   if (server->crash_thread != 0)
     pthread_join (server->crash_thread, NULL);
   server->crashing = true;
+  server->is_silent = server->installation->crashes_silently;
   server->installation->n_crashes++;
   if (pthread_create (&server->crash_thread, NULL, crash_run, server) != 0)
     abort ();
--- a/tests/standins/installation_internal.h
+++ b/tests/standins/installation_internal.h
@@ -45,6 +45,7 @@
   char load[48];                              /* X-Server-Load; "": not sent */
   uint64_t started_unix_ms;                   /* "born" in the entry */
   struct MHD_Daemon *daemon;                  /* NULL while the server is down */
+  bool is_silent;                             /* it is down and keeps its connections open */
   bool crashing;                              /* crash_thread runs or has to be joined */
   pthread_t crash_thread;
 };
@@ -68,6 +69,7 @@
   uint32_t n_client_closes;
   char crashing_path[64]; /* "": none */
   uint32_t down_ms;       /* until a crashed server starts again */
+  bool crashes_silently;
   uint32_t n_crashes;
   char *customers; /* JSON list in each configuration; NULL: none */
 };
@@ -90,6 +92,10 @@
 /* Returns whether a request to path crashes the server that runs it. The caller holds the lock. */
 bool
 installation_path_crashes (const struct Installation *installation, const char *path);
+/* Waits until the server has started again, if it is down and keeps its connections open. Returns
+ * whether it was. */
+bool
+server_wait_while_silent (struct Server *server);
 /* Crashes the server; a thread starts it again. The caller holds the lock. */
 void
 server_crash (struct Server *server);
--- a/tests/standins/installation_server.c
+++ b/tests/standins/installation_server.c
@@ -269,6 +269,8 @@
   (void)version;
   if (!request_collect (state, upload, upload_bytes, &result))
     return result;
+  if (server_wait_while_silent (server))
+    return MHD_NO;
   if (request_header (connection, "X-Expect-Instance")[0] != '\0'
       && strcmp (request_header (connection, "X-Expect-Instance"), server->id) != 0)
     return reply_not_executed (connection, 421);
@@ -285,7 +287,10 @@
     server_crash (server);
   pthread_mutex_unlock (&in->lock);
   if (crashes)
-    return MHD_NO;
+    {
+      server_wait_while_silent (server);
+      return MHD_NO;
+    }
   if (!has_place)
     return reply_not_executed (connection, 503);
   server_work (server);
