Report the end of a quarantine to the archives

Archives kept a request that an operator had released, and reported it as quarantined to gateways that started later. By reading; the new test releases a request whose servers are mended, restarts all gateways and sends it again.

--- a/gateway/suspects.c
+++ b/gateway/suspects.c
@@ -94,13 +94,11 @@
   return message;
 }
 
+/* Returns whether archives keep the record, or kept it until its quarantine ended. */
 static bool
-record_is_quarantined (const struct SuspectRecord *record,
-                       const struct Suspects *suspects,
-                       int64_t now_ms)
+record_concerns_archives (const struct SuspectRecord *record)
 {
-  return quarantine_state_of (suspects->quarantine, record, now_ms).n_crashes
-         >= QUARANTINE_THRESHOLD;
+  return record->n_crashes >= QUARANTINE_THRESHOLD;
 }
 
 static void
@@ -133,19 +131,19 @@
   do
     {
       struct GatewayMessage message;
-      bool has_quarantined = false;
+      bool concerns_archives = false;
       size_t n = 0;
 
       while (n < REPORT_RECORDS_MAX
              && (changed = quarantine_next_changed (suspects->quarantine)) != NULL)
         {
-          has_quarantined = has_quarantined || record_is_quarantined (changed, suspects, now_ms);
+          concerns_archives = concerns_archives || record_concerns_archives (changed);
           records[n++] = record_convert (changed, age_of_time, now_ms);
         }
       message = report_message (records, n);
       if (n > 0)
         suspects_send_fleet (suspects, &message);
-      if (has_quarantined)
+      if (concerns_archives)
         node_send_set (suspects->node, &message, &none);
     }
   while (changed != NULL);
--- a/tests/sessions/test_gateway_crashing_request.c
+++ b/tests/sessions/test_gateway_crashing_request.c
@@ -229,6 +229,54 @@
   talloc_free (ctx);
 }
 
+static void
+check_is_served (struct Fleet *fleet, TALLOC_CTX *ctx, const char *attempt)
+{
+  for (uint32_t i = 0; i < N_GATEWAYS; i++)
+    {
+      char request[24];
+
+      snprintf (request, sizeof request, "%s-%u", attempt, i);
+      CU_ASSERT_TRUE (gateway_wait_ready (fleet, i));
+      CU_ASSERT_EQUAL (tool_send (fleet, ctx, i, "/safe/crashing", request)->status, 200);
+    }
+}
+
+/* Guards against a request that stays quarantined after its servers were mended, or is quarantined
+ * again by a restart. */
+static void
+test_operator_releases_a_request (void)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct Fleet *fleet = fleet_start_with_desks (ctx, 3);
+  uint32_t n_failed = CU_get_number_of_failures ();
+  const char *metrics = fleet->gateways[0].metrics;
+  const char *const no_headers[] = { NULL };
+  struct HttpReply *reply;
+  json_t *list;
+
+  quarantine_request (fleet, ctx);
+  installation_set_crashing_path (fleet->installation, "", 0, false);
+  reply = http_get (ctx, metrics, "/quarantine");
+  list = json_object_get (reply->json, "quarantined");
+  CU_ASSERT_EQUAL_FATAL (json_array_size (list), 1);
+  CU_ASSERT_EQUAL (
+      http_send (ctx, "POST", metrics, "/quarantine/release/0123", no_headers, "")->status, 404);
+  reply = http_send (
+      ctx, "POST", metrics,
+      talloc_asprintf (ctx, "/quarantine/release/%s",
+                       json_string_value (json_object_get (json_array_get (list, 0), "digest"))),
+      no_headers, "");
+  CU_ASSERT_EQUAL (reply->status, 200);
+  sleep_ms (ATTEMPT_INTERVAL_MS);
+  check_is_served (fleet, ctx, "released");
+  kill_gateways (fleet);
+  start_gateways (fleet);
+  check_is_served (fleet, ctx, "restarted");
+  fleet_end (fleet, CU_get_number_of_failures () > n_failed);
+  talloc_free (ctx);
+}
+
 const char test_suite_name[] = "gateways and a request that crashes servers";
 const struct TestCase test_cases[] = {
   { "a crashing request is not sent on", test_crashing_request_is_not_sent_on },
@@ -236,5 +284,6 @@
   { "a crashing turn is not sent on", test_crashing_turn_is_not_sent_on },
   { "killed gateways learn of the crashes", test_killed_gateways_learn_of_the_crashes },
   { "crashes outlast a loss of power", test_crashes_outlast_a_loss_of_power },
+  { "an operator releases a request", test_operator_releases_a_request },
   { NULL, NULL },
 };
