--- a/core/scheduling/quarantine.c
+++ b/core/scheduling/quarantine.c
@@ -1,5 +1,7 @@
 #include <buckthornhead/scheduling/quarantine.h>
 
+#include <buckthornhead/recent_hashes.h>
+
 #include <stdlib.h>
 #include <string.h>
 #include <utlist.h>
@@ -36,6 +38,7 @@
   struct SuspectList suspects, quarantined;
   uint32_t n_changed;
   uint64_t version;
+  struct RecentHashes completed; /* requests with a complete response */
 };
 
 static int
@@ -132,7 +135,7 @@
 /* Returns the number of crashes that count, each of a server that the request was sent to after the
  * previous one had ended. */
 static uint32_t
-record_n_sequential (const struct SuspectRecord *record)
+record_n_sequential (const struct SuspectRecord *record, uint32_t same_event_ms)
 {
   int64_t last_ms = 0;
   uint32_t n = 0;
@@ -142,7 +145,9 @@
       const struct CrashRecord *crash = &record->crashes[i];
 
       if (crash->discounted || crash->ended_ms < record->cleared_ms
-          || (n > 0 && crash->sent_ms + SEQUENCE_SLACK_MS < last_ms))
+          || (n > 0
+              && (crash->sent_ms + SEQUENCE_SLACK_MS < last_ms
+                  || crash->ended_ms < last_ms + same_event_ms)))
         continue;
       last_ms = crash->ended_ms;
       n++;
@@ -155,7 +160,8 @@
 suspect_update (struct Quarantine *quarantine, struct Suspect *suspect, int64_t now_ms)
 {
   list_remove (suspect_list (quarantine, suspect), suspect);
-  suspect->quarantined = record_n_sequential (&suspect->record) >= QUARANTINE_THRESHOLD;
+  suspect->quarantined = record_n_sequential (&suspect->record, quarantine->options.same_event_ms)
+                         >= QUARANTINE_THRESHOLD;
   suspect->changed_ms = now_ms;
   quarantine->version++;
   suspect_append (quarantine, suspect);
@@ -248,7 +254,8 @@
                      const struct SuspectRecord *record,
                      int64_t now_ms)
 {
-  struct QuarantineState state = { .n_crashes = record_n_sequential (record) };
+  struct QuarantineState state = { .n_crashes = record_n_sequential (
+                                       record, quarantine->options.same_event_ms) };
   int64_t due_ms;
 
   if (state.n_crashes < QUARANTINE_THRESHOLD)
@@ -297,7 +304,8 @@
 {
   const struct Suspect *suspect = suspect_find (quarantine, digest);
 
-  return suspect != NULL && record_n_sequential (&suspect->record) > 0;
+  return suspect != NULL
+         && record_n_sequential (&suspect->record, quarantine->options.same_event_ms) > 0;
 }
 
 /* Changes. */
@@ -324,16 +332,28 @@
            (record->n_crashes - (size_t)at) * sizeof record->crashes[0]);
 }
 
+static uint64_t
+digest_hash (const uint8_t digest[DIGEST_BYTES])
+{
+  uint64_t hash;
+
+  memcpy (&hash, digest, sizeof hash);
+  return hash;
+}
+
 bool
 quarantine_record_crash (struct Quarantine *quarantine,
                          const uint8_t digest[DIGEST_BYTES],
                          const struct CrashRecord *crash,
                          int64_t now_ms)
 {
-  struct Suspect *suspect = suspect_get_or_add (quarantine, digest);
+  struct Suspect *suspect;
   bool was_quarantined;
   int32_t known;
 
+  if (recent_hashes_contains (&quarantine->completed, digest_hash (digest)))
+    return false;
+  suspect = suspect_get_or_add (quarantine, digest);
   if (suspect == NULL)
     return false;
   known = record_find_crash (&suspect->record, crash);
@@ -362,13 +382,23 @@
 {
   struct Suspect *suspect = suspect_find (quarantine, digest);
 
-  if (suspect == NULL || record_n_sequential (&suspect->record) == 0)
+  if (suspect == NULL
+      || record_n_sequential (&suspect->record, quarantine->options.same_event_ms) == 0)
     return false;
   record_clear (&suspect->record, now_ms);
   suspect_changed (quarantine, suspect, now_ms);
   return true;
 }
 
+bool
+quarantine_record_complete (struct Quarantine *quarantine,
+                            const uint8_t digest[DIGEST_BYTES],
+                            int64_t now_ms)
+{
+  recent_hashes_add (&quarantine->completed, digest_hash (digest));
+  return quarantine_clear (quarantine, digest, now_ms);
+}
+
 static bool
 record_refute (struct SuspectRecord *record,
                const char *server,
@@ -421,7 +451,9 @@
   if (suspect == NULL || !suspect->quarantined)
     return;
   suspect->record.trial_level =
-      record_trial_level (&suspect->record, record_n_sequential (&suspect->record)) + 1;
+      record_trial_level (&suspect->record,
+                          record_n_sequential (&suspect->record, quarantine->options.same_event_ms))
+      + 1;
   suspect->record.trial_ms = now_ms;
   suspect_changed (quarantine, suspect, now_ms);
 }
@@ -521,7 +553,8 @@
         suspect = list_find_changed (&quarantine->suspects);
       suspect->changed = false;
       quarantine->n_changed--;
-      if (!suspect->is_shared && record_n_sequential (&suspect->record) == 0)
+      if (!suspect->is_shared
+          && record_n_sequential (&suspect->record, quarantine->options.same_event_ms) == 0)
         continue;
       suspect->is_shared = true;
       return &suspect->record;
--- a/gateway/crash_guard.c
+++ b/gateway/crash_guard.c
@@ -171,8 +171,9 @@
 
   if (request->front->silent->n_items > 0)
     silent_attempts_forget (request->front->silent, request_digest (request));
-  if (!quarantine_is_empty (quarantine)
-      && quarantine_clear (quarantine, request_digest (request), guard_now_ms (request)))
+  /* Streams hardly ever have the same content, and their bodies are long. */
+  if ((route_is_idempotent (&request->route) || !quarantine_is_empty (quarantine))
+      && quarantine_record_complete (quarantine, request_digest (request), guard_now_ms (request)))
     suspects_spread (request->front->suspects, NULL);
 }
 
--- a/gateway/suspects.c
+++ b/gateway/suspects.c
@@ -16,6 +16,7 @@
    * to know that it was on a crashed one. Less than the pause before a caller's next attempt. */
   SPREAD_DELAY_MS = 60,
   REPORT_RECORDS_MAX = 64,
+  SAME_EVENT_MS = 5, /* more than a round trip between availability zones */
   /* Records in a periodic report; with up to six crashes each it is 2.5 KB. */
   PERIODIC_RECORDS_MAX = 8,
   PERIODIC_TICKS = 4,
@@ -389,7 +390,8 @@
 struct Suspects *
 suspects_new (TALLOC_CTX *ctx, struct Node *node)
 {
-  static const struct QuarantineOptions options = { .has_trials = true };
+  static const struct QuarantineOptions options = { .has_trials = true,
+                                                    .same_event_ms = SAME_EVENT_MS };
   struct Suspects *suspects = talloc_zero (ctx, struct Suspects);
 
   if (suspects == NULL)
--- a/include/buckthornhead/recent_hashes.h
+++ b/include/buckthornhead/recent_hashes.h
@@ -19,3 +19,6 @@
 /* Adds hash, replacing the oldest one when full. Returns false if it is already in the set. */
 bool
 recent_hashes_add (struct RecentHashes *recent, uint64_t hash);
+
+bool
+recent_hashes_contains (const struct RecentHashes *recent, uint64_t hash);
--- a/include/buckthornhead/scheduling/quarantine.h
+++ b/include/buckthornhead/scheduling/quarantine.h
@@ -63,6 +63,9 @@
 struct QuarantineOptions
 {
   bool has_trials; /* false: a quarantined request stays so until it is forgotten */
+  /* Servers that end within this of each other count as one event: a request that is sent on at
+   * once reaches servers of the same rack, which end for it after a round trip. */
+  uint32_t same_event_ms;
 };
 
 struct Quarantine;
@@ -111,7 +114,15 @@
                          const struct CrashRecord *crash,
                          int64_t now_ms);
 
-/* Records a complete response, or an operator's decision. Returns true if crashes counted. */
+/* Records a complete response. A request with one of the last RECENT_HASHES_MAX of this process
+ * does not crash servers: one that is sent often runs on most servers when they crash. Returns true
+ * if crashes counted. */
+bool
+quarantine_record_complete (struct Quarantine *quarantine,
+                            const uint8_t digest[DIGEST_BYTES],
+                            int64_t now_ms);
+
+/* Takes back the crashes that count, as an operator decides. Returns true if there were any. */
 bool
 quarantine_clear (struct Quarantine *quarantine,
                   const uint8_t digest[DIGEST_BYTES],
