Wait half a second at most for a report of the quarantine

A gateway that starts asked for 1.2 s before it sent requests, longer than a caller's objective if nobody replies.

--- a/gateway/suspects.h
+++ b/gateway/suspects.h
@@ -12,7 +12,7 @@
 
 enum
 {
-  SUSPECTS_START_MS = 1200 /* after the start, in which other processes are asked */
+  SUSPECTS_START_MS = 500 /* after the start, in which other processes are asked */
 };
 
 struct Suspects;
