Count a server that does not answer its probe as crashed

sessions_crashing_request fails under load: a request that crashes two engines is not quarantined before it takes down the third. The owner probes a server whose call broke, and took only a refused connection for its end; a process that is ending still accepts connections, whose probes time out or are reset. Now any response, and nothing else, shows that the server is running.

--- a/daemon/owner_watch.c
+++ b/daemon/owner_watch.c
@@ -57,7 +57,8 @@
 {
   struct OwnerJob *interrupted = *owner_job_at (owner, probe->interrupted_job);
   struct OwnerServer *server = probe->server;
-  bool crashed = event->end.error == ERROR_UNREACHABLE;
+  /* A process that is ending still accepts connections for a moment, and then resets them. */
+  bool crashed = event->end.status == 0;
 
   if (event->end.has_load && owner_update_engine (server, &event->end.load))
     crashed = true;
@@ -68,7 +69,7 @@
   if (crashed)
     log_event (LOG_LEVEL_WARNING, "backend_server_died", interrupted->call.key.program,
                "check the server; a request that crashes two servers is quarantined",
-               "%s became unreachable or restarted while it ran a call", server->name);
+               "%s stopped responding or restarted while it ran a call", server->name);
   owner_finish_call (owner, interrupted, &interrupted->pending);
 }
 
