--- a/core/scheduling/quarantine.c
+++ b/core/scheduling/quarantine.c
@@ -201,9 +201,9 @@
 
 /* Returns whether another server, which did not run the request, ended at the same time. */
 static bool
-crash_has_company (const struct Quarantine *quarantine,
-                   const struct SuspectRecord *record,
-                   const struct CrashRecord *crash)
+crash_coincides (const struct Quarantine *quarantine,
+                 const struct SuspectRecord *record,
+                 const struct CrashRecord *crash)
 {
   for (const struct Suspect *other = quarantine->by_digest; other != NULL; other = other->hh.next)
     for (uint32_t i = 0; i < other->record.n_crashes; i++)
@@ -223,7 +223,7 @@
 {
   for (uint32_t i = 0; i < record->n_crashes; i++)
     if (!record->crashes[i].discounted
-        && !crash_has_company (quarantine, record, &record->crashes[i]))
+        && !crash_coincides (quarantine, record, &record->crashes[i]))
       return false;
   return true;
 }
--- a/include/buckthornhead/scheduling/quarantine.h
+++ b/include/buckthornhead/scheduling/quarantine.h
@@ -128,8 +128,8 @@
                   const uint8_t digest[DIGEST_BYTES],
                   int64_t now_ms);
 
-/* Records that the server's process was running from since_ms to until_ms: what was taken for its
- * crash in between were connections that broke. Returns whether there were any. */
+/* Records that the server's process was running from since_ms to until_ms: connections that broke
+ * in between do not count as its crash. Returns whether any did. */
 bool
 quarantine_refute (struct Quarantine *quarantine,
                    const char *server,
