--- a/core/scheduling/quarantine.c
+++ b/core/scheduling/quarantine.c
@@ -89,7 +89,8 @@
 {
   quarantine->n_changed -= suspect->changed;
   list_remove (suspect_list (quarantine, suspect), suspect);
-  HASH_DEL (quarantine->by_digest, suspect);
+  if (quarantine->by_digest != NULL)
+    HASH_DEL (quarantine->by_digest, suspect);
   talloc_free (suspect);
 }
 
