Dial a process at once that has connected or has a new address

What callers saw: after gateways had been killed and started again, turns were sent to engines without a slot for up to 200 ms, since the engines' new owners could not be sent a query.

Cause: a failed dial is not repeated for 200 ms, and the time also counted when the process has since connected itself, or has been announced at a new address. It is live, and known to be, but has no link.

Why this works: a hello shows that the process runs and listens, and a failed dial to an old address says nothing of the new one.

test_peer_net failed before in both cases (PEER_LINK_NONE).

--- a/adapters/peer_net.c
+++ b/adapters/peer_net.c
@@ -113,6 +113,15 @@
   return link;
 }
 
+static struct PeerEntry *
+peer_net_find_peer (const struct PeerNet *net, const char *instance)
+{
+  struct PeerEntry *peer;
+
+  HASH_FIND_STR (net->peers, instance, peer);
+  return peer;
+}
+
 static void
 peer_link_flush (struct PeerLink *link)
 {
@@ -181,6 +190,16 @@
   peer_link_send (link, &hello);
 }
 
+/* Lets the peer be dialled at once: it runs, however recently a dial has failed. */
+static void
+peer_net_allow_dial (struct PeerNet *net, const char *instance)
+{
+  struct PeerEntry *peer = peer_net_find_peer (net, instance);
+
+  if (peer != NULL)
+    peer->dialled_ms = 0;
+}
+
 /* Delivers one frame. Returns false when it is malformed. */
 static bool
 peer_link_deliver_frame (struct PeerLink *link, const uint8_t *bytes, size_t n_bytes)
@@ -191,7 +210,10 @@
   if (peer_message_unpack (NULL, bytes, n_bytes, &message) != ERROR_NONE)
     return false;
   if (message->kind == PEER_HELLO)
-    snprintf (link->instance, sizeof link->instance, "%s", message->hello.instance);
+    {
+      snprintf (link->instance, sizeof link->instance, "%s", message->hello.instance);
+      peer_net_allow_dial (net, link->instance);
+    }
   net->options.received (net->options.data, link->id, link->instance, message);
   talloc_free (message);
   return true;
@@ -481,15 +503,6 @@
       peer_link_send_hello (l);
 }
 
-static struct PeerEntry *
-peer_net_find_peer (const struct PeerNet *net, const char *instance)
-{
-  struct PeerEntry *peer;
-
-  HASH_FIND_STR (net->peers, instance, peer);
-  return peer;
-}
-
 void
 peer_net_set_address (struct PeerNet *net, const char *instance, const char *address)
 {
@@ -508,6 +521,7 @@
   if (strcmp (peer->address, address) == 0)
     return;
   snprintf (peer->address, sizeof peer->address, "%s", address);
+  peer->dialled_ms = 0;
   if (peer->link != NULL)
     peer_link_close (peer->link, "the address of the instance has changed");
   if (!net->options.dial_on_demand)
--- /dev/null
+++ b/tests/test_peer_net.c
@@ -0,0 +1,125 @@
+#include "test_main.h"
+
+#include "fakes/raw_socket.h"
+
+#include <buckthornhead/error.h>
+#include <buckthornhead/peer_net.h>
+#include <buckthornhead/timer_tevent.h>
+
+#include <stdio.h>
+#include <unistd.h>
+
+struct Endpoint
+{
+  struct PeerNet *net;
+  char address[32];
+  bool was_refused, has_received;
+};
+
+static void
+on_received (void *data, uint64_t link, const char *instance, const struct PeerMessage *message)
+{
+  struct Endpoint *endpoint = data;
+
+  (void)link;
+  (void)instance;
+  (void)message;
+  endpoint->has_received = true;
+}
+
+static void
+on_closed (void *data, uint64_t link, const char *instance)
+{
+  (void)data;
+  (void)link;
+  (void)instance;
+}
+
+static void
+on_refused (void *data, const char *instance, uint32_t n)
+{
+  struct Endpoint *endpoint = data;
+
+  (void)instance;
+  endpoint->was_refused = endpoint->was_refused || n > 0;
+}
+
+static void
+choose_address (struct Endpoint *endpoint)
+{
+  uint16_t port;
+  int fd = raw_listen (&port);
+
+  close (fd);
+  snprintf (endpoint->address, sizeof endpoint->address, "127.0.0.1:%u", port);
+}
+
+static void
+start (struct Endpoint *endpoint, struct tevent_context *events, const char *instance)
+{
+  const struct PeerNetOptions options = {
+    .listen = endpoint->address,
+    .instance = instance,
+    .zone = "a",
+    .dial_on_demand = true,
+    .received = on_received,
+    .closed = on_closed,
+    .connect_refused = on_refused,
+    .data = endpoint,
+  };
+  struct Fault fault = { 0 };
+
+  endpoint->net = peer_net_new (events, events, timer_tevent_new (events, events), &options);
+  CU_ASSERT_EQUAL (peer_net_listen (endpoint->net, &fault), ERROR_NONE);
+}
+
+/* Guards against messages that cannot be sent to a process that has just started, because it was
+ * dialled shortly before. */
+static void
+test_a_process_that_has_connected_is_dialled_at_once (void)
+{
+  struct tevent_context *events = tevent_context_init (NULL);
+  struct Endpoint a = { 0 }, b = { 0 };
+
+  choose_address (&a);
+  choose_address (&b);
+  start (&a, events, "a");
+  peer_net_set_address (a.net, "b", b.address);
+  CU_ASSERT_NOT_EQUAL (peer_net_link_to (a.net, "b"), PEER_LINK_NONE);
+  CU_ASSERT_TRUE (events_until (events, &a.was_refused));
+  CU_ASSERT_EQUAL (peer_net_link_to (a.net, "b"), PEER_LINK_NONE);
+  start (&b, events, "b");
+  peer_net_set_address (b.net, "a", a.address);
+  peer_net_link_to (b.net, "a");
+  CU_ASSERT_TRUE (events_until (events, &a.has_received));
+  CU_ASSERT_NOT_EQUAL (peer_net_link_to (a.net, "b"), PEER_LINK_NONE);
+  talloc_free (events);
+}
+
+/* Guards against the same for a process that has started again at another address. */
+static void
+test_a_new_address_is_dialled_at_once (void)
+{
+  struct tevent_context *events = tevent_context_init (NULL);
+  struct Endpoint a = { 0 }, b = { 0 };
+
+  choose_address (&a);
+  choose_address (&b);
+  start (&a, events, "a");
+  peer_net_set_address (a.net, "b", b.address);
+  peer_net_link_to (a.net, "b");
+  CU_ASSERT_TRUE (events_until (events, &a.was_refused));
+  choose_address (&b);
+  start (&b, events, "b");
+  peer_net_set_address (a.net, "b", b.address);
+  CU_ASSERT_NOT_EQUAL (peer_net_link_to (a.net, "b"), PEER_LINK_NONE);
+  talloc_free (events);
+}
+
+const char test_suite_name[] = "peer_net";
+const struct TestCase test_cases[] = {
+  { "a process that has connected is dialled at once",
+    test_a_process_that_has_connected_is_dialled_at_once },
+  { "a new address is dialled at once", test_a_new_address_is_dialled_at_once },
+  { NULL, NULL },
+};
