Free slots of a gateway's previous process when it has started again

What callers saw: requests waited at an engine with free slots.

Cause: an owner drops the requests of a gateway that is not live. One that is killed and starts again within the 1.6 s of detection is live throughout, so what its previous process held stayed until a second after its callers' deadlines.

Why this works: the ids of a process begin at its start number, which its status reports, so an id below it belongs to a previous process. If the clock was set back between the two starts, the deadline frees the slots as before.

The test in test_slot_queue gives the owner the id; the callback had none before.

--- a/core/scheduling/slot_queue.c
+++ b/core/scheduling/slot_queue.c
@@ -514,7 +514,7 @@
 void
 slot_queues_expire (struct SlotQueues *queues,
                     int64_t now_ms,
-                    bool (*is_live) (void *data, const char *requester),
+                    bool (*is_live) (void *data, const char *requester, uint64_t id),
                     void (*each) (void *data, const char *server),
                     void *data)
 {
@@ -527,7 +527,7 @@
 
     while (i < queue->n_entries)
       if (queue->entries[i].request.deadline_ms + EXPIRE_GRACE_MS < now_ms
-          || !is_live (data, queue->entries[i].request.requester))
+          || !is_live (data, queue->entries[i].request.requester, queue->entries[i].request.id))
         entry_remove (queue, &queue->entries[i]);
       else
         i++;
--- a/include/buckthornhead/scheduling/slot_queue.h
+++ b/include/buckthornhead/scheduling/slot_queue.h
@@ -135,13 +135,13 @@
 uint64_t
 slot_queues_n_examined (const struct SlotQueues *queues);
 
-/* Drops requests whose deadline has passed, and all requests of gateways for which is_live returns
- * false: their ends are never reported. Removes servers without recent requests. Calls each for
- * every server with remaining requests, as it may have room again. */
+/* Drops requests whose deadline has passed, and those for which is_live returns false, since the
+ * process of their gateway has ended: their ends are never reported. Removes servers without recent
+ * requests. Calls each for every server with remaining requests, as it may have room again. */
 void
 slot_queues_expire (struct SlotQueues *queues,
                     int64_t now_ms,
-                    bool (*is_live) (void *data, const char *requester),
+                    bool (*is_live) (void *data, const char *requester, uint64_t id),
                     void (*each) (void *data, const char *server),
                     void *data);
 
--- a/tests/test_plain_queue.c
+++ b/tests/test_plain_queue.c
@@ -583,11 +583,12 @@
 }
 
 static bool
-requester_is_live (void *data, const char *requester)
+requester_is_live (void *data, const char *requester, uint64_t id)
 {
   const struct OwnerGrant *grant = data;
   const struct Faults *faults = &grant->sim->faults;
 
+  (void)id;
   return strtoul (requester + 1, NULL, 10) != faults->killed_gateway
          || grant->sim->now_ms < faults->killed_ms + DETECT_MS;
 }
--- a/tests/test_slot_queue.c
+++ b/tests/test_slot_queue.c
@@ -138,15 +138,16 @@
 struct LiveGateway
 {
   const char *name;
+  uint64_t start; /* of its process; later requests have larger ids */
   uint32_t n_each;
 };
 
 static bool
-is_live (void *data, const char *requester)
+is_live (void *data, const char *requester, uint64_t id)
 {
   struct LiveGateway *live = data;
 
-  return strcmp (requester, live->name) == 0;
+  return strcmp (requester, live->name) == 0 && id > live->start;
 }
 
 static void
@@ -164,7 +165,7 @@
 test_a_crashed_gateways_slots_are_freed (void)
 {
   struct SlotQueues *queues = full_server ();
-  struct LiveGateway live = { "h", 0 };
+  struct LiveGateway live = { "h", 0, 0 };
   const struct SlotRequest waiting = make_request ("h", 10, true, 2000);
 
   CU_ASSERT_FALSE (request (queues, &waiting).granted);
@@ -178,6 +179,20 @@
   talloc_free (queues);
 }
 
+/* Guards against slots that stay taken for requests of a gateway's previous process, when it starts
+ * again before it is found to be down. */
+static void
+test_a_restarted_gateways_slots_are_freed (void)
+{
+  struct SlotQueues *queues = full_server ();
+  struct LiveGateway live = { "g", GRANTED - 1, 0 };
+
+  slot_queues_expire (queues, 100, is_live, on_each, &live);
+  CU_ASSERT_EQUAL (request (queues, &(struct SlotRequest){ .requester = "g", .id = GRANTED }).total,
+                   1);
+  talloc_free (queues);
+}
+
 /* The estimated wait follows the measured service times, so that a request that can't be served
  * before its deadline can be rejected at once. */
 static void
@@ -454,6 +469,7 @@
   { "programs that can end in time go first", test_programs_that_can_end_in_time_go_first },
   { "asking again takes no second slot", test_asking_again_takes_no_second_slot },
   { "a crashed gateway's slots are freed", test_a_crashed_gateways_slots_are_freed },
+  { "a restarted gateway's slots are freed", test_a_restarted_gateways_slots_are_freed },
   { "the digest reports the cache contents", test_the_digest_reports_the_cache_contents },
   { "the digest reports the failure rate", test_the_digest_reports_the_failure_rate },
   { "the wait follows the service time", test_the_wait_follows_the_service_time },
