Report slots in use to the new owner of their server

What callers saw: when a gateway started, stopped or failed, the engines that it owned or took over were sent up to twice their slots for about a service time, and turns that waited were sent with them, so that all became slower. sessions_gateway_servers showed it once in 24 runs (3 turns queued where 4 are needed, load 6 to 8).

Cause: the slots in use were known to their owner alone. A new owner counted from zero, while those who held the slots ran on and knew of them. A query that was under way to a killed owner waited 60 ms and was then sent without a slot, although the link to that owner was known to be closed.

Change: the holder of a slot reports it to the new owner, before it queries anyone, and until it is acknowledged (slot_hold.c). The previous owner counts the slot until the request ends, and pauses when it knows of the new one. What the previous owner's digest reported counts until the reports are there. A closed link or a refused connection moves a query to the next owner; a silent owner does after 60 ms, and the next gateway is asked before a request is sent without a slot. slot_reported and sent_without_owner, and two counters, tell these paths apart; the last one logged nothing.

--- a/core/counter.c
+++ b/core/counter.c
@@ -96,6 +96,10 @@
       COUNTS ("requests_quarantined", "Requests rejected for the servers that crashed under them"),
   [COUNTER_REQUESTS_SENT_AGAIN] =
       COUNTS ("requests_sent_again", "Attempts of requests at another server after the first"),
+  [COUNTER_SLOTS_REPORTED] =
+      COUNTS ("slots_reported", "Slots in use that were reported to a new owner of their server"),
+  [COUNTER_SLOTS_WITHOUT_OWNER] = COUNTS (
+      "slots_without_owner", "Requests sent without a slot, since no owner could be queried"),
   [COUNTER_ENTRIES_UNREADABLE] =
       COUNTS ("entries_unreadable", "Distinct malformed entries of backend servers"),
   [COUNTER_STREAMS_RESUMED] =
--- a/core/gateway/gateway_message.c
+++ b/core/gateway/gateway_message.c
@@ -217,11 +217,23 @@
   part->records = read_bytes (r, ctx, &part->records_bytes);
 }
 
-static bool
-slot_request_has_optional (const struct SlotRequestMessage *slot_request)
+/* Optional items of a slot request: those of ranks and plain servers, and after them those for a
+ * new owner. */
+enum
+{
+  SLOT_REQUEST_N_RANK = 3,
+  SLOT_REQUEST_N_HELD = 3
+};
+
+static size_t
+slot_request_n_optional (const struct SlotRequestMessage *slot_request)
 {
-  return slot_request->program != 0 || slot_request->customer != 0
-         || slot_request->first_service_ms != 0;
+  if (slot_request->waited_ms != 0 || slot_request->is_granted)
+    return SLOT_REQUEST_N_RANK + SLOT_REQUEST_N_HELD;
+  if (slot_request->program != 0 || slot_request->customer != 0
+      || slot_request->first_service_ms != 0)
+    return SLOT_REQUEST_N_RANK;
+  return 0;
 }
 
 static void
@@ -239,11 +251,16 @@
   pack_u64 (p, slot_request->capacity_tokens);
   pack_u64 (p, slot_request->part);
   pack_u64 (p, slot_request->part_tokens);
-  if (!slot_request_has_optional (slot_request))
+  if (slot_request_n_optional (slot_request) == 0)
     return;
   pack_u64 (p, slot_request->program);
   pack_u64 (p, slot_request->customer);
   pack_u64 (p, slot_request->first_service_ms);
+  if (slot_request_n_optional (slot_request) == SLOT_REQUEST_N_RANK)
+    return;
+  pack_u64 (p, slot_request->waited_ms);
+  pack_bool (p, slot_request->is_granted);
+  pack_u64 (p, slot_request->granted_for_ms);
 }
 
 static void
@@ -266,6 +283,11 @@
   slot_request->program = read_u64 (r, UINT64_MAX);
   slot_request->customer = read_u64 (r, UINT64_MAX);
   slot_request->first_service_ms = (uint32_t)read_u64 (r, UINT32_MAX);
+  if (r->at == r->n_items)
+    return;
+  slot_request->waited_ms = (uint32_t)read_u64 (r, UINT32_MAX);
+  slot_request->is_granted = read_bool (r);
+  slot_request->granted_for_ms = (uint32_t)read_u64 (r, UINT32_MAX);
 }
 
 static void
@@ -495,34 +517,40 @@
   return 0;
 }
 
-/* Returns the number of optional items at the end of a message. */
+/* Returns the number of optional items that are packed at the end of the message. */
 static size_t
-message_n_optional_items (enum GatewayKind kind)
+message_n_optional_items (const struct GatewayMessage *message)
 {
-  switch (kind)
+  switch (message->kind)
     {
     case GATEWAY_SLOT_REQUEST:
-      return 3;
+      return slot_request_n_optional (&message->slot_request);
     case GATEWAY_SLOT_STATE:
-      return 1;
+      return message->slot_state.state.service_ms != 0 ? 1 : 0;
     case GATEWAY_SLOT_DONE:
-      return 3;
+      return message->slot_done.sample_us != 0 ? 3 : 0;
     default:
       return 0;
     }
 }
 
+/* Returns whether a message of the kind may have that many items, with its kind itself. */
 static bool
-message_has_optional_items (const struct GatewayMessage *message)
+message_may_have_items (enum GatewayKind kind, size_t n_items)
 {
-  switch (message->kind)
+  size_t n_fixed = message_n_items (kind);
+
+  if (n_items == n_fixed)
+    return true;
+  switch (kind)
     {
     case GATEWAY_SLOT_REQUEST:
-      return slot_request_has_optional (&message->slot_request);
+      return n_items == n_fixed + SLOT_REQUEST_N_RANK
+             || n_items == n_fixed + SLOT_REQUEST_N_RANK + SLOT_REQUEST_N_HELD;
     case GATEWAY_SLOT_STATE:
-      return message->slot_state.state.service_ms != 0;
+      return n_items == n_fixed + 1;
     case GATEWAY_SLOT_DONE:
-      return message->slot_done.sample_us != 0;
+      return n_items == n_fixed + 3;
     default:
       return false;
     }
@@ -535,13 +563,10 @@
                       size_t *n_bytes)
 {
   struct PackWriter *p = pack_writer_new (ctx, false);
-  size_t n_items = message_n_items (message->kind);
 
   if (p == NULL)
     return ERROR_NO_MEMORY;
-  if (message_has_optional_items (message))
-    n_items += message_n_optional_items (message->kind);
-  pack_array (p, n_items);
+  pack_array (p, message_n_items (message->kind) + message_n_optional_items (message));
   pack_u64 (p, message->kind);
   switch (message->kind)
     {
@@ -712,16 +737,12 @@
   struct PackReader reader;
   struct GatewayMessage *m = talloc_zero (ctx, struct GatewayMessage);
   void *opened = m != NULL ? pack_open (m, bytes, n_bytes, &reader) : NULL;
-  size_t n_items;
 
   *message = NULL;
   if (opened == NULL)
     goto fail;
   m->kind = (enum GatewayKind)read_u64 (&reader, GATEWAY_KIND_MAX);
-  n_items = message_n_items (m->kind);
-  if (reader.failed
-      || (reader.n_items != n_items
-          && reader.n_items != n_items + message_n_optional_items (m->kind)))
+  if (reader.failed || !message_may_have_items (m->kind, reader.n_items))
     goto fail;
   message_unpack_body (&reader, m, m);
   if (read_end (&reader) != ERROR_NONE)
--- a/core/scheduling/slot_queue.c
+++ b/core/scheduling/slot_queue.c
@@ -25,6 +25,13 @@
   /* How long a slot counts as taken after a plain server rejected a granted request: it is full
    * with work that this owner does not know of. */
   FULL_MS = 100,
+  /* Within this time, or one service time if that is shorter, the requests that a digest reports
+   * have ended or were reported by their holders. */
+  EXPECTED_MAX_MS = 500,
+  /* How long a gateway that has lost a server to another one grants no slots to those that do not
+   * know it yet. A gateway that still receives requests after this time is taken for the owner by
+   * some, for which it grants again. */
+  PAUSE_MS = 500,
   /* A request whose end was never reported is dropped this long after its caller's deadline. */
   EXPIRE_GRACE_MS = 1000,
   /* An engine keeps its cache while it has no requests, so its queue is retained for longer than a
@@ -47,7 +54,8 @@
 struct SlotEntry
 {
   struct SlotRequest request;
-  bool granted; /* false: waiting */
+  bool granted;     /* false: waiting */
+  bool is_reported; /* granted by a previous owner */
   int64_t arrived_ms, granted_ms;
 };
 
@@ -63,6 +71,11 @@
   int64_t taken_until_ms;
   struct SlotEntry *entries;
   size_t n_entries, n_granted;
+  size_t n_reported; /* granted entries that are reported */
+  bool is_owned;
+  uint32_t n_expected; /* requests that run there at expected_ms, reported or not */
+  int64_t expected_ms;
+  int64_t paused_until_ms; /* nothing is granted until then */
   uint64_t capacity_tokens;
   struct SlotPart parts[SLOT_PARTS_MAX]; /* most recently used first */
   uint32_t n_parts;
@@ -145,6 +158,10 @@
 {
   if (entry->granted)
     queue->n_granted--;
+  if (entry->is_reported)
+    queue->n_reported--;
+  if (entry->is_reported && queue->n_expected > 0)
+    queue->n_expected--;
   queue->n_entries--;
   *entry = queue->entries[queue->n_entries];
 }
@@ -312,16 +329,94 @@
   return n_taken < queue->slots ? queue->slots - n_taken : queue->slots;
 }
 
+/* Ownership. */
+
+static void
+queue_set_owned (struct SlotQueue *queue, bool is_owned, int64_t now_ms)
+{
+  if (queue->is_owned && !is_owned)
+    queue->paused_until_ms = now_ms + PAUSE_MS;
+  if (is_owned)
+    queue->paused_until_ms = now_ms;
+  queue->is_owned = is_owned;
+}
+
+static void
+queue_expect (struct SlotQueue *queue, uint32_t n_expected, int64_t now_ms)
+{
+  uint32_t n_max = queue->slots + GRANTS_IN_TRANSIT;
+  uint32_t n_known = (uint32_t)(queue->n_granted - queue->n_reported);
+
+  if (n_expected > n_max)
+    n_expected = n_max;
+  queue->n_expected = n_expected > n_known ? n_expected - n_known : 0;
+  queue->expected_ms = now_ms;
+}
+
+/* Returns how many of the expected requests still run; the number declines evenly. */
+static size_t
+queue_n_expected (const struct SlotQueue *queue, int64_t now_ms)
+{
+  int64_t span_ms = queue->service_ms < EXPECTED_MAX_MS ? queue->service_ms : EXPECTED_MAX_MS;
+  int64_t left_ms = queue->expected_ms + span_ms - now_ms;
+
+  if (left_ms <= 0)
+    return 0;
+  return (size_t)((queue->n_expected * left_ms + span_ms - 1) / span_ms);
+}
+
+static void
+queue_follow_owner (struct SlotQueue *queue, const struct SlotServer *server, int64_t now_ms)
+{
+  if (queue->is_owned && !server->is_foreign)
+    return;
+  queue_set_owned (queue, !server->is_foreign, now_ms);
+  queue_expect (queue, server->n_expected, now_ms - server->expected_age_ms);
+}
+
+bool
+slot_queue_is_owned (const struct SlotQueues *queues, const char *server)
+{
+  const struct SlotQueue *queue = queue_find (queues, server);
+
+  return queue != NULL && queue->is_owned;
+}
+
+void
+slot_queues_disown (struct SlotQueues *queues,
+                    bool (*is_owner) (void *data, const char *server),
+                    int64_t now_ms,
+                    void *data)
+{
+  for (struct SlotQueue *queue = queues->by_server; queue != NULL; queue = queue->hh.next)
+    if (queue->is_owned && !is_owner (data, queue->server))
+      queue_set_owned (queue, false, now_ms);
+}
+
+/* Returns whether the gateway grants slots of the server: as its owner, or to gateways that do not
+ * know or reach the owner. */
+static bool
+queue_grants (const struct SlotQueue *queue, int64_t now_ms)
+{
+  return queue->is_owned
+         || (now_ms >= queue->paused_until_ms && now_ms - queue->last_ask_ms < PAUSE_MS);
+}
+
 /* Granting. */
 
 static bool
 queue_has_room (const struct SlotQueue *queue, int64_t now_ms)
 {
   uint32_t n_in_transit = GRANTS_IN_TRANSIT;
+  size_t n_running = queue->n_granted, n_expected = queue_n_expected (queue, now_ms);
 
+  if (now_ms < queue->paused_until_ms)
+    return false;
   if (queue->first_service_ms > 0 && queue->slots / PLAIN_SLOTS_PER_TRANSIT > n_in_transit)
     n_in_transit = queue->slots / PLAIN_SLOTS_PER_TRANSIT;
-  return queue->n_granted < queue_usable_slots (queue, now_ms) + n_in_transit;
+  if (n_expected > queue->n_reported)
+    n_running += n_expected - queue->n_reported;
+  return n_running < queue_usable_slots (queue, now_ms) + n_in_transit;
 }
 
 /* Returns whether a program that begins is delayed by a turn that waits, even of a lower rank:
@@ -397,6 +492,7 @@
   queue->order = server->order;
   queue->last_ask_ms = now_ms;
   queue_set_first_service (queue, server->first_service_ms);
+  queue_follow_owner (queue, server, now_ms);
   entry = entry_find (queue, request->requester, request->id);
   if (entry == NULL)
     {
@@ -406,13 +502,21 @@
       queue->entries = grown;
       entry = &grown[queue->n_entries++];
       entry->request = *request;
-      entry->request.since_ms = waiting_programs_since (queues->programs, request->program, now_ms);
+      entry->arrived_ms = now_ms - request->waited_ms;
+      entry->request.since_ms =
+          waiting_programs_since (queues->programs, request->program, entry->arrived_ms);
       entry->granted = false;
-      entry->arrived_ms = now_ms;
+      entry->is_reported = false;
       /* While there is room no other request waits: freed slots are granted at once. */
-      if (queue_has_room (queue, now_ms))
+      if (!request->is_granted && queue_has_room (queue, now_ms))
         entry_grant (queue, entry, now_ms);
     }
+  if (request->is_granted && !entry->granted)
+    {
+      entry_grant (queue, entry, now_ms - request->granted_for_ms);
+      entry->is_reported = true;
+      queue->n_reported++;
+    }
   queue_get_state (queue, entry, now_ms, state);
   queues->n_examined += state->granted ? queue->n_entries : 2 * queue->n_entries;
   return ERROR_NONE;
@@ -563,7 +667,7 @@
   if (digests == NULL)
     return NULL;
   HASH_ITER (hh, queues->by_server, queue, next)
-  if (!busy_only || 2 * queue->n_entries >= queue->slots)
+  if (queue_grants (queue, now_ms) && (!busy_only || 2 * queue->n_entries >= queue->slots))
     queue_digest (queue, now_ms, &digests[(*n_digests)++]);
   return digests;
 }
--- a/gateway/front.c
+++ b/gateway/front.c
@@ -483,7 +483,7 @@
       slots_on_request (front->slots, link, sender, &message->slot_request);
       break;
     case GATEWAY_SLOT_STATE:
-      slots_on_state (front, &message->slot_state);
+      slots_on_state (front, sender, &message->slot_state);
       break;
     case GATEWAY_SLOT_DONE:
       slots_on_done (front->slots, sender, &message->slot_done);
@@ -530,6 +530,14 @@
       turn_on_set_changed (r);
 }
 
+static void
+front_on_peer_lost (void *data, const char *name)
+{
+  struct Front *front = data;
+
+  slots_peer_lost (front->slots, name);
+}
+
 static void
 front_describe (void *data, TALLOC_CTX *ctx, struct Heartbeat *heartbeat)
 {
@@ -716,6 +724,7 @@
   node->handler.message = front_on_message;
   node->handler.snapshot = front_on_snapshot;
   node->handler.set_changed = front_on_set;
+  node->handler.peer_lost = front_on_peer_lost;
   node->handler.describe = front_describe;
   node->handler.data = f;
   *front = f;
--- a/gateway/node.c
+++ b/gateway/node.c
@@ -150,13 +150,18 @@
   return settings->announce[0] != '\0' ? settings->announce : settings->peer_listen;
 }
 
-/* Requests that were open on the link are retried by their own timers. */
+static void
+node_report_lost (struct Node *node, const char *peer)
+{
+  if (node->handler.peer_lost != NULL)
+    node->handler.peer_lost (node->handler.data, peer);
+}
+
 static void
 node_on_closed (void *data, uint64_t link, const char *peer)
 {
-  (void)data;
   (void)link;
-  (void)peer;
+  node_report_lost (data, peer);
 }
 
 /* The instance runs and refuses connections, so its process does not: this is detected sooner than
@@ -171,6 +176,7 @@
     return;
   peer->refused_ms = timer_now_ms (node->timers);
   node_publish_soon (node);
+  node_report_lost (node, name);
 }
 
 /* The silence of the previous link does not count for the new one. */
--- a/gateway/node.h
+++ b/gateway/node.h
@@ -32,6 +32,9 @@
                    const struct GatewayMessage *message);
   /* Called when the set of archives has changed; may be NULL. */
   void (*set_changed) (void *data);
+  /* Called when a link to the peer was closed, or its instance refused a connection; may be NULL.
+   */
+  void (*peer_lost) (void *data, const char *name);
   /* Called with a newer snapshot of the store. after_gap: it is the first one after a time in
    * which, as far as this process knows, no process could read the store. */
   void (*snapshot) (void *data, const struct Snapshot *snapshot, bool after_gap);
--- a/gateway/slot_owner.c
+++ b/gateway/slot_owner.c
@@ -27,33 +27,81 @@
   choice->score = score;
 }
 
-const char *
-gateway_owner (const struct Front *front, const char *key, const char *zone)
+static bool
+peer_may_own (const struct Node *node, const struct Peer *peer)
+{
+  return peer->status.ready && peer->status.caller_address[0] != '\0'
+         && node_peer_is_responsive (node, peer);
+}
+
+static bool
+is_excluded (const struct SlotOwner *excluded, const char *name, uint64_t start)
+{
+  return excluded != NULL && excluded->start == start && strcmp (excluded->name, name) == 0;
+}
+
+static const char *
+choose_owner (const struct Front *front,
+              const char *key,
+              const char *zone,
+              const struct SlotOwner *excluded)
 {
   const struct Node *node = front->node;
   uint64_t key_hash = XXH64 (key, strlen (key), 0);
   struct OwnerChoice choice = { NULL, 0 };
 
-  if (front->stop_ms == 0 && (zone == NULL || strcmp (node->settings->zone, zone) == 0))
+  if (front->stop_ms == 0 && (zone == NULL || strcmp (node->settings->zone, zone) == 0)
+      && !is_excluded (excluded, node->settings->instance, node->start))
     owner_choice_consider (&choice, node->settings->instance, key_hash);
   for (size_t i = 0; i < node->peers->n_peers; i++)
     {
       const struct NodeStatus *status = &node->peers->peers[i]->status;
 
-      if (status->ready && status->caller_address[0] != '\0'
-          && (zone == NULL || strcmp (status->zone, zone) == 0)
-          && node_peer_is_responsive (node, node->peers->peers[i]))
+      if ((zone == NULL || strcmp (status->zone, zone) == 0)
+          && peer_may_own (node, node->peers->peers[i])
+          && !is_excluded (excluded, status->node, status->start))
         owner_choice_consider (&choice, status->node, key_hash);
     }
   return choice.name;
 }
 
 const char *
-slots_owner (const struct Front *front, const struct Replica *replica)
+gateway_owner (const struct Front *front, const char *key, const char *zone)
 {
-  const char *owner = gateway_owner (front, replica->entry.id, replica->entry.zone);
+  return choose_owner (front, key, zone, NULL);
+}
 
-  return owner != NULL ? owner : gateway_owner (front, replica->entry.id, NULL);
+void
+slots_find_owner (const struct Front *front,
+                  const struct Replica *replica,
+                  const struct SlotOwner *excluded,
+                  struct SlotOwner *owner)
+{
+  const struct Node *node = front->node;
+  const char *name = choose_owner (front, replica->entry.id, replica->entry.zone, excluded);
+  const struct Peer *peer;
+
+  if (name == NULL)
+    name = choose_owner (front, replica->entry.id, NULL, excluded);
+  snprintf (owner->name, sizeof owner->name, "%s", name != NULL ? name : "");
+  peer = node_peer (node, owner->name);
+  owner->start = peer != NULL ? peer->status.start : node->start;
+}
+
+uint64_t
+slots_hash_gateways (const struct Front *front)
+{
+  const struct Node *node = front->node;
+  uint64_t hash = front->stop_ms != 0;
+
+  for (size_t i = 0; i < node->peers->n_peers; i++)
+    {
+      const struct Peer *peer = node->peers->peers[i];
+
+      if (peer_may_own (node, peer))
+        hash += XXH64 (&peer->status.start, sizeof peer->status.start, peer->rank);
+    }
+  return hash;
 }
 
 /* Granting slots as an owner. */
@@ -89,6 +137,33 @@
              : SLOT_ORDER_BY_PROGRAM;
 }
 
+static bool
+slots_owns (void *data, const char *server)
+{
+  const struct Slots *slots = data;
+  const struct Replica *replica = replica_set_find (slots->front->replicas, server);
+  struct SlotOwner owner;
+
+  if (replica == NULL)
+    return false;
+  slots_find_owner (slots->front, replica, NULL, &owner);
+  return strcmp (owner.name, slots->front->node->settings->instance) == 0;
+}
+
+/* Fills in how many requests run at a server of another owner, present or previous, as far as it is
+ * known from its digests and this gateway's own requests. */
+static void
+slots_fill_expected (const struct Slots *slots, struct SlotServer *server, int64_t now_ms)
+{
+  const struct Replica *replica = replica_set_find (slots->front->replicas, server->id);
+
+  server->n_expected = slots_count_held (slots->front, server->id);
+  if (replica == NULL || replica->load_received_ms == 0)
+    return;
+  server->n_expected += replica->peers_in_flight;
+  server->expected_age_ms = now_ms - replica->load_received_ms;
+}
+
 void
 slots_on_request (struct Slots *slots,
                   uint64_t link,
@@ -110,6 +185,9 @@
     .customer = message->customer,
     .part = message->part,
     .part_tokens = message->part_tokens,
+    .waited_ms = message->waited_ms,
+    .is_granted = message->is_granted,
+    .granted_for_ms = message->granted_for_ms,
   };
   struct SlotServer server = {
     .id = message->server,
@@ -122,6 +200,9 @@
 
   snprintf (slot_request.requester, sizeof slot_request.requester, "%s", sender);
   response.slot_state.id = message->id;
+  server.is_foreign = !slots_owns (slots, message->server);
+  if (server.is_foreign || !slot_queue_is_owned (slots->queues, message->server))
+    slots_fill_expected (slots, &server, now_ms);
   if (message->first_service_ms != 0)
     slots_grant (slots, message->server);
   if (slot_queue_request (slots->queues, &server, &slot_request, now_ms, &response.slot_state.state)
@@ -153,6 +234,7 @@
 struct SlotDigest *
 slots_digest (struct Slots *slots, TALLOC_CTX *ctx, bool busy_only, size_t *n_digests)
 {
+  slot_queues_disown (slots->queues, slots_owns, timer_now_ms (slots->front->node->timers), slots);
   return slot_queues_digest (slots->queues, ctx, busy_only,
                              timer_now_ms (slots->front->node->timers), n_digests);
 }
--- a/gateway/slots.c
+++ b/gateway/slots.c
@@ -3,6 +3,7 @@
 #include "contention.h"
 #include "paces.h"
 
+#include <buckthornhead/counter.h>
 #include <buckthornhead/histogram.h>
 #include <buckthornhead/log.h>
 #include <buckthornhead/scheduling/admission.h>
@@ -20,6 +21,9 @@
   /* Interval at which a waiting request queries its owner again; bounds the delay after a lost
    * response or a change of owner. */
   ASK_INTERVAL_MS = 200,
+  /* Interval at which changes of owners are looked for; below OWNER_TIMEOUT_MS, so that a new owner
+   * has the reports before it is queried by those who timed out. */
+  FOLLOW_INTERVAL_MS = 50,
   /* Callers abandon a stream whose first event takes longer than two seconds; a request that would
    * wait longer is rejected early enough for a retry. */
   CALLER_FIRST_EVENT_MS = 2000,
@@ -30,17 +34,18 @@
 /* A request's slot, or its place in the queue, at an owner. */
 struct SlotWait
 {
-  char owner[NAME_MAX_BYTES + 1];
+  struct SlotHold hold;
   char server[NAME_MAX_BYTES + 1];
   uint64_t id;
-  int64_t first_asked_ms;
-  bool granted;
+  uint64_t gateways;  /* slots_hash_gateways when its owner was last looked up */
   bool logged_queued; /* its wait was logged */
-  bool answered;      /* the owner has responded to the last query */
   uint32_t n_moves;
   struct Timer *timer;
 };
 
+static void
+slots_on_follow (void *data);
+
 struct Slots *
 slots_new (struct Front *front)
 {
@@ -50,7 +55,10 @@
     return NULL;
   slots->front = front;
   slots->queues = slot_queues_new (slots);
-  if (slots->queues == NULL)
+  if (slots->queues == NULL
+      || timer_subscribe (slots, front->node->timers, FOLLOW_INTERVAL_MS, FOLLOW_INTERVAL_MS,
+                          slots_on_follow, slots)
+             == NULL)
     TALLOC_FREE (slots);
   return slots;
 }
@@ -146,6 +154,11 @@
   slot_request->capacity_tokens = request->capacity_tokens;
   if (request_is_plain (request))
     slot_request_fill_plain (slot_request, request, now_ms);
+  if (wait->hold.is_moved)
+    slot_request->waited_ms = (uint32_t)(now_ms - wait->hold.began_ms);
+  slot_request->is_granted = wait->hold.granted;
+  if (wait->hold.granted)
+    slot_request->granted_for_ms = (uint32_t)(now_ms - wait->hold.granted_ms);
   if (!request->front->node->settings->decisions.order)
     {
       slot_request->customer_priority = 0;
@@ -163,21 +176,26 @@
       slot_request->part = shared->id;
       slot_request->part_tokens = shared->tokens;
     }
-  wait->answered = false;
-  return node_send (node, wait->owner, &message);
+  wait->hold.is_answered = false;
+  wait->hold.sent_ms = now_ms;
+  return node_send (node, wait->hold.owner.name, &message);
 }
 
+/* Notifies a gateway that it counts the request no longer. */
 static void
-slots_send_done (struct Request *request)
+slots_send_done (struct Request *request, const struct SlotOwner *to, enum SlotOutcome outcome)
 {
   struct SlotWait *wait = request->slot_wait;
   struct GatewayMessage message = { .kind = GATEWAY_SLOT_DONE };
 
+  if (to->name[0] == '\0')
+    return;
   message.slot_done.id = wait->id;
-  message.slot_done.outcome = request->outcome;
-  paces_fill_done (request, &message.slot_done);
+  message.slot_done.outcome = outcome;
+  if (to == &wait->hold.owner)
+    paces_fill_done (request, &message.slot_done);
   snprintf (message.slot_done.server, sizeof message.slot_done.server, "%s", wait->server);
-  node_send (request->front->node, wait->owner, &message);
+  node_send (request->front->node, to->name, &message);
 }
 
 static void
@@ -187,9 +205,9 @@
   int64_t now_ms = timer_now_ms (request->front->node->timers);
 
   TALLOC_FREE (wait->timer);
-  wait->granted = true;
+  slot_hold_note_granted (&wait->hold, now_ms);
   histogram_add (request_is_plain (request) ? HISTOGRAM_PLAIN_SLOT_WAIT : HISTOGRAM_SLOT_WAIT,
-                 now_ms - wait->first_asked_ms);
+                 now_ms - wait->hold.began_ms);
   /* A delayed event loop handles the grant before the timer of the deadline. */
   if (request_is_plain (request) && now_ms >= request->deadline_ms)
     {
@@ -202,6 +220,8 @@
 
 static void
 slots_on_timer (void *data);
+static void
+slots_follow (struct Slots *slots);
 
 static void
 slots_wait (struct Request *request, int64_t wait_ms)
@@ -213,23 +233,56 @@
       timer_subscribe (wait, request->front->node->timers, wait_ms, 0, slots_on_timer, request);
 }
 
-/* Queries the current owner of the server, and cancels at the previous one after a change. */
+/* Sends the request although no owner has granted a slot. */
+static void
+slots_send_without_owner (struct Request *request)
+{
+  counter_add (COUNTER_SLOTS_WITHOUT_OWNER, 1);
+  log_request (
+      LOG_LEVEL_INFO, "sent_without_owner", request->caller.id, request->caller.program,
+      "%s: %u gateways did not respond, %lld ms waited", request->slot_wait->server,
+      request->slot_wait->hold.n_silent,
+      (long long)(timer_now_ms (request->front->node->timers) - request->slot_wait->hold.began_ms));
+  slots_send_request (request);
+}
+
+/* Makes owner the one that is queried next, and cancels at the previous one. */
+static void
+slots_set_owner (struct Request *request, const struct SlotOwner *owner)
+{
+  struct SlotWait *wait = request->slot_wait;
+  struct SlotOwner cancelled;
+
+  wait->gateways = request->front->slots->gateways;
+  slot_hold_set_owner (&wait->hold, owner, &cancelled);
+  slots_send_done (request, &cancelled, SLOT_NOT_USED);
+}
+
+/* Queries the current owner of the server. May send or end the request before it returns. */
 static void
 slots_query_owner (struct Request *request)
 {
   struct SlotWait *wait = request->slot_wait;
-  const char *owner = slots_owner (request->front, request->replica);
+  int64_t now_ms = timer_now_ms (request->front->node->timers);
+  struct SlotOwner owner, excluded;
 
-  if (owner != NULL && strcmp (owner, wait->owner) != 0)
+  /* A new owner must receive what is held before it grants more. */
+  slots_follow (request->front->slots);
+  do
     {
-      if (wait->owner[0] != '\0')
-        slots_send_done (request);
-      snprintf (wait->owner, sizeof wait->owner, "%s", owner);
+      excluded = slot_hold_excluded (&wait->hold, now_ms);
+      slots_find_owner (request->front, request->replica, &excluded, &owner);
+      if (owner.name[0] == '\0')
+        break;
+      slots_set_owner (request, &owner);
+      if (slots_send_slot_request (request) == ERROR_NONE)
+        {
+          slots_wait (request, OWNER_TIMEOUT_MS);
+          return;
+        }
     }
-  if (owner == NULL || slots_send_slot_request (request) != ERROR_NONE)
-    slots_send_request (request);
-  else
-    slots_wait (request, OWNER_TIMEOUT_MS);
+  while (slot_hold_note_silent (&wait->hold, now_ms));
+  slots_send_without_owner (request);
 }
 
 /* The owner has not responded in time, or the next query is due. */
@@ -238,21 +291,120 @@
 {
   struct Request *request = data;
   struct SlotWait *wait = request->slot_wait;
+  bool queries_next;
 
   wait->timer = NULL;
-  if (wait->answered)
+  if (wait->hold.is_answered)
     {
       slots_query_owner (request);
       return;
     }
+  queries_next = slot_hold_note_silent (&wait->hold, timer_now_ms (request->front->node->timers));
   log_request (LOG_LEVEL_INFO, "owner_silent", request->caller.id, request->caller.program,
-               "%s owns %s: sent without it", wait->owner, wait->server);
+               "%s owns %s: %s", wait->hold.owner.name, wait->server,
+               queries_next ? "the next gateway is queried" : "sent without it");
   if (request_is_plain (request))
     replica_record_owner_unresponsive (request->replica,
                                        timer_now_ms (request->front->node->timers));
-  slots_send_request (request);
+  if (queries_next)
+    slots_query_owner (request);
+  else
+    slots_send_without_owner (request);
+}
+
+/* Following the owners. */
+
+/* Queries the owner again once the event loop is back, without waiting for a response. */
+static void
+slots_query_soon (struct Request *request)
+{
+  request->slot_wait->hold.is_answered = true;
+  slots_wait (request, 0);
+}
+
+static void
+slots_log_report (const struct Request *request, const struct SlotOwner *owner)
+{
+  const struct SlotHold *hold = &request->slot_wait->hold;
+
+  /* Repeated until it is acknowledged. */
+  if (strcmp (hold->owner.name, owner->name) == 0 && hold->owner.start == owner->start)
+    return;
+  counter_add (COUNTER_SLOTS_REPORTED, 1);
+  log_request (LOG_LEVEL_INFO, "slot_reported", request->caller.id, request->caller.program,
+               "%s: granted by %s, reported to %s", request->slot_wait->server,
+               hold->owner.name[0] != '\0' ? hold->owner.name : "no owner", owner->name);
 }
 
+/* Reports the request's slot to the owner of its server, or requests its place in the queue there,
+ * if the owner has changed. */
+static void
+slots_follow_owner (struct Request *request)
+{
+  struct SlotWait *wait = request->slot_wait;
+  int64_t now_ms = timer_now_ms (request->front->node->timers);
+  struct SlotOwner owner, excluded;
+
+  excluded = slot_hold_excluded (&wait->hold, now_ms);
+  slots_find_owner (request->front, request->replica, &excluded, &owner);
+  switch (slot_hold_follow (&wait->hold, &owner, now_ms))
+    {
+    case SLOT_FOLLOW_NONE:
+      wait->gateways = request->front->slots->gateways;
+      break;
+    case SLOT_FOLLOW_REPORT:
+      slots_log_report (request, &owner);
+      slots_set_owner (request, &owner);
+      slots_send_slot_request (request);
+      break;
+    case SLOT_FOLLOW_QUERY:
+      slots_query_soon (request);
+      break;
+    }
+}
+
+static void
+slots_follow (struct Slots *slots)
+{
+  slots->gateways = slots_hash_gateways (slots->front);
+  for (struct Request *r = slots->front->requests; r != NULL; r = r->next)
+    if (r->slot_wait != NULL
+        && (r->slot_wait->gateways != slots->gateways
+            || (r->slot_wait->hold.granted && !r->slot_wait->hold.is_answered)))
+      slots_follow_owner (r);
+}
+
+static void
+slots_on_follow (void *data)
+{
+  struct Slots *slots = data;
+
+  if (slots->front->requests != NULL)
+    slots_follow (slots);
+}
+
+void
+slots_peer_lost (struct Slots *slots, const char *name)
+{
+  for (struct Request *r = slots->front->requests; r != NULL; r = r->next)
+    if (r->slot_wait != NULL && !r->slot_wait->hold.granted && !r->slot_wait->hold.is_answered
+        && strcmp (r->slot_wait->hold.owner.name, name) == 0)
+      slots_query_soon (r);
+}
+
+uint32_t
+slots_count_held (const struct Front *front, const char *server)
+{
+  uint32_t n = 0;
+
+  for (const struct Request *r = front->requests; r != NULL; r = r->next)
+    n += r->slot_wait != NULL && r->slot_wait->hold.granted
+         && strcmp (r->slot_wait->server, server) == 0;
+  return n;
+}
+
+/* Requesting and releasing. */
+
 /* Requests a slot from the owner. May send or end the request before it returns. */
 static void
 slots_begin (struct Request *request, uint32_t n_moves)
@@ -266,7 +418,8 @@
       return;
     }
   wait->n_moves = n_moves;
-  wait->first_asked_ms = timer_now_ms (request->front->node->timers);
+  wait->hold.began_ms = timer_now_ms (request->front->node->timers);
+  wait->gateways = request->front->slots->gateways;
   wait->id = node_next_id (request->front->node);
   snprintf (wait->server, sizeof wait->server, "%s", request->replica->entry.id);
   slots_query_owner (request);
@@ -281,10 +434,12 @@
 void
 slots_release (struct Request *request)
 {
-  if (request->slot_wait == NULL)
+  struct SlotWait *wait = request->slot_wait;
+
+  if (wait == NULL)
     return;
-  if (request->slot_wait->owner[0] != '\0')
-    slots_send_done (request);
+  slots_send_done (request, &wait->hold.owner, request->outcome);
+  slots_send_done (request, &wait->hold.previous, SLOT_NOT_USED);
   TALLOC_FREE (request->slot_wait);
 }
 
@@ -370,7 +525,7 @@
       LOG_LEVEL_INFO, "queued", request->caller.id, request->caller.program,
       "%s, owner %s: %u running or waiting, %u ahead, estimated wait %u ms; %lld ms left for its "
       "program",
-      request->slot_wait->server, request->slot_wait->owner, state->total, state->ahead,
+      request->slot_wait->server, request->slot_wait->hold.owner.name, state->total, state->ahead,
       state->wait_ms,
       request->program_deadline_ms != INT64_MAX
           ? (long long)(request->program_deadline_ms - timer_now_ms (request->front->node->timers))
@@ -405,7 +560,6 @@
     left_ms = slots_plain_longest_wait_ms (request, state);
   if (request_is_plain (request) && request->route.kind != ROUTE_STREAM)
     first_event_ms = left_ms;
-  request->slot_wait->answered = true;
   slots_update_total (request, state);
   if (state->granted)
     {
@@ -426,12 +580,16 @@
 }
 
 void
-slots_on_state (struct Front *front, const struct SlotStateMessage *message)
+slots_on_state (struct Front *front, const char *sender, const struct SlotStateMessage *message)
 {
   for (struct Request *r = front->requests; r != NULL; r = r->next)
     if (r->slot_wait != NULL && r->slot_wait->id == message->id)
       {
-        if (!r->slot_wait->granted)
+        /* A previous owner's response: the request was cancelled there. */
+        if (strcmp (r->slot_wait->hold.owner.name, sender) != 0)
+          return;
+        slot_hold_note_answered (&r->slot_wait->hold);
+        if (!r->slot_wait->hold.granted)
           slots_handle_state (r, &message->state);
         return;
       }
--- a/gateway/slots.h
+++ b/gateway/slots.h
@@ -3,8 +3,9 @@
  *
  * Each server has one owner at a time, a live gateway of its availability zone that all gateways
  * select by the same hash. The owner orders requests with core/scheduling/slot_queue.c. When it
- * does not respond, the request is sent without a grant and the server queues it in order of
- * arrival. */
+ * does not respond, the next one is queried, and then the request is sent without a grant and the
+ * server queues it in order of arrival. When the owner changes, requests report their slots to the
+ * new one. */
 #pragma once
 
 #include "front.h"
@@ -33,6 +34,11 @@
 void
 slots_note_full (struct Request *request);
 
+/* Queries the next owner for requests that wait for a response of the gateway name, whose link was
+ * closed or whose instance refused a connection. */
+void
+slots_peer_lost (struct Slots *slots, const char *name);
+
 /* Messages. */
 void
 slots_on_request (struct Slots *slots,
@@ -40,7 +46,7 @@
                   const char *sender,
                   const struct SlotRequestMessage *slot_request);
 void
-slots_on_state (struct Front *front, const struct SlotStateMessage *message);
+slots_on_state (struct Front *front, const char *sender, const struct SlotStateMessage *message);
 void
 slots_on_done (struct Slots *slots, const char *sender, const struct SlotDoneMessage *done);
 
--- a/gateway/slots_internal.h
+++ b/gateway/slots_internal.h
@@ -4,13 +4,29 @@
 
 #include "slots.h"
 
+#include <buckthornhead/scheduling/slot_hold.h>
+
 struct Slots
 {
   struct Front *front;
   struct SlotQueues *queues; /* for the servers that this gateway owns */
+  uint64_t gateways;         /* slots_hash_gateways when the holds last followed it */
 };
 
-/* Returns the gateway that owns the server: one of its availability zone, or of any if that has
- * none. NULL when there is none. */
-const char *
-slots_owner (const struct Front *front, const struct Replica *replica);
+/* Sets *owner to the gateway that owns the server: one of its availability zone, or of any if that
+ * has none; its name is "" when there is none. Leaves out the start of a gateway excluded;
+ * NULL: none. */
+void
+slots_find_owner (const struct Front *front,
+                  const struct Replica *replica,
+                  const struct SlotOwner *excluded,
+                  struct SlotOwner *owner);
+
+/* Returns a hash of the gateways that may own servers; it changes when an owner may have changed.
+ */
+uint64_t
+slots_hash_gateways (const struct Front *front);
+
+/* Returns how many requests of this gateway have a slot of the server. */
+uint32_t
+slots_count_held (const struct Front *front, const char *server);
--- a/include/buckthornhead/gateway_message.h
+++ b/include/buckthornhead/gateway_message.h
@@ -172,6 +172,10 @@
   uint64_t program;          /* hash of the program's id; 0: not reported */
   uint64_t customer;         /* hash of the customer's name; 0: none */
   uint32_t first_service_ms; /* service time until the queue has measured it; 0: default */
+  uint32_t waited_ms;        /* since the first query of an owner */
+  /* Reports a slot that another owner granted, or that is used without a grant. */
+  bool is_granted;
+  uint32_t granted_for_ms; /* how long ago; valid with is_granted */
 };
 
 struct SlotStateMessage
--- a/include/buckthornhead/scheduling/slot_queue.h
+++ b/include/buckthornhead/scheduling/slot_queue.h
@@ -5,8 +5,12 @@
  * they have no notion of programs or priorities. Requests therefore wait at the one gateway that
  * owns the server. This matters when turns exceed the engines' capacity for some seconds: in order
  * of arrival all programs are late, even those that were nearly done; in this order as many as the
- * engines have capacity for end in time. While gateways disagree on a server's owner, it is briefly
- * sent more requests than it has slots. Does no I/O. */
+ * engines have capacity for end in time.
+ *
+ * When the owner changes, the holders report to the new one what the previous one granted them; see
+ * slot_hold.h. Until their reports have arrived, the requests that are known from load reports
+ * count as running. While gateways disagree on the owner, the server may be sent more requests than
+ * it has slots, by those that end meanwhile. Does no I/O. */
 #pragma once
 
 #include <buckthornhead/call.h>
@@ -28,9 +32,12 @@
   int64_t deadline_ms;                /* deadline of the request's caller */
   uint64_t part;                      /* id of the prompt's largest shared part; 0: none */
   uint32_t part_tokens;
-  uint64_t program;  /* hash of its program's id; 0: none */
-  uint64_t customer; /* hash of its customer's name; 0: none */
-  int64_t since_ms;  /* since when its program waits, over its retries; set by the queue */
+  uint64_t program;        /* hash of its program's id; 0: none */
+  uint64_t customer;       /* hash of its customer's name; 0: none */
+  int64_t since_ms;        /* since when its program waits, over its retries; set by the queue */
+  uint32_t waited_ms;      /* how long it has waited with previous owners */
+  bool is_granted;         /* it already has a slot, from another owner or without one */
+  uint32_t granted_for_ms; /* since when; valid with is_granted */
 };
 
 /* In which order requests wait. */
@@ -87,6 +94,12 @@
    * an engine. */
   uint32_t first_service_ms;
   enum SlotOrder order;
+  /* Another gateway owns the server, as far as this one knows. */
+  bool is_foreign;
+  /* Requests that run there, as far as it is known from digests and this gateway's own requests.
+   * Only read while the server is foreign, and when its queue takes it over. */
+  uint32_t n_expected;
+  int64_t expected_age_ms;
 };
 
 /* Grants a new request if there is room, or else queues it. A repeated SlotRequest returns the
@@ -107,6 +120,18 @@
   SLOT_FULL    /* the server rejected it because it is full; only for plain servers */
 };
 
+/* Returns whether this gateway has a queue that owns the server. */
+bool
+slot_queue_is_owned (const struct SlotQueues *queues, const char *server);
+
+/* Marks the queues of servers for which is_owner returns false as foreign: they pause, so that the
+ * slots are granted by one gateway while others do not know of the new owner. */
+void
+slot_queues_disown (struct SlotQueues *queues,
+                    bool (*is_owner) (void *data, const char *server),
+                    int64_t now_ms,
+                    void *data);
+
 /* Removes a request that has ended or was cancelled. */
 void
 slot_queue_done (struct SlotQueues *queues,
@@ -145,8 +170,9 @@
                     void (*each) (void *data, const char *server),
                     void *data);
 
-/* Returns the digests of all servers with recent requests, or with busy_only just of those with at
- * least half as many requests as slots. The array is allocated on ctx; NULL without memory. */
+/* Returns the digests of all servers whose slots this gateway grants and that have recent requests,
+ * or with busy_only just of those with at least half as many requests as slots. The array is
+ * allocated on ctx; NULL without memory. */
 struct SlotDigest *
 slot_queues_digest (
     struct SlotQueues *queues, TALLOC_CTX *ctx, bool busy_only, int64_t now_ms, size_t *n_digests);
--- a/tests/standins/installation.c
+++ b/tests/standins/installation.c
@@ -327,28 +327,58 @@
   return body;
 }
 
-uint32_t
-installation_max_runs_in_window (struct Installation *in, const char *customer, int64_t span_ms)
+/* Returns the maximum number of runs that started within any period of span_ms, among those for
+ * which is_counted returns true. */
+static uint32_t
+runs_max_in_window (struct Installation *in,
+                    bool (*is_counted) (const struct Run *run, const void *data),
+                    const void *data,
+                    int64_t span_ms)
 {
-  char line[96];
   uint32_t n = 0, most = 0;
   size_t first = 0;
 
-  snprintf (line, sizeof line, "X-Tenant: %s\n", customer);
   pthread_mutex_lock (&in->lock);
   for (size_t i = 0; i < in->n_runs; i++)
     {
-      if (strstr (in->runs[i].headers, line) == NULL)
+      if (!is_counted (&in->runs[i], data))
         continue;
       n++;
       for (; in->runs[first].started_ms <= in->runs[i].started_ms - span_ms; first++)
-        n -= strstr (in->runs[first].headers, line) != NULL;
+        n -= is_counted (&in->runs[first], data);
       most = n > most ? n : most;
     }
   pthread_mutex_unlock (&in->lock);
   return most;
 }
 
+static bool
+run_has_header (const struct Run *run, const void *line)
+{
+  return strstr (run->headers, line) != NULL;
+}
+
+uint32_t
+installation_max_runs_in_window (struct Installation *in, const char *customer, int64_t span_ms)
+{
+  char line[96];
+
+  snprintf (line, sizeof line, "X-Tenant: %s\n", customer);
+  return runs_max_in_window (in, run_has_header, line, span_ms);
+}
+
+static bool
+run_is_on_server (const struct Run *run, const void *server)
+{
+  return run->server == *(const uint32_t *)server;
+}
+
+uint32_t
+server_max_runs_in_window (struct Installation *in, uint32_t server, int64_t span_ms)
+{
+  return runs_max_in_window (in, run_is_on_server, &server, span_ms);
+}
+
 char *
 installation_header_of (struct Installation *in,
                         TALLOC_CTX *ctx,
--- a/tests/standins/installation.h
+++ b/tests/standins/installation.h
@@ -143,6 +143,9 @@
 installation_max_runs_in_window (struct Installation *installation,
                                  const char *customer,
                                  int64_t span_ms);
+/* Returns the maximum number of requests that the server started within any period of span_ms. */
+uint32_t
+server_max_runs_in_window (struct Installation *installation, uint32_t server, int64_t span_ms);
 /* Returns the body of the last run of request, allocated on ctx; NULL when it did not run. */
 char *
 installation_body_of (struct Installation *installation, TALLOC_CTX *ctx, const char *request);
--- a/tests/test_gateway_message.c
+++ b/tests/test_gateway_message.c
@@ -133,6 +133,17 @@
   CU_ASSERT_EQUAL (unpacked->slot_request.program, 77);
   CU_ASSERT_EQUAL (unpacked->slot_request.customer, 78);
   CU_ASSERT_EQUAL (unpacked->slot_request.first_service_ms, 30);
+  CU_ASSERT_FALSE (unpacked->slot_request.is_granted);
+  message.slot_request.waited_ms = 410;
+  unpacked = round_trip (ctx, &message);
+  CU_ASSERT_EQUAL (unpacked->slot_request.waited_ms, 410);
+  CU_ASSERT_FALSE (unpacked->slot_request.is_granted);
+  message.slot_request.is_granted = true;
+  message.slot_request.granted_for_ms = 90;
+  message.slot_request.waited_ms = 0;
+  unpacked = round_trip (ctx, &message);
+  CU_ASSERT_TRUE (unpacked->slot_request.is_granted);
+  CU_ASSERT_EQUAL (unpacked->slot_request.granted_for_ms, 90);
   message.kind = GATEWAY_SLOT_DONE;
   message.slot_done = (struct SlotDoneMessage){ .id = 6,
                                                 .server = "i-1",
