Report held slots before each query, and fall back to the own gateway

Change: a gateway reports the slots that it holds of a server to whichever gateway it is about to query for it. After two silent gateways the request's own one grants: that needs no link, and it knows its own slots and the last digests. sent_without_owner is left for a lack of memory. The check of changes of owners costs nothing while the table of peers does not change (PeerTable.n_changes), but for silence, which is looked for every 250 ms.

--- a/core/membership/peer_table.c
+++ b/core/membership/peer_table.c
@@ -166,6 +166,7 @@
     return NULL;
   *changed = now_ms - peer->status_ms >= PEER_TABLE_LIVE_MS || peer->status.start != status->start
              || !node_status_is_equal (&peer->status, status);
+  table->n_changes += *changed;
   peer_set_status (peer, status);
   peer_note_received (peer, now_ms);
   peer->status_ms = now_ms;
@@ -310,6 +311,7 @@
 {
   uint64_t bit = 1ULL << (source - table->sources);
 
+  table->n_changes++;
   for (size_t i = 0; i < table->n_peers; i++)
     if ((table->peers[i]->listed_by & bit) != 0)
       {
@@ -399,6 +401,7 @@
 {
   struct PeerListSource *source = source_find_or_add (table, aggregator, snapshot->kind, now_ms);
 
+  table->n_changes += snapshot->n_items > 0;
   if (snapshot->base != 0 && (!source->has_list || source->content != snapshot->base))
     return source->has_list && source->content == snapshot->content;
   if (snapshot->base == 0)
--- a/core/scheduling/slot_hold.c
+++ b/core/scheduling/slot_hold.c
@@ -9,7 +9,8 @@
   /* How long a gateway that did not respond is not queried for the request. By then it has
    * responded to others or is known to be unresponsive. */
   SILENT_MS = 700,
-  /* Owners that are queried for one request. Their timeouts add up while the caller waits. */
+  /* Other gateways that are queried for one request. Their timeouts add up while the caller waits.
+   */
   OWNERS_QUERIED_MAX = 2
 };
 
@@ -58,12 +59,24 @@
   hold->previous = replaced;
 }
 
-bool
+void
 slot_hold_note_silent (struct SlotHold *hold, int64_t now_ms)
 {
   hold->silent = hold->owner;
   hold->silent_until_ms = now_ms + SILENT_MS;
-  return ++hold->n_silent < OWNERS_QUERIED_MAX;
+  hold->n_silent++;
+}
+
+bool
+slot_hold_needs_own_gateway (const struct SlotHold *hold)
+{
+  return hold->n_silent >= OWNERS_QUERIED_MAX;
+}
+
+bool
+slot_hold_is_counted_by (const struct SlotHold *hold, const struct SlotOwner *owner)
+{
+  return owner_is_equal (&hold->owner, owner) || owner_is_equal (&hold->previous, owner);
 }
 
 struct SlotOwner
--- a/core/scheduling/slot_queue.c
+++ b/core/scheduling/slot_queue.c
@@ -371,7 +371,7 @@
   if (queue->is_owned && !server->is_foreign)
     return;
   queue_set_owned (queue, !server->is_foreign, now_ms);
-  queue_expect (queue, server->n_expected, now_ms - server->expected_age_ms);
+  queue_expect (queue, server->n_expected, now_ms);
 }
 
 bool
--- a/gateway/slot_owner.c
+++ b/gateway/slot_owner.c
@@ -10,6 +10,11 @@
 
 /* Owners. */
 
+enum
+{
+  LOAD_VALID_MS = 500 /* the longest interval between two digests */
+};
+
 struct OwnerChoice
 {
   const char *name;
@@ -71,21 +76,30 @@
   return choose_owner (front, key, zone, NULL);
 }
 
+void
+slots_own_gateway (const struct Front *front, struct SlotOwner *owner)
+{
+  snprintf (owner->name, sizeof owner->name, "%s", front->node->settings->instance);
+  owner->start = front->node->start;
+}
+
 void
 slots_find_owner (const struct Front *front,
                   const struct Replica *replica,
                   const struct SlotOwner *excluded,
                   struct SlotOwner *owner)
 {
-  const struct Node *node = front->node;
   const char *name = choose_owner (front, replica->entry.id, replica->entry.zone, excluded);
   const struct Peer *peer;
 
   if (name == NULL)
     name = choose_owner (front, replica->entry.id, NULL, excluded);
-  snprintf (owner->name, sizeof owner->name, "%s", name != NULL ? name : "");
-  peer = node_peer (node, owner->name);
-  owner->start = peer != NULL ? peer->status.start : node->start;
+  peer = name != NULL ? node_peer (front->node, name) : NULL;
+  slots_own_gateway (front, owner);
+  if (peer == NULL)
+    return;
+  snprintf (owner->name, sizeof owner->name, "%s", name);
+  owner->start = peer->status.start;
 }
 
 uint64_t
@@ -150,18 +164,21 @@
   return strcmp (owner.name, slots->front->node->settings->instance) == 0;
 }
 
-/* Fills in how many requests run at a server of another owner, present or previous, as far as it is
- * known from its digests and this gateway's own requests. */
-static void
-slots_fill_expected (const struct Slots *slots, struct SlotServer *server, int64_t now_ms)
+/* Returns how many requests run at a server of another owner, present or previous, as far as it is
+ * known from this gateway's own requests and from digests, whose requests end with time. */
+static uint32_t
+slots_expected (const struct Slots *slots, const char *server, int64_t now_ms)
 {
-  const struct Replica *replica = replica_set_find (slots->front->replicas, server->id);
+  const struct Replica *replica = replica_set_find (slots->front->replicas, server);
+  uint32_t n_held = slots_count_held (slots->front, server);
+  int64_t left_ms;
 
-  server->n_expected = slots_count_held (slots->front, server->id);
-  if (replica == NULL || replica->load_received_ms == 0)
-    return;
-  server->n_expected += replica->peers_in_flight;
-  server->expected_age_ms = now_ms - replica->load_received_ms;
+  if (replica == NULL)
+    return n_held;
+  left_ms = replica->load_received_ms + LOAD_VALID_MS - now_ms;
+  if (replica->load_received_ms == 0 || left_ms <= 0)
+    return n_held;
+  return n_held + (uint32_t)(replica->peers_in_flight * left_ms / LOAD_VALID_MS);
 }
 
 void
@@ -202,7 +219,7 @@
   response.slot_state.id = message->id;
   server.is_foreign = !slots_owns (slots, message->server);
   if (server.is_foreign || !slot_queue_is_owned (slots->queues, message->server))
-    slots_fill_expected (slots, &server, now_ms);
+    server.n_expected = slots_expected (slots, message->server, now_ms);
   if (message->first_service_ms != 0)
     slots_grant (slots, message->server);
   if (slot_queue_request (slots->queues, &server, &slot_request, now_ms, &response.slot_state.state)
--- a/gateway/slots.c
+++ b/gateway/slots.c
@@ -24,6 +24,8 @@
   /* Interval at which changes of owners are looked for; below OWNER_TIMEOUT_MS, so that a new owner
    * has the reports before it is queried by those who timed out. */
   FOLLOW_INTERVAL_MS = 50,
+  /* The same for gateways that become silent, which no message reports. */
+  FOLLOW_SILENT_INTERVAL_MS = 250,
   /* Callers abandon a stream whose first event takes longer than two seconds; a request that would
    * wait longer is rejected early enough for a retry. */
   CALLER_FIRST_EVENT_MS = 2000,
@@ -206,6 +208,9 @@
 
   TALLOC_FREE (wait->timer);
   slot_hold_note_granted (&wait->hold, now_ms);
+  /* The slot is reported to a gateway that was silent, too, if that is the owner. */
+  if (wait->hold.silent.name[0] != '\0')
+    wait->gateways = 0;
   histogram_add (request_is_plain (request) ? HISTOGRAM_PLAIN_SLOT_WAIT : HISTOGRAM_SLOT_WAIT,
                  now_ms - wait->hold.began_ms);
   /* A delayed event loop handles the grant before the timer of the deadline. */
@@ -220,8 +225,6 @@
 
 static void
 slots_on_timer (void *data);
-static void
-slots_follow (struct Slots *slots);
 
 static void
 slots_wait (struct Request *request, int64_t wait_ms)
@@ -258,30 +261,77 @@
   slots_send_done (request, &cancelled, SLOT_NOT_USED);
 }
 
+static void
+slots_log_report (const struct Request *request, const struct SlotOwner *owner)
+{
+  const struct SlotHold *hold = &request->slot_wait->hold;
+
+  /* Repeated until it is acknowledged. */
+  if (strcmp (hold->owner.name, owner->name) == 0 && hold->owner.start == owner->start)
+    return;
+  counter_add (COUNTER_SLOTS_REPORTED, 1);
+  log_request (LOG_LEVEL_INFO, "slot_reported", request->caller.id, request->caller.program,
+               "%s: granted by %s, reported to %s", request->slot_wait->server,
+               hold->owner.name[0] != '\0' ? hold->owner.name : "no owner", owner->name);
+}
+
+/* Reports the slot that the request uses. */
+static void
+slots_report (struct Request *request, const struct SlotOwner *owner)
+{
+  slots_log_report (request, owner);
+  slots_set_owner (request, owner);
+  slots_send_slot_request (request);
+}
+
+/* Reports all slots of the server that this gateway uses, so that owner does not grant them again.
+ */
+static void
+slots_report_held (const struct Front *front, const char *server, const struct SlotOwner *owner)
+{
+  for (struct Request *r = front->requests; r != NULL; r = r->next)
+    if (r->slot_wait != NULL && r->slot_wait->hold.granted
+        && strcmp (r->slot_wait->server, server) == 0
+        && !slot_hold_is_counted_by (&r->slot_wait->hold, owner))
+      slots_report (r, owner);
+}
+
+static void
+slots_choose_owner (const struct Request *request, struct SlotOwner *owner)
+{
+  const struct Front *front = request->front;
+  const struct SlotHold *hold = &request->slot_wait->hold;
+  const struct SlotOwner excluded = slot_hold_excluded (hold, timer_now_ms (front->node->timers));
+
+  if (slot_hold_needs_own_gateway (hold))
+    slots_own_gateway (front, owner);
+  else
+    slots_find_owner (front, request->replica, &excluded, owner);
+}
+
 /* Queries the current owner of the server. May send or end the request before it returns. */
 static void
 slots_query_owner (struct Request *request)
 {
+  const struct Front *front = request->front;
   struct SlotWait *wait = request->slot_wait;
-  int64_t now_ms = timer_now_ms (request->front->node->timers);
-  struct SlotOwner owner, excluded;
+  bool is_own = false;
 
-  /* A new owner must receive what is held before it grants more. */
-  slots_follow (request->front->slots);
-  do
+  while (!is_own)
     {
-      excluded = slot_hold_excluded (&wait->hold, now_ms);
-      slots_find_owner (request->front, request->replica, &excluded, &owner);
-      if (owner.name[0] == '\0')
-        break;
+      struct SlotOwner owner;
+
+      slots_choose_owner (request, &owner);
+      slots_report_held (front, wait->server, &owner);
       slots_set_owner (request, &owner);
       if (slots_send_slot_request (request) == ERROR_NONE)
         {
           slots_wait (request, OWNER_TIMEOUT_MS);
           return;
         }
+      slot_hold_note_silent (&wait->hold, timer_now_ms (front->node->timers));
+      is_own = strcmp (owner.name, front->node->settings->instance) == 0;
     }
-  while (slot_hold_note_silent (&wait->hold, now_ms));
   slots_send_without_owner (request);
 }
 
@@ -291,7 +341,7 @@
 {
   struct Request *request = data;
   struct SlotWait *wait = request->slot_wait;
-  bool queries_next;
+  int64_t now_ms = timer_now_ms (request->front->node->timers);
 
   wait->timer = NULL;
   if (wait->hold.is_answered)
@@ -299,17 +349,12 @@
       slots_query_owner (request);
       return;
     }
-  queries_next = slot_hold_note_silent (&wait->hold, timer_now_ms (request->front->node->timers));
+  slot_hold_note_silent (&wait->hold, now_ms);
   log_request (LOG_LEVEL_INFO, "owner_silent", request->caller.id, request->caller.program,
-               "%s owns %s: %s", wait->hold.owner.name, wait->server,
-               queries_next ? "the next gateway is queried" : "sent without it");
+               "%s owns %s: the next gateway is queried", wait->hold.owner.name, wait->server);
   if (request_is_plain (request))
-    replica_record_owner_unresponsive (request->replica,
-                                       timer_now_ms (request->front->node->timers));
-  if (queries_next)
-    slots_query_owner (request);
-  else
-    slots_send_without_owner (request);
+    replica_record_owner_unresponsive (request->replica, now_ms);
+  slots_query_owner (request);
 }
 
 /* Following the owners. */
@@ -322,40 +367,22 @@
   slots_wait (request, 0);
 }
 
-static void
-slots_log_report (const struct Request *request, const struct SlotOwner *owner)
-{
-  const struct SlotHold *hold = &request->slot_wait->hold;
-
-  /* Repeated until it is acknowledged. */
-  if (strcmp (hold->owner.name, owner->name) == 0 && hold->owner.start == owner->start)
-    return;
-  counter_add (COUNTER_SLOTS_REPORTED, 1);
-  log_request (LOG_LEVEL_INFO, "slot_reported", request->caller.id, request->caller.program,
-               "%s: granted by %s, reported to %s", request->slot_wait->server,
-               hold->owner.name[0] != '\0' ? hold->owner.name : "no owner", owner->name);
-}
-
 /* Reports the request's slot to the owner of its server, or requests its place in the queue there,
  * if the owner has changed. */
 static void
 slots_follow_owner (struct Request *request)
 {
   struct SlotWait *wait = request->slot_wait;
-  int64_t now_ms = timer_now_ms (request->front->node->timers);
-  struct SlotOwner owner, excluded;
+  struct SlotOwner owner;
 
-  excluded = slot_hold_excluded (&wait->hold, now_ms);
-  slots_find_owner (request->front, request->replica, &excluded, &owner);
-  switch (slot_hold_follow (&wait->hold, &owner, now_ms))
+  slots_choose_owner (request, &owner);
+  switch (slot_hold_follow (&wait->hold, &owner, timer_now_ms (request->front->node->timers)))
     {
     case SLOT_FOLLOW_NONE:
       wait->gateways = request->front->slots->gateways;
       break;
     case SLOT_FOLLOW_REPORT:
-      slots_log_report (request, &owner);
-      slots_set_owner (request, &owner);
-      slots_send_slot_request (request);
+      slots_report (request, &owner);
       break;
     case SLOT_FOLLOW_QUERY:
       slots_query_soon (request);
@@ -366,6 +393,14 @@
 static void
 slots_follow (struct Slots *slots)
 {
+  const struct Node *node = slots->front->node;
+  int64_t now_ms = timer_now_ms (node->timers);
+
+  if (slots->n_peer_changes == node->peers->n_changes
+      && now_ms - slots->followed_ms < FOLLOW_SILENT_INTERVAL_MS)
+    return;
+  slots->n_peer_changes = node->peers->n_changes;
+  slots->followed_ms = now_ms;
   slots->gateways = slots_hash_gateways (slots->front);
   for (struct Request *r = slots->front->requests; r != NULL; r = r->next)
     if (r->slot_wait != NULL
@@ -386,6 +421,7 @@
 void
 slots_peer_lost (struct Slots *slots, const char *name)
 {
+  slots->followed_ms = 0;
   for (struct Request *r = slots->front->requests; r != NULL; r = r->next)
     if (r->slot_wait != NULL && !r->slot_wait->hold.granted && !r->slot_wait->hold.is_answered
         && strcmp (r->slot_wait->hold.owner.name, name) == 0)
--- a/gateway/slots.h
+++ b/gateway/slots.h
@@ -3,9 +3,8 @@
  *
  * Each server has one owner at a time, a live gateway of its availability zone that all gateways
  * select by the same hash. The owner orders requests with core/scheduling/slot_queue.c. When it
- * does not respond, the next one is queried, and then the request is sent without a grant and the
- * server queues it in order of arrival. When the owner changes, requests report their slots to the
- * new one. */
+ * does not respond, the next one is queried, and then this gateway itself. When the owner changes,
+ * requests report their slots to the new one. */
 #pragma once
 
 #include "front.h"
--- a/gateway/slots_internal.h
+++ b/gateway/slots_internal.h
@@ -11,10 +11,16 @@
   struct Front *front;
   struct SlotQueues *queues; /* for the servers that this gateway owns */
   uint64_t gateways;         /* slots_hash_gateways when the holds last followed it */
+  uint64_t n_peer_changes;   /* PeerTable.n_changes then */
+  int64_t followed_ms;
 };
 
+/* Sets *owner to this gateway. */
+void
+slots_own_gateway (const struct Front *front, struct SlotOwner *owner);
+
 /* Sets *owner to the gateway that owns the server: one of its availability zone, or of any if that
- * has none; its name is "" when there is none. Leaves out the start of a gateway excluded;
+ * has none, or this one. Leaves out the start of a gateway excluded;
  * NULL: none. */
 void
 slots_find_owner (const struct Front *front,
--- a/include/buckthornhead/peer_table.h
+++ b/include/buckthornhead/peer_table.h
@@ -104,6 +104,7 @@
   size_t n_peers;
   struct Peer *by_name;
   struct PeerListSource sources[PEER_TABLE_SOURCES_MAX];
+  uint64_t n_changes; /* of statuses and lists; expiry with time is not counted */
   struct Snapshot *published[SNAPSHOT_KIND_MAX + 1]; /* of kinds ZONE and FLEET */
   int64_t next_revision;
   size_t next_silent; /* index in peers at which the search for a silent member continues */
--- a/include/buckthornhead/scheduling/slot_hold.h
+++ b/include/buckthornhead/scheduling/slot_hold.h
@@ -24,7 +24,7 @@
   int64_t silent_until_ms;   /* until then it is not queried */
   uint32_t n_silent;         /* since an owner last responded */
   bool is_moved;             /* it had another owner before */
-  bool granted;              /* or sent without a grant, when no owner could be queried */
+  bool granted;              /* or sent without a grant, for lack of memory */
   bool is_answered;          /* the owner has responded to the last query or report */
   int64_t began_ms, granted_ms;
   int64_t sent_ms; /* of the last query or report */
@@ -48,11 +48,19 @@
                      const struct SlotOwner *owner,
                      struct SlotOwner *cancelled);
 
-/* Records that the owner did not respond or could not be reached. Returns whether the next one is
- * to be queried; otherwise the request is sent without a grant. */
-bool
+/* Records that the owner did not respond or could not be reached. */
+void
 slot_hold_note_silent (struct SlotHold *hold, int64_t now_ms);
 
+/* Returns whether so many owners were silent that the request's own gateway is to grant the slot,
+ * which needs no link. */
+bool
+slot_hold_needs_own_gateway (const struct SlotHold *hold);
+
+/* Returns whether owner counts the request, or will when its report arrives. */
+bool
+slot_hold_is_counted_by (const struct SlotHold *hold, const struct SlotOwner *owner);
+
 /* Returns the gateway that is not to be queried, since it did not respond; its name is "" if there
  * is none. */
 struct SlotOwner
--- a/include/buckthornhead/scheduling/slot_queue.h
+++ b/include/buckthornhead/scheduling/slot_queue.h
@@ -99,7 +99,6 @@
   /* Requests that run there, as far as it is known from digests and this gateway's own requests.
    * Only read while the server is foreign, and when its queue takes it over. */
   uint32_t n_expected;
-  int64_t expected_age_ms;
 };
 
 /* Grants a new request if there is room, or else queues it. A repeated SlotRequest returns the
