Leave the longest interval of a stream out of its pace

Cause: a stream's sample was the time from its first to its last event over their number. A stall of some hundred milliseconds outweighs three intervals of 5 or 40 ms, so that the samples of both engines became alike.

Three intervals of 5 and of 40 ms with 850 ms in one of them are 288 and 323 ms in the mean, a ratio of 1.1.

Not shown: what stalled.

Change: with three intervals or more the longest one is left out. It changes decisions where the pace is used (auto: servers under contention or with work times), not elsewhere.

test_server_pace, "a stall is not the pace": 288333 and 323333 us before for 5000 and 40000 us.

--- a/core/scheduling/server_pace.c
+++ b/core/scheduling/server_pace.c
@@ -19,6 +19,8 @@
   CHANCE_ONE = 65536,
   SPEED_ONE = 1000 * 1000,  /* speed of a server with ratio 1; inverse of the ratio in permille */
   STREAM_INTERVALS_MIN = 3, /* with fewer, events that arrive together distort the mean */
+  /* Intervals from which on the longest one is left out. */
+  TRIM_INTERVALS_MIN = 3,
   /* A mean, a report and the server itself. */
   ROWS_PER_SERVER_MAX = PACE_KINDS_MAX + 2
 };
@@ -499,6 +501,16 @@
 
 /* Streams. */
 
+static void
+stream_pace_add_interval (struct StreamPace *pace, uint32_t n_events, int64_t duration_ms)
+{
+  pace->n_intervals++;
+  if (duration_ms <= pace->longest_ms)
+    return;
+  pace->longest_ms = duration_ms;
+  pace->longest_n = n_events;
+}
+
 void
 stream_pace_record (struct StreamPace *pace, uint32_t n_events, int64_t now_ms)
 {
@@ -509,6 +521,8 @@
       pace->first_n = n_events;
       pace->first_ms = now_ms;
     }
+  else
+    stream_pace_add_interval (pace, n_events - pace->last_n, now_ms - pace->last_ms);
   pace->last_n = n_events;
   pace->last_ms = now_ms;
 }
@@ -517,11 +531,16 @@
 stream_pace_sample_us (const struct StreamPace *pace)
 {
   uint32_t n = pace->last_n - pace->first_n;
-  int64_t sample_us;
+  int64_t total_ms = pace->last_ms - pace->first_ms, sample_us;
 
   if (pace->first_n == 0 || n < STREAM_INTERVALS_MIN)
     return 0;
-  sample_us = (pace->last_ms - pace->first_ms) * 1000 / n;
+  if (pace->n_intervals >= TRIM_INTERVALS_MIN)
+    {
+      n -= pace->longest_n;
+      total_ms -= pace->longest_ms;
+    }
+  sample_us = total_ms * 1000 / n;
   if (sample_us <= 0)
     return 0;
   return sample_us < UINT32_MAX ? (uint32_t)sample_us : UINT32_MAX;
--- a/include/buckthornhead/scheduling/server_pace.h
+++ b/include/buckthornhead/scheduling/server_pace.h
@@ -158,12 +158,17 @@
 {
   uint32_t first_n, last_n; /* number of events at the times below; 0: none yet */
   int64_t first_ms, last_ms;
+  uint32_t n_intervals; /* between two times at which events were received */
+  int64_t longest_ms;   /* duration of the longest interval, and its events */
+  uint32_t longest_n;
 };
 
 /* Records that n_events have been received since the stream began, at any server. */
 void
 stream_pace_record (struct StreamPace *pace, uint32_t n_events, int64_t now_ms);
 
-/* Returns the mean time between two events in microseconds; 0 with too few events. */
+/* Returns the mean time between two events in microseconds, without the longest interval if there
+ * are enough others: a stall of the server, of the network or of this process is not its speed. 0
+ * with too few events. */
 uint32_t
 stream_pace_sample_us (const struct StreamPace *pace);
--- a/tests/test_server_pace.c
+++ b/tests/test_server_pace.c
@@ -93,6 +93,22 @@
     CU_ASSERT (rows[i].kind >= 100 - PACE_KINDS_MAX);
 }
 
+/* Guards against a slow server that counts as usual, since all servers' streams stalled together
+ * for much longer than its events take. */
+static void
+test_a_stall_is_not_the_pace (void)
+{
+  struct StreamPace fast = { 0 }, slow = { 0 };
+
+  for (uint32_t n = 1; n <= 4; n++)
+    {
+      stream_pace_record (&fast, n, 5 * n + (n > 1 ? 850 : 0));
+      stream_pace_record (&slow, n, 40 * n + (n > 2 ? 850 : 0));
+    }
+  CU_ASSERT_EQUAL (stream_pace_sample_us (&fast), 5000);
+  CU_ASSERT_EQUAL (stream_pace_sample_us (&slow), 40000);
+}
+
 static void
 test_a_stream_is_measured_between_its_events (void)
 {
@@ -937,6 +953,7 @@
   { "an absurd sample is limited", test_an_absurd_sample_is_limited },
   { "a mean expires without samples", test_a_mean_expires_without_samples },
   { "kinds of work are bounded", test_kinds_are_bounded },
+  { "a stall is not the pace", test_a_stall_is_not_the_pace },
   { "a stream is measured between its events", test_a_stream_is_measured_between_its_events },
   { "a ratio is relative to the median and bounded",
     test_a_ratio_is_relative_to_the_median_and_bounded },
