--- a/core/scheduling/slot_queue.c
+++ b/core/scheduling/slot_queue.c
@@ -29,8 +29,8 @@
    * have ended or were reported by their holders. */
   EXPECTED_MAX_MS = 500,
   /* How long a gateway that has lost a server to another one grants no slots to those that do not
-   * know it yet. A gateway that still receives requests after this time is taken for the owner by
-   * some, for which it grants again. */
+   * know it yet. It then grants again, as those that still request slots from it do not reach the
+   * owner. */
   PAUSE_MS = 500,
   /* A request whose end was never reported is dropped this long after its caller's deadline. */
   EXPIRE_GRACE_MS = 1000,
