Log what ended a server's response, and what follows a stream's last event

The logs of the incident could not tell a response that ended with its connection from one that ended in its last chunk, nor whether a stream ended inside an event: 'answered' and 'turn_stored' name the server and the number of events alone. Both lines now name what ended the response and the bytes after the last event; responses_unframed_total counts the responses that end with their connection.

Unit test http_client and the check of the operations page pass.

--- a/adapters/http_client.c
+++ b/adapters/http_client.c
@@ -51,7 +51,8 @@
   struct HttpHeadText head;
   size_t head_bytes;
   bool paused; /* the response is not read at present */
-  bool sent_any, headers_done, discard, complete, has_length, keep_alive;
+  enum HttpFraming framing;
+  bool sent_any, headers_done, discard, complete, keep_alive;
   int64_t idle_ms; /* the server's keep-alive timeout, 0: not advertised */
 };
 
@@ -141,7 +142,7 @@
   c->headers_done = false;
   c->discard = false;
   c->complete = false;
-  c->has_length = false;
+  c->framing = HTTP_FRAMING_CONNECTION;
 }
 
 /* Parser callbacks; a non-zero return value stops the parser. */
@@ -178,6 +179,38 @@
   return timeout != NULL ? strtoll (timeout + strlen ("timeout="), NULL, 10) * 1000 : 0;
 }
 
+/* Returns true for a status whose response has no body, RFC 9112, 6.3. */
+static bool
+status_has_no_body (uint32_t status)
+{
+  return status / 100 == 1 || status == 204 || status == 304;
+}
+
+static enum HttpFraming
+parser_framing (const http_parser *parser)
+{
+  if ((parser->flags & F_CHUNKED) != 0)
+    return HTTP_FRAMING_CHUNKS;
+  if ((parser->flags & F_CONTENTLENGTH) != 0 || status_has_no_body (parser->status_code))
+    return HTTP_FRAMING_LENGTH;
+  return HTTP_FRAMING_CONNECTION;
+}
+
+const char *
+http_framing_name (enum HttpFraming framing)
+{
+  switch (framing)
+    {
+    case HTTP_FRAMING_LENGTH:
+      return "its length";
+    case HTTP_FRAMING_CHUNKS:
+      return "its last chunk";
+    case HTTP_FRAMING_CONNECTION:
+      return "its connection";
+    }
+  return "unknown";
+}
+
 static bool
 response_id_differs (const struct HttpCall *call, const struct HttpHeaders *headers)
 {
@@ -199,8 +232,8 @@
   if (http_head_text_finish (c, &c->head, &head.headers) != ERROR_NONE)
     return -1;
   c->headers_done = true;
-  c->has_length = (parser->flags & (F_CONTENTLENGTH | F_CHUNKED)) != 0;
-  head.has_length = c->has_length;
+  c->framing = parser_framing (parser);
+  head.framing = c->framing;
   c->idle_ms = keep_alive_ms (&head.headers);
   if (c->call != NULL)
     c->discard = interim || response_id_differs (c->call, &head.headers);
@@ -246,8 +279,8 @@
   struct HttpCall *call = c->call;
   int64_t idle_ms =
       c->idle_ms > 0 ? c->idle_ms - KEEP_ALIVE_MARGIN_MS : (int64_t)c->client->options.idle_max_ms;
-  bool keep = c->keep_alive && !extra_bytes && c->has_length && byte_queue_length (&c->output) == 0
-              && idle_ms > 0;
+  bool keep = c->keep_alive && !extra_bytes && c->framing != HTTP_FRAMING_CONNECTION
+              && byte_queue_length (&c->output) == 0 && idle_ms > 0;
 
   if (!keep)
     {
@@ -304,7 +337,7 @@
 {
   enum HttpEnd end = c->sent_any ? HTTP_END_BROKEN : HTTP_END_NOT_SENT;
 
-  if (in_order && c->headers_done && !c->has_length && !c->discard)
+  if (in_order && c->headers_done && c->framing == HTTP_FRAMING_CONNECTION && !c->discard)
     {
       http_parser_execute (&c->parser, &parser_settings, NULL, 0);
       if (c->complete)
--- a/core/counter.c
+++ b/core/counter.c
@@ -104,6 +104,8 @@
       COUNTS ("entries_unreadable", "Distinct malformed entries of backend servers"),
   [COUNTER_STREAMS_RESUMED] =
       COUNTS ("streams_resumed", "Interrupted streams that were resumed at another server"),
+  [COUNTER_RESPONSES_UNFRAMED] =
+      COUNTS ("responses_unframed", "Responses that end with the connection to their server"),
   [COUNTER_TURNS_STORED] = COUNTS ("turns_stored", "Turns stored by enough archives"),
   [COUNTER_QUOTA_REQUESTED] =
       COUNTS ("quota_leases_requested", "Requests for tokens of customers' limits"),
--- a/gateway/answer.c
+++ b/gateway/answer.c
@@ -37,9 +37,12 @@
   paces_record_report (request);
   replica_record_response (request->replica);
   crash_guard_record_response (request);
+  request->framing = head->framing;
   request->refused = request->response.not_run;
   if (request->refused)
     return;
+  if (request->framing == HTTP_FRAMING_CONNECTION)
+    counter_add (COUNTER_RESPONSES_UNFRAMED, 1);
   request->may_have_run = true;
   request->streaming = request->route.kind == ROUTE_STREAM && response_is_success (request)
                        && request->response.has_seal;
@@ -149,7 +152,8 @@
   struct HttpExchange *exchange = request->exchange;
 
   log_request (LOG_LEVEL_INFO, "answered", request->caller.id, request->caller.program,
-               "status %u from %s", request->response.status, request->tried[request->n_tried - 1]);
+               "status %u from %s, ended by %s", request->response.status,
+               request->tried[request->n_tried - 1], http_framing_name (request->framing));
   request_record_answered (request, request->route.kind == ROUTE_REPEATABLE
                                         ? HISTOGRAM_ANSWER_REPEATABLE
                                         : HISTOGRAM_ANSWER_ONCE);
@@ -187,7 +191,9 @@
       return;
     }
   log_request (LOG_LEVEL_INFO, "answered", request->caller.id, request->caller.program,
-               "%u events from %s", request->events.n_events, request->tried[request->n_tried - 1]);
+               "%u events from %s, ended by %s, %zu bytes after the last event",
+               request->events.n_events, request->tried[request->n_tried - 1],
+               http_framing_name (request->framing), request->events.incomplete_bytes);
   if (request->turn != NULL)
     turn_abandon (request);
   request_end_stream (request);
--- a/gateway/front.h
+++ b/gateway/front.h
@@ -103,6 +103,7 @@
   struct StreamPace stream_pace;
   uint32_t sample_us; /* duration measured of this attempt, see server_pace.h; 0: none */
   struct ServerResponse response;
+  enum HttpFraming framing; /* of the response */
   struct HttpHeaders response_headers;
   struct ByteQueue response_body;
   struct EventStream events;
--- a/gateway/turn_close.c
+++ b/gateway/turn_close.c
@@ -176,8 +176,10 @@
   histogram_add (HISTOGRAM_TURN_STORE,
                  timer_now_ms (front->node->timers) - request->turn->phase_ms);
   log_request (LOG_LEVEL_INFO, "turn_stored", request->caller.id, request->caller.program,
-               "%u events from %s, on %u archives", request->events.n_events,
-               request->tried[request->n_tried - 1], request->turn->answered.n);
+               "%u events from %s, ended by %s, %zu bytes after the last event, on %u archives",
+               request->events.n_events, request->tried[request->n_tried - 1],
+               http_framing_name (request->framing), request->events.incomplete_bytes,
+               request->turn->answered.n);
   request_end_stream (request);
 }
 
--- a/include/buckthornhead/http_client.h
+++ b/include/buckthornhead/http_client.h
@@ -28,14 +28,25 @@
   uint32_t connections_max; /* limit for this address; 0: the limit of the client's options */
 };
 
+/* What delimits the body of a response. */
+enum HttpFraming
+{
+  HTTP_FRAMING_LENGTH, /* its length, or a status that has no body */
+  HTTP_FRAMING_CHUNKS,
+  HTTP_FRAMING_CONNECTION /* the end of the connection alone; truncation can go unseen */
+};
+
 struct HttpResponseHead
 {
   uint32_t status;
   struct HttpHeaders headers;
-  bool
-      has_length; /* false: the end of the connection delimits the body; truncation can go unseen */
+  enum HttpFraming framing;
 };
 
+/* Returns a framing's name for log lines, such as "its length". */
+const char *
+http_framing_name (enum HttpFraming framing);
+
 enum HttpEnd
 {
   HTTP_END_COMPLETE,  /* the response is complete */
