Add a test of responses that break off without a length, listed as red

The caller gets the cut stream as complete (curl accepts it), the turn is stored ("turn_stored: 2 events, ended by its connection, 8 bytes after the last event"), the next turn that names it runs with the cut text, a resumable stream is not resumed, half a plain body is passed on with a length of its own, and a turn that crashes servers this way is never quarantined.

--- a/tests/standins/installation.h
+++ b/tests/standins/installation.h
@@ -35,7 +35,13 @@
                              stream, another server without a response */
   SERVER_OMITS_SEAL,     /* responds without X-Response-Seal */
   SERVER_ENDLESS_EVENT,  /* runs the request; an engine sends one event without an end */
-  SERVER_HANGS           /* runs the request and responds only after the mode has changed */
+  SERVER_HANGS,          /* runs the request and responds only after the mode has changed */
+  /* Responses without a length or chunks, which end with their connection, closed in order. */
+  SERVER_CLOSES_AT_END,       /* the response is whole */
+  SERVER_CLOSES_WITHIN_EVENT, /* an engine closes the connection within an event */
+  SERVER_CRASHES_IN_RESPONSE, /* the process ends after half of the events, or of the body */
+  /* An engine ends its chunked response in order, but within an event. */
+  SERVER_ENDS_WITHIN_EVENT
 };
 
 struct Installation *
--- a/tests/standins/installation_server.c
+++ b/tests/standins/installation_server.c
@@ -17,10 +17,25 @@
   struct Server *server;
   char request[65];
   uint32_t n_sent, n_events, data_bytes;
-  bool cut_short, partial_event_sent; /* cut_short: closes in the middle of the stream */
-  bool endless;                       /* one event without an end */
+  enum ServerMode mode;
+  bool partial_event_sent;
 };
 
+/* Returns whether the response ends in the middle. */
+static bool
+mode_cuts_response (enum ServerMode mode)
+{
+  return mode == SERVER_TRUNCATES || mode == SERVER_CLOSES_WITHIN_EVENT
+         || mode == SERVER_CRASHES_IN_RESPONSE || mode == SERVER_ENDS_WITHIN_EVENT;
+}
+
+static bool
+mode_omits_framing (enum ServerMode mode)
+{
+  return mode == SERVER_CLOSES_AT_END || mode == SERVER_CLOSES_WITHIN_EVENT
+         || mode == SERVER_CRASHES_IN_RESPONSE;
+}
+
 bool
 request_collect (void **state, const char *bytes, size_t *n_bytes, enum MHD_Result *result)
 {
@@ -106,6 +121,39 @@
   MHD_get_connection_values (connection, MHD_HEADER_KIND, append_header, &run->headers);
 }
 
+/* Ends the process of a server that is sending a response. Its port is closed before the connection
+ * is, as when a process is killed. */
+static void
+server_crash_in_response (struct Server *server)
+{
+  MHD_socket listener;
+
+  pthread_mutex_lock (&server->installation->lock);
+  listener = server->crashing ? MHD_INVALID_SOCKET : MHD_quiesce_daemon (server->daemon);
+  if (listener != MHD_INVALID_SOCKET)
+    close (listener);
+  server_crash (server);
+  pthread_mutex_unlock (&server->installation->lock);
+}
+
+/* Ends the stream in the middle. */
+static ssize_t
+stream_cut (struct Stream *stream, char *buffer, size_t buffer_bytes)
+{
+  if (stream->mode == SERVER_CRASHES_IN_RESPONSE)
+    {
+      server_crash_in_response (stream->server);
+      return MHD_CONTENT_READER_END_OF_STREAM;
+    }
+  if (!stream->partial_event_sent)
+    {
+      stream->partial_event_sent = true;
+      return snprintf (buffer, buffer_bytes, "id: %u\nda", stream->n_sent + 1);
+    }
+  return stream->mode == SERVER_TRUNCATES ? MHD_CONTENT_READER_END_WITH_ERROR
+                                          : MHD_CONTENT_READER_END_OF_STREAM;
+}
+
 static ssize_t
 stream_next (void *data, uint64_t at, char *buffer, size_t buffer_bytes)
 {
@@ -114,7 +162,7 @@
   uint32_t event_ms;
   int n;
 
-  if (stream->endless)
+  if (stream->mode == SERVER_ENDLESS_EVENT)
     {
       memset (buffer, 'x', buffer_bytes);
       if (at == 0)
@@ -123,13 +171,8 @@
     }
   if (stream->n_sent >= stream->n_events)
     return MHD_CONTENT_READER_END_OF_STREAM;
-  if (stream->cut_short && stream->partial_event_sent)
-    return MHD_CONTENT_READER_END_WITH_ERROR;
-  if (stream->cut_short && stream->n_sent >= stream->n_events / 2)
-    {
-      stream->partial_event_sent = true;
-      return snprintf (buffer, buffer_bytes, "id: %u\nda", stream->n_sent + 1);
-    }
+  if (mode_cuts_response (stream->mode) && stream->n_sent >= stream->n_events / 2)
+    return stream_cut (stream, buffer, buffer_bytes);
   pthread_mutex_lock (&stream->server->installation->lock);
   event_ms = stream->server->event_ms;
   pthread_mutex_unlock (&stream->server->installation->lock);
@@ -147,7 +190,7 @@
   struct Installation *in = stream->server->installation;
 
   pthread_mutex_lock (&in->lock);
-  if (stream->n_sent < stream->n_events && !stream->cut_short)
+  if (stream->n_sent < stream->n_events && !mode_cuts_response (stream->mode))
     in->n_client_closes++;
   pthread_mutex_unlock (&in->lock);
   free (stream);
@@ -163,8 +206,7 @@
   stream->n_sent = after;
   stream->n_events = server->n_events;
   stream->data_bytes = server->data_bytes;
-  stream->cut_short = mode == SERVER_TRUNCATES;
-  stream->endless = mode == SERVER_ENDLESS_EVENT;
+  stream->mode = mode;
   snprintf (stream->request, sizeof stream->request, "%s", request);
   response = MHD_create_response_from_callback (MHD_SIZE_UNKNOWN, 4096, stream_next, stream,
                                                 stream_on_free);
@@ -172,13 +214,42 @@
   return response;
 }
 
-static struct MHD_Response *
-plain_response (const char *request)
+struct PlainBody
 {
+  struct Server *server;
   char text[128];
+  size_t n_bytes; /* to be sent */
+  bool crashes;   /* after them */
+};
 
-  snprintf (text, sizeof text, "done %s", request);
-  return MHD_create_response_from_buffer (strlen (text), text, MHD_RESPMEM_MUST_COPY);
+static ssize_t
+plain_next (void *data, uint64_t at, char *buffer, size_t buffer_bytes)
+{
+  struct PlainBody *body = data;
+  size_t n = body->n_bytes - (size_t)at;
+
+  if (n == 0 && body->crashes)
+    server_crash_in_response (body->server);
+  if (n == 0)
+    return MHD_CONTENT_READER_END_OF_STREAM;
+  if (n > buffer_bytes)
+    n = buffer_bytes;
+  memcpy (buffer, body->text + at, n);
+  return (ssize_t)n;
+}
+
+static struct MHD_Response *
+plain_response (struct Server *server, const char *request, enum ServerMode mode)
+{
+  struct PlainBody *body = calloc (1, sizeof *body);
+
+  body->server = server;
+  body->n_bytes = (size_t)snprintf (body->text, sizeof body->text, "done %s", request);
+  body->crashes = mode == SERVER_CRASHES_IN_RESPONSE;
+  if (body->crashes)
+    body->n_bytes /= 2;
+  return MHD_create_response_from_callback (
+      mode_omits_framing (mode) ? MHD_SIZE_UNKNOWN : body->n_bytes, 256, plain_next, body, free);
 }
 
 static enum MHD_Result
@@ -302,8 +373,10 @@
     return MHD_NO;
   server_wait_while_hanging (server);
   after = (uint32_t)strtoul (request_header (connection, "Last-Event-Id"), NULL, 10);
-  response =
-      server->engine ? stream_response (server, request, after, mode) : plain_response (request);
+  response = server->engine ? stream_response (server, request, after, mode)
+                            : plain_response (server, request, mode);
+  if (mode_omits_framing (mode))
+    MHD_set_response_options (response, MHD_RF_HTTP_1_0_COMPATIBLE_STRICT, MHD_RO_END);
   MHD_add_response_header (response, "X-Request-Id", request);
   if (load[0] != '\0')
     MHD_add_response_header (response, "X-Server-Load", load);
