Parse servers' responses in a reader without sockets

What a response's bytes and the end of its connection say about its completeness could only be tested over sockets, with the HTTP client around it. The parser moves to adapters/http_response_reader.c, as the requests of callers have had their own. Same decisions; a connection whose call was freed while its response completed is now closed at once, where its socket, already shut down, was kept as idle until its next use.

--- a/adapters/http_client.c
+++ b/adapters/http_client.c
@@ -1,4 +1,4 @@
-#include <buckthornhead/http_client.h>
+#include "http_response_reader.h"
 
 #include <buckthornhead/byte_queue.h>
 #include <buckthornhead/error.h>
@@ -6,7 +6,6 @@
 #include <buckthornhead/settings.h>
 
 #include <errno.h>
-#include <http_parser.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -23,8 +22,7 @@
   KEEP_ALIVE_MARGIN_MS = 400,
   /* TCP_USER_TIMEOUT: if sent data stays unacknowledged for this long, the peer's instance has
    * failed or is unreachable. Longer than a retransmission on a lossy link. */
-  USER_TIMEOUT_MS = 2000,
-  HEAD_MAX_BYTES = 64 * 1024 /* limit on the headers of a response */
+  USER_TIMEOUT_MS = 2000
 };
 
 enum ConnectionState
@@ -47,13 +45,9 @@
   int64_t connected_ms; /* when it was established; 0: connecting */
   struct ByteQueue output;
   struct HttpCall *call;
-  http_parser parser;
-  struct HttpHeadText head;
-  size_t head_bytes;
+  struct HttpResponseReader reader;
   bool paused; /* the response is not read at present */
-  enum HttpFraming framing;
-  bool sent_any, headers_done, discard, complete, keep_alive;
-  int64_t idle_ms; /* the server's keep-alive timeout, 0: not advertised */
+  bool sent_any;
 };
 
 struct HttpCall
@@ -96,7 +90,6 @@
     return 0;
   call->connection = NULL;
   c->call = NULL;
-  c->keep_alive = false;
   c->paused = false;
   shutdown (c->fd, SHUT_RDWR);
   c->deadline_ms = 0;
@@ -130,87 +123,6 @@
   talloc_free (call);
 }
 
-static void
-connection_reset_parser (struct ServerConnection *c)
-{
-  http_parser_init (&c->parser, HTTP_RESPONSE);
-  c->parser.data = c;
-  TALLOC_FREE (c->head.text);
-  TALLOC_FREE (c->head.starts);
-  memset (&c->head, 0, sizeof c->head);
-  c->head_bytes = 0;
-  c->headers_done = false;
-  c->discard = false;
-  c->complete = false;
-  c->framing = HTTP_FRAMING_CONNECTION;
-}
-
-/* Parser callbacks; a non-zero return value stops the parser. */
-
-static int
-parser_on_head (struct ServerConnection *c, bool is_value, const char *bytes, size_t n_bytes)
-{
-  if (c->headers_done)
-    return 0;
-  c->head_bytes += n_bytes;
-  return c->head_bytes > HEAD_MAX_BYTES
-         || http_head_text_add (c, &c->head, is_value, bytes, n_bytes) != ERROR_NONE;
-}
-
-static int
-parser_on_name (http_parser *parser, const char *bytes, size_t n_bytes)
-{
-  return parser_on_head (parser->data, false, bytes, n_bytes);
-}
-
-static int
-parser_on_value (http_parser *parser, const char *bytes, size_t n_bytes)
-{
-  return parser_on_head (parser->data, true, bytes, n_bytes);
-}
-
-/* Returns the timeout of a "Keep-Alive: timeout=N" header in milliseconds; 0 when absent. */
-static int64_t
-keep_alive_ms (const struct HttpHeaders *headers)
-{
-  const char *value = http_headers_get (headers, "Keep-Alive");
-  const char *timeout = value != NULL ? strcasestr (value, "timeout=") : NULL;
-
-  return timeout != NULL ? strtoll (timeout + strlen ("timeout="), NULL, 10) * 1000 : 0;
-}
-
-/* Returns true for a status whose response has no body, RFC 9112, 6.3. */
-static bool
-status_has_no_body (uint32_t status)
-{
-  return status / 100 == 1 || status == 204 || status == 304;
-}
-
-static enum HttpFraming
-parser_framing (const http_parser *parser)
-{
-  if ((parser->flags & F_CHUNKED) != 0)
-    return HTTP_FRAMING_CHUNKS;
-  if ((parser->flags & F_CONTENTLENGTH) != 0 || status_has_no_body (parser->status_code))
-    return HTTP_FRAMING_LENGTH;
-  return HTTP_FRAMING_CONNECTION;
-}
-
-const char *
-http_framing_name (enum HttpFraming framing)
-{
-  switch (framing)
-    {
-    case HTTP_FRAMING_LENGTH:
-      return "its length";
-    case HTTP_FRAMING_CHUNKS:
-      return "its last chunk";
-    case HTTP_FRAMING_CONNECTION:
-      return "its connection";
-    }
-  return "unknown";
-}
-
 static bool
 response_id_differs (const struct HttpCall *call, const struct HttpHeaders *headers)
 {
@@ -222,64 +134,37 @@
   return id != NULL && strcmp (id, call->id) != 0;
 }
 
-static int
-parser_on_headers_complete (http_parser *parser)
-{
-  struct ServerConnection *c = parser->data;
-  struct HttpResponseHead head = { .status = parser->status_code };
-  bool interim = parser->status_code >= 100 && parser->status_code < 200;
-
-  if (http_head_text_finish (c, &c->head, &head.headers) != ERROR_NONE)
-    return -1;
-  c->headers_done = true;
-  c->framing = parser_framing (parser);
-  head.framing = c->framing;
-  c->idle_ms = keep_alive_ms (&head.headers);
-  if (c->call != NULL)
-    c->discard = interim || response_id_differs (c->call, &head.headers);
-  if (c->call != NULL && !c->discard)
-    c->call->handler.head (c->call->handler.data, &head);
-  talloc_free (head.headers.items);
-  return 0;
-}
-
-static int
-parser_on_body (http_parser *parser, const char *bytes, size_t n_bytes)
+static bool
+connection_on_head (void *data, const struct HttpResponseHead *head)
 {
-  struct ServerConnection *c = parser->data;
+  struct ServerConnection *c = data;
 
-  if (c->call != NULL && !c->discard)
-    c->call->handler.body (c->call->handler.data, (const uint8_t *)bytes, n_bytes);
-  return 0;
+  if (c->call == NULL)
+    return true;
+  if (response_id_differs (c->call, &head->headers))
+    return false;
+  c->call->handler.head (c->call->handler.data, head);
+  return true;
 }
 
-static int
-parser_on_message_complete (http_parser *parser)
+static void
+connection_on_body (void *data, const uint8_t *bytes, size_t n_bytes)
 {
-  struct ServerConnection *c = parser->data;
+  struct ServerConnection *c = data;
 
-  c->complete = true;
-  http_parser_pause (parser, 1);
-  return 0;
+  if (c->call != NULL)
+    c->call->handler.body (c->call->handler.data, bytes, n_bytes);
 }
 
-static const http_parser_settings parser_settings = {
-  .on_header_field = parser_on_name,
-  .on_header_value = parser_on_value,
-  .on_headers_complete = parser_on_headers_complete,
-  .on_body = parser_on_body,
-  .on_message_complete = parser_on_message_complete,
-};
-
 /* Ends the call with a complete response. The connection becomes idle for reuse only if no bytes of
  * the request or of another response can be left on it. */
 static void
 connection_finish_call (struct ServerConnection *c, bool extra_bytes)
 {
   struct HttpCall *call = c->call;
-  int64_t idle_ms =
-      c->idle_ms > 0 ? c->idle_ms - KEEP_ALIVE_MARGIN_MS : (int64_t)c->client->options.idle_max_ms;
-  bool keep = c->keep_alive && !extra_bytes && c->framing != HTTP_FRAMING_CONNECTION
+  int64_t idle_ms = c->reader.idle_ms > 0 ? c->reader.idle_ms - KEEP_ALIVE_MARGIN_MS
+                                          : (int64_t)c->client->options.idle_max_ms;
+  bool keep = call != NULL && http_response_reader_keeps_connection (&c->reader) && !extra_bytes
               && byte_queue_length (&c->output) == 0 && idle_ms > 0;
 
   if (!keep)
@@ -291,10 +176,8 @@
   c->state = CONNECTION_IDLE;
   c->paused = false;
   c->deadline_ms = timer_now_ms (c->client->timers) + idle_ms;
-  connection_reset_parser (c);
+  http_response_reader_reset (c, &c->reader);
   connection_update_watch (c);
-  if (call == NULL)
-    return;
   call->connection = NULL;
   call->handler.end (call->handler.data, HTTP_END_COMPLETE);
   talloc_free (call);
@@ -304,46 +187,27 @@
 static bool
 connection_parse (struct ServerConnection *c, const uint8_t *bytes, size_t n_bytes)
 {
-  size_t at = 0;
+  size_t n_read;
 
-  while (at < n_bytes)
+  switch (http_response_reader_parse (&c->reader, bytes, n_bytes, &n_read))
     {
-      at += http_parser_execute (&c->parser, &parser_settings, (const char *)bytes + at,
-                                 n_bytes - at);
-      if (c->complete && c->discard)
-        {
-          connection_reset_parser (c);
-          continue;
-        }
-      if (c->complete)
-        {
-          c->keep_alive = http_should_keep_alive (&c->parser) != 0;
-          connection_finish_call (c, at < n_bytes);
-          return false;
-        }
-      if (HTTP_PARSER_ERRNO (&c->parser) != HPE_OK)
-        {
-          connection_close (c, HTTP_END_MALFORMED);
-          return false;
-        }
+    case HTTP_READ_INCOMPLETE:
+      return true;
+    case HTTP_READ_COMPLETE:
+      connection_finish_call (c, n_read < n_bytes);
+      return false;
+    case HTTP_READ_MALFORMED:
+      connection_close (c, HTTP_END_MALFORMED);
+      return false;
     }
   return true;
 }
 
-/* A response without a length is complete only if the connection was closed in an orderly way, not
- * reset. */
 static void
 connection_on_close (struct ServerConnection *c, bool in_order)
 {
-  enum HttpEnd end = c->sent_any ? HTTP_END_BROKEN : HTTP_END_NOT_SENT;
-
-  if (in_order && c->headers_done && c->framing == HTTP_FRAMING_CONNECTION && !c->discard)
-    {
-      http_parser_execute (&c->parser, &parser_settings, NULL, 0);
-      if (c->complete)
-        end = HTTP_END_COMPLETE;
-    }
-  connection_close (c, end);
+  connection_close (c, c->sent_any ? http_response_reader_close (&c->reader, in_order)
+                                   : HTTP_END_NOT_SENT);
 }
 
 static void
@@ -504,6 +368,9 @@
   c->client = client;
   c->fd = fd;
   snprintf (c->address, sizeof c->address, "%s", address);
+  c->reader.on_head = connection_on_head;
+  c->reader.on_body = connection_on_body;
+  c->reader.data = c;
   c->state = CONNECTION_CONNECTING;
   c->deadline_ms = timer_now_ms (client->timers) + connect_timeout_ms;
   c->next = client->connections;
@@ -568,7 +435,7 @@
   call->connection = c;
   c->call = call;
   c->sent_any = false;
-  connection_reset_parser (c);
+  http_response_reader_reset (c, &c->reader);
   if (c->state == CONNECTION_IDLE)
     {
       c->state = CONNECTION_BUSY;
--- a/core/http_message.c
+++ b/core/http_message.c
@@ -193,3 +193,18 @@
       return "Status";
     }
 }
+
+const char *
+http_framing_name (enum HttpFraming framing)
+{
+  switch (framing)
+    {
+    case HTTP_FRAMING_LENGTH:
+      return "its length";
+    case HTTP_FRAMING_CHUNKS:
+      return "its last chunk";
+    case HTTP_FRAMING_CONNECTION:
+      return "its connection";
+    }
+  return "unknown";
+}
--- a/include/buckthornhead/http_client.h
+++ b/include/buckthornhead/http_client.h
@@ -28,14 +28,6 @@
   uint32_t connections_max; /* limit for this address; 0: the limit of the client's options */
 };
 
-/* What delimits the body of a response. */
-enum HttpFraming
-{
-  HTTP_FRAMING_LENGTH, /* its length, or a status that has no body */
-  HTTP_FRAMING_CHUNKS,
-  HTTP_FRAMING_CONNECTION /* the end of the connection alone; truncation can go unseen */
-};
-
 struct HttpResponseHead
 {
   uint32_t status;
@@ -43,18 +35,6 @@
   enum HttpFraming framing;
 };
 
-/* Returns a framing's name for log lines, such as "its length". */
-const char *
-http_framing_name (enum HttpFraming framing);
-
-enum HttpEnd
-{
-  HTTP_END_COMPLETE,  /* the response is complete */
-  HTTP_END_NOT_SENT,  /* nothing was sent: the request did not run */
-  HTTP_END_BROKEN,    /* the connection failed after part of the request was sent: may have run */
-  HTTP_END_MALFORMED, /* the response cannot be parsed: may have run */
-};
-
 /* Callbacks, called from the event loop and never after the call is freed with talloc_free. end is
  * called once, after which the call is freed. head and body may free the call. */
 struct HttpCallHandler
--- a/include/buckthornhead/http_message.h
+++ b/include/buckthornhead/http_message.h
@@ -1,4 +1,4 @@
-/* Headers and reason phrases of HTTP requests and responses, for callers and backend servers. */
+/* Headers, reason phrases and ends of HTTP messages, for callers and backend servers. */
 #pragma once
 
 #include <stdbool.h>
@@ -68,3 +68,24 @@
 /* Returns the reason phrase of status, such as "Service Unavailable"; "Status" if unknown. */
 const char *
 http_reason (uint32_t status);
+
+/* What delimits the body of a response. */
+enum HttpFraming
+{
+  HTTP_FRAMING_LENGTH, /* its length, or a status that has no body */
+  HTTP_FRAMING_CHUNKS,
+  HTTP_FRAMING_CONNECTION /* the end of the connection alone; truncation can go unseen */
+};
+
+/* Returns a framing's name for log lines, such as "its length". */
+const char *
+http_framing_name (enum HttpFraming framing);
+
+/* How a call to a server ended. */
+enum HttpEnd
+{
+  HTTP_END_COMPLETE,  /* the response is complete */
+  HTTP_END_NOT_SENT,  /* nothing was sent: the request did not run */
+  HTTP_END_BROKEN,    /* the connection failed after part of the request was sent: may have run */
+  HTTP_END_MALFORMED, /* the response cannot be parsed: may have run */
+};
