Treat a stream that ends inside an event as broken off

Cause: the end of a response was decided by the transport alone. An orderly end of the connection was HTTP_END_COMPLETE for a response without a length or chunks, and a last chunk was believed although the stream stopped inside an event; the parser of the stream knew and was not asked.

HTTP_END_CLOSED now says that the end of the connection is the only end, and response_end.c, without I/O, decides from the call's end and the body: whole, broken off, or not known. A stream that ends inside an event or a line is broken off under any framing. One decision feeds all that depends on it: the framing to the caller, the stored turn, the quarantine, health, pace, slots, resumption.

--- a/adapters/http_response_reader.c
+++ b/adapters/http_response_reader.c
@@ -154,7 +154,7 @@
   if (!in_order || !r->headers_done || r->discard || r->framing != HTTP_FRAMING_CONNECTION)
     return HTTP_END_BROKEN;
   http_parser_execute (&r->parser, &parser_settings, NULL, 0);
-  return r->complete ? HTTP_END_COMPLETE : HTTP_END_BROKEN;
+  return r->complete ? HTTP_END_CLOSED : HTTP_END_BROKEN;
 }
 
 bool
--- a/core/gateway/event_stream.c
+++ b/core/gateway/event_stream.c
@@ -81,26 +81,39 @@
   return line + n_name;
 }
 
+static int32_t
+line_parse_field (TALLOC_CTX *ctx, struct EventStream *stream, const uint8_t *line, size_t n)
+{
+  const uint8_t *value;
+  size_t n_value;
+
+  if (line[0] == ':')
+    return ERROR_NONE;
+  stream->has_field = true;
+  if ((value = line_value (line, n, "data:", &n_value)) != NULL)
+    return line_add_data (ctx, stream, value, n_value);
+  if ((value = line_value (line, n, "id:", &n_value)) != NULL)
+    line_parse_id (stream, value, n_value);
+  return ERROR_NONE;
+}
+
 static int32_t
 line_end (TALLOC_CTX *ctx, struct EventStream *stream)
 {
   const uint8_t *line = byte_queue_head (&stream->line);
   size_t n = byte_queue_length (&stream->line);
-  const uint8_t *value;
-  size_t n_value;
-  int32_t error = ERROR_NONE;
+  int32_t error;
 
   if (n > 0 && line[n - 1] == '\r')
     n--;
-  if (n == 0)
+  if (n > 0)
+    error = line_parse_field (ctx, stream, line, n);
+  else
     {
       error = event_end (ctx, stream);
       stream->incomplete_bytes = 0;
+      stream->has_field = false;
     }
-  else if ((value = line_value (line, n, "data:", &n_value)) != NULL)
-    error = line_add_data (ctx, stream, value, n_value);
-  else if ((value = line_value (line, n, "id:", &n_value)) != NULL)
-    line_parse_id (stream, value, n_value);
   byte_queue_drop (&stream->line, byte_queue_length (&stream->line));
   return error;
 }
@@ -129,12 +142,19 @@
   return ERROR_NONE;
 }
 
+bool
+event_stream_is_inside_event (const struct EventStream *stream)
+{
+  return stream->has_field || byte_queue_length (&stream->line) > 0;
+}
+
 void
 event_stream_resume (struct EventStream *stream)
 {
   byte_queue_drop (&stream->line, byte_queue_length (&stream->line));
   byte_queue_drop (&stream->event, byte_queue_length (&stream->event));
   stream->incomplete_bytes = 0;
+  stream->has_field = false;
   stream->has_data = false;
   stream->has_id = false;
   stream->is_resumed = true;
--- a/gateway/answer.c
+++ b/gateway/answer.c
@@ -8,6 +8,7 @@
 #include <buckthornhead/histogram.h>
 #include <buckthornhead/log.h>
 #include <buckthornhead/request_digest.h>
+#include <buckthornhead/response_end.h>
 
 #include <string.h>
 
@@ -179,7 +180,7 @@
   request_end (request);
 }
 
-/* Forwards any bytes after the last event, too: they are part of the response. */
+/* Forwards any comment after the last event, too: it is part of the response. */
 static void
 request_on_stream_complete (struct Request *request)
 {
@@ -257,6 +258,28 @@
                (long long)(now_ms - request->sent_ms));
 }
 
+/* Returns HTTP_END_BROKEN for a response that ended in order, but broke off. */
+static enum HttpEnd
+request_judge_end (const struct Request *request, enum HttpEnd end)
+{
+  struct ResponseBody body = { .kind = RESPONSE_BODY_OPAQUE };
+
+  if (request->streaming)
+    {
+      body.kind = RESPONSE_BODY_EVENTS;
+      body.events = &request->events;
+    }
+  switch (response_end_judge (end, &body))
+    {
+    case RESPONSE_WHOLE:
+    case RESPONSE_UNKNOWN:
+      return HTTP_END_COMPLETE;
+    case RESPONSE_BROKEN_OFF:
+      return end == HTTP_END_MALFORMED ? HTTP_END_MALFORMED : HTTP_END_BROKEN;
+    }
+  return HTTP_END_BROKEN;
+}
+
 static void
 call_on_end (void *data, enum HttpEnd end)
 {
@@ -283,6 +306,7 @@
       request_retry (request, "the server refused the request");
       return;
     }
+  end = request_judge_end (request, end);
   crash_guard_record_end (request, end);
   if (end != HTTP_END_COMPLETE)
     {
--- a/gateway/crash_guard.c
+++ b/gateway/crash_guard.c
@@ -196,6 +196,7 @@
       guard_record_complete (request);
       break;
     case HTTP_END_NOT_SENT:
+    case HTTP_END_CLOSED:
     case HTTP_END_MALFORMED:
       break;
     }
--- a/include/buckthornhead/event_stream.h
+++ b/include/buckthornhead/event_stream.h
@@ -11,6 +11,7 @@
   struct ByteQueue event;  /* data of the incomplete event */
   struct ByteQueue data;   /* if collects_data: of completed events, each followed by a line feed */
   size_t incomplete_bytes; /* since the last completed event; the next may never complete */
+  bool has_field;          /* a field of the incomplete event was read */
   bool has_data, has_id;   /* of the incomplete event, as is id */
   uint64_t id;
   uint32_t n_events; /* completed events with data */
@@ -26,6 +27,11 @@
                     const uint8_t *bytes,
                     size_t n_bytes);
 
+/* Returns whether the stream so far ends inside an event or a line. A whole stream does not; the
+ * reverse does not hold. */
+bool
+event_stream_is_inside_event (const struct EventStream *stream);
+
 /* Continues with the stream of another server, to be resumed after last_id. Drops the incomplete
  * event. has_repeated_event is set when the new stream repeats an event. */
 void
--- a/include/buckthornhead/http_message.h
+++ b/include/buckthornhead/http_message.h
@@ -84,7 +84,10 @@
 /* How a call to a server ended. */
 enum HttpEnd
 {
-  HTTP_END_COMPLETE,  /* the response is complete */
+  HTTP_END_COMPLETE, /* the response is complete by its framing */
+  /* The server closed the connection in order, and nothing else delimits the response: it is
+   * complete, or the server's process has ended. */
+  HTTP_END_CLOSED,
   HTTP_END_NOT_SENT,  /* nothing was sent: the request did not run */
   HTTP_END_BROKEN,    /* the connection failed after part of the request was sent: may have run */
   HTTP_END_MALFORMED, /* the response cannot be parsed: may have run */
