Check that a server runs whose connection ends its response

Callers got a stream whose server had crashed between two events, and half a plain body, as complete; a turn that crashed servers this way cleared itself each time and was never quarantined.

Cause: an orderly end of the connection is what a finished response without a length looks like, and what the kernel makes of a process that ends. Class: the transport's end taken for the content's.

The gateway now asks the one question that tells the two apart: does the server still run? It opens the connection to the server that it has just lost; if it is refused or unanswered, another connection that stays open shows a full server. Running: the response is whole. Ended, or no answer within 100 ms: broken off, with all that follows (no last chunk, turn not stored, crash recorded at the time of the close, resumed where allowed). The new connection serves the next request.

--- a/adapters/http_client.c
+++ b/adapters/http_client.c
@@ -1,9 +1,7 @@
-#include "http_response_reader.h"
+#include "http_client_internal.h"
 
-#include <buckthornhead/byte_queue.h>
 #include <buckthornhead/error.h>
 #include <buckthornhead/net_socket.h>
-#include <buckthornhead/settings.h>
 
 #include <errno.h>
 #include <stdio.h>
@@ -15,7 +13,6 @@
 
 enum
 {
-  READ_BYTES = 64 * 1024,
   SWEEP_MS = 250,
   /* Idle connections are no longer used this much before the server's advertised keep-alive
    * timeout: the server may count from the moment it sent its response. */
@@ -25,31 +22,6 @@
   USER_TIMEOUT_MS = 2000
 };
 
-enum ConnectionState
-{
-  CONNECTION_CONNECTING,
-  CONNECTION_BUSY,
-  CONNECTION_IDLE
-};
-
-/* One connection to a server. */
-struct ServerConnection
-{
-  struct ServerConnection *next, **previous_next;
-  struct HttpClient *client;
-  char address[ADDRESS_MAX_BYTES + 1];
-  int fd;
-  struct tevent_fd *watch;
-  enum ConnectionState state;
-  int64_t deadline_ms;  /* connecting: connect timeout; idle: end of reuse */
-  int64_t connected_ms; /* when it was established; 0: connecting */
-  struct ByteQueue output;
-  struct HttpCall *call;
-  struct HttpResponseReader reader;
-  bool paused; /* the response is not read at present */
-  bool sent_any;
-};
-
 struct HttpCall
 {
   struct ServerConnection *connection;
@@ -57,16 +29,6 @@
   char *id_header, *id;
 };
 
-struct HttpClient
-{
-  struct tevent_context *events;
-  struct TimerService *timers;
-  struct HttpClientOptions options;
-  struct ServerConnection *connections;
-  uint64_t n_opened;
-  uint8_t scratch[READ_BYTES];
-};
-
 static int
 connection_free (struct ServerConnection *c)
 {
@@ -75,6 +37,8 @@
     c->next->previous_next = c->previous_next;
   if (c->call != NULL)
     c->call->connection = NULL;
+  if (c->check != NULL)
+    c->check->connection = NULL;
   TALLOC_FREE (c->watch);
   close (c->fd);
   return 0;
@@ -96,7 +60,7 @@
   return 0;
 }
 
-static void
+void
 connection_update_watch (struct ServerConnection *c)
 {
   uint16_t flags = c->paused ? 0 : TEVENT_FD_READ;
@@ -107,8 +71,7 @@
     tevent_fd_set_flags (c->watch, flags);
 }
 
-/* Closes the connection and ends its call, if any. */
-static void
+void
 connection_close (struct ServerConnection *c, enum HttpEnd end)
 {
   struct HttpCall *call = c->call;
@@ -252,11 +215,19 @@
     {
       if (net_connect_error (c->fd) != 0)
         {
-          connection_close (c, HTTP_END_NOT_SENT);
+          if (c->check != NULL)
+            check_on_refused (c);
+          else
+            connection_close (c, HTTP_END_NOT_SENT);
           return;
         }
-      c->state = CONNECTION_BUSY;
       c->connected_ms = timer_now_ms (c->client->timers);
+      if (c->check != NULL)
+        {
+          check_on_accepted (c);
+          return;
+        }
+      c->state = CONNECTION_BUSY;
     }
   /* Reads before writing: the server may have sent a complete response before it closed. */
   if (flags & TEVENT_FD_READ)
@@ -326,21 +297,28 @@
   return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-/* Returns the most recently used idle connection to address. *n_open counts all connections to the
- * address. */
+uint32_t
+client_count_connections (const struct HttpClient *client, const char *address)
+{
+  uint32_t n = 0;
+
+  for (const struct ServerConnection *c = client->connections; c != NULL; c = c->next)
+    n += strcmp (c->address, address) == 0;
+  return n;
+}
+
+/* Returns the most recently used idle connection to address. */
 static struct ServerConnection *
-client_find_idle (struct HttpClient *client, const char *address, uint32_t *n_open)
+client_find_idle (struct HttpClient *client, const char *address)
 {
   int64_t now_ms = timer_now_ms (client->timers);
   struct ServerConnection *best = NULL, *next;
 
-  *n_open = 0;
   for (struct ServerConnection *c = client->connections; c != NULL; c = next)
     {
       next = c->next;
       if (strcmp (c->address, address) != 0)
         continue;
-      (*n_open)++;
       if (c->state == CONNECTION_IDLE && c->deadline_ms > now_ms
           && (best == NULL || c->deadline_ms > best->deadline_ms))
         best = c;
@@ -348,10 +326,10 @@
   if (best == NULL || connection_is_reusable (best))
     return best;
   talloc_free (best);
-  return client_find_idle (client, address, n_open);
+  return client_find_idle (client, address);
 }
 
-static struct ServerConnection *
+struct ServerConnection *
 connection_new (struct HttpClient *client, const char *address, uint32_t connect_timeout_ms)
 {
   struct ServerConnection *c;
@@ -413,13 +391,12 @@
                     const struct HttpCallRequest *request,
                     const struct HttpCallHandler *handler)
 {
-  uint32_t n_open;
-  struct ServerConnection *c = client_find_idle (client, request->address, &n_open);
+  struct ServerConnection *c = client_find_idle (client, request->address);
   struct HttpCall *call;
   uint32_t connections_max =
       request->connections_max > 0 ? request->connections_max : client->options.per_address_max;
 
-  if (c == NULL && n_open >= connections_max)
+  if (c == NULL && client_count_connections (client, request->address) >= connections_max)
     return NULL;
   if (c == NULL)
     c = connection_new (client, request->address, request->connect_timeout_ms);
--- a/core/histogram.c
+++ b/core/histogram.c
@@ -44,6 +44,8 @@
   [HISTOGRAM_PLAIN_SLOT_WAIT] =
       MILLISECONDS ("plain_slot_wait", "Time until the owner of a plain server grants a slot"),
   [HISTOGRAM_TURN_STORE] = MILLISECONDS ("turn_store", "Time to store a turn on the archives"),
+  [HISTOGRAM_SERVER_CHECK] = MILLISECONDS (
+      "server_check", "Time to check whether the server of an unframed response runs"),
   [HISTOGRAM_SERVER_HEAD] =
       MILLISECONDS ("server_head", "Time to the headers of a backend server's response"),
   [HISTOGRAM_DISK_SYNC] = MILLISECONDS ("disk_sync", "Time to write and sync one batch of records"),
--- a/gateway/answer.c
+++ b/gateway/answer.c
@@ -246,21 +246,101 @@
 /* Logs an attempt that ended without a complete response, with the digest that identifies the
  * request in the lines of other attempts and gateways. */
 static void
-request_log_broken_attempt (struct Request *request, enum HttpEnd end, int64_t now_ms)
+request_log_broken_attempt (struct Request *request, const char *cause)
 {
   char digest[REQUEST_DIGEST_NAME_BYTES];
 
   request_digest_name (request_digest (request), digest);
   log_request (LOG_LEVEL_INFO, "attempt_broken", request->caller.id, request->caller.program,
                "digest %s, %s: %s %lld ms after the request was sent", digest,
-               request->replica->entry.id,
-               end == HTTP_END_BROKEN ? "connection closed" : "malformed response",
-               (long long)(now_ms - request->sent_ms));
+               request->replica->entry.id, cause,
+               (long long)(request->ended_ms - request->sent_ms));
 }
 
-/* Returns HTTP_END_BROKEN for a response that ended in order, but broke off. */
-static enum HttpEnd
-request_judge_end (const struct Request *request, enum HttpEnd end)
+/* Ends an attempt whose response is whole or broken off. */
+static void
+attempt_end (struct Request *request, enum SlotOutcome outcome)
+{
+  request->outcome = outcome;
+  replica_note_result (request->replica, outcome == SLOT_FAILED, request->ended_ms);
+  paces_end_attempt (request);
+  attempt_release (request);
+  request->n_sent++;
+}
+
+static void
+request_on_whole_response (struct Request *request)
+{
+  crash_guard_record_complete (request);
+  attempt_end (request, response_is_failure (&request->response) ? SLOT_FAILED : SLOT_SERVED);
+  request_on_complete (request);
+}
+
+static void
+request_on_broken_response (struct Request *request, const char *cause)
+{
+  request_log_broken_attempt (request, cause);
+  replica_record_failure (request->replica, request->ended_ms);
+  attempt_end (request, SLOT_FAILED);
+  request->may_have_run = true;
+  if (request_claim_resume (request))
+    request_resume (request);
+  else if (request_claim_repeat (request))
+    request_retry (request, cause);
+  else
+    request_fail (request, FAILURE_BROKEN, cause);
+}
+
+static void
+request_on_server_checked (void *data, enum HttpServerState state)
+{
+  struct Request *request = data;
+
+  request->check = NULL;
+  histogram_add (HISTOGRAM_SERVER_CHECK,
+                 timer_now_ms (request->front->node->timers) - request->ended_ms);
+  if (state == HTTP_SERVER_RUNNING)
+    {
+      request_on_whole_response (request);
+      return;
+    }
+  crash_guard_record_broken (request);
+  request_on_broken_response (request,
+                              state == HTTP_SERVER_ENDED
+                                  ? "the connection closed and the server's process has ended"
+                                  : "the connection closed and the server does not respond");
+}
+
+/* The connection closed where the response may end: it is whole if the server is still running. */
+static void
+request_check_server (struct Request *request)
+{
+  request->check =
+      http_client_check_server (request->front->client, request->replica->entry.address,
+                                request->connections_max, request_on_server_checked, request);
+  if (request->check == NULL)
+    request_on_server_checked (request, HTTP_SERVER_UNKNOWN);
+}
+
+static const char *
+broken_response_cause (enum HttpEnd end)
+{
+  switch (end)
+    {
+    case HTTP_END_COMPLETE:
+    case HTTP_END_CLOSED:
+      return "the stream ended inside an event";
+    case HTTP_END_MALFORMED:
+      return "the response is malformed";
+    case HTTP_END_NOT_SENT:
+    case HTTP_END_BROKEN:
+      break;
+    }
+  return "the connection broke";
+}
+
+static void
+request_judge_response (struct Request *request, enum HttpEnd end)
 {
   struct ResponseBody body = { .kind = RESPONSE_BODY_OPAQUE };
 
@@ -272,25 +352,30 @@
   switch (response_end_judge (end, &body))
     {
     case RESPONSE_WHOLE:
+      request_on_whole_response (request);
+      break;
     case RESPONSE_UNKNOWN:
-      return HTTP_END_COMPLETE;
+      request_check_server (request);
+      break;
     case RESPONSE_BROKEN_OFF:
-      return end == HTTP_END_MALFORMED ? HTTP_END_MALFORMED : HTTP_END_BROKEN;
+      if (end != HTTP_END_MALFORMED)
+        crash_guard_record_broken (request);
+      request_on_broken_response (request, broken_response_cause (end));
+      break;
     }
-  return HTTP_END_BROKEN;
 }
 
 static void
 call_on_end (void *data, enum HttpEnd end)
 {
   struct Request *request = data;
-  int64_t now_ms = timer_now_ms (request->front->node->timers);
   struct Replica *replica = request->replica;
 
   request->call = NULL;
+  request->ended_ms = timer_now_ms (request->front->node->timers);
   if (end == HTTP_END_NOT_SENT)
     {
-      replica_record_failure (replica, now_ms);
+      replica_record_failure (replica, request->ended_ms);
       attempt_release (request);
       request_retry (request, "could not connect to the server");
       return;
@@ -299,40 +384,14 @@
     {
       if (request->response.status == 503 || request->response.status == 429)
         {
-          replica_record_full (replica, now_ms);
+          replica_record_full (replica, request->ended_ms);
           slots_note_full (request);
         }
       attempt_release (request);
       request_retry (request, "the server refused the request");
       return;
     }
-  end = request_judge_end (request, end);
-  crash_guard_record_end (request, end);
-  if (end != HTTP_END_COMPLETE)
-    {
-      request_log_broken_attempt (request, end, now_ms);
-      replica_record_failure (replica, now_ms);
-    }
-  request->outcome = end == HTTP_END_COMPLETE && !response_is_failure (&request->response)
-                         ? SLOT_SERVED
-                         : SLOT_FAILED;
-  replica_note_result (replica, request->outcome == SLOT_FAILED, now_ms);
-  paces_end_attempt (request);
-  attempt_release (request);
-  request->n_sent++;
-  if (end == HTTP_END_COMPLETE)
-    {
-      request_on_complete (request);
-      return;
-    }
-  request->may_have_run = true;
-  if (request_claim_resume (request))
-    request_resume (request);
-  else if (request_claim_repeat (request))
-    request_retry (request, "the connection broke");
-  else
-    request_fail (request, FAILURE_BROKEN,
-                  end == HTTP_END_BROKEN ? "the connection broke" : "the response is malformed");
+  request_judge_response (request, end);
 }
 
 struct HttpCallHandler
--- a/gateway/crash_guard.c
+++ b/gateway/crash_guard.c
@@ -140,12 +140,12 @@
 /* Attempts. */
 
 static struct SilentAttempt
-guard_attempt (struct Request *request)
+guard_attempt (struct Request *request, int64_t ended_ms)
 {
   const struct ReplicaEntry *server = &request->replica->entry;
   struct SilentAttempt attempt = { .crash = { .started_unix_ms = server->started_unix_ms,
                                               .sent_ms = request->sent_ms,
-                                              .ended_ms = guard_now_ms (request) } };
+                                              .ended_ms = ended_ms } };
 
   memcpy (attempt.digest, request_digest (request), DIGEST_BYTES);
   snprintf (attempt.crash.server, sizeof attempt.crash.server, "%s", server->id);
@@ -164,11 +164,13 @@
   suspects_spread (front->suspects, attempt->digest);
 }
 
-static void
-guard_record_complete (struct Request *request)
+void
+crash_guard_record_complete (struct Request *request)
 {
   struct Quarantine *quarantine = guard_quarantine (request);
 
+  if (!guard_is_enabled (request))
+    return;
   if (request->front->silent->n_items > 0)
     silent_attempts_forget (request->front->silent, request_digest (request));
   /* Streams hardly ever have the same content, and their bodies are long. */
@@ -178,28 +180,15 @@
 }
 
 void
-crash_guard_record_end (struct Request *request, enum HttpEnd end)
+crash_guard_record_broken (struct Request *request)
 {
   struct SilentAttempt attempt;
 
-  if (!guard_is_enabled (request))
+  /* A server that leaves as planned may end with requests that are not done. */
+  if (!guard_is_enabled (request) || request->replica->entry.draining)
     return;
-  switch (end)
-    {
-    case HTTP_END_BROKEN:
-      attempt = guard_attempt (request);
-      /* A server that leaves as planned may end with requests that are not done. */
-      if (!request->replica->entry.draining)
-        guard_record_crash (request->front, &attempt);
-      break;
-    case HTTP_END_COMPLETE:
-      guard_record_complete (request);
-      break;
-    case HTTP_END_NOT_SENT:
-    case HTTP_END_CLOSED:
-    case HTTP_END_MALFORMED:
-      break;
-    }
+  attempt = guard_attempt (request, request->ended_ms);
+  guard_record_crash (request->front, &attempt);
 }
 
 void
@@ -210,7 +199,7 @@
   if (!guard_is_enabled (request) || request->call == NULL || request->replica == NULL
       || request->replica->entry.draining)
     return;
-  attempt = guard_attempt (request);
+  attempt = guard_attempt (request, guard_now_ms (request));
   silent_attempts_add (request->front->silent, &attempt);
 }
 
--- a/gateway/crash_guard.h
+++ b/gateway/crash_guard.h
@@ -3,8 +3,6 @@
 
 #include "request.h"
 
-#include <buckthornhead/http_client.h>
-
 /* Returns whether the gateway has just started and does not know yet what is quarantined. */
 bool
 crash_guard_must_wait (const struct Request *request);
@@ -17,10 +15,12 @@
 bool
 crash_guard_holds (struct Request *request);
 
-/* Records the end of the current attempt: a connection that broke may be the server's crash, and a
- * complete response clears the request. */
+/* Record the end of the current attempt: a complete response clears the request, and one that broke
+ * off may be the server's crash. */
+void
+crash_guard_record_complete (struct Request *request);
 void
-crash_guard_record_end (struct Request *request, enum HttpEnd end);
+crash_guard_record_broken (struct Request *request);
 
 /* Records that the current attempt, if it has been sent, is given up while its server is silent. */
 void
--- a/gateway/front.h
+++ b/gateway/front.h
@@ -86,6 +86,8 @@
   /* The current attempt at a server. */
   struct SlotWait *slot_wait; /* slot request at the server's owner; NULL: none */
   struct HttpCall *call;
+  struct HttpServerCheck *check; /* whether the server that ended the call is running; NULL: none */
+  int64_t ended_ms;              /* when the call ended */
   struct Replica *replica;
   char *tried[TRIED_MAX];
   size_t n_tried;
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -125,6 +125,7 @@
   if (request->call != NULL)
     talloc_free (request->call);
   request->call = NULL;
+  TALLOC_FREE (request->check);
   attempt_release (request);
   if (request->exchange != NULL)
     {
--- a/include/buckthornhead/histogram.h
+++ b/include/buckthornhead/histogram.h
@@ -21,6 +21,7 @@
   HISTOGRAM_SLOT_WAIT,         /* until the owner of an engine admits a turn */
   HISTOGRAM_PLAIN_SLOT_WAIT,   /* until the owner of a plain server admits a request */
   HISTOGRAM_TURN_STORE,        /* storing a turn */
+  HISTOGRAM_SERVER_CHECK,      /* a check whether a server is running, see http_client.h */
   HISTOGRAM_SERVER_HEAD,       /* a backend server's response, up to its headers */
   HISTOGRAM_DISK_SYNC,         /* writing and syncing one batch of an archive's records */
   HISTOGRAM_STORE_CALL,        /* one call to the platform's store, except waiting ones */
--- a/include/buckthornhead/http_client.h
+++ b/include/buckthornhead/http_client.h
@@ -68,6 +68,29 @@
                     const struct HttpCallRequest *request,
                     const struct HttpCallHandler *handler);
 
+/* What a check says of the process behind a server's address. */
+enum HttpServerState
+{
+  HTTP_SERVER_RUNNING,
+  HTTP_SERVER_ENDED,
+  HTTP_SERVER_UNKNOWN /* it did not respond in time */
+};
+
+struct HttpServerCheck;
+
+/* Called once, from the event loop, after which the check is freed. */
+typedef void (*HttpServerCheckFn) (void *data, enum HttpServerState state);
+
+/* Checks whether the server that has just closed a connection is running: it accepts a new one,
+ * which is then idle for reuse, or another connection to it stays open. Takes a round trip, at most
+ * CHECK_TIMEOUT_MS. Returns NULL when out of memory. Freeing the check cancels it. */
+struct HttpServerCheck *
+http_client_check_server (struct HttpClient *client,
+                          const char *address,
+                          uint32_t connections_max,
+                          HttpServerCheckFn done,
+                          void *data);
+
 /* Stops or resumes reading the response, so that a caller which reads slowly slows down the server.
  * Up to 64 KB that were already read are still passed on. While paused, the end of the connection
  * is not noticed. */
--- a/tests/sessions/test_gateway_broken_answers.c
+++ b/tests/sessions/test_gateway_broken_answers.c
@@ -52,22 +52,24 @@
   server_set_mode (fleet->installation, TOOL_SERVER + 1, mode);
 }
 
-/* Sends a turn to engines in this mode. Checks that its caller gets no complete response, and that
- * it does not count as a turn that another one can continue. */
+/* Sends a turn to engines in this mode. Checks that its caller gets no complete response, that both
+ * log lines of the failure name the cause, and that no other turn can continue from it. */
 static void
-check_turn_is_broken (enum ServerMode mode)
+check_turn_is_broken (enum ServerMode mode, const char *cause)
 {
   TALLOC_CTX *ctx = talloc_new (NULL);
   struct Fleet *fleet = answers_start (ctx, 1);
   uint32_t n_failed = CU_get_number_of_failures ();
   struct HttpReply *reply;
 
+  installation_set_crashing_path (fleet->installation, "", DOWN_MS, false);
   engines_set_mode (fleet, mode);
   reply = turn_send (fleet, ctx, 0, "p", "t1", "", 0, "one");
   CU_ASSERT_EQUAL (reply->status, 0);
   CU_ASSERT_EQUAL (installation_runs_of (fleet->installation, "t1"), 1);
   CU_ASSERT_EQUAL (process_count_output (fleet->gateways[0].process, "turn_stored"), 0);
   CU_ASSERT_EQUAL (process_count_output (fleet->gateways[0].process, "attempt_broken"), 1);
+  CU_ASSERT_EQUAL (process_count_output (fleet->gateways[0].process, cause), 2);
   engines_set_mode (fleet, SERVER_RESPONDS);
   reply = turn_send_until_accepted (fleet, ctx, 0, "p", "t2", "t1", "two");
   CU_ASSERT_EQUAL (reply->status, 404);
@@ -80,21 +82,21 @@
 static void
 test_stream_that_closes_within_an_event_is_broken (void)
 {
-  check_turn_is_broken (SERVER_CLOSES_WITHIN_EVENT);
+  check_turn_is_broken (SERVER_CLOSES_WITHIN_EVENT, "the stream ended inside an event");
 }
 
 /* Guards against trusting a last chunk that a server sends within an event. */
 static void
 test_chunked_stream_that_ends_within_an_event_is_broken (void)
 {
-  check_turn_is_broken (SERVER_ENDS_WITHIN_EVENT);
+  check_turn_is_broken (SERVER_ENDS_WITHIN_EVENT, "the stream ended inside an event");
 }
 
 /* Guards against a crash between two events that looks like the end of the stream. */
 static void
 test_stream_whose_server_crashes_between_events_is_broken (void)
 {
-  check_turn_is_broken (SERVER_CRASHES_IN_RESPONSE);
+  check_turn_is_broken (SERVER_CRASHES_IN_RESPONSE, "the server's process has ended");
 }
 
 /* Guards against rejecting sound streams, whose servers end them with their connection. */
--- a/tests/standins/installation_server.c
+++ b/tests/standins/installation_server.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <time.h>
 #include <unistd.h>
 
@@ -131,7 +132,11 @@
   pthread_mutex_lock (&server->installation->lock);
   listener = server->crashing ? MHD_INVALID_SOCKET : MHD_quiesce_daemon (server->daemon);
   if (listener != MHD_INVALID_SOCKET)
-    close (listener);
+    {
+      /* The daemon's thread still polls the socket, which would keep it open. */
+      shutdown (listener, SHUT_RDWR);
+      close (listener);
+    }
   server_crash (server);
   pthread_mutex_unlock (&server->installation->lock);
 }
