Do not wait for the body of a response to a HEAD request

A caller's HEAD request was answered with 504 at its deadline: the client waited for the body that the response's Content-Length describes and that HEAD never has, and held the server's connection meanwhile. Found while reading what ends a response. The client now knows that none follows.

test_http_client, "a response to HEAD has no body": fails without the change of the reader (no end within 5 s), passes with it.

--- a/adapters/http_client.c
+++ b/adapters/http_client.c
@@ -413,6 +413,7 @@
   c->call = call;
   c->sent_any = false;
   http_response_reader_reset (c, &c->reader);
+  c->reader.expects_no_body = request->expects_no_body;
   if (c->state == CONNECTION_IDLE)
     {
       c->state = CONNECTION_BUSY;
--- a/adapters/http_response_reader.c
+++ b/adapters/http_response_reader.c
@@ -24,6 +24,7 @@
   r->headers_done = false;
   r->discard = false;
   r->complete = false;
+  r->expects_no_body = false;
 }
 
 /* Parser callbacks; a non-zero return value stops the parser. */
@@ -68,15 +69,25 @@
 }
 
 static enum HttpFraming
-parser_framing (const http_parser *parser)
+reader_framing (const struct HttpResponseReader *r)
 {
+  const http_parser *parser = &r->parser;
+
+  if (r->expects_no_body || status_has_no_body (parser->status_code))
+    return HTTP_FRAMING_LENGTH;
   if ((parser->flags & F_CHUNKED) != 0)
     return HTTP_FRAMING_CHUNKS;
-  if ((parser->flags & F_CONTENTLENGTH) != 0 || status_has_no_body (parser->status_code))
+  if ((parser->flags & F_CONTENTLENGTH) != 0)
     return HTTP_FRAMING_LENGTH;
   return HTTP_FRAMING_CONNECTION;
 }
 
+/* Return value of the headers callback. */
+enum
+{
+  NO_BODY_FOLLOWS = 1
+};
+
 static int
 parser_on_headers_complete (http_parser *parser)
 {
@@ -86,12 +97,12 @@
   if (http_head_text_finish (r->ctx, &r->head, &head.headers) != ERROR_NONE)
     return -1;
   r->headers_done = true;
-  r->framing = parser_framing (parser);
+  r->framing = reader_framing (r);
   head.framing = r->framing;
   r->idle_ms = keep_alive_ms (&head.headers);
   r->discard = head.status / 100 == 1 || !r->on_head (r->data, &head);
   talloc_free (head.headers.items);
-  return 0;
+  return r->expects_no_body && head.status / 100 != 1 ? NO_BODY_FOLLOWS : 0;
 }
 
 static int
@@ -136,7 +147,12 @@
       at += http_parser_execute (&r->parser, &parser_settings, (const char *)bytes + at,
                                  n_bytes - at);
       if (r->complete && r->discard)
-        http_response_reader_reset (r->ctx, r);
+        {
+          bool expects_no_body = r->expects_no_body;
+
+          http_response_reader_reset (r->ctx, r);
+          r->expects_no_body = expects_no_body;
+        }
       else if (r->complete)
         {
           *n_read = at;
--- a/adapters/http_response_reader.h
+++ b/adapters/http_response_reader.h
@@ -13,7 +13,8 @@
   size_t head_bytes;
   enum HttpFraming framing;
   bool headers_done, discard, complete;
-  int64_t idle_ms; /* the server's keep-alive timeout, 0: not advertised */
+  bool expects_no_body; /* set by the user after a reset: the response is to a HEAD request */
+  int64_t idle_ms;      /* the server's keep-alive timeout, 0: not advertised */
 
   /* Set by the user. on_head returns false for a response to another request, which is discarded.
    * Interim responses are discarded without a call. */
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -327,6 +327,7 @@
     .address = replica->entry.address,
     .body = request->body,
     .body_bytes = request->body_bytes,
+    .expects_no_body = strcmp (request->exchange->method, "HEAD") == 0,
     .id_header = front->node->dialect->id_header,
     .id = request->caller.id,
     .connect_timeout_ms = CONNECT_TIMEOUT_MS,
--- a/include/buckthornhead/http_client.h
+++ b/include/buckthornhead/http_client.h
@@ -21,6 +21,7 @@
   const char *head;
   const uint8_t *body;
   size_t body_bytes;
+  bool expects_no_body; /* the request's method is HEAD: no body follows the response's headers */
   /* Responses with another value in this header belong to another request; NULL: not checked. */
   const char *id_header;
   const char *id;
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -264,6 +264,31 @@
   bench_free (b);
 }
 
+/* Guards against waiting for the body that a HEAD request's response describes and does not have.
+ */
+static void
+test_a_response_to_head_has_no_body (void)
+{
+  struct Bench *b = bench_new ();
+  const struct HttpCallHandler handler = { bench_on_head, bench_on_body, bench_on_end, b };
+  const struct HttpCallRequest request = { .address = b->address,
+                                           .head = "HEAD /1 HTTP/1.1\r\nHost: x\r\n\r\n",
+                                           .expects_no_body = true,
+                                           .connect_timeout_ms = 500 };
+
+  b->call = http_client_submit (b->client, &request, &handler);
+  b->fd = raw_accept (b->listen_fd, b->events);
+  CU_ASSERT_TRUE (raw_read_until (b->fd, b->events, "Host: x", b->request, sizeof b->request));
+  bench_respond (b, "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n");
+  CU_ASSERT_EQUAL (b->end, HTTP_END_COMPLETE);
+  CU_ASSERT_EQUAL (b->n_body_bytes, 0);
+  bench_request (b, "2");
+  bench_respond (b, "HTTP/1.1 200 OK\r\nX-Id: 2\r\nContent-Length: 2\r\n\r\nok");
+  CU_ASSERT_STRING_EQUAL (b->body, "ok");
+  CU_ASSERT_EQUAL (http_client_opened (b->client), 1);
+  bench_free (b);
+}
+
 static void
 test_a_truncated_response_is_broken_and_garbage_malformed (void)
 {
@@ -442,6 +467,7 @@
   { "extra bytes close the connection", test_extra_bytes_close_the_connection },
   { "a response without a length is not known to be complete",
     test_a_response_without_a_length_is_not_known_to_be_complete },
+  { "a response to HEAD has no body", test_a_response_to_head_has_no_body },
   { "a truncated response is broken, garbage malformed",
     test_a_truncated_response_is_broken_and_garbage_malformed },
   { "freeing a call closes its connection", test_freeing_a_call_closes_its_connection },
