Let a JSON document show whether it is whole

Half a JSON document of a server that closed the connection in order and goes on running reached its caller with a length of its own: the check of the server finds it running and calls the response whole. A document ends with its last bracket, so that the gateway can tell: one that stops before is broken off, a whole one needs no check. Text that is only called JSON is judged as any other.

test_response_end: "JSON shows its end" and each cut of a document under three framings; with the body taken as opaque, as before, the verdict is "not known" where "broken off" is expected.

--- a/gateway/answer.c
+++ b/gateway/answer.c
@@ -11,6 +11,7 @@
 #include <buckthornhead/response_end.h>
 
 #include <string.h>
+#include <strings.h>
 
 enum
 {
@@ -323,13 +324,13 @@
 }
 
 static const char *
-broken_response_cause (enum HttpEnd end)
+broken_response_cause (const struct Request *request, enum HttpEnd end)
 {
   switch (end)
     {
     case HTTP_END_COMPLETE:
     case HTTP_END_CLOSED:
-      return "the stream ended inside an event";
+      return request->streaming ? "the stream ended inside an event" : "the body is cut off";
     case HTTP_END_MALFORMED:
       return "the response is malformed";
     case HTTP_END_NOT_SENT:
@@ -339,9 +340,11 @@
   return "the connection broke";
 }
 
-static void
-request_judge_response (struct Request *request, enum HttpEnd end)
+static struct ResponseBody
+request_response_body (const struct Request *request)
 {
+  static const char json[] = "application/json";
+  const char *type = http_headers_get (&request->response_headers, "Content-Type");
   struct ResponseBody body = { .kind = RESPONSE_BODY_OPAQUE };
 
   if (request->streaming)
@@ -349,6 +352,20 @@
       body.kind = RESPONSE_BODY_EVENTS;
       body.events = &request->events;
     }
+  else if (type != NULL && strncasecmp (type, json, strlen (json)) == 0)
+    {
+      body.kind = RESPONSE_BODY_JSON;
+      body.json.bytes = byte_queue_head (&request->response_body);
+      body.json.n_bytes = byte_queue_length (&request->response_body);
+    }
+  return body;
+}
+
+static void
+request_judge_response (struct Request *request, enum HttpEnd end)
+{
+  const struct ResponseBody body = request_response_body (request);
+
   switch (response_end_judge (end, &body))
     {
     case RESPONSE_WHOLE:
@@ -360,7 +377,7 @@
     case RESPONSE_BROKEN_OFF:
       if (end != HTTP_END_MALFORMED)
         crash_guard_record_broken (request);
-      request_on_broken_response (request, broken_response_cause (end));
+      request_on_broken_response (request, broken_response_cause (request, end));
       break;
     }
 }
--- a/include/buckthornhead/response_end.h
+++ b/include/buckthornhead/response_end.h
@@ -8,7 +8,8 @@
 enum ResponseBodyKind
 {
   RESPONSE_BODY_OPAQUE, /* bytes that do not show their end */
-  RESPONSE_BODY_EVENTS  /* .events */
+  RESPONSE_BODY_EVENTS, /* .events */
+  RESPONSE_BODY_JSON    /* .json */
 };
 
 struct ResponseBody
@@ -17,6 +18,11 @@
   union
   {
     const struct EventStream *events; /* of a stream that is forwarded as it arrives */
+    struct
+    {
+      const uint8_t *bytes;
+      size_t n_bytes;
+    } json;
   };
 };
 
--- a/tests/test_response_end.c
+++ b/tests/test_response_end.c
@@ -16,12 +16,19 @@
   RESPONSE_BYTES = 2048
 };
 
+enum BodyType
+{
+  OPAQUE,
+  STREAM,
+  JSON
+};
+
 /* A response whose server sent the bytes so far, then closed or reset the connection. */
 struct Scenario
 {
   enum HttpFraming framing;
   const char *body;
-  bool is_stream;
+  enum BodyType type;
   size_t n_sent; /* bytes of the whole response that arrive */
   bool in_order; /* closed, not reset */
   size_t piece_bytes;
@@ -31,7 +38,7 @@
 {
   TALLOC_CTX *ctx;
   struct EventStream events;
-  size_t n_body_bytes;
+  struct ByteQueue body;
 };
 
 static bool
@@ -46,7 +53,7 @@
 {
   struct Receiver *receiver = data;
 
-  receiver->n_body_bytes += n_bytes;
+  CU_ASSERT_EQUAL (byte_queue_add (receiver->ctx, &receiver->body, bytes, n_bytes), ERROR_NONE);
   CU_ASSERT_EQUAL (event_stream_parse (receiver->ctx, &receiver->events, bytes, n_bytes),
                    ERROR_NONE);
 }
@@ -103,6 +110,26 @@
   return http_response_reader_close (reader, scenario->in_order);
 }
 
+static void
+receiver_fill_body (const struct Receiver *receiver, enum BodyType type, struct ResponseBody *body)
+{
+  switch (type)
+    {
+    case OPAQUE:
+      body->kind = RESPONSE_BODY_OPAQUE;
+      break;
+    case STREAM:
+      body->kind = RESPONSE_BODY_EVENTS;
+      body->events = &receiver->events;
+      break;
+    case JSON:
+      body->kind = RESPONSE_BODY_JSON;
+      body->json.bytes = byte_queue_head (&receiver->body);
+      body->json.n_bytes = byte_queue_length (&receiver->body);
+      break;
+    }
+}
+
 /* Returns the verdict on the response, and in *inside_event whether its body ends inside an event.
  */
 static enum ResponseVerdict
@@ -113,7 +140,7 @@
   struct HttpResponseReader reader = { .on_head = receiver_on_head,
                                        .on_body = receiver_on_body,
                                        .data = &receiver };
-  struct ResponseBody body = { .kind = RESPONSE_BODY_OPAQUE };
+  struct ResponseBody body = { 0 };
   char text[RESPONSE_BYTES];
   enum HttpEnd end;
   enum ResponseVerdict verdict;
@@ -121,12 +148,8 @@
   response_write (text, scenario->framing, scenario->body);
   http_response_reader_reset (ctx, &reader);
   end = reader_receive (&reader, text, scenario);
-  if (scenario->is_stream)
-    {
-      body.kind = RESPONSE_BODY_EVENTS;
-      body.events = &receiver.events;
-    }
-  *inside_event = scenario->is_stream && event_stream_is_inside_event (&receiver.events);
+  receiver_fill_body (&receiver, scenario->type, &body);
+  *inside_event = scenario->type == STREAM && event_stream_is_inside_event (&receiver.events);
   verdict = response_end_judge (end, &body);
   talloc_free (ctx);
   return verdict;
@@ -138,6 +161,7 @@
   "x-note: 3\nid: 7\ndata: one\n\n: comment\n\nid: 8\ndata:\n\n: last\n",
 };
 static const char opaque[] = "half of this is not the whole";
+static const char json[] = "{\"a\":[1,\"two\"],\"b\":{}}";
 
 /* Checks that the response counts as whole only if the server had sent all of it. */
 static void
@@ -148,10 +172,10 @@
   bool framed = scenario->framing != HTTP_FRAMING_CONNECTION, inside_event;
   enum ResponseVerdict verdict = scenario_run (scenario, &inside_event);
 
-  if (sent_all)
-    CU_ASSERT_EQUAL (verdict, framed               ? RESPONSE_WHOLE
-                              : scenario->in_order ? RESPONSE_UNKNOWN
-                                                   : RESPONSE_BROKEN_OFF)
+  if (sent_all && (framed || (scenario->type == JSON && scenario->in_order)))
+    CU_ASSERT_EQUAL (verdict, RESPONSE_WHOLE)
+  else if (sent_all)
+    CU_ASSERT_EQUAL (verdict, scenario->in_order ? RESPONSE_UNKNOWN : RESPONSE_BROKEN_OFF)
   else if (framed || !scenario->in_order || inside_event)
     CU_ASSERT_EQUAL (verdict, RESPONSE_BROKEN_OFF)
   else
@@ -159,7 +183,7 @@
 }
 
 static void
-check_all_cuts (const char *body, bool is_stream)
+check_all_cuts (const char *body, enum BodyType type)
 {
   static const enum HttpFraming framings[] = { HTTP_FRAMING_LENGTH, HTTP_FRAMING_CHUNKS,
                                                HTTP_FRAMING_CONNECTION };
@@ -172,7 +196,7 @@
       for (size_t n_sent = 0; n_sent <= n_bytes; n_sent++)
         for (int in_order = 0; in_order < 2; in_order++)
           {
-            struct Scenario scenario = { framings[i], body,          is_stream,
+            struct Scenario scenario = { framings[i], body,          type,
                                          n_sent,      in_order != 0, RESPONSE_BYTES };
 
             scenario_check (&scenario);
@@ -184,9 +208,10 @@
 static void
 test_no_cut_response_is_whole (void)
 {
-  check_all_cuts (opaque, false);
+  check_all_cuts (opaque, OPAQUE);
+  check_all_cuts (json, JSON);
   for (size_t i = 0; i < sizeof streams / sizeof streams[0]; i++)
-    check_all_cuts (streams[i], true);
+    check_all_cuts (streams[i], STREAM);
 }
 
 /* The verdict must not depend on how the bytes arrive. */
@@ -198,7 +223,7 @@
     {
       struct Scenario scenario = { .framing = (enum HttpFraming) (rand () % 3),
                                    .body = streams[rand () % 3],
-                                   .is_stream = true,
+                                   .type = STREAM,
                                    .in_order = rand () % 2 == 0 };
       char text[RESPONSE_BYTES];
       size_t n_bytes = response_write (text, scenario.framing, scenario.body);
@@ -226,7 +251,7 @@
     for (size_t n = 2; n < strlen (streams[0]); n++)
       {
         char body[RESPONSE_BYTES], text[RESPONSE_BYTES];
-        struct Scenario scenario = { framings[i], body, true, 0, true, RESPONSE_BYTES };
+        struct Scenario scenario = { framings[i], body, STREAM, 0, true, RESPONSE_BYTES };
         bool inside_event;
 
         snprintf (body, sizeof body, "%.*s", (int)n, streams[0]);
@@ -288,12 +313,43 @@
     }
 }
 
+/* Guards against half a JSON document of a server that goes on running. */
+static void
+test_json_shows_its_end (void)
+{
+  bool inside_event;
+
+  for (size_t n = 2; n < strlen (json); n++)
+    {
+      char body[RESPONSE_BYTES], text[RESPONSE_BYTES];
+      struct Scenario scenario = { HTTP_FRAMING_CONNECTION, body, JSON, 0, true, RESPONSE_BYTES };
+
+      snprintf (body, sizeof body, "%.*s", (int)n, json);
+      scenario.n_sent = response_write (text, scenario.framing, body);
+      CU_ASSERT_EQUAL (scenario_run (&scenario, &inside_event), RESPONSE_BROKEN_OFF);
+    }
+}
+
+/* Guards against rejecting text that is only called JSON. */
+static void
+test_text_called_json_does_not_show_its_end (void)
+{
+  char text[RESPONSE_BYTES];
+  struct Scenario scenario = { HTTP_FRAMING_CONNECTION, opaque, JSON, 0, true, RESPONSE_BYTES };
+  bool inside_event;
+
+  scenario.n_sent = response_write (text, scenario.framing, opaque);
+  CU_ASSERT_EQUAL (scenario_run (&scenario, &inside_event), RESPONSE_UNKNOWN);
+}
+
 const char test_suite_name[] = "response_end";
 const struct TestCase test_cases[] = {
   { "no cut response is whole", test_no_cut_response_is_whole },
   { "the verdict does not depend on pieces", test_verdict_does_not_depend_on_pieces },
   { "a framed stream that ends inside an event is broken off",
     test_framed_stream_that_ends_inside_an_event_is_broken_off },
+  { "JSON shows its end", test_json_shows_its_end },
+  { "text called JSON does not show its end", test_text_called_json_does_not_show_its_end },
   { "forms of responses", test_forms_of_responses },
   { NULL, NULL },
 };
