Check that a tool runs whose connection ends its response, in serve, too

The same fault on the other path: serve asks an engine's response for its last event, but took any response of a tool for whole once libcurl did, so that half a body of a tool that crashed, sent without a length or chunks, ended its call as done.

A tool's success without framing now ends its call only after a new connection to the tool was accepted; otherwise its effect is unknown, as with any connection that breaks.

test_backend_http, "unframed response of a crashed tool is not complete": fails without the change (the call ends without an error), passes with it.

--- a/adapters/backend_http.c
+++ b/adapters/backend_http.c
@@ -9,6 +9,7 @@
 enum
 {
   CONNECT_TIMEOUT_MS = 2000,
+  CHECK_TIMEOUT_MS = 500, /* for a server's response to a new connection */
   /* Limit on a response, or on one line of an event stream, that is buffered to parse its usage. */
   BUFFER_MAX_BYTES = 8 * 1024 * 1024,
   HEADERS_MAX = 5,
@@ -29,6 +30,9 @@
   bool engine, stream;
   BackendEventFn fn;
   void *data;
+  char *address;
+  struct HttpResult result; /* of a response whose server is being checked */
+  bool rejected;            /* see backend_call_was_rejected */
 
   uint8_t *buffer; /* the whole response, or the incomplete last line of an event stream */
   size_t buffer_bytes;
@@ -261,7 +265,7 @@
   else if (!status_is_ok (result->status))
     {
       event->end.error = ERROR_BACKEND;
-      event->end.ran = backend_call_was_rejected (call, result->status) ? RAN_NO : RAN_YES;
+      event->end.ran = call->rejected ? RAN_NO : RAN_YES;
     }
   else if (call->op == BACKEND_OP_REPORT)
     {
@@ -284,9 +288,8 @@
 }
 
 static void
-backend_call_on_done (void *data, const struct HttpResult *result)
+backend_call_finish (struct BackendCall *call, const struct HttpResult *result)
 {
-  struct BackendCall *call = data;
   BackendEventFn fn = call->fn;
   void *fn_data = call->data;
   struct BackendEvent event = { .kind = BACKEND_EVENT_END };
@@ -297,6 +300,63 @@
   fn (fn_data, &event);
 }
 
+static void
+backend_call_on_checked (void *data, const struct HttpResult *check)
+{
+  struct BackendCall *call = data;
+
+  call->result.whole = check->whole;
+  backend_call_finish (call, &call->result);
+}
+
+/* Opens a connection to the server of a response that ended with its connection: the response is
+ * whole if the server is still running. Returns false when out of memory. */
+static bool
+backend_call_check_server (struct BackendCall *call)
+{
+  const struct HttpRequest request = {
+    .method = "GET",
+    .url = talloc_asprintf (call, "http://%s/", call->address),
+    .timeout_ms = CHECK_TIMEOUT_MS,
+    .connect_timeout_ms = CHECK_TIMEOUT_MS,
+    .fresh_connection = true,
+    .connect_only = true,
+  };
+
+  if (request.url == NULL)
+    return false;
+  call->curl = curl_loop_submit (call->http->loop, &request, NULL, backend_call_on_checked, call);
+  return call->curl != NULL;
+}
+
+/* An engine's response shows its own end. */
+static bool
+backend_call_needs_check (const struct BackendCall *call)
+{
+  return call->op == BACKEND_OP_CALL && !call->engine && call->cancelling == NULL
+         && call->result.whole && !call->result.framed && status_is_ok (call->result.status);
+}
+
+static void
+backend_call_on_done (void *data, const struct HttpResult *result)
+{
+  struct BackendCall *call = data;
+
+  call->result = *result;
+  call->rejected = backend_call_was_rejected (call, result->status);
+  call->curl = NULL; /* frees itself after this callback */
+  if (!backend_call_needs_check (call))
+    {
+      backend_call_finish (call, result);
+      return;
+    }
+  if (!backend_call_check_server (call))
+    {
+      call->result.whole = false;
+      backend_call_finish (call, &call->result);
+    }
+}
+
 static void
 backend_call_on_cancel (struct tevent_context *events,
                         struct tevent_immediate *immediate,
@@ -458,6 +518,7 @@
   if (error != ERROR_NONE)
     goto out;
   call->http = http;
+  call->address = talloc_strdup (call, request->address);
   call->op = request->op;
   call->engine = request->op == BACKEND_OP_CALL && request->call.target_kind == CALL_TARGET_ENGINE;
   call->stream = request->op == BACKEND_OP_CALL && request->call.stream;
--- a/adapters/curl_loop.c
+++ b/adapters/curl_loop.c
@@ -1,5 +1,7 @@
 #include <buckthornhead/curl_loop.h>
 
+#include <buckthornhead/http_message.h>
+
 #include <buckthornhead/timer_tevent.h>
 
 #include <string.h>
@@ -49,6 +51,15 @@
   curl_socket_t fd;
 };
 
+static bool
+curl_call_is_framed (struct CurlCall *call)
+{
+  const char *coding = curl_call_header (call, "Transfer-Encoding");
+
+  return curl_call_header (call, "Content-Length") != NULL
+         || (coding != NULL && http_list_has (coding, "chunked"));
+}
+
 static void
 curl_call_finish (struct CurlCall *call, CURLcode code)
 {
@@ -60,6 +71,7 @@
   curl_easy_getinfo (call->easy, CURLINFO_REQUEST_SIZE, &request_bytes);
   result.sent = request_bytes > 0;
   result.whole = code == CURLE_OK;
+  result.framed = curl_call_is_framed (call);
   result.timed_out = code == CURLE_OPERATION_TIMEDOUT;
   result.status = (uint32_t)status;
   result.body = call->response;
@@ -357,6 +369,8 @@
     curl_easy_setopt (call->easy, CURLOPT_TIMEOUT_MS, (long)request->timeout_ms);
   if (request->connect_timeout_ms > 0)
     curl_easy_setopt (call->easy, CURLOPT_CONNECTTIMEOUT_MS, (long)request->connect_timeout_ms);
+  if (request->connect_only)
+    curl_easy_setopt (call->easy, CURLOPT_CONNECT_ONLY, 1L);
   if (request->fresh_connection || (call->body == NULL && strcmp (request->method, "GET") != 0))
     curl_easy_setopt (call->easy, CURLOPT_FRESH_CONNECT, 1L);
   curl_easy_setopt (call->easy, CURLOPT_FORBID_REUSE, request->fresh_connection ? 1L : 0L);
--- a/include/buckthornhead/curl_loop.h
+++ b/include/buckthornhead/curl_loop.h
@@ -23,12 +23,15 @@
   /* Uses a new connection. If the server closes an idle connection just as the request is sent on
    * it, the request fails with unknown effect although it never ran. */
   bool fresh_connection;
+  bool connect_only; /* opens a connection and sends nothing; .whole of the result: it is
+                        established */
 };
 
 struct HttpResult
 {
-  bool sent;  /* part of the request may have reached the server */
-  bool whole; /* a complete response was received */
+  bool sent;   /* part of the request may have reached the server */
+  bool whole;  /* a complete response was received */
+  bool framed; /* it had a length or chunks; otherwise the server's process may have ended in it */
   bool timed_out;
   uint32_t status;
   const uint8_t *body; /* NULL when a chunk callback was given */
--- a/tests/standins/installation_server.c
+++ b/tests/standins/installation_server.c
@@ -130,9 +130,11 @@
   MHD_socket listener;
 
   pthread_mutex_lock (&server->installation->lock);
-  listener = server->crashing ? MHD_INVALID_SOCKET : MHD_quiesce_daemon (server->daemon);
-  if (listener != MHD_INVALID_SOCKET)
+  if (!server->crashing)
     {
+      listener = MHD_quiesce_daemon (server->daemon);
+      if (listener == MHD_INVALID_SOCKET)
+        abort ();
       /* The daemon's thread still polls the socket, which would keep it open. */
       shutdown (listener, SHUT_RDWR);
       close (listener);
@@ -395,9 +397,9 @@
 int
 installation_server_start (struct Server *server)
 {
-  server->daemon =
-      MHD_start_daemon (MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD,
-                        server->port, NULL, NULL, server_on_request, server,
-                        MHD_OPTION_NOTIFY_COMPLETED, request_completed, server, MHD_OPTION_END);
+  server->daemon = MHD_start_daemon (
+      MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_ITC, server->port,
+      NULL, NULL, server_on_request, server, MHD_OPTION_NOTIFY_COMPLETED, request_completed, server,
+      MHD_OPTION_END);
   return server->daemon != NULL ? 0 : -1;
 }
--- a/tests/test_backend_http.c
+++ b/tests/test_backend_http.c
@@ -25,6 +25,8 @@
   FAKE_STREAM_ENDLESS,  /* sends the text, then waits for the disconnect */
   FAKE_STREAM_BROKEN,   /* sends the text, then closes the connection midway */
   FAKE_CLOSE_AFTER_RUN, /* closes the connection without a response */
+  FAKE_UNFRAMED,        /* sends the text without a length or chunks, then closes the connection */
+  FAKE_UNFRAMED_CRASH,  /* the same, and stops listening before it closes */
   FAKE_HANG             /* no response until the test ends */
 };
 
@@ -47,6 +49,17 @@
   size_t sent;
 };
 
+static void
+fake_stop_listening (struct Fake *fake)
+{
+  MHD_socket listener = MHD_quiesce_daemon (fake->daemon);
+
+  CU_ASSERT_NOT_EQUAL (listener, MHD_INVALID_SOCKET);
+  /* The daemon's thread still polls the socket, which would keep it open. */
+  shutdown (listener, SHUT_RDWR);
+  close (listener);
+}
+
 static ssize_t
 fake_read_stream (void *data, uint64_t position, char *buffer, size_t max_bytes)
 {
@@ -63,7 +76,9 @@
       stream->sent += n;
       return (ssize_t)n;
     }
-  if (stream->fake->mode == FAKE_STREAM)
+  if (stream->fake->mode == FAKE_UNFRAMED_CRASH)
+    fake_stop_listening (stream->fake);
+  if (stream->fake->mode != FAKE_STREAM_ENDLESS && stream->fake->mode != FAKE_STREAM_BROKEN)
     return MHD_CONTENT_READER_END_OF_STREAM;
   while (stream->fake->mode == FAKE_STREAM_ENDLESS && !stream->fake->stop)
     usleep (POLL_US);
@@ -87,6 +102,8 @@
       response =
           MHD_create_response_from_callback (MHD_SIZE_UNKNOWN, 64, fake_read_stream, stream, free);
     }
+  if (fake->mode == FAKE_UNFRAMED || fake->mode == FAKE_UNFRAMED_CRASH)
+    MHD_set_response_options (response, MHD_RF_HTTP_1_0_COMPATIBLE_STRICT, MHD_RO_END);
   if (fake->refuse_not_run)
     MHD_add_response_header (response, "X-Ran", "not_run");
   result = MHD_queue_response (connection, fake->status, response);
@@ -158,8 +175,8 @@
   fake->text = text;
   address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
   fake->daemon = MHD_start_daemon (
-      MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_THREAD_PER_CONNECTION | MHD_USE_POLL, 0, NULL, NULL,
-      fake_on_request, fake, MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_END);
+      MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_THREAD_PER_CONNECTION | MHD_USE_POLL | MHD_USE_ITC,
+      0, NULL, NULL, fake_on_request, fake, MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_END);
   CU_ASSERT_PTR_NOT_NULL_FATAL (fake->daemon);
   snprintf (fake->address, sizeof fake->address, "127.0.0.1:%u",
             (unsigned)MHD_get_daemon_info (fake->daemon, MHD_DAEMON_INFO_BIND_PORT)->port);
@@ -411,6 +428,28 @@
   talloc_free (client);
 }
 
+/* Guards against half a tool's response that counts as whole because its server's connection
+ * closed. */
+static void
+test_unframed_response_of_a_crashed_tool_is_not_complete (void)
+{
+  struct Client *client = client_new ();
+  struct BackendRequest request;
+  struct Fake fake;
+
+  fake_start (&fake, FAKE_UNFRAMED, "{\"wages\":100}");
+  request = service_request (fake.address);
+  client_call (client, &request);
+  assert_end (client, ERROR_NONE, RAN_YES);
+  CU_ASSERT_STRING_EQUAL (client->body, fake.text);
+  fake.mode = FAKE_UNFRAMED_CRASH;
+  fake.text = "{\"wages\":10";
+  client_call (client, &request);
+  assert_end (client, ERROR_UNKNOWN_EFFECT, RAN_MAYBE);
+  fake_stop (&fake);
+  talloc_free (client);
+}
+
 static void
 test_refused_connection_did_not_run (void)
 {
@@ -619,6 +658,8 @@
   { "stream in slices", test_stream_in_slices },
   { "stream that reports an error", test_stream_that_reports_an_error },
   { "stream without its end is not complete", test_stream_without_its_end_is_not_complete },
+  { "unframed response of a crashed tool is not complete",
+    test_unframed_response_of_a_crashed_tool_is_not_complete },
   { "refused connection did not run", test_refused_connection_did_not_run },
   { "timeout before connecting did not run", test_timeout_before_connecting_did_not_run },
   { "close after run on a used connection runs once",
