Fuzz the reader of responses; test what broken turns spend

A fuzz target for the reader of servers' responses and the verdict on them: the same verdict however the bytes are split, and no proper part of a complete response counts as complete.

sessions gateway_broken_answers: turns that break off are charged what they sent, until their program's budget rejects them.

--- a/tests/fuzz/fuzz_gateway.c
+++ b/tests/fuzz/fuzz_gateway.c
@@ -91,6 +91,8 @@
   FUZZ_REQUIRE (byte_queue_length (&whole.data) == byte_queue_length (&split.data));
   FUZZ_REQUIRE (whole.incomplete_bytes == split.incomplete_bytes
                 && whole.incomplete_bytes <= n_bytes);
+  FUZZ_REQUIRE (event_stream_is_inside_event (&whole) == event_stream_is_inside_event (&split));
+  FUZZ_REQUIRE (whole.incomplete_bytes > 0 || !event_stream_is_inside_event (&whole));
   FUZZ_REQUIRE (whole.has_last_id == split.has_last_id && whole.last_id == split.last_id);
 }
 
--- a/tests/sessions/test_gateway_broken_answers.c
+++ b/tests/sessions/test_gateway_broken_answers.c
@@ -99,6 +99,35 @@
   check_turn_is_broken (SERVER_CRASHES_IN_RESPONSE, "the server's process has ended");
 }
 
+/* Guards against turns that break off and spend nothing of their program's budget, or all of it. */
+static void
+test_broken_turns_spend_what_they_sent (void)
+{
+  const uint32_t budget = 500, sent_tokens = N_EVENTS / 2 * TOKENS_PER_EVENT;
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct Fleet *fleet = answers_start (ctx, 1);
+  uint32_t n_failed = CU_get_number_of_failures (), n_rejected = 0, n_runs;
+
+  engines_set_mode (fleet, SERVER_CLOSES_WITHIN_EVENT);
+  for (uint32_t i = 0; n_rejected < 3 && i < ATTEMPTS_MAX; i++)
+    {
+      char id[16];
+      struct HttpReply *reply;
+
+      snprintf (id, sizeof id, "b%u", i);
+      reply = turn_send (fleet, ctx, 0, "loop", id, "", budget, id);
+      n_rejected += reply->status == 402;
+      CU_ASSERT_NOT_EQUAL (reply->status, 200);
+    }
+  n_runs = server_runs (fleet->installation, FIRST_ENGINE)
+           + server_runs (fleet->installation, FIRST_ENGINE + 1);
+  CU_ASSERT_EQUAL (n_rejected, 3);
+  CU_ASSERT (n_runs * sent_tokens <= budget);
+  CU_ASSERT (n_runs > 1);
+  fleet_end (fleet, CU_get_number_of_failures () > n_failed);
+  talloc_free (ctx);
+}
+
 /* Guards against rejecting sound streams, whose servers end them with their connection. */
 static void
 test_whole_stream_without_length_is_complete (void)
@@ -214,6 +243,7 @@
     test_chunked_stream_that_ends_within_an_event_is_broken },
   { "a stream whose server crashes between events is broken",
     test_stream_whose_server_crashes_between_events_is_broken },
+  { "broken turns spend what they sent", test_broken_turns_spend_what_they_sent },
   { "a whole stream without a length is complete", test_whole_stream_without_length_is_complete },
   { "a stream that closes within an event is resumed",
     test_stream_that_closes_within_an_event_is_resumed },
