--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -1,7 +1,7 @@
 /* Randomized soak test: runs gateways and archives as processes, injects faults from outside them,
  * and checks the documented guarantees by what callers and servers observe.
  *
- *   soak --seed N --seeds COUNT --seconds S --sharing WORD --hard-load
+ *   soak --seed N --seeds COUNT --seconds S --sharing WORD --hard-load --broken-answers
  *
  * Prints each fault when it begins. A violation fails the run and keeps the processes' logs. */
 #include "soak_load.h"
@@ -24,7 +24,8 @@
   STEP_MS = 20,
   DELAY_MAX_MS = 250,
   EVENT_MS = 5, /* between two events of an engine */
-  SLOW_FACTOR = 4
+  SLOW_FACTOR = 4,
+  CRASHED_MS = 300 /* until a server that crashed starts again */
 };
 
 /* An event, and whether it has begun and not ended. */
@@ -43,6 +44,7 @@
   bool busy[N_GATEWAYS + N_ARCHIVES]; /* by process: an event is active on it */
   bool links_busy[N_PROXIES], store_busy, servers_busy;
   bool loads_busy[N_SOAK_LOADS]; /* by kind */
+  bool breaks_answers;           /* servers fail while they send a response */
   uint64_t version;
 };
 
@@ -153,11 +155,16 @@
 {
   static const enum ServerMode modes[] = { SERVER_REJECTS, SERVER_DROPS_RESPONSE, SERVER_TRUNCATES,
                                            SERVER_OMITS_SEAL, SERVER_HANGS };
+  static const enum ServerMode breaking[] = { SERVER_CLOSES_AT_END, SERVER_CLOSES_WITHIN_EVENT,
+                                              SERVER_CRASHES_IN_RESPONSE,
+                                              SERVER_ENDS_WITHIN_EVENT };
+  enum ServerMode mode = soak->breaks_answers
+                             ? breaking[event->variant % (sizeof breaking / sizeof breaking[0])]
+                             : modes[event->variant % (sizeof modes / sizeof modes[0])];
 
   if (!claim (&soak->servers_busy))
     return false;
-  server_set_mode (soak->fleet->installation, event->target % (TOOL_SERVER + 1),
-                   modes[event->variant % (sizeof modes / sizeof modes[0])]);
+  server_set_mode (soak->fleet->installation, event->target % (TOOL_SERVER + 1), mode);
   return true;
 }
 
@@ -340,7 +347,8 @@
     "[limits]\nheld_memory = 32M\n[decisions]\nadmission = on\npace = on\nplain_queues = on\n";
 
 static uint32_t
-soak_run (uint64_t seed, int64_t length_ms, const char *sharing, bool hard_load)
+soak_run (
+    uint64_t seed, int64_t length_ms, const char *sharing, bool hard_load, bool breaks_answers)
 {
   TALLOC_CTX *ctx = talloc_new (NULL);
   struct Soak *soak = talloc_zero (ctx, struct Soak);
@@ -350,12 +358,14 @@
 
   printf ("seed %llu, %zu faults\n", (unsigned long long)seed, n_events);
   soak->version = 1;
+  soak->breaks_answers = breaks_answers;
   soak->fleet = fleet_new (ctx);
   soak->fleet->quota_sharing = sharing;
   soak->fleet->gateway_settings = hard_load ? hard_load_sections : NULL;
   soak->load.limits_surges = strcmp (sharing, "leases") == 0;
   fleet_start_all (soak->fleet, N_GATEWAYS, N_ARCHIVES, soak_add_proxy, soak);
   installation_set_customers (soak->fleet->installation, soak_customers);
+  installation_set_crashing_path (soak->fleet->installation, "", CRASHED_MS, false);
   installation_configure (soak->fleet->installation, ++soak->version, "");
   for (uint32_t i = 0; i < N_GATEWAYS; i++)
     if (!process_wait_for_output (soak->fleet->gateways[i].process, "version 2, 3 routes"))
@@ -387,8 +397,9 @@
   struct arg_str *sharing = arg_str0 (NULL, "sharing", "WORD",
                                       "[quota] sharing; surges are checked with leases (counts)");
   struct arg_lit *hard_load = arg_lit0 (NULL, "hard-load", "activate what is off by default");
+  struct arg_lit *broken = arg_lit0 (NULL, "broken-answers", "servers fail in their responses");
   struct arg_end *end = arg_end (4);
-  void *table[] = { seed, seeds, seconds, sharing, hard_load, end };
+  void *table[] = { seed, seeds, seconds, sharing, hard_load, broken, end };
   uint32_t n_failed = 0;
 
   seed->ival[0] = 1;
@@ -398,14 +409,13 @@
   if (arg_parse (argc, argv, table) > 0 || seconds->ival[0] < 1 || seeds->ival[0] < 1)
     {
       arg_print_errors (stderr, end, "soak");
-      fprintf (
-          stderr,
-          "usage: soak [--seed N] [--seeds COUNT] [--seconds S] [--sharing WORD] [--hard-load]\n");
+      fprintf (stderr, "usage: soak [--seed N] [--seeds COUNT] [--seconds S] [--sharing WORD] "
+                       "[--hard-load] [--broken-answers]\n");
       return 2;
     }
   for (int i = 0; i < seeds->ival[0]; i++)
     if (soak_run ((uint64_t)seed->ival[0] + (uint64_t)i, (int64_t)seconds->ival[0] * 1000,
-                  sharing->sval[0], hard_load->count > 0)
+                  sharing->sval[0], hard_load->count > 0, broken->count > 0)
         > 0)
       {
         n_failed++;
