Confirm refusals that depend on the ledger, on first attempts, too

The listed test sessions_pairs: callers got a final out_of_order ("expected sequence 6" for their call 7) after a home was paused and replaced and an instance stopped as planned.

Cause: the call's first attempt waited in the paused home's socket. On resuming, the home answered it from its stale ledger before it noticed that it had been replaced.

But out_of_order, not_found and ended also say what the ledger holds, and callers take them as final.

These three refusals now wait for the confirmation on any attempt.

--- a/daemon/home_accept.c
+++ b/daemon/home_accept.c
@@ -7,8 +7,7 @@
 
 enum
 {
-  INTENT_TIMEOUT_MS = 1500, /* a call whose intent is not durable by then is refused */
-  RETRY_AFTER_OUTAGE_MS = 1000
+  INTENT_TIMEOUT_MS = 1500 /* a call whose intent is not durable by then is refused */
 };
 
 static void
--- a/daemon/home_internal.h
+++ b/daemon/home_internal.h
@@ -12,7 +12,9 @@
 
 enum
 {
-  CALL_TRIED_MAX = 8 /* backend servers that a call remembers as tried */
+  CALL_TRIED_MAX = 8, /* backend servers that a call remembers as tried */
+  /* Until a caller asks again whom an outage of the platform kept waiting. */
+  RETRY_AFTER_OUTAGE_MS = 1000
 };
 
 enum HomeCallState
@@ -158,8 +160,9 @@
 /* Sends json as a complete response. */
 void
 home_reply_json (struct Home *home, uint64_t link, uint64_t id, uint32_t status, const char *json);
-/* Refuses a request that did not run here. A first attempt is reported as not run at once; a resend
- * only after the journal has confirmed that this incarnation still owns the partition. */
+/* Refuses a request that did not run here. A resend, and a first attempt whose refusal depends on
+ * what the ledger holds, only after the journal has confirmed that this incarnation still owns the
+ * partition. */
 void
 home_refuse (struct Home *home,
              uint64_t link,
--- a/daemon/home_program.c
+++ b/daemon/home_program.c
@@ -10,8 +10,7 @@
 
 enum
 {
-  GRANT_DIVISOR = 20, /* divides the budget for grant_tokens, a takeover's charge per branch */
-  RETRY_AFTER_OUTAGE_MS = 1000
+  GRANT_DIVISOR = 20 /* divides the budget for grant_tokens, a takeover's charge per branch */
 };
 
 /* A request whose response is sent once its record is durable. */
--- a/tests/sessions/test_pairs.c
+++ b/tests/sessions/test_pairs.c
@@ -369,10 +369,50 @@
   cluster_stop (cluster, CU_get_number_of_failures () > 0);
 }
 
+/* Guards against a resumed home whose stale ledger refuses the next call of a program for good: its
+ * first attempt waited in the paused home's socket. */
+static void
+test_resumed_home_does_not_refuse_the_next_call (void)
+{
+  struct Cluster *cluster = cluster_start (NULL, &three_instances);
+  struct TestCall call = { .program = "woken",
+                           .sequence = 1,
+                           .service = "field-desk",
+                           .path = "/wages/confirm",
+                           .body = "{\"wage\":410}" };
+  struct CallThread thread;
+  int32_t home;
+
+  CU_ASSERT_TRUE (cluster_wait_partitions_stable (cluster));
+  CU_ASSERT_TRUE (create_program (cluster, 0, "woken"));
+  CU_ASSERT_EQUAL (call_send_until_final (cluster, &call)->status, 200);
+  home = cluster_home (cluster, "woken");
+  CU_ASSERT_TRUE_FATAL (home >= 0);
+  CU_ASSERT_TRUE (process_signal (cluster->instances[home].process, SIGSTOP));
+  call.address = cluster->instances[(home + 1) % 3].address;
+  for (call.sequence = 2; call.sequence <= 3; call.sequence++)
+    CU_ASSERT_TRUE (wait_for (call_succeeds, &call));
+  call.sequence = 4;
+  call.first_attempt = true;
+  call.address = cluster->instances[home].address;
+  call_thread_start (&thread, &call);
+  sleep_ms (OVERLAP_MS_MAX);
+  CU_ASSERT_TRUE (process_signal (cluster->instances[home].process, SIGCONT));
+  call_thread_join (&thread);
+  CU_ASSERT_STRING_NOT_EQUAL (reply_error_kind (thread.reply), "out_of_order");
+  talloc_free (thread.reply);
+  call.first_attempt = false;
+  CU_ASSERT_EQUAL (call_send_until_final (cluster, &call)->status, 200);
+  CU_ASSERT_EQUAL (cluster_tool_runs (cluster), 4);
+  cluster_stop (cluster, CU_get_number_of_failures () > 0);
+}
+
 const char test_suite_name[] = "two failures at once";
 const struct TestCase test_cases[] = {
   { "pairs drawn from the seed", test_seeded_pairs },
   { "pairs that found a fault", test_regression_pairs },
   { "resumed home with a stale ledger", test_resumed_home_with_stale_ledger },
+  { "a resumed home does not refuse the next call",
+    test_resumed_home_does_not_refuse_the_next_call },
   { NULL, NULL },
 };
