Log the limits and the disk that a start finds, and failing accepts

A process that ended at its start, one whose disk had lost names, and one that had no descriptor left all looked the same from outside: no line at all. The hypotheses of the incident could not be told apart.

starting has the process's limits, before anything can fail; started has the time that the start took; disk_opened tells mark, records, files and missing numbers; accept_failed comes once in 10 s and counts in accepts_failed_total. No decision has changed.

--- a/adapters/disk_log.c
+++ b/adapters/disk_log.c
@@ -37,6 +37,7 @@
 {
   char folder[256];
   bool complete;
+  size_t n_replayed;      /* records found by disk_log_open */
   struct DiskFile *files; /* ascending by number */
   size_t n_files;
   struct Mailbox *mailbox;
@@ -86,9 +87,27 @@
 
 /* Opening. */
 
+/* Counts the replayed records and passes them on. */
+struct Replay
+{
+  struct DiskLog *log;
+  DiskLogFn fn;
+  void *data;
+};
+
+static void
+replay_on_record (void *data, const struct DiskPlace *place, const uint8_t *record, size_t n_bytes)
+{
+  const struct Replay *replay = data;
+
+  replay->log->n_replayed++;
+  replay->fn (replay->data, place, record, n_bytes);
+}
+
 static void
 file_replay (struct DiskLog *log, uint32_t number, DiskLogFn fn, void *data)
 {
+  struct Replay replay = { log, fn, data };
   struct DiskFile *file = file_get_or_add (log, number);
   char path[DISK_PATH_BYTES];
   size_t n_bytes;
@@ -102,7 +121,8 @@
                  strerror (errno));
       return;
     }
-  file->durable_bytes = (uint32_t)disk_frames_foreach (bytes, n_bytes, number, fn, data);
+  file->durable_bytes =
+      (uint32_t)disk_frames_foreach (bytes, n_bytes, number, replay_on_record, &replay);
   if (file->durable_bytes < n_bytes)
     log_event (LOG_LEVEL_WARNING, "disk_file_torn", NULL, NULL, "%s: %zu bytes of %zu are whole",
                path, (size_t)file->durable_bytes, n_bytes);
@@ -151,6 +171,14 @@
   return numbers;
 }
 
+/* Returns how many numbers are missing between the first file and the last. Files are deleted by
+ * age, so a missing number can be a file that a power failure has removed. */
+static uint32_t
+count_missing (const uint32_t *numbers, size_t n)
+{
+  return n > 0 ? numbers[n - 1] - numbers[0] + 1 - (uint32_t)n : 0;
+}
+
 static void
 mark_path (const struct DiskLog *log, char path[DISK_PATH_BYTES])
 {
@@ -270,6 +298,10 @@
     }
   mark_path (l, path);
   l->complete = access (path, F_OK) == 0;
+  log_event (LOG_LEVEL_NOTICE, "disk_opened", NULL, NULL,
+             "%s: %s, %zu records in %zu files, %u numbers missing between them", folder,
+             l->complete ? "marked as complete" : "no mark of completeness", l->n_replayed, n,
+             count_missing (numbers, n));
   if (log_start_writer (l, events, last_file, fault) != ERROR_NONE)
     {
       *log = NULL;
--- a/adapters/net_socket.c
+++ b/adapters/net_socket.c
@@ -1,11 +1,15 @@
 #include <buckthornhead/net_socket.h>
 
+#include <buckthornhead/clock.h>
+#include <buckthornhead/counter.h>
+#include <buckthornhead/log.h>
 #include <buckthornhead/settings.h>
 
 #include <arpa/inet.h>
 #include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <stdatomic.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -14,7 +18,8 @@
 {
   /* Exceeds the number of connections that arrive while the process waits to be scheduled: a full
    * queue drops the SYN, which the client retransmits only seconds later. */
-  LISTEN_BACKLOG = 1024
+  LISTEN_BACKLOG = 1024,
+  ACCEPT_LOG_PERIOD_MS = 10 * 1000
 };
 
 static bool
@@ -68,6 +73,22 @@
   return ERROR_IO;
 }
 
+/* Logs a failure to accept a connection, at most once in ACCEPT_LOG_PERIOD_MS. */
+static void
+log_accept_failed (int error)
+{
+  static _Atomic int64_t logged_ms;
+  int64_t now_ms = clock_monotonic_ms (), last_ms = atomic_load (&logged_ms);
+
+  counter_add (COUNTER_ACCEPTS_FAILED, 1);
+  if (last_ms != 0 && now_ms - last_ms < ACCEPT_LOG_PERIOD_MS)
+    return;
+  atomic_store (&logged_ms, now_ms);
+  log_event (LOG_LEVEL_ERROR, "accept_failed", NULL,
+             "raise the process's limit of descriptors, or lower [limits] connections", "%s",
+             strerror (error));
+}
+
 int
 net_accept (int listen_fd)
 {
@@ -76,6 +97,8 @@
 
   if (fd >= 0)
     setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+  else if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR && errno != ECONNABORTED)
+    log_accept_failed (errno);
   return fd;
 }
 
--- a/core/counter.c
+++ b/core/counter.c
@@ -120,6 +120,8 @@
   [COUNTER_ARCHIVE_RECORDS] =
       COUNTS ("archive_records", "Records that this archive wrote to its disk"),
   [COUNTER_ARCHIVE_SYNCS] = COUNTS ("archive_syncs", "Batches of records that this archive synced"),
+  [COUNTER_ACCEPTS_FAILED] = COUNTS (
+      "accepts_failed", "Connections that could not be accepted, mostly for lack of a descriptor"),
   [GAUGE_CONFIG_REVISION] =
       GAUGES ("config_revision", "Configuration revision in force on this instance"),
   [GAUGE_PARTITIONS_OWNED] = GAUGES ("partitions_owned", "Partitions whose home is this instance"),
--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -14,6 +14,7 @@
 #include <buckthornhead/instances_http.h>
 #include <buckthornhead/kv_http.h>
 #include <buckthornhead/log.h>
+#include <buckthornhead/process_limits.h>
 #include <buckthornhead/timer_tevent.h>
 
 #include <signal.h>
@@ -476,6 +477,7 @@
   talloc_set_abort_fn (daemon_on_talloc_abort);
   curl_global_init (CURL_GLOBAL_DEFAULT);
   log_init (settings->instance, settings->zone, LOG_LEVEL_INFO);
+  process_limits_log ();
   daemon.core = talloc_zero (NULL, struct Core);
   daemon.core->settings = settings;
   error = daemon_open_adapters (&daemon, &fault);
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -4,9 +4,12 @@
 #include "front.h"
 #include "metrics.h"
 
+#include <buckthornhead/clock.h>
 #include <buckthornhead/log.h>
 #include <buckthornhead/timer_tevent.h>
 
+#include <buckthornhead/process_limits.h>
+
 #include <platform.h>
 #include <signal.h>
 #include <stdio.h>
@@ -143,10 +146,12 @@
 {
   struct Gateway *gateway = talloc_zero (NULL, struct Gateway);
   struct Fault fault = { 0 };
+  int64_t started_ms = clock_monotonic_ms ();
   int32_t error = ERROR_NO_MEMORY;
 
   log_init (settings->instance, settings->zone, LOG_LEVEL_INFO);
   log_set_fd (STDOUT_FILENO);
+  process_limits_log ();
   signal (SIGPIPE, SIG_IGN);
   if (gateway == NULL)
     return error;
@@ -156,8 +161,9 @@
       log_event (LOG_LEVEL_ERROR, "start_failed", NULL, fault.remedy, "%s", fault.message);
       goto out;
     }
-  log_event (LOG_LEVEL_NOTICE, "started", NULL, NULL, "%s",
-             node_is_archive (&gateway->node) ? "archive" : "gateway");
+  log_event (LOG_LEVEL_NOTICE, "started", NULL, NULL, "%s, after %lld ms",
+             node_is_archive (&gateway->node) ? "archive" : "gateway",
+             (long long)(clock_monotonic_ms () - started_ms));
   gateway_log_decisions (&settings->decisions);
   while (!gateway->done)
     if (tevent_loop_once (gateway->node.events) != 0)
