End the wait of archives whose loss nobody can restore

What callers saw: three archives, two without their mark of completeness or with lost disks, all started: every turn, first turns of new programs included, got 503 for good.

Cause: an incomplete archive counts again only once a read quorum of complete ones has been copied. With two of three incomplete there is none, each waits for the others, and nothing ends the wait. Class: a state that only others can end, without a bound.

An archive is complete if it holds all that it acknowledged and that has not expired. One that has run for longer than anything is kept holds that by itself: what it lost has expired, and what it acknowledged since is on its disk. So it counts as complete after [archives] longest_retention (default 10m; turns are kept 60 s on the deployments, budgets 3 minutes). An operator who knows that no disk comes back lowers it and restarts. archive_incomplete says every 10 s what is missing and how long it lasts.

Turns stay rejected, not run, until then.

--- a/core/gateway/gateway_settings.c
+++ b/core/gateway/gateway_settings.c
@@ -61,6 +61,13 @@
   { "first_start", CONFIG_VALUE_CHOICE, CONFIG_FIELD (struct GatewaySettings, first_start), "false",
     UNIT_NONE, 0, 0, true_false },
   NUMBER ("tolerated", CONFIG_VALUE_NUMBER, tolerated, "1", UNIT_NONE, 0, 16),
+  NUMBER ("longest_retention",
+          CONFIG_VALUE_NUMBER,
+          longest_retention_ms,
+          "10m",
+          UNIT_TIME,
+          1000,
+          7 * 24 * 60 * MINUTE_MS),
 };
 
 static const struct ConfigKey stop_keys[] = {
--- a/gateway/archive_member.c
+++ b/gateway/archive_member.c
@@ -24,6 +24,8 @@
   /* Delay for each archive that precedes this one in joining the first set. A step takes two calls
    * to the store, and all archives receive a new member within about 300 ms. */
   FIRST_STAGGER_MS = 600,
+  /* Interval of the log lines of an archive whose disk is incomplete. */
+  INCOMPLETE_LOG_MS = 10 * 1000,
   /* Maximum wait for the lists of processes, without which each archive would assume that it is the
    * first. */
   FIRST_DISCOVERY_MS = 1500
@@ -40,6 +42,8 @@
   struct ArchiveCopy *copy;
   uint64_t copy_generation; /* change for which the copy is made; 0: to restore a lost disk */
   uint64_t synced_generation;
+  int64_t started_ms;
+  int64_t incomplete_logged_ms; /* when the last such line was logged */
   char retiring[RETIRE_MAX][NAME_MAX_BYTES + 1];
   size_t n_retiring;
   struct ArchiveStep step;   /* being written to the store; points to joining and leaving */
@@ -224,6 +228,55 @@
   node_announce (member->node);
 }
 
+/* Returns how long this archive has left to run until everything that a lost disk held has expired,
+ * so that its disk holds all records that must be kept. */
+static int64_t
+member_loss_expires_in_ms (const struct ArchiveMember *member)
+{
+  return member->started_ms + (int64_t)member->node->settings->longest_retention_ms
+         - member_now_ms (member);
+}
+
+static void
+member_expire_loss (struct ArchiveMember *member)
+{
+  if (member->copy != NULL && member->copy_generation == 0)
+    TALLOC_FREE (member->copy);
+  if (disk_log_mark_complete (member->log) != ERROR_NONE)
+    {
+      member->started_ms = member_now_ms (member);
+      log_event (LOG_LEVEL_ERROR, "archive_mark_failed", NULL, "check the disk",
+                 "what the lost disk held has expired, but the disk cannot be marked as complete");
+      return;
+    }
+  log_event (LOG_LEVEL_NOTICE, "archive_loss_expired", NULL, NULL,
+             "nothing could be copied for %u s, and what the lost disk held has expired",
+             member->node->settings->longest_retention_ms / 1000);
+  node_announce (member->node);
+}
+
+/* Handles an incomplete disk that the other archives cannot restore, since too few of them are
+ * complete themselves. */
+static void
+member_handle_incomplete (struct ArchiveMember *member)
+{
+  int64_t now_ms = member_now_ms (member);
+
+  if (member_loss_expires_in_ms (member) <= 0)
+    {
+      member_expire_loss (member);
+      return;
+    }
+  if (now_ms - member->started_ms < INCOMPLETE_LOG_MS
+      || now_ms - member->incomplete_logged_ms < INCOMPLETE_LOG_MS)
+    return;
+  member->incomplete_logged_ms = now_ms;
+  log_event (LOG_LEVEL_WARNING, "archive_incomplete", NULL,
+             "bring back the archives of the set that still have their disks",
+             "the disk's records are lost and cannot be copied; they expire in %lld s",
+             (long long)(member_loss_expires_in_ms (member) / 1000));
+}
+
 static void
 member_start_copy (struct ArchiveMember *member, uint64_t generation)
 {
@@ -558,7 +611,10 @@
   bool inside = archive_set_has (set, member_name (member));
 
   if (member_needs_restore (member))
-    member_start_copy (member, 0);
+    {
+      member_start_copy (member, 0);
+      member_handle_incomplete (member);
+    }
   if (member->bootstrapping && !inside && member_has_discovered (member)
       && set->members.n < archive_set_target_size (member->node->settings->tolerated))
     {
@@ -600,6 +656,7 @@
   member->archive = archive;
   member->log = log;
   member->bootstrapping = node->settings->first_start != 0;
+  member->started_ms = timer_now_ms (node->timers);
   timer_subscribe (member, node->timers, TICK_MS, TICK_MS, member_on_tick, member);
   return member;
 }
--- a/include/buckthornhead/gateway_settings.h
+++ b/include/buckthornhead/gateway_settings.h
@@ -8,8 +8,9 @@
 /* Sections: [instance] name, zone, data_folder; [listen] caller, ready, directory, metrics, peer
  * (IP:port each) and announce; caller, ready and directory are for gateways; [platform] store
  * (URL), prefix, features, change_in_force; [membership] seeds, seed_port; [archives] first_start,
- * tolerated; [stop] grace; [directory] keep; [limits] connections, held_memory; [quota] window,
- * slack, sharing; [quarantine] crashing_requests; [decisions] the switches of decisions.h. */
+ * tolerated, longest_retention; [stop] grace; [directory] keep; [limits] connections, held_memory;
+ * [quota] window, slack, sharing; [quarantine] crashing_requests; [decisions] the switches of
+ * decisions.h. */
 struct GatewaySettings
 {
   char instance[NAME_MAX_BYTES + 1];
@@ -29,8 +30,10 @@
   uint32_t change_in_force_ms; /* time for all processes to apply a change in the store */
   int32_t first_start; /* 1: first start of the whole system, so that an empty disk is complete */
   uint32_t tolerated;  /* number of archives that may lose their disks at once */
-  uint32_t grace_ms;   /* from SIGTERM to the exit */
-  uint32_t keep_s;     /* time for which callers may cache a list of addresses */
+  /* Upper bound on how long an archive must keep a turn or a program's budget. */
+  uint32_t longest_retention_ms;
+  uint32_t grace_ms; /* from SIGTERM to the exit */
+  uint32_t keep_s;   /* time for which callers may cache a list of addresses */
   uint32_t connections_max;
   uint32_t held_memory_bytes; /* bound on the data held for callers and servers; 0: none */
   uint32_t quota_window_ms;   /* length of the sliding window in which a limit holds */
--- a/tests/sessions/gateways.c
+++ b/tests/sessions/gateways.c
@@ -85,9 +85,10 @@
   snprintf (text, sizeof text,
             "[instance]\nname = %s\nzone = a\ndata_folder = %s\n[listen]\n"
             "peer = 127.0.0.1:%u\nannounce = 127.0.0.1:%u\nmetrics = %s\n[platform]\nstore = "
-            "http://%s\n%s[archives]\nfirst_start = %s\n",
+            "http://%s\n%s[archives]\nfirst_start = %s\n%s",
             archive->name, archive->folder, archive->peer_port, archive->announced_port,
-            archive->metrics, fleet->store, membership_section (fleet), first ? "true" : "false");
+            archive->metrics, fleet->store, membership_section (fleet), first ? "true" : "false",
+            fleet->archive_settings != NULL ? fleet->archive_settings : "");
   snprintf (name, sizeof name, "%s.ini", archive->name);
   archive->file = session_write_file (fleet->session, name, text);
 }
--- a/tests/sessions/gateways.h
+++ b/tests/sessions/gateways.h
@@ -43,6 +43,7 @@
   struct ArchiveNode archives[ARCHIVES_MAX];
   uint32_t n_gateways, n_archives;
   char store[48];
+  const char *archive_settings; /* further keys of the archives' last section; NULL: none */
   const char *gateway_settings; /* further sections of the gateways' settings; NULL: none */
   uint16_t seed_port; /* first gateway's peer port, the seed of all processes; 0: no seed is set */
   char last_turn_id[64];  /* id of the last attempt of turn_send_until_accepted */
--- a/tests/sessions/test_gateway_archives.c
+++ b/tests/sessions/test_gateway_archives.c
@@ -124,6 +124,34 @@
   talloc_free (ctx);
 }
 
+/* Two of three disks are lost, so that neither archive can be restored and turns were rejected for
+ * good. */
+static void
+test_service_returns_after_more_disks_are_lost_than_tolerated (void)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct Fleet *fleet = fleet_start (ctx, 2, 3);
+  uint32_t n_failed = CU_get_number_of_failures ();
+
+  CU_ASSERT_EQUAL (turn_status (fleet, ctx, 0, "t1"), 200);
+  fleet->archive_settings = "longest_retention = 12s\n";
+  for (uint32_t i = 0; i < 3; i++)
+    process_kill (fleet->archives[i].process);
+  archive_delete_data (fleet, 0);
+  archive_delete_data (fleet, 1);
+  for (uint32_t i = 0; i < 3; i++)
+    archive_start (fleet, i, false);
+  for (uint32_t i = 0; i < 2; i++)
+    CU_ASSERT_TRUE (process_wait_for_output (fleet->archives[i].process, "archive_incomplete"));
+  CU_ASSERT_EQUAL (turn_send (fleet, ctx, 0, "p", "x1", "", 0, "x")->status, 503);
+  CU_ASSERT_EQUAL (installation_runs_of (fleet->installation, "x1"), 0);
+  for (uint32_t i = 0; i < 2; i++)
+    CU_ASSERT_TRUE (process_wait_for_output (fleet->archives[i].process, "archive_loss_expired"));
+  CU_ASSERT_EQUAL (turn_status (fleet, ctx, 1, "t2"), 200);
+  fleet_end (fleet, CU_get_number_of_failures () > n_failed);
+  talloc_free (ctx);
+}
+
 /* An archive fails permanently, and an empty one starts under another name and address. It must
  * replace the failed one, so that afterwards the loss of any other archive is tolerated. */
 static void
@@ -479,6 +507,8 @@
   { "a turn survives the kill of all processes", test_a_turn_survives_the_kill_of_all_processes },
   { "disks are lost one after the other", test_disks_are_lost_one_after_the_other },
   { "too few archives reject a turn", test_too_few_archives_reject_a_turn },
+  { "service returns after more disks are lost than tolerated",
+    test_service_returns_after_more_disks_are_lost_than_tolerated },
   { "a new archive replaces a failed one", test_a_new_archive_replaces_a_failed_one },
   { "an archive fails while it joins", test_an_archive_fails_while_it_joins },
   { "a retired archive loses no turn", test_a_retired_archive_loses_no_turn },
--- a/tests/test_gateway_settings.c
+++ b/tests/test_gateway_settings.c
@@ -35,6 +35,7 @@
   CU_ASSERT_STRING_EQUAL (s->caller_listen, "127.0.0.1:8149");
   CU_ASSERT_EQUAL (s->grace_ms, 8000);
   CU_ASSERT_EQUAL (s->tolerated, 1);
+  CU_ASSERT_EQUAL (s->longest_retention_ms, 600000);
   CU_ASSERT_STRING_EQUAL (s->prefix, "buckthornhead/");
   CU_ASSERT_EQUAL (parse (ctx, archive_text, &s, &messages), ERROR_NONE);
   CU_ASSERT_EQUAL (s->first_start, 1);
