Make the names of the archive's and the spool's files durable

What callers saw: after a loss of power an archive could come back without its mark of completeness, and so count as one whose disk was lost. A read quorum of such archives serves no turn again. A lost log file takes acknowledged turns with it, and nothing shows it, since the mark stays.

Cause: a name that was created, renamed or removed may be undone until its folder is synced. The mark and the log's files were created without a sync of the folder; they became durable only when a named record happened to be stored later. A data folder that was just made needs a sync of its parent, which neither the log nor the spool did.

An opening has the same cause a second time. A process that is killed leaves names and bytes that a power failure can still undo. The next process replayed them as durable records, took the mark and the disk's id as given, and passed them on.

The fix: all modules that store data change names through disk_folder, whose system calls a test can replace. - The writer thread syncs the folder after the first batch of a new file, before that batch is reported. Later batches keep their single sync. - A refused sync of the folder is a failed write: the next batch starts a new file. The records behind the last good sync are cut off, so that a later opening does not replay what may not be on the disk. - The mark counts once its file and its folder are synced. - An opening syncs the last log file and the folder before it replays, and a spool all its files; only these can be unsynced. - A new folder's parent is synced; if that is refused the folder is removed, so that the next start makes and syncs it again. The sync is also tried for a folder that was there, where a refusal does not count: its parent need not belong to this process. - A new log file must not exist yet (O_EXCL): no number is written twice. - spool_put's records become durable after the sync of the folder, not before, and the folder is synced only after a file was created. - A disk id with bytes other than its digits is torn, and generated anew. - EINTR is retried in reads, writes and syncs.

Removed names are not synced. A log file that comes back holds only expired records, which the index expires again; the last file is never removed, so the numbers keep ascending. A spool file that comes back is as if the drop, which nobody acknowledges, had been lost.

--- a/adapters/disk_frame.c
+++ b/adapters/disk_frame.c
@@ -67,6 +67,8 @@
     {
       ssize_t n = read (fd, bytes + at, (size_t)status.st_size - at);
 
+      if (n < 0 && errno == EINTR)
+        continue;
       if (n <= 0)
         break;
       at += (size_t)n;
--- a/adapters/disk_log.c
+++ b/adapters/disk_log.c
@@ -4,6 +4,7 @@
 #include <buckthornhead/disk_log.h>
 
 #include <buckthornhead/counter.h>
+#include <buckthornhead/disk_folder.h>
 #include <buckthornhead/histogram.h>
 #include <buckthornhead/log.h>
 #include <buckthornhead/mailbox.h>
@@ -14,7 +15,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/stat.h>
 #include <unistd.h>
 
 enum
@@ -194,18 +194,39 @@
 int32_t
 disk_log_mark_complete (struct DiskLog *log)
 {
+  static const uint8_t mark[] = "1\n";
   char path[DISK_PATH_BYTES];
   int fd;
   bool durable;
 
   mark_path (log, path);
-  fd = open (path, O_WRONLY | O_CREAT | O_CLOEXEC, 0600);
+  fd = disk_folder_create (path, O_WRONLY);
   if (fd < 0)
     return ERROR_IO;
-  durable = write (fd, "1\n", 2) == 2 && fsync (fd) == 0;
+  durable = disk_file_write (fd, mark, sizeof mark - 1) && disk_folder_sync_file (fd) == ERROR_NONE;
   close (fd);
-  log->complete = durable;
-  return durable ? ERROR_NONE : ERROR_IO;
+  log->complete = durable && disk_folder_sync (log->folder) == ERROR_NONE;
+  return log->complete ? ERROR_NONE : ERROR_IO;
+}
+
+/* A process that was killed leaves names and records that a power failure can still undo. Makes
+ * them durable before they are replayed. Only the last file can end with unsynced records. */
+static bool
+log_sync_found (const struct DiskLog *log, const uint32_t *numbers, size_t n)
+{
+  char path[DISK_PATH_BYTES];
+  bool synced = true;
+  int fd;
+
+  if (n > 0)
+    {
+      disk_file_path (log->folder, numbers[n - 1], path);
+      fd = open (path, O_RDONLY | O_CLOEXEC);
+      synced = fd >= 0 && disk_folder_sync_file (fd) == ERROR_NONE;
+      if (fd >= 0)
+        close (fd);
+    }
+  return synced && disk_folder_sync (log->folder) == ERROR_NONE;
 }
 
 /* Event loop side. */
@@ -284,10 +305,10 @@
     return fault_set (fault, ERROR_NO_MEMORY, NULL, "no memory for the disk log");
   talloc_set_destructor (l, log_free);
   snprintf (l->folder, sizeof l->folder, "%s", folder);
-  if (mkdir (folder, 0700) != 0 && errno != EEXIST)
+  if (disk_folder_make (folder) != ERROR_NONE)
     goto fail;
   numbers = folder_list_numbers (l, &n);
-  if (numbers == NULL)
+  if (numbers == NULL || !log_sync_found (l, numbers, n))
     goto fail;
   /* fn may read from the log, which has the files up to the one being replayed. */
   *log = l;
@@ -363,6 +384,8 @@
     {
       ssize_t n = pread (fd, bytes + at, n_bytes - at, (off_t)(offset + at));
 
+      if (n < 0 && errno == EINTR)
+        continue;
       if (n <= 0)
         TALLOC_FREE (bytes);
       else
@@ -418,7 +441,7 @@
       if (file->fd >= 0)
         close (file->fd);
       disk_file_path (log->folder, file->number, path);
-      unlink (path);
+      disk_folder_remove (path); /* if it stays, the next start finds it again */
     }
   log->n_files = n_kept;
 }
--- a/adapters/disk_writer.c
+++ b/adapters/disk_writer.c
@@ -1,7 +1,9 @@
 #include "disk_writer.h"
 
 #include <buckthornhead/clock.h>
+#include <buckthornhead/disk_folder.h>
 #include <buckthornhead/error.h>
+#include <buckthornhead/log.h>
 
 #include <fcntl.h>
 #include <pthread.h>
@@ -30,6 +32,8 @@
   /* Used by the thread alone. */
   uint32_t file, offset;
   int fd;
+  uint32_t durable_bytes; /* of the file */
+  bool named;             /* the file's name is durable */
 };
 
 void
@@ -49,21 +53,37 @@
     close (writer->fd);
   writer->file++;
   writer->offset = 0;
+  writer->durable_bytes = 0;
+  writer->named = false;
   disk_file_path (writer->folder, writer->file, path);
-  writer->fd = open (path, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+  writer->fd = disk_folder_create (path, O_WRONLY | O_EXCL);
   return writer->fd >= 0;
 }
 
-/* Until the folder is synced, a power failure can undo a rename in it. */
+/* Makes the written records durable, and the file's name once per file. */
 static bool
-folder_sync (const struct DiskWriter *writer)
+writer_sync (struct DiskWriter *writer)
 {
-  int fd = open (writer->folder, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-  bool synced = fd >= 0 && fsync (fd) == 0;
+  if (disk_folder_sync_file (writer->fd) != ERROR_NONE)
+    return false;
+  writer->named = writer->named || disk_folder_sync (writer->folder) == ERROR_NONE;
+  if (writer->named)
+    writer->durable_bytes = writer->offset;
+  return writer->named;
+}
 
-  if (fd >= 0)
-    close (fd);
-  return synced;
+/* Gives up the file after a failure. An opening would take the records behind the last sync for
+ * durable ones, so they are cut off. */
+static void
+writer_abandon_file (struct DiskWriter *writer)
+{
+  if (writer->fd < 0)
+    return;
+  if (disk_folder_cut (writer->fd, writer->durable_bytes) != ERROR_NONE)
+    log_event (LOG_LEVEL_ERROR, "archive_write_failed", NULL, "check the disk",
+               "log-%u cannot be cut to %u bytes", writer->file, writer->durable_bytes);
+  close (writer->fd);
+  writer->fd = -1;
 }
 
 static int32_t
@@ -75,12 +95,15 @@
 
   snprintf (path, sizeof path, "%s/kept-%s", writer->folder, w->kept_name);
   snprintf (temp_path, sizeof temp_path, "%s/fresh-%s", writer->folder, w->kept_name);
-  fd = open (temp_path, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+  fd = disk_folder_create (temp_path, O_WRONLY | O_TRUNC);
   if (fd < 0)
     return ERROR_IO;
-  written = disk_file_write (fd, w->frame, w->frame_bytes) && fdatasync (fd) == 0;
+  written =
+      disk_file_write (fd, w->frame, w->frame_bytes) && disk_folder_sync_file (fd) == ERROR_NONE;
   close (fd);
-  return written && rename (temp_path, path) == 0 && folder_sync (writer) ? ERROR_NONE : ERROR_IO;
+  if (!written || disk_folder_rename (temp_path, path) != ERROR_NONE)
+    return ERROR_IO;
+  return disk_folder_sync (writer->folder);
 }
 
 /* Removes the records with their own file from batch and returns them. The log's records stay and
@@ -124,12 +147,9 @@
       ok = disk_file_write (writer->fd, w->frame, w->frame_bytes);
       writer->offset += (uint32_t)w->frame_bytes;
     }
-  ok = ok && fdatasync (writer->fd) == 0;
-  if (!ok && writer->fd >= 0)
-    {
-      close (writer->fd);
-      writer->fd = -1;
-    }
+  ok = ok && writer_sync (writer);
+  if (!ok)
+    writer_abandon_file (writer);
   for (struct DiskWrite *w = batch; w != NULL; w = w->next)
     w->error = ok ? ERROR_NONE : ERROR_IO;
 }
--- a/adapters/disk_writer.h
+++ b/adapters/disk_writer.h
@@ -1,7 +1,7 @@
 /* Writer thread: writes an archive's records and waits for the disk.
  *
- * All records that are queued when the thread is idle form one batch with one sync. The results are
- * posted to the event loop's mailbox. */
+ * All records that are queued when the thread is idle form one batch with one sync. The first batch
+ * of a file also syncs the folder. The results are posted to the event loop's mailbox. */
 #pragma once
 
 #include "disk_frame.h"
--- a/adapters/spool.c
+++ b/adapters/spool.c
@@ -1,5 +1,8 @@
+#include "disk_frame.h"
+
 #include <buckthornhead/spool.h>
 
+#include <buckthornhead/disk_folder.h>
 #include <buckthornhead/log.h>
 #include <buckthornhead/pack.h>
 
@@ -54,7 +57,7 @@
 {
   char *folder;
   char id[SPOOL_ID_BYTES + 1];
-  int folder_fd;
+  bool named; /* the names in the folder are durable */
   struct SpoolFile *files;
 };
 
@@ -133,17 +136,16 @@
 {
   struct stat status;
   char *content;
-  size_t at = 0;
+  size_t n_bytes, at = 0;
   msgpack_unpacked unpacked;
 
   if (fstat (file->fd, &status) != 0)
     return ERROR_IO;
-  content = talloc_size (file, (size_t)status.st_size + 1);
-  if (content == NULL || pread (file->fd, content, (size_t)status.st_size, 0) != status.st_size)
+  content = (char *)disk_file_read (file, file->path, &n_bytes);
+  if (content == NULL || (off_t)n_bytes != status.st_size)
     return ERROR_IO;
   msgpack_unpacked_init (&unpacked);
-  while (msgpack_unpack_next (&unpacked, content, (size_t)status.st_size, &at)
-             == MSGPACK_UNPACK_SUCCESS
+  while (msgpack_unpack_next (&unpacked, content, n_bytes, &at) == MSGPACK_UNPACK_SUCCESS
          && spool_file_load_entry (file, &unpacked.data))
     {
       file->durable_bytes = (off_t)at;
@@ -158,7 +160,7 @@
              "no action needed: the rest was never acknowledged and is cut off",
              "%s: %lld of %lld bytes are whole", file->path, (long long)file->durable_bytes,
              (long long)status.st_size);
-  return ftruncate (file->fd, file->durable_bytes) == 0 ? ERROR_NONE : ERROR_IO;
+  return disk_folder_cut (file->fd, file->durable_bytes);
 }
 
 static struct SpoolFile *
@@ -173,7 +175,8 @@
     return NULL;
   snprintf (file->writer, sizeof file->writer, "%s", writer);
   file->path = talloc_asprintf (file, "%s/%s%s", spool->folder, file_prefix, writer);
-  file->fd = open (file->path, O_RDWR | O_CREAT | O_CLOEXEC, 0600);
+  file->fd = disk_folder_create (file->path, O_RDWR);
+  spool->named = false;
   talloc_set_destructor (file, spool_file_free);
   if (file->fd < 0 || spool_file_load (file) != ERROR_NONE)
     {
@@ -191,35 +194,52 @@
   return spool->id;
 }
 
-/* Loads the disk's id, or generates one and stores it durably. */
+/* Returns whether id is whole. A torn one was never passed on: it is not durable. */
 static bool
-spool_load_or_create_id (struct Spool *spool)
+id_is_whole (const uint8_t *id, size_t n_bytes)
+{
+  size_t n = 0;
+
+  while (n < n_bytes && id[n] != '\0' && strchr ("0123456789abcdef", id[n]) != NULL)
+    n++;
+  return n >= SPOOL_ID_BYTES;
+}
+
+/* Generates an id and writes it to the file. */
+static bool
+spool_create_id (struct Spool *spool, int fd)
 {
-  char *path = talloc_asprintf (spool, "%s/%s", spool->folder, id_file);
-  int fd = open (path, O_RDWR | O_CREAT | O_CLOEXEC, 0600);
   uint64_t bits[2];
-  bool loaded = false;
 
-  talloc_free (path);
-  if (fd < 0)
+  if (getrandom (bits, sizeof bits, 0) != sizeof bits)
     return false;
-  if (read (fd, spool->id, SPOOL_ID_BYTES) == SPOOL_ID_BYTES)
-    loaded = true;
-  else if (getrandom (bits, sizeof bits, 0) == sizeof bits)
-    {
-      snprintf (spool->id, sizeof spool->id, "%016" PRIx64 "%016" PRIx64, bits[0], bits[1]);
-      loaded = pwrite (fd, spool->id, SPOOL_ID_BYTES, 0) == SPOOL_ID_BYTES && fsync (fd) == 0
-               && fsync (spool->folder_fd) == 0;
-    }
-  close (fd);
-  return loaded;
+  snprintf (spool->id, sizeof spool->id, "%016" PRIx64 "%016" PRIx64, bits[0], bits[1]);
+  return disk_file_write (fd, (const uint8_t *)spool->id, SPOOL_ID_BYTES);
 }
 
-static int
-spool_free (struct Spool *spool)
+/* Loads the disk's id, or generates one, and makes its content durable. */
+static bool
+spool_load_or_create_id (struct Spool *spool)
 {
-  close (spool->folder_fd);
-  return 0;
+  char *path = talloc_asprintf (spool, "%s/%s", spool->folder, id_file);
+  int fd = disk_folder_create (path, O_WRONLY);
+  size_t n_bytes;
+  uint8_t *id = fd >= 0 ? disk_file_read (spool, path, &n_bytes) : NULL;
+  bool stored = false;
+
+  if (id != NULL && id_is_whole (id, n_bytes))
+    {
+      memcpy (spool->id, id, SPOOL_ID_BYTES);
+      stored = true;
+    }
+  else if (id != NULL)
+    stored = spool_create_id (spool, fd);
+  stored = stored && disk_folder_sync_file (fd) == ERROR_NONE;
+  if (fd >= 0)
+    close (fd);
+  talloc_free (id);
+  talloc_free (path);
+  return stored;
 }
 
 int32_t
@@ -231,12 +251,8 @@
 
   *opened = NULL;
   spool->folder = talloc_strdup (spool, folder);
-  if (mkdir (folder, 0700) != 0 && errno != EEXIST)
-    goto fail;
-  spool->folder_fd = open (folder, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-  if (spool->folder_fd < 0)
+  if (disk_folder_make (folder) != ERROR_NONE)
     goto fail;
-  talloc_set_destructor (spool, spool_free);
   if (!spool_load_or_create_id (spool))
     goto fail;
   listing = opendir (folder);
@@ -246,6 +262,11 @@
     if (strncmp (item->d_name, file_prefix, strlen (file_prefix)) == 0
         && spool_file_new (spool, item->d_name + strlen (file_prefix)) == NULL)
       goto fail;
+  /* A process that was killed leaves names and records that a power failure can still undo. */
+  for (struct SpoolFile *f = spool->files; f != NULL; f = f->next)
+    f->dirty = true;
+  if (spool_sync (spool) != ERROR_NONE)
+    goto fail;
   closedir (listing);
   *opened = spool;
   return ERROR_NONE;
@@ -263,7 +284,7 @@
 static bool
 spool_file_cut_torn (struct SpoolFile *file)
 {
-  if (file->torn && ftruncate (file->fd, file->whole_bytes) != 0)
+  if (file->torn && disk_folder_cut (file->fd, file->whole_bytes) != ERROR_NONE)
     return false;
   file->torn = false;
   return true;
@@ -290,7 +311,8 @@
   error = pack_finish (writer, file, &packed, &packed_bytes);
   if (error != ERROR_NONE)
     return error;
-  if (pwrite (file->fd, packed, packed_bytes, file->whole_bytes) == (ssize_t)packed_bytes)
+  if (lseek (file->fd, file->whole_bytes, SEEK_SET) == file->whole_bytes
+      && disk_file_write (file->fd, packed, packed_bytes))
     file->whole_bytes += (off_t)packed_bytes;
   else
     {
@@ -355,29 +377,33 @@
     file->n_entries--;
 }
 
+static void
+spool_file_set_durable (struct SpoolFile *file)
+{
+  file->dirty = false;
+  file->durable_bytes = file->whole_bytes;
+  for (size_t i = 0; i < file->n_entries; i++)
+    file->entries[i].durable = true;
+}
+
 int32_t
 spool_sync (struct Spool *spool)
 {
   int32_t error = ERROR_NONE;
 
   for (struct SpoolFile *f = spool->files; f != NULL; f = f->next)
-    {
-      if (!f->dirty)
-        continue;
-      f->dirty = false;
-      if (fdatasync (f->fd) != 0)
-        {
-          error = ERROR_IO;
-          spool_file_truncate_unsynced (f);
-          continue;
-        }
-      f->durable_bytes = f->whole_bytes;
-      for (size_t i = 0; i < f->n_entries; i++)
-        f->entries[i].durable = true;
-    }
-  /* Makes the directory entries of new files durable. */
-  if (fsync (spool->folder_fd) != 0)
-    error = ERROR_IO;
+    if (f->dirty && disk_folder_sync_file (f->fd) != ERROR_NONE)
+      {
+        error = ERROR_IO;
+        f->dirty = false;
+        spool_file_truncate_unsynced (f);
+      }
+  spool->named = spool->named || disk_folder_sync (spool->folder) == ERROR_NONE;
+  if (!spool->named)
+    return ERROR_IO;
+  for (struct SpoolFile *f = spool->files; f != NULL; f = f->next)
+    if (f->dirty)
+      spool_file_set_durable (f);
   return error;
 }
 
@@ -400,7 +426,7 @@
   if (file->n_dropped < file->n_entries)
     return ERROR_NONE;
   *at = file->next;
-  unlink (file->path);
+  disk_folder_remove (file->path);
   talloc_free (file);
   return ERROR_NONE;
 }
--- a/include/buckthornhead/spool.h
+++ b/include/buckthornhead/spool.h
@@ -16,8 +16,8 @@
 
 struct Spool;
 
-/* Opens folder, created if missing, and loads every spool file in it. ERROR_IO with the system's
- * error message in fault. */
+/* Opens folder, created if missing, loads every spool file in it and makes what it holds durable.
+ * ERROR_IO with the system's error message in fault. */
 int32_t
 spool_open (TALLOC_CTX *ctx, const char *folder, struct Spool **spool, struct Fault *fault);
 
@@ -46,7 +46,7 @@
 spool_seal (struct Spool *spool, const char *writer);
 
 /* Drops the records up to number, which writer has moved to its journal, and deletes the file with
- * its last record. */
+ * its last record. A power failure can bring the records back, as if the drop had been lost. */
 int32_t
 spool_drop (struct Spool *spool, const char *writer, uint64_t number);
 
--- a/tests/test_disk_log.c
+++ b/tests/test_disk_log.c
@@ -295,6 +295,66 @@
   fixture_free (f);
 }
 
+static void
+fixture_write_file (const struct Fixture *f, const char *name, const char *content)
+{
+  char path[96];
+  FILE *file;
+
+  snprintf (path, sizeof path, "%s/%s", f->folder, name);
+  file = fopen (path, "we");
+  CU_ASSERT_PTR_NOT_NULL_FATAL (file);
+  fputs (content, file);
+  fclose (file);
+}
+
+/* Power fails before a named record takes its place: what is left must not be loaded. */
+static void
+test_unfinished_named_record_is_ignored (void)
+{
+  struct Fixture *f = fixture_new ();
+  size_t n_bytes;
+  uint8_t *kept;
+
+  TALLOC_FREE (f->log);
+  fixture_write_file (f, "fresh-x", "left by a process that has ended, and longer than the next");
+  fixture_open (f);
+  CU_ASSERT_PTR_NULL (disk_log_load_named (f->log, f, "x", &n_bytes));
+  fixture_keep (f, "short");
+  kept = disk_log_load_named (f->log, f, "x", &n_bytes);
+  CU_ASSERT (kept != NULL && n_bytes == 5 && memcmp (kept, "short", 5) == 0);
+  fixture_free (f);
+}
+
+/* Power fails after a file was created: its number must not be used again, and copies must go on
+ * with the files after it. */
+static void
+test_empty_file_keeps_its_number (void)
+{
+  struct Fixture *f = fixture_new ();
+  uint64_t cursor = 0;
+  bool last = false;
+
+  fixture_append (f, "one", 100);
+  TALLOC_FREE (f->log);
+  fixture_write_file (f, "log-7", "");
+  fixture_open (f);
+  CU_ASSERT_STRING_EQUAL (f->replayed, "one ");
+  fixture_append (f, "two", 100);
+  CU_ASSERT_EQUAL (f->place.file, 8);
+  f->replayed = talloc_strdup (f, "");
+  for (int i = 0; i < 10 && !last; i++)
+    {
+      size_t n_bytes;
+      uint8_t *bytes = disk_log_frames (f->log, f, cursor, 64, &n_bytes, &cursor, &last);
+
+      disk_log_each_frame (bytes, n_bytes, fixture_on_record, f);
+    }
+  CU_ASSERT_TRUE (last);
+  CU_ASSERT_STRING_EQUAL (f->replayed, "one two ");
+  fixture_free (f);
+}
+
 const char test_suite_name[] = "disk_log";
 const struct TestCase test_cases[] = {
   { "records are read back and replayed", test_records_are_read_back_and_replayed },
@@ -306,5 +366,7 @@
   { "kept records are replaced as a whole", test_kept_records_are_replaced_as_a_whole },
   { "expired files are deleted, extended ones stay",
     test_expired_files_are_deleted_and_extended_ones_stay },
+  { "an unfinished named record is ignored", test_unfinished_named_record_is_ignored },
+  { "an empty file keeps its number", test_empty_file_keeps_its_number },
   { NULL, NULL },
 };
