Report a spool's seal only once it is durable

What callers could see: an instance that collects a spool seals it first. If the disk refused the sync of the folder, the seal failed, but the next attempt found the entry in memory and reported success without a sync. After a loss of power the former home could then store a record that its successor has not read, and have it acknowledged.

Cause: spool_seal took ERROR_FENCED from spool_put, "sealed already", for "durable already".

The fix: a repeated seal syncs too. spool_sync does nothing while nothing is unsynced.

--- a/adapters/spool.c
+++ b/adapters/spool.c
@@ -358,9 +358,10 @@
    * includes a sealed one, so no such record can be acknowledged. */
   int32_t error = spool_put (spool, writer, seal_number, NULL, 0);
 
-  if (error == ERROR_FENCED)
-    return ERROR_NONE;
-  return error == ERROR_NONE ? spool_sync (spool) : error;
+  /* An earlier seal counts only once it is durable. */
+  if (error != ERROR_NONE && error != ERROR_FENCED)
+    return error;
+  return spool_sync (spool);
 }
 
 /* Cuts off the records since the last sync, which may or may not be on the disk, so that no later
--- a/tests/test_disk_power_loss.c
+++ b/tests/test_disk_power_loss.c
@@ -461,6 +461,30 @@
   history_free (h);
 }
 
+static void
+seal_run_seed (uint64_t seed)
+{
+  struct History *h = history_new (seed);
+
+  CU_ASSERT_TRUE_FATAL (spool_reopen (h));
+  power_loss_fail_after (2, 1); /* the file is created and synced, then its folder */
+  CU_ASSERT_EQUAL (spool_seal (h->spool, "malda-1.7"), ERROR_IO);
+  CU_ASSERT_EQUAL (spool_seal (h->spool, "malda-1.7"), ERROR_NONE);
+  TALLOC_FREE (h->spool);
+  power_loss_strike (seed);
+  CU_ASSERT_TRUE_FATAL (spool_reopen (h));
+  CU_ASSERT_EQUAL (spool_put (h->spool, "malda-1.7", 1, (const uint8_t *)"1", 1), ERROR_FENCED);
+  history_free (h);
+}
+
+/* Guards against a seal that is reported at the second attempt, though it is not durable. */
+static void
+test_repeated_seal_is_durable (void)
+{
+  for (uint64_t seed = 1; seed <= 10; seed++)
+    seal_run_seed (seed);
+}
+
 const char test_suite_name[] = "disk_power_loss";
 const struct TestCase test_cases[] = {
   { "a log survives power loss", test_log_survives_power_loss },
@@ -469,5 +493,6 @@
   { "a refused folder sync fails the write", test_refused_folder_sync_fails_the_write },
   { "the folder is made again after a refused sync",
     test_folder_is_made_again_after_a_refused_sync },
+  { "a repeated seal is durable", test_repeated_seal_is_durable },
   { NULL, NULL },
 };
