Pass on a spooled record after dropped ones that the disk refused

What callers could see: a record that a spool has acknowledged is not passed to the home that collects it, until the instance that holds it restarts; the count of stored records is near 2^64.

Cause: after a refused sync the records since the last good one are removed from the list, but those of them that the writer had dropped before stayed counted. The next records took their places and counted as dropped.

The fix: no more records count as dropped than there are.

Evidence: test_disk_power_loss on the code before:

Test: a record after dropped and refused ones is passed on ...FAILED 1. test_disk_power_loss.c:512 - CU_ASSERT_EQUAL(spool_count (h->spool),0) 2. test_disk_power_loss.c:516 - CU_ASSERT_EQUAL(h->last_seen,3)

With the fix the program passes.

--- a/adapters/spool.c
+++ b/adapters/spool.c
@@ -376,6 +376,8 @@
                "%s", file->path);
   while (file->n_entries > 0 && !file->entries[file->n_entries - 1].durable)
     file->n_entries--;
+  if (file->n_dropped > file->n_entries)
+    file->n_dropped = file->n_entries;
 }
 
 static void
--- a/tests/test_disk_power_loss.c
+++ b/tests/test_disk_power_loss.c
@@ -485,6 +485,38 @@
     seal_run_seed (seed);
 }
 
+static void
+spool_put_one (struct History *h, uint32_t number)
+{
+  char text[16];
+
+  record_text (number, text);
+  h->n_submitted = number;
+  CU_ASSERT_EQUAL (spool_put (h->spool, "malda-1.7", number, (const uint8_t *)text, strlen (text)),
+                   ERROR_NONE);
+}
+
+/* Guards against an acknowledged record that is not passed on, since records before it were dropped
+ * and then refused by the disk. */
+static void
+test_record_after_dropped_and_refused_ones_is_passed_on (void)
+{
+  struct History *h = history_new (1);
+
+  CU_ASSERT_TRUE_FATAL (spool_reopen (h));
+  spool_put_one (h, 1);
+  spool_put_one (h, 2);
+  spool_drop (h->spool, "malda-1.7", 1);
+  power_loss_fail_after (0, 1);
+  CU_ASSERT_EQUAL (spool_sync (h->spool), ERROR_IO);
+  CU_ASSERT_EQUAL (spool_count (h->spool), 0);
+  spool_put_one (h, 3);
+  CU_ASSERT_EQUAL (spool_sync (h->spool), ERROR_NONE);
+  spool_each (h->spool, "malda-1.7", spool_on_record, h);
+  CU_ASSERT_EQUAL (h->last_seen, 3);
+  history_free (h);
+}
+
 const char test_suite_name[] = "disk_power_loss";
 const struct TestCase test_cases[] = {
   { "a log survives power loss", test_log_survives_power_loss },
@@ -494,5 +526,7 @@
   { "the folder is made again after a refused sync",
     test_folder_is_made_again_after_a_refused_sync },
   { "a repeated seal is durable", test_repeated_seal_is_durable },
+  { "a record after dropped and refused ones is passed on",
+    test_record_after_dropped_and_refused_ones_is_passed_on },
   { NULL, NULL },
 };
