Power loss fake: take a renamed file's inode after the rename

Before it, the new name still stood for the file that is replaced, so the fake kept that one's inode, which the system may give to a new file. No test has failed of it: test_disk_power_loss passes before and after, and still fails when the sync after a named record is taken out.

--- a/tests/fakes/power_loss.c
+++ b/tests/fakes/power_loss.c
@@ -212,6 +212,7 @@
 loss_rename (const char *from, const char *to)
 {
   struct LossFile *file;
+  int result;
 
   if (!call_begin ())
     return -1;
@@ -219,9 +220,10 @@
   name_remember (from, false, file);
   name_remember (to, false, file_find (to));
   path_release (to);
+  result = rename (from, to);
   if (file != NULL)
     file_set_path (file, to);
-  return call_end (rename (from, to));
+  return call_end (result);
 }
 
 static int
