Stop watching a listening socket while it cannot be accepted from

Callers saw a gateway without descriptors take most of a core and answer slowly or not at all, also on its ready address and for the callers that it had: accept4 fails with EMFILE, the connection stays pending, the listening socket stays readable, and the loop runs again at once. The same held for the peers' listener, of gateways and archives.

Errors of one connection (ECONNABORTED, EPROTO and the others that accept reports for the new connection) no longer end the round: the next one is tried.

--- a/adapters/http_server.c
+++ b/adapters/http_server.c
@@ -2,6 +2,7 @@
 
 #include <buckthornhead/http_server.h>
 
+#include <buckthornhead/acceptor.h>
 #include <buckthornhead/byte_queue.h>
 #include <buckthornhead/counter.h>
 #include <buckthornhead/held_memory.h>
@@ -33,8 +34,7 @@
   SWEEP_MS = 200, /* resolution of the header, idle and linger timeouts */
   /* Time to keep reading after the last response: closing with unread data resets the connection,
    * and the reset can overtake the response. */
-  LINGER_MS = 1000,
-  ACCEPTS_PER_EVENT = 64
+  LINGER_MS = 1000
 };
 
 enum ConnectionState
@@ -80,7 +80,7 @@
   struct TimerService *timers;
   struct HttpServerOptions options;
   int listen_fd;
-  struct tevent_fd *listen_watch;
+  struct Acceptor *acceptor;
   struct Connection *connections;
   uint32_t n_connections, n_in_flight;
   bool draining;
@@ -705,27 +705,14 @@
 }
 
 static void
-server_on_accept (struct tevent_context *events,
-                  struct tevent_fd *watch,
-                  uint16_t flags,
-                  void *data)
+server_on_accept (void *data, int fd)
 {
   struct HttpServer *server = data;
 
-  (void)events;
-  (void)watch;
-  (void)flags;
-  for (int i = 0; i < ACCEPTS_PER_EVENT; i++)
-    {
-      int fd = net_accept (server->listen_fd);
-
-      if (fd < 0)
-        return;
-      if (server->n_connections < server->options.connections_max)
-        connection_new (server, fd);
-      else
-        close (fd);
-    }
+  if (server->n_connections < server->options.connections_max)
+    connection_new (server, fd);
+  else
+    close (fd);
 }
 
 static int
@@ -761,7 +748,12 @@
       return error;
     }
   talloc_set_destructor (s, server_free);
-  s->listen_watch = tevent_add_fd (events, s, s->listen_fd, TEVENT_FD_READ, server_on_accept, s);
+  s->acceptor = acceptor_new (s, events, timers, s->listen_fd, server_on_accept, s);
+  if (s->acceptor == NULL)
+    {
+      talloc_free (s);
+      return fault_set (fault, ERROR_NO_MEMORY, NULL, "no memory for a listener");
+    }
   timer_subscribe (s, timers, SWEEP_MS, SWEEP_MS, server_on_sweep, s);
   *server = s;
   return ERROR_NONE;
@@ -782,7 +774,7 @@
 void
 http_server_stop_listening (struct HttpServer *server)
 {
-  TALLOC_FREE (server->listen_watch);
+  TALLOC_FREE (server->acceptor);
   if (server->listen_fd >= 0)
     close (server->listen_fd);
   server->listen_fd = -1;
--- a/adapters/net_socket.c
+++ b/adapters/net_socket.c
@@ -89,17 +89,43 @@
              strerror (error));
 }
 
-int
-net_accept (int listen_fd)
+static enum NetAccept
+accept_failure (int error)
+{
+  switch (error)
+    {
+    case EAGAIN:
+      return NET_ACCEPT_NONE;
+    /* accept reports the errors of the new connection as its own. */
+    case ECONNABORTED:
+    case EHOSTDOWN:
+    case EHOSTUNREACH:
+    case EINTR:
+    case ENETDOWN:
+    case ENETUNREACH:
+    case ENONET:
+    case ENOPROTOOPT:
+    case EOPNOTSUPP:
+    case EPERM: /* rejected by the firewall */
+    case EPROTO:
+    case ETIMEDOUT:
+      return NET_ACCEPT_ABORTED;
+    default:
+      log_accept_failed (error);
+      return NET_ACCEPT_FAILED;
+    }
+}
+
+enum NetAccept
+net_accept (int listen_fd, int *fd)
 {
   int one = 1;
-  int fd = accept4 (listen_fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
 
-  if (fd >= 0)
-    setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
-  else if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR && errno != ECONNABORTED)
-    log_accept_failed (errno);
-  return fd;
+  *fd = accept4 (listen_fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+  if (*fd < 0)
+    return accept_failure (errno);
+  setsockopt (*fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+  return NET_ACCEPTED;
 }
 
 int
--- a/adapters/peer_net.c
+++ b/adapters/peer_net.c
@@ -1,5 +1,6 @@
 #include <buckthornhead/peer_net.h>
 
+#include <buckthornhead/acceptor.h>
 #include <buckthornhead/counter.h>
 #include <buckthornhead/log.h>
 #include <buckthornhead/net_socket.h>
@@ -83,6 +84,7 @@
   char instance[NAME_MAX_BYTES + 1];
   char incarnation[INCARNATION_MAX_BYTES + 1];
   int listen_fd;
+  struct Acceptor *acceptor;
   uint64_t next_link;
   struct PeerLink *links;  /* by id */
   struct PeerEntry *peers; /* by instance */
@@ -430,19 +432,9 @@
 }
 
 static void
-peer_net_on_accept (struct tevent_context *events,
-                    struct tevent_fd *watch,
-                    uint16_t flags,
-                    void *data)
+peer_net_on_accept (void *data, int fd)
 {
-  struct PeerNet *net = data;
-  int fd;
-
-  (void)events;
-  (void)watch;
-  (void)flags;
-  fd = net_accept (net->listen_fd);
-  if (fd >= 0 && peer_link_new (net, fd, false) == NULL)
+  if (peer_link_new (data, fd, false) == NULL)
     close (fd);
 }
 
@@ -452,6 +444,7 @@
   while (net->links != NULL)
     talloc_free (net->links);
   HASH_CLEAR (hh, net->peers);
+  TALLOC_FREE (net->acceptor);
   if (net->listen_fd >= 0)
     close (net->listen_fd);
   return 0;
@@ -490,7 +483,10 @@
 
   if (error != ERROR_NONE)
     return error;
-  tevent_add_fd (net->events, net, net->listen_fd, TEVENT_FD_READ, peer_net_on_accept, net);
+  net->acceptor =
+      acceptor_new (net, net->events, net->timers, net->listen_fd, peer_net_on_accept, net);
+  if (net->acceptor == NULL)
+    return fault_set (fault, ERROR_NO_MEMORY, NULL, "no memory for the peers' listener");
   return ERROR_NONE;
 }
 
--- a/include/buckthornhead/net_socket.h
+++ b/include/buckthornhead/net_socket.h
@@ -10,9 +10,18 @@
 int32_t
 net_listen (const char *address, const char *setting, int *fd, struct Fault *fault);
 
-/* Accepts one connection, with Nagle's algorithm disabled. Returns -1 when none is pending. */
-int
-net_accept (int listen_fd);
+enum NetAccept
+{
+  NET_ACCEPTED,
+  NET_ACCEPT_NONE,    /* none is pending */
+  NET_ACCEPT_ABORTED, /* this connection has failed; the next one may be accepted */
+  NET_ACCEPT_FAILED   /* for lack of descriptors or memory; the connection stays pending */
+};
+
+/* Accepts one connection, with Nagle's algorithm disabled. Sets *fd with NET_ACCEPTED, otherwise to
+ * -1. */
+enum NetAccept
+net_accept (int listen_fd, int *fd);
 
 /* Starts a non-blocking connect; returns -1 when it fails at once. user_timeout_ms limits how long
  * sent data may stay unacknowledged: a peer behind a network partition never responds. */
--- a/tests/test_http_server.c
+++ b/tests/test_http_server.c
@@ -1,5 +1,6 @@
 #include "test_main.h"
 
+#include "fakes/descriptors.h"
 #include "fakes/raw_socket.h"
 
 #include <buckthornhead/held_memory.h>
@@ -26,7 +27,11 @@
   HELD_MAX_BYTES = 4 * 1024 * 1024,
   LARGE_BODY_BYTES = 64 * 1024 + 1,
   STALL_MS = 400,
-  N_CALLERS = 12
+  N_CALLERS = 12,
+  /* Without descriptors: far more than the loop's timers cause, and far fewer than it runs when a
+   * descriptor stays readable. */
+  STARVED_MS = 500,
+  STARVED_ROUNDS_MAX = 400
 };
 
 struct Bench
@@ -622,6 +627,35 @@
   bench_free (b);
 }
 
+/* Guards against a loop that spins on a listening socket while accepting fails. */
+static void
+test_accepting_waits_for_descriptors (void)
+{
+  struct Bench *b = bench_new ();
+  struct Descriptors *used;
+  int fds[N_CALLERS];
+
+  b->respond_at_once = true;
+  raw_send (b->fd, "GET /first HTTP/1.1\r\nHost: x\r\n\r\n");
+  CU_ASSERT (bench_read_until (b, "/first"));
+  for (int i = 0; i < N_CALLERS; i++)
+    fds[i] = raw_connect (b->port);
+  used = descriptors_use_up (0);
+  CU_ASSERT (events_count_rounds (b->events, STARVED_MS) < STARVED_ROUNDS_MAX);
+  b->text[0] = '\0';
+  raw_send (b->fd, "GET /served HTTP/1.1\r\nHost: x\r\n\r\n");
+  CU_ASSERT (bench_read_until (b, "/served"));
+  descriptors_release (used);
+  for (int i = 0; i < N_CALLERS; i++)
+    {
+      b->text[0] = '\0';
+      raw_send (fds[i], "GET /later HTTP/1.1\r\nHost: x\r\n\r\n");
+      CU_ASSERT (raw_read_until (fds[i], b->events, "/later", b->text, sizeof b->text));
+      close (fds[i]);
+    }
+  bench_free (b);
+}
+
 const char test_suite_name[] = "http_server";
 const struct TestCase test_cases[] = {
   { "requests follow each other", test_requests_follow_each_other_on_one_connection },
@@ -650,5 +684,6 @@
     test_a_truncated_response_without_a_length_is_reset },
   { "large bodies are rejected above the bound", test_large_bodies_are_rejected_above_the_bound },
   { "announced bodies count for the bound", test_announced_bodies_count_for_the_bound },
+  { "accepting waits for descriptors", test_accepting_waits_for_descriptors },
   { NULL, NULL },
 };
--- a/tests/test_peer_net.c
+++ b/tests/test_peer_net.c
@@ -1,5 +1,6 @@
 #include "test_main.h"
 
+#include "fakes/descriptors.h"
 #include "fakes/raw_socket.h"
 
 #include <buckthornhead/error.h>
@@ -9,6 +10,14 @@
 #include <stdio.h>
 #include <unistd.h>
 
+enum
+{
+  /* Without descriptors: far more rounds than the loop's timers cause, and far fewer than it runs
+   * when a descriptor stays readable. */
+  STARVED_MS = 500,
+  STARVED_ROUNDS_MAX = 400
+};
+
 struct Endpoint
 {
   struct PeerNet *net;
@@ -116,10 +125,33 @@
   talloc_free (events);
 }
 
+/* Guards against a loop that spins on the peers' listening socket while accepting fails. */
+static void
+test_accepting_waits_for_descriptors (void)
+{
+  struct tevent_context *events = tevent_context_init (NULL);
+  struct Endpoint a = { 0 }, b = { 0 };
+  struct Descriptors *used;
+
+  choose_address (&a);
+  choose_address (&b);
+  start (&a, events, "a");
+  start (&b, events, "b");
+  peer_net_set_address (b.net, "a", a.address);
+  peer_net_link_to (b.net, "a");
+  used = descriptors_use_up (0);
+  CU_ASSERT (events_count_rounds (events, STARVED_MS) < STARVED_ROUNDS_MAX);
+  CU_ASSERT_FALSE (a.has_received);
+  descriptors_release (used);
+  CU_ASSERT_TRUE (events_until (events, &a.has_received));
+  talloc_free (events);
+}
+
 const char test_suite_name[] = "peer_net";
 const struct TestCase test_cases[] = {
   { "a process that has connected is dialled at once",
     test_a_process_that_has_connected_is_dialled_at_once },
   { "a new address is dialled at once", test_a_new_address_is_dialled_at_once },
+  { "accepting waits for descriptors", test_accepting_waits_for_descriptors },
   { NULL, NULL },
 };
