Divide a gateway's descriptors, so that callers cannot use them all up

Callers, the ready address and the directory were each limited for themselves (2,000, 1,000 and 1,000 connections), and connections to servers only for each server, whatever the process may open: often 1,024. Callers who keep their connections took the descriptors that the gateway needed for its servers, its archives, its store and its ready address.

The shares are a function of the soft limit, which the process reads and never raises, and of what is wanted: 52 percent for callers, 25 for servers and what the callers leave of theirs, small ones for the ready address, the directory and the metrics; 32 descriptors and 15 percent stay for the process, its links and the store. From 3,900 on, callers have their 2,000. Below 40 the gateway says so and does not start. The line descriptor_shares has the numbers.

A new connection at a full listener replaces the one that has been idle for longest, at least a second and with nothing received; without one it is closed before anything is read, counted and logged once in 10 s. At the limit of connections to servers, an idle one is closed for a new one; without one the request is offered to no server, as when a server's own limit is reached: 503, not run.

Without the replacement, "a full server closes the oldest idle connection" fails:

--- a/adapters/http_client.c
+++ b/adapters/http_client.c
@@ -35,6 +35,7 @@
   *c->previous_next = c->next;
   if (c->next != NULL)
     c->next->previous_next = c->previous_next;
+  c->client->n_connections--;
   if (c->call != NULL)
     c->call->connection = NULL;
   if (c->check != NULL)
@@ -358,6 +359,7 @@
   client->connections = c;
   talloc_set_destructor (c, connection_free);
   client->n_opened++;
+  client->n_connections++;
   c->watch = tevent_add_fd (client->events, c, fd, TEVENT_FD_WRITE, connection_on_event, c);
   if (c->watch == NULL)
     TALLOC_FREE (c);
@@ -386,6 +388,31 @@
   return call;
 }
 
+/* Closes the idle connection that would be used for the shortest time. Returns false when there is
+ * none. */
+static bool
+client_close_one_idle (struct HttpClient *client)
+{
+  struct ServerConnection *first = NULL;
+
+  for (struct ServerConnection *c = client->connections; c != NULL; c = c->next)
+    if (c->state == CONNECTION_IDLE && (first == NULL || c->deadline_ms < first->deadline_ms))
+      first = c;
+  if (first == NULL)
+    return false;
+  talloc_free (first);
+  return true;
+}
+
+/* Returns whether the limit on all connections allows another one. */
+static bool
+client_has_room (struct HttpClient *client)
+{
+  uint32_t limit = client->options.connections_max;
+
+  return limit == 0 || client->n_connections < limit || client_close_one_idle (client);
+}
+
 struct HttpCall *
 http_client_submit (struct HttpClient *client,
                     const struct HttpCallRequest *request,
@@ -396,7 +423,9 @@
   uint32_t connections_max =
       request->connections_max > 0 ? request->connections_max : client->options.per_address_max;
 
-  if (c == NULL && client_count_connections (client, request->address) >= connections_max)
+  if (c == NULL
+      && (client_count_connections (client, request->address) >= connections_max
+          || !client_has_room (client)))
     return NULL;
   if (c == NULL)
     c = connection_new (client, request->address, request->connect_timeout_ms);
--- a/adapters/http_client_internal.h
+++ b/adapters/http_client_internal.h
@@ -49,6 +49,7 @@
   struct TimerService *timers;
   struct HttpClientOptions options;
   struct ServerConnection *connections;
+  uint32_t n_connections;
   uint64_t n_opened;
   uint8_t scratch[64 * 1024]; /* bytes that were just read */
 };
--- a/adapters/http_server.c
+++ b/adapters/http_server.c
@@ -34,7 +34,9 @@
   SWEEP_MS = 200, /* resolution of the header, idle and linger timeouts */
   /* Time to keep reading after the last response: closing with unread data resets the connection,
    * and the reset can overtake the response. */
-  LINGER_MS = 1000
+  LINGER_MS = 1000,
+  IDLE_KEPT_MS = 1000, /* a connection idle for less is not closed to make room for another */
+  FULL_LOG_PERIOD_MS = 10 * 1000
 };
 
 enum ConnectionState
@@ -84,6 +86,7 @@
   struct Connection *connections;
   uint32_t n_connections, n_in_flight;
   bool draining;
+  int64_t full_logged_ms; /* 0: never */
   uint8_t scratch[READ_BYTES];
 };
 
@@ -704,15 +707,63 @@
     talloc_free (c);
 }
 
+/* Returns whether the connection has been idle for a moment and no part of a request has arrived: a
+ * caller that is about to send one would not know whether it ran. */
+static bool
+connection_may_make_room (const struct Connection *c, int64_t now_ms)
+{
+  char byte;
+
+  return c->state == CONNECTION_IDLE && now_ms - c->state_since_ms >= IDLE_KEPT_MS
+         && byte_queue_length (&c->input) == 0 && byte_queue_length (&c->output) == 0
+         && recv (c->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && errno == EAGAIN;
+}
+
+/* Closes the connection that has been idle for longest. Returns false when there is none. */
+static bool
+server_make_room (struct HttpServer *server)
+{
+  int64_t now_ms = timer_now_ms (server->timers);
+  struct Connection *oldest = NULL;
+
+  for (struct Connection *c = server->connections; c != NULL; c = c->next)
+    if ((oldest == NULL || c->state_since_ms < oldest->state_since_ms)
+        && connection_may_make_room (c, now_ms))
+      oldest = c;
+  if (oldest == NULL)
+    return false;
+  talloc_free (oldest);
+  return true;
+}
+
+/* Counts a connection that is closed at once, and logs it, at most once in FULL_LOG_PERIOD_MS. */
+static void
+log_full (struct HttpServer *server)
+{
+  int64_t now_ms = timer_now_ms (server->timers);
+
+  counter_add (COUNTER_CONNECTIONS_REJECTED, 1);
+  if (server->full_logged_ms != 0 && now_ms - server->full_logged_ms < FULL_LOG_PERIOD_MS)
+    return;
+  server->full_logged_ms = now_ms;
+  log_event (LOG_LEVEL_WARNING, "connections_full", NULL,
+             "start more gateways, or raise [limits] connections and the limit of descriptors",
+             "%s: all %u connections are in use", server->options.setting,
+             server->options.connections_max);
+}
+
 static void
 server_on_accept (void *data, int fd)
 {
   struct HttpServer *server = data;
 
-  if (server->n_connections < server->options.connections_max)
+  if (server->n_connections < server->options.connections_max || server_make_room (server))
     connection_new (server, fd);
   else
-    close (fd);
+    {
+      log_full (server);
+      close (fd);
+    }
 }
 
 static int
--- a/adapters/process_limits.c
+++ b/adapters/process_limits.c
@@ -33,3 +33,13 @@
              "process %d, limits: descriptors %s, bytes of address space %s", (int)getpid (),
              descriptors, address_space);
 }
+
+uint64_t
+process_limits_descriptors (void)
+{
+  struct rlimit limit;
+
+  if (getrlimit (RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY)
+    return UINT64_MAX;
+  return limit.rlim_cur;
+}
--- a/core/counter.c
+++ b/core/counter.c
@@ -122,6 +122,8 @@
   [COUNTER_ARCHIVE_SYNCS] = COUNTS ("archive_syncs", "Batches of records that this archive synced"),
   [COUNTER_ACCEPTS_FAILED] = COUNTS (
       "accepts_failed", "Connections that could not be accepted, mostly for lack of a descriptor"),
+  [COUNTER_CONNECTIONS_REJECTED] =
+      COUNTS ("connections_rejected", "Connections closed at once because their listener was full"),
   [GAUGE_CONFIG_REVISION] =
       GAUGES ("config_revision", "Configuration revision in force on this instance"),
   [GAUGE_PARTITIONS_OWNED] = GAUGES ("partitions_owned", "Partitions whose home is this instance"),
--- a/gateway/front.c
+++ b/gateway/front.c
@@ -5,6 +5,7 @@
 #include "credential.h"
 #include "directory.h"
 #include "loop_echo.h"
+#include "metrics.h"
 #include "paces.h"
 #include "quotas.h"
 #include "request.h"
@@ -15,6 +16,7 @@
 #include <buckthornhead/counter.h>
 #include <buckthornhead/deflate.h>
 #include <buckthornhead/log.h>
+#include <buckthornhead/process_limits.h>
 #include <buckthornhead/scheduling/plain_queue.h>
 #include <buckthornhead/scheduling/silent_attempts.h>
 
@@ -50,6 +52,7 @@
   START_CHECK_MS = 20,
   /* On each of the ready and directory listeners, whose requests are few, small and short. */
   OWN_CONNECTIONS_MAX = 1000,
+  ALL_SERVERS_CONNECTIONS_MAX = 100 * 1000,
   /* How long an idle connection is reused when its server advertises no keep-alive timeout. */
   SERVER_IDLE_MS = 1000,
   /* Share of a server's connection limit that all gateways together may use. */
@@ -679,21 +682,46 @@
 {
   const struct GatewaySettings *s = front->node->settings;
   int32_t error = front_listen (front, s->caller_listen, "[listen] caller", front_on_request,
-                                s->connections_max, &front->callers, fault);
+                                front->shares.callers, &front->callers, fault);
 
   if (error == ERROR_NONE)
     error = front_listen (front, s->ready_listen, "[listen] ready", front_on_gateway_path,
-                          OWN_CONNECTIONS_MAX, &front->ready, fault);
+                          front->shares.ready, &front->ready, fault);
   if (error == ERROR_NONE)
     error = front_listen (front, s->directory_listen, "[listen] directory", front_on_gateway_path,
-                          OWN_CONNECTIONS_MAX, &front->directory, fault);
+                          front->shares.directory, &front->directory, fault);
+  return error;
+}
+
+static int32_t
+front_divide_descriptors (struct Front *front, struct Fault *fault)
+{
+  const struct DescriptorShares wanted = {
+    .callers = front->node->settings->connections_max,
+    .ready = OWN_CONNECTIONS_MAX,
+    .directory = OWN_CONNECTIONS_MAX,
+    .metrics = METRICS_CONNECTIONS_MAX,
+    .servers = ALL_SERVERS_CONNECTIONS_MAX,
+  };
+  struct DescriptorShares *shares = &front->shares;
+  int32_t error = descriptor_shares (process_limits_descriptors (), &wanted, shares, fault);
+
+  if (error == ERROR_NONE)
+    log_event (
+        LOG_LEVEL_NOTICE, "descriptor_shares", NULL,
+        shares->callers < wanted.callers
+            ? "raise the process's limit of descriptors, or lower [limits] connections"
+            : NULL,
+        "connections: callers %u of %u wanted, ready %u, directory %u, metrics %u, servers %u",
+        shares->callers, wanted.callers, shares->ready, shares->directory, shares->metrics,
+        shares->servers);
   return error;
 }
 
 int32_t
 front_new (TALLOC_CTX *ctx, struct Node *node, struct Front **front, struct Fault *fault)
 {
-  const struct HttpClientOptions client_options = { SERVER_CONNECTIONS_MAX, SERVER_IDLE_MS };
+  struct HttpClientOptions client_options = { SERVER_CONNECTIONS_MAX, SERVER_IDLE_MS, 0 };
   struct Front *f = talloc_zero (ctx, struct Front);
   int32_t error;
 
@@ -701,6 +729,10 @@
   if (f == NULL)
     return fault_set (fault, ERROR_NO_MEMORY, NULL, "out of memory for the gateway");
   f->node = node;
+  error = front_divide_descriptors (f, fault);
+  if (error != ERROR_NONE)
+    return error;
+  client_options.connections_max = f->shares.servers;
   f->started_ms = timer_now_ms (node->timers);
   f->contention = contention_new (f);
   f->replicas = replica_set_new (f);
--- a/gateway/front.h
+++ b/gateway/front.h
@@ -6,6 +6,7 @@
 
 #include "node.h"
 
+#include <buckthornhead/descriptor_shares.h>
 #include <buckthornhead/event_stream.h>
 #include <buckthornhead/scheduling/retry_allowance.h>
 #include <buckthornhead/scheduling/server_pace.h>
@@ -124,6 +125,7 @@
   struct Quotas *quotas;
   struct Suspects *suspects;
   struct SilentAttempts *silent;
+  struct DescriptorShares shares;
   struct HttpServer *callers, *ready, *directory;
   struct Request *requests;
   int64_t started_ms;
--- a/gateway/metrics.c
+++ b/gateway/metrics.c
@@ -14,8 +14,7 @@
 
 enum
 {
-  /* Limits for monitoring clients: a few collectors with small, short requests. */
-  CONNECTIONS_MAX = 16,
+  /* Limits for monitoring clients. */
   HEADER_MAX_BYTES = 8 * 1024,
   BODY_MAX_BYTES = 1024,
   HEADER_TIMEOUT_MS = 3000,
@@ -141,7 +140,7 @@
     .listen = node->settings->metrics_listen,
     .setting = "[listen] metrics",
     .limits = { HEADER_MAX_BYTES, BODY_MAX_BYTES, HEADER_TIMEOUT_MS, IDLE_TIMEOUT_MS },
-    .connections_max = CONNECTIONS_MAX,
+    .connections_max = front != NULL ? front->shares.metrics : METRICS_CONNECTIONS_MAX,
     .request = metrics_on_request,
     .data = metrics,
   };
--- a/gateway/metrics.h
+++ b/gateway/metrics.h
@@ -3,6 +3,11 @@
 
 #include "node.h"
 
+enum
+{
+  METRICS_CONNECTIONS_MAX = 16 /* a few collectors with small, short requests */
+};
+
 struct Front;
 
 /* Opens the listener; does nothing when no address is configured. In a gateway, where front is not
--- a/include/buckthornhead/http_client.h
+++ b/include/buckthornhead/http_client.h
@@ -53,6 +53,9 @@
   /* Idle time after which a connection is no longer reused, when the server advertises none: if the
    * server closes it just as a request is sent, it is unknown whether the request ran. */
   uint32_t idle_max_ms;
+  /* Limit on open connections to all addresses; 0: none. At it, a connection that is idle is closed
+   * for a new one. */
+  uint32_t connections_max;
 };
 
 struct HttpClient *
--- a/include/buckthornhead/http_server.h
+++ b/include/buckthornhead/http_server.h
@@ -51,6 +51,8 @@
   const char *listen;
   const char *setting; /* name of the setting of the address, for error messages */
   struct HttpLimits limits;
+  /* Beyond it, a new connection replaces the one that has been idle for longest, or is closed
+   * before anything is read from it. */
   uint32_t connections_max;
   /* Bound on held_memory_bytes () above which requests with a body of over 64 KB are rejected with
    * 503; 0: none. If it is set, the data held for each caller is bounded, too:
--- a/tests/sessions/harness.c
+++ b/tests/sessions/harness.c
@@ -10,6 +10,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <time.h>
@@ -34,6 +35,7 @@
   int block_lock; /* socket bound to the block's first port; reserves the block for one session */
   uint16_t next_port, last_port;
   struct Process *processes;
+  uint32_t descriptors; /* limit of the processes started next; 0: the own one */
 };
 
 int64_t
@@ -168,6 +170,23 @@
 }
 
 /* Runs in the child process after the fork. */
+void
+session_limit_descriptors (struct Session *session, uint32_t n)
+{
+  session->descriptors = n;
+}
+
+static void
+lower_descriptor_limit (uint32_t n)
+{
+  struct rlimit limit;
+
+  if (n == 0 || getrlimit (RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur <= n)
+    return;
+  limit.rlim_cur = n;
+  setrlimit (RLIMIT_NOFILE, &limit);
+}
+
 static void
 process_exec (const struct Process *process, const char *const argv[], pid_t parent)
 {
@@ -181,6 +200,7 @@
   dup2 (output, STDOUT_FILENO);
   dup2 (output, STDERR_FILENO);
   signal (SIGPIPE, SIG_DFL);
+  lower_descriptor_limit (process->session->descriptors);
   execv (argv[0], (char *const *)argv);
   _exit (EXIT_EXEC_FAILED);
 }
@@ -246,6 +266,30 @@
     process_wait (process);
 }
 
+int64_t
+process_cpu_ms (const struct Process *process)
+{
+  char path[64], text[1024];
+  unsigned long user = 0, system = 0;
+  size_t n;
+  FILE *file;
+
+  snprintf (path, sizeof path, "/proc/%d/stat", (int)process->pid);
+  file = fopen (path, "r");
+  if (file == NULL)
+    return 0;
+  n = fread (text, 1, sizeof text - 1, file);
+  fclose (file);
+  text[n] = '\0';
+  /* After the name in parentheses: state, ten numbers, then the times in clock ticks. */
+  if (strrchr (text, ')') == NULL
+      || sscanf (strrchr (text, ')') + 1, " %*c %*d %*d %*d %*d %*d %*u %*u %*u %*u %*u %lu %lu",
+                 &user, &system)
+             != 2)
+    return 0;
+  return (int64_t)(user + system) * 1000 / sysconf (_SC_CLK_TCK);
+}
+
 char *
 process_output (TALLOC_CTX *ctx, const struct Process *process)
 {
--- a/tests/sessions/harness.h
+++ b/tests/sessions/harness.h
@@ -52,6 +52,9 @@
 /* argv ends with NULL; argv[0] is the executable's path. */
 struct Process *
 session_start (struct Session *session, const char *name, const char *const argv[]);
+/* Limits the descriptors of the processes started next; 0: no lower limit than the test's. */
+void
+session_limit_descriptors (struct Session *session, uint32_t n);
 bool
 process_is_running (struct Process *process);
 /* Returns false if the process has already exited. */
@@ -63,6 +66,9 @@
 process_wait (struct Process *process);
 void
 process_kill (struct Process *process); /* sends SIGKILL and waits */
+/* Returns the processor time used so far. */
+int64_t
+process_cpu_ms (const struct Process *process);
 /* Returns all output so far. */
 char *
 process_output (TALLOC_CTX *ctx, const struct Process *process);
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -16,6 +16,7 @@
   READ_BYTES = 64 * 1024,              /* read from a server at a time */
   UNREAD_BODY_BYTES = 8 * 1024 * 1024, /* more than the kernel's buffers of a connection hold */
   RESPONSE_BYTES = 32 * 1024 * 1024,
+  CONNECTIONS_MAX = 8, /* to all servers */
   N_CALLS = 6
 };
 
@@ -75,7 +76,7 @@
 static struct Bench *
 bench_new (void)
 {
-  const struct HttpClientOptions options = { 2, 1000 };
+  const struct HttpClientOptions options = { 2, 1000, CONNECTIONS_MAX };
   struct Bench *b = talloc_zero (NULL, struct Bench);
 
   b->events = tevent_context_init (b);
@@ -455,6 +456,46 @@
   bench_free (b);
 }
 
+static struct HttpCall *
+bench_submit_to (struct Bench *b, const char *address)
+{
+  const struct HttpCallHandler handler = { bench_on_head, bench_on_body, bench_on_end, b };
+  const struct HttpCallRequest request = { .address = address,
+                                           .head = "GET / HTTP/1.1\r\nHost: x\r\n\r\n",
+                                           .connect_timeout_ms = 500,
+                                           .connections_max = CONNECTIONS_MAX };
+
+  return http_client_submit (b->client, &request, &handler);
+}
+
+/* Guards against connections to servers that use up the process's descriptors. */
+static void
+test_connections_to_all_servers_are_limited (void)
+{
+  struct Bench *b = bench_new ();
+  struct HttpCall *calls[CONNECTIONS_MAX];
+  uint16_t port;
+  int other_fd = raw_listen (&port);
+  char other[32];
+
+  snprintf (other, sizeof other, "127.0.0.1:%u", port);
+  bench_request (b, "1");
+  raw_send (b->fd, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  CU_ASSERT_TRUE (events_until (b->events, &b->ended));
+  for (int i = 0; i < CONNECTIONS_MAX; i++)
+    {
+      calls[i] = bench_submit_to (b, other);
+      CU_ASSERT_PTR_NOT_NULL (calls[i]);
+    }
+  CU_ASSERT_TRUE (raw_wait_closed (b->fd, b->events));
+  CU_ASSERT_PTR_NULL (bench_submit_to (b, b->address));
+  talloc_free (calls[0]);
+  events_for (b->events, 300);
+  CU_ASSERT_PTR_NOT_NULL (bench_submit_to (b, b->address));
+  close (other_fd);
+  bench_free (b);
+}
+
 const char test_suite_name[] = "http_client";
 const struct TestCase test_cases[] = {
   { "an idle connection is reused", test_an_idle_connection_is_reused },
@@ -478,5 +519,6 @@
     test_freeing_a_paused_call_closes_its_connection },
   { "bodies that servers do not read are bounded",
     test_bodies_that_servers_do_not_read_are_bounded },
+  { "connections to all servers are limited", test_connections_to_all_servers_are_limited },
   { NULL, NULL },
 };
--- a/tests/test_http_server.c
+++ b/tests/test_http_server.c
@@ -15,6 +15,7 @@
 
 enum
 {
+  CONNECTIONS_MAX = 16,
   HEADER_MAX_BYTES = 400,
   BODY_MAX_BYTES = 2000,
   HEADER_TIMEOUT_MS = 600,
@@ -106,7 +107,7 @@
   struct HttpServerOptions options = {
     .setting = "[listen] caller",
     .limits = { HEADER_MAX_BYTES, BODY_MAX_BYTES, HEADER_TIMEOUT_MS, idle_timeout_ms },
-    .connections_max = 16,
+    .connections_max = CONNECTIONS_MAX,
     .held_max_bytes = held_max_bytes,
     .request = bench_on_request,
     .data = b,
@@ -656,6 +657,50 @@
   bench_free (b);
 }
 
+static bool
+bench_is_served (struct Bench *b, int fd, const char *target)
+{
+  char request[64];
+
+  b->text[0] = '\0';
+  snprintf (request, sizeof request, "GET %s HTTP/1.1\r\nHost: x\r\n\r\n", target);
+  raw_send (fd, request);
+  return raw_read_until (fd, b->events, target, b->text, sizeof b->text);
+}
+
+/* Guards against callers that are shut out by others with idle connections. */
+static void
+test_a_full_server_closes_the_oldest_idle_connection (void)
+{
+  struct Bench *b = bench_new ();
+  int fds[CONNECTIONS_MAX], late;
+
+  b->respond_at_once = true;
+  fds[0] = b->fd;
+  for (int i = 1; i < CONNECTIONS_MAX; i++)
+    fds[i] = raw_connect (b->port);
+  events_for (b->events, 50);
+  late = raw_connect (b->port);
+  CU_ASSERT (raw_wait_closed (late, b->events));
+  close (late);
+  for (int i = 0; i < CONNECTIONS_MAX; i++)
+    {
+      CU_ASSERT (bench_is_served (b, fds[(i + 3) % CONNECTIONS_MAX], "/used"));
+      events_for (b->events, 5);
+    }
+  events_for (b->events, 1100);
+  late = raw_connect (b->port);
+  CU_ASSERT (bench_is_served (b, late, "/late"));
+  CU_ASSERT (raw_wait_closed (fds[3], b->events));
+  for (int i = 0; i < CONNECTIONS_MAX; i++)
+    {
+      CU_ASSERT (i == 3 || bench_is_served (b, fds[i], "/kept"));
+      close (fds[i]);
+    }
+  b->fd = late;
+  bench_free (b);
+}
+
 const char test_suite_name[] = "http_server";
 const struct TestCase test_cases[] = {
   { "requests follow each other", test_requests_follow_each_other_on_one_connection },
@@ -685,5 +730,7 @@
   { "large bodies are rejected above the bound", test_large_bodies_are_rejected_above_the_bound },
   { "announced bodies count for the bound", test_announced_bodies_count_for_the_bound },
   { "accepting waits for descriptors", test_accepting_waits_for_descriptors },
+  { "a full server closes the oldest idle connection",
+    test_a_full_server_closes_the_oldest_idle_connection },
   { NULL, NULL },
 };
