Report connections that the process itself could not open

An operator saw "no_server" and "store_lost" lines, which name servers and the network, when it was the process that had no descriptor or no local port left for a connection. Reading the callers of net_connect showed that no server, peer or pace was blamed: nothing is sent, the next server is tried, and the request is rejected as not run, with Retry-After. But nothing said why.

connect_failed names the shortage, once in 10 s, and connects_failed_total counts it, for servers, peers and, through libcurl's socket callback, the store and the servers of serve.

The test shows that without descriptors an open connection is still used, a new one is refused before anything is sent, and is opened again afterwards; before, the counter did not exist. That EADDRNOTAVAIL takes the same path is not tested: using up local ports needs more than a test may take.

--- a/adapters/curl_loop.c
+++ b/adapters/curl_loop.c
@@ -1,6 +1,7 @@
 #include <buckthornhead/curl_loop.h>
 
 #include <buckthornhead/http_message.h>
+#include <buckthornhead/net_socket.h>
 
 #include <buckthornhead/timer_tevent.h>
 
@@ -181,6 +182,18 @@
   return socket->watch != NULL ? 0 : -1;
 }
 
+/* libcurl reports a lack of descriptors as a failure to connect; here it is logged as what it is.
+ */
+static curl_socket_t
+curl_call_on_open (void *data, curlsocktype purpose, struct curl_sockaddr *address)
+{
+  int fd = net_socket (address->family, "HTTP connection");
+
+  (void)data;
+  (void)purpose;
+  return fd >= 0 ? fd : CURL_SOCKET_BAD;
+}
+
 static size_t
 curl_call_on_body (char *bytes, size_t size, size_t n, void *data)
 {
@@ -360,6 +373,7 @@
   curl_easy_setopt (call->easy, CURLOPT_PRIVATE, call);
   curl_easy_setopt (call->easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt (call->easy, CURLOPT_NOPROXY, "*");
+  curl_easy_setopt (call->easy, CURLOPT_OPENSOCKETFUNCTION, curl_call_on_open);
   curl_easy_setopt (call->easy, CURLOPT_WRITEFUNCTION, curl_call_on_body);
   curl_easy_setopt (call->easy, CURLOPT_WRITEDATA, call);
   curl_call_set_body (call, request);
--- a/adapters/net_socket.c
+++ b/adapters/net_socket.c
@@ -19,7 +19,7 @@
   /* Exceeds the number of connections that arrive while the process waits to be scheduled: a full
    * queue drops the SYN, which the client retransmits only seconds later. */
   LISTEN_BACKLOG = 1024,
-  ACCEPT_LOG_PERIOD_MS = 10 * 1000
+  SHORTAGE_LOG_PERIOD_MS = 10 * 1000
 };
 
 static bool
@@ -73,20 +73,53 @@
   return ERROR_IO;
 }
 
-/* Logs a failure to accept a connection, at most once in ACCEPT_LOG_PERIOD_MS. */
+/* Returns whether an event may be logged, at most once in SHORTAGE_LOG_PERIOD_MS, and notes it. */
+static bool
+claim_log (_Atomic int64_t *logged_ms)
+{
+  int64_t now_ms = clock_monotonic_ms (), last_ms = atomic_load (logged_ms);
+
+  if (last_ms != 0 && now_ms - last_ms < SHORTAGE_LOG_PERIOD_MS)
+    return false;
+  atomic_store (logged_ms, now_ms);
+  return true;
+}
+
 static void
 log_accept_failed (int error)
 {
   static _Atomic int64_t logged_ms;
-  int64_t now_ms = clock_monotonic_ms (), last_ms = atomic_load (&logged_ms);
 
   counter_add (COUNTER_ACCEPTS_FAILED, 1);
-  if (last_ms != 0 && now_ms - last_ms < ACCEPT_LOG_PERIOD_MS)
-    return;
-  atomic_store (&logged_ms, now_ms);
-  log_event (LOG_LEVEL_ERROR, "accept_failed", NULL,
-             "raise the process's limit of descriptors, or lower [limits] connections", "%s",
-             strerror (error));
+  if (claim_log (&logged_ms))
+    log_event (LOG_LEVEL_ERROR, "accept_failed", NULL,
+               "raise the process's limit of descriptors, or lower [limits] connections", "%s",
+               strerror (error));
+}
+
+/* Logs that a connection could not be opened because this process or its machine lacks something.
+ */
+static void
+log_connect_failed (const char *address, int error)
+{
+  static _Atomic int64_t logged_ms;
+
+  counter_add (COUNTER_CONNECTS_FAILED, 1);
+  if (claim_log (&logged_ms))
+    log_event (LOG_LEVEL_ERROR, "connect_failed", NULL,
+               error == EADDRNOTAVAIL
+                   ? "free local ports of the machine: fewer short connections, or a wider range"
+                   : "raise the process's limit of descriptors, or lower [limits] connections",
+               "%s: %s", address, strerror (error));
+}
+
+/* Returns whether error of socket or connect is a shortage here, which says nothing about the other
+ * end. */
+static bool
+is_own_shortage (int error)
+{
+  return error == EMFILE || error == ENFILE || error == ENOBUFS || error == ENOMEM
+         || error == EADDRNOTAVAIL;
 }
 
 static enum NetAccept
@@ -128,6 +161,16 @@
   return NET_ACCEPTED;
 }
 
+int
+net_socket (int family, const char *address)
+{
+  int fd = socket (family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+  if (fd < 0 && is_own_shortage (errno))
+    log_connect_failed (address, errno);
+  return fd;
+}
+
 int
 net_connect (const char *address, uint32_t user_timeout_ms)
 {
@@ -138,13 +181,15 @@
 
   if (!socket_address (address, &storage, &size))
     return -1;
-  fd = socket (storage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  fd = net_socket (storage.ss_family, address);
   if (fd < 0)
     return -1;
   setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
   setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout_ms, sizeof user_timeout_ms);
   if (connect (fd, (struct sockaddr *)&storage, size) == 0 || errno == EINPROGRESS)
     return fd;
+  if (is_own_shortage (errno))
+    log_connect_failed (address, errno);
   close (fd);
   return -1;
 }
--- a/core/counter.c
+++ b/core/counter.c
@@ -124,6 +124,8 @@
       "accepts_failed", "Connections that could not be accepted, mostly for lack of a descriptor"),
   [COUNTER_CONNECTIONS_REJECTED] =
       COUNTS ("connections_rejected", "Connections closed at once because their listener was full"),
+  [COUNTER_CONNECTS_FAILED] =
+      COUNTS ("connects_failed", "Connections not opened for lack of a descriptor or a local port"),
   [GAUGE_CONFIG_REVISION] =
       GAUGES ("config_revision", "Configuration revision in force on this instance"),
   [GAUGE_PARTITIONS_OWNED] = GAUGES ("partitions_owned", "Partitions whose home is this instance"),
--- a/include/buckthornhead/net_socket.h
+++ b/include/buckthornhead/net_socket.h
@@ -23,7 +23,13 @@
 enum NetAccept
 net_accept (int listen_fd, int *fd);
 
-/* Starts a non-blocking connect; returns -1 when it fails at once. user_timeout_ms limits how long
+/* Opens a non-blocking TCP socket for a connection to address, which is for the log only. Returns
+ * -1 on failure. */
+int
+net_socket (int family, const char *address);
+
+/* Starts a non-blocking connect; returns -1 when it fails at once, also for lack of descriptors or
+ * local ports, which is logged. user_timeout_ms limits how long
  * sent data may stay unacknowledged: a peer behind a network partition never responds. */
 int
 net_connect (const char *address, uint32_t user_timeout_ms);
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -1,7 +1,9 @@
 #include "test_main.h"
 
+#include "fakes/descriptors.h"
 #include "fakes/raw_socket.h"
 
+#include <buckthornhead/counter.h>
 #include <buckthornhead/held_memory.h>
 #include <buckthornhead/http_client.h>
 #include <buckthornhead/timer_tevent.h>
@@ -496,6 +498,31 @@
   bench_free (b);
 }
 
+/* Guards against a shortage of descriptors that counts as a failure of the server. */
+static void
+test_without_descriptors_only_open_connections_are_used (void)
+{
+  struct Bench *b = bench_new ();
+  uint64_t n_failed = counter_read (COUNTER_CONNECTS_FAILED);
+  struct Descriptors *used;
+
+  bench_request (b, "1");
+  raw_send (b->fd, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  CU_ASSERT_TRUE (events_until (b->events, &b->ended));
+  used = descriptors_use_up (0);
+  bench_request (b, "2");
+  CU_ASSERT_PTR_NULL (bench_submit_to (b, b->address));
+  CU_ASSERT_EQUAL (counter_read (COUNTER_CONNECTS_FAILED), n_failed + 1);
+  raw_send (b->fd, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  CU_ASSERT_TRUE (events_until (b->events, &b->ended));
+  CU_ASSERT_EQUAL (b->n_ends, 2);
+  descriptors_release (used);
+  bench_submit (b, "3");
+  CU_ASSERT_PTR_NOT_NULL (bench_submit_to (b, b->address));
+  CU_ASSERT_EQUAL (counter_read (COUNTER_CONNECTS_FAILED), n_failed + 1);
+  bench_free (b);
+}
+
 const char test_suite_name[] = "http_client";
 const struct TestCase test_cases[] = {
   { "an idle connection is reused", test_an_idle_connection_is_reused },
@@ -520,5 +547,7 @@
   { "bodies that servers do not read are bounded",
     test_bodies_that_servers_do_not_read_are_bounded },
   { "connections to all servers are limited", test_connections_to_all_servers_are_limited },
+  { "without descriptors only open connections are used",
+    test_without_descriptors_only_open_connections_are_used },
   { NULL, NULL },
 };
