Give the HTTP threads of serve fewer connections than descriptors

Without descriptors left the threads of libmicrohttpd spin: with a limit of 64 and 100 connected callers an instance took 4,610 ms of processor time in 3 s. At its own limit of connections libmicrohttpd stops accepting, and callers wait; with [limits] connections = 40 the same callers cost 30 ms in 3 s. The default of 4,096, for each of the two listeners, is more than most processes may open.

The operators' listener has at the most 100 connections of its own. Connections to backend servers are not limited in serve.

--- a/adapters/caller_http.c
+++ b/adapters/caller_http.c
@@ -1,6 +1,7 @@
 #include <buckthornhead/caller_http.h>
 
 #include <buckthornhead/counter.h>
+#include <buckthornhead/process_limits.h>
 #include <buckthornhead/snapshot.h>
 
 #include <arpa/inet.h>
@@ -16,6 +17,7 @@
 enum
 {
   ACCEPT_BACKLOG = 1024,
+  OPERATOR_CONNECTIONS_MAX = 100,
   DRAINING_RETRY_AFTER_MS = 50, /* short: another instance can serve the request at once */
   CONNECTION_EXTRA_MEMORY_BYTES = 16 * 1024 /* per connection, besides the headers */
 };
@@ -23,6 +25,7 @@
 struct CallerHttp
 {
   const struct Settings *settings;
+  struct DescriptorShares shares;
   struct Mailbox *core;
   struct MHD_Daemon *caller_daemon;
   struct MHD_Daemon *operator_daemon;
@@ -440,11 +443,18 @@
   exchange_release (exchange);
 }
 
+static uint32_t
+lesser (uint32_t a, uint32_t b)
+{
+  return a < b ? a : b;
+}
+
 static struct MHD_Daemon *
 listener_open (struct CallerHttp *http,
                const char *address,
                MHD_AccessHandlerCallback on_request,
                uint32_t threads,
+               uint32_t connections,
                struct Fault *fault)
 {
   const struct Settings *settings = http->settings;
@@ -452,7 +462,7 @@
   struct MHD_Daemon *daemon;
   char ip[46];
   uint16_t port;
-  uint32_t pool = threads > 1 ? threads : 0;
+  uint32_t pool = lesser (threads, connections);
 
   if (address_parse (address, ip, &port) != ERROR_NONE
       || inet_pton (AF_INET, ip, &bind_to.sin_addr) != 1)
@@ -465,8 +475,8 @@
   daemon = MHD_start_daemon (
       MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, port, NULL, NULL, on_request, http,
       MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&bind_to, MHD_OPTION_NOTIFY_COMPLETED,
-      on_request_completed, http, MHD_OPTION_THREAD_POOL_SIZE, pool, MHD_OPTION_CONNECTION_LIMIT,
-      settings->connections_max, MHD_OPTION_CONNECTION_TIMEOUT,
+      on_request_completed, http, MHD_OPTION_THREAD_POOL_SIZE, pool > 1 ? pool : 0,
+      MHD_OPTION_CONNECTION_LIMIT, connections, MHD_OPTION_CONNECTION_TIMEOUT,
       (settings->request_timeout_ms + 999) / 1000, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
       (size_t)settings->header_max_bytes + CONNECTION_EXTRA_MEMORY_BYTES,
       MHD_OPTION_LISTEN_BACKLOG_SIZE, (unsigned int)ACCEPT_BACKLOG,
@@ -484,18 +494,24 @@
                   struct CallerHttp **opened,
                   struct Fault *fault)
 {
+  /* The threads of libmicrohttpd leave connections beyond their limit pending, but spin when they
+   * cannot accept for lack of descriptors. */
+  const struct DescriptorShares wanted = { .callers = settings->connections_max,
+                                           .operators = OPERATOR_CONNECTIONS_MAX };
   struct CallerHttp *http = talloc_zero (ctx, struct CallerHttp);
 
   if (http == NULL)
     return fault_set (fault, ERROR_NO_MEMORY, NULL, "out of memory");
   http->settings = settings;
   http->core = core;
+  if (process_limits_divide (&wanted, &http->shares, fault) != ERROR_NONE)
+    goto fail;
   http->caller_daemon = listener_open (http, settings->caller_listen, caller_on_request,
-                                       settings->caller_threads, fault);
+                                       settings->caller_threads, http->shares.callers, fault);
   if (http->caller_daemon == NULL)
     goto fail;
-  http->operator_daemon =
-      listener_open (http, settings->operator_listen, operator_on_request, 1, fault);
+  http->operator_daemon = listener_open (http, settings->operator_listen, operator_on_request, 1,
+                                         http->shares.operators, fault);
   if (http->operator_daemon == NULL)
     goto fail;
   *opened = http;
--- a/adapters/process_limits.c
+++ b/adapters/process_limits.c
@@ -34,8 +34,8 @@
              descriptors, address_space);
 }
 
-uint64_t
-process_limits_descriptors (void)
+static uint64_t
+descriptor_limit (void)
 {
   struct rlimit limit;
 
@@ -43,3 +43,22 @@
     return UINT64_MAX;
   return limit.rlim_cur;
 }
+
+int32_t
+process_limits_divide (const struct DescriptorShares *wanted,
+                       struct DescriptorShares *shares,
+                       struct Fault *fault)
+{
+  int32_t error = descriptor_shares (descriptor_limit (), wanted, shares, fault);
+
+  if (error == ERROR_NONE)
+    log_event (LOG_LEVEL_NOTICE, "descriptor_shares", NULL,
+               shares->callers < wanted->callers
+                   ? "raise the process's limit of descriptors, or lower [limits] connections"
+                   : NULL,
+               "connections: callers %u of %u wanted, ready %u, directory %u, metrics %u, "
+               "operators %u, servers %u",
+               shares->callers, wanted->callers, shares->ready, shares->directory, shares->metrics,
+               shares->operators, shares->servers);
+  return error;
+}
--- a/core/descriptor_shares.c
+++ b/core/descriptor_shares.c
@@ -12,6 +12,7 @@
   READY_PERCENT = 2,
   DIRECTORY_PERCENT = 5,
   METRICS_PERCENT = 1,
+  OPERATORS_PERCENT = 2,
   CONNECTIONS_MIN = 2 /* of each kind */
 };
 
@@ -47,6 +48,7 @@
     .ready = lesser (wanted->ready, part_of (limit, READY_PERCENT)),
     .directory = lesser (wanted->directory, part_of (limit, DIRECTORY_PERCENT)),
     .metrics = lesser (wanted->metrics, part_of (limit, METRICS_PERCENT)),
+    .operators = lesser (wanted->operators, part_of (limit, OPERATORS_PERCENT)),
   };
   /* Including what the callers do not want of theirs. */
   shares->servers = lesser (wanted->servers,
--- a/gateway/front.c
+++ b/gateway/front.c
@@ -16,7 +16,6 @@
 #include <buckthornhead/counter.h>
 #include <buckthornhead/deflate.h>
 #include <buckthornhead/log.h>
-#include <buckthornhead/process_limits.h>
 #include <buckthornhead/scheduling/plain_queue.h>
 #include <buckthornhead/scheduling/silent_attempts.h>
 
@@ -703,19 +702,8 @@
     .metrics = METRICS_CONNECTIONS_MAX,
     .servers = ALL_SERVERS_CONNECTIONS_MAX,
   };
-  struct DescriptorShares *shares = &front->shares;
-  int32_t error = descriptor_shares (process_limits_descriptors (), &wanted, shares, fault);
 
-  if (error == ERROR_NONE)
-    log_event (
-        LOG_LEVEL_NOTICE, "descriptor_shares", NULL,
-        shares->callers < wanted.callers
-            ? "raise the process's limit of descriptors, or lower [limits] connections"
-            : NULL,
-        "connections: callers %u of %u wanted, ready %u, directory %u, metrics %u, servers %u",
-        shares->callers, wanted.callers, shares->ready, shares->directory, shares->metrics,
-        shares->servers);
-  return error;
+  return process_limits_divide (&wanted, &front->shares, fault);
 }
 
 int32_t
--- a/gateway/front.h
+++ b/gateway/front.h
@@ -6,8 +6,8 @@
 
 #include "node.h"
 
-#include <buckthornhead/descriptor_shares.h>
 #include <buckthornhead/event_stream.h>
+#include <buckthornhead/process_limits.h>
 #include <buckthornhead/scheduling/retry_allowance.h>
 #include <buckthornhead/scheduling/server_pace.h>
 #include <buckthornhead/scheduling/server_subset.h>
--- a/include/buckthornhead/process_limits.h
+++ b/include/buckthornhead/process_limits.h
@@ -1,12 +1,14 @@
 /* Limits that the operating system sets for this process. */
 #pragma once
 
-#include <stdint.h>
+#include <buckthornhead/descriptor_shares.h>
 
 /* Logs that the process starts, and with which limits. */
 void
 process_limits_log (void);
 
-/* Returns how many descriptors the process may have open, UINT64_MAX for no limit. */
-uint64_t
-process_limits_descriptors (void);
+/* Divides the descriptors that the process may open, see descriptor_shares, and logs the result. */
+int32_t
+process_limits_divide (const struct DescriptorShares *wanted,
+                       struct DescriptorShares *shares,
+                       struct Fault *fault);
--- a/tests/sessions/cluster.c
+++ b/tests/sessions/cluster.c
@@ -128,7 +128,9 @@
   struct ClusterNode *node = &cluster->instances[i];
   const char *argv[] = { daemon_path (), "serve", "--config", node->file, NULL };
 
+  session_limit_descriptors (cluster->session, cluster->options.instance_descriptors);
   node->process = session_start (cluster->session, node->name, argv);
+  session_limit_descriptors (cluster->session, 0);
   return node->process != NULL && wait_for_response (node->address, "/v1/connect");
 }
 
--- a/tests/sessions/cluster.h
+++ b/tests/sessions/cluster.h
@@ -11,6 +11,7 @@
 struct ClusterOptions
 {
   uint32_t n_instances, n_engines, n_tools;
+  uint32_t instance_descriptors; /* limit of each instance; 0: the test's */
   uint32_t n_data_folders;       /* number of instances, from the first, that have a data folder */
   const char *model;             /* NULL: "negotiation"; every engine serves it */
   const char *tool;              /* NULL: "field-desk"; every tool serves it */
