Reject callers beyond a full listener with 503 instead of silence

A caller whose connection was closed at once could not know whether the request that it had sent ran: after a closed or reset connection it may have. It is now answered with 503 and Retry-After, which promise that it did not run: nothing of the connection is handled. That costs three more system calls and keeps no state; what has arrived is read and discarded once, so that the close does not reset the connection. A request that arrives later still does.

The ready address keeps closing without a response: 503 there reports that the gateway is not ready.

--- a/adapters/http_server.c
+++ b/adapters/http_server.c
@@ -752,6 +752,23 @@
              server->options.connections_max);
 }
 
+/* Closes a connection of which no request is handled. */
+static void
+server_reject_connection (struct HttpServer *server, int fd)
+{
+  static const char response[] = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.5\r\n"
+                                 "Content-Length: 0\r\nConnection: close\r\n\r\n";
+
+  if (server->options.rejects_when_full
+      && send (fd, response, sizeof response - 1, MSG_NOSIGNAL | MSG_DONTWAIT) > 0)
+    {
+      shutdown (fd, SHUT_WR);
+      /* Unread data would reset the connection, and the reset can overtake the response. */
+      recv (fd, server->scratch, sizeof server->scratch, MSG_DONTWAIT);
+    }
+  close (fd);
+}
+
 static void
 server_on_accept (void *data, int fd)
 {
@@ -762,7 +779,7 @@
   else
     {
       log_full (server);
-      close (fd);
+      server_reject_connection (server, fd);
     }
 }
 
--- a/gateway/front.c
+++ b/gateway/front.c
@@ -666,6 +666,8 @@
     .setting = setting,
     .limits = initial_limits,
     .connections_max = connections_max,
+    /* On the ready address, 503 would report that the gateway is not ready. */
+    .rejects_when_full = request == front_on_request,
     .held_max_bytes = front->node->settings->held_memory_bytes,
     .request = request,
     .data = front,
--- a/include/buckthornhead/http_server.h
+++ b/include/buckthornhead/http_server.h
@@ -51,9 +51,10 @@
   const char *listen;
   const char *setting; /* name of the setting of the address, for error messages */
   struct HttpLimits limits;
-  /* Beyond it, a new connection replaces the one that has been idle for longest, or is closed
-   * before anything is read from it. */
+  /* Beyond it, a new connection replaces the one that has been idle for longest, or is closed at
+   * once: with .rejects_when_full after a response with 503, otherwise without a response. */
   uint32_t connections_max;
+  bool rejects_when_full;
   /* Bound on held_memory_bytes () above which requests with a body of over 64 KB are rejected with
    * 503; 0: none. If it is set, the data held for each caller is bounded, too:
    * - An exchange is congested while the caller has not read 1 MB of data; its handler should then
--- a/tests/test_http_server.c
+++ b/tests/test_http_server.c
@@ -108,6 +108,7 @@
     .setting = "[listen] caller",
     .limits = { HEADER_MAX_BYTES, BODY_MAX_BYTES, HEADER_TIMEOUT_MS, idle_timeout_ms },
     .connections_max = CONNECTIONS_MAX,
+    .rejects_when_full = true,
     .held_max_bytes = held_max_bytes,
     .request = bench_on_request,
     .data = b,
@@ -681,7 +682,12 @@
     fds[i] = raw_connect (b->port);
   events_for (b->events, 50);
   late = raw_connect (b->port);
+  raw_send (late, "GET /late HTTP/1.1\r\nHost: x\r\n\r\n");
+  b->text[0] = '\0';
+  CU_ASSERT (raw_read_until (late, b->events, "\r\n\r\n", b->text, sizeof b->text));
+  CU_ASSERT_PTR_NOT_NULL (strstr (b->text, "503 Service Unavailable\r\nRetry-After: 0.5"));
   CU_ASSERT (raw_wait_closed (late, b->events));
+  CU_ASSERT_EQUAL (b->n_requests, 0);
   close (late);
   for (int i = 0; i < CONNECTIONS_MAX; i++)
     {
