--- a/adapters/http_server.c
+++ b/adapters/http_server.c
@@ -2,6 +2,7 @@
 
 #include <buckthornhead/http_server.h>
 
+#include <buckthornhead/acceptor.h>
 #include <buckthornhead/byte_queue.h>
 #include <buckthornhead/counter.h>
 #include <buckthornhead/held_memory.h>
@@ -34,7 +35,8 @@
   /* Time to keep reading after the last response: closing with unread data resets the connection,
    * and the reset can overtake the response. */
   LINGER_MS = 1000,
-  ACCEPTS_PER_EVENT = 64
+  IDLE_KEPT_MS = 1000, /* a connection idle for less is not closed to make room for another */
+  FULL_LOG_PERIOD_MS = 10 * 1000
 };
 
 enum ConnectionState
@@ -80,10 +82,11 @@
   struct TimerService *timers;
   struct HttpServerOptions options;
   int listen_fd;
-  struct tevent_fd *listen_watch;
+  struct Acceptor *acceptor;
   struct Connection *connections;
   uint32_t n_connections, n_in_flight;
   bool draining;
+  int64_t full_logged_ms; /* 0: never */
   uint8_t scratch[READ_BYTES];
 };
 
@@ -704,27 +707,79 @@
     talloc_free (c);
 }
 
+/* Returns whether the connection has been idle for a moment and no part of a request has arrived: a
+ * caller that is about to send one would not know whether it ran. */
+static bool
+connection_may_make_room (const struct Connection *c, int64_t now_ms)
+{
+  char byte;
+
+  return c->state == CONNECTION_IDLE && now_ms - c->state_since_ms >= IDLE_KEPT_MS
+         && byte_queue_length (&c->input) == 0 && byte_queue_length (&c->output) == 0
+         && recv (c->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && errno == EAGAIN;
+}
+
+/* Closes the connection that has been idle for longest. Returns false when there is none. */
+static bool
+server_make_room (struct HttpServer *server)
+{
+  int64_t now_ms = timer_now_ms (server->timers);
+  struct Connection *oldest = NULL;
+
+  for (struct Connection *c = server->connections; c != NULL; c = c->next)
+    if ((oldest == NULL || c->state_since_ms < oldest->state_since_ms)
+        && connection_may_make_room (c, now_ms))
+      oldest = c;
+  if (oldest == NULL)
+    return false;
+  talloc_free (oldest);
+  return true;
+}
+
+/* Counts a connection that is closed at once, and logs it, at most once in FULL_LOG_PERIOD_MS. */
 static void
-server_on_accept (struct tevent_context *events,
-                  struct tevent_fd *watch,
-                  uint16_t flags,
-                  void *data)
+log_full (struct HttpServer *server)
 {
-  struct HttpServer *server = data;
+  int64_t now_ms = timer_now_ms (server->timers);
 
-  (void)events;
-  (void)watch;
-  (void)flags;
-  for (int i = 0; i < ACCEPTS_PER_EVENT; i++)
+  counter_add (COUNTER_CONNECTIONS_REJECTED, 1);
+  if (server->full_logged_ms != 0 && now_ms - server->full_logged_ms < FULL_LOG_PERIOD_MS)
+    return;
+  server->full_logged_ms = now_ms;
+  log_event (LOG_LEVEL_WARNING, "connections_full", NULL,
+             "start more gateways, or raise [limits] connections and the limit of descriptors",
+             "%s: all %u connections are in use", server->options.setting,
+             server->options.connections_max);
+}
+
+/* Closes a connection of which no request is handled. */
+static void
+server_reject_connection (struct HttpServer *server, int fd)
+{
+  static const char response[] = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.5\r\n"
+                                 "Content-Length: 0\r\nConnection: close\r\n\r\n";
+
+  if (server->options.rejects_when_full
+      && send (fd, response, sizeof response - 1, MSG_NOSIGNAL | MSG_DONTWAIT) > 0)
     {
-      int fd = net_accept (server->listen_fd);
+      shutdown (fd, SHUT_WR);
+      /* Unread data would reset the connection, and the reset can overtake the response. */
+      recv (fd, server->scratch, sizeof server->scratch, MSG_DONTWAIT);
+    }
+  close (fd);
+}
 
-      if (fd < 0)
-        return;
-      if (server->n_connections < server->options.connections_max)
-        connection_new (server, fd);
-      else
-        close (fd);
+static void
+server_on_accept (void *data, int fd)
+{
+  struct HttpServer *server = data;
+
+  if (server->n_connections < server->options.connections_max || server_make_room (server))
+    connection_new (server, fd);
+  else
+    {
+      log_full (server);
+      server_reject_connection (server, fd);
     }
 }
 
@@ -761,7 +816,12 @@
       return error;
     }
   talloc_set_destructor (s, server_free);
-  s->listen_watch = tevent_add_fd (events, s, s->listen_fd, TEVENT_FD_READ, server_on_accept, s);
+  s->acceptor = acceptor_new (s, events, timers, s->listen_fd, server_on_accept, s);
+  if (s->acceptor == NULL)
+    {
+      talloc_free (s);
+      return fault_set (fault, ERROR_NO_MEMORY, NULL, "no memory for a listener");
+    }
   timer_subscribe (s, timers, SWEEP_MS, SWEEP_MS, server_on_sweep, s);
   *server = s;
   return ERROR_NONE;
@@ -782,7 +842,7 @@
 void
 http_server_stop_listening (struct HttpServer *server)
 {
-  TALLOC_FREE (server->listen_watch);
+  TALLOC_FREE (server->acceptor);
   if (server->listen_fd >= 0)
     close (server->listen_fd);
   server->listen_fd = -1;
--- a/adapters/process_limits.c
+++ b/adapters/process_limits.c
@@ -33,3 +33,32 @@
              "process %d, limits: descriptors %s, bytes of address space %s", (int)getpid (),
              descriptors, address_space);
 }
+
+static uint64_t
+descriptor_limit (void)
+{
+  struct rlimit limit;
+
+  if (getrlimit (RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY)
+    return UINT64_MAX;
+  return limit.rlim_cur;
+}
+
+int32_t
+process_limits_divide (const struct DescriptorShares *wanted,
+                       struct DescriptorShares *shares,
+                       struct Fault *fault)
+{
+  int32_t error = descriptor_shares (descriptor_limit (), wanted, shares, fault);
+
+  if (error == ERROR_NONE)
+    log_event (LOG_LEVEL_NOTICE, "descriptor_shares", NULL,
+               shares->callers < wanted->callers
+                   ? "raise the process's limit of descriptors, or lower [limits] connections"
+                   : NULL,
+               "connections: callers %u of %u wanted, ready %u, directory %u, metrics %u, "
+               "operators %u, servers %u",
+               shares->callers, wanted->callers, shares->ready, shares->directory, shares->metrics,
+               shares->operators, shares->servers);
+  return error;
+}
--- a/gateway/front.c
+++ b/gateway/front.c
@@ -5,6 +5,7 @@
 #include "credential.h"
 #include "directory.h"
 #include "loop_echo.h"
+#include "metrics.h"
 #include "paces.h"
 #include "quotas.h"
 #include "request.h"
@@ -50,6 +51,7 @@
   START_CHECK_MS = 20,
   /* On each of the ready and directory listeners, whose requests are few, small and short. */
   OWN_CONNECTIONS_MAX = 1000,
+  ALL_SERVERS_CONNECTIONS_MAX = 100 * 1000,
   /* How long an idle connection is reused when its server advertises no keep-alive timeout. */
   SERVER_IDLE_MS = 1000,
   /* Share of a server's connection limit that all gateways together may use. */
@@ -664,6 +666,8 @@
     .setting = setting,
     .limits = initial_limits,
     .connections_max = connections_max,
+    /* On the ready address, 503 would report that the gateway is not ready. */
+    .rejects_when_full = request == front_on_request,
     .held_max_bytes = front->node->settings->held_memory_bytes,
     .request = request,
     .data = front,
@@ -679,21 +683,35 @@
 {
   const struct GatewaySettings *s = front->node->settings;
   int32_t error = front_listen (front, s->caller_listen, "[listen] caller", front_on_request,
-                                s->connections_max, &front->callers, fault);
+                                front->shares.callers, &front->callers, fault);
 
   if (error == ERROR_NONE)
     error = front_listen (front, s->ready_listen, "[listen] ready", front_on_gateway_path,
-                          OWN_CONNECTIONS_MAX, &front->ready, fault);
+                          front->shares.ready, &front->ready, fault);
   if (error == ERROR_NONE)
     error = front_listen (front, s->directory_listen, "[listen] directory", front_on_gateway_path,
-                          OWN_CONNECTIONS_MAX, &front->directory, fault);
+                          front->shares.directory, &front->directory, fault);
   return error;
 }
 
+static int32_t
+front_divide_descriptors (struct Front *front, struct Fault *fault)
+{
+  const struct DescriptorShares wanted = {
+    .callers = front->node->settings->connections_max,
+    .ready = OWN_CONNECTIONS_MAX,
+    .directory = OWN_CONNECTIONS_MAX,
+    .metrics = METRICS_CONNECTIONS_MAX,
+    .servers = ALL_SERVERS_CONNECTIONS_MAX,
+  };
+
+  return process_limits_divide (&wanted, &front->shares, fault);
+}
+
 int32_t
 front_new (TALLOC_CTX *ctx, struct Node *node, struct Front **front, struct Fault *fault)
 {
-  const struct HttpClientOptions client_options = { SERVER_CONNECTIONS_MAX, SERVER_IDLE_MS };
+  struct HttpClientOptions client_options = { SERVER_CONNECTIONS_MAX, SERVER_IDLE_MS, 0 };
   struct Front *f = talloc_zero (ctx, struct Front);
   int32_t error;
 
@@ -701,6 +719,10 @@
   if (f == NULL)
     return fault_set (fault, ERROR_NO_MEMORY, NULL, "out of memory for the gateway");
   f->node = node;
+  error = front_divide_descriptors (f, fault);
+  if (error != ERROR_NONE)
+    return error;
+  client_options.connections_max = f->shares.servers;
   f->started_ms = timer_now_ms (node->timers);
   f->contention = contention_new (f);
   f->replicas = replica_set_new (f);
--- a/include/buckthornhead/net_socket.h
+++ b/include/buckthornhead/net_socket.h
@@ -10,11 +10,26 @@
 int32_t
 net_listen (const char *address, const char *setting, int *fd, struct Fault *fault);
 
-/* Accepts one connection, with Nagle's algorithm disabled. Returns -1 when none is pending. */
+enum NetAccept
+{
+  NET_ACCEPTED,
+  NET_ACCEPT_NONE,    /* none is pending */
+  NET_ACCEPT_ABORTED, /* this connection has failed; the next one may be accepted */
+  NET_ACCEPT_FAILED   /* for lack of descriptors or memory; the connection stays pending */
+};
+
+/* Accepts one connection, with Nagle's algorithm disabled. Sets *fd with NET_ACCEPTED, otherwise to
+ * -1. */
+enum NetAccept
+net_accept (int listen_fd, int *fd);
+
+/* Opens a non-blocking TCP socket for a connection to address, which is for the log only. Returns
+ * -1 on failure. */
 int
-net_accept (int listen_fd);
+net_socket (int family, const char *address);
 
-/* Starts a non-blocking connect; returns -1 when it fails at once. user_timeout_ms limits how long
+/* Starts a non-blocking connect; returns -1 when it fails at once, also for lack of descriptors or
+ * local ports, which is logged. user_timeout_ms limits how long
  * sent data may stay unacknowledged: a peer behind a network partition never responds. */
 int
 net_connect (const char *address, uint32_t user_timeout_ms);
--- a/tests/test_http_server.c
+++ b/tests/test_http_server.c
@@ -1,5 +1,6 @@
 #include "test_main.h"
 
+#include "fakes/descriptors.h"
 #include "fakes/raw_socket.h"
 
 #include <buckthornhead/held_memory.h>
@@ -14,6 +15,7 @@
 
 enum
 {
+  CONNECTIONS_MAX = 16,
   HEADER_MAX_BYTES = 400,
   BODY_MAX_BYTES = 2000,
   HEADER_TIMEOUT_MS = 600,
@@ -26,7 +28,11 @@
   HELD_MAX_BYTES = 4 * 1024 * 1024,
   LARGE_BODY_BYTES = 64 * 1024 + 1,
   STALL_MS = 400,
-  N_CALLERS = 12
+  N_CALLERS = 12,
+  /* Without descriptors: far more than the loop's timers cause, and far fewer than it runs when a
+   * descriptor stays readable. */
+  STARVED_MS = 500,
+  STARVED_ROUNDS_MAX = 400
 };
 
 struct Bench
@@ -101,7 +107,8 @@
   struct HttpServerOptions options = {
     .setting = "[listen] caller",
     .limits = { HEADER_MAX_BYTES, BODY_MAX_BYTES, HEADER_TIMEOUT_MS, idle_timeout_ms },
-    .connections_max = 16,
+    .connections_max = CONNECTIONS_MAX,
+    .rejects_when_full = true,
     .held_max_bytes = held_max_bytes,
     .request = bench_on_request,
     .data = b,
@@ -622,6 +629,84 @@
   bench_free (b);
 }
 
+/* Guards against a loop that spins on a listening socket while accepting fails. */
+static void
+test_accepting_waits_for_descriptors (void)
+{
+  struct Bench *b = bench_new ();
+  struct Descriptors *used;
+  int fds[N_CALLERS];
+
+  b->respond_at_once = true;
+  raw_send (b->fd, "GET /first HTTP/1.1\r\nHost: x\r\n\r\n");
+  CU_ASSERT (bench_read_until (b, "/first"));
+  for (int i = 0; i < N_CALLERS; i++)
+    fds[i] = raw_connect (b->port);
+  used = descriptors_use_up (0);
+  CU_ASSERT (events_count_rounds (b->events, STARVED_MS) < STARVED_ROUNDS_MAX);
+  b->text[0] = '\0';
+  raw_send (b->fd, "GET /served HTTP/1.1\r\nHost: x\r\n\r\n");
+  CU_ASSERT (bench_read_until (b, "/served"));
+  descriptors_release (used);
+  for (int i = 0; i < N_CALLERS; i++)
+    {
+      b->text[0] = '\0';
+      raw_send (fds[i], "GET /later HTTP/1.1\r\nHost: x\r\n\r\n");
+      CU_ASSERT (raw_read_until (fds[i], b->events, "/later", b->text, sizeof b->text));
+      close (fds[i]);
+    }
+  bench_free (b);
+}
+
+static bool
+bench_is_served (struct Bench *b, int fd, const char *target)
+{
+  char request[64];
+
+  b->text[0] = '\0';
+  snprintf (request, sizeof request, "GET %s HTTP/1.1\r\nHost: x\r\n\r\n", target);
+  raw_send (fd, request);
+  return raw_read_until (fd, b->events, target, b->text, sizeof b->text);
+}
+
+/* Guards against callers that are shut out by others with idle connections. */
+static void
+test_a_full_server_closes_the_oldest_idle_connection (void)
+{
+  struct Bench *b = bench_new ();
+  int fds[CONNECTIONS_MAX], late;
+
+  b->respond_at_once = true;
+  fds[0] = b->fd;
+  for (int i = 1; i < CONNECTIONS_MAX; i++)
+    fds[i] = raw_connect (b->port);
+  events_for (b->events, 50);
+  late = raw_connect (b->port);
+  raw_send (late, "GET /late HTTP/1.1\r\nHost: x\r\n\r\n");
+  b->text[0] = '\0';
+  CU_ASSERT (raw_read_until (late, b->events, "\r\n\r\n", b->text, sizeof b->text));
+  CU_ASSERT_PTR_NOT_NULL (strstr (b->text, "503 Service Unavailable\r\nRetry-After: 0.5"));
+  CU_ASSERT (raw_wait_closed (late, b->events));
+  CU_ASSERT_EQUAL (b->n_requests, 0);
+  close (late);
+  for (int i = 0; i < CONNECTIONS_MAX; i++)
+    {
+      CU_ASSERT (bench_is_served (b, fds[(i + 3) % CONNECTIONS_MAX], "/used"));
+      events_for (b->events, 5);
+    }
+  events_for (b->events, 1100);
+  late = raw_connect (b->port);
+  CU_ASSERT (bench_is_served (b, late, "/late"));
+  CU_ASSERT (raw_wait_closed (fds[3], b->events));
+  for (int i = 0; i < CONNECTIONS_MAX; i++)
+    {
+      CU_ASSERT (i == 3 || bench_is_served (b, fds[i], "/kept"));
+      close (fds[i]);
+    }
+  b->fd = late;
+  bench_free (b);
+}
+
 const char test_suite_name[] = "http_server";
 const struct TestCase test_cases[] = {
   { "requests follow each other", test_requests_follow_each_other_on_one_connection },
@@ -650,5 +735,8 @@
     test_a_truncated_response_without_a_length_is_reset },
   { "large bodies are rejected above the bound", test_large_bodies_are_rejected_above_the_bound },
   { "announced bodies count for the bound", test_announced_bodies_count_for_the_bound },
+  { "accepting waits for descriptors", test_accepting_waits_for_descriptors },
+  { "a full server closes the oldest idle connection",
+    test_a_full_server_closes_the_oldest_idle_connection },
   { NULL, NULL },
 };
