Soak on hostile machines

The users saw processes end by themselves, and service that did not come back after machines had returned. No test started a process while something of its machine was in its way.

It reloads running processes, stops them with further signals, opens more connections than a gateway has descriptors, and kills everything at once, the last time at the end.

--- a/tests/sessions/gateways.h
+++ b/tests/sessions/gateways.h
@@ -49,6 +49,8 @@
   ProxyPortFn proxy_port; /* proxy for each peer port and the store; NULL: direct connections */
   void *proxy_data;
   const char *quota_sharing; /* setting of the gateways; NULL: the default */
+  uint32_t descriptors;      /* soft limit of each gateway; 0: that of the test program */
+  bool limits_hard;          /* their hard limit is the same */
 };
 
 /* Starts two engines, one desk and the given processes with version 1 of the configuration; waits
@@ -70,6 +72,11 @@
 /* first: the whole system starts for the first time (setting first_start). */
 void
 archive_start (struct Fleet *fleet, uint32_t i, bool first);
+/* The two steps of archive_start. */
+void
+archive_write_settings (struct Fleet *fleet, uint32_t i, bool first);
+void
+archive_start_written (struct Fleet *fleet, uint32_t i);
 /* Deletes the archive's data folder, as if its disk had been replaced. */
 void
 archive_delete_data (struct Fleet *fleet, uint32_t i);
--- a/tests/sessions/harness.c
+++ b/tests/sessions/harness.c
@@ -10,6 +10,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <time.h>
@@ -34,6 +35,7 @@
   int block_lock; /* socket bound to the block's first port; reserves the block for one session */
   uint16_t next_port, last_port;
   struct Process *processes;
+  struct rlimit descriptors; /* of the processes started next; rlim_max 0: as this process */
 };
 
 int64_t
@@ -154,6 +156,30 @@
   abort ();
 }
 
+int
+session_hold_port (uint16_t port)
+{
+  int fd = port_bind (port, 1);
+
+  if (fd >= 0 && listen (fd, 1) != 0)
+    {
+      close (fd);
+      return -1;
+    }
+  return fd;
+}
+
+void
+session_limit_descriptors (struct Session *session, uint32_t soft, bool hard_too)
+{
+  getrlimit (RLIMIT_NOFILE, &session->descriptors);
+  session->descriptors.rlim_cur = soft;
+  if (hard_too)
+    session->descriptors.rlim_max = soft;
+  if (soft == 0)
+    session->descriptors.rlim_max = 0;
+}
+
 const char *
 session_write_file (struct Session *session, const char *name, const char *text)
 {
@@ -181,6 +207,8 @@
   dup2 (output, STDOUT_FILENO);
   dup2 (output, STDERR_FILENO);
   signal (SIGPIPE, SIG_DFL);
+  if (process->session->descriptors.rlim_max > 0)
+    setrlimit (RLIMIT_NOFILE, &process->session->descriptors);
   execv (argv[0], (char *const *)argv);
   _exit (EXIT_EXEC_FAILED);
 }
--- a/tests/sessions/harness.h
+++ b/tests/sessions/harness.h
@@ -45,6 +45,12 @@
 /* Returns a port of 127.0.0.1 that no other session uses. */
 uint16_t
 session_allocate_port (struct Session *session);
+/* Returns a socket that listens on the port of 127.0.0.1, or -1 if the port is in use. */
+int
+session_hold_port (uint16_t port);
+/* Limits the descriptors of all processes started from now on. soft 0: no limit of their own. */
+void
+session_limit_descriptors (struct Session *session, uint32_t soft, bool hard_too);
 /* Writes text to a file in the session's folder and returns its path. */
 const char *
 session_write_file (struct Session *session, const char *name, const char *text);
--- a/tests/soak/soak_plan.c
+++ b/tests/soak/soak_plan.c
@@ -10,7 +10,10 @@
   DURATION_MAX_MS = 3500,
   LOADS_MAX = SOAK_EVENTS_MAX / 4,
   LOAD_GAP_MAX_MS = 2500,
-  WIPE_GAP_MS = 9000 /* for copying to the wiped archive: 1 s, also with paused gateways */
+  MACHINE_GAP_MAX_MS = 1500,
+  RETURN_GAP_MS = 6000,
+  CONNECTIONS_MS = 3000, /* at least: as long as the processes' use of processors is averaged */
+  WIPE_GAP_MS = 9000     /* for copying to the wiped archive: 1 s, also with paused gateways */
 };
 
 static const char *const names[N_SOAK_FAULTS] = {
@@ -31,6 +34,10 @@
   "false load",
   "three times the demand",
   "customer over its limit",
+  "reloads",
+  "planned stop with further signals",
+  "more connections than descriptors",
+  "everything killed, returns",
 };
 
 const char *
@@ -118,3 +125,38 @@
   qsort (events, n, sizeof events[0], event_compare);
   return n;
 }
+
+size_t
+soak_plan_machines (uint64_t seed,
+                    int64_t length_ms,
+                    struct SoakEvent events[SOAK_ALL_EVENTS_MAX],
+                    size_t n)
+{
+  uint64_t state = seed * 15485863 + 11;
+  int64_t next_return_ms = FIRST_MS;
+
+  for (int64_t at_ms = FIRST_MS; at_ms < length_ms && n < SOAK_ALL_EVENTS_MAX - 1;
+       at_ms += draw (&state, MACHINE_GAP_MAX_MS))
+    {
+      struct SoakEvent event = { .at_ms = at_ms };
+
+      event.fault = SOAK_RELOADS + draw (&state, N_SOAK_MACHINE_FAULTS);
+      event.duration_ms = DURATION_MIN_MS + draw (&state, DURATION_MAX_MS - DURATION_MIN_MS);
+      event.target = draw (&state, 1u << 16);
+      event.variant = draw (&state, 1u << 16);
+      if (event.fault == SOAK_CONNECTIONS)
+        event.duration_ms += CONNECTIONS_MS;
+      if (event.fault == SOAK_RETURN && at_ms < next_return_ms)
+        continue;
+      if (event.fault == SOAK_RETURN)
+        next_return_ms = at_ms + RETURN_GAP_MS;
+      events[n++] = event;
+    }
+  events[n].at_ms = length_ms;
+  events[n].fault = SOAK_RETURN;
+  events[n].duration_ms = DURATION_MIN_MS + draw (&state, DURATION_MAX_MS - DURATION_MIN_MS);
+  events[n].target = draw (&state, 1u << 16);
+  events[n++].variant = draw (&state, 1u << 16);
+  qsort (events, n, sizeof events[0], event_compare);
+  return n;
+}
