--- a/tests/sessions/gateways.h
+++ b/tests/sessions/gateways.h
@@ -72,6 +72,11 @@
 /* first: the whole system starts for the first time (setting first_start). */
 void
 archive_start (struct Fleet *fleet, uint32_t i, bool first);
+/* The two steps of archive_start. */
+void
+archive_write_settings (struct Fleet *fleet, uint32_t i, bool first);
+void
+archive_start_written (struct Fleet *fleet, uint32_t i);
 /* Deletes the archive's data folder, as if its disk had been replaced. */
 void
 archive_delete_data (struct Fleet *fleet, uint32_t i);
--- a/tests/sessions/harness.c
+++ b/tests/sessions/harness.c
@@ -156,6 +156,19 @@
   abort ();
 }
 
+int
+session_hold_port (uint16_t port)
+{
+  int fd = port_bind (port, 1);
+
+  if (fd >= 0 && listen (fd, 1) != 0)
+    {
+      close (fd);
+      return -1;
+    }
+  return fd;
+}
+
 const char *
 session_write_file (struct Session *session, const char *name, const char *text)
 {
