--- a/include/buckthornhead/disk_log.h
+++ b/include/buckthornhead/disk_log.h
@@ -33,9 +33,9 @@
 /* place is valid when error is ERROR_NONE; after ERROR_IO the record may or may not be stored. */
 typedef void (*DiskLogDone) (void *data, int32_t error, const struct DiskPlace *place);
 
-/* Opens folder, created if missing, makes what it holds durable, and calls fn for each whole record in it, oldest first; *log is
- * set before the first call. A torn end of a file was never reported durable and is skipped.
- * ERROR_IO or ERROR_NO_MEMORY, with fault set. */
+/* Opens folder, created if missing, makes what it holds durable, and calls fn for each whole record
+ * in it, oldest first; *log is set before the first call. A torn end of a file was never reported
+ * durable and is skipped. ERROR_IO or ERROR_NO_MEMORY, with fault set. */
 int32_t
 disk_log_open (TALLOC_CTX *ctx,
                struct tevent_context *events,
@@ -75,8 +75,8 @@
 disk_log_extend (struct DiskLog *log, uint32_t file, int64_t expires_unix_ms);
 
 /* Deletes files in which all records have expired, except the one that is being written: its number
- * keeps the numbers ascending over restarts. The names are not synced: after a power failure expired
- * records may be replayed again, which their expiry makes harmless. */
+ * keeps the numbers ascending over restarts. The names are not synced: after a power failure
+ * expired records may be replayed again, which their expiry makes harmless. */
 void
 disk_log_drop_expired (struct DiskLog *log, int64_t unix_ms);
 
