Hold signals while a process starts and ends

Callers saw a gateway disappear when the platform rendered its settings anew (SIGHUP) soon after it had started it. The handlers were installed last, after the listeners and an archive's replay, so that until then a signal had its default action; serve had no handler for SIGHUP at all, and a second SIGTERM while the process freed its memory ended it by the signal. Nothing was logged.

main now blocks SIGTERM, SIGINT and SIGHUP for serve and gateway, before any thread exists; they stay pending, are delivered when the event loop runs with its handlers, and are blocked again before the handlers are removed. ctl and check-config keep the default actions.

What remains is the time before main.

--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -15,9 +15,9 @@
 #include <buckthornhead/kv_http.h>
 #include <buckthornhead/log.h>
 #include <buckthornhead/process_limits.h>
+#include <buckthornhead/process_signals.h>
 #include <buckthornhead/timer_tevent.h>
 
-#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -324,19 +324,10 @@
 }
 
 static void
-daemon_on_signal (struct tevent_context *events,
-                  struct tevent_signal *signal,
-                  int number,
-                  int count,
-                  void *info,
-                  void *data)
+daemon_on_stop (void *data, int number)
 {
   struct Daemon *daemon = data;
 
-  (void)events;
-  (void)signal;
-  (void)count;
-  (void)info;
   log_event (LOG_LEVEL_NOTICE, "stop_asked", NULL, NULL, "signal %d", number);
   drain_stop (daemon->drain, daemon_on_drained, daemon);
 }
@@ -442,16 +433,15 @@
 {
   struct Core *core = daemon->core;
 
-  tevent_add_signal (core->events, core, SIGTERM, 0, daemon_on_signal, daemon);
-  tevent_add_signal (core->events, core, SIGINT, 0, daemon_on_signal, daemon);
-  signal (SIGPIPE, SIG_IGN);
   log_event (LOG_LEVEL_NOTICE, "started", NULL, NULL,
              "listening for callers on %s, operators on %s, peers on %s",
              core->settings->caller_listen, core->settings->operator_listen,
              core->settings->peer_listen);
+  process_signals_unblock ();
   while (!daemon->stopped)
     if (tevent_loop_once (core->events) != 0)
       break;
+  process_signals_block ();
 }
 
 /* Rejects new requests and waits until each open exchange has its response: an operator's change,
@@ -489,6 +479,11 @@
       caller_http_open (daemon.core, settings, daemon.core->mailbox, &daemon.core->http, &fault);
   if (error != ERROR_NONE)
     goto out;
+  if (!process_signals_handle (daemon.core, daemon.core->events, daemon_on_stop, &daemon))
+    {
+      error = fault_set (&fault, ERROR_NO_MEMORY, NULL, "out of memory");
+      goto out;
+    }
   daemon_run_loop (&daemon);
   daemon_finish_exchanges (&daemon);
   caller_http_close (daemon.core->http);
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -1,6 +1,9 @@
 #include <buckthornhead/daemon.h>
 
+#include <buckthornhead/process_signals.h>
+
 #include <command.h>
+#include <string.h>
 
 static const struct Command commands[] = {
   { "serve", "run one instance", command_serve },
@@ -10,10 +13,19 @@
   { NULL, NULL, NULL },
 };
 
+/* The other commands end at a signal, as an operator expects of Ctrl-C. */
+static bool
+is_long_running (int argc, char **argv)
+{
+  return argc > 1 && (strcmp (argv[1], "serve") == 0 || strcmp (argv[1], "gateway") == 0);
+}
+
 int
 main (int argc, char **argv)
 {
   const struct CommandIo io = { stdout, stderr };
 
+  if (is_long_running (argc, argv))
+    process_signals_block ();
   return command_dispatch (commands, argc, argv, &io);
 }
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -6,12 +6,11 @@
 
 #include <buckthornhead/clock.h>
 #include <buckthornhead/log.h>
-#include <buckthornhead/timer_tevent.h>
-
 #include <buckthornhead/process_limits.h>
+#include <buckthornhead/process_signals.h>
+#include <buckthornhead/timer_tevent.h>
 
 #include <platform.h>
-#include <signal.h>
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
@@ -40,19 +39,10 @@
 }
 
 static void
-gateway_on_signal (struct tevent_context *events,
-                   struct tevent_signal *signal,
-                   int number,
-                   int count,
-                   void *info,
-                   void *data)
+gateway_on_stop (void *data, int number)
 {
   struct Gateway *gateway = data;
 
-  (void)events;
-  (void)signal;
-  (void)count;
-  (void)info;
   if (gateway->stopping)
     return;
   log_event (LOG_LEVEL_NOTICE, "stop_asked", NULL, NULL, "signal %d", number);
@@ -63,26 +53,6 @@
                    gateway_on_stop_check, gateway);
 }
 
-/* The platform sends SIGHUP after it has rendered the settings again. There is nothing to reload:
- * the addresses and names of a running process don't change, and the rest comes from the store. */
-static void
-gateway_on_reload (struct tevent_context *events,
-                   struct tevent_signal *signal,
-                   int number,
-                   int count,
-                   void *info,
-                   void *data)
-{
-  (void)events;
-  (void)signal;
-  (void)number;
-  (void)count;
-  (void)info;
-  (void)data;
-  log_event (LOG_LEVEL_NOTICE, "reload_asked", NULL, NULL,
-             "nothing reloaded: settings are read only at start, the configuration from the store");
-}
-
 /* Derives the first request id from the clock, so that ids differ from those of the previous
  * process of this instance. */
 static uint64_t
@@ -118,9 +88,8 @@
     error = front_new (node->events, node, &gateway->front, fault);
   if (error != ERROR_NONE)
     return error;
-  tevent_add_signal (node->events, node->events, SIGTERM, 0, gateway_on_signal, gateway);
-  tevent_add_signal (node->events, node->events, SIGINT, 0, gateway_on_signal, gateway);
-  tevent_add_signal (node->events, node->events, SIGHUP, 0, gateway_on_reload, gateway);
+  if (!process_signals_handle (node->events, node->events, gateway_on_stop, gateway))
+    return fault_set (fault, ERROR_NO_MEMORY, NULL, "no memory for the signal handlers");
   metrics_listen (node, gateway->front);
   return node_start (node, fault);
 }
@@ -152,7 +121,6 @@
   log_init (settings->instance, settings->zone, LOG_LEVEL_INFO);
   log_set_fd (STDOUT_FILENO);
   process_limits_log ();
-  signal (SIGPIPE, SIG_IGN);
   if (gateway == NULL)
     return error;
   error = gateway_start (gateway, settings, &fault);
@@ -165,12 +133,14 @@
              node_is_archive (&gateway->node) ? "archive" : "gateway",
              (long long)(clock_monotonic_ms () - started_ms));
   gateway_log_decisions (&settings->decisions);
+  process_signals_unblock ();
   while (!gateway->done)
     if (tevent_loop_once (gateway->node.events) != 0)
       {
         error = ERROR_IO;
         break;
       }
+  process_signals_block ();
   log_event (LOG_LEVEL_NOTICE, "stopped", NULL, NULL, NULL);
 
 out:
