Try a start again that fails for a condition of the machine

Callers saw a gateway or an archive that stayed away after its machine had returned, and processes that ended by themselves: an address that is in use for a moment (the process before it still drains, or an outgoing connection has the port as its local end) or not up yet, or a data folder that cannot be opened yet, ended the start with exit code 1. Each exit counts, and the process is back only when its supervisor starts it again.

Now a start that fails for something that may pass is tried again from scratch, with the settings read again, until it succeeds: start_delayed says why, at once and then every 10 s; nothing responds meanwhile. The wait is 0.2 s, later 1 s; SIGHUP ends it, SIGTERM and SIGINT end the process with exit code 0. Everything passes but what the settings or the permissions must change: EACCES, EPERM, EINVAL, EAFNOSUPPORT, ELOOP and ENAMETOOLONG still end the process with exit code 1. A lack of descriptors, threads or memory waits, too.

An archive checks its peer address before it replays its log. serve checks both addresses of its HTTP listeners before it opens either, since libmicrohttpd must not be stopped with a request that waits for the core, and joins the fleet only after that. It no longer shares the callers' port with the process before it, as libmicrohttpd's reuse of ports allowed. The metrics address is tried again by a timer; before, a process whose metrics address was in use when it started never served metrics.

--- a/adapters/caller_http.c
+++ b/adapters/caller_http.c
@@ -1,6 +1,7 @@
 #include <buckthornhead/caller_http.h>
 
 #include <buckthornhead/counter.h>
+#include <buckthornhead/net_socket.h>
 #include <buckthornhead/snapshot.h>
 
 #include <arpa/inet.h>
@@ -472,7 +473,8 @@
       MHD_OPTION_LISTEN_BACKLOG_SIZE, (unsigned int)ACCEPT_BACKLOG,
       MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_END);
   if (daemon == NULL)
-    fault_set (fault, ERROR_IO, "stop the process that uses the address, or change [listen]",
+    fault_set (fault, error_from_errno (errno),
+               "stop the process that uses the address, or change [listen]",
                "cannot listen on %s: %s", address, strerror (errno));
   return daemon;
 }
@@ -490,14 +492,19 @@
     return fault_set (fault, ERROR_NO_MEMORY, NULL, "out of memory");
   http->settings = settings;
   http->core = core;
-  http->caller_daemon = listener_open (http, settings->caller_listen, caller_on_request,
-                                       settings->caller_threads, fault);
-  if (http->caller_daemon == NULL)
+  /* Both addresses are checked before a listener accepts requests: one that waits for the core must
+   * not exist when the listener is closed again. */
+  if (net_check_listen (settings->caller_listen, "[listen] caller", fault) != ERROR_NONE
+      || net_check_listen (settings->operator_listen, "[listen] operator", fault) != ERROR_NONE)
     goto fail;
   http->operator_daemon =
       listener_open (http, settings->operator_listen, operator_on_request, 1, fault);
   if (http->operator_daemon == NULL)
     goto fail;
+  http->caller_daemon = listener_open (http, settings->caller_listen, caller_on_request,
+                                       settings->caller_threads, fault);
+  if (http->caller_daemon == NULL)
+    goto fail;
   *opened = http;
   return ERROR_NONE;
 
--- a/adapters/disk_log.c
+++ b/adapters/disk_log.c
@@ -311,10 +311,10 @@
   return ERROR_NONE;
 
 fail:
-  fault_set (fault, ERROR_IO, "check [instance] data_folder and its permissions", "%s: %s", folder,
-             strerror (errno));
+  fault_set (fault, error_from_errno (errno), "check [instance] data_folder and its permissions",
+             "%s: %s", folder, strerror (errno));
   talloc_free (l);
-  return ERROR_IO;
+  return fault->error;
 }
 
 int32_t
--- a/adapters/net_socket.c
+++ b/adapters/net_socket.c
@@ -65,12 +65,24 @@
   if (*fd >= 0 && bind (*fd, (struct sockaddr *)&storage, size) == 0
       && listen (*fd, LISTEN_BACKLOG) == 0)
     return ERROR_NONE;
-  fault_set (fault, ERROR_IO, "stop the process that uses the address, or change the setting",
+  fault_set (fault, error_from_errno (errno),
+             "stop the process that uses the address, or change the setting",
              "cannot listen on %s (%s): %s", address, setting, strerror (errno));
   if (*fd >= 0)
     close (*fd);
   *fd = -1;
-  return ERROR_IO;
+  return fault->error;
+}
+
+int32_t
+net_check_listen (const char *address, const char *setting, struct Fault *fault)
+{
+  int fd;
+  int32_t error = net_listen (address, setting, &fd, fault);
+
+  if (error == ERROR_NONE)
+    close (fd);
+  return error;
 }
 
 /* Logs a failure to accept a connection, at most once in ACCEPT_LOG_PERIOD_MS. */
--- a/adapters/spool.c
+++ b/adapters/spool.c
@@ -251,12 +251,12 @@
   return ERROR_NONE;
 
 fail:
-  fault_set (fault, ERROR_IO, "check [instance] data_folder and its permissions",
+  fault_set (fault, error_from_errno (errno), "check [instance] data_folder and its permissions",
              "cannot open the spool in %s: %s", folder, strerror (errno));
   if (listing != NULL)
     closedir (listing);
   talloc_free (spool);
-  return ERROR_IO;
+  return fault->error;
 }
 
 /* Cuts off what a failed write left behind the whole part. Returns false if the disk refuses. */
--- a/core/error.c
+++ b/core/error.c
@@ -1,5 +1,6 @@
 #include <buckthornhead/error.h>
 
+#include <errno.h>
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdio.h>
@@ -66,6 +67,32 @@
   return info != NULL ? info->remedy : "check the instance's log";
 }
 
+int32_t
+error_from_errno (int number)
+{
+  switch (number)
+    {
+    case EACCES:
+    case EPERM:
+      return ERROR_UNAUTHORIZED;
+    case EAFNOSUPPORT:
+    case EINVAL:
+    case ELOOP:
+    case ENAMETOOLONG:
+      return ERROR_INVALID;
+    case ENOMEM:
+      return ERROR_NO_MEMORY;
+    default:
+      return ERROR_IO;
+    }
+}
+
+bool
+error_may_pass (int32_t error)
+{
+  return error == ERROR_IO || error == ERROR_NO_MEMORY;
+}
+
 int32_t
 fault_set (struct Fault *fault, int32_t error, const char *remedy, const char *format, ...)
 {
--- a/ctl/gateway_command.c
+++ b/ctl/gateway_command.c
@@ -1,30 +1,25 @@
-#include "command.h"
+#include "run_process.h"
 
 #include <buckthornhead/gateway.h>
 
-static int
-run_gateway (const char *file, const struct CommandIo *io)
+static int32_t
+gateway_role_load (TALLOC_CTX *ctx, const char *file, void **settings, struct ConfigFaults *faults)
 {
-  TALLOC_CTX *ctx = talloc_new (NULL);
-  struct ConfigFaults *faults = talloc_zero (ctx, struct ConfigFaults);
-  struct GatewaySettings *settings = NULL;
-  int exit_code = EXIT_CODE_FAILED;
+  struct GatewaySettings *loaded = NULL;
+  int32_t error = gateway_settings_load (ctx, file, &loaded, faults);
 
-  if (faults == NULL)
-    goto out;
-  if (gateway_settings_load (ctx, file, &settings, faults) != ERROR_NONE)
-    {
-      fputs (config_faults_render (ctx, faults), io->err);
-      exit_code = EXIT_CODE_USAGE;
-      goto out;
-    }
-  if (gateway_run (settings) == ERROR_NONE)
-    exit_code = EXIT_CODE_OK;
-out:
-  talloc_free (ctx);
-  return exit_code;
+  *settings = loaded;
+  return error;
+}
+
+static int32_t
+gateway_role_run (const void *settings, struct Fault *fault)
+{
+  return gateway_run (settings, fault);
 }
 
+static const struct ProcessRole gateway_role = { gateway_role_load, gateway_role_run };
+
 int
 command_gateway (int argc, char **argv, const struct CommandIo *io)
 {
@@ -39,7 +34,7 @@
   int exit_code = EXIT_CODE_FAILED;
 
   if (complete && command_parse (&usage, &standard, argtable, argc, argv, io, &exit_code))
-    exit_code = run_gateway (config->filename[0], io);
+    exit_code = run_process (&gateway_role, config->filename[0], io);
   arg_freetable (argtable, sizeof argtable / sizeof argtable[0]);
   return exit_code;
 }
--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -14,8 +14,8 @@
 #include <buckthornhead/instances_http.h>
 #include <buckthornhead/kv_http.h>
 #include <buckthornhead/log.h>
-#include <buckthornhead/process_limits.h>
 #include <buckthornhead/process_signals.h>
+#include <buckthornhead/process_start.h>
 #include <buckthornhead/timer_tevent.h>
 
 #include <stdio.h>
@@ -332,6 +332,23 @@
   drain_stop (daemon->drain, daemon_on_drained, daemon);
 }
 
+static bool
+daemon_open_loop (struct Daemon *daemon)
+{
+  struct Core *core = daemon->core;
+
+  core->events = tevent_context_init (core);
+  if (core->events == NULL)
+    return false;
+  core->timers = timer_tevent_new (core, core->events);
+  core->mailbox = mailbox_new (core, core->events, daemon_receive_mail, daemon);
+  core->loop = curl_loop_new (core, core->events);
+  if (core->timers == NULL || core->mailbox == NULL || core->loop == NULL)
+    return false;
+  core->kv = kv_http_new (core, core->loop, core->settings->kv_url, KV_TIMEOUT_MS);
+  return core->kv != NULL && process_signals_handle (core, core->events, daemon_on_stop, daemon);
+}
+
 /* Opens the adapters, each after those that it depends on. */
 static int32_t
 daemon_open_adapters (struct Daemon *daemon, struct Fault *fault)
@@ -341,13 +358,9 @@
   struct PeerNetOptions net = { 0 };
   struct Spool *spool = NULL;
 
-  core->events = tevent_context_init (core);
-  core->timers = timer_tevent_new (core, core->events);
-  core->mailbox = mailbox_new (core, core->events, daemon_receive_mail, daemon);
-  core->loop = curl_loop_new (core, core->events);
-  core->kv = kv_http_new (core, core->loop, settings->kv_url, KV_TIMEOUT_MS);
-  if (core->mailbox == NULL || core->kv == NULL)
-    return fault_set (fault, ERROR_NO_MEMORY, NULL, "out of memory");
+  if (!daemon_open_loop (daemon))
+    return fault_set (fault, ERROR_NO_MEMORY, "raise the limits of descriptors and memory",
+                      "no memory or descriptors for the event loop");
   net.listen = settings->peer_listen;
   net.instance = settings->instance;
   net.zone = settings->zone;
@@ -356,14 +369,19 @@
   net.connect_refused = daemon_on_refused;
   net.data = daemon;
   core->net = peer_net_new (core, core->events, core->timers, &net);
-  core->pool = backend_pool_new (core, settings->backend_threads, core->mailbox);
-  if (core->net == NULL || core->pool == NULL)
+  if (core->net == NULL)
     return fault_set (fault, ERROR_NO_MEMORY, NULL, "out of memory");
+  if (peer_net_listen (core->net, fault) != ERROR_NONE)
+    return fault->error;
+  core->pool = backend_pool_new (core, settings->backend_threads, core->mailbox);
+  if (core->pool == NULL)
+    return fault_set (fault, ERROR_NO_MEMORY, "raise the limits of threads, descriptors and memory",
+                      "cannot start the threads for the backend servers");
   if (settings->data_folder[0] != '\0'
       && spool_open (core, settings->data_folder, &spool, fault) != ERROR_NONE)
     return fault->error;
   core->spooler = spooler_new (core, spool);
-  return peer_net_listen (core->net, fault);
+  return ERROR_NONE;
 }
 
 static void
@@ -458,40 +476,32 @@
 }
 
 int32_t
-daemon_run (const struct Settings *settings)
+daemon_run (const struct Settings *settings, struct Fault *fault)
 {
   struct Daemon daemon = { 0 };
-  struct Fault fault;
   int32_t error;
 
   talloc_set_abort_fn (daemon_on_talloc_abort);
   curl_global_init (CURL_GLOBAL_DEFAULT);
-  log_init (settings->instance, settings->zone, LOG_LEVEL_INFO);
-  process_limits_log ();
+  process_start_begin (settings->instance, settings->zone);
   daemon.core = talloc_zero (NULL, struct Core);
   daemon.core->settings = settings;
-  error = daemon_open_adapters (&daemon, &fault);
+  error = daemon_open_adapters (&daemon, fault);
   if (error != ERROR_NONE)
     goto out;
   daemon_create_modules (&daemon);
-  daemon_join (&daemon);
-  error =
-      caller_http_open (daemon.core, settings, daemon.core->mailbox, &daemon.core->http, &fault);
+  error = caller_http_open (daemon.core, settings, daemon.core->mailbox, &daemon.core->http, fault);
   if (error != ERROR_NONE)
     goto out;
-  if (!process_signals_handle (daemon.core, daemon.core->events, daemon_on_stop, &daemon))
-    {
-      error = fault_set (&fault, ERROR_NO_MEMORY, NULL, "out of memory");
-      goto out;
-    }
+  daemon_join (&daemon);
   daemon_run_loop (&daemon);
   daemon_finish_exchanges (&daemon);
   caller_http_close (daemon.core->http);
   log_event (LOG_LEVEL_NOTICE, "stopped", NULL, NULL, "%s", settings->instance);
 
 out:
-  if (error != ERROR_NONE)
-    log_event (LOG_LEVEL_ERROR, "not_started", NULL, fault.remedy, "%s", fault.message);
+  if (error != ERROR_NONE && !error_may_pass (error))
+    log_event (LOG_LEVEL_ERROR, "not_started", NULL, fault->remedy, "%s", fault->message);
   if (daemon.core->pool != NULL)
     backend_pool_stop (daemon.core->pool);
   talloc_free (daemon.core);
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -6,8 +6,9 @@
 
 #include <buckthornhead/clock.h>
 #include <buckthornhead/log.h>
-#include <buckthornhead/process_limits.h>
+#include <buckthornhead/net_socket.h>
 #include <buckthornhead/process_signals.h>
+#include <buckthornhead/process_start.h>
 #include <buckthornhead/timer_tevent.h>
 
 #include <platform.h>
@@ -64,6 +65,20 @@
   return ((uint64_t)now.tv_sec * 1000000 + (uint64_t)now.tv_nsec / 1000) << 8;
 }
 
+/* Opens what the role needs. An archive replays its whole log, so that a peer address that is not
+ * available fails the start before. */
+static int32_t
+gateway_open_role (struct Gateway *gateway, struct Fault *fault)
+{
+  struct Node *node = &gateway->node;
+
+  if (!node_is_archive (node))
+    return front_new (node->events, node, &gateway->front, fault);
+  if (net_check_listen (node->settings->peer_listen, "[listen] peer", fault) != ERROR_NONE)
+    return fault->error;
+  return archive_new (node->events, node, &gateway->archive, fault);
+}
+
 static int32_t
 gateway_start (struct Gateway *gateway, const struct GatewaySettings *settings, struct Fault *fault)
 {
@@ -78,14 +93,12 @@
   node->timers = node->events != NULL ? timer_tevent_new (node->events, node->events) : NULL;
   curl = node->events != NULL ? curl_loop_new (node->events, node->events) : NULL;
   if (node->timers == NULL || curl == NULL)
-    return fault_set (fault, ERROR_NO_MEMORY, NULL, "no memory for the event loop");
+    return fault_set (fault, ERROR_NO_MEMORY, "raise the limits of descriptors and memory",
+                      "no memory or descriptors for the event loop");
   node->store = platform_store_new (curl, curl, settings->store_url, STORE_TIMEOUT_MS);
   if (node->store == NULL)
     return fault_set (fault, ERROR_NO_MEMORY, NULL, "no memory for the store's client");
-  if (node_is_archive (node))
-    error = archive_new (node->events, node, &gateway->archive, fault);
-  else
-    error = front_new (node->events, node, &gateway->front, fault);
+  error = gateway_open_role (gateway, fault);
   if (error != ERROR_NONE)
     return error;
   if (!process_signals_handle (node->events, node->events, gateway_on_stop, gateway))
@@ -111,22 +124,21 @@
 }
 
 int32_t
-gateway_run (const struct GatewaySettings *settings)
+gateway_run (const struct GatewaySettings *settings, struct Fault *fault)
 {
   struct Gateway *gateway = talloc_zero (NULL, struct Gateway);
-  struct Fault fault = { 0 };
   int64_t started_ms = clock_monotonic_ms ();
-  int32_t error = ERROR_NO_MEMORY;
+  int32_t error;
 
-  log_init (settings->instance, settings->zone, LOG_LEVEL_INFO);
   log_set_fd (STDOUT_FILENO);
-  process_limits_log ();
+  process_start_begin (settings->instance, settings->zone);
   if (gateway == NULL)
-    return error;
-  error = gateway_start (gateway, settings, &fault);
+    return fault_set (fault, ERROR_NO_MEMORY, NULL, "out of memory");
+  error = gateway_start (gateway, settings, fault);
   if (error != ERROR_NONE)
     {
-      log_event (LOG_LEVEL_ERROR, "start_failed", NULL, fault.remedy, "%s", fault.message);
+      if (!error_may_pass (error))
+        log_event (LOG_LEVEL_ERROR, "start_failed", NULL, fault->remedy, "%s", fault->message);
       goto out;
     }
   log_event (LOG_LEVEL_NOTICE, "started", NULL, NULL, "%s, after %lld ms",
--- a/gateway/metrics.c
+++ b/gateway/metrics.c
@@ -20,12 +20,15 @@
   BODY_MAX_BYTES = 1024,
   HEADER_TIMEOUT_MS = 3000,
   /* Collectors scrape every 5 to 60 s: keeping the connection open in between gains nothing. */
-  IDLE_TIMEOUT_MS = 10 * 1000
+  IDLE_TIMEOUT_MS = 10 * 1000,
+  LISTEN_RETRY_MS = 1000
 };
 
 struct Metrics
 {
-  struct Front *front; /* NULL in an archive */
+  struct Node *node;
+  struct Front *front;       /* NULL in an archive */
+  struct Timer *retry_timer; /* NULL: the listener is open, or no address may become available */
 };
 
 static char *
@@ -133,10 +136,10 @@
     metrics_respond (metrics, exchange);
 }
 
-void
-metrics_listen (struct Node *node, struct Front *front)
+static int32_t
+metrics_open (struct Metrics *metrics, struct Fault *fault)
 {
-  struct Metrics *metrics = talloc_zero (node->events, struct Metrics);
+  struct Node *node = metrics->node;
   struct HttpServerOptions options = {
     .listen = node->settings->metrics_listen,
     .setting = "[listen] metrics",
@@ -146,12 +149,40 @@
     .data = metrics,
   };
   struct HttpServer *server;
+
+  return http_server_new (node->events, node->events, node->timers, &options, &server, fault);
+}
+
+static void
+metrics_on_retry (void *data)
+{
+  struct Metrics *metrics = data;
+  struct Fault fault = { 0 };
+
+  if (metrics_open (metrics, &fault) != ERROR_NONE)
+    return;
+  TALLOC_FREE (metrics->retry_timer);
+  log_event (LOG_LEVEL_NOTICE, "metrics_served", NULL, NULL, "%s",
+             metrics->node->settings->metrics_listen);
+}
+
+void
+metrics_listen (struct Node *node, struct Front *front)
+{
+  struct Metrics *metrics;
   struct Fault fault = { 0 };
 
-  if (options.listen[0] == '\0' || metrics == NULL)
+  if (node->settings->metrics_listen[0] == '\0')
     return;
+  metrics = talloc_zero (node->events, struct Metrics);
+  if (metrics == NULL)
+    return;
+  metrics->node = node;
   metrics->front = front;
-  if (http_server_new (node->events, node->events, node->timers, &options, &server, &fault)
-      != ERROR_NONE)
-    log_event (LOG_LEVEL_WARNING, "metrics_not_served", NULL, fault.remedy, "%s", fault.message);
+  if (metrics_open (metrics, &fault) == ERROR_NONE)
+    return;
+  log_event (LOG_LEVEL_WARNING, "metrics_not_served", NULL, fault.remedy, "%s", fault.message);
+  if (error_may_pass (fault.error))
+    metrics->retry_timer = timer_subscribe (metrics, node->timers, LISTEN_RETRY_MS, LISTEN_RETRY_MS,
+                                            metrics_on_retry, metrics);
 }
--- a/gateway/metrics.h
+++ b/gateway/metrics.h
@@ -7,7 +7,7 @@
 
 /* Opens the listener; does nothing when no address is configured. In a gateway, where front is not
  * NULL, /customers lists the customers' usage against their limits and /servers the backend servers
- * as JSON. A listener that cannot be opened is logged and the process continues without it:
+ * as JSON. A listener that cannot be opened is logged, and opened once its address is available:
  * requests never wait for monitoring. */
 void
 metrics_listen (struct Node *node, struct Front *front);
--- a/include/buckthornhead/error.h
+++ b/include/buckthornhead/error.h
@@ -5,6 +5,7 @@
  * error and whose remedy describes how to resolve it. */
 #pragma once
 
+#include <stdbool.h>
 #include <stdint.h>
 
 enum ErrorKind
@@ -59,6 +60,17 @@
 const char *
 error_remedy (int32_t error);
 
+/* Returns the kind of a failed system call, from its errno value. What is wrong until someone
+ * changes the settings or the permissions is ERROR_INVALID or ERROR_UNAUTHORIZED; what the machine
+ * doesn't provide at the moment is ERROR_IO, such as a port in use, an address that is not up, a
+ * folder that is not mounted, full or read-only, or used-up descriptors. */
+int32_t
+error_from_errno (int number);
+
+/* Returns true if the same operation may succeed later without a change of the settings. */
+bool
+error_may_pass (int32_t error);
+
 /* Fills in fault and returns error. If remedy is NULL, error_remedy (error) is used. */
 int32_t
 fault_set (struct Fault *fault, int32_t error, const char *remedy, const char *format, ...)
--- a/include/buckthornhead/net_socket.h
+++ b/include/buckthornhead/net_socket.h
@@ -10,6 +10,11 @@
 int32_t
 net_listen (const char *address, const char *setting, int *fd, struct Fault *fault);
 
+/* Opens such a socket and closes it again, to find out before other work whether it can be opened.
+ */
+int32_t
+net_check_listen (const char *address, const char *setting, struct Fault *fault);
+
 /* Accepts one connection, with Nagle's algorithm disabled. Returns -1 when none is pending. */
 int
 net_accept (int listen_fd);
--- a/tests/sessions/test_gateway_start.c
+++ b/tests/sessions/test_gateway_start.c
@@ -1,20 +1,27 @@
 /* Checks that a condition of the machine that passes ends no process while it starts or ends. */
 #include "cluster.h"
+#include "gateways.h"
 #include "test_main.h"
 
+#include <arpa/inet.h>
+#include <dirent.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 enum
 {
-  N_EACH = 4, /* subjects of each role */
+  N_EACH = 5, /* subjects of each role */
   N_SUBJECTS = 3 * N_EACH,
   BURST_PERIOD_US = 200,
   DRAW_MAX_US = 60 * 1000,
   N_ROUNDS = 2,
+  HELD_MS = 1500,
+  N_ATTEMPTS = 100, /* in the test for leaks */
+  ATTEMPTS_MAX_GROWN_KB = 1024,
   SEED = 41
 };
 
@@ -34,6 +41,8 @@
   const char *file; /* settings */
   struct Process *process;
   uint32_t n_starts;
+  const char *held_key; /* setting of the address that is in use */
+  int held, held_peer;  /* sockets that use it; -1: none */
 };
 
 struct Subjects
@@ -44,7 +53,7 @@
   uint32_t n_failed_before;
 };
 
-static const struct ClusterOptions cluster_options = { .n_instances = N_EACH };
+static const struct ClusterOptions cluster_options = { .n_instances = N_EACH, .n_data_folders = 1 };
 
 static char *
 listen_lines (struct Session *session, TALLOC_CTX *ctx, enum Role role)
@@ -59,9 +68,9 @@
   return text;
 }
 
-/* Writes the settings of a gateway or archive without a store. */
+/* Writes the settings of a gateway or archive whose store does not respond. */
 static const char *
-subject_write_settings (struct Session *session, const struct Subject *subject)
+subject_write_settings (struct Session *session, const struct Subject *subject, uint16_t store)
 {
   char *folder = talloc_strdup (session, "");
   const char *file;
@@ -70,11 +79,11 @@
   if (subject->role == ROLE_ARCHIVE)
     folder = talloc_asprintf (session, "data_folder = %s/%s.data\n", session_folder (session),
                               subject->name);
-  text = talloc_asprintf (session,
-                          "[instance]\nname = %s\nzone = a\n%s%s[platform]\n"
-                          "store = http://127.0.0.1:%u\n[stop]\ngrace = 6s\n",
-                          subject->name, folder, listen_lines (session, folder, subject->role),
-                          session_allocate_port (session));
+  text =
+      talloc_asprintf (session,
+                       "[instance]\nname = %s\nzone = a\n%s%s[platform]\n"
+                       "store = http://127.0.0.1:%u\n[stop]\ngrace = 6s\n",
+                       subject->name, folder, listen_lines (session, folder, subject->role), store);
   file = session_write_file (session, talloc_asprintf (text, "%s.ini", subject->name), text);
   talloc_free (text);
   talloc_free (folder);
@@ -87,6 +96,7 @@
   static const char *const names[] = { "front", "store", "entry" };
   struct Cluster *cluster = cluster_start (NULL, &cluster_options);
   struct Subjects *all = talloc_zero (cluster, struct Subjects);
+  uint16_t store = session_allocate_port (cluster->session);
 
   all->cluster = cluster;
   all->session = cluster->session;
@@ -95,10 +105,11 @@
     {
       struct Subject *s = &all->subjects[i];
 
+      s->held = s->held_peer = -1;
       s->role = (enum Role) (i % N_ROLES);
       snprintf (s->name, sizeof s->name, "%s-%u", names[s->role], i / N_ROLES);
       if (s->role != ROLE_SERVE)
-        s->file = subject_write_settings (all->session, s);
+        s->file = subject_write_settings (all->session, s, store);
       else
         {
           process_kill (cluster->instances[i / N_ROLES].process);
@@ -273,9 +284,278 @@
   subjects_free (all);
 }
 
+/* Addresses in use. */
+
+static uint16_t
+subject_port (const struct Subject *subject, const char *key)
+{
+  char line[256], format[64];
+  unsigned port = 0;
+  FILE *file = fopen (subject->file, "r");
+
+  snprintf (format, sizeof format, "%s = 127.0.0.1:", key);
+  while (file != NULL && port == 0 && fgets (line, sizeof line, file) != NULL)
+    if (strncmp (line, format, strlen (format)) == 0)
+      port = (unsigned)atoi (line + strlen (format));
+  if (file != NULL)
+    fclose (file);
+  return (uint16_t)port;
+}
+
+/* Returns a socket that is bound to a port of 127.0.0.1 and does not share it with any listener. */
+static int
+socket_bind (uint16_t port)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET, .sin_port = htons (port) };
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  int reuse = 1;
+
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  /* Earlier connections may still be in TIME_WAIT. */
+  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof reuse);
+  CU_ASSERT_EQUAL (bind (fd, (struct sockaddr *)&address, sizeof address), 0);
+  reuse = 0;
+  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof reuse);
+  return fd;
+}
+
+/* Uses the port by a listener, or by the local end of a connection to another listener. */
+static void
+subject_hold_port (struct Subject *subject, bool by_listener)
+{
+  struct sockaddr_in address;
+  socklen_t size = sizeof address;
+
+  subject->held = socket_bind (subject_port (subject, subject->held_key));
+  if (by_listener)
+    {
+      listen (subject->held, 1);
+      return;
+    }
+  subject->held_peer = socket_bind (0);
+  listen (subject->held_peer, 1);
+  getsockname (subject->held_peer, (struct sockaddr *)&address, &size);
+  CU_ASSERT_EQUAL (connect (subject->held, (struct sockaddr *)&address, size), 0);
+}
+
+static void
+subject_release_port (struct Subject *subject)
+{
+  close (subject->held);
+  if (subject->held_peer >= 0)
+    close (subject->held_peer);
+  subject->held = subject->held_peer = -1;
+}
+
+static bool
+subject_is_metrics_case (const struct Subject *subject)
+{
+  return strcmp (subject->held_key, "metrics") == 0;
+}
+
+static bool
+subject_waits (struct Subject *subject)
+{
+  return !process_is_running (subject->process)
+         || subject_logged (subject, subject_is_metrics_case (subject) ? "metrics_not_served"
+                                                                       : "start_delayed");
+}
+
+static void
+subjects_start_without_port (struct Subjects *all, bool by_listener)
+{
+  static const char *const keys[N_ROLES][N_EACH] = {
+    { "caller", "ready", "directory", "peer", "metrics" },
+    { "peer", "metrics", "peer", "metrics", "peer" },
+    { "caller", "operator", "peer", "caller", "operator" },
+  };
+
+  for (uint32_t i = 0; i < N_SUBJECTS; i++)
+    {
+      struct Subject *s = &all->subjects[i];
+
+      s->held_key = keys[s->role][i / N_ROLES];
+      subject_hold_port (s, by_listener);
+      subject_start (all, s);
+    }
+  subjects_until (all, N_SUBJECTS, subject_waits);
+}
+
+static bool
+subject_is_served (struct Subject *subject)
+{
+  return !process_is_running (subject->process)
+         || (subject_logged (subject, "started")
+             && (!subject_is_metrics_case (subject) || subject_logged (subject, "metrics_served")));
+}
+
+static void
+check_port_in_use_for_a_moment (bool by_listener)
+{
+  struct Subjects *all = subjects_new ();
+
+  subjects_start_without_port (all, by_listener);
+  sleep_ms (HELD_MS);
+  for (uint32_t i = 0; i < N_SUBJECTS; i++)
+    {
+      struct Subject *s = &all->subjects[i];
+
+      subject_check (s, process_is_running (s->process));
+      subject_check (s, subject_logged (s, "started") == subject_is_metrics_case (s));
+      subject_check (s, process_count_output (s->process, "\"start_delayed\"") <= 1);
+      subject_release_port (s);
+    }
+  subjects_until (all, N_SUBJECTS, subject_is_served);
+  for (uint32_t i = 0; i < N_SUBJECTS; i++)
+    subject_check (&all->subjects[i], process_is_running (all->subjects[i].process));
+  subjects_free (all);
+}
+
+static void
+test_port_of_another_listener_ends_no_start (void)
+{
+  check_port_in_use_for_a_moment (true);
+}
+
+static void
+test_port_of_an_outgoing_connection_ends_no_start (void)
+{
+  check_port_in_use_for_a_moment (false);
+}
+
+static void
+test_stop_while_a_port_is_in_use (void)
+{
+  struct Subjects *all = subjects_new ();
+
+  subjects_start_without_port (all, true);
+  for (uint32_t i = 0; i < N_SUBJECTS; i++)
+    process_signal (all->subjects[i].process, i % 2 == 0 ? SIGTERM : SIGINT);
+  for (uint32_t i = 0; i < N_SUBJECTS; i++)
+    {
+      subject_check_stopped (&all->subjects[i]);
+      subject_release_port (&all->subjects[i]);
+    }
+  subjects_free (all);
+}
+
+/* What a process holds between two attempts. */
+struct Holdings
+{
+  uint32_t n_descriptors, n_threads, resident_kb;
+};
+
+static uint32_t
+count_entries (pid_t pid, const char *name)
+{
+  char path[64];
+  uint32_t n = 0;
+  DIR *dir;
+
+  snprintf (path, sizeof path, "/proc/%d/%s", (int)pid, name);
+  dir = opendir (path);
+  while (dir != NULL && readdir (dir) != NULL)
+    n++;
+  if (dir != NULL)
+    closedir (dir);
+  return n;
+}
+
+static uint32_t
+count_resident_kb (pid_t pid)
+{
+  char path[64];
+  unsigned long pages = 0;
+  FILE *file;
+
+  snprintf (path, sizeof path, "/proc/%d/statm", (int)pid);
+  file = fopen (path, "r");
+  if (file == NULL || fscanf (file, "%*u %lu", &pages) != 1)
+    pages = 0;
+  if (file != NULL)
+    fclose (file);
+  return (uint32_t)(pages * (unsigned long)sysconf (_SC_PAGESIZE) / 1024);
+}
+
+/* Causes attempts by SIGHUP, then lets the process wait, too. */
+static struct Holdings
+subject_repeat_attempts (struct Subject *subject)
+{
+  struct Holdings held;
+
+  for (uint32_t i = 0; i < N_ATTEMPTS; i++)
+    {
+      process_signal (subject->process, SIGHUP);
+      sleep_ms (5);
+    }
+  sleep_ms (100);
+  held.n_descriptors = count_entries (subject->process->pid, "fd");
+  held.n_threads = count_entries (subject->process->pid, "task");
+  held.resident_kb = count_resident_kb (subject->process->pid);
+  return held;
+}
+
+static void
+test_attempts_leak_nothing (void)
+{
+  struct Subjects *all = subjects_new ();
+
+  for (uint32_t i = 0; i < N_ROLES; i++)
+    {
+      struct Subject *s = &all->subjects[i];
+      struct Holdings first, last;
+
+      s->held_key = s->role == ROLE_ARCHIVE ? "peer" : "caller";
+      subject_hold_port (s, true);
+      subject_start (all, s);
+      CU_ASSERT_TRUE (process_wait_for_output (s->process, "start_delayed"));
+      first = subject_repeat_attempts (s);
+      last = subject_repeat_attempts (s);
+      subject_check (s, last.n_descriptors <= first.n_descriptors);
+      subject_check (s, last.n_threads <= first.n_threads);
+      subject_check (s, last.resident_kb <= first.resident_kb + ATTEMPTS_MAX_GROWN_KB);
+      subject_release_port (s);
+    }
+  subjects_free (all);
+}
+
+/* Starts a process whose data folder is a file for a moment. */
+static void
+check_file_in_place_of_folder (struct Subjects *all, struct Subject *subject, const char *name)
+{
+  const char *folder = talloc_asprintf (all, "%s/%s", session_folder (all->session), name);
+  const char *away = talloc_asprintf (all, "%s.away", folder);
+  bool had_folder = rename (folder, away) == 0;
+
+  session_write_file (all->session, name, "");
+  subject_start (all, subject);
+  CU_ASSERT_TRUE (process_wait_for_output (subject->process, "start_delayed"));
+  unlink (folder);
+  if (had_folder)
+    CU_ASSERT_EQUAL (rename (away, folder), 0);
+  CU_ASSERT_TRUE (process_wait_for_output (subject->process, "\"started\""));
+  subject_check (subject, process_is_running (subject->process));
+}
+
+static void
+test_unusable_data_folder_ends_no_start (void)
+{
+  struct Subjects *all = subjects_new ();
+
+  check_file_in_place_of_folder (all, &all->subjects[ROLE_ARCHIVE], "store-0.data");
+  check_file_in_place_of_folder (all, &all->subjects[ROLE_SERVE], "data-1");
+  subjects_free (all);
+}
+
 const char test_suite_name[] = "start of processes";
 const struct TestCase test_cases[] = {
   { "bursts of signals end no process", test_bursts_of_signals_end_no_process },
   { "signals at drawn moments end no process", test_signals_at_drawn_moments_end_no_process },
+  { "port of another listener ends no start", test_port_of_another_listener_ends_no_start },
+  { "port of an outgoing connection ends no start",
+    test_port_of_an_outgoing_connection_ends_no_start },
+  { "stop while a port is in use", test_stop_while_a_port_is_in_use },
+  { "attempts leak nothing", test_attempts_leak_nothing },
+  { "unusable data folder ends no start", test_unusable_data_folder_ends_no_start },
   { NULL, NULL },
 };
