Wait for settings that are still being written

Callers saw a process end at a start while the platform rendered its settings: a file that was empty, or cut at any byte, ended it with exit code 2, and one cut at the end of a line, after the required keys, started it with defaults in place of the rest.

Settings are now used once they parse, end with a newline, have not changed while they were read, and no other program has them open for writing. The last is what a read lease tells, which the kernel refuses for such a file; without the right to a lease, or without leases on the file system, the other conditions remain. A file that is whole delays no start, and faults in an old one end the process at once.

--- /dev/null
+++ b/adapters/file_settle.c
@@ -0,0 +1,93 @@
+#include <buckthornhead/file_settle.h>
+
+#include <buckthornhead/clock.h>
+
+#include <errno.h>
+#include <fcntl.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+enum
+{
+  RECENT_MS = 2000
+};
+
+static int64_t
+modified_unix_ms (const struct stat *status)
+{
+  return (int64_t)status->st_mtim.tv_sec * 1000 + status->st_mtim.tv_nsec / 1000000;
+}
+
+static bool
+is_same (const struct stat *a, const struct stat *b)
+{
+  return a->st_dev == b->st_dev && a->st_ino == b->st_ino && a->st_size == b->st_size
+         && a->st_mtim.tv_sec == b->st_mtim.tv_sec && a->st_mtim.tv_nsec == b->st_mtim.tv_nsec;
+}
+
+/* Notes the file's state. Returns false if it has changed. */
+static bool
+note_state (struct FileSettle *settle, const struct stat *status)
+{
+  if (settle->seen_ms != 0 && is_same (&settle->seen, status))
+    return true;
+  settle->seen = *status;
+  settle->seen_ms = clock_monotonic_ms ();
+  return false;
+}
+
+void
+file_settle_begin (struct FileSettle *settle, const char *file)
+{
+  struct stat status;
+
+  if (stat (file, &status) != 0)
+    memset (settle, 0, sizeof *settle);
+  else
+    note_state (settle, &status);
+}
+
+static bool
+ends_with_newline (int fd, off_t size)
+{
+  char last;
+
+  return size > 0 && pread (fd, &last, 1, size - 1) == 1 && last == '\n';
+}
+
+/* A read lease is refused while a file is open for writing. Without the right to a lease, or on a
+ * file system without leases, no writer is found. */
+static bool
+has_writer (int fd)
+{
+  if (fcntl (fd, F_SETLEASE, F_RDLCK) != 0)
+    return errno == EAGAIN;
+  fcntl (fd, F_SETLEASE, F_UNLCK);
+  return false;
+}
+
+bool
+file_settle_is_whole (struct FileSettle *settle, const char *file)
+{
+  struct stat status;
+  bool whole = false;
+  int fd = open (file, O_RDONLY | O_CLOEXEC);
+
+  if (fd < 0)
+    return false;
+  /* The lease comes first: a writer that has closed the file by then has changed its state. */
+  if (!has_writer (fd) && fstat (fd, &status) == 0 && note_state (settle, &status))
+    whole = ends_with_newline (fd, status.st_size);
+  close (fd);
+  return whole;
+}
+
+bool
+file_settle_is_recent (const struct FileSettle *settle)
+{
+  /* The wall clock may have stepped since the file was modified, so its time is also observed. */
+  return settle->seen_ms != 0
+         && llabs (clock_unix_ms () - modified_unix_ms (&settle->seen)) < RECENT_MS
+         && clock_monotonic_ms () - settle->seen_ms < RECENT_MS;
+}
--- a/adapters/process_signals.c
+++ b/adapters/process_signals.c
@@ -30,6 +30,8 @@
   held_signals (&set);
   sigprocmask (SIG_BLOCK, &set, NULL);
   signal (SIGPIPE, SIG_IGN);
+  /* Sent to the holder of a file lease (file_settle.c) when the file is opened for writing. */
+  signal (SIGIO, SIG_IGN);
 }
 
 void
--- a/adapters/process_start.c
+++ b/adapters/process_start.c
@@ -42,18 +42,23 @@
 }
 
 bool
-process_start_wait (struct ProcessStart *start, const struct Fault *fault)
+process_start_pause (uint32_t timeout_ms)
 {
-  int number;
+  int number = process_signals_wait (timeout_ms);
 
-  log_delay (start, fault);
-  start->wait_ms = start->wait_ms == 0 ? WAIT_FIRST_MS : start->wait_ms * 2;
-  if (start->wait_ms > WAIT_MAX_MS)
-    start->wait_ms = WAIT_MAX_MS;
-  number = process_signals_wait (start->wait_ms);
   if (number != SIGTERM && number != SIGINT)
     return true;
   log_event (LOG_LEVEL_NOTICE, "stop_asked", NULL, NULL, "signal %d", number);
   log_event (LOG_LEVEL_NOTICE, "stopped", NULL, NULL, "before it had started");
   return false;
 }
+
+bool
+process_start_wait (struct ProcessStart *start, const struct Fault *fault)
+{
+  log_delay (start, fault);
+  start->wait_ms = start->wait_ms == 0 ? WAIT_FIRST_MS : start->wait_ms * 2;
+  if (start->wait_ms > WAIT_MAX_MS)
+    start->wait_ms = WAIT_MAX_MS;
+  return process_start_pause (start->wait_ms);
+}
--- /dev/null
+++ b/include/buckthornhead/file_settle.h
@@ -0,0 +1,28 @@
+/* Finds out whether another program may still be writing a file that is being read: it has the file
+ * open for writing, the file has changed meanwhile, or its last line is not terminated. */
+#pragma once
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <sys/stat.h>
+
+/* Zeroed before the first call. */
+struct FileSettle
+{
+  struct stat seen;
+  int64_t seen_ms; /* since when the file has been as in seen; 0: not seen */
+};
+
+/* Called before the file is read. */
+void
+file_settle_begin (struct FileSettle *settle, const char *file);
+
+/* Called after the file was read. Returns true if no other program was writing it. Needs SIGIO
+ * ignored (process_signals_block). */
+bool
+file_settle_is_whole (struct FileSettle *settle, const char *file);
+
+/* Returns true if the file was modified in the last seconds, so that what is wrong with it may
+ * still be completed. */
+bool
+file_settle_is_recent (const struct FileSettle *settle);
--- a/include/buckthornhead/process_start.h
+++ b/include/buckthornhead/process_start.h
@@ -19,8 +19,11 @@
 void
 process_start_begin (const char *instance, const char *zone);
 
-/* Waits after an attempt that failed with a fault of error_may_pass, with the process's signals
- * blocked (process_signals.h). SIGHUP ends the wait. Returns false when a stop was requested by
- * SIGTERM or SIGINT, and logs it. */
+/* Waits with the process's signals blocked (process_signals.h), of which each ends the wait.
+ * Returns false when a stop was requested by SIGTERM or SIGINT, and logs it. */
+bool
+process_start_pause (uint32_t timeout_ms);
+
+/* Logs the fault of an attempt, one of error_may_pass, and waits like process_start_pause. */
 bool
 process_start_wait (struct ProcessStart *start, const struct Fault *fault);
