Log to standard output from the first line of a gateway

A gateway that a signal stopped while it waited for its settings wrote that to standard error, since the log's descriptor was set only after the settings had been read. The command now sets it.

--- a/ctl/gateway_command.c
+++ b/ctl/gateway_command.c
@@ -1,6 +1,9 @@
 #include "run_process.h"
 
 #include <buckthornhead/gateway.h>
+#include <buckthornhead/log.h>
+
+#include <unistd.h>
 
 static int32_t
 gateway_role_load (TALLOC_CTX *ctx, const char *file, void **settings, struct ConfigFaults *faults)
@@ -34,7 +37,10 @@
   int exit_code = EXIT_CODE_FAILED;
 
   if (complete && command_parse (&usage, &standard, argtable, argc, argv, io, &exit_code))
-    exit_code = run_process (&gateway_role, config->filename[0], io);
+    {
+      log_set_fd (STDOUT_FILENO);
+      exit_code = run_process (&gateway_role, config->filename[0], io);
+    }
   arg_freetable (argtable, sizeof argtable / sizeof argtable[0]);
   return exit_code;
 }
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -15,7 +15,6 @@
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
-#include <unistd.h>
 
 enum
 {
@@ -130,7 +129,6 @@
   int64_t started_ms = clock_monotonic_ms ();
   int32_t error;
 
-  log_set_fd (STDOUT_FILENO);
   process_start_begin (settings->instance, settings->zone);
   if (gateway == NULL)
     return fault_set (fault, ERROR_NO_MEMORY, NULL, "out of memory");
