--- a/gateway/metrics.c
+++ b/gateway/metrics.c
@@ -28,7 +28,7 @@
 {
   struct Node *node;
   struct Front *front;       /* NULL in an archive */
-  struct Timer *retry_timer; /* NULL: the listener is open, or no address may become available */
+  struct Timer *retry_timer; /* NULL: the listener is open, or the address is not tried again */
 };
 
 static char *
--- a/include/buckthornhead/process_signals.h
+++ b/include/buckthornhead/process_signals.h
@@ -11,8 +11,8 @@
 /* Called for SIGTERM and SIGINT, which ask for a planned stop. */
 typedef void (*StopFn) (void *data, int number);
 
-/* Blocks the three signals, which stay pending, and ignores SIGPIPE and SIGIO. Threads that are created later
- * inherit this, so that only the main thread receives the signals. */
+/* Blocks the three signals, which stay pending, and ignores SIGPIPE and SIGIO. Threads that are
+ * created later inherit this, so that only the main thread receives the signals. */
 void
 process_signals_block (void);
 
