--- a/adapters/caller_http.c
+++ b/adapters/caller_http.c
@@ -1,6 +1,7 @@
 #include <buckthornhead/caller_http.h>
 
 #include <buckthornhead/counter.h>
+#include <buckthornhead/net_socket.h>
 #include <buckthornhead/process_limits.h>
 #include <buckthornhead/snapshot.h>
 
@@ -482,7 +483,8 @@
       MHD_OPTION_LISTEN_BACKLOG_SIZE, (unsigned int)ACCEPT_BACKLOG,
       MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_END);
   if (daemon == NULL)
-    fault_set (fault, ERROR_IO, "stop the process that uses the address, or change [listen]",
+    fault_set (fault, error_from_errno (errno),
+               "stop the process that uses the address, or change [listen]",
                "cannot listen on %s: %s", address, strerror (errno));
   return daemon;
 }
@@ -506,14 +508,19 @@
   http->core = core;
   if (process_limits_divide (&wanted, &http->shares, fault) != ERROR_NONE)
     goto fail;
-  http->caller_daemon = listener_open (http, settings->caller_listen, caller_on_request,
-                                       settings->caller_threads, http->shares.callers, fault);
-  if (http->caller_daemon == NULL)
+  /* Both addresses are checked before a listener accepts requests: one that waits for the core must
+   * not exist when the listener is closed again. */
+  if (net_check_listen (settings->caller_listen, "[listen] caller", fault) != ERROR_NONE
+      || net_check_listen (settings->operator_listen, "[listen] operator", fault) != ERROR_NONE)
     goto fail;
   http->operator_daemon = listener_open (http, settings->operator_listen, operator_on_request, 1,
                                          http->shares.operators, fault);
   if (http->operator_daemon == NULL)
     goto fail;
+  http->caller_daemon = listener_open (http, settings->caller_listen, caller_on_request,
+                                       settings->caller_threads, http->shares.callers, fault);
+  if (http->caller_daemon == NULL)
+    goto fail;
   *opened = http;
   return ERROR_NONE;
 
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -6,16 +6,15 @@
 
 #include <buckthornhead/clock.h>
 #include <buckthornhead/log.h>
+#include <buckthornhead/net_socket.h>
+#include <buckthornhead/process_signals.h>
+#include <buckthornhead/process_start.h>
 #include <buckthornhead/timer_tevent.h>
 
-#include <buckthornhead/process_limits.h>
-
 #include <platform.h>
-#include <signal.h>
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
-#include <unistd.h>
 
 enum
 {
@@ -40,19 +39,10 @@
 }
 
 static void
-gateway_on_signal (struct tevent_context *events,
-                   struct tevent_signal *signal,
-                   int number,
-                   int count,
-                   void *info,
-                   void *data)
+gateway_on_stop (void *data, int number)
 {
   struct Gateway *gateway = data;
 
-  (void)events;
-  (void)signal;
-  (void)count;
-  (void)info;
   if (gateway->stopping)
     return;
   log_event (LOG_LEVEL_NOTICE, "stop_asked", NULL, NULL, "signal %d", number);
@@ -63,26 +53,6 @@
                    gateway_on_stop_check, gateway);
 }
 
-/* The platform sends SIGHUP after it has rendered the settings again. There is nothing to reload:
- * the addresses and names of a running process don't change, and the rest comes from the store. */
-static void
-gateway_on_reload (struct tevent_context *events,
-                   struct tevent_signal *signal,
-                   int number,
-                   int count,
-                   void *info,
-                   void *data)
-{
-  (void)events;
-  (void)signal;
-  (void)number;
-  (void)count;
-  (void)info;
-  (void)data;
-  log_event (LOG_LEVEL_NOTICE, "reload_asked", NULL, NULL,
-             "nothing reloaded: settings are read only at start, the configuration from the store");
-}
-
 /* Derives the first request id from the clock, so that ids differ from those of the previous
  * process of this instance. */
 static uint64_t
@@ -94,6 +64,20 @@
   return ((uint64_t)now.tv_sec * 1000000 + (uint64_t)now.tv_nsec / 1000) << 8;
 }
 
+/* Opens what the role needs. An archive replays its whole log, so that a peer address that is not
+ * available fails the start before. */
+static int32_t
+gateway_open_role (struct Gateway *gateway, struct Fault *fault)
+{
+  struct Node *node = &gateway->node;
+
+  if (!node_is_archive (node))
+    return front_new (node->events, node, &gateway->front, fault);
+  if (net_check_listen (node->settings->peer_listen, "[listen] peer", fault) != ERROR_NONE)
+    return fault->error;
+  return archive_new (node->events, node, &gateway->archive, fault);
+}
+
 static int32_t
 gateway_start (struct Gateway *gateway, const struct GatewaySettings *settings, struct Fault *fault)
 {
@@ -108,19 +92,16 @@
   node->timers = node->events != NULL ? timer_tevent_new (node->events, node->events) : NULL;
   curl = node->events != NULL ? curl_loop_new (node->events, node->events) : NULL;
   if (node->timers == NULL || curl == NULL)
-    return fault_set (fault, ERROR_NO_MEMORY, NULL, "no memory for the event loop");
+    return fault_set (fault, ERROR_NO_MEMORY, "raise the limits of descriptors and memory",
+                      "no memory or descriptors for the event loop");
   node->store = platform_store_new (curl, curl, settings->store_url, STORE_TIMEOUT_MS);
   if (node->store == NULL)
     return fault_set (fault, ERROR_NO_MEMORY, NULL, "no memory for the store's client");
-  if (node_is_archive (node))
-    error = archive_new (node->events, node, &gateway->archive, fault);
-  else
-    error = front_new (node->events, node, &gateway->front, fault);
+  error = gateway_open_role (gateway, fault);
   if (error != ERROR_NONE)
     return error;
-  tevent_add_signal (node->events, node->events, SIGTERM, 0, gateway_on_signal, gateway);
-  tevent_add_signal (node->events, node->events, SIGINT, 0, gateway_on_signal, gateway);
-  tevent_add_signal (node->events, node->events, SIGHUP, 0, gateway_on_reload, gateway);
+  if (!process_signals_handle (node->events, node->events, gateway_on_stop, gateway))
+    return fault_set (fault, ERROR_NO_MEMORY, NULL, "no memory for the signal handlers");
   metrics_listen (node, gateway->front);
   return node_start (node, fault);
 }
@@ -142,35 +123,34 @@
 }
 
 int32_t
-gateway_run (const struct GatewaySettings *settings)
+gateway_run (const struct GatewaySettings *settings, struct Fault *fault)
 {
   struct Gateway *gateway = talloc_zero (NULL, struct Gateway);
-  struct Fault fault = { 0 };
   int64_t started_ms = clock_monotonic_ms ();
-  int32_t error = ERROR_NO_MEMORY;
+  int32_t error;
 
-  log_init (settings->instance, settings->zone, LOG_LEVEL_INFO);
-  log_set_fd (STDOUT_FILENO);
-  process_limits_log ();
-  signal (SIGPIPE, SIG_IGN);
+  process_start_begin (settings->instance, settings->zone);
   if (gateway == NULL)
-    return error;
-  error = gateway_start (gateway, settings, &fault);
+    return fault_set (fault, ERROR_NO_MEMORY, NULL, "out of memory");
+  error = gateway_start (gateway, settings, fault);
   if (error != ERROR_NONE)
     {
-      log_event (LOG_LEVEL_ERROR, "start_failed", NULL, fault.remedy, "%s", fault.message);
+      if (!error_may_pass (error))
+        log_event (LOG_LEVEL_ERROR, "start_failed", NULL, fault->remedy, "%s", fault->message);
       goto out;
     }
   log_event (LOG_LEVEL_NOTICE, "started", NULL, NULL, "%s, after %lld ms",
              node_is_archive (&gateway->node) ? "archive" : "gateway",
              (long long)(clock_monotonic_ms () - started_ms));
   gateway_log_decisions (&settings->decisions);
+  process_signals_unblock ();
   while (!gateway->done)
     if (tevent_loop_once (gateway->node.events) != 0)
       {
         error = ERROR_IO;
         break;
       }
+  process_signals_block ();
   log_event (LOG_LEVEL_NOTICE, "stopped", NULL, NULL, NULL);
 
 out:
