Keep a program's charges when an older reservation is copied

A reservation set the expiry of its program's charges to its own time plus their retention, also if that is earlier than before. An archive that copies from another one, or replays such a log, receives records that are older than those it has: the program's budget was forgotten up to three minutes early, and its callers could spend it again.

Reservations now extend the expiry only, as closes do.

The test on the code before:

Test: an older reservation forgets no charge ...FAILED 1. test_turn_index.c:109 - CU_ASSERT_EQUAL(charged_tokens (index, "", &settled),519)

--- a/core/gateway/turn_index.c
+++ b/core/gateway/turn_index.c
@@ -152,6 +152,14 @@
   return charge;
 }
 
+/* Records that are copied from another archive may be older than the program's others. */
+static void
+program_extend (struct IndexedProgram *program, int64_t unix_ms)
+{
+  if (program->expires_unix_ms < unix_ms + PROGRAM_KEEP_MS)
+    program->expires_unix_ms = unix_ms + PROGRAM_KEEP_MS;
+}
+
 int32_t
 turn_index_reserve (struct TurnIndex *index, const struct TurnOpen *open, int64_t unix_ms)
 {
@@ -163,7 +171,7 @@
     return ERROR_NO_MEMORY;
   if (!charge->settled)
     charge->tokens = open->reserve_tokens;
-  program->expires_unix_ms = unix_ms + PROGRAM_KEEP_MS;
+  program_extend (program, unix_ms);
   return ERROR_NONE;
 }
 
@@ -232,8 +240,7 @@
                              close->text.server)
       != ERROR_NONE)
     return ERROR_NO_MEMORY;
-  if (program->expires_unix_ms < unix_ms + PROGRAM_KEEP_MS)
-    program->expires_unix_ms = unix_ms + PROGRAM_KEEP_MS;
+  program_extend (program, unix_ms);
   return close->kept ? index_add_turn (index, close, place, unix_ms) : ERROR_NONE;
 }
 
--- a/tests/test_turn_index.c
+++ b/tests/test_turn_index.c
@@ -95,6 +95,23 @@
   talloc_free (index);
 }
 
+/* The copied reservation of an earlier turn ended the retention of the program's charges early. */
+static void
+test_an_older_reservation_forgets_no_charge (void)
+{
+  struct TurnIndex *index = turn_index_new (NULL);
+  const struct TurnOpen open = turn_open ("t1", 500);
+  bool settled;
+
+  close_turn (index, "t2", "", 170000);
+  turn_index_reserve (index, &open, 0);
+  turn_index_expire (index, 200000);
+  CU_ASSERT_EQUAL (charged_tokens (index, "", &settled), 519);
+  turn_index_expire (index, 170000 + 180000);
+  CU_ASSERT_EQUAL (charged_tokens (index, "", &settled), 0);
+  talloc_free (index);
+}
+
 /* A conversation lasts longer than the retention of a turn. Its first turn must be kept as long as
  * its last, since continuing it needs the whole chain. */
 static void
@@ -220,6 +237,7 @@
 const struct TestCase test_cases[] = {
   { "a reservation becomes a charge", test_reservation_becomes_charge },
   { "a late resend does not reopen a turn", test_late_resend_does_not_reopen_turn },
+  { "an older reservation forgets no charge", test_an_older_reservation_forgets_no_charge },
   { "a turn keeps its whole chain", test_turn_keeps_its_whole_chain },
   { "a turn is kept past its retention", test_turn_is_kept_past_its_retention },
   { "an interrupted turn is charged, not kept", test_interrupted_turn_is_charged_not_kept },
