Age an archive's records by the time that its process has run

The age of a record was the difference of the wall clocks of the process that wrote it and of the one that runs, so that a step of the clock was taken for time passed. An archive now has a retention clock, which continues from the newest stamp in its log and advances by the monotonic clock of the running process. It stamps the records, and all expiries are of it. What an earlier version wrote, whose stamps can come from a clock that stepped, counts as new at the first start, and a floor in kept-clock keeps it so. Records that are copied keep their age: a part of a copy carries the sender's clock if the receiver asks for it, by a bit of the request's id that earlier versions return unchanged; without it they count as new. The format of the log is the same.

Saved lists of the store count as old, so that they are confirmed soon, whichever way the clock was off.

The unit test plays 300 drawn histories of three archives that restart with any clock and copy from each other: nothing is deleted before its retention was seen to pass, and everything within a bounded time of running.

--- a/core/gateway/gateway_message.c
+++ b/core/gateway/gateway_message.c
@@ -197,6 +197,12 @@
   return digests;
 }
 
+/* Optional items of a part of a copy: the sender's clock. */
+enum
+{
+  COPY_PART_N_CLOCK = 2
+};
+
 static void
 copy_part_pack (struct PackWriter *p, const struct CopyPart *part)
 {
@@ -205,6 +211,10 @@
   pack_bool (p, part->last);
   pack_bool (p, part->complete);
   pack_bytes (p, part->records, part->records_bytes);
+  if (!part->has_clock)
+    return;
+  pack_i64 (p, part->now_unix_ms);
+  pack_i64 (p, part->floor_unix_ms);
 }
 
 static void
@@ -215,6 +225,11 @@
   part->last = read_bool (r);
   part->complete = read_bool (r);
   part->records = read_bytes (r, ctx, &part->records_bytes);
+  part->has_clock = r->at < r->n_items;
+  if (!part->has_clock)
+    return;
+  part->now_unix_ms = read_i64 (r);
+  part->floor_unix_ms = read_i64 (r);
 }
 
 /* Optional items of a slot request: those of ranks and plain servers, and after them those for a
@@ -523,6 +538,8 @@
 {
   switch (message->kind)
     {
+    case GATEWAY_COPY_PART:
+      return message->copy_part.has_clock ? COPY_PART_N_CLOCK : 0;
     case GATEWAY_SLOT_REQUEST:
       return slot_request_n_optional (&message->slot_request);
     case GATEWAY_SLOT_STATE:
@@ -544,6 +561,8 @@
     return true;
   switch (kind)
     {
+    case GATEWAY_COPY_PART:
+      return n_items == n_fixed + COPY_PART_N_CLOCK;
     case GATEWAY_SLOT_REQUEST:
       return n_items == n_fixed + SLOT_REQUEST_N_RANK
              || n_items == n_fixed + SLOT_REQUEST_N_RANK + SLOT_REQUEST_N_HELD;
--- a/gateway/archive.c
+++ b/gateway/archive.c
@@ -1,10 +1,10 @@
 #include "archive.h"
 
+#include "archive_clock.h"
 #include "archive_member.h"
 #include "archive_state.h"
 #include "suspects.h"
 
-#include <buckthornhead/clock.h>
 #include <buckthornhead/counter.h>
 #include <buckthornhead/log.h>
 #include <buckthornhead/pack.h>
@@ -16,8 +16,8 @@
 enum
 {
   EXPIRE_PERIOD_MS = 2000,
-  /* Files are deleted this long after their last record expires: expiry uses the wall clock, which
-   * may step. */
+  /* Files are deleted this long after their last record expires. More than the index adds to the
+   * retention of a turn. */
   FILE_EXPIRY_MARGIN_MS = 30 * 1000,
   RESERVATION_RETENTION_MS = 180 * 1000, /* the index's retention of a program */
   HISTORY_MAX_BYTES = 8 * 1024 * 1024    /* in one response; the gateway requests the rest */
@@ -27,6 +27,9 @@
 {
   struct Node *node;
   struct DiskLog *log;
+  struct RetentionClock clock; /* of all stamps and expiries */
+  bool has_records;            /* in the log, at the start */
+  bool clock_loaded;           /* continues from earlier processes */
   struct TurnIndex *index;
   struct ArchiveMember *member;
   struct Suspects *suspects;
@@ -39,11 +42,12 @@
   struct Archive *archive;
   uint64_t link; /* on which the request arrived; PEER_LINK_NONE: copied from another archive */
   enum ArchiveRecordKind kind;
+  int64_t unix_ms; /* stamp of the record */
   struct TurnOpen open;
   struct TurnClose close; /* without the turn's texts */
 };
 
-/* Records on disk: [kind, wall clock in ms, fields]. */
+/* Records on disk: [kind, time of the retention clock in ms, fields]. */
 
 static int32_t
 record_pack (TALLOC_CTX *ctx, const struct ArchiveRecord *record, uint8_t **bytes, size_t *n_bytes)
@@ -133,17 +137,24 @@
   struct Archive *archive = data;
   TALLOC_CTX *ctx = talloc_new (archive);
   struct ArchiveRecord record;
-
-  if (archive_record_unpack (ctx, bytes, n, &record) != ERROR_NONE)
+  int32_t error = archive_record_unpack (ctx, bytes, n, &record);
+  int64_t unix_ms;
+
+  if (!archive->has_records)
+    archive->clock_loaded = archive_clock_load (&archive->clock, archive->log);
+  archive->has_records = true;
+  retention_clock_observe (&archive->clock, record.unix_ms);
+  unix_ms = retention_clock_written (&archive->clock, record.unix_ms);
+  if (error != ERROR_NONE)
     log_event (LOG_LEVEL_ERROR, "archive_record_malformed", NULL,
                "run the same version on all instances", "log-%u at offset %u", place->file,
                place->offset);
   else if (record.kind == ARCHIVE_RECORD_OPEN)
-    turn_index_reserve (archive->index, &record.open, record.unix_ms);
+    turn_index_reserve (archive->index, &record.open, unix_ms);
   else
-    archive_index_close (archive, &record.close, place, record.unix_ms);
+    archive_index_close (archive, &record.close, place, unix_ms);
   disk_log_extend (archive->log, place->file,
-                   record.unix_ms + RESERVATION_RETENTION_MS + FILE_EXPIRY_MARGIN_MS);
+                   unix_ms + RESERVATION_RETENTION_MS + FILE_EXPIRY_MARGIN_MS);
   talloc_free (ctx);
 }
 
@@ -234,7 +245,9 @@
   else
     counter_add (COUNTER_ARCHIVE_RECORDS, 1);
   if (error == ERROR_NONE && write->kind == ARCHIVE_RECORD_CLOSE)
-    archive_index_close (archive, &write->close, place, clock_unix_ms ());
+    archive_index_close (archive, &write->close, place,
+                         write->link == PEER_LINK_NONE ? write->unix_ms
+                                                       : retention_clock_now (&archive->clock));
   if (write->link == PEER_LINK_NONE)
     copy_progress_end (&archive->copy_progress, error);
   else if (write->kind == ARCHIVE_RECORD_OPEN)
@@ -256,6 +269,7 @@
 
   if (error != ERROR_NONE)
     return error;
+  write->unix_ms = record->unix_ms;
   error = disk_log_append (archive->log, bytes, n_bytes,
                            record->unix_ms + retention_ms + FILE_EXPIRY_MARGIN_MS,
                            archive_on_durable, write);
@@ -291,7 +305,7 @@
   struct ArchiveWrite *write = archive_write_new (archive, link, ARCHIVE_RECORD_OPEN);
   int32_t error = ERROR_NO_MEMORY;
 
-  record.unix_ms = clock_unix_ms ();
+  record.unix_ms = retention_clock_now (&archive->clock);
   if (archive_is_fenced (archive, open->generation))
     error = ERROR_FENCED;
   else if (write != NULL)
@@ -315,7 +329,7 @@
   int64_t retention_ms = close->kept ? close->retention_ms : RESERVATION_RETENTION_MS;
   int32_t error = ERROR_NO_MEMORY;
 
-  record.unix_ms = clock_unix_ms ();
+  record.unix_ms = retention_clock_now (&archive->clock);
   if (archive_is_fenced (archive, close->generation))
     error = ERROR_FENCED;
   else if (write != NULL)
@@ -331,6 +345,12 @@
   talloc_free (write);
 }
 
+const struct RetentionClock *
+archive_clock (const struct Archive *archive)
+{
+  return &archive->clock;
+}
+
 struct CopyProgress *
 archive_copy_progress (struct Archive *archive)
 {
@@ -411,7 +431,8 @@
       archive_on_close (archive, link, &message->close);
       break;
     case GATEWAY_COPY_WANT:
-      archive_copy_send_part (archive->node, archive->log, link, &message->copy_want);
+      archive_copy_send_part (archive->node, archive->log, &archive->clock, link,
+                              &message->copy_want);
       break;
     case GATEWAY_COPY_PART:
       archive_member_receive_part (archive->member, sender, &message->copy_part);
@@ -464,12 +485,48 @@
 archive_on_expire (void *data)
 {
   struct Archive *archive = data;
-  int64_t unix_ms = clock_unix_ms ();
+  int64_t unix_ms = retention_clock_now (&archive->clock);
 
   turn_index_expire (archive->index, unix_ms);
   disk_log_drop_expired (archive->log, unix_ms);
 }
 
+static int32_t
+archive_replay (struct Archive *archive, struct Fault *fault)
+{
+  const struct Node *node = archive->node;
+
+  archive->index = turn_index_new (archive);
+  if (archive->index == NULL)
+    return fault_set (fault, ERROR_NO_MEMORY, NULL, "no memory for the archive");
+  return disk_log_open (archive, node->events, node->settings->data_folder, archive_on_replay,
+                        archive, &archive->log, fault);
+}
+
+/* Opens the log and starts the clock. A log whose stamps do not give the ages of its records is
+ * read again, since only its newest stamp shows when all records count as written. */
+static int32_t
+archive_open_log (struct Archive *archive, struct Fault *fault)
+{
+  int32_t error = archive_replay (archive, fault);
+
+  if (error != ERROR_NONE)
+    return error;
+  if (!archive->clock_loaded)
+    archive_clock_renew (&archive->clock, archive->log);
+  if (!archive->clock_loaded && archive->has_records)
+    {
+      TALLOC_FREE (archive->log);
+      TALLOC_FREE (archive->index);
+      error = archive_replay (archive, fault);
+      if (error != ERROR_NONE)
+        return error;
+    }
+  retention_clock_start (&archive->clock, archive->node->timers);
+  archive_clock_log (&archive->clock);
+  return ERROR_NONE;
+}
+
 int32_t
 archive_new (TALLOC_CTX *ctx, struct Node *node, struct Archive **archive, struct Fault *fault)
 {
@@ -480,9 +537,7 @@
   if (a == NULL)
     return fault_set (fault, ERROR_NO_MEMORY, NULL, "no memory for the archive");
   a->node = node;
-  a->index = turn_index_new (a);
-  error = disk_log_open (a, node->events, node->settings->data_folder, archive_on_replay, a,
-                         &a->log, fault);
+  error = archive_open_log (a, fault);
   if (error != ERROR_NONE)
     return error;
   if (node->settings->first_start && !disk_log_is_complete (a->log))
@@ -492,7 +547,7 @@
   a->suspects = suspects_new (a, node);
   a->member = archive_member_new (a, node, a, a->log);
   if (a->suspects == NULL || a->member == NULL
-      || archive_state_new (a, node, a->log, a->suspects) == NULL)
+      || archive_state_new (a, node, a->log, &a->clock, a->suspects) == NULL)
     return fault_set (fault, ERROR_NO_MEMORY, NULL, "no memory for the archive");
   timer_subscribe (a, node->timers, EXPIRE_PERIOD_MS, EXPIRE_PERIOD_MS, archive_on_expire, a);
   node->handler.message = archive_on_message;
--- a/gateway/archive_copy.c
+++ b/gateway/archive_copy.c
@@ -54,7 +54,7 @@
 {
   struct GatewayMessage message = { .kind = GATEWAY_COPY_WANT };
 
-  source->request_id = node_next_id (copy->node);
+  source->request_id = node_next_id (copy->node) | COPY_WANT_CLOCK;
   message.copy_want.id = source->request_id;
   message.copy_want.cursor = source->cursor;
   if (node_send (copy->node, source->node, &message) == ERROR_NONE)
@@ -105,17 +105,29 @@
   return true;
 }
 
+/* A part of which the records are stored. */
+struct ReceivedPart
+{
+  struct ArchiveCopy *copy;
+  const struct CopyPart *part;
+};
+
 static void
 copy_on_frame (void *data, const struct DiskPlace *place, const uint8_t *bytes, size_t n_bytes)
 {
-  struct ArchiveCopy *copy = data;
+  const struct ReceivedPart *received = data;
+  struct ArchiveCopy *copy = received->copy;
   TALLOC_CTX *ctx = talloc_new (copy);
   struct ArchiveRecord record;
 
   (void)place;
   copy->n_records++;
   if (archive_record_unpack (ctx, bytes, n_bytes, &record) == ERROR_NONE)
-    archive_store_copied (copy->archive, &record);
+    {
+      record.unix_ms = retention_clock_stamp_copy (archive_clock (copy->archive), received->part,
+                                                   record.unix_ms);
+      archive_store_copied (copy->archive, &record);
+    }
   else
     log_event (LOG_LEVEL_ERROR, "archive_record_malformed", NULL,
                "run the same version on all instances", "received from another archive");
@@ -128,11 +140,12 @@
                            const struct CopyPart *part)
 {
   struct CopySource *source = copy_get_source (copy, sender);
+  struct ReceivedPart received = { copy, part };
 
   if (source == NULL || source->requested_ms == 0 || part->id != source->request_id)
     return;
   source->requested_ms = 0;
-  disk_log_each_frame (part->records, part->records_bytes, copy_on_frame, copy);
+  disk_log_each_frame (part->records, part->records_bytes, copy_on_frame, &received);
   source->cursor = part->next;
   if (part->last && part->complete
       && source->last_requested_ms >= copy->started_ms + copy->options.settle_ms)
@@ -192,6 +205,7 @@
 void
 archive_copy_send_part (struct Node *node,
                         struct DiskLog *log,
+                        const struct RetentionClock *clock,
                         uint64_t link,
                         const struct CopyWant *want)
 {
@@ -201,6 +215,8 @@
 
   part->id = want->id;
   part->complete = disk_log_is_complete (log);
+  if ((want->id & COPY_WANT_CLOCK) != 0)
+    retention_clock_fill_part (clock, part);
   bytes = disk_log_frames (log, node->net, want->cursor, PART_MAX_BYTES, &part->records_bytes,
                            &part->next, &part->last);
   if (bytes == NULL)
--- a/gateway/archive_copy.h
+++ b/gateway/archive_copy.h
@@ -5,6 +5,7 @@
 
 #include <buckthornhead/copy_progress.h>
 #include <buckthornhead/disk_log.h>
+#include <buckthornhead/retention_clock.h>
 
 struct Archive;
 struct ArchiveCopy;
@@ -18,7 +19,7 @@
 struct ArchiveRecord
 {
   enum ArchiveRecordKind kind;
-  int64_t unix_ms; /* when an archive first wrote it */
+  int64_t unix_ms; /* when it was written, by the clock of the archive that has it */
   struct TurnOpen open;
   struct TurnClose close;
 };
@@ -30,7 +31,12 @@
                        size_t n_bytes,
                        struct ArchiveRecord *record);
 
-/* Stores a record of another archive unless the turn has already closed here. */
+/* Returns the clock of the archive's stamps. */
+const struct RetentionClock *
+archive_clock (const struct Archive *archive);
+
+/* Stores a record of another archive, stamped by this archive's clock, unless the turn has already
+ * closed here. */
 void
 archive_store_copied (struct Archive *archive, const struct ArchiveRecord *record);
 
@@ -68,5 +74,6 @@
 void
 archive_copy_send_part (struct Node *node,
                         struct DiskLog *log,
+                        const struct RetentionClock *clock,
                         uint64_t link,
                         const struct CopyWant *want);
--- a/gateway/archive_state.c
+++ b/gateway/archive_state.c
@@ -4,7 +4,6 @@
 #include "store_reader.h"
 #include "suspects.h"
 
-#include <buckthornhead/clock.h>
 #include <buckthornhead/log.h>
 #include <buckthornhead/pack.h>
 
@@ -16,6 +15,9 @@
   /* State that is a few seconds old is good enough, and each save takes two disk syncs, about 10 ms
    * on the slowest disks of the deployments. */
   SAVE_PERIOD_MS = 2000,
+  /* The age of saved lists is not known, since no clock shows for how long the process was down.
+   * They count as older than any limit on their age, so that they are confirmed at once. */
+  LOADED_AGE_MS = 60 * 60 * 1000,
   N_KINDS = SNAPSHOT_KIND_MAX + 1
 };
 
@@ -23,6 +25,7 @@
 {
   struct Node *node;
   struct DiskLog *log;
+  const struct RetentionClock *clock;
   uint64_t saved_content[N_KINDS];
   uint64_t nodes_hash; /* of the saved list */
   struct Suspects *suspects;
@@ -47,8 +50,8 @@
                error_name (error));
 }
 
-/* Saves [wall clock in ms, packed message]. The wall clock gives the age of the state after a
- * restart. */
+/* Saves [time of the retention clock in ms, packed message]. The time gives the least age of the
+ * state after a restart. */
 static void
 state_write (struct ArchiveState *state,
              const char *name,
@@ -62,7 +65,7 @@
   if (p == NULL)
     return;
   pack_array (p, 2);
-  pack_i64 (p, clock_unix_ms ());
+  pack_i64 (p, retention_clock_now (state->clock));
   pack_bytes (p, message, message_bytes);
   if (pack_finish (p, state, &record, &n_bytes) != ERROR_NONE
       || disk_log_store_named (state->log, name, record, n_bytes, state_on_saved, state)
@@ -117,8 +120,8 @@
   talloc_free (message);
 }
 
-/* Returns the saved message, allocated on ctx, with its age in *age_ms; NULL if there is none of
- * that kind. */
+/* Returns the saved message, allocated on ctx, with the time for which it is known to have been
+ * saved in *age_ms; NULL if there is none of that kind. */
 static struct GatewayMessage *
 state_read (struct ArchiveState *state,
             TALLOC_CTX *ctx,
@@ -136,14 +139,13 @@
 
   if (opened == NULL)
     return NULL;
-  saved_age_ms = clock_unix_ms () - read_i64 (&r);
+  saved_age_ms = retention_clock_age (state->clock, read_i64 (&r));
   bytes = read_bytes (&r, ctx, &message_bytes);
   if (read_end (&r) != ERROR_NONE
       || gateway_message_unpack (ctx, bytes, message_bytes, &message) != ERROR_NONE
       || message->kind != kind)
     return NULL;
-  /* Ignored if the clock was set back, which would make the state look newer than it is. */
-  *age_ms = saved_age_ms > 0 && saved_age_ms < INT32_MAX ? (uint32_t)saved_age_ms : 0;
+  *age_ms = saved_age_ms < INT32_MAX ? (uint32_t)saved_age_ms : INT32_MAX;
   return message;
 }
 
@@ -157,10 +159,10 @@
 
   if (message != NULL)
     {
-      message->snapshot.age_ms += age_ms;
+      message->snapshot.age_ms = LOADED_AGE_MS;
       log_event (LOG_LEVEL_NOTICE, "store_state_taken", NULL, NULL,
-                 "loaded %s of revision %lld, %u ms old", kind_names[kind],
-                 (long long)message->snapshot.revision, message->snapshot.age_ms);
+                 "loaded %s of revision %lld, saved %u ms or more ago", kind_names[kind],
+                 (long long)message->snapshot.revision, age_ms);
       store_reader_receive_snapshot (state->node->reader, PEER_LINK_NONE, &message->snapshot);
     }
   talloc_free (ctx);
@@ -208,6 +210,7 @@
 archive_state_new (TALLOC_CTX *ctx,
                    struct Node *node,
                    struct DiskLog *log,
+                   const struct RetentionClock *clock,
                    struct Suspects *suspects)
 {
   struct ArchiveState *state = talloc_zero (ctx, struct ArchiveState);
@@ -216,6 +219,7 @@
     return NULL;
   state->node = node;
   state->log = log;
+  state->clock = clock;
   state->suspects = suspects;
   /* The node creates its reader later, before the event loop runs. */
   timer_subscribe (state, node->timers, 0, 0, state_on_start, state);
--- a/gateway/archive_state.h
+++ b/gateway/archive_state.h
@@ -8,14 +8,17 @@
 #include "node.h"
 
 #include <buckthornhead/disk_log.h>
+#include <buckthornhead/retention_clock.h>
 
 struct ArchiveState;
 struct Suspects;
 
 /* Loads the saved state into the node's reader and suspects once the event loop runs, and saves
- * changes of it from then on. NULL without memory. */
+ * changes of it from then on. Only the time for which archives ran counts as age of what is
+ * quarantined. NULL without memory. */
 struct ArchiveState *
 archive_state_new (TALLOC_CTX *ctx,
                    struct Node *node,
                    struct DiskLog *log,
+                   const struct RetentionClock *clock,
                    struct Suspects *suspects);
--- a/include/buckthornhead/gateway_message.h
+++ b/include/buckthornhead/gateway_message.h
@@ -130,6 +130,10 @@
   size_t n_loads;
 };
 
+/* Set in the id of a request for records by processes that read the clock in the response. Earlier
+ * versions return the id unchanged, and read no response with a clock. */
+#define COPY_WANT_CLOCK (1ULL << 63)
+
 struct CopyWant
 {
   uint64_t id;
@@ -144,6 +148,8 @@
   bool complete;          /* the sender has every record that it ever acknowledged */
   const uint8_t *records; /* frames copied from the sender's log */
   size_t records_bytes;
+  bool has_clock; /* with the next two: the sender's retention clock (retention_clock.h) */
+  int64_t now_unix_ms, floor_unix_ms;
 };
 
 struct Relay
--- a/include/buckthornhead/turn_index.h
+++ b/include/buckthornhead/turn_index.h
@@ -1,7 +1,7 @@
 /* In-memory index of the turns and budgets on an archive's disk.
  *
- * Does no I/O. The caller passes times in milliseconds of the wall clock, since they are compared
- * with times written by earlier processes. */
+ * Does no I/O. The caller passes times in milliseconds of the archive's retention clock
+ * (retention_clock.h), which also stamps the records on the disk. */
 #pragma once
 
 #include <buckthornhead/disk_log.h>
--- a/tests/test_gateway_message.c
+++ b/tests/test_gateway_message.c
@@ -393,6 +393,14 @@
       (struct CopyPart){ .id = 2, .next = 1ULL << 33, .last = true, .complete = true };
   unpacked = round_trip (ctx, &message);
   CU_ASSERT_EQUAL (unpacked->copy_part.next, 1ULL << 33);
+  CU_ASSERT_FALSE (unpacked->copy_part.has_clock);
+  message.copy_part.has_clock = true;
+  message.copy_part.now_unix_ms = 1790000000000;
+  message.copy_part.floor_unix_ms = -5;
+  unpacked = round_trip (ctx, &message);
+  CU_ASSERT_TRUE (unpacked->copy_part.has_clock);
+  CU_ASSERT_EQUAL (unpacked->copy_part.now_unix_ms, 1790000000000);
+  CU_ASSERT_EQUAL (unpacked->copy_part.floor_unix_ms, -5);
   message.kind = GATEWAY_COPY_WANT;
   message.copy_want = (struct CopyWant){ .id = 2, .cursor = 5 };
   unpacked = round_trip (ctx, &message);
--- a/tests/test_stored_format.c
+++ b/tests/test_stored_format.c
@@ -309,7 +309,10 @@
                                     .last = flag (variant, 1),
                                     .complete = flag (variant, 2),
                                     .records = nested,
-                                    .records_bytes = sizeof nested };
+                                    .records_bytes = sizeof nested,
+                                    .has_clock = variant == 2,
+                                    .now_unix_ms = 1LL << 40,
+                                    .floor_unix_ms = 1LL << 39 };
 }
 
 static void
@@ -441,7 +444,7 @@
   { "heartbeat", GATEWAY_HEARTBEAT, 3, fill_heartbeat },
   { "snapshot", GATEWAY_SNAPSHOT, 2, fill_snapshot },
   { "copy_want", GATEWAY_COPY_WANT, 1, fill_copy_want },
-  { "copy_part", GATEWAY_COPY_PART, 2, fill_copy_part },
+  { "copy_part", GATEWAY_COPY_PART, 3, fill_copy_part },
   { "relay", GATEWAY_RELAY, 1, fill_relay },
   { "slot_ask", GATEWAY_SLOT_REQUEST, 2, fill_slot_request },
   { "slot_state", GATEWAY_SLOT_STATE, 1, fill_slot_state },
