Draw the ids of a process at random

A process took its first request id, which is also the number of its start, from the wall clock. With a clock set back it returned with a lower one. An owner of slots took a request for one of an ended process if its id was not above the start number of its gateway's present process. So after a return with a clock behind, what the previous process held stayed counted until its deadline, and the server's slots with it; with a clock that steps back far enough for ids to repeat, the owner and the quota's owner would also take new requests for old ones. The reverse happens with the numbers of a process whose first heartbeat has not arrived: its requests counted as ended.

The first id is now a random number, whose highest bits stay unset. The peer table keeps the start number that the present one superseded, and a request is of an ended process only if its id lies in the range of that. A return to the superseded number comes from a list that is out of date and ends nothing.

--- a/core/membership/peer_table.c
+++ b/core/membership/peer_table.c
@@ -49,11 +49,27 @@
 static void
 peer_set_status (struct Peer *peer, const struct NodeStatus *status)
 {
+  /* A return to the previous start comes from a list that is out of date. */
+  if (peer->status.start != 0 && status->start != 0 && status->start != peer->status.start
+      && status->start != peer->previous_start)
+    peer->previous_start = peer->status.start;
   /* by_name points to the name, which is the same in every status of the peer. */
   peer->status = *status;
   TALLOC_FREE (peer->packed);
 }
 
+static bool
+start_has_id (uint64_t start, uint64_t id)
+{
+  return start != 0 && id - start < PEER_TABLE_IDS_MAX;
+}
+
+bool
+peer_process_has_ended (const struct Peer *peer, uint64_t id)
+{
+  return start_has_id (peer->previous_start, id) && !start_has_id (peer->status.start, id);
+}
+
 static struct Peer *
 peer_table_add (struct PeerTable *table, const struct NodeStatus *status, int64_t now_ms)
 {
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -1,6 +1,7 @@
 #include <buckthornhead/gateway.h>
 
 #include "archive.h"
+#include "first_id.h"
 #include "front.h"
 #include "metrics.h"
 
@@ -14,7 +15,6 @@
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
-#include <time.h>
 #include <unistd.h>
 
 enum
@@ -83,17 +83,6 @@
              "nothing reloaded: settings are read only at start, the configuration from the store");
 }
 
-/* Derives the first request id from the clock, so that ids differ from those of the previous
- * process of this instance. */
-static uint64_t
-first_id (void)
-{
-  struct timespec now;
-
-  clock_gettime (CLOCK_REALTIME, &now);
-  return ((uint64_t)now.tv_sec * 1000000 + (uint64_t)now.tv_nsec / 1000) << 8;
-}
-
 static int32_t
 gateway_start (struct Gateway *gateway, const struct GatewaySettings *settings, struct Fault *fault)
 {
--- a/gateway/slot_owner.c
+++ b/gateway/slot_owner.c
@@ -256,8 +256,7 @@
                              timer_now_ms (slots->front->node->timers), n_digests);
 }
 
-/* Returns whether the request's gateway is live and still runs the process that sent it: ids of
- * requests begin at the start number of their process. */
+/* Returns whether the request's gateway is live and still runs the process that sent it. */
 static bool
 slots_requester_is_live (void *data, const char *requester, uint64_t id)
 {
@@ -266,7 +265,7 @@
   const struct Peer *peer = node_peer (node, requester);
 
   return strcmp (requester, node->settings->instance) == 0
-         || (peer != NULL && node_peer_is_live (node, peer) && id > peer->status.start);
+         || (peer != NULL && node_peer_is_live (node, peer) && !peer_process_has_ended (peer, id));
 }
 
 void
--- a/include/buckthornhead/peer_table.h
+++ b/include/buckthornhead/peer_table.h
@@ -58,10 +58,14 @@
   PEER_TABLE_SOURCES_MAX = 64 /* bits of Peer.listed_by */
 };
 
+/* More ids than a process uses. It counts them from its start number. */
+#define PEER_TABLE_IDS_MAX (1ULL << 40)
+
 /* Another process. */
 struct Peer
 {
   struct NodeStatus status; /* the latest one, from its own heartbeat or from a list */
+  uint64_t previous_start;  /* start number of the process before that one; 0: unknown */
   int64_t added_ms;         /* when it was added to the table */
   int64_t received_ms;      /* last message from the peer itself; 0: none */
   int64_t status_ms;        /* last heartbeat from the peer itself; 0: none */
@@ -83,6 +87,12 @@
   UT_hash_handle hh;
 };
 
+/* Returns whether a request with this id was sent by the process that the peer's present one has
+ * superseded. Start numbers have no order, and the requests of a new process may arrive before its
+ * first heartbeat. */
+bool
+peer_process_has_ended (const struct Peer *peer, uint64_t id);
+
 /* The list that an aggregator sent. */
 struct PeerListSource
 {
--- a/tests/sessions/test_gateway_clock.c
+++ b/tests/sessions/test_gateway_clock.c
@@ -62,6 +62,8 @@
   char path[600];
 
   CU_ASSERT_PTR_NOT_NULL_FATAL (dir);
+  if (dir == NULL)
+    return;
   while ((entry = readdir (dir)) != NULL)
     {
       snprintf (path, sizeof path, "%s/%s", folder, entry->d_name);
--- a/tests/test_peer_table.c
+++ b/tests/test_peer_table.c
@@ -201,6 +201,37 @@
   talloc_free (ctx);
 }
 
+/* A gateway returns with a lower start number than its previous process, as after a clock was set
+ * back. The requests of the previous process must end, and those of the new one must not. */
+static void
+test_requests_of_a_previous_process_end (void)
+{
+  const uint64_t first = 1ULL << 50, second = 1ULL << 45;
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct PeerTable *table = table_of (ctx, "a", "z");
+  struct Heartbeat heartbeat = { .status = status_of ("m", "z") };
+  const struct Peer *peer;
+  bool changed;
+
+  heartbeat.status.start = first;
+  peer = peer_table_handle_heartbeat (table, &heartbeat, START_MS, &changed);
+  CU_ASSERT_FALSE (peer_process_has_ended (peer, first + 7));
+  CU_ASSERT_FALSE (peer_process_has_ended (peer, second + 7)); /* before its first heartbeat */
+  heartbeat.status.start = second;
+  peer_table_handle_heartbeat (table, &heartbeat, START_MS + 1000, &changed);
+  CU_ASSERT_TRUE (peer_process_has_ended (peer, first + 7));
+  CU_ASSERT_FALSE (peer_process_has_ended (peer, second + 7));
+  /* A list that is out of date. */
+  heartbeat.status.start = first;
+  peer_table_handle_heartbeat (table, &heartbeat, START_MS + 2000, &changed);
+  CU_ASSERT_FALSE (peer_process_has_ended (peer, second + 7));
+  heartbeat.status.start = second;
+  peer_table_handle_heartbeat (table, &heartbeat, START_MS + 3000, &changed);
+  CU_ASSERT_TRUE (peer_process_has_ended (peer, first + 7));
+  CU_ASSERT_FALSE (peer_process_has_ended (peer, second + 7));
+  talloc_free (ctx);
+}
+
 /* Changes are lost with their link. The next ones are based on a list that the member does not
  * have, so they must be rejected; the full list must then be accepted. */
 static void
@@ -477,6 +508,7 @@
     test_a_refused_connection_marks_a_peer_down_at_once },
   { "an outdated list does not revert a status", test_an_outdated_list_does_not_revert_a_status },
   { "a start with a lower number is accepted", test_a_start_with_a_lower_number_is_accepted },
+  { "requests of a previous process end", test_requests_of_a_previous_process_end },
   { "changes to another list are rejected", test_changes_to_another_list_are_rejected },
   { "choice of aggregators", test_choice_of_aggregators },
   { "loads are counted once", test_loads_are_counted_once },
