Save an archive's renewed clock to the log that stays open

The clock was saved through a log that was then closed, to be read again: the start waited for two disk syncs, and nothing reported a save that failed. It is now saved through the log that is opened last. Found by reading; no test failed. The sessions test also checks that the clock is saved.

--- a/gateway/archive.c
+++ b/gateway/archive.c
@@ -5,6 +5,7 @@
 #include "archive_state.h"
 #include "suspects.h"
 
+#include <buckthornhead/clock.h>
 #include <buckthornhead/counter.h>
 #include <buckthornhead/log.h>
 #include <buckthornhead/pack.h>
@@ -513,7 +514,7 @@
   if (error != ERROR_NONE)
     return error;
   if (!archive->clock_loaded)
-    archive_clock_renew (&archive->clock, archive->log);
+    retention_clock_renew (&archive->clock, clock_unix_ms ());
   if (!archive->clock_loaded && archive->has_records)
     {
       TALLOC_FREE (archive->log);
@@ -522,6 +523,8 @@
       if (error != ERROR_NONE)
         return error;
     }
+  if (!archive->clock_loaded)
+    archive_clock_save (&archive->clock, archive->log);
   retention_clock_start (&archive->clock, archive->node->timers);
   archive_clock_log (&archive->clock);
   return ERROR_NONE;
--- a/gateway/archive_clock.c
+++ b/gateway/archive_clock.c
@@ -40,14 +40,13 @@
 
 /* Saves [floor in ms]. */
 void
-archive_clock_renew (struct RetentionClock *clock, struct DiskLog *log)
+archive_clock_save (const struct RetentionClock *clock, struct DiskLog *log)
 {
   struct PackWriter *p = pack_writer_new (log, false);
   int32_t error = ERROR_NO_MEMORY;
   uint8_t *record = NULL;
   size_t n_bytes;
 
-  retention_clock_renew (clock, clock_unix_ms ());
   if (p != NULL)
     {
       pack_array (p, 1);
--- a/gateway/archive_clock.h
+++ b/gateway/archive_clock.h
@@ -9,9 +9,9 @@
 bool
 archive_clock_load (struct RetentionClock *clock, struct DiskLog *log);
 
-/* Renews the clock and saves it. Until the save is durable, each start does the same again. */
+/* Saves a clock that was renewed. Until the save is durable, each start renews it again. */
 void
-archive_clock_renew (struct RetentionClock *clock, struct DiskLog *log);
+archive_clock_save (const struct RetentionClock *clock, struct DiskLog *log);
 
 /* Logs the difference to the wall clock. */
 void
--- a/tests/sessions/test_gateway_clock.c
+++ b/tests/sessions/test_gateway_clock.c
@@ -113,6 +113,9 @@
     }
   fleet_start_again (fleet);
   sleep (EXPIRY_WAIT_S);
+  for (uint32_t i = 0; i < fleet->n_archives; i++)
+    CU_ASSERT_EQUAL (
+        access (talloc_asprintf (ctx, "%s/kept-clock", fleet->archives[i].folder), R_OK), 0);
   reply = turn_send_until_accepted (fleet, ctx, 0, "p", "t2", fleet->last_turn_id, "x");
   CU_ASSERT_EQUAL (reply->status, 200);
   /* t1 and t2 took 76 tokens each; a reservation of 200 more exceeds the budget of 300. */
