--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -1,6 +1,7 @@
 #include <buckthornhead/gateway.h>
 
 #include "archive.h"
+#include "first_id.h"
 #include "front.h"
 #include "metrics.h"
 
@@ -14,7 +15,6 @@
 #include <platform.h>
 #include <stdio.h>
 #include <string.h>
-#include <time.h>
 
 enum
 {
@@ -53,17 +53,6 @@
                    gateway_on_stop_check, gateway);
 }
 
-/* Derives the first request id from the clock, so that ids differ from those of the previous
- * process of this instance. */
-static uint64_t
-first_id (void)
-{
-  struct timespec now;
-
-  clock_gettime (CLOCK_REALTIME, &now);
-  return ((uint64_t)now.tv_sec * 1000000 + (uint64_t)now.tv_nsec / 1000) << 8;
-}
-
 /* Opens what the role needs. An archive replays its whole log, so that a peer address that is not
  * available fails the start before. */
 static int32_t
