Revert "serve: let no deadline pass by a step of the wall clock"

Deadlines of serve's programs stay times of the wall clock, in the ledger too; storing what is left of them is open.

--- a/adapters/clock.c
+++ b/adapters/clock.c
@@ -1,6 +1,5 @@
 #include <buckthornhead/clock.h>
 
-#include <stdbool.h>
 #include <time.h>
 
 static int64_t
@@ -23,15 +22,3 @@
 {
   return clock_read_ms (CLOCK_REALTIME);
 }
-
-int64_t
-clock_steady_unix_ms (void)
-{
-  static bool started;
-  static int64_t offset_ms;
-
-  if (!started)
-    offset_ms = clock_unix_ms () - clock_monotonic_ms ();
-  started = true;
-  return clock_monotonic_ms () + offset_ms;
-}
--- a/daemon/core.h
+++ b/daemon/core.h
@@ -47,6 +47,5 @@
   struct PeerOutcomes outcomes;
 };
 
-/* Time of programs and their deadlines. */
 int64_t
 core_unix_ms (void);
--- a/daemon/home.c
+++ b/daemon/home.c
@@ -2,11 +2,11 @@
 
 #include "spooler.h"
 
-#include <buckthornhead/clock.h>
 #include <buckthornhead/log.h>
 
 #include <stdio.h>
 #include <string.h>
+#include <time.h>
 
 enum
 {
@@ -20,7 +20,10 @@
 int64_t
 core_unix_ms (void)
 {
-  return clock_steady_unix_ms ();
+  struct timespec now;
+
+  clock_gettime (CLOCK_REALTIME, &now);
+  return (int64_t)now.tv_sec * 1000 + now.tv_nsec / 1000000;
 }
 
 /* Refuses a request for a program of another home. This attempt did not run; only the home has a
--- a/daemon/operator.c
+++ b/daemon/operator.c
@@ -5,8 +5,6 @@
 #include "home.h"
 #include "status.h"
 
-#include <buckthornhead/clock.h>
-
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -285,7 +283,7 @@
   change->expected_revision = UINT64_MAX;
   if (json_is_integer (expected) && json_integer_value (expected) >= 0)
     change->expected_revision = (uint64_t)json_integer_value (expected);
-  change->when_unix_ms = clock_unix_ms ();
+  change->when_unix_ms = core_unix_ms ();
   return ERROR_NONE;
 }
 
--- a/include/buckthornhead/clock.h
+++ b/include/buckthornhead/clock.h
@@ -12,9 +12,3 @@
  */
 int64_t
 clock_unix_ms (void);
-
-/* Returns the wall clock at the first call plus the monotonic time since, for deadlines that other
- * processes compare: a step of the wall clock while the process runs passes none. Call it from the
- * main thread. */
-int64_t
-clock_steady_unix_ms (void);
