Expire a lost disk only while no gateway can serve a turn

Two disks lost while an archive leaves the set: each remaining archive copied for that change, the wait did not apply, and turns got 503 for good.

The time ran whenever an archive could not be restored, also while the others served: a partition between two archives, or a failing copy, could then end in an archive that counts as complete without records that had been extended meanwhile.

The rule is now what the claim needs: an archive's loss expires while no gateway can open a turn, because too many archives are known to have lost their disks. Then nothing is added or extended. One that is not reached counts as serving others. It holds in each stage of a change of the set, and a copy for a change goes on. retention_too_long says if a route keeps turns for longer than the setting.

--- a/gateway/archive.c
+++ b/gateway/archive.c
@@ -31,6 +31,7 @@
   struct RetentionClock clock; /* of all stamps and expiries */
   bool has_records;            /* in the log, at the start */
   bool clock_loaded;           /* continues from earlier processes */
+  bool logged_retention;       /* that a turn is kept for longer than the settings expect */
   struct TurnIndex *index;
   struct ArchiveMember *member;
   struct Suspects *suspects;
@@ -322,6 +323,19 @@
   talloc_free (write);
 }
 
+static void
+archive_check_retention (struct Archive *archive, const struct TurnClose *close)
+{
+  uint32_t longest_ms = archive->node->settings->longest_retention_ms;
+
+  if (!close->kept || close->retention_ms <= (int64_t)longest_ms || archive->logged_retention)
+    return;
+  archive->logged_retention = true;
+  log_event (LOG_LEVEL_WARNING, "retention_too_long", close->program,
+             "raise [archives] longest_retention", "a turn is kept for %lld s, the setting is %u s",
+             (long long)(close->retention_ms / 1000), longest_ms / 1000);
+}
+
 static void
 archive_on_close (struct Archive *archive, uint64_t link, const struct TurnClose *close)
 {
@@ -330,6 +344,7 @@
   int64_t retention_ms = close->kept ? close->retention_ms : RESERVATION_RETENTION_MS;
   int32_t error = ERROR_NO_MEMORY;
 
+  archive_check_retention (archive, close);
   record.unix_ms = retention_clock_now (&archive->clock);
   if (archive_is_fenced (archive, close->generation))
     error = ERROR_FENCED;
--- a/gateway/archive_member.c
+++ b/gateway/archive_member.c
@@ -42,7 +42,7 @@
   struct ArchiveCopy *copy;
   uint64_t copy_generation; /* change for which the copy is made; 0: to restore a lost disk */
   uint64_t synced_generation;
-  int64_t started_ms;
+  int64_t stuck_since_ms;       /* since when no turn can be served for lack of disks; 0: not so */
   int64_t incomplete_logged_ms; /* when the last such line was logged */
   char retiring[RETIRE_MAX][NAME_MAX_BYTES + 1];
   size_t n_retiring;
@@ -228,53 +228,88 @@
   node_announce (member->node);
 }
 
-/* Returns how long this archive has left to run until everything that a lost disk held has expired,
- * so that its disk holds all records that must be kept. */
-static int64_t
-member_loss_expires_in_ms (const struct ArchiveMember *member)
+/* Returns the archives of the set whose disks may be complete: all but this one and those that
+ * report that theirs are not. */
+static struct ArchiveNames
+member_possible_holders (const struct ArchiveMember *member)
+{
+  struct ArchiveNames queried = archive_set_targets (&member->node->set);
+  struct ArchiveNames possible = { .n = 0 };
+
+  for (uint32_t i = 0; i < queried.n; i++)
+    {
+      const struct Peer *peer = node_peer (member->node, queried.names[i]);
+      bool is_incomplete =
+          strcmp (queried.names[i], member_name (member)) == 0
+          || (peer != NULL && node_peer_is_live (member->node, peer) && !peer->status.complete);
+
+      if (!is_incomplete)
+        archive_names_add (&possible, queried.names[i]);
+    }
+  return possible;
+}
+
+/* Returns whether no gateway can open a turn, since more disks were lost than the set tolerates. An
+ * archive that is not reached may still serve others, so it does not count as lost. */
+static bool
+member_set_is_stuck (const struct ArchiveMember *member)
 {
-  return member->started_ms + (int64_t)member->node->settings->longest_retention_ms
-         - member_now_ms (member);
+  const struct Node *node = member->node;
+  struct ArchiveNames possible = member_possible_holders (member);
+
+  return node->set.generation > 0 && !member->bootstrapping && !disk_log_is_complete (member->log)
+         && !archive_set_is_read (&node->set, node->settings->tolerated, &possible);
 }
 
+/* Marks the disk as complete: while the set was stuck no record was added or extended, so
+ * everything that the lost disk held has expired. A copy for a change of the set goes on. */
 static void
 member_expire_loss (struct ArchiveMember *member)
 {
   if (member->copy != NULL && member->copy_generation == 0)
     TALLOC_FREE (member->copy);
+  member->stuck_since_ms = 0;
   if (disk_log_mark_complete (member->log) != ERROR_NONE)
     {
-      member->started_ms = member_now_ms (member);
       log_event (LOG_LEVEL_ERROR, "archive_mark_failed", NULL, "check the disk",
                  "what the lost disk held has expired, but the disk cannot be marked as complete");
       return;
     }
   log_event (LOG_LEVEL_NOTICE, "archive_loss_expired", NULL, NULL,
-             "nothing could be copied for %u s, and what the lost disk held has expired",
+             "no turn could be served for %u s, and what the lost disk held has expired",
              member->node->settings->longest_retention_ms / 1000);
   node_announce (member->node);
 }
 
-/* Handles an incomplete disk that the other archives cannot restore, since too few of them are
- * complete themselves. */
+/* Ends the wait of archives that lost their disks, and of which each would wait for the others to
+ * be complete. */
 static void
-member_handle_incomplete (struct ArchiveMember *member)
+member_check_stuck (struct ArchiveMember *member)
 {
-  int64_t now_ms = member_now_ms (member);
+  int64_t now_ms = member_now_ms (member), left_ms;
 
-  if (member_loss_expires_in_ms (member) <= 0)
+  if (!member_set_is_stuck (member))
+    {
+      member->stuck_since_ms = 0;
+      return;
+    }
+  if (member->stuck_since_ms == 0)
+    member->stuck_since_ms = now_ms;
+  left_ms = member->stuck_since_ms + (int64_t)member->node->settings->longest_retention_ms - now_ms;
+  if (left_ms <= 0)
     {
       member_expire_loss (member);
       return;
     }
-  if (now_ms - member->started_ms < INCOMPLETE_LOG_MS
+  if (now_ms - member->stuck_since_ms < INCOMPLETE_LOG_MS
       || now_ms - member->incomplete_logged_ms < INCOMPLETE_LOG_MS)
     return;
   member->incomplete_logged_ms = now_ms;
   log_event (LOG_LEVEL_WARNING, "archive_incomplete", NULL,
              "bring back the archives of the set that still have their disks",
-             "the disk's records are lost and cannot be copied; they expire in %lld s",
-             (long long)(member_loss_expires_in_ms (member) / 1000));
+             "more disks are lost than tolerated, and turns are rejected; what was lost expires in "
+             "%lld s",
+             (long long)(left_ms / 1000));
 }
 
 static void
@@ -611,10 +646,8 @@
   bool inside = archive_set_has (set, member_name (member));
 
   if (member_needs_restore (member))
-    {
-      member_start_copy (member, 0);
-      member_handle_incomplete (member);
-    }
+    member_start_copy (member, 0);
+  member_check_stuck (member);
   if (member->bootstrapping && !inside && member_has_discovered (member)
       && set->members.n < archive_set_target_size (member->node->settings->tolerated))
     {
@@ -656,7 +689,6 @@
   member->archive = archive;
   member->log = log;
   member->bootstrapping = node->settings->first_start != 0;
-  member->started_ms = timer_now_ms (node->timers);
   timer_subscribe (member, node->timers, TICK_MS, TICK_MS, member_on_tick, member);
   return member;
 }
--- a/tests/sessions/test_gateway_archives.c
+++ b/tests/sessions/test_gateway_archives.c
@@ -152,6 +152,61 @@
   talloc_free (ctx);
 }
 
+/* Two of three disks are lost while an archive leaves the set, and each remaining one waited for a
+ * copy for that change. */
+static void
+test_service_returns_after_disks_are_lost_in_a_change (void)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct Fleet *fleet = fleet_start (ctx, 2, 3);
+  uint32_t n_failed = CU_get_number_of_failures ();
+
+  CU_ASSERT_EQUAL (turn_status (fleet, ctx, 0, "t1"), 200);
+  installation_put (fleet->installation, "op/retire/storage-of-a-large-zone-3",
+                    "{\"duration_s\":10}");
+  CU_ASSERT_TRUE (fleet_wait_for_output (fleet, "3 members, change starting")
+                  || fleet_wait_for_output (fleet, "2 members, change starting"));
+  for (uint32_t i = 0; i < 3; i++)
+    process_kill (fleet->archives[i].process);
+  archive_delete_data (fleet, 0);
+  archive_delete_data (fleet, 1);
+  fleet->archive_settings = "longest_retention = 5s\n";
+  for (uint32_t i = 0; i < 3; i++)
+    archive_start (fleet, i, false);
+  for (uint32_t i = 0; i < 2; i++)
+    CU_ASSERT_TRUE (process_wait_for_output (fleet->archives[i].process, "archive_loss_expired"));
+  fleet->last_turn_id[0] = '\0';
+  CU_ASSERT_EQUAL (turn_status (fleet, ctx, 1, "t2"), 200);
+  fleet_end (fleet, CU_get_number_of_failures () > n_failed);
+  talloc_free (ctx);
+}
+
+/* One archive has lost its disk and another is away, which may serve others meanwhile: its loss
+ * must not expire, or turns that the other one holds would be answered as unknown. */
+static void
+test_a_loss_does_not_expire_while_another_archive_is_away (void)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct Fleet *fleet = fleet_start (ctx, 1, 3);
+  uint32_t n_failed = CU_get_number_of_failures ();
+
+  CU_ASSERT_EQUAL (turn_status (fleet, ctx, 0, "t1"), 200);
+  fleet->archive_settings = "longest_retention = 2s\n";
+  for (uint32_t i = 0; i < 3; i++)
+    process_kill (fleet->archives[i].process);
+  archive_delete_data (fleet, 0);
+  archive_start (fleet, 0, false);
+  archive_start (fleet, 2, false);
+  sleep_ms (8000);
+  CU_ASSERT_EQUAL (process_count_output (fleet->archives[0].process, "archive_loss_expired"), 0);
+  CU_ASSERT_EQUAL (turn_send (fleet, ctx, 0, "p", "x1", fleet->last_turn_id, 0, "x")->status, 503);
+  archive_start (fleet, 1, false);
+  CU_ASSERT_TRUE (process_wait_for_output (fleet->archives[0].process, "archive_complete"));
+  CU_ASSERT_EQUAL (turn_status (fleet, ctx, 0, "t2"), 200);
+  fleet_end (fleet, CU_get_number_of_failures () > n_failed);
+  talloc_free (ctx);
+}
+
 /* An archive fails permanently, and an empty one starts under another name and address. It must
  * replace the failed one, so that afterwards the loss of any other archive is tolerated. */
 static void
@@ -509,6 +564,10 @@
   { "too few archives reject a turn", test_too_few_archives_reject_a_turn },
   { "service returns after more disks are lost than tolerated",
     test_service_returns_after_more_disks_are_lost_than_tolerated },
+  { "service returns after disks are lost in a change",
+    test_service_returns_after_disks_are_lost_in_a_change },
+  { "a loss does not expire while another archive is away",
+    test_a_loss_does_not_expire_while_another_archive_is_away },
   { "a new archive replaces a failed one", test_a_new_archive_replaces_a_failed_one },
   { "an archive fails while it joins", test_an_archive_fails_while_it_joins },
   { "a retired archive loses no turn", test_a_retired_archive_loses_no_turn },
