Index copied records as new, and keep their age on the disk

Copied records entered the index with their age, and expiry runs every 2 s during a copy. Between two parts of a copy the first turns of a chain that is older than its retention, and the charges of its program, expired before the turn that extends them arrived: history and budget were lost from an archive that then counted as complete.

In the index a copied record is new again, as before, on the disk it keeps its age, which the next start replays as a whole. There is no test of its own: the path needs two archives and a chain of minutes.

--- a/gateway/archive.c
+++ b/gateway/archive.c
@@ -44,7 +44,6 @@
   struct Archive *archive;
   uint64_t link; /* on which the request arrived; PEER_LINK_NONE: copied from another archive */
   enum ArchiveRecordKind kind;
-  int64_t unix_ms; /* stamp of the record */
   struct TurnOpen open;
   struct TurnClose close; /* without the turn's texts */
 };
@@ -247,9 +246,7 @@
   else
     counter_add (COUNTER_ARCHIVE_RECORDS, 1);
   if (error == ERROR_NONE && write->kind == ARCHIVE_RECORD_CLOSE)
-    archive_index_close (archive, &write->close, place,
-                         write->link == PEER_LINK_NONE ? write->unix_ms
-                                                       : retention_clock_now (&archive->clock));
+    archive_index_close (archive, &write->close, place, retention_clock_now (&archive->clock));
   if (write->link == PEER_LINK_NONE)
     copy_progress_end (&archive->copy_progress, error);
   else if (write->kind == ARCHIVE_RECORD_OPEN)
@@ -271,7 +268,6 @@
 
   if (error != ERROR_NONE)
     return error;
-  write->unix_ms = record->unix_ms;
   error = disk_log_append (archive->log, bytes, n_bytes,
                            record->unix_ms + retention_ms + FILE_EXPIRY_MARGIN_MS,
                            archive_on_durable, write);
@@ -394,6 +390,8 @@
   return error;
 }
 
+/* The record keeps its age on the disk, but counts as new in the index: between two parts of a
+ * copy, the first turns of a long chain would expire before the turn that extends them arrives. */
 void
 archive_store_copied (struct Archive *archive, const struct ArchiveRecord *record)
 {
@@ -404,7 +402,7 @@
       if (turn_index_is_closed (archive->index, record->open.customer, record->open.program,
                                 record->open.turn))
         return;
-      turn_index_reserve (archive->index, &record->open, record->unix_ms);
+      turn_index_reserve (archive->index, &record->open, retention_clock_now (&archive->clock));
     }
   else if (turn_index_is_closed (archive->index, record->close.customer, record->close.program,
                                  record->close.text.turn))
