--- a/gateway/archive.c
+++ b/gateway/archive.c
@@ -31,6 +31,7 @@
   struct RetentionClock clock; /* of all stamps and expiries */
   bool has_records;            /* in the log, at the start */
   bool clock_loaded;           /* continues from earlier processes */
+  bool logged_retention;       /* that a turn is kept for longer than the settings expect */
   struct TurnIndex *index;
   struct ArchiveMember *member;
   struct Suspects *suspects;
@@ -43,7 +44,6 @@
   struct Archive *archive;
   uint64_t link; /* on which the request arrived; PEER_LINK_NONE: copied from another archive */
   enum ArchiveRecordKind kind;
-  int64_t unix_ms; /* stamp of the record */
   struct TurnOpen open;
   struct TurnClose close; /* without the turn's texts */
 };
@@ -246,9 +246,7 @@
   else
     counter_add (COUNTER_ARCHIVE_RECORDS, 1);
   if (error == ERROR_NONE && write->kind == ARCHIVE_RECORD_CLOSE)
-    archive_index_close (archive, &write->close, place,
-                         write->link == PEER_LINK_NONE ? write->unix_ms
-                                                       : retention_clock_now (&archive->clock));
+    archive_index_close (archive, &write->close, place, retention_clock_now (&archive->clock));
   if (write->link == PEER_LINK_NONE)
     copy_progress_end (&archive->copy_progress, error);
   else if (write->kind == ARCHIVE_RECORD_OPEN)
@@ -270,7 +268,6 @@
 
   if (error != ERROR_NONE)
     return error;
-  write->unix_ms = record->unix_ms;
   error = disk_log_append (archive->log, bytes, n_bytes,
                            record->unix_ms + retention_ms + FILE_EXPIRY_MARGIN_MS,
                            archive_on_durable, write);
@@ -322,6 +319,19 @@
   talloc_free (write);
 }
 
+static void
+archive_check_retention (struct Archive *archive, const struct TurnClose *close)
+{
+  uint32_t longest_ms = archive->node->settings->longest_retention_ms;
+
+  if (!close->kept || close->retention_ms <= (int64_t)longest_ms || archive->logged_retention)
+    return;
+  archive->logged_retention = true;
+  log_event (LOG_LEVEL_WARNING, "retention_too_long", close->program,
+             "raise [archives] longest_retention", "a turn is kept for %lld s, the setting is %u s",
+             (long long)(close->retention_ms / 1000), longest_ms / 1000);
+}
+
 static void
 archive_on_close (struct Archive *archive, uint64_t link, const struct TurnClose *close)
 {
@@ -330,6 +340,7 @@
   int64_t retention_ms = close->kept ? close->retention_ms : RESERVATION_RETENTION_MS;
   int32_t error = ERROR_NO_MEMORY;
 
+  archive_check_retention (archive, close);
   record.unix_ms = retention_clock_now (&archive->clock);
   if (archive_is_fenced (archive, close->generation))
     error = ERROR_FENCED;
@@ -379,6 +390,8 @@
   return error;
 }
 
+/* The record keeps its age on the disk, but counts as new in the index: between two parts of a
+ * copy, the first turns of a long chain would expire before the turn that extends them arrives. */
 void
 archive_store_copied (struct Archive *archive, const struct ArchiveRecord *record)
 {
@@ -389,7 +402,7 @@
       if (turn_index_is_closed (archive->index, record->open.customer, record->open.program,
                                 record->open.turn))
         return;
-      turn_index_reserve (archive->index, &record->open, record->unix_ms);
+      turn_index_reserve (archive->index, &record->open, retention_clock_now (&archive->clock));
     }
   else if (turn_index_is_closed (archive->index, record->close.customer, record->close.program,
                                  record->close.text.turn))
