--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -581,8 +581,9 @@
           (unsigned long long)load->seed, counts->n_programs, counts->n_turns, counts->n_calls,
           counts->n_refused, counts->n_unknown, counts->n_violations);
   if (load->n_ended > 0 || load->processor_percent > 0)
-    printf ("%u processes ended by themselves; at most %lld%% of a processor\n", load->n_ended,
-            (long long)load->processor_percent);
+    printf ("%u processes ended by themselves, also before their log began; "
+            "at most %lld%% of a processor\n",
+            load->n_ended, (long long)load->processor_percent);
   fflush (stdout);
 }
 
--- a/tests/soak/soak_load.h
+++ b/tests/soak/soak_load.h
@@ -42,7 +42,7 @@
   size_t n_kept;
   char **once; /* ids of requests that may run once */
   size_t n_once;
-  uint32_t n_ended;          /* processes that ended by themselves */
+  uint32_t n_ended;          /* processes that ended by themselves, also before their log began */
   int64_t processor_percent; /* most that a process used over 3 s */
 };
 
