Wait for settings that are missing for a moment

What callers saw: a process whose settings were removed and written anew while it started ended at once with status 2, "No such file or directory", and did not come back until a supervisor started it.

Cause: file_settle_begin failed in stat and zeroed its state, which then did not count as recent. A file that went missing between that and the reading of the settings, and a lack of descriptors when they were opened, had the same end.

A failure to open that may pass (ENOENT, ESTALE, EMFILE, ENFILE, ENOMEM) is now a state of the file like any other, observed for two seconds before the existing error counts. The file is also looked at again after a failed reading, so that it may go missing at any moment. A path that can be no file still fails at once.

--- a/adapters/file_settle.c
+++ b/adapters/file_settle.c
@@ -37,15 +37,42 @@
   return false;
 }
 
+/* Returns whether a file that cannot be opened may be opened a moment later: its writer replaces
+ * it, or the system lacks descriptors or memory. */
+static bool
+open_error_may_pass (int error)
+{
+  return error == ENOENT || error == ESTALE || error == EMFILE || error == ENFILE
+         || error == ENOMEM;
+}
+
+/* Opens the file for reading; returns -1 and notes the failure if it cannot be opened. */
+static int
+file_open (struct FileSettle *settle, const char *file)
+{
+  static const struct stat missing;
+  int fd = open (file, O_RDONLY | O_CLOEXEC);
+
+  if (fd >= 0)
+    return fd;
+  if (open_error_may_pass (errno))
+    note_state (settle, &missing);
+  else
+    memset (settle, 0, sizeof *settle);
+  return -1;
+}
+
 void
 file_settle_begin (struct FileSettle *settle, const char *file)
 {
   struct stat status;
+  int fd = file_open (settle, file);
 
-  if (stat (file, &status) != 0)
-    memset (settle, 0, sizeof *settle);
-  else
+  if (fd < 0)
+    return;
+  if (fstat (fd, &status) == 0)
     note_state (settle, &status);
+  close (fd);
 }
 
 static bool
@@ -72,7 +99,7 @@
 {
   struct stat status;
   bool whole = false;
-  int fd = open (file, O_RDONLY | O_CLOEXEC);
+  int fd = file_open (settle, file);
 
   if (fd < 0)
     return false;
@@ -83,11 +110,16 @@
   return whole;
 }
 
+static bool
+was_modified_recently (const struct stat *status)
+{
+  return status->st_nlink == 0 || llabs (clock_unix_ms () - modified_unix_ms (status)) < RECENT_MS;
+}
+
 bool
 file_settle_is_recent (const struct FileSettle *settle)
 {
   /* The wall clock may have stepped since the file was modified, so its time is also observed. */
-  return settle->seen_ms != 0
-         && llabs (clock_unix_ms () - modified_unix_ms (&settle->seen)) < RECENT_MS
+  return settle->seen_ms != 0 && was_modified_recently (&settle->seen)
          && clock_monotonic_ms () - settle->seen_ms < RECENT_MS;
 }
--- a/ctl/run_process.c
+++ b/ctl/run_process.c
@@ -15,8 +15,8 @@
   LOAD_STOPPED /* by a signal */
 };
 
-/* Reads the settings until no other program is writing them, or until they have not been modified
- * for a while: what was written up to the end of a line would be used with defaults for the rest.
+/* Reads the settings until no other program is writing them, or until they have not changed for a
+ * while: what was written up to the end of a line would be used with defaults for the rest.
  */
 static enum LoadResult
 load_settings (const struct ProcessRole *role,
@@ -30,13 +30,14 @@
   for (;;)
     {
       struct ConfigFaults *faults = talloc_zero (ctx, struct ConfigFaults);
-      bool loaded;
+      bool loaded, whole;
 
       if (faults == NULL)
         return LOAD_FAILED;
       file_settle_begin (&settle, file);
       loaded = role->load (ctx, file, settings, faults) == ERROR_NONE;
-      if (loaded && file_settle_is_whole (&settle, file))
+      whole = file_settle_is_whole (&settle, file);
+      if (loaded && whole)
         return LOAD_DONE;
       if (!file_settle_is_recent (&settle))
         {
--- a/include/buckthornhead/file_settle.h
+++ b/include/buckthornhead/file_settle.h
@@ -1,5 +1,6 @@
 /* Finds out whether another program may still be writing a file that is being read: it has the file
- * open for writing, the file has changed meanwhile, or its last line is not terminated. */
+ * open for writing, the file is missing or has changed meanwhile, or its last line is not
+ * terminated. */
 #pragma once
 
 #include <stdbool.h>
@@ -9,8 +10,8 @@
 /* Zeroed before the first call. */
 struct FileSettle
 {
-  struct stat seen;
-  int64_t seen_ms; /* since when the file has been as in seen; 0: not seen */
+  struct stat seen; /* zeroed: the file is missing, or cannot be opened for now */
+  int64_t seen_ms;  /* since when the file has been as in seen; 0: not seen */
 };
 
 /* Called before the file is read. */
@@ -22,7 +23,7 @@
 bool
 file_settle_is_whole (struct FileSettle *settle, const char *file);
 
-/* Returns true if the file was modified in the last seconds, so that what is wrong with it may
- * still be completed. */
+/* Returns true if the file was modified or has gone missing in the last seconds, so that what is
+ * wrong with it may still be completed. */
 bool
 file_settle_is_recent (const struct FileSettle *settle);
--- a/tests/sessions/test_gateway_start.c
+++ b/tests/sessions/test_gateway_start.c
@@ -424,6 +424,30 @@
   subjects_free (all);
 }
 
+/* Guards against a start that fails while a writer replaces the settings. */
+static void
+test_settings_missing_for_a_moment_start_each_role (void)
+{
+  struct Subjects *all = subjects_new ();
+  const char *away[N_SUBJECTS];
+
+  for (uint32_t i = 0; i < N_SUBJECTS; i++)
+    {
+      struct Subject *s = &all->subjects[i];
+
+      away[i] = talloc_asprintf (all, "%s.away", s->file);
+      CU_ASSERT_EQUAL (rename (s->file, away[i]), 0);
+      subject_start (all, s);
+    }
+  sleep_ms (CUT_MS);
+  for (uint32_t i = 0; i < N_SUBJECTS; i++)
+    CU_ASSERT_EQUAL (rename (away[i], all->subjects[i].file), 0);
+  subjects_until (all, N_SUBJECTS, subject_is_settled);
+  for (uint32_t i = 0; i < N_SUBJECTS; i++)
+    subject_check (&all->subjects[i], process_is_running (all->subjects[i].process));
+  subjects_free (all);
+}
+
 const char test_suite_name[] = "start of processes";
 const struct TestCase test_cases[] = {
   { "bursts of signals end no process", test_bursts_of_signals_end_no_process },
@@ -436,5 +460,7 @@
   { "unusable data folder ends no start", test_unusable_data_folder_ends_no_start },
   { "cut settings are never used", test_cut_settings_are_never_used },
   { "completed settings start each role", test_completed_settings_start_each_role },
+  { "settings missing for a moment start each role",
+    test_settings_missing_for_a_moment_start_each_role },
   { NULL, NULL },
 };
--- a/tests/test_file_settle.c
+++ b/tests/test_file_settle.c
@@ -1,5 +1,6 @@
 #include "test_main.h"
 
+#include <buckthornhead/clock.h>
 #include <buckthornhead/file_settle.h>
 
 #include <fcntl.h>
@@ -7,10 +8,17 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/stat.h>
 #include <unistd.h>
 
-static char path[] = "file-settle-XXXXXX";
+enum
+{
+  WAIT_LIMIT_MS = 20 * 1000,
+  POLL_US = 20 * 1000
+};
+
+static char path[] = "file-settle-missing";
 
 /* Returns a descriptor that is open for writing. */
 static int
@@ -93,7 +101,76 @@
   file_settle_begin (&settle, path);
   CU_ASSERT_FALSE (file_settle_is_recent (&settle));
   unlink (path);
+}
+
+/* Returns whether the file counts as recent, as it does for a while, and then no longer. */
+static bool
+is_recent_for_a_while (struct FileSettle *settle)
+{
+  int64_t end_ms = clock_monotonic_ms () + WAIT_LIMIT_MS;
+  bool was_recent;
+
+  file_settle_begin (settle, path);
+  was_recent = file_settle_is_recent (settle);
+  while (file_settle_is_recent (settle) && clock_monotonic_ms () < end_ms)
+    {
+      usleep (POLL_US);
+      file_settle_is_whole (settle, path);
+      file_settle_begin (settle, path);
+    }
+  return was_recent && !file_settle_is_recent (settle);
+}
+
+/* Guards against a start that fails while the settings are replaced. */
+static void
+test_missing_file_is_recent_for_a_while (void)
+{
+  struct FileSettle settle = { 0 };
+
+  snprintf (path, sizeof path, "file-settle-missing");
+  CU_ASSERT_TRUE (is_recent_for_a_while (&settle));
+  close (write_file ("[a]\nb = c\n"));
+  unlink (path);
+  CU_ASSERT_FALSE (file_settle_is_whole (&settle, path));
+}
+
+static void
+test_file_that_goes_missing_while_it_is_read_is_recent (void)
+{
+  static const struct timespec long_ago[2] = { { 1000, 0 }, { 1000, 0 } };
+  struct FileSettle settle = { 0 };
+
+  close (write_file ("[a]\nb = c\n"));
+  utimensat (AT_FDCWD, path, long_ago, 0);
+  file_settle_begin (&settle, path);
+  unlink (path);
+  CU_ASSERT_FALSE (file_settle_is_whole (&settle, path));
+  CU_ASSERT_TRUE (file_settle_is_recent (&settle));
+}
+
+static void
+test_file_without_descriptors_is_recent (void)
+{
+  struct FileSettle settle = { 0 };
+  struct rlimit limit, none;
+
+  close (write_file ("[a]\nb = c\n"));
+  getrlimit (RLIMIT_NOFILE, &limit);
+  none = limit;
+  none.rlim_cur = 0;
+  setrlimit (RLIMIT_NOFILE, &none);
   file_settle_begin (&settle, path);
+  setrlimit (RLIMIT_NOFILE, &limit);
+  CU_ASSERT_TRUE (file_settle_is_recent (&settle));
+  unlink (path);
+}
+
+static void
+test_path_that_can_be_no_file_is_not_recent (void)
+{
+  struct FileSettle settle = { 0 };
+
+  file_settle_begin (&settle, "/dev/null/settings.ini");
   CU_ASSERT_FALSE (file_settle_is_recent (&settle));
 }
 
@@ -106,5 +183,10 @@
     test_file_that_changes_while_it_is_read_is_not_whole },
   { "only a modification of the last seconds is recent",
     test_only_a_modification_of_the_last_seconds_is_recent },
+  { "missing file is recent for a while", test_missing_file_is_recent_for_a_while },
+  { "file that goes missing while it is read is recent",
+    test_file_that_goes_missing_while_it_is_read_is_recent },
+  { "file without descriptors is recent", test_file_without_descriptors_is_recent },
+  { "path that can be no file is not recent", test_path_that_can_be_no_file_is_not_recent },
   { NULL, NULL },
 };
