Let no wall clock decide how long settings are waited for

What callers saw: after a step of the wall clock, or with settings on a file system whose clock differs, a process that read its settings while they were written still ended at once with their faults.

Cause: faults were waited for only while the file's modification time was near the wall clock as well as observed for less than two seconds. A clock that steps from its value at boot makes a file that was written a moment ago look years old.

The time for which the process has seen the file unchanged decides alone now. Only settings that are valid but lack a newline at their end are still judged by their time, so that a start does not wait for those that never had one; a time in the future counts as recent.

--- a/adapters/file_settle.c
+++ b/adapters/file_settle.c
@@ -4,7 +4,6 @@
 
 #include <errno.h>
 #include <fcntl.h>
-#include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
@@ -83,6 +82,13 @@
   return size > 0 && pread (fd, &last, 1, size - 1) == 1 && last == '\n';
 }
 
+/* Returns true unless the wall clock says that the file has been as it is for a while. */
+static bool
+was_modified_recently (const struct stat *status)
+{
+  return clock_unix_ms () - modified_unix_ms (status) < RECENT_MS;
+}
+
 /* A read lease is refused while a file is open for writing. Without the right to a lease, or on a
  * file system without leases, no writer is found. */
 static bool
@@ -105,21 +111,13 @@
     return false;
   /* The lease comes first: a writer that has closed the file by then has changed its state. */
   if (!has_writer (fd) && fstat (fd, &status) == 0 && note_state (settle, &status))
-    whole = ends_with_newline (fd, status.st_size);
+    whole = ends_with_newline (fd, status.st_size) || !was_modified_recently (&status);
   close (fd);
   return whole;
 }
 
-static bool
-was_modified_recently (const struct stat *status)
-{
-  return status->st_nlink == 0 || llabs (clock_unix_ms () - modified_unix_ms (status)) < RECENT_MS;
-}
-
 bool
 file_settle_is_recent (const struct FileSettle *settle)
 {
-  /* The wall clock may have stepped since the file was modified, so its time is also observed. */
-  return settle->seen_ms != 0 && was_modified_recently (&settle->seen)
-         && clock_monotonic_ms () - settle->seen_ms < RECENT_MS;
+  return settle->seen_ms != 0 && clock_monotonic_ms () - settle->seen_ms < RECENT_MS;
 }
--- a/include/buckthornhead/file_settle.h
+++ b/include/buckthornhead/file_settle.h
@@ -18,12 +18,12 @@
 void
 file_settle_begin (struct FileSettle *settle, const char *file);
 
-/* Called after the file was read. Returns true if no other program was writing it. Needs SIGIO
- * ignored (process_signals_block). */
+/* Called after the file was read. Returns true if no other program was writing it; one that is old
+ * needs no newline at its end. Needs SIGIO ignored (process_signals_block). */
 bool
 file_settle_is_whole (struct FileSettle *settle, const char *file);
 
-/* Returns true if the file was modified or has gone missing in the last seconds, so that what is
- * wrong with it may still be completed. */
+/* Returns true if the file has been seen as it is, or missing, only for the last seconds, so that
+ * what is wrong with it may still be completed. Independent of the wall clock, which may step. */
 bool
 file_settle_is_recent (const struct FileSettle *settle);
