Log the shares of descriptors once, not at each attempt to start

What operators saw: while a gateway or an instance of serve waited to start, for instance for a port, each attempt logged the same line descriptor_shares, one per second for as long as it took.

Cause: process_limits_divide logs, and each attempt divides anew. It now logs only numbers that differ from those that it logged last. No other line repeats in these tests: an archive checks its peer address before it opens its log, so that disk_opened and archive_clock are not logged by an attempt that fails for it.

--- a/adapters/process_limits.c
+++ b/adapters/process_limits.c
@@ -44,6 +44,33 @@
   return limit.rlim_cur;
 }
 
+static bool
+is_same (const struct DescriptorShares *a, const struct DescriptorShares *b)
+{
+  return a->callers == b->callers && a->ready == b->ready && a->directory == b->directory
+         && a->metrics == b->metrics && a->operators == b->operators && a->servers == b->servers;
+}
+
+/* Logs shares that differ from those of the attempt to start before. */
+static void
+log_shares (const struct DescriptorShares *wanted, const struct DescriptorShares *shares)
+{
+  static struct DescriptorShares logged_wanted, logged;
+
+  if (is_same (wanted, &logged_wanted) && is_same (shares, &logged))
+    return;
+  logged_wanted = *wanted;
+  logged = *shares;
+  log_event (LOG_LEVEL_NOTICE, "descriptor_shares", NULL,
+             shares->callers < wanted->callers
+                 ? "raise the process's limit of descriptors, or lower [limits] connections"
+                 : NULL,
+             "connections: callers %u of %u wanted, ready %u, directory %u, metrics %u, "
+             "operators %u, servers %u",
+             shares->callers, wanted->callers, shares->ready, shares->directory, shares->metrics,
+             shares->operators, shares->servers);
+}
+
 int32_t
 process_limits_divide (const struct DescriptorShares *wanted,
                        struct DescriptorShares *shares,
@@ -52,13 +79,6 @@
   int32_t error = descriptor_shares (descriptor_limit (), wanted, shares, fault);
 
   if (error == ERROR_NONE)
-    log_event (LOG_LEVEL_NOTICE, "descriptor_shares", NULL,
-               shares->callers < wanted->callers
-                   ? "raise the process's limit of descriptors, or lower [limits] connections"
-                   : NULL,
-               "connections: callers %u of %u wanted, ready %u, directory %u, metrics %u, "
-               "operators %u, servers %u",
-               shares->callers, wanted->callers, shares->ready, shares->directory, shares->metrics,
-               shares->operators, shares->servers);
+    log_shares (wanted, shares);
   return error;
 }
--- a/include/buckthornhead/process_limits.h
+++ b/include/buckthornhead/process_limits.h
@@ -7,7 +7,8 @@
 void
 process_limits_log (void);
 
-/* Divides the descriptors that the process may open, see descriptor_shares, and logs the result. */
+/* Divides the descriptors that the process may open, see descriptor_shares, and logs the
+ * result, but not again for each attempt to start. */
 int32_t
 process_limits_divide (const struct DescriptorShares *wanted,
                        struct DescriptorShares *shares,
--- a/tests/sessions/test_gateway_start.c
+++ b/tests/sessions/test_gateway_start.c
@@ -161,6 +161,22 @@
              && (!subject_is_metrics_case (subject) || subject_logged (subject, "metrics_served")));
 }
 
+/* Guards against lines that each attempt to start logs again. */
+static void
+subject_check_no_event_repeats (struct Subject *subject)
+{
+  static const char *const events[] = { "start_delayed", "descriptor_shares", "disk_opened",
+                                        "archive_clock" };
+
+  for (size_t i = 0; i < sizeof events / sizeof events[0]; i++)
+    {
+      char text[64];
+
+      snprintf (text, sizeof text, "\"event\":\"%s\"", events[i]);
+      subject_check (subject, process_count_output (subject->process, text) <= 1);
+    }
+}
+
 static void
 check_port_in_use_for_a_moment (bool by_listener)
 {
@@ -174,7 +190,7 @@
 
       subject_check (s, process_is_running (s->process));
       subject_check (s, subject_logged (s, "started") == subject_is_metrics_case (s));
-      subject_check (s, process_count_output (s->process, "\"start_delayed\"") <= 1);
+      subject_check_no_event_repeats (s);
       subject_release_port (s);
     }
   subjects_until (all, N_SUBJECTS, subject_is_served);
