Check all addresses of a gateway before any is opened

What callers saw: while a gateway waited for one of its addresses, each attempt to start opened those that were free: callers were accepted and reset, and the ready and directory addresses took connections of a gateway that was not there.

Cause: front_new opened the callers', ready and directory addresses one after the other, and the peer address followed in node_start.

As an archive does, a gateway now checks its peer address first, and the ready and directory addresses too; the callers' is the first that is opened and needs no check. The check itself no longer listens, only binds: a bind fails for a port with a listener or with the local end of a connection, and no connection can arrive in between. That serves the checks of caller_http_open as well.

--- a/adapters/net_socket.c
+++ b/adapters/net_socket.c
@@ -48,8 +48,9 @@
   return true;
 }
 
-int32_t
-net_listen (const char *address, const char *setting, int *fd, struct Fault *fault)
+/* Binds a new socket to address, and listens if backlog is not 0. */
+static int32_t
+socket_bind (const char *address, const char *setting, int backlog, int *fd, struct Fault *fault)
 {
   struct sockaddr_storage storage;
   socklen_t size;
@@ -63,7 +64,7 @@
   if (*fd >= 0)
     setsockopt (*fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
   if (*fd >= 0 && bind (*fd, (struct sockaddr *)&storage, size) == 0
-      && listen (*fd, LISTEN_BACKLOG) == 0)
+      && (backlog == 0 || listen (*fd, backlog) == 0))
     return ERROR_NONE;
   fault_set (fault, error_from_errno (errno),
              "stop the process that uses the address, or change the setting",
@@ -74,11 +75,17 @@
   return fault->error;
 }
 
+int32_t
+net_listen (const char *address, const char *setting, int *fd, struct Fault *fault)
+{
+  return socket_bind (address, setting, LISTEN_BACKLOG, fd, fault);
+}
+
 int32_t
 net_check_listen (const char *address, const char *setting, struct Fault *fault)
 {
   int fd;
-  int32_t error = net_listen (address, setting, &fd, fault);
+  int32_t error = socket_bind (address, setting, 0, &fd, fault);
 
   if (error == ERROR_NONE)
     close (fd);
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -53,17 +53,40 @@
                    gateway_on_stop_check, gateway);
 }
 
-/* Opens what the role needs. An archive replays its whole log, so that a peer address that is not
- * available fails the start before. */
+/* An address that must be available before the role is opened. */
+struct Address
+{
+  const char *listen, *setting;
+};
+
+/* Checks all addresses but the callers', which is the first one that the role opens. */
+static int32_t
+gateway_check_addresses (const struct GatewaySettings *s, struct Fault *fault)
+{
+  const struct Address addresses[] = {
+    { s->peer_listen, "[listen] peer" },
+    { s->ready_listen, "[listen] ready" },
+    { s->directory_listen, "[listen] directory" },
+  };
+
+  for (size_t i = 0; i < sizeof addresses / sizeof addresses[0]; i++)
+    if (addresses[i].listen[0] != '\0'
+        && net_check_listen (addresses[i].listen, addresses[i].setting, fault) != ERROR_NONE)
+      return fault->error;
+  return ERROR_NONE;
+}
+
+/* Opens what the role needs. An address that is not available fails the start before: an archive
+ * would replay its whole log in vain, and a gateway would accept callers and reset them. */
 static int32_t
 gateway_open_role (struct Gateway *gateway, struct Fault *fault)
 {
   struct Node *node = &gateway->node;
 
+  if (gateway_check_addresses (node->settings, fault) != ERROR_NONE)
+    return fault->error;
   if (!node_is_archive (node))
     return front_new (node->events, node, &gateway->front, fault);
-  if (net_check_listen (node->settings->peer_listen, "[listen] peer", fault) != ERROR_NONE)
-    return fault->error;
   return archive_new (node->events, node, &gateway->archive, fault);
 }
 
--- a/include/buckthornhead/net_socket.h
+++ b/include/buckthornhead/net_socket.h
@@ -10,8 +10,7 @@
 int32_t
 net_listen (const char *address, const char *setting, int *fd, struct Fault *fault);
 
-/* Opens such a socket and closes it again, to find out before other work whether it can be opened.
- */
+/* Finds out before other work whether the address is available. Accepts no connection meanwhile. */
 int32_t
 net_check_listen (const char *address, const char *setting, struct Fault *fault);
 
--- a/tests/sessions/subjects.c
+++ b/tests/sessions/subjects.c
@@ -150,7 +150,7 @@
   CU_ASSERT_TRUE (done);
 }
 
-static uint16_t
+uint16_t
 subject_port (const struct Subject *subject, const char *key)
 {
   char line[256], format[64];
--- a/tests/sessions/subjects.h
+++ b/tests/sessions/subjects.h
@@ -61,6 +61,9 @@
 void
 subject_check_stopped (struct Subject *subject);
 
+/* Returns the port of an address of the subject's settings. */
+uint16_t
+subject_port (const struct Subject *subject, const char *key);
 /* Uses the port of held_key by a listener, or by the local end of a connection to another listener.
  */
 void
--- a/tests/sessions/test_gateway_start.c
+++ b/tests/sessions/test_gateway_start.c
@@ -3,6 +3,8 @@
 #include "subjects.h"
 #include "test_main.h"
 
+#include "fakes/raw_socket.h"
+
 #include <dirent.h>
 #include <fcntl.h>
 #include <signal.h>
@@ -17,6 +19,8 @@
   DRAW_MAX_US = 60 * 1000,
   N_ROUNDS = 2,
   HELD_MS = 1500,
+  ATTEMPTS_MS = 1500,
+  ATTEMPT_PERIOD_MS = 5,
   N_ATTEMPTS = 100, /* in the test for leaks */
   ATTEMPTS_MAX_GROWN_KB = 1024,
   CUT_MS = 300, /* until settings that are cut are completed */
@@ -211,6 +215,56 @@
   check_port_in_use_for_a_moment (false);
 }
 
+/* Causes attempts to start by SIGHUP, and returns whether one accepts a connection meanwhile. */
+static bool
+subject_accepts_during_attempts (struct Subject *subject)
+{
+  static const char *const keys[] = { "caller", "ready", "directory", "peer" };
+  int64_t end_ms = monotonic_ms () + ATTEMPTS_MS, signal_ms = 0;
+  uint16_t ports[4];
+
+  for (size_t i = 0; i < 4; i++)
+    ports[i] = strcmp (keys[i], subject->held_key) != 0 ? subject_port (subject, keys[i]) : 0;
+  for (uint32_t i = 0; monotonic_ms () < end_ms; i++)
+    {
+      int fd = ports[i % 4] != 0 ? raw_connect (ports[i % 4]) : -1;
+
+      if (fd >= 0)
+        {
+          close (fd);
+          return true;
+        }
+      if (monotonic_ms () >= signal_ms)
+        {
+          process_signal (subject->process, SIGHUP);
+          signal_ms = monotonic_ms () + ATTEMPT_PERIOD_MS;
+        }
+    }
+  return false;
+}
+
+/* Guards against callers that are accepted by a gateway that does not start, and reset. */
+static void
+test_gateway_accepts_none_until_all_ports_are_free (void)
+{
+  static const char *const keys[] = { "caller", "ready", "directory", "peer" };
+  struct Subjects *all = subjects_new ();
+  struct Subject *s = &all->subjects[ROLE_GATEWAY];
+
+  for (size_t i = 0; i < 4; i++)
+    {
+      s->held_key = keys[i];
+      subject_hold_port (s, true);
+      subject_start (all, s);
+      CU_ASSERT_TRUE (process_wait_for_output (s->process, "start_delayed"));
+      subject_check (s, !subject_accepts_during_attempts (s));
+      process_signal (s->process, SIGTERM);
+      subject_check_stopped (s);
+      subject_release_port (s);
+    }
+  subjects_free (all);
+}
+
 static void
 test_stop_while_a_port_is_in_use (void)
 {
@@ -476,6 +530,8 @@
   { "port of another listener ends no start", test_port_of_another_listener_ends_no_start },
   { "port of an outgoing connection ends no start",
     test_port_of_an_outgoing_connection_ends_no_start },
+  { "gateway accepts none until all ports are free",
+    test_gateway_accepts_none_until_all_ports_are_free },
   { "stop while a port is in use", test_stop_while_a_port_is_in_use },
   { "attempts leak nothing", test_attempts_leak_nothing },
   { "unusable data folder ends no start", test_unusable_data_folder_ends_no_start },
