Test that no address of a gateway leaks in attempts to start

The test for leaks held only the callers' port of a gateway, so that no listener of it was open when an attempt failed. Each of the four addresses is held now, in a gateway of its own.

--- a/tests/sessions/test_gateway_start.c
+++ b/tests/sessions/test_gateway_start.c
@@ -337,29 +337,35 @@
   return held;
 }
 
+static void
+check_attempts_leak_nothing (struct Subjects *all, struct Subject *subject, const char *held_key)
+{
+  struct Holdings first, last;
+
+  subject->held_key = held_key;
+  subject_hold_port (subject, true);
+  subject_start (all, subject);
+  CU_ASSERT_TRUE (process_wait_for_output (subject->process, "start_delayed"));
+  first = subject_repeat_attempts (subject);
+  last = subject_repeat_attempts (subject);
+  subject_check (subject, last.n_descriptors <= first.n_descriptors);
+  subject_check (subject, last.n_threads <= first.n_threads);
+  subject_check (subject, last.resident_kb <= first.resident_kb + ATTEMPTS_MAX_GROWN_KB);
+  subject_release_port (subject);
+}
+
 static void
 test_attempts_leak_nothing (void)
 {
+  static const char *const gateway_keys[] = { "caller", "ready", "directory", "peer" };
   struct Subjects *all = subjects_new ();
 
   /* AddressSanitizer keeps freed memory, up to this limit. */
   setenv ("ASAN_OPTIONS", "quarantine_size_mb=1", 0);
-  for (uint32_t i = 0; i < N_ROLES; i++)
-    {
-      struct Subject *s = &all->subjects[i];
-      struct Holdings first, last;
-
-      s->held_key = s->role == ROLE_ARCHIVE ? "peer" : "caller";
-      subject_hold_port (s, true);
-      subject_start (all, s);
-      CU_ASSERT_TRUE (process_wait_for_output (s->process, "start_delayed"));
-      first = subject_repeat_attempts (s);
-      last = subject_repeat_attempts (s);
-      subject_check (s, last.n_descriptors <= first.n_descriptors);
-      subject_check (s, last.n_threads <= first.n_threads);
-      subject_check (s, last.resident_kb <= first.resident_kb + ATTEMPTS_MAX_GROWN_KB);
-      subject_release_port (s);
-    }
+  check_attempts_leak_nothing (all, &all->subjects[ROLE_ARCHIVE], "peer");
+  check_attempts_leak_nothing (all, &all->subjects[ROLE_SERVE], "caller");
+  for (uint32_t i = 0; i < 4; i++)
+    check_attempts_leak_nothing (all, &all->subjects[ROLE_GATEWAY + i * N_ROLES], gateway_keys[i]);
   subjects_free (all);
 }
 
