--- a/tests/sessions/test_gateway_start.c
+++ b/tests/sessions/test_gateway_start.c
@@ -3,12 +3,15 @@
 #include "subjects.h"
 #include "test_main.h"
 
+#include "fakes/raw_socket.h"
+
 #include <dirent.h>
 #include <fcntl.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 enum
@@ -16,6 +19,8 @@
   DRAW_MAX_US = 60 * 1000,
   N_ROUNDS = 2,
   HELD_MS = 1500,
+  ATTEMPTS_MS = 1500,
+  ATTEMPT_PERIOD_MS = 5,
   N_ATTEMPTS = 100, /* in the test for leaks */
   ATTEMPTS_MAX_GROWN_KB = 1024,
   CUT_MS = 300, /* until settings that are cut are completed */
@@ -160,6 +165,22 @@
              && (!subject_is_metrics_case (subject) || subject_logged (subject, "metrics_served")));
 }
 
+/* Guards against lines that each attempt to start logs again. */
+static void
+subject_check_no_event_repeats (struct Subject *subject)
+{
+  static const char *const events[] = { "start_delayed", "descriptor_shares", "disk_opened",
+                                        "archive_clock" };
+
+  for (size_t i = 0; i < sizeof events / sizeof events[0]; i++)
+    {
+      char text[64];
+
+      snprintf (text, sizeof text, "\"event\":\"%s\"", events[i]);
+      subject_check (subject, process_count_output (subject->process, text) <= 1);
+    }
+}
+
 static void
 check_port_in_use_for_a_moment (bool by_listener)
 {
@@ -173,7 +194,7 @@
 
       subject_check (s, process_is_running (s->process));
       subject_check (s, subject_logged (s, "started") == subject_is_metrics_case (s));
-      subject_check (s, process_count_output (s->process, "\"start_delayed\"") <= 1);
+      subject_check_no_event_repeats (s);
       subject_release_port (s);
     }
   subjects_until (all, N_SUBJECTS, subject_is_served);
@@ -194,6 +215,56 @@
   check_port_in_use_for_a_moment (false);
 }
 
+/* Causes attempts to start by SIGHUP, and returns whether one accepts a connection meanwhile. */
+static bool
+subject_accepts_during_attempts (struct Subject *subject)
+{
+  static const char *const keys[] = { "caller", "ready", "directory", "peer" };
+  int64_t end_ms = monotonic_ms () + ATTEMPTS_MS, signal_ms = 0;
+  uint16_t ports[4];
+
+  for (size_t i = 0; i < 4; i++)
+    ports[i] = strcmp (keys[i], subject->held_key) != 0 ? subject_port (subject, keys[i]) : 0;
+  for (uint32_t i = 0; monotonic_ms () < end_ms; i++)
+    {
+      int fd = ports[i % 4] != 0 ? raw_connect (ports[i % 4]) : -1;
+
+      if (fd >= 0)
+        {
+          close (fd);
+          return true;
+        }
+      if (monotonic_ms () >= signal_ms)
+        {
+          process_signal (subject->process, SIGHUP);
+          signal_ms = monotonic_ms () + ATTEMPT_PERIOD_MS;
+        }
+    }
+  return false;
+}
+
+/* Guards against callers that are accepted by a gateway that does not start, and reset. */
+static void
+test_gateway_accepts_none_until_all_ports_are_free (void)
+{
+  static const char *const keys[] = { "caller", "ready", "directory", "peer" };
+  struct Subjects *all = subjects_new ();
+  struct Subject *s = &all->subjects[ROLE_GATEWAY];
+
+  for (size_t i = 0; i < 4; i++)
+    {
+      s->held_key = keys[i];
+      subject_hold_port (s, true);
+      subject_start (all, s);
+      CU_ASSERT_TRUE (process_wait_for_output (s->process, "start_delayed"));
+      subject_check (s, !subject_accepts_during_attempts (s));
+      process_signal (s->process, SIGTERM);
+      subject_check_stopped (s);
+      subject_release_port (s);
+    }
+  subjects_free (all);
+}
+
 static void
 test_stop_while_a_port_is_in_use (void)
 {
@@ -266,29 +337,35 @@
   return held;
 }
 
+static void
+check_attempts_leak_nothing (struct Subjects *all, struct Subject *subject, const char *held_key)
+{
+  struct Holdings first, last;
+
+  subject->held_key = held_key;
+  subject_hold_port (subject, true);
+  subject_start (all, subject);
+  CU_ASSERT_TRUE (process_wait_for_output (subject->process, "start_delayed"));
+  first = subject_repeat_attempts (subject);
+  last = subject_repeat_attempts (subject);
+  subject_check (subject, last.n_descriptors <= first.n_descriptors);
+  subject_check (subject, last.n_threads <= first.n_threads);
+  subject_check (subject, last.resident_kb <= first.resident_kb + ATTEMPTS_MAX_GROWN_KB);
+  subject_release_port (subject);
+}
+
 static void
 test_attempts_leak_nothing (void)
 {
+  static const char *const gateway_keys[] = { "caller", "ready", "directory", "peer" };
   struct Subjects *all = subjects_new ();
 
   /* AddressSanitizer keeps freed memory, up to this limit. */
   setenv ("ASAN_OPTIONS", "quarantine_size_mb=1", 0);
-  for (uint32_t i = 0; i < N_ROLES; i++)
-    {
-      struct Subject *s = &all->subjects[i];
-      struct Holdings first, last;
-
-      s->held_key = s->role == ROLE_ARCHIVE ? "peer" : "caller";
-      subject_hold_port (s, true);
-      subject_start (all, s);
-      CU_ASSERT_TRUE (process_wait_for_output (s->process, "start_delayed"));
-      first = subject_repeat_attempts (s);
-      last = subject_repeat_attempts (s);
-      subject_check (s, last.n_descriptors <= first.n_descriptors);
-      subject_check (s, last.n_threads <= first.n_threads);
-      subject_check (s, last.resident_kb <= first.resident_kb + ATTEMPTS_MAX_GROWN_KB);
-      subject_release_port (s);
-    }
+  check_attempts_leak_nothing (all, &all->subjects[ROLE_ARCHIVE], "peer");
+  check_attempts_leak_nothing (all, &all->subjects[ROLE_SERVE], "caller");
+  for (uint32_t i = 0; i < 4; i++)
+    check_attempts_leak_nothing (all, &all->subjects[ROLE_GATEWAY + i * N_ROLES], gateway_keys[i]);
   subjects_free (all);
 }
 
@@ -330,7 +407,8 @@
                                      "[platform]\nstore = http://127.0.0.1:5\n"
                                      "[stop]\ngrace = never\n";
 
-/* A file whose writer has written only its beginning. */
+/* A file whose writer has written only its beginning; every other one has the time of a wall clock
+ * that was far behind. */
 struct CutFile
 {
   int fd; /* of the writer */
@@ -340,11 +418,14 @@
 static const char *
 cut_file_write (struct Session *session, struct CutFile *cut, const char *text, size_t at)
 {
+  static const struct timespec long_ago[2] = { { 1000, 0 }, { 1000, 0 } };
   const char *file = talloc_asprintf (session, "%s/cut-%zu.ini", session_folder (session), at);
 
   cut->fd = open (file, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
   cut->rest = text + at;
   CU_ASSERT_EQUAL (write (cut->fd, text, at), (ssize_t)at);
+  if (at % 2 != 0)
+    CU_ASSERT_EQUAL (futimens (cut->fd, long_ago), 0);
   return file;
 }
 
@@ -424,6 +505,30 @@
   subjects_free (all);
 }
 
+/* Guards against a start that fails while a writer replaces the settings. */
+static void
+test_settings_missing_for_a_moment_start_each_role (void)
+{
+  struct Subjects *all = subjects_new ();
+  const char *away[N_SUBJECTS];
+
+  for (uint32_t i = 0; i < N_SUBJECTS; i++)
+    {
+      struct Subject *s = &all->subjects[i];
+
+      away[i] = talloc_asprintf (all, "%s.away", s->file);
+      CU_ASSERT_EQUAL (rename (s->file, away[i]), 0);
+      subject_start (all, s);
+    }
+  sleep_ms (CUT_MS);
+  for (uint32_t i = 0; i < N_SUBJECTS; i++)
+    CU_ASSERT_EQUAL (rename (away[i], all->subjects[i].file), 0);
+  subjects_until (all, N_SUBJECTS, subject_is_settled);
+  for (uint32_t i = 0; i < N_SUBJECTS; i++)
+    subject_check (&all->subjects[i], process_is_running (all->subjects[i].process));
+  subjects_free (all);
+}
+
 const char test_suite_name[] = "start of processes";
 const struct TestCase test_cases[] = {
   { "bursts of signals end no process", test_bursts_of_signals_end_no_process },
@@ -431,10 +536,14 @@
   { "port of another listener ends no start", test_port_of_another_listener_ends_no_start },
   { "port of an outgoing connection ends no start",
     test_port_of_an_outgoing_connection_ends_no_start },
+  { "gateway accepts none until all ports are free",
+    test_gateway_accepts_none_until_all_ports_are_free },
   { "stop while a port is in use", test_stop_while_a_port_is_in_use },
   { "attempts leak nothing", test_attempts_leak_nothing },
   { "unusable data folder ends no start", test_unusable_data_folder_ends_no_start },
   { "cut settings are never used", test_cut_settings_are_never_used },
   { "completed settings start each role", test_completed_settings_start_each_role },
+  { "settings missing for a moment start each role",
+    test_settings_missing_for_a_moment_start_each_role },
   { NULL, NULL },
 };
