disk log: take no log file that cannot be read for a whole one

Callers got 404 for turns that were acknowledged seconds before, while one holder was merely away: the other holder had opened its log without one of its files and still counted as complete, so its "no such turn" was taken for the truth.

A read error in a log file ended the reading, and what had been read until then passed for the whole file. A file that could not be read at all, or that was torn, was logged, but the mark alone decided whether the log is complete.

A file is now read as a whole or not at all. An unreadable file, and a torn one before the last, make the log incomplete for this opening, with one error line each, so that it is restored from the other archives. For that a torn end must be possible only in the last file: an opening cuts it off, and the writer starts no file before the one it gave up is cut and synced. A mark written before this rule holds says so by its content; under such a mark torn files are cut at the next opening and the mark is renewed, so that an upgrade does not restore all disks at once.

If a later opening reads the file again, the log is complete: while it is damaged nothing is deleted, not even expired files, since a record that was not read can extend the expiry of others. Marking the log complete after the copy ends the damage: the unreadable file is renamed to unread-<number>, the torn one cut.

Lack of descriptors or memory fails the opening with an error that may pass, so that the start is tried again. An error while the folder is listed fails it too; it passed for the end of the list before.

--- a/adapters/disk_frame.c
+++ b/adapters/disk_frame.c
@@ -50,31 +50,67 @@
   return at;
 }
 
-uint8_t *
-disk_file_read (TALLOC_CTX *ctx, const char *path, size_t *n_bytes)
+/* Reads n_bytes; false with errno set when the file ends before them or cannot be read. */
+static bool
+file_read_all (int fd, uint8_t *bytes, size_t n_bytes)
 {
-  int fd = open (path, O_RDONLY | O_CLOEXEC);
-  struct stat status;
-  uint8_t *bytes = NULL;
   size_t at = 0;
 
-  *n_bytes = 0;
-  if (fd < 0)
-    return NULL;
-  if (fstat (fd, &status) == 0)
-    bytes = talloc_array (ctx, uint8_t, (size_t)status.st_size + 1);
-  while (bytes != NULL && at < (size_t)status.st_size)
+  while (at < n_bytes)
     {
-      ssize_t n = read (fd, bytes + at, (size_t)status.st_size - at);
+      ssize_t n = read (fd, bytes + at, n_bytes - at);
 
       if (n < 0 && errno == EINTR)
         continue;
+      if (n == 0)
+        errno = EIO;
       if (n <= 0)
-        break;
+        return false;
       at += (size_t)n;
     }
+  return true;
+}
+
+static uint8_t *
+file_read_open (TALLOC_CTX *ctx, int fd, size_t *n_bytes)
+{
+  struct stat status;
+  uint8_t *bytes;
+
+  if (fstat (fd, &status) != 0)
+    return NULL;
+  if (!S_ISREG (status.st_mode))
+    {
+      errno = S_ISDIR (status.st_mode) ? EISDIR : EINVAL;
+      return NULL;
+    }
+  bytes = talloc_array (ctx, uint8_t, (size_t)status.st_size + 1);
+  if (bytes == NULL)
+    {
+      errno = ENOMEM;
+      return NULL;
+    }
+  if (file_read_all (fd, bytes, (size_t)status.st_size))
+    *n_bytes = (size_t)status.st_size;
+  else
+    TALLOC_FREE (bytes);
+  return bytes;
+}
+
+uint8_t *
+disk_file_read (TALLOC_CTX *ctx, const char *path, size_t *n_bytes)
+{
+  int fd = open (path, O_RDONLY | O_CLOEXEC);
+  uint8_t *bytes;
+  int error;
+
+  *n_bytes = 0;
+  if (fd < 0)
+    return NULL;
+  bytes = file_read_open (ctx, fd, n_bytes);
+  error = errno;
   close (fd);
-  *n_bytes = at;
+  errno = error;
   return bytes;
 }
 
--- a/adapters/disk_frame.h
+++ b/adapters/disk_frame.h
@@ -28,8 +28,8 @@
 size_t
 disk_frames_foreach (const uint8_t *bytes, size_t n_bytes, uint32_t file, DiskLogFn fn, void *data);
 
-/* Returns the content of a file, belonging to ctx; NULL when it cannot be opened. n_bytes is less
- * than the file's size after a read error. */
+/* Returns the whole content of a file, belonging to ctx; NULL with errno set when any of it cannot
+ * be read. */
 uint8_t *
 disk_file_read (TALLOC_CTX *ctx, const char *path, size_t *n_bytes);
 
--- a/adapters/disk_log.c
+++ b/adapters/disk_log.c
@@ -24,10 +24,19 @@
   SLOW_SYNC_MS = 300
 };
 
+/* What an opening has found wrong with a log file. */
+enum DiskDamage
+{
+  DISK_DAMAGE_NONE,
+  DISK_DAMAGE_UNREAD, /* nothing of it was read */
+  DISK_DAMAGE_TORN    /* it ends with bytes that can have been acknowledged records */
+};
+
 /* A log file, as seen by the event loop. */
 struct DiskFile
 {
   uint32_t number;
+  enum DiskDamage damage;
   int64_t expires_unix_ms;
   uint32_t durable_bytes;
   int fd; /* open for reading; -1 while not open */
@@ -37,6 +46,7 @@
 {
   char folder[256];
   bool complete;
+  bool damaged;           /* a file has damage that no copy has made up for */
   size_t n_replayed;      /* records found by disk_log_open */
   struct DiskFile *files; /* ascending by number */
   size_t n_files;
@@ -44,6 +54,10 @@
   struct DiskWriter *writer;
 };
 
+/* Content of the mark. A log that has it holds no torn ends except in its last file; with any other
+ * content, files before it can end with records that were never acknowledged. */
+static const char mark_text[] = "2\n";
+
 static struct DiskFile *
 file_find (const struct DiskLog *log, uint32_t number)
 {
@@ -104,29 +118,83 @@
   replay->fn (replay->data, place, record, n_bytes);
 }
 
-static void
-file_replay (struct DiskLog *log, uint32_t number, DiskLogFn fn, void *data)
+/* Returns whether the failure is one of the process, not of the file. */
+static bool
+errno_is_shortage (int number)
+{
+  return number == ENOMEM || number == EMFILE || number == ENFILE;
+}
+
+/* Cuts the file to its whole records and makes that durable. */
+static bool
+file_cut (const struct DiskLog *log, const struct DiskFile *file)
+{
+  char path[DISK_PATH_BYTES];
+  int fd, error;
+  bool cut;
+
+  disk_file_path (log->folder, file->number, path);
+  fd = open (path, O_WRONLY | O_CLOEXEC);
+  if (fd < 0)
+    return false;
+  cut = disk_folder_cut (fd, file->durable_bytes) == ERROR_NONE
+        && disk_folder_sync_file (fd) == ERROR_NONE;
+  error = errno;
+  close (fd);
+  errno = error;
+  return cut;
+}
+
+/* Handles a file that ends with something else than a whole record. A process that ended while it
+ * wrote can have left that only in the last file. Returns false with errno set when it cannot be
+ * cut. */
+static bool
+file_settle_torn (struct DiskLog *log, struct DiskFile *file, size_t n_bytes, bool may_be_torn)
+{
+  if (may_be_torn)
+    {
+      log_event (LOG_LEVEL_WARNING, "disk_file_torn", NULL, NULL,
+                 "log-%u of %s: %u bytes of %zu are whole", file->number, log->folder,
+                 file->durable_bytes, n_bytes);
+      return file_cut (log, file);
+    }
+  log_event (LOG_LEVEL_ERROR, "disk_file_damaged", NULL, "check the disk",
+             "log-%u of %s: %u bytes of %zu are whole; the disk counts as incomplete", file->number,
+             log->folder, file->durable_bytes, n_bytes);
+  file->damage = DISK_DAMAGE_TORN;
+  log->damaged = true;
+  return true;
+}
+
+/* Returns false with errno set when the opening must fail. */
+static bool
+file_replay (struct DiskLog *log, uint32_t number, bool may_be_torn, DiskLogFn fn, void *data)
 {
   struct Replay replay = { log, fn, data };
   struct DiskFile *file = file_get_or_add (log, number);
   char path[DISK_PATH_BYTES];
-  size_t n_bytes;
+  size_t n_bytes, whole_bytes;
   uint8_t *bytes;
 
+  errno = ENOMEM;
+  if (file == NULL)
+    return false;
   disk_file_path (log->folder, number, path);
   bytes = disk_file_read (log, path, &n_bytes);
-  if (bytes == NULL || file == NULL)
+  if (bytes == NULL && errno_is_shortage (errno))
+    return false;
+  if (bytes == NULL)
     {
-      log_event (LOG_LEVEL_ERROR, "disk_file_unreadable", NULL, "check the disk", "%s: %s", path,
-                 strerror (errno));
-      return;
+      log_event (LOG_LEVEL_ERROR, "disk_file_unreadable", NULL, "check the disk",
+                 "%s: %s; the disk counts as incomplete", path, strerror (errno));
+      file->damage = DISK_DAMAGE_UNREAD;
+      log->damaged = true;
+      return true;
     }
-  file->durable_bytes =
-      (uint32_t)disk_frames_foreach (bytes, n_bytes, number, replay_on_record, &replay);
-  if (file->durable_bytes < n_bytes)
-    log_event (LOG_LEVEL_WARNING, "disk_file_torn", NULL, NULL, "%s: %zu bytes of %zu are whole",
-               path, (size_t)file->durable_bytes, n_bytes);
+  whole_bytes = disk_frames_foreach (bytes, n_bytes, number, replay_on_record, &replay);
+  file->durable_bytes = (uint32_t)whole_bytes;
   talloc_free (bytes);
+  return whole_bytes == n_bytes || file_settle_torn (log, file, n_bytes, may_be_torn);
 }
 
 static int
@@ -144,14 +212,12 @@
   DIR *dir = opendir (log->folder);
   uint32_t *numbers = talloc_array (log, uint32_t, 0);
   struct dirent *entry;
+  int error;
 
   *n = 0;
   if (dir == NULL)
-    {
-      talloc_free (numbers);
-      return NULL;
-    }
-  while (numbers != NULL && (entry = readdir (dir)) != NULL)
+    return NULL;
+  while (numbers != NULL && (errno = 0, entry = readdir (dir)) != NULL)
     {
       char *end;
       unsigned long number;
@@ -165,7 +231,11 @@
       if (numbers != NULL)
         numbers[(*n)++] = (uint32_t)number;
     }
+  error = numbers != NULL ? errno : ENOMEM;
   closedir (dir);
+  if (error != 0)
+    TALLOC_FREE (numbers);
+  errno = error;
   if (numbers != NULL)
     qsort (numbers, *n, sizeof *numbers, number_compare);
   return numbers;
@@ -191,22 +261,78 @@
   return log->complete;
 }
 
+/* Takes a file's damage out of the log, once the lost records are in other files or have expired. A
+ * file that was not read is renamed, not deleted: it may become readable again. */
+static bool
+file_end_damage (const struct DiskLog *log, const struct DiskFile *file)
+{
+  char path[DISK_PATH_BYTES], unread_path[DISK_PATH_BYTES];
+
+  switch (file->damage)
+    {
+    case DISK_DAMAGE_NONE:
+      return true;
+    case DISK_DAMAGE_TORN:
+      return file_cut (log, file);
+    case DISK_DAMAGE_UNREAD:
+      break;
+    }
+  disk_file_path (log->folder, file->number, path);
+  snprintf (unread_path, sizeof unread_path, "%s/unread-%u", log->folder, file->number);
+  return disk_folder_rename (path, unread_path) == ERROR_NONE || errno == ENOENT;
+}
+
+static bool
+log_end_damage (struct DiskLog *log)
+{
+  for (size_t i = 0; i < log->n_files; i++)
+    {
+      if (!file_end_damage (log, &log->files[i]))
+        return false;
+      log->files[i].damage = DISK_DAMAGE_NONE;
+    }
+  return true;
+}
+
 int32_t
 disk_log_mark_complete (struct DiskLog *log)
 {
-  static const uint8_t mark[] = "1\n";
   char path[DISK_PATH_BYTES];
   int fd;
   bool durable;
 
+  if (!log_end_damage (log))
+    return ERROR_IO;
   mark_path (log, path);
   fd = disk_folder_create (path, O_WRONLY);
   if (fd < 0)
     return ERROR_IO;
-  durable = disk_file_write (fd, mark, sizeof mark - 1) && disk_folder_sync_file (fd) == ERROR_NONE;
+  durable = disk_file_write (fd, (const uint8_t *)mark_text, sizeof mark_text - 1)
+            && disk_folder_sync_file (fd) == ERROR_NONE;
   close (fd);
   log->complete = durable && disk_folder_sync (log->folder) == ERROR_NONE;
-  return log->complete ? ERROR_NONE : ERROR_IO;
+  if (!log->complete)
+    return ERROR_IO;
+  log->damaged = false;
+  return ERROR_NONE;
+}
+
+/* Reads whether the folder has a mark, and whether only its last file may be torn. Returns false
+ * with errno set when the mark cannot be read. */
+static bool
+log_read_mark (struct DiskLog *log, bool *marked, bool *cut_before)
+{
+  char path[DISK_PATH_BYTES];
+  size_t n_bytes;
+  uint8_t *mark;
+
+  mark_path (log, path);
+  mark = disk_file_read (log, path, &n_bytes);
+  *marked = mark != NULL;
+  *cut_before = mark != NULL && n_bytes == sizeof mark_text - 1
+                && memcmp (mark, mark_text, sizeof mark_text - 1) == 0;
+  talloc_free (mark);
+  return *marked || errno == ENOENT;
 }
 
 /* A process that was killed leaves names and records that a power failure can still undo. Makes
@@ -296,8 +422,8 @@
                struct Fault *fault)
 {
   struct DiskLog *l = talloc_zero (ctx, struct DiskLog);
-  char path[DISK_PATH_BYTES];
   uint32_t *numbers, last_file = 0;
+  bool marked, cut_before;
   size_t n;
 
   *log = NULL;
@@ -308,21 +434,26 @@
   if (disk_folder_make (folder) != ERROR_NONE)
     goto fail;
   numbers = folder_list_numbers (l, &n);
-  if (numbers == NULL || !log_sync_found (l, numbers, n))
+  if (numbers == NULL || !log_sync_found (l, numbers, n)
+      || !log_read_mark (l, &marked, &cut_before))
     goto fail;
   /* fn may read from the log, which has the files up to the one being replayed. */
   *log = l;
   for (size_t i = 0; i < n; i++)
     {
-      file_replay (l, numbers[i], fn, data);
+      if (!file_replay (l, numbers[i], !cut_before || i + 1 == n, fn, data))
+        goto fail;
       last_file = numbers[i];
     }
-  mark_path (l, path);
-  l->complete = access (path, F_OK) == 0;
+  l->complete = marked && !l->damaged;
+  if (l->complete && !cut_before && disk_log_mark_complete (l) != ERROR_NONE)
+    goto fail;
   log_event (LOG_LEVEL_NOTICE, "disk_opened", NULL, NULL,
              "%s: %s, %zu records in %zu files, %u numbers missing between them", folder,
-             l->complete ? "marked as complete" : "no mark of completeness", l->n_replayed, n,
-             count_missing (numbers, n));
+             l->complete ? "marked as complete"
+             : marked    ? "marked as complete, but damaged"
+                         : "no mark of completeness",
+             l->n_replayed, n, count_missing (numbers, n));
   if (log_start_writer (l, events, last_file, fault) != ERROR_NONE)
     {
       *log = NULL;
@@ -334,6 +465,7 @@
 fail:
   fault_set (fault, error_from_errno (errno), "check [instance] data_folder and its permissions",
              "%s: %s", folder, strerror (errno));
+  *log = NULL;
   talloc_free (l);
   return fault->error;
 }
@@ -427,6 +559,9 @@
 {
   size_t n_kept = 0;
 
+  /* A record that was not read can extend the expiry of others. */
+  if (log->damaged)
+    return;
   for (size_t i = 0; i < log->n_files; i++)
     {
       struct DiskFile *file = &log->files[i];
--- a/adapters/disk_writer.c
+++ b/adapters/disk_writer.c
@@ -34,6 +34,7 @@
   int fd;
   uint32_t durable_bytes; /* of the file */
   bool named;             /* the file's name is durable */
+  bool cut_due;           /* the file must be cut before another one follows */
 };
 
 void
@@ -73,17 +74,27 @@
 }
 
 /* Gives up the file after a failure. An opening would take the records behind the last sync for
- * durable ones, so they are cut off. */
-static void
+ * durable ones, and a torn end for damage, so they are cut off. Returns false when the disk refuses
+ * that; the file stays the last one until it is cut. */
+static bool
 writer_abandon_file (struct DiskWriter *writer)
 {
   if (writer->fd < 0)
-    return;
-  if (disk_folder_cut (writer->fd, writer->durable_bytes) != ERROR_NONE)
-    log_event (LOG_LEVEL_ERROR, "archive_write_failed", NULL, "check the disk",
-               "log-%u cannot be cut to %u bytes", writer->file, writer->durable_bytes);
+    return true;
+  if (disk_folder_cut (writer->fd, writer->durable_bytes) != ERROR_NONE
+      || disk_folder_sync_file (writer->fd) != ERROR_NONE)
+    {
+      if (!writer->cut_due)
+        log_event (LOG_LEVEL_ERROR, "archive_write_failed", NULL, "check the disk",
+                   "log-%u cannot be cut to %u bytes; nothing is written until it can",
+                   writer->file, writer->durable_bytes);
+      writer->cut_due = true;
+      return false;
+    }
   close (writer->fd);
   writer->fd = -1;
+  writer->cut_due = false;
+  return true;
 }
 
 static int32_t
@@ -135,9 +146,9 @@
 static void
 writer_write_batch (struct DiskWriter *writer, struct DiskWrite *batch)
 {
-  bool ok = true;
+  bool ok = !writer->cut_due || writer_abandon_file (writer);
 
-  if (writer->fd < 0 || writer->offset > FILE_MAX_BYTES)
+  if (ok && (writer->fd < 0 || writer->offset > FILE_MAX_BYTES))
     ok = writer_open_next (writer);
   for (struct DiskWrite *w = batch; w != NULL && ok; w = w->next)
     {
@@ -148,7 +159,7 @@
       writer->offset += (uint32_t)w->frame_bytes;
     }
   ok = ok && writer_sync (writer);
-  if (!ok)
+  if (!ok && !writer->cut_due)
     writer_abandon_file (writer);
   for (struct DiskWrite *w = batch; w != NULL; w = w->next)
     w->error = ok ? ERROR_NONE : ERROR_IO;
--- a/include/buckthornhead/disk_log.h
+++ b/include/buckthornhead/disk_log.h
@@ -34,8 +34,10 @@
 typedef void (*DiskLogDone) (void *data, int32_t error, const struct DiskPlace *place);
 
 /* Opens folder, created if missing, makes what it holds durable, and calls fn for each whole record
- * in it, oldest first; *log is set before the first call. A torn end of a file was never reported
- * durable and is skipped. ERROR_IO or ERROR_NO_MEMORY, with fault set. */
+ * in it, oldest first; *log is set before the first call. A torn end of the last file was never
+ * reported durable and is cut off. A file that cannot be read, or one before the last that is torn,
+ * makes the log incomplete. ERROR_IO or ERROR_NO_MEMORY, with fault set, also when the process
+ * lacks descriptors or memory to read a file. */
 int32_t
 disk_log_open (TALLOC_CTX *ctx,
                struct tevent_context *events,
@@ -45,11 +47,13 @@
                struct DiskLog **log,
                struct Fault *fault);
 
-/* Returns whether folder holds the mark that disk_log_mark_complete writes. */
+/* Returns whether folder holds the mark that disk_log_mark_complete writes, and nothing in the log
+ * was found to be damaged since. */
 bool
 disk_log_is_complete (const struct DiskLog *log);
 
-/* Writes the completeness mark and makes it and its name durable. ERROR_IO. */
+/* Writes the completeness mark and makes it and its name durable. Files that could not be read are
+ * renamed to unread-<number>, and damaged ones cut. ERROR_IO. */
 int32_t
 disk_log_mark_complete (struct DiskLog *log);
 
@@ -75,8 +79,9 @@
 disk_log_extend (struct DiskLog *log, uint32_t file, int64_t expires_unix_ms);
 
 /* Deletes files in which all records have expired, except the one that is being written: its number
- * keeps the numbers ascending over restarts. The names are not synced: after a power failure
- * expired records may be replayed again, which their expiry makes harmless. */
+ * keeps the numbers ascending over restarts. Deletes nothing while a file is damaged. The names are
+ * not synced: after a power failure expired records may be replayed again, which their expiry makes
+ * harmless. */
 void
 disk_log_drop_expired (struct DiskLog *log, int64_t unix_ms);
 
--- a/tests/test_disk_log.c
+++ b/tests/test_disk_log.c
@@ -4,10 +4,13 @@
 
 #include <buckthornhead/disk_log.h>
 
+#include <errno.h>
 #include <fcntl.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 struct Fixture
@@ -355,6 +358,164 @@
   fixture_free (f);
 }
 
+/* Writes one file per record, from log-1 on, and closes the marked log. */
+static void
+fixture_write_files (struct Fixture *f, uint32_t n)
+{
+  CU_ASSERT_EQUAL (disk_log_mark_complete (f->log), ERROR_NONE);
+  for (uint32_t i = 1; i <= n; i++)
+    {
+      char record[16];
+
+      snprintf (record, sizeof record, "r%u", i);
+      fixture_append (f, record, 100);
+      TALLOC_FREE (f->log);
+      if (i < n)
+        fixture_open (f);
+    }
+}
+
+static void
+fixture_rename (const struct Fixture *f, const char *from, const char *to)
+{
+  char from_path[96], to_path[96];
+
+  snprintf (from_path, sizeof from_path, "%s/%s", f->folder, from);
+  snprintf (to_path, sizeof to_path, "%s/%s", f->folder, to);
+  CU_ASSERT_EQUAL (rename (from_path, to_path), 0);
+}
+
+/* Guards against acknowledged records that are taken for ones that never were. */
+static void
+test_unreadable_file_makes_the_log_incomplete (void)
+{
+  struct Fixture *f = fixture_new ();
+  char path[96];
+
+  fixture_write_files (f, 3);
+  fixture_rename (f, "log-1", "away");
+  snprintf (path, sizeof path, "%s/log-1", f->folder);
+  CU_ASSERT_EQUAL (mkdir (path, 0700), 0);
+  fixture_open (f);
+  CU_ASSERT_STRING_EQUAL (f->replayed, "r2 r3 ");
+  CU_ASSERT_FALSE (disk_log_is_complete (f->log));
+  /* Nothing is deleted, so the log is complete again once the file can be read. */
+  disk_log_drop_expired (f->log, 200);
+  TALLOC_FREE (f->log);
+  CU_ASSERT_EQUAL (rmdir (path), 0);
+  fixture_rename (f, "away", "log-1");
+  fixture_open (f);
+  CU_ASSERT_STRING_EQUAL (f->replayed, "r1 r2 r3 ");
+  CU_ASSERT_TRUE (disk_log_is_complete (f->log));
+  fixture_free (f);
+}
+
+/* Guards against a disk that is restored again at each start. */
+static void
+test_restored_log_stays_complete (void)
+{
+  struct Fixture *f = fixture_new ();
+  char path[96];
+
+  fixture_write_files (f, 3);
+  snprintf (path, sizeof path, "%s/log-1", f->folder);
+  CU_ASSERT_EQUAL (unlink (path), 0);
+  CU_ASSERT_EQUAL (mkdir (path, 0700), 0);
+  snprintf (path, sizeof path, "%s/log-2", f->folder);
+  CU_ASSERT_EQUAL (truncate (path, 5), 0);
+  fixture_open (f);
+  CU_ASSERT_FALSE (disk_log_is_complete (f->log));
+  fixture_append (f, "copy", 100);
+  CU_ASSERT_EQUAL (disk_log_mark_complete (f->log), ERROR_NONE);
+  CU_ASSERT_TRUE (disk_log_is_complete (f->log));
+  TALLOC_FREE (f->log);
+  fixture_open (f);
+  CU_ASSERT_STRING_EQUAL (f->replayed, "r3 copy ");
+  CU_ASSERT_TRUE (disk_log_is_complete (f->log));
+  snprintf (path, sizeof path, "%s/unread-1", f->folder);
+  CU_ASSERT_EQUAL (access (path, F_OK), 0);
+  fixture_free (f);
+}
+
+/* Cuts log-number short and returns whether the log is then complete. */
+static bool
+fixture_is_complete_after_cut (struct Fixture *f, uint32_t number)
+{
+  char path[96];
+
+  snprintf (path, sizeof path, "%s/log-%u", f->folder, number);
+  CU_ASSERT_EQUAL (truncate (path, 13), 0);
+  fixture_open (f);
+  return disk_log_is_complete (f->log);
+}
+
+/* Guards against lost acknowledged records in a file that was whole when the next one began. */
+static void
+test_torn_file_before_the_last_makes_the_log_incomplete (void)
+{
+  struct Fixture *f = fixture_new ();
+
+  fixture_write_files (f, 3);
+  CU_ASSERT_TRUE (fixture_is_complete_after_cut (f, 3));
+  fixture_append (f, "r4", 100);
+  TALLOC_FREE (f->log);
+  fixture_open (f);
+  CU_ASSERT_TRUE (disk_log_is_complete (f->log));
+  TALLOC_FREE (f->log);
+  CU_ASSERT_FALSE (fixture_is_complete_after_cut (f, 2));
+  CU_ASSERT_STRING_EQUAL (f->replayed, "r1 r4 ");
+  fixture_free (f);
+}
+
+/* Guards against an upgrade after which all archives restore their disks at once. */
+static void
+test_torn_files_below_an_older_mark_are_no_damage (void)
+{
+  struct Fixture *f = fixture_new ();
+
+  fixture_write_files (f, 3);
+  fixture_write_file (f, "complete", "1\n");
+  CU_ASSERT_TRUE (fixture_is_complete_after_cut (f, 1));
+  TALLOC_FREE (f->log);
+  CU_ASSERT_FALSE (fixture_is_complete_after_cut (f, 2));
+  fixture_free (f);
+}
+
+/* Takes all descriptors from the process while the first file is replayed. */
+static void
+limit_on_record (void *data, const struct DiskPlace *place, const uint8_t *record, size_t n_bytes)
+{
+  const struct rlimit *limit = data;
+  struct rlimit none = { 0, limit->rlim_max };
+
+  (void)place;
+  (void)record;
+  (void)n_bytes;
+  CU_ASSERT_EQUAL (setrlimit (RLIMIT_NOFILE, &none), 0);
+}
+
+/* Guards against a process without free descriptors that takes its disk for damaged. */
+static void
+test_opening_without_descriptors_fails (void)
+{
+  struct Fixture *f = fixture_new ();
+  struct Fault fault = { 0 };
+  struct rlimit limit;
+  int32_t error;
+
+  fixture_write_files (f, 2);
+  CU_ASSERT_EQUAL (getrlimit (RLIMIT_NOFILE, &limit), 0);
+  error = disk_log_open (f, f->events, f->folder, limit_on_record, &limit, &f->log, &fault);
+  CU_ASSERT_EQUAL (setrlimit (RLIMIT_NOFILE, &limit), 0);
+  CU_ASSERT_NOT_EQUAL (error, ERROR_NONE);
+  CU_ASSERT_TRUE (error_may_pass (fault.error));
+  CU_ASSERT_PTR_NOT_NULL (strstr (fault.message, strerror (EMFILE)));
+  CU_ASSERT_PTR_NULL (f->log);
+  fixture_open (f);
+  CU_ASSERT_TRUE (disk_log_is_complete (f->log));
+  fixture_free (f);
+}
+
 const char test_suite_name[] = "disk_log";
 const struct TestCase test_cases[] = {
   { "records are read back and replayed", test_records_are_read_back_and_replayed },
@@ -368,5 +529,12 @@
     test_expired_files_are_deleted_and_extended_ones_stay },
   { "an unfinished named record is ignored", test_unfinished_named_record_is_ignored },
   { "an empty file keeps its number", test_empty_file_keeps_its_number },
+  { "an unreadable file makes the log incomplete", test_unreadable_file_makes_the_log_incomplete },
+  { "a restored log stays complete", test_restored_log_stays_complete },
+  { "a torn file before the last makes the log incomplete",
+    test_torn_file_before_the_last_makes_the_log_incomplete },
+  { "torn files below an older mark are no damage",
+    test_torn_files_below_an_older_mark_are_no_damage },
+  { "opening without descriptors fails", test_opening_without_descriptors_fails },
   { NULL, NULL },
 };
--- a/tests/test_disk_power_loss.c
+++ b/tests/test_disk_power_loss.c
@@ -448,6 +448,36 @@
   history_free (h);
 }
 
+static void
+cut_run_seed (uint64_t seed)
+{
+  struct History *h = history_new (seed);
+
+  CU_ASSERT_TRUE_FATAL (log_open (h));
+  CU_ASSERT_EQUAL (disk_log_mark_complete (h->log), ERROR_NONE);
+  h->marked = true;
+  log_append (h);
+  power_loss_fail_after (0, UINT32_MAX);
+  log_append (h);
+  log_append (h);
+  CU_ASSERT_EQUAL (h->highest_file, 1);
+  power_loss_restart ();
+  log_append (h);
+  CU_ASSERT_EQUAL (h->highest_file, 2);
+  TALLOC_FREE (h->log);
+  power_loss_strike (seed);
+  CU_ASSERT_TRUE_FATAL (log_open (h));
+  history_free (h);
+}
+
+/* Guards against the remains of a failed write that are taken for damaged records later. */
+static void
+test_file_is_cut_before_the_next_one (void)
+{
+  for (uint64_t seed = 1; seed <= 20; seed++)
+    cut_run_seed (seed);
+}
+
 /* Guards against a folder that exists, but whose name is never synced. */
 static void
 test_folder_is_made_again_after_a_refused_sync (void)
@@ -523,6 +553,7 @@
   { "a spool survives power loss", test_spool_survives_power_loss },
   { "the folder is synced once per file", test_folder_is_synced_once_per_file },
   { "a refused folder sync fails the write", test_refused_folder_sync_fails_the_write },
+  { "a file is cut before the next one", test_file_is_cut_before_the_next_one },
   { "the folder is made again after a refused sync",
     test_folder_is_made_again_after_a_refused_sync },
   { "a repeated seal is durable", test_repeated_seal_is_durable },
