disk log: keep only few files open for reading

An archive with a long retention stopped accepting connections, and could not begin its next log file: all its descriptors were in use.

Each log file that was read stayed open until it was deleted, and a copy to another archive reads all of them. Retention times write rate, in files of 8 MB, can pass a limit of 1,024 descriptors.

At most 16 files stay open now; the one not read for the longest time is closed first. When the process has no descriptor left, one of them is given up for the file to be read.

The tests on the code before:

Test: few files are kept open ...FAILED 1. test_disk_log.c:562 - count_descriptors () <= before + kept_max Test: records are read with one descriptor ...FAILED 1. test_disk_log.c:542 - CU_ASSERT_PTR_NOT_NULL_FATAL(bytes)

--- a/adapters/disk_log.c
+++ b/adapters/disk_log.c
@@ -21,7 +21,9 @@
 {
   /* Syncs slower than this are logged. A sync on the slowest disks of the deployments takes 5 ms;
    * one this slow delays callers, and after the gateway's timeout the turn counts as not stored. */
-  SLOW_SYNC_MS = 300
+  SLOW_SYNC_MS = 300,
+  /* Files that are kept open for reading. A history is mostly in few files. */
+  READERS_MAX = 16
 };
 
 /* What an opening has found wrong with a log file. */
@@ -39,7 +41,8 @@
   enum DiskDamage damage;
   int64_t expires_unix_ms;
   uint32_t durable_bytes;
-  int fd; /* open for reading; -1 while not open */
+  int fd;             /* open for reading; -1 while not open */
+  uint64_t last_read; /* greater than those of the files read before */
 };
 
 struct DiskLog
@@ -50,6 +53,8 @@
   size_t n_replayed;      /* records found by disk_log_open */
   struct DiskFile *files; /* ascending by number */
   size_t n_files;
+  size_t n_readers; /* files open for reading */
+  uint64_t n_reads;
   struct Mailbox *mailbox;
   struct DiskWriter *writer;
 };
@@ -487,26 +492,59 @@
   return ERROR_NONE;
 }
 
+static void
+file_close_reader (struct DiskLog *log, struct DiskFile *file)
+{
+  if (file->fd < 0)
+    return;
+  close (file->fd);
+  file->fd = -1;
+  log->n_readers--;
+}
+
+/* Closes the file that was not read for the longest time. */
+static void
+log_close_oldest_reader (struct DiskLog *log)
+{
+  struct DiskFile *oldest = NULL;
+
+  for (size_t i = 0; i < log->n_files; i++)
+    {
+      struct DiskFile *file = &log->files[i];
+
+      if (file->fd >= 0 && (oldest == NULL || file->last_read < oldest->last_read))
+        oldest = file;
+    }
+  if (oldest != NULL)
+    file_close_reader (log, oldest);
+}
+
 static int
-file_open_reader (const struct DiskLog *log, struct DiskFile *file)
+file_open_reader (struct DiskLog *log, struct DiskFile *file)
 {
   char path[DISK_PATH_BYTES];
 
-  if (file->fd < 0)
+  file->last_read = ++log->n_reads;
+  if (file->fd >= 0)
+    return file->fd;
+  if (log->n_readers == READERS_MAX)
+    log_close_oldest_reader (log);
+  disk_file_path (log->folder, file->number, path);
+  file->fd = open (path, O_RDONLY | O_CLOEXEC);
+  if (file->fd < 0 && errno == EMFILE && log->n_readers > 0)
     {
-      disk_file_path (log->folder, file->number, path);
+      log_close_oldest_reader (log);
       file->fd = open (path, O_RDONLY | O_CLOEXEC);
     }
+  if (file->fd >= 0)
+    log->n_readers++;
   return file->fd;
 }
 
 /* Reads n_bytes of the file from offset on; NULL when the file ends before them. */
 static uint8_t *
-file_pread (const struct DiskLog *log,
-            TALLOC_CTX *ctx,
-            struct DiskFile *file,
-            size_t offset,
-            size_t n_bytes)
+file_pread (
+    struct DiskLog *log, TALLOC_CTX *ctx, struct DiskFile *file, size_t offset, size_t n_bytes)
 {
   int fd = file_open_reader (log, file);
   uint8_t *bytes = fd >= 0 ? talloc_array (ctx, uint8_t, n_bytes + 1) : NULL;
@@ -573,8 +611,7 @@
           log->files[n_kept++] = *file;
           continue;
         }
-      if (file->fd >= 0)
-        close (file->fd);
+      file_close_reader (log, file);
       disk_file_path (log->folder, file->number, path);
       disk_folder_remove (path); /* if it stays, the next start finds it again */
     }
--- a/tests/test_disk_log.c
+++ b/tests/test_disk_log.c
@@ -516,6 +516,82 @@
   fixture_free (f);
 }
 
+static uint32_t
+count_descriptors (void)
+{
+  uint32_t n = 0;
+
+  for (int fd = 0; fd < 1024; fd++)
+    n += fcntl (fd, F_GETFD) >= 0;
+  return n;
+}
+
+/* Copies all records, as another archive does, and passes them to the fixture. */
+static void
+fixture_copy_all (struct Fixture *f)
+{
+  uint64_t cursor = 0;
+  bool last = false;
+
+  f->replayed = talloc_strdup (f, "");
+  while (!last)
+    {
+      size_t n_bytes;
+      uint8_t *bytes = disk_log_frames (f->log, f, cursor, 64, &n_bytes, &cursor, &last);
+
+      CU_ASSERT_PTR_NOT_NULL_FATAL (bytes);
+      disk_log_each_frame (bytes, n_bytes, fixture_on_record, f);
+    }
+}
+
+/* Guards against a log whose files take all descriptors of the process. */
+static void
+test_few_files_are_kept_open (void)
+{
+  const uint32_t n_files = 60, kept_max = 16;
+  struct Fixture *f = fixture_new ();
+  uint32_t before;
+  char *replayed;
+
+  fixture_write_files (f, n_files);
+  fixture_open (f);
+  before = count_descriptors ();
+  replayed = f->replayed;
+  fixture_copy_all (f);
+  CU_ASSERT_STRING_EQUAL (f->replayed, replayed);
+  CU_ASSERT (count_descriptors () <= before + kept_max);
+  /* Files that were closed are read again. */
+  fixture_copy_all (f);
+  CU_ASSERT_STRING_EQUAL (f->replayed, replayed);
+  disk_log_drop_expired (f->log, 200);
+  CU_ASSERT (count_descriptors () <= before + 1);
+  fixture_free (f);
+}
+
+/* Guards against records that cannot be read while connections take all other descriptors. */
+static void
+test_records_are_read_with_one_descriptor (void)
+{
+  struct Fixture *f = fixture_new ();
+  struct rlimit limit, low;
+  char *replayed;
+  int fd;
+
+  fixture_write_files (f, 3);
+  fixture_open (f);
+  replayed = f->replayed;
+  fd = dup (STDOUT_FILENO);
+  CU_ASSERT_EQUAL (close (fd), 0);
+  CU_ASSERT_EQUAL (getrlimit (RLIMIT_NOFILE, &limit), 0);
+  low = limit;
+  low.rlim_cur = (rlim_t)fd + 1;
+  CU_ASSERT_EQUAL (setrlimit (RLIMIT_NOFILE, &low), 0);
+  fixture_copy_all (f);
+  CU_ASSERT_EQUAL (setrlimit (RLIMIT_NOFILE, &limit), 0);
+  CU_ASSERT_STRING_EQUAL (f->replayed, replayed);
+  fixture_free (f);
+}
+
 const char test_suite_name[] = "disk_log";
 const struct TestCase test_cases[] = {
   { "records are read back and replayed", test_records_are_read_back_and_replayed },
@@ -536,5 +612,7 @@
   { "torn files below an older mark are no damage",
     test_torn_files_below_an_older_mark_are_no_damage },
   { "opening without descriptors fails", test_opening_without_descriptors_fails },
+  { "few files are kept open", test_few_files_are_kept_open },
+  { "records are read with one descriptor", test_records_are_read_with_one_descriptor },
   { NULL, NULL },
 };
