disk log: report finished writes without allocating

An archive that was short of memory for a moment ended itself: the writer thread aborted the process when it could not allocate the message that reports a finished batch to the event loop.

The message is now part of each write, allocated together with it; the first write of the finished list carries it. Where there is no memory, disk_log_append and disk_log_store_named return ERROR_NO_MEMORY before anything is queued, as they did.

There is no test of the failure: talloc has no hook that makes one allocation of the writer thread fail, and the process has no other. The tests of the log and of the loss of power run the new path in each write.

--- a/adapters/disk_log.c
+++ b/adapters/disk_log.c
@@ -366,15 +366,14 @@
 log_on_mail (void *data, struct Mail *received)
 {
   struct DiskLog *log = data;
-  struct DiskMail *mail = (struct DiskMail *)received;
-  struct DiskWrite *next;
+  struct DiskWrite *first = caa_container_of (received, struct DiskWrite, mail), *next;
 
-  histogram_add (HISTOGRAM_DISK_SYNC, mail->duration_ms);
+  histogram_add (HISTOGRAM_DISK_SYNC, first->duration_ms);
   counter_add (COUNTER_ARCHIVE_SYNCS, 1);
-  if (mail->duration_ms > SLOW_SYNC_MS)
+  if (first->duration_ms > SLOW_SYNC_MS)
     log_event (LOG_LEVEL_WARNING, "disk_slow", NULL, "look at the archive's disk",
-               "writing and syncing took %lld ms", (long long)mail->duration_ms);
-  for (struct DiskWrite *w = mail->first; w != NULL; w = next)
+               "writing and syncing took %lld ms", (long long)first->duration_ms);
+  for (struct DiskWrite *w = first; w != NULL; w = next)
     {
       bool in_log = w->error == ERROR_NONE && w->kept_name == NULL;
       struct DiskFile *file = in_log ? file_get_or_add (log, w->place.file) : NULL;
@@ -389,7 +388,6 @@
       w->done (w->data, w->error, &w->place);
       talloc_free (w);
     }
-  talloc_free (mail);
 }
 
 static int
--- a/adapters/disk_writer.c
+++ b/adapters/disk_writer.c
@@ -8,7 +8,6 @@
 #include <fcntl.h>
 #include <pthread.h>
 #include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
@@ -165,17 +164,13 @@
     w->error = ok ? ERROR_NONE : ERROR_IO;
 }
 
+/* Passes the list finished to the loop. */
 static void
 writer_post_done (struct DiskWriter *writer, struct DiskWrite *finished, int64_t started_ms)
 {
-  struct DiskMail *mail = talloc_zero (NULL, struct DiskMail);
-
-  if (mail == NULL)
-    abort (); /* without this message the records' callbacks would never be called */
-  mail->mail.kind = MAIL_DISK_DONE;
-  mail->first = finished;
-  mail->duration_ms = clock_monotonic_ms () - started_ms;
-  mailbox_post (writer->mailbox, &mail->mail);
+  finished->mail.kind = MAIL_DISK_DONE;
+  finished->duration_ms = clock_monotonic_ms () - started_ms;
+  mailbox_post (writer->mailbox, &finished->mail);
 }
 
 static void
--- a/adapters/disk_writer.h
+++ b/adapters/disk_writer.h
@@ -15,9 +15,12 @@
 
 struct DiskWriter;
 
-/* A record that is queued for writing, and its result. */
+/* A record that is queued for writing, and its result. The first one of the finished writes is the
+ * message to the loop, so that reporting them needs no memory. */
 struct DiskWrite
 {
+  struct Mail mail;
+  int64_t duration_ms; /* of the finished writes; set in the first */
   struct DiskWrite *next;
   uint8_t *frame; /* talloc, without a parent */
   size_t frame_bytes;
@@ -29,17 +32,9 @@
   char *kept_name; /* name of the record's own file; NULL: a record of the log */
 };
 
-/* Message to the loop: the list of finished writes. */
-struct DiskMail
-{
-  struct Mail mail;
-  int64_t duration_ms;
-  struct DiskWrite *first;
-};
-
 /* Starts a thread that writes to files numbered from last_file + 1 in folder. Freeing the writer
- * writes what was submitted and joins the thread. Results are posted to mailbox as struct DiskMail
- * of kind MAIL_DISK_DONE. NULL when out of memory or threads. */
+ * writes what was submitted and joins the thread. Results are posted to mailbox as the first
+ * struct DiskWrite of a list, of kind MAIL_DISK_DONE. NULL when out of memory or threads. */
 struct DiskWriter *
 disk_writer_new (TALLOC_CTX *ctx, const char *folder, uint32_t last_file, struct Mailbox *mailbox);
 
--- a/include/buckthornhead/mailbox.h
+++ b/include/buckthornhead/mailbox.h
@@ -18,7 +18,7 @@
   MAIL_BACKEND_END,         /* to the core: struct BackendMail */
   MAIL_BACKEND_SUBMIT,      /* to a backend thread */
   MAIL_BACKEND_CANCEL,      /* to a backend thread */
-  MAIL_DISK_DONE,           /* to a disk log's loop: struct DiskMail */
+  MAIL_DISK_DONE,           /* to a disk log's loop: struct DiskWrite */
   MAIL_STOP
 };
 
