--- a/adapters/disk_log.c
+++ b/adapters/disk_log.c
@@ -266,6 +266,12 @@
   return log->complete;
 }
 
+bool
+disk_log_is_empty (const struct DiskLog *log)
+{
+  return log->n_files == 0;
+}
+
 /* Takes a file's damage out of the log, once the lost records are in other files or have expired. A
  * file that was not read is renamed, not deleted: it may become readable again. */
 static bool
--- a/gateway/archive.c
+++ b/gateway/archive.c
@@ -556,7 +556,8 @@
   error = archive_open_log (a, fault);
   if (error != ERROR_NONE)
     return error;
-  if (node->settings->first_start && !disk_log_is_complete (a->log))
+  /* At the first start only an empty folder lacks nothing. */
+  if (node->settings->first_start && !disk_log_is_complete (a->log) && disk_log_is_empty (a->log))
     error = disk_log_mark_complete (a->log);
   if (error != ERROR_NONE)
     return fault_set (fault, error, "check the disk", "cannot write to the data folder");
--- a/include/buckthornhead/disk_log.h
+++ b/include/buckthornhead/disk_log.h
@@ -52,6 +52,10 @@
 bool
 disk_log_is_complete (const struct DiskLog *log);
 
+/* Returns whether the folder held no log file when it was opened, and none was written since. */
+bool
+disk_log_is_empty (const struct DiskLog *log);
+
 /* Writes the completeness mark and makes it and its name durable. Files that could not be read are
  * renamed to unread-<number>, and damaged ones cut. ERROR_IO. */
 int32_t
--- a/tests/test_disk_log.c
+++ b/tests/test_disk_log.c
@@ -165,6 +165,7 @@
   struct Fixture *f = fixture_new ();
 
   CU_ASSERT_FALSE (disk_log_is_complete (f->log));
+  CU_ASSERT_TRUE (disk_log_is_empty (f->log));
   CU_ASSERT_EQUAL (disk_log_mark_complete (f->log), ERROR_NONE);
   TALLOC_FREE (f->log);
   fixture_open (f);
@@ -399,6 +400,7 @@
   fixture_open (f);
   CU_ASSERT_STRING_EQUAL (f->replayed, "r2 r3 ");
   CU_ASSERT_FALSE (disk_log_is_complete (f->log));
+  CU_ASSERT_FALSE (disk_log_is_empty (f->log));
   /* Nothing is deleted, so the log is complete again once the file can be read. */
   disk_log_drop_expired (f->log, 200);
   TALLOC_FREE (f->log);
