--- a/tests/sessions/test_gateway_archives.c
+++ b/tests/sessions/test_gateway_archives.c
@@ -124,6 +124,17 @@
   talloc_free (ctx);
 }
 
+/* Once the loss of one archive has expired, the other one can be restored from it. */
+static bool
+loss_has_expired (void *data)
+{
+  const struct Fleet *fleet = data;
+
+  return process_count_output (fleet->archives[0].process, "archive_loss_expired")
+             + process_count_output (fleet->archives[1].process, "archive_loss_expired")
+         > 0;
+}
+
 /* Two of three disks are lost, so that neither archive can be restored and turns were rejected for
  * good. */
 static void
@@ -145,8 +156,7 @@
     CU_ASSERT_TRUE (process_wait_for_output (fleet->archives[i].process, "archive_incomplete"));
   CU_ASSERT_EQUAL (turn_send (fleet, ctx, 0, "p", "x1", "", 0, "x")->status, 503);
   CU_ASSERT_EQUAL (installation_runs_of (fleet->installation, "x1"), 0);
-  for (uint32_t i = 0; i < 2; i++)
-    CU_ASSERT_TRUE (process_wait_for_output (fleet->archives[i].process, "archive_loss_expired"));
+  CU_ASSERT_TRUE (wait_for (loss_has_expired, fleet));
   CU_ASSERT_EQUAL (turn_status (fleet, ctx, 1, "t2"), 200);
   fleet_end (fleet, CU_get_number_of_failures () > n_failed);
   talloc_free (ctx);
@@ -164,8 +174,7 @@
   CU_ASSERT_EQUAL (turn_status (fleet, ctx, 0, "t1"), 200);
   installation_put (fleet->installation, "op/retire/storage-of-a-large-zone-3",
                     "{\"duration_s\":10}");
-  CU_ASSERT_TRUE (fleet_wait_for_output (fleet, "3 members, change starting")
-                  || fleet_wait_for_output (fleet, "2 members, change starting"));
+  CU_ASSERT_TRUE (fleet_wait_for_output (fleet, "2 members, change starting"));
   for (uint32_t i = 0; i < 3; i++)
     process_kill (fleet->archives[i].process);
   archive_delete_data (fleet, 0);
@@ -173,8 +182,7 @@
   fleet->archive_settings = "longest_retention = 5s\n";
   for (uint32_t i = 0; i < 3; i++)
     archive_start (fleet, i, false);
-  for (uint32_t i = 0; i < 2; i++)
-    CU_ASSERT_TRUE (process_wait_for_output (fleet->archives[i].process, "archive_loss_expired"));
+  CU_ASSERT_TRUE (wait_for (loss_has_expired, fleet));
   fleet->last_turn_id[0] = '\0';
   CU_ASSERT_EQUAL (turn_status (fleet, ctx, 1, "t2"), 200);
   fleet_end (fleet, CU_get_number_of_failures () > n_failed);
