Look at one socket only when a full server makes room

Now the one that has been idle for longest is found by its time, and only its socket is looked at; if a request is on its way there, the new connection is rejected, not run.

http_server ('a full server closes the oldest idle connection') and sessions_gateway_descriptors pass. The cost before was not measured.

--- a/adapters/http_server.c
+++ b/adapters/http_server.c
@@ -707,19 +707,20 @@
     talloc_free (c);
 }
 
-/* Returns whether the connection has been idle for a moment and no part of a request has arrived: a
- * caller that is about to send one would not know whether it ran. */
+/* Returns whether no part of a request has arrived: a caller that is about to send one would not
+ * know whether it ran. */
 static bool
-connection_may_make_room (const struct Connection *c, int64_t now_ms)
+connection_is_silent (const struct Connection *c)
 {
   char byte;
 
-  return c->state == CONNECTION_IDLE && now_ms - c->state_since_ms >= IDLE_KEPT_MS
-         && byte_queue_length (&c->input) == 0 && byte_queue_length (&c->output) == 0
+  return byte_queue_length (&c->input) == 0 && byte_queue_length (&c->output) == 0
          && recv (c->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && errno == EAGAIN;
 }
 
-/* Closes the connection that has been idle for longest. Returns false when there is none. */
+/* Closes the connection that has been idle for longest, and for a moment at least. Returns false
+ * when it may not be closed. Only one socket is looked at: callers that connect in numbers while
+ * the server is full must not cost a system call per connection each. */
 static bool
 server_make_room (struct HttpServer *server)
 {
@@ -727,10 +728,11 @@
   struct Connection *oldest = NULL;
 
   for (struct Connection *c = server->connections; c != NULL; c = c->next)
-    if ((oldest == NULL || c->state_since_ms < oldest->state_since_ms)
-        && connection_may_make_room (c, now_ms))
+    if (c->state == CONNECTION_IDLE
+        && (oldest == NULL || c->state_since_ms < oldest->state_since_ms))
       oldest = c;
-  if (oldest == NULL)
+  if (oldest == NULL || now_ms - oldest->state_since_ms < IDLE_KEPT_MS
+      || !connection_is_silent (oldest))
     return false;
   talloc_free (oldest);
   return true;
