--- a/tests/sessions/harness.c
+++ b/tests/sessions/harness.c
@@ -161,7 +161,8 @@
 {
   int fd = port_bind (port, 1);
 
-  if (fd >= 0 && listen (fd, 1) != 0)
+  /* With a full queue, connecting would block its thread for minutes. */
+  if (fd >= 0 && listen (fd, SOMAXCONN) != 0)
     {
       close (fd);
       return -1;
