Read limits and spool files once; one restart for two tests

A limit of the process was read in two functions that differed in the format alone. Loading a spool file compared its size with what was read, which disk_file_read has done itself since. Two tests of lost disks restarted the archives by the same lines, and a comment in the test harness stood above the wrong function. Behaviour and checks are the same.

--- a/adapters/process_limits.c
+++ b/adapters/process_limits.c
@@ -2,6 +2,7 @@
 
 #include <buckthornhead/log.h>
 
+#include <inttypes.h>
 #include <stdio.h>
 #include <sys/resource.h>
 #include <unistd.h>
@@ -11,15 +12,26 @@
   LIMIT_TEXT_BYTES = 32
 };
 
-static void
-limit_format (char text[LIMIT_TEXT_BYTES], int resource)
+/* Returns the soft limit; UINT64_MAX for none. */
+static uint64_t
+limit_read (int resource)
 {
   struct rlimit limit;
 
   if (getrlimit (resource, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY)
+    return UINT64_MAX;
+  return limit.rlim_cur;
+}
+
+static void
+limit_format (char text[LIMIT_TEXT_BYTES], int resource)
+{
+  uint64_t limit = limit_read (resource);
+
+  if (limit == UINT64_MAX)
     snprintf (text, LIMIT_TEXT_BYTES, "unlimited");
   else
-    snprintf (text, LIMIT_TEXT_BYTES, "%llu", (unsigned long long)limit.rlim_cur);
+    snprintf (text, LIMIT_TEXT_BYTES, "%" PRIu64, limit);
 }
 
 void
@@ -34,16 +46,6 @@
              descriptors, address_space);
 }
 
-static uint64_t
-descriptor_limit (void)
-{
-  struct rlimit limit;
-
-  if (getrlimit (RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY)
-    return UINT64_MAX;
-  return limit.rlim_cur;
-}
-
 static bool
 is_same (const struct DescriptorShares *a, const struct DescriptorShares *b)
 {
@@ -76,7 +78,7 @@
                        struct DescriptorShares *shares,
                        struct Fault *fault)
 {
-  int32_t error = descriptor_shares (descriptor_limit (), wanted, shares, fault);
+  int32_t error = descriptor_shares (limit_read (RLIMIT_NOFILE), wanted, shares, fault);
 
   if (error == ERROR_NONE)
     log_shares (wanted, shares);
--- a/adapters/spool.c
+++ b/adapters/spool.c
@@ -13,7 +13,6 @@
 #include <stdio.h>
 #include <string.h>
 #include <sys/random.h>
-#include <sys/stat.h>
 #include <unistd.h>
 
 #include <xxhash.h>
@@ -134,15 +133,11 @@
 static int32_t
 spool_file_load (struct SpoolFile *file)
 {
-  struct stat status;
-  char *content;
   size_t n_bytes, at = 0;
+  char *content = (char *)disk_file_read (file, file->path, &n_bytes);
   msgpack_unpacked unpacked;
 
-  if (fstat (file->fd, &status) != 0)
-    return ERROR_IO;
-  content = (char *)disk_file_read (file, file->path, &n_bytes);
-  if (content == NULL || (off_t)n_bytes != status.st_size)
+  if (content == NULL)
     return ERROR_IO;
   msgpack_unpacked_init (&unpacked);
   while (msgpack_unpack_next (&unpacked, content, n_bytes, &at) == MSGPACK_UNPACK_SUCCESS
@@ -154,12 +149,12 @@
   msgpack_unpacked_destroy (&unpacked);
   talloc_free (content);
   file->whole_bytes = file->durable_bytes;
-  if (file->durable_bytes == status.st_size)
+  if (file->durable_bytes == (off_t)n_bytes)
     return ERROR_NONE;
   log_event (LOG_LEVEL_WARNING, "spool_torn", NULL,
              "no action needed: the rest was never acknowledged and is cut off",
-             "%s: %lld of %lld bytes are whole", file->path, (long long)file->durable_bytes,
-             (long long)status.st_size);
+             "%s: %lld of %zu bytes are whole", file->path, (long long)file->durable_bytes,
+             n_bytes);
   return disk_folder_cut (file->fd, file->durable_bytes);
 }
 
--- a/tests/sessions/harness.c
+++ b/tests/sessions/harness.c
@@ -183,13 +183,13 @@
   return path;
 }
 
-/* Runs in the child process after the fork. */
 void
 session_limit_descriptors (struct Session *session, uint32_t n)
 {
   session->descriptors = n;
 }
 
+/* Runs in the child process after the fork. */
 static void
 lower_descriptor_limit (uint32_t n)
 {
--- a/tests/sessions/test_gateway_archives.c
+++ b/tests/sessions/test_gateway_archives.c
@@ -135,6 +135,19 @@
          > 0;
 }
 
+/* Kills the three archives and starts them with settings, the first two with empty disks. */
+static void
+restart_without_two_disks (struct Fleet *fleet, const char *settings)
+{
+  for (uint32_t i = 0; i < 3; i++)
+    process_kill (fleet->archives[i].process);
+  archive_delete_data (fleet, 0);
+  archive_delete_data (fleet, 1);
+  fleet->archive_settings = settings;
+  for (uint32_t i = 0; i < 3; i++)
+    archive_start (fleet, i, false);
+}
+
 /* Two of three disks are lost, so that neither archive can be restored and turns were rejected for
  * good. */
 static void
@@ -145,13 +158,7 @@
   uint32_t n_failed = CU_get_number_of_failures ();
 
   CU_ASSERT_EQUAL (turn_status (fleet, ctx, 0, "t1"), 200);
-  fleet->archive_settings = "longest_retention = 12s\n";
-  for (uint32_t i = 0; i < 3; i++)
-    process_kill (fleet->archives[i].process);
-  archive_delete_data (fleet, 0);
-  archive_delete_data (fleet, 1);
-  for (uint32_t i = 0; i < 3; i++)
-    archive_start (fleet, i, false);
+  restart_without_two_disks (fleet, "longest_retention = 12s\n");
   for (uint32_t i = 0; i < 2; i++)
     CU_ASSERT_TRUE (process_wait_for_output (fleet->archives[i].process, "archive_incomplete"));
   CU_ASSERT_EQUAL (turn_send (fleet, ctx, 0, "p", "x1", "", 0, "x")->status, 503);
@@ -175,13 +182,7 @@
   installation_put (fleet->installation, "op/retire/storage-of-a-large-zone-3",
                     "{\"duration_s\":10}");
   CU_ASSERT_TRUE (fleet_wait_for_output (fleet, "2 members, change starting"));
-  for (uint32_t i = 0; i < 3; i++)
-    process_kill (fleet->archives[i].process);
-  archive_delete_data (fleet, 0);
-  archive_delete_data (fleet, 1);
-  fleet->archive_settings = "longest_retention = 5s\n";
-  for (uint32_t i = 0; i < 3; i++)
-    archive_start (fleet, i, false);
+  restart_without_two_disks (fleet, "longest_retention = 5s\n");
   CU_ASSERT_TRUE (wait_for (loss_has_expired, fleet));
   fleet->last_turn_id[0] = '\0';
   CU_ASSERT_EQUAL (turn_status (fleet, ctx, 1, "t2"), 200);
