Log the progress of an archive's copy and what bounds it

archive_copying, every second, and archive_copied now give records, bytes, those already known, the time since the start, the time for which sources were waited for, the time spent on received parts, and the writes pending.

--- a/gateway/archive.c
+++ b/gateway/archive.c
@@ -392,7 +392,7 @@
 
 /* The record keeps its age on the disk, but counts as new in the index: between two parts of a
  * copy, the first turns of a long chain would expire before the turn that extends them arrives. */
-void
+bool
 archive_store_copied (struct Archive *archive, const struct ArchiveRecord *record)
 {
   int32_t error;
@@ -401,16 +401,17 @@
     {
       if (turn_index_is_closed (archive->index, record->open.customer, record->open.program,
                                 record->open.turn))
-        return;
+        return false;
       turn_index_reserve (archive->index, &record->open, retention_clock_now (&archive->clock));
     }
   else if (turn_index_is_closed (archive->index, record->close.customer, record->close.program,
                                  record->close.text.turn))
-    return;
+    return false;
   copy_progress_begin (&archive->copy_progress);
   error = archive_append_copy (archive, record);
   if (error != ERROR_NONE)
     copy_progress_end (&archive->copy_progress, error);
+  return true;
 }
 
 static void
--- a/gateway/archive_copy.c
+++ b/gateway/archive_copy.c
@@ -1,5 +1,6 @@
 #include "archive_copy.h"
 
+#include <buckthornhead/clock.h>
 #include <buckthornhead/log.h>
 
 #include <stdio.h>
@@ -12,6 +13,7 @@
    * callers' traffic. */
   PART_MAX_BYTES = 512 * 1024,
   PART_TIMEOUT_MS = 1000,
+  PROGRESS_LOG_MS = 1000,
   SOURCES_MAX = 16
 };
 
@@ -24,6 +26,8 @@
   int64_t requested_ms; /* 0: no request is pending */
   int64_t last_requested_ms;
   bool finished; /* sent all of its records while it was complete */
+  uint32_t n_parts;
+  uint64_t waited_ms; /* between requests and the parts that answered them */
 };
 
 struct ArchiveCopy
@@ -34,7 +38,10 @@
   int64_t started_ms;
   struct CopySource sources[SOURCES_MAX];
   size_t n_sources;
-  uint64_t n_records;
+  uint64_t n_records, n_bytes;
+  uint64_t n_known;      /* records that were already stored here */
+  int64_t processing_ms; /* spent on received parts */
+  int64_t logged_ms;     /* when the progress was last logged */
 };
 
 static struct CopySource *
@@ -77,6 +84,31 @@
   copy->n_records = 0;
 }
 
+/* Tells the possible bounds of a copy apart: its sources or the network, this process, its disk. */
+static void
+copy_log_progress (struct ArchiveCopy *copy, bool done)
+{
+  const struct CopyProgress *writes = archive_copy_progress (copy->archive);
+  uint32_t n_parts = 0, n_finished = 0;
+  uint64_t waited_ms = 0;
+
+  copy->logged_ms = timer_now_ms (copy->node->timers);
+  for (size_t i = 0; i < copy->n_sources; i++)
+    {
+      waited_ms += copy->sources[i].waited_ms;
+      n_parts += copy->sources[i].n_parts;
+      n_finished += copy->sources[i].finished;
+    }
+  log_event (
+      LOG_LEVEL_NOTICE, done ? "archive_copied" : "archive_copying", NULL, NULL,
+      "%llu records of %llu bytes, %llu of them known, in %lld ms; %u parts from %zu archives, "
+      "%u finished, waited %llu ms for them; processed them for %lld ms; %llu writes pending",
+      (unsigned long long)copy->n_records, (unsigned long long)copy->n_bytes,
+      (unsigned long long)copy->n_known, (long long)(copy->logged_ms - copy->started_ms), n_parts,
+      copy->n_sources, n_finished, (unsigned long long)waited_ms, (long long)copy->processing_ms,
+      (unsigned long long)writes->n_writing);
+}
+
 /* Returns true, and frees the copy, if the records of sufficient sources are on the disk. */
 static bool
 copy_finish_if_done (struct ArchiveCopy *copy)
@@ -98,8 +130,7 @@
     case COPY_DURABLE:
       break;
     }
-  log_event (LOG_LEVEL_NOTICE, "archive_copied", NULL, NULL, "copied %llu records from %u archives",
-             (unsigned long long)copy->n_records, finished.n);
+  copy_log_progress (copy, true);
   copy->options.done (copy->options.data);
   talloc_free (copy);
   return true;
@@ -122,11 +153,13 @@
 
   (void)place;
   copy->n_records++;
+  copy->n_bytes += n_bytes;
   if (archive_record_unpack (ctx, bytes, n_bytes, &record) == ERROR_NONE)
     {
       record.unix_ms = retention_clock_stamp_copy (archive_clock (copy->archive), received->part,
                                                    record.unix_ms);
-      archive_store_copied (copy->archive, &record);
+      if (!archive_store_copied (copy->archive, &record))
+        copy->n_known++;
     }
   else
     log_event (LOG_LEVEL_ERROR, "archive_record_malformed", NULL,
@@ -141,11 +174,15 @@
 {
   struct CopySource *source = copy_get_source (copy, sender);
   struct ReceivedPart received = { copy, part };
+  int64_t now_ms = timer_now_ms (copy->node->timers), started_ms = clock_monotonic_ms ();
 
   if (source == NULL || source->requested_ms == 0 || part->id != source->request_id)
     return;
+  source->n_parts++;
+  source->waited_ms += (uint64_t)(now_ms - source->requested_ms);
   source->requested_ms = 0;
   disk_log_each_frame (part->records, part->records_bytes, copy_on_frame, &received);
+  copy->processing_ms += clock_monotonic_ms () - started_ms;
   source->cursor = part->next;
   if (part->last && part->complete
       && source->last_requested_ms >= copy->started_ms + copy->options.settle_ms)
@@ -168,6 +205,8 @@
   /* Since the last part arrived the set may have changed, or the pending writes completed. */
   if (copy_finish_if_done (copy))
     return;
+  if (now_ms - copy->logged_ms >= PROGRESS_LOG_MS)
+    copy_log_progress (copy, false);
   for (size_t i = 0; i < node->peers->n_peers; i++)
     {
       struct Peer *peer = node->peers->peers[i];
@@ -198,6 +237,7 @@
   copy->archive = archive;
   copy->options = *options;
   copy->started_ms = timer_now_ms (node->timers);
+  copy->logged_ms = copy->started_ms;
   timer_subscribe (copy, node->timers, TICK_MS, TICK_MS, copy_on_tick, copy);
   return copy;
 }
--- a/gateway/archive_copy.h
+++ b/gateway/archive_copy.h
@@ -35,9 +35,9 @@
 const struct RetentionClock *
 archive_clock (const struct Archive *archive);
 
-/* Stores a record of another archive, stamped by this archive's clock, unless the turn has already
- * closed here. */
-void
+/* Stores a record of another archive, stamped by this archive's clock. Returns false if the turn
+ * has already closed here. */
+bool
 archive_store_copied (struct Archive *archive, const struct ArchiveRecord *record);
 
 /* Returns the progress of the records passed to archive_store_copied. */
