Copy an archive's records over three links to each source

Callers: after the loss of a second archive, later than catch_up_s, every turn is answered 503 for good, since the first one's successor still copies.

Cause, the larger part: one part was requested at a time, over the link that all other messages use. The throughput of one connection is bounded by its window: 17 MB/s at a round trip of 2.8 ms, of a link of 75 MB/s. The progress lines show it: of the lane time, 83% is spent waiting for parts, with the receiver's processor used for 15% and its disk idle.

COPY_WANT_FILE in a request's id asks a source to stop at the end of a file; earlier versions ignore it, and what they send beyond is recognized. Parts are 256 KB, so that turns do not wait longer behind one. No more is requested while 16 MB wait for the disk: a slow disk would fill the memory sooner now.

--- a/adapters/disk_log.c
+++ b/adapters/disk_log.c
@@ -622,6 +622,50 @@
   log->n_files = n_kept;
 }
 
+/* Returns the file that has records from cursor on: cursor's own, or else the next one; NULL when
+ * there are none. Sets *offset to where they begin. */
+static struct DiskFile *
+file_at_cursor (struct DiskLog *log, uint64_t cursor, uint32_t *offset)
+{
+  uint32_t number = (uint32_t)(cursor >> 32);
+
+  for (size_t i = 0; i < log->n_files; i++)
+    {
+      struct DiskFile *file = &log->files[i];
+
+      *offset = file->number == number ? (uint32_t)cursor : 0;
+      if (file->number >= number && file->durable_bytes > *offset)
+        return file;
+    }
+  return NULL;
+}
+
+/* Reads whole frames of file from offset on, at most max_bytes unless the first record alone is
+ * longer. A frame cut off at the end is left for the next call. */
+static uint8_t *
+file_read_frames (struct DiskLog *log,
+                  TALLOC_CTX *ctx,
+                  struct DiskFile *file,
+                  uint32_t offset,
+                  size_t max_bytes,
+                  size_t *n_bytes)
+{
+  size_t rest_bytes = file->durable_bytes - offset;
+  size_t length = rest_bytes < max_bytes ? rest_bytes : max_bytes;
+  uint8_t *bytes = file_pread (log, ctx, file, offset, length);
+
+  if (bytes != NULL && length < rest_bytes && disk_frame_check (bytes, length) < 0)
+    {
+      talloc_free (bytes);
+      length = max_bytes + RECORD_MAX_BYTES;
+      if (length > rest_bytes)
+        length = rest_bytes;
+      bytes = file_pread (log, ctx, file, offset, length);
+    }
+  *n_bytes = bytes != NULL ? disk_frames_foreach (bytes, length, file->number, NULL, NULL) : 0;
+  return bytes;
+}
+
 uint8_t *
 disk_log_frames (struct DiskLog *log,
                  TALLOC_CTX *ctx,
@@ -631,39 +675,44 @@
                  uint64_t *next,
                  bool *last)
 {
-  uint32_t number = (uint32_t)(cursor >> 32), offset = (uint32_t)cursor;
-  struct DiskFile *file = NULL;
-  size_t length;
+  uint32_t offset;
+  struct DiskFile *file = file_at_cursor (log, cursor, &offset);
   uint8_t *bytes;
 
   *n_bytes = 0;
   *next = cursor;
-  for (size_t i = 0; i < log->n_files && file == NULL; i++)
-    if (log->files[i].number > number
-        || (log->files[i].number == number && log->files[i].durable_bytes > offset))
-      file = &log->files[i];
   *last = file == NULL;
   if (file == NULL)
     return talloc_array (ctx, uint8_t, 1);
-  if (file->number != number)
-    offset = 0;
-  length = file->durable_bytes - offset;
-  if (length > max_bytes + RECORD_MAX_BYTES)
-    length = max_bytes + RECORD_MAX_BYTES;
-  if (length > max_bytes)
+  bytes = file_read_frames (log, ctx, file, offset, max_bytes, n_bytes);
+  *next = (uint64_t)file->number << 32 | (offset + (uint32_t)*n_bytes);
+  return bytes;
+}
+
+uint8_t *
+disk_log_file_frames (struct DiskLog *log,
+                      TALLOC_CTX *ctx,
+                      uint64_t cursor,
+                      size_t max_bytes,
+                      size_t *n_bytes,
+                      uint64_t *next,
+                      bool *last)
+{
+  uint32_t number = (uint32_t)(cursor >> 32), offset;
+  const struct DiskFile *file = file_at_cursor (log, cursor, &offset);
+  uint8_t *bytes;
+
+  if (file != NULL && file->number != number && (uint32_t)cursor != 0)
     {
-      /* Read more than max_bytes only when the first record alone is longer. A frame cut off at the
-       * end is returned with the next call. */
-      bytes = file_pread (log, ctx, file, offset, max_bytes);
-      if (bytes != NULL && disk_frame_check (bytes, max_bytes) >= 0)
-        length = max_bytes;
-      TALLOC_FREE (bytes);
+      *n_bytes = 0;
+      *next = (uint64_t)(number + 1) << 32;
+      *last = false;
+      return talloc_array (ctx, uint8_t, 1);
     }
-  bytes = file_pread (log, ctx, file, offset, length);
-  if (bytes == NULL)
-    return NULL;
-  *n_bytes = disk_frames_foreach (bytes, length, file->number, NULL, NULL);
-  *next = (uint64_t)file->number << 32 | (offset + (uint32_t)*n_bytes);
+  bytes = disk_log_frames (log, ctx, cursor, max_bytes, n_bytes, next, last);
+  if (file != NULL && file != &log->files[log->n_files - 1]
+      && (uint32_t)*next == file->durable_bytes)
+    *next = (uint64_t)(file->number + 1) << 32;
   return bytes;
 }
 
--- a/gateway/archive.c
+++ b/gateway/archive.c
@@ -46,6 +46,7 @@
   enum ArchiveRecordKind kind;
   struct TurnOpen open;
   struct TurnClose close; /* without the turn's texts */
+  size_t n_bytes;         /* of the record */
 };
 
 /* Records on disk: [kind, time of the retention clock in ms, fields]. */
@@ -248,7 +249,7 @@
   if (error == ERROR_NONE && write->kind == ARCHIVE_RECORD_CLOSE)
     archive_index_close (archive, &write->close, place, retention_clock_now (&archive->clock));
   if (write->link == PEER_LINK_NONE)
-    copy_progress_end (&archive->copy_progress, error);
+    copy_progress_end (&archive->copy_progress, write->n_bytes, error);
   else if (write->kind == ARCHIVE_RECORD_OPEN)
     archive_send_opened (archive, write->link, &write->open, error);
   else
@@ -268,6 +269,7 @@
 
   if (error != ERROR_NONE)
     return error;
+  write->n_bytes = n_bytes;
   error = disk_log_append (archive->log, bytes, n_bytes,
                            record->unix_ms + retention_ms + FILE_EXPIRY_MARGIN_MS,
                            archive_on_durable, write);
@@ -385,7 +387,9 @@
   write->close.text.input = NULL;
   write->close.text.output = NULL;
   error = archive_append (archive, record, retention_ms, write);
-  if (error != ERROR_NONE)
+  if (error == ERROR_NONE)
+    copy_progress_begin (&archive->copy_progress, write->n_bytes);
+  else
     talloc_free (write);
   return error;
 }
@@ -407,10 +411,9 @@
   else if (turn_index_is_closed (archive->index, record->close.customer, record->close.program,
                                  record->close.text.turn))
     return false;
-  copy_progress_begin (&archive->copy_progress);
   error = archive_append_copy (archive, record);
   if (error != ERROR_NONE)
-    copy_progress_end (&archive->copy_progress, error);
+    copy_progress_fail (&archive->copy_progress);
   return true;
 }
 
@@ -434,6 +437,7 @@
 {
   struct Archive *archive = data;
 
+  (void)sender;
   switch (message->kind)
     {
     case GATEWAY_TURN_OPEN:
@@ -449,12 +453,10 @@
       archive_copy_send_part (archive->node, archive->log, &archive->clock, link,
                               &message->copy_want);
       break;
-    case GATEWAY_COPY_PART:
-      archive_member_receive_part (archive->member, sender, &message->copy_part);
-      break;
     case GATEWAY_SUSPECTS:
       suspects_on_report (archive->suspects, link, &message->suspects);
       break;
+    case GATEWAY_COPY_PART:
     case GATEWAY_TURN_OPENED:
     case GATEWAY_TURN_CLOSED:
     case GATEWAY_HEARTBEAT:
--- a/gateway/archive_copy.c
+++ b/gateway/archive_copy.c
@@ -1,6 +1,9 @@
 #include "archive_copy.h"
 
+#include "copy_links.h"
+
 #include <buckthornhead/clock.h>
+#include <buckthornhead/copy_source.h>
 #include <buckthornhead/log.h>
 
 #include <stdio.h>
@@ -8,34 +11,22 @@
 
 enum
 {
-  TICK_MS = 100,
-  /* Approximate limit of one part, in bytes: about 20 ms of a 600 Mbit/s link that also carries the
-   * callers' traffic. */
-  PART_MAX_BYTES = 512 * 1024,
-  PART_TIMEOUT_MS = 1000,
+  TICK_MS = 50,
+  /* Approximate limit of one part, in bytes: what the event loops of both archives process at once,
+   * between responses to callers' turns. */
+  PART_MAX_BYTES = 256 * 1024,
   PROGRESS_LOG_MS = 1000,
   SOURCES_MAX = 16
 };
 
-/* An archive from which records are copied. */
-struct CopySource
-{
-  char node[NAME_MAX_BYTES + 1];
-  uint64_t cursor;
-  uint64_t request_id;
-  int64_t requested_ms; /* 0: no request is pending */
-  int64_t last_requested_ms;
-  bool finished; /* sent all of its records while it was complete */
-  uint32_t n_parts;
-  uint64_t waited_ms; /* between requests and the parts that answered them */
-};
-
 struct ArchiveCopy
 {
   struct Node *node;
   struct Archive *archive;
   struct ArchiveCopyOptions options;
+  struct CopyLinks *links;
   int64_t started_ms;
+  int64_t since_ms; /* the end of a source counts if it was requested then or later */
   struct CopySource sources[SOURCES_MAX];
   size_t n_sources;
   uint64_t n_records, n_bytes;
@@ -56,19 +47,45 @@
   return &copy->sources[copy->n_sources++];
 }
 
+static bool
+copy_counts_source (const struct ArchiveCopy *copy, const struct CopySource *source)
+{
+  return copy_source_is_finished (source, copy->since_ms);
+}
+
 static void
-copy_request_part (struct ArchiveCopy *copy, struct CopySource *source)
+copy_request_part (struct ArchiveCopy *copy,
+                   struct CopySource *source,
+                   const struct Peer *peer,
+                   size_t lane,
+                   uint64_t cursor)
 {
   struct GatewayMessage message = { .kind = GATEWAY_COPY_WANT };
 
-  source->request_id = node_next_id (copy->node) | COPY_WANT_CLOCK;
-  message.copy_want.id = source->request_id;
-  message.copy_want.cursor = source->cursor;
-  if (node_send (copy->node, source->node, &message) == ERROR_NONE)
-    {
-      source->requested_ms = timer_now_ms (copy->node->timers);
-      source->last_requested_ms = source->requested_ms;
-    }
+  if (source->lanes[lane].request_id != 0)
+    copy_links_reset (copy->links, peer, lane);
+  message.copy_want.id = node_next_id (copy->node) | COPY_WANT_CLOCK | COPY_WANT_FILE;
+  message.copy_want.cursor = cursor;
+  if (copy_links_send (copy->links, peer, lane, &message) == ERROR_NONE)
+    copy_source_requested (source, lane, message.copy_want.id, timer_now_ms (copy->node->timers));
+}
+
+/* Requests what the source's lanes want. */
+static void
+copy_request_parts (struct ArchiveCopy *copy, struct CopySource *source)
+{
+  struct Node *node = copy->node;
+  const struct Peer *peer = node_peer (node, source->node);
+  int64_t now_ms = timer_now_ms (node->timers);
+  uint64_t cursor;
+
+  if (peer == NULL || !node_peer_is_live (node, peer) || copy_counts_source (copy, source)
+      || !copy->options.is_source (copy->options.data, source->node)
+      || copy_progress_is_behind (archive_copy_progress (copy->archive)))
+    return;
+  for (size_t lane = 0; lane < COPY_LANES; lane++)
+    if (copy_source_wants (source, lane, now_ms, &cursor))
+      copy_request_part (copy, source, peer, lane, cursor);
 }
 
 /* Starts over at the beginning of all sources; records that are already stored are skipped. */
@@ -97,7 +114,7 @@
     {
       waited_ms += copy->sources[i].waited_ms;
       n_parts += copy->sources[i].n_parts;
-      n_finished += copy->sources[i].finished;
+      n_finished += copy_counts_source (copy, &copy->sources[i]);
     }
   log_event (
       LOG_LEVEL_NOTICE, done ? "archive_copied" : "archive_copying", NULL, NULL,
@@ -116,7 +133,7 @@
   struct ArchiveNames finished = { .n = 0 };
 
   for (size_t i = 0; i < copy->n_sources; i++)
-    if (copy->sources[i].finished)
+    if (copy_counts_source (copy, &copy->sources[i]))
       archive_names_add (&finished, copy->sources[i].node);
   if (!copy->options.is_sufficient (copy->options.data, &finished))
     return false;
@@ -167,32 +184,25 @@
   talloc_free (ctx);
 }
 
-void
-archive_copy_receive_part (struct ArchiveCopy *copy,
-                           const char *sender,
-                           const struct CopyPart *part)
+/* Leaves it to the next tick to finish the copy, which frees the links that have received part. */
+static void
+copy_on_part (void *data, const struct CopyPart *part)
 {
-  struct CopySource *source = copy_get_source (copy, sender);
-  struct ReceivedPart received = { copy, part };
+  struct ArchiveCopy *copy = data;
   int64_t now_ms = timer_now_ms (copy->node->timers), started_ms = clock_monotonic_ms ();
+  struct ReceivedPart received = { copy, part };
 
-  if (source == NULL || source->requested_ms == 0 || part->id != source->request_id)
-    return;
-  source->n_parts++;
-  source->waited_ms += (uint64_t)(now_ms - source->requested_ms);
-  source->requested_ms = 0;
-  disk_log_each_frame (part->records, part->records_bytes, copy_on_frame, &received);
-  copy->processing_ms += clock_monotonic_ms () - started_ms;
-  source->cursor = part->next;
-  if (part->last && part->complete
-      && source->last_requested_ms >= copy->started_ms + copy->options.settle_ms)
+  for (size_t i = 0; i < copy->n_sources; i++)
     {
-      source->finished = true;
-      copy_finish_if_done (copy);
-      return;
+      struct CopySource *source = &copy->sources[i];
+
+      if (!copy_source_has_request (source, part->id))
+        continue;
+      if (copy_source_receive (source, part, now_ms))
+        disk_log_each_frame (part->records, part->records_bytes, copy_on_frame, &received);
+      copy_request_parts (copy, source);
     }
-  if (!part->last)
-    copy_request_part (copy, source);
+  copy->processing_ms += clock_monotonic_ms () - started_ms;
 }
 
 static void
@@ -200,26 +210,19 @@
 {
   struct ArchiveCopy *copy = data;
   struct Node *node = copy->node;
-  int64_t now_ms = timer_now_ms (node->timers);
 
-  /* Since the last part arrived the set may have changed, or the pending writes completed. */
   if (copy_finish_if_done (copy))
     return;
-  if (now_ms - copy->logged_ms >= PROGRESS_LOG_MS)
+  if (timer_now_ms (node->timers) - copy->logged_ms >= PROGRESS_LOG_MS)
     copy_log_progress (copy, false);
   for (size_t i = 0; i < node->peers->n_peers; i++)
     {
-      struct Peer *peer = node->peers->peers[i];
-      struct CopySource *source;
+      const char *name = node->peers->peers[i]->status.node;
+      struct CopySource *source =
+          copy->options.is_source (copy->options.data, name) ? copy_get_source (copy, name) : NULL;
 
-      if (!copy->options.is_source (copy->options.data, peer->status.node)
-          || !node_peer_is_live (node, peer))
-        continue;
-      source = copy_get_source (copy, peer->status.node);
-      if (source == NULL || source->finished)
-        continue;
-      if (source->requested_ms == 0 || now_ms - source->requested_ms > PART_TIMEOUT_MS)
-        copy_request_part (copy, source);
+      if (source != NULL)
+        copy_request_parts (copy, source);
     }
 }
 
@@ -237,11 +240,22 @@
   copy->archive = archive;
   copy->options = *options;
   copy->started_ms = timer_now_ms (node->timers);
+  copy->since_ms = copy->started_ms;
   copy->logged_ms = copy->started_ms;
-  timer_subscribe (copy, node->timers, TICK_MS, TICK_MS, copy_on_tick, copy);
+  copy->links = copy_links_new (copy, node, copy_on_part, copy);
+  if (copy->links == NULL)
+    TALLOC_FREE (copy);
+  else
+    timer_subscribe (copy, node->timers, TICK_MS, TICK_MS, copy_on_tick, copy);
   return copy;
 }
 
+void
+archive_copy_require (struct ArchiveCopy *copy, int64_t settle_ms)
+{
+  copy->since_ms = timer_now_ms (copy->node->timers) + settle_ms;
+}
+
 void
 archive_copy_send_part (struct Node *node,
                         struct DiskLog *log,
@@ -249,6 +263,9 @@
                         uint64_t link,
                         const struct CopyWant *want)
 {
+  uint8_t *(*read) (struct DiskLog *, TALLOC_CTX *, uint64_t, size_t, size_t *, uint64_t *,
+                    bool *) =
+      (want->id & COPY_WANT_FILE) != 0 ? disk_log_file_frames : disk_log_frames;
   struct GatewayMessage response = { .kind = GATEWAY_COPY_PART };
   struct CopyPart *part = &response.copy_part;
   uint8_t *bytes;
@@ -257,8 +274,8 @@
   part->complete = disk_log_is_complete (log);
   if ((want->id & COPY_WANT_CLOCK) != 0)
     retention_clock_fill_part (clock, part);
-  bytes = disk_log_frames (log, node->net, want->cursor, PART_MAX_BYTES, &part->records_bytes,
-                           &part->next, &part->last);
+  bytes = read (log, node->net, want->cursor, PART_MAX_BYTES, &part->records_bytes, &part->next,
+                &part->last);
   if (bytes == NULL)
     {
       log_event (LOG_LEVEL_ERROR, "archive_copy_unreadable", NULL, "check the disk",
--- a/gateway/archive_copy.h
+++ b/gateway/archive_copy.h
@@ -51,24 +51,22 @@
   /* Returns whether all records of these archives are sufficient; done is called once they are
    * durable here. */
   bool (*is_sufficient) (void *data, const struct ArchiveNames *archives);
-  /* The end of a source's records counts only if it was requested this long after the start. */
-  int64_t settle_ms;
   void (*done) (void *data);
   void *data;
 };
 
-/* Starts a copy. It calls done once and then frees itself. NULL without memory. */
+/* Starts a copy. It calls done once and then frees itself; until then the ends of the sources'
+ * records count from now on. NULL without memory. */
 struct ArchiveCopy *
 archive_copy_new (TALLOC_CTX *ctx,
                   struct Node *node,
                   struct Archive *archive,
                   const struct ArchiveCopyOptions *options);
 
-/* Processes a response to a request of this copy. */
+/* Continues the copy for another purpose: the end of a source's records counts only if it is
+ * requested settle_ms from now or later. */
 void
-archive_copy_receive_part (struct ArchiveCopy *copy,
-                           const char *sender,
-                           const struct CopyPart *part);
+archive_copy_require (struct ArchiveCopy *copy, int64_t settle_ms);
 
 /* Responds to another archive that copies from this one. */
 void
--- a/gateway/archive_member.c
+++ b/gateway/archive_member.c
@@ -318,7 +318,6 @@
   struct ArchiveCopyOptions options = {
     .is_source = member_is_source,
     .is_sufficient = member_copy_is_sufficient,
-    .settle_ms = generation != 0 ? COPY_SETTLE_MS : 0,
     .done = member_on_copied,
     .data = member,
   };
@@ -328,6 +327,8 @@
   TALLOC_FREE (member->copy);
   member->copy_generation = generation;
   member->copy = archive_copy_new (member, member->node, member->archive, &options);
+  if (member->copy != NULL && generation != 0)
+    archive_copy_require (member->copy, COPY_SETTLE_MS);
 }
 
 /* Returns the archives that have received the set's present generation, including this one. */
@@ -711,12 +712,3 @@
 {
   return member->synced_generation;
 }
-
-void
-archive_member_receive_part (struct ArchiveMember *member,
-                             const char *sender,
-                             const struct CopyPart *part)
-{
-  if (member->copy != NULL)
-    archive_copy_receive_part (member->copy, sender, part);
-}
--- a/gateway/archive_member.h
+++ b/gateway/archive_member.h
@@ -22,9 +22,3 @@
  * none. */
 uint64_t
 archive_member_synced_generation (const struct ArchiveMember *member);
-
-/* Processes a response to a copy request of this archive. */
-void
-archive_member_receive_part (struct ArchiveMember *member,
-                             const char *sender,
-                             const struct CopyPart *part);
--- a/gateway/first_id.c
+++ b/gateway/first_id.c
@@ -6,8 +6,9 @@
 #include <unistd.h>
 #include <xxhash.h>
 
-/* Leaves the highest bits of ids unset: COPY_WANT_CLOCK, and one against an overflow. */
-static const uint64_t first_id_mask = UINT64_MAX >> 2;
+/* Leaves the highest bits of ids unset: COPY_WANT_CLOCK, COPY_WANT_FILE, and one against an
+ * overflow. */
+static const uint64_t first_id_mask = UINT64_MAX >> 3;
 
 uint64_t
 first_id (void)
--- a/include/buckthornhead/copy_progress.h
+++ b/include/buckthornhead/copy_progress.h
@@ -5,12 +5,15 @@
  * queries as if it had them. Does no I/O. */
 #pragma once
 
+#include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
 struct CopyProgress
 {
   uint64_t n_writing; /* records being written */
-  uint64_t n_failed;  /* records whose write failed since the last reset */
+  uint64_t writing_bytes;
+  uint64_t n_failed; /* records whose write failed since the last reset */
 };
 
 enum CopyState
@@ -22,11 +25,20 @@
 
 /* Begins the write of one record. */
 void
-copy_progress_begin (struct CopyProgress *progress);
+copy_progress_begin (struct CopyProgress *progress, size_t n_bytes);
 
 /* Ends the write of one record: error is ERROR_NONE once it is durable. */
 void
-copy_progress_end (struct CopyProgress *progress, int32_t error);
+copy_progress_end (struct CopyProgress *progress, size_t n_bytes, int32_t error);
+
+/* Records that one record could not be queued for writing. */
+void
+copy_progress_fail (struct CopyProgress *progress);
+
+/* Returns whether the disk is so far behind that no more records should be requested: they would
+ * fill the memory. */
+bool
+copy_progress_is_behind (const struct CopyProgress *progress);
 
 /* Clears the failures before the copy is repeated. Writes in progress remain counted. */
 void
--- a/include/buckthornhead/disk_log.h
+++ b/include/buckthornhead/disk_log.h
@@ -101,6 +101,17 @@
                  uint64_t *next,
                  bool *last);
 
+/* As disk_log_frames, but stops at the end of cursor's file, or of the next one if cursor is at the
+ * start of a file that has no records: *next is then the start of the file after it. */
+uint8_t *
+disk_log_file_frames (struct DiskLog *log,
+                      TALLOC_CTX *ctx,
+                      uint64_t cursor,
+                      size_t max_bytes,
+                      size_t *n_bytes,
+                      uint64_t *next,
+                      bool *last);
+
 /* Calls fn for each whole frame in bytes; place is relative to bytes, with file 0. */
 void
 disk_log_each_frame (const uint8_t *bytes, size_t n_bytes, DiskLogFn fn, void *data);
--- a/include/buckthornhead/gateway_message.h
+++ b/include/buckthornhead/gateway_message.h
@@ -133,6 +133,9 @@
 /* Set in the id of a request for records by processes that read the clock in the response. Earlier
  * versions return the id unchanged, and read no response with a clock. */
 #define COPY_WANT_CLOCK (1ULL << 63)
+/* Set likewise if the response is to end with the file in which it begins. Earlier versions ignore
+ * it. */
+#define COPY_WANT_FILE (1ULL << 62)
 
 struct CopyWant
 {
--- a/tests/test_disk_log.c
+++ b/tests/test_disk_log.c
@@ -546,6 +546,44 @@
     }
 }
 
+/* Several connections copy one file each; a part must not go on into another's file. */
+static void
+test_parts_end_with_their_file (void)
+{
+  struct Fixture *f = fixture_new ();
+  uint64_t cursor = 0;
+  uint32_t n_parts = 0;
+  bool last = false;
+
+  fixture_write_files (f, 3);
+  fixture_open (f);
+  f->replayed = talloc_strdup (f, "");
+  while (!last && n_parts++ < 10)
+    {
+      uint32_t file = (uint32_t)(cursor >> 32);
+      size_t n_bytes;
+      uint8_t *bytes = disk_log_file_frames (f->log, f, cursor, 64, &n_bytes, &cursor, &last);
+
+      CU_ASSERT_PTR_NOT_NULL_FATAL (bytes);
+      disk_log_each_frame (bytes, n_bytes, fixture_on_record, f);
+      CU_ASSERT (last || (uint32_t)(cursor >> 32) <= (file == 0 ? 2 : file + 1));
+    }
+  CU_ASSERT_STRING_EQUAL (f->replayed, "r1 r2 r3 ");
+  /* A file that was deleted since is skipped. */
+  cursor = (uint64_t)1 << 32 | 1;
+  disk_log_drop_expired (f->log, 200);
+  TALLOC_FREE (f->replayed);
+  {
+    size_t n_bytes;
+
+    disk_log_file_frames (f->log, f, cursor, 64, &n_bytes, &cursor, &last);
+    CU_ASSERT_EQUAL (n_bytes, 0);
+    CU_ASSERT_FALSE (last);
+    CU_ASSERT_EQUAL (cursor, (uint64_t)2 << 32);
+  }
+  fixture_free (f);
+}
+
 /* Guards against a log whose files take all descriptors of the process. */
 static void
 test_few_files_are_kept_open (void)
@@ -616,5 +654,6 @@
   { "opening without descriptors fails", test_opening_without_descriptors_fails },
   { "few files are kept open", test_few_files_are_kept_open },
   { "records are read with one descriptor", test_records_are_read_with_one_descriptor },
+  { "parts end with their file", test_parts_end_with_their_file },
   { NULL, NULL },
 };
--- a/tests/test_first_id.c
+++ b/tests/test_first_id.c
@@ -19,7 +19,7 @@
   for (uint32_t i = 0; i < N_STARTS; i++)
     {
       starts[i] = first_id ();
-      CU_ASSERT_EQUAL ((starts[i] + PEER_TABLE_IDS_MAX) & COPY_WANT_CLOCK, 0);
+      CU_ASSERT_EQUAL ((starts[i] + PEER_TABLE_IDS_MAX) & (COPY_WANT_CLOCK | COPY_WANT_FILE), 0);
       for (uint32_t j = 0; j < i; j++)
         {
           CU_ASSERT (starts[i] - starts[j] >= PEER_TABLE_IDS_MAX);
