Let the archive that is next to join copy before the set changes

When the set changed again, a copy started over at the first record.

Change: an archive outside the set copies as soon as a member has been silent for 0.5 s or is retired, before it joins, as learners do. It goes on where it is when the set changes; the end of a source still counts only if requested after the change, from a source that rejects earlier requests. Only the archive that is first in order copies ahead (a zone that would be missing first, then rank), and the others let it start the change, 0.6 s each: a copy takes bytes between zones.

--- a/gateway/archive_member.c
+++ b/gateway/archive_member.c
@@ -13,6 +13,9 @@
   /* Silence after which a member is replaced if a spare archive exists: longer than the restart of
    * a process, shorter than the time within which a lost disk must be replaced. */
   FAILURE_TIMEOUT_MS = 3000,
+  /* Silence of a member after which a spare archive begins to copy, in case it has to replace it:
+   * longer than other processes take to be noticed after a start. */
+  AHEAD_SILENCE_MS = 500,
   /* Records that an archive accepted under the old set may still be waiting for their disk sync
    * when it receives the new one; a sync takes milliseconds. */
   COPY_SETTLE_MS = 500,
@@ -31,6 +34,15 @@
   FIRST_DISCOVERY_MS = 1500
 };
 
+/* What the records of other archives are copied for. */
+enum CopyPurpose
+{
+  COPY_FOR_NOTHING,
+  COPY_AHEAD,   /* of a change in which this archive is likely to join */
+  COPY_RESTORE, /* a lost disk */
+  COPY_CHANGE   /* of the set, which must be complete before the next stage */
+};
+
 struct ArchiveMember
 {
   struct Node *node;
@@ -40,7 +52,9 @@
   uint64_t bootstrap_generation;
   bool bootstrapping; /* first start of the whole system, and this archive has not joined yet */
   struct ArchiveCopy *copy;
-  uint64_t copy_generation; /* change for which the copy is made; 0: to restore a lost disk */
+  enum CopyPurpose copy_purpose;
+  uint64_t copy_generation; /* of the set, when the copy was begun or continued for its purpose */
+  bool caught_up;           /* logged that the copy ahead has all records */
   uint64_t synced_generation;
   int64_t stuck_since_ms;       /* since when no turn can be served for lack of disks; 0: not so */
   int64_t incomplete_logged_ms; /* when the last such line was logged */
@@ -53,6 +67,7 @@
   int64_t retry_ms;
   int64_t silent_since_ms[ARCHIVE_SET_MAX]; /* per member, in the order of the set; 0: live */
   uint64_t silent_generation;
+  int64_t vacant_since_ms; /* since when this archive could replace a member; 0: none */
   uint64_t joining_generation;
   int64_t joining_live_ms; /* when the archive that joins was last live */
   uint64_t ending_generation;
@@ -202,13 +217,22 @@
 static bool
 member_copy_is_sufficient (void *data, const struct ArchiveNames *archives)
 {
-  const struct ArchiveMember *member = data;
+  struct ArchiveMember *member = data;
   struct ArchiveNames sources = *archives;
 
   /* This archive counts as a source if its own disk was never lost. */
   if (disk_log_is_complete (member->log))
     archive_names_add (&sources, member_name (member));
-  return archive_set_is_copied (&member->node->set, member->node->settings->tolerated, &sources);
+  if (!archive_set_is_copied (&member->node->set, member->node->settings->tolerated, &sources))
+    return false;
+  if (member->copy_purpose != COPY_AHEAD)
+    return true;
+  if (!member->caught_up)
+    log_event (LOG_LEVEL_NOTICE, "archive_caught_up", NULL, NULL,
+               "all records copied, generation %llu; waiting until a member must be replaced",
+               (unsigned long long)member->node->set.generation);
+  member->caught_up = true;
+  return false;
 }
 
 static void
@@ -217,7 +241,8 @@
   struct ArchiveMember *member = data;
 
   member->copy = NULL;
-  if (member->copy_generation != 0 && member->copy_generation == member->node->set.generation)
+  if (member->copy_purpose == COPY_CHANGE
+      && member->copy_generation == member->node->set.generation)
     member->synced_generation = member->copy_generation;
   if (!disk_log_is_complete (member->log) && disk_log_mark_complete (member->log) != ERROR_NONE)
     log_event (LOG_LEVEL_ERROR, "archive_mark_failed", NULL, "check the disk",
@@ -266,7 +291,7 @@
 static void
 member_expire_loss (struct ArchiveMember *member)
 {
-  if (member->copy != NULL && member->copy_generation == 0)
+  if (member->copy_purpose == COPY_RESTORE)
     TALLOC_FREE (member->copy);
   member->stuck_since_ms = 0;
   if (disk_log_mark_complete (member->log) != ERROR_NONE)
@@ -312,25 +337,6 @@
              (long long)(left_ms / 1000));
 }
 
-static void
-member_start_copy (struct ArchiveMember *member, uint64_t generation)
-{
-  struct ArchiveCopyOptions options = {
-    .is_source = member_is_source,
-    .is_sufficient = member_copy_is_sufficient,
-    .done = member_on_copied,
-    .data = member,
-  };
-
-  if (member->copy != NULL && member->copy_generation == generation)
-    return;
-  TALLOC_FREE (member->copy);
-  member->copy_generation = generation;
-  member->copy = archive_copy_new (member, member->node, member->archive, &options);
-  if (member->copy != NULL && generation != 0)
-    archive_copy_require (member->copy, COPY_SETTLE_MS);
-}
-
 /* Returns the archives that have received the set's present generation, including this one. */
 static struct ArchiveNames
 member_current_archives (const struct ArchiveMember *member)
@@ -387,8 +393,8 @@
     member_start_step (member, ARCHIVE_STEP_REJOIN, name, "");
 }
 
-/* Copies if this archive joins, or, when no archive joins, if it stays. Once all of these have
- * copied everything, the change advances to ENDING. */
+/* Once the archive that joins, or all that stay when none joins, have copied everything, the change
+ * advances to ENDING. */
 static void
 member_handle_starting (struct ArchiveMember *member)
 {
@@ -398,8 +404,6 @@
 
   if (is_joining || (joining[0] == '\0' && archive_set_has (set, name)))
     {
-      if (member->synced_generation < set->generation)
-        member_start_copy (member, set->generation);
       if (is_joining && member->synced_generation == set->generation)
         member_start_step (member, ARCHIVE_STEP_ADVANCE, "", "");
     }
@@ -433,10 +437,10 @@
 
 /* Joining and leaving. */
 
-/* Returns a member that is being retired or has been silent for FAILURE_TIMEOUT_MS; NULL if there
- * is none. */
+/* Returns a member that is being retired or has been silent for silence_ms; NULL if there is none.
+ */
 static const char *
-member_find_replaceable (struct ArchiveMember *member)
+member_find_replaceable (struct ArchiveMember *member, int64_t silence_ms)
 {
   const struct ArchiveSet *set = &member->node->set;
   int64_t now_ms = member_now_ms (member);
@@ -452,7 +456,7 @@
         member->silent_since_ms[i] = 0;
       else if (member->silent_since_ms[i] == 0)
         member->silent_since_ms[i] = now_ms;
-      else if (now_ms - member->silent_since_ms[i] > FAILURE_TIMEOUT_MS)
+      else if (now_ms - member->silent_since_ms[i] > silence_ms)
         return set->members.names[i];
     }
   return NULL;
@@ -478,38 +482,102 @@
   return true;
 }
 
-/* Returns whether a live archive that is not being retired is outside the set. */
+/* Collects the zones of the set's members, but for except; the strings belong to the node. Returns
+ * their number. */
+static size_t
+member_zones (const struct ArchiveMember *member,
+              const char *except,
+              const char *zones[ARCHIVE_SET_MAX])
+{
+  const struct ArchiveSet *set = &member->node->set;
+  size_t n = 0;
+
+  for (uint32_t i = 0; i < set->members.n; i++)
+    {
+      const struct Peer *peer = node_peer (member->node, set->members.names[i]);
+
+      if (peer != NULL && strcmp (set->members.names[i], except) != 0)
+        zones[n++] = peer->status.zone;
+    }
+  return n;
+}
+
+/* Returns whether the peer is an archive outside the set that could join it. */
 static bool
-member_has_replacement (const struct ArchiveMember *member)
+member_peer_is_spare (const struct ArchiveMember *member, const struct Peer *peer, bool must_live)
 {
-  const struct Node *node = member->node;
+  return peer->status.is_archive && !archive_set_has (&member->node->set, peer->status.node)
+         && !member_is_retiring (member, peer->status.node)
+         && (!must_live || node_peer_is_live (member->node, peer));
+}
+
+/* Returns how many archives outside the set should join before this one, in place of leaving. */
+static size_t
+member_count_before (const struct ArchiveMember *member, const char *leaving, bool must_live)
+{
+  const struct PeerTable *table = member->node->peers;
+  struct ArchiveFirst own = { .rank = table->own_rank }, other;
+  const char *zones[ARCHIVE_SET_MAX];
+  size_t n_zones = member_zones (member, leaving, zones), n_before = 0;
 
-  for (size_t i = 0; i < node->peers->n_peers; i++)
+  snprintf (own.zone, sizeof own.zone, "%s", table->own.zone);
+  for (size_t i = 0; i < table->n_peers; i++)
     {
-      const struct Peer *peer = node->peers->peers[i];
+      const struct Peer *peer = table->peers[i];
 
-      if (peer->status.is_archive && node_peer_is_live (node, peer)
-          && !archive_set_has (&node->set, peer->status.node)
-          && !member_is_retiring (member, peer->status.node))
-        return true;
+      if (!member_peer_is_spare (member, peer, must_live))
+        continue;
+      snprintf (other.zone, sizeof other.zone, "%s", peer->status.zone);
+      other.rank = peer->rank;
+      n_before += archive_first_precedes (&other, &own, zones, n_zones);
     }
-  return false;
+  return n_before;
+}
+
+/* Returns whether this archive may replace a member that has been silent for silence_ms, or one
+ * that is retired, or be added to a set that is too small. */
+static bool
+member_may_join (struct ArchiveMember *member, int64_t silence_ms, const char **leaving)
+{
+  uint32_t wanted = archive_set_target_size (member->node->settings->tolerated);
+  const char *replaceable = member_find_replaceable (member, silence_ms);
+
+  *leaving = replaceable != NULL ? replaceable : "";
+  return !member_is_retiring (member, member_name (member))
+         && (replaceable != NULL || member->node->set.members.n < wanted);
 }
 
+/* The archive that has copied ahead starts the change; the others follow, each after its time. */
 static void
 member_consider_joining (struct ArchiveMember *member)
 {
-  const struct ArchiveSet *set = &member->node->set;
-  uint32_t wanted = archive_set_target_size (member->node->settings->tolerated);
-  const char *leaving = member_find_replaceable (member);
+  int64_t now_ms = member_now_ms (member);
+  const char *leaving;
 
-  if (member_is_retiring (member, member_name (member)))
-    return;
-  if (leaving == NULL && set->members.n >= wanted)
+  if (!member_may_join (member, FAILURE_TIMEOUT_MS, &leaving))
+    {
+      member->vacant_since_ms = 0;
+      return;
+    }
+  if (member->vacant_since_ms == 0)
+    member->vacant_since_ms = now_ms;
+  if (now_ms - member->vacant_since_ms
+      < (int64_t)member_count_before (member, leaving, true) * FIRST_STAGGER_MS)
     return;
-  if (member_others_are_complete (member, leaving != NULL ? leaving : ""))
-    member_start_step (member, ARCHIVE_STEP_CHANGE, member_name (member),
-                       leaving != NULL ? leaving : "");
+  if (member_others_are_complete (member, leaving))
+    member_start_step (member, ARCHIVE_STEP_CHANGE, member_name (member), leaving);
+}
+
+/* Returns whether a live archive that is not being retired is outside the set. */
+static bool
+member_has_replacement (const struct ArchiveMember *member)
+{
+  const struct PeerTable *table = member->node->peers;
+
+  for (size_t i = 0; i < table->n_peers; i++)
+    if (member_peer_is_spare (member, table->peers[i], true))
+      return true;
+  return false;
 }
 
 static void
@@ -582,23 +650,6 @@
          && !copies_for_change && archive_names_have (&queried, member_name (member));
 }
 
-/* Collects the zones of the set's members; the strings belong to the node. Returns their number. */
-static size_t
-member_zones (const struct ArchiveMember *member, const char *zones[ARCHIVE_SET_MAX])
-{
-  const struct ArchiveSet *set = &member->node->set;
-  size_t n = 0;
-
-  for (uint32_t i = 0; i < set->members.n; i++)
-    {
-      const struct Peer *peer = node_peer (member->node, set->members.names[i]);
-
-      if (peer != NULL)
-        zones[n++] = peer->status.zone;
-    }
-  return n;
-}
-
 /* Returns whether this archive has received the lists of processes, or FIRST_DISCOVERY_MS has
  * passed. */
 static bool
@@ -615,28 +666,82 @@
 static bool
 member_may_bootstrap (struct ArchiveMember *member)
 {
-  const struct PeerTable *table = member->node->peers;
-  struct ArchiveFirst own = { .rank = table->own_rank }, other;
-  const char *zones[ARCHIVE_SET_MAX];
-  size_t n_zones = member_zones (member, zones), n_before = 0;
   int64_t now_ms = member_now_ms (member);
 
   if (member->bootstrap_since_ms == 0
       || member->bootstrap_generation != member->node->set.generation)
     member->bootstrap_since_ms = now_ms;
   member->bootstrap_generation = member->node->set.generation;
-  snprintf (own.zone, sizeof own.zone, "%s", table->own.zone);
-  for (size_t i = 0; i < table->n_peers; i++)
-    {
-      const struct Peer *peer = table->peers[i];
+  return now_ms - member->bootstrap_since_ms
+         >= (int64_t)member_count_before (member, "", false) * FIRST_STAGGER_MS;
+}
 
-      if (!peer->status.is_archive || archive_set_has (&member->node->set, peer->status.node))
-        continue;
-      snprintf (other.zone, sizeof other.zone, "%s", peer->status.zone);
-      other.rank = peer->rank;
-      n_before += archive_first_precedes (&other, &own, zones, n_zones);
-    }
-  return now_ms - member->bootstrap_since_ms >= (int64_t)n_before * FIRST_STAGGER_MS;
+/* Copies. */
+
+/* Returns whether this archive joins, or stays in a change in which none joins, and has not copied
+ * everything from before the change. */
+static bool
+member_must_copy_for_change (const struct ArchiveMember *member)
+{
+  const struct ArchiveSet *set = &member->node->set;
+  const char *joining = archive_set_joining (set);
+
+  return set->stage == ARCHIVE_STAGE_STARTING && member->synced_generation < set->generation
+         && (strcmp (joining, member_name (member)) == 0
+             || (joining[0] == '\0' && archive_set_has (set, member_name (member))));
+}
+
+/* Returns whether this archive is the next to join, and is likely to have to. Other spare archives
+ * wait: each copy takes bytes between zones and time of the members' processors. */
+static bool
+member_must_copy_ahead (struct ArchiveMember *member)
+{
+  const struct ArchiveSet *set = &member->node->set;
+  const char *leaving;
+
+  return set->generation > 0 && set->stage == ARCHIVE_STAGE_STABLE && !member->bootstrapping
+         && !archive_set_has (set, member_name (member))
+         && member_may_join (member, AHEAD_SILENCE_MS, &leaving)
+         && member_count_before (member, leaving, true) == 0;
+}
+
+static enum CopyPurpose
+member_copy_purpose (struct ArchiveMember *member)
+{
+  if (member_must_copy_for_change (member))
+    return COPY_CHANGE;
+  if (member_needs_restore (member))
+    return COPY_RESTORE;
+  return member_must_copy_ahead (member) ? COPY_AHEAD : COPY_FOR_NOTHING;
+}
+
+/* A copy goes on where it is when its purpose changes, so that little is left to copy once a change
+ * of the set has begun. */
+static void
+member_update_copy (struct ArchiveMember *member)
+{
+  const struct ArchiveCopyOptions options = {
+    .is_source = member_is_source,
+    .is_sufficient = member_copy_is_sufficient,
+    .done = member_on_copied,
+    .data = member,
+  };
+  enum CopyPurpose purpose = member_copy_purpose (member);
+  uint64_t generation = member->node->set.generation;
+  bool is_new = purpose != member->copy_purpose || member->copy == NULL
+                || (purpose == COPY_CHANGE && generation != member->copy_generation);
+
+  if (purpose == COPY_FOR_NOTHING)
+    TALLOC_FREE (member->copy);
+  else if (member->copy == NULL)
+    member->copy = archive_copy_new (member, member->node, member->archive, &options);
+  if (is_new || purpose == COPY_FOR_NOTHING)
+    member->caught_up = false;
+  member->copy_purpose = purpose;
+  if (is_new)
+    member->copy_generation = generation;
+  if (is_new && member->copy != NULL)
+    archive_copy_require (member->copy, purpose == COPY_CHANGE ? COPY_SETTLE_MS : 0);
 }
 
 static void
@@ -646,8 +751,7 @@
   const struct ArchiveSet *set = &member->node->set;
   bool inside = archive_set_has (set, member_name (member));
 
-  if (member_needs_restore (member))
-    member_start_copy (member, 0);
+  member_update_copy (member);
   member_check_stuck (member);
   if (member->bootstrapping && !inside && member_has_discovered (member)
       && set->members.n < archive_set_target_size (member->node->settings->tolerated))
--- a/tests/soak/soak_proxy.c
+++ b/tests/soak/soak_proxy.c
@@ -34,6 +34,7 @@
   int from, to;
   bool discards; /* permanent: later data would follow a gap in the stream */
   struct Chunk *first, **last;
+  size_t queued_bytes;
 };
 
 struct Pair
@@ -74,6 +75,7 @@
       free (chunk);
     }
   flow->last = &flow->first;
+  flow->queued_bytes = 0;
 }
 
 static void
@@ -129,6 +131,18 @@
   pair->to_client.last = &pair->to_client.first;
 }
 
+static bool
+proxy_delays (const struct Proxy *proxy)
+{
+  return proxy->mode == PROXY_DELAY || proxy->mode == PROXY_WINDOW;
+}
+
+static short
+flow_poll_events (const struct Proxy *proxy, const struct Flow *flow)
+{
+  return proxy->mode == PROXY_WINDOW && flow->queued_bytes >= PROXY_WINDOW_BYTES ? 0 : POLLIN;
+}
+
 /* Returns false when the connection is closed or has failed. */
 static bool
 flow_read (const struct Proxy *proxy, struct Flow *flow)
@@ -144,9 +158,10 @@
   chunk->next = NULL;
   chunk->n_bytes = (size_t)n;
   chunk->n_sent = 0;
-  chunk->send_at_ms = monotonic_ms () + (proxy->mode == PROXY_DELAY ? proxy->delay_ms : 0);
+  chunk->send_at_ms = monotonic_ms () + (proxy_delays (proxy) ? proxy->delay_ms : 0);
   *flow->last = chunk;
   flow->last = &chunk->next;
+  flow->queued_bytes += chunk->n_bytes;
   return true;
 }
 
@@ -167,6 +182,7 @@
       flow->first = chunk->next;
       if (flow->first == NULL)
         flow->last = &flow->first;
+      flow->queued_bytes -= chunk->n_bytes;
       free (chunk);
     }
   return true;
@@ -191,6 +207,7 @@
         break;
       case PROXY_FORWARD:
       case PROXY_DELAY:
+      case PROXY_WINDOW:
       case N_PROXY_MODES:
         break;
       }
@@ -231,8 +248,11 @@
       polled[0] = (struct pollfd){ .fd = proxy->listen_fd, .events = POLLIN };
       for (size_t i = 0; i < proxy->n_pairs; i++)
         {
-          polled[n++] = (struct pollfd){ .fd = proxy->pairs[i].to_target.from, .events = POLLIN };
-          polled[n++] = (struct pollfd){ .fd = proxy->pairs[i].to_client.from, .events = POLLIN };
+          const struct Flow *flows[] = { &proxy->pairs[i].to_target, &proxy->pairs[i].to_client };
+
+          for (size_t j = 0; j < 2; j++)
+            polled[n++] = (struct pollfd){ .fd = flows[j]->from,
+                                           .events = flow_poll_events (proxy, flows[j]) };
         }
       poll (polled, n, TICK_MS);
       pthread_mutex_lock (&proxy->lock);
--- a/tests/soak/soak_proxy.h
+++ b/tests/soak/soak_proxy.h
@@ -12,7 +12,13 @@
   PROXY_BLACKHOLE,           /* connections open meanwhile discard all data from then on */
   PROXY_BLACKHOLE_RESPONSES, /* the same, but only for data to the client */
   PROXY_RESET,               /* resets open connections and closes new ones */
-  N_PROXY_MODES
+  N_PROXY_MODES,             /* of those above, which the soak draws from */
+  PROXY_WINDOW               /* PROXY_DELAY with at most PROXY_WINDOW_BYTES of a flow under way */
+};
+
+enum
+{
+  PROXY_WINDOW_BYTES = 64 * 1024
 };
 
 struct Proxy;
