Copy only records that are still needed

Cause: a copy took all that the source's log files hold. A reservation is kept for 180 s, and with it every text in its file, though texts expire 75 s after their turn. After 210 s of traffic more than half of what is copied is needed by nobody, so a copy that fits into catch_up_s after 90 s doesn't after 240.

Change: a source sends of its log what its own index still needs. Reservations of turns that have closed and records of expired programs are left out; a turn whose texts have expired is sent as its charge alone. The index decides (turn_index_need_of, turn_index_needs_open); gateway/archive_record.c has the records' format and the selection. A close is kept on disk at least as long as a reservation, since the reservation of its turn is no longer copied.

--- a/adapters/disk_log.c
+++ b/adapters/disk_log.c
@@ -104,6 +104,27 @@
   disk_frames_foreach (bytes, n_bytes, 0, fn, data);
 }
 
+int32_t
+disk_frames_add (struct DiskFrames *frames, const uint8_t *record, size_t n_bytes)
+{
+  size_t frame_bytes = FRAME_HEADER_BYTES + n_bytes;
+
+  if (frames->size - frames->n_bytes < frame_bytes)
+    {
+      size_t size = 2 * frames->size + frame_bytes;
+      uint8_t *grown = talloc_realloc (frames->ctx, frames->bytes, uint8_t, size);
+
+      if (grown == NULL)
+        return ERROR_NO_MEMORY;
+      frames->bytes = grown;
+      frames->size = size;
+    }
+  disk_frame_write_header (frames->bytes + frames->n_bytes, record, n_bytes);
+  memcpy (frames->bytes + frames->n_bytes + FRAME_HEADER_BYTES, record, n_bytes);
+  frames->n_bytes += frame_bytes;
+  return ERROR_NONE;
+}
+
 /* Opening. */
 
 /* Counts the replayed records and passes them on. */
--- a/core/gateway/turn_index.c
+++ b/core/gateway/turn_index.c
@@ -271,6 +271,27 @@
   return charge != NULL && charge->settled;
 }
 
+enum TurnNeed
+turn_index_need_of (const struct TurnIndex *index, const struct TurnClose *close)
+{
+  const struct IndexedProgram *program = index_program (index, close->customer, close->program);
+
+  if (index_turn (index, close->customer, close->text.turn) != NULL)
+    return TURN_NEEDS_TEXT;
+  return program != NULL && program_charge (program, close->text.turn) != NULL ? TURN_NEEDS_CHARGE
+                                                                               : TURN_NEEDS_NOTHING;
+}
+
+bool
+turn_index_needs_open (const struct TurnIndex *index, const struct TurnOpen *open)
+{
+  const struct IndexedProgram *program = index_program (index, open->customer, open->program);
+  const struct IndexedCharge *charge =
+      program != NULL ? program_charge (program, open->turn) : NULL;
+
+  return charge != NULL && !charge->settled;
+}
+
 int32_t
 turn_index_charges (const struct TurnIndex *index,
                     TALLOC_CTX *ctx,
--- a/gateway/archive.c
+++ b/gateway/archive.c
@@ -8,7 +8,6 @@
 #include <buckthornhead/clock.h>
 #include <buckthornhead/counter.h>
 #include <buckthornhead/log.h>
-#include <buckthornhead/pack.h>
 #include <buckthornhead/turn_index.h>
 
 #include <stdio.h>
@@ -49,59 +48,6 @@
   size_t n_bytes;         /* of the record */
 };
 
-/* Records on disk: [kind, time of the retention clock in ms, fields]. */
-
-static int32_t
-record_pack (TALLOC_CTX *ctx, const struct ArchiveRecord *record, uint8_t **bytes, size_t *n_bytes)
-{
-  struct PackWriter *p = pack_writer_new (ctx, false);
-
-  if (p == NULL)
-    return ERROR_NO_MEMORY;
-  pack_array (p, record->kind == ARCHIVE_RECORD_OPEN ? 6 : 16);
-  pack_u64 (p, record->kind);
-  pack_i64 (p, record->unix_ms);
-  if (record->kind == ARCHIVE_RECORD_OPEN)
-    {
-      pack_string (p, record->open.turn);
-      pack_string (p, record->open.program);
-      pack_u64 (p, record->open.reserve_tokens);
-      pack_string (p, record->open.customer);
-    }
-  else
-    turn_close_pack (p, &record->close);
-  return pack_finish (p, ctx, bytes, n_bytes);
-}
-
-int32_t
-archive_record_unpack (TALLOC_CTX *ctx,
-                       const uint8_t *bytes,
-                       size_t n_bytes,
-                       struct ArchiveRecord *record)
-{
-  struct PackReader r;
-  void *opened = pack_open (ctx, bytes, n_bytes, &r);
-
-  memset (record, 0, sizeof *record);
-  if (opened == NULL)
-    return ERROR_INVALID;
-  record->kind = (enum ArchiveRecordKind)read_u64 (&r, ARCHIVE_RECORD_CLOSE);
-  record->unix_ms = read_i64 (&r);
-  if (record->kind == ARCHIVE_RECORD_OPEN)
-    {
-      read_string (&r, record->open.turn, sizeof record->open.turn);
-      read_string (&r, record->open.program, sizeof record->open.program);
-      record->open.reserve_tokens = (uint32_t)read_u64 (&r, UINT32_MAX);
-      /* Records of versions without customers end here. */
-      if (r.at < r.n_items)
-        read_string (&r, record->open.customer, sizeof record->open.customer);
-    }
-  else
-    turn_close_unpack (&r, ctx, &record->close);
-  talloc_free (opened);
-  return read_end (&r);
-}
-
 /* A stored turn extends the retention of its whole chain, so the files of the earlier turns must
  * not expire before it. */
 static void
@@ -257,15 +203,26 @@
   talloc_free (write);
 }
 
+/* A turn's charge counts for as long as a reservation, also if its texts expire sooner. */
+static int64_t
+record_retention_ms (const struct ArchiveRecord *record)
+{
+  bool has_texts = record->kind == ARCHIVE_RECORD_CLOSE && record->close.kept;
+
+  return has_texts && record->close.retention_ms > RESERVATION_RETENTION_MS
+             ? record->close.retention_ms
+             : RESERVATION_RETENTION_MS;
+}
+
 static int32_t
 archive_append (struct Archive *archive,
                 const struct ArchiveRecord *record,
-                int64_t retention_ms,
                 struct ArchiveWrite *write)
 {
+  int64_t retention_ms = record_retention_ms (record);
   uint8_t *bytes;
   size_t n_bytes;
-  int32_t error = record_pack (write, record, &bytes, &n_bytes);
+  int32_t error = archive_record_pack (write, record, &bytes, &n_bytes);
 
   if (error != ERROR_NONE)
     return error;
@@ -314,7 +271,7 @@
       error = turn_index_reserve (archive->index, open, record.unix_ms);
     }
   if (error == ERROR_NONE)
-    error = archive_append (archive, &record, RESERVATION_RETENTION_MS, write);
+    error = archive_append (archive, &record, write);
   if (error == ERROR_NONE)
     return;
   archive_send_opened (archive, link, open, error);
@@ -339,7 +296,6 @@
 {
   struct ArchiveRecord record = { .kind = ARCHIVE_RECORD_CLOSE, .close = *close };
   struct ArchiveWrite *write = archive_write_new (archive, link, ARCHIVE_RECORD_CLOSE);
-  int64_t retention_ms = close->kept ? close->retention_ms : RESERVATION_RETENTION_MS;
   int32_t error = ERROR_NO_MEMORY;
 
   archive_check_retention (archive, close);
@@ -351,7 +307,7 @@
       write->close = *close;
       write->close.text.input = NULL;
       write->close.text.output = NULL;
-      error = archive_append (archive, &record, retention_ms, write);
+      error = archive_append (archive, &record, write);
     }
   if (error == ERROR_NONE)
     return;
@@ -365,6 +321,24 @@
   return &archive->clock;
 }
 
+struct DiskLog *
+archive_log (const struct Archive *archive)
+{
+  return archive->log;
+}
+
+const struct TurnIndex *
+archive_index (const struct Archive *archive)
+{
+  return archive->index;
+}
+
+struct Node *
+archive_node (const struct Archive *archive)
+{
+  return archive->node;
+}
+
 struct CopyProgress *
 archive_copy_progress (struct Archive *archive)
 {
@@ -376,8 +350,6 @@
 archive_append_copy (struct Archive *archive, const struct ArchiveRecord *record)
 {
   struct ArchiveWrite *write = archive_write_new (archive, PEER_LINK_NONE, record->kind);
-  int64_t retention_ms =
-      record->kind == ARCHIVE_RECORD_CLOSE ? record->close.retention_ms : RESERVATION_RETENTION_MS;
   int32_t error;
 
   if (write == NULL)
@@ -386,7 +358,7 @@
   write->close = record->close;
   write->close.text.input = NULL;
   write->close.text.output = NULL;
-  error = archive_append (archive, record, retention_ms, write);
+  error = archive_append (archive, record, write);
   if (error == ERROR_NONE)
     copy_progress_begin (&archive->copy_progress, write->n_bytes);
   else
@@ -450,8 +422,7 @@
       archive_on_close (archive, link, &message->close);
       break;
     case GATEWAY_COPY_WANT:
-      archive_copy_send_part (archive->node, archive->log, &archive->clock, link,
-                              &message->copy_want);
+      archive_copy_send_part (archive, link, &message->copy_want);
       break;
     case GATEWAY_SUSPECTS:
       suspects_on_report (archive->suspects, link, &message->suspects);
--- a/gateway/archive_copy.c
+++ b/gateway/archive_copy.c
@@ -257,32 +257,30 @@
 }
 
 void
-archive_copy_send_part (struct Node *node,
-                        struct DiskLog *log,
-                        const struct RetentionClock *clock,
-                        uint64_t link,
-                        const struct CopyWant *want)
+archive_copy_send_part (struct Archive *archive, uint64_t link, const struct CopyWant *want)
 {
   uint8_t *(*read) (struct DiskLog *, TALLOC_CTX *, uint64_t, size_t, size_t *, uint64_t *,
                     bool *) =
       (want->id & COPY_WANT_FILE) != 0 ? disk_log_file_frames : disk_log_frames;
   struct GatewayMessage response = { .kind = GATEWAY_COPY_PART };
   struct CopyPart *part = &response.copy_part;
+  TALLOC_CTX *ctx = talloc_new (archive);
   uint8_t *bytes;
 
   part->id = want->id;
-  part->complete = disk_log_is_complete (log);
+  part->complete = disk_log_is_complete (archive_log (archive));
   if ((want->id & COPY_WANT_CLOCK) != 0)
-    retention_clock_fill_part (clock, part);
-  bytes = read (log, node->net, want->cursor, PART_MAX_BYTES, &part->records_bytes, &part->next,
-                &part->last);
+    retention_clock_fill_part (archive_clock (archive), part);
+  bytes = read (archive_log (archive), ctx, want->cursor, PART_MAX_BYTES, &part->records_bytes,
+                &part->next, &part->last);
   if (bytes == NULL)
+    log_event (LOG_LEVEL_ERROR, "archive_copy_unreadable", NULL, "check the disk",
+               "cannot read a log file that another archive copies");
+  else if (archive_records_select (ctx, archive_index (archive), &bytes, &part->records_bytes)
+           == ERROR_NONE)
     {
-      log_event (LOG_LEVEL_ERROR, "archive_copy_unreadable", NULL, "check the disk",
-                 "cannot read a log file that another archive copies");
-      return;
+      part->records = bytes;
+      node_answer (archive_node (archive), link, &response);
     }
-  part->records = bytes;
-  node_answer (node, link, &response);
-  talloc_free (bytes);
+  talloc_free (ctx);
 }
--- a/gateway/archive_copy.h
+++ b/gateway/archive_copy.h
@@ -1,6 +1,7 @@
 /* Copies other archives' records to this one, to replace a lost disk or before the set changes. */
 #pragma once
 
+#include "archive_record.h"
 #include "node.h"
 
 #include <buckthornhead/copy_progress.h>
@@ -9,32 +10,20 @@
 
 struct Archive;
 struct ArchiveCopy;
-
-enum ArchiveRecordKind
-{
-  ARCHIVE_RECORD_OPEN = 1, /* a reservation */
-  ARCHIVE_RECORD_CLOSE = 2
-};
-
-struct ArchiveRecord
-{
-  enum ArchiveRecordKind kind;
-  int64_t unix_ms; /* when it was written, by the clock of the archive that has it */
-  struct TurnOpen open;
-  struct TurnClose close;
-};
-
-/* Returns ERROR_INVALID for malformed input. The turn's texts belong to ctx. */
-int32_t
-archive_record_unpack (TALLOC_CTX *ctx,
-                       const uint8_t *bytes,
-                       size_t n_bytes,
-                       struct ArchiveRecord *record);
+struct TurnIndex;
 
 /* Returns the clock of the archive's stamps. */
 const struct RetentionClock *
 archive_clock (const struct Archive *archive);
 
+/* These return what the archive consists of. */
+struct DiskLog *
+archive_log (const struct Archive *archive);
+const struct TurnIndex *
+archive_index (const struct Archive *archive);
+struct Node *
+archive_node (const struct Archive *archive);
+
 /* Stores a record of another archive, stamped by this archive's clock. Returns false if the turn
  * has already closed here. */
 bool
@@ -68,10 +57,6 @@
 void
 archive_copy_require (struct ArchiveCopy *copy, int64_t settle_ms);
 
-/* Responds to another archive that copies from this one. */
+/* Responds to another archive that copies from this one, with the records that it still needs. */
 void
-archive_copy_send_part (struct Node *node,
-                        struct DiskLog *log,
-                        const struct RetentionClock *clock,
-                        uint64_t link,
-                        const struct CopyWant *want);
+archive_copy_send_part (struct Archive *archive, uint64_t link, const struct CopyWant *want);
--- a/include/buckthornhead/disk_log.h
+++ b/include/buckthornhead/disk_log.h
@@ -116,6 +116,18 @@
 void
 disk_log_each_frame (const uint8_t *bytes, size_t n_bytes, DiskLogFn fn, void *data);
 
+/* A sequence of frames in memory; bytes belongs to ctx, NULL while it is empty. */
+struct DiskFrames
+{
+  TALLOC_CTX *ctx;
+  uint8_t *bytes;
+  size_t n_bytes, size;
+};
+
+/* Appends a frame with record. ERROR_NO_MEMORY. */
+int32_t
+disk_frames_add (struct DiskFrames *frames, const uint8_t *record, size_t n_bytes);
+
 /* Stores one record in its own file beside the log, replacing the previous one atomically. done is
  * called later, from the loop, with an unset place; the loop never blocks on the disk.
  * ERROR_NO_MEMORY. */
--- a/include/buckthornhead/turn_index.h
+++ b/include/buckthornhead/turn_index.h
@@ -46,6 +46,22 @@
                       const char *program,
                       const char *turn);
 
+/* What is still needed of a turn that has closed. */
+enum TurnNeed
+{
+  TURN_NEEDS_NOTHING, /* its program has expired */
+  TURN_NEEDS_CHARGE,
+  TURN_NEEDS_TEXT /* and its charge: it may be continued */
+};
+
+enum TurnNeed
+turn_index_need_of (const struct TurnIndex *index, const struct TurnClose *close);
+
+/* Returns whether the reservation is still needed: not once its turn has closed or its program has
+ * expired. */
+bool
+turn_index_needs_open (const struct TurnIndex *index, const struct TurnOpen *open);
+
 /* Returns the charges of the turns of open's program, except the opened one. The array belongs to
  * ctx. Fails with ERROR_NO_MEMORY. */
 int32_t
