Take a turn's texts again that an earlier copy has lost to expiry

Of a turn that was copied before, its program still counts (180 s) when its texts have expired (75 s); the close was then taken for known and skipped. The members may have kept these texts longer, for later turns of the chain, so the archive would have joined as complete without them. An archive that failed while it joined, and came back, did the same.

A close counts as known only if its texts are there too, where it has any.

Test: turn_index, "expired texts are taken again"; turn_index_is_closed, which decided before, is true in the state that it builds.

--- a/core/gateway/turn_index.c
+++ b/core/gateway/turn_index.c
@@ -271,6 +271,13 @@
   return charge != NULL && charge->settled;
 }
 
+bool
+turn_index_has_close (const struct TurnIndex *index, const struct TurnClose *close)
+{
+  return turn_index_is_closed (index, close->customer, close->program, close->text.turn)
+         && (!close->kept || index_turn (index, close->customer, close->text.turn) != NULL);
+}
+
 enum TurnNeed
 turn_index_need_of (const struct TurnIndex *index, const struct TurnClose *close)
 {
--- a/gateway/archive.c
+++ b/gateway/archive.c
@@ -380,8 +380,7 @@
         return false;
       turn_index_reserve (archive->index, &record->open, retention_clock_now (&archive->clock));
     }
-  else if (turn_index_is_closed (archive->index, record->close.customer, record->close.program,
-                                 record->close.text.turn))
+  else if (turn_index_has_close (archive->index, &record->close))
     return false;
   error = archive_append_copy (archive, record);
   if (error != ERROR_NONE)
--- a/include/buckthornhead/turn_index.h
+++ b/include/buckthornhead/turn_index.h
@@ -46,6 +46,11 @@
                       const char *program,
                       const char *turn);
 
+/* Returns true if the turn has closed and, if close has texts to keep, these are in the index. They
+ * may have expired here after an earlier copy, while its program did not. */
+bool
+turn_index_has_close (const struct TurnIndex *index, const struct TurnClose *close);
+
 /* What is still needed of a turn that has closed. */
 enum TurnNeed
 {
--- a/tests/test_turn_index.c
+++ b/tests/test_turn_index.c
@@ -233,6 +233,25 @@
   talloc_free (index);
 }
 
+/* An archive that copied a turn, and copies again after its texts have expired here, skipped the
+ * texts, though other archives have kept them for later turns of the chain. */
+static void
+test_expired_texts_are_taken_again (void)
+{
+  struct TurnIndex *index = turn_index_new (NULL);
+  const struct TurnClose close = turn_close ("t1", "", 19, true);
+  const struct TurnClose charge = turn_close ("t1", "", 19, false);
+
+  CU_ASSERT_FALSE (turn_index_has_close (index, &close));
+  close_turn (index, "t1", "", 1000);
+  CU_ASSERT_TRUE (turn_index_has_close (index, &close));
+  turn_index_expire (index, 1000 + 2 * RETENTION_MS);
+  CU_ASSERT_TRUE (turn_index_is_closed (index, "", "p", "t1"));
+  CU_ASSERT_FALSE (turn_index_has_close (index, &close));
+  CU_ASSERT_TRUE (turn_index_has_close (index, &charge));
+  talloc_free (index);
+}
+
 const char test_suite_name[] = "turn_index";
 const struct TestCase test_cases[] = {
   { "a reservation becomes a charge", test_reservation_becomes_charge },
@@ -243,5 +262,6 @@
   { "an interrupted turn is charged, not kept", test_interrupted_turn_is_charged_not_kept },
   { "places of a program's sessions are found", test_places_of_sessions_are_found },
   { "another customer's data is hidden", test_other_customers_data_is_hidden },
+  { "expired texts are taken again", test_expired_texts_are_taken_again },
   { NULL, NULL },
 };
