End a change once no request of its first stage can succeed

From then on every turn is answered 503.

Cause: the change that replaces it stays in ENDING. It waited until a write quorum of the former set had received it, in a set of two both members, of which one is gone for good. The quorum is larger than needed: it is enough that the archives which reject requests of the first stage leave no write quorum without them, which is a read quorum. With 2t + 1 members both are t + 1, so only shrunken sets waited in vain.

--- a/core/gateway/archive_set.c
+++ b/core/gateway/archive_set.c
@@ -125,6 +125,16 @@
   return set->generation > 0 && names_meet_read_quorum (from, tolerated, names);
 }
 
+bool
+archive_set_is_fenced (const struct ArchiveSet *set,
+                       uint32_t tolerated,
+                       const struct ArchiveNames *names)
+{
+  return set->stage == ARCHIVE_STAGE_ENDING
+         && names_meet_read_quorum (&set->members, tolerated, names)
+         && names_meet_read_quorum (&set->former, tolerated, names);
+}
+
 uint64_t
 archive_set_oldest_generation (const struct ArchiveSet *set)
 {
--- a/gateway/archive_member.c
+++ b/gateway/archive_member.c
@@ -413,9 +413,9 @@
     member_replace_joining (member, joining);
 }
 
-/* Ends the change. Once a write quorum of both sets has received it and so rejects requests of the
- * previous stage, no such request can succeed and the new set may be used alone. The archive that
- * joins or leaves ends the change; the others take over after ENDING_TAKEOVER_MS. */
+/* Ends the change, once so many archives have received it and reject requests of the previous stage
+ * that no such request can succeed: then the new set may be used alone. The archive that joins or
+ * leaves ends the change; the others take over after ENDING_TAKEOVER_MS. */
 static void
 member_handle_ending (struct ArchiveMember *member)
 {
@@ -429,7 +429,7 @@
       member->ending_generation = set->generation;
       member->ending_since_ms = member_now_ms (member);
     }
-  if (!archive_set_is_written (set, member->node->settings->tolerated, &current))
+  if (!archive_set_is_fenced (set, member->node->settings->tolerated, &current))
     return;
   if (is_changing || member_now_ms (member) - member->ending_since_ms > ENDING_TAKEOVER_MS)
     member_start_step (member, ARCHIVE_STEP_ADVANCE, "", "");
--- a/include/buckthornhead/archive_set.h
+++ b/include/buckthornhead/archive_set.h
@@ -78,6 +78,14 @@
                        uint32_t tolerated,
                        const struct ArchiveNames *names);
 
+/* Returns whether the names, which reject requests of the stage before, are enough to end a change:
+ * without them there is no write quorum, so that no such request can succeed any more. Fewer than a
+ * write quorum can be enough, for instance in a set that has lost one of two members. */
+bool
+archive_set_is_fenced (const struct ArchiveSet *set,
+                       uint32_t tolerated,
+                       const struct ArchiveNames *names);
+
 /* Returns the oldest generation whose requests an archive at set's generation may serve. */
 uint64_t
 archive_set_oldest_generation (const struct ArchiveSet *set);
--- a/tests/sessions/test_gateway_archives.c
+++ b/tests/sessions/test_gateway_archives.c
@@ -315,6 +315,35 @@
   talloc_free (ctx);
 }
 
+/* One of two archives that a retirement has left is lost for good, and the change that replaces it
+ * never ended. */
+static void
+test_an_archive_is_replaced_after_a_retirement (void)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct Fleet *fleet = fleet_start (ctx, 1, 3);
+  struct KeyWatch watch = { fleet->installation, "status/retire/storage-of-a-large-zone-3",
+                            "completed" };
+  uint32_t n_failed = CU_get_number_of_failures ();
+  const char *event;
+
+  CU_ASSERT_EQUAL (turn_status (fleet, ctx, 0, "t1"), 200);
+  event = event_of_last (fleet, ctx, 1);
+  installation_put (fleet->installation, "op/retire/storage-of-a-large-zone-3",
+                    "{\"duration_s\":10}");
+  CU_ASSERT_TRUE (wait_for (key_has, &watch));
+  process_kill (fleet->archives[2].process);
+  archive_delete_data (fleet, 2);
+  process_kill (fleet->archives[0].process);
+  archive_delete_data (fleet, 0);
+  archive_start (fleet, 3, false);
+  CU_ASSERT_TRUE (process_wait_for_output (fleet->archives[3].process, "generation 9, 2 members"));
+  CU_ASSERT_EQUAL (turn_status (fleet, ctx, 0, "t2"), 200);
+  CU_ASSERT_TRUE (history_has (fleet, ctx, event));
+  fleet_end (fleet, CU_get_number_of_failures () > n_failed);
+  talloc_free (ctx);
+}
+
 /* A gateway restarts while the platform's store is down. It must receive the configuration, the
  * servers and the archives from its peers, and serve. */
 static void
@@ -588,5 +617,6 @@
   { "a restarted gateway keeps its links", test_a_restarted_gateway_keeps_its_links },
   { "a lost settlement is sent again", test_a_lost_settlement_is_sent_again },
   { "one process reads the store for all", test_one_process_reads_the_store_for_all },
+  { "an archive is replaced after a retirement", test_an_archive_is_replaced_after_a_retirement },
   { NULL, NULL },
 };
--- a/tests/test_archive_set.c
+++ b/tests/test_archive_set.c
@@ -109,6 +109,56 @@
   check_stages_meet (&after, &after);
 }
 
+/* Once a change may end, no request of its first stage can be served: it would not read what the
+ * new set alone stores. */
+static void
+check_fence (const struct ArchiveSet *starting, const struct ArchiveSet *ending, uint32_t tolerated)
+{
+  for (uint32_t f = 0; f < 1u << N_ARCHIVES; f++)
+    for (uint32_t u = 0; u < 1u << N_ARCHIVES; u++)
+      {
+        struct ArchiveNames fenced = names_of (f), unfenced = names_of (u);
+
+        if ((f & u) == 0 && archive_set_is_fenced (ending, tolerated, &fenced)
+            && archive_set_is_written (starting, tolerated, &unfenced))
+          CU_FAIL ("a request of the first stage is served after the change");
+      }
+}
+
+static void
+test_no_request_of_the_first_stage_is_served_after_the_change (void)
+{
+  const char *const joining[] = { "e", "", "e" }, *const leaving[] = { "a", "a", "" };
+
+  for (uint32_t tolerated = 0; tolerated <= 2; tolerated++)
+    for (uint32_t n = 1; n < N_ARCHIVES; n++)
+      for (uint32_t i = 0; i < 3; i++)
+        {
+          struct ArchiveSet before = set_of (n);
+          struct ArchiveSet starting = archive_set_change (&before, joining[i], leaving[i]);
+          struct ArchiveSet ending = archive_set_advance (&starting);
+
+          if (starting.members.n > 0)
+            check_fence (&starting, &ending, tolerated);
+        }
+}
+
+/* After a retirement has left two archives and one of them is lost for good, the change that
+ * replaces it waited for the lost one without end. */
+static void
+test_change_ends_without_the_archive_that_it_replaces (void)
+{
+  for (uint32_t n = 2; n <= 4; n++)
+    {
+      struct ArchiveSet before = set_of (n);
+      struct ArchiveSet starting = archive_set_change (&before, "e", "a");
+      struct ArchiveSet ending = archive_set_advance (&starting);
+      struct ArchiveNames live = ending.members;
+
+      CU_ASSERT_TRUE (archive_set_is_fenced (&ending, TOLERATED, &live));
+    }
+}
+
 static void
 test_adjacent_stages_have_overlapping_quorums (void)
 {
@@ -257,6 +307,10 @@
   { "target size depends on tolerated losses", test_target_size_depends_on_tolerated_losses },
   { "no set has no quorum", test_no_set_has_no_quorum },
   { "adjacent stages have overlapping quorums", test_adjacent_stages_have_overlapping_quorums },
+  { "no request of the first stage is served after the change",
+    test_no_request_of_the_first_stage_is_served_after_the_change },
+  { "a change ends without the archive that it replaces",
+    test_change_ends_without_the_archive_that_it_replaces },
   { "a failed joining archive is replaced", test_a_failed_joining_archive_is_replaced },
   { "requests from before a change are rejected", test_requests_from_before_a_change_are_rejected },
   { "a copy includes all earlier writes", test_a_copy_includes_all_earlier_writes },
