Let a retirement wait rather than leave too few archives

Cause: an archive left whenever another one stayed (members.n > 1), without regard to the losses to be tolerated. Now more than [archives] tolerated must stay; until another archive joins, the retirement is reported as running, and archive_retirement_waits says what to do.

Tests: archive_set, "a retirement leaves copies for the tolerated losses"; sessions gateway_archives, "a second retirement waits for another archive".

--- a/core/gateway/archive_set.c
+++ b/core/gateway/archive_set.c
@@ -135,6 +135,12 @@
          && names_meet_read_quorum (&set->former, tolerated, names);
 }
 
+bool
+archive_set_may_shrink (const struct ArchiveSet *set, uint32_t tolerated)
+{
+  return set->members.n > tolerated + 1;
+}
+
 uint64_t
 archive_set_oldest_generation (const struct ArchiveSet *set)
 {
--- a/gateway/archive_member.c
+++ b/gateway/archive_member.c
@@ -73,6 +73,7 @@
   uint64_t ending_generation;
   int64_t ending_since_ms; /* when ending_generation was received */
   bool reported_running, reported_completed, report_pending;
+  bool waiting_logged; /* that the retirement of this archive waits for another one */
 };
 
 static const char *
@@ -583,11 +584,21 @@
 static void
 member_consider_leaving (struct ArchiveMember *member)
 {
+  const struct ArchiveSet *set = &member->node->set;
   const char *name = member_name (member);
 
   /* If a spare archive exists, it starts the change itself and replaces this one. */
-  if (member_is_retiring (member, name) && !member_has_replacement (member)
-      && member->node->set.members.n > 1 && member_others_are_complete (member, name))
+  if (!member_is_retiring (member, name) || member_has_replacement (member))
+    return;
+  if (!archive_set_may_shrink (set, member->node->settings->tolerated))
+    {
+      if (!member->waiting_logged)
+        log_event (LOG_LEVEL_WARNING, "archive_retirement_waits", NULL, "start another archive",
+                   "without it %u members would hold the turns, which do not bear %u losses",
+                   set->members.n - 1, member->node->settings->tolerated);
+      member->waiting_logged = true;
+    }
+  else if (member_others_are_complete (member, name))
     member_start_step (member, ARCHIVE_STEP_CHANGE, "", name);
 }
 
--- a/include/buckthornhead/archive_set.h
+++ b/include/buckthornhead/archive_set.h
@@ -86,6 +86,11 @@
                        uint32_t tolerated,
                        const struct ArchiveNames *names);
 
+/* Returns whether a member may leave without a successor: those that stay must still hold all
+ * records after the tolerated losses. */
+bool
+archive_set_may_shrink (const struct ArchiveSet *set, uint32_t tolerated);
+
 /* Returns the oldest generation whose requests an archive at set's generation may serve. */
 uint64_t
 archive_set_oldest_generation (const struct ArchiveSet *set);
--- a/tests/sessions/test_gateway_archives.c
+++ b/tests/sessions/test_gateway_archives.c
@@ -344,6 +344,42 @@
   talloc_free (ctx);
 }
 
+/* A second retirement left one archive, and all turns were lost with its disk. */
+static void
+test_a_second_retirement_waits_for_another_archive (void)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct Fleet *fleet = fleet_start (ctx, 1, 3);
+  struct KeyWatch first = { fleet->installation, "status/retire/storage-of-a-large-zone-3",
+                            "completed" };
+  struct KeyWatch second = { fleet->installation, "status/retire/storage-of-a-large-zone-2",
+                             "completed" };
+  uint32_t n_failed = CU_get_number_of_failures ();
+  const char *event;
+
+  CU_ASSERT_EQUAL (turn_status (fleet, ctx, 0, "t1"), 200);
+  event = event_of_last (fleet, ctx, 1);
+  installation_put (fleet->installation, "op/retire/storage-of-a-large-zone-3",
+                    "{\"duration_s\":10}");
+  CU_ASSERT_TRUE (wait_for (key_has, &first));
+  process_kill (fleet->archives[2].process);
+  archive_delete_data (fleet, 2);
+  installation_put (fleet->installation, "op/retire/storage-of-a-large-zone-2",
+                    "{\"duration_s\":10}");
+  CU_ASSERT_TRUE (process_wait_for_output (fleet->archives[1].process, "archive_retirement_waits"));
+  CU_ASSERT_FALSE (key_has (&second));
+  process_kill (fleet->archives[0].process);
+  archive_delete_data (fleet, 0);
+  archive_start (fleet, 0, false);
+  CU_ASSERT_TRUE (process_wait_for_output (fleet->archives[0].process, "archive_complete"));
+  CU_ASSERT_EQUAL (turn_status (fleet, ctx, 0, "t2"), 200);
+  CU_ASSERT_TRUE (history_has (fleet, ctx, event));
+  archive_start (fleet, 3, false);
+  CU_ASSERT_TRUE (wait_for (key_has, &second));
+  fleet_end (fleet, CU_get_number_of_failures () > n_failed);
+  talloc_free (ctx);
+}
+
 /* A gateway restarts while the platform's store is down. It must receive the configuration, the
  * servers and the archives from its peers, and serve. */
 static void
@@ -618,5 +654,7 @@
   { "a lost settlement is sent again", test_a_lost_settlement_is_sent_again },
   { "one process reads the store for all", test_one_process_reads_the_store_for_all },
   { "an archive is replaced after a retirement", test_an_archive_is_replaced_after_a_retirement },
+  { "a second retirement waits for another archive",
+    test_a_second_retirement_waits_for_another_archive },
   { NULL, NULL },
 };
--- a/tests/test_archive_set.c
+++ b/tests/test_archive_set.c
@@ -159,6 +159,19 @@
     }
 }
 
+/* Two retirements left one archive, whose disk held all turns. */
+static void
+test_retirement_leaves_copies_for_the_tolerated_losses (void)
+{
+  for (uint32_t tolerated = 0; tolerated <= 2; tolerated++)
+    for (uint32_t n = 1; n <= N_ARCHIVES; n++)
+      {
+        struct ArchiveSet set = set_of (n);
+
+        CU_ASSERT_EQUAL (archive_set_may_shrink (&set, tolerated), n - 1 > tolerated);
+      }
+}
+
 static void
 test_adjacent_stages_have_overlapping_quorums (void)
 {
@@ -311,6 +324,8 @@
     test_no_request_of_the_first_stage_is_served_after_the_change },
   { "a change ends without the archive that it replaces",
     test_change_ends_without_the_archive_that_it_replaces },
+  { "a retirement leaves copies for the tolerated losses",
+    test_retirement_leaves_copies_for_the_tolerated_losses },
   { "a failed joining archive is replaced", test_a_failed_joining_archive_is_replaced },
   { "requests from before a change are rejected", test_requests_from_before_a_change_are_rejected },
   { "a copy includes all earlier writes", test_a_copy_includes_all_earlier_writes },
