Give a change of the set up when an archive fails in its first stage

Cause: in a change in which no archive joins, all that stay have to copy, and the one that leaves ends the stage. Nothing handled that one of them fails. A failed joining archive was replaced, but only if a spare one existed.

Change: after FAILURE_TIMEOUT_MS and 2 s for a spare archive, an archive of the former set gives the change up (ARCHIVE_STEP_ABORT). In this stage both sets are written and the former is read, so the former lacks nothing; archive_set goes through all groups of archives for it. If the archive that leaves has failed, those that stay go on by themselves. Silence is tracked by name and no longer starts anew with each generation.

Tests: archive_set, "a change that is given up loses nothing"; sessions gateway_archives, "an archive fails during a retirement".

--- a/core/gateway/archive_set.c
+++ b/core/gateway/archive_set.c
@@ -179,15 +179,26 @@
   return next;
 }
 
+/* Returns the first of names that is not in others; "" if there is none. */
+static const char *
+names_find_missing (const struct ArchiveNames *names, const struct ArchiveNames *others)
+{
+  for (uint32_t i = 0; i < names->n; i++)
+    if (!archive_names_have (others, names->names[i]))
+      return names->names[i];
+  return "";
+}
+
 const char *
 archive_set_joining (const struct ArchiveSet *set)
 {
-  if (set->stage == ARCHIVE_STAGE_STABLE)
-    return "";
-  for (uint32_t i = 0; i < set->members.n; i++)
-    if (!archive_names_have (&set->former, set->members.names[i]))
-      return set->members.names[i];
-  return "";
+  return set->stage != ARCHIVE_STAGE_STABLE ? names_find_missing (&set->members, &set->former) : "";
+}
+
+const char *
+archive_set_leaving (const struct ArchiveSet *set)
+{
+  return set->stage != ARCHIVE_STAGE_STABLE ? names_find_missing (&set->former, &set->members) : "";
 }
 
 struct ArchiveSet
@@ -201,6 +212,18 @@
   return next;
 }
 
+struct ArchiveSet
+archive_set_abort (const struct ArchiveSet *set)
+{
+  struct ArchiveSet next = *set;
+
+  next.generation++;
+  next.stage = ARCHIVE_STAGE_STABLE;
+  next.members = set->former;
+  next.former.n = 0;
+  return next;
+}
+
 struct ArchiveSet
 archive_set_advance (const struct ArchiveSet *set)
 {
@@ -237,6 +260,9 @@
     case ARCHIVE_STEP_REJOIN:
       *next = archive_set_rejoin (stored, step->joining);
       return is_current && stored->stage == ARCHIVE_STAGE_STARTING;
+    case ARCHIVE_STEP_ABORT:
+      *next = archive_set_abort (stored);
+      return is_current && stored->stage == ARCHIVE_STAGE_STARTING;
     case ARCHIVE_STEP_ADVANCE:
       *next = archive_set_advance (stored);
       return is_current && stored->stage != ARCHIVE_STAGE_STABLE;
--- a/gateway/archive_member.c
+++ b/gateway/archive_member.c
@@ -22,6 +22,9 @@
   RETIRE_MAX = 16,
   /* Time after which other archives end a change that the changing archive has not ended. */
   ENDING_TAKEOVER_MS = 2000,
+  /* Time for a spare archive to take the place of one that failed while it joined, before the
+   * change is given up. */
+  ABORT_DELAY_MS = 2000,
   /* Delay after a step that conflicted with another archive's or that the store did not accept. */
   RETRY_MS = 400,
   /* Delay for each archive that precedes this one in joining the first set. A step takes two calls
@@ -65,11 +68,9 @@
   char joining[NAME_MAX_BYTES + 1], leaving[NAME_MAX_BYTES + 1];
   bool write_pending;
   int64_t retry_ms;
-  int64_t silent_since_ms[ARCHIVE_SET_MAX]; /* per member, in the order of the set; 0: live */
-  uint64_t silent_generation;
+  struct ArchiveNames tracked;              /* archives that the set's requests go to */
+  int64_t silent_since_ms[ARCHIVE_SET_MAX]; /* of each of them; 0: live */
   int64_t vacant_since_ms; /* since when this archive could replace a member; 0: none */
-  uint64_t joining_generation;
-  int64_t joining_live_ms; /* when the archive that joins was last live */
   uint64_t ending_generation;
   int64_t ending_since_ms; /* when ending_generation was received */
   bool reported_running, reported_completed, report_pending;
@@ -97,6 +98,37 @@
          || (peer != NULL && node_peer_is_live (member->node, peer));
 }
 
+/* Updates since when each archive of the set has been silent. */
+static void
+member_track_silence (struct ArchiveMember *member)
+{
+  struct ArchiveNames targets = archive_set_targets (&member->node->set);
+  int64_t since_ms[ARCHIVE_SET_MAX] = { 0 };
+
+  for (uint32_t i = 0; i < targets.n; i++)
+    {
+      if (member_peer_is_live (member, targets.names[i]))
+        continue;
+      since_ms[i] = member_now_ms (member);
+      for (uint32_t j = 0; j < member->tracked.n; j++)
+        if (strcmp (member->tracked.names[j], targets.names[i]) == 0
+            && member->silent_since_ms[j] != 0)
+          since_ms[i] = member->silent_since_ms[j];
+    }
+  member->tracked = targets;
+  memcpy (member->silent_since_ms, since_ms, sizeof since_ms);
+}
+
+/* Returns for how long an archive of the set has been silent; 0 if it is live. */
+static int64_t
+member_silence_ms (const struct ArchiveMember *member, const char *name)
+{
+  for (uint32_t i = 0; i < member->tracked.n; i++)
+    if (strcmp (member->tracked.names[i], name) == 0 && member->silent_since_ms[i] != 0)
+      return member_now_ms (member) - member->silent_since_ms[i];
+  return 0;
+}
+
 static bool
 member_is_retiring (const struct ArchiveMember *member, const char *name)
 {
@@ -367,51 +399,76 @@
   for (uint32_t i = 0; i < set->members.n; i++)
     {
       const struct Peer *peer = node_peer (member->node, set->members.names[i]);
+      bool is_own = strcmp (set->members.names[i], member_name (member)) == 0;
 
-      if (peer == NULL || peer->status.synced < set->generation)
+      if (is_own ? member->synced_generation < set->generation
+                 : peer == NULL || peer->status.synced < set->generation)
         return false;
     }
   return true;
 }
 
-/* Replaces the joining archive, by this one if it is outside the set, if the joining one fails
- * before it has copied everything. Otherwise the change would never end, no other could start, and
- * the loss of another disk could exceed the tolerated losses. */
-static void
-member_replace_joining (struct ArchiveMember *member, const char *joining)
+/* Returns whether the change can't go on: the archive that joins has failed, or, if none joins, one
+ * that stays, before it has copied everything. */
+static bool
+member_change_is_stuck (const struct ArchiveMember *member, int64_t silence_ms)
 {
   const struct ArchiveSet *set = &member->node->set;
-  const char *name = member_name (member);
-  int64_t now_ms = member_now_ms (member);
+  const char *joining = archive_set_joining (set);
 
-  if (member->joining_generation != set->generation || member_peer_is_live (member, joining))
+  if (joining[0] != '\0')
+    return member_silence_ms (member, joining) > silence_ms;
+  for (uint32_t i = 0; i < set->members.n; i++)
     {
-      member->joining_generation = set->generation;
-      member->joining_live_ms = now_ms;
+      const struct Peer *peer = node_peer (member->node, set->members.names[i]);
+
+      if ((peer == NULL || peer->status.synced < set->generation)
+          && member_silence_ms (member, set->members.names[i]) > silence_ms)
+        return true;
     }
-  if (now_ms - member->joining_live_ms > FAILURE_TIMEOUT_MS && !archive_set_has (set, name)
-      && !archive_names_have (&set->former, name) && !member_is_retiring (member, name))
-    member_start_step (member, ARCHIVE_STEP_REJOIN, name, "");
+  return false;
 }
 
-/* Once the archive that joins, or all that stay when none joins, have copied everything, the change
- * advances to ENDING. */
+/* Takes the place of an archive that failed while it joined, or gives the change up. Otherwise the
+ * change would never end, no other could start, and the loss of another disk could exceed the
+ * tolerated losses. */
 static void
-member_handle_starting (struct ArchiveMember *member)
+member_handle_stuck_change (struct ArchiveMember *member)
 {
   const struct ArchiveSet *set = &member->node->set;
-  const char *name = member_name (member), *joining = archive_set_joining (set);
-  bool is_joining = strcmp (joining, name) == 0;
+  const char *name = member_name (member);
+  bool is_former = archive_names_have (&set->former, name);
 
-  if (is_joining || (joining[0] == '\0' && archive_set_has (set, name)))
-    {
-      if (is_joining && member->synced_generation == set->generation)
-        member_start_step (member, ARCHIVE_STEP_ADVANCE, "", "");
-    }
-  else if (joining[0] == '\0' && member_all_synced (member))
+  if (archive_set_joining (set)[0] != '\0' && !is_former && !archive_set_has (set, name)
+      && !member_is_retiring (member, name) && member_change_is_stuck (member, FAILURE_TIMEOUT_MS))
+    member_start_step (member, ARCHIVE_STEP_REJOIN, name, "");
+  else if (is_former && member_change_is_stuck (member, FAILURE_TIMEOUT_MS + ABORT_DELAY_MS))
+    member_start_step (member, ARCHIVE_STEP_ABORT, "", "");
+}
+
+/* Returns whether this archive moves the change to ENDING: the one that joins does once it has
+ * copied everything, or, when none joins, the one that leaves once all others have. They do it
+ * themselves if that one has failed. */
+static bool
+member_may_advance (const struct ArchiveMember *member)
+{
+  const struct ArchiveSet *set = &member->node->set;
+  const char *name = member_name (member), *leaving = archive_set_leaving (set);
+
+  if (archive_set_joining (set)[0] != '\0')
+    return strcmp (archive_set_joining (set), name) == 0
+           && member->synced_generation == set->generation;
+  return (strcmp (leaving, name) == 0 || member_silence_ms (member, leaving) > FAILURE_TIMEOUT_MS)
+         && member_all_synced (member);
+}
+
+static void
+member_handle_starting (struct ArchiveMember *member)
+{
+  if (member_may_advance (member))
     member_start_step (member, ARCHIVE_STEP_ADVANCE, "", "");
-  else if (joining[0] != '\0')
-    member_replace_joining (member, joining);
+  else
+    member_handle_stuck_change (member);
 }
 
 /* Ends the change, once so many archives have received it and reject requests of the previous stage
@@ -438,28 +495,20 @@
 
 /* Joining and leaving. */
 
-/* Returns a member that is being retired or has been silent for silence_ms; NULL if there is none.
- */
+/* Returns a member that has been silent for silence_ms or, if there is none, one that is being
+ * retired; NULL if there is none either. A silent member comes first, since others are replaced
+ * only while all that stay can be copied from. */
 static const char *
-member_find_replaceable (struct ArchiveMember *member, int64_t silence_ms)
+member_find_replaceable (const struct ArchiveMember *member, int64_t silence_ms)
 {
-  const struct ArchiveSet *set = &member->node->set;
-  int64_t now_ms = member_now_ms (member);
+  const struct ArchiveNames *members = &member->node->set.members;
 
-  if (member->silent_generation != set->generation)
-    memset (member->silent_since_ms, 0, sizeof member->silent_since_ms);
-  member->silent_generation = set->generation;
-  for (uint32_t i = 0; i < set->members.n; i++)
-    {
-      if (member_is_retiring (member, set->members.names[i]))
-        return set->members.names[i];
-      if (member_peer_is_live (member, set->members.names[i]))
-        member->silent_since_ms[i] = 0;
-      else if (member->silent_since_ms[i] == 0)
-        member->silent_since_ms[i] = now_ms;
-      else if (now_ms - member->silent_since_ms[i] > silence_ms)
-        return set->members.names[i];
-    }
+  for (uint32_t i = 0; i < members->n; i++)
+    if (member_silence_ms (member, members->names[i]) > silence_ms)
+      return members->names[i];
+  for (uint32_t i = 0; i < members->n; i++)
+    if (member_is_retiring (member, members->names[i]))
+      return members->names[i];
   return NULL;
 }
 
@@ -538,7 +587,7 @@
 /* Returns whether this archive may replace a member that has been silent for silence_ms, or one
  * that is retired, or be added to a set that is too small. */
 static bool
-member_may_join (struct ArchiveMember *member, int64_t silence_ms, const char **leaving)
+member_may_join (const struct ArchiveMember *member, int64_t silence_ms, const char **leaving)
 {
   uint32_t wanted = archive_set_target_size (member->node->settings->tolerated);
   const char *replaceable = member_find_replaceable (member, silence_ms);
@@ -705,7 +754,7 @@
 /* Returns whether this archive is the next to join, and is likely to have to. Other spare archives
  * wait: each copy takes bytes between zones and time of the members' processors. */
 static bool
-member_must_copy_ahead (struct ArchiveMember *member)
+member_must_copy_ahead (const struct ArchiveMember *member)
 {
   const struct ArchiveSet *set = &member->node->set;
   const char *leaving;
@@ -717,7 +766,7 @@
 }
 
 static enum CopyPurpose
-member_copy_purpose (struct ArchiveMember *member)
+member_copy_purpose (const struct ArchiveMember *member)
 {
   if (member_must_copy_for_change (member))
     return COPY_CHANGE;
@@ -762,6 +811,7 @@
   const struct ArchiveSet *set = &member->node->set;
   bool inside = archive_set_has (set, member_name (member));
 
+  member_track_silence (member);
   member_update_copy (member);
   member_check_stuck (member);
   if (member->bootstrapping && !inside && member_has_discovered (member)
--- a/include/buckthornhead/archive_set.h
+++ b/include/buckthornhead/archive_set.h
@@ -113,12 +113,22 @@
 const char *
 archive_set_joining (const struct ArchiveSet *set);
 
+/* Returns the archive that the change in progress removes; "" if it only adds one or the set is
+ * stable. */
+const char *
+archive_set_leaving (const struct ArchiveSet *set);
+
 /* Returns the next generation of a change that is starting, in which joining replaces an archive
  * that failed while it joined. Nothing has been read from the failed one yet, so the former set
  * still has all records. */
 struct ArchiveSet
 archive_set_rejoin (const struct ArchiveSet *set, const char *joining);
 
+/* Returns the next generation, in which a change that is starting is given up. Its stage writes to
+ * both sets and reads from the former, which therefore lacks nothing. */
+struct ArchiveSet
+archive_set_abort (const struct ArchiveSet *set);
+
 /* Returns the next generation: STARTING becomes ENDING, and ENDING becomes STABLE. */
 struct ArchiveSet
 archive_set_advance (const struct ArchiveSet *set);
@@ -129,6 +139,7 @@
   ARCHIVE_STEP_FIRST,  /* adds joining to the first set */
   ARCHIVE_STEP_CHANGE, /* starts a change that adds joining and removes leaving */
   ARCHIVE_STEP_REJOIN, /* replaces the archive that joins by joining */
+  ARCHIVE_STEP_ABORT,  /* gives up a change that is starting */
   ARCHIVE_STEP_ADVANCE /* moves the change to its next stage */
 };
 
--- a/tests/sessions/test_gateway_archives.c
+++ b/tests/sessions/test_gateway_archives.c
@@ -380,6 +380,36 @@
   talloc_free (ctx);
 }
 
+/* An archive is lost for good while the others copy for a retirement, which waited for it without
+ * end; no other change could start. */
+static void
+test_an_archive_fails_during_a_retirement (void)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct Fleet *fleet = fleet_start (ctx, 1, 3);
+  struct KeyWatch watch = { fleet->installation, "status/retire/storage-of-a-large-zone-3",
+                            "completed" };
+  uint32_t n_failed = CU_get_number_of_failures ();
+  const char *event;
+
+  CU_ASSERT_EQUAL (turn_status (fleet, ctx, 0, "t1"), 200);
+  event = event_of_last (fleet, ctx, 1);
+  installation_put (fleet->installation, "op/retire/storage-of-a-large-zone-3",
+                    "{\"duration_s\":10}");
+  CU_ASSERT_TRUE (fleet_wait_for_output (fleet, "generation 4, 2 members, change starting"));
+  process_kill (fleet->archives[0].process);
+  archive_delete_data (fleet, 0);
+  CU_ASSERT_TRUE (fleet_wait_for_output (fleet, "generation 5, 3 members"));
+  archive_start (fleet, 3, false);
+  CU_ASSERT_TRUE (wait_for (key_has, &watch));
+  process_kill (fleet->archives[2].process);
+  archive_delete_data (fleet, 2);
+  CU_ASSERT_EQUAL (turn_status (fleet, ctx, 0, "t2"), 200);
+  CU_ASSERT_TRUE (history_has (fleet, ctx, event));
+  fleet_end (fleet, CU_get_number_of_failures () > n_failed);
+  talloc_free (ctx);
+}
+
 /* A gateway restarts while the platform's store is down. It must receive the configuration, the
  * servers and the archives from its peers, and serve. */
 static void
@@ -656,5 +686,6 @@
   { "an archive is replaced after a retirement", test_an_archive_is_replaced_after_a_retirement },
   { "a second retirement waits for another archive",
     test_a_second_retirement_waits_for_another_archive },
+  { "an archive fails during a retirement", test_an_archive_fails_during_a_retirement },
   { NULL, NULL },
 };
--- a/tests/test_archive_set.c
+++ b/tests/test_archive_set.c
@@ -159,6 +159,37 @@
     }
 }
 
+/* A change that is given up leaves the former set: a write that was acknowledged before or during
+ * it must be seen there, and after it by requests of the change that are still under way. */
+static void
+test_change_that_is_given_up_loses_nothing (void)
+{
+  const char *const joining[] = { "e", "", "e" }, *const leaving[] = { "a", "a", "" };
+
+  for (uint32_t n = 2; n < N_ARCHIVES; n++)
+    for (uint32_t i = 0; i < 3; i++)
+      {
+        struct ArchiveSet before = set_of (n), after;
+        struct ArchiveSet starting = archive_set_change (&before, joining[i], leaving[i]);
+        struct ArchiveStep abort = { ARCHIVE_STEP_ABORT, starting.generation, "", "" };
+        struct ArchiveSet ending = archive_set_advance (&starting);
+
+        CU_ASSERT_TRUE (archive_set_step (&starting, &abort, TOLERATED, &after));
+        CU_ASSERT_EQUAL (after.stage, ARCHIVE_STAGE_STABLE);
+        CU_ASSERT_EQUAL (after.generation, starting.generation + 1);
+        CU_ASSERT_EQUAL (after.members.n, n);
+        CU_ASSERT_EQUAL (archive_set_has (&after, "e"), false);
+        CU_ASSERT (archive_set_oldest_generation (&after) > before.generation);
+        check_stages_meet (&before, &after);
+        check_stages_meet (&starting, &after);
+        check_stages_meet (&after, &starting);
+        abort.generation = ending.generation;
+        CU_ASSERT_FALSE (archive_set_step (&ending, &abort, TOLERATED, &after));
+        abort.generation = starting.generation - 1;
+        CU_ASSERT_FALSE (archive_set_step (&starting, &abort, TOLERATED, &after));
+      }
+}
+
 /* Two retirements left one archive, whose disk held all turns. */
 static void
 test_retirement_leaves_copies_for_the_tolerated_losses (void)
@@ -324,6 +355,7 @@
     test_no_request_of_the_first_stage_is_served_after_the_change },
   { "a change ends without the archive that it replaces",
     test_change_ends_without_the_archive_that_it_replaces },
+  { "a change that is given up loses nothing", test_change_that_is_given_up_loses_nothing },
   { "a retirement leaves copies for the tolerated losses",
     test_retirement_leaves_copies_for_the_tolerated_losses },
   { "a failed joining archive is replaced", test_a_failed_joining_archive_is_replaced },
