Bound the bytes that a server sends in place of a response

A server in trouble may send bytes that are no response without end, until the gateway closes. Interim responses and responses to other requests were skipped without a limit: 100 Continue again and again, late responses again and again, or one late response whose body has no end. Each took the gateway's processor at the speed of the link until the request's deadline.

A request skips at most 1 MB of such bytes; then the response is malformed, the connection is closed, and a repeatable request goes elsewhere.

A late response of 500 KB is still followed by the right one.

--- a/adapters/http_response_reader.c
+++ b/adapters/http_response_reader.c
@@ -7,11 +7,14 @@
 
 enum
 {
-  HEAD_MAX_BYTES = 64 * 1024 /* limit on the headers of a response */
+  HEAD_MAX_BYTES = 64 * 1024, /* limit on the headers of a response */
+  /* Interim responses, and a late response to another request with its body. */
+  DISCARDED_MAX_BYTES = 1024 * 1024
 };
 
-void
-http_response_reader_reset (TALLOC_CTX *ctx, struct HttpResponseReader *r)
+/* Prepares for the next response. */
+static void
+reader_begin (TALLOC_CTX *ctx, struct HttpResponseReader *r)
 {
   r->ctx = ctx;
   http_parser_init (&r->parser, HTTP_RESPONSE);
@@ -24,7 +27,14 @@
   r->headers_done = false;
   r->discard = false;
   r->complete = false;
+}
+
+void
+http_response_reader_reset (TALLOC_CTX *ctx, struct HttpResponseReader *r)
+{
+  reader_begin (ctx, r);
   r->expects_no_body = false;
+  r->discarded_bytes = 0;
 }
 
 /* Parser callbacks; a non-zero return value stops the parser. */
@@ -144,15 +154,16 @@
   *n_read = n_bytes;
   while (at < n_bytes)
     {
-      at += http_parser_execute (&r->parser, &parser_settings, (const char *)bytes + at,
-                                 n_bytes - at);
-      if (r->complete && r->discard)
-        {
-          bool expects_no_body = r->expects_no_body;
+      size_t n = http_parser_execute (&r->parser, &parser_settings, (const char *)bytes + at,
+                                      n_bytes - at);
 
-          http_response_reader_reset (r->ctx, r);
-          r->expects_no_body = expects_no_body;
-        }
+      at += n;
+      if (r->discard)
+        r->discarded_bytes += n;
+      if (r->discarded_bytes > DISCARDED_MAX_BYTES)
+        return HTTP_READ_MALFORMED;
+      if (r->complete && r->discard)
+        reader_begin (r->ctx, r);
       else if (r->complete)
         {
           *n_read = at;
--- a/adapters/http_response_reader.h
+++ b/adapters/http_response_reader.h
@@ -13,8 +13,9 @@
   size_t head_bytes;
   enum HttpFraming framing;
   bool headers_done, discard, complete;
-  bool expects_no_body; /* set by the user after a reset: the response is to a HEAD request */
-  int64_t idle_ms;      /* the server's keep-alive timeout, 0: not advertised */
+  size_t discarded_bytes; /* of responses before the one to the request */
+  bool expects_no_body;   /* set by the user after a reset: the response is to a HEAD request */
+  int64_t idle_ms;        /* the server's keep-alive timeout, 0: not advertised */
 
   /* Set by the user. on_head returns false for a response to another request, which is discarded.
    * Interim responses are discarded without a call. */
@@ -35,7 +36,8 @@
 http_response_reader_reset (TALLOC_CTX *ctx, struct HttpResponseReader *reader);
 
 /* Parses bytes up to the end of the response and sets *n_read to their number; the rest belongs to
- * no request. Discards other responses before it. */
+ * no request. Discards other responses before it, up to a limit: a server may send them without
+ * end. */
 enum HttpReadState
 http_response_reader_parse (struct HttpResponseReader *reader,
                             const uint8_t *bytes,
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -523,6 +523,95 @@
   bench_free (b);
 }
 
+/* A server that sends one text again and again after another, until its connection is closed. */
+struct Flood
+{
+  const char *start, *repeated;
+};
+
+/* Returns how many bytes the server could send before the call ended; at most limit_bytes. */
+static size_t
+bench_flood (struct Bench *b, const struct Flood *flood, size_t limit_bytes)
+{
+  char block[64 * 1024];
+  size_t n_block = 0, sent_bytes = 0, length = strlen (flood->repeated);
+  ssize_t n;
+
+  while (n_block + length <= sizeof block)
+    {
+      memcpy (block + n_block, flood->repeated, length);
+      n_block += length;
+    }
+  raw_send (b->fd, flood->start);
+  for (size_t at = 0; !b->ended && sent_bytes < limit_bytes;)
+    {
+      n = send (b->fd, block + at, n_block - at, MSG_DONTWAIT | MSG_NOSIGNAL);
+      if (n < 0 && errno != EAGAIN)
+        break;
+      if (n > 0)
+        {
+          sent_bytes += (size_t)n;
+          at = (at + (size_t)n) % n_block;
+        }
+      events_for (b->events, 1);
+    }
+  return sent_bytes;
+}
+
+/* Guards against bytes without end in place of a response: they took a gateway's processor until
+ * the deadline of the request. */
+static void
+test_bytes_without_end_are_bounded (void)
+{
+  static const struct Flood floods[] = {
+    { "", "HTTP/1.1 100 Continue\r\n\r\n" },
+    { "", "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n" },
+    { "", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 3\r\n\r\none" },
+    { "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\n", "x" },
+    { "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 900000000\r\n\r\n", "x" },
+    { "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n" },
+    { "HTTP/1.1 200 OK\r\nX-Id: 2\r\nTransfer-Encoding: chunked\r\n\r\n1;", "x" },
+    { "HTTP/1.1 200 OK\r\nX-Id: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "A: x\r\n" },
+    { "HTTP/1.1 200 ", "x" },
+    { "HTTP/1.1 200 OK\r\nX-Id: 2\r\n", "A: x\r\n" },
+    { "HTTP/1.1 200 OK\r\nX-Id: ", "2" },
+    { "HTTP/1.1 200 OK\r\n", "a" },
+    { "", "\r\n" },
+    { "", "x" },
+    { "", "H" },
+  };
+  const size_t limit_bytes = 16 * 1024 * 1024, bound_bytes = 8 * 1024 * 1024;
+
+  for (size_t i = 0; i < sizeof floods / sizeof floods[0]; i++)
+    {
+      struct Bench *b = bench_new ();
+
+      bench_request (b, "2");
+      CU_ASSERT (bench_flood (b, &floods[i], limit_bytes) < bound_bytes);
+      CU_ASSERT_TRUE (events_until (b->events, &b->ended));
+      CU_ASSERT_EQUAL (b->end, HTTP_END_MALFORMED);
+      CU_ASSERT_STRING_EQUAL (b->body, "");
+      bench_free (b);
+    }
+}
+
+/* A late response with a body of some size is still followed by the one to the request. */
+static void
+test_a_large_late_response_is_discarded (void)
+{
+  struct Bench *b = bench_new ();
+  char *late = talloc_asprintf (b,
+                                "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 500000\r\n\r\n%*s"
+                                "HTTP/1.1 200 OK\r\nX-Id: 2\r\nContent-Length: 3\r\n\r\ntwo",
+                                500000, "");
+
+  bench_request (b, "2");
+  bench_respond (b, late);
+  CU_ASSERT_EQUAL (b->end, HTTP_END_COMPLETE);
+  CU_ASSERT_STRING_EQUAL (b->body, "two");
+  bench_free (b);
+}
+
 const char test_suite_name[] = "http_client";
 const struct TestCase test_cases[] = {
   { "an idle connection is reused", test_an_idle_connection_is_reused },
@@ -549,5 +638,7 @@
   { "connections to all servers are limited", test_connections_to_all_servers_are_limited },
   { "without descriptors only open connections are used",
     test_without_descriptors_only_open_connections_are_used },
+  { "bytes without end are bounded", test_bytes_without_end_are_bounded },
+  { "a large late response is discarded", test_a_large_late_response_is_discarded },
   { NULL, NULL },
 };
