Bound events and bodies without an end in every gateway

A server in trouble may send a body without end. Two cases were not handled well: - an event without an end: the bound of 8 MB applied only with [limits] held_memory, which the deploy template does not set. An event grew in the gateway's memory until the request's deadline, at the speed of the link. The bound holds always now. - a plain body without an end: at 8 MB the caller got 502, also for a repeatable request that another server can answer, and the server's failure was not recorded. It counts as a broken response now, and is repeated where allowed.

Tests: sessions gateway_broken_answers, "an event without an end is bounded by default" and "a body without an end is retried elsewhere".

--- a/gateway/answer.c
+++ b/gateway/answer.c
@@ -109,10 +109,21 @@
 {
   const struct EventStream *events = &request->events;
 
-  return request->front->node->settings->held_memory_bytes > 0
-         && byte_queue_length (&request->partial_event) + byte_queue_length (&events->line)
-                    + byte_queue_length (&events->event) + byte_queue_length (&events->data)
-                > ANSWER_MAX_BYTES;
+  return byte_queue_length (&request->partial_event) + byte_queue_length (&events->line)
+             + byte_queue_length (&events->event) + byte_queue_length (&events->data)
+         > ANSWER_MAX_BYTES;
+}
+
+static void
+request_on_broken_response (struct Request *request, const char *cause);
+
+/* Closes the connection of a server that sends more than a response may have. */
+static void
+request_on_oversized_body (struct Request *request)
+{
+  TALLOC_FREE (request->call);
+  request->ended_ms = timer_now_ms (request->front->node->timers);
+  request_on_broken_response (request, "the response is too large to buffer");
 }
 
 static void
@@ -127,7 +138,7 @@
     {
       if (byte_queue_length (&request->response_body) + n_bytes > ANSWER_MAX_BYTES
           || byte_queue_add (request, &request->response_body, bytes, n_bytes) != ERROR_NONE)
-        request_fail (request, FAILURE_BROKEN, "the response is too large to buffer");
+        request_on_oversized_body (request);
       return;
     }
   if (event_stream_parse (request, &request->events, bytes, n_bytes) != ERROR_NONE)
--- a/tests/sessions/test_gateway_broken_answers.c
+++ b/tests/sessions/test_gateway_broken_answers.c
@@ -235,6 +235,49 @@
   talloc_free (ctx);
 }
 
+/* Guards against an event that grows in a gateway with the default settings. */
+static void
+test_event_without_an_end_is_bounded_by_default (void)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct Fleet *fleet = answers_start (ctx, 1);
+  uint32_t n_failed = CU_get_number_of_failures ();
+
+  engines_set_mode (fleet, SERVER_ENDLESS_EVENT);
+  CU_ASSERT_EQUAL (turn_send (fleet, ctx, 0, "p", "t1", "", 0, "one")->status, 0);
+  CU_ASSERT_EQUAL (process_count_output (fleet->gateways[0].process, "too large to hold"), 1);
+  CU_ASSERT_EQUAL (process_count_output (fleet->gateways[0].process, "turn_stored"), 0);
+  engines_set_mode (fleet, SERVER_RESPONDS);
+  CU_ASSERT_EQUAL (turn_send_until_accepted (fleet, ctx, 0, "p", "t2", "", "one")->status, 200);
+  fleet_end (fleet, CU_get_number_of_failures () > n_failed);
+  talloc_free (ctx);
+}
+
+/* A caller got a broken connection for a repeatable request that another server can answer. */
+static void
+test_body_without_an_end_is_retried_elsewhere (void)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct Fleet *fleet = answers_start (ctx, 1);
+  uint32_t n_failed = CU_get_number_of_failures ();
+
+  server_set_mode (fleet->installation, TOOL_SERVER, SERVER_ENDLESS_BODY);
+  for (uint32_t i = 0; i < 6; i++)
+    {
+      char request[16];
+
+      snprintf (request, sizeof request, "e%u", i);
+      CU_ASSERT_EQUAL (tool_send (fleet, ctx, 0, "/safe/1", request)->status, 200);
+    }
+  CU_ASSERT (process_count_output (fleet->gateways[0].process, "too large to buffer") > 0);
+  /* A request that may run once is not sent again. */
+  desks_set_mode (fleet, SERVER_ENDLESS_BODY);
+  CU_ASSERT_EQUAL (tool_send (fleet, ctx, 0, "/once/1", "once")->status, 502);
+  CU_ASSERT_EQUAL (installation_runs_of (fleet->installation, "once"), 1);
+  fleet_end (fleet, CU_get_number_of_failures () > n_failed);
+  talloc_free (ctx);
+}
+
 const char test_suite_name[] = "sessions: gateway and answers that broke off";
 const struct TestCase test_cases[] = {
   { "a stream that closes within an event is broken",
@@ -251,5 +294,8 @@
     test_plain_response_of_a_crashed_server_is_broken },
   { "a turn that crashes servers in their response is quarantined",
     test_turn_that_crashes_servers_in_their_response_is_quarantined },
+  { "an event without an end is bounded by default",
+    test_event_without_an_end_is_bounded_by_default },
+  { "a body without an end is retried elsewhere", test_body_without_an_end_is_retried_elsewhere },
   { NULL, NULL },
 };
--- a/tests/standins/installation.h
+++ b/tests/standins/installation.h
@@ -41,7 +41,9 @@
   SERVER_CLOSES_WITHIN_EVENT, /* an engine closes the connection within an event */
   SERVER_CRASHES_IN_RESPONSE, /* the process ends after half of the events, or of the body */
   /* An engine ends its chunked response in order, but within an event. */
-  SERVER_ENDS_WITHIN_EVENT
+  SERVER_ENDS_WITHIN_EVENT,
+  /* A server other than an engine sends a body without an end. */
+  SERVER_ENDLESS_BODY
 };
 
 struct Installation *
--- a/tests/standins/installation_server.c
+++ b/tests/standins/installation_server.c
@@ -245,11 +245,24 @@
   return (ssize_t)n;
 }
 
+static ssize_t
+endless_next (void *data, uint64_t at, char *buffer, size_t buffer_bytes)
+{
+  (void)data;
+  (void)at;
+  memset (buffer, 'x', buffer_bytes);
+  return (ssize_t)buffer_bytes;
+}
+
 static struct MHD_Response *
 plain_response (struct Server *server, const char *request, enum ServerMode mode)
 {
-  struct PlainBody *body = calloc (1, sizeof *body);
+  struct PlainBody *body;
 
+  if (mode == SERVER_ENDLESS_BODY)
+    return MHD_create_response_from_callback (MHD_SIZE_UNKNOWN, 64 * 1024, endless_next, NULL,
+                                              NULL);
+  body = calloc (1, sizeof *body);
   body->server = server;
   body->n_bytes = (size_t)snprintf (body->text, sizeof body->text, "done %s", request);
   body->crashes = mode == SERVER_CRASHES_IN_RESPONSE;
