Keep a program's turns at each archive while the program goes on

Found while the selection of needed records was written: an archive extends the retention of a chain when it stores a later turn of it. Turns are stored by as many archives as must have them; after a moment in which an archive was away, others hold parts of a chain, with gaps. Such an archive didn't extend what it had: its texts expired 75 s after their turn, though the chain went on, and with the loss of another archive the chain was broken.

All archives of the set receive each reservation. It extends the texts of all turns of its program that the archive has, and the files that hold them, in steps of 5 s.

Test: turn_index, "reservations keep the turns of their program"; without the extension t1 is gone at 75 s.

--- a/core/gateway/turn_index.c
+++ b/core/gateway/turn_index.c
@@ -12,6 +12,8 @@
   /* Added to a turn's retention, since clocks of two instances differ and the caller counts from
    * the end of its response. */
   RETENTION_SLACK_MS = 15 * 1000,
+  /* A later turn of the program extends a turn's retention only by at least this much. */
+  EXTEND_STEP_MS = 5 * 1000,
   CHAIN_MAX = 100000 /* turns in a chain; guards against a loop in corrupt records */
 };
 
@@ -38,6 +40,7 @@
   char *id, *previous; /* id is scoped */
   struct DiskPlace place;
   int64_t expires_unix_ms;
+  uint32_t retention_ms;
   UT_hash_handle hh;
 };
 
@@ -175,6 +178,28 @@
   return ERROR_NONE;
 }
 
+void
+turn_index_extend_program (struct TurnIndex *index,
+                           const struct TurnOpen *open,
+                           int64_t unix_ms,
+                           TurnExtendedFn fn,
+                           void *data)
+{
+  const struct IndexedProgram *program = index_program (index, open->customer, open->program);
+
+  for (size_t i = 0; program != NULL && i < program->n_charges; i++)
+    {
+      struct IndexedTurn *turn = index_turn (index, open->customer, program->charges[i].turn);
+      int64_t expires_unix_ms =
+          turn != NULL ? unix_ms + turn->retention_ms + RETENTION_SLACK_MS : 0;
+
+      if (turn == NULL || turn->expires_unix_ms > expires_unix_ms - EXTEND_STEP_MS)
+        continue;
+      turn->expires_unix_ms = expires_unix_ms;
+      fn (data, &turn->place, expires_unix_ms);
+    }
+}
+
 /* Extends the retention of a turn and those before it. Continuing the last turn of a chain needs
  * all of them. */
 static void
@@ -217,6 +242,7 @@
     }
   turn->place = *place;
   turn->expires_unix_ms = expires_unix_ms;
+  turn->retention_ms = close->retention_ms;
   HASH_ADD_KEYPTR (hh, index->turns, turn->id, strlen (turn->id), turn);
   index_extend_chain (index, close->customer, turn->previous, expires_unix_ms);
   return ERROR_NONE;
--- a/gateway/archive.c
+++ b/gateway/archive.c
@@ -78,6 +78,24 @@
     archive_extend_files (archive, close->customer, close->text.turn);
 }
 
+static void
+archive_on_turn_extended (void *data, const struct DiskPlace *place, int64_t expires_unix_ms)
+{
+  struct Archive *archive = data;
+
+  disk_log_extend (archive->log, place->file, expires_unix_ms + FILE_EXPIRY_MARGIN_MS);
+}
+
+static int32_t
+archive_index_open (struct Archive *archive, const struct TurnOpen *open, int64_t unix_ms)
+{
+  int32_t error = turn_index_reserve (archive->index, open, unix_ms);
+
+  if (error == ERROR_NONE)
+    turn_index_extend_program (archive->index, open, unix_ms, archive_on_turn_extended, archive);
+  return error;
+}
+
 /* Adds one record of the disk log to the index, at the start. */
 static void
 archive_on_replay (void *data, const struct DiskPlace *place, const uint8_t *bytes, size_t n)
@@ -98,7 +116,7 @@
                "run the same version on all instances", "log-%u at offset %u", place->file,
                place->offset);
   else if (record.kind == ARCHIVE_RECORD_OPEN)
-    turn_index_reserve (archive->index, &record.open, unix_ms);
+    archive_index_open (archive, &record.open, unix_ms);
   else
     archive_index_close (archive, &record.close, place, unix_ms);
   disk_log_extend (archive->log, place->file,
@@ -268,7 +286,7 @@
   else if (write != NULL)
     {
       write->open = *open;
-      error = turn_index_reserve (archive->index, open, record.unix_ms);
+      error = archive_index_open (archive, open, record.unix_ms);
     }
   if (error == ERROR_NONE)
     error = archive_append (archive, &record, write);
@@ -378,7 +396,7 @@
       if (turn_index_is_closed (archive->index, record->open.customer, record->open.program,
                                 record->open.turn))
         return false;
-      turn_index_reserve (archive->index, &record->open, retention_clock_now (&archive->clock));
+      archive_index_open (archive, &record->open, retention_clock_now (&archive->clock));
     }
   else if (turn_index_has_close (archive->index, &record->close))
     return false;
--- a/include/buckthornhead/turn_index.h
+++ b/include/buckthornhead/turn_index.h
@@ -24,6 +24,18 @@
 int32_t
 turn_index_reserve (struct TurnIndex *index, const struct TurnOpen *open, int64_t unix_ms);
 
+typedef void (*TurnExtendedFn) (void *data, const struct DiskPlace *place, int64_t expires_unix_ms);
+
+/* Extends the retention of all turns of open's program, and calls fn for each that is extended.
+ * Later turns of a chain may be stored by other archives, which do not extend the earlier ones
+ * here; every archive receives the reservations of all. */
+void
+turn_index_extend_program (struct TurnIndex *index,
+                           const struct TurnOpen *open,
+                           int64_t unix_ms,
+                           TurnExtendedFn fn,
+                           void *data);
+
 /* Records that a turn has closed, with its record at place. Extends the retention of its chain to
  * its own. Fails with ERROR_NO_MEMORY. */
 int32_t
--- a/tests/test_turn_index.c
+++ b/tests/test_turn_index.c
@@ -252,6 +252,47 @@
   talloc_free (index);
 }
 
+static void
+count_extended (void *data, const struct DiskPlace *place, int64_t expires_unix_ms)
+{
+  uint32_t *n = data;
+
+  CU_ASSERT_EQUAL (place->file, 1);
+  CU_ASSERT (expires_unix_ms > 0);
+  ++*n;
+}
+
+/* The texts of a program's first turns expired at an archive that did not store its later ones,
+ * while their chain was still continued: the loss of another archive broke the chain. */
+static void
+test_reservations_keep_the_turns_of_their_program (void)
+{
+  struct TurnIndex *index = turn_index_new (NULL);
+  const char *const later[] = { "t2", "t3", "t4" };
+  struct TurnOpen other = turn_open ("o1", 10);
+  struct TurnPlace place;
+  uint32_t n = 0;
+
+  close_turn (index, "t1", "", 0);
+  for (uint32_t i = 0; i < 3; i++)
+    {
+      const struct TurnOpen open = turn_open (later[i], 10);
+
+      turn_index_reserve (index, &open, 30000 * (i + 1));
+      turn_index_extend_program (index, &open, 30000 * (i + 1), count_extended, &n);
+    }
+  CU_ASSERT_EQUAL (n, 3);
+  turn_index_expire (index, 90000 + RETENTION_MS);
+  CU_ASSERT_TRUE (turn_index_find (index, "", "t1", &place));
+  snprintf (other.program, sizeof other.program, "another");
+  turn_index_reserve (index, &other, 140000);
+  turn_index_extend_program (index, &other, 140000, count_extended, &n);
+  CU_ASSERT_EQUAL (n, 3);
+  turn_index_expire (index, 90000 + 2 * RETENTION_MS);
+  CU_ASSERT_FALSE (turn_index_find (index, "", "t1", &place));
+  talloc_free (index);
+}
+
 const char test_suite_name[] = "turn_index";
 const struct TestCase test_cases[] = {
   { "a reservation becomes a charge", test_reservation_becomes_charge },
@@ -263,5 +304,7 @@
   { "places of a program's sessions are found", test_places_of_sessions_are_found },
   { "another customer's data is hidden", test_other_customers_data_is_hidden },
   { "expired texts are taken again", test_expired_texts_are_taken_again },
+  { "reservations keep the turns of their program",
+    test_reservations_keep_the_turns_of_their_program },
   { NULL, NULL },
 };
