--- a/gateway/archive_member.c
+++ b/gateway/archive_member.c
@@ -1,4 +1,4 @@
-#include "archive_member.h"
+#include "archive_member_internal.h"
 
 #include <buckthornhead/archive_order.h>
 #include <buckthornhead/kv_guard.h>
@@ -13,13 +13,6 @@
   /* Silence after which a member is replaced if a spare archive exists: longer than the restart of
    * a process, shorter than the time within which a lost disk must be replaced. */
   FAILURE_TIMEOUT_MS = 3000,
-  /* Silence of a member after which a spare archive begins to copy, in case it has to replace it:
-   * longer than other processes take to be noticed after a start. */
-  AHEAD_SILENCE_MS = 500,
-  /* Records that an archive accepted under the old set may still be waiting for their disk sync
-   * when it receives the new one; a sync takes milliseconds. */
-  COPY_SETTLE_MS = 500,
-  RETIRE_MAX = 16,
   /* Time after which other archives end a change that the changing archive has not ended. */
   ENDING_TAKEOVER_MS = 2000,
   /* Time for a spare archive to take the place of one that failed while it joined, before the
@@ -27,69 +20,27 @@
   ABORT_DELAY_MS = 2000,
   /* Delay after a step that conflicted with another archive's or that the store did not accept. */
   RETRY_MS = 400,
-  /* Delay for each archive that precedes this one in joining the first set. A step takes two calls
+  /* Delay for each archive that precedes this one in joining a set. A step takes two calls
    * to the store, and all archives receive a new member within about 300 ms. */
   FIRST_STAGGER_MS = 600,
-  /* Interval of the log lines of an archive whose disk is incomplete. */
-  INCOMPLETE_LOG_MS = 10 * 1000,
   /* Maximum wait for the lists of processes, without which each archive would assume that it is the
    * first. */
   FIRST_DISCOVERY_MS = 1500
 };
 
-/* What the records of other archives are copied for. */
-enum CopyPurpose
-{
-  COPY_FOR_NOTHING,
-  COPY_AHEAD,   /* of a change in which this archive is likely to join */
-  COPY_RESTORE, /* a lost disk */
-  COPY_CHANGE   /* of the set, which must be complete before the next stage */
-};
-
-struct ArchiveMember
-{
-  struct Node *node;
-  struct Archive *archive;
-  struct DiskLog *log;
-  int64_t bootstrap_since_ms; /* when bootstrap_generation was received */
-  uint64_t bootstrap_generation;
-  bool bootstrapping; /* first start of the whole system, and this archive has not joined yet */
-  struct ArchiveCopy *copy;
-  enum CopyPurpose copy_purpose;
-  uint64_t copy_generation; /* of the set, when the copy was begun or continued for its purpose */
-  bool caught_up;           /* logged that the copy ahead has all records */
-  uint64_t synced_generation;
-  int64_t stuck_since_ms;       /* since when no turn can be served for lack of disks; 0: not so */
-  int64_t incomplete_logged_ms; /* when the last such line was logged */
-  char retiring[RETIRE_MAX][NAME_MAX_BYTES + 1];
-  size_t n_retiring;
-  struct ArchiveStep step;   /* being written to the store; points to joining and leaving */
-  struct ArchiveSet new_set; /* written to the store for that step */
-  char joining[NAME_MAX_BYTES + 1], leaving[NAME_MAX_BYTES + 1];
-  bool write_pending;
-  int64_t retry_ms;
-  struct ArchiveNames tracked;              /* archives that the set's requests go to */
-  int64_t silent_since_ms[ARCHIVE_SET_MAX]; /* of each of them; 0: live */
-  int64_t vacant_since_ms; /* since when this archive could replace a member; 0: none */
-  uint64_t ending_generation;
-  int64_t ending_since_ms; /* when ending_generation was received */
-  bool reported_running, reported_completed, report_pending;
-  bool waiting_logged; /* that the retirement of this archive waits for another one */
-};
-
-static const char *
+const char *
 member_name (const struct ArchiveMember *member)
 {
   return member->node->settings->instance;
 }
 
-static int64_t
+int64_t
 member_now_ms (const struct ArchiveMember *member)
 {
   return timer_now_ms (member->node->timers);
 }
 
-static bool
+bool
 member_peer_is_live (const struct ArchiveMember *member, const char *name)
 {
   const struct Peer *peer = node_peer (member->node, name);
@@ -119,8 +70,7 @@
   memcpy (member->silent_since_ms, since_ms, sizeof since_ms);
 }
 
-/* Returns for how long an archive of the set has been silent; 0 if it is live. */
-static int64_t
+int64_t
 member_silence_ms (const struct ArchiveMember *member, const char *name)
 {
   for (uint32_t i = 0; i < member->tracked.n; i++)
@@ -129,15 +79,6 @@
   return 0;
 }
 
-static bool
-member_is_retiring (const struct ArchiveMember *member, const char *name)
-{
-  for (size_t i = 0; i < member->n_retiring; i++)
-    if (strcmp (member->retiring[i], name) == 0)
-      return true;
-  return false;
-}
-
 /* A step of the set: read it from the store, change it, compare and swap. */
 
 static void
@@ -231,145 +172,6 @@
     member_finish_step (member, ERROR_NO_MEMORY);
 }
 
-/* Copying. */
-
-/* A source is an archive of the set that already rejects requests from before the change, so it can
- * no longer acknowledge a record under the old set that the copy would miss. */
-static bool
-member_is_source (void *data, const char *archive)
-{
-  const struct ArchiveMember *member = data;
-  const struct ArchiveSet *set = &member->node->set;
-  struct ArchiveNames queried = archive_set_targets (set);
-  const struct Peer *peer = node_peer (member->node, archive);
-
-  return strcmp (archive, member_name (member)) != 0 && archive_names_have (&queried, archive)
-         && peer != NULL && peer->status.set_generation >= set->generation;
-}
-
-static bool
-member_copy_is_sufficient (void *data, const struct ArchiveNames *archives)
-{
-  struct ArchiveMember *member = data;
-  struct ArchiveNames sources = *archives;
-
-  /* This archive counts as a source if its own disk was never lost. */
-  if (disk_log_is_complete (member->log))
-    archive_names_add (&sources, member_name (member));
-  if (!archive_set_is_copied (&member->node->set, member->node->settings->tolerated, &sources))
-    return false;
-  if (member->copy_purpose != COPY_AHEAD)
-    return true;
-  if (!member->caught_up)
-    log_event (LOG_LEVEL_NOTICE, "archive_caught_up", NULL, NULL,
-               "all records copied, generation %llu; waiting until a member must be replaced",
-               (unsigned long long)member->node->set.generation);
-  member->caught_up = true;
-  return false;
-}
-
-static void
-member_on_copied (void *data)
-{
-  struct ArchiveMember *member = data;
-
-  member->copy = NULL;
-  if (member->copy_purpose == COPY_CHANGE
-      && member->copy_generation == member->node->set.generation)
-    member->synced_generation = member->copy_generation;
-  if (!disk_log_is_complete (member->log) && disk_log_mark_complete (member->log) != ERROR_NONE)
-    log_event (LOG_LEVEL_ERROR, "archive_mark_failed", NULL, "check the disk",
-               "the disk has all records, but cannot be marked as complete");
-  log_event (LOG_LEVEL_NOTICE, "archive_complete", NULL, NULL,
-             "all records copied, generation %llu",
-             (unsigned long long)member->node->set.generation);
-  node_announce (member->node);
-}
-
-/* Returns the archives of the set whose disks may be complete: all but this one and those that
- * report that theirs are not. */
-static struct ArchiveNames
-member_possible_holders (const struct ArchiveMember *member)
-{
-  struct ArchiveNames queried = archive_set_targets (&member->node->set);
-  struct ArchiveNames possible = { .n = 0 };
-
-  for (uint32_t i = 0; i < queried.n; i++)
-    {
-      const struct Peer *peer = node_peer (member->node, queried.names[i]);
-      bool is_incomplete =
-          strcmp (queried.names[i], member_name (member)) == 0
-          || (peer != NULL && node_peer_is_live (member->node, peer) && !peer->status.complete);
-
-      if (!is_incomplete)
-        archive_names_add (&possible, queried.names[i]);
-    }
-  return possible;
-}
-
-/* Returns whether no gateway can open a turn, since more disks were lost than the set tolerates. An
- * archive that is not reached may still serve others, so it does not count as lost. */
-static bool
-member_set_is_stuck (const struct ArchiveMember *member)
-{
-  const struct Node *node = member->node;
-  struct ArchiveNames possible = member_possible_holders (member);
-
-  return node->set.generation > 0 && !member->bootstrapping && !disk_log_is_complete (member->log)
-         && !archive_set_is_read (&node->set, node->settings->tolerated, &possible);
-}
-
-/* Marks the disk as complete: while the set was stuck no record was added or extended, so
- * everything that the lost disk held has expired. A copy for a change of the set goes on. */
-static void
-member_expire_loss (struct ArchiveMember *member)
-{
-  if (member->copy_purpose == COPY_RESTORE)
-    TALLOC_FREE (member->copy);
-  member->stuck_since_ms = 0;
-  if (disk_log_mark_complete (member->log) != ERROR_NONE)
-    {
-      log_event (LOG_LEVEL_ERROR, "archive_mark_failed", NULL, "check the disk",
-                 "what the lost disk held has expired, but the disk cannot be marked as complete");
-      return;
-    }
-  log_event (LOG_LEVEL_NOTICE, "archive_loss_expired", NULL, NULL,
-             "no turn could be served for %u s, and what the lost disk held has expired",
-             member->node->settings->longest_retention_ms / 1000);
-  node_announce (member->node);
-}
-
-/* Ends the wait of archives that lost their disks, and of which each would wait for the others to
- * be complete. */
-static void
-member_check_stuck (struct ArchiveMember *member)
-{
-  int64_t now_ms = member_now_ms (member), left_ms;
-
-  if (!member_set_is_stuck (member))
-    {
-      member->stuck_since_ms = 0;
-      return;
-    }
-  if (member->stuck_since_ms == 0)
-    member->stuck_since_ms = now_ms;
-  left_ms = member->stuck_since_ms + (int64_t)member->node->settings->longest_retention_ms - now_ms;
-  if (left_ms <= 0)
-    {
-      member_expire_loss (member);
-      return;
-    }
-  if (now_ms - member->stuck_since_ms < INCOMPLETE_LOG_MS
-      || now_ms - member->incomplete_logged_ms < INCOMPLETE_LOG_MS)
-    return;
-  member->incomplete_logged_ms = now_ms;
-  log_event (LOG_LEVEL_WARNING, "archive_incomplete", NULL,
-             "bring back the archives of the set that still have their disks",
-             "more disks are lost than tolerated, and turns are rejected; what was lost expires in "
-             "%lld s",
-             (long long)(left_ms / 1000));
-}
-
 /* Returns the archives that have received the set's present generation, including this one. */
 static struct ArchiveNames
 member_current_archives (const struct ArchiveMember *member)
@@ -561,8 +363,7 @@
          && (!must_live || node_peer_is_live (member->node, peer));
 }
 
-/* Returns how many archives outside the set should join before this one, in place of leaving. */
-static size_t
+size_t
 member_count_before (const struct ArchiveMember *member, const char *leaving, bool must_live)
 {
   const struct PeerTable *table = member->node->peers;
@@ -584,9 +385,7 @@
   return n_before;
 }
 
-/* Returns whether this archive may replace a member that has been silent for silence_ms, or one
- * that is retired, or be added to a set that is too small. */
-static bool
+bool
 member_may_join (const struct ArchiveMember *member, int64_t silence_ms, const char **leaving)
 {
   uint32_t wanted = archive_set_target_size (member->node->settings->tolerated);
@@ -651,65 +450,6 @@
     member_start_step (member, ARCHIVE_STEP_CHANGE, "", name);
 }
 
-/* Reporting a retirement to the operators. */
-
-static void
-member_on_reported (void *data, const struct KvResult *result)
-{
-  struct ArchiveMember *member = data;
-
-  member->report_pending = false;
-  if (result->error != ERROR_NONE)
-    {
-      member->reported_running = false;
-      member->reported_completed = false;
-    }
-}
-
-static void
-member_report (struct ArchiveMember *member)
-{
-  const struct ArchiveSet *set = &member->node->set;
-  bool completed =
-      set->stage == ARCHIVE_STAGE_STABLE && !archive_set_has (set, member_name (member));
-  struct KvRequest request = { .op = KV_OP_PUT };
-  struct RetireStatus note;
-
-  if (!member_is_retiring (member, member_name (member)) || member->report_pending
-      || set->generation == 0
-      || (completed ? member->reported_completed : member->reported_running))
-    return;
-  member->node->dialect->write_retire_status (member_name (member), completed, &note);
-  request.put.key = note.key;
-  request.put.value = (const uint8_t *)note.value;
-  request.put.value_bytes = strlen (note.value);
-  request.put.condition = KV_IF_ALWAYS;
-  member->report_pending = true;
-  member->reported_running = true;
-  member->reported_completed = completed;
-  if (completed)
-    log_event (LOG_LEVEL_NOTICE, "archive_emptied", NULL, "the machine may be taken away",
-               "generation %llu", (unsigned long long)set->generation);
-  if (kv_submit_guarded (member, member->node->store, &request, member_on_reported, member)
-      != ERROR_NONE)
-    member->report_pending = false;
-}
-
-/* Returns whether this archive belongs to the set but its disk is incomplete, and no change already
- * makes it copy. */
-static bool
-member_needs_restore (const struct ArchiveMember *member)
-{
-  const struct ArchiveSet *set = &member->node->set;
-  struct ArchiveNames queried = archive_set_targets (set);
-  const char *joining = archive_set_joining (set);
-  bool copies_for_change = set->stage == ARCHIVE_STAGE_STARTING
-                           && (joining[0] == '\0' || strcmp (joining, member_name (member)) == 0);
-
-  return set->generation > 0 && !member->bootstrapping && !disk_log_is_complete (member->log)
-         && !copies_for_change && archive_names_have (&queried, member_name (member));
-}
-
 /* Returns whether this archive has received the lists of processes, or FIRST_DISCOVERY_MS has
  * passed. */
 static bool
@@ -736,74 +476,6 @@
          >= (int64_t)member_count_before (member, "", false) * FIRST_STAGGER_MS;
 }
 
-/* Copies. */
-
-/* Returns whether this archive joins, or stays in a change in which none joins, and has not copied
- * everything from before the change. */
-static bool
-member_must_copy_for_change (const struct ArchiveMember *member)
-{
-  const struct ArchiveSet *set = &member->node->set;
-  const char *joining = archive_set_joining (set);
-
-  return set->stage == ARCHIVE_STAGE_STARTING && member->synced_generation < set->generation
-         && (strcmp (joining, member_name (member)) == 0
-             || (joining[0] == '\0' && archive_set_has (set, member_name (member))));
-}
-
-/* Returns whether this archive is the next to join, and is likely to have to. Other spare archives
- * wait: each copy takes bytes between zones and time of the members' processors. */
-static bool
-member_must_copy_ahead (const struct ArchiveMember *member)
-{
-  const struct ArchiveSet *set = &member->node->set;
-  const char *leaving;
-
-  return set->generation > 0 && set->stage == ARCHIVE_STAGE_STABLE && !member->bootstrapping
-         && !archive_set_has (set, member_name (member))
-         && member_may_join (member, AHEAD_SILENCE_MS, &leaving)
-         && member_count_before (member, leaving, true) == 0;
-}
-
-static enum CopyPurpose
-member_copy_purpose (const struct ArchiveMember *member)
-{
-  if (member_must_copy_for_change (member))
-    return COPY_CHANGE;
-  if (member_needs_restore (member))
-    return COPY_RESTORE;
-  return member_must_copy_ahead (member) ? COPY_AHEAD : COPY_FOR_NOTHING;
-}
-
-/* A copy goes on where it is when its purpose changes, so that little is left to copy once a change
- * of the set has begun. */
-static void
-member_update_copy (struct ArchiveMember *member)
-{
-  const struct ArchiveCopyOptions options = {
-    .is_source = member_is_source,
-    .is_sufficient = member_copy_is_sufficient,
-    .done = member_on_copied,
-    .data = member,
-  };
-  enum CopyPurpose purpose = member_copy_purpose (member);
-  uint64_t generation = member->node->set.generation;
-  bool is_new = purpose != member->copy_purpose || member->copy == NULL
-                || (purpose == COPY_CHANGE && generation != member->copy_generation);
-
-  if (purpose == COPY_FOR_NOTHING)
-    TALLOC_FREE (member->copy);
-  else if (member->copy == NULL)
-    member->copy = archive_copy_new (member, member->node, member->archive, &options);
-  if (is_new || purpose == COPY_FOR_NOTHING)
-    member->caught_up = false;
-  member->copy_purpose = purpose;
-  if (is_new)
-    member->copy_generation = generation;
-  if (is_new && member->copy != NULL)
-    archive_copy_require (member->copy, purpose == COPY_CHANGE ? COPY_SETTLE_MS : 0);
-}
-
 static void
 member_on_tick (void *data)
 {
@@ -859,19 +531,6 @@
   return member;
 }
 
-void
-archive_member_set_retiring (struct ArchiveMember *member, const struct Snapshot *snapshot)
-{
-  member->n_retiring = 0;
-  for (size_t i = 0; i < snapshot->n_items && member->n_retiring < RETIRE_MAX; i++)
-    {
-      const char *name = strrchr (snapshot->items[i].key, '/');
-
-      if (name != NULL && strlen (name + 1) <= NAME_MAX_BYTES)
-        snprintf (member->retiring[member->n_retiring++], NAME_MAX_BYTES + 1, "%s", name + 1);
-    }
-}
-
 uint64_t
 archive_member_synced_generation (const struct ArchiveMember *member)
 {
--- a/tests/test_copy_source.c
+++ b/tests/test_copy_source.c
@@ -33,6 +33,12 @@
   size_t n_parts;
 };
 
+static uint64_t
+cursor_of (uint32_t file, uint64_t offset)
+{
+  return file * (UINT64_C (1) << 32) + offset;
+}
+
 static uint32_t
 log_next_file (const struct FakeLog *log, uint32_t file)
 {
@@ -57,7 +63,7 @@
       part.last = next > log->last_file;
       if (!part.last && !log->ignores_files && offset > 0)
         {
-          part.next = (uint64_t)(number + 1) << 32;
+          part.next = cursor_of (number + 1, 0);
           return part;
         }
       number = next;
@@ -73,10 +79,10 @@
   part.records_bytes = log->n_records[number] - offset;
   if (part.records_bytes > PART_RECORDS)
     part.records_bytes = PART_RECORDS;
-  part.next = (uint64_t)number << 32 | (offset + (uint32_t)part.records_bytes);
+  part.next = cursor_of (number, offset + part.records_bytes);
   if (!log->ignores_files && number < log->last_file
       && offset + part.records_bytes == log->n_records[number])
-    part.next = (uint64_t)(number + 1) << 32;
+    part.next = cursor_of (number + 1, 0);
   return part;
 }
 
