Copy all records again after some were not written

Callers: a turn that was answered whole is lost, if a disk refuses some records while its archive copies, and another archive is lost later.

Cause: a copy with failed writes starts over, but took the cursors and the ends of its sources from before: each was finished at once, the failures were forgotten, and the archive counted as complete without the records.

Change: a source begins anew with copy_source_begin, which clears its state.

Tests: sessions gateway_copy, "records that were not written are copied again": the disk refuses the first batch of the copy, then another archive is lost.

--- a/core/gateway/copy_source.c
+++ b/core/gateway/copy_source.c
@@ -1,5 +1,6 @@
 #include <buckthornhead/copy_source.h>
 
+#include <stdio.h>
 #include <string.h>
 
 enum
@@ -9,6 +10,13 @@
   FILE_SHIFT = 32 /* a cursor is the number of a file and an offset in it */
 };
 
+void
+copy_source_begin (struct CopySource *source, const char *node)
+{
+  memset (source, 0, sizeof *source);
+  snprintf (source->node, sizeof source->node, "%s", node);
+}
+
 static void
 lane_stop (struct CopyLane *lane)
 {
--- a/gateway/archive_copy.c
+++ b/gateway/archive_copy.c
@@ -6,7 +6,6 @@
 #include <buckthornhead/copy_source.h>
 #include <buckthornhead/log.h>
 
-#include <stdio.h>
 #include <string.h>
 
 enum
@@ -43,7 +42,7 @@
       return &copy->sources[i];
   if (copy->n_sources == SOURCES_MAX)
     return NULL;
-  snprintf (copy->sources[copy->n_sources].node, NAME_MAX_BYTES + 1, "%s", node);
+  copy_source_begin (&copy->sources[copy->n_sources], node);
   return &copy->sources[copy->n_sources++];
 }
 
--- a/include/buckthornhead/copy_source.h
+++ b/include/buckthornhead/copy_source.h
@@ -41,6 +41,10 @@
   uint64_t waited_ms; /* from requests to the parts that answered them */
 };
 
+/* Begins to copy the log of the archive node from its start. */
+void
+copy_source_begin (struct CopySource *source, const char *node);
+
 /* Returns whether lane should request records now, from *cursor on. A lane at the end of the log
  * requests again after COPY_POLL_MS. */
 bool
--- a/tests/sessions/test_gateway_copy.c
+++ b/tests/sessions/test_gateway_copy.c
@@ -5,6 +5,7 @@
 
 #include <stdio.h>
 #include <string.h>
+#include <sys/stat.h>
 
 enum
 {
@@ -175,10 +176,39 @@
   talloc_free (ctx);
 }
 
+/* The disk refuses the first records of a copy. The copy counted as complete without them. */
+static void
+test_records_that_were_not_written_are_copied_again (void)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  uint32_t n_failed = CU_get_number_of_failures ();
+  struct Fixture *f = fixture_new (ctx);
+  struct Process *spare;
+  char *blocked;
+
+  archive_start (f->fleet, 3, false);
+  spare = f->fleet->archives[3].process;
+  fixture_store_turns (f, 10, 1000);
+  CU_ASSERT_TRUE (process_wait_for_output (spare, "generation 3, 3 members"));
+  blocked = talloc_asprintf (ctx, "%s/log-1", f->fleet->archives[3].folder);
+  CU_ASSERT_EQUAL (mkdir (blocked, 0700), 0);
+  process_kill (f->fleet->archives[0].process);
+  archive_delete_data (f->fleet, 0);
+  CU_ASSERT_TRUE (process_wait_for_output (spare, "archive_copy_failed"));
+  CU_ASSERT_TRUE (process_wait_for_output (spare, "generation 6, 3 members"));
+  process_kill (f->fleet->archives[1].process);
+  archive_delete_data (f->fleet, 1);
+  CU_ASSERT_TRUE (fixture_continues (f, 10, 1));
+  fixture_end (f, n_failed);
+  talloc_free (ctx);
+}
+
 const char test_suite_name[] = "gateway_copy";
 const struct TestCase test_cases[] = {
   { "a second archive is lost after catch-up", test_second_archive_is_lost_after_catch_up },
   { "a second disk is lost after catch-up", test_second_disk_is_lost_after_catch_up },
   { "a spare archive copies before it joins", test_spare_archive_copies_before_it_joins },
+  { "records that were not written are copied again",
+    test_records_that_were_not_written_are_copied_again },
   { NULL, NULL },
 };
--- a/tests/test_copy_source.c
+++ b/tests/test_copy_source.c
@@ -317,6 +317,21 @@
   CU_ASSERT_TRUE (fixture_copy (&f, f.now_ms));
 }
 
+/* A copy that starts over after failed writes kept its cursors and the ends of its sources. */
+static void
+test_source_begins_at_its_first_record_again (void)
+{
+  struct Fixture f = fixture_new (1, 5);
+  uint64_t cursor;
+
+  CU_ASSERT_TRUE (fixture_copy (&f, f.now_ms));
+  copy_source_begin (&f.source, "a");
+  CU_ASSERT_STRING_EQUAL (f.source.node, "a");
+  CU_ASSERT_FALSE (copy_source_is_finished (&f.source, 0));
+  CU_ASSERT_TRUE (copy_source_wants (&f.source, 0, f.now_ms, &cursor));
+  CU_ASSERT_EQUAL (cursor, 0);
+}
+
 const char test_suite_name[] = "copy_source";
 const struct TestCase test_cases[] = {
   { "lanes copy each record once", test_lanes_copy_each_record_once },
@@ -330,5 +345,6 @@
   { "an incomplete source is not finished", test_incomplete_source_is_not_finished },
   { "a lost request is repeated after its timeout",
     test_lost_request_is_repeated_after_its_timeout },
+  { "a source begins at its first record again", test_source_begins_at_its_first_record_again },
   { NULL, NULL },
 };
