--- a/gateway/archive_copy.c
+++ b/gateway/archive_copy.c
@@ -100,7 +100,7 @@
   copy->n_records = 0;
 }
 
-/* Tells the possible bounds of a copy apart: its sources or the network, this process, its disk. */
+/* Shows what bounds a copy: its sources or the network, this process, or its disk. */
 static void
 copy_log_progress (struct ArchiveCopy *copy, bool done)
 {
--- a/tests/sessions/test_gateway_archives.c
+++ b/tests/sessions/test_gateway_archives.c
@@ -315,6 +315,20 @@
   talloc_free (ctx);
 }
 
+/* Retires the third archive and, once that is completed, removes its machine with the disk. */
+static void
+retire_third_archive (struct Fleet *fleet)
+{
+  struct KeyWatch watch = { fleet->installation, "status/retire/storage-of-a-large-zone-3",
+                            "completed" };
+
+  installation_put (fleet->installation, "op/retire/storage-of-a-large-zone-3",
+                    "{\"duration_s\":10}");
+  CU_ASSERT_TRUE (wait_for (key_has, &watch));
+  process_kill (fleet->archives[2].process);
+  archive_delete_data (fleet, 2);
+}
+
 /* One of two archives that a retirement has left is lost for good, and the change that replaces it
  * never ended. */
 static void
@@ -322,18 +336,12 @@
 {
   TALLOC_CTX *ctx = talloc_new (NULL);
   struct Fleet *fleet = fleet_start (ctx, 1, 3);
-  struct KeyWatch watch = { fleet->installation, "status/retire/storage-of-a-large-zone-3",
-                            "completed" };
   uint32_t n_failed = CU_get_number_of_failures ();
   const char *event;
 
   CU_ASSERT_EQUAL (turn_status (fleet, ctx, 0, "t1"), 200);
   event = event_of_last (fleet, ctx, 1);
-  installation_put (fleet->installation, "op/retire/storage-of-a-large-zone-3",
-                    "{\"duration_s\":10}");
-  CU_ASSERT_TRUE (wait_for (key_has, &watch));
-  process_kill (fleet->archives[2].process);
-  archive_delete_data (fleet, 2);
+  retire_third_archive (fleet);
   process_kill (fleet->archives[0].process);
   archive_delete_data (fleet, 0);
   archive_start (fleet, 3, false);
@@ -350,24 +358,18 @@
 {
   TALLOC_CTX *ctx = talloc_new (NULL);
   struct Fleet *fleet = fleet_start (ctx, 1, 3);
-  struct KeyWatch first = { fleet->installation, "status/retire/storage-of-a-large-zone-3",
+  struct KeyWatch watch = { fleet->installation, "status/retire/storage-of-a-large-zone-2",
                             "completed" };
-  struct KeyWatch second = { fleet->installation, "status/retire/storage-of-a-large-zone-2",
-                             "completed" };
   uint32_t n_failed = CU_get_number_of_failures ();
   const char *event;
 
   CU_ASSERT_EQUAL (turn_status (fleet, ctx, 0, "t1"), 200);
   event = event_of_last (fleet, ctx, 1);
-  installation_put (fleet->installation, "op/retire/storage-of-a-large-zone-3",
-                    "{\"duration_s\":10}");
-  CU_ASSERT_TRUE (wait_for (key_has, &first));
-  process_kill (fleet->archives[2].process);
-  archive_delete_data (fleet, 2);
+  retire_third_archive (fleet);
   installation_put (fleet->installation, "op/retire/storage-of-a-large-zone-2",
                     "{\"duration_s\":10}");
   CU_ASSERT_TRUE (process_wait_for_output (fleet->archives[1].process, "archive_retirement_waits"));
-  CU_ASSERT_FALSE (key_has (&second));
+  CU_ASSERT_FALSE (key_has (&watch));
   process_kill (fleet->archives[0].process);
   archive_delete_data (fleet, 0);
   archive_start (fleet, 0, false);
@@ -375,7 +377,7 @@
   CU_ASSERT_EQUAL (turn_status (fleet, ctx, 0, "t2"), 200);
   CU_ASSERT_TRUE (history_has (fleet, ctx, event));
   archive_start (fleet, 3, false);
-  CU_ASSERT_TRUE (wait_for (key_has, &second));
+  CU_ASSERT_TRUE (wait_for (key_has, &watch));
   fleet_end (fleet, CU_get_number_of_failures () > n_failed);
   talloc_free (ctx);
 }
