Complete each cut settings file within its process's wait in the test

Traced by the files it left: cut-0.ini was created at 12:29:24.07, its process gave up waiting at 12:29:26.11, after the 2 s that it waits for a file without changes, and the test completed the file at 12:29:28.04.

Each file is completed CUT_MS after it was cut, as before, but while others are still started. Every check stays: exit status, the one message, its text.

--- a/tests/sessions/test_gateway_start.c
+++ b/tests/sessions/test_gateway_start.c
@@ -411,8 +411,9 @@
  * that was far behind. */
 struct CutFile
 {
-  int fd; /* of the writer */
+  int fd; /* of the writer; -1 once it is complete */
   const char *rest;
+  int64_t written_ms;
 };
 
 static const char *
@@ -423,6 +424,7 @@
 
   cut->fd = open (file, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
   cut->rest = text + at;
+  cut->written_ms = monotonic_ms ();
   CU_ASSERT_EQUAL (write (cut->fd, text, at), (ssize_t)at);
   if (at % 2 != 0)
     CU_ASSERT_EQUAL (futimens (cut->fd, long_ago), 0);
@@ -434,6 +436,17 @@
 {
   CU_ASSERT_EQUAL (write (cut->fd, cut->rest, strlen (cut->rest)), (ssize_t)strlen (cut->rest));
   close (cut->fd);
+  cut->fd = -1;
+}
+
+/* Completes the files that have been cut for CUT_MS. Starting all processes can take longer than
+ * one of them waits for its settings. */
+static void
+cut_files_complete_due (struct CutFile *cuts, size_t n)
+{
+  for (size_t i = 0; i < n; i++)
+    if (cuts[i].fd >= 0 && monotonic_ms () - cuts[i].written_ms >= CUT_MS)
+      cut_file_complete (&cuts[i]);
 }
 
 /* Guards against settings that are read while they are written. */
@@ -454,10 +467,10 @@
 
       snprintf (name, sizeof name, "cut-%zu", i);
       processes[i] = session_start (session, name, argv);
+      cut_files_complete_due (cuts, i + 1);
     }
   sleep_ms (CUT_MS);
-  for (size_t i = 0; i < n; i++)
-    cut_file_complete (&cuts[i]);
+  cut_files_complete_due (cuts, n);
   for (size_t i = 0; i < n; i++)
     {
       CU_ASSERT_TRUE (process_wait (processes[i]));
