--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -496,7 +496,7 @@
         self.store.put("servers/" + replica.id, replica.entry())
         return replica
 
-    async def start_world(self):
+    async def start_world(self, engine=Replica, engines_per_zone=1):
         """Starts the store and the replicas, and writes the first configuration."""
         if not os.access(PROGRAM, os.X_OK):
             raise CannotRun("the build of the deploy file is missing: target/buckthornhead")
@@ -504,7 +504,8 @@
             await self.store.listen(machine.store_ip, self.STORE)
         self.store.put("op/config", json.dumps(self.config(7)).encode())
         for i, zone in enumerate(ZONES):
-            await self.add_replica("e%d" % i, "huvo11a", zone, 16, True)
+            for n in range(engines_per_zone):
+                await self.add_replica("e%d%d" % (i, n), "huvo11a", zone, 16, True, engine)
             await self.add_replica("t%d" % i, "wuno96b", zone, 6, False)
 
     def start_machines(self):
