--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -625,6 +625,8 @@
     """Runs the coroutine main (record, trouble); returns the exit status of the script."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(os.path.join(folder, "record.txt"))
+    # Ends the processes of the case also when the script is told to stop.
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
     try:
         broken = asyncio.run(main(record, trouble))
     except CannotRun as problem:
