Log which turn of a history is missing and what each archive responded

Callers of review/4 and review/5 get 503 in all tries, and both cases log the same line, "no archive sent the complete history". Hypotheses that it does not tell apart: the texts have expired at the archives (their retention was not extended), a copy left them out, an archive did not respond in time, or the texts are there and were not read to the end.

The line now has the missing turn, the queries made, the turns read, and for each archive whether it responded that it lacks the turn.

--- a/gateway/turn.c
+++ b/gateway/turn.c
@@ -292,6 +292,24 @@
 static void
 turn_assemble (struct Request *request);
 
+/* Ends a request whose history cannot be read, and logs what each archive of the set responded
+ * about the missing turn. */
+static void
+turn_fail_unread (struct Request *request, const struct ArchiveCandidate *candidates, size_t n)
+{
+  const struct Turn *turn = request->turn;
+  char *detail = talloc_asprintf (request,
+                                  "no archive sent the complete history: turn %s is missing after "
+                                  "%zu queries, %zu turns read",
+                                  turn->missing, turn->n_reads, turn->n_history);
+
+  for (size_t i = 0; i < n && detail != NULL; i++)
+    detail = talloc_asprintf_append (
+        detail, ", %s %s", candidates[i].name,
+        archive_names_have (&turn->lacking, candidates[i].name) ? "lacks it" : "has not sent it");
+  request_fail (request, FAILURE_UNCERTAIN, detail != NULL ? detail : "out of memory");
+}
+
 static void
 turn_on_read_timeout (void *data)
 {
@@ -309,6 +327,8 @@
   size_t n;
 
   turn_begin_phase (request, turn, TURN_READING);
+  if (strcmp (turn->missing, missing) != 0)
+    turn->lacking.n = 0;
   snprintf (turn->missing, sizeof turn->missing, "%s", missing);
   message.read.id = turn->query_id;
   snprintf (message.read.customer, sizeof message.read.customer, "%s", request->customer.name);
@@ -325,7 +345,7 @@
           timer_subscribe (turn, node->timers, READ_TIMEOUT_MS, 0, turn_on_read_timeout, request);
       return;
     }
-  request_fail (request, FAILURE_UNCERTAIN, "no archive sent the complete history");
+  turn_fail_unread (request, candidates, n);
 }
 
 /* Sends the turn when its history is complete; requests the first missing text otherwise. */
@@ -465,8 +485,10 @@
 }
 
 static void
-turn_handle_read (struct Request *request, const struct TurnOpened *opened)
+turn_handle_read (struct Request *request, const char *archive, const struct TurnOpened *opened)
 {
+  if (!opened->has_turn)
+    archive_names_add (&request->turn->lacking, archive);
   if (!turn_add_history (request->turn, opened->history, opened->n_history))
     request_fail (request, FAILURE_UNCERTAIN, "out of memory for the history");
   else
@@ -495,7 +517,7 @@
       turn_handle_opened (request, archive, opened);
       break;
     case TURN_READING:
-      turn_handle_read (request, opened);
+      turn_handle_read (request, archive, opened);
       break;
     case TURN_RUNNING:
     case TURN_CLOSING:
--- a/gateway/turn_internal.h
+++ b/gateway/turn_internal.h
@@ -32,6 +32,7 @@
   bool reader_late;                /* READER_LATE_MS have passed since then */
   size_t n_reads, next_reader;
   char missing[NAME_MAX_BYTES + 1]; /* turn whose text was requested last */
+  struct ArchiveNames lacking;      /* archives that responded that they lack it */
   struct ArchiveNames sent;         /* archives that were sent the turn's texts first */
   bool sent_to_all;                 /* the texts were then sent to the others, too */
   bool retried;                     /* the query was repeated through another gateway */
