Read a history as long as archives send more of it

Cause: a gateway read a history in at most 12 queries, whatever they brought. Each query ends at the first turn that the archive lacks, so a chain whose turns lie on changing pairs of archives needs about one query for two or three turns.

Change: turn_history.c, without I/O, collects the turns and chooses the archive to query. There is no limit on queries that bring something. An archive that responded without the missing turn is not queried for it again, one that did not respond is, for four rounds; when all have responded the request is rejected at once, and not after further rounds. A late response to an earlier query for the same turn counts. A chain without a start cannot keep a gateway in a loop. New counters: history_queries, history_bytes, histories_unread.

Tests: turn_history, and sessions_gateway_chains "a long conversation goes on", 120 turns through three gateways. It fails on at the 36th turn and passes with this change.

Reading still takes a number of queries that grows with the chain.

--- a/core/counter.c
+++ b/core/counter.c
@@ -107,6 +107,11 @@
   [COUNTER_RESPONSES_UNFRAMED] =
       COUNTS ("responses_unframed", "Responses that end with the connection to their server"),
   [COUNTER_TURNS_STORED] = COUNTS ("turns_stored", "Turns stored by enough archives"),
+  [COUNTER_HISTORY_QUERIES] =
+      COUNTS ("history_queries", "Further queries for turns that the first archive did not send"),
+  [COUNTER_HISTORY_BYTES] = COUNTS ("history_bytes", "Bytes of earlier turns read from archives"),
+  [COUNTER_HISTORIES_UNREAD] =
+      COUNTS ("histories_unread", "Turns rejected since no archive sent all earlier turns"),
   [COUNTER_QUOTA_REQUESTED] =
       COUNTS ("quota_leases_requested", "Requests for tokens of customers' limits"),
   [COUNTER_QUOTA_GRANTED] =
--- /dev/null
+++ b/core/gateway/turn_history.c
@@ -0,0 +1,214 @@
+#include <buckthornhead/turn_history.h>
+
+#include <buckthornhead/error.h>
+
+#include <stdio.h>
+#include <string.h>
+#include <uthash.h>
+
+enum
+{
+  /* Rounds of queries for one missing turn to the archives that do not respond. */
+  ROUNDS_MAX = 4
+};
+
+struct HistoryTurn
+{
+  struct TurnText text;
+  struct HistoryTurn *before; /* the turn that it continues, once both are known; NULL: none */
+  bool in_chain;              /* between the newest turn and the missing one */
+  UT_hash_handle hh;
+};
+
+struct TurnHistory
+{
+  struct HistoryTurn *turns;           /* by id */
+  struct HistoryTurn *newest, *oldest; /* of the chain; NULL: the newest turn is missing */
+  const char *missing;                 /* "": none */
+  size_t n_bytes;                      /* of the chain's texts */
+  /* About the missing turn. */
+  struct ArchiveNames lacking; /* archives that responded without it */
+  struct ArchiveNames queried; /* in the current round */
+  uint32_t n_rounds;
+  size_t n_queries; /* for all turns */
+};
+
+static int
+history_free (struct TurnHistory *history)
+{
+  HASH_CLEAR (hh, history->turns);
+  return 0;
+}
+
+struct TurnHistory *
+turn_history_new (TALLOC_CTX *ctx, const char *newest)
+{
+  struct TurnHistory *history = talloc_zero (ctx, struct TurnHistory);
+
+  if (history == NULL)
+    return NULL;
+  talloc_set_destructor (history, history_free);
+  history->missing = talloc_strdup (history, newest);
+  if (history->missing == NULL)
+    TALLOC_FREE (history);
+  return history;
+}
+
+static struct HistoryTurn *
+history_find (const struct TurnHistory *history, const char *id)
+{
+  struct HistoryTurn *turn = NULL;
+
+  HASH_FIND_STR (history->turns, id, turn);
+  return turn;
+}
+
+/* Replaces *bytes with a copy that belongs to turn. Returns false without memory. */
+static bool
+history_copy_bytes (struct HistoryTurn *turn, const uint8_t **bytes, size_t n)
+{
+  if (n > 0)
+    *bytes = talloc_memdup (turn, *bytes, n);
+  return n == 0 || *bytes != NULL;
+}
+
+static int32_t
+history_add_one (struct TurnHistory *history, const struct TurnText *text)
+{
+  struct HistoryTurn *turn = history_find (history, text->turn);
+
+  if (turn != NULL)
+    return ERROR_NONE;
+  turn = talloc_zero (history, struct HistoryTurn);
+  if (turn == NULL)
+    return ERROR_NO_MEMORY;
+  turn->text = *text;
+  if (!history_copy_bytes (turn, &turn->text.input, text->input_bytes)
+      || !history_copy_bytes (turn, &turn->text.output, text->output_bytes))
+    {
+      talloc_free (turn);
+      return ERROR_NO_MEMORY;
+    }
+  HASH_ADD_STR (history->turns, text.turn, turn);
+  return ERROR_NONE;
+}
+
+/* Appends the known turns from the missing one on to the chain. A turn that continues itself, which
+ * only a corrupt record does, stays missing. */
+static void
+history_advance (struct TurnHistory *history)
+{
+  struct HistoryTurn *turn;
+
+  while (history->missing[0] != '\0' && (turn = history_find (history, history->missing)) != NULL
+         && !turn->in_chain)
+    {
+      turn->in_chain = true;
+      if (history->oldest != NULL)
+        history->oldest->before = turn;
+      else
+        history->newest = turn;
+      history->oldest = turn;
+      history->n_bytes += turn->text.input_bytes + turn->text.output_bytes;
+      history->missing = turn->text.previous;
+      history->lacking.n = 0;
+      history->queried.n = 0;
+      history->n_rounds = 0;
+    }
+}
+
+int32_t
+turn_history_add (struct TurnHistory *history, const struct TurnText *turns, size_t n)
+{
+  int32_t error = ERROR_NONE;
+
+  for (size_t i = 0; i < n && error == ERROR_NONE; i++)
+    error = history_add_one (history, &turns[i]);
+  history_advance (history);
+  return error;
+}
+
+const char *
+turn_history_missing (const struct TurnHistory *history)
+{
+  return history->missing[0] != '\0' ? history->missing : NULL;
+}
+
+const struct TurnText *
+turn_history_newest (const struct TurnHistory *history)
+{
+  return history->newest != NULL ? &history->newest->text : NULL;
+}
+
+size_t
+turn_history_bytes (const struct TurnHistory *history)
+{
+  return history->n_bytes;
+}
+
+void
+turn_history_write (const struct TurnHistory *history, uint8_t *end)
+{
+  for (const struct HistoryTurn *turn = history->newest; turn != NULL; turn = turn->before)
+    {
+      end -= turn->text.output_bytes;
+      if (turn->text.output_bytes > 0)
+        memcpy (end, turn->text.output, turn->text.output_bytes);
+      end -= turn->text.input_bytes;
+      if (turn->text.input_bytes > 0)
+        memcpy (end, turn->text.input, turn->text.input_bytes);
+    }
+}
+
+void
+turn_history_note_lacking (struct TurnHistory *history, const char *archive)
+{
+  archive_names_add (&history->lacking, archive);
+}
+
+static const char *
+history_pick_reader (const struct TurnHistory *history,
+                     const struct ArchiveCandidate *candidates,
+                     size_t n)
+{
+  for (size_t i = 0; i < n; i++)
+    if (!archive_names_have (&history->lacking, candidates[i].name)
+        && !archive_names_have (&history->queried, candidates[i].name))
+      return candidates[i].name;
+  return NULL;
+}
+
+const char *
+turn_history_next_reader (struct TurnHistory *history,
+                          const struct ArchiveCandidate *candidates,
+                          size_t n)
+{
+  const char *reader = history_pick_reader (history, candidates, n);
+
+  if (reader == NULL && ++history->n_rounds < ROUNDS_MAX)
+    {
+      history->queried.n = 0;
+      reader = history_pick_reader (history, candidates, n);
+    }
+  if (reader == NULL)
+    return NULL;
+  archive_names_add (&history->queried, reader);
+  history->n_queries++;
+  return reader;
+}
+
+char *
+turn_history_describe (const struct TurnHistory *history,
+                       TALLOC_CTX *ctx,
+                       const struct ArchiveCandidate *candidates,
+                       size_t n)
+{
+  char *text = talloc_asprintf (ctx, "turn %s is missing after %zu queries, %u turns read",
+                                history->missing, history->n_queries, HASH_COUNT (history->turns));
+
+  for (size_t i = 0; i < n && text != NULL; i++)
+    text = talloc_asprintf_append (
+        text, ", %s %s", candidates[i].name,
+        archive_names_have (&history->lacking, candidates[i].name) ? "lacks it" : "is silent");
+  return text;
+}
--- a/gateway/turn.c
+++ b/gateway/turn.c
@@ -23,8 +23,7 @@
   /* How long to wait for the history after enough other archives have responded: covers a disk sync
    * that just missed a batch, 5 ms on the slowest disks of the target deployments, and the transfer
    * of the texts. */
-  READER_LATE_MS = 15,
-  READS_MAX = 12
+  READER_LATE_MS = 15
 };
 
 size_t
@@ -195,6 +194,13 @@
       request_fail (request, FAILURE_UNCERTAIN, "out of memory for the turn");
       return;
     }
+  turn->history = turn_history_new (turn, request->caller.previous);
+  if (turn->history == NULL)
+    {
+      talloc_free (turn);
+      request_fail (request, FAILURE_UNCERTAIN, "out of memory for the turn");
+      return;
+    }
   request->turn = turn;
   turn->started_ms = timer_now_ms (front->node->timers);
   if (request->caller.program[0] == '\0')
@@ -207,63 +213,12 @@
 
 /* History. */
 
-static const struct TurnText *
-turn_history_text (const struct Turn *turn, const char *id)
-{
-  for (size_t i = 0; i < turn->n_history; i++)
-    if (strcmp (turn->history[i].turn, id) == 0)
-      return &turn->history[i];
-  return NULL;
-}
-
-static bool
-turn_add_history (struct Turn *turn, const struct TurnText *more, size_t n_more)
-{
-  struct TurnText *grown;
-
-  if (n_more == 0)
-    return true;
-  grown = talloc_realloc (turn, turn->history, struct TurnText, turn->n_history + n_more);
-  if (grown == NULL)
-    return false;
-  turn->history = grown;
-  for (size_t i = 0; i < n_more; i++)
-    {
-      struct TurnText *text = &grown[turn->n_history];
-
-      if (turn_history_text (turn, more[i].turn) != NULL)
-        continue;
-      *text = more[i];
-      text->input = talloc_memdup (turn, more[i].input, more[i].input_bytes);
-      text->output = talloc_memdup (turn, more[i].output, more[i].output_bytes);
-      turn->n_history++;
-    }
-  return true;
-}
-
-/* Follows the chain from the newest turn backwards and returns the first turn that no archive has
- * sent yet; NULL when the chain is complete. Sets *total_bytes to the length of the texts found. */
-static const char *
-turn_missing (const struct Turn *turn, const char *newest, size_t *total_bytes)
-{
-  const struct TurnText *text;
-
-  *total_bytes = 0;
-  while (newest[0] != '\0')
-    {
-      text = turn_history_text (turn, newest);
-      if (text == NULL)
-        return newest;
-      *total_bytes += text->input_bytes + text->output_bytes;
-      newest = text->previous;
-    }
-  return NULL;
-}
-
 /* Builds the body from the inputs and outputs of the chain, oldest first, and the new input. */
 static bool
-turn_build_body (struct Request *request, size_t history_bytes)
+turn_build_body (struct Request *request)
 {
+  const struct TurnHistory *history = request->turn->history;
+  size_t history_bytes = turn_history_bytes (history);
   size_t total_bytes = history_bytes + request->exchange->body_bytes;
   uint8_t *body = talloc_array (request, uint8_t, total_bytes + 1);
   uint8_t *end = body + history_bytes;
@@ -272,18 +227,7 @@
     return false;
   if (request->exchange->body_bytes > 0)
     memcpy (end, request->exchange->body, request->exchange->body_bytes);
-  for (const char *id = request->caller.previous; id[0] != '\0';)
-    {
-      const struct TurnText *text = turn_history_text (request->turn, id);
-
-      end -= text->output_bytes;
-      if (text->output_bytes > 0)
-        memcpy (end, text->output, text->output_bytes);
-      end -= text->input_bytes;
-      if (text->input_bytes > 0)
-        memcpy (end, text->input, text->input_bytes);
-      id = text->previous;
-    }
+  turn_history_write (history, end);
   request->body = body;
   request->body_bytes = total_bytes;
   return true;
@@ -292,28 +236,22 @@
 static void
 turn_assemble (struct Request *request);
 
-/* Ends a request whose history cannot be read, and logs what each archive of the set responded
- * about the missing turn. */
 static void
-turn_fail_unread (struct Request *request, const struct ArchiveCandidate *candidates, size_t n)
+turn_on_read_timeout (void *data)
 {
-  const struct Turn *turn = request->turn;
-  char *detail = talloc_asprintf (request,
-                                  "no archive sent the complete history: turn %s is missing after "
-                                  "%zu queries, %zu turns read",
-                                  turn->missing, turn->n_reads, turn->n_history);
-
-  for (size_t i = 0; i < n && detail != NULL; i++)
-    detail = talloc_asprintf_append (
-        detail, ", %s %s", candidates[i].name,
-        archive_names_have (&turn->lacking, candidates[i].name) ? "lacks it" : "has not sent it");
-  request_fail (request, FAILURE_UNCERTAIN, detail != NULL ? detail : "out of memory");
+  turn_assemble (data);
 }
 
+/* Ends a request whose history cannot be read. */
 static void
-turn_on_read_timeout (void *data)
+turn_fail_unread (struct Request *request, const struct ArchiveCandidate *candidates, size_t n)
 {
-  turn_assemble (data);
+  const char *missing = turn_history_describe (request->turn->history, request, candidates, n);
+  const char *detail = talloc_asprintf (request, "no archive sent the complete history: %s",
+                                        missing != NULL ? missing : "");
+
+  counter_add (COUNTER_HISTORIES_UNREAD, 1);
+  request_fail (request, FAILURE_UNCERTAIN, detail != NULL ? detail : "out of memory");
 }
 
 /* Requests the missing turn's text from the next archive. */
@@ -324,23 +262,23 @@
   const struct Node *node = request->front->node;
   struct GatewayMessage message = { .kind = GATEWAY_TURN_READ };
   struct ArchiveCandidate candidates[ARCHIVE_SET_MAX];
-  size_t n;
+  size_t n = turn_sort_archives (request, candidates);
+  const char *archive;
 
-  turn_begin_phase (request, turn, TURN_READING);
-  if (strcmp (turn->missing, missing) != 0)
-    turn->lacking.n = 0;
+  /* A late response to an earlier query for the same turn still counts. */
+  TALLOC_FREE (turn->timer);
+  if (turn->phase != TURN_READING || strcmp (turn->missing, missing) != 0)
+    turn_begin_phase (request, turn, TURN_READING);
   snprintf (turn->missing, sizeof turn->missing, "%s", missing);
   message.read.id = turn->query_id;
   snprintf (message.read.customer, sizeof message.read.customer, "%s", request->customer.name);
   snprintf (message.read.turn, sizeof message.read.turn, "%s", missing);
-  n = turn_sort_archives (request, candidates);
-  for (size_t i = 0; i < n && turn->n_reads < READS_MAX; i++)
+  while ((archive = turn_history_next_reader (turn->history, candidates, n)) != NULL)
     {
-      const char *archive = candidates[turn->next_reader++ % n].name;
-
       if (node_send_archive (request->front->node, archive, &message) != ERROR_NONE)
         continue;
-      turn->n_reads++;
+      counter_add (COUNTER_HISTORY_QUERIES, 1);
+      snprintf (turn->reader, sizeof turn->reader, "%s", archive);
       turn->timer =
           timer_subscribe (turn, node->timers, READ_TIMEOUT_MS, 0, turn_on_read_timeout, request);
       return;
@@ -353,8 +291,7 @@
 turn_assemble (struct Request *request)
 {
   struct Turn *turn = request->turn;
-  size_t history_bytes;
-  const char *missing = turn_missing (turn, request->caller.previous, &history_bytes);
+  const char *missing = turn_history_missing (turn->history);
   const struct TurnText *newest;
 
   TALLOC_FREE (turn->timer);
@@ -363,27 +300,21 @@
       turn_read (request, missing);
       return;
     }
-  if (!turn_build_body (request, history_bytes))
+  if (!turn_build_body (request))
     {
       request_fail (request, FAILURE_UNCERTAIN, "out of memory for the request body");
       return;
     }
   request->continues_program =
       request->caller.previous[0] != '\0' || turn_charges_any (turn->charges, turn->n_charges);
-  newest = turn_history_text (turn, request->caller.previous);
+  newest = turn_history_newest (turn->history);
   if (!request->front->node->settings->decisions.sessions)
     request->previous_server = "";
   else if (newest != NULL)
     request->previous_server = talloc_strdup (request, newest->server);
   else if (turn->place.session != 0)
     request->previous_server = turn->place.server;
-  for (size_t i = 0; i < turn->n_history; i++)
-    {
-      talloc_free ((void *)turn->history[i].input);
-      talloc_free ((void *)turn->history[i].output);
-    }
   TALLOC_FREE (turn->history);
-  turn->n_history = 0;
   turn->phase = TURN_RUNNING;
   histogram_add (HISTOGRAM_TURN_OPEN,
                  timer_now_ms (request->front->node->timers) - turn->started_ms);
@@ -423,11 +354,10 @@
 turn_history_pending (const struct Request *request)
 {
   const struct Turn *turn = request->turn;
-  size_t n_bytes;
 
   return turn->previous_exists && turn->reader[0] != '\0' && !turn->reader_late
          && !archive_names_have (&turn->answered, turn->reader)
-         && turn_missing (turn, request->caller.previous, &n_bytes) != NULL;
+         && turn_history_missing (turn->history) != NULL;
 }
 
 static void
@@ -453,6 +383,26 @@
                                  turn_on_reader_late, request);
 }
 
+/* Adds what an archive sent of the history. Returns false without memory. */
+static bool
+turn_add_history (struct Turn *turn, const struct TurnOpened *opened)
+{
+  size_t n_bytes = turn_history_bytes (turn->history);
+  int32_t error = turn_history_add (turn->history, opened->history, opened->n_history);
+
+  counter_add (COUNTER_HISTORY_BYTES, turn_history_bytes (turn->history) - n_bytes);
+  return error == ERROR_NONE;
+}
+
+/* Returns whether the turn is still missing that the archives were queried for. */
+static bool
+turn_is_missing (const struct Turn *turn, const char *id)
+{
+  const char *missing = turn_history_missing (turn->history);
+
+  return missing != NULL && strcmp (missing, id) == 0;
+}
+
 static void
 turn_handle_opened (struct Request *request, const char *archive, const struct TurnOpened *opened)
 {
@@ -462,7 +412,7 @@
 
   if (opened->error != ERROR_NONE || !turn_record_response (turn, archive))
     return;
-  if (!turn_add_history (turn, opened->history, opened->n_history)
+  if (!turn_add_history (turn, opened)
       || turn_charges_merge (turn, &turn->charges, &turn->n_charges, opened->charges,
                              opened->n_charges)
              != ERROR_NONE)
@@ -470,6 +420,8 @@
       request_fail (request, FAILURE_UNCERTAIN, "out of memory for the archive's response");
       return;
     }
+  if (!opened->has_turn && turn_is_missing (turn, request->caller.previous))
+    turn_history_note_lacking (turn->history, archive);
   turn_sessions (request, sessions);
   turn->place = session_place_merge (&turn->place, &opened->place, sessions);
   turn->previous_exists = turn->previous_exists || opened->has_turn;
@@ -487,12 +439,20 @@
 static void
 turn_handle_read (struct Request *request, const char *archive, const struct TurnOpened *opened)
 {
-  if (!opened->has_turn)
-    archive_names_add (&request->turn->lacking, archive);
-  if (!turn_add_history (request->turn, opened->history, opened->n_history))
-    request_fail (request, FAILURE_UNCERTAIN, "out of memory for the history");
-  else
-    turn_assemble (request);
+  struct Turn *turn = request->turn;
+
+  if (!turn_add_history (turn, opened))
+    {
+      request_fail (request, FAILURE_UNCERTAIN, "out of memory for the history");
+      return;
+    }
+  if (turn_is_missing (turn, turn->missing))
+    {
+      turn_history_note_lacking (turn->history, archive);
+      if (strcmp (archive, turn->reader) != 0)
+        return;
+    }
+  turn_assemble (request);
 }
 
 struct Request *
--- a/gateway/turn_internal.h
+++ b/gateway/turn_internal.h
@@ -5,6 +5,7 @@
 
 #include <buckthornhead/archive_order.h>
 #include <buckthornhead/scheduling/session_places.h>
+#include <buckthornhead/turn_history.h>
 
 enum TurnPhase
 {
@@ -25,14 +26,11 @@
   bool previous_exists;         /* an archive has the previous turn */
   struct TurnCharge *charges;
   size_t n_charges;
-  struct TurnText *history; /* texts of earlier turns, in any order */
-  size_t n_history;
-  char reader[NAME_MAX_BYTES + 1]; /* archive that was first queried for the history */
-  bool waits_for_reader;           /* enough other archives have responded before it */
-  bool reader_late;                /* READER_LATE_MS have passed since then */
-  size_t n_reads, next_reader;
-  char missing[NAME_MAX_BYTES + 1]; /* turn whose text was requested last */
-  struct ArchiveNames lacking;      /* archives that responded that they lack it */
+  struct TurnHistory *history;      /* NULL once the request's body is built from it */
+  char reader[NAME_MAX_BYTES + 1];  /* archive that was last queried for the history */
+  char missing[NAME_MAX_BYTES + 1]; /* turn for which it was queried; "": the previous turn */
+  bool waits_for_reader;            /* enough other archives have responded before it */
+  bool reader_late;                 /* READER_LATE_MS have passed since then */
   struct ArchiveNames sent;         /* archives that were sent the turn's texts first */
   bool sent_to_all;                 /* the texts were then sent to the others, too */
   bool retried;                     /* the query was repeated through another gateway */
