Store a turn only together with the turns that it continues

Cause: a turn goes to a write quorum, two of three archives, chosen by the gateway's zone and its program. Each of them extended the retention of the turns before it as far as it had them. An archive that has the first turn and not the second let the first expire by itself; the other one that has both was then the only one, or, with a third program, there was none. So "two copies" held for each turn, and not for its chain.

Ruled out: the copy after the lost disk (its source had dropped the turn before), reading, late responses.

Change: an archive stores a turn only if it has all turns before it, and otherwise responds so; the gateway, which holds them in the request's body, sends them with what belongs to them (program, charge, retention), then the turn again. Turns are sent first to archives that report the chain, so that a chain stays where it is. In the index, a turn never expires before those that continue it, in whichever order records are added, and also if a reservation extends them.

Earlier versions: bit 63 of the ids asks for all this; without it an archive does as before, and a gateway that got a history from an earlier archive stores the turn without it.

--- a/core/counter.c
+++ b/core/counter.c
@@ -112,6 +112,9 @@
   [COUNTER_HISTORY_BYTES] = COUNTS ("history_bytes", "Bytes of earlier turns read from archives"),
   [COUNTER_HISTORIES_UNREAD] =
       COUNTS ("histories_unread", "Turns rejected since no archive sent all earlier turns"),
+  [COUNTER_CHAINS_SENT] =
+      COUNTS ("chains_sent", "Chains of earlier turns sent to an archive that lacked some of them"),
+  [COUNTER_CHAIN_BYTES] = COUNTS ("chain_bytes", "Bytes of earlier turns sent to archives"),
   [COUNTER_QUOTA_REQUESTED] =
       COUNTS ("quota_leases_requested", "Requests for tokens of customers' limits"),
   [COUNTER_QUOTA_GRANTED] =
--- a/core/gateway/archive_order.c
+++ b/core/gateway/archive_order.c
@@ -17,6 +17,8 @@
 {
   if (a->responsive != b->responsive)
     return a->responsive;
+  if (a->has_chain != b->has_chain)
+    return a->has_chain;
   if (a->in_zone != b->in_zone)
     return a->in_zone;
   return candidate_score (a, program_hash) > candidate_score (b, program_hash);
--- a/core/gateway/gateway_message.c
+++ b/core/gateway/gateway_message.c
@@ -85,6 +85,12 @@
   read_string (r, open->customer, sizeof open->customer);
 }
 
+enum
+{
+  OPENED_N_CHAIN = 2, /* optional items: has_chain and origins */
+  TURN_ORIGIN_N_ITEMS = 3
+};
+
 static void
 opened_pack (struct PackWriter *p, const struct TurnOpened *opened)
 {
@@ -105,6 +111,16 @@
   pack_u64 (p, opened->place.session);
   pack_u64 (p, opened->place.tokens);
   pack_string (p, opened->place.server);
+  if (!opened->reports_chain)
+    return;
+  pack_bool (p, opened->has_chain);
+  pack_array (p, TURN_ORIGIN_N_ITEMS * opened->n_history);
+  for (size_t i = 0; i < opened->n_history; i++)
+    {
+      pack_string (p, opened->origins[i].program);
+      pack_u64 (p, opened->origins[i].charge_tokens);
+      pack_u64 (p, opened->origins[i].retention_ms);
+    }
 }
 
 size_t
@@ -118,6 +134,28 @@
   return 0;
 }
 
+/* Unpacks the optional items of a response that reports chains. */
+static void
+opened_unpack_chain (struct PackReader *r, TALLOC_CTX *ctx, struct TurnOpened *opened)
+{
+  struct PackReader list;
+
+  opened->reports_chain = true;
+  opened->has_chain = read_bool (r);
+  if (message_list_enter (r, &list, TURN_ORIGIN_N_ITEMS) != opened->n_history)
+    list.failed = true;
+  opened->origins = talloc_zero_array (ctx, struct TurnOrigin, opened->n_history);
+  for (size_t i = 0; opened->origins != NULL && i < opened->n_history && !list.failed; i++)
+    {
+      struct TurnOrigin *origin = &opened->origins[i];
+
+      read_string (&list, origin->program, sizeof origin->program);
+      origin->charge_tokens = (uint32_t)read_u64 (&list, UINT32_MAX);
+      origin->retention_ms = (uint32_t)read_u64 (&list, UINT32_MAX);
+    }
+  r->failed = r->failed || list.failed || opened->origins == NULL;
+}
+
 static void
 opened_unpack (struct PackReader *r, TALLOC_CTX *ctx, struct TurnOpened *opened)
 {
@@ -146,6 +184,8 @@
   opened->place.session = read_u64 (r, UINT64_MAX);
   opened->place.tokens = (uint32_t)read_u64 (r, UINT32_MAX);
   read_string (r, opened->place.server, sizeof opened->place.server);
+  if (r->at < r->n_items)
+    opened_unpack_chain (r, ctx, opened);
 }
 
 static void
@@ -538,6 +578,8 @@
 {
   switch (message->kind)
     {
+    case GATEWAY_TURN_OPENED:
+      return message->opened.reports_chain ? OPENED_N_CHAIN : 0;
     case GATEWAY_COPY_PART:
       return message->copy_part.has_clock ? COPY_PART_N_CLOCK : 0;
     case GATEWAY_SLOT_REQUEST:
@@ -563,6 +605,8 @@
     {
     case GATEWAY_COPY_PART:
       return n_items == n_fixed + COPY_PART_N_CLOCK;
+    case GATEWAY_TURN_OPENED:
+      return n_items == n_fixed + OPENED_N_CHAIN;
     case GATEWAY_SLOT_REQUEST:
       return n_items == n_fixed + SLOT_REQUEST_N_RANK
              || n_items == n_fixed + SLOT_REQUEST_N_RANK + SLOT_REQUEST_N_HELD;
--- a/core/gateway/turn_history.c
+++ b/core/gateway/turn_history.c
@@ -15,17 +15,19 @@
 struct HistoryTurn
 {
   struct TurnText text;
-  struct HistoryTurn *before; /* the turn that it continues, once both are known; NULL: none */
-  bool in_chain;              /* between the newest turn and the missing one */
+  struct TurnOrigin origin;
+  bool has_origin;
+  bool in_chain; /* between the newest turn and the missing one */
   UT_hash_handle hh;
 };
 
 struct TurnHistory
 {
-  struct HistoryTurn *turns;           /* by id */
-  struct HistoryTurn *newest, *oldest; /* of the chain; NULL: the newest turn is missing */
-  const char *missing;                 /* "": none */
-  size_t n_bytes;                      /* of the chain's texts */
+  struct HistoryTurn *turns;  /* by id */
+  struct HistoryTurn **chain; /* newest first */
+  size_t n_chain;
+  const char *missing; /* "": none */
+  size_t n_bytes;      /* of the chain's texts */
   /* About the missing turn. */
   struct ArchiveNames lacking; /* archives that responded without it */
   struct ArchiveNames queried; /* in the current round */
@@ -72,13 +74,27 @@
   return n == 0 || *bytes != NULL;
 }
 
+static void
+history_set_origin (struct HistoryTurn *turn, const struct TurnOrigin *origin)
+{
+  if (origin == NULL)
+    return;
+  turn->origin = *origin;
+  turn->has_origin = true;
+}
+
 static int32_t
-history_add_one (struct TurnHistory *history, const struct TurnText *text)
+history_add_one (struct TurnHistory *history,
+                 const struct TurnText *text,
+                 const struct TurnOrigin *origin)
 {
   struct HistoryTurn *turn = history_find (history, text->turn);
 
   if (turn != NULL)
-    return ERROR_NONE;
+    {
+      history_set_origin (turn, origin);
+      return ERROR_NONE;
+    }
   turn = talloc_zero (history, struct HistoryTurn);
   if (turn == NULL)
     return ERROR_NO_MEMORY;
@@ -89,43 +105,47 @@
       talloc_free (turn);
       return ERROR_NO_MEMORY;
     }
+  history_set_origin (turn, origin);
   HASH_ADD_STR (history->turns, text.turn, turn);
   return ERROR_NONE;
 }
 
 /* Appends the known turns from the missing one on to the chain. A turn that continues itself, which
  * only a corrupt record does, stays missing. */
-static void
+static int32_t
 history_advance (struct TurnHistory *history)
 {
   struct HistoryTurn *turn;
 
+  history->chain = talloc_realloc (history, history->chain, struct HistoryTurn *,
+                                   HASH_COUNT (history->turns) + 1);
+  if (history->chain == NULL)
+    return ERROR_NO_MEMORY;
   while (history->missing[0] != '\0' && (turn = history_find (history, history->missing)) != NULL
          && !turn->in_chain)
     {
       turn->in_chain = true;
-      if (history->oldest != NULL)
-        history->oldest->before = turn;
-      else
-        history->newest = turn;
-      history->oldest = turn;
+      history->chain[history->n_chain++] = turn;
       history->n_bytes += turn->text.input_bytes + turn->text.output_bytes;
       history->missing = turn->text.previous;
       history->lacking.n = 0;
       history->queried.n = 0;
       history->n_rounds = 0;
     }
+  return ERROR_NONE;
 }
 
 int32_t
-turn_history_add (struct TurnHistory *history, const struct TurnText *turns, size_t n)
+turn_history_add (struct TurnHistory *history,
+                  const struct TurnText *turns,
+                  const struct TurnOrigin *origins,
+                  size_t n)
 {
   int32_t error = ERROR_NONE;
 
   for (size_t i = 0; i < n && error == ERROR_NONE; i++)
-    error = history_add_one (history, &turns[i]);
-  history_advance (history);
-  return error;
+    error = history_add_one (history, &turns[i], origins != NULL ? &origins[i] : NULL);
+  return error == ERROR_NONE ? history_advance (history) : error;
 }
 
 const char *
@@ -137,7 +157,7 @@
 const struct TurnText *
 turn_history_newest (const struct TurnHistory *history)
 {
-  return history->newest != NULL ? &history->newest->text : NULL;
+  return history->n_chain > 0 ? &history->chain[0]->text : NULL;
 }
 
 size_t
@@ -146,20 +166,59 @@
   return history->n_bytes;
 }
 
+/* Returns the start of the bytes once they are before end. */
+static uint8_t *
+history_move_bytes (const uint8_t **bytes, size_t n, uint8_t *end)
+{
+  uint8_t *start = end - n;
+
+  if (n == 0)
+    return end;
+  memcpy (start, *bytes, n);
+  talloc_free ((void *)*bytes);
+  *bytes = start;
+  return start;
+}
+
 void
-turn_history_write (const struct TurnHistory *history, uint8_t *end)
+turn_history_move (struct TurnHistory *history, uint8_t *end)
 {
-  for (const struct HistoryTurn *turn = history->newest; turn != NULL; turn = turn->before)
+  for (size_t i = 0; i < history->n_chain; i++)
     {
-      end -= turn->text.output_bytes;
-      if (turn->text.output_bytes > 0)
-        memcpy (end, turn->text.output, turn->text.output_bytes);
-      end -= turn->text.input_bytes;
-      if (turn->text.input_bytes > 0)
-        memcpy (end, turn->text.input, turn->text.input_bytes);
+      struct TurnText *text = &history->chain[i]->text;
+
+      end = history_move_bytes (&text->output, text->output_bytes, end);
+      end = history_move_bytes (&text->input, text->input_bytes, end);
     }
 }
 
+bool
+turn_history_is_storable (const struct TurnHistory *history)
+{
+  for (size_t i = 0; i < history->n_chain; i++)
+    if (!history->chain[i]->has_origin)
+      return false;
+  return turn_history_missing (history) == NULL;
+}
+
+size_t
+turn_history_count (const struct TurnHistory *history)
+{
+  return history->n_chain;
+}
+
+void
+turn_history_fill_close (const struct TurnHistory *history, size_t i, struct TurnClose *close)
+{
+  const struct HistoryTurn *turn = history->chain[history->n_chain - 1 - i];
+
+  close->kept = true;
+  snprintf (close->program, sizeof close->program, "%s", turn->origin.program);
+  close->charge_tokens = turn->origin.charge_tokens;
+  close->retention_ms = turn->origin.retention_ms;
+  close->text = turn->text;
+}
+
 void
 turn_history_note_lacking (struct TurnHistory *history, const char *archive)
 {
--- a/core/gateway/turn_index.c
+++ b/core/gateway/turn_index.c
@@ -13,8 +13,7 @@
    * the end of its response. */
   RETENTION_SLACK_MS = 15 * 1000,
   /* A later turn of the program extends a turn's retention only by at least this much. */
-  EXTEND_STEP_MS = 5 * 1000,
-  CHAIN_MAX = 100000 /* turns in a chain; guards against a loop in corrupt records */
+  EXTEND_STEP_MS = 5 * 1000
 };
 
 /* An id that is unique across customers: the customer's name, a line feed and the id, or the id
@@ -35,12 +34,16 @@
   return scoped;
 }
 
+/* A turn expires no earlier than those that continue it. */
 struct IndexedTurn
 {
-  char *id, *previous; /* id is scoped */
+  char *id;       /* scoped */
+  char *previous; /* NULL: not stored here, only continued by turns that are */
   struct DiskPlace place;
   int64_t expires_unix_ms;
   uint32_t retention_ms;
+  bool has_chain;  /* all turns before it are stored here; false: unknown */
+  uint64_t search; /* that visited it last, see turn_index_has_chain */
   UT_hash_handle hh;
 };
 
@@ -65,6 +68,9 @@
 {
   struct IndexedTurn *turns;
   struct IndexedProgram *programs;
+  uint64_t n_searches;
+  TurnExtendedFn on_extended; /* NULL: none */
+  void *on_extended_data;
 };
 
 static int
@@ -85,8 +91,9 @@
   return index;
 }
 
+/* Returns the turn's entry, whether the turn is stored here or not. */
 static struct IndexedTurn *
-index_turn (const struct TurnIndex *index, const char *customer, const char *id)
+index_entry (const struct TurnIndex *index, const char *customer, const char *id)
 {
   struct ScopedId scoped = scoped_id (customer, id);
   struct IndexedTurn *turn = NULL;
@@ -95,6 +102,34 @@
   return turn;
 }
 
+static struct IndexedTurn *
+index_turn (const struct TurnIndex *index, const char *customer, const char *id)
+{
+  struct IndexedTurn *turn = index_entry (index, customer, id);
+
+  return turn != NULL && turn->previous != NULL ? turn : NULL;
+}
+
+static struct IndexedTurn *
+index_ensure_entry (struct TurnIndex *index, const char *customer, const char *id)
+{
+  struct IndexedTurn *turn = index_entry (index, customer, id);
+
+  if (turn != NULL)
+    return turn;
+  turn = talloc_zero (index, struct IndexedTurn);
+  if (turn == NULL)
+    return NULL;
+  turn->id = talloc_strdup (turn, scoped_id (customer, id).text);
+  if (turn->id == NULL)
+    {
+      talloc_free (turn);
+      return NULL;
+    }
+  HASH_ADD_KEYPTR (hh, index->turns, turn->id, strlen (turn->id), turn);
+  return turn;
+}
+
 static struct IndexedProgram *
 index_program (const struct TurnIndex *index, const char *customer, const char *id)
 {
@@ -179,44 +214,60 @@
 }
 
 void
-turn_index_extend_program (struct TurnIndex *index,
-                           const struct TurnOpen *open,
-                           int64_t unix_ms,
-                           TurnExtendedFn fn,
-                           void *data)
+turn_index_on_extended (struct TurnIndex *index, TurnExtendedFn fn, void *data)
 {
-  const struct IndexedProgram *program = index_program (index, open->customer, open->program);
-
-  for (size_t i = 0; program != NULL && i < program->n_charges; i++)
-    {
-      struct IndexedTurn *turn = index_turn (index, open->customer, program->charges[i].turn);
-      int64_t expires_unix_ms =
-          turn != NULL ? unix_ms + turn->retention_ms + RETENTION_SLACK_MS : 0;
-
-      if (turn == NULL || turn->expires_unix_ms > expires_unix_ms - EXTEND_STEP_MS)
-        continue;
-      turn->expires_unix_ms = expires_unix_ms;
-      fn (data, &turn->place, expires_unix_ms);
-    }
+  index->on_extended = fn;
+  index->on_extended_data = data;
 }
 
-/* Extends the retention of a turn and those before it. Continuing the last turn of a chain needs
- * all of them. */
 static void
+index_report_expiry (const struct TurnIndex *index, const struct IndexedTurn *turn)
+{
+  if (index->on_extended != NULL && turn->previous != NULL)
+    index->on_extended (index->on_extended_data, &turn->place, turn->expires_unix_ms);
+}
+
+/* Extends the retention of a turn and those before it: continuing the last turn of a chain needs
+ * all of them. Remembers the expiry of a turn that is not stored here, since its record may arrive
+ * after those of the turns that continue it, as in a copy. */
+static int32_t
 index_extend_chain (struct TurnIndex *index,
                     const char *customer,
                     const char *id,
                     int64_t expires_unix_ms)
 {
-  for (uint32_t i = 0; i < CHAIN_MAX && id[0] != '\0'; i++)
+  while (id != NULL && id[0] != '\0')
     {
-      struct IndexedTurn *turn = index_turn (index, customer, id);
+      struct IndexedTurn *turn = index_ensure_entry (index, customer, id);
 
-      if (turn == NULL || turn->expires_unix_ms >= expires_unix_ms)
-        return;
+      if (turn == NULL)
+        return ERROR_NO_MEMORY;
+      if (turn->expires_unix_ms >= expires_unix_ms)
+        return ERROR_NONE;
       turn->expires_unix_ms = expires_unix_ms;
+      index_report_expiry (index, turn);
       id = turn->previous;
     }
+  return ERROR_NONE;
+}
+
+int32_t
+turn_index_extend_program (struct TurnIndex *index, const struct TurnOpen *open, int64_t unix_ms)
+{
+  const struct IndexedProgram *program = index_program (index, open->customer, open->program);
+  int32_t error = ERROR_NONE;
+
+  for (size_t i = 0; program != NULL && i < program->n_charges && error == ERROR_NONE; i++)
+    {
+      const char *id = program->charges[i].turn;
+      const struct IndexedTurn *turn = index_turn (index, open->customer, id);
+      int64_t expires_unix_ms =
+          turn != NULL ? unix_ms + turn->retention_ms + RETENTION_SLACK_MS : 0;
+
+      if (turn != NULL && turn->expires_unix_ms <= expires_unix_ms - EXTEND_STEP_MS)
+        error = index_extend_chain (index, open->customer, id, expires_unix_ms);
+    }
+  return error;
 }
 
 static int32_t
@@ -225,27 +276,22 @@
                 const struct DiskPlace *place,
                 int64_t unix_ms)
 {
-  struct IndexedTurn *turn = index_turn (index, close->customer, close->text.turn);
+  struct IndexedTurn *turn = index_ensure_entry (index, close->customer, close->text.turn);
   int64_t expires_unix_ms = unix_ms + close->retention_ms + RETENTION_SLACK_MS;
 
-  if (turn != NULL)
-    return ERROR_NONE;
-  turn = talloc_zero (index, struct IndexedTurn);
   if (turn == NULL)
     return ERROR_NO_MEMORY;
-  turn->id = talloc_strdup (turn, scoped_id (close->customer, close->text.turn).text);
+  if (turn->previous != NULL)
+    return ERROR_NONE;
   turn->previous = talloc_strdup (turn, close->text.previous);
-  if (turn->id == NULL || turn->previous == NULL)
-    {
-      talloc_free (turn);
-      return ERROR_NO_MEMORY;
-    }
+  if (turn->previous == NULL)
+    return ERROR_NO_MEMORY;
   turn->place = *place;
-  turn->expires_unix_ms = expires_unix_ms;
   turn->retention_ms = close->retention_ms;
-  HASH_ADD_KEYPTR (hh, index->turns, turn->id, strlen (turn->id), turn);
-  index_extend_chain (index, close->customer, turn->previous, expires_unix_ms);
-  return ERROR_NONE;
+  if (turn->expires_unix_ms < expires_unix_ms)
+    turn->expires_unix_ms = expires_unix_ms;
+  index_report_expiry (index, turn);
+  return index_extend_chain (index, close->customer, turn->previous, turn->expires_unix_ms);
 }
 
 int32_t
@@ -285,6 +331,32 @@
   return true;
 }
 
+bool
+turn_index_has_chain (struct TurnIndex *index, const char *customer, const char *id)
+{
+  uint64_t search = ++index->n_searches;
+  const char *next = id;
+  struct IndexedTurn *turn;
+
+  while (next[0] != '\0')
+    {
+      turn = index_turn (index, customer, next);
+      /* A turn that this search has visited before continues itself. */
+      if (turn == NULL || turn->search == search)
+        return false;
+      if (turn->has_chain)
+        break;
+      turn->search = search;
+      next = turn->previous;
+    }
+  /* Marks them, so that the next search ends at the newest one: the turns before a turn stay for
+   * as long as it does. */
+  for (turn = index_turn (index, customer, id); turn != NULL && !turn->has_chain;
+       turn = index_turn (index, customer, turn->previous))
+    turn->has_chain = true;
+  return true;
+}
+
 bool
 turn_index_is_closed (const struct TurnIndex *index,
                       const char *customer,
--- a/gateway/archive.c
+++ b/gateway/archive.c
@@ -48,22 +48,6 @@
   size_t n_bytes;         /* of the record */
 };
 
-/* A stored turn extends the retention of its whole chain, so the files of the earlier turns must
- * not expire before it. */
-static void
-archive_extend_files (struct Archive *archive, const char *customer, const char *turn)
-{
-  int64_t expires_unix_ms =
-      turn_index_expiry (archive->index, customer, turn) + FILE_EXPIRY_MARGIN_MS;
-  struct TurnPlace place;
-
-  while (turn[0] != '\0' && turn_index_find (archive->index, customer, turn, &place))
-    {
-      disk_log_extend (archive->log, place.place.file, expires_unix_ms);
-      turn = place.previous;
-    }
-}
-
 static void
 archive_index_close (struct Archive *archive,
                      const struct TurnClose *close,
@@ -74,10 +58,9 @@
     log_event (LOG_LEVEL_ERROR, "archive_no_memory", close->program,
                "give the instance more memory",
                "turn %s is on disk but could not be added to the index", close->text.turn);
-  else if (close->kept)
-    archive_extend_files (archive, close->customer, close->text.turn);
 }
 
+/* The file of a turn must not expire before the turn. */
 static void
 archive_on_turn_extended (void *data, const struct DiskPlace *place, int64_t expires_unix_ms)
 {
@@ -92,7 +75,7 @@
   int32_t error = turn_index_reserve (archive->index, open, unix_ms);
 
   if (error == ERROR_NONE)
-    turn_index_extend_program (archive->index, open, unix_ms, archive_on_turn_extended, archive);
+    error = turn_index_extend_program (archive->index, open, unix_ms);
   return error;
 }
 
@@ -126,6 +109,16 @@
 
 /* History. */
 
+static struct TurnOrigin
+origin_of (const struct TurnClose *close)
+{
+  struct TurnOrigin origin = { .charge_tokens = close->charge_tokens,
+                               .retention_ms = close->retention_ms };
+
+  snprintf (origin.program, sizeof origin.program, "%s", close->program);
+  return origin;
+}
+
 /* Appends the turn and its predecessors, newest first, until the chain ends, a turn is missing, or
  * the message reaches HISTORY_MAX_BYTES. */
 static void
@@ -150,11 +143,14 @@
       talloc_free (bytes);
       opened->history =
           talloc_realloc (ctx, opened->history, struct TurnText, opened->n_history + 1);
-      if (opened->history == NULL)
+      opened->origins =
+          talloc_realloc (ctx, opened->origins, struct TurnOrigin, opened->n_history + 1);
+      if (opened->history == NULL || opened->origins == NULL)
         {
           opened->n_history = 0;
           return;
         }
+      opened->origins[opened->n_history] = origin_of (&record.close);
       opened->history[opened->n_history++] = record.close.text;
       total_bytes += n_bytes;
       turn = place.previous;
@@ -177,6 +173,10 @@
   response.opened.has_turn =
       open->previous[0] != '\0'
       && turn_index_find (archive->index, open->customer, open->previous, &place);
+  response.opened.reports_chain = (open->id & TURN_WITH_CHAIN) != 0;
+  response.opened.has_chain =
+      response.opened.has_turn
+      && turn_index_has_chain (archive->index, open->customer, open->previous);
   if (error == ERROR_NONE)
     response.opened.error = turn_index_charges (archive->index, ctx, open, &response.opened.charges,
                                                 &response.opened.n_charges);
@@ -309,28 +309,50 @@
              (long long)(close->retention_ms / 1000), longest_ms / 1000);
 }
 
-static void
-archive_on_close (struct Archive *archive, uint64_t link, const struct TurnClose *close)
+/* Returns why a close is not written to the disk, or ERROR_NONE. A kept turn without the turns
+ * before it could not be continued from this disk, and would not extend their retention. */
+static int32_t
+archive_check_close (struct Archive *archive, const struct TurnClose *close)
+{
+  if (archive_is_fenced (archive, close->generation))
+    return ERROR_FENCED;
+  if (close->kept && (close->id & TURN_WITH_CHAIN) != 0
+      && !turn_index_has_chain (archive->index, close->customer, close->text.previous))
+    return ERROR_NOT_FOUND;
+  return ERROR_NONE;
+}
+
+static int32_t
+archive_write_close (struct Archive *archive, uint64_t link, const struct TurnClose *close)
 {
   struct ArchiveRecord record = { .kind = ARCHIVE_RECORD_CLOSE, .close = *close };
   struct ArchiveWrite *write = archive_write_new (archive, link, ARCHIVE_RECORD_CLOSE);
   int32_t error = ERROR_NO_MEMORY;
 
-  archive_check_retention (archive, close);
   record.unix_ms = retention_clock_now (&archive->clock);
-  if (archive_is_fenced (archive, close->generation))
-    error = ERROR_FENCED;
-  else if (write != NULL)
+  if (write != NULL)
     {
       write->close = *close;
       write->close.text.input = NULL;
       write->close.text.output = NULL;
       error = archive_append (archive, &record, write);
     }
-  if (error == ERROR_NONE)
-    return;
-  archive_send_closed (archive, link, close->id, error);
-  talloc_free (write);
+  if (error != ERROR_NONE)
+    talloc_free (write);
+  return error;
+}
+
+static void
+archive_on_close (struct Archive *archive, uint64_t link, const struct TurnClose *close)
+{
+  int32_t error = archive_check_close (archive, close);
+  bool is_stored = error == ERROR_NONE && turn_index_has_close (archive->index, close);
+
+  archive_check_retention (archive, close);
+  if (error == ERROR_NONE && !is_stored)
+    error = archive_write_close (archive, link, close);
+  if (error != ERROR_NONE || is_stored)
+    archive_send_closed (archive, link, close->id, error);
 }
 
 const struct RetentionClock *
@@ -504,6 +526,7 @@
   archive->index = turn_index_new (archive);
   if (archive->index == NULL)
     return fault_set (fault, ERROR_NO_MEMORY, NULL, "no memory for the archive");
+  turn_index_on_extended (archive->index, archive_on_turn_extended, archive);
   return disk_log_open (archive, node->events, node->settings->data_folder, archive_on_replay,
                         archive, &archive->log, fault);
 }
--- a/gateway/turn.c
+++ b/gateway/turn.c
@@ -38,6 +38,8 @@
       const struct Peer *peer = node_peer (node, asked.names[i]);
 
       snprintf (candidates[i].name, sizeof candidates[i].name, "%s", asked.names[i]);
+      candidates[i].has_chain =
+          request->turn != NULL && archive_names_have (&request->turn->holders, asked.names[i]);
       candidates[i].responsive = peer != NULL && node_peer_is_responsive (node, peer);
       candidates[i].in_zone = peer != NULL && strcmp (peer->status.zone, node->settings->zone) == 0;
     }
@@ -105,7 +107,7 @@
   struct TurnOpen *open = &message->open;
 
   message->kind = GATEWAY_TURN_OPEN;
-  open->id = request->turn->query_id;
+  open->id = request->turn->query_id | TURN_WITH_CHAIN;
   open->generation = request->front->node->set.generation;
   snprintf (open->customer, sizeof open->customer, "%s", request->customer.name);
   snprintf (open->turn, sizeof open->turn, "%s", request->caller.id);
@@ -165,6 +167,7 @@
   struct ArchiveNames asked = archive_set_targets (&node->set);
   struct GatewayMessage message = { 0 };
 
+  request->turn->open_id = request->turn->query_id;
   turn_fill_open (request, &message);
   for (uint32_t i = 0; i < asked.n; i++)
     {
@@ -217,7 +220,7 @@
 static bool
 turn_build_body (struct Request *request)
 {
-  const struct TurnHistory *history = request->turn->history;
+  struct TurnHistory *history = request->turn->history;
   size_t history_bytes = turn_history_bytes (history);
   size_t total_bytes = history_bytes + request->exchange->body_bytes;
   uint8_t *body = talloc_array (request, uint8_t, total_bytes + 1);
@@ -227,7 +230,7 @@
     return false;
   if (request->exchange->body_bytes > 0)
     memcpy (end, request->exchange->body, request->exchange->body_bytes);
-  turn_history_write (history, end);
+  turn_history_move (history, end);
   request->body = body;
   request->body_bytes = total_bytes;
   return true;
@@ -270,7 +273,7 @@
   if (turn->phase != TURN_READING || strcmp (turn->missing, missing) != 0)
     turn_begin_phase (request, turn, TURN_READING);
   snprintf (turn->missing, sizeof turn->missing, "%s", missing);
-  message.read.id = turn->query_id;
+  message.read.id = turn->query_id | TURN_WITH_CHAIN;
   snprintf (message.read.customer, sizeof message.read.customer, "%s", request->customer.name);
   snprintf (message.read.turn, sizeof message.read.turn, "%s", missing);
   while ((archive = turn_history_next_reader (turn->history, candidates, n)) != NULL)
@@ -314,7 +317,6 @@
     request->previous_server = talloc_strdup (request, newest->server);
   else if (turn->place.session != 0)
     request->previous_server = turn->place.server;
-  TALLOC_FREE (turn->history);
   turn->phase = TURN_RUNNING;
   histogram_add (HISTOGRAM_TURN_OPEN,
                  timer_now_ms (request->front->node->timers) - turn->started_ms);
@@ -388,7 +390,8 @@
 turn_add_history (struct Turn *turn, const struct TurnOpened *opened)
 {
   size_t n_bytes = turn_history_bytes (turn->history);
-  int32_t error = turn_history_add (turn->history, opened->history, opened->n_history);
+  int32_t error =
+      turn_history_add (turn->history, opened->history, opened->origins, opened->n_history);
 
   counter_add (COUNTER_HISTORY_BYTES, turn_history_bytes (turn->history) - n_bytes);
   return error == ERROR_NONE;
@@ -459,18 +462,37 @@
 turn_find (struct Front *front, uint64_t query_id)
 {
   for (struct Request *r = front->requests; r != NULL; r = r->next)
-    if (r->turn != NULL && r->turn->query_id == query_id)
+    if (r->turn != NULL
+        && (r->turn->query_id == query_id || r->turn->open_id == query_id
+            || turn_chain_has_query (r->turn, query_id)))
       return r;
   return NULL;
 }
 
+/* Records whether the archive stores the chain that the turn continues. Earlier versions report
+ * only whether they have its last turn. */
+static void
+turn_record_holder (struct Request *request, const char *archive, const struct TurnOpened *opened)
+{
+  struct Turn *turn = request->turn;
+  bool is_about_previous = (opened->id & ~TURN_WITH_CHAIN) == turn->open_id
+                           || strcmp (turn->missing, request->caller.previous) == 0;
+
+  if (is_about_previous && (opened->reports_chain ? opened->has_chain : opened->has_turn))
+    archive_names_add (&turn->holders, archive);
+}
+
 void
 turn_on_opened (struct Front *front, const char *archive, const struct TurnOpened *opened)
 {
-  struct Request *request = turn_find (front, opened->id);
+  uint64_t query_id = opened->id & ~TURN_WITH_CHAIN;
+  struct Request *request = turn_find (front, query_id);
 
   if (request == NULL)
     return;
+  turn_record_holder (request, archive, opened);
+  if (query_id != request->turn->query_id)
+    return;
   switch (request->turn->phase)
     {
     case TURN_OPENING:
--- a/gateway/turn_close.c
+++ b/gateway/turn_close.c
@@ -41,7 +41,7 @@
   struct TurnClose *close = &message->close;
 
   message->kind = GATEWAY_TURN_CLOSE;
-  close->id = request->turn->query_id;
+  close->id = request->turn->query_id | (kept ? TURN_WITH_CHAIN : 0);
   close->generation = request->front->node->set.generation;
   snprintf (close->customer, sizeof close->customer, "%s", request->customer.name);
   snprintf (close->program, sizeof close->program, "%s", request->caller.program);
@@ -88,6 +88,17 @@
   node_send_set (request->front->node, &message, &request->turn->sent);
 }
 
+void
+turn_send_close_to (struct Request *request, const char *archive, bool needs_chain)
+{
+  struct GatewayMessage message = { 0 };
+
+  turn_fill_close (request, true, &message);
+  if (!needs_chain)
+    message.close.id &= ~TURN_WITH_CHAIN;
+  node_send_archive (request->front->node, archive, &message);
+}
+
 void
 turn_send_close (struct Request *request)
 {
@@ -160,15 +171,23 @@
 void
 turn_on_closed (struct Front *front, const char *archive, const struct TurnClosed *closed)
 {
-  struct Request *request = turn_find (front, closed->id);
+  struct Request *request = turn_find (front, closed->id & ~TURN_WITH_CHAIN);
 
   if (request == NULL)
     {
       settle_on_closed (front, archive, closed);
       return;
     }
-  if (request->turn->phase != TURN_CLOSING || closed->error != ERROR_NONE
-      || !turn_record_response (request->turn, archive)
+  if (request->turn->phase != TURN_CLOSING)
+    return;
+  if (turn_chain_has_query (request->turn, closed->id))
+    {
+      turn_chain_on_stored (request, closed);
+      return;
+    }
+  if (closed->error == ERROR_NOT_FOUND)
+    turn_chain_send (request, archive);
+  if (closed->error != ERROR_NONE || !turn_record_response (request->turn, archive)
       || !archive_set_is_written (&front->node->set, front->node->settings->tolerated,
                                   &request->turn->answered))
     return;
--- a/gateway/turn_internal.h
+++ b/gateway/turn_internal.h
@@ -19,14 +19,16 @@
 {
   enum TurnPhase phase;
   int64_t started_ms, phase_ms; /* when the turn and its current phase started */
-  uint64_t query_id;            /* of the open query to the archives */
+  uint64_t query_id;            /* of the pending query to the archives */
+  uint64_t open_id;             /* of the reservation, to which responses may come later */
   struct Timer *timer;
   struct ArchiveNames answered; /* archives that responded to the open query */
   struct ArchiveNames complete; /* of these, the ones that lack no acknowledged data */
   bool previous_exists;         /* an archive has the previous turn */
   struct TurnCharge *charges;
   size_t n_charges;
-  struct TurnHistory *history;      /* NULL once the request's body is built from it */
+  struct TurnHistory *history;      /* its texts are in the request's body once that is built */
+  struct ArchiveNames holders;      /* archives that store the previous turn and all before it */
   char reader[NAME_MAX_BYTES + 1];  /* archive that was last queried for the history */
   char missing[NAME_MAX_BYTES + 1]; /* turn for which it was queried; "": the previous turn */
   bool waits_for_reader;            /* enough other archives have responded before it */
@@ -35,7 +37,9 @@
   bool sent_to_all;                 /* the texts were then sent to the others, too */
   bool retried;                     /* the query was repeated through another gateway */
   bool close_sent;                  /* the archives were notified of the turn's end */
-  struct SessionPlace place;        /* best place of its session among the responses */
+  struct ChainSend *chain_sends;    /* to archives that lack earlier turns */
+  size_t n_chain_sends;
+  struct SessionPlace place; /* best place of its session among the responses */
 };
 
 /* Lists the archives to query in the preferred order for the request's program; returns their
@@ -57,10 +61,31 @@
 bool
 turn_record_response (struct Turn *turn, const char *archive);
 
-/* Returns the request whose turn has this query open; NULL when it is no longer open. */
+/* Returns the request whose turn has sent this query; NULL when it has ended. */
 struct Request *
 turn_find (struct Front *front, uint64_t query_id);
 
 /* Sends the close of a kept turn to the archives that have not responded. */
 void
 turn_send_close (struct Request *request);
+
+/* Sends the close of a kept turn to one archive, which stores it only if it has all turns before
+ * it, unless needs_chain is false. */
+void
+turn_send_close_to (struct Request *request, const char *archive, bool needs_chain);
+
+/* turn_chain.c: sends the turns before a turn to an archive that lacks some of them. */
+
+struct ChainSend;
+
+/* Returns whether id is that of a query by which turns are sent. */
+bool
+turn_chain_has_query (const struct Turn *turn, uint64_t id);
+
+/* Starts sending them; the turn's close follows. */
+void
+turn_chain_send (struct Request *request, const char *archive);
+
+/* Handles an archive's response to the last of the turns sent to it. */
+void
+turn_chain_on_stored (struct Request *request, const struct TurnClosed *closed);
--- a/include/buckthornhead/archive_order.h
+++ b/include/buckthornhead/archive_order.h
@@ -1,9 +1,10 @@
 /* The order in which a gateway prefers the archives of a set for a program's turns.
  *
  * Turn texts are large and traffic between availability zones is billed, so texts are sent to no
- * more archives than the write quorum requires, those in the gateway's zone first. All gateways of
- * a zone use the same order for a program, so that the archive that is queried first for its
- * history stores it. Does no I/O. */
+ * more archives than the write quorum requires. A turn goes to the archives that store the turns
+ * before it, since others would need the texts of these, too; a first turn goes to those in the
+ * gateway's zone. All gateways of a zone use the same order for a program, so that the archive that
+ * is queried first for its history stores it. Does no I/O. */
 #pragma once
 
 #include <buckthornhead/archive_set.h>
@@ -12,11 +13,12 @@
 {
   char name[NAME_MAX_BYTES + 1];
   bool responsive; /* responded recently over its link */
+  bool has_chain;  /* stores all turns that the turn continues */
   bool in_zone;    /* in the gateway's availability zone */
 };
 
-/* Sorts by responsive before unresponsive, then same zone before other zones, then by a hash of
- * program and archive. */
+/* Sorts by responsive before unresponsive, then those with the chain before others, then same zone
+ * before other zones, then by a hash of program and archive. */
 void
 archive_order_sort (struct ArchiveCandidate *candidates, size_t n, const char *program);
 
--- a/include/buckthornhead/turn.h
+++ b/include/buckthornhead/turn.h
@@ -23,6 +23,14 @@
   size_t output_bytes;
 };
 
+/* What an archive stores of a turn besides its texts. */
+struct TurnOrigin
+{
+  char program[NAME_MAX_BYTES + 1];
+  uint32_t charge_tokens;
+  uint32_t retention_ms;
+};
+
 /* The charge of one turn to its program's budget. */
 struct TurnCharge
 {
@@ -31,6 +39,11 @@
   bool settled; /* false: reserved, an upper bound of the charge */
 };
 
+/* Set in the id of TurnOpen and TurnRead if the response is to report chains, and in the id of
+ * TurnClose if the turn is to be stored only by archives that store all turns before it. Earlier
+ * versions return the id unchanged and do neither. */
+#define TURN_WITH_CHAIN (1ULL << 63)
+
 enum
 {
   /* Sessions of a prompt, from its last part backwards: the turn's own session, and the one that
@@ -76,8 +89,11 @@
   int32_t error;
   bool complete;            /* the archive has every record that it ever acknowledged */
   bool has_turn;            /* the turn of TurnRead, or previous of TurnOpen, is stored here */
+  bool reports_chain;       /* with has_chain and origins */
+  bool has_chain;           /* with has_turn: all turns before that one are stored here, too */
   struct TurnText *history; /* newest first, up to the chain's start, a gap or the size limit */
   size_t n_history;
+  struct TurnOrigin *origins; /* of the turns in history; NULL without reports_chain */
   struct TurnCharge *charges; /* of the program, without the new turn */
   size_t n_charges;
   struct SessionPlace place; /* of the first requested session that is known */
@@ -98,7 +114,8 @@
   struct TurnText text;
 };
 
-/* Response to TurnClose: error is ERROR_NONE once the record is durable on the archive's disk. */
+/* Response to TurnClose: error is ERROR_NONE once the record is durable on the archive's disk;
+ * ERROR_NOT_FOUND: not stored, since the archive lacks turns before it. */
 struct TurnClosed
 {
   uint64_t id;
--- a/include/buckthornhead/turn_history.h
+++ b/include/buckthornhead/turn_history.h
@@ -12,10 +12,13 @@
 struct TurnHistory *
 turn_history_new (TALLOC_CTX *ctx, const char *newest);
 
-/* Adds copies of the texts of n turns, in any order; known ones are skipped. Fails with
- * ERROR_NO_MEMORY. */
+/* Adds copies of the texts of n turns, in any order, and their origins, which may be NULL; known
+ * texts are skipped. Fails with ERROR_NO_MEMORY. */
 int32_t
-turn_history_add (struct TurnHistory *history, const struct TurnText *turns, size_t n);
+turn_history_add (struct TurnHistory *history,
+                  const struct TurnText *turns,
+                  const struct TurnOrigin *origins,
+                  size_t n);
 
 /* Returns the newest turn that no archive has sent yet; NULL when the history is complete. */
 const char *
@@ -29,9 +32,24 @@
 size_t
 turn_history_bytes (const struct TurnHistory *history);
 
-/* Writes the inputs and outputs of a complete history, oldest first, so that they end at end. */
+/* Writes the inputs and outputs of a complete history, oldest first, so that they end at end. From
+ * then on the history's texts are these bytes, which must outlive it. */
 void
-turn_history_write (const struct TurnHistory *history, uint8_t *end);
+turn_history_move (struct TurnHistory *history, uint8_t *end);
+
+/* Returns whether the history is complete and has the origins of all turns, so that another archive
+ * can store it. */
+bool
+turn_history_is_storable (const struct TurnHistory *history);
+
+/* Returns the number of turns from the newest to the missing one. */
+size_t
+turn_history_count (const struct TurnHistory *history);
+
+/* Fills in the texts, program, charge and retention of turn i, counted from the oldest of a
+ * storable history. Texts belong to the history. */
+void
+turn_history_fill_close (const struct TurnHistory *history, size_t i, struct TurnClose *close);
 
 /* Records that an archive responded without the missing turn. It is not queried for it again. */
 void
--- a/include/buckthornhead/turn_index.h
+++ b/include/buckthornhead/turn_index.h
@@ -26,18 +26,18 @@
 
 typedef void (*TurnExtendedFn) (void *data, const struct DiskPlace *place, int64_t expires_unix_ms);
 
-/* Extends the retention of all turns of open's program, and calls fn for each that is extended.
- * Later turns of a chain may be stored by other archives, which do not extend the earlier ones
- * here; every archive receives the reservations of all. */
+/* Calls fn for each turn that is added or extended, with its expiry. */
 void
-turn_index_extend_program (struct TurnIndex *index,
-                           const struct TurnOpen *open,
-                           int64_t unix_ms,
-                           TurnExtendedFn fn,
-                           void *data);
+turn_index_on_extended (struct TurnIndex *index, TurnExtendedFn fn, void *data);
+
+/* Extends the retention of all turns of open's program and of those before them. Later turns of a
+ * program may be stored by other archives, which do not extend the earlier ones here; every archive
+ * receives the reservations of all. Fails with ERROR_NO_MEMORY. */
+int32_t
+turn_index_extend_program (struct TurnIndex *index, const struct TurnOpen *open, int64_t unix_ms);
 
 /* Records that a turn has closed, with its record at place. Extends the retention of its chain to
- * its own. Fails with ERROR_NO_MEMORY. */
+ * its own, also that of turns which are added later. Fails with ERROR_NO_MEMORY. */
 int32_t
 turn_index_close (struct TurnIndex *index,
                   const struct TurnClose *close,
@@ -51,6 +51,10 @@
                  const char *turn,
                  struct TurnPlace *place);
 
+/* Returns whether the turn and all turns before it are stored here. "" has no turns before it. */
+bool
+turn_index_has_chain (struct TurnIndex *index, const char *customer, const char *turn);
+
 /* Returns true if the turn has closed, whether it is kept or not. */
 bool
 turn_index_is_closed (const struct TurnIndex *index,
--- a/tests/sessions/gateways.c
+++ b/tests/sessions/gateways.c
@@ -242,7 +242,8 @@
     headers[n++] = after;
   if (budget > 0)
     headers[n++] = limit;
-  return http_send (ctx, "POST", fleet->gateways[gateway].caller, "/turns/1", headers, input);
+  return http_send (ctx, "POST", fleet->gateways[gateway].caller,
+                    fleet->turn_path != NULL ? fleet->turn_path : "/turns/1", headers, input);
 }
 
 struct HttpReply *
--- a/tests/sessions/gateways.h
+++ b/tests/sessions/gateways.h
@@ -50,6 +50,7 @@
   ProxyPortFn proxy_port; /* proxy for each peer port and the store; NULL: direct connections */
   void *proxy_data;
   uint32_t gateway_descriptors; /* limit of each gateway; 0: the test's */
+  const char *turn_path;        /* of the turns that are sent; NULL: "/turns/1" */
   const char *quota_sharing;    /* setting of the gateways; NULL: the default */
 };
 
--- a/tests/test_archive_order.c
+++ b/tests/test_archive_order.c
@@ -20,6 +20,7 @@
     {
       snprintf (candidates[i].name, sizeof candidates[i].name, "a%d", i);
       candidates[i].responsive = true;
+      candidates[i].has_chain = false;
       candidates[i].in_zone = i == 3;
       archive_names_add (&set->members, candidates[i].name);
     }
@@ -67,6 +68,25 @@
   CU_ASSERT_STRING_EQUAL (candidates[N - 1].name, "a3");
 }
 
+/* Each turn of a conversation through several zones went to other archives, and no archive had all
+ * of its turns. */
+static void
+test_a_turn_goes_to_the_archives_of_its_chain (void)
+{
+  struct ArchiveCandidate candidates[N];
+  struct ArchiveSet set;
+
+  fill (candidates, &set);
+  candidates[0].has_chain = true;
+  candidates[1].has_chain = true;
+  candidates[4].has_chain = true;
+  candidates[4].responsive = false;
+  archive_order_sort (candidates, N, "program");
+  CU_ASSERT_TRUE (candidates[0].has_chain && candidates[1].has_chain);
+  CU_ASSERT_STRING_EQUAL (candidates[2].name, "a3");
+  CU_ASSERT_STRING_EQUAL (candidates[N - 1].name, "a4");
+}
+
 /* Two gateways of a zone without an archive serve the turns of one program: they must order the
  * archives the same way, so that one queries the archive to which the other has written. Programs
  * must be spread evenly over the archives. */
@@ -119,6 +139,7 @@
 const struct TestCase test_cases[] = {
   { "texts are sent to a write quorum only", test_texts_are_sent_to_a_write_quorum_only },
   { "responsive archives come first", test_responsive_archives_come_first },
+  { "a turn goes to the archives of its chain", test_a_turn_goes_to_the_archives_of_its_chain },
   { "order of a program is the same everywhere", test_order_of_a_program_is_the_same_everywhere },
   { "the first set spreads over zones", test_the_first_set_spreads_over_zones },
   { NULL, NULL },
--- a/tests/test_gateway_message.c
+++ b/tests/test_gateway_message.c
@@ -275,6 +275,7 @@
   struct GatewayMessage message = { .kind = GATEWAY_TURN_OPENED };
   struct TurnText history[2] = { { .turn = "t2", .previous = "t1", .server = "i-1" },
                                  { .turn = "t1" } };
+  struct TurnOrigin origins[2] = { { "p", 76, 60000 }, { "q", 19, 30000 } };
   struct TurnCharge charges[1] = { { .turn = "t1", .tokens = 38, .settled = true } };
   struct GatewayMessage *unpacked;
 
@@ -298,6 +299,17 @@
   CU_ASSERT_EQUAL (unpacked->opened.place.session, 7);
   CU_ASSERT_EQUAL (unpacked->opened.place.tokens, 1400);
   CU_ASSERT_STRING_EQUAL (unpacked->opened.place.server, "i-2");
+  CU_ASSERT_FALSE (unpacked->opened.reports_chain);
+  CU_ASSERT_PTR_NULL (unpacked->opened.origins);
+  message.opened.reports_chain = true;
+  message.opened.has_chain = true;
+  message.opened.origins = origins;
+  unpacked = round_trip (ctx, &message);
+  CU_ASSERT_TRUE (unpacked->opened.reports_chain);
+  CU_ASSERT_TRUE (unpacked->opened.has_chain);
+  CU_ASSERT_STRING_EQUAL (unpacked->opened.origins[1].program, "q");
+  CU_ASSERT_EQUAL (unpacked->opened.origins[0].charge_tokens, 76);
+  CU_ASSERT_EQUAL (unpacked->opened.origins[0].retention_ms, 60000);
   talloc_free (ctx);
 }
 
--- a/tests/test_turn_history.c
+++ b/tests/test_turn_history.c
@@ -67,7 +67,7 @@
     {
       const struct TurnText text = turn_text (ctx, i - 1);
 
-      CU_ASSERT_EQUAL (turn_history_add (history, &text, 1), ERROR_NONE);
+      CU_ASSERT_EQUAL (turn_history_add (history, &text, NULL, 1), ERROR_NONE);
     }
   talloc_free (ctx);
 }
@@ -119,7 +119,7 @@
         CU_ASSERT (read_chain (history, stored) <= 2 * stored->n);
         CU_ASSERT_PTR_NULL (turn_history_missing (history));
         CU_ASSERT_EQUAL_FATAL (turn_history_bytes (history), stored->n * TEXT_BYTES);
-        turn_history_write (history, body + stored->n * TEXT_BYTES);
+        turn_history_move (history, body + stored->n * TEXT_BYTES);
         for (size_t i = 0; i < stored->n; i++)
           CU_ASSERT_EQUAL (strtoul ((const char *)body + i * TEXT_BYTES, NULL, 10), i);
         talloc_free (ctx);
@@ -175,7 +175,7 @@
   struct TurnText texts[2] = { turn_text (ctx, 1), turn_text (ctx, 0) };
 
   snprintf (texts[1].previous, sizeof texts[1].previous, "t1");
-  CU_ASSERT_EQUAL (turn_history_add (history, texts, 2), ERROR_NONE);
+  CU_ASSERT_EQUAL (turn_history_add (history, texts, NULL, 2), ERROR_NONE);
   CU_ASSERT_STRING_EQUAL (turn_history_missing (history), "t1");
   CU_ASSERT_EQUAL (turn_history_bytes (history), 2 * TEXT_BYTES);
   talloc_free (ctx);
--- a/tests/test_turn_index.c
+++ b/tests/test_turn_index.c
@@ -274,25 +274,101 @@
   uint32_t n = 0;
 
   close_turn (index, "t1", "", 0);
+  turn_index_on_extended (index, count_extended, &n);
   for (uint32_t i = 0; i < 3; i++)
     {
       const struct TurnOpen open = turn_open (later[i], 10);
 
       turn_index_reserve (index, &open, 30000 * (i + 1));
-      turn_index_extend_program (index, &open, 30000 * (i + 1), count_extended, &n);
+      turn_index_extend_program (index, &open, 30000 * (i + 1));
     }
   CU_ASSERT_EQUAL (n, 3);
   turn_index_expire (index, 90000 + RETENTION_MS);
   CU_ASSERT_TRUE (turn_index_find (index, "", "t1", &place));
   snprintf (other.program, sizeof other.program, "another");
   turn_index_reserve (index, &other, 140000);
-  turn_index_extend_program (index, &other, 140000, count_extended, &n);
+  turn_index_extend_program (index, &other, 140000);
   CU_ASSERT_EQUAL (n, 3);
   turn_index_expire (index, 90000 + 2 * RETENTION_MS);
   CU_ASSERT_FALSE (turn_index_find (index, "", "t1", &place));
   talloc_free (index);
 }
 
+static struct TurnClose
+turn_close_of (const char *program, const char *turn, const char *previous)
+{
+  struct TurnClose close = turn_close (turn, previous, 19, true);
+
+  snprintf (close.program, sizeof close.program, "%s", program);
+  return close;
+}
+
+/* A reservation extended the turns of its own program, but not the turns of other programs that
+ * these continue. */
+static void
+test_reservations_keep_the_chain_of_their_program (void)
+{
+  struct TurnIndex *index = turn_index_new (NULL);
+  const struct TurnClose first = turn_close_of ("a", "t1", "");
+  const struct TurnOpen open = turn_open ("t3", 10);
+  const struct DiskPlace place = { 1, 100, 10 };
+  struct TurnPlace found;
+
+  turn_index_close (index, &first, &place, 0);
+  close_turn (index, "t2", "t1", 30000);
+  CU_ASSERT_EQUAL (turn_index_extend_program (index, &open, 80000), ERROR_NONE);
+  turn_index_expire (index, 80000 + RETENTION_MS);
+  CU_ASSERT_TRUE (turn_index_find (index, "", "t2", &found));
+  CU_ASSERT_TRUE (turn_index_find (index, "", "t1", &found));
+  talloc_free (index);
+}
+
+/* A copy and a replay bring records in any order. A turn that was added after one that continues it
+ * expired before that one. */
+static void
+test_a_chain_is_kept_in_whichever_order_it_is_added (void)
+{
+  static const char *const orders[] = { "123", "132", "213", "231", "312", "321" };
+  const char *const turns[] = { "", "t1", "t2", "t3" };
+  const int64_t closed_ms[] = { 0, 0, 55000, 110000 };
+
+  for (size_t i = 0; i < sizeof orders / sizeof orders[0]; i++)
+    {
+      struct TurnIndex *index = turn_index_new (NULL);
+
+      for (const char *at = orders[i]; *at != '\0'; at++)
+        {
+          CU_ASSERT_FALSE (turn_index_has_chain (index, "", "t3"));
+          close_turn (index, turns[*at - '0'], turns[*at - '1'], closed_ms[*at - '0']);
+        }
+      CU_ASSERT_TRUE (turn_index_has_chain (index, "", "t3"));
+      turn_index_expire (index, 110000 + RETENTION_MS);
+      CU_ASSERT_TRUE (turn_index_has_chain (index, "", "t3"));
+      CU_ASSERT_EQUAL (turn_index_expiry (index, "", "t1"), turn_index_expiry (index, "", "t3"));
+      talloc_free (index);
+    }
+}
+
+static void
+test_a_chain_with_a_hole_is_not_whole (void)
+{
+  struct TurnIndex *index = turn_index_new (NULL);
+  struct TurnPlace place;
+
+  CU_ASSERT_TRUE (turn_index_has_chain (index, "", ""));
+  CU_ASSERT_FALSE (turn_index_has_chain (index, "", "t1"));
+  close_turn (index, "t3", "t2", 0);
+  close_turn (index, "t1", "", 0);
+  CU_ASSERT_FALSE (turn_index_has_chain (index, "", "t3"));
+  CU_ASSERT_FALSE (turn_index_find (index, "", "t2", &place));
+  CU_ASSERT_EQUAL (turn_index_expiry (index, "", "t2"), 0);
+  CU_ASSERT_TRUE (turn_index_has_chain (index, "", "t1"));
+  /* Only corrupt records name a later turn as the previous one. */
+  close_turn (index, "t2", "t3", 0);
+  CU_ASSERT_FALSE (turn_index_has_chain (index, "", "t3"));
+  talloc_free (index);
+}
+
 const char test_suite_name[] = "turn_index";
 const struct TestCase test_cases[] = {
   { "a reservation becomes a charge", test_reservation_becomes_charge },
@@ -306,5 +382,10 @@
   { "expired texts are taken again", test_expired_texts_are_taken_again },
   { "reservations keep the turns of their program",
     test_reservations_keep_the_turns_of_their_program },
+  { "reservations keep the chain of their program",
+    test_reservations_keep_the_chain_of_their_program },
+  { "a chain is kept in whichever order it is added",
+    test_a_chain_is_kept_in_whichever_order_it_is_added },
+  { "a chain with a hole is not whole", test_a_chain_with_a_hole_is_not_whole },
   { NULL, NULL },
 };
