Soak: programs continue the chains of others

Eight programs in a row continue each other's last turn, so that chains of up to 40 turns cross gateways and faults; the body that an engine receives is checked against the whole chain.

--- a/tests/soak/soak_load.c
+++ b/tests/soak/soak_load.c
@@ -15,6 +15,7 @@
   EVENTS_PER_TURN = 4, /* as the stand-ins stream them */
   MAX_TOKENS = 200,    /* of one turn, as its caller declares */
   TURNS_MAX = 5,
+  PROGRAMS_PER_CHAIN = 8, /* each continues the last turn of the one before */
   ATTEMPTS_MAX = 12,
   TIMEOUT_MS = 3000,
   PAUSE_MS = 30,
@@ -40,6 +41,9 @@
   bool sends_surges;
   uint64_t random;
   uint64_t n_ids;
+  uint32_t n_programs;
+  char last[48]; /* of the last program, with the history up to it */
+  char history[HISTORY_MAX];
   struct ClientLink links[GATEWAYS_MAX];
   struct ClientReply reply;
   pthread_t thread;
@@ -321,8 +325,15 @@
 
   snprintf (program.id, sizeof program.id, "p-%u-%llu", caller->number,
             (unsigned long long)caller->n_ids);
+  if (caller->n_programs++ % PROGRAMS_PER_CHAIN != 0)
+    {
+      memcpy (program.last, caller->last, sizeof program.last);
+      memcpy (program.history, caller->history, sizeof program.history);
+    }
   for (uint32_t turn = 0; turn < n_turns && caller_turn (caller, &program, turn); turn++)
     caller_call (caller);
+  memcpy (caller->last, program.last, sizeof caller->last);
+  memcpy (caller->history, program.history, sizeof caller->history);
   if (caller_random (caller, 4) == 0)
     check_other_customer (caller, &program);
   if (program.last[0] != '\0')
