Query the other archives after a gap; wait for chains on slow links

A chain that is sent to an archive may take longer than the 2.5 s after which a turn that is not stored fails, and the next try would send it from its start again. By reading; no test shows it.

--- a/bench/history_bench.c
+++ b/bench/history_bench.c
@@ -82,6 +82,7 @@
       turn_history_add (history, &b->texts[i - 1], NULL, 1);
       b->sent_bytes += b->texts[i - 1].input_bytes;
     }
+  turn_history_note_end (history, archive);
 }
 
 static void
--- a/core/gateway/turn_history.c
+++ b/core/gateway/turn_history.c
@@ -225,6 +225,12 @@
   archive_names_add (&history->lacking, archive);
 }
 
+void
+turn_history_note_end (struct TurnHistory *history, const char *archive)
+{
+  archive_names_add (&history->queried, archive);
+}
+
 static const char *
 history_pick_reader (const struct TurnHistory *history,
                      const struct ArchiveCandidate *candidates,
--- a/gateway/turn.c
+++ b/gateway/turn.c
@@ -387,13 +387,16 @@
 
 /* Adds what an archive sent of the history. Returns false without memory. */
 static bool
-turn_add_history (struct Turn *turn, const struct TurnOpened *opened)
+turn_add_history (struct Turn *turn, const char *archive, const struct TurnOpened *opened)
 {
   size_t n_bytes = turn_history_bytes (turn->history);
   int32_t error =
       turn_history_add (turn->history, opened->history, opened->origins, opened->n_history);
 
   counter_add (COUNTER_HISTORY_BYTES, turn_history_bytes (turn->history) - n_bytes);
+  /* With the whole chain it ended at the size limit of a response. */
+  if (opened->n_history > 0 && !opened->has_chain)
+    turn_history_note_end (turn->history, archive);
   return error == ERROR_NONE;
 }
 
@@ -415,7 +418,7 @@
 
   if (opened->error != ERROR_NONE || !turn_record_response (turn, archive))
     return;
-  if (!turn_add_history (turn, opened)
+  if (!turn_add_history (turn, archive, opened)
       || turn_charges_merge (turn, &turn->charges, &turn->n_charges, opened->charges,
                              opened->n_charges)
              != ERROR_NONE)
@@ -444,7 +447,7 @@
 {
   struct Turn *turn = request->turn;
 
-  if (!turn_add_history (turn, opened))
+  if (!turn_add_history (turn, archive, opened))
     {
       request_fail (request, FAILURE_UNCERTAIN, "out of memory for the history");
       return;
--- a/gateway/turn_chain.c
+++ b/gateway/turn_chain.c
@@ -111,6 +111,7 @@
 
       if (send->id != closed->id)
         continue;
+      turn->chain_progressed = true;
       if (send->n < turn_history_count (turn->history))
         turn_chain_send_batch (request, send);
       else
--- a/gateway/turn_close.c
+++ b/gateway/turn_close.c
@@ -14,7 +14,8 @@
   /* Storing takes a disk sync of 5 ms, possibly behind another batch. Without enough responses
    * after this long, the texts are sent to the other archives, too. */
   CLOSE_WIDEN_MS = 40,
-  /* The close is repeated once, and the request fails when its program would rather start over. */
+  /* The close is repeated once, and the request fails when its program would rather start over. A
+   * chain that is being sent may take longer. */
   CLOSE_RETRY_MS = 250,
   CLOSE_TIMEOUT_MS = 2500
 };
@@ -152,6 +153,14 @@
                            turn_on_close_timeout, request);
       return;
     }
+  if (turn->chain_progressed)
+    {
+      turn->chain_progressed = false;
+      TALLOC_FREE (turn->timer);
+      turn->timer = timer_subscribe (turn, request->front->node->timers, CLOSE_TIMEOUT_MS, 0,
+                                     turn_on_close_timeout, request);
+      return;
+    }
   snprintf (detail, sizeof detail, "only %u archives have stored the turn", turn->answered.n);
   request_fail (request, FAILURE_BROKEN, detail);
 }
--- a/gateway/turn_internal.h
+++ b/gateway/turn_internal.h
@@ -39,6 +39,7 @@
   bool close_sent;                  /* the archives were notified of the turn's end */
   struct ChainSend *chain_sends;    /* to archives that lack earlier turns */
   size_t n_chain_sends;
+  bool chain_progressed;     /* an archive has stored turns of the chain since the last timeout */
   struct SessionPlace place; /* best place of its session among the responses */
 };
 
--- a/include/buckthornhead/turn_history.h
+++ b/include/buckthornhead/turn_history.h
@@ -55,6 +55,11 @@
 void
 turn_history_note_lacking (struct TurnHistory *history, const char *archive);
 
+/* Records that an archive's response ended before the missing turn. The others are queried for it
+ * first. */
+void
+turn_history_note_end (struct TurnHistory *history, const char *archive);
+
 /* Returns the archive to query for the missing turn, the first one of the candidates that has not
  * been queried for it; those that did not respond are queried again after the others. NULL when
  * all have responded, or none has for several rounds. Belongs to candidates. */
--- a/tests/test_turn_history.c
+++ b/tests/test_turn_history.c
@@ -69,6 +69,7 @@
 
       CU_ASSERT_EQUAL (turn_history_add (history, &text, NULL, 1), ERROR_NONE);
     }
+  turn_history_note_end (history, name);
   talloc_free (ctx);
 }
 
@@ -141,6 +142,21 @@
   talloc_free (history);
 }
 
+/* An archive whose turns end at a gap was queried again before the others, for a turn that it had
+ * just shown to lack. */
+static void
+test_the_other_archives_are_queried_after_a_gap (void)
+{
+  struct TurnHistory *history = turn_history_new (NULL, "t7");
+  struct Stored *stored = talloc_zero (history, struct Stored);
+
+  for (size_t i = 0; i < 8; i++)
+    stored->has[i / 2 % 2][i] = true;
+  CU_ASSERT_EQUAL (read_chain (history, stored), 5);
+  CU_ASSERT_PTR_NULL (turn_history_missing (history));
+  talloc_free (history);
+}
+
 /* An archive that stored the turn is suspended for a moment; the others lack it. */
 static void
 test_a_silent_archive_is_queried_again (void)
@@ -197,6 +213,7 @@
   { "a chain of any length is read", test_a_chain_of_any_length_is_read },
   { "a turn that all archives lack is queried once",
     test_a_turn_that_all_archives_lack_is_queried_once },
+  { "the other archives are queried after a gap", test_the_other_archives_are_queried_after_a_gap },
   { "a silent archive is queried again", test_a_silent_archive_is_queried_again },
   { "a chain without a start stays incomplete", test_a_chain_without_a_start_stays_incomplete },
   { "a first turn has no history", test_a_first_turn_has_no_history },
