--- a/tests/test_stored_format.c
+++ b/tests/test_stored_format.c
@@ -228,12 +228,18 @@
 static void
 fill_opened (struct GatewayMessage *m, uint32_t variant)
 {
-  m->opened = (struct TurnOpened){ .id = 107,
+  static struct TurnOrigin origins[] = { { "program-1", 503, 60000 }, { "program-2", 504, 30000 } };
+  bool reports_chain = variant == 2;
+
+  m->opened = (struct TurnOpened){ .id = 107 | (reports_chain ? TURN_WITH_CHAIN : 0),
                                    .error = ERROR_FENCED,
                                    .complete = flag (variant, 1),
                                    .has_turn = flag (variant, 2),
                                    .history = texts,
                                    .n_history = 2,
+                                   .reports_chain = reports_chain,
+                                   .has_chain = reports_chain,
+                                   .origins = reports_chain ? origins : NULL,
                                    .charges = charges,
                                    .n_charges = 2,
                                    .place = { 1ULL << 42, 108, "server-3" } };
@@ -438,7 +444,7 @@
 } gateway_kinds[] = {
   { "turn_open", GATEWAY_TURN_OPEN, 1, fill_open },
   { "turn_read", GATEWAY_TURN_READ, 1, fill_read },
-  { "turn_opened", GATEWAY_TURN_OPENED, 2, fill_opened },
+  { "turn_opened", GATEWAY_TURN_OPENED, 3, fill_opened },
   { "turn_close", GATEWAY_TURN_CLOSE, 1, fill_close },
   { "turn_closed", GATEWAY_TURN_CLOSED, sizeof errors / sizeof errors[0], fill_closed },
   { "heartbeat", GATEWAY_HEARTBEAT, 3, fill_heartbeat },
