Simplify the search of chains, the sends of chains and the waits of closes

- turn_index_has_chain kept a number of its last visit in each turn, only to notice a chain that continues itself.
A walk longer than the index shows the same, so two fields go, one of them in each stored turn.
- A response to a sent chain was looked up by three loops: in turn_find, in turn_on_closed and in its handler.
One lookup serves them, and turn_chain_on_closed returns whether the response was one.
- The timer of a close was armed again in four places, the last one added for chains: turn_await_close.
- turn_start had two branches for the same failure; two includes were unused.

Checked: the unit tests of the index, histories, orders, messages and chain_retention (900 sequences, 692,466 asserts as before), sessions gateway_chains, archives, copy, clock, servers and streams, soak and soak_shared_chains: 15 of 15 passed; formatter and linter clean on the changed files.

--- a/bench/history_bench.c
+++ b/bench/history_bench.c
@@ -6,7 +6,6 @@
  * turns lie in turn: the queries, the bytes of texts that archives send, the share of the history
  * that the body lacks, and the microseconds of processor time to collect the turns and write the
  * body. --queries ends the reading after that many. */
-#include <buckthornhead/error.h>
 #include <buckthornhead/turn_history.h>
 
 #include <argtable2.h>
--- a/core/gateway/turn_index.c
+++ b/core/gateway/turn_index.c
@@ -42,8 +42,7 @@
   struct DiskPlace place;
   int64_t expires_unix_ms;
   uint32_t retention_ms;
-  bool has_chain;  /* all turns before it are stored here; false: unknown */
-  uint64_t search; /* that visited it last, see turn_index_has_chain */
+  bool has_chain; /* all turns before it are stored here; false: unknown */
   UT_hash_handle hh;
 };
 
@@ -68,7 +67,6 @@
 {
   struct IndexedTurn *turns;
   struct IndexedProgram *programs;
-  uint64_t n_searches;
   TurnExtendedFn on_extended; /* NULL: none */
   void *on_extended_data;
 };
@@ -334,19 +332,18 @@
 bool
 turn_index_has_chain (struct TurnIndex *index, const char *customer, const char *id)
 {
-  uint64_t search = ++index->n_searches;
+  uint32_t n_left = HASH_COUNT (index->turns);
   const char *next = id;
   struct IndexedTurn *turn;
 
   while (next[0] != '\0')
     {
       turn = index_turn (index, customer, next);
-      /* A turn that this search has visited before continues itself. */
-      if (turn == NULL || turn->search == search)
+      /* A chain longer than the index has a turn that continues itself. */
+      if (turn == NULL || n_left-- == 0)
         return false;
       if (turn->has_chain)
         break;
-      turn->search = search;
       next = turn->previous;
     }
   /* Marks them, so that the next search ends at the newest one: the turns before a turn stay for
--- a/gateway/turn.c
+++ b/gateway/turn.c
@@ -192,13 +192,9 @@
   struct Front *front = request->front;
   struct Turn *turn = talloc_zero (request, struct Turn);
 
-  if (turn == NULL)
-    {
-      request_fail (request, FAILURE_UNCERTAIN, "out of memory for the turn");
-      return;
-    }
-  turn->history = turn_history_new (turn, request->caller.previous);
-  if (turn->history == NULL)
+  if (turn != NULL)
+    turn->history = turn_history_new (turn, request->caller.previous);
+  if (turn == NULL || turn->history == NULL)
     {
       talloc_free (turn);
       request_fail (request, FAILURE_UNCERTAIN, "out of memory for the turn");
--- a/gateway/turn_chain.c
+++ b/gateway/turn_chain.c
@@ -41,13 +41,19 @@
   return added;
 }
 
-bool
-turn_chain_has_query (const struct Turn *turn, uint64_t id)
+static struct ChainSend *
+turn_find_chain_send (const struct Turn *turn, uint64_t id)
 {
   for (size_t i = 0; i < turn->n_chain_sends; i++)
     if (turn->chain_sends[i].id == id)
-      return true;
-  return false;
+      return &turn->chain_sends[i];
+  return NULL;
+}
+
+bool
+turn_chain_has_query (const struct Turn *turn, uint64_t id)
+{
+  return turn_find_chain_send (turn, id) != NULL;
 }
 
 /* Sends the next turns. The archive writes them in order, so that its response to the last one
@@ -98,24 +104,20 @@
   turn_chain_send_batch (request, send);
 }
 
-void
-turn_chain_on_stored (struct Request *request, const struct TurnClosed *closed)
+bool
+turn_chain_on_closed (struct Request *request, const struct TurnClosed *closed)
 {
   struct Turn *turn = request->turn;
+  struct ChainSend *send = turn_find_chain_send (turn, closed->id);
 
+  if (send == NULL)
+    return false;
   if (closed->error != ERROR_NONE)
-    return;
-  for (size_t i = 0; i < turn->n_chain_sends; i++)
-    {
-      struct ChainSend *send = &turn->chain_sends[i];
-
-      if (send->id != closed->id)
-        continue;
-      turn->chain_progressed = true;
-      if (send->n < turn_history_count (turn->history))
-        turn_chain_send_batch (request, send);
-      else
-        turn_send_close_to (request, send->archive, true);
-      return;
-    }
+    return true;
+  turn->chain_progressed = true;
+  if (send->n < turn_history_count (turn->history))
+    turn_chain_send_batch (request, send);
+  else
+    turn_send_close_to (request, send->archive, true);
+  return true;
 }
--- a/gateway/turn_close.c
+++ b/gateway/turn_close.c
@@ -125,6 +125,19 @@
       node_send (node, asked.names[i], &message);
 }
 
+static void
+turn_on_close_timeout (void *data);
+
+static void
+turn_await_close (struct Request *request, int64_t timeout_ms)
+{
+  struct Turn *turn = request->turn;
+
+  TALLOC_FREE (turn->timer);
+  turn->timer = timer_subscribe (turn, request->front->node->timers, timeout_ms, 0,
+                                 turn_on_close_timeout, request);
+}
+
 static void
 turn_on_close_timeout (void *data)
 {
@@ -136,33 +149,25 @@
     {
       turn->sent_to_all = true;
       turn_widen_close (request);
-      TALLOC_FREE (turn->timer);
-      turn->timer =
-          timer_subscribe (turn, request->front->node->timers, CLOSE_RETRY_MS - CLOSE_WIDEN_MS, 0,
-                           turn_on_close_timeout, request);
-      return;
+      turn_await_close (request, CLOSE_RETRY_MS - CLOSE_WIDEN_MS);
     }
-  if (!turn->retried)
+  else if (!turn->retried)
     {
       turn->retried = true;
       /* Repeats it to those that have not responded, through another gateway if there is one. */
       turn_relay_close (request);
-      TALLOC_FREE (turn->timer);
-      turn->timer =
-          timer_subscribe (turn, request->front->node->timers, CLOSE_TIMEOUT_MS - CLOSE_RETRY_MS, 0,
-                           turn_on_close_timeout, request);
-      return;
+      turn_await_close (request, CLOSE_TIMEOUT_MS - CLOSE_RETRY_MS);
     }
-  if (turn->chain_progressed)
+  else if (turn->chain_progressed)
     {
       turn->chain_progressed = false;
-      TALLOC_FREE (turn->timer);
-      turn->timer = timer_subscribe (turn, request->front->node->timers, CLOSE_TIMEOUT_MS, 0,
-                                     turn_on_close_timeout, request);
-      return;
+      turn_await_close (request, CLOSE_TIMEOUT_MS);
+    }
+  else
+    {
+      snprintf (detail, sizeof detail, "only %u archives have stored the turn", turn->answered.n);
+      request_fail (request, FAILURE_BROKEN, detail);
     }
-  snprintf (detail, sizeof detail, "only %u archives have stored the turn", turn->answered.n);
-  request_fail (request, FAILURE_BROKEN, detail);
 }
 
 void
@@ -173,8 +178,7 @@
   turn_begin_phase (request, turn, TURN_CLOSING);
   turn->retried = false;
   turn_send_close_first (request);
-  turn->timer = timer_subscribe (turn, request->front->node->timers, CLOSE_WIDEN_MS, 0,
-                                 turn_on_close_timeout, request);
+  turn_await_close (request, CLOSE_WIDEN_MS);
 }
 
 void
@@ -189,11 +193,8 @@
     }
   if (request->turn->phase != TURN_CLOSING)
     return;
-  if (turn_chain_has_query (request->turn, closed->id))
-    {
-      turn_chain_on_stored (request, closed);
-      return;
-    }
+  if (turn_chain_on_closed (request, closed))
+    return;
   if (closed->error == ERROR_NOT_FOUND)
     turn_chain_send (request, archive);
   if (closed->error != ERROR_NONE || !turn_record_response (request->turn, archive)
--- a/gateway/turn_internal.h
+++ b/gateway/turn_internal.h
@@ -87,6 +87,7 @@
 void
 turn_chain_send (struct Request *request, const char *archive);
 
-/* Handles an archive's response to the last of the turns sent to it. */
-void
-turn_chain_on_stored (struct Request *request, const struct TurnClosed *closed);
+/* Handles an archive's response to the last of the turns sent to it. Returns false if it responds
+ * to another query. */
+bool
+turn_chain_on_closed (struct Request *request, const struct TurnClosed *closed);
--- a/tests/sessions/test_gateway_chains.c
+++ b/tests/sessions/test_gateway_chains.c
@@ -5,7 +5,6 @@
 
 #include <signal.h>
 #include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 
 enum
