--- a/tests/sessions/harness.c
+++ b/tests/sessions/harness.c
@@ -1,6 +1,7 @@
 #include "harness.h"
 
 #include <arpa/inet.h>
+#include <dirent.h>
 #include <errno.h>
 #include <fcntl.h>
 #include <ftw.h>
@@ -304,6 +305,40 @@
   return (int64_t)(user + system) * 1000 / sysconf (_SC_CLK_TCK);
 }
 
+uint64_t
+process_peak_memory_kib (const struct Process *process)
+{
+  unsigned long long kib = 0;
+  char line[256];
+  FILE *file;
+
+  snprintf (line, sizeof line, "/proc/%d/status", (int)process->pid);
+  file = fopen (line, "r");
+  while (file != NULL && fgets (line, sizeof line, file) != NULL)
+    if (sscanf (line, "VmHWM: %llu kB", &kib) == 1)
+      break;
+  if (file != NULL)
+    fclose (file);
+  return kib;
+}
+
+uint32_t
+process_open_descriptors (const struct Process *process)
+{
+  char path[64];
+  uint32_t n = 0;
+  DIR *folder;
+
+  snprintf (path, sizeof path, "/proc/%d/fd", (int)process->pid);
+  folder = opendir (path);
+  if (folder == NULL)
+    return 0;
+  for (struct dirent *entry = readdir (folder); entry != NULL; entry = readdir (folder))
+    n += entry->d_name[0] != '.';
+  closedir (folder);
+  return n;
+}
+
 char *
 process_output (TALLOC_CTX *ctx, const struct Process *process)
 {
--- a/tests/sessions/harness.h
+++ b/tests/sessions/harness.h
@@ -72,6 +72,12 @@
 /* Returns the processor time used so far. */
 int64_t
 process_cpu_ms (const struct Process *process);
+/* Returns the largest resident memory of the process so far, in KiB, and the number of its open
+ * descriptors. 0 if the process has exited. */
+uint64_t
+process_peak_memory_kib (const struct Process *process);
+uint32_t
+process_open_descriptors (const struct Process *process);
 /* Returns all output so far. */
 char *
 process_output (TALLOC_CTX *ctx, const struct Process *process);
--- a/tests/standins/installation.c
+++ b/tests/standins/installation.c
@@ -10,7 +10,8 @@
 enum
 {
   EVENTS_PER_STREAM = 4,
-  RESTART_MS = 1000 /* difference of the advertised start times of two starts of a server */
+  BODY_MAX_BYTES = 100000, /* limit on callers' bodies, unless set */
+  RESTART_MS = 1000        /* difference of the advertised start times of two starts of a server */
 };
 
 static const uint64_t FIRST_START_UNIX_MS = 1796263000000;
@@ -114,16 +115,23 @@
       "\"timeout_ms\":1500,\"service\":\"desk\",\"max_attempts\":2}%s%s],"
       "\"services\":[{\"name\":\"engines\",\"max_conns\":100,"
       "\"engine\":{\"slots\":8,\"tokens_per_event\":%d}},{\"name\":\"desk\",\"max_conns\":100}],"
-      "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":100000,"
+      "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":%u,"
       "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}%s%s}";
   char *text = talloc_asprintf (
       in, format, (unsigned long long)version, extra[0] != '\0' ? "," : "", extra, TOKENS_PER_EVENT,
+      in->body_max_bytes > 0 ? in->body_max_bytes : BODY_MAX_BYTES,
       in->customers != NULL ? ",\"tenants\":" : "", in->customers != NULL ? in->customers : "");
 
   installation_put (in, "op/config", text);
   talloc_free (text);
 }
 
+void
+installation_set_body_max (struct Installation *in, uint32_t body_max_bytes)
+{
+  in->body_max_bytes = body_max_bytes;
+}
+
 void
 installation_set_customers (struct Installation *in, const char *json)
 {
@@ -234,6 +242,14 @@
   pthread_mutex_unlock (&in->lock);
 }
 
+void
+server_set_body (struct Installation *in, uint32_t server, uint32_t body_bytes)
+{
+  pthread_mutex_lock (&in->lock);
+  in->servers[server].body_bytes = body_bytes;
+  pthread_mutex_unlock (&in->lock);
+}
+
 void
 server_set_load (struct Installation *in, uint32_t server, const char *load)
 {
--- a/tests/standins/installation.h
+++ b/tests/standins/installation.h
@@ -65,6 +65,9 @@
  * routes. */
 void
 installation_configure (struct Installation *installation, uint64_t version, const char *extra);
+/* Sets the limit on bodies in configurations written later. */
+void
+installation_set_body_max (struct Installation *installation, uint32_t body_max_bytes);
 /* Sets the customers, a JSON list, of configurations written later. NULL: none, and requests need
  * no API key. */
 void
@@ -133,6 +136,10 @@
                    uint32_t n_events,
                    uint32_t data_bytes);
 
+/* Sets the size of the bodies of a plain server's responses; 0: a short text. */
+void
+server_set_body (struct Installation *installation, uint32_t server, uint32_t body_bytes);
+
 /* Sets the value of X-Server-Load in the server's responses; "": the header is not sent. */
 void
 server_set_load (struct Installation *installation, uint32_t server, const char *load);
--- a/tests/standins/installation_internal.h
+++ b/tests/standins/installation_internal.h
@@ -42,6 +42,7 @@
   uint32_t work_ms;                           /* per request of a plain server */
   uint32_t places, n_in_progress, n_rejected; /* places 0: unlimited */
   uint32_t n_events, data_bytes;              /* of a stream */
+  uint32_t body_bytes;                        /* of a plain server's responses; 0: a short text */
   char load[48];                              /* X-Server-Load; "": not sent */
   uint64_t started_unix_ms;                   /* "born" in the entry */
   struct MHD_Daemon *daemon;                  /* NULL while the server is down */
@@ -71,7 +72,8 @@
   uint32_t down_ms;       /* until a crashed server starts again */
   bool crashes_silently;
   uint32_t n_crashes;
-  char *customers; /* JSON list in each configuration; NULL: none */
+  uint32_t body_max_bytes; /* in each configuration; 0: the default */
+  char *customers;         /* JSON list in each configuration; NULL: none */
 };
 
 /* The caller holds the lock. */
--- a/tests/standins/installation_server.c
+++ b/tests/standins/installation_server.c
@@ -262,6 +262,9 @@
   if (mode == SERVER_ENDLESS_BODY)
     return MHD_create_response_from_callback (MHD_SIZE_UNKNOWN, 64 * 1024, endless_next, NULL,
                                               NULL);
+  if (server->body_bytes > 0)
+    return MHD_create_response_from_buffer (server->body_bytes, calloc (1, server->body_bytes),
+                                            MHD_RESPMEM_MUST_FREE);
   body = calloc (1, sizeof *body);
   body->server = server;
   body->n_bytes = (size_t)snprintf (body->text, sizeof body->text, "done %s", request);
--- a/tests/test_main.c
+++ b/tests/test_main.c
@@ -2,8 +2,11 @@
 
 #include <CUnit/Basic.h>
 
+#include <string.h>
+
+/* Runs all tests of the program, or only the one that the argument names. */
 int
-main (void)
+main (int argc, char *argv[])
 {
   CU_pSuite suite;
   int failures;
@@ -12,9 +15,10 @@
     return 2;
   suite = CU_add_suite (test_suite_name, NULL, NULL);
   for (const struct TestCase *c = test_cases; suite != NULL && c->name != NULL; c++)
-    if (CU_add_test (suite, c->name, c->run) == NULL)
+    if ((argc < 2 || strcmp (c->name, argv[1]) == 0)
+        && CU_add_test (suite, c->name, c->run) == NULL)
       suite = NULL;
-  if (suite == NULL)
+  if (suite == NULL || suite->uiNumberOfTests == 0)
     return 2;
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
