Move the responses of the HTTP server to a file of their own

Moved as they were; what both parts use has the prefix server_connection_ in an internal header. http_server and sessions_gateway_streams pass.

--- a/adapters/http_server.c
+++ b/adapters/http_server.c
@@ -1,15 +1,11 @@
-#include "http_request_reader.h"
-
-#include <buckthornhead/http_server.h>
+#include "http_server_internal.h"
 
 #include <buckthornhead/acceptor.h>
-#include <buckthornhead/byte_queue.h>
 #include <buckthornhead/counter.h>
 #include <buckthornhead/held_memory.h>
 #include <buckthornhead/log.h>
 #include <buckthornhead/net_socket.h>
 
-#include <arpa/inet.h>
 #include <errno.h>
 #include <linux/sockios.h>
 #include <netinet/in.h>
@@ -21,11 +17,8 @@
 
 enum
 {
-  READ_BYTES = 64 * 1024,
   /* Limit on data read ahead while a request is handled; the rest stays in the socket buffer. */
   INPUT_MAX_BYTES = 64 * 1024,
-  /* Bounds the memory that a caller which does not read its response can use. */
-  OUTPUT_MAX_BYTES = 4 * 1024 * 1024,
   /* Unread data at which a caller becomes congested, and at which it no longer is. The distance
    * keeps a caller that reads small pieces from switching its server on and off for each of them.
    */
@@ -39,66 +32,9 @@
   FULL_LOG_PERIOD_MS = 10 * 1000
 };
 
-enum ConnectionState
-{
-  CONNECTION_IDLE,     /* between requests */
-  CONNECTION_READING,  /* part of a request was received */
-  CONNECTION_BUSY,     /* the handler is processing a request */
-  CONNECTION_LINGERING /* reads and discards data before closing */
-};
-
-struct Connection
-{
-  struct Connection *next, **previous_next;
-  struct HttpServer *server;
-  int fd;
-  struct tevent_fd *watch;
-  struct tevent_immediate *resume;
-  enum ConnectionState state;
-  int64_t state_since_ms; /* when the state was entered */
-  struct HttpRequestReader reader;
-  bool close_after;
-  bool closes_response; /* the end of the connection is the end of its response */
-  bool broken;          /* part of a response is lost; to be closed */
-  bool congested;
-  struct ByteQueue input, output;
-  int64_t progress_ms; /* when the caller last read, or when data for it was first held */
-  int unacked_bytes;   /* in the kernel's send buffer at the last sweep */
-  uint32_t stall_timeout_ms;
-  struct ServerExchange *exchange;
-};
-
-/* The server's private data of an exchange. */
-struct ServerExchange
-{
-  struct HttpExchange public; /* must be the first member; passed to the handler */
-  struct Connection *connection;
-  bool begun, chunked;
-};
-
-struct HttpServer
-{
-  struct tevent_context *events;
-  struct TimerService *timers;
-  struct HttpServerOptions options;
-  int listen_fd;
-  struct Acceptor *acceptor;
-  struct Connection *connections;
-  uint32_t n_connections, n_in_flight;
-  bool draining;
-  int64_t full_logged_ms; /* 0: never */
-  uint8_t scratch[READ_BYTES];
-};
-
 static void
 connection_advance (struct Connection *c);
 
-static struct ServerExchange *
-server_exchange (struct HttpExchange *exchange)
-{
-  return (struct ServerExchange *)exchange;
-}
-
 static int
 connection_free (struct Connection *c)
 {
@@ -125,9 +61,8 @@
   return 0;
 }
 
-/* Returns whether the bounds on the data held for each caller are active. */
-static bool
-connection_is_bounded (const struct Connection *c)
+bool
+server_connection_is_bounded (const struct Connection *c)
 {
   return c->server->options.held_max_bytes > 0;
 }
@@ -138,8 +73,8 @@
   return (c->state == CONNECTION_IDLE || c->state == CONNECTION_READING) && !c->congested;
 }
 
-static void
-connection_update_watch (struct Connection *c)
+void
+server_connection_update_watch (struct Connection *c)
 {
   uint16_t flags = 0;
 
@@ -153,8 +88,8 @@
     tevent_fd_set_flags (c->watch, flags);
 }
 
-static void
-connection_set_state (struct Connection *c, enum ConnectionState state)
+void
+server_connection_set_state (struct Connection *c, enum ConnectionState state)
 {
   c->state = state;
   c->state_since_ms = timer_now_ms (c->server->timers);
@@ -163,24 +98,23 @@
 /* Closes a connection that has lost part of a response: shuts it down here, and frees it later from
  * the event loop, never while the handler is writing. If the end of the connection ends the
  * response, nothing is sent that looks like it. */
-static void
-connection_break (struct Connection *c)
+void
+server_connection_break (struct Connection *c)
 {
   shutdown (c->fd, c->closes_response ? SHUT_RD : SHUT_RDWR);
   c->broken = true;
   c->close_after = true;
 }
 
-/* Ends the sending side once everything is sent. */
-static void
-connection_end_output (struct Connection *c)
+void
+server_connection_end_output (struct Connection *c)
 {
   if (byte_queue_length (&c->output) == 0 && !c->broken)
     shutdown (c->fd, SHUT_WR);
 }
 
-static int32_t
-connection_queue (struct Connection *c, const void *bytes, size_t n_bytes)
+int32_t
+server_connection_queue (struct Connection *c, const void *bytes, size_t n_bytes)
 {
   if (c->broken)
     return ERROR_NONE;
@@ -201,75 +135,53 @@
     return true;
   c->progress_ms = timer_now_ms (c->server->timers);
   /* The idle timeout counts from when the caller has read the last response. */
-  if (connection_is_bounded (c) && c->state == CONNECTION_IDLE)
+  if (server_connection_is_bounded (c) && c->state == CONNECTION_IDLE)
     c->state_since_ms = c->progress_ms;
   return true;
 }
 
-/* Sends bytes, queueing what the socket does not accept yet, up to max_bytes. */
-static void
-connection_send_bounded (struct Connection *c, const void *bytes, size_t n_bytes, size_t max_bytes)
+void
+server_connection_send_bounded (struct Connection *c,
+                                const void *bytes,
+                                size_t n_bytes,
+                                size_t max_bytes)
 {
-  if (connection_queue (c, bytes, n_bytes) != ERROR_NONE
+  if (server_connection_queue (c, bytes, n_bytes) != ERROR_NONE
       || byte_queue_length (&c->output) > max_bytes || !connection_flush (c))
-    connection_break (c);
-  if (connection_is_bounded (c) && byte_queue_length (&c->output) >= CONGESTED_BYTES)
+    server_connection_break (c);
+  if (server_connection_is_bounded (c) && byte_queue_length (&c->output) >= CONGESTED_BYTES)
     c->congested = true;
-  connection_update_watch (c);
+  server_connection_update_watch (c);
 }
 
-static void
-connection_send (struct Connection *c, const void *bytes, size_t n_bytes)
+void
+server_connection_send (struct Connection *c, const void *bytes, size_t n_bytes)
 {
-  connection_send_bounded (c, bytes, n_bytes, OUTPUT_MAX_BYTES);
-}
-
-/* Responses. */
-
-static void
-connection_send_head (struct Connection *c,
-                      uint32_t status,
-                      const struct HttpHeaders *headers,
-                      const char *framing)
-{
-  char *head = talloc_asprintf (c, "HTTP/1.1 %u %s\r\n", status, http_reason (status));
-
-  for (size_t i = 0; headers != NULL && i < headers->n_items; i++)
-    head = talloc_asprintf_append_buffer (head, "%s: %s\r\n", headers->items[i].name,
-                                          headers->items[i].value);
-  head = talloc_asprintf_append_buffer (head, "%s%s\r\n", framing,
-                                        c->close_after ? "Connection: close\r\n" : "");
-  if (head == NULL)
-    {
-      connection_break (c);
-      return;
-    }
-  connection_send (c, head, strlen (head));
-  talloc_free (head);
+  server_connection_send_bounded (c, bytes, n_bytes, SERVER_OUTPUT_MAX_BYTES);
 }
 
 /* Rejects a request; retry_after is in seconds and sent with status 503. The rest of it is read and
  * discarded for LINGER_MS: closing with unread data resets the connection, and the reset can
  * overtake the response. */
-static void
-connection_reject_with (struct Connection *c, uint32_t status, const char *retry_after)
+void
+server_connection_reject_with (struct Connection *c, uint32_t status, const char *retry_after)
 {
   char framing[64] = "Content-Length: 0\r\n";
 
   if (status == 503)
     snprintf (framing, sizeof framing, "Retry-After: %s\r\nContent-Length: 0\r\n", retry_after);
   c->close_after = true;
-  connection_send_head (c, status, NULL, framing);
-  connection_set_state (c, CONNECTION_LINGERING);
+  server_connection_send_head (c, status, NULL, framing);
+  server_connection_set_state (c, CONNECTION_LINGERING);
   TALLOC_FREE (c->reader.body);
-  connection_end_output (c);
-  connection_update_watch (c);
+  server_connection_end_output (c);
+  server_connection_update_watch (c);
 }
 
 static void
 connection_reject (struct Connection *c, uint32_t status)
 {
-  connection_reject_with (c, status, "0.5");
+  server_connection_reject_with (c, status, "0.5");
 }
 
 /* Rejects a request with a large body; see .held_max_bytes. */
@@ -281,7 +193,7 @@
              "look for callers and servers that read slowly, or raise [limits] held_memory",
              "%llu bytes are held, the limit is %llu", (unsigned long long)held_memory_bytes (),
              (unsigned long long)c->server->options.held_max_bytes);
-  connection_reject_with (c, 503, "0.1");
+  server_connection_reject_with (c, 503, "0.1");
 }
 
 static bool
@@ -329,7 +241,7 @@
     }
   c->exchange = x;
   server->n_in_flight++;
-  connection_set_state (c, CONNECTION_BUSY);
+  server_connection_set_state (c, CONNECTION_BUSY);
   server->options.request (server->options.data, &x->public);
 }
 
@@ -343,7 +255,7 @@
     {
       c->reader.limits = c->server->options.limits;
       c->reader.held_max_bytes = c->server->options.held_max_bytes;
-      connection_set_state (c, CONNECTION_READING);
+      server_connection_set_state (c, CONNECTION_READING);
     }
   n = http_request_reader_parse (&c->reader, bytes, n_bytes);
   if (c->reader.complete)
@@ -380,166 +292,19 @@
         byte_queue_add (c, &c->input, byte_queue_head (&taken) + n, byte_queue_length (&taken) - n);
       talloc_free (taken.bytes);
     }
-  connection_update_watch (c);
+  server_connection_update_watch (c);
 }
 
-static void
-connection_on_resume (struct tevent_context *events, struct tevent_immediate *resume, void *data)
+void
+server_connection_on_resume (struct tevent_context *events,
+                             struct tevent_immediate *resume,
+                             void *data)
 {
   (void)events;
   (void)resume;
   connection_advance (data);
 }
 
-/* Ends an exchange whose response is complete or aborted. Pipelined input is parsed later, from the
- * event loop. */
-static void
-exchange_finish (struct ServerExchange *x)
-{
-  struct Connection *c = x->connection;
-
-  if (c == NULL)
-    return;
-  c->exchange = NULL;
-  c->server->n_in_flight--;
-  talloc_free (x);
-  if (c->close_after)
-    {
-      connection_set_state (c, CONNECTION_LINGERING);
-      connection_end_output (c);
-      connection_update_watch (c);
-      return;
-    }
-  http_request_reader_reset (c, &c->reader, &c->server->options.limits);
-  connection_set_state (c, CONNECTION_IDLE);
-  connection_update_watch (c);
-  if (byte_queue_length (&c->input) > 0)
-    tevent_schedule_immediate (c->resume, c->server->events, connection_on_resume, c);
-}
-
-void
-http_exchange_respond (struct HttpExchange *exchange,
-                       uint32_t status,
-                       const struct HttpHeaders *headers,
-                       const void *body,
-                       size_t body_bytes)
-{
-  struct ServerExchange *x = server_exchange (exchange);
-  char framing[48];
-
-  if (x->connection == NULL)
-    return;
-  snprintf (framing, sizeof framing, "Content-Length: %zu\r\n", body_bytes);
-  connection_send_head (x->connection, status, headers, framing);
-  if (body_bytes > 0 && strcmp (exchange->method, "HEAD") != 0)
-    connection_send_bounded (x->connection, body, body_bytes,
-                             connection_is_bounded (x->connection) ? SIZE_MAX : OUTPUT_MAX_BYTES);
-  exchange_finish (x);
-}
-
-void
-http_exchange_begin (struct HttpExchange *exchange,
-                     uint32_t status,
-                     const struct HttpHeaders *headers)
-{
-  struct ServerExchange *x = server_exchange (exchange);
-
-  if (x->connection == NULL)
-    return;
-  x->begun = true;
-  if (!x->chunked)
-    {
-      x->connection->close_after = true;
-      x->connection->closes_response = true;
-    }
-  connection_send_head (x->connection, status, headers,
-                        x->chunked ? "Transfer-Encoding: chunked\r\n" : "");
-}
-
-void
-http_exchange_write (struct HttpExchange *exchange, const void *bytes, size_t n_bytes)
-{
-  struct ServerExchange *x = server_exchange (exchange);
-  struct Connection *c = x->connection;
-  char size[24];
-  int n;
-
-  if (c == NULL || n_bytes == 0)
-    return;
-  if (!x->chunked)
-    {
-      connection_send (c, bytes, n_bytes);
-      return;
-    }
-  n = snprintf (size, sizeof size, "%zx\r\n", n_bytes);
-  if (connection_queue (c, size, (size_t)n) != ERROR_NONE
-      || connection_queue (c, bytes, n_bytes) != ERROR_NONE)
-    connection_break (c);
-  connection_send (c, "\r\n", 2);
-}
-
-void
-http_exchange_end (struct HttpExchange *exchange)
-{
-  struct ServerExchange *x = server_exchange (exchange);
-
-  if (x->connection == NULL)
-    return;
-  if (x->chunked)
-    connection_send (x->connection, "0\r\n\r\n", 5);
-  exchange_finish (x);
-}
-
-void
-http_exchange_abort (struct HttpExchange *exchange)
-{
-  struct ServerExchange *x = server_exchange (exchange);
-  struct Connection *c = x->connection;
-
-  if (c == NULL)
-    return;
-  c->close_after = true;
-  if (c->closes_response)
-    connection_break (c);
-  exchange_finish (x);
-}
-
-void
-http_exchange_caller (const struct HttpExchange *exchange, char address[HTTP_CALLER_BYTES])
-{
-  const struct ServerExchange *x = (const struct ServerExchange *)exchange;
-  struct sockaddr_in peer = { 0 };
-  socklen_t n_bytes = sizeof peer;
-
-  address[0] = '\0';
-  if (getpeername (x->connection->fd, (struct sockaddr *)&peer, &n_bytes) == 0
-      && peer.sin_family == AF_INET)
-    inet_ntop (AF_INET, &peer.sin_addr, address, HTTP_CALLER_BYTES);
-}
-
-bool
-http_exchange_is_congested (const struct HttpExchange *exchange)
-{
-  const struct Connection *c = ((const struct ServerExchange *)exchange)->connection;
-
-  return c != NULL && c->congested;
-}
-
-void
-http_exchange_set_stall_timeout (struct HttpExchange *exchange, uint32_t timeout_ms)
-{
-  struct Connection *c = server_exchange (exchange)->connection;
-
-  if (c != NULL)
-    c->stall_timeout_ms = timeout_ms;
-}
-
-bool
-http_exchange_has_begun (const struct HttpExchange *exchange)
-{
-  return ((const struct ServerExchange *)exchange)->begun;
-}
-
 /* Events. */
 
 /* Reads once; returns false when the connection has closed or failed. */
@@ -574,7 +339,7 @@
   c->congested = false;
   /* Part of the next request may have waited meanwhile; its timeouts begin now. */
   if (c->state == CONNECTION_READING)
-    connection_set_state (c, CONNECTION_READING);
+    server_connection_set_state (c, CONNECTION_READING);
   if (x != NULL && x->public.on_uncongested != NULL)
     x->public.on_uncongested (&x->public);
 }
@@ -601,7 +366,7 @@
       return;
     }
   if (c->state == CONNECTION_LINGERING && (flags & TEVENT_FD_WRITE))
-    connection_end_output (c);
+    server_connection_end_output (c);
   connection_advance (c);
 }
 
@@ -613,7 +378,7 @@
 {
   int unacked_bytes = 0;
 
-  if (!connection_is_bounded (c) || byte_queue_length (&c->output) == 0)
+  if (!server_connection_is_bounded (c) || byte_queue_length (&c->output) == 0)
     return false;
   if (ioctl (c->fd, SIOCOUTQ, &unacked_bytes) == 0 && unacked_bytes < c->unacked_bytes)
     c->progress_ms = now_ms;
@@ -629,7 +394,7 @@
 
   /* While the caller reads a response, only the stall timeout applies. */
   if (c->congested
-      || (connection_is_bounded (c) && c->state == CONNECTION_IDLE
+      || (server_connection_is_bounded (c) && c->state == CONNECTION_IDLE
           && byte_queue_length (&c->output) > 0))
     return false;
   switch (c->state)
@@ -700,7 +465,7 @@
   talloc_set_destructor (c, connection_free);
   http_request_reader_reset (c, &c->reader, &c->server->options.limits);
   c->stall_timeout_ms = server->options.limits.idle_timeout_ms;
-  connection_set_state (c, CONNECTION_IDLE);
+  server_connection_set_state (c, CONNECTION_IDLE);
   c->watch = tevent_add_fd (server->events, c, fd, TEVENT_FD_READ, connection_on_event, c);
   c->resume = tevent_create_immediate (c);
   if (c->watch == NULL || c->resume == NULL)
@@ -856,7 +621,8 @@
   uint32_t n = server->n_in_flight;
 
   for (const struct Connection *c = server->connections; c != NULL; c = c->next)
-    if (connection_is_bounded (c) && c->exchange == NULL && byte_queue_length (&c->output) > 0)
+    if (server_connection_is_bounded (c) && c->exchange == NULL
+        && byte_queue_length (&c->output) > 0)
       n++;
   return n;
 }
