Bound what callers read slowly for the process, not for each of them

What callers saw: a gateway that ran out of memory while many clients asked for large responses and read them at a few bytes a second.

Cause: a response that is not read was bounded for each connection, 1 MB of a stream, 8 MB of a whole body, and held twice while it was copied from the buffer of the server's response to the caller's output.

Now growth beyond held_memory gives clients up from the event loop, before the next event is handled: stalled ones first, whether they send or read; then requests that have not run; then responses that are being read, the largest first; then large requests that wait for theirs, which get 503 if no server has them, and 502 otherwise. What has run is given up last. A whole response is moved to the caller's output, and buffers above 64 KB grow by a quarter instead of doubling.

--- a/adapters/http_exchange.c
+++ b/adapters/http_exchange.c
@@ -83,6 +83,28 @@
   exchange_finish (x);
 }
 
+void
+http_exchange_respond_queue (struct HttpExchange *exchange,
+                             uint32_t status,
+                             const struct HttpHeaders *headers,
+                             struct ByteQueue *body)
+{
+  struct ServerExchange *x = server_exchange (exchange);
+  char framing[48];
+
+  if (x->connection == NULL || !server_connection_is_bounded (x->connection))
+    {
+      http_exchange_respond (exchange, status, headers, byte_queue_head (body),
+                             byte_queue_length (body));
+      return;
+    }
+  snprintf (framing, sizeof framing, "Content-Length: %zu\r\n", byte_queue_length (body));
+  server_connection_send_head (x->connection, status, headers, framing);
+  if (byte_queue_length (body) > 0 && strcmp (exchange->method, "HEAD") != 0)
+    server_connection_send_queue (x->connection, body);
+  exchange_finish (x);
+}
+
 void
 http_exchange_begin (struct HttpExchange *exchange,
                      uint32_t status,
--- a/adapters/http_memory.c
+++ b/adapters/http_memory.c
@@ -10,12 +10,18 @@
 {
   /* Bodies up to this size are always accepted: rejecting them would free next to nothing. */
   ALWAYS_ACCEPTED_BYTES = 4096,
+  /* Clients are given up until this part of the budget is free, so that the next few bytes do not
+   * make it necessary again. */
+  RECLAIMED_PART = 16,
   LOG_PERIOD_MS = 10 * 1000
 };
 
 struct HttpMemory
 {
+  struct tevent_context *events;
   struct TimerService *timers;
+  struct tevent_immediate *reclaim;
+  bool reclaim_scheduled;
   uint64_t max_bytes;
   struct HttpServer *servers;
   int64_t logged_ms;   /* 0: never */
@@ -25,32 +31,49 @@
 static uint64_t
 connection_held_bytes (const struct Connection *c)
 {
+  const struct HttpExchange *x = c->exchange != NULL ? &c->exchange->public : NULL;
   uint64_t n_bytes = c->input.capacity + c->output.capacity;
 
   if (c->reader.body != NULL)
     n_bytes += talloc_get_size (c->reader.body);
-  if (c->exchange != NULL && c->exchange->public.body != NULL)
-    n_bytes += talloc_get_size (c->exchange->public.body);
+  if (x != NULL && x->body != NULL)
+    n_bytes += talloc_get_size (x->body);
+  if (x != NULL && x->held_bytes != NULL)
+    n_bytes += x->held_bytes (x);
   return n_bytes;
 }
 
+static enum ReclaimStage
+connection_stage (const struct Connection *c)
+{
+  if (byte_queue_length (&c->output) > 0)
+    return RECLAIM_RESPONDING;
+  return c->state == CONNECTION_BUSY ? RECLAIM_WAITING : RECLAIM_READING;
+}
+
 static struct ReclaimCandidate
 connection_candidate (const struct Connection *c, int64_t now_ms)
 {
+  enum ReclaimStage stage = connection_stage (c);
+
   return (struct ReclaimCandidate){
+    .stage = stage,
     .held_bytes = connection_held_bytes (c),
-    .stalled_ms = progress_stalled_ms (&c->progress, now_ms),
+    .stalled_ms = stage == RECLAIM_WAITING ? 0 : progress_stalled_ms (&c->progress, now_ms),
     .age_ms = now_ms - c->state_since_ms,
   };
 }
 
-/* Returns the client to be given up first; self counts with n_more_bytes, NULL: there is none. */
+/* Returns the client to be given up first and fills in *first; self, which may be NULL, counts with
+ * n_more_bytes. Returns NULL if there is none. */
 static struct Connection *
-memory_choose (const struct HttpMemory *memory, struct Connection *self, size_t n_more_bytes)
+memory_choose (const struct HttpMemory *memory,
+               const struct Connection *self,
+               size_t n_more_bytes,
+               struct ReclaimCandidate *first)
 {
   int64_t now_ms = timer_now_ms (memory->timers);
-  struct Connection *first = NULL;
-  struct ReclaimCandidate first_candidate;
+  struct Connection *chosen = NULL;
 
   for (const struct HttpServer *s = memory->servers; s != NULL; s = s->next)
     for (struct Connection *c = s->connections; c != NULL; c = c->next)
@@ -59,13 +82,38 @@
 
         if (c == self)
           candidate.held_bytes += n_more_bytes;
-        if (c->state != CONNECTION_READING || !reclaim_is_eligible (&candidate)
-            || (first != NULL && !reclaim_precedes (&candidate, &first_candidate)))
+        if (!reclaim_is_eligible (&candidate)
+            || (chosen != NULL && !reclaim_precedes (&candidate, first)))
           continue;
-        first = c;
-        first_candidate = candidate;
+        chosen = c;
+        *first = candidate;
       }
-  return first;
+  return chosen;
+}
+
+/* Rejects the client's request if it has not been read completely, and disconnects it otherwise. */
+static void
+memory_give_up (struct Connection *c, enum ReclaimStage stage)
+{
+  struct HttpExchange *x = c->exchange != NULL ? &c->exchange->public : NULL;
+
+  switch (stage)
+    {
+    case RECLAIM_READING:
+      server_connection_reject_short (c);
+      break;
+    case RECLAIM_WAITING:
+      if (x != NULL && x->on_memory_short != NULL)
+        {
+          x->on_memory_short (x);
+          break;
+        }
+      talloc_free (c);
+      break;
+    case RECLAIM_RESPONDING:
+      talloc_free (c);
+      break;
+    }
 }
 
 /* Counts a client that is given up, and logs it, at most once in LOG_PERIOD_MS. */
@@ -99,16 +147,51 @@
     return true;
   while (held_memory_bytes () + n_bytes > budget_bytes)
     {
-      struct Connection *first = memory_choose (memory, self, n_bytes);
+      struct ReclaimCandidate first;
+      struct Connection *chosen = memory_choose (memory, self, n_bytes, &first);
 
       memory_log (memory);
-      if (first == NULL || first == self)
+      /* A response that is being read is not given up for a request. */
+      if (chosen == NULL || chosen == self
+          || (first.stage != RECLAIM_READING && !reclaim_is_stalled (&first)))
         return false;
-      server_connection_reject_short (first);
+      memory_give_up (chosen, first.stage);
     }
   return true;
 }
 
+static void
+memory_on_reclaim (struct tevent_context *events, struct tevent_immediate *reclaim, void *data)
+{
+  struct HttpMemory *memory = data;
+  uint64_t target_bytes = memory->max_bytes - memory->max_bytes / RECLAIMED_PART;
+  struct ReclaimCandidate first;
+  struct Connection *chosen;
+
+  (void)events;
+  (void)reclaim;
+  memory->reclaim_scheduled = false;
+  while (held_memory_bytes () > target_bytes
+         && (chosen = memory_choose (memory, NULL, 0, &first)) != NULL)
+    {
+      memory_log (memory);
+      memory_give_up (chosen, first.stage);
+    }
+}
+
+/* The memory may grow while a handler uses a connection, so that clients are given up later, from
+ * the event loop, before the next event is handled. */
+static void
+memory_on_exceeded (void *data)
+{
+  struct HttpMemory *memory = data;
+
+  if (memory->reclaim_scheduled)
+    return;
+  memory->reclaim_scheduled = true;
+  tevent_schedule_immediate (memory->reclaim, memory->events, memory_on_reclaim, memory);
+}
+
 void
 http_memory_add_server (struct HttpMemory *memory, struct HttpServer *server)
 {
@@ -129,14 +212,34 @@
     server->next->previous_next = server->previous_next;
 }
 
+static int
+memory_free (struct HttpMemory *memory)
+{
+  (void)memory;
+  held_memory_watch (0, NULL, NULL);
+  return 0;
+}
+
 struct HttpMemory *
-http_memory_new (TALLOC_CTX *ctx, struct TimerService *timers, uint64_t max_bytes)
+http_memory_new (TALLOC_CTX *ctx,
+                 struct tevent_context *events,
+                 struct TimerService *timers,
+                 uint64_t max_bytes)
 {
   struct HttpMemory *memory = talloc_zero (ctx, struct HttpMemory);
 
   if (memory == NULL)
     return NULL;
+  memory->events = events;
   memory->timers = timers;
   memory->max_bytes = max_bytes;
+  memory->reclaim = tevent_create_immediate (memory);
+  if (memory->reclaim == NULL)
+    {
+      talloc_free (memory);
+      return NULL;
+    }
+  talloc_set_destructor (memory, memory_free);
+  held_memory_watch (max_bytes, memory_on_exceeded, memory);
   return memory;
 }
--- a/adapters/http_server.c
+++ b/adapters/http_server.c
@@ -113,13 +113,20 @@
     shutdown (c->fd, SHUT_WR);
 }
 
+static void
+connection_begin_output (struct Connection *c)
+{
+  c->progress_ms = timer_now_ms (c->server->timers);
+  progress_start (&c->progress, c->progress_ms);
+}
+
 int32_t
 server_connection_queue (struct Connection *c, const void *bytes, size_t n_bytes)
 {
   if (c->broken)
     return ERROR_NONE;
   if (byte_queue_length (&c->output) == 0)
-    c->progress_ms = timer_now_ms (c->server->timers);
+    connection_begin_output (c);
   return byte_queue_add (c, &c->output, bytes, n_bytes);
 }
 
@@ -128,12 +135,15 @@
 connection_flush (struct Connection *c)
 {
   size_t n_before = byte_queue_length (&c->output);
+  size_t n_sent;
 
   if (!byte_queue_send (&c->output, c->fd))
     return false;
-  if (byte_queue_length (&c->output) == n_before)
+  n_sent = n_before - byte_queue_length (&c->output);
+  if (n_sent == 0)
     return true;
   c->progress_ms = timer_now_ms (c->server->timers);
+  progress_record (&c->progress, n_sent, c->progress_ms);
   /* The idle timeout counts from when the caller has read the last response. */
   if (server_connection_is_bounded (c) && c->state == CONNECTION_IDLE)
     c->state_since_ms = c->progress_ms;
@@ -154,6 +164,23 @@
   server_connection_update_watch (c);
 }
 
+void
+server_connection_send_queue (struct Connection *c, struct ByteQueue *queue)
+{
+  size_t n_bytes = byte_queue_length (queue);
+
+  if (c->broken || byte_queue_length (&c->output) > 0 || queue->bytes == NULL)
+    {
+      server_connection_send_bounded (c, byte_queue_head (queue), n_bytes, SIZE_MAX);
+      return;
+    }
+  connection_begin_output (c);
+  c->output = *queue;
+  talloc_steal (c, c->output.bytes);
+  memset (queue, 0, sizeof *queue);
+  server_connection_send_bounded (c, NULL, 0, SIZE_MAX);
+}
+
 void
 server_connection_send (struct Connection *c, const void *bytes, size_t n_bytes)
 {
--- a/adapters/http_server_internal.h
+++ b/adapters/http_server_internal.h
@@ -4,7 +4,6 @@
 
 #include "http_request_reader.h"
 
-#include <buckthornhead/byte_queue.h>
 #include <buckthornhead/http_server.h>
 #include <buckthornhead/reclaim.h>
 
@@ -92,6 +91,10 @@
 int32_t
 server_connection_queue (struct Connection *c, const void *bytes, size_t n_bytes);
 
+/* Sends a buffer, which is taken from the queue if nothing is ahead of it. */
+void
+server_connection_send_queue (struct Connection *c, struct ByteQueue *queue);
+
 /* Sends bytes, queueing what the socket does not accept yet, up to max_bytes. */
 void
 server_connection_send_bounded (struct Connection *c,
--- a/core/byte_queue.c
+++ b/core/byte_queue.c
@@ -9,14 +9,25 @@
 
 enum
 {
-  INITIAL_CAPACITY_BYTES = 512
+  INITIAL_CAPACITY_BYTES = 512,
+  DOUBLED_MAX_BYTES = 64 * 1024 /* larger queues get a quarter more than they need */
 };
 
+static size_t
+grown_capacity (size_t capacity, size_t needed_bytes)
+{
+  if (capacity == 0)
+    capacity = INITIAL_CAPACITY_BYTES;
+  while (capacity < needed_bytes && capacity < DOUBLED_MAX_BYTES)
+    capacity *= 2;
+  return capacity < needed_bytes ? needed_bytes + needed_bytes / 4 : capacity;
+}
+
 int32_t
 byte_queue_add (TALLOC_CTX *ctx, struct ByteQueue *queue, const void *bytes, size_t n_bytes)
 {
   size_t length = byte_queue_length (queue);
-  size_t capacity = queue->capacity > 0 ? queue->capacity : INITIAL_CAPACITY_BYTES;
+  size_t capacity;
   uint8_t *grown;
 
   if (n_bytes == 0)
@@ -27,8 +38,7 @@
       queue->start = 0;
       queue->end = length;
     }
-  while (length + n_bytes > capacity)
-    capacity *= 2;
+  capacity = grown_capacity (queue->capacity, length + n_bytes);
   if (capacity != queue->capacity)
     {
       grown = held_memory_resize (ctx, queue->bytes, capacity);
--- a/core/reclaim.c
+++ b/core/reclaim.c
@@ -29,10 +29,17 @@
   return now_ms > meter->since_ms ? now_ms - meter->since_ms : 0;
 }
 
+static bool
+is_large (const struct ReclaimCandidate *candidate)
+{
+  return candidate->held_bytes > RECLAIM_SMALL_BYTES;
+}
+
 bool
 reclaim_is_eligible (const struct ReclaimCandidate *candidate)
 {
-  return candidate->held_bytes >= HELD_MIN_BYTES;
+  return candidate->stage == RECLAIM_WAITING ? is_large (candidate)
+                                             : candidate->held_bytes >= HELD_MIN_BYTES;
 }
 
 bool
@@ -45,15 +52,17 @@
 reclaim_precedes (const struct ReclaimCandidate *a, const struct ReclaimCandidate *b)
 {
   bool a_is_stalled = reclaim_is_stalled (a), b_is_stalled = reclaim_is_stalled (b);
-  bool a_is_large = a->held_bytes > RECLAIM_SMALL_BYTES;
-  bool b_is_large = b->held_bytes > RECLAIM_SMALL_BYTES;
 
   if (a_is_stalled != b_is_stalled)
     return a_is_stalled;
   if (a_is_stalled)
     return a->held_bytes * (uint64_t)a->stalled_ms > b->held_bytes * (uint64_t)b->stalled_ms;
-  if (a_is_large != b_is_large)
-    return a_is_large;
+  if (a->stage != b->stage)
+    return a->stage < b->stage;
+  if (a->stage != RECLAIM_READING)
+    return a->held_bytes > b->held_bytes;
+  if (is_large (a) != is_large (b))
+    return is_large (a);
   return a->age_ms < b->age_ms;
 }
 
--- a/gateway/answer.c
+++ b/gateway/answer.c
@@ -174,9 +174,8 @@
     turn_abandon (request);
   request->exchange = NULL;
   exchange->on_disconnect = NULL;
-  http_exchange_respond (exchange, request->response.status, &request->response_headers,
-                         byte_queue_head (&request->response_body),
-                         byte_queue_length (&request->response_body));
+  http_exchange_respond_queue (exchange, request->response.status, &request->response_headers,
+                               &request->response_body);
   request_end (request);
 }
 
--- a/gateway/front.c
+++ b/gateway/front.c
@@ -105,6 +105,27 @@
   request_update_flow (exchange->handler_data);
 }
 
+static uint64_t
+request_held_bytes (const struct HttpExchange *exchange)
+{
+  const struct Request *request = exchange->handler_data;
+  const struct EventStream *events = &request->events;
+  uint64_t n_bytes = request->response_body.capacity + request->partial_event.capacity
+                     + events->line.capacity + events->event.capacity + events->data.capacity;
+
+  return request->body != exchange->body ? n_bytes + request->body_bytes : n_bytes;
+}
+
+static void
+request_on_memory_short (struct HttpExchange *exchange)
+{
+  struct Request *request = exchange->handler_data;
+  bool may_have_run = request->may_have_run || request->call != NULL;
+
+  request_fail (request, may_have_run ? FAILURE_BROKEN : FAILURE_NO_MEMORY,
+                "the process is short of memory");
+}
+
 static struct Request *
 request_new (struct Front *front, struct HttpExchange *exchange)
 {
@@ -127,6 +148,8 @@
   exchange->handler_data = request;
   exchange->on_disconnect = request_on_caller_left;
   exchange->on_uncongested = request_on_caller_reads;
+  exchange->held_bytes = request_held_bytes;
+  exchange->on_memory_short = request_on_memory_short;
   return request;
 }
 
@@ -739,7 +762,8 @@
     return fault_set (fault, ERROR_NO_MEMORY, NULL, "out of memory for the gateway");
   if (node->settings->held_memory_bytes > 0)
     {
-      f->memory = http_memory_new (f, node->timers, node->settings->held_memory_bytes);
+      f->memory =
+          http_memory_new (f, node->events, node->timers, node->settings->held_memory_bytes);
       if (f->memory == NULL)
         return fault_set (fault, ERROR_NO_MEMORY, NULL, "out of memory for the gateway");
     }
--- a/gateway/front.h
+++ b/gateway/front.h
@@ -42,6 +42,7 @@
   FAILURE_NO_SERVER,   /* no server could accept it; it did not run */
   FAILURE_OUT_OF_TIME, /* its deadline passed before it was sent */
   FAILURE_BUSY,        /* the servers cannot run it before its deadline; it did not run */
+  FAILURE_NO_MEMORY,   /* the process is short of memory; it did not run */
   FAILURE_QUARANTINED, /* it was running on servers that crashed; this attempt did not run */
   FAILURE_STOPPING,    /* planned stop; it did not run */
   FAILURE_UNCERTAIN,   /* too few archives responded to decide; it did not run */
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -44,6 +44,7 @@
   [FAILURE_NO_SERVER] = { 503, RETRY_AFTER_SHORT, "no_server", LOG_LEVEL_WARNING },
   [FAILURE_OUT_OF_TIME] = { 503, RETRY_AFTER_SHORT, "out_of_time", LOG_LEVEL_WARNING },
   [FAILURE_BUSY] = { 503, NULL, "servers_busy", LOG_LEVEL_WARNING },
+  [FAILURE_NO_MEMORY] = { 503, RETRY_AFTER_SHORT, "no_memory", LOG_LEVEL_WARNING },
   [FAILURE_QUARANTINED] = { 503, NULL, "quarantined", LOG_LEVEL_WARNING },
   [FAILURE_STOPPING] = { 503, "0", "stopping", LOG_LEVEL_INFO },
   [FAILURE_UNCERTAIN] = { 503, RETRY_AFTER_UNCERTAIN, "uncertain", LOG_LEVEL_WARNING },
--- a/include/buckthornhead/http_server.h
+++ b/include/buckthornhead/http_server.h
@@ -6,6 +6,7 @@
  * libmicrohttpd, which caller_http uses, does not watch a suspended connection. */
 #pragma once
 
+#include <buckthornhead/byte_queue.h>
 #include <buckthornhead/http_message.h>
 #include <buckthornhead/timer.h>
 
@@ -44,15 +45,24 @@
   void (*on_disconnect) (struct HttpExchange *exchange);
   /* Called when the exchange is no longer congested; NULL: not called. May end the exchange. */
   void (*on_uncongested) (struct HttpExchange *exchange);
+  /* Returns what the handler holds for the exchange; NULL: nothing. */
+  uint64_t (*held_bytes) (const struct HttpExchange *exchange);
+  /* Called before the response has begun, when memory is short: ends the exchange. NULL: the caller
+   * is disconnected. */
+  void (*on_memory_short) (struct HttpExchange *exchange);
 };
 
-/* Bound on held_memory_bytes (). Before a request's body grows beyond it, requests that are being
- * read are rejected with 503, in the order of reclaim.h; small bodies are accepted while large ones
- * are not. */
+/* Bound on held_memory_bytes (). When it is reached, clients are rejected or disconnected in the
+ * order of reclaim.h. Requests that are being read do not grow beyond it; small ones are accepted
+ * while large ones are not. */
 struct HttpMemory;
 
+/* One a process: it ends when ctx is freed. Returns NULL without memory. */
 struct HttpMemory *
-http_memory_new (TALLOC_CTX *ctx, struct TimerService *timers, uint64_t max_bytes);
+http_memory_new (TALLOC_CTX *ctx,
+                 struct tevent_context *events,
+                 struct TimerService *timers,
+                 uint64_t max_bytes);
 
 struct HttpServerOptions
 {
@@ -108,6 +118,13 @@
                        const void *body,
                        size_t body_bytes);
 
+/* The same with a body that is taken from the queue, without a copy. */
+void
+http_exchange_respond_queue (struct HttpExchange *exchange,
+                             uint32_t status,
+                             const struct HttpHeaders *headers,
+                             struct ByteQueue *body);
+
 /* Send a response in pieces: begin, any number of writes, then end, which frees exchange. */
 void
 http_exchange_begin (struct HttpExchange *exchange,
--- a/include/buckthornhead/reclaim.h
+++ b/include/buckthornhead/reclaim.h
@@ -2,7 +2,8 @@
  *
  * Clients that have stalled go first, the one that holds most for longest before the others. Then
  * requests that are still being read, which have not run: large ones before small ones, and the
- * newest first, so that those before it can finish. */
+ * newest first, so that those before it can finish. Then clients that read their responses, and at
+ * last large requests whose response has not begun; the one that holds most first. */
 #pragma once
 
 #include <stdbool.h>
@@ -33,10 +34,18 @@
 int64_t
 progress_stalled_ms (const struct ProgressMeter *meter, int64_t now_ms);
 
+enum ReclaimStage
+{
+  RECLAIM_READING,    /* its request is being read */
+  RECLAIM_RESPONDING, /* it has not read all of its response */
+  RECLAIM_WAITING     /* for its response */
+};
+
 struct ReclaimCandidate
 {
+  enum ReclaimStage stage;
   uint64_t held_bytes; /* what is held for the client */
-  int64_t stalled_ms;  /* see progress_stalled_ms */
+  int64_t stalled_ms;  /* see progress_stalled_ms; 0 while it waits */
   int64_t age_ms;      /* since its request began */
 };
 
