Return the memory of large buffers to the system

What operators saw: a gateway's memory stayed at its peak after the clients that caused it had left, and the peak was half as high again as what it held.

Cause: the C library maps large buffers separately, and raises the size from which it does so each time such a buffer is freed, up to 32 MB. After the first large body, bodies lie in the heap, where they leave gaps and stay.

Now the size is set to 128 KB at the start and stays there.

--- a/adapters/process_limits.c
+++ b/adapters/process_limits.c
@@ -3,13 +3,15 @@
 #include <buckthornhead/log.h>
 
 #include <inttypes.h>
+#include <malloc.h>
 #include <stdio.h>
 #include <sys/resource.h>
 #include <unistd.h>
 
 enum
 {
-  LIMIT_TEXT_BYTES = 32
+  LIMIT_TEXT_BYTES = 32,
+  MAPPED_MIN_BYTES = 128 * 1024 /* buffers of this size are mapped separately */
 };
 
 /* Returns the soft limit; UINT64_MAX for none. */
@@ -84,3 +86,10 @@
     log_shares (wanted, shares);
   return error;
 }
+
+void
+process_limit_kept_memory (void)
+{
+  /* Set explicitly, the threshold no longer grows with the largest buffer that was freed. */
+  mallopt (M_MMAP_THRESHOLD, MAPPED_MIN_BYTES);
+}
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -1,5 +1,6 @@
 #include <buckthornhead/daemon.h>
 
+#include <buckthornhead/process_limits.h>
 #include <buckthornhead/process_signals.h>
 
 #include <command.h>
@@ -26,6 +27,9 @@
   const struct CommandIo io = { stdout, stderr };
 
   if (is_long_running (argc, argv))
-    process_signals_block ();
+    {
+      process_signals_block ();
+      process_limit_kept_memory ();
+    }
   return command_dispatch (commands, argc, argv, &io);
 }
--- a/include/buckthornhead/process_limits.h
+++ b/include/buckthornhead/process_limits.h
@@ -13,3 +13,8 @@
 process_limits_divide (const struct DescriptorShares *wanted,
                        struct DescriptorShares *shares,
                        struct Fault *fault);
+
+/* Makes the C library return the memory of large buffers to the system as soon as they are freed.
+ * Called before other threads start. */
+void
+process_limit_kept_memory (void);
--- a/tests/sessions/harness.c
+++ b/tests/sessions/harness.c
@@ -305,8 +305,9 @@
   return (int64_t)(user + system) * 1000 / sysconf (_SC_CLK_TCK);
 }
 
-uint64_t
-process_peak_memory_kib (const struct Process *process)
+/* Returns a size in KiB from the process's status; name such as "VmRSS:". */
+static uint64_t
+process_status_kib (const struct Process *process, const char *name)
 {
   unsigned long long kib = 0;
   char line[256];
@@ -315,13 +316,28 @@
   snprintf (line, sizeof line, "/proc/%d/status", (int)process->pid);
   file = fopen (line, "r");
   while (file != NULL && fgets (line, sizeof line, file) != NULL)
-    if (sscanf (line, "VmHWM: %llu kB", &kib) == 1)
-      break;
+    if (strncmp (line, name, strlen (name)) == 0)
+      {
+        kib = strtoull (line + strlen (name), NULL, 10);
+        break;
+      }
   if (file != NULL)
     fclose (file);
   return kib;
 }
 
+uint64_t
+process_memory_kib (const struct Process *process)
+{
+  return process_status_kib (process, "VmRSS:");
+}
+
+uint64_t
+process_peak_memory_kib (const struct Process *process)
+{
+  return process_status_kib (process, "VmHWM:");
+}
+
 uint32_t
 process_open_descriptors (const struct Process *process)
 {
--- a/tests/sessions/harness.h
+++ b/tests/sessions/harness.h
@@ -72,8 +72,10 @@
 /* Returns the processor time used so far. */
 int64_t
 process_cpu_ms (const struct Process *process);
-/* Returns the largest resident memory of the process so far, in KiB, and the number of its open
- * descriptors. 0 if the process has exited. */
+/* Return the resident memory of the process, its peak so far, in KiB, and the number of its open
+ * descriptors; 0 if the process has exited. */
+uint64_t
+process_memory_kib (const struct Process *process);
 uint64_t
 process_peak_memory_kib (const struct Process *process);
 uint32_t
--- a/tests/sessions/test_hostile_clients.c
+++ b/tests/sessions/test_hostile_clients.c
@@ -336,6 +336,30 @@
   talloc_free (ctx);
 }
 
+static bool
+gateway_has_returned_memory (void *data)
+{
+  const struct Fleet *fleet = data;
+
+  return process_memory_kib (fleet->gateways[0].process) <= MEMORY_MAX_KIB / 2;
+}
+
+/* Guards against memory that a process keeps after the clients have left. */
+static void
+test_memory_is_returned (void)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct Fleet *fleet = hostile_start (ctx);
+  uint32_t n_failed = CU_get_number_of_failures ();
+
+  gateway_meets (fleet, &large_chunks, fleet->gateways[0].caller);
+  CU_ASSERT_TRUE (wait_for (gateway_has_returned_memory, fleet));
+  printf ("[returned: %llu KiB] ",
+          (unsigned long long)process_memory_kib (fleet->gateways[0].process));
+  fleet_end (fleet, CU_get_number_of_failures () > n_failed);
+  talloc_free (ctx);
+}
+
 /* Guards against bounds that reject the largest request inside the limits while nothing else runs.
  */
 static void
@@ -382,6 +406,7 @@
   { "turns read slowly", test_turns_read_slowly },
   { "turns with large bodies", test_large_turns },
   { "bodies for the ready and directory listeners", test_own_paths },
+  { "memory is returned", test_memory_is_returned },
   { "the largest request is served in calm", test_largest_request_is_served_in_calm },
   { NULL, NULL },
 };
