Count the headers of requests, and all bytes of their lines

What callers saw: a gateway that ran out of memory while clients sent headers of very many short fields.

Cause: only names and values counted for max_header_bytes, so that a field of 4 bytes counted 1, and one head could have 16,000 fields with 20 bytes of bookkeeping each. Neither this nor paths counted for the bound of the process.

Now the colon and the line's end of each field count as well; that is what the limit means, so no header within it is rejected. Buffers of headers and paths are counted as held, and given up with their requests; the offsets of the fields are freed once the headers are complete.

--- a/adapters/http_memory.c
+++ b/adapters/http_memory.c
@@ -32,8 +32,11 @@
 connection_held_bytes (const struct Connection *c)
 {
   const struct HttpExchange *x = c->exchange != NULL ? &c->exchange->public : NULL;
-  uint64_t n_bytes = c->input.capacity + c->output.capacity;
+  uint64_t n_bytes = c->input.capacity + c->output.capacity
+                     + http_head_text_held_bytes (&c->reader.head) + c->reader.target_bytes;
 
+  if (c->exchange != NULL)
+    n_bytes += c->exchange->head_bytes;
   if (c->reader.body != NULL)
     n_bytes += talloc_get_size (c->reader.body);
   if (x != NULL && x->body != NULL)
--- a/adapters/http_request_reader.c
+++ b/adapters/http_request_reader.c
@@ -7,6 +7,7 @@
 
 enum
 {
+  FIELD_EXTRA_BYTES = 3,        /* of a header line, besides its name and value: colon, CR and LF */
   DOUBLED_MAX_BYTES = 64 * 1024 /* buffers of larger bodies grow by half of their size */
 };
 
@@ -43,7 +44,7 @@
 
   if (!head_within_limit (r, n_bytes))
     return parser_reject (r, 431);
-  grown = talloc_realloc (r->ctx, r->target, char, r->target_bytes + n_bytes + 1);
+  grown = (char *)held_memory_resize (r->ctx, (uint8_t *)r->target, r->target_bytes + n_bytes + 1);
   if (grown == NULL)
     return parser_reject (r, 503);
   r->target = grown;
@@ -56,7 +57,9 @@
 static int
 parser_on_head (struct HttpRequestReader *r, bool is_value, const char *bytes, size_t n_bytes)
 {
-  if (!head_within_limit (r, n_bytes))
+  bool begins_field = !is_value && (r->head.n_starts == 0 || r->head.in_value);
+
+  if (!head_within_limit (r, n_bytes + (begins_field ? FIELD_EXTRA_BYTES : 0)))
     return parser_reject (r, 431);
   switch (http_head_text_add (r->ctx, &r->head, is_value, bytes, n_bytes))
     {
@@ -176,8 +179,7 @@
                            struct HttpRequestReader *reader,
                            const struct HttpLimits *limits)
 {
-  TALLOC_FREE (reader->head.text);
-  TALLOC_FREE (reader->head.starts);
+  http_head_text_free (&reader->head);
   TALLOC_FREE (reader->target);
   TALLOC_FREE (reader->body);
   memset (reader, 0, sizeof *reader);
--- a/adapters/http_response_reader.c
+++ b/adapters/http_response_reader.c
@@ -19,9 +19,7 @@
   r->ctx = ctx;
   http_parser_init (&r->parser, HTTP_RESPONSE);
   r->parser.data = r;
-  TALLOC_FREE (r->head.text);
-  TALLOC_FREE (r->head.starts);
-  memset (&r->head, 0, sizeof r->head);
+  http_head_text_free (&r->head);
   r->head_bytes = 0;
   r->framing = HTTP_FRAMING_CONNECTION;
   r->headers_done = false;
--- a/adapters/http_server.c
+++ b/adapters/http_server.c
@@ -200,7 +200,7 @@
   c->close_after = true;
   server_connection_send_head (c, status, NULL, framing);
   server_connection_set_state (c, CONNECTION_LINGERING);
-  TALLOC_FREE (c->reader.body);
+  http_request_reader_reset (c, &c->reader, &c->server->options.limits);
   server_connection_end_output (c);
   server_connection_update_watch (c);
 }
@@ -251,6 +251,8 @@
       return;
     }
   talloc_steal (x, c->reader.head.text);
+  x->head_bytes = c->reader.head.capacity;
+  TALLOC_FREE (c->reader.head.starts);
   talloc_steal (x, c->reader.target);
   talloc_steal (x, c->reader.body);
   x->connection = c;
@@ -262,7 +264,7 @@
   c->close_after =
       c->close_after || server->draining || http_should_keep_alive (&c->reader.parser) == 0;
   x->chunked = c->reader.parser.http_major == 1 && c->reader.parser.http_minor >= 1;
-  c->reader.head.text = NULL;
+  memset (&c->reader.head, 0, sizeof c->reader.head);
   c->reader.target = NULL;
   c->reader.body = NULL;
   if (!request_headers_are_valid (&x->public.headers))
--- a/adapters/http_server_internal.h
+++ b/adapters/http_server_internal.h
@@ -51,6 +51,7 @@
 {
   struct HttpExchange public; /* must be the first member; passed to the handler */
   struct Connection *connection;
+  size_t head_bytes; /* of the text of the request's headers */
   bool begun, chunked;
 };
 
--- a/core/http_message.c
+++ b/core/http_message.c
@@ -1,6 +1,7 @@
 #include <buckthornhead/http_message.h>
 
 #include <buckthornhead/error.h>
+#include <buckthornhead/held_memory.h>
 
 #include <string.h>
 #include <strings.h>
@@ -8,6 +9,7 @@
 enum
 {
   HEAD_TEXT_INITIAL_BYTES = 1024,
+  STARTS_INITIAL = 32,
   HEADERS_INITIAL = 16
 };
 
@@ -103,7 +105,7 @@
     return true;
   while (head->n_bytes + n_bytes > capacity)
     capacity *= 2;
-  grown = talloc_realloc (ctx, head->text, char, capacity);
+  grown = (char *)held_memory_resize (ctx, (uint8_t *)head->text, capacity);
   if (grown == NULL)
     return false;
   head->text = grown;
@@ -111,15 +113,28 @@
   return true;
 }
 
-/* Starts a new name or value and terminates the previous one with NUL. */
 static bool
-head_text_start (TALLOC_CTX *ctx, struct HttpHeadText *head, bool is_value)
+head_starts_reserve (TALLOC_CTX *ctx, struct HttpHeadText *head)
 {
-  size_t *grown = talloc_realloc (ctx, head->starts, size_t, head->n_starts + 1);
+  size_t capacity = head->starts_capacity > 0 ? 2 * head->starts_capacity : STARTS_INITIAL;
+  void *grown;
 
-  if (grown == NULL || !head_text_reserve (ctx, head, 1))
+  if (head->n_starts < head->starts_capacity)
+    return true;
+  grown = held_memory_resize (ctx, (uint8_t *)head->starts, capacity * sizeof *head->starts);
+  if (grown == NULL)
     return false;
   head->starts = grown;
+  head->starts_capacity = capacity;
+  return true;
+}
+
+/* Starts a new name or value and terminates the previous one with NUL. */
+static bool
+head_text_start (TALLOC_CTX *ctx, struct HttpHeadText *head, bool is_value)
+{
+  if (!head_starts_reserve (ctx, head) || !head_text_reserve (ctx, head, 1))
+    return false;
   if (head->n_starts > 0)
     head->text[head->n_bytes++] = '\0';
   head->starts[head->n_starts++] = head->n_bytes;
@@ -127,6 +142,20 @@
   return true;
 }
 
+size_t
+http_head_text_held_bytes (const struct HttpHeadText *head)
+{
+  return head->capacity + head->starts_capacity * sizeof *head->starts;
+}
+
+void
+http_head_text_free (struct HttpHeadText *head)
+{
+  talloc_free (head->text);
+  talloc_free (head->starts);
+  memset (head, 0, sizeof *head);
+}
+
 int32_t
 http_head_text_add (
     TALLOC_CTX *ctx, struct HttpHeadText *head, bool is_value, const char *bytes, size_t n_bytes)
--- a/include/buckthornhead/http_message.h
+++ b/include/buckthornhead/http_message.h
@@ -45,16 +45,25 @@
 bool
 http_list_has (const char *value, const char *token);
 
-/* Text of all headers, built from the pieces that the parser delivers. */
+/* Text of all headers, built from the pieces that the parser delivers. Its memory is counted, see
+ * held_memory.h. */
 struct HttpHeadText
 {
   char *text; /* talloc; NUL between names and values */
   size_t n_bytes, capacity;
   size_t *starts; /* name, value, name, value... */
-  size_t n_starts;
+  size_t n_starts, starts_capacity;
   bool in_value;
 };
 
+/* Returns the size of the buffers. */
+size_t
+http_head_text_held_bytes (const struct HttpHeadText *head);
+
+/* Frees the buffers. */
+void
+http_head_text_free (struct HttpHeadText *head);
+
 /* Appends a piece of a name or of a value. Returns ERROR_INVALID for a control character, which the
  * next recipient could read as the end of a line, or ERROR_NO_MEMORY. */
 int32_t
