Close requests that have stopped to make room for other connections

What callers saw: while as many clients as a gateway accepts had begun a request and stopped, all others got 503 until the timeouts, which the clients then met again.

Cause: a full listener closed only connections that were idle between requests.

Now it also closes, with 408, a request of which nothing has come for half a second and nothing waits to be read, and a connection that has its last response and is only kept for its end; the one that serves no purpose for longest first.

Evidence: the unit test "stopped requests make room for connections" gets 503 before. The session test "heads without an end" had failed for another reason: its stand-ins ran in the test's process with select, which cannot use descriptors above 1,023, so that the gateway got no response from its server; with poll it passes on, too, since a caller gets in between two timeouts within the 30 s that it may try.

Clients that return did not notice that a rejected connection was closed, and stayed.

--- a/adapters/http_server.c
+++ b/adapters/http_server.c
@@ -28,7 +28,11 @@
   /* Time to keep reading after the last response: closing with unread data resets the connection,
    * and the reset can overtake the response. */
   LINGER_MS = 1000,
-  IDLE_KEPT_MS = 1000, /* a connection idle for less is not closed to make room for another */
+  /* Connections that are idle, stop in the middle of a request or have got their last response for
+   * less than this are not closed to make room for others. */
+  IDLE_KEPT_MS = 1000,
+  STALLED_KEPT_MS = 500,
+  LINGERING_KEPT_MS = 250,
   FULL_LOG_PERIOD_MS = 10 * 1000
 };
 
@@ -513,8 +517,8 @@
     talloc_free (c);
 }
 
-/* Returns whether no part of a request has arrived: a caller that is about to send one would not
- * know whether it ran. */
+/* Returns whether nothing has arrived that was not read: a caller that has just sent a request
+ * would not know whether it ran. */
 static bool
 connection_is_silent (const struct Connection *c)
 {
@@ -524,23 +528,57 @@
          && recv (c->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && errno == EAGAIN;
 }
 
-/* Closes the connection that has been idle for longest, and for a moment at least. Returns false
- * when it may not be closed. Only one socket is looked at: callers that connect in numbers while
- * the server is full must not cost a system call per connection each. */
+/* Returns for how long the connection has served no purpose, if that is long enough for it to be
+ * closed to make room for another one; otherwise 0. */
+static int64_t
+connection_expendable_ms (const struct Connection *c, int64_t now_ms)
+{
+  int64_t age_ms = now_ms - c->state_since_ms, kept_ms = 0;
+
+  switch (c->state)
+    {
+    case CONNECTION_IDLE:
+      kept_ms = IDLE_KEPT_MS;
+      break;
+    case CONNECTION_READING:
+      kept_ms = STALLED_KEPT_MS;
+      age_ms = progress_stalled_ms (&c->progress, now_ms);
+      break;
+    case CONNECTION_LINGERING:
+      kept_ms = LINGERING_KEPT_MS;
+      break;
+    case CONNECTION_BUSY:
+      return 0;
+    }
+  return byte_queue_length (&c->output) == 0 && age_ms >= kept_ms ? age_ms : 0;
+}
+
+/* Closes the connection that has served no purpose for longest. Returns false when there is none
+ * that may be closed. Only one socket is looked at: callers that connect in numbers while the
+ * server is full must not cost a system call per connection each. */
 static bool
 server_make_room (struct HttpServer *server)
 {
-  int64_t now_ms = timer_now_ms (server->timers);
-  struct Connection *oldest = NULL;
+  int64_t now_ms = timer_now_ms (server->timers), longest_ms = 0;
+  struct Connection *chosen = NULL;
 
   for (struct Connection *c = server->connections; c != NULL; c = c->next)
-    if (c->state == CONNECTION_IDLE
-        && (oldest == NULL || c->state_since_ms < oldest->state_since_ms))
-      oldest = c;
-  if (oldest == NULL || now_ms - oldest->state_since_ms < IDLE_KEPT_MS
-      || !connection_is_silent (oldest))
+    {
+      int64_t expendable_ms = connection_expendable_ms (c, now_ms);
+
+      if (expendable_ms <= longest_ms)
+        continue;
+      chosen = c;
+      longest_ms = expendable_ms;
+    }
+  if (chosen == NULL || (chosen->state != CONNECTION_LINGERING && !connection_is_silent (chosen)))
     return false;
-  talloc_free (oldest);
+  if (chosen->state == CONNECTION_READING)
+    {
+      counter_add (COUNTER_CLIENTS_GIVEN_UP, 1);
+      connection_reject (chosen, 408);
+    }
+  talloc_free (chosen);
   return true;
 }
 
--- a/core/counter.c
+++ b/core/counter.c
@@ -133,7 +133,7 @@
   [COUNTER_CONNECTIONS_REJECTED] =
       COUNTS ("connections_rejected", "Connections closed at once because their listener was full"),
   [COUNTER_CLIENTS_GIVEN_UP] =
-      COUNTS ("clients_given_up", "Clients rejected or disconnected for lack of memory"),
+      COUNTS ("clients_given_up", "Clients rejected or disconnected for lack of memory or connections"),
   [COUNTER_CONNECTS_FAILED] =
       COUNTS ("connects_failed", "Connections not opened for lack of a descriptor or a local port"),
   [GAUGE_CONFIG_REVISION] =
--- a/tests/sessions/crowd.c
+++ b/tests/sessions/crowd.c
@@ -115,7 +115,8 @@
   return false;
 }
 
-/* Reads up to .read_bytes, and notices the end of the connection. */
+/* Reads up to .read_bytes, and notices the end of the connection. Clients that return read what
+ * they are sent. */
 static void
 client_read (struct Crowd *crowd, struct Client *client)
 {
@@ -125,6 +126,8 @@
 
   if (client->fd < 0)
     return;
+  if (n_left == 0 && crowd->plan->returns)
+    n_left = sizeof bytes;
   if (n_left == 0)
     {
       n = recv (client->fd, bytes, 1, MSG_PEEK | MSG_DONTWAIT);
--- a/tests/standins/installation_server.c
+++ b/tests/standins/installation_server.c
@@ -413,9 +413,9 @@
 int
 installation_server_start (struct Server *server)
 {
-  server->daemon = MHD_start_daemon (
-      MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_ITC, server->port,
-      NULL, NULL, server_on_request, server, MHD_OPTION_NOTIFY_COMPLETED, request_completed, server,
-      MHD_OPTION_END);
+  server->daemon =
+      MHD_start_daemon (MHD_USE_THREAD_PER_CONNECTION | MHD_USE_POLL_INTERNAL_THREAD | MHD_USE_ITC,
+                        server->port, NULL, NULL, server_on_request, server,
+                        MHD_OPTION_NOTIFY_COMPLETED, request_completed, server, MHD_OPTION_END);
   return server->daemon != NULL ? 0 : -1;
 }
--- a/tests/test_http_server.c
+++ b/tests/test_http_server.c
@@ -661,6 +661,34 @@
   bench_free (b);
 }
 
+/* Guards against callers that stop in the middle of their requests and keep out all others. */
+static void
+test_stopped_requests_make_room_for_connections (void)
+{
+  struct Bench *b = bench_new ();
+  const struct HttpLimits patient = { HEADER_MAX_BYTES, BODY_MAX_BYTES, IDLE_TIMEOUT_MS,
+                                      IDLE_TIMEOUT_MS };
+  int fds[CONNECTIONS_MAX];
+
+  http_server_set_limits (b->server, &patient);
+  b->respond_at_once = true;
+  fds[0] = b->fd;
+  for (int i = 0; i < CONNECTIONS_MAX; i++)
+    {
+      if (i > 0)
+        fds[i] = raw_connect (b->port);
+      raw_send (fds[i], "GET /1 HTTP/1.1\r\nHost: ");
+    }
+  events_for (b->events, 700);
+  b->fd = raw_connect (b->port);
+  raw_send (b->fd, get);
+  CU_ASSERT_TRUE (bench_read_until (b, " 200 "));
+  CU_ASSERT_EQUAL (b->n_requests, 1);
+  for (int i = 0; i < CONNECTIONS_MAX; i++)
+    close (fds[i]);
+  bench_free (b);
+}
+
 /* Guards against headers whose names and values are short, and whose bookkeeping is not. */
 static void
 test_short_header_fields_count_in_full (void)
@@ -812,6 +840,7 @@
     test_a_truncated_response_without_a_length_is_reset },
   { "large bodies are rejected above the bound", test_large_bodies_are_rejected_above_the_bound },
   { "announced bodies count for the bound", test_announced_bodies_count_for_the_bound },
+  { "stopped requests make room for connections", test_stopped_requests_make_room_for_connections },
   { "short header fields count in full", test_short_header_fields_count_in_full },
   { "stopped bodies make room", test_stopped_bodies_make_room },
   { "accepting waits for descriptors", test_accepting_waits_for_descriptors },
