Bound memory by default, to a share of the machine's memory

What callers saw: the deployed gateways had no bound at all: the template leaves held_memory unset, and unset meant none.

The gateway logs its bound at the start; its metrics listener counts, too. With the bound, what applied only with the setting applies by default: a caller that does not read slows its server down, and is disconnected after its route's timeout.

"memory is bounded by default" starts a deployment without the setting; there was no such line before.

--- a/adapters/process_limits.c
+++ b/adapters/process_limits.c
@@ -6,6 +6,7 @@
 #include <malloc.h>
 #include <stdio.h>
 #include <sys/resource.h>
+#include <sys/sysinfo.h>
 #include <unistd.h>
 
 enum
@@ -93,3 +94,11 @@
   /* Set explicitly, the threshold no longer grows with the largest buffer that was freed. */
   mallopt (M_MMAP_THRESHOLD, MAPPED_MIN_BYTES);
 }
+
+uint64_t
+process_machine_memory_bytes (void)
+{
+  struct sysinfo info;
+
+  return sysinfo (&info) == 0 ? (uint64_t)info.totalram * info.mem_unit : 0;
+}
--- a/core/gateway/gateway_settings.c
+++ b/core/gateway/gateway_settings.c
@@ -19,10 +19,11 @@
 
 enum
 {
-  MINUTE_MS = 60 * 1000,
-  GIB = 1024 * 1024 * 1024
+  MINUTE_MS = 60 * 1000
 };
 
+#define HELD_MAX_BYTES (UINT64_C (1) << 40)
+
 static const struct ConfigKey instance_keys[] = {
   TEXT ("name", CONFIG_VALUE_NAME, instance, NULL),
   TEXT ("zone", CONFIG_VALUE_NAME, zone, NULL),
@@ -80,7 +81,8 @@
 
 static const struct ConfigKey limit_keys[] = {
   NUMBER ("connections", CONFIG_VALUE_NUMBER, connections_max, "2000", UNIT_NONE, 8, 100000),
-  NUMBER ("held_memory", CONFIG_VALUE_NUMBER, held_memory_bytes, "0", UNIT_BYTES, 0, GIB),
+  NUMBER (
+      "held_memory", CONFIG_VALUE_NUMBER, held_memory_bytes, "0", UNIT_BYTES, 0, HELD_MAX_BYTES),
 };
 
 static const struct ConfigChoice quota_sharings[] = {
--- a/core/held_memory.c
+++ b/core/held_memory.c
@@ -2,6 +2,11 @@
 
 #include <buckthornhead/counter.h>
 
+enum
+{
+  SHARE_EIGHTHS = 3
+};
+
 /* Counts its .n_bytes while it exists. */
 struct Charge
 {
@@ -72,6 +77,12 @@
   return counter_read (GAUGE_HELD_BYTES);
 }
 
+uint64_t
+held_memory_share (uint64_t machine_bytes)
+{
+  return machine_bytes / 8 * SHARE_EIGHTHS;
+}
+
 void
 held_memory_watch (uint64_t max_bytes, void (*exceeded) (void *data), void *data)
 {
--- a/gateway/front.c
+++ b/gateway/front.c
@@ -15,6 +15,7 @@
 
 #include <buckthornhead/counter.h>
 #include <buckthornhead/deflate.h>
+#include <buckthornhead/held_memory.h>
 #include <buckthornhead/log.h>
 #include <buckthornhead/scheduling/plain_queue.h>
 #include <buckthornhead/scheduling/silent_attempts.h>
@@ -731,6 +732,24 @@
   return process_limits_divide (&wanted, &front->shares, fault);
 }
 
+static int32_t
+front_bound_memory (struct Front *front, struct Fault *fault)
+{
+  const struct Node *node = front->node;
+  uint64_t max_bytes = node->settings->held_memory_bytes;
+
+  if (max_bytes == 0)
+    max_bytes = held_memory_share (process_machine_memory_bytes ());
+  if (max_bytes == 0)
+    return ERROR_NONE;
+  front->memory = http_memory_new (front, node->events, node->timers, max_bytes);
+  if (front->memory == NULL)
+    return fault_set (fault, ERROR_NO_MEMORY, NULL, "out of memory for the gateway");
+  log_event (LOG_LEVEL_NOTICE, "memory_bounded", NULL, NULL,
+             "at most %llu bytes for requests and responses", (unsigned long long)max_bytes);
+  return ERROR_NONE;
+}
+
 int32_t
 front_new (TALLOC_CTX *ctx, struct Node *node, struct Front **front, struct Fault *fault)
 {
@@ -760,13 +779,9 @@
       || f->paces == NULL || f->quotas == NULL || f->suspects == NULL || f->silent == NULL
       || f->echo == NULL)
     return fault_set (fault, ERROR_NO_MEMORY, NULL, "out of memory for the gateway");
-  if (node->settings->held_memory_bytes > 0)
-    {
-      f->memory =
-          http_memory_new (f, node->events, node->timers, node->settings->held_memory_bytes);
-      if (f->memory == NULL)
-        return fault_set (fault, ERROR_NO_MEMORY, NULL, "out of memory for the gateway");
-    }
+  error = front_bound_memory (f, fault);
+  if (error != ERROR_NONE)
+    return error;
   error = front_listen_all (f, fault);
   if (error != ERROR_NONE)
     return error;
--- a/gateway/front.h
+++ b/gateway/front.h
@@ -127,7 +127,7 @@
   struct Suspects *suspects;
   struct SilentAttempts *silent;
   struct DescriptorShares shares;
-  struct HttpMemory *memory; /* of the three servers; NULL: not bounded */
+  struct HttpMemory *memory; /* of all HTTP servers; NULL: not bounded */
   struct HttpServer *callers, *ready, *directory;
   struct Request *requests;
   int64_t started_ms;
--- a/gateway/metrics.c
+++ b/gateway/metrics.c
@@ -145,6 +145,7 @@
     .limits = { HEADER_MAX_BYTES, BODY_MAX_BYTES, HEADER_TIMEOUT_MS, IDLE_TIMEOUT_MS },
     .connections_max =
         metrics->front != NULL ? metrics->front->shares.metrics : METRICS_CONNECTIONS_MAX,
+    .memory = metrics->front != NULL ? metrics->front->memory : NULL,
     .request = metrics_on_request,
     .data = metrics,
   };
--- a/include/buckthornhead/gateway_settings.h
+++ b/include/buckthornhead/gateway_settings.h
@@ -35,7 +35,8 @@
   uint32_t grace_ms; /* from SIGTERM to the exit */
   uint32_t keep_s;   /* time for which callers may cache a list of addresses */
   uint32_t connections_max;
-  uint32_t held_memory_bytes; /* bound on the data held for callers and servers; 0: none */
+  /* Bound on the data held for callers and servers; 0: a share of the machine's memory. */
+  uint64_t held_memory_bytes;
   uint32_t quota_window_ms;   /* length of the sliding window in which a limit holds */
   uint32_t quota_slack;       /* requests over a limit that operators tolerate in each window */
   int32_t quota_sharing;      /* enum QuotaSharing */
--- a/include/buckthornhead/held_memory.h
+++ b/include/buckthornhead/held_memory.h
@@ -22,6 +22,12 @@
 uint64_t
 held_memory_bytes (void);
 
+/* Returns the bound on the sum for a process on a machine with machine_bytes of memory. What it
+ * leaves is for the rest of the process, for what the C library keeps, and for the kernel's
+ * buffers. */
+uint64_t
+held_memory_share (uint64_t machine_bytes);
+
 /* Calls exceeded (data) whenever the sum grows while it is over max_bytes, on the thread and in the
  * middle of the operation that made it grow. One watch a process; NULL ends it. */
 void
--- a/include/buckthornhead/process_limits.h
+++ b/include/buckthornhead/process_limits.h
@@ -18,3 +18,7 @@
  * Called before other threads start. */
 void
 process_limit_kept_memory (void);
+
+/* Returns the size of the machine's memory; 0 if it is unknown. */
+uint64_t
+process_machine_memory_bytes (void);
--- a/tests/sessions/test_hostile_clients.c
+++ b/tests/sessions/test_hostile_clients.c
@@ -360,6 +360,19 @@
   talloc_free (ctx);
 }
 
+/* Guards against processes without a bound where no setting asks for one. */
+static void
+test_memory_is_bounded_by_default (void)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct Fleet *fleet = fleet_start (ctx, 1, 3);
+  uint32_t n_failed = CU_get_number_of_failures ();
+
+  CU_ASSERT_EQUAL (process_count_output (fleet->gateways[0].process, "memory_bounded"), 1);
+  fleet_end (fleet, CU_get_number_of_failures () > n_failed);
+  talloc_free (ctx);
+}
+
 /* Guards against bounds that reject the largest request inside the limits while nothing else runs.
  */
 static void
@@ -406,6 +419,7 @@
   { "turns read slowly", test_turns_read_slowly },
   { "turns with large bodies", test_large_turns },
   { "bodies for the ready and directory listeners", test_own_paths },
+  { "memory is bounded by default", test_memory_is_bounded_by_default },
   { "memory is returned", test_memory_is_returned },
   { "the largest request is served in calm", test_largest_request_is_served_in_calm },
   { NULL, NULL },
