Count histories of turns and messages to peers as held memory

What callers could see: a gateway over its memory while archives are slow and clients send large turns, or continue long conversations.

Cause: neither histories and the bodies built from them, nor messages queued for archives and peers were counted, and each link could queue 64 MB.

Now histories count while they are read, and as a body afterwards, for the request that they belong to; messages of 4 KB and more count until they are sent.

--- a/adapters/peer_net.c
+++ b/adapters/peer_net.c
@@ -2,6 +2,7 @@
 
 #include <buckthornhead/acceptor.h>
 #include <buckthornhead/counter.h>
+#include <buckthornhead/held_memory.h>
 #include <buckthornhead/log.h>
 #include <buckthornhead/net_socket.h>
 #include <buckthornhead/settings.h>
@@ -25,9 +26,8 @@
   /* TCP_USER_TIMEOUT: the kernel closes a link whose sent bytes are not acknowledged for this long.
    * Longer than a pause of the other process; heartbeats detect peers that send nothing. */
   USER_TIMEOUT_MS = 10 * 1000,
-  /* Limits the bytes queued for one link, so that a peer that stops reading does not exhaust the
-   * instance's memory. */
-  WRITE_QUEUE_MAX_BYTES = 64 * 1024 * 1024
+  WRITE_QUEUE_MAX_BYTES = 64 * 1024 * 1024, /* unless the options set it */
+  COUNTED_FRAME_BYTES = 4096                /* frames of at least this size count as held memory */
 };
 
 /* A frame queued for sending. */
@@ -160,12 +160,15 @@
   struct PeerFrame *frame;
   int32_t error;
 
-  if (link->queued_bytes > WRITE_QUEUE_MAX_BYTES)
+  if (link->queued_bytes > link->net->options.queue_max_bytes)
     return ERROR_UNREACHABLE;
   frame = talloc_zero (link, struct PeerFrame);
   if (frame == NULL)
     return ERROR_NO_MEMORY;
   error = peer_message_pack (frame, message, &frame->bytes, &frame->n_bytes);
+  if (error == ERROR_NONE && frame->n_bytes >= COUNTED_FRAME_BYTES
+      && !held_memory_charge (frame, frame->n_bytes))
+    error = ERROR_NO_MEMORY;
   if (error != ERROR_NONE)
     {
       talloc_free (frame);
@@ -463,6 +466,8 @@
   net->events = events;
   net->timers = timers;
   net->options = *options;
+  if (net->options.queue_max_bytes == 0)
+    net->options.queue_max_bytes = WRITE_QUEUE_MAX_BYTES;
   net->listen_fd = -1;
   net->scratch = talloc_size (net, READ_CHUNK_BYTES);
   if (net->scratch == NULL)
--- a/core/gateway/turn_history.c
+++ b/core/gateway/turn_history.c
@@ -1,6 +1,7 @@
 #include <buckthornhead/turn_history.h>
 
 #include <buckthornhead/error.h>
+#include <buckthornhead/held_memory.h>
 
 #include <stdio.h>
 #include <string.h>
@@ -69,9 +70,15 @@
 static bool
 history_copy_bytes (struct HistoryTurn *turn, const uint8_t **bytes, size_t n)
 {
-  if (n > 0)
-    *bytes = talloc_memdup (turn, *bytes, n);
-  return n == 0 || *bytes != NULL;
+  uint8_t *copy;
+
+  if (n == 0)
+    return true;
+  copy = held_memory_resize (turn, NULL, n);
+  if (copy != NULL)
+    memcpy (copy, *bytes, n);
+  *bytes = copy;
+  return copy != NULL;
 }
 
 static void
--- a/gateway/front.c
+++ b/gateway/front.c
@@ -15,7 +15,6 @@
 
 #include <buckthornhead/counter.h>
 #include <buckthornhead/deflate.h>
-#include <buckthornhead/held_memory.h>
 #include <buckthornhead/log.h>
 #include <buckthornhead/scheduling/plain_queue.h>
 #include <buckthornhead/scheduling/silent_attempts.h>
@@ -114,7 +113,9 @@
   uint64_t n_bytes = request->response_body.capacity + request->partial_event.capacity
                      + events->line.capacity + events->event.capacity + events->data.capacity;
 
-  return request->body != exchange->body ? n_bytes + request->body_bytes : n_bytes;
+  if (request->body != exchange->body)
+    return n_bytes + request->body_bytes;
+  return n_bytes + turn_held_bytes (request);
 }
 
 static void
@@ -736,10 +737,8 @@
 front_bound_memory (struct Front *front, struct Fault *fault)
 {
   const struct Node *node = front->node;
-  uint64_t max_bytes = node->settings->held_memory_bytes;
+  uint64_t max_bytes = node_held_max_bytes (node);
 
-  if (max_bytes == 0)
-    max_bytes = held_memory_share (process_machine_memory_bytes ());
   if (max_bytes == 0)
     return ERROR_NONE;
   front->memory = http_memory_new (front, node->events, node->timers, max_bytes);
--- a/gateway/front.h
+++ b/gateway/front.h
@@ -217,6 +217,11 @@
 void
 turn_finish (struct Request *request);
 
+/* Returns the size of the history that the request's turn has received, and has not made a body of;
+ * 0 if the request is not a turn. */
+size_t
+turn_held_bytes (const struct Request *request);
+
 /* Ends the turn without storing its text and reports the tokens it used to the archives. */
 void
 turn_abandon (struct Request *request);
--- a/gateway/node.c
+++ b/gateway/node.c
@@ -4,7 +4,9 @@
 #include "seeds.h"
 #include "store_reader.h"
 
+#include <buckthornhead/held_memory.h>
 #include <buckthornhead/log.h>
+#include <buckthornhead/process_limits.h>
 
 #include <stdio.h>
 #include <string.h>
@@ -23,7 +25,8 @@
    * period: at the period of the heartbeat, a zone that had lost all power had only 2 of its 34
    * gateways ready for callers after 0.7 s. */
   STARTING_MS = 3000,
-  STARTING_PERIOD_MS = 50
+  STARTING_PERIOD_MS = 50,
+  LINK_PART = 4 /* part of the bound on held memory that the messages for one link may use */
 };
 
 uint64_t
@@ -261,6 +264,14 @@
     TALLOC_FREE (node->starting_timer);
 }
 
+uint64_t
+node_held_max_bytes (const struct Node *node)
+{
+  uint64_t max_bytes = node->settings->held_memory_bytes;
+
+  return max_bytes > 0 ? max_bytes : held_memory_share (process_machine_memory_bytes ());
+}
+
 int32_t
 node_start (struct Node *node, struct Fault *fault)
 {
@@ -269,6 +280,7 @@
     .instance = node->settings->instance,
     .zone = node->settings->zone,
     .dial_on_demand = true,
+    .queue_max_bytes = node_held_max_bytes (node) / LINK_PART,
     .received = node_on_received,
     .closed = node_on_closed,
     .connect_refused = node_on_refused,
--- a/gateway/node.h
+++ b/gateway/node.h
@@ -64,6 +64,10 @@
   struct ArchiveSet set; /* the newest one received */
 };
 
+/* Returns the bound on the memory held for callers, servers and peers; 0: unknown. */
+uint64_t
+node_held_max_bytes (const struct Node *node);
+
 /* Starts the links, the heartbeats and the store's reader. Events and timers must exist. */
 int32_t
 node_start (struct Node *node, struct Fault *fault);
--- a/include/buckthornhead/peer_net.h
+++ b/include/buckthornhead/peer_net.h
@@ -29,6 +29,9 @@
   /* Links are dialled when there is something to send, and closed after PEER_LINK_IDLE_MS without
    * use: in a fleet of hundreds most pairs of processes never exchange messages. */
   bool dial_on_demand;
+  /* Further messages are not sent over a link with more queued than this, so that a peer that stops
+   * reading does not exhaust the memory; 0: 64 MB. */
+  uint64_t queue_max_bytes;
   /* A message arrived over link; it is valid during the call only. instance is the sender's name.
    */
   void (*received) (void *data,
