Bound the memory of callers' requests and responses in `serve`

What callers saw: an instance that ran out of memory while clients sent bodies and stopped short of their end, each inside its limit.

Cause: bodies were bounded for each connection only, in buffers of twice their size; a body over the limit, or of a request past its timeout, was read to its end, however long; and the buffer of libmicrohttpd, 32 KB for each connection, was not thought of.

Now bodies, queued responses and the buffers of connections with a request count as held memory, with the bound and the order of the gateways ([limits] held_memory, three eighths of the machine's memory by default). The connections belong to several threads: clients are given up by shutting down their sockets, and a body that would exceed the bound before their memory is free is answered 429 with a time to try again. A body that is announced as more than twice the limit gets 413 at once; one that goes on after its request is refused is cut off after another body's size, or a second.

Not covered: the buffers of idle connections, up to connections x 32 KB.

--- a/adapters/caller_http.c
+++ b/adapters/caller_http.c
@@ -1,6 +1,10 @@
 #include <buckthornhead/caller_http.h>
 
+#include <buckthornhead/caller_memory.h>
+#include <buckthornhead/clock.h>
 #include <buckthornhead/counter.h>
+#include <buckthornhead/held_memory.h>
+#include <buckthornhead/log.h>
 #include <buckthornhead/net_socket.h>
 #include <buckthornhead/process_limits.h>
 #include <buckthornhead/snapshot.h>
@@ -11,7 +15,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <time.h>
 
 #include <jansson.h>
 
@@ -19,7 +22,9 @@
 {
   ACCEPT_BACKLOG = 1024,
   OPERATOR_CONNECTIONS_MAX = 100,
-  DRAINING_RETRY_AFTER_MS = 50, /* short: another instance can serve the request at once */
+  DISCARD_MS = 1000,             /* time for the rest of a refused request to arrive */
+  DOUBLED_MAX_BYTES = 64 * 1024, /* buffers of larger bodies grow by half of their size */
+  ELSEWHERE_RETRY_AFTER_MS = 50, /* short: another instance can serve the request at once */
   CONNECTION_EXTRA_MEMORY_BYTES = 16 * 1024 /* per connection, besides the headers */
 };
 
@@ -28,6 +33,7 @@
   const struct Settings *settings;
   struct DescriptorShares shares;
   struct Mailbox *core;
+  struct CallerMemory *memory; /* NULL: not bounded */
   struct MHD_Daemon *caller_daemon;
   struct MHD_Daemon *operator_daemon;
   _Atomic bool closing;
@@ -110,15 +116,6 @@
   return copy;
 }
 
-static int64_t
-monotonic_ms (void)
-{
-  struct timespec now;
-
-  clock_gettime (CLOCK_MONOTONIC, &now);
-  return (int64_t)now.tv_sec * 1000 + now.tv_nsec / 1000000;
-}
-
 static enum MHD_Result
 queue_json_response (struct MHD_Connection *connection, uint32_t status, const char *json)
 {
@@ -155,33 +152,109 @@
   return MHD_lookup_connection_value (data, MHD_GET_ARGUMENT_KIND, name);
 }
 
-/* Appends a piece of the request body. Returns false when the body is too large, when the request
- * has exceeded its timeout, or when out of memory. */
+/* Sets the status to reject the request with once the rest of its body has arrived. */
+static void
+exchange_refuse (struct Exchange *exchange, uint32_t status)
+{
+  exchange->early_status = status;
+  exchange->refused_ms = clock_monotonic_ms ();
+  TALLOC_FREE (exchange->body);
+  exchange->body_bytes = 0;
+  exchange->body_size = 0;
+}
+
+/* Makes room for a body of n_bytes and its terminating NUL. Returns false without memory. */
 static bool
+exchange_resize_body (struct CallerHttp *http, struct Exchange *exchange, size_t n_bytes)
+{
+  size_t size = n_bytes <= DOUBLED_MAX_BYTES ? 2 * n_bytes : n_bytes + n_bytes / 2;
+  uint8_t *resized;
+
+  if (n_bytes + 1 <= exchange->body_size)
+    return true;
+  if (size > http->settings->body_max_bytes)
+    size = http->settings->body_max_bytes;
+  if (!caller_memory_reserve (exchange, size + 1 - exchange->body_size, n_bytes))
+    return false;
+  resized = held_memory_resize (exchange, exchange->body, size + 1);
+  if (resized == NULL)
+    return false;
+  exchange->body = resized;
+  exchange->body_size = size + 1;
+  return true;
+}
+
+/* Appends a piece of the request's body, or refuses the request: when the body is too large, when
+ * the request has exceeded its timeout, or without memory. */
+static void
 exchange_append_body (struct CallerHttp *http,
                       struct Exchange *exchange,
                       const char *bytes,
                       size_t n_bytes)
 {
+  size_t total_bytes = exchange->body_bytes + n_bytes;
+
+  caller_memory_record (exchange, n_bytes);
   /* The timeout covers the whole request, not the gap between two reads: otherwise a client that
    * sends single bytes slowly would occupy its connection, and a connection slot, forever. */
-  if (monotonic_ms () - exchange->started_ms > http->settings->request_timeout_ms)
-    exchange->early_status = MHD_HTTP_REQUEST_TIMEOUT;
-  if (exchange->body_bytes + n_bytes > http->settings->body_max_bytes)
-    exchange->early_status = MHD_HTTP_CONTENT_TOO_LARGE;
+  if (clock_monotonic_ms () - exchange->started_ms > http->settings->request_timeout_ms)
+    exchange_refuse (exchange, MHD_HTTP_REQUEST_TIMEOUT);
+  else if (total_bytes > http->settings->body_max_bytes)
+    exchange_refuse (exchange, MHD_HTTP_CONTENT_TOO_LARGE);
+  else if (!exchange_resize_body (http, exchange, total_bytes))
+    exchange_refuse (exchange, MHD_HTTP_TOO_MANY_REQUESTS);
   if (exchange->early_status != 0)
-    return false;
-  if (exchange->body_bytes + n_bytes + 1 > exchange->body_size)
-    {
-      exchange->body_size = (exchange->body_bytes + n_bytes) * 2 + 1;
-      exchange->body = talloc_realloc (exchange, exchange->body, uint8_t, exchange->body_size);
-      if (exchange->body == NULL)
-        return false;
-    }
+    return;
   memcpy (exchange->body + exchange->body_bytes, bytes, n_bytes);
-  exchange->body_bytes += n_bytes;
-  exchange->body[exchange->body_bytes] = '\0';
-  return true;
+  exchange->body_bytes = total_bytes;
+  exchange->body[total_bytes] = '\0';
+}
+
+/* Discards a piece of the body of a refused request. Returns false when the connection is to be
+ * closed without a response: the rest would take too long or is too large. */
+static bool
+exchange_discard (struct CallerHttp *http, struct Exchange *exchange, size_t n_bytes)
+{
+  exchange->n_discarded += n_bytes;
+  return exchange->n_discarded <= http->settings->body_max_bytes
+         && clock_monotonic_ms () - exchange->refused_ms <= DISCARD_MS;
+}
+
+/* Rejects a request that another instance can serve at once; see caller_request_is_first for
+ * is_first. */
+static enum MHD_Result
+queue_elsewhere_response (struct MHD_Connection *connection,
+                          bool is_first,
+                          const struct Fault *fault)
+{
+  char *json = error_json (NULL, fault, is_first ? RAN_NO : RAN_MAYBE, ELSEWHERE_RETRY_AFTER_MS, 0);
+  enum MHD_Result queued = queue_json_response (connection, error_http_status (fault->error), json);
+
+  talloc_free (json);
+  return queued;
+}
+
+/* Rejects a request because the listener is about to close. */
+static enum MHD_Result
+queue_draining_response (struct Exchange *exchange, struct MHD_Connection *connection)
+{
+  struct Fault fault;
+
+  fault_set (&fault, ERROR_DRAINING, NULL, "this instance is shutting down");
+  return queue_elsewhere_response (connection, exchange->request.first_attempt, &fault);
+}
+
+/* Rejects a request because the process is short of memory. */
+static enum MHD_Result
+queue_short_response (struct MHD_Connection *connection)
+{
+  struct Fault fault;
+
+  counter_add (COUNTER_CALLS_REFUSED, 1);
+  fault_set (&fault, ERROR_OVERLOADED, "try again, here or at another instance",
+             "this instance is short of memory for requests");
+  return queue_elsewhere_response (connection,
+                                   caller_request_is_first (connection_header, connection), &fault);
 }
 
 static enum MHD_Result
@@ -189,6 +262,8 @@
 {
   struct Fault fault;
 
+  if (exchange->early_status == MHD_HTTP_TOO_MANY_REQUESTS)
+    return queue_short_response (connection);
   if (exchange->early_status == MHD_HTTP_REQUEST_TIMEOUT)
     fault_set (&fault, ERROR_TIMEOUT, "send the request faster",
                "the request was not received within the request timeout");
@@ -198,23 +273,6 @@
   return queue_error_response (connection, exchange->early_status, &fault);
 }
 
-/* Rejects a request because the listener is about to close; the caller retries at another instance.
- * An earlier attempt of the request may have run. */
-static enum MHD_Result
-queue_draining_response (struct Exchange *exchange, struct MHD_Connection *connection)
-{
-  struct Fault fault;
-  enum RanState ran = exchange->request.first_attempt ? RAN_NO : RAN_MAYBE;
-  enum MHD_Result queued;
-  char *json;
-
-  fault_set (&fault, ERROR_DRAINING, NULL, "this instance is shutting down");
-  json = error_json (NULL, &fault, ran, DRAINING_RETRY_AFTER_MS, 0);
-  queued = queue_json_response (connection, error_http_status (ERROR_DRAINING), json);
-  talloc_free (json);
-  return queued;
-}
-
 /* Posts the exchange to the core and suspends the connection until the response begins. */
 static enum MHD_Result
 exchange_post (struct CallerHttp *http,
@@ -230,6 +288,7 @@
       return queue_draining_response (exchange, connection);
     }
   exchange->connection = connection;
+  caller_memory_post (exchange);
   exchange->posted = true;
   exchange->suspended = true;
   exchange->references++;
@@ -272,20 +331,6 @@
   return exchange_post (http, exchange, connection);
 }
 
-/* Reads the body; returns true once the request is complete. */
-static bool
-request_read (struct CallerHttp *http,
-              struct Exchange *exchange,
-              const char *upload,
-              size_t *upload_bytes)
-{
-  if (*upload_bytes == 0)
-    return true;
-  exchange_append_body (http, exchange, upload, *upload_bytes);
-  *upload_bytes = 0;
-  return false;
-}
-
 static bool
 operator_is_allowed (const struct Settings *settings, struct MHD_Connection *connection)
 {
@@ -346,6 +391,31 @@
   return exchange_post (http, exchange, connection);
 }
 
+/* Returns the size of the buffer that libmicrohttpd allocates for a connection. */
+static size_t
+connection_memory_bytes (const struct Settings *settings)
+{
+  return (size_t)settings->header_max_bytes + CONNECTION_EXTRA_MEMORY_BYTES;
+}
+
+static int
+connection_socket (struct MHD_Connection *connection)
+{
+  const union MHD_ConnectionInfo *info =
+      MHD_get_connection_info (connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+
+  return info != NULL ? info->connect_fd : -1;
+}
+
+/* Returns the value of Content-Length, which libmicrohttpd has checked; 0 if there is none. */
+static uint64_t
+announced_body_bytes (struct MHD_Connection *connection)
+{
+  const char *value = connection_header (connection, MHD_HTTP_HEADER_CONTENT_LENGTH);
+
+  return value != NULL ? strtoull (value, NULL, 10) : 0;
+}
+
 /* Handles a complete request of a listener. */
 typedef enum MHD_Result (*CompleteFn) (struct CallerHttp *http,
                                        struct Exchange *exchange,
@@ -373,14 +443,28 @@
       exchange = exchange_new (kind);
       if (exchange == NULL)
         return MHD_NO;
-      exchange->started_ms = monotonic_ms ();
+      exchange->started_ms = clock_monotonic_ms ();
       *state = exchange;
-      return MHD_YES;
+      caller_memory_add (http->memory, exchange, connection_socket (connection),
+                         connection_memory_bytes (http->settings));
+      /* A body that is a little too large is discarded, and its connection stays usable. */
+      if (announced_body_bytes (connection) <= 2 * (uint64_t)http->settings->body_max_bytes)
+        return MHD_YES;
+      exchange_refuse (exchange, MHD_HTTP_CONTENT_TOO_LARGE);
+      return exchange_queue_early_error (exchange, connection);
     }
   if (exchange->posted)
     return exchange_queue_response (exchange, connection);
-  if (!request_read (http, exchange, upload, upload_bytes))
-    return MHD_YES;
+  if (*upload_bytes > 0)
+    {
+      size_t n_bytes = *upload_bytes;
+
+      *upload_bytes = 0;
+      if (exchange->early_status != 0)
+        return exchange_discard (http, exchange, n_bytes) ? MHD_YES : MHD_NO;
+      exchange_append_body (http, exchange, upload, n_bytes);
+      return MHD_YES;
+    }
   return on_complete (http, exchange, connection, method, path);
 }
 
@@ -428,6 +512,7 @@
     return;
   *state = NULL;
   atomic_store (&exchange->closed, true);
+  caller_memory_remove (exchange);
   if (exchange->posted && code != MHD_REQUEST_TERMINATED_COMPLETED_OK)
     {
       struct DisconnectMail *mail = talloc_zero (NULL, struct DisconnectMail);
@@ -479,9 +564,8 @@
       on_request_completed, http, MHD_OPTION_THREAD_POOL_SIZE, pool > 1 ? pool : 0,
       MHD_OPTION_CONNECTION_LIMIT, connections, MHD_OPTION_CONNECTION_TIMEOUT,
       (settings->request_timeout_ms + 999) / 1000, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-      (size_t)settings->header_max_bytes + CONNECTION_EXTRA_MEMORY_BYTES,
-      MHD_OPTION_LISTEN_BACKLOG_SIZE, (unsigned int)ACCEPT_BACKLOG,
-      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_END);
+      connection_memory_bytes (settings), MHD_OPTION_LISTEN_BACKLOG_SIZE,
+      (unsigned int)ACCEPT_BACKLOG, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_END);
   if (daemon == NULL)
     fault_set (fault, error_from_errno (errno),
                "stop the process that uses the address, or change [listen]",
@@ -489,6 +573,23 @@
   return daemon;
 }
 
+static int32_t
+caller_http_bound_memory (struct CallerHttp *http, struct Fault *fault)
+{
+  uint64_t max_bytes = http->settings->held_memory_bytes;
+
+  if (max_bytes == 0)
+    max_bytes = held_memory_share (process_machine_memory_bytes ());
+  if (max_bytes == 0)
+    return ERROR_NONE;
+  http->memory = caller_memory_new (http, max_bytes);
+  if (http->memory == NULL)
+    return fault_set (fault, ERROR_NO_MEMORY, NULL, "out of memory");
+  log_event (LOG_LEVEL_NOTICE, "memory_bounded", NULL, NULL,
+             "at most %llu bytes for requests and responses", (unsigned long long)max_bytes);
+  return ERROR_NONE;
+}
+
 int32_t
 caller_http_open (TALLOC_CTX *ctx,
                   const struct Settings *settings,
@@ -506,7 +607,8 @@
     return fault_set (fault, ERROR_NO_MEMORY, NULL, "out of memory");
   http->settings = settings;
   http->core = core;
-  if (process_limits_divide (&wanted, &http->shares, fault) != ERROR_NONE)
+  if (process_limits_divide (&wanted, &http->shares, fault) != ERROR_NONE
+      || caller_http_bound_memory (http, fault) != ERROR_NONE)
     goto fail;
   /* Both addresses are checked before a listener accepts requests: one that waits for the core must
    * not exist when the listener is closed again. */
--- a/adapters/caller_request.c
+++ b/adapters/caller_request.c
@@ -463,6 +463,14 @@
   return parse_name (parse, "the program's id", program, parse->call->key.program);
 }
 
+bool
+caller_request_is_first (HeaderFn header, void *data)
+{
+  const char *attempt = header (data, "X-Attempt");
+
+  return attempt != NULL && strcmp (attempt, "1") == 0;
+}
+
 int32_t
 caller_request_parse (struct Exchange *exchange,
                       const struct Settings *settings,
@@ -480,9 +488,8 @@
     fault
   };
   bool post = strcmp (method, "POST") == 0;
-  const char *attempt = header (data, "X-Attempt");
 
-  exchange->request.first_attempt = attempt != NULL && strcmp (attempt, "1") == 0;
+  exchange->request.first_attempt = caller_request_is_first (header, data);
   if (post && strcmp (path, "/v1/programs") == 0)
     return parse_create (&parse);
   if (post && strcmp (path, "/v1/chat/completions") == 0)
--- a/adapters/exchange.c
+++ b/adapters/exchange.c
@@ -1,5 +1,7 @@
 #include <buckthornhead/exchange.h>
 
+#include <buckthornhead/caller_memory.h>
+#include <buckthornhead/held_memory.h>
 #include <buckthornhead/tsan.h>
 
 #include <stdarg.h>
@@ -65,9 +67,14 @@
 
   if (atomic_fetch_sub (&exchange->references, 1) != 1)
     return;
+  if (exchange->chunk != NULL)
+    held_memory_subtract (exchange->chunk->n_bytes - exchange->chunk_offset);
   free (exchange->chunk);
   while ((chunk = exchange_next_chunk (exchange)) != NULL)
-    free (chunk);
+    {
+      held_memory_subtract (chunk->n_bytes);
+      free (chunk);
+    }
   talloc_free (exchange);
 }
 
@@ -119,6 +126,7 @@
   memcpy (chunk->bytes, bytes, n_bytes);
   cds_wfcq_node_init (&chunk->node);
   TSAN_RELEASE (&chunk->node);
+  caller_memory_queue (exchange, n_bytes);
   cds_wfcq_enqueue (&exchange->head, &exchange->tail, &chunk->node);
   exchange_wake (exchange);
 }
@@ -169,6 +177,7 @@
       memcpy (block + filled, exchange->chunk->bytes + exchange->chunk_offset, n);
       filled += n;
       exchange->chunk_offset += n;
+      caller_memory_sent (exchange, n);
       if (exchange->chunk_offset < exchange->chunk->n_bytes)
         break;
       free (exchange->chunk);
--- a/core/counter.c
+++ b/core/counter.c
@@ -132,8 +132,8 @@
       "accepts_failed", "Connections that could not be accepted, mostly for lack of a descriptor"),
   [COUNTER_CONNECTIONS_REJECTED] =
       COUNTS ("connections_rejected", "Connections closed at once because their listener was full"),
-  [COUNTER_CLIENTS_GIVEN_UP] =
-      COUNTS ("clients_given_up", "Clients rejected or disconnected for lack of memory or connections"),
+  [COUNTER_CLIENTS_GIVEN_UP] = COUNTS (
+      "clients_given_up", "Clients rejected or disconnected for lack of memory or connections"),
   [COUNTER_CONNECTS_FAILED] =
       COUNTS ("connects_failed", "Connections not opened for lack of a descriptor or a local port"),
   [GAUGE_CONFIG_REVISION] =
--- a/core/held_memory.c
+++ b/core/held_memory.c
@@ -20,18 +20,24 @@
   void *data;
 } watch;
 
-static void
-held_grow (size_t n_bytes)
+void
+held_memory_add (size_t n_bytes)
 {
   gauge_add (GAUGE_HELD_BYTES, (int64_t)n_bytes);
   if (watch.exceeded != NULL && held_memory_bytes () > watch.max_bytes)
     watch.exceeded (watch.data);
 }
 
+void
+held_memory_subtract (size_t n_bytes)
+{
+  gauge_add (GAUGE_HELD_BYTES, -(int64_t)n_bytes);
+}
+
 static int
 buffer_free (uint8_t *buffer)
 {
-  gauge_add (GAUGE_HELD_BYTES, -(int64_t)talloc_get_size (buffer));
+  held_memory_subtract (talloc_get_size (buffer));
   return 0;
 }
 
@@ -45,16 +51,16 @@
     return NULL;
   talloc_set_destructor (resized, buffer_free);
   if (n_bytes > n_before)
-    held_grow (n_bytes - n_before);
+    held_memory_add (n_bytes - n_before);
   else
-    gauge_add (GAUGE_HELD_BYTES, -(int64_t)(n_before - n_bytes));
+    held_memory_subtract (n_before - n_bytes);
   return resized;
 }
 
 static int
 charge_free (struct Charge *charge)
 {
-  gauge_add (GAUGE_HELD_BYTES, -(int64_t)charge->n_bytes);
+  held_memory_subtract (charge->n_bytes);
   return 0;
 }
 
@@ -67,7 +73,7 @@
     return false;
   charge->n_bytes = n_bytes;
   talloc_set_destructor (charge, charge_free);
-  held_grow (n_bytes);
+  held_memory_add (n_bytes);
   return true;
 }
 
--- a/core/settings.c
+++ b/core/settings.c
@@ -29,6 +29,7 @@
   {                                                                                                \
     name, kind, CONFIG_FIELD (struct Settings, field), fallback, UNIT_NONE, 0, 0, NULL             \
   }
+#define HELD_MAX_BYTES (UINT64_C (1) << 40)
 #define NUMBER(name, field, fallback, unit, min, max)                                              \
   {                                                                                                \
     name, CONFIG_VALUE_NUMBER, CONFIG_FIELD (struct Settings, field), fallback, unit, min, max,    \
@@ -66,6 +67,7 @@
   NUMBER ("body_bytes", body_max_bytes, "4M", UNIT_BYTES, KIB, 64 * MIB),
   NUMBER ("header_bytes", header_max_bytes, "16K", UNIT_BYTES, KIB, MIB),
   NUMBER ("connections", connections_max, "4096", UNIT_NONE, 8, 100000),
+  NUMBER ("held_memory", held_memory_bytes, "0", UNIT_BYTES, 0, HELD_MAX_BYTES),
   NUMBER ("json_depth", json_depth_max, "32", UNIT_NONE, 4, 512),
   NUMBER ("request_timeout", request_timeout_ms, "30s", UNIT_TIME, 100, HOUR_MS),
 };
--- a/include/buckthornhead/caller_http.h
+++ b/include/buckthornhead/caller_http.h
@@ -27,10 +27,16 @@
 void
 caller_http_close (struct CallerHttp *http);
 
+/* Returns the value of a header or query parameter, NULL if absent. */
+typedef const char *(*HeaderFn) (void *data, const char *name);
+
+/* Returns whether the caller states that the request was never sent before. */
+bool
+caller_request_is_first (HeaderFn header, void *data);
+
 /* Parses a caller's request into exchange->request. Returns ERROR_NONE, or an error with the fault
  * to respond with. Exported for the fuzz target, which supplies method, path, the body in exchange
  * and the lookup functions. */
-typedef const char *(*HeaderFn) (void *data, const char *name);
 int32_t
 caller_request_parse (struct Exchange *exchange,
                       const struct Settings *settings,
--- a/include/buckthornhead/exchange.h
+++ b/include/buckthornhead/exchange.h
@@ -8,6 +8,7 @@
 
 #include <buckthornhead/mailbox.h>
 #include <buckthornhead/peer_message.h>
+#include <buckthornhead/reclaim.h>
 
 #include <microhttpd.h>
 #include <stdatomic.h>
@@ -24,6 +25,22 @@
   EXCHANGE_OPERATOR /* .method, .path, .body */
 };
 
+struct CallerMemory;
+
+/* What an exchange holds; see caller_memory.h, which locks it. */
+struct ExchangeMemory
+{
+  struct CallerMemory *memory; /* NULL: not bounded */
+  struct Exchange *next, **previous_next;
+  int fd;
+  uint64_t own_bytes;    /* of the connection itself */
+  uint64_t body_bytes;   /* capacity for the request's body */
+  uint64_t queued_bytes; /* of the response, not sent yet */
+  struct ProgressMeter progress;
+  bool posted;   /* the request is complete */
+  bool given_up; /* its socket is shut down */
+};
+
 struct Exchange
 {
   struct Mail mail; /* must be the first member; posted as MAIL_CALLER_REQUEST */
@@ -49,6 +66,7 @@
   struct MHD_Connection *connection;
   struct cds_wfcq_head head;
   struct cds_wfcq_tail tail;
+  struct ExchangeMemory memory_state;
 
   /* Used by the HTTP thread only. */
   struct ExchangeChunk *chunk;
@@ -56,6 +74,8 @@
   bool posted;
   uint32_t early_status; /* status of an error found before the request is complete; 0: none */
   int64_t started_ms;
+  int64_t refused_ms; /* when early_status was set */
+  size_t n_discarded; /* bytes of the body that arrived later */
 };
 
 /* Payload of MAIL_CALLER_DISCONNECTED: the caller disconnected. Holds the HTTP thread's reference.
--- a/include/buckthornhead/held_memory.h
+++ b/include/buckthornhead/held_memory.h
@@ -14,6 +14,12 @@
 uint8_t *
 held_memory_resize (TALLOC_CTX *ctx, uint8_t *buffer, size_t n_bytes);
 
+/* Add to and subtract from the sum for memory that was allocated elsewhere. */
+void
+held_memory_add (size_t n_bytes);
+void
+held_memory_subtract (size_t n_bytes);
+
 /* Counts n_bytes that were allocated elsewhere until ctx is freed. Returns false without memory. */
 bool
 held_memory_charge (TALLOC_CTX *ctx, size_t n_bytes);
--- a/include/buckthornhead/settings.h
+++ b/include/buckthornhead/settings.h
@@ -37,6 +37,7 @@
   char prefix[64];
   uint32_t caller_threads, backend_threads;
   uint32_t body_max_bytes, header_max_bytes, connections_max, json_depth_max;
+  uint64_t held_memory_bytes; /* bound on callers' data; 0: a share of the machine's memory */
   uint32_t request_timeout_ms;
   uint32_t journal_writes_per_s, journal_retry_ms;
   uint32_t n_partitions, partition_group_size;
--- a/tests/sessions/cluster.c
+++ b/tests/sessions/cluster.c
@@ -111,10 +111,11 @@
       "[instance]\nname = %s\nzone = %s\n%s\n"
       "[listen]\ncaller = %s\noperator = %s\npeer = 127.0.0.1:%u\n\n"
       "[platform]\nkv = http://%s\ninstances = http://%s/instances\n\n"
-      "[homes]\npartitions = %d\ngroup_size = 4\nlease = %s\n\n",
+      "[homes]\npartitions = %d\ngroup_size = 4\nlease = %s\n\n[limits]\n%s\n",
       node->name, zones[i % N_ZONES], settings_data_folder (cluster, i), node->address,
       node->operator_address, (unsigned)session_allocate_port (cluster->session),
-      cluster->platform.address, cluster->platform.address, N_PARTITIONS, cluster->options.lease);
+      cluster->platform.address, cluster->platform.address, N_PARTITIONS, cluster->options.lease,
+      or_default (cluster->options.limits, ""));
   char *file = talloc_asprintf (cluster, "%s.ini", node->name);
 
   text = settings_backends (cluster, text);
--- a/tests/sessions/cluster.h
+++ b/tests/sessions/cluster.h
@@ -18,6 +18,7 @@
   const char *tokens_per_second; /* NULL: "400" */
   const char *engine_cache_tokens; /* NULL: the stand-in's default */
   const char *lease;               /* NULL: "2s" */
+  const char *limits;              /* keys of the instances' [limits]; NULL: none */
 };
 
 struct ClusterNode
--- a/tests/sessions/test_hostile_clients.c
+++ b/tests/sessions/test_hostile_clients.c
@@ -157,6 +157,54 @@
   .n_pieces = 15,
 };
 
+/* To an instance that runs `serve`. */
+#define SERVE_LIMITS "body_bytes = 1M\nconnections = 900\nheld_memory = 18M"
+#define SERVE_REQUEST                                                                              \
+  "POST /v1/services/field-desk/roster HTTP/1.1\r\nHost: x.example\r\nX-Attempt: 1\r\n"            \
+  "Idempotency-Key: k%u\r\n"
+
+static const struct CrowdPlan serve_large_chunks = {
+  .name = "serve: large chunks, stopping short",
+  .n_clients = 150,
+  .head = SERVE_REQUEST CHUNKED,
+  .chunk_bytes = 64 * 1024,
+  .n_pieces = 15,
+};
+
+static const struct CrowdPlan serve_small_chunks = {
+  .name = "serve: small chunks, stopping short",
+  .n_clients = 150,
+  .head = SERVE_REQUEST CHUNKED,
+  .chunk_bytes = 3,
+  .n_pieces = 240000,
+};
+
+static const struct CrowdPlan serve_small_bodies = {
+  .name = "serve: many small bodies, stopping short",
+  .n_clients = 800,
+  .head = SERVE_REQUEST CHUNKED,
+  .chunk_bytes = 4096,
+  .n_pieces = 15,
+};
+
+static const struct CrowdPlan serve_no_end = {
+  .name = "serve: chunks without an end",
+  .n_clients = 150,
+  .head = SERVE_REQUEST CHUNKED,
+  .chunk_bytes = 64 * 1024,
+  .n_pieces = 160,
+  .returns = true,
+};
+
+static const struct CrowdPlan serve_announced_far_over = {
+  .name = "serve: announced far over the limit",
+  .n_clients = 150,
+  .head = SERVE_REQUEST "Content-Length: 6000000000\r\n\r\n",
+  .piece = "0123456789",
+  .piece_bytes = 10,
+  .n_pieces = 200000,
+};
+
 static struct Fleet *
 hostile_start (TALLOC_CTX *ctx)
 {
@@ -336,6 +384,61 @@
   talloc_free (ctx);
 }
 
+static const struct ClusterOptions one_instance = {
+  .n_instances = 1, .n_engines = 1, .n_tools = 1, .limits = SERVE_LIMITS
+};
+
+static bool
+instance_answers (void *data)
+{
+  static uint32_t n;
+  const struct Cluster *cluster = data;
+  char key[48];
+  const char *const headers[] = { "X-Attempt: 1", key, NULL };
+  struct HttpReply *reply;
+  bool served;
+
+  snprintf (key, sizeof key, "Idempotency-Key: ordinary-%u", n++);
+  reply = http_send (NULL, "POST", cluster->instances[0].address, "/v1/services/field-desk/roster",
+                     headers, "{\"gang\":12}");
+  served = reply->status == 200;
+  talloc_free (reply);
+  return served;
+}
+
+/* Plays the crowd against an instance while ordinary requests are sent. */
+static void
+test_instance_meets (const struct CrowdPlan *plan)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct Cluster *cluster = cluster_start (ctx, &one_instance);
+  uint32_t n_failed = CU_get_number_of_failures ();
+  const struct ClusterNode *node = &cluster->instances[0];
+  struct Crowd *crowd;
+
+  CU_ASSERT_TRUE (wait_for (instance_answers, cluster));
+  crowd = crowd_new (ctx, plan, port_of (node->address));
+  crowd_play (crowd, HOLD_MS);
+  check_process (node->process, plan->name);
+  crowd_start (crowd);
+  CU_ASSERT_TRUE (wait_for (instance_answers, cluster));
+  crowd_stop (crowd);
+  talloc_free (crowd);
+  CU_ASSERT_TRUE (wait_for (instance_answers, cluster));
+  check_process (node->process, "afterwards");
+  cluster_stop (cluster, CU_get_number_of_failures () > n_failed);
+  talloc_free (ctx);
+}
+
+#define INSTANCE_TEST(plan)                                                                        \
+  static void test_##plan (void) { test_instance_meets (&plan); }
+
+INSTANCE_TEST (serve_large_chunks)
+INSTANCE_TEST (serve_small_chunks)
+INSTANCE_TEST (serve_small_bodies)
+INSTANCE_TEST (serve_no_end)
+INSTANCE_TEST (serve_announced_far_over)
+
 static bool
 gateway_has_returned_memory (void *data)
 {
@@ -419,6 +522,11 @@
   { "turns read slowly", test_turns_read_slowly },
   { "turns with large bodies", test_large_turns },
   { "bodies for the ready and directory listeners", test_own_paths },
+  { "serve large chunks", test_serve_large_chunks },
+  { "serve small chunks", test_serve_small_chunks },
+  { "serve many small bodies", test_serve_small_bodies },
+  { "serve chunks without an end", test_serve_no_end },
+  { "serve announced far over the limit", test_serve_announced_far_over },
   { "memory is bounded by default", test_memory_is_bounded_by_default },
   { "memory is returned", test_memory_is_returned },
   { "the largest request is served in calm", test_largest_request_is_served_in_calm },
