Soak: clients outside the limits

--hostile-clients plays drawn crowds against the gateways and the directory during the faults: 20 to 320 clients that stop, go on or come back, with bodies in chunks of 3 bytes to 64 KB, announced lengths and heads without an end. A gateway that uses more than 48 MB with held_memory = 18M is a violation.

--- a/include/buckthornhead/gateway_settings.h
+++ b/include/buckthornhead/gateway_settings.h
@@ -37,10 +37,10 @@
   uint32_t connections_max;
   /* Bound on the data held for callers and servers; 0: a share of the machine's memory. */
   uint64_t held_memory_bytes;
-  uint32_t quota_window_ms;   /* length of the sliding window in which a limit holds */
-  uint32_t quota_slack;       /* requests over a limit that operators tolerate in each window */
-  int32_t quota_sharing;      /* enum QuotaSharing */
-  int32_t quarantine;         /* 1: requests that crash servers are not sent on */
+  uint32_t quota_window_ms; /* length of the sliding window in which a limit holds */
+  uint32_t quota_slack;     /* requests over a limit that operators tolerate in each window */
+  int32_t quota_sharing;    /* enum QuotaSharing */
+  int32_t quarantine;       /* 1: requests that crash servers are not sent on */
   struct Decisions decisions;
 };
 
--- a/tests/sessions/crowd.c
+++ b/tests/sessions/crowd.c
@@ -202,7 +202,8 @@
       {
         memcpy (at, size, n_size);
         memset (at + n_size, 'x', plan->chunk_bytes);
-        memcpy (at + n_size + plan->chunk_bytes, "\r\n", 2);
+        at[n_size + plan->chunk_bytes] = '\r';
+        at[n_size + plan->chunk_bytes + 1] = '\n';
       }
     else
       memcpy (at, plan->piece, plan->piece_bytes);
--- a/tests/sessions/test_hostile_clients.c
+++ b/tests/sessions/test_hostile_clients.c
@@ -289,7 +289,7 @@
 }
 
 #define GATEWAY_TEST(plan)                                                                         \
-  static void test_##plan (void) { test_gateway_meets (&plan); }
+  static void test_##plan (void) { test_gateway_meets (&(plan)); }
 
 GATEWAY_TEST (large_chunks)
 GATEWAY_TEST (small_chunks)
@@ -431,7 +431,7 @@
 }
 
 #define INSTANCE_TEST(plan)                                                                        \
-  static void test_##plan (void) { test_instance_meets (&plan); }
+  static void test_##plan (void) { test_instance_meets (&(plan)); }
 
 INSTANCE_TEST (serve_large_chunks)
 INSTANCE_TEST (serve_small_chunks)
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -2,9 +2,10 @@
  * and checks the documented guarantees by what callers and servers observe.
  *
  *   soak --seed N --seeds COUNT --seconds S --sharing WORD --hard-load --broken-answers
- *        --hostile-machines --shared-chains
+ *        --hostile-machines --shared-chains --hostile-clients
  *
  * Prints each fault when it begins. A violation fails the run and keeps the processes' logs. */
+#include "soak_crowds.h"
 #include "soak_load.h"
 #include "soak_machines.h"
 #include "soak_plan.h"
@@ -37,7 +38,8 @@
   WIPE_GAP_MS = 9000,         /* from a start of an archive to the next loss of a disk */
   SIGNAL_GAP_MAX_MS = 100,
   FEW_DESCRIPTORS = 256,
-  N_CONNECTIONS = 2 * FEW_DESCRIPTORS
+  N_CONNECTIONS = 2 * FEW_DESCRIPTORS,
+  CROWD_BODY_MAX_BYTES = 1024 * 1024
 };
 
 /* An event, and whether it has begun and not ended. */
@@ -526,6 +528,9 @@
 static const char hard_load_sections[] =
     "[limits]\nheld_memory = 32M\n[decisions]\nadmission = on\npace = on\nplain_queues = on\n";
 
+/* For crowds of clients outside the limits. */
+static const char crowd_sections[] = "[limits]\nheld_memory = 18M\n";
+
 static void *
 recovery_run (void *data)
 {
@@ -551,7 +556,7 @@
 struct SoakOptions
 {
   const char *sharing;
-  bool hard_load, breaks_answers, hostile, shares_chains;
+  bool hard_load, breaks_answers, hostile, shares_chains, has_crowds;
 };
 
 static void
@@ -561,10 +566,14 @@
 
   fleet->quota_sharing = options->sharing;
   fleet->gateway_settings = options->hard_load ? hard_load_sections : NULL;
+  if (options->has_crowds)
+    fleet->gateway_settings = crowd_sections;
   if (soak->hostile)
     fleet->gateway_descriptors = FEW_DESCRIPTORS;
   fleet_start_all (fleet, N_GATEWAYS, N_ARCHIVES, soak_add_proxy, soak);
   installation_set_customers (fleet->installation, soak_customers);
+  if (options->has_crowds)
+    installation_set_body_max (fleet->installation, CROWD_BODY_MAX_BYTES);
   installation_set_crashing_path (fleet->installation, "", CRASHED_MS, false);
   installation_configure (fleet->installation, ++soak->version, "");
   for (uint32_t i = 0; i < N_GATEWAYS; i++)
@@ -593,6 +602,7 @@
   TALLOC_CTX *ctx = talloc_new (NULL);
   struct Soak *soak = talloc_zero (ctx, struct Soak);
   struct SoakEvent events[SOAK_ALL_EVENTS_MAX];
+  struct SoakCrowds *crowds = NULL;
   size_t n_events = soak_plan (seed, length_ms, events);
   uint32_t n_violations;
 
@@ -609,7 +619,11 @@
   soak_start_processes (soak, options);
   soak->machines = machines_new (ctx, &soak->load, soak->hostile);
   soak_load_start (&soak->load, N_CALLERS);
+  if (options->has_crowds)
+    crowds = soak_crowds_start (ctx, &soak->load);
   soak_play (soak, events, n_events, length_ms);
+  if (crowds != NULL)
+    soak_crowds_end (crowds);
   soak_load_end (&soak->load);
   check_recovery (soak);
   soak_print (&soak->load);
@@ -634,8 +648,11 @@
   struct arg_lit *hostile = arg_lit0 (NULL, "hostile-machines", "machines disturb starts and ends");
   struct arg_lit *chains =
       arg_lit0 (NULL, "shared-chains", "programs continue the chains of others");
+  struct arg_lit *crowds = arg_lit0 (NULL, "hostile-clients", "clients exceed their limits");
   struct arg_end *end = arg_end (4);
-  void *table[] = { seed, seeds, seconds, sharing, hard_load, broken, hostile, chains, end };
+  void *table[] = {
+    seed, seeds, seconds, sharing, hard_load, broken, hostile, chains, crowds, end
+  };
   struct SoakOptions options;
   uint32_t n_failed = 0;
 
@@ -647,11 +664,12 @@
     {
       arg_print_errors (stderr, end, "soak");
       fprintf (stderr, "usage: soak [--seed N] [--seeds COUNT] [--seconds S] [--sharing WORD] "
-                       "[--hard-load] [--broken-answers] [--hostile-machines] [--shared-chains]\n");
+                       "[--hard-load] [--broken-answers] [--hostile-machines] [--shared-chains] "
+                       "[--hostile-clients]\n");
       return 2;
     }
-  options = (struct SoakOptions){ sharing->sval[0], hard_load->count > 0, broken->count > 0,
-                                  hostile->count > 0, chains->count > 0 };
+  options = (struct SoakOptions){ sharing->sval[0],   hard_load->count > 0, broken->count > 0,
+                                  hostile->count > 0, chains->count > 0,    crowds->count > 0 };
   for (int i = 0; i < seeds->ival[0]; i++)
     if (soak_run ((uint64_t)seed->ival[0] + (uint64_t)i, (int64_t)seconds->ival[0] * 1000, &options)
         > 0)
