End a planned stop of `serve` when the store is gone

What operators saw: instances that got SIGTERM when the platform's key-value service stopped, and were still running 17 minutes later.

Cause: a planned stop waits until no program has its home here; handing programs off needs the service, and the wait had no bound.

Now an instance with nothing in progress whose hand-off has not got on for 15 s stops, and logs how many programs it is home of.

--- a/daemon/drain.c
+++ b/daemon/drain.c
@@ -13,7 +13,10 @@
   SERVE_MIN_MS = 3000,
   /* Idle time before the stop, in which a request arrives that was in transit when the last one
    * ended. */
-  IDLE_MS = 500
+  IDLE_MS = 500,
+  /* Without the store programs cannot be handed off, and their next homes will read the journal, as
+   * after a crash. */
+  HAND_OFF_STUCK_MS = 15 * 1000
 };
 
 struct Drain
@@ -22,10 +25,26 @@
   bool handing_off;
   uint64_t home_starts;  /* of the home that was requested to hand off its programs */
   int64_t idle_since_ms; /* 0: not idle */
+  uint32_t n_partitions; /* at the last change, at .changed_ms */
+  int64_t changed_ms;
   void (*stopped) (void *data);
   void *data;
 };
 
+/* Returns whether the hand-off has not got on for too long. */
+static bool
+drain_is_stuck (struct Drain *drain, uint32_t n_partitions)
+{
+  int64_t now_ms = timer_now_ms (drain->core->timers);
+
+  if (drain->changed_ms == 0 || drain->n_partitions != n_partitions)
+    {
+      drain->n_partitions = n_partitions;
+      drain->changed_ms = now_ms;
+    }
+  return now_ms - drain->changed_ms >= HAND_OFF_STUCK_MS;
+}
+
 static bool
 drain_is_idle (struct Drain *drain)
 {
@@ -34,7 +53,9 @@
 
   home_count (core->home, &partitions, &programs);
   owner_count (core->owner, &waiting, &in_flight);
-  return partitions == 0 && waiting == 0 && in_flight == 0 && entry_n_calls (core->entry) == 0;
+  if (waiting > 0 || in_flight > 0 || entry_n_calls (core->entry) > 0)
+    return false;
+  return partitions == 0 || (drain->stopped != NULL && drain_is_stuck (drain, partitions));
 }
 
 static void
@@ -68,6 +89,18 @@
   home_hand_off_all (drain->core->home, drain_on_handed_off, drain);
 }
 
+static void
+drain_log_stop (const struct Drain *drain)
+{
+  uint32_t partitions, programs;
+
+  home_count (drain->core->home, &partitions, &programs);
+  if (partitions > 0)
+    log_event (LOG_LEVEL_WARNING, "drain_not_handed_off", NULL,
+               "look at the key-value service: other instances read the programs from it",
+               "stops as home of %u partitions with %u programs", partitions, programs);
+}
+
 static void
 drain_on_poll (void *data)
 {
@@ -89,6 +122,7 @@
       || now_ms - drain->idle_since_ms < IDLE_MS)
     return;
   core->draining = false;
+  drain_log_stop (drain);
   drain->stopped (drain->data);
 }
 
@@ -102,6 +136,7 @@
   core->draining = on;
   core->draining_since_ms = timer_now_ms (core->timers);
   drain->idle_since_ms = 0;
+  drain->changed_ms = 0;
   log_event (LOG_LEVEL_NOTICE, on ? "drain_started" : "drain_ended", NULL, NULL, "%s",
              core->settings->instance);
   if (!on)
--- a/tests/sessions/test_planned_stop.c
+++ b/tests/sessions/test_planned_stop.c
@@ -136,10 +136,29 @@
   cluster_stop (cluster, CU_get_number_of_failures () > 0);
 }
 
+/* Guards against a planned stop that waits for a key-value service that is gone. */
+static void
+test_a_stop_ends_without_the_platform (void)
+{
+  struct Cluster *cluster = cluster_start (NULL, &three_instances);
+
+  CU_ASSERT_TRUE (create_program (cluster, 0, "p"));
+  process_kill (cluster->platform.process);
+  for (uint32_t i = 0; i < 3; i++)
+    CU_ASSERT_TRUE (process_signal (cluster->instances[i].process, SIGTERM));
+  for (uint32_t i = 0; i < 3; i++)
+    {
+      CU_ASSERT_TRUE (process_wait (cluster->instances[i].process));
+      CU_ASSERT_EQUAL (cluster->instances[i].process->exit_status, 0);
+    }
+  cluster_stop (cluster, CU_get_number_of_failures () > 0);
+}
+
 const char test_suite_name[] = "planned stop";
 const struct TestCase test_cases[] = {
   { "SIGTERM under load interrupts no stream", test_sigterm_under_load_interrupts_no_stream },
   { "two instances stopped at once", test_two_instances_stopped_at_once },
   { "programs continue after a stop", test_programs_continue_after_stop },
+  { "a stop ends without the platform", test_a_stop_ends_without_the_platform },
   { NULL, NULL },
 };
