Among requests that progress, reject the largest first

Ordinary requests are far smaller than the limit. Stalled clients still go first; the age of a request is not needed any more.

The drawn sequences check that nothing progressing is given up while another holds more.

--- a/adapters/caller_memory.c
+++ b/adapters/caller_memory.c
@@ -40,7 +40,6 @@
     .stage = exchange_stage (exchange),
     .held_bytes = state->body_bytes + state->queued_bytes,
     .stalled_ms = progress_stalled_ms (&state->progress, now_ms),
-    .age_ms = now_ms - exchange->started_ms,
   };
 
   /* Small requests that arrive at a normal pace are not given up for the sake of a connection. */
--- a/adapters/http_memory.c
+++ b/adapters/http_memory.c
@@ -63,7 +63,6 @@
     .stage = stage,
     .held_bytes = connection_held_bytes (c),
     .stalled_ms = stage == RECLAIM_WAITING ? 0 : progress_stalled_ms (&c->progress, now_ms),
-    .age_ms = now_ms - c->state_since_ms,
   };
 }
 
--- a/core/reclaim.c
+++ b/core/reclaim.c
@@ -59,11 +59,7 @@
     return a->held_bytes * (uint64_t)a->stalled_ms > b->held_bytes * (uint64_t)b->stalled_ms;
   if (a->stage != b->stage)
     return a->stage < b->stage;
-  if (a->stage != RECLAIM_READING)
-    return a->held_bytes > b->held_bytes;
-  if (is_large (a) != is_large (b))
-    return is_large (a);
-  return a->age_ms < b->age_ms;
+  return a->held_bytes > b->held_bytes;
 }
 
 uint64_t
--- a/include/buckthornhead/reclaim.h
+++ b/include/buckthornhead/reclaim.h
@@ -1,9 +1,8 @@
 /* Which client a process gives up first when it is short of memory.
  *
  * Clients that have stalled go first, the one that holds most for longest before the others. Then
- * requests that are still being read, which have not run: large ones before small ones, and the
- * newest first, so that those before it can finish. Then clients that read their responses, and at
- * last large requests whose response has not begun; the one that holds most first. */
+ * requests that are still being read, which have not run; then clients that read their responses;
+ * and at last large requests whose response has not begun; the one that holds most first. */
 #pragma once
 
 #include <stdbool.h>
@@ -46,7 +45,6 @@
   enum ReclaimStage stage;
   uint64_t held_bytes; /* what is held for the client */
   int64_t stalled_ms;  /* see progress_stalled_ms; 0 while it waits */
-  int64_t age_ms;      /* since its request began */
 };
 
 /* Returns whether giving up the client frees enough to be worth it. */
--- a/tests/sessions/crowd.c
+++ b/tests/sessions/crowd.c
@@ -18,7 +18,8 @@
   BLOCK_BYTES = 64 * 1024, /* pieces are sent in blocks of at least this size */
   ROUND_MS = 100,
   RECEIVE_BUFFER_BYTES = 4096, /* of clients that do not read everything at once */
-  PLAY_MAX_MS = 60 * 1000
+  PLAY_MAX_MS = 60 * 1000,
+  RETURNING_MS = 3000 /* clients that return have always something to send */
 };
 
 struct Client
@@ -239,7 +240,10 @@
 crowd_play (struct Crowd *crowd, uint32_t hold_ms)
 {
   int64_t stop_ms = monotonic_ms () + PLAY_MAX_MS, read_ms = 0;
-  bool held = false;
+  bool held = hold_ms > 0 && crowd->plan->returns;
+
+  if (held)
+    stop_ms = monotonic_ms () + RETURNING_MS + hold_ms;
 
   while (monotonic_ms () < stop_ms && !atomic_load (&crowd->stopping))
     {
--- a/tests/sessions/crowd.h
+++ b/tests/sessions/crowd.h
@@ -25,8 +25,8 @@
 /* Connects all clients to 127.0.0.1:port. */
 struct Crowd *
 crowd_new (TALLOC_CTX *ctx, const struct CrowdPlan *plan, uint16_t port);
-/* Lets the clients send and read until each has sent all it has or is disconnected, and for hold_ms
- * longer. */
+/* Lets the clients send and read until each has sent all it has or is disconnected, or for a while
+ * if they return, and for hold_ms longer. */
 void
 crowd_play (struct Crowd *crowd, uint32_t hold_ms);
 /* The same in the background, until crowd_stop. */
--- a/tests/test_reclaim.c
+++ b/tests/test_reclaim.c
@@ -29,7 +29,6 @@
   bool active;
   enum Habit habit;
   uint64_t wanted_bytes, held_bytes;
-  int64_t began_ms;
   struct ProgressMeter progress;
 };
 
@@ -55,7 +54,6 @@
     .stage = RECLAIM_READING,
     .held_bytes = upload->held_bytes,
     .stalled_ms = progress_stalled_ms (&upload->progress, play->now_ms),
-    .age_ms = play->now_ms - upload->began_ms,
   };
 }
 
@@ -173,7 +171,6 @@
       upload->habit = (enum Habit)draw (&play, N_HABITS);
       upload->wanted_bytes =
           1 + draw (&play, draw (&play, 100) < large_percent ? BODY_MAX_BYTES : 32 * 1024);
-      upload->began_ms = play.now_ms;
       progress_start (&upload->progress, play.now_ms);
     }
   return play;
@@ -221,11 +218,11 @@
 static void
 test_requests_go_before_responses (void)
 {
-  const struct ReclaimCandidate reading = { RECLAIM_READING, 5000, 10, 10 };
-  const struct ReclaimCandidate responding = { RECLAIM_RESPONDING, BODY_MAX_BYTES, 10, 10 };
-  const struct ReclaimCandidate stalled = { RECLAIM_RESPONDING, 5000, 5000, 5000 };
-  const struct ReclaimCandidate waiting = { RECLAIM_WAITING, BODY_MAX_BYTES, 0, 5000 };
-  const struct ReclaimCandidate small = { RECLAIM_WAITING, RECLAIM_SMALL_BYTES, 0, 5000 };
+  const struct ReclaimCandidate reading = { RECLAIM_READING, 5000, 10 };
+  const struct ReclaimCandidate responding = { RECLAIM_RESPONDING, BODY_MAX_BYTES, 10 };
+  const struct ReclaimCandidate stalled = { RECLAIM_RESPONDING, 5000, 5000 };
+  const struct ReclaimCandidate waiting = { RECLAIM_WAITING, BODY_MAX_BYTES, 0 };
+  const struct ReclaimCandidate small = { RECLAIM_WAITING, RECLAIM_SMALL_BYTES, 0 };
 
   CU_ASSERT_TRUE (reclaim_precedes (&reading, &responding));
   CU_ASSERT_TRUE (reclaim_precedes (&responding, &waiting));
