Share the log of clients that are given up, and the smallest requests' rule

The two appliers of the order had a copy each of the bounded log line and of the size up to which bodies are always accepted; the test of descriptors and the one of hostile clients one of the ordinary request. No behaviour changes.

--- a/adapters/caller_memory.c
+++ b/adapters/caller_memory.c
@@ -1,27 +1,18 @@
 #include <buckthornhead/caller_memory.h>
 
 #include <buckthornhead/clock.h>
-#include <buckthornhead/counter.h>
 #include <buckthornhead/held_memory.h>
-#include <buckthornhead/log.h>
+#include <buckthornhead/reclaim_log.h>
 
 #include <pthread.h>
 #include <sys/socket.h>
 
-enum
-{
-  /* Bodies up to this size are always accepted: rejecting them would free next to nothing. */
-  ALWAYS_ACCEPTED_BYTES = 4096,
-  LOG_PERIOD_MS = 10 * 1000
-};
-
 struct CallerMemory
 {
   pthread_mutex_t lock; /* for all that follows, and for .memory_state of the exchanges */
   uint64_t max_bytes;
   struct Exchange *exchanges;
-  int64_t logged_ms;   /* 0: never */
-  uint32_t n_given_up; /* clients, since the last line */
+  struct ReclaimLog log;
 };
 
 static enum ReclaimStage
@@ -89,25 +80,6 @@
   return n_bytes;
 }
 
-/* Counts a client that is given up, and logs it, at most once in LOG_PERIOD_MS. */
-static void
-memory_log (struct CallerMemory *memory)
-{
-  int64_t now_ms = clock_monotonic_ms ();
-
-  counter_add (COUNTER_CLIENTS_GIVEN_UP, 1);
-  memory->n_given_up++;
-  if (memory->logged_ms != 0 && now_ms - memory->logged_ms < LOG_PERIOD_MS)
-    return;
-  log_event (LOG_LEVEL_WARNING, "held_memory_exceeded", NULL,
-             "look for callers that send or read slowly, or raise [limits] held_memory",
-             "%llu bytes are held, the limit is %llu; %u clients were given up since the last line",
-             (unsigned long long)held_memory_bytes (), (unsigned long long)memory->max_bytes,
-             memory->n_given_up);
-  memory->logged_ms = now_ms;
-  memory->n_given_up = 0;
-}
-
 /* Gives clients up until n_bytes more will fit the budget, self excepted. */
 static void
 memory_make_room (struct CallerMemory *memory,
@@ -127,7 +99,7 @@
       /* A response that is being read is not given up for a request. */
       if (self != NULL && first.stage != RECLAIM_READING && !reclaim_is_stalled (&first))
         return;
-      memory_log (memory);
+      reclaim_log_record (&memory->log, memory->max_bytes, clock_monotonic_ms ());
       chosen->memory_state.given_up = true;
       shutdown (chosen->memory_state.fd, SHUT_RDWR);
       pending_bytes = memory_pending_bytes (memory);
@@ -145,13 +117,13 @@
     return true;
   budget_bytes = reclaim_budget (memory->max_bytes, body_bytes);
   pthread_mutex_lock (&memory->lock);
-  if (body_bytes > ALWAYS_ACCEPTED_BYTES && held_memory_bytes () + n_bytes > budget_bytes)
+  if (held_memory_bytes () + n_bytes > budget_bytes)
     {
       memory_make_room (memory, exchange, n_bytes, budget_bytes);
       /* What others hold is freed later, by the threads that own them. */
       fits = held_memory_bytes () + n_bytes <= budget_bytes;
       if (!fits)
-        memory_log (memory);
+        reclaim_log_record (&memory->log, memory->max_bytes, clock_monotonic_ms ());
     }
   if (fits)
     exchange->memory_state.body_bytes += n_bytes;
--- a/adapters/http_memory.c
+++ b/adapters/http_memory.c
@@ -1,19 +1,13 @@
 #include "http_server_internal.h"
 
-#include <buckthornhead/counter.h>
-#include <buckthornhead/error.h>
 #include <buckthornhead/held_memory.h>
-#include <buckthornhead/log.h>
-#include <buckthornhead/reclaim.h>
+#include <buckthornhead/reclaim_log.h>
 
 enum
 {
-  /* Bodies up to this size are always accepted: rejecting them would free next to nothing. */
-  ALWAYS_ACCEPTED_BYTES = 4096,
   /* Clients are given up until this part of the budget is free, so that the next few bytes do not
    * make it necessary again. */
-  RECLAIMED_PART = 16,
-  LOG_PERIOD_MS = 10 * 1000
+  RECLAIMED_PART = 16
 };
 
 struct HttpMemory
@@ -24,8 +18,7 @@
   bool reclaim_scheduled;
   uint64_t max_bytes;
   struct HttpServer *servers;
-  int64_t logged_ms;   /* 0: never */
-  uint32_t n_given_up; /* clients, since the last line */
+  struct ReclaimLog log;
 };
 
 static uint64_t
@@ -118,25 +111,6 @@
     }
 }
 
-/* Counts a client that is given up, and logs it, at most once in LOG_PERIOD_MS. */
-static void
-memory_log (struct HttpMemory *memory)
-{
-  int64_t now_ms = timer_now_ms (memory->timers);
-
-  counter_add (COUNTER_CLIENTS_GIVEN_UP, 1);
-  memory->n_given_up++;
-  if (memory->logged_ms != 0 && now_ms - memory->logged_ms < LOG_PERIOD_MS)
-    return;
-  log_event (LOG_LEVEL_WARNING, "held_memory_exceeded", NULL,
-             "look for callers that send or read slowly, or raise [limits] held_memory",
-             "%llu bytes are held, the limit is %llu; %u clients were given up since the last line",
-             (unsigned long long)held_memory_bytes (), (unsigned long long)memory->max_bytes,
-             memory->n_given_up);
-  memory->logged_ms = now_ms;
-  memory->n_given_up = 0;
-}
-
 bool
 http_memory_reserve (struct HttpMemory *memory,
                      struct Connection *self,
@@ -145,14 +119,12 @@
 {
   uint64_t budget_bytes = reclaim_budget (memory->max_bytes, body_bytes);
 
-  if (body_bytes <= ALWAYS_ACCEPTED_BYTES)
-    return true;
   while (held_memory_bytes () + n_bytes > budget_bytes)
     {
       struct ReclaimCandidate first;
       struct Connection *chosen = memory_choose (memory, self, n_bytes, &first);
 
-      memory_log (memory);
+      reclaim_log_record (&memory->log, memory->max_bytes, timer_now_ms (memory->timers));
       /* A response that is being read is not given up for a request. */
       if (chosen == NULL || chosen == self
           || (first.stage != RECLAIM_READING && !reclaim_is_stalled (&first)))
@@ -176,7 +148,7 @@
   while (held_memory_bytes () > target_bytes
          && (chosen = memory_choose (memory, NULL, 0, &first)) != NULL)
     {
-      memory_log (memory);
+      reclaim_log_record (&memory->log, memory->max_bytes, timer_now_ms (memory->timers));
       memory_give_up (chosen, first.stage);
     }
 }
--- a/core/reclaim.c
+++ b/core/reclaim.c
@@ -4,7 +4,8 @@
 {
   PROGRESS_BYTES = 16 * 1024, /* what a client has to send or read to make progress */
   STALLED_MS = 500,
-  HELD_MIN_BYTES = 4096,
+  HELD_MIN_BYTES = 4096, /* giving up a client that holds less frees next to nothing */
+  ALWAYS_ACCEPTED_BYTES = 4096,
   LARGE_SHARE_PERCENT = 75
 };
 
@@ -65,5 +66,7 @@
 uint64_t
 reclaim_budget (uint64_t max_bytes, uint64_t body_bytes)
 {
+  if (body_bytes <= ALWAYS_ACCEPTED_BYTES)
+    return UINT64_MAX;
   return body_bytes > RECLAIM_SMALL_BYTES ? max_bytes / 100 * LARGE_SHARE_PERCENT : max_bytes;
 }
--- a/include/buckthornhead/reclaim.h
+++ b/include/buckthornhead/reclaim.h
@@ -61,6 +61,6 @@
 
 /* Returns how much of a budget of max_bytes may be in use after a request with a body of body_bytes
  * so far has grown. Large requests may use a part of it only: the rest is for small requests and
- * for responses. */
+ * for responses. The smallest are always accepted: UINT64_MAX. */
 uint64_t
 reclaim_budget (uint64_t max_bytes, uint64_t body_bytes);
--- a/tests/sessions/gateways.c
+++ b/tests/sessions/gateways.c
@@ -285,6 +285,21 @@
   return http_send (ctx, "POST", fleet->gateways[gateway].caller, path, headers, "body");
 }
 
+bool
+tool_is_served (void *data)
+{
+  static uint32_t n;
+  char id[32];
+  struct HttpReply *reply;
+  bool served;
+
+  snprintf (id, sizeof id, "later-%u", n++);
+  reply = tool_send (data, NULL, 0, "/safe/1", id);
+  served = reply->status == 200;
+  talloc_free (reply);
+  return served;
+}
+
 struct OutputWanted
 {
   struct Process *process;
--- a/tests/sessions/gateways.h
+++ b/tests/sessions/gateways.h
@@ -110,6 +110,11 @@
 tool_send (
     struct Fleet *fleet, TALLOC_CTX *ctx, uint32_t gateway, const char *path, const char *request);
 
+/* Returns whether the first gateway serves a request to the desk; data is the fleet. For wait_for.
+ */
+bool
+tool_is_served (void *data);
+
 /* Waits until a process's output contains text. */
 bool
 process_wait_for_output (struct Process *process, const char *text);
