Count what a caller sends as no progress while it has a response to read

A caller that does not read its response could look as if it got on by sending further requests, and would have been given up after requests that do. Found by reading; no test shows it.

--- a/adapters/http_server.c
+++ b/adapters/http_server.c
@@ -117,6 +117,14 @@
     shutdown (c->fd, SHUT_WR);
 }
 
+/* What a caller sends is no progress while it has a response to read. */
+static void
+connection_begin_input (struct Connection *c)
+{
+  if (byte_queue_length (&c->output) == 0)
+    progress_start (&c->progress, timer_now_ms (c->server->timers));
+}
+
 static void
 connection_begin_output (struct Connection *c)
 {
@@ -297,7 +305,7 @@
           c->reader.reserve = connection_reserve;
           c->reader.data = c;
         }
-      progress_start (&c->progress, timer_now_ms (c->server->timers));
+      connection_begin_input (c);
       server_connection_set_state (c, CONNECTION_READING);
     }
   n = http_request_reader_parse (&c->reader, bytes, n_bytes);
@@ -364,7 +372,7 @@
     return false;
   if (c->state == CONNECTION_LINGERING)
     return true;
-  if (c->state == CONNECTION_READING)
+  if (c->state == CONNECTION_READING && byte_queue_length (&c->output) == 0)
     progress_record (&c->progress, (size_t)n, timer_now_ms (server->timers));
   if (connection_accepts_request (c) && byte_queue_length (&c->input) == 0)
     taken = connection_parse (c, server->scratch, (size_t)n);
