Forget the body of a refused request in `serve`

Its memory was freed, but still counted for the client, which could be given up for it while it read its 413 or 429. Found by reading. The five crowds against `serve` pass.

--- a/adapters/caller_http.c
+++ b/adapters/caller_http.c
@@ -161,6 +161,7 @@
   TALLOC_FREE (exchange->body);
   exchange->body_bytes = 0;
   exchange->body_size = 0;
+  caller_memory_drop_body (exchange);
 }
 
 /* Makes room for a body of n_bytes and its terminating NUL. Returns false without memory. */
--- a/adapters/caller_memory.c
+++ b/adapters/caller_memory.c
@@ -131,6 +131,18 @@
   return fits;
 }
 
+void
+caller_memory_drop_body (struct Exchange *exchange)
+{
+  struct CallerMemory *memory = exchange->memory_state.memory;
+
+  if (memory == NULL)
+    return;
+  pthread_mutex_lock (&memory->lock);
+  exchange->memory_state.body_bytes = 0;
+  pthread_mutex_unlock (&memory->lock);
+}
+
 void
 caller_memory_record (struct Exchange *exchange, size_t n_bytes)
 {
--- a/include/buckthornhead/caller_memory.h
+++ b/include/buckthornhead/caller_memory.h
@@ -32,6 +32,10 @@
 bool
 caller_memory_reserve (struct Exchange *exchange, size_t n_bytes, size_t body_bytes);
 
+/* HTTP thread: records that the request's body was freed. */
+void
+caller_memory_drop_body (struct Exchange *exchange);
+
 /* Any thread: adds n_bytes to what is queued for the caller, and subtracts what it was sent. */
 void
 caller_memory_queue (struct Exchange *exchange, size_t n_bytes);
