--- a/adapters/http_server.c
+++ b/adapters/http_server.c
@@ -2,7 +2,6 @@
 
 #include <buckthornhead/acceptor.h>
 #include <buckthornhead/counter.h>
-#include <buckthornhead/held_memory.h>
 #include <buckthornhead/log.h>
 #include <buckthornhead/net_socket.h>
 
