Use one piece of code for what gateways and serve both decide about memory

A last reading of the change found the same logic in two places: - the search for the client that is given up, and the rule that a response which is being read is not given up for a request: reclaim_consider and reclaim_yields_to_request in core/reclaim.c, which the drawn sequences of test_reclaim use as well; - the size of a growing body's buffer: held_memory_grown_size; - the bound from the setting or the machine, and its line at the start: process_held_max_bytes, process_limits_log_held; - the port of an address in tests, which the soak had, too: address_port.

Work done twice: serve summed up all pending connections again for each client that it gave up; it adds the one that it has chosen. connection_reject_with is static again.

No behaviour, bound, check or expectation changes.

--- a/adapters/caller_http.c
+++ b/adapters/caller_http.c
@@ -4,7 +4,6 @@
 #include <buckthornhead/clock.h>
 #include <buckthornhead/counter.h>
 #include <buckthornhead/held_memory.h>
-#include <buckthornhead/log.h>
 #include <buckthornhead/net_socket.h>
 #include <buckthornhead/process_limits.h>
 #include <buckthornhead/snapshot.h>
@@ -23,7 +22,6 @@
   ACCEPT_BACKLOG = 1024,
   OPERATOR_CONNECTIONS_MAX = 100,
   DISCARD_MS = 1000,             /* time for the rest of a refused request to arrive */
-  DOUBLED_MAX_BYTES = 64 * 1024, /* buffers of larger bodies grow by half of their size */
   ELSEWHERE_RETRY_AFTER_MS = 50, /* short: another instance can serve the request at once */
   CONNECTION_EXTRA_MEMORY_BYTES = 16 * 1024 /* per connection, besides the headers */
 };
@@ -168,13 +166,11 @@
 static bool
 exchange_resize_body (struct CallerHttp *http, struct Exchange *exchange, size_t n_bytes)
 {
-  size_t size = n_bytes <= DOUBLED_MAX_BYTES ? 2 * n_bytes : n_bytes + n_bytes / 2;
+  size_t size = held_memory_grown_size (n_bytes, http->settings->body_max_bytes);
   uint8_t *resized;
 
   if (n_bytes + 1 <= exchange->body_size)
     return true;
-  if (size > http->settings->body_max_bytes)
-    size = http->settings->body_max_bytes;
   if (!caller_memory_reserve (exchange, size + 1 - exchange->body_size, n_bytes))
     return false;
   resized = held_memory_resize (exchange, exchange->body, size + 1);
@@ -577,17 +573,14 @@
 static int32_t
 caller_http_bound_memory (struct CallerHttp *http, struct Fault *fault)
 {
-  uint64_t max_bytes = http->settings->held_memory_bytes;
+  uint64_t max_bytes = process_held_max_bytes (http->settings->held_memory_bytes);
 
-  if (max_bytes == 0)
-    max_bytes = held_memory_share (process_machine_memory_bytes ());
   if (max_bytes == 0)
     return ERROR_NONE;
   http->memory = caller_memory_new (http, max_bytes);
   if (http->memory == NULL)
     return fault_set (fault, ERROR_NO_MEMORY, NULL, "out of memory");
-  log_event (LOG_LEVEL_NOTICE, "memory_bounded", NULL, NULL,
-             "at most %llu bytes for requests and responses", (unsigned long long)max_bytes);
+  process_limits_log_held (max_bytes);
   return ERROR_NONE;
 }
 
--- a/adapters/caller_memory.c
+++ b/adapters/caller_memory.c
@@ -39,17 +39,14 @@
   return candidate;
 }
 
-/* Returns the client to be given up first and fills in *first; self, which may be NULL, counts with
- * n_more_bytes. Requests in progress are left out: libmicrohttpd does not notice the end of their
- * suspended connections. */
-static struct Exchange *
-memory_choose (const struct CallerMemory *memory,
-               const struct Exchange *self,
-               size_t n_more_bytes,
-               struct ReclaimCandidate *first)
+/* Returns the client to be given up first; self, which may be NULL, counts with n_more_bytes.
+ * Requests in progress are left out: libmicrohttpd does not notice the end of their suspended
+ * connections. */
+static struct ReclaimChoice
+memory_choose (const struct CallerMemory *memory, const struct Exchange *self, size_t n_more_bytes)
 {
   int64_t now_ms = clock_monotonic_ms ();
-  struct Exchange *chosen = NULL;
+  struct ReclaimChoice choice = { 0 };
 
   for (struct Exchange *e = memory->exchanges; e != NULL; e = e->memory_state.next)
     {
@@ -57,14 +54,19 @@
 
       if (e == self)
         candidate.held_bytes += n_more_bytes;
-      if (e->memory_state.given_up || candidate.stage == RECLAIM_WAITING
-          || !reclaim_is_eligible (&candidate)
-          || (chosen != NULL && !reclaim_precedes (&candidate, first)))
-        continue;
-      chosen = e;
-      *first = candidate;
+      if (!e->memory_state.given_up && candidate.stage != RECLAIM_WAITING)
+        reclaim_consider (&choice, e, &candidate);
     }
-  return chosen;
+  return choice;
+}
+
+/* Returns what is freed when the client's connection is closed. */
+static uint64_t
+exchange_total_bytes (const struct Exchange *exchange)
+{
+  const struct ExchangeMemory *state = &exchange->memory_state;
+
+  return state->own_bytes + state->body_bytes + state->queued_bytes;
 }
 
 /* Returns what clients hold that were given up and whose threads have not freed it yet. */
@@ -75,8 +77,7 @@
 
   for (const struct Exchange *e = memory->exchanges; e != NULL; e = e->memory_state.next)
     if (e->memory_state.given_up)
-      n_bytes +=
-          e->memory_state.own_bytes + e->memory_state.body_bytes + e->memory_state.queued_bytes;
+      n_bytes += exchange_total_bytes (e);
   return n_bytes;
 }
 
@@ -91,18 +92,16 @@
 
   while (held_memory_bytes () + n_bytes > budget_bytes + pending_bytes)
     {
-      struct ReclaimCandidate first;
-      struct Exchange *chosen = memory_choose (memory, self, n_bytes, &first);
+      struct ReclaimChoice choice = memory_choose (memory, self, n_bytes);
+      struct Exchange *chosen = choice.client;
 
-      if (chosen == NULL || chosen == self)
-        return;
-      /* A response that is being read is not given up for a request. */
-      if (self != NULL && first.stage != RECLAIM_READING && !reclaim_is_stalled (&first))
+      if (chosen == NULL || chosen == self
+          || (self != NULL && !reclaim_yields_to_request (&choice.candidate)))
         return;
       reclaim_log_record (&memory->log, memory->max_bytes, clock_monotonic_ms ());
       chosen->memory_state.given_up = true;
       shutdown (chosen->memory_state.fd, SHUT_RDWR);
-      pending_bytes = memory_pending_bytes (memory);
+      pending_bytes += exchange_total_bytes (chosen);
     }
 }
 
--- a/adapters/http_memory.c
+++ b/adapters/http_memory.c
@@ -59,16 +59,12 @@
   };
 }
 
-/* Returns the client to be given up first and fills in *first; self, which may be NULL, counts with
- * n_more_bytes. Returns NULL if there is none. */
-static struct Connection *
-memory_choose (const struct HttpMemory *memory,
-               const struct Connection *self,
-               size_t n_more_bytes,
-               struct ReclaimCandidate *first)
+/* Returns the client to be given up first; self, which may be NULL, counts with n_more_bytes. */
+static struct ReclaimChoice
+memory_choose (const struct HttpMemory *memory, const struct Connection *self, size_t n_more_bytes)
 {
   int64_t now_ms = timer_now_ms (memory->timers);
-  struct Connection *chosen = NULL;
+  struct ReclaimChoice choice = { 0 };
 
   for (const struct HttpServer *s = memory->servers; s != NULL; s = s->next)
     for (struct Connection *c = s->connections; c != NULL; c = c->next)
@@ -77,13 +73,9 @@
 
         if (c == self)
           candidate.held_bytes += n_more_bytes;
-        if (!reclaim_is_eligible (&candidate)
-            || (chosen != NULL && !reclaim_precedes (&candidate, first)))
-          continue;
-        chosen = c;
-        *first = candidate;
+        reclaim_consider (&choice, c, &candidate);
       }
-  return chosen;
+  return choice;
 }
 
 /* Rejects the client's request if it has not been read completely, and disconnects it otherwise. */
@@ -121,15 +113,13 @@
 
   while (held_memory_bytes () + n_bytes > budget_bytes)
     {
-      struct ReclaimCandidate first;
-      struct Connection *chosen = memory_choose (memory, self, n_bytes, &first);
+      struct ReclaimChoice choice = memory_choose (memory, self, n_bytes);
 
       reclaim_log_record (&memory->log, memory->max_bytes, timer_now_ms (memory->timers));
-      /* A response that is being read is not given up for a request. */
-      if (chosen == NULL || chosen == self
-          || (first.stage != RECLAIM_READING && !reclaim_is_stalled (&first)))
+      if (choice.client == NULL || choice.client == self
+          || !reclaim_yields_to_request (&choice.candidate))
         return false;
-      memory_give_up (chosen, first.stage);
+      memory_give_up (choice.client, choice.candidate.stage);
     }
   return true;
 }
@@ -139,17 +129,16 @@
 {
   struct HttpMemory *memory = data;
   uint64_t target_bytes = memory->max_bytes - memory->max_bytes / RECLAIMED_PART;
-  struct ReclaimCandidate first;
-  struct Connection *chosen;
+  struct ReclaimChoice choice;
 
   (void)events;
   (void)reclaim;
   memory->reclaim_scheduled = false;
   while (held_memory_bytes () > target_bytes
-         && (chosen = memory_choose (memory, NULL, 0, &first)) != NULL)
+         && (choice = memory_choose (memory, NULL, 0)).client != NULL)
     {
       reclaim_log_record (&memory->log, memory->max_bytes, timer_now_ms (memory->timers));
-      memory_give_up (chosen, first.stage);
+      memory_give_up (choice.client, choice.candidate.stage);
     }
 }
 
--- a/adapters/http_request_reader.c
+++ b/adapters/http_request_reader.c
@@ -7,8 +7,7 @@
 
 enum
 {
-  FIELD_EXTRA_BYTES = 3,        /* of a header line, besides its name and value: colon, CR and LF */
-  DOUBLED_MAX_BYTES = 64 * 1024 /* buffers of larger bodies grow by half of their size */
+  FIELD_EXTRA_BYTES = 3 /* of a header line, besides its name and value: colon, CR and LF */
 };
 
 /* Return value of the headers callback that stops the parser. 1 and 2 mean "no body follows" there,
@@ -128,17 +127,6 @@
   return 0;
 }
 
-/* Returns the size of the buffer for a chunked body that has grown to n_bytes. */
-static size_t
-reader_buffer_bytes (const struct HttpRequestReader *r, size_t n_bytes)
-{
-  size_t spare_bytes = n_bytes <= DOUBLED_MAX_BYTES ? n_bytes : n_bytes / 2;
-
-  if (n_bytes + spare_bytes > r->limits.body_max_bytes)
-    return r->limits.body_max_bytes;
-  return n_bytes + spare_bytes;
-}
-
 static int
 parser_on_body (http_parser *parser, const char *bytes, size_t n_bytes)
 {
@@ -148,7 +136,8 @@
   if (total_bytes > r->limits.body_max_bytes)
     return parser_reject (r, 413);
   if ((r->body == NULL || total_bytes > talloc_get_size (r->body))
-      && !reader_resize_body (r, reader_buffer_bytes (r, total_bytes), total_bytes))
+      && !reader_resize_body (r, held_memory_grown_size (total_bytes, r->limits.body_max_bytes),
+                              total_bytes))
     return 1;
   memcpy (r->body + r->body_bytes, bytes, n_bytes);
   r->body_bytes = total_bytes;
--- a/adapters/http_server.c
+++ b/adapters/http_server.c
@@ -201,8 +201,8 @@
 /* Rejects a request; retry_after is in seconds and sent with status 503. The rest of it is read and
  * discarded for LINGER_MS: closing with unread data resets the connection, and the reset can
  * overtake the response. */
-void
-server_connection_reject_with (struct Connection *c, uint32_t status, const char *retry_after)
+static void
+connection_reject_with (struct Connection *c, uint32_t status, const char *retry_after)
 {
   char framing[64] = "Content-Length: 0\r\n";
 
@@ -219,7 +219,7 @@
 static void
 connection_reject (struct Connection *c, uint32_t status)
 {
-  server_connection_reject_with (c, status, "0.5");
+  connection_reject_with (c, status, "0.5");
 }
 
 void
@@ -228,7 +228,7 @@
   counter_add (COUNTER_REQUESTS_REFUSED, 1);
   TALLOC_FREE (c->input.bytes);
   memset (&c->input, 0, sizeof c->input);
-  server_connection_reject_with (c, 503, "0.1");
+  connection_reject_with (c, 503, "0.1");
 }
 
 static bool
--- a/adapters/http_server_internal.h
+++ b/adapters/http_server_internal.h
@@ -106,11 +106,6 @@
 void
 server_connection_send (struct Connection *c, const void *bytes, size_t n_bytes);
 
-/* Rejects the request that is being read, which has not run; retry_after is in seconds and sent
- * with status 503. */
-void
-server_connection_reject_with (struct Connection *c, uint32_t status, const char *retry_after);
-
 /* Handles input that was read ahead. */
 void
 server_connection_on_resume (struct tevent_context *events,
--- a/adapters/process_limits.c
+++ b/adapters/process_limits.c
@@ -1,5 +1,6 @@
 #include <buckthornhead/process_limits.h>
 
+#include <buckthornhead/held_memory.h>
 #include <buckthornhead/log.h>
 
 #include <inttypes.h>
@@ -96,9 +97,18 @@
 }
 
 uint64_t
-process_machine_memory_bytes (void)
+process_held_max_bytes (uint64_t setting_bytes)
 {
   struct sysinfo info;
 
-  return sysinfo (&info) == 0 ? (uint64_t)info.totalram * info.mem_unit : 0;
+  if (setting_bytes > 0)
+    return setting_bytes;
+  return sysinfo (&info) == 0 ? held_memory_share ((uint64_t)info.totalram * info.mem_unit) : 0;
+}
+
+void
+process_limits_log_held (uint64_t max_bytes)
+{
+  log_event (LOG_LEVEL_NOTICE, "memory_bounded", NULL, NULL,
+             "at most %" PRIu64 " bytes for requests and responses", max_bytes);
 }
--- a/core/held_memory.c
+++ b/core/held_memory.c
@@ -4,7 +4,8 @@
 
 enum
 {
-  SHARE_EIGHTHS = 3
+  SHARE_EIGHTHS = 3,
+  DOUBLED_MAX_BYTES = 64 * 1024
 };
 
 /* Counts its .n_bytes while it exists. */
@@ -57,6 +58,14 @@
   return resized;
 }
 
+size_t
+held_memory_grown_size (size_t n_bytes, size_t max_bytes)
+{
+  size_t size = n_bytes <= DOUBLED_MAX_BYTES ? 2 * n_bytes : n_bytes + n_bytes / 2;
+
+  return size < max_bytes ? size : max_bytes;
+}
+
 static int
 charge_free (struct Charge *charge)
 {
--- a/core/reclaim.c
+++ b/core/reclaim.c
@@ -63,6 +63,24 @@
   return a->held_bytes > b->held_bytes;
 }
 
+void
+reclaim_consider (struct ReclaimChoice *choice,
+                  void *client,
+                  const struct ReclaimCandidate *candidate)
+{
+  if (!reclaim_is_eligible (candidate)
+      || (choice->client != NULL && !reclaim_precedes (candidate, &choice->candidate)))
+    return;
+  choice->client = client;
+  choice->candidate = *candidate;
+}
+
+bool
+reclaim_yields_to_request (const struct ReclaimCandidate *candidate)
+{
+  return candidate->stage == RECLAIM_READING || reclaim_is_stalled (candidate);
+}
+
 uint64_t
 reclaim_budget (uint64_t max_bytes, uint64_t body_bytes)
 {
--- a/gateway/front.c
+++ b/gateway/front.c
@@ -744,8 +744,7 @@
   front->memory = http_memory_new (front, node->events, node->timers, max_bytes);
   if (front->memory == NULL)
     return fault_set (fault, ERROR_NO_MEMORY, NULL, "out of memory for the gateway");
-  log_event (LOG_LEVEL_NOTICE, "memory_bounded", NULL, NULL,
-             "at most %llu bytes for requests and responses", (unsigned long long)max_bytes);
+  process_limits_log_held (max_bytes);
   return ERROR_NONE;
 }
 
--- a/gateway/node.c
+++ b/gateway/node.c
@@ -4,7 +4,6 @@
 #include "seeds.h"
 #include "store_reader.h"
 
-#include <buckthornhead/held_memory.h>
 #include <buckthornhead/log.h>
 #include <buckthornhead/process_limits.h>
 
@@ -267,9 +266,7 @@
 uint64_t
 node_held_max_bytes (const struct Node *node)
 {
-  uint64_t max_bytes = node->settings->held_memory_bytes;
-
-  return max_bytes > 0 ? max_bytes : held_memory_share (process_machine_memory_bytes ());
+  return process_held_max_bytes (node->settings->held_memory_bytes);
 }
 
 int32_t
--- a/include/buckthornhead/held_memory.h
+++ b/include/buckthornhead/held_memory.h
@@ -14,6 +14,11 @@
 uint8_t *
 held_memory_resize (TALLOC_CTX *ctx, uint8_t *buffer, size_t n_bytes);
 
+/* Returns the size of the buffer for data that has grown to n_bytes, at most max_bytes: up to 64 KB
+ * twice as large, beyond that half as large again. */
+size_t
+held_memory_grown_size (size_t n_bytes, size_t max_bytes);
+
 /* Add to and subtract from the sum for memory that was allocated elsewhere. */
 void
 held_memory_add (size_t n_bytes);
--- a/include/buckthornhead/process_limits.h
+++ b/include/buckthornhead/process_limits.h
@@ -19,6 +19,11 @@
 void
 process_limit_kept_memory (void);
 
-/* Returns the size of the machine's memory; 0 if it is unknown. */
+/* Returns the bound on held memory: setting_bytes, or if that is 0 the share of the machine's
+ * memory; 0 if its size is unknown. */
 uint64_t
-process_machine_memory_bytes (void);
+process_held_max_bytes (uint64_t setting_bytes);
+
+/* Logs the bound on held memory. */
+void
+process_limits_log_held (uint64_t max_bytes);
--- a/include/buckthornhead/reclaim.h
+++ b/include/buckthornhead/reclaim.h
@@ -55,6 +55,24 @@
 bool
 reclaim_is_stalled (const struct ReclaimCandidate *candidate);
 
+/* The client to be given up first of those considered so far. An all-zero choice has none. */
+struct ReclaimChoice
+{
+  void *client;
+  struct ReclaimCandidate candidate;
+};
+
+/* Chooses client instead if giving it up is worth it and it precedes the one chosen so far. */
+void
+reclaim_consider (struct ReclaimChoice *choice,
+                  void *client,
+                  const struct ReclaimCandidate *candidate);
+
+/* Returns whether the client may be given up for a request that is being read: not while it reads a
+ * response and gets on, nor while it waits for one. */
+bool
+reclaim_yields_to_request (const struct ReclaimCandidate *candidate);
+
 /* Returns whether a is given up before b. */
 bool
 reclaim_precedes (const struct ReclaimCandidate *a, const struct ReclaimCandidate *b);
--- a/tests/sessions/harness.c
+++ b/tests/sessions/harness.c
@@ -157,6 +157,12 @@
   abort ();
 }
 
+uint16_t
+address_port (const char *address)
+{
+  return (uint16_t)atoi (strchr (address, ':') + 1);
+}
+
 int
 session_hold_port (uint16_t port)
 {
--- a/tests/sessions/harness.h
+++ b/tests/sessions/harness.h
@@ -45,6 +45,9 @@
 /* Returns a port of 127.0.0.1 that no other session uses. */
 uint16_t
 session_allocate_port (struct Session *session);
+/* Returns the port of an address, IP:port. */
+uint16_t
+address_port (const char *address);
 /* Returns a socket that listens on the port of 127.0.0.1, or -1 if the port is in use. */
 int
 session_hold_port (uint16_t port);
--- a/tests/sessions/test_gateway_descriptors.c
+++ b/tests/sessions/test_gateway_descriptors.c
@@ -133,7 +133,7 @@
   fleet->gateway_descriptors = DESCRIPTORS;
   fleet_start_all (fleet, 2, 3, NULL, NULL);
   gateway = fleet->gateways[0].process;
-  callers->port = (uint16_t)atoi (strchr (fleet->gateways[0].caller, ':') + 1);
+  callers->port = address_port (fleet->gateways[0].caller);
   memset (callers->fds, -1, sizeof callers->fds);
   n_closed = process_count_output (gateway, "peer_link_closed");
 
--- a/tests/sessions/test_gateway_servers.c
+++ b/tests/sessions/test_gateway_servers.c
@@ -200,7 +200,7 @@
   server_set_event_interval (fleet->installation, FIRST_ENGINE, 200);
   server_set_event_interval (fleet->installation, FIRST_ENGINE + 1, 200);
   address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  address.sin_port = htons ((uint16_t)atoi (strchr (fleet->gateways[0].caller, ':') + 1));
+  address.sin_port = htons (address_port (fleet->gateways[0].caller));
   CU_ASSERT_EQUAL (connect (fd, (struct sockaddr *)&address, sizeof address), 0);
   CU_ASSERT_EQUAL (send (fd, request, sizeof request - 1, 0), (ssize_t)sizeof request - 1);
   CU_ASSERT (recv (fd, some, sizeof some, 0) > 0);
--- a/tests/sessions/test_gateway_streams.c
+++ b/tests/sessions/test_gateway_streams.c
@@ -340,8 +340,7 @@
 send_unread (const struct Fleet *fleet, const char *path)
 {
   const char *address = fleet->gateways[0].caller;
-  struct sockaddr_in to = { .sin_family = AF_INET,
-                            .sin_port = htons ((uint16_t)atoi (strchr (address, ':') + 1)) };
+  struct sockaddr_in to = { .sin_family = AF_INET, .sin_port = htons (address_port (address)) };
   char request[256];
   int fd = socket (AF_INET, SOCK_STREAM, 0);
   int n = snprintf (request, sizeof request,
--- a/tests/sessions/test_hostile_clients.c
+++ b/tests/sessions/test_hostile_clients.c
@@ -218,12 +218,6 @@
   return fleet;
 }
 
-static uint16_t
-port_of (const char *address)
-{
-  return (uint16_t)atoi (strchr (address, ':') + 1);
-}
-
 static void
 check_process (struct Process *process, const char *crowd)
 {
@@ -249,7 +243,7 @@
 static void
 gateway_meets (struct Fleet *fleet, const struct CrowdPlan *plan, const char *address)
 {
-  struct Crowd *crowd = crowd_new (fleet, plan, port_of (address));
+  struct Crowd *crowd = crowd_new (fleet, plan, address_port (address));
 
   crowd_play (crowd, plan->read_bytes > 0 ? SLOW_HOLD_MS : HOLD_MS);
   check_fleet (fleet, plan->name);
@@ -295,7 +289,7 @@
   struct Crowd *crowd;
 
   server_set_mode (fleet->installation, TOOL_SERVER, SERVER_HANGS);
-  crowd = crowd_new (fleet, plan, port_of (fleet->gateways[0].caller));
+  crowd = crowd_new (fleet, plan, address_port (fleet->gateways[0].caller));
   crowd_play (crowd, HOLD_MS);
   check_fleet (fleet, plan->name);
   server_set_mode (fleet->installation, TOOL_SERVER, SERVER_RESPONDS);
@@ -402,7 +396,7 @@
   struct Crowd *crowd;
 
   CU_ASSERT_TRUE (wait_for (instance_answers, cluster));
-  crowd = crowd_new (ctx, plan, port_of (node->address));
+  crowd = crowd_new (ctx, plan, address_port (node->address));
   crowd_play (crowd, HOLD_MS);
   check_process (node->process, plan->name);
   crowd_start (crowd);
--- a/tests/sessions/test_serve_descriptors.c
+++ b/tests/sessions/test_serve_descriptors.c
@@ -33,7 +33,7 @@
   int64_t cpu_ms, start_ms;
 
   for (uint32_t i = 0; i < N_CALLERS; i++)
-    fds[i] = raw_connect ((uint16_t)atoi (strchr (node->address, ':') + 1));
+    fds[i] = raw_connect (address_port (node->address));
   start_ms = monotonic_ms ();
   cpu_ms = process_cpu_ms (node->process);
   sleep_ms (FULL_MS);
--- a/tests/soak/soak_crowds.c
+++ b/tests/soak/soak_crowds.c
@@ -82,7 +82,7 @@
       const struct CrowdPlan plan = draw_plan (crowds);
       const struct GatewayNode *gateway = &fleet->gateways[draw (crowds, fleet->n_gateways)];
       const char *address = draw (crowds, 8) == 0 ? gateway->directory : gateway->caller;
-      struct Crowd *crowd = crowd_new (NULL, &plan, (uint16_t)atoi (strchr (address, ':') + 1));
+      struct Crowd *crowd = crowd_new (NULL, &plan, address_port (address));
 
       crowd_start (crowd);
       sleep_ms (1 + draw (crowds, HOLD_DRAWN_MS));
--- a/tests/soak/soak_machines.c
+++ b/tests/soak/soak_machines.c
@@ -109,12 +109,6 @@
   return (uint32_t)(state >> 33) % below;
 }
 
-static uint16_t
-address_port (const char *address)
-{
-  return (uint16_t)atoi (strchr (address, ':') + 1);
-}
-
 static uint16_t
 node_port (const struct SoakMachines *machines, uint32_t node, uint32_t number)
 {
--- a/tests/test_reclaim.c
+++ b/tests/test_reclaim.c
@@ -70,21 +70,16 @@
 static struct Upload *
 choose (struct Play *play)
 {
-  struct Upload *first = NULL;
+  struct ReclaimChoice choice = { 0 };
 
   for (uint32_t i = 0; i < N_CLIENTS; i++)
     {
-      struct Upload *upload = &play->uploads[i];
-      struct ReclaimCandidate a = candidate_of (play, upload), b;
+      struct ReclaimCandidate candidate = candidate_of (play, &play->uploads[i]);
 
-      if (!upload->active || !reclaim_is_eligible (&a))
-        continue;
-      if (first != NULL)
-        b = candidate_of (play, first);
-      if (first == NULL || reclaim_precedes (&a, &b))
-        first = upload;
+      if (play->uploads[i].active)
+        reclaim_consider (&choice, &play->uploads[i], &candidate);
     }
-  return first;
+  return choice.client;
 }
 
 /* Checks what is given up against all others. */
