Reject responses whose head is not HTTP

Also reported from other systems, and the same here: a field name with a blank; the line was passed on, or the body was another one.

Cause: the parser of the C library accepts more than the grammar of RFC 9112. Debian builds it non-strict. It takes each run of digits up to 999 as a status, blanks in names, folded lines (joined without a blank), control bytes in the reason phrase, any version. "Content-Length : 2" and "Transfer-Encoding : chunked" are then no framing: the body passed on is delimited by the connection, chunk sizes and all, and is given a length of its own.

Control bytes in names and values were rejected before; those cases hold on, too.

Change: the grammar of a head is checked, byte by byte, before the parser reads it (core/http/http_head.c, no I/O). What doesn't fit ends the call as malformed, as other garbage does: 502, a repeat at another server where the route allows it, no repeat of what may run once. A status of 600 and above counts as malformed: RFC 9110, 15, calls it invalid.

--- a/adapters/http_response_reader.c
+++ b/adapters/http_response_reader.c
@@ -17,6 +17,7 @@
 reader_begin (TALLOC_CTX *ctx, struct HttpResponseReader *r)
 {
   r->ctx = ctx;
+  http_head_check_begin (&r->check, HTTP_HEAD_RESPONSE);
   http_parser_init (&r->parser, HTTP_RESPONSE);
   r->parser.data = r;
   http_head_text_free (&r->head);
@@ -40,8 +41,9 @@
 static int
 parser_on_head (struct HttpResponseReader *r, bool is_value, const char *bytes, size_t n_bytes)
 {
+  /* Trailers are not forwarded. */
   if (r->headers_done)
-    return 0;
+    return !is_value && !http_are_token_bytes (bytes, n_bytes);
   r->head_bytes += n_bytes;
   return r->head_bytes > HEAD_MAX_BYTES
          || http_head_text_add (r->ctx, &r->head, is_value, bytes, n_bytes) != ERROR_NONE;
@@ -90,9 +92,10 @@
   return HTTP_FRAMING_CONNECTION;
 }
 
-/* Return value of the headers callback. */
+/* Return values of the headers callback. */
 enum
 {
+  HEADERS_ERROR = -1,
   NO_BODY_FOLLOWS = 1
 };
 
@@ -103,7 +106,7 @@
   struct HttpResponseHead head = { .status = parser->status_code };
 
   if (http_head_text_finish (r->ctx, &r->head, &head.headers) != ERROR_NONE)
-    return -1;
+    return HEADERS_ERROR;
   r->headers_done = true;
   r->framing = reader_framing (r);
   head.framing = r->framing;
@@ -152,9 +155,12 @@
   *n_read = n_bytes;
   while (at < n_bytes)
     {
-      size_t n = http_parser_execute (&r->parser, &parser_settings, (const char *)bytes + at,
-                                      n_bytes - at);
+      size_t n;
 
+      if (!http_head_check (&r->check, bytes + at, n_bytes - at))
+        return HTTP_READ_MALFORMED;
+      n = http_parser_execute (&r->parser, &parser_settings, (const char *)bytes + at,
+                               n_bytes - at);
       at += n;
       if (r->discard)
         r->discarded_bytes += n;
--- a/adapters/http_response_reader.h
+++ b/adapters/http_response_reader.h
@@ -2,12 +2,14 @@
 #pragma once
 
 #include <buckthornhead/http_client.h>
+#include <buckthornhead/http_head.h>
 
 #include <http_parser.h>
 
 struct HttpResponseReader
 {
   TALLOC_CTX *ctx; /* talloc parent of the buffers */
+  struct HttpHeadCheck check;
   http_parser parser;
   struct HttpHeadText head;
   size_t head_bytes;
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -653,6 +653,85 @@
   bench_free (b);
 }
 
+/* Guards against a head that is no HTTP, passed on as a response: a status outside 100 to 599, or a
+ * field name that the next reader takes for another one, so that it finds another body. */
+static void
+test_a_malformed_head_is_no_response (void)
+{
+  static const char *const heads[] = {
+    "HTTP/1.1 000 OK\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\nok",
+    "HTTP/1.1 099 OK\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\nok",
+    "HTTP/1.1 0 OK\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\nok",
+    "HTTP/1.1 20 OK\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\nok",
+    "HTTP/1.1 0200 OK\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\nok",
+    "HTTP/1.1  200 OK\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\nok",
+    "HTTP/1.1 600 OK\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\nok",
+    "HTTP/1.1 999 OK\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\nok",
+    "HTTP/3.7 200 OK\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\nok",
+    "HTTP/1.1 200 O\1K\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\nok",
+    "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length : 2\r\n\r\nok",
+    "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding : chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length\t: 2\r\n\r\nok",
+    "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX Y: 1\r\nContent-Length: 2\r\n\r\nok",
+    "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX\1Y: 1\r\nContent-Length: 2\r\n\r\nok",
+    "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX\177Y: 1\r\nContent-Length: 2\r\n\r\nok",
+    "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX\200Y: 1\r\nContent-Length: 2\r\n\r\nok",
+    "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX(Y): 1\r\nContent-Length: 2\r\n\r\nok",
+    "HTTP/1.1 200 OK\r\n X-Id: 1\r\nContent-Length: 2\r\n\r\nok",
+    "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-A: 1\r\n Content-Length: 9\r\nContent-Length: 2\r\n\r\nok",
+    "HTTP/1.1 200 OK\r\nX-Id: 1\r\n: 1\r\nContent-Length: 2\r\n\r\nok",
+    "HTTP/1.1 200 OK\r\nX-Id: 1\r\nno colon\r\nContent-Length: 2\r\n\r\nok",
+    "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-A: a\1b\r\nContent-Length: 2\r\n\r\nok",
+    "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-A: a\rb\r\nContent-Length: 2\r\n\r\nok",
+    "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "2\r\nok\r\n0\r\nX Y: 1\r\n\r\n",
+  };
+
+  for (size_t i = 0; i < sizeof heads / sizeof heads[0]; i++)
+    for (size_t at = 0; at < 2; at++)
+      {
+        struct Bench *b = bench_new ();
+        char *first = talloc_strndup (b, heads[i], strlen (heads[i]) * at / 2);
+
+        bench_request (b, "1");
+        raw_send (b->fd, first);
+        if (at > 0)
+          events_for (b->events, 20);
+        raw_send (b->fd, heads[i] + strlen (first));
+        shutdown (b->fd, SHUT_WR);
+        CU_ASSERT_TRUE (events_until (b->events, &b->ended));
+        if (b->end != HTTP_END_MALFORMED)
+          printf ("end %d, head %zu: %s\n", b->end, i, heads[i]);
+        CU_ASSERT_EQUAL (b->end, HTTP_END_MALFORMED);
+        bench_free (b);
+      }
+}
+
+/* Guards against a response without a length that counts as complete although its connection was
+ * reset while the request's body was being sent. */
+static void
+test_an_early_response_that_is_reset_is_broken (void)
+{
+  for (int i = 0; i < 20; i++)
+    {
+      struct Bench *b = bench_new ();
+      uint8_t *body = talloc_zero_array (b, uint8_t, UNREAD_BODY_BYTES);
+
+      CU_ASSERT_PTR_NOT_NULL (b->call = bench_submit_body (b, body));
+      b->fd = raw_accept (b->listen_fd, b->events);
+      events_for (b->events, 5);
+      raw_send (b->fd, "HTTP/1.1 200 OK\r\n\r\nhalf of it");
+      if (i % 2 == 0)
+        CU_ASSERT_TRUE (events_until (b->events, &b->head_received));
+      /* Bytes of the request are unread: the kernel resets the connection. */
+      close (b->fd);
+      b->fd = -1;
+      CU_ASSERT_TRUE (events_until (b->events, &b->ended));
+      CU_ASSERT_EQUAL (b->end, HTTP_END_BROKEN);
+      bench_free (b);
+    }
+}
+
 const char test_suite_name[] = "http_client";
 const struct TestCase test_cases[] = {
   { "an idle connection is reused", test_an_idle_connection_is_reused },
@@ -682,5 +761,7 @@
     test_without_descriptors_only_open_connections_are_used },
   { "bytes without end are bounded", test_bytes_without_end_are_bounded },
   { "a large late response is discarded", test_a_large_late_response_is_discarded },
+  { "a malformed head is no response", test_a_malformed_head_is_no_response },
+  { "an early response that is reset is broken", test_an_early_response_that_is_reset_is_broken },
   { NULL, NULL },
 };
