Reject responses in another coding, or that switch to another protocol

What callers would see: with "Transfer-Encoding: gzip, chunked" the compressed bytes as the server's body, with its seal; found by reading beside the users' report, not seen by them. With status 101 the bytes of another protocol, read as the next response.

Cause: hop-by-hop headers are dropped, and the coding that they name was never looked at but for chunks; 101 was skipped as any other interim response.

Change: a response whose Transfer-Encoding is anything but "chunked", once, or whose status is 101, which no request here asks for, is malformed.

--- a/adapters/http_response_reader.c
+++ b/adapters/http_response_reader.c
@@ -4,12 +4,14 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 
 enum
 {
   HEAD_MAX_BYTES = 64 * 1024, /* limit on the headers of a response */
   /* Interim responses, and a late response to another request with its body. */
-  DISCARDED_MAX_BYTES = 1024 * 1024
+  DISCARDED_MAX_BYTES = 1024 * 1024,
+  STATUS_SWITCHING_PROTOCOLS = 101
 };
 
 /* Prepares for the next response. */
@@ -92,6 +94,19 @@
   return HTTP_FRAMING_CONNECTION;
 }
 
+/* Returns whether what the response is about to bring can be passed on: no other protocol, and no
+ * body in a coding that is not decoded here. */
+static bool
+reader_understands (const struct HttpResponseHead *head)
+{
+  const char *coding = http_headers_get (&head->headers, "Transfer-Encoding");
+
+  return head->status != STATUS_SWITCHING_PROTOCOLS
+         && (coding == NULL
+             || (strcasecmp (coding, "chunked") == 0
+                 && http_headers_count (&head->headers, "Transfer-Encoding") == 1));
+}
+
 /* Return values of the headers callback. */
 enum
 {
@@ -105,7 +120,8 @@
   struct HttpResponseReader *r = parser->data;
   struct HttpResponseHead head = { .status = parser->status_code };
 
-  if (http_head_text_finish (r->ctx, &r->head, &head.headers) != ERROR_NONE)
+  if (http_head_text_finish (r->ctx, &r->head, &head.headers) != ERROR_NONE
+      || !reader_understands (&head))
     return HEADERS_ERROR;
   r->headers_done = true;
   r->framing = reader_framing (r);
--- a/tests/sessions/test_gateway_malformed_answers.c
+++ b/tests/sessions/test_gateway_malformed_answers.c
@@ -36,6 +36,7 @@
   "HTTP/1.1 200 OK\r\n" SEAL "Content-Length : 2\r\n\r\nok and more",
   "HTTP/1.1 200 OK\r\n" SEAL "Transfer-Encoding : chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
   "HTTP/1.1 200 OK\r\n" SEAL "X-A: 1\r\n Content-Length: 9\r\nContent-Length: 2\r\n\r\nok",
+  "HTTP/1.1 200 OK\r\n" SEAL "Transfer-Encoding: gzip, chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
 };
 
 struct Odd
