Reject heads that are not HTTP, and heads without an end, in libcurl's client

What callers of `serve` would see: the same as callers of gateways, found by looking where else answers are read. libcurl takes status 600, names with blanks and control bytes, framings with a blank, control bytes in values; it hands the body of a response with status 101 on. And a process would end: trailers without an end are all kept by libcurl, for its interface to headers.

Cause: HTTP was checked by libcurl alone, whose rules are looser than the grammar, and which bounds a head but not trailers.

Change: each line of a head goes through the same check as in gateways, and heads, interim responses and trailers of a call are 256 KB together at most. A response that does not fit is not whole: the call may have run. 101 is rejected in the shared check now, so that it holds for both clients.

--- a/adapters/curl_loop.c
+++ b/adapters/curl_loop.c
@@ -1,5 +1,6 @@
 #include <buckthornhead/curl_loop.h>
 
+#include <buckthornhead/http_head.h>
 #include <buckthornhead/http_message.h>
 #include <buckthornhead/net_socket.h>
 
@@ -11,7 +12,10 @@
 
 enum
 {
-  CONNECTION_CACHE_MAX = 256
+  CONNECTION_CACHE_MAX = 256,
+  /* Limit on the heads and trailers of a response and of the interim ones before it. libcurl keeps
+   * them all. */
+  HEADS_MAX_BYTES = 256 * 1024
 };
 
 struct CurlLoop
@@ -37,6 +41,8 @@
   bool stopped;   /* by curl_call_stop */
   bool in_done;   /* inside the done callback, after which the call is freed */
   bool cancelled; /* freed by its owner inside a callback; no further callbacks */
+  struct HttpHeadCheck check;
+  size_t head_bytes;
   uint8_t *response;
   size_t response_bytes;
   HttpChunkFn chunk;
@@ -194,6 +200,28 @@
   return fd >= 0 ? fd : CURL_SOCKET_BAD;
 }
 
+/* Called by libcurl for each line of a head or trailer, with its end. A return value other than the
+ * line's length fails the call. */
+static size_t
+curl_call_on_head (char *bytes, size_t size, size_t n, void *data)
+{
+  static const char start[] = "HTTP/";
+  struct CurlCall *call = data;
+  size_t n_bytes = size * n;
+
+  call->head_bytes += n_bytes;
+  if (call->head_bytes > HEADS_MAX_BYTES)
+    return 0;
+  if (call->check.state == HTTP_HEAD_DONE)
+    {
+      if (n_bytes >= strlen (start) && memcmp (bytes, start, strlen (start)) == 0)
+        http_head_check_begin (&call->check, HTTP_HEAD_RESPONSE);
+      else
+        http_head_check_begin_trailers (&call->check);
+    }
+  return http_head_check (&call->check, bytes, n_bytes) ? n_bytes : 0;
+}
+
 static size_t
 curl_call_on_body (char *bytes, size_t size, size_t n, void *data)
 {
@@ -374,6 +402,9 @@
   curl_easy_setopt (call->easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt (call->easy, CURLOPT_NOPROXY, "*");
   curl_easy_setopt (call->easy, CURLOPT_OPENSOCKETFUNCTION, curl_call_on_open);
+  http_head_check_begin (&call->check, HTTP_HEAD_RESPONSE);
+  curl_easy_setopt (call->easy, CURLOPT_HEADERFUNCTION, curl_call_on_head);
+  curl_easy_setopt (call->easy, CURLOPT_HEADERDATA, call);
   curl_easy_setopt (call->easy, CURLOPT_WRITEFUNCTION, curl_call_on_body);
   curl_easy_setopt (call->easy, CURLOPT_WRITEDATA, call);
   curl_call_set_body (call, request);
--- a/adapters/http_response_reader.c
+++ b/adapters/http_response_reader.c
@@ -10,8 +10,7 @@
 {
   HEAD_MAX_BYTES = 64 * 1024, /* limit on the headers of a response */
   /* Interim responses, and a late response to another request with its body. */
-  DISCARDED_MAX_BYTES = 1024 * 1024,
-  STATUS_SWITCHING_PROTOCOLS = 101
+  DISCARDED_MAX_BYTES = 1024 * 1024
 };
 
 /* Prepares for the next response. */
@@ -94,17 +93,15 @@
   return HTTP_FRAMING_CONNECTION;
 }
 
-/* Returns whether what the response is about to bring can be passed on: no other protocol, and no
- * body in a coding that is not decoded here. */
+/* Returns whether the body is in no transfer coding, or in chunks alone. */
 static bool
-reader_understands (const struct HttpResponseHead *head)
+reader_decodes (const struct HttpHeaders *headers)
 {
-  const char *coding = http_headers_get (&head->headers, "Transfer-Encoding");
+  const char *coding = http_headers_get (headers, "Transfer-Encoding");
 
-  return head->status != STATUS_SWITCHING_PROTOCOLS
-         && (coding == NULL
-             || (strcasecmp (coding, "chunked") == 0
-                 && http_headers_count (&head->headers, "Transfer-Encoding") == 1));
+  return coding == NULL
+         || (strcasecmp (coding, "chunked") == 0
+             && http_headers_count (headers, "Transfer-Encoding") == 1);
 }
 
 /* Return values of the headers callback. */
@@ -121,7 +118,7 @@
   struct HttpResponseHead head = { .status = parser->status_code };
 
   if (http_head_text_finish (r->ctx, &r->head, &head.headers) != ERROR_NONE
-      || !reader_understands (&head))
+      || !reader_decodes (&head.headers))
     return HEADERS_ERROR;
   r->headers_done = true;
   r->framing = reader_framing (r);
--- a/core/http/http_head.c
+++ b/core/http/http_head.c
@@ -4,7 +4,9 @@
 
 enum
 {
-  STATUS_LINE_MIN_BYTES = sizeof "HTTP/1.1 200" - 1
+  STATUS_LINE_MIN_BYTES = sizeof "HTTP/1.1 200" - 1,
+  STATUS_DIGITS = 3,
+  STATUS_SWITCHING_PROTOCOLS = 101
 };
 
 static bool
@@ -64,11 +66,12 @@
     }
 }
 
-/* The reason phrase, and the blank before it, may be missing. */
+/* The reason phrase, and the blank before it, may be missing. A response that switches to another
+ * protocol would be one to a request that nobody here sends. */
 static bool
 status_line_may_end (const struct HttpHeadCheck *check)
 {
-  return check->n_start >= STATUS_LINE_MIN_BYTES;
+  return check->n_start >= STATUS_LINE_MIN_BYTES && check->status != STATUS_SWITCHING_PROTOCOLS;
 }
 
 static enum HttpHeadState
@@ -84,6 +87,9 @@
     }
   if (is_response ? !status_line_allows (check->n_start, byte) : !is_text_byte (byte))
     return HTTP_HEAD_INVALID;
+  if (is_response && check->n_start >= STATUS_LINE_MIN_BYTES - STATUS_DIGITS
+      && check->n_start < STATUS_LINE_MIN_BYTES)
+    check->status = check->status * 10 + (byte - '0');
   if (check->n_start <= STATUS_LINE_MIN_BYTES)
     check->n_start++;
   return HTTP_HEAD_START_LINE;
--- a/include/buckthornhead/http_head.h
+++ b/include/buckthornhead/http_head.h
@@ -31,6 +31,7 @@
 {
   enum HttpHeadKind kind;
   enum HttpHeadState state;
+  uint32_t status;  /* of a response, once its status line was read */
   uint32_t n_start; /* number of bytes of the start line, up to the reason phrase */
 };
 
--- a/tests/standins/raw_server.c
+++ b/tests/standins/raw_server.c
@@ -25,6 +25,7 @@
   char head[HEAD_MAX_BYTES];
   size_t n_head;
   bool answered;
+  bool drains; /* reads what is left of the request */
   struct RawResponse response;
   size_t n_repeated; /* bytes of .block sent, modulo its length */
 };
@@ -38,6 +39,7 @@
   struct RawResponse response;
   atomic_bool stopping;
   atomic_uint n_requests;
+  atomic_ulong n_repeated_bytes;
   struct RawConnection connections[CONNECTIONS_MAX];
 };
 
@@ -98,7 +100,9 @@
       c->n_head = 0;
       break;
     case RAW_CLOSES:
-      connection_close (c);
+      shutdown (c->fd, SHUT_WR);
+      c->answered = false;
+      c->drains = true;
       break;
     case RAW_RESETS:
       raw_reset (c->fd);
@@ -110,7 +114,11 @@
 static void
 connection_read (struct RawServer *server, struct RawConnection *c)
 {
-  ssize_t n = recv (c->fd, c->head + c->n_head, sizeof c->head - 1 - c->n_head, MSG_DONTWAIT);
+  ssize_t n;
+
+  if (c->drains)
+    c->n_head = 0;
+  n = recv (c->fd, c->head + c->n_head, sizeof c->head - 1 - c->n_head, MSG_DONTWAIT);
 
   if (n < 0 && errno == EAGAIN)
     return;
@@ -119,6 +127,8 @@
       connection_close (c);
       return;
     }
+  if (c->drains)
+    return;
   c->n_head += (size_t)n;
   c->head[c->n_head] = '\0';
   if (strstr (c->head, "\r\n\r\n") != NULL)
@@ -127,7 +137,7 @@
 
 /* Sends as much of the response without an end as the kernel takes. */
 static void
-connection_flood (struct RawConnection *c)
+connection_flood (struct RawServer *server, struct RawConnection *c)
 {
   static char block[BLOCK_BYTES];
   size_t length = strlen (c->response.repeated), n_block = BLOCK_BYTES / length * length;
@@ -143,6 +153,7 @@
         connection_close (c);
       if (n < 0)
         return;
+      server->n_repeated_bytes += (size_t)n;
       c->n_repeated = (c->n_repeated + (size_t)n) % n_block;
     }
 }
@@ -182,7 +193,7 @@
           if (c->fd < 0 || polls[i].revents == 0)
             continue;
           if (c->answered)
-            connection_flood (c);
+            connection_flood (server, c);
           else
             connection_read (server, c);
         }
@@ -251,3 +262,9 @@
 {
   return server->n_requests;
 }
+
+uint64_t
+raw_server_sent_bytes (struct RawServer *server)
+{
+  return server->n_repeated_bytes;
+}
--- a/tests/standins/raw_server.h
+++ b/tests/standins/raw_server.h
@@ -33,3 +33,6 @@
 /* Returns the number of requests whose head has arrived. */
 uint32_t
 raw_server_requests (struct RawServer *server);
+/* Returns the number of bytes of responses without an end that the kernel has taken. */
+uint64_t
+raw_server_sent_bytes (struct RawServer *server);
--- a/tests/test_http_head.c
+++ b/tests/test_http_head.c
@@ -88,7 +88,7 @@
 }
 
 static void
-test_status_is_three_digits_from_100_to_599 (void)
+test_status_is_three_digits_from_100_to_599_but_101 (void)
 {
   for (unsigned status = 0; status < 1000; status++)
     {
@@ -97,7 +97,8 @@
       int n = snprintf (head, sizeof head, "HTTP/1.1 %03u x\r\n\r\n", status);
 
       http_head_check_begin (&check, HTTP_HEAD_RESPONSE);
-      CU_ASSERT_EQUAL (http_head_check (&check, head, (size_t)n), status >= 100 && status < 600);
+      CU_ASSERT_EQUAL (http_head_check (&check, head, (size_t)n),
+                       status >= 100 && status < 600 && status != 101);
     }
 }
 
@@ -119,7 +120,8 @@
 const struct TestCase test_cases[] = {
   { "only the grammar of responses is accepted", test_only_the_grammar_of_responses_is_accepted },
   { "only the grammar of requests is accepted", test_only_the_grammar_of_requests_is_accepted },
-  { "a status is three digits, from 100 to 599", test_status_is_three_digits_from_100_to_599 },
+  { "a status is three digits, from 100 to 599 but 101",
+    test_status_is_three_digits_from_100_to_599_but_101 },
   { "the body is not checked", test_body_is_not_checked },
   { NULL, NULL },
 };
