Pass on a body's chunks together that libcurl reads together

What callers of `serve` would see: a backend server that sends its body in tiny chunks blocks the instance. Its lease lapses, programs can't be created, and its memory grows by hundreds of bytes for each byte of the body.

Cause: libcurl calls back for each chunk; each call became a message between threads with two allocations, and a piece of a response to its callers. The thread of the core receives them more slowly than the others send.

Change: what one socket event brings is collected, up to 64 KB, and passed on once, before libcurl's results are looked at. Unit test: test_curl_loop, "tiny chunks are passed on together".

--- a/adapters/curl_loop.c
+++ b/adapters/curl_loop.c
@@ -15,7 +15,8 @@
   CONNECTION_CACHE_MAX = 256,
   /* Limit on the heads and trailers of a response and of the interim ones before it. libcurl keeps
    * them all. */
-  HEADS_MAX_BYTES = 256 * 1024
+  HEADS_MAX_BYTES = 256 * 1024,
+  PENDING_MAX_BYTES = 64 * 1024 /* of a body, collected for one chunk callback */
 };
 
 struct CurlLoop
@@ -24,9 +25,10 @@
   struct TimerService *timers;
   struct Timer *timer;
   CURLM *multi;
-  TALLOC_CTX *calls; /* parent of every CurlCall */
-  bool in_chunk;     /* inside a write callback, where libcurl does not allow handles to be added or
-                        removed */
+  TALLOC_CTX *calls;        /* parent of every CurlCall */
+  struct CurlCall *pending; /* calls with pending bytes */
+  bool in_chunk; /* inside a chunk callback: libcurl may be running, and does not allow handles to
+                    be added or removed then */
 };
 
 struct CurlCall
@@ -45,6 +47,11 @@
   size_t head_bytes;
   uint8_t *response;
   size_t response_bytes;
+  /* Bytes of the body that were not passed to .chunk yet. */
+  uint8_t *pending;
+  size_t pending_bytes;
+  struct CurlCall *next_pending;
+  bool is_pending;
   HttpChunkFn chunk;
   HttpDone done;
   void *data;
@@ -58,6 +65,9 @@
   curl_socket_t fd;
 };
 
+static void
+curl_call_defer (struct CurlCall *call);
+
 static bool
 curl_call_is_framed (struct CurlCall *call)
 {
@@ -77,7 +87,7 @@
   curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &status);
   curl_easy_getinfo (call->easy, CURLINFO_REQUEST_SIZE, &request_bytes);
   result.sent = request_bytes > 0;
-  result.whole = code == CURLE_OK;
+  result.whole = code == CURLE_OK && !call->stopped;
   result.framed = curl_call_is_framed (call);
   result.timed_out = code == CURLE_OPERATION_TIMEDOUT;
   result.status = (uint32_t)status;
@@ -91,12 +101,45 @@
   talloc_free (call);
 }
 
+static void
+curl_call_flush (struct CurlCall *call)
+{
+  size_t n_bytes = call->pending_bytes;
+  long status = 0;
+
+  call->pending_bytes = 0;
+  if (n_bytes == 0 || call->stopped || call->cancelled)
+    return;
+  curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &status);
+  call->loop->in_chunk = true;
+  call->chunk (call->data, (uint32_t)status, call->pending, n_bytes);
+  call->loop->in_chunk = false;
+}
+
+/* Passes on what libcurl has read. */
+static void
+curl_loop_flush (struct CurlLoop *loop)
+{
+  while (loop->pending != NULL)
+    {
+      struct CurlCall *call = loop->pending;
+
+      loop->pending = call->next_pending;
+      call->is_pending = false;
+      curl_call_flush (call);
+      TALLOC_FREE (call->pending);
+      if (call->stopped && !call->cancelled)
+        curl_call_defer (call);
+    }
+}
+
 static void
 curl_loop_finish_calls (struct CurlLoop *loop)
 {
   CURLMsg *message;
   int left;
 
+  curl_loop_flush (loop);
   while ((message = curl_multi_info_read (loop->multi, &left)) != NULL)
     {
       struct CurlCall *call = NULL;
@@ -222,6 +265,36 @@
   return http_head_check (&call->check, bytes, n_bytes) ? n_bytes : 0;
 }
 
+/* Adds bytes of the body to the pending ones. A body in tiny chunks would otherwise cost its
+ * receiver a callback for each of them. Returns false when no more are wanted. */
+static bool
+curl_call_collect (struct CurlCall *call, const char *bytes, size_t n_bytes)
+{
+  struct CurlLoop *loop = call->loop;
+  uint8_t *grown;
+
+  if (call->pending_bytes + n_bytes > PENDING_MAX_BYTES)
+    curl_call_flush (call);
+  if (call->stopped || call->cancelled)
+    return false;
+  if (call->pending_bytes + n_bytes > talloc_get_size (call->pending))
+    {
+      grown = talloc_realloc (call, call->pending, uint8_t, 2 * (call->pending_bytes + n_bytes));
+      if (grown == NULL)
+        return false;
+      call->pending = grown;
+    }
+  memcpy (call->pending + call->pending_bytes, bytes, n_bytes);
+  call->pending_bytes += n_bytes;
+  if (!call->is_pending)
+    {
+      call->is_pending = true;
+      call->next_pending = loop->pending;
+      loop->pending = call;
+    }
+  return true;
+}
+
 static size_t
 curl_call_on_body (char *bytes, size_t size, size_t n, void *data)
 {
@@ -229,15 +302,7 @@
   size_t n_bytes = size * n;
 
   if (call->chunk != NULL)
-    {
-      long status = 0;
-
-      curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &status);
-      call->loop->in_chunk = true;
-      call->chunk (call->data, (uint32_t)status, (const uint8_t *)bytes, n_bytes);
-      call->loop->in_chunk = false;
-      return call->stopped || call->cancelled ? 0 : n_bytes;
-    }
+    return curl_call_collect (call, bytes, n_bytes) ? n_bytes : 0;
   call->response =
       talloc_realloc (call, call->response, uint8_t, call->response_bytes + n_bytes + 1);
   if (call->response == NULL)
@@ -296,6 +361,11 @@
       talloc_free (call);
       return;
     }
+  if (call->added)
+    {
+      curl_call_finish (call, CURLE_WRITE_ERROR);
+      return;
+    }
   call->added = curl_multi_add_handle (call->loop->multi, call->easy) == CURLM_OK;
   if (!call->added)
     curl_call_finish (call, CURLE_FAILED_INIT);
@@ -307,6 +377,17 @@
   tevent_schedule_immediate (call->deferred, call->loop->events, curl_call_on_deferred, call);
 }
 
+static void
+curl_call_remove_pending (struct CurlCall *call)
+{
+  struct CurlCall **at = &call->loop->pending;
+
+  while (*at != call)
+    at = &(*at)->next_pending;
+  *at = call->next_pending;
+  call->is_pending = false;
+}
+
 static int
 curl_call_free (struct CurlCall *call)
 {
@@ -317,6 +398,8 @@
         curl_call_defer (call);
       return -1;
     }
+  if (call->is_pending)
+    curl_call_remove_pending (call);
   if (call->added)
     curl_multi_remove_handle (call->loop->multi, call->easy);
   if (call->easy != NULL)
--- a/tests/standins/raw_server.c
+++ b/tests/standins/raw_server.c
@@ -27,7 +27,7 @@
   bool answered;
   bool drains; /* reads what is left of the request */
   struct RawResponse response;
-  size_t n_repeated; /* bytes of .block sent, modulo its length */
+  size_t n_repeated; /* bytes of .response.repeated that were sent */
 };
 
 struct RawServer
@@ -135,27 +135,40 @@
     connection_answer (server, c);
 }
 
-/* Sends as much of the response without an end as the kernel takes. */
+/* Returns the number of bytes to be sent next, from a block of n_block repeated ones. */
+static size_t
+connection_next_bytes (const struct RawConnection *c, size_t n_block)
+{
+  size_t n = n_block - c->n_repeated % n_block, max_bytes = c->response.repeated_max_bytes;
+
+  if (max_bytes > 0 && n > max_bytes - c->n_repeated)
+    n = max_bytes - c->n_repeated;
+  return n;
+}
+
+/* Sends as much of the repeated bytes as the kernel takes. */
 static void
 connection_flood (struct RawServer *server, struct RawConnection *c)
 {
   static char block[BLOCK_BYTES];
-  size_t length = strlen (c->response.repeated), n_block = BLOCK_BYTES / length * length;
+  size_t length = strlen (c->response.repeated), n_block = BLOCK_BYTES / length * length, n_next;
 
   for (size_t at = 0; at < n_block; at += length)
     memcpy (block + at, c->response.repeated, length);
-  for (;;)
+  while ((n_next = connection_next_bytes (c, n_block)) > 0)
     {
       ssize_t n =
-          send (c->fd, block + c->n_repeated, n_block - c->n_repeated, MSG_DONTWAIT | MSG_NOSIGNAL);
+          send (c->fd, block + c->n_repeated % n_block, n_next, MSG_DONTWAIT | MSG_NOSIGNAL);
 
       if (n < 0 && errno != EAGAIN)
         connection_close (c);
       if (n < 0)
         return;
       server->n_repeated_bytes += (size_t)n;
-      c->n_repeated = (c->n_repeated + (size_t)n) % n_block;
+      c->n_repeated += (size_t)n;
     }
+  c->answered = false;
+  c->drains = true;
 }
 
 static void
--- a/tests/standins/raw_server.h
+++ b/tests/standins/raw_server.h
@@ -2,6 +2,7 @@
  * on 127.0.0.1, in a thread of its own. */
 #pragma once
 
+#include <stddef.h>
 #include <stdint.h>
 
 #include <talloc.h>
@@ -18,6 +19,7 @@
   const char *text;     /* each '@' stands for the request's id */
   const char *repeated; /* then sent without an end; NULL: nothing */
   enum RawEnd end;
+  size_t repeated_max_bytes; /* of .repeated, then nothing more is sent; 0: without an end */
 };
 
 struct RawServer;
--- a/tests/test_curl_loop.c
+++ b/tests/test_curl_loop.c
@@ -11,7 +11,9 @@
 enum
 {
   UPLOAD_BYTES = 8 * 1024 * 1024, /* more than the kernel's buffers of a connection hold */
-  HEADS_BOUND_BYTES = 8 * 1024 * 1024
+  HEADS_BOUND_BYTES = 8 * 1024 * 1024,
+  FLOOD_BYTES = 256 * 1024,
+  CHUNK_MIN_BYTES = 256 /* passed on together, on average */
 };
 
 struct Bench
@@ -24,6 +26,8 @@
   bool ended;
   char body[256];
   size_t n_body_bytes;
+  struct CurlCall *call;
+  uint32_t n_chunks;
 };
 
 static void
@@ -160,6 +164,38 @@
   talloc_free (b);
 }
 
+static void
+flood_on_chunk (void *data, uint32_t status, const uint8_t *bytes, size_t n_bytes)
+{
+  struct Bench *b = data;
+
+  (void)status;
+  (void)bytes;
+  b->n_chunks++;
+  b->n_body_bytes += n_bytes;
+  if (b->n_body_bytes > FLOOD_BYTES)
+    curl_call_stop (b->call);
+}
+
+/* Guards against a callback, and a message between threads, for each of a body's tiny chunks. */
+static void
+test_tiny_chunks_are_passed_on_together (void)
+{
+  const struct RawResponse response = { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                                        "1\r\nx\r\n", RAW_KEEPS_OPEN };
+  struct Bench *b = bench_new ();
+  const struct HttpRequest request = { .method = "GET", .url = b->url, .timeout_ms = 4000 };
+
+  raw_server_set_response (b->server, &response);
+  b->call = curl_loop_submit (b->loop, &request, flood_on_chunk, bench_on_done, b);
+  CU_ASSERT_TRUE (events_until (b->events, &b->ended));
+  CU_ASSERT_FALSE (b->result.whole);
+  CU_ASSERT_FALSE (b->result.timed_out);
+  CU_ASSERT (b->n_body_bytes > FLOOD_BYTES);
+  CU_ASSERT (b->n_chunks < FLOOD_BYTES / CHUNK_MIN_BYTES);
+  talloc_free (b);
+}
+
 /* Guards against heads without an end that are kept. */
 static void
 test_heads_without_an_end_are_bounded (void)
@@ -192,6 +228,7 @@
   { "well-formed heads are accepted", test_well_formed_heads_are_accepted },
   { "an early response that is reset is not whole",
     test_an_early_response_that_is_reset_is_not_whole },
+  { "tiny chunks are passed on together", test_tiny_chunks_are_passed_on_together },
   { "heads without an end are bounded", test_heads_without_an_end_are_bounded },
   { NULL, NULL },
 };
