Answer what is left at the end of a gateway's planned stop

What callers saw, on a system like ours: in a planned stop, in calm, requests that came late in the grace were passed on, and cut at its end with no answer, among them some that may not be repeated.

Cause: requests were accepted for 3 s whatever the grace period is, so with 3 s until its end. Requests in progress at the end were freed with the process; the margin of 400 ms before it, which was there for their responses, only made the cut earlier. Requests that waited for a slot were sent to servers until then.

With the deployed 8 s the window of 3 s was right; the cut at the end was the same.

Change: new requests are accepted for three eighths of the grace period, 3 s at the most, as before with 8 s. After three quarters, requests that still wait for their first server are rejected with 503, not run, and can be served elsewhere in time; a request that may have run is still repeated. 400 ms before the end what is left gets 502, a begun stream ends without its last chunk; the process exits when that is written, 200 ms before the end at the latest.

--- a/gateway/front.c
+++ b/gateway/front.c
@@ -25,13 +25,19 @@
 enum
 {
   /* Requests are still accepted for this long after a planned stop was requested, since callers
-   * cache the list of addresses for a few seconds; later ones are rejected with Retry-After. */
+   * cache the list of addresses for a few seconds; later ones are rejected with Retry-After. In a
+   * short grace period, for a part of it. */
   STOP_ACCEPT_MS = 3000,
+  STOP_ACCEPT_EIGHTHS = 3,
+  /* Requests that have waited for a server until this part of the grace period are not sent to one
+   * any more. */
+  STOP_SEND_EIGHTHS = 6,
   /* Minimum duration of a planned stop without requests in flight, for callers with an old list. */
   STOP_LINGER_MS = 5000,
-  /* The process exits this long before the end of its grace period, when the platform would kill
-   * it, so that the remaining requests still get a response. */
-  STOP_MARGIN_MS = 400,
+  /* The remaining requests are answered this long before the end of the grace period, when the
+   * platform would kill the process, and it exits, at the latest, this long before it. */
+  STOP_ANSWER_MARGIN_MS = 400,
+  STOP_EXIT_MARGIN_MS = 200,
   /* Limits of caller requests until a configuration is received. */
   INITIAL_HEADER_BYTES = 16 * 1024,
   INITIAL_BODY_BYTES = 4 * 1024 * 1024,
@@ -233,11 +239,26 @@
          || (request->route.kind == ROUTE_STREAM && request->caller.budget_tokens > 0);
 }
 
+/* Returns the time since a planned stop was requested; 0 without one. */
+static int64_t
+front_stop_age_ms (const struct Front *front)
+{
+  return front->stop_ms != 0 ? timer_now_ms (front->node->timers) - front->stop_ms : 0;
+}
+
 static bool
 front_rejects_requests (const struct Front *front)
 {
-  return front->stop_ms != 0
-         && timer_now_ms (front->node->timers) - front->stop_ms > STOP_ACCEPT_MS;
+  int64_t accept_ms = (int64_t)front->node->settings->grace_ms * STOP_ACCEPT_EIGHTHS / 8;
+
+  return front_stop_age_ms (front) > (accept_ms < STOP_ACCEPT_MS ? accept_ms : STOP_ACCEPT_MS);
+}
+
+bool
+front_is_ending (const struct Front *front)
+{
+  return front_stop_age_ms (front)
+         > (int64_t)front->node->settings->grace_ms * STOP_SEND_EIGHTHS / 8;
 }
 
 bool
@@ -806,13 +827,48 @@
   node_announce (front->node);
 }
 
+/* Returns whether the request has reached a server. */
+static bool
+request_is_under_way (const struct Request *request)
+{
+  return request->may_have_run || request->call != NULL || request->check != NULL;
+}
+
+/* Returns the first request, or the first that waits for a server. */
+static struct Request *
+front_next_to_end (const struct Front *front, bool waiting_only)
+{
+  struct Request *request = front->requests;
+
+  while (request != NULL && waiting_only && request_is_under_way (request))
+    request = request->next;
+  return request;
+}
+
+void
+front_end_requests (struct Front *front)
+{
+  int64_t left_ms = (int64_t)front->node->settings->grace_ms - front_stop_age_ms (front);
+  bool waiting_only = left_ms > STOP_ANSWER_MARGIN_MS;
+  struct Request *request;
+
+  if (front->stop_ms == 0 || (waiting_only && !front_is_ending (front)))
+    return;
+  /* Ending one request may end others. */
+  while ((request = front_next_to_end (front, waiting_only)) != NULL)
+    request_fail (request, request_is_under_way (request) ? FAILURE_BROKEN : FAILURE_STOPPING,
+                  "the grace period of the planned stop is over");
+}
+
 bool
 front_is_done (const struct Front *front)
 {
-  int64_t age_ms = timer_now_ms (front->node->timers) - front->stop_ms;
+  int64_t age_ms = front_stop_age_ms (front);
+  int64_t left_ms = (int64_t)front->node->settings->grace_ms - age_ms;
 
   if (front->stop_ms == 0)
     return false;
-  return age_ms > (int64_t)front->node->settings->grace_ms - STOP_MARGIN_MS
-         || (age_ms > STOP_LINGER_MS && http_server_in_flight (front->callers) == 0);
+  return left_ms < STOP_EXIT_MARGIN_MS
+         || ((age_ms > STOP_LINGER_MS || left_ms < STOP_ANSWER_MARGIN_MS)
+             && http_server_in_flight (front->callers) == 0);
 }
--- a/gateway/front.h
+++ b/gateway/front.h
@@ -153,6 +153,15 @@
 void
 front_stop (struct Front *front);
 
+/* Returns whether a planned stop has come so far that no request is sent to its first server. */
+bool
+front_is_ending (const struct Front *front);
+
+/* Late in a planned stop, rejects the requests that still wait for a server, as not run, and at the
+ * end of the grace period answers those that are left. Called every 100 ms. */
+void
+front_end_requests (struct Front *front);
+
 /* Returns true once the process may exit after a planned stop. */
 bool
 front_is_done (const struct Front *front);
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -36,6 +36,8 @@
   struct Gateway *gateway = data;
 
   gateway->done = gateway->front == NULL || front_is_done (gateway->front);
+  if (!gateway->done)
+    front_end_requests (gateway->front);
 }
 
 static void
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -443,6 +443,11 @@
       request_fail (request, FAILURE_NO_KEY, "the key was revoked while the request waited");
       return;
     }
+  if (!request->may_have_run && front_is_ending (request->front))
+    {
+      request_fail (request, FAILURE_STOPPING, "too late in a planned stop");
+      return;
+    }
   if (!crash_guard_admit (request))
     return;
   while (request->n_tried < TRIED_MAX)
--- a/tests/sessions/gateways.c
+++ b/tests/sessions/gateways.c
@@ -54,10 +54,10 @@
   snprintf (text, sizeof text,
             "[instance]\nname = %s\nzone = a\n[listen]\ncaller = %s\nready = %s\n"
             "directory = %s\npeer = %s\nannounce = 127.0.0.1:%u\nmetrics = %s\n[platform]\nstore = "
-            "http://%s\n%s[stop]\ngrace "
-            "= 6s\n[quota]\nsharing = %s\n%s",
+            "http://%s\n%s[stop]\ngrace = %s\n[quota]\nsharing = %s\n%s",
             gateway->name, gateway->caller, gateway->ready, gateway->directory, gateway->peer,
             gateway->announced_port, gateway->metrics, fleet->store, membership_section (fleet),
+            fleet->grace != NULL ? fleet->grace : "6s",
             fleet->quota_sharing != NULL ? fleet->quota_sharing : "counts",
             fleet->gateway_settings != NULL ? fleet->gateway_settings : "");
   snprintf (name, sizeof name, "%s.ini", gateway->name);
--- a/tests/sessions/gateways.h
+++ b/tests/sessions/gateways.h
@@ -51,6 +51,7 @@
   void *proxy_data;
   uint32_t gateway_descriptors; /* limit of each gateway; 0: the test's */
   const char *turn_path;        /* of the turns that are sent; NULL: "/turns/1" */
+  const char *grace;            /* of the gateways' planned stop; NULL: "6s" */
   const char *quota_sharing;    /* setting of the gateways; NULL: the default */
 };
 
