Bound the responses of backend servers in `serve`

What callers of `serve` would see: a server that sends without an end ends the instance, and all programs that have their home there wait for another one.

Messages from the threads that read responses, and the unfinished line of an event stream, were not counted either.

Change: - a response is 1 MB at most: it is journaled in one value of the store, so a longer one could never have been answered.

--- a/adapters/backend_http.c
+++ b/adapters/backend_http.c
@@ -1,6 +1,7 @@
 #include <buckthornhead/backend_http.h>
 
 #include <buckthornhead/error.h>
+#include <buckthornhead/held_memory.h>
 
 #include <string.h>
 
@@ -9,7 +10,8 @@
 enum
 {
   CONNECT_TIMEOUT_MS = 2000,
-  CHECK_TIMEOUT_MS = 500, /* for a server's response to a new connection */
+  CHECK_TIMEOUT_MS = 500,           /* for a server's response to a new connection */
+  SMALL_RESPONSE_BYTES = 64 * 1024, /* is received also while memory is short */
   /* Limit on a response, or on one line of an event stream, that is buffered to parse its usage. */
   BUFFER_MAX_BYTES = 8 * 1024 * 1024,
   HEADERS_MAX = 5,
@@ -34,6 +36,7 @@
   struct HttpResult result; /* of a response whose server is being checked */
   bool rejected;            /* see backend_call_was_rejected */
 
+  size_t response_bytes;
   uint8_t *buffer; /* the whole response, or the incomplete last line of an event stream */
   size_t buffer_bytes;
   bool overflow; /* the buffer exceeded its limit and was freed */
@@ -83,6 +86,8 @@
 static void
 backend_call_append (struct BackendCall *call, const uint8_t *bytes, size_t n_bytes)
 {
+  uint8_t *grown;
+
   if (call->overflow || n_bytes == 0)
     return;
   if (call->buffer_bytes + n_bytes > BUFFER_MAX_BYTES)
@@ -92,13 +97,15 @@
       call->buffer_bytes = 0;
       return;
     }
-  call->buffer = talloc_realloc (call, call->buffer, uint8_t, call->buffer_bytes + n_bytes);
-  if (call->buffer == NULL)
+  grown = held_memory_resize (call, call->buffer, call->buffer_bytes + n_bytes);
+  if (grown == NULL)
     {
       call->overflow = true;
+      TALLOC_FREE (call->buffer);
       call->buffer_bytes = 0;
       return;
     }
+  call->buffer = grown;
   memcpy (call->buffer + call->buffer_bytes, bytes, n_bytes);
   call->buffer_bytes += n_bytes;
 }
@@ -173,6 +180,13 @@
 
   if (call->cancelling != NULL)
     return;
+  call->response_bytes += n_bytes;
+  if (call->response_bytes > CALL_RESPONSE_MAX_BYTES
+      || (call->response_bytes > SMALL_RESPONSE_BYTES && held_memory_is_exhausted ()))
+    {
+      curl_call_stop (call->curl);
+      return;
+    }
   if (call->engine && call->stream)
     backend_call_read_stream (call, bytes, n_bytes);
   else if (call->engine || call->op != BACKEND_OP_CALL)
--- a/adapters/backend_pool.c
+++ b/adapters/backend_pool.c
@@ -2,6 +2,7 @@
 
 #include <buckthornhead/backend_http.h>
 #include <buckthornhead/error.h>
+#include <buckthornhead/held_memory.h>
 
 #include <pthread.h>
 #include <string.h>
@@ -65,7 +66,10 @@
   mail->job = job;
   mail->event = *event;
   if (event->kind == BACKEND_EVENT_CHUNK)
-    mail->event.chunk.bytes = talloc_memdup (mail, event->chunk.bytes, event->chunk.n_bytes);
+    {
+      mail->event.chunk.bytes = talloc_memdup (mail, event->chunk.bytes, event->chunk.n_bytes);
+      held_memory_charge (mail, event->chunk.n_bytes);
+    }
   mailbox_post (thread->core, &mail->mail);
 }
 
--- a/core/held_memory.c
+++ b/core/held_memory.c
@@ -21,6 +21,8 @@
   void *data;
 } watch;
 
+static uint64_t sum_max_bytes; /* 0: none */
+
 void
 held_memory_add (size_t n_bytes)
 {
@@ -92,6 +94,18 @@
   return counter_read (GAUGE_HELD_BYTES);
 }
 
+void
+held_memory_set_max (uint64_t max_bytes)
+{
+  sum_max_bytes = max_bytes;
+}
+
+bool
+held_memory_is_exhausted (void)
+{
+  return sum_max_bytes > 0 && held_memory_bytes () >= sum_max_bytes;
+}
+
 uint64_t
 held_memory_share (uint64_t machine_bytes)
 {
--- a/daemon/core.h
+++ b/daemon/core.h
@@ -44,6 +44,7 @@
   bool platform_up;
   bool draining; /* requested by an operator or a signal */
   int64_t draining_since_ms;
+  uint64_t responses_max_bytes; /* bound on the large responses that are collected; 0: none */
   struct PeerOutcomes outcomes;
 };
 
--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -11,9 +11,11 @@
 
 #include <buckthornhead/backend_list.h>
 #include <buckthornhead/counter.h>
+#include <buckthornhead/held_memory.h>
 #include <buckthornhead/instances_http.h>
 #include <buckthornhead/kv_http.h>
 #include <buckthornhead/log.h>
+#include <buckthornhead/process_limits.h>
 #include <buckthornhead/process_signals.h>
 #include <buckthornhead/process_start.h>
 #include <buckthornhead/timer_tevent.h>
@@ -32,6 +34,7 @@
   MEMBERS_POLL_MS = 1000,
   INSTANCES_POLL_MS = 1000,
   CONFIG_ENTRIES_MAX = 64,
+  RESPONSES_PART = 2, /* of the bound on held memory, for responses that are collected */
   RESPONSE_FLUSH_US = 200 * 1000
 };
 
@@ -479,6 +482,7 @@
 daemon_run (const struct Settings *settings, struct Fault *fault)
 {
   struct Daemon daemon = { 0 };
+  uint64_t held_max_bytes;
   int32_t error;
 
   talloc_set_abort_fn (daemon_on_talloc_abort);
@@ -486,6 +490,9 @@
   process_start_begin (settings->instance, settings->zone);
   daemon.core = talloc_zero (NULL, struct Core);
   daemon.core->settings = settings;
+  held_max_bytes = process_held_max_bytes (settings->held_memory_bytes);
+  held_memory_set_max (held_max_bytes);
+  daemon.core->responses_max_bytes = held_max_bytes / RESPONSES_PART;
   error = daemon_open_adapters (&daemon, fault);
   if (error != ERROR_NONE)
     goto out;
--- a/daemon/home_dispatch.c
+++ b/daemon/home_dispatch.c
@@ -64,14 +64,16 @@
   call->timer = timer_subscribe (call, home->core->timers, delay_ms, 0, home_call_on_retry, call);
 }
 
-static void
-home_call_on_timeout (void *data)
+void
+home_call_cut_off (struct HomeCall *call, int32_t error, const char *cause)
 {
-  struct HomeCall *call = data;
   struct PeerMessage cancel = { .kind = PEER_CANCEL };
   struct Fault fault;
 
   TALLOC_FREE (call->timer);
+  TALLOC_FREE (call->response);
+  call->response_size = 0;
+  call->response_bytes = 0;
   cancel.cancel.id = call->dispatch_id;
   peer_net_send (call->home->core->net, call->owner_link, &cancel);
   home_release_record_held (call->home, call->call.key.program, call->backend);
@@ -80,12 +82,17 @@
       home_call_end_uncertain (call);
       return;
     }
-  fault_set (&fault, ERROR_TIMEOUT, NULL, "backend server %s did not respond in time",
-             call->backend);
+  fault_set (&fault, error, NULL, "backend server %s: %s", call->backend, cause);
   home_call_abandon (call, RAN_MAYBE, &fault,
                      home_call_retry_after_ms (call, RETRY_AFTER_NO_SERVER_MS));
 }
 
+static void
+home_call_on_timeout (void *data)
+{
+  home_call_cut_off (data, ERROR_TIMEOUT, "it did not respond in time");
+}
+
 static void
 home_call_mark_tried (struct HomeCall *call, const char *server)
 {
--- a/daemon/home_internal.h
+++ b/daemon/home_internal.h
@@ -177,6 +177,10 @@
 home_on_call (struct Home *home, uint64_t link, const struct PeerRequest *request);
 
 /* home_dispatch.c: sends calls to backend servers and handles their results. */
+/* Ends a dispatched call whose response is not read on: it may have run. The callers of a call that
+ * may not be repeated get no other result. */
+void
+home_call_cut_off (struct HomeCall *call, int32_t error, const char *cause);
 void
 home_call_dispatch (struct HomeCall *call);
 
--- a/include/buckthornhead/call.h
+++ b/include/buckthornhead/call.h
@@ -11,6 +11,8 @@
   NAME_MAX_BYTES = 64, /* instance, availability zone, service, profile, branch, model */
   PROGRAM_ID_MAX_BYTES = 64,
   DIGEST_BYTES = 32, /* SHA-256 */
+  /* Limit on a backend server's response: it is journaled in one value of the key-value service. */
+  CALL_RESPONSE_MAX_BYTES = 1024 * 1024,
   MAIN_BRANCH_BYTES = 5
 };
 
--- a/include/buckthornhead/held_memory.h
+++ b/include/buckthornhead/held_memory.h
@@ -39,6 +39,15 @@
 uint64_t
 held_memory_share (uint64_t machine_bytes);
 
+/* Sets the bound that held_memory_is_exhausted compares the sum with; 0: none. Called before threads
+ * are started. */
+void
+held_memory_set_max (uint64_t max_bytes);
+
+/* Returns whether the sum has reached the bound. May be called from any thread. */
+bool
+held_memory_is_exhausted (void);
+
 /* Calls exceeded (data) whenever the sum grows while it is over max_bytes, on the thread and in the
  * middle of the operation that made it grow. One watch a process; NULL ends it. */
 void
--- a/tests/test_backend_http.c
+++ b/tests/test_backend_http.c
@@ -1,5 +1,7 @@
 #include "test_main.h"
 
+#include "standins/raw_server.h"
+
 #include <buckthornhead/backend_http.h>
 #include <buckthornhead/error.h>
 
@@ -197,7 +199,7 @@
   uint64_t ticket;
   bool cancel_on_chunk;
   char body[2048];
-  size_t body_bytes;
+  size_t body_bytes, n_chunk_bytes;
   uint32_t n_ends, chunk_status;
   struct BackendEvent end;
 };
@@ -216,6 +218,7 @@
     }
   CU_ASSERT_EQUAL (client->n_ends, 0);
   client->chunk_status = event->chunk.status;
+  client->n_chunk_bytes += event->chunk.n_bytes;
   n = event->chunk.n_bytes;
   if (n > sizeof client->body - 1 - client->body_bytes)
     n = sizeof client->body - 1 - client->body_bytes;
@@ -450,6 +453,37 @@
   talloc_free (client);
 }
 
+/* Guards against a response without an end that is passed on until the call's timeout. */
+static void
+test_response_over_the_limit_is_not_complete (void)
+{
+  static const struct RawResponse floods[] = {
+    { "HTTP/1.1 200 OK\r\n\r\n", "x", RAW_KEEPS_OPEN },
+    { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "9\r\ndata: x\n\n\r\n",
+      RAW_KEEPS_OPEN },
+  };
+  struct Client *client = client_new ();
+  struct RawServer *server = raw_server_start (client);
+  char address[32];
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (server);
+  snprintf (address, sizeof address, "127.0.0.1:%u", raw_server_port (server));
+  for (size_t i = 0; i < 2; i++)
+    for (int j = 0; j < 3; j++)
+      {
+        struct BackendRequest request =
+            j == 0 ? service_request (address) : chat_request (address, j == 1);
+
+        request.timeout_ms = GUARD_S * 1000;
+        raw_server_set_response (server, &floods[i]);
+        client->n_chunk_bytes = 0;
+        client_call (client, &request);
+        assert_end (client, ERROR_UNKNOWN_EFFECT, RAN_MAYBE);
+        CU_ASSERT (client->n_chunk_bytes <= CALL_RESPONSE_MAX_BYTES);
+      }
+  talloc_free (client);
+}
+
 static void
 test_refused_connection_did_not_run (void)
 {
@@ -660,6 +694,7 @@
   { "stream without its end is not complete", test_stream_without_its_end_is_not_complete },
   { "unframed response of a crashed tool is not complete",
     test_unframed_response_of_a_crashed_tool_is_not_complete },
+  { "a response over the limit is not complete", test_response_over_the_limit_is_not_complete },
   { "refused connection did not run", test_refused_connection_did_not_run },
   { "timeout before connecting did not run", test_timeout_before_connecting_did_not_run },
   { "close after run on a used connection runs once",
