Read the items of the platform's list of servers one by one

What callers would see, on a system like ours: another writer left one odd entry among those of the replicas, nested very deeply or with a number out of range, and the machines stopped following the list: servers that left got calls, new ones none.

Here: `serve` parsed the whole list as one document, so that one such item made it unreadable, and kept the old list without a log line. Gateways parse each entry by itself, and reject one that does not fit; but one with slots was accepted, and by reading, the sum of its slots and the grants in transit wraps round, so that its owner grants next to none.

Evidence, before: test_backend_list "odd items do not hide the others" fails for 7 of 9 items (a large integer, a large real, a lone surrogate, a NUL, bytes that are no UTF-8, a word that is no JSON, 100,000 brackets); the other two, a string with brackets and a port of 65536, hold. test_platform fails for the slots only: deep nesting, large numbers and ports out of range were rejected, one entry at a time. Nothing of this ended a process.

Change: the array is split into the texts of its items (core/json/), each of which is parsed on its own; an item that does not parse is skipped and logged with its text.

--- a/core/backend_list.c
+++ b/core/backend_list.c
@@ -4,6 +4,7 @@
 
 #include <buckthornhead/config_key.h>
 #include <buckthornhead/error.h>
+#include <buckthornhead/json_items.h>
 #include <buckthornhead/log.h>
 
 #include <stdio.h>
@@ -12,6 +13,12 @@
 
 #include <jansson.h>
 
+enum
+{
+  BACKENDS_INITIAL = 32,
+  LOGGED_ITEM_BYTES = 200 /* of an item that is not understood */
+};
+
 struct ListedBackend
 {
   struct BackendSetting setting;
@@ -124,21 +131,53 @@
     backend_list_notify (list);
 }
 
-/* Skips items that cannot be parsed: these servers get no work, the others are still used. */
+/* Appends a server to the array; an item that cannot be parsed is skipped, so that its server gets
+ * no work. Returns false when out of memory. */
+static bool
+backends_add (TALLOC_CTX *ctx,
+              struct ListedBackend **backends,
+              size_t *n,
+              const char *text,
+              size_t text_bytes)
+{
+  struct ListedBackend *grown;
+  json_t *item;
+
+  if (*n == talloc_array_length (*backends))
+    {
+      grown = talloc_realloc (ctx, *backends, struct ListedBackend, 2 * *n);
+      if (grown == NULL)
+        return false;
+      *backends = grown;
+    }
+  item = json_loadb (text, text_bytes, JSON_DECODE_ANY, NULL);
+  if (backend_parse (item, &(*backends)[*n]))
+    (*n)++;
+  else
+    log_event (LOG_LEVEL_WARNING, "listed_server_not_understood", NULL,
+               "correct the item in the platform's server list", "%.*s",
+               (int)(text_bytes < LOGGED_ITEM_BYTES ? text_bytes : LOGGED_ITEM_BYTES), text);
+  json_decref (item);
+  return true;
+}
+
+/* Replaces the list by an array of items; a text that is none changes nothing. */
 static void
-backend_list_parse (struct BackendList *list, const json_t *items)
-{
-  size_t n_items = json_array_size (items);
-  struct ListedBackend *backends = talloc_zero_array (list, struct ListedBackend, n_items);
-  size_t n = 0;
-
-  for (size_t i = 0; i < n_items; i++)
-    if (backend_parse (json_array_get (items, i), &backends[n]))
-      n++;
-    else
-      log_event (LOG_LEVEL_WARNING, "listed_server_not_understood", NULL,
-                 "correct the item in the platform's server list", "item %zu", i);
-  backend_list_replace (list, backends, backends_sort (backends, n));
+backend_list_parse (struct BackendList *list, const char *text, size_t text_bytes)
+{
+  struct ListedBackend *backends = talloc_zero_array (list, struct ListedBackend, BACKENDS_INITIAL);
+  struct JsonItems items;
+  const char *item;
+  size_t item_bytes, n = 0;
+  bool has_memory = backends != NULL;
+
+  json_items_begin (&items, text, text_bytes);
+  while (has_memory && json_items_next (&items, &item, &item_bytes))
+    has_memory = backends_add (list, &backends, &n, item, item_bytes);
+  if (has_memory && items.ended)
+    backend_list_replace (list, backends, backends_sort (backends, n));
+  else
+    talloc_free (backends);
 }
 
 static void
@@ -148,11 +187,9 @@
 backend_list_on_fetched (void *data, int32_t error, const char *text, size_t text_bytes)
 {
   struct BackendList *list = data;
-  json_t *items = error == ERROR_NONE ? json_loadb (text, text_bytes, 0, NULL) : NULL;
 
-  if (json_is_array (items))
-    backend_list_parse (list, items);
-  json_decref (items);
+  if (error == ERROR_NONE && text != NULL)
+    backend_list_parse (list, text, text_bytes);
   backend_list_schedule_poll (list);
 }
 
--- a/tests/test_backend_list.c
+++ b/tests/test_backend_list.c
@@ -9,7 +9,8 @@
 
 enum
 {
-  POLL_MS = 1000
+  POLL_MS = 1000,
+  NESTING = 100 * 1000
 };
 
 /* A platform list whose content the test sets. */
@@ -148,10 +149,45 @@
   talloc_free (t);
 }
 
+/* Guards against one odd item that makes the whole list unreadable, so that it is no longer
+ * followed. */
+static void
+test_odd_items_do_not_hide_the_others (void)
+{
+  static const char *const odd[] = {
+    "{\"name\":\"e3\",\"slots\":99999999999999999999}",
+    "{\"name\":\"e3\",\"weight\":1e999}",
+    "{\"name\":\"e3\",\"text\":\"\\ud800\"}",
+    "{\"name\":\"e3\",\"text\":\"\\u0000\"}",
+    "{\"name\":\"\xff\"}",
+    "{\"name\":\"a]b,c\\\"]\"}",
+    "{\"name\":\"e3\",\"address\":\"127.0.0.1:65536\"}",
+    "nonsense",
+  };
+  struct Fixture *t = fixture_new ("[]");
+  char *deep = talloc_zero_array (t, char, 2 * NESTING + 1);
+
+  memset (deep, '[', NESTING);
+  memset (deep + NESTING, ']', NESTING);
+  for (size_t i = 0; i <= sizeof odd / sizeof odd[0]; i++)
+    {
+      const char *item = i < sizeof odd / sizeof odd[0] ? odd[i] : deep;
+
+      fixture_set_list (t, "[]");
+      CU_ASSERT_EQUAL (t->n_servers, 0);
+      fixture_set_list (
+          t, talloc_asprintf (t, "[" SERVER ("e2", "live") " , %s,\n" SERVER ("e1", "live") "] ",
+                              item));
+      CU_ASSERT_EQUAL (t->n_servers, 2);
+    }
+  talloc_free (t);
+}
+
 const char test_suite_name[] = "backend_list";
 const struct TestCase test_cases[] = {
   { "leaving server is reported", test_leaving_server_is_reported },
   { "unreadable list changes nothing", test_unreadable_list_changes_nothing },
   { "items are checked one by one", test_items_are_checked_one_by_one },
+  { "odd items do not hide the others", test_odd_items_do_not_hide_the_others },
   { NULL, NULL },
 };
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -379,6 +379,14 @@
     { "\"slots\":8", "\"slots\":0" },
     { "\"slots\":8", "\"slots\":-1" },
     { "\"slots\":8", "\"slots\":8.5" },
+    { "\"slots\":8", "\"slots\":4294967295" },
+    { "\"slots\":8", "\"slots\":99999999999999999999" },
+    { "\"address\":\"10.0.0.9:80\"", "\"address\":\"10.0.0.9:0\"" },
+    { "\"address\":\"10.0.0.9:80\"", "\"address\":\"10.0.0.9:65536\"" },
+    { "\"address\":\"10.0.0.9:80\"", "\"address\":\"10.0.0.9:99999999999999999999\"" },
+    { "\"address\":\"10.0.0.9:80\"", "\"address\":\"10.0.0.9:-1\"" },
+    { "\"sequence\":4", "\"sequence\":4,\"x\":1e999" },
+    { "\"sequence\":4", "\"sequence\":4,\"x\":\"\\u0000\"" },
     { "\"state\":\"ready\"", "\"state\":\"asleep\"" },
     { "\"state\":\"ready\"", "\"state\":true" },
     { "\"cold_remaining_ms\":0", "\"cold_remaining_ms\":\"0\"" },
@@ -389,6 +397,7 @@
     { "{", "\xff{" },
     { "{", "[" },
   };
+  static char deep[1000 * 1000];
   struct ReplicaEntry entry;
   struct Fault fault;
 
@@ -407,6 +416,10 @@
       CU_ASSERT (strlen (fault.message) > 0 && strlen (fault.remedy) > 0);
       talloc_free (text);
     }
+  memset (deep, '[', sizeof deep);
+  CU_ASSERT_EQUAL (platform_dialect.read_server ("servers/i", (const uint8_t *)deep, sizeof deep,
+                                                 &entry, &fault),
+                   ERROR_INVALID);
   CU_ASSERT_EQUAL (platform_dialect.read_server ("servers/i", NULL, 0, &entry, &fault),
                    ERROR_INVALID);
   CU_ASSERT_EQUAL (platform_dialect.read_server ("servers/", (const uint8_t *)whole,
