Reject requests whose head is not HTTP, or whose body is in another coding

What could happen: a caller smuggles a request past a gateway. "Transfer-Encoding : chunked" is no framing for the parser, so the request has no body for the gateway; the line was passed on to the server, as it isn't the hop-by-hop header of that name. What the server makes of it decides where the next request on that connection begins. The same cause as with responses, found by looking where else the parser is used; not reported.

Evidence: test_http_server "ambiguous and malformed requests are rejected" fails on the commit before for seven new requests, which reach the handler or wait for more: both framings with a blank, a folded line, a line that begins with a blank, a name with a blank, "gzip, chunked", a trailer's name with a blank.

Change: the readers of requests and of responses use the same check of heads and of codings; 400. Callers that follow RFC 9112 send none of these.

--- a/adapters/http_request_reader.c
+++ b/adapters/http_request_reader.c
@@ -77,7 +77,9 @@
   struct HttpRequestReader *r = parser->data;
 
   /* Trailers are not forwarded. */
-  return r->headers_done ? 0 : parser_on_head (r, false, bytes, n_bytes);
+  if (r->headers_done)
+    return !http_are_token_bytes (bytes, n_bytes);
+  return parser_on_head (r, false, bytes, n_bytes);
 }
 
 static int
@@ -174,6 +176,7 @@
   memset (reader, 0, sizeof *reader);
   http_parser_init (&reader->parser, HTTP_REQUEST);
   reader->parser.data = reader;
+  http_head_check_begin (&reader->check, HTTP_HEAD_REQUEST);
   reader->ctx = ctx;
   reader->limits = *limits;
 }
@@ -181,6 +184,11 @@
 size_t
 http_request_reader_parse (struct HttpRequestReader *reader, const uint8_t *bytes, size_t n_bytes)
 {
+  if (!http_head_check (&reader->check, bytes, n_bytes))
+    {
+      reader->parser.http_errno = HPE_INVALID_HEADER_TOKEN;
+      return 0;
+    }
   return http_parser_execute (&reader->parser, &parser_settings, (const char *)bytes, n_bytes);
 }
 
--- a/adapters/http_request_reader.h
+++ b/adapters/http_request_reader.h
@@ -1,6 +1,7 @@
 /* Incremental parser for one HTTP request of a listener; enforces the size limits. */
 #pragma once
 
+#include <buckthornhead/http_head.h>
 #include <buckthornhead/http_server.h>
 
 #include <http_parser.h>
@@ -9,6 +10,7 @@
 {
   TALLOC_CTX *ctx; /* talloc parent of the buffers */
   struct HttpLimits limits;
+  struct HttpHeadCheck check;
   http_parser parser;
   struct HttpHeadText head;
   char *target;
--- a/adapters/http_response_reader.c
+++ b/adapters/http_response_reader.c
@@ -4,7 +4,6 @@
 
 #include <stdlib.h>
 #include <string.h>
-#include <strings.h>
 
 enum
 {
@@ -93,17 +92,6 @@
   return HTTP_FRAMING_CONNECTION;
 }
 
-/* Returns whether the body is in no transfer coding, or in chunks alone. */
-static bool
-reader_decodes (const struct HttpHeaders *headers)
-{
-  const char *coding = http_headers_get (headers, "Transfer-Encoding");
-
-  return coding == NULL
-         || (strcasecmp (coding, "chunked") == 0
-             && http_headers_count (headers, "Transfer-Encoding") == 1);
-}
-
 /* Return values of the headers callback. */
 enum
 {
@@ -118,7 +106,7 @@
   struct HttpResponseHead head = { .status = parser->status_code };
 
   if (http_head_text_finish (r->ctx, &r->head, &head.headers) != ERROR_NONE
-      || !reader_decodes (&head.headers))
+      || !http_headers_decodable (&head.headers))
     return HEADERS_ERROR;
   r->headers_done = true;
   r->framing = reader_framing (r);
--- a/adapters/http_server.c
+++ b/adapters/http_server.c
@@ -243,8 +243,7 @@
 request_headers_are_valid (const struct HttpHeaders *headers)
 {
   return http_headers_count (headers, "Host") == 1
-         && http_headers_count (headers, "Content-Length") <= 1
-         && http_headers_count (headers, "Transfer-Encoding") <= 1
+         && http_headers_count (headers, "Content-Length") <= 1 && http_headers_decodable (headers)
          && (http_headers_get (headers, "Content-Length") == NULL
              || http_headers_get (headers, "Transfer-Encoding") == NULL);
 }
--- a/core/http/http_message.c
+++ b/core/http/http_message.c
@@ -95,6 +95,16 @@
   return false;
 }
 
+bool
+http_headers_decodable (const struct HttpHeaders *headers)
+{
+  const char *coding = http_headers_get (headers, "Transfer-Encoding");
+
+  return coding == NULL
+         || (strcasecmp (coding, "chunked") == 0
+             && http_headers_count (headers, "Transfer-Encoding") == 1);
+}
+
 static bool
 head_text_reserve (TALLOC_CTX *ctx, struct HttpHeadText *head, size_t n_bytes)
 {
--- a/include/buckthornhead/http_message.h
+++ b/include/buckthornhead/http_message.h
@@ -45,6 +45,10 @@
 bool
 http_list_has (const char *value, const char *token);
 
+/* True when the message's body is in no transfer coding, or in chunks alone. */
+bool
+http_headers_decodable (const struct HttpHeaders *headers);
+
 /* Text of all headers, built from the pieces that the parser delivers. Its memory is counted, see
  * held_memory.h. */
 struct HttpHeadText
