--- a/include/buckthornhead/held_memory.h
+++ b/include/buckthornhead/held_memory.h
@@ -39,8 +39,8 @@
 uint64_t
 held_memory_share (uint64_t machine_bytes);
 
-/* Sets the bound that held_memory_is_exhausted compares the sum with; 0: none. Called before threads
- * are started. */
+/* Sets the bound that held_memory_is_exhausted compares the sum with; 0: none. Called before
+ * threads are started. */
 void
 held_memory_set_max (uint64_t max_bytes);
 
--- a/tests/fuzz/fuzz_response.c
+++ b/tests/fuzz/fuzz_response.c
@@ -1,6 +1,6 @@
 /* Responses of servers: the verdict on one does not depend on how its bytes arrive, and no part of
- * a response counts as complete. The first byte selects what the body is and how the connection
- * ends, the second the size of the pieces. */
+ * a response counts as complete; the head of one that is passed on is HTTP. The first byte selects
+ * what the body is and how the connection ends, the second the size of the pieces. */
 #include "../../adapters/http_response_reader.h"
 #include "fuzz.h"
 
@@ -27,6 +27,14 @@
 receiver_on_head (void *data, const struct HttpResponseHead *head)
 {
   (void)data;
+  FUZZ_REQUIRE (head->status >= 200 && head->status < 600);
+  FUZZ_REQUIRE (http_headers_decodable (&head->headers));
+  for (size_t i = 0; i < head->headers.n_items; i++)
+    {
+      const char *name = head->headers.items[i].name;
+
+      FUZZ_REQUIRE (name[0] != '\0' && http_are_token_bytes (name, strlen (name)));
+    }
   return head->status != 404;
 }
 
