--- a/tests/standins/raw_server.c
+++ b/tests/standins/raw_server.c
@@ -28,6 +28,7 @@
   bool drains; /* reads what is left of the request */
   struct RawResponse response;
   size_t n_repeated; /* bytes of .response.repeated that were sent */
+  size_t block_at;   /* next byte of the block of them */
 };
 
 struct RawServer
@@ -139,7 +140,7 @@
 static size_t
 connection_next_bytes (const struct RawConnection *c, size_t n_block)
 {
-  size_t n = n_block - c->n_repeated % n_block, max_bytes = c->response.repeated_max_bytes;
+  size_t n = n_block - c->block_at, max_bytes = c->response.repeated_max_bytes;
 
   if (max_bytes > 0 && n > max_bytes - c->n_repeated)
     n = max_bytes - c->n_repeated;
@@ -151,14 +152,19 @@
 connection_flood (struct RawServer *server, struct RawConnection *c)
 {
   static char block[BLOCK_BYTES];
-  size_t length = strlen (c->response.repeated), n_block = BLOCK_BYTES / length * length, n_next;
+  size_t length = strlen (c->response.repeated), n_block, n_next;
 
+  if (length == 0 || length > BLOCK_BYTES)
+    {
+      connection_close (c);
+      return;
+    }
+  n_block = BLOCK_BYTES - BLOCK_BYTES % length;
   for (size_t at = 0; at < n_block; at += length)
     memcpy (block + at, c->response.repeated, length);
   while ((n_next = connection_next_bytes (c, n_block)) > 0)
     {
-      ssize_t n =
-          send (c->fd, block + c->n_repeated % n_block, n_next, MSG_DONTWAIT | MSG_NOSIGNAL);
+      ssize_t n = send (c->fd, block + c->block_at, n_next, MSG_DONTWAIT | MSG_NOSIGNAL);
 
       if (n < 0 && errno != EAGAIN)
         connection_close (c);
@@ -166,6 +172,9 @@
         return;
       server->n_repeated_bytes += (size_t)n;
       c->n_repeated += (size_t)n;
+      c->block_at += (size_t)n;
+      if (c->block_at == n_block)
+        c->block_at = 0;
     }
   c->answered = false;
   c->drains = true;
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -667,8 +667,8 @@
     "HTTP/1.1  200 OK\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\nok",
     "HTTP/1.1 600 OK\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\nok",
     "HTTP/1.1 999 OK\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\nok",
-    "HTTP/1.1 101 Upgrade\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n"
-    "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\nok",
+    ("HTTP/1.1 101 Upgrade\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n"
+     "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\nok"),
     "HTTP/3.7 200 OK\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\nok",
     "HTTP/1.1 200 O\1K\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\nok",
     "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length : 2\r\n\r\nok",
@@ -686,10 +686,10 @@
     "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-A: a\1b\r\nContent-Length: 2\r\n\r\nok",
     "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-A: a\rb\r\nContent-Length: 2\r\n\r\nok",
     "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: gzip\r\n\r\nok",
-    "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n"
-    "2\r\nok\r\n0\r\n\r\n",
-    "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
-    "2\r\nok\r\n0\r\nX Y: 1\r\n\r\n",
+    ("HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n"
+     "2\r\nok\r\n0\r\n\r\n"),
+    ("HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+     "2\r\nok\r\n0\r\nX Y: 1\r\n\r\n"),
   };
 
   for (size_t i = 0; i < sizeof heads / sizeof heads[0]; i++)
