One constant for small responses; drop a limit that can no longer be reached

From reading the diff afresh: what `serve` receives also while memory is short was defined twice, and the buffer's limit of 8 MB lies beyond that of a response (1 MB). No change of behaviour; test_backend_http and hostile_servers "serve streams" pass.

--- a/adapters/backend_http.c
+++ b/adapters/backend_http.c
@@ -10,10 +10,7 @@
 enum
 {
   CONNECT_TIMEOUT_MS = 2000,
-  CHECK_TIMEOUT_MS = 500,           /* for a server's response to a new connection */
-  SMALL_RESPONSE_BYTES = 64 * 1024, /* is received also while memory is short */
-  /* Limit on a response, or on one line of an event stream, that is buffered to parse its usage. */
-  BUFFER_MAX_BYTES = 8 * 1024 * 1024,
+  CHECK_TIMEOUT_MS = 500, /* for a server's response to a new connection */
   HEADERS_MAX = 5,
   STATUS_OK = 200,
   STATUS_OK_END = 300,
@@ -39,7 +36,7 @@
   size_t response_bytes;
   uint8_t *buffer; /* the whole response, or the incomplete last line of an event stream */
   size_t buffer_bytes;
-  bool overflow; /* the buffer exceeded its limit and was freed */
+  bool overflow; /* there was no memory for the buffer, and it was freed */
   bool stream_ended, stream_failed;
   uint32_t prompt_tokens, generated_tokens, cached_tokens;
 };
@@ -90,13 +87,6 @@
 
   if (call->overflow || n_bytes == 0)
     return;
-  if (call->buffer_bytes + n_bytes > BUFFER_MAX_BYTES)
-    {
-      call->overflow = true;
-      TALLOC_FREE (call->buffer);
-      call->buffer_bytes = 0;
-      return;
-    }
   grown = held_memory_resize (call, call->buffer, call->buffer_bytes + n_bytes);
   if (grown == NULL)
     {
@@ -182,7 +172,7 @@
     return;
   call->response_bytes += n_bytes;
   if (call->response_bytes > CALL_RESPONSE_MAX_BYTES
-      || (call->response_bytes > SMALL_RESPONSE_BYTES && held_memory_is_exhausted ()))
+      || (call->response_bytes > CALL_SMALL_RESPONSE_BYTES && held_memory_is_exhausted ()))
     {
       curl_call_stop (call->curl);
       return;
--- a/daemon/home_stream.c
+++ b/daemon/home_stream.c
@@ -5,12 +5,6 @@
 
 #include <string.h>
 
-enum
-{
-  /* Responses that take no more than this are never cut off. */
-  SMALL_RESPONSE_BYTES = 64 * 1024
-};
-
 /* The last event of a complete stream; it is withheld until the outcome is durable. */
 static const char end_marker[] = "data: [DONE]";
 
@@ -74,7 +68,7 @@
   *largest = NULL;
   for (struct HomeCall *call = home->calls; call != NULL; call = call->by_key.next)
     {
-      if (call->response_size <= SMALL_RESPONSE_BYTES)
+      if (call->response_size <= CALL_SMALL_RESPONSE_BYTES)
         continue;
       n_bytes += call->response_size;
       if (call->state == HOME_CALL_DISPATCHED
@@ -120,7 +114,7 @@
       return false;
     }
   size = held_memory_grown_size (total_bytes, CALL_RESPONSE_MAX_BYTES);
-  if (size > SMALL_RESPONSE_BYTES && !home_make_room (call, size - call->response_size))
+  if (size > CALL_SMALL_RESPONSE_BYTES && !home_make_room (call, size - call->response_size))
     return false;
   grown = held_memory_resize (call, call->response, size);
   if (grown == NULL)
--- a/include/buckthornhead/call.h
+++ b/include/buckthornhead/call.h
@@ -13,6 +13,8 @@
   DIGEST_BYTES = 32, /* SHA-256 */
   /* Limit on a backend server's response: it is journaled in one value of the key-value service. */
   CALL_RESPONSE_MAX_BYTES = 1024 * 1024,
+  CALL_SMALL_RESPONSE_BYTES =
+      64 * 1024, /* of a response that is never cut off for lack of memory */
   MAIN_BRANCH_BYTES = 5
 };
 
