`serve`: leave a quarter of the bound to small responses, count copies in transit

Cause, by reading: when the core's thread is late, what was read waits between the threads, and each piece is copied before it is freed; both copies were one in the sum. The buffers that collect pieces were not in it at all.

Change: pieces in transit count twice, the collecting buffers count, and large responses do not grow beyond three quarters of the bound, as large requests.

--- a/adapters/backend_pool.c
+++ b/adapters/backend_pool.c
@@ -68,7 +68,8 @@
   if (event->kind == BACKEND_EVENT_CHUNK)
     {
       mail->event.chunk.bytes = talloc_memdup (mail, event->chunk.bytes, event->chunk.n_bytes);
-      held_memory_charge (mail, event->chunk.n_bytes);
+      /* Its receiver copies it before it is freed. */
+      held_memory_charge (mail, 2 * event->chunk.n_bytes);
     }
   mailbox_post (thread->core, &mail->mail);
 }
--- a/adapters/curl_loop.c
+++ b/adapters/curl_loop.c
@@ -1,5 +1,6 @@
 #include <buckthornhead/curl_loop.h>
 
+#include <buckthornhead/held_memory.h>
 #include <buckthornhead/http_head.h>
 #include <buckthornhead/http_message.h>
 #include <buckthornhead/net_socket.h>
@@ -279,7 +280,7 @@
     return false;
   if (call->pending_bytes + n_bytes > talloc_get_size (call->pending))
     {
-      grown = talloc_realloc (call, call->pending, uint8_t, 2 * (call->pending_bytes + n_bytes));
+      grown = held_memory_resize (call, call->pending, 2 * (call->pending_bytes + n_bytes));
       if (grown == NULL)
         return false;
       call->pending = grown;
--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -35,6 +35,8 @@
   INSTANCES_POLL_MS = 1000,
   CONFIG_ENTRIES_MAX = 64,
   RESPONSES_PART = 2, /* of the bound on held memory, for responses that are collected */
+  /* Large responses leave the rest of the bound to small ones, as large requests do. */
+  LARGE_RESPONSES_QUARTERS = 3,
   RESPONSE_FLUSH_US = 200 * 1000
 };
 
@@ -491,7 +493,7 @@
   daemon.core = talloc_zero (NULL, struct Core);
   daemon.core->settings = settings;
   held_max_bytes = process_held_max_bytes (settings->held_memory_bytes);
-  held_memory_set_max (held_max_bytes);
+  held_memory_set_max (held_max_bytes / 4 * LARGE_RESPONSES_QUARTERS);
   daemon.core->responses_max_bytes = held_max_bytes / RESPONSES_PART;
   error = daemon_open_adapters (&daemon, fault);
   if (error != ERROR_NONE)
--- a/tests/fuzz/fuzz_response.c
+++ b/tests/fuzz/fuzz_response.c
@@ -7,6 +7,8 @@
 #include <buckthornhead/error.h>
 #include <buckthornhead/response_end.h>
 
+#include <string.h>
+
 enum
 {
   IN_ORDER = 0x10,
