Tests: one function for the entry of a server that is not the installation's

From reading the change once more: two session tests wrote the same JSON, one had two constants that nothing used and a parameter that was always NULL. The checks and bounds are the same. gateway_malformed_answers passes (142 assertions), and hostile_servers plain requests, streams and turns (69 each).

--- a/tests/sessions/gateways.c
+++ b/tests/sessions/gateways.c
@@ -219,6 +219,19 @@
   talloc_free (fleet);
 }
 
+void
+fleet_list_server (struct Fleet *fleet, const char *service, uint16_t port, uint32_t n_slots)
+{
+  char key[64], text[320];
+
+  snprintf (key, sizeof key, "servers/i-other-%u", port);
+  snprintf (text, sizeof text,
+            "{\"service\":\"%s\",\"address\":\"127.0.0.1:%u\",\"zone\":\"a\",\"version\":\"v1\","
+            "\"slots\":%u,\"state\":\"ready\",\"cold_remaining_ms\":0,\"sequence\":1,\"born\":1}",
+            service, port, n_slots);
+  installation_put (fleet->installation, key, text);
+}
+
 struct HttpReply *
 turn_send (struct Fleet *fleet,
            TALLOC_CTX *ctx,
--- a/tests/sessions/gateways.h
+++ b/tests/sessions/gateways.h
@@ -85,6 +85,10 @@
 bool
 gateway_wait_ready (struct Fleet *fleet, uint32_t i);
 
+/* Writes the entry of a server in zone "a" that is not one of the installation's. */
+void
+fleet_list_server (struct Fleet *fleet, const char *service, uint16_t port, uint32_t n_slots);
+
 /* Sends one turn with the headers of the platform's callers. previous "": the first turn; budget 0:
  * no budget. */
 struct HttpReply *
--- a/tests/sessions/test_gateway_malformed_answers.c
+++ b/tests/sessions/test_gateway_malformed_answers.c
@@ -10,8 +10,7 @@
 enum
 {
   BODY_BYTES = 3 * 1024 * 1024,
-  MEMORY_MAX_KIB = 48 * 1024, /* of a gateway: the memory of its machine */
-  N_CALLERS = 40
+  N_SLOTS = 8
 };
 
 /* Routes to the service "odd": the raw server, and for repeatable requests a sound one, too. */
@@ -47,22 +46,16 @@
 };
 
 static struct Odd *
-odd_start (const char *settings)
+odd_start (void)
 {
   struct Odd *odd = talloc_zero (NULL, struct Odd);
   struct Fleet *fleet = odd->fleet = fleet_new (odd);
-  char text[320];
 
   odd->n_failed = CU_get_number_of_failures ();
-  fleet->gateway_settings = settings;
   fleet_start_all (fleet, 1, 3, NULL, NULL);
   odd->server = raw_server_start (odd);
   CU_ASSERT_PTR_NOT_NULL_FATAL (odd->server);
-  snprintf (text, sizeof text,
-            "{\"service\":\"odd\",\"address\":\"127.0.0.1:%u\",\"zone\":\"a\",\"version\":\"v1\","
-            "\"slots\":8,\"state\":\"ready\",\"cold_remaining_ms\":0,\"sequence\":1,\"born\":1}",
-            raw_server_port (odd->server));
-  installation_put (fleet->installation, "servers/i-odd", text);
+  fleet_list_server (fleet, "odd", raw_server_port (odd->server), N_SLOTS);
   installation_set_body_max (fleet->installation, 2 * BODY_BYTES);
   installation_configure (fleet->installation, 2, routes);
   CU_ASSERT_TRUE (process_wait_for_output (fleet->gateways[0].process, "version 2, 6 routes"));
@@ -93,7 +86,7 @@
 test_malformed_head_is_never_passed_on (void)
 {
   static const char *const paths[] = { "/odd-once/1", "/odd-stream/1", "/odd-safe/1" };
-  struct Odd *odd = odd_start (NULL);
+  struct Odd *odd = odd_start ();
 
   for (size_t i = 0; i < sizeof malformed_heads / sizeof malformed_heads[0]; i++)
     for (size_t j = 0; j < sizeof paths / sizeof paths[0]; j++)
@@ -116,7 +109,7 @@
 {
   const struct RawResponse sound = { "HTTP/1.1 200 OK\r\n" SEAL "Content-Length: 2\r\n\r\nok", NULL,
                                      RAW_KEEPS_OPEN };
-  struct Odd *odd = odd_start (NULL);
+  struct Odd *odd = odd_start ();
 
   /* The requests earn retries, and leave an idle connection, which the next one uses. */
   raw_server_set_response (odd->server, &sound);
@@ -143,7 +136,7 @@
 {
   const struct RawResponse response = { "HTTP/1.1 200 OK\r\n" SEAL "\r\nhalf of it", NULL,
                                         RAW_RESETS };
-  struct Odd *odd = odd_start (NULL);
+  struct Odd *odd = odd_start ();
   char *body = talloc_array (odd, char, BODY_BYTES + 1);
 
   memset (body, 'x', BODY_BYTES);
--- a/tests/sessions/test_hostile_servers.c
+++ b/tests/sessions/test_hostile_servers.c
@@ -17,6 +17,7 @@
   MEMORY_MAX_KIB = 48 * 1024, /* of each process: the memory of its machine */
   DESCRIPTORS_MAX = 1000,
   N_CALLERS = 40,
+  N_SLOTS = 64,  /* of the server behind gateways */
   N_SERVERS = 6, /* of `serve`, of each kind */
   HOLD_MS = 1000,
   READ_BYTES = 64 * 1024
@@ -90,19 +91,13 @@
   struct Fleet *fleet = fleet_new (ctx);
   struct RawServer *server = raw_server_start (ctx);
   uint32_t n_failed = CU_get_number_of_failures ();
-  char text[320];
 
   CU_ASSERT_PTR_NOT_NULL_FATAL (server);
   fleet->gateway_settings = "[limits]\n" HELD_MEMORY;
   fleet_start_all (fleet, 1, 3, NULL, NULL);
-  snprintf (
-      text, sizeof text,
-      "{\"service\":\"engines\",\"address\":\"127.0.0.1:%u\",\"zone\":\"a\",\"version\":\"v1\","
-      "\"slots\":64,\"state\":\"ready\",\"cold_remaining_ms\":0,\"sequence\":1,\"born\":1}",
-      raw_server_port (server));
   server_remove_entry (fleet->installation, FIRST_ENGINE);
   server_remove_entry (fleet->installation, FIRST_ENGINE + 1);
-  installation_put (fleet->installation, "servers/i-odd", text);
+  fleet_list_server (fleet, "engines", raw_server_port (server), N_SLOTS);
   installation_configure (fleet->installation, 2, routes);
   CU_ASSERT_TRUE (process_wait_for_output (fleet->gateways[0].process, "version 2, 6 routes"));
   CU_ASSERT_TRUE (process_wait_for_output (fleet->gateways[0].process, " 2 listed"));
